--- /dev/null
+++ b/cmd/agateturnctl/main.go
@@ -0,0 +1,4 @@
+// Command agateturnctl is the operators' command-line tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/agateturnd/main.go
@@ -0,0 +1,4 @@
+// Command agateturnd is the daemon that runs on every entry host.
+package main
+
+func main() {}
