--- /dev/null
+++ b/internal/ctl/orders.go
@@ -0,0 +1,220 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"net/url"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/agateturn/agateturn/internal/operatorapi"
+)
+
+// waitPoll is the time between two looks at a state that a command waits for.
+const waitPoll = 250 * time.Millisecond
+
+type hostsCmd struct {
+	List hostsListCmd `cmd:"" default:"1" help:"List the hosts."`
+	Move hostsMoveCmd `cmd:"" help:"Move a host to another pool."`
+	Down hostsDownCmd `cmd:"" help:"Take a failed host out of service."`
+	Up   hostsUpCmd   `cmd:"" help:"Bring a host back into service."`
+}
+
+type hostsListCmd struct {
+	Pool string `help:"Only hosts of this pool."`
+}
+
+// Run lists the hosts.
+func (c *hostsListCmd) Run(e *env) error {
+	s, err := e.client.status(e.ctx)
+	if err != nil {
+		return err
+	}
+	hosts := lo.Filter(s.Hosts, func(h operatorapi.HostStatus, _ int) bool { return c.Pool == "" || h.Pool == c.Pool })
+	return e.print(hosts, "HOST DATA-CENTRE RACK POOL PHASE FOR", hostRows(hosts))
+}
+
+// waiting are the options of commands that can wait for their effect.
+type waiting struct {
+	Wait time.Duration `help:"Wait this long for the effect; 0 returns once the order is written." default:"0s"`
+	ID   string        `help:"Identity of the order; repeat it after a lost answer."`
+}
+
+type hostsMoveCmd struct {
+	waiting
+	Host string `arg:"" help:"Host to move."`
+	Pool string `arg:"" help:"Pool to move it to."`
+}
+
+// Run orders the move.
+func (c *hostsMoveCmd) Run(e *env) error {
+	order := operatorapi.MoveOrder{Target: c.Pool, OperationID: operationID(c.ID)}
+	if err := e.order("/v1/hosts/"+url.PathEscape(c.Host)+"/move", order, order.OperationID); err != nil {
+		return err
+	}
+	return e.await(c.Wait, func(s operatorapi.Status) (bool, string) {
+		h, _ := lo.Find(s.Hosts, func(h operatorapi.HostStatus) bool { return h.Name == c.Host })
+		return h.Pool == c.Pool && h.Phase == "active", fmt.Sprintf("%s in %s, held by %s", h.Phase, h.Pool, holders(h.HeldBy))
+	})
+}
+
+type hostsDownCmd struct {
+	waiting
+	Host string `arg:"" help:"Host to take out of service."`
+}
+
+// Run orders the host down.
+func (c *hostsDownCmd) Run(e *env) error { return setDown(e, c.Host, true, c.waiting) }
+
+type hostsUpCmd struct {
+	waiting
+	Host string `arg:"" help:"Host to bring back."`
+}
+
+// Run orders the host up.
+func (c *hostsUpCmd) Run(e *env) error { return setDown(e, c.Host, false, c.waiting) }
+
+func setDown(e *env, host string, down bool, w waiting) error {
+	order := operatorapi.DownOrder{Down: down, OperationID: operationID(w.ID)}
+	return e.order("/v1/hosts/"+url.PathEscape(host)+"/down", order, order.OperationID)
+}
+
+type wavesCmd struct {
+	List   wavesListCmd   `cmd:"" default:"1" help:"List the waves."`
+	Create wavesCreateCmd `cmd:"" help:"Begin a maintenance wave."`
+	Stop   wavesStopCmd   `cmd:"" help:"Stop a wave; hosts in progress finish."`
+	Resume wavesResumeCmd `cmd:"" help:"Let a stopped wave go on."`
+	Cancel wavesCancelCmd `cmd:"" help:"End a wave; hosts in progress finish."`
+	Watch  wavesWatchCmd  `cmd:"" help:"Show the progress of a wave until it ends."`
+}
+
+type wavesListCmd struct{}
+
+// Run lists the waves.
+func (wavesListCmd) Run(e *env) error {
+	s, err := e.client.status(e.ctx)
+	if err != nil {
+		return err
+	}
+	return e.print(s.Waves, "WAVE PHASE PENDING IN-PROGRESS DONE FAILED REASON",
+		lo.Map(s.Waves, func(w operatorapi.WaveStatus, _ int) []string {
+			return cells(w.Name, w.Phase, w.Pending, len(w.InProgress), w.Done, len(w.Failed), w.Reason)
+		}))
+}
+
+type wavesCreateCmd struct {
+	waiting
+	Name  string   `arg:"" help:"Name of the wave."`
+	Hosts []string `help:"Hosts to maintain."`
+	Pool  string   `help:"Maintain the hosts of this pool; without --hosts and --pool, all."`
+}
+
+// Run creates the wave.
+func (c *wavesCreateCmd) Run(e *env) error {
+	order := operatorapi.WaveOrder{Name: c.Name, Hosts: c.Hosts, Pool: c.Pool, OperationID: operationID(c.ID)}
+	if err := e.order("/v1/waves", order, order.OperationID); err != nil {
+		return err
+	}
+	return awaitWave(e, c.Name, c.Wait)
+}
+
+type wavesStopCmd struct {
+	Name   string `arg:"" help:"Name of the wave."`
+	Reason string `help:"Why."`
+}
+
+// Run stops the wave.
+func (c *wavesStopCmd) Run(e *env) error { return controlWave(e, c.Name, "stop", c.Reason) }
+
+type wavesResumeCmd struct {
+	Name string `arg:"" help:"Name of the wave."`
+}
+
+// Run resumes the wave.
+func (c *wavesResumeCmd) Run(e *env) error { return controlWave(e, c.Name, "resume", "") }
+
+type wavesCancelCmd struct {
+	Name string `arg:"" help:"Name of the wave."`
+}
+
+// Run cancels the wave.
+func (c *wavesCancelCmd) Run(e *env) error { return controlWave(e, c.Name, "cancel", "") }
+
+func controlWave(e *env, name, action, reason string) error {
+	return e.order("/v1/waves/"+url.PathEscape(name), operatorapi.WaveControl{Action: action, Reason: reason}, name)
+}
+
+type wavesWatchCmd struct {
+	Name string        `arg:"" help:"Name of the wave."`
+	Wait time.Duration `help:"Longest wait." default:"1h"`
+}
+
+// Run watches the wave.
+func (c *wavesWatchCmd) Run(e *env) error { return awaitWave(e, c.Name, c.Wait) }
+
+func awaitWave(e *env, name string, limit time.Duration) error {
+	stopped := ""
+	err := e.await(limit, func(s operatorapi.Status) (bool, string) {
+		w, ok := lo.Find(s.Waves, func(w operatorapi.WaveStatus) bool { return w.Name == name })
+		if !ok {
+			return false, "not seen yet"
+		}
+		if w.Phase == "stopped" {
+			stopped = w.Reason
+			return true, "stopped: " + w.Reason
+		}
+		return w.Phase == "done", fmt.Sprintf("%s: %d pending, %d in progress, %d done, %d failed",
+			w.Phase, w.Pending, len(w.InProgress), w.Done, len(w.Failed))
+	})
+	if err == nil && stopped != "" {
+		return errRefused.New("wave %s stopped: %s; look into it, then agateturnctl waves resume %s", name, stopped, name)
+	}
+	return err
+}
+
+// order sends an order and prints its acceptance.
+func (e *env) order(path string, order any, id string) error {
+	accepted, err := e.client.order(e.ctx, path, order)
+	if err != nil {
+		return err
+	}
+	if e.json {
+		return e.print(struct {
+			ID string `json:"id"`
+			operatorapi.Accepted
+		}{id, accepted}, "", nil)
+	}
+	_, err = fmt.Fprintf(e.out, "accepted at fleet revision %d (id %s)\n", accepted.FleetRevision, id)
+	return err
+}
+
+// await polls the status until reached says so, and shows each change of its progress text.
+func (e *env) await(limit time.Duration, reached func(operatorapi.Status) (bool, string)) error {
+	if limit <= 0 {
+		return nil
+	}
+	deadline := time.Now().Add(limit)
+	shown := ""
+	for {
+		s, err := e.client.status(e.ctx)
+		if err == nil {
+			done, text := reached(s)
+			if text != shown && !e.json {
+				_, _ = io.WriteString(e.out, text+"\n")
+				shown = text
+			}
+			if done {
+				return nil
+			}
+		}
+		if time.Now().After(deadline) {
+			return errWait.New("after %s: %s", limit, shown)
+		}
+		select {
+		case <-e.ctx.Done():
+			return e.ctx.Err()
+		case <-time.After(waitPoll):
+		}
+	}
+}
--- /dev/null
+++ b/internal/ctl/show.go
@@ -0,0 +1,168 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/agateturn/agateturn/internal/operatorapi"
+)
+
+// print writes the value as JSON, or the rows as a table.
+func (e *env) print(value any, header string, rows [][]string) error {
+	if e.json {
+		encoder := json.NewEncoder(e.out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	w := tabwriter.NewWriter(e.out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, strings.ReplaceAll(header, " ", "\t"))
+	for _, row := range rows {
+		_, _ = fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	return w.Flush()
+}
+
+type statusCmd struct{}
+
+// Run shows the entry hosts, then the hosts that drain and who holds them up.
+func (statusCmd) Run(e *env) error {
+	s, err := e.client.status(e.ctx)
+	if err != nil {
+		return err
+	}
+	if e.json {
+		return e.print(s, "", nil)
+	}
+	_, _ = fmt.Fprintf(e.out, "entry host %s: %s; controller %s, fleet revision %d, configuration generation %d, store heard %s ago\n\n",
+		s.EntryHost, readiness(s), s.Controller, s.FleetRevision, s.Generation, ago(s.StoreAgeMS))
+	if err := e.print(nil, "ENTRY-HOST DATA-CENTRE READY FLEET CONFIG HEARD", memberRows(s)); err != nil {
+		return err
+	}
+	draining := lo.Filter(s.Hosts, func(h operatorapi.HostStatus, _ int) bool { return h.Phase != "active" })
+	if len(draining) == 0 {
+		return nil
+	}
+	_, _ = fmt.Fprintln(e.out)
+	return e.print(nil, "HOST PHASE FOR HELD-BY", lo.Map(draining, func(h operatorapi.HostStatus, _ int) []string {
+		return []string{h.Name, h.Phase, purpose(h), holders(h.HeldBy)}
+	}))
+}
+
+func readiness(s operatorapi.Status) string {
+	if s.Ready {
+		return "ready"
+	}
+	return "not ready (" + s.NotReady + ")"
+}
+
+func memberRows(s operatorapi.Status) [][]string {
+	return lo.Map(s.Members, func(m operatorapi.MemberStatus, _ int) []string {
+		state := fmt.Sprint(m.Ready)
+		if m.Leaving {
+			state = "leaving"
+		}
+		return []string{
+			m.Name, m.DataCentre, state,
+			lagging(m.FleetRevision, s.FleetRevision), lagging(m.Generation, s.Generation), ago(m.HeardMSAgo),
+		}
+	})
+}
+
+func lagging(have, newest uint64) string {
+	if have < newest {
+		return fmt.Sprintf("%d (%d behind)", have, newest-have)
+	}
+	return fmt.Sprint(have)
+}
+
+func ago(ms int64) string {
+	if ms < 0 {
+		return "never"
+	}
+	return (time.Duration(ms) * time.Millisecond).Truncate(10 * time.Millisecond).String()
+}
+
+func purpose(h operatorapi.HostStatus) string {
+	if h.TargetPool != "" {
+		return "move to " + h.TargetPool
+	}
+	if h.Wave != "" {
+		return "wave " + h.Wave
+	}
+	return h.Purpose
+}
+
+func holders(held []operatorapi.HolderStatus) string {
+	if len(held) == 0 {
+		return "nobody"
+	}
+	return strings.Join(lo.Map(held, func(h operatorapi.HolderStatus, _ int) string {
+		if h.Lagging {
+			return h.Member + " (has not applied the drain)"
+		}
+		return fmt.Sprintf("%s (%d requests, oldest %s)", h.Member, h.Requests, ago(h.OldestMS))
+	}), ", ")
+}
+
+type poolsCmd struct{}
+
+// Run lists the pools.
+func (poolsCmd) Run(e *env) error {
+	s, err := e.client.status(e.ctx)
+	if err != nil {
+		return err
+	}
+	return e.print(s.Pools, "POOL HOSTS ACTIVE SLOTS RUNNING QUEUED",
+		lo.Map(s.Pools, func(p operatorapi.PoolStatus, _ int) []string {
+			return cells(p.Name, p.Hosts, p.Active, p.Slots, p.Running, p.Queued)
+		}))
+}
+
+type servicesCmd struct{}
+
+// Run lists the latencies.
+func (servicesCmd) Run(e *env) error {
+	s, err := e.client.status(e.ctx)
+	if err != nil {
+		return err
+	}
+	return e.print(s.Latencies, "SERVICE TEAM CLASS OUTCOME COUNT P50 P90 P99",
+		lo.Map(s.Latencies, func(l operatorapi.Latency, _ int) []string {
+			return cells(l.Service, l.Team, l.Class, l.Outcome, l.Count, millis(l.P50), millis(l.P90), millis(l.P99))
+		}))
+}
+
+type measuresCmd struct{}
+
+// Run shows the three measures.
+func (measuresCmd) Run(e *env) error {
+	s, err := e.client.status(e.ctx)
+	if err != nil {
+		return err
+	}
+	m := s.Measures
+	return e.print(m, "MEASURE VALUE", [][]string{
+		cells("buffer (host hours)", fmt.Sprintf("%.3f", m.BufferHostSeconds/time.Hour.Seconds())),
+		cells("roll-out (s, mean)", fmt.Sprintf("%.3f over %d", m.RollOutSeconds, m.RollOuts)),
+		cells("moves", m.Moves),
+	})
+}
+
+func millis(v float64) string { return fmt.Sprintf("%.1fms", v) }
+
+func cells(values ...any) []string {
+	return lo.Map(values, func(v any, _ int) string { return fmt.Sprint(v) })
+}
+
+func hostRows(hosts []operatorapi.HostStatus) [][]string {
+	sort.Slice(hosts, func(i, j int) bool { return hosts[i].Name < hosts[j].Name })
+	return lo.Map(hosts, func(h operatorapi.HostStatus, _ int) []string {
+		return cells(h.Name, h.DataCentre, h.Rack, h.Pool, h.Phase, purpose(h))
+	})
+}
--- /dev/null
+++ b/internal/entryhost/call.go
@@ -0,0 +1,187 @@
+package entryhost
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/samber/lo"
+
+	"github.com/agateturn/agateturn/admission"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+)
+
+// Headers of the contract with callers and workers; docs/CALLERS.md explains them.
+const (
+	headerTeam           = "Agateturn-Team"
+	headerClass          = "Agateturn-Class"
+	headerTimeout        = "Agateturn-Timeout"
+	headerRequestID      = "Agateturn-Request-Id"
+	headerOutcome        = "Agateturn-Outcome"
+	headerPool           = "Agateturn-Pool"
+	headerIdempotencyKey = "Idempotency-Key"
+)
+
+// maxKeyBytes bounds an idempotency key and a request id.
+const maxKeyBytes = 128
+
+// call is one caller's request, read and checked.
+type call struct {
+	service   *pb.Service
+	team      string
+	class     admission.Class
+	method    string
+	path      string
+	header    http.Header
+	body      []byte
+	key       string
+	requestID string
+	arrived   time.Time
+	deadline  time.Time
+}
+
+// parse reads everything but the body.
+func (s *callerServer) parse(r *http.Request, now time.Time) (*call, *refusal) {
+	cfg := s.view.config()
+	if cfg == nil {
+		return nil, refuse(http.StatusServiceUnavailable, errNoConfig.New("").Error())
+	}
+	name, path, ok := serviceAndPath(r.URL.Path)
+	if !ok {
+		return nil, refuse(http.StatusNotFound, "the path must be /v1/services/{service}/{path}")
+	}
+	service, ok := lo.Find(cfg.GetServices(), func(sv *pb.Service) bool { return sv.GetName() == name })
+	if !ok {
+		return nil, refuse(http.StatusNotFound, "no such service; ask your operators for its name")
+	}
+	team := r.Header.Get(headerTeam)
+	if !lo.SomeBy(cfg.GetTeams(), func(t *pb.Team) bool { return t.GetName() == team }) {
+		return nil, refuse(http.StatusForbidden, "the "+headerTeam+" header must name a configured team")
+	}
+	class, err := admission.ParseClass(r.Header.Get(headerClass))
+	if err != nil {
+		return nil, refuse(http.StatusBadRequest, err.Error())
+	}
+	timeout, err := timeoutOf(r.Header.Get(headerTimeout), service)
+	if err != nil {
+		return nil, refuse(http.StatusBadRequest, headerTimeout+" must be a positive duration such as 10s")
+	}
+	key, requestID := r.Header.Get(headerIdempotencyKey), r.Header.Get(headerRequestID)
+	if len(key) > maxKeyBytes || len(requestID) > maxKeyBytes {
+		return nil, refuse(http.StatusBadRequest, "keys and request ids have at most 128 bytes")
+	}
+	if requestID == "" {
+		requestID = uuid.NewString()
+	}
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return &call{
+		service:   service,
+		team:      team,
+		class:     class,
+		method:    r.Method,
+		path:      path,
+		header:    r.Header,
+		key:       key,
+		requestID: requestID,
+		arrived:   now,
+		deadline:  now.Add(timeout),
+	}, nil
+}
+
+func timeoutOf(text string, service *pb.Service) (time.Duration, error) {
+	if text == "" {
+		return service.GetDeadline().AsDuration(), nil
+	}
+	timeout, err := time.ParseDuration(text)
+	if err == nil && timeout <= 0 {
+		err = errBadCaller.New("timeout %s", text)
+	}
+	return timeout, err
+}
+
+// readBody reads the whole body, within the limits of size and time, before the request queues: a slow caller holds no slot.
+func (c *call) readBody(w http.ResponseWriter, r *http.Request, limits *pb.LimitSettings) *refusal {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(limits.GetBodyTimeout().AsDuration()))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limits.GetMaxBodyBytes()))
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refuse(http.StatusRequestEntityTooLarge, "the body is larger than [limits] max_body_bytes")
+	case err != nil:
+		return refuse(http.StatusRequestTimeout, "the body did not arrive whole within [limits] body_timeout")
+	}
+	c.body = body
+	return nil
+}
+
+// context ends at the deadline. A session's deadline bounds its start only.
+func (c *call) context(parent context.Context) (context.Context, context.CancelFunc) {
+	if c.class == admission.ClassSession {
+		return context.WithCancel(parent)
+	}
+	return context.WithDeadline(parent, c.deadline)
+}
+
+func (c *call) request() admission.Request {
+	return admission.Request{
+		Service:  c.service.GetName(),
+		Pool:     c.service.GetPool(),
+		Team:     c.team,
+		Class:    c.class,
+		Arrival:  c.arrived,
+		Deadline: c.deadline,
+	}
+}
+
+func (c *call) bodyReader() io.Reader {
+	if len(c.body) == 0 {
+		return http.NoBody
+	}
+	return bytes.NewReader(c.body)
+}
+
+// idempotent reports whether the request may run again after an unknown outcome.
+func (c *call) idempotent() bool {
+	if c.key != "" {
+		return false
+	}
+	switch c.method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return c.class != admission.ClassSession
+	default:
+		return false
+	}
+}
+
+// bodyDigest identifies the request, so that a key is not used for two different ones.
+func (c *call) bodyDigest() []byte {
+	h := sha256.New()
+	for _, part := range []string{c.method, c.path, c.team} {
+		_ = binary.Write(h, binary.BigEndian, int64(len(part)))
+		_, _ = io.WriteString(h, part)
+	}
+	_, _ = h.Write(c.body)
+	return h.Sum(nil)
+}
+
+// digest identifies the job for the router, which tells failing jobs from failing hosts.
+func (c *call) digest() uint64 {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, c.service.GetName()+" "+c.method+" "+c.path+" ")
+	_, _ = h.Write(c.body)
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/entryhost/caller.go
@@ -0,0 +1,278 @@
+package entryhost
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/agateturn/agateturn/admission"
+	"github.com/agateturn/agateturn/events"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/pause"
+	"github.com/agateturn/agateturn/routing"
+	"github.com/agateturn/agateturn/stats"
+	"github.com/agateturn/agateturn/upstream"
+)
+
+// callerServer serves the callers: it queues each request, sends it to one host, and relays the whole answer.
+type callerServer struct {
+	view     *view
+	dispatch *dispatcher
+	keys     *keys
+	upstream *upstream.Client
+	detector *pause.Detector
+	stats    *stats.Stats
+	limits   *pb.LimitSettings
+	logger   *slog.Logger
+	ready    func() error
+
+	held atomic.Int64 // requests held now
+}
+
+// ServeHTTP serves readiness checks and POST/GET/... /v1/services/{service}/{path}.
+func (s *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/readyz" {
+		s.serveReady(w)
+		return
+	}
+	if s.held.Add(1) > s.limits.GetMaxRequests() {
+		s.held.Add(-1)
+		writeRefusal(w, notRun(http.StatusServiceUnavailable, "this entry host holds its limit of requests", time.Second))
+		return
+	}
+	defer s.held.Add(-1)
+	s.serveRequest(w, r)
+}
+
+func (s *callerServer) serveReady(w http.ResponseWriter) {
+	if err := s.ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+// serveRequest answers one request, and records how it went.
+func (s *callerServer) serveRequest(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	c, refusal := s.parse(r, arrived)
+	if refusal == nil {
+		refusal = c.readBody(w, r, s.limits)
+	}
+	if refusal != nil {
+		writeRefusal(w, *refusal)
+		return
+	}
+	ctx, cancel := c.context(r.Context())
+	defer cancel()
+	ended := s.serveCall(ctx, w, c)
+	s.stats.Observe(stats.Labels{
+		Service: c.service.GetName(),
+		Team:    c.team,
+		Class:   c.class.String(),
+		Outcome: ended.outcome.String(),
+	}, ended.queued, time.Since(arrived))
+	if ended.abort {
+		panic(http.ErrAbortHandler) // a cut answer must not look whole
+	}
+}
+
+// callEnd is how one call ended.
+type callEnd struct {
+	outcome outcome
+	queued  time.Duration
+	abort   bool
+}
+
+// serveCall tries hosts until the request was sent to one or may not be tried again.
+func (s *callerServer) serveCall(ctx context.Context, w http.ResponseWriter, c *call) callEnd {
+	t := &ticket{request: c.request(), digest: c.digest(), result: make(chan verdict, 1)}
+	for {
+		g, refusal := s.queue(ctx, t)
+		if refusal != nil {
+			writeRefusal(w, *refusal)
+			return callEnd{outcome: outcomeNotRun, queued: time.Since(c.arrived)}
+		}
+		end, again := s.attempt(ctx, w, c, t, g)
+		if !again {
+			end.queued = g.started.Sub(c.arrived)
+			return end
+		}
+		t = &ticket{request: c.request(), digest: t.digest, excluded: append(t.excluded, g.host), result: make(chan verdict, 1)}
+	}
+}
+
+// queue waits for a grant. The answer of a request that is given up on goes out at once.
+func (s *callerServer) queue(ctx context.Context, t *ticket) (*grant, *refusal) {
+	if err := s.ready(); err != nil && !errStopping.Has(err) {
+		r := notRun(http.StatusServiceUnavailable, err.Error(), retryUnready)
+		return nil, &r
+	}
+	if !s.dispatch.offer(t) {
+		r := notRun(http.StatusServiceUnavailable, "the dispatcher's queue is full", time.Second)
+		return nil, &r
+	}
+	select {
+	case v := <-t.result:
+		return s.verdict(v)
+	case <-ctx.Done():
+	}
+	s.dispatch.cancel(context.WithoutCancel(ctx), t)
+	v := <-t.result
+	if v.grant != nil {
+		s.dispatch.done(context.WithoutCancel(ctx), finished{ticket: t, grant: v.grant, result: routing.ResultNotRun})
+	}
+	r := notRun(http.StatusServiceUnavailable, "the deadline passed in the queue", 0)
+	return nil, &r
+}
+
+func (s *callerServer) verdict(v verdict) (*grant, *refusal) {
+	if v.grant != nil {
+		return v.grant, nil
+	}
+	status := http.StatusServiceUnavailable
+	if v.rejection.Reason == admission.ReasonQuota {
+		status = http.StatusTooManyRequests
+	}
+	r := notRun(status, v.rejection.Reason.String(), v.rejection.RetryAfter)
+	return nil, &r
+}
+
+// attempt sends the request to the granted host and relays its answer. It reports whether another host may be tried.
+func (s *callerServer) attempt(ctx context.Context, w http.ResponseWriter, c *call, t *ticket, g *grant) (callEnd, bool) {
+	result := routing.ResultNotRun
+	defer func() {
+		s.dispatch.done(context.WithoutCancel(ctx), finished{ticket: t, grant: g, result: result})
+	}()
+	held, refusal := s.claim(ctx, c)
+	if refusal != nil {
+		writeRefusal(w, *refusal)
+		return callEnd{outcome: refusal.outcome}, false
+	}
+	response, err := s.upstream.Do(ctx, upstream.Target{Host: g.host, Address: g.address}, s.outgoing(c, g))
+	if err != nil {
+		result = resultOf(err)
+		s.finishClaim(held, outcomeOf(err), 0)
+		return s.failed(ctx, w, c, g, err)
+	}
+	result = routing.ResultOK
+	if response.Status >= http.StatusInternalServerError {
+		result = routing.ResultFailed
+	}
+	w.Header().Set(headerOutcome, outcomeDone.String())
+	if err := s.upstream.Relay(w, response); err != nil {
+		result = routing.ResultUnknown
+		s.finishClaim(held, outcomeUnknown, response.Status)
+		events.Emit(ctx, s.logger, events.OutcomeUnknown, "host", g.host, "request", c.requestID, "err", err)
+		return callEnd{outcome: outcomeUnknown, abort: true}, false
+	}
+	s.finishClaim(held, outcomeDone, response.Status)
+	return callEnd{outcome: outcomeDone}, false
+}
+
+// failed decides what follows a failed exchange: another host, or the final answer.
+func (s *callerServer) failed(ctx context.Context, w http.ResponseWriter, c *call, g *grant, err error) (callEnd, bool) {
+	ended := outcomeOf(err)
+	retryable := ended == outcomeNotRun || c.idempotent()
+	if retryable && ctx.Err() == nil && s.dispatch.allowRetry(ctx, c.service.GetName()) {
+		return callEnd{}, true
+	}
+	if ended == outcomeUnknown {
+		events.Emit(ctx, s.logger, events.OutcomeUnknown, "host", g.host, "request", c.requestID, "err", err)
+		writeRefusal(w, unknownOutcome(statusOf(ctx, err), err.Error()))
+		return callEnd{outcome: outcomeUnknown}, false
+	}
+	writeRefusal(w, notRun(http.StatusServiceUnavailable, err.Error(), retryNoHost))
+	return callEnd{outcome: outcomeNotRun}, false
+}
+
+// outgoing is the request as the worker gets it. The last check runs immediately before the first byte is written.
+func (s *callerServer) outgoing(c *call, g *grant) upstream.Request {
+	header := c.header.Clone()
+	header.Set(headerRequestID, c.requestID)
+	header.Set(headerPool, g.pool)
+	return upstream.Request{
+		Method:        c.method,
+		Path:          c.path,
+		Header:        header,
+		Body:          c.bodyReader(),
+		ContentLength: int64(len(c.body)),
+		RequestID:     c.requestID,
+		Echo:          c.service.GetCorrelationEcho(),
+		BeforeSend: func() error {
+			if err := s.detector.Check(); err != nil {
+				return err
+			}
+			return s.view.gate.Check(g.host, g.pool)
+		},
+	}
+}
+
+// claim gets the right to run a request that carries an idempotency key. A nil claim means the request has no key.
+func (s *callerServer) claim(ctx context.Context, c *call) (*claim, *refusal) {
+	if c.key == "" {
+		return nil, nil
+	}
+	answer, held, err := s.keys.claim(ctx, &pb.ClaimRequest{
+		Service:     c.service.GetName(),
+		Key:         c.key,
+		Attempt:     uuid.NewString(),
+		Member:      s.keys.self.GetName(),
+		Incarnation: s.keys.self.GetIncarnation(),
+		Digest:      c.bodyDigest(),
+	})
+	if err != nil {
+		r := notRun(http.StatusServiceUnavailable, err.Error(), retryKey)
+		return nil, &r
+	}
+	if answer.GetVerdict() == pb.ClaimVerdict_CLAIM_VERDICT_GRANTED {
+		return &held, nil
+	}
+	r := refusalOf(answer)
+	return nil, &r
+}
+
+func (s *callerServer) finishClaim(held *claim, ended outcome, status int) {
+	if held == nil {
+		return
+	}
+	s.keys.finish(*held, &pb.Outcome{Kind: ended.kind(), Status: int32(status)})
+}
+
+func outcomeOf(err error) outcome {
+	if upstream.NotRun.Has(err) {
+		return outcomeNotRun
+	}
+	return outcomeUnknown
+}
+
+func resultOf(err error) routing.Result {
+	if upstream.NotRun.Has(err) {
+		return routing.ResultNotRun
+	}
+	return routing.ResultUnknown
+}
+
+func statusOf(ctx context.Context, err error) int {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// serviceAndPath splits /v1/services/{service}/{path}.
+func serviceAndPath(urlPath string) (service, path string, ok bool) {
+	rest, found := strings.CutPrefix(urlPath, "/v1/services/")
+	if !found {
+		return "", "", false
+	}
+	service, path, _ = strings.Cut(rest, "/")
+	return service, "/" + path, service != ""
+}
--- /dev/null
+++ b/internal/entryhost/daemon.go
@@ -0,0 +1,205 @@
+// Package entryhost is the daemon that runs on every entry host: its duties and how they are joined.
+//
+// Each duty is one goroutine (dispatcher, follower of a key, registrar, controller, peers, links to single peers, claim
+// ends, platform list, pause detector), joined to the others by bounded rings. The decisions are in the root packages.
+package entryhost
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/samber/do/v2"
+
+	"github.com/agateturn/agateturn/config"
+	"github.com/agateturn/agateturn/events"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/pause"
+	"github.com/agateturn/agateturn/stats"
+)
+
+// Daemon is one entry host's process.
+type Daemon struct {
+	settings  *pb.Settings
+	logger    *slog.Logger
+	self      *pb.Member
+	view      *view
+	dispatch  *dispatcher
+	keys      *keys
+	peers     *peers
+	follower  *follower
+	registrar *registrar
+	control   *control
+	list      *platformList
+	proposer  *proposer
+	callers   *callerServer
+	detector  *pause.Detector
+	stats     *stats.Stats
+	writer    *writer
+
+	stopping atomic.Bool
+	duties   sync.WaitGroup
+	started  time.Time
+}
+
+// New wires a daemon. Nothing runs before Run.
+func New(settings *pb.Settings, logger *slog.Logger) (*Daemon, error) {
+	injector := do.New()
+	do.ProvideValue(injector, settings)
+	do.ProvideValue(injector, logger)
+	provide(injector)
+	return do.Invoke[*Daemon](injector)
+}
+
+// newMember is this process's entry in the fleet.
+func newMember(s *pb.EntryHostSettings) *pb.Member {
+	return &pb.Member{
+		Name:            s.GetName(),
+		Incarnation:     uuid.NewString(),
+		PeerAddress:     s.GetPeerAddress(),
+		OperatorAddress: s.GetOperatorAddress(),
+		DataCentre:      s.GetDataCentre(),
+		Region:          s.GetRegion(),
+	}
+}
+
+// Run serves until ctx ends, then stops gracefully. It returns an error if the daemon cannot start or was removed from
+// the fleet while it was paused.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.started = time.Now()
+	servers, err := d.listen()
+	if err != nil {
+		return err
+	}
+	dutyCtx, endDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer endDuties()
+	failed := make(chan error, 1)
+	d.startDuties(dutyCtx, failed)
+	for _, s := range servers.all() {
+		s.serve(d.logger, failed)
+	}
+	events.Emit(ctx, d.logger, events.Started, "member", d.self.GetName(), "incarnation", d.self.GetIncarnation())
+	select {
+	case <-ctx.Done():
+		d.stop(context.WithoutCancel(ctx), servers)
+		endDuties()
+		d.duties.Wait()
+		return nil
+	case err := <-failed:
+		servers.close()
+		return err
+	}
+}
+
+// startDuties starts every duty that lives as long as the daemon.
+func (d *Daemon) startDuties(ctx context.Context, failed chan<- error) {
+	d.duty(func() {
+		d.detector.Run(ctx, func(gap time.Duration) {
+			events.Emit(ctx, d.logger, events.PauseDetected, "gap", gap)
+		})
+	})
+	d.duty(func() { d.dispatch.run(ctx) })
+	d.duty(func() { d.keys.run(ctx) })
+	d.duty(func() { d.peers.run(ctx) })
+	d.duty(func() { d.follower.run(ctx, keyFleet, d.follower.takeFleet) })
+	d.duty(func() { d.follower.run(ctx, keyConfig, d.follower.takeConfig) })
+	d.duty(func() { d.list.run(ctx) })
+	d.duty(func() { d.control.run(ctx) })
+	d.duty(func() {
+		if err := d.registrar.run(ctx); err != nil {
+			failed <- err
+		}
+	})
+}
+
+func (d *Daemon) duty(run func()) {
+	d.duties.Go(run)
+}
+
+// stop is the graceful shutdown: unready first, then no new work, then every request and session to its end.
+func (d *Daemon) stop(ctx context.Context, servers *servers) {
+	events.Emit(ctx, d.logger, events.Stopping, "member", d.self.GetName())
+	d.stopping.Store(true)
+	_ = d.registrar.setLeaving(ctx)
+	_ = sleep(ctx, d.settings.GetTiming().GetDrainNotice().AsDuration())
+	limit, cancel := context.WithTimeout(ctx, d.settings.GetTiming().GetStopLimit().AsDuration())
+	defer cancel()
+	if err := servers.callers.server.Shutdown(limit); err != nil {
+		d.logger.Warn("requests were cut at the stop limit", "component", "daemon", "err", err)
+	}
+	if err := d.callers.upstream.WaitSessions(limit); err != nil {
+		d.logger.Warn("sessions were cut at the stop limit", "component", "daemon", "err", err)
+	}
+	_ = d.registrar.leave(ctx)
+	servers.close()
+	events.Emit(ctx, d.logger, events.Stopped, "member", d.self.GetName())
+}
+
+// ready is nil when this entry host may take work; otherwise the error says why not and what to do.
+func (d *Daemon) ready() error {
+	switch {
+	case d.stopping.Load():
+		return errStopping.New("%s", d.self.GetName())
+	case d.view.config() == nil:
+		return errNoConfig.New("entry host %s", d.self.GetName())
+	}
+	if err := d.detector.Check(); err != nil {
+		return err
+	}
+	if !d.registrar.isMember() && !d.peers.guestOf(time.Now(), d.settings.GetTiming().GetPauseLimit().AsDuration()) {
+		return errNotMember.New("%s", d.self.GetName())
+	}
+	return d.settled()
+}
+
+// settled is nil unless a staged configuration has been in doubt for longer than the bound.
+func (d *Daemon) settled() error {
+	var err error
+	d.view.withStager(func(st *config.Stager) {
+		if since, unsettled := st.Unsettled(time.Now()); unsettled {
+			err = errUnsettled.New("for %s", since)
+		}
+	})
+	return err
+}
+
+// server is one listener with its HTTP server.
+type server struct {
+	name     string
+	listener net.Listener
+	server   *http.Server
+}
+
+// servers are the daemon's listeners.
+type servers struct {
+	callers, operators, peers *server
+}
+
+func (s *servers) all() []*server { return []*server{s.callers, s.operators, s.peers} }
+
+func (s *servers) close() {
+	for _, one := range s.all() {
+		_ = one.server.Close()
+	}
+}
+
+// serve accepts connections until the server is closed.
+func (s *server) serve(logger *slog.Logger, failed chan<- error) {
+	go func() {
+		err := s.server.Serve(s.listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			return
+		}
+		logger.Error("listener ended", "component", s.name, "err", err)
+		select {
+		case failed <- err:
+		default:
+		}
+	}()
+}
--- /dev/null
+++ b/internal/entryhost/follow.go
@@ -0,0 +1,138 @@
+package entryhost
+
+import (
+	"context"
+	"log/slog"
+	"sort"
+	"time"
+
+	"github.com/samber/lo"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/agateturn/agateturn/events"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/rendezvous"
+	"github.com/agateturn/agateturn/store"
+)
+
+const (
+	// watchers is the number of entry hosts that keep watches open on the store; the others hear from them.
+	watchers = 3
+	// pollPeriod is the time between two reads of an entry host that does not watch.
+	pollPeriod = 30 * time.Second
+	// pollWake is the time between two looks at whether this entry host should watch.
+	pollWake = time.Second
+)
+
+// follower brings newer values from the store into the view.
+type follower struct {
+	kv      store.KV
+	view    *view
+	name    string
+	logger  *slog.Logger
+	backoff store.Backoff
+}
+
+// run follows one key until ctx ends, as a watcher or by rare reads.
+func (f *follower) run(ctx context.Context, key string, apply func(data []byte) error) {
+	var version uint64
+	failures := 0
+	for ctx.Err() == nil {
+		value, err := f.next(ctx, key, version)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			f.failed(ctx, key, err, failures)
+			_ = f.backoff.Wait(ctx, failures)
+			failures++
+			continue
+		}
+		f.recovered(ctx, key, failures)
+		failures = 0
+		f.view.heardStore(time.Now())
+		if value.Version == version || value.Version == 0 {
+			continue
+		}
+		version = value.Version
+		if err := apply(value.Data); err != nil {
+			f.logger.Error("store value refused", "key", key, "err", err)
+		}
+	}
+}
+
+// next waits for a newer value: with a watch on the store, or by a read after the poll period.
+func (f *follower) next(ctx context.Context, key string, version uint64) (store.Value, error) {
+	if version == 0 {
+		return f.kv.Get(ctx, key)
+	}
+	if f.watches() {
+		return f.kv.Wait(ctx, key, version)
+	}
+	deadline := time.Now().Add(pollPeriod)
+	for time.Now().Before(deadline) && !f.watches() {
+		if err := sleep(ctx, pollWake); err != nil {
+			return store.Value{}, err
+		}
+	}
+	return f.kv.Get(ctx, key)
+}
+
+// watches reports whether this entry host is one of the few that keep watches open: the first by rendezvous hashing.
+func (f *follower) watches() bool {
+	members := f.view.fleet().GetMembers()
+	if len(members) <= watchers || f.view.fleet().GetController() == f.name {
+		return true
+	}
+	names := lo.Map(members, func(m *pb.Member, _ int) string { return m.GetName() })
+	sort.Slice(names, func(i, j int) bool {
+		return rendezvous.Weight("watcher", names[i]) > rendezvous.Weight("watcher", names[j])
+	})
+	return lo.Contains(names[:watchers], f.name)
+}
+
+func (f *follower) failed(ctx context.Context, key string, err error, failures int) {
+	if failures == 0 {
+		events.Emit(ctx, f.logger, events.StoreUnreachable, "key", key, "err", err)
+	}
+}
+
+func (f *follower) recovered(ctx context.Context, key string, failures int) {
+	if failures > 0 {
+		events.Emit(ctx, f.logger, events.StoreBack, "key", key, "failures", failures)
+	}
+}
+
+// takeFleet applies a fleet value read from the store.
+func (f *follower) takeFleet(data []byte) error {
+	next := &pb.Fleet{}
+	if err := proto.Unmarshal(data, next); err != nil {
+		return errCorrupt.Wrap(err)
+	}
+	f.view.applyFleet(next)
+	return nil
+}
+
+// takeConfig puts a configuration read from the store in force.
+func (f *follower) takeConfig(data []byte) error {
+	next := &pb.Configuration{}
+	if err := proto.Unmarshal(data, next); err != nil {
+		return errCorrupt.Wrap(err)
+	}
+	if f.view.applyConfig(time.Now(), next) {
+		events.Emit(context.Background(), f.logger, events.ConfigInForce, "generation", next.GetGeneration(), "source", "store")
+	}
+	return nil
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/entryhost/peers.go
@@ -0,0 +1,272 @@
+package entryhost
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/samber/lo"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
+	"github.com/agateturn/agateturn/internal/ring"
+)
+
+const (
+	// demandGap is the shortest time between two heartbeats sent because a queue grew.
+	demandGap = 200 * time.Millisecond
+	// peerMessageLimit bounds one message from a peer, in bytes.
+	peerMessageLimit = 4 << 20
+)
+
+// received is the newest heartbeat of a member, and when it came.
+type received struct {
+	heartbeat *pb.Heartbeat
+	at        time.Time
+}
+
+// peers exchanges heartbeats with the other entry hosts and answers theirs. It is safe for concurrent use.
+type peers struct {
+	self      *pb.Member
+	view      *view
+	dispatch  *dispatcher
+	heartbeat time.Duration
+	logger    *slog.Logger
+	client    *http.Client
+	ready     func() bool
+	changed   *ring.Ring[struct{}]
+	heard     *ring.Ring[struct{}] // signalled when a heartbeat came in
+
+	mu     sync.Mutex
+	latest map[string]received
+	links  map[string]*link
+	guests map[string]*pb.Member
+	// sponsor is the peer address of the member that vouches for us while we are its guest.
+	sponsor string
+	hosts   map[string]agateturnv1connect.PeerServiceClient
+}
+
+// link is the duty that exchanges heartbeats with one peer.
+type link struct {
+	address string
+	kick    *ring.Ring[struct{}]
+	stop    context.CancelFunc
+}
+
+// run keeps one link to each member until ctx ends.
+func (p *peers) run(ctx context.Context) {
+	ticker := time.NewTicker(p.heartbeat)
+	defer ticker.Stop()
+	var lastDemand time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.reconcile(ctx)
+		case <-p.changed.Items():
+			p.reconcile(ctx)
+			p.kickAll()
+		case <-p.dispatch.demand.Items():
+			if time.Since(lastDemand) >= demandGap {
+				lastDemand = time.Now()
+				p.kickAll()
+			}
+		}
+	}
+}
+
+// reconcile starts links to new members and ends those to members that are gone.
+func (p *peers) reconcile(ctx context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.releaseGuests()
+	wanted := lo.SliceToMap(p.others(), func(m *pb.Member) (string, string) { return m.GetName(), m.GetPeerAddress() })
+	for name, l := range p.links {
+		if wanted[name] != l.address {
+			l.stop()
+			delete(p.links, name)
+			delete(p.latest, name)
+		}
+	}
+	for name, address := range wanted {
+		if p.links[name] == nil {
+			p.links[name] = p.startLink(ctx, name, address)
+		}
+	}
+}
+
+// others are the members besides this one, guests included. The caller holds mu.
+func (p *peers) others() []*pb.Member {
+	members := append([]*pb.Member{}, p.view.fleet().GetMembers()...)
+	for _, guest := range p.guests {
+		members = append(members, guest)
+	}
+	return lo.Filter(members, func(m *pb.Member, _ int) bool { return m.GetName() != p.self.GetName() })
+}
+
+func (p *peers) startLink(ctx context.Context, name, address string) *link {
+	linkCtx, stop := context.WithCancel(ctx)
+	l := &link{address: address, kick: ring.New[struct{}]("kick "+name, 1), stop: stop}
+	go p.runLink(linkCtx, name, l)
+	return l
+}
+
+func (p *peers) runLink(ctx context.Context, name string, l *link) {
+	ticker := time.NewTicker(p.heartbeat)
+	defer ticker.Stop()
+	for {
+		p.exchange(ctx, name, l.address)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-l.kick.Items():
+		}
+	}
+}
+
+func (p *peers) kickAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		l.kick.Offer(struct{}{})
+	}
+}
+
+// exchange sends one heartbeat and takes over the peer's.
+func (p *peers) exchange(ctx context.Context, name, address string) {
+	ctx, cancel := context.WithTimeout(ctx, p.heartbeat)
+	defer cancel()
+	hb, err := p.compose(ctx, name)
+	if err != nil {
+		return
+	}
+	answer, err := p.at(address).Exchange(ctx, connect.NewRequest(hb))
+	if err != nil {
+		p.logger.Debug("heartbeat failed", "component", "peers", "peer", name, "err", err)
+		return
+	}
+	p.take(ctx, answer.Msg)
+}
+
+// at is the client for a peer address.
+func (p *peers) at(address string) agateturnv1connect.PeerServiceClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.hosts[address]; ok {
+		return c
+	}
+	c := agateturnv1connect.NewPeerServiceClient(p.client, "http://"+address, connect.WithReadMaxBytes(peerMessageLimit))
+	p.hosts[address] = c
+	return c
+}
+
+// compose is this member's report to a peer.
+//
+// The applied revision is read before the held hosts: whatever is still held under that revision is in the list.
+func (p *peers) compose(ctx context.Context, peer string) (*pb.Heartbeat, error) {
+	now := time.Now()
+	hb := &pb.Heartbeat{
+		Name:             p.self.GetName(),
+		Incarnation:      p.self.GetIncarnation(),
+		DataCentre:       p.self.GetDataCentre(),
+		FleetRevision:    p.view.appliedRevision(),
+		ConfigGeneration: p.view.config().GetGeneration(),
+		StoreAgeMs:       p.view.storeAge(now).Milliseconds(),
+		Ready:            p.ready(),
+		Guests:           p.guestList(),
+	}
+	if err := p.dispatch.compose(ctx, peer, hb); err != nil {
+		return nil, err
+	}
+	hb.HeldHosts = p.view.gate.Held(now)
+	return hb, nil
+}
+
+// take keeps a heartbeat if it is newer than the last one, and asks its sender for values that it has and we lack.
+func (p *peers) take(ctx context.Context, hb *pb.Heartbeat) {
+	if !p.keep(hb) {
+		return
+	}
+	p.dispatch.incoming(ctx, hb)
+	p.heard.Offer(struct{}{})
+	behind := hb.GetFleetRevision() > p.view.fleet().GetRevision() ||
+		hb.GetConfigGeneration() > p.view.config().GetGeneration()
+	if behind {
+		p.fetchFrom(ctx, hb.GetName())
+	}
+}
+
+// keep stores a heartbeat unless a later one of the same incarnation is known already.
+func (p *peers) keep(hb *pb.Heartbeat) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	last := p.latest[hb.GetName()].heartbeat
+	if last.GetIncarnation() == hb.GetIncarnation() && last.GetSequence() >= hb.GetSequence() {
+		return false
+	}
+	p.latest[hb.GetName()] = received{heartbeat: hb, at: time.Now()}
+	return true
+}
+
+func (p *peers) fetchFrom(ctx context.Context, name string) {
+	member, ok := lo.Find(p.members(), func(m *pb.Member) bool { return m.GetName() == name })
+	if !ok {
+		return
+	}
+	_ = p.fetch(ctx, member.GetPeerAddress(), nil)
+}
+
+// fetch takes over what the peer knows and we do not. With join set, the peer vouches for this entry host.
+func (p *peers) fetch(ctx context.Context, address string, join *pb.Member) error {
+	answer, err := p.at(address).Fetch(ctx, connect.NewRequest(&pb.FetchRequest{
+		ConfigGeneration: p.view.config().GetGeneration(),
+		FleetRevision:    p.view.fleet().GetRevision(),
+		Join:             join,
+	}))
+	if err != nil {
+		return errUnreachable.New("%s: %v", address, err)
+	}
+	p.takeValues(answer.Msg)
+	return nil
+}
+
+// takeValues puts a peer's newer values in force. The configuration goes first: the fleet refers to its hosts.
+func (p *peers) takeValues(values *pb.FetchResponse) {
+	if cfg := values.GetConfig(); cfg != nil {
+		p.view.applyConfig(time.Now(), cfg)
+	}
+	if f := values.GetFleet(); f != nil {
+		p.view.applyFleet(f)
+	}
+}
+
+// members are the known members and guests, this one included.
+func (p *peers) members() []*pb.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append(p.others(), p.self)
+}
+
+// reports are the newest heartbeats by member, this entry host's own included.
+func (p *peers) reports(ctx context.Context) (map[string]received, error) {
+	own, err := p.compose(ctx, p.self.GetName())
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := lo.Assign(p.latest)
+	all[p.self.GetName()] = received{heartbeat: own, at: time.Now()}
+	return all, nil
+}
+
+func (p *peers) guestList() []*pb.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return lo.Values(p.guests)
+}
--- /dev/null
+++ b/internal/entryhost/peerservice.go
@@ -0,0 +1,74 @@
+package entryhost
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/agateturn/agateturn/config"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/idempotency"
+)
+
+// peerLimits bounds what a peer may send.
+func peerLimits() connect.HandlerOption { return connect.WithReadMaxBytes(peerMessageLimit) }
+
+// peerService answers the other entry hosts.
+type peerService struct {
+	peers *peers
+	keys  *keys
+	view  *view
+}
+
+// Exchange takes over a peer's heartbeat and answers with our own.
+func (s *peerService) Exchange(ctx context.Context, req *connect.Request[pb.Heartbeat]) (*connect.Response[pb.Heartbeat], error) {
+	s.peers.take(ctx, req.Msg)
+	own, err := s.peers.compose(ctx, req.Msg.GetName())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(own), nil
+}
+
+// Fetch returns what the caller lacks. A joining entry host is vouched for only while we are a member ourselves.
+func (s *peerService) Fetch(_ context.Context, req *connect.Request[pb.FetchRequest]) (*connect.Response[pb.FetchResponse], error) {
+	if join := req.Msg.GetJoin(); join != nil {
+		if err := s.peers.vouch(join); err != nil {
+			return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+		}
+	}
+	answer := &pb.FetchResponse{}
+	if cfg := s.view.config(); cfg.GetGeneration() > req.Msg.GetConfigGeneration() {
+		answer.Config = cfg
+	}
+	if f := s.view.fleet(); f.GetRevision() > req.Msg.GetFleetRevision() {
+		answer.Fleet = f
+	}
+	return connect.NewResponse(answer), nil
+}
+
+// Stage holds a configuration that its proposer is about to write, or drops it again.
+func (s *peerService) Stage(_ context.Context, req *connect.Request[pb.StageRequest]) (*connect.Response[pb.StageResponse], error) {
+	answer := &pb.StageResponse{}
+	s.view.withStager(func(st *config.Stager) {
+		if req.Msg.GetAbandon() {
+			st.Abandon(time.Now(), req.Msg.GetConfig().GetChangeId())
+		} else {
+			answer.Staged, answer.Reason = st.Stage(time.Now(), req.Msg.GetConfig(), req.Msg.GetProposer())
+		}
+		answer.ConfigGeneration = st.Generation()
+	})
+	return connect.NewResponse(answer), nil
+}
+
+// Claim decides whether an attempt may run.
+func (s *peerService) Claim(_ context.Context, req *connect.Request[pb.ClaimRequest]) (*connect.Response[pb.ClaimResponse], error) {
+	return connect.NewResponse(s.keys.claimHere(req.Msg)), nil
+}
+
+// Finish records how a claimed attempt ended.
+func (s *peerService) Finish(_ context.Context, req *connect.Request[pb.FinishRequest]) (*connect.Response[pb.FinishResponse], error) {
+	s.keys.with(func(o *idempotency.Owner) { o.Finish(time.Now(), req.Msg) })
+	return connect.NewResponse(&pb.FinishResponse{}), nil
+}
--- /dev/null
+++ b/internal/entryhost/platformlist.go
@@ -0,0 +1,70 @@
+package entryhost
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/agateturn/agateturn/controller"
+	"github.com/agateturn/agateturn/platform"
+)
+
+// platformList keeps the newest host list of the platform. The list lags; own knowledge goes first. It is safe for
+// concurrent use.
+type platformList struct {
+	client *platform.Client
+	period time.Duration
+	logger *slog.Logger
+
+	mu    sync.Mutex
+	hosts []controller.PlatformHost
+}
+
+// run reads the list until ctx ends.
+func (l *platformList) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		hosts, err := l.client.Hosts(ctx)
+		if err != nil {
+			l.logger.Debug("host list not read", "component", "platform", "err", err)
+		} else {
+			l.keep(hosts, time.Now())
+		}
+		_ = sleep(ctx, l.period)
+	}
+}
+
+// keep replaces the list. An entry keeps the time at which it was first seen in its state.
+func (l *platformList) keep(hosts []platform.Host, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	seen := map[controller.PlatformHost]time.Time{}
+	for _, h := range l.hosts {
+		key := h
+		key.SeenAt = time.Time{}
+		seen[key] = h.SeenAt
+	}
+	next := make([]controller.PlatformHost, 0, len(hosts))
+	for _, h := range hosts {
+		entry := controller.PlatformHost{
+			Name:        h.Name,
+			Role:        string(h.Role),
+			State:       string(h.State),
+			BootID:      h.BootID,
+			Incarnation: h.Incarnation,
+		}
+		first, known := seen[entry]
+		if !known {
+			first = now
+		}
+		entry.SeenAt = first
+		next = append(next, entry)
+	}
+	l.hosts = next
+}
+
+func (l *platformList) snapshot() []controller.PlatformHost {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]controller.PlatformHost(nil), l.hosts...)
+}
--- /dev/null
+++ b/internal/entryhost/refusal.go
@@ -0,0 +1,125 @@
+package entryhost
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+)
+
+const (
+	// retryNoHost is what a caller waits when no host could take its request.
+	retryNoHost = time.Second
+	// retryKey is what a caller waits when its key's owner could not be asked.
+	retryKey = time.Second
+	// retryUnready is what a caller waits when this entry host takes no work.
+	retryUnready = time.Second
+)
+
+// outcome is how a request ended, as the caller is told.
+type outcome int
+
+const (
+	outcomeNotRun outcome = iota + 1
+	outcomeUnknown
+	outcomeDone
+)
+
+// String is the value of the Agateturn-Outcome header.
+func (o outcome) String() string {
+	switch o {
+	case outcomeDone:
+		return "done"
+	case outcomeNotRun:
+		return "not-run"
+	default:
+		return "unknown"
+	}
+}
+
+func (o outcome) kind() pb.OutcomeKind {
+	switch o {
+	case outcomeDone:
+		return pb.OutcomeKind_OUTCOME_KIND_DONE
+	case outcomeNotRun:
+		return pb.OutcomeKind_OUTCOME_KIND_NOT_RUN
+	default:
+		return pb.OutcomeKind_OUTCOME_KIND_UNKNOWN
+	}
+}
+
+// refusal is a final answer that agateturn gives itself.
+type refusal struct {
+	status  int
+	outcome outcome
+	reason  string
+	// retryAfter is when the caller should come back; 0 says nothing about it.
+	retryAfter time.Duration
+}
+
+// refusalBody is the JSON form of a refusal.
+type refusalBody struct {
+	Outcome      string `json:"outcome"`
+	Reason       string `json:"reason"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+}
+
+func notRun(status int, reason string, retryAfter time.Duration) refusal {
+	return refusal{status: status, outcome: outcomeNotRun, reason: reason, retryAfter: retryAfter}
+}
+
+// refuse is a not-run answer to a request that will not do better later.
+func refuse(status int, reason string) *refusal {
+	r := notRun(status, reason, 0)
+	return &r
+}
+
+func unknownOutcome(status int, reason string) refusal {
+	return refusal{status: status, outcome: outcomeUnknown, reason: reason}
+}
+
+// refusalOf turns the refusal of a claim into the caller's answer.
+func refusalOf(answer *pb.ClaimResponse) refusal {
+	switch answer.GetVerdict() {
+	case pb.ClaimVerdict_CLAIM_VERDICT_RUNNING:
+		return refusal{
+			status:     http.StatusConflict,
+			outcome:    outcomeUnknown,
+			reason:     "a request with this Idempotency-Key is running; ask again later",
+			retryAfter: retryKey,
+		}
+	case pb.ClaimVerdict_CLAIM_VERDICT_DONE:
+		return refusal{
+			status:  http.StatusConflict,
+			outcome: outcomeDone,
+			reason:  "the request with this Idempotency-Key ran already and ended with status " + strconv.Itoa(int(answer.GetOutcome().GetStatus())),
+		}
+	case pb.ClaimVerdict_CLAIM_VERDICT_MISMATCH:
+		return *refuse(http.StatusUnprocessableEntity, "this Idempotency-Key was used for a different request; take a new one")
+	case pb.ClaimVerdict_CLAIM_VERDICT_FULL:
+		return notRun(http.StatusServiceUnavailable, "the key's owner can remember no more keys now", retryKey)
+	case pb.ClaimVerdict_CLAIM_VERDICT_NOT_OWNER:
+		return notRun(http.StatusServiceUnavailable, "the key is changing its owner", retryKey)
+	default:
+		return unknownOutcome(http.StatusConflict, "an earlier request with this Idempotency-Key may have run; it will not be run again")
+	}
+}
+
+// writeRefusal sends the final answer.
+func writeRefusal(w http.ResponseWriter, r refusal) {
+	header := w.Header()
+	header.Set(headerOutcome, r.outcome.String())
+	header.Set("Content-Type", "application/json")
+	if r.retryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.retryAfter.Seconds()))))
+	}
+	w.WriteHeader(r.status)
+	_ = json.NewEncoder(w).Encode(refusalBody{
+		Outcome:      r.outcome.String(),
+		Reason:       r.reason,
+		RetryAfterMS: r.retryAfter.Milliseconds(),
+	})
+}
--- /dev/null
+++ b/internal/entryhost/register.go
@@ -0,0 +1,130 @@
+package entryhost
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/agateturn/agateturn/events"
+	"github.com/agateturn/agateturn/fleet"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/pause"
+	"github.com/agateturn/agateturn/store"
+)
+
+const (
+	// membershipPeriod is the time between two looks at whether this entry host is still a member.
+	membershipPeriod = 500 * time.Millisecond
+	// leaveTimeout bounds the wait for the store when a stopping entry host leaves.
+	leaveTimeout = 3 * time.Second
+)
+
+// registrar makes this entry host a member and notices when it is none any more.
+//
+// A member is registered in the fleet value before it reads the values it serves by, so that a controller that did not
+// see it yet cannot have finished a move that it has not heard of.
+type registrar struct {
+	self     *pb.Member
+	view     *view
+	writer   *writer
+	peers    *peers
+	detector *pause.Detector
+	seeds    []string
+	logger   *slog.Logger
+	backoff  store.Backoff
+}
+
+// run registers, then watches over the membership until ctx ends. It returns errRemoved when the fleet no longer holds
+// this incarnation: then its view may be old, and the process has to start anew.
+func (r *registrar) run(ctx context.Context) error {
+	failures := 0
+	for ctx.Err() == nil {
+		if r.isMember() {
+			if err := r.watchOver(ctx); err != nil {
+				return err
+			}
+			continue
+		}
+		if err := r.join(ctx); err != nil {
+			r.logger.Debug("registration failed", "component", "registrar", "err", err)
+			_ = r.backoff.Wait(ctx, failures)
+			failures++
+			continue
+		}
+		failures = 0
+	}
+	return nil
+}
+
+// join registers with the store or, while that is down, becomes the guest of a peer.
+func (r *registrar) join(ctx context.Context) error {
+	_, err := r.writer.update(ctx, func(f *pb.Fleet) (*pb.Fleet, error) { return fleet.Register(f, r.self) })
+	if err == nil {
+		return nil
+	}
+	for _, address := range r.seeds {
+		if r.peers.fetch(ctx, address, r.self) == nil {
+			r.peers.sponsored(address)
+			events.Emit(ctx, r.logger, events.MemberJoined, "member", r.self.GetName(), "sponsor", address)
+			break
+		}
+	}
+	return err
+}
+
+// isMember reports whether the applied fleet holds this incarnation.
+func (r *registrar) isMember() bool { return memberOf(r.view.fleet(), r.self) }
+
+func memberOf(f *pb.Fleet, self *pb.Member) bool {
+	return lo.SomeBy(f.GetMembers(), func(m *pb.Member) bool {
+		return m.GetName() == self.GetName() && m.GetIncarnation() == self.GetIncarnation()
+	})
+}
+
+// watchOver waits until the membership ends. A suspected pause is confirmed by values fetched after it.
+func (r *registrar) watchOver(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if r.detector.Suspect() {
+			r.confirm(ctx)
+		}
+		if !r.isMember() {
+			return errRemoved.New("member %q incarnation %q", r.self.GetName(), r.self.GetIncarnation())
+		}
+		_ = sleep(ctx, membershipPeriod)
+	}
+	return nil
+}
+
+// confirm ends the suspicion of a pause by a read of the store.
+func (r *registrar) confirm(ctx context.Context) {
+	f, _, err := r.writer.read(ctx)
+	if err != nil {
+		return
+	}
+	r.view.applyFleet(f)
+	if memberOf(f, r.self) {
+		r.detector.Confirm()
+	}
+}
+
+// setLeaving tells the fleet that this member owns nothing more. It is best effort: the store may be down.
+func (r *registrar) setLeaving(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	_, err := r.writer.update(ctx, func(f *pb.Fleet) (*pb.Fleet, error) {
+		return fleet.SetLeaving(f, r.self.GetName(), r.self.GetIncarnation())
+	})
+	return err
+}
+
+// leave takes this member out of the fleet. Nothing may be in flight any more.
+func (r *registrar) leave(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	_, err := r.writer.update(ctx, func(f *pb.Fleet) (*pb.Fleet, error) {
+		return fleet.Leave(f, r.self.GetName(), r.self.GetIncarnation())
+	})
+	return err
+}
--- /dev/null
+++ b/internal/entryhost/view.go
@@ -0,0 +1,130 @@
+package entryhost
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/agateturn/agateturn/config"
+	"github.com/agateturn/agateturn/fleet"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/ring"
+)
+
+// fleetApplier takes over a newer fleet. It returns only when nothing that the fleet forbids will be started any more.
+type fleetApplier interface {
+	applyFleet(f *pb.Fleet, cfg *pb.Configuration)
+}
+
+// view is what this entry host knows and acts on: the applied fleet and the configuration in force.
+// It only goes forward. It is safe for concurrent use.
+type view struct {
+	gate *fleet.Gate
+
+	// applying serialises whole applications, so that every applier sees revisions in order.
+	applying sync.Mutex
+	appliers []fleetApplier
+	// applied is the newest revision that the gate and every applier have taken over.
+	applied atomic.Uint64
+
+	mu     sync.Mutex
+	stager *config.Stager
+	// storeHeard is when the store last answered; zero for never.
+	storeHeard  time.Time
+	subscribers []*ring.Ring[struct{}]
+}
+
+func newView(inForceBound time.Duration) *view {
+	return &view{gate: fleet.NewGate(), stager: config.NewStager(inForceBound)}
+}
+
+// onFleet adds an applier. Call it before the duties start.
+func (v *view) onFleet(a fleetApplier) { v.appliers = append(v.appliers, a) }
+
+// subscribe returns a ring that gets a signal after each change. Call it before the duties start.
+func (v *view) subscribe(name string) *ring.Ring[struct{}] {
+	r := ring.New[struct{}](name, 1)
+	v.subscribers = append(v.subscribers, r)
+	return r
+}
+
+func (v *view) notify() {
+	for _, r := range v.subscribers {
+		r.Offer(struct{}{}) // a full ring already holds a signal
+	}
+}
+
+// applyFleet moves to a newer fleet and reports whether it was newer.
+//
+// The gate goes first: from then on no request starts on a host that the fleet forbids. Only when every applier has
+// followed may the revision be reported to the controller.
+func (v *view) applyFleet(f *pb.Fleet) bool {
+	v.applying.Lock()
+	defer v.applying.Unlock()
+	if !v.gate.Apply(f) {
+		return false
+	}
+	v.runAppliers(f)
+	v.applied.Store(f.GetRevision())
+	v.notify()
+	return true
+}
+
+// applyConfig puts a newer configuration in force and reports whether it was newer.
+func (v *view) applyConfig(now time.Time, cfg *pb.Configuration) bool {
+	v.applying.Lock()
+	defer v.applying.Unlock()
+	v.mu.Lock()
+	accepted := v.stager.Accept(now, cfg)
+	v.mu.Unlock()
+	if !accepted {
+		return false
+	}
+	v.runAppliers(v.gate.Fleet())
+	v.notify()
+	return true
+}
+
+func (v *view) runAppliers(f *pb.Fleet) {
+	cfg := v.config()
+	for _, a := range v.appliers {
+		a.applyFleet(f, cfg)
+	}
+}
+
+// appliedRevision is the newest revision that everything in this process obeys.
+func (v *view) appliedRevision() uint64 { return v.applied.Load() }
+
+// fleet is the newest fleet known; nil before the first.
+func (v *view) fleet() *pb.Fleet { return v.gate.Fleet() }
+
+// config is the configuration in force; nil before the first.
+func (v *view) config() *pb.Configuration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.stager.Current()
+}
+
+// withStager runs f with the acceptance state machine.
+func (v *view) withStager(f func(*config.Stager)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	f(v.stager)
+}
+
+// heardStore records that the store answered.
+func (v *view) heardStore(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.storeHeard = now
+}
+
+// storeAge is the time since the store last answered.
+func (v *view) storeAge(now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.storeHeard.IsZero() {
+		return now.Sub(time.Time{})
+	}
+	return now.Sub(v.storeHeard)
+}
--- /dev/null
+++ b/internal/operatorapi/api.go
@@ -0,0 +1,163 @@
+// Package operatorapi is the operators' HTTP API, described by the OpenAPI document that it serves at /openapi.json.
+package operatorapi
+
+import (
+	"context"
+	"crypto/subtle"
+	"log/slog"
+	"net/http"
+	"strings"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+	"github.com/google/uuid"
+
+	"github.com/agateturn/agateturn/events"
+)
+
+const (
+	// maxBodyBytes bounds the body of an operator's request.
+	maxBodyBytes = 2 << 20
+
+	headerRequestID = "X-Request-Id"
+	apiVersion      = "1.0.0"
+)
+
+// Options are what the API needs besides its Backend.
+type Options struct {
+	// Token is the bearer token that operators present.
+	Token   string
+	Logger  *slog.Logger
+	Metrics http.Handler
+}
+
+// New returns the handler of the API, of /metrics, and of /healthz and /readyz, which need no token.
+func New(backend Backend, options Options) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", options.Metrics)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := backend.Ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	settings := huma.DefaultConfig("agateturn operator API", apiVersion)
+	settings.Components.SecuritySchemes = map[string]*huma.SecurityScheme{
+		"operator": {Type: "http", Scheme: "bearer"},
+	}
+	api := humago.New(mux, settings)
+	api.UseMiddleware(func(ctx huma.Context, next func(huma.Context)) { authorize(api, options, ctx, next) })
+	registerReads(api, backend)
+	registerOrders(api, backend)
+	return http.MaxBytesHandler(mux, maxBodyBytes)
+}
+
+// authorize lets operators in, and gives each request an id. A refusal is logged without what was presented.
+func authorize(api huma.API, options Options, ctx huma.Context, next func(huma.Context)) {
+	id := ctx.Header(headerRequestID)
+	if id == "" || len(id) > 64 {
+		id = uuid.NewString()
+	}
+	ctx.SetHeader(headerRequestID, id)
+	presented, isBearer := strings.CutPrefix(ctx.Header("Authorization"), "Bearer ")
+	if !isBearer || subtle.ConstantTimeCompare([]byte(presented), []byte(options.Token)) != 1 {
+		events.Emit(ctx.Context(), options.Logger, events.OperatorRefused,
+			"request", id, "remote", ctx.RemoteAddr(), "path", ctx.URL().Path)
+		_ = huma.WriteErr(api, ctx, http.StatusUnauthorized, "present the operator token as Authorization: Bearer TOKEN")
+		return
+	}
+	next(ctx)
+}
+
+// body wraps an answer.
+type body[T any] struct {
+	Body T
+}
+
+func answer[T any](value T, err error) (*body[T], error) {
+	if err != nil {
+		return nil, asHTTP(err)
+	}
+	return &body[T]{Body: value}, nil
+}
+
+// asHTTP gives each kind of error its status.
+func asHTTP(err error) error {
+	switch {
+	case NotFound.Has(err):
+		return huma.Error404NotFound(err.Error())
+	case Conflict.Has(err):
+		return huma.Error409Conflict(err.Error())
+	case Refused.Has(err):
+		return huma.Error422UnprocessableEntity(err.Error())
+	case Unavailable.Has(err):
+		return huma.Error503ServiceUnavailable(err.Error())
+	case Unknown.Has(err):
+		return huma.Error504GatewayTimeout(err.Error())
+	default:
+		return huma.Error500InternalServerError(err.Error())
+	}
+}
+
+// operation describes one call of the API.
+func operation(id, method, path, summary string) huma.Operation {
+	return huma.Operation{
+		OperationID:  id,
+		Method:       method,
+		Path:         path,
+		Summary:      summary,
+		MaxBodyBytes: maxBodyBytes,
+		Security:     []map[string][]string{{"operator": {}}},
+	}
+}
+
+func registerReads(api huma.API, backend Backend) {
+	huma.Register(api, operation("status", http.MethodGet, "/v1/status", "Show this entry host's view of the whole"),
+		func(ctx context.Context, _ *struct{}) (*body[Status], error) {
+			return answer(backend.Status(ctx), nil)
+		})
+	huma.Register(api, operation("config", http.MethodGet, "/v1/config", "Show the configuration in force"),
+		func(ctx context.Context, _ *struct{}) (*body[ConfigDocument], error) {
+			return answer(backend.Configuration(ctx))
+		})
+}
+
+func registerOrders(api huma.API, backend Backend) {
+	huma.Register(api, operation("apply-config", http.MethodPut, "/v1/config", "Have a configuration accepted"),
+		func(ctx context.Context, in *body[ConfigChange]) (*body[ConfigResult], error) {
+			return answer(backend.ApplyConfiguration(ctx, in.Body))
+		})
+	huma.Register(api, operation("move-host", http.MethodPost, "/v1/hosts/{host}/move", "Move a host to another pool"),
+		func(ctx context.Context, in *struct {
+			Host string `path:"host"`
+			Body MoveOrder
+		},
+		) (*body[Accepted], error) {
+			in.Body.Host = in.Host
+			return answer(backend.MoveHost(ctx, in.Body))
+		})
+	huma.Register(api, operation("set-host-down", http.MethodPost, "/v1/hosts/{host}/down", "Take a host out of service or bring it back"),
+		func(ctx context.Context, in *struct {
+			Host string `path:"host"`
+			Body DownOrder
+		},
+		) (*body[Accepted], error) {
+			in.Body.Host = in.Host
+			return answer(backend.SetHostDown(ctx, in.Body))
+		})
+	huma.Register(api, operation("create-wave", http.MethodPost, "/v1/waves", "Begin a maintenance wave"),
+		func(ctx context.Context, in *body[WaveOrder]) (*body[Accepted], error) {
+			return answer(backend.CreateWave(ctx, in.Body))
+		})
+	huma.Register(api, operation("control-wave", http.MethodPost, "/v1/waves/{wave}", "Stop, resume or cancel a wave"),
+		func(ctx context.Context, in *struct {
+			Wave string `path:"wave"`
+			Body WaveControl
+		},
+		) (*body[Accepted], error) {
+			in.Body.Name = in.Wave
+			return answer(backend.ControlWave(ctx, in.Body))
+		})
+}
