Add the store adapters, the platform client and its stand-in

The daemon needs the platform's store, host list and host actions, and tests need them without a platform.

Ruled out: one shared http.Transport for writes. It may replay a PUT on a reused connection, and a replayed compare-and-swap that took effect looks like a conflict. Each write gets a connection of its own, which also notes whether any byte was sent, so that Unavailable means that nothing was written. Ruled out: a second store inside the stand-in; it serves store/memstore.

Not yet tested: memstore by itself, the platform client, faults other than a lost answer, a refused connection and lapsed leases.

--- a/cmd/agateturn-standin/main.go
+++ b/cmd/agateturn-standin/main.go
@@ -1,4 +1,69 @@
 // Command agateturn-standin plays the outside systems in demos and tests: the platform, the workers and the callers.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+)
+
+const (
+	stopTimeout   = 5 * time.Second
+	headerTimeout = 5 * time.Second
+)
+
+// commands is the command line.
+type commands struct {
+	Platform platformCommand `cmd:"" help:"Serve the platform: key-value store, host list, host actions."`
+}
+
+func main() {
+	var line commands
+	parsed := kong.Parse(&line,
+		kong.Name("agateturn-standin"),
+		kong.Description("Plays the platform, the workers and the callers in demos and tests."),
+		kong.UsageOnError(),
+	)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	err := parsed.Run()
+	stop()
+	parsed.FatalIfErrorf(err)
+}
+
+// serve answers HTTP on address until ctx ends.
+func serve(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	fmt.Fprintf(os.Stderr, "listening on %s\n", listener.Addr())
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	return stopServer(ctx, server)
+}
+
+// stopServer lets calls in progress finish for a while and cuts the rest, such as waiting watches.
+func stopServer(ctx context.Context, server *http.Server) error {
+	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancel()
+	err := server.Shutdown(grace)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return server.Close()
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/agateturn-standin/platform.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/standin/platformd"
+)
+
+// platformCommand serves the platform.
+type platformCommand struct {
+	Listen       string        `default:"127.0.0.1:8500" help:"Listener, ip:port."`
+	Hosts        []string      `help:"Names of live workers, comma separated."`
+	EntryHosts   []string      `help:"Names of live entry hosts, comma separated."`
+	HostsFile    string        `type:"existingfile" help:"JSON file {\"hosts\":[{\"name\",\"role\",\"state\",\"boot_id\",\"incarnation\"}]} in place of the names."`
+	ListLag      time.Duration `default:"0s" help:"Age of the published host list."`
+	RebootTime   time.Duration `default:"3s" help:"Time for which a rebooted host is gone."`
+	WorkersAdmin string        `help:"Admin address of the workers' stand-in, http://ip:port, told of reboots."`
+}
+
+// Run serves until ctx ends.
+func (c *platformCommand) Run(ctx context.Context) error {
+	hosts, err := c.hosts()
+	if err != nil {
+		return err
+	}
+	server := platformd.New(platformd.Config{
+		Hosts:       hosts,
+		ListLag:     c.ListLag,
+		RebootTime:  c.RebootTime,
+		WorkerAdmin: c.WorkersAdmin,
+	})
+	defer server.Close()
+	return serve(ctx, c.Listen, server)
+}
+
+// hosts returns the host list to start with.
+func (c *platformCommand) hosts() ([]platform.Host, error) {
+	if c.HostsFile == "" {
+		return append(live(platform.RoleWorker, c.Hosts), live(platform.RoleEntry, c.EntryHosts)...), nil
+	}
+	if len(c.Hosts)+len(c.EntryHosts) > 0 {
+		return nil, errors.New("give either --hosts-file or names of hosts, not both")
+	}
+	text, err := os.ReadFile(c.HostsFile)
+	if err != nil {
+		return nil, err
+	}
+	var list platform.HostList
+	if err := json.Unmarshal(text, &list); err != nil {
+		return nil, fmt.Errorf("read %s: %w", c.HostsFile, err)
+	}
+	for _, host := range list.Hosts {
+		if err := host.Check(); err != nil {
+			return nil, fmt.Errorf("read %s: %w", c.HostsFile, err)
+		}
+	}
+	return list.Hosts, nil
+}
+
+func live(role platform.Role, names []string) []platform.Host {
+	hosts := make([]platform.Host, 0, len(names))
+	for _, name := range names {
+		hosts = append(hosts, platform.Host{Name: name, Role: role, State: platform.StateLive})
+	}
+	return hosts
+}
--- /dev/null
+++ b/standin/platformd/admin.go
@@ -0,0 +1,113 @@
+package platformd
+
+import (
+	"net/http"
+
+	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/store/memstore"
+)
+
+// Counters is the answer to GET /admin/counters.
+type Counters struct {
+	Store memstore.Counters `json:"store"`
+	// Reboots and Checkpoints count the actions taken, repeats left out.
+	Reboots     int `json:"reboots"`
+	Checkpoints int `json:"checkpoints"`
+	// FailedWorkerCalls counts calls to the workers' stand-in that failed.
+	FailedWorkerCalls int `json:"failed_worker_calls"`
+}
+
+// Counters returns what GET /admin/counters answers.
+func (s *Server) Counters() Counters {
+	s.hosts.mu.Lock()
+	defer s.hosts.mu.Unlock()
+	return Counters{
+		Store:             s.store.Counters(),
+		Reboots:           s.hosts.reboots,
+		Checkpoints:       s.hosts.checkpoints,
+		FailedWorkerCalls: s.hosts.failedCalls,
+	}
+}
+
+func (l *hostList) noteFailedCall() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failedCalls++
+}
+
+func (s *Server) routeAdmin() {
+	s.mux.HandleFunc("GET /admin/store", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, s.store.Faults())
+	})
+	s.mux.HandleFunc("PUT /admin/store", func(w http.ResponseWriter, r *http.Request) {
+		var faults memstore.Faults
+		if readJSON(w, r, &faults) {
+			s.store.SetFaults(faults)
+		}
+	})
+	s.mux.HandleFunc("GET /admin/list", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, s.ListFaults())
+	})
+	s.mux.HandleFunc("PUT /admin/list", func(w http.ResponseWriter, r *http.Request) {
+		var faults ListFaults
+		if readJSON(w, r, &faults) {
+			s.SetListFaults(faults)
+		}
+	})
+	s.mux.HandleFunc("GET /admin/hosts", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, platform.HostList{Hosts: s.hosts.current()})
+	})
+	s.mux.HandleFunc("PUT /admin/hosts/{host}", s.putHost)
+	s.mux.HandleFunc("GET /admin/counters", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, s.Counters())
+	})
+	s.mux.HandleFunc("POST /admin/counters/reset", func(http.ResponseWriter, *http.Request) {
+		s.store.ResetCounters()
+	})
+	s.mux.HandleFunc("POST /admin/sessions/expire", func(http.ResponseWriter, *http.Request) {
+		s.store.ExpireSessions()
+	})
+}
+
+// ListFaults returns the host list's faults in force.
+func (s *Server) ListFaults() ListFaults {
+	s.hosts.mu.Lock()
+	defer s.hosts.mu.Unlock()
+	return s.hosts.faults
+}
+
+// SetListFaults replaces the host list's faults.
+func (s *Server) SetListFaults(faults ListFaults) {
+	s.hosts.mu.Lock()
+	defer s.hosts.mu.Unlock()
+	s.hosts.faults = faults
+}
+
+// SetHost changes or adds a host.
+func (s *Server) SetHost(host platform.Host) { s.hosts.set(host) }
+
+// putHost sets the host's fields that the body names and keeps the others.
+func (s *Server) putHost(w http.ResponseWriter, r *http.Request) {
+	host := s.hosts.find(r.PathValue("host"))
+	if !readJSON(w, r, &host) {
+		return
+	}
+	host.Name = r.PathValue("host")
+	if err := host.Check(); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetHost(host)
+}
+
+// find returns the host, or a live worker of that name if there is none.
+func (l *hostList) find(name string) platform.Host {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if host, ok := l.hosts[name]; ok {
+		return host
+	}
+	return platform.Host{
+		Name: name, Role: platform.RoleWorker, State: platform.StateLive, BootID: l.newBootLocked(name),
+	}
+}
--- /dev/null
+++ b/standin/platformd/hosts.go
@@ -0,0 +1,227 @@
+package platformd
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/agateturn/agateturn/platform"
+)
+
+const workerCallTimeout = 5 * time.Second
+
+// ListFaults says how the published host list misbehaves.
+type ListFaults struct {
+	// Lag is how old the published list is.
+	Lag time.Duration `json:"lag_ns"`
+	// Duplicate lists each host twice: as it was at the start and as it is.
+	Duplicate bool `json:"duplicate"`
+}
+
+// operation is one host action that was taken, by its identity.
+type operation struct {
+	host, action string
+}
+
+// hostList keeps the hosts and what the published list showed when.
+type hostList struct {
+	config Config
+
+	mu         sync.Mutex
+	hosts      map[string]platform.Host
+	history    []snapshot
+	first      []platform.Host
+	faults     ListFaults
+	operations map[string]operation
+	boots      int
+	reboots    int
+	// checkpoints counts the checkpoints taken.
+	checkpoints int
+	// failedCalls counts calls to the workers' stand-in that failed.
+	failedCalls int
+}
+
+type snapshot struct {
+	at    time.Time
+	hosts []platform.Host
+}
+
+func newHostList(config Config) *hostList {
+	l := &hostList{
+		config:     config,
+		hosts:      make(map[string]platform.Host),
+		faults:     ListFaults{Lag: config.ListLag},
+		operations: make(map[string]operation),
+	}
+	for _, host := range config.Hosts {
+		if host.BootID == "" {
+			host.BootID = l.newBootLocked(host.Name)
+		}
+		l.hosts[host.Name] = host
+	}
+	l.first = l.sortedLocked()
+	l.history = []snapshot{{hosts: l.first}}
+	return l
+}
+
+func (l *hostList) newBootLocked(name string) string {
+	l.boots++
+	return fmt.Sprintf("boot-%s-%d", name, l.boots)
+}
+
+func (l *hostList) sortedLocked() []platform.Host {
+	return slices.SortedFunc(maps.Values(l.hosts), func(a, b platform.Host) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// set changes or adds a host.
+func (l *hostList) set(host platform.Host) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.setLocked(host)
+}
+
+func (l *hostList) setLocked(host platform.Host) {
+	l.hosts[host.Name] = host
+	l.history = append(l.history, snapshot{at: time.Now(), hosts: l.sortedLocked()})
+}
+
+// current returns the hosts without lag.
+func (l *hostList) current() []platform.Host {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sortedLocked()
+}
+
+// published returns the list as callers of the platform see it.
+func (l *hostList) published() []platform.Host {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	shown := time.Now().Add(-l.faults.Lag)
+	for len(l.history) > 1 && !l.history[1].at.After(shown) {
+		l.history = l.history[1:]
+	}
+	hosts := slices.Clone(l.history[0].hosts)
+	if l.faults.Duplicate {
+		hosts = append(slices.Clone(l.first), hosts...)
+	}
+	return hosts
+}
+
+// begin notes an action. It returns false if the operation id was seen before, and an error for an unknown host or
+// an id that belongs to another action.
+func (l *hostList) begin(id string, wanted operation) (bool, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.hosts[wanted.host]; !ok {
+		return false, fmt.Errorf("no host %q", wanted.host)
+	}
+	if id == "" {
+		return false, fmt.Errorf("no operation_id")
+	}
+	if earlier, ok := l.operations[id]; ok {
+		if earlier != wanted {
+			return false, fmt.Errorf("operation_id %q belongs to a %s of %q", id, earlier.action, earlier.host)
+		}
+		return false, nil
+	}
+	l.operations[id] = wanted
+	return true, nil
+}
+
+// takeDown makes the host gone.
+func (l *hostList) takeDown(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	host := l.hosts[name]
+	host.State = platform.StateGone
+	l.reboots++
+	l.setLocked(host)
+}
+
+// bringUp makes the host live with a new boot id.
+func (l *hostList) bringUp(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	host := l.hosts[name]
+	host.State = platform.StateLive
+	host.BootID = l.newBootLocked(name)
+	l.setLocked(host)
+}
+
+func (s *Server) routeHosts() {
+	s.mux.HandleFunc("GET /v1/hosts", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, platform.HostList{Hosts: s.hosts.published()})
+	})
+	s.mux.HandleFunc("POST /v1/hosts/{host}/reboot", func(w http.ResponseWriter, r *http.Request) {
+		s.act(w, r, "reboot", s.reboot)
+	})
+	s.mux.HandleFunc("POST /v1/hosts/{host}/checkpoint", func(w http.ResponseWriter, r *http.Request) {
+		s.act(w, r, "checkpoint", s.checkpoint)
+	})
+}
+
+// act takes the action unless its operation id was seen before.
+func (s *Server) act(w http.ResponseWriter, r *http.Request, action string, run func(host string)) {
+	var order platform.Order
+	if !readJSON(w, r, &order) {
+		return
+	}
+	host := r.PathValue("host")
+	isNew, err := s.hosts.begin(order.OperationID, operation{host: host, action: action})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
+	}
+	if isNew {
+		run(host)
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (s *Server) checkpoint(string) {
+	s.hosts.mu.Lock()
+	defer s.hosts.mu.Unlock()
+	s.hosts.checkpoints++
+}
+
+// reboot takes the host down, tells the workers' stand-in and brings the host up after the reboot time.
+func (s *Server) reboot(host string) {
+	s.hosts.takeDown(host)
+	s.background.Go(func() {
+		s.tellWorkers(host)
+		select {
+		case <-time.After(s.hosts.config.RebootTime):
+			s.hosts.bringUp(host)
+		case <-s.ctx.Done():
+		}
+	})
+}
+
+// tellWorkers makes the workers' stand-in cut the host's connections. The list shows the host gone even if that fails.
+func (s *Server) tellWorkers(host string) {
+	if s.hosts.config.WorkerAdmin == "" {
+		return
+	}
+	client := http.Client{Timeout: workerCallTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	query := url.Values{"host": {host}, "down": {s.hosts.config.RebootTime.String()}}
+	target := s.hosts.config.WorkerAdmin + "/admin/reboot?" + query.Encode()
+	request, err := http.NewRequestWithContext(s.ctx, http.MethodPost, target, nil)
+	if err != nil {
+		s.hosts.noteFailedCall()
+		return
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		s.hosts.noteFailedCall()
+		return
+	}
+	_ = response.Body.Close()
+	if response.StatusCode >= http.StatusBadRequest {
+		s.hosts.noteFailedCall()
+	}
+}
--- /dev/null
+++ b/store/kvhttp/lease.go
@@ -0,0 +1,106 @@
+package kvhttp
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/url"
+
+	"github.com/agateturn/agateturn/store"
+)
+
+// sessionOrder is the body of the call that creates a session.
+type sessionOrder struct {
+	Name      string
+	TTL       string
+	Behavior  string
+	LockDelay string
+}
+
+// Acquire implements store.Leases. On a held key it costs one read.
+func (s *Store) Acquire(ctx context.Context, key, holder string) (store.Lease, error) {
+	if err := s.errIfHeld(ctx, key); err != nil {
+		return nil, err
+	}
+	id, err := s.createSession(ctx, holder)
+	if err != nil {
+		return nil, err
+	}
+	held := &lease{store: s, session: id}
+	if err := s.acquire(ctx, key, holder, id); err != nil {
+		// A session that holds nothing, or whose answer was lost, lapses by itself; this only hastens it.
+		_ = held.Release(ctx)
+		return nil, err
+	}
+	return held, nil
+}
+
+func (s *Store) errIfHeld(ctx context.Context, key string) error {
+	present, err := s.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	if present.Version != 0 {
+		return store.Conflict.New("key %q is held by %q", key, present.Data)
+	}
+	return nil
+}
+
+func (s *Store) createSession(ctx context.Context, holder string) (string, error) {
+	order, err := json.Marshal(sessionOrder{Name: holder, TTL: s.LeaseTTL.String(), Behavior: "delete", LockDelay: "0s"})
+	if err != nil {
+		return "", store.Unavailable.Wrap(err)
+	}
+	body, err := s.put(ctx, "/v1/session/create", nil, order)
+	if store.Unknown.Has(err) {
+		// A session that nobody knows holds no key and lapses.
+		return "", store.Unavailable.New("no session: %v", err)
+	}
+	if err != nil {
+		return "", err
+	}
+	var created struct{ ID string }
+	if err := json.Unmarshal(body, &created); err != nil || created.ID == "" {
+		return "", Malformed.New("the answer to the creation of a session names none: %v", err)
+	}
+	return created.ID, nil
+}
+
+func (s *Store) acquire(ctx context.Context, key, holder, session string) error {
+	body, err := encode([]byte(holder))
+	if err != nil {
+		return err
+	}
+	taken, err := s.put(ctx, s.keyPath(key), url.Values{"acquire": {session}}, body)
+	if err != nil {
+		return err
+	}
+	if !isTrue(taken) {
+		return store.Conflict.New("key %q was taken by another holder meanwhile", key)
+	}
+	return nil
+}
+
+type lease struct {
+	store   *Store
+	session string
+}
+
+// Renew implements store.Lease.
+func (l *lease) Renew(ctx context.Context) error {
+	_, err := l.store.put(ctx, "/v1/session/renew/"+url.PathEscape(l.session), nil, nil)
+	switch {
+	case errors.Is(err, errNotFound):
+		return store.LeaseLost.New("session %q is gone", l.session)
+	case store.Unknown.Has(err):
+		return store.Unavailable.New("renewal: %v", err)
+	default:
+		return err
+	}
+}
+
+// Release implements store.Lease.
+func (l *lease) Release(ctx context.Context) error {
+	_, err := l.store.put(ctx, "/v1/session/destroy/"+url.PathEscape(l.session), nil, nil)
+	return err
+}
--- /dev/null
+++ b/store/memstore/faults.go
@@ -0,0 +1,125 @@
+package memstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/agateturn/agateturn/store"
+)
+
+// Faults says how the store misbehaves. The zero value is a healthy store.
+type Faults struct {
+	// Down makes every call fail with store.Unavailable; waiting watches fail at once.
+	Down bool `json:"down"`
+	// Delay is how long each call takes: half before it takes effect, half after. A watch waits besides.
+	// A caller whose context ends meanwhile gets store.Unknown for a write.
+	Delay time.Duration `json:"delay_ns"`
+	// LoseNextAnswers is how many further swaps take effect and are answered with store.Unknown.
+	LoseNextAnswers int `json:"lose_next_answers"`
+	// LoseNextRequests is how many further swaps do not take effect and are answered with store.Unknown.
+	LoseNextRequests int `json:"lose_next_requests"`
+	// LoseNextLeaseAnswers is how many further calls for sessions and leases take effect and lose their answer.
+	LoseNextLeaseAnswers int `json:"lose_next_lease_answers"`
+}
+
+// SetFaults replaces the faults; calls in progress see them too.
+func (s *Store) SetFaults(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+	s.wakeLocked()
+}
+
+// Faults returns the faults in force; the counts in it go down as they are used up.
+func (s *Store) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+func (s *Store) halfDelay(ctx context.Context) error {
+	delay := s.Faults().Delay / 2
+	if delay <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *Store) beginRead(ctx context.Context, kind callKind) error {
+	s.count(kind)
+	if s.Faults().Down {
+		return errDown()
+	}
+	return unavailable(s.halfDelay(ctx))
+}
+
+func (s *Store) endRead(ctx context.Context) error {
+	return unavailable(s.halfDelay(ctx))
+}
+
+// write counts the call, runs apply under the lock and loses requests or answers as the faults say.
+// What apply returns as an error was not written.
+func (s *Store) write(ctx context.Context, kind callKind, apply func() error) error {
+	s.count(kind)
+	if s.Faults().Down {
+		return errDown()
+	}
+	if ctx.Err() != nil {
+		return store.Unavailable.Wrap(ctx.Err())
+	}
+	if err := s.halfDelay(ctx); err != nil {
+		return store.Unknown.Wrap(err)
+	}
+	if err := s.applyWrite(kind, apply); err != nil {
+		return err
+	}
+	if err := s.halfDelay(ctx); err != nil {
+		return store.Unknown.Wrap(err)
+	}
+	return nil
+}
+
+func (s *Store) applyWrite(kind callKind, apply func() error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Down {
+		return errDown()
+	}
+	answers := &s.faults.LoseNextAnswers
+	if kind == kindLease {
+		answers = &s.faults.LoseNextLeaseAnswers
+	}
+	if kind == kindWrite && useUp(&s.faults.LoseNextRequests) {
+		return errLost("request")
+	}
+	if err := apply(); err != nil {
+		return err
+	}
+	if useUp(answers) {
+		return errLost("write")
+	}
+	return nil
+}
+
+// useUp takes one from n if there is any left.
+func useUp(n *int) bool {
+	if *n <= 0 {
+		return false
+	}
+	*n--
+	return true
+}
+
+func unavailable(err error) error {
+	if err == nil {
+		return nil
+	}
+	return store.Unavailable.Wrap(err)
+}
--- a/store/store.go
+++ b/store/store.go
@@ -34,16 +34,21 @@
 	// Get returns the key's value; an absent key is Value{} without an error.
 	Get(ctx context.Context, key string) (Value, error)
 	// CompareAndSwap writes data if the key still has the given version (0: absent) and returns the new version.
+	// A service that does not tell the new version may return a number that lies between the old and the new one;
+	// no content ever had it, so a swap with it is a Conflict and a Wait with it returns at once.
 	// Errors: Conflict, Unavailable, Unknown.
 	CompareAndSwap(ctx context.Context, key string, version uint64, data []byte) (uint64, error)
 	// Wait returns when the key's version differs from the given one, or with the same value when ctx's
-	// watch period ends. It counts as one call on the store for as long as it waits.
+	// watch period (its deadline) ends; it may do the latter somewhat earlier. A cancelled ctx is Unavailable.
+	// It counts as one call on the store for as long as it waits. Errors: Unavailable.
 	Wait(ctx context.Context, key string, version uint64) (Value, error)
 }
 
 // Leases grants exclusive, expiring ownership of keys. A lease is for liveness only; safety comes from CompareAndSwap.
 type Leases interface {
 	// Acquire takes the key for holder if nobody has it. It returns a Lease, or Conflict naming the present holder.
+	// While the lease lasts the key's content is holder; afterwards the key is absent. So KV.Get tells who holds it
+	// and KV.Wait tells when it becomes free. Other errors: Unavailable, Unknown (it frees itself by lapsing).
 	Acquire(ctx context.Context, key, holder string) (Lease, error)
 }
 
