Make one exchange with a worker on a connection of its own

Cause: net/http's Transport replays requests on reused connections, and an answer that comes late or twice on one is read as the next request's. Ruled out: reuse with GetBody unset (a doubled answer still crosses). Change: package upstream: one connection an exchange, a sealed send state so that NotRun is said only when no write can have begun and none can begin any more, echo check, refusal of answers whose end cannot be told, surplus check of declared lengths.

--- /dev/null
+++ b/upstream/conn.go
@@ -0,0 +1,190 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http/httptrace"
+	"net/textproto"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+var (
+	errSealed     = errors.New("the exchange has ended")
+	errInterim    = errors.New("too many 1xx answers")
+	errSecondDial = errors.New("the exchange has had its one connection")
+)
+
+// exchange is the send state of one request: it judges whether a byte of it can have reached the worker.
+//
+// The transport writes from a goroutine of its own that may outlive RoundTrip.
+// So NotRun is only said after seal, which forbids every later write.
+type exchange struct {
+	beforeSend func() error
+
+	mu      sync.Mutex
+	checked bool // beforeSend allowed the first write
+	sealed  bool
+	sent    bool // a write has begun, and it was not one that took no byte
+	conn    *conn
+	interim int // answers of status 1xx before the final one
+}
+
+// maxInterim is the number of 1xx answers that may precede the final one.
+const maxInterim = 5
+
+type exchangeKey struct{}
+
+// context returns ctx with the exchange in it.
+func (ex *exchange) context(ctx context.Context) context.Context {
+	ctx = context.WithValue(ctx, exchangeKey{}, ex)
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{Got1xxResponse: ex.gotInterim})
+}
+
+// gotInterim counts an answer that precedes the final one.
+func (ex *exchange) gotInterim(int, textproto.MIMEHeader) error {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	ex.interim++
+	if ex.interim > maxInterim {
+		return errInterim
+	}
+	return nil
+}
+
+// seal forbids the first write if it has not begun and returns whether it has.
+func (ex *exchange) seal() bool {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	ex.sealed = true
+	return ex.sent
+}
+
+// begin is called before each write.
+func (ex *exchange) begin() error {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	if ex.sealed {
+		return errSealed
+	}
+	if !ex.checked {
+		if err := ex.beforeSend(); err != nil {
+			ex.sealed = true
+			return err
+		}
+		ex.checked = true
+	}
+	ex.sent = true
+	return nil
+}
+
+// attach makes c the exchange's only connection.
+func (ex *exchange) attach(c *conn) error {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	if ex.sealed {
+		return errSealed
+	}
+	if ex.conn != nil {
+		return errSecondDial
+	}
+	ex.conn = c
+	return nil
+}
+
+// close seals the exchange and closes its connection, if any.
+func (ex *exchange) close() {
+	ex.mu.Lock()
+	ex.sealed = true
+	c := ex.conn
+	ex.mu.Unlock()
+	if c != nil {
+		_ = c.Conn.Close()
+	}
+}
+
+// dial opens the one connection of the exchange in ctx.
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	ex, ok := ctx.Value(exchangeKey{}).(*exchange)
+	if !ok {
+		return nil, errors.New("dial outside an exchange")
+	}
+	raw, err := c.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	wrapped := &conn{Conn: raw, ex: ex}
+	if err := ex.attach(wrapped); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return wrapped, nil
+}
+
+// conn is the connection of one exchange. Its Close ends the transport's use of
+// it; exchange.close closes it in truth, after the check for surplus bytes.
+type conn struct {
+	net.Conn
+	ex *exchange
+	// idle is the read timeout in nanoseconds; 0 for none.
+	idle atomic.Int64
+
+	mu     sync.Mutex
+	closed bool
+	tail   tail
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	if err := c.ex.begin(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	if err := c.armRead(); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tail.add(p[:n])
+	return n, err
+}
+
+// armRead sets the timeout of the next read.
+func (c *conn) armRead() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	if idle := c.idle.Load(); idle > 0 {
+		return c.SetReadDeadline(time.Now().Add(time.Duration(idle)))
+	}
+	return nil
+}
+
+// Close implements net.Conn. It ends a read that is waiting.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	return c.SetDeadline(time.Unix(1, 0))
+}
+
+// limitIdle bounds the silence between two reads from now on.
+func (c *conn) limitIdle(idle time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if idle <= 0 || c.closed {
+		return
+	}
+	c.idle.Store(int64(idle))
+	// This bounds the read that is waiting already.
+	_ = c.SetReadDeadline(time.Now().Add(idle))
+}
--- /dev/null
+++ b/upstream/headers.go
@@ -0,0 +1,109 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/textproto"
+	"net/url"
+	"strings"
+
+	"github.com/samber/lo"
+)
+
+// hopByHop are the fields that belong to one connection and are not passed on.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// connectionTokens returns the lower-case tokens of the Connection fields.
+func connectionTokens(header http.Header) []string {
+	tokens := strings.Split(strings.Join(header.Values("Connection"), ","), ",")
+	return lo.FilterMap(tokens, func(token string, _ int) (string, bool) {
+		token = strings.ToLower(textproto.TrimString(token))
+		return token, token != ""
+	})
+}
+
+// upgradeOf returns the protocol that the header asks to switch to, or "".
+func upgradeOf(header http.Header) string {
+	if !lo.Contains(connectionTokens(header), "upgrade") {
+		return ""
+	}
+	return header.Get("Upgrade")
+}
+
+// endToEnd returns a copy of the header without hop-by-hop fields.
+func endToEnd(header http.Header) http.Header {
+	passed := header.Clone()
+	if passed == nil {
+		passed = http.Header{}
+	}
+	for _, token := range connectionTokens(header) {
+		passed.Del(token)
+	}
+	for _, field := range hopByHop {
+		passed.Del(field)
+	}
+	return passed
+}
+
+// newOutgoing returns the transport's form of the request.
+func newOutgoing(ctx context.Context, target Target, request Request) (*http.Request, error) {
+	at, err := url.ParseRequestURI(request.Path)
+	if err != nil {
+		return nil, err
+	}
+	if at.Host != "" || !strings.HasPrefix(request.Path, "/") {
+		return nil, fmt.Errorf("path %q does not begin with a single slash", request.Path)
+	}
+	at.Scheme = "http"
+	at.Host = target.Address
+	outgoing, err := http.NewRequestWithContext(ctx, request.Method, at.String(), http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	outgoing.Header = endToEnd(request.Header)
+	outgoing.Header.Del("Expect")
+	outgoing.Header.Del("Content-Length")
+	outgoing.Header.Set(RequestIDHeader, request.RequestID)
+	if _, ok := outgoing.Header["User-Agent"]; !ok {
+		outgoing.Header.Set("User-Agent", "")
+	}
+	if upgrade := upgradeOf(request.Header); upgrade != "" {
+		outgoing.Header.Set("Connection", "Upgrade")
+		outgoing.Header.Set("Upgrade", upgrade)
+	}
+	setBody(outgoing, request)
+	return outgoing, nil
+}
+
+// setBody sets the body without GetBody, which would let the transport send it again.
+func setBody(outgoing *http.Request, request Request) {
+	outgoing.GetBody = nil
+	if request.Body == nil || request.ContentLength == 0 {
+		return
+	}
+	outgoing.Body = io.NopCloser(request.Body)
+	outgoing.ContentLength = request.ContentLength
+}
+
+// checkAnswer returns an error for an answer that must not be passed on.
+func checkAnswer(answer *http.Response, request Request) error {
+	if request.Echo && answer.Header.Get(RequestIDHeader) != request.RequestID {
+		return fmt.Errorf("the answer is to request %q, not to %q", answer.Header.Get(RequestIDHeader), request.RequestID)
+	}
+	if answer.StatusCode == http.StatusSwitchingProtocols {
+		if upgradeOf(request.Header) == "" {
+			return fmt.Errorf("the worker switched protocols without being asked")
+		}
+		return nil
+	}
+	// The end of such a body cannot be told from a cut.
+	if hasBody(answer, request) && answer.ContentLength < 0 && !lo.Contains(answer.TransferEncoding, "chunked") {
+		return fmt.Errorf("the answer has neither a length nor chunks; the worker must send one of them")
+	}
+	return nil
+}
--- /dev/null
+++ b/upstream/upgrade.go
@@ -0,0 +1,73 @@
+package upstream
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+
+	agateturnv1 "github.com/agateturn/agateturn/gen/agateturn/v1"
+)
+
+var errNoUpgrade = errors.New("the connection cannot be upgraded")
+
+// writeCloser is a connection of which one direction can be closed.
+type writeCloser interface{ CloseWrite() error }
+
+// relayUpgraded takes over the caller's connection and copies both ways until both sides have ended.
+func relayUpgraded(w http.ResponseWriter, resp *Response) (*agateturnv1.Outcome, error) {
+	worker, ok := resp.answer.Body.(io.ReadWriteCloser)
+	if !ok {
+		return resp.Result(), Aborted.Wrap(errNoUpgrade)
+	}
+	caller, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return resp.Result(), Aborted.Wrap(err)
+	}
+	defer func() { _ = caller.Close() }()
+	if err := writeSwitch(buffered.Writer, resp); err != nil {
+		return resp.Result(), Aborted.Wrap(err)
+	}
+	if err := copyBoth(caller, buffered.Reader, worker, resp.ex.conn.Conn); err != nil {
+		return resp.Result(), Aborted.Wrap(err)
+	}
+	resp.setWhole()
+	return resp.Result(), nil
+}
+
+// writeSwitch writes the head of the worker's answer.
+func writeSwitch(w *bufio.Writer, resp *Response) error {
+	header := resp.Header.Clone()
+	header.Set("Connection", "Upgrade")
+	header.Set("Upgrade", resp.upgrade)
+	head := http.Response{StatusCode: resp.Status, ProtoMajor: 1, ProtoMinor: 1, Header: header}
+	if err := head.Write(w); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// copyBoth copies both ways. The end of one direction is passed on and leaves the other open; an error ends both.
+func copyBoth(caller net.Conn, fromCaller io.Reader, worker io.ReadWriter, workerConn net.Conn) error {
+	ended := make(chan error, 2)
+	go func() { ended <- copyOneWay(workerConn, worker, fromCaller) }()
+	go func() { ended <- copyOneWay(caller, caller, worker) }()
+	first := <-ended
+	if first != nil {
+		_ = caller.Close()
+		_ = workerConn.Close()
+	}
+	return errors.Join(first, <-ended)
+}
+
+// copyOneWay copies until the source ends and then closes that direction of the destination.
+func copyOneWay(conn net.Conn, to io.Writer, from io.Reader) error {
+	if _, err := io.Copy(to, from); err != nil {
+		return err
+	}
+	if half, ok := conn.(writeCloser); ok {
+		return half.CloseWrite()
+	}
+	return conn.Close()
+}
