Read INI through the schema; check, diff and generate configurations

Cause: the daemon and the tool need settings and a configuration to start from. Ruled out: an answers reader of its own; the answers are a message with the same options, so defaults, bounds and errors come from the one reader. The answers schema stands in questionnaire/ for now, since proto/ is another's to edit.

--- /dev/null
+++ b/questionnaire/place.go
@@ -0,0 +1,103 @@
+package questionnaire
+
+import (
+	"fmt"
+	"net/netip"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/questionnaire/answerspb"
+	"github.com/agateturn/agateturn/settings"
+)
+
+// countByPort is the answer that gives every worker the same IP number and a port of its own.
+const countByPort = "port"
+
+// lastPort is the highest port.
+const lastPort = 65535
+
+// placeHosts spreads each pool over the data centres in turn, and over the racks of each, so that no rack or
+// data centre holds more of a pool than it must.
+func placeHosts(answers *Answers) ([]*pb.Host, error) {
+	total := 0
+	for _, pool := range answers.GetPools() {
+		total += int(pool.GetWorkers())
+	}
+	centres := answers.GetDataCentres()
+	if len(centres) == 0 {
+		return nil, settings.Refuse(settings.Problem{
+			Section: "data_centre", Found: "no data centre", Remedy: `add [data_centre "NAME"]`,
+		})
+	}
+	addresses, err := countAddresses(answers.GetWorkers(), total)
+	if err != nil {
+		return nil, err
+	}
+	hosts := make([]*pb.Host, 0, total)
+	for _, pool := range answers.GetPools() {
+		for range pool.GetWorkers() {
+			i := len(hosts)
+			centre := i % len(centres)
+			size := centreSize(total, len(centres), centre)
+			place := centres[centre].GetName()
+			hosts = append(hosts, newHost(answers.GetWorkers(), pool.GetName(), place, i/len(centres), size, addresses[i]))
+		}
+	}
+	return hosts, nil
+}
+
+// centreSize is how many of the hosts stand in the given data centre.
+func centreSize(hosts, centres, centre int) int {
+	return (hosts - centre + centres - 1) / centres
+}
+
+// newHost is the position-th host, from 0, of a data centre that holds size of them.
+func newHost(w *answerspb.Workers, pool, place string, position, size int, address string) *pb.Host {
+	racks := (size + int(w.GetPerRack()) - 1) / int(w.GetPerRack())
+	return &pb.Host{
+		Name:        fmt.Sprintf("%s-w%02d", place, position+1),
+		Address:     address,
+		DataCentre:  place,
+		Rack:        fmt.Sprintf("%s-r%d", place, position%racks+1),
+		Pool:        pool,
+		Slots:       w.GetSlots(),
+		Connections: w.GetConnections(),
+	}
+}
+
+// countAddresses counts up from the first address. The caller has validated it.
+func countAddresses(w *answerspb.Workers, count int) ([]string, error) {
+	next, err := netip.ParseAddrPort(w.GetFirstAddress())
+	if err != nil {
+		return nil, addressProblem(w, "the first address is no ip:port")
+	}
+	addresses := make([]string, count)
+	for i := range addresses {
+		if !next.IsValid() {
+			return nil, addressProblem(w, fmt.Sprintf("%d addresses from %s on do not exist", count, w.GetFirstAddress()))
+		}
+		addresses[i] = next.String()
+		next = following(next, w.GetCountBy())
+	}
+	return addresses, nil
+}
+
+// following is the next address; the zero AddrPort when there is none.
+func following(address netip.AddrPort, countBy string) netip.AddrPort {
+	if countBy != countByPort {
+		next := address.Addr().Next()
+		if !next.IsValid() {
+			return netip.AddrPort{}
+		}
+		return netip.AddrPortFrom(next, address.Port())
+	}
+	if address.Port() == lastPort {
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(address.Addr(), address.Port()+1)
+}
+
+func addressProblem(w *answerspb.Workers, found string) error {
+	return settings.Refuse(settings.Problem{
+		Section: "workers", Key: "first_address", Found: found, Remedy: "choose a lower first address than " + w.GetFirstAddress(),
+	})
+}
--- /dev/null
+++ b/questionnaire/questionnaire.go
@@ -0,0 +1,59 @@
+// Package questionnaire turns a team's answers into a configuration.
+//
+// The questions are the schema's keys, so answers come from an INI file or from a dialogue, and both are checked
+// alike. Hosts are generated: each pool's workers are spread over the data centres and their racks, and addresses
+// are counted up from the first one. The same answers always give the same configuration.
+// Nothing in this package is safe for concurrent use on the same value.
+package questionnaire
+
+import (
+	"github.com/samber/lo"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/agateturn/agateturn/config"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/questionnaire/answerspb"
+	"github.com/agateturn/agateturn/settings"
+)
+
+// Answers is what a team answered.
+type Answers = answerspb.Answers
+
+// Load reads an answers file. An error is of class settings.Invalid.
+func Load(path string) (*Answers, error) {
+	answers := &Answers{}
+	if err := settings.Load(path, answers); err != nil {
+		return nil, err
+	}
+	return answers, nil
+}
+
+// Generate makes the configuration that follows from the answers. It passes config.Check; where the answers allow
+// none that does, the error is of class settings.Invalid.
+func Generate(answers *Answers) (*pb.Configuration, error) {
+	if err := settings.Validate(answers); err != nil {
+		return nil, err
+	}
+	hosts, err := placeHosts(answers)
+	if err != nil {
+		return nil, err
+	}
+	cfg := &pb.Configuration{
+		Deployment:  &pb.Deployment{Name: answers.GetDeployment().GetName(), SparePool: answers.GetDeployment().GetSparePool()},
+		Maintenance: proto.CloneOf(answers.GetMaintenance()),
+		Weights:     proto.CloneOf(answers.GetWeights()),
+		DataCentres: lo.Map(answers.GetDataCentres(), func(d *pb.DataCentre, _ int) *pb.DataCentre { return proto.CloneOf(d) }),
+		Pools:       lo.Map(answers.GetPools(), generatePool),
+		Services:    lo.Map(answers.GetServices(), func(s *pb.Service, _ int) *pb.Service { return proto.CloneOf(s) }),
+		Teams:       lo.Map(answers.GetTeams(), func(t *pb.Team, _ int) *pb.Team { return proto.CloneOf(t) }),
+		Hosts:       hosts,
+	}
+	if err := config.Check(cfg); err != nil {
+		return nil, err
+	}
+	return cfg, nil
+}
+
+func generatePool(pool *answerspb.PoolAnswer, _ int) *pb.Pool {
+	return &pb.Pool{Name: pool.GetName(), MinHosts: pool.GetMinWorkers()}
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,45 @@
+// Package settings reads and writes INI files through the schema in proto/.
+//
+// A message field whose message carries the section option is one [section]. A repeated one is written
+// [section "name"], and the name goes into the item's name field. The key option of a scalar field gives its
+// default, unit and bounds. A scalar is text, true or false, a whole number, a decimal number, a duration such as
+// 15s, or a comma-separated list of texts.
+//
+// Every function is safe for concurrent use as long as the messages are not shared.
+package settings
+
+import (
+	"os"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// MaxBytes bounds the size of a file.
+const MaxBytes = 4 << 20
+
+// Load reads the file at path into msg, which is reset first. An error is of class Invalid and lists every problem.
+func Load(path string, msg proto.Message) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		problem := Problem{File: path, Found: err.Error(), Remedy: "name a file that exists and may be read"}
+		return asError([]Problem{problem})
+	}
+	return Parse(path, data, msg)
+}
+
+// Parse reads data into msg, which is reset first; file is only named in errors.
+// An error is of class Invalid and lists every problem.
+func Parse(file string, data []byte, msg proto.Message) error {
+	proto.Reset(msg)
+	p := &parser{file: file, schema: schemaOf(msg), target: msg.ProtoReflect(), seen: map[string]bool{}}
+	p.parse(data)
+	return asError(p.problems)
+}
+
+// Validate checks units and bounds of a message that did not come from a file. Problems name section and key.
+// An error is of class Invalid.
+func Validate(msg proto.Message) error {
+	v := &validator{schema: schemaOf(msg), target: msg.ProtoReflect()}
+	v.validate()
+	return asError(v.problems)
+}
--- /dev/null
+++ b/settings/suggest.go
@@ -0,0 +1,48 @@
+package settings
+
+import (
+	"strings"
+)
+
+// didYouMean proposes the known word nearest to the given one, or lists all when none is near.
+func didYouMean(word string, known []string) string {
+	best, bestDistance := "", len(word)/2+1
+	for _, candidate := range known {
+		if d := editDistance(word, candidate); d < bestDistance {
+			best, bestDistance = candidate, d
+		}
+	}
+	if best != "" {
+		return "did you mean " + best + "?"
+	}
+	return "use one of " + strings.Join(known, ", ")
+}
+
+// editDistance counts the insertions, deletions and substitutions of bytes between two words.
+func editDistance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			substituted := diagonal
+			if a[i] != b[j] {
+				substituted++
+			}
+			diagonal = row[j+1]
+			row[j+1] = min(substituted, row[j]+1, row[j+1]+1)
+		}
+	}
+	return row[len(b)]
+}
+
+// Suggest is the remedy for a name that is none of the known ones.
+func Suggest(name string, known []string) string {
+	if len(known) == 0 {
+		return "define it first"
+	}
+	return didYouMean(name, known)
+}
