Add rendezvous hashing over owners

Cause: slots and idempotency keys need an owner that every member computes alike. Ruled out: hash/maphash (seeded per process) and hashing by incarnation (a restart would move every key). Change: FNV-1a with a SplitMix64 finaliser, by owner name.

--- /dev/null
+++ b/rendezvous/rendezvous.go
@@ -0,0 +1,57 @@
+// Package rendezvous shares keys out over owners by highest-random-weight hashing.
+//
+// Every process computes the same owner from the same key and set, without talking to another. When an owner leaves,
+// only its keys change hands; when one joins, it takes an even part of everybody's keys. The weight depends on the
+// owner's name and not on its incarnation, so a restarted owner gets its keys back.
+package rendezvous
+
+import (
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+)
+
+// Constants of the 64-bit FNV-1a hash and of the SplitMix64 finaliser.
+const (
+	fnvOffset  uint64 = 14695981039346656037
+	fnvPrime   uint64 = 1099511628211
+	goldenStep uint64 = 0x9e3779b97f4a7c15
+	mixFirst   uint64 = 0xbf58476d1ce4e5b9
+	mixSecond  uint64 = 0x94d049bb133111eb
+)
+
+// Owner returns the member of set with the highest weight for key, and false if the set is nil or empty. The result is
+// the same in every process and doesn't depend on the order of the set. It is safe for concurrent use as long as
+// nobody changes set.
+func Owner(key string, set *pb.OwnerSet) (*pb.Owner, bool) {
+	keyHash := Hash(key)
+	var best *pb.Owner
+	var bestWeight uint64
+	for _, o := range set.GetOwners() {
+		w := mix(keyHash ^ mix(Hash(o.GetName())))
+		if best == nil || w > bestWeight || (w == bestWeight && o.GetName() < best.GetName()) {
+			best = o
+			bestWeight = w
+		}
+	}
+	return best, best != nil
+}
+
+// Hash returns a 64-bit hash of s that is the same in every process and release.
+func Hash(s string) uint64 {
+	h := fnvOffset
+	for i := range len(s) {
+		h ^= uint64(s[i])
+		h *= fnvPrime
+	}
+	return mix(h)
+}
+
+// mix spreads each input bit over all output bits.
+func mix(x uint64) uint64 {
+	x += goldenStep
+	x ^= x >> 30
+	x *= mixFirst
+	x ^= x >> 27
+	x *= mixSecond
+	x ^= x >> 31
+	return x
+}
