Add the admission queues

Cause: an entry host must decide which request starts next and refuse at once what can't be in time. Change: urgent first with a bound, start-time fair queueing by team, quotas, deadlines by learned run time, and a time to come back that is computed from the queue.

--- /dev/null
+++ b/admission/demand.go
@@ -0,0 +1,85 @@
+package admission
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+)
+
+const (
+	// arrivalWindow is the time over which arrivals are averaged.
+	arrivalWindow = 2 * time.Second
+	// slotsWindow is the time for which the largest number of slots seen counts.
+	slotsWindow = time.Second
+)
+
+// arrivalRate is a moving mean of arrivals a second.
+type arrivalRate struct {
+	rate float64
+	last time.Time
+}
+
+func (a *arrivalRate) add(now time.Time) {
+	a.rate = a.at(now) + 1/arrivalWindow.Seconds()
+	if now.After(a.last) {
+		a.last = now
+	}
+}
+
+func (a *arrivalRate) at(now time.Time) float64 {
+	age := max(0, now.Sub(a.last).Seconds())
+	return a.rate * math.Exp(-age/arrivalWindow.Seconds())
+}
+
+// slotsSeen is the number of slots that served a pool lately: the largest number within a window or two.
+type slotsSeen struct {
+	value    int
+	previous int
+	since    time.Time
+}
+
+func (s *slotsSeen) see(now time.Time, slots int) {
+	if now.Sub(s.since) >= slotsWindow {
+		s.previous = s.value
+		s.value = 0
+		s.since = now
+	}
+	s.value = max(s.value, slots)
+}
+
+func (s *slotsSeen) at(time.Time) int { return max(s.value, s.previous) }
+
+// Demand returns the load of each pool that this entry host has queued for, by name. Requests that wait for their
+// team's quota don't count as queued, since more slots wouldn't start them.
+func (q *Queue) Demand(now time.Time) []*pb.PoolDemand {
+	out := make([]*pb.PoolDemand, 0, len(q.pools))
+	for _, p := range q.pools {
+		queued, oldest := p.startable()
+		d := &pb.PoolDemand{
+			Pool:              p.name,
+			Queued:            queued,
+			Running:           int64(p.running),
+			Idle:              int64(p.idle),
+			ArrivalsPerSecond: p.arrivals.at(now),
+		}
+		if !oldest.IsZero() {
+			d.OldestQueuedMs = max(0, now.Sub(oldest).Milliseconds())
+		}
+		out = append(out, d)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].GetPool() < out[j].GetPool() })
+	return out
+}
+
+// startable counts the queued requests that could start if there were slots, and finds the oldest arrival.
+func (p *pool) startable() (queued int64, oldest time.Time) {
+	for _, l := range p.lanes {
+		for _, tl := range l.backlog.slice {
+			queued += max(0, min(int64(tl.queue.Len()), tl.team.room()))
+			oldest = earlier(oldest, tl.queue.Front().Value.(*item).Arrival)
+		}
+	}
+	return queued, oldest
+}
--- /dev/null
+++ b/admission/expire.go
@@ -0,0 +1,58 @@
+package admission
+
+import "time"
+
+// Expire rejects what has to be given up by now: urgent requests that have not started in time, and requests that can
+// no longer finish before their deadline.
+func (q *Queue) Expire(now time.Time) []Rejection {
+	var out []Rejection
+	for _, name := range q.names {
+		s := q.services[name]
+		for s.urgentLimits.len() > 0 && !now.Before(s.urgentLimits.first().urgentLimit) {
+			out = append(out, q.giveUp(now, s.urgentLimits.first().item, ReasonUrgentStart))
+		}
+		for s.deadlines.len() > 0 && now.Add(s.learned.bound()).After(s.deadlines.first().Deadline) {
+			out = append(out, q.giveUp(now, s.deadlines.first().item, ReasonDeadline))
+		}
+		if s.probe != nil && !now.Before(s.probe.Deadline) {
+			out = append(out, q.giveUp(now, s.probe, ReasonDeadline))
+		}
+	}
+	return out
+}
+
+// giveUp drops an item and says when to come back: once what is queued now in its class has been served.
+func (q *Queue) giveUp(now time.Time, it *item, reason Reason) Rejection {
+	p := q.pool(it.Pool)
+	slots := float64(max(1, p.slots.at(now)))
+	drain := time.Duration(it.lane.work / slots * float64(time.Second))
+	q.drop(it)
+	after := spread(it.ID, max(drain, it.service.learned.mean/4))
+	return Rejection{ID: it.ID, Reason: reason, RetryAfter: after}
+}
+
+// NextExpiry returns the time at which Expire next has something to reject, if nothing else happens before, and false
+// if nothing is queued.
+func (q *Queue) NextExpiry() (time.Time, bool) {
+	var first time.Time
+	for _, s := range q.services {
+		if s.urgentLimits.len() > 0 {
+			first = earlier(first, s.urgentLimits.first().urgentLimit)
+		}
+		if s.deadlines.len() > 0 {
+			first = earlier(first, s.deadlines.first().Deadline.Add(1-s.learned.bound()))
+		}
+		if s.probe != nil {
+			first = earlier(first, s.probe.Deadline)
+		}
+	}
+	return first, !first.IsZero()
+}
+
+// earlier returns the earlier of two times, of which the first may be zero for none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/admission/offer.go
@@ -0,0 +1,150 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// minRetryAfter and maxRetryAfter bound the time after which a caller is told to come back.
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = time.Minute
+	// retrySpread is the part by which times to come back are spread out, so that callers don't return all at once.
+	retrySpread = 0.5
+)
+
+// Offer decides on a new request: it is queued, or rejected for good.
+func (q *Queue) Offer(now time.Time, r Request) Decision {
+	s, reason := q.check(&r, now)
+	if reason != ReasonNone {
+		return q.refuse(s, r, reason, 0)
+	}
+	p := q.pool(r.Pool)
+	p.arrivals.add(now)
+	l := p.lanes[r.Class]
+	it := &item{Request: r, service: s, lane: l, deadlinePlace: -1, urgentPlace: -1}
+	it.team = l.teamLane(q.teams[r.Team])
+	it.cost = s.learned.mean.Seconds()
+	it.urgentLimit = r.Arrival.Add(s.urgentStart)
+	wait := p.wait(now, it)
+	if reason, late := q.tooLate(now, it, wait); reason != ReasonNone {
+		return q.refuse(s, r, reason, late)
+	}
+	q.enqueue(it)
+	return Decision{Queued: true}
+}
+
+// check refuses what is unknown or over a bound, and fills in what the request leaves out.
+func (q *Queue) check(r *Request, now time.Time) (*service, Reason) {
+	s := q.services[r.Service]
+	if s == nil || !q.active[r.Service] {
+		return nil, ReasonUnknownService
+	}
+	if !q.known[r.Team] {
+		return s, ReasonUnknownTeam
+	}
+	if q.items[r.ID] != nil {
+		return s, ReasonDuplicate
+	}
+	if q.limits.MaxRequests > 0 && len(q.items) >= q.limits.MaxRequests {
+		return s, ReasonHostFull
+	}
+	if s.queued[r.Class] >= s.maxQueue {
+		return s, ReasonQueueFull
+	}
+	if r.Arrival.IsZero() {
+		r.Arrival = now
+	}
+	if r.Deadline.IsZero() {
+		r.Deadline = r.Arrival.Add(s.deadline)
+	}
+	return s, ReasonNone
+}
+
+// enqueue adds an item to the queues.
+func (q *Queue) enqueue(it *item) {
+	q.items[it.ID] = it
+	it.service.queued[it.Class]++
+	it.lane.add(it)
+	if it.probe {
+		it.service.probe = it
+	} else {
+		it.service.deadlines.push(byDeadline{it})
+	}
+	if it.Class == ClassUrgent {
+		it.service.urgentLimits.push(byUrgentLimit{it})
+	}
+}
+
+// wait estimates how long an item would queue: the shorter of two bounds, by all that is ahead in its pool and by its
+// team's queue on the team's share.
+func (p *pool) wait(now time.Time, it *item) time.Duration {
+	slots := float64(max(1, p.slots.at(now)))
+	ahead := it.lane.work
+	if it.Class == ClassNormal {
+		ahead += p.lanes[ClassUrgent].work
+	}
+	weight := it.lane.weight
+	if it.team.queue.Len() == 0 {
+		weight += it.team.team.weight
+	}
+	own := it.team.work * weight / it.team.team.weight
+	if it.Class == ClassNormal {
+		own += p.lanes[ClassUrgent].work
+	}
+	return time.Duration(min(ahead, own) / slots * float64(time.Second))
+}
+
+// tooLate says whether an item that waits so long can be in time, and if not, by how much it is late. A service whose
+// learned run time alone rules out the request gets a probe now and then, so that a wrong estimate can mend.
+func (q *Queue) tooLate(now time.Time, it *item, wait time.Duration) (Reason, time.Duration) {
+	s := it.service
+	if it.Class == ClassUrgent {
+		if late := now.Add(wait).Sub(it.urgentLimit); late >= 0 {
+			return ReasonUrgentStart, late
+		}
+	}
+	if !it.Deadline.After(now) {
+		return ReasonDeadline, 0
+	}
+	run := s.learned.bound()
+	if now.Add(run).After(it.Deadline) && s.running == 0 && s.probe == nil && now.Sub(s.lastStart) >= probeInterval {
+		it.probe = true
+		return ReasonNone, 0
+	}
+	if late := now.Add(wait + run).Sub(it.Deadline); late > 0 {
+		return ReasonDeadline, late
+	}
+	return ReasonNone, 0
+}
+
+// refuse returns a rejection, with the time after which the queue has room again.
+func (q *Queue) refuse(s *service, r Request, reason Reason, late time.Duration) Decision {
+	d := Decision{Reason: reason}
+	switch reason {
+	case ReasonUnknownService, ReasonUnknownTeam, ReasonDuplicate, ReasonNone:
+		return d
+	case ReasonHostFull, ReasonQueueFull:
+		d.RetryAfter = q.drainTime(r.Pool, s)
+	case ReasonDeadline, ReasonUrgentStart:
+		d.RetryAfter = late
+	}
+	d.RetryAfter = spread(r.ID, max(d.RetryAfter, s.learned.mean/4))
+	return d
+}
+
+// drainTime is the time until half of a pool's queue has been served.
+func (q *Queue) drainTime(poolName string, s *service) time.Duration {
+	p := q.pool(poolName)
+	work := p.lanes[ClassNormal].work + p.lanes[ClassUrgent].work
+	slots := max(1, p.slots.value)
+	return max(s.learned.mean, time.Duration(work/2/float64(slots)*float64(time.Second)))
+}
+
+// spread bounds a time to come back and lengthens it by a part that depends on the request.
+func spread(id uint64, d time.Duration) time.Duration {
+	const steps = 1024
+	part := float64((id*0x9e3779b97f4a7c15)>>54) / steps
+	d = time.Duration(math.Min(float64(maxRetryAfter), float64(d)*(1+retrySpread*part)))
+	return max(minRetryAfter, d)
+}
