Grant each idempotency key at most once

Cause: the same key sent again through the balancer meets another entry host. Ruled out: claims in the store (fail with it); memory per entry host (runs twice). Change: package idempotency: one owner a key, epochs of ownership with the two-phase barrier, and "unknown" for keys that an earlier owner may have granted.

--- /dev/null
+++ b/idempotency/idempotency.go
@@ -0,0 +1,81 @@
+// Package idempotency lets each idempotency key run at most once.
+//
+// Every key has one owner among the entry hosts, by hashing over the fleet's
+// owner set. The owner remembers the keys it has granted and grants none twice.
+// Its memory is lost with its process. So after a change of owners, a key that
+// an earlier owner may have granted is answered "unknown" and never granted,
+// until it is too old to be repeated.
+//
+// A caller repeats a key within Limits.Window of its first use. Keys that are
+// UUIDs of version 7 carry the time of their creation; repeats after the window
+// are refused for these, and new ones are granted at once after a change of
+// owners. Other keys cannot be told from repeats until the window has passed.
+package idempotency
+
+import (
+	"crypto/sha256"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+)
+
+// Limits bounds an Owner.
+type Limits struct {
+	// MaxKeys is the number of keys remembered at once.
+	MaxKeys int
+	// Window is the time within which a caller may repeat a key.
+	Window time.Duration
+	// ClockSkew is the largest difference between the clocks of any two of the callers and entry hosts.
+	ClockSkew time.Duration
+}
+
+// OwnerFunc returns the owner of a key among the set, and false if the set is empty.
+// It depends on the key and the owners' names only: a later incarnation owns what the earlier one did.
+type OwnerFunc func(key string, set *pb.OwnerSet) (*pb.Owner, bool)
+
+// Locate returns the owner of a service's key by the given view of the fleet. The
+// owner is nil if there is none. While closed, the key is changing hands: nobody
+// may run it, and the caller is told "not run, retry in a moment".
+//
+// A member that has applied a fleet's settle revision must use that fleet, or a
+// later one, for every claim that it begins afterwards.
+func Locate(service, key string, f *pb.Fleet, ownerOf OwnerFunc) (owner *pb.Owner, closed bool) {
+	hashed := hashKey(service, key)
+	owner, ok := ownerOf(hashed, f.GetOwners())
+	if !ok {
+		return nil, true
+	}
+	if len(f.GetNextOwners().GetOwners()) == 0 {
+		return owner, false
+	}
+	next, _ := ownerOf(hashed, f.GetNextOwners())
+	return owner, !sameOwner(owner, next)
+}
+
+// hashKey returns what is hashed to find the owner of a key.
+func hashKey(service, key string) string {
+	return service + "\x00" + key
+}
+
+// keyID identifies a remembered key in constant space.
+type keyID [sha256.Size]byte
+
+func idOf(service, key string) keyID {
+	return sha256.Sum256([]byte(hashKey(service, key)))
+}
+
+func sameOwner(a, b *pb.Owner) bool {
+	return a.GetName() == b.GetName() && a.GetIncarnation() == b.GetIncarnation()
+}
+
+func sameSet(a, b *pb.OwnerSet) bool {
+	if len(a.GetOwners()) != len(b.GetOwners()) {
+		return false
+	}
+	for i, owner := range a.GetOwners() {
+		if !sameOwner(owner, b.GetOwners()[i]) {
+			return false
+		}
+	}
+	return true
+}
--- a/upstream/relay.go
+++ b/upstream/relay.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"sync"
 
-	agateturnv1 "github.com/agateturn/agateturn/gen/agateturn/v1"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 )
 
 // copyBufferBytes is the memory that relaying one answer takes.
@@ -23,7 +23,7 @@
 //
 // An answer of 101 Switching Protocols takes over the caller's connection and is
 // relayed both ways until both sides have ended.
-func Relay(w http.ResponseWriter, resp *Response) (*agateturnv1.Outcome, error) {
+func Relay(w http.ResponseWriter, resp *Response) (*pb.Outcome, error) {
 	defer func() { _ = resp.Body.Close() }()
 	if resp.Status == http.StatusSwitchingProtocols {
 		return relayUpgraded(w, resp)
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	agateturnv1 "github.com/agateturn/agateturn/gen/agateturn/v1"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 )
 
 var errCut = errors.New("the answer was cut short")
@@ -75,13 +75,13 @@
 
 // Result returns how the request ended as far as the answer has been read: done
 // once the whole body was read, unknown before.
-func (r *Response) Result() *agateturnv1.Outcome {
+func (r *Response) Result() *pb.Outcome {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.whole {
-		return &agateturnv1.Outcome{Kind: agateturnv1.OutcomeKind_OUTCOME_KIND_DONE, Status: int32(r.Status)}
+		return &pb.Outcome{Kind: pb.OutcomeKind_OUTCOME_KIND_DONE, Status: int32(r.Status)}
 	}
-	return &agateturnv1.Outcome{Kind: agateturnv1.OutcomeKind_OUTCOME_KIND_UNKNOWN}
+	return &pb.Outcome{Kind: pb.OutcomeKind_OUTCOME_KIND_UNKNOWN}
 }
 
 func (r *Response) setWhole() {
--- a/upstream/upgrade.go
+++ b/upstream/upgrade.go
@@ -7,7 +7,7 @@
 	"net"
 	"net/http"
 
-	agateturnv1 "github.com/agateturn/agateturn/gen/agateturn/v1"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 )
 
 var errNoUpgrade = errors.New("the connection cannot be upgraded")
@@ -16,7 +16,7 @@
 type writeCloser interface{ CloseWrite() error }
 
 // relayUpgraded takes over the caller's connection and copies both ways until both sides have ended.
-func relayUpgraded(w http.ResponseWriter, resp *Response) (*agateturnv1.Outcome, error) {
+func relayUpgraded(w http.ResponseWriter, resp *Response) (*pb.Outcome, error) {
 	worker, ok := resp.answer.Body.(io.ReadWriteCloser)
 	if !ok {
 		return resp.Result(), Aborted.Wrap(errNoUpgrade)
