Add the callers' stand-in and its command

Demos need a bounded load that tells whether each answer is whole and the caller's own. The plan is drawn from a seed; each service in turn asks for a multiple of its mean. Ruled out: kept-alive connections, on which net/http replays requests that carry an idempotency key by itself. Addresses are checked when the load is planned and again when a connection is made.

--- a/cmd/agateturn-standin/main.go
+++ b/cmd/agateturn-standin/main.go
@@ -23,6 +23,7 @@
 // commands is the command line.
 type commands struct {
 	Platform platformCommand `cmd:"" help:"Serve the platform: key-value store, host list, host actions."`
+	Load     loadCommand     `cmd:"" help:"Send a bounded load to entry hosts on loopback and check each answer."`
 }
 
 func main() {
--- /dev/null
+++ b/standin/callers/config.go
@@ -0,0 +1,156 @@
+// Package callers is a stand-in for the callers: a bounded, seeded load on loopback addresses that checks each answer.
+//
+// Each service in turn asks for several times its mean rate for some seconds and for little in between. Every request
+// uses a connection of its own, so that no transport replays one by itself.
+package callers
+
+import (
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/zeebo/errs"
+)
+
+// InvalidConfig means that a load cannot be sent as asked.
+var InvalidConfig = errs.Class("callers: load not possible; correct the named field")
+
+// Bounds of one load.
+const (
+	MaxDuration = 30 * time.Minute
+	MaxRequests = 500_000
+	MaxInFlight = 20_000
+)
+
+// Target is an entry host.
+type Target struct {
+	// Address is ip:port; the ip is a loopback address.
+	Address string
+	// Weight is the target's share of the requests against the sum of all weights.
+	Weight int
+}
+
+// Service is one service and what is asked of it.
+type Service struct {
+	Name string
+	// Rate is the mean of requests a second.
+	Rate float64
+}
+
+// Config describes a load. The same Config gives the same plan.
+type Config struct {
+	Targets  []Target
+	Services []Service
+	Teams    []string
+	// Duration is how long requests begin; the last may end later by Timeout or SessionLength.
+	Duration time.Duration
+	// BurstLength is how long one service asks for BurstFactor times its mean before it is the next one's turn.
+	BurstLength time.Duration
+	BurstFactor float64
+	// IdleFactor is what a service asks for outside its turn, as a part of its mean.
+	IdleFactor float64
+	// KeyedShare is the part of requests (0 to 1) that are not idempotent and carry an idempotency key.
+	KeyedShare float64
+	// UrgentShare and SessionShare are the parts of requests (0 to 1) of these classes; the rest is normal.
+	UrgentShare  float64
+	SessionShare float64
+	// WorkTime is how long a worker is asked to work on a request, and SessionLength on a session.
+	WorkTime      time.Duration
+	SessionLength time.Duration
+	// AnswerBytes is the length of the answer that is asked for.
+	AnswerBytes int
+	// Timeout is what each request but a session may take.
+	Timeout time.Duration
+	// MaxInFlight bounds the requests in progress; what would go over it is skipped and counted.
+	MaxInFlight int
+	Seed        uint64
+}
+
+// Default returns a small load without targets and services.
+func Default() Config {
+	return Config{
+		Teams:         []string{"orders", "quality"},
+		Duration:      20 * time.Second,
+		BurstLength:   4 * time.Second,
+		BurstFactor:   5,
+		IdleFactor:    0.05,
+		KeyedShare:    0.2,
+		UrgentShare:   0.2,
+		SessionShare:  0.02,
+		WorkTime:      50 * time.Millisecond,
+		SessionLength: 5 * time.Second,
+		AnswerBytes:   2048,
+		Timeout:       10 * time.Second,
+		MaxInFlight:   2000,
+		Seed:          1,
+	}
+}
+
+// Check returns an error of kind InvalidConfig unless the load is bounded and stays on loopback.
+func (c Config) Check() error {
+	if len(c.Targets) == 0 || len(c.Services) == 0 || len(c.Teams) == 0 {
+		return InvalidConfig.New("targets, services and teams: at least one each")
+	}
+	for _, target := range c.Targets {
+		if err := target.check(); err != nil {
+			return err
+		}
+	}
+	for _, service := range c.Services {
+		if service.Name == "" || service.Rate <= 0 {
+			return InvalidConfig.New("service %q: needs a name and a rate above 0", service.Name)
+		}
+	}
+	return c.checkNumbers()
+}
+
+func (c Config) checkNumbers() error {
+	shares := []float64{c.KeyedShare, c.UrgentShare, c.SessionShare, c.UrgentShare + c.SessionShare}
+	switch {
+	case slices.ContainsFunc(shares, func(share float64) bool { return share < 0 || share > 1 }):
+		return InvalidConfig.New("shares: each, and urgent and session together, between 0 and 1")
+	case c.Duration <= 0 || c.Duration > MaxDuration:
+		return InvalidConfig.New("duration: above 0, at most %v", MaxDuration)
+	case c.BurstLength <= 0 || c.BurstFactor <= 0 || c.IdleFactor < 0:
+		return InvalidConfig.New("burst: length and factor above 0, idle factor at least 0")
+	case c.Timeout <= 0 || c.WorkTime < 0 || c.SessionLength <= 0:
+		return InvalidConfig.New("timeout and session length: above 0; work time: at least 0")
+	case c.AnswerBytes < MinAnswerBytes:
+		return InvalidConfig.New("answer bytes: at least %d", MinAnswerBytes)
+	case c.MaxInFlight <= 0 || c.MaxInFlight > MaxInFlight:
+		return InvalidConfig.New("requests in flight: 1 to %d", MaxInFlight)
+	}
+	return c.checkCount()
+}
+
+// checkCount bounds the number of requests by their expected number.
+func (c Config) checkCount() error {
+	rate := lo.SumBy(c.Services, func(s Service) float64 { return s.Rate })
+	peak := max(c.BurstFactor, c.IdleFactor, 1)
+	if expected := rate * peak * c.Duration.Seconds(); expected > MaxRequests {
+		return InvalidConfig.New("rates: up to %.0f requests, at most %d", expected, MaxRequests)
+	}
+	return nil
+}
+
+func (t Target) check() error {
+	if t.Weight <= 0 {
+		return InvalidConfig.New("target %s: weight above 0", t.Address)
+	}
+	if !isLoopback(t.Address) {
+		return InvalidConfig.New("target %q: ip:port on loopback only", t.Address)
+	}
+	return nil
+}
+
+// isLoopback tells whether address is ip:port with a loopback ip. Names are refused: they could resolve elsewhere.
+func isLoopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	ip, err := netip.ParseAddr(host)
+	return err == nil && ip.Unmap().IsLoopback()
+}
--- /dev/null
+++ b/standin/callers/report.go
@@ -0,0 +1,129 @@
+package callers
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// ServiceReport counts what came of the requests to one service.
+type ServiceReport struct {
+	Service string `json:"service"`
+	// Sent counts the requests that went out; it is the sum of the results below it up to Unexpected.
+	Sent      int `json:"sent"`
+	Whole     int `json:"whole"`
+	Wrong     int `json:"wrong"`
+	FailedRun int `json:"failed_run"`
+	NotRun    int `json:"not_run"`
+	Unknown   int `json:"unknown"`
+	// Cut and NoAnswer are transport errors after and before the beginning of an answer.
+	Cut        int `json:"cut"`
+	NoAnswer   int `json:"no_answer"`
+	Unexpected int `json:"unexpected"`
+	// Skipped requests were not sent, since too many were in flight.
+	Skipped int `json:"skipped"`
+	// P50 and P99 are quantiles of the time to a whole answer; sessions are left out.
+	P50 time.Duration `json:"p50_ns"`
+	P99 time.Duration `json:"p99_ns"`
+}
+
+// Report is what came of a load.
+type Report struct {
+	Services []ServiceReport `json:"services"`
+}
+
+// Wrong counts the wrong answers of all services.
+func (r Report) Wrong() int {
+	return lo.SumBy(r.Services, func(s ServiceReport) int { return s.Wrong })
+}
+
+// WriteTable writes the report as an aligned table.
+func (r Report) WriteTable(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, err := fmt.Fprintln(table, "service\tsent\twhole\twrong\tfailed run\tnot run\tunknown\tcut\tno answer\tunexpected\tskipped\tp50\tp99\t")
+	if err != nil {
+		return err
+	}
+	for _, s := range r.Services {
+		_, err := fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%v\t%v\t\n",
+			s.Service, s.Sent, s.Whole, s.Wrong, s.FailedRun, s.NotRun, s.Unknown, s.Cut, s.NoAnswer, s.Unexpected,
+			s.Skipped, s.P50.Round(time.Millisecond), s.P99.Round(time.Millisecond))
+		if err != nil {
+			return err
+		}
+	}
+	return table.Flush()
+}
+
+// tally collects results. It may be used concurrently.
+type tally struct {
+	mu       sync.Mutex
+	order    []string
+	services map[string]*serviceTally
+}
+
+type serviceTally struct {
+	results map[Result]int
+	times   []time.Duration
+}
+
+func newTally(services []Service) *tally {
+	t := &tally{services: make(map[string]*serviceTally, len(services))}
+	for _, service := range services {
+		t.order = append(t.order, service.Name)
+		t.services[service.Name] = &serviceTally{results: make(map[Result]int)}
+	}
+	return t
+}
+
+func (t *tally) add(request Request, result Result, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	service := t.services[request.Service]
+	service.results[result]++
+	if result == ResultWhole && request.Class != ClassSession {
+		service.times = append(service.times, took)
+	}
+}
+
+func (t *tally) report() Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Report{Services: lo.Map(t.order, func(name string, _ int) ServiceReport {
+		return t.services[name].report(name)
+	})}
+}
+
+func (s *serviceTally) report(name string) ServiceReport {
+	slices.Sort(s.times)
+	r := ServiceReport{
+		Service:    name,
+		Whole:      s.results[ResultWhole],
+		Wrong:      s.results[ResultWrong],
+		FailedRun:  s.results[ResultFailedRun],
+		NotRun:     s.results[ResultNotRun],
+		Unknown:    s.results[ResultUnknown],
+		Cut:        s.results[ResultCut],
+		NoAnswer:   s.results[ResultNoAnswer],
+		Unexpected: s.results[ResultUnexpected],
+		Skipped:    s.results[ResultSkipped],
+		P50:        quantile(s.times, 0.50),
+		P99:        quantile(s.times, 0.99),
+	}
+	r.Sent = r.Whole + r.Wrong + r.FailedRun + r.NotRun + r.Unknown + r.Cut + r.NoAnswer + r.Unexpected
+	return r
+}
+
+// quantile returns the smallest of the sorted times that a part q of them does not exceed.
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	index := int(q * float64(len(sorted)))
+	return sorted[min(index, len(sorted)-1)]
+}
--- /dev/null
+++ b/standin/callers/run.go
@@ -0,0 +1,71 @@
+package callers
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Run sends the load and returns what came of it. When ctx ends no more requests begin, and those in progress are
+// awaited. Errors: InvalidConfig.
+func Run(ctx context.Context, config Config) (Report, error) {
+	if err := config.Check(); err != nil {
+		return Report{}, err
+	}
+	load := &load{
+		config: config,
+		slots:  make(chan struct{}, config.MaxInFlight),
+		tally:  newTally(config.Services),
+	}
+	load.run(ctx, Plan(config))
+	return load.tally.report(), nil
+}
+
+type load struct {
+	config Config
+	// slots bounds the requests in flight.
+	slots   chan struct{}
+	running sync.WaitGroup
+	tally   *tally
+}
+
+func (l *load) run(ctx context.Context, plan []Request) {
+	client := newClient()
+	defer client.CloseIdleConnections()
+	start := time.Now()
+	// A stop lets requests in progress finish; each is bounded by its own patience.
+	sending := context.WithoutCancel(ctx)
+	for _, planned := range plan {
+		if !sleepUntil(ctx, start.Add(planned.At)) {
+			break
+		}
+		select {
+		case l.slots <- struct{}{}:
+		default:
+			l.tally.add(planned, ResultSkipped, 0)
+			continue
+		}
+		l.running.Go(func() {
+			defer func() { <-l.slots }()
+			began := time.Now()
+			result := send(sending, client, l.config, planned)
+			l.tally.add(planned, result, time.Since(began))
+		})
+	}
+	l.running.Wait()
+}
+
+// sleepUntil returns false if ctx ends first.
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/standin/callers/send.go
@@ -0,0 +1,169 @@
+package callers
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// Header fields of the contract between callers and agateturn.
+const (
+	headerTeam       = "Agateturn-Team"
+	headerClass      = "Agateturn-Class"
+	headerTimeout    = "Agateturn-Timeout"
+	headerKey        = "Idempotency-Key"
+	headerRequestID  = "Agateturn-Request-Id"
+	headerOutcome    = "Agateturn-Outcome"
+	headerRetryAfter = "Retry-After"
+
+	outcomeDone    = "done"
+	outcomeNotRun  = "not-run"
+	outcomeUnknown = "unknown"
+)
+
+// answerGrace is how long after its timeout a request is given up by the caller.
+const answerGrace = 2 * time.Second
+
+// Result is how one request ended.
+type Result int
+
+// The results of requests.
+const (
+	// ResultWhole is the whole answer to the own request.
+	ResultWhole Result = iota
+	// ResultWrong is an answer that is another's, or cut although it looked whole.
+	ResultWrong
+	// ResultFailedRun is an answer of a worker with an error status.
+	ResultFailedRun
+	ResultNotRun
+	ResultUnknown
+	// ResultCut is an answer whose connection broke before its end.
+	ResultCut
+	// ResultNoAnswer is a transport error before any answer.
+	ResultNoAnswer
+	// ResultUnexpected is an answer outside the contract, such as one without an outcome or a not-run without Retry-After.
+	ResultUnexpected
+	// ResultSkipped was not sent because too many were in flight.
+	ResultSkipped
+)
+
+// newClient returns a client that uses each connection once and refuses any address but loopback when it connects.
+func newClient() *http.Client {
+	dialer := &net.Dialer{Control: func(_, address string, _ syscall.RawConn) error {
+		if !isLoopback(address) {
+			return InvalidConfig.New("%s is not on loopback", address)
+		}
+		return nil
+	}}
+	return &http.Client{
+		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
+}
+
+// send sends one request and judges its answer.
+func send(ctx context.Context, client *http.Client, config Config, planned Request) Result {
+	ctx, cancel := context.WithTimeout(ctx, config.patience(planned))
+	defer cancel()
+	id := uuid.Must(uuid.NewV7()).String()
+	request, err := newRequest(ctx, config, planned, id)
+	if err != nil {
+		return ResultNoAnswer
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return ResultNoAnswer
+	}
+	defer func() { _ = response.Body.Close() }()
+	return judge(response, id)
+}
+
+// patience is how long a caller waits for the end of its answer.
+func (c Config) patience(planned Request) time.Duration {
+	if planned.Class == ClassSession {
+		return c.Timeout + c.SessionLength + answerGrace
+	}
+	return c.Timeout + answerGrace
+}
+
+func newRequest(ctx context.Context, config Config, planned Request, id string) (*http.Request, error) {
+	work, method := config.WorkTime, http.MethodGet
+	if planned.Class == ClassSession {
+		work = config.SessionLength
+	}
+	var body io.Reader
+	if planned.Keyed {
+		method, body = http.MethodPost, strings.NewReader(id)
+	}
+	target := url.URL{
+		Scheme:   "http",
+		Host:     planned.Target,
+		Path:     "/v1/services/" + planned.Service + "/job",
+		RawQuery: url.Values{"work": {work.String()}, "bytes": {strconv.Itoa(config.AnswerBytes)}}.Encode(),
+	}
+	request, err := http.NewRequestWithContext(ctx, method, target.String(), body)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set(headerTeam, planned.Team)
+	request.Header.Set(headerClass, string(planned.Class))
+	request.Header.Set(headerTimeout, config.Timeout.String())
+	request.Header.Set(headerRequestID, id)
+	if planned.Keyed {
+		request.Header.Set(headerKey, uuid.Must(uuid.NewV7()).String())
+	}
+	return request, nil
+}
+
+// judge reads the answer to its end and says what it is.
+func judge(response *http.Response, id string) Result {
+	check := newChecker(id)
+	if _, err := io.Copy(check, response.Body); err != nil {
+		return ResultCut
+	}
+	switch response.Header.Get(headerOutcome) {
+	case outcomeDone:
+		return judgeDone(response, id, check)
+	case outcomeNotRun:
+		return judgeNotRun(response)
+	case outcomeUnknown:
+		return ResultUnknown
+	default:
+		return ResultUnexpected
+	}
+}
+
+func judgeDone(response *http.Response, id string, check *checker) Result {
+	switch {
+	case response.Header.Get(headerRequestID) != id:
+		return ResultWrong
+	case response.StatusCode >= http.StatusBadRequest:
+		return ResultFailedRun
+	case !check.whole():
+		return ResultWrong
+	default:
+		return ResultWhole
+	}
+}
+
+// judgeNotRun checks that a caller that is sent away is told when to come back.
+func judgeNotRun(response *http.Response) Result {
+	code := response.StatusCode
+	if code != http.StatusServiceUnavailable && code != http.StatusTooManyRequests {
+		return ResultNotRun
+	}
+	if _, err := strconv.ParseUint(response.Header.Get(headerRetryAfter), 10, 32); err != nil {
+		return ResultUnexpected
+	}
+	return ResultNotRun
+}
