--- a/cmd/agateturnd/main.go
+++ b/cmd/agateturnd/main.go
@@ -1,4 +1,83 @@
 // Command agateturnd is the daemon that runs on every entry host.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/agateturn/agateturn/config"
+	"github.com/agateturn/agateturn/events"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/entryhost"
+	"github.com/agateturn/agateturn/settings"
+)
+
+// Exit codes of the daemon.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+type commandLine struct {
+	Config      string `help:"Settings file." type:"path" required:"" short:"c"`
+	CheckConfig bool   `help:"Check the settings and start nothing."`
+}
+
+func main() {
+	var line commandLine
+	kong.Parse(&line, kong.Name("agateturnd"), kong.Description("Runs one entry host."))
+	os.Exit(run(line))
+}
+
+func run(line commandLine) int {
+	s, err := load(line.Config)
+	if err != nil {
+		events.Emit(context.Background(), slog.Default(), events.SettingsRefused, "err", err)
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if line.CheckConfig {
+		fmt.Println(line.Config + ": no problems")
+		return exitOK
+	}
+	logger := newLogger(s.GetLog()).With("entry_host", s.GetEntryHost().GetName())
+	daemon, err := entryhost.New(s, logger)
+	if err != nil {
+		logger.Error("cannot start", "err", err)
+		return exitFailed
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := daemon.Run(ctx); err != nil {
+		logger.Error("ended", "err", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func load(path string) (*pb.Settings, error) {
+	s := &pb.Settings{}
+	if err := settings.Load(path, s); err != nil {
+		return nil, err
+	}
+	return s, config.CheckSettings(s)
+}
+
+func newLogger(s *pb.LogSettings) *slog.Logger {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.GetLevel())); err != nil {
+		level = slog.LevelInfo
+	}
+	options := &slog.HandlerOptions{Level: level}
+	if s.GetFormat() == "json" {
+		return slog.New(slog.NewJSONHandler(os.Stderr, options))
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, options))
+}
--- /dev/null
+++ b/internal/ctl/initcmd.go
@@ -0,0 +1,88 @@
+package ctl
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/agateturn/agateturn/questionnaire"
+	"github.com/agateturn/agateturn/settings"
+)
+
+// configFileMode is the mode of a written configuration; it holds no secrets.
+const configFileMode = 0o644
+
+type initCmd struct {
+	Answers string `help:"File with the answers; without it the questions are asked." type:"existingfile"`
+	Out     string `help:"File to write; - is standard output." default:"-" short:"f"`
+}
+
+// Run asks or reads the answers, and writes the configuration.
+func (c *initCmd) Run(e *env) error {
+	answers, err := c.answers(e)
+	if err != nil {
+		return err
+	}
+	cfg, err := questionnaire.Generate(answers)
+	if err != nil {
+		return errRefused.Wrap(err)
+	}
+	data, err := settings.Marshal(cfg)
+	if err != nil {
+		return err
+	}
+	if c.Out == "-" {
+		_, err = e.out.Write(data)
+		return err
+	}
+	if err := os.WriteFile(c.Out, data, configFileMode); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(e.out, "wrote %s; apply it with: agateturnctl config apply %s\n", c.Out, c.Out)
+	return err
+}
+
+func (c *initCmd) answers(e *env) (*questionnaire.Answers, error) {
+	if c.Answers != "" {
+		a, err := questionnaire.Load(c.Answers)
+		if err != nil {
+			return nil, errRefused.Wrap(err)
+		}
+		return a, nil
+	}
+	return questionnaire.Ask(e.in, e.out)
+}
+
+type completionCmd struct{}
+
+// Run prints a bash completion script made from the command line's own declaration.
+func (completionCmd) Run(e *env) error {
+	var b strings.Builder
+	b.WriteString("_agateturnctl() {\n  local words=\"${COMP_WORDS[*]:1:COMP_CWORD-1}\"\n  case \"$words\" in\n")
+	writeCompletion(&b, e.model.Node, "")
+	b.WriteString("  esac\n  COMPREPLY=($(compgen -W \"$choices\" -- \"${COMP_WORDS[COMP_CWORD]}\"))\n}\n")
+	b.WriteString("complete -F _agateturnctl agateturnctl\n")
+	_, err := e.out.Write([]byte(b.String()))
+	return err
+}
+
+// writeCompletion writes one case for the node and one for each command below it.
+func writeCompletion(b *strings.Builder, node *kong.Node, path string) {
+	var choices []string
+	for _, child := range node.Children {
+		choices = append(choices, child.Name)
+	}
+	for _, flag := range node.Flags {
+		choices = append(choices, "--"+flag.Name)
+	}
+	for _, child := range node.Children {
+		writeCompletion(b, child, strings.TrimSpace(path+" "+child.Name))
+	}
+	pattern := "*"
+	if path != "" {
+		pattern = "\"" + path + "\"*"
+	}
+	fmt.Fprintf(b, "    %s) choices=\"%s\" ;;\n", pattern, strings.Join(choices, " "))
+}
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -132,9 +132,10 @@
 	if err != nil {
 		return err
 	}
-	return e.print(s.Latencies, "SERVICE TEAM CLASS OUTCOME COUNT P50 P90 P99",
+	return e.print(s.Latencies, "SERVICE TEAM CLASS COUNT DONE NOT-RUN UNKNOWN P50 P90 P99",
 		lo.Map(s.Latencies, func(l operatorapi.Latency, _ int) []string {
-			return cells(l.Service, l.Team, l.Class, l.Outcome, l.Count, millis(l.P50), millis(l.P90), millis(l.P99))
+			return cells(l.Service, l.Team, l.Class, l.Count,
+				l.Outcomes["done"], l.Outcomes["not-run"], l.Outcomes["unknown"], millis(l.P50), millis(l.P90), millis(l.P99))
 		}))
 }
 
--- a/internal/entryhost/call.go
+++ b/internal/entryhost/call.go
@@ -32,11 +32,31 @@
 // maxKeyBytes bounds an idempotency key and a request id.
 const maxKeyBytes = 128
 
+// class is what the caller asks for.
+type class string
+
+const (
+	classNormal  class = "normal"
+	classUrgent  class = "urgent"
+	classSession class = "session"
+)
+
+func parseClass(text string) (class, error) {
+	switch c := class(text); c {
+	case "":
+		return classNormal, nil
+	case classNormal, classUrgent, classSession:
+		return c, nil
+	default:
+		return "", errBadCaller.New("%s must be normal, urgent or session", headerClass)
+	}
+}
+
 // call is one caller's request, read and checked.
 type call struct {
 	service   *pb.Service
 	team      string
-	class     admission.Class
+	class     class
 	method    string
 	path      string
 	header    http.Header
@@ -65,7 +85,7 @@
 	if !lo.SomeBy(cfg.GetTeams(), func(t *pb.Team) bool { return t.GetName() == team }) {
 		return nil, refuse(http.StatusForbidden, "the "+headerTeam+" header must name a configured team")
 	}
-	class, err := admission.ParseClass(r.Header.Get(headerClass))
+	class, err := parseClass(r.Header.Get(headerClass))
 	if err != nil {
 		return nil, refuse(http.StatusBadRequest, err.Error())
 	}
@@ -130,21 +150,37 @@
 
 // context ends at the deadline. A session's deadline bounds its start only.
 func (c *call) context(parent context.Context) (context.Context, context.CancelFunc) {
-	if c.class == admission.ClassSession {
+	if c.class == classSession {
 		return context.WithCancel(parent)
 	}
 	return context.WithDeadline(parent, c.deadline)
 }
 
-func (c *call) request() admission.Request {
-	return admission.Request{
+// ticket is the request as the dispatcher gets it, for a try on a host other than the excluded ones.
+func (c *call) ticket(excluded []string) *ticket {
+	request := admission.Request{
 		Service:  c.service.GetName(),
 		Pool:     c.service.GetPool(),
 		Team:     c.team,
-		Class:    c.class,
+		Class:    admission.ClassNormal,
 		Arrival:  c.arrived,
 		Deadline: c.deadline,
 	}
+	switch c.class {
+	case classUrgent:
+		request.Class = admission.ClassUrgent
+	case classSession:
+		request.Deadline = c.deadline.Add(c.service.GetRunTime().AsDuration())
+	}
+	return &ticket{
+		request:    request,
+		digest:     c.digest(),
+		declared:   c.service.GetRunTime().AsDuration(),
+		session:    c.class == classSession,
+		idempotent: c.idempotent(),
+		excluded:   excluded,
+		result:     make(chan verdict, 1),
+	}
 }
 
 func (c *call) bodyReader() io.Reader {
@@ -161,7 +197,7 @@
 	}
 	switch c.method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions:
-		return c.class != admission.ClassSession
+		return c.class != classSession
 	default:
 		return false
 	}
--- a/internal/entryhost/caller.go
+++ b/internal/entryhost/caller.go
@@ -12,8 +12,8 @@
 
 	"github.com/google/uuid"
 
-	"github.com/agateturn/agateturn/admission"
 	"github.com/agateturn/agateturn/events"
+	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/pause"
 	"github.com/agateturn/agateturn/routing"
@@ -76,7 +76,7 @@
 	s.stats.Observe(stats.Labels{
 		Service: c.service.GetName(),
 		Team:    c.team,
-		Class:   c.class.String(),
+		Class:   string(c.class),
 		Outcome: ended.outcome.String(),
 	}, ended.queued, time.Since(arrived))
 	if ended.abort {
@@ -93,7 +93,7 @@
 
 // serveCall tries hosts until the request was sent to one or may not be tried again.
 func (s *callerServer) serveCall(ctx context.Context, w http.ResponseWriter, c *call) callEnd {
-	t := &ticket{request: c.request(), digest: c.digest(), result: make(chan verdict, 1)}
+	t := c.ticket(nil)
 	for {
 		g, refusal := s.queue(ctx, t)
 		if refusal != nil {
@@ -105,7 +105,7 @@
 			end.queued = g.started.Sub(c.arrived)
 			return end
 		}
-		t = &ticket{request: c.request(), digest: t.digest, excluded: append(t.excluded, g.host), result: make(chan verdict, 1)}
+		t = c.ticket(append(t.excluded, g.host))
 	}
 }
 
@@ -124,10 +124,15 @@
 		return s.verdict(v)
 	case <-ctx.Done():
 	}
+	cancelled := errors.Is(ctx.Err(), context.Canceled)
 	s.dispatch.cancel(context.WithoutCancel(ctx), t)
 	v := <-t.result
 	if v.grant != nil {
-		s.dispatch.done(context.WithoutCancel(ctx), finished{ticket: t, grant: v.grant, result: routing.ResultNotRun})
+		s.dispatch.done(context.WithoutCancel(ctx), finished{ticket: t, grant: v.grant, result: routing.Cancelled})
+	}
+	if cancelled {
+		r := notRun(statusClientClosed, "the caller has gone", 0)
+		return nil, &r
 	}
 	r := notRun(http.StatusServiceUnavailable, "the deadline passed in the queue", 0)
 	return nil, &r
@@ -138,16 +143,19 @@
 		return v.grant, nil
 	}
 	status := http.StatusServiceUnavailable
-	if v.rejection.Reason == admission.ReasonQuota {
+	switch {
+	case v.rejection.full:
 		status = http.StatusTooManyRequests
+	case v.rejection.hopeless:
+		status = http.StatusUnprocessableEntity
 	}
-	r := notRun(status, v.rejection.Reason.String(), v.rejection.RetryAfter)
+	r := notRun(status, v.rejection.reason, v.rejection.retryAfter)
 	return nil, &r
 }
 
 // attempt sends the request to the granted host and relays its answer. It reports whether another host may be tried.
 func (s *callerServer) attempt(ctx context.Context, w http.ResponseWriter, c *call, t *ticket, g *grant) (callEnd, bool) {
-	result := routing.ResultNotRun
+	result := routing.Cancelled
 	defer func() {
 		s.dispatch.done(context.WithoutCancel(ctx), finished{ticket: t, grant: g, result: result})
 	}()
@@ -158,17 +166,17 @@
 	}
 	response, err := s.upstream.Do(ctx, upstream.Target{Host: g.host, Address: g.address}, s.outgoing(c, g))
 	if err != nil {
-		result = resultOf(err)
+		result = resultOf(ctx, err)
 		s.finishClaim(held, outcomeOf(err), 0)
 		return s.failed(ctx, w, c, g, err)
 	}
-	result = routing.ResultOK
+	result = routing.Succeeded
 	if response.Status >= http.StatusInternalServerError {
-		result = routing.ResultFailed
+		result = routing.Failed
 	}
 	w.Header().Set(headerOutcome, outcomeDone.String())
-	if err := s.upstream.Relay(w, response); err != nil {
-		result = routing.ResultUnknown
+	if _, err := upstream.Relay(w, response); err != nil {
+		result = routing.Failed
 		s.finishClaim(held, outcomeUnknown, response.Status)
 		events.Emit(ctx, s.logger, events.OutcomeUnknown, "host", g.host, "request", c.requestID, "err", err)
 		return callEnd{outcome: outcomeUnknown, abort: true}, false
@@ -253,11 +261,16 @@
 	return outcomeUnknown
 }
 
-func resultOf(err error) routing.Result {
-	if upstream.NotRun.Has(err) {
-		return routing.ResultNotRun
+// resultOf is what the router learns. A caller that went away, or our own last check, says nothing of the host.
+func resultOf(ctx context.Context, err error) routing.Result {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled), pause.Paused.Has(err), fleet.NotActive.Has(err):
+		return routing.Cancelled
+	case upstream.NotRun.Has(err):
+		return routing.Unreachable
+	default:
+		return routing.Failed
 	}
-	return routing.ResultUnknown
 }
 
 func statusOf(ctx context.Context, err error) int {
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -2,17 +2,21 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"time"
 
-	"github.com/samber/lo"
+	"github.com/google/uuid"
 
 	"github.com/agateturn/agateturn/controller"
 	"github.com/agateturn/agateturn/events"
+	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/ring"
+	"github.com/agateturn/agateturn/mover"
 	"github.com/agateturn/agateturn/platform"
 	"github.com/agateturn/agateturn/store"
+	"github.com/agateturn/agateturn/waves"
 )
 
 const (
@@ -38,23 +42,23 @@
 	pause    time.Duration
 	changed  *ring.Ring[struct{}]
 	logger   *slog.Logger
-	backoff  store.Backoff
 	// acted is when each operation was last sent to the platform.
 	acted map[string]time.Time
+	// tracker learns how long pools are overloaded.
+	tracker *mover.Tracker
 }
 
 // run seeks the lease and decides while it holds it, until ctx ends.
 func (c *control) run(ctx context.Context) {
-	failures := 0
+	backoff := store.DefaultBackoff()
 	for ctx.Err() == nil {
 		lease, err := c.leases.Acquire(ctx, keyController, c.self.GetName())
 		if err != nil {
-			failures = min(failures+1, 4)
-			_ = c.backoff.Wait(ctx, failures)
+			_ = backoff.Sleep(ctx)
 			_ = sleep(ctx, c.lease/2)
 			continue
 		}
-		failures = 0
+		backoff.Reset()
 		events.Emit(ctx, c.logger, events.ControllerElected, "member", c.self.GetName())
 		c.hold(ctx, lease)
 		events.Emit(ctx, c.logger, events.ControllerLost, "member", c.self.GetName())
@@ -104,26 +108,39 @@
 	if err != nil {
 		return
 	}
-	decision := controller.Step(time.Now(), c.input(c.view.fleet(), reports))
+	now := time.Now()
+	load := c.tracker.Observe(now, controller.Samples(now, c.view.config(), reports))
+	decision := controller.Step(now, c.input(now, c.view.fleet(), reports, load))
 	if decision.Fleet != nil {
-		written, err := c.writer.update(ctx, func(f *pb.Fleet) (*pb.Fleet, error) {
-			decision = controller.Step(time.Now(), c.input(f, reports))
-			return decision.Fleet, nil
-		})
-		if err != nil {
+		if decision, err = c.write(ctx, reports, load); err != nil {
 			c.logger.Warn("fleet not written", "component", "controller", "err", err)
 			return
 		}
-		c.announce(ctx, decision, written)
+		c.announce(ctx, decision)
 	}
 	c.carryOut(ctx, decision.Actions)
 }
 
+// write decides anew on the fleet that the store holds, and swaps the decision in. A conflict is left to the next step.
+func (c *control) write(ctx context.Context, reports map[string]fleet.Received, load map[string]mover.PoolLoad) (controller.Decision, error) {
+	f, version, err := c.writer.read(ctx)
+	if err != nil {
+		return controller.Decision{}, err
+	}
+	c.view.applyFleet(f)
+	now := time.Now()
+	decision := controller.Step(now, c.input(now, f, reports, load))
+	if decision.Fleet == nil {
+		return decision, nil
+	}
+	return decision, c.writer.swap(ctx, version, decision.Fleet)
+}
+
 // carryOut sends the actions that were not sent lately, and forgets those that are wanted no more.
 func (c *control) carryOut(ctx context.Context, actions []controller.Action) {
 	wanted := map[string]time.Time{}
 	for _, action := range actions {
-		key := string(action.Kind) + " " + action.OperationID
+		key := fmt.Sprintf("%d %s", action.Kind, action.OperationID)
 		wanted[key] = c.acted[key]
 		if time.Since(c.acted[key]) < actionRepeat {
 			continue
@@ -134,22 +151,40 @@
 	c.acted = wanted
 }
 
-func (c *control) input(f *pb.Fleet, reports map[string]received) controller.Input {
+func (c *control) input(now time.Time, f *pb.Fleet, reports map[string]fleet.Received, load map[string]mover.PoolLoad) controller.Input {
 	return controller.Input{
-		Self:   c.self,
-		Fleet:  f,
-		Config: c.view.config(),
-		Heartbeats: lo.MapValues(reports, func(r received, _ string) controller.Received {
-			return controller.Received{Heartbeat: r.heartbeat, At: r.at}
-		}),
+		Self:       identity(c.self),
+		WriteID:    uuid.NewString(),
+		Fleet:      f,
+		Config:     c.view.config(),
+		Heartbeats: reports,
 		Platform:   c.list.snapshot(),
 		PauseLimit: c.pause,
+		Demand:     load,
+		Failed:     controller.FailedHosts(now, reports),
+		Load:       hostLoad(reports),
+	}
+}
+
+// hostLoad sums what the entry hosts still carry on hosts that drain.
+func hostLoad(reports map[string]fleet.Received) map[string]waves.Load {
+	load := map[string]waves.Load{}
+	for _, r := range reports {
+		for _, held := range r.Heartbeat.GetHeldHosts() {
+			sum := load[held.GetHost()]
+			sum.Requests += held.GetRequests()
+			sum.Oldest = max(sum.Oldest, time.Duration(held.GetOldestMs())*time.Millisecond)
+			load[held.GetHost()] = sum
+		}
 	}
+	return load
 }
 
-func (c *control) announce(ctx context.Context, decision controller.Decision, written *pb.Fleet) {
+// announce logs what a written decision changed.
+func (c *control) announce(ctx context.Context, decision controller.Decision) {
 	for _, note := range decision.Notes {
-		events.Emit(ctx, c.logger, events.FleetApplied, "revision", written.GetRevision(), "note", note.Text, "host", note.Host)
+		events.Emit(ctx, c.logger, events.FleetApplied,
+			"revision", decision.Fleet.GetRevision(), "subject", note.Subject, "note", note.Text)
 	}
 }
 
@@ -157,9 +192,9 @@
 func (c *control) act(ctx context.Context, action controller.Action) {
 	var err error
 	switch action.Kind {
-	case controller.ActionReboot:
+	case controller.Reboot:
 		err = c.platform.Reboot(ctx, action.Host, action.OperationID)
-	case controller.ActionCheckpoint:
+	case controller.Checkpoint:
 		err = c.platform.Checkpoint(ctx, action.Host, action.OperationID)
 	}
 	if err != nil {
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -42,6 +42,7 @@
 	detector  *pause.Detector
 	stats     *stats.Stats
 	writer    *writer
+	meter     *meter
 
 	stopping atomic.Bool
 	duties   sync.WaitGroup
@@ -110,6 +111,7 @@
 	d.duty(func() { d.follower.run(ctx, keyFleet, d.follower.takeFleet) })
 	d.duty(func() { d.follower.run(ctx, keyConfig, d.follower.takeConfig) })
 	d.duty(func() { d.list.run(ctx) })
+	d.duty(func() { d.meter.run(ctx) })
 	d.duty(func() { d.control.run(ctx) })
 	d.duty(func() {
 		if err := d.registrar.run(ctx); err != nil {
@@ -133,7 +135,7 @@
 	if err := servers.callers.server.Shutdown(limit); err != nil {
 		d.logger.Warn("requests were cut at the stop limit", "component", "daemon", "err", err)
 	}
-	if err := d.callers.upstream.WaitSessions(limit); err != nil {
+	if err := d.callers.upstream.Wait(limit); err != nil {
 		d.logger.Warn("sessions were cut at the stop limit", "component", "daemon", "err", err)
 	}
 	_ = d.registrar.leave(ctx)
--- a/internal/entryhost/dispatch.go
+++ b/internal/entryhost/dispatch.go
@@ -31,14 +31,33 @@
 	id       uint64
 	request  admission.Request
 	digest   uint64
-	excluded []string // hosts that this request was refused by already
+	declared time.Duration // declared run time of the service
+	session  bool
+	idempotent bool
+	excluded []string // hosts that this request was sent to already
 	result   chan verdict
 }
 
 // verdict is the dispatcher's one answer to a ticket: a grant or a rejection.
 type verdict struct {
 	grant     *grant
-	rejection *admission.Rejection
+	rejection *rejection
+}
+
+// rejection is the final answer to a request that was not started.
+type rejection struct {
+	reason     string
+	retryAfter time.Duration
+	full       bool // a queue or quota is full, rather than something being wrong
+	hopeless   bool // sending it again does not help
+}
+
+func rejectionOf(reason admission.Reason, retryAfter time.Duration) *rejection {
+	return &rejection{
+		reason:     reason.String(),
+		retryAfter: retryAfter,
+		full:       reason == admission.ReasonQueueFull || reason == admission.ReasonHostFull,
+	}
 }
 
 // grant is the right to send one request to one host.
@@ -56,38 +75,39 @@
 type dispatcher struct {
 	view     *view
 	self     *pb.Owner
-	place    string // data centre of this entry host
 	commands *ring.Ring[command]
 	demand   *ring.Ring[struct{}] // signalled when a queue grows and peers should hear of it
 
-	queues  *admission.Queues
+	queues  *admission.Queue
 	ledger  *slots.Ledger
 	router  *routing.Router
 	waiting map[uint64]*ticket
 	running map[uint64]*ticket
+	pools   []string
 	hosts   map[string]*pb.Host
 	due     map[string]time.Time // hosts due for maintenance
 	peers   map[string]slots.PeerDemand
+	usage   map[string]map[string]int64 // running by team, by peer
 	nextID  uint64
 	// sequence numbers the heartbeats of this incarnation.
 	sequence uint64
 }
 
-func newDispatcher(v *view, self *pb.Owner, place string) *dispatcher {
+func newDispatcher(v *view, self *pb.Owner, place string, maxRequests int) *dispatcher {
 	d := &dispatcher{
 		view:     v,
 		self:     self,
-		place:    place,
 		commands: ring.New[command]("dispatch", commandCapacity),
 		demand:   ring.New[struct{}]("demand", 1),
-		queues:   admission.New(admission.DefaultLimits()),
+		queues:   admission.New(admission.Limits{MaxRequests: maxRequests}),
 		ledger:   slots.NewLedger(self),
-		router:   routing.NewRouter(routing.DefaultOptions(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		router:   routing.New(routing.Options{DataCentre: place}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		waiting:  map[uint64]*ticket{},
 		running:  map[uint64]*ticket{},
 		hosts:    map[string]*pb.Host{},
 		due:      map[string]time.Time{},
 		peers:    map[string]slots.PeerDemand{},
+		usage:    map[string]map[string]int64{},
 	}
 	v.onFleet(d)
 	return d
@@ -137,14 +157,13 @@
 	if len(d.waiting) == 0 {
 		return
 	}
-	for _, pool := range d.queues.Pools() {
+	for _, pool := range d.pools {
 		d.schedulePool(now, pool)
 	}
 }
 
 func (d *dispatcher) schedulePool(now time.Time, pool string) {
-	free := d.candidates(now, pool)
-	usable := lo.SumBy(free, func(c routing.Candidate) int { return c.Free })
+	usable := d.usableSlots(pool)
 	starts, rejections := d.queues.Next(now, pool, usable)
 	for _, r := range rejections {
 		d.reject(r)
@@ -154,23 +173,42 @@
 	}
 }
 
-// candidates are the hosts of a pool that have a usable slot here and are not ejected.
-func (d *dispatcher) candidates(now time.Time, pool string) []routing.Candidate {
-	all := lo.FilterMap(d.ledger.Free(pool), func(f slots.HostFree, _ int) (routing.Candidate, bool) {
-		host, known := d.hosts[f.Host]
-		if !known || f.Free == 0 {
-			return routing.Candidate{}, false
+// usableSlots counts the free slots on hosts that are not ejected.
+func (d *dispatcher) usableSlots(pool string) int {
+	ejected := d.ejected()
+	return lo.SumBy(d.ledger.Free(pool), func(f slots.HostFree) int {
+		if ejected[f.Host] {
+			return 0
 		}
+		return f.Free
+	})
+}
+
+// ejected are the hosts that get probes only.
+func (d *dispatcher) ejected() map[string]bool {
+	ejected := map[string]bool{}
+	for _, h := range d.router.Health() {
+		if h.GetEjected() {
+			ejected[h.GetHost()] = true
+		}
+	}
+	return ejected
+}
+
+// candidates are the active hosts of a pool, with the slots that are free here.
+func (d *dispatcher) candidates(pool string) []routing.Candidate {
+	free := lo.SliceToMap(d.ledger.Free(pool), func(f slots.HostFree) (string, int) { return f.Host, f.Free })
+	return lo.FilterMap(d.view.gate.Active(pool), func(name string, _ int) (routing.Candidate, bool) {
+		host, known := d.hosts[name]
 		return routing.Candidate{
-			Host:              f.Host,
+			Host:              name,
 			DataCentre:        host.GetDataCentre(),
 			Rack:              host.GetRack(),
-			Free:              f.Free,
+			Free:              free[name],
 			Slots:             int(host.GetSlots()),
-			DueForMaintenance: d.due[f.Host],
-		}, true
+			DueForMaintenance: d.due[name],
+		}, known
 	})
-	return d.router.Usable(now, pool, all)
 }
 
 // start gives one queued request a host, or sends it back to its caller as not run.
@@ -182,8 +220,8 @@
 	delete(d.waiting, id)
 	g, err := d.grant(now, pool, t)
 	if err != nil {
-		d.queues.Cancel(now, id)
-		t.result <- verdict{rejection: &admission.Rejection{ID: id, Reason: admission.ReasonNoHost, RetryAfter: retryNoHost}}
+		d.queues.Done(now, id, 0, false)
+		t.result <- verdict{rejection: &rejection{reason: err.Error(), retryAfter: retryNoHost}}
 		return
 	}
 	d.running[id] = t
@@ -192,15 +230,16 @@
 
 // grant chooses a host, takes one of its slots and registers the request with the gate.
 func (d *dispatcher) grant(now time.Time, pool string, t *ticket) (*grant, error) {
-	choices := lo.Reject(d.candidates(now, pool), func(c routing.Candidate, _ int) bool {
-		return lo.Contains(t.excluded, c.Host)
-	})
 	request := routing.Request{
-		Service: t.request.Service,
-		Session: t.request.Class == admission.ClassSession,
-		Digest:  t.digest,
+		Service:     t.request.Service,
+		Class:       lo.Ternary(t.session, routing.Session, routing.Ordinary),
+		ExpectedRun: t.declared,
+		JobDigest:   t.digest,
+		Idempotent:  t.idempotent,
+		Retry:       len(t.excluded) > 0,
+		Exclude:     t.excluded,
 	}
-	host, ok := d.router.Pick(now, request, choices)
+	host, ok := d.router.Pick(now, request, d.candidates(pool))
 	if !ok {
 		return nil, errNoHost.New("pool %q", pool)
 	}
@@ -230,7 +269,7 @@
 		return
 	}
 	delete(d.waiting, r.ID)
-	t.result <- verdict{rejection: &r}
+	t.result <- verdict{rejection: rejectionOf(r.Reason, r.RetryAfter)}
 }
 
 // offer queues a request. The verdict arrives on the ticket's channel.
@@ -239,8 +278,12 @@
 		d.nextID++
 		t.id = d.nextID
 		t.request.ID = t.id
-		if rejection := d.queues.Offer(now, t.request); rejection != nil {
-			t.result <- verdict{rejection: rejection}
+		if d.router.Hopeless(t.digest) {
+			t.result <- verdict{rejection: &rejection{reason: "this request failed on every host it was tried on; do not send it again", hopeless: true}}
+			return
+		}
+		if decision := d.queues.Offer(now, t.request); !decision.Queued {
+			t.result <- verdict{rejection: rejectionOf(decision.Reason, decision.RetryAfter)}
 			return
 		}
 		d.waiting[t.id] = t
@@ -254,8 +297,8 @@
 			return
 		}
 		delete(d.waiting, t.id)
-		d.queues.Cancel(now, t.id)
-		t.result <- verdict{rejection: &admission.Rejection{ID: t.id, Reason: admission.ReasonCancelled}}
+		d.queues.Cancel(t.id)
+		t.result <- verdict{rejection: &rejection{reason: "the caller has gone"}}
 	})
 }
 
@@ -266,6 +309,14 @@
 	result routing.Result
 }
 
+// learned is the run time to learn from. A session's length says nothing of the service's requests.
+func (f finished) learned(runTime time.Duration) time.Duration {
+	if f.ticket.session {
+		return f.ticket.declared
+	}
+	return runTime
+}
+
 // done gives back the slot of a granted request. It waits for room in the ring: a slot must never be forgotten.
 func (d *dispatcher) done(ctx context.Context, f finished) {
 	f.grant.release()
@@ -273,14 +324,13 @@
 		delete(d.running, f.ticket.id)
 		runTime := now.Sub(f.grant.started)
 		d.ledger.Release(f.grant.token)
-		d.queues.Done(now, f.ticket.id, runTime, f.result == routing.ResultOK)
+		d.queues.Done(now, f.ticket.id, f.learned(runTime), f.result == routing.Succeeded)
 		d.router.Observe(now, routing.Observation{
-			Host:    f.grant.host,
-			Pool:    f.grant.pool,
-			Service: f.ticket.request.Service,
-			Digest:  f.ticket.digest,
-			Result:  f.result,
-			RunTime: runTime,
+			Host:      f.grant.host,
+			Service:   f.ticket.request.Service,
+			JobDigest: f.ticket.digest,
+			Result:    f.result,
+			RunTime:   runTime,
 		})
 	})
 }
@@ -300,6 +350,7 @@
 
 // takeOver installs a fleet and a configuration.
 func (d *dispatcher) takeOver(now time.Time, f *pb.Fleet, cfg *pb.Configuration) {
+	d.pools = lo.Map(cfg.GetPools(), func(p *pb.Pool, _ int) string { return p.GetName() })
 	d.hosts = lo.KeyBy(cfg.GetHosts(), (*pb.Host).GetName)
 	states := lo.KeyBy(f.GetHosts(), (*pb.HostState).GetHost)
 	d.queues.Configure(cfg)
@@ -316,6 +367,7 @@
 	d.ledger.SetOwners(f)
 	present := lo.KeyBy(f.GetMembers(), (*pb.Member).GetName)
 	d.peers = lo.PickBy(d.peers, func(name string, _ slots.PeerDemand) bool { return present[name] != nil })
+	d.usage = lo.PickBy(d.usage, func(name string, _ map[string]int64) bool { return present[name] != nil })
 	d.due = dueForMaintenance(f, cfg, now)
 }
 
@@ -340,15 +392,45 @@
 func (d *dispatcher) incoming(ctx context.Context, hb *pb.Heartbeat) {
 	_ = d.commands.Put(ctx, func(d *dispatcher, now time.Time) {
 		d.ledger.Incoming(hb)
-		d.peers[hb.GetName()] = slots.PeerDemand{Demand: hb.GetDemand()}
+		d.peers[hb.GetName()] = slots.PeerDemand{Pools: hb.GetDemand(), DataCentre: hb.GetDataCentre()}
 		d.router.Merge(hb.GetName(), hb.GetHealth())
-		for _, u := range hb.GetTeamUsage() {
-			d.queues.SetTeamUsage(hb.GetName(), u.GetTeam(), int(u.GetRunning()))
-		}
+		d.takeUsage(hb)
 		d.ledger.Balance(now, d.queues.Demand(now), d.peers)
 	})
 }
 
+// takeUsage sums up what each team runs on the other entry hosts.
+func (d *dispatcher) takeUsage(hb *pb.Heartbeat) {
+	before := d.usage[hb.GetName()]
+	now := lo.SliceToMap(hb.GetTeamUsage(), func(u *pb.TeamUsage) (string, int64) { return u.GetTeam(), u.GetRunning() })
+	d.usage[hb.GetName()] = now
+	for _, team := range lo.Union(lo.Keys(before), lo.Keys(now)) {
+		total := int64(0)
+		for _, peer := range d.usage {
+			total += peer[team]
+		}
+		d.queues.SetTeamUsage(team, total)
+	}
+}
+
+// teamUsage is what each team runs here.
+func (d *dispatcher) teamUsage() []*pb.TeamUsage {
+	running := lo.CountValuesBy(lo.Values(d.running), func(t *ticket) string { return t.request.Team })
+	return lo.MapToSlice(running, func(team string, n int) *pb.TeamUsage {
+		return &pb.TeamUsage{Team: team, Running: int64(n)}
+	})
+}
+
+// allowRetry takes a retry from the service's budget.
+func (d *dispatcher) allowRetry(ctx context.Context, service string) bool {
+	allowed := make(chan bool, 1)
+	err := d.commands.Put(ctx, func(d *dispatcher, now time.Time) { allowed <- d.router.AllowRetry(now, service) })
+	if err != nil {
+		return false
+	}
+	return <-allowed
+}
+
 // compose fills the dispatcher's part of a heartbeat to a peer, and gives it its sequence number.
 func (d *dispatcher) compose(ctx context.Context, peer string, hb *pb.Heartbeat) error {
 	composed := make(chan struct{})
@@ -358,7 +440,7 @@
 		hb.Sequence = d.sequence
 		hb.Slots = d.ledger.Outgoing(peer)
 		hb.Demand = d.queues.Demand(now)
-		hb.TeamUsage = d.queues.TeamUsage()
+		hb.TeamUsage = d.teamUsage()
 		hb.Health = d.router.Health()
 	})
 	if err != nil {
--- a/internal/entryhost/follow.go
+++ b/internal/entryhost/follow.go
@@ -30,13 +30,13 @@
 	view    *view
 	name    string
 	logger  *slog.Logger
-	backoff store.Backoff
 }
 
 // run follows one key until ctx ends, as a watcher or by rare reads.
 func (f *follower) run(ctx context.Context, key string, apply func(data []byte) error) {
 	var version uint64
 	failures := 0
+	backoff := store.DefaultBackoff()
 	for ctx.Err() == nil {
 		value, err := f.next(ctx, key, version)
 		if ctx.Err() != nil {
@@ -44,12 +44,13 @@
 		}
 		if err != nil {
 			f.failed(ctx, key, err, failures)
-			_ = f.backoff.Wait(ctx, failures)
+			_ = backoff.Sleep(ctx)
 			failures++
 			continue
 		}
 		f.recovered(ctx, key, failures)
 		failures = 0
+		backoff.Reset()
 		f.view.heardStore(time.Now())
 		if value.Version == version || value.Version == 0 {
 			continue
@@ -86,7 +87,7 @@
 	}
 	names := lo.Map(members, func(m *pb.Member, _ int) string { return m.GetName() })
 	sort.Slice(names, func(i, j int) bool {
-		return rendezvous.Weight("watcher", names[i]) > rendezvous.Weight("watcher", names[j])
+		return rendezvous.Hash("watcher "+names[i]) > rendezvous.Hash("watcher "+names[j])
 	})
 	return lo.Contains(names[:watchers], f.name)
 }
--- a/internal/entryhost/guests.go
+++ b/internal/entryhost/guests.go
@@ -49,8 +49,8 @@
 		if m.GetPeerAddress() != p.sponsor {
 			continue
 		}
-		last, heard := p.latest[m.GetName()]
-		return heard && now.Sub(last.at) <= limit && p.listsUs(last.heartbeat)
+		last, heard := p.latest[m.GetIncarnation()]
+		return heard && now.Sub(last.At) <= limit && p.listsUs(last.Heartbeat)
 	}
 	return false
 }
--- a/internal/entryhost/keys.go
+++ b/internal/entryhost/keys.go
@@ -11,6 +11,7 @@
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/idempotency"
 	"github.com/agateturn/agateturn/internal/ring"
+	"github.com/agateturn/agateturn/rendezvous"
 	"github.com/agateturn/agateturn/store"
 )
 
@@ -29,7 +30,6 @@
 	view    *view
 	peers   *peers
 	ends    *ring.Ring[claimEnd]
-	backoff store.Backoff
 
 	mu    sync.Mutex
 	owner *idempotency.Owner
@@ -47,8 +47,7 @@
 		self:    self,
 		view:    v,
 		ends:    ring.New[claimEnd]("claim ends", finishCapacity),
-		owner:   idempotency.NewOwner(owner, limits),
-		backoff: store.DefaultBackoff(),
+		owner:   idempotency.NewOwner(owner, limits, rendezvous.Owner),
 	}
 	v.onFleet(k)
 	return k
@@ -84,7 +83,7 @@
 // claim asks the key's owner for the right to run once. An error means that nothing ran and nothing will.
 func (k *keys) claim(ctx context.Context, req *pb.ClaimRequest) (*pb.ClaimResponse, claim, error) {
 	f := k.view.fleet()
-	owner, closed := idempotency.Locate(req.GetService(), req.GetKey(), f)
+	owner, closed := idempotency.Locate(req.GetService(), req.GetKey(), f, rendezvous.Owner)
 	if owner == nil || closed {
 		return nil, claim{}, errKeyMoving.New("key of service %q", req.GetService())
 	}
@@ -142,7 +141,8 @@
 
 // tell delivers one end, with a bounded number of tries.
 func (k *keys) tell(ctx context.Context, end claimEnd) {
-	for attempt := range finishAttempts {
+	backoff := store.DefaultBackoff()
+	for range finishAttempts {
 		member, ok := lo.Find(k.view.fleet().GetMembers(), func(m *pb.Member) bool { return m.GetName() == end.owner })
 		if !ok {
 			return
@@ -150,7 +150,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 		_, err := k.peers.at(member.GetPeerAddress()).Finish(callCtx, connect.NewRequest(end.finish))
 		cancel()
-		if err == nil || k.backoff.Wait(ctx, attempt) != nil {
+		if err == nil || backoff.Sleep(ctx) != nil {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/entryhost/meter.go
@@ -0,0 +1,91 @@
+package entryhost
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/agateturn/agateturn/config"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/operatorapi"
+)
+
+// meterPeriod is the time between two looks at the measures.
+const meterPeriod = 100 * time.Millisecond
+
+// meter keeps the three measures as this entry host sees them. It is safe for concurrent use.
+type meter struct {
+	view  *view
+	peers *peers
+
+	mu       sync.Mutex
+	measures operatorapi.Measures
+	pools    map[string]string    // host to pool, at the last look
+	rollOuts map[uint64]time.Time // generations not yet in force everywhere, and when they were accepted
+	last     time.Time
+}
+
+// accepted notes the beginning of a roll-out.
+func (m *meter) accepted(o config.Outcome, generation uint64, began time.Time) {
+	if o.Kind != config.Accepted {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rollOuts[generation] = began
+}
+
+// run looks at the measures until ctx ends.
+func (m *meter) run(ctx context.Context) {
+	for sleep(ctx, meterPeriod) == nil {
+		m.look(time.Now())
+	}
+}
+
+func (m *meter) look(now time.Time) {
+	f, cfg := m.view.fleet(), m.view.config()
+	slowest := m.peers.slowestGeneration()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.countMoves(f)
+	if !m.last.IsZero() {
+		m.measures.BufferHostSeconds += now.Sub(m.last).Seconds() * float64(spareHosts(f, cfg))
+	}
+	m.last = now
+	for generation, began := range m.rollOuts {
+		if slowest >= generation {
+			m.finishRollOut(now.Sub(began))
+			delete(m.rollOuts, generation)
+		}
+	}
+}
+
+func (m *meter) finishRollOut(took time.Duration) {
+	total := m.measures.RollOutSeconds*float64(m.measures.RollOuts) + took.Seconds()
+	m.measures.RollOuts++
+	m.measures.RollOutSeconds = total / float64(m.measures.RollOuts)
+}
+
+func (m *meter) countMoves(f *pb.Fleet) {
+	for _, h := range f.GetHosts() {
+		before, known := m.pools[h.GetHost()]
+		if known && before != h.GetPool() {
+			m.measures.Moves++
+		}
+		m.pools[h.GetHost()] = h.GetPool()
+	}
+}
+
+func spareHosts(f *pb.Fleet, cfg *pb.Configuration) int {
+	return lo.CountBy(f.GetHosts(), func(h *pb.HostState) bool {
+		return h.GetPool() == cfg.GetDeployment().GetSparePool() && h.GetPhase() == pb.HostPhase_HOST_PHASE_ACTIVE
+	})
+}
+
+func (m *meter) snapshot() operatorapi.Measures {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.measures
+}
--- /dev/null
+++ b/internal/entryhost/operate.go
@@ -0,0 +1,178 @@
+package entryhost
+
+import (
+	"context"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/agateturn/agateturn/config"
+	"github.com/agateturn/agateturn/controller"
+	"github.com/agateturn/agateturn/fleet"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/operatorapi"
+	"github.com/agateturn/agateturn/settings"
+	"github.com/agateturn/agateturn/store"
+	"github.com/agateturn/agateturn/waves"
+)
+
+// Daemon implements operatorapi.Backend. Orders are written into the fleet value by compare-and-swap from whichever
+// entry host got them; the controller carries them out.
+var _ operatorapi.Backend = (*Daemon)(nil)
+
+// Ready implements operatorapi.Backend.
+func (d *Daemon) Ready() error { return d.ready() }
+
+// Configuration implements operatorapi.Backend.
+func (d *Daemon) Configuration(context.Context) (operatorapi.ConfigDocument, error) {
+	cfg := d.view.config()
+	if cfg == nil {
+		return operatorapi.ConfigDocument{}, nil
+	}
+	data, err := settings.Marshal(cfg)
+	return operatorapi.ConfigDocument{Generation: cfg.GetGeneration(), ChangeID: cfg.GetChangeId(), INI: string(data)}, err
+}
+
+// ApplyConfiguration implements operatorapi.Backend.
+func (d *Daemon) ApplyConfiguration(ctx context.Context, change operatorapi.ConfigChange) (operatorapi.ConfigResult, error) {
+	next := &pb.Configuration{}
+	if err := settings.Parse("request", []byte(change.INI), next); err != nil {
+		return operatorapi.ConfigResult{}, operatorapi.Refused.Wrap(err)
+	}
+	if err := config.Check(next); err != nil {
+		return operatorapi.ConfigResult{}, operatorapi.Refused.Wrap(err)
+	}
+	present, version, err := d.proposer.readVersion(ctx)
+	if err != nil {
+		return operatorapi.ConfigResult{}, operatorapi.Unavailable.Wrap(err)
+	}
+	result := operatorapi.ConfigResult{Changes: changeTexts(present, next)}
+	if generation, known := d.acceptedBefore(change.ChangeID, present); known {
+		result.Generation, result.Repeated = generation, true
+		return result, nil
+	}
+	if present.GetGeneration() != change.BaseGeneration {
+		return result, operatorapi.Conflict.New("the configuration is at generation %d, the change was made from %d; look at agateturnctl config diff and apply again",
+			present.GetGeneration(), change.BaseGeneration)
+	}
+	result.Generation = present.GetGeneration() + 1
+	if change.DryRun {
+		return result, nil
+	}
+	next.Generation = result.Generation
+	next.ChangeId = change.ChangeID
+	began := time.Now()
+	outcome := d.proposer.propose(ctx, next, version)
+	d.meter.accepted(outcome, next.GetGeneration(), began)
+	return result, outcomeError(outcome)
+}
+
+// acceptedBefore reports whether the change is in the store already, or was in force here before a later one.
+func (d *Daemon) acceptedBefore(changeID string, present *pb.Configuration) (uint64, bool) {
+	if present.GetChangeId() == changeID {
+		return present.GetGeneration(), true
+	}
+	var generation uint64
+	var known bool
+	d.view.withStager(func(st *config.Stager) { generation, known = st.InForceSince(changeID) })
+	return generation, known
+}
+
+func changeTexts(old, updated *pb.Configuration) []string {
+	return lo.Map(config.Diff(old, updated), func(c config.Change, _ int) string { return c.String() })
+}
+
+func outcomeError(o config.Outcome) error {
+	switch o.Kind {
+	case config.Accepted:
+		return nil
+	case config.Conflict:
+		return operatorapi.Conflict.New("%s", o.Reason)
+	case config.Refused:
+		return operatorapi.Unavailable.New("%s", o.Reason)
+	default:
+		return operatorapi.Unknown.New("%s", o.Reason)
+	}
+}
+
+// order writes a change of the fleet and sorts its errors for the operator.
+func (d *Daemon) order(ctx context.Context, change fleetChange) (operatorapi.Accepted, error) {
+	f, err := d.writer.update(ctx, change)
+	switch {
+	case err == nil:
+		return operatorapi.Accepted{FleetRevision: f.GetRevision()}, nil
+	case store.Unavailable.Has(err):
+		return operatorapi.Accepted{}, operatorapi.Unavailable.Wrap(err)
+	case store.Unknown.Has(err):
+		return operatorapi.Accepted{}, operatorapi.Unknown.Wrap(err)
+	case store.Conflict.Has(err), fleet.AlreadyBusy.Has(err):
+		return operatorapi.Accepted{}, operatorapi.Conflict.Wrap(err)
+	case fleet.UnknownHost.Has(err):
+		return operatorapi.Accepted{}, operatorapi.NotFound.Wrap(err)
+	default:
+		return operatorapi.Accepted{}, operatorapi.Refused.Wrap(err)
+	}
+}
+
+// MoveHost implements operatorapi.Backend.
+func (d *Daemon) MoveHost(ctx context.Context, o operatorapi.MoveOrder) (operatorapi.Accepted, error) {
+	return d.order(ctx, func(f *pb.Fleet) (*pb.Fleet, error) {
+		return beginMove(f, d.view.config(), o, time.Now())
+	})
+}
+
+// beginMove drains a host for another pool, if the budgets of its own leave room.
+func beginMove(f *pb.Fleet, cfg *pb.Configuration, o operatorapi.MoveOrder, now time.Time) (*pb.Fleet, error) {
+	if !lo.SomeBy(cfg.GetPools(), func(p *pb.Pool) bool { return p.GetName() == o.Target }) {
+		return nil, controller.UnknownPool.New("pool %q; choose one of agateturnctl pools", o.Target)
+	}
+	next, err := fleet.BeginMove(f, o.Host, o.Target, o.OperationID, now)
+	if err != nil || next == f {
+		return next, err
+	}
+	if err := fleet.NewBudgets(f, cfg, nil).MayMove(o.Host); err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
+// SetHostDown implements operatorapi.Backend.
+func (d *Daemon) SetHostDown(ctx context.Context, o operatorapi.DownOrder) (operatorapi.Accepted, error) {
+	return d.order(ctx, func(f *pb.Fleet) (*pb.Fleet, error) {
+		if o.Down {
+			return fleet.MarkDown(f, o.Host, o.OperationID, time.Now())
+		}
+		return fleet.MarkUp(f, o.Host, o.OperationID, time.Now())
+	})
+}
+
+// CreateWave implements operatorapi.Backend.
+func (d *Daemon) CreateWave(ctx context.Context, o operatorapi.WaveOrder) (operatorapi.Accepted, error) {
+	return d.order(ctx, func(f *pb.Fleet) (*pb.Fleet, error) {
+		hosts := o.Hosts
+		if len(hosts) == 0 {
+			hosts = hostsOfPool(f, o.Pool)
+		}
+		return waves.Create(f, o.Name, hosts, o.OperationID, time.Now())
+	})
+}
+
+func hostsOfPool(f *pb.Fleet, pool string) []string {
+	return lo.FilterMap(f.GetHosts(), func(h *pb.HostState, _ int) (string, bool) {
+		return h.GetHost(), pool == "" || h.GetPool() == pool
+	})
+}
+
+// ControlWave implements operatorapi.Backend.
+func (d *Daemon) ControlWave(ctx context.Context, o operatorapi.WaveControl) (operatorapi.Accepted, error) {
+	return d.order(ctx, func(f *pb.Fleet) (*pb.Fleet, error) {
+		switch o.Action {
+		case "stop":
+			return waves.Stop(f, o.Name, o.Reason)
+		case "resume":
+			return waves.Resume(f, o.Name)
+		default:
+			return waves.Cancel(f, o.Name, o.Reason, time.Now())
+		}
+	})
+}
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -10,6 +10,8 @@
 	"connectrpc.com/connect"
 	"github.com/samber/lo"
 
+	"github.com/agateturn/agateturn/config"
+	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
 	"github.com/agateturn/agateturn/internal/ring"
@@ -20,14 +22,10 @@
 	demandGap = 200 * time.Millisecond
 	// peerMessageLimit bounds one message from a peer, in bytes.
 	peerMessageLimit = 4 << 20
+	// formerKept is how long the heartbeats of a replaced incarnation are kept.
+	formerKept = time.Minute
 )
 
-// received is the newest heartbeat of a member, and when it came.
-type received struct {
-	heartbeat *pb.Heartbeat
-	at        time.Time
-}
-
 // peers exchanges heartbeats with the other entry hosts and answers theirs. It is safe for concurrent use.
 type peers struct {
 	self      *pb.Member
@@ -37,11 +35,13 @@
 	logger    *slog.Logger
 	client    *http.Client
 	ready     func() bool
+	started   time.Time
 	changed   *ring.Ring[struct{}]
 	heard     *ring.Ring[struct{}] // signalled when a heartbeat came in
 
 	mu     sync.Mutex
-	latest map[string]received
+	// latest holds the newest heartbeat of each incarnation.
+	latest map[string]fleet.Received
 	links  map[string]*link
 	guests map[string]*pb.Member
 	// sponsor is the peer address of the member that vouches for us while we are its guest.
@@ -84,12 +84,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.releaseGuests()
+	p.forgetFormer()
 	wanted := lo.SliceToMap(p.others(), func(m *pb.Member) (string, string) { return m.GetName(), m.GetPeerAddress() })
 	for name, l := range p.links {
 		if wanted[name] != l.address {
 			l.stop()
 			delete(p.links, name)
-			delete(p.latest, name)
 		}
 	}
 	for name, address := range wanted {
@@ -99,6 +99,17 @@
 	}
 }
 
+// forgetFormer drops the heartbeats of incarnations that were replaced by a later one. The caller holds mu.
+func (p *peers) forgetFormer() {
+	names := lo.SliceToMap(p.view.fleet().GetMembers(), func(m *pb.Member) (string, string) {
+		return m.GetName(), m.GetIncarnation()
+	})
+	p.latest = lo.PickBy(p.latest, func(incarnation string, r fleet.Received) bool {
+		current, isMember := names[r.Heartbeat.GetName()]
+		return !isMember || current == incarnation || time.Since(r.At) < formerKept
+	})
+}
+
 // others are the members besides this one, guests included. The caller holds mu.
 func (p *peers) others() []*pb.Member {
 	members := append([]*pb.Member{}, p.view.fleet().GetMembers()...)
@@ -193,6 +204,7 @@
 		return
 	}
 	p.dispatch.incoming(ctx, hb)
+	p.tellStager(hb)
 	p.heard.Offer(struct{}{})
 	behind := hb.GetFleetRevision() > p.view.fleet().GetRevision() ||
 		hb.GetConfigGeneration() > p.view.config().GetGeneration()
@@ -201,15 +213,35 @@
 	}
 }
 
+// tellStager lets the acceptance state machine know what generation a peer is at.
+func (p *peers) tellStager(hb *pb.Heartbeat) {
+	registered := lo.SomeBy(p.view.fleet().GetMembers(), func(m *pb.Member) bool {
+		return m.GetIncarnation() == hb.GetIncarnation()
+	})
+	p.view.withStager(func(st *config.Stager) {
+		st.Heard(time.Now(), config.Report{
+			Peer:       hb.GetName() + "/" + hb.GetIncarnation(),
+			Generation: hb.GetConfigGeneration(),
+			Ready:      hb.GetReady(),
+			Registered: registered,
+		})
+	})
+}
+
 // keep stores a heartbeat unless a later one of the same incarnation is known already.
 func (p *peers) keep(hb *pb.Heartbeat) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	last := p.latest[hb.GetName()].heartbeat
-	if last.GetIncarnation() == hb.GetIncarnation() && last.GetSequence() >= hb.GetSequence() {
+	now := time.Now()
+	last, known := p.latest[hb.GetIncarnation()]
+	if known && last.Heartbeat.GetSequence() >= hb.GetSequence() {
 		return false
 	}
-	p.latest[hb.GetName()] = received{heartbeat: hb, at: time.Now()}
+	since := now
+	if known {
+		since = last.Since
+	}
+	p.latest[hb.GetIncarnation()] = fleet.Received{Heartbeat: hb, At: now, Since: since}
 	return true
 }
 
@@ -252,8 +284,8 @@
 	return append(p.others(), p.self)
 }
 
-// reports are the newest heartbeats by member, this entry host's own included.
-func (p *peers) reports(ctx context.Context) (map[string]received, error) {
+// reports are the newest heartbeats by incarnation, this entry host's own included.
+func (p *peers) reports(ctx context.Context) (map[string]fleet.Received, error) {
 	own, err := p.compose(ctx, p.self.GetName())
 	if err != nil {
 		return nil, err
@@ -261,10 +293,22 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := lo.Assign(p.latest)
-	all[p.self.GetName()] = received{heartbeat: own, at: time.Now()}
+	now := time.Now()
+	all[p.self.GetIncarnation()] = fleet.Received{Heartbeat: own, At: now, Since: p.started}
 	return all, nil
 }
 
+// slowestGeneration is the lowest configuration generation in force on any member, as far as heard.
+func (p *peers) slowestGeneration() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	slowest := p.view.config().GetGeneration()
+	for _, m := range p.others() {
+		slowest = min(slowest, p.latest[m.GetIncarnation()].Heartbeat.GetConfigGeneration())
+	}
+	return slowest
+}
+
 func (p *peers) guestList() []*pb.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/entryhost/peerservice.go
+++ b/internal/entryhost/peerservice.go
@@ -53,7 +53,7 @@
 	answer := &pb.StageResponse{}
 	s.view.withStager(func(st *config.Stager) {
 		if req.Msg.GetAbandon() {
-			st.Abandon(time.Now(), req.Msg.GetConfig().GetChangeId())
+			st.Abandon(time.Now(), req.Msg.GetConfig().GetChangeId(), req.Msg.GetProposer())
 		} else {
 			answer.Staged, answer.Reason = st.Stage(time.Now(), req.Msg.GetConfig(), req.Msg.GetProposer())
 		}
--- a/internal/entryhost/platformlist.go
+++ b/internal/entryhost/platformlist.go
@@ -48,8 +48,8 @@
 	for _, h := range hosts {
 		entry := controller.PlatformHost{
 			Name:        h.Name,
-			Role:        string(h.Role),
-			State:       string(h.State),
+			Role:        roleOf(h.Role),
+			State:       stateOf(h.State),
 			BootID:      h.BootID,
 			Incarnation: h.Incarnation,
 		}
@@ -63,6 +63,24 @@
 	l.hosts = next
 }
 
+func roleOf(r platform.Role) controller.Role {
+	if r == platform.RoleEntry {
+		return controller.RoleEntryHost
+	}
+	return controller.RoleWorker
+}
+
+func stateOf(s platform.State) controller.State {
+	switch s {
+	case platform.StateLeaving:
+		return controller.StateLeaving
+	case platform.StateGone:
+		return controller.StateGone
+	default:
+		return controller.StateLive
+	}
+}
+
 func (l *platformList) snapshot() []controller.PlatformHost {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- /dev/null
+++ b/internal/entryhost/propose.go
@@ -0,0 +1,259 @@
+package entryhost
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/samber/lo"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/agateturn/agateturn/config"
+	"github.com/agateturn/agateturn/events"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/store"
+)
+
+const (
+	// proposalLimit bounds the time of one proposal.
+	proposalLimit = 10 * time.Second
+	// proposalRetry is the wait before an action that has just failed is tried again.
+	proposalRetry = 200 * time.Millisecond
+	// stageTimeout bounds the wait for one member to hold a change.
+	stageTimeout = time.Second
+)
+
+// identity names one process of a member.
+func identity(m *pb.Member) string { return m.GetName() + "/" + m.GetIncarnation() }
+
+// proposer has configurations accepted, one at a time.
+type proposer struct {
+	self   *pb.Member
+	kv     store.KV
+	view   *view
+	writer *writer
+	peers  *peers
+	logger *slog.Logger
+
+	one      sync.Mutex
+	attempts uint64
+}
+
+// proposalRun is one proposal under way.
+type proposalRun struct {
+	*proposer
+	cfg      *pb.Configuration
+	version  uint64 // the store's version of the base
+	id       string
+	proposal *config.Proposal
+	members  map[string]*pb.Member // by identity, everyone that was ever asked
+}
+
+// propose has cfg accepted over the base that the store holds at the given version.
+func (p *proposer) propose(ctx context.Context, cfg *pb.Configuration, version uint64) config.Outcome {
+	p.one.Lock()
+	defer p.one.Unlock()
+	p.attempts++
+	run := &proposalRun{
+		proposer: p,
+		cfg:      cfg,
+		version:  version,
+		id:       config.ProposerID(identity(p.self), p.attempts),
+		members:  map[string]*pb.Member{},
+	}
+	names, err := run.listMembers(ctx)
+	if err != nil {
+		return config.Outcome{Kind: config.Refused, Reason: err.Error()}
+	}
+	run.proposal = config.NewProposal(cfg, names, time.Now().Add(proposalLimit))
+	return run.drive(ctx)
+}
+
+// listMembers reads the registered members from the store; this entry host is always among the asked.
+func (r *proposalRun) listMembers(ctx context.Context) ([]string, error) {
+	f, _, err := r.writer.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	r.members[identity(r.self)] = r.self
+	names := []string{identity(r.self)}
+	for _, m := range f.GetMembers() {
+		r.members[identity(m)] = m
+		names = append(names, identity(m))
+	}
+	return lo.Uniq(names), nil
+}
+
+// drive carries out the proposal's actions until it is done.
+func (r *proposalRun) drive(ctx context.Context) config.Outcome {
+	pending := r.proposal.Start(time.Now())
+	for {
+		var stages, rest []config.Action
+		for _, a := range pending {
+			switch a.Kind {
+			case config.Done:
+				r.abandonAll(ctx, pending)
+				return a.Outcome
+			case config.StageOn:
+				stages = append(stages, a)
+			default:
+				rest = append(rest, a)
+			}
+		}
+		pending = r.stageAll(ctx, stages)
+		for _, a := range rest {
+			pending = append(pending, r.carryOut(ctx, a)...)
+		}
+		if len(pending) == 0 {
+			_ = sleep(ctx, proposalRetry)
+			pending = r.proposal.Tick(time.Now())
+		}
+		if ctx.Err() != nil {
+			return config.Outcome{Kind: config.Unknown, Reason: "the operator went away"}
+		}
+	}
+}
+
+// abandonAll tells the members that the change was dropped.
+func (r *proposalRun) abandonAll(ctx context.Context, actions []config.Action) {
+	for _, a := range actions {
+		if a.Kind == config.Abandon {
+			_ = r.carryOut(ctx, a)
+		}
+	}
+}
+
+// stageResult is one member's answer.
+type stageResult struct {
+	member string
+	answer *pb.StageResponse
+	err    error
+}
+
+// stageAll asks the members at once, and feeds their answers to the proposal one after the other.
+func (r *proposalRun) stageAll(ctx context.Context, stages []config.Action) []config.Action {
+	results := make([]stageResult, len(stages))
+	var wg sync.WaitGroup
+	for i, a := range stages {
+		wg.Go(func() { results[i] = r.stageOn(ctx, a.Member) })
+	}
+	wg.Wait()
+	var next []config.Action
+	failed := false
+	for _, result := range results {
+		switch {
+		case result.err != nil:
+			failed = true
+			next = append(next, r.proposal.Unreachable(time.Now(), result.member)...)
+		case result.answer.GetStaged():
+			next = append(next, r.proposal.Acked(time.Now(), result.member)...)
+		default:
+			next = append(next, r.proposal.Denied(time.Now(), result.member, result.answer.GetReason(), result.answer.GetConfigGeneration())...)
+		}
+	}
+	if failed {
+		_ = sleep(ctx, proposalRetry)
+	}
+	return next
+}
+
+func (r *proposalRun) stageOn(ctx context.Context, member string) stageResult {
+	request := &pb.StageRequest{Config: r.cfg, Proposer: r.id}
+	if member == identity(r.self) {
+		answer := &pb.StageResponse{}
+		r.view.withStager(func(st *config.Stager) {
+			answer.Staged, answer.Reason = st.Stage(time.Now(), r.cfg, r.id)
+			answer.ConfigGeneration = st.Generation()
+		})
+		return stageResult{member: member, answer: answer}
+	}
+	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
+	defer cancel()
+	answer, err := r.peers.at(r.members[member].GetPeerAddress()).Stage(ctx, connect.NewRequest(request))
+	if err != nil {
+		return stageResult{member: member, err: err}
+	}
+	return stageResult{member: member, answer: answer.Msg}
+}
+
+// carryOut does one action other than staging, and returns what follows.
+func (r *proposalRun) carryOut(ctx context.Context, a config.Action) []config.Action {
+	now := time.Now()
+	switch a.Kind {
+	case config.Swap:
+		return r.proposal.Swapped(time.Now(), r.swap(ctx))
+	case config.ReadBack:
+		stored, err := r.readStored(ctx)
+		if err != nil {
+			_ = sleep(ctx, proposalRetry)
+			return r.proposal.ReadFailed(time.Now())
+		}
+		return r.proposal.Read(now, stored)
+	case config.ListMembers:
+		names, err := r.listMembers(ctx)
+		if err != nil {
+			_ = sleep(ctx, proposalRetry)
+			return r.proposal.ListFailed(time.Now())
+		}
+		return r.proposal.Listed(now, names)
+	case config.Accept:
+		if r.view.applyConfig(now, r.cfg) {
+			events.Emit(ctx, r.logger, events.ConfigInForce, "generation", r.cfg.GetGeneration(), "source", "proposal")
+		}
+	case config.Abandon:
+		r.abandonOn(ctx, a.Member)
+	}
+	return nil
+}
+
+func (r *proposalRun) swap(ctx context.Context) config.SwapResult {
+	data, err := proto.Marshal(r.cfg)
+	if err != nil {
+		return config.SwapConflict
+	}
+	_, err = r.kv.CompareAndSwap(ctx, keyConfig, r.version, data)
+	switch {
+	case err == nil:
+		return config.SwapOK
+	case store.Conflict.Has(err):
+		return config.SwapConflict
+	case store.Unavailable.Has(err):
+		return config.SwapUnavailable
+	default:
+		return config.SwapUnknown
+	}
+}
+
+func (r *proposalRun) abandonOn(ctx context.Context, member string) {
+	if member == identity(r.self) {
+		r.view.withStager(func(st *config.Stager) { st.Abandon(time.Now(), r.cfg.GetChangeId(), r.id) })
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
+	defer cancel()
+	_, _ = r.peers.at(r.members[member].GetPeerAddress()).Stage(ctx, connect.NewRequest(&pb.StageRequest{
+		Config:   r.cfg,
+		Proposer: r.id,
+		Abandon:  true,
+	}))
+}
+
+// readStored returns the configuration in the store; nil for none.
+func (p *proposer) readStored(ctx context.Context) (*pb.Configuration, error) {
+	cfg, _, err := p.readVersion(ctx)
+	return cfg, err
+}
+
+func (p *proposer) readVersion(ctx context.Context) (*pb.Configuration, uint64, error) {
+	value, err := p.kv.Get(ctx, keyConfig)
+	if err != nil || value.Version == 0 {
+		return nil, 0, err
+	}
+	cfg := &pb.Configuration{}
+	if err := proto.Unmarshal(value.Data, cfg); err != nil {
+		return nil, 0, errCorrupt.Wrap(err)
+	}
+	return cfg, value.Version, nil
+}
--- a/internal/entryhost/provide.go
+++ b/internal/entryhost/provide.go
@@ -8,14 +8,15 @@
 
 	"github.com/samber/do/v2"
 
+	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
 	"github.com/agateturn/agateturn/idempotency"
 	"github.com/agateturn/agateturn/internal/pause"
 	"github.com/agateturn/agateturn/internal/ring"
+	"github.com/agateturn/agateturn/mover"
 	"github.com/agateturn/agateturn/platform"
 	"github.com/agateturn/agateturn/stats"
-	"github.com/agateturn/agateturn/store"
 	"github.com/agateturn/agateturn/store/kvhttp"
 	"github.com/agateturn/agateturn/upstream"
 )
@@ -40,7 +41,7 @@
 	do.Provide(i, func(i do.Injector) (*pause.Detector, error) {
 		return pause.NewDetector(do.MustInvoke[*pb.Settings](i).GetTiming().GetPauseLimit().AsDuration()), nil
 	})
-	do.Provide(i, func(do.Injector) (*stats.Stats, error) { return stats.New(stats.DefaultLimits()), nil })
+	do.Provide(i, func(do.Injector) (*stats.Stats, error) { return stats.New(stats.Limits{}), nil })
 	do.Provide(i, provideStore)
 	do.Provide(i, providePlatform)
 	do.Provide(i, provideDispatcher)
@@ -69,7 +70,7 @@
 func provideDispatcher(i do.Injector) (*dispatcher, error) {
 	self := do.MustInvoke[*pb.Member](i)
 	owner := &pb.Owner{Name: self.GetName(), Incarnation: self.GetIncarnation()}
-	return newDispatcher(do.MustInvoke[*view](i), owner, self.GetDataCentre()), nil
+	return newDispatcher(do.MustInvoke[*view](i), owner, self.GetDataCentre(), int(do.MustInvoke[*pb.Settings](i).GetLimits().GetMaxRequests())), nil
 }
 
 func provideKeys(i do.Injector) (*keys, error) {
@@ -92,7 +93,8 @@
 		client:    peerClient(),
 		changed:   v.subscribe("peers"),
 		heard:     ring.New[struct{}]("heard", 1),
-		latest:    map[string]received{},
+		latest:    map[string]fleet.Received{},
+		started:   time.Now(),
 		links:     map[string]*link{},
 		guests:    map[string]*pb.Member{},
 		hosts:     map[string]agateturnv1connect.PeerServiceClient{},
@@ -114,7 +116,6 @@
 		view:    do.MustInvoke[*view](i),
 		name:    do.MustInvoke[*pb.Member](i).GetName(),
 		logger:  do.MustInvoke[*slog.Logger](i),
-		backoff: store.DefaultBackoff(),
 	}, nil
 }
 
@@ -122,7 +123,6 @@
 	return &writer{
 		kv:      do.MustInvoke[*kvhttp.Store](i),
 		view:    do.MustInvoke[*view](i),
-		backoff: store.DefaultBackoff(),
 	}, nil
 }
 
@@ -135,7 +135,6 @@
 		detector: do.MustInvoke[*pause.Detector](i),
 		seeds:    do.MustInvoke[*pb.Settings](i).GetEntryHost().GetPeers(),
 		logger:   do.MustInvoke[*slog.Logger](i),
-		backoff:  store.DefaultBackoff(),
 	}, nil
 }
 
@@ -163,8 +162,8 @@
 		pause:    timing.GetPauseLimit().AsDuration(),
 		changed:  v.subscribe("controller"),
 		logger:   do.MustInvoke[*slog.Logger](i),
-		backoff:  store.DefaultBackoff(),
 		acted:    map[string]time.Time{},
+		tracker:  mover.NewTracker(),
 	}, nil
 }
 
@@ -173,6 +172,7 @@
 		self:   do.MustInvoke[*pb.Member](i),
 		kv:     do.MustInvoke[*kvhttp.Store](i),
 		view:   do.MustInvoke[*view](i),
+		writer: do.MustInvoke[*writer](i),
 		peers:  do.MustInvoke[*peers](i),
 		logger: do.MustInvoke[*slog.Logger](i),
 	}, nil
@@ -208,6 +208,7 @@
 		ready:    d.ready,
 	}
 	d.keys.peers = d.peers
+	d.meter = &meter{view: d.view, peers: d.peers, pools: map[string]string{}, rollOuts: map[uint64]time.Time{}}
 	d.peers.ready = func() bool { return d.ready() == nil }
 	return d, nil
 }
--- a/internal/entryhost/refusal.go
+++ b/internal/entryhost/refusal.go
@@ -15,6 +15,8 @@
 	retryNoHost = time.Second
 	// retryKey is what a caller waits when its key's owner could not be asked.
 	retryKey = time.Second
+	// statusClientClosed is logged for a caller that went away; nobody reads it.
+	statusClientClosed = 499
 	// retryUnready is what a caller waits when this entry host takes no work.
 	retryUnready = time.Second
 )
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -33,13 +33,12 @@
 	detector *pause.Detector
 	seeds    []string
 	logger   *slog.Logger
-	backoff  store.Backoff
 }
 
 // run registers, then watches over the membership until ctx ends. It returns errRemoved when the fleet no longer holds
 // this incarnation: then its view may be old, and the process has to start anew.
 func (r *registrar) run(ctx context.Context) error {
-	failures := 0
+	backoff := store.DefaultBackoff()
 	for ctx.Err() == nil {
 		if r.isMember() {
 			if err := r.watchOver(ctx); err != nil {
@@ -49,11 +48,10 @@
 		}
 		if err := r.join(ctx); err != nil {
 			r.logger.Debug("registration failed", "component", "registrar", "err", err)
-			_ = r.backoff.Wait(ctx, failures)
-			failures++
+			_ = backoff.Sleep(ctx)
 			continue
 		}
-		failures = 0
+		backoff.Reset()
 	}
 	return nil
 }
@@ -67,7 +65,7 @@
 	for _, address := range r.seeds {
 		if r.peers.fetch(ctx, address, r.self) == nil {
 			r.peers.sponsored(address)
-			events.Emit(ctx, r.logger, events.MemberJoined, "member", r.self.GetName(), "sponsor", address)
+			events.Emit(ctx, r.logger, events.JoinedAsGuest, "sponsor", address)
 			break
 		}
 	}
--- a/internal/entryhost/writer.go
+++ b/internal/entryhost/writer.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/store"
 )
@@ -26,8 +27,8 @@
 	view *view
 }
 
-// fleetChange computes the next fleet, or returns nil when nothing is to change. It must not modify its argument, and it
-// must be idempotent: after a lost answer it may be asked again about a fleet that already holds the change.
+// fleetChange returns the changed fleet, or its argument when nothing is to change. It must not modify its argument, and
+// it must be idempotent: after a lost answer it may be asked again about a fleet that already holds the change.
 type fleetChange func(f *pb.Fleet) (*pb.Fleet, error)
 
 // read returns the fleet in the store and its version.
@@ -47,9 +48,12 @@
 // update applies the change to the newest fleet, again after each conflict, and returns the fleet that holds it.
 func (w *writer) update(ctx context.Context, change fleetChange) (*pb.Fleet, error) {
 	var last error
+	backoff := store.DefaultBackoff()
 	for attempt := range swapAttempts {
-		if err := store.Pause(ctx, attempt); err != nil {
-			return nil, err
+		if attempt > 0 {
+			if err := backoff.Sleep(ctx); err != nil {
+				return nil, err
+			}
 		}
 		f, version, err := w.read(ctx)
 		if err != nil {
@@ -59,10 +63,14 @@
 		if err != nil {
 			return nil, err
 		}
-		if next == nil {
+		if next == f {
 			w.view.applyFleet(f)
 			return f, nil
 		}
+		next, err = fleet.NextWrite(next, f.GetTerm(), f.GetController(), uuid.NewString())
+		if err != nil {
+			return nil, err
+		}
 		last = w.swap(ctx, version, next)
 		if last == nil {
 			return next, nil
@@ -74,9 +82,8 @@
 	return nil, last
 }
 
-// swap writes next over the given version. A lost answer is resolved by reading the write's identity back.
+// swap writes next, as fleet.NextWrite made it, over the given version. A lost answer is resolved by reading the write's identity back.
 func (w *writer) swap(ctx context.Context, version uint64, next *pb.Fleet) error {
-	next.WriteId = uuid.NewString()
 	data, err := proto.Marshal(next)
 	if err != nil {
 		return err
--- a/internal/operatorapi/types.go
+++ b/internal/operatorapi/types.go
@@ -124,14 +124,14 @@
 
 // Latency is one service's histogram for a team and class, in milliseconds.
 type Latency struct {
-	Service string  `json:"service"`
-	Team    string  `json:"team"`
-	Class   string  `json:"class"`
-	Outcome string  `json:"outcome"`
-	Count   int64   `json:"count"`
-	P50     float64 `json:"p50_ms"`
-	P90     float64 `json:"p90_ms"`
-	P99     float64 `json:"p99_ms"`
+	Service  string           `json:"service"`
+	Team     string           `json:"team"`
+	Class    string           `json:"class"`
+	Count    int64            `json:"count"`
+	Outcomes map[string]int64 `json:"outcomes" doc:"Requests by how they ended"`
+	P50      float64          `json:"p50_ms"`
+	P90      float64          `json:"p90_ms"`
+	P99      float64          `json:"p99_ms"`
 }
 
 // ConfigDocument is a configuration in its INI form.
