Pick hosts by work and tell failing hosts from failing jobs

Cause: a worker that fails everything at once looks the least loaded. Ruled out: counting failures alone (a job that fails everywhere ejects every host).

--- a/idempotency/tenure.go
+++ b/idempotency/tenure.go
@@ -25,34 +25,33 @@
 	epochs  []epoch // oldest first
 	count   int
 	last    *pb.Fleet
+	// neverOwned means that there were no owners before those of last.
+	neverOwned bool
 }
 
 // apply takes a newer view of the fleet.
 func (t *tenure) apply(now time.Time, f *pb.Fleet) {
 	last := t.last
 	t.last = f
+	// The fleet's first owners ever: nobody can have granted a key before them.
+	t.neverOwned = len(f.GetPreviousOwners().GetOwners()) == 0 && len(last.GetOwners().GetOwners()) == 0
 	switch {
 	case last == nil:
-		t.begin(now, f, neverOwned(f))
+		t.begin(now, f)
 	case sameSet(f.GetOwners(), last.GetOwners()) && sameSet(f.GetPreviousOwners(), last.GetPreviousOwners()):
 		// Nothing changed hands.
 	case sameSet(f.GetPreviousOwners(), last.GetOwners()) && sameSet(f.GetOwners(), last.GetNextOwners()):
-		t.begin(now, f, neverOwned(f) && neverOwned(last))
+		t.begin(now, f)
 	default:
 		// A change was missed, which befalls only a process that was counted as gone. It may have missed others.
 		t.epochs = nil
-		t.begin(now, f, false)
+		t.begin(now, f)
 	}
 }
 
-// neverOwned reports whether the fleet had no owners before its present ones.
-func neverOwned(f *pb.Fleet) bool {
-	return len(f.GetPreviousOwners().GetOwners()) == 0
-}
-
-func (t *tenure) begin(now time.Time, f *pb.Fleet, first bool) {
+func (t *tenure) begin(now time.Time, f *pb.Fleet) {
 	t.count++
-	t.epochs = append(t.epochs, epoch{number: t.count, since: now, owners: f.GetOwners(), first: first})
+	t.epochs = append(t.epochs, epoch{number: t.count, since: now, owners: f.GetOwners(), first: t.neverOwned})
 	if len(t.epochs) > maxEpochs {
 		t.epochs = t.epochs[1:]
 	}
--- /dev/null
+++ b/routing/health.go
@@ -0,0 +1,141 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/samber/lo"
+)
+
+// Observe learns from the end of an attempt.
+func (r *Router) Observe(now time.Time, o Observation) {
+	if o.Result == Cancelled {
+		r.host(o.Host).probing = false
+		return
+	}
+	failed := o.Result != Succeeded
+	switch o.Result {
+	case Succeeded:
+		r.runTimes.observe(o.Service, o.Host, o.RunTime)
+		r.jobs.succeeded(o.JobDigest)
+	case Failed:
+		r.jobs.failed(o.JobDigest, o.Host)
+	default:
+		// The job was not tried.
+	}
+	h := r.host(o.Host)
+	h.note(o.JobDigest, failed)
+	h.share = share(r.counts(h))
+	if h.ejected {
+		r.endProbe(now, h, failed)
+		return
+	}
+	if failed && r.failing(h) {
+		r.eject(now, h)
+	}
+}
+
+func (r *Router) host(name string) *host {
+	h, ok := r.hosts[name]
+	if !ok {
+		h = &host{name: name}
+		r.hosts[name] = h
+	}
+	return h
+}
+
+// failing reports whether distinct jobs fail on the host that other hosts would serve.
+func (r *Router) failing(h *host) bool {
+	failed, seen := r.counts(h)
+	needed := failingJobs
+	if r.ejectedByPeers(h.name) {
+		// The peers' evidence spares two of ours.
+		needed = 1
+	}
+	if failed < needed || float64(failed) < failingShare*float64(seen) {
+		return false
+	}
+	return share(failed, seen) >= r.othersShare(h)+outlierMargin
+}
+
+// counts returns the host's failed and seen jobs without those that are at fault themselves.
+func (r *Router) counts(h *host) (failed, seen int) {
+	return h.count(func(digest uint64) bool { return r.jobs.blamed(digest, r.hosts) })
+}
+
+// othersShare returns the median share of failures among the other hosts that are not ejected.
+func (r *Router) othersShare(except *host) float64 {
+	var shares []float64
+	for _, h := range r.hosts {
+		if h == except || h.ejected {
+			continue
+		}
+		if len(h.outcomes) > 0 {
+			shares = append(shares, h.share)
+		}
+	}
+	if len(shares) == 0 {
+		return 0
+	}
+	slices.Sort(shares)
+	return shares[len(shares)/2]
+}
+
+func (r *Router) ejectedByPeers(name string) bool {
+	for _, hosts := range r.peers {
+		if hosts[name].GetEjected() {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Router) eject(now time.Time, h *host) {
+	h.ejected = true
+	h.probing = false
+	h.probeWait = max(h.probeWait, r.options.ProbeAfter)
+	h.probeAt = now.Add(h.probeWait)
+}
+
+// endProbe returns the host to service after a success, and puts the next probe off after a failure.
+func (r *Router) endProbe(now time.Time, h *host, failed bool) {
+	if failed {
+		h.probing = false
+		h.probeWait = min(2*h.probeWait, r.options.ProbeLimit)
+		h.probeAt = now.Add(h.probeWait)
+		return
+	}
+	h.ejected = false
+	h.probing = false
+	// The wait stays, so that a host that fails again at once is probed more rarely; it is judged afresh.
+	h.outcomes = h.outcomes[len(h.outcomes)-1:]
+	h.share = share(r.counts(h))
+}
+
+// Health returns what was seen of each host, sorted by name. It is the whole state each time.
+func (r *Router) Health() []*pb.HostHealth {
+	names := lo.Keys(r.hosts)
+	slices.Sort(names)
+	return lo.Map(names, func(name string, _ int) *pb.HostHealth {
+		h := r.hosts[name]
+		failed, seen := r.counts(h)
+		return &pb.HostHealth{Host: name, Succeeded: int64(seen - failed), Failed: int64(failed), Ejected: h.ejected}
+	})
+}
+
+// Merge replaces what a peer reported. A host that a peer has ejected is not ejected here for that alone, but
+// needs less evidence of our own. An empty list forgets the peer.
+func (r *Router) Merge(peer string, health []*pb.HostHealth) {
+	if len(health) == 0 {
+		delete(r.peers, peer)
+		return
+	}
+	r.peers[peer] = lo.KeyBy(health, func(h *pb.HostHealth) string { return h.GetHost() })
+}
+
+// Forget drops what is known of a host that has left.
+func (r *Router) Forget(name string) {
+	delete(r.hosts, name)
+	r.runTimes.forget(name)
+}
--- /dev/null
+++ b/routing/jobs.go
@@ -0,0 +1,90 @@
+package routing
+
+import "container/list"
+
+const (
+	// maxJobs bounds the failed jobs that are remembered.
+	maxJobs = 4096
+	// hopelessHosts is the number of sound hosts on which a hopeless job has failed.
+	hopelessHosts = 3
+	// blamedHosts is the number of sound hosts on which a job has failed that is no more held against a host.
+	blamedHosts = 2
+	// maxJobHosts bounds the hosts remembered for a job.
+	maxJobHosts = 8
+)
+
+// job is one that has failed and succeeded nowhere since.
+type job struct {
+	digest   uint64
+	failedOn []string // distinct hosts
+	element  *list.Element
+}
+
+// jobs remembers the jobs that failed last.
+type jobs struct {
+	byDigest map[uint64]*job
+	byAge    *list.List // oldest failure first
+}
+
+func newJobs() *jobs {
+	return &jobs{byDigest: map[uint64]*job{}, byAge: list.New()}
+}
+
+// succeeded forgets the job's failures.
+func (j *jobs) succeeded(digest uint64) {
+	if known, ok := j.byDigest[digest]; ok {
+		j.byAge.Remove(known.element)
+		delete(j.byDigest, digest)
+	}
+}
+
+// failed notes a failure of the job on the host.
+func (j *jobs) failed(digest uint64, host string) {
+	known, ok := j.byDigest[digest]
+	if !ok {
+		known = &job{digest: digest}
+		known.element = j.byAge.PushBack(known)
+		j.byDigest[digest] = known
+	}
+	j.byAge.MoveToBack(known.element)
+	known.add(host)
+	if len(j.byDigest) > maxJobs {
+		oldest := j.byAge.Remove(j.byAge.Front()).(*job)
+		delete(j.byDigest, oldest.digest)
+	}
+}
+
+func (j *job) add(host string) {
+	for _, known := range j.failedOn {
+		if known == host {
+			return
+		}
+	}
+	if len(j.failedOn) < maxJobHosts {
+		j.failedOn = append(j.failedOn, host)
+	}
+}
+
+// soundFailures returns the number of hosts that the job failed on although they serve other jobs well.
+func (j *jobs) soundFailures(digest uint64, hosts map[string]*host) int {
+	known, ok := j.byDigest[digest]
+	if !ok {
+		return 0
+	}
+	count := 0
+	for _, name := range known.failedOn {
+		if h, ok := hosts[name]; ok && h.sound(digest) {
+			count++
+		}
+	}
+	return count
+}
+
+func (j *jobs) hopeless(digest uint64, hosts map[string]*host) bool {
+	return j.soundFailures(digest, hosts) >= hopelessHosts
+}
+
+// blamed reports whether failures of the job are its own fault rather than a host's.
+func (j *jobs) blamed(digest uint64, hosts map[string]*host) bool {
+	return j.soundFailures(digest, hosts) >= blamedHosts
+}
--- /dev/null
+++ b/routing/runtimes.go
@@ -0,0 +1,79 @@
+package routing
+
+import "time"
+
+const (
+	// declaredWeight is the number of observations that a declared run time counts for.
+	declaredWeight = 2.0
+	// meanWindow is the number of observations that a mean looks back over.
+	meanWindow = 64.0
+	// maxInfluence bounds what one observation can do: it counts as this many means at most.
+	maxInfluence = 8.0
+)
+
+// mean is a moving mean in seconds.
+type mean struct {
+	value float64
+	count float64
+}
+
+func (m *mean) add(seconds float64) {
+	if m.count >= 1 {
+		seconds = min(seconds, m.value*maxInfluence)
+	}
+	m.count = min(m.count+1, meanWindow)
+	m.value += (seconds - m.value) / m.count
+}
+
+// blend returns the mean with a prior that counts for declaredWeight observations.
+func (m *mean) blend(prior float64) float64 {
+	if m == nil {
+		return prior
+	}
+	return (m.value*m.count + prior*declaredWeight) / (m.count + declaredWeight)
+}
+
+type serviceHost struct {
+	service string
+	host    string
+}
+
+// runTimes holds the run times of successful attempts. Failures teach nothing: they are often faster.
+type runTimes struct {
+	byService map[string]*mean
+	byHost    map[serviceHost]*mean
+}
+
+func newRunTimes() *runTimes {
+	return &runTimes{byService: map[string]*mean{}, byHost: map[serviceHost]*mean{}}
+}
+
+func (t *runTimes) observe(service, host string, runTime time.Duration) {
+	meanOf(t.byService, service).add(runTime.Seconds())
+	meanOf(t.byHost, serviceHost{service, host}).add(runTime.Seconds())
+}
+
+func meanOf[K comparable](means map[K]*mean, key K) *mean {
+	m, ok := means[key]
+	if !ok {
+		m = &mean{}
+		means[key] = m
+	}
+	return m
+}
+
+// mean returns the learned run time on the host, for want of it that of the service, for want of it the declared one.
+func (t *runTimes) mean(service, host string, declared time.Duration) time.Duration {
+	seconds := t.byService[service].blend(declared.Seconds())
+	seconds = t.byHost[serviceHost{service, host}].blend(seconds)
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// forget drops a host's run times.
+func (t *runTimes) forget(host string) {
+	for key := range t.byHost {
+		if key.host == host {
+			delete(t.byHost, key)
+		}
+	}
+}
