Decide on fleet, waves, moves: first API

Cause: the daemon is written against these packages. Ruled out: proof of a gone member by another incarnation on the platform's list; the list lags, so that incarnation may be the earlier one. Only a list that shows this incarnation gone counts, after the pause limit. Change: fleet (members, phases, barrier, owner sets, gate, budgets), waves, mover and controller, each with one example. Conclusion: the API stands; it is not proved yet.

--- /dev/null
+++ b/controller/observe.go
@@ -0,0 +1,80 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/agateturn/agateturn/fleet"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/mover"
+)
+
+// freshFor is how long a heartbeat counts as the present load of its sender.
+const freshFor = 5 * time.Second
+
+// Samples sums the pools' demand over the entry hosts that were heard lately, for mover.Tracker.Observe.
+func Samples(now time.Time, cfg *pb.Configuration, heartbeats map[string]fleet.Received) map[string]mover.Sample {
+	out := map[string]mover.Sample{}
+	slots := poolSlots(cfg)
+	for _, p := range cfg.GetPools() {
+		out[p.Name] = mover.Sample{HostSlots: slots[p.Name]}
+	}
+	for _, s := range cfg.GetServices() {
+		sample, ok := out[s.Pool]
+		if !ok {
+			continue
+		}
+		sample.RunTime = max(sample.RunTime, s.RunTime.AsDuration())
+		sample.Deadline = max(sample.Deadline, s.Deadline.AsDuration())
+		out[s.Pool] = sample
+	}
+	for _, r := range heartbeats {
+		if now.Sub(r.At) > freshFor {
+			continue
+		}
+		for _, d := range r.Heartbeat.GetDemand() {
+			sample, ok := out[d.Pool]
+			if !ok {
+				continue
+			}
+			sample.Queued += d.Queued
+			sample.Running += d.Running
+			sample.Idle += d.Idle
+			sample.ArrivalsPerSecond += d.ArrivalsPerSecond
+			out[d.Pool] = sample
+		}
+	}
+	return out
+}
+
+// poolSlots is the slots of one host of each pool: the most that one of its configured hosts has.
+func poolSlots(cfg *pb.Configuration) map[string]int64 {
+	out := map[string]int64{}
+	for _, h := range cfg.GetHosts() {
+		out[h.Pool] = max(out[h.Pool], h.Slots)
+	}
+	return out
+}
+
+// FailedHosts lists the hosts that more than half of the entry hosts that report on them have ejected.
+func FailedHosts(now time.Time, heartbeats map[string]fleet.Received) map[string]bool {
+	reports := map[string]int{}
+	ejected := map[string]int{}
+	for _, r := range heartbeats {
+		if now.Sub(r.At) > freshFor {
+			continue
+		}
+		for _, h := range r.Heartbeat.GetHealth() {
+			reports[h.Host]++
+			if h.Ejected {
+				ejected[h.Host]++
+			}
+		}
+	}
+	out := map[string]bool{}
+	for host, n := range ejected {
+		if 2*n > reports[host] {
+			out[host] = true
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/fleet/owners.go
@@ -0,0 +1,55 @@
+package fleet
+
+import (
+	"sort"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"google.golang.org/protobuf/proto"
+)
+
+// SettleOwners takes the owner sets one step on. When the members that stay differ from the owners, they become the next
+// owners. When every member has applied that, the next owners become the owners.
+func SettleOwners(f *pb.Fleet, r Reports) *pb.Fleet {
+	d := NewDraft(f)
+	d.SettleOwners(r)
+	return d.Fleet()
+}
+
+// SettleOwners is the function SettleOwners on a draft. It says whether anything changed.
+func (d *Draft) SettleOwners(r Reports) bool {
+	f := d.fleet
+	if f.NextOwners != nil {
+		return d.finishSettling(r)
+	}
+	want := stayingOwners(f)
+	if proto.Equal(want, f.Owners) || (len(want.Owners) == 0 && f.Owners == nil) {
+		return false
+	}
+	f.NextOwners = want
+	f.SettleRevision = d.revision()
+	d.changed = true
+	return true
+}
+
+func (d *Draft) finishSettling(r Reports) bool {
+	f := d.fleet
+	if len(pending(f, f.SettleRevision, "", r)) > 0 {
+		return false
+	}
+	f.PreviousOwners = f.Owners
+	f.Owners = f.NextOwners
+	f.NextOwners = nil
+	d.changed = true
+	return true
+}
+
+func stayingOwners(f *pb.Fleet) *pb.OwnerSet {
+	set := &pb.OwnerSet{}
+	for _, m := range f.Members {
+		if !m.Leaving {
+			set.Owners = append(set.Owners, &pb.Owner{Name: m.Name, Incarnation: m.Incarnation})
+		}
+	}
+	sort.Slice(set.Owners, func(i, j int) bool { return set.Owners[i].Name < set.Owners[j].Name })
+	return set
+}
--- /dev/null
+++ b/waves/manage.go
@@ -0,0 +1,173 @@
+package waves
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/agateturn/agateturn/fleet"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"google.golang.org/protobuf/proto"
+)
+
+// keptDone is the number of finished waves that the fleet remembers.
+const keptDone = 20
+
+// Create begins a wave over hosts. Repeating the order under the same operation identity changes nothing and returns f.
+func Create(f *pb.Fleet, name string, hosts []string, operationID string, now time.Time) (*pb.Fleet, error) {
+	if w := find(f, name); w != nil {
+		if operationID != "" && w.OperationId == operationID {
+			return f, nil
+		}
+		return nil, WaveExists.New("%q was made by order %q; choose another name", name, w.OperationId)
+	}
+	if len(hosts) == 0 {
+		return nil, EmptyWave.New("%q has no hosts; name some", name)
+	}
+	if err := checkHosts(f, hosts); err != nil {
+		return nil, err
+	}
+	pending := slices.Compact(slices.Sorted(slices.Values(hosts)))
+	next := proto.CloneOf(f)
+	next.Waves = append(next.Waves, &pb.Wave{
+		Name: name, Phase: pb.WavePhase_WAVE_PHASE_RUNNING, Pending: pending,
+		StartedUnixMs: now.UnixMilli(), OperationId: operationID,
+	})
+	prune(next)
+	return next, nil
+}
+
+// Resume lets a stopped wave go on. Its failed hosts are tried again, before any host that is in service. A running wave
+// is left as it is. A repeat that comes after the wave stopped anew resumes it anew.
+func Resume(f *pb.Fleet, name string) (*pb.Fleet, error) {
+	return editWave(f, name, func(w *pb.Wave) bool {
+		if w.Phase == pb.WavePhase_WAVE_PHASE_RUNNING {
+			return false
+		}
+		w.Phase = pb.WavePhase_WAVE_PHASE_RUNNING
+		w.Reason = ""
+		w.Pending = append(w.Pending, w.Failed...)
+		w.Failed = nil
+		sort.Strings(w.Pending)
+		return true
+	})
+}
+
+// Stop keeps a wave from starting further hosts until it is resumed. Hosts in progress finish. A stopped wave is left as
+// it is.
+func Stop(f *pb.Fleet, name, reason string) (*pb.Fleet, error) {
+	return editWave(f, name, func(w *pb.Wave) bool {
+		if w.Phase == pb.WavePhase_WAVE_PHASE_STOPPED {
+			return false
+		}
+		w.Phase = pb.WavePhase_WAVE_PHASE_STOPPED
+		w.Reason = reason
+		return true
+	})
+}
+
+// Cancel ends a wave. Hosts that still drain go back to work; hosts in maintenance finish it. A wave that is done is left
+// as it is.
+func Cancel(f *pb.Fleet, name, reason string, now time.Time) (*pb.Fleet, error) {
+	w := find(f, name)
+	if w == nil {
+		return nil, unknownWave(name)
+	}
+	if w.Phase == pb.WavePhase_WAVE_PHASE_DONE {
+		return f, nil
+	}
+	d := fleet.NewDraft(f)
+	for _, host := range w.InProgress {
+		h := d.Host(host)
+		if h.GetPhase() != pb.HostPhase_HOST_PHASE_DRAINING || h.GetPurpose() != pb.HostPurpose_HOST_PURPOSE_MAINTENANCE {
+			continue
+		}
+		if err := d.Cancel(host, now); err != nil {
+			return nil, err
+		}
+	}
+	return editWave(d.Fleet(), name, func(w *pb.Wave) bool {
+		w.Phase = pb.WavePhase_WAVE_PHASE_DONE
+		w.Reason = reason
+		w.Pending = nil
+		w.InProgress = nil
+		return true
+	})
+}
+
+func editWave(f *pb.Fleet, name string, change func(*pb.Wave) bool) (*pb.Fleet, error) {
+	if find(f, name) == nil {
+		return nil, unknownWave(name)
+	}
+	next := proto.CloneOf(f)
+	w := find(next, name)
+	if w.Phase == pb.WavePhase_WAVE_PHASE_DONE {
+		return nil, WaveDone.New("%q has ended; create another", name)
+	}
+	if !change(w) {
+		return f, nil
+	}
+	return next, nil
+}
+
+func checkHosts(f *pb.Fleet, hosts []string) error {
+	waveOf := unfinishedHosts(f)
+	known := make(map[string]bool, len(f.GetHosts()))
+	for _, h := range f.GetHosts() {
+		known[h.Host] = true
+	}
+	for _, host := range hosts {
+		if !known[host] {
+			return fleet.UnknownHost.New("%q is not in the fleet; list the hosts and use a name from there", host)
+		}
+		if w := waveOf[host]; w != "" {
+			return fleet.AlreadyBusy.New("%s is in wave %q; wait for that wave or cancel it", host, w)
+		}
+	}
+	return nil
+}
+
+// unfinishedHosts maps each host that a wave still has to deal with to that wave.
+func unfinishedHosts(f *pb.Fleet) map[string]string {
+	out := map[string]string{}
+	for _, w := range f.GetWaves() {
+		if w.Phase == pb.WavePhase_WAVE_PHASE_DONE {
+			continue
+		}
+		for _, hosts := range [][]string{w.Pending, w.InProgress} {
+			for _, host := range hosts {
+				out[host] = w.Name
+			}
+		}
+	}
+	return out
+}
+
+func prune(f *pb.Fleet) {
+	done := 0
+	for _, w := range f.Waves {
+		if w.Phase == pb.WavePhase_WAVE_PHASE_DONE {
+			done++
+		}
+	}
+	f.Waves = slices.DeleteFunc(f.Waves, func(w *pb.Wave) bool {
+		if done <= keptDone || w.Phase != pb.WavePhase_WAVE_PHASE_DONE {
+			return false
+		}
+		done--
+		return true
+	})
+}
+
+func find(f *pb.Fleet, name string) *pb.Wave {
+	for _, w := range f.GetWaves() {
+		if w.Name == name {
+			return w
+		}
+	}
+	return nil
+}
+
+func unknownWave(name string) error {
+	return UnknownWave.New("%q; list the waves and use a name from there", name)
+}
