--- /dev/null
+++ b/events/catalogue.go
@@ -0,0 +1,203 @@
+package events
+
+import "log/slog"
+
+// A number is made of the group and a count: 1xx the process, 2xx store and platform, and so on.
+// New events take the next free number of their group; a number whose event is dropped goes to retired.
+
+// The process.
+var (
+	Started         = Event{Number: 101, Name: "started", Level: slog.LevelInfo, Message: "entry host started"}
+	SettingsRefused = Event{
+		Number: 102, Name: "settings_refused", Level: slog.LevelError, Message: "settings refused; nothing was started",
+		Remedy: "mend the named keys and start again; agateturnd --check-config checks them",
+	}
+	Stopping         = Event{Number: 103, Name: "stopping", Level: slog.LevelInfo, Message: "planned stop begun; no new requests are taken"}
+	Stopped          = Event{Number: 104, Name: "stopped", Level: slog.LevelInfo, Message: "stopped; every request has finished"}
+	StopLimitReached = Event{
+		Number: 105, Name: "stop_limit_reached", Level: slog.LevelError, Message: "planned stop reached its limit with requests in progress",
+		Remedy: "lengthen stop_limit, or look at the named sessions",
+	}
+	PauseDetected = Event{
+		Number: 106, Name: "pause_detected", Level: slog.LevelWarn, Message: "process was paused beyond pause_limit; it sends nothing until its view is checked",
+		Remedy: "look for a suspended machine or a lack of processor time",
+	}
+	Ready   = Event{Number: 107, Name: "ready", Level: slog.LevelInfo, Message: "readiness check passes"}
+	Unready = Event{
+		Number: 108, Name: "unready", Level: slog.LevelWarn, Message: "readiness check fails",
+		Remedy: "see the reason",
+	}
+)
+
+// Store and platform.
+var (
+	StoreUnreachable = Event{
+		Number: 201, Name: "store_unreachable", Level: slog.LevelWarn, Message: "store cannot be reached; serving goes on, nothing in the fleet changes",
+		Remedy: "see to the platform's store",
+	}
+	StoreBack           = Event{Number: 202, Name: "store_back", Level: slog.LevelInfo, Message: "store can be reached again"}
+	PlatformUnreachable = Event{
+		Number: 203, Name: "platform_unreachable", Level: slog.LevelWarn, Message: "platform's host list cannot be read; the last one is used",
+		Remedy: "see to the platform's host API",
+	}
+	PlatformBack = Event{Number: 204, Name: "platform_back", Level: slog.LevelInfo, Message: "platform's host list can be read again"}
+)
+
+// Members and the controller.
+var (
+	MemberJoined = Event{Number: 301, Name: "member_joined", Level: slog.LevelInfo, Message: "entry host joined"}
+	MemberLeft   = Event{Number: 302, Name: "member_left", Level: slog.LevelInfo, Message: "entry host left by a planned stop"}
+	MemberGone   = Event{
+		Number: 303, Name: "member_gone", Level: slog.LevelWarn, Message: "entry host is proved gone",
+		Remedy: "replace it if the platform has not",
+	}
+	JoinRefused = Event{
+		Number: 304, Name: "join_refused", Level: slog.LevelWarn, Message: "cannot join; no work is taken",
+		Remedy: "see the reason; make the store or a peer reachable",
+	}
+	JoinedAsGuest = Event{
+		Number: 305, Name: "joined_as_guest", Level: slog.LevelWarn, Message: "joined through a peer, since the store cannot be reached",
+		Remedy: "see to the platform's store",
+	}
+	PeerUnreachable = Event{
+		Number: 306, Name: "peer_unreachable", Level: slog.LevelWarn, Message: "peer cannot be reached",
+		Remedy: "see to the network or the peer",
+	}
+	PeerBack          = Event{Number: 307, Name: "peer_back", Level: slog.LevelInfo, Message: "peer can be reached again"}
+	ControllerElected = Event{Number: 308, Name: "controller_elected", Level: slog.LevelInfo, Message: "this entry host is the controller now"}
+	ControllerLost    = Event{Number: 309, Name: "controller_lost", Level: slog.LevelInfo, Message: "this entry host is no longer the controller"}
+	FleetApplied      = Event{Number: 310, Name: "fleet_applied", Level: slog.LevelDebug, Message: "fleet revision applied"}
+	OwnersSettled     = Event{Number: 311, Name: "owners_settled", Level: slog.LevelInfo, Message: "owner set settled"}
+)
+
+// Configuration.
+var (
+	ConfigStaged  = Event{Number: 401, Name: "config_staged", Level: slog.LevelInfo, Message: "configuration staged"}
+	ConfigInForce = Event{Number: 402, Name: "config_in_force", Level: slog.LevelInfo, Message: "configuration in force"}
+	ConfigRefused = Event{
+		Number: 403, Name: "config_refused", Level: slog.LevelWarn, Message: "configuration refused",
+		Remedy: "mend the named keys and apply again",
+	}
+	ConfigConflict = Event{
+		Number: 404, Name: "config_conflict", Level: slog.LevelWarn, Message: "configuration not applied: another change came first",
+		Remedy: "read the configuration again and apply the change to it",
+	}
+	ConfigAbandoned      = Event{Number: 405, Name: "config_abandoned", Level: slog.LevelInfo, Message: "staged configuration dropped; it was not written"}
+	ConfigOutcomeUnknown = Event{
+		Number: 406, Name: "config_outcome_unknown", Level: slog.LevelWarn, Message: "it is not known whether the configuration was written",
+		Remedy: "repeat it with the same change_id",
+	}
+	ConfigUnsettled = Event{
+		Number: 407, Name: "config_unsettled", Level: slog.LevelError, Message: "a staged configuration could not be settled within in_force_bound",
+		Remedy: "make the store or the proposer reachable",
+	}
+	ConfigStale = Event{
+		Number: 408, Name: "config_stale", Level: slog.LevelWarn, Message: "an older configuration was shown and ignored",
+		Remedy: "look for a store that was restored from a copy",
+	}
+)
+
+// Hosts.
+var (
+	HostDraining      = Event{Number: 501, Name: "host_draining", Level: slog.LevelInfo, Message: "host drains; it takes no new work"}
+	HostReleased      = Event{Number: 502, Name: "host_released", Level: slog.LevelInfo, Message: "host released by this entry host"}
+	HostMoved         = Event{Number: 503, Name: "host_moved", Level: slog.LevelInfo, Message: "host moved to another pool"}
+	HostInMaintenance = Event{Number: 504, Name: "host_in_maintenance", Level: slog.LevelInfo, Message: "host handed to the platform for maintenance"}
+	HostReturned      = Event{Number: 505, Name: "host_returned", Level: slog.LevelInfo, Message: "host returned to service"}
+	HostDown          = Event{
+		Number: 506, Name: "host_down", Level: slog.LevelWarn, Message: "host is down",
+		Remedy: "see to the host; the wave or the platform may bring it back",
+	}
+	HostDrainHangs = Event{
+		Number: 507, Name: "host_drain_hangs", Level: slog.LevelWarn, Message: "host is still held up",
+		Remedy: "agateturnctl status names who holds it",
+	}
+	HostEjected = Event{
+		Number: 508, Name: "host_ejected", Level: slog.LevelWarn, Message: "host fails distinct requests and gets no more of them",
+		Remedy: "see to the host; it returns after good probes",
+	}
+	HostProbedBack = Event{Number: 509, Name: "host_probed_back", Level: slog.LevelInfo, Message: "ejected host passed its probes and takes work again"}
+	HostNotInList  = Event{
+		Number: 510, Name: "host_not_in_list", Level: slog.LevelWarn, Message: "platform's list lacks a configured host",
+		Remedy: "correct the configuration or the platform's list",
+	}
+	EjectionCapped = Event{
+		Number: 511, Name: "ejection_capped", Level: slog.LevelWarn, Message: "host would be ejected, but too many are already",
+		Remedy: "see to the pool's hosts; the fault may be in the requests",
+	}
+)
+
+// Waves.
+var (
+	WaveStarted       = Event{Number: 601, Name: "wave_started", Level: slog.LevelInfo, Message: "maintenance wave started"}
+	WaveStoppedItself = Event{
+		Number: 602, Name: "wave_stopped_itself", Level: slog.LevelError, Message: "maintenance wave stopped itself",
+		Remedy: "see to the failed hosts, then resume or end the wave",
+	}
+	WaveStopped = Event{Number: 603, Name: "wave_stopped", Level: slog.LevelInfo, Message: "maintenance wave stopped by an operator"}
+	WaveResumed = Event{Number: 604, Name: "wave_resumed", Level: slog.LevelInfo, Message: "maintenance wave resumed"}
+	WaveDone    = Event{Number: 605, Name: "wave_done", Level: slog.LevelInfo, Message: "maintenance wave done"}
+	WaveWaiting = Event{Number: 606, Name: "wave_waiting", Level: slog.LevelInfo, Message: "maintenance wave waits for the availability budget"}
+)
+
+// Requests.
+var (
+	OutcomeUnknown = Event{
+		Number: 701, Name: "outcome_unknown", Level: slog.LevelWarn, Message: "request ended with an unknown outcome",
+		Remedy: "the caller may ask again with the same key",
+	}
+	AnswerRefused = Event{
+		Number: 702, Name: "answer_refused", Level: slog.LevelError, Message: "upstream's answer belongs to another request and was refused",
+		Remedy: "see to the upstream; the connection was closed",
+	}
+	AnswerCut = Event{
+		Number: 703, Name: "answer_cut", Level: slog.LevelWarn, Message: "upstream's answer was cut short; the caller sees a broken connection",
+		Remedy: "see to the upstream",
+	}
+	QueueFull = Event{
+		Number: 704, Name: "queue_full", Level: slog.LevelWarn, Message: "queue is full; requests are refused",
+		Remedy: "see the pool's size, or raise max_queue",
+	}
+	RequestShed  = Event{Number: 705, Name: "request_shed", Level: slog.LevelDebug, Message: "request cannot finish in time and was not run"}
+	QuotaReached = Event{
+		Number: 706, Name: "quota_reached", Level: slog.LevelInfo, Message: "team has reached its quota",
+		Remedy: "raise the team's quota if that is not meant",
+	}
+	KeysFull = Event{
+		Number: 707, Name: "keys_full", Level: slog.LevelWarn, Message: "no more idempotency keys can be remembered; requests are refused",
+		Remedy: "raise max_keys or shorten key_window",
+	}
+	JobPoisonous = Event{
+		Number: 708, Name: "job_poisonous", Level: slog.LevelWarn, Message: "request fails on distinct hosts and is not tried again",
+		Remedy: "tell its owner",
+	}
+)
+
+// Operators.
+var (
+	OperatorRefused = Event{
+		Number: 801, Name: "operator_refused", Level: slog.LevelWarn, Message: "operator's credential refused",
+		Remedy: "use the token of the operator settings",
+	}
+	OperatorOrder = Event{Number: 802, Name: "operator_order", Level: slog.LevelInfo, Message: "operator's order taken"}
+	OrderRepeated = Event{Number: 803, Name: "order_repeated", Level: slog.LevelInfo, Message: "operator's order was taken before; nothing was done twice"}
+)
+
+// catalogue is every event in the order of the numbers.
+var catalogue = []Event{
+	Started, SettingsRefused, Stopping, Stopped, StopLimitReached, PauseDetected, Ready, Unready,
+	StoreUnreachable, StoreBack, PlatformUnreachable, PlatformBack,
+	MemberJoined, MemberLeft, MemberGone, JoinRefused, JoinedAsGuest, PeerUnreachable, PeerBack,
+	ControllerElected, ControllerLost, FleetApplied, OwnersSettled,
+	ConfigStaged, ConfigInForce, ConfigRefused, ConfigConflict, ConfigAbandoned, ConfigOutcomeUnknown,
+	ConfigUnsettled, ConfigStale,
+	HostDraining, HostReleased, HostMoved, HostInMaintenance, HostReturned, HostDown, HostDrainHangs,
+	HostEjected, HostProbedBack, HostNotInList, EjectionCapped,
+	WaveStarted, WaveStoppedItself, WaveStopped, WaveResumed, WaveDone, WaveWaiting,
+	OutcomeUnknown, AnswerRefused, AnswerCut, QueueFull, RequestShed, QuotaReached, KeysFull,
+	JobPoisonous,
+	OperatorRefused, OperatorOrder, OrderRepeated,
+}
+
+// retired are numbers of dropped events; they are not used again.
+var retired = []int{}
--- /dev/null
+++ b/questionnaire/ask.go
@@ -0,0 +1,85 @@
+package questionnaire
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/zeebo/errs"
+
+	"github.com/agateturn/agateturn/settings"
+)
+
+// Interrupted means that the input ended before the last question was answered.
+var Interrupted = errs.Class("questionnaire ended early; answer every question, or write an answers file and use that")
+
+// maxLineBytes bounds one line of input.
+const maxLineBytes = 4096
+
+// Ask holds the dialogue: it writes questions to out and reads one line of in for each. An empty line takes the
+// default shown, or ends a list of names. An answer that is not allowed is asked for again. An error is of class
+// Interrupted.
+func Ask(in io.Reader, out io.Writer) (*Answers, error) {
+	lines := bufio.NewScanner(in)
+	lines.Buffer(nil, maxLineBytes)
+	d := &dialogue{lines: lines, out: out}
+	answers := &Answers{}
+	if err := settings.Fill(answers, d); err != nil {
+		return nil, Interrupted.Wrap(err)
+	}
+	return answers, nil
+}
+
+// dialogue implements settings.Dialogue over lines of text.
+type dialogue struct {
+	lines   *bufio.Scanner
+	out     io.Writer
+	section string // the one whose heading was written last
+}
+
+// Name asks for the next name of a section.
+func (d *dialogue) Name(section, doc string) (string, error) {
+	title := strings.ReplaceAll(section, "_", " ")
+	return d.prompt(fmt.Sprintf("\n%s Name of the next %s, empty when there are no more: ", doc, title))
+}
+
+// Answer asks one question.
+func (d *dialogue) Answer(q settings.Question) (string, error) {
+	if q.Section != d.section {
+		if _, err := fmt.Fprintf(d.out, "\n[%s]\n", q.Section); err != nil {
+			return "", err
+		}
+		d.section = q.Section
+	}
+	return d.prompt(strings.TrimSuffix(q.Doc, ".") + hint(q) + ": ")
+}
+
+// Refuse writes the remedy.
+func (d *dialogue) Refuse(remedy string) error {
+	_, err := fmt.Fprintf(d.out, "  not allowed: %s\n", remedy)
+	return err
+}
+
+func (d *dialogue) prompt(text string) (string, error) {
+	if _, err := io.WriteString(d.out, text); err != nil {
+		return "", err
+	}
+	if !d.lines.Scan() {
+		return "", errors.Join(d.lines.Err(), io.ErrUnexpectedEOF)
+	}
+	return strings.TrimSpace(d.lines.Text()), nil
+}
+
+// hint shows unit and default, such as " (duration) [15m]".
+func hint(q settings.Question) string {
+	var text string
+	if q.Unit != "" {
+		text += " (" + q.Unit + ")"
+	}
+	if q.Default != "" {
+		text += " [" + q.Default + "]"
+	}
+	return text
+}
--- a/questionnaire/questionnaire.go
+++ b/questionnaire/questionnaire.go
@@ -38,6 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
+	slots := lo.SumBy(hosts, (*pb.Host).GetSlots)
 	cfg := &pb.Configuration{
 		Deployment:  &pb.Deployment{Name: answers.GetDeployment().GetName(), SparePool: answers.GetDeployment().GetSparePool()},
 		Maintenance: proto.CloneOf(answers.GetMaintenance()),
@@ -45,7 +46,7 @@
 		DataCentres: lo.Map(answers.GetDataCentres(), func(d *pb.DataCentre, _ int) *pb.DataCentre { return proto.CloneOf(d) }),
 		Pools:       lo.Map(answers.GetPools(), generatePool),
 		Services:    lo.Map(answers.GetServices(), func(s *pb.Service, _ int) *pb.Service { return proto.CloneOf(s) }),
-		Teams:       lo.Map(answers.GetTeams(), func(t *pb.Team, _ int) *pb.Team { return proto.CloneOf(t) }),
+		Teams:       lo.Map(answers.GetTeams(), func(t *pb.Team, _ int) *pb.Team { return generateTeam(t, slots) }),
 		Hosts:       hosts,
 	}
 	if err := config.Check(cfg); err != nil {
@@ -57,3 +58,10 @@
 func generatePool(pool *answerspb.PoolAnswer, _ int) *pb.Pool {
 	return &pb.Pool{Name: pool.GetName(), MinHosts: pool.GetMinWorkers()}
 }
+
+// generateTeam lowers a quota that is more than all slots; it would bound nothing.
+func generateTeam(team *pb.Team, slots int64) *pb.Team {
+	generated := proto.CloneOf(team)
+	generated.Quota = min(team.GetQuota(), slots)
+	return generated
+}
--- a/settings/value.go
+++ b/settings/value.go
@@ -52,10 +52,10 @@
 		return text == "true", lo.Ternary(text == "true" || text == "false", "", "write true or false")
 	case protoreflect.Int64Kind:
 		n, err := strconv.ParseInt(text, 10, 64)
-		return n, lo.Ternary(err == nil, "", "write a whole number"+k.ofUnit()+" without the unit, such as "+k.example())
+		return n, lo.Ternary(err == nil, "", "write a whole number"+k.inUnit()+" without its unit, such as "+k.example())
 	case protoreflect.DoubleKind:
 		f, err := strconv.ParseFloat(text, 64)
-		return f, lo.Ternary(err == nil, "", "write a number"+k.ofUnit()+" without the unit, such as "+k.example())
+		return f, lo.Ternary(err == nil, "", "write a number"+k.inUnit()+" without its unit, such as "+k.example())
 	default:
 		return nil, fmt.Sprintf("report a fault in the schema: keys of kind %s are not supported", k.field.Kind())
 	}
@@ -149,24 +149,24 @@
 	if low == 0 && high == 0 || number >= low && number <= high {
 		return ""
 	}
-	return fmt.Sprintf("write a value from %s to %s", k.formatBound(low), k.formatBound(high))
+	return fmt.Sprintf("write a value from %s to %s%s", k.formatBound(low), k.formatBound(high), k.inUnit())
 }
 
 func (k *key) formatBound(bound float64) string {
 	if k.isDuration() {
 		return formatDuration(time.Duration(bound * float64(time.Second)))
 	}
-	unit := strings.TrimSpace(" " + k.option.GetUnit())
-	return strings.TrimSpace(strconv.FormatFloat(bound, 'f', -1, 64) + " " + unit)
+	return strconv.FormatFloat(bound, 'f', -1, 64)
 }
 
 func (k *key) isDuration() bool {
 	return k.field.Message() != nil && k.field.Message().FullName() == "google.protobuf.Duration"
 }
 
-func (k *key) ofUnit() string {
+// inUnit is the unit in brackets, or "" where the value carries it.
+func (k *key) inUnit() string {
 	unit := k.option.GetUnit()
-	return lo.Ternary(unit == "", "", " of "+unit)
+	return lo.Ternary(unit == "" || k.isDuration(), "", " ("+unit+")")
 }
 
 // example is a value that an error may show.
--- /dev/null
+++ b/stats/limits.go
@@ -0,0 +1,96 @@
+package stats
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// names admits a bounded number of distinct values of one label.
+type names struct {
+	limits Limits
+	known  map[string]bool
+}
+
+// admit returns the name if it is known or there is room for it, and Other if not.
+func (n *names) admit(name string) string {
+	if n.known[name] {
+		return name
+	}
+	if len(name) > n.limits.NameBytes || len(n.known) >= n.limits.Names {
+		return Other
+	}
+	if n.known == nil {
+		n.known = map[string]bool{}
+	}
+	name = strings.Clone(name) // a part of a larger string would keep all of it
+	n.known[name] = true
+	return name
+}
+
+// family is the counters, or the gauges, of all names.
+type family[M any] struct {
+	limits Limits
+	create func() M
+	byName map[string]map[string]*member[M]
+}
+
+// member is one metric with its labels.
+type member[M any] struct {
+	labels []Label
+	metric M
+}
+
+func newFamily[M any](limits Limits, create func() M) *family[M] {
+	return &family[M]{limits: limits, create: create, byName: map[string]map[string]*member[M]{}}
+}
+
+func (f *family[M]) get(name string, labels []Label) M {
+	members := f.membersOf(name)
+	labels = sortedLabels(labels)
+	id := formatLabels(labels)
+	if m, known := members[id]; known {
+		return m.metric
+	}
+	if len(members) >= f.limits.Series || f.tooLong(labels) {
+		labels = otherLabels(labels)
+		id = formatLabels(labels)
+	}
+	m, known := members[id]
+	if !known {
+		m = &member[M]{labels: labels, metric: f.create()}
+		members[id] = m
+	}
+	return m.metric
+}
+
+func (f *family[M]) membersOf(name string) map[string]*member[M] {
+	members, known := f.byName[name]
+	if !known && len(f.byName) >= f.limits.Metrics {
+		name = Other
+		members, known = f.byName[name]
+	}
+	if !known {
+		members = map[string]*member[M]{}
+		f.byName[name] = members
+	}
+	return members
+}
+
+func (f *family[M]) tooLong(labels []Label) bool {
+	return slices.ContainsFunc(labels, func(l Label) bool { return len(l.Value) > f.limits.NameBytes })
+}
+
+func sortedLabels(labels []Label) []Label {
+	sorted := slices.Clone(labels)
+	slices.SortFunc(sorted, func(a, b Label) int { return cmp.Compare(a.Name, b.Name) })
+	return sorted
+}
+
+func otherLabels(labels []Label) []Label {
+	others := make([]Label, len(labels))
+	for i, l := range labels {
+		others[i] = Label{Name: l.Name, Value: Other}
+	}
+	return others
+}
--- /dev/null
+++ b/stats/snapshot.go
@@ -0,0 +1,90 @@
+package stats
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// Quantiles are the latencies that a half, 90 and 99 of 100 requests did not exceed.
+type Quantiles struct {
+	P50 time.Duration `json:"p50"`
+	P90 time.Duration `json:"p90"`
+	P99 time.Duration `json:"p99"`
+	Max time.Duration `json:"max"`
+}
+
+// OutcomeCount is how many requests ended in one way.
+type OutcomeCount struct {
+	Outcome string `json:"outcome"`
+	Count   int64  `json:"count"`
+}
+
+// Row is what one service, team and class has seen. Durations are nanoseconds in JSON.
+type Row struct {
+	Service  string         `json:"service"`
+	Team     string         `json:"team"`
+	Class    string         `json:"class"`
+	Count    int64          `json:"count"`
+	Outcomes []OutcomeCount `json:"outcomes"` // sorted by outcome
+	Queue    Quantiles      `json:"queue"`
+	Total    Quantiles      `json:"total"`
+}
+
+// rowData gathers the series of one row.
+type rowData struct {
+	queue, total *buckets
+	outcomes     []OutcomeCount
+}
+
+// Snapshot lists what was observed, sorted by service, team and class.
+func (s *Stats) Snapshot() []Row {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	gathered := map[Labels]*rowData{}
+	for _, labels := range s.sortedRequests() {
+		series := s.requests[labels]
+		id := Labels{Service: labels.Service, Team: labels.Team, Class: labels.Class}
+		data, known := gathered[id]
+		if !known {
+			data = &rowData{queue: newBuckets(), total: newBuckets()}
+			gathered[id] = data
+		}
+		data.queue.add(series.queueData)
+		data.total.add(series.allData)
+		data.outcomes = append(data.outcomes, OutcomeCount{Outcome: labels.Outcome, Count: series.total.Count()})
+	}
+	ids := lo.Keys(gathered)
+	slices.SortFunc(ids, compareLabels)
+	return lo.Map(ids, func(id Labels, _ int) Row { return gathered[id].row(id) })
+}
+
+func (d *rowData) row(id Labels) Row {
+	return Row{
+		Service: id.Service, Team: id.Team, Class: id.Class,
+		Count: d.total.Count(), Outcomes: d.outcomes,
+		Queue: quantilesOf(d.queue), Total: quantilesOf(d.total),
+	}
+}
+
+func quantilesOf(b *buckets) Quantiles {
+	return Quantiles{
+		P50: time.Duration(b.Percentile(0.5)),
+		P90: time.Duration(b.Percentile(0.9)),
+		P99: time.Duration(b.Percentile(0.99)),
+		Max: time.Duration(b.Max()),
+	}
+}
+
+func (s *Stats) sortedRequests() []Labels {
+	all := lo.Keys(s.requests)
+	slices.SortFunc(all, compareLabels)
+	return all
+}
+
+func compareLabels(a, b Labels) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Team, b.Team),
+		cmp.Compare(a.Class, b.Class), cmp.Compare(a.Outcome, b.Outcome))
+}
