--- /dev/null
+++ b/standin/workers/admin.go
@@ -0,0 +1,90 @@
+package workers
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// adminHandler serves control and records.
+func (f *Fleet) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /admin/records", f.getRecords)
+	mux.HandleFunc("GET /admin/counts", f.getCounts)
+	mux.HandleFunc("PUT /admin/faults", f.putFaults)
+	mux.HandleFunc("POST /admin/reboot", f.postReboot)
+	return mux
+}
+
+// Records returns the records so far in the order in which the requests began.
+func (f *Fleet) Records() []Record {
+	return f.records.list()
+}
+
+// Counts sums the records up.
+func (f *Fleet) Counts() Counts {
+	return f.records.counts(time.Now())
+}
+
+// SetFaults replaces a worker's faults; false for an unknown one.
+func (f *Fleet) SetFaults(host string, faults Faults) bool {
+	w, ok := f.workers[host]
+	if ok {
+		w.setFaults(faults)
+	}
+	return ok
+}
+
+// Reboot takes a worker down for a time, cutting what it runs; false for an unknown one.
+func (f *Fleet) Reboot(host string, down time.Duration) bool {
+	w, ok := f.workers[host]
+	if ok {
+		w.startReboot(down)
+	}
+	return ok
+}
+
+// getRecords writes one JSON object a line.
+func (f *Fleet) getRecords(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/jsonl")
+	encoder := json.NewEncoder(w)
+	for _, record := range f.Records() {
+		if err := encoder.Encode(record); err != nil {
+			return
+		}
+	}
+}
+
+func (f *Fleet) getCounts(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(f.Counts())
+}
+
+func (f *Fleet) putFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !f.SetFaults(r.URL.Query().Get("host"), faults) {
+		http.Error(w, "unknown host", http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (f *Fleet) postReboot(w http.ResponseWriter, r *http.Request) {
+	seconds, err := strconv.ParseFloat(r.URL.Query().Get("seconds"), 64)
+	if err != nil || seconds < 0 {
+		http.Error(w, "seconds must be a number that is not negative", http.StatusBadRequest)
+		return
+	}
+	if !f.Reboot(r.URL.Query().Get("host"), time.Duration(seconds*float64(time.Second))) {
+		http.Error(w, "unknown host", http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/standin/workers/answer.go
@@ -0,0 +1,194 @@
+package workers
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"time"
+)
+
+const (
+	requestIDHeader = "Agateturn-Request-Id"
+	workerHeader    = "Agateturn-Worker"
+	// defaultSize and maxSize bound an answer's body in bytes.
+	defaultSize = 64
+	maxSize     = 64 << 20
+	// lateBy is the time after which a late second answer follows.
+	lateBy = time.Millisecond
+	// streamPeriod is the time between two lines of a streamed session.
+	streamPeriod = time.Second
+)
+
+// Faults says how a worker misbehaves. The zero value is a sound worker.
+type Faults struct {
+	// Late sends each answer again a millisecond later.
+	Late bool `json:"late,omitempty"`
+	// Twice sends each answer twice at once.
+	Twice bool `json:"twice,omitempty"`
+	// Crossed sends the answer that the request before should have had.
+	Crossed bool `json:"crossed,omitempty"`
+	// Cut closes the connection amid the answer's body.
+	Cut bool `json:"cut,omitempty"`
+	// WrongLength declares half of the answer's length.
+	WrongLength bool `json:"wrongLength,omitempty"`
+	// HangAfterHeader sends the header and nothing more.
+	HangAfterHeader bool `json:"hangAfterHeader,omitempty"`
+	// CloseAfterRead runs the request and closes the connection without an answer.
+	CloseAfterRead bool `json:"closeAfterRead,omitempty"`
+	// FailFast answers 500 at once.
+	FailFast bool `json:"failFast,omitempty"`
+	// Frozen accepts connections and reads nothing until it is unset.
+	Frozen bool `json:"frozen,omitempty"`
+	// Share is the share of requests that are affected; 0 for all. Frozen affects all.
+	Share float64 `json:"share,omitempty"`
+}
+
+// Body returns the answer's body to a request: size bytes that only this request's answer has.
+func Body(requestID string, size int) []byte {
+	line := StreamLine(requestID)
+	return bytes.Repeat(line, size/len(line)+1)[:size]
+}
+
+// StreamLine returns one line of a streamed session.
+func StreamLine(requestID string) []byte {
+	sum := sha256.Sum256([]byte(requestID))
+	return append(hex.AppendEncode(nil, sum[:]), '\n')
+}
+
+// exchange is one request at a worker.
+type exchange struct {
+	conn    net.Conn
+	reader  *bufio.Reader
+	request *http.Request
+	faults  Faults
+	lastID  string
+	worker  string
+}
+
+// answer writes the answer; an error ends the connection.
+func (ex *exchange) answer(alive context.Context) error {
+	id := ex.request.Header.Get(requestIDHeader)
+	if ex.faults.Crossed {
+		id = ex.lastID
+	}
+	query := ex.request.URL.Query()
+	if ex.request.Header.Get("Upgrade") != "" {
+		return ex.upgrade(id)
+	}
+	if seconds, err := strconv.Atoi(query.Get("stream")); err == nil && !ex.faults.FailFast {
+		return ex.stream(alive, id, seconds)
+	}
+	size, err := strconv.Atoi(query.Get("size"))
+	if err != nil {
+		size = defaultSize
+	}
+	size = min(max(size, 0), maxSize)
+	if ex.faults.FailFast {
+		return ex.write(alive, http.StatusInternalServerError, id, []byte("failed\n"))
+	}
+	return ex.write(alive, http.StatusOK, id, Body(id, size))
+}
+
+// head returns an answer's header without its end.
+func (ex *exchange) head(status int, id string) string {
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %s\r\n",
+		status, http.StatusText(status), requestIDHeader, id, workerHeader, ex.worker)
+	if ex.request.Close && status != http.StatusSwitchingProtocols {
+		head += "Connection: close\r\n"
+	}
+	return head
+}
+
+// write writes an answer of known length, with its faults.
+func (ex *exchange) write(alive context.Context, status int, id string, body []byte) error {
+	length := len(body)
+	if ex.faults.WrongLength {
+		length /= 2
+	}
+	head := ex.head(status, id) + fmt.Sprintf("Content-Length: %d\r\n\r\n", length)
+	if ex.faults.HangAfterHeader {
+		return ex.hang(alive, head)
+	}
+	whole := append([]byte(head), body...)
+	if ex.faults.Cut {
+		whole = whole[:len(whole)-(len(body)+1)/2]
+	}
+	if ex.faults.Twice {
+		whole = append(whole, whole...)
+	}
+	if _, err := ex.conn.Write(whole); err != nil {
+		return err
+	}
+	if ex.faults.Cut {
+		return errClose
+	}
+	if ex.faults.Late {
+		_ = sleep(alive, lateBy)
+		_, err := ex.conn.Write(whole)
+		return err
+	}
+	return nil
+}
+
+// hang writes the header and waits until the worker or the connection ends.
+func (ex *exchange) hang(alive context.Context, head string) error {
+	if _, err := io.WriteString(ex.conn, head); err != nil {
+		return err
+	}
+	// The read ends when either side closes the connection.
+	_, _ = ex.reader.ReadByte()
+	if err := alive.Err(); err != nil {
+		return err
+	}
+	return errClose
+}
+
+// stream writes one line a second.
+func (ex *exchange) stream(alive context.Context, id string, seconds int) error {
+	head := ex.head(http.StatusOK, id) + "Transfer-Encoding: chunked\r\n\r\n"
+	if ex.faults.HangAfterHeader {
+		return ex.hang(alive, head)
+	}
+	if _, err := io.WriteString(ex.conn, head); err != nil {
+		return err
+	}
+	chunks := httputil.NewChunkedWriter(ex.conn)
+	for i := range seconds {
+		if ex.faults.Cut && i >= seconds/2 {
+			return errClose
+		}
+		if _, err := chunks.Write(StreamLine(id)); err != nil {
+			return err
+		}
+		if err := sleep(alive, streamPeriod); err != nil {
+			return err
+		}
+	}
+	if err := chunks.Close(); err != nil {
+		return err
+	}
+	_, err := io.WriteString(ex.conn, "\r\n")
+	return err
+}
+
+// upgrade switches protocols and sends back what it is sent until the sender ends.
+func (ex *exchange) upgrade(id string) error {
+	head := ex.head(http.StatusSwitchingProtocols, id) +
+		fmt.Sprintf("Connection: Upgrade\r\nUpgrade: %s\r\n\r\n", ex.request.Header.Get("Upgrade"))
+	if _, err := io.WriteString(ex.conn, head); err != nil {
+		return err
+	}
+	if _, err := io.Copy(ex.conn, ex.reader); err != nil {
+		return err
+	}
+	ex.request.Close = true
+	return nil
+}
--- /dev/null
+++ b/standin/workers/worker.go
@@ -0,0 +1,274 @@
+package workers
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+)
+
+const (
+	// maxRequestBytes bounds a request's body.
+	maxRequestBytes = 64 << 20
+	// relistenWait is the time between two tries to listen after a reboot.
+	relistenWait = 50 * time.Millisecond
+)
+
+// worker is one host.
+type worker struct {
+	name    string
+	address string
+	runTime RunTime
+	records *records
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	faults   Faults
+	thawed   chan struct{} // closed when the worker is not frozen
+	listener net.Listener
+	conns    map[net.Conn]bool
+	lastID   string
+	reboot   context.CancelFunc // ends the worker's present life
+	down     time.Duration      // of the reboot that has begun
+	active   sync.WaitGroup
+}
+
+func newWorker(ctx context.Context, host *pb.Host, options Options, index uint64, records *records) (*worker, error) {
+	listener, err := listen(ctx, host.GetAddress())
+	if err != nil {
+		return nil, err
+	}
+	runTime, ok := options.RunTimes[host.GetPool()]
+	if !ok {
+		runTime = options.DefaultRunTime
+	}
+	thawed := make(chan struct{})
+	close(thawed)
+	return &worker{
+		name:     host.GetName(),
+		address:  listener.Addr().String(),
+		runTime:  runTime,
+		records:  records,
+		random:   rand.New(rand.NewPCG(options.Seed, index)),
+		thawed:   thawed,
+		listener: listener,
+		conns:    map[net.Conn]bool{},
+	}, nil
+}
+
+// serve runs the worker through its reboots until the context ends.
+func (w *worker) serve(ctx context.Context) error {
+	for {
+		alive := w.up(ctx)
+		w.accept(alive)
+		w.active.Wait()
+		if err := sleep(ctx, w.downTime()); err != nil {
+			return nil //nolint:nilerr // The end of the context is the planned end.
+		}
+		if err := w.relisten(ctx); err != nil {
+			return nil //nolint:nilerr // As above.
+		}
+	}
+}
+
+// up begins a life of the worker; the context returned ends with ctx or with the next reboot.
+func (w *worker) up(ctx context.Context) context.Context {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.down = 0
+	ctx, w.reboot = context.WithCancel(ctx)
+	context.AfterFunc(ctx, w.cut)
+	return ctx
+}
+
+// cut closes the listener and all connections.
+func (w *worker) cut() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_ = w.listener.Close()
+	for conn := range w.conns {
+		_ = conn.Close()
+	}
+}
+
+// startReboot takes the worker down for a time.
+func (w *worker) startReboot(down time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.down = down
+	if w.reboot != nil {
+		w.reboot()
+	}
+}
+
+func (w *worker) downTime() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.down
+}
+
+func (w *worker) relisten(ctx context.Context) error {
+	for {
+		listener, err := listen(ctx, w.address)
+		if err == nil {
+			w.mu.Lock()
+			w.listener = listener
+			w.mu.Unlock()
+			return nil
+		}
+		if err := sleep(ctx, relistenWait); err != nil {
+			return err
+		}
+	}
+}
+
+// accept takes connections until the listener is closed.
+func (w *worker) accept(alive context.Context) {
+	for {
+		conn, err := w.listener.Accept()
+		if err != nil {
+			return
+		}
+		w.mu.Lock()
+		w.conns[conn] = true
+		w.mu.Unlock()
+		if alive.Err() != nil {
+			_ = conn.Close()
+		}
+		w.active.Go(func() { w.serveConn(alive, conn) })
+	}
+}
+
+// serveConn answers the requests of one connection.
+func (w *worker) serveConn(alive context.Context, conn net.Conn) {
+	defer func() {
+		_ = conn.Close()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.conns, conn)
+	}()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if err := w.run(alive, conn, reader, request); err != nil {
+			return
+		}
+	}
+}
+
+var errClose = errors.New("the connection ends")
+
+// run runs one request; an error ends the connection.
+func (w *worker) run(alive context.Context, conn net.Conn, reader *bufio.Reader, request *http.Request) error {
+	if err := w.waitThawed(alive); err != nil {
+		return err
+	}
+	faults, lastID := w.draw(request)
+	record := w.records.begin(Record{
+		RequestID: request.Header.Get(requestIDHeader),
+		Key:       request.Header.Get("Idempotency-Key"),
+		Host:      w.name,
+		Pool:      request.Header.Get("Agateturn-Pool"),
+		Service:   request.Header.Get("Agateturn-Service"),
+		Start:     time.Now(),
+	})
+	err := w.runRecorded(alive, &exchange{
+		conn: conn, reader: reader, request: request, faults: faults, lastID: lastID, worker: w.name,
+	}, record)
+	w.records.end(record, err == nil, alive.Err() != nil)
+	if err == nil && request.Close {
+		return errClose
+	}
+	return err
+}
+
+func (w *worker) runRecorded(alive context.Context, ex *exchange, record *Record) error {
+	if _, err := io.Copy(io.Discard, http.MaxBytesReader(nil, ex.request.Body, maxRequestBytes)); err != nil {
+		return err
+	}
+	w.records.update(record, func(r *Record) { r.Ran = true })
+	if ex.faults.CloseAfterRead {
+		return errClose
+	}
+	if !ex.faults.FailFast {
+		if err := sleep(alive, w.drawRunTime(ex.request)); err != nil {
+			return err
+		}
+	}
+	return ex.answer(alive)
+}
+
+// waitThawed returns when the worker is not frozen.
+func (w *worker) waitThawed(alive context.Context) error {
+	w.mu.Lock()
+	thawed := w.thawed
+	w.mu.Unlock()
+	select {
+	case <-thawed:
+		return nil
+	case <-alive.Done():
+		return alive.Err()
+	}
+}
+
+// setFaults replaces the worker's faults.
+func (w *worker) setFaults(faults Faults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.faults.Frozen && !faults.Frozen {
+		close(w.thawed)
+	}
+	if !w.faults.Frozen && faults.Frozen {
+		w.thawed = make(chan struct{})
+	}
+	w.faults = faults
+}
+
+// draw returns the faults of one request and the identity of the request before it.
+func (w *worker) draw(request *http.Request) (Faults, string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	lastID := w.lastID
+	w.lastID = request.Header.Get(requestIDHeader)
+	if w.faults.Share > 0 && w.random.Float64() >= w.faults.Share {
+		return Faults{}, lastID
+	}
+	return w.faults, lastID
+}
+
+// drawRunTime returns the run time that the request asks for, or one of the worker's distribution.
+func (w *worker) drawRunTime(request *http.Request) time.Duration {
+	if asked, err := time.ParseDuration(request.URL.Query().Get("run")); err == nil {
+		return asked
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	factor := math.Exp(w.runTime.Sigma * w.random.NormFloat64())
+	return time.Duration(float64(w.runTime.Median) * factor)
+}
+
+// sleep waits for d or returns the context's error.
+func sleep(ctx context.Context, d time.Duration) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -111,7 +111,7 @@
 	if !ok {
 		return nil, errors.New("dial outside an exchange")
 	}
-	raw, err := c.dialer.DialContext(ctx, network, address)
+	raw, err := c.dialRaw(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -54,6 +54,9 @@
 	DefaultMaxHeaderBytes = 64 << 10
 )
 
+// keepAlivePeriod is the time between TCP keep-alive probes, by which a vanished worker is noticed.
+const keepAlivePeriod = 15 * time.Second
+
 // Target is the worker that a request goes to.
 type Target struct {
 	// Host is the worker's name.
@@ -84,7 +87,7 @@
 // Client makes exchanges. It is safe for concurrent use.
 type Client struct {
 	options   Options
-	dialer    net.Dialer
+	dialRaw   func(ctx context.Context, network, address string) (net.Conn, error)
 	transport *http.Transport
 	active    tracker
 }
@@ -100,10 +103,8 @@
 	if options.MaxHeaderBytes <= 0 {
 		options.MaxHeaderBytes = DefaultMaxHeaderBytes
 	}
-	c := &Client{
-		options: options,
-		dialer:  net.Dialer{Timeout: options.DialTimeout, KeepAlive: 15 * time.Second},
-	}
+	dialer := net.Dialer{Timeout: options.DialTimeout, KeepAlive: keepAlivePeriod}
+	c := &Client{options: options, dialRaw: dialer.DialContext}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	c.transport = &http.Transport{
