Join the decisions into a daemon, a tool and a demo: the whole path as processes

Cause: nothing served a request yet. The daemon wires the decision packages into duties joined by bounded rings; the tool speaks the operator API; the demo starts the platform, the workers, nine entry hosts and the callers on loopback, moves a host, maintains two, changes the configuration, replaces an entry host and judges at the workers. Ruled out: etcd's and Consul's client modules (refused by the registry); the adapter speaks the published HTTP protocol.

--- a/Makefile
+++ b/Makefile
@@ -7,13 +7,17 @@
 GOLANGCI_VERSION := v2.15.0
 GOFUMPT_VERSION := v0.12.0
 
-.PHONY: help build test race lint fmt generate check-generated linters ci
+
+.PHONY: help build demo test race lint fmt generate check-generated linters ci
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' Makefile | sed -E 's/:.*## /\t/'
 
 build: ## build the three programs into bin/
 	go build -o bin/ ./cmd/...
 
+demo: build ## run the whole path on loopback; DEPLOYMENT=agency or brenaz
+	scripts/demo.sh $(DEPLOYMENT)
+
 test: ## run all tests with the race detector
 	go test -race -count=1 ./...
 
--- a/cmd/agateturn-standin/main.go
+++ b/cmd/agateturn-standin/main.go
@@ -23,6 +23,8 @@
 // commands is the command line.
 type commands struct {
 	Platform platformCommand `cmd:"" help:"Serve the platform: key-value store, host list, host actions."`
+	Workers  workersCommand  `cmd:"" help:"Serve every worker of a deployment."`
+	Judge    judgeCommand    `cmd:"" help:"Compare what the workers saw with the promises."`
 	Load     loadCommand     `cmd:"" help:"Send a bounded load to entry hosts on loopback and check each answer."`
 }
 
--- a/cmd/agateturn-standin/platform.go
+++ b/cmd/agateturn-standin/platform.go
@@ -16,6 +16,7 @@
 type platformCommand struct {
 	Listen       string        `default:"127.0.0.1:8500" help:"Listener, ip:port."`
 	Hosts        []string      `help:"Names of live workers, comma separated."`
+	Deployment   string        `type:"existingfile" help:"Configuration whose hosts are the live workers."`
 	EntryHosts   []string      `help:"Names of live entry hosts, comma separated."`
 	HostsFile    string        `type:"existingfile" help:"JSON file {\"hosts\":[{\"name\",\"role\",\"state\",\"boot_id\",\"incarnation\"}]} in place of the names."`
 	ListLag      time.Duration `default:"0s" help:"Age of the published host list."`
@@ -41,6 +42,15 @@
 
 // hosts returns the host list to start with.
 func (c *platformCommand) hosts() ([]platform.Host, error) {
+	if c.Deployment != "" {
+		cfg, err := loadDeployment(c.Deployment)
+		if err != nil {
+			return nil, err
+		}
+		for _, h := range cfg.GetHosts() {
+			c.Hosts = append(c.Hosts, h.GetName())
+		}
+	}
 	if c.HostsFile == "" {
 		return append(live(platform.RoleWorker, c.Hosts), live(platform.RoleEntry, c.EntryHosts)...), nil
 	}
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -28,10 +28,20 @@
 	return w.Flush()
 }
 
-type statusCmd struct{}
+type statusCmd struct {
+	Members int           `help:"With --wait: the number of entry hosts that must be ready." default:"1"`
+	Wait    time.Duration `help:"Wait this long until --members entry hosts are ready." default:"0s"`
+}
 
 // Run shows the entry hosts, then the hosts that drain and who holds them up.
-func (statusCmd) Run(e *env) error {
+func (c *statusCmd) Run(e *env) error {
+	err := e.await(c.Wait, func(s operatorapi.Status) (bool, string) {
+		ready := lo.CountBy(s.Members, func(m operatorapi.MemberStatus) bool { return m.Ready })
+		return ready >= c.Members, fmt.Sprintf("%d of %d entry hosts ready", ready, c.Members)
+	})
+	if err != nil {
+		return err
+	}
 	s, err := e.client.status(e.ctx)
 	if err != nil {
 		return err
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -154,7 +154,8 @@
 	if err := d.detector.Check(); err != nil {
 		return err
 	}
-	if !d.registrar.isMember() && !d.peers.guestOf(time.Now(), d.settings.GetTiming().GetPauseLimit().AsDuration()) {
+	registered := d.registrar.isMember() && d.registrar.synced.Load()
+	if !registered && !d.peers.guestOf(time.Now(), d.settings.GetTiming().GetPauseLimit().AsDuration()) {
 		return errNotMember.New("%s", d.self.GetName())
 	}
 	return d.settled()
--- a/internal/entryhost/dispatch.go
+++ b/internal/entryhost/dispatch.go
@@ -28,14 +28,14 @@
 
 // ticket is one request on its way through the dispatcher.
 type ticket struct {
-	id       uint64
-	request  admission.Request
-	digest   uint64
-	declared time.Duration // declared run time of the service
-	session  bool
+	id         uint64
+	request    admission.Request
+	digest     uint64
+	declared   time.Duration // declared run time of the service
+	session    bool
 	idempotent bool
-	excluded []string // hosts that this request was sent to already
-	result   chan verdict
+	excluded   []string // hosts that this request was sent to already
+	result     chan verdict
 }
 
 // verdict is the dispatcher's one answer to a ticket: a grant or a rejection.
--- a/internal/entryhost/follow.go
+++ b/internal/entryhost/follow.go
@@ -26,10 +26,10 @@
 
 // follower brings newer values from the store into the view.
 type follower struct {
-	kv      store.KV
-	view    *view
-	name    string
-	logger  *slog.Logger
+	kv     store.KV
+	view   *view
+	name   string
+	logger *slog.Logger
 }
 
 // run follows one key until ctx ends, as a watcher or by rare reads.
--- a/internal/entryhost/keys.go
+++ b/internal/entryhost/keys.go
@@ -26,10 +26,10 @@
 
 // keys claims idempotency keys from their owners, and owns this entry host's share. It is safe for concurrent use.
 type keys struct {
-	self    *pb.Member
-	view    *view
-	peers   *peers
-	ends    *ring.Ring[claimEnd]
+	self  *pb.Member
+	view  *view
+	peers *peers
+	ends  *ring.Ring[claimEnd]
 
 	mu    sync.Mutex
 	owner *idempotency.Owner
@@ -44,10 +44,10 @@
 func newKeys(v *view, self *pb.Member, limits idempotency.Limits) *keys {
 	owner := &pb.Owner{Name: self.GetName(), Incarnation: self.GetIncarnation()}
 	k := &keys{
-		self:    self,
-		view:    v,
-		ends:    ring.New[claimEnd]("claim ends", finishCapacity),
-		owner:   idempotency.NewOwner(owner, limits, rendezvous.Owner),
+		self:  self,
+		view:  v,
+		ends:  ring.New[claimEnd]("claim ends", finishCapacity),
+		owner: idempotency.NewOwner(owner, limits, rendezvous.Owner),
 	}
 	v.onFleet(k)
 	return k
--- a/internal/entryhost/operate.go
+++ b/internal/entryhost/operate.go
@@ -74,7 +74,7 @@
 	}
 	var generation uint64
 	var known bool
-	d.view.withStager(func(st *config.Stager) { generation, known = st.InForceSince(changeID) })
+	d.view.withStager(func(st *config.Stager) { generation, known = st.GenerationOf(changeID) })
 	return generation, known
 }
 
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -39,7 +39,7 @@
 	changed   *ring.Ring[struct{}]
 	heard     *ring.Ring[struct{}] // signalled when a heartbeat came in
 
-	mu     sync.Mutex
+	mu sync.Mutex
 	// latest holds the newest heartbeat of each incarnation.
 	latest map[string]fleet.Received
 	links  map[string]*link
--- a/internal/entryhost/propose.go
+++ b/internal/entryhost/propose.go
@@ -67,10 +67,16 @@
 	if err != nil {
 		return config.Outcome{Kind: config.Refused, Reason: err.Error()}
 	}
-	run.proposal = config.NewProposal(cfg, names, time.Now().Add(proposalLimit))
+	run.proposal = config.NewProposal(cfg, names, time.Now().Add(proposalLimit), run.changeAt)
 	return run.drive(ctx)
 }
 
+// changeAt tells which change this entry host had in force at a generation.
+func (p *proposer) changeAt(generation uint64) (changeID string, known bool) {
+	p.view.withStager(func(st *config.Stager) { changeID, known = st.ChangeAt(generation) })
+	return changeID, known
+}
+
 // listMembers reads the registered members from the store; this entry host is always among the asked.
 func (r *proposalRun) listMembers(ctx context.Context) ([]string, error) {
 	f, _, err := r.writer.read(ctx)
@@ -240,6 +246,21 @@
 	}))
 }
 
+// sync puts in force what the store holds, and settles what is staged by it.
+func (p *proposer) sync(ctx context.Context) error {
+	began := time.Now()
+	stored, err := p.readStored(ctx)
+	if err != nil {
+		return err
+	}
+	p.view.heardStore(time.Now())
+	if stored != nil && p.view.applyConfig(time.Now(), stored) {
+		events.Emit(ctx, p.logger, events.ConfigInForce, "generation", stored.GetGeneration(), "source", "store")
+	}
+	p.view.withStager(func(st *config.Stager) { st.Confirm(began, stored.GetGeneration()) })
+	return nil
+}
+
 // readStored returns the configuration in the store; nil for none.
 func (p *proposer) readStored(ctx context.Context) (*pb.Configuration, error) {
 	cfg, _, err := p.readVersion(ctx)
--- a/internal/entryhost/provide.go
+++ b/internal/entryhost/provide.go
@@ -112,17 +112,17 @@
 
 func provideFollower(i do.Injector) (*follower, error) {
 	return &follower{
-		kv:      do.MustInvoke[*kvhttp.Store](i),
-		view:    do.MustInvoke[*view](i),
-		name:    do.MustInvoke[*pb.Member](i).GetName(),
-		logger:  do.MustInvoke[*slog.Logger](i),
+		kv:     do.MustInvoke[*kvhttp.Store](i),
+		view:   do.MustInvoke[*view](i),
+		name:   do.MustInvoke[*pb.Member](i).GetName(),
+		logger: do.MustInvoke[*slog.Logger](i),
 	}, nil
 }
 
 func provideWriter(i do.Injector) (*writer, error) {
 	return &writer{
-		kv:      do.MustInvoke[*kvhttp.Store](i),
-		view:    do.MustInvoke[*view](i),
+		kv:   do.MustInvoke[*kvhttp.Store](i),
+		view: do.MustInvoke[*view](i),
 	}, nil
 }
 
@@ -133,6 +133,7 @@
 		writer:   do.MustInvoke[*writer](i),
 		peers:    do.MustInvoke[*peers](i),
 		detector: do.MustInvoke[*pause.Detector](i),
+		proposer: do.MustInvoke[*proposer](i),
 		seeds:    do.MustInvoke[*pb.Settings](i).GetEntryHost().GetPeers(),
 		logger:   do.MustInvoke[*slog.Logger](i),
 	}, nil
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
 
+	"github.com/agateturn/agateturn/config"
 	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
@@ -31,8 +33,11 @@
 	writer   *writer
 	peers    *peers
 	detector *pause.Detector
+	proposer *proposer
 	seeds    []string
 	logger   *slog.Logger
+	// synced is set once the configuration was read from the store after the registration.
+	synced atomic.Bool
 }
 
 // run registers, then watches over the membership until ctx ends. It returns errRemoved when the fleet no longer holds
@@ -60,11 +65,13 @@
 func (r *registrar) join(ctx context.Context) error {
 	_, err := r.writer.update(ctx, func(f *pb.Fleet) (*pb.Fleet, error) { return fleet.Register(f, r.self) })
 	if err == nil {
+		events.Emit(ctx, r.logger, events.MemberJoined, "member", r.self.GetName())
 		return nil
 	}
 	for _, address := range r.seeds {
 		if r.peers.fetch(ctx, address, r.self) == nil {
 			r.peers.sponsored(address)
+			r.view.withStager(func(st *config.Stager) { st.JoinAsGuest(time.Now()) })
 			events.Emit(ctx, r.logger, events.JoinedAsGuest, "sponsor", address)
 			break
 		}
@@ -87,6 +94,7 @@
 		if r.detector.Suspect() {
 			r.confirm(ctx)
 		}
+		r.settle(ctx)
 		if !r.isMember() {
 			return errRemoved.New("member %q incarnation %q", r.self.GetName(), r.self.GetIncarnation())
 		}
@@ -95,6 +103,18 @@
 	return nil
 }
 
+// settle reads the configuration from the store: once after the registration, and while a staged one is in doubt.
+func (r *registrar) settle(ctx context.Context) {
+	inDoubt := false
+	r.view.withStager(func(st *config.Stager) { inDoubt = st.Staged() != nil })
+	if r.synced.Load() && !inDoubt {
+		return
+	}
+	if r.proposer.sync(ctx) == nil && !r.synced.Swap(true) {
+		r.view.withStager((*config.Stager).Registered)
+	}
+}
+
 // confirm ends the suspicion of a pause by a read of the store.
 func (r *registrar) confirm(ctx context.Context) {
 	f, _, err := r.writer.read(ctx)
--- a/internal/entryhost/view.go
+++ b/internal/entryhost/view.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/agateturn/agateturn/config"
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
@@ -61,15 +63,29 @@
 func (v *view) applyFleet(f *pb.Fleet) bool {
 	v.applying.Lock()
 	defer v.applying.Unlock()
+	before := v.gate.Fleet()
 	if !v.gate.Apply(f) {
 		return false
 	}
+	v.tellGone(before, f)
 	v.runAppliers(f)
 	v.applied.Store(f.GetRevision())
 	v.notify()
 	return true
 }
 
+// tellGone lets the acceptance state machine know which incarnations the fleet no longer holds.
+func (v *view) tellGone(before, after *pb.Fleet) {
+	present := lo.SliceToMap(after.GetMembers(), func(m *pb.Member) (string, bool) { return identity(m), true })
+	v.withStager(func(st *config.Stager) {
+		for _, m := range before.GetMembers() {
+			if !present[identity(m)] {
+				st.Gone(time.Now(), identity(m))
+			}
+		}
+	})
+}
+
 // applyConfig puts a newer configuration in force and reports whether it was newer.
 func (v *view) applyConfig(now time.Time, cfg *pb.Configuration) bool {
 	v.applying.Lock()
--- a/internal/operatorapi/types.go
+++ b/internal/operatorapi/types.go
@@ -190,4 +190,3 @@
 type Accepted struct {
 	FleetRevision uint64 `json:"fleet_revision"`
 }
-
--- /dev/null
+++ b/scripts/cluster.sh
@@ -0,0 +1,79 @@
+# Functions that start and stop a deployment of plain processes on loopback. Sourced by the demo and the measurements.
+# Every process is started here, ended here by its id, and waited for.
+
+entry_hosts=${ENTRY_HOSTS:-9}
+platform=127.0.0.1:18500
+workers_admin=127.0.0.1:18600
+token=demo-operator-token
+declare -A pids
+
+start() { # NAME COMMAND...
+  local name=$1
+  shift
+  "$@" >"$run/$name.log" 2>&1 &
+  pids[$name]=$!
+}
+
+stop() { # NAME [SIGNAL]
+  local pid=${pids[$1]:-}
+  [ -n "$pid" ] || return 0
+  kill "-${2:-TERM}" "$pid" 2>/dev/null || true
+  wait "$pid" 2>/dev/null || true
+  unset "pids[$1]"
+}
+
+stop_all() {
+  local name
+  for name in "${!pids[@]}"; do
+    case $name in entry-*) kill -CONT "${pids[$name]}" 2>/dev/null; kill -TERM "${pids[$name]}" 2>/dev/null ;; esac
+  done
+  for name in "${!pids[@]}"; do stop "$name"; done
+}
+
+data_centres() { sed -n 's/^\[data_centre "\(.*\)"\]$/\1/p' "$deployment"; }
+
+write_settings() { # NUMBER
+  local n=$1 dcs
+  mapfile -t dcs < <(data_centres)
+  cat >"$run/entry-$n.ini" <<INI
+[entry_host]
+name = entry-$n
+data_centre = ${dcs[$(((n - 1) % ${#dcs[@]}))]}
+caller_address = 127.0.1.$n:7000
+peer_address = 127.0.1.$n:7001
+operator_address = 127.0.1.$n:7002
+peers = $(for i in $(seq "$entry_hosts"); do [ "$i" = "$n" ] || printf '127.0.1.%s:7001,' "$i"; done | sed 's/,$//')
+
+[store]
+address = http://$platform
+
+[platform]
+address = http://$platform
+poll = 500ms
+
+[operator]
+token = $token
+
+[timing]
+drain_notice = 200ms
+INI
+}
+
+start_platform() {
+  start platform "$bin/agateturn-standin" platform --listen "$platform" --deployment "$deployment" \
+    --entry-hosts "$(seq -s, -f 'entry-%g' "$entry_hosts")" --reboot-time 2s --workers-admin "http://$workers_admin"
+  start workers "$bin/agateturn-standin" workers --deployment "$deployment" --admin "$workers_admin"
+}
+
+start_entry() { # NUMBER
+  write_settings "$1"
+  start "entry-$1" "$bin/agateturnd" --config "$run/entry-$1.ini"
+}
+
+start_cluster() {
+  start_platform
+  local n
+  for n in $(seq "$entry_hosts"); do start_entry "$n"; done
+}
+
+ctl() { AGATETURN_TOKEN=$token "$bin/agateturnctl" --address "${operator:-127.0.1.1:7002}" "$@"; }
--- a/standin/callers/send.go
+++ b/standin/callers/send.go
@@ -109,7 +109,7 @@
 		Scheme:   "http",
 		Host:     planned.Target,
 		Path:     "/v1/services/" + planned.Service + "/job",
-		RawQuery: url.Values{"work": {work.String()}, "bytes": {strconv.Itoa(config.AnswerBytes)}}.Encode(),
+		RawQuery: url.Values{"run": {work.String()}, "bytes": {strconv.Itoa(config.AnswerBytes)}}.Encode(),
 	}
 	request, err := http.NewRequestWithContext(ctx, method, target.String(), body)
 	if err != nil {
--- a/standin/workers/answer.go
+++ b/standin/workers/answer.go
@@ -13,6 +13,8 @@
 	"net/http/httputil"
 	"strconv"
 	"time"
+
+	"github.com/agateturn/agateturn/standin/callers"
 )
 
 const (
@@ -94,6 +96,9 @@
 	if ex.faults.FailFast {
 		return ex.write(alive, http.StatusInternalServerError, id, []byte("failed\n"))
 	}
+	if n, err := strconv.Atoi(query.Get("bytes")); err == nil && n >= callers.MinAnswerBytes {
+		return ex.write(alive, http.StatusOK, id, callers.AnswerBytes(id, min(n, maxSize)))
+	}
 	return ex.write(alive, http.StatusOK, id, Body(id, size))
 }
 
