--- /dev/null
+++ b/standin/callers/callers_test.go
@@ -0,0 +1,215 @@
+package callers
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// entryHost answers as an entry host does, after spoil had its way.
+func entryHost(t *testing.T, spoil func(n int64, w http.ResponseWriter, body []byte) []byte) string {
+	t.Helper()
+	var count atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(headerRequestID)
+		length, _ := strconv.Atoi(r.URL.Query().Get("bytes"))
+		w.Header().Set(headerRequestID, id)
+		w.Header().Set(headerOutcome, outcomeDone)
+		body := AnswerBytes(id, length)
+		if spoil != nil {
+			body = spoil(count.Add(1), w, body)
+		}
+		_, _ = w.Write(body)
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// short is a load of a few dozen requests.
+func short(target string) Config {
+	config := Default()
+	config.Targets = []Target{{Address: target, Weight: 1}}
+	config.Services = []Service{{Name: "tastings", Rate: 60}, {Name: "exports", Rate: 60}}
+	config.Duration, config.BurstLength = 400*time.Millisecond, 200*time.Millisecond
+	config.SessionLength = 100 * time.Millisecond
+	return config
+}
+
+func TestWholeAnswersAreWhole(t *testing.T) {
+	report, err := Run(t.Context(), short(entryHost(t, nil)))
+	assert.NilError(t, err)
+	planned := len(Plan(short("")))
+	assert.Equal(t, lo.SumBy(report.Services, func(s ServiceReport) int { return s.Whole }), planned)
+	assert.Assert(t, planned > 20)
+	var table strings.Builder
+	assert.NilError(t, report.WriteTable(&table))
+	assert.Assert(t, strings.Contains(table.String(), "tastings"))
+}
+
+func TestEachSpoiledAnswerIsNoticed(t *testing.T) {
+	for name, spoiler := range map[string]struct {
+		spoil  func(w http.ResponseWriter, body []byte) []byte
+		counts func(ServiceReport) int
+	}{
+		"another's body": {
+			func(_ http.ResponseWriter, body []byte) []byte { return AnswerBytes("another", len(body)) },
+			func(s ServiceReport) int { return s.Wrong },
+		},
+		"another's id": {
+			func(w http.ResponseWriter, body []byte) []byte {
+				w.Header().Set(headerRequestID, "another")
+				return body
+			},
+			func(s ServiceReport) int { return s.Wrong },
+		},
+		"cut but looks whole": {
+			func(_ http.ResponseWriter, body []byte) []byte { return body[:len(body)/2] },
+			func(s ServiceReport) int { return s.Wrong },
+		},
+		"empty": {
+			func(http.ResponseWriter, []byte) []byte { return nil },
+			func(s ServiceReport) int { return s.Wrong },
+		},
+		"twice": {
+			func(_ http.ResponseWriter, body []byte) []byte { return append(body, body...) },
+			func(s ServiceReport) int { return s.Wrong },
+		},
+		"cut connection": {
+			func(w http.ResponseWriter, body []byte) []byte {
+				w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+				_, _ = w.Write(body[:1])
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			},
+			func(s ServiceReport) int { return s.Cut },
+		},
+		"no answer": {
+			func(http.ResponseWriter, []byte) []byte { panic(http.ErrAbortHandler) },
+			func(s ServiceReport) int { return s.NoAnswer },
+		},
+		"not run": {
+			func(w http.ResponseWriter, _ []byte) []byte {
+				w.Header().Set(headerOutcome, outcomeNotRun)
+				w.Header().Set(headerRetryAfter, "2")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return nil
+			},
+			func(s ServiceReport) int { return s.NotRun },
+		},
+		"not run, no time to come back": {
+			func(w http.ResponseWriter, _ []byte) []byte {
+				w.Header().Set(headerOutcome, outcomeNotRun)
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return nil
+			},
+			func(s ServiceReport) int { return s.Unexpected },
+		},
+		"unknown": {
+			func(w http.ResponseWriter, _ []byte) []byte {
+				w.Header().Set(headerOutcome, outcomeUnknown)
+				w.WriteHeader(http.StatusBadGateway)
+				return nil
+			},
+			func(s ServiceReport) int { return s.Unknown },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := entryHost(t, func(n int64, w http.ResponseWriter, body []byte) []byte {
+				if n%2 == 0 {
+					return body
+				}
+				return spoiler.spoil(w, body)
+			})
+			report, err := Run(t.Context(), short(target))
+			assert.NilError(t, err)
+			sent := lo.SumBy(report.Services, func(s ServiceReport) int { return s.Sent })
+			assert.Equal(t, lo.SumBy(report.Services, spoiler.counts), (sent+1)/2)
+			assert.Equal(t, lo.SumBy(report.Services, func(s ServiceReport) int { return s.Whole }), sent/2)
+		})
+	}
+}
+
+func TestCheckerAgreesWithNaiveComparison(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		answer := AnswerBytes("id", rapid.IntRange(MinAnswerBytes, 500).Draw(t, "length"))
+		spoiled := append([]byte(nil), answer[:rapid.IntRange(0, len(answer)).Draw(t, "cut")]...)
+		if len(spoiled) > 0 && rapid.Bool().Draw(t, "flip") {
+			spoiled[rapid.IntRange(0, len(spoiled)-1).Draw(t, "at")] ^= 1
+		}
+		naive := len(spoiled) >= MinAnswerBytes && string(spoiled) == string(AnswerBytes("id", len(spoiled)))
+		check := newChecker("id")
+		for rest := spoiled; len(rest) > 0; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "part")
+			_, _ = check.Write(rest[:n])
+			rest = rest[n:]
+		}
+		assert.Equal(t, check.whole(), naive)
+	})
+}
+
+func TestPlanFollowsDemand(t *testing.T) {
+	config := short("")
+	config.Services = []Service{{Name: "a", Rate: 100}, {Name: "b", Rate: 100}, {Name: "c", Rate: 100}}
+	config.Duration, config.BurstLength = 60*time.Second, 10*time.Second
+	plan := Plan(config)
+	assert.DeepEqual(t, plan, Plan(config))
+	inTurn := lo.CountBy(plan, func(r Request) bool {
+		return config.Services[int(r.At/config.BurstLength)%3].Name == r.Service
+	})
+	// Each second one service asks for 500 and two for 5 requests: 5 standard deviations either side.
+	assertNear(t, inTurn, 30000)
+	assertNear(t, len(plan)-inTurn, 600)
+	assertNear(t, lo.CountBy(plan, func(r Request) bool { return r.Class == ClassSession }), 0.02*30600)
+	for _, request := range plan {
+		assert.Assert(t, !request.Keyed || request.Class != ClassSession)
+	}
+}
+
+func assertNear(t *testing.T, count int, mean float64) {
+	t.Helper()
+	assert.Assert(t, math.Abs(float64(count)-mean) <= 5*math.Sqrt(mean), "%d, expected about %.0f", count, mean)
+}
+
+func TestOnlyLoopbackIsAddressed(t *testing.T) {
+	for _, address := range []string{"192.0.2.1:80", "localhost:80", "0.0.0.0:80", "127.0.0.1", "[::ffff:192.0.2.1]:80"} {
+		_, err := Run(t.Context(), short(address))
+		assert.Assert(t, InvalidConfig.Has(err), "%s: %v", address, err)
+	}
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://192.0.2.1/", nil)
+	assert.NilError(t, err)
+	response, err := newClient().Do(request)
+	if err == nil {
+		_ = response.Body.Close()
+	}
+	assert.ErrorContains(t, err, "not on loopback")
+}
+
+func TestStopEndsTheLoad(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	config := short(entryHost(t, nil))
+	config.Duration = MaxDuration
+	config.Services = []Service{{Name: "tastings", Rate: 20}}
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := Run(ctx, config)
+	assert.NilError(t, err)
+}
+
+func ExampleAnswerBytes() {
+	answer := AnswerBytes("request-1", 100)
+	fmt.Println(len(answer), string(answer[80:]))
+	// Output: 100 00000000000000000100
+}
