--- a/standin/callers/plan.go
+++ b/standin/callers/plan.go
@@ -30,6 +30,8 @@
 	Class   Class
 	// Keyed requests are not idempotent and carry an idempotency key.
 	Keyed bool
+	// Repeat is where the request is sent a second time at once; empty for none.
+	Repeat string
 }
 
 // Plan returns the requests of a load in order of time. It depends on config only.
@@ -77,6 +79,9 @@
 		Class:   drawClass(config, random),
 	}
 	request.Keyed = random.Float64() < config.KeyedShare && request.Class != ClassSession
+	if request.Keyed && random.Float64() < config.RepeatShare {
+		request.Repeat = drawTarget(config, random)
+	}
 	return request
 }
 
--- a/standin/callers/run.go
+++ b/standin/callers/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -39,22 +40,32 @@
 		if !sleepUntil(ctx, start.Add(planned.At)) {
 			break
 		}
-		select {
-		case l.slots <- struct{}{}:
-		default:
-			l.tally.add(planned, ResultSkipped, 0)
-			continue
+		own := newIdentity(planned)
+		l.start(sending, client, planned, own)
+		if planned.Repeat != "" {
+			planned.Target = planned.Repeat
+			l.start(sending, client, planned, own)
 		}
-		l.running.Go(func() {
-			defer func() { <-l.slots }()
-			began := time.Now()
-			result := send(sending, client, l.config, planned)
-			l.tally.add(planned, result, time.Since(began))
-		})
 	}
 	l.running.Wait()
 }
 
+// start sends the request in the background unless too many are in flight.
+func (l *load) start(ctx context.Context, client *http.Client, planned Request, own identity) {
+	select {
+	case l.slots <- struct{}{}:
+	default:
+		l.tally.add(planned, ResultSkipped, 0)
+		return
+	}
+	l.running.Go(func() {
+		defer func() { <-l.slots }()
+		began := time.Now()
+		result := send(ctx, client, l.config, planned, own)
+		l.tally.add(planned, result, time.Since(began))
+	})
+}
+
 // sleepUntil returns false if ctx ends first.
 func sleepUntil(ctx context.Context, at time.Time) bool {
 	if ctx.Err() != nil {
--- a/standin/platformd/hosts.go
+++ b/standin/platformd/hosts.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -208,7 +209,7 @@
 		return
 	}
 	client := http.Client{Timeout: workerCallTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	query := url.Values{"host": {host}, "down": {s.hosts.config.RebootTime.String()}}
+	query := url.Values{"host": {host}, "seconds": {strconv.FormatFloat(s.hosts.config.RebootTime.Seconds(), 'f', -1, 64)}}
 	target := s.hosts.config.WorkerAdmin + "/admin/reboot?" + query.Encode()
 	request, err := http.NewRequestWithContext(s.ctx, http.MethodPost, target, nil)
 	if err != nil {
--- a/store/kvhttp/encoding.go
+++ b/store/kvhttp/encoding.go
@@ -12,7 +12,7 @@
 	// MaxValueBytes is the largest encoded value that the service holds.
 	MaxValueBytes = 1 << 20
 	// maxDecodedBytes bounds what a value may unpack to.
-	maxDecodedBytes = 16 << 20
+	maxDecodedBytes = 8 << 20
 )
 
 // The first byte of a stored value tells how the rest is encoded.
