Free the lease key from orphans and widen the stand-in's faults

Acquire took any present key for a held one, so a key left without an owner (written by hand, say) would have kept the controller's lease from everybody. It now looks at the key's session. Test: TestLostLeaseAnswersLeaveTheKeyFree, which also loses the answers of the session's creation, the acquisition and the renewal.

--- a/cmd/agateturn-standin/main.go
+++ b/cmd/agateturn-standin/main.go
@@ -46,7 +46,11 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		BaseContext:       func(net.Listener) context.Context { return ctx }, // a stop ends waiting watches
+	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	fmt.Fprintf(os.Stderr, "listening on %s\n", listener.Addr())
@@ -58,7 +62,7 @@
 	return stopServer(ctx, server)
 }
 
-// stopServer lets calls in progress finish for a while and cuts the rest, such as waiting watches.
+// stopServer lets calls in progress finish for a while and cuts the rest.
 func stopServer(ctx context.Context, server *http.Server) error {
 	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
--- a/standin/platformd/admin.go
+++ b/standin/platformd/admin.go
@@ -37,21 +37,21 @@
 
 func (s *Server) routeAdmin() {
 	s.mux.HandleFunc("GET /admin/store", func(w http.ResponseWriter, _ *http.Request) {
-		writeJSON(w, s.store.Faults())
+		writeJSON(w, s.StoreFaults())
 	})
 	s.mux.HandleFunc("PUT /admin/store", func(w http.ResponseWriter, r *http.Request) {
-		var faults memstore.Faults
+		var faults StoreFaults
 		if readJSON(w, r, &faults) {
-			s.store.SetFaults(faults)
+			s.SetStoreFaults(faults)
 		}
 	})
 	s.mux.HandleFunc("GET /admin/list", func(w http.ResponseWriter, _ *http.Request) {
-		writeJSON(w, s.ListFaults())
+		writeJSON(w, s.HostFaults())
 	})
 	s.mux.HandleFunc("PUT /admin/list", func(w http.ResponseWriter, r *http.Request) {
-		var faults ListFaults
+		var faults HostFaults
 		if readJSON(w, r, &faults) {
-			s.SetListFaults(faults)
+			s.SetHostFaults(faults)
 		}
 	})
 	s.mux.HandleFunc("GET /admin/hosts", func(w http.ResponseWriter, _ *http.Request) {
@@ -69,20 +69,6 @@
 	})
 }
 
-// ListFaults returns the host list's faults in force.
-func (s *Server) ListFaults() ListFaults {
-	s.hosts.mu.Lock()
-	defer s.hosts.mu.Unlock()
-	return s.hosts.faults
-}
-
-// SetListFaults replaces the host list's faults.
-func (s *Server) SetListFaults(faults ListFaults) {
-	s.hosts.mu.Lock()
-	defer s.hosts.mu.Unlock()
-	s.hosts.faults = faults
-}
-
 // SetHost changes or adds a host.
 func (s *Server) SetHost(host platform.Host) { s.hosts.set(host) }
 
--- a/standin/platformd/hosts.go
+++ b/standin/platformd/hosts.go
@@ -16,14 +16,6 @@
 
 const workerCallTimeout = 5 * time.Second
 
-// ListFaults says how the published host list misbehaves.
-type ListFaults struct {
-	// Lag is how old the published list is.
-	Lag time.Duration `json:"lag_ns"`
-	// Duplicate lists each host twice: as it was at the start and as it is.
-	Duplicate bool `json:"duplicate"`
-}
-
 // operation is one host action that was taken, by its identity.
 type operation struct {
 	host, action string
@@ -37,7 +29,7 @@
 	hosts      map[string]platform.Host
 	history    []snapshot
 	first      []platform.Host
-	faults     ListFaults
+	faults     HostFaults
 	operations map[string]operation
 	boots      int
 	reboots    int
@@ -56,7 +48,7 @@
 	l := &hostList{
 		config:     config,
 		hosts:      make(map[string]platform.Host),
-		faults:     ListFaults{Lag: config.ListLag},
+		faults:     HostFaults{Lag: Duration(config.ListLag)},
 		operations: make(map[string]operation),
 	}
 	for _, host := range config.Hosts {
@@ -102,7 +94,7 @@
 func (l *hostList) published() []platform.Host {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	shown := time.Now().Add(-l.faults.Lag)
+	shown := time.Now().Add(-time.Duration(l.faults.Lag))
 	for len(l.history) > 1 && !l.history[1].at.After(shown) {
 		l.history = l.history[1:]
 	}
@@ -156,6 +148,10 @@
 
 func (s *Server) routeHosts() {
 	s.mux.HandleFunc("GET /v1/hosts", func(w http.ResponseWriter, _ *http.Request) {
+		if s.HostFaults().Down {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
 		writeJSON(w, platform.HostList{Hosts: s.hosts.published()})
 	})
 	s.mux.HandleFunc("POST /v1/hosts/{host}/reboot", func(w http.ResponseWriter, r *http.Request) {
@@ -168,6 +164,10 @@
 
 // act takes the action unless its operation id was seen before.
 func (s *Server) act(w http.ResponseWriter, r *http.Request, action string, run func(host string)) {
+	if s.HostFaults().Down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
 	var order platform.Order
 	if !readJSON(w, r, &order) {
 		return
@@ -181,6 +181,9 @@
 	if isNew {
 		run(host)
 	}
+	if s.hosts.losesAnswer() {
+		panic(http.ErrAbortHandler)
+	}
 	w.WriteHeader(http.StatusAccepted)
 }
 
--- a/standin/platformd/kv.go
+++ b/standin/platformd/kv.go
@@ -114,8 +114,12 @@
 	http.Error(w, err.Error(), http.StatusServiceUnavailable)
 }
 
+// sessionOrder is the body that creates a session. Only the behaviour "delete" without a lock delay is played.
 type sessionOrder struct {
-	TTL string
+	Name      string
+	TTL       string
+	Behavior  string
+	LockDelay string
 }
 
 type sessionAnswer struct {
@@ -128,6 +132,10 @@
 	if !readJSON(w, r, &order) {
 		return
 	}
+	if order.Behavior != "delete" {
+		http.Error(w, "only behaviour delete is played", http.StatusBadRequest)
+		return
+	}
 	ttl, err := time.ParseDuration(order.TTL)
 	if err != nil || ttl <= 0 {
 		http.Error(w, "TTL is not a positive duration", http.StatusBadRequest)
--- a/standin/platformd/platformd_test.go
+++ b/standin/platformd/platformd_test.go
@@ -56,7 +56,7 @@
 		assert.Equal(t, listed(t, server)[0].State, platform.StateLeaving)
 		assert.Equal(t, listed(t, server)[0].BootID, "boot-w1")
 
-		call(t, server, http.MethodPut, "/admin/list", `{"duplicate":true}`)
+		call(t, server, http.MethodPut, "/admin/list", `{"lag":"1s","duplicate":true}`)
 		assert.Equal(t, len(listed(t, server)), 2)
 		assert.Equal(t, call(t, server, http.MethodPut, "/admin/hosts/w1", `{"state":"asleep"}`).Code, http.StatusBadRequest)
 	})
@@ -95,7 +95,7 @@
 	assert.Equal(t, call(t, server, http.MethodPut, "/v1/kv/a/b", "x").Code, http.StatusBadRequest)
 	assert.Equal(t, call(t, server, http.MethodPut, "/v1/kv/a/b?acquire=none", "x").Code, http.StatusBadRequest)
 	assert.Equal(t, call(t, server, http.MethodPut, "/v1/session/renew/none", "").Code, http.StatusNotFound)
-	assert.Equal(t, call(t, server, http.MethodPut, "/v1/session/create", `{"TTL":"soon"}`).Code, http.StatusBadRequest)
+	assert.Equal(t, call(t, server, http.MethodPut, "/v1/session/create", `{"TTL":"soon","Behavior":"delete"}`).Code, http.StatusBadRequest)
 }
 
 func TestAdminBringsOutagesAndCounts(t *testing.T) {
--- a/standin/platformd/server.go
+++ b/standin/platformd/server.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -40,8 +39,8 @@
 //	GET  /v1/hosts                    the host list, as old as its lag
 //	POST /v1/hosts/NAME/reboot        reboots the host, once an operation id
 //	POST /v1/hosts/NAME/checkpoint    checkpoints the host's tasks, once an operation id
-//	GET, PUT /admin/store             memstore.Faults
-//	GET, PUT /admin/list              ListFaults
+//	GET, PUT /admin/store             StoreFaults; a PUT sets fields that it leaves out to none
+//	GET, PUT /admin/list              HostFaults; likewise
 //	GET  /admin/hosts                 the host list without lag
 //	PUT  /admin/hosts/NAME            sets or adds a host (platform.Host)
 //	GET  /admin/counters              Counters
@@ -99,11 +98,9 @@
 
 // readJSON reads the body into value; it answers the caller and returns false if that fails.
 func readJSON(w http.ResponseWriter, r *http.Request, value any) bool {
-	body, err := io.ReadAll(r.Body)
-	if err == nil {
-		err = json.Unmarshal(body, value)
-	}
-	if err != nil {
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return false
 	}
--- a/store/kvhttp/encoding_test.go
+++ b/store/kvhttp/encoding_test.go
@@ -21,12 +21,17 @@
 	})
 }
 
-func FuzzParseItems(f *testing.F) {
+func FuzzParseItem(f *testing.F) {
 	f.Add([]byte(`[{"Key":"a","Value":"AGE=","ModifyIndex":7}]`))
 	f.Add([]byte(`[{"Value":"AR+LCAA=","ModifyIndex":7}]`))
 	f.Add([]byte(`[{"Value":null}]`))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		value, err := parseItems(body)
+		found, err := parseItem(body)
+		if err != nil {
+			assert.Assert(t, Malformed.Has(err))
+			return
+		}
+		value, err := found.value()
 		if err != nil {
 			assert.Assert(t, Malformed.Has(err))
 			return
--- a/store/kvhttp/kvhttp.go
+++ b/store/kvhttp/kvhttp.go
@@ -75,10 +75,16 @@
 func (s *Store) Get(ctx context.Context, key string) (store.Value, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
-	value, _, err := s.read(ctx, key, url.Values{"consistent": {""}})
-	return value, err
+	found, err := s.read(ctx, key, consistentRead())
+	if err != nil {
+		return store.Value{}, err
+	}
+	return found.value()
 }
 
+// consistentRead asks for what a quorum of the service confirms: a read-back after a lost answer must not be stale.
+func consistentRead() url.Values { return url.Values{"consistent": {""}} }
+
 // CompareAndSwap implements store.KV. The service does not tell the new version, so it costs a write and a read.
 func (s *Store) CompareAndSwap(ctx context.Context, key string, version uint64, data []byte) (uint64, error) {
 	body, err := encode(data)
@@ -122,17 +128,23 @@
 	index := version
 	if version == 0 {
 		// The service does not block on index 0: learn the index at which the key is absent.
-		value, at, err := s.read(ctx, key, nil)
-		if err != nil || value.Version != 0 {
-			return value, err
+		found, err := s.read(ctx, key, consistentRead())
+		if err != nil {
+			return store.Value{}, err
+		}
+		if found.ModifyIndex != 0 {
+			return found.value()
 		}
-		index = max(at, 1)
+		index = max(found.readAt, 1)
 	}
-	value, _, err := s.read(ctx, key, url.Values{
+	found, err := s.read(ctx, key, url.Values{
 		"index": {strconv.FormatUint(index, 10)},
 		"wait":  {strconv.FormatInt(askedWait(wait).Milliseconds(), 10) + "ms"},
 	})
-	return value, err
+	if err != nil {
+		return store.Value{}, err
+	}
+	return found.value()
 }
 
 // askedWait leaves the service time to answer before the deadline; it may wait a sixteenth longer than asked.
@@ -140,45 +152,56 @@
 	return max(wait*7/8, time.Millisecond)
 }
 
-// item is one element of the answer to a read.
+// item is one element of the answer to a read; the zero item is an absent key.
 type item struct {
 	Value       []byte
 	ModifyIndex uint64
+	// Session owns the key; empty for none.
+	Session string
+
+	// readAt is the index at which the key was read.
+	readAt uint64
 }
 
-// read returns the key's value and the index at which it was read.
-func (s *Store) read(ctx context.Context, key string, query url.Values) (store.Value, uint64, error) {
+// value unpacks the item.
+func (i item) value() (store.Value, error) {
+	if i.ModifyIndex == 0 {
+		return store.Value{}, nil
+	}
+	data, err := decode(i.Value)
+	if err != nil {
+		return store.Value{}, err
+	}
+	return store.Value{Data: data, Version: i.ModifyIndex}, nil
+}
+
+func (s *Store) read(ctx context.Context, key string, query url.Values) (item, error) {
 	request, err := s.request(ctx, http.MethodGet, s.keyPath(key), query, nil)
 	if err != nil {
-		return store.Value{}, 0, err
+		return item{}, err
 	}
 	got, err := exchange(s.reads, request)
 	if err != nil {
-		return store.Value{}, 0, store.Unavailable.Wrap(err)
+		return item{}, store.Unavailable.Wrap(err)
 	}
 	switch got.code {
 	case http.StatusNotFound:
-		return store.Value{}, got.index, nil
+		return item{readAt: got.index}, nil
 	case http.StatusOK:
-		value, err := parseItems(got.body)
-		return value, got.index, err
+		return parseItem(got.body)
 	default:
-		return store.Value{}, 0, store.Unavailable.New("read answered %s", got.status)
+		return item{}, store.Unavailable.New("read answered %s", got.status)
 	}
 }
 
-// parseItems reads the body of an answer to a read of one key.
-func parseItems(body []byte) (store.Value, error) {
+// parseItem reads the body of an answer to a read of one present key.
+func parseItem(body []byte) (item, error) {
 	var items []item
 	if err := json.Unmarshal(body, &items); err != nil {
-		return store.Value{}, Malformed.Wrap(err)
+		return item{}, Malformed.Wrap(err)
 	}
 	if len(items) != 1 || items[0].ModifyIndex == 0 {
-		return store.Value{}, Malformed.New("the answer holds %d items or no version", len(items))
-	}
-	data, err := decode(items[0].Value)
-	if err != nil {
-		return store.Value{}, err
+		return item{}, Malformed.New("the answer holds %d items or no version", len(items))
 	}
-	return store.Value{Data: data, Version: items[0].ModifyIndex}, nil
+	return items[0], nil
 }
--- a/store/kvhttp/kvhttp_test.go
+++ b/store/kvhttp/kvhttp_test.go
@@ -96,6 +96,27 @@
 	assert.NilError(t, second.Release(ctx))
 }
 
+func TestLostLeaseAnswersLeaveTheKeyFree(t *testing.T) {
+	client, platform := start(t)
+	ctx := t.Context()
+	for lost := range 2 {
+		platform.Store().SetFaults(memstore.Faults{KeepLeaseAnswers: lost, LoseNextLeaseAnswers: 1})
+		_, err := client.Acquire(ctx, "controller", "entry-1")
+		assert.Equal(t, store.Unavailable.Has(err), lost == 0, "%v", err) // no session: nothing written
+		assert.Equal(t, store.Unknown.Has(err), lost == 1, "%v", err)     // perhaps acquired
+		held, err := client.Acquire(ctx, "controller", "entry-2")
+		assert.NilError(t, err)
+		platform.Store().SetFaults(memstore.Faults{LoseNextLeaseAnswers: 1})
+		assert.Assert(t, store.Unavailable.Has(held.Renew(ctx)))
+		assert.NilError(t, held.Renew(ctx))
+		assert.NilError(t, held.Release(ctx))
+	}
+	_, err := client.CompareAndSwap(ctx, "controller", 0, []byte("left without an owner"))
+	assert.NilError(t, err)
+	_, err = client.Acquire(ctx, "controller", "entry-3")
+	assert.NilError(t, err)
+}
+
 func TestLostAnswerIsUnknownAndTookEffect(t *testing.T) {
 	client, platform := start(t)
 	platform.Store().SetFaults(memstore.Faults{LoseNextAnswers: 1})
--- a/store/kvhttp/lease.go
+++ b/store/kvhttp/lease.go
@@ -36,14 +36,20 @@
 }
 
 func (s *Store) errIfHeld(ctx context.Context, key string) error {
-	present, err := s.Get(ctx, key)
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	present, err := s.read(ctx, key, consistentRead())
 	if err != nil {
 		return err
 	}
-	if present.Version != 0 {
-		return store.Conflict.New("key %q is held by %q", key, present.Data)
+	if present.Session == "" {
+		return nil // absent, or left without an owner
 	}
-	return nil
+	holder, err := present.value()
+	if err != nil {
+		return err
+	}
+	return store.Conflict.New("key %q is held by %q", key, holder.Data)
 }
 
 func (s *Store) createSession(ctx context.Context, holder string) (string, error) {
--- a/store/memstore/counters.go
+++ b/store/memstore/counters.go
@@ -30,7 +30,7 @@
 	// CurrentSecond counts the calls of the running second, LastSecond those of the one before.
 	CurrentSecond Calls `json:"current_second"`
 	LastSecond    Calls `json:"last_second"`
-	// PeakSecond is the second with the most calls so far.
+	// PeakSecond holds for each kind the most calls that any second had.
 	PeakSecond Calls `json:"peak_second"`
 	// Waiting is the number of watches that wait now.
 	Waiting int `json:"waiting"`
@@ -57,9 +57,15 @@
 	s.rollSecondLocked()
 	s.counters.Total.add(kind)
 	s.counters.CurrentSecond.add(kind)
-	if s.counters.CurrentSecond.Sum() > s.counters.PeakSecond.Sum() {
-		s.counters.PeakSecond = s.counters.CurrentSecond
-	}
+	s.counters.PeakSecond.raise(s.counters.CurrentSecond)
+}
+
+// raise lifts each kind to at least that of other.
+func (c *Calls) raise(other Calls) {
+	c.Reads = max(c.Reads, other.Reads)
+	c.Writes = max(c.Writes, other.Writes)
+	c.Watches = max(c.Watches, other.Watches)
+	c.Leases = max(c.Leases, other.Leases)
 }
 
 func (c *Calls) add(kind callKind) {
--- a/store/memstore/faults.go
+++ b/store/memstore/faults.go
@@ -10,16 +10,18 @@
 // Faults says how the store misbehaves. The zero value is a healthy store.
 type Faults struct {
 	// Down makes every call fail with store.Unavailable; waiting watches fail at once.
-	Down bool `json:"down"`
+	Down bool
 	// Delay is how long each call takes: half before it takes effect, half after. A watch waits besides.
 	// A caller whose context ends meanwhile gets store.Unknown for a write.
-	Delay time.Duration `json:"delay_ns"`
+	Delay time.Duration
 	// LoseNextAnswers is how many further swaps take effect and are answered with store.Unknown.
-	LoseNextAnswers int `json:"lose_next_answers"`
+	LoseNextAnswers int
 	// LoseNextRequests is how many further swaps do not take effect and are answered with store.Unknown.
-	LoseNextRequests int `json:"lose_next_requests"`
-	// LoseNextLeaseAnswers is how many further calls for sessions and leases take effect and lose their answer.
-	LoseNextLeaseAnswers int `json:"lose_next_lease_answers"`
+	LoseNextRequests int
+	// LoseNextLeaseAnswers is how many further calls for sessions and leases take effect and lose their answer,
+	// after the next KeepLeaseAnswers of them were answered.
+	LoseNextLeaseAnswers int
+	KeepLeaseAnswers     int
 }
 
 // SetFaults replaces the faults; calls in progress see them too.
@@ -92,22 +94,25 @@
 	if s.faults.Down {
 		return errDown()
 	}
-	answers := &s.faults.LoseNextAnswers
-	if kind == kindLease {
-		answers = &s.faults.LoseNextLeaseAnswers
-	}
 	if kind == kindWrite && useUp(&s.faults.LoseNextRequests) {
 		return errLost("request")
 	}
 	if err := apply(); err != nil {
 		return err
 	}
-	if useUp(answers) {
+	if s.losesAnswerLocked(kind) {
 		return errLost("write")
 	}
 	return nil
 }
 
+func (s *Store) losesAnswerLocked(kind callKind) bool {
+	if kind == kindLease {
+		return !useUp(&s.faults.KeepLeaseAnswers) && useUp(&s.faults.LoseNextLeaseAnswers)
+	}
+	return useUp(&s.faults.LoseNextAnswers)
+}
+
 // useUp takes one from n if there is any left.
 func useUp(n *int) bool {
 	if *n <= 0 {
