Mind the linter's remarks in the daemon

Change: a listener that ends with its context, every class and action named in its switch. At a planned stop each answer now closes its connection, so that a caller does not send another request into a closing one.

--- a/cmd/agateturn-standin/judge.go
+++ b/cmd/agateturn-standin/judge.go
@@ -46,7 +46,7 @@
 		seen := counts.MaxConcurrent[h.GetName()]
 		check(int64(seen) <= h.GetSlots(), "host %s ran %d requests at once on %d slots", h.GetName(), seen, h.GetSlots())
 	}
-	fmt.Fprintf(os.Stdout, "workers: requests %d, ran %d, whole answers %d, cut by reboots %d, keys run twice %d, pool overlaps %d, most at once on a host %d\n",
+	_, _ = fmt.Fprintf(os.Stdout, "workers: requests %d, ran %d, whole answers %d, cut by reboots %d, keys run twice %d, pool overlaps %d, most at once on a host %d\n",
 		counts.Requests, counts.Ran, counts.Complete, counts.Cut, len(counts.Doubled), sum(counts.PoolOverlaps), lo.Max(lo.Values(counts.MaxConcurrent)))
 	if len(broken) > 0 {
 		return fmt.Errorf("promises broken:\n  %s", strings.Join(broken, "\n  "))
--- a/internal/entryhost/call.go
+++ b/internal/entryhost/call.go
@@ -167,6 +167,7 @@
 		Deadline: c.deadline,
 	}
 	switch c.class {
+	case classNormal:
 	case classUrgent:
 		request.Class = admission.ClassUrgent
 	case classSession:
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -74,7 +74,7 @@
 // the fleet while it was paused.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.started = time.Now()
-	servers, err := d.listen()
+	servers, err := d.listen(ctx)
 	if err != nil {
 		return err
 	}
@@ -128,6 +128,7 @@
 func (d *Daemon) stop(ctx context.Context, servers *servers) {
 	events.Emit(ctx, d.logger, events.Stopping, "member", d.self.GetName())
 	d.stopping.Store(true)
+	servers.callers.server.SetKeepAlivesEnabled(false) // each answer from now on closes its connection
 	_ = d.registrar.setLeaving(ctx)
 	_ = sleep(ctx, d.settings.GetTiming().GetDrainNotice().AsDuration())
 	limit, cancel := context.WithTimeout(ctx, d.settings.GetTiming().GetStopLimit().AsDuration())
--- a/internal/entryhost/dispatch.go
+++ b/internal/entryhost/dispatch.go
@@ -292,7 +292,7 @@
 
 // cancel takes back a request whose caller has gone. A grant that crossed with it is finished by the caller's handler.
 func (d *dispatcher) cancel(ctx context.Context, t *ticket) {
-	_ = d.commands.Put(ctx, func(d *dispatcher, now time.Time) {
+	_ = d.commands.Put(ctx, func(d *dispatcher, _ time.Time) {
 		if _, waits := d.waiting[t.id]; !waits {
 			return
 		}
--- a/internal/entryhost/listen.go
+++ b/internal/entryhost/listen.go
@@ -1,6 +1,7 @@
 package entryhost
 
 import (
+	"context"
 	"net"
 	"net/http"
 
@@ -9,11 +10,11 @@
 )
 
 // listen opens the three listeners. None is left open when one fails.
-func (d *Daemon) listen() (*servers, error) {
+func (d *Daemon) listen(ctx context.Context) (*servers, error) {
 	host := d.settings.GetEntryHost()
 	var opened []*server
 	open := func(name, address string, handler http.Handler) (*server, error) {
-		listener, err := net.Listen("tcp", address)
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 		if err != nil {
 			return nil, errListen.New("%s listener on %s: %v", name, address, err)
 		}
@@ -24,7 +25,7 @@
 	result := &servers{}
 	var err error
 	if result.callers, err = open("callers", host.GetCallerAddress(), d.callers); err == nil {
-		result.operators, err = open("operators", host.GetOperatorAddress(), d.operatorHandler())
+		result.operators, err = open("operators", host.GetOperatorAddress(), d.operatorHandler()) //nolint:contextcheck // each request brings its own context
 	}
 	if err == nil {
 		result.peers, err = open("peers", host.GetPeerAddress(), d.peerHandler())
--- a/internal/entryhost/propose.go
+++ b/internal/entryhost/propose.go
@@ -210,6 +210,7 @@
 		}
 	case config.Abandon:
 		r.abandonOn(ctx, a.Member)
+	default: // StageOn and Done are drive's own
 	}
 	return nil
 }
--- a/internal/entryhost/view.go
+++ b/internal/entryhost/view.go
@@ -56,22 +56,21 @@
 	}
 }
 
-// applyFleet moves to a newer fleet and reports whether it was newer.
+// applyFleet moves to a newer fleet; an older one changes nothing.
 //
 // The gate goes first: from then on no request starts on a host that the fleet forbids. Only when every applier has
 // followed may the revision be reported to the controller.
-func (v *view) applyFleet(f *pb.Fleet) bool {
+func (v *view) applyFleet(f *pb.Fleet) {
 	v.applying.Lock()
 	defer v.applying.Unlock()
 	before := v.gate.Fleet()
 	if !v.gate.Apply(f) {
-		return false
+		return
 	}
 	v.tellGone(before, f)
 	v.runAppliers(f)
 	v.applied.Store(f.GetRevision())
 	v.notify()
-	return true
 }
 
 // tellGone lets the acceptance state machine know which incarnations the fleet no longer holds.
