--- /dev/null
+++ b/proofs/cluster_test.go
@@ -0,0 +1,371 @@
+package proofs
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	"gotest.tools/v3/assert"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/operatorapi"
+	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/settings"
+	"github.com/agateturn/agateturn/standin/callers"
+	"github.com/agateturn/agateturn/standin/platformd"
+	"github.com/agateturn/agateturn/standin/workers"
+)
+
+const (
+	operatorToken = "proof-operator-token"
+	// patience is how long a state is waited for before the test fails.
+	patience = 40 * time.Second
+	// pauseLimit is the entry hosts' timing.pause_limit.
+	pauseLimit = time.Second
+)
+
+// deployment is two pools of four workers and a spare pool of two.
+const deployment = `
+[deployment]
+name = proof
+spare_pool = spare
+[maintenance]
+max_parallel = 2
+max_per_data_centre = 2
+[weights]
+moves = 1000
+[data_centre "a"]
+[data_centre "b"]
+[pool "left"]
+[pool "right"]
+[pool "spare"]
+min_hosts = 0
+[service "left"]
+pool = left
+availability = 0.5
+[service "right"]
+pool = right
+availability = 0.5
+[team "orders"]
+quota = 80
+`
+
+var daemonPath string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "agateturn-proofs")
+	if err != nil {
+		panic(err)
+	}
+	daemonPath = filepath.Join(dir, "agateturnd")
+	build := exec.Command("go", "build", "-o", daemonPath, "../cmd/agateturnd")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// cluster is one deployment under test.
+type cluster struct {
+	t        *testing.T
+	dir      string
+	config   *pb.Configuration
+	ini      string
+	platform *platformd.Server
+	address  string // of the platform
+	workers  *workers.Fleet
+	entries  map[int]*entry
+	size     int
+}
+
+// entry is one entry host's process.
+type entry struct {
+	number  int
+	command *exec.Cmd
+	exited  chan struct{}
+}
+
+func (e *entry) at(port int) string { return fmt.Sprintf("127.0.5.%d:%d", e.number, port) }
+
+// newCluster starts the stand-ins and n entry hosts, and applies the configuration.
+func newCluster(t *testing.T, n int) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir(), entries: map[int]*entry{}, size: n}
+	c.ini = deployment + hostSections()
+	c.config = &pb.Configuration{}
+	assert.NilError(t, settings.Parse("deployment", []byte(c.ini), c.config))
+	var err error
+	c.workers, err = workers.New(context.Background(), workers.Options{
+		Hosts:          c.config.GetHosts(),
+		AdminAddress:   "127.0.5.100:0",
+		Seed:           1,
+		DefaultRunTime: workers.RunTime{Median: 20 * time.Millisecond, Sigma: 0.3},
+	})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- c.workers.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-served
+	})
+	c.startPlatform()
+	for i := 1; i <= n; i++ {
+		c.start(i)
+	}
+	t.Cleanup(c.killAll)
+	c.await("the operator API", func() bool { return c.call(1, http.MethodGet, "/v1/status", nil, nil) == http.StatusOK })
+	assert.Equal(t, c.apply(1, "change-0001", 0, c.ini), http.StatusOK)
+	c.awaitReady(n)
+	return c
+}
+
+func hostSections() string {
+	var b bytes.Buffer
+	for i, pool := range []string{"left", "left", "left", "left", "right", "right", "right", "right", "spare", "spare"} {
+		fmt.Fprintf(&b, "[host %q]\naddress = 127.0.6.%d:9100\ndata_centre = %s\nrack = %s%d\npool = %s\n",
+			fmt.Sprintf("w%d", i+1), i+1, []string{"a", "b"}[i%2], []string{"a", "b"}[i%2], i/4, pool)
+	}
+	return b.String()
+}
+
+func (c *cluster) startPlatform() {
+	c.platform = platformd.New(platformd.Config{
+		Hosts: lo.Map(c.config.GetHosts(), func(h *pb.Host, _ int) platform.Host {
+			return platform.Host{Name: h.GetName(), Role: platform.RoleWorker, State: platform.StateLive}
+		}),
+		RebootTime:  time.Second,
+		WorkerAdmin: "http://" + c.workers.Admin(),
+	})
+	server := httptest.NewUnstartedServer(c.platform)
+	listener, err := net.Listen("tcp", "127.0.5.100:0")
+	assert.NilError(c.t, err)
+	server.Listener = listener
+	server.Start()
+	c.address = server.URL
+	c.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+		c.platform.Close()
+	})
+}
+
+// start starts the process of an entry host, for the first time or anew.
+func (c *cluster) start(number int) {
+	e := &entry{number: number, exited: make(chan struct{})}
+	var peers string
+	for i := 1; i <= c.size; i++ {
+		if i != number {
+			peers += fmt.Sprintf("127.0.5.%d:7001,", i)
+		}
+	}
+	path := filepath.Join(c.dir, fmt.Sprintf("entry-%d.ini", number))
+	text := fmt.Sprintf(`
+[entry_host]
+name = entry-%d
+data_centre = %s
+caller_address = %s
+peer_address = %s
+operator_address = %s
+peers = %s
+[store]
+address = %s
+timeout = 1s
+[platform]
+address = %s
+poll = 200ms
+[operator]
+token = %s
+[timing]
+heartbeat = 200ms
+decision = 100ms
+controller_lease = 10s
+pause_limit = %s
+drain_notice = 200ms
+`, number, []string{"a", "b"}[number%2], e.at(7000), e.at(7001), e.at(7002), peers[:len(peers)-1], c.address, c.address, operatorToken, pauseLimit)
+	assert.NilError(c.t, os.WriteFile(path, []byte(text), 0o600))
+	log, err := os.OpenFile(filepath.Join(c.dir, fmt.Sprintf("entry-%d.log", number)), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	assert.NilError(c.t, err)
+	e.command = exec.Command(daemonPath, "--config", path)
+	e.command.Stderr = log
+	assert.NilError(c.t, e.command.Start())
+	go func() {
+		_ = e.command.Wait()
+		_ = log.Close()
+		close(e.exited)
+	}()
+	c.entries[number] = e
+}
+
+func (c *cluster) signal(number int, signal syscall.Signal) {
+	c.t.Helper()
+	assert.NilError(c.t, c.entries[number].command.Process.Signal(signal))
+}
+
+// awaitExit waits for the end of a process and returns its exit code.
+func (c *cluster) awaitExit(number int) int {
+	c.t.Helper()
+	select {
+	case <-c.entries[number].exited:
+	case <-time.After(patience):
+		c.t.Fatalf("entry-%d did not exit", number)
+	}
+	return c.entries[number].command.ProcessState.ExitCode()
+}
+
+// killAll ends every process that is left, and shows the logs of a failed test.
+func (c *cluster) killAll() {
+	for _, e := range c.entries {
+		_ = e.command.Process.Kill()
+		<-e.exited
+	}
+	if !c.t.Failed() {
+		return
+	}
+	for i := range c.entries {
+		log, _ := os.ReadFile(filepath.Join(c.dir, fmt.Sprintf("entry-%d.log", i)))
+		c.t.Logf("entry-%d:\n%s", i, lo.Substring(string(log), -4000, 4000))
+	}
+}
+
+// call speaks the operator API of an entry host. It returns the status, 0 for no answer.
+func (c *cluster) call(number int, method, path string, in, out any) int {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		assert.NilError(c.t, err)
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.entries[number].at(7002)+path, body)
+	assert.NilError(c.t, err)
+	req.Header.Set("Authorization", "Bearer "+operatorToken)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusBadRequest {
+		text, _ := io.ReadAll(resp.Body)
+		c.t.Logf("entry-%d %s %s: %d %s", number, method, path, resp.StatusCode, text)
+	} else if out != nil {
+		_ = json.NewDecoder(resp.Body).Decode(out)
+	}
+	return resp.StatusCode
+}
+
+func (c *cluster) status(number int) operatorapi.Status {
+	var s operatorapi.Status
+	c.call(number, http.MethodGet, "/v1/status", nil, &s)
+	return s
+}
+
+func (c *cluster) host(number int, name string) operatorapi.HostStatus {
+	h, _ := lo.Find(c.status(number).Hosts, func(h operatorapi.HostStatus) bool { return h.Name == name })
+	return h
+}
+
+func (c *cluster) apply(number int, changeID string, base uint64, ini string) int {
+	return c.call(number, http.MethodPut, "/v1/config",
+		operatorapi.ConfigChange{ChangeID: changeID, BaseGeneration: base, INI: ini}, nil)
+}
+
+func (c *cluster) move(number int, host, target string) int {
+	return c.call(number, http.MethodPost, "/v1/hosts/"+host+"/move",
+		operatorapi.MoveOrder{Target: target, OperationID: "operation-" + host + "-" + target}, nil)
+}
+
+// await polls until the state is reached.
+func (c *cluster) await(what string, reached func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !reached() {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("not reached in %s: %s", patience, what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (c *cluster) awaitReady(n int) {
+	c.t.Helper()
+	c.await(fmt.Sprintf("%d entry hosts ready", n), func() bool {
+		return lo.CountBy(c.status(1).Members, func(m operatorapi.MemberStatus) bool { return m.Ready }) == n
+	})
+}
+
+// load is the callers' plan against the given entry hosts.
+func (c *cluster) load(duration time.Duration, numbers ...int) callers.Config {
+	config := callers.Default()
+	config.Targets = lo.Map(numbers, func(n int, _ int) callers.Target {
+		return callers.Target{Address: c.entries[n].at(7000), Weight: 1}
+	})
+	config.Services = []callers.Service{{Name: "left", Rate: 60}, {Name: "right", Rate: 60}}
+	config.Teams = []string{"orders"}
+	config.Duration = duration
+	config.BurstLength = 2 * time.Second
+	config.SessionLength = 2 * time.Second
+	config.RepeatShare = 0.5
+	config.Timeout = 5 * time.Second
+	return config
+}
+
+// ask runs a load in the background; the returned function waits for its report.
+func (c *cluster) ask(config callers.Config) func() callers.ServiceReport {
+	done := make(chan callers.ServiceReport, 1)
+	go func() {
+		report, err := callers.Run(context.Background(), config)
+		if err != nil {
+			c.t.Error(err)
+		}
+		done <- total(report)
+	}()
+	return func() callers.ServiceReport { return <-done }
+}
+
+func total(report callers.Report) callers.ServiceReport {
+	return lo.Reduce(report.Services, func(sum callers.ServiceReport, s callers.ServiceReport, _ int) callers.ServiceReport {
+		sum.Sent += s.Sent
+		sum.Whole += s.Whole
+		sum.Wrong += s.Wrong
+		sum.NotRun += s.NotRun
+		sum.Unknown += s.Unknown
+		sum.Cut += s.Cut
+		sum.NoAnswer += s.NoAnswer
+		return sum
+	}, callers.ServiceReport{})
+}
+
+// judge compares what the workers saw with the promises.
+func (c *cluster) judge(report callers.ServiceReport, moves int) {
+	c.t.Helper()
+	counts := c.workers.Counts()
+	c.t.Logf("callers: %+v", report)
+	c.t.Logf("workers: requests %d ran %d cut %d doubled %v overlaps %v switches %v",
+		counts.Requests, counts.Ran, counts.Cut, counts.Doubled, counts.PoolOverlaps, counts.PoolSwitches)
+	assert.Assert(c.t, report.Whole > 0, "no caller got its answer")
+	assert.Equal(c.t, report.Wrong, 0)
+	assert.Equal(c.t, counts.Cut, 0)
+	assert.Equal(c.t, len(counts.Doubled), 0)
+	assert.Equal(c.t, lo.Sum(lo.Values(counts.PoolOverlaps)), 0)
+	assert.Assert(c.t, lo.Sum(lo.Values(counts.PoolSwitches)) <= moves)
+	for _, h := range c.config.GetHosts() {
+		assert.Assert(c.t, int64(counts.MaxConcurrent[h.GetName()]) <= h.GetSlots(), h.GetName())
+	}
+}
--- /dev/null
+++ b/proofs/process_test.go
@@ -0,0 +1,179 @@
+package proofs
+
+import (
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	"gotest.tools/v3/assert"
+
+	"github.com/agateturn/agateturn/internal/operatorapi"
+	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/standin/platformd"
+)
+
+// A move waits for an entry host that is frozen across it, and ends after the thaw.
+func TestMoveWaitsForFrozenEntryHost(t *testing.T) {
+	c := newCluster(t, 3)
+	report := c.ask(c.load(8*time.Second, 1, 2, 3))
+	time.Sleep(time.Second)
+	c.signal(2, syscall.SIGSTOP)
+	assert.Equal(t, c.move(1, "w1", "right"), http.StatusOK)
+	c.await("held by entry-2 alone", func() bool {
+		held := c.host(1, "w1").HeldBy
+		return len(held) == 1 && held[0].Member == "entry-2"
+	})
+	time.Sleep(3 * pauseLimit) // longer than any lapse that a naive controller would go by
+	assert.Equal(t, c.host(1, "w1").Pool, "left")
+	c.signal(2, syscall.SIGCONT)
+	c.await("w1 in its new pool", func() bool { return c.host(1, "w1").Pool == "right" })
+	c.judge(report(), 1)
+}
+
+// An entry host that the platform shows gone no longer holds a move; if it was only frozen, it sends nothing when it
+// thaws, and ends.
+func TestFrozenEntryHostProvedGoneSendsNothing(t *testing.T) {
+	c := newCluster(t, 3)
+	report := c.ask(c.load(8*time.Second, 1, 2, 3))
+	time.Sleep(time.Second)
+	c.signal(2, syscall.SIGSTOP)
+	assert.Equal(t, c.move(1, "w1", "right"), http.StatusOK)
+	c.platform.SetHost(platform.Host{Name: "entry-2", Role: platform.RoleEntry, State: platform.StateGone})
+	c.await("w1 in its new pool", func() bool { return c.host(1, "w1").Pool == "right" })
+	time.Sleep(time.Second) // w1 is asked by its new pool meanwhile
+	c.signal(2, syscall.SIGCONT)
+	assert.Assert(t, c.awaitExit(2) != 0)
+	c.judge(report(), 1)
+}
+
+// Serving goes on while the store is down; an entry host that starts then serves as a guest; nothing moves until the
+// store is back.
+func TestStoreOutage(t *testing.T) {
+	c := newCluster(t, 3)
+	c.platform.SetStoreFaults(platformd.StoreFaults{Down: true})
+	c.signal(3, syscall.SIGKILL)
+	c.awaitExit(3)
+	c.start(3)
+	c.await("the guest is ready", func() bool { return c.status(3).Ready })
+	report := c.ask(c.load(4*time.Second, 1, 2, 3))
+	assert.Equal(t, c.move(1, "w1", "right"), http.StatusServiceUnavailable)
+	assert.Equal(t, c.apply(2, "change-0002", 1, c.ini), http.StatusServiceUnavailable)
+	result := report()
+	c.platform.SetStoreFaults(platformd.StoreFaults{})
+	c.awaitReady(3)
+	assert.Equal(t, c.move(1, "w1", "right"), http.StatusOK)
+	c.await("w1 in its new pool", func() bool { return c.host(1, "w1").Pool == "right" })
+	c.judge(result, 1)
+	assert.Assert(t, result.Whole*10 >= (result.Sent-result.Unknown)*9, "serving went on: %+v", result)
+}
+
+// Keyed requests run at most once while entry hosts are killed and replaced and callers repeat their keys elsewhere.
+func TestKilledEntryHostsRunNoKeyTwice(t *testing.T) {
+	c := newCluster(t, 3)
+	load := c.load(8*time.Second, 1, 2, 3)
+	load.KeyedShare = 0.8
+	report := c.ask(load)
+	for _, victim := range []int{2, 3, 2} {
+		time.Sleep(1500 * time.Millisecond)
+		c.signal(victim, syscall.SIGKILL)
+		c.awaitExit(victim)
+		c.start(victim)
+	}
+	result := report()
+	c.awaitReady(3)
+	c.judge(result, 0)
+}
+
+// Two planned stops at once, with sessions open, a second signal, and the store down: no request is cut.
+func TestPlannedStopsCutNothing(t *testing.T) {
+	c := newCluster(t, 3)
+	load := c.load(3*time.Second, 2, 3)
+	load.SessionShare = 0.3
+	load.SessionLength = 4 * time.Second
+	report := c.ask(load)
+	time.Sleep(time.Second)
+	c.platform.SetStoreFaults(platformd.StoreFaults{Down: true})
+	for range 2 {
+		c.signal(2, syscall.SIGTERM)
+		c.signal(3, syscall.SIGTERM)
+		time.Sleep(300 * time.Millisecond)
+	}
+	assert.Equal(t, c.awaitExit(2), 0)
+	assert.Equal(t, c.awaitExit(3), 0)
+	result := report()
+	c.judge(result, 0)
+	assert.Equal(t, result.Cut, 0)
+}
+
+// Of two operators that apply at once, from one base and through two entry hosts, one is accepted; a repeat of its
+// change is no second change, and the loser's is a conflict.
+func TestOperatorsRace(t *testing.T) {
+	c := newCluster(t, 3)
+	codes := make([]int, 2)
+	ids := []string{"change-left", "change-right"}
+	var both sync.WaitGroup
+	for i := range codes {
+		both.Go(func() { codes[i] = c.apply(i+1, ids[i], 1, c.ini+"[team \""+ids[i]+"\"]\n") })
+	}
+	both.Wait()
+	winners := lo.Count(codes, http.StatusOK)
+	assert.Assert(t, winners <= 1, "%v", codes)
+	c.await("one more generation everywhere", func() bool { return c.everywhere(2) || winners == 0 })
+	for i, code := range codes {
+		if code == http.StatusOK {
+			assert.Equal(t, c.apply(3, ids[i], 1, c.ini+"[team \""+ids[i]+"\"]\n"), http.StatusOK)
+		}
+	}
+	assert.Equal(t, c.status(1).Generation, uint64(1+winners))
+}
+
+func (c *cluster) everywhere(generation uint64) bool {
+	s := c.status(1)
+	return lo.EveryBy(s.Members, func(m operatorapi.MemberStatus) bool { return m.Generation == generation })
+}
+
+// The store takes writes and loses its answers: a move and a configuration are still made once.
+func TestLostStoreAnswers(t *testing.T) {
+	c := newCluster(t, 3)
+	report := c.ask(c.load(3*time.Second, 1, 2, 3))
+	c.platform.SetStoreFaults(platformd.StoreFaults{LoseNextAnswers: 2})
+	c.await("the move is written", func() bool { return c.move(1, "w1", "right") == http.StatusOK })
+	c.platform.SetStoreFaults(platformd.StoreFaults{LoseNextAnswers: 2})
+	c.await("the change is accepted", func() bool { return c.apply(2, "change-0002", 1, c.ini) == http.StatusOK })
+	c.platform.SetStoreFaults(platformd.StoreFaults{})
+	c.await("in force everywhere", func() bool { return c.everywhere(2) })
+	c.await("w1 in its new pool", func() bool { return c.host(1, "w1").Pool == "right" })
+	c.judge(report(), 1)
+	assert.Equal(t, c.status(1).Generation, uint64(2))
+}
+
+// The controller is frozen with an old fleet in hand and replaced; thawed, it writes nothing over its successor's work.
+func TestFrozenControllerWritesNothingOld(t *testing.T) {
+	c := newCluster(t, 3)
+	number := func() int {
+		name := c.status(1).Controller
+		for i := 1; i <= 3; i++ {
+			if len(name) > 6 && name[:7] == "entry-"+string(rune('0'+i)) {
+				return i
+			}
+		}
+		return 0
+	}
+	c.await("a controller", func() bool { return number() != 0 })
+	old := number()
+	other := old%3 + 1
+	report := c.ask(c.load(4*time.Second, other))
+	c.signal(old, syscall.SIGSTOP)
+	term := c.status(other).Term
+	c.platform.Store().ExpireSessions()
+	c.await("a new controller", func() bool { return c.status(other).Term > term })
+	assert.Equal(t, c.move(other, "w5", "left"), http.StatusOK)
+	revision := c.status(other).FleetRevision
+	c.signal(old, syscall.SIGCONT)
+	c.await("the move ends", func() bool { return c.host(other, "w5").Pool == "left" })
+	assert.Assert(t, c.status(other).FleetRevision > revision)
+	c.judge(report(), 1)
+}
