--- a/standin/callers/answer.go
+++ b/standin/callers/answer.go
@@ -39,7 +39,7 @@
 	for len(data) > 0 && !c.wrong {
 		expected := c.line[c.length%AnswerLineBytes:]
 		n := min(len(data), len(expected))
-		c.wrong = !bytes.Equal(data[:n], expected[:n]) || c.length+n > c.wanted
+		c.wrong = !bytes.Equal(data[:n], expected[:n])
 		c.length += n
 		data = data[n:]
 	}
--- a/standin/callers/callers_test.go
+++ b/standin/callers/callers_test.go
@@ -80,6 +80,13 @@
 			},
 			func(s ServiceReport) int { return s.Wrong },
 		},
+		"no id": {
+			func(w http.ResponseWriter, body []byte) []byte {
+				w.Header().Del(headerRequestID)
+				return body
+			},
+			func(s ServiceReport) int { return s.Wrong },
+		},
 		"cut but looks whole": {
 			func(_ http.ResponseWriter, body []byte) []byte { return body[:len(body)/2] },
 			func(s ServiceReport) int { return s.Wrong },
--- a/store/kvhttp/kvhttp_test.go
+++ b/store/kvhttp/kvhttp_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -57,14 +58,22 @@
 }
 
 func TestWaitSeesChangeAndEndsWithSameValue(t *testing.T) {
-	client, _ := start(t)
+	client, platform := start(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
+	for version := range uint64(3) {
+		_, err := platform.Store().CompareAndSwap(ctx, "another key", version, nil)
+		assert.NilError(t, err)
+	}
 	seen := make(chan store.Value, 1)
 	go func() {
 		value, _ := client.Wait(ctx, "fleet", 0)
 		seen <- value
 	}()
+	for platform.Store().Counters().Waiting == 0 {
+		assert.NilError(t, ctx.Err(), "the watch on the absent key does not wait")
+		time.Sleep(time.Millisecond)
+	}
 	version, err := client.CompareAndSwap(t.Context(), "fleet", 0, []byte("a"))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, <-seen, store.Value{Data: []byte("a"), Version: version})
@@ -96,6 +105,27 @@
 	assert.NilError(t, second.Release(ctx))
 }
 
+// TestWritesCloseTheirConnection shows that no write goes over a connection that another one used.
+func TestWritesCloseTheirConnection(t *testing.T) {
+	seen := make(map[string]bool)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut {
+			assert.Check(t, r.Close)
+			assert.Check(t, !seen[r.RemoteAddr])
+			seen[r.RemoteAddr] = true
+		}
+		_, _ = w.Write([]byte("false"))
+	}))
+	defer server.Close()
+	client := kvhttp.New(server.URL, "", "", time.Second)
+	defer client.Close()
+	for range 5 {
+		_, err := client.CompareAndSwap(t.Context(), "fleet", 1, nil)
+		assert.Assert(t, store.Conflict.Has(err), "%v", err)
+	}
+	assert.Equal(t, len(seen), 5)
+}
+
 func TestLostLeaseAnswersLeaveTheKeyFree(t *testing.T) {
 	client, platform := start(t)
 	ctx := t.Context()
--- a/store/memstore/memstore.go
+++ b/store/memstore/memstore.go
@@ -84,22 +84,25 @@
 
 // Wait implements store.KV.
 func (s *Store) Wait(ctx context.Context, key string, version uint64) (store.Value, error) {
-	return s.waitUntil(ctx, key, func(v store.Value) bool { return v.Version != version })
+	return s.waitUntil(ctx, key, func(v store.Value, _ uint64) bool { return v.Version != version })
 }
 
-// WaitAfter is Wait in terms of the store's index: it returns when the key was written or deleted after index.
+// WaitAfter is Wait in terms of the store's index: it returns when the key was written or deleted after index. For a
+// key that is absent at the start, a write to any key after index counts.
 func (s *Store) WaitAfter(ctx context.Context, key string, index uint64) (store.Value, error) {
 	var known uint64
 	first := true
-	return s.waitUntil(ctx, key, func(v store.Value) bool {
+	return s.waitUntil(ctx, key, func(v store.Value, now uint64) bool {
 		if first {
 			first, known = false, v.Version
+			return v.Version > index || (v.Version == 0 && now > index)
 		}
-		return v.Version > index || v.Version != known
+		return v.Version != known
 	})
 }
 
-func (s *Store) waitUntil(ctx context.Context, key string, done func(store.Value) bool) (store.Value, error) {
+// waitUntil waits until done says so of the key's value and the store's index.
+func (s *Store) waitUntil(ctx context.Context, key string, done func(store.Value, uint64) bool) (store.Value, error) {
 	if err := s.beginRead(ctx, kindWatch); err != nil {
 		return store.Value{}, err
 	}
@@ -107,12 +110,12 @@
 	defer s.addWaiting(-1)
 	for {
 		s.mu.Lock()
-		value, changed, down := s.valueLocked(key), s.changed, s.faults.Down
+		value, index, changed, down := s.valueLocked(key), s.index, s.changed, s.faults.Down
 		s.mu.Unlock()
 		if down {
 			return store.Value{}, errDown()
 		}
-		if done(value) {
+		if done(value, index) {
 			return value, s.endRead(ctx)
 		}
 		select {
--- a/store/memstore/memstore_test.go
+++ b/store/memstore/memstore_test.go
@@ -167,6 +167,8 @@
 		assert.Equal(t, same.Version, version)
 		assert.Equal(t, time.Since(began), time.Minute)
 		assert.Equal(t, s.Counters().Total, memstore.Calls{Writes: 2, Watches: 2})
+		_, err = s.CompareAndSwap(t.Context(), "a", version+1, []byte("a version yet to come"))
+		assert.Assert(t, store.Conflict.Has(err), "%v", err)
 	})
 }
 
