Prove the queue against a first-come-first-served one

Cause: every offered request must have exactly one end, in time, within quotas and in fair shares. Change: one judge drives generated histories (bursts, lulls, cancellation waves, usage on other hosts) in virtual time. What failed first: on the same histories the naive FIFO starts requests after their deadlines, starts urgent ones late, holds hopeless ones and leaves slots idle behind a team at its quota; it finishes fewer requests in time on each of 20 seeds.

--- /dev/null
+++ b/admission/queue_test.go
@@ -0,0 +1,359 @@
+package admission_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/agateturn/agateturn/admission"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+)
+
+const (
+	tick        = 20 * time.Millisecond
+	poolSlots   = 4
+	urgentStart = 200 * time.Millisecond
+	quota       = 3
+)
+
+var teams = []string{"a", "b", "c"}
+
+// scheduler is what the judge drives: the queue, or a naive version.
+type scheduler interface {
+	Offer(now time.Time, r admission.Request) admission.Decision
+	Next(now time.Time, pool string, slots int) ([]uint64, []admission.Rejection)
+	Cancel(id uint64) bool
+	Done(now time.Time, id uint64, took time.Duration, ok bool)
+	SetTeamUsage(team string, others int64)
+}
+
+func configured() *admission.Queue {
+	c := &pb.Configuration{}
+	for _, s := range []string{"quick", "slow"} {
+		c.Services = append(c.Services, &pb.Service{
+			Name: s, Pool: "p", Deadline: durationpb.New(time.Second), RunTime: durationpb.New(300 * time.Millisecond),
+			MaxQueue: 1000, UrgentStart: durationpb.New(urgentStart),
+		})
+	}
+	for i, t := range teams {
+		c.Teams = append(c.Teams, &pb.Team{Name: t, Weight: float64(i + 1), Quota: quota})
+	}
+	q := admission.New(admission.Limits{})
+	q.Configure(c)
+	return q
+}
+
+// fifo is the naive version: one queue, first come first served, whatever the deadlines; the head waits for its quota.
+type fifo struct {
+	queue   []admission.Request
+	running map[uint64]string
+	usage   map[string]int64
+}
+
+func newFIFO() *fifo { return &fifo{running: map[uint64]string{}, usage: map[string]int64{}} }
+
+func (f *fifo) Offer(_ time.Time, r admission.Request) admission.Decision {
+	f.queue = append(f.queue, r)
+	return admission.Decision{Queued: true}
+}
+
+func (f *fifo) Next(_ time.Time, _ string, slots int) (starts []uint64, _ []admission.Rejection) {
+	for ; slots > 0 && len(f.queue) > 0 && f.usage[f.queue[0].Team] < quota; slots-- {
+		r := f.queue[0]
+		f.queue = f.queue[1:]
+		f.running[r.ID] = r.Team
+		f.usage[r.Team]++
+		starts = append(starts, r.ID)
+	}
+	return starts, nil
+}
+
+func (f *fifo) Cancel(id uint64) bool {
+	before := len(f.queue)
+	f.queue = slices.DeleteFunc(f.queue, func(r admission.Request) bool { return r.ID == id })
+	return len(f.queue) < before
+}
+
+func (f *fifo) Done(_ time.Time, id uint64, _ time.Duration, _ bool) {
+	f.usage[f.running[id]]--
+	delete(f.running, id)
+}
+
+func (f *fifo) SetTeamUsage(string, int64) {}
+
+// judge drives a scheduler through a generated history in virtual time and collects what it breaks.
+type judge struct {
+	choose  func(n int) int
+	s       scheduler
+	now     time.Time
+	queued  map[uint64]admission.Request
+	running map[uint64]time.Time
+	request map[uint64]admission.Request
+	others  map[string]int64
+	started map[uint64]bool
+	ends    map[uint64]int
+	faults  map[string]int
+	inTime  int
+	lastID  uint64
+}
+
+func newJudge(choose func(n int) int, s scheduler) *judge {
+	return &judge{
+		choose: choose, s: s, now: time.Unix(1000, 0), queued: map[uint64]admission.Request{},
+		running: map[uint64]time.Time{}, request: map[uint64]admission.Request{}, others: map[string]int64{},
+		started: map[uint64]bool{}, ends: map[uint64]int{}, faults: map[string]int{},
+	}
+}
+
+func (j *judge) usage(team string) int64 {
+	n := j.others[team]
+	for id := range j.running {
+		if j.request[id].Team == team {
+			n++
+		}
+	}
+	return n
+}
+
+func (j *judge) offer(r admission.Request) {
+	j.lastID++
+	r.ID, r.Pool, r.Arrival = j.lastID, "p", j.now
+	j.request[r.ID] = r
+	if d := j.s.Offer(j.now, r); d.Queued {
+		j.queued[r.ID] = r
+	} else {
+		j.ends[r.ID]++
+		if d.RetryAfter <= 0 {
+			j.faults["no time to come back"]++
+		}
+	}
+}
+
+func (j *judge) randomOffer() {
+	j.offer(admission.Request{
+		Service:  []string{"quick", "slow"}[j.choose(2)],
+		Team:     teams[j.choose(len(teams))],
+		Class:    admission.Class(j.choose(2)),
+		Deadline: j.now.Add(time.Duration(j.choose(60)) * tick),
+	})
+}
+
+// next lets requests start in all free slots, and checks each start, each rejection and what is left.
+func (j *judge) next() {
+	free := poolSlots - len(j.running)
+	starts, rejects := j.s.Next(j.now, "p", free)
+	for _, r := range rejects {
+		j.end(r.ID)
+		if r.RetryAfter <= 0 {
+			j.faults["no time to come back"]++
+		}
+	}
+	for _, id := range starts {
+		j.start(id)
+	}
+	for _, r := range j.queued {
+		if !r.Deadline.After(j.now) || r.Class == admission.ClassUrgent && j.now.Sub(r.Arrival) >= urgentStart {
+			j.faults["held after it was hopeless"]++
+		}
+		if len(j.running) < poolSlots && j.usage(r.Team) < quota {
+			j.faults["idle slot beside a queue"]++
+		}
+	}
+}
+
+// end checks that a queued request has just one end.
+func (j *judge) end(id uint64) admission.Request {
+	r, ok := j.queued[id]
+	if !ok {
+		j.faults["a second end"]++
+	}
+	delete(j.queued, id)
+	j.ends[id]++
+	return r
+}
+
+func (j *judge) start(id uint64) {
+	r := j.end(id)
+	if !r.Deadline.After(j.now) {
+		j.faults["started after its deadline"]++
+	}
+	if r.Class == admission.ClassUrgent && j.now.Sub(r.Arrival) > urgentStart {
+		j.faults["urgent request started late"]++
+	}
+	j.started[id] = true
+	j.running[id] = j.now
+	if j.usage(r.Team) > quota {
+		j.faults["quota exceeded"]++
+	}
+}
+
+func (j *judge) runTime(id uint64) time.Duration {
+	if j.request[id].Service == "quick" {
+		return time.Duration(1+id%3) * tick
+	}
+	return time.Duration(10+id%9) * tick
+}
+
+func (j *judge) finish() {
+	for _, id := range sortedIDs(j.running) {
+		if took := j.now.Sub(j.running[id]); took >= j.runTime(id) {
+			delete(j.running, id)
+			j.s.Done(j.now, id, took, id%7 != 0)
+			if !j.now.After(j.request[id].Deadline) {
+				j.inTime++
+			}
+		}
+	}
+}
+
+func (j *judge) cancel() {
+	for _, id := range sortedIDs(j.queued) {
+		if j.choose(2) == 0 {
+			if !j.s.Cancel(id) {
+				j.faults["queued request can't be cancelled"]++
+			}
+			j.end(id)
+		}
+	}
+}
+
+// run plays a history: bursts, lulls, waves of cancellations, usage elsewhere; then lets everything end.
+func (j *judge) run(ticks int) {
+	for i := range ticks {
+		if i%50 < 25 {
+			for range j.choose(4) {
+				j.randomOffer()
+			}
+		}
+		switch j.choose(30) {
+		case 0:
+			j.cancel()
+		case 1:
+			team := teams[j.choose(len(teams))]
+			j.others[team] = int64(j.choose(quota))
+			j.s.SetTeamUsage(team, j.others[team])
+		}
+		j.step()
+	}
+	const drain = 200
+	for range drain {
+		j.step()
+	}
+	for id := range j.request {
+		if j.ends[id] != 1 {
+			j.faults["not exactly one end"]++
+		}
+	}
+}
+
+func (j *judge) step() {
+	j.finish()
+	j.next()
+	j.now = j.now.Add(tick)
+}
+
+func sortedIDs[V any](m map[uint64]V) []uint64 {
+	ids := make([]uint64, 0, len(m))
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func seeded(seed uint64) func(n int) int { return rand.New(rand.NewPCG(seed, 0)).IntN }
+
+func TestQueueKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		j := newJudge(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }, configured())
+		j.run(200)
+		assert.DeepEqual(t, j.faults, map[string]int{})
+	})
+}
+
+// TestAgainstFIFO runs the same histories on a first-come-first-served queue, which breaks the promises and finishes
+// fewer requests before their deadlines.
+func TestAgainstFIFO(t *testing.T) {
+	broken := map[string]int{}
+	for seed := range uint64(20) {
+		ours, naive := newJudge(seeded(seed), configured()), newJudge(seeded(seed), newFIFO())
+		ours.run(500)
+		naive.run(500)
+		assert.DeepEqual(t, ours.faults, map[string]int{})
+		assert.Assert(t, ours.inTime > naive.inTime, "seed %d: %d against %d", seed, ours.inTime, naive.inTime)
+		for f, n := range naive.faults {
+			broken[f] += n
+		}
+	}
+	for _, f := range []string{
+		"started after its deadline", "urgent request started late", "held after it was hopeless", "idle slot beside a queue",
+	} {
+		assert.Assert(t, broken[f] > 0, "FIFO keeps %q", f)
+	}
+}
+
+// TestWeightsShareSlots floods the queue with long requests from one team and short ones from a team with twice its
+// weight: the time they use slots for goes by weight, not by how many or how long the requests are.
+func TestWeightsShareSlots(t *testing.T) {
+	j := newJudge(seeded(1), configured())
+	used := map[string]time.Duration{}
+	for range 3000 {
+		for range 3 {
+			j.offer(admission.Request{Service: "slow", Team: "a", Deadline: j.now.Add(time.Minute)})
+			j.offer(admission.Request{Service: "quick", Team: "b", Deadline: j.now.Add(time.Minute)})
+		}
+		for id := range j.running {
+			used[j.request[id].Team] += tick
+		}
+		j.step()
+	}
+	share := used["b"].Seconds() / used["a"].Seconds()
+	assert.Assert(t, share > 1.6 && share < 2.4, "twice the weight got %.2f times the slots", share)
+}
+
+// TestWrongRunTimeMends: after a time in which every run was too slow, the service is tried again and recovers.
+func TestWrongRunTimeMends(t *testing.T) {
+	q := configured()
+	now := time.Unix(1000, 0)
+	started := 0
+	for id := uint64(1); id < 400; id++ {
+		took := 50 * time.Millisecond
+		if id < 50 {
+			took = 5 * time.Second
+		}
+		q.Offer(now, admission.Request{ID: id, Service: "quick", Pool: "p", Team: "a"})
+		starts, _ := q.Next(now, "p", 1)
+		for _, s := range starts {
+			q.Done(now, s, took, true)
+			if id >= 200 {
+				started++
+			}
+		}
+		now = now.Add(time.Second)
+	}
+	assert.Assert(t, started > 150, "%d of 200 requests started after the service got fast again", started)
+}
+
+// TestUrgentDoesNotStarveNormal: a flood of urgent requests leaves a part of the starts to normal ones.
+func TestUrgentDoesNotStarveNormal(t *testing.T) {
+	j := newJudge(seeded(1), configured())
+	normal := 0
+	for i := range 1000 {
+		j.offer(admission.Request{Service: "quick", Team: teams[i%3], Class: admission.ClassUrgent, Deadline: j.now.Add(time.Second)})
+		j.offer(admission.Request{Service: "quick", Team: teams[i%3], Class: admission.ClassUrgent, Deadline: j.now.Add(time.Second)})
+		j.offer(admission.Request{Service: "quick", Team: teams[i%3], Deadline: j.now.Add(time.Minute)})
+		j.step()
+	}
+	for id := range j.started {
+		if j.request[id].Class == admission.ClassNormal {
+			normal++
+		}
+	}
+	assert.Assert(t, normal > 100, "%d normal requests got their turn", normal)
+	assert.DeepEqual(t, j.faults, map[string]int{})
+}
