--- a/controller/step.go
+++ b/controller/step.go
@@ -50,12 +50,15 @@
 		now:     now,
 		in:      in,
 		draft:   fleet.NewDraft(in.Fleet),
-		reports: fleet.Reports{Now: now, PauseLimit: in.PauseLimit, Heartbeats: in.Heartbeats},
+		reports: fleet.Reports{Now: now, PauseLimit: in.PauseLimit, Heartbeats: in.Heartbeats, Gone: map[string]time.Time{}},
 		workers: map[string]PlatformHost{},
 	}
 	for _, p := range in.Platform {
-		if p.Role == RoleWorker {
+		switch {
+		case p.Role == RoleWorker:
 			s.workers[p.Name] = p
+		case p.State == StateGone && p.Incarnation != "":
+			s.reports.Gone[p.Incarnation] = p.SeenAt
 		}
 	}
 	return s
--- a/fleet/barrier.go
+++ b/fleet/barrier.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"sort"
 	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
@@ -22,8 +24,11 @@
 	// PauseLimit is the pause after which a process checks itself before it sends anything. A replaced process may be
 	// sending for that long after its successor was first heard.
 	PauseLimit time.Duration
-	// Heartbeats are keyed by the sender's incarnation. Those of former members may stay.
+	// Heartbeats are keyed by the sender's incarnation. Those of former members stay while a guest that they name is
+	// neither registered nor gone.
 	Heartbeats map[string]Received
+	// Gone tells since when the platform's list shows an incarnation gone.
+	Gone map[string]time.Time
 }
 
 // HoldReason is why a member has not released.
@@ -67,8 +72,8 @@
 	return len(Holders(f, host, r)) == 0
 }
 
-// Holders lists who has not released a host: members, and guests that joined through one of them or through a guest. It
-// returns nil for an unknown host.
+// Holders lists who has not released a host: members, and guests that joined through a heartbeat's
+// sender. It returns nil for an unknown host.
 func Holders(f *pb.Fleet, host string, r Reports) []Holder {
 	for _, h := range f.GetHosts() {
 		if h.Host == host {
@@ -81,24 +86,43 @@
 // pending lists the entry hosts that have not applied a revision, or that carry requests on a host if one is given.
 func pending(f *pb.Fleet, revision uint64, host string, r Reports) []Holder {
 	var out []Holder
-	queue := append([]*pb.Member(nil), f.GetMembers()...)
-	seen := make(map[string]bool, len(queue))
-	for len(queue) > 0 {
-		m := queue[0]
-		queue = queue[1:]
-		if seen[m.Incarnation] {
-			continue
-		}
-		seen[m.Incarnation] = true
-		report, ok := r.Heartbeats[m.Incarnation]
-		if holder, held := judge(m, report, ok, revision, host, r); held {
+	for _, m := range present(f, r) {
+		report, heard := r.Heartbeats[m.Incarnation]
+		if holder, held := judge(m, report, heard, revision, host, r); held {
 			out = append(out, holder)
 		}
-		queue = append(queue, report.Heartbeat.GetGuests()...)
 	}
 	return out
 }
 
+// present lists the members and all guests. A guest counts also when its sponsor is a member no more: it may be running
+// still. Once a member of its name has registered, it is that member or is replaced by it; one that is proved gone for
+// as long as the pause limit does not count.
+func present(f *pb.Fleet, r Reports) []*pb.Member {
+	out := slices.Clone(f.GetMembers())
+	names := make(map[string]bool, len(out))
+	for _, m := range out {
+		names[m.Name] = true
+	}
+	var guests []*pb.Member
+	seen := map[string]bool{}
+	for _, report := range r.Heartbeats {
+		for _, g := range report.Heartbeat.GetGuests() {
+			if !names[g.Name] && !seen[g.Incarnation] && !r.gone(g.Incarnation) {
+				seen[g.Incarnation] = true
+				guests = append(guests, g)
+			}
+		}
+	}
+	sort.Slice(guests, func(i, j int) bool { return guests[i].Incarnation < guests[j].Incarnation })
+	return append(out, guests...)
+}
+
+func (r Reports) gone(incarnation string) bool {
+	since, ok := r.Gone[incarnation]
+	return ok && r.Now.Sub(since) > r.PauseLimit
+}
+
 func judge(m *pb.Member, report Received, heard bool, revision uint64, host string, r Reports) (Holder, bool) {
 	holder := Holder{Name: m.Name, Incarnation: m.Incarnation}
 	if !heard || report.Heartbeat.GetIncarnation() != m.Incarnation || r.Now.Sub(report.Since) < r.PauseLimit {
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -60,7 +60,7 @@
 	return nil
 }
 
-// Leave removes a member that stops by itself. It must hold no request any more. A member that is not there has left
+// Leave removes a member that stops by itself. It must hold no request and have no guest any more. A member that is not there has left
 // already: f itself is returned.
 func Leave(f *pb.Fleet, name, incarnation string) (*pb.Fleet, error) {
 	return edit(f, func(d *Draft) error {
@@ -94,17 +94,16 @@
 	return nil
 }
 
-// concerns says whether the proof is about an incarnation. A list that names no incarnation may lag behind a name that
-// was given anew: it counts only against a process that was heard before, and not since.
+// concerns says whether the proof is about an incarnation that is silent. A heartbeat of the dead may come late, so where
+// the list names the incarnation only those of the last moments count. A list that names none may lag behind a name that
+// was given anew: it counts only against a process that was heard before, and never since.
 func (p Proof) concerns(incarnation string, r Reports) bool {
 	last, heard := r.Heartbeats[incarnation]
-	if heard && last.At.After(p.SeenAt) {
-		return false
-	}
 	if p.Incarnation != "" {
-		return p.Incarnation == incarnation
+		speaks := heard && r.Now.Sub(last.At) <= r.PauseLimit
+		return p.Incarnation == incarnation && !speaks
 	}
-	return heard && last.Since.Before(p.SeenAt)
+	return heard && last.Since.Before(p.SeenAt) && last.At.Before(p.SeenAt)
 }
 
 func (d *Draft) removeMember(at int) {
