--- a/config/check.go
+++ b/config/check.go
@@ -169,12 +169,21 @@
 	}
 	found := fmt.Sprintf("%.4g of the %d hosts of pool %s is %.4g, so %d must stay in service and none is left for maintenance",
 		availability, hosts, service.GetPool(), availability*float64(hosts), RequiredIn(hosts, availability))
-	remedy := "lower availability below 1, and give the pool two hosts or more"
-	if most := math.Floor(float64(hosts-1)/float64(hosts)*1000) / 1000; most > 0 && availability < 1 {
-		needed := math.Ceil(1/(1-availability) - roundingSlack)
-		remedy = fmt.Sprintf("lower availability to at most %g, or give the pool %.0f hosts or more", most, needed)
+	c.report("service", service.GetName(), "availability", found, budgetRemedy(hosts, availability))
+}
+
+// budgetRemedy says which availability, or which size of the pool, leaves one host for maintenance.
+func budgetRemedy(hosts int, availability float64) string {
+	if hosts == 1 {
+		return "give the pool two hosts or more, or set availability to 0"
+	}
+	const digits = 1000 // three digits, rounded down
+	most := math.Floor(float64(hosts-1)/float64(hosts)*digits) / digits
+	remedy := fmt.Sprintf("lower availability to at most %g", most)
+	if availability < 1 {
+		remedy += fmt.Sprintf(", or give the pool %.0f hosts or more", math.Ceil(1/(1-availability)-roundingSlack))
 	}
-	c.report("service", service.GetName(), "availability", found, remedy)
+	return remedy
 }
 
 func (c *checker) checkTeams() {
