slots: let the old owner go on until it applies the new owners

Cause: with next owners set, a slot that was to change hands was neither taken nor lent. When the store went down in between, those slots stayed closed for the whole outage: in the proof of planned stops two of three entry hosts then served nobody (whole answers 0 of 992 sent). Change: the closing is dropped. The wait of the new owner for a report of every member under the new owners is barrier enough.

--- a/slots/doc.go
+++ b/slots/doc.go
@@ -27,9 +27,10 @@
 //
 // # Change of owners
 //
-// While the fleet has next owners, a slot whose owner would change is neither taken nor lent by its old owner. The
-// next owners become the owners only after every member has applied that. The new owner of a slot may use it only when
-// the last heartbeat of every member was sent under the new owners and doesn't list the slot as borrowed:
+// The fleet names the next owners first, and makes them the owners only after every member has applied that: so no member
+// lags by more than one set. Until a member applies the new owners it goes on under the old ones, also while the store is
+// down in between. The new owner of a slot may use it only when the last heartbeat of every member was sent under the
+// new owners and doesn't list the slot as borrowed:
 //
 //   - A member that still runs a request on the slot, as its former owner or borrower, reports it as borrowed from the
 //     new owner until the request ends.
--- a/slots/ledger.go
+++ b/slots/ledger.go
@@ -57,8 +57,6 @@
 	owner memberID
 	// own: this incarnation owns the slot by the settled owners.
 	own bool
-	// moving: the next owners give the slot to somebody else.
-	moving bool
 	// acquired is the revision that every member's report must reach before an own slot may be used; 0 once cleared.
 	acquired uint64
 	// busy is the serial of the token that is out; 0 for none.
@@ -112,7 +110,6 @@
 	// ownersSince is the revision in which the present owners were first seen.
 	ownersSince uint64
 	owners      *pb.OwnerSet
-	next        *pb.OwnerSet
 	// active: this incarnation is a member.
 	active bool
 	peers  map[memberID]*peer
@@ -211,17 +208,9 @@
 	}
 	l.revision = f.GetRevision()
 	l.setMembers(f.GetMembers())
-	next := f.GetNextOwners()
-	if len(next.GetOwners()) == 0 {
-		next = nil
-	}
-	changed := !proto.Equal(l.owners, f.GetOwners())
-	if changed {
+	if !proto.Equal(l.owners, f.GetOwners()) {
 		l.owners = f.GetOwners()
 		l.ownersSince = l.revision
-	}
-	if changed || !proto.Equal(l.next, next) {
-		l.next = next
 		l.assignAll()
 	}
 	l.clearWaiting()
@@ -267,11 +256,6 @@
 	key := r.key.rendezvousKey()
 	current, _ := rendezvous.Owner(key, l.owners)
 	r.owner = ownerID(current)
-	r.moving = false
-	if l.next != nil {
-		next, _ := rendezvous.Owner(key, l.next)
-		r.moving = ownerID(next) != r.owner
-	}
 	own := current != nil && r.owner == l.self
 	switch {
 	case own && !r.own:
--- a/slots/use.go
+++ b/slots/use.go
@@ -101,7 +101,7 @@
 
 // ready says whether an own slot is this member's to use or lend.
 func (r *record) ready() bool {
-	return !r.moving && r.acquired == 0 && r.lent == nil
+	return r.acquired == 0 && r.lent == nil
 }
 
 // InUse returns the number of slots that this member uses.
