Measure four ways of sharing slots on the same demand

Ruled out: a cluster simulator; one event heap hands generated demand to the decision packages. Change: package bench and the program agateturn-bench; Queue.TeamUsage, which a heartbeat needs.

--- a/admission/demand.go
+++ b/admission/demand.go
@@ -73,6 +73,18 @@
 	return out
 }
 
+// TeamUsage returns what each team uses and has queued on this entry host, by name; teams without either are left out.
+func (q *Queue) TeamUsage() []*pb.TeamUsage {
+	var out []*pb.TeamUsage
+	for _, t := range q.teams {
+		if t.running > 0 || t.queued > 0 {
+			out = append(out, &pb.TeamUsage{Team: t.name, Running: t.running, Queued: t.queued})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].GetTeam() < out[j].GetTeam() })
+	return out
+}
+
 // startable counts the queued requests that could start if there were slots, and finds the oldest arrival.
 func (p *pool) startable() (queued int64, oldest time.Time) {
 	for _, l := range p.lanes {
--- a/admission/lane.go
+++ b/admission/lane.go
@@ -53,6 +53,7 @@
 	// running is the team's requests that run from this entry host, others those from the other ones.
 	running int64
 	others  int64
+	queued  int64
 }
 
 // room is the number of slots that the team may still take.
@@ -110,6 +111,7 @@
 		l.backlog.push(tl)
 	}
 	it.element = tl.queue.PushBack(it)
+	tl.team.queued++
 	tl.work += it.cost
 	l.work += it.cost
 	l.count++
@@ -120,6 +122,7 @@
 	tl := it.team
 	tl.queue.Remove(it.element)
 	it.element = nil
+	tl.team.queued--
 	tl.work -= it.cost
 	l.work -= it.cost
 	l.count--
--- /dev/null
+++ b/bench/demand.go
@@ -0,0 +1,106 @@
+package bench
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/agateturn/agateturn/admission"
+)
+
+// The demand.
+const (
+	// meanLoad is the mean demand of a service as a part of what its pool holds.
+	meanLoad     = 0.3
+	burstFactor  = 5.0
+	lullFactor   = 1.0 / 20
+	burstTime    = 4 * time.Second
+	turnTime     = 5 * time.Second
+	warmUp       = 4 * time.Second
+	turns        = 12
+	meanRunTime  = 400 * time.Millisecond
+	sessionShare = 0.005
+	sessionTime  = 8 * time.Second
+	urgentShare  = 0.1
+	deadline     = 2 * time.Second
+	// declaredRunTime is far off, as declared run times are.
+	declaredRunTime = 100 * time.Millisecond
+	// sessionDeadline is the deadline of the few long sessions.
+	sessionDeadline = 20 * time.Second
+)
+
+// arrival is one request as a caller makes it.
+type arrival struct {
+	at       time.Time
+	pool     string
+	team     string
+	class    admission.Class
+	run      time.Duration
+	deadline time.Time
+	// balance is where the balancer's dice fell, from 0 to 1.
+	balance float64
+}
+
+// turnStart returns the start of a burst.
+func turnStart(turn int) time.Time { return start.Add(warmUp + time.Duration(turn)*turnTime) }
+
+// start is the first instant of each run.
+var start = time.Unix(1_000_000, 0)
+
+// end is the last instant of the demand.
+func end() time.Time { return turnStart(turns) }
+
+// demand generates all requests of a run by arrival.
+func demand(d Deployment, rng *rand.Rand) []arrival {
+	var out []arrival
+	for turn := range turns {
+		for i, p := range d.Pools {
+			capacity := float64(p.Workers*slotsPerHost) / meanRunTime.Seconds()
+			mean := capacity * meanLoad
+			from := turnStart(turn)
+			if turn%len(d.Pools) == i {
+				out = append(out, poisson(p.Name, mean*burstFactor, from, burstTime, rng)...)
+				out = append(out, poisson(p.Name, mean*lullFactor, from.Add(burstTime), turnTime-burstTime, rng)...)
+			} else {
+				out = append(out, poisson(p.Name, mean*lullFactor, from, turnTime, rng)...)
+			}
+		}
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].at.Before(out[j].at) })
+	return out
+}
+
+// poisson generates arrivals at a rate a second for a time.
+func poisson(pool string, rate float64, from time.Time, length time.Duration, rng *rand.Rand) []arrival {
+	var out []arrival
+	at := from
+	for {
+		at = at.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
+		if at.Sub(from) >= length {
+			return out
+		}
+		out = append(out, request(pool, at, rng))
+	}
+}
+
+// request draws one request.
+func request(pool string, at time.Time, rng *rand.Rand) arrival {
+	const sigma = 0.5
+	a := arrival{
+		at:       at,
+		pool:     pool,
+		team:     teamName(rng.IntN(teamCount)),
+		run:      time.Duration(float64(meanRunTime) * math.Exp(sigma*rng.NormFloat64()-sigma*sigma/2)),
+		deadline: at.Add(deadline),
+		balance:  rng.Float64(),
+	}
+	if rng.Float64() < urgentShare {
+		a.class = admission.ClassUrgent
+	}
+	if rng.Float64() < sessionShare {
+		a.run = sessionTime
+		a.deadline = at.Add(sessionDeadline)
+	}
+	return a
+}
--- /dev/null
+++ b/bench/ledgers.go
@@ -0,0 +1,190 @@
+package bench
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/slots"
+)
+
+// ledgers is the way of package slots: home slots, with loans or without.
+type ledgers struct {
+	x     *exchange
+	lend  bool
+	fleet *pb.Fleet
+	nodes [entryHosts]*ledgerNode
+}
+
+// ledgerNode is one entry host's part.
+type ledgerNode struct {
+	ledger   *slots.Ledger
+	peers    map[string]slots.PeerDemand
+	sequence uint64
+	used     map[string]int
+	// applied is the fleet revision applied last.
+	applied uint64
+}
+
+// homeSlots is the way in which each entry host uses its own slots only.
+func homeSlots(x *exchange) sharing { return newLedgers(x, false) }
+
+// homeSlotsAndLoans is the way that agateturnd uses.
+func homeSlotsAndLoans(x *exchange) sharing { return newLedgers(x, true) }
+
+func newLedgers(x *exchange, lend bool) *ledgers {
+	w := &ledgers{x: x, lend: lend, fleet: &pb.Fleet{Revision: 1}}
+	for i := range entryHosts {
+		w.fleet.Members = append(w.fleet.Members, &pb.Member{Name: entryHostName(i), Incarnation: incarnation(i)})
+	}
+	w.fleet.Owners = w.liveOwners()
+	for i := range w.nodes {
+		n := &ledgerNode{
+			ledger: slots.NewLedger(&pb.Owner{Name: entryHostName(i), Incarnation: incarnation(i)}),
+			peers:  map[string]slots.PeerDemand{},
+			used:   map[string]int{},
+		}
+		w.nodes[i] = n
+		n.ledger.SetHosts(x.deployment.hosts())
+		w.apply(i, w.fleet)
+	}
+	return w
+}
+
+// incarnation returns an identifier of the usual length.
+func incarnation(i int) string { return fmt.Sprintf("%08x-0000-4000-8000-000000000000", i) }
+
+func (w *ledgers) liveOwners() *pb.OwnerSet {
+	set := &pb.OwnerSet{}
+	for _, i := range w.x.live() {
+		set.Owners = append(set.Owners, &pb.Owner{Name: entryHostName(i), Incarnation: incarnation(i)})
+	}
+	return set
+}
+
+func (w *ledgers) apply(node int, f *pb.Fleet) {
+	w.nodes[node].ledger.SetOwners(f)
+	w.nodes[node].applied = f.GetRevision()
+}
+
+func (w *ledgers) free(node int, pool string) int { return w.nodes[node].ledger.FreeSlots(pool) }
+
+// take takes a slot of the host with the most free ones.
+func (w *ledgers) take(node int, pool string) slot {
+	var best slots.HostFree
+	for _, h := range w.nodes[node].ledger.Free(pool) {
+		if h.Free > best.Free {
+			best = h
+		}
+	}
+	t, err := w.nodes[node].ledger.Take(best.Host)
+	if err != nil {
+		panic(err)
+	}
+	w.nodes[node].used[pool]++
+	return slot{host: best.Host, token: t}
+}
+
+func (w *ledgers) release(node int, pool string, s slot) {
+	w.nodes[node].ledger.Release(s.token.(slots.Token))
+	w.nodes[node].used[pool]--
+}
+
+func (w *ledgers) queued(int, string) {}
+
+func (w *ledgers) decide(node int) {
+	if w.lend {
+		n := w.nodes[node]
+		n.ledger.Balance(w.x.now, w.demand(node), n.peers)
+	}
+}
+
+// demand is the entry host's demand, with its idle slots as of now.
+func (w *ledgers) demand(node int) []*pb.PoolDemand {
+	ds := w.x.entries[node].queue.Demand(w.x.now)
+	for _, d := range ds {
+		d.Idle = int64(w.nodes[node].ledger.FreeSlots(d.GetPool()))
+	}
+	return ds
+}
+
+// beat sends a heartbeat to every peer.
+func (w *ledgers) beat(node int) {
+	for _, to := range w.x.live() {
+		if to != node {
+			w.heartbeat(node, to)
+		}
+	}
+}
+
+func (w *ledgers) heartbeat(node, to int) {
+	n := w.nodes[node]
+	n.sequence++
+	hb := &pb.Heartbeat{
+		Name:             entryHostName(node),
+		Incarnation:      incarnation(node),
+		Sequence:         n.sequence,
+		FleetRevision:    n.applied,
+		ConfigGeneration: 1,
+		Demand:           w.demand(node),
+		Slots:            n.ledger.Outgoing(entryHostName(to)),
+		Ready:            true,
+		TeamUsage:        w.x.entries[node].queue.TeamUsage(),
+		DataCentre:       w.x.deployment.DataCentres[node%len(w.x.deployment.DataCentres)],
+	}
+	w.x.send(node, to, hb, func() {
+		w.nodes[to].ledger.Incoming(hb)
+		w.nodes[to].peers[hb.GetName()] = slots.PeerDemand{Pools: hb.GetDemand(), DataCentre: hb.GetDataCentre()}
+		w.x.pumpAll(to)
+	})
+}
+
+// died lets the controller take the entry host out of the fleet once it is proved gone, and settle new owners.
+func (w *ledgers) died(node int) {
+	w.x.after(provedGone, func() {
+		var members []*pb.Member
+		for _, m := range w.fleet.GetMembers() {
+			if m.GetName() != entryHostName(node) {
+				members = append(members, m)
+			}
+		}
+		w.fleet.Members = members
+		w.fleet.NextOwners = w.liveOwners()
+		w.fleet.SettleRevision = w.fleet.GetRevision() + 1
+		w.write()
+		w.x.after(applyTime+heartbeat, w.settle)
+	})
+}
+
+// settle makes the next owners the owners, if every member has applied them.
+func (w *ledgers) settle() {
+	for _, i := range w.x.live() {
+		if w.nodes[i].applied < w.fleet.GetSettleRevision() {
+			w.x.after(heartbeat, w.settle)
+			return
+		}
+	}
+	w.fleet.Owners, w.fleet.NextOwners = w.fleet.GetNextOwners(), nil
+	w.write()
+}
+
+// write commits the fleet; each entry host hears of it after a while.
+func (w *ledgers) write() {
+	w.fleet.Revision++
+	f := proto.CloneOf(w.fleet)
+	for _, i := range w.x.live() {
+		w.x.after(time.Duration(w.x.rng.Int64N(int64(applyTime))), func() {
+			w.x.onEntry(i, func() { w.apply(i, f) })
+		})
+	}
+}
+
+func (w *ledgers) usable(pool string) int {
+	n := 0
+	for _, i := range w.x.live() {
+		n += w.nodes[i].ledger.FreeSlots(pool) + w.nodes[i].used[pool]
+	}
+	return n
+}
