--- a/bench/faults.go
+++ b/bench/faults.go
@@ -14,14 +14,21 @@
 	p.queued += queued
 }
 
+// accountQueue adds or takes away all that an entry host has queued.
+func (x *exchange) accountQueue(e *entry, sign int) {
+	for _, p := range x.deployment.Pools {
+		x.account(p.Name, 0, sign*e.waiting[p.Name])
+	}
+}
+
 // kill ends an entry host with all that it queued and ran. The workers end its runs with its connections.
 func (x *exchange) kill() {
 	e := x.entries[x.victim]
 	e.dead = true
 	x.diedAt = x.now
-	for _, p := range x.deployment.Pools {
-		x.account(p.Name, 0, -e.waiting[p.Name])
-		x.result.Lost += e.waiting[p.Name]
+	x.accountQueue(e, -1)
+	for _, n := range e.waiting {
+		x.result.Lost += n
 	}
 	for id := range e.active {
 		x.leaveWorker(x.victim, id)
@@ -46,7 +53,8 @@
 	x.after(sampleTime, x.sample)
 }
 
-// freeze stops an entry host for a while; what happens to it meanwhile waits.
+// freeze stops an entry host for a while; what happens to it meanwhile waits. What it has queued counts as queued for no
+// pool until then, since no way of sharing slots can start it.
 func (x *exchange) freeze() {
 	node := frozenEntry
 	if x.entries[node].dead {
@@ -54,9 +62,11 @@
 	}
 	e := x.entries[node]
 	e.frozen = true
+	x.accountQueue(e, -1)
 	x.after(balancerNotices, func() { x.left[node] = true })
 	x.after(freezeTime, func() {
 		e.frozen = false
+		x.accountQueue(e, 1)
 		x.left[node] = false
 		deferred := e.deferred
 		e.deferred = nil
