Balance when a heartbeat arrives

Cause: a lender that hears of a queue waits for its next decision before it lends. Change: the bench's entry host balances at each heartbeat that it receives, as the daemon should.

--- a/bench/ledgers.go
+++ b/bench/ledgers.go
@@ -147,6 +147,7 @@
 	w.x.send(node, to, hb, func() {
 		w.nodes[to].ledger.Incoming(hb)
 		w.nodes[to].peers[hb.GetName()] = slots.PeerDemand{Pools: hb.GetDemand(), DataCentre: hb.GetDataCentre()}
+		w.decide(to)
 		w.x.pumpAll(to)
 	})
 }
