Lend nothing on a stale demand

Cause: a frozen member's last heartbeat may show a long queue; every lender went on lending idle slots to it, which it can neither use nor return while it is frozen. Change: PeerDemand.Heard; a demand older than 2.5 s counts for nothing.

--- a/bench/ledgers.go
+++ b/bench/ledgers.go
@@ -146,7 +146,9 @@
 	}
 	w.x.send(node, to, hb, func() {
 		w.nodes[to].ledger.Incoming(hb)
-		w.nodes[to].peers[hb.GetName()] = slots.PeerDemand{Pools: hb.GetDemand(), DataCentre: hb.GetDataCentre()}
+		w.nodes[to].peers[hb.GetName()] = slots.PeerDemand{
+			Pools: hb.GetDemand(), DataCentre: hb.GetDataCentre(), Heard: w.x.now,
+		}
 		w.decide(to)
 		w.x.pumpAll(to)
 	})
--- a/slots/balance.go
+++ b/slots/balance.go
@@ -13,6 +13,9 @@
 	reserveTime = 100 * time.Millisecond
 	// returnAfter is the time for which a borrowed slot may stay idle while the own queue is empty.
 	returnAfter = 500 * time.Millisecond
+	// freshFor is the time for which a peer's demand counts. An older one may come from a frozen member, to which a slot
+	// would be lent in vain.
+	freshFor = 2500 * time.Millisecond
 	// recallRatio is how much longer the own queue must be, for each slot, than the borrower's before a loan that the
 	// borrower still needs is recalled.
 	recallRatio = 2.0
@@ -25,6 +28,9 @@
 	Pools []*pb.PoolDemand
 	// DataCentre is where the peer stands.
 	DataCentre string
+	// Heard is when the heartbeat arrived; zero means just now. Nothing is lent on a demand that is older than a few
+	// heartbeats.
+	Heard time.Time
 }
 
 // poolPeer is a peer's demand for one pool.
@@ -38,17 +44,19 @@
 // Balance decides what to lend, recall and return. The own demand has an entry for each pool to balance; peers are
 // keyed by member name. What it decides goes out with the next Outgoing.
 func (l *Ledger) Balance(now time.Time, own []*pb.PoolDemand, peers map[string]PeerDemand) {
-	demands := l.peerDemands(peers)
+	demands := l.peerDemands(now, peers)
 	for _, d := range own {
 		l.balancePool(now, d, demands[d.GetPool()])
 	}
 }
 
-// peerDemands sorts the peers' demand by pool, and by member within a pool.
-func (l *Ledger) peerDemands(peers map[string]PeerDemand) map[string][]poolPeer {
+// peerDemands sorts the peers' fresh demand by pool, and by member within a pool.
+func (l *Ledger) peerDemands(now time.Time, peers map[string]PeerDemand) map[string][]poolPeer {
 	ids := make([]memberID, 0, len(l.peers))
 	for id, p := range l.peers {
-		if _, ok := peers[id.name]; ok && p.sequence > 0 {
+		d, ok := peers[id.name]
+		fresh := d.Heard.IsZero() || now.Sub(d.Heard) < freshFor
+		if ok && p.sequence > 0 && fresh {
 			ids = append(ids, id)
 		}
 	}
--- a/slots/example_test.go
+++ b/slots/example_test.go
@@ -31,7 +31,9 @@
 	fmt.Println("together", one.FreeSlots("tastings")+two.FreeSlots("tastings"))
 
 	queue := []*pb.PoolDemand{{Pool: "tastings", Queued: 100}}
-	one.Balance(time.Unix(0, 0), []*pb.PoolDemand{{Pool: "tastings"}}, map[string]slots.PeerDemand{"e2": {Pools: queue}})
+	now := time.Unix(0, 0)
+	peers := map[string]slots.PeerDemand{"e2": {Pools: queue, Heard: now}}
+	one.Balance(now, []*pb.PoolDemand{{Pool: "tastings"}}, peers)
 	exchange()
 	fmt.Println("left", one.FreeSlots("tastings"), "queue's host", two.FreeSlots("tastings"))
 	// Output:
--- a/slots/world_test.go
+++ b/slots/world_test.go
@@ -286,7 +286,7 @@
 	peers := map[string]PeerDemand{}
 	for _, p := range w.nodes {
 		if p != n {
-			peers[p.name] = PeerDemand{Pools: demand()}
+			peers[p.name] = PeerDemand{Pools: demand(), Heard: w.now}
 		}
 	}
 	n.ledger.Balance(w.now, demand(), peers)
