--- a/bench/ledgers.go
+++ b/bench/ledgers.go
@@ -24,8 +24,9 @@
 	peers    map[string]slots.PeerDemand
 	sequence uint64
 	used     map[string]int
-	// applied is the fleet revision applied last.
+	// applied is the fleet revision applied last, heard what the peers said that they have applied.
 	applied uint64
+	heard   map[int]uint64
 }
 
 // homeSlots is the way in which each entry host uses its own slots only.
@@ -45,6 +46,7 @@
 			ledger: slots.NewLedger(&pb.Owner{Name: entryHostName(i), Incarnation: incarnation(i)}),
 			peers:  map[string]slots.PeerDemand{},
 			used:   map[string]int{},
+			heard:  map[int]uint64{},
 		}
 		w.nodes[i] = n
 		n.ledger.SetHosts(x.deployment.hosts())
@@ -95,6 +97,7 @@
 func (w *ledgers) queued(int, string) {}
 
 func (w *ledgers) decide(node int) {
+	w.settle(node)
 	if w.lend {
 		n := w.nodes[node]
 		n.ledger.Balance(w.x.now, w.demand(node), n.peers)
@@ -145,6 +148,7 @@
 		DataCentre:       w.x.deployment.DataCentres[node%len(w.x.deployment.DataCentres)],
 	}
 	w.x.send(node, to, hb, func() {
+		w.nodes[to].heard[node] = hb.GetFleetRevision()
 		w.nodes[to].ledger.Incoming(hb)
 		w.nodes[to].peers[hb.GetName()] = slots.PeerDemand{
 			Pools: hb.GetDemand(), DataCentre: hb.GetDataCentre(), Heard: w.x.now,
@@ -167,15 +171,19 @@
 		w.fleet.NextOwners = w.liveOwners()
 		w.fleet.SettleRevision = w.fleet.GetRevision() + 1
 		w.write()
-		w.x.after(applyTime+heartbeat, w.settle)
 	})
 }
 
-// settle makes the next owners the owners, if every member has applied them.
-func (w *ledgers) settle() {
-	for _, i := range w.x.live() {
-		if w.nodes[i].applied < w.fleet.GetSettleRevision() {
-			w.x.after(heartbeat, w.settle)
+// settle makes the next owners the owners, if the controller has heard from every member that it has applied them.
+func (w *ledgers) settle(controller int) {
+	live := w.x.live()
+	if w.fleet.GetNextOwners() == nil || controller != live[0] {
+		return
+	}
+	n := w.nodes[controller]
+	n.heard[controller] = n.applied
+	for _, i := range live {
+		if n.heard[i] < w.fleet.GetSettleRevision() {
 			return
 		}
 	}
