Tell everybody early when the owners change

Cause: after a death, each of the two steps (applied, then not held) waits for a regular heartbeat. Change: a change of owners marks every peer as pending. Home slots alone send early heartbeats now too.

--- a/bench/ledgers.go
+++ b/bench/ledgers.go
@@ -101,8 +101,8 @@
 	if w.lend {
 		n := w.nodes[node]
 		n.ledger.Balance(w.x.now, w.demand(node), n.peers)
-		w.beatEarly(node)
 	}
+	w.beatEarly(node)
 }
 
 // beatEarly sends heartbeats that shouldn't wait.
--- a/slots/exchange.go
+++ b/slots/exchange.go
@@ -54,7 +54,7 @@
 }
 
 // Pending says whether the named peer should get a heartbeat before its regular turn: a loan to it, a recall or a
-// return waits to be told, or this member's shortage of slots has changed much. Outgoing resets it. An embedder that
+// return waits to be told, the owners have changed, or this member's shortage of slots has changed much. Outgoing resets it. An embedder that
 // checks it after each Balance and sends then bounds the early heartbeats by its period of decisions.
 func (l *Ledger) Pending(peerName string) bool { return l.pending[peerName] }
 
@@ -66,6 +66,11 @@
 		return
 	}
 	l.announced[pool] = shortage
+	l.tellAll()
+}
+
+// tellAll marks every member as pending.
+func (l *Ledger) tellAll() {
 	for id := range l.peers {
 		l.pending[id.name] = true
 	}
--- a/slots/ledger.go
+++ b/slots/ledger.go
@@ -230,6 +230,7 @@
 	if changed || !proto.Equal(l.next, next) {
 		l.next = next
 		l.assignAll()
+		l.tellAll()
 	}
 	l.clearWaiting()
 	l.recountAll()
