--- a/admission/expire.go
+++ b/admission/expire.go
@@ -7,16 +7,21 @@
 func (q *Queue) Expire(now time.Time) []Rejection {
 	var out []Rejection
 	for _, name := range q.names {
-		s := q.services[name]
-		for s.urgentLimits.len() > 0 && !now.Before(s.urgentLimits.first().urgentLimit) {
-			out = append(out, q.giveUp(now, s.urgentLimits.first().item, ReasonUrgentStart))
-		}
-		for s.deadlines.len() > 0 && now.Add(s.learned.bound()).After(s.deadlines.first().Deadline) {
-			out = append(out, q.giveUp(now, s.deadlines.first().item, ReasonDeadline))
-		}
-		if s.probe != nil && !now.Before(s.probe.Deadline) {
-			out = append(out, q.giveUp(now, s.probe, ReasonDeadline))
-		}
+		out = q.expireService(now, q.services[name], out)
+	}
+	return out
+}
+
+// expireService appends the rejections of one service to out.
+func (q *Queue) expireService(now time.Time, s *service, out []Rejection) []Rejection {
+	for s.urgentLimits.len() > 0 && !now.Before(s.urgentLimits.first().urgentLimit) {
+		out = append(out, q.giveUp(now, s.urgentLimits.first().item, ReasonUrgentStart))
+	}
+	for s.deadlines.len() > 0 && now.Add(s.learned.bound()).After(s.deadlines.first().Deadline) {
+		out = append(out, q.giveUp(now, s.deadlines.first().item, ReasonDeadline))
+	}
+	if s.probe != nil && !now.Before(s.probe.Deadline) {
+		out = append(out, q.giveUp(now, s.probe, ReasonDeadline))
 	}
 	return out
 }
--- a/admission/offer.go
+++ b/admission/offer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -64,6 +65,9 @@
 // enqueue adds an item to the queues.
 func (q *Queue) enqueue(it *item) {
 	q.items[it.ID] = it
+	if p := q.pool(it.Pool); !slices.Contains(p.services, it.service) {
+		p.services = append(p.services, it.service)
+	}
 	it.service.queued[it.Class]++
 	it.lane.add(it)
 	if it.probe {
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -35,6 +35,8 @@
 type pool struct {
 	name  string
 	lanes [2]*lane
+	// services are those that have had a request in this pool.
+	services []*service
 	// urgentStarts counts the urgent starts since a normal one while normal requests waited.
 	urgentStarts int
 	running      int
@@ -144,12 +146,15 @@
 	}
 }
 
-// Next starts at most the given number of requests of a pool, after rejecting, as Expire does, what has to be given up.
+// Next starts at most the given number of requests of a pool, after rejecting, as Expire does, what its services have to
+// give up.
 // Slots is the number of slots that are free now.
 func (q *Queue) Next(now time.Time, poolName string, slots int) (starts []uint64, rejects []Rejection) {
 	p := q.pool(poolName)
 	p.slots.see(now, p.running+slots)
-	rejects = q.Expire(now)
+	for _, s := range p.services {
+		rejects = q.expireService(now, s, rejects)
+	}
 	for range slots {
 		it := p.pick()
 		if it == nil {
