--- a/bench/demand.go
+++ b/bench/demand.go
@@ -60,10 +60,10 @@
 			mean := capacity * meanLoad
 			from := turnStart(turn)
 			if turn%len(d.Pools) == i {
-				out = append(out, poisson(p.Name, mean*burstFactor, from, burstTime, rng)...)
-				out = append(out, poisson(p.Name, mean*lullFactor, from.Add(burstTime), turnTime-burstTime, rng)...)
+				out = append(out, poisson(p.Name, d.Teams, mean*burstFactor, from, burstTime, rng)...)
+				out = append(out, poisson(p.Name, d.Teams, mean*lullFactor, from.Add(burstTime), turnTime-burstTime, rng)...)
 			} else {
-				out = append(out, poisson(p.Name, mean*lullFactor, from, turnTime, rng)...)
+				out = append(out, poisson(p.Name, d.Teams, mean*lullFactor, from, turnTime, rng)...)
 			}
 		}
 	}
@@ -72,7 +72,7 @@
 }
 
 // poisson generates arrivals at a rate a second for a time.
-func poisson(pool string, rate float64, from time.Time, length time.Duration, rng *rand.Rand) []arrival {
+func poisson(pool string, teams int, rate float64, from time.Time, length time.Duration, rng *rand.Rand) []arrival {
 	var out []arrival
 	at := from
 	for {
@@ -80,17 +80,17 @@
 		if at.Sub(from) >= length {
 			return out
 		}
-		out = append(out, request(pool, at, rng))
+		out = append(out, request(pool, teams, at, rng))
 	}
 }
 
 // request draws one request.
-func request(pool string, at time.Time, rng *rand.Rand) arrival {
+func request(pool string, teams int, at time.Time, rng *rand.Rand) arrival {
 	const sigma = 0.5
 	a := arrival{
 		at:       at,
 		pool:     pool,
-		team:     teamName(rng.IntN(teamCount)),
+		team:     teamName(rng.IntN(teams)),
 		run:      time.Duration(float64(meanRunTime) * math.Exp(sigma*rng.NormFloat64()-sigma*sigma/2)),
 		deadline: at.Add(deadline),
 		balance:  rng.Float64(),
--- a/bench/deployment.go
+++ b/bench/deployment.go
@@ -14,7 +14,6 @@
 const (
 	entryHosts   = 9
 	slotsPerHost = 8
-	teamCount    = 20
 	teamQuota    = 1000
 )
 
@@ -31,6 +30,8 @@
 	// OneWay is the delay between two data centres.
 	OneWay time.Duration
 	Pools  []Pool
+	// Teams is the number of teams that share each pool evenly.
+	Teams int
 }
 
 // Agency returns the Sicilian agency's deployment, without its spare pool.
@@ -40,6 +41,7 @@
 		DataCentres: []string{"palermo", "catania", "modica"},
 		OneWay:      500 * time.Microsecond,
 		Pools:       []Pool{{"tastings", 9}, {"allergens", 9}, {"labelling", 11}, {"exports", 12}},
+		Teams:       20,
 	}
 }
 
@@ -50,9 +52,25 @@
 		DataCentres: []string{"vevey-a", "vevey-b", "bulle", "morges"},
 		OneWay:      900 * time.Microsecond,
 		Pools:       []Pool{{"kettle", 8}, {"tarif", 9}, {"remplissage", 11}, {"etiquette", 12}},
+		Teams:       20,
 	}
 }
 
+// Design returns the size that agateturn is designed for: 1,400 workers in 28 pools, with 200 teams.
+func Design() Deployment {
+	const pools, workers = 28, 50
+	d := Deployment{
+		Name:        "design",
+		DataCentres: []string{"a", "b", "c", "d"},
+		OneWay:      900 * time.Microsecond,
+		Teams:       200,
+	}
+	for i := range pools {
+		d.Pools = append(d.Pools, Pool{Name: fmt.Sprintf("service-%02d", i), Workers: workers})
+	}
+	return d
+}
+
 // hosts lists the workers.
 func (d Deployment) hosts() []slots.HostSlots {
 	var out []slots.HostSlots
@@ -78,7 +96,7 @@
 			MaxQueue: 10000, UrgentStart: durationpb.New(time.Second),
 		})
 	}
-	for i := range teamCount {
+	for i := range d.Teams {
 		c.Teams = append(c.Teams, &pb.Team{Name: teamName(i), Weight: 1, Quota: teamQuota})
 	}
 	return c
--- a/cmd/agateturn-bench/main.go
+++ b/cmd/agateturn-bench/main.go
@@ -12,7 +12,7 @@
 // options are the command line.
 type options struct {
 	Seeds      int    `help:"Number of seeds to run each way with; the table shows the means." default:"3"`
-	Deployment string `help:"Deployment to run." enum:"agency,brenaz,both" default:"both"`
+	Deployment string `help:"Deployment to run; both runs the users' two." enum:"agency,brenaz,design,both" default:"both"`
 }
 
 // Run prints the table.
@@ -22,8 +22,8 @@
 		seeds[i] = uint64(i + 1)
 	}
 	var results []bench.Result
-	for _, d := range []bench.Deployment{bench.Agency(), bench.Brenaz()} {
-		if o.Deployment == d.Name || o.Deployment == "both" {
+	for _, d := range []bench.Deployment{bench.Agency(), bench.Brenaz(), bench.Design()} {
+		if o.Deployment == d.Name || o.Deployment == "both" && d.Name != "design" {
 			results = append(results, bench.Run(d, seeds)...)
 		}
 	}
