--- a/idempotency/idempotency.go
+++ b/idempotency/idempotency.go
@@ -25,10 +25,19 @@
 	MaxKeys int
 	// Window is the time within which a caller may repeat a key.
 	Window time.Duration
-	// ClockSkew is the largest difference between the clocks of any two of the callers and entry hosts.
+	// MaxDelay is the longest time from a caller's sending of a request to the use of its claim's answer. A claimer
+	// ends an attempt whose claim takes longer, with the outcome "not run".
+	MaxDelay time.Duration
+	// ClockSkew is the largest difference between the clocks of two entry hosts. New keys of callers whose clocks are
+	// off by more may be refused, and still run once at most.
 	ClockSkew time.Duration
 }
 
+// memory is the time for which a key that carries no time may still come.
+func (l Limits) memory() time.Duration {
+	return l.Window + l.MaxDelay
+}
+
 // OwnerFunc returns the owner of a key among the set, and false if the set is empty.
 // It depends on the key and the owners' names only: a later incarnation owns what the earlier one did.
 type OwnerFunc func(key string, set *pb.OwnerSet) (*pb.Owner, bool)
--- a/idempotency/owner.go
+++ b/idempotency/owner.go
@@ -84,7 +84,7 @@
 	if isMember(o.fleet, &e.claimer) {
 		return false
 	}
-	return isMember(last, &e.claimer) || replaced(o.fleet, &e.claimer) || now.Sub(e.changed) > o.limits.Window
+	return isMember(last, &e.claimer) || replaced(o.fleet, &e.claimer) || now.Sub(e.changed) > o.limits.memory()
 }
 
 // isMember reports whether the process is a member of the fleet.
@@ -150,7 +150,7 @@
 	if timed && created.Before(now.Add(-o.limits.Window)) {
 		return false
 	}
-	if held.first || now.Sub(held.since) >= o.limits.Window {
+	if held.first || now.Sub(held.since) > o.limits.memory() {
 		return true
 	}
 	// An earlier owner granted no key from its future, and its clock was ahead of ours by ClockSkew at most.
@@ -232,7 +232,7 @@
 // Sweep forgets the keys that are too old to be repeated.
 func (o *Owner) Sweep(now time.Time) {
 	// A timed key may have come from ClockSkew ahead, and is taken for a repeat for that much longer.
-	keep := o.limits.Window + o.limits.ClockSkew
+	keep := o.limits.memory() + o.limits.ClockSkew
 	o.tenure.forget(now.Add(-keep))
 	for first := o.ended.Front(); first != nil; first = o.ended.Front() {
 		e := first.Value.(*entry)
