--- a/idempotency/history_test.go
+++ b/idempotency/history_test.go
@@ -214,8 +214,9 @@
 }
 
 const (
-	steps     = 150
-	histories = 5000
+	steps          = 150
+	histories      = 5000
+	naiveHistories = 300
 )
 
 // TestNaiveDesignsRunTwice shows that the histories tell a wrong design.
@@ -224,11 +225,11 @@
 		"own memory only": ownMemoryOnly, "no barrier": noBarrier, "barrier without epochs": barrierWithoutEpochs,
 	} {
 		doubled := 0
-		for seed := range uint64(histories) {
+		for seed := range uint64(naiveHistories) {
 			twice, _ := history(d, steps, rand.New(rand.NewPCG(seed, 0)).IntN).violations()
 			doubled += twice
 		}
-		t.Logf("%s: %d keys ran twice in %d histories", name, doubled, histories)
+		t.Logf("%s: %d keys ran twice in %d histories", name, doubled, naiveHistories)
 		assert.Assert(t, doubled > 0, name)
 	}
 }
--- a/idempotency/world_test.go
+++ b/idempotency/world_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"hash/fnv"
+	"io"
 	"slices"
 	"time"
 
@@ -20,7 +21,8 @@
 	var bestWeight uint64
 	for _, owner := range set.GetOwners() {
 		h := fnv.New64a()
-		_, _ = fmt.Fprint(h, key, "/", owner.GetName())
+		_, _ = io.WriteString(h, key)
+		_, _ = io.WriteString(h, owner.GetName())
 		if weight := h.Sum64() * 0x9e3779b97f4a7c15; best == nil || weight > bestWeight {
 			best, bestWeight = owner, weight
 		}
--- a/routing/health.go
+++ b/routing/health.go
@@ -26,7 +26,7 @@
 	}
 	h := r.host(o.Host)
 	h.note(o.JobDigest, failed)
-	h.share = share(r.counts(h))
+	h.share = share(r.counts(h, recentOutcomes))
 	if h.ejected {
 		r.endProbe(now, h, failed)
 		return
@@ -47,21 +47,24 @@
 
 // failing reports whether distinct jobs fail on the host that other hosts would serve.
 func (r *Router) failing(h *host) bool {
-	failed, seen := r.counts(h)
 	needed := failingJobs
 	if r.ejectedByPeers(h.name) {
-		// The peers' evidence spares two of ours.
+		// The peers' evidence spares some of ours.
 		needed = 1
 	}
+	failed, seen := r.counts(h, recentOutcomes)
 	if failed < needed || float64(failed) < failingShare*float64(seen) {
-		return false
+		failed, seen = r.counts(h, lastOutcomes)
+		if failed < lastOutcomes {
+			return false
+		}
 	}
 	return share(failed, seen) >= r.othersShare(h)+outlierMargin
 }
 
-// counts returns the host's failed and seen jobs without those that are at fault themselves.
-func (r *Router) counts(h *host) (failed, seen int) {
-	return h.count(func(digest uint64) bool { return r.jobs.blamed(digest, r.hosts) })
+// counts returns the host's failed and seen jobs among the last ones, without those that are at fault themselves.
+func (r *Router) counts(h *host, last int) (failed, seen int) {
+	return h.count(last, func(digest uint64) bool { return r.jobs.blamed(digest, r.hosts) })
 }
 
 // othersShare returns the median share of failures among the other hosts that are not ejected.
@@ -110,7 +113,7 @@
 	h.probing = false
 	// The wait stays, so that a host that fails again at once is probed more rarely; it is judged afresh.
 	h.outcomes = h.outcomes[len(h.outcomes)-1:]
-	h.share = share(r.counts(h))
+	h.share = share(r.counts(h, recentOutcomes))
 }
 
 // Health returns what was seen of each host, sorted by name. It is the whole state each time.
@@ -119,7 +122,7 @@
 	slices.Sort(names)
 	return lo.Map(names, func(name string, _ int) *pb.HostHealth {
 		h := r.hosts[name]
-		failed, seen := r.counts(h)
+		failed, seen := r.counts(h, recentOutcomes)
 		return &pb.HostHealth{Host: name, Succeeded: int64(seen - failed), Failed: int64(failed), Ejected: h.ejected}
 	})
 }
--- a/routing/host.go
+++ b/routing/host.go
@@ -4,7 +4,9 @@
 
 const (
 	// recentOutcomes is the number of outcomes by which a host is judged.
-	recentOutcomes = 32
+	recentOutcomes = 16
+	// lastOutcomes is the number of outcomes that must all be failures for a host that served well before.
+	lastOutcomes = 5
 	// failingJobs is the number of distinct jobs that have failed on a failing host.
 	failingJobs = 3
 	// failingShare is the share of distinct jobs that have failed on a failing host.
@@ -46,9 +48,10 @@
 	}
 }
 
-// count returns the distinct jobs that failed and that were seen, but for those that skip holds for.
-func (h *host) count(skip func(digest uint64) bool) (failed, seen int) {
-	for _, o := range h.outcomes {
+// count returns the distinct jobs that failed and that were seen among the last ones, but for those that skip holds for.
+func (h *host) count(last int, skip func(digest uint64) bool) (failed, seen int) {
+	for i := len(h.outcomes) - 1; i >= 0 && seen < last; i-- {
+		o := h.outcomes[i]
 		if skip(o.digest) {
 			continue
 		}
@@ -60,10 +63,11 @@
 	return failed, seen
 }
 
-// sound reports whether the host serves jobs other than the given one, and most of them well.
-func (h *host) sound(except uint64) bool {
-	failed, seen := h.count(func(digest uint64) bool { return digest == except })
-	return seen > 0 && float64(failed) < failingShare*float64(seen)
+// serves reports whether the host has served a job other than the given one of late. A share of failures would
+// mislead here: hopeless jobs raise it on every host.
+func (h *host) serves(except uint64) bool {
+	failed, seen := h.count(recentOutcomes, func(digest uint64) bool { return digest == except })
+	return seen > failed
 }
 
 // share returns the share of failures with one success assumed, so that a new host looks sound.
--- a/routing/jobs.go
+++ b/routing/jobs.go
@@ -5,9 +5,9 @@
 const (
 	// maxJobs bounds the failed jobs that are remembered.
 	maxJobs = 4096
-	// hopelessHosts is the number of sound hosts on which a hopeless job has failed.
+	// hopelessHosts is the number of hosts that serve other jobs on which a hopeless job has failed.
 	hopelessHosts = 3
-	// blamedHosts is the number of sound hosts on which a job has failed that is no more held against a host.
+	// blamedHosts is the number of such hosts from which on a job's failures are held against itself.
 	blamedHosts = 2
 	// maxJobHosts bounds the hosts remembered for a job.
 	maxJobHosts = 8
@@ -65,15 +65,15 @@
 	}
 }
 
-// soundFailures returns the number of hosts that the job failed on although they serve other jobs well.
-func (j *jobs) soundFailures(digest uint64, hosts map[string]*host) int {
+// servingFailures returns the number of hosts that the job failed on although they serve other jobs.
+func (j *jobs) servingFailures(digest uint64, hosts map[string]*host) int {
 	known, ok := j.byDigest[digest]
 	if !ok {
 		return 0
 	}
 	count := 0
 	for _, name := range known.failedOn {
-		if h, ok := hosts[name]; ok && h.sound(digest) {
+		if h, ok := hosts[name]; ok && h.serves(digest) {
 			count++
 		}
 	}
@@ -81,10 +81,10 @@
 }
 
 func (j *jobs) hopeless(digest uint64, hosts map[string]*host) bool {
-	return j.soundFailures(digest, hosts) >= hopelessHosts
+	return j.servingFailures(digest, hosts) >= hopelessHosts
 }
 
 // blamed reports whether failures of the job are its own fault rather than a host's.
 func (j *jobs) blamed(digest uint64, hosts map[string]*host) bool {
-	return j.soundFailures(digest, hosts) >= blamedHosts
+	return j.servingFailures(digest, hosts) >= blamedHosts
 }
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -14,8 +14,8 @@
 
 // Pick returns the host that the request should go to; false if no candidate may take it now.
 //
-// It takes the host with the least work for each of its slots, by learned run times and success, and prefers its own
-// data centre until that is the more loaded one. An ejected host gets one request at a time as a probe.
+// It takes the host with the least work for each of its slots, by learned run times and success: one in its own data
+// centre unless that is loaded. An ejected host gets one request at a time as a probe.
 func (r *Router) Pick(now time.Time, request Request, candidates []Candidate) (string, bool) {
 	if !request.Retry {
 		r.budget(request.Service).deposit(r.options.RetryShare)
@@ -27,18 +27,32 @@
 	if probe, ok := r.probe(now, request, usable, ejected); ok {
 		return probe, true
 	}
+	sound := lo.Reject(usable, func(c Candidate, _ int) bool { return ejected[c.Host] })
+	local, remote := lo.FilterReject(sound, func(c Candidate, _ int) bool {
+		return c.DataCentre == r.options.DataCentre
+	})
+	nearest, localLoad := r.leastLoaded(request, local)
+	if localLoad <= r.options.LocalLoad {
+		return nearest, true
+	}
+	farther, remoteLoad := r.leastLoaded(request, remote)
+	if remoteLoad < localLoad {
+		return farther, true
+	}
+	return nearest, nearest != ""
+}
+
+// leastLoaded returns the least loaded candidate and its load; "" and infinity if there are none.
+func (r *Router) leastLoaded(request Request, candidates []Candidate) (string, float64) {
 	best := ""
-	bestScore := math.Inf(1)
+	bestLoad := math.Inf(1)
 	ties := 0
-	for _, c := range usable {
-		if ejected[c.Host] {
-			continue
-		}
-		score := r.score(request, c)
+	for _, c := range candidates {
+		load := r.load(request, c)
 		switch {
-		case score < bestScore:
-			best, bestScore, ties = c.Host, score, 1
-		case score == bestScore:
+		case load < bestLoad:
+			best, bestLoad, ties = c.Host, load, 1
+		case load == bestLoad:
 			ties++
 			// Each of the equal candidates is taken with the same probability.
 			if r.random.IntN(ties) == 0 {
@@ -46,7 +60,7 @@
 			}
 		}
 	}
-	return best, best != ""
+	return best, bestLoad
 }
 
 // usable reports whether the candidate may take the request, ejection aside.
@@ -109,21 +123,17 @@
 	return "", false
 }
 
-// score is the work for each slot that the host would have with the request, relative to the service's mean run time.
-func (r *Router) score(request Request, c Candidate) float64 {
-	busy := float64(c.Slots-c.Free+1) / float64(c.Slots)
+// load is the work for each slot that the host would have with the request, relative to the service's mean run time.
+func (r *Router) load(request Request, c Candidate) float64 {
+	load := float64(c.Slots-c.Free+1) / float64(c.Slots)
 	onHost := r.runTimes.mean(request.Service, c.Host, request.ExpectedRun)
 	anywhere := r.runTimes.mean(request.Service, "", request.ExpectedRun)
-	score := busy
 	if anywhere > 0 {
-		score *= onHost.Seconds() / anywhere.Seconds()
-	}
-	score /= 1 - r.failures(c.Host)
-	if c.DataCentre != r.options.DataCentre {
-		score *= r.options.RemotePenalty
+		load *= onHost.Seconds() / anywhere.Seconds()
 	}
+	load /= 1 - r.failures(c.Host)
 	if r.ejectedByPeers(c.Host) {
-		score *= peerPenalty
+		load *= peerPenalty
 	}
-	return score
+	return load
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -83,8 +83,9 @@
 	DataCentre string
 	// SessionNotice keeps sessions off hosts that are due for maintenance within it. Default 10 min.
 	SessionNotice time.Duration
-	// RemotePenalty is the factor by which a host in another data centre looks more loaded. Default 1.5.
-	RemotePenalty float64
+	// LocalLoad is the load up to which the hosts of the own data centre are taken first; 1 is all slots busy with
+	// requests of mean run time. Default 0.75.
+	LocalLoad float64
 	// MaxEjected is the share of a pool's hosts that may be ejected at once. Default 0.3.
 	MaxEjected float64
 	// ProbeAfter is the time from ejection to the first probe; it doubles with each failed probe. Default 5 s.
@@ -100,7 +101,7 @@
 // Defaults of Options.
 const (
 	DefaultSessionNotice = 10 * time.Minute
-	DefaultRemotePenalty = 1.5
+	DefaultLocalLoad     = 0.75
 	DefaultMaxEjected    = 0.3
 	DefaultProbeAfter    = 5 * time.Second
 	DefaultProbeLimit    = 5 * time.Minute
@@ -134,7 +135,7 @@
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.SessionNotice, DefaultSessionNotice)
-	setDefault(&o.RemotePenalty, DefaultRemotePenalty)
+	setDefault(&o.LocalLoad, DefaultLocalLoad)
 	setDefault(&o.MaxEjected, DefaultMaxEjected)
 	setDefault(&o.ProbeAfter, DefaultProbeAfter)
 	setDefault(&o.ProbeLimit, DefaultProbeLimit)
@@ -149,7 +150,7 @@
 	}
 }
 
-// Hopeless reports whether the job failed on several hosts that serve others well, and succeeded
+// Hopeless reports whether the job failed on several hosts that serve others, and succeeded
 // nowhere: its caller should be told not to send it again.
 func (r *Router) Hopeless(jobDigest uint64) bool {
 	return r.jobs.hopeless(jobDigest, r.hosts)
