--- a/routing/pick.go
+++ b/routing/pick.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -21,50 +22,51 @@
 		r.budget(request.Service).deposit(r.options.RetryShare)
 	}
 	ejected := r.ejectedOf(candidates)
-	usable := lo.Filter(candidates, func(c Candidate, _ int) bool {
-		return r.usable(now, request, c)
-	})
-	if probe, ok := r.probe(now, request, usable, ejected); ok {
+	if probe, ok := r.probe(now, request, candidates, ejected); ok {
 		return probe, true
 	}
-	sound := lo.Reject(usable, func(c Candidate, _ int) bool { return ejected[c.Host] })
-	local, remote := lo.FilterReject(sound, func(c Candidate, _ int) bool {
-		return c.DataCentre == r.options.DataCentre
-	})
-	nearest, localLoad := r.leastLoaded(request, local)
-	if localLoad <= r.options.LocalLoad {
-		return nearest, true
+	local := choice{load: math.Inf(1)}
+	remote := choice{load: math.Inf(1)}
+	serviceRun := r.runTimes.ofService(request.Service, request.ExpectedRun)
+	for i := range candidates {
+		c := &candidates[i]
+		if ejected[c.Host] || !r.usable(now, request, c) {
+			continue
+		}
+		group := &remote
+		if c.DataCentre == r.options.DataCentre {
+			group = &local
+		}
+		group.offer(r.random, c.Host, r.load(request.Service, serviceRun, c))
 	}
-	farther, remoteLoad := r.leastLoaded(request, remote)
-	if remoteLoad < localLoad {
-		return farther, true
+	if local.load > r.options.LocalLoad && remote.load < local.load {
+		return remote.host, true
 	}
-	return nearest, nearest != ""
+	return local.host, local.host != ""
+}
+
+// choice is the least loaded of the hosts offered.
+type choice struct {
+	host string
+	load float64
+	ties int
 }
 
-// leastLoaded returns the least loaded candidate and its load; "" and infinity if there are none.
-func (r *Router) leastLoaded(request Request, candidates []Candidate) (string, float64) {
-	best := ""
-	bestLoad := math.Inf(1)
-	ties := 0
-	for _, c := range candidates {
-		load := r.load(request, c)
-		switch {
-		case load < bestLoad:
-			best, bestLoad, ties = c.Host, load, 1
-		case load == bestLoad:
-			ties++
-			// Each of the equal candidates is taken with the same probability.
-			if r.random.IntN(ties) == 0 {
-				best = c.Host
-			}
+// offer takes the host if it is less loaded, and with the same probability as each other one if it is equally loaded.
+func (c *choice) offer(random *rand.Rand, host string, load float64) {
+	switch {
+	case load < c.load:
+		*c = choice{host: host, load: load, ties: 1}
+	case load == c.load:
+		c.ties++
+		if random.IntN(c.ties) == 0 {
+			c.host = host
 		}
 	}
-	return best, bestLoad
 }
 
 // usable reports whether the candidate may take the request, ejection aside.
-func (r *Router) usable(now time.Time, request Request, c Candidate) bool {
+func (r *Router) usable(now time.Time, request Request, c *Candidate) bool {
 	if c.Free <= 0 || c.Slots <= 0 || lo.Contains(request.Exclude, c.Host) {
 		return false
 	}
@@ -100,13 +102,14 @@
 }
 
 // probe returns an ejected host that is due for a probe by this request.
-func (r *Router) probe(now time.Time, request Request, usable []Candidate, ejected map[string]bool) (string, bool) {
-	if request.Class == Session || request.Retry {
+func (r *Router) probe(now time.Time, request Request, candidates []Candidate, ejected map[string]bool) (string, bool) {
+	if len(ejected) == 0 || request.Class == Session || request.Retry {
 		return "", false
 	}
-	for _, c := range usable {
+	for i := range candidates {
+		c := &candidates[i]
 		h := r.hosts[c.Host]
-		if !ejected[c.Host] || h.probing && now.Before(h.probeAt.Add(r.options.ProbeLimit)) {
+		if !ejected[c.Host] || !r.usable(now, request, c) || h.probing && now.Before(h.probeAt.Add(r.options.ProbeLimit)) {
 			continue
 		}
 		due := h.probeAt
@@ -124,14 +127,14 @@
 }
 
 // load is the work for each slot that the host would have with the request, relative to the service's mean run time.
-func (r *Router) load(request Request, c Candidate) float64 {
+func (r *Router) load(service string, serviceRun float64, c *Candidate) float64 {
 	load := float64(c.Slots-c.Free+1) / float64(c.Slots)
-	onHost := r.runTimes.mean(request.Service, c.Host, request.ExpectedRun)
-	anywhere := r.runTimes.mean(request.Service, "", request.ExpectedRun)
-	if anywhere > 0 {
-		load *= onHost.Seconds() / anywhere.Seconds()
+	if serviceRun > 0 {
+		load *= r.runTimes.onHost(service, c.Host, serviceRun) / serviceRun
+	}
+	if h, ok := r.hosts[c.Host]; ok {
+		load /= 1 - h.share
 	}
-	load /= 1 - r.failures(c.Host)
 	if r.ejectedByPeers(c.Host) {
 		load *= peerPenalty
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -159,7 +159,8 @@
 // RunTime returns the learned mean run time of a service on a host, or the declared one where nothing is
 // known. An empty host means any host.
 func (r *Router) RunTime(service, host string, declared time.Duration) time.Duration {
-	return r.runTimes.mean(service, host, declared)
+	seconds := r.runTimes.onHost(service, host, r.runTimes.ofService(service, declared))
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // AllowRetry takes one retry from the service's budget; false if there is none left.
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -57,7 +57,7 @@
 			host, ok := r.Pick(now, request, pool)
 			usable := 0
 			for _, c := range pool {
-				may := r.usable(now, request, c)
+				may := r.usable(now, request, &c)
 				assert.Assert(rt, c.Host != host || may, "%s may not take it", host)
 				if may {
 					usable++
--- a/routing/runtimes.go
+++ b/routing/runtimes.go
@@ -62,11 +62,14 @@
 	return m
 }
 
-// mean returns the learned run time on the host, for want of it that of the service, for want of it the declared one.
-func (t *runTimes) mean(service, host string, declared time.Duration) time.Duration {
-	seconds := t.byService[service].blend(declared.Seconds())
-	seconds = t.byHost[serviceHost{service, host}].blend(seconds)
-	return time.Duration(seconds * float64(time.Second))
+// ofService returns the service's learned run time in seconds, for want of it the declared one.
+func (t *runTimes) ofService(service string, declared time.Duration) float64 {
+	return t.byService[service].blend(declared.Seconds())
+}
+
+// onHost returns the learned run time on the host in seconds, for want of it the service's.
+func (t *runTimes) onHost(service, host string, ofService float64) float64 {
+	return t.byHost[serviceHost{service, host}].blend(ofService)
 }
 
 // forget drops a host's run times.
--- a/upstream/bench_test.go
+++ b/upstream/bench_test.go
@@ -1,8 +1,10 @@
 package upstream
 
 import (
+	"bufio"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -48,3 +50,19 @@
 		assert.NilError(b, errors.Join(err, resp.Body.Close()))
 	}
 }
+
+// BenchmarkWorkerKeepsOpen has a worker that ignores "Connection: close", which costs CloseWait.
+func BenchmarkWorkerKeepsOpen(b *testing.B) {
+	worker := startWorker(b, func(w *rawWorker, conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		_, _ = io.WriteString(conn, whole(w.read(conn, reader)))
+		_, _ = reader.ReadByte()
+	})
+	client := New(Options{})
+	for b.Loop() {
+		resp, err := client.Do(b.Context(), Target{Address: worker.address}, Request{Method: "GET", Path: "/", RequestID: "r", Echo: true})
+		assert.NilError(b, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(b, errors.Join(err, resp.Body.Close()))
+	}
+}
--- /dev/null
+++ b/upstream/standin_test.go
@@ -0,0 +1,123 @@
+package upstream_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/standin/workers"
+	"github.com/agateturn/agateturn/upstream"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	standInCallers  = 8
+	standInRequests = 25 // of each caller
+)
+
+// claim is what was said of a request.
+type claim struct {
+	id             string
+	notRun, passed bool
+}
+
+// callAll has callers send requests through a client, and checks each answer that is passed as whole.
+func callAll(t *testing.T, client *upstream.Client, address string, timeout time.Duration) []claim {
+	var mu sync.Mutex
+	var claims []claim
+	var callers sync.WaitGroup
+	for caller := range standInCallers {
+		callers.Go(func() {
+			for i := range standInRequests {
+				c := claim{id: fmt.Sprintf("%d-%d", caller, i)}
+				ctx, cancel := context.WithTimeout(t.Context(), timeout)
+				resp, err := client.Do(ctx, upstream.Target{Host: "w1", Address: address}, upstream.Request{
+					Method: http.MethodPost, Path: "/?size=200", RequestID: c.id, Echo: true,
+					Header: http.Header{"Idempotency-Key": {c.id}}, Body: bytes.NewReader(make([]byte, 100)), ContentLength: 100,
+				})
+				c.notRun = upstream.NotRun.Has(err)
+				if err == nil {
+					body, err := io.ReadAll(resp.Body)
+					c.passed = err == nil && resp.Status == http.StatusOK
+					if c.passed && !bytes.Equal(body, workers.Body(c.id, 200)) {
+						t.Errorf("request %s got another answer", c.id)
+					}
+					_ = resp.Body.Close()
+				}
+				cancel()
+				mu.Lock()
+				claims = append(claims, c)
+				mu.Unlock()
+			}
+		})
+	}
+	callers.Wait()
+	return claims
+}
+
+// TestStandInFaults has a stand-in worker misbehave and reboot under load; its records judge what was claimed.
+func TestStandInFaults(t *testing.T) {
+	const short = 30 * time.Millisecond
+	tests := map[string]struct {
+		faults workers.Faults
+		passes bool // whole answers come all the same
+		reboot bool
+	}{
+		"sound":             {passes: true},
+		"late":              {faults: workers.Faults{Late: true}, passes: true},
+		"twice":             {faults: workers.Faults{Twice: true}, passes: true},
+		"crossed":           {faults: workers.Faults{Crossed: true}},
+		"cut":               {faults: workers.Faults{Cut: true}},
+		"wrong length":      {faults: workers.Faults{WrongLength: true}},
+		"hang after header": {faults: workers.Faults{HangAfterHeader: true}},
+		"close after read":  {faults: workers.Faults{CloseAfterRead: true}},
+		"frozen":            {faults: workers.Faults{Frozen: true}},
+		"reboot":            {reboot: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			fleet, err := workers.New(t.Context(), workers.Options{
+				Hosts:        []*pb.Host{{Name: "w1", Address: "127.0.0.1:0"}},
+				AdminAddress: "127.0.0.1:0", DefaultRunTime: workers.RunTime{Median: time.Millisecond, Sigma: 0.5},
+			})
+			assert.NilError(t, err)
+			ctx, cancel := context.WithCancel(t.Context())
+			served := make(chan error, 1)
+			go func() { served <- fleet.Serve(ctx) }()
+			fleet.SetFaults("w1", test.faults)
+			if test.reboot {
+				time.AfterFunc(5*time.Millisecond, func() { fleet.Reboot("w1", 10*time.Millisecond) })
+			}
+			timeout := 10 * time.Second
+			if test.faults.HangAfterHeader || test.faults.Frozen {
+				timeout = short
+			}
+			client := upstream.New(upstream.Options{})
+			claims := callAll(t, client, fleet.Address("w1"), timeout)
+			fleet.SetFaults("w1", workers.Faults{}) // a frozen worker now runs what it was sent
+			assert.NilError(t, client.Wait(t.Context()))
+			cancel()
+			assert.NilError(t, <-served)
+			judge(t, fleet, claims, test.passes, test.reboot)
+		})
+	}
+}
+
+// judge compares the claims with the worker's records.
+func judge(t *testing.T, fleet *workers.Fleet, claims []claim, passes, either bool) {
+	recorded := map[string]bool{}
+	for _, record := range fleet.Records() {
+		recorded[record.RequestID] = true
+	}
+	assert.Equal(t, len(fleet.Counts().Doubled), 0)
+	for _, c := range claims {
+		assert.Assert(t, !c.notRun || !recorded[c.id], "%s was said not to have run", c.id)
+		assert.Assert(t, either || c.passed == passes, "%s: passed as whole: %v", c.id, c.passed)
+	}
+}
