--- a/routing/health.go
+++ b/routing/health.go
@@ -20,7 +20,7 @@
 		r.runTimes.observe(o.Service, o.Host, o.RunTime)
 		r.jobs.succeeded(o.JobDigest)
 	case Failed:
-		r.jobs.failed(o.JobDigest, o.Host)
+		r.jobs.failed(now, o.JobDigest, o.Host)
 	default:
 		// The job was not tried.
 	}
--- a/routing/jobs.go
+++ b/routing/jobs.go
@@ -1,6 +1,9 @@
 package routing
 
-import "container/list"
+import (
+	"container/list"
+	"time"
+)
 
 const (
 	// maxJobs bounds the failed jobs that are remembered.
@@ -11,13 +14,19 @@
 	blamedHosts = 2
 	// maxJobHosts bounds the hosts remembered for a job.
 	maxJobHosts = 8
+	// hopelessFor is the time for which a job is hopeless after its last failure; it doubles up to hopelessLimit.
+	hopelessFor   = 30 * time.Second
+	hopelessLimit = 10 * time.Minute
 )
 
 // job is one that has failed and succeeded nowhere since.
 type job struct {
 	digest   uint64
 	failedOn []string // distinct hosts
-	element  *list.Element
+	// retryAt is when a hopeless job may be tried again.
+	retryAt time.Time
+	wait    time.Duration
+	element *list.Element
 }
 
 // jobs remembers the jobs that failed last.
@@ -39,15 +48,16 @@
 }
 
 // failed notes a failure of the job on the host.
-func (j *jobs) failed(digest uint64, host string) {
+func (j *jobs) failed(now time.Time, digest uint64, host string) {
 	known, ok := j.byDigest[digest]
 	if !ok {
-		known = &job{digest: digest}
+		known = &job{digest: digest, wait: hopelessFor}
 		known.element = j.byAge.PushBack(known)
 		j.byDigest[digest] = known
 	}
 	j.byAge.MoveToBack(known.element)
 	known.add(host)
+	known.putOff(now)
 	if len(j.byDigest) > maxJobs {
 		oldest := j.byAge.Remove(j.byAge.Front()).(*job)
 		delete(j.byDigest, oldest.digest)
@@ -65,6 +75,14 @@
 	}
 }
 
+// putOff sets the time of the next try. A failure of a try that was put off doubles the time.
+func (j *job) putOff(now time.Time) {
+	if !j.retryAt.IsZero() && !now.Before(j.retryAt) {
+		j.wait = min(2*j.wait, hopelessLimit)
+	}
+	j.retryAt = now.Add(j.wait)
+}
+
 // servingFailures returns the number of hosts that the job failed on although they serve other jobs.
 func (j *jobs) servingFailures(digest uint64, hosts map[string]*host) int {
 	known, ok := j.byDigest[digest]
@@ -80,8 +98,10 @@
 	return count
 }
 
-func (j *jobs) hopeless(digest uint64, hosts map[string]*host) bool {
-	return j.servingFailures(digest, hosts) >= hopelessHosts
+// hopeless reports whether the job is to be refused for now.
+func (j *jobs) hopeless(now time.Time, digest uint64, hosts map[string]*host) bool {
+	known, ok := j.byDigest[digest]
+	return ok && now.Before(known.retryAt) && j.servingFailures(digest, hosts) >= hopelessHosts
 }
 
 // blamed reports whether failures of the job are its own fault rather than a host's.
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -39,7 +39,7 @@
 		}
 		group.offer(r.random, c.Host, r.load(request.Service, serviceRun, c))
 	}
-	if local.load > r.options.LocalLoad && remote.load < local.load {
+	if local.load > r.options.LocalLoad && remote.load*r.options.RemotePenalty < local.load {
 		return remote.host, true
 	}
 	return local.host, local.host != ""
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -45,7 +45,7 @@
 	Host       string
 	DataCentre string
 	Rack       string
-	// Free of the Slots may be used now.
+	// Free is the number of slots that may be used now; Slots is how many the host has.
 	Free  int
 	Slots int
 	// DueForMaintenance is the time of the next planned maintenance; zero if none is planned.
@@ -86,6 +86,8 @@
 	// LocalLoad is the load up to which the hosts of the own data centre are taken first; 1 is all slots busy with
 	// requests of mean run time. Default 0.75.
 	LocalLoad float64
+	// RemotePenalty is the factor by which hosts of other data centres look more loaded beyond that. Default 1.25.
+	RemotePenalty float64
 	// MaxEjected is the share of a pool's hosts that may be ejected at once. Default 0.3.
 	MaxEjected float64
 	// ProbeAfter is the time from ejection to the first probe; it doubles with each failed probe. Default 5 s.
@@ -102,6 +104,7 @@
 const (
 	DefaultSessionNotice = 10 * time.Minute
 	DefaultLocalLoad     = 0.75
+	DefaultRemotePenalty = 1.25
 	DefaultMaxEjected    = 0.3
 	DefaultProbeAfter    = 5 * time.Second
 	DefaultProbeLimit    = 5 * time.Minute
@@ -136,6 +139,7 @@
 func (o Options) withDefaults() Options {
 	setDefault(&o.SessionNotice, DefaultSessionNotice)
 	setDefault(&o.LocalLoad, DefaultLocalLoad)
+	setDefault(&o.RemotePenalty, DefaultRemotePenalty)
 	setDefault(&o.MaxEjected, DefaultMaxEjected)
 	setDefault(&o.ProbeAfter, DefaultProbeAfter)
 	setDefault(&o.ProbeLimit, DefaultProbeLimit)
@@ -150,10 +154,10 @@
 	}
 }
 
-// Hopeless reports whether the job failed on several hosts that serve others, and succeeded
-// nowhere: its caller should be told not to send it again.
-func (r *Router) Hopeless(jobDigest uint64) bool {
-	return r.jobs.hopeless(jobDigest, r.hosts)
+// Hopeless reports whether the job failed on several hosts that serve others, and succeeded nowhere: its caller
+// should be told not to send it again. The verdict lapses after a time, which doubles if the job then fails again.
+func (r *Router) Hopeless(now time.Time, jobDigest uint64) bool {
+	return r.jobs.hopeless(now, jobDigest, r.hosts)
 }
 
 // RunTime returns the learned mean run time of a service on a host, or the declared one where nothing is
--- a/upstream/answer_test.go
+++ b/upstream/answer_test.go
@@ -130,6 +130,45 @@
 	}
 }
 
+// TestCutIsReportedWhileItCanBe has the caller told so if it has nothing of the answer, and its connection broken if it has.
+func TestCutIsReportedWhileItCanBe(t *testing.T) {
+	for cut, broken := range map[string]bool{whole("r")[:len(whole("r"))-1]: false, chunked("r")[:len(chunked("r"))-1]: true} {
+		worker := startWorker(t, answer(func(string) string { return cut }))
+		entry := startEntry(t, New(Options{}), worker.address, relayOrAbort)
+		_, err := call(t, entry.URL, "r")
+		assert.Equal(t, errors.Is(err, errCut), broken, "%v", err)
+		assert.Equal(t, strings.Contains(err.Error(), "outcome unknown"), !broken, "%v", err)
+	}
+}
+
+// TestHeaderOnlyAndTrailers has answers without a body, and one with fields behind it.
+func TestHeaderOnlyAndTrailers(t *testing.T) {
+	head := "\r\n" + RequestIDHeader + ": r\r\n"
+	tests := map[string]struct{ method, answer, trailer string }{
+		"no content": {http.MethodGet, "HTTP/1.1 204 No Content" + head + "\r\n", ""},
+		"unchanged":  {http.MethodGet, "HTTP/1.1 304 Not Modified" + head + "\r\n", ""},
+		"head":       {http.MethodHead, "HTTP/1.1 200 OK" + head + "Content-Length: 7\r\n\r\n", ""},
+		"trailer": {
+			http.MethodGet,
+			"HTTP/1.1 200 OK" + head + "Transfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n1\r\nx\r\n0\r\nSum: 9\r\n\r\n", "9",
+		},
+	}
+	for name, test := range tests {
+		worker := startWorker(t, answer(func(string) string { return test.answer }))
+		entry := startEntry(t, New(Options{}), worker.address, relayOrAbort)
+		request, err := http.NewRequestWithContext(t.Context(), test.method, entry.URL, http.NoBody)
+		assert.NilError(t, err)
+		request.Header.Set("Caller-Id", "r")
+		request.Close = true
+		resp, err := http.DefaultClient.Do(request)
+		assert.NilError(t, err, name)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, errors.Join(err, resp.Body.Close()), name)
+		assert.Equal(t, resp.Status, strings.TrimPrefix(strings.SplitN(test.answer, "\r\n", 2)[0], "HTTP/1.1 "), name)
+		assert.Equal(t, resp.Trailer.Get("Sum"), test.trailer, name)
+	}
+}
+
 // TestSurplusInAnotherSegment has the surplus of a wrong length come after the declared part.
 func TestSurplusInAnotherSegment(t *testing.T) {
 	worker := startWorker(t, func(w *rawWorker, conn net.Conn) {
