--- a/routing/pick.go
+++ b/routing/pick.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -14,43 +15,58 @@
 
 // Pick returns the host that the request should go to; false if no candidate may take it now.
 //
-// It takes the host with the least work for each of its slots, by learned run times and success, and prefers its own
-// data centre until that is the more loaded one. An ejected host gets one request at a time as a probe.
+// It takes the host with the least work for each of its slots, by learned run times and success: one in its own data
+// centre unless that is loaded. An ejected host gets one request at a time as a probe.
 func (r *Router) Pick(now time.Time, request Request, candidates []Candidate) (string, bool) {
 	if !request.Retry {
 		r.budget(request.Service).deposit(r.options.RetryShare)
 	}
 	ejected := r.ejectedOf(candidates)
-	usable := lo.Filter(candidates, func(c Candidate, _ int) bool {
-		return r.usable(now, request, c)
-	})
-	if probe, ok := r.probe(now, request, usable, ejected); ok {
+	if probe, ok := r.probe(now, request, candidates, ejected); ok {
 		return probe, true
 	}
-	best := ""
-	bestScore := math.Inf(1)
-	ties := 0
-	for _, c := range usable {
-		if ejected[c.Host] {
+	local := choice{load: math.Inf(1)}
+	remote := choice{load: math.Inf(1)}
+	serviceRun := r.runTimes.ofService(request.Service, request.ExpectedRun)
+	for i := range candidates {
+		c := &candidates[i]
+		if ejected[c.Host] || !r.usable(now, request, c) {
 			continue
 		}
-		score := r.score(request, c)
-		switch {
-		case score < bestScore:
-			best, bestScore, ties = c.Host, score, 1
-		case score == bestScore:
-			ties++
-			// Each of the equal candidates is taken with the same probability.
-			if r.random.IntN(ties) == 0 {
-				best = c.Host
-			}
+		group := &remote
+		if c.DataCentre == r.options.DataCentre {
+			group = &local
+		}
+		group.offer(r.random, c.Host, r.load(request.Service, serviceRun, c))
+	}
+	if local.load > r.options.LocalLoad && remote.load*r.options.RemotePenalty < local.load {
+		return remote.host, true
+	}
+	return local.host, local.host != ""
+}
+
+// choice is the least loaded of the hosts offered.
+type choice struct {
+	host string
+	load float64
+	ties int
+}
+
+// offer takes the host if it is less loaded, and with the same probability as each other one if it is equally loaded.
+func (c *choice) offer(random *rand.Rand, host string, load float64) {
+	switch {
+	case load < c.load:
+		*c = choice{host: host, load: load, ties: 1}
+	case load == c.load:
+		c.ties++
+		if random.IntN(c.ties) == 0 {
+			c.host = host
 		}
 	}
-	return best, best != ""
 }
 
 // usable reports whether the candidate may take the request, ejection aside.
-func (r *Router) usable(now time.Time, request Request, c Candidate) bool {
+func (r *Router) usable(now time.Time, request Request, c *Candidate) bool {
 	if c.Free <= 0 || c.Slots <= 0 || lo.Contains(request.Exclude, c.Host) {
 		return false
 	}
@@ -86,13 +102,14 @@
 }
 
 // probe returns an ejected host that is due for a probe by this request.
-func (r *Router) probe(now time.Time, request Request, usable []Candidate, ejected map[string]bool) (string, bool) {
-	if request.Class == Session || request.Retry {
+func (r *Router) probe(now time.Time, request Request, candidates []Candidate, ejected map[string]bool) (string, bool) {
+	if len(ejected) == 0 || request.Class == Session || request.Retry {
 		return "", false
 	}
-	for _, c := range usable {
+	for i := range candidates {
+		c := &candidates[i]
 		h := r.hosts[c.Host]
-		if !ejected[c.Host] || h.probing && now.Before(h.probeAt.Add(r.options.ProbeLimit)) {
+		if !ejected[c.Host] || !r.usable(now, request, c) || h.probing && now.Before(h.probeAt.Add(r.options.ProbeLimit)) {
 			continue
 		}
 		due := h.probeAt
@@ -109,21 +126,17 @@
 	return "", false
 }
 
-// score is the work for each slot that the host would have with the request, relative to the service's mean run time.
-func (r *Router) score(request Request, c Candidate) float64 {
-	busy := float64(c.Slots-c.Free+1) / float64(c.Slots)
-	onHost := r.runTimes.mean(request.Service, c.Host, request.ExpectedRun)
-	anywhere := r.runTimes.mean(request.Service, "", request.ExpectedRun)
-	score := busy
-	if anywhere > 0 {
-		score *= onHost.Seconds() / anywhere.Seconds()
+// load is the work for each slot that the host would have with the request, relative to the service's mean run time.
+func (r *Router) load(service string, serviceRun float64, c *Candidate) float64 {
+	load := float64(c.Slots-c.Free+1) / float64(c.Slots)
+	if serviceRun > 0 {
+		load *= r.runTimes.onHost(service, c.Host, serviceRun) / serviceRun
 	}
-	score /= 1 - r.failures(c.Host)
-	if c.DataCentre != r.options.DataCentre {
-		score *= r.options.RemotePenalty
+	if h, ok := r.hosts[c.Host]; ok {
+		load /= 1 - h.share
 	}
 	if r.ejectedByPeers(c.Host) {
-		score *= peerPenalty
+		load *= peerPenalty
 	}
-	return score
+	return load
 }
