--- a/controller/step.go
+++ b/controller/step.go
@@ -271,8 +271,7 @@
 	if !s.draft.Changed() {
 		return
 	}
-	f := s.draft.Fleet()
-	next, err := fleet.NextWrite(f, f.Term, s.in.Self, s.in.WriteID)
+	next, err := s.draft.Write(s.draft.Fleet().Term, s.in.Self, s.in.WriteID)
 	if err != nil {
 		s.note(NoteTerm, s.in.Self, "%v", err)
 		return
--- a/fleet/write.go
+++ b/fleet/write.go
@@ -27,15 +27,37 @@
 // term that it made; an entry host that only registers or leaves gives the term and controller of f. A term other than
 // the fleet's is refused, as another controller has taken over.
 func NextWrite(f *pb.Fleet, term uint64, controller, writeID string) (*pb.Fleet, error) {
-	if term != f.GetTerm() || controller != f.GetController() {
-		return nil, StaleTerm.New("the fleet is at term %d of %s, not %d of %s; read it again and take over first",
-			f.GetTerm(), f.GetController(), term, controller)
+	if err := checkTerm(f, term, controller); err != nil {
+		return nil, err
 	}
 	next := proto.CloneOf(f)
 	if next == nil {
 		next = &pb.Fleet{}
 	}
-	next.Revision++
-	next.WriteId = writeID
-	return next, nil
+	return stamp(next, writeID), nil
+}
+
+// Write is NextWrite on a draft, which must not be used any more.
+func (d *Draft) Write(term uint64, controller, writeID string) (*pb.Fleet, error) {
+	if !d.changed {
+		return NextWrite(d.base, term, controller, writeID)
+	}
+	if err := checkTerm(d.fleet, term, controller); err != nil {
+		return nil, err
+	}
+	return stamp(d.fleet, writeID), nil
+}
+
+func checkTerm(f *pb.Fleet, term uint64, controller string) error {
+	if term == f.GetTerm() && controller == f.GetController() {
+		return nil
+	}
+	return StaleTerm.New("the fleet is at term %d of %s, not %d of %s; read it again and take over first",
+		f.GetTerm(), f.GetController(), term, controller)
+}
+
+func stamp(f *pb.Fleet, writeID string) *pb.Fleet {
+	f.Revision++
+	f.WriteId = writeID
+	return f
 }
--- a/waves/step.go
+++ b/waves/step.go
@@ -204,25 +204,39 @@
 		wait = "its hosts are busy with other orders"
 	}
 	for len(left) > 0 && s.limits.room() {
+		var reason string
+		left, reason = s.allowed(left)
+		if len(left) == 0 {
+			return out, reason
+		}
 		best := s.pick(left)
 		host := left[best]
 		left = slices.Delete(left, best, best+1)
-		if reason := s.blocked(host); reason != "" {
-			if wait == "" {
-				wait = reason
-			}
-			continue
-		}
 		s.budgets.Take(host)
 		s.limits.take(host, s.hosts[host].Pool)
 		out = append(out, Action{Kind: StartMaintenance, Wave: w.Name, Host: host})
 	}
-	if wait == "" && len(left) > 0 {
+	if len(left) > 0 {
 		wait = "max_parallel hosts are in maintenance"
 	}
 	return out, wait
 }
 
+// allowed returns the hosts that may start now, and why the first of the others may not.
+func (s *stepper) allowed(hosts []string) (out []string, reason string) {
+	for _, host := range hosts {
+		why := s.blocked(host)
+		if why == "" {
+			out = append(out, host)
+			continue
+		}
+		if reason == "" {
+			reason = why
+		}
+	}
+	return out, reason
+}
+
 func (s *stepper) blocked(host string) string {
 	if err := s.budgets.MayDrain(host); err != nil {
 		return err.Error()
