Measure moves against two fixed policies

Cause: moves, roll-out time and buffer trade off, and the users weigh them differently; the policy must be compared with never and always moving. Change: a bench in virtual time on generated demand, with the weights that the examples of both users have.

--- /dev/null
+++ b/movebench/run.go
@@ -0,0 +1,38 @@
+package movebench
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+)
+
+// Run measures each policy on each deployment and prints one table. It returns the error of writing it.
+func Run(w io.Writer, seed uint64) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(table, "deployment\tpolicy\tgoodput %\tmoves\tmean roll-out s\tspare host-hours\tweighted cost\t")
+	for _, d := range []deployment{agency(), brenaz()} {
+		for _, p := range policies() {
+			r := newSim(d, p, seed).run()
+			_, _ = fmt.Fprintf(table, "%s\t%s\t%.2f\t%d\t%.1f\t%.1f\t%.0f\t\n",
+				d.name, p.name, r.goodput(), r.moves, r.meanRollOut().Seconds(), r.idleSpare.Hours(), r.cost(d.weights))
+		}
+	}
+	return table.Flush()
+}
+
+// goodput is the share of requests that started within their deadline, in percent.
+func (r result) goodput() float64 {
+	return 100 * float64(r.inTime) / float64(max(r.asked, 1))
+}
+
+func (r result) meanRollOut() time.Duration {
+	return r.rollOut / time.Duration(max(r.moves, 1))
+}
+
+// cost adds the three measures by their weights: each move, each second of roll-out, each host-hour of buffer.
+func (r result) cost(w *pb.Weights) float64 {
+	return w.Moves*float64(r.moves) + w.RollOut*r.rollOut.Seconds() + w.Buffer*r.idleSpare.Hours()
+}
