--- a/config/proposal.go
+++ b/config/proposal.go
@@ -48,9 +48,11 @@
 const (
 	// Accepted: the store holds the change and every registered member has acknowledged it.
 	Accepted OutcomeKind = iota + 1
-	// Conflict: another change came first; this one is not and will not be in force.
+	// Conflict: another change came first; this proposal wrote nothing and will not. The change is not in force,
+	// unless an earlier proposal of it whose end was Unknown still brings it there.
 	Conflict
-	// Refused: this change is not and will not be in force; nothing was written.
+	// Refused: not every member could hold the change, or the store was not reached. As with Conflict, this proposal
+	// wrote nothing and will not.
 	Refused
 	// Unknown: the change may be or come in force. The same change_id may be proposed again and is no second change.
 	Unknown
@@ -103,6 +105,7 @@
 	// written is set when a Swap may have taken effect: from then on the change is never abandoned unless the
 	// store shows that another one came first.
 	written bool
+	denial  string // why a member does not hold the change
 	history func(generation uint64) (changeID string, known bool)
 }
 
@@ -189,7 +192,8 @@
 	return []Action{{Kind: Swap}}
 }
 
-// Denied takes in that member does not hold the change, why, and which generation is in force there.
+// Denied takes in that member does not hold the change, why, and which generation is in force there. What the store
+// holds then decides: an earlier proposal of the same change may have been accepted.
 func (p *Proposal) Denied(now time.Time, member, reason string, generation uint64) []Action {
 	if p.phase == confirming && generation >= p.cfg.GetGeneration() {
 		// The member went on to a later generation, which was made from this one.
@@ -199,10 +203,10 @@
 	if p.phase != staging {
 		return nil
 	}
-	if generation >= p.cfg.GetGeneration() {
-		return p.readBack()
+	if generation < p.cfg.GetGeneration() {
+		p.denial = member + ": " + reason
 	}
-	return p.giveUp(Outcome{Kind: Conflict, Reason: member + ": " + reason})
+	return p.readBack()
 }
 
 // Unreachable takes in that member did not answer.
@@ -259,6 +263,8 @@
 		return p.giveUp(Outcome{Kind: Conflict, Reason: conflictReason(stored)})
 	case stored.GetGeneration() > p.cfg.GetGeneration():
 		return p.overtaken(stored)
+	case p.denial != "":
+		return p.giveUp(Outcome{Kind: Conflict, Reason: p.denial})
 	case len(p.missing()) > 0:
 		// A member said that the store went on, and the store does not show it: nothing is decided yet.
 		p.phase = staging
--- a/config/stager.go
+++ b/config/stager.go
@@ -192,7 +192,9 @@
 	Registered bool // the peer's registration is in the store's fleet value
 }
 
-// Heard takes in a peer's report, and this member's own with each tick: it knows what it has not reported itself. A report of a higher generation settles nothing: fetch the configuration and Accept it.
+// Heard takes in a peer's report at a time not before now: pass the time this member began the exchange that the
+// report came in, so that one that waited while the process was paused proves nothing. Take in this member's own
+// report with each tick: it knows what it has not reported itself. A report of a higher generation settles nothing: fetch the configuration and Accept it.
 func (s *Stager) Heard(now time.Time, report Report) {
 	if report.Generation > s.Generation() {
 		return
