--- a/config/sim_test.go
+++ b/config/sim_test.go
@@ -15,9 +15,9 @@
 	simTick     = 100 * time.Millisecond
 	simBound    = 20 * simTick
 	simDeadline = 60 * simTick
-	simTimeout  = 8  // ticks until a call counts as failed
-	simDelay    = 3  // most ticks that a message is under way
-	simPeriod   = 3  // ticks between two heartbeats
+	simTimeout  = 8 // ticks until a call counts as failed
+	simDelay    = 3 // most ticks that a message is under way
+	simPeriod   = 3 // ticks between two heartbeats
 )
 
 // sim runs entry hosts with a store and a network that loses, delays and cuts; one goroutine, virtual time.
@@ -69,7 +69,6 @@
 	number  int
 	id      string
 	version int
-	ended   bool
 }
 
 func newSim(seed uint64, nodes int, naive bool) *sim {
--- a/stats/buckets.go
+++ b/stats/buckets.go
@@ -21,7 +21,7 @@
 	return all
 }
 
-// buckets is a metrics.Sample of nanoseconds that counts every value in a fixed set of buckets: its memory does not
+// buckets is a metrics.Histogram of nanoseconds that counts every value in a fixed set of buckets: its memory does not
 // grow, and counts of several can be added. Percentiles are interpolated inside a bucket. Safe for concurrent use;
 // a reader may see a value in some of the figures only.
 type buckets struct {
@@ -30,7 +30,7 @@
 	max, min atomic.Int64
 }
 
-var _ metrics.Sample = (*buckets)(nil)
+var _ metrics.Histogram = (*buckets)(nil)
 
 func newBuckets() *buckets {
 	b := &buckets{counts: make([]atomic.Int64, len(bounds)+1)}
@@ -141,18 +141,15 @@
 	return values
 }
 
-// Size is the number of values, since every one is counted.
-func (b *buckets) Size() int { return int(b.Count()) }
-
 // Snapshot is a copy.
-func (b *buckets) Snapshot() metrics.Sample {
+func (b *buckets) Snapshot() metrics.Histogram {
 	c := newBuckets()
 	c.add(b)
 	return c
 }
 
-// Values is nil: single values are not kept.
-func (b *buckets) Values() []int64 { return nil }
+// Sample is empty: single values are not kept.
+func (b *buckets) Sample() metrics.Sample { return metrics.NilSample{} }
 
 // Variance is estimated from the middle of each bucket.
 func (b *buckets) Variance() float64 {
--- a/stats/export.go
+++ b/stats/export.go
@@ -34,8 +34,8 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	var b bytes.Buffer
-	s.exportHistogram(&b, requestMetric, func(r *requestSeries) *buckets { return r.allData })
-	s.exportHistogram(&b, queueMetric, func(r *requestSeries) *buckets { return r.queueData })
+	s.exportHistogram(&b, requestMetric, func(r *requestSeries) *buckets { return r.total })
+	s.exportHistogram(&b, queueMetric, func(r *requestSeries) *buckets { return r.queue })
 	exportFamily(&b, s.counters, "counter", func(c metrics.Counter) string { return strconv.FormatInt(c.Count(), 10) })
 	exportFamily(&b, s.gauges, "gauge", func(g metrics.GaugeFloat64) string { return formatNumber(g.Value()) })
 	return b.Bytes()
@@ -70,7 +70,7 @@
 		exported := metricName(name)
 		fmt.Fprintf(b, "# TYPE %s %s\n", exported, kind)
 		for _, id := range sortedKeys(f.byName[name]) {
-			fmt.Fprintf(b, "%s%s %s\n", exported, id, value(f.byName[name][id].metric))
+			fmt.Fprintf(b, "%s%s %s\n", exported, id, value(f.byName[name][id]))
 		}
 	}
 }
--- a/stats/limits.go
+++ b/stats/limits.go
@@ -32,46 +32,39 @@
 type family[M any] struct {
 	limits Limits
 	create func() M
-	byName map[string]map[string]*member[M]
-}
-
-// member is one metric with its labels.
-type member[M any] struct {
-	labels []Label
-	metric M
+	byName map[string]map[string]M // by metric, then by formatted labels
 }
 
 func newFamily[M any](limits Limits, create func() M) *family[M] {
-	return &family[M]{limits: limits, create: create, byName: map[string]map[string]*member[M]{}}
+	return &family[M]{limits: limits, create: create, byName: map[string]map[string]M{}}
 }
 
 func (f *family[M]) get(name string, labels []Label) M {
 	members := f.membersOf(name)
 	labels = sortedLabels(labels)
 	id := formatLabels(labels)
-	if m, known := members[id]; known {
-		return m.metric
+	if metric, known := members[id]; known {
+		return metric
 	}
 	if len(members) >= f.limits.Series || f.tooLong(labels) {
-		labels = otherLabels(labels)
-		id = formatLabels(labels)
+		id = formatLabels(otherLabels(labels))
 	}
-	m, known := members[id]
+	metric, known := members[id]
 	if !known {
-		m = &member[M]{labels: labels, metric: f.create()}
-		members[id] = m
+		metric = f.create()
+		members[id] = metric
 	}
-	return m.metric
+	return metric
 }
 
-func (f *family[M]) membersOf(name string) map[string]*member[M] {
+func (f *family[M]) membersOf(name string) map[string]M {
 	members, known := f.byName[name]
 	if !known && len(f.byName) >= f.limits.Metrics {
 		name = Other
 		members, known = f.byName[name]
 	}
 	if !known {
-		members = map[string]*member[M]{}
+		members = map[string]M{}
 		f.byName[name] = members
 	}
 	return members
--- a/stats/snapshot.go
+++ b/stats/snapshot.go
@@ -52,8 +52,8 @@
 			data = &rowData{queue: newBuckets(), total: newBuckets()}
 			gathered[id] = data
 		}
-		data.queue.add(series.queueData)
-		data.total.add(series.allData)
+		data.queue.add(series.queue)
+		data.total.add(series.total)
 		data.outcomes = append(data.outcomes, OutcomeCount{Outcome: labels.Outcome, Count: series.total.Count()})
 	}
 	ids := lo.Keys(gathered)
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -55,16 +55,11 @@
 
 // requestSeries is what one combination of labels has seen.
 type requestSeries struct {
-	queue, total       metrics.Histogram
-	queueData, allData *buckets
+	queue, total *buckets
 }
 
 func newRequestSeries() *requestSeries {
-	queue, total := newBuckets(), newBuckets()
-	return &requestSeries{
-		queue: metrics.NewHistogram(queue), total: metrics.NewHistogram(total),
-		queueData: queue, allData: total,
-	}
+	return &requestSeries{queue: newBuckets(), total: newBuckets()}
 }
 
 // New returns an empty Stats.
