--- a/internal/entryhost/dispatch.go
+++ b/internal/entryhost/dispatch.go
@@ -289,7 +289,7 @@
 		d.nextID++
 		t.id = d.nextID
 		t.request.ID = t.id
-		if d.router.Hopeless(t.digest) {
+		if d.router.Hopeless(now, t.digest) {
 			t.result <- verdict{rejection: &rejection{reason: "this request failed on every host it was tried on; do not send it again", hopeless: true}}
 			return
 		}
