proofs: take addresses that no other run has

Cause: two runs at once met on the workers' addresses (bind: address already in use). Change: the second byte of the loopback address comes from the process id.

--- a/proofs/cluster_test.go
+++ b/proofs/cluster_test.go
@@ -68,6 +68,9 @@
 
 var daemonPath string
 
+// network is the first half of every address: one of its own for each test process, so that two runs do not meet.
+var network = fmt.Sprintf("127.%d", 100+os.Getpid()%100)
+
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "agateturn-proofs")
 	if err != nil {
@@ -103,7 +106,7 @@
 	exited  chan struct{}
 }
 
-func (e *entry) at(port int) string { return fmt.Sprintf("127.0.5.%d:%d", e.number, port) }
+func (e *entry) at(port int) string { return fmt.Sprintf("%s.5.%d:%d", network, e.number, port) }
 
 // newCluster starts the stand-ins and n entry hosts, and applies the configuration.
 func newCluster(t *testing.T, n int) *cluster {
@@ -115,7 +118,7 @@
 	var err error
 	c.workers, err = workers.New(context.Background(), workers.Options{
 		Hosts:          c.config.GetHosts(),
-		AdminAddress:   "127.0.5.100:0",
+		AdminAddress:   network + ".5.100:0",
 		Seed:           1,
 		DefaultRunTime: workers.RunTime{Median: 20 * time.Millisecond, Sigma: 0.3},
 	})
@@ -142,8 +145,8 @@
 func hostSections() string {
 	var b bytes.Buffer
 	for i, pool := range []string{"left", "left", "left", "left", "right", "right", "right", "right", "spare", "spare"} {
-		fmt.Fprintf(&b, "[host %q]\naddress = 127.0.6.%d:9100\ndata_centre = %s\nrack = %s%d\npool = %s\n",
-			fmt.Sprintf("w%d", i+1), i+1, []string{"a", "b"}[i%2], []string{"a", "b"}[i%2], i/4, pool)
+		fmt.Fprintf(&b, "[host %q]\naddress = %s.6.%d:9100\ndata_centre = %s\nrack = %s%d\npool = %s\n",
+			fmt.Sprintf("w%d", i+1), network, i+1, []string{"a", "b"}[i%2], []string{"a", "b"}[i%2], i/4, pool)
 	}
 	return b.String()
 }
@@ -157,7 +160,7 @@
 		WorkerAdmin: "http://" + c.workers.Admin(),
 	})
 	server := httptest.NewUnstartedServer(c.platform)
-	listener, err := net.Listen("tcp", "127.0.5.100:0")
+	listener, err := net.Listen("tcp", network + ".5.100:0")
 	assert.NilError(c.t, err)
 	server.Listener = listener
 	server.Start()
@@ -175,7 +178,7 @@
 	var peers string
 	for i := 1; i <= c.size; i++ {
 		if i != number {
-			peers += fmt.Sprintf("127.0.5.%d:7001,", i)
+			peers += fmt.Sprintf("%s.5.%d:7001,", network, i)
 		}
 	}
 	path := filepath.Join(c.dir, fmt.Sprintf("entry-%d.ini", number))
