Let proposals follow the member list in the generated histories

Cause: no history called Proposal.SetMembers. Change: a proposer passes each member list it reads on to its proposals.

--- a/config/sim_test.go
+++ b/config/sim_test.go
@@ -226,6 +226,9 @@
 				n.stager.Gone(s.now, gone)
 			}
 			n.known, n.joined = members, true
+			for _, p := range n.proposals {
+				n.act(p, p.SetMembers(s.now, append([]string{n.identity()}, members...)))
+			}
 			n.shown(cfg)
 			n.stager.Confirm(began, cfg.GetGeneration())
 			n.stager.Registered()
