Let guests claim keys: one book of guests for the whole process

Change: the view keeps the one book and hands the fleet with its guests to every applier; an owner of keys takes a process for replaced only if it is no member itself, and takes a fleet of the same revision again.

--- a/idempotency/owner.go
+++ b/idempotency/owner.go
@@ -65,7 +65,7 @@
 //
 // Running claims of members whose process is proved gone become unknown.
 func (o *Owner) SetFleet(now time.Time, f *pb.Fleet) {
-	if o.fleet != nil && f.GetRevision() <= o.fleet.GetRevision() {
+	if o.fleet != nil && f.GetRevision() < o.fleet.GetRevision() {
 		return
 	}
 	last := o.fleet
@@ -97,8 +97,12 @@
 	return false
 }
 
-// replaced reports whether another incarnation of the process is a member.
+// replaced reports whether another incarnation of the process is a member in its place. While the store is down a
+// process that joined through a peer may be listed beside the one before it.
 func replaced(f *pb.Fleet, process *pb.Owner) bool {
+	if isMember(f, process) {
+		return false
+	}
 	for _, member := range f.GetMembers() {
 		if member.GetName() == process.GetName() && member.GetIncarnation() != process.GetIncarnation() {
 			return true
--- a/internal/entryhost/dispatch.go
+++ b/internal/entryhost/dispatch.go
@@ -89,16 +89,12 @@
 	due     map[string]time.Time // hosts due for maintenance
 	peers   map[string]slots.PeerDemand
 	usage   map[string]map[string]int64 // running by team, by peer
-	guests  guestBook
-	// pauseLimit is how long a replaced process may still send after its successor was first heard.
-	pauseLimit time.Duration
-	fleet      *pb.Fleet // applied last
-	nextID     uint64
+	nextID  uint64
 	// sequence numbers the heartbeats of this incarnation.
 	sequence uint64
 }
 
-func newDispatcher(v *view, self *pb.Owner, place string, maxRequests int, pauseLimit time.Duration) *dispatcher {
+func newDispatcher(v *view, self *pb.Owner, place string, maxRequests int) *dispatcher {
 	d := &dispatcher{
 		view:     v,
 		self:     self,
@@ -113,9 +109,6 @@
 		due:      map[string]time.Time{},
 		peers:    map[string]slots.PeerDemand{},
 		usage:    map[string]map[string]int64{},
-		guests:   guestBook{},
-
-		pauseLimit: pauseLimit,
 	}
 	v.onFleet(d)
 	return d
@@ -153,9 +146,6 @@
 	for _, r := range d.queues.Expire(now) {
 		d.reject(r)
 	}
-	if len(d.guests) > 0 && d.fleet != nil {
-		d.setOwners(now) // a guest's predecessor may count as gone by now
-	}
 	own := d.queues.Demand(now)
 	d.ledger.Balance(now, own, d.peers)
 	if lo.SomeBy(own, func(p *pb.PoolDemand) bool { return p.GetQueued() > 0 }) {
@@ -375,10 +365,8 @@
 			Closed:     state.GetPhase() != pb.HostPhase_HOST_PHASE_ACTIVE,
 		}
 	}))
-	d.fleet = f
-	d.guests.prune(f)
-	extended := d.setOwners(now)
-	present := lo.KeyBy(extended.GetMembers(), (*pb.Member).GetName)
+	d.ledger.SetOwners(f)
+	present := lo.KeyBy(f.GetMembers(), (*pb.Member).GetName)
 	d.peers = lo.PickBy(d.peers, func(name string, _ slots.PeerDemand) bool { return present[name] != nil })
 	d.usage = lo.PickBy(d.usage, func(name string, _ map[string]int64) bool { return present[name] != nil })
 	d.due = dueForMaintenance(f, cfg, now)
@@ -404,7 +392,6 @@
 // incoming takes over a peer's heartbeat.
 func (d *dispatcher) incoming(ctx context.Context, hb *pb.Heartbeat) {
 	_ = d.commands.Put(ctx, func(d *dispatcher, now time.Time) {
-		d.addGuests(now, hb.GetGuests())
 		d.ledger.Incoming(hb)
 		d.peers[hb.GetName()] = slots.PeerDemand{Pools: hb.GetDemand(), DataCentre: hb.GetDataCentre()}
 		d.router.Merge(hb.GetName(), hb.GetHealth())
@@ -431,29 +418,6 @@
 	return <-counted
 }
 
-// welcome lets one guest borrow slots: one that we vouch for, or this entry host itself.
-func (d *dispatcher) welcome(ctx context.Context, m *pb.Member) {
-	_ = d.commands.Put(ctx, func(d *dispatcher, now time.Time) { d.addGuests(now, []*pb.Member{m}) })
-}
-
-// addGuests lets guests borrow slots.
-func (d *dispatcher) addGuests(now time.Time, guests []*pb.Member) {
-	added := false
-	for _, g := range guests {
-		added = d.guests.add(now, d.fleet, g) || added
-	}
-	if added && d.fleet != nil {
-		d.setOwners(now)
-	}
-}
-
-// setOwners gives the ledger the fleet as it is with its guests, and returns it.
-func (d *dispatcher) setOwners(now time.Time) *pb.Fleet {
-	extended := d.guests.extend(now.Add(-d.pauseLimit), d.fleet)
-	d.ledger.SetOwners(extended)
-	return extended
-}
-
 // takeUsage sums up what each team runs on the other entry hosts.
 func (d *dispatcher) takeUsage(hb *pb.Heartbeat) {
 	before := d.usage[hb.GetName()]
--- a/internal/entryhost/guests.go
+++ b/internal/entryhost/guests.go
@@ -21,6 +21,8 @@
 	predecessor string
 	// since is when the guest became known.
 	since time.Time
+	// matured is set once the predecessor was left out.
+	matured bool
 }
 
 // guestBook is what one duty knows of the guests. A guest stays in it until the fleet shows the guest itself or a third
@@ -46,6 +48,19 @@
 	}
 }
 
+// matured marks the guests known since before the given time, and reports whether there are new ones.
+func (b guestBook) matured(before time.Time) bool {
+	changed := false
+	for name, g := range b {
+		if !g.matured && g.since.Before(before) {
+			g.matured = true
+			b[name] = g
+			changed = true
+		}
+	}
+	return changed
+}
+
 // members are the guests, by name.
 func (b guestBook) members() []*pb.Member {
 	members := lo.MapToSlice(b, func(_ string, g guest) *pb.Member { return g.member })
@@ -56,7 +71,7 @@
 // extend is the fleet with the guests among its members. The predecessor of a guest that became known before the given
 // time is left out: the guest listens at its address, so its process is gone.
 func (b guestBook) extend(before time.Time, f *pb.Fleet) *pb.Fleet {
-	if len(b) == 0 {
+	if len(b) == 0 || f == nil {
 		return f
 	}
 	extended := proto.CloneOf(f)
@@ -78,11 +93,10 @@
 	if !memberOf(p.view.fleet(), p.self) {
 		return errNotMember.New("%q cannot vouch for %q", p.self.GetName(), join.GetName())
 	}
+	p.view.addGuests(join)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
-	p.vouched.add(now, p.view.fleet(), join)
-	p.known.add(now, p.view.fleet(), join)
+	p.vouched.add(time.Now(), p.view.fleet(), join)
 	return nil
 }
 
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -43,9 +43,8 @@
 	// latest holds the newest heartbeat of each incarnation.
 	latest map[string]fleet.Received
 	links  map[string]*link
-	// vouched are our own guests, known those of all members.
+	// vouched are the guests that this member vouches for.
 	vouched guestBook
-	known   guestBook
 	// sponsor is the peer address of the member that vouches for us while we are its guest.
 	sponsor string
 	hosts   map[string]agateturnv1connect.PeerServiceClient
@@ -68,6 +67,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			p.view.refreshGuests()
 			p.reconcile(ctx)
 		case <-p.changed.Items():
 			p.reconcile(ctx)
@@ -86,7 +86,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.vouched.prune(p.view.fleet())
-	p.known.prune(p.view.fleet())
 	p.forgetFormer()
 	// A guest comes after its predecessor and takes its place.
 	wanted := lo.SliceToMap(p.others(), func(m *pb.Member) (string, string) { return m.GetName(), m.GetPeerAddress() })
@@ -114,11 +113,9 @@
 	})
 }
 
-// others are the members besides this one, guests included. The caller holds mu.
+// others are the members besides this one, guests included.
 func (p *peers) others() []*pb.Member {
-	members := append([]*pb.Member{}, p.view.fleet().GetMembers()...)
-	members = append(members, p.known.members()...)
-	return lo.Filter(members, func(m *pb.Member, _ int) bool { return m.GetName() != p.self.GetName() })
+	return lo.Filter(p.view.members(), func(m *pb.Member, _ int) bool { return m.GetName() != p.self.GetName() })
 }
 
 func (p *peers) startLink(ctx context.Context, name, address string) *link {
@@ -205,6 +202,7 @@
 	if !p.keep(hb) {
 		return
 	}
+	p.view.addGuests(hb.GetGuests()...)
 	p.dispatch.incoming(ctx, hb)
 	p.tellStager(hb)
 	p.heard.Offer(struct{}{})
@@ -239,9 +237,6 @@
 	if known && last.Heartbeat.GetSequence() >= hb.GetSequence() {
 		return false
 	}
-	for _, g := range hb.GetGuests() {
-		p.known.add(now, p.view.fleet(), g)
-	}
 	since := now
 	if known {
 		since = last.Since
--- a/internal/entryhost/peerservice.go
+++ b/internal/entryhost/peerservice.go
@@ -32,12 +32,11 @@
 }
 
 // Fetch returns what the caller lacks. A joining entry host is vouched for only while we are a member ourselves.
-func (s *peerService) Fetch(ctx context.Context, req *connect.Request[pb.FetchRequest]) (*connect.Response[pb.FetchResponse], error) {
+func (s *peerService) Fetch(_ context.Context, req *connect.Request[pb.FetchRequest]) (*connect.Response[pb.FetchResponse], error) {
 	if join := req.Msg.GetJoin(); join != nil {
 		if err := s.peers.vouch(join); err != nil {
 			return nil, connect.NewError(connect.CodeFailedPrecondition, err)
 		}
-		s.peers.dispatch.welcome(ctx, join)
 	}
 	answer := &pb.FetchResponse{}
 	if cfg := s.view.config(); cfg.GetGeneration() > req.Msg.GetConfigGeneration() {
--- a/internal/entryhost/provide.go
+++ b/internal/entryhost/provide.go
@@ -26,8 +26,6 @@
 	peerDialTimeout = 2 * time.Second
 	// workerDialTimeout bounds the wait for a connection to a worker.
 	workerDialTimeout = 2 * time.Second
-	// clockSkew bounds the difference between two entry hosts' clocks.
-	clockSkew = 2 * time.Second
 )
 
 // provide declares how each part is made; do makes each once, when it is first needed.
@@ -36,7 +34,8 @@
 		return newMember(do.MustInvoke[*pb.Settings](i).GetEntryHost()), nil
 	})
 	do.Provide(i, func(i do.Injector) (*view, error) {
-		return newView(do.MustInvoke[*pb.Settings](i).GetTiming().GetInForceBound().AsDuration()), nil
+		timing := do.MustInvoke[*pb.Settings](i).GetTiming()
+		return newView(timing.GetInForceBound().AsDuration(), timing.GetPauseLimit().AsDuration()), nil
 	})
 	do.Provide(i, func(i do.Injector) (*pause.Detector, error) {
 		return pause.NewDetector(do.MustInvoke[*pb.Settings](i).GetTiming().GetPauseLimit().AsDuration()), nil
@@ -72,8 +71,7 @@
 	s := do.MustInvoke[*pb.Settings](i)
 	owner := &pb.Owner{Name: self.GetName(), Incarnation: self.GetIncarnation()}
 	maxRequests := int(s.GetLimits().GetMaxRequests())
-	pauseLimit := s.GetTiming().GetPauseLimit().AsDuration()
-	return newDispatcher(do.MustInvoke[*view](i), owner, self.GetDataCentre(), maxRequests, pauseLimit), nil
+	return newDispatcher(do.MustInvoke[*view](i), owner, self.GetDataCentre(), maxRequests), nil
 }
 
 func provideKeys(i do.Injector) (*keys, error) {
@@ -81,7 +79,7 @@
 	return newKeys(do.MustInvoke[*view](i), do.MustInvoke[*pb.Member](i), idempotency.Limits{
 		MaxKeys:   int(limits.GetMaxKeys()),
 		Window:    limits.GetKeyWindow().AsDuration(),
-		ClockSkew: clockSkew,
+		ClockSkew: limits.GetClockSkew().AsDuration(),
 	}), nil
 }
 
@@ -100,7 +98,6 @@
 		started:   time.Now(),
 		links:     map[string]*link{},
 		vouched:   guestBook{},
-		known:     guestBook{},
 		hosts:     map[string]agateturnv1connect.PeerServiceClient{},
 	}, nil
 }
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -79,7 +79,7 @@
 				break
 			}
 			r.view.withStager(func(st *config.Stager) { st.JoinAsGuest(time.Now()) })
-			r.peers.dispatch.welcome(ctx, r.self)
+			r.view.addGuests(r.self)
 			events.Emit(ctx, r.logger, events.JoinedAsGuest, "sponsor", address)
 			break
 		}
--- a/internal/entryhost/view.go
+++ b/internal/entryhost/view.go
@@ -13,7 +13,7 @@
 	"github.com/agateturn/agateturn/internal/ring"
 )
 
-// fleetApplier takes over a newer fleet. It returns only when nothing that the fleet forbids will be started any more.
+// fleetApplier takes over a fleet, whose members include the guests. It returns only when nothing that the fleet forbids will be started any more.
 type fleetApplier interface {
 	applyFleet(f *pb.Fleet, cfg *pb.Configuration)
 }
@@ -29,6 +29,10 @@
 	// applied is the newest revision that the gate and every applier have taken over.
 	applied atomic.Uint64
 
+	// guests and pauseLimit say who counts as a member besides those that the fleet shows; applying guards them.
+	guests     guestBook
+	pauseLimit time.Duration
+
 	mu     sync.Mutex
 	stager *config.Stager
 	// storeHeard is when the store last answered; zero for never.
@@ -36,8 +40,13 @@
 	subscribers []*ring.Ring[struct{}]
 }
 
-func newView(inForceBound time.Duration) *view {
-	return &view{gate: fleet.NewGate(), stager: config.NewStager(inForceBound)}
+func newView(inForceBound, pauseLimit time.Duration) *view {
+	return &view{
+		gate:       fleet.NewGate(),
+		stager:     config.NewStager(inForceBound),
+		guests:     guestBook{},
+		pauseLimit: pauseLimit,
+	}
 }
 
 // onFleet adds an applier. Call it before the duties start.
@@ -68,7 +77,8 @@
 		return
 	}
 	v.tellGone(before, f)
-	v.runAppliers(f)
+	v.guests.prune(f)
+	v.runAppliers()
 	v.applied.Store(f.GetRevision())
 	v.notify()
 }
@@ -95,18 +105,53 @@
 	if !accepted {
 		return false
 	}
-	v.runAppliers(v.gate.Fleet())
+	v.runAppliers()
 	v.notify()
 	return true
 }
 
-func (v *view) runAppliers(f *pb.Fleet) {
+// runAppliers hands the fleet, guests included, to every applier. The caller holds applying.
+func (v *view) runAppliers() {
 	cfg := v.config()
+	extended := v.guests.extend(time.Now().Add(-v.pauseLimit), v.gate.Fleet())
 	for _, a := range v.appliers {
-		a.applyFleet(f, cfg)
+		a.applyFleet(extended, cfg)
+	}
+}
+
+// addGuests lets entry hosts that joined through a peer borrow slots and claim keys.
+func (v *view) addGuests(guests ...*pb.Member) {
+	if len(guests) == 0 {
+		return
+	}
+	v.applying.Lock()
+	defer v.applying.Unlock()
+	added := false
+	for _, g := range guests {
+		added = v.guests.add(time.Now(), v.gate.Fleet(), g) || added
+	}
+	if added {
+		v.runAppliers()
+		v.notify()
 	}
 }
 
+// refreshGuests drops the predecessors of guests that have been known for the pause limit.
+func (v *view) refreshGuests() {
+	v.applying.Lock()
+	defer v.applying.Unlock()
+	if v.guests.matured(time.Now().Add(-v.pauseLimit)) {
+		v.runAppliers()
+	}
+}
+
+// members are the fleet's members and the guests, by what this entry host knows.
+func (v *view) members() []*pb.Member {
+	v.applying.Lock()
+	defer v.applying.Unlock()
+	return append(append([]*pb.Member{}, v.gate.Fleet().GetMembers()...), v.guests.members()...)
+}
+
 // appliedRevision is the newest revision that everything in this process obeys.
 func (v *view) appliedRevision() uint64 { return v.applied.Load() }
 
