Send less in an early heartbeat

Ruled out: fewer early heartbeats, which is what makes loans fast. The daemon needs a field that tells an early heartbeat from a full one.

--- a/bench/ledgers.go
+++ b/bench/ledgers.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/samber/lo"
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
@@ -27,6 +31,8 @@
 	// applied is the fleet revision applied last, heard what the peers said that they have applied.
 	applied uint64
 	heard   map[int]uint64
+	// queuedAt says, by peer, which pools had something queued in the last heartbeat to it.
+	queuedAt [entryHosts]map[string]bool
 }
 
 // homeSlots is the way in which each entry host uses its own slots only.
@@ -109,7 +115,7 @@
 func (w *ledgers) beatEarly(node int) {
 	for _, to := range w.x.live() {
 		if to != node && w.nodes[node].ledger.Pending(entryHostName(to)) {
-			w.heartbeat(node, to)
+			w.heartbeat(node, to, true)
 		}
 	}
 }
@@ -127,12 +133,14 @@
 func (w *ledgers) beat(node int) {
 	for _, to := range w.x.live() {
 		if to != node {
-			w.heartbeat(node, to)
+			w.heartbeat(node, to, false)
 		}
 	}
 }
 
-func (w *ledgers) heartbeat(node, to int) {
+// heartbeat sends a heartbeat. An early one leaves out what only regular ones bring up to date: the teams' usage, and
+// the demand of pools that had nothing queued and still have nothing.
+func (w *ledgers) heartbeat(node, to int, early bool) {
 	n := w.nodes[node]
 	n.sequence++
 	hb := &pb.Heartbeat{
@@ -141,21 +149,41 @@
 		Sequence:         n.sequence,
 		FleetRevision:    n.applied,
 		ConfigGeneration: 1,
-		Demand:           w.demand(node),
+		Demand:           w.demandFor(node, to, early),
 		Slots:            n.ledger.Outgoing(entryHostName(to)),
 		Ready:            true,
-		TeamUsage:        w.x.entries[node].queue.TeamUsage(),
 		DataCentre:       w.x.deployment.DataCentres[node%len(w.x.deployment.DataCentres)],
 	}
-	w.x.send(node, to, hb, func() {
-		w.nodes[to].heard[node] = hb.GetFleetRevision()
-		w.nodes[to].ledger.Incoming(hb)
-		w.nodes[to].peers[hb.GetName()] = slots.PeerDemand{
-			Pools: hb.GetDemand(), DataCentre: hb.GetDataCentre(), Heard: w.x.now,
-		}
-		w.decide(to)
-		w.x.pumpAll(to)
+	if !early {
+		hb.TeamUsage = w.x.entries[node].queue.TeamUsage()
+	}
+	w.x.send(node, to, hb, func() { w.receive(node, to, hb) })
+}
+
+// demandFor returns the demand that a heartbeat to a peer carries.
+func (w *ledgers) demandFor(node, to int, early bool) []*pb.PoolDemand {
+	last := w.nodes[node].queuedAt[to]
+	queued := map[string]bool{}
+	out := lo.Filter(w.demand(node), func(d *pb.PoolDemand, _ int) bool {
+		queued[d.GetPool()] = d.GetQueued() > 0
+		return !early || d.GetQueued() > 0 || last[d.GetPool()]
 	})
+	w.nodes[node].queuedAt[to] = queued
+	return out
+}
+
+// receive takes in a heartbeat, and decides at once.
+func (w *ledgers) receive(from, to int, hb *pb.Heartbeat) {
+	n := w.nodes[to]
+	n.heard[from] = hb.GetFleetRevision()
+	n.ledger.Incoming(hb)
+	known := lo.KeyBy(n.peers[hb.GetName()].Pools, (*pb.PoolDemand).GetPool)
+	maps.Copy(known, lo.KeyBy(hb.GetDemand(), (*pb.PoolDemand).GetPool))
+	pools := lo.Values(known)
+	slices.SortFunc(pools, func(a, b *pb.PoolDemand) int { return strings.Compare(a.GetPool(), b.GetPool()) })
+	n.peers[hb.GetName()] = slots.PeerDemand{Pools: pools, DataCentre: hb.GetDataCentre(), Heard: w.x.now}
+	w.decide(to)
+	w.x.pumpAll(to)
 }
 
 // died lets the controller take the entry host out of the fleet once it is proved gone, and settle new owners.
