Keep no idle slots back for own arrivals

Cause: the table shows slots idle beside a queue, and a reserve is idle by design. Change: an owner lends all that is idle beyond its own queue. Runs: go test -race ./slots passes.

--- a/slots/balance.go
+++ b/slots/balance.go
@@ -1,7 +1,6 @@
 package slots
 
 import (
-	"math"
 	"sort"
 	"time"
 
@@ -9,8 +8,6 @@
 )
 
 const (
-	// reserveTime is the time of own arrivals for which a lender keeps idle slots back.
-	reserveTime = 100 * time.Millisecond
 	// returnAfter is the time for which a borrowed slot may stay idle while the own queue is empty.
 	returnAfter = 500 * time.Millisecond
 	// freshFor is the time for which a peer's demand counts. An older one may come from a frozen member, to which a slot
@@ -76,8 +73,7 @@
 	l.returnIdle(now, own, held)
 	queued := int(own.GetQueued())
 	l.announce(own.GetPool(), max(0, queued-len(idle)))
-	spare := len(idle) - queued - reserve(own)
-	if spare > 0 {
+	if spare := len(idle) - queued; spare > 0 {
 		l.lend(idle, spare, lent, peers)
 	}
 	if short := queued - len(idle); short > 0 {
@@ -104,11 +100,6 @@
 	return idle, lent, held
 }
 
-// reserve is the number of idle slots kept for own arrivals.
-func reserve(own *pb.PoolDemand) int {
-	return int(math.Round(own.GetArrivalsPerSecond() * reserveTime.Seconds()))
-}
-
 // returnIdle gives back the borrowed slots that are of no use now.
 func (l *Ledger) returnIdle(now time.Time, own *pb.PoolDemand, held []*record) {
 	for _, r := range held {
