Show how long a refusal takes in the bench

Cause: goodput can be bought by holding hopeless requests longer; the table has to show it. Change: the mean time from arrival to refusal. No other figure changes.

--- a/bench/faults.go
+++ b/bench/faults.go
@@ -85,6 +85,7 @@
 		total += e.sent
 		most = max(most, e.sent)
 	}
+	x.result.ShedAfter /= time.Duration(max(1, x.result.Shed))
 	x.result.MeanBytes = float64(total) / seconds / entryHosts
 	x.result.MostBytes = float64(most) / seconds
 	x.result.GoodputPerSecond = float64(x.result.InTime) / float64(turns*turnTime/time.Second)
--- a/bench/result.go
+++ b/bench/result.go
@@ -19,6 +19,8 @@
 	// Shed are the requests that were refused, Lost those that a dead or frozen entry host took with it.
 	Shed int
 	Lost int
+	// ShedAfter is the mean time from a request's arrival until its refusal.
+	ShedAfter time.Duration
 	// GoodputPerSecond is InTime over the time of the demand.
 	GoodputPerSecond float64
 	// IdleSlotSeconds adds up the slots that were idle while requests were queued for their pool.
@@ -65,6 +67,7 @@
 	r.Late += o.Late
 	r.Shed += o.Shed
 	r.Lost += o.Lost
+	r.ShedAfter += o.ShedAfter
 	r.GoodputPerSecond += o.GoodputPerSecond
 	r.IdleSlotSeconds += o.IdleSlotSeconds
 	r.Recovery += o.Recovery
@@ -80,6 +83,7 @@
 	r.Late /= n
 	r.Shed /= n
 	r.Lost /= n
+	r.ShedAfter /= time.Duration(n)
 	r.GoodputPerSecond /= float64(n)
 	r.IdleSlotSeconds /= float64(n)
 	r.Recovery /= time.Duration(n)
@@ -88,17 +92,17 @@
 }
 
 // header is the head of the table; the cells of all rows are aligned.
-const header = "| deployment \t| way \t| in time \t| goodput/s \t| shed \t| late \t| lost \t| idle slot-s \t| recovery \t| B/s mean \t" +
+const header = "| deployment \t| way \t| in time \t| goodput/s \t| shed \t| shed after \t| late \t| lost \t| idle slot-s \t| recovery \t| B/s mean \t" +
 	"| B/s most \t| violations \t|\n" +
-	"|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|\n"
+	"|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|\n"
 
 // Print writes results as a table in Markdown.
 func Print(w io.Writer, results []Result) error {
 	var rows strings.Builder
 	rows.WriteString(header)
 	for _, r := range results {
-		fmt.Fprintf(&rows, "| %s \t| %s \t| %.1f %% \t| %.1f \t| %d \t| %d \t| %d \t| %.0f \t| %.1f s \t| %.0f \t| %.0f \t| %d \t|\n",
-			r.Deployment, r.Way, 100*float64(r.InTime)/float64(r.Offered), r.GoodputPerSecond, r.Shed, r.Late, r.Lost,
+		fmt.Fprintf(&rows, "| %s \t| %s \t| %.1f %% \t| %.1f \t| %d \t| %d ms \t| %d \t| %d \t| %.0f \t| %.1f s \t| %.0f \t| %.0f \t| %d \t|\n",
+			r.Deployment, r.Way, 100*float64(r.InTime)/float64(r.Offered), r.GoodputPerSecond, r.Shed, r.ShedAfter.Milliseconds(), r.Late, r.Lost,
 			r.IdleSlotSeconds, r.Recovery.Seconds(), r.MeanBytes, r.MostBytes, r.Violations)
 	}
 	t := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
--- a/bench/run.go
+++ b/bench/run.go
@@ -241,6 +241,7 @@
 	for _, r := range rejects {
 		pool := x.requests[r.ID].pool
 		x.result.Shed++
+		x.result.ShedAfter += x.now.Sub(x.requests[r.ID].at)
 		x.account(pool, 0, -1)
 		x.entries[node].waiting[pool]--
 	}
