Move fewer hosts, and idle ones first

Cause: the first policy moved for bursts that were over before the host was there, and drained busy hosts while idle ones stood beside them. Failed first: a burst of exactly its usual length moved 5 hosts at its end.

--- a/mover/step.go
+++ b/mover/step.go
@@ -12,11 +12,13 @@
 
 const (
 	// moveHostSeconds is the shortage that one move is worth at equal weights, in host-seconds.
-	moveHostSeconds = 10
+	moveHostSeconds = 100
+	// unusuallyLong is the multiple of the usual length from which a burst follows another rule.
+	unusuallyLong = 1.25
 	// calmBeforeReturn is how long a pool must be calm at equal weights before it gives a host back.
 	calmBeforeReturn = 2 * time.Minute
 	// calmBeforeLend is how long a pool must be calm before it lends a host of its own.
-	calmBeforeLend = 10 * time.Second
+	calmBeforeLend = 30 * time.Second
 )
 
 // Move is an order to move a host.
@@ -62,7 +64,9 @@
 	weights weights
 	spare   string
 	home    map[string]string
-	budgets *fleet.Budgets
+	// configured counts the hosts by the pool that they are configured in.
+	configured map[string]int
+	budgets    *fleet.Budgets
 	// hosts are the movable hosts by pool, in the order in which they go.
 	hosts   map[string][]string
 	inbound map[string]int
@@ -71,16 +75,18 @@
 
 func newStepper(in Input) *stepper {
 	s := &stepper{
-		in:      in,
-		weights: newWeights(in.Config.GetWeights()),
-		spare:   in.Config.GetDeployment().GetSparePool(),
-		home:    make(map[string]string, len(in.Config.GetHosts())),
-		budgets: fleet.NewBudgets(in.Fleet, in.Config, in.Failed),
-		hosts:   map[string][]string{},
-		inbound: map[string]int{},
+		in:         in,
+		weights:    newWeights(in.Config.GetWeights()),
+		spare:      in.Config.GetDeployment().GetSparePool(),
+		home:       make(map[string]string, len(in.Config.GetHosts())),
+		configured: map[string]int{},
+		budgets:    fleet.NewBudgets(in.Fleet, in.Config, in.Failed),
+		hosts:      map[string][]string{},
+		inbound:    map[string]int{},
 	}
 	for _, h := range in.Config.GetHosts() {
 		s.home[h.Name] = h.Pool
+		s.configured[h.Pool]++
 	}
 	for _, h := range in.Fleet.GetHosts() {
 		if h.Phase == pb.HostPhase_HOST_PHASE_DRAINING && h.Purpose == pb.HostPurpose_HOST_PURPOSE_MOVE {
@@ -96,11 +102,15 @@
 	return s
 }
 
-// order sorts the hosts of a pool: those whose home is the spare pool first, then those with the fewest requests.
+// order sorts the hosts of a pool: idle ones first, which need no drain, then those whose home is the spare pool, then
+// those with the fewest requests.
 func (s *stepper) order(pool string) {
 	hosts := s.hosts[pool]
 	sort.Slice(hosts, func(i, j int) bool {
 		a, b := hosts[i], hosts[j]
+		if idleA, idleB := s.in.Requests[a] == 0, s.in.Requests[b] == 0; idleA != idleB {
+			return idleA
+		}
 		if lentA, lentB := s.home[a] == s.spare, s.home[b] == s.spare; lentA != lentB {
 			return lentA
 		}
@@ -151,9 +161,9 @@
 }
 
 // remaining is how much longer the burst is expected to last: the rest of the usual length, or as long again as it has
-// lasted if it is longer than usual.
+// lasted if it is clearly longer than usual. A burst of about the usual length is about to end: 0 or less.
 func (l PoolLoad) remaining() time.Duration {
-	if l.OverloadedFor < l.BurstLength {
+	if l.OverloadedFor.Seconds() < unusuallyLong*l.BurstLength.Seconds() {
 		return l.BurstLength - l.OverloadedFor
 	}
 	return l.OverloadedFor
--- a/mover/stock.go
+++ b/mover/stock.go
@@ -51,7 +51,7 @@
 		return
 	}
 	have := s.budgets.InService(s.spare)
-	target := s.weights.stock(s.spareHosts())
+	target := s.weights.stock(s.configured[s.spare])
 	switch {
 	case have < target:
 		s.giveBack(have, target)
@@ -64,7 +64,7 @@
 func (s *stepper) giveBack(have, target int) {
 	for _, pool := range s.calmest() {
 		load := s.in.Demand[pool]
-		if load.CalmFor < s.weights.returnAfter() || load.share(1) > calmShare || !s.lent(pool) {
+		if load.CalmFor < s.weights.returnAfter() || load.share(1) > calmShare || s.surplus(pool) <= 0 {
 			continue
 		}
 		if s.move(pool, s.spare, fmt.Sprintf("calm for %s; the spare pool has %d of %d hosts", load.CalmFor.Round(time.Second), have, target)) {
@@ -90,9 +90,9 @@
 	}
 }
 
-// fuller compares by the hosts that a pool has got on loan, so that loans spread, then by the share of slots in use.
+// fuller compares by the hosts that a pool has beyond its own, so that loans spread, then by the share of slots in use.
 func (s *stepper) fuller(name string, load PoolLoad, than string) bool {
-	if a, b := s.lentHosts(name), s.lentHosts(than); a != b {
+	if a, b := s.surplus(name), s.surplus(than); a != b {
 		return a < b
 	}
 	if a, b := load.share(0), s.in.Demand[than].share(0); a != b {
@@ -118,27 +118,9 @@
 	return out
 }
 
-func (s *stepper) lent(pool string) bool { return s.lentHosts(pool) > 0 }
-
-func (s *stepper) lentHosts(pool string) int {
-	n := 0
-	for _, host := range s.hosts[pool] {
-		if s.home[host] == s.spare {
-			n++
-		}
-	}
-	return n
-}
-
-// spareHosts counts the hosts that are configured in the spare pool.
-func (s *stepper) spareHosts() int {
-	n := 0
-	for _, pool := range s.home {
-		if pool == s.spare {
-			n++
-		}
-	}
-	return n
+// surplus is the number of working hosts that a pool has beyond its configured ones; below 0 if it has fewer.
+func (s *stepper) surplus(pool string) int {
+	return len(s.hosts[pool]) - s.configured[pool]
 }
 
 func (s *stepper) inFlight() bool {
