Keep a quiet fleet quiet; end lost maintenance

Cause: a fresh fleet began a scheduled wave in its first second and lent spare hosts to pools that were never short; a host whose wave was cancelled stayed in maintenance for ever if it did not come back. Ruled out: a start time in the fleet value, which the schema does not have; the earliest phase of a host tells it well enough. Change: the first scheduled wave comes an interval after the fleet began, hosts are lent ahead only to pools that were short before, and the controller takes such a host down after reboot_limit. Conclusion: a settled fleet is not written.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -232,6 +232,47 @@
 	assert.Equal(t, h.Purpose, pb.HostPurpose_HOST_PURPOSE_LEAVE)
 }
 
+// settle lets a manager work until nothing changes any more.
+func (w *world) settle(m *manager) {
+	for range 100 {
+		w.now = w.now.Add(time.Second)
+		if d := w.step(m, nil); d.Fleet != nil {
+			w.fleet = d.Fleet
+		}
+	}
+}
+
+// Nothing is written while nothing happens; a day later the schedule makes its first wave.
+func TestQuietFleetWritesNothing(t *testing.T) {
+	w := newWorld(t, 1)
+	m := newManager(0)
+	w.settle(m)
+	revision := w.fleet.Revision
+	w.settle(m)
+	assert.Equal(t, w.fleet.Revision, revision)
+	w.now = w.now.Add(24 * time.Hour)
+	d := w.step(m, nil)
+	assert.Equal(t, len(d.Fleet.Waves), 1)
+}
+
+// A host that does not come back goes down, whether its wave goes on or was cancelled meanwhile.
+func TestHostThatDoesNotComeBackGoesDown(t *testing.T) {
+	for _, cancel := range []bool{false, true} {
+		w := newWorld(t, 1)
+		m := newManager(0)
+		w.settle(m)
+		w.fleet = w.step(m, []controller.Order{{OperationID: "o1", Kind: controller.StartWave, Wave: "spring", Hosts: []string{"w0005"}}}).Fleet
+		w.settle(m)
+		assert.Equal(t, w.fleet.Hosts[5].Phase, pb.HostPhase_HOST_PHASE_MAINTENANCE)
+		if cancel {
+			w.fleet = w.step(m, []controller.Order{{OperationID: "o2", Kind: controller.CancelWave, Wave: "spring"}}).Fleet
+		}
+		w.now = w.now.Add(15 * time.Minute)
+		w.settle(m)
+		assert.Equal(t, w.fleet.Hosts[5].Phase, pb.HostPhase_HOST_PHASE_DOWN)
+	}
+}
+
 // BenchmarkStep decides at growing sizes, with a wave, a drain and demand in every pool.
 func BenchmarkStep(b *testing.B) {
 	for _, size := range []struct{ hosts, pools int }{{350, 7}, {700, 14}, {1400, 28}} {
--- a/controller/step.go
+++ b/controller/step.go
@@ -138,9 +138,7 @@
 		case pb.HostPhase_HOST_PHASE_DRAINING:
 			s.complete(h.Host)
 		case pb.HostPhase_HOST_PHASE_MAINTENANCE:
-			if s.rebooted(h) {
-				s.apply(h.Host, s.draft.Returned(h.Host, s.now))
-			}
+			s.maintained(h)
 		default:
 		}
 	}
@@ -182,6 +180,19 @@
 	s.apply(host, nil)
 }
 
+// maintained ends maintenance that is done, or that took too long and is of no wave any more; a wave fails its own hosts.
+func (s *stepper) maintained(h *pb.HostState) {
+	if s.rebooted(h) {
+		s.apply(h.Host, s.draft.Returned(h.Host, s.now))
+		return
+	}
+	limit := s.in.Config.GetMaintenance().GetRebootLimit().AsDuration()
+	late := s.now.UnixMilli()-h.PhaseSinceUnixMs > limit.Milliseconds()
+	if late && !waves.Carries(s.in.Fleet, h.Host) {
+		s.apply(h.Host, s.draft.MarkDown(h.Host, h.OperationId, s.now))
+	}
+}
+
 // rebooted says whether the boot that was to end has ended and the host is live again.
 func (s *stepper) rebooted(h *pb.HostState) bool {
 	p, listed := s.workers[h.Host]
--- a/mover/stock.go
+++ b/mover/stock.go
@@ -73,12 +73,12 @@
 	}
 }
 
-// lendAhead moves a host that the spare pool holds beyond its target to the pool that uses most of its slots, where it
-// serves instead of idling.
+// lendAhead moves a host that the spare pool holds beyond its target to a pool that has been short before, where it serves
+// instead of idling.
 func (s *stepper) lendAhead(have, target int) {
 	pool := ""
 	for name, load := range s.in.Demand {
-		if name == s.spare {
+		if name == s.spare || load.BurstLength == 0 {
 			continue
 		}
 		if pool == "" || s.fuller(name, load, pool) {
--- a/waves/manage.go
+++ b/waves/manage.go
@@ -143,6 +143,16 @@
 	return out
 }
 
+// Carries says whether an unfinished wave has a host in progress.
+func Carries(f *pb.Fleet, host string) bool {
+	for _, w := range f.GetWaves() {
+		if w.Phase != pb.WavePhase_WAVE_PHASE_DONE && slices.Contains(w.InProgress, host) {
+			return true
+		}
+	}
+	return false
+}
+
 func prune(f *pb.Fleet) {
 	done := 0
 	for _, w := range f.Waves {
--- a/waves/schedule.go
+++ b/waves/schedule.go
@@ -44,8 +44,12 @@
 	return due
 }
 
-// waveDue says whether it is time for the next scheduled wave and no earlier one is stopped.
+// waveDue says whether it is time for the next scheduled wave and no earlier one is stopped. The first one is due an
+// interval after the fleet began.
 func waveDue(now time.Time, f *pb.Fleet, interval time.Duration) bool {
+	if now.Sub(began(f)) < interval {
+		return false
+	}
 	for _, w := range f.GetWaves() {
 		if !strings.HasPrefix(w.OperationId, SchedulePrefix) {
 			continue
@@ -57,6 +61,15 @@
 	return true
 }
 
+// began is the earliest time that a host's phase tells.
+func began(f *pb.Fleet) time.Time {
+	earliest := int64(math.MaxInt64)
+	for _, h := range f.GetHosts() {
+		earliest = min(earliest, h.PhaseSinceUnixMs)
+	}
+	return time.UnixMilli(earliest)
+}
+
 type deadline struct {
 	host string
 	at   time.Time
