Show what the weights do

Cause: without a quiet time no spare stock was ever built up again, so that the bench could not show the buffer; and two fleets with two sets of weights do not show which of the two makes the difference.

--- a/movebench/demand.go
+++ b/movebench/demand.go
@@ -13,6 +13,9 @@
 	// longBursts is the share of bursts that last for minutes, and sessions the share of requests that do.
 	longBursts = 0.12
 	sessions   = 0.002
+	// Every hour ends with a pause, in which no pool bursts.
+	hour  = time.Hour
+	pause = 20 * time.Minute
 )
 
 // demand is what callers ask of the pools. One pool after the other bursts.
@@ -58,7 +61,8 @@
 func (d *demand) rate(i int, at time.Duration) float64 {
 	p := d.pools[i]
 	mean := fullLoad * float64(p.hosts*hostSlots) / p.runTime.Seconds() / burstFactor
-	if i == d.turn && at < d.until {
+	resting := at%hour >= hour-pause
+	if i == d.turn && at < d.until && !resting {
 		return mean * burstFactor
 	}
 	return mean * quietFactor
--- a/movebench/deployment.go
+++ b/movebench/deployment.go
@@ -28,6 +28,10 @@
 	runTime time.Duration
 }
 
+func deployments() [2]deployment {
+	return [2]deployment{agency(), brenaz()}
+}
+
 func agency() deployment {
 	return deployment{
 		name: "agency", spare: "registry",
