Let waves end without hosts that are gone

Cause: a wave waited for ever for a pending host that left the fleet, and a host that the platform does not list took up its wave for ever. Ruled out: rebooting a host of unknown boot; its end could not be seen. Change: pending hosts that leave are dropped; a released host of unknown boot goes down after reboot_limit. New: waves.Soon for placing long sessions, fleet.Unsettled for who holds up a change of owners.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -55,6 +55,8 @@
 	hosts   map[string]*machine
 	done    map[string]bool
 	reboots int
+	// unlisted is a host that the platform does not list.
+	unlisted string
 }
 
 type machine struct {
@@ -91,7 +93,9 @@
 		if w.now.Before(m.up) {
 			p.State = controller.StateLeaving
 		}
-		out = append(out, p)
+		if h.Name != w.unlisted {
+			out = append(out, p)
+		}
 	}
 	return out
 }
@@ -273,6 +277,21 @@
 	}
 }
 
+// A host that the platform does not list can't be rebooted; it fails and its wave stops.
+func TestUnlistedHostFailsItsWave(t *testing.T) {
+	w := newWorld(t, 1)
+	m := newManager(0)
+	w.settle(m)
+	w.unlisted = "w0005"
+	w.fleet = w.step(m, []controller.Order{{OperationID: "o1", Kind: controller.StartWave, Wave: "spring", Hosts: []string{"w0005"}}}).Fleet
+	w.settle(m)
+	assert.Equal(t, w.fleet.Hosts[5].Phase, pb.HostPhase_HOST_PHASE_DRAINING)
+	w.now = w.now.Add(15 * time.Minute)
+	w.settle(m)
+	assert.Equal(t, w.fleet.Hosts[5].Phase, pb.HostPhase_HOST_PHASE_DOWN)
+	assert.Equal(t, w.fleet.Waves[0].Phase, pb.WavePhase_WAVE_PHASE_STOPPED)
+}
+
 // BenchmarkStep decides at growing sizes, with a wave, a drain and demand in every pool.
 func BenchmarkStep(b *testing.B) {
 	for _, size := range []struct{ hosts, pools int }{{350, 7}, {700, 14}, {1400, 28}} {
--- a/controller/step.go
+++ b/controller/step.go
@@ -167,7 +167,7 @@
 	maintenance := h.Purpose == pb.HostPurpose_HOST_PURPOSE_MAINTENANCE
 	boot := s.workers[host].BootID
 	if maintenance && boot == "" {
-		s.note(NoteHostHeld, host, "the platform does not tell its boot id; a reboot could not be seen")
+		s.unknownBoot(h)
 		return
 	}
 	if err := s.draft.Complete(host, s.reports); err != nil {
@@ -186,13 +186,26 @@
 		s.apply(h.Host, s.draft.Returned(h.Host, s.now))
 		return
 	}
-	limit := s.in.Config.GetMaintenance().GetRebootLimit().AsDuration()
-	late := s.now.UnixMilli()-h.PhaseSinceUnixMs > limit.Milliseconds()
-	if late && !waves.Carries(s.in.Fleet, h.Host) {
+	if s.late(h) && !waves.Carries(s.in.Fleet, h.Host) {
+		s.apply(h.Host, s.draft.MarkDown(h.Host, h.OperationId, s.now))
+	}
+}
+
+// unknownBoot keeps a host of which the platform tells no boot id from its reboot, which could not be seen. Once it is
+// released and the time for a reboot is over it goes down, so that it does not take up its wave for ever.
+func (s *stepper) unknownBoot(h *pb.HostState) {
+	s.note(NoteHostHeld, h.Host, "the platform does not tell its boot id; a reboot could not be seen")
+	if s.late(h) && fleet.Released(s.in.Fleet, h.Host, s.reports) {
 		s.apply(h.Host, s.draft.MarkDown(h.Host, h.OperationId, s.now))
 	}
 }
 
+// late says whether a host is in its phase for longer than a reboot may take.
+func (s *stepper) late(h *pb.HostState) bool {
+	limit := s.in.Config.GetMaintenance().GetRebootLimit().AsDuration()
+	return s.now.UnixMilli()-h.PhaseSinceUnixMs > limit.Milliseconds()
+}
+
 // rebooted says whether the boot that was to end has ended and the host is live again.
 func (s *stepper) rebooted(h *pb.HostState) bool {
 	p, listed := s.workers[h.Host]
@@ -260,6 +273,10 @@
 func (s *stepper) owners() {
 	if s.draft.SettleOwners(s.reports) {
 		s.note(NoteOwners, s.in.Self, "owner sets change")
+		return
+	}
+	if waiting := fleet.Unsettled(s.draft.Fleet(), s.reports); len(waiting) > 0 {
+		s.note(NoteOwners, waiting[0].Name, "owner sets wait for %s", waiting[0])
 	}
 }
 
--- a/fleet/owners.go
+++ b/fleet/owners.go
@@ -33,7 +33,7 @@
 
 func (d *Draft) finishSettling(r Reports) bool {
 	f := d.fleet
-	if len(pending(f, f.SettleRevision, "", r)) > 0 {
+	if len(Unsettled(f, r)) > 0 {
 		return false
 	}
 	f.PreviousOwners = f.Owners
@@ -43,6 +43,14 @@
 	return true
 }
 
+// Unsettled lists who has not applied the next owners yet; nil when the owners are settled.
+func Unsettled(f *pb.Fleet, r Reports) []Holder {
+	if f.GetNextOwners() == nil {
+		return nil
+	}
+	return pending(f, f.GetSettleRevision(), "", r)
+}
+
 func stayingOwners(f *pb.Fleet) *pb.OwnerSet {
 	set := &pb.OwnerSet{}
 	for _, m := range f.Members {
--- /dev/null
+++ b/waves/soon.go
@@ -0,0 +1,50 @@
+package waves
+
+import (
+	"slices"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/samber/lo"
+)
+
+// Soon lists the hosts that running waves may drain within the setting maintenance.session_notice, sorted. Long sessions
+// should go elsewhere. First come those that Step would start now, then the next ones by its order; it assumes that
+// max_parallel hosts start at once and take reboot_limit each.
+func Soon(now time.Time, in Input) []string {
+	most := soonCount(in.Config.GetMaintenance())
+	s := newStepper(now, in)
+	var out, candidates []string
+	for _, w := range in.Fleet.GetWaves() {
+		if w.Phase != pb.WavePhase_WAVE_PHASE_RUNNING {
+			continue
+		}
+		starts, _ := s.starts(w)
+		for _, a := range starts {
+			out = append(out, a.Host)
+		}
+		candidates = append(candidates, s.startable(w.Pending)...)
+	}
+	candidates = lo.Without(candidates, out...)
+	for len(out) < most && len(candidates) > 0 {
+		best := s.pick(candidates)
+		out = append(out, candidates[best])
+		candidates = slices.Delete(candidates, best, best+1)
+	}
+	out = out[:min(len(out), most)]
+	slices.Sort(out)
+	return out
+}
+
+// soonCount is the number of hosts that may start within the notice.
+func soonCount(m *pb.Maintenance) int {
+	notice := m.GetSessionNotice().AsDuration()
+	if notice <= 0 {
+		return 0
+	}
+	rounds := 1
+	if limit := m.GetRebootLimit().AsDuration(); limit > 0 {
+		rounds += int(notice / limit)
+	}
+	return rounds * int(m.GetMaxParallel())
+}
--- a/waves/step.go
+++ b/waves/step.go
@@ -98,7 +98,8 @@
 // wave decides on one wave: first what became of its hosts, then whether it stops, then which hosts start.
 func (s *stepper) wave(w *pb.Wave) []Action {
 	ended := s.ended(w)
-	out := append(ended, s.broken(w)...)
+	left := s.left(w)
+	out := slices.Concat(ended, s.broken(w), left)
 	if w.Phase != pb.WavePhase_WAVE_PHASE_RUNNING {
 		return out
 	}
@@ -110,7 +111,7 @@
 	if len(starts) > 0 || len(ended) < len(w.InProgress) || count(ended, YieldHost) > 0 {
 		return out
 	}
-	if len(w.Pending) == 0 {
+	if len(w.Pending) == len(left) {
 		return append(out, Action{Kind: FinishWave, Wave: w.Name})
 	}
 	return append(out, Action{Kind: Wait, Wave: w.Name, Reason: wait})
@@ -126,6 +127,18 @@
 	return n
 }
 
+// left lists the pending hosts that the wave will never get.
+func (s *stepper) left(w *pb.Wave) []Action {
+	var out []Action
+	for _, host := range w.Pending {
+		h := s.hosts[host]
+		if h == nil || h.Purpose == pb.HostPurpose_HOST_PURPOSE_LEAVE {
+			out = append(out, Action{Kind: DropHost, Wave: w.Name, Host: host, Reason: "left the fleet"})
+		}
+	}
+	return out
+}
+
 // ended lists what became of the hosts in progress.
 func (s *stepper) ended(w *pb.Wave) []Action {
 	var out []Action
--- a/waves/waves_test.go
+++ b/waves/waves_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -115,6 +116,33 @@
 	assert.Assert(t, waves.WaveDone.Has(err), err)
 }
 
+// A wave ends although a host that it waits for leaves the fleet.
+func TestWaveForgetsHostsThatLeave(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := fleet.Reconcile(&pb.Fleet{}, agency(), now)
+	f, err := waves.Create(f, "spring", []string{"w00", "w01"}, "order-1", now)
+	assert.NilError(t, err)
+	f, err = fleet.BeginLeave(f, "w00", "platform", now)
+	assert.NilError(t, err)
+	f.Hosts = slices.Delete(f.Hosts, 1, 2)
+	d := fleet.NewDraft(f)
+	waves.Apply(d, waves.Step(now, waves.Input{Fleet: f, Config: agency()}), now)
+	assert.Equal(t, d.Fleet().Waves[0].Phase, pb.WavePhase_WAVE_PHASE_DONE)
+	assert.Equal(t, len(d.Fleet().Waves[0].Pending), 0)
+}
+
+// The hosts that a wave starts next are among those of which it gave notice.
+func TestSoonNamesTheNextHosts(t *testing.T) {
+	s := newSim(waves.Step, failures{}, 1)
+	s.cfg.Maintenance.SessionNotice = durationpb.New(time.Minute)
+	in := waves.Input{Fleet: s.fleet, Config: s.cfg}
+	soon := waves.Soon(s.now, in)
+	assert.Equal(t, len(soon), int(s.cfg.Maintenance.MaxParallel))
+	for _, a := range waves.Step(s.now, in) {
+		assert.Assert(t, slices.Contains(soon, a.Host), a.Host)
+	}
+}
+
 func TestFeasible(t *testing.T) {
 	cfg := agency()
 	assert.NilError(t, waves.Feasible(cfg))
