Let two demos run side by side on networks of their own

Cause: a demo and a measurement at once met on the same addresses, and the demo judged workers that it had not started. Change: NETWORK gives the first half of every address; the deployment is copied with its workers' addresses in it.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,12 +4,13 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 name=${1:-agency}
-deployment=$PWD/examples/$name/deployment.ini
 bin=$PWD/bin
 run=$PWD/run/demo-$name
 rm -rf "$run" && mkdir -p "$run"
 # shellcheck source=scripts/cluster.sh
 source scripts/cluster.sh
+deployment=$run/deployment.ini
+in_network "examples/$name/deployment.ini" "$deployment"
 trap 'stop_all' EXIT
 
 failures=0
@@ -34,7 +35,7 @@
 services=$(sed -n 's/^\[service "\(.*\)"\]$/\1/p' "$deployment")
 teams=$(sed -n 's/^\[team "\(.*\)"\]$/\1/p' "$deployment" | paste -sd,)
 spare=$(sed -n 's/^spare_pool = //p' "$deployment")
-targets=$(for n in $(seq "$entry_hosts"); do printf '127.0.1.%s:7000,' "$n"; done)
+targets=$(for n in $(seq "$entry_hosts"); do printf '%s.1.%s:7000,' "$network" "$n"; done)
 rates=$(for s in $services; do printf '%s=%s,' "$s" "${RATE:-60}"; done)
 start load "$bin/agateturn-standin" load --targets "${targets%,}" --services "${rates%,}" --teams "$teams" \
   --duration "${DURATION:-20s}" --session-length 3s --output table
