Test the seal of an exchange directly

Cause: trials with one rule taken out at a time (reuse, surplus, echo, missing length, the seal) showed that no test noticed the seal's loss: net/http waits for its writing goroutine in most cases.

--- a/upstream/send_test.go
+++ b/upstream/send_test.go
@@ -112,6 +112,43 @@
 	})
 }
 
+// TestNothingIsWrittenAfterNotRun has a connection be established, and one be written to, after the claim.
+func TestNothingIsWrittenAfterNotRun(t *testing.T) {
+	worker := startWorker(t, countBytes)
+	client := New(Options{})
+	dial := client.dialRaw
+	ctx, cancel := context.WithCancel(t.Context())
+	claimed := make(chan struct{})
+	late := make(chan net.Conn)
+	client.dialRaw = func(ctx context.Context, network, address string) (net.Conn, error) {
+		cancel()
+		<-claimed
+		conn, err := dial(context.WithoutCancel(ctx), network, address)
+		late <- conn
+		return conn, err
+	}
+	_, err := client.Do(ctx, Target{Address: worker.address}, post("r"))
+	assert.Assert(t, NotRun.Has(err), "%v", err)
+	close(claimed)
+	raw := <-late
+
+	ex := &exchange{beforeSend: func() error { return nil }}
+	c := &conn{Conn: raw, ex: ex}
+	assert.Assert(t, !ex.seal())
+	_, err = c.Write([]byte("x"))
+	assert.Assert(t, errors.Is(err, errSealed), "%v", err)
+	assert.Assert(t, errors.Is(ex.attach(c), errSealed))
+}
+
+// TestBegunWriteIsSent has an exchange end while a write is under way that has taken nothing yet.
+func TestBegunWriteIsSent(t *testing.T) {
+	ex := &exchange{beforeSend: func() error { return nil }}
+	assert.NilError(t, ex.begin())
+	assert.Assert(t, ex.seal())
+	ex.took(0, io.ErrClosedPipe)
+	assert.Assert(t, errors.Is(ex.begin(), errSealed))
+}
+
 func TestRefusedBeforeSendIsNotRun(t *testing.T) {
 	worker := startWorker(t, countBytes)
 	paused := errors.New("paused")
