--- a/idempotency/idempotency.go
+++ b/idempotency/idempotency.go
@@ -25,14 +25,30 @@
 	MaxKeys int
 	// Window is the time within which a caller may repeat a key.
 	Window time.Duration
-	// MaxDelay is the longest time from a caller's sending of a request to the use of its claim's answer. A claimer
-	// ends an attempt whose claim takes longer, with the outcome "not run".
+	// MaxDelay is the longest time from a request's arrival to the use of its claim's answer, queueing included. A
+	// claimer ends an attempt that is TooLate with the outcome "not run". Default 30 s.
 	MaxDelay time.Duration
 	// ClockSkew is the largest difference between the clocks of two entry hosts. New keys of callers whose clocks are
 	// off by more may be refused, and still run once at most.
 	ClockSkew time.Duration
 }
 
+// DefaultMaxDelay is the default of Limits.MaxDelay.
+const DefaultMaxDelay = 30 * time.Second
+
+func (l Limits) withDefaults() Limits {
+	if l.MaxDelay <= 0 {
+		l.MaxDelay = DefaultMaxDelay
+	}
+	return l
+}
+
+// TooLate reports whether a claimer may no longer use a granted claim for a request that arrived at the given time:
+// the owner may have forgotten an earlier run of the key before it granted this one.
+func (l Limits) TooLate(now, arrived time.Time) bool {
+	return now.Sub(arrived) > l.withDefaults().MaxDelay
+}
+
 // memory is the time for which a key that carries no time may still come.
 func (l Limits) memory() time.Duration {
 	return l.Window + l.MaxDelay
--- a/idempotency/owner.go
+++ b/idempotency/owner.go
@@ -47,7 +47,7 @@
 func NewOwner(self *pb.Owner, limits Limits, ownerOf OwnerFunc) *Owner {
 	return &Owner{
 		self:    self,
-		limits:  limits,
+		limits:  limits.withDefaults(),
 		ownerOf: ownerOf,
 		tenure:  tenure{self: self, ownerOf: ownerOf},
 		entries: map[keyID]*entry{},
--- a/idempotency/world_test.go
+++ b/idempotency/world_test.go
@@ -221,7 +221,7 @@
 	if a.over || a.by.dead || a.by.frozen {
 		return
 	}
-	if w.now.Sub(a.began) > limits.MaxDelay {
+	if limits.TooLate(w.now, a.began) {
 		w.giveUp(a)
 		return
 	}
