Keep a host down when its drain is cancelled

Cause: a wave may carry a host that is down; when its drain was cancelled, also by the wave itself, the host became active, and a move would have done so too. Ruled out: a new field, which the schema does not have yet. Change: such a drain's operation identity ends in /down, by which Cancel and the waves know it; a host that is down does not move. Failed first: found by reading. TestCancelLeavesADownHostDown checks it.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -106,6 +106,24 @@
 	assert.Assert(t, fleet.StaleTerm.Has(err), err)
 }
 
+func TestCancelLeavesADownHostDown(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cfg := &pb.Configuration{Hosts: []*pb.Host{{Name: "w1", Pool: "tastings"}}}
+	f := fleet.Reconcile(&pb.Fleet{}, cfg, now)
+	f, err := fleet.MarkDown(f, "w1", "order-1", now)
+	assert.NilError(t, err)
+	_, err = fleet.BeginMove(f, "w1", "exports", "order-2", now)
+	assert.Assert(t, fleet.WrongPhase.Has(err), err)
+	drains, err := fleet.BeginMaintenance(f, "w1", "spring", "order-3", now)
+	assert.NilError(t, err)
+	again, err := fleet.BeginMaintenance(drains, "w1", "spring", "order-3", now)
+	assert.NilError(t, err)
+	assert.Assert(t, again == drains)
+	f, err = fleet.Cancel(drains, "w1", now)
+	assert.NilError(t, err)
+	assert.Equal(t, f.Hosts[0].Phase, pb.HostPhase_HOST_PHASE_DOWN)
+}
+
 func TestRemovedHostVanishesAfterItsRelease(t *testing.T) {
 	now := time.Unix(1000, 0)
 	cfg := &pb.Configuration{Hosts: []*pb.Host{{Name: "w1", Pool: "tastings"}}}
--- a/fleet/hosts.go
+++ b/fleet/hosts.go
@@ -1,13 +1,23 @@
 package fleet
 
 import (
+	"strings"
 	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 )
 
-// BeginMove drains a host that goes to another pool. Repeating an order under the same operation identity changes
-// nothing, also after the move is done.
+// downSuffix ends the operation identity of a drain that began while the host was down, so that Cancel does not put to
+// work what did not work before.
+const downSuffix = "/down"
+
+// WasDown says whether a host that drains was down when the drain began.
+func WasDown(h *pb.HostState) bool {
+	return h.GetPhase() == pb.HostPhase_HOST_PHASE_DRAINING && strings.HasSuffix(h.GetOperationId(), downSuffix)
+}
+
+// BeginMove drains a host that goes to another pool. A host that is down does not move. Repeating an order under the same
+// operation identity changes nothing, also after the move is done.
 func BeginMove(f *pb.Fleet, host, target, operationID string, now time.Time) (*pb.Fleet, error) {
 	return edit(f, func(d *Draft) error { return d.BeginMove(host, target, operationID, now) })
 }
@@ -23,7 +33,8 @@
 	return edit(f, func(d *Draft) error { return d.BeginLeave(host, operationID, now) })
 }
 
-// Cancel ends a drain: the host takes work for its old pool again. A host that is active already is left as it is.
+// Cancel ends a drain: the host takes work for its old pool again, or is down again if it was down before. A host that is
+// active already is left as it is.
 func Cancel(f *pb.Fleet, host string, now time.Time) (*pb.Fleet, error) {
 	return edit(f, func(d *Draft) error { return d.Cancel(host, now) })
 }
@@ -55,6 +66,9 @@
 	if err != nil || h == nil {
 		return err
 	}
+	if h.Phase == pb.HostPhase_HOST_PHASE_DOWN {
+		return WrongPhase.New("%s is down; mark it up before it moves", host)
+	}
 	if target == "" || h.Pool == target {
 		return SamePool.New("%s is in pool %q; name another pool", host, h.Pool)
 	}
@@ -70,6 +84,9 @@
 		return err
 	}
 	h.Wave = wave
+	if h.Phase == pb.HostPhase_HOST_PHASE_DOWN {
+		operationID += downSuffix
+	}
 	d.drain(h, pb.HostPurpose_HOST_PURPOSE_MAINTENANCE, operationID, now)
 	return nil
 }
@@ -105,7 +122,11 @@
 	case pb.HostPhase_HOST_PHASE_ACTIVE:
 		return nil
 	case pb.HostPhase_HOST_PHASE_DRAINING:
+		down := WasDown(h)
 		d.activate(h, now)
+		if down {
+			h.Phase = pb.HostPhase_HOST_PHASE_DOWN
+		}
 		return nil
 	default:
 		return WrongPhase.New("%s is in %s and no drain can be cancelled; wait for its return or mark it up", host, h.Phase)
@@ -189,7 +210,7 @@
 	if h == nil {
 		return nil, unknownHost(host)
 	}
-	if operationID != "" && h.OperationId == operationID {
+	if operationID != "" && strings.TrimSuffix(h.OperationId, downSuffix) == operationID {
 		return nil, nil
 	}
 	switch h.Phase {
--- a/waves/step.go
+++ b/waves/step.go
@@ -164,7 +164,7 @@
 
 // yields says whether a draining host must go back to work: its pool has too few hosts since others failed, and it works.
 func (s *stepper) yields(h *pb.HostState) bool {
-	if s.in.Failed[h.Host] || s.budgets.Room(h.Pool) >= 0 {
+	if fleet.WasDown(h) || s.in.Failed[h.Host] || s.budgets.Room(h.Pool) >= 0 {
 		return false
 	}
 	s.budgets.Return(h.Host)
