--- a/bench/ledgers.go
+++ b/bench/ledgers.go
@@ -33,8 +33,13 @@
 	heard   map[int]uint64
 	// queuedAt says, by peer, which pools had something queued in the last heartbeat to it.
 	queuedAt [entryHosts]map[string]bool
+	// sentAt is when the last heartbeat to each peer was sent.
+	sentAt [entryHosts]time.Time
 }
 
+// earlyGap is the shortest time between two heartbeats to a peer, unless the second is a regular one.
+const earlyGap = 50 * time.Millisecond
+
 // homeSlots is the way in which each entry host uses its own slots only.
 func homeSlots(x *exchange) sharing { return newLedgers(x, false) }
 
@@ -114,7 +119,8 @@
 // beatEarly sends heartbeats that shouldn't wait.
 func (w *ledgers) beatEarly(node int) {
 	for _, to := range w.x.live() {
-		if to != node && w.nodes[node].ledger.Pending(entryHostName(to)) {
+		n := w.nodes[node]
+		if to != node && n.ledger.Pending(entryHostName(to)) && w.x.now.Sub(n.sentAt[to]) >= earlyGap {
 			w.heartbeat(node, to, true)
 		}
 	}
@@ -143,6 +149,7 @@
 func (w *ledgers) heartbeat(node, to int, early bool) {
 	n := w.nodes[node]
 	n.sequence++
+	n.sentAt[to] = w.x.now
 	hb := &pb.Heartbeat{
 		Name:             entryHostName(node),
 		Incarnation:      incarnation(node),
