Count the bytes of control connections

Cause: nobody could say what a daemon sends for control. The bytes of a process's sockets as the kernel counts them hold the callers' and workers' bytes too, so they cannot tell control from serving. Change: a connection wrapper counts bytes; peers, store and platform each get a pair of counters on /metrics, and the live heap a gauge. The store's and the platform's client take the function that dials.

--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -112,6 +112,7 @@
 	d.duty(func() { d.follower.run(ctx, keyConfig, d.follower.takeConfig) })
 	d.duty(func() { d.list.run(ctx) })
 	d.duty(func() { d.meter.run(ctx) })
+	d.duty(func() { watchHeap(ctx, d.stats) })
 	d.duty(func() { d.control.run(ctx) })
 	d.duty(func() {
 		if err := d.registrar.run(ctx); err != nil {
--- a/internal/entryhost/listen.go
+++ b/internal/entryhost/listen.go
@@ -30,6 +30,9 @@
 	if err == nil {
 		result.peers, err = open("peers", host.GetPeerAddress(), d.peerHandler())
 	}
+	if err == nil {
+		result.peers.listener = trafficMeter(d.stats, trafficPeers).Listener(result.peers.listener)
+	}
 	if err != nil {
 		for _, s := range opened {
 			_ = s.listener.Close()
--- a/internal/entryhost/provide.go
+++ b/internal/entryhost/provide.go
@@ -12,6 +12,7 @@
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
 	"github.com/agateturn/agateturn/idempotency"
+	"github.com/agateturn/agateturn/internal/meterconn"
 	"github.com/agateturn/agateturn/internal/pause"
 	"github.com/agateturn/agateturn/internal/ring"
 	"github.com/agateturn/agateturn/mover"
@@ -59,12 +60,16 @@
 func provideStore(i do.Injector) (*kvhttp.Store, error) {
 	s := do.MustInvoke[*pb.Settings](i)
 	st := s.GetStore()
-	return kvhttp.New(st.GetAddress(), st.GetPrefix(), st.GetToken(), st.GetTimeout().AsDuration()), nil
+	kv := kvhttp.New(st.GetAddress(), st.GetPrefix(), st.GetToken(), st.GetTimeout().AsDuration())
+	kv.SetDial(trafficMeter(do.MustInvoke[*stats.Stats](i), trafficStore).Dialer((&net.Dialer{}).DialContext))
+	return kv, nil
 }
 
 func providePlatform(i do.Injector) (*platform.Client, error) {
 	s := do.MustInvoke[*pb.Settings](i)
-	return platform.New(s.GetPlatform().GetAddress(), s.GetStore().GetTimeout().AsDuration()), nil
+	client := platform.New(s.GetPlatform().GetAddress(), s.GetStore().GetTimeout().AsDuration())
+	client.SetDial(trafficMeter(do.MustInvoke[*stats.Stats](i), trafficPlatform).Dialer((&net.Dialer{}).DialContext))
+	return client, nil
 }
 
 func provideDispatcher(i do.Injector) (*dispatcher, error) {
@@ -90,7 +95,7 @@
 		dispatch:  do.MustInvoke[*dispatcher](i),
 		heartbeat: do.MustInvoke[*pb.Settings](i).GetTiming().GetHeartbeat().AsDuration(),
 		logger:    do.MustInvoke[*slog.Logger](i),
-		client:    peerClient(),
+		client:    peerClient(trafficMeter(do.MustInvoke[*stats.Stats](i), trafficPeers)),
 		changed:   v.subscribe("peers"),
 		heard:     ring.New[struct{}]("heard", 1),
 		latest:    map[string]fleet.Received{},
@@ -101,10 +106,10 @@
 	}, nil
 }
 
-func peerClient() *http.Client {
+func peerClient(traffic meterconn.Meter) *http.Client {
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         traffic.Dialer(dialer.DialContext),
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     time.Minute,
 	}}
--- /dev/null
+++ b/internal/entryhost/traffic.go
@@ -0,0 +1,42 @@
+package entryhost
+
+import (
+	"context"
+	"runtime/metrics"
+	"time"
+
+	"github.com/agateturn/agateturn/internal/meterconn"
+	"github.com/agateturn/agateturn/stats"
+)
+
+// What the daemon's own connections are for.
+const (
+	trafficPeers    = "peers"
+	trafficStore    = "store"
+	trafficPlatform = "platform"
+)
+
+// heapPeriod is the time between two looks at the heap.
+const heapPeriod = 5 * time.Second
+
+// trafficMeter counts the bytes of control connections of one kind under agateturn_control_bytes.
+func trafficMeter(s *stats.Stats, kind string) meterconn.Meter {
+	with := stats.Label{Name: "with", Value: kind}
+	return meterconn.Meter{
+		Sent:     s.Counter("agateturn_control_bytes", with, stats.Label{Name: "direction", Value: "sent"}),
+		Received: s.Counter("agateturn_control_bytes", with, stats.Label{Name: "direction", Value: "received"}),
+	}
+}
+
+// watchHeap keeps the gauge of the live heap current until ctx ends.
+func watchHeap(ctx context.Context, s *stats.Stats) {
+	heap := s.Gauge("agateturn_heap_live_bytes")
+	sample := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
+	for {
+		metrics.Read(sample)
+		heap.Update(float64(sample[0].Value.Uint64()))
+		if sleep(ctx, heapPeriod) != nil {
+			return
+		}
+	}
+}
--- a/store/kvhttp/kvhttp.go
+++ b/store/kvhttp/kvhttp.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -45,6 +46,7 @@
 	token   string
 	timeout time.Duration
 	reads   *http.Transport
+	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 var (
@@ -68,6 +70,12 @@
 	}
 }
 
+// SetDial has the connections made by dial, which has the form of net.Dialer.DialContext. Call it before the first use.
+func (s *Store) SetDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	s.dial = dial
+	s.reads.DialContext = dial
+}
+
 // Close drops the idle connections.
 func (s *Store) Close() { s.reads.CloseIdleConnections() }
 
--- a/store/kvhttp/write.go
+++ b/store/kvhttp/write.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var dialer watchedDialer
+	dialer := watchedDialer{open: s.dial}
 	transport := &http.Transport{DisableKeepAlives: true, DialContext: dialer.dial}
 	got, err := exchange(transport, request)
 	switch {
@@ -122,6 +122,8 @@
 
 // watchedDialer dials connections and notes whether anything may have been sent on one.
 type watchedDialer struct {
+	// open makes the connections; nil for a net.Dialer.
+	open  func(ctx context.Context, network, address string) (net.Conn, error)
 	state atomic.Int32
 }
 
@@ -132,7 +134,11 @@
 }
 
 func (d *watchedDialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	open := d.open
+	if open == nil {
+		open = (&net.Dialer{}).DialContext
+	}
+	conn, err := open(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
