Measure control's cost and work out the design size

The cluster's host list period is a variable. Ruled out: a plotting library, which brings fonts and image code for six scatter plots.

--- /dev/null
+++ b/cmd/agateturn-capacity/main.go
@@ -0,0 +1,32 @@
+// Command agateturn-capacity measures what control costs at several sizes and works out the costs at the design size.
+// It starts no processes: scripts/capacity.sh does.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+type commands struct {
+	Deployment deploymentCommand `cmd:"" help:"Write a configuration of a given size."`
+	Sample     sampleCommand     `cmd:"" help:"Measure a running deployment on loopback, and append the samples to a file."`
+	Report     reportCommand     `cmd:"" help:"Fit the samples and write the table, the page's tables and the plot."`
+}
+
+func main() {
+	var line commands
+	parsed := kong.Parse(&line,
+		kong.Name("agateturn-capacity"),
+		kong.Description("Measures what control costs and works out the costs at the design size."),
+		kong.UsageOnError(),
+	)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	err := parsed.Run()
+	stop()
+	parsed.FatalIfErrorf(err)
+}
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -49,13 +49,13 @@
 
 [platform]
 address = http://$platform
-poll = 500ms
+poll = ${POLL:-500ms}
 
 [operator]
 token = $token
 
 [timing]
-drain_notice = 200ms
+drain_notice = ${DRAIN_NOTICE:-200ms}
 INI
 }
 
