Follow what the decision packages ask of the daemon

Cause: the packages' design notes list duties that the daemon did not meet: a claim granted after a long queue could be a key's second run; an owner of keys that was paused granted by an old view; a process could serve by a fleet that does not name it; an answer refused before its first byte broke the connection where an error can be sent; a peer's report counted as of its arrival. Change: claims that are too late end as not run; a suspect owner answers 'not owner'; a first fleet is applied only by a member or guest; 502 with outcome unknown before the first byte; a report counts from the beginning of its exchange.

--- a/internal/entryhost/caller.go
+++ b/internal/entryhost/caller.go
@@ -178,13 +178,22 @@
 	if _, err := upstream.Relay(w, response); err != nil {
 		result = routing.Failed
 		s.finishClaim(held, outcomeUnknown, response.Status)
-		events.Emit(ctx, s.logger, events.OutcomeUnknown, "host", g.host, "request", c.requestID, "err", err)
-		return callEnd{outcome: outcomeUnknown, abort: true}, false
+		return s.cut(ctx, w, c, g, err), false
 	}
 	s.finishClaim(held, outcomeDone, response.Status)
 	return callEnd{outcome: outcomeDone}, false
 }
 
+// cut ends a call whose answer could not be relayed whole. If the caller has a part of it, its connection must break.
+func (s *callerServer) cut(ctx context.Context, w http.ResponseWriter, c *call, g *grant, err error) callEnd {
+	events.Emit(ctx, s.logger, events.OutcomeUnknown, "host", g.host, "request", c.requestID, "err", err)
+	if upstream.Aborted.Has(err) {
+		return callEnd{outcome: outcomeUnknown, abort: true}
+	}
+	writeRefusal(w, unknownOutcome(http.StatusBadGateway, err.Error()))
+	return callEnd{outcome: outcomeUnknown}
+}
+
 // failed decides what follows a failed exchange: another host, or the final answer.
 func (s *callerServer) failed(ctx context.Context, w http.ResponseWriter, c *call, g *grant, err error) (callEnd, bool) {
 	ended := outcomeOf(err)
@@ -240,11 +249,16 @@
 		r := notRun(http.StatusServiceUnavailable, err.Error(), retryKey)
 		return nil, &r
 	}
-	if answer.GetVerdict() == pb.ClaimVerdict_CLAIM_VERDICT_GRANTED {
-		return &held, nil
+	if answer.GetVerdict() != pb.ClaimVerdict_CLAIM_VERDICT_GRANTED {
+		r := refusalOf(answer)
+		return nil, &r
 	}
-	r := refusalOf(answer)
-	return nil, &r
+	if s.keys.limits.TooLate(time.Now(), c.arrived) {
+		s.finishClaim(&held, outcomeNotRun, 0)
+		r := notRun(http.StatusServiceUnavailable, "the request waited too long for its Idempotency-Key to be safe", retryKey)
+		return nil, &r
+	}
+	return &held, nil
 }
 
 func (s *callerServer) finishClaim(held *claim, ended outcome, status int) {
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -166,8 +166,11 @@
 // settled is nil unless a staged configuration has been in doubt for longer than the bound.
 func (d *Daemon) settled() error {
 	var err error
+	now := time.Now()
+	registered := d.registrar.isMember()
 	d.view.withStager(func(st *config.Stager) {
-		if since, unsettled := st.Unsettled(time.Now()); unsettled {
+		st.Heard(now, config.Report{Peer: identity(d.self), Generation: st.Generation(), Ready: true, Registered: registered})
+		if since, unsettled := st.Unsettled(now); unsettled {
 			err = errUnsettled.New("for %s", since)
 		}
 	})
--- a/internal/entryhost/guests.go
+++ b/internal/entryhost/guests.go
@@ -38,6 +38,12 @@
 	return true
 }
 
+// holds reports whether the process is a guest.
+func (b guestBook) holds(m *pb.Member) bool {
+	g, known := b[m.GetName()]
+	return known && g.member.GetIncarnation() == m.GetIncarnation()
+}
+
 // prune drops the guests that the fleet has settled.
 func (b guestBook) prune(f *pb.Fleet) {
 	for name, g := range b {
--- a/internal/entryhost/keys.go
+++ b/internal/entryhost/keys.go
@@ -10,6 +10,7 @@
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/idempotency"
+	"github.com/agateturn/agateturn/internal/pause"
 	"github.com/agateturn/agateturn/internal/ring"
 	"github.com/agateturn/agateturn/rendezvous"
 	"github.com/agateturn/agateturn/store"
@@ -29,7 +30,10 @@
 	self  *pb.Member
 	view  *view
 	peers *peers
-	ends  *ring.Ring[claimEnd]
+	// detector keeps a process that was paused from granting.
+	detector *pause.Detector
+	limits   idempotency.Limits
+	ends     *ring.Ring[claimEnd]
 
 	mu    sync.Mutex
 	owner *idempotency.Owner
@@ -41,13 +45,15 @@
 	finish *pb.FinishRequest
 }
 
-func newKeys(v *view, self *pb.Member, limits idempotency.Limits) *keys {
+func newKeys(v *view, self *pb.Member, detector *pause.Detector, limits idempotency.Limits) *keys {
 	owner := &pb.Owner{Name: self.GetName(), Incarnation: self.GetIncarnation()}
 	k := &keys{
-		self:  self,
-		view:  v,
-		ends:  ring.New[claimEnd]("claim ends", finishCapacity),
-		owner: idempotency.NewOwner(owner, limits, rendezvous.Owner),
+		self:     self,
+		view:     v,
+		ends:     ring.New[claimEnd]("claim ends", finishCapacity),
+		detector: detector,
+		limits:   limits,
+		owner:    idempotency.NewOwner(owner, limits, rendezvous.Owner),
 	}
 	v.onFleet(k)
 	return k
@@ -68,7 +74,12 @@
 }
 
 // claimHere decides a claim on a key that this entry host owns.
+//
+// A process that was paused answers "not owner" until its view is confirmed: the key may have another owner by now.
 func (k *keys) claimHere(req *pb.ClaimRequest) *pb.ClaimResponse {
+	if k.detector.Check() != nil {
+		return &pb.ClaimResponse{Verdict: pb.ClaimVerdict_CLAIM_VERDICT_NOT_OWNER}
+	}
 	var answer *pb.ClaimResponse
 	k.with(func(o *idempotency.Owner) { answer = o.Claim(time.Now(), req) })
 	return answer
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -193,11 +193,13 @@
 	if err != nil {
 		return
 	}
+	began := time.Now()
 	answer, err := p.at(address).Exchange(ctx, connect.NewRequest(hb))
 	if err != nil {
 		p.logger.Debug("heartbeat failed", "component", "peers", "peer", name, "err", err)
 		return
 	}
+	p.tellStager(answer.Msg, began)
 	p.take(ctx, answer.Msg)
 }
 
@@ -243,7 +245,6 @@
 	}
 	p.view.addGuests(hb.GetGuests()...)
 	p.dispatch.incoming(ctx, hb)
-	p.tellStager(hb)
 	p.heard.Offer(struct{}{})
 	behind := hb.GetFleetRevision() > p.view.fleet().GetRevision() ||
 		hb.GetConfigGeneration() > p.view.config().GetGeneration()
@@ -254,13 +255,13 @@
 	}
 }
 
-// tellStager lets the acceptance state machine know what generation a peer is at.
-func (p *peers) tellStager(hb *pb.Heartbeat) {
+// tellStager lets the acceptance state machine know what generation a peer was at, at some time after the exchange began.
+func (p *peers) tellStager(hb *pb.Heartbeat, began time.Time) {
 	registered := lo.SomeBy(p.view.fleet().GetMembers(), func(m *pb.Member) bool {
 		return m.GetIncarnation() == hb.GetIncarnation()
 	})
 	p.view.withStager(func(st *config.Stager) {
-		st.Heard(time.Now(), config.Report{
+		st.Heard(began, config.Report{
 			Peer:       hb.GetName() + "/" + hb.GetIncarnation(),
 			Generation: hb.GetConfigGeneration(),
 			Ready:      hb.GetReady(),
@@ -274,15 +275,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	last, known := p.latest[hb.GetIncarnation()]
-	if known && last.Heartbeat.GetSequence() >= hb.GetSequence() {
+	fleet.Record(p.latest, hb, now)
+	if p.latest[hb.GetIncarnation()].Heartbeat != hb {
 		return false
 	}
-	since := now
-	if known {
-		since = last.Since
-	}
-	p.latest[hb.GetIncarnation()] = fleet.Received{Heartbeat: hb, At: now, Since: since}
 	if l := p.links[hb.GetName()]; l != nil {
 		l.last = now
 	}
@@ -294,21 +290,33 @@
 	if !ok {
 		return
 	}
-	_ = p.fetch(ctx, member.GetPeerAddress(), nil)
+	if values, err := p.fetch(ctx, member.GetPeerAddress(), nil); err == nil {
+		p.takeValues(values)
+	}
+}
+
+// fetchAsGuest asks a peer to vouch for this entry host, and serves by the peer's values once it does.
+func (p *peers) fetchAsGuest(ctx context.Context, address string) error {
+	values, err := p.fetch(ctx, address, p.self)
+	if err != nil {
+		return err
+	}
+	p.view.addGuests(p.self)
+	p.takeValues(values)
+	return nil
 }
 
-// fetch takes over what the peer knows and we do not. With join set, the peer vouches for this entry host.
-func (p *peers) fetch(ctx context.Context, address string, join *pb.Member) error {
+// fetch returns what the peer knows and we do not. With join set, the peer vouches for this entry host.
+func (p *peers) fetch(ctx context.Context, address string, join *pb.Member) (*pb.FetchResponse, error) {
 	answer, err := p.at(address).Fetch(ctx, connect.NewRequest(&pb.FetchRequest{
 		ConfigGeneration: p.view.config().GetGeneration(),
 		FleetRevision:    p.view.fleet().GetRevision(),
 		Join:             join,
 	}))
 	if err != nil {
-		return errUnreachable.New("%s: %v", address, err)
+		return nil, errUnreachable.New("%s: %v", address, err)
 	}
-	p.takeValues(answer.Msg)
-	return nil
+	return answer.Msg, nil
 }
 
 // takeValues puts a peer's newer values in force. The configuration goes first: the fleet refers to its hosts.
--- a/internal/entryhost/peerservice.go
+++ b/internal/entryhost/peerservice.go
@@ -25,6 +25,8 @@
 
 // Exchange takes over a peer's heartbeat and answers with our own.
 func (s *peerService) Exchange(ctx context.Context, req *connect.Request[pb.Heartbeat]) (*connect.Response[pb.Heartbeat], error) {
+	// The sender gives an exchange up after a heartbeat period, so its report is no older than that.
+	s.peers.tellStager(req.Msg, time.Now().Add(-s.peers.heartbeat))
 	s.peers.take(ctx, req.Msg)
 	own, err := s.peers.compose(ctx, req.Msg.GetName())
 	if err != nil {
--- a/internal/entryhost/provide.go
+++ b/internal/entryhost/provide.go
@@ -36,7 +36,7 @@
 	})
 	do.Provide(i, func(i do.Injector) (*view, error) {
 		timing := do.MustInvoke[*pb.Settings](i).GetTiming()
-		return newView(timing.GetInForceBound().AsDuration(), timing.GetPauseLimit().AsDuration()), nil
+		return newView(do.MustInvoke[*pb.Member](i), timing.GetInForceBound().AsDuration(), timing.GetPauseLimit().AsDuration()), nil
 	})
 	do.Provide(i, func(i do.Injector) (*pause.Detector, error) {
 		return pause.NewDetector(do.MustInvoke[*pb.Settings](i).GetTiming().GetPauseLimit().AsDuration()), nil
@@ -81,7 +81,7 @@
 
 func provideKeys(i do.Injector) (*keys, error) {
 	limits := do.MustInvoke[*pb.Settings](i).GetLimits()
-	return newKeys(do.MustInvoke[*view](i), do.MustInvoke[*pb.Member](i), idempotency.Limits{
+	return newKeys(do.MustInvoke[*view](i), do.MustInvoke[*pb.Member](i), do.MustInvoke[*pause.Detector](i), idempotency.Limits{
 		MaxKeys:   int(limits.GetMaxKeys()),
 		Window:    limits.GetKeyWindow().AsDuration(),
 		ClockSkew: limits.GetClockSkew().AsDuration(),
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -74,12 +74,11 @@
 		return errRemoved.New("paused before it had joined") // a successor may be a member already
 	}
 	for _, address := range r.seeds {
-		if r.peers.fetch(ctx, address, r.self) == nil {
+		if r.peers.fetchAsGuest(ctx, address) == nil {
 			if !r.peers.sponsored(address) {
 				break
 			}
 			r.view.withStager(func(st *config.Stager) { st.JoinAsGuest(time.Now()) })
-			r.view.addGuests(r.self)
 			events.Emit(ctx, r.logger, events.JoinedAsGuest, "sponsor", address)
 			break
 		}
--- a/internal/entryhost/view.go
+++ b/internal/entryhost/view.go
@@ -21,6 +21,7 @@
 // view is what this entry host knows and acts on: the applied fleet and the configuration in force.
 // It only goes forward. It is safe for concurrent use.
 type view struct {
+	self *pb.Member
 	gate *fleet.Gate
 
 	// applying serialises whole applications, so that every applier sees revisions in order.
@@ -40,8 +41,9 @@
 	subscribers []*ring.Ring[struct{}]
 }
 
-func newView(inForceBound, pauseLimit time.Duration) *view {
+func newView(self *pb.Member, inForceBound, pauseLimit time.Duration) *view {
 	return &view{
+		self:       self,
 		gate:       fleet.NewGate(),
 		stager:     config.NewStager(inForceBound),
 		guests:     guestBook{},
@@ -73,6 +75,9 @@
 	v.applying.Lock()
 	defer v.applying.Unlock()
 	before := v.gate.Fleet()
+	if before == nil && !memberOf(f, v.self) && !v.guests.holds(v.self) {
+		return // a process that nobody asks for its release serves by no fleet
+	}
 	if !v.gate.Apply(f) {
 		return
 	}
