slots: tell owner sets apart by a hash

Cause: two mends of the wait for acquired slots met. One let the old owner go on until it applies the new owners; the other let reports under later revisions count, trusting that a moving slot is neither used nor cleared. Together a report under later owners could clear a slot that its sender holds of another owner. Ruled out: the fleet revision as the mark of an owner set: it grows with each move of a host, so during a wave the wait might never end. Change: heartbeats carry a hash of the owner set; only reports under the same set count.

--- a/slots/doc.go
+++ b/slots/doc.go
@@ -37,9 +37,8 @@
 //   - A member that holds it idle drops it when it applies the new owners.
 //   - A member that has applied the new owners accepts no loan of the slot from anybody but the new owner, and none
 //     that was sent under older owners, so a delayed heartbeat of the old owner can't hand it out again.
-//   - A report that was sent under owners which this ledger has not applied yet names another owner for the slots that
-//     change hands once more. Since each member applies the next owners before they are settled, those are the slots
-//     that are moving here, and a moving slot isn't cleared.
+//   - A report that was sent under other owners than the present ones doesn't count, since it may name another owner for
+//     the slot. Reports carry a hash of the owners for that; the revision alone grows with every move of a host.
 //   - A member that the fleet no longer lists is proved gone and holds nothing.
 //   - A restarted member is another owner: its slots change hands like those of any other.
 //
--- a/slots/exchange.go
+++ b/slots/exchange.go
@@ -26,7 +26,7 @@
 // sequence in the same step, so that a higher sequence always means a later state.
 func (l *Ledger) Outgoing(peerName string) *pb.SlotExchange {
 	delete(l.pending, peerName)
-	out := &pb.SlotExchange{OwnersRevision: l.revision}
+	out := &pb.SlotExchange{OwnersRevision: l.revision, OwnersHash: l.ownersHash}
 	for id, p := range l.peers {
 		if id.name == peerName {
 			out.Acknowledged = max(out.Acknowledged, p.sequence)
@@ -54,8 +54,8 @@
 }
 
 // Pending says whether the named peer should get a heartbeat before its regular turn: a loan to it, a recall or a
-// return waits to be told, the owners have changed, or this member's shortage of slots has changed much. Outgoing resets it. An embedder that
-// checks it after each Balance and sends then bounds the early heartbeats by its period of decisions.
+// return waits to be told, the owners have changed, or this member's shortage of slots has changed much. Outgoing resets
+// it. An embedder that checks it after each Balance and sends then bounds the early heartbeats by its period of decisions.
 func (l *Ledger) Pending(peerName string) bool { return l.pending[peerName] }
 
 // announce marks every member as pending when the shortage of slots in a pool begins, ends or has doubled.
@@ -101,6 +101,7 @@
 	}
 	p.sequence = hb.GetSequence()
 	p.revision = hb.GetSlots().GetOwnersRevision()
+	p.ownersHash = hb.GetSlots().GetOwnersHash()
 	l.applyBorrowed(from, p, hb.GetSlots().GetBorrowed())
 	l.applyLends(from, hb.GetSlots())
 	l.clearWaiting()
--- a/slots/ledger.go
+++ b/slots/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -95,8 +96,9 @@
 // peer is what the ledger last heard from one incarnation of a member.
 type peer struct {
 	sequence uint64
-	// revision is the owners revision of its last heartbeat.
-	revision uint64
+	// revision is the fleet revision that its last heartbeat was sent under, and ownersHash its owner set.
+	revision   uint64
+	ownersHash uint64
 	// reported are the slots it said it holds of those that this member owns.
 	reported map[slotKey]struct{}
 }
@@ -109,7 +111,9 @@
 	revision uint64
 	// ownersSince is the revision in which the present owners were first seen.
 	ownersSince uint64
-	owners      *pb.OwnerSet
+	// ownersHash identifies the present owners.
+	ownersHash uint64
+	owners     *pb.OwnerSet
 	// active: this incarnation is a member.
 	active bool
 	peers  map[memberID]*peer
@@ -218,6 +222,7 @@
 	if !proto.Equal(l.owners, f.GetOwners()) {
 		l.owners = f.GetOwners()
 		l.ownersSince = l.revision
+		l.ownersHash = hashOwners(l.owners)
 		l.assignAll()
 		l.tellAll()
 	}
@@ -325,18 +330,20 @@
 }
 
 // clearWaiting lets the acquired slots be used of which every member has said, under the present owners, that it
-// doesn't hold them. A report that was sent under later owners than this member has applied names another owner for the
-// moving slots, so those have to wait; the others have the same owner in both sets.
+// doesn't hold them. A report that was sent under other owners may name another owner for the slot, so it doesn't count.
 func (l *Ledger) clearWaiting() {
 	if len(l.waiting) == 0 {
 		return
 	}
 	heard := l.revision
 	for _, p := range l.peers {
+		if p.ownersHash != l.ownersHash {
+			return
+		}
 		heard = min(heard, p.revision)
 	}
 	for key, r := range l.waiting {
-		if r.moving || r.acquired > heard || l.reportedByAny(key) {
+		if r.acquired > heard || l.reportedByAny(key) {
 			continue
 		}
 		r.acquired = 0
@@ -345,6 +352,18 @@
 	}
 }
 
+// hashOwners identifies an owner set, incarnations included.
+func hashOwners(set *pb.OwnerSet) uint64 {
+	var b strings.Builder
+	for _, o := range set.GetOwners() {
+		b.WriteString(o.GetName())
+		b.WriteByte(0)
+		b.WriteString(o.GetIncarnation())
+		b.WriteByte(0)
+	}
+	return rendezvous.Hash(b.String())
+}
+
 func (l *Ledger) reportedByAny(key slotKey) bool {
 	for _, p := range l.peers {
 		if _, ok := p.reported[key]; ok {
