Give no work to a leaving host while the store is down

Cause: a host that the platform's list shows leaving is drained through the fleet value, which does not change in a store outage; and only the controller read the list. In the proof w1 was still asked 3 s and more after it was listed. Change: whoever notices that the store fails reads the list, and heartbeats carry the leaving hosts.

--- a/internal/entryhost/dispatch.go
+++ b/internal/entryhost/dispatch.go
@@ -87,6 +87,8 @@
 	pools   []string
 	hosts   map[string]*pb.Host
 	due     map[string]time.Time // hosts due for maintenance
+	// leaving are the hosts that the platform takes away, by the entry host that read it in the platform's list.
+	leaving map[string][]string
 	peers   map[string]slots.PeerDemand
 	usage   map[string]map[string]int64 // running by team, by peer
 	nextID  uint64
@@ -109,6 +111,7 @@
 		due:      map[string]time.Time{},
 		peers:    map[string]slots.PeerDemand{},
 		usage:    map[string]map[string]int64{},
+		leaving:  map[string][]string{},
 	}
 	v.onFleet(d)
 	return d
@@ -178,7 +181,7 @@
 func (d *dispatcher) usableSlots(pool string) int {
 	ejected := d.ejected()
 	return lo.SumBy(d.ledger.Free(pool), func(f slots.HostFree) int {
-		if ejected[f.Host] {
+		if ejected[f.Host] || d.isLeaving(f.Host) {
 			return 0
 		}
 		return f.Free
@@ -208,7 +211,7 @@
 			Free:              free[name],
 			Slots:             int(host.GetSlots()),
 			DueForMaintenance: d.due[name],
-		}, known
+		}, known && !d.isLeaving(name)
 	})
 }
 
@@ -368,6 +371,7 @@
 	d.ledger.SetOwners(f)
 	present := lo.KeyBy(f.GetMembers(), (*pb.Member).GetName)
 	d.peers = lo.PickBy(d.peers, func(name string, _ slots.PeerDemand) bool { return present[name] != nil })
+	d.leaving = lo.PickBy(d.leaving, func(name string, _ []string) bool { return present[name] != nil })
 	d.usage = lo.PickBy(d.usage, func(name string, _ map[string]int64) bool { return present[name] != nil })
 	d.due = dueForMaintenance(f, cfg, now)
 }
@@ -396,6 +400,7 @@
 		d.peers[hb.GetName()] = slots.PeerDemand{Pools: hb.GetDemand(), DataCentre: hb.GetDataCentre()}
 		d.router.Merge(hb.GetName(), hb.GetHealth())
 		d.takeUsage(hb)
+		d.leaving[hb.GetName()] = hb.GetLeavingHosts()
 		d.ledger.Balance(now, d.queues.Demand(now), d.peers)
 	})
 }
@@ -418,6 +423,21 @@
 	return <-counted
 }
 
+// shun gives no more work to the hosts that the platform's list shows leaving or gone. The fleet drains them too, but
+// not while the store is down.
+func (d *dispatcher) shun(ctx context.Context, hosts []string) {
+	_ = d.commands.Put(ctx, func(d *dispatcher, _ time.Time) { d.leaving[d.self.GetName()] = hosts })
+}
+
+func (d *dispatcher) isLeaving(host string) bool {
+	for _, hosts := range d.leaving {
+		if lo.Contains(hosts, host) {
+			return true
+		}
+	}
+	return false
+}
+
 // takeUsage sums up what each team runs on the other entry hosts.
 func (d *dispatcher) takeUsage(hb *pb.Heartbeat) {
 	before := d.usage[hb.GetName()]
@@ -461,6 +481,7 @@
 		hb.Demand = d.queues.Demand(now)
 		hb.TeamUsage = d.teamUsage()
 		hb.Health = d.router.Health()
+		hb.LeavingHosts = d.leaving[d.self.GetName()]
 	})
 	if err != nil {
 		return err
--- a/internal/entryhost/follow.go
+++ b/internal/entryhost/follow.go
@@ -93,12 +93,14 @@
 }
 
 func (f *follower) failed(ctx context.Context, key string, err error, failures int) {
+	f.view.storeFailing.Store(true)
 	if failures == 0 {
 		events.Emit(ctx, f.logger, events.StoreUnreachable, "key", key, "err", err)
 	}
 }
 
 func (f *follower) recovered(ctx context.Context, key string, failures int) {
+	f.view.storeFailing.Store(false)
 	if failures > 0 {
 		events.Emit(ctx, f.logger, events.StoreBack, "key", key, "failures", failures)
 	}
--- a/internal/entryhost/platformlist.go
+++ b/internal/entryhost/platformlist.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/agateturn/agateturn/controller"
 	"github.com/agateturn/agateturn/platform"
 )
@@ -16,9 +18,13 @@
 type platformList struct {
 	client *platform.Client
 	period time.Duration
-	logger *slog.Logger
+	view   *view
+	// dispatch is told of hosts that leave.
+	dispatch *dispatcher
+	logger   *slog.Logger
 
-	// wanted is set while this entry host is the controller, the only one that acts on the list.
+	// wanted is set while this entry host is the controller. The others hear of leaving hosts through the fleet or by
+	// heartbeat; those that notice that the store is down read the list themselves.
 	wanted atomic.Bool
 
 	mu    sync.Mutex
@@ -28,8 +34,9 @@
 // run reads the list until ctx ends.
 func (l *platformList) run(ctx context.Context) {
 	for ; ctx.Err() == nil; _ = sleep(ctx, l.period) {
-		if !l.wanted.Load() {
+		if !l.wanted.Load() && !l.view.storeFailing.Load() {
 			l.forget()
+			l.dispatch.shun(ctx, nil)
 			continue
 		}
 		hosts, err := l.client.Hosts(ctx)
@@ -37,6 +44,7 @@
 			l.logger.Debug("host list not read", "component", "platform", "err", err)
 		} else {
 			l.keep(hosts, time.Now())
+			l.dispatch.shun(ctx, leavingHosts(hosts))
 		}
 	}
 }
@@ -48,6 +56,12 @@
 	l.hosts = nil
 }
 
+func leavingHosts(hosts []platform.Host) []string {
+	return lo.FilterMap(hosts, func(h platform.Host, _ int) (string, bool) {
+		return h.Name, h.Role == platform.RoleWorker && h.State != platform.StateLive
+	})
+}
+
 // keep replaces the list. An entry keeps the time at which it was first seen in its state.
 func (l *platformList) keep(hosts []platform.Host, now time.Time) {
 	l.mu.Lock()
--- a/internal/entryhost/provide.go
+++ b/internal/entryhost/provide.go
@@ -147,9 +147,11 @@
 
 func provideList(i do.Injector) (*platformList, error) {
 	return &platformList{
-		client: do.MustInvoke[*platform.Client](i),
-		period: do.MustInvoke[*pb.Settings](i).GetPlatform().GetPoll().AsDuration(),
-		logger: do.MustInvoke[*slog.Logger](i),
+		view:     do.MustInvoke[*view](i),
+		dispatch: do.MustInvoke[*dispatcher](i),
+		client:   do.MustInvoke[*platform.Client](i),
+		period:   do.MustInvoke[*pb.Settings](i).GetPlatform().GetPoll().AsDuration(),
+		logger:   do.MustInvoke[*slog.Logger](i),
 	}, nil
 }
 
--- a/internal/entryhost/view.go
+++ b/internal/entryhost/view.go
@@ -34,6 +34,9 @@
 	guests     guestBook
 	pauseLimit time.Duration
 
+	// storeFailing is set while the follower cannot read the store.
+	storeFailing atomic.Bool
+
 	mu     sync.Mutex
 	stager *config.Stager
 	// storeHeard is when the store last answered; zero for never.
--- a/proofs/cluster_test.go
+++ b/proofs/cluster_test.go
@@ -160,7 +160,7 @@
 		WorkerAdmin: "http://" + c.workers.Admin(),
 	})
 	server := httptest.NewUnstartedServer(c.platform)
-	listener, err := net.Listen("tcp", network + ".5.100:0")
+	listener, err := net.Listen("tcp", network+".5.100:0")
 	assert.NilError(c.t, err)
 	server.Listener = listener
 	server.Start()
--- a/proofs/process_test.go
+++ b/proofs/process_test.go
@@ -184,3 +184,60 @@
 	assert.Assert(t, c.status(other).FleetRevision > revision)
 	c.judge(report(), 1)
 }
+
+// A configuration is accepted only when every member holds it: a frozen entry host keeps it from being accepted, and
+// after the thaw the repeat of the change is accepted once.
+func TestConfigurationNeedsEveryMember(t *testing.T) {
+	c := newCluster(t, 3)
+	c.signal(2, syscall.SIGSTOP)
+	code := c.apply(1, "change-0002", 1, c.ini)
+	assert.Assert(t, code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout, "%d", code)
+	assert.Equal(t, c.status(3).Generation, uint64(1))
+	c.signal(2, syscall.SIGCONT)
+	c.await("the repeat is accepted", func() bool { return c.apply(3, "change-0002", 1, c.ini) == http.StatusOK })
+	c.await("in force everywhere", func() bool { return c.everywhere(2) })
+	assert.Equal(t, c.apply(1, "change-0002", 1, c.ini), http.StatusOK)
+	assert.Equal(t, c.status(1).Generation, uint64(2))
+}
+
+// A host that the platform's list shows leaving gets no new work after a few seconds, also while the store is down.
+func TestLeavingHostGetsNoNewWork(t *testing.T) {
+	const fewSeconds = 3 * time.Second
+	c := newCluster(t, 3)
+	report := c.ask(c.load(8*time.Second, 1, 2, 3))
+	time.Sleep(time.Second)
+	c.platform.SetStoreFaults(platformd.StoreFaults{Down: true})
+	c.platform.SetHost(platform.Host{Name: "w1", Role: platform.RoleWorker, State: platform.StateLeaving})
+	last := time.Now().Add(fewSeconds)
+	c.judge(report(), 0)
+	for _, r := range c.workers.Records() {
+		assert.Assert(t, r.Host != "w1" || r.Start.Before(last), "%s after the bound: %+v", r.Start.Sub(last), r)
+	}
+}
+
+// A wave goes on when its controller is killed in the middle, cuts nothing, and keeps half of each pool in service.
+func TestWaveSurvivesItsController(t *testing.T) {
+	c := newCluster(t, 3)
+	report := c.ask(c.load(10*time.Second, 2, 3))
+	assert.Equal(t, c.call(2, http.MethodPost, "/v1/waves",
+		operatorapi.WaveOrder{Name: "wave", Pool: "left", OperationID: "operation-wave"}, nil), http.StatusOK)
+	wave := func() operatorapi.WaveStatus {
+		s := c.status(2)
+		left, _ := lo.Find(s.Pools, func(p operatorapi.PoolStatus) bool { return p.Name == "left" })
+		assert.Assert(t, left.Hosts == 0 || left.Active*2 >= left.Hosts, "%+v", left)
+		w, _ := lo.Find(s.Waves, func(w operatorapi.WaveStatus) bool { return w.Name == "wave" })
+		return w
+	}
+	c.await("a host in maintenance", func() bool { return len(wave().InProgress) > 0 })
+	controller := int(c.status(2).Controller[len("entry-")] - '0')
+	if controller == 1 {
+		c.signal(1, syscall.SIGKILL)
+		c.awaitExit(1)
+		c.start(1)
+	} else {
+		c.platform.Store().ExpireSessions()
+	}
+	c.await("the wave is done", func() bool { return wave().Phase == "done" })
+	assert.Equal(t, wave().Done, 4)
+	c.judge(report(), 0)
+}
