Keep the answers' schema with the other schemas

questionnaire/answers.proto stood outside proto/, so make generate never wrote its code and make check-generated never looked at it; the reference pages and examples were checked by tests only. The schema is now proto/agateturn/answers/v1 with its code in gen/. make generate also writes docs/CONFIGURATION.md, docs/EVENTS.md and the examples, and check-generated names each file that is not current.

Seen: with a line added to docs/EVENTS.md and a comment to the schema, check-generated failed and named both files; on the committed tree it passes. Tests of settings, events and questionnaire pass.

--- a/Makefile
+++ b/Makefile
@@ -33,11 +33,13 @@
 fmt: linters ## format the code
 	$(GOFUMPT) -w $$(git ls-files '*.go' ':!:gen/*')
 
-generate: ## generate code and reference pages from the schema
+generate: ## generate code, reference pages and examples from the schema
 	$(TOOL) buf lint
 	$(TOOL) buf generate
+	go test ./settings ./events ./questionnaire -count=1 -run 'Reference|Examples' -update
 
-check-generated: ## fail if the committed generated code is not current
-	@before=$$(find gen -type f | sort | xargs sha256sum); $(TOOL) buf generate; \
-	after=$$(find gen -type f | sort | xargs sha256sum); \
-	test "$$before" = "$$after" || { echo "generated code is not current; run make generate and commit gen/"; exit 1; }
+GENERATED = find gen docs/CONFIGURATION.md docs/EVENTS.md examples -type f | sort | xargs sha256sum
+check-generated: ## fail if committed code, reference pages or examples are not current
+	@before=$$($(GENERATED)); $(MAKE) --no-print-directory generate; after=$$($(GENERATED)); \
+	test "$$before" = "$$after" || { echo "generated files are not current; run make generate and commit:"; \
+	diff <(echo "$$before") <(echo "$$after") | sed -n 's/^[<>] *[0-9a-f]* */  /p' | sort -u; exit 1; }
--- a/questionnaire/place.go
+++ b/questionnaire/place.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"net/netip"
 
+	answerspb "github.com/agateturn/agateturn/gen/agateturn/answers/v1"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
-	"github.com/agateturn/agateturn/questionnaire/answerspb"
 	"github.com/agateturn/agateturn/settings"
 )
 
--- a/questionnaire/questionnaire.go
+++ b/questionnaire/questionnaire.go
@@ -11,8 +11,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/agateturn/agateturn/config"
+	answerspb "github.com/agateturn/agateturn/gen/agateturn/answers/v1"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
-	"github.com/agateturn/agateturn/questionnaire/answerspb"
 	"github.com/agateturn/agateturn/settings"
 )
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -11,8 +11,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
+	answerspb "github.com/agateturn/agateturn/gen/agateturn/answers/v1"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
-	"github.com/agateturn/agateturn/questionnaire/answerspb"
 	"github.com/agateturn/agateturn/settings"
 )
 
