--- a/controller/step.go
+++ b/controller/step.go
@@ -128,7 +128,7 @@
 		return
 	}
 	h := s.draft.Host(host)
-	s.note(NoteHostPhase, host, "%s in pool %s", h.Phase, h.Pool)
+	s.note(NoteHostPhase, host, "%s in pool %s", fleet.PhaseName(h.Phase), h.Pool)
 }
 
 // progress completes drains that every member has released, and ends maintenance that is done.
--- a/fleet/hosts.go
+++ b/fleet/hosts.go
@@ -108,7 +108,7 @@
 		d.activate(h, now)
 		return nil
 	default:
-		return WrongPhase.New("%s is in %s and no drain can be cancelled; wait for its return or mark it up", host, h.Phase)
+		return WrongPhase.New("%s is in %s and no drain can be cancelled; wait for its return or mark it up", host, PhaseName(h.Phase))
 	}
 }
 
@@ -119,7 +119,7 @@
 		return unknownHost(host)
 	}
 	if h.Phase != pb.HostPhase_HOST_PHASE_DRAINING {
-		return WrongPhase.New("%s is in %s; only a drain can be completed", host, h.Phase)
+		return WrongPhase.New("%s is in %s; only a drain can be completed", host, PhaseName(h.Phase))
 	}
 	if holders := pending(d.fleet, h.PhaseRevision, host, r); len(holders) > 0 {
 		return NotReleased.New("%s is held by %s; wait for it", host, holders[0])
@@ -143,7 +143,7 @@
 		return unknownHost(host)
 	}
 	if h.Phase != pb.HostPhase_HOST_PHASE_MAINTENANCE {
-		return WrongPhase.New("%s is in %s, not in maintenance; nothing to return from", host, h.Phase)
+		return WrongPhase.New("%s is in %s, not in maintenance; nothing to return from", host, PhaseName(h.Phase))
 	}
 	h.MaintainedUnixMs = now.UnixMilli()
 	d.activate(h, now)
@@ -179,7 +179,7 @@
 		h.OperationId = operationID
 		return nil
 	default:
-		return AlreadyBusy.New("%s is in %s; cancel its drain or wait for its return", host, h.Phase)
+		return AlreadyBusy.New("%s is in %s; cancel its drain or wait for its return", host, PhaseName(h.Phase))
 	}
 }
 
@@ -199,7 +199,7 @@
 		}
 		return h, nil
 	default:
-		return nil, AlreadyBusy.New("%s is in %s by order %q; cancel that order or wait for it", host, h.Phase, h.OperationId)
+		return nil, AlreadyBusy.New("%s is in %s by order %q; cancel that order or wait for it", host, PhaseName(h.Phase), h.OperationId)
 	}
 }
 
--- a/internal/entryhost/operate.go
+++ b/internal/entryhost/operate.go
@@ -111,7 +111,7 @@
 		return operatorapi.Accepted{}, operatorapi.Unknown.Wrap(err)
 	case store.Conflict.Has(err), fleet.AlreadyBusy.Has(err):
 		return operatorapi.Accepted{}, operatorapi.Conflict.Wrap(err)
-	case fleet.UnknownHost.Has(err):
+	case fleet.UnknownHost.Has(err), controller.UnknownPool.Has(err), waves.UnknownWave.Has(err):
 		return operatorapi.Accepted{}, operatorapi.NotFound.Wrap(err)
 	default:
 		return operatorapi.Accepted{}, operatorapi.Refused.Wrap(err)
--- a/internal/entryhost/status.go
+++ b/internal/entryhost/status.go
@@ -73,7 +73,7 @@
 			DataCentre: hosts[h.GetHost()].GetDataCentre(),
 			Rack:       hosts[h.GetHost()].GetRack(),
 			Pool:       h.GetPool(),
-			Phase:      word(h.GetPhase().String(), "HOST_PHASE_"),
+			Phase:      fleet.PhaseName(h.GetPhase()),
 			Purpose:    purposeWord(h.GetPurpose()),
 			TargetPool: h.GetTargetPool(),
 			Wave:       h.GetWave(),
--- a/internal/operatorapi/api.go
+++ b/internal/operatorapi/api.go
@@ -7,10 +7,12 @@
 	"log/slog"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
 	"github.com/google/uuid"
+	"github.com/zeebo/errs"
 
 	"github.com/agateturn/agateturn/events"
 )
@@ -19,8 +21,14 @@
 	// maxBodyBytes bounds the body of an operator's request.
 	maxBodyBytes = 2 << 20
 
+	// bodyTimeout bounds the time in which the body must arrive.
+	bodyTimeout = 5 * time.Second
+
 	headerRequestID = "X-Request-Id"
-	apiVersion      = "1.0.0"
+	// maxRequestIDBytes bounds a request id that is taken over from the operator.
+	maxRequestIDBytes = 64
+
+	apiVersion = "1.0.0"
 )
 
 // Options are what the API needs besides its Backend.
@@ -44,6 +52,8 @@
 		_, _ = w.Write([]byte("ready\n"))
 	})
 	settings := huma.DefaultConfig("agateturn operator API", apiVersion)
+	settings.CreateHooks = nil // no "$schema" in answers
+	settings.DocsPath = ""     // the page would load scripts from elsewhere
 	settings.Components.SecuritySchemes = map[string]*huma.SecurityScheme{
 		"operator": {Type: "http", Scheme: "bearer"},
 	}
@@ -57,7 +67,7 @@
 // authorize lets operators in, and gives each request an id. A refusal is logged without what was presented.
 func authorize(api huma.API, options Options, ctx huma.Context, next func(huma.Context)) {
 	id := ctx.Header(headerRequestID)
-	if id == "" || len(id) > 64 {
+	if id == "" || len(id) > maxRequestIDBytes {
 		id = uuid.NewString()
 	}
 	ctx.SetHeader(headerRequestID, id)
@@ -83,33 +93,39 @@
 	return &body[T]{Body: value}, nil
 }
 
-// asHTTP gives each kind of error its status.
+// asHTTP gives each kind of error its status. The status tells the kind, so the text leaves it out.
 func asHTTP(err error) error {
 	switch {
 	case NotFound.Has(err):
-		return huma.Error404NotFound(err.Error())
+		return huma.Error404NotFound(textOf(NotFound, err))
 	case Conflict.Has(err):
-		return huma.Error409Conflict(err.Error())
+		return huma.Error409Conflict(textOf(Conflict, err))
 	case Refused.Has(err):
-		return huma.Error422UnprocessableEntity(err.Error())
+		return huma.Error422UnprocessableEntity(textOf(Refused, err))
 	case Unavailable.Has(err):
-		return huma.Error503ServiceUnavailable(err.Error())
+		return huma.Error503ServiceUnavailable(textOf(Unavailable, err))
 	case Unknown.Has(err):
-		return huma.Error504GatewayTimeout(err.Error())
+		return huma.Error504GatewayTimeout(textOf(Unknown, err))
 	default:
 		return huma.Error500InternalServerError(err.Error())
 	}
 }
 
+// textOf is the error's text without the prefix of its kind.
+func textOf(kind errs.Class, err error) string {
+	return strings.TrimPrefix(err.Error(), string(kind)+": ")
+}
+
 // operation describes one call of the API.
 func operation(id, method, path, summary string) huma.Operation {
 	return huma.Operation{
-		OperationID:  id,
-		Method:       method,
-		Path:         path,
-		Summary:      summary,
-		MaxBodyBytes: maxBodyBytes,
-		Security:     []map[string][]string{{"operator": {}}},
+		OperationID:     id,
+		Method:          method,
+		Path:            path,
+		Summary:         summary,
+		MaxBodyBytes:    maxBodyBytes,
+		BodyReadTimeout: bodyTimeout,
+		Security:        []map[string][]string{{"operator": {}}},
 	}
 }
 
