Test the tool in both forms; mend what read badly or misled

Now an order is repeated once with its identity when its answer is lost, as config apply was, and the id is named if that is lost too. JSON of config apply carries the id. The text while waiting for a move no longer says "held by nobody".

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/agateturn/agateturn/internal/operatorapi"
+	"github.com/agateturn/agateturn/settings"
 )
 
 // Error kinds of the tool; each has its exit code in docs/OPERATIONS.md.
@@ -21,8 +22,8 @@
 	errUsage       = errs.Class("wrong use")
 	errRefused     = errs.Class("refused")
 	errConflict    = errs.Class("conflict")
-	errUnavailable = errs.Class("unavailable; nothing was changed; try again or another --address")
-	errUnknown     = errs.Class("outcome unknown; repeat the command with the same --id")
+	errUnavailable = errs.Class("unavailable, nothing was changed; try again or another --address")
+	errUnknown     = errs.Class("outcome unknown; repeat the command with the same --id, which is not a second change")
 	errWait        = errs.Class("not reached in time")
 )
 
@@ -130,11 +131,14 @@
 func refusal(status int, data []byte) error {
 	var p problem
 	_ = json.Unmarshal(data, &p)
-	lines := []string{p.Detail}
+	lines := []string{strings.TrimPrefix(p.Detail, settingsPrefix)}
 	for _, e := range p.Errors {
-		lines = append(lines, strings.TrimSpace(e.Location+" "+e.Message))
+		lines = append(lines, strings.TrimSpace(strings.TrimPrefix(e.Location, "body.")+" "+e.Message))
 	}
 	text := strings.Join(lines, "\n  ")
+	if p.Detail == "" {
+		text = "the answer is no agateturn operator API's: " + http.StatusText(status) + "; check --address"
+	}
 	switch status {
 	case http.StatusConflict:
 		return errConflict.New("%s", text)
@@ -146,3 +150,11 @@
 		return errRefused.New("%s", text)
 	}
 }
+
+// settingsPrefix is what the kind of an error of settings puts before its problems; "refused" says it already.
+var settingsPrefix = string(settings.Invalid) + ": "
+
+// refusedSettings is the refusal of a file.
+func refusedSettings(err error) error {
+	return errRefused.New("%s", strings.TrimPrefix(err.Error(), settingsPrefix))
+}
--- a/internal/ctl/configcmd.go
+++ b/internal/ctl/configcmd.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"os"
 	"time"
 
@@ -44,10 +43,10 @@
 	}
 	cfg := &pb.Configuration{}
 	if err := settings.Parse(path, data, cfg); err != nil {
-		return nil, nil, errRefused.Wrap(err)
+		return nil, nil, refusedSettings(err)
 	}
 	if err := config.Check(cfg); err != nil {
-		return nil, nil, errRefused.Wrap(err)
+		return nil, nil, refusedSettings(err)
 	}
 	return cfg, data, nil
 }
@@ -82,6 +81,10 @@
 		return err
 	}
 	changes := lo.Map(config.Diff(present, next), func(ch config.Change, _ int) string { return ch.String() })
+	if len(changes) == 0 && !e.json {
+		_, err = fmt.Fprintln(e.out, "no changes")
+		return err
+	}
 	return e.print(changes, "CHANGE", lo.Map(changes, func(s string, _ int) []string { return []string{s} }))
 }
 
@@ -120,11 +123,7 @@
 	}
 	change := operatorapi.ConfigChange{ChangeID: operationID(c.ID), BaseGeneration: base, INI: string(data)}
 	started := time.Now()
-	result, err := e.client.apply(e.ctx, change)
-	if errUnknown.Has(err) {
-		_, _ = io.WriteString(e.out, "answer lost; asking again with the same id "+change.ChangeID+"\n")
-		result, err = e.client.apply(e.ctx, change)
-	}
+	result, err := repeated(e, change.ChangeID, func() (operatorapi.ConfigResult, error) { return e.client.apply(e.ctx, change) })
 	if err != nil {
 		return err
 	}
@@ -140,7 +139,10 @@
 
 func (c *configApplyCmd) report(e *env, change operatorapi.ConfigChange, result operatorapi.ConfigResult) error {
 	if e.json {
-		return e.print(result, "", nil)
+		return e.print(struct {
+			ID string `json:"id"`
+			operatorapi.ConfigResult
+		}{change.ChangeID, result}, "", nil)
 	}
 	for _, line := range result.Changes {
 		_, _ = fmt.Fprintln(e.out, line)
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -51,6 +51,7 @@
 	ctx    context.Context
 	client *client
 	out    io.Writer
+	errOut io.Writer
 	in     io.Reader
 	json   bool
 	model  *kong.Application
@@ -59,26 +60,28 @@
 // Run executes one command line and returns the exit code.
 func Run(ctx context.Context, args []string, in io.Reader, out, errOut io.Writer) int {
 	var line commands
+	helped := false
 	parser, err := kong.New(&line, kong.Name("agateturnctl"),
 		kong.Description("Operates an agateturn deployment."),
-		kong.Writers(out, errOut), kong.UsageOnError(), kong.Exit(func(int) {}))
+		kong.Writers(out, errOut), kong.Exit(func(int) { helped = true }))
 	if err != nil {
 		panic(err) // the command line's own declaration is wrong
 	}
 	parsed, err := parser.Parse(args)
+	if helped {
+		return ExitOK
+	}
 	if err != nil {
 		_, _ = io.WriteString(errOut, "agateturnctl: "+err.Error()+"\n")
 		return ExitUsage
 	}
-	if parsed.Selected() == nil {
-		return ExitOK // help was printed
-	}
 	token, err := line.token()
 	if err == nil {
 		err = parsed.Run(&env{
 			ctx:    ctx,
 			client: newClient(line.Address, token),
 			out:    out,
+			errOut: errOut,
 			in:     in,
 			json:   line.Output == "json",
 			model:  parser.Model,
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,192 @@
+package ctl
+
+import (
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/agateturn/agateturn/internal/operatorapi"
+)
+
+const (
+	agency  = "../../examples/agency/deployment.ini"
+	answers = "../../examples/agency/answers.ini"
+)
+
+// TestCommands runs every command in both forms: the table holds the given words, and JSON is one whole document.
+func TestCommands(t *testing.T) {
+	tests := []struct {
+		command string
+		words   []string
+	}{
+		{"status", []string{"controller entry-2", "7 (2 behind)", "never", "entry-1 (2 requests, oldest 1m1s), entry-2 (has not applied the drain)"}},
+		{"pools", []string{"POOL", "exports  2"}},
+		{"services", []string{"labels", "urgent", "12.5ms"}},
+		{"hosts", []string{"w1", "draining", "move to registry"}},
+		{"hosts list --pool exports", []string{"w2"}},
+		{"hosts move w2 registry", []string{"accepted at fleet revision 10 (id "}},
+		{"hosts down w2 --id operation-7", []string{"(id operation-7)"}},
+		{"hosts up w2 --wait 1s", []string{"accepted", "w2 is active"}},
+		{"waves", []string{"night", "stopped", "1 of 2 hosts failed"}},
+		{"waves create dawn --pool exports", []string{"accepted at fleet revision 10"}},
+		{"waves stop night --reason fair", []string{"accepted at fleet revision 10\n"}},
+		{"waves resume night", []string{"accepted"}},
+		{"waves cancel night", []string{"accepted"}},
+		{"config show", []string{"; generation 3, change change-3", "[deployment]"}},
+		{"config diff " + agency, []string{"no changes"}},
+		{"config apply " + agency, []string{"accepted as generation 4", "in force on 2 of 2 entry hosts", "in force everywhere after"}},
+		{"measures", []string{"2.000", "0.250 over 2", "moves"}},
+	}
+	for _, test := range tests {
+		t.Run(test.command, func(t *testing.T) {
+			args := strings.Fields(test.command)
+			table := serve(t).run(t, args...)
+			assert.Equal(t, table.code, ExitOK, table.errOut)
+			for _, word := range test.words {
+				assert.Assert(t, strings.Contains(table.out, word), "%q is not in:\n%s", word, table.out)
+			}
+			document := serve(t).run(t, append(args, "--output", "json")...)
+			assert.Equal(t, document.code, ExitOK, document.errOut)
+			assert.Assert(t, json.Valid([]byte(document.out)), document.out)
+		})
+	}
+}
+
+// TestErrorsAreSaidOnce checks the exit code of each kind of error, and its whole text.
+func TestErrorsAreSaidOnce(t *testing.T) {
+	tests := []struct {
+		err  error
+		code int
+		text string
+	}{
+		{operatorapi.Refused.New("w2 is in pool b; name another pool"), ExitRefused, "refused: w2 is in pool b; name another pool"},
+		{operatorapi.NotFound.New("w2; list the hosts"), ExitRefused, "refused: w2; list the hosts"},
+		{operatorapi.Conflict.New("w2 is draining; wait for it"), ExitConflict, "conflict: w2 is draining; wait for it"},
+		{operatorapi.Unavailable.New("store down"), ExitUnavailable, "unavailable, nothing was changed; try again or another --address: store down"},
+		{operatorapi.Unknown.New("store answer lost"), ExitUnknown, "outcome unknown; repeat the command with the same --id, which is not a second change: store answer lost (id operation-1)"},
+	}
+	for _, test := range tests {
+		f := serve(t)
+		f.backend.err = test.err
+		got := f.run(t, "hosts", "move", "w2", "b", "--id", "operation-1")
+		lines := strings.Split(strings.TrimSpace(got.errOut), "\n")
+		assert.Equal(t, lines[len(lines)-1], "agateturnctl: "+test.text)
+		assert.Equal(t, got.code, test.code)
+		assert.Equal(t, got.out, "")
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	f := serve(t)
+	dead := deadAddress(t)
+	file, err := filepath.Abs(answers)
+	assert.NilError(t, err)
+	tests := []struct {
+		name string
+		args []string
+		code int
+		text string
+	}{
+		{"no command", []string{"--address", f.address}, ExitUsage, "expected one of"},
+		{"unknown command", []string{"bogus"}, ExitUsage, "unexpected argument bogus"},
+		{"unknown form", []string{"status", "--output", "xml"}, ExitUsage, "--output must be one of"},
+		{"no token file", []string{"status", "--token-file", "absent"}, ExitUsage, "no such file"},
+		{"wrong token", []string{"status", "--address", f.address, "--token", "wrong"}, ExitRefused, "present the operator token"},
+		{"wrong token while waiting", []string{"status", "--wait", "1h", "--address", f.address, "--token", "wrong"}, ExitRefused, "present the operator token"},
+		{"nobody there", []string{"pools", "--address", dead}, ExitUnavailable, "another --address"},
+		{"short id", []string{"hosts", "down", "w1", "--id", "x", "--address", f.address, "--token", testToken}, ExitRefused, "operation_id expected length >= 8"},
+		{"not in time", []string{"status", "--members", "2", "--wait", "1ms", "-o", "json", "--address", f.address, "--token", testToken}, ExitTimeout, "1 of 2 entry hosts ready"},
+		{"not a configuration", []string{"config", "check", answers}, ExitRefused, "refused: " + file + ": [workers] unknown section"},
+		{"wave stopped itself", []string{"waves", "watch", "night", "--address", f.address, "--token", testToken}, ExitRefused, "1 of 2 hosts failed; look into it, then agateturnctl waves resume night"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got := runTool(t, test.args...)
+			assert.Equal(t, got.code, test.code, got.errOut)
+			assert.Assert(t, strings.Contains(got.errOut, test.text), got.errOut)
+		})
+	}
+	next := runTool(t, "pools", "--address", dead, "--address", f.address, "--token", testToken)
+	assert.Equal(t, next.code, ExitOK, next.errOut)
+}
+
+// deadAddress is one where nobody listens.
+func deadAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	return listener.Addr().String()
+}
+
+// TestLostAnswerIsNotASecondChange loses the answer to an order that took effect.
+func TestLostAnswerIsNotASecondChange(t *testing.T) {
+	f := serve(t)
+	f.lose.Store(1)
+	got := f.run(t, "config", "apply", agency, "--output", "json", "--wait", "0s")
+	assert.Equal(t, got.code, ExitOK, got.errOut)
+	assert.Assert(t, strings.Contains(got.errOut, "answer lost; asking again"), got.errOut)
+	var printed struct {
+		ID         string `json:"id"`
+		Generation uint64 `json:"generation"`
+		Repeated   bool   `json:"repeated"`
+	}
+	assert.NilError(t, json.Unmarshal([]byte(got.out), &printed), got.out)
+	assert.Assert(t, printed.Repeated && printed.Generation == 4 && f.backend.accepted[printed.ID] == 4, got.out)
+
+	f.lose.Store(1)
+	assert.Equal(t, f.run(t, "hosts", "move", "w2", "registry").code, ExitOK)
+	orders := f.orders()
+	assert.Equal(t, len(orders), 2)
+	assert.DeepEqual(t, orders[0], orders[1]) // the same identity
+
+	f.lose.Store(2)
+	got = f.run(t, "hosts", "down", "w2")
+	assert.Equal(t, got.code, ExitUnknown)
+	assert.Assert(t, strings.Contains(got.errOut, "(id "+f.orders()[2].(operatorapi.DownOrder).OperationID+")"), got.errOut)
+}
+
+func TestConflictNamesTheRemedy(t *testing.T) {
+	got := serve(t).run(t, "config", "apply", agency, "--base", "2")
+	assert.Equal(t, got.code, ExitConflict)
+	assert.Equal(t, got.errOut, "agateturnctl: conflict: at generation 3; look at agateturnctl config diff\n")
+}
+
+func TestInitWritesTheExamples(t *testing.T) {
+	for _, name := range []string{"agency", "brenaz"} {
+		dir := filepath.Join("..", "..", "examples", name)
+		written := filepath.Join(t.TempDir(), "deployment.ini")
+		got := runTool(t, "init", "--answers", filepath.Join(dir, "answers.ini"), "--out", written)
+		assert.Equal(t, got.code, ExitOK, got.errOut)
+		data, err := os.ReadFile(written)
+		assert.NilError(t, err)
+		want, err := os.ReadFile(filepath.Join(dir, "deployment.ini"))
+		assert.NilError(t, err)
+		assert.Equal(t, string(data), string(want))
+		check := runTool(t, "config", "check", written)
+		assert.Equal(t, check.code, ExitOK, check.errOut)
+	}
+	ended := runTool(t, "init")
+	assert.Equal(t, ended.code, ExitFailed)
+	assert.Assert(t, strings.Contains(ended.errOut, "answer every question"), ended.errOut)
+}
+
+// TestHelpRunsNothing asks for the help of a command whose address nobody serves.
+func TestHelpRunsNothing(t *testing.T) {
+	got := runTool(t, "status", "--help", "--address", deadAddress(t))
+	assert.Equal(t, got.code, ExitOK, got.errOut)
+	assert.Assert(t, strings.Contains(got.out, "--members"), got.out)
+}
+
+func TestCompletionKnowsEveryCommand(t *testing.T) {
+	got := runTool(t, "completion")
+	assert.Equal(t, got.code, ExitOK)
+	for _, line := range []string{`"config apply"*) choices="--wait --id --base"`, `"waves"*) choices="list create stop resume cancel watch"`} {
+		assert.Assert(t, strings.Contains(got.out, line), got.out)
+	}
+}
--- a/internal/ctl/initcmd.go
+++ b/internal/ctl/initcmd.go
@@ -27,7 +27,7 @@
 	}
 	cfg, err := questionnaire.Generate(answers)
 	if err != nil {
-		return errRefused.Wrap(err)
+		return refusedSettings(err)
 	}
 	data, err := settings.Marshal(cfg)
 	if err != nil {
@@ -48,7 +48,7 @@
 	if c.Answers != "" {
 		a, err := questionnaire.Load(c.Answers)
 		if err != nil {
-			return nil, errRefused.Wrap(err)
+			return nil, refusedSettings(err)
 		}
 		return a, nil
 	}
--- a/internal/ctl/orders.go
+++ b/internal/ctl/orders.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/samber/lo"
@@ -55,10 +56,19 @@
 	}
 	return e.await(c.Wait, func(s operatorapi.Status) (bool, string) {
 		h, _ := lo.Find(s.Hosts, func(h operatorapi.HostStatus) bool { return h.Name == c.Host })
-		return h.Pool == c.Pool && h.Phase == "active", fmt.Sprintf("%s in %s, held by %s", h.Phase, h.Pool, holders(h.HeldBy))
+		return h.Pool == c.Pool && h.Phase == "active", progress(h)
 	})
 }
 
+// progress is one line on the way of a host.
+func progress(h operatorapi.HostStatus) string {
+	text := fmt.Sprintf("%s is %s in %s", h.Name, h.Phase, h.Pool)
+	if len(h.HeldBy) > 0 {
+		text += ", held by " + holders(h.HeldBy)
+	}
+	return text
+}
+
 type hostsDownCmd struct {
 	waiting
 	Host string `arg:"" help:"Host to take out of service."`
@@ -77,7 +87,14 @@
 
 func setDown(e *env, host string, down bool, w waiting) error {
 	order := operatorapi.DownOrder{Down: down, OperationID: operationID(w.ID)}
-	return e.order("/v1/hosts/"+url.PathEscape(host)+"/down", order, order.OperationID)
+	if err := e.order("/v1/hosts/"+url.PathEscape(host)+"/down", order, order.OperationID); err != nil {
+		return err
+	}
+	wanted := lo.Ternary(down, "down", "active")
+	return e.await(w.Wait, func(s operatorapi.Status) (bool, string) {
+		h, _ := lo.Find(s.Hosts, func(h operatorapi.HostStatus) bool { return h.Name == host })
+		return h.Phase == wanted, fmt.Sprintf("%s is %s", host, h.Phase)
+	})
 }
 
 type wavesCmd struct {
@@ -142,7 +159,7 @@
 func (c *wavesCancelCmd) Run(e *env) error { return controlWave(e, c.Name, "cancel", "") }
 
 func controlWave(e *env, name, action, reason string) error {
-	return e.order("/v1/waves/"+url.PathEscape(name), operatorapi.WaveControl{Action: action, Reason: reason}, name)
+	return e.order("/v1/waves/"+url.PathEscape(name), operatorapi.WaveControl{Action: action, Reason: reason}, "")
 }
 
 type wavesWatchCmd struct {
@@ -173,22 +190,43 @@
 	return err
 }
 
-// order sends an order and prints its acceptance.
+// order sends an order and prints its acceptance. Orders without an id have the same effect when they are repeated.
 func (e *env) order(path string, order any, id string) error {
-	accepted, err := e.client.order(e.ctx, path, order)
+	accepted, err := repeated(e, id, func() (operatorapi.Accepted, error) { return e.client.order(e.ctx, path, order) })
 	if err != nil {
 		return err
 	}
 	if e.json {
 		return e.print(struct {
-			ID string `json:"id"`
+			ID string `json:"id,omitempty"`
 			operatorapi.Accepted
 		}{id, accepted}, "", nil)
 	}
-	_, err = fmt.Fprintf(e.out, "accepted at fleet revision %d (id %s)\n", accepted.FleetRevision, id)
+	_, err = fmt.Fprintf(e.out, "accepted at fleet revision %d%s\n", accepted.FleetRevision, withID(id))
 	return err
 }
 
+// repeated sends an order, and once more when its answer is lost: the same identity is not a second order.
+func repeated[T any](e *env, id string, send func() (T, error)) (T, error) {
+	answer, err := send()
+	if !errUnknown.Has(err) {
+		return answer, err
+	}
+	_, _ = fmt.Fprintf(e.errOut, "agateturnctl: answer lost; asking again%s\n", withID(id))
+	answer, err = send()
+	if errUnknown.Has(err) && id != "" {
+		err = errUnknown.New("%s%s", strings.TrimPrefix(err.Error(), string(errUnknown)+": "), withID(id))
+	}
+	return answer, err
+}
+
+func withID(id string) string {
+	if id == "" {
+		return ""
+	}
+	return " (id " + id + ")"
+}
+
 // await polls the status until reached says so, and shows each change of its progress text.
 func (e *env) await(limit time.Duration, reached func(operatorapi.Status) (bool, string)) error {
 	if limit <= 0 {
@@ -198,18 +236,21 @@
 	shown := ""
 	for {
 		s, err := e.client.status(e.ctx)
+		if errRefused.Has(err) {
+			return err // waiting does not mend it
+		}
+		text := fmt.Sprint(err)
 		if err == nil {
-			done, text := reached(s)
-			if text != shown && !e.json {
-				_, _ = io.WriteString(e.out, text+"\n")
-				shown = text
-			}
+			var done bool
+			done, text = reached(s)
+			e.showProgress(text, shown)
 			if done {
 				return nil
 			}
 		}
+		shown = text
 		if time.Now().After(deadline) {
-			return errWait.New("after %s: %s", limit, shown)
+			return errWait.New("after %s: %s", limit, text)
 		}
 		select {
 		case <-e.ctx.Done():
@@ -218,3 +259,10 @@
 		}
 	}
 }
+
+// showProgress prints the text if it is new.
+func (e *env) showProgress(text, shown string) {
+	if text != shown && !e.json {
+		_, _ = io.WriteString(e.out, text+"\n")
+	}
+}
