--- a/cmd/agateturnd/main.go
+++ b/cmd/agateturnd/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -33,21 +34,22 @@
 func main() {
 	var line commandLine
 	kong.Parse(&line, kong.Name("agateturnd"), kong.Description("Runs one entry host."))
-	os.Exit(run(line))
+	os.Exit(run(line, os.Stdout, os.Stderr))
 }
 
-func run(line commandLine) int {
+// run checks the settings and runs the daemon until it is told to stop. It returns the exit code.
+func run(line commandLine, out, errOut io.Writer) int {
 	s, err := load(line.Config)
 	if err != nil {
-		events.Emit(context.Background(), slog.Default(), events.SettingsRefused, "err", err)
-		fmt.Fprintln(os.Stderr, err)
+		events.Emit(context.Background(), newLogger(nil, errOut), events.SettingsRefused, "file", line.Config)
+		_, _ = fmt.Fprintln(errOut, err)
 		return exitSettings
 	}
 	if line.CheckConfig {
-		fmt.Println(line.Config + ": no problems")
+		_, _ = fmt.Fprintln(out, line.Config+": no problems")
 		return exitOK
 	}
-	logger := newLogger(s.GetLog()).With("entry_host", s.GetEntryHost().GetName())
+	logger := newLogger(s.GetLog(), errOut).With("entry_host", s.GetEntryHost().GetName())
 	daemon, err := entryhost.New(s, logger)
 	if err != nil {
 		logger.Error("cannot start", "err", err)
@@ -78,14 +80,14 @@
 	return a
 }
 
-func newLogger(s *pb.LogSettings) *slog.Logger {
+func newLogger(s *pb.LogSettings, out io.Writer) *slog.Logger {
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(s.GetLevel())); err != nil {
 		level = slog.LevelInfo
 	}
 	options := &slog.HandlerOptions{Level: level, ReplaceAttr: errorText}
 	if s.GetFormat() == "json" {
-		return slog.New(slog.NewJSONHandler(os.Stderr, options))
+		return slog.New(slog.NewJSONHandler(out, options))
 	}
-	return slog.New(slog.NewTextHandler(os.Stderr, options))
+	return slog.New(slog.NewTextHandler(out, options))
 }
