Show operators what they need: metrics, every event, docs/OPERATIONS.md

The daemon exported latencies only, and 44 of the 59 events of the catalogue were never emitted (counted by a search for each name outside events/).

Metrics: refusals by a fixed set of codes, claims by verdict, upstream errors by host, pauses; slots, queues, store age, revisions, hosts by phase, ejected hosts, keys and rings, set when they are asked for. Claims are counted where they are asked for, rather than at the owner. Tests: the values served by a daemon without configuration; each name and code is explained in docs/OPERATIONS.md; every status and verdict has a code.

Events: one duty, the announcer, compares what it sees with what it saw last, so the duties that cause a transition need not know of it; the controller alone logs changes of the fleet. Refusals that callers can cause at will are logged at most once in 10 s. Three events are marked reserved, since the decisions do not tell them apart yet: answer_refused, quota_reached, ejection_capped. TestEveryEventIsEmitted fails for an event that nobody emits and for a reserved one that somebody does. The controller's note of a wave that stopped itself has a kind of its own.

The tool shows the controller by its name without the process, and at most 12 changes on apply.

--- a/controller/step.go
+++ b/controller/step.go
@@ -201,7 +201,7 @@
 		case waves.Wait:
 			s.note(NoteWaveWaits, a.Wave, "%s", a.Reason)
 		case waves.StopWave:
-			s.note(NoteWave, a.Wave, "stopped: %s", a.Reason)
+			s.note(NoteWaveStopped, a.Wave, "stopped: %s", a.Reason)
 		case waves.FinishWave:
 			s.note(NoteWave, a.Wave, "finished")
 		case waves.FailHost:
--- a/controller/types.go
+++ b/controller/types.go
@@ -124,6 +124,8 @@
 	NoteMove
 	// NoteOwners tells that the owner sets changed.
 	NoteOwners
+	// NoteWaveStopped tells why a wave stopped itself.
+	NoteWaveStopped
 )
 
 // Note is something that operators may want to know. Notes on what lasts come with each step.
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -123,7 +123,8 @@
 	}
 	EjectionCapped = Event{
 		Number: 511, Name: "ejection_capped", Level: slog.LevelWarn, Message: "host would be ejected, but too many are already",
-		Remedy: "see to the pool's hosts; the fault may be in the requests",
+		Remedy:   "see to the pool's hosts; the fault may be in the requests",
+		Reserved: true,
 	}
 )
 
@@ -148,7 +149,8 @@
 	}
 	AnswerRefused = Event{
 		Number: 702, Name: "answer_refused", Level: slog.LevelError, Message: "upstream's answer belongs to another request and was refused",
-		Remedy: "see to the upstream; the connection was closed",
+		Remedy:   "see to the upstream; the connection was closed",
+		Reserved: true,
 	}
 	AnswerCut = Event{
 		Number: 703, Name: "answer_cut", Level: slog.LevelWarn, Message: "upstream's answer was cut short; the caller sees a broken connection",
@@ -161,7 +163,8 @@
 	RequestShed  = Event{Number: 705, Name: "request_shed", Level: slog.LevelDebug, Message: "request cannot finish in time and was not run"}
 	QuotaReached = Event{
 		Number: 706, Name: "quota_reached", Level: slog.LevelInfo, Message: "team has reached its quota",
-		Remedy: "raise the team's quota if that is not meant",
+		Remedy:   "raise the team's quota if that is not meant",
+		Reserved: true,
 	}
 	KeysFull = Event{
 		Number: 707, Name: "keys_full", Level: slog.LevelWarn, Message: "no more idempotency keys can be remembered; requests are refused",
--- a/events/events.go
+++ b/events/events.go
@@ -20,6 +20,8 @@
 	Message string
 	// Remedy is what an operator does about it; empty when there is nothing to do.
 	Remedy string
+	// Reserved marks an event that nothing emits yet.
+	Reserved bool
 }
 
 // Emit logs the event with its number and name, and with args as slog.Logger.Log takes them.
@@ -42,7 +44,11 @@
 	b.WriteString("# Log events\n\nGenerated from the package `events`; do not edit. A number never changes its meaning.\n\n")
 	b.WriteString("| event | name | level | message | remedy |\n|---|---|---|---|---|\n")
 	for _, e := range catalogue {
-		fmt.Fprintf(&b, "| %d | `%s` | %s | %s | %s |\n", e.Number, e.Name, e.Level, e.Message, e.Remedy)
+		message := e.Message
+		if e.Reserved {
+			message += " (reserved: not emitted yet)"
+		}
+		fmt.Fprintf(&b, "| %d | `%s` | %s | %s | %s |\n", e.Number, e.Name, e.Level, message, e.Remedy)
 	}
 	return b.Bytes()
 }
--- a/events/events_test.go
+++ b/events/events_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"io/fs"
 	"log/slog"
+	"os"
+	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
@@ -46,6 +49,26 @@
 	assert.Equal(t, len(names), 0, "add to testdata/published.txt: %v", names)
 }
 
+// TestEveryEventIsEmitted looks for each event in the code outside this package; one that is reserved must not be there.
+func TestEveryEventIsEmitted(t *testing.T) {
+	used := map[string]bool{}
+	reference := regexp.MustCompile(`\bevents\.([A-Z]\w+)`)
+	assert.NilError(t, filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		code, err := os.ReadFile(path)
+		for _, found := range reference.FindAllSubmatch(code, -1) {
+			used[strings.ToLower(string(found[1]))] = true
+		}
+		return err
+	}))
+	for _, e := range All() {
+		name := strings.ReplaceAll(e.Name, "_", "")
+		assert.Equal(t, used[name], !e.Reserved, "%d %s", e.Number, e.Name)
+	}
+}
+
 func TestReferenceIsCurrent(t *testing.T) {
 	golden.Assert(t, string(Reference()), "../../docs/EVENTS.md")
 }
--- a/internal/ctl/configcmd.go
+++ b/internal/ctl/configcmd.go
@@ -13,6 +13,9 @@
 	"github.com/agateturn/agateturn/settings"
 )
 
+// maxShownChanges bounds the changes that apply lists; diff lists them all.
+const maxShownChanges = 12
+
 type configCmd struct {
 	Show  configShowCmd  `cmd:"" help:"Print the configuration in force."`
 	Check configCheckCmd `cmd:"" help:"Check a configuration file without a deployment."`
@@ -144,9 +147,12 @@
 			operatorapi.ConfigResult
 		}{change.ChangeID, result}, "", nil)
 	}
-	for _, line := range result.Changes {
+	for _, line := range lo.Slice(result.Changes, 0, maxShownChanges) {
 		_, _ = fmt.Fprintln(e.out, line)
 	}
+	if more := len(result.Changes) - maxShownChanges; more > 0 {
+		_, _ = fmt.Fprintf(e.out, "and %d more changes\n", more)
+	}
 	again := ""
 	if result.Repeated {
 		again = "; it had been accepted before"
--- a/internal/ctl/fake_test.go
+++ b/internal/ctl/fake_test.go
@@ -37,7 +37,7 @@
 		accepted: map[string]uint64{},
 		document: operatorapi.ConfigDocument{Generation: 3, ChangeID: "change-3", INI: string(ini)},
 		status: operatorapi.Status{
-			EntryHost: "entry-1", Controller: "entry-2", Ready: true, FleetRevision: 9, Generation: 3,
+			EntryHost: "entry-1", Controller: "entry-2/5a1c", Ready: true, FleetRevision: 9, Generation: 3,
 			Members: []operatorapi.MemberStatus{
 				{Name: "entry-1", DataCentre: "palermo", Ready: true, FleetRevision: 9, Generation: 3},
 				{Name: "entry-2", DataCentre: "modica", FleetRevision: 7, Generation: 3, HeardMSAgo: -1},
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -50,7 +50,7 @@
 		return e.print(s, "", nil)
 	}
 	_, _ = fmt.Fprintf(e.out, "entry host %s: %s; controller %s, fleet revision %d, configuration generation %d, store heard %s ago\n\n",
-		s.EntryHost, readiness(s), s.Controller, s.FleetRevision, s.Generation, ago(s.StoreAgeMS))
+		s.EntryHost, readiness(s), controllerName(s), s.FleetRevision, s.Generation, ago(s.StoreAgeMS))
 	if err := e.print(nil, "ENTRY-HOST DATA-CENTRE READY FLEET CONFIG HEARD", memberRows(s)); err != nil {
 		return err
 	}
@@ -64,6 +64,12 @@
 	}))
 }
 
+// controllerName leaves out which process of the entry host it is.
+func controllerName(s operatorapi.Status) string {
+	name, _, _ := strings.Cut(s.Controller, "/")
+	return lo.Ternary(name == "", "none yet", name)
+}
+
 func readiness(s operatorapi.Status) string {
 	if s.Ready {
 		return "ready"
--- /dev/null
+++ b/internal/entryhost/announce.go
@@ -0,0 +1,284 @@
+package entryhost
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/agateturn/agateturn/events"
+	"github.com/agateturn/agateturn/fleet"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/ring"
+)
+
+const (
+	// announcePeriod is the longest time between two looks at what changed.
+	announcePeriod = 500 * time.Millisecond
+	// silentHeartbeats is the number of heartbeats after which a peer counts as not reachable.
+	silentHeartbeats = 5
+	// drainHangs is the time after which a drain is reported as held up.
+	drainHangs = 10 * time.Minute
+)
+
+// announcer logs the transitions that nobody else sees happen: it compares what it sees now with what it saw last.
+// Changes of the fleet are logged by the controller alone, so that each is logged once. Its state belongs to run.
+type announcer struct {
+	self     *pb.Member
+	view     *view
+	peers    *peers
+	dispatch *dispatcher
+	list     *platformList
+	ready    func() error
+	changed  *ring.Ring[struct{}]
+	logger   *slog.Logger
+
+	fleet     *pb.Fleet
+	wasReady  bool
+	unsettled bool
+	held      states
+	silent    states
+	ejected   states
+	hanging   states
+	absent    states
+}
+
+// run looks after each change and in between until ctx ends.
+func (a *announcer) run(ctx context.Context) {
+	ticker := time.NewTicker(announcePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-a.changed.Items():
+		}
+		a.look(ctx, time.Now())
+	}
+}
+
+func (a *announcer) look(ctx context.Context, now time.Time) {
+	a.readiness(ctx)
+	f := a.view.fleet()
+	controls := f.GetController() == identity(a.self)
+	if controls && a.fleet != nil {
+		for _, o := range fleetEvents(a.fleet, f) {
+			events.Emit(ctx, a.logger, o.event, o.args...)
+		}
+	}
+	_, left := a.held.replace(a.heldUp(f))
+	for _, host := range released(left, a.fleet, f) {
+		events.Emit(ctx, a.logger, events.HostReleased, "host", host)
+	}
+	a.fleet = f
+	a.tell(ctx, &a.silent, a.peers.silent(now), events.PeerUnreachable, events.PeerBack, "peer")
+	a.tell(ctx, &a.ejected, a.dispatch.load(ctx).ejected, events.HostEjected, events.HostProbedBack, "host")
+	if controls {
+		a.tell(ctx, &a.hanging, hanging(f, now), events.HostDrainHangs, events.Event{}, "host")
+		a.tell(ctx, &a.absent, absentHosts(a.view.config(), a.list), events.HostNotInList, events.Event{}, "host")
+	}
+}
+
+// readiness logs when the readiness check begins or ceases to pass.
+func (a *announcer) readiness(ctx context.Context) {
+	err := a.ready()
+	if unsettled := errUnsettled.Has(err); unsettled != a.unsettled {
+		a.unsettled = unsettled
+		if unsettled {
+			events.Emit(ctx, a.logger, events.ConfigUnsettled, "err", err)
+		}
+	}
+	if ready := err == nil; ready != a.wasReady {
+		a.wasReady = ready
+		if ready {
+			events.Emit(ctx, a.logger, events.Ready)
+		} else {
+			events.Emit(ctx, a.logger, events.Unready, "reason", err)
+		}
+	}
+}
+
+// tell logs what entered and what left a set. The zero event is not logged.
+func (a *announcer) tell(ctx context.Context, before *states, now states, began, ended events.Event, label string) {
+	entered, left := before.replace(now)
+	for _, name := range entered {
+		a.emit(ctx, began, label, name)
+	}
+	for _, name := range left {
+		a.emit(ctx, ended, label, name)
+	}
+}
+
+func (a *announcer) emit(ctx context.Context, event events.Event, label, name string) {
+	if event.Number != 0 {
+		events.Emit(ctx, a.logger, event, label, name)
+	}
+}
+
+// states is a set of names in some state.
+type states map[string]bool
+
+// replace takes over the new set and returns, sorted, what entered it and what left it.
+func (s *states) replace(now states) (entered, left []string) {
+	entered, left = lo.Difference(lo.Keys(now), lo.Keys(*s))
+	slices.Sort(entered)
+	slices.Sort(left)
+	*s = now
+	return entered, left
+}
+
+// heldUp are the draining hosts that this entry host has not released.
+func (a *announcer) heldUp(f *pb.Fleet) states {
+	draining := states{}
+	for _, h := range f.GetHosts() {
+		if h.GetPhase() == pb.HostPhase_HOST_PHASE_DRAINING {
+			draining[h.GetHost()] = true
+		}
+	}
+	held := states{}
+	for _, h := range a.view.gate.Held(time.Now()) {
+		if draining[h.GetHost()] {
+			held[h.GetHost()] = true
+		}
+	}
+	return held
+}
+
+// released are those of the hosts held no more that were not just given back to their pool by a cancelled drain.
+func released(hosts []string, before, after *pb.Fleet) []string {
+	old, now := lo.KeyBy(before.GetHosts(), (*pb.HostState).GetHost), lo.KeyBy(after.GetHosts(), (*pb.HostState).GetHost)
+	return lo.Filter(hosts, func(name string, _ int) bool {
+		cancelled := now[name].GetPhase() == pb.HostPhase_HOST_PHASE_ACTIVE && now[name].GetPool() == old[name].GetPool()
+		return !cancelled
+	})
+}
+
+// silent are the members that have not been heard for too long.
+func (p *peers) silent(now time.Time) states {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	limit := silentHeartbeats * p.heartbeat
+	silent := states{}
+	for _, m := range p.others() {
+		heard := p.started
+		if r, known := p.latest[m.GetIncarnation()]; known {
+			heard = r.At
+		}
+		if now.Sub(heard) > limit {
+			silent[m.GetName()] = true
+		}
+	}
+	return silent
+}
+
+// hanging are the hosts that have been draining for too long.
+func hanging(f *pb.Fleet, now time.Time) states {
+	found := states{}
+	for _, h := range f.GetHosts() {
+		since := time.UnixMilli(h.GetPhaseSinceUnixMs())
+		if h.GetPhase() == pb.HostPhase_HOST_PHASE_DRAINING && now.Sub(since) > drainHangs {
+			found[h.GetHost()] = true
+		}
+	}
+	return found
+}
+
+// absentHosts are the configured hosts that the platform's list lacks.
+func absentHosts(cfg *pb.Configuration, list *platformList) states {
+	listed := states{}
+	for _, h := range list.snapshot() {
+		listed[h.Name] = true
+	}
+	absent := states{}
+	for _, h := range cfg.GetHosts() {
+		if len(listed) > 0 && !listed[h.GetName()] {
+			absent[h.GetName()] = true
+		}
+	}
+	return absent
+}
+
+// occurrence is an event with its arguments.
+type occurrence struct {
+	event events.Event
+	args  []any
+}
+
+// fleetEvents is what happened between two values of the fleet.
+func fleetEvents(before, after *pb.Fleet) []occurrence {
+	found := append(memberEvents(before, after), waveEvents(before, after)...)
+	last := lo.KeyBy(before.GetHosts(), (*pb.HostState).GetHost)
+	for _, h := range after.GetHosts() {
+		if b, known := last[h.GetHost()]; known {
+			found = append(found, hostEvents(b, h)...)
+		}
+	}
+	settled := len(before.GetNextOwners().GetOwners()) > 0 && len(after.GetNextOwners().GetOwners()) == 0
+	if settled {
+		found = append(found, occurrence{events.OwnersSettled, []any{"revision", after.GetRevision()}})
+	}
+	return found
+}
+
+func hostEvents(before, after *pb.HostState) []occurrence {
+	var found []occurrence
+	args := []any{"host", after.GetHost(), "pool", after.GetPool()}
+	if before.GetPool() != after.GetPool() {
+		found = append(found, occurrence{events.HostMoved, append(args, "from", before.GetPool())})
+	}
+	if before.GetPhase() == after.GetPhase() {
+		return found
+	}
+	switch after.GetPhase() {
+	case pb.HostPhase_HOST_PHASE_DRAINING:
+		found = append(found, occurrence{events.HostDraining, append(args, "target", after.GetTargetPool(), "wave", after.GetWave())})
+	case pb.HostPhase_HOST_PHASE_MAINTENANCE:
+		found = append(found, occurrence{events.HostInMaintenance, append(args, "wave", after.GetWave())})
+	case pb.HostPhase_HOST_PHASE_DOWN:
+		found = append(found, occurrence{events.HostDown, append(args, "from", fleet.PhaseName(before.GetPhase()))})
+	case pb.HostPhase_HOST_PHASE_ACTIVE:
+		if before.GetPool() == after.GetPool() {
+			found = append(found, occurrence{events.HostReturned, append(args, "from", fleet.PhaseName(before.GetPhase()))})
+		}
+	default:
+	}
+	return found
+}
+
+func memberEvents(before, after *pb.Fleet) []occurrence {
+	var found []occurrence
+	old, present := lo.KeyBy(before.GetMembers(), identity), lo.KeyBy(after.GetMembers(), identity)
+	for _, m := range after.GetMembers() {
+		if old[identity(m)] == nil {
+			found = append(found, occurrence{events.MemberJoined, []any{"member", m.GetName()}})
+		}
+	}
+	for _, m := range before.GetMembers() {
+		if present[identity(m)] == nil {
+			event := lo.Ternary(m.GetLeaving(), events.MemberLeft, events.MemberGone)
+			found = append(found, occurrence{event, []any{"member", m.GetName(), "incarnation", m.GetIncarnation()}})
+		}
+	}
+	return found
+}
+
+func waveEvents(before, after *pb.Fleet) []occurrence {
+	var found []occurrence
+	last := lo.KeyBy(before.GetWaves(), (*pb.Wave).GetName)
+	for _, w := range after.GetWaves() {
+		args := []any{"wave", w.GetName(), "pending", len(w.GetPending()), "failed", len(w.GetFailed())}
+		b := last[w.GetName()]
+		switch {
+		case b == nil:
+			found = append(found, occurrence{events.WaveStarted, args})
+		case b.GetPhase() == w.GetPhase():
+		case w.GetPhase() == pb.WavePhase_WAVE_PHASE_DONE:
+			found = append(found, occurrence{events.WaveDone, args})
+		default:
+		}
+	}
+	return found
+}
--- a/internal/entryhost/caller.go
+++ b/internal/entryhost/caller.go
@@ -33,7 +33,8 @@
 	logger   *slog.Logger
 	ready    func() error
 
-	held atomic.Int64 // requests held now
+	held     atomic.Int64 // requests held now
+	throttle throttle
 }
 
 // ServeHTTP serves readiness checks and POST/GET/... /v1/services/{service}/{path}.
@@ -44,7 +45,7 @@
 	}
 	if s.held.Add(1) > s.limits.GetMaxRequests() {
 		s.held.Add(-1)
-		writeRefusal(w, notRun(http.StatusServiceUnavailable, "this entry host holds its limit of requests", time.Second))
+		s.refuse(r.Context(), w, notRun(http.StatusServiceUnavailable, "this entry host holds its limit of requests", time.Second).as(codeEntryHostFull))
 		return
 	}
 	defer s.held.Add(-1)
@@ -67,7 +68,7 @@
 		refusal = c.readBody(w, r, s.limits)
 	}
 	if refusal != nil {
-		writeRefusal(w, *refusal)
+		s.refuse(r.Context(), w, *refusal)
 		return
 	}
 	ctx, cancel := c.context(r.Context())
@@ -97,7 +98,7 @@
 	for {
 		g, refusal := s.queue(ctx, t)
 		if refusal != nil {
-			writeRefusal(w, *refusal)
+			s.refuse(ctx, w, *refusal)
 			return callEnd{outcome: outcomeNotRun, queued: time.Since(c.arrived)}
 		}
 		end, again := s.attempt(ctx, w, c, t, g)
@@ -112,11 +113,11 @@
 // queue waits for a grant. The answer of a request that is given up on goes out at once.
 func (s *callerServer) queue(ctx context.Context, t *ticket) (*grant, *refusal) {
 	if err := s.ready(); err != nil && !errStopping.Has(err) {
-		r := notRun(http.StatusServiceUnavailable, err.Error(), retryUnready)
+		r := notRun(http.StatusServiceUnavailable, err.Error(), retryUnready).as(codeUnready)
 		return nil, &r
 	}
 	if !s.dispatch.offer(t) {
-		r := notRun(http.StatusServiceUnavailable, "the dispatcher's queue is full", time.Second)
+		r := notRun(http.StatusServiceUnavailable, "the dispatcher's queue is full", time.Second).as(codeEntryHostFull)
 		return nil, &r
 	}
 	select {
@@ -131,10 +132,10 @@
 		s.dispatch.done(context.WithoutCancel(ctx), finished{ticket: t, grant: v.grant, result: routing.Cancelled})
 	}
 	if cancelled {
-		r := notRun(statusClientClosed, "the caller has gone", 0)
+		r := notRun(statusClientClosed, "the caller has gone", 0).as(codeCallerGone)
 		return nil, &r
 	}
-	r := notRun(http.StatusServiceUnavailable, "the deadline passed in the queue", 0)
+	r := notRun(http.StatusServiceUnavailable, "the deadline passed in the queue", 0).as(codeDeadline)
 	return nil, &r
 }
 
@@ -149,7 +150,7 @@
 	case v.rejection.hopeless:
 		status = http.StatusUnprocessableEntity
 	}
-	r := notRun(status, v.rejection.reason, v.rejection.retryAfter)
+	r := notRun(status, v.rejection.reason, v.rejection.retryAfter).as(v.rejection.code)
 	return nil, &r
 }
 
@@ -161,12 +162,13 @@
 	}()
 	held, refusal := s.claim(ctx, c)
 	if refusal != nil {
-		writeRefusal(w, *refusal)
+		s.refuse(ctx, w, *refusal)
 		return callEnd{outcome: refusal.outcome}, false
 	}
 	response, err := s.upstream.Do(ctx, upstream.Target{Host: g.host, Address: g.address}, s.outgoing(c, g))
 	if err != nil {
 		result = resultOf(ctx, err)
+		s.countUpstreamError(g.host, outcomeOf(err), result)
 		s.finishClaim(held, outcomeOf(err), 0)
 		return s.failed(ctx, w, c, g, err)
 	}
@@ -177,8 +179,9 @@
 	w.Header().Set(headerOutcome, outcomeDone.String())
 	if _, err := upstream.Relay(w, response); err != nil {
 		result = routing.Failed
+		s.countUpstreamError(g.host, outcomeUnknown, result)
 		s.finishClaim(held, outcomeUnknown, response.Status)
-		events.Emit(ctx, s.logger, events.OutcomeUnknown, "host", g.host, "request", c.requestID, "err", err)
+		events.Emit(ctx, s.logger, cutEvent(ctx, err), "host", g.host, "request", c.requestID, "err", err)
 		return callEnd{outcome: outcomeUnknown, abort: true}, false
 	}
 	s.finishClaim(held, outcomeDone, response.Status)
@@ -194,10 +197,10 @@
 	}
 	if ended == outcomeUnknown {
 		events.Emit(ctx, s.logger, events.OutcomeUnknown, "host", g.host, "request", c.requestID, "err", err)
-		writeRefusal(w, unknownOutcome(statusOf(ctx, err), err.Error()))
+		s.refuse(ctx, w, unknownOutcome(statusOf(ctx, err), err.Error()))
 		return callEnd{outcome: outcomeUnknown}, false
 	}
-	writeRefusal(w, notRun(http.StatusServiceUnavailable, err.Error(), retryNoHost))
+	s.refuse(ctx, w, notRun(http.StatusServiceUnavailable, err.Error(), retryNoHost).as(codeNotReached))
 	return callEnd{outcome: outcomeNotRun}, false
 }
 
@@ -236,8 +239,9 @@
 		Incarnation: s.keys.self.GetIncarnation(),
 		Digest:      c.bodyDigest(),
 	})
+	s.countClaim(answer, err)
 	if err != nil {
-		r := notRun(http.StatusServiceUnavailable, err.Error(), retryKey)
+		r := notRun(http.StatusServiceUnavailable, err.Error(), retryKey).as(codeKeyOwner)
 		return nil, &r
 	}
 	if answer.GetVerdict() == pb.ClaimVerdict_CLAIM_VERDICT_GRANTED {
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -195,7 +195,7 @@
 // announce logs what a written decision changed.
 func (c *control) announce(ctx context.Context, decision controller.Decision) {
 	for _, note := range decision.Notes {
-		events.Emit(ctx, c.logger, events.FleetApplied,
+		events.Emit(ctx, c.logger, eventOf(note.Kind),
 			"revision", decision.Fleet.GetRevision(), "subject", note.Subject, "note", note.Text)
 	}
 }
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -43,6 +43,7 @@
 	stats     *stats.Stats
 	writer    *writer
 	meter     *meter
+	announcer *announcer
 
 	stopping atomic.Bool
 	duties   sync.WaitGroup
@@ -102,6 +103,7 @@
 func (d *Daemon) startDuties(ctx context.Context, failed chan<- error) {
 	d.duty(func() {
 		d.detector.Run(ctx, func(gap time.Duration) {
+			d.stats.Counter(metricPauses).Inc(1)
 			events.Emit(ctx, d.logger, events.PauseDetected, "gap", gap)
 		})
 	})
@@ -112,6 +114,7 @@
 	d.duty(func() { d.follower.run(ctx, keyConfig, d.follower.takeConfig) })
 	d.duty(func() { d.list.run(ctx) })
 	d.duty(func() { d.meter.run(ctx) })
+	d.duty(func() { d.announcer.run(ctx) })
 	d.duty(func() { d.control.run(ctx) })
 	d.duty(func() {
 		if err := d.registrar.run(ctx); err != nil {
@@ -134,10 +137,10 @@
 	limit, cancel := context.WithTimeout(ctx, d.settings.GetTiming().GetStopLimit().AsDuration())
 	defer cancel()
 	if err := servers.callers.server.Shutdown(limit); err != nil {
-		d.logger.Warn("requests were cut at the stop limit", "component", "daemon", "err", err)
+		events.Emit(ctx, d.logger, events.StopLimitReached, "what", "requests", "err", err)
 	}
 	if err := d.callers.upstream.Wait(limit); err != nil {
-		d.logger.Warn("sessions were cut at the stop limit", "component", "daemon", "err", err)
+		events.Emit(ctx, d.logger, events.StopLimitReached, "what", "sessions", "err", err)
 	}
 	_ = d.registrar.leave(ctx)
 	servers.close()
--- a/internal/entryhost/dispatch.go
+++ b/internal/entryhost/dispatch.go
@@ -51,11 +51,13 @@
 	retryAfter time.Duration
 	full       bool // a queue or quota is full, rather than something being wrong
 	hopeless   bool // sending it again does not help
+	code       refusalCode
 }
 
 func rejectionOf(reason admission.Reason, retryAfter time.Duration) *rejection {
 	return &rejection{
 		reason:     reason.String(),
+		code:       codeOfReason(reason),
 		retryAfter: retryAfter,
 		full:       reason == admission.ReasonQueueFull || reason == admission.ReasonHostFull,
 	}
@@ -232,7 +234,7 @@
 	g, err := d.grant(now, pool, t)
 	if err != nil {
 		d.queues.Done(now, id, 0, false)
-		t.result <- verdict{rejection: &rejection{reason: err.Error(), retryAfter: retryNoHost}}
+		t.result <- verdict{rejection: &rejection{reason: err.Error(), retryAfter: retryNoHost, code: codeNoHost}}
 		return
 	}
 	d.running[id] = t
@@ -290,7 +292,7 @@
 		t.id = d.nextID
 		t.request.ID = t.id
 		if d.router.Hopeless(now, t.digest) {
-			t.result <- verdict{rejection: &rejection{reason: "this request failed on every host it was tried on; do not send it again", hopeless: true}}
+			t.result <- verdict{rejection: &rejection{reason: "this request failed on every host it was tried on; do not send it again", hopeless: true, code: codeHopeless}}
 			return
 		}
 		if decision := d.queues.Offer(now, t.request); !decision.Queued {
@@ -309,7 +311,7 @@
 		}
 		delete(d.waiting, t.id)
 		d.queues.Cancel(t.id)
-		t.result <- verdict{rejection: &rejection{reason: "the caller has gone"}}
+		t.result <- verdict{rejection: &rejection{reason: "the caller has gone", code: codeCallerGone}}
 	})
 }
 
--- a/internal/entryhost/follow.go
+++ b/internal/entryhost/follow.go
@@ -122,6 +122,8 @@
 	}
 	if f.view.applyConfig(time.Now(), next) {
 		events.Emit(context.Background(), f.logger, events.ConfigInForce, "generation", next.GetGeneration(), "source", "store")
+	} else if next.GetGeneration() < f.view.config().GetGeneration() {
+		events.Emit(context.Background(), f.logger, events.ConfigStale, "generation", next.GetGeneration())
 	}
 	return nil
 }
--- a/internal/entryhost/listen.go
+++ b/internal/entryhost/listen.go
@@ -54,7 +54,7 @@
 	return operatorapi.New(d, operatorapi.Options{
 		Token:   d.settings.GetOperator().GetToken(),
 		Logger:  d.logger,
-		Metrics: d.stats.Handler(),
+		Metrics: d.metricsHandler(),
 	})
 }
 
--- a/internal/entryhost/operate.go
+++ b/internal/entryhost/operate.go
@@ -39,6 +39,12 @@
 
 // ApplyConfiguration implements operatorapi.Backend.
 func (d *Daemon) ApplyConfiguration(ctx context.Context, change operatorapi.ConfigChange) (operatorapi.ConfigResult, error) {
+	result, err := d.applyConfiguration(ctx, change)
+	d.logChange(ctx, change, result, err)
+	return result, err
+}
+
+func (d *Daemon) applyConfiguration(ctx context.Context, change operatorapi.ConfigChange) (operatorapi.ConfigResult, error) {
 	next := &pb.Configuration{}
 	if err := settings.Parse("request", []byte(change.INI), next); err != nil {
 		return operatorapi.ConfigResult{}, operatorapi.Refused.Wrap(err)
@@ -100,10 +106,16 @@
 }
 
 // order writes a change of the fleet and sorts its errors for the operator.
-func (d *Daemon) order(ctx context.Context, change fleetChange) (operatorapi.Accepted, error) {
-	f, err := d.writer.update(ctx, change)
+func (d *Daemon) order(ctx context.Context, what string, change fleetChange) (operatorapi.Accepted, error) {
+	repeated := false
+	f, err := d.writer.update(ctx, func(f *pb.Fleet) (*pb.Fleet, error) {
+		next, err := change(f)
+		repeated = next == f
+		return next, err
+	})
 	switch {
 	case err == nil:
+		d.logOrder(ctx, what, repeated, "revision", f.GetRevision())
 		return operatorapi.Accepted{FleetRevision: f.GetRevision()}, nil
 	case store.Unavailable.Has(err):
 		return operatorapi.Accepted{}, operatorapi.Unavailable.Wrap(err)
@@ -120,7 +132,7 @@
 
 // MoveHost implements operatorapi.Backend.
 func (d *Daemon) MoveHost(ctx context.Context, o operatorapi.MoveOrder) (operatorapi.Accepted, error) {
-	return d.order(ctx, func(f *pb.Fleet) (*pb.Fleet, error) {
+	return d.order(ctx, "move "+o.Host+" to "+o.Target, func(f *pb.Fleet) (*pb.Fleet, error) {
 		return beginMove(f, d.view.config(), o, time.Now())
 	})
 }
@@ -148,7 +160,7 @@
 
 // SetHostDown implements operatorapi.Backend.
 func (d *Daemon) SetHostDown(ctx context.Context, o operatorapi.DownOrder) (operatorapi.Accepted, error) {
-	return d.order(ctx, func(f *pb.Fleet) (*pb.Fleet, error) {
+	return d.order(ctx, lo.Ternary(o.Down, "down ", "up ")+o.Host, func(f *pb.Fleet) (*pb.Fleet, error) {
 		if o.Down {
 			return fleet.MarkDown(f, o.Host, o.OperationID, time.Now())
 		}
@@ -158,7 +170,7 @@
 
 // CreateWave implements operatorapi.Backend.
 func (d *Daemon) CreateWave(ctx context.Context, o operatorapi.WaveOrder) (operatorapi.Accepted, error) {
-	return d.order(ctx, func(f *pb.Fleet) (*pb.Fleet, error) {
+	return d.order(ctx, "create wave "+o.Name, func(f *pb.Fleet) (*pb.Fleet, error) {
 		hosts := o.Hosts
 		if len(hosts) == 0 {
 			hosts = hostsOfPool(f, o.Pool)
@@ -175,7 +187,7 @@
 
 // ControlWave implements operatorapi.Backend.
 func (d *Daemon) ControlWave(ctx context.Context, o operatorapi.WaveControl) (operatorapi.Accepted, error) {
-	return d.order(ctx, func(f *pb.Fleet) (*pb.Fleet, error) {
+	accepted, err := d.order(ctx, o.Action+" wave "+o.Name, func(f *pb.Fleet) (*pb.Fleet, error) {
 		switch o.Action {
 		case "stop":
 			return waves.Stop(f, o.Name, o.Reason)
@@ -185,4 +197,8 @@
 			return waves.Cancel(f, o.Name, o.Reason, time.Now())
 		}
 	})
+	if err == nil {
+		d.logWaveOrder(ctx, o)
+	}
+	return accepted, err
 }
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 
 	"github.com/agateturn/agateturn/config"
+	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
@@ -268,14 +269,16 @@
 	if err != nil {
 		return errUnreachable.New("%s: %v", address, err)
 	}
-	p.takeValues(answer.Msg)
+	p.takeValues(ctx, answer.Msg)
 	return nil
 }
 
 // takeValues puts a peer's newer values in force. The configuration goes first: the fleet refers to its hosts.
-func (p *peers) takeValues(values *pb.FetchResponse) {
+func (p *peers) takeValues(ctx context.Context, values *pb.FetchResponse) {
 	if cfg := values.GetConfig(); cfg != nil {
-		p.view.applyConfig(time.Now(), cfg)
+		if p.view.applyConfig(time.Now(), cfg) {
+			events.Emit(ctx, p.logger, events.ConfigInForce, "generation", cfg.GetGeneration(), "source", "peer")
+		}
 	}
 	if f := values.GetFleet(); f != nil {
 		p.view.applyFleet(f)
--- a/internal/entryhost/peerservice.go
+++ b/internal/entryhost/peerservice.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/agateturn/agateturn/config"
+	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/idempotency"
 )
@@ -50,16 +51,21 @@
 }
 
 // Stage holds a configuration that its proposer is about to write, or drops it again.
-func (s *peerService) Stage(_ context.Context, req *connect.Request[pb.StageRequest]) (*connect.Response[pb.StageResponse], error) {
+func (s *peerService) Stage(ctx context.Context, req *connect.Request[pb.StageRequest]) (*connect.Response[pb.StageResponse], error) {
 	answer := &pb.StageResponse{}
+	event := events.ConfigStaged
 	s.view.withStager(func(st *config.Stager) {
 		if req.Msg.GetAbandon() {
 			st.Abandon(time.Now(), req.Msg.GetConfig().GetChangeId(), req.Msg.GetProposer())
+			event = events.ConfigAbandoned
 		} else {
 			answer.Staged, answer.Reason = st.Stage(time.Now(), req.Msg.GetConfig(), req.Msg.GetProposer())
 		}
 		answer.ConfigGeneration = st.Generation()
 	})
+	if answer.GetStaged() || req.Msg.GetAbandon() {
+		events.Emit(ctx, s.peers.logger, event, "change", req.Msg.GetConfig().GetChangeId(), "proposer", req.Msg.GetProposer())
+	}
 	return connect.NewResponse(answer), nil
 }
 
--- a/internal/entryhost/platformlist.go
+++ b/internal/entryhost/platformlist.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/agateturn/agateturn/controller"
+	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/platform"
 )
 
@@ -23,11 +24,17 @@
 
 // run reads the list until ctx ends.
 func (l *platformList) run(ctx context.Context) {
+	failing := false
 	for ctx.Err() == nil {
 		hosts, err := l.client.Hosts(ctx)
-		if err != nil {
-			l.logger.Debug("host list not read", "component", "platform", "err", err)
-		} else {
+		switch {
+		case err != nil && !failing:
+			events.Emit(ctx, l.logger, events.PlatformUnreachable, "err", err)
+		case err == nil && failing:
+			events.Emit(ctx, l.logger, events.PlatformBack)
+		}
+		failing = err != nil
+		if !failing {
 			l.keep(hosts, time.Now())
 		}
 		_ = sleep(ctx, l.period)
--- a/internal/entryhost/provide.go
+++ b/internal/entryhost/provide.go
@@ -214,6 +214,16 @@
 	}
 	d.keys.peers = d.peers
 	d.meter = &meter{view: d.view, peers: d.peers, pools: map[string]string{}, rollOuts: map[uint64]time.Time{}}
+	d.announcer = &announcer{
+		self:     d.self,
+		view:     d.view,
+		peers:    d.peers,
+		dispatch: d.dispatch,
+		list:     d.list,
+		ready:    d.ready,
+		changed:  d.view.subscribe("announcer"),
+		logger:   d.logger,
+	}
 	d.peers.ready = func() bool { return d.ready() == nil }
 	return d, nil
 }
--- a/internal/entryhost/refusal.go
+++ b/internal/entryhost/refusal.go
@@ -60,6 +60,8 @@
 	reason  string
 	// retryAfter is when the caller should come back; 0 says nothing about it.
 	retryAfter time.Duration
+	// code is the label of the refusal's counter; empty for that of its status.
+	code refusalCode
 }
 
 // refusalBody is the JSON form of a refusal.
@@ -100,11 +102,11 @@
 			reason:  "the request with this Idempotency-Key ran already and ended with status " + strconv.Itoa(int(answer.GetOutcome().GetStatus())),
 		}
 	case pb.ClaimVerdict_CLAIM_VERDICT_MISMATCH:
-		return *refuse(http.StatusUnprocessableEntity, "this Idempotency-Key was used for a different request; take a new one")
+		return refuse(http.StatusUnprocessableEntity, "this Idempotency-Key was used for a different request; take a new one").as(codeKeyMismatch)
 	case pb.ClaimVerdict_CLAIM_VERDICT_FULL:
-		return notRun(http.StatusServiceUnavailable, "the key's owner can remember no more keys now", retryKey)
+		return notRun(http.StatusServiceUnavailable, "the key's owner can remember no more keys now", retryKey).as(codeKeysFull)
 	case pb.ClaimVerdict_CLAIM_VERDICT_NOT_OWNER:
-		return notRun(http.StatusServiceUnavailable, "the key is changing its owner", retryKey)
+		return notRun(http.StatusServiceUnavailable, "the key is changing its owner", retryKey).as(codeKeyOwner)
 	default:
 		return unknownOutcome(http.StatusConflict, "an earlier request with this Idempotency-Key may have run; it will not be run again")
 	}
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -44,6 +44,7 @@
 // this incarnation: then its view may be old, and the process has to start anew.
 func (r *registrar) run(ctx context.Context) error {
 	backoff := store.DefaultBackoff()
+	failing := false
 	for ctx.Err() == nil {
 		if r.isMember() {
 			if err := r.watchOver(ctx); err != nil {
@@ -54,10 +55,14 @@
 		if err := r.join(ctx); errRemoved.Has(err) {
 			return err
 		} else if err != nil {
-			r.logger.Debug("registration failed", "component", "registrar", "err", err)
+			if !failing {
+				events.Emit(ctx, r.logger, events.JoinRefused, "err", err)
+			}
+			failing = true
 			_ = backoff.Sleep(ctx)
 			continue
 		}
+		failing = false
 		backoff.Reset()
 	}
 	return nil
