--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -59,10 +59,32 @@
 INI
 }
 
+# Two deployments on the same addresses would join each other's fleet.
+refuse_if_taken() {
+  local address
+  for address in "$platform" "$workers_admin" 127.0.1.1:7002; do
+    if (exec 3<>"/dev/tcp/${address%:*}/${address#*:}") 2>/dev/null; then
+      echo "$address is in use: another deployment runs on this machine; stop it first" >&2
+      exit 1
+    fi
+  done
+}
+
+# check_platform ends the run if the platform lost a race for its address.
+check_platform() {
+  sleep 0.3
+  kill -0 "${pids[platform]}" 2>/dev/null && return 0
+  echo "the platform's stand-in did not start:" >&2
+  cat "$run/platform.log" >&2
+  exit 1
+}
+
 start_platform() {
+  refuse_if_taken
   start platform "$bin/agateturn-standin" platform --listen "$platform" --deployment "$deployment" \
     --entry-hosts "$(seq -s, -f 'entry-%g' "$entry_hosts")" --reboot-time 2s --workers-admin "http://$workers_admin"
   start workers "$bin/agateturn-standin" workers --deployment "$deployment" --admin "$workers_admin"
+  check_platform
 }
 
 start_entry() { # NUMBER
--- /dev/null
+++ b/scripts/up.sh
@@ -0,0 +1,29 @@
+#!/usr/bin/env bash
+# Starts one of the two deployments of examples/ on loopback, with its configuration in force, and keeps it running
+# until it is interrupted. Then every process is stopped.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+name=${1:-agency}
+deployment=$PWD/examples/$name/deployment.ini
+bin=$PWD/bin
+run=$PWD/run/up-$name
+rm -rf "$run" && mkdir -p "$run"
+# shellcheck source=scripts/cluster.sh
+source scripts/cluster.sh
+trap 'echo; echo stopping; stop_all; exit 0' INT TERM
+trap 'stop_all' EXIT
+
+start_cluster
+until ctl status >/dev/null 2>&1; do sleep 0.2; done
+ctl config apply "$deployment" >"$run/apply.log"
+ctl status --wait 15s --members "$entry_hosts" >"$run/status.log"
+cat <<TEXT
+$entry_hosts entry hosts run on 127.0.1.1 to 127.0.1.$entry_hosts: callers on port 7000, operators on port 7002.
+In another terminal:
+
+  export AGATETURN_ADDRESS=127.0.1.1:7002 AGATETURN_TOKEN=$token PATH=\$PATH:$bin
+  agateturnctl status
+
+Logs are in ${run#"$PWD"/}. Ctrl-C stops everything.
+TEXT
+while true; do sleep 1; done
