--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 GOFUMPT_VERSION := v0.12.0
 
 
-.PHONY: help build demo up test race lint fmt generate check-generated linters ci
+.PHONY: help build demo up test lint fmt generate check-generated linters fresh
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' Makefile | sed -E 's/:.*## /\t/'
 
@@ -24,6 +24,10 @@
 test: ## run all tests with the race detector
 	go test -race -count=1 ./...
 
+fresh: ## run the two set-up commands of the README in a clean clone of HEAD
+	@clone=$$(mktemp -d) && trap 'rm -rf "$$clone"' EXIT && git clone -q . "$$clone/agateturn" && \
+	$(MAKE) --no-print-directory -C "$$clone/agateturn" demo test
+
 linters: ## install the formatter and the linter
 	@test -x $(GOLANGCI) || go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
 	@test -x $(GOFUMPT) || go install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
