--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -115,6 +115,7 @@
 	d.duty(func() { d.list.run(ctx) })
 	d.duty(func() { d.meter.run(ctx) })
 	d.duty(func() { d.announcer.run(ctx) })
+	d.duty(func() { watchHeap(ctx, d.stats) })
 	d.duty(func() { d.control.run(ctx) })
 	d.duty(func() {
 		if err := d.registrar.run(ctx); err != nil {
@@ -168,8 +169,11 @@
 // settled is nil unless a staged configuration has been in doubt for longer than the bound.
 func (d *Daemon) settled() error {
 	var err error
+	now := time.Now()
+	registered := d.registrar.isMember()
 	d.view.withStager(func(st *config.Stager) {
-		if since, unsettled := st.Unsettled(time.Now()); unsettled {
+		st.Heard(now, config.Report{Peer: identity(d.self), Generation: st.Generation(), Ready: true, Registered: registered})
+		if since, unsettled := st.Unsettled(now); unsettled {
 			err = errUnsettled.New("for %s", since)
 		}
 	})
--- a/internal/entryhost/metrics_test.go
+++ b/internal/entryhost/metrics_test.go
@@ -77,8 +77,12 @@
 func TestEveryMetricIsExplained(t *testing.T) {
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	assert.NilError(t, err)
-	code, err := os.ReadFile("metrics.go")
-	assert.NilError(t, err)
+	var code []byte
+	for _, file := range []string{"metrics.go", "traffic.go"} {
+		text, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		code = append(code, text...)
+	}
 	names := regexp.MustCompile(`"(agateturn_\w+)"`).FindAllSubmatch(code, -1)
 	assert.Assert(t, len(names) > 10)
 	for _, name := range names {
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -23,6 +24,8 @@
 	demandGap = 200 * time.Millisecond
 	// peerMessageLimit bounds one message from a peer, in bytes.
 	peerMessageLimit = 4 << 20
+	// compressFrom is the size of the smallest message that is compressed, in bytes: values are, heartbeats are not.
+	compressFrom = 8 << 10
 	// formerKept is how long the heartbeats of a replaced incarnation are kept.
 	formerKept = time.Minute
 )
@@ -40,6 +43,8 @@
 	changed   *ring.Ring[struct{}]
 	heard     *ring.Ring[struct{}] // signalled when a heartbeat came in
 
+	fetching atomic.Bool // a fetch of newer values is under way
+
 	mu sync.Mutex
 	// latest holds the newest heartbeat of each incarnation.
 	latest map[string]fleet.Received
@@ -56,6 +61,10 @@
 	address string
 	kick    *ring.Ring[struct{}]
 	stop    context.CancelFunc
+	// period is the time after the last exchange, by either side, at which this side begins one.
+	period time.Duration
+	// last is the last try of this side, or the last heartbeat from the other; peers.mu guards it.
+	last time.Time
 }
 
 // run keeps one link to each member until ctx ends.
@@ -121,21 +130,50 @@
 
 func (p *peers) startLink(ctx context.Context, name, address string) *link {
 	linkCtx, stop := context.WithCancel(ctx)
-	l := &link{address: address, kick: ring.New[struct{}]("kick "+name, 1), stop: stop}
+	l := &link{address: address, kick: ring.New[struct{}]("kick "+name, 1), stop: stop, period: p.heartbeat}
+	if p.self.GetName() > name {
+		l.period += p.heartbeat / 4 // an exchange serves both sides: one of them begins, the other only if that fails
+	}
 	go p.runLink(linkCtx, name, l)
 	return l
 }
 
 func (p *peers) runLink(ctx context.Context, name string, l *link) {
-	ticker := time.NewTicker(p.heartbeat)
-	defer ticker.Stop()
 	for {
+		p.note(l)
 		p.exchange(ctx, name, l.address)
+		if !p.awaitTurn(ctx, l) {
+			return
+		}
+	}
+}
+
+// note records that something was said on the link.
+func (p *peers) note(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.last = time.Now()
+}
+
+// awaitTurn waits until this side is to begin an exchange: when it has news, or when nothing was said for the link's
+// period. It returns false when ctx ends.
+func (p *peers) awaitTurn(ctx context.Context, l *link) bool {
+	for {
+		p.mu.Lock()
+		wait := time.Until(l.last.Add(l.period))
+		p.mu.Unlock()
+		if wait <= 0 {
+			return ctx.Err() == nil
+		}
+		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
-			return
-		case <-ticker.C:
+			timer.Stop()
+			return false
 		case <-l.kick.Items():
+			timer.Stop()
+			return true
+		case <-timer.C: // the other side may have begun one meanwhile
 		}
 	}
 }
@@ -156,11 +194,13 @@
 	if err != nil {
 		return
 	}
+	began := time.Now()
 	answer, err := p.at(address).Exchange(ctx, connect.NewRequest(hb))
 	if err != nil {
 		p.logger.Debug("heartbeat failed", "component", "peers", "peer", name, "err", err)
 		return
 	}
+	p.tellStager(answer.Msg, began)
 	p.take(ctx, answer.Msg)
 }
 
@@ -171,7 +211,8 @@
 	if c, ok := p.hosts[address]; ok {
 		return c
 	}
-	c := agateturnv1connect.NewPeerServiceClient(p.client, "http://"+address, connect.WithReadMaxBytes(peerMessageLimit))
+	c := agateturnv1connect.NewPeerServiceClient(p.client, "http://"+address,
+		connect.WithReadMaxBytes(peerMessageLimit), connect.WithSendGzip(), connect.WithCompressMinBytes(compressFrom))
 	p.hosts[address] = c
 	return c
 }
@@ -205,22 +246,23 @@
 	}
 	p.view.addGuests(hb.GetGuests()...)
 	p.dispatch.incoming(ctx, hb)
-	p.tellStager(hb)
 	p.heard.Offer(struct{}{})
 	behind := hb.GetFleetRevision() > p.view.fleet().GetRevision() ||
 		hb.GetConfigGeneration() > p.view.config().GetGeneration()
-	if behind {
+	// Many peers tell of the same change at once: one fetch serves for all. A failed one is made up by the next heartbeat.
+	if behind && p.fetching.CompareAndSwap(false, true) {
+		defer p.fetching.Store(false)
 		p.fetchFrom(ctx, hb.GetName())
 	}
 }
 
-// tellStager lets the acceptance state machine know what generation a peer is at.
-func (p *peers) tellStager(hb *pb.Heartbeat) {
+// tellStager lets the acceptance state machine know what generation a peer was at, at some time after the exchange began.
+func (p *peers) tellStager(hb *pb.Heartbeat, began time.Time) {
 	registered := lo.SomeBy(p.view.fleet().GetMembers(), func(m *pb.Member) bool {
 		return m.GetIncarnation() == hb.GetIncarnation()
 	})
 	p.view.withStager(func(st *config.Stager) {
-		st.Heard(time.Now(), config.Report{
+		st.Heard(began, config.Report{
 			Peer:       hb.GetName() + "/" + hb.GetIncarnation(),
 			Generation: hb.GetConfigGeneration(),
 			Ready:      hb.GetReady(),
@@ -234,15 +276,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	last, known := p.latest[hb.GetIncarnation()]
-	if known && last.Heartbeat.GetSequence() >= hb.GetSequence() {
+	fleet.Record(p.latest, hb, now)
+	if p.latest[hb.GetIncarnation()].Heartbeat != hb {
 		return false
 	}
-	since := now
-	if known {
-		since = last.Since
+	if l := p.links[hb.GetName()]; l != nil {
+		l.last = now
 	}
-	p.latest[hb.GetIncarnation()] = fleet.Received{Heartbeat: hb, At: now, Since: since}
 	return true
 }
 
@@ -251,21 +291,33 @@
 	if !ok {
 		return
 	}
-	_ = p.fetch(ctx, member.GetPeerAddress(), nil)
+	if values, err := p.fetch(ctx, member.GetPeerAddress(), nil); err == nil {
+		p.takeValues(ctx, values)
+	}
 }
 
-// fetch takes over what the peer knows and we do not. With join set, the peer vouches for this entry host.
-func (p *peers) fetch(ctx context.Context, address string, join *pb.Member) error {
+// fetchAsGuest asks a peer to vouch for this entry host, and serves by the peer's values once it does.
+func (p *peers) fetchAsGuest(ctx context.Context, address string) error {
+	values, err := p.fetch(ctx, address, p.self)
+	if err != nil {
+		return err
+	}
+	p.view.addGuests(p.self)
+	p.takeValues(ctx, values)
+	return nil
+}
+
+// fetch returns what the peer knows and we do not. With join set, the peer vouches for this entry host.
+func (p *peers) fetch(ctx context.Context, address string, join *pb.Member) (*pb.FetchResponse, error) {
 	answer, err := p.at(address).Fetch(ctx, connect.NewRequest(&pb.FetchRequest{
 		ConfigGeneration: p.view.config().GetGeneration(),
 		FleetRevision:    p.view.fleet().GetRevision(),
 		Join:             join,
 	}))
 	if err != nil {
-		return errUnreachable.New("%s: %v", address, err)
+		return nil, errUnreachable.New("%s: %v", address, err)
 	}
-	p.takeValues(ctx, answer.Msg)
-	return nil
+	return answer.Msg, nil
 }
 
 // takeValues puts a peer's newer values in force. The configuration goes first: the fleet refers to its hosts.
--- a/internal/entryhost/peerservice.go
+++ b/internal/entryhost/peerservice.go
@@ -12,8 +12,10 @@
 	"github.com/agateturn/agateturn/idempotency"
 )
 
-// peerLimits bounds what a peer may send.
-func peerLimits() connect.HandlerOption { return connect.WithReadMaxBytes(peerMessageLimit) }
+// peerLimits bounds what a peer may send, and says which answers are compressed.
+func peerLimits() connect.HandlerOption {
+	return connect.WithHandlerOptions(connect.WithReadMaxBytes(peerMessageLimit), connect.WithCompressMinBytes(compressFrom))
+}
 
 // peerService answers the other entry hosts.
 type peerService struct {
@@ -24,6 +26,8 @@
 
 // Exchange takes over a peer's heartbeat and answers with our own.
 func (s *peerService) Exchange(ctx context.Context, req *connect.Request[pb.Heartbeat]) (*connect.Response[pb.Heartbeat], error) {
+	// The sender gives an exchange up after a heartbeat period, so its report is no older than that.
+	s.peers.tellStager(req.Msg, time.Now().Add(-s.peers.heartbeat))
 	s.peers.take(ctx, req.Msg)
 	own, err := s.peers.compose(ctx, req.Msg.GetName())
 	if err != nil {
