--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -186,7 +186,7 @@
 func TestCompletionKnowsEveryCommand(t *testing.T) {
 	got := runTool(t, "completion")
 	assert.Equal(t, got.code, ExitOK)
-	for _, line := range []string{`"config apply"*) choices="--wait --id --base"`, `"waves"*) choices="list create stop resume cancel watch"`} {
+	for _, line := range []string{`"config apply"*) choices="--wait --id --base --help --address --token --token-file --output"`, `"waves"*) choices="list create stop resume cancel watch --help`} {
 		assert.Assert(t, strings.Contains(got.out, line), got.out)
 	}
 }
--- a/internal/ctl/initcmd.go
+++ b/internal/ctl/initcmd.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/alecthomas/kong"
+	"github.com/samber/lo"
 
 	"github.com/agateturn/agateturn/questionnaire"
 	"github.com/agateturn/agateturn/settings"
@@ -61,24 +62,24 @@
 func (completionCmd) Run(e *env) error {
 	var b strings.Builder
 	b.WriteString("_agateturnctl() {\n  local words=\"${COMP_WORDS[*]:1:COMP_CWORD-1}\"\n  case \"$words\" in\n")
-	writeCompletion(&b, e.model.Node, "")
+	writeCompletion(&b, e.model.Node, "", nil)
 	b.WriteString("  esac\n  COMPREPLY=($(compgen -W \"$choices\" -- \"${COMP_WORDS[COMP_CWORD]}\"))\n}\n")
-	b.WriteString("complete -F _agateturnctl agateturnctl\n")
+	b.WriteString("complete -o default -F _agateturnctl agateturnctl\n")
 	_, err := e.out.Write([]byte(b.String()))
 	return err
 }
 
-// writeCompletion writes one case for the node and one for each command below it.
-func writeCompletion(b *strings.Builder, node *kong.Node, path string) {
+// writeCompletion writes one case for the node and one for each command below it, which also take the node's flags.
+func writeCompletion(b *strings.Builder, node *kong.Node, path string, inherited []string) {
 	var choices []string
 	for _, child := range node.Children {
 		choices = append(choices, child.Name)
 	}
-	for _, flag := range node.Flags {
-		choices = append(choices, "--"+flag.Name)
-	}
+	flags := lo.Map(node.Flags, func(f *kong.Flag, _ int) string { return "--" + f.Name })
+	flags = append(flags, inherited...)
+	choices = append(choices, flags...)
 	for _, child := range node.Children {
-		writeCompletion(b, child, strings.TrimSpace(path+" "+child.Name))
+		writeCompletion(b, child, strings.TrimSpace(path+" "+child.Name), flags)
 	}
 	pattern := "*"
 	if path != "" {
