--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,13 @@
 test: ## run all tests with the race detector
 	go test -race -count=1 ./...
 
-.PHONY: help build demo up bench test lint fmt generate check-generated linters fresh
+bench: build ## compare the decisions with naive versions, seeded, in virtual time
+	bin/agateturn-bench slots
+	bin/agateturn-bench moves
+
+fresh: ## run the two set-up commands of the README in a clean clone of HEAD
+	@clone=$$(mktemp -d) && trap 'rm -rf "$$clone"' EXIT && git clone -q . "$$clone/agateturn" && \
+	$(MAKE) --no-print-directory -C "$$clone/agateturn" demo test
 
 linters: ## install the formatter and the linter
 	@test -x $(GOLANGCI) || go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
