--- a/controller/step.go
+++ b/controller/step.go
@@ -128,7 +128,7 @@
 		return
 	}
 	h := s.draft.Host(host)
-	s.note(NoteHostPhase, host, "%s in pool %s", h.Phase, h.Pool)
+	s.note(NoteHostPhase, host, "%s in pool %s", fleet.PhaseName(h.Phase), h.Pool)
 }
 
 // progress completes drains that every member has released, and ends maintenance that is done.
@@ -225,7 +225,7 @@
 		case waves.Wait:
 			s.note(NoteWaveWaits, a.Wave, "%s", a.Reason)
 		case waves.StopWave:
-			s.note(NoteWave, a.Wave, "stopped: %s", a.Reason)
+			s.note(NoteWaveStopped, a.Wave, "stopped: %s", a.Reason)
 		case waves.FinishWave:
 			s.note(NoteWave, a.Wave, "finished")
 		case waves.FailHost:
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -12,6 +12,7 @@
 	"github.com/samber/lo"
 
 	"github.com/agateturn/agateturn/config"
+	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
@@ -291,7 +292,7 @@
 		return
 	}
 	if values, err := p.fetch(ctx, member.GetPeerAddress(), nil); err == nil {
-		p.takeValues(values)
+		p.takeValues(ctx, values)
 	}
 }
 
@@ -302,7 +303,7 @@
 		return err
 	}
 	p.view.addGuests(p.self)
-	p.takeValues(values)
+	p.takeValues(ctx, values)
 	return nil
 }
 
@@ -320,9 +321,11 @@
 }
 
 // takeValues puts a peer's newer values in force. The configuration goes first: the fleet refers to its hosts.
-func (p *peers) takeValues(values *pb.FetchResponse) {
+func (p *peers) takeValues(ctx context.Context, values *pb.FetchResponse) {
 	if cfg := values.GetConfig(); cfg != nil {
-		p.view.applyConfig(time.Now(), cfg)
+		if p.view.applyConfig(time.Now(), cfg) {
+			events.Emit(ctx, p.logger, events.ConfigInForce, "generation", cfg.GetGeneration(), "source", "peer")
+		}
 	}
 	if f := values.GetFleet(); f != nil {
 		p.view.applyFleet(f)
--- a/internal/entryhost/platformlist.go
+++ b/internal/entryhost/platformlist.go
@@ -10,6 +10,7 @@
 	"github.com/samber/lo"
 
 	"github.com/agateturn/agateturn/controller"
+	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/platform"
 )
 
@@ -33,6 +34,7 @@
 
 // run reads the list until ctx ends.
 func (l *platformList) run(ctx context.Context) {
+	failing := false
 	for ; ctx.Err() == nil; _ = sleep(ctx, l.period) {
 		if !l.wanted.Load() && !l.view.storeFailing.Load() {
 			l.forget()
@@ -40,9 +42,14 @@
 			continue
 		}
 		hosts, err := l.client.Hosts(ctx)
-		if err != nil {
-			l.logger.Debug("host list not read", "component", "platform", "err", err)
-		} else {
+		switch {
+		case err != nil && !failing:
+			events.Emit(ctx, l.logger, events.PlatformUnreachable, "err", err)
+		case err == nil && failing:
+			events.Emit(ctx, l.logger, events.PlatformBack)
+		}
+		failing = err != nil
+		if !failing {
 			l.keep(hosts, time.Now())
 			l.dispatch.shun(ctx, leavingHosts(hosts))
 		}
