Measure on addresses of its own

Cause: a run of the capacity script met a demo on the same loopback addresses: its operator calls went to the demo's entry host, and its daemons could not listen. The samples of that run are thrown away.

--- a/cmd/agateturn-capacity/deployment.go
+++ b/cmd/agateturn-capacity/deployment.go
@@ -94,7 +94,7 @@
 	place := dataCentreName(i % c.DataCentres)
 	return &pb.Host{
 		Name:        fmt.Sprintf("host-%d", i+1),
-		Address:     fmt.Sprintf("127.0.%d.%d:%d", firstWorkerNet+i/addressesPerNet, 1+i%addressesPerNet, workerPort),
+		Address:     fmt.Sprintf("127.1.%d.%d:%d", firstWorkerNet+i/addressesPerNet, 1+i%addressesPerNet, workerPort),
 		DataCentre:  place,
 		Rack:        fmt.Sprintf("%s-r%d", place, i/c.DataCentres/hostsPerRack+1),
 		Pool:        poolName(i*c.Pools/c.Hosts + 1),
--- a/cmd/agateturn-capacity/report.go
+++ b/cmd/agateturn-capacity/report.go
@@ -19,7 +19,7 @@
 	Table   string  `default:"docs/capacity.tsv" help:"Table to write, tab separated."`
 	Page    string  `default:"docs/CAPACITY.md" type:"existingfile" help:"Page whose generated part is replaced."`
 	Plot    string  `default:"docs/capacity.svg" help:"Plot to write."`
-	Window  float64 `default:"6" help:"Length of the windows that the samples were taken in, in seconds."`
+	Window  float64 `default:"4" help:"Length of the windows that the samples were taken in, in seconds."`
 	Changes float64 `default:"2" help:"Changes in a window."`
 }
 
--- a/cmd/agateturn-capacity/sample.go
+++ b/cmd/agateturn-capacity/sample.go
@@ -23,7 +23,7 @@
 	Daemons  string        `required:"" type:"existingfile" help:"File with a line for each daemon: name, process id, operator address."`
 	Platform string        `required:"" help:"Address of the platform's stand-in, http://ip:port."`
 	Token    string        `required:"" env:"AGATETURN_TOKEN" help:"Operator token."`
-	Window   time.Duration `default:"6s" help:"Length of a window."`
+	Window   time.Duration `default:"4s" help:"Length of a window."`
 	Windows  int           `default:"3" help:"Number of windows."`
 	Changes  int           `default:"2" help:"Changes in a window."`
 	First    int           `default:"0" help:"Number of the first host that may be moved or maintained."`
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -7,8 +7,10 @@
 run=${RUN:-$PWD/run/capacity}
 samples=${SAMPLES:-$PWD/docs/capacity-samples.tsv}
 windows=${WINDOWS:-3}
-window=${WINDOW:-6s}
+window=${WINDOW:-4s}
 export POLL=2s DRAIN_NOTICE=200ms
+# Addresses of its own, so that a demo may run beside it.
+ENTRY_NET=127.1.1 PLATFORM=127.1.0.1:18500 WORKERS_ADMIN=127.1.0.1:18600
 mkdir -p "$run"
 # shellcheck source=scripts/cluster.sh
 source scripts/cluster.sh
@@ -30,7 +32,7 @@
 
 write_daemons() {
   local n
-  for n in $(seq "$entry_hosts"); do echo "entry-$n ${pids[entry-$n]} 127.0.1.$n:7002"; done >"$run/daemons"
+  for n in $(seq "$entry_hosts"); do echo "entry-$n ${pids[entry-$n]} $entry_net.$n:7002"; done >"$run/daemons"
 }
 
 revision() { ctl status --output json | sed -n 's/^ *"fleet_revision": \([0-9]*\),$/\1/p' | head -n 1; }
@@ -42,6 +44,7 @@
     sleep 3
     after=$(revision)
   done
+  sleep "${SETTLE:-0}"
 }
 
 begin() { # SERIES HOSTS ENTRY-HOSTS POOLS TEAMS
@@ -67,6 +70,15 @@
 }
 
 point() { # SERIES HOSTS ENTRY-HOSTS POOLS TEAMS
+  begin "$@"
+  measure idle
+  measure config
+  measure moves
+  measure timing
+  end_all
+}
+
+point_with_wave() { # SERIES HOSTS ENTRY-HOSTS POOLS TEAMS
   begin "$@"
   measure idle
   measure config
@@ -81,7 +93,7 @@
 load() { # STATE RATE [OPTION...]
   local state=$1 rate=$2 targets services
   shift 2
-  targets=$(for n in $(seq "$entry_hosts"); do printf '127.0.1.%s:7000,' "$n"; done)
+  targets=$(for n in $(seq "$entry_hosts"); do printf '%s.%s:7000,' "$entry_net" "$n"; done)
   services=$(for n in $(seq "$pools"); do printf 'service-%s=%s,' "$n" "$((rate / pools))"; done)
   start load "$bin/agateturn-standin" load --targets "${targets%,}" --services "${services%,}" --teams team-1,team-2 \
     --duration 30s --session-share 0 --output json "$@"
@@ -138,12 +150,27 @@
   end_all
 }
 
-hosts_series() { for n in 50 150 500 1400; do point hosts "$n" 9 5 20; done; }
-entry_hosts_series() { for n in 3 9 18 30; do point entry-hosts 150 "$n" 5 20; done; }
-pools_series() { for n in 14 28; do point pools 150 9 "$n" 20; done; }
-teams_series() { for n in 60 200; do point teams 150 9 5 "$n"; done; }
-design() { point design 1400 30 28 200; }
+base() { point_with_wave base 150 9 5 20; }
+hosts_series() { for n in 50 500 1400; do point hosts "$n" 9 5 20; done; }
+entry_hosts_series() { for n in 3 18 30; do point entry-hosts 150 "$n" 5 20; done; }
+pools_series() { point pools 280 9 28 20; }
+teams_series() { point teams 150 9 5 200; }
+design() { SETTLE=20 point_with_wave design 1400 30 28 200; }
+memory_limit() { # the design size with a limit for the Go runtime's memory
+  export GOMEMLIMIT=24MiB
+  SETTLE=20 begin memory-limit 1400 30 28 200
+  measure idle
+  end_all
+  unset GOMEMLIMIT
+}
+
+report() { "$bin/agateturn-capacity" report --window "${window%s}"; }
 
-report() { "$bin/agateturn-capacity" report; }
+all() {
+  rm -f "$samples"
+  base; design; entry_hosts_series; hosts_series; loads; restart 1400 30; pools_series; teams_series; outage 150 30; memory_limit
+  cut 150 10
+  report
+}
 
 for step in "${@:-all}"; do $step; done # a step may have arguments, as in "point trial 50 3 5 20"
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -2,8 +2,9 @@
 # Every process is started here, ended here by its id, and waited for.
 
 entry_hosts=${ENTRY_HOSTS:-9}
-platform=127.0.0.1:18500
-workers_admin=127.0.0.1:18600
+entry_net=${ENTRY_NET:-127.0.1} # the first three bytes of the entry hosts' addresses
+platform=${PLATFORM:-127.0.0.1:18500}
+workers_admin=${WORKERS_ADMIN:-127.0.0.1:18600}
 token=demo-operator-token
 declare -A pids
 
@@ -39,10 +40,10 @@
 [entry_host]
 name = entry-$n
 data_centre = ${dcs[$(((n - 1) % ${#dcs[@]}))]}
-caller_address = 127.0.1.$n:7000
-peer_address = 127.0.1.$n:7001
-operator_address = 127.0.1.$n:7002
-peers = $(for i in $(seq "$entry_hosts"); do [ "$i" = "$n" ] || printf '127.0.1.%s:7001,' "$i"; done | sed 's/,$//')
+caller_address = $entry_net.$n:7000
+peer_address = $entry_net.$n:7001
+operator_address = $entry_net.$n:7002
+peers = $(for i in $(seq "$entry_hosts"); do [ "$i" = "$n" ] || printf '%s.%s:7001,' "$entry_net" "$i"; done | sed 's/,$//')
 
 [store]
 address = http://$platform
@@ -76,4 +77,4 @@
   for n in $(seq "$entry_hosts"); do start_entry "$n"; done
 }
 
-ctl() { AGATETURN_TOKEN=$token "$bin/agateturnctl" --address "${operator:-127.0.1.1:7002}" "$@"; }
+ctl() { AGATETURN_TOKEN=$token "$bin/agateturnctl" --address "${operator:-$entry_net.1:7002}" "$@"; }
