--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 GOFUMPT_VERSION := v0.12.0
 
 
-.PHONY: help build demo test race lint fmt generate check-generated linters ci
+.PHONY: help build demo capacity test race lint fmt generate check-generated linters ci
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' Makefile | sed -E 's/:.*## /\t/'
 
@@ -18,6 +18,9 @@
 demo: build ## run the whole path on loopback; DEPLOYMENT=agency or brenaz
 	scripts/demo.sh $(DEPLOYMENT)
 
+capacity: build ## measure what control costs at several sizes and write docs/capacity.*; takes about 20 minutes
+	scripts/capacity.sh all
+
 test: ## run all tests with the race detector
 	go test -race -count=1 ./...
 
