Catch up with news that came during a fetch

Cause: a fetch of newer values serves for all peers that tell of them; news from another peer that came while it ran waited for the next heartbeat, up to a second. Seen in the capacity run: a configuration change right after another one met a member at 30 entry hosts that lacked the first (conflict, nothing written). Change: after a fetch, one more from a peer whose newest heartbeat is ahead. The measurement repeats a change that met a conflict, as the message tells the operator to.

--- a/cmd/agateturn-capacity/operate.go
+++ b/cmd/agateturn-capacity/operate.go
@@ -17,6 +17,8 @@
 const (
 	// poll is the time between two looks at a change under way.
 	poll = 50 * time.Millisecond
+	// conflictRetry is the wait before a change that met a conflict is made again.
+	conflictRetry = 200 * time.Millisecond
 	// changeLimit bounds the wait for a change.
 	changeLimit = 60 * time.Second
 )
@@ -40,6 +42,19 @@
 	return s, o.call(ctx, http.MethodGet, "/v1/status", nil, &s)
 }
 
+// applyChange has one number changed. A member that has not heard of the change before refuses the next one: try again.
+func (o operator) applyChange(ctx context.Context) (uint64, error) {
+	for began := time.Now(); ; {
+		generation, err := o.changeConfig(ctx)
+		if err == nil || time.Since(began) > changeLimit || !strings.Contains(err.Error(), "409 Conflict") {
+			return generation, err
+		}
+		if err := sleep(ctx, conflictRetry); err != nil {
+			return 0, err
+		}
+	}
+}
+
 // changeConfig changes one number of the configuration in force, and returns the new generation.
 func (o operator) changeConfig(ctx context.Context) (uint64, error) {
 	var doc operatorapi.ConfigDocument
@@ -93,7 +108,7 @@
 // one hears it.
 func (o operator) timeRollOut(ctx context.Context) (time.Duration, error) {
 	began := time.Now()
-	generation, err := o.changeConfig(ctx)
+	generation, err := o.applyChange(ctx)
 	if err != nil {
 		return 0, err
 	}
--- a/cmd/agateturn-capacity/sample.go
+++ b/cmd/agateturn-capacity/sample.go
@@ -107,7 +107,7 @@
 	switch m.State {
 	case "config":
 		for range m.Changes {
-			if _, err := m.operator.changeConfig(ctx); err != nil {
+			if _, err := m.operator.applyChange(ctx); err != nil {
 				return err
 			}
 		}
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -245,12 +245,27 @@
 	p.dispatch.incoming(ctx, hb)
 	p.tellStager(hb)
 	p.heard.Offer(struct{}{})
-	behind := hb.GetFleetRevision() > p.view.fleet().GetRevision() ||
-		hb.GetConfigGeneration() > p.view.config().GetGeneration()
 	// Many peers tell of the same change at once: one fetch serves for all. A failed one is made up by the next heartbeat.
-	if behind && p.fetching.CompareAndSwap(false, true) {
+	if p.ahead(hb) && p.fetching.CompareAndSwap(false, true) {
 		defer p.fetching.Store(false)
-		p.fetchFrom(ctx, hb.GetName())
+		p.catchUp(ctx, hb)
+	}
+}
+
+// ahead reports whether the sender of a heartbeat has a value newer than ours.
+func (p *peers) ahead(hb *pb.Heartbeat) bool {
+	return hb.GetFleetRevision() > p.view.fleet().GetRevision() ||
+		hb.GetConfigGeneration() > p.view.config().GetGeneration()
+}
+
+// catchUp fetches from the heartbeat's sender, then from another that told of something newer meanwhile.
+func (p *peers) catchUp(ctx context.Context, hb *pb.Heartbeat) {
+	p.fetchFrom(ctx, hb.GetName())
+	p.mu.Lock()
+	newer, found := lo.Find(lo.Values(p.latest), func(r fleet.Received) bool { return p.ahead(r.Heartbeat) })
+	p.mu.Unlock()
+	if found && newer.Heartbeat.GetName() != hb.GetName() {
+		p.fetchFrom(ctx, newer.Heartbeat.GetName())
 	}
 }
 
