--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 GOFUMPT_VERSION := v0.12.0
 
 
-.PHONY: help build demo up bench test lint fmt generate check-generated linters fresh
+.PHONY: help build demo up bench capacity test lint fmt generate check-generated linters fresh
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' Makefile | sed -E 's/:.*## /\t/'
 
@@ -21,6 +21,9 @@
 up: build ## start a deployment on loopback and keep it until Ctrl-C; DEPLOYMENT=agency or brenaz
 	scripts/up.sh $(DEPLOYMENT)
 
+capacity: build ## measure what control costs at several sizes and write docs/capacity.*; takes about 20 minutes
+	scripts/capacity.sh all
+
 test: ## run all tests with the race detector
 	go test -race -count=1 ./...
 
--- a/internal/entryhost/follow.go
+++ b/internal/entryhost/follow.go
@@ -26,10 +26,12 @@
 
 // follower brings newer values from the store into the view.
 type follower struct {
-	kv     store.KV
-	view   *view
-	name   string
-	logger *slog.Logger
+	kv   store.KV
+	view *view
+	name string
+	// identity names this process as a controller.
+	identity string
+	logger   *slog.Logger
 }
 
 // run follows one key until ctx ends, as a watcher or by rare reads.
@@ -82,7 +84,7 @@
 // watches reports whether this entry host is one of the few that keep watches open: the first by rendezvous hashing.
 func (f *follower) watches() bool {
 	members := f.view.fleet().GetMembers()
-	if len(members) <= watchers || f.view.fleet().GetController() == f.name {
+	if len(members) <= watchers || f.view.fleet().GetController() == f.identity {
 		return true
 	}
 	names := lo.Map(members, func(m *pb.Member, _ int) string { return m.GetName() })
--- a/internal/entryhost/provide.go
+++ b/internal/entryhost/provide.go
@@ -118,10 +118,11 @@
 
 func provideFollower(i do.Injector) (*follower, error) {
 	return &follower{
-		kv:     do.MustInvoke[*kvhttp.Store](i),
-		view:   do.MustInvoke[*view](i),
-		name:   do.MustInvoke[*pb.Member](i).GetName(),
-		logger: do.MustInvoke[*slog.Logger](i),
+		kv:       do.MustInvoke[*kvhttp.Store](i),
+		view:     do.MustInvoke[*view](i),
+		name:     do.MustInvoke[*pb.Member](i).GetName(),
+		identity: identity(do.MustInvoke[*pb.Member](i)),
+		logger:   do.MustInvoke[*slog.Logger](i),
 	}, nil
 }
 
