Lend slots in the borrower's data centre first

Cause: a loan in another data centre makes each exchange with the worker longer; PeerDemand.DataCentre was not used. Change: a stable order by data centre before lending. Also, Queue.Demand lists every configured pool, so that Balance lends in a pool that this entry host has not been asked for yet. The bench models no way to the workers, so it shows no gain; one borrower asks at a time in TestLendsInTheBorrowersDataCentreFirst, which was seen to fail without the order.

--- a/admission/demand.go
+++ b/admission/demand.go
@@ -51,8 +51,9 @@
 
 func (s *slotsSeen) at(time.Time) int { return max(s.value, s.previous) }
 
-// Demand returns the load of each pool that this entry host has queued for, by name. Requests that wait for their
-// team's quota don't count as queued, since more slots wouldn't start them.
+// Demand returns the load of each pool that has a service or a request, by name. Requests that wait for their team's
+// quota don't count as queued, since more slots wouldn't start them. Idle is what the last Next of the pool left unused;
+// an embedder that knows the free slots of now puts them in its place.
 func (q *Queue) Demand(now time.Time) []*pb.PoolDemand {
 	out := make([]*pb.PoolDemand, 0, len(q.pools))
 	for _, p := range q.pools {
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -80,6 +80,7 @@
 	for _, s := range c.GetServices() {
 		q.active[s.GetName()] = true
 		q.configureService(s)
+		q.pool(s.GetPool())
 	}
 	q.known = map[string]bool{}
 	for _, t := range c.GetTeams() {
--- a/slots/balance.go
+++ b/slots/balance.go
@@ -23,7 +23,7 @@
 // PeerDemand is what a peer's last heartbeat said of its load.
 type PeerDemand struct {
 	Pools []*pb.PoolDemand
-	// DataCentre is where the peer stands.
+	// DataCentre is where the peer stands; it is lent slots of hosts there first.
 	DataCentre string
 	// Heard is when the heartbeat arrived; zero means just now. Nothing is lent on a demand that is older than a few
 	// heartbeats.
@@ -34,6 +34,8 @@
 type poolPeer struct {
 	id     memberID
 	demand *pb.PoolDemand
+	// dataCentre is where it stands.
+	dataCentre string
 	// wanted is the number of slots it could use beyond those that it has or is being lent.
 	wanted int
 }
@@ -61,7 +63,7 @@
 	out := map[string][]poolPeer{}
 	for _, id := range ids {
 		for _, d := range peers[id.name].Pools {
-			out[d.GetPool()] = append(out[d.GetPool()], poolPeer{id: id, demand: d})
+			out[d.GetPool()] = append(out[d.GetPool()], poolPeer{id: id, demand: d, dataCentre: peers[id.name].DataCentre})
 		}
 	}
 	return out
@@ -150,6 +152,9 @@
 			n = ceilDiv(p.wanted*allIdle, total)
 		}
 		n = min(ceilDiv(n*spare, allIdle), len(idle))
+		sort.SliceStable(idle, func(i, j int) bool {
+			return idle[i].host.DataCentre == p.dataCentre && idle[j].host.DataCentre != p.dataCentre
+		})
 		for _, r := range idle[:n] {
 			r.lent = &lentLoan{id: l.newLoan(p.id), to: p.id}
 			l.pending[p.id.name] = true
--- a/slots/balance_test.go
+++ b/slots/balance_test.go
@@ -54,6 +54,22 @@
 	assert.Equal(t, two.Borrowed(), 3)
 }
 
+func TestLendsInTheBorrowersDataCentreFirst(t *testing.T) {
+	now := time.Unix(100, 0)
+	one, _, talk := pair()
+	one.SetHosts([]HostSlots{
+		{Host: "big", Pool: worldPool, Slots: 16, DataCentre: "palermo"},
+		{Host: "far", Pool: worldPool, Slots: 16, DataCentre: "catania"},
+	})
+	talk()
+	far := map[string]PeerDemand{"e1": {Pools: demandOf(2, 0), DataCentre: "catania"}}
+	one.Balance(now, demandOf(0, 0), far)
+	assert.Equal(t, one.Lent(), 2)
+	for key := range one.lent {
+		assert.Equal(t, key.host, "far")
+	}
+}
+
 func TestRecallsFromTheShorterQueue(t *testing.T) {
 	now := time.Unix(100, 0)
 	one, two, talk := pair()
