Bound what a long session charges its team

Cause: the end of a run corrects the team's charge; a session of an hour made its team wait until the others had used as much for their weight, which on a small pool is hours. Change: a team of weight 1 owes at most 10 s of run time. What failed first: TestLongSessionDoesNotShutItsTeamOut against the code before: no slot for a minute. Runs: go test ./admission passes.

--- a/admission/lane.go
+++ b/admission/lane.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// maxDebt is the run time, in seconds, that a team of weight 1 can owe the others, so that a long session doesn't shut its
+// team out of a contended pool.
+const maxDebt = 10.0
+
 // item is a request that is queued or running.
 type item struct {
 	Request
@@ -168,9 +172,10 @@
 	l.remove(it)
 }
 
-// correct replaces the charge for a run by what it took.
+// correct replaces the charge for a run by what it took, within the bound of a team's debt.
 func (l *lane) correct(it *item, took time.Duration) {
 	tl := it.team
 	tl.tag = max(0, tl.tag+(took.Seconds()-it.cost)/tl.team.weight)
+	tl.tag = min(tl.tag, l.now+maxDebt/tl.team.weight)
 	l.backlog.fix(tl)
 }
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -120,6 +120,16 @@
 	return n
 }
 
+func (j *judge) queuedOf(team string) int {
+	n := 0
+	for _, r := range j.queued {
+		if r.Team == team {
+			n++
+		}
+	}
+	return n
+}
+
 func (j *judge) offer(r admission.Request) {
 	j.lastID++
 	r.ID, r.Pool, r.Arrival = j.lastID, "p", j.now
@@ -357,3 +367,32 @@
 	assert.Assert(t, normal > 100, "%d normal requests got their turn", normal)
 	assert.DeepEqual(t, j.faults, map[string]int{})
 }
+
+// TestLongSessionDoesNotShutItsTeamOut: a team pays for a session of an hour, but not for as long.
+func TestLongSessionDoesNotShutItsTeamOut(t *testing.T) {
+	q := configured()
+	now := time.Unix(1000, 0)
+	q.Offer(now, admission.Request{ID: 1, Service: "slow", Pool: "p", Team: "a"})
+	starts, _ := q.Next(now, "p", 1)
+	assert.DeepEqual(t, starts, []uint64{1})
+	now = now.Add(time.Hour)
+	q.Done(now, 1, time.Hour, true)
+
+	j := newJudge(seeded(1), q)
+	j.now, j.lastID = now, 1
+	for range 3000 {
+		for _, team := range teams {
+			for j.queuedOf(team) < 10 {
+				j.offer(admission.Request{Service: "quick", Team: team, Deadline: j.now.Add(time.Hour)})
+			}
+		}
+		j.step()
+	}
+	started := 0
+	for id := range j.started {
+		if j.request[id].Team == "a" {
+			started++
+		}
+	}
+	assert.Assert(t, started > 0, "the team got no slot for a minute")
+}
