Let a full queue displace the team that is furthest behind

Cause: one team's flood could fill a service's queue, and every other team was refused until it had drained. Ruled out: a fixed part of the queue for each team, which refuses a single busy team while the queue is empty. Change: Offer displaces the newest request of the team with the most queued for its weight; the rejection comes from the next Next or Expire. The property test runs with queues of 0, 3, 10 and 1000 now; the judge asks for rejections after each offer, as the doc comment demands. What failed first: TestFloodLeavesRoomInTheQueue against the code before.

--- a/admission/expire.go
+++ b/admission/expire.go
@@ -3,9 +3,9 @@
 import "time"
 
 // Expire rejects what has to be given up by now: urgent requests that have not started in time, and requests that can
-// no longer finish before their deadline.
+// no longer finish before their deadline. It also returns what Offer has displaced.
 func (q *Queue) Expire(now time.Time) []Rejection {
-	var out []Rejection
+	out := q.takeDisplaced()
 	for _, name := range q.names {
 		out = q.expireService(now, q.services[name], out)
 	}
--- a/admission/lane.go
+++ b/admission/lane.go
@@ -71,6 +71,7 @@
 	tag       float64
 	work      float64
 	heapPlace int
+	longPlace int
 }
 
 func (t *teamLane) less(o *teamLane) bool {
@@ -81,10 +82,24 @@
 }
 func (t *teamLane) place() *int { return &t.heapPlace }
 
+// byBacklog orders teams by what they have queued for their weight, the most first.
+type byBacklog struct{ *teamLane }
+
+func (a byBacklog) less(b byBacklog) bool {
+	x, y := a.work/a.team.weight, b.work/b.team.weight
+	if x != y {
+		return x > y
+	}
+	return a.team.name < b.team.name
+}
+func (a byBacklog) place() *int { return &a.longPlace }
+
 // lane is the queue of one class in one pool, shared out over teams by start-time fair queueing.
 type lane struct {
 	teams   map[string]*teamLane
 	backlog indexedHeap[*teamLane]
+	// longest holds the same teams, the one that is furthest behind first.
+	longest indexedHeap[byBacklog]
 	// now is the virtual time: the tag of the last start.
 	now float64
 	// work is the run time of all that is queued, in seconds.
@@ -100,7 +115,7 @@
 func (l *lane) teamLane(t *team) *teamLane {
 	tl := l.teams[t.name]
 	if tl == nil {
-		tl = &teamLane{team: t, queue: list.New(), heapPlace: -1}
+		tl = &teamLane{team: t, queue: list.New(), heapPlace: -1, longPlace: -1}
 		l.teams[t.name] = tl
 	}
 	return tl
@@ -117,6 +132,11 @@
 	it.element = tl.queue.PushBack(it)
 	tl.team.queued++
 	tl.work += it.cost
+	if tl.longPlace < 0 {
+		l.longest.push(byBacklog{tl})
+	} else {
+		l.longest.fix(byBacklog{tl})
+	}
 	l.work += it.cost
 	l.count++
 }
@@ -130,8 +150,10 @@
 	tl.work -= it.cost
 	l.work -= it.cost
 	l.count--
+	l.longest.fix(byBacklog{tl})
 	if tl.queue.Len() == 0 {
 		tl.work = 0
+		l.longest.remove(byBacklog{tl})
 		l.weight -= tl.team.weight
 		l.backlog.remove(tl)
 	}
@@ -163,6 +185,14 @@
 	return chosen.queue.Front().Value.(*item)
 }
 
+// last returns the newest item of the team that is furthest behind, or nil.
+func (l *lane) last() *item {
+	if l.longest.len() == 0 {
+		return nil
+	}
+	return l.longest.first().queue.Back().Value.(*item)
+}
+
 // start takes an item out and charges its team.
 func (l *lane) start(it *item) {
 	tl := it.team
--- a/admission/offer.go
+++ b/admission/offer.go
@@ -14,7 +14,8 @@
 	retrySpread = 0.5
 )
 
-// Offer decides on a new request: it is queued, or rejected for good.
+// Offer decides on a new request: it is queued, or rejected for good. A request that finds its service's queue full may
+// displace one of a team that has more queued for its weight; call Next or Expire after Offer to get that rejection.
 func (q *Queue) Offer(now time.Time, r Request) Decision {
 	s, reason := q.check(&r, now)
 	if reason != ReasonNone {
@@ -31,6 +32,9 @@
 	if reason, late := q.tooLate(now, it, wait); reason != ReasonNone {
 		return q.refuse(s, r, reason, late)
 	}
+	if s.queued[r.Class] >= s.maxQueue && !q.makeRoom(now, it) {
+		return q.refuse(s, r, ReasonQueueFull, 0)
+	}
 	q.enqueue(it)
 	return Decision{Queued: true}
 }
@@ -50,9 +54,6 @@
 	if q.limits.MaxRequests > 0 && len(q.items) >= q.limits.MaxRequests {
 		return s, ReasonHostFull
 	}
-	if s.queued[r.Class] >= s.maxQueue {
-		return s, ReasonQueueFull
-	}
 	if r.Arrival.IsZero() {
 		r.Arrival = now
 	}
@@ -62,6 +63,28 @@
 	return s, ReasonNone
 }
 
+// makeRoom drops the newest request of the team that is furthest behind, so that its flood can't shut other teams out of
+// a full queue. It returns false if the offered item's own team would still be as far behind, or the item wouldn't help.
+// The rejection is handed out by the next Next or Expire.
+func (q *Queue) makeRoom(now time.Time, it *item) bool {
+	victim := it.lane.last()
+	if victim == nil || victim.service != it.service || victim.team == it.team {
+		return false
+	}
+	if (it.team.work+it.cost)/it.team.team.weight >= victim.team.work/victim.team.team.weight {
+		return false
+	}
+	q.displaced = append(q.displaced, q.giveUp(now, victim, ReasonQueueFull))
+	return true
+}
+
+// takeDisplaced hands out the rejections that Offer has caused.
+func (q *Queue) takeDisplaced() []Rejection {
+	out := q.displaced
+	q.displaced = nil
+	return out
+}
+
 // enqueue adds an item to the queues.
 func (q *Queue) enqueue(it *item) {
 	q.items[it.ID] = it
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -58,6 +58,8 @@
 	known  map[string]bool
 	pools  map[string]*pool
 	items  map[uint64]*item
+	// displaced are rejections to be handed out by the next Next or Expire.
+	displaced []Rejection
 }
 
 // New returns an empty queue. It refuses everything until it is configured.
@@ -153,6 +155,7 @@
 func (q *Queue) Next(now time.Time, poolName string, slots int) (starts []uint64, rejects []Rejection) {
 	p := q.pool(poolName)
 	p.slots.see(now, p.running+slots)
+	rejects = q.takeDisplaced()
 	for _, s := range p.services {
 		rejects = q.expireService(now, s, rejects)
 	}
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -32,12 +32,14 @@
 	SetTeamUsage(team string, others int64)
 }
 
-func configured() *admission.Queue {
+func configured() *admission.Queue { return configuredWith(1000) }
+
+func configuredWith(maxQueue int64) *admission.Queue {
 	c := &pb.Configuration{}
 	for _, s := range []string{"quick", "slow"} {
 		c.Services = append(c.Services, &pb.Service{
 			Name: s, Pool: "p", Deadline: durationpb.New(time.Second), RunTime: durationpb.New(300 * time.Millisecond),
-			MaxQueue: 1000, UrgentStart: durationpb.New(urgentStart),
+			MaxQueue: maxQueue, UrgentStart: durationpb.New(urgentStart),
 		})
 	}
 	for i, t := range teams {
@@ -134,7 +136,10 @@
 	j.lastID++
 	r.ID, r.Pool, r.Arrival = j.lastID, "p", j.now
 	j.request[r.ID] = r
-	if d := j.s.Offer(j.now, r); d.Queued {
+	d := j.s.Offer(j.now, r)
+	_, displaced := j.s.Next(j.now, "p", 0)
+	j.rejected(displaced)
+	if d.Queued {
 		j.queued[r.ID] = r
 	} else {
 		j.ends[r.ID]++
@@ -157,12 +162,7 @@
 func (j *judge) next() {
 	free := poolSlots - len(j.running)
 	starts, rejects := j.s.Next(j.now, "p", free)
-	for _, r := range rejects {
-		j.end(r.ID)
-		if r.RetryAfter <= 0 {
-			j.faults["no time to come back"]++
-		}
-	}
+	j.rejected(rejects)
 	for _, id := range starts {
 		j.start(id)
 	}
@@ -176,6 +176,15 @@
 	}
 }
 
+func (j *judge) rejected(rejects []admission.Rejection) {
+	for _, r := range rejects {
+		j.end(r.ID)
+		if r.RetryAfter <= 0 {
+			j.faults["no time to come back"]++
+		}
+	}
+}
+
 // end checks that a queued request has just one end.
 func (j *judge) end(id uint64) admission.Request {
 	r, ok := j.queued[id]
@@ -280,7 +289,8 @@
 
 func TestQueueKeepsItsPromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		j := newJudge(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }, configured())
+		maxQueue := rapid.SampledFrom([]int64{0, 3, 10, 1000}).Draw(t, "longest queue")
+		j := newJudge(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }, configuredWith(maxQueue))
 		j.run(200)
 		assert.DeepEqual(t, j.faults, map[string]int{})
 	})
@@ -396,3 +406,27 @@
 	}
 	assert.Assert(t, started > 0, "the team got no slot for a minute")
 }
+
+// TestFloodLeavesRoomInTheQueue: one team fills the queue, and the others still get in.
+func TestFloodLeavesRoomInTheQueue(t *testing.T) {
+	q := configured()
+	now := time.Unix(1000, 0)
+	id := uint64(0)
+	offer := func(team string) admission.Decision {
+		id++
+		r := admission.Request{ID: id, Service: "quick", Pool: "p", Team: team, Deadline: now.Add(time.Hour)}
+		return q.Offer(now, r)
+	}
+	for range 1000 {
+		assert.Assert(t, offer("a").Queued)
+	}
+	assert.Equal(t, offer("a").Reason, admission.ReasonQueueFull)
+	for n := range 100 {
+		assert.Assert(t, offer("b").Queued, "request %d of a team with nothing queued was refused", n)
+	}
+	rejects := q.Expire(now)
+	assert.Equal(t, len(rejects), 100)
+	for _, r := range rejects {
+		assert.Assert(t, r.ID <= 1000 && r.Reason == admission.ReasonQueueFull)
+	}
+}
