--- a/bench/demand.go
+++ b/bench/demand.go
@@ -51,6 +51,12 @@
 // end is the last instant of the demand.
 func end() time.Time { return turnStart(turns) }
 
+// drained is when the last request has ended.
+func drained() time.Time {
+	const drain = 25 * time.Second
+	return end().Add(drain)
+}
+
 // demand generates all requests of a run by arrival.
 func demand(d Deployment, rng *rand.Rand) []arrival {
 	var out []arrival
