--- a/bench/run_test.go
+++ b/bench/run_test.go
@@ -43,10 +43,13 @@
 // alone.
 func TestLoansKeepTheLimit(t *testing.T) {
 	for _, d := range []bench.Deployment{bench.Agency(), bench.Brenaz()} {
-		alone := bench.RunWay(d, bench.HomeSlots, []uint64{11})
-		loans := bench.RunWay(d, bench.HomeSlotsAndLoans, []uint64{11})
-		assert.Equal(t, alone.Violations, 0)
-		assert.Equal(t, loans.Violations, 0)
-		assert.Assert(t, loans.InTime > alone.InTime)
+		for _, seed := range []uint64{11, 12} {
+			alone := bench.RunWay(d, bench.HomeSlots, []uint64{seed})
+			loans := bench.RunWay(d, bench.HomeSlotsAndLoans, []uint64{seed})
+			assert.Equal(t, loans.Offered, loans.InTime+loans.Late+loans.Shed+loans.Lost)
+			assert.Equal(t, alone.Violations, 0)
+			assert.Equal(t, loans.Violations, 0)
+			assert.Assert(t, loans.InTime > alone.InTime)
+		}
 	}
 }
