Tell a peer early when a loan or a shortage waits to be told

Cause: the dispatcher kicked all peers while anything was queued, at most each 200 ms; the ledger knows better whom to tell.

--- a/cmd/agateturn-bench/main.go
+++ b/cmd/agateturn-bench/main.go
@@ -19,7 +19,7 @@
 
 // slotsCommand compares ways of sharing slots.
 type slotsCommand struct {
-	Seeds      int    `help:"Number of seeds to run each way with; the table shows the means." default:"3"`
+	Seeds      int    `help:"Number of seeds to run each way with; the table shows the means." default:"5"`
 	Deployment string `help:"Deployment to run; both runs the users' two." enum:"agency,brenaz,design,both" default:"both"`
 }
 
--- a/internal/entryhost/dispatch.go
+++ b/internal/entryhost/dispatch.go
@@ -9,7 +9,6 @@
 
 	"github.com/agateturn/agateturn/admission"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
-	"github.com/agateturn/agateturn/internal/operatorapi"
 	"github.com/agateturn/agateturn/internal/ring"
 	"github.com/agateturn/agateturn/routing"
 	"github.com/agateturn/agateturn/slots"
@@ -18,6 +17,8 @@
 const (
 	// commandCapacity bounds the commands that wait for the dispatcher.
 	commandCapacity = 8192
+	// newsCapacity bounds the peers that wait for an early heartbeat.
+	newsCapacity = 64
 	// commandBatch is the number of commands taken before the queues are looked at again.
 	commandBatch = 256
 	// dispatchTick is the time between two looks at deadlines and loans.
@@ -79,7 +80,7 @@
 	view     *view
 	self     *pb.Owner
 	commands *ring.Ring[command]
-	demand   *ring.Ring[struct{}] // signalled when a queue grows and peers should hear of it
+	news     *ring.Ring[string] // peers that should get a heartbeat early
 
 	queues  *admission.Queue
 	ledger  *slots.Ledger
@@ -103,7 +104,7 @@
 		view:     v,
 		self:     self,
 		commands: ring.New[command]("dispatch", commandCapacity),
-		demand:   ring.New[struct{}]("demand", 1),
+		news:     ring.New[string]("news", newsCapacity),
 		queues:   admission.New(admission.Limits{MaxRequests: maxRequests}),
 		ledger:   slots.NewLedger(self),
 		router:   routing.New(routing.Options{DataCentre: place}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
@@ -151,13 +152,28 @@
 	for _, r := range d.queues.Expire(now) {
 		d.reject(r)
 	}
-	own := d.queues.Demand(now)
-	d.ledger.Balance(now, own, d.peers)
-	if lo.SomeBy(own, func(p *pb.PoolDemand) bool { return p.GetQueued() > 0 }) {
-		d.demand.Offer(struct{}{})
+	d.balance(now)
+}
+
+// balance trades slots with the peers, and has those told early for whom there is news.
+func (d *dispatcher) balance(now time.Time) {
+	d.ledger.Balance(now, d.demand(now), d.peers)
+	for name := range d.peers {
+		if d.ledger.Pending(name) {
+			d.news.Offer(name) // a full ring loses nothing: the peer stays pending until it is told
+		}
 	}
 }
 
+// demand is this entry host's load, with the slots that it could use and does not.
+func (d *dispatcher) demand(now time.Time) []*pb.PoolDemand {
+	pools := d.queues.Demand(now)
+	for _, p := range pools {
+		p.Idle = int64(d.ledger.FreeSlots(p.GetPool()))
+	}
+	return pools
+}
+
 // schedule starts as much queued work as there are usable slots.
 func (d *dispatcher) schedule(now time.Time) {
 	if len(d.waiting) == 0 {
@@ -340,158 +356,3 @@
 		})
 	})
 }
-
-// applyFleet implements fleetApplier: it returns when the dispatcher obeys the fleet.
-func (d *dispatcher) applyFleet(f *pb.Fleet, cfg *pb.Configuration) {
-	if f == nil || cfg == nil {
-		return
-	}
-	applied := make(chan struct{})
-	_ = d.commands.Put(context.Background(), func(d *dispatcher, now time.Time) {
-		d.takeOver(now, f, cfg)
-		close(applied)
-	})
-	<-applied
-}
-
-// takeOver installs a fleet and a configuration.
-func (d *dispatcher) takeOver(now time.Time, f *pb.Fleet, cfg *pb.Configuration) {
-	d.pools = lo.Map(cfg.GetPools(), func(p *pb.Pool, _ int) string { return p.GetName() })
-	d.hosts = lo.KeyBy(cfg.GetHosts(), (*pb.Host).GetName)
-	states := lo.KeyBy(f.GetHosts(), (*pb.HostState).GetHost)
-	d.queues.Configure(cfg)
-	d.ledger.SetHosts(lo.Map(cfg.GetHosts(), func(h *pb.Host, _ int) slots.HostSlots {
-		state := states[h.GetName()]
-		return slots.HostSlots{
-			Host:       h.GetName(),
-			Pool:       state.GetPool(),
-			Slots:      int(h.GetSlots()),
-			DataCentre: h.GetDataCentre(),
-			Closed:     state.GetPhase() != pb.HostPhase_HOST_PHASE_ACTIVE,
-		}
-	}))
-	d.ledger.SetOwners(f)
-	present := lo.KeyBy(f.GetMembers(), (*pb.Member).GetName)
-	d.peers = lo.PickBy(d.peers, func(name string, _ slots.PeerDemand) bool { return present[name] != nil })
-	d.leaving = lo.PickBy(d.leaving, func(name string, _ []string) bool { return present[name] != nil })
-	d.usage = lo.PickBy(d.usage, func(name string, _ map[string]int64) bool { return present[name] != nil })
-	d.due = dueForMaintenance(f, cfg, now)
-}
-
-// dueForMaintenance is when each host of a running wave may be taken.
-func dueForMaintenance(f *pb.Fleet, cfg *pb.Configuration, now time.Time) map[string]time.Time {
-	due := map[string]time.Time{}
-	if cfg.GetMaintenance() == nil {
-		return due
-	}
-	for _, w := range f.GetWaves() {
-		if w.GetPhase() != pb.WavePhase_WAVE_PHASE_RUNNING {
-			continue
-		}
-		for _, host := range w.GetPending() {
-			due[host] = now
-		}
-	}
-	return due
-}
-
-// incoming takes over a peer's heartbeat.
-func (d *dispatcher) incoming(ctx context.Context, hb *pb.Heartbeat) {
-	_ = d.commands.Put(ctx, func(d *dispatcher, now time.Time) {
-		d.ledger.Incoming(hb)
-		d.peers[hb.GetName()] = slots.PeerDemand{Pools: hb.GetDemand(), DataCentre: hb.GetDataCentre()}
-		d.router.Merge(hb.GetName(), hb.GetHealth())
-		d.takeUsage(hb)
-		d.leaving[hb.GetName()] = hb.GetLeavingHosts()
-		d.ledger.Balance(now, d.queues.Demand(now), d.peers)
-	})
-}
-
-// slotStatus counts the slots; all zero if ctx ends first.
-func (d *dispatcher) slotStatus(ctx context.Context) operatorapi.SlotStatus {
-	counted := make(chan operatorapi.SlotStatus, 1)
-	err := d.commands.Put(ctx, func(d *dispatcher, _ time.Time) {
-		counted <- operatorapi.SlotStatus{
-			Own:      d.ledger.Own(),
-			InUse:    d.ledger.InUse(),
-			Lent:     d.ledger.Lent(),
-			Borrowed: d.ledger.Borrowed(),
-			Waiting:  d.ledger.Waiting(),
-		}
-	})
-	if err != nil {
-		return operatorapi.SlotStatus{}
-	}
-	return <-counted
-}
-
-// shun gives no more work to the hosts that the platform's list shows leaving or gone. The fleet drains them too, but
-// not while the store is down.
-func (d *dispatcher) shun(ctx context.Context, hosts []string) {
-	_ = d.commands.Put(ctx, func(d *dispatcher, _ time.Time) { d.leaving[d.self.GetName()] = hosts })
-}
-
-func (d *dispatcher) isLeaving(host string) bool {
-	for _, hosts := range d.leaving {
-		if lo.Contains(hosts, host) {
-			return true
-		}
-	}
-	return false
-}
-
-// takeUsage sums up what each team runs on the other entry hosts.
-func (d *dispatcher) takeUsage(hb *pb.Heartbeat) {
-	before := d.usage[hb.GetName()]
-	now := lo.SliceToMap(hb.GetTeamUsage(), func(u *pb.TeamUsage) (string, int64) { return u.GetTeam(), u.GetRunning() })
-	d.usage[hb.GetName()] = now
-	for _, team := range lo.Union(lo.Keys(before), lo.Keys(now)) {
-		total := int64(0)
-		for _, peer := range d.usage {
-			total += peer[team]
-		}
-		d.queues.SetTeamUsage(team, total)
-	}
-}
-
-// teamUsage is what each team runs here.
-func (d *dispatcher) teamUsage() []*pb.TeamUsage {
-	running := lo.CountValuesBy(lo.Values(d.running), func(t *ticket) string { return t.request.Team })
-	return lo.MapToSlice(running, func(team string, n int) *pb.TeamUsage {
-		return &pb.TeamUsage{Team: team, Running: int64(n)}
-	})
-}
-
-// allowRetry takes a retry from the service's budget.
-func (d *dispatcher) allowRetry(ctx context.Context, service string) bool {
-	allowed := make(chan bool, 1)
-	err := d.commands.Put(ctx, func(d *dispatcher, now time.Time) { allowed <- d.router.AllowRetry(now, service) })
-	if err != nil {
-		return false
-	}
-	return <-allowed
-}
-
-// compose fills the dispatcher's part of a heartbeat to a peer, and gives it its sequence number.
-func (d *dispatcher) compose(ctx context.Context, peer string, hb *pb.Heartbeat) error {
-	composed := make(chan struct{})
-	err := d.commands.Put(ctx, func(d *dispatcher, now time.Time) {
-		defer close(composed)
-		d.sequence++
-		hb.Sequence = d.sequence
-		hb.Slots = d.ledger.Outgoing(peer)
-		hb.Demand = d.queues.Demand(now)
-		hb.TeamUsage = d.teamUsage()
-		hb.Health = d.router.Health()
-		hb.LeavingHosts = d.leaving[d.self.GetName()]
-	})
-	if err != nil {
-		return err
-	}
-	select {
-	case <-composed:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	// demandGap is the shortest time between two heartbeats sent because a queue grew.
-	demandGap = 200 * time.Millisecond
+	// newsGap is the shortest time between an exchange and an early heartbeat.
+	newsGap = 50 * time.Millisecond
 	// peerMessageLimit bounds one message from a peer, in bytes.
 	peerMessageLimit = 4 << 20
 	// compressFrom is the size of the smallest message that is compressed, in bytes: values are, heartbeats are not.
@@ -71,7 +71,6 @@
 func (p *peers) run(ctx context.Context) {
 	ticker := time.NewTicker(p.heartbeat)
 	defer ticker.Stop()
-	var lastDemand time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -82,11 +81,8 @@
 		case <-p.changed.Items():
 			p.reconcile(ctx)
 			p.kickAll()
-		case <-p.dispatch.demand.Items():
-			if time.Since(lastDemand) >= demandGap {
-				lastDemand = time.Now()
-				p.kickAll()
-			}
+		case name := <-p.dispatch.news.Items():
+			p.kickEarly(name)
 		}
 	}
 }
@@ -178,6 +174,15 @@
 	}
 }
 
+// kickEarly sends a peer a heartbeat before its turn, unless something was just said: the peer stays pending then.
+func (p *peers) kickEarly(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.links[name]; l != nil && time.Since(l.last) >= newsGap {
+		l.kick.Offer(struct{}{})
+	}
+}
+
 func (p *peers) kickAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
