entryhost: bound the connections of each listener

Cause: nothing bounded the connections held at once on any listener, nor the time of a request's body on the peers' listener: a body that never came held its connection for ever. Ruled out: making Accept wait for room; a caller beyond the bound would then get no answer at all. Change: internal/limitlisten answers a connection beyond the bound with a whole 503 with Retry-After and closes it. The callers' bound is twice max_requests, the peers' 1024, the operators' 256. Whole requests on the last two end after header_timeout and body_timeout. Before: TestFaultyInput, port 7001 slow body: neither answered nor closed. After: answered 504.

--- a/internal/entryhost/listen.go
+++ b/internal/entryhost/listen.go
@@ -6,31 +6,47 @@
 	"net/http"
 
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
+	"github.com/agateturn/agateturn/internal/limitlisten"
 	"github.com/agateturn/agateturn/internal/operatorapi"
 )
 
+const (
+	// callerConnections is the number of callers' connections held at once for each request that may be held.
+	callerConnections = 2
+	// peerConnections and operatorConnections bound the connections held at once on the other listeners.
+	peerConnections     = 1024
+	operatorConnections = 256
+
+	// fullAnswer answers a connection beyond the bound, in the form of the refusals of callers' requests.
+	fullAnswer = "HTTP/1.1 503 Service Unavailable\r\n" + headerOutcome + ": not-run\r\nRetry-After: 1\r\n" +
+		"Content-Type: application/json\r\nContent-Length: 102\r\nConnection: close\r\n\r\n" +
+		`{"outcome":"not-run","reason":"this entry host holds its limit of connections","retry_after_ms":1000}` + "\n"
+)
+
 // listen opens the three listeners. None is left open when one fails.
 func (d *Daemon) listen(ctx context.Context) (*servers, error) {
 	host := d.settings.GetEntryHost()
 	var opened []*server
-	open := func(name, address string, handler http.Handler) (*server, error) {
+	open := func(name, address string, connections int64, handler http.Handler) (*server, error) {
 		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 		if err != nil {
 			return nil, errListen.New("%s listener on %s: %v", name, address, err)
 		}
-		s := &server{name: name, listener: listener, server: d.httpServer(handler)}
+		limited := limitlisten.New(listener.(*net.TCPListener), int(connections), []byte(fullAnswer))
+		s := &server{name: name, listener: limited, server: d.httpServer(handler)}
 		opened = append(opened, s)
 		return s, nil
 	}
 	result := &servers{}
 	var err error
-	if result.callers, err = open("callers", host.GetCallerAddress(), d.callers); err == nil {
-		result.operators, err = open("operators", host.GetOperatorAddress(), d.operatorHandler()) //nolint:contextcheck // each request brings its own context
+	if result.callers, err = open("callers", host.GetCallerAddress(), callerConnections*d.settings.GetLimits().GetMaxRequests(), d.callers); err == nil {
+		result.operators, err = open("operators", host.GetOperatorAddress(), operatorConnections, d.operatorHandler()) //nolint:contextcheck // each request brings its own context
 	}
 	if err == nil {
-		result.peers, err = open("peers", host.GetPeerAddress(), d.peerHandler())
+		result.peers, err = open("peers", host.GetPeerAddress(), peerConnections, d.peerHandler())
 	}
 	if err == nil {
+		d.boundReads(result.operators, result.peers)
 		result.peers.listener = trafficMeter(d.stats, trafficPeers).Listener(result.peers.listener)
 	}
 	if err != nil {
@@ -53,6 +69,14 @@
 	}
 }
 
+// boundReads bounds the time of whole requests where the handlers do not.
+func (d *Daemon) boundReads(all ...*server) {
+	limits := d.settings.GetLimits()
+	for _, s := range all {
+		s.server.ReadTimeout = limits.GetHeaderTimeout().AsDuration() + limits.GetBodyTimeout().AsDuration()
+	}
+}
+
 func (d *Daemon) operatorHandler() http.Handler {
 	return operatorapi.New(d, operatorapi.Options{
 		Token:   d.settings.GetOperator().GetToken(),
