entryhost: refuse faulty input clearly, and bound the bodies held at once

Cause, seen in proofs/TestFaultyInput against the former code: - a slow body got no answer: after its timeout the read deadline was cleared, and the server then read the rest of the body without one before it sent the refusal. Every refusal that came before the body had the same fault. - a timeout of centuries, two idempotency keys and a request id that is no text were run. - the path was passed on with its escapes undone, so that %3F began a query (FuzzParsePath). - bodies were bounded one by one, not in sum. Ruled out: full-duplex answers; net/http then panics with "invalid concurrent Body.Read call" on the next request. Change: refuseUnread waits 100 ms for the rest of a body. The path goes on as written. [limits] max_held_bytes bounds the bytes of bodies; it counts what has arrived, so announcing takes nothing.

--- a/internal/entryhost/call.go
+++ b/internal/entryhost/call.go
@@ -9,6 +9,7 @@
 	"hash/fnv"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/google/uuid"
@@ -29,8 +30,13 @@
 	headerIdempotencyKey = "Idempotency-Key"
 )
 
-// maxKeyBytes bounds an idempotency key and a request id.
-const maxKeyBytes = 128
+const (
+	// maxKeyBytes bounds an idempotency key and a request id.
+	maxKeyBytes = 128
+	// maxTimeout is the longest timeout that a caller may ask for. A time further off is beyond the range of Unix
+	// nanoseconds.
+	maxTimeout = 24 * time.Hour
+)
 
 // class is what the caller asks for.
 type class string
@@ -41,17 +47,6 @@
 	classSession class = "session"
 )
 
-func parseClass(text string) (class, error) {
-	switch c := class(text); c {
-	case "":
-		return classNormal, nil
-	case classNormal, classUrgent, classSession:
-		return c, nil
-	default:
-		return "", errBadCaller.New("%s must be normal, urgent or session", headerClass)
-	}
-}
-
 // call is one caller's request, read and checked.
 type call struct {
 	service   *pb.Service
@@ -61,6 +56,7 @@
 	path      string
 	header    http.Header
 	body      []byte
+	taken     int64 // bytes of the body budget
 	key       string
 	requestID string
 	arrived   time.Time
@@ -73,7 +69,7 @@
 	if cfg == nil {
 		return nil, refuse(http.StatusServiceUnavailable, errNoConfig.New("").Error())
 	}
-	name, path, ok := serviceAndPath(r.URL.Path)
+	name, path, ok := serviceAndPath(r.URL.EscapedPath())
 	if !ok {
 		return nil, refuse(http.StatusNotFound, "the path must be /v1/services/{service}/{path}")
 	}
@@ -85,20 +81,12 @@
 	if !lo.SomeBy(cfg.GetTeams(), func(t *pb.Team) bool { return t.GetName() == team }) {
 		return nil, refuse(http.StatusForbidden, "the "+headerTeam+" header must name a configured team")
 	}
-	class, err := parseClass(r.Header.Get(headerClass))
+	wishes, err := parseWishes(r.Header, service)
 	if err != nil {
 		return nil, refuse(http.StatusBadRequest, err.Error())
 	}
-	timeout, err := timeoutOf(r.Header.Get(headerTimeout), service)
-	if err != nil {
-		return nil, refuse(http.StatusBadRequest, headerTimeout+" must be a positive duration such as 10s")
-	}
-	key, requestID := r.Header.Get(headerIdempotencyKey), r.Header.Get(headerRequestID)
-	if len(key) > maxKeyBytes || len(requestID) > maxKeyBytes {
-		return nil, refuse(http.StatusBadRequest, "keys and request ids have at most 128 bytes")
-	}
-	if requestID == "" {
-		requestID = uuid.NewString()
+	if wishes.requestID == "" {
+		wishes.requestID = uuid.NewString()
 	}
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
@@ -106,45 +94,46 @@
 	return &call{
 		service:   service,
 		team:      team,
-		class:     class,
+		class:     wishes.class,
 		method:    r.Method,
 		path:      path,
 		header:    r.Header,
-		key:       key,
-		requestID: requestID,
+		key:       wishes.key,
+		requestID: wishes.requestID,
 		arrived:   now,
-		deadline:  now.Add(timeout),
+		deadline:  now.Add(wishes.timeout),
 	}, nil
 }
 
-func timeoutOf(text string, service *pb.Service) (time.Duration, error) {
-	if text == "" {
-		return service.GetDeadline().AsDuration(), nil
-	}
-	timeout, err := time.ParseDuration(text)
-	if err == nil && timeout <= 0 {
-		err = errBadCaller.New("timeout %s", text)
-	}
-	return timeout, err
-}
-
 // readBody reads the whole body, within the limits of size and time, before the request queues: a slow caller holds no slot.
-func (c *call) readBody(w http.ResponseWriter, r *http.Request, limits *pb.LimitSettings) *refusal {
+func (c *call) readBody(w http.ResponseWriter, r *http.Request, limits *pb.LimitSettings, budget *bodyBudget) *refusal {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
 	}
+	if r.ContentLength > limits.GetMaxBodyBytes() {
+		return refuse(http.StatusRequestEntityTooLarge, "the body is larger than [limits] max_body_bytes")
+	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(limits.GetBodyTimeout().AsDuration()))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limits.GetMaxBodyBytes()))
-	_ = control.SetReadDeadline(time.Time{})
+	length := r.ContentLength
+	if length < 0 {
+		length = limits.GetMaxBodyBytes()
+	}
+	var err error
+	c.body, c.taken, err = budget.read(http.MaxBytesReader(w, r.Body, limits.GetMaxBodyBytes()), length)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return refuse(http.StatusRequestEntityTooLarge, "the body is larger than [limits] max_body_bytes")
-	case err != nil:
+	case errBodiesFull.Has(err):
+		r := notRun(http.StatusServiceUnavailable, err.Error(), retryUnready)
+		return &r
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return refuse(http.StatusRequestTimeout, "the body did not arrive whole within [limits] body_timeout")
+	case err != nil:
+		return refuse(http.StatusBadRequest, "the body is not whole or not well formed: "+err.Error())
 	}
-	c.body = body
+	_ = control.SetReadDeadline(time.Time{})
 	return nil
 }
 
--- a/internal/entryhost/caller.go
+++ b/internal/entryhost/caller.go
@@ -33,7 +33,8 @@
 	logger   *slog.Logger
 	ready    func() error
 
-	held atomic.Int64 // requests held now
+	held   atomic.Int64 // requests held now
+	bodies *bodyBudget
 }
 
 // ServeHTTP serves readiness checks and POST/GET/... /v1/services/{service}/{path}.
@@ -44,7 +45,7 @@
 	}
 	if s.held.Add(1) > s.limits.GetMaxRequests() {
 		s.held.Add(-1)
-		writeRefusal(w, notRun(http.StatusServiceUnavailable, "this entry host holds its limit of requests", time.Second))
+		refuseUnread(w, r, notRun(http.StatusServiceUnavailable, "this entry host holds its limit of requests", time.Second))
 		return
 	}
 	defer s.held.Add(-1)
@@ -64,10 +65,11 @@
 	arrived := time.Now()
 	c, refusal := s.parse(r, arrived)
 	if refusal == nil {
-		refusal = c.readBody(w, r, s.limits)
+		refusal = c.readBody(w, r, s.limits, s.bodies)
+		defer func() { s.bodies.give(c.taken) }()
 	}
 	if refusal != nil {
-		writeRefusal(w, *refusal)
+		refuseUnread(w, r, *refusal)
 		return
 	}
 	ctx, cancel := c.context(r.Context())
--- a/internal/entryhost/errors.go
+++ b/internal/entryhost/errors.go
@@ -14,5 +14,6 @@
 	errBadCaller   = errs.Class("the request cannot be served as it is")
 	errUnreachable = errs.Class("peer not reachable")
 	errListen      = errs.Class("cannot listen; free the address or change it in [entry_host]")
+	errBodiesFull  = errs.Class("the entry host is busy; send the request again after the Retry-After time")
 	errKeyMoving   = errs.Class("the idempotency key is changing its owner; nothing ran; send it again in a moment")
 )
--- a/internal/entryhost/provide.go
+++ b/internal/entryhost/provide.go
@@ -213,6 +213,7 @@
 		limits:   d.settings.GetLimits(),
 		logger:   d.logger,
 		ready:    d.ready,
+		bodies:   &bodyBudget{limit: d.settings.GetLimits().GetMaxHeldBytes()},
 	}
 	d.keys.peers = d.peers
 	d.meter = &meter{view: d.view, peers: d.peers, pools: map[string]string{}, rollOuts: map[uint64]time.Time{}}
--- a/internal/entryhost/refusal.go
+++ b/internal/entryhost/refusal.go
@@ -17,6 +17,8 @@
 	retryKey = time.Second
 	// statusClientClosed is logged for a caller that went away; nobody reads it.
 	statusClientClosed = 499
+	// unreadGrace is how long the rest of a refused request's body is awaited before its connection is closed.
+	unreadGrace = 100 * time.Millisecond
 	// retryUnready is what a caller waits when this entry host takes no work.
 	retryUnready = time.Second
 )
@@ -110,6 +112,15 @@
 	}
 }
 
+// refuseUnread refuses a request whose body may not have come whole. The server reads what is left of a body before it
+// sends the answer: a slow caller would hold up its own answer, and its connection with it.
+func refuseUnread(w http.ResponseWriter, r *http.Request, why refusal) {
+	if r.Body != nil && r.Body != http.NoBody {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadGrace))
+	}
+	writeRefusal(w, why)
+}
+
 // writeRefusal sends the final answer.
 func writeRefusal(w http.ResponseWriter, r refusal) {
 	header := w.Header()
--- a/proofs/cluster_test.go
+++ b/proofs/cluster_test.go
@@ -97,6 +97,7 @@
 	workers  *workers.Fleet
 	entries  map[int]*entry
 	size     int
+	extra    string // more sections of the entry hosts' settings
 }
 
 // entry is one entry host's process.
@@ -111,7 +112,13 @@
 // newCluster starts the stand-ins and n entry hosts, and applies the configuration.
 func newCluster(t *testing.T, n int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, dir: t.TempDir(), entries: map[int]*entry{}, size: n}
+	return newClusterWith(t, n, "")
+}
+
+// newClusterWith adds sections to the entry hosts' settings.
+func newClusterWith(t *testing.T, n int, extra string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir(), entries: map[int]*entry{}, size: n, extra: extra}
 	c.ini = deployment + hostSections()
 	c.config = &pb.Configuration{}
 	assert.NilError(t, settings.Parse("deployment", []byte(c.ini), c.config))
@@ -160,7 +167,7 @@
 		WorkerAdmin: "http://" + c.workers.Admin(),
 	})
 	server := httptest.NewUnstartedServer(c.platform)
-	listener, err := net.Listen("tcp", network + ".5.100:0")
+	listener, err := net.Listen("tcp", network+".5.100:0")
 	assert.NilError(c.t, err)
 	server.Listener = listener
 	server.Start()
@@ -204,7 +211,7 @@
 controller_lease = 10s
 pause_limit = %s
 drain_notice = 200ms
-`, number, []string{"a", "b"}[number%2], e.at(7000), e.at(7001), e.at(7002), peers[:len(peers)-1], c.address, c.address, operatorToken, pauseLimit)
+`, number, []string{"a", "b"}[number%2], e.at(7000), e.at(7001), e.at(7002), peers[:len(peers)-1], c.address, c.address, operatorToken, pauseLimit) + c.extra
 	assert.NilError(c.t, os.WriteFile(path, []byte(text), 0o600))
 	log, err := os.OpenFile(filepath.Join(c.dir, fmt.Sprintf("entry-%d.log", number)), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	assert.NilError(c.t, err)
