proofs: floods on each listener; refused connections are answered after their request has begun

Test: a flood of idle, slow, fat and small requests on the callers' listener, and one of idle and short connections on the peers' and operators' listeners, bounded in count and to 5 s. Bound on memory, from the settings: 32 MiB + 2 x (max_held_bytes + connections x 2 x max_header_bytes) = 64 MiB for callers with the test's limits. With the bounds, 3 of 3963 small requests got no answer: the refusal came before the request, which some clients drop. Ruled out: closing at once; the answer is lost when input is unread. Change: a refused connection is answered once its request begins, by at most 1024 goroutines; then at once.

--- a/internal/limitlisten/limitlisten.go
+++ b/internal/limitlisten/limitlisten.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// lingering bounds the refused connections that stay open until their answer was read.
-	lingering = 64
-	// lingerTime is how long a refused connection stays open: a close with unread input would destroy the answer.
+	// lingering bounds the refused connections that are answered with patience; beyond it they are answered at once.
+	lingering = 1024
+	// lingerTime is how long a refused connection may stay open, for its request to come and its answer to be read.
 	lingerTime = 200 * time.Millisecond
 )
 
@@ -49,22 +49,38 @@
 	}
 }
 
-// refuse answers a connection that was never handed out. The answer fits a new socket's buffer, so nothing waits.
+// refuse answers a connection that was never handed out.
 func (l *listener) refuse(inner *net.TCPConn) {
 	_ = inner.SetDeadline(time.Now().Add(lingerTime))
-	_, _ = inner.Write(l.refusal)
-	_ = inner.CloseWrite()
 	select {
 	case l.refused <- struct{}{}:
-		time.AfterFunc(lingerTime, func() {
-			_ = inner.Close()
+		go func() {
+			l.answer(inner)
 			<-l.refused
-		})
+		}()
 	default:
+		_, _ = inner.Write(l.refusal) // fits a new socket's buffer: it does not wait
 		_ = inner.Close()
 	}
 }
 
+// answer sends the refusal once the request begins to come: some clients take no answer before they have asked. Then it
+// reads on for a while, because a close with unread input would destroy the answer.
+func (l *listener) answer(inner *net.TCPConn) {
+	defer func() { _ = inner.Close() }()
+	var input [512]byte
+	if _, err := inner.Read(input[:]); err != nil {
+		_ = inner.SetDeadline(time.Now().Add(lingerTime)) // a silent one is told as well
+	}
+	_, _ = inner.Write(l.refusal)
+	_ = inner.CloseWrite()
+	for {
+		if _, err := inner.Read(input[:]); err != nil {
+			return
+		}
+	}
+}
+
 // conn gives its place back when it is closed.
 type conn struct {
 	*net.TCPConn
--- /dev/null
+++ b/proofs/flood_test.go
@@ -0,0 +1,181 @@
+package proofs
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	floodLimits = `
+[limits]
+max_requests = 256
+max_body_bytes = 1048576
+max_held_bytes = 8388608
+max_header_bytes = 8192
+header_timeout = 1s
+body_timeout = 2s
+`
+	mib = 1 << 20
+	// controlBytes is what an entry host may use without a flood.
+	controlBytes = 32 * mib
+	// connectionBytes is what one connection may use: a header of the largest size, and as much again for the buffers and
+	// the stack that serve it.
+	connectionBytes = 2 * 8192
+	// callerConnections is twice max_requests, the bound of the callers' listener.
+	callerConnections = 2 * 256
+	// floodBound is the memory that an entry host may hold in a flood: what the settings allow, doubled because the
+	// garbage collector runs when the heap has doubled.
+	floodBound = controlBytes + 2*(8*mib+callerConnections*connectionBytes)
+
+	floodTime = 5 * time.Second
+)
+
+// peakBytes is the largest resident memory that a process had so far.
+func (c *cluster) peakBytes(number int) int {
+	c.t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.entries[number].command.Process.Pid))
+	assert.NilError(c.t, err)
+	_, after, _ := strings.Cut(string(text), "VmHWM:")
+	kib, err := strconv.Atoi(strings.Fields(after)[0])
+	assert.NilError(c.t, err)
+	return kib * 1024
+}
+
+// repeat runs a task on n goroutines, over and over, at most total times, until the context ends.
+func repeat(ctx context.Context, group *sync.WaitGroup, n, total int, task func()) {
+	var begun atomic.Int64
+	for range n {
+		group.Go(func() {
+			for ctx.Err() == nil && begun.Add(1) <= int64(total) {
+				task()
+			}
+		})
+	}
+}
+
+// idle opens a connection, says the given text on it, and waits until the other side closes it.
+func idle(ctx context.Context, address, text string) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	_, _ = conn.Write([]byte(text))
+	buffer := make([]byte, 1024)
+	for {
+		if _, err := conn.Read(buffer); err != nil {
+			return
+		}
+	}
+}
+
+// tally counts the answers to callers.
+type tally struct {
+	whole, refused, none, wrong atomic.Int64
+}
+
+// send is one caller's request. A refusal must be a not-run with a time to come back.
+func (a *tally) send(client *http.Client, address, body string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/services/left/job", strings.NewReader(body)) //nolint:noctx // the client has a timeout
+	if err != nil {
+		a.wrong.Add(1)
+		return
+	}
+	req.Header.Set("Agateturn-Team", "orders")
+	req.Header.Set("Agateturn-Timeout", "2s")
+	resp, err := client.Do(req)
+	if err != nil {
+		a.none.Add(1)
+		return
+	}
+	_ = resp.Body.Close()
+	header := resp.Header
+	switch {
+	case resp.StatusCode == http.StatusOK && header.Get("Agateturn-Outcome") == "done":
+		a.whole.Add(1)
+	case header.Get("Agateturn-Outcome") == "not-run" && header.Get("Retry-After") != "":
+		a.refused.Add(1)
+	default:
+		a.wrong.Add(1)
+	}
+}
+
+// A flood of callers, idle and slow and fat ones among them: every small request gets a final answer, operators are
+// served, memory stays under the bound, and service goes on afterwards.
+func TestFloodOfCallers(t *testing.T) {
+	c := newClusterWith(t, 2, floodLimits)
+	ctx, cancel := context.WithTimeout(t.Context(), floodTime)
+	defer cancel()
+	address := c.entries[1].at(7000)
+	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	var group sync.WaitGroup
+	var small, fat tally
+	body := strings.Repeat("a", mib)
+	repeat(ctx, &group, 300, 3000, func() { idle(ctx, address, "") })
+	repeat(ctx, &group, 300, 3000, func() { idle(ctx, address, "POST /v1/services/left/job HTTP/1.1\r\nX-Slow: "+body[:4000]) })
+	repeat(ctx, &group, 100, 1000, func() { idle(ctx, address, ask("Content-Length: 1000000\r\n", body[:64*1024])) })
+	repeat(ctx, &group, 64, 1000, func() { fat.send(client, address, body) })
+	repeat(ctx, &group, 64, 4000, func() { small.send(client, address, "ok") })
+	operated := 0
+	for ctx.Err() == nil {
+		assert.Equal(t, c.call(1, http.MethodGet, "/v1/status", nil, nil), http.StatusOK)
+		operated++
+		time.Sleep(100 * time.Millisecond)
+	}
+	group.Wait()
+	peak := c.peakBytes(1)
+	t.Logf("small: whole %d refused %d none %d wrong %d; fat: whole %d refused %d none %d wrong %d; operators %d; peak %d MiB of %d",
+		small.whole.Load(), small.refused.Load(), small.none.Load(), small.wrong.Load(),
+		fat.whole.Load(), fat.refused.Load(), fat.none.Load(), fat.wrong.Load(), operated, peak/mib, floodBound/mib)
+	assert.Equal(t, small.wrong.Load()+fat.wrong.Load(), int64(0))
+	assert.Equal(t, small.none.Load(), int64(0))
+	assert.Assert(t, small.refused.Load() > 0, "this was no flood")
+	assert.Assert(t, fat.whole.Load()+fat.refused.Load() > 0)
+	assert.Assert(t, peak <= floodBound, "%d MiB, the bound is %d", peak/mib, floodBound/mib)
+	c.alive(1)
+	after := c.ask(c.load(3*time.Second, 1, 2))()
+	c.judge(after, 0)
+	assert.Equal(t, after.NotRun+after.NoAnswer+after.Cut, 0)
+}
+
+// A flood of the peers' and the operators' listeners leaves the callers' service as it is.
+func TestFloodOfPeersAndOperators(t *testing.T) {
+	c := newClusterWith(t, 2, floodLimits)
+	load := c.load(floodTime, 1, 2)
+	load.KeyedShare = 0
+	report := c.ask(load)
+	ctx, cancel := context.WithTimeout(t.Context(), floodTime)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, port := range []int{7001, 7002} {
+		address := c.entries[1].at(port)
+		repeat(ctx, &group, 1200, 4000, func() { idle(ctx, address, "") })
+		repeat(ctx, &group, 32, 2000, func() {
+			idle(ctx, address, "GET /v1/status HTTP/1.1\r\nHost: entry\r\nConnection: close\r\n\r\n")
+		})
+	}
+	group.Wait()
+	result := report()
+	c.judge(result, 0)
+	assert.Equal(t, result.NoAnswer+result.Cut+result.Unknown, 0)
+	assert.Equal(t, result.NotRun, 0)
+	peak := c.peakBytes(1)
+	bound := controlBytes + 2*(8*mib+(callerConnections+1024+256)*connectionBytes)
+	t.Logf("peak %d MiB of %d", peak/mib, bound/mib)
+	assert.Assert(t, peak <= bound, "%d MiB, the bound is %d", peak/mib, bound/mib)
+	c.await("operators served", func() bool { return c.call(1, http.MethodGet, "/v1/status", nil, nil) == http.StatusOK })
+	c.awaitReady(2)
+}
