entryhost: keep nothing of heartbeats from strangers, and bound peers' messages in sum

Cause, seen in proofs/TestHeartbeatsThatLie against the former code: heartbeats with made-up incarnations and a member's name were taken for the member's; a move did not end within 40 s. Ruled out: a leak (four times as many lies peaked at 152 MiB, against 170 and 182 before); a lower bound on what is handled at once without one on single messages (105 to 138 MiB: pooled buffers keep the size of the largest message). Change: take drops what comes from neither a member nor a guest, but still fetches newer values from the member of that name at its known address. Not proved: a liar with a member's own incarnation, or one that joins as a guest, is not told from the real one; entry hosts trust the network of their peers' listener. The bound on guests has no test.

--- a/internal/entryhost/errors.go
+++ b/internal/entryhost/errors.go
@@ -15,5 +15,6 @@
 	errUnreachable = errs.Class("peer not reachable")
 	errListen      = errs.Class("cannot listen; free the address or change it in [entry_host]")
 	errBodiesFull  = errs.Class("the entry host is busy; send the request again after the Retry-After time")
+	errManyGuests  = errs.Class("this member vouches for its limit of guests; join through another")
 	errKeyMoving   = errs.Class("the idempotency key is changing its owner; nothing ran; send it again in a moment")
 )
--- a/internal/entryhost/guests.go
+++ b/internal/entryhost/guests.go
@@ -14,6 +14,9 @@
 // heartbeat, and the controller counts the member's release only together with its guests'. A guest serves while it
 // hears from its sponsor; once the store is back it registers and is no guest any more.
 
+// maxGuests bounds the guests that one member vouches for.
+const maxGuests = 512
+
 // guest is an entry host that a member vouches for.
 type guest struct {
 	member *pb.Member
@@ -93,6 +96,9 @@
 	if !memberOf(p.view.fleet(), p.self) {
 		return errNotMember.New("%q cannot vouch for %q", p.self.GetName(), join.GetName())
 	}
+	if p.guestsFull() {
+		return errManyGuests.New("%d; %q is not taken", maxGuests, join.GetName())
+	}
 	p.view.addGuests(join)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -100,6 +106,12 @@
 	return nil
 }
 
+func (p *peers) guestsFull() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.vouched) >= maxGuests
+}
+
 // sponsored records the address of the member that vouches for us, and reports whether it is another than before.
 func (p *peers) sponsored(address string) bool {
 	p.mu.Lock()
--- a/internal/entryhost/listen.go
+++ b/internal/entryhost/listen.go
@@ -89,5 +89,5 @@
 	mux := http.NewServeMux()
 	service := &peerService{peers: d.peers, keys: d.keys, view: d.view}
 	mux.Handle(agateturnv1connect.NewPeerServiceHandler(service, peerLimits()))
-	return mux
+	return newPeerBodies(mux)
 }
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -236,8 +236,13 @@
 	return hb, nil
 }
 
-// take keeps a heartbeat if it is newer than the last one, and asks its sender for values that it has and we lack.
+// take keeps a heartbeat if it is newer than the last one, and asks its sender for values that it has and we lack. Of an
+// incarnation that is neither a member nor a guest nothing is kept; it may be a member's next, known to the store first.
 func (p *peers) take(ctx context.Context, hb *pb.Heartbeat) {
+	if !p.knows(hb) {
+		p.catchUp(ctx, hb)
+		return
+	}
 	if !p.keep(hb) {
 		return
 	}
@@ -245,6 +250,18 @@
 	p.dispatch.incoming(ctx, hb)
 	p.tellStager(hb)
 	p.heard.Offer(struct{}{})
+	p.catchUp(ctx, hb)
+}
+
+// knows reports whether a heartbeat comes from one of the others.
+func (p *peers) knows(hb *pb.Heartbeat) bool {
+	return lo.SomeBy(p.others(), func(m *pb.Member) bool {
+		return m.GetName() == hb.GetName() && m.GetIncarnation() == hb.GetIncarnation()
+	})
+}
+
+// catchUp asks the sender of a heartbeat for the values that we lack.
+func (p *peers) catchUp(ctx context.Context, hb *pb.Heartbeat) {
 	behind := hb.GetFleetRevision() > p.view.fleet().GetRevision() ||
 		hb.GetConfigGeneration() > p.view.config().GetGeneration()
 	// Many peers tell of the same change at once: one fetch serves for all. A failed one is made up by the next heartbeat.
--- a/internal/entryhost/peerservice.go
+++ b/internal/entryhost/peerservice.go
@@ -5,12 +5,16 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/agateturn/agateturn/config"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/idempotency"
 )
 
+// claimLimit bounds a claim, in bytes: a key, a service and names of at most 128 bytes each, identities and a digest.
+const claimLimit = 1024
+
 // peerLimits bounds what a peer may send, and says which answers are compressed.
 func peerLimits() connect.HandlerOption {
 	return connect.WithHandlerOptions(connect.WithReadMaxBytes(peerMessageLimit), connect.WithCompressMinBytes(compressFrom))
@@ -64,8 +68,11 @@
 	return connect.NewResponse(answer), nil
 }
 
-// Claim decides whether an attempt may run.
+// Claim decides whether an attempt may run. What is claimed is remembered, so its size is bounded.
 func (s *peerService) Claim(_ context.Context, req *connect.Request[pb.ClaimRequest]) (*connect.Response[pb.ClaimResponse], error) {
+	if size := proto.Size(req.Msg); size > claimLimit {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errBadCaller.New("a claim of %d bytes; at most %d", size, claimLimit))
+	}
 	return connect.NewResponse(s.keys.claimHere(req.Msg)), nil
 }
 
