--- a/internal/entryhost/caller.go
+++ b/internal/entryhost/caller.go
@@ -35,6 +35,7 @@
 
 	held     atomic.Int64 // requests held now
 	throttle throttle
+	bodies   *bodyBudget
 }
 
 // ServeHTTP serves readiness checks and POST/GET/... /v1/services/{service}/{path}.
@@ -45,7 +46,7 @@
 	}
 	if s.held.Add(1) > s.limits.GetMaxRequests() {
 		s.held.Add(-1)
-		s.refuse(r.Context(), w, notRun(http.StatusServiceUnavailable, "this entry host holds its limit of requests", time.Second).as(codeEntryHostFull))
+		s.refuseUnread(w, r, notRun(http.StatusServiceUnavailable, "this entry host holds its limit of requests", time.Second).as(codeEntryHostFull))
 		return
 	}
 	defer s.held.Add(-1)
@@ -65,10 +66,11 @@
 	arrived := time.Now()
 	c, refusal := s.parse(r, arrived)
 	if refusal == nil {
-		refusal = c.readBody(w, r, s.limits)
+		refusal = c.readBody(w, r, s.limits, s.bodies)
+		defer func() { s.bodies.give(c.taken) }()
 	}
 	if refusal != nil {
-		s.refuse(r.Context(), w, *refusal)
+		s.refuseUnread(w, r, *refusal)
 		return
 	}
 	ctx, cancel := c.context(r.Context())
--- a/internal/entryhost/errors.go
+++ b/internal/entryhost/errors.go
@@ -15,5 +15,7 @@
 	errUnreachable = errs.Class("peer not reachable")
 	errListen      = errs.Class("cannot listen; free the address or change it in [entry_host]")
 	errNoSlots     = errs.Class("this entry host has no share of the slots yet; wait until the members have settled")
+	errBodiesFull  = errs.Class("the entry host is busy; send the request again after the Retry-After time")
+	errManyGuests  = errs.Class("this member vouches for its limit of guests; join through another")
 	errKeyMoving   = errs.Class("the idempotency key is changing its owner; nothing ran; send it again in a moment")
 )
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -244,14 +244,17 @@
 	return hb, nil
 }
 
-// take keeps a heartbeat if it is newer than the last one, and asks its sender for values that it has and we lack.
+// take keeps a heartbeat if it is newer than the last one, and asks its sender for values that it has and we lack. Of an
+// incarnation that is neither a member nor a guest nothing is kept; it may be a member's next, known to the store first.
 func (p *peers) take(ctx context.Context, hb *pb.Heartbeat) {
-	if !p.keep(hb) {
-		return
+	if p.knows(hb) {
+		if !p.keep(hb) {
+			return
+		}
+		p.view.addGuests(hb.GetGuests()...)
+		p.dispatch.incoming(ctx, hb)
+		p.heard.Offer(struct{}{})
 	}
-	p.view.addGuests(hb.GetGuests()...)
-	p.dispatch.incoming(ctx, hb)
-	p.heard.Offer(struct{}{})
 	// Many peers tell of the same change at once: one fetch serves for all. A failed one is made up by the next heartbeat.
 	if p.ahead(hb) && p.fetching.CompareAndSwap(false, true) {
 		defer p.fetching.Store(false)
@@ -259,6 +262,13 @@
 	}
 }
 
+// knows reports whether a heartbeat comes from one of the others.
+func (p *peers) knows(hb *pb.Heartbeat) bool {
+	return lo.SomeBy(p.others(), func(m *pb.Member) bool {
+		return m.GetName() == hb.GetName() && m.GetIncarnation() == hb.GetIncarnation()
+	})
+}
+
 // ahead reports whether the sender of a heartbeat has a value newer than ours.
 func (p *peers) ahead(hb *pb.Heartbeat) bool {
 	return hb.GetFleetRevision() > p.view.fleet().GetRevision() ||
