Tell a growing queue only where nobody has spoken lately

Cause: with queues on all entry hosts each one began an exchange with each other one every 200 ms, so a pair exchanged ten times a second: 137, 179 and 237 KB/s a node between 9 entry hosts (150 workers, one service's burst after the other; three windows of 4 s), against 24 KB/s. Ruled out for now: a longer gap, whose cost in late loans is not measured; telling only the members that have idle slots. Change: a queue that grows begins an exchange only on links on which neither side has spoken for 200 ms. Also: figures are worked out from the series of sizes only.

--- a/capacity/figure.go
+++ b/capacity/figure.go
@@ -18,6 +18,9 @@
 // SeriesDesign is the series measured at the design size itself. Fits leave it out, so that it tests them.
 const SeriesDesign = "design"
 
+// Fitted are the series that figures are worked out from. Others show faults, loads and settings.
+var Fitted = []string{"base", "hosts", "entry-hosts", "pools", "teams", SeriesDesign}
+
 // Spec says how one figure is worked out.
 type Spec struct {
 	Role     string
@@ -77,7 +80,9 @@
 
 func (s Spec) choose(samples []Sample, window Window) []Sample {
 	of := func(state string) []Sample {
-		return lo.Filter(samples, func(sample Sample, _ int) bool { return sample.State == state && sample.Measure == s.Measure })
+		return lo.Filter(samples, func(sample Sample, _ int) bool {
+			return lo.Contains(Fitted, sample.Series) && sample.State == state && sample.Measure == s.Measure
+		})
 	}
 	if s.PerChange {
 		return Marginal(of(s.State), of(StateIdle), window.Seconds, window.Changes)
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -82,7 +82,7 @@
 		case <-p.dispatch.demand.Items():
 			if time.Since(lastDemand) >= demandGap {
 				lastDemand = time.Now()
-				p.kickAll()
+				p.kickQuiet()
 			}
 		}
 	}
@@ -178,6 +178,17 @@
 	}
 }
 
+// kickQuiet begins exchanges on the links on which neither side has spoken lately: an exchange tells both sides' demand.
+func (p *peers) kickQuiet() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		if time.Since(l.last) >= demandGap {
+			l.kick.Offer(struct{}{})
+		}
+	}
+}
+
 func (p *peers) kickAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
