--- a/capacity/figure.go
+++ b/capacity/figure.go
@@ -44,7 +44,7 @@
 }
 
 // Figure is one worked out value: what the fit of the smaller sizes gives for the design size, and what was measured at
-// the design size; NaN where there are no samples.
+// the design size; NaN where there are no samples, or too few sizes for the fit.
 type Figure struct {
 	Spec     Spec
 	Model    Model
@@ -74,6 +74,9 @@
 		return figure, nil
 	}
 	estimate, err := EstimateAt(smaller, s.Terms, size)
+	if TooFew.Has(err) {
+		return figure, nil // measured at the design size only
+	}
 	figure.Model, figure.Fit = estimate.Model, estimate.At
 	return figure, err
 }
--- a/capacity/specs.go
+++ b/capacity/specs.go
@@ -69,8 +69,8 @@
 func changeSpecs(role, state string, perDay float64) []Spec {
 	each := []Spec{
 		{Quantity: "processor, mean node", Unit: "% of a core x s", Measure: "cpu_percent", Terms: []Term{Constant, PerHost, PerPeer}},
-		{Quantity: "peers' bytes, mean node", Unit: "KB", Measure: "peers_kb_s", Terms: []Term{Constant, PerHost, PerPeer, PerPeerHost}},
-		{Quantity: "peers' bytes, busiest node", Unit: "KB", Measure: "peers_kb_s_max", Terms: []Term{Constant, PerHost, PerPeer, PerPeerHost}},
+		{Quantity: "peers' bytes, mean node", Unit: "KB", Measure: "peers_kb_s", Terms: []Term{Constant, PerHost, PerPeer}},
+		{Quantity: "peers' bytes, busiest node", Unit: "KB", Measure: "peers_kb_s_max", Terms: []Term{PerHost, PerPeer, PerPeerHost}},
 		{Quantity: "store writes", Unit: "calls", Measure: "store_writes_s", Terms: []Term{Constant}},
 	}
 	bounds := map[string]float64{"cpu_percent": BoundCPUPercent, "peers_kb_s": BoundKBPerSecond, "peers_kb_s_max": BoundKBPerSecond}
