--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/samber/lo"
 
 	"github.com/agateturn/agateturn/controller"
 	"github.com/agateturn/agateturn/events"
@@ -87,6 +88,9 @@
 		case <-ticker.C:
 		case <-c.changed.Items():
 		case <-c.peers.heard.Items():
+			if !awaitsReports(c.view.fleet()) {
+				continue
+			}
 		}
 		if time.Since(renewed) > c.lease/3 {
 			if err := lease.Renew(ctx); err == nil {
@@ -103,6 +107,13 @@
 	}
 }
 
+// awaitsReports reports whether a heartbeat may let the fleet go on at once; without that the period is soon enough.
+func awaitsReports(f *pb.Fleet) bool {
+	return len(f.GetNextOwners().GetOwners()) > 0 || lo.SomeBy(f.GetHosts(), func(h *pb.HostState) bool {
+		return h.GetPhase() == pb.HostPhase_HOST_PHASE_DRAINING
+	})
+}
+
 // decide takes one step: read, decide, one write, then the actions.
 func (c *control) decide(ctx context.Context) {
 	if c.view.config() == nil {
