--- a/admission/demand.go
+++ b/admission/demand.go
@@ -51,8 +51,9 @@
 
 func (s *slotsSeen) at(time.Time) int { return max(s.value, s.previous) }
 
-// Demand returns the load of each pool that this entry host has queued for, by name. Requests that wait for their
-// team's quota don't count as queued, since more slots wouldn't start them.
+// Demand returns the load of each pool that has a service or a request, by name. Requests that wait for their team's
+// quota don't count as queued, since more slots wouldn't start them. Idle is what the last Next of the pool left unused;
+// an embedder that knows the free slots of now puts them in its place.
 func (q *Queue) Demand(now time.Time) []*pb.PoolDemand {
 	out := make([]*pb.PoolDemand, 0, len(q.pools))
 	for _, p := range q.pools {
@@ -73,6 +74,18 @@
 	return out
 }
 
+// TeamUsage returns what each team uses and has queued on this entry host, by name; teams without either are left out.
+func (q *Queue) TeamUsage() []*pb.TeamUsage {
+	var out []*pb.TeamUsage
+	for _, t := range q.teams {
+		if t.running > 0 || t.queued > 0 {
+			out = append(out, &pb.TeamUsage{Team: t.name, Running: t.running, Queued: t.queued})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].GetTeam() < out[j].GetTeam() })
+	return out
+}
+
 // startable counts the queued requests that could start if there were slots, and finds the oldest arrival.
 func (p *pool) startable() (queued int64, oldest time.Time) {
 	for _, l := range p.lanes {
--- a/controller/step.go
+++ b/controller/step.go
@@ -26,6 +26,7 @@
 	s.members()
 	s.platformHosts()
 	s.orders()
+	s.yieldMoves()
 	s.progress()
 	s.waves()
 	s.schedule()
@@ -127,7 +128,7 @@
 		return
 	}
 	h := s.draft.Host(host)
-	s.note(NoteHostPhase, host, "%s in pool %s", h.Phase, h.Pool)
+	s.note(NoteHostPhase, host, "%s in pool %s", fleet.PhaseName(h.Phase), h.Pool)
 }
 
 // progress completes drains that every member has released, and ends maintenance that is done.
@@ -137,14 +138,27 @@
 		case pb.HostPhase_HOST_PHASE_DRAINING:
 			s.complete(h.Host)
 		case pb.HostPhase_HOST_PHASE_MAINTENANCE:
-			if s.rebooted(h) {
-				s.apply(h.Host, s.draft.Returned(h.Host, s.now))
-			}
+			s.maintained(h)
 		default:
 		}
 	}
 }
 
+// yieldMoves cancels moves out of pools that need the host since others failed. Waves do so for their own hosts.
+func (s *stepper) yieldMoves() {
+	budgets := fleet.NewBudgets(s.draft.Fleet(), s.in.Config, s.in.Failed)
+	for _, h := range s.draft.Fleet().Hosts {
+		moving := h.Phase == pb.HostPhase_HOST_PHASE_DRAINING && h.Purpose == pb.HostPurpose_HOST_PURPOSE_MOVE
+		if !moving || s.in.Failed[h.Host] || budgets.Room(h.Pool) >= 0 {
+			continue
+		}
+		if s.draft.Cancel(h.Host, s.now) == nil {
+			budgets.Return(h.Host)
+			s.note(NoteMove, h.Host, "stays in %s, which needs it since other hosts failed", h.Pool)
+		}
+	}
+}
+
 func (s *stepper) complete(host string) {
 	h := s.draft.Host(host)
 	if h.GetPhase() != pb.HostPhase_HOST_PHASE_DRAINING {
@@ -153,7 +167,7 @@
 	maintenance := h.Purpose == pb.HostPurpose_HOST_PURPOSE_MAINTENANCE
 	boot := s.workers[host].BootID
 	if maintenance && boot == "" {
-		s.note(NoteHostHeld, host, "the platform does not tell its boot id; a reboot could not be seen")
+		s.unknownBoot(h)
 		return
 	}
 	if err := s.draft.Complete(host, s.reports); err != nil {
@@ -166,6 +180,32 @@
 	s.apply(host, nil)
 }
 
+// maintained ends maintenance that is done, or that took too long and is of no wave any more; a wave fails its own hosts.
+func (s *stepper) maintained(h *pb.HostState) {
+	if s.rebooted(h) {
+		s.apply(h.Host, s.draft.Returned(h.Host, s.now))
+		return
+	}
+	if s.late(h) && !waves.Carries(s.in.Fleet, h.Host) {
+		s.apply(h.Host, s.draft.MarkDown(h.Host, h.OperationId, s.now))
+	}
+}
+
+// unknownBoot keeps a host of which the platform tells no boot id from its reboot, which could not be seen. Once it is
+// released and the time for a reboot is over it goes down, so that it does not take up its wave for ever.
+func (s *stepper) unknownBoot(h *pb.HostState) {
+	s.note(NoteHostHeld, h.Host, "the platform does not tell its boot id; a reboot could not be seen")
+	if s.late(h) && fleet.Released(s.in.Fleet, h.Host, s.reports) {
+		s.apply(h.Host, s.draft.MarkDown(h.Host, h.OperationId, s.now))
+	}
+}
+
+// late says whether a host is in its phase for longer than a reboot may take.
+func (s *stepper) late(h *pb.HostState) bool {
+	limit := s.in.Config.GetMaintenance().GetRebootLimit().AsDuration()
+	return s.now.UnixMilli()-h.PhaseSinceUnixMs > limit.Milliseconds()
+}
+
 // rebooted says whether the boot that was to end has ended and the host is live again.
 func (s *stepper) rebooted(h *pb.HostState) bool {
 	p, listed := s.workers[h.Host]
@@ -185,7 +225,7 @@
 		case waves.Wait:
 			s.note(NoteWaveWaits, a.Wave, "%s", a.Reason)
 		case waves.StopWave:
-			s.note(NoteWave, a.Wave, "stopped: %s", a.Reason)
+			s.note(NoteWaveStopped, a.Wave, "stopped: %s", a.Reason)
 		case waves.FinishWave:
 			s.note(NoteWave, a.Wave, "finished")
 		case waves.FailHost:
@@ -233,6 +273,10 @@
 func (s *stepper) owners() {
 	if s.draft.SettleOwners(s.reports) {
 		s.note(NoteOwners, s.in.Self, "owner sets change")
+		return
+	}
+	if waiting := fleet.Unsettled(s.draft.Fleet(), s.reports); len(waiting) > 0 {
+		s.note(NoteOwners, waiting[0].Name, "owner sets wait for %s", waiting[0])
 	}
 }
 
@@ -255,8 +299,7 @@
 	if !s.draft.Changed() {
 		return
 	}
-	f := s.draft.Fleet()
-	next, err := fleet.NextWrite(f, f.Term, s.in.Self, s.in.WriteID)
+	next, err := s.draft.Write(s.draft.Fleet().Term, s.in.Self, s.in.WriteID)
 	if err != nil {
 		s.note(NoteTerm, s.in.Self, "%v", err)
 		return
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -41,9 +41,9 @@
 	})
 }
 
-// runSeeds runs the model over seeds and returns the first fault, the seed that showed it, and how many moves were made.
-func runSeeds(v variant, seeds uint64) (fault string, at uint64, moved int) {
-	for seed := range seeds {
+// runSeeds runs the model over seeds from one on and returns the first fault, the seed that showed it, and how many moves were made.
+func runSeeds(v variant, from uint64) (fault string, at uint64, moved int) {
+	for seed := from; seed < from+seeds; seed++ {
 		random := rand.New(rand.NewPCG(seed, 1))
 		w := newWorld(v, random.IntN)
 		for range modelSteps {
@@ -61,21 +61,25 @@
 }
 
 func TestOnePoolOverSeeds(t *testing.T) {
-	fault, seed, moved := runSeeds(variant{}, seeds)
+	fault, seed, moved := runSeeds(variant{}, 0)
 	assert.Equal(t, fault, "", "seed %d", seed)
 	assert.Assert(t, moved >= seeds, "%d moves: the model does too little", moved)
 }
 
 // Each naive version breaks the promise in the same model, so the model can see it.
 func TestNaiveVersionsFail(t *testing.T) {
-	for name, v := range map[string]variant{
-		"release by lapsed lease": {leaseRelease: true},
-		"view that goes back":     {backwardGate: true},
-		"guests not asked":        {noGuests: true},
-		"write without compare":   {blindWrite: true},
+	for name, c := range map[string]struct {
+		v    variant
+		from uint64
+	}{
+		"release by lapsed lease": {v: variant{leaseRelease: true}},
+		"view that goes back":     {v: variant{backwardGate: true}},
+		"guests not asked":        {v: variant{noGuests: true}},
+		"write without compare":   {v: variant{blindWrite: true}},
+		"heartbeats in any order": {v: variant{anyOrder: true}, from: 11300},
 	} {
 		t.Run(name, func(t *testing.T) {
-			fault, seed, _ := runSeeds(v, seeds)
+			fault, seed, _ := runSeeds(c.v, c.from)
 			t.Logf("seed %d: %s", seed, fault)
 			assert.Assert(t, fault != "")
 		})
@@ -102,6 +106,24 @@
 	assert.Assert(t, fleet.StaleTerm.Has(err), err)
 }
 
+func TestCancelLeavesADownHostDown(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cfg := &pb.Configuration{Hosts: []*pb.Host{{Name: "w1", Pool: "tastings"}}}
+	f := fleet.Reconcile(&pb.Fleet{}, cfg, now)
+	f, err := fleet.MarkDown(f, "w1", "order-1", now)
+	assert.NilError(t, err)
+	_, err = fleet.BeginMove(f, "w1", "exports", "order-2", now)
+	assert.Assert(t, fleet.WrongPhase.Has(err), err)
+	drains, err := fleet.BeginMaintenance(f, "w1", "spring", "order-3", now)
+	assert.NilError(t, err)
+	again, err := fleet.BeginMaintenance(drains, "w1", "spring", "order-3", now)
+	assert.NilError(t, err)
+	assert.Assert(t, again == drains)
+	f, err = fleet.Cancel(drains, "w1", now)
+	assert.NilError(t, err)
+	assert.Equal(t, f.Hosts[0].Phase, pb.HostPhase_HOST_PHASE_DOWN)
+}
+
 func TestRemovedHostVanishesAfterItsRelease(t *testing.T) {
 	now := time.Unix(1000, 0)
 	cfg := &pb.Configuration{Hosts: []*pb.Host{{Name: "w1", Pool: "tastings"}}}
--- a/idempotency/owner.go
+++ b/idempotency/owner.go
@@ -47,7 +47,7 @@
 func NewOwner(self *pb.Owner, limits Limits, ownerOf OwnerFunc) *Owner {
 	return &Owner{
 		self:    self,
-		limits:  limits,
+		limits:  limits.withDefaults(),
 		ownerOf: ownerOf,
 		tenure:  tenure{self: self, ownerOf: ownerOf},
 		entries: map[keyID]*entry{},
@@ -65,7 +65,7 @@
 //
 // Running claims of members whose process is proved gone become unknown.
 func (o *Owner) SetFleet(now time.Time, f *pb.Fleet) {
-	if o.fleet != nil && f.GetRevision() <= o.fleet.GetRevision() {
+	if o.fleet != nil && f.GetRevision() < o.fleet.GetRevision() {
 		return
 	}
 	last := o.fleet
@@ -84,7 +84,7 @@
 	if isMember(o.fleet, &e.claimer) {
 		return false
 	}
-	return isMember(last, &e.claimer) || replaced(o.fleet, &e.claimer) || now.Sub(e.changed) > o.limits.Window
+	return isMember(last, &e.claimer) || replaced(o.fleet, &e.claimer) || now.Sub(e.changed) > o.limits.memory()
 }
 
 // isMember reports whether the process is a member of the fleet.
@@ -97,8 +97,12 @@
 	return false
 }
 
-// replaced reports whether another incarnation of the process is a member.
+// replaced reports whether another incarnation of the process is a member in its place. While the store is down a
+// process that joined through a peer may be listed beside the one before it.
 func replaced(f *pb.Fleet, process *pb.Owner) bool {
+	if isMember(f, process) {
+		return false
+	}
 	for _, member := range f.GetMembers() {
 		if member.GetName() == process.GetName() && member.GetIncarnation() != process.GetIncarnation() {
 			return true
@@ -150,7 +154,7 @@
 	if timed && created.Before(now.Add(-o.limits.Window)) {
 		return false
 	}
-	if held.first || now.Sub(held.since) >= o.limits.Window {
+	if held.first || now.Sub(held.since) > o.limits.memory() {
 		return true
 	}
 	// An earlier owner granted no key from its future, and its clock was ahead of ours by ClockSkew at most.
@@ -232,7 +236,7 @@
 // Sweep forgets the keys that are too old to be repeated.
 func (o *Owner) Sweep(now time.Time) {
 	// A timed key may have come from ClockSkew ahead, and is taken for a repeat for that much longer.
-	keep := o.limits.Window + o.limits.ClockSkew
+	keep := o.limits.memory() + o.limits.ClockSkew
 	o.tenure.forget(now.Add(-keep))
 	for first := o.ended.Front(); first != nil; first = o.ended.Front() {
 		e := first.Value.(*entry)
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -12,6 +12,7 @@
 	"github.com/samber/lo"
 
 	"github.com/agateturn/agateturn/config"
+	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
@@ -19,8 +20,8 @@
 )
 
 const (
-	// demandGap is the shortest time between two heartbeats sent because a queue grew.
-	demandGap = 200 * time.Millisecond
+	// newsGap is the shortest time between an exchange and an early heartbeat.
+	newsGap = 50 * time.Millisecond
 	// peerMessageLimit bounds one message from a peer, in bytes.
 	peerMessageLimit = 4 << 20
 	// compressFrom is the size of the smallest message that is compressed, in bytes: values are, heartbeats are not.
@@ -48,7 +49,8 @@
 	// latest holds the newest heartbeat of each incarnation.
 	latest map[string]fleet.Received
 	links  map[string]*link
-	guests map[string]*pb.Member
+	// vouched are the guests that this member vouches for.
+	vouched guestBook
 	// sponsor is the peer address of the member that vouches for us while we are its guest.
 	sponsor string
 	hosts   map[string]agateturnv1connect.PeerServiceClient
@@ -69,21 +71,18 @@
 func (p *peers) run(ctx context.Context) {
 	ticker := time.NewTicker(p.heartbeat)
 	defer ticker.Stop()
-	var lastDemand time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			p.view.refreshGuests()
 			p.reconcile(ctx)
 		case <-p.changed.Items():
 			p.reconcile(ctx)
 			p.kickAll()
-		case <-p.dispatch.demand.Items():
-			if time.Since(lastDemand) >= demandGap {
-				lastDemand = time.Now()
-				p.kickQuiet()
-			}
+		case name := <-p.dispatch.news.Items():
+			p.kickEarly(name)
 		}
 	}
 }
@@ -92,8 +91,9 @@
 func (p *peers) reconcile(ctx context.Context) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.releaseGuests()
+	p.vouched.prune(p.view.fleet())
 	p.forgetFormer()
+	// A guest comes after its predecessor and takes its place.
 	wanted := lo.SliceToMap(p.others(), func(m *pb.Member) (string, string) { return m.GetName(), m.GetPeerAddress() })
 	for name, l := range p.links {
 		if wanted[name] != l.address {
@@ -119,13 +119,9 @@
 	})
 }
 
-// others are the members besides this one, guests included. The caller holds mu.
+// others are the members besides this one, guests included.
 func (p *peers) others() []*pb.Member {
-	members := append([]*pb.Member{}, p.view.fleet().GetMembers()...)
-	for _, guest := range p.guests {
-		members = append(members, guest)
-	}
-	return lo.Filter(members, func(m *pb.Member, _ int) bool { return m.GetName() != p.self.GetName() })
+	return lo.Filter(p.view.members(), func(m *pb.Member, _ int) bool { return m.GetName() != p.self.GetName() })
 }
 
 func (p *peers) startLink(ctx context.Context, name, address string) *link {
@@ -178,14 +174,12 @@
 	}
 }
 
-// kickQuiet begins exchanges on the links on which neither side has spoken lately: an exchange tells both sides' demand.
-func (p *peers) kickQuiet() {
+// kickEarly sends a peer a heartbeat before its turn, unless something was just said: the peer stays pending then.
+func (p *peers) kickEarly(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, l := range p.links {
-		if time.Since(l.last) >= demandGap {
-			l.kick.Offer(struct{}{})
-		}
+	if l := p.links[name]; l != nil && time.Since(l.last) >= newsGap {
+		l.kick.Offer(struct{}{})
 	}
 }
 
@@ -205,11 +199,13 @@
 	if err != nil {
 		return
 	}
+	began := time.Now()
 	answer, err := p.at(address).Exchange(ctx, connect.NewRequest(hb))
 	if err != nil {
 		p.logger.Debug("heartbeat failed", "component", "peers", "peer", name, "err", err)
 		return
 	}
+	p.tellStager(answer.Msg, began)
 	p.take(ctx, answer.Msg)
 }
 
@@ -253,8 +249,8 @@
 	if !p.keep(hb) {
 		return
 	}
+	p.view.addGuests(hb.GetGuests()...)
 	p.dispatch.incoming(ctx, hb)
-	p.tellStager(hb)
 	p.heard.Offer(struct{}{})
 	// Many peers tell of the same change at once: one fetch serves for all. A failed one is made up by the next heartbeat.
 	if p.ahead(hb) && p.fetching.CompareAndSwap(false, true) {
@@ -280,13 +276,13 @@
 	}
 }
 
-// tellStager lets the acceptance state machine know what generation a peer is at.
-func (p *peers) tellStager(hb *pb.Heartbeat) {
+// tellStager lets the acceptance state machine know what generation a peer was at, at some time after the exchange began.
+func (p *peers) tellStager(hb *pb.Heartbeat, began time.Time) {
 	registered := lo.SomeBy(p.view.fleet().GetMembers(), func(m *pb.Member) bool {
 		return m.GetIncarnation() == hb.GetIncarnation()
 	})
 	p.view.withStager(func(st *config.Stager) {
-		st.Heard(time.Now(), config.Report{
+		st.Heard(began, config.Report{
 			Peer:       hb.GetName() + "/" + hb.GetIncarnation(),
 			Generation: hb.GetConfigGeneration(),
 			Ready:      hb.GetReady(),
@@ -300,15 +296,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	last, known := p.latest[hb.GetIncarnation()]
-	if known && last.Heartbeat.GetSequence() >= hb.GetSequence() {
+	fleet.Record(p.latest, hb, now)
+	if p.latest[hb.GetIncarnation()].Heartbeat != hb {
 		return false
 	}
-	since := now
-	if known {
-		since = last.Since
-	}
-	p.latest[hb.GetIncarnation()] = fleet.Received{Heartbeat: hb, At: now, Since: since}
 	if l := p.links[hb.GetName()]; l != nil {
 		l.last = now
 	}
@@ -320,27 +311,41 @@
 	if !ok {
 		return
 	}
-	_ = p.fetch(ctx, member.GetPeerAddress(), nil)
+	if values, err := p.fetch(ctx, member.GetPeerAddress(), nil); err == nil {
+		p.takeValues(ctx, values)
+	}
 }
 
-// fetch takes over what the peer knows and we do not. With join set, the peer vouches for this entry host.
-func (p *peers) fetch(ctx context.Context, address string, join *pb.Member) error {
+// fetchAsGuest asks a peer to vouch for this entry host, and serves by the peer's values once it does.
+func (p *peers) fetchAsGuest(ctx context.Context, address string) error {
+	values, err := p.fetch(ctx, address, p.self)
+	if err != nil {
+		return err
+	}
+	p.view.addGuests(p.self)
+	p.takeValues(ctx, values)
+	return nil
+}
+
+// fetch returns what the peer knows and we do not. With join set, the peer vouches for this entry host.
+func (p *peers) fetch(ctx context.Context, address string, join *pb.Member) (*pb.FetchResponse, error) {
 	answer, err := p.at(address).Fetch(ctx, connect.NewRequest(&pb.FetchRequest{
 		ConfigGeneration: p.view.config().GetGeneration(),
 		FleetRevision:    p.view.fleet().GetRevision(),
 		Join:             join,
 	}))
 	if err != nil {
-		return errUnreachable.New("%s: %v", address, err)
+		return nil, errUnreachable.New("%s: %v", address, err)
 	}
-	p.takeValues(answer.Msg)
-	return nil
+	return answer.Msg, nil
 }
 
 // takeValues puts a peer's newer values in force. The configuration goes first: the fleet refers to its hosts.
-func (p *peers) takeValues(values *pb.FetchResponse) {
+func (p *peers) takeValues(ctx context.Context, values *pb.FetchResponse) {
 	if cfg := values.GetConfig(); cfg != nil {
-		p.view.applyConfig(time.Now(), cfg)
+		if p.view.applyConfig(time.Now(), cfg) {
+			events.Emit(ctx, p.logger, events.ConfigInForce, "generation", cfg.GetGeneration(), "source", "peer")
+		}
 	}
 	if f := values.GetFleet(); f != nil {
 		p.view.applyFleet(f)
@@ -382,5 +387,5 @@
 func (p *peers) guestList() []*pb.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return lo.Values(p.guests)
+	return p.vouched.members()
 }
--- a/internal/entryhost/provide.go
+++ b/internal/entryhost/provide.go
@@ -27,8 +27,6 @@
 	peerDialTimeout = 2 * time.Second
 	// workerDialTimeout bounds the wait for a connection to a worker.
 	workerDialTimeout = 2 * time.Second
-	// clockSkew bounds the difference between two entry hosts' clocks.
-	clockSkew = 2 * time.Second
 )
 
 // provide declares how each part is made; do makes each once, when it is first needed.
@@ -37,7 +35,8 @@
 		return newMember(do.MustInvoke[*pb.Settings](i).GetEntryHost()), nil
 	})
 	do.Provide(i, func(i do.Injector) (*view, error) {
-		return newView(do.MustInvoke[*pb.Settings](i).GetTiming().GetInForceBound().AsDuration()), nil
+		timing := do.MustInvoke[*pb.Settings](i).GetTiming()
+		return newView(do.MustInvoke[*pb.Member](i), timing.GetInForceBound().AsDuration(), timing.GetPauseLimit().AsDuration()), nil
 	})
 	do.Provide(i, func(i do.Injector) (*pause.Detector, error) {
 		return pause.NewDetector(do.MustInvoke[*pb.Settings](i).GetTiming().GetPauseLimit().AsDuration()), nil
@@ -74,16 +73,18 @@
 
 func provideDispatcher(i do.Injector) (*dispatcher, error) {
 	self := do.MustInvoke[*pb.Member](i)
+	s := do.MustInvoke[*pb.Settings](i)
 	owner := &pb.Owner{Name: self.GetName(), Incarnation: self.GetIncarnation()}
-	return newDispatcher(do.MustInvoke[*view](i), owner, self.GetDataCentre(), int(do.MustInvoke[*pb.Settings](i).GetLimits().GetMaxRequests())), nil
+	maxRequests := int(s.GetLimits().GetMaxRequests())
+	return newDispatcher(do.MustInvoke[*view](i), owner, self.GetDataCentre(), maxRequests), nil
 }
 
 func provideKeys(i do.Injector) (*keys, error) {
 	limits := do.MustInvoke[*pb.Settings](i).GetLimits()
-	return newKeys(do.MustInvoke[*view](i), do.MustInvoke[*pb.Member](i), idempotency.Limits{
+	return newKeys(do.MustInvoke[*view](i), do.MustInvoke[*pb.Member](i), do.MustInvoke[*pause.Detector](i), idempotency.Limits{
 		MaxKeys:   int(limits.GetMaxKeys()),
 		Window:    limits.GetKeyWindow().AsDuration(),
-		ClockSkew: clockSkew,
+		ClockSkew: limits.GetClockSkew().AsDuration(),
 	}), nil
 }
 
@@ -101,7 +102,7 @@
 		latest:    map[string]fleet.Received{},
 		started:   time.Now(),
 		links:     map[string]*link{},
-		guests:    map[string]*pb.Member{},
+		vouched:   guestBook{},
 		hosts:     map[string]agateturnv1connect.PeerServiceClient{},
 	}, nil
 }
@@ -117,10 +118,11 @@
 
 func provideFollower(i do.Injector) (*follower, error) {
 	return &follower{
-		kv:     do.MustInvoke[*kvhttp.Store](i),
-		view:   do.MustInvoke[*view](i),
-		name:   do.MustInvoke[*pb.Member](i).GetName(),
-		logger: do.MustInvoke[*slog.Logger](i),
+		kv:       do.MustInvoke[*kvhttp.Store](i),
+		view:     do.MustInvoke[*view](i),
+		name:     do.MustInvoke[*pb.Member](i).GetName(),
+		identity: identity(do.MustInvoke[*pb.Member](i)),
+		logger:   do.MustInvoke[*slog.Logger](i),
 	}, nil
 }
 
@@ -146,9 +148,11 @@
 
 func provideList(i do.Injector) (*platformList, error) {
 	return &platformList{
-		client: do.MustInvoke[*platform.Client](i),
-		period: do.MustInvoke[*pb.Settings](i).GetPlatform().GetPoll().AsDuration(),
-		logger: do.MustInvoke[*slog.Logger](i),
+		view:     do.MustInvoke[*view](i),
+		dispatch: do.MustInvoke[*dispatcher](i),
+		client:   do.MustInvoke[*platform.Client](i),
+		period:   do.MustInvoke[*pb.Settings](i).GetPlatform().GetPoll().AsDuration(),
+		logger:   do.MustInvoke[*slog.Logger](i),
 	}, nil
 }
 
@@ -215,6 +219,16 @@
 	}
 	d.keys.peers = d.peers
 	d.meter = &meter{view: d.view, peers: d.peers, pools: map[string]string{}, rollOuts: map[uint64]time.Time{}}
+	d.announcer = &announcer{
+		self:     d.self,
+		view:     d.view,
+		peers:    d.peers,
+		dispatch: d.dispatch,
+		list:     d.list,
+		ready:    d.ready,
+		changed:  d.view.subscribe("announcer"),
+		logger:   d.logger,
+	}
 	d.peers.ready = func() bool { return d.ready() == nil }
 	return d, nil
 }
--- a/proofs/cluster_test.go
+++ b/proofs/cluster_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/samber/lo"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
@@ -26,12 +27,15 @@
 	"github.com/agateturn/agateturn/standin/callers"
 	"github.com/agateturn/agateturn/standin/platformd"
 	"github.com/agateturn/agateturn/standin/workers"
+	"github.com/agateturn/agateturn/store/kvhttp"
 )
 
 const (
 	operatorToken = "proof-operator-token"
 	// patience is how long a state is waited for before the test fails.
 	patience = 40 * time.Second
+	// totalSlots are the slots of the deployment's ten hosts.
+	totalSlots = 80
 	// pauseLimit is the entry hosts' timing.pause_limit.
 	pauseLimit = time.Second
 )
@@ -64,13 +68,16 @@
 
 var daemonPath string
 
+// network is the first half of every address: one of its own for each test process, so that two runs do not meet.
+var network = fmt.Sprintf("127.%d", 100+os.Getpid()%100)
+
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "agateturn-proofs")
 	if err != nil {
 		panic(err)
 	}
 	daemonPath = filepath.Join(dir, "agateturnd")
-	build := exec.Command("go", "build", "-o", daemonPath, "../cmd/agateturnd")
+	build := exec.CommandContext(context.Background(), "go", "build", "-o", daemonPath, "../cmd/agateturnd")
 	if out, err := build.CombinedOutput(); err != nil {
 		panic(string(out))
 	}
@@ -99,7 +106,7 @@
 	exited  chan struct{}
 }
 
-func (e *entry) at(port int) string { return fmt.Sprintf("127.0.5.%d:%d", e.number, port) }
+func (e *entry) at(port int) string { return fmt.Sprintf("%s.5.%d:%d", network, e.number, port) }
 
 // newCluster starts the stand-ins and n entry hosts, and applies the configuration.
 func newCluster(t *testing.T, n int) *cluster {
@@ -111,7 +118,7 @@
 	var err error
 	c.workers, err = workers.New(context.Background(), workers.Options{
 		Hosts:          c.config.GetHosts(),
-		AdminAddress:   "127.0.5.100:0",
+		AdminAddress:   network + ".5.100:0",
 		Seed:           1,
 		DefaultRunTime: workers.RunTime{Median: 20 * time.Millisecond, Sigma: 0.3},
 	})
@@ -121,7 +128,7 @@
 	go func() { served <- c.workers.Serve(ctx) }()
 	t.Cleanup(func() {
 		cancel()
-		<-served
+		assert.Check(t, <-served)
 	})
 	c.startPlatform()
 	for i := 1; i <= n; i++ {
@@ -131,14 +138,15 @@
 	c.await("the operator API", func() bool { return c.call(1, http.MethodGet, "/v1/status", nil, nil) == http.StatusOK })
 	assert.Equal(t, c.apply(1, "change-0001", 0, c.ini), http.StatusOK)
 	c.awaitReady(n)
+	c.awaitSettled(n)
 	return c
 }
 
 func hostSections() string {
 	var b bytes.Buffer
 	for i, pool := range []string{"left", "left", "left", "left", "right", "right", "right", "right", "spare", "spare"} {
-		fmt.Fprintf(&b, "[host %q]\naddress = 127.0.6.%d:9100\ndata_centre = %s\nrack = %s%d\npool = %s\n",
-			fmt.Sprintf("w%d", i+1), i+1, []string{"a", "b"}[i%2], []string{"a", "b"}[i%2], i/4, pool)
+		fmt.Fprintf(&b, "[host %q]\naddress = %s.6.%d:9100\ndata_centre = %s\nrack = %s%d\npool = %s\n",
+			fmt.Sprintf("w%d", i+1), network, i+1, []string{"a", "b"}[i%2], []string{"a", "b"}[i%2], i/4, pool)
 	}
 	return b.String()
 }
@@ -152,7 +160,7 @@
 		WorkerAdmin: "http://" + c.workers.Admin(),
 	})
 	server := httptest.NewUnstartedServer(c.platform)
-	listener, err := net.Listen("tcp", "127.0.5.100:0")
+	listener, err := (&net.ListenConfig{}).Listen(c.t.Context(), "tcp", network+".5.100:0")
 	assert.NilError(c.t, err)
 	server.Listener = listener
 	server.Start()
@@ -170,7 +178,7 @@
 	var peers string
 	for i := 1; i <= c.size; i++ {
 		if i != number {
-			peers += fmt.Sprintf("127.0.5.%d:7001,", i)
+			peers += fmt.Sprintf("%s.5.%d:7001,", network, i)
 		}
 	}
 	path := filepath.Join(c.dir, fmt.Sprintf("entry-%d.ini", number))
@@ -200,7 +208,7 @@
 	assert.NilError(c.t, os.WriteFile(path, []byte(text), 0o600))
 	log, err := os.OpenFile(filepath.Join(c.dir, fmt.Sprintf("entry-%d.log", number)), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	assert.NilError(c.t, err)
-	e.command = exec.Command(daemonPath, "--config", path)
+	e.command = exec.CommandContext(context.Background(), daemonPath, "--config", path)
 	e.command.Stderr = log
 	assert.NilError(c.t, e.command.Start())
 	go func() {
@@ -238,7 +246,7 @@
 	}
 	for i := range c.entries {
 		log, _ := os.ReadFile(filepath.Join(c.dir, fmt.Sprintf("entry-%d.log", i)))
-		c.t.Logf("entry-%d:\n%s", i, lo.Substring(string(log), -4000, 4000))
+		c.t.Logf("entry-%d:\n%s", i, string(log))
 	}
 }
 
@@ -310,6 +318,34 @@
 	})
 }
 
+// awaitSettled waits until every entry host may use its own slots.
+func (c *cluster) awaitSettled(n int) {
+	c.t.Helper()
+	c.await("slots settled", func() bool {
+		own := 0
+		for i := 1; i <= n; i++ {
+			s := c.status(i).Slots
+			if s.Waiting > 0 {
+				return false
+			}
+			own += s.Own
+		}
+		return own == totalSlots && c.settledOwners() == n
+	})
+}
+
+// settledOwners is the number of owners in the store's fleet; 0 while they change.
+func (c *cluster) settledOwners() int {
+	value, err := kvhttp.New(c.address, "agateturn/", "", time.Second).Get(context.Background(), "fleet")
+	assert.NilError(c.t, err)
+	fleet := &pb.Fleet{}
+	assert.NilError(c.t, proto.Unmarshal(value.Data, fleet))
+	if len(fleet.GetNextOwners().GetOwners()) > 0 {
+		return 0
+	}
+	return len(fleet.GetOwners().GetOwners())
+}
+
 // load is the callers' plan against the given entry hosts.
 func (c *cluster) load(duration time.Duration, numbers ...int) callers.Config {
 	config := callers.Default()
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -45,7 +45,7 @@
 	Host       string
 	DataCentre string
 	Rack       string
-	// Free of the Slots may be used now.
+	// Free is the number of slots that may be used now; Slots is how many the host has.
 	Free  int
 	Slots int
 	// DueForMaintenance is the time of the next planned maintenance; zero if none is planned.
@@ -83,7 +83,10 @@
 	DataCentre string
 	// SessionNotice keeps sessions off hosts that are due for maintenance within it. Default 10 min.
 	SessionNotice time.Duration
-	// RemotePenalty is the factor by which a host in another data centre looks more loaded. Default 1.5.
+	// LocalLoad is the load up to which the hosts of the own data centre are taken first; 1 is all slots busy with
+	// requests of mean run time. Default 0.75.
+	LocalLoad float64
+	// RemotePenalty is the factor by which hosts of other data centres look more loaded beyond that. Default 1.25.
 	RemotePenalty float64
 	// MaxEjected is the share of a pool's hosts that may be ejected at once. Default 0.3.
 	MaxEjected float64
@@ -100,7 +103,8 @@
 // Defaults of Options.
 const (
 	DefaultSessionNotice = 10 * time.Minute
-	DefaultRemotePenalty = 1.5
+	DefaultLocalLoad     = 0.75
+	DefaultRemotePenalty = 1.25
 	DefaultMaxEjected    = 0.3
 	DefaultProbeAfter    = 5 * time.Second
 	DefaultProbeLimit    = 5 * time.Minute
@@ -134,6 +138,7 @@
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.SessionNotice, DefaultSessionNotice)
+	setDefault(&o.LocalLoad, DefaultLocalLoad)
 	setDefault(&o.RemotePenalty, DefaultRemotePenalty)
 	setDefault(&o.MaxEjected, DefaultMaxEjected)
 	setDefault(&o.ProbeAfter, DefaultProbeAfter)
@@ -149,16 +154,17 @@
 	}
 }
 
-// Hopeless reports whether the job failed on several hosts that serve others well, and succeeded
-// nowhere: its caller should be told not to send it again.
-func (r *Router) Hopeless(jobDigest uint64) bool {
-	return r.jobs.hopeless(jobDigest, r.hosts)
+// Hopeless reports whether the job failed on several hosts that serve others, and succeeded nowhere: its caller
+// should be told not to send it again. The verdict lapses after a time, which doubles if the job then fails again.
+func (r *Router) Hopeless(now time.Time, jobDigest uint64) bool {
+	return r.jobs.hopeless(now, jobDigest, r.hosts)
 }
 
 // RunTime returns the learned mean run time of a service on a host, or the declared one where nothing is
 // known. An empty host means any host.
 func (r *Router) RunTime(service, host string, declared time.Duration) time.Duration {
-	return r.runTimes.mean(service, host, declared)
+	seconds := r.runTimes.onHost(service, host, r.runTimes.ofService(service, declared))
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // AllowRetry takes one retry from the service's budget; false if there is none left.
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -2,9 +2,10 @@
 # Every process is started here, ended here by its id, and waited for.
 
 entry_hosts=${ENTRY_HOSTS:-9}
-entry_net=${ENTRY_NET:-127.0.1} # the first three bytes of the entry hosts' addresses
-platform=${PLATFORM:-127.0.0.1:18500}
-workers_admin=${WORKERS_ADMIN:-127.0.0.1:18600}
+network=${NETWORK:-127.0} # first half of every address, so that two deployments can run side by side
+entry_net=${ENTRY_NET:-$network.1} # the first three bytes of the entry hosts' addresses
+platform=${PLATFORM:-$network.0.1:18500}
+workers_admin=${WORKERS_ADMIN:-$network.0.1:18600}
 token=demo-operator-token
 declare -A pids
 
@@ -60,10 +61,32 @@
 INI
 }
 
+# Two deployments on the same addresses would join each other's fleet.
+refuse_if_taken() {
+  local address
+  for address in "$platform" "$workers_admin" "$network.1.1:7002"; do
+    if (exec 3<>"/dev/tcp/${address%:*}/${address#*:}") 2>/dev/null; then
+      echo "$address is in use: another deployment runs there; stop it, or take other addresses with NETWORK=127.77" >&2
+      exit 1
+    fi
+  done
+}
+
+# check_platform ends the run if the platform lost a race for its address.
+check_platform() {
+  sleep 0.3
+  kill -0 "${pids[platform]}" 2>/dev/null && return 0
+  echo "the platform's stand-in did not start:" >&2
+  cat "$run/platform.log" >&2
+  exit 1
+}
+
 start_platform() {
+  refuse_if_taken
   start platform "$bin/agateturn-standin" platform --listen "$platform" --deployment "$deployment" \
     --entry-hosts "$(seq -s, -f 'entry-%g' "$entry_hosts")" --reboot-time 2s --workers-admin "http://$workers_admin"
   start workers "$bin/agateturn-standin" workers --deployment "$deployment" --admin "$workers_admin"
+  check_platform
 }
 
 start_entry() { # NUMBER
@@ -78,3 +101,6 @@
 }
 
 ctl() { AGATETURN_TOKEN=$token "$bin/agateturnctl" --address "${operator:-$entry_net.1:7002}" "$@"; }
+
+# in_network copies a deployment with its workers' addresses in the network.
+in_network() { sed "s/^address = 127\.0\./address = $network./" "$1" >"$2"; }
--- a/slots/doc.go
+++ b/slots/doc.go
@@ -27,17 +27,18 @@
 //
 // # Change of owners
 //
-// While the fleet has next owners, a slot whose owner would change is neither taken nor lent by its old owner. The
-// next owners become the owners only after every member has applied that. The new owner of a slot may use it only when
-// the last heartbeat of every member was sent under the new owners and doesn't list the slot as borrowed:
+// The fleet names the next owners first, and makes them the owners only after every member has applied that: so no member
+// lags by more than one set. Until a member applies the new owners it goes on under the old ones, also while the store is
+// down in between. The new owner of a slot may use it only when the last heartbeat of every member was sent under the
+// new owners and doesn't list the slot as borrowed:
 //
 //   - A member that still runs a request on the slot, as its former owner or borrower, reports it as borrowed from the
 //     new owner until the request ends.
 //   - A member that holds it idle drops it when it applies the new owners.
 //   - A member that has applied the new owners accepts no loan of the slot from anybody but the new owner, and none
 //     that was sent under older owners, so a delayed heartbeat of the old owner can't hand it out again.
-//   - A report that was sent under owners which this ledger has not applied yet doesn't count, since it may name
-//     another owner for the slot.
+//   - A report that was sent under other owners than the present ones doesn't count, since it may name another owner for
+//     the slot. Reports carry a hash of the owners for that; the revision alone grows with every move of a host.
 //   - A member that the fleet no longer lists is proved gone and holds nothing.
 //   - A restarted member is another owner: its slots change hands like those of any other.
 //
--- a/slots/ledger.go
+++ b/slots/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -57,8 +58,6 @@
 	owner memberID
 	// own: this incarnation owns the slot by the settled owners.
 	own bool
-	// moving: the next owners give the slot to somebody else.
-	moving bool
 	// acquired is the revision that every member's report must reach before an own slot may be used; 0 once cleared.
 	acquired uint64
 	// busy is the serial of the token that is out; 0 for none.
@@ -97,8 +96,9 @@
 // peer is what the ledger last heard from one incarnation of a member.
 type peer struct {
 	sequence uint64
-	// revision is the owners revision of its last heartbeat.
-	revision uint64
+	// revision is the fleet revision that its last heartbeat was sent under, and ownersHash its owner set.
+	revision   uint64
+	ownersHash uint64
 	// reported are the slots it said it holds of those that this member owns.
 	reported map[slotKey]struct{}
 }
@@ -111,8 +111,9 @@
 	revision uint64
 	// ownersSince is the revision in which the present owners were first seen.
 	ownersSince uint64
-	owners      *pb.OwnerSet
-	next        *pb.OwnerSet
+	// ownersHash identifies the present owners.
+	ownersHash uint64
+	owners     *pb.OwnerSet
 	// active: this incarnation is a member.
 	active bool
 	peers  map[memberID]*peer
@@ -127,9 +128,13 @@
 	waiting map[slotKey]*record
 	// returned are the loans that were given back for good and that their lender may still list.
 	returned map[memberID]map[uint64]slotKey
-	loans    uint64
-	serial   uint64
-	inUse    int
+	// pending are the members that should hear from this one before the next regular heartbeat, by name.
+	pending map[string]bool
+	// announced is the shortage of slots by pool at the last time when every member was marked as pending.
+	announced map[string]int
+	loans     uint64
+	serial    uint64
+	inUse     int
 }
 
 // NewLedger returns an empty ledger for one incarnation of a member.
@@ -143,6 +148,9 @@
 		foreign:  map[slotKey]*record{},
 		waiting:  map[slotKey]*record{},
 		returned: map[memberID]map[uint64]slotKey{},
+
+		pending:   map[string]bool{},
+		announced: map[string]int{},
 	}
 }
 
@@ -211,18 +219,12 @@
 	}
 	l.revision = f.GetRevision()
 	l.setMembers(f.GetMembers())
-	next := f.GetNextOwners()
-	if len(next.GetOwners()) == 0 {
-		next = nil
-	}
-	changed := !proto.Equal(l.owners, f.GetOwners())
-	if changed {
+	if !proto.Equal(l.owners, f.GetOwners()) {
 		l.owners = f.GetOwners()
 		l.ownersSince = l.revision
-	}
-	if changed || !proto.Equal(l.next, next) {
-		l.next = next
+		l.ownersHash = hashOwners(l.owners)
 		l.assignAll()
+		l.tellAll()
 	}
 	l.clearWaiting()
 	l.recountAll()
@@ -267,11 +269,6 @@
 	key := r.key.rendezvousKey()
 	current, _ := rendezvous.Owner(key, l.owners)
 	r.owner = ownerID(current)
-	r.moving = false
-	if l.next != nil {
-		next, _ := rendezvous.Owner(key, l.next)
-		r.moving = ownerID(next) != r.owner
-	}
 	own := current != nil && r.owner == l.self
 	switch {
 	case own && !r.own:
@@ -323,6 +320,7 @@
 			l.returned[from] = map[uint64]slotKey{}
 		}
 		l.returned[from][r.held.id] = r.key
+		l.pending[from.name] = true
 	}
 	r.held = nil
 	if r.busy == 0 {
@@ -332,15 +330,14 @@
 }
 
 // clearWaiting lets the acquired slots be used of which every member has said, under the present owners, that it
-// doesn't hold them.
+// doesn't hold them. A report that was sent under other owners may name another owner for the slot, so it doesn't count.
 func (l *Ledger) clearWaiting() {
 	if len(l.waiting) == 0 {
 		return
 	}
 	heard := l.revision
 	for _, p := range l.peers {
-		// A report under owners that this ledger hasn't applied yet says nothing of the present ones.
-		if p.revision > l.revision {
+		if p.ownersHash != l.ownersHash {
 			return
 		}
 		heard = min(heard, p.revision)
@@ -355,6 +352,18 @@
 	}
 }
 
+// hashOwners identifies an owner set, incarnations included.
+func hashOwners(set *pb.OwnerSet) uint64 {
+	var b strings.Builder
+	for _, o := range set.GetOwners() {
+		b.WriteString(o.GetName())
+		b.WriteByte(0)
+		b.WriteString(o.GetIncarnation())
+		b.WriteByte(0)
+	}
+	return rendezvous.Hash(b.String())
+}
+
 func (l *Ledger) reportedByAny(key slotKey) bool {
 	for _, p := range l.peers {
 		if _, ok := p.reported[key]; ok {
--- a/waves/step.go
+++ b/waves/step.go
@@ -26,6 +26,8 @@
 	FailHost
 	// DropHost takes a host out of the wave: it left the fleet, or its drain was cancelled.
 	DropHost
+	// YieldHost cancels the drain of a host, which is pending again: hosts failed and its pool needs it.
+	YieldHost
 	// StopWave stops a wave until an operator resumes it.
 	StopWave
 	// FinishWave ends a wave whose hosts are all dealt with.
@@ -60,6 +62,9 @@
 }
 
 // Step decides on all waves. The same input gives the same actions.
+//
+// A pool's second host and further ones start only if one more could fail after that without breaking the budget; the
+// first host needs no such reserve, or pools with room for one would never be maintained.
 func Step(now time.Time, in Input) []Action {
 	s := newStepper(now, in)
 	var out []Action
@@ -92,44 +97,62 @@
 
 // wave decides on one wave: first what became of its hosts, then whether it stops, then which hosts start.
 func (s *stepper) wave(w *pb.Wave) []Action {
-	out := s.progress(w)
-	failed := len(w.Failed)
-	ended := 0
-	for _, a := range out {
-		switch a.Kind {
-		case FailHost:
-			failed++
-			ended++
-		case FinishHost, DropHost:
-			ended++
-		default:
-		}
-	}
+	ended := s.ended(w)
+	left := s.left(w)
+	out := slices.Concat(ended, s.broken(w), left)
 	if w.Phase != pb.WavePhase_WAVE_PHASE_RUNNING {
 		return out
 	}
-	if reason := s.tooManyFailures(w, failed); reason != "" {
+	if reason := s.tooManyFailures(w, len(w.Failed)+count(out, FailHost)); reason != "" {
 		return append(out, Action{Kind: StopWave, Wave: w.Name, Reason: reason})
 	}
 	starts, wait := s.starts(w)
 	out = append(out, starts...)
-	idle := len(starts) == 0 && ended >= len(w.InProgress)
-	switch {
-	case idle && len(w.Pending) == 0:
-		out = append(out, Action{Kind: FinishWave, Wave: w.Name})
-	case idle && wait != "":
-		out = append(out, Action{Kind: Wait, Wave: w.Name, Reason: wait})
+	if len(starts) > 0 || len(ended) < len(w.InProgress) || count(ended, YieldHost) > 0 {
+		return out
+	}
+	if len(w.Pending) == len(left) {
+		return append(out, Action{Kind: FinishWave, Wave: w.Name})
+	}
+	return append(out, Action{Kind: Wait, Wave: w.Name, Reason: wait})
+}
+
+func count(actions []Action, kind Kind) int {
+	n := 0
+	for _, a := range actions {
+		if a.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+// left lists the pending hosts that the wave will never get.
+func (s *stepper) left(w *pb.Wave) []Action {
+	var out []Action
+	for _, host := range w.Pending {
+		h := s.hosts[host]
+		if h == nil || h.Purpose == pb.HostPurpose_HOST_PURPOSE_LEAVE {
+			out = append(out, Action{Kind: DropHost, Wave: w.Name, Host: host, Reason: "left the fleet"})
+		}
 	}
 	return out
 }
 
-func (s *stepper) progress(w *pb.Wave) []Action {
+// ended lists what became of the hosts in progress.
+func (s *stepper) ended(w *pb.Wave) []Action {
 	var out []Action
 	for _, host := range w.InProgress {
 		if a, ok := s.outcome(w, host); ok {
 			out = append(out, a)
 		}
 	}
+	return out
+}
+
+// broken lists the hosts that were done and do not work now.
+func (s *stepper) broken(w *pb.Wave) []Action {
+	var out []Action
 	for _, host := range w.Done {
 		h := s.hosts[host]
 		if s.in.Failed[host] && h.GetPhase() == pb.HostPhase_HOST_PHASE_ACTIVE {
@@ -139,6 +162,15 @@
 	return out
 }
 
+// yields says whether a draining host must go back to work: its pool has too few hosts since others failed, and it works.
+func (s *stepper) yields(h *pb.HostState) bool {
+	if fleet.WasDown(h) || s.in.Failed[h.Host] || s.budgets.Room(h.Pool) >= 0 {
+		return false
+	}
+	s.budgets.Return(h.Host)
+	return true
+}
+
 // outcome says what became of a host in progress, if anything.
 func (s *stepper) outcome(w *pb.Wave, host string) (Action, bool) {
 	h := s.hosts[host]
@@ -155,7 +187,9 @@
 		a.Reason = "did not come back in time"
 		return a, s.now.UnixMilli()-h.PhaseSinceUnixMs > s.in.Config.GetMaintenance().GetRebootLimit().AsDuration().Milliseconds()
 	case h.Phase == pb.HostPhase_HOST_PHASE_DRAINING && h.Purpose == pb.HostPurpose_HOST_PURPOSE_MAINTENANCE:
-		return a, false
+		a.Kind = YieldHost
+		a.Reason = "its pool needs it since other hosts failed"
+		return a, s.yields(h)
 	case h.MaintainedUnixMs >= w.StartedUnixMs:
 		a.Kind = FinishHost
 	default:
@@ -183,29 +217,47 @@
 		wait = "its hosts are busy with other orders"
 	}
 	for len(left) > 0 && s.limits.room() {
+		var reason string
+		left, reason = s.allowed(left)
+		if len(left) == 0 {
+			return out, reason
+		}
 		best := s.pick(left)
 		host := left[best]
 		left = slices.Delete(left, best, best+1)
-		if reason := s.blocked(host); reason != "" {
-			if wait == "" {
-				wait = reason
-			}
-			continue
-		}
 		s.budgets.Take(host)
-		s.limits.take(host)
+		s.limits.take(host, s.hosts[host].Pool)
 		out = append(out, Action{Kind: StartMaintenance, Wave: w.Name, Host: host})
 	}
-	if wait == "" && len(left) > 0 {
+	if len(left) > 0 {
 		wait = "max_parallel hosts are in maintenance"
 	}
 	return out, wait
 }
 
+// allowed returns the hosts that may start now, and why the first of the others may not.
+func (s *stepper) allowed(hosts []string) (out []string, reason string) {
+	for _, host := range hosts {
+		why := s.blocked(host)
+		if why == "" {
+			out = append(out, host)
+			continue
+		}
+		if reason == "" {
+			reason = why
+		}
+	}
+	return out, reason
+}
+
 func (s *stepper) blocked(host string) string {
 	if err := s.budgets.MayDrain(host); err != nil {
 		return err.Error()
 	}
+	pool := s.hosts[host].Pool
+	if !s.limits.out[host] && s.limits.pools[pool] > 0 && s.budgets.Room(pool) < 2 {
+		return fmt.Sprintf("%s: pool %s has a host in maintenance, and room for one failure only", host, pool)
+	}
 	return s.limits.blocked(host)
 }
 
