entryhost: an answer that its caller does not take ends after body_timeout

Cause, seen in proofs/TestCallersThatDoNotRead against the former code: a caller that asked for a large answer and did not read it held its slot for ever (40 s waited); it would hold up a drain as well. Ruled out: the server's WriteTimeout, which would cut long streams and sessions. Change: steadyWriter gives each write of an answer body_timeout, and the end of the answer as much again; a worker's silence is not counted. Such a failure is laid to the caller, not to the host. Upgraded sessions are not bounded. Not proved: that the host would have been blamed before; the test passes with either result.

--- a/internal/entryhost/caller.go
+++ b/internal/entryhost/caller.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/samber/lo"
 
 	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/fleet"
@@ -39,6 +40,7 @@
 
 // ServeHTTP serves readiness checks and POST/GET/... /v1/services/{service}/{path}.
 func (s *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) // an answer before may have left one
 	if r.URL.Path == "/readyz" {
 		s.serveReady(w)
 		return
@@ -177,8 +179,11 @@
 		result = routing.Failed
 	}
 	w.Header().Set(headerOutcome, outcomeDone.String())
-	if _, err := upstream.Relay(w, response); err != nil {
-		result = routing.Failed
+	steady := &steadyWriter{ResponseWriter: w, timeout: s.limits.GetBodyTimeout().AsDuration()}
+	_, err = upstream.Relay(steady, response)
+	_ = steady.extend() // the server has the end of the answer still to send
+	if err != nil {
+		result = lo.Ternary(steady.err == nil, routing.Failed, routing.Cancelled)
 		s.finishClaim(held, outcomeUnknown, response.Status)
 		events.Emit(ctx, s.logger, events.OutcomeUnknown, "host", g.host, "request", c.requestID, "err", err)
 		return callEnd{outcome: outcomeUnknown, abort: true}, false
--- a/proofs/flood_test.go
+++ b/proofs/flood_test.go
@@ -179,3 +179,27 @@
 	c.await("operators served", func() bool { return c.call(1, http.MethodGet, "/v1/status", nil, nil) == http.StatusOK })
 	c.awaitReady(2)
 }
+
+// Callers that ask for much and do not read it give their slots back: their answers are cut when they stand still for
+// body_timeout, whether they are ordinary requests or sessions, and the same job is run for
+// a caller that reads.
+func TestCallersThatDoNotRead(t *testing.T) {
+	c := newClusterWith(t, 2, floodLimits)
+	job := func(class string) string {
+		return fmt.Sprintf("GET /v1/services/left/job?size=%d HTTP/1.1\r\nHost: entry\r\nAgateturn-Team: orders\r\n"+
+			"Agateturn-Timeout: 3s\r\nAgateturn-Class: %s\r\n\r\n", 32*mib, class)
+	}
+	for i := range 40 {
+		class := []string{"normal", "session"}[i%2]
+		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", c.entries[1].at(7000))
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, err = conn.Write([]byte(job(class)))
+		assert.NilError(t, err)
+	}
+	c.await("slots in use", func() bool { return c.status(1).Slots.InUse > 10 })
+	c.await("no slot in use", func() bool { return c.status(1).Slots.InUse == 0 })
+	status, text := speak(t, c.entries[1].at(7000), job("normal"))
+	assert.Equal(t, status, http.StatusOK, "%.200s", text)
+	c.serves(1)
+}
