--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -20,8 +20,11 @@
 )
 
 const (
-	// newsGap is the shortest time between an exchange and an early heartbeat.
+	// newsGap is the shortest time between an exchange and an early heartbeat on one link.
 	newsGap = 50 * time.Millisecond
+	// earlyRate and earlyBurst bound the early heartbeats of one entry host, per second and at once.
+	earlyRate  = 4
+	earlyBurst = 16
 	// peerMessageLimit bounds one message from a peer, in bytes.
 	peerMessageLimit = 4 << 20
 	// compressFrom is the size of the smallest message that is compressed, in bytes: values are, heartbeats are not.
@@ -46,6 +49,8 @@
 	fetching atomic.Bool // a fetch of newer values is under way
 
 	mu sync.Mutex
+	// early bounds the heartbeats sent before their turn.
+	early budget
 	// latest holds the newest heartbeat of each incarnation.
 	latest map[string]fleet.Received
 	links  map[string]*link
@@ -174,13 +179,16 @@
 	}
 }
 
-// kickEarly sends a peer a heartbeat before its turn, unless something was just said: the peer stays pending then.
+// kickEarly sends a peer a heartbeat before its turn, unless something was just said or the budget of early heartbeats is
+// used up: the peer stays pending then.
 func (p *peers) kickEarly(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if l := p.links[name]; l != nil && time.Since(l.last) >= newsGap {
-		l.kick.Offer(struct{}{})
+	l := p.links[name]
+	if l == nil || time.Since(l.last) < newsGap || !p.early.take(time.Now()) {
+		return
 	}
+	l.kick.Offer(struct{}{})
 }
 
 func (p *peers) kickAll() {
--- a/internal/entryhost/provide.go
+++ b/internal/entryhost/provide.go
@@ -101,6 +101,7 @@
 		heard:     ring.New[struct{}]("heard", 1),
 		latest:    map[string]fleet.Received{},
 		started:   time.Now(),
+		early:     newBudget(earlyRate, earlyBurst),
 		links:     map[string]*link{},
 		vouched:   guestBook{},
 		hosts:     map[string]agateturnv1connect.PeerServiceClient{},
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -113,6 +113,12 @@
   end_all
 }
 
+burst() { # all nodes queue
+  begin load 150 9 5 20
+  load burst 300 --run-time 1s --burst-length 3s --keyed-share 0
+  end_all
+}
+
 restart() { # HOSTS ENTRY-HOSTS: all entry hosts are killed and start at once
   begin restart "$1" "$2" 5 20
   local n
