--- a/capacity/figure.go
+++ b/capacity/figure.go
@@ -18,6 +18,9 @@
 // SeriesDesign is the series measured at the design size itself. Fits leave it out, so that it tests them.
 const SeriesDesign = "design"
 
+// Fitted are the series that figures are worked out from. Others show faults, loads and settings.
+var Fitted = []string{"base", "hosts", "entry-hosts", "pools", "teams", SeriesDesign}
+
 // Spec says how one figure is worked out.
 type Spec struct {
 	Role     string
@@ -41,7 +44,7 @@
 }
 
 // Figure is one worked out value: what the fit of the smaller sizes gives for the design size, and what was measured at
-// the design size; NaN where there are no samples.
+// the design size; NaN where there are no samples, or too few sizes for the fit.
 type Figure struct {
 	Spec     Spec
 	Model    Model
@@ -71,13 +74,18 @@
 		return figure, nil
 	}
 	estimate, err := EstimateAt(smaller, s.Terms, size)
+	if TooFew.Has(err) {
+		return figure, nil // measured at the design size only
+	}
 	figure.Model, figure.Fit = estimate.Model, estimate.At
 	return figure, err
 }
 
 func (s Spec) choose(samples []Sample, window Window) []Sample {
 	of := func(state string) []Sample {
-		return lo.Filter(samples, func(sample Sample, _ int) bool { return sample.State == state && sample.Measure == s.Measure })
+		return lo.Filter(samples, func(sample Sample, _ int) bool {
+			return lo.Contains(Fitted, sample.Series) && sample.State == state && sample.Measure == s.Measure
+		})
 	}
 	if s.PerChange {
 		return Marginal(of(s.State), of(StateIdle), window.Seconds, window.Changes)
--- a/internal/entryhost/dispatch.go
+++ b/internal/entryhost/dispatch.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
 
 	"github.com/agateturn/agateturn/admission"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
-	"github.com/agateturn/agateturn/internal/operatorapi"
 	"github.com/agateturn/agateturn/internal/ring"
 	"github.com/agateturn/agateturn/routing"
 	"github.com/agateturn/agateturn/slots"
@@ -18,6 +18,8 @@
 const (
 	// commandCapacity bounds the commands that wait for the dispatcher.
 	commandCapacity = 8192
+	// newsCapacity bounds the peers that wait for an early heartbeat.
+	newsCapacity = 64
 	// commandBatch is the number of commands taken before the queues are looked at again.
 	commandBatch = 256
 	// dispatchTick is the time between two looks at deadlines and loans.
@@ -51,11 +53,13 @@
 	retryAfter time.Duration
 	full       bool // a queue or quota is full, rather than something being wrong
 	hopeless   bool // sending it again does not help
+	code       refusalCode
 }
 
 func rejectionOf(reason admission.Reason, retryAfter time.Duration) *rejection {
 	return &rejection{
 		reason:     reason.String(),
+		code:       codeOfReason(reason),
 		retryAfter: retryAfter,
 		full:       reason == admission.ReasonQueueFull || reason == admission.ReasonHostFull,
 	}
@@ -77,7 +81,9 @@
 	view     *view
 	self     *pb.Owner
 	commands *ring.Ring[command]
-	demand   *ring.Ring[struct{}] // signalled when a queue grows and peers should hear of it
+	// slotless is set while every own slot still waits for the report of a former holder.
+	slotless atomic.Bool
+	news     *ring.Ring[string] // peers that should get a heartbeat early
 
 	queues  *admission.Queue
 	ledger  *slots.Ledger
@@ -87,6 +93,8 @@
 	pools   []string
 	hosts   map[string]*pb.Host
 	due     map[string]time.Time // hosts due for maintenance
+	// leaving are the hosts that the platform takes away, by the entry host that read it in the platform's list.
+	leaving map[string][]string
 	peers   map[string]slots.PeerDemand
 	usage   map[string]map[string]int64 // running by team, by peer
 	nextID  uint64
@@ -99,7 +107,7 @@
 		view:     v,
 		self:     self,
 		commands: ring.New[command]("dispatch", commandCapacity),
-		demand:   ring.New[struct{}]("demand", 1),
+		news:     ring.New[string]("news", newsCapacity),
 		queues:   admission.New(admission.Limits{MaxRequests: maxRequests}),
 		ledger:   slots.NewLedger(self),
 		router:   routing.New(routing.Options{DataCentre: place}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
@@ -109,6 +117,7 @@
 		due:      map[string]time.Time{},
 		peers:    map[string]slots.PeerDemand{},
 		usage:    map[string]map[string]int64{},
+		leaving:  map[string][]string{},
 	}
 	v.onFleet(d)
 	return d
@@ -146,11 +155,28 @@
 	for _, r := range d.queues.Expire(now) {
 		d.reject(r)
 	}
-	own := d.queues.Demand(now)
-	d.ledger.Balance(now, own, d.peers)
-	if lo.SomeBy(own, func(p *pb.PoolDemand) bool { return p.GetQueued() > 0 }) {
-		d.demand.Offer(struct{}{})
+	d.balance(now)
+	waiting := d.ledger.Waiting()
+	d.slotless.Store(waiting > 0 && waiting == d.ledger.Own())
+}
+
+// balance trades slots with the peers, and has those told early for whom there is news.
+func (d *dispatcher) balance(now time.Time) {
+	d.ledger.Balance(now, d.demand(now), d.peers)
+	for name := range d.peers {
+		if d.ledger.Pending(name) {
+			d.news.Offer(name) // a full ring loses nothing: the peer stays pending until it is told
+		}
+	}
+}
+
+// demand is this entry host's load, with the slots that it could use and does not.
+func (d *dispatcher) demand(now time.Time) []*pb.PoolDemand {
+	pools := d.queues.Demand(now)
+	for _, p := range pools {
+		p.Idle = int64(d.ledger.FreeSlots(p.GetPool()))
 	}
+	return pools
 }
 
 // schedule starts as much queued work as there are usable slots.
@@ -178,7 +204,7 @@
 func (d *dispatcher) usableSlots(pool string) int {
 	ejected := d.ejected()
 	return lo.SumBy(d.ledger.Free(pool), func(f slots.HostFree) int {
-		if ejected[f.Host] {
+		if ejected[f.Host] || d.isLeaving(f.Host) {
 			return 0
 		}
 		return f.Free
@@ -208,7 +234,7 @@
 			Free:              free[name],
 			Slots:             int(host.GetSlots()),
 			DueForMaintenance: d.due[name],
-		}, known
+		}, known && !d.isLeaving(name)
 	})
 }
 
@@ -222,7 +248,7 @@
 	g, err := d.grant(now, pool, t)
 	if err != nil {
 		d.queues.Done(now, id, 0, false)
-		t.result <- verdict{rejection: &rejection{reason: err.Error(), retryAfter: retryNoHost}}
+		t.result <- verdict{rejection: &rejection{reason: err.Error(), retryAfter: retryNoHost, code: codeNoHost}}
 		return
 	}
 	d.running[id] = t
@@ -280,7 +306,7 @@
 		t.id = d.nextID
 		t.request.ID = t.id
 		if d.router.Hopeless(now, t.digest) {
-			t.result <- verdict{rejection: &rejection{reason: "this request failed on every host it was tried on; do not send it again", hopeless: true}}
+			t.result <- verdict{rejection: &rejection{reason: "this request failed on every host it was tried on; do not send it again", hopeless: true, code: codeHopeless}}
 			return
 		}
 		if decision := d.queues.Offer(now, t.request); !decision.Queued {
@@ -299,7 +325,7 @@
 		}
 		delete(d.waiting, t.id)
 		d.queues.Cancel(t.id)
-		t.result <- verdict{rejection: &rejection{reason: "the caller has gone"}}
+		t.result <- verdict{rejection: &rejection{reason: "the caller has gone", code: codeCallerGone}}
 	})
 }
 
@@ -335,140 +361,3 @@
 		})
 	})
 }
-
-// applyFleet implements fleetApplier: it returns when the dispatcher obeys the fleet.
-func (d *dispatcher) applyFleet(f *pb.Fleet, cfg *pb.Configuration) {
-	if f == nil || cfg == nil {
-		return
-	}
-	applied := make(chan struct{})
-	_ = d.commands.Put(context.Background(), func(d *dispatcher, now time.Time) {
-		d.takeOver(now, f, cfg)
-		close(applied)
-	})
-	<-applied
-}
-
-// takeOver installs a fleet and a configuration.
-func (d *dispatcher) takeOver(now time.Time, f *pb.Fleet, cfg *pb.Configuration) {
-	d.pools = lo.Map(cfg.GetPools(), func(p *pb.Pool, _ int) string { return p.GetName() })
-	d.hosts = lo.KeyBy(cfg.GetHosts(), (*pb.Host).GetName)
-	states := lo.KeyBy(f.GetHosts(), (*pb.HostState).GetHost)
-	d.queues.Configure(cfg)
-	d.ledger.SetHosts(lo.Map(cfg.GetHosts(), func(h *pb.Host, _ int) slots.HostSlots {
-		state := states[h.GetName()]
-		return slots.HostSlots{
-			Host:       h.GetName(),
-			Pool:       state.GetPool(),
-			Slots:      int(h.GetSlots()),
-			DataCentre: h.GetDataCentre(),
-			Closed:     state.GetPhase() != pb.HostPhase_HOST_PHASE_ACTIVE,
-		}
-	}))
-	d.ledger.SetOwners(f)
-	present := lo.KeyBy(f.GetMembers(), (*pb.Member).GetName)
-	d.peers = lo.PickBy(d.peers, func(name string, _ slots.PeerDemand) bool { return present[name] != nil })
-	d.usage = lo.PickBy(d.usage, func(name string, _ map[string]int64) bool { return present[name] != nil })
-	d.due = dueForMaintenance(f, cfg, now)
-}
-
-// dueForMaintenance is when each host of a running wave may be taken.
-func dueForMaintenance(f *pb.Fleet, cfg *pb.Configuration, now time.Time) map[string]time.Time {
-	due := map[string]time.Time{}
-	if cfg.GetMaintenance() == nil {
-		return due
-	}
-	for _, w := range f.GetWaves() {
-		if w.GetPhase() != pb.WavePhase_WAVE_PHASE_RUNNING {
-			continue
-		}
-		for _, host := range w.GetPending() {
-			due[host] = now
-		}
-	}
-	return due
-}
-
-// incoming takes over a peer's heartbeat.
-func (d *dispatcher) incoming(ctx context.Context, hb *pb.Heartbeat) {
-	_ = d.commands.Put(ctx, func(d *dispatcher, now time.Time) {
-		d.ledger.Incoming(hb)
-		d.peers[hb.GetName()] = slots.PeerDemand{Pools: hb.GetDemand(), DataCentre: hb.GetDataCentre()}
-		d.router.Merge(hb.GetName(), hb.GetHealth())
-		d.takeUsage(hb)
-		d.ledger.Balance(now, d.queues.Demand(now), d.peers)
-	})
-}
-
-// slotStatus counts the slots; all zero if ctx ends first.
-func (d *dispatcher) slotStatus(ctx context.Context) operatorapi.SlotStatus {
-	counted := make(chan operatorapi.SlotStatus, 1)
-	err := d.commands.Put(ctx, func(d *dispatcher, _ time.Time) {
-		counted <- operatorapi.SlotStatus{
-			Own:      d.ledger.Own(),
-			InUse:    d.ledger.InUse(),
-			Lent:     d.ledger.Lent(),
-			Borrowed: d.ledger.Borrowed(),
-			Waiting:  d.ledger.Waiting(),
-		}
-	})
-	if err != nil {
-		return operatorapi.SlotStatus{}
-	}
-	return <-counted
-}
-
-// takeUsage sums up what each team runs on the other entry hosts.
-func (d *dispatcher) takeUsage(hb *pb.Heartbeat) {
-	before := d.usage[hb.GetName()]
-	now := lo.SliceToMap(hb.GetTeamUsage(), func(u *pb.TeamUsage) (string, int64) { return u.GetTeam(), u.GetRunning() })
-	d.usage[hb.GetName()] = now
-	for _, team := range lo.Union(lo.Keys(before), lo.Keys(now)) {
-		total := int64(0)
-		for _, peer := range d.usage {
-			total += peer[team]
-		}
-		d.queues.SetTeamUsage(team, total)
-	}
-}
-
-// teamUsage is what each team runs here.
-func (d *dispatcher) teamUsage() []*pb.TeamUsage {
-	running := lo.CountValuesBy(lo.Values(d.running), func(t *ticket) string { return t.request.Team })
-	return lo.MapToSlice(running, func(team string, n int) *pb.TeamUsage {
-		return &pb.TeamUsage{Team: team, Running: int64(n)}
-	})
-}
-
-// allowRetry takes a retry from the service's budget.
-func (d *dispatcher) allowRetry(ctx context.Context, service string) bool {
-	allowed := make(chan bool, 1)
-	err := d.commands.Put(ctx, func(d *dispatcher, now time.Time) { allowed <- d.router.AllowRetry(now, service) })
-	if err != nil {
-		return false
-	}
-	return <-allowed
-}
-
-// compose fills the dispatcher's part of a heartbeat to a peer, and gives it its sequence number.
-func (d *dispatcher) compose(ctx context.Context, peer string, hb *pb.Heartbeat) error {
-	composed := make(chan struct{})
-	err := d.commands.Put(ctx, func(d *dispatcher, now time.Time) {
-		defer close(composed)
-		d.sequence++
-		hb.Sequence = d.sequence
-		hb.Slots = d.ledger.Outgoing(peer)
-		hb.Demand = d.queues.Demand(now)
-		hb.TeamUsage = d.teamUsage()
-		hb.Health = d.router.Health()
-	})
-	if err != nil {
-		return err
-	}
-	select {
-	case <-composed:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/entryhost/follow.go
+++ b/internal/entryhost/follow.go
@@ -26,10 +26,12 @@
 
 // follower brings newer values from the store into the view.
 type follower struct {
-	kv     store.KV
-	view   *view
-	name   string
-	logger *slog.Logger
+	kv   store.KV
+	view *view
+	name string
+	// identity names this process as a controller.
+	identity string
+	logger   *slog.Logger
 }
 
 // run follows one key until ctx ends, as a watcher or by rare reads.
@@ -82,7 +84,7 @@
 // watches reports whether this entry host is one of the few that keep watches open: the first by rendezvous hashing.
 func (f *follower) watches() bool {
 	members := f.view.fleet().GetMembers()
-	if len(members) <= watchers || f.view.fleet().GetController() == f.name {
+	if len(members) <= watchers || f.view.fleet().GetController() == f.identity {
 		return true
 	}
 	names := lo.Map(members, func(m *pb.Member, _ int) string { return m.GetName() })
@@ -93,12 +95,14 @@
 }
 
 func (f *follower) failed(ctx context.Context, key string, err error, failures int) {
+	f.view.storeFailing.Store(true)
 	if failures == 0 {
 		events.Emit(ctx, f.logger, events.StoreUnreachable, "key", key, "err", err)
 	}
 }
 
 func (f *follower) recovered(ctx context.Context, key string, failures int) {
+	f.view.storeFailing.Store(false)
 	if failures > 0 {
 		events.Emit(ctx, f.logger, events.StoreBack, "key", key, "failures", failures)
 	}
@@ -122,6 +126,8 @@
 	}
 	if f.view.applyConfig(time.Now(), next) {
 		events.Emit(context.Background(), f.logger, events.ConfigInForce, "generation", next.GetGeneration(), "source", "store")
+	} else if next.GetGeneration() < f.view.config().GetGeneration() {
+		events.Emit(context.Background(), f.logger, events.ConfigStale, "generation", next.GetGeneration())
 	}
 	return nil
 }
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -12,6 +12,7 @@
 	"github.com/samber/lo"
 
 	"github.com/agateturn/agateturn/config"
+	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
@@ -19,8 +20,8 @@
 )
 
 const (
-	// demandGap is the shortest time between two heartbeats sent because a queue grew.
-	demandGap = 200 * time.Millisecond
+	// newsGap is the shortest time between an exchange and an early heartbeat.
+	newsGap = 50 * time.Millisecond
 	// peerMessageLimit bounds one message from a peer, in bytes.
 	peerMessageLimit = 4 << 20
 	// compressFrom is the size of the smallest message that is compressed, in bytes: values are, heartbeats are not.
@@ -70,7 +71,6 @@
 func (p *peers) run(ctx context.Context) {
 	ticker := time.NewTicker(p.heartbeat)
 	defer ticker.Stop()
-	var lastDemand time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -81,11 +81,8 @@
 		case <-p.changed.Items():
 			p.reconcile(ctx)
 			p.kickAll()
-		case <-p.dispatch.demand.Items():
-			if time.Since(lastDemand) >= demandGap {
-				lastDemand = time.Now()
-				p.kickAll()
-			}
+		case name := <-p.dispatch.news.Items():
+			p.kickEarly(name)
 		}
 	}
 }
@@ -177,6 +174,15 @@
 	}
 }
 
+// kickEarly sends a peer a heartbeat before its turn, unless something was just said: the peer stays pending then.
+func (p *peers) kickEarly(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.links[name]; l != nil && time.Since(l.last) >= newsGap {
+		l.kick.Offer(struct{}{})
+	}
+}
+
 func (p *peers) kickAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -193,11 +199,13 @@
 	if err != nil {
 		return
 	}
+	began := time.Now()
 	answer, err := p.at(address).Exchange(ctx, connect.NewRequest(hb))
 	if err != nil {
 		p.logger.Debug("heartbeat failed", "component", "peers", "peer", name, "err", err)
 		return
 	}
+	p.tellStager(answer.Msg, began)
 	p.take(ctx, answer.Msg)
 }
 
@@ -239,18 +247,19 @@
 // take keeps a heartbeat if it is newer than the last one, and asks its sender for values that it has and we lack. Of an
 // incarnation that is neither a member nor a guest nothing is kept; it may be a member's next, known to the store first.
 func (p *peers) take(ctx context.Context, hb *pb.Heartbeat) {
-	if !p.knows(hb) {
-		p.catchUp(ctx, hb)
-		return
+	if p.knows(hb) {
+		if !p.keep(hb) {
+			return
+		}
+		p.view.addGuests(hb.GetGuests()...)
+		p.dispatch.incoming(ctx, hb)
+		p.heard.Offer(struct{}{})
 	}
-	if !p.keep(hb) {
-		return
+	// Many peers tell of the same change at once: one fetch serves for all. A failed one is made up by the next heartbeat.
+	if p.ahead(hb) && p.fetching.CompareAndSwap(false, true) {
+		defer p.fetching.Store(false)
+		p.catchUp(ctx, hb)
 	}
-	p.view.addGuests(hb.GetGuests()...)
-	p.dispatch.incoming(ctx, hb)
-	p.tellStager(hb)
-	p.heard.Offer(struct{}{})
-	p.catchUp(ctx, hb)
 }
 
 // knows reports whether a heartbeat comes from one of the others.
@@ -260,24 +269,30 @@
 	})
 }
 
-// catchUp asks the sender of a heartbeat for the values that we lack.
-func (p *peers) catchUp(ctx context.Context, hb *pb.Heartbeat) {
-	behind := hb.GetFleetRevision() > p.view.fleet().GetRevision() ||
+// ahead reports whether the sender of a heartbeat has a value newer than ours.
+func (p *peers) ahead(hb *pb.Heartbeat) bool {
+	return hb.GetFleetRevision() > p.view.fleet().GetRevision() ||
 		hb.GetConfigGeneration() > p.view.config().GetGeneration()
-	// Many peers tell of the same change at once: one fetch serves for all. A failed one is made up by the next heartbeat.
-	if behind && p.fetching.CompareAndSwap(false, true) {
-		defer p.fetching.Store(false)
-		p.fetchFrom(ctx, hb.GetName())
+}
+
+// catchUp fetches from the heartbeat's sender, then from another that told of something newer meanwhile.
+func (p *peers) catchUp(ctx context.Context, hb *pb.Heartbeat) {
+	p.fetchFrom(ctx, hb.GetName())
+	p.mu.Lock()
+	newer, found := lo.Find(lo.Values(p.latest), func(r fleet.Received) bool { return p.ahead(r.Heartbeat) })
+	p.mu.Unlock()
+	if found && newer.Heartbeat.GetName() != hb.GetName() {
+		p.fetchFrom(ctx, newer.Heartbeat.GetName())
 	}
 }
 
-// tellStager lets the acceptance state machine know what generation a peer is at.
-func (p *peers) tellStager(hb *pb.Heartbeat) {
+// tellStager lets the acceptance state machine know what generation a peer was at, at some time after the exchange began.
+func (p *peers) tellStager(hb *pb.Heartbeat, began time.Time) {
 	registered := lo.SomeBy(p.view.fleet().GetMembers(), func(m *pb.Member) bool {
 		return m.GetIncarnation() == hb.GetIncarnation()
 	})
 	p.view.withStager(func(st *config.Stager) {
-		st.Heard(time.Now(), config.Report{
+		st.Heard(began, config.Report{
 			Peer:       hb.GetName() + "/" + hb.GetIncarnation(),
 			Generation: hb.GetConfigGeneration(),
 			Ready:      hb.GetReady(),
@@ -291,15 +306,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	last, known := p.latest[hb.GetIncarnation()]
-	if known && last.Heartbeat.GetSequence() >= hb.GetSequence() {
+	fleet.Record(p.latest, hb, now)
+	if p.latest[hb.GetIncarnation()].Heartbeat != hb {
 		return false
 	}
-	since := now
-	if known {
-		since = last.Since
-	}
-	p.latest[hb.GetIncarnation()] = fleet.Received{Heartbeat: hb, At: now, Since: since}
 	if l := p.links[hb.GetName()]; l != nil {
 		l.last = now
 	}
@@ -311,27 +321,41 @@
 	if !ok {
 		return
 	}
-	_ = p.fetch(ctx, member.GetPeerAddress(), nil)
+	if values, err := p.fetch(ctx, member.GetPeerAddress(), nil); err == nil {
+		p.takeValues(ctx, values)
+	}
 }
 
-// fetch takes over what the peer knows and we do not. With join set, the peer vouches for this entry host.
-func (p *peers) fetch(ctx context.Context, address string, join *pb.Member) error {
+// fetchAsGuest asks a peer to vouch for this entry host, and serves by the peer's values once it does.
+func (p *peers) fetchAsGuest(ctx context.Context, address string) error {
+	values, err := p.fetch(ctx, address, p.self)
+	if err != nil {
+		return err
+	}
+	p.view.addGuests(p.self)
+	p.takeValues(ctx, values)
+	return nil
+}
+
+// fetch returns what the peer knows and we do not. With join set, the peer vouches for this entry host.
+func (p *peers) fetch(ctx context.Context, address string, join *pb.Member) (*pb.FetchResponse, error) {
 	answer, err := p.at(address).Fetch(ctx, connect.NewRequest(&pb.FetchRequest{
 		ConfigGeneration: p.view.config().GetGeneration(),
 		FleetRevision:    p.view.fleet().GetRevision(),
 		Join:             join,
 	}))
 	if err != nil {
-		return errUnreachable.New("%s: %v", address, err)
+		return nil, errUnreachable.New("%s: %v", address, err)
 	}
-	p.takeValues(answer.Msg)
-	return nil
+	return answer.Msg, nil
 }
 
 // takeValues puts a peer's newer values in force. The configuration goes first: the fleet refers to its hosts.
-func (p *peers) takeValues(values *pb.FetchResponse) {
+func (p *peers) takeValues(ctx context.Context, values *pb.FetchResponse) {
 	if cfg := values.GetConfig(); cfg != nil {
-		p.view.applyConfig(time.Now(), cfg)
+		if p.view.applyConfig(time.Now(), cfg) {
+			events.Emit(ctx, p.logger, events.ConfigInForce, "generation", cfg.GetGeneration(), "source", "peer")
+		}
 	}
 	if f := values.GetFleet(); f != nil {
 		p.view.applyFleet(f)
--- a/internal/entryhost/peerservice.go
+++ b/internal/entryhost/peerservice.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/agateturn/agateturn/config"
+	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/idempotency"
 )
@@ -29,6 +30,8 @@
 
 // Exchange takes over a peer's heartbeat and answers with our own.
 func (s *peerService) Exchange(ctx context.Context, req *connect.Request[pb.Heartbeat]) (*connect.Response[pb.Heartbeat], error) {
+	// The sender gives an exchange up after a heartbeat period, so its report is no older than that.
+	s.peers.tellStager(req.Msg, time.Now().Add(-s.peers.heartbeat))
 	s.peers.take(ctx, req.Msg)
 	own, err := s.peers.compose(ctx, req.Msg.GetName())
 	if err != nil {
@@ -55,16 +58,21 @@
 }
 
 // Stage holds a configuration that its proposer is about to write, or drops it again.
-func (s *peerService) Stage(_ context.Context, req *connect.Request[pb.StageRequest]) (*connect.Response[pb.StageResponse], error) {
+func (s *peerService) Stage(ctx context.Context, req *connect.Request[pb.StageRequest]) (*connect.Response[pb.StageResponse], error) {
 	answer := &pb.StageResponse{}
+	event := events.ConfigStaged
 	s.view.withStager(func(st *config.Stager) {
 		if req.Msg.GetAbandon() {
 			st.Abandon(time.Now(), req.Msg.GetConfig().GetChangeId(), req.Msg.GetProposer())
+			event = events.ConfigAbandoned
 		} else {
 			answer.Staged, answer.Reason = st.Stage(time.Now(), req.Msg.GetConfig(), req.Msg.GetProposer())
 		}
 		answer.ConfigGeneration = st.Generation()
 	})
+	if answer.GetStaged() || req.Msg.GetAbandon() {
+		events.Emit(ctx, s.peers.logger, event, "change", req.Msg.GetConfig().GetChangeId(), "proposer", req.Msg.GetProposer())
+	}
 	return connect.NewResponse(answer), nil
 }
 
--- a/internal/entryhost/provide.go
+++ b/internal/entryhost/provide.go
@@ -36,7 +36,7 @@
 	})
 	do.Provide(i, func(i do.Injector) (*view, error) {
 		timing := do.MustInvoke[*pb.Settings](i).GetTiming()
-		return newView(timing.GetInForceBound().AsDuration(), timing.GetPauseLimit().AsDuration()), nil
+		return newView(do.MustInvoke[*pb.Member](i), timing.GetInForceBound().AsDuration(), timing.GetPauseLimit().AsDuration()), nil
 	})
 	do.Provide(i, func(i do.Injector) (*pause.Detector, error) {
 		return pause.NewDetector(do.MustInvoke[*pb.Settings](i).GetTiming().GetPauseLimit().AsDuration()), nil
@@ -81,7 +81,7 @@
 
 func provideKeys(i do.Injector) (*keys, error) {
 	limits := do.MustInvoke[*pb.Settings](i).GetLimits()
-	return newKeys(do.MustInvoke[*view](i), do.MustInvoke[*pb.Member](i), idempotency.Limits{
+	return newKeys(do.MustInvoke[*view](i), do.MustInvoke[*pb.Member](i), do.MustInvoke[*pause.Detector](i), idempotency.Limits{
 		MaxKeys:   int(limits.GetMaxKeys()),
 		Window:    limits.GetKeyWindow().AsDuration(),
 		ClockSkew: limits.GetClockSkew().AsDuration(),
@@ -118,10 +118,11 @@
 
 func provideFollower(i do.Injector) (*follower, error) {
 	return &follower{
-		kv:     do.MustInvoke[*kvhttp.Store](i),
-		view:   do.MustInvoke[*view](i),
-		name:   do.MustInvoke[*pb.Member](i).GetName(),
-		logger: do.MustInvoke[*slog.Logger](i),
+		kv:       do.MustInvoke[*kvhttp.Store](i),
+		view:     do.MustInvoke[*view](i),
+		name:     do.MustInvoke[*pb.Member](i).GetName(),
+		identity: identity(do.MustInvoke[*pb.Member](i)),
+		logger:   do.MustInvoke[*slog.Logger](i),
 	}, nil
 }
 
@@ -147,9 +148,11 @@
 
 func provideList(i do.Injector) (*platformList, error) {
 	return &platformList{
-		client: do.MustInvoke[*platform.Client](i),
-		period: do.MustInvoke[*pb.Settings](i).GetPlatform().GetPoll().AsDuration(),
-		logger: do.MustInvoke[*slog.Logger](i),
+		view:     do.MustInvoke[*view](i),
+		dispatch: do.MustInvoke[*dispatcher](i),
+		client:   do.MustInvoke[*platform.Client](i),
+		period:   do.MustInvoke[*pb.Settings](i).GetPlatform().GetPoll().AsDuration(),
+		logger:   do.MustInvoke[*slog.Logger](i),
 	}, nil
 }
 
@@ -217,6 +220,16 @@
 	}
 	d.keys.peers = d.peers
 	d.meter = &meter{view: d.view, peers: d.peers, pools: map[string]string{}, rollOuts: map[uint64]time.Time{}}
+	d.announcer = &announcer{
+		self:     d.self,
+		view:     d.view,
+		peers:    d.peers,
+		dispatch: d.dispatch,
+		list:     d.list,
+		ready:    d.ready,
+		changed:  d.view.subscribe("announcer"),
+		logger:   d.logger,
+	}
 	d.peers.ready = func() bool { return d.ready() == nil }
 	return d, nil
 }
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -44,6 +44,7 @@
 // this incarnation: then its view may be old, and the process has to start anew.
 func (r *registrar) run(ctx context.Context) error {
 	backoff := store.DefaultBackoff()
+	failing := false
 	for ctx.Err() == nil {
 		if r.isMember() {
 			if err := r.watchOver(ctx); err != nil {
@@ -54,10 +55,14 @@
 		if err := r.join(ctx); errRemoved.Has(err) {
 			return err
 		} else if err != nil {
-			r.logger.Debug("registration failed", "component", "registrar", "err", err)
+			if !failing {
+				events.Emit(ctx, r.logger, events.JoinRefused, "err", err)
+			}
+			failing = true
 			_ = backoff.Sleep(ctx)
 			continue
 		}
+		failing = false
 		backoff.Reset()
 	}
 	return nil
@@ -74,12 +79,11 @@
 		return errRemoved.New("paused before it had joined") // a successor may be a member already
 	}
 	for _, address := range r.seeds {
-		if r.peers.fetch(ctx, address, r.self) == nil {
+		if r.peers.fetchAsGuest(ctx, address) == nil {
 			if !r.peers.sponsored(address) {
 				break
 			}
 			r.view.withStager(func(st *config.Stager) { st.JoinAsGuest(time.Now()) })
-			r.view.addGuests(r.self)
 			events.Emit(ctx, r.logger, events.JoinedAsGuest, "sponsor", address)
 			break
 		}
