Collect garbage earlier, and hold the memory bound on lying peers

Change: the bound is 48 MiB again (the bound of control and twice 8 MiB), the lies are of 250 KiB and 1 MiB; the collector runs when the heap has grown by 30 %; messages and heartbeats are bounded as above.

--- a/cmd/agateturnd/main.go
+++ b/cmd/agateturnd/main.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -34,9 +35,14 @@
 func main() {
 	var line commandLine
 	kong.Parse(&line, kong.Name("agateturnd"), kong.Description("Runs one entry host."))
+	debug.SetGCPercent(gcPercent)
 	os.Exit(run(line, os.Stdout, os.Stderr))
 }
 
+// gcPercent makes the collector run when the heap has grown by this share of what lives: the live heap of an entry host
+// is a few megabytes, and memory is its scarcer resource.
+const gcPercent = 30
+
 // run checks the settings and runs the daemon until it is told to stop. It returns the exit code.
 func run(line commandLine, out, errOut io.Writer) int {
 	s, err := load(line.Config)
--- a/internal/entryhost/peerbodies.go
+++ b/internal/entryhost/peerbodies.go
@@ -15,9 +15,9 @@
 
 const (
 	// peerBodyBytes bounds the bytes of peers' messages that are held while they arrive.
-	peerBodyBytes = 8 << 20
+	peerBodyBytes = 4 << 20
 	// heartbeatLimit bounds a heartbeat, in bytes; smallLimit bounds the calls that carry only names and numbers.
-	heartbeatLimit = 512 << 10
+	heartbeatLimit = 256 << 10
 	smallLimit     = 8 << 10
 	// peerWorkBytes bounds the bytes of peers' messages, unpacked, that are handled at once; the others wait.
 	peerWorkBytes = peerMessageLimit
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -26,7 +26,7 @@
 	earlyRate  = 4
 	earlyBurst = 16
 	// peerMessageLimit bounds one message from a peer, in bytes.
-	peerMessageLimit = 4 << 20
+	peerMessageLimit = 2 << 20
 	// compressFrom is the size of the smallest message that is compressed, in bytes: values are, heartbeats are not.
 	compressFrom = 8 << 10
 	// formerKept is how long the heartbeats of a replaced incarnation are kept.
--- a/proofs/liars_test.go
+++ b/proofs/liars_test.go
@@ -16,10 +16,9 @@
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
 )
 
-// liarBound is the memory that an entry host may hold whatever strangers say on the peers' listener: 8 MiB of messages
-// that arrive, and 4 MiB that are handled at once, each six times: as a buffer that grows, and as a message. It is
-// doubled because the garbage collector runs when the heap has doubled.
-const liarBound = controlBytes + 2*(8+6*4)*mib
+// liarBound is the memory that an entry host may hold whatever strangers say on the peers' listener: the bound of control,
+// and 8 MiB of messages, doubled because the garbage collector runs when the heap has doubled.
+const liarBound = controlBytes + 2*8*mib
 
 // liars is the number of liars that talk at once.
 const liars = 8
@@ -58,8 +57,10 @@
 		lie("entry-1", uuid.NewString()),
 		lie("entry-2", uuid.NewString()), // a member's name
 		lie(uuid.NewString(), uuid.NewString()),
-		{Name: strings.Repeat("n", 500<<10), Incarnation: uuid.NewString()},
-		{Name: "entry-2", Incarnation: strings.Repeat("i", 500<<10) + uuid.NewString()},
+		{Name: strings.Repeat("n", 250<<10), Incarnation: uuid.NewString()},
+		{Name: strings.Repeat("n", mib), Incarnation: uuid.NewString()},
+		{Name: "entry-2", Incarnation: strings.Repeat("i", 250<<10) + uuid.NewString()},
+		{Name: "entry-2", Incarnation: strings.Repeat("i", mib) + uuid.NewString()},
 	}
 }
 
