Never say 'not run' of a request whose earlier try may have run

Cause: a GET whose first try ended unknown is tried on another host; when that try was refused in the queue or reached no worker, the caller was told 'not run'. Found by reading. Ruled out: giving up such retries; they turn most unknown outcomes of idempotent requests into answers. Change: a call remembers that a try may have run, and every later refusal of it is 'unknown'.

--- a/internal/entryhost/call.go
+++ b/internal/entryhost/call.go
@@ -61,6 +61,8 @@
 	requestID string
 	arrived   time.Time
 	deadline  time.Time
+	// mayHaveRun is set once a try of the request may have reached a worker.
+	mayHaveRun bool
 }
 
 // parse reads everything but the body.
@@ -105,6 +107,16 @@
 	}, nil
 }
 
+// honest is the refusal as it may be given: a request of which a try may have run is not said to be not run.
+func (c *call) honest(r refusal) refusal {
+	if !c.mayHaveRun {
+		return r
+	}
+	r.outcome = outcomeUnknown
+	r.reason = "an earlier try may have run; then: " + r.reason
+	return r
+}
+
 // readBody reads the whole body, within the limits of size and time, before the request queues: a slow caller holds no slot.
 func (c *call) readBody(w http.ResponseWriter, r *http.Request, limits *pb.LimitSettings, budget *bodyBudget) *refusal {
 	if r.Body == nil || r.Body == http.NoBody {
--- a/internal/entryhost/caller.go
+++ b/internal/entryhost/caller.go
@@ -102,8 +102,9 @@
 	for {
 		g, refusal := s.queue(ctx, t)
 		if refusal != nil {
-			s.refuse(ctx, w, *refusal)
-			return callEnd{outcome: outcomeNotRun, queued: time.Since(c.arrived)}
+			final := c.honest(*refusal)
+			s.refuse(ctx, w, final)
+			return callEnd{outcome: final.outcome, queued: time.Since(c.arrived)}
 		}
 		end, again := s.attempt(ctx, w, c, t, g)
 		if !again {
@@ -208,16 +209,21 @@
 func (s *callerServer) failed(ctx context.Context, w http.ResponseWriter, c *call, g *grant, err error) (callEnd, bool) {
 	ended := outcomeOf(err)
 	retryable := ended == outcomeNotRun || c.idempotent()
+	if ended == outcomeUnknown {
+		c.mayHaveRun = true
+	}
 	if retryable && ctx.Err() == nil && s.dispatch.allowRetry(ctx, c.service.GetName()) {
 		return callEnd{}, true
 	}
-	if ended == outcomeUnknown {
+	final := unknownOutcome(statusOf(ctx, err), err.Error())
+	if ended == outcomeNotRun {
+		final = c.honest(notRun(http.StatusServiceUnavailable, err.Error(), retryNoHost).as(codeNotReached))
+	}
+	if final.outcome == outcomeUnknown {
 		events.Emit(ctx, s.logger, events.OutcomeUnknown, "host", g.host, "request", c.requestID, "err", err)
-		s.refuse(ctx, w, unknownOutcome(statusOf(ctx, err), err.Error()))
-		return callEnd{outcome: outcomeUnknown}, false
 	}
-	s.refuse(ctx, w, notRun(http.StatusServiceUnavailable, err.Error(), retryNoHost).as(codeNotReached))
-	return callEnd{outcome: outcomeNotRun}, false
+	s.refuse(ctx, w, final)
+	return callEnd{outcome: final.outcome}, false
 }
 
 // outgoing is the request as the worker gets it. The last check runs immediately before the first byte is written.
--- a/proofs/process_test.go
+++ b/proofs/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/agateturn/agateturn/internal/operatorapi"
 	"github.com/agateturn/agateturn/platform"
 	"github.com/agateturn/agateturn/standin/platformd"
+	"github.com/agateturn/agateturn/standin/workers"
 )
 
 // A move waits for an entry host that is frozen across it, and ends after the thaw.
@@ -243,3 +245,41 @@
 	assert.Equal(t, wave().Done, 4)
 	c.judge(report(), 0)
 }
+
+// A request that was answered "not run" was not run, also when an earlier try of it reached a worker that failed it.
+func TestNotRunIsNeverSaidOfARequestThatRan(t *testing.T) {
+	c := newCluster(t, 3)
+	for _, h := range c.config.GetHosts() {
+		assert.Assert(t, c.workers.SetFaults(h.GetName(), workers.Faults{CloseAfterRead: true, Share: 0.7}))
+	}
+	said := make([]string, 1500)
+	var callers sync.WaitGroup
+	for i := range said {
+		callers.Go(func() {
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet,
+				"http://"+c.entries[1+i%3].at(7000)+"/v1/services/left/job/"+strconv.Itoa(i)+"?run=300ms", nil)
+			assert.Check(t, err)
+			request.Header.Set("Agateturn-Team", "orders")
+			request.Header.Set("Agateturn-Timeout", "1s")
+			request.Header.Set("Agateturn-Request-Id", "request-"+strconv.Itoa(i))
+			response, err := http.DefaultClient.Do(request)
+			if err != nil {
+				return
+			}
+			_ = response.Body.Close()
+			said[i] = response.Header.Get("Agateturn-Outcome")
+		})
+		if i%100 == 99 {
+			time.Sleep(500 * time.Millisecond) // waves of a hundred: more than there are slots, so that tries are refused
+		}
+	}
+	callers.Wait()
+	ran := map[string]bool{}
+	for _, r := range c.workers.Records() {
+		ran[r.RequestID] = ran[r.RequestID] || r.Ran
+	}
+	t.Logf("answers: %v", lo.CountValues(said))
+	for i, outcome := range said {
+		assert.Check(t, outcome != "not-run" || !ran["request-"+strconv.Itoa(i)], "request-%d ran", i)
+	}
+}
