Confirm the view of a paused entry host by a member while the store is down

Cause: a process that was paused beyond pause_limit confirmed its view by a read of the store only, so in an outage every pause took an entry host out of service until the store was back (proof: not ready in 40 s). Ruled out: going on without a confirmation; the process may have been counted as gone. Change: the fleet of any one member that was not paused itself confirms it; the reason is at registrar.confirm.

--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -358,6 +358,20 @@
 	return answer.Msg, nil
 }
 
+// fleetOfMember returns the whole fleet of the first other member that answers.
+func (p *peers) fleetOfMember(ctx context.Context) (*pb.Fleet, error) {
+	for _, m := range p.view.fleet().GetMembers() {
+		if m.GetName() == p.self.GetName() {
+			continue
+		}
+		answer, err := p.at(m.GetPeerAddress()).Fetch(ctx, connect.NewRequest(&pb.FetchRequest{}))
+		if err == nil && answer.Msg.GetFleet() != nil {
+			return answer.Msg.GetFleet(), nil
+		}
+	}
+	return nil, errUnreachable.New("no member answers")
+}
+
 // takeValues puts a peer's newer values in force. The configuration goes first: the fleet refers to its hosts.
 func (p *peers) takeValues(ctx context.Context, values *pb.FetchResponse) {
 	if cfg := values.GetConfig(); cfg != nil {
--- a/internal/entryhost/peerservice.go
+++ b/internal/entryhost/peerservice.go
@@ -42,6 +42,9 @@
 
 // Fetch returns what the caller lacks. A joining entry host is vouched for only while we are a member ourselves.
 func (s *peerService) Fetch(_ context.Context, req *connect.Request[pb.FetchRequest]) (*connect.Response[pb.FetchResponse], error) {
+	if err := s.keys.detector.Check(); err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err) // what was known before the pause may be old
+	}
 	if join := req.Msg.GetJoin(); join != nil {
 		if err := s.peers.vouch(join); err != nil {
 			return nil, connect.NewError(connect.CodeFailedPrecondition, err)
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -127,9 +127,15 @@
 	}
 }
 
-// confirm ends the suspicion of a pause by a read of the store.
+// confirm ends the suspicion of a pause by a fleet read after it: from the store or, while that is down, from a member.
+//
+// One member is enough: a drain that was completed without this process's release had been applied by that member, so its
+// fleet shows the host as draining; and a later one cannot be completed without that member.
 func (r *registrar) confirm(ctx context.Context) {
 	f, _, err := r.writer.read(ctx)
+	if err != nil {
+		f, err = r.peers.fleetOfMember(ctx)
+	}
 	if err != nil {
 		return
 	}
--- a/proofs/process_test.go
+++ b/proofs/process_test.go
@@ -283,3 +283,15 @@
 		assert.Check(t, outcome != "not-run" || !ran["request-"+strconv.Itoa(i)], "request-%d ran", i)
 	}
 }
+
+// An entry host that was paused while the store is down serves again once a member has confirmed its view.
+func TestPausedEntryHostIsConfirmedByAMember(t *testing.T) {
+	c := newCluster(t, 3)
+	c.platform.SetStoreFaults(platformd.StoreFaults{Down: true})
+	c.signal(2, syscall.SIGSTOP)
+	time.Sleep(2 * pauseLimit)
+	c.signal(2, syscall.SIGCONT)
+	c.await("ready again", func() bool { return c.status(2).Ready })
+	report := c.ask(c.load(2*time.Second, 2))
+	c.judge(report(), 0)
+}
