Trade slots only when there is something to trade; leave quiet pools out of heartbeats

Each balance looks at all 11,200 slots, now at every heartbeat; the demand named all 28 pools; the collector ran too often at 30 %. Ruled out: the early heartbeats, which an idle fleet does not send (9 entry hosts: 5.3 KB/s idle). Change: no balance while nothing is queued, lent or waiting anywhere; pools without load are left out; 50 % for the collector.

--- a/cmd/agateturnd/main.go
+++ b/cmd/agateturnd/main.go
@@ -41,7 +41,7 @@
 
 // gcPercent makes the collector run when the heap has grown by this share of what lives: the live heap of an entry host
 // is a few megabytes, and memory is its scarcer resource.
-const gcPercent = 30
+const gcPercent = 50
 
 // run checks the settings and runs the daemon until it is told to stop. It returns the exit code.
 func run(line commandLine, out, errOut io.Writer) int {
--- a/internal/entryhost/dispatch.go
+++ b/internal/entryhost/dispatch.go
@@ -95,9 +95,11 @@
 	due     map[string]time.Time // hosts due for maintenance
 	// leaving are the hosts that the platform takes away, by the entry host that read it in the platform's list.
 	leaving map[string][]string
-	peers   map[string]slots.PeerDemand
-	usage   map[string]map[string]int64 // running by team, by peer
-	nextID  uint64
+	// wasQuiet is set when the last look found nothing to trade.
+	wasQuiet bool
+	peers    map[string]slots.PeerDemand
+	usage    map[string]map[string]int64 // running by team, by peer
+	nextID   uint64
 	// sequence numbers the heartbeats of this incarnation.
 	sequence uint64
 }
@@ -161,8 +163,14 @@
 }
 
 // balance trades slots with the peers, and has those told early for whom there is news.
+//
+// With nothing queued anywhere and nothing lent there is nothing to trade, and looking at each slot costs time.
 func (d *dispatcher) balance(now time.Time) {
-	d.ledger.Balance(now, d.demand(now), d.peers)
+	own := d.demand(now)
+	if d.quiet(own) {
+		return
+	}
+	d.ledger.Balance(now, own, d.peers)
 	for name := range d.peers {
 		if d.ledger.Pending(name) {
 			d.news.Offer(name) // a full ring loses nothing: the peer stays pending until it is told
@@ -170,6 +178,22 @@
 	}
 }
 
+// quiet reports whether nobody queues, here or at a peer, and no slot is lent, borrowed or still to be settled.
+func (d *dispatcher) quiet(own []*pb.PoolDemand) bool {
+	if d.ledger.Lent()+d.ledger.Borrowed()+d.ledger.Waiting() > 0 || queues(own) {
+		d.wasQuiet = false
+		return false
+	}
+	quiet := lo.NoneBy(lo.Values(d.peers), func(p slots.PeerDemand) bool { return queues(p.Pools) })
+	balanced := quiet && d.wasQuiet // one balance after the last demand, so that its end is told
+	d.wasQuiet = quiet
+	return balanced
+}
+
+func queues(demand []*pb.PoolDemand) bool {
+	return lo.SomeBy(demand, func(p *pb.PoolDemand) bool { return p.GetQueued() > 0 })
+}
+
 // demand is this entry host's load, with the slots that it could use and does not.
 func (d *dispatcher) demand(now time.Time) []*pb.PoolDemand {
 	pools := d.queues.Demand(now)
--- a/internal/entryhost/dispatchpeers.go
+++ b/internal/entryhost/dispatchpeers.go
@@ -136,6 +136,14 @@
 	return <-allowed
 }
 
+// quietArrivals is the rate below which a pool without requests is left out of heartbeats, in requests a second. Receivers
+// take an absent pool for one without load.
+const quietArrivals = 0.01
+
+func isLoaded(p *pb.PoolDemand, _ int) bool {
+	return p.GetQueued() > 0 || p.GetRunning() > 0 || p.GetArrivalsPerSecond() >= quietArrivals
+}
+
 // compose fills the dispatcher's part of a heartbeat to a peer, and gives it its sequence number.
 func (d *dispatcher) compose(ctx context.Context, peer string, hb *pb.Heartbeat) error {
 	composed := make(chan struct{})
@@ -144,7 +152,7 @@
 		d.sequence++
 		hb.Sequence = d.sequence
 		hb.Slots = d.ledger.Outgoing(peer)
-		hb.Demand = d.demand(now)
+		hb.Demand = lo.Filter(d.demand(now), isLoaded)
 		hb.TeamUsage = d.queues.TeamUsage()
 		hb.Health = d.router.Health()
 		hb.LeavingHosts = d.leaving[d.self.GetName()]
