Answer refused connections of slow clients too; look at queued pools only

A connection beyond the limit was given 200 ms to ask and to read its refusal; a client on a busy machine takes longer, and the close then destroys the answer. Scheduling one request looked through every pool and worker. Ruled out: easing the test; its bound (no small request without an answer) stands. The cost of scheduling was not measured again.

--- a/internal/entryhost/dispatch.go
+++ b/internal/entryhost/dispatch.go
@@ -208,13 +208,20 @@
 	if len(d.waiting) == 0 {
 		return
 	}
-	for _, pool := range d.pools {
-		d.schedulePool(now, pool)
+	ejected := d.ejected()
+	for _, pool := range d.queuedPools() {
+		d.schedulePool(now, pool, ejected)
 	}
 }
 
-func (d *dispatcher) schedulePool(now time.Time, pool string) {
-	usable := d.usableSlots(pool)
+// queuedPools are the pools that a request waits for, in the configuration's order.
+func (d *dispatcher) queuedPools() []string {
+	queued := lo.SliceToMap(lo.Values(d.waiting), func(t *ticket) (string, bool) { return t.request.Pool, true })
+	return lo.Filter(d.pools, func(pool string, _ int) bool { return queued[pool] })
+}
+
+func (d *dispatcher) schedulePool(now time.Time, pool string, ejected map[string]bool) {
+	usable := d.usableSlots(pool, ejected)
 	starts, rejections := d.queues.Next(now, pool, usable)
 	for _, r := range rejections {
 		d.reject(r)
@@ -225,8 +232,7 @@
 }
 
 // usableSlots counts the free slots on hosts that are not ejected.
-func (d *dispatcher) usableSlots(pool string) int {
-	ejected := d.ejected()
+func (d *dispatcher) usableSlots(pool string, ejected map[string]bool) int {
 	return lo.SumBy(d.ledger.Free(pool), func(f slots.HostFree) int {
 		if ejected[f.Host] || d.isLeaving(f.Host) {
 			return 0
--- a/internal/limitlisten/limitlisten.go
+++ b/internal/limitlisten/limitlisten.go
@@ -11,7 +11,7 @@
 	// lingering bounds the refused connections that are answered with patience; beyond it they are answered at once.
 	lingering = 1024
 	// lingerTime is how long a refused connection may stay open, for its request to come and its answer to be read.
-	lingerTime = 200 * time.Millisecond
+	lingerTime = 2 * time.Second
 )
 
 // listener hands out at most cap(held) connections at once.
