--- a/cmd/agateturn-capacity/fault.go
+++ b/cmd/agateturn-capacity/fault.go
@@ -4,7 +4,7 @@
 	"context"
 	"net/http"
 
-	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/hostlist"
 	"github.com/agateturn/agateturn/standin/platformd"
 )
 
@@ -22,7 +22,7 @@
 		return err
 	}
 	for _, name := range c.Gone {
-		host := map[string]platform.State{"state": platform.StateGone}
+		host := map[string]hostlist.State{"state": hostlist.StateGone}
 		if _, err := call(ctx, http.MethodPut, c.Platform+"/admin/hosts/"+name, "", host); err != nil {
 			return err
 		}
--- a/cmd/agateturn-standin/platform.go
+++ b/cmd/agateturn-standin/platform.go
@@ -8,7 +8,7 @@
 	"os"
 	"time"
 
-	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/hostlist"
 	"github.com/agateturn/agateturn/standin/platformd"
 )
 
@@ -41,7 +41,7 @@
 }
 
 // hosts returns the host list to start with.
-func (c *platformCommand) hosts() ([]platform.Host, error) {
+func (c *platformCommand) hosts() ([]hostlist.Host, error) {
 	if c.Deployment != "" {
 		cfg, err := loadDeployment(c.Deployment)
 		if err != nil {
@@ -52,7 +52,7 @@
 		}
 	}
 	if c.HostsFile == "" {
-		return append(live(platform.RoleWorker, c.Hosts), live(platform.RoleEntry, c.EntryHosts)...), nil
+		return append(live(hostlist.RoleWorker, c.Hosts), live(hostlist.RoleEntry, c.EntryHosts)...), nil
 	}
 	if len(c.Hosts)+len(c.EntryHosts) > 0 {
 		return nil, errors.New("give either --hosts-file or names of hosts, not both")
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var list platform.HostList
+	var list hostlist.HostList
 	if err := json.Unmarshal(text, &list); err != nil {
 		return nil, fmt.Errorf("read %s: %w", c.HostsFile, err)
 	}
@@ -73,10 +73,10 @@
 	return list.Hosts, nil
 }
 
-func live(role platform.Role, names []string) []platform.Host {
-	hosts := make([]platform.Host, 0, len(names))
+func live(role hostlist.Role, names []string) []hostlist.Host {
+	hosts := make([]hostlist.Host, 0, len(names))
 	for _, name := range names {
-		hosts = append(hosts, platform.Host{Name: name, Role: role, State: platform.StateLive})
+		hosts = append(hosts, hostlist.Host{Name: name, Role: role, State: hostlist.StateLive})
 	}
 	return hosts
 }
--- a/platform/platform.go
+++ b/hostlist/hostlist.go
@@ -1,9 +1,9 @@
-// Package platform is a client of the platform's host list and host actions, JSON over HTTP.
+// Package hostlist is a client of the platform's host list and host actions, JSON over HTTP.
 //
 //	GET  /v1/hosts                   {"hosts":[{"name","role","state","boot_id","incarnation"}]}
 //	POST /v1/hosts/NAME/reboot       {"operation_id"}
 //	POST /v1/hosts/NAME/checkpoint   {"operation_id"}
-package platform
+package hostlist
 
 import (
 	"bytes"
--- a/platform/platform_test.go
+++ b/hostlist/hostlist_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package hostlist_test
 
 import (
 	"context"
@@ -11,16 +11,16 @@
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
-	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/hostlist"
 	"github.com/agateturn/agateturn/standin/platformd"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-func start(t *testing.T, handler http.Handler) *platform.Client {
+func start(t *testing.T, handler http.Handler) *hostlist.Client {
 	t.Helper()
 	server := httptest.NewServer(handler)
-	client := platform.New(server.URL, 2*time.Second)
+	client := hostlist.New(server.URL, 2*time.Second)
 	t.Cleanup(func() { client.Close(); server.Close() })
 	return client
 }
@@ -41,30 +41,30 @@
 		{"name":"w1","role":"worker","state":"live","boot_id":"b1"}]}`))
 	hosts, err := client.Hosts(t.Context())
 	assert.NilError(t, err)
-	assert.DeepEqual(t, hosts, []platform.Host{
-		{Name: "w1", Role: platform.RoleWorker, State: platform.StateLive, BootID: "b1"},
-		{Name: "w2", Role: platform.RoleWorker, State: platform.StateLeaving},
+	assert.DeepEqual(t, hosts, []hostlist.Host{
+		{Name: "w1", Role: hostlist.RoleWorker, State: hostlist.StateLive, BootID: "b1"},
+		{Name: "w2", Role: hostlist.RoleWorker, State: hostlist.StateLeaving},
 	})
 }
 
 func TestErrorsHaveTheirKinds(t *testing.T) {
 	ctx := t.Context()
 	_, err := start(t, answering(http.StatusOK, `{"hosts":[{"name":"w1","role":"worker","state":"asleep"}]}`)).Hosts(ctx)
-	assert.Assert(t, platform.Malformed.Has(err), "%v", err)
+	assert.Assert(t, hostlist.Malformed.Has(err), "%v", err)
 	_, err = start(t, answering(http.StatusOK, `<html>`)).Hosts(ctx)
-	assert.Assert(t, platform.Malformed.Has(err), "%v", err)
+	assert.Assert(t, hostlist.Malformed.Has(err), "%v", err)
 	_, err = start(t, answering(http.StatusBadGateway, "")).Hosts(ctx)
-	assert.Assert(t, platform.Unavailable.Has(err), "%v", err)
+	assert.Assert(t, hostlist.Unavailable.Has(err), "%v", err)
 	err = start(t, answering(http.StatusNotFound, "")).Reboot(ctx, "w1", "op-1")
-	assert.Assert(t, platform.Refused.Has(err), "%v", err)
+	assert.Assert(t, hostlist.Refused.Has(err), "%v", err)
 	err = start(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		panic(http.ErrAbortHandler)
 	})).Checkpoint(ctx, "w1", "op-1")
-	assert.Assert(t, platform.Unavailable.Has(err), "%v", err)
+	assert.Assert(t, hostlist.Unavailable.Has(err), "%v", err)
 }
 
 // find returns the host of that name.
-func find(t *testing.T, client *platform.Client, name string) platform.Host {
+func find(t *testing.T, client *hostlist.Client, name string) hostlist.Host {
 	t.Helper()
 	hosts, err := client.Hosts(t.Context())
 	assert.NilError(t, err)
@@ -74,12 +74,12 @@
 		}
 	}
 	t.Fatalf("no host %q", name)
-	return platform.Host{}
+	return hostlist.Host{}
 }
 
 func TestRebootIsOnceAnOperation(t *testing.T) {
 	server := platformd.New(platformd.Config{
-		Hosts:      []platform.Host{{Name: "w1", Role: platform.RoleWorker, State: platform.StateLive}},
+		Hosts:      []hostlist.Host{{Name: "w1", Role: hostlist.RoleWorker, State: hostlist.StateLive}},
 		RebootTime: 20 * time.Millisecond,
 	})
 	defer server.Close()
@@ -87,28 +87,28 @@
 	before := find(t, client, "w1")
 	server.SetHostFaults(platformd.HostFaults{LoseNextAnswers: 1})
 	err := client.Reboot(t.Context(), "w1", "op-1")
-	assert.Assert(t, platform.Unavailable.Has(err), "%v", err)
+	assert.Assert(t, hostlist.Unavailable.Has(err), "%v", err)
 	for range 2 {
 		assert.NilError(t, client.Reboot(t.Context(), "w1", "op-1"))
 		assert.NilError(t, client.Checkpoint(t.Context(), "w1", "op-2"))
 	}
-	for find(t, client, "w1").State != platform.StateLive {
+	for find(t, client, "w1").State != hostlist.StateLive {
 		time.Sleep(time.Millisecond)
 	}
 	assert.Assert(t, find(t, client, "w1").BootID != before.BootID)
 	assert.Equal(t, server.Counters().Reboots, 1)
 	assert.Equal(t, server.Counters().Checkpoints, 1)
 	err = client.Reboot(t.Context(), "w1", "op-2")
-	assert.Assert(t, platform.Refused.Has(err), "an operation id of another action: %v", err)
+	assert.Assert(t, hostlist.Refused.Has(err), "an operation id of another action: %v", err)
 }
 
 func Example() {
 	server := platformd.New(platformd.Config{
-		Hosts: []platform.Host{{Name: "w1", Role: platform.RoleWorker, State: platform.StateLive, BootID: "boot-1"}},
+		Hosts: []hostlist.Host{{Name: "w1", Role: hostlist.RoleWorker, State: hostlist.StateLive, BootID: "boot-1"}},
 	})
 	listener := httptest.NewServer(server)
 	defer listener.Close()
-	client := platform.New(listener.URL, time.Second)
+	client := hostlist.New(listener.URL, time.Second)
 	defer client.Close()
 	hosts, _ := client.Hosts(context.Background())
 	fmt.Println(hosts[0].Name, hosts[0].State, hosts[0].BootID)
--- a/platform/list.go
+++ b/hostlist/list.go
@@ -1,4 +1,4 @@
-package platform
+package hostlist
 
 import (
 	"cmp"
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -15,7 +15,7 @@
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/ring"
 	"github.com/agateturn/agateturn/mover"
-	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/hostlist"
 	"github.com/agateturn/agateturn/store"
 	"github.com/agateturn/agateturn/waves"
 )
@@ -36,7 +36,7 @@
 	writer   *writer
 	peers    *peers
 	leases   store.Leases
-	platform *platform.Client
+	platform *hostlist.Client
 	list     *platformList
 	period   time.Duration
 	lease    time.Duration
--- a/internal/entryhost/platformlist.go
+++ b/internal/entryhost/platformlist.go
@@ -11,13 +11,13 @@
 
 	"github.com/agateturn/agateturn/controller"
 	"github.com/agateturn/agateturn/events"
-	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/hostlist"
 )
 
 // platformList keeps the newest host list of the platform. The list lags; own knowledge goes first. It is safe for
 // concurrent use.
 type platformList struct {
-	client *platform.Client
+	client *hostlist.Client
 	period time.Duration
 	view   *view
 	// dispatch is told of hosts that leave.
@@ -63,14 +63,14 @@
 	l.hosts = nil
 }
 
-func leavingHosts(hosts []platform.Host) []string {
-	return lo.FilterMap(hosts, func(h platform.Host, _ int) (string, bool) {
-		return h.Name, h.Role == platform.RoleWorker && h.State != platform.StateLive
+func leavingHosts(hosts []hostlist.Host) []string {
+	return lo.FilterMap(hosts, func(h hostlist.Host, _ int) (string, bool) {
+		return h.Name, h.Role == hostlist.RoleWorker && h.State != hostlist.StateLive
 	})
 }
 
 // keep replaces the list. An entry keeps the time at which it was first seen in its state.
-func (l *platformList) keep(hosts []platform.Host, now time.Time) {
+func (l *platformList) keep(hosts []hostlist.Host, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	seen := map[controller.PlatformHost]time.Time{}
@@ -98,18 +98,18 @@
 	l.hosts = next
 }
 
-func roleOf(r platform.Role) controller.Role {
-	if r == platform.RoleEntry {
+func roleOf(r hostlist.Role) controller.Role {
+	if r == hostlist.RoleEntry {
 		return controller.RoleEntryHost
 	}
 	return controller.RoleWorker
 }
 
-func stateOf(s platform.State) controller.State {
+func stateOf(s hostlist.State) controller.State {
 	switch s {
-	case platform.StateLeaving:
+	case hostlist.StateLeaving:
 		return controller.StateLeaving
-	case platform.StateGone:
+	case hostlist.StateGone:
 		return controller.StateGone
 	default:
 		return controller.StateLive
--- a/internal/entryhost/provide.go
+++ b/internal/entryhost/provide.go
@@ -16,7 +16,7 @@
 	"github.com/agateturn/agateturn/internal/pause"
 	"github.com/agateturn/agateturn/internal/ring"
 	"github.com/agateturn/agateturn/mover"
-	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/hostlist"
 	"github.com/agateturn/agateturn/stats"
 	"github.com/agateturn/agateturn/store/kvhttp"
 	"github.com/agateturn/agateturn/upstream"
@@ -64,9 +64,9 @@
 	return kv, nil
 }
 
-func providePlatform(i do.Injector) (*platform.Client, error) {
+func providePlatform(i do.Injector) (*hostlist.Client, error) {
 	s := do.MustInvoke[*pb.Settings](i)
-	client := platform.New(s.GetPlatform().GetAddress(), s.GetStore().GetTimeout().AsDuration())
+	client := hostlist.New(s.GetPlatform().GetAddress(), s.GetStore().GetTimeout().AsDuration())
 	client.SetDial(trafficMeter(do.MustInvoke[*stats.Stats](i), trafficPlatform).Dialer((&net.Dialer{}).DialContext))
 	return client, nil
 }
@@ -151,7 +151,7 @@
 	return &platformList{
 		view:     do.MustInvoke[*view](i),
 		dispatch: do.MustInvoke[*dispatcher](i),
-		client:   do.MustInvoke[*platform.Client](i),
+		client:   do.MustInvoke[*hostlist.Client](i),
 		period:   do.MustInvoke[*pb.Settings](i).GetPlatform().GetPoll().AsDuration(),
 		logger:   do.MustInvoke[*slog.Logger](i),
 	}, nil
@@ -166,7 +166,7 @@
 		writer:   do.MustInvoke[*writer](i),
 		peers:    do.MustInvoke[*peers](i),
 		leases:   do.MustInvoke[*kvhttp.Store](i),
-		platform: do.MustInvoke[*platform.Client](i),
+		platform: do.MustInvoke[*hostlist.Client](i),
 		list:     do.MustInvoke[*platformList](i),
 		period:   timing.GetDecision().AsDuration(),
 		lease:    timing.GetControllerLease().AsDuration(),
--- a/proofs/cluster_test.go
+++ b/proofs/cluster_test.go
@@ -22,7 +22,7 @@
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/operatorapi"
-	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/hostlist"
 	"github.com/agateturn/agateturn/settings"
 	"github.com/agateturn/agateturn/standin/callers"
 	"github.com/agateturn/agateturn/standin/platformd"
@@ -160,8 +160,8 @@
 
 func (c *cluster) startPlatform() {
 	c.platform = platformd.New(platformd.Config{
-		Hosts: lo.Map(c.config.GetHosts(), func(h *pb.Host, _ int) platform.Host {
-			return platform.Host{Name: h.GetName(), Role: platform.RoleWorker, State: platform.StateLive}
+		Hosts: lo.Map(c.config.GetHosts(), func(h *pb.Host, _ int) hostlist.Host {
+			return hostlist.Host{Name: h.GetName(), Role: hostlist.RoleWorker, State: hostlist.StateLive}
 		}),
 		RebootTime:  time.Second,
 		WorkerAdmin: "http://" + c.workers.Admin(),
--- a/proofs/process_test.go
+++ b/proofs/process_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/agateturn/agateturn/internal/operatorapi"
-	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/hostlist"
 	"github.com/agateturn/agateturn/standin/platformd"
 	"github.com/agateturn/agateturn/standin/workers"
 )
@@ -43,7 +43,7 @@
 	time.Sleep(time.Second)
 	c.signal(2, syscall.SIGSTOP)
 	assert.Equal(t, c.move(1, "w1", "right"), http.StatusOK)
-	c.platform.SetHost(platform.Host{Name: "entry-2", Role: platform.RoleEntry, State: platform.StateGone})
+	c.platform.SetHost(hostlist.Host{Name: "entry-2", Role: hostlist.RoleEntry, State: hostlist.StateGone})
 	c.await("w1 in its new pool", func() bool { return c.host(1, "w1").Pool == "right" })
 	time.Sleep(time.Second) // w1 is asked by its new pool meanwhile
 	c.signal(2, syscall.SIGCONT)
@@ -211,7 +211,7 @@
 	report := c.ask(c.load(8*time.Second, 1, 2, 3))
 	time.Sleep(time.Second)
 	c.platform.SetStoreFaults(platformd.StoreFaults{Down: true})
-	c.platform.SetHost(platform.Host{Name: "w1", Role: platform.RoleWorker, State: platform.StateLeaving})
+	c.platform.SetHost(hostlist.Host{Name: "w1", Role: hostlist.RoleWorker, State: hostlist.StateLeaving})
 	last := time.Now().Add(bound)
 	c.judge(report(), 0)
 	for _, r := range c.workers.Records() {
--- a/standin/platformd/admin.go
+++ b/standin/platformd/admin.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/hostlist"
 	"github.com/agateturn/agateturn/store/memstore"
 )
 
@@ -55,7 +55,7 @@
 		}
 	})
 	s.mux.HandleFunc("GET /admin/hosts", func(w http.ResponseWriter, _ *http.Request) {
-		writeJSON(w, platform.HostList{Hosts: s.hosts.current()})
+		writeJSON(w, hostlist.HostList{Hosts: s.hosts.current()})
 	})
 	s.mux.HandleFunc("PUT /admin/hosts/{host}", s.putHost)
 	s.mux.HandleFunc("GET /admin/counters", func(w http.ResponseWriter, _ *http.Request) {
@@ -70,7 +70,7 @@
 }
 
 // SetHost changes or adds a host.
-func (s *Server) SetHost(host platform.Host) { s.hosts.set(host) }
+func (s *Server) SetHost(host hostlist.Host) { s.hosts.set(host) }
 
 // putHost sets the host's fields that the body names and keeps the others.
 func (s *Server) putHost(w http.ResponseWriter, r *http.Request) {
@@ -87,13 +87,13 @@
 }
 
 // find returns the host, or a live worker of that name if there is none.
-func (l *hostList) find(name string) platform.Host {
+func (l *hostList) find(name string) hostlist.Host {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if host, ok := l.hosts[name]; ok {
 		return host
 	}
-	return platform.Host{
-		Name: name, Role: platform.RoleWorker, State: platform.StateLive, BootID: l.newBootLocked(name),
+	return hostlist.Host{
+		Name: name, Role: hostlist.RoleWorker, State: hostlist.StateLive, BootID: l.newBootLocked(name),
 	}
 }
--- a/standin/platformd/hosts.go
+++ b/standin/platformd/hosts.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/hostlist"
 )
 
 const workerCallTimeout = 5 * time.Second
@@ -26,9 +26,9 @@
 	config Config
 
 	mu         sync.Mutex
-	hosts      map[string]platform.Host
+	hosts      map[string]hostlist.Host
 	history    []snapshot
-	first      []platform.Host
+	first      []hostlist.Host
 	faults     HostFaults
 	operations map[string]operation
 	boots      int
@@ -41,13 +41,13 @@
 
 type snapshot struct {
 	at    time.Time
-	hosts []platform.Host
+	hosts []hostlist.Host
 }
 
 func newHostList(config Config) *hostList {
 	l := &hostList{
 		config:     config,
-		hosts:      make(map[string]platform.Host),
+		hosts:      make(map[string]hostlist.Host),
 		faults:     HostFaults{Lag: Duration(config.ListLag)},
 		operations: make(map[string]operation),
 	}
@@ -67,31 +67,31 @@
 	return fmt.Sprintf("boot-%s-%d", name, l.boots)
 }
 
-func (l *hostList) sortedLocked() []platform.Host {
-	return slices.SortedFunc(maps.Values(l.hosts), func(a, b platform.Host) int { return cmp.Compare(a.Name, b.Name) })
+func (l *hostList) sortedLocked() []hostlist.Host {
+	return slices.SortedFunc(maps.Values(l.hosts), func(a, b hostlist.Host) int { return cmp.Compare(a.Name, b.Name) })
 }
 
 // set changes or adds a host.
-func (l *hostList) set(host platform.Host) {
+func (l *hostList) set(host hostlist.Host) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.setLocked(host)
 }
 
-func (l *hostList) setLocked(host platform.Host) {
+func (l *hostList) setLocked(host hostlist.Host) {
 	l.hosts[host.Name] = host
 	l.history = append(l.history, snapshot{at: time.Now(), hosts: l.sortedLocked()})
 }
 
 // current returns the hosts without lag.
-func (l *hostList) current() []platform.Host {
+func (l *hostList) current() []hostlist.Host {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.sortedLocked()
 }
 
 // published returns the list as callers of the platform see it.
-func (l *hostList) published() []platform.Host {
+func (l *hostList) published() []hostlist.Host {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	shown := time.Now().Add(-time.Duration(l.faults.Lag))
@@ -131,7 +131,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	host := l.hosts[name]
-	host.State = platform.StateGone
+	host.State = hostlist.StateGone
 	l.reboots++
 	l.setLocked(host)
 }
@@ -141,7 +141,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	host := l.hosts[name]
-	host.State = platform.StateLive
+	host.State = hostlist.StateLive
 	host.BootID = l.newBootLocked(name)
 	l.setLocked(host)
 }
@@ -152,7 +152,7 @@
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
 		}
-		writeJSON(w, platform.HostList{Hosts: s.hosts.published()})
+		writeJSON(w, hostlist.HostList{Hosts: s.hosts.published()})
 	})
 	s.mux.HandleFunc("POST /v1/hosts/{host}/reboot", func(w http.ResponseWriter, r *http.Request) {
 		s.act(w, r, "reboot", s.reboot)
@@ -168,7 +168,7 @@
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
 	}
-	var order platform.Order
+	var order hostlist.Order
 	if !readJSON(w, r, &order) {
 		return
 	}
--- a/standin/platformd/platformd_test.go
+++ b/standin/platformd/platformd_test.go
@@ -14,17 +14,17 @@
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
-	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/hostlist"
 	"github.com/agateturn/agateturn/standin/platformd"
 	"github.com/agateturn/agateturn/store/memstore"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-func live(names ...string) []platform.Host {
-	var hosts []platform.Host
+func live(names ...string) []hostlist.Host {
+	var hosts []hostlist.Host
 	for _, name := range names {
-		hosts = append(hosts, platform.Host{Name: name, Role: platform.RoleWorker, State: platform.StateLive, BootID: "boot-" + name})
+		hosts = append(hosts, hostlist.Host{Name: name, Role: hostlist.RoleWorker, State: hostlist.StateLive, BootID: "boot-" + name})
 	}
 	return hosts
 }
@@ -37,9 +37,9 @@
 	return recorded
 }
 
-func listed(t *testing.T, server http.Handler) []platform.Host {
+func listed(t *testing.T, server http.Handler) []hostlist.Host {
 	t.Helper()
-	var list platform.HostList
+	var list hostlist.HostList
 	assert.NilError(t, json.Unmarshal(call(t, server, http.MethodGet, "/v1/hosts", "").Body.Bytes(), &list))
 	return list.Hosts
 }
@@ -49,11 +49,11 @@
 		server := platformd.New(platformd.Config{Hosts: live("w1"), ListLag: 30 * time.Second})
 		defer server.Close()
 		assert.Equal(t, call(t, server, http.MethodPut, "/admin/hosts/w1", `{"state":"leaving"}`).Code, http.StatusOK)
-		assert.Equal(t, listed(t, server)[0].State, platform.StateLive)
+		assert.Equal(t, listed(t, server)[0].State, hostlist.StateLive)
 		time.Sleep(29 * time.Second)
-		assert.Equal(t, listed(t, server)[0].State, platform.StateLive)
+		assert.Equal(t, listed(t, server)[0].State, hostlist.StateLive)
 		time.Sleep(time.Second)
-		assert.Equal(t, listed(t, server)[0].State, platform.StateLeaving)
+		assert.Equal(t, listed(t, server)[0].State, hostlist.StateLeaving)
 		assert.Equal(t, listed(t, server)[0].BootID, "boot-w1")
 
 		call(t, server, http.MethodPut, "/admin/list", `{"lag":"1s","duplicate":true}`)
--- a/standin/platformd/server.go
+++ b/standin/platformd/server.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/hostlist"
 	"github.com/agateturn/agateturn/store/memstore"
 )
 
@@ -24,7 +24,7 @@
 // Config says what the stand-in starts with.
 type Config struct {
 	// Hosts is the host list at the start. An empty BootID is filled in.
-	Hosts []platform.Host
+	Hosts []hostlist.Host
 	// ListLag is how old the published host list is.
 	ListLag time.Duration
 	// RebootTime is how long a rebooted host is gone (0: DefaultRebootTime).
@@ -42,7 +42,7 @@
 //	GET, PUT /admin/store             StoreFaults; a PUT sets fields that it leaves out to none
 //	GET, PUT /admin/list              HostFaults; likewise
 //	GET  /admin/hosts                 the host list without lag
-//	PUT  /admin/hosts/NAME            sets or adds a host (platform.Host)
+//	PUT  /admin/hosts/NAME            sets or adds a host (hostlist.Host)
 //	GET  /admin/counters              Counters
 //	POST /admin/counters/reset        sets the counters to zero
 //	POST /admin/sessions/expire       lets every lease lapse
