--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -13,9 +13,9 @@
 	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/hostlist"
 	"github.com/agateturn/agateturn/internal/ring"
 	"github.com/agateturn/agateturn/mover"
-	"github.com/agateturn/agateturn/hostlist"
 	"github.com/agateturn/agateturn/store"
 	"github.com/agateturn/agateturn/waves"
 )
--- a/proofs/cluster_test.go
+++ b/proofs/cluster_test.go
@@ -21,8 +21,8 @@
 	"gotest.tools/v3/assert"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
-	"github.com/agateturn/agateturn/internal/operatorapi"
 	"github.com/agateturn/agateturn/hostlist"
+	"github.com/agateturn/agateturn/internal/operatorapi"
 	"github.com/agateturn/agateturn/settings"
 	"github.com/agateturn/agateturn/standin/callers"
 	"github.com/agateturn/agateturn/standin/platformd"
--- a/proofs/process_test.go
+++ b/proofs/process_test.go
@@ -11,8 +11,8 @@
 	"github.com/samber/lo"
 	"gotest.tools/v3/assert"
 
-	"github.com/agateturn/agateturn/internal/operatorapi"
 	"github.com/agateturn/agateturn/hostlist"
+	"github.com/agateturn/agateturn/internal/operatorapi"
 	"github.com/agateturn/agateturn/standin/platformd"
 	"github.com/agateturn/agateturn/standin/workers"
 )
