Serve callers of job queues; ask owners over peer connections; follow the table of queues

Cause: jobs need an entry side: hand-in answered when stored, states from the owner or else the store, cancellation, the count of pending jobs, and the table of queues in force on every host soon after its write.

New: internal/jobfront, internal/jobpeer, internal/tablefollow. JobPeerService gains DescribeJobs and OfferTable (additive). A new version is gossiped by number to a few neighbours; its bytes go only to those that lack it. Ruled out: a stale read every second beside a long watch (stale reads may be seconds old); the watch is short instead. Not run yet: real listeners, peers over connections.

--- a/gen/agateturn/v1/agateturnv1connect/jobs.connect.go
+++ b/gen/agateturn/v1/agateturnv1connect/jobs.connect.go
@@ -45,6 +45,12 @@
 	// JobPeerServicePoolStatusProcedure is the fully-qualified name of the JobPeerService's PoolStatus
 	// RPC.
 	JobPeerServicePoolStatusProcedure = "/agateturn.v1.JobPeerService/PoolStatus"
+	// JobPeerServiceDescribeJobsProcedure is the fully-qualified name of the JobPeerService's
+	// DescribeJobs RPC.
+	JobPeerServiceDescribeJobsProcedure = "/agateturn.v1.JobPeerService/DescribeJobs"
+	// JobPeerServiceOfferTableProcedure is the fully-qualified name of the JobPeerService's OfferTable
+	// RPC.
+	JobPeerServiceOfferTableProcedure = "/agateturn.v1.JobPeerService/OfferTable"
 )
 
 // JobPeerServiceClient is a client for the agateturn.v1.JobPeerService service.
@@ -57,6 +63,10 @@
 	PendingJobs(context.Context, *connect.Request[v1.PendingJobsRequest]) (*connect.Response[v1.PendingJobsResponse], error)
 	// PoolStatus tells the load of a pool, and sets which of its hosts are to be emptied.
 	PoolStatus(context.Context, *connect.Request[v1.PoolStatusRequest]) (*connect.Response[v1.PoolStatusResponse], error)
+	// DescribeJobs tells operators about the jobs of a pool.
+	DescribeJobs(context.Context, *connect.Request[v1.DescribeJobsRequest]) (*connect.Response[v1.DescribeJobsResponse], error)
+	// OfferTable tells a peer of a version of the table of queues. Every entry host answers it.
+	OfferTable(context.Context, *connect.Request[v1.OfferTableRequest]) (*connect.Response[v1.OfferTableResponse], error)
 }
 
 // NewJobPeerServiceClient constructs a client for the agateturn.v1.JobPeerService service. By
@@ -94,15 +104,29 @@
 			connect.WithSchema(jobPeerServiceMethods.ByName("PoolStatus")),
 			connect.WithClientOptions(opts...),
 		),
+		describeJobs: connect.NewClient[v1.DescribeJobsRequest, v1.DescribeJobsResponse](
+			httpClient,
+			baseURL+JobPeerServiceDescribeJobsProcedure,
+			connect.WithSchema(jobPeerServiceMethods.ByName("DescribeJobs")),
+			connect.WithClientOptions(opts...),
+		),
+		offerTable: connect.NewClient[v1.OfferTableRequest, v1.OfferTableResponse](
+			httpClient,
+			baseURL+JobPeerServiceOfferTableProcedure,
+			connect.WithSchema(jobPeerServiceMethods.ByName("OfferTable")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // jobPeerServiceClient implements JobPeerServiceClient.
 type jobPeerServiceClient struct {
-	jobStates   *connect.Client[v1.JobStatesRequest, v1.JobStatesResponse]
-	offerJobs   *connect.Client[v1.OfferJobsRequest, v1.OfferJobsResponse]
-	pendingJobs *connect.Client[v1.PendingJobsRequest, v1.PendingJobsResponse]
-	poolStatus  *connect.Client[v1.PoolStatusRequest, v1.PoolStatusResponse]
+	jobStates    *connect.Client[v1.JobStatesRequest, v1.JobStatesResponse]
+	offerJobs    *connect.Client[v1.OfferJobsRequest, v1.OfferJobsResponse]
+	pendingJobs  *connect.Client[v1.PendingJobsRequest, v1.PendingJobsResponse]
+	poolStatus   *connect.Client[v1.PoolStatusRequest, v1.PoolStatusResponse]
+	describeJobs *connect.Client[v1.DescribeJobsRequest, v1.DescribeJobsResponse]
+	offerTable   *connect.Client[v1.OfferTableRequest, v1.OfferTableResponse]
 }
 
 // JobStates calls agateturn.v1.JobPeerService.JobStates.
@@ -125,6 +149,16 @@
 	return c.poolStatus.CallUnary(ctx, req)
 }
 
+// DescribeJobs calls agateturn.v1.JobPeerService.DescribeJobs.
+func (c *jobPeerServiceClient) DescribeJobs(ctx context.Context, req *connect.Request[v1.DescribeJobsRequest]) (*connect.Response[v1.DescribeJobsResponse], error) {
+	return c.describeJobs.CallUnary(ctx, req)
+}
+
+// OfferTable calls agateturn.v1.JobPeerService.OfferTable.
+func (c *jobPeerServiceClient) OfferTable(ctx context.Context, req *connect.Request[v1.OfferTableRequest]) (*connect.Response[v1.OfferTableResponse], error) {
+	return c.offerTable.CallUnary(ctx, req)
+}
+
 // JobPeerServiceHandler is an implementation of the agateturn.v1.JobPeerService service.
 type JobPeerServiceHandler interface {
 	// JobStates tells the states of jobs. The owner answers for jobs it knows; others are UNSPECIFIED.
@@ -135,6 +169,10 @@
 	PendingJobs(context.Context, *connect.Request[v1.PendingJobsRequest]) (*connect.Response[v1.PendingJobsResponse], error)
 	// PoolStatus tells the load of a pool, and sets which of its hosts are to be emptied.
 	PoolStatus(context.Context, *connect.Request[v1.PoolStatusRequest]) (*connect.Response[v1.PoolStatusResponse], error)
+	// DescribeJobs tells operators about the jobs of a pool.
+	DescribeJobs(context.Context, *connect.Request[v1.DescribeJobsRequest]) (*connect.Response[v1.DescribeJobsResponse], error)
+	// OfferTable tells a peer of a version of the table of queues. Every entry host answers it.
+	OfferTable(context.Context, *connect.Request[v1.OfferTableRequest]) (*connect.Response[v1.OfferTableResponse], error)
 }
 
 // NewJobPeerServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -168,6 +206,18 @@
 		connect.WithSchema(jobPeerServiceMethods.ByName("PoolStatus")),
 		connect.WithHandlerOptions(opts...),
 	)
+	jobPeerServiceDescribeJobsHandler := connect.NewUnaryHandler(
+		JobPeerServiceDescribeJobsProcedure,
+		svc.DescribeJobs,
+		connect.WithSchema(jobPeerServiceMethods.ByName("DescribeJobs")),
+		connect.WithHandlerOptions(opts...),
+	)
+	jobPeerServiceOfferTableHandler := connect.NewUnaryHandler(
+		JobPeerServiceOfferTableProcedure,
+		svc.OfferTable,
+		connect.WithSchema(jobPeerServiceMethods.ByName("OfferTable")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/agateturn.v1.JobPeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case JobPeerServiceJobStatesProcedure:
@@ -178,6 +228,10 @@
 			jobPeerServicePendingJobsHandler.ServeHTTP(w, r)
 		case JobPeerServicePoolStatusProcedure:
 			jobPeerServicePoolStatusHandler.ServeHTTP(w, r)
+		case JobPeerServiceDescribeJobsProcedure:
+			jobPeerServiceDescribeJobsHandler.ServeHTTP(w, r)
+		case JobPeerServiceOfferTableProcedure:
+			jobPeerServiceOfferTableHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -202,3 +256,11 @@
 func (UnimplementedJobPeerServiceHandler) PoolStatus(context.Context, *connect.Request[v1.PoolStatusRequest]) (*connect.Response[v1.PoolStatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("agateturn.v1.JobPeerService.PoolStatus is not implemented"))
 }
+
+func (UnimplementedJobPeerServiceHandler) DescribeJobs(context.Context, *connect.Request[v1.DescribeJobsRequest]) (*connect.Response[v1.DescribeJobsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("agateturn.v1.JobPeerService.DescribeJobs is not implemented"))
+}
+
+func (UnimplementedJobPeerServiceHandler) OfferTable(context.Context, *connect.Request[v1.OfferTableRequest]) (*connect.Response[v1.OfferTableResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("agateturn.v1.JobPeerService.OfferTable is not implemented"))
+}
--- /dev/null
+++ b/internal/jobfront/front.go
@@ -0,0 +1,165 @@
+// Package jobfront serves the callers of job queues: hand-in, state, cancellation and the count of pending jobs.
+//
+// A caller's answer to a hand-in is sent when the job is stored. Owners of pools are asked for states first, since they
+// know them best; the store decides whether there is such a job.
+package jobfront
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/queue"
+)
+
+// Codec is the form of callers' messages.
+type Codec interface {
+	// DecodeJob returns an error that says what is wrong with the body.
+	DecodeJob(body []byte) (*pb.JobSpec, error)
+	EncodeState(state pb.JobState) []byte
+	EncodePending(n int64) []byte
+	// ValidJobID reports whether a caller may choose that id.
+	ValidJobID(id string) bool
+}
+
+// Store holds the accepted jobs. Each method has a deadline of its own besides ctx.
+type Store interface {
+	// Accept returns nil once the job is stored, now or earlier under the same id. Options sort its errors.
+	Accept(ctx context.Context, job *pb.JobRecord) error
+	// Cancel returns nil once the cancellation is stored. known is false if there is no such job.
+	Cancel(ctx context.Context, pool, id string) (known bool, err error)
+	// Lookup is linearizable.
+	Lookup(ctx context.Context, pool, id string) (state pb.JobState, known bool, err error)
+}
+
+// Owners answer for the pools that they own. An error means that the owner cannot be asked.
+type Owners interface {
+	// States returns one state for each id; UNSPECIFIED for a job that the owner does not know.
+	States(ctx context.Context, pool string, ids []string) ([]pb.JobState, error)
+	Offer(ctx context.Context, pool string, jobs []*pb.JobRecord, cancelled []string)
+	Pending(ctx context.Context, pool, queue string) (int64, error)
+}
+
+// Tables holds the table of queues.
+type Tables interface {
+	// Table returns nil while there is none yet.
+	Table() *queue.Table
+	// Current reports whether the table was confirmed lately.
+	Current() bool
+	// StoreAge is the time since the store last answered.
+	StoreAge() time.Duration
+}
+
+// Options are what a Front needs.
+type Options struct {
+	Codec  Codec
+	Store  Store
+	Owners Owners
+	Tables Tables
+	// IsNotAccepted tells the errors after which a job or cancellation is not stored and never will be. After any other
+	// error it may be.
+	IsNotAccepted func(error) bool
+	// ContentType is that of the answers with a body.
+	ContentType string
+	// Metrics may be nil.
+	Metrics *Metrics
+	// MaxConnections bounds the callers' connections held at once.
+	MaxConnections int
+}
+
+// Front serves callers. It is safe for concurrent use.
+type Front struct {
+	options  Options
+	server   *http.Server
+	offers   *offers
+	pending  *pendingCounts
+	ended    *endedStates
+	conns    *connections
+	ready    atomic.Bool
+	stopping atomic.Bool
+}
+
+// New returns a front that is ready once it has a table.
+func New(options Options) *Front {
+	if options.Metrics == nil {
+		options.Metrics = NewMetrics(nil)
+	}
+	f := &Front{
+		options: options,
+		offers:  newOffers(options.Owners, options.Metrics),
+		pending: newPendingCounts(options.Owners),
+		ended:   newEndedStates(),
+	}
+	f.conns = newConnections(f.limits)
+	f.server = newServer(f.Handler(), f.conns)
+	f.ready.Store(true)
+	return f
+}
+
+// Run passes accepted jobs on to owners until ctx ends.
+func (f *Front) Run(ctx context.Context) { f.offers.run(ctx) }
+
+// Serve serves callers' connections until Shutdown; it returns nil then.
+func (f *Front) Serve(listener *net.TCPListener) error {
+	err := f.server.Serve(f.conns.listener(listener, f.options.MaxConnections))
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// SetReady lets the readiness check pass or fail.
+func (f *Front) SetReady(ready bool) { f.ready.Store(ready) }
+
+// BeginStop fails the readiness check and closes each connection with its next answer. Requests are served on.
+func (f *Front) BeginStop() { f.stopping.Store(true) }
+
+// Shutdown closes the listener, lets every request in progress finish and closes the connections. It returns ctx's error
+// if that ends first.
+func (f *Front) Shutdown(ctx context.Context) error {
+	f.BeginStop()
+	f.conns.drain()
+	return f.server.Shutdown(ctx)
+}
+
+// ReadyHandler answers the platform's readiness checks.
+func (f *Front) ReadyHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if reason := f.notReady(); reason != "" {
+			http.Error(w, reason, http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+}
+
+// storeSilence is how long the store may be silent before new connections should go elsewhere. Connections that are open
+// are served on.
+const storeSilence = 10 * time.Second
+
+func (f *Front) notReady() string {
+	switch {
+	case f.stopping.Load():
+		return "stopping"
+	case !f.ready.Load():
+		return "starting"
+	case f.options.Tables.Table() == nil:
+		return "no configuration yet"
+	case f.options.Tables.StoreAge() > storeSilence:
+		return "store silent"
+	default:
+		return ""
+	}
+}
+
+// limits are those in force; zero values are unset.
+func (f *Front) limits() queue.Limits {
+	if table := f.options.Tables.Table(); table != nil {
+		return table.Limits
+	}
+	return queue.Limits{}
+}
--- /dev/null
+++ b/internal/jobpeer/batch.go
@@ -0,0 +1,73 @@
+package jobpeer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+)
+
+// batchWait is how long a question for states waits for others to the same owner.
+const batchWait = 2 * time.Millisecond
+
+// batcher puts questions for the states of one pool's jobs into one call.
+type batcher struct {
+	call func(pool string, ids []string) ([]pb.JobState, error)
+
+	mu   sync.Mutex
+	open map[string]*batch
+}
+
+// batch is one call. The fields below done are set before done is closed.
+type batch struct {
+	ids  []string
+	done chan struct{}
+
+	states []pb.JobState
+	err    error
+}
+
+func newBatcher(call func(pool string, ids []string) ([]pb.JobState, error)) *batcher {
+	return &batcher{call: call, open: map[string]*batch{}}
+}
+
+// ask returns the states of ids, or ctx's error if it ends first.
+func (b *batcher) ask(ctx context.Context, pool string, ids []string) ([]pb.JobState, error) {
+	joined, first := b.join(pool, ids)
+	select {
+	case <-ctx.Done():
+		return nil, errCall.Wrap(ctx.Err())
+	case <-joined.done:
+	}
+	if joined.err != nil {
+		return nil, joined.err
+	}
+	return joined.states[first : first+len(ids)], nil
+}
+
+// join adds ids to the open batch of the pool, and opens one if there is none. first is the place of ids in it.
+func (b *batcher) join(pool string, ids []string) (joined *batch, first int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	joined = b.open[pool]
+	if joined == nil || len(joined.ids)+len(ids) > maxIDs {
+		joined = &batch{done: make(chan struct{})}
+		b.open[pool] = joined
+		go b.send(pool, joined)
+	}
+	first = len(joined.ids)
+	joined.ids = append(joined.ids, ids...)
+	return joined, first
+}
+
+func (b *batcher) send(pool string, sent *batch) {
+	time.Sleep(batchWait)
+	b.mu.Lock()
+	if b.open[pool] == sent {
+		delete(b.open, pool)
+	}
+	b.mu.Unlock()
+	sent.states, sent.err = b.call(pool, sent.ids)
+	close(sent.done)
+}
--- /dev/null
+++ b/internal/jobpeer/server.go
@@ -0,0 +1,108 @@
+// Package jobpeer carries the calls between entry hosts about jobs: states, offers, counts and the table of queues.
+package jobpeer
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
+)
+
+const (
+	// messageLimit bounds a message, in bytes; a configuration is the largest.
+	messageLimit = 4 << 20
+	// compressFrom is the size from which messages are compressed, in bytes.
+	compressFrom = 4 << 10
+	// maxIDs bounds the ids of one call.
+	maxIDs = 1000
+	// maxOffered bounds the jobs of one offer.
+	maxOffered = 256
+)
+
+// Pools are the pools that this entry host may own. A bool result is false for a pool that it does not own.
+type Pools interface {
+	// States returns one state for each id; UNSPECIFIED for a job that the owner does not know.
+	States(pool string, ids []string) ([]pb.JobState, bool)
+	Offer(pool string, jobs []*pb.JobRecord, cancelled []string) bool
+	Pending(pool, queue string) (int64, bool)
+	Status(req *pb.PoolStatusRequest) (*pb.PoolStatusResponse, bool)
+}
+
+// Describer is implemented by Pools that tell operators about jobs.
+type Describer interface {
+	Describe(req *pb.DescribeJobsRequest) ([]*pb.JobDescription, bool)
+}
+
+// Tables takes over versions of the table of queues.
+type Tables interface {
+	// Offer returns the version in force afterwards; 0 means none.
+	Offer(version int64, raw []byte) int64
+}
+
+// NewHandler returns the handler for the listener of peers, and the path below which to mount it.
+func NewHandler(pools Pools, tables Tables) (string, http.Handler) {
+	return agateturnv1connect.NewJobPeerServiceHandler(&server{pools: pools, tables: tables},
+		connect.WithReadMaxBytes(messageLimit), connect.WithCompressMinBytes(compressFrom))
+}
+
+type server struct {
+	pools  Pools
+	tables Tables
+}
+
+// JobStates implements the service.
+func (s *server) JobStates(_ context.Context, req *connect.Request[pb.JobStatesRequest]) (*connect.Response[pb.JobStatesResponse], error) {
+	if len(req.Msg.GetIds()) > maxIDs {
+		return nil, tooMany("ids", len(req.Msg.GetIds()), maxIDs)
+	}
+	states, owner := s.pools.States(req.Msg.GetPool(), req.Msg.GetIds())
+	return connect.NewResponse(&pb.JobStatesResponse{Owner: owner, States: states}), nil
+}
+
+// OfferJobs implements the service.
+func (s *server) OfferJobs(_ context.Context, req *connect.Request[pb.OfferJobsRequest]) (*connect.Response[pb.OfferJobsResponse], error) {
+	if n := len(req.Msg.GetJobs()) + len(req.Msg.GetCancelled()); n > maxOffered {
+		return nil, tooMany("jobs", n, maxOffered)
+	}
+	owner := s.pools.Offer(req.Msg.GetPool(), req.Msg.GetJobs(), req.Msg.GetCancelled())
+	return connect.NewResponse(&pb.OfferJobsResponse{Owner: owner}), nil
+}
+
+// PendingJobs implements the service.
+func (s *server) PendingJobs(_ context.Context, req *connect.Request[pb.PendingJobsRequest]) (*connect.Response[pb.PendingJobsResponse], error) {
+	pending, owner := s.pools.Pending(req.Msg.GetPool(), req.Msg.GetQueue())
+	return connect.NewResponse(&pb.PendingJobsResponse{Owner: owner, Pending: pending}), nil
+}
+
+// PoolStatus implements the service.
+func (s *server) PoolStatus(_ context.Context, req *connect.Request[pb.PoolStatusRequest]) (*connect.Response[pb.PoolStatusResponse], error) {
+	status, owner := s.pools.Status(req.Msg)
+	if !owner {
+		status = &pb.PoolStatusResponse{}
+	}
+	status.Owner = owner
+	return connect.NewResponse(status), nil
+}
+
+// DescribeJobs implements the service.
+func (s *server) DescribeJobs(_ context.Context, req *connect.Request[pb.DescribeJobsRequest]) (*connect.Response[pb.DescribeJobsResponse], error) {
+	describer, ok := s.pools.(Describer)
+	if !ok {
+		return nil, connect.NewError(connect.CodeUnimplemented, nil)
+	}
+	jobs, owner := describer.Describe(req.Msg)
+	return connect.NewResponse(&pb.DescribeJobsResponse{Owner: owner, Jobs: jobs}), nil
+}
+
+// OfferTable implements the service.
+func (s *server) OfferTable(_ context.Context, req *connect.Request[pb.OfferTableRequest]) (*connect.Response[pb.OfferTableResponse], error) {
+	version := s.tables.Offer(req.Msg.GetVersion(), req.Msg.GetRaw())
+	return connect.NewResponse(&pb.OfferTableResponse{Version: version}), nil
+}
+
+func tooMany(what string, n, limit int) error {
+	return connect.NewError(connect.CodeInvalidArgument, errCall.New("%d %s; at most %d", n, what, limit))
+}
--- /dev/null
+++ b/internal/tablefollow/follower.go
@@ -0,0 +1,193 @@
+// Package tablefollow keeps the table of queues that the store holds under one key.
+//
+// A Follower learns of new versions from the store and from peers, whichever tells first. It never goes back to an older
+// version.
+package tablefollow
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/agateturn/agateturn/queue"
+	"github.com/agateturn/agateturn/store"
+)
+
+const (
+	// watchWait is how long one watch waits. It is below the bound in which a change must be in force, so that a watch
+	// on a silent connection costs no more than one round.
+	watchWait = 1500 * time.Millisecond
+	// watchSlack is what an answer may take beyond watchWait.
+	watchSlack = 500 * time.Millisecond
+	// readTimeout bounds one read.
+	readTimeout = time.Second
+
+	retryBase = 50 * time.Millisecond
+	retryMax  = time.Second
+
+	// currentLimit is the age of the last word from the store up to which the table counts as current.
+	currentLimit = 5 * time.Second
+)
+
+// Follower follows the key. All methods may be called concurrently.
+type Follower struct {
+	kv    store.Transactor
+	key   string
+	parse func([]byte) (*queue.Table, error)
+	log   *slog.Logger
+
+	present atomic.Pointer[version]
+	heard   atomic.Pointer[time.Time]
+
+	mu      sync.Mutex // orders changes of present
+	changed chan struct{}
+}
+
+// version is a table with the bytes that it was parsed from.
+type version struct {
+	table    *queue.Table
+	raw      []byte
+	fromPeer bool
+}
+
+// New returns a follower of the key. parse turns the value into a table; its error says what is wrong with the value.
+func New(kv store.Transactor, key string, parse func([]byte) (*queue.Table, error), log *slog.Logger) *Follower {
+	return &Follower{kv: kv, key: key, parse: parse, log: log, changed: make(chan struct{})}
+}
+
+// Table returns the newest table, or nil if there is none yet.
+func (f *Follower) Table() *queue.Table {
+	if v := f.present.Load(); v != nil {
+		return v.table
+	}
+	return nil
+}
+
+// Raw returns the newest version and the bytes that peers are offered; 0 and nil if there is none yet.
+func (f *Follower) Raw() (int64, []byte) {
+	if v := f.present.Load(); v != nil {
+		return v.table.Version, v.raw
+	}
+	return 0, nil
+}
+
+// Changed returns a channel that is closed when a newer table is in force.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// Offer takes a peer's version over if it is newer, and returns the version that is in force then. Without raw it takes
+// nothing over.
+func (f *Follower) Offer(offered int64, raw []byte) int64 {
+	have, _ := f.Raw()
+	if offered <= have || len(raw) == 0 {
+		return have
+	}
+	f.adopt(raw, true)
+	have, _ = f.Raw()
+	return have
+}
+
+// StoreAge is the time since the store last answered; it is very long if it never did.
+func (f *Follower) StoreAge() time.Duration {
+	heard := f.heard.Load()
+	if heard == nil {
+		return 1<<63 - 1
+	}
+	return age(time.Now(), *heard)
+}
+
+// Current reports whether the store confirmed the table lately: what it lacks was not configured then.
+func (f *Follower) Current() bool { return f.StoreAge() < currentLimit }
+
+// age is the longer of what the steady clock and the time of day say: the steady clock stops while the machine is
+// suspended.
+func age(now, since time.Time) time.Duration {
+	return max(now.Sub(since), now.Round(0).Sub(since.Round(0)))
+}
+
+// Run follows the key until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	backoff := store.Backoff{Base: retryBase, Max: retryMax}
+	for ctx.Err() == nil {
+		err := f.follow(ctx, backoff.Reset)
+		if ctx.Err() != nil {
+			return
+		}
+		if !store.Compacted.Has(err) {
+			f.log.Debug("configuration not read", "component", "tablefollow", "err", err)
+			if backoff.Sleep(ctx) != nil {
+				return
+			}
+		}
+	}
+}
+
+// follow reads the value and then its changes, until an error. answered is called for each answer of the store.
+func (f *Follower) follow(ctx context.Context, answered func()) error {
+	after, err := f.read(ctx)
+	for err == nil {
+		answered()
+		after, err = f.watch(ctx, after)
+	}
+	return err
+}
+
+func (f *Follower) read(ctx context.Context) (asOf uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	asked := time.Now()
+	items, asOf, err := f.kv.Range(ctx, f.key, false)
+	if err != nil {
+		return 0, err
+	}
+	for _, item := range items {
+		f.take(item)
+	}
+	f.heard.Store(&asked)
+	return asOf, nil
+}
+
+func (f *Follower) watch(ctx context.Context, after uint64) (asOf uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	asked := time.Now()
+	changes, asOf, err := f.kv.Watch(ctx, f.key, after, watchWait)
+	if err != nil {
+		return 0, err
+	}
+	for _, change := range changes {
+		if !change.Deleted {
+			f.take(change.Item)
+		}
+	}
+	f.heard.Store(&asked)
+	return asOf, nil
+}
+
+func (f *Follower) take(item store.Item) {
+	if item.Key == f.key && item.Version != 0 {
+		f.adopt(item.Data, false)
+	}
+}
+
+// adopt puts the value in force if it is a newer version.
+func (f *Follower) adopt(raw []byte, fromPeer bool) {
+	table, err := f.parse(raw)
+	if err != nil {
+		f.log.Warn("configuration cannot be read", "component", "tablefollow", "err", err)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if v := f.present.Load(); v != nil && v.table.Version >= table.Version {
+		return
+	}
+	f.present.Store(&version{table: table, raw: raw, fromPeer: fromPeer})
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/tablefollow/gossip.go
@@ -0,0 +1,72 @@
+package tablefollow
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// gossipDelay gives peers the time to learn of a version from the store by themselves.
+	gossipDelay = 300 * time.Millisecond
+	// gossipTimeout bounds one call on a peer.
+	gossipTimeout = 500 * time.Millisecond
+)
+
+// Peers are the entry hosts that are told of new versions.
+type Peers interface {
+	// Neighbours are the addresses of the peers that this one tells, at most a few. Each peer must be told by some other.
+	Neighbours() []string
+	// OfferTable tells the peer of a version and returns the peer's own. Without raw nothing but the number is sent.
+	OfferTable(ctx context.Context, address string, version int64, raw []byte) (int64, error)
+}
+
+// Gossip tells neighbours of each new version until ctx ends.
+//
+// A peer whose watch is deaf, or which the store turns away, learns of it in that way.
+func (f *Follower) Gossip(ctx context.Context, peers Peers) {
+	for {
+		changed := f.Changed()
+		if v := f.present.Load(); v != nil {
+			f.tell(ctx, peers, v)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (f *Follower) tell(ctx context.Context, peers Peers, v *version) {
+	if !v.fromPeer && !sleep(ctx, gossipDelay) {
+		return
+	}
+	for _, address := range peers.Neighbours() {
+		go f.tellOne(ctx, peers, address, v)
+	}
+}
+
+// tellOne sends the number first: nearly always the peer has the version already.
+func (f *Follower) tellOne(ctx context.Context, peers Peers, address string, v *version) {
+	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
+	defer cancel()
+	has, err := peers.OfferTable(ctx, address, v.table.Version, nil)
+	if err == nil && has < v.table.Version {
+		_, err = peers.OfferTable(ctx, address, v.table.Version, v.raw)
+	}
+	if err != nil {
+		f.log.Debug("peer not told of the configuration", "component", "tablefollow", "peer", address, "err", err)
+	}
+}
+
+// sleep returns false if ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
