--- /dev/null
+++ b/internal/jobhost/host.go
@@ -0,0 +1,204 @@
+// Package jobhost wires an entry host that serves jobs through the platform's store.
+package jobhost
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/boottime"
+	"github.com/agateturn/agateturn/internal/jobfront"
+	"github.com/agateturn/agateturn/internal/jobpeer"
+	"github.com/agateturn/agateturn/internal/jobstore"
+	"github.com/agateturn/agateturn/internal/membership"
+	"github.com/agateturn/agateturn/internal/tablefollow"
+	"github.com/agateturn/agateturn/internal/workerlist"
+	"github.com/agateturn/agateturn/platform"
+)
+
+const (
+	// contentType is that of the answers with a body.
+	contentType = "application/json"
+	// readHeaderTimeout bounds the header of a peer's or prober's request.
+	readHeaderTimeout = 2 * time.Second
+	// stopMargin is the part of the grace that is left when the last requests must have ended.
+	stopMargin = 500 * time.Millisecond
+	// leaveTimeout bounds the hand-over of pools at a planned stop.
+	leaveTimeout = 1500 * time.Millisecond
+)
+
+// Host is one entry host.
+type Host struct {
+	settings *pb.Settings
+	log      *slog.Logger
+	clock    *boottime.Clock
+
+	kv      *platform.Store
+	workers *platform.Workers
+	tables  *tablefollow.Follower
+	members *membership.Manager
+	jobs    *jobstore.Store
+	peers   *jobpeer.Client
+	front   *jobfront.Front
+	pools   *pools
+	list    *workerlist.List
+	// listWanted is closed when this host owns a pool for the first time.
+	listWanted chan struct{}
+}
+
+// New wires an entry host that does nothing until Run.
+func New(s *pb.Settings, log *slog.Logger) *Host {
+	h := &Host{settings: s, log: log, clock: boottime.New(), listWanted: make(chan struct{})}
+	h.kv = platform.NewStore(s.GetJobStore().GetAddress(), platform.StoreOptions{})
+	h.workers = platform.NewWorkers(platform.WorkersOptions{})
+	h.tables = tablefollow.New(h.kv, platform.ConfigKey, platform.ParseTable, log)
+	h.pools = newPools(h)
+	h.members = membership.New(h.kv, h.self(), membership.Events{
+		Gained: h.pools.gained,
+		Lost:   h.pools.lost,
+	}, h.clock.Now, log, h.membershipOptions())
+	h.jobs = jobstore.New(h.kv, h.clock.Now, log, jobstore.Options{})
+	h.peers = jobpeer.New(h.resolve, h.pools)
+	h.front = jobfront.New(h.frontOptions())
+	h.list = workerlist.New(h.kv, platform.WorkersPrefix, platform.ParseWorker, h.clock.Now, log, h.pools.setWorkers)
+	return h
+}
+
+func (h *Host) self() membership.Self {
+	host := h.settings.GetJobHost()
+	return membership.Self{
+		Name:        host.GetName(),
+		Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid()),
+		PeerAddress: host.GetPeerAddress(),
+		DataCentre:  host.GetDataCentre(),
+	}
+}
+
+// resolve tells where the owner of a pool is.
+func (h *Host) resolve(pool string) (address string, local, ok bool) {
+	record, _, ok := h.members.Owner(pool)
+	if !ok {
+		return "", false, false
+	}
+	return record.GetPeerAddress(), record.GetMember() == h.settings.GetJobHost().GetName(), true
+}
+
+// Run serves until ctx ends, then stops as planned: it hands over its pools and finishes the requests that it has.
+func (h *Host) Run(ctx context.Context) error {
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	h.pools.ctx = work
+	group, work := errgroup.WithContext(work)
+	if err := h.listen(work, group); err != nil {
+		return err
+	}
+	group.Go(func() error { h.tables.Run(work); return nil })
+	group.Go(func() error { h.followTable(work); return nil })
+	group.Go(func() error { return ended(work, h.jobs.Run(work)) })
+	group.Go(func() error { return ended(work, h.members.Run(work)) })
+	group.Go(func() error { h.front.Run(work); return nil })
+	group.Go(func() error { h.followWorkers(work); return nil })
+	group.Go(func() error { h.tables.Gossip(work, neighbours{h}); return nil })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			h.stop(work)
+			stopWork()
+		case <-work.Done():
+		}
+		return nil
+	})
+	err := group.Wait()
+	h.pools.group.Wait()
+	return err
+}
+
+// ended hides the error of a duty that ended because it was told to.
+func ended(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+func (h *Host) listen(ctx context.Context, group *errgroup.Group) error {
+	var config net.ListenConfig
+	host := h.settings.GetJobHost()
+	callers, err := config.Listen(ctx, "tcp", host.GetCallerAddress())
+	if err != nil {
+		return err
+	}
+	ready, err := config.Listen(ctx, "tcp", host.GetReadyAddress())
+	if err != nil {
+		return err
+	}
+	peers, err := config.Listen(ctx, "tcp", host.GetPeerAddress())
+	if err != nil {
+		return err
+	}
+	group.Go(func() error { return ended(ctx, h.front.Serve(callers.(*net.TCPListener))) })
+	h.serve(ctx, group, ready, h.front.ReadyHandler())
+	mux := http.NewServeMux()
+	mux.Handle(jobpeer.NewHandler(h.pools, h.tables))
+	h.serve(ctx, group, peers, mux)
+	return nil
+}
+
+// serve serves a listener until ctx ends.
+func (h *Host) serve(ctx context.Context, group *errgroup.Group, l net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	group.Go(func() error { return ended(ctx, server.Serve(l)) })
+	group.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+}
+
+// stop ends the work of this host as planned.
+func (h *Host) stop(ctx context.Context) {
+	h.log.Info("planned stop")
+	h.front.BeginStop()
+	leave, cancel := context.WithTimeout(ctx, leaveTimeout)
+	if err := h.members.Leave(leave, h.pools.finish); err != nil {
+		h.log.Warn("pools not handed over", "err", err)
+	}
+	cancel()
+	grace := h.settings.GetJobBounds().GetGrace().AsDuration() - leaveTimeout - stopMargin
+	finish, cancel := context.WithTimeout(ctx, max(grace, stopMargin))
+	defer cancel()
+	if err := h.front.Shutdown(finish); err != nil {
+		h.log.Warn("requests cut at the end of the grace", "err", err)
+	}
+}
+
+// followTable puts each version of the queues in force.
+func (h *Host) followTable(ctx context.Context) {
+	for {
+		changed := h.tables.Changed()
+		if table := h.tables.Table(); table != nil {
+			h.pools.setTable(ctx, table)
+			h.members.SetPools(poolNames(table))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// followWorkers follows the registry of workers from the time this host first owns a pool.
+func (h *Host) followWorkers(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-h.listWanted:
+		h.list.Run(ctx)
+	}
+}
--- /dev/null
+++ b/internal/jobhost/options.go
@@ -0,0 +1,152 @@
+package jobhost
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/jobfront"
+	"github.com/agateturn/agateturn/internal/jobstore"
+	"github.com/agateturn/agateturn/internal/membership"
+	"github.com/agateturn/agateturn/internal/poolowner"
+	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/queue"
+	"github.com/agateturn/agateturn/scheduler"
+)
+
+const (
+	// workerLease is how long workers run on without a hold.
+	workerLease = 6 * time.Second
+	// maxConnections bounds the callers' connections.
+	maxConnections = 2000
+)
+
+func (h *Host) membershipOptions() membership.Options {
+	return membership.Options{}
+}
+
+func (h *Host) frontOptions() jobfront.Options {
+	return jobfront.Options{
+		Codec: codec{}, Store: h.jobs, Owners: h.peers, Tables: h.tables,
+		IsNotAccepted:  jobstore.NotAccepted.Has,
+		ContentType:    contentType,
+		MaxConnections: maxConnections,
+	}
+}
+
+// poolNames lists what has to be owned: the fleet, and each pool whose hosts work.
+func poolNames(t *queue.Table) []string {
+	names := []string{membership.FleetPool}
+	for _, p := range t.Pools {
+		if !p.Spare {
+			names = append(names, p.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func newPools(h *Host) *pools {
+	var once sync.Once
+	p := &pools{log: h.log, terms: make(map[string]*term)}
+	p.wanted = func() { once.Do(func() { close(h.listWanted) }) }
+	p.newOwner = h.newOwner
+	p.runFleet = h.runFleet
+	return p
+}
+
+func (h *Host) newOwner(pool string, fence uint64) *poolowner.Owner {
+	var policy poolowner.Policy
+	if address := h.settings.GetPolicyService().GetAddress(); address != "" {
+		policy = platform.NewPolicy(address)
+	}
+	return poolowner.New(poolowner.Options{
+		Pool:    pool,
+		Config:  h.schedulerConfig(fence),
+		Workers: workerCalls{h.workers},
+		Policy:  policy,
+		Jobs:    h.jobs,
+		Confirmed: func() bool {
+			held, ok := h.members.Confirmed(pool)
+			return ok && held == fence
+		},
+		Replaced: func() { h.members.Replaced(pool, fence) },
+		Clock:    h.clock.Now,
+		Log:      h.log,
+	})
+}
+
+func (h *Host) schedulerConfig(fence uint64) scheduler.Config {
+	b := h.settings.GetJobBounds()
+	return scheduler.Config{
+		Fence:           fence,
+		Lease:           min(workerLease, b.GetMaxLease().AsDuration()),
+		MaxLease:        b.GetMaxLease().AsDuration(),
+		StopTime:        b.GetStopTime().AsDuration(),
+		GangTime:        b.GetGangTime().AsDuration(),
+		Early:           b.GetEarly().AsDuration(),
+		Retention:       b.GetRetention().AsDuration(),
+		CrossRackFactor: b.GetCrossRackFactor(),
+		SaveInterval:    b.GetSaveInterval().AsDuration(),
+		RestoreTime:     b.GetRestoreTime().AsDuration(),
+		Notice:          b.GetNotice().AsDuration(),
+		PaceDelay:       b.GetPaceDelay().AsDuration(),
+		HarmTime:        b.GetHarmTime().AsDuration(),
+		DrainTime:       b.GetDrainTime().AsDuration(),
+	}
+}
+
+// runFleet acts as the owner of the fleet until ctx ends.
+func (h *Host) runFleet(ctx context.Context, _ uint64) {
+	<-ctx.Done()
+}
+
+// codec is the form of callers' messages.
+type codec struct{}
+
+func (codec) DecodeJob(body []byte) (*pb.JobSpec, error) { return platform.DecodeJob(body) }
+func (codec) EncodeState(state pb.JobState) []byte       { return platform.EncodeState(state) }
+func (codec) EncodePending(n int64) []byte               { return platform.EncodePending(n) }
+func (codec) ValidJobID(id string) bool                  { return platform.ValidJobID(id) }
+
+// workerCalls adapts the platform's client of workers.
+type workerCalls struct{ *platform.Workers }
+
+// Hold renews a worker's lease and returns its report.
+func (w workerCalls) Hold(ctx context.Context, r poolowner.HoldRequest) (scheduler.Report, error) {
+	return w.Workers.Hold(ctx, platform.HoldRequest{
+		Address: r.Address, Worker: r.Worker, Born: r.Born, Fence: r.Fence,
+		LastSeen: r.LastSeen, Until: r.Until, Wait: r.Wait,
+	})
+}
+
+// neighbours chooses the peers that this host tells of new tables: the next ones in the ring of names.
+type neighbours struct{ *Host }
+
+// neighbourCount is how many peers each host tells.
+const neighbourCount = 2
+
+// Neighbours returns the addresses of the next members by name.
+func (n neighbours) Neighbours() []string {
+	members := slices.Clone(n.members.Members())
+	slices.SortFunc(members, func(a, b *pb.JobMember) int {
+		if a.GetName() < b.GetName() {
+			return -1
+		}
+		return 1
+	})
+	self := n.settings.GetJobHost().GetName()
+	at := slices.IndexFunc(members, func(m *pb.JobMember) bool { return m.GetName() == self })
+	var out []string
+	for i := 1; i <= neighbourCount && i < len(members); i++ {
+		out = append(out, members[(at+i+len(members))%len(members)].GetPeerAddress())
+	}
+	return out
+}
+
+// OfferTable tells a peer of a version of the queues.
+func (n neighbours) OfferTable(ctx context.Context, address string, version int64, raw []byte) (int64, error) {
+	return n.peers.OfferTable(ctx, address, version, raw)
+}
