Members and owners of pools under one lease a host, and a store in memory to try them on

ConflictError is of class Conflict, as its comment says. Left: hand-over by consent, tests under faults.

--- /dev/null
+++ b/internal/membership/keep.go
@@ -0,0 +1,182 @@
+package membership
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/jobkeys"
+	"github.com/agateturn/agateturn/store"
+)
+
+const (
+	// renewalsPerTTL is how often a lease is renewed within its time to live.
+	renewalsPerTTL = 3
+	// maxRenewals bounds the renewals that wait for an answer.
+	maxRenewals = 4
+	// quickRenewals is how many failures in a row are followed by an early renewal.
+	quickRenewals = 2
+	// ticksPerPause is how often the process notes that it runs within Options.Pause.
+	ticksPerPause = 4
+)
+
+// newBackoff spreads the retries of one host.
+func newBackoff() store.Backoff {
+	return store.Backoff{Base: 100 * time.Millisecond, Max: 1500 * time.Millisecond}
+}
+
+// keep is the keeper's goroutine: it holds one lease after the other until ctx ends or the host leaves.
+func (m *Manager) keep(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	m.calls.Go(func() {
+		select {
+		case <-m.stopped:
+			cancel()
+		case <-ctx.Done():
+		}
+	})
+	backoff := newBackoff()
+	for ctx.Err() == nil {
+		lease, ttl, err := m.grant(ctx)
+		if err != nil {
+			_ = backoff.Sleep(ctx) // the loop looks at ctx
+			continue
+		}
+		backoff.Reset()
+		m.hold(ctx, lease, ttl)
+		m.confirmation.Withdraw()
+		m.post(ctx, func(context.Context) { m.elector.lease = 0 })
+	}
+}
+
+func (m *Manager) grant(ctx context.Context) (uint64, time.Duration, error) {
+	call, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
+	defer cancel()
+	started := m.clock()
+	lease, ttl, err := m.kv.Grant(call, m.opts.LeaseTTL)
+	if err != nil {
+		return 0, 0, err
+	}
+	m.noteHeard()
+	m.confirmation.Confirm(started)
+	return lease, ttl, nil
+}
+
+// hold registers the member under the lease and renews it until it is lost.
+func (m *Manager) hold(ctx context.Context, lease uint64, ttl time.Duration) {
+	m.log.Info("lease granted", slog.Uint64("lease", lease), slog.Duration("ttl", ttl))
+	m.post(ctx, func(context.Context) {
+		e := &m.elector
+		e.lease = lease
+		e.settled = m.clock().Add(m.opts.Settle)
+	})
+	results := make(chan error, maxRenewals)
+	running, failures := 0, 0
+	interval := ttl / renewalsPerTTL
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	wake(m.registerNow)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.registerNow:
+			m.spawnRegister(ctx, lease)
+			continue
+		case err := <-results:
+			running--
+			if store.LeaseLost.Has(err) {
+				m.log.Warn("lease lost", slog.Uint64("lease", lease))
+				return
+			}
+			failures++
+			if err == nil {
+				failures = 0
+			} else if failures <= quickRenewals {
+				timer.Reset(interval/4 + time.Duration(rand.Int64N(int64(interval/4))))
+			}
+			continue
+		case <-m.renewNow:
+		case <-timer.C:
+		}
+		timer.Reset(interval)
+		if running < maxRenewals {
+			running++
+			m.calls.Go(func() { results <- m.renew(ctx, lease) })
+		}
+	}
+}
+
+func (m *Manager) renew(ctx context.Context, lease uint64) error {
+	call, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
+	defer cancel()
+	started := m.clock()
+	err := m.kv.KeepAlive(call, lease)
+	if err == nil {
+		m.noteHeard()
+		m.confirmation.Confirm(started)
+	}
+	return err
+}
+
+// spawnRegister writes the member key under the lease; a failure is tried again.
+func (m *Manager) spawnRegister(ctx context.Context, lease uint64) {
+	if !m.registering.CompareAndSwap(false, true) {
+		return
+	}
+	m.calls.Go(func() {
+		err := m.register(ctx, lease, false)
+		m.registering.Store(false)
+		if err == nil {
+			return
+		}
+		m.log.Info("member not registered", slog.Any("error", err))
+		backoff := newBackoff()
+		if backoff.Sleep(ctx) == nil {
+			wake(m.registerNow)
+		}
+	})
+}
+
+func (m *Manager) register(ctx context.Context, lease uint64, leaving bool) error {
+	data, err := proto.Marshal(&pb.JobMember{
+		Name: m.self.Name, Incarnation: m.self.Incarnation, PeerAddress: m.self.PeerAddress,
+		DataCentre: m.self.DataCentre, Leaving: leaving,
+	})
+	if err != nil {
+		return err
+	}
+	call, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
+	defer cancel()
+	key := jobkeys.Member(m.self.Name)
+	version, err := m.kv.Commit(call, store.Transaction{Puts: []store.Put{{Key: key, Data: data, Lease: lease}}})
+	if err != nil {
+		return err
+	}
+	m.noteHeard()
+	event := store.Event{Item: store.Item{Key: key, Data: data, Version: version, Lease: lease}}
+	m.post(ctx, func(context.Context) { m.elector.view.apply(event, m.clock()) })
+	return nil
+}
+
+// tick notes that the process runs; after a suspension the lease is confirmed at once.
+func (m *Manager) tick(ctx context.Context) {
+	ticker := time.NewTicker(m.opts.Pause / ticksPerPause)
+	defer ticker.Stop()
+	for {
+		if m.confirmation.Tick(m.clock()) {
+			m.log.Warn("process was suspended; the lease is confirmed before anything is ordered")
+			wake(m.renewNow)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/leave.go
@@ -0,0 +1,70 @@
+package membership
+
+import (
+	"context"
+	"log/slog"
+)
+
+// Leave gives everything up for a planned stop: it marks the member as leaving, then for each pool calls handover, which
+// records what the next owner needs, and frees the pool, so that another host takes it at once. At last it ends the
+// lease. Run must still be running; afterwards this host takes no part any more.
+func (m *Manager) Leave(ctx context.Context, handover func(pool string)) error {
+	lease, held, err := m.beginLeave(ctx)
+	if err != nil {
+		return err
+	}
+	if lease == 0 {
+		m.stop.Do(func() { close(m.stopped) })
+		return nil
+	}
+	if err := m.register(ctx, lease, true); err != nil {
+		m.log.Info("cannot mark the member as leaving", slog.Any("error", err))
+	}
+	for _, pool := range sortedKeys(held) {
+		handover(pool)
+		m.freePool(ctx, pool, held[pool])
+	}
+	m.stop.Do(func() { close(m.stopped) })
+	call, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
+	defer cancel()
+	err = m.kv.Revoke(call, lease)
+	return m.do(ctx, func(e *elector) { e.lease = 0 }, err)
+}
+
+// beginLeave stops this host from taking pools and returns what it has.
+func (m *Manager) beginLeave(ctx context.Context) (lease uint64, held map[string]uint64, err error) {
+	err = m.do(ctx, func(e *elector) {
+		e.leaving = true
+		lease, held = e.lease, e.held
+	}, nil)
+	return lease, held, err
+}
+
+func (m *Manager) freePool(ctx context.Context, pool string, fence uint64) {
+	events, err := m.release(ctx, pool, fence)
+	if err != nil {
+		m.log.Info("pool is freed by the end of the lease", slog.String("pool", pool), slog.Any("error", err))
+		return
+	}
+	apply := func(e *elector) {
+		for _, event := range events {
+			e.view.apply(event, m.clock())
+		}
+	}
+	_ = m.do(ctx, apply, nil) // an ended ctx shows at the next call
+}
+
+// do runs f on the elector's goroutine and waits for it. It returns err, or else ctx's error.
+func (m *Manager) do(ctx context.Context, f func(*elector), err error) error {
+	done := make(chan struct{})
+	m.post(ctx, func(context.Context) {
+		f(&m.elector)
+		close(done)
+	})
+	select {
+	case <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,195 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/jobkeys"
+	"github.com/agateturn/agateturn/ownership"
+	"github.com/agateturn/agateturn/store"
+)
+
+// memberState is the last known state of a member key; member is nil once it is deleted.
+type memberState struct {
+	version uint64
+	lease   uint64
+	member  *pb.JobMember
+}
+
+// ownerState is the last known state of an owner key; owner is nil while the pool is free.
+type ownerState struct {
+	version   uint64
+	lease     uint64
+	owner     *pb.OwnerRecord
+	last      *pb.OwnerRecord
+	freeSince time.Time
+}
+
+// view is what the store's keys said, each by its newest version.
+type view struct {
+	loaded  bool
+	members map[string]*memberState
+	owners  map[string]*ownerState
+}
+
+// apply takes in one key's state and reports whether it was news.
+func (v *view) apply(e store.Event, now time.Time) bool {
+	kind, name := jobkeys.ParseMembership(e.Item.Key)
+	switch kind {
+	case jobkeys.MemberKey:
+		return v.applyMember(name, e)
+	case jobkeys.OwnerKey:
+		return v.applyOwner(name, e, now)
+	case jobkeys.OtherKey:
+	}
+	return false
+}
+
+func (v *view) applyMember(name string, e store.Event) bool {
+	s, ok := v.members[name]
+	if !ok {
+		s = &memberState{}
+		v.members[name] = s
+	}
+	if e.Item.Version <= s.version {
+		return false
+	}
+	s.version, s.lease, s.member = e.Item.Version, e.Item.Lease, nil
+	if e.Deleted {
+		return true
+	}
+	rec := &pb.JobMember{}
+	if proto.Unmarshal(e.Item.Data, rec) == nil && rec.GetName() == name {
+		s.member = rec
+	}
+	return true
+}
+
+func (v *view) applyOwner(pool string, e store.Event, now time.Time) bool {
+	s := v.owner(pool, now)
+	if e.Item.Version <= s.version {
+		return false
+	}
+	s.version, s.lease = e.Item.Version, e.Item.Lease
+	if e.Deleted {
+		if s.owner != nil {
+			s.last, s.owner, s.freeSince = s.owner, nil, now
+		}
+		return true
+	}
+	rec := &pb.OwnerRecord{}
+	if proto.Unmarshal(e.Item.Data, rec) != nil {
+		rec = &pb.OwnerRecord{} // the key is taken all the same
+	}
+	s.owner = rec
+	return true
+}
+
+func (v *view) owner(pool string, now time.Time) *ownerState {
+	s, ok := v.owners[pool]
+	if !ok {
+		s = &ownerState{freeSince: now}
+		v.owners[pool] = s
+	}
+	return s
+}
+
+// reset takes in all items as of a revision: what is missing was deleted.
+func (v *view) reset(items []store.Item, asOf uint64, now time.Time) {
+	v.loaded = true
+	present := lo.SliceToMap(items, func(i store.Item) (string, bool) { return i.Key, true })
+	for _, i := range items {
+		v.apply(store.Event{Item: i}, now)
+	}
+	for name, s := range v.members {
+		switch {
+		case present[jobkeys.Member(name)] || s.version > asOf:
+		case s.member == nil:
+			delete(v.members, name)
+		default:
+			s.member, s.version = nil, asOf // kept until the next reset, so that old events don't bring it back
+		}
+	}
+	for pool, s := range v.owners {
+		if !present[jobkeys.Owner(pool)] && s.owner != nil && s.version < asOf {
+			v.apply(store.Event{Item: store.Item{Key: jobkeys.Owner(pool), Version: asOf}, Deleted: true}, now)
+		}
+	}
+}
+
+// differs reports whether items read at asOf show what the view has missed.
+func (v *view) differs(items []store.Item, asOf uint64) bool {
+	found := make(map[string]uint64, len(items))
+	for _, i := range items {
+		found[i.Key] = i.Version
+		if i.Version > v.version(i.Key) {
+			return true
+		}
+	}
+	missing := func(key string, version uint64, present bool) bool {
+		_, ok := found[key]
+		return present && !ok && version < asOf
+	}
+	for name, s := range v.members {
+		if missing(jobkeys.Member(name), s.version, s.member != nil) {
+			return true
+		}
+	}
+	for pool, s := range v.owners {
+		if missing(jobkeys.Owner(pool), s.version, s.owner != nil) {
+			return true
+		}
+	}
+	return false
+}
+
+func (v *view) version(key string) uint64 {
+	kind, name := jobkeys.ParseMembership(key)
+	switch kind {
+	case jobkeys.MemberKey:
+		if s, ok := v.members[name]; ok {
+			return s.version
+		}
+	case jobkeys.OwnerKey:
+		if s, ok := v.owners[name]; ok {
+			return s.version
+		}
+	case jobkeys.OtherKey:
+		return ^uint64(0) // never news
+	}
+	return 0
+}
+
+// live returns the registered members, sorted by name.
+func (v *view) live() []*pb.JobMember {
+	found := make([]*pb.JobMember, 0, len(v.members))
+	for _, s := range v.members {
+		if s.member != nil {
+			found = append(found, s.member)
+		}
+	}
+	slices.SortFunc(found, func(a, b *pb.JobMember) int { return cmp.Compare(a.GetName(), b.GetName()) })
+	return found
+}
+
+// decide is the view in the terms of package ownership.
+func (v *view) decide(pools []string, settled, now time.Time) ownership.View {
+	members := lo.Map(v.live(), func(m *pb.JobMember, _ int) ownership.Member {
+		return ownership.Member{Name: m.GetName(), Incarnation: m.GetIncarnation(), Leaving: m.GetLeaving()}
+	})
+	states := lo.Map(pools, func(p string, _ int) ownership.Pool {
+		s := v.owner(p, now)
+		pool := ownership.Pool{Name: p, FreeSince: s.freeSince}
+		if s.owner != nil {
+			pool.Owner = cmp.Or(s.owner.GetMember(), "?")
+		}
+		pool.LastOwner, pool.LastIncarnation = s.last.GetMember(), s.last.GetIncarnation()
+		return pool
+	})
+	return ownership.View{Members: members, Pools: states, Settled: settled}
+}
--- /dev/null
+++ b/internal/membership/watch.go
@@ -0,0 +1,110 @@
+package membership
+
+import (
+	"context"
+	"time"
+
+	"github.com/agateturn/agateturn/internal/jobkeys"
+	"github.com/agateturn/agateturn/store"
+)
+
+// watchSlack is how much longer than its wait a watch may take.
+const watchSlack = 2 * time.Second
+
+// watch is the watcher's goroutine: it follows the keys of all hosts.
+func (m *Manager) watch(ctx context.Context) {
+	backoff := newBackoff()
+	for ctx.Err() == nil {
+		asOf, err := m.readAll(ctx)
+		if err != nil {
+			_ = backoff.Sleep(ctx) // the loop looks at ctx
+			continue
+		}
+		backoff.Reset()
+		m.follow(ctx, asOf)
+	}
+}
+
+// readAll brings the view up to the store and returns the revision to watch from.
+func (m *Manager) readAll(ctx context.Context) (uint64, error) {
+	call, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
+	defer cancel()
+	items, asOf, err := m.kv.Range(call, jobkeys.Membership, false)
+	if err != nil {
+		return 0, err
+	}
+	m.noteHeard()
+	m.post(ctx, func(context.Context) { m.elector.view.reset(items, asOf, m.clock()) })
+	return asOf, nil
+}
+
+// follow watches until the history is gone or ctx ends.
+func (m *Manager) follow(ctx context.Context, asOf uint64) {
+	backoff := newBackoff()
+	for {
+		events, next, err := m.watchOnce(ctx, asOf)
+		if store.Compacted.Has(err) || ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			_ = backoff.Sleep(ctx) // the loop looks at ctx
+			continue
+		}
+		backoff.Reset()
+		m.noteHeard()
+		asOf = next
+		if len(events) == 0 {
+			continue
+		}
+		m.watchHeard.Store(m.clock().UnixNano())
+		m.post(ctx, func(context.Context) {
+			for _, e := range events {
+				m.elector.view.apply(e, m.clock())
+			}
+		})
+	}
+}
+
+func (m *Manager) watchOnce(ctx context.Context, after uint64) ([]store.Event, uint64, error) {
+	call, cancel := context.WithTimeout(ctx, m.opts.WatchWait+watchSlack)
+	defer cancel()
+	return m.kv.Watch(call, jobkeys.Membership, after, m.opts.WatchWait)
+}
+
+// check is the checker's goroutine: watches may be deaf, so a cheap read looks for changes when they tell nothing.
+func (m *Manager) check(ctx context.Context) {
+	ticker := time.NewTicker(m.opts.QuietCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if quiet := m.clock().Sub(time.Unix(0, m.watchHeard.Load())); quiet < m.opts.QuietCheck {
+			continue
+		}
+		if m.missed(ctx) {
+			_, _ = m.readAll(ctx) // the next check tries again
+		}
+	}
+}
+
+// missed reports whether a stale read shows changes that the watch did not tell.
+func (m *Manager) missed(ctx context.Context) bool {
+	call, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
+	defer cancel()
+	items, asOf, err := m.kv.Range(call, jobkeys.Membership, true)
+	if err != nil {
+		return false
+	}
+	m.noteHeard()
+	answer := make(chan bool, 1)
+	m.post(ctx, func(context.Context) { answer <- m.elector.view.differs(items, asOf) })
+	select {
+	case differs := <-answer:
+		return differs
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -26,7 +26,7 @@
 	var best *pb.Owner
 	var bestWeight uint64
 	for _, o := range set.GetOwners() {
-		w := mix(keyHash ^ mix(Hash(o.GetName())))
+		w := Weight(keyHash, o.GetName())
 		if best == nil || w > bestWeight || (w == bestWeight && o.GetName() < best.GetName()) {
 			best = o
 			bestWeight = w
@@ -35,6 +35,9 @@
 	return best, best != nil
 }
 
+// Weight is the weight of an owner for a key with that Hash.
+func Weight(keyHash uint64, owner string) uint64 { return mix(keyHash ^ mix(Hash(owner))) }
+
 // Hash returns a 64-bit hash of s that is the same in every process and release.
 func Hash(s string) uint64 {
 	h := fnvOffset
--- /dev/null
+++ b/store/memtxn/lease.go
@@ -0,0 +1,99 @@
+package memtxn
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/agateturn/agateturn/store"
+)
+
+func (s *Store) grantLocked(ttl time.Duration) uint64 {
+	s.revision++
+	id := s.revision
+	s.leases[id] = &lease{
+		ttl:     ttl,
+		expires: time.Now().Add(ttl),
+		timer:   time.AfterFunc(ttl, func() { s.lapse(id) }),
+	}
+	return id
+}
+
+func (s *Store) keepLocked(id uint64) error {
+	l, ok := s.leases[id]
+	if !ok {
+		return store.LeaseLost.New("no lease %d", id)
+	}
+	l.expires = time.Now().Add(l.ttl)
+	l.timer.Reset(l.ttl)
+	return nil
+}
+
+// lapse runs when a lease's timer fires. While the store is down, leases pause if the faults say so.
+func (s *Store) lapse(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.leases[id]
+	if !ok {
+		return
+	}
+	if s.faults.Down && s.faults.PauseLeases {
+		l.expires = time.Now().Add(l.ttl)
+		l.timer.Reset(l.ttl)
+		return
+	}
+	if left := time.Until(l.expires); left > 0 {
+		l.timer.Reset(left)
+		return
+	}
+	s.endLocked(id)
+}
+
+// endLocked ends a lease and removes its keys in one revision.
+func (s *Store) endLocked(id uint64) {
+	l, ok := s.leases[id]
+	if !ok {
+		return
+	}
+	l.timer.Stop()
+	delete(s.leases, id)
+	keys := lo.Keys(lo.PickBy(s.items, func(_ string, i store.Item) bool { return i.Lease == id }))
+	slices.Sort(keys)
+	s.revision++
+	for _, key := range keys {
+		s.deleteLocked(key)
+	}
+	s.wakeLocked()
+}
+
+// RevokeAll ends every lease at once, as an operator or a fault of the store may do.
+func (s *Store) RevokeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ids := lo.Keys(s.leases)
+	slices.Sort(ids)
+	for _, id := range ids {
+		s.endLocked(id)
+	}
+}
+
+// Remove deletes a key behind its owner's back; its lease stays.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.deleteLocked(key)
+	s.wakeLocked()
+}
+
+// Compact forgets the history: watches from before now get store.Compacted.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.floor = s.revision
+	s.revision++
+	s.floor = s.revision
+	s.wakeLocked()
+}
--- a/store/transact.go
+++ b/store/transact.go
@@ -62,6 +62,12 @@
 	return "store: a condition does not hold; decide anew on the items returned"
 }
 
+// errCondition makes Conflict.Has true for every ConflictError.
+var errCondition = Conflict.New("condition does not hold")
+
+// Unwrap returns an error of class Conflict.
+func (e *ConflictError) Unwrap() error { return errCondition }
+
 // Transactor is a store of many keys with transactions, prefix watches and leases.
 // All methods may be called concurrently and end when ctx does.
 type Transactor interface {
