Decide and run waves of upkeep for the fleet owner

upkeep keeps one ledger of intents for each machine and says which workers are to be emptied and which machines go to their upkeep; fleetowner watches waves, lists machines, polls pools and sends orders after their intents are durable. Ruled out: an intent written when emptying begins (a takeover would count machines as down that are not).

--- /dev/null
+++ b/internal/fleetowner/limit.go
@@ -0,0 +1,46 @@
+package fleetowner
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// limiter spaces calls evenly. It is safe for concurrent use.
+type limiter struct {
+	interval time.Duration
+	mu       sync.Mutex
+	next     time.Time
+}
+
+func newLimiter(perSecond float64) *limiter {
+	return &limiter{interval: time.Duration(float64(time.Second) / max(perSecond, 1))}
+}
+
+// wait returns when the next call may be sent, or with ctx's error.
+func (l *limiter) wait(ctx context.Context) error {
+	l.mu.Lock()
+	now := time.Now()
+	at := l.next
+	if at.Before(now) {
+		at = now
+	}
+	l.next = at.Add(l.interval)
+	l.mu.Unlock()
+	return sleep(ctx, at.Sub(now))
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/fleetowner/order.go
@@ -0,0 +1,69 @@
+package fleetowner
+
+import (
+	"context"
+	"time"
+
+	"github.com/agateturn/agateturn/upkeep"
+)
+
+// orderTimeout is the deadline of one order.
+const orderTimeout = 2 * time.Second
+
+// order is a move, or an upkeep if move is empty.
+type order struct {
+	move   upkeep.MoveOrder
+	upkeep upkeep.Order
+}
+
+// order sends orders one after the other.
+func (t *term) order(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case o := <-t.orders.Items():
+			if err := t.sendOne(ctx, o); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (t *term) sendOne(ctx context.Context, o order) error {
+	if err := t.changes.wait(ctx); err != nil {
+		return err
+	}
+	result := upkeep.Refused
+	if fence, ok := t.Confirmed(); ok && fence == t.fence {
+		result = t.call(ctx, o)
+	}
+	t.Logger.Debug("ordered", "machine", o.machine(), "pool", o.move.Pool, "wave", o.upkeep.Wave, "result", int(result))
+	if result == upkeep.Fenced {
+		return Replaced.New("%s has an order of a later owner", o.machine())
+	}
+	return t.tell(ctx, func(now time.Time) {
+		if o.move.Machine != "" {
+			t.planner.MoveResult(now, o.move, result)
+			return
+		}
+		t.planner.UpkeepResult(now, o.upkeep, result)
+		t.touch(o.upkeep.Wave, now)
+	})
+}
+
+func (t *term) call(ctx context.Context, o order) upkeep.Result {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if o.move.Machine != "" {
+		return t.Machines.Move(ctx, o.move.Machine, o.move.Pool, t.Holder, t.fence)
+	}
+	return t.Machines.Upkeep(ctx, o.upkeep.Machine, o.upkeep.Wave, t.Holder, t.fence)
+}
+
+func (o order) machine() string {
+	if o.move.Machine != "" {
+		return o.move.Machine
+	}
+	return o.upkeep.Machine
+}
--- /dev/null
+++ b/internal/fleetowner/poll.go
@@ -0,0 +1,125 @@
+package fleetowner
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+)
+
+const (
+	pollTimeout = 500 * time.Millisecond
+	// pollBusy and pollIdle are the times between two looks at a pool.
+	pollBusy = 250 * time.Millisecond
+	pollIdle = 500 * time.Millisecond
+)
+
+// poller asks the owner of one pool. status and sent belong to the loop.
+type poller struct {
+	Pool
+	stop   context.CancelFunc
+	status *pb.PoolStatusResponse
+	sent   time.Time
+
+	poke chan struct{}
+	mu   sync.Mutex
+	list []string
+}
+
+// poll keeps a poller for each configured pool.
+func (t *term) poll(ctx context.Context) {
+	configured := map[string]bool{}
+	for _, pool := range t.Configured() {
+		configured[pool.Name] = true
+		if p := t.pools[pool.Name]; p != nil && p.Pool == pool {
+			continue
+		}
+		t.dropPool(pool.Name)
+		t.addPool(ctx, pool)
+	}
+	for name := range t.pools {
+		if !configured[name] {
+			t.dropPool(name)
+		}
+	}
+}
+
+func (t *term) dropPool(name string) {
+	if p := t.pools[name]; p != nil {
+		p.stop()
+		delete(t.pools, name)
+	}
+}
+
+func (t *term) addPool(ctx context.Context, pool Pool) {
+	ctx, stop := context.WithCancel(ctx)
+	p := &poller{Pool: pool, stop: stop, poke: make(chan struct{}, 1)}
+	t.pools[pool.Name] = p
+	if pool.Spare {
+		return
+	}
+	t.group.Go(func() error {
+		t.pollPool(ctx, p)
+		return nil
+	})
+}
+
+// pollPool asks until ctx ends.
+func (t *term) pollPool(ctx context.Context, p *poller) {
+	for ctx.Err() == nil {
+		sent := time.Now()
+		status := t.ask(ctx, p)
+		if status != nil {
+			_ = t.tell(ctx, func(time.Time) { p.status, p.sent = status, sent })
+		}
+		interval := pollIdle
+		if t.busy.Load() {
+			interval = pollBusy
+		}
+		p.wait(ctx, interval-time.Since(sent))
+	}
+}
+
+func (t *term) ask(ctx context.Context, p *poller) *pb.PoolStatusResponse {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	request := &pb.PoolStatusRequest{Pool: p.Name, Evacuate: p.evacuating(), FleetFence: t.fence}
+	status, err := t.Pools.Status(ctx, request)
+	if err != nil || !status.GetOwner() {
+		return nil
+	}
+	return status
+}
+
+// wait returns after d, or earlier when the list has changed.
+func (p *poller) wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(max(d, shortestStep))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-p.poke:
+	case <-timer.C:
+	}
+}
+
+// evacuate sets the workers to be emptied and has a changed list sent at once.
+func (p *poller) evacuate(workers []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if slices.Equal(p.list, workers) {
+		return
+	}
+	p.list = workers
+	select {
+	case p.poke <- struct{}{}:
+	default:
+	}
+}
+
+func (p *poller) evacuating() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.list
+}
--- /dev/null
+++ b/internal/fleetowner/record.go
@@ -0,0 +1,227 @@
+package fleetowner
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/store"
+	"github.com/agateturn/agateturn/upkeep"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	commitTimeout = 2 * time.Second
+	// flushAfter is how long progress waits for an order to be written with.
+	flushAfter = 300 * time.Millisecond
+	retryWrite = 500 * time.Millisecond
+)
+
+// write is a write about one wave under the owner's fence. done is called by the writer with its outcome.
+type write struct {
+	wave int64
+	puts []store.Put
+	done func(ctx context.Context, err error) error
+}
+
+// writer commits writes one after the other. Each also requires the version of the wave's record that this owner wrote
+// last, so a write whose answer was lost cannot land after a newer one.
+type writer struct {
+	*term
+	versions map[string]uint64
+	// unsure are records whose last write had no answer.
+	unsure map[string]bool
+}
+
+// run commits until ctx ends or the fence is not held any more.
+func (w *writer) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case job := <-w.writes.Items():
+			err := w.commit(ctx, job)
+			if Replaced.Has(err) {
+				return err
+			}
+			if err != nil {
+				w.Logger.Debug("wave not written", "wave", job.wave, "error", err)
+			}
+			if err := job.done(ctx, err); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (w *writer) commit(ctx context.Context, job write) error {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	key := w.recordKey(job.wave)
+	if err := w.readBack(ctx, key); err != nil {
+		return err
+	}
+	for {
+		revision, err := w.Store.Commit(ctx, store.Transaction{
+			Conditions: []store.Condition{w.Guard(w.fence), {Key: key, Version: w.versions[key]}},
+			Puts:       job.puts,
+		})
+		conflict := (*store.ConflictError)(nil)
+		switch {
+		case err == nil:
+			w.versions[key] = revision
+			return nil
+		case !errors.As(err, &conflict):
+			w.unsure[key] = !store.Unavailable.Has(err)
+			return err
+		}
+		if !w.guarded(conflict.Items) {
+			return Replaced.New("the store refuses fence %d", w.fence)
+		}
+		w.unsure[key] = true
+		if err := w.readBack(ctx, key); err != nil {
+			return err
+		}
+	}
+}
+
+// guarded says whether the owner's condition was not among those that failed.
+func (w *writer) guarded(items []store.Item) bool {
+	guard := w.Guard(w.fence)
+	for _, item := range items {
+		if item.Key == guard.Key && item.Version != guard.Version {
+			return false
+		}
+	}
+	return true
+}
+
+// readBack learns the version of a record whose last write had no answer.
+func (w *writer) readBack(ctx context.Context, key string) error {
+	if !w.unsure[key] {
+		return nil
+	}
+	item, err := w.Store.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	w.versions[key] = item.Version
+	w.unsure[key] = false
+	return nil
+}
+
+// record is the present progress of a wave.
+func (t *term) record(w *wave) store.Put {
+	r := &pb.WaveRecord{Wave: w.Number, SeenMs: w.Seen.UnixMilli()}
+	progress := t.planner.Progress(w.Number)
+	for _, id := range slices.Sorted(maps.Keys(progress)) {
+		m := &pb.MachineUpkeep{Machine: id, Fence: t.fence}
+		switch progress[id] {
+		case upkeep.Intended:
+			m.Phase = pb.UpkeepPhase_UPKEEP_PHASE_INTENDED
+		case upkeep.Begun:
+			m.Phase = pb.UpkeepPhase_UPKEEP_PHASE_BEGUN
+		case upkeep.NotOrdered:
+			continue
+		}
+		r.Machines = append(r.Machines, m)
+	}
+	return t.put(r)
+}
+
+func (t *term) put(r *pb.WaveRecord) store.Put {
+	data, err := proto.Marshal(r)
+	if err != nil {
+		t.Logger.Error("wave record not encoded", "wave", r.GetWave(), "error", err)
+	}
+	return store.Put{Key: t.recordKey(r.GetWave()), Data: data}
+}
+
+// touch says that a wave has progress to be written.
+func (t *term) touch(number int64, now time.Time) {
+	if w := t.waves[number]; w != nil && w.dirty.IsZero() {
+		w.dirty = now
+	}
+}
+
+// flush writes progress that has waited, and the state of waves that are new.
+func (t *term) flush(ctx context.Context, now time.Time) error {
+	for _, number := range slices.Sorted(maps.Keys(t.waves)) {
+		w := t.waves[number]
+		if !w.due(now) {
+			continue
+		}
+		puts := []store.Put{t.record(w)}
+		if !w.announced {
+			puts = append(puts, t.statusPut(number, false))
+		}
+		w.dirty = time.Time{}
+		w.announced = true
+		w.writing = true
+		job := write{wave: number, puts: puts}
+		job.done = func(ctx context.Context, err error) error { return t.flushed(ctx, number, err) }
+		if err := t.writes.Put(ctx, job); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// due says whether the progress of a wave is to be written now.
+func (w *wave) due(now time.Time) bool {
+	if w.completed || w.completing || w.writing || w.dirty.IsZero() || now.Before(w.notTill) {
+		return false
+	}
+	return !w.announced || now.Sub(w.dirty) >= flushAfter
+}
+
+// flushed has the state written again if that failed.
+func (t *term) flushed(ctx context.Context, number int64, err error) error {
+	return t.tell(ctx, func(now time.Time) {
+		w := t.waves[number]
+		if w == nil {
+			return
+		}
+		w.writing = false
+		if err != nil {
+			w.announced = false
+			w.dirty = now
+			w.notTill = now.Add(retryWrite)
+		}
+	})
+}
+
+func (t *term) statusPut(number int64, completed bool) store.Put {
+	return store.Put{Key: t.Names.StatusKey(number), Data: t.Names.Status(number, completed)}
+}
+
+// completed writes the end of waves.
+func (t *term) completed(ctx context.Context, now time.Time, numbers []int64) error {
+	for _, number := range numbers {
+		w := t.waves[number]
+		if w == nil || w.completing || w.completed || now.Before(w.notTill) {
+			continue
+		}
+		w.completing = true
+		end := &pb.WaveRecord{Wave: number, SeenMs: w.Seen.UnixMilli(), Completed: true}
+		job := write{wave: number, puts: []store.Put{t.put(end), t.statusPut(number, true)}}
+		job.done = func(ctx context.Context, err error) error { return t.ended(ctx, w, err) }
+		if err := t.writes.Put(ctx, job); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *term) ended(ctx context.Context, w *wave, err error) error {
+	return t.tell(ctx, func(now time.Time) {
+		w.completing = false
+		w.completed = err == nil
+		if err != nil {
+			w.notTill = now.Add(retryWrite)
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleetowner/waves.go
@@ -0,0 +1,199 @@
+package fleetowner
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/store"
+	"github.com/agateturn/agateturn/upkeep"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	watchWait    = 5 * time.Second
+	watchTimeout = 8 * time.Second
+	rangeTimeout = 3 * time.Second
+	// rescan is how often the waves are read anew, in case the watch is deaf.
+	rescan = 4 * time.Second
+)
+
+// wave is a wave and what has been written about it. It belongs to the loop.
+type wave struct {
+	upkeep.Wave
+	key string
+	// dirty is since when progress waits to be written; zero if none does.
+	dirty time.Time
+	// notTill is when a write that failed may be repeated.
+	notTill time.Time
+	// announced: the state running is written or being written.
+	announced bool
+	// writing: its progress is being written.
+	writing bool
+	// completing: the end is being written. completed: it is durable.
+	completing bool
+	completed  bool
+}
+
+// load reads waves and their progress, and returns the revision from which to watch.
+func (t *term) load(ctx context.Context) (uint64, error) {
+	backoff := store.DefaultBackoff()
+	for {
+		asOf, err := t.tryLoad(ctx)
+		if err == nil {
+			return asOf, nil
+		}
+		t.Logger.Warn("waves not read", "error", err)
+		if err := backoff.Sleep(ctx); err != nil {
+			return 0, err
+		}
+	}
+}
+
+func (t *term) tryLoad(ctx context.Context) (uint64, error) {
+	records, _, err := t.scan(ctx, t.Names.RecordPrefix, false)
+	if err != nil {
+		return 0, err
+	}
+	items, asOf, err := t.scan(ctx, t.Names.WavePrefix, false)
+	if err != nil {
+		return 0, err
+	}
+	known := map[int64]*pb.WaveRecord{}
+	for _, item := range records {
+		r := &pb.WaveRecord{}
+		t.versions[item.Key] = item.Version
+		if proto.Unmarshal(item.Data, r) == nil {
+			known[r.GetWave()] = r
+		}
+	}
+	now := time.Now()
+	for _, item := range items {
+		t.addWave(now, item, known)
+	}
+	return asOf, nil
+}
+
+func (t *term) scan(ctx context.Context, prefix string, stale bool) ([]store.Item, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, rangeTimeout)
+	defer cancel()
+	return t.Store.Range(ctx, prefix, stale)
+}
+
+// addWave takes in a wave as it lies in the store, with the progress that is known of it.
+func (t *term) addWave(now time.Time, item store.Item, known map[int64]*pb.WaveRecord) {
+	parsed, err := t.Names.ParseWave(item.Key, item.Data)
+	if err != nil {
+		t.Logger.Warn("wave not read", "key", item.Key, "error", err)
+		return
+	}
+	if w := t.waves[parsed.Number]; w != nil {
+		parsed.Seen = w.Seen
+		w.Wave = parsed
+		return
+	}
+	parsed.Seen = now
+	w := &wave{Wave: parsed, key: item.Key}
+	t.waves[parsed.Number] = w
+	r := known[parsed.Number]
+	if r == nil {
+		w.dirty = now
+		return
+	}
+	w.announced = true
+	w.Seen = time.UnixMilli(r.GetSeenMs())
+	w.completed = r.GetCompleted()
+	if !w.completed {
+		t.planner.Restore(now, parsed.Number, progressOf(r))
+	}
+}
+
+func progressOf(r *pb.WaveRecord) map[string]upkeep.Progress {
+	out := make(map[string]upkeep.Progress, len(r.GetMachines()))
+	for _, m := range r.GetMachines() {
+		switch m.GetPhase() {
+		case pb.UpkeepPhase_UPKEEP_PHASE_INTENDED:
+			out[m.GetMachine()] = upkeep.Intended
+		case pb.UpkeepPhase_UPKEEP_PHASE_BEGUN:
+			out[m.GetMachine()] = upkeep.Begun
+		case pb.UpkeepPhase_UPKEEP_PHASE_UNSPECIFIED:
+		}
+	}
+	return out
+}
+
+// watchWaves follows the waves, and reads them anew every few seconds.
+func (t *term) watchWaves(ctx context.Context, after uint64) error {
+	backoff := store.DefaultBackoff()
+	for {
+		call, cancel := context.WithTimeout(ctx, watchTimeout)
+		events, asOf, err := t.Store.Watch(call, t.Names.WavePrefix, after, watchWait)
+		cancel()
+		if err == nil {
+			backoff.Reset()
+			after = asOf
+			if err := t.tellWaves(ctx, events); err != nil {
+				return err
+			}
+			continue
+		}
+		if err := backoff.Sleep(ctx); err != nil {
+			return err
+		}
+		if store.Compacted.Has(err) {
+			after = t.reread(ctx, after, false)
+		}
+	}
+}
+
+func (t *term) tellWaves(ctx context.Context, events []store.Event) error {
+	if len(events) == 0 {
+		return nil
+	}
+	return t.tell(ctx, func(now time.Time) {
+		for _, e := range events {
+			if e.Deleted {
+				t.dropWave(e.Item.Key)
+				continue
+			}
+			t.addWave(now, e.Item, nil)
+		}
+	})
+}
+
+// reread reads the waves anew and returns the revision from which to watch.
+func (t *term) reread(ctx context.Context, after uint64, stale bool) uint64 {
+	items, asOf, err := t.scan(ctx, t.Names.WavePrefix, stale)
+	if err != nil {
+		return after
+	}
+	_ = t.tell(ctx, func(now time.Time) {
+		for _, item := range items {
+			t.addWave(now, item, nil)
+		}
+	})
+	return max(after, asOf)
+}
+
+// rescanWaves reads the waves anew from time to time.
+func (t *term) rescanWaves(ctx context.Context) error {
+	for {
+		if err := sleep(ctx, rescan); err != nil {
+			return err
+		}
+		t.reread(ctx, 0, true)
+	}
+}
+
+func (t *term) dropWave(key string) {
+	for number, w := range t.waves {
+		if w.key == key {
+			delete(t.waves, number)
+		}
+	}
+}
+
+func (t *term) recordKey(wave int64) string {
+	return fmt.Sprintf("%s%d", t.Names.RecordPrefix, wave)
+}
--- /dev/null
+++ b/upkeep/config.go
@@ -0,0 +1,42 @@
+package upkeep
+
+import "time"
+
+// Config bounds the decisions. All fields must be set.
+type Config struct {
+	// UpkeepTime and MoveTime are how long a machine is away for either.
+	UpkeepTime time.Duration
+	MoveTime   time.Duration
+	// Ahead is how many machines of a wave may be emptied beyond those that may be down.
+	Ahead int
+	// PoolShare is the share of a pool's machines that waves take at once, in (0, 1]; one machine is always allowed.
+	PoolShare float64
+	// StatusFresh is the age up to which a pool's status allows an order.
+	StatusFresh time.Duration
+	// Patience is how long a machine is emptied before it may go while it is only stoppable.
+	Patience time.Duration
+	// Margin is the time kept free before the end of a wave.
+	Margin time.Duration
+	// Retry is the wait before an order is repeated that was refused or met a busy machine.
+	Retry time.Duration
+	// Settle is how long the list must show a machine unchanged until an order without an answer is repeated.
+	Settle time.Duration
+	// GoneAfter is how long a machine must be missing from the list until it counts as gone.
+	GoneAfter time.Duration
+}
+
+// DefaultConfig returns the bounds for given times of upkeep and move.
+func DefaultConfig(upkeepTime, moveTime time.Duration) Config {
+	return Config{
+		UpkeepTime:  upkeepTime,
+		MoveTime:    moveTime,
+		Ahead:       2,
+		PoolShare:   0.25,
+		StatusFresh: 700 * time.Millisecond,
+		Patience:    2 * time.Second,
+		Margin:      2 * time.Second,
+		Retry:       500 * time.Millisecond,
+		Settle:      500 * time.Millisecond,
+		GoneAfter:   2 * time.Second,
+	}
+}
