--- /dev/null
+++ b/internal/jobhost/fleet.go
@@ -0,0 +1,145 @@
+package jobhost
+
+import (
+	"context"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/fleetowner"
+	"github.com/agateturn/agateturn/internal/jobkeys"
+	"github.com/agateturn/agateturn/internal/membership"
+	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/store"
+	"github.com/agateturn/agateturn/upkeep"
+)
+
+// waveRecords is where the progress of waves is kept.
+const waveRecords = "agateturn/wave/"
+
+// runFleet acts as the owner of the fleet until ctx ends.
+func (h *Host) runFleet(ctx context.Context, fence uint64) {
+	api := h.settings.GetMachineApi()
+	if api.GetAddress() == "" {
+		<-ctx.Done()
+		return
+	}
+	machines := platform.NewMachines(api.GetAddress())
+	defer machines.Close()
+	b := h.settings.GetJobBounds()
+	owner := fleetowner.New(fleetowner.Options{
+		Machines:   machineCalls{machines},
+		Pools:      poolCalls{h},
+		Configured: h.configuredPools,
+		Store:      h.kv,
+		Names: fleetowner.Names{
+			WavePrefix:   platform.WavePrefix,
+			ParseWave:    parseWave,
+			StatusKey:    platform.WaveStatusKey,
+			Status:       platform.FormatWaveStatus,
+			RecordPrefix: waveRecords,
+		},
+		Config: upkeep.DefaultConfig(b.GetUpkeepTime().AsDuration(), b.GetMoveTime().AsDuration()),
+		Holder: h.settings.GetJobHost().GetName(),
+		Confirmed: func() (uint64, bool) {
+			held, ok := h.members.Confirmed(membership.FleetPool)
+			return held, ok && held == fence
+		},
+		Guard: func(fence uint64) store.Condition {
+			return store.Condition{Key: jobkeys.Owner(membership.FleetPool), Version: fence}
+		},
+		ChangesPerSecond: api.GetChangesPerSecond(),
+		ReadsPerSecond:   api.GetReadsPerSecond(),
+		Logger:           h.log,
+	})
+	err := owner.Run(ctx)
+	if fleetowner.Replaced.Has(err) {
+		h.members.Replaced(membership.FleetPool, fence)
+		return
+	}
+	if err != nil {
+		h.log.Error("fleet owner ended", "fence", fence, "err", err)
+	}
+}
+
+// configuredPools lists the pools of the configuration in force.
+func (h *Host) configuredPools() []fleetowner.Pool {
+	table := h.tables.Table()
+	if table == nil {
+		return nil
+	}
+	out := make([]fleetowner.Pool, 0, len(table.Pools))
+	for _, p := range table.Pools {
+		out = append(out, fleetowner.Pool{Name: p.Name, Spare: p.Spare})
+	}
+	return out
+}
+
+func parseWave(_ string, data []byte) (upkeep.Wave, error) {
+	order, err := platform.ParseWave(data)
+	return upkeep.Wave{Number: order.Wave, Machines: order.Machines, Within: order.Within, Cap: order.Cap}, err
+}
+
+// poolCalls asks the owners of pools for their load.
+type poolCalls struct{ *Host }
+
+// Status tells the load of a pool, and sets which of its workers are to be emptied.
+func (p poolCalls) Status(ctx context.Context, r *pb.PoolStatusRequest) (*pb.PoolStatusResponse, error) {
+	return p.peers.PoolStatus(ctx, r)
+}
+
+// machineCalls adapts the platform's client of machines.
+type machineCalls struct{ *platform.Machines }
+
+// List returns all machines.
+func (m machineCalls) List(ctx context.Context) ([]upkeep.Machine, error) {
+	machines, err := m.Machines.List(ctx)
+	out := make([]upkeep.Machine, 0, len(machines))
+	for _, x := range machines {
+		out = append(out, upkeep.Machine{
+			ID: x.ID, Pool: x.Pool, State: machineState(x.State), DataCentre: x.DataCentre, Rack: x.Rack, Labels: x.Labels,
+			CPUMilli: x.Capacity.CPUMilli, MemoryMB: x.Capacity.MemoryMB, GPU: x.Capacity.GPU, Worker: x.Worker,
+		})
+	}
+	return out, err
+}
+
+// Move orders a machine to a pool.
+func (m machineCalls) Move(ctx context.Context, machine, pool, holder string, fence uint64) upkeep.Result {
+	return result(m.Machines.Move(ctx, machine, pool, holder, fence))
+}
+
+// Upkeep orders a machine to its upkeep for a wave.
+func (m machineCalls) Upkeep(ctx context.Context, machine string, wave int64, holder string, fence uint64) upkeep.Result {
+	return result(m.Machines.Upkeep(ctx, machine, wave, holder, fence))
+}
+
+func machineState(s platform.MachineState) upkeep.MachineState {
+	switch s {
+	case platform.MachineUp:
+		return upkeep.Up
+	case platform.MachineMoving:
+		return upkeep.Moving
+	case platform.MachineUpkeep:
+		return upkeep.Upkeep
+	case platform.MachineDown:
+		return upkeep.Down
+	default:
+		return upkeep.StateUnknown
+	}
+}
+
+func result(o platform.MachineOutcome) upkeep.Result {
+	switch o {
+	case platform.MachineDone:
+		return upkeep.Done
+	case platform.MachineFenced:
+		return upkeep.Fenced
+	case platform.MachineBusy:
+		return upkeep.Busy
+	case platform.MachineWrongWave, platform.MachineInvalid:
+		return upkeep.Unfit
+	case platform.MachineLimited, platform.MachineUnavailable:
+		return upkeep.Refused
+	default:
+		return upkeep.Unknown
+	}
+}
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -36,7 +36,7 @@
 
 // Host is one entry host.
 type Host struct {
-	settings *pb.Settings
+	settings *pb.JobSettings
 	log      *slog.Logger
 	clock    *boottime.Clock
 
@@ -54,7 +54,7 @@
 }
 
 // New wires an entry host that does nothing until Run.
-func New(s *pb.Settings, log *slog.Logger) *Host {
+func New(s *pb.JobSettings, log *slog.Logger) *Host {
 	h := &Host{settings: s, log: log, clock: boottime.New(), listWanted: make(chan struct{})}
 	h.kv = platform.NewStore(s.GetJobStore().GetAddress(), platform.StoreOptions{})
 	h.workers = platform.NewWorkers(platform.WorkersOptions{})
