Scheduler: decisions of a pool's owner, first whole path

Jobs, steps in order, best-fit placement by worth, reserved room for orders without an answer, ends acknowledged once durable, takeover from what workers report, cancellation, persistent restarts, gangs all or nothing, retention. Results carry the worker's clock where there is one, so that a list made after an answer can be told from one made before.

--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -162,6 +162,8 @@
 type OrderResult struct {
 	Order   Order
 	Outcome Outcome
+	// Clock is the worker's own clock in the answer in ms, 0 without one. It tells which reports are newer.
+	Clock int64
 }
 
 // Advice is an answer of the policy service for one step.
@@ -197,6 +199,12 @@
 	Advice  []AdviceRequest
 	// Forget lists jobs that ended longer ago than the retention: their records are deleted.
 	Forget []string
+	// Decisions explain what was decided, for the log.
+	Decisions []Decision
+	// Poll lists workers whose state is needed at once: hold them without waiting for an end.
+	Poll []string
+	// Fenced means that a worker knows a higher fence: this owner has been replaced and decides nothing any more.
+	Fenced bool
 	// Wake is when Step has to be called again if nothing happens before; zero means not at all.
 	Wake time.Time
 }
--- /dev/null
+++ b/scheduler/place.go
@@ -0,0 +1,232 @@
+package scheduler
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+const (
+	// placeEvery is the pause until waiting tasks are tried again without a change.
+	placeEvery = 200 * time.Millisecond
+	// maxRackWait bounds how long a task waits for the rack that it prefers.
+	maxRackWait = 1500 * time.Millisecond
+)
+
+// placeTasks starts waiting tasks where there is room, what earns most first.
+func (p *Pool) placeTasks(now time.Time) {
+	if !p.place && (p.placeAt.IsZero() || now.Before(p.placeAt)) {
+		if !p.placeAt.IsZero() {
+			p.wake(p.placeAt)
+		}
+		return
+	}
+	p.place = false
+	p.placeAt = time.Time{}
+	p.dropIdleSteps()
+	if len(p.open) == 0 {
+		return
+	}
+	usable := p.usableWorkers(now)
+	for _, c := range p.rank(now) {
+		p.placeStep(now, c.step, usable)
+	}
+	p.dropIdleSteps()
+	if len(p.open) > 0 {
+		p.placeAt = now.Add(placeEvery)
+		p.wake(p.placeAt)
+	}
+}
+
+func (p *Pool) dropIdleSteps() {
+	kept := p.open[:0]
+	for _, s := range p.open {
+		if len(s.ready) > 0 && !s.occ.job.over() {
+			kept = append(kept, s)
+			continue
+		}
+		s.listed = false
+	}
+	clear(p.open[len(kept):])
+	p.open = kept
+}
+
+func (p *Pool) usableWorkers(now time.Time) []*worker {
+	usable := make([]*worker, 0, len(p.order))
+	for _, w := range p.order {
+		if w.usable(now) {
+			usable = append(usable, w)
+		}
+	}
+	return usable
+}
+
+func (p *Pool) placeStep(now time.Time, s *step, usable []*worker) {
+	if p.takeover.holds(s.occ.job) || !p.adviceReady(now, s) {
+		return
+	}
+	if s.spec.GetGang() {
+		p.placeGang(now, s, usable)
+		return
+	}
+	kept := s.ready[:0]
+	full := false
+	for _, index := range s.ready {
+		t := &s.tasks[index]
+		if full || now.Before(t.notBefore) {
+			kept = append(kept, index)
+			continue
+		}
+		w := p.choose(now, t, usable)
+		if w == nil {
+			full = true
+			kept = append(kept, index)
+			continue
+		}
+		p.start(now, t, w, p.nextRun())
+	}
+	s.ready = kept
+}
+
+// choose returns the best worker for the task, nil if none has room.
+func (p *Pool) choose(now time.Time, t *task, usable []*worker) *worker {
+	var best *worker
+	lowest := math.Inf(1)
+	for _, w := range usable {
+		if !t.step.need.fits(w.free()) || !p.permits(now, t.step, w) {
+			continue
+		}
+		if cost := p.cost(now, t, w); cost < lowest {
+			best, lowest = w, cost
+		}
+	}
+	return best
+}
+
+// permits tells whether the rules of the step allow the worker.
+func (p *Pool) permits(now time.Time, s *step, w *worker) bool {
+	if !w.hasLabel(s.spec.GetRequiredLabel()) {
+		return false
+	}
+	if limit := s.spec.GetMaxPerHost(); limit > 0 && int64(s.active[w]) >= limit {
+		return false
+	}
+	return p.hasTicket(now, s, w) && w.trust.permits(now, w)
+}
+
+// cost of running the task on the worker; infinite if it is better to wait. Lower is better.
+func (p *Pool) cost(now time.Time, t *task, w *worker) float64 {
+	const (
+		otherRack  = 20
+		failedHere = 40
+		sameJob    = 10
+		mixed      = 2
+		slow       = 8
+	)
+	s := t.step
+	cost := leftover(s, w)
+	if s.wrongRack(w) {
+		if now.Sub(s.readySince) < p.rackWait(s) {
+			return math.Inf(1)
+		}
+		cost += otherRack
+	}
+	for _, id := range t.failedOn {
+		if id == w.ID {
+			cost += failedHere
+		}
+	}
+	if s.spec.GetPersistent() {
+		cost += sameJob * float64(s.active[w])
+	}
+	if s.mixes(w) {
+		cost += mixed
+	}
+	return cost + slow*w.trust.slowness()
+}
+
+// leftover is the share of the worker that stays free: the fullest worker that fits comes first.
+func leftover(s *step, w *worker) float64 {
+	free := w.free().minus(s.need)
+	if w.Capacity.CPUMilli <= 0 {
+		return 0
+	}
+	return float64(free.CPUMilli) / float64(w.Capacity.CPUMilli)
+}
+
+// wrongRack tells whether the task would be far from its data or from the rest of its step.
+func (s *step) wrongRack(w *worker) bool {
+	if affinity := s.spec.GetAffinity(); affinity != "" && affinity != w.Rack {
+		return true
+	}
+	if !s.spec.GetSameRack() {
+		return false
+	}
+	for other, n := range s.active {
+		if n > 0 && other.Rack != w.Rack {
+			return true
+		}
+	}
+	return false
+}
+
+// rackWait is how long waiting for the right rack costs less than running elsewhere.
+func (p *Pool) rackWait(s *step) time.Duration {
+	if p.cfg.CrossRackFactor <= 1 || s.spec.GetPersistent() {
+		return 0
+	}
+	gain := time.Duration(float64(s.expected) * (p.cfg.CrossRackFactor - 1) / 2)
+	return min(gain, maxRackWait)
+}
+
+// mixes tells whether the worker would both serve and fill by taking the task.
+func (s *step) mixes(w *worker) bool {
+	fills, serves := s.spec.GetFills(), s.spec.GetTargetMs() > 0
+	if !fills && !serves {
+		return false
+	}
+	for _, r := range w.runs {
+		if r.task == nil {
+			continue
+		}
+		other := r.task.step.spec
+		if (fills && other.GetTargetMs() > 0) || (serves && other.GetFills()) {
+			return true
+		}
+	}
+	return false
+}
+
+// ranked is a step in the order of placement.
+type ranked struct {
+	step     *step
+	class    int
+	priority int
+	key      float64
+}
+
+// Classes of placement, first to last.
+const (
+	classPersistent = iota
+	classOnTime
+	classLate
+	classHopeless
+)
+
+func (p *Pool) rank(now time.Time) []ranked {
+	order := make([]ranked, 0, len(p.open))
+	for _, s := range p.open {
+		order = append(order, p.rankStep(now, s))
+	}
+	sort.SliceStable(order, func(a, b int) bool {
+		x, y := &order[a], &order[b]
+		if x.class != y.class {
+			return x.class < y.class
+		}
+		if x.priority != y.priority {
+			return x.priority < y.priority
+		}
+		return x.key < y.key
+	})
+	return order
+}
--- /dev/null
+++ b/scheduler/rank.go
@@ -0,0 +1,77 @@
+package scheduler
+
+import "time"
+
+const (
+	// lateFactor times the objective is when a job is worth nothing any more.
+	lateFactor = 3
+	// A job is worth baseWorth plus workWorth times its work against the mean of its queue, at most maxWorth.
+	baseWorth = 0.3
+	workWorth = 0.7
+	maxWorth  = 4
+	// agingWeight raises jobs as their objective comes nearer, so that large ones are not starved.
+	agingWeight = 2
+)
+
+func (p *Pool) rankStep(now time.Time, s *step) ranked {
+	o := s.occ
+	q := p.queueOf(o.job)
+	r := ranked{step: s, priority: q.Priority}
+	if s.spec.GetPersistent() {
+		r.class = classPersistent
+		r.key = float64(o.job.accepted.UnixMilli())
+		return r
+	}
+	objective := p.objective(o)
+	age := now.Sub(o.due)
+	left := s.chain
+	switch {
+	case age+left <= objective:
+		r.class = classOnTime
+	case age+left <= lateFactor*objective:
+		r.class = classLate
+	default:
+		r.class = classHopeless
+		r.key = float64(o.due.UnixMilli())
+		return r
+	}
+	r.key = o.remaining() / p.worth(o.job)
+	if objective > 0 {
+		urgency := min(1, float64(age+left)/float64(objective))
+		r.key /= 1 + agingWeight*urgency
+	}
+	return r
+}
+
+// objective is the time in which an occurrence is on time.
+func (p *Pool) objective(o *occurrence) time.Duration {
+	q := p.queueOf(o.job)
+	stretch := q.Stretch
+	if stretch <= 0 {
+		stretch = 1
+	}
+	return time.Duration(stretch*float64(o.job.chain)) + q.TargetDuration
+}
+
+// worth of a job against the mean of its queue.
+func (p *Pool) worth(j *job) float64 {
+	mean := p.learned.meanWork(j.queue)
+	if mean <= 0 {
+		return 1
+	}
+	return min(maxWorth, baseWorth+workWorth*j.work/mean)
+}
+
+// remaining is the expected work left, in thousandths of a core times milliseconds.
+func (o *occurrence) remaining() float64 {
+	var sum float64
+	for _, s := range o.steps {
+		sum += float64(len(s.tasks)-s.done) * s.load()
+	}
+	return sum
+}
+
+// load is the expected work of one task.
+func (s *step) load() float64 {
+	return float64(max(1, s.spec.GetCpuMilli())) * millis(s.expected)
+}
--- /dev/null
+++ b/scheduler/status.go
@@ -0,0 +1,98 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+)
+
+// Status tells the load of the pool.
+func (p *Pool) Status(now time.Time) *pb.PoolStatusResponse {
+	out := &pb.PoolStatusResponse{Owner: !p.fenced, Fence: p.cfg.Fence, ArrivedMilliMs: p.arrived}
+	for _, s := range p.open {
+		if s.spec.GetPersistent() {
+			continue
+		}
+		out.WaitingTasks += int64(len(s.ready))
+		out.BacklogMilliMs += int64(float64(len(s.ready)) * s.load())
+	}
+	for _, w := range p.order {
+		out.Workers = append(out.Workers, p.load(now, w))
+	}
+	return out
+}
+
+func (p *Pool) load(now time.Time, w *worker) *pb.WorkerLoad {
+	out := &pb.WorkerLoad{
+		Id: w.ID, Tasks: int64(len(w.runs)), UsedCpuMilli: w.used.CPUMilli, UsedMemoryMb: w.used.MemoryMB,
+		Evacuated: w.evacuating && w.emptyConfirmed && len(w.runs) == 0, Stoppable: true,
+	}
+	for _, r := range w.runs {
+		if r.task == nil {
+			continue
+		}
+		if r.task.step.spec.GetPersistent() {
+			out.PersistentTasks++
+		} else {
+			out.RemainingMs = max(out.RemainingMs, r.remaining(now).Milliseconds())
+		}
+		out.Stoppable = out.Stoppable && p.harmless(r)
+	}
+	return out
+}
+
+// remaining estimates how long a batch run still takes.
+func (r *run) remaining(now time.Time) time.Duration {
+	const minRemaining = 100 * time.Millisecond
+	if r.orderedAt.IsZero() {
+		return r.task.step.expected
+	}
+	return max(minRemaining, r.task.step.expected-now.Sub(r.orderedAt))
+}
+
+// harmless tells whether nothing would be lost if the run ended now.
+func (p *Pool) harmless(r *run) bool {
+	return r.task == nil || r.task.done || r.task.job().over()
+}
+
+// Explain tells operators why a job waits.
+func (p *Pool) Explain(id string) []string {
+	j := p.jobs[id]
+	if j == nil {
+		return []string{"the job is not known here"}
+	}
+	out := []string{fmt.Sprintf("state %s, queue %s", j.visibleState(), j.queue)}
+	if j.over() {
+		if !j.rec.durable() {
+			out = append(out, "its end is not durable yet")
+		}
+		return out
+	}
+	if p.takeover.holds(j) {
+		out = append(out, fmt.Sprintf("takeover: %d workers have not been heard", len(p.takeover.waiting)))
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			out = append(out, p.explainStep(s))
+		}
+	}
+	return out
+}
+
+func (p *Pool) explainStep(s *step) string {
+	running := 0
+	for _, n := range s.active {
+		running += n
+	}
+	text := fmt.Sprintf("occurrence %d step %d: %d of %d done, %d placed, %d waiting",
+		s.occ.number, s.number, s.done, len(s.tasks), running, len(s.ready))
+	switch {
+	case s.blocked > 0:
+		return fmt.Sprintf("%s; %d steps come before", text, s.blocked)
+	case len(s.ready) > 0 && running == 0:
+		return text + "; no usable worker has room and is permitted"
+	default:
+		return text
+	}
+}
