--- a/internal/membership/elect.go
+++ b/internal/membership/elect.go
@@ -35,7 +35,7 @@
 	refused map[string]uint64
 	// busy are the pools whose key this host is writing.
 	busy   map[string]bool
-	notYet  map[string]time.Time
+	notYet map[string]time.Time
 }
 
 func newElector() elector {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -37,57 +37,54 @@
 	owners  map[string]*ownerState
 }
 
-// apply takes in one key's state and reports whether it was news.
-func (v *view) apply(e store.Event, now time.Time) bool {
+// apply takes in one key's state unless a newer one is known.
+func (v *view) apply(e store.Event, now time.Time) {
 	kind, name := jobkeys.ParseMembership(e.Item.Key)
 	switch kind {
 	case jobkeys.MemberKey:
-		return v.applyMember(name, e)
+		v.applyMember(name, e)
 	case jobkeys.OwnerKey:
-		return v.applyOwner(name, e, now)
+		v.applyOwner(name, e, now)
 	case jobkeys.OtherKey:
 	}
-	return false
 }
 
-func (v *view) applyMember(name string, e store.Event) bool {
+func (v *view) applyMember(name string, e store.Event) {
 	s, ok := v.members[name]
 	if !ok {
 		s = &memberState{}
 		v.members[name] = s
 	}
 	if e.Item.Version <= s.version {
-		return false
+		return
 	}
 	s.version, s.lease, s.member = e.Item.Version, e.Item.Lease, nil
 	if e.Deleted {
-		return true
+		return
 	}
 	rec := &pb.JobMember{}
 	if proto.Unmarshal(e.Item.Data, rec) == nil && rec.GetName() == name {
 		s.member = rec
 	}
-	return true
 }
 
-func (v *view) applyOwner(pool string, e store.Event, now time.Time) bool {
+func (v *view) applyOwner(pool string, e store.Event, now time.Time) {
 	s := v.owner(pool, now)
 	if e.Item.Version <= s.version {
-		return false
+		return
 	}
 	s.version, s.lease = e.Item.Version, e.Item.Lease
 	if e.Deleted {
 		if s.owner != nil {
 			s.last, s.owner, s.freeSince = s.owner, nil, now
 		}
-		return true
+		return
 	}
 	rec := &pb.OwnerRecord{}
 	if proto.Unmarshal(e.Item.Data, rec) != nil {
 		rec = &pb.OwnerRecord{} // the key is taken all the same
 	}
 	s.owner = rec
-	return true
 }
 
 func (v *view) owner(pool string, now time.Time) *ownerState {
