Settings of a daemon that serves jobs, and how it is deployed

JobSettings is a file of its own: a file with [job_host] is read as that, so the required keys of either kind stay required and present files load unchanged. One message with optional sections was ruled out: missing keys would pass. The file's name may come from AGATETURN_NODE_FILE.

--- /dev/null
+++ b/cmd/agateturnd/jobs.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/agateturn/agateturn/config"
+	"github.com/agateturn/agateturn/events"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/settings"
+)
+
+// jobSection is the section of a file that makes the daemon serve jobs.
+const jobSection = "job_host"
+
+// runJobs is run for a file with jobSection.
+func runJobs(line commandLine, out, errOut io.Writer) int {
+	s, err := loadJobs(line.Config)
+	if err != nil {
+		events.Emit(context.Background(), newLogger(nil, errOut), events.SettingsRefused, "file", line.Config)
+		_, _ = fmt.Fprintln(errOut, err)
+		return exitSettings
+	}
+	if line.CheckConfig {
+		_, _ = fmt.Fprintln(out, line.Config+": no problems")
+		return exitOK
+	}
+	logger := newLogger(s.GetLog(), errOut).With("entry_host", s.GetJobHost().GetName())
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := serveJobs(ctx, s, logger); err != nil {
+		logger.Error("ended", "err", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func loadJobs(path string) (*pb.JobSettings, error) {
+	s := &pb.JobSettings{}
+	if err := settings.Load(path, s); err != nil {
+		return nil, err
+	}
+	return s, config.CheckJobSettings(s)
+}
+
+// serveJobs runs until ctx ends.
+func serveJobs(_ context.Context, s *pb.JobSettings, _ *slog.Logger) error {
+	return errors.New("jobs of " + s.GetJobHost().GetName() + " are not served by this build")
+}
--- a/cmd/agateturnd/main.go
+++ b/cmd/agateturnd/main.go
@@ -28,7 +28,7 @@
 )
 
 type commandLine struct {
-	Config      string `help:"Settings file." type:"path" required:"" short:"c"`
+	Config      string `help:"Settings file." type:"path" required:"" short:"c" env:"AGATETURN_NODE_FILE"`
 	CheckConfig bool   `help:"Check the settings and start nothing."`
 }
 
@@ -45,6 +45,9 @@
 
 // run checks the settings and runs the daemon until it is told to stop. It returns the exit code.
 func run(line commandLine, out, errOut io.Writer) int {
+	if settings.HasSection(line.Config, jobSection) {
+		return runJobs(line, out, errOut)
+	}
 	s, err := load(line.Config)
 	if err != nil {
 		events.Emit(context.Background(), newLogger(nil, errOut), events.SettingsRefused, "file", line.Config)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -12,6 +12,7 @@
 	"os"
 
 	"google.golang.org/protobuf/proto"
+	"gopkg.in/ini.v1"
 )
 
 // MaxBytes bounds the size of a file.
@@ -43,3 +44,13 @@
 	v.validate()
 	return asError(v.problems)
 }
+
+// HasSection tells whether the file has a section of that name. A file that cannot be read has none; Load tells why.
+func HasSection(path, name string) bool {
+	data, err := os.ReadFile(path)
+	if err != nil || len(data) > MaxBytes {
+		return false
+	}
+	file, err := ini.LoadSources(options(), data)
+	return err == nil && file.HasSection(name)
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -120,7 +120,7 @@
 `
 
 func TestReferenceIsCurrent(t *testing.T) {
-	page := referenceHead + string(settings.Reference(&pb.Settings{}, &pb.Configuration{}, &answerspb.Answers{}))
+	page := referenceHead + string(settings.Reference(&pb.Settings{}, &pb.JobSettings{}, &pb.Configuration{}, &answerspb.Answers{}))
 	golden.Assert(t, page, "../../docs/CONFIGURATION.md")
 }
 
