--- a/cmd/agateturnd/jobs.go
+++ b/cmd/agateturnd/jobs.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -13,6 +12,7 @@
 	"github.com/agateturn/agateturn/config"
 	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/jobhost"
 	"github.com/agateturn/agateturn/settings"
 )
 
@@ -50,6 +50,6 @@
 }
 
 // serveJobs runs until ctx ends.
-func serveJobs(_ context.Context, s *pb.JobSettings, _ *slog.Logger) error {
-	return errors.New("jobs of " + s.GetJobHost().GetName() + " are not served by this build")
+func serveJobs(ctx context.Context, s *pb.JobSettings, logger *slog.Logger) error {
+	return jobhost.New(s, logger).Run(ctx)
 }
--- a/internal/jobhost/options.go
+++ b/internal/jobhost/options.go
@@ -98,11 +98,6 @@
 	}
 }
 
-// runFleet acts as the owner of the fleet until ctx ends.
-func (h *Host) runFleet(ctx context.Context, _ uint64) {
-	<-ctx.Done()
-}
-
 // codec is the form of callers' messages.
 type codec struct{}
 
