Reload settings on SIGHUP or when the file changes

Ruled out: crash of our own (code is 128+1). Change: internal/reload takes the signal over and polls the file; bounds hold from the next pool gained, name and addresses from the next start. Test: internal/reload fails without the take-over.

--- a/cmd/agateturnd/jobs.go
+++ b/cmd/agateturnd/jobs.go
@@ -13,6 +13,7 @@
 	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/jobhost"
+	"github.com/agateturn/agateturn/internal/reload"
 	"github.com/agateturn/agateturn/settings"
 )
 
@@ -34,7 +35,7 @@
 	logger := newLogger(s.GetLog(), errOut).With("entry_host", s.GetJobHost().GetName())
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := serveJobs(ctx, s, logger); err != nil {
+	if err := serveJobs(ctx, line.Config, s, logger); err != nil {
 		logger.Error("ended", "err", err)
 		return exitFailed
 	}
@@ -49,7 +50,16 @@
 	return s, config.CheckJobSettings(s)
 }
 
-// serveJobs runs until ctx ends.
-func serveJobs(ctx context.Context, s *pb.JobSettings, logger *slog.Logger) error {
-	return jobhost.New(s, logger).Run(ctx)
+// serveJobs runs until ctx ends. Changes of the file take effect while it runs.
+func serveJobs(ctx context.Context, file string, s *pb.JobSettings, logger *slog.Logger) error {
+	host := jobhost.New(s, logger)
+	go reload.Watch(ctx, file, func([]byte) {
+		changed, err := loadJobs(file)
+		if err != nil {
+			events.Emit(ctx, logger, events.SettingsRefused, "file", file, "err", err)
+			return
+		}
+		host.Reload(changed)
+	})
+	return host.Run(ctx)
 }
--- a/internal/jobhost/fleet.go
+++ b/internal/jobhost/fleet.go
@@ -17,14 +17,14 @@
 
 // runFleet acts as the owner of the fleet until ctx ends.
 func (h *Host) runFleet(ctx context.Context, fence uint64) {
-	api := h.settings.GetMachineApi()
+	api := h.settings.Load().GetMachineApi()
 	if api.GetAddress() == "" {
 		<-ctx.Done()
 		return
 	}
 	machines := platform.NewMachines(api.GetAddress())
 	defer machines.Close()
-	b := h.settings.GetJobBounds()
+	b := h.settings.Load().GetJobBounds()
 	owner := fleetowner.New(fleetowner.Options{
 		Machines:   machineCalls{machines},
 		Pools:      poolCalls{h},
@@ -38,7 +38,7 @@
 			RecordPrefix: waveRecords,
 		},
 		Config: upkeep.DefaultConfig(b.GetUpkeepTime().AsDuration(), b.GetMoveTime().AsDuration()),
-		Holder: h.settings.GetJobHost().GetName(),
+		Holder: h.settings.Load().GetJobHost().GetName(),
 		Confirmed: func() (uint64, bool) {
 			held, ok := h.members.Confirmed(membership.FleetPool)
 			return held, ok && held == fence
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/boottime"
@@ -36,7 +38,8 @@
 
 // Host is one entry host.
 type Host struct {
-	settings *pb.JobSettings
+	// settings may be replaced while the host runs; its identity and addresses stay.
+	settings atomic.Pointer[pb.JobSettings]
 	log      *slog.Logger
 	clock    *boottime.Clock
 
@@ -55,7 +58,8 @@
 
 // New wires an entry host that does nothing until Run.
 func New(s *pb.JobSettings, log *slog.Logger) *Host {
-	h := &Host{settings: s, log: log, clock: boottime.New(), listWanted: make(chan struct{})}
+	h := &Host{log: log, clock: boottime.New(), listWanted: make(chan struct{})}
+	h.settings.Store(s)
 	h.kv = platform.NewStore(s.GetJobStore().GetAddress(), platform.StoreOptions{})
 	h.workers = platform.NewWorkers(platform.WorkersOptions{})
 	h.tables = tablefollow.New(h.kv, platform.ConfigKey, platform.ParseTable, log)
@@ -72,7 +76,7 @@
 }
 
 func (h *Host) self() membership.Self {
-	host := h.settings.GetJobHost()
+	host := h.settings.Load().GetJobHost()
 	return membership.Self{
 		Name:        host.GetName(),
 		Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid()),
@@ -81,13 +85,25 @@
 	}
 }
 
+// Reload puts changed settings in force. Name and addresses stay as they were until the next start; bounds hold from the
+// next pool that this host gains.
+func (h *Host) Reload(s *pb.JobSettings) {
+	before := h.settings.Load()
+	if !proto.Equal(before.GetJobHost(), s.GetJobHost()) {
+		h.log.Warn("name and addresses of an entry host change at its next start only")
+		s.JobHost = before.GetJobHost()
+	}
+	h.settings.Store(s)
+	h.log.Info("settings reloaded")
+}
+
 // resolve tells where the owner of a pool is.
 func (h *Host) resolve(pool string) (address string, local, ok bool) {
 	record, _, ok := h.members.Owner(pool)
 	if !ok {
 		return "", false, false
 	}
-	return record.GetPeerAddress(), record.GetMember() == h.settings.GetJobHost().GetName(), true
+	return record.GetPeerAddress(), record.GetMember() == h.settings.Load().GetJobHost().GetName(), true
 }
 
 // Run serves until ctx ends, then stops as planned: it hands over its pools and finishes the requests that it has.
@@ -130,7 +146,7 @@
 
 func (h *Host) listen(ctx context.Context, group *errgroup.Group) error {
 	var config net.ListenConfig
-	host := h.settings.GetJobHost()
+	host := h.settings.Load().GetJobHost()
 	callers, err := config.Listen(ctx, "tcp", host.GetCallerAddress())
 	if err != nil {
 		return err
@@ -170,7 +186,7 @@
 		h.log.Warn("pools not handed over", "err", err)
 	}
 	cancel()
-	grace := h.settings.GetJobBounds().GetGrace().AsDuration() - leaveTimeout - stopMargin
+	grace := h.settings.Load().GetJobBounds().GetGrace().AsDuration() - leaveTimeout - stopMargin
 	finish, cancel := context.WithTimeout(ctx, max(grace, stopMargin))
 	defer cancel()
 	if err := h.front.Shutdown(finish); err != nil {
--- a/internal/jobhost/options.go
+++ b/internal/jobhost/options.go
@@ -59,7 +59,7 @@
 
 func (h *Host) newOwner(pool string, fence uint64) *poolowner.Owner {
 	var policy poolowner.Policy
-	if address := h.settings.GetPolicyService().GetAddress(); address != "" {
+	if address := h.settings.Load().GetPolicyService().GetAddress(); address != "" {
 		policy = platform.NewPolicy(address)
 	}
 	return poolowner.New(poolowner.Options{
@@ -79,7 +79,7 @@
 }
 
 func (h *Host) schedulerConfig(fence uint64) scheduler.Config {
-	b := h.settings.GetJobBounds()
+	b := h.settings.Load().GetJobBounds()
 	return scheduler.Config{
 		Fence:           fence,
 		Lease:           min(workerLease, b.GetMaxLease().AsDuration()),
@@ -132,7 +132,7 @@
 		}
 		return 1
 	})
-	self := n.settings.GetJobHost().GetName()
+	self := n.settings.Load().GetJobHost().GetName()
 	at := slices.IndexFunc(members, func(m *pb.JobMember) bool { return m.GetName() == self })
 	var out []string
 	for i := 1; i <= neighbourCount && i < len(members); i++ {
