Index queues; end connections without a request before a stop closes any; more tests of the front

Cause: a table may hold thousands of queues; the server's own shutdown may close a connection whose request was just read. Limits of the table are applied to connections while the server runs. Run: go test -race -count=10 ./internal/jobfront.

--- /dev/null
+++ b/internal/jobfront/conns_test.go
@@ -0,0 +1,116 @@
+package jobfront
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/agateturn/agateturn/queue"
+)
+
+// serve starts a front on loopback; the result has ended when Serve has returned.
+func serve(t *testing.T, f *Front) (address string, served chan error) {
+	t.Helper()
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	served = make(chan error, 1)
+	go func() { served <- f.Serve(listener) }()
+	return listener.Addr().String(), served
+}
+
+// TestStopCutsNothing stops a front under load. A request that was stored must have got its whole answer.
+func TestStopCutsNothing(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	for range 10 {
+		w := newWorld()
+		w.wait = time.Millisecond
+		f := w.front()
+		address, served := serve(t, f)
+		var answered atomic.Int64
+		var callers sync.WaitGroup
+		for range 20 {
+			callers.Go(func() { answered.Add(callUntilRefused(t, address)) })
+		}
+		time.Sleep(20 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		assert.NilError(t, f.Shutdown(ctx))
+		cancel()
+		assert.NilError(t, <-served)
+		callers.Wait()
+		assert.Equal(t, answered.Load(), int64(len(w.records)))
+	}
+}
+
+// callUntilRefused hands jobs in over kept connections until it cannot connect, and counts the whole answers.
+func callUntilRefused(t *testing.T, address string) (answered int64) {
+	for {
+		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address)
+		if err != nil {
+			return answered
+		}
+		input := bufio.NewReader(conn)
+		for callOnce(conn, input) {
+			answered++
+		}
+		_ = conn.Close()
+	}
+}
+
+func callOnce(conn net.Conn, input *bufio.Reader) bool {
+	if _, err := io.WriteString(conn, "POST /a/0001 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 2\r\n\r\n{}"); err != nil {
+		return false
+	}
+	resp, err := http.ReadResponse(input, nil)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK
+}
+
+func TestStoppingClosesConnectionsWithTheirAnswers(t *testing.T) {
+	f := newWorld().front()
+	f.BeginStop()
+	assert.Equal(t, do(f, http.MethodPost, "/a/0001", "{}").Header().Get("Connection"), "close")
+	assert.Assert(t, f.notReady() != "")
+}
+
+// TestLimitsInForceAreThoseOfTheTable changes the timeout of idle connections while one is open.
+func TestLimitsInForceAreThoseOfTheTable(t *testing.T) {
+	w := newWorld()
+	f := w.front()
+	address, served := serve(t, f)
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address)
+	assert.NilError(t, err)
+	w.limit(queue.Limits{IdleTimeout: 50 * time.Millisecond})
+	input := bufio.NewReader(conn)
+	assert.Assert(t, callOnce(conn, input))
+	began := time.Now()
+	assert.NilError(t, conn.SetReadDeadline(began.Add(5*time.Second)))
+	_, err = input.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	w.limit(queue.Limits{MaxHeaderBytes: 100})
+	long := bytes.Repeat([]byte("x"), 200)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+"/a/0001", strings.NewReader(""))
+	assert.NilError(t, err)
+	request.Header.Set("X-Long", string(long))
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(request)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, resp.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+	assert.NilError(t, f.Shutdown(t.Context()))
+	assert.NilError(t, <-served)
+}
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -79,6 +79,7 @@
 	pending  *pendingCounts
 	ended    *endedStates
 	conns    *connections
+	indexed  atomic.Pointer[indexedTable]
 	ready    atomic.Bool
 	stopping atomic.Bool
 }
@@ -105,8 +106,8 @@
 
 // Serve serves callers' connections until Shutdown; it returns nil then.
 func (f *Front) Serve(listener *net.TCPListener) error {
-	err := f.server.Serve(f.conns.listener(listener, f.options.MaxConnections))
-	if errors.Is(err, http.ErrServerClosed) {
+	err := f.server.Serve(f.conns.listen(listener, f.options.MaxConnections))
+	if f.conns.isDraining() || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
@@ -122,7 +123,7 @@
 // if that ends first.
 func (f *Front) Shutdown(ctx context.Context) error {
 	f.BeginStop()
-	f.conns.drain()
+	f.conns.drain(ctx)
 	return f.server.Shutdown(ctx)
 }
 
@@ -156,6 +157,26 @@
 	}
 }
 
+// indexedTable is a table with its index.
+type indexedTable struct {
+	table *queue.Table
+	index *queue.Index
+}
+
+// index is that of the table in force; nil if there is none yet.
+func (f *Front) index() *queue.Index {
+	table := f.options.Tables.Table()
+	if table == nil {
+		return nil
+	}
+	if known := f.indexed.Load(); known != nil && known.table == table {
+		return known.index
+	}
+	made := &indexedTable{table: table, index: queue.NewIndex(table)}
+	f.indexed.Store(made)
+	return made.index
+}
+
 // limits are those in force; zero values are unset.
 func (f *Front) limits() queue.Limits {
 	if table := f.options.Tables.Table(); table != nil {
--- a/internal/jobfront/handler.go
+++ b/internal/jobfront/handler.go
@@ -57,11 +57,11 @@
 	if refused != nil {
 		return *refused
 	}
-	table := f.options.Tables.Table()
-	if table == nil {
+	index := f.index()
+	if index == nil {
 		return reply{status: http.StatusServiceUnavailable, repeat: true}
 	}
-	q, ok := table.Lookup(hostOf(r.Host), r.URL.Path)
+	q, ok := index.Lookup(hostOf(r.Host), r.URL.Path)
 	if !ok {
 		return f.noQueue()
 	}
@@ -119,8 +119,10 @@
 	if r.ContentLength > limit {
 		return nil, &reply{status: http.StatusRequestEntityTooLarge}
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/internal/jobfront/pending.go
+++ b/internal/jobfront/pending.go
@@ -44,7 +44,7 @@
 // get returns the count; ok is false if there is none that is new enough.
 func (p *pendingCounts) get(ctx context.Context, q *queue.Queue) (n int64, ok bool) {
 	key := pendingKey{pool: q.Pool, queue: q.Name}
-	n, ok, asking := p.begin(key)
+	n, ok, asking := p.begin(key) //nolint:contextcheck // one question serves many askers, so none of them may end it
 	if ok {
 		return n, true
 	}
--- a/internal/tablefollow/follower.go
+++ b/internal/tablefollow/follower.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// watchWait is how long one watch waits. It is below the bound in which a change must be in force, so that a watch
-	// on a silent connection costs no more than one round.
-	watchWait = 1500 * time.Millisecond
+	// watchWait is how long one watch waits. A silent connection is noticed when it is over. Until then peers are the only
+	// way to learn of a change.
+	watchWait = 4 * time.Second
 	// watchSlack is what an answer may take beyond watchWait.
 	watchSlack = 500 * time.Millisecond
 	// readTimeout bounds one read.
@@ -28,7 +28,7 @@
 	retryMax  = time.Second
 
 	// currentLimit is the age of the last word from the store up to which the table counts as current.
-	currentLimit = 5 * time.Second
+	currentLimit = 2*watchWait + watchSlack
 )
 
 // Follower follows the key. All methods may be called concurrently.
@@ -155,7 +155,6 @@
 func (f *Follower) watch(ctx context.Context, after uint64) (asOf uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
-	asked := time.Now()
 	changes, asOf, err := f.kv.Watch(ctx, f.key, after, watchWait)
 	if err != nil {
 		return 0, err
@@ -165,7 +164,8 @@
 			f.take(change.Item)
 		}
 	}
-	f.heard.Store(&asked)
+	answered := time.Now()
+	f.heard.Store(&answered)
 	return asOf, nil
 }
 
