--- a/internal/jobfront/front_test.go
+++ b/internal/jobfront/front_test.go
@@ -81,7 +81,7 @@
 	w.table = &queue.Table{Version: w.table.Version + 1, Queues: w.table.Queues, Limits: limits}
 }
 
-func (w *world) Current() bool       { return !w.stale }
+func (w *world) Current() bool { return !w.stale }
 func (w *world) StoreAge() time.Duration {
 	if w.stale {
 		return time.Hour
--- a/internal/tablefollow/follower.go
+++ b/internal/tablefollow/follower.go
@@ -24,6 +24,11 @@
 	// readTimeout bounds one read.
 	readTimeout = time.Second
 
+	// pollEvery is the time between cheap reads, which see what a deaf watch misses. A larger value is read less often:
+	// pollBytesPerSecond bounds what they bring.
+	pollEvery          = 2 * time.Second
+	pollBytesPerSecond = 32 << 10
+
 	retryBase = 50 * time.Millisecond
 	retryMax  = time.Second
 
@@ -40,6 +45,8 @@
 
 	present atomic.Pointer[version]
 	heard   atomic.Pointer[time.Time]
+	// taken is the newest revision of the key that was looked at, so that none is parsed twice.
+	taken atomic.Uint64
 
 	mu      sync.Mutex // orders changes of present
 	changed chan struct{}
@@ -112,6 +119,9 @@
 
 // Run follows the key until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	var polling sync.WaitGroup
+	polling.Go(func() { f.poll(ctx) })
+	defer polling.Wait()
 	backoff := store.Backoff{Base: retryBase, Max: retryMax}
 	for ctx.Err() == nil {
 		err := f.follow(ctx, backoff.Reset)
@@ -169,10 +179,36 @@
 	return asOf, nil
 }
 
+// poll reads the value now and then, whatever the watch says.
+func (f *Follower) poll(ctx context.Context) {
+	for sleep(ctx, f.pollPause()) {
+		f.pollOnce(ctx)
+	}
+}
+
+func (f *Follower) pollPause() time.Duration {
+	_, raw := f.Raw()
+	return max(pollEvery, time.Second*time.Duration(len(raw))/pollBytesPerSecond)
+}
+
+func (f *Follower) pollOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	items, _, err := f.kv.Range(ctx, f.key, true)
+	if err != nil {
+		return
+	}
+	for _, item := range items {
+		f.take(item)
+	}
+}
+
 func (f *Follower) take(item store.Item) {
-	if item.Key == f.key && item.Version != 0 {
-		f.adopt(item.Data, false)
+	if item.Key != f.key || item.Version <= f.taken.Load() {
+		return
 	}
+	f.adopt(item.Data, false)
+	f.taken.Store(item.Version)
 }
 
 // adopt puts the value in force if it is a newer version.
