Store through a peer when the store does not serve this host; do not wait for peers that failed lately

Cause: a host that the store turns away refused every hand-in and cancellation. It now asks up to two peers to store; an id is one job, so repeating an undecided write elsewhere is harmless. Only what was surely not written by anybody is refused. After a call without an answer no idle connection is kept. JobPeerService gains StoreJob (additive).

--- a/gen/agateturn/v1/agateturnv1connect/jobs.connect.go
+++ b/gen/agateturn/v1/agateturnv1connect/jobs.connect.go
@@ -48,6 +48,8 @@
 	// JobPeerServiceDescribeJobsProcedure is the fully-qualified name of the JobPeerService's
 	// DescribeJobs RPC.
 	JobPeerServiceDescribeJobsProcedure = "/agateturn.v1.JobPeerService/DescribeJobs"
+	// JobPeerServiceStoreJobProcedure is the fully-qualified name of the JobPeerService's StoreJob RPC.
+	JobPeerServiceStoreJobProcedure = "/agateturn.v1.JobPeerService/StoreJob"
 	// JobPeerServiceOfferTableProcedure is the fully-qualified name of the JobPeerService's OfferTable
 	// RPC.
 	JobPeerServiceOfferTableProcedure = "/agateturn.v1.JobPeerService/OfferTable"
@@ -65,6 +67,8 @@
 	PoolStatus(context.Context, *connect.Request[v1.PoolStatusRequest]) (*connect.Response[v1.PoolStatusResponse], error)
 	// DescribeJobs tells operators about the jobs of a pool.
 	DescribeJobs(context.Context, *connect.Request[v1.DescribeJobsRequest]) (*connect.Response[v1.DescribeJobsResponse], error)
+	// StoreJob asks a peer to store a job or a cancellation for an entry host that the store does not serve.
+	StoreJob(context.Context, *connect.Request[v1.StoreJobRequest]) (*connect.Response[v1.StoreJobResponse], error)
 	// OfferTable tells a peer of a version of the table of queues. Every entry host answers it.
 	OfferTable(context.Context, *connect.Request[v1.OfferTableRequest]) (*connect.Response[v1.OfferTableResponse], error)
 }
@@ -110,6 +114,12 @@
 			connect.WithSchema(jobPeerServiceMethods.ByName("DescribeJobs")),
 			connect.WithClientOptions(opts...),
 		),
+		storeJob: connect.NewClient[v1.StoreJobRequest, v1.StoreJobResponse](
+			httpClient,
+			baseURL+JobPeerServiceStoreJobProcedure,
+			connect.WithSchema(jobPeerServiceMethods.ByName("StoreJob")),
+			connect.WithClientOptions(opts...),
+		),
 		offerTable: connect.NewClient[v1.OfferTableRequest, v1.OfferTableResponse](
 			httpClient,
 			baseURL+JobPeerServiceOfferTableProcedure,
@@ -126,6 +136,7 @@
 	pendingJobs  *connect.Client[v1.PendingJobsRequest, v1.PendingJobsResponse]
 	poolStatus   *connect.Client[v1.PoolStatusRequest, v1.PoolStatusResponse]
 	describeJobs *connect.Client[v1.DescribeJobsRequest, v1.DescribeJobsResponse]
+	storeJob     *connect.Client[v1.StoreJobRequest, v1.StoreJobResponse]
 	offerTable   *connect.Client[v1.OfferTableRequest, v1.OfferTableResponse]
 }
 
@@ -154,6 +165,11 @@
 	return c.describeJobs.CallUnary(ctx, req)
 }
 
+// StoreJob calls agateturn.v1.JobPeerService.StoreJob.
+func (c *jobPeerServiceClient) StoreJob(ctx context.Context, req *connect.Request[v1.StoreJobRequest]) (*connect.Response[v1.StoreJobResponse], error) {
+	return c.storeJob.CallUnary(ctx, req)
+}
+
 // OfferTable calls agateturn.v1.JobPeerService.OfferTable.
 func (c *jobPeerServiceClient) OfferTable(ctx context.Context, req *connect.Request[v1.OfferTableRequest]) (*connect.Response[v1.OfferTableResponse], error) {
 	return c.offerTable.CallUnary(ctx, req)
@@ -171,6 +187,8 @@
 	PoolStatus(context.Context, *connect.Request[v1.PoolStatusRequest]) (*connect.Response[v1.PoolStatusResponse], error)
 	// DescribeJobs tells operators about the jobs of a pool.
 	DescribeJobs(context.Context, *connect.Request[v1.DescribeJobsRequest]) (*connect.Response[v1.DescribeJobsResponse], error)
+	// StoreJob asks a peer to store a job or a cancellation for an entry host that the store does not serve.
+	StoreJob(context.Context, *connect.Request[v1.StoreJobRequest]) (*connect.Response[v1.StoreJobResponse], error)
 	// OfferTable tells a peer of a version of the table of queues. Every entry host answers it.
 	OfferTable(context.Context, *connect.Request[v1.OfferTableRequest]) (*connect.Response[v1.OfferTableResponse], error)
 }
@@ -212,6 +230,12 @@
 		connect.WithSchema(jobPeerServiceMethods.ByName("DescribeJobs")),
 		connect.WithHandlerOptions(opts...),
 	)
+	jobPeerServiceStoreJobHandler := connect.NewUnaryHandler(
+		JobPeerServiceStoreJobProcedure,
+		svc.StoreJob,
+		connect.WithSchema(jobPeerServiceMethods.ByName("StoreJob")),
+		connect.WithHandlerOptions(opts...),
+	)
 	jobPeerServiceOfferTableHandler := connect.NewUnaryHandler(
 		JobPeerServiceOfferTableProcedure,
 		svc.OfferTable,
@@ -230,6 +254,8 @@
 			jobPeerServicePoolStatusHandler.ServeHTTP(w, r)
 		case JobPeerServiceDescribeJobsProcedure:
 			jobPeerServiceDescribeJobsHandler.ServeHTTP(w, r)
+		case JobPeerServiceStoreJobProcedure:
+			jobPeerServiceStoreJobHandler.ServeHTTP(w, r)
 		case JobPeerServiceOfferTableProcedure:
 			jobPeerServiceOfferTableHandler.ServeHTTP(w, r)
 		default:
@@ -261,6 +287,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("agateturn.v1.JobPeerService.DescribeJobs is not implemented"))
 }
 
+func (UnimplementedJobPeerServiceHandler) StoreJob(context.Context, *connect.Request[v1.StoreJobRequest]) (*connect.Response[v1.StoreJobResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("agateturn.v1.JobPeerService.StoreJob is not implemented"))
+}
+
 func (UnimplementedJobPeerServiceHandler) OfferTable(context.Context, *connect.Request[v1.OfferTableRequest]) (*connect.Response[v1.OfferTableResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("agateturn.v1.JobPeerService.OfferTable is not implemented"))
 }
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -63,6 +63,8 @@
 	// IsNotAccepted tells the errors after which a job or cancellation is not stored and never will be. After any other
 	// error it may be.
 	IsNotAccepted func(error) bool
+	// Relays may be nil.
+	Relays Relays
 	// ContentType is that of the answers with a body.
 	ContentType string
 	// Metrics may be nil.
@@ -76,6 +78,7 @@
 	options  Options
 	server   *http.Server
 	offers   *offers
+	relay    *relay
 	pending  *pendingCounts
 	ended    *endedStates
 	conns    *connections
@@ -92,6 +95,7 @@
 	f := &Front{
 		options: options,
 		offers:  newOffers(options.Owners, options.Metrics),
+		relay:   newRelay(options.Relays),
 		pending: newPendingCounts(options.Owners),
 		ended:   newEndedStates(),
 	}
--- a/internal/jobfront/handler.go
+++ b/internal/jobfront/handler.go
@@ -198,11 +198,3 @@
 	}
 	return "text/plain; charset=utf-8"
 }
-
-// stored returns the reply for an error of the store about a write.
-func (f *Front) stored(err error) reply {
-	if f.options.IsNotAccepted(err) {
-		return reply{status: http.StatusServiceUnavailable, repeat: true}
-	}
-	return reply{status: http.StatusGatewayTimeout}
-}
--- a/internal/jobfront/jobs.go
+++ b/internal/jobfront/jobs.go
@@ -24,24 +24,22 @@
 		Spec:       spec,
 		AcceptedMs: time.Now().UnixMilli(),
 	}
-	if err := f.options.Store.Accept(ctx, job); err != nil {
-		return f.stored(err)
+	result := f.storeResult(true, f.options.Store.Accept(ctx, job))
+	result = f.relay.store(ctx, result, &pb.StoreJobRequest{Job: job})
+	if result == pb.StoreResult_STORE_RESULT_STORED {
+		f.offers.job(job)
 	}
-	f.offers.job(job)
-	return reply{status: http.StatusOK}
+	return storeReply(result)
 }
 
 // cancel stores a cancellation, and then tells the job's owner.
 func (f *Front) cancel(ctx context.Context, r request) reply {
-	known, err := f.options.Store.Cancel(ctx, r.queue.Pool, r.id)
-	if err != nil {
-		return f.stored(err)
-	}
-	if !known {
-		return reply{status: http.StatusGone}
+	result := f.storeResult(f.options.Store.Cancel(ctx, r.queue.Pool, r.id))
+	result = f.relay.store(ctx, result, &pb.StoreJobRequest{CancelPool: r.queue.Pool, CancelId: r.id})
+	if result == pb.StoreResult_STORE_RESULT_STORED {
+		f.offers.cancelled(r.queue.Pool, r.id)
 	}
-	f.offers.cancelled(r.queue.Pool, r.id)
-	return reply{status: http.StatusOK}
+	return storeReply(result)
 }
 
 // state asks the owner, and the store for what the owner does not tell. Only the store can say that there is no such job.
--- /dev/null
+++ b/internal/jobfront/relay.go
@@ -0,0 +1,125 @@
+package jobfront
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+)
+
+// Relays are the other entry hosts, through which jobs are stored when the store does not serve this one.
+type Relays interface {
+	// Addresses are those of the peers that may be asked, in the same order each time.
+	Addresses() []string
+	// StoreJob has a deadline of its own besides ctx.
+	StoreJob(ctx context.Context, address string, req *pb.StoreJobRequest) pb.StoreResult
+}
+
+const (
+	// relayTries is how many peers are asked for one request.
+	relayTries = 2
+	// relayRest is how long no peer is asked after all that were asked could not store either.
+	relayRest = 500 * time.Millisecond
+)
+
+// relay stores through peers. It is safe for concurrent use.
+type relay struct {
+	peers Relays
+
+	mu sync.Mutex
+	// next is the index of the peer to ask; it stays with one that stores.
+	next  int
+	until time.Time
+}
+
+func newRelay(peers Relays) *relay { return &relay{peers: peers} }
+
+// store asks peers if this entry host's own write did not succeed, and returns what became of all writes together.
+// A repeated write is harmless, so an undecided one may be repeated elsewhere.
+func (r *relay) store(ctx context.Context, own pb.StoreResult, req *pb.StoreJobRequest) pb.StoreResult {
+	if r.peers == nil || isDecided(own) {
+		return own
+	}
+	addresses := r.peers.Addresses()
+	result := own
+	for range min(relayTries, len(addresses)) {
+		at, ok := r.choose(len(addresses))
+		if !ok || ctx.Err() != nil {
+			return result
+		}
+		answer := r.peers.StoreJob(ctx, addresses[at], req)
+		if isDecided(answer) {
+			return answer
+		}
+		r.turn(at)
+		if answer != pb.StoreResult_STORE_RESULT_NOT_STORED {
+			result = pb.StoreResult_STORE_RESULT_UNDECIDED
+		}
+	}
+	r.rest()
+	return result
+}
+
+func (r *relay) choose(n int) (at int, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.next %= n
+	return r.next, !time.Now().Before(r.until)
+}
+
+// turn moves on from a peer that did not store, unless another request has done so.
+func (r *relay) turn(at int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.next == at {
+		r.next = at + 1
+	}
+}
+
+func (r *relay) rest() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.until = time.Now().Add(relayRest)
+}
+
+// StoreJob stores for a peer. It asks no other peer.
+func (f *Front) StoreJob(ctx context.Context, req *pb.StoreJobRequest) pb.StoreResult {
+	if job := req.GetJob(); job != nil {
+		return f.storeResult(true, f.options.Store.Accept(ctx, job))
+	}
+	return f.storeResult(f.options.Store.Cancel(ctx, req.GetCancelPool(), req.GetCancelId()))
+}
+
+// storeResult tells what became of a write by the store's answer.
+func (f *Front) storeResult(known bool, err error) pb.StoreResult {
+	switch {
+	case err == nil && known:
+		return pb.StoreResult_STORE_RESULT_STORED
+	case err == nil:
+		return pb.StoreResult_STORE_RESULT_UNKNOWN_JOB
+	case f.options.IsNotAccepted(err):
+		return pb.StoreResult_STORE_RESULT_NOT_STORED
+	default:
+		return pb.StoreResult_STORE_RESULT_UNDECIDED
+	}
+}
+
+func isDecided(result pb.StoreResult) bool {
+	return result == pb.StoreResult_STORE_RESULT_STORED || result == pb.StoreResult_STORE_RESULT_UNKNOWN_JOB
+}
+
+// storeReply tells the caller. Only what was surely not written is refused; of anything else the caller asks again.
+func storeReply(result pb.StoreResult) reply {
+	switch result {
+	case pb.StoreResult_STORE_RESULT_STORED:
+		return reply{status: http.StatusOK}
+	case pb.StoreResult_STORE_RESULT_UNKNOWN_JOB:
+		return reply{status: http.StatusGone}
+	case pb.StoreResult_STORE_RESULT_NOT_STORED:
+		return reply{status: http.StatusServiceUnavailable, repeat: true}
+	default:
+		return reply{status: http.StatusGatewayTimeout}
+	}
+}
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -146,7 +146,7 @@
 	group.Go(func() error { return ended(ctx, h.front.Serve(callers.(*net.TCPListener))) })
 	h.serve(ctx, group, ready, h.front.ReadyHandler())
 	mux := http.NewServeMux()
-	mux.Handle(jobpeer.NewHandler(h.pools, h.tables))
+	mux.Handle(jobpeer.NewHandler(h.pools, h.tables, h.front))
 	h.serve(ctx, group, peers, mux)
 	return nil
 }
--- a/internal/jobhost/options.go
+++ b/internal/jobhost/options.go
@@ -30,6 +30,7 @@
 func (h *Host) frontOptions() jobfront.Options {
 	return jobfront.Options{
 		Codec: codec{}, Store: h.jobs, Owners: h.peers, Tables: h.tables,
+		Relays:         relays{h},
 		IsNotAccepted:  jobstore.NotAccepted.Has,
 		ContentType:    contentType,
 		MaxConnections: maxConnections,
--- a/internal/jobpeer/client.go
+++ b/internal/jobpeer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -19,6 +20,8 @@
 	// NoOwner means that nobody known owns the pool, or that the member asked does not own it any more.
 	NoOwner = errs.Class("jobpeer: pool has no owner that is known; ask the store, or again later")
 	errCall = errs.Class("jobpeer: call failed; ask again later")
+	// errSuspect means that nothing was sent.
+	errSuspect = errs.Class("jobpeer: peer failed lately and was not called; ask again later")
 )
 
 const (
@@ -37,10 +40,11 @@
 
 // Client asks the owners of pools, wherever they are. All methods may be called concurrently.
 type Client struct {
-	resolve func(pool string) (address string, local, ok bool)
-	local   Pools
-	http    *http.Client
-	states  *batcher
+	resolve  func(pool string) (address string, local, ok bool)
+	local    Pools
+	http     *http.Client
+	states   *batcher
+	suspects *suspects
 
 	mu    sync.Mutex
 	peers map[string]agateturnv1connect.JobPeerServiceClient
@@ -51,9 +55,10 @@
 func New(resolve func(pool string) (address string, local, ok bool), local Pools) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
 	c := &Client{
-		resolve: resolve,
-		local:   local,
-		peers:   map[string]agateturnv1connect.JobPeerServiceClient{},
+		resolve:  resolve,
+		local:    local,
+		suspects: newSuspects(),
+		peers:    map[string]agateturnv1connect.JobPeerServiceClient{},
 		http: &http.Client{Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxConnsPerHost:     maxConnections,
@@ -85,17 +90,56 @@
 	return peer
 }
 
-// owner returns the client for the pool's owner, or nil if that is this entry host.
-func (c *Client) owner(pool string) (agateturnv1connect.JobPeerServiceClient, error) {
+// method is one call of the service on some peer.
+type method[Req, Res any] func(agateturnv1connect.JobPeerServiceClient, context.Context, *connect.Request[Req]) (*connect.Response[Res], error)
+
+// call calls a peer. A peer that failed lately is tried only now and then. A call that got no answer in time leaves no
+// connection behind that was opened before it: one that has gone silent would cost the next call its time as well.
+func call[Req, Res any](ctx context.Context, c *Client, address string, m method[Req, Res], req *Req) (*Res, error) {
+	if !c.suspects.admit(address, time.Now()) {
+		return nil, errSuspect.New("%s", address)
+	}
+	answer, err := m(c.at(address), ctx, connect.NewRequest(req))
+	c.suspects.note(address, time.Now(), failed(err))
+	if err != nil {
+		if connect.CodeOf(err) == connect.CodeDeadlineExceeded {
+			c.http.CloseIdleConnections()
+		}
+		return nil, errCall.Wrap(err)
+	}
+	return answer.Msg, nil
+}
+
+// failed reports whether the peer gave no answer, for reasons of its own or of the network.
+func failed(err error) bool {
+	code := connect.CodeOf(err)
+	return err != nil && (code == connect.CodeUnavailable || code == connect.CodeDeadlineExceeded)
+}
+
+// ask calls the owner of a pool, or here if that is this entry host. owns tells whether an answer came from an owner.
+func ask[Req, Res any](
+	ctx context.Context, c *Client, pool string, req *Req, here func() (*Res, bool), m method[Req, Res], owns func(*Res) bool,
+) (*Res, error) {
 	address, local, ok := c.resolve(pool)
 	switch {
 	case local:
-		return nil, nil
+		if answer, owner := here(); owner {
+			return answer, nil
+		}
+		return nil, NoOwner.New("%s", pool)
 	case !ok:
 		return nil, NoOwner.New("%s", pool)
-	default:
-		return c.at(address), nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answer, err := call(ctx, c, address, m, req)
+	if err != nil {
+		return nil, err
+	}
+	if !owns(answer) {
+		return nil, NoOwner.New("%s", pool)
+	}
+	return answer, nil
 }
 
 // States returns one state for each id; UNSPECIFIED for a job that the owner does not know.
@@ -112,129 +156,77 @@
 
 // askStates is one call for many askers; it has its own deadline.
 func (c *Client) askStates(pool string, ids []string) ([]pb.JobState, error) {
-	peer, err := c.owner(pool)
-	if err != nil || peer == nil {
-		return nil, NoOwner.New("%s", pool)
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), statesTimeout)
 	defer cancel()
-	answer, err := peer.JobStates(ctx, connect.NewRequest(&pb.JobStatesRequest{Pool: pool, Ids: ids}))
-	switch {
-	case err != nil:
-		return nil, errCall.Wrap(err)
-	case !answer.Msg.GetOwner():
-		return nil, NoOwner.New("%s", pool)
-	case len(answer.Msg.GetStates()) != len(ids):
-		return nil, errCall.New("%d states for %d jobs", len(answer.Msg.GetStates()), len(ids))
-	default:
-		return answer.Msg.GetStates(), nil
+	answer, err := ask(ctx, c, pool, &pb.JobStatesRequest{Pool: pool, Ids: ids},
+		func() (*pb.JobStatesResponse, bool) {
+			states, owner := c.local.States(pool, ids)
+			return &pb.JobStatesResponse{States: states}, owner
+		},
+		agateturnv1connect.JobPeerServiceClient.JobStates, (*pb.JobStatesResponse).GetOwner)
+	if err != nil {
+		return nil, err
+	}
+	if len(answer.GetStates()) != len(ids) {
+		return nil, errCall.New("%d states for %d jobs", len(answer.GetStates()), len(ids))
 	}
+	return answer.GetStates(), nil
 }
 
 // Offer brings jobs and cancellations to the owner of the pool. It reports no error: the owner also watches the store.
 func (c *Client) Offer(ctx context.Context, pool string, jobs []*pb.JobRecord, cancelled []string) {
-	peer, err := c.owner(pool)
-	if err != nil {
-		return
-	}
-	if peer == nil {
-		c.local.Offer(pool, jobs, cancelled)
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	_, _ = peer.OfferJobs(ctx, connect.NewRequest(&pb.OfferJobsRequest{Pool: pool, Jobs: jobs, Cancelled: cancelled}))
+	_, _ = ask(ctx, c, pool, &pb.OfferJobsRequest{Pool: pool, Jobs: jobs, Cancelled: cancelled},
+		func() (*pb.OfferJobsResponse, bool) { return nil, c.local.Offer(pool, jobs, cancelled) },
+		agateturnv1connect.JobPeerServiceClient.OfferJobs, (*pb.OfferJobsResponse).GetOwner)
 }
 
 // Pending counts the jobs of a queue for which no task has started. Errors: NoOwner, or the call's.
 func (c *Client) Pending(ctx context.Context, pool, queue string) (int64, error) {
-	peer, err := c.owner(pool)
-	if err != nil {
-		return 0, err
-	}
-	if peer == nil {
-		if n, owner := c.local.Pending(pool, queue); owner {
-			return n, nil
-		}
-		return 0, NoOwner.New("%s", pool)
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	answer, err := peer.PendingJobs(ctx, connect.NewRequest(&pb.PendingJobsRequest{Pool: pool, Queue: queue}))
-	if err != nil {
-		return 0, errCall.Wrap(err)
-	}
-	if !answer.Msg.GetOwner() {
-		return 0, NoOwner.New("%s", pool)
-	}
-	return answer.Msg.GetPending(), nil
+	answer, err := ask(ctx, c, pool, &pb.PendingJobsRequest{Pool: pool, Queue: queue},
+		func() (*pb.PendingJobsResponse, bool) {
+			n, owner := c.local.Pending(pool, queue)
+			return &pb.PendingJobsResponse{Pending: n}, owner
+		},
+		agateturnv1connect.JobPeerServiceClient.PendingJobs, (*pb.PendingJobsResponse).GetOwner)
+	return answer.GetPending(), err
 }
 
 // PoolStatus tells the load of a pool, and sets which of its hosts are to be emptied. Errors: NoOwner, or the call's.
 func (c *Client) PoolStatus(ctx context.Context, req *pb.PoolStatusRequest) (*pb.PoolStatusResponse, error) {
-	peer, err := c.owner(req.GetPool())
-	if err != nil {
-		return nil, err
-	}
-	if peer == nil {
-		if status, owner := c.local.Status(req); owner {
-			status.Owner = true
-			return status, nil
-		}
-		return nil, NoOwner.New("%s", req.GetPool())
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	answer, err := peer.PoolStatus(ctx, connect.NewRequest(req))
-	if err != nil {
-		return nil, errCall.Wrap(err)
-	}
-	if !answer.Msg.GetOwner() {
-		return nil, NoOwner.New("%s", req.GetPool())
-	}
-	return answer.Msg, nil
+	return ask(ctx, c, req.GetPool(), req,
+		func() (*pb.PoolStatusResponse, bool) { return c.local.Status(req) },
+		agateturnv1connect.JobPeerServiceClient.PoolStatus, (*pb.PoolStatusResponse).GetOwner)
 }
 
 // DescribeJobs tells about the jobs of a pool. Errors: NoOwner, or the call's.
 func (c *Client) DescribeJobs(ctx context.Context, req *pb.DescribeJobsRequest) ([]*pb.JobDescription, error) {
-	peer, err := c.owner(req.GetPool())
-	if err != nil {
-		return nil, err
-	}
-	if peer == nil {
-		return c.describeHere(req)
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	answer, err := peer.DescribeJobs(ctx, connect.NewRequest(req))
-	if err != nil {
-		return nil, errCall.Wrap(err)
-	}
-	if !answer.Msg.GetOwner() {
-		return nil, NoOwner.New("%s", req.GetPool())
-	}
-	return answer.Msg.GetJobs(), nil
-}
-
-func (c *Client) describeHere(req *pb.DescribeJobsRequest) ([]*pb.JobDescription, error) {
-	describer, ok := c.local.(Describer)
-	if !ok {
-		return nil, errCall.New("this owner does not describe jobs")
-	}
-	jobs, owner := describer.Describe(req)
-	if !owner {
-		return nil, NoOwner.New("%s", req.GetPool())
-	}
-	return jobs, nil
+	answer, err := ask(ctx, c, req.GetPool(), req,
+		func() (*pb.DescribeJobsResponse, bool) { return describe(c.local, req) },
+		agateturnv1connect.JobPeerServiceClient.DescribeJobs, (*pb.DescribeJobsResponse).GetOwner)
+	return answer.GetJobs(), err
 }
 
 // OfferTable tells the peer of a version of the table of queues, and returns the peer's own.
 func (c *Client) OfferTable(ctx context.Context, address string, version int64, raw []byte) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	answer, err := c.at(address).OfferTable(ctx, connect.NewRequest(&pb.OfferTableRequest{Version: version, Raw: raw}))
-	if err != nil {
-		return 0, errCall.Wrap(err)
+	answer, err := call(ctx, c, address, agateturnv1connect.JobPeerServiceClient.OfferTable,
+		&pb.OfferTableRequest{Version: version, Raw: raw})
+	return answer.GetVersion(), err
+}
+
+// StoreJob asks the peer to store a job or a cancellation.
+func (c *Client) StoreJob(ctx context.Context, address string, req *pb.StoreJobRequest) pb.StoreResult {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answer, err := call(ctx, c, address, agateturnv1connect.JobPeerServiceClient.StoreJob, req)
+	var dial *net.OpError
+	switch {
+	case err == nil:
+		return answer.GetResult()
+	case errSuspect.Has(err), errors.As(err, &dial) && dial.Op == "dial":
+		return pb.StoreResult_STORE_RESULT_NOT_STORED
+	default:
+		return pb.StoreResult_STORE_RESULT_UNDECIDED
 	}
-	return answer.Msg.GetVersion(), nil
 }
--- /dev/null
+++ b/internal/jobpeer/peer_test.go
@@ -0,0 +1,253 @@
+package jobpeer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// member fakes an entry host that owns the pools named.
+type member struct {
+	owned   []string
+	mu      sync.Mutex
+	calls   int
+	offered []string
+	version int64
+	raw     []byte
+	// hold keeps the answers to questions for states back.
+	hold atomic.Pointer[chan struct{}]
+}
+
+func (m *member) owns(pool string) bool { return slices.Contains(m.owned, pool) }
+
+// States tells RUNNING for ids that end in an even digit.
+func (m *member) States(pool string, ids []string) ([]pb.JobState, bool) {
+	if hold := m.hold.Load(); hold != nil {
+		<-*hold
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls++
+	states := make([]pb.JobState, len(ids))
+	for i, id := range ids {
+		if id[len(id)-1]%2 == 0 {
+			states[i] = pb.JobState_JOB_STATE_RUNNING
+		}
+	}
+	return states, m.owns(pool)
+}
+
+func (m *member) Offer(pool string, jobs []*pb.JobRecord, cancelled []string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, job := range jobs {
+		m.offered = append(m.offered, job.GetId())
+	}
+	m.offered = append(m.offered, cancelled...)
+	return m.owns(pool)
+}
+
+func (m *member) Pending(pool, _ string) (int64, bool) { return 7, m.owns(pool) }
+
+func (m *member) Status(req *pb.PoolStatusRequest) (*pb.PoolStatusResponse, bool) {
+	return &pb.PoolStatusResponse{Fence: 5}, m.owns(req.GetPool())
+}
+
+func (m *member) Describe(req *pb.DescribeJobsRequest) ([]*pb.JobDescription, bool) {
+	return []*pb.JobDescription{{Id: "0001"}}, m.owns(req.GetPool())
+}
+
+type tables struct{ *member }
+
+func (t tables) Offer(version int64, raw []byte) int64 {
+	if len(raw) > 0 && version > t.version {
+		t.version, t.raw = version, raw
+	}
+	return t.version
+}
+
+func (m *member) StoreJob(_ context.Context, req *pb.StoreJobRequest) pb.StoreResult {
+	if req.GetJob() != nil {
+		return pb.StoreResult_STORE_RESULT_STORED
+	}
+	return pb.StoreResult_STORE_RESULT_UNKNOWN_JOB
+}
+
+// start serves a member on loopback.
+func start(t *testing.T, owned ...string) (*member, string) {
+	t.Helper()
+	m := &member{owned: owned}
+	mux := http.NewServeMux()
+	mux.Handle(NewHandler(m, tables{m}, m))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return m, server.Listener.Addr().String()
+}
+
+// client resolves each pool to the address.
+func client(t *testing.T, address string) *Client {
+	t.Helper()
+	c := New(func(string) (string, bool, bool) { return address, false, address != "" }, &member{})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func TestCallsOnTheOwner(t *testing.T) {
+	m, address := start(t, "p")
+	for name, c := range map[string]*Client{
+		"peer":  client(t, address),
+		"local": New(func(string) (string, bool, bool) { return "", true, true }, m),
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx := t.Context()
+			states, err := c.States(ctx, "p", []string{"0001", "0002"})
+			assert.NilError(t, err)
+			assert.DeepEqual(t, states, []pb.JobState{0, pb.JobState_JOB_STATE_RUNNING})
+			n, err := c.Pending(ctx, "p", "q")
+			assert.NilError(t, err)
+			assert.Equal(t, n, int64(7))
+			status, err := c.PoolStatus(ctx, &pb.PoolStatusRequest{Pool: "p"})
+			assert.NilError(t, err)
+			assert.Equal(t, status.GetFence(), uint64(5))
+			jobs, err := c.DescribeJobs(ctx, &pb.DescribeJobsRequest{Pool: "p"})
+			assert.NilError(t, err)
+			assert.Equal(t, len(jobs), 1)
+			m.offered = nil
+			c.Offer(ctx, "p", []*pb.JobRecord{{Id: "0003"}}, []string{"0004"})
+			assert.DeepEqual(t, m.offered, []string{"0003", "0004"})
+		})
+	}
+}
+
+// TestOneThatDoesNotOwn checks that an answer of a former owner, or none known, is an error and no state.
+func TestOneThatDoesNotOwn(t *testing.T) {
+	_, address := start(t, "other")
+	for name, c := range map[string]*Client{
+		"peer":       client(t, address),
+		"local":      New(func(string) (string, bool, bool) { return "", true, true }, &member{}),
+		"none known": client(t, ""),
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx := t.Context()
+			_, err := c.States(ctx, "p", []string{"0001"})
+			assert.Assert(t, NoOwner.Has(err), "%v", err)
+			_, err = c.Pending(ctx, "p", "q")
+			assert.Assert(t, NoOwner.Has(err), "%v", err)
+			_, err = c.PoolStatus(ctx, &pb.PoolStatusRequest{Pool: "p"})
+			assert.Assert(t, NoOwner.Has(err), "%v", err)
+			_, err = c.DescribeJobs(ctx, &pb.DescribeJobsRequest{Pool: "p"})
+			assert.Assert(t, NoOwner.Has(err), "%v", err)
+		})
+	}
+}
+
+// TestStatesAreAskedTogether asks for many jobs at once: each asker gets its own states, and a call holds up to maxIDs.
+func TestStatesAreAskedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &member{owned: []string{"p"}}
+		b := newBatcher(func(pool string, ids []string) ([]pb.JobState, error) {
+			states, _ := m.States(pool, ids)
+			return states, nil
+		})
+		for i := range maxIDs + 1 {
+			go func() {
+				states, err := b.ask(t.Context(), "p", []string{fmt.Sprintf("%04d", i)})
+				assert.Check(t, err)
+				assert.Check(t, len(states) == 1 && (states[0] == pb.JobState_JOB_STATE_RUNNING) == (i%2 == 0))
+			}()
+		}
+		time.Sleep(time.Second)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		assert.Equal(t, m.calls, 2)
+	})
+}
+
+// TestSilentOwner checks that questions to an owner that does not answer end in time, and then at once.
+func TestSilentOwner(t *testing.T) {
+	m, address := start(t, "p")
+	hold := make(chan struct{})
+	m.hold.Store(&hold)
+	c := client(t, address)
+	ask := func() (time.Duration, error) {
+		began := time.Now()
+		_, err := c.States(t.Context(), "p", []string{"0002"})
+		return time.Since(began), err
+	}
+	for range suspectAfter {
+		took, err := ask()
+		assert.Assert(t, err != nil)
+		assert.Assert(t, took >= statesTimeout, "%s", took)
+	}
+	took, err := ask()
+	assert.Assert(t, errSuspect.Has(err), "%v", err)
+	assert.Assert(t, took < statesTimeout/2, "%s", took)
+	m.hold.Store(nil)
+	close(hold)
+	time.Sleep(probeEvery)
+	_, err = ask()
+	assert.NilError(t, err)
+}
+
+// TestSilentConnections cuts all connections without a reset; calls on new ones must work soon.
+func TestSilentConnections(t *testing.T) {
+	_, address := start(t, "p")
+	gate := newGate(t, address)
+	c := client(t, gate.address)
+	_, err := c.Pending(t.Context(), "p", "q")
+	assert.NilError(t, err)
+	gate.silence()
+	began := time.Now()
+	for err = errSuspect.New(""); err != nil; {
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		_, err = c.Pending(ctx, "p", "q")
+		cancel()
+		assert.Assert(t, time.Since(began) < 3*time.Second)
+	}
+}
+
+func TestOfferTable(t *testing.T) {
+	m, address := start(t)
+	c := client(t, address)
+	has, err := c.OfferTable(t.Context(), address, 3, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, has, int64(0))
+	has, err = c.OfferTable(t.Context(), address, 3, make([]byte, 1<<20))
+	assert.NilError(t, err)
+	assert.Equal(t, has, int64(3))
+	assert.Equal(t, len(m.raw), 1<<20)
+}
+
+// TestStoreJob tells apart what was surely not stored from what may have been.
+func TestStoreJob(t *testing.T) {
+	_, address := start(t)
+	c := client(t, address)
+	job := &pb.StoreJobRequest{Job: &pb.JobRecord{Id: "0001"}}
+	assert.Equal(t, c.StoreJob(t.Context(), address, job), pb.StoreResult_STORE_RESULT_STORED)
+	assert.Equal(t, c.StoreJob(t.Context(), address, &pb.StoreJobRequest{CancelId: "0002"}), pb.StoreResult_STORE_RESULT_UNKNOWN_JOB)
+	closed, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	assert.NilError(t, closed.Close())
+	assert.Equal(t, c.StoreJob(t.Context(), closed.Addr().String(), job), pb.StoreResult_STORE_RESULT_NOT_STORED)
+	gate := newGate(t, address)
+	gate.silence()
+	gate.deaf.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	assert.Equal(t, c.StoreJob(ctx, gate.address, job), pb.StoreResult_STORE_RESULT_UNDECIDED)
+}
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -42,15 +42,21 @@
 	Offer(version int64, raw []byte) int64
 }
 
+// Keeper stores jobs and cancellations for peers that the store does not serve.
+type Keeper interface {
+	StoreJob(ctx context.Context, req *pb.StoreJobRequest) pb.StoreResult
+}
+
 // NewHandler returns the handler for the listener of peers, and the path below which to mount it.
-func NewHandler(pools Pools, tables Tables) (string, http.Handler) {
-	return agateturnv1connect.NewJobPeerServiceHandler(&server{pools: pools, tables: tables},
+func NewHandler(pools Pools, tables Tables, keeper Keeper) (string, http.Handler) {
+	return agateturnv1connect.NewJobPeerServiceHandler(&server{pools: pools, tables: tables, keeper: keeper},
 		connect.WithReadMaxBytes(messageLimit), connect.WithCompressMinBytes(compressFrom))
 }
 
 type server struct {
 	pools  Pools
 	tables Tables
+	keeper Keeper
 }
 
 // JobStates implements the service.
@@ -89,12 +95,24 @@
 
 // DescribeJobs implements the service.
 func (s *server) DescribeJobs(_ context.Context, req *connect.Request[pb.DescribeJobsRequest]) (*connect.Response[pb.DescribeJobsResponse], error) {
-	describer, ok := s.pools.(Describer)
+	answer, owner := describe(s.pools, req.Msg)
+	answer.Owner = owner
+	return connect.NewResponse(answer), nil
+}
+
+// describe asks pools that can tell about jobs; others count as not owned.
+func describe(pools Pools, req *pb.DescribeJobsRequest) (*pb.DescribeJobsResponse, bool) {
+	describer, ok := pools.(Describer)
 	if !ok {
-		return nil, connect.NewError(connect.CodeUnimplemented, nil)
+		return &pb.DescribeJobsResponse{}, false
 	}
-	jobs, owner := describer.Describe(req.Msg)
-	return connect.NewResponse(&pb.DescribeJobsResponse{Owner: owner, Jobs: jobs}), nil
+	jobs, owner := describer.Describe(req)
+	return &pb.DescribeJobsResponse{Jobs: jobs}, owner
+}
+
+// StoreJob implements the service.
+func (s *server) StoreJob(ctx context.Context, req *connect.Request[pb.StoreJobRequest]) (*connect.Response[pb.StoreJobResponse], error) {
+	return connect.NewResponse(&pb.StoreJobResponse{Result: s.keeper.StoreJob(ctx, req.Msg)}), nil
 }
 
 // OfferTable implements the service.
