Take new connections until the readiness checks have noticed a stop

Cause: the listener closed right after the pools were handed over, while the platform still sent new connections: it needs two missed checks. Run: go test -race -count=3 ./internal/jobfront.

--- a/internal/jobfront/conns_test.go
+++ b/internal/jobfront/conns_test.go
@@ -87,6 +87,24 @@
 	assert.Assert(t, f.notReady() != "")
 }
 
+// TestConnectionsAreTakenUntilTheStopIsNoticed connects after BeginStop; and the time for requests is kept.
+func TestConnectionsAreTakenUntilTheStopIsNoticed(t *testing.T) {
+	f := newWorld().front()
+	f.options.StopNotice = time.Hour
+	address, served := serve(t, f)
+	ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+	defer cancel()
+	stopped := make(chan error, 1)
+	f.BeginStop()
+	go func() { stopped <- f.Shutdown(ctx) }()
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address)
+	assert.NilError(t, err)
+	assert.Assert(t, callOnce(conn, bufio.NewReader(conn)))
+	assert.NilError(t, conn.Close())
+	assert.NilError(t, <-stopped)
+	assert.NilError(t, <-served)
+}
+
 // TestLimitsInForceAreThoseOfTheTable changes the timeout of idle connections while one is open.
 func TestLimitsInForceAreThoseOfTheTable(t *testing.T) {
 	w := newWorld()
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -69,6 +69,8 @@
 	ContentType string
 	// Metrics may be nil.
 	Metrics *Metrics
+	// StopNotice is how long new connections are still taken after BeginStop: the time in which readiness checks are noticed.
+	StopNotice time.Duration
 	// MaxConnections bounds the callers' connections held at once.
 	MaxConnections int
 }
@@ -84,7 +86,8 @@
 	conns    *connections
 	indexed  atomic.Pointer[indexedTable]
 	ready    atomic.Bool
-	stopping atomic.Bool
+	// stopBegan is nil until BeginStop.
+	stopBegan atomic.Pointer[time.Time]
 }
 
 // New returns a front that is ready once it has a table.
@@ -121,16 +124,35 @@
 func (f *Front) SetReady(ready bool) { f.ready.Store(ready) }
 
 // BeginStop fails the readiness check and closes each connection with its next answer. Requests are served on.
-func (f *Front) BeginStop() { f.stopping.Store(true) }
+func (f *Front) BeginStop() {
+	now := time.Now()
+	f.stopBegan.CompareAndSwap(nil, &now)
+}
+
+func (f *Front) stopping() bool { return f.stopBegan.Load() != nil }
 
-// Shutdown closes the listener, lets every request in progress finish and closes the connections. It returns ctx's error
-// if that ends first.
+// Shutdown waits for the rest of StopNotice, closes the listener, lets every request in progress finish and closes the
+// connections. It returns ctx's error if that ends first; at least half of the time that ctx leaves is for the requests.
 func (f *Front) Shutdown(ctx context.Context) error {
 	f.BeginStop()
+	f.awaitNotice(ctx)
 	f.conns.drain(ctx)
 	return f.server.Shutdown(ctx)
 }
 
+func (f *Front) awaitNotice(ctx context.Context) {
+	wait := f.options.StopNotice - time.Since(*f.stopBegan.Load())
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(deadline)/2)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // ReadyHandler answers the platform's readiness checks.
 func (f *Front) ReadyHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -148,7 +170,7 @@
 
 func (f *Front) notReady() string {
 	switch {
-	case f.stopping.Load():
+	case f.stopping():
 		return "stopping"
 	case !f.ready.Load():
 		return "starting"
--- a/internal/jobfront/handler.go
+++ b/internal/jobfront/handler.go
@@ -177,7 +177,7 @@
 
 func (f *Front) send(w http.ResponseWriter, answer reply) {
 	header := w.Header()
-	if f.stopping.Load() {
+	if f.stopping() {
 		header.Set("Connection", "close")
 	}
 	if answer.repeat {
--- a/internal/jobhost/options.go
+++ b/internal/jobhost/options.go
@@ -21,6 +21,8 @@
 	workerLease = 6 * time.Second
 	// maxConnections bounds the callers' connections.
 	maxConnections = 2000
+	// stopNotice is the time in which two readiness checks, one a second, are missed.
+	stopNotice = 2500 * time.Millisecond
 )
 
 func (h *Host) membershipOptions() membership.Options {
@@ -34,6 +36,7 @@
 		IsNotAccepted:  jobstore.NotAccepted.Has,
 		ContentType:    contentType,
 		MaxConnections: maxConnections,
+		StopNotice:     stopNotice,
 	}
 }
 
