--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -63,10 +63,14 @@
 	// IsNotAccepted tells the errors after which a job or cancellation is not stored and never will be. After any other
 	// error it may be.
 	IsNotAccepted func(error) bool
+	// Relays may be nil.
+	Relays Relays
 	// ContentType is that of the answers with a body.
 	ContentType string
 	// Metrics may be nil.
 	Metrics *Metrics
+	// StopNotice is how long new connections are still taken after BeginStop: the time in which readiness checks are noticed.
+	StopNotice time.Duration
 	// MaxConnections bounds the callers' connections held at once.
 	MaxConnections int
 }
@@ -76,11 +80,14 @@
 	options  Options
 	server   *http.Server
 	offers   *offers
+	relay    *relay
 	pending  *pendingCounts
 	ended    *endedStates
 	conns    *connections
+	indexed  atomic.Pointer[indexedTable]
 	ready    atomic.Bool
-	stopping atomic.Bool
+	// stopBegan is nil until BeginStop.
+	stopBegan atomic.Pointer[time.Time]
 }
 
 // New returns a front that is ready once it has a table.
@@ -91,6 +98,7 @@
 	f := &Front{
 		options: options,
 		offers:  newOffers(options.Owners, options.Metrics),
+		relay:   newRelay(options.Relays),
 		pending: newPendingCounts(options.Owners),
 		ended:   newEndedStates(),
 	}
@@ -105,8 +113,8 @@
 
 // Serve serves callers' connections until Shutdown; it returns nil then.
 func (f *Front) Serve(listener *net.TCPListener) error {
-	err := f.server.Serve(f.conns.listener(listener, f.options.MaxConnections))
-	if errors.Is(err, http.ErrServerClosed) {
+	err := f.server.Serve(f.conns.listen(listener, f.options.MaxConnections))
+	if f.conns.isDraining() || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
@@ -116,16 +124,35 @@
 func (f *Front) SetReady(ready bool) { f.ready.Store(ready) }
 
 // BeginStop fails the readiness check and closes each connection with its next answer. Requests are served on.
-func (f *Front) BeginStop() { f.stopping.Store(true) }
+func (f *Front) BeginStop() {
+	now := time.Now()
+	f.stopBegan.CompareAndSwap(nil, &now)
+}
+
+func (f *Front) stopping() bool { return f.stopBegan.Load() != nil }
 
-// Shutdown closes the listener, lets every request in progress finish and closes the connections. It returns ctx's error
-// if that ends first.
+// Shutdown waits for the rest of StopNotice, closes the listener, lets every request in progress finish and closes the
+// connections. It returns ctx's error if that ends first; at least half of the time that ctx leaves is for the requests.
 func (f *Front) Shutdown(ctx context.Context) error {
 	f.BeginStop()
-	f.conns.drain()
+	f.awaitNotice(ctx)
+	f.conns.drain(ctx)
 	return f.server.Shutdown(ctx)
 }
 
+func (f *Front) awaitNotice(ctx context.Context) {
+	wait := f.options.StopNotice - time.Since(*f.stopBegan.Load())
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(deadline)/2)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // ReadyHandler answers the platform's readiness checks.
 func (f *Front) ReadyHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -143,7 +170,7 @@
 
 func (f *Front) notReady() string {
 	switch {
-	case f.stopping.Load():
+	case f.stopping():
 		return "stopping"
 	case !f.ready.Load():
 		return "starting"
@@ -156,6 +183,26 @@
 	}
 }
 
+// indexedTable is a table with its index.
+type indexedTable struct {
+	table *queue.Table
+	index *queue.Index
+}
+
+// index is that of the table in force; nil if there is none yet.
+func (f *Front) index() *queue.Index {
+	table := f.options.Tables.Table()
+	if table == nil {
+		return nil
+	}
+	if known := f.indexed.Load(); known != nil && known.table == table {
+		return known.index
+	}
+	made := &indexedTable{table: table, index: queue.NewIndex(table)}
+	f.indexed.Store(made)
+	return made.index
+}
+
 // limits are those in force; zero values are unset.
 func (f *Front) limits() queue.Limits {
 	if table := f.options.Tables.Table(); table != nil {
--- a/internal/jobfront/handler.go
+++ b/internal/jobfront/handler.go
@@ -57,11 +57,11 @@
 	if refused != nil {
 		return *refused
 	}
-	table := f.options.Tables.Table()
-	if table == nil {
+	index := f.index()
+	if index == nil {
 		return reply{status: http.StatusServiceUnavailable, repeat: true}
 	}
-	q, ok := table.Lookup(hostOf(r.Host), r.URL.Path)
+	q, ok := index.Lookup(hostOf(r.Host), r.URL.Path)
 	if !ok {
 		return f.noQueue()
 	}
@@ -119,8 +119,10 @@
 	if r.ContentLength > limit {
 		return nil, &reply{status: http.StatusRequestEntityTooLarge}
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -175,7 +177,7 @@
 
 func (f *Front) send(w http.ResponseWriter, answer reply) {
 	header := w.Header()
-	if f.stopping.Load() {
+	if f.stopping() {
 		header.Set("Connection", "close")
 	}
 	if answer.repeat {
@@ -196,11 +198,3 @@
 	}
 	return "text/plain; charset=utf-8"
 }
-
-// stored returns the reply for an error of the store about a write.
-func (f *Front) stored(err error) reply {
-	if f.options.IsNotAccepted(err) {
-		return reply{status: http.StatusServiceUnavailable, repeat: true}
-	}
-	return reply{status: http.StatusGatewayTimeout}
-}
--- a/internal/jobhost/options.go
+++ b/internal/jobhost/options.go
@@ -21,6 +21,8 @@
 	workerLease = 6 * time.Second
 	// maxConnections bounds the callers' connections.
 	maxConnections = 2000
+	// stopNotice is the time in which two readiness checks, one a second, are missed.
+	stopNotice = 2500 * time.Millisecond
 )
 
 func (h *Host) membershipOptions() membership.Options {
@@ -30,9 +32,11 @@
 func (h *Host) frontOptions() jobfront.Options {
 	return jobfront.Options{
 		Codec: codec{}, Store: h.jobs, Owners: h.peers, Tables: h.tables,
+		Relays:         relays{h},
 		IsNotAccepted:  jobstore.NotAccepted.Has,
 		ContentType:    contentType,
 		MaxConnections: maxConnections,
+		StopNotice:     stopNotice,
 	}
 }
 
