--- a/httpcall/httpcall.go
+++ b/httpcall/httpcall.go
@@ -12,6 +12,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -43,6 +44,7 @@
 	address   string
 	transport *http.Transport
 	observe   Observer
+	closed    atomic.Bool
 }
 
 // Request is one call.
@@ -90,8 +92,11 @@
 	}}
 }
 
-// Close drops idle connections. Calls may go on.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+// Close drops idle connections, and those of calls under way when they end.
+func (c *Client) Close() {
+	c.closed.Store(true)
+	c.transport.CloseIdleConnections()
+}
 
 // Do makes the call. After an error the connection is not used again, and neither are the idle ones if time ran out:
 // connections go silent together.
@@ -100,7 +105,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
 	defer cancel()
 	got, err := c.exchange(ctx, r)
-	if errors.Is(err, context.DeadlineExceeded) {
+	if errors.Is(err, context.DeadlineExceeded) || c.closed.Load() {
 		c.transport.CloseIdleConnections()
 	}
 	if c.observe != nil {
