--- a/internal/jobhost/relays.go
+++ b/internal/jobhost/relays.go
@@ -15,7 +15,7 @@
 
 // Addresses lists the other members, beginning after this one by name, so that hosts begin with different ones.
 func (r relays) Addresses() []string {
-	self := r.settings.GetJobHost().GetName()
+	self := r.settings.Load().GetJobHost().GetName()
 	others := lo.Filter(r.members.Members(), func(m *pb.JobMember, _ int) bool {
 		return m.GetName() != self && !m.GetLeaving()
 	})
