Operators list, show, explain and cancel jobs

Cause: operators could not see jobs. An entry host that serves jobs and has an operator address serves /v1/jobs, /metrics and the health checks there; agateturnctl jobs is its client. Owners describe their jobs (scheduler.Describe); pools that cannot be asked are named and not left out silently. Without an operator token none is let in. Run: go test -race of jobfront, ctl, operatorapi and scheduler.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -24,6 +24,7 @@
 	errConflict    = errs.Class("conflict")
 	errUnavailable = errs.Class("unavailable, nothing was changed; try again or another --address")
 	errUnknown     = errs.Class("outcome unknown; repeat the command with the same --id, which is not a second change")
+	errCancelled   = errs.Class("outcome unknown; repeat the command, which is not a second change")
 	errWait        = errs.Class("not reached in time")
 )
 
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -40,6 +40,7 @@
 	Services   servicesCmd   `cmd:"" help:"List latencies for each service, team and class."`
 	Hosts      hostsCmd      `cmd:"" help:"List, move, and take hosts in and out of service."`
 	Waves      wavesCmd      `cmd:"" help:"Create and control maintenance waves."`
+	Jobs       jobsCmd       `cmd:"" help:"List, show, explain and cancel jobs, at an entry host that serves jobs."`
 	Config     configCmd     `cmd:"" help:"Show, compare and apply configurations."`
 	Measures   measuresCmd   `cmd:"" help:"Show buffer cost, roll-out time and moves."`
 	Init       initCmd       `cmd:"" help:"Answer the questionnaire and write a configuration."`
@@ -116,7 +117,7 @@
 		return ExitConflict
 	case errUnavailable.Has(err):
 		return ExitUnavailable
-	case errUnknown.Has(err):
+	case errUnknown.Has(err), errCancelled.Has(err):
 		return ExitUnknown
 	case errWait.Has(err):
 		return ExitTimeout
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -77,15 +77,15 @@
 
 // Front serves callers. It is safe for concurrent use.
 type Front struct {
-	options  Options
-	server   *http.Server
-	offers   *offers
-	relay    *relay
-	pending  *pendingCounts
-	ended    *endedStates
-	conns    *connections
-	indexed  atomic.Pointer[indexedTable]
-	ready    atomic.Bool
+	options Options
+	server  *http.Server
+	offers  *offers
+	relay   *relay
+	pending *pendingCounts
+	ended   *endedStates
+	conns   *connections
+	indexed atomic.Pointer[indexedTable]
+	ready   atomic.Bool
 	// stopBegan is nil until BeginStop.
 	stopBegan atomic.Pointer[time.Time]
 }
@@ -98,7 +98,7 @@
 	f := &Front{
 		options: options,
 		offers:  newOffers(options.Owners, options.Metrics),
-		relay:   newRelay(options.Relays),
+		relay:   newRelay(options.Relays, options.Metrics),
 		pending: newPendingCounts(options.Owners),
 		ended:   newEndedStates(),
 	}
--- a/internal/jobfront/jobs.go
+++ b/internal/jobfront/jobs.go
@@ -34,12 +34,16 @@
 
 // cancel stores a cancellation, and then tells the job's owner.
 func (f *Front) cancel(ctx context.Context, r request) reply {
-	result := f.storeResult(f.options.Store.Cancel(ctx, r.queue.Pool, r.id))
-	result = f.relay.store(ctx, result, &pb.StoreJobRequest{CancelPool: r.queue.Pool, CancelId: r.id})
+	return storeReply(f.storeCancel(ctx, r.queue.Pool, r.id))
+}
+
+func (f *Front) storeCancel(ctx context.Context, pool, id string) pb.StoreResult {
+	result := f.storeResult(f.options.Store.Cancel(ctx, pool, id))
+	result = f.relay.store(ctx, result, &pb.StoreJobRequest{CancelPool: pool, CancelId: id})
 	if result == pb.StoreResult_STORE_RESULT_STORED {
-		f.offers.cancelled(r.queue.Pool, r.id)
+		f.offers.cancelled(pool, id)
 	}
-	return storeReply(result)
+	return result
 }
 
 // state asks the owner, and the store for what the owner does not tell. Only the store can say that there is no such job.
--- /dev/null
+++ b/internal/jobfront/operate.go
@@ -0,0 +1,189 @@
+package jobfront
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/samber/lo"
+	"golang.org/x/sync/errgroup"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/operatorapi"
+	"github.com/agateturn/agateturn/queue"
+)
+
+const (
+	// operateTimeout bounds what one operator's request waits for.
+	operateTimeout = 2 * time.Second
+	// operateCalls bounds the owners asked at once.
+	operateCalls = 8
+)
+
+// Describer asks the owner of a pool about jobs. An error means that it cannot be asked.
+type Describer interface {
+	DescribeJobs(ctx context.Context, req *pb.DescribeJobsRequest) ([]*pb.JobDescription, error)
+}
+
+// Operations is what operators can do with jobs. It implements operatorapi.JobsBackend.
+type Operations struct {
+	front     *Front
+	describer Describer
+}
+
+// NewOperations returns the operations of a front.
+func NewOperations(front *Front, describer Describer) *Operations {
+	return &Operations{front: front, describer: describer}
+}
+
+// Ready implements operatorapi.JobsBackend.
+func (o *Operations) Ready() error {
+	if reason := o.front.notReady(); reason != "" {
+		return errors.New(reason)
+	}
+	return nil
+}
+
+// Jobs implements operatorapi.JobsBackend.
+func (o *Operations) Jobs(ctx context.Context, filter operatorapi.JobFilter) (operatorapi.JobList, error) {
+	pools, err := o.pools(filter.Pool)
+	if err != nil {
+		return operatorapi.JobList{}, err
+	}
+	req := &pb.DescribeJobsRequest{Queue: filter.Queue}
+	if filter.State == "" {
+		req.Limit = int64(filter.Limit)
+	}
+	found, missing := o.describe(ctx, pools, req)
+	jobs := lo.FilterMap(found, func(d *pb.JobDescription, _ int) (operatorapi.JobStatus, bool) {
+		status := jobStatus(d)
+		return status, filter.State == "" || status.State == filter.State
+	})
+	perPool := map[string]int{}
+	jobs = lo.Filter(jobs, func(j operatorapi.JobStatus, _ int) bool {
+		perPool[j.Pool]++
+		return perPool[j.Pool] <= filter.Limit
+	})
+	return operatorapi.JobList{Jobs: jobs, Missing: missing}, nil
+}
+
+// Job implements operatorapi.JobsBackend.
+func (o *Operations) Job(ctx context.Context, id string) (operatorapi.JobStatus, error) {
+	if !o.front.options.Codec.ValidJobID(id) {
+		return operatorapi.JobStatus{}, operatorapi.NotFound.New("%q is no id that a job can have", id)
+	}
+	pools, err := o.pools("")
+	if err != nil {
+		return operatorapi.JobStatus{}, err
+	}
+	found, _ := o.describe(ctx, pools, &pb.DescribeJobsRequest{Ids: []string{id}})
+	if len(found) > 0 {
+		return jobStatus(found[0]), nil
+	}
+	return o.stored(ctx, pools, id)
+}
+
+// stored looks a job up in the store, which knows no more than its state.
+func (o *Operations) stored(ctx context.Context, pools []string, id string) (operatorapi.JobStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, operateTimeout)
+	defer cancel()
+	for _, pool := range pools {
+		state, known, err := o.front.options.Store.Lookup(ctx, pool, id)
+		if err != nil {
+			return operatorapi.JobStatus{}, operatorapi.Unavailable.New("pool %s: %v", pool, err)
+		}
+		if known {
+			return operatorapi.JobStatus{ID: id, Pool: pool, State: stateName(state), StateOnly: true}, nil
+		}
+	}
+	return operatorapi.JobStatus{}, operatorapi.NotFound.New("no job %s; ended jobs are kept for a while only", id)
+}
+
+// CancelJob implements operatorapi.JobsBackend.
+func (o *Operations) CancelJob(ctx context.Context, id string) (operatorapi.JobCancelled, error) {
+	job, err := o.Job(ctx, id)
+	if err != nil {
+		return operatorapi.JobCancelled{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, operateTimeout)
+	defer cancel()
+	switch o.front.storeCancel(ctx, job.Pool, id) {
+	case pb.StoreResult_STORE_RESULT_STORED:
+		return operatorapi.JobCancelled{ID: id, Pool: job.Pool}, nil
+	case pb.StoreResult_STORE_RESULT_UNKNOWN_JOB:
+		return operatorapi.JobCancelled{}, operatorapi.NotFound.New("no job %s any more", id)
+	case pb.StoreResult_STORE_RESULT_NOT_STORED:
+		return operatorapi.JobCancelled{}, operatorapi.Unavailable.New("the store does not answer")
+	default:
+		return operatorapi.JobCancelled{}, operatorapi.Unknown.New("job %s may be cancelled; cancel it again", id)
+	}
+}
+
+// pools lists the pool named, or all that have jobs.
+func (o *Operations) pools(name string) ([]string, error) {
+	table := o.front.options.Tables.Table()
+	if table == nil {
+		return nil, operatorapi.Unavailable.New("no configuration yet")
+	}
+	working := lo.Filter(table.Pools, func(p queue.Pool, _ int) bool { return !p.Spare })
+	names := lo.Map(working, func(p queue.Pool, _ int) string { return p.Name })
+	slices.Sort(names)
+	if name == "" {
+		return names, nil
+	}
+	if !slices.Contains(names, name) {
+		return nil, operatorapi.NotFound.New("no pool %s with jobs; pools are %s", name, strings.Join(names, ", "))
+	}
+	return []string{name}, nil
+}
+
+// describe asks the owners of pools. missing are the pools that were not heard.
+func (o *Operations) describe(
+	ctx context.Context, pools []string, req *pb.DescribeJobsRequest,
+) (found []*pb.JobDescription, missing []string) {
+	ctx, cancel := context.WithTimeout(ctx, operateTimeout)
+	defer cancel()
+	answers := make([][]*pb.JobDescription, len(pools))
+	failed := make([]bool, len(pools))
+	var group errgroup.Group
+	group.SetLimit(operateCalls)
+	for i, pool := range pools {
+		group.Go(func() error {
+			jobs, err := o.describer.DescribeJobs(ctx, &pb.DescribeJobsRequest{
+				Pool: pool, Ids: req.GetIds(), Queue: req.GetQueue(), Limit: req.GetLimit(),
+			})
+			answers[i], failed[i] = jobs, err != nil
+			return nil
+		})
+	}
+	_ = group.Wait()
+	missing = lo.Filter(pools, func(_ string, i int) bool { return failed[i] })
+	return lo.Flatten(answers), missing
+}
+
+func jobStatus(d *pb.JobDescription) operatorapi.JobStatus {
+	return operatorapi.JobStatus{
+		ID: d.GetId(), Queue: d.GetQueue(), Pool: d.GetPool(), State: stateName(d.GetState()),
+		AcceptedMS: d.GetAcceptedMs(), Tasks: d.GetTasks(), Running: d.GetRunning(), Succeeded: d.GetSucceeded(),
+		Failures: d.GetFailures(), Reason: d.GetReason(), Explanation: d.GetExplanation(),
+		Placements: placements(d.GetPlacements()),
+	}
+}
+
+func placements(all []*pb.JobPlacement) []operatorapi.JobPlacement {
+	out := lo.Map(all, func(p *pb.JobPlacement, _ int) operatorapi.JobPlacement {
+		return operatorapi.JobPlacement{Task: p.GetTask(), Run: p.GetRun(), Worker: p.GetWorker(), Percent: p.GetPercent()}
+	})
+	slices.SortFunc(out, func(a, b operatorapi.JobPlacement) int {
+		return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run))
+	})
+	return out
+}
+
+// stateName is the state as operators read it.
+func stateName(state pb.JobState) string {
+	return strings.ToLower(strings.TrimPrefix(state.String(), "JOB_STATE_"))
+}
--- a/internal/jobfront/relay.go
+++ b/internal/jobfront/relay.go
@@ -26,7 +26,8 @@
 
 // relay stores through peers. It is safe for concurrent use.
 type relay struct {
-	peers Relays
+	peers   Relays
+	metrics *Metrics
 
 	mu sync.Mutex
 	// next is the index of the peer to ask; it stays with one that stores.
@@ -34,7 +35,7 @@
 	until time.Time
 }
 
-func newRelay(peers Relays) *relay { return &relay{peers: peers} }
+func newRelay(peers Relays, metrics *Metrics) *relay { return &relay{peers: peers, metrics: metrics} }
 
 // store asks peers if this entry host's own write did not succeed, and returns what became of all writes together.
 // A repeated write is harmless, so an undecided one may be repeated elsewhere.
@@ -51,6 +52,7 @@
 		}
 		answer := r.peers.StoreJob(ctx, addresses[at], req)
 		if isDecided(answer) {
+			r.metrics.wasRelayed()
 			return answer
 		}
 		r.turn(at)
--- a/internal/jobfront/relay_test.go
+++ b/internal/jobfront/relay_test.go
@@ -61,7 +61,7 @@
 				answers: map[string]pb.StoreResult{"1": c.first, "2": c.other, "3": isStored},
 				asked:   map[string]int{},
 			}
-			f.relay = newRelay(r)
+			f.relay = newRelay(r, NewMetrics(nil))
 			assert.Equal(t, do(f, http.MethodPost, "/a/0001", "{}").Code, c.status)
 			assert.Equal(t, r.asked["1"]+r.asked["2"]+r.asked["3"], c.questions)
 		})
@@ -72,7 +72,7 @@
 func TestRelayStaysWithThePeerThatStores(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := &relays{order: []string{"1", "2"}, answers: map[string]pb.StoreResult{"1": notStored, "2": isStored}, asked: map[string]int{}}
-		relay := newRelay(r)
+		relay := newRelay(r, NewMetrics(nil))
 		for range 10 {
 			assert.Equal(t, relay.store(t.Context(), notStored, nil), isStored)
 		}
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -148,7 +148,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(jobpeer.NewHandler(h.pools, h.tables, h.front))
 	h.serve(ctx, group, peers, mux)
-	return nil
+	return h.listenOperators(ctx, group)
 }
 
 // serve serves a listener until ctx ends.
--- a/internal/operatorapi/api.go
+++ b/internal/operatorapi/api.go
@@ -41,11 +41,19 @@
 
 // New returns the handler of the API, of /metrics, and of /healthz and /readyz, which need no token.
 func New(backend Backend, options Options) http.Handler {
+	mux, api := newAPI(backend.Ready, options)
+	registerReads(api, backend)
+	registerOrders(api, backend)
+	return http.MaxBytesHandler(mux, maxBodyBytes)
+}
+
+// newAPI returns an API without calls, and the mux that it is served by.
+func newAPI(ready func() error, options Options) (*http.ServeMux, huma.API) {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", options.Metrics)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if err := backend.Ready(); err != nil {
+		if err := ready(); err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
@@ -59,9 +67,7 @@
 	}
 	api := humago.New(mux, settings)
 	api.UseMiddleware(func(ctx huma.Context, next func(huma.Context)) { authorize(api, options, ctx, next) })
-	registerReads(api, backend)
-	registerOrders(api, backend)
-	return http.MaxBytesHandler(mux, maxBodyBytes)
+	return mux, api
 }
 
 // authorize lets operators in, and gives each request an id. A refusal is logged without what was presented.
@@ -72,7 +78,7 @@
 	}
 	ctx.SetHeader(headerRequestID, id)
 	presented, isBearer := strings.CutPrefix(ctx.Header("Authorization"), "Bearer ")
-	if !isBearer || subtle.ConstantTimeCompare([]byte(presented), []byte(options.Token)) != 1 {
+	if !isBearer || options.Token == "" || subtle.ConstantTimeCompare([]byte(presented), []byte(options.Token)) != 1 {
 		events.Emit(ctx.Context(), options.Logger, events.OperatorRefused,
 			"request", id, "remote", ctx.RemoteAddr(), "path", ctx.URL().Path)
 		_ = huma.WriteErr(api, ctx, http.StatusUnauthorized, "present the operator token as Authorization: Bearer TOKEN")
--- /dev/null
+++ b/scheduler/describe.go
@@ -0,0 +1,72 @@
+package scheduler
+
+import (
+	"fmt"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+)
+
+const (
+	// maxDescribed bounds the jobs of one description.
+	maxDescribed = 1000
+	// maxPlacements bounds the placements listed for one job.
+	maxPlacements = 200
+)
+
+// Describe tells operators about jobs, sorted by id. Jobs named by id come with their placements and an explanation.
+func (p *Pool) Describe(req *pb.DescribeJobsRequest) []*pb.JobDescription {
+	named := len(req.GetIds()) > 0
+	ids := req.GetIds()
+	if !named {
+		ids = sortedKeys(p.jobs)
+	}
+	limit := maxDescribed
+	if n := int(req.GetLimit()); n > 0 {
+		limit = min(n, limit)
+	}
+	var out []*pb.JobDescription
+	for _, id := range ids {
+		j := p.jobs[id]
+		if j == nil || (req.GetQueue() != "" && j.queue != req.GetQueue()) {
+			continue
+		}
+		if len(out) == limit {
+			break
+		}
+		d := p.describe(j, named)
+		if named {
+			d.Explanation = p.Explain(id)
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
+func (p *Pool) describe(j *job, placements bool) *pb.JobDescription {
+	d := &pb.JobDescription{
+		Id: j.id, Queue: j.queue, State: j.visibleState(), AcceptedMs: j.accepted.UnixMilli(), Reason: j.reason,
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			d.Tasks += int64(len(s.tasks))
+			d.Succeeded += int64(s.done)
+			for i := range s.tasks {
+				describeTask(d, &s.tasks[i], placements)
+			}
+		}
+	}
+	return d
+}
+
+func describeTask(d *pb.JobDescription, t *task, placements bool) {
+	d.Failures += int64(t.failures)
+	for _, r := range t.runs {
+		d.Running++
+		if placements && r.worker != nil && len(d.Placements) < maxPlacements {
+			d.Placements = append(d.Placements, &pb.JobPlacement{
+				Task: fmt.Sprintf("%s.%d.%d.%d", r.id.Job, r.id.Occurrence, r.id.Step, r.id.Index),
+				Run:  r.number, Worker: r.worker.ID, Percent: int64(r.percent),
+			})
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/describe_test.go
@@ -0,0 +1,38 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/queue"
+	"github.com/agateturn/agateturn/scheduler"
+)
+
+// TestDescribe lists jobs sorted and bounded, and tells more about those asked for by id.
+func TestDescribe(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	pool := scheduler.New(scheduler.Config{Fence: 7, Lease: 8 * time.Second, MaxLease: 10 * time.Second, Retention: time.Minute})
+	pool.Load(now, nil, nil, nil)
+	pool.SetQueues(now, []queue.Queue{{Name: "a", Pool: "p", MaxAttempts: 3, Stretch: 2}, {Name: "b", Pool: "p", MaxAttempts: 3, Stretch: 2}})
+	pool.SetWorkers(now, []scheduler.Worker{{ID: "w1", Address: "10.0.0.1:80", Capacity: scheduler.Resources{CPUMilli: 4000, MemoryMB: 1024}}})
+	pool.Report(now, scheduler.Report{Worker: "w1", Born: 5, Sent: now, Received: now, Clock: 2000})
+	for i, name := range []string{"b", "a", "a"} {
+		pool.Add(now, &pb.JobRecord{Id: fmt.Sprintf("j%d", 3-i), Queue: name, AcceptedMs: now.UnixMilli(), Spec: &pb.JobSpec{
+			Steps: []*pb.JobStep{{Count: 2, CpuMilli: 500, MemoryMb: 64, EstimateMs: 800}},
+		}})
+	}
+	pool.Step(now)
+	all := pool.Describe(&pb.DescribeJobsRequest{Limit: 2})
+	assert.Equal(t, len(all), 2)
+	assert.Assert(t, all[0].GetId() == "j1" && all[1].GetId() == "j2")
+	assert.Assert(t, len(all[0].GetPlacements()) == 0 && all[0].GetRunning() == 2)
+	assert.Equal(t, len(pool.Describe(&pb.DescribeJobsRequest{Queue: "b"})), 1)
+	one := pool.Describe(&pb.DescribeJobsRequest{Ids: []string{"j3", "none"}})
+	assert.Equal(t, len(one), 1)
+	assert.Equal(t, one[0].GetPlacements()[0].GetWorker(), "w1")
+	assert.Assert(t, len(one[0].GetExplanation()) > 0)
+}
