--- a/internal/fleetowner/options.go
+++ b/internal/fleetowner/options.go
@@ -45,6 +45,8 @@
 	Status    func(wave int64, completed bool) []byte
 	// RecordPrefix is where progress is kept; it ends with a slash.
 	RecordPrefix string
+	// MovesKey is where open moves are kept. It is not below RecordPrefix.
+	MovesKey string
 }
 
 // Options of an Owner. All fields but Logger must be set.
--- a/internal/fleetowner/order.go
+++ b/internal/fleetowner/order.go
@@ -42,14 +42,17 @@
 	if result == upkeep.Fenced {
 		return Replaced.New("%s has an order of a later owner", o.machine())
 	}
-	return t.tell(ctx, func(now time.Time) {
-		if o.move.Machine != "" {
-			t.planner.MoveResult(now, o.move, result)
-			return
-		}
-		t.planner.UpkeepResult(now, o.upkeep, result)
-		t.touch(o.upkeep.Wave, now)
-	})
+	return t.tell(ctx, func(now time.Time) { t.result(now, o, result) })
+}
+
+// result brings the outcome of an order to the planner.
+func (t *term) result(now time.Time, o order, r upkeep.Result) {
+	if o.move.Machine != "" {
+		t.planner.MoveResult(now, o.move, r)
+		return
+	}
+	t.planner.UpkeepResult(now, o.upkeep, r)
+	t.touch(o.upkeep.Wave, now)
 }
 
 func (t *term) call(ctx context.Context, o order) upkeep.Result {
--- a/internal/fleetowner/record.go
+++ b/internal/fleetowner/record.go
@@ -20,9 +20,9 @@
 	retryWrite = 500 * time.Millisecond
 )
 
-// write is a write about one wave under the owner's fence. done is called by the writer with its outcome.
+// write is a write of one record, and perhaps a wave's state, under the owner's fence. done is called by the writer with its outcome.
 type write struct {
-	wave int64
+	key  string
 	puts []store.Put
 	done func(ctx context.Context, err error) error
 }
@@ -34,6 +34,8 @@
 	versions map[string]uint64
 	// unsure are records whose last write had no answer.
 	unsure map[string]bool
+	// failed is when the store last failed; writes are not tried for a while after that.
+	failed time.Time
 }
 
 // run commits until ctx ends or the fence is not held any more.
@@ -48,7 +50,7 @@
 				return err
 			}
 			if err != nil {
-				w.Logger.Debug("wave not written", "wave", job.wave, "error", err)
+				w.Logger.Debug("record not written", "key", job.key, "error", err)
 			}
 			if err := job.done(ctx, err); err != nil {
 				return err
@@ -60,14 +62,24 @@
 func (w *writer) commit(ctx context.Context, job write) error {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	key := w.recordKey(job.wave)
-	if err := w.readBack(ctx, key); err != nil {
-		return err
+	if time.Since(w.failed) < retryWrite {
+		return store.Unavailable.New("failed %s ago", time.Since(w.failed))
+	}
+	err := w.try(ctx, job.key, job.puts)
+	if err != nil {
+		w.failed = time.Now()
 	}
+	return err
+}
+
+func (w *writer) try(ctx context.Context, key string, puts []store.Put) error {
 	for {
+		if err := w.readBack(ctx, key); err != nil {
+			return err
+		}
 		revision, err := w.Store.Commit(ctx, store.Transaction{
 			Conditions: []store.Condition{w.Guard(w.fence), {Key: key, Version: w.versions[key]}},
-			Puts:       job.puts,
+			Puts:       puts,
 		})
 		conflict := (*store.ConflictError)(nil)
 		switch {
@@ -82,9 +94,6 @@
 			return Replaced.New("the store refuses fence %d", w.fence)
 		}
 		w.unsure[key] = true
-		if err := w.readBack(ctx, key); err != nil {
-			return err
-		}
 	}
 }
 
@@ -140,6 +149,19 @@
 	return store.Put{Key: t.recordKey(r.GetWave()), Data: data}
 }
 
+// openMoves is the record of the moves that may be carried out.
+func (t *term) openMoves(key string) store.Put {
+	r := &pb.MoveRecord{}
+	for _, m := range t.planner.OpenMoves() {
+		r.Moves = append(r.Moves, &pb.MachineMove{Machine: m.Machine, Pool: m.Pool})
+	}
+	data, err := proto.Marshal(r)
+	if err != nil {
+		t.Logger.Error("record of moves not encoded", "error", err)
+	}
+	return store.Put{Key: key, Data: data}
+}
+
 // touch says that a wave has progress to be written.
 func (t *term) touch(number int64, now time.Time) {
 	if w := t.waves[number]; w != nil && w.dirty.IsZero() {
@@ -161,7 +183,7 @@
 		w.dirty = time.Time{}
 		w.announced = true
 		w.writing = true
-		job := write{wave: number, puts: puts}
+		job := write{key: puts[0].Key, puts: puts}
 		job.done = func(ctx context.Context, err error) error { return t.flushed(ctx, number, err) }
 		if err := t.writes.Put(ctx, job); err != nil {
 			return err
@@ -207,7 +229,8 @@
 		}
 		w.completing = true
 		end := &pb.WaveRecord{Wave: number, SeenMs: w.Seen.UnixMilli(), Completed: true}
-		job := write{wave: number, puts: []store.Put{t.put(end), t.statusPut(number, true)}}
+		puts := []store.Put{t.put(end), t.statusPut(number, true)}
+		job := write{key: puts[0].Key, puts: puts}
 		job.done = func(ctx context.Context, err error) error { return t.ended(ctx, w, err) }
 		if err := t.writes.Put(ctx, job); err != nil {
 			return err
--- a/internal/fleetowner/step.go
+++ b/internal/fleetowner/step.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/agateturn/agateturn/store"
 	"github.com/agateturn/agateturn/upkeep"
 )
 
+var errNoWave = errors.New("the wave is not asked for any more")
+
 // next is the time until the next step if nothing happens.
 func (t *term) next(now time.Time) time.Duration {
 	if len(t.waves) == 0 && !t.busy.Load() {
@@ -21,7 +26,10 @@
 	if fence, ok := t.Confirmed(); ok && fence != t.fence {
 		return Replaced.New("the fleet is held with another fence")
 	}
-	t.poll(ctx)
+	if !t.listedAt.IsZero() {
+		// Pools keep their lists of workers to be emptied until this owner knows better.
+		t.poll(ctx)
+	}
 	now := time.Now()
 	actions := t.planner.Step(now, t.input(now))
 	t.wake = actions.Wake
@@ -29,10 +37,8 @@
 	for name, p := range t.pools {
 		p.evacuate(actions.Evacuate[name])
 	}
-	for _, m := range actions.Moves {
-		if err := t.orders.Put(ctx, order{move: m}); err != nil {
-			return err
-		}
+	if err := t.moves(ctx, actions.Moves); err != nil {
+		return err
 	}
 	if err := t.upkeeps(ctx, actions.Upkeeps); err != nil {
 		return err
@@ -60,17 +66,40 @@
 	return in
 }
 
+// moves writes which moves are open and sends the new ones afterwards.
+func (t *term) moves(ctx context.Context, moves []upkeep.MoveOrder) error {
+	if len(moves) == 0 {
+		return nil
+	}
+	orders := make([]order, 0, len(moves))
+	for _, m := range moves {
+		orders = append(orders, order{move: m})
+	}
+	key := t.Names.MovesKey
+	job := write{key: key, puts: []store.Put{t.openMoves(key)}}
+	job.done = func(ctx context.Context, err error) error { return t.send(ctx, orders, err) }
+	return t.writes.Put(ctx, job)
+}
+
 // upkeeps writes the intents of the orders and sends these afterwards.
 func (t *term) upkeeps(ctx context.Context, upkeeps []upkeep.Order) error {
-	byWave := map[int64][]upkeep.Order{}
+	byWave := map[int64][]order{}
 	for _, u := range upkeeps {
-		byWave[u.Wave] = append(byWave[u.Wave], u)
+		byWave[u.Wave] = append(byWave[u.Wave], order{upkeep: u})
 	}
-	for number, orders := range byWave {
+	for _, number := range slices.Sorted(maps.Keys(byWave)) {
 		w := t.waves[number]
+		if w == nil {
+			// Its order was taken back while machines were emptied for it.
+			if err := t.send(ctx, byWave[number], errNoWave); err != nil {
+				return err
+			}
+			continue
+		}
 		w.dirty = time.Time{}
-		job := write{wave: number, puts: []store.Put{t.record(w)}}
-		job.done = func(ctx context.Context, err error) error { return t.send(ctx, orders, err) }
+		put := t.record(w)
+		job := write{key: put.Key, puts: []store.Put{put}}
+		job.done = func(ctx context.Context, err error) error { return t.send(ctx, byWave[number], err) }
 		if err := t.writes.Put(ctx, job); err != nil {
 			return err
 		}
@@ -79,19 +108,15 @@
 }
 
 // send passes the orders on once their intents are durable, or takes them back.
-func (t *term) send(ctx context.Context, orders []upkeep.Order, err error) error {
-	for _, u := range orders {
+func (t *term) send(ctx context.Context, orders []order, err error) error {
+	for _, o := range orders {
 		if err == nil {
-			if err := t.orders.Put(ctx, order{upkeep: u}); err != nil {
+			if err := t.orders.Put(ctx, o); err != nil {
 				return err
 			}
 			continue
 		}
-		refused := func(now time.Time) {
-			t.planner.UpkeepResult(now, u, upkeep.Refused)
-			t.touch(u.Wave, now)
-		}
-		if err := t.tell(ctx, refused); err != nil {
+		if err := t.tell(ctx, func(now time.Time) { t.result(now, o, upkeep.Refused) }); err != nil {
 			return err
 		}
 	}
--- a/internal/fleetowner/waves.go
+++ b/internal/fleetowner/waves.go
@@ -52,6 +52,9 @@
 }
 
 func (t *term) tryLoad(ctx context.Context) (uint64, error) {
+	if err := t.loadMoves(ctx); err != nil {
+		return 0, err
+	}
 	records, _, err := t.scan(ctx, t.Names.RecordPrefix, false)
 	if err != nil {
 		return 0, err
@@ -75,6 +78,28 @@
 	return asOf, nil
 }
 
+// loadMoves reads the moves that an earlier owner may have ordered.
+func (t *term) loadMoves(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, rangeTimeout)
+	defer cancel()
+	item, err := t.Store.Get(ctx, t.Names.MovesKey)
+	if err != nil {
+		return err
+	}
+	t.versions[t.Names.MovesKey] = item.Version
+	r := &pb.MoveRecord{}
+	if err := proto.Unmarshal(item.Data, r); err != nil {
+		t.Logger.Error("record of moves not read", "error", err)
+		return nil
+	}
+	moves := make([]upkeep.MoveOrder, 0, len(r.GetMoves()))
+	for _, m := range r.GetMoves() {
+		moves = append(moves, upkeep.MoveOrder{Machine: m.GetMachine(), Pool: m.GetPool()})
+	}
+	t.planner.RestoreMoves(time.Now(), moves)
+	return nil
+}
+
 func (t *term) scan(ctx context.Context, prefix string, stale bool) ([]store.Item, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, rangeTimeout)
 	defer cancel()
--- a/upkeep/config.go
+++ b/upkeep/config.go
@@ -23,6 +23,7 @@
 	Settle time.Duration
 	// GoneAfter is how long a machine must be missing from the list until it counts as gone.
 	GoneAfter time.Duration
+	Moves     MoveConfig
 }
 
 // DefaultConfig returns the bounds for given times of upkeep and move.
@@ -38,5 +39,26 @@
 		Retry:       500 * time.Millisecond,
 		Settle:      500 * time.Millisecond,
 		GoneAfter:   2 * time.Second,
+		Moves:       DefaultMoveConfig(),
+	}
+}
+
+// DefaultMoveConfig returns weights for machines whose work earns far more than they cost.
+func DefaultMoveConfig() MoveConfig {
+	return MoveConfig{
+		Enabled:          true,
+		Foresee:          true,
+		MovePrice:        0.09,
+		SecondPrice:      0.08,
+		WorkWorth:        0.035,
+		Join:             300 * time.Millisecond,
+		Drain:            time.Second,
+		Use:              0.85,
+		Idle:             0.5,
+		Reserve:          6 * time.Second,
+		Learn:            30 * time.Second,
+		GiveUp:           3 * time.Second,
+		Pause:            10 * time.Second,
+		PersistentAtOnce: 1,
 	}
 }
--- /dev/null
+++ b/upkeep/demand.go
@@ -0,0 +1,189 @@
+package upkeep
+
+import (
+	"math"
+	"math/bits"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+)
+
+const (
+	// rateWindow smooths the rate of arrivals.
+	rateWindow = 600 * time.Millisecond
+	// lowShare and highShare of the peak are the bounds of turns.
+	lowShare  = 0.2
+	highShare = 0.45
+	// firstPeak is the share of a pool's capacity that counts as its peak until one was seen.
+	firstPeak = 0.6
+	// unusedMilli is the use below which the mix of CPU and memory is not learned.
+	unusedMilli = 1000
+	// recentMask keeps as many statuses as riseSeen of which must show arrivals for a turn to begin. A single large job
+	// is no turn.
+	recentMask = 1<<3 - 1
+	riseSeen   = 2
+)
+
+// demand is what one pool is asked for, learned from its statuses. Rates are in thousandths of a core.
+type demand struct {
+	status  *pb.PoolStatusResponse
+	at      time.Time
+	arrived int64
+	fence   uint64
+	// rate is the smoothed rate at which work arrives.
+	rate float64
+	// peak and trough are the learned rates in and out of turns; peak is 0 until a turn was seen.
+	peak   float64
+	trough float64
+	// guess stands for the peak while it is not known.
+	guess float64
+	// turnArrived is the work that had arrived when the present turn began.
+	turnArrived int64
+	turns       turns
+	// recent has a bit for each of the last statuses, the newest lowest: whether work arrived since the one before.
+	recent uint
+	// heldUntil is until when machines with persistent tasks are not emptied for moves.
+	heldUntil time.Time
+	// persistent is what tasks that last use; used is what all use.
+	persistent float64
+	used       float64
+	usedMemory float64
+}
+
+// observe takes in a status that was sent at a moment; capacity is the CPU of the pool's machines.
+func (d *demand) observe(at time.Time, status *pb.PoolStatusResponse, capacity float64) {
+	if status == nil || status == d.status || !at.After(d.at) {
+		return
+	}
+	d.uses(status)
+	arrived := status.GetArrivedMilliMs()
+	gap := at.Sub(d.at)
+	first := d.status == nil || status.GetFence() != d.fence || arrived < d.arrived
+	before := d.arrived
+	d.status = status
+	d.at = at
+	d.arrived = arrived
+	d.fence = status.GetFence()
+	if first {
+		d.turnArrived = arrived
+		return
+	}
+	now := float64(arrived-before) / float64(gap.Microseconds()) * 1000
+	d.recent = (d.recent << 1) & recentMask
+	if arrived > before {
+		d.recent |= 1
+	}
+	d.rate += (1 - math.Exp(-gap.Seconds()/rateWindow.Seconds())) * (now - d.rate)
+	d.learn(at, before, capacity)
+}
+
+// learn follows the turns and the rates in and out of them.
+func (d *demand) learn(at time.Time, before int64, capacity float64) {
+	reference := d.peak
+	if reference == 0 {
+		reference = firstPeak * capacity
+	}
+	if reference == 0 {
+		return
+	}
+	was := d.turns.high
+	started := d.turns.last()
+	if was || bits.OnesCount(d.recent) >= riseSeen || d.rate < highShare*reference {
+		d.turns.observe(at, d.rate, lowShare*reference, highShare*reference)
+	}
+	switch {
+	case !was && d.turns.high:
+		d.turnArrived = before
+	case was && !d.turns.high:
+		d.turnEnded(d.turns.falling.Sub(started))
+	case !was:
+		d.trough += 0.05 * (d.rate - d.trough)
+	}
+}
+
+func (d *demand) turnEnded(length time.Duration) {
+	if length < shortestTurn {
+		return
+	}
+	mean := float64(d.arrived-d.turnArrived) / float64(length.Milliseconds())
+	if d.peak == 0 {
+		d.peak = mean
+		return
+	}
+	d.peak += learnTurn * (mean - d.peak)
+}
+
+func (d *demand) uses(status *pb.PoolStatusResponse) {
+	d.persistent = 0
+	d.used = 0
+	d.usedMemory = 0
+	for _, w := range status.GetWorkers() {
+		used := float64(w.GetUsedCpuMilli())
+		d.used += used
+		d.usedMemory += float64(w.GetUsedMemoryMb())
+		if w.GetTasks() > 0 {
+			d.persistent += used * float64(w.GetPersistentTasks()) / float64(w.GetTasks())
+		}
+	}
+}
+
+// rateIn is the expected rate while a turn is on or off.
+func (d *demand) rateIn(high bool) float64 {
+	switch {
+	case high && d.turns.high:
+		return max(d.rate, d.peak, d.turnRate())
+	case high && d.peak == 0:
+		return d.guess
+	case high:
+		return d.peak
+	case d.turns.high:
+		return d.trough
+	}
+	return d.rate
+}
+
+// turnRate is the mean rate of the present turn, before the smoothed rate has come up.
+func (d *demand) turnRate() float64 {
+	const shortest = 200 * time.Millisecond
+	length := d.at.Sub(d.turns.last())
+	if d.peak > 0 || length < shortest || length > 4*rateWindow {
+		return 0
+	}
+	return float64(d.arrived-d.turnArrived) / float64(length.Milliseconds())
+}
+
+// backlog is the waiting work that can still be on time, and a small part of the rest.
+func (d *demand) backlog() float64 {
+	const lateShare = 0.1
+	late := float64(d.status.GetLateMilliMs())
+	return max(0, float64(d.status.GetBacklogMilliMs())-(1-lateShare)*late)
+}
+
+// following is the capacity that the next steps of running jobs need, unless what runs is late anyway.
+func (d *demand) following() float64 {
+	const share = 0.3
+	if d.status.GetLateMilliMs() > 0 {
+		return 0
+	}
+	return share * (d.used - d.persistent)
+}
+
+// expected is the mean rate between two moments.
+func (d *demand) expected(c *calendar, pool string, now, from, to time.Time) float64 {
+	const samples = 8
+	sum := 0.0
+	for i := range samples {
+		at := from.Add(to.Sub(from) * time.Duration(2*i+1) / (2 * samples))
+		sum += d.rateIn(c.high(pool, now, at))
+	}
+	return sum / samples
+}
+
+// usable is the CPU of a machine that the pool's mix of CPU and memory can use.
+func (d *demand) usable(m Machine) float64 {
+	cpu := float64(m.CPUMilli)
+	if d.used < unusedMilli || d.usedMemory <= 0 {
+		return cpu
+	}
+	return min(cpu, float64(m.MemoryMB)*d.used/d.usedMemory)
+}
--- a/upkeep/ledger.go
+++ b/upkeep/ledger.go
@@ -148,6 +148,10 @@
 
 // observeUnsure looks for the effect of an order that had no answer. Only a repeated order shows that there was none.
 func (p *Planner) observeUnsure(now time.Time, id string, i *intent, m Machine) {
+	if i.worker == "" {
+		i.worker = m.Worker
+		i.from = m.Pool
+	}
 	switch {
 	case m.State == Upkeep && !i.move():
 		p.begun(i.wave, id)
@@ -197,11 +201,12 @@
 	case Unfit:
 		delete(p.ledger, id)
 	case Busy, Refused:
-		if i.move() {
+		if i.move() && !i.counted {
 			delete(p.ledger, id)
+			p.notBefore[id] = now.Add(p.cfg.Retry)
 			return
 		}
-		if !i.counted {
+		if !i.move() && !i.counted {
 			p.withdraw(i.wave, id)
 		}
 		i.to(evacuating, now)
--- /dev/null
+++ b/upkeep/move.go
@@ -0,0 +1,507 @@
+package upkeep
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// MoveConfig weighs moves. The weights share one unit, such as a currency.
+type MoveConfig struct {
+	// Enabled lets machines change their pool.
+	Enabled bool
+	// Foresee uses the turns that were learned; without it moves follow the load.
+	Foresee bool
+	// MovePrice is the price of one move, SecondPrice that of a machine in a pool that is not spare for a second, and
+	// WorkWorth what a core-second of work earns.
+	MovePrice   float64
+	SecondPrice float64
+	WorkWorth   float64
+	// Join is how long a machine that was moved takes to be used, beyond MoveTime.
+	Join time.Duration
+	// Drain is the time in which waiting work should be done.
+	Drain time.Duration
+	// Use is the share of a machine that work can fill, in (0, 1].
+	Use float64
+	// Idle is the capacity that a pool keeps beyond its need, in machines.
+	Idle float64
+	// Reserve holds machines back for the turn of another pool while turns cannot be foreseen, up to this age of a turn.
+	Reserve time.Duration
+	// Learn is how long pools keep their machines while no turn was seen.
+	Learn time.Duration
+	// GiveUp is how long a machine is emptied for a move, and Pause how long it is left alone if that was in vain.
+	GiveUp time.Duration
+	Pause  time.Duration
+	// PersistentAtOnce is how many machines with persistent tasks of one pool may be emptied at once for moves.
+	PersistentAtOnce int
+}
+
+// poolPlan is what one pool has and needs, in machines.
+type poolPlan struct {
+	name string
+	*demand
+	// unit is the usable CPU of one machine.
+	unit float64
+	// have counts machines that stay or come; want is needed when a move ordered now is over, keep until then.
+	have int
+	want float64
+	keep float64
+	// stay is how long the want lasts.
+	stay time.Duration
+	// leaving are machines that a move may take, cheapest first.
+	leaving []string
+	// emptying counts machines with persistent tasks that are being emptied.
+	emptying int
+	// claim means that the want lies ahead: machines are held back for it and not moved yet.
+	claim bool
+}
+
+// mover plans the moves of one step.
+type mover struct {
+	*step
+	plans map[string]*poolPlan
+	names []string
+	spare string
+	// idle are the machines in spare pools that may go.
+	idle     []string
+	calendar *calendar
+	// unknown claims machines for a pool that is not known yet.
+	unknown *poolPlan
+	// old are the move intents that had not been ordered when the step began.
+	old map[string]*intent
+}
+
+// planMoves sets the intents of moves anew; those already ordered stay.
+func (s *step) planMoves() {
+	s.observeDemand()
+	if !s.cfg.Moves.Enabled {
+		return
+	}
+	m := &mover{step: s, plans: map[string]*poolPlan{}, old: map[string]*intent{}, calendar: s.newCalendar()}
+	m.reopen()
+	for _, name := range sortedKeys(s.in.Pools) {
+		m.addPool(name)
+	}
+	m.countMachines()
+	m.guessPeaks()
+	for _, name := range m.names {
+		m.need(m.plans[name])
+	}
+	m.claims()
+	m.fill()
+	m.rest()
+}
+
+// reopen takes back the moves that were not ordered yet; those in vain are not tried again for a while.
+func (m *mover) reopen() {
+	for id, i := range m.ledger {
+		if !i.move() || i.phase != evacuating || i.counted {
+			continue
+		}
+		delete(m.ledger, id)
+		if m.now.Sub(i.began) >= m.cfg.Moves.GiveUp {
+			m.giveUp(id, i)
+			continue
+		}
+		m.old[id] = i
+	}
+	for id, at := range m.notBefore {
+		if !m.now.Before(at) {
+			delete(m.notBefore, id)
+		}
+	}
+}
+
+// giveUp leaves a machine alone for a while; if persistent tasks hold it, all such machines of its pool.
+func (m *mover) giveUp(id string, i *intent) {
+	until := m.now.Add(m.cfg.Moves.Pause)
+	m.notBefore[id] = until
+	if d := m.demands[i.from]; d != nil && m.persistentOn(m.machines[id]) {
+		d.heldUntil = until
+	}
+}
+
+// observeDemand learns from the newest statuses.
+func (s *step) observeDemand() {
+	capacity := map[string]float64{}
+	for _, m := range s.machines {
+		capacity[m.Pool] += float64(m.CPUMilli)
+	}
+	for name, load := range s.in.Pools {
+		if load.Spare {
+			continue
+		}
+		d := s.demands[name]
+		if d == nil {
+			d = &demand{}
+			s.demands[name] = d
+		}
+		d.observe(s.now.Add(-load.Age), load.Status, capacity[name])
+	}
+	for name := range s.demands {
+		if load, ok := s.in.Pools[name]; !ok || load.Spare {
+			delete(s.demands, name)
+		}
+	}
+}
+
+// newCalendar foresees the turns of the pools.
+func (s *step) newCalendar() *calendar {
+	pools := map[string]*turns{}
+	if s.cfg.Moves.Foresee {
+		for name, d := range s.demands {
+			if d.status != nil {
+				pools[name] = &d.turns
+			}
+		}
+	}
+	return newCalendar(pools)
+}
+
+func (m *mover) addPool(name string) {
+	load := m.in.Pools[name]
+	if load.Spare {
+		m.spare = cmp.Or(m.spare, name)
+		return
+	}
+	m.names = append(m.names, name)
+	m.plans[name] = &poolPlan{name: name, demand: m.demands[name]}
+}
+
+// countMachines sorts machines by what may be done with them.
+func (m *mover) countMachines() {
+	var cpu float64
+	count := 0.0
+	for _, id := range sortedKeys(m.machines) {
+		machine := m.machines[id]
+		cpu += float64(machine.CPUMilli)
+		count++
+		i := m.ledger[id]
+		if m.in.Pools[machine.Pool].Spare && machine.State == Up && i == nil {
+			m.idle = append(m.idle, id)
+		}
+		if p := m.plans[m.poolOf(machine, i)]; p != nil && machine.State != Down {
+			p.have++
+			if machine.State == Up && i == nil && m.notBefore[id].IsZero() {
+				p.leaving = append(p.leaving, id)
+			}
+		}
+		if p := m.plans[machine.Pool]; p != nil && i != nil && !i.down() && i.worker != "" && m.persistentOn(machine) {
+			p.emptying++
+		}
+	}
+	for _, p := range m.plans {
+		m.setUnit(p, cpu/max(1, count))
+		m.sortByCost(p.leaving)
+		slices.SortStableFunc(p.leaving, func(a, b string) int { return m.rank(a) - m.rank(b) })
+	}
+	m.sortIdle()
+}
+
+// poolOf is the pool that a machine counts for: where it goes, or where it is unless it is about to be away.
+func (m *mover) poolOf(machine Machine, i *intent) string {
+	if i != nil && i.move() {
+		return i.pool
+	}
+	return machine.Pool
+}
+
+func (m *mover) setUnit(p *poolPlan, mean float64) {
+	p.unit = mean
+	if len(p.leaving) > 0 {
+		p.unit = p.usable(m.machines[p.leaving[0]])
+	}
+	p.unit = max(p.unit*m.cfg.Moves.Use, 1)
+}
+
+func (m *mover) persistentOn(machine Machine) bool {
+	return workerLoad(m.in.Pools[machine.Pool].Status, machine.Worker).GetPersistentTasks() > 0
+}
+
+// rank puts machines that are being emptied for a move ahead.
+func (m *mover) rank(id string) int {
+	if m.old[id] != nil {
+		return 0
+	}
+	return 1
+}
+
+// sortIdle puts machines ahead that no wave waits for.
+func (m *mover) sortIdle() {
+	due := func(id string) int {
+		for number, members := range m.members {
+			if members[id] && m.wave(number).progress[id] != Begun {
+				return 1
+			}
+		}
+		return 0
+	}
+	slices.SortStableFunc(m.idle, func(a, b string) int { return due(a) - due(b) })
+}
+
+// lead is how long a machine takes from its order until it is used.
+func (m *mover) lead() time.Duration { return m.cfg.MoveTime + m.cfg.Moves.Join }
+
+// need sets what a pool needs, in machines.
+func (m *mover) need(p *poolPlan) {
+	const ahead = time.Second
+	arrive := m.now.Add(m.lead())
+	drain := float64(m.cfg.Moves.Drain.Milliseconds())
+	backlog := p.backlog()
+	until := p.expected(m.calendar, p.name, m.now, m.now, arrive)
+	then := p.expected(m.calendar, p.name, m.now, arrive, arrive.Add(ahead))
+	keep := p.persistent + until + backlog/drain + p.following()
+	// What still waits when a move is over, at the capacity of now.
+	capacity := float64(p.have)*p.unit - p.persistent
+	left := max(0, backlog+(until-capacity)*float64(m.lead().Milliseconds()))
+	want := p.persistent + then + min(left/drain, max(p.peak, then)/2)
+	p.keep = max(keep, want) / p.unit
+	p.want = want / p.unit
+	p.stay = m.stay(p, arrive, left)
+	if len(p.turns.rises) == 0 && !m.calendar.high(p.name, m.now, arrive) {
+		// Its first turn may begin at any time.
+		p.keep = max(p.keep, float64(p.have)/2)
+	}
+}
+
+// claims holds machines back for turns that begin before those that are moved now come free again.
+func (m *mover) claims() {
+	if !m.cfg.Moves.Foresee {
+		return
+	}
+	var busy *poolPlan
+	for _, name := range m.names {
+		if p := m.plans[name]; p.turns.high && (busy == nil || p.turns.last().After(busy.turns.last())) {
+			busy = p
+		}
+	}
+	if busy == nil {
+		return
+	}
+	next, order := m.nextTurn(busy)
+	if next != nil && order.Before(m.calendar.end(&busy.turns, m.now).Add(m.cfg.Moves.Drain)) {
+		next.claim = true
+		next.want = max(next.want, (next.persistent+next.rateIn(true))/next.unit)
+	}
+	if next == nil && m.now.Sub(busy.turns.last()) < m.cfg.Moves.Reserve {
+		m.unknown = &poolPlan{claim: true, want: busy.want - m.usualHave(busy)}
+	}
+}
+
+// usualHave is how many machines the other pools have on average.
+func (m *mover) usualHave(but *poolPlan) float64 {
+	sum := 0
+	for _, p := range m.plans {
+		if p != but {
+			sum += p.have
+		}
+	}
+	return float64(sum) / float64(max(1, len(m.plans)-1))
+}
+
+// nextTurn is the pool whose turn begins next, and when machines for it must be ordered.
+func (m *mover) nextTurn(busy *poolPlan) (next *poolPlan, order time.Time) {
+	for _, name := range m.names {
+		p := m.plans[name]
+		start, ok := m.calendar.start(name, m.now)
+		at := start.Add(-m.lead())
+		if !ok || p == busy || p.turns.high || !at.After(m.now) {
+			continue
+		}
+		if next == nil || at.Before(order) {
+			next = p
+			order = at
+		}
+	}
+	return next, order
+}
+
+// guessPeaks takes the mean peak of the other pools for that of a pool without any.
+func (m *mover) guessPeaks() {
+	sum, count := 0.0, 0.0
+	for _, p := range m.plans {
+		if peak := max(p.peak, p.turnRate()); peak > 0 {
+			sum += peak
+			count++
+		}
+	}
+	for _, p := range m.plans {
+		p.guess = sum / max(1, count)
+	}
+}
+
+// stay is how long the want of a pool lasts from a moment: until its turn ends and what waits is done.
+func (m *mover) stay(p *poolPlan, from time.Time, left float64) time.Duration {
+	const step = 250 * time.Millisecond
+	stay := time.Duration(left/(float64(max(1, p.have))*p.unit)) * time.Millisecond
+	for n := range 40 {
+		if !m.calendar.high(p.name, m.now, from.Add(time.Duration(n)*step)) {
+			break
+		}
+		stay += step
+	}
+	if !m.cfg.Moves.Foresee && p.turns.high {
+		stay += time.Second
+	}
+	return stay
+}
+
+// fill moves machines to pools that will lack some, the most lacking first.
+func (m *mover) fill() {
+	for {
+		p := m.neediest()
+		if p == nil {
+			return
+		}
+		id := m.take(p)
+		if id == "" {
+			p.want = 0
+			continue
+		}
+		if !p.claim {
+			m.intendMove(id, p.name)
+		}
+		p.have++
+	}
+}
+
+// neediest is the pool that lacks most, if a further machine there earns more than its move.
+func (m *mover) neediest() *poolPlan {
+	var best *poolPlan
+	for _, name := range m.names {
+		p := m.plans[name]
+		if lack := p.lack(); lack > 0 && (p.claim || m.pays(p, min(1, lack))) && (best == nil || lack > best.lack()) {
+			best = p
+		}
+	}
+	if m.unknown != nil && best != nil && m.unknown.lack() > best.lack() {
+		return m.unknown
+	}
+	return best
+}
+
+// lack is how many machines a pool wants beyond those it has.
+func (p *poolPlan) lack() float64 { return p.want - float64(p.have) }
+
+// pays says whether a machine that is used in part earns more in a pool than it costs.
+func (m *mover) pays(p *poolPlan, use float64) bool {
+	cfg := m.cfg.Moves
+	stay := p.stay.Seconds()
+	return use*p.unit/1000*stay*cfg.WorkWorth > cfg.MovePrice+stay*cfg.SecondPrice
+}
+
+// take picks a machine for a pool: one that is off, or else one that another pool will not need.
+func (m *mover) take(to *poolPlan) string {
+	for n, id := range m.idle {
+		if !m.unfit[MoveOrder{Machine: id, Pool: to.name}] {
+			m.idle = slices.Delete(m.idle, n, n+1)
+			return id
+		}
+	}
+	var best *poolPlan
+	for _, name := range m.names {
+		p := m.plans[name]
+		if p == to || len(p.leaving) == 0 || p.surplus() < 1 {
+			continue
+		}
+		if best == nil || p.surplus() > best.surplus() {
+			best = p
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return m.release(best, to.name)
+}
+
+// surplus is how many machines a pool has beyond its need.
+func (p *poolPlan) surplus() float64 { return float64(p.have) - p.keep }
+
+// release takes a machine out of a pool, unless too many with persistent tasks are being emptied.
+func (m *mover) release(p *poolPlan, to string) string {
+	for n, id := range p.leaving {
+		if m.unfit[MoveOrder{Machine: id, Pool: to}] {
+			continue
+		}
+		if m.persistentOn(m.machines[id]) {
+			if p.emptying >= m.cfg.Moves.PersistentAtOnce || m.now.Before(p.heldUntil) {
+				continue
+			}
+			p.emptying++
+		}
+		p.leaving = slices.Delete(p.leaving, n, n+1)
+		p.have--
+		return id
+	}
+	p.leaving = nil
+	return ""
+}
+
+// rest switches off machines that will not be needed for longer than the moves cost.
+func (m *mover) rest() {
+	if m.spare == "" || m.cfg.Moves.SecondPrice <= 0 || !m.experienced() {
+		return
+	}
+	pause := time.Duration(2 * m.cfg.Moves.MovePrice / m.cfg.Moves.SecondPrice * float64(time.Second))
+	for _, name := range m.names {
+		p := m.plans[name]
+		if m.calm(p, pause) {
+			for p.surplus() >= 1+m.cfg.Moves.Idle {
+				id := m.release(p, m.spare)
+				if id == "" {
+					break
+				}
+				m.intendMove(id, m.spare)
+			}
+		}
+	}
+}
+
+// experienced says whether any demand was seen, or has been absent for long.
+func (m *mover) experienced() bool {
+	for _, p := range m.plans {
+		if len(p.turns.rises) > 0 {
+			return true
+		}
+	}
+	return m.now.Sub(m.started) >= m.cfg.Moves.Learn
+}
+
+// calm says whether no pool is expected to need a machine of this one within the pause.
+func (m *mover) calm(p *poolPlan, pause time.Duration) bool {
+	horizon := m.now.Add(m.cfg.MoveTime + pause)
+	since := m.surplusSince[p.name]
+	if p.surplus() < 1+m.cfg.Moves.Idle {
+		delete(m.surplusSince, p.name)
+		return false
+	}
+	if since.IsZero() {
+		m.surplusSince[p.name] = m.now
+		since = m.now
+	}
+	if m.now.Sub(since) >= pause {
+		return true
+	}
+	return m.cfg.Moves.Foresee && m.foreseen() && !m.calendar.high(p.name, m.now, horizon)
+}
+
+// foreseen says whether the next turns of all pools are known.
+func (m *mover) foreseen() bool {
+	for _, name := range m.names {
+		if _, ok := m.calendar.start(name, m.now); !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// intendMove begins to empty a machine, or goes on doing so, for a pool.
+func (m *mover) intendMove(id, pool string) {
+	i := m.old[id]
+	if i == nil {
+		machine := m.machines[id]
+		i = &intent{phase: evacuating, since: m.now, began: m.now, from: machine.Pool, worker: machine.Worker}
+	}
+	i.pool = pool
+	m.ledger[id] = i
+}
--- a/upkeep/planner.go
+++ b/upkeep/planner.go
@@ -23,6 +23,11 @@
 	ledger   map[string]*intent
 	waves    map[int64]*waveState
 	unfit    map[MoveOrder]bool
+	demands  map[string]*demand
+	// surplusSince is since when a pool has had machines beyond its need.
+	surplusSince map[string]time.Time
+	// notBefore is until when machines that could not be emptied for a move are left alone.
+	notBefore map[string]time.Time
 }
 
 // waveState is what has become of the machines of one wave.
@@ -42,6 +47,10 @@
 		ledger:   map[string]*intent{},
 		waves:    map[int64]*waveState{},
 		unfit:    map[MoveOrder]bool{},
+		demands:  map[string]*demand{},
+
+		surplusSince: map[string]time.Time{},
+		notBefore:    map[string]time.Time{},
 	}
 }
 
@@ -67,6 +76,27 @@
 	return maps.Clone(w.progress)
 }
 
+// RestoreMoves takes in the moves that an earlier owner may have ordered. They are finished before anything else.
+func (p *Planner) RestoreMoves(now time.Time, moves []MoveOrder) {
+	for _, o := range moves {
+		if p.ledger[o.Machine] == nil {
+			p.ledger[o.Machine] = &intent{phase: unsure, since: now, began: now, pool: o.Pool, counted: true}
+		}
+	}
+}
+
+// OpenMoves returns the moves that may still be carried out, sorted by machine. After Step it includes those of its
+// Actions: write it before they are sent.
+func (p *Planner) OpenMoves() []MoveOrder {
+	var out []MoveOrder
+	for _, id := range sortedKeys(p.ledger) {
+		if i := p.ledger[id]; i.move() && (i.counted || i.phase == ordered) && i.phase != away {
+			out = append(out, MoveOrder{Machine: id, Pool: i.pool})
+		}
+	}
+	return out
+}
+
 // Step decides what to do now.
 func (p *Planner) Step(now time.Time, in Input) Actions {
 	p.observe(now, in)
@@ -74,6 +104,7 @@
 	s := &step{Planner: p, now: now, in: in}
 	if !p.listedAt.IsZero() {
 		s.planWaves()
+		s.planMoves()
 		s.order()
 	}
 	s.finish()
@@ -156,7 +187,9 @@
 	if m.Worker == "" {
 		return !waiting
 	}
-	if !load.Status.GetOwner() || load.Age > s.cfg.StatusFresh {
+	// A status from before the worker was asked to be emptied may tell of an earlier time.
+	asked := s.now.Add(-load.Age).After(i.since)
+	if !load.Status.GetOwner() || load.Age > s.cfg.StatusFresh || !asked {
 		return false
 	}
 	w := workerLoad(load.Status, m.Worker)
--- /dev/null
+++ b/upkeep/planner_test.go
@@ -0,0 +1,138 @@
+package upkeep_test
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/agateturn/agateturn/upkeep"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// run plays a wave. replaceAt are ticks at which a new planner takes over with what is durable.
+type run struct {
+	*sim
+	planner  *upkeep.Planner
+	durable  map[string]upkeep.Progress
+	moving   []upkeep.MoveOrder
+	answers  map[time.Time][]func()
+	forgets  bool
+	finished time.Time
+}
+
+func newRun(s *sim, members, limit int) *run {
+	ids := slices.Sorted(maps.Keys(s.machines))
+	s.rand.Shuffle(len(ids), func(a, b int) { ids[a], ids[b] = ids[b], ids[a] })
+	s.wave = upkeep.Wave{Number: 7, Machines: ids[:members], Within: 26 * time.Second, Cap: limit, Seen: s.now}
+	r := &run{sim: s, answers: map[time.Time][]func(){}}
+	r.takeOver()
+	return r
+}
+
+func (r *run) takeOver() {
+	r.planner = upkeep.New(upkeep.DefaultConfig(upkeepTime, moveTime), r.now)
+	r.planner.Restore(r.now, 7, r.durable)
+	r.planner.RestoreMoves(r.now, r.moving)
+	r.answers = map[time.Time][]func(){}
+}
+
+func (r *run) step() {
+	r.advance()
+	for at, list := range r.answers {
+		if at.After(r.now) {
+			continue
+		}
+		for _, f := range list {
+			f()
+		}
+		delete(r.answers, at)
+	}
+	in := upkeep.Input{Machines: r.list(), MachinesAt: r.now, Waves: []upkeep.Wave{r.wave}, Pools: r.loads()}
+	out := r.planner.Step(r.now.Add(time.Millisecond), in)
+	r.evacuate = out.Evacuate
+	r.durable = r.planner.Progress(7)
+	r.moving = r.planner.OpenMoves()
+	for _, o := range out.Upkeeps {
+		result := r.order(func() upkeep.Result { return r.upkeep(o) })
+		if r.forgets && result == upkeep.Unknown {
+			result = upkeep.Refused
+		}
+		at := r.now.Add(time.Duration(r.rand.IntN(200)) * time.Millisecond)
+		r.answers[at] = append(r.answers[at], func() { r.planner.UpkeepResult(r.now, o, result) })
+	}
+	for _, o := range out.Moves {
+		r.planner.MoveResult(r.now, o, r.order(func() upkeep.Result { return r.move(o) }))
+	}
+	if len(out.Completed) > 0 && r.finished.IsZero() {
+		r.finished = r.now
+		r.checkCompleted()
+	}
+}
+
+func (r *run) checkCompleted() {
+	for _, id := range r.wave.Machines {
+		if m := r.machines[id]; m != nil && !m.done[7] {
+			r.broken = append(r.broken, "completed without "+id)
+		}
+	}
+}
+
+func TestCalmWaveIsInTimeAndKillsNothing(t *testing.T) {
+	r := newRun(newSim(3, 9, 4, fault{}), 24, 3)
+	for r.finished.IsZero() && r.now.Sub(r.wave.Seen) < time.Minute {
+		r.step()
+	}
+	assert.DeepEqual(t, r.broken, []string(nil))
+	assert.Equal(t, r.killed, 0)
+	assert.Assert(t, !r.finished.IsZero() && r.finished.Sub(r.wave.Seen) <= r.wave.Within, "took %s", r.finished.Sub(r.wave.Seen))
+}
+
+func TestFaultsAndTakeoversKeepTheCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := fault{
+			refused: rapid.Float64Range(0, 0.3).Draw(t, "refused"),
+			lost:    rapid.Float64Range(0, 0.3).Draw(t, "lost"),
+			late:    rapid.Float64Range(0, 0.3).Draw(t, "late"),
+		}
+		s := newSim(rapid.Uint64().Draw(t, "seed"), 5, 3, f)
+		r := newRun(s, rapid.IntRange(1, 17).Draw(t, "members"), rapid.IntRange(1, 4).Draw(t, "cap"))
+		takeOvers := rapid.SliceOfN(rapid.IntRange(10, 400), 0, 3).Draw(t, "takeovers")
+		leaves := rapid.IntRange(0, 300).Draw(t, "leaves")
+		for n := 0; r.finished.IsZero() && n < 3000; n++ {
+			if slices.Contains(takeOvers, n) {
+				r.takeOver()
+			}
+			if n == leaves {
+				delete(r.machines, r.wave.Machines[0])
+			}
+			r.step()
+		}
+		if len(r.broken) > 0 {
+			t.Fatalf("broken: %v", r.broken)
+		}
+		if r.killed > 0 {
+			t.Fatalf("%d tasks killed", r.killed)
+		}
+		if r.finished.IsZero() {
+			t.Fatalf("not completed after %s", r.now.Sub(r.wave.Seen))
+		}
+	})
+}
+
+// A planner that takes a lost answer for a refusal breaks the cap.
+func TestCheckerCatchesForgottenOrders(t *testing.T) {
+	caught := 0
+	for seed := range uint64(20) {
+		r := newRun(newSim(seed, 5, 3, fault{lost: 0.2, late: 0.3}), 15, 1)
+		r.forgets = true
+		for n := 0; r.finished.IsZero() && n < 1500; n++ {
+			r.step()
+		}
+		if len(r.broken) > 0 {
+			caught++
+		}
+	}
+	assert.Assert(t, caught > 0)
+}
--- /dev/null
+++ b/upkeep/sim_test.go
@@ -0,0 +1,213 @@
+package upkeep_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/upkeep"
+)
+
+const (
+	tick       = 50 * time.Millisecond
+	upkeepTime = 2 * time.Second
+	moveTime   = 1500 * time.Millisecond
+)
+
+// fault says what becomes of an order: it may be refused, lose its answer, or be carried out late without an answer.
+type fault struct{ refused, lost, late float64 }
+
+// simMachine is a machine of the simulator.
+type simMachine struct {
+	upkeep.Machine
+	lives    int
+	tasks    int
+	lasting  int
+	backAt   time.Time
+	done     map[int64]bool
+	downWave int64
+}
+
+// sim is a machine service and the owners of its pools. Persistent tasks may only be stopped one at a time by pool.
+type sim struct {
+	now      time.Time
+	rand     *rand.Rand
+	fault    fault
+	machines map[string]*simMachine
+	pools    map[string]bool
+	evacuate map[string][]string
+	movedAt  map[string]time.Time
+	later    map[time.Time][]func()
+	wave     upkeep.Wave
+	broken   []string
+	killed   int
+}
+
+func newSim(seed uint64, perPool, pools int, f fault) *sim {
+	s := &sim{
+		now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1)), fault: f,
+		machines: map[string]*simMachine{}, pools: map[string]bool{"spare": true},
+		evacuate: map[string][]string{}, movedAt: map[string]time.Time{}, later: map[time.Time][]func(){},
+	}
+	for p := range pools {
+		pool := fmt.Sprintf("pool%d", p)
+		s.pools[pool] = false
+		for m := range perPool {
+			s.add(pool, fmt.Sprintf("%s-m%d", pool, m), 1+s.rand.IntN(3), s.rand.IntN(3))
+		}
+	}
+	for m := range perPool / 2 {
+		s.add("spare", fmt.Sprintf("spare-m%d", m), 0, 0)
+	}
+	return s
+}
+
+func (s *sim) add(pool, id string, tasks, lasting int) {
+	m := &simMachine{tasks: tasks, lasting: lasting, done: map[int64]bool{}}
+	m.Machine = upkeep.Machine{ID: id, Pool: pool, State: upkeep.Up, Worker: id + "/0", CPUMilli: 1000}
+	s.machines[id] = m
+}
+
+func (s *sim) list() []upkeep.Machine {
+	var out []upkeep.Machine
+	for _, id := range slices.Sorted(maps.Keys(s.machines)) {
+		out = append(out, s.machines[id].Machine)
+	}
+	return out
+}
+
+// advance lets time pass: late orders, returns, and the work of the pools' owners.
+func (s *sim) advance() {
+	s.now = s.now.Add(tick)
+	for _, at := range slices.SortedFunc(maps.Keys(s.later), time.Time.Compare) {
+		if at.After(s.now) {
+			break
+		}
+		for _, f := range s.later[at] {
+			f()
+		}
+		delete(s.later, at)
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.machines)) {
+		m := s.machines[id]
+		if m.State != upkeep.Up && m.State != upkeep.Down && !s.now.Before(m.backAt) {
+			m.State = upkeep.Up
+			m.downWave = 0
+			m.lives++
+			m.Worker = fmt.Sprintf("%s/%d", id, m.lives)
+		}
+		if m.State == upkeep.Up && !s.pools[m.Pool] {
+			s.work(m)
+		}
+	}
+}
+
+func (s *sim) work(m *simMachine) {
+	leaves := slices.Contains(s.evacuate[m.Pool], m.Worker)
+	if m.tasks > 0 && s.rand.Float64() < 0.05 {
+		m.tasks--
+	}
+	if !leaves && m.tasks < 3 && s.rand.Float64() < 0.05 {
+		m.tasks++
+	}
+	if !leaves || m.lasting == 0 || s.now.Sub(s.movedAt[m.Pool]) < 700*time.Millisecond {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.machines)) {
+		other := s.machines[id]
+		if other.Pool == m.Pool && other.State == upkeep.Up && !slices.Contains(s.evacuate[m.Pool], other.Worker) {
+			s.movedAt[m.Pool] = s.now
+			m.lasting--
+			other.lasting++
+			return
+		}
+	}
+}
+
+func (s *sim) loads() map[string]upkeep.PoolLoad {
+	out := map[string]upkeep.PoolLoad{}
+	for pool, spare := range s.pools {
+		out[pool] = upkeep.PoolLoad{Spare: spare, Status: &pb.PoolStatusResponse{Owner: true}}
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.machines)) {
+		m := s.machines[id]
+		if m.State != upkeep.Up {
+			continue
+		}
+		status := out[m.Pool].Status
+		status.Workers = append(status.Workers, &pb.WorkerLoad{
+			Id: m.Worker, Tasks: int64(m.tasks + m.lasting), PersistentTasks: int64(m.lasting), RemainingMs: int64(m.tasks) * 900,
+			Evacuated: m.tasks+m.lasting == 0 && slices.Contains(s.evacuate[m.Pool], m.Worker),
+		})
+	}
+	return out
+}
+
+// order carries an order out, now or later, and tells the result.
+func (s *sim) order(begin func() upkeep.Result) upkeep.Result {
+	switch x := s.rand.Float64(); {
+	case x < s.fault.refused:
+		return upkeep.Refused
+	case x < s.fault.refused+s.fault.lost:
+		if s.rand.IntN(2) == 0 {
+			begin()
+		}
+		return upkeep.Unknown
+	case x < s.fault.refused+s.fault.lost+s.fault.late:
+		at := s.now.Add(time.Duration(s.rand.IntN(1500)) * time.Millisecond)
+		s.later[at] = append(s.later[at], func() { begin() })
+		return upkeep.Unknown
+	}
+	return begin()
+}
+
+func (s *sim) upkeep(o upkeep.Order) upkeep.Result {
+	m := s.machines[o.Machine]
+	switch {
+	case m == nil:
+		return upkeep.Unfit
+	case m.done[o.Wave]:
+		return upkeep.Done
+	case m.State != upkeep.Up:
+		return upkeep.Busy
+	}
+	down := 0
+	for _, other := range s.machines {
+		if other.downWave == o.Wave && other.State == upkeep.Upkeep {
+			down++
+		}
+	}
+	if down >= s.wave.Cap {
+		s.broken = append(s.broken, fmt.Sprintf("%s: upkeep of %s began while %d were down", s.now.Format(time.StampMilli), o.Machine, down))
+	}
+	m.done[o.Wave] = true
+	m.downWave = o.Wave
+	s.leave(m, upkeep.Upkeep, upkeepTime)
+	return upkeep.Done
+}
+
+func (s *sim) move(o upkeep.MoveOrder) upkeep.Result {
+	m := s.machines[o.Machine]
+	switch {
+	case m == nil:
+		return upkeep.Unfit
+	case m.Pool == o.Pool:
+		return upkeep.Done
+	case m.State != upkeep.Up:
+		return upkeep.Busy
+	}
+	m.Pool = o.Pool
+	s.leave(m, upkeep.Moving, moveTime)
+	return upkeep.Done
+}
+
+func (s *sim) leave(m *simMachine, state upkeep.MachineState, length time.Duration) {
+	s.killed += m.tasks + m.lasting
+	m.tasks = 0
+	m.lasting = 0
+	m.State = state
+	m.backAt = s.now.Add(length)
+}
--- /dev/null
+++ b/upkeep/turns.go
@@ -0,0 +1,250 @@
+package upkeep
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+const (
+	// keptRises is how many rises of a pool are remembered.
+	keptRises = 4
+	// evenGaps is how much longer the longest of even gaps may be than the shortest.
+	evenGaps = 1.35
+	// missAfter is the share of a turn after which one that was foreseen and has not come counts as missed.
+	missAfter = 0.35
+	// learnTurn is the weight of the newest turn in what is learned of turns.
+	learnTurn = 0.5
+	// mostMisses is how often a pool without any turn is expected to have the next one.
+	mostMisses = 4
+	// shortestTurn is the length below which a turn is noise.
+	shortestTurn = 750 * time.Millisecond
+)
+
+// turns is when the demand of one pool was high.
+type turns struct {
+	high  bool
+	rises []time.Time
+	// climbing is since when the rate has been above the lower bound, falling since when below the upper one.
+	climbing time.Time
+	falling  time.Time
+	// length is the learned length of a turn; 0 if none has ended.
+	length time.Duration
+	// missed is the newest foreseen rise that did not come; misses counts them since the last that came.
+	missed time.Time
+	misses int
+}
+
+// observe takes in the rate at a moment and the bounds above and below which it is high or low.
+func (t *turns) observe(at time.Time, rate, low, high float64) {
+	if rate <= low {
+		t.climbing = time.Time{}
+	} else if t.climbing.IsZero() {
+		t.climbing = at
+	}
+	if rate >= high {
+		t.falling = time.Time{}
+	} else if t.falling.IsZero() {
+		t.falling = at
+	}
+	switch {
+	case !t.high && rate >= high:
+		t.rise(t.climbing)
+	case t.high && rate <= low:
+		t.fall(t.falling)
+	}
+}
+
+func (t *turns) rise(at time.Time) {
+	t.high = true
+	t.misses = 0
+	t.rises = append(t.rises, at)
+	if len(t.rises) > keptRises {
+		t.rises = slices.Delete(t.rises, 0, 1)
+	}
+}
+
+func (t *turns) fall(at time.Time) {
+	t.high = false
+	length := at.Sub(t.last())
+	if length < max(shortestTurn, t.length/4) {
+		t.rises = t.rises[:len(t.rises)-1]
+		return
+	}
+	if t.length > 0 {
+		length = t.length + time.Duration(learnTurn*float64(length-t.length))
+	}
+	t.length = length
+}
+
+// last is the newest rise; zero if there is none.
+func (t *turns) last() time.Time {
+	if len(t.rises) == 0 {
+		return time.Time{}
+	}
+	return t.rises[len(t.rises)-1]
+}
+
+// period is the time between rises, if those seen are even.
+func (t *turns) period() (time.Duration, bool) {
+	return evenGap(t.rises)
+}
+
+// evenGap is the mean gap between moments if all gaps are about the same.
+func evenGap(at []time.Time) (time.Duration, bool) {
+	if len(at) < 2 {
+		return 0, false
+	}
+	shortest := at[1].Sub(at[0])
+	longest := shortest
+	for i := 2; i < len(at); i++ {
+		gap := at[i].Sub(at[i-1])
+		shortest = min(shortest, gap)
+		longest = max(longest, gap)
+	}
+	if shortest <= 0 || float64(longest) > evenGaps*float64(shortest) {
+		return 0, false
+	}
+	return at[len(at)-1].Sub(at[0]) / time.Duration(len(at)-1), true
+}
+
+// miss counts a foreseen rise once, also when it is foreseen for a slightly different time.
+func (t *turns) miss(start time.Time, near time.Duration) {
+	if start.Sub(t.missed) > near {
+		t.misses++
+	}
+	t.missed = start
+}
+
+// calendar foresees turns from those of all pools.
+type calendar struct {
+	pools map[string]*turns
+	// shared is the period of pools that have shown none of their own; 0 if unknown.
+	shared time.Duration
+	// length is the mean length of turns; 0 if unknown.
+	length time.Duration
+	// unseen are the pools that have had no turn yet, and nextAt is when that of one of them comes if turns follow each
+	// other.
+	unseen map[string]struct{}
+	nextAt time.Time
+}
+
+// newCalendar learns from the turns of the pools that have demand.
+func newCalendar(pools map[string]*turns) *calendar {
+	c := &calendar{pools: pools}
+	var lengths, periods time.Duration
+	var nLengths, nPeriods time.Duration
+	var firsts []time.Time
+	var unseen []string
+	for _, name := range sortedKeys(pools) {
+		t := pools[name]
+		if t.length > 0 {
+			lengths += t.length
+			nLengths++
+		}
+		if period, ok := t.period(); ok {
+			periods += period
+			nPeriods++
+		}
+		switch {
+		case len(t.rises) > 0:
+			firsts = append(firsts, t.last())
+		case t.misses < mostMisses:
+			unseen = append(unseen, name)
+		}
+	}
+	if nLengths > 0 {
+		c.length = lengths / nLengths
+	}
+	if nPeriods > 0 {
+		c.shared = periods / nPeriods
+		return c
+	}
+	c.roundRobin(firsts, unseen)
+	return c
+}
+
+// roundRobin guesses before any pool had a second turn: if turns have followed each other evenly, they go round.
+func (c *calendar) roundRobin(rises []time.Time, unseen []string) {
+	slices.SortFunc(rises, time.Time.Compare)
+	gap, ok := evenGap(rises)
+	if !ok || c.length == 0 {
+		return
+	}
+	if float64(gap) > evenGaps*float64(c.length) || float64(c.length) > evenGaps*float64(gap) {
+		return
+	}
+	if len(unseen) == 0 {
+		c.shared = gap * time.Duration(len(rises))
+		return
+	}
+	c.unseen = lo.Keyify(unseen)
+	c.nextAt = rises[len(rises)-1].Add(gap)
+}
+
+// high says whether a pool's demand is expected to be high at a moment that is not before now.
+func (c *calendar) high(pool string, now, at time.Time) bool {
+	t := c.pools[pool]
+	if t == nil {
+		return false
+	}
+	if t.high && at.Before(c.end(t, now)) {
+		return true
+	}
+	start, ok := c.start(pool, now)
+	return ok && !at.Before(start) && at.Before(start.Add(max(c.lengthOf(t), time.Second)))
+}
+
+func (c *calendar) lengthOf(t *turns) time.Duration {
+	if t.length > 0 {
+		return t.length
+	}
+	return c.length
+}
+
+// end is when the present turn of a pool ends. One that is longer than learned, or of unknown length, goes on for a while.
+func (c *calendar) end(t *turns, now time.Time) time.Time {
+	const unknown = 3 * time.Second
+	length := c.lengthOf(t)
+	if length == 0 {
+		return now.Add(max(unknown, now.Sub(t.last())))
+	}
+	end := t.last().Add(length)
+	if end.Before(now) {
+		return now.Add(length / 4)
+	}
+	return end
+}
+
+// start is when the next turn of a pool begins, or the one that should have begun just now.
+func (c *calendar) start(pool string, now time.Time) (time.Time, bool) {
+	t := c.pools[pool]
+	if _, ok := c.unseen[pool]; ok {
+		return c.due(t, c.nextAt, 0, now)
+	}
+	period, ok := t.period()
+	if !ok {
+		period = c.shared
+	}
+	if period == 0 || len(t.rises) == 0 {
+		return time.Time{}, false
+	}
+	return c.due(t, t.last().Add(period), period, now)
+}
+
+// due returns the foreseen start, or the one after if it was missed.
+func (c *calendar) due(t *turns, start time.Time, period time.Duration, now time.Time) (time.Time, bool) {
+	late := time.Duration(missAfter * float64(c.lengthOf(t)))
+	for now.Sub(start) > late {
+		t.miss(start, late)
+		if period == 0 {
+			return time.Time{}, false
+		}
+		start = start.Add(period)
+		if now.Sub(t.last()) > 3*period {
+			return time.Time{}, false
+		}
+	}
+	return start, true
+}
