--- /dev/null
+++ b/internal/fleetowner/fake_test.go
@@ -0,0 +1,218 @@
+package fleetowner_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/store"
+	"github.com/agateturn/agateturn/upkeep"
+)
+
+// fakeStore keeps items in memory. Watches look each few milliseconds.
+type fakeStore struct {
+	store.Transactor
+	mu       sync.Mutex
+	items    map[string]store.Item
+	revision uint64
+	down     bool
+	// lose drops the answers of commits, which take effect.
+	lose bool
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{items: map[string]store.Item{}, revision: 10} }
+
+func (s *fakeStore) set(key, data string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.items[key] = store.Item{Key: key, Data: []byte(data), Version: s.revision}
+	return s.revision
+}
+
+// state is what operators read of wave 3.
+func (s *fakeStore) state() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.items["status/3"].Data)
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (store.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return store.Item{}, store.Unavailable.New("down")
+	}
+	return s.items[key], nil
+}
+
+func (s *fakeStore) Range(_ context.Context, prefix string, _ bool) ([]store.Item, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []store.Item
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, s.items[key])
+		}
+	}
+	return out, s.revision, nil
+}
+
+func (s *fakeStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
+	for end := time.Now().Add(wait); time.Now().Before(end); {
+		items, asOf, _ := s.Range(ctx, prefix, false)
+		var events []store.Event
+		for _, item := range items {
+			if item.Version > after {
+				events = append(events, store.Event{Item: item})
+			}
+		}
+		if len(events) > 0 {
+			return events, asOf, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, store.Unavailable.Wrap(ctx.Err())
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	return nil, after, nil
+}
+
+func (s *fakeStore) Commit(_ context.Context, t store.Transaction) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, store.Unavailable.New("down")
+	}
+	conflict := &store.ConflictError{}
+	failed := false
+	for _, c := range t.Conditions {
+		item := s.items[c.Key]
+		item.Key = c.Key
+		conflict.Items = append(conflict.Items, item)
+		failed = failed || item.Version != c.Version
+	}
+	if failed {
+		return 0, conflict
+	}
+	s.revision++
+	for _, p := range t.Puts {
+		s.items[p.Key] = store.Item{Key: p.Key, Data: p.Data, Version: s.revision}
+	}
+	if s.lose {
+		return 0, store.Unknown.New("lost")
+	}
+	return s.revision, nil
+}
+
+// fakeMachines is the machine service. Fences are checked for each machine.
+type fakeMachines struct {
+	mu       sync.Mutex
+	machines map[string]*fakeMachine
+	limit    int
+	broken   []string
+	orders   int
+}
+
+type fakeMachine struct {
+	upkeep.Machine
+	fence  uint64
+	done   bool
+	backAt time.Time
+	lives  int
+}
+
+func newFakeMachines(pool string, count, limit int) *fakeMachines {
+	f := &fakeMachines{machines: map[string]*fakeMachine{}, limit: limit}
+	for n := range count {
+		id := fmt.Sprintf("m%02d", n)
+		m := &fakeMachine{}
+		m.Machine = upkeep.Machine{ID: id, Pool: pool, State: upkeep.Up, Worker: id + "/0", CPUMilli: 1000}
+		f.machines[id] = m
+	}
+	return f
+}
+
+func (f *fakeMachines) refresh() (down int) {
+	for _, m := range f.machines {
+		if m.State == upkeep.Upkeep && !time.Now().Before(m.backAt) {
+			m.State = upkeep.Up
+			m.lives++
+			m.Worker = fmt.Sprintf("%s/%d", m.ID, m.lives)
+		}
+		if m.State == upkeep.Upkeep {
+			down++
+		}
+	}
+	return down
+}
+
+func (f *fakeMachines) List(context.Context) ([]upkeep.Machine, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh()
+	var out []upkeep.Machine
+	for _, id := range slices.Sorted(maps.Keys(f.machines)) {
+		out = append(out, f.machines[id].Machine)
+	}
+	return out, nil
+}
+
+func (f *fakeMachines) Move(context.Context, string, string, string, uint64) upkeep.Result {
+	return upkeep.Unfit
+}
+
+func (f *fakeMachines) Upkeep(_ context.Context, machine string, _ int64, _ string, fence uint64) upkeep.Result {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	down := f.refresh()
+	f.orders++
+	m := f.machines[machine]
+	switch {
+	case fence < m.fence:
+		return upkeep.Fenced
+	case m.done:
+		return upkeep.Done
+	case m.State != upkeep.Up:
+		return upkeep.Busy
+	}
+	m.fence = fence
+	m.done = true
+	m.State = upkeep.Upkeep
+	m.backAt = time.Now().Add(2 * time.Second)
+	if down >= f.limit {
+		f.broken = append(f.broken, machine)
+	}
+	return upkeep.Done
+}
+
+func (f *fakeMachines) count(of func(*fakeMachine) bool) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, m := range f.machines {
+		if of(m) {
+			n++
+		}
+	}
+	return n
+}
+
+// fakePools empties workers within one poll.
+type fakePools struct{ machines *fakeMachines }
+
+func (f *fakePools) Status(ctx context.Context, r *pb.PoolStatusRequest) (*pb.PoolStatusResponse, error) {
+	machines, err := f.machines.List(ctx)
+	out := &pb.PoolStatusResponse{Owner: true, Fence: 1}
+	for _, m := range machines {
+		evacuated := slices.Contains(r.GetEvacuate(), m.Worker)
+		out.Workers = append(out.Workers, &pb.WorkerLoad{Id: m.Worker, Evacuated: evacuated})
+	}
+	return out, err
+}
--- a/internal/fleetowner/owner.go
+++ b/internal/fleetowner/owner.go
@@ -14,7 +14,7 @@
 
 const (
 	// ringSize bounds the events and writes that wait, orderRing the orders.
-	ringSize  = 256
+	ringSize  = 1024
 	orderRing = 1024
 	// orderWorkers is how many orders are under way at once.
 	orderWorkers = 8
--- /dev/null
+++ b/internal/fleetowner/owner_test.go
@@ -0,0 +1,149 @@
+package fleetowner_test
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/agateturn/agateturn/internal/fleetowner"
+	"github.com/agateturn/agateturn/store"
+	"github.com/agateturn/agateturn/upkeep"
+	"gotest.tools/v3/assert"
+)
+
+const ownerKey = "agateturn/owner/~fleet"
+
+type fixture struct {
+	store    *fakeStore
+	machines *fakeMachines
+	fence    atomic.Uint64
+}
+
+func newFixture(machines, limit int) *fixture {
+	f := &fixture{store: newFakeStore(), machines: newFakeMachines("pool", machines, limit)}
+	f.fence.Store(f.store.set(ownerKey, "first"))
+	var ids []string
+	for n := range machines {
+		ids = append(ids, fmt.Sprintf("m%02d", n))
+	}
+	f.store.set("wave/3", strings.Join(ids, ","))
+	return f
+}
+
+func (f *fixture) owner(limit int) *fleetowner.Owner {
+	return fleetowner.New(fleetowner.Options{
+		Machines:   f.machines,
+		Pools:      &fakePools{f.machines},
+		Configured: func() []fleetowner.Pool { return []fleetowner.Pool{{Name: "pool"}, {Name: "spare", Spare: true}} },
+		Store:      f.store,
+		Names: fleetowner.Names{
+			WavePrefix: "wave/",
+			ParseWave: func(key string, data []byte) (upkeep.Wave, error) {
+				number, err := strconv.ParseInt(strings.TrimPrefix(key, "wave/"), 10, 64)
+				return upkeep.Wave{Number: number, Machines: strings.Split(string(data), ","), Within: 30 * time.Second, Cap: limit}, err
+			},
+			StatusKey:    func(wave int64) string { return fmt.Sprintf("status/%d", wave) },
+			Status:       func(_ int64, completed bool) []byte { return strconv.AppendBool(nil, completed) },
+			RecordPrefix: "agateturn/wave/",
+			MovesKey:     "agateturn/moves",
+		},
+		Config:    upkeep.DefaultConfig(2*time.Second, 1500*time.Millisecond),
+		Holder:    "a",
+		Confirmed: func() (uint64, bool) { return f.fence.Load(), true },
+		Guard: func(fence uint64) store.Condition {
+			return store.Condition{Key: ownerKey, Version: fence}
+		},
+		ChangesPerSecond: 64,
+		ReadsPerSecond:   64,
+	})
+}
+
+// start runs a term; the returned function ends it and returns its error.
+func start(t *testing.T, o *fleetowner.Owner) (stop func() error) {
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- o.Run(ctx) }()
+	return func() error {
+		cancel()
+		return <-ended
+	}
+}
+
+func done(m *fakeMachine) bool { return m.done }
+
+func TestWaveIsCarriedOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(8, 2)
+		stop := start(t, f.owner(2))
+		time.Sleep(time.Second)
+		assert.Equal(t, f.store.state(), "false")
+		time.Sleep(20 * time.Second)
+		assert.ErrorIs(t, stop(), context.Canceled)
+		assert.Equal(t, f.machines.count(done), 8)
+		assert.Equal(t, f.store.state(), "true")
+		assert.DeepEqual(t, f.machines.broken, []string(nil))
+	})
+}
+
+func TestTakeoverKeepsCapAndProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(9, 1)
+		for n := range 6 {
+			f.fence.Store(f.store.set(ownerKey, strconv.Itoa(n)))
+			stop := start(t, f.owner(1))
+			time.Sleep(time.Duration(1500+700*n) * time.Millisecond)
+			assert.ErrorIs(t, stop(), context.Canceled)
+		}
+		stop := start(t, f.owner(1))
+		time.Sleep(30 * time.Second)
+		assert.ErrorIs(t, stop(), context.Canceled)
+		assert.Equal(t, f.store.state(), "true")
+		assert.Equal(t, f.machines.count(done), 9)
+		assert.Equal(t, f.machines.orders, 9)
+		assert.DeepEqual(t, f.machines.broken, []string(nil))
+	})
+}
+
+func TestReplacedOwnerStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(4, 1)
+		o := f.owner(1)
+		ended := make(chan error, 1)
+		go func() { ended <- o.Run(t.Context()) }()
+		time.Sleep(time.Second)
+		// The store has another owner, and this one has not noticed.
+		f.store.set(ownerKey, "second")
+		err := <-ended
+		assert.Assert(t, fleetowner.Replaced.Has(err), "%v", err)
+		before := f.machines.orders
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, f.machines.orders, before)
+	})
+}
+
+func TestNothingIsOrderedWithoutARecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(4, 2)
+		stop := start(t, f.owner(2))
+		time.Sleep(100 * time.Millisecond)
+		f.store.mu.Lock()
+		f.store.down = true
+		f.store.mu.Unlock()
+		before := f.machines.count(done)
+		time.Sleep(8 * time.Second)
+		assert.Equal(t, f.machines.count(done), before)
+		f.store.mu.Lock()
+		f.store.down = false
+		f.store.lose = true
+		f.store.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		assert.ErrorIs(t, stop(), context.Canceled)
+		assert.Equal(t, f.store.state(), "true")
+		assert.Equal(t, f.machines.count(done), 4)
+	})
+}
--- a/internal/fleetowner/record.go
+++ b/internal/fleetowner/record.go
@@ -1,6 +1,7 @@
 package fleetowner
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"maps"
@@ -14,7 +15,7 @@
 )
 
 const (
-	commitTimeout = 2 * time.Second
+	commitTimeout = 1500 * time.Millisecond
 	// flushAfter is how long progress waits for an order to be written with.
 	flushAfter = 300 * time.Millisecond
 	retryWrite = 500 * time.Millisecond
@@ -60,8 +61,6 @@
 }
 
 func (w *writer) commit(ctx context.Context, job write) error {
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
 	if time.Since(w.failed) < retryWrite {
 		return store.Unavailable.New("failed %s ago", time.Since(w.failed))
 	}
@@ -72,22 +71,27 @@
 	return err
 }
 
+// try commits until the record's version is the one that is known. A lost answer is looked up once.
 func (w *writer) try(ctx context.Context, key string, puts []store.Put) error {
 	for {
-		if err := w.readBack(ctx, key); err != nil {
-			return err
+		if w.unsure[key] {
+			if _, err := w.readBack(ctx, key); err != nil {
+				return err
+			}
 		}
-		revision, err := w.Store.Commit(ctx, store.Transaction{
-			Conditions: []store.Condition{w.Guard(w.fence), {Key: key, Version: w.versions[key]}},
-			Puts:       puts,
-		})
+		err := w.send(ctx, key, puts)
 		conflict := (*store.ConflictError)(nil)
 		switch {
 		case err == nil:
-			w.versions[key] = revision
 			return nil
+		case store.Unavailable.Has(err):
+			return err
 		case !errors.As(err, &conflict):
-			w.unsure[key] = !store.Unavailable.Has(err)
+			w.unsure[key] = true
+			item, readErr := w.readBack(ctx, key)
+			if readErr == nil && bytes.Equal(item.Data, puts[0].Data) {
+				return nil
+			}
 			return err
 		}
 		if !w.guarded(conflict.Items) {
@@ -97,6 +101,20 @@
 	}
 }
 
+// send is one commit. The record is the first of the puts.
+func (w *writer) send(ctx context.Context, key string, puts []store.Put) error {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	revision, err := w.Store.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{w.Guard(w.fence), {Key: key, Version: w.versions[key]}},
+		Puts:       puts,
+	})
+	if err == nil {
+		w.versions[key] = revision
+	}
+	return err
+}
+
 // guarded says whether the owner's condition was not among those that failed.
 func (w *writer) guarded(items []store.Item) bool {
 	guard := w.Guard(w.fence)
@@ -109,17 +127,16 @@
 }
 
 // readBack learns the version of a record whose last write had no answer.
-func (w *writer) readBack(ctx context.Context, key string) error {
-	if !w.unsure[key] {
-		return nil
-	}
+func (w *writer) readBack(ctx context.Context, key string) (store.Item, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
 	item, err := w.Store.Get(ctx, key)
 	if err != nil {
-		return err
+		return store.Item{}, err
 	}
 	w.versions[key] = item.Version
 	w.unsure[key] = false
-	return nil
+	return item, nil
 }
 
 // record is the present progress of a wave.
--- a/upkeep/config.go
+++ b/upkeep/config.go
@@ -43,6 +43,36 @@
 	}
 }
 
+// MoveConfig weighs moves. The weights share one unit, such as a currency.
+type MoveConfig struct {
+	// Enabled lets machines change their pool.
+	Enabled bool
+	// Foresee uses the turns that were learned; without it moves follow the load.
+	Foresee bool
+	// MovePrice is the price of one move, SecondPrice that of a machine in a pool that is not spare for a second, and
+	// WorkWorth what a core-second of work earns.
+	MovePrice   float64
+	SecondPrice float64
+	WorkWorth   float64
+	// Join is how long a machine that was moved takes to be used, beyond MoveTime.
+	Join time.Duration
+	// Drain is the time in which waiting work should be done.
+	Drain time.Duration
+	// Use is the share of a machine that work can fill, in (0, 1].
+	Use float64
+	// Idle is the capacity that a pool keeps beyond its need, in machines.
+	Idle float64
+	// Reserve holds machines back for the turn of another pool while turns cannot be foreseen, up to this age of a turn.
+	Reserve time.Duration
+	// Learn is how long pools keep their machines while no turn was seen.
+	Learn time.Duration
+	// GiveUp is how long a machine is emptied for a move, and Pause how long it is left alone if that was in vain.
+	GiveUp time.Duration
+	Pause  time.Duration
+	// PersistentAtOnce is how many machines with persistent tasks of one pool may be emptied at once for moves.
+	PersistentAtOnce int
+}
+
 // DefaultMoveConfig returns weights for machines whose work earns far more than they cost.
 func DefaultMoveConfig() MoveConfig {
 	return MoveConfig{
--- a/upkeep/planner_test.go
+++ b/upkeep/planner_test.go
@@ -1,7 +1,9 @@
 package upkeep_test
 
 import (
+	"flag"
 	"maps"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -11,6 +13,14 @@
 	"pgregory.net/rapid"
 )
 
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("6")
+	}
+	os.Exit(m.Run())
+}
+
 // run plays a wave. replaceAt are ticks at which a new planner takes over with what is durable.
 type run struct {
 	*sim
