--- a/internal/fleetowner/record.go
+++ b/internal/fleetowner/record.go
@@ -1,6 +1,7 @@
 package fleetowner
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"maps"
@@ -14,15 +15,15 @@
 )
 
 const (
-	commitTimeout = 2 * time.Second
+	commitTimeout = 1500 * time.Millisecond
 	// flushAfter is how long progress waits for an order to be written with.
 	flushAfter = 300 * time.Millisecond
 	retryWrite = 500 * time.Millisecond
 )
 
-// write is a write about one wave under the owner's fence. done is called by the writer with its outcome.
+// write is a write of one record, and perhaps a wave's state, under the owner's fence. done is called by the writer with its outcome.
 type write struct {
-	wave int64
+	key  string
 	puts []store.Put
 	done func(ctx context.Context, err error) error
 }
@@ -34,6 +35,8 @@
 	versions map[string]uint64
 	// unsure are records whose last write had no answer.
 	unsure map[string]bool
+	// failed is when the store last failed; writes are not tried for a while after that.
+	failed time.Time
 }
 
 // run commits until ctx ends or the fence is not held any more.
@@ -48,7 +51,7 @@
 				return err
 			}
 			if err != nil {
-				w.Logger.Debug("wave not written", "wave", job.wave, "error", err)
+				w.Logger.Debug("record not written", "key", job.key, "error", err)
 			}
 			if err := job.done(ctx, err); err != nil {
 				return err
@@ -58,36 +61,60 @@
 }
 
 func (w *writer) commit(ctx context.Context, job write) error {
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
-	key := w.recordKey(job.wave)
-	if err := w.readBack(ctx, key); err != nil {
-		return err
+	if time.Since(w.failed) < retryWrite {
+		return store.Unavailable.New("failed %s ago", time.Since(w.failed))
+	}
+	err := w.try(ctx, job.key, job.puts)
+	if err != nil {
+		w.failed = time.Now()
 	}
+	return err
+}
+
+// try commits until the record's version is the one that is known. A lost answer is looked up once.
+func (w *writer) try(ctx context.Context, key string, puts []store.Put) error {
 	for {
-		revision, err := w.Store.Commit(ctx, store.Transaction{
-			Conditions: []store.Condition{w.Guard(w.fence), {Key: key, Version: w.versions[key]}},
-			Puts:       job.puts,
-		})
+		if w.unsure[key] {
+			if _, err := w.readBack(ctx, key); err != nil {
+				return err
+			}
+		}
+		err := w.send(ctx, key, puts)
 		conflict := (*store.ConflictError)(nil)
 		switch {
 		case err == nil:
-			w.versions[key] = revision
 			return nil
+		case store.Unavailable.Has(err):
+			return err
 		case !errors.As(err, &conflict):
-			w.unsure[key] = !store.Unavailable.Has(err)
+			w.unsure[key] = true
+			item, readErr := w.readBack(ctx, key)
+			if readErr == nil && bytes.Equal(item.Data, puts[0].Data) {
+				return nil
+			}
 			return err
 		}
 		if !w.guarded(conflict.Items) {
 			return Replaced.New("the store refuses fence %d", w.fence)
 		}
 		w.unsure[key] = true
-		if err := w.readBack(ctx, key); err != nil {
-			return err
-		}
 	}
 }
 
+// send is one commit. The record is the first of the puts.
+func (w *writer) send(ctx context.Context, key string, puts []store.Put) error {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	revision, err := w.Store.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{w.Guard(w.fence), {Key: key, Version: w.versions[key]}},
+		Puts:       puts,
+	})
+	if err == nil {
+		w.versions[key] = revision
+	}
+	return err
+}
+
 // guarded says whether the owner's condition was not among those that failed.
 func (w *writer) guarded(items []store.Item) bool {
 	guard := w.Guard(w.fence)
@@ -100,17 +127,16 @@
 }
 
 // readBack learns the version of a record whose last write had no answer.
-func (w *writer) readBack(ctx context.Context, key string) error {
-	if !w.unsure[key] {
-		return nil
-	}
+func (w *writer) readBack(ctx context.Context, key string) (store.Item, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
 	item, err := w.Store.Get(ctx, key)
 	if err != nil {
-		return err
+		return store.Item{}, err
 	}
 	w.versions[key] = item.Version
 	w.unsure[key] = false
-	return nil
+	return item, nil
 }
 
 // record is the present progress of a wave.
@@ -140,6 +166,19 @@
 	return store.Put{Key: t.recordKey(r.GetWave()), Data: data}
 }
 
+// openMoves is the record of the moves that may be carried out.
+func (t *term) openMoves(key string) store.Put {
+	r := &pb.MoveRecord{}
+	for _, m := range t.planner.OpenMoves() {
+		r.Moves = append(r.Moves, &pb.MachineMove{Machine: m.Machine, Pool: m.Pool})
+	}
+	data, err := proto.Marshal(r)
+	if err != nil {
+		t.Logger.Error("record of moves not encoded", "error", err)
+	}
+	return store.Put{Key: key, Data: data}
+}
+
 // touch says that a wave has progress to be written.
 func (t *term) touch(number int64, now time.Time) {
 	if w := t.waves[number]; w != nil && w.dirty.IsZero() {
@@ -161,7 +200,7 @@
 		w.dirty = time.Time{}
 		w.announced = true
 		w.writing = true
-		job := write{wave: number, puts: puts}
+		job := write{key: puts[0].Key, puts: puts}
 		job.done = func(ctx context.Context, err error) error { return t.flushed(ctx, number, err) }
 		if err := t.writes.Put(ctx, job); err != nil {
 			return err
@@ -207,7 +246,8 @@
 		}
 		w.completing = true
 		end := &pb.WaveRecord{Wave: number, SeenMs: w.Seen.UnixMilli(), Completed: true}
-		job := write{wave: number, puts: []store.Put{t.put(end), t.statusPut(number, true)}}
+		puts := []store.Put{t.put(end), t.statusPut(number, true)}
+		job := write{key: puts[0].Key, puts: puts}
 		job.done = func(ctx context.Context, err error) error { return t.ended(ctx, w, err) }
 		if err := t.writes.Put(ctx, job); err != nil {
 			return err
--- a/upkeep/config.go
+++ b/upkeep/config.go
@@ -23,6 +23,7 @@
 	Settle time.Duration
 	// GoneAfter is how long a machine must be missing from the list until it counts as gone.
 	GoneAfter time.Duration
+	Moves     MoveConfig
 }
 
 // DefaultConfig returns the bounds for given times of upkeep and move.
@@ -38,5 +39,56 @@
 		Retry:       500 * time.Millisecond,
 		Settle:      500 * time.Millisecond,
 		GoneAfter:   2 * time.Second,
+		Moves:       DefaultMoveConfig(),
+	}
+}
+
+// MoveConfig weighs moves. The weights share one unit, such as a currency.
+type MoveConfig struct {
+	// Enabled lets machines change their pool.
+	Enabled bool
+	// Foresee uses the turns that were learned; without it moves follow the load.
+	Foresee bool
+	// MovePrice is the price of one move, SecondPrice that of a machine in a pool that is not spare for a second, and
+	// WorkWorth what a core-second of work earns.
+	MovePrice   float64
+	SecondPrice float64
+	WorkWorth   float64
+	// Join is how long a machine that was moved takes to be used, beyond MoveTime.
+	Join time.Duration
+	// Drain is the time in which waiting work should be done.
+	Drain time.Duration
+	// Use is the share of a machine that work can fill, in (0, 1].
+	Use float64
+	// Idle is the capacity that a pool keeps beyond its need, in machines.
+	Idle float64
+	// Reserve holds machines back for the turn of another pool while turns cannot be foreseen, up to this age of a turn.
+	Reserve time.Duration
+	// Learn is how long pools keep their machines while no turn was seen.
+	Learn time.Duration
+	// GiveUp is how long a machine is emptied for a move, and Pause how long it is left alone if that was in vain.
+	GiveUp time.Duration
+	Pause  time.Duration
+	// PersistentAtOnce is how many machines with persistent tasks of one pool may be emptied at once for moves.
+	PersistentAtOnce int
+}
+
+// DefaultMoveConfig returns weights for machines whose work earns far more than they cost.
+func DefaultMoveConfig() MoveConfig {
+	return MoveConfig{
+		Enabled:          true,
+		Foresee:          true,
+		MovePrice:        0.09,
+		SecondPrice:      0.08,
+		WorkWorth:        0.035,
+		Join:             300 * time.Millisecond,
+		Drain:            time.Second,
+		Use:              0.85,
+		Idle:             0.5,
+		Reserve:          6 * time.Second,
+		Learn:            30 * time.Second,
+		GiveUp:           3 * time.Second,
+		Pause:            10 * time.Second,
+		PersistentAtOnce: 1,
 	}
 }
