--- a/internal/jobhost/operate.go
+++ b/internal/jobhost/operate.go
@@ -24,7 +24,7 @@
 
 // listenOperators serves operators, if the settings name an address for them.
 func (h *Host) listenOperators(ctx context.Context, group *errgroup.Group) error {
-	host := h.settings.GetJobHost()
+	host := h.settings.Load().GetJobHost()
 	if host.GetOperatorAddress() == "" {
 		return nil
 	}
