Scheduler: count each failed run once whatever order workers are heard in; health, evacuation, advice, pace

A failed run that an owner had not recorded was dropped when a later run of the same task was heard first after a takeover, so a task could run more often than its attempts. The record now names the counted runs. Found by the new checker (two takeovers).

With it: suspects and probes, stalls, draining and evacuation within the budget, advice tickets, pace of fillers, copies of late runs.

--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -2,6 +2,13 @@
 
 import "time"
 
+const (
+	// evacuateEvery is the pause between looks at workers that are to be emptied.
+	evacuateEvery = 100 * time.Millisecond
+	// drainReserve is how long before a draining worker leaves what is left on it is moved at once.
+	drainReserve = time.Second
+)
+
 // Evacuate replaces the set of workers that are to be emptied.
 func (p *Pool) Evacuate(_ time.Time, ids []string) {
 	p.evacuate = make(map[string]bool, len(ids))
@@ -17,4 +24,89 @@
 	}
 }
 
-func (p *Pool) checkEvacuation(time.Time) {}
+// checkEvacuation moves tasks away from workers that drain or are to be emptied.
+func (p *Pool) checkEvacuation(now time.Time) {
+	var usable []*worker
+	for _, w := range p.order {
+		if len(w.runs) == 0 || w.gone || (!w.Draining && !w.evacuating) {
+			continue
+		}
+		if usable == nil {
+			usable = p.usableWorkers(now)
+		}
+		p.wake(now.Add(evacuateEvery))
+		for _, r := range w.runs {
+			if r.task != nil && !r.stopping && r.state == runRunning && p.shouldMove(now, r) && p.roomElsewhere(now, r, usable) {
+				p.stop(now, r, "moved away")
+			}
+		}
+	}
+}
+
+func (p *Pool) shouldMove(now time.Time, r *run) bool {
+	s := r.task.step
+	w := r.worker
+	leaving := w.Draining && now.Add(p.cfg.StopTime+drainReserve).After(w.drainBy)
+	if s.spec.GetPersistent() {
+		return leaving || !r.atWork() || s.budgetAllows(r.task)
+	}
+	left := r.remaining(now)
+	if s.spec.GetGang() && !s.spec.GetSavesProgress() {
+		return false
+	}
+	if w.Draining && !w.evacuating {
+		return s.spec.GetSavesProgress() && leaving && now.Add(left).After(w.drainBy)
+	}
+	return s.spec.GetSavesProgress() && left > 2*p.cfg.RestoreTime+p.cfg.StopTime
+}
+
+func (p *Pool) roomElsewhere(now time.Time, r *run, usable []*worker) bool {
+	s := r.task.step
+	for _, w := range usable {
+		if w != r.worker && s.need.fits(w.free()) && p.permits(now, s, w) {
+			return true
+		}
+	}
+	return false
+}
+
+// atWork tells whether a persistent run works and is meant to go on.
+func (r *run) atWork() bool {
+	const full = 100
+	return r.state == runRunning && !r.stopping && r.percent >= full
+}
+
+// budgetAllows tells whether the task may be ended while the others of its step that are away are counted.
+// A step without a budget is treated as if it had a budget of one.
+func (s *step) budgetAllows(t *task) bool {
+	budget := max(1, s.spec.GetMayMiss())
+	for i := range s.tasks {
+		other := &s.tasks[i]
+		if other == t || other.atWork() {
+			continue
+		}
+		budget--
+	}
+	return budget > 0
+}
+
+func (t *task) atWork() bool {
+	for _, r := range t.runs {
+		if r.atWork() {
+			return true
+		}
+	}
+	return false
+}
+
+// harmless tells whether nothing is lost and no budget broken if the run's worker stopped now.
+func (p *Pool) harmless(r *run) bool {
+	if r.task == nil || r.task.done || r.task.job().over() {
+		return true
+	}
+	s := r.task.step
+	if !s.spec.GetPersistent() {
+		return false
+	}
+	return !r.atWork() || (s.active[r.worker] <= 1 && s.budgetAllows(r.task))
+}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -141,6 +141,7 @@
 	o := &occurrence{job: j, number: number, due: due, left: len(j.spec.GetSteps())}
 	for i, spec := range j.spec.GetSteps() {
 		o.steps = append(o.steps, newStep(o, i, spec))
+		p.fills = p.fills || spec.GetFills()
 	}
 	for _, s := range o.steps {
 		for _, after := range s.spec.GetAfter() {
--- a/scheduler/learn.go
+++ b/scheduler/learn.go
@@ -133,10 +133,3 @@
 		d.ratio.add(took / float64(estimate))
 	}
 }
-
-func (p *Pool) learnPercent(_ time.Time, r *run, percent int) {
-	const full = 100
-	if r.task != nil && !r.task.step.spec.GetPersistent() && r.percent > 0 && percent < full {
-		p.learned.moves = true
-	}
-}
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -24,8 +24,14 @@
 	r.resumed = checkpoint != ""
 	p.out.Orders = append(p.out.Orders, Order{
 		Kind: OrderStart, Worker: w.ID, Address: w.Address, Born: w.Born, Task: r.id, Run: number,
-		Payload: t.job().spec.GetPayload(), Checkpoint: checkpoint, Ticket: p.ticket(now, t.step, w), Until: until,
+		Payload: t.job().spec.GetPayload(), Checkpoint: checkpoint, Ticket: ticketOf(t.step, w), Until: until,
 	})
+	if w.trust.probing {
+		w.trust.probe = r
+	}
+	if t.step.spec.GetSpeculative() {
+		p.speculates = true
+	}
 	p.decide("start", r, "")
 }
 
@@ -78,7 +84,7 @@
 	case OrderStop:
 		p.stopResult(now, r, res)
 	case OrderPace:
-		p.paceResult(r, res)
+		p.paceResult(now, r, res)
 	}
 }
 
@@ -115,7 +121,7 @@
 	case OutcomeNoRoom, OutcomeLate:
 		w.pause(now, pauseRoom)
 	case OutcomeTicket:
-		p.dropTicket(r)
+		dropTicket(r)
 		pauseTaskOf(now, r.task)
 	default:
 		pauseTaskOf(now, r.task)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -11,6 +11,11 @@
 	placeEvery = 200 * time.Millisecond
 	// maxRackWait bounds how long a task waits for the rack that it prefers.
 	maxRackWait = 1500 * time.Millisecond
+	// reserveAfter is how long a step has to wait before workers are kept free for it, at most one in reserveShare.
+	reserveAfter = time.Second
+	reserveShare = 4
+	// distrustWait is how long a step waits before a suspect worker is taken for want of any other.
+	distrustWait = time.Second
 )
 
 // placeTasks starts waiting tasks where there is room, what earns most first.
@@ -27,9 +32,17 @@
 	if len(p.open) == 0 {
 		return
 	}
-	usable := p.usableWorkers(now)
+	usable, suspects := p.trustedWorkers(now)
+	reservable := max(1, len(usable)/reserveShare)
 	for _, c := range p.rank(now) {
 		p.placeStep(now, c.step, usable)
+		p.placeAnyway(now, c.step, usable, suspects)
+		if reservable > 0 && len(c.step.ready) > 0 && now.Sub(c.step.readySince) > reserveAfter {
+			var reserved bool
+			if usable, reserved = reserveFor(c.step, usable); reserved {
+				reservable--
+			}
+		}
 	}
 	p.dropIdleSteps()
 	if len(p.open) > 0 {
@@ -52,19 +65,47 @@
 }
 
 func (p *Pool) usableWorkers(now time.Time) []*worker {
-	usable := make([]*worker, 0, len(p.order))
+	trusted, _ := p.trustedWorkers(now)
+	return trusted
+}
+
+// trustedWorkers returns the workers that may be given tasks, and those that are usable but suspect.
+func (p *Pool) trustedWorkers(now time.Time) (trusted, suspects []*worker) {
+	trusted = make([]*worker, 0, len(p.order))
 	for _, w := range p.order {
-		if w.usable(now) {
-			usable = append(usable, w)
+		switch {
+		case !w.usable(now):
+		case w.trust.suspected(now):
+			suspects = append(suspects, w)
+		default:
+			trusted = append(trusted, w)
+		}
+	}
+	if len(trusted) < len(suspects) {
+		// When most workers look bad, it is not the workers.
+		return append(trusted, suspects...), nil
+	}
+	return trusted, suspects
+}
+
+// placeAnyway uses suspect workers for a step that no other worker may ever run.
+func (p *Pool) placeAnyway(now time.Time, s *step, trusted, suspects []*worker) {
+	if len(s.ready) == 0 || len(suspects) == 0 || now.Sub(s.readySince) < distrustWait {
+		return
+	}
+	for _, w := range trusted {
+		if s.need.fits(w.Capacity) && p.permits(now, s, w) {
+			return
 		}
 	}
-	return usable
+	p.placeStep(now, s, suspects)
 }
 
 func (p *Pool) placeStep(now time.Time, s *step, usable []*worker) {
-	if p.takeover.holds(s.occ.job) || !p.adviceReady(now, s) {
+	if p.takeover.holds(s.occ.job) {
 		return
 	}
+	p.consultAdvice(now, s)
 	if s.spec.GetGang() {
 		p.placeGang(now, s, usable)
 		return
@@ -88,6 +129,45 @@
 	s.ready = kept
 }
 
+// reserveFor takes a worker that could come to hold a task of the step from those that later steps may use.
+func reserveFor(s *step, usable []*worker) ([]*worker, bool) {
+	best := -1
+	for i, w := range usable {
+		if !s.need.fits(w.Capacity) || !w.hasLabel(s.spec.GetRequiredLabel()) {
+			continue
+		}
+		if s.need.fits(w.free()) {
+			// It waits for something else than room.
+			return usable, false
+		}
+		if best < 0 || w.free().CPUMilli > usable[best].free().CPUMilli {
+			best = i
+		}
+	}
+	if best < 0 {
+		return usable, false
+	}
+	rest := append([]*worker(nil), usable[:best]...)
+	return append(rest, usable[best+1:]...), true
+}
+
+// fillCost prefers workers whose capacity is least used; a worker without any left is waited for.
+func (p *Pool) fillCost(now time.Time, s *step, w *worker) float64 {
+	const (
+		mixed = 0.5
+		paced = 0.01
+	)
+	left := w.free().CPUMilli - w.fillCPU - s.spec.GetCpuMilli()
+	if left < 0 && now.Sub(s.readySince) < maxRackWait {
+		return math.Inf(1)
+	}
+	cost := -float64(left) / float64(max(1, w.Capacity.CPUMilli))
+	if s.mixes(w) {
+		cost += mixed
+	}
+	return cost + paced*float64(fullPace-w.pace.percent)
+}
+
 // choose returns the best worker for the task, nil if none has room.
 func (p *Pool) choose(now time.Time, t *task, usable []*worker) *worker {
 	var best *worker
@@ -111,7 +191,7 @@
 	if limit := s.spec.GetMaxPerHost(); limit > 0 && int64(s.active[w]) >= limit {
 		return false
 	}
-	return p.hasTicket(now, s, w) && w.trust.permits(now, w)
+	return p.hasTicket(now, s, w)
 }
 
 // cost of running the task on the worker; infinite if it is better to wait. Lower is better.
@@ -121,9 +201,11 @@
 		failedHere = 40
 		sameJob    = 10
 		mixed      = 2
-		slow       = 8
 	)
 	s := t.step
+	if s.spec.GetFills() {
+		return p.fillCost(now, s, w)
+	}
 	cost := leftover(s, w)
 	if s.wrongRack(w) {
 		if now.Sub(s.readySince) < p.rackWait(s) {
@@ -142,7 +224,7 @@
 	if s.mixes(w) {
 		cost += mixed
 	}
-	return cost + slow*w.trust.slowness()
+	return cost
 }
 
 // leftover is the share of the worker that stays free: the fullest worker that fits comes first.
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -57,6 +57,10 @@
 	evacuate map[string]bool
 	advice   adviceDesk
 	arrived  int64
+	// speculates and fills tell whether such steps have been seen.
+	speculates   bool
+	speculatedAt time.Time
+	fills        bool
 
 	out Actions
 }
@@ -104,12 +108,12 @@
 	p.checkWorkers(now)
 	p.openOccurrences(now)
 	p.checkTakeover(now)
-	p.checkHangs(now)
 	p.checkEvacuation(now)
-	p.checkSpeculation(now)
-	p.attend(now)
+	p.advice.expire(now)
 	p.placeTasks(now)
+	p.checkSpeculation(now)
 	p.checkPace(now)
+	p.attend(now)
 	p.emitRecords(now)
 	p.forget(now)
 	out := p.out
--- /dev/null
+++ b/scheduler/pool_test.go
@@ -0,0 +1,78 @@
+package scheduler_test
+
+import (
+	"testing"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// mixedDay hands in jobs of all kinds.
+func mixedDay(s *sim, jobs int) {
+	for range jobs {
+		at := s.rng.Int64N(s.quiet())
+		switch s.rng.IntN(8) {
+		case 0:
+			s.add(at, &pb.JobSpec{Steps: []*pb.JobStep{{Count: 2, CpuMilli: 300, MemoryMb: 500, Persistent: true, MayMiss: 1, EstimateMs: 3000}}})
+		case 1:
+			s.add(at, &pb.JobSpec{Steps: []*pb.JobStep{{Count: 3, CpuMilli: 2000, MemoryMb: 100, Gang: true, EstimateMs: 1500, SavesProgress: true}}})
+		case 2:
+			s.add(at, &pb.JobSpec{
+				RepeatCount: 3, StartAtMs: simEpoch + at + 1000, IntervalMs: 1500,
+				Steps: []*pb.JobStep{{Count: 2, CpuMilli: 500, MemoryMb: 10, EstimateMs: 400}, {Count: 1, CpuMilli: 500, EstimateMs: 200, After: []int64{0}}},
+			})
+		case 3:
+			s.add(at, &pb.JobSpec{Steps: []*pb.JobStep{{Count: 4, CpuMilli: 1500, MemoryMb: 500, EstimateMs: 4000, SavesProgress: true, MaxPerHost: 2}}})
+		case 4:
+			j := s.add(at, &pb.JobSpec{Steps: []*pb.JobStep{{Count: 3, CpuMilli: 1000, MemoryMb: 100, EstimateMs: 3000, SameRack: true}}})
+			s.cancel(at+s.rng.Int64N(3000), j)
+		case 5:
+			j := s.add(at, &pb.JobSpec{Steps: []*pb.JobStep{{Count: 2, CpuMilli: 1000, MemoryMb: 100, EstimateMs: 500, RequiredLabel: "r1"}}})
+			j.poison = s.chance(0.5)
+		default:
+			s.add(at, &pb.JobSpec{Steps: []*pb.JobStep{
+				{Count: 4, CpuMilli: 1500, MemoryMb: 300, EstimateMs: 600, Affinity: "r0"},
+				{Count: 6, CpuMilli: 1000, MemoryMb: 300, EstimateMs: 800, After: []int64{0}},
+			}})
+		}
+	}
+}
+
+func (s *sim) quiet() int64 { return 15_000 }
+
+func drawFaults(t *rapid.T) faults {
+	share := func(name string) float64 { return float64(rapid.IntRange(0, 10).Draw(t, name)) / 100 }
+	count := func(name string) int { return rapid.IntRange(0, 3).Draw(t, name) }
+	return faults{
+		lostCalls: share("lost calls"), lostAnswers: share("lost answers"), lateCalls: share("late calls"),
+		failing: share("failing") / 4, lostRecords: share("lost records"),
+		crashes: count("crashes"), takeovers: count("takeovers"), cuts: count("cuts"), drains: count("drains"),
+		grey: rapid.Bool().Draw(t, "grey"), hang: rapid.Bool().Draw(t, "hang"),
+	}
+}
+
+// Whatever calls, workers and owners do, no task runs twice, no worker is over its capacity, and all jobs end.
+func TestPoolUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 6).Draw(t, "workers"), drawFaults(t))
+		mixedDay(s, rapid.IntRange(5, 40).Draw(t, "jobs"))
+		for _, f := range s.run(s.quiet(), 100_000) {
+			t.Error(f)
+		}
+	})
+}
+
+// An owner that takes silence for failure runs tasks twice; the checker has to see it.
+func TestCheckerCatchesNaiveOwner(t *testing.T) {
+	caught := 0
+	for seed := range uint64(20) {
+		s := newSim(seed, 4, faults{lostCalls: 0.05, lostAnswers: 0.05, lateCalls: 0.05, cuts: 2})
+		s.naive = true
+		mixedDay(s, 30)
+		if len(s.run(s.quiet(), 100_000)) > 0 {
+			caught++
+		}
+	}
+	assert.Assert(t, caught > 10, "caught %d of 20", caught)
+}
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
@@ -141,13 +142,13 @@
 
 func (t *task) addProgress(out *pb.StepProgress) {
 	index := int64(t.index)
-	if t.failedRun > 0 {
+	if len(t.failedRuns) > 0 {
 		if out.Failures == nil {
 			out.Failures = map[int64]int64{}
-			out.FailedRuns = map[int64]int64{}
+			out.FailedRuns = map[int64]*pb.RunNumbers{}
 		}
 		out.Failures[index] = int64(t.failures)
-		out.FailedRuns[index] = t.failedRun
+		out.FailedRuns[index] = &pb.RunNumbers{Runs: slices.Clone(t.failedRuns)}
 	}
 	if t.checkpoint != "" {
 		if out.Checkpoints == nil {
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -193,6 +193,7 @@
 		r.percentAt = now
 	}
 	r.tail = entry.Tail
+	p.checkStall(now, r)
 	if entry.Checkpoint != "" && entry.Checkpoint != r.checkpoint {
 		r.checkpoint = entry.Checkpoint
 		if r.task != nil && !r.task.done {
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -54,7 +54,12 @@
 	tail       int64
 	checkpoint string
 	resumed    bool
-	pace       int
+	// pace is the percent ordered, pacing means that its answer is open.
+	pace   int
+	pacing bool
+	// judgedAt is the percent at judgedTime, from which the speed is taken.
+	judgedAt   int
+	judgedTime time.Time
 }
 
 // stamp is a moment on the owner's clock and, if known, on the worker's clock in ms.
--- /dev/null
+++ b/scheduler/sim_test.go
@@ -0,0 +1,296 @@
+package scheduler_test
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/queue"
+	"github.com/agateturn/agateturn/scheduler"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	simAttempts = 3
+	simEpoch    = 1_000_000_000
+)
+
+var simConfig = scheduler.Config{
+	Lease: 4 * time.Second, MaxLease: 5 * time.Second, StopTime: 400 * time.Millisecond, GangTime: 3 * time.Second,
+	Early: 250 * time.Millisecond, Retention: 10 * time.Minute, CrossRackFactor: 3, SaveInterval: time.Second,
+	RestoreTime: 600 * time.Millisecond, Notice: 4500 * time.Millisecond, PaceDelay: 100 * time.Millisecond,
+	HarmTime: 4 * time.Second, DrainTime: 2 * time.Second,
+}
+
+// faults are what goes wrong in a simulated day, as shares of calls and counts of events.
+type faults struct {
+	lostCalls, lostAnswers, lateCalls float64
+	failing                           float64
+	crashes, takeovers, cuts, drains  int
+	grey, hang                        bool
+	lostRecords                       float64
+}
+
+type event struct {
+	at  int64
+	seq int
+	do  func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(a, b int) bool {
+	return h[a].at < h[b].at || h[a].at == h[b].at && h[a].seq < h[b].seq
+}
+func (h eventHeap) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// sim plays a day of one pool in virtual time, in ms.
+type sim struct {
+	rng        *rand.Rand
+	now        int64
+	seq        int
+	events     eventHeap
+	f          faults
+	naive      bool
+	quietFrom  int64
+	workers    []*simWorker
+	byID       map[string]*simWorker
+	jobs       map[string]*simJob
+	jobIDs     []string
+	progress   map[string]*pb.JobProgress
+	cut        map[string]bool
+	drainKnown map[string]int64
+	owner      *simOwner
+	check      *checker
+	fence      uint64
+}
+
+type simJob struct {
+	id          string
+	rec         *pb.JobRecord
+	accepted    bool
+	cancelledAt int64
+	lastShown   pb.JobState
+	poison      bool
+}
+
+func (j *simJob) due(occurrence int) int64 {
+	if j.rec.GetSpec().GetRepeatCount() == 0 {
+		return 0
+	}
+	return j.rec.GetSpec().GetStartAtMs() - simEpoch + int64(occurrence)*j.rec.GetSpec().GetIntervalMs()
+}
+
+func (j *simJob) persistent() bool { return j.rec.GetSpec().GetSteps()[0].GetPersistent() }
+
+func (j *simJob) each(do func(scheduler.TaskID, *pb.JobStep)) {
+	for k := range max(1, j.rec.GetSpec().GetRepeatCount()) {
+		for s, step := range j.rec.GetSpec().GetSteps() {
+			for i := range step.GetCount() {
+				do(scheduler.TaskID{Job: j.id, Occurrence: int(k), Step: s, Index: int(i)}, step)
+			}
+		}
+	}
+}
+
+func newSim(seed uint64, workers int, f faults) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, 1)), f: f, byID: map[string]*simWorker{}, jobs: map[string]*simJob{},
+		progress: map[string]*pb.JobProgress{}, cut: map[string]bool{}, drainKnown: map[string]int64{}, fence: 10,
+	}
+	s.check = newChecker(s)
+	for i := range workers {
+		w := &simWorker{
+			sim: s, id: fmt.Sprintf("w%02d", i), rack: fmt.Sprintf("r%d", i%2), speed: 1, rate: 1 - 0.02*s.rng.Float64(),
+			capacity: scheduler.Resources{CPUMilli: 8000, MemoryMB: 16000, GPU: 1},
+		}
+		w.boot()
+		s.workers = append(s.workers, w)
+		s.byID[w.id] = w
+	}
+	return s
+}
+
+func (s *sim) after(ms int64, do func()) {
+	s.seq++
+	heap.Push(&s.events, event{s.now + ms, s.seq, do})
+}
+
+func (s *sim) chance(share float64) bool { return s.rng.Float64() < share }
+func (s *sim) faulty() bool              { return s.now < s.quietFrom }
+
+// calm tells whether no fault can have an effect any more.
+func (s *sim) calm() bool {
+	return s.now > s.quietFrom+20_000 || s.f == faults{}
+}
+
+func (s *sim) time() time.Time { return time.UnixMilli(simEpoch + s.now) }
+
+// run plays until all is over: faults stop at quiet, the day ends at end.
+func (s *sim) run(quiet, end int64) []string {
+	const tick = 10
+	s.quietFrom = quiet
+	s.takeOver()
+	s.plan(quiet)
+	var beat func()
+	beat = func() {
+		for _, w := range s.workers {
+			w.tick(tick)
+		}
+		s.after(tick, beat)
+	}
+	s.after(0, beat)
+	for s.now <= end && len(s.check.faults) == 0 {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.do()
+	}
+	if len(s.check.faults) == 0 {
+		s.check.finish()
+	}
+	return s.check.faults
+}
+
+// plan sets when the faults of the day come.
+func (s *sim) plan(quiet int64) {
+	at := func(n int, do func()) {
+		for range n {
+			s.after(s.rng.Int64N(quiet-1000), do)
+		}
+	}
+	pick := func() *simWorker { return s.workers[s.rng.IntN(len(s.workers))] }
+	at(s.f.crashes, func() {
+		w := pick()
+		if w.up {
+			w.crash()
+			s.after(200+s.rng.Int64N(3000), w.boot)
+		}
+	})
+	at(s.f.takeovers, func() {
+		s.owner.dead = true
+		s.after(100+s.rng.Int64N(2000), s.takeOver)
+	})
+	at(s.f.cuts, func() {
+		w := pick()
+		s.cut[w.id] = true
+		s.after(500+s.rng.Int64N(9000), func() { s.cut[w.id] = false })
+	})
+	at(s.f.drains, func() {
+		w := pick()
+		if w.draining || !w.up {
+			return
+		}
+		w.draining = true
+		s.drainKnown[w.id] = math.MaxInt64
+		s.after(6000, func() {
+			w.crash()
+			w.draining = false
+			s.after(1000, w.boot)
+		})
+	})
+	if s.f.grey {
+		w := pick()
+		s.after(0, func() { w.failsAll = true })
+		s.after(quiet, func() { w.failsAll = false })
+	}
+	if s.f.hang {
+		w := pick()
+		s.after(0, func() { w.hangs = true })
+		s.after(quiet, func() { w.hangs = false })
+	}
+}
+
+func (s *sim) newRun(w *simWorker, o scheduler.Order) *simRun {
+	j := s.jobs[o.Task.Job]
+	step := j.rec.GetSpec().GetSteps()[o.Task.Step]
+	r := &simRun{task: o.Task, run: o.Run, step: step, began: s.now, saved: o.Checkpoint}
+	r.done = resumeFrom(o.Checkpoint)
+	r.savedShare = r.done
+	r.need = float64(step.GetEstimateMs()) * (0.6 + 0.8*s.rng.Float64())
+	r.need = max(r.need, r.done+1)
+	r.fails = j.poison || s.faulty() && (w.failsAll || s.chance(s.f.failing))
+	r.hung = w.hangs && s.faulty()
+	if r.fails {
+		r.need = r.done + (r.need-r.done)/4
+	}
+	return r
+}
+
+// add hands in a job at a time.
+func (s *sim) add(at int64, spec *pb.JobSpec) *simJob {
+	id := fmt.Sprintf("j%03d", len(s.jobIDs))
+	spec.Payload = "payload of " + id
+	j := &simJob{id: id, rec: &pb.JobRecord{Id: id, Queue: "q", Pool: "p", Spec: spec, AcceptedMs: simEpoch + at}}
+	s.jobs[id] = j
+	s.jobIDs = append(s.jobIDs, id)
+	s.after(at, func() {
+		j.accepted = true
+		s.after(s.rng.Int64N(50), func() { s.owner.input(func(p *scheduler.Pool) { p.Add(s.time(), j.rec) }) })
+		s.after(2000, func() { s.owner.input(func(p *scheduler.Pool) { p.Add(s.time(), j.rec) }) })
+	})
+	return j
+}
+
+func (s *sim) cancel(at int64, j *simJob) {
+	s.after(at, func() {
+		if !j.accepted || j.lastShown == pb.JobState_JOB_STATE_COMPLETED || j.lastShown == pb.JobState_JOB_STATE_FAILED {
+			return
+		}
+		j.cancelledAt = s.now
+		tell := func() { s.owner.input(func(p *scheduler.Pool) { p.Cancel(s.time(), j.id) }) }
+		tell()
+		s.after(2000, tell)
+	})
+}
+
+// gangPresent tells whether all members of the attempt are there.
+func (s *sim) gangPresent(r *simRun) bool { return len(s.members(r)) == int(r.step.GetCount()) }
+
+func (s *sim) members(r *simRun) map[*simRun]*simWorker {
+	out := map[*simRun]*simWorker{}
+	for _, w := range s.workers {
+		for _, x := range w.running {
+			if x.run == r.run && x.task.Job == r.task.Job && x.task.Step == r.task.Step && x.task.Occurrence == r.task.Occurrence {
+				out[x] = w
+			}
+		}
+	}
+	return out
+}
+
+// breakGang ends the other members of an attempt: with success if one succeeded.
+func (s *sim) breakGang(r *simRun, how scheduler.RunEnd) {
+	rest := s.members(r)
+	order := slices.SortedFunc(maps.Keys(rest), func(a, b *simRun) int { return a.task.Index - b.task.Index })
+	for _, x := range order {
+		if how == scheduler.EndSucceeded {
+			x.need = x.done
+			rest[x].endQuietly(x, scheduler.EndSucceeded)
+			continue
+		}
+		rest[x].endQuietly(x, scheduler.EndBroken)
+	}
+}
+
+func (w *simWorker) endQuietly(r *simRun, how scheduler.RunEnd) {
+	gang := r.step
+	r.step = proto.Clone(gang).(*pb.JobStep)
+	r.step.Gang = false
+	w.end(r, how)
+}
+
+var simQueues = []queue.Queue{{
+	Name: "q", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond,
+}}
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -51,11 +51,6 @@
 	return max(minRemaining, r.task.step.expected-now.Sub(r.orderedAt))
 }
 
-// harmless tells whether nothing would be lost if the run ended now.
-func (p *Pool) harmless(r *run) bool {
-	return r.task == nil || r.task.done || r.task.job().over()
-}
-
 // Explain tells operators why a job waits.
 func (p *Pool) Explain(id string) []string {
 	j := p.jobs[id]
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -127,7 +127,7 @@
 		t := &s.tasks[i]
 		index := int64(i)
 		t.failures = int(sp.GetFailures()[index])
-		t.failedRun = sp.GetFailedRuns()[index]
+		t.failedRuns = slices.Clone(sp.GetFailedRuns()[index].GetRuns())
 		t.checkpoint = sp.GetCheckpoints()[index]
 		if i/8 < len(bits) && bits[i/8]&(1<<(i%8)) != 0 {
 			p.succeed(now, t)
@@ -234,6 +234,10 @@
 		t.step.active[r.worker]++
 		r.need = t.step.need
 		r.worker.used = r.worker.used.plus(r.need)
+		if r.fills() {
+			r.worker.fillers++
+			r.worker.fillCPU += t.step.spec.GetCpuMilli()
+		}
 	}
 }
 
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -39,6 +39,7 @@
 	// expected is the learned duration of a task, chain the time from its start to the end of the occurrence.
 	expected time.Duration
 	chain    time.Duration
+	advice   *stepAdvice
 }
 
 // task is one of the equal tasks of a step.
@@ -50,10 +51,13 @@
 	checkpoint    string
 	checkpointRun int64
 	failures      int
-	failedRun     int64
-	failedOn      []string
-	notBefore     time.Time
-	refusals      int
+	// failedRuns are the runs counted in failures: a later owner may hear of them again, in another order.
+	failedRuns []int64
+	failedOn   []string
+	notBefore  time.Time
+	refusals   int
+	// stalls counts runs that were stopped for want of progress.
+	stalls int
 }
 
 func newStep(o *occurrence, number int, spec *pb.JobStep) *step {
@@ -197,10 +201,10 @@
 
 // fail counts a failed run once, and fails the job after the last attempt.
 func (p *Pool) fail(now time.Time, t *task, r *run) bool {
-	if r.number <= t.failedRun {
+	if slices.Contains(t.failedRuns, r.number) {
 		return false
 	}
-	t.failedRun = r.number
+	t.failedRuns = append(t.failedRuns, r.number)
 	t.failures++
 	if r.worker != nil && len(t.failedOn) < maxFailedOn {
 		t.failedOn = append(t.failedOn, r.worker.ID)
--- /dev/null
+++ b/scheduler/trace_test.go
@@ -0,0 +1,16 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+)
+
+func (s *sim) trace(format string, a ...any) {
+	if f := os.Getenv("SIMTRACE"); f != "" {
+		line := fmt.Sprintf(format, a...)
+		if strings.Contains(line, f) || strings.Contains(line, "EVENT") {
+			fmt.Println(s.now, line)
+		}
+	}
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -43,8 +43,14 @@
 	pauses      int
 	doubt       int
 	evacuating  bool
-	// emptySince is when a report confirmed that nothing is here.
+	// drainBy is the earliest time at which a draining worker leaves.
+	drainBy time.Time
+	// emptyConfirmed means that a report has shown that nothing is here.
 	emptyConfirmed bool
+	// fillers counts runs that fill, fillCPU is what they ask for.
+	fillers int
+	fillCPU int64
+	pace    paceState
 }
 
 type runKey struct {
@@ -78,13 +84,13 @@
 	w.left = false
 	if fresh.Born < w.Born && fresh.Born != 0 {
 		// The registry lags behind what the worker said of itself.
-		w.Draining = fresh.Draining && w.Draining
 		return
 	}
 	if fresh.Born > w.Born && w.Born != 0 {
 		p.lifetimeOver(now, w, "restarted")
 		w.gone = false
 	}
+	p.noteDrain(now, w, fresh)
 	born := max(w.Born, fresh.Born)
 	w.Worker = *fresh
 	w.Born = born
@@ -94,6 +100,8 @@
 	w := &worker{Worker: *fresh, byKey: map[runKey]*run{}, listClock: -1}
 	w.lastReport = now
 	w.evacuating = p.evacuate[fresh.ID]
+	w.pace.percent = fullPace
+	w.drainBy = now.Add(fresh.DrainLeft)
 	p.workers[fresh.ID] = w
 	at := sort.Search(len(p.order), func(i int) bool { return p.order[i].ID >= fresh.ID })
 	p.order = append(p.order, nil)
@@ -102,6 +110,17 @@
 	p.takeover.expect(now, fresh.ID)
 }
 
+// noteDrain keeps when a worker that begins to drain leaves.
+func (p *Pool) noteDrain(now time.Time, w *worker, fresh *Worker) {
+	if !fresh.Draining {
+		return
+	}
+	by := now.Add(fresh.DrainLeft)
+	if !w.Draining || by.Before(w.drainBy) {
+		w.drainBy = by
+	}
+}
+
 // lifetimeOver ends everything on a lifetime that has crashed or left for good.
 func (p *Pool) lifetimeOver(now time.Time, w *worker, reason string) {
 	runs := append([]*run(nil), w.runs...)
@@ -161,7 +180,7 @@
 	if w.Draining || w.evacuating || w.doubt > 0 {
 		return false
 	}
-	return !w.silent(now) && !now.Before(w.pausedUntil) && w.trust.allows(now, w)
+	return !w.silent(now) && !now.Before(w.pausedUntil)
 }
 
 func (w *worker) free() Resources {
@@ -190,6 +209,10 @@
 	w.byKey[r.key()] = r
 	w.used = w.used.plus(r.need)
 	w.emptyConfirmed = false
+	if r.fills() {
+		w.fillers++
+		w.fillCPU += r.task.step.spec.GetCpuMilli()
+	}
 }
 
 // remove frees the room of the run.
@@ -202,6 +225,10 @@
 		}
 	}
 	w.used = w.used.minus(r.need)
+	if r.fills() {
+		w.fillers--
+		w.fillCPU -= r.task.step.spec.GetCpuMilli()
+	}
 }
 
 // pause keeps starts away for a while that doubles with each refusal.
