--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -105,10 +106,8 @@
 		out.EndedMs = j.endedAt.UnixMilli()
 		return out
 	}
-	for number := range j.next {
-		if j.finished[number] {
-			out.Occurrences = append(out.Occurrences, &pb.OccurrenceProgress{Occurrence: int64(number)})
-		}
+	for _, number := range slices.Sorted(maps.Keys(j.finished)) {
+		out.Occurrences = append(out.Occurrences, &pb.OccurrenceProgress{Occurrence: int64(number)})
 	}
 	for _, o := range j.occurrences {
 		out.Occurrences = append(out.Occurrences, o.progress())
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -29,6 +29,7 @@
 	// blocked counts the steps to be done before; opened means that there are none left.
 	blocked   int
 	opened    bool
+	finished  bool
 	followers []*step
 	// ready holds the tasks that wait for a worker; listed means that the step is in the pool's open list.
 	ready      []int
@@ -184,7 +185,12 @@
 	}
 }
 
+// finishStep opens what waited for the step. After a takeover a step may be heard to be done before those it follows.
 func (p *Pool) finishStep(now time.Time, s *step) {
+	if s.finished {
+		return
+	}
+	s.finished = true
 	o := s.occ
 	o.left--
 	for _, f := range s.followers {
