--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
@@ -104,10 +106,8 @@
 		out.EndedMs = j.endedAt.UnixMilli()
 		return out
 	}
-	for number := range j.next {
-		if j.finished[number] {
-			out.Occurrences = append(out.Occurrences, &pb.OccurrenceProgress{Occurrence: int64(number)})
-		}
+	for _, number := range slices.Sorted(maps.Keys(j.finished)) {
+		out.Occurrences = append(out.Occurrences, &pb.OccurrenceProgress{Occurrence: int64(number)})
 	}
 	for _, o := range j.occurrences {
 		out.Occurrences = append(out.Occurrences, o.progress())
@@ -141,13 +141,13 @@
 
 func (t *task) addProgress(out *pb.StepProgress) {
 	index := int64(t.index)
-	if t.failedRun > 0 {
+	if len(t.failedRuns) > 0 {
 		if out.Failures == nil {
 			out.Failures = map[int64]int64{}
-			out.FailedRuns = map[int64]int64{}
+			out.FailedRuns = map[int64]*pb.RunNumbers{}
 		}
 		out.Failures[index] = int64(t.failures)
-		out.FailedRuns[index] = t.failedRun
+		out.FailedRuns[index] = &pb.RunNumbers{Runs: slices.Clone(t.failedRuns)}
 	}
 	if t.checkpoint != "" {
 		if out.Checkpoints == nil {
