Hand pools over by consent; membership under faults

What: an owner that hears nothing from the store for 1.5 s asks peers to take its pools (JobPeerService.HandOver, Options.AskPeer, Manager.TakeFrom). Keys that a host has without owning the pool are released. Found by the histories and mended: a take that landed nowhere counted as handed over; a pool that was only free counted as handed over, so its owner did not regain it; a take under a lapsed lease delayed the next one.

--- a/gen/agateturn/v1/agateturnv1connect/jobs.connect.go
+++ b/gen/agateturn/v1/agateturnv1connect/jobs.connect.go
@@ -45,6 +45,8 @@
 	// JobPeerServicePoolStatusProcedure is the fully-qualified name of the JobPeerService's PoolStatus
 	// RPC.
 	JobPeerServicePoolStatusProcedure = "/agateturn.v1.JobPeerService/PoolStatus"
+	// JobPeerServiceHandOverProcedure is the fully-qualified name of the JobPeerService's HandOver RPC.
+	JobPeerServiceHandOverProcedure = "/agateturn.v1.JobPeerService/HandOver"
 )
 
 // JobPeerServiceClient is a client for the agateturn.v1.JobPeerService service.
@@ -57,6 +59,8 @@
 	PendingJobs(context.Context, *connect.Request[v1.PendingJobsRequest]) (*connect.Response[v1.PendingJobsResponse], error)
 	// PoolStatus tells the load of a pool, and sets which of its hosts are to be emptied.
 	PoolStatus(context.Context, *connect.Request[v1.PoolStatusRequest]) (*connect.Response[v1.PoolStatusResponse], error)
+	// HandOver asks a member to take a pool from its owner, which cannot reach the store and consents.
+	HandOver(context.Context, *connect.Request[v1.HandOverRequest]) (*connect.Response[v1.HandOverResponse], error)
 }
 
 // NewJobPeerServiceClient constructs a client for the agateturn.v1.JobPeerService service. By
@@ -94,6 +98,12 @@
 			connect.WithSchema(jobPeerServiceMethods.ByName("PoolStatus")),
 			connect.WithClientOptions(opts...),
 		),
+		handOver: connect.NewClient[v1.HandOverRequest, v1.HandOverResponse](
+			httpClient,
+			baseURL+JobPeerServiceHandOverProcedure,
+			connect.WithSchema(jobPeerServiceMethods.ByName("HandOver")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -103,6 +113,7 @@
 	offerJobs   *connect.Client[v1.OfferJobsRequest, v1.OfferJobsResponse]
 	pendingJobs *connect.Client[v1.PendingJobsRequest, v1.PendingJobsResponse]
 	poolStatus  *connect.Client[v1.PoolStatusRequest, v1.PoolStatusResponse]
+	handOver    *connect.Client[v1.HandOverRequest, v1.HandOverResponse]
 }
 
 // JobStates calls agateturn.v1.JobPeerService.JobStates.
@@ -125,6 +136,11 @@
 	return c.poolStatus.CallUnary(ctx, req)
 }
 
+// HandOver calls agateturn.v1.JobPeerService.HandOver.
+func (c *jobPeerServiceClient) HandOver(ctx context.Context, req *connect.Request[v1.HandOverRequest]) (*connect.Response[v1.HandOverResponse], error) {
+	return c.handOver.CallUnary(ctx, req)
+}
+
 // JobPeerServiceHandler is an implementation of the agateturn.v1.JobPeerService service.
 type JobPeerServiceHandler interface {
 	// JobStates tells the states of jobs. The owner answers for jobs it knows; others are UNSPECIFIED.
@@ -135,6 +151,8 @@
 	PendingJobs(context.Context, *connect.Request[v1.PendingJobsRequest]) (*connect.Response[v1.PendingJobsResponse], error)
 	// PoolStatus tells the load of a pool, and sets which of its hosts are to be emptied.
 	PoolStatus(context.Context, *connect.Request[v1.PoolStatusRequest]) (*connect.Response[v1.PoolStatusResponse], error)
+	// HandOver asks a member to take a pool from its owner, which cannot reach the store and consents.
+	HandOver(context.Context, *connect.Request[v1.HandOverRequest]) (*connect.Response[v1.HandOverResponse], error)
 }
 
 // NewJobPeerServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -168,6 +186,12 @@
 		connect.WithSchema(jobPeerServiceMethods.ByName("PoolStatus")),
 		connect.WithHandlerOptions(opts...),
 	)
+	jobPeerServiceHandOverHandler := connect.NewUnaryHandler(
+		JobPeerServiceHandOverProcedure,
+		svc.HandOver,
+		connect.WithSchema(jobPeerServiceMethods.ByName("HandOver")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/agateturn.v1.JobPeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case JobPeerServiceJobStatesProcedure:
@@ -178,6 +202,8 @@
 			jobPeerServicePendingJobsHandler.ServeHTTP(w, r)
 		case JobPeerServicePoolStatusProcedure:
 			jobPeerServicePoolStatusHandler.ServeHTTP(w, r)
+		case JobPeerServiceHandOverProcedure:
+			jobPeerServiceHandOverHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -202,3 +228,7 @@
 func (UnimplementedJobPeerServiceHandler) PoolStatus(context.Context, *connect.Request[v1.PoolStatusRequest]) (*connect.Response[v1.PoolStatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("agateturn.v1.JobPeerService.PoolStatus is not implemented"))
 }
+
+func (UnimplementedJobPeerServiceHandler) HandOver(context.Context, *connect.Request[v1.HandOverRequest]) (*connect.Response[v1.HandOverResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("agateturn.v1.JobPeerService.HandOver is not implemented"))
+}
--- /dev/null
+++ b/internal/jobstore/main_test.go
@@ -0,0 +1,9 @@
+package jobstore
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/membership/elect.go
+++ b/internal/membership/elect.go
@@ -18,8 +18,12 @@
 	"github.com/agateturn/agateturn/store"
 )
 
-// retryWrite is the mean wait before an owner key is written again after the store did not answer.
-const retryWrite = 400 * time.Millisecond
+const (
+	// retryWrite is the mean wait before an owner key is written again after the store did not answer.
+	retryWrite = 400 * time.Millisecond
+	// writeSpacing is the least time between two writes of an owner key.
+	writeSpacing = 50 * time.Millisecond
+)
 
 // elector is the state of the elector's goroutine; no other touches it.
 type elector struct {
@@ -28,7 +32,11 @@
 	// lease is 0 while this host holds none.
 	lease   uint64
 	settled time.Time
-	leaving bool
+	// leased is set by the first lease.
+	leased bool
+	// registerBy is when the member key should have been seen.
+	registerBy time.Time
+	leaving    bool
 	// held are the fences that Gained was called with.
 	held map[string]uint64
 	// refused are fences that a worker or the store refused.
@@ -60,6 +68,28 @@
 	maps.DeleteFunc(e.notYet, func(p string, _ time.Time) bool { return unused(p) })
 }
 
+// gainLease begins a new lease. After an earlier one the other hosts may have lost theirs too: each needs a renewal to
+// notice, and may then regain its pools before others take them.
+func (e *elector) gainLease(lease uint64, now time.Time, opts Options) {
+	wait := opts.Settle
+	if e.leased {
+		wait = max(wait, opts.LeaseTTL/2)
+	}
+	e.lease, e.leased = lease, true
+	e.settled = now.Add(wait)
+	e.registerBy = now.Add(opts.Settle)
+}
+
+// loseLease notes that the keys under the lease are gone: deleted by a revision after that of their write.
+func (e *elector) loseLease(now time.Time) {
+	for _, s := range e.view.owners {
+		if s.owner != nil && s.lease == e.lease {
+			s.free(s.version+1, now)
+		}
+	}
+	e.lease = 0
+}
+
 // elect is the elector's goroutine.
 func (m *Manager) elect(ctx context.Context) {
 	timer := time.NewTimer(time.Hour)
@@ -84,10 +114,10 @@
 	if e.lease == 0 || e.leaving || !e.view.loaded {
 		return wait
 	}
-	if s, ok := e.view.members[m.self.Name]; (!ok || s.member == nil || s.lease != e.lease) && now.After(e.settled) {
+	if s, ok := e.view.members[m.self.Name]; (!ok || s.member == nil || s.lease != e.lease) && now.After(e.registerBy) {
 		wake(m.registerNow)
 	}
-	if m.releaseRefused(ctx) {
+	if m.releaseUnwanted(ctx) {
 		wait = retryWrite
 	}
 	v := e.view.decide(e.pools, e.settled, now)
@@ -98,7 +128,7 @@
 			continue
 		}
 		lease := e.lease
-		m.spawnWrite(t.Pool, func() ([]store.Event, error) { return m.take(ctx, t.Pool, lease) })
+		m.spawnWrite(t.Pool, func() ([]store.Event, error) { return m.take(ctx, t.Pool, lease, 0) })
 	}
 	return wait
 }
@@ -134,11 +164,17 @@
 	}
 }
 
-// owns tells whether the key is this host's, under its present lease, and its fence was not refused.
-func (m *Manager) owns(pool string, s *ownerState) bool {
+// hasKey tells whether the key is this host's, under its present lease.
+func (m *Manager) hasKey(s *ownerState) bool {
 	e := &m.elector
 	ours := s.owner.GetMember() == m.self.Name && s.owner.GetIncarnation() == m.self.Incarnation
-	return ours && e.lease != 0 && s.lease == e.lease && s.version > e.refused[pool] && slices.Contains(e.pools, pool)
+	return ours && e.lease != 0 && s.lease == e.lease
+}
+
+// owns tells whether this host has the key of a pool that is to be owned, with a fence that was not refused.
+func (m *Manager) owns(pool string, s *ownerState) bool {
+	e := &m.elector
+	return m.hasKey(s) && s.version > e.refused[pool] && slices.Contains(e.pools, pool)
 }
 
 func sortedKeys[V any](from map[string]V) []string {
@@ -162,18 +198,20 @@
 			for _, event := range events {
 				e.view.apply(event, now)
 			}
-			if err != nil {
-				e.notYet[pool] = now.Add(retryWrite/2 + time.Duration(rand.Int64N(int64(retryWrite))))
-			}
-			if store.LeaseLost.Has(err) {
+			e.notYet[pool] = now.Add(writeSpacing)
+			switch {
+			case store.LeaseLost.Has(err):
 				wake(m.renewNow)
+			case err != nil:
+				e.notYet[pool] = now.Add(retryWrite/2 + time.Duration(rand.Int64N(int64(retryWrite))))
 			}
 		})
 	})
 }
 
-// take returns the state of the owner key after an attempt to put this host's record there.
-func (m *Manager) take(ctx context.Context, pool string, lease uint64) ([]store.Event, error) {
+// take returns the state of the owner key after an attempt to put this host's record there, in place of the one with
+// the fence from (0: none).
+func (m *Manager) take(ctx context.Context, pool string, lease, from uint64) ([]store.Event, error) {
 	key := jobkeys.Owner(pool)
 	put, err := m.ownerPut(key, lease)
 	if err != nil {
@@ -182,7 +220,7 @@
 	call, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
 	defer cancel()
 	version, err := m.kv.Commit(call, store.Transaction{
-		Conditions: []store.Condition{{Key: key}},
+		Conditions: []store.Condition{{Key: key, Version: from}},
 		Puts:       []store.Put{put},
 	})
 	var conflict *store.ConflictError
@@ -191,7 +229,7 @@
 		m.noteHeard()
 		return []store.Event{{Item: store.Item{Key: key, Data: put.Data, Version: version, Lease: lease}}}, nil
 	case errors.As(err, &conflict):
-		return lo.Map(conflict.Items, func(i store.Item, _ int) store.Event { return store.Event{Item: i} }), nil
+		return statesOf(conflict, from), nil
 	case store.Unknown.Has(err):
 		return m.readBack(ctx, key)
 	}
@@ -215,12 +253,12 @@
 	}
 	m.noteHeard()
 	if item.Version == 0 {
-		return nil, store.Unknown.New("no trace of the write yet")
+		return nil, store.Unknown.New("no trace of the write")
 	}
 	return []store.Event{{Item: item}}, nil
 }
 
-// refuse drops a pool whose fence was refused. If the store still has the key, releaseRefused removes it: the next take
+// refuse drops a pool whose fence was refused. If the store still has the key, releaseUnwanted removes it: the next take
 // has a new fence.
 func (m *Manager) refuse(pool string, fence uint64) {
 	if m.elector.held[pool] == fence {
@@ -228,17 +266,19 @@
 	}
 }
 
-// releaseRefused frees pools whose key this host has with a refused fence. It reports whether there are any.
-func (m *Manager) releaseRefused(ctx context.Context) bool {
+// releaseUnwanted frees the keys that this host has without owning the pool: with a refused fence, or of a pool that is
+// no longer to be owned. It reports whether there are any.
+func (m *Manager) releaseUnwanted(ctx context.Context) bool {
 	e := &m.elector
 	found := false
-	for _, pool := range sortedKeys(e.refused) {
+	for _, pool := range sortedKeys(e.view.owners) {
 		s := e.view.owners[pool]
-		if s == nil || s.owner == nil || s.version != e.refused[pool] {
+		if !m.hasKey(s) || m.owns(pool, s) {
 			continue
 		}
 		found = true
-		m.spawnWrite(pool, func() ([]store.Event, error) { return m.release(ctx, pool, s.version) })
+		fence := s.version
+		m.spawnWrite(pool, func() ([]store.Event, error) { return m.release(ctx, pool, fence) })
 	}
 	return found
 }
@@ -253,9 +293,8 @@
 		Deletes:    []string{key},
 	})
 	var conflict *store.ConflictError
-	if errors.As(err, &conflict) && len(conflict.Items) == 1 {
-		item := conflict.Items[0]
-		return []store.Event{{Item: item, Deleted: item.Version == 0}}, nil
+	if errors.As(err, &conflict) {
+		return statesOf(conflict, fence), nil
 	}
 	if err != nil {
 		return nil, err
@@ -263,3 +302,14 @@
 	m.noteHeard()
 	return []store.Event{{Item: store.Item{Key: key, Version: version}, Deleted: true}}, nil
 }
+
+// statesOf are the states of the keys that a conflict showed. An absent key that had the version expected was deleted by
+// a later revision.
+func statesOf(conflict *store.ConflictError, expected uint64) []store.Event {
+	return lo.Map(conflict.Items, func(i store.Item, _ int) store.Event {
+		if i.Version > 0 {
+			return store.Event{Item: i}
+		}
+		return store.Event{Item: store.Item{Key: i.Key, Version: expected + 1}, Deleted: true}
+	})
+}
--- /dev/null
+++ b/internal/membership/faults_test.go
@@ -0,0 +1,272 @@
+package membership
+
+import (
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/agateturn/agateturn/internal/jobkeys"
+	"github.com/agateturn/agateturn/store/memtxn"
+)
+
+// settleTime is enough for a fleet to start and take its pools.
+const settleTime = 2 * time.Second
+
+// fleetTest runs f on a settled fleet of nine hosts in virtual time.
+func fleetTest(t *testing.T, f func(t *testing.T, kv *memtxn.Store, hosts []*host)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		kv := memtxn.New()
+		kv.SetFaults(memtxn.Faults{Delay: 4 * time.Millisecond})
+		hosts, _ := startFleet(t, kv, 9)
+		defer stopAll(hosts)
+		time.Sleep(settleTime)
+		allOwned(t, kv, hosts)
+		f(t, kv, hosts)
+	})
+}
+
+// allOwned checks that each pool has one holder, that it is confirmed and has the fence of the store's key.
+func allOwned(t *testing.T, kv *memtxn.Store, hosts []*host) {
+	t.Helper()
+	synctest.Wait()
+	for _, p := range pools {
+		owner := ownerOf(t, hosts, p)
+		assert.Assert(t, owner != nil, "%s is free", p)
+		fence, ok := owner.Confirmed(p)
+		assert.Assert(t, ok, "%s not confirmed", p)
+		items := kv.Items(jobkeys.Owner(p))
+		assert.Equal(t, len(items), 1)
+		assert.Equal(t, items[0].Version, fence)
+	}
+}
+
+// within waits until the condition holds and returns how long that took.
+func within(t *testing.T, limit time.Duration, what string, holds func() bool) time.Duration {
+	t.Helper()
+	const step = 5 * time.Millisecond
+	for took := time.Duration(0); took <= limit; took += step {
+		synctest.Wait()
+		if holds() {
+			return took
+		}
+		time.Sleep(step)
+	}
+	t.Fatalf("%s: not within %s", what, limit)
+	return 0
+}
+
+func higherFence(hosts []*host, pool string, old uint64) func() bool {
+	return func() bool {
+		return slices.ContainsFunc(hosts, func(h *host) bool { return h.holds()[pool] > old })
+	}
+}
+
+func without(hosts []*host, gone *host) []*host {
+	var rest []*host
+	for _, h := range hosts {
+		if h != gone {
+			rest = append(rest, h)
+		}
+	}
+	return rest
+}
+
+func TestKilledOwnerIsReplaced(t *testing.T) {
+	fleetTest(t, func(t *testing.T, kv *memtxn.Store, hosts []*host) {
+		gone := ownerOf(t, hosts, "a")
+		rest := without(hosts, gone)
+		gone.stop()
+		took := within(t, 2700*time.Millisecond, "takeover", func() bool { return ownerOf(t, rest, "a") != nil })
+		t.Logf("taken over after %s", took)
+		allOwned(t, kv, rest)
+	})
+}
+
+func TestLeavingOwnerIsReplacedAtOnce(t *testing.T) {
+	fleetTest(t, func(t *testing.T, kv *memtxn.Store, hosts []*host) {
+		gone := ownerOf(t, hosts, "a")
+		rest := without(hosts, gone)
+		handedOver := ""
+		assert.NilError(t, gone.Leave(t.Context(), func(pool string) {
+			_, held := gone.holds()[pool]
+			assert.Assert(t, held, "the owner holds the pool until it is handed over")
+			handedOver += pool
+		}))
+		assert.Equal(t, handedOver, "a")
+		assert.Equal(t, len(gone.holds()), 0)
+		took := within(t, 50*time.Millisecond, "takeover", func() bool { return ownerOf(t, rest, "a") != nil })
+		t.Logf("taken over %s after Leave", took)
+		time.Sleep(50 * time.Millisecond)
+		allOwned(t, kv, rest)
+		assert.Equal(t, len(rest[0].Members()), len(rest))
+	})
+}
+
+func TestLeaveWhileTheStoreRefusesThisHost(t *testing.T) {
+	fleetTest(t, func(t *testing.T, kv *memtxn.Store, hosts []*host) {
+		gone := ownerOf(t, hosts, "a")
+		rest := without(hosts, gone)
+		kv.SetFaults(memtxn.Faults{Cut: map[string]bool{gone.name: true}})
+		_ = gone.Leave(t.Context(), func(string) {}) // its lease cannot be ended
+		within(t, 50*time.Millisecond, "takeover", func() bool { return ownerOf(t, rest, "a") != nil })
+		allOwned(t, kv, rest)
+	})
+}
+
+func TestOwnersRegainTheirPoolsAfterLeasesWereRevoked(t *testing.T) {
+	fleetTest(t, func(t *testing.T, kv *memtxn.Store, hosts []*host) {
+		before := make(map[string]*host)
+		for _, p := range pools {
+			before[p] = ownerOf(t, hosts, p)
+		}
+		kv.RevokeAll()
+		time.Sleep(1500 * time.Millisecond)
+		allOwned(t, kv, hosts)
+		for _, p := range pools {
+			assert.Equal(t, ownerOf(t, hosts, p).name, before[p].name, "pool %s", p)
+		}
+	})
+}
+
+func TestKeysRemovedBehindTheOwnersBack(t *testing.T) {
+	fleetTest(t, func(t *testing.T, kv *memtxn.Store, hosts []*host) {
+		owner := ownerOf(t, hosts, "a")
+		old, _ := owner.Confirmed("a")
+		kv.Remove(jobkeys.Member(owner.name))
+		kv.Remove(jobkeys.Owner("a"))
+		within(t, time.Second, "new fence", higherFence(hosts, "a", old))
+		time.Sleep(time.Second)
+		allOwned(t, kv, hosts)
+		assert.Equal(t, len(hosts[0].Members()), len(hosts))
+	})
+}
+
+func TestRefusedFenceIsReplacedByAHigherOne(t *testing.T) {
+	fleetTest(t, func(t *testing.T, kv *memtxn.Store, hosts []*host) {
+		owner := ownerOf(t, hosts, "a")
+		old, _ := owner.Confirmed("a")
+		owner.Replaced("a", old)
+		synctest.Wait()
+		_, ok := owner.Confirmed("a")
+		assert.Assert(t, !ok)
+		within(t, time.Second, "new fence", higherFence(hosts, "a", old))
+		allOwned(t, kv, hosts)
+	})
+}
+
+func TestOwnersGoOnWhileTheStoreIsDown(t *testing.T) {
+	fleetTest(t, func(t *testing.T, kv *memtxn.Store, hosts []*host) {
+		owner := ownerOf(t, hosts, "a")
+		calls := kv.Calls()
+		kv.SetFaults(memtxn.Faults{Down: true})
+		time.Sleep(9 * time.Second)
+		_, ok := owner.Confirmed("a")
+		assert.Assert(t, ok)
+		time.Sleep(11 * time.Second)
+		_, ok = owner.Confirmed("a")
+		assert.Assert(t, !ok)
+		refused := 0
+		for i, n := range kv.Calls() {
+			refused += n - calls[i]
+		}
+		t.Logf("%d calls in 20 s of outage from %d hosts", refused, len(hosts))
+		assert.Assert(t, refused < len(hosts)*20*6, "%d calls", refused)
+		kv.SetFaults(memtxn.Faults{})
+		took := within(t, 4*time.Second, "recovery", func() bool {
+			for _, p := range pools {
+				h := ownerOf(t, hosts, p)
+				if h == nil {
+					return false
+				}
+				if _, ok := h.Confirmed(p); !ok {
+					return false
+				}
+			}
+			return true
+		})
+		t.Logf("all owned %s after the store came back", took)
+		assert.Equal(t, ownerOf(t, hosts, "a").name, owner.name)
+	})
+}
+
+func TestLossOfHistoryAndDeafWatches(t *testing.T) {
+	fleetTest(t, func(t *testing.T, kv *memtxn.Store, hosts []*host) {
+		kv.Compact()
+		time.Sleep(time.Second)
+		kv.SetFaults(memtxn.Faults{DeafWatches: true, StaleBy: time.Second})
+		gone := ownerOf(t, hosts, "a")
+		rest := without(hosts, gone)
+		gone.stop()
+		took := within(t, 7*time.Second, "takeover", func() bool { return ownerOf(t, rest, "a") != nil })
+		t.Logf("taken over after %s with deaf watches", took)
+		kv.SetFaults(memtxn.Faults{})
+		time.Sleep(12 * time.Second)
+		allOwned(t, kv, rest)
+	})
+}
+
+func TestOwnerThatTheStoreTurnsAwayHandsOver(t *testing.T) {
+	fleetTest(t, func(t *testing.T, kv *memtxn.Store, hosts []*host) {
+		cut := ownerOf(t, hosts, "a")
+		rest := without(hosts, cut)
+		kv.SetFaults(memtxn.Faults{Cut: map[string]bool{cut.name: true}})
+		took := within(t, 2400*time.Millisecond, "hand-over", func() bool { return ownerOf(t, rest, "a") != nil })
+		t.Logf("handed over after %s", took)
+		assert.Equal(t, len(cut.holds()), 0)
+		rec, _, _ := cut.Owner("a")
+		assert.Equal(t, rec.GetMember(), ownerOf(t, rest, "a").name, "the host that was cut knows whom to ask")
+		kv.SetFaults(memtxn.Faults{})
+		time.Sleep(5 * time.Second)
+		allOwned(t, kv, hosts)
+	})
+}
+
+func TestOwnerConfirmsItsLeaseAfterASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memtxn.New()
+		var ahead atomic.Int64
+		h := startHostAt(t, kv.Client("h"), "h", Options{}, func() time.Time {
+			return time.Now().Add(time.Duration(ahead.Load()))
+		})
+		defer h.stop()
+		time.Sleep(settleTime)
+		synctest.Wait()
+		_, ok := h.Confirmed("a")
+		assert.Assert(t, ok)
+		kv.SetFaults(memtxn.Faults{Plan: func(_ string, call memtxn.Call) memtxn.Outcome {
+			if call == memtxn.CallKeepAlive {
+				return memtxn.Refuse
+			}
+			return memtxn.Serve
+		}})
+		ahead.Store(int64(2 * time.Second))
+		_, ok = h.Confirmed("a")
+		assert.Assert(t, !ok, "not before the process noticed")
+		time.Sleep(500 * time.Millisecond)
+		_, ok = h.Confirmed("a")
+		assert.Assert(t, !ok, "not while no renewal was answered")
+		kv.SetFaults(memtxn.Faults{})
+		within(t, time.Second, "confirmation", func() bool {
+			_, ok := h.Confirmed("a")
+			return ok
+		})
+	})
+}
+
+func TestPoolsThatAreNoLongerNamedAreGivenUp(t *testing.T) {
+	fleetTest(t, func(t *testing.T, kv *memtxn.Store, hosts []*host) {
+		owner := ownerOf(t, hosts, "a")
+		for _, h := range hosts {
+			h.SetPools(pools[1:])
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.Equal(t, len(owner.holds()), 0)
+		assert.Equal(t, len(kv.Items(jobkeys.Owner("a"))), 0)
+	})
+}
--- /dev/null
+++ b/internal/membership/history_test.go
@@ -0,0 +1,89 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/agateturn/agateturn/store/memtxn"
+)
+
+// histories is how many random histories of faults are played.
+const histories = 30
+
+// TestPoolsAreOwnedAfterRandomFaults plays faults at random and checks what must hold throughout and after them.
+func TestPoolsAreOwnedAfterRandomFaults(t *testing.T) {
+	for seed := range uint64(histories) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playHistory(t, rand.New(rand.NewPCG(seed, 1))) })
+		})
+	}
+}
+
+func playHistory(t *testing.T, random *rand.Rand) {
+	kv := memtxn.New()
+	hosts, peers := startFleet(t, kv, 5)
+	defer func() { stopAll(hosts) }()
+	time.Sleep(settleTime)
+	for range 6 {
+		kv.SetFaults(randomFaults(random))
+		switch random.IntN(6) {
+		case 0:
+			i := random.IntN(len(hosts))
+			hosts[i].stop()
+			hosts[i] = startHost(t, kv.Client(hosts[i].name), hosts[i].name, Options{AskPeer: askAmong(peers)})
+			peers.Store(hosts[i].name, hosts[i])
+		case 1:
+			kv.RevokeAll()
+		case 2:
+			kv.Compact()
+		}
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			synctest.Wait()
+			oneFenceOneHolder(t, hosts)
+		}
+	}
+	kv.SetFaults(memtxn.Faults{})
+	time.Sleep(8 * time.Second)
+	allOwned(t, kv, hosts)
+}
+
+// oneFenceOneHolder checks that no two hosts hold a pool with the same fence.
+func oneFenceOneHolder(t *testing.T, hosts []*host) {
+	t.Helper()
+	seen := make(map[string]string)
+	for _, h := range hosts {
+		for pool, fence := range h.holds() {
+			key := fmt.Sprint(pool, fence)
+			assert.Assert(t, seen[key] == "", "%s and %s hold %s with fence %d", seen[key], h.name, pool, fence)
+			seen[key] = h.name
+		}
+	}
+}
+
+func randomFaults(random *rand.Rand) memtxn.Faults {
+	f := memtxn.Faults{Delay: time.Duration(random.IntN(20)) * time.Millisecond, StaleBy: 2 * time.Second}
+	switch random.IntN(6) {
+	case 0:
+		f.Down, f.PauseLeases = true, random.IntN(2) == 0
+	case 1:
+		f.Cut = map[string]bool{"h0": true, "h1": random.IntN(2) == 0}
+	case 2:
+		f.DeafWatches = true
+	case 3:
+		f.Delay = time.Duration(random.IntN(3000)) * time.Millisecond
+	case 4:
+		f.LateBy = time.Duration(random.IntN(4000)) * time.Millisecond
+		outcomes := []memtxn.Outcome{
+			memtxn.Serve, memtxn.Serve, memtxn.Refuse, memtxn.LoseRequest, memtxn.LoseAnswer, memtxn.LandLate, memtxn.Hang,
+		}
+		random := rand.New(rand.NewPCG(random.Uint64(), 2)) // used under the store's lock
+		f.Plan = func(string, memtxn.Call) memtxn.Outcome { return outcomes[random.IntN(len(outcomes))] }
+	}
+	return f
+}
--- a/internal/membership/keep.go
+++ b/internal/membership/keep.go
@@ -50,7 +50,7 @@
 		backoff.Reset()
 		m.hold(ctx, lease, ttl)
 		m.confirmation.Withdraw()
-		m.post(ctx, func(context.Context) { m.elector.lease = 0 })
+		m.post(ctx, func(context.Context) { m.elector.loseLease(m.clock()) })
 	}
 }
 
@@ -71,9 +71,7 @@
 func (m *Manager) hold(ctx context.Context, lease uint64, ttl time.Duration) {
 	m.log.Info("lease granted", slog.Uint64("lease", lease), slog.Duration("ttl", ttl))
 	m.post(ctx, func(context.Context) {
-		e := &m.elector
-		e.lease = lease
-		e.settled = m.clock().Add(m.opts.Settle)
+		m.elector.gainLease(lease, m.clock(), m.opts)
 	})
 	results := make(chan error, maxRenewals)
 	running, failures := 0, 0
@@ -120,6 +118,7 @@
 	if err == nil {
 		m.noteHeard()
 		m.confirmation.Confirm(started)
+		wake(m.storeBack)
 	}
 	return err
 }
--- a/internal/membership/leave.go
+++ b/internal/membership/leave.go
@@ -42,6 +42,9 @@
 
 func (m *Manager) freePool(ctx context.Context, pool string, fence uint64) {
 	events, err := m.release(ctx, pool, fence)
+	if err != nil && m.askPeers(ctx, pool, fence) {
+		return
+	}
 	if err != nil {
 		m.log.Info("pool is freed by the end of the lease", slog.String("pool", pool), slog.Any("error", err))
 		return
@@ -54,7 +57,7 @@
 	_ = m.do(ctx, apply, nil) // an ended ctx shows at the next call
 }
 
-// do runs f on the elector's goroutine and waits for it. It returns err, or else ctx's error.
+// do runs f on the elector's goroutine and waits for it. It returns err, or that ctx or Run ended.
 func (m *Manager) do(ctx context.Context, f func(*elector), err error) error {
 	done := make(chan struct{})
 	m.post(ctx, func(context.Context) {
@@ -64,6 +67,8 @@
 	select {
 	case <-done:
 		return err
+	case <-m.life.Done():
+		return m.life.Err()
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -1,8 +1,9 @@
 // Package membership keeps this entry host registered in the shared store, and takes, keeps and gives up pools.
 //
 // One lease a host holds its member key and the keys of the pools that it owns. The goroutines of Run are: the keeper,
-// which holds the lease; the watcher and the checker, which follow the keys of all hosts; and the elector, which alone
-// changes state, takes free pools and calls Events. The decisions are those of package ownership.
+// which holds the lease; the watcher and the checker, which follow the keys of all hosts; one that hands pools over while
+// the store is silent; and the elector, which alone changes state, takes free pools and calls Events. The decisions are
+// those of package ownership.
 package membership
 
 import (
@@ -62,6 +63,11 @@
 	WatchWait time.Duration
 	// QuietCheck is how long the watch may tell nothing before a cheap read looks for changes. Default 2 s.
 	QuietCheck time.Duration
+	// AskPeer asks a peer to call TakeFrom, and returns nil if that did. It lets an owner that the store does not answer
+	// hand over before its lease lapses. Nil means that it waits.
+	AskPeer func(ctx context.Context, peer *pb.JobMember, pool string, fence uint64) error
+	// HandOverAfter is how long the store must have been silent for that. Default 1.5 s.
+	HandOverAfter time.Duration
 }
 
 func (o Options) withDefaults() Options {
@@ -72,6 +78,7 @@
 	o.Pause = cmp.Or(o.Pause, time.Second)
 	o.CallTimeout = cmp.Or(o.CallTimeout, 2500*time.Millisecond)
 	o.WatchWait = cmp.Or(o.WatchWait, 10*time.Second)
+	o.HandOverAfter = cmp.Or(o.HandOverAfter, 1500*time.Millisecond)
 	o.QuietCheck = cmp.Or(o.QuietCheck, 2*time.Second)
 	return o
 }
@@ -95,6 +102,8 @@
 	// renewNow and registerNow wake the keeper.
 	renewNow    chan struct{}
 	registerNow chan struct{}
+	// storeBack wakes a watcher that waits after a failure.
+	storeBack   chan struct{}
 	registering atomic.Bool
 	stopped     chan struct{} // closed by Leave: the keeper ends
 	stop        sync.Once
@@ -117,6 +126,7 @@
 		inbox:       ring.New[func(context.Context)]("membership", inboxSize),
 		renewNow:    make(chan struct{}, 1),
 		registerNow: make(chan struct{}, 1),
+		storeBack:   make(chan struct{}, 1),
 		stopped:     make(chan struct{}),
 		elector:     newElector(),
 	}
@@ -130,7 +140,7 @@
 	defer m.calls.Wait()
 	defer m.end()
 	g, ctx := errgroup.WithContext(ctx)
-	for _, duty := range []func(context.Context){m.keep, m.watch, m.check, m.tick, m.elect} {
+	for _, duty := range []func(context.Context){m.keep, m.watch, m.check, m.tick, m.consent, m.elect} {
 		g.Go(func() error {
 			duty(ctx)
 			return nil
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/store"
 	"github.com/agateturn/agateturn/store/memtxn"
 )
@@ -30,6 +31,11 @@
 }
 
 func startHost(t *testing.T, kv store.Transactor, name string, opts Options) *host {
+	t.Helper()
+	return startHostAt(t, kv, name, opts, time.Now)
+}
+
+func startHostAt(t *testing.T, kv store.Transactor, name string, opts Options, clock func() time.Time) *host {
 	t.Helper()
 	h := &host{name: name, held: make(map[string]uint64), done: make(chan struct{})}
 	ev := Events{
@@ -50,7 +56,7 @@
 		},
 	}
 	self := Self{Name: name, Incarnation: name + "-" + time.Now().Format("15:04:05.000"), PeerAddress: name + ":1"}
-	h.Manager = New(kv, self, ev, time.Now, slog.New(slog.DiscardHandler), opts)
+	h.Manager = New(kv, self, ev, clock, slog.New(slog.DiscardHandler), opts)
 	h.SetPools(pools)
 	ctx, cancel := context.WithCancel(t.Context())
 	h.stop = func() {
@@ -74,14 +80,26 @@
 	return held
 }
 
-func startFleet(t *testing.T, kv *memtxn.Store, n int) []*host {
+// askAmong is an AskPeer that calls the peer directly; peers are hosts by name.
+func askAmong(peers *sync.Map) func(context.Context, *pb.JobMember, string, uint64) error {
+	return func(ctx context.Context, peer *pb.JobMember, pool string, fence uint64) error {
+		h, ok := peers.Load(peer.GetName())
+		if !ok {
+			return CannotTake.New("no such peer")
+		}
+		return h.(*host).TakeFrom(ctx, pool, fence)
+	}
+}
+
+func startFleet(t *testing.T, kv *memtxn.Store, n int) (hosts []*host, peers *sync.Map) {
 	t.Helper()
-	hosts := make([]*host, n)
+	hosts, peers = make([]*host, n), &sync.Map{}
 	for i := range hosts {
 		name := fmt.Sprintf("h%d", i)
-		hosts[i] = startHost(t, kv.Client(name), name, Options{})
+		hosts[i] = startHost(t, kv.Client(name), name, Options{AskPeer: askAmong(peers)})
+		peers.Store(name, hosts[i])
 	}
-	return hosts
+	return hosts, peers
 }
 
 func stopAll(hosts []*host) {
@@ -105,7 +123,7 @@
 
 func TestPoolsSpreadOverHostsThatStartTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		hosts := startFleet(t, memtxn.New(), 9)
+		hosts, _ := startFleet(t, memtxn.New(), 9)
 		defer stopAll(hosts)
 		time.Sleep(2 * time.Second)
 		for _, h := range hosts {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -28,6 +28,8 @@
 	owner     *pb.OwnerRecord
 	last      *pb.OwnerRecord
 	freeSince time.Time
+	// told means that owner is what a peer told; what the store has under the same version replaces it.
+	told bool
 }
 
 // view is what the store's keys said, each by its newest version.
@@ -70,16 +72,15 @@
 
 func (v *view) applyOwner(pool string, e store.Event, now time.Time) {
 	s := v.owner(pool, now)
-	if e.Item.Version <= s.version {
+	if e.Item.Version < s.version || (e.Item.Version == s.version && !s.told) {
 		return
 	}
-	s.version, s.lease = e.Item.Version, e.Item.Lease
+	s.told = false
 	if e.Deleted {
-		if s.owner != nil {
-			s.last, s.owner, s.freeSince = s.owner, nil, now
-		}
+		s.free(e.Item.Version, now)
 		return
 	}
+	s.version, s.lease = e.Item.Version, e.Item.Lease
 	rec := &pb.OwnerRecord{}
 	if proto.Unmarshal(e.Item.Data, rec) != nil {
 		rec = &pb.OwnerRecord{} // the key is taken all the same
@@ -87,6 +88,14 @@
 	s.owner = rec
 }
 
+// free notes that the key was deleted at the version.
+func (s *ownerState) free(version uint64, now time.Time) {
+	if s.owner != nil {
+		s.last, s.owner, s.freeSince = s.owner, nil, now
+	}
+	s.version, s.lease = version, 0
+}
+
 func (v *view) owner(pool string, now time.Time) *ownerState {
 	s, ok := v.owners[pool]
 	if !ok {
@@ -138,6 +147,9 @@
 		}
 	}
 	for pool, s := range v.owners {
+		if s.told && asOf > s.version {
+			return true
+		}
 		if missing(jobkeys.Owner(pool), s.version, s.owner != nil) {
 			return true
 		}
--- a/internal/membership/watch.go
+++ b/internal/membership/watch.go
@@ -11,13 +11,31 @@
 // watchSlack is how much longer than its wait a watch may take.
 const watchSlack = 2 * time.Second
 
+// maxWatchBackoff bounds the wait after a failed watch, unless the keeper hears the store before.
+const maxWatchBackoff = 5 * time.Second
+
+// waitForStore waits, at most until the keeper hears the store again.
+func (m *Manager) waitForStore(ctx context.Context, wait time.Duration) {
+	select {
+	case <-m.storeBack: // from before the failure
+	default:
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-m.storeBack:
+	case <-ctx.Done():
+	}
+}
+
 // watch is the watcher's goroutine: it follows the keys of all hosts.
 func (m *Manager) watch(ctx context.Context) {
-	backoff := newBackoff()
+	backoff := store.Backoff{Base: 100 * time.Millisecond, Max: maxWatchBackoff}
 	for ctx.Err() == nil {
 		asOf, err := m.readAll(ctx)
 		if err != nil {
-			_ = backoff.Sleep(ctx) // the loop looks at ctx
+			m.waitForStore(ctx, backoff.Next())
 			continue
 		}
 		backoff.Reset()
@@ -40,14 +58,14 @@
 
 // follow watches until the history is gone or ctx ends.
 func (m *Manager) follow(ctx context.Context, asOf uint64) {
-	backoff := newBackoff()
+	backoff := store.Backoff{Base: 100 * time.Millisecond, Max: maxWatchBackoff}
 	for {
 		events, next, err := m.watchOnce(ctx, asOf)
 		if store.Compacted.Has(err) || ctx.Err() != nil {
 			return
 		}
 		if err != nil {
-			_ = backoff.Sleep(ctx) // the loop looks at ctx
+			m.waitForStore(ctx, backoff.Next())
 			continue
 		}
 		backoff.Reset()
@@ -81,7 +99,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if quiet := m.clock().Sub(time.Unix(0, m.watchHeard.Load())); quiet < m.opts.QuietCheck {
+		if quiet := m.clock().Sub(time.Unix(0, m.watchHeard.Load())); quiet < m.opts.QuietCheck || m.storeSilent() {
 			continue
 		}
 		if m.missed(ctx) {
--- a/ownership/confirm.go
+++ b/ownership/confirm.go
@@ -63,3 +63,6 @@
 	confirmed := c.confirmed.Load()
 	return confirmed >= c.resumed.Load() && n-confirmed <= int64(c.limits.Unconfirmed)
 }
+
+// Resumed is when the process began to run without a suspension since.
+func (c *Confirmation) Resumed() time.Time { return time.Unix(0, c.resumed.Load()) }
