--- a/gen/agateturn/v1/agateturnv1connect/jobs.connect.go
+++ b/gen/agateturn/v1/agateturnv1connect/jobs.connect.go
@@ -53,6 +53,8 @@
 	// JobPeerServiceOfferTableProcedure is the fully-qualified name of the JobPeerService's OfferTable
 	// RPC.
 	JobPeerServiceOfferTableProcedure = "/agateturn.v1.JobPeerService/OfferTable"
+	// JobPeerServiceHandOverProcedure is the fully-qualified name of the JobPeerService's HandOver RPC.
+	JobPeerServiceHandOverProcedure = "/agateturn.v1.JobPeerService/HandOver"
 )
 
 // JobPeerServiceClient is a client for the agateturn.v1.JobPeerService service.
@@ -71,6 +73,8 @@
 	StoreJob(context.Context, *connect.Request[v1.StoreJobRequest]) (*connect.Response[v1.StoreJobResponse], error)
 	// OfferTable tells a peer of a version of the table of queues. Every entry host answers it.
 	OfferTable(context.Context, *connect.Request[v1.OfferTableRequest]) (*connect.Response[v1.OfferTableResponse], error)
+	// HandOver asks a member to take a pool from its owner, which cannot reach the store and consents.
+	HandOver(context.Context, *connect.Request[v1.HandOverRequest]) (*connect.Response[v1.HandOverResponse], error)
 }
 
 // NewJobPeerServiceClient constructs a client for the agateturn.v1.JobPeerService service. By
@@ -126,6 +130,12 @@
 			connect.WithSchema(jobPeerServiceMethods.ByName("OfferTable")),
 			connect.WithClientOptions(opts...),
 		),
+		handOver: connect.NewClient[v1.HandOverRequest, v1.HandOverResponse](
+			httpClient,
+			baseURL+JobPeerServiceHandOverProcedure,
+			connect.WithSchema(jobPeerServiceMethods.ByName("HandOver")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -138,6 +148,7 @@
 	describeJobs *connect.Client[v1.DescribeJobsRequest, v1.DescribeJobsResponse]
 	storeJob     *connect.Client[v1.StoreJobRequest, v1.StoreJobResponse]
 	offerTable   *connect.Client[v1.OfferTableRequest, v1.OfferTableResponse]
+	handOver     *connect.Client[v1.HandOverRequest, v1.HandOverResponse]
 }
 
 // JobStates calls agateturn.v1.JobPeerService.JobStates.
@@ -175,6 +186,11 @@
 	return c.offerTable.CallUnary(ctx, req)
 }
 
+// HandOver calls agateturn.v1.JobPeerService.HandOver.
+func (c *jobPeerServiceClient) HandOver(ctx context.Context, req *connect.Request[v1.HandOverRequest]) (*connect.Response[v1.HandOverResponse], error) {
+	return c.handOver.CallUnary(ctx, req)
+}
+
 // JobPeerServiceHandler is an implementation of the agateturn.v1.JobPeerService service.
 type JobPeerServiceHandler interface {
 	// JobStates tells the states of jobs. The owner answers for jobs it knows; others are UNSPECIFIED.
@@ -191,6 +207,8 @@
 	StoreJob(context.Context, *connect.Request[v1.StoreJobRequest]) (*connect.Response[v1.StoreJobResponse], error)
 	// OfferTable tells a peer of a version of the table of queues. Every entry host answers it.
 	OfferTable(context.Context, *connect.Request[v1.OfferTableRequest]) (*connect.Response[v1.OfferTableResponse], error)
+	// HandOver asks a member to take a pool from its owner, which cannot reach the store and consents.
+	HandOver(context.Context, *connect.Request[v1.HandOverRequest]) (*connect.Response[v1.HandOverResponse], error)
 }
 
 // NewJobPeerServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -242,6 +260,12 @@
 		connect.WithSchema(jobPeerServiceMethods.ByName("OfferTable")),
 		connect.WithHandlerOptions(opts...),
 	)
+	jobPeerServiceHandOverHandler := connect.NewUnaryHandler(
+		JobPeerServiceHandOverProcedure,
+		svc.HandOver,
+		connect.WithSchema(jobPeerServiceMethods.ByName("HandOver")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/agateturn.v1.JobPeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case JobPeerServiceJobStatesProcedure:
@@ -258,6 +282,8 @@
 			jobPeerServiceStoreJobHandler.ServeHTTP(w, r)
 		case JobPeerServiceOfferTableProcedure:
 			jobPeerServiceOfferTableHandler.ServeHTTP(w, r)
+		case JobPeerServiceHandOverProcedure:
+			jobPeerServiceHandOverHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -294,3 +320,7 @@
 func (UnimplementedJobPeerServiceHandler) OfferTable(context.Context, *connect.Request[v1.OfferTableRequest]) (*connect.Response[v1.OfferTableResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("agateturn.v1.JobPeerService.OfferTable is not implemented"))
 }
+
+func (UnimplementedJobPeerServiceHandler) HandOver(context.Context, *connect.Request[v1.HandOverRequest]) (*connect.Response[v1.HandOverResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("agateturn.v1.JobPeerService.HandOver is not implemented"))
+}
