--- a/internal/jobhost/fleet.go
+++ b/internal/jobhost/fleet.go
@@ -12,8 +12,12 @@
 	"github.com/agateturn/agateturn/upkeep"
 )
 
-// waveRecords is where the progress of waves is kept.
-const waveRecords = "agateturn/wave/"
+const (
+	// waveRecords is where the progress of waves is kept.
+	waveRecords = "agateturn/wave/"
+	// openMoves is where moves are kept until they are over.
+	openMoves = "agateturn/moves"
+)
 
 // runFleet acts as the owner of the fleet until ctx ends.
 func (h *Host) runFleet(ctx context.Context, fence uint64) {
@@ -36,6 +40,7 @@
 			StatusKey:    platform.WaveStatusKey,
 			Status:       platform.FormatWaveStatus,
 			RecordPrefix: waveRecords,
+			MovesKey:     openMoves,
 		},
 		Config: upkeep.DefaultConfig(b.GetUpkeepTime().AsDuration(), b.GetMoveTime().AsDuration()),
 		Holder: h.settings.Load().GetJobHost().GetName(),
