--- a/upkeep/config.go
+++ b/upkeep/config.go
@@ -84,7 +84,7 @@
 		Join:             300 * time.Millisecond,
 		Drain:            time.Second,
 		Use:              0.85,
-		Idle:             0.5,
+		Idle:             1,
 		Reserve:          6 * time.Second,
 		Learn:            30 * time.Second,
 		GiveUp:           3 * time.Second,
--- a/upkeep/demand.go
+++ b/upkeep/demand.go
@@ -11,6 +11,8 @@
 const (
 	// rateWindow smooths the rate of arrivals.
 	rateWindow = 600 * time.Millisecond
+	// holdTime is how slowly high rates are forgotten.
+	holdTime = 8 * time.Second
 	// lowShare and highShare of the peak are the bounds of turns.
 	lowShare  = 0.2
 	highShare = 0.45
@@ -32,6 +34,8 @@
 	fence   uint64
 	// rate is the smoothed rate at which work arrives.
 	rate float64
+	// hold is the highest rate of late; it is forgotten slowly, and at once when a turn ends.
+	hold float64
 	// peak and trough are the learned rates in and out of turns; peak is 0 until a turn was seen.
 	peak   float64
 	trough float64
@@ -74,6 +78,7 @@
 		d.recent |= 1
 	}
 	d.rate += (1 - math.Exp(-gap.Seconds()/rateWindow.Seconds())) * (now - d.rate)
+	d.hold = max(d.rate, d.hold*math.Exp(-gap.Seconds()/holdTime.Seconds()))
 	d.learn(at, before, capacity)
 }
 
@@ -102,6 +107,7 @@
 }
 
 func (d *demand) turnEnded(length time.Duration) {
+	d.hold = d.rate
 	if length < shortestTurn {
 		return
 	}
--- a/upkeep/move.go
+++ b/upkeep/move.go
@@ -20,10 +20,14 @@
 	stay time.Duration
 	// leaving are machines that a move may take, cheapest first.
 	leaving []string
+	// hosts counts machines with persistent tasks, and upkeeps those that a wave empties or has sent away.
+	hosts   int
+	upkeeps int
 	// emptying counts machines with persistent tasks that are being emptied.
 	emptying int
-	// claim means that the want lies ahead: machines are held back for it and not moved yet.
-	claim bool
+	// claim means that the want lies ahead: machines are held back for it, and emptied, but not moved before orderAt.
+	claim   bool
+	orderAt time.Time
 }
 
 // mover plans the moves of one step.
@@ -37,18 +41,14 @@
 	calendar *calendar
 	// unknown claims machines for a pool that is not known yet.
 	unknown *poolPlan
-	// old are the move intents that had not been ordered when the step began.
-	old map[string]*intent
 }
 
 // planMoves sets the intents of moves anew; those already ordered stay.
 func (s *step) planMoves() {
-	s.observeDemand()
 	if !s.cfg.Moves.Enabled {
 		return
 	}
-	m := &mover{step: s, plans: map[string]*poolPlan{}, old: map[string]*intent{}, calendar: s.newCalendar()}
-	m.reopen()
+	m := &mover{step: s, plans: map[string]*poolPlan{}, calendar: s.newCalendar()}
 	for _, name := range sortedKeys(s.in.Pools) {
 		m.addPool(name)
 	}
@@ -63,30 +63,31 @@
 }
 
 // reopen takes back the moves that were not ordered yet; those in vain are not tried again for a while.
-func (m *mover) reopen() {
-	for id, i := range m.ledger {
+func (s *step) reopen() {
+	s.old = map[string]*intent{}
+	for id, i := range s.ledger {
 		if !i.move() || i.phase != evacuating || i.counted {
 			continue
 		}
-		delete(m.ledger, id)
-		if m.now.Sub(i.began) >= m.cfg.Moves.GiveUp {
-			m.giveUp(id, i)
+		delete(s.ledger, id)
+		if s.now.Sub(i.began) >= s.cfg.Moves.GiveUp {
+			s.giveUp(id, i)
 			continue
 		}
-		m.old[id] = i
+		s.old[id] = i
 	}
-	for id, at := range m.notBefore {
-		if !m.now.Before(at) {
-			delete(m.notBefore, id)
+	for id, at := range s.notBefore {
+		if !s.now.Before(at) {
+			delete(s.notBefore, id)
 		}
 	}
 }
 
 // giveUp leaves a machine alone for a while; if persistent tasks hold it, all such machines of its pool.
-func (m *mover) giveUp(id string, i *intent) {
-	until := m.now.Add(m.cfg.Moves.Pause)
-	m.notBefore[id] = until
-	if d := m.demands[i.from]; d != nil && m.persistentOn(m.machines[id]) {
+func (s *step) giveUp(id string, i *intent) {
+	until := s.now.Add(s.cfg.Moves.Pause)
+	s.notBefore[id] = until
+	if d := s.demands[i.from]; d != nil && s.persistentOn(s.machines[id]) {
 		d.heldUntil = until
 	}
 }
@@ -150,15 +151,15 @@
 		if m.in.Pools[machine.Pool].Spare && machine.State == Up && i == nil {
 			m.idle = append(m.idle, id)
 		}
-		if p := m.plans[m.poolOf(machine, i)]; p != nil && machine.State != Down {
+		if p := m.plans[machine.Pool]; p != nil {
+			m.countHost(p, machine, i)
+		}
+		if p := m.plans[m.poolOf(machine, i)]; p != nil && machine.State != Down && (i == nil || i.move()) {
 			p.have++
 			if machine.State == Up && i == nil && m.notBefore[id].IsZero() {
 				p.leaving = append(p.leaving, id)
 			}
 		}
-		if p := m.plans[machine.Pool]; p != nil && i != nil && !i.down() && i.worker != "" && m.persistentOn(machine) {
-			p.emptying++
-		}
 	}
 	for _, p := range m.plans {
 		m.setUnit(p, cpu/max(1, count))
@@ -168,6 +169,29 @@
 	m.sortIdle()
 }
 
+// countHost counts machines that hold persistent tasks, and those that are in the hands of a wave.
+func (m *mover) countHost(p *poolPlan, machine Machine, i *intent) {
+	if i != nil && !i.move() {
+		p.upkeeps++
+	}
+	if !m.persistentOn(machine) {
+		return
+	}
+	p.hosts++
+	if i != nil && !i.down() {
+		p.emptying++
+	}
+}
+
+// floor is the number of machines that a pool must have whatever its demand: while a wave empties one, its persistent
+// tasks need another place.
+func (p *poolPlan) floor() float64 {
+	if p.upkeeps == 0 {
+		return 0
+	}
+	return float64(p.hosts)
+}
+
 // poolOf is the pool that a machine counts for: where it goes, or where it is unless it is about to be away.
 func (m *mover) poolOf(machine Machine, i *intent) string {
 	if i != nil && i.move() {
@@ -184,8 +208,8 @@
 	p.unit = max(p.unit*m.cfg.Moves.Use, 1)
 }
 
-func (m *mover) persistentOn(machine Machine) bool {
-	return workerLoad(m.in.Pools[machine.Pool].Status, machine.Worker).GetPersistentTasks() > 0
+func (s *step) persistentOn(machine Machine) bool {
+	return workerLoad(s.in.Pools[machine.Pool].Status, machine.Worker).GetPersistentTasks() > 0
 }
 
 // rank puts machines that are being emptied for a move ahead.
@@ -225,8 +249,8 @@
 	capacity := float64(p.have)*p.unit - p.persistent
 	left := max(0, backlog+(until-capacity)*float64(m.lead().Milliseconds()))
 	want := p.persistent + then + min(left/drain, max(p.peak, then)/2)
-	p.keep = max(keep, want) / p.unit
-	p.want = want / p.unit
+	p.keep = max(keep/p.unit, want/p.unit, p.floor())
+	p.want = max(want/p.unit, p.floor())
 	p.stay = m.stay(p, arrive, left)
 	if len(p.turns.rises) == 0 && !m.calendar.high(p.name, m.now, arrive) {
 		// Its first turn may begin at any time.
@@ -262,8 +286,8 @@
 			p.want = 0
 			continue
 		}
-		if !p.claim {
-			m.intendMove(id, p.name)
+		if !p.claim || (p.name != "" && !m.in.Pools[m.machines[id].Pool].Spare) {
+			m.intendMove(id, p.name).notTill = p.orderAt
 		}
 		p.have++
 	}
@@ -274,6 +298,9 @@
 	var best *poolPlan
 	for _, name := range m.names {
 		p := m.plans[name]
+		if float64(p.have) < p.floor() && p.want > 0 {
+			return p
+		}
 		if lack := p.lack(); lack > 0 && (p.claim || m.pays(p, min(1, lack))) && (best == nil || lack > best.lack()) {
 			best = p
 		}
@@ -290,6 +317,9 @@
 // pays says whether a machine that is used in part earns more in a pool than it costs.
 func (m *mover) pays(p *poolPlan, use float64) bool {
 	cfg := m.cfg.Moves
+	if float64(p.have) < p.floor() {
+		return true
+	}
 	stay := p.stay.Seconds()
 	return use*p.unit/1000*stay*cfg.WorkWorth > cfg.MovePrice+stay*cfg.SecondPrice
 }
@@ -342,12 +372,8 @@
 }
 
 // intendMove begins to empty a machine, or goes on doing so, for a pool.
-func (m *mover) intendMove(id, pool string) {
-	i := m.old[id]
-	if i == nil {
-		machine := m.machines[id]
-		i = &intent{phase: evacuating, since: m.now, began: m.now, from: machine.Pool, worker: machine.Worker}
-	}
+func (m *mover) intendMove(id, pool string) *intent {
+	i := m.newIntent(id)
 	i.pool = pool
-	m.ledger[id] = i
+	return i
 }
--- a/upkeep/movesim_test.go
+++ b/upkeep/movesim_test.go
@@ -71,6 +71,8 @@
 	now      time.Duration
 	rand     *rand.Rand
 	arrivals *rand.Rand
+	// shape is the demand of a class at a time, as a multiple of its mean.
+	shape    func(c int, t time.Duration) float64
 	machines []*dayMachine
 	jobs     [][]*dayJob
 	arrived  []int64
@@ -80,14 +82,26 @@
 	earned   float64
 	killed   int
 	rehoused []time.Duration
+	// wave is asked for from its Seen on; waveEnd is when it was completed.
+	wave    *upkeep.Wave
+	begun   int
+	waveEnd time.Time
 }
 
 func poolName(c int) string { return fmt.Sprintf("pool%d", c) }
 
-func newDay(seed uint64) *day {
+// inTurns gives each class in turn four times its mean.
+func inTurns(c int, t time.Duration) float64 {
+	if int(t/turnLength)%len(classes) == c {
+		return 4
+	}
+	return 0.05
+}
+
+func newDay(seed uint64, shape func(int, time.Duration) float64) *day {
 	d := &day{
 		rand: rand.New(rand.NewPCG(seed, 2)), arrivals: rand.New(rand.NewPCG(seed, 3)), jobs: make([][]*dayJob, len(classes)),
-		arrived: make([]int64, len(classes)), rehoused: make([]time.Duration, len(classes)),
+		shape: shape, arrived: make([]int64, len(classes)), rehoused: make([]time.Duration, len(classes)),
 	}
 	for c, class := range classes {
 		for n := range class.machines {
@@ -117,10 +131,7 @@
 	if t < 0 || t >= dayLength {
 		return
 	}
-	rate := class.perSecond * 0.05
-	if int(t/turnLength)%len(classes) == c {
-		rate = class.perSecond * 4
-	}
+	rate := class.perSecond * d.shape(c, t)
 	for d.arrivals.Float64() < rate*tick.Seconds()/(1+rate*tick.Seconds()) {
 		d.jobs[c] = append(d.jobs[c], &dayJob{class: c, arrived: d.now, waiting: class.width})
 		d.arrived[c] += int64(class.steps*class.width) * class.milli * class.length.Milliseconds()
@@ -156,6 +167,7 @@
 	}
 	d.jobs[c] = slices.DeleteFunc(d.jobs[c], func(j *dayJob) bool { return j.finished })
 	slices.SortStableFunc(up, func(a, b *dayMachine) int { return int(a.free(c) - b.free(c)) })
+	d.rehouse(c, up)
 	slices.SortStableFunc(d.jobs[c], func(a, b *dayJob) int {
 		return cmp.Or(d.late(a)-d.late(b), b.step-a.step, a.waiting-b.waiting)
 	})
@@ -169,7 +181,6 @@
 			}
 		}
 	}
-	d.rehouse(c, up)
 }
 
 // rehouse takes persistent tasks off a machine that is to be emptied, one at a time.
@@ -249,27 +260,28 @@
 }
 
 func (d *day) move(o upkeep.MoveOrder) upkeep.Result {
-	for _, m := range d.machines {
-		if m.ID != o.Machine {
-			continue
-		}
-		d.killed += len(m.tasks) + m.lasting
-		d.moves++
-		m.tasks = nil
-		m.lives++
-		m.Pool = o.Pool
-		m.State = upkeep.Moving
-		m.Worker = fmt.Sprintf("%s/%d", m.ID, m.lives)
-		m.backAt = d.now + moveTime
-		return upkeep.Done
-	}
-	return upkeep.Unfit
+	d.moves++
+	m := d.leave(o.Machine, upkeep.Moving, moveTime)
+	m.Pool = o.Pool
+	return upkeep.Done
+}
+
+func (d *day) leave(id string, state upkeep.MachineState, length time.Duration) *dayMachine {
+	n := slices.IndexFunc(d.machines, func(m *dayMachine) bool { return m.ID == id })
+	m := d.machines[n]
+	d.killed += len(m.tasks) + m.lasting
+	m.tasks = nil
+	m.lives++
+	m.State = state
+	m.Worker = fmt.Sprintf("%s/%d", m.ID, m.lives)
+	m.backAt = d.now + length
+	return m
 }
 
 func (d *day) advance() {
 	d.now += tick
 	for _, m := range d.machines {
-		if m.State == upkeep.Moving && d.now >= m.backAt {
+		if m.State != upkeep.Up && d.now >= m.backAt {
 			m.State = upkeep.Up
 		}
 		if m.Pool != "spare" {
@@ -304,27 +316,50 @@
 			load.Age = d.now - polled
 			in.Pools[name] = load
 		}
+		if d.wave != nil && d.waveEnd.IsZero() && !in.MachinesAt.Before(d.wave.Seen) {
+			in.Waves = []upkeep.Wave{*d.wave}
+		}
 		out := planner.Step(zero.Add(d.now+time.Millisecond), in)
 		for _, m := range d.machines {
 			m.leaves = slices.Contains(out.Evacuate[m.Pool], m.Worker)
 		}
+		for _, o := range out.Upkeeps {
+			d.begun++
+			d.leave(o.Machine, upkeep.Upkeep, upkeepTime)
+			planner.UpkeepResult(zero.Add(d.now+2*time.Millisecond), o, upkeep.Done)
+		}
+		if len(out.Completed) > 0 {
+			d.waveEnd = in.MachinesAt
+		}
 		for _, o := range out.Moves {
 			planner.MoveResult(zero.Add(d.now+2*time.Millisecond), o, d.move(o))
 		}
 	}
 }
 
+// addWave asks for the upkeep of every second machine.
+func (d *day) addWave() {
+	w := &upkeep.Wave{Number: 1, Within: 25 * time.Second, Cap: 3, Seen: time.Unix(1_000_000, 0).Add(lead + 2*time.Second)}
+	for n, m := range d.machines {
+		if n%2 == 0 {
+			w.Machines = append(w.Machines, m.ID)
+		}
+	}
+	d.wave = w
+}
+
 // worth is what a day earned less its price, as a share of what it owed.
 func (d *day) worth() float64 {
 	return (d.earned - moveCost*float64(d.moves) - secondCost*d.seconds) / d.owed
 }
 
-func meanWorth(t *testing.T, name string, cfg upkeep.Config, days uint64) float64 {
+func meanWorth(t *testing.T, name string, shape func(int, time.Duration) float64, cfg upkeep.Config) float64 {
+	const days = 3
 	sum := 0.0
 	var earned, owed, seconds float64
 	moves := 0
-	for seed := range days {
-		d := newDay(seed)
+	for seed := range uint64(days) {
+		d := newDay(seed, shape)
 		d.play(cfg)
 		assert.Equal(t, d.killed, 0)
 		sum += d.worth()
@@ -340,10 +375,23 @@
 
 func TestForeseeingEarnsMoreThanReactingAndThanNoMoves(t *testing.T) {
 	cfg := upkeep.DefaultConfig(upkeepTime, moveTime)
-	foresee := meanWorth(t, "foreseeing", cfg, 3)
+	foresee := meanWorth(t, "foreseeing", inTurns, cfg)
 	cfg.Moves.Foresee = false
-	react := meanWorth(t, "reacting", cfg, 3)
+	react := meanWorth(t, "reacting", inTurns, cfg)
 	cfg.Moves.Enabled = false
-	never := meanWorth(t, "never", cfg, 3)
+	never := meanWorth(t, "never", inTurns, cfg)
 	assert.Assert(t, foresee > react && foresee > never)
 }
+
+func TestWaveBesideMovesIsInTime(t *testing.T) {
+	for seed := range uint64(3) {
+		d := newDay(seed, inTurns)
+		d.addWave()
+		d.play(upkeep.DefaultConfig(upkeepTime, moveTime))
+		assert.Equal(t, d.begun, len(d.wave.Machines))
+		assert.Equal(t, d.killed, 0)
+		took := d.waveEnd.Sub(d.wave.Seen)
+		t.Logf("seed %d: %d machines in %s, worth %.3f", seed, d.begun, took, d.worth())
+		assert.Assert(t, took > 0 && took <= d.wave.Within, "took %s", took)
+	}
+}
--- a/upkeep/planner.go
+++ b/upkeep/planner.go
@@ -103,6 +103,8 @@
 	p.forgetWaves(in.Waves)
 	s := &step{Planner: p, now: now, in: in}
 	if !p.listedAt.IsZero() {
+		s.observeDemand()
+		s.reopen()
 		s.planWaves()
 		s.planMoves()
 		s.order()
@@ -117,6 +119,8 @@
 	now time.Time
 	in  Input
 	out Actions
+	// old are the move intents that had not been ordered when the step began.
+	old map[string]*intent
 	// room is how many machines of each wave may still be ordered.
 	room map[int64]int
 	// members are the machines of each wave.
--- a/upkeep/reserve.go
+++ b/upkeep/reserve.go
@@ -16,10 +16,13 @@
 	if busy == nil {
 		return
 	}
-	next, order := m.nextTurn(busy)
-	if next != nil && order.Before(m.calendar.end(&busy.turns, m.now).Add(m.cfg.Moves.Drain)) {
-		next.claim = true
-		next.want = max(next.want, (next.persistent+next.rateIn(true))/next.unit)
+	next, order := m.nextTurns(busy)
+	if order.Before(m.calendar.end(&busy.turns, m.now).Add(m.cfg.Moves.Drain)) {
+		for _, p := range next {
+			p.claim = true
+			p.orderAt = order
+			p.want = max(p.want, (p.persistent+p.rateIn(true))/p.unit)
+		}
 	}
 	if next == nil && m.now.Sub(busy.turns.last()) < m.cfg.Moves.Reserve {
 		m.unknown = &poolPlan{claim: true, want: busy.want - m.usualHave(busy)}
@@ -37,8 +40,9 @@
 	return float64(sum) / float64(max(1, len(m.plans)-1))
 }
 
-// nextTurn is the pool whose turn begins next, and when machines for it must be ordered.
-func (m *mover) nextTurn(busy *poolPlan) (next *poolPlan, order time.Time) {
+// nextTurns are the pools of which one has the next turn, and when machines for it must be ordered.
+func (m *mover) nextTurns(busy *poolPlan) (next []*poolPlan, order time.Time) {
+	const together = 300 * time.Millisecond
 	for _, name := range m.names {
 		p := m.plans[name]
 		start, ok := m.calendar.start(name, m.now)
@@ -46,9 +50,12 @@
 		if !ok || p == busy || p.turns.high || !at.After(m.now) {
 			continue
 		}
-		if next == nil || at.Before(order) {
-			next = p
+		switch {
+		case next == nil || at.Before(order.Add(-together)):
+			next = []*poolPlan{p}
 			order = at
+		case at.Before(order.Add(together)):
+			next = append(next, p)
 		}
 	}
 	return next, order
@@ -77,7 +84,7 @@
 	for _, name := range m.names {
 		p := m.plans[name]
 		if m.calm(p, pause) {
-			for p.surplus() >= 1+m.cfg.Moves.Idle {
+			for m.idleMachines(p) >= 1 {
 				id := m.release(p, m.spare)
 				if id == "" {
 					break
@@ -88,6 +95,12 @@
 	}
 }
 
+// idleMachines is how many machines a pool has beyond what its highest rate of late needs.
+func (m *mover) idleMachines(p *poolPlan) float64 {
+	lately := (p.persistent + p.hold) / p.unit
+	return min(p.surplus(), float64(p.have)-lately) - m.cfg.Moves.Idle
+}
+
 // experienced says whether any demand was seen, or has been absent for long.
 func (m *mover) experienced() bool {
 	for _, p := range m.plans {
@@ -102,7 +115,7 @@
 func (m *mover) calm(p *poolPlan, pause time.Duration) bool {
 	horizon := m.now.Add(m.cfg.MoveTime + pause)
 	since := m.surplusSince[p.name]
-	if p.surplus() < 1+m.cfg.Moves.Idle {
+	if m.idleMachines(p) < 1 {
 		delete(m.surplusSince, p.name)
 		return false
 	}
--- a/upkeep/turns.go
+++ b/upkeep/turns.go
@@ -31,6 +31,8 @@
 	falling  time.Time
 	// length is the learned length of a turn; 0 if none has ended.
 	length time.Duration
+	// usual is the length that turns of other pools have; 0 if unknown.
+	usual time.Duration
 	// missed is the newest foreseen rise that did not come; misses counts them since the last that came.
 	missed time.Time
 	misses int
@@ -48,6 +50,9 @@
 	} else if t.falling.IsZero() {
 		t.falling = at
 	}
+	if t.high && t.overdue(at) {
+		low = high
+	}
 	switch {
 	case !t.high && rate >= high:
 		t.rise(t.climbing)
@@ -56,6 +61,15 @@
 	}
 }
 
+// overdue says whether the present turn should have ended.
+func (t *turns) overdue(at time.Time) bool {
+	length := t.length
+	if length == 0 {
+		length = t.usual
+	}
+	return length > 0 && at.Sub(t.last()) >= length
+}
+
 func (t *turns) rise(at time.Time) {
 	t.high = true
 	t.misses = 0
@@ -157,6 +171,9 @@
 	if nLengths > 0 {
 		c.length = lengths / nLengths
 	}
+	for _, t := range pools {
+		t.usual = c.length
+	}
 	if nPeriods > 0 {
 		c.shared = periods / nPeriods
 		return c
@@ -212,7 +229,7 @@
 	}
 	end := t.last().Add(length)
 	if end.Before(now) {
-		return now.Add(length / 4)
+		return now.Add(length / 8)
 	}
 	return end
 }
--- a/upkeep/wave.go
+++ b/upkeep/wave.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 func (p *Planner) wave(number int64) *waveState {
@@ -124,54 +126,142 @@
 	return true
 }
 
-// evacuate begins to empty machines of a wave: those that may go now and a few ahead, the cheapest first.
+// emptying is what a wave has in its hands.
+type emptying struct {
+	Wave
+	urgent bool
+	// count is how many machines are being emptied, and most how many may be.
+	count int
+	most  int
+	// inPool counts the wave's machines by pool that are away or being emptied, and hosts those with persistent tasks.
+	inPool map[string]int
+	hosts  map[string]int
+}
+
+// evacuate begins to empty machines of a wave: those that may go now and a few ahead, the cheapest first. Machines with
+// persistent tasks take longest, so a few of them are always being emptied, one a pool.
 func (s *step) evacuate(w Wave, left []string) {
-	inProgress := 0
-	inPool := map[string]int{}
+	e := &emptying{Wave: w, inPool: map[string]int{}, hosts: map[string]int{}}
 	var free []string
 	for _, id := range left {
-		i := s.ledger[id]
 		m := s.machines[id]
-		switch {
-		case i != nil && !i.move() && i.phase == evacuating && !i.counted:
-			inProgress++
-			inPool[m.Pool]++
-		case i != nil && !i.move():
-			inPool[m.Pool]++
-		case i == nil && m.State == Up && s.known(m.Pool):
+		if s.ledger[id] == nil && m.State == Up && s.known(m.Pool) {
 			free = append(free, id)
 		}
+		s.tally(e, id)
 	}
 	s.sortByCost(free)
-	want := s.concurrency(w)
+	e.urgent = s.urgent(w, len(left))
+	e.most = s.pace(w, len(left), e.urgent)
+	hosts := lo.Sum(lo.Values(e.hosts))
 	for _, id := range free {
 		m := s.machines[id]
-		if inProgress >= want {
-			return
+		if hosts < s.cfg.Ahead && s.hosting(m) > 0 && !s.inTurn(m.Pool) && s.begin(e, id) {
+			hosts++
 		}
-		if inPool[m.Pool] >= s.perPool(m.Pool) {
-			continue
+	}
+	for _, id := range free {
+		if s.ledger[id] == nil {
+			s.begin(e, id)
 		}
-		inProgress++
-		inPool[m.Pool]++
-		s.ledger[id] = &intent{phase: evacuating, since: s.now, began: s.now, wave: w.Number, from: m.Pool, worker: m.Worker}
 	}
 }
 
+// tally counts a machine that is in the hands of a wave.
+func (s *step) tally(e *emptying, id string) {
+	i := s.ledger[id]
+	m := s.machines[id]
+	if i == nil || i.move() {
+		return
+	}
+	e.inPool[m.Pool]++
+	if i.phase == evacuating && !i.counted {
+		e.count++
+		e.hosts[m.Pool] += s.hosting(m)
+	}
+}
+
+// begin empties a machine for a wave if the bounds allow it.
+func (s *step) begin(e *emptying, id string) bool {
+	m := s.machines[id]
+	hosting := s.hosting(m)
+	switch {
+	case e.count >= e.most || e.inPool[m.Pool] >= s.perPool(m.Pool, e.Wave):
+		return false
+	case !e.urgent && s.inTurn(m.Pool):
+		return false
+	case hosting > 0 && e.hosts[m.Pool] > 0:
+		return false
+	}
+	e.count++
+	e.inPool[m.Pool]++
+	e.hosts[m.Pool] += hosting
+	s.newIntent(id).wave = e.Number
+	return true
+}
+
+// hosting is 1 for a machine with persistent tasks.
+func (s *step) hosting(m Machine) int {
+	if s.persistentOn(m) {
+		return 1
+	}
+	return 0
+}
+
+// newIntent makes the intent of a machine, or takes over the one of a move that was not ordered yet.
+func (s *step) newIntent(id string) *intent {
+	i := s.old[id]
+	if i == nil {
+		m := s.machines[id]
+		i = &intent{phase: evacuating, since: s.now, began: s.now, from: m.Pool, worker: m.Worker}
+	}
+	delete(s.old, id)
+	i.pool = ""
+	i.wave = 0
+	i.notTill = time.Time{}
+	s.ledger[id] = i
+	return i
+}
+
 func (s *step) known(pool string) bool {
 	_, ok := s.in.Pools[pool]
 	return ok
 }
 
-// concurrency is how many machines may be emptied at once.
-func (s *step) concurrency(w Wave) int {
-	return max(0, s.room[w.Number]) + s.cfg.Ahead
+// inTurn says whether a pool's demand is high.
+func (s *step) inTurn(pool string) bool {
+	d := s.demands[pool]
+	return d != nil && d.turns.high
+}
+
+// urgent says whether a wave needs all that its cap allows to be in time.
+func (s *step) urgent(w Wave, left int) bool {
+	const slack = 1.3
+	rounds := (left + max(1, w.Cap) - 1) / max(1, w.Cap)
+	needed := time.Duration(slack * float64(rounds) * float64(s.cfg.UpkeepTime+s.cfg.Retry))
+	return needed >= s.timeLeft(w)
+}
+
+func (s *step) timeLeft(w Wave) time.Duration {
+	return w.Seen.Add(w.Within - s.cfg.Margin).Sub(s.now)
+}
+
+// pace is how many machines of a wave may be emptied at once.
+func (s *step) pace(w Wave, left int, urgent bool) int {
+	room := max(0, s.room[w.Number])
+	most := room + s.cfg.Ahead
+	if urgent {
+		return most
+	}
+	each := s.cfg.UpkeepTime + s.cfg.Patience
+	needed := int(math.Ceil(float64(left)*each.Seconds()/s.timeLeft(w).Seconds())) + 1
+	return min(most, max(1, needed-(w.Cap-room)))
 }
 
-// perPool is how many machines of a pool a wave may take at once. Spare pools give all.
-func (s *step) perPool(pool string) int {
+// perPool is how many machines of a pool a wave may take at once. Spare pools give as many as may go at once.
+func (s *step) perPool(pool string, w Wave) int {
 	if s.in.Pools[pool].Spare {
-		return math.MaxInt
+		return w.Cap
 	}
 	size := 0
 	for _, m := range s.machines {
