--- /dev/null
+++ b/httpcall/httpcall_test.go
@@ -0,0 +1,211 @@
+package httpcall_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/agateturn/agateturn/httpcall"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func Example() {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"ok":true}`))
+	}))
+	defer server.Close()
+	client := httpcall.New(server.URL, 1, nil)
+	defer client.Close()
+	got, err := client.Do(context.Background(), httpcall.Request{
+		Name: "state", Method: http.MethodGet, Path: "/state", Timeout: time.Second, Limit: 1024,
+	})
+	fmt.Println(got.Status, string(got.Body), got.Sent, err)
+	// Output: 200 {"ok":true} true <nil>
+}
+
+// counted is a server that counts the connections made to it and those still open.
+type counted struct {
+	*httptest.Server
+	made, open atomic.Int64
+}
+
+func start(t *testing.T, handler http.HandlerFunc) *counted {
+	t.Helper()
+	c := &counted{Server: httptest.NewUnstartedServer(handler)}
+	c.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			c.made.Add(1)
+			c.open.Add(1)
+		case http.StateClosed, http.StateHijacked:
+			c.open.Add(-1)
+		default:
+		}
+	}
+	c.Start()
+	t.Cleanup(c.Close)
+	return c
+}
+
+func request(path string, timeout time.Duration) httpcall.Request {
+	return httpcall.Request{Name: "call", Method: http.MethodPost, Path: path, Body: []byte("{}"), Timeout: timeout, Limit: 8}
+}
+
+// stall answers nothing until the caller gives up.
+func stall(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+// cut ends the connection without an answer.
+func cut(w http.ResponseWriter) {
+	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		_ = conn.Close()
+	}
+}
+
+func TestSentTellsWhetherTheRequestCanHaveArrived(t *testing.T) {
+	server := start(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/cut":
+			cut(w)
+		case "/silent":
+			stall(r)
+		case "/long":
+			_, _ = w.Write([]byte("0123456789"))
+		case "/chunks":
+			_, _ = w.Write([]byte("012345"))
+			_ = http.NewResponseController(w).Flush()
+			_, _ = w.Write([]byte("6789"))
+		}
+	})
+	var outcome string
+	client := httpcall.New(server.URL, 2, func(_ string, _ time.Duration, o string) { outcome = o })
+	t.Cleanup(client.Close)
+	tests := []struct {
+		path, outcome string
+		err           error
+	}{
+		{"/", "ok", nil},
+		{"/cut", "broken", nil},
+		{"/silent", "timeout", context.DeadlineExceeded},
+		{"/long", "broken", httpcall.ErrTooLong},
+		{"/chunks", "broken", httpcall.ErrTooLong},
+	}
+	for _, test := range tests {
+		got, err := client.Do(context.Background(), request(test.path, 100*time.Millisecond))
+		assert.Assert(t, got.Sent, test.path)
+		assert.Equal(t, outcome, test.outcome, test.path)
+		assert.Equal(t, err == nil, test.outcome == "ok", "%s: %v", test.path, err)
+		assert.Assert(t, test.err == nil || errors.Is(err, test.err), "%s: %v", test.path, err)
+	}
+}
+
+func TestWhatIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	refused := httpcall.New(listener.Addr().String(), 1, nil)
+	t.Cleanup(refused.Close)
+	got, err := refused.Do(context.Background(), request("/", time.Second))
+	assert.Assert(t, err != nil && !got.Sent)
+
+	server := start(t, func(_ http.ResponseWriter, r *http.Request) { stall(r) })
+	client := httpcall.New(server.URL, 1, nil)
+	t.Cleanup(client.Close)
+	ctx, cancel := context.WithCancel(context.Background())
+	first := make(chan error)
+	go func() {
+		_, err := client.Do(ctx, request("/", time.Minute))
+		first <- err
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if server.open.Load() == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("not connected")
+	})
+	got, err = client.Do(context.Background(), request("/", 50*time.Millisecond))
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	assert.Assert(t, !got.Sent, "the only connection is in use")
+	cancel()
+	assert.ErrorIs(t, <-first, context.Canceled)
+}
+
+// TestSilentConnectionsAreNotUsedAgain lets one of two idle connections go silent.
+func TestSilentConnectionsAreNotUsedAgain(t *testing.T) {
+	var silent atomic.Bool
+	old := make(chan string, 8)
+	server := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if !silent.Load() {
+			time.Sleep(20 * time.Millisecond)
+			old <- r.RemoteAddr
+			return
+		}
+		for range len(old) {
+			if address := <-old; address == r.RemoteAddr {
+				stall(r)
+			}
+		}
+		_, _ = w.Write([]byte("new"))
+	})
+	client := httpcall.New(server.URL, 4, nil)
+	t.Cleanup(client.Close)
+	done := make(chan error)
+	for range 2 {
+		go func() {
+			_, err := client.Do(context.Background(), request("/", time.Second))
+			done <- err
+		}()
+	}
+	assert.NilError(t, errors.Join(<-done, <-done))
+	silent.Store(true)
+	_, err := client.Do(context.Background(), request("/", 50*time.Millisecond))
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	got, err := client.Do(context.Background(), request("/", time.Second))
+	assert.NilError(t, err)
+	assert.Equal(t, string(got.Body), "new")
+	assert.Equal(t, server.made.Load(), int64(3))
+}
+
+func TestCloseDropsConnectionsOfCallsUnderWay(t *testing.T) {
+	waiting, answer := make(chan struct{}), make(chan struct{})
+	server := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/wait") {
+			close(waiting)
+			<-answer
+		}
+		_, _ = w.Write([]byte("done"))
+	})
+	client := httpcall.New(server.URL, 4, nil)
+	_, err := client.Do(context.Background(), request("/", time.Second))
+	assert.NilError(t, err)
+	done := make(chan error)
+	go func() {
+		_, err := client.Do(context.Background(), request("/wait", time.Minute))
+		done <- err
+	}()
+	<-waiting
+	client.Close()
+	close(answer)
+	assert.NilError(t, <-done)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if server.open.Load() == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("%d connections are open", server.open.Load())
+	})
+}
