--- a/httpcall/httpcall_test.go
+++ b/httpcall/httpcall_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -148,17 +149,15 @@
 // TestSilentConnectionsAreNotUsedAgain lets one of two idle connections go silent.
 func TestSilentConnectionsAreNotUsedAgain(t *testing.T) {
 	var silent atomic.Bool
-	old := make(chan string, 8)
+	var old sync.Map
 	server := start(t, func(w http.ResponseWriter, r *http.Request) {
 		if !silent.Load() {
 			time.Sleep(20 * time.Millisecond)
-			old <- r.RemoteAddr
+			old.Store(r.RemoteAddr, true)
 			return
 		}
-		for range len(old) {
-			if address := <-old; address == r.RemoteAddr {
-				stall(r)
-			}
+		if _, known := old.Load(r.RemoteAddr); known {
+			stall(r)
 		}
 		_, _ = w.Write([]byte("new"))
 	})
