Scheduler: leave persistent starts without an answer alone until a list shows them missing

A stop after 300 ms could end a task that was at work by then, beyond the budget of its step. Starts without an answer are now resolved by the next list; only batch tasks are stopped without one. The checker judges stops of persistent tasks and evacuations.

--- a/scheduler/checker_test.go
+++ b/scheduler/checker_test.go
@@ -17,7 +17,8 @@
 	done     map[scheduler.TaskID]bool
 	failures map[scheduler.TaskID]int
 	notes    []note
-	stopsOf  map[string]int
+	moved    map[scheduler.TaskID]bool
+	lastOver map[scheduler.TaskID]int64
 }
 
 // note is an end that a hold acknowledged.
@@ -30,7 +31,7 @@
 func newChecker(s *sim) *checker {
 	return &checker{
 		sim: s, running: map[scheduler.TaskID][]*simWorker{}, begins: map[scheduler.TaskID][]int64{},
-		done: map[scheduler.TaskID]bool{}, failures: map[scheduler.TaskID]int{}, stopsOf: map[string]int{},
+		done: map[scheduler.TaskID]bool{}, failures: map[scheduler.TaskID]int{}, moved: map[scheduler.TaskID]bool{}, lastOver: map[scheduler.TaskID]int64{},
 	}
 }
 
@@ -81,6 +82,46 @@
 	}
 }
 
+// stopped judges whether a stop takes a persistent task away beyond the budget of its step.
+func (c *checker) stopped(w *simWorker, o scheduler.Order, held int64) {
+	const promptly = 50
+	for _, r := range w.running {
+		if r.task != o.Task || r.run != o.Run || r.stopping || !r.step.GetPersistent() || !r.atWork() {
+			continue
+		}
+		if w.draining || held > promptly || c.sim.jobs[r.task.Job].cancelledAt > 0 {
+			continue
+		}
+		c.moved[r.task] = true
+		away := int64(0)
+		for i := range r.step.GetCount() {
+			other := r.task
+			other.Index = int(i)
+			if other != r.task && c.away(other) {
+				away++
+			}
+		}
+		if away >= r.step.GetMayMiss() {
+			c.fault("stop of %v with %d others away", r.task, away)
+		}
+	}
+}
+
+// away tells whether a task was moved and is not at work again, or has not been at work for long.
+func (c *checker) away(id scheduler.TaskID) bool {
+	for _, w := range c.running[id] {
+		for _, r := range w.running {
+			if r.task == id && r.atWork() {
+				return false
+			}
+		}
+	}
+	since := max(c.lastOver[id], c.sim.jobs[id.Job].rec.GetAcceptedMs()-simEpoch)
+	return c.moved[id] || c.sim.now-since > simConfig.Notice.Milliseconds()
+}
+
+func (r *simRun) atWork() bool { return !r.stopping && r.sim.now-r.began >= simStartup }
+
 func (c *checker) succeeded(id scheduler.TaskID) bool {
 	step := c.sim.jobs[id.Job].rec.GetSpec().GetSteps()[id.Step]
 	if !step.GetGang() {
@@ -97,6 +138,12 @@
 
 func (c *checker) over(w *simWorker, r *simRun) {
 	list := c.running[r.task]
+	if r.atWork() {
+		c.lastOver[r.task] = c.sim.now
+		c.moved[r.task] = r.stopping
+	} else if r.stopping {
+		c.lastOver[r.task] = c.sim.now
+	}
 	for i, x := range list {
 		if x == w {
 			c.running[r.task] = append(list[:i:i], list[i+1:]...)
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -103,6 +103,7 @@
 		}
 	case OutcomeUnknown:
 		r.state = runUnknown
+		r.unknownAt = now
 		r.resolveAt = now.Add(resolveAfter)
 		w.doubt++
 		p.watch(r)
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -38,6 +38,7 @@
 	earlyCancels map[string]time.Time
 	forgotten    map[string]time.Time
 	lastSweep    time.Time
+	forgetAt     time.Time
 	// orphans are runs of jobs that are not known, by job.
 	orphans map[string][]*run
 	pending map[string]int
--- a/scheduler/pool_test.go
+++ b/scheduler/pool_test.go
@@ -48,7 +48,8 @@
 		lostCalls: share("lost calls"), lostAnswers: share("lost answers"), lateCalls: share("late calls"),
 		failing: share("failing") / 4, lostRecords: share("lost records"),
 		crashes: count("crashes"), takeovers: count("takeovers"), cuts: count("cuts"), drains: count("drains"),
-		grey: rapid.Bool().Draw(t, "grey"), hang: rapid.Bool().Draw(t, "hang"),
+		evacuations: count("evacuations"),
+		grey:        rapid.Bool().Draw(t, "grey"), hang: rapid.Bool().Draw(t, "hang"),
 	}
 }
 
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -13,6 +13,8 @@
 	coalesceRecords = 100 * time.Millisecond
 	// repeatRecord is how long a record may stay unanswered before it is handed out again.
 	repeatRecord = time.Second
+	// forgetEvery is the pause between looks for jobs that have been kept for long enough.
+	forgetEvery = time.Second
 	// sweepEvery is the pause between sweeps of what is remembered of forgotten jobs.
 	sweepEvery = 10 * time.Second
 )
@@ -159,13 +161,13 @@
 
 // forget drops the jobs that ended longer ago than the retention.
 func (p *Pool) forget(now time.Time) {
+	if now.Before(p.forgetAt) {
+		return
+	}
+	p.forgetAt = now.Add(forgetEvery)
 	kept := p.ended[:0]
 	for _, j := range p.ended {
-		due := j.endedAt.Add(p.cfg.Retention)
-		if now.Before(due) || !j.rec.durable() {
-			if now.Before(due) {
-				p.wake(due)
-			}
+		if now.Sub(j.endedAt) < p.cfg.Retention || !j.rec.durable() {
 			kept = append(kept, j)
 			continue
 		}
@@ -175,6 +177,9 @@
 	}
 	clear(p.ended[len(kept):])
 	p.ended = kept
+	if len(kept) > 0 {
+		p.wake(now.Add(max(forgetEvery, kept[0].endedAt.Add(p.cfg.Retention).Sub(now))))
+	}
 	if now.Sub(p.lastSweep) >= sweepEvery {
 		p.lastSweep = now
 		p.sweep(now)
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -5,6 +5,8 @@
 const (
 	// resolveAfter is how long a start without an answer may stay unresolved before a stop is ordered.
 	resolveAfter = 300 * time.Millisecond
+	// resolveBlind is the same without a list from the worker.
+	resolveBlind = 900 * time.Millisecond
 	// retryStop is the pause before a stop without an answer is ordered again.
 	retryStop = 300 * time.Millisecond
 	// answerTime is how long the answer to a stop may take before it is ordered again.
@@ -47,6 +49,7 @@
 	stopAt     time.Time
 	stopAcked  stamp
 	watched    bool
+	unknownAt  time.Time
 	resolveAt  time.Time
 	mark       int64
 	percent    int
@@ -171,8 +174,8 @@
 		if r.state == runOver {
 			continue
 		}
-		if !r.stopping && r.state == runUnknown && !now.Before(r.resolveAt) {
-			p.stop(now, r, "start without an answer")
+		if !r.stopping && r.state == runUnknown {
+			p.resolve(now, r)
 		}
 		switch {
 		case r.stopping:
@@ -188,6 +191,21 @@
 	p.attention = kept
 }
 
+// resolve stops a start without an answer that a later list does not show. Without a list, tasks that may be at work
+// are left alone until the lease has lapsed; others are stopped after a while.
+func (p *Pool) resolve(now time.Time, r *run) {
+	if now.Before(r.resolveAt) {
+		return
+	}
+	listed := r.worker.listSent.After(r.unknownAt)
+	persistent := r.task != nil && r.task.step.spec.GetPersistent()
+	if listed || (!persistent && now.Sub(r.unknownAt) >= resolveBlind) {
+		p.stop(now, r, "start without an answer")
+		return
+	}
+	r.resolveAt = now.Add(resolveAfter)
+}
+
 func (p *Pool) orderStop(now time.Time, r *run) {
 	if now.Before(r.stopAt) {
 		p.wake(r.stopAt)
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -18,6 +18,8 @@
 const (
 	simAttempts = 3
 	simEpoch    = 1_000_000_000
+	// simStartup is how long in ms a persistent task takes to be at work.
+	simStartup = 300
 )
 
 var simConfig = scheduler.Config{
@@ -32,6 +34,7 @@
 	lostCalls, lostAnswers, lateCalls float64
 	failing                           float64
 	crashes, takeovers, cuts, drains  int
+	evacuations                       int
 	grey, hang                        bool
 	lostRecords                       float64
 }
@@ -74,6 +77,7 @@
 	drainKnown map[string]int64
 	owner      *simOwner
 	check      *checker
+	evacuating map[string]bool
 	fence      uint64
 }
 
@@ -109,6 +113,7 @@
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 1)), f: f, byID: map[string]*simWorker{}, jobs: map[string]*simJob{},
 		progress: map[string]*pb.JobProgress{}, cut: map[string]bool{}, drainKnown: map[string]int64{}, fence: 10,
+		evacuating: map[string]bool{},
 	}
 	s.check = newChecker(s)
 	for i := range workers {
@@ -200,6 +205,7 @@
 			s.after(1000, w.boot)
 		})
 	})
+	at(s.f.evacuations, func() { s.evacuate(pick()) })
 	if s.f.grey {
 		w := pick()
 		s.after(0, func() { w.failsAll = true })
@@ -212,10 +218,46 @@
 	}
 }
 
+// evacuate empties a worker, restarts it once it is said to be empty, and gives it back.
+func (s *sim) evacuate(w *simWorker) {
+	if s.evacuating[w.id] || w.draining {
+		return
+	}
+	s.evacuating[w.id] = true
+	s.tellEvacuations()
+	var look func()
+	look = func() {
+		if s.owner.dead {
+			s.after(200, look)
+			return
+		}
+		for _, load := range s.owner.pool.Status(s.time()).GetWorkers() {
+			if load.GetId() != w.id || !load.GetEvacuated() {
+				continue
+			}
+			if len(w.running) > 0 {
+				s.check.fault("%s is said to be empty with %d runs", w.id, len(w.running))
+			}
+			w.crash()
+			delete(s.evacuating, w.id)
+			s.after(1500, w.boot)
+			s.after(1600, s.tellEvacuations)
+			return
+		}
+		s.after(200, look)
+	}
+	s.after(200, look)
+}
+
+func (s *sim) tellEvacuations() {
+	ids := slices.Sorted(maps.Keys(s.evacuating))
+	s.owner.input(func(p *scheduler.Pool) { p.Evacuate(s.time(), ids) })
+}
+
 func (s *sim) newRun(w *simWorker, o scheduler.Order) *simRun {
 	j := s.jobs[o.Task.Job]
 	step := j.rec.GetSpec().GetSteps()[o.Task.Step]
-	r := &simRun{task: o.Task, run: o.Run, step: step, began: s.now, saved: o.Checkpoint}
+	r := &simRun{sim: s, task: o.Task, run: o.Run, step: step, began: s.now, saved: o.Checkpoint}
 	r.done = resumeFrom(o.Checkpoint)
 	r.savedShare = r.done
 	r.need = float64(step.GetEstimateMs()) * (0.6 + 0.8*s.rng.Float64())
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -54,6 +54,7 @@
 	s.trace("EVENT takeover %d", s.fence)
 	o.pool.SetQueues(s.time(), simQueues)
 	o.pool.Load(s.time(), jobs, progress, cancelled)
+	s.tellEvacuations()
 	o.registry()
 	for _, w := range s.workers {
 		o.hold(w)
@@ -135,6 +136,7 @@
 			o.send(key)
 		}
 	}
+	sentAt := s.now
 	execute := func() (scheduler.Outcome, int64) {
 		switch {
 		case !w.up:
@@ -144,6 +146,7 @@
 		case order.Kind == scheduler.OrderStart:
 			return w.start(o.fence, order), w.clock()
 		case order.Kind == scheduler.OrderStop:
+			s.check.stopped(w, order, s.now-sentAt)
 			return w.stop(o.fence, order), w.clock()
 		}
 		return scheduler.OutcomeDone, w.clock()
--- a/scheduler/simworker_test.go
+++ b/scheduler/simworker_test.go
@@ -12,6 +12,7 @@
 
 // simRun is what executes on a simulated worker.
 type simRun struct {
+	sim        *sim
 	task       scheduler.TaskID
 	run        int64
 	step       *pb.JobStep
@@ -212,7 +213,7 @@
 		percent := 100
 		if !r.step.GetPersistent() {
 			percent = int(100 * r.done / r.need)
-		} else if w.sim.now-r.began < 300 {
+		} else if w.sim.now-r.began < simStartup {
 			percent = 10
 		}
 		rep.Running = append(rep.Running, scheduler.RunningTask{Task: r.task, Run: r.run, Checkpoint: r.saved, Percent: percent})
