Numbered events of jobs: pools, readiness, store, configuration, writes through peers

Cause: the lines of an entry host that serves jobs had no numbers to alert on. Existing events are used where they say the same (ready, store unreachable, configuration in force, stopping); new ones are 109, 110 and 901 to 906. A host that alternates between own and relayed writes logs one line for the trouble and one for its end (tested). Run: go test -race of events, jobfront, tablefollow; go test of jobpeer, ctl.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -27,6 +27,11 @@
 		Number: 108, Name: "unready", Level: slog.LevelWarn, Message: "readiness check fails",
 		Remedy: "see the reason",
 	}
+	SettingsReloaded = Event{Number: 109, Name: "settings_reloaded", Level: slog.LevelInfo, Message: "changed settings are in force"}
+	SettingsKept     = Event{
+		Number: 110, Name: "settings_kept", Level: slog.LevelWarn, Message: "name and addresses changed in the settings; the old ones are kept",
+		Remedy: "restart the entry host to put them in force",
+	}
 )
 
 // Store and platform.
@@ -186,9 +191,29 @@
 	OrderRepeated = Event{Number: 803, Name: "order_repeated", Level: slog.LevelInfo, Message: "operator's order was taken before; nothing was done twice"}
 )
 
+// Jobs.
+var (
+	PoolGained     = Event{Number: 901, Name: "pool_gained", Level: slog.LevelInfo, Message: "this entry host owns the pool now"}
+	PoolLost       = Event{Number: 902, Name: "pool_lost", Level: slog.LevelInfo, Message: "this entry host no longer owns the pool"}
+	PoolOwnerEnded = Event{
+		Number: 903, Name: "pool_owner_ended", Level: slog.LevelError, Message: "the owner of a pool ended by an error",
+		Remedy: "see the reason; the pool is taken over when the lease of this entry host ends",
+	}
+	PoolsNotHandedOver = Event{
+		Number: 904, Name: "pools_not_handed_over", Level: slog.LevelWarn, Message: "pools were not handed over at the planned stop",
+		Remedy: "nothing; others take them over when the lease of this entry host ends",
+	}
+	StoredByPeers = Event{
+		Number: 905, Name: "stored_by_peers", Level: slog.LevelWarn, Message: "the store does not serve this entry host; peers store its jobs",
+		Remedy: "see to the path between this entry host and the store",
+	}
+	StoredAgain = Event{Number: 906, Name: "stored_again", Level: slog.LevelInfo, Message: "this entry host stores its jobs itself again"}
+)
+
 // catalogue is every event in the order of the numbers.
 var catalogue = []Event{
 	Started, SettingsRefused, Stopping, Stopped, StopLimitReached, PauseDetected, Ready, Unready,
+	SettingsReloaded, SettingsKept,
 	StoreUnreachable, StoreBack, PlatformUnreachable, PlatformBack,
 	MemberJoined, MemberLeft, MemberGone, JoinRefused, JoinedAsGuest, PeerUnreachable, PeerBack,
 	ControllerElected, ControllerLost, FleetApplied, OwnersSettled,
@@ -200,6 +225,7 @@
 	OutcomeUnknown, AnswerRefused, AnswerCut, QueueFull, RequestShed, QuotaReached, KeysFull,
 	JobPoisonous,
 	OperatorRefused, OperatorOrder, OrderRepeated,
+	PoolGained, PoolLost, PoolOwnerEnded, PoolsNotHandedOver, StoredByPeers, StoredAgain,
 }
 
 // retired are numbers of dropped events; they are not used again.
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -7,11 +7,13 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/queue"
 )
@@ -65,6 +67,8 @@
 	IsNotAccepted func(error) bool
 	// Relays may be nil.
 	Relays Relays
+	// Log may be nil.
+	Log *slog.Logger
 	// ContentType is that of the answers with a body.
 	ContentType string
 	// Metrics may be nil.
@@ -86,6 +90,8 @@
 	conns   *connections
 	indexed atomic.Pointer[indexedTable]
 	ready   atomic.Bool
+	// told is the reason that the last readiness check was given; nil before the first.
+	told atomic.Pointer[string]
 	// stopBegan is nil until BeginStop.
 	stopBegan atomic.Pointer[time.Time]
 }
@@ -95,10 +101,13 @@
 	if options.Metrics == nil {
 		options.Metrics = NewMetrics(nil)
 	}
+	if options.Log == nil {
+		options.Log = slog.New(slog.DiscardHandler)
+	}
 	f := &Front{
 		options: options,
 		offers:  newOffers(options.Owners, options.Metrics),
-		relay:   newRelay(options.Relays, options.Metrics),
+		relay:   newRelay(options.Relays, options.Metrics, options.Log),
 		pending: newPendingCounts(options.Owners),
 		ended:   newEndedStates(),
 	}
@@ -155,8 +164,10 @@
 
 // ReadyHandler answers the platform's readiness checks.
 func (f *Front) ReadyHandler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if reason := f.notReady(); reason != "" {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		reason := f.notReady()
+		f.tellReady(r.Context(), reason)
+		if reason != "" {
 			http.Error(w, reason, http.StatusServiceUnavailable)
 			return
 		}
@@ -164,6 +175,18 @@
 	})
 }
 
+// tellReady logs when the answer to readiness checks changes.
+func (f *Front) tellReady(ctx context.Context, reason string) {
+	before := f.told.Swap(&reason)
+	switch {
+	case before != nil && *before == reason:
+	case reason == "":
+		events.Emit(ctx, f.options.Log, events.Ready)
+	default:
+		events.Emit(ctx, f.options.Log, events.Unready, "reason", reason)
+	}
+}
+
 // storeSilence is how long the store may be silent before new connections should go elsewhere. Connections that are open
 // are served on.
 const storeSilence = 10 * time.Second
--- a/internal/jobfront/relay.go
+++ b/internal/jobfront/relay.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 )
 
@@ -22,25 +25,38 @@
 	relayTries = 2
 	// relayRest is how long no peer is asked after all that were asked could not store either.
 	relayRest = 500 * time.Millisecond
+	// relayCalm is the time without a relayed write after which the store serves this entry host again.
+	relayCalm = 5 * time.Second
 )
 
 // relay stores through peers. It is safe for concurrent use.
 type relay struct {
 	peers   Relays
 	metrics *Metrics
+	log     *slog.Logger
 
 	mu sync.Mutex
 	// next is the index of the peer to ask; it stays with one that stores.
 	next  int
 	until time.Time
+
+	// used means that operators were told of writes through peers; last is the time of the last one.
+	used atomic.Bool
+	last atomic.Pointer[time.Time]
 }
 
-func newRelay(peers Relays, metrics *Metrics) *relay { return &relay{peers: peers, metrics: metrics} }
+func newRelay(peers Relays, metrics *Metrics, log *slog.Logger) *relay {
+	return &relay{peers: peers, metrics: metrics, log: log}
+}
 
 // store asks peers if this entry host's own write did not succeed, and returns what became of all writes together.
 // A repeated write is harmless, so an undecided one may be repeated elsewhere.
 func (r *relay) store(ctx context.Context, own pb.StoreResult, req *pb.StoreJobRequest) pb.StoreResult {
-	if r.peers == nil || isDecided(own) {
+	if r.peers == nil {
+		return own
+	}
+	if isDecided(own) {
+		r.stored(ctx)
 		return own
 	}
 	addresses := r.peers.Addresses()
@@ -52,7 +68,7 @@
 		}
 		answer := r.peers.StoreJob(ctx, addresses[at], req)
 		if isDecided(answer) {
-			r.metrics.wasRelayed()
+			r.relayed(ctx)
 			return answer
 		}
 		r.turn(at)
@@ -80,6 +96,23 @@
 	}
 }
 
+// relayed tells operators that peers begin to store for this entry host.
+func (r *relay) relayed(ctx context.Context) {
+	r.metrics.wasRelayed()
+	now := time.Now()
+	r.last.Store(&now)
+	if !r.used.Swap(true) {
+		events.Emit(ctx, r.log, events.StoredByPeers)
+	}
+}
+
+// stored tells operators that this entry host stores itself again, once no peer was needed for a while.
+func (r *relay) stored(ctx context.Context) {
+	if r.used.Load() && time.Since(*r.last.Load()) >= relayCalm && r.used.Swap(false) {
+		events.Emit(ctx, r.log, events.StoredAgain)
+	}
+}
+
 func (r *relay) rest() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/jobfront/relay_test.go
+++ b/internal/jobfront/relay_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,7 +63,7 @@
 				answers: map[string]pb.StoreResult{"1": c.first, "2": c.other, "3": isStored},
 				asked:   map[string]int{},
 			}
-			f.relay = newRelay(r, NewMetrics(nil))
+			f.relay = newRelay(r, NewMetrics(nil), slog.New(slog.DiscardHandler))
 			assert.Equal(t, do(f, http.MethodPost, "/a/0001", "{}").Code, c.status)
 			assert.Equal(t, r.asked["1"]+r.asked["2"]+r.asked["3"], c.questions)
 		})
@@ -72,7 +74,7 @@
 func TestRelayStaysWithThePeerThatStores(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := &relays{order: []string{"1", "2"}, answers: map[string]pb.StoreResult{"1": notStored, "2": isStored}, asked: map[string]int{}}
-		relay := newRelay(r, NewMetrics(nil))
+		relay := newRelay(r, NewMetrics(nil), slog.New(slog.DiscardHandler))
 		for range 10 {
 			assert.Equal(t, relay.store(t.Context(), notStored, nil), isStored)
 		}
@@ -87,3 +89,21 @@
 		assert.Equal(t, relay.store(t.Context(), notStored, nil), isStored)
 	})
 }
+
+// TestOperatorsAreToldOnce alternates own and relayed writes: one line for the trouble, one for its end.
+func TestOperatorsAreToldOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log strings.Builder
+		peers := &relays{order: []string{"1"}, answers: map[string]pb.StoreResult{"1": isStored}, asked: map[string]int{}}
+		r := newRelay(peers, NewMetrics(nil), slog.New(slog.NewTextHandler(&log, nil)))
+		for range 10 {
+			r.store(t.Context(), notStored, nil)
+			r.store(t.Context(), isStored, nil)
+		}
+		time.Sleep(relayCalm)
+		r.store(t.Context(), isStored, nil)
+		r.store(t.Context(), isStored, nil)
+		assert.Equal(t, strings.Count(log.String(), "name=stored_by_peers"), 1)
+		assert.Equal(t, strings.Count(log.String(), "name=stored_again"), 1)
+	})
+}
--- a/internal/jobhost/fleet.go
+++ b/internal/jobhost/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/fleetowner"
 	"github.com/agateturn/agateturn/internal/jobkeys"
@@ -56,7 +57,7 @@
 		return
 	}
 	if err != nil {
-		h.log.Error("fleet owner ended", "fence", fence, "err", err)
+		events.Emit(ctx, h.log, events.PoolOwnerEnded, "pool", membership.FleetPool, "fence", fence, "err", err)
 	}
 }
 
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/boottime"
 	"github.com/agateturn/agateturn/internal/jobfront"
@@ -90,11 +91,11 @@
 func (h *Host) Reload(s *pb.JobSettings) {
 	before := h.settings.Load()
 	if !proto.Equal(before.GetJobHost(), s.GetJobHost()) {
-		h.log.Warn("name and addresses of an entry host change at its next start only")
+		events.Emit(context.Background(), h.log, events.SettingsKept)
 		s.JobHost = before.GetJobHost()
 	}
 	h.settings.Store(s)
-	h.log.Info("settings reloaded")
+	events.Emit(context.Background(), h.log, events.SettingsReloaded)
 }
 
 // resolve tells where the owner of a pool is.
@@ -179,19 +180,21 @@
 
 // stop ends the work of this host as planned.
 func (h *Host) stop(ctx context.Context) {
-	h.log.Info("planned stop")
+	events.Emit(ctx, h.log, events.Stopping)
 	h.front.BeginStop()
 	leave, cancel := context.WithTimeout(ctx, leaveTimeout)
 	if err := h.members.Leave(leave, h.pools.finish); err != nil {
-		h.log.Warn("pools not handed over", "err", err)
+		events.Emit(ctx, h.log, events.PoolsNotHandedOver, "err", err)
 	}
 	cancel()
 	grace := h.settings.Load().GetJobBounds().GetGrace().AsDuration() - leaveTimeout - stopMargin
 	finish, cancel := context.WithTimeout(ctx, max(grace, stopMargin))
 	defer cancel()
 	if err := h.front.Shutdown(finish); err != nil {
-		h.log.Warn("requests cut at the end of the grace", "err", err)
+		events.Emit(ctx, h.log, events.StopLimitReached, "err", err)
+		return
 	}
+	events.Emit(ctx, h.log, events.Stopped)
 }
 
 // followTable puts each version of the queues in force.
--- a/internal/jobhost/operate.go
+++ b/internal/jobhost/operate.go
@@ -24,7 +24,7 @@
 
 // listenOperators serves operators, if the settings name an address for them.
 func (h *Host) listenOperators(ctx context.Context, group *errgroup.Group) error {
-	host := h.settings.GetJobHost()
+	host := h.settings.Load().GetJobHost()
 	if host.GetOperatorAddress() == "" {
 		return nil
 	}
@@ -32,10 +32,11 @@
 	if err != nil {
 		return err
 	}
-	h.serve(ctx, group, listener, operatorapi.NewJobs(jobfront.NewOperations(h.front, h.peers), operatorapi.Options{
+	api := operatorapi.NewJobs(jobfront.NewOperations(h.front, h.peers), operatorapi.Options{ //nolint:contextcheck // each request brings its own context
 		Token:   host.GetOperatorToken(),
 		Logger:  h.log,
 		Metrics: h.front.MetricsHandler(),
-	}))
+	})
+	h.serve(ctx, group, listener, api)
 	return nil
 }
--- a/internal/jobhost/options.go
+++ b/internal/jobhost/options.go
@@ -33,6 +33,7 @@
 	return jobfront.Options{
 		Codec: codec{}, Store: h.jobs, Owners: h.peers, Tables: h.tables,
 		Relays:         relays{h},
+		Log:            h.log,
 		IsNotAccepted:  jobstore.NotAccepted.Has,
 		ContentType:    contentType,
 		MaxConnections: maxConnections,
--- a/internal/jobhost/pools.go
+++ b/internal/jobhost/pools.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/membership"
 	"github.com/agateturn/agateturn/internal/poolowner"
@@ -52,7 +53,7 @@
 	ctx, cancel := context.WithCancel(p.ctx)
 	t := &term{fence: fence, cancel: cancel, done: make(chan struct{})}
 	p.terms[pool] = t
-	p.log.Info("pool gained", "pool", pool, "fence", fence)
+	events.Emit(ctx, p.log, events.PoolGained, "pool", pool, "fence", fence)
 	if pool == membership.FleetPool {
 		p.group.Go(func() {
 			defer close(t.done)
@@ -65,7 +66,7 @@
 	p.group.Go(func() {
 		defer close(t.done)
 		if err := t.owner.Run(ctx); err != nil {
-			p.log.Error("pool owner ended", "pool", pool, "fence", fence, "err", err)
+			events.Emit(ctx, p.log, events.PoolOwnerEnded, "pool", pool, "fence", fence, "err", err)
 		}
 	})
 	if p.table != nil {
@@ -86,7 +87,7 @@
 	}
 	delete(p.terms, pool)
 	p.mu.Unlock()
-	p.log.Info("pool lost", "pool", pool, "fence", t.fence)
+	events.Emit(p.ctx, p.log, events.PoolLost, "pool", pool, "fence", t.fence)
 	t.cancel()
 }
 
--- a/internal/jobpeer/peer_test.go
+++ b/internal/jobpeer/peer_test.go
@@ -74,7 +74,7 @@
 
 type tables struct{ *member }
 
-func (t tables) Offer(version int64, raw []byte) int64 {
+func (t tables) Offer(_ context.Context, version int64, raw []byte) int64 {
 	if len(raw) > 0 && version > t.version {
 		t.version, t.raw = version, raw
 	}
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -39,7 +39,7 @@
 // Tables takes over versions of the table of queues.
 type Tables interface {
 	// Offer returns the version in force afterwards; 0 means none.
-	Offer(version int64, raw []byte) int64
+	Offer(ctx context.Context, version int64, raw []byte) int64
 }
 
 // Keeper stores jobs and cancellations for peers that the store does not serve.
@@ -116,8 +116,8 @@
 }
 
 // OfferTable implements the service.
-func (s *server) OfferTable(_ context.Context, req *connect.Request[pb.OfferTableRequest]) (*connect.Response[pb.OfferTableResponse], error) {
-	version := s.tables.Offer(req.Msg.GetVersion(), req.Msg.GetRaw())
+func (s *server) OfferTable(ctx context.Context, req *connect.Request[pb.OfferTableRequest]) (*connect.Response[pb.OfferTableResponse], error) {
+	version := s.tables.Offer(ctx, req.Msg.GetVersion(), req.Msg.GetRaw())
 	return connect.NewResponse(&pb.OfferTableResponse{Version: version}), nil
 }
 
--- a/internal/tablefollow/follower.go
+++ b/internal/tablefollow/follower.go
@@ -11,6 +11,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
+
+	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/queue"
 	"github.com/agateturn/agateturn/store"
 )
@@ -32,6 +35,9 @@
 	retryBase = 50 * time.Millisecond
 	retryMax  = time.Second
 
+	// tellAfter is how long the store must be silent until operators are told.
+	tellAfter = watchWait + 2*time.Second
+
 	// currentLimit is the age of the last word from the store up to which the table counts as current.
 	currentLimit = 2*watchWait + watchSlack
 )
@@ -48,6 +54,9 @@
 	// taken is the newest revision of the key that was looked at, so that none is parsed twice.
 	taken atomic.Uint64
 
+	// told means that operators know of a silent store. It belongs to Run.
+	told bool
+
 	mu      sync.Mutex // orders changes of present
 	changed chan struct{}
 }
@@ -89,12 +98,12 @@
 
 // Offer takes a peer's version over if it is newer, and returns the version that is in force then. Without raw it takes
 // nothing over.
-func (f *Follower) Offer(offered int64, raw []byte) int64 {
+func (f *Follower) Offer(ctx context.Context, offered int64, raw []byte) int64 {
 	have, _ := f.Raw()
 	if offered <= have || len(raw) == 0 {
 		return have
 	}
-	f.adopt(raw, true)
+	f.adopt(ctx, raw, true)
 	have, _ = f.Raw()
 	return have
 }
@@ -129,7 +138,7 @@
 			return
 		}
 		if !store.Compacted.Has(err) {
-			f.log.Debug("configuration not read", "component", "tablefollow", "err", err)
+			f.silent(ctx, err)
 			if backoff.Sleep(ctx) != nil {
 				return
 			}
@@ -142,11 +151,29 @@
 	after, err := f.read(ctx)
 	for err == nil {
 		answered()
+		f.answers(ctx)
 		after, err = f.watch(ctx, after)
 	}
 	return err
 }
 
+// silent tells operators once that the store does not answer, if that lasts.
+func (f *Follower) silent(ctx context.Context, err error) {
+	if f.told || f.StoreAge() < tellAfter {
+		return
+	}
+	f.told = true
+	events.Emit(ctx, f.log, events.StoreUnreachable, "err", err)
+}
+
+// answers tells operators that the store is back, if they know that it was away.
+func (f *Follower) answers(ctx context.Context) {
+	if f.told {
+		events.Emit(ctx, f.log, events.StoreBack)
+	}
+	f.told = false
+}
+
 func (f *Follower) read(ctx context.Context) (asOf uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -156,7 +183,7 @@
 		return 0, err
 	}
 	for _, item := range items {
-		f.take(item)
+		f.take(ctx, item)
 	}
 	f.heard.Store(&asked)
 	return asOf, nil
@@ -171,7 +198,7 @@
 	}
 	for _, change := range changes {
 		if !change.Deleted {
-			f.take(change.Item)
+			f.take(ctx, change.Item)
 		}
 	}
 	answered := time.Now()
@@ -199,23 +226,23 @@
 		return
 	}
 	for _, item := range items {
-		f.take(item)
+		f.take(ctx, item)
 	}
 }
 
-func (f *Follower) take(item store.Item) {
+func (f *Follower) take(ctx context.Context, item store.Item) {
 	if item.Key != f.key || item.Version <= f.taken.Load() {
 		return
 	}
-	f.adopt(item.Data, false)
+	f.adopt(ctx, item.Data, false)
 	f.taken.Store(item.Version)
 }
 
 // adopt puts the value in force if it is a newer version.
-func (f *Follower) adopt(raw []byte, fromPeer bool) {
+func (f *Follower) adopt(ctx context.Context, raw []byte, fromPeer bool) {
 	table, err := f.parse(raw)
 	if err != nil {
-		f.log.Warn("configuration cannot be read", "component", "tablefollow", "err", err)
+		events.Emit(ctx, f.log, events.ConfigRefused, "err", err)
 		return
 	}
 	f.mu.Lock()
@@ -226,4 +253,5 @@
 	f.present.Store(&version{table: table, raw: raw, fromPeer: fromPeer})
 	close(f.changed)
 	f.changed = make(chan struct{})
+	events.Emit(ctx, f.log, events.ConfigInForce, "version", table.Version, "source", lo.Ternary(fromPeer, "peer", "store"))
 }
--- a/internal/tablefollow/follower_test.go
+++ b/internal/tablefollow/follower_test.go
@@ -50,13 +50,13 @@
 	return []string{strconv.Itoa((r.self + 1) % n), strconv.Itoa((r.self + 2) % n)}
 }
 
-func (r ring) OfferTable(_ context.Context, address string, version int64, raw []byte) (int64, error) {
+func (r ring) OfferTable(ctx context.Context, address string, version int64, raw []byte) (int64, error) {
 	at, _ := strconv.Atoi(address)
 	if r.c.away[at] || r.c.away[r.self] {
 		return 0, errors.New("not reached")
 	}
 	r.c.sent.Add(int64(len(raw)))
-	return r.c.hosts[at].Offer(version, raw), nil
+	return r.c.hosts[at].Offer(ctx, version, raw), nil
 }
 
 // run starts n hosts and calls check in virtual time. Version 1 is in the store.
@@ -176,9 +176,9 @@
 			n := rapid.Int64Range(1, 30).Draw(t, "version")
 			raw := []byte(strconv.FormatInt(n, 10))
 			if rapid.Bool().Draw(t, "from a peer") {
-				f.Offer(n, raw)
+				f.Offer(context.Background(), n, raw)
 			} else {
-				f.take(store.Item{Key: key, Data: raw, Version: revision + 1})
+				f.take(context.Background(), store.Item{Key: key, Data: raw, Version: revision + 1})
 			}
 			newest = max(newest, n)
 			assert.Equal(t, f.Table().Version, newest)
