--- a/internal/jobfront/conns.go
+++ b/internal/jobfront/conns.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -23,7 +24,8 @@
 	// writeTimeout bounds how long a caller may leave an answer unread.
 	writeTimeout = 10 * time.Second
 
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes bounds headers whatever the table allows.
+	maxHeaderBytes = 256 << 10
 	// fallbackConnections holds when the options set no bound.
 	fallbackConnections = 1024
 
@@ -38,13 +40,14 @@
 	fullAnswer = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
 
-func newServer(handler http.Handler, conns *connections) *http.Server {
+func newServer(handler http.Handler, conns *connections, log *slog.Logger) *http.Server {
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerMark,
 		IdleTimeout:       idleMark,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         conns.track,
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug), // callers' faults mostly
 		Protocols:         new(http.Protocols),
 	}
 	server.Protocols.SetHTTP1(true)
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -112,7 +112,7 @@
 		ended:   newEndedStates(),
 	}
 	f.conns = newConnections(f.limits)
-	f.server = newServer(f.Handler(), f.conns)
+	f.server = newServer(f.Handler(), f.conns, options.Log)
 	f.ready.Store(true)
 	return f
 }
--- a/internal/jobfront/handler.go
+++ b/internal/jobfront/handler.go
@@ -65,7 +65,7 @@
 	if !ok {
 		return f.noQueue()
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), allowed(r.Header.Get(headerDeadline)))
+	ctx, cancel := context.WithTimeout(r.Context(), allowed(r.Header.Get(headerDeadline), q.Timeout))
 	defer cancel()
 	return f.dispatch(ctx, r.Method, request{queue: q, id: r.URL.Path[len(q.Prefix):]}, body)
 }
@@ -166,13 +166,17 @@
 	return host
 }
 
-// allowed is how long an answer may take.
-func allowed(deadline string) time.Duration {
+// allowed is how long an answer may take: the caller's time, the queue's and maxWait all bound it. 0 sets no bound.
+func allowed(deadline string, timeout time.Duration) time.Duration {
+	wait := maxWait
+	if timeout > 0 {
+		wait = min(wait, timeout)
+	}
 	ms, err := strconv.ParseInt(deadline, 10, 64)
-	if err != nil || ms <= 0 || ms > maxWait.Milliseconds() {
-		return maxWait
+	if err == nil && ms > 0 && ms < wait.Milliseconds() {
+		wait = time.Duration(ms) * time.Millisecond
 	}
-	return max(time.Duration(ms)*time.Millisecond-answerMargin, time.Millisecond)
+	return max(wait-answerMargin, answerMargin)
 }
 
 func (f *Front) send(w http.ResponseWriter, answer reply) {
@@ -183,7 +187,6 @@
 	if answer.repeat {
 		header.Set("Retry-After", retryAfter)
 	}
-	header["Date"] = nil // saves its formatting; callers have no use for it
 	header.Set("Content-Length", strconv.Itoa(len(answer.body)))
 	if len(answer.body) > 0 {
 		header.Set("Content-Type", f.contentType(answer.status))
--- a/internal/jobfront/metrics.go
+++ b/internal/jobfront/metrics.go
@@ -88,6 +88,9 @@
 
 func (m *Metrics) offersDropped(n int) { m.dropped.Inc(int64(n)) }
 
+// Stats is where the metrics are kept; others may add theirs.
+func (f *Front) Stats() *stats.Stats { return f.options.Metrics.stats }
+
 // MetricsHandler serves the metrics as text.
 func (f *Front) MetricsHandler() http.Handler {
 	export := f.options.Metrics.stats.Handler()
