Ask peers beside a silent store; prove callers' answers against a store in trouble

Cause: while the store left a host without answers, each hand-in waited for its own deadline before a peer was asked; and a cancellation that was surely not stored was answered 504, since the store's Unavailable was not taken for that. A front whose last write was left without an answer asks peers after 100 ms. Run: go test -race ./internal/jobfront.

--- a/internal/jobfront/front_test.go
+++ b/internal/jobfront/front_test.go
@@ -120,6 +120,8 @@
 	if errors.Is(w.ownerErr, context.DeadlineExceeded) {
 		<-ctx.Done()
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.asked++
 	return []pb.JobState{w.owner[ids[0]]}, w.ownerErr
 }
--- a/internal/jobfront/jobs.go
+++ b/internal/jobfront/jobs.go
@@ -24,8 +24,7 @@
 		Spec:       spec,
 		AcceptedMs: time.Now().UnixMilli(),
 	}
-	result := f.storeResult(true, f.options.Store.Accept(ctx, job))
-	result = f.relay.store(ctx, result, &pb.StoreJobRequest{Job: job})
+	result := f.store(ctx, &pb.StoreJobRequest{Job: job})
 	if result == pb.StoreResult_STORE_RESULT_STORED {
 		f.offers.job(job)
 	}
@@ -38,8 +37,7 @@
 }
 
 func (f *Front) storeCancel(ctx context.Context, pool, id string) pb.StoreResult {
-	result := f.storeResult(f.options.Store.Cancel(ctx, pool, id))
-	result = f.relay.store(ctx, result, &pb.StoreJobRequest{CancelPool: pool, CancelId: id})
+	result := f.store(ctx, &pb.StoreJobRequest{CancelPool: pool, CancelId: id})
 	if result == pb.StoreResult_STORE_RESULT_STORED {
 		f.offers.cancelled(pool, id)
 	}
--- a/internal/jobfront/relay.go
+++ b/internal/jobfront/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,10 +48,12 @@
 	return &relay{peers: peers, metrics: metrics, log: log}
 }
 
+func (r *relay) exists() bool { return r.peers != nil }
+
 // store asks peers if this entry host's own write did not succeed, and returns what became of all writes together.
 // A repeated write is harmless, so an undecided one may be repeated elsewhere.
 func (r *relay) store(ctx context.Context, own pb.StoreResult, req *pb.StoreJobRequest) pb.StoreResult {
-	if r.peers == nil {
+	if !r.exists() {
 		return own
 	}
 	if isDecided(own) {
@@ -118,43 +119,3 @@
 	defer r.mu.Unlock()
 	r.until = time.Now().Add(relayRest)
 }
-
-// StoreJob stores for a peer. It asks no other peer.
-func (f *Front) StoreJob(ctx context.Context, req *pb.StoreJobRequest) pb.StoreResult {
-	if job := req.GetJob(); job != nil {
-		return f.storeResult(true, f.options.Store.Accept(ctx, job))
-	}
-	return f.storeResult(f.options.Store.Cancel(ctx, req.GetCancelPool(), req.GetCancelId()))
-}
-
-// storeResult tells what became of a write by the store's answer.
-func (f *Front) storeResult(known bool, err error) pb.StoreResult {
-	switch {
-	case err == nil && known:
-		return pb.StoreResult_STORE_RESULT_STORED
-	case err == nil:
-		return pb.StoreResult_STORE_RESULT_UNKNOWN_JOB
-	case f.options.IsNotAccepted(err):
-		return pb.StoreResult_STORE_RESULT_NOT_STORED
-	default:
-		return pb.StoreResult_STORE_RESULT_UNDECIDED
-	}
-}
-
-func isDecided(result pb.StoreResult) bool {
-	return result == pb.StoreResult_STORE_RESULT_STORED || result == pb.StoreResult_STORE_RESULT_UNKNOWN_JOB
-}
-
-// storeReply tells the caller. Only what was surely not written is refused; of anything else the caller asks again.
-func storeReply(result pb.StoreResult) reply {
-	switch result {
-	case pb.StoreResult_STORE_RESULT_STORED:
-		return reply{status: http.StatusOK}
-	case pb.StoreResult_STORE_RESULT_UNKNOWN_JOB:
-		return reply{status: http.StatusGone}
-	case pb.StoreResult_STORE_RESULT_NOT_STORED:
-		return reply{status: http.StatusServiceUnavailable, repeat: true}
-	default:
-		return reply{status: http.StatusGatewayTimeout}
-	}
-}
--- /dev/null
+++ b/internal/jobfront/store.go
@@ -0,0 +1,107 @@
+package jobfront
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+)
+
+// silentWait is how long a write waits for a store that left the last ones without an answer, before peers are asked too.
+const silentWait = 100 * time.Millisecond
+
+// StoreJob stores for a peer. It asks no other peer.
+func (f *Front) StoreJob(ctx context.Context, req *pb.StoreJobRequest) pb.StoreResult {
+	if job := req.GetJob(); job != nil {
+		return f.storeResult(true, f.options.Store.Accept(ctx, job))
+	}
+	return f.storeResult(f.options.Store.Cancel(ctx, req.GetCancelPool(), req.GetCancelId()))
+}
+
+// store writes here, and through peers if that does not succeed. While the store leaves this entry host without answers
+// peers are asked beside it: the same write at two places is harmless.
+func (f *Front) store(ctx context.Context, req *pb.StoreJobRequest) pb.StoreResult {
+	if !f.silent.Load() || !f.relay.exists() {
+		return f.relay.store(ctx, f.storeHere(ctx, req), req)
+	}
+	own := make(chan pb.StoreResult, 1)
+	go func() {
+		// It goes on when a peer was faster: its end tells whether the store answers again.
+		here, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxWait)
+		defer cancel()
+		own <- f.storeHere(here, req)
+	}()
+	timer := time.NewTimer(silentWait)
+	defer timer.Stop()
+	select {
+	case result := <-own:
+		return f.relay.store(ctx, result, req)
+	case <-timer.C:
+	}
+	peers := f.relay.store(ctx, pb.StoreResult_STORE_RESULT_NOT_STORED, req)
+	if isDecided(peers) {
+		return peers
+	}
+	select {
+	case result := <-own:
+		return together(result, peers)
+	case <-ctx.Done():
+		return pb.StoreResult_STORE_RESULT_UNDECIDED
+	}
+}
+
+// together is what became of two writes of the same.
+func together(a, b pb.StoreResult) pb.StoreResult {
+	switch {
+	case isDecided(a):
+		return a
+	case a == pb.StoreResult_STORE_RESULT_NOT_STORED:
+		return b
+	default:
+		return a
+	}
+}
+
+// storeHere writes, and notes whether the store answers.
+func (f *Front) storeHere(ctx context.Context, req *pb.StoreJobRequest) pb.StoreResult {
+	result := f.StoreJob(ctx, req)
+	if isDecided(result) {
+		f.silent.Store(false)
+	} else if result == pb.StoreResult_STORE_RESULT_UNDECIDED {
+		f.silent.Store(true)
+	}
+	return result
+}
+
+// storeResult tells what became of a write by the store's answer.
+func (f *Front) storeResult(known bool, err error) pb.StoreResult {
+	switch {
+	case err == nil && known:
+		return pb.StoreResult_STORE_RESULT_STORED
+	case err == nil:
+		return pb.StoreResult_STORE_RESULT_UNKNOWN_JOB
+	case f.options.IsNotAccepted(err):
+		return pb.StoreResult_STORE_RESULT_NOT_STORED
+	default:
+		return pb.StoreResult_STORE_RESULT_UNDECIDED
+	}
+}
+
+func isDecided(result pb.StoreResult) bool {
+	return result == pb.StoreResult_STORE_RESULT_STORED || result == pb.StoreResult_STORE_RESULT_UNKNOWN_JOB
+}
+
+// storeReply tells the caller. Only what was surely not written is refused; of anything else the caller asks again.
+func storeReply(result pb.StoreResult) reply {
+	switch result {
+	case pb.StoreResult_STORE_RESULT_STORED:
+		return reply{status: http.StatusOK}
+	case pb.StoreResult_STORE_RESULT_UNKNOWN_JOB:
+		return reply{status: http.StatusGone}
+	case pb.StoreResult_STORE_RESULT_NOT_STORED:
+		return reply{status: http.StatusServiceUnavailable, repeat: true}
+	default:
+		return reply{status: http.StatusGatewayTimeout}
+	}
+}
--- a/internal/jobhost/operate.go
+++ b/internal/jobhost/operate.go
@@ -53,7 +53,7 @@
 func (h *Host) metricsHandler() http.Handler {
 	front := h.front.MetricsHandler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		h.setGauges()
+		h.setGauges() //nolint:contextcheck // the pools bound the time of their answers themselves
 		front.ServeHTTP(w, r)
 	})
 }
--- a/internal/jobhost/options.go
+++ b/internal/jobhost/options.go
@@ -14,6 +14,7 @@
 	"github.com/agateturn/agateturn/platform"
 	"github.com/agateturn/agateturn/queue"
 	"github.com/agateturn/agateturn/scheduler"
+	"github.com/agateturn/agateturn/store"
 )
 
 const (
@@ -34,13 +35,18 @@
 		Codec: codec{}, Store: h.jobs, Owners: h.peers, Tables: h.tables,
 		Relays:         relays{h},
 		Log:            h.log,
-		IsNotAccepted:  jobstore.NotAccepted.Has,
+		IsNotAccepted:  notStored,
 		ContentType:    contentType,
 		MaxConnections: maxConnections,
 		StopNotice:     stopNotice,
 	}
 }
 
+// notStored tells errors after which nothing was stored. An undecided write may wrap one that says so of its last try.
+func notStored(err error) bool {
+	return !jobstore.Undecided.Has(err) && (jobstore.NotAccepted.Has(err) || store.Unavailable.Has(err))
+}
+
 // poolNames lists what has to be owned: the fleet, and each pool whose hosts work.
 func poolNames(t *queue.Table) []string {
 	names := []string{membership.FleetPool}
