Count tasks on silent or ended workers as away; move machines only without persistent tasks

Ruled out: evacuation list dropped before the order (it held the worker until the move); lost answers (260 orders not confirmed, all refused connections). Change: a worker that refuses two connections in a row is over; tasks on workers silent for 2 s count as away; the fleet moves no machine with persistent tasks.

--- a/internal/fleetowner/step.go
+++ b/internal/fleetowner/step.go
@@ -73,6 +73,7 @@
 	}
 	orders := make([]order, 0, len(moves))
 	for _, m := range moves {
+		t.Logger.Info("move decided", "machine", m.Machine, "pool", m.Pool, "worker", t.workerOf(m.Machine), "fence", t.fence)
 		orders = append(orders, order{move: m})
 	}
 	key := t.Names.MovesKey
@@ -85,6 +86,7 @@
 func (t *term) upkeeps(ctx context.Context, upkeeps []upkeep.Order) error {
 	byWave := map[int64][]order{}
 	for _, u := range upkeeps {
+		t.Logger.Info("upkeep decided", "machine", u.Machine, "wave", u.Wave, "worker", t.workerOf(u.Machine), "fence", t.fence)
 		byWave[u.Wave] = append(byWave[u.Wave], order{upkeep: u})
 	}
 	for _, number := range slices.Sorted(maps.Keys(byWave)) {
@@ -107,6 +109,16 @@
 	return nil
 }
 
+// workerOf is the present worker of a machine, for the log.
+func (t *term) workerOf(machine string) string {
+	for i := range t.machines {
+		if t.machines[i].ID == machine {
+			return t.machines[i].Worker
+		}
+	}
+	return ""
+}
+
 // send passes the orders on once their intents are durable, or takes them back.
 func (t *term) send(ctx context.Context, orders []order, err error) error {
 	for _, o := range orders {
--- a/internal/poolowner/hold.go
+++ b/internal/poolowner/hold.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/agateturn/agateturn/scheduler"
@@ -15,6 +17,8 @@
 	holdSlack = 800 * time.Millisecond
 	// holdRetry is the pause after a hold without an answer.
 	holdRetry = 150 * time.Millisecond
+	// refusalsGone is how many refused connections in a row show that a worker has ended.
+	refusalsGone = 2
 	// ackPoll is how often a holder looks whether ends may be acknowledged, ackWait how long it waits for that.
 	ackPoll = 4 * time.Millisecond
 	ackWait = 200 * time.Millisecond
@@ -77,17 +81,21 @@
 // holdWorker renews the lease of one worker until ctx ends.
 func (o *Owner) holdWorker(ctx context.Context, w scheduler.Worker) {
 	first := true
+	refusals := 0
 	for ctx.Err() == nil {
 		wait := holdWait
 		if first {
 			wait = 0
 		}
+		sent := o.Clock()
 		report, err := o.holdOnce(ctx, w, wait)
 		if err != nil {
+			refusals = o.noteFailure(ctx, w, sent, refusals, err)
 			sleep(ctx, holdRetry)
 			continue
 		}
 		first = false
+		refusals = 0
 		if report.Fenced {
 			o.Replaced()
 		}
@@ -100,6 +108,19 @@
 	}
 }
 
+// noteFailure counts refused connections in a row. A worker that refuses again has no process any more: its runs are over.
+func (o *Owner) noteFailure(ctx context.Context, w scheduler.Worker, sent time.Time, refusals int, err error) int {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return 0
+	}
+	refusals++
+	if refusals == refusalsGone {
+		gone := scheduler.Report{Worker: w.ID, Sent: sent, Received: o.Clock(), Gone: true}
+		o.put(ctx, func(p *scheduler.Pool, now time.Time) { p.Report(now, gone) })
+	}
+	return refusals
+}
+
 func (o *Owner) holdOnce(ctx context.Context, w scheduler.Worker, wait time.Duration) (scheduler.Report, error) {
 	var next scheduler.Hold
 	if !o.ask(ctx, func(p *scheduler.Pool, now time.Time) { next = p.Hold(w.ID, now) }) {
--- a/internal/poolowner/orders.go
+++ b/internal/poolowner/orders.go
@@ -67,6 +67,11 @@
 	}
 	outcome := s.call(ctx, order, made)
 	<-slot
+	if outcome != scheduler.OutcomeDone {
+		s.owner.Log.DebugContext(ctx, "order not confirmed", "pool", s.owner.Pool, "fence", s.owner.Config.Fence,
+			"kind", int(order.Kind), "job", order.Task.Job, "index", order.Task.Index, "run", order.Run,
+			"worker", order.Worker, "outcome", int(outcome), "age", s.owner.Clock().Sub(made))
+	}
 	if outcome == scheduler.OutcomeFenced {
 		s.owner.Replaced()
 	}
--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -7,6 +7,8 @@
 	evacuateEvery = 100 * time.Millisecond
 	// drainReserve is how long before a draining worker leaves what is left on it is moved at once.
 	drainReserve = time.Second
+	// reportAge is the age of a worker's last report from which its tasks count as away.
+	reportAge = 2 * time.Second
 )
 
 // Evacuate replaces the set of workers that are to be emptied.
@@ -48,7 +50,7 @@
 	w := r.worker
 	leaving := w.Draining && now.Add(p.cfg.StopTime+drainReserve).After(w.drainBy)
 	if s.spec.GetPersistent() {
-		return leaving || !r.atWork() || s.budgetAllows(r.task)
+		return leaving || !r.atWork() || s.budgetAllows(now, r.task)
 	}
 	left := r.remaining(now)
 	if s.spec.GetGang() && !s.spec.GetSavesProgress() {
@@ -78,11 +80,11 @@
 
 // budgetAllows tells whether the task may be ended while the others of its step that are away are counted.
 // A step without a budget is treated as if it had a budget of one.
-func (s *step) budgetAllows(t *task) bool {
+func (s *step) budgetAllows(now time.Time, t *task) bool {
 	budget := max(1, s.spec.GetMayMiss())
 	for i := range s.tasks {
 		other := &s.tasks[i]
-		if other == t || other.atWork() {
+		if other == t || other.atWork(now) {
 			continue
 		}
 		budget--
@@ -90,9 +92,10 @@
 	return budget > 0
 }
 
-func (t *task) atWork() bool {
+// atWork tells whether a run of the task works on a worker that was heard lately.
+func (t *task) atWork(now time.Time) bool {
 	for _, r := range t.runs {
-		if r.atWork() {
+		if r.atWork() && now.Sub(r.worker.lastReport) < reportAge {
 			return true
 		}
 	}
@@ -100,7 +103,7 @@
 }
 
 // harmless tells whether nothing is lost and no budget broken if the run's worker stopped now.
-func (p *Pool) harmless(r *run) bool {
+func (p *Pool) harmless(now time.Time, r *run) bool {
 	if r.task == nil || r.task.done || r.task.job().over() {
 		return true
 	}
@@ -108,5 +111,5 @@
 	if !s.spec.GetPersistent() {
 		return false
 	}
-	return !r.atWork() || (s.active[r.worker] <= 1 && s.budgetAllows(r.task))
+	return !r.atWork() || (s.active[r.worker] <= 1 && s.budgetAllows(now, r.task))
 }
--- a/upkeep/planner.go
+++ b/upkeep/planner.go
@@ -172,7 +172,8 @@
 	}
 }
 
-// ready says whether a machine may be ordered away: nothing runs on it, or nothing that would be missed.
+// ready says whether a machine may be ordered away: nothing runs on it, or nothing that would be missed. Persistent tasks
+// always leave first: only their pool knows when the next one may be away.
 func (s *step) ready(id string, i *intent) bool {
 	m, ok := s.machines[id]
 	if !ok || m.State != Up {
@@ -200,7 +201,7 @@
 	if w.GetEvacuated() {
 		return true
 	}
-	if !w.GetStoppable() || waiting || s.forcedIn(m.Pool) {
+	if !w.GetStoppable() || w.GetPersistentTasks() > 0 || waiting || s.forcedIn(m.Pool) {
 		return false
 	}
 	i.forced = true
