--- a/httpcall/httpcall_test.go
+++ b/httpcall/httpcall_test.go
@@ -116,10 +116,9 @@
 }
 
 func TestWhatIsNotSent(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	assert.NilError(t, listener.Close())
-	refused := httpcall.New(listener.Addr().String(), 1, nil)
+	closed := httptest.NewServer(nil)
+	closed.Close()
+	refused := httpcall.New(closed.URL, 1, nil)
 	t.Cleanup(refused.Close)
 	got, err := refused.Do(context.Background(), request("/", time.Second))
 	assert.Assert(t, err != nil && !got.Sent)
