--- a/config/jobs.go
+++ b/config/jobs.go
@@ -16,7 +16,6 @@
 		c.problems = append(c.problems, settings.ProblemsOf(err)...)
 	}
 	c.checkJobListeners(s.GetJobHost())
-	c.checkJobTimes(s)
 	return settings.Refuse(c.problems...)
 }
 
@@ -34,12 +33,3 @@
 		seen[address] = keys[i]
 	}
 }
-
-// checkJobTimes refuses a lease of owners that the store does not grant.
-func (c *checker) checkJobTimes(s *pb.JobSettings) {
-	lease, shortest := s.GetJobBounds().GetControllerLease().AsDuration(), s.GetJobStore().GetMinLease().AsDuration()
-	if lease < shortest {
-		c.report("job_bounds", "", "controller_lease", fmt.Sprintf("lease %s is shorter than the store's min_lease", lease),
-			"lengthen it to at least "+shortest.String())
-	}
-}
