End connections whose data is not acknowledged; stamp reports with the clock that counts suspension

A watch on a connection that went silent was deaf for its whole wait and two seconds: keep-alive probes rest while data is unacknowledged. Reports were stamped with the time of day, which the pool compares with the boot clock; a step of the time of day would have reordered a report and a lost order.

--- a/httpcall/httpcall.go
+++ b/httpcall/httpcall.go
@@ -19,6 +19,8 @@
 const (
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = time.Second
+	// unackedTimeout ends connections on which data is not acknowledged for so long.
+	unackedTimeout = 3 * time.Second
 	// idleTimeout closes connections that were not used for so long.
 	idleTimeout = time.Minute
 	// maxHeaderBytes bounds the header of an answer.
@@ -74,7 +76,7 @@
 // New returns a client of ip:port or http://ip:port with connections of its own, at most so many at once; 0 means no
 // bound. observe may be nil.
 func New(address string, connections int, observe Observer) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: socketOptions}
 	idle := connections
 	if idle == 0 {
 		idle = maxIdle
--- /dev/null
+++ b/httpcall/socket_linux_test.go
@@ -0,0 +1,32 @@
+package httpcall
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+)
+
+// TestSocketOptions asks the kernel what applies to a connection of a client.
+func TestSocketOptions(t *testing.T) {
+	server := httptest.NewServer(nil)
+	t.Cleanup(server.Close)
+	client := New(server.URL, 1, nil)
+	conn, err := client.transport.DialContext(context.Background(), "tcp", strings.TrimPrefix(server.URL, "http://"))
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	assert.NilError(t, err)
+	for option, want := range map[int]int{unix.TCP_USER_TIMEOUT: 3000, unix.TCP_KEEPIDLE: 2, unix.TCP_KEEPINTVL: 1, unix.TCP_KEEPCNT: 3} {
+		err := raw.Control(func(fd uintptr) {
+			got, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option)
+			assert.NilError(t, err)
+			assert.Equal(t, got, want, "option %d", option)
+		})
+		assert.NilError(t, err)
+	}
+}
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -62,7 +62,7 @@
 	h := &Host{log: log, clock: boottime.New(), listWanted: make(chan struct{})}
 	h.settings.Store(s)
 	h.kv = platform.NewStore(s.GetJobStore().GetAddress(), platform.StoreOptions{})
-	h.workers = platform.NewWorkers(platform.WorkersOptions{})
+	h.workers = platform.NewWorkers(platform.WorkersOptions{Now: h.clock.Now})
 	h.tables = tablefollow.New(h.kv, platform.ConfigKey, platform.ParseTable, log)
 	h.pools = newPools(h)
 	h.members = membership.New(h.kv, h.self(), membership.Events{
