Records of jobs under lost and late answers

Cancel looks for the job after its write. A peer takes a pool over only if the store answers it within 0.3 s, so that pools stay put while the store is slow for all.

--- a/internal/jobstore/accept.go
+++ b/internal/jobstore/accept.go
@@ -32,13 +32,10 @@
 }
 
 // Cancel stores the cancellation. It is durable when the error is nil; known is false if there was no such job. The
-// cancellation is kept all the same, so that a job whose write lands late does not run.
+// cancellation is kept all the same, so that a job whose write lands late does not run. The job is looked for after the
+// write, so that the two cannot miss each other; known is true if this cannot be told.
 // Errors: store.Unavailable (not stored), Undecided. Cancel may be repeated.
 func (s *Store) Cancel(ctx context.Context, pool, id string) (known bool, err error) {
-	job, err := s.get(ctx, jobkeys.Job(pool, id))
-	if err != nil {
-		return false, err
-	}
 	data, err := proto.Marshal(&pb.JobCancel{Id: id, CancelledMs: s.clock().UnixMilli()})
 	if err != nil {
 		return false, err
@@ -47,7 +44,16 @@
 	if store.Unknown.Has(err) {
 		return false, Undecided.Wrap(err)
 	}
-	return job.Version > 0, err
+	if err != nil {
+		return false, err
+	}
+	return s.mayExist(ctx, jobkeys.Job(pool, id)), nil
+}
+
+// mayExist tells whether a key exists; true if this cannot be told.
+func (s *Store) mayExist(ctx context.Context, key string) bool {
+	item, err := s.get(ctx, key)
+	return err != nil || item.Version > 0
 }
 
 // Lookup reads a job's state from the store: for when the owner cannot be asked. found is false if there is no such job.
--- a/internal/jobstore/group.go
+++ b/internal/jobstore/group.go
@@ -138,7 +138,10 @@
 		if len(group) == 0 {
 			return
 		}
-		err := s.commit(ctx, transactionOf(group))
+		_, doubt, err := s.commit(ctx, transactionOf(group))
+		if doubt {
+			s.remember(group)
+		}
 		var conflict *store.ConflictError
 		if !errors.As(err, &conflict) {
 			s.answer(ctx, group, err)
@@ -167,17 +170,21 @@
 	return t
 }
 
+// remember notes the jobs of a group whose write may take effect later.
+func (s *Store) remember(group []*arrival) {
+	for _, a := range group {
+		if a.ifAbsent {
+			s.undecided.add(a.id, s.clock())
+		}
+	}
+}
+
 // answer tells the callers; what is unknown is read back once.
 func (s *Store) answer(ctx context.Context, group []*arrival, err error) {
 	if !store.Unknown.Has(err) {
 		tell(group, err)
 		return
 	}
-	for _, a := range group {
-		if a.ifAbsent {
-			s.undecided.add(a.id, s.clock())
-		}
-	}
 	var reads sync.WaitGroup
 	for key, same := range lo.GroupBy(group, func(a *arrival) string { return a.key }) {
 		reads.Go(func() {
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -29,6 +29,9 @@
 // queueSize bounds the arrivals that wait for a transaction.
 const queueSize = 4096
 
+// readLatencies is how long the first call of a read may take, in terms of health.hedgeAfter.
+const readLatencies = 2
+
 // Options tune a Store. Zero values mean the defaults.
 type Options struct {
 	// GroupWindow is how long an arrival waits for others to share a transaction while one is in flight. Default 3 ms.
@@ -65,6 +68,8 @@
 	arrivals  *ring.Ring[*arrival]
 	undecided *undecidedIDs
 	closed    chan struct{} // closed when Run has ended
+	health    health
+	progress  progressKeys
 }
 
 // New returns a Store; Accept and Cancel need its Run. clock must be steady.
@@ -75,6 +80,7 @@
 		arrivals:  ring.New[*arrival]("job arrivals", queueSize),
 		undecided: newUndecidedIDs(opts.RememberUndecided),
 		closed:    make(chan struct{}),
+		progress:  progressKeys{pools: make(map[string]*poolKeys)},
 	}
 }
 
@@ -83,15 +89,15 @@
 	return context.WithTimeout(ctx, s.opts.CallTimeout)
 }
 
+// get reads a key. Since an answer may be lost without a trace, the first of two calls has less time.
 func (s *Store) get(ctx context.Context, key string) (store.Item, error) {
+	first, cancel := context.WithTimeout(ctx, readLatencies*s.health.hedgeAfter())
+	item, err := s.kv.Get(first, key)
+	cancel()
+	if err == nil || ctx.Err() != nil {
+		return item, err
+	}
 	call, cancel := s.call(ctx)
 	defer cancel()
 	return s.kv.Get(call, key)
 }
-
-func (s *Store) commit(ctx context.Context, t store.Transaction) error {
-	call, cancel := s.call(ctx)
-	defer cancel()
-	_, err := s.kv.Commit(call, t)
-	return err
-}
--- /dev/null
+++ b/internal/jobstore/linear_test.go
@@ -0,0 +1,209 @@
+package jobstore
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/store/memtxn"
+)
+
+type opKind int
+
+const (
+	opAccept opKind = iota
+	opCancel
+	opLookup
+)
+
+type input struct {
+	kind opKind
+	id   string
+}
+
+// output is what the caller was told. effect says whether the call may, must or must not have had its effect.
+type output struct {
+	effect           effect
+	found, cancelled bool
+}
+
+type effect int
+
+const (
+	took effect = iota
+	none
+	maybe
+)
+
+// jobState is the model's state of one id.
+type jobState struct{ job, cancelled bool }
+
+func model() porcupine.Model {
+	m := porcupine.NondeterministicModel{
+		Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+			byID := make(map[string][]porcupine.Operation)
+			for _, op := range history {
+				id := op.Input.(input).id
+				byID[id] = append(byID[id], op)
+			}
+			var parts [][]porcupine.Operation
+			for _, part := range byID {
+				parts = append(parts, part)
+			}
+			return parts
+		},
+		Init: func() []any { return []any{jobState{}} },
+		Step: func(state, in, out any) []any {
+			return step(state.(jobState), in.(input).kind, out.(output))
+		},
+		Equal: func(a, b any) bool { return a == b },
+	}
+	return m.ToModel()
+}
+
+func step(before jobState, kind opKind, out output) []any {
+	after := before
+	switch kind {
+	case opAccept:
+		after.job = true
+	case opCancel:
+		after.cancelled = true
+		if out.effect == took && !out.found && before.job { // a true may mean that the store could not be asked
+			return nil
+		}
+	case opLookup:
+		if out.effect == took && (out.found != before.job || out.cancelled != (before.job && before.cancelled)) {
+			return nil
+		}
+	}
+	switch out.effect {
+	case took:
+		return []any{after}
+	case none:
+		return []any{before}
+	case maybe:
+	}
+	return []any{before, after}
+}
+
+// recorder collects a history.
+type recorder struct {
+	mu    sync.Mutex
+	began time.Time
+	ops   []porcupine.Operation
+}
+
+func (r *recorder) do(client int, in input, call func() output) {
+	from := time.Since(r.began).Nanoseconds()
+	out := call()
+	to := time.Since(r.began).Nanoseconds()
+	if out.effect == maybe {
+		to = math.MaxInt64
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ops = append(r.ops, porcupine.Operation{ClientId: client, Input: in, Call: from, Output: out, Return: to})
+}
+
+func (s *Store) play(ctx context.Context, in input) output {
+	switch in.kind {
+	case opAccept:
+		err := s.Accept(ctx, job(in.id))
+		return output{effect: effectOf(err, NotAccepted.Has(err))}
+	case opCancel:
+		known, err := s.Cancel(ctx, testPool, in.id)
+		return output{effect: effectOf(err, !Undecided.Has(err)), found: known}
+	case opLookup:
+	}
+	state, found, err := s.Lookup(ctx, testPool, in.id)
+	return output{effect: effectOf(err, true), found: found, cancelled: state == pb.JobState_JOB_STATE_CANCELLED}
+}
+
+func effectOf(err error, certain bool) effect {
+	switch {
+	case err == nil:
+		return took
+	case certain:
+		return none
+	}
+	return maybe
+}
+
+// TestHistoriesAreLinearizable plays callers at three hosts against a store that loses, delays and refuses calls.
+func TestHistoriesAreLinearizable(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				history := playCallers(t, rand.New(rand.NewPCG(seed, 3)), 1+int(seed%4), 4)
+				if porcupine.CheckOperationsTimeout(model(), history, time.Minute) != porcupine.Ok {
+					for _, op := range history {
+						t.Logf("%d %v %v [%d %d]", op.ClientId, op.Input, op.Output, op.Call/1e6, op.Return/1e6)
+					}
+					t.Fail()
+				}
+			})
+		})
+	}
+}
+
+// playCallers returns a history; the more of served, the fewer calls fail.
+func playCallers(t *testing.T, random *rand.Rand, served, ids int) []porcupine.Operation {
+	kv := memtxn.New()
+	outcomes := append(slices.Repeat([]memtxn.Outcome{memtxn.Serve}, served),
+		memtxn.Serve, memtxn.Refuse, memtxn.LoseRequest, memtxn.LoseAnswer, memtxn.LandLate, memtxn.Hang)
+	plan := rand.New(rand.NewPCG(random.Uint64(), 4)) // used under the store's lock
+	kv.SetFaults(memtxn.Faults{
+		Delay: time.Duration(random.IntN(100)) * time.Millisecond, LateBy: time.Duration(random.IntN(3000)) * time.Millisecond,
+		Plan: func(string, memtxn.Call) memtxn.Outcome { return outcomes[plan.IntN(len(outcomes))] },
+	})
+	r := &recorder{began: time.Now()}
+	var callers sync.WaitGroup
+	for client := range 3 {
+		s, stop := start(t, kv, fmt.Sprint("h", client))
+		defer stop()
+		own := rand.New(rand.NewPCG(random.Uint64(), 5))
+		callers.Go(func() {
+			for range 12 {
+				in := input{kind: opKind(own.IntN(3)), id: fmt.Sprint(own.IntN(ids))}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(500+own.IntN(3000))*time.Millisecond)
+				r.do(client, in, func() output { return s.play(ctx, in) })
+				cancel()
+				time.Sleep(time.Duration(own.IntN(300)) * time.Millisecond)
+			}
+		})
+	}
+	callers.Wait()
+	return r.ops
+}
+
+// TestCheckerCatchesRefusalOfUndecidedJobs has callers told that jobs were refused whenever no answer came.
+func TestCheckerCatchesRefusalOfUndecidedJobs(t *testing.T) {
+	caught := 0
+	for seed := range uint64(40) {
+		synctest.Test(t, func(t *testing.T) {
+			history := playCallers(t, rand.New(rand.NewPCG(seed, 3)), 1, 12)
+			for i, op := range history {
+				out := op.Output.(output)
+				if op.Input.(input).kind == opAccept && out.effect == maybe {
+					out.effect = none
+					history[i].Output, history[i].Return = out, op.Call+1
+				}
+			}
+			if porcupine.CheckOperationsTimeout(model(), history, time.Minute) == porcupine.Illegal {
+				caught++
+			}
+		})
+	}
+	if caught == 0 {
+		t.Error("no history showed the fault")
+	}
+}
--- a/internal/jobstore/load.go
+++ b/internal/jobstore/load.go
@@ -50,6 +50,7 @@
 	if err != nil {
 		return snap, 0, err
 	}
+	s.progress.reset(pool, recorded)
 	for _, i := range recorded {
 		p := &pb.JobProgress{}
 		if err := proto.Unmarshal(i.Data, p); err != nil {
--- /dev/null
+++ b/internal/jobstore/owners_test.go
@@ -0,0 +1,219 @@
+package jobstore_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/jobstore"
+	"github.com/agateturn/agateturn/internal/membership"
+	"github.com/agateturn/agateturn/store/memtxn"
+)
+
+const pool = "kettle"
+
+// truth is what callers and owners were told to be durable.
+type truth struct {
+	mu       sync.Mutex
+	accepted map[string]bool
+	// recorded counts the progress of each job; it is kept in JobProgress.ended_ms.
+	recorded map[string]int64
+	loads    int
+	records  int
+}
+
+func (w *truth) copy() (accepted map[string]bool, recorded map[string]int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	accepted, recorded = make(map[string]bool), make(map[string]int64)
+	for id := range w.accepted {
+		accepted[id] = true
+	}
+	for id, n := range w.recorded {
+		recorded[id] = n
+	}
+	return accepted, recorded
+}
+
+// owner loads the pool each time it gains it and then records progress as long as it may.
+type owner struct {
+	t      *testing.T
+	truth  *truth
+	jobs   *jobstore.Store
+	member *membership.Manager
+	gained chan uint64
+}
+
+func (o *owner) run(ctx context.Context) {
+	for {
+		select {
+		case fence := <-o.gained:
+			o.own(ctx, fence)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (o *owner) holds(fence uint64) bool {
+	held, ok := o.member.Confirmed(pool)
+	return ok && held == fence
+}
+
+func (o *owner) own(ctx context.Context, fence uint64) {
+	counts, ok := o.load(ctx, fence)
+	for ok && ctx.Err() == nil {
+		time.Sleep(200 * time.Millisecond)
+		if held, _ := o.member.Confirmed(pool); held != fence {
+			return
+		}
+		if !o.holds(fence) {
+			continue
+		}
+		var ps []*pb.JobProgress
+		for id := range counts {
+			counts[id]++
+			ps = append(ps, &pb.JobProgress{Id: id, EndedMs: counts[id]})
+		}
+		err := o.jobs.Record(ctx, pool, fence, ps)
+		if jobstore.Fenced.Has(err) {
+			o.member.Replaced(pool, fence)
+			return
+		}
+		if err != nil {
+			continue
+		}
+		o.truth.mu.Lock()
+		o.truth.records++
+		for _, p := range ps {
+			o.truth.recorded[p.GetId()] = max(o.truth.recorded[p.GetId()], p.GetEndedMs())
+		}
+		o.truth.mu.Unlock()
+	}
+}
+
+// load reads the pool and checks that nothing is missing that was told to be durable.
+func (o *owner) load(ctx context.Context, fence uint64) (map[string]int64, bool) {
+	accepted, recorded := o.truth.copy()
+	snap, _, err := o.jobs.Load(ctx, pool)
+	for err != nil && ctx.Err() == nil {
+		if held, _ := o.member.Confirmed(pool); held != fence {
+			return nil, false
+		}
+		time.Sleep(200 * time.Millisecond)
+		snap, _, err = o.jobs.Load(ctx, pool)
+	}
+	if err != nil {
+		return nil, false
+	}
+	counts := make(map[string]int64)
+	for _, j := range snap.Jobs {
+		counts[j.GetId()] = 0
+	}
+	for _, p := range snap.Progress {
+		counts[p.GetId()] = p.GetEndedMs()
+	}
+	for id := range accepted {
+		_, ok := counts[id]
+		assert.Check(o.t, ok, "accepted job %s is lost", id)
+	}
+	for id, n := range recorded {
+		assert.Check(o.t, counts[id] >= n, "job %s was recorded at %d and is at %d", id, n, counts[id])
+	}
+	o.truth.mu.Lock()
+	o.truth.loads++
+	o.truth.mu.Unlock()
+	return counts, true
+}
+
+// TestNothingDurableIsLostOverOwners plays owners that come and go under faults.
+func TestNothingDurableIsLostOverOwners(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playOwners(t, rand.New(rand.NewPCG(seed, 6))) })
+		})
+	}
+}
+
+func playOwners(t *testing.T, random *rand.Rand) {
+	kv := memtxn.New()
+	w := &truth{accepted: make(map[string]bool), recorded: make(map[string]int64)}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	var fronts []*jobstore.Store
+	for i := range 4 {
+		front := startOwner(ctx, t, kv, w, fmt.Sprint("h", i), &running)
+		fronts = append(fronts, front)
+	}
+	time.Sleep(2 * time.Second)
+	for i := range 120 {
+		if i%10 == 0 {
+			kv.SetFaults(someFaults(random))
+		}
+		if random.IntN(12) == 0 {
+			kv.RevokeAll()
+		}
+		id := fmt.Sprint(i)
+		call, end := context.WithTimeout(ctx, time.Second)
+		err := fronts[random.IntN(len(fronts))].Accept(call, &pb.JobRecord{Id: id, Pool: pool})
+		end()
+		if err == nil {
+			w.mu.Lock()
+			w.accepted[id] = true
+			w.mu.Unlock()
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	kv.SetFaults(memtxn.Faults{})
+	kv.RevokeAll()
+	time.Sleep(5 * time.Second)
+	cancel()
+	running.Wait()
+	t.Logf("%d accepted, %d loads, %d records", len(w.accepted), w.loads, w.records)
+	assert.Assert(t, len(w.accepted) > 30 && w.loads > 2 && w.records > 10)
+}
+
+func startOwner(
+	ctx context.Context, t *testing.T, kv *memtxn.Store, w *truth, name string, running *sync.WaitGroup,
+) *jobstore.Store {
+	client, log := kv.Client(name), slog.New(slog.DiscardHandler)
+	o := &owner{t: t, truth: w, gained: make(chan uint64, 1000)}
+	o.jobs = jobstore.New(client, time.Now, log, jobstore.Options{})
+	events := membership.Events{
+		Gained: func(_ string, fence uint64) { o.gained <- fence },
+		Lost:   func(string, uint64) {},
+	}
+	self := membership.Self{Name: name, Incarnation: name}
+	o.member = membership.New(client, self, events, time.Now, log, membership.Options{})
+	o.member.SetPools([]string{pool})
+	running.Go(func() { assert.Check(t, o.jobs.Run(ctx)) })
+	running.Go(func() { assert.Check(t, o.member.Run(ctx)) })
+	running.Go(func() { o.run(ctx) })
+	return o.jobs
+}
+
+func someFaults(random *rand.Rand) memtxn.Faults {
+	f := memtxn.Faults{Delay: time.Duration(random.IntN(30)) * time.Millisecond}
+	switch random.IntN(5) {
+	case 0:
+		f.Cut = map[string]bool{"h0": true, "h2": true}
+	case 1:
+		f.DeafWatches = true
+	case 2, 3:
+		outcomes := []memtxn.Outcome{
+			memtxn.Serve, memtxn.Serve, memtxn.Serve, memtxn.LoseRequest, memtxn.LoseAnswer, memtxn.LandLate, memtxn.Hang,
+		}
+		plan := rand.New(rand.NewPCG(random.Uint64(), 7)) // used under the store's lock
+		f.LateBy = time.Duration(plan.IntN(4000)) * time.Millisecond
+		f.Plan = func(string, memtxn.Call) memtxn.Outcome { return outcomes[plan.IntN(len(outcomes))] }
+	}
+	return f
+}
--- a/internal/jobstore/record.go
+++ b/internal/jobstore/record.go
@@ -1,6 +1,7 @@
 package jobstore
 
 import (
+	"bytes"
 	"context"
 	"errors"
 
@@ -12,18 +13,27 @@
 )
 
 const (
-	// maxEntries are the entries of a transaction besides the owner's condition.
-	maxEntries = store.MaxTransactionEntries - 1
+	// maxRecorded bounds the jobs of one transaction: a condition and a put each, besides the owner's condition.
+	maxRecorded = (store.MaxTransactionEntries - 1) / 2
 	// maxTransactionBytes bounds the values of one transaction.
 	maxTransactionBytes = 512 << 10
 	// keysOfJob are the keys that Forget deletes for a job.
 	keysOfJob = 3
+	// maxForgotten bounds the jobs of one transaction of Forget.
+	maxForgotten = (store.MaxTransactionEntries - 1) / keysOfJob
 )
 
 // Record stores progress of a pool's jobs, several in a transaction. Each transaction is all or nothing, and holds only
-// if the pool's owner key still has the fence. After an error some may be stored; the call may be repeated as it was.
+// if the pool's owner key still has the fence and the progress keys are as this owner left them: a write whose answer
+// was lost cannot land over a later one. The owner has called Load before. Calls for one pool wait for one another.
+// After an error some may be stored; call again with the same or newer progress.
 // Errors: Fenced, store.Unavailable, store.Unknown.
 func (s *Store) Record(ctx context.Context, pool string, fence uint64, ps []*pb.JobProgress) error {
+	keys, err := s.progress.lock(ctx, pool)
+	if err != nil {
+		return err
+	}
+	defer keys.unlock()
 	var puts []store.Put
 	size := 0
 	for _, p := range ps {
@@ -31,8 +41,8 @@
 		if err != nil {
 			return err
 		}
-		if len(puts) > 0 && (len(puts) == maxEntries || size+len(data) > maxTransactionBytes) {
-			if err := s.commitFenced(ctx, pool, fence, store.Transaction{Puts: puts}); err != nil {
+		if len(puts) > 0 && (len(puts) == maxRecorded || size+len(data) > maxTransactionBytes) {
+			if err := s.recordAll(ctx, pool, fence, keys, puts); err != nil {
 				return err
 			}
 			puts, size = nil, 0
@@ -43,33 +53,94 @@
 	if len(puts) == 0 {
 		return nil
 	}
-	return s.commitFenced(ctx, pool, fence, store.Transaction{Puts: puts})
+	return s.recordAll(ctx, pool, fence, keys, puts)
+}
+
+// recordAll commits the puts. A conflict shows an earlier write of this owner that landed without an answer, or that it
+// was replaced.
+func (s *Store) recordAll(ctx context.Context, pool string, fence uint64, keys *poolKeys, puts []store.Put) error {
+	for range maxRounds {
+		t := store.Transaction{Puts: puts}
+		for _, p := range puts {
+			t.Conditions = append(t.Conditions, store.Condition{Key: p.Key, Version: keys.versions[p.Key]})
+		}
+		revision, conflict, err := s.commitFenced(ctx, pool, fence, t)
+		if err != nil {
+			return err
+		}
+		if conflict == nil {
+			for _, p := range puts {
+				keys.versions[p.Key] = revision
+			}
+			return nil
+		}
+		if keys.adopt(conflict, puts) {
+			return nil
+		}
+	}
+	return store.Unavailable.New("conflicts did not end")
 }
 
 // Forget deletes all records of the jobs. Errors: as Record.
 func (s *Store) Forget(ctx context.Context, pool string, fence uint64, ids []string) error {
-	const perTransaction = maxEntries / keysOfJob
+	keys, err := s.progress.lock(ctx, pool)
+	if err != nil {
+		return err
+	}
+	defer keys.unlock()
 	for len(ids) > 0 {
-		n := min(len(ids), perTransaction)
+		n := min(len(ids), maxForgotten)
 		var t store.Transaction
 		for _, id := range ids[:n] {
 			t.Deletes = append(t.Deletes, jobkeys.Job(pool, id), jobkeys.Cancel(pool, id), jobkeys.Progress(pool, id))
 		}
-		if err := s.commitFenced(ctx, pool, fence, t); err != nil {
+		if _, _, err := s.commitFenced(ctx, pool, fence, t); err != nil {
 			return err
 		}
+		for _, id := range ids[:n] {
+			delete(keys.versions, jobkeys.Progress(pool, id))
+		}
 		ids = ids[n:]
 	}
 	return nil
 }
 
-// commitFenced commits on the condition that the pool's owner key has the fence.
-func (s *Store) commitFenced(ctx context.Context, pool string, fence uint64, t store.Transaction) error {
-	t.Conditions = []store.Condition{{Key: jobkeys.Owner(pool), Version: fence}}
-	err := s.commit(ctx, t)
-	var conflict *store.ConflictError
-	if errors.As(err, &conflict) {
-		return Fenced.Wrap(err)
+// commitFenced commits on the further condition that the pool's owner key has the fence. It returns the states of the
+// keys if another condition does not hold.
+func (s *Store) commitFenced(
+	ctx context.Context, pool string, fence uint64, t store.Transaction,
+) (revision uint64, conflict []store.Item, err error) {
+	owner := store.Condition{Key: jobkeys.Owner(pool), Version: fence}
+	t.Conditions = append(t.Conditions, owner)
+	revision, _, err = s.commit(ctx, t)
+	var failed *store.ConflictError
+	if !errors.As(err, &failed) {
+		return revision, nil, err
+	}
+	for _, i := range failed.Items {
+		if i.Key == owner.Key && i.Version != fence {
+			return 0, nil, Fenced.Wrap(err)
+		}
+	}
+	return 0, failed.Items, nil
+}
+
+// adopt takes the versions of the keys as the store has them, and reports whether it has all the puts already.
+func (k *poolKeys) adopt(items []store.Item, puts []store.Put) bool {
+	wanted := make(map[string][]byte, len(puts))
+	for _, p := range puts {
+		wanted[p.Key] = p.Data
+	}
+	there := 0
+	for _, i := range items {
+		data, ok := wanted[i.Key]
+		if !ok {
+			continue
+		}
+		k.versions[i.Key] = i.Version
+		if i.Version > 0 && bytes.Equal(i.Data, data) {
+			there++
+		}
 	}
-	return err
+	return there == len(puts)
 }
--- a/internal/membership/consent.go
+++ b/internal/membership/consent.go
@@ -23,6 +23,8 @@
 	consentRetry = time.Second
 	// askTimeout bounds the call of one peer.
 	askTimeout = time.Second
+	// probeTimeout is how soon the store answers a host that takes a pool over.
+	probeTimeout = 300 * time.Millisecond
 	// maxAsked bounds the peers asked for one pool in a round.
 	maxAsked = 2
 )
@@ -118,6 +120,9 @@
 	if !wanted || lease == 0 || m.storeSilent() {
 		return CannotTake.New("lease %d, wanted %t, store last heard %s", lease, wanted, m.StoreHeard())
 	}
+	if err := m.probe(ctx, lease); err != nil {
+		return CannotTake.Wrap(err)
+	}
 	events, err := m.take(ctx, pool, lease, fence)
 	if err != nil {
 		return err
@@ -136,3 +141,10 @@
 		}
 	}, nil)
 }
+
+// probe fails unless the store answers this host soon: a store that is slow or down for all is no reason to move a pool.
+func (m *Manager) probe(ctx context.Context, lease uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return m.renew(ctx, lease)
+}
--- a/internal/membership/faults_test.go
+++ b/internal/membership/faults_test.go
@@ -270,3 +270,24 @@
 		assert.Equal(t, len(kv.Items(jobkeys.Owner("a"))), 0)
 	})
 }
+
+func TestPoolsStayWhileTheStoreIsSlow(t *testing.T) {
+	fleetTest(t, func(t *testing.T, kv *memtxn.Store, hosts []*host) {
+		before := make(map[string]uint64)
+		for _, p := range pools {
+			before[p] = ownerOf(t, hosts, p).holds()[p]
+		}
+		kv.SetFaults(memtxn.Faults{Delay: 1700 * time.Millisecond})
+		for range 150 {
+			time.Sleep(100 * time.Millisecond)
+			synctest.Wait()
+			for _, p := range pools {
+				owner := ownerOf(t, hosts, p)
+				assert.Assert(t, owner != nil, "%s is free", p)
+				assert.Equal(t, owner.holds()[p], before[p], "pool %s", p)
+				_, ok := owner.Confirmed(p)
+				assert.Assert(t, ok)
+			}
+		}
+	})
+}
--- a/internal/membership/keep.go
+++ b/internal/membership/keep.go
@@ -75,7 +75,7 @@
 	})
 	results := make(chan error, maxRenewals)
 	running, failures := 0, 0
-	interval := ttl / renewalsPerTTL
+	interval := min(ttl, m.opts.LeaseTTL) / renewalsPerTTL // the store's silence is judged by these renewals
 	timer := time.NewTimer(interval)
 	defer timer.Stop()
 	wake(m.registerNow)
