Replace owners that are proved gone at once; key and store tests

What: an owner whose process was registered anew, or whose address refuses connections (Manager.OwnerGone), is replaced without waiting for its lease. Options.WatchSpacing spares watch calls where jobs are pushed as well. Found by the tests of memtxn: stale reads were refused by the rate bound.

--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -42,6 +42,9 @@
 	CallTimeout time.Duration
 	// WatchWait is how long a watch waits. Default 10 s.
 	WatchWait time.Duration
+	// WatchSpacing is the least time from one watch of Follow that told something to the next: fewer calls where jobs
+	// reach the owner on another way too. Default 0.
+	WatchSpacing time.Duration
 	// QuietCheck is how long a watch may tell nothing before a cheap read looks for changes. Default 5 s.
 	QuietCheck time.Duration
 	// RememberUndecided is how long an id whose write was not answered is never told to be NotAccepted. Default 5 min.
--- a/internal/jobstore/load.go
+++ b/internal/jobstore/load.go
@@ -141,10 +141,11 @@
 		}
 	}
 	f.asOf = asOf
-	now := s.clock()
 	if len(events) > 0 {
-		f.heard = now
+		f.heard = s.clock()
+		return sleep(ctx, s.opts.WatchSpacing)
 	}
+	now := s.clock()
 	if now.Sub(f.heard) < s.opts.QuietCheck {
 		return nil
 	}
@@ -152,6 +153,20 @@
 	return f.rangeSince(ctx, true)
 }
 
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // rangeSince tells what a Range shows to be newer than checked.
 func (f *follower) rangeSince(ctx context.Context, stale bool) error {
 	items, asOf, err := f.store.readRange(ctx, f.prefix, stale)
--- a/internal/membership/elect.go
+++ b/internal/membership/elect.go
@@ -120,6 +120,7 @@
 	if m.releaseUnwanted(ctx) {
 		wait = retryWrite
 	}
+	e.view.noteRestarts(now)
 	v := e.view.decide(e.pools, e.settled, now)
 	for _, t := range ownership.Turns(v, m.self.Name, m.opts.RankStep) {
 		at := lo.Latest(t.At, e.notYet[t.Pool])
@@ -127,8 +128,11 @@
 			wait = min(wait, at.Sub(now))
 			continue
 		}
-		lease := e.lease
-		m.spawnWrite(t.Pool, func() ([]store.Event, error) { return m.take(ctx, t.Pool, lease, 0) })
+		lease, from := e.lease, uint64(0)
+		if s := e.view.owners[t.Pool]; s.gone {
+			from = s.version
+		}
+		m.spawnWrite(t.Pool, func() ([]store.Event, error) { return m.take(ctx, t.Pool, lease, from) })
 	}
 	return wait
 }
--- a/internal/membership/faults_test.go
+++ b/internal/membership/faults_test.go
@@ -87,6 +87,40 @@
 	})
 }
 
+func TestOwnerProvedGoneIsReplacedAtOnce(t *testing.T) {
+	fleetTest(t, func(t *testing.T, kv *memtxn.Store, hosts []*host) {
+		gone := ownerOf(t, hosts, "a")
+		rest := without(hosts, gone)
+		gone.stop()
+		_, fence, _ := rest[0].Owner("a")
+		for _, h := range rest {
+			h.OwnerGone("a", fence-1)
+		}
+		time.Sleep(300 * time.Millisecond)
+		assert.Assert(t, ownerOf(t, rest, "a") == nil, "not by an older fence")
+		rest[0].OwnerGone("a", fence)
+		took := within(t, 1200*time.Millisecond, "takeover", func() bool { return ownerOf(t, rest, "a") != nil })
+		t.Logf("taken over after %s when one host knew", took)
+		time.Sleep(3 * time.Second)
+		allOwned(t, kv, rest)
+	})
+}
+
+func TestRestartedOwnerIsReplacedAtOnce(t *testing.T) {
+	fleetTest(t, func(t *testing.T, kv *memtxn.Store, hosts []*host) {
+		gone := ownerOf(t, hosts, "a")
+		rest := without(hosts, gone)
+		gone.stop()
+		again := startHost(t, kv.Client(gone.name), gone.name, Options{})
+		defer again.stop()
+		rest = append(rest, again)
+		took := within(t, 600*time.Millisecond, "takeover", func() bool { return ownerOf(t, rest, "a") != nil })
+		t.Logf("taken over after %s", took)
+		time.Sleep(3 * time.Second)
+		allOwned(t, kv, rest)
+	})
+}
+
 func TestLeavingOwnerIsReplacedAtOnce(t *testing.T) {
 	fleetTest(t, func(t *testing.T, kv *memtxn.Store, hosts []*host) {
 		gone := ownerOf(t, hosts, "a")
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -189,6 +189,16 @@
 	m.post(m.life, func(context.Context) { m.refuse(pool, fence) })
 }
 
+// OwnerGone says that the owner with the fence is proved to have ended, though its lease may last: its address refuses
+// connections, so nothing listens there. Silence is no proof. The pool is taken as if it were free.
+func (m *Manager) OwnerGone(pool string, fence uint64) {
+	m.post(m.life, func(context.Context) {
+		if s, ok := m.elector.view.owners[pool]; ok && s.version == fence && !m.hasKey(s) {
+			s.markGone(m.clock())
+		}
+	})
+}
+
 // StoreHeard is when the store last answered a call with success; zero if it never did.
 func (m *Manager) StoreHeard() time.Time {
 	n := m.heard.Load()
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -28,6 +28,8 @@
 	owner     *pb.OwnerRecord
 	last      *pb.OwnerRecord
 	freeSince time.Time
+	// gone means that the owner is proved to have ended although its lease lasts: the key may be replaced.
+	gone bool
 	// told means that owner is what a peer told; what the store has under the same version replaces it.
 	told bool
 }
@@ -75,7 +77,7 @@
 	if e.Item.Version < s.version || (e.Item.Version == s.version && !s.told) {
 		return
 	}
-	s.told = false
+	s.told, s.gone = false, false
 	if e.Deleted {
 		s.free(e.Item.Version, now)
 		return
@@ -186,19 +188,45 @@
 	return found
 }
 
+// noteRestarts marks owners whose member was registered by a later life of its process.
+func (v *view) noteRestarts(now time.Time) {
+	for _, s := range v.owners {
+		m, ok := v.members[s.owner.GetMember()]
+		if ok && m.member != nil && m.version > s.version && m.member.GetIncarnation() != s.owner.GetIncarnation() {
+			s.markGone(now)
+		}
+	}
+}
+
+func (s *ownerState) markGone(now time.Time) {
+	if s.owner != nil && !s.gone && !s.told {
+		s.gone, s.freeSince = true, now
+	}
+}
+
 // decide is the view in the terms of package ownership.
 func (v *view) decide(pools []string, settled, now time.Time) ownership.View {
-	members := lo.Map(v.live(), func(m *pb.JobMember, _ int) ownership.Member {
-		return ownership.Member{Name: m.GetName(), Incarnation: m.GetIncarnation(), Leaving: m.GetLeaving()}
-	})
+	gone := make(map[string]bool) // incarnations
 	states := lo.Map(pools, func(p string, _ int) ownership.Pool {
 		s := v.owner(p, now)
 		pool := ownership.Pool{Name: p, FreeSince: s.freeSince}
-		if s.owner != nil {
+		switch {
+		case s.gone:
+			gone[s.owner.GetIncarnation()] = true
+		case s.owner != nil:
 			pool.Owner = cmp.Or(s.owner.GetMember(), "?")
+		default:
+			pool.LastOwner, pool.LastIncarnation = s.last.GetMember(), s.last.GetIncarnation()
 		}
-		pool.LastOwner, pool.LastIncarnation = s.last.GetMember(), s.last.GetIncarnation()
 		return pool
 	})
+	var members []ownership.Member
+	for _, m := range v.live() {
+		if !gone[m.GetIncarnation()] {
+			members = append(members, ownership.Member{
+				Name: m.GetName(), Incarnation: m.GetIncarnation(), Leaving: m.GetLeaving(),
+			})
+		}
+	}
 	return ownership.View{Members: members, Pools: states, Settled: settled}
 }
--- a/store/memtxn/faults.go
+++ b/store/memtxn/faults.go
@@ -111,7 +111,7 @@
 		s.rates.reads++
 	}
 	over := func(n, limit int) bool { return limit > 0 && n > limit }
-	if over(s.rates.writes, s.faults.WritesPerSecond) || over(s.rates.reads, s.faults.ReadsPerSecond) {
+	if !stale && (over(s.rates.writes, s.faults.WritesPerSecond) || over(s.rates.reads, s.faults.ReadsPerSecond)) {
 		return Refuse
 	}
 	return s.faults.outcome(name, call)
