--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -96,8 +96,9 @@
 func (s *Store) get(ctx context.Context, key string) (store.Item, error) {
 	first, cancel := context.WithTimeout(ctx, readLatencies*s.health.hedgeAfter())
 	item, err := s.kv.Get(first, key)
+	silent := first.Err() != nil
 	cancel()
-	if err == nil || ctx.Err() != nil {
+	if err == nil || !silent || ctx.Err() != nil {
 		return item, err
 	}
 	call, cancel := s.call(ctx)
