Understand conflicts that leave out absent keys

Cause: a store may tell only the keys that exist. A removed owner key was then not seen as Fenced, and a peer counted it as handed over. Record exports MaxRecorded, so that callers can make batches of one transaction.

--- a/internal/jobstore/faults_test.go
+++ b/internal/jobstore/faults_test.go
@@ -125,6 +125,7 @@
 func TestReplacedOwnerRecordsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		kv := memtxn.New()
+		kv.SetFaults(memtxn.Faults{OmitAbsent: true})
 		s, stop := start(t, kv, "h")
 		defer stop()
 		old := takePool(t, kv)
@@ -132,6 +133,9 @@
 		err := s.Record(t.Context(), testPool, old, []*pb.JobProgress{{Id: "1"}})
 		assert.Assert(t, Fenced.Has(err), "%v", err)
 		assert.Assert(t, Fenced.Has(s.Forget(t.Context(), testPool, old, []string{"1"})))
+		kv.Remove(jobkeys.Owner(testPool))
+		err = s.Record(t.Context(), testPool, old, []*pb.JobProgress{{Id: "1"}})
+		assert.Assert(t, Fenced.Has(err), "%v", err)
 		assert.Equal(t, len(kv.Items(jobkeys.ProgressOf(testPool))), 0)
 	})
 }
--- a/internal/jobstore/owners_test.go
+++ b/internal/jobstore/owners_test.go
@@ -201,7 +201,7 @@
 }
 
 func someFaults(random *rand.Rand) memtxn.Faults {
-	f := memtxn.Faults{Delay: time.Duration(random.IntN(30)) * time.Millisecond}
+	f := memtxn.Faults{Delay: time.Duration(random.IntN(30)) * time.Millisecond, OmitAbsent: random.IntN(2) == 0}
 	switch random.IntN(5) {
 	case 0:
 		f.Cut = map[string]bool{"h0": true, "h2": true}
--- a/internal/jobstore/record.go
+++ b/internal/jobstore/record.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -13,8 +14,9 @@
 )
 
 const (
-	// maxRecorded bounds the jobs of one transaction: a condition and a put each, besides the owner's condition.
-	maxRecorded = (store.MaxTransactionEntries - 1) / 2
+	// MaxRecorded is how many jobs Record writes in one transaction: a condition and a put each, besides the owner's
+	// condition.
+	MaxRecorded = (store.MaxTransactionEntries - 1) / 2
 	// maxTransactionBytes bounds the values of one transaction.
 	maxTransactionBytes = 512 << 10
 	// keysOfJob are the keys that Forget deletes for a job.
@@ -41,7 +43,7 @@
 		if err != nil {
 			return err
 		}
-		if len(puts) > 0 && (len(puts) == maxRecorded || size+len(data) > maxTransactionBytes) {
+		if len(puts) > 0 && (len(puts) == MaxRecorded || size+len(data) > maxTransactionBytes) {
 			if err := s.recordAll(ctx, pool, fence, keys, puts); err != nil {
 				return err
 			}
@@ -117,28 +119,25 @@
 	if !errors.As(err, &failed) {
 		return revision, nil, err
 	}
-	for _, i := range failed.Items {
-		if i.Key == owner.Key && i.Version != fence {
-			return 0, nil, Fenced.Wrap(err)
-		}
+	isOwner := func(i store.Item) bool { return i.Key == owner.Key && i.Version == fence }
+	if !slices.ContainsFunc(failed.Items, isOwner) {
+		return 0, nil, Fenced.Wrap(err)
 	}
 	return 0, failed.Items, nil
 }
 
-// adopt takes the versions of the keys as the store has them, and reports whether it has all the puts already.
+// adopt takes the versions of the keys as the store has them, and reports whether it has all the puts already. Items may
+// leave out absent keys.
 func (k *poolKeys) adopt(items []store.Item, puts []store.Put) bool {
-	wanted := make(map[string][]byte, len(puts))
-	for _, p := range puts {
-		wanted[p.Key] = p.Data
+	present := make(map[string]store.Item, len(items))
+	for _, i := range items {
+		present[i.Key] = i
 	}
 	there := 0
-	for _, i := range items {
-		data, ok := wanted[i.Key]
-		if !ok {
-			continue
-		}
-		k.versions[i.Key] = i.Version
-		if i.Version > 0 && bytes.Equal(i.Data, data) {
+	for _, p := range puts {
+		i := present[p.Key]
+		k.versions[p.Key] = i.Version
+		if i.Version > 0 && bytes.Equal(i.Data, p.Data) {
 			there++
 		}
 	}
--- a/internal/membership/elect.go
+++ b/internal/membership/elect.go
@@ -233,7 +233,7 @@
 		m.noteHeard()
 		return []store.Event{{Item: store.Item{Key: key, Data: put.Data, Version: version, Lease: lease}}}, nil
 	case errors.As(err, &conflict):
-		return statesOf(conflict, from), nil
+		return statesOf(conflict, key, from), nil
 	case store.Unknown.Has(err):
 		return m.readBack(ctx, key)
 	}
@@ -298,7 +298,7 @@
 	})
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
-		return statesOf(conflict, fence), nil
+		return statesOf(conflict, key, fence), nil
 	}
 	if err != nil {
 		return nil, err
@@ -307,13 +307,13 @@
 	return []store.Event{{Item: store.Item{Key: key, Version: version}, Deleted: true}}, nil
 }
 
-// statesOf are the states of the keys that a conflict showed. An absent key that had the version expected was deleted by
-// a later revision.
-func statesOf(conflict *store.ConflictError, expected uint64) []store.Event {
-	return lo.Map(conflict.Items, func(i store.Item, _ int) store.Event {
-		if i.Version > 0 {
-			return store.Event{Item: i}
+// statesOf is the state of a key that a conflict showed; the conflict may leave out an absent key. An absent key that had
+// the version expected was deleted by a later revision.
+func statesOf(conflict *store.ConflictError, key string, expected uint64) []store.Event {
+	for _, i := range conflict.Items {
+		if i.Key == key && i.Version > 0 {
+			return []store.Event{{Item: i}}
 		}
-		return store.Event{Item: store.Item{Key: i.Key, Version: expected + 1}, Deleted: true}
-	})
+	}
+	return []store.Event{{Item: store.Item{Key: key, Version: expected + 1}, Deleted: true}}
 }
--- a/internal/membership/faults_test.go
+++ b/internal/membership/faults_test.go
@@ -305,6 +305,20 @@
 	})
 }
 
+func TestRefusedFenceOfARemovedKey(t *testing.T) {
+	fleetTest(t, func(t *testing.T, kv *memtxn.Store, hosts []*host) {
+		owner := ownerOf(t, hosts, "a")
+		old, _ := owner.Confirmed("a")
+		kv.SetFaults(memtxn.Faults{OmitAbsent: true, DeafWatches: true})
+		kv.Remove(jobkeys.Owner("a"))
+		calls := kv.Calls()[memtxn.CallCommit]
+		assert.Assert(t, CannotTake.Has(hosts[0].TakeFrom(t.Context(), "a", old)))
+		owner.Replaced("a", old)
+		within(t, time.Second, "new fence", higherFence(hosts, "a", old))
+		assert.Assert(t, kv.Calls()[memtxn.CallCommit]-calls <= 4)
+	})
+}
+
 func TestPoolsStayWhileTheStoreIsSlow(t *testing.T) {
 	fleetTest(t, func(t *testing.T, kv *memtxn.Store, hosts []*host) {
 		before := make(map[string]uint64)
--- a/internal/membership/history_test.go
+++ b/internal/membership/history_test.go
@@ -67,7 +67,7 @@
 }
 
 func randomFaults(random *rand.Rand) memtxn.Faults {
-	f := memtxn.Faults{Delay: time.Duration(random.IntN(20)) * time.Millisecond, StaleBy: 2 * time.Second}
+	f := memtxn.Faults{Delay: time.Duration(random.IntN(20)) * time.Millisecond, StaleBy: 2 * time.Second, OmitAbsent: random.IntN(2) == 0}
 	switch random.IntN(6) {
 	case 0:
 		f.Down, f.PauseLeases = true, random.IntN(2) == 0
--- a/store/memtxn/faults.go
+++ b/store/memtxn/faults.go
@@ -51,6 +51,8 @@
 	Delay time.Duration
 	// DeafWatches keeps watches from telling changes.
 	DeafWatches bool
+	// OmitAbsent leaves absent keys out of the items of a conflict.
+	OmitAbsent bool
 	// StaleBy is how old the items of a stale Range may be.
 	StaleBy time.Duration
 	// LateBy is the delay of calls whose Outcome is LandLate.
--- a/store/memtxn/memtxn.go
+++ b/store/memtxn/memtxn.go
@@ -86,6 +86,9 @@
 			item.Key = c.Key
 			return item
 		})
+		if s.faults.OmitAbsent {
+			states = lo.Filter(states, func(i store.Item, _ int) bool { return i.Version > 0 })
+		}
 		return 0, &store.ConflictError{Items: states}
 	}
 	s.revision++
