--- a/internal/membership/faults_test.go
+++ b/internal/membership/faults_test.go
@@ -87,6 +87,40 @@
 	})
 }
 
+func TestOwnerProvedGoneIsReplacedAtOnce(t *testing.T) {
+	fleetTest(t, func(t *testing.T, kv *memtxn.Store, hosts []*host) {
+		gone := ownerOf(t, hosts, "a")
+		rest := without(hosts, gone)
+		gone.stop()
+		_, fence, _ := rest[0].Owner("a")
+		for _, h := range rest {
+			h.OwnerGone("a", fence-1)
+		}
+		time.Sleep(300 * time.Millisecond)
+		assert.Assert(t, ownerOf(t, rest, "a") == nil, "not by an older fence")
+		rest[0].OwnerGone("a", fence)
+		took := within(t, 1200*time.Millisecond, "takeover", func() bool { return ownerOf(t, rest, "a") != nil })
+		t.Logf("taken over after %s when one host knew", took)
+		time.Sleep(3 * time.Second)
+		allOwned(t, kv, rest)
+	})
+}
+
+func TestRestartedOwnerIsReplacedAtOnce(t *testing.T) {
+	fleetTest(t, func(t *testing.T, kv *memtxn.Store, hosts []*host) {
+		gone := ownerOf(t, hosts, "a")
+		rest := without(hosts, gone)
+		gone.stop()
+		again := startHost(t, kv.Client(gone.name), gone.name, Options{})
+		defer again.stop()
+		rest = append(rest, again)
+		took := within(t, 600*time.Millisecond, "takeover", func() bool { return ownerOf(t, rest, "a") != nil })
+		t.Logf("taken over after %s", took)
+		time.Sleep(3 * time.Second)
+		allOwned(t, kv, rest)
+	})
+}
+
 func TestLeavingOwnerIsReplacedAtOnce(t *testing.T) {
 	fleetTest(t, func(t *testing.T, kv *memtxn.Store, hosts []*host) {
 		gone := ownerOf(t, hosts, "a")
@@ -270,3 +304,38 @@
 		assert.Equal(t, len(kv.Items(jobkeys.Owner("a"))), 0)
 	})
 }
+
+func TestRefusedFenceOfARemovedKey(t *testing.T) {
+	fleetTest(t, func(t *testing.T, kv *memtxn.Store, hosts []*host) {
+		owner := ownerOf(t, hosts, "a")
+		old, _ := owner.Confirmed("a")
+		kv.SetFaults(memtxn.Faults{OmitAbsent: true, DeafWatches: true})
+		kv.Remove(jobkeys.Owner("a"))
+		calls := kv.Calls()[memtxn.CallCommit]
+		assert.Assert(t, CannotTake.Has(hosts[0].TakeFrom(t.Context(), "a", old)))
+		owner.Replaced("a", old)
+		within(t, time.Second, "new fence", higherFence(hosts, "a", old))
+		assert.Assert(t, kv.Calls()[memtxn.CallCommit]-calls <= 4)
+	})
+}
+
+func TestPoolsStayWhileTheStoreIsSlow(t *testing.T) {
+	fleetTest(t, func(t *testing.T, kv *memtxn.Store, hosts []*host) {
+		before := make(map[string]uint64)
+		for _, p := range pools {
+			before[p] = ownerOf(t, hosts, p).holds()[p]
+		}
+		kv.SetFaults(memtxn.Faults{Delay: 1700 * time.Millisecond})
+		for range 150 {
+			time.Sleep(100 * time.Millisecond)
+			synctest.Wait()
+			for _, p := range pools {
+				owner := ownerOf(t, hosts, p)
+				assert.Assert(t, owner != nil, "%s is free", p)
+				assert.Equal(t, owner.holds()[p], before[p], "pool %s", p)
+				_, ok := owner.Confirmed(p)
+				assert.Assert(t, ok)
+			}
+		}
+	})
+}
--- a/store/memtxn/faults.go
+++ b/store/memtxn/faults.go
@@ -51,6 +51,8 @@
 	Delay time.Duration
 	// DeafWatches keeps watches from telling changes.
 	DeafWatches bool
+	// OmitAbsent leaves absent keys out of the items of a conflict.
+	OmitAbsent bool
 	// StaleBy is how old the items of a stale Range may be.
 	StaleBy time.Duration
 	// LateBy is the delay of calls whose Outcome is LandLate.
@@ -111,7 +113,7 @@
 		s.rates.reads++
 	}
 	over := func(n, limit int) bool { return limit > 0 && n > limit }
-	if over(s.rates.writes, s.faults.WritesPerSecond) || over(s.rates.reads, s.faults.ReadsPerSecond) {
+	if !stale && (over(s.rates.writes, s.faults.WritesPerSecond) || over(s.rates.reads, s.faults.ReadsPerSecond)) {
 		return Refuse
 	}
 	return s.faults.outcome(name, call)
