Refuse at once while the store gives no answers

Cause: with a store that hangs for all hosts, every caller waited for its own deadline and got 504. After 2 s without an answered write none is tried; a read every 300 ms tells when the store is back, so that no caller's write serves as a probe. Writes that ended early because their caller left do not count. Run: go test -race ./internal/jobfront.

--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -85,6 +85,7 @@
 	server  *http.Server
 	offers  *offers
 	relay   *relay
+	breaker breaker
 	pending *pendingCounts
 	ended   *endedStates
 	conns   *connections
@@ -92,8 +93,6 @@
 	ready   atomic.Bool
 	// told is the reason that the last readiness check was given; nil before the first.
 	told atomic.Pointer[string]
-	// silent means that the last write that ended was left without an answer.
-	silent atomic.Bool
 	// stopBegan is nil until BeginStop.
 	stopBegan atomic.Pointer[time.Time]
 }
--- a/internal/jobfront/store.go
+++ b/internal/jobfront/store.go
@@ -1,6 +1,7 @@
 package jobfront
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -13,18 +14,48 @@
 
 // StoreJob stores for a peer. It asks no other peer.
 func (f *Front) StoreJob(ctx context.Context, req *pb.StoreJobRequest) pb.StoreResult {
-	if job := req.GetJob(); job != nil {
-		return f.storeResult(true, f.options.Store.Accept(ctx, job))
+	if a := f.admit(ctx, req); a == accessBroken {
+		return pb.StoreResult_STORE_RESULT_NOT_STORED
+	}
+	return f.storeHere(ctx, req)
+}
+
+// admit asks the breaker, and sends a probe when one is due.
+func (f *Front) admit(ctx context.Context, req *pb.StoreJobRequest) access {
+	a := f.breaker.admit(time.Now())
+	if a == accessProbe {
+		go f.probe(context.WithoutCancel(ctx), req)
+		return accessBroken
+	}
+	return a
+}
+
+// probe reads to learn whether the store answers. Unlike a write it leaves nothing undecided.
+func (f *Front) probe(ctx context.Context, req *pb.StoreJobRequest) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	pool := cmp.Or(req.GetJob().GetPool(), req.GetCancelPool())
+	id := cmp.Or(req.GetJob().GetId(), req.GetCancelId())
+	if _, _, err := f.options.Store.Lookup(ctx, pool, id); err == nil {
+		f.breaker.answered()
 	}
-	return f.storeResult(f.options.Store.Cancel(ctx, req.GetCancelPool(), req.GetCancelId()))
 }
 
-// store writes here, and through peers if that does not succeed. While the store leaves this entry host without answers
-// peers are asked beside it: the same write at two places is harmless.
+// store writes here, and through peers if that does not succeed. The same write at two places is harmless.
 func (f *Front) store(ctx context.Context, req *pb.StoreJobRequest) pb.StoreResult {
-	if !f.silent.Load() || !f.relay.exists() {
+	a := f.admit(ctx, req)
+	switch {
+	case a == accessBroken:
+		return f.relay.store(ctx, pb.StoreResult_STORE_RESULT_NOT_STORED, req)
+	case a == accessSilent && f.relay.exists():
+		return f.storeBeside(ctx, req)
+	default:
 		return f.relay.store(ctx, f.storeHere(ctx, req), req)
 	}
+}
+
+// storeBeside asks peers beside a store that left the last writes without answers.
+func (f *Front) storeBeside(ctx context.Context, req *pb.StoreJobRequest) pb.StoreResult {
 	own := make(chan pb.StoreResult, 1)
 	go func() {
 		// It goes on when a peer was faster: its end tells whether the store answers again.
@@ -63,13 +94,20 @@
 	}
 }
 
-// storeHere writes, and notes whether the store answers.
+// storeHere writes, and notes whether the store answers. A refusal tells nothing: it may come without the store.
 func (f *Front) storeHere(ctx context.Context, req *pb.StoreJobRequest) pb.StoreResult {
-	result := f.StoreJob(ctx, req)
-	if isDecided(result) {
-		f.silent.Store(false)
-	} else if result == pb.StoreResult_STORE_RESULT_UNDECIDED {
-		f.silent.Store(true)
+	began := time.Now()
+	var result pb.StoreResult
+	if job := req.GetJob(); job != nil {
+		result = f.storeResult(true, f.options.Store.Accept(ctx, job))
+	} else {
+		result = f.storeResult(f.options.Store.Cancel(ctx, req.GetCancelPool(), req.GetCancelId()))
+	}
+	switch {
+	case isDecided(result):
+		f.breaker.answered()
+	case result == pb.StoreResult_STORE_RESULT_UNDECIDED && time.Since(began) >= unansweredAfter:
+		f.breaker.unanswered(time.Now())
 	}
 	return result
 }
