--- a/internal/jobhost/options.go
+++ b/internal/jobhost/options.go
@@ -27,7 +27,11 @@
 )
 
 func (h *Host) membershipOptions() membership.Options {
-	return membership.Options{}
+	return membership.Options{
+		AskPeer: func(ctx context.Context, peer *pb.JobMember, pool string, fence uint64) error {
+			return h.peers.HandOver(ctx, peer.GetPeerAddress(), pool, fence)
+		},
+	}
 }
 
 func (h *Host) frontOptions() jobfront.Options {
@@ -65,6 +69,7 @@
 	p.wanted = func() { once.Do(func() { close(h.listWanted) }) }
 	p.newOwner = h.newOwner
 	p.runFleet = h.runFleet
+	p.takeFrom = func(ctx context.Context, pool string, fence uint64) error { return h.members.TakeFrom(ctx, pool, fence) }
 	return p
 }
 
--- a/internal/jobhost/pools.go
+++ b/internal/jobhost/pools.go
@@ -34,6 +34,8 @@
 	// newOwner makes the owner of a pool, runFleet acts as the owner of the fleet until its context ends.
 	newOwner func(pool string, fence uint64) *poolowner.Owner
 	runFleet func(ctx context.Context, fence uint64)
+	// takeFrom takes a pool from its owner, which consents.
+	takeFrom func(ctx context.Context, pool string, fence uint64) error
 	// wanted is told once when the first pool is gained.
 	wanted func()
 
@@ -183,3 +185,8 @@
 	}
 	return status, ok
 }
+
+// TakeFrom takes a pool from its owner, which consents.
+func (p *pools) TakeFrom(ctx context.Context, pool string, fence uint64) error {
+	return p.takeFrom(ctx, pool, fence)
+}
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
@@ -11,6 +13,8 @@
 	coalesceRecords = 100 * time.Millisecond
 	// repeatRecord is how long a record may stay unanswered before it is handed out again.
 	repeatRecord = time.Second
+	// forgetEvery is the pause between looks for jobs that have been kept for long enough.
+	forgetEvery = time.Second
 	// sweepEvery is the pause between sweeps of what is remembered of forgotten jobs.
 	sweepEvery = 10 * time.Second
 )
@@ -104,10 +108,8 @@
 		out.EndedMs = j.endedAt.UnixMilli()
 		return out
 	}
-	for number := range j.next {
-		if j.finished[number] {
-			out.Occurrences = append(out.Occurrences, &pb.OccurrenceProgress{Occurrence: int64(number)})
-		}
+	for _, number := range slices.Sorted(maps.Keys(j.finished)) {
+		out.Occurrences = append(out.Occurrences, &pb.OccurrenceProgress{Occurrence: int64(number)})
 	}
 	for _, o := range j.occurrences {
 		out.Occurrences = append(out.Occurrences, o.progress())
@@ -141,13 +143,13 @@
 
 func (t *task) addProgress(out *pb.StepProgress) {
 	index := int64(t.index)
-	if t.failedRun > 0 {
+	if len(t.failedRuns) > 0 {
 		if out.Failures == nil {
 			out.Failures = map[int64]int64{}
-			out.FailedRuns = map[int64]int64{}
+			out.FailedRuns = map[int64]*pb.RunNumbers{}
 		}
 		out.Failures[index] = int64(t.failures)
-		out.FailedRuns[index] = t.failedRun
+		out.FailedRuns[index] = &pb.RunNumbers{Runs: slices.Clone(t.failedRuns)}
 	}
 	if t.checkpoint != "" {
 		if out.Checkpoints == nil {
@@ -159,13 +161,13 @@
 
 // forget drops the jobs that ended longer ago than the retention.
 func (p *Pool) forget(now time.Time) {
+	if now.Before(p.forgetAt) {
+		return
+	}
+	p.forgetAt = now.Add(forgetEvery)
 	kept := p.ended[:0]
 	for _, j := range p.ended {
-		due := j.endedAt.Add(p.cfg.Retention)
-		if now.Before(due) || !j.rec.durable() {
-			if now.Before(due) {
-				p.wake(due)
-			}
+		if now.Sub(j.endedAt) < p.cfg.Retention || !j.rec.durable() {
 			kept = append(kept, j)
 			continue
 		}
@@ -175,6 +177,9 @@
 	}
 	clear(p.ended[len(kept):])
 	p.ended = kept
+	if len(kept) > 0 {
+		p.wake(now.Add(max(forgetEvery, kept[0].endedAt.Add(p.cfg.Retention).Sub(now))))
+	}
 	if now.Sub(p.lastSweep) >= sweepEvery {
 		p.lastSweep = now
 		p.sweep(now)
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -29,6 +29,7 @@
 	// blocked counts the steps to be done before; opened means that there are none left.
 	blocked   int
 	opened    bool
+	finished  bool
 	followers []*step
 	// ready holds the tasks that wait for a worker; listed means that the step is in the pool's open list.
 	ready      []int
@@ -39,6 +40,7 @@
 	// expected is the learned duration of a task, chain the time from its start to the end of the occurrence.
 	expected time.Duration
 	chain    time.Duration
+	advice   *stepAdvice
 }
 
 // task is one of the equal tasks of a step.
@@ -50,10 +52,13 @@
 	checkpoint    string
 	checkpointRun int64
 	failures      int
-	failedRun     int64
-	failedOn      []string
-	notBefore     time.Time
-	refusals      int
+	// failedRuns are the runs counted in failures: a later owner may hear of them again, in another order.
+	failedRuns []int64
+	failedOn   []string
+	notBefore  time.Time
+	refusals   int
+	// stalls counts runs that were stopped for want of progress.
+	stalls int
 }
 
 func newStep(o *occurrence, number int, spec *pb.JobStep) *step {
@@ -180,7 +185,12 @@
 	}
 }
 
+// finishStep opens what waited for the step. After a takeover a step may be heard to be done before those it follows.
 func (p *Pool) finishStep(now time.Time, s *step) {
+	if s.finished {
+		return
+	}
+	s.finished = true
 	o := s.occ
 	o.left--
 	for _, f := range s.followers {
@@ -197,10 +207,10 @@
 
 // fail counts a failed run once, and fails the job after the last attempt.
 func (p *Pool) fail(now time.Time, t *task, r *run) bool {
-	if r.number <= t.failedRun {
+	if slices.Contains(t.failedRuns, r.number) {
 		return false
 	}
-	t.failedRun = r.number
+	t.failedRuns = append(t.failedRuns, r.number)
 	t.failures++
 	if r.worker != nil && len(t.failedOn) < maxFailedOn {
 		t.failedOn = append(t.failedOn, r.worker.ID)
