--- a/internal/fleetowner/owner.go
+++ b/internal/fleetowner/owner.go
@@ -17,9 +17,9 @@
 	ringSize  = 1024
 	orderRing = 1024
 	// orderWorkers is how many orders are under way at once.
-	orderWorkers = 8
+	orderWorkers = 16
 	// shortestStep is the least time between two steps, so that bursts of events cost one.
-	shortestStep = 20 * time.Millisecond
+	shortestStep = 40 * time.Millisecond
 	confirmEvery = 50 * time.Millisecond
 )
 
@@ -71,6 +71,8 @@
 	changes *limiter
 	reads   *limiter
 	busy    atomic.Bool
+	// poolCount is the number of pools.
+	poolCount atomic.Int64
 
 	planner  *upkeep.Planner
 	waves    map[int64]*wave
--- a/internal/fleetowner/poll.go
+++ b/internal/fleetowner/poll.go
@@ -14,6 +14,8 @@
 	// pollBusy and pollIdle are the times between two looks at a pool.
 	pollBusy = 250 * time.Millisecond
 	pollIdle = 500 * time.Millisecond
+	// pollSpread is the least mean time between looks at any pool.
+	pollSpread = 20 * time.Millisecond
 )
 
 // poller asks the owner of one pool. status and sent belong to the loop.
@@ -31,6 +33,7 @@
 // poll keeps a poller for each configured pool.
 func (t *term) poll(ctx context.Context) {
 	configured := map[string]bool{}
+	defer func() { t.poolCount.Store(int64(len(t.pools))) }()
 	for _, pool := range t.Configured() {
 		configured[pool.Name] = true
 		if p := t.pools[pool.Name]; p != nil && p.Pool == pool {
@@ -78,6 +81,7 @@
 		if t.busy.Load() {
 			interval = pollBusy
 		}
+		interval = max(interval, pollSpread*time.Duration(t.poolCount.Load()))
 		p.wait(ctx, interval-time.Since(sent))
 	}
 }
--- a/internal/fleetowner/record.go
+++ b/internal/fleetowner/record.go
@@ -262,6 +262,8 @@
 		w.completed = err == nil
 		if err != nil {
 			w.notTill = now.Add(retryWrite)
+			return
 		}
+		t.Logger.Info("wave completed", "wave", w.Number, "after", now.Sub(w.Seen), "within", w.Within)
 	})
 }
--- a/internal/fleetowner/waves.go
+++ b/internal/fleetowner/waves.go
@@ -17,6 +17,8 @@
 	rangeTimeout = 3 * time.Second
 	// rescan is how often the waves are read anew, in case the watch is deaf.
 	rescan = 4 * time.Second
+	// watchPause is the least time between watches that brought nothing.
+	watchPause = 100 * time.Millisecond
 )
 
 // wave is a wave and what has been written about it. It belongs to the loop.
@@ -119,6 +121,7 @@
 		return
 	}
 	parsed.Seen = now
+	t.Logger.Info("wave of upkeep", "wave", parsed.Number, "machines", len(parsed.Machines), "within", parsed.Within, "cap", parsed.Cap)
 	w := &wave{Wave: parsed, key: item.Key}
 	t.waves[parsed.Number] = w
 	r := known[parsed.Number]
@@ -127,7 +130,9 @@
 		return
 	}
 	w.announced = true
-	w.Seen = time.UnixMilli(r.GetSeenMs())
+	if seen := time.UnixMilli(r.GetSeenMs()); seen.Before(now) {
+		w.Seen = seen
+	}
 	w.completed = r.GetCompleted()
 	if !w.completed {
 		t.planner.Restore(now, parsed.Number, progressOf(r))
@@ -174,7 +179,7 @@
 
 func (t *term) tellWaves(ctx context.Context, events []store.Event) error {
 	if len(events) == 0 {
-		return nil
+		return sleep(ctx, watchPause)
 	}
 	return t.tell(ctx, func(now time.Time) {
 		for _, e := range events {
--- a/upkeep/ledger.go
+++ b/upkeep/ledger.go
@@ -217,12 +217,31 @@
 	}
 }
 
-// workerLoad finds the load of a worker in a status.
-func workerLoad(status *pb.PoolStatusResponse, worker string) *pb.WorkerLoad {
-	for _, w := range status.GetWorkers() {
-		if w.GetId() == worker {
-			return w
+// loadIndex finds the loads of a status by worker.
+type loadIndex struct {
+	status *pb.PoolStatusResponse
+	loads  map[string]*pb.WorkerLoad
+}
+
+// load returns the load of a machine's worker; nil if its pool's owner does not know it.
+func (s *step) load(m Machine) *pb.WorkerLoad {
+	status := s.in.Pools[m.Pool].Status
+	index := s.loads[m.Pool]
+	if index == nil || index.status != status {
+		index = &loadIndex{status: status, loads: make(map[string]*pb.WorkerLoad, len(status.GetWorkers()))}
+		for _, w := range status.GetWorkers() {
+			index.loads[w.GetId()] = w
+		}
+		s.loads[m.Pool] = index
+	}
+	return index.loads[m.Worker]
+}
+
+// dropLoads forgets the indexes of pools that are not known any more.
+func (s *step) dropLoads() {
+	for pool := range s.loads {
+		if !s.known(pool) {
+			delete(s.loads, pool)
 		}
 	}
-	return nil
 }
--- a/upkeep/move.go
+++ b/upkeep/move.go
@@ -209,7 +209,7 @@
 }
 
 func (s *step) persistentOn(machine Machine) bool {
-	return workerLoad(s.in.Pools[machine.Pool].Status, machine.Worker).GetPersistentTasks() > 0
+	return s.load(machine).GetPersistentTasks() > 0
 }
 
 // rank puts machines that are being emptied for a move ahead.
@@ -245,6 +245,10 @@
 	until := p.expected(m.calendar, p.name, m.now, m.now, arrive)
 	then := p.expected(m.calendar, p.name, m.now, arrive, arrive.Add(ahead))
 	keep := p.persistent + until + backlog/drain + p.following()
+	if p.arrived == 0 {
+		// Its owner does not count arrivals.
+		keep = max(keep, p.used+backlog/drain)
+	}
 	// What still waits when a move is over, at the capacity of now.
 	capacity := float64(p.have)*p.unit - p.persistent
 	left := max(0, backlog+(until-capacity)*float64(m.lead().Milliseconds()))
--- a/upkeep/planner.go
+++ b/upkeep/planner.go
@@ -24,6 +24,7 @@
 	waves    map[int64]*waveState
 	unfit    map[MoveOrder]bool
 	demands  map[string]*demand
+	loads    map[string]*loadIndex
 	// surplusSince is since when a pool has had machines beyond its need.
 	surplusSince map[string]time.Time
 	// notBefore is until when machines that could not be emptied for a move are left alone.
@@ -48,6 +49,7 @@
 		waves:    map[int64]*waveState{},
 		unfit:    map[MoveOrder]bool{},
 		demands:  map[string]*demand{},
+		loads:    map[string]*loadIndex{},
 
 		surplusSince: map[string]time.Time{},
 		notBefore:    map[string]time.Time{},
@@ -103,6 +105,8 @@
 	p.forgetWaves(in.Waves)
 	s := &step{Planner: p, now: now, in: in}
 	if !p.listedAt.IsZero() {
+		s.dropLoads()
+		s.countSizes()
 		s.observeDemand()
 		s.reopen()
 		s.planWaves()
@@ -121,6 +125,8 @@
 	out Actions
 	// old are the move intents that had not been ordered when the step began.
 	old map[string]*intent
+	// sizes counts the machines of each pool.
+	sizes map[string]int
 	// room is how many machines of each wave may still be ordered.
 	room map[int64]int
 	// members are the machines of each wave.
@@ -196,7 +202,7 @@
 	if !load.Status.GetOwner() || load.Age > s.cfg.StatusFresh || !asked {
 		return false
 	}
-	w := workerLoad(load.Status, m.Worker)
+	w := s.load(m)
 	if w.GetEvacuated() {
 		return true
 	}
--- a/upkeep/planner_test.go
+++ b/upkeep/planner_test.go
@@ -42,7 +42,10 @@
 }
 
 func (r *run) takeOver() {
-	r.planner = upkeep.New(upkeep.DefaultConfig(upkeepTime, moveTime), r.now)
+	cfg := upkeep.DefaultConfig(upkeepTime, moveTime)
+	cfg.Moves.Learn = 2 * time.Second
+	cfg.Moves.WorkWorth = 10 // machines of the simulator are small
+	r.planner = upkeep.New(cfg, r.now)
 	r.planner.Restore(r.now, 7, r.durable)
 	r.planner.RestoreMoves(r.now, r.moving)
 	r.answers = map[time.Time][]func(){}
--- a/upkeep/sim_test.go
+++ b/upkeep/sim_test.go
@@ -39,6 +39,8 @@
 	machines map[string]*simMachine
 	pools    map[string]bool
 	evacuate map[string][]string
+	arrived  map[string]int64
+	moves    int
 	movedAt  map[string]time.Time
 	later    map[time.Time][]func()
 	wave     upkeep.Wave
@@ -50,7 +52,7 @@
 	s := &sim{
 		now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1)), fault: f,
 		machines: map[string]*simMachine{}, pools: map[string]bool{"spare": true},
-		evacuate: map[string][]string{}, movedAt: map[string]time.Time{}, later: map[time.Time][]func(){},
+		arrived: map[string]int64{}, evacuate: map[string][]string{}, movedAt: map[string]time.Time{}, later: map[time.Time][]func(){},
 	}
 	for p := range pools {
 		pool := fmt.Sprintf("pool%d", p)
@@ -129,8 +131,13 @@
 
 func (s *sim) loads() map[string]upkeep.PoolLoad {
 	out := map[string]upkeep.PoolLoad{}
-	for pool, spare := range s.pools {
-		out[pool] = upkeep.PoolLoad{Spare: spare, Status: &pb.PoolStatusResponse{Owner: true}}
+	for n, pool := range slices.Sorted(maps.Keys(s.pools)) {
+		// One pool after the other is asked for more than it holds.
+		if int(s.now.Unix()/3)%len(s.pools) == n {
+			s.arrived[pool] += 8000 * tick.Milliseconds()
+		}
+		status := &pb.PoolStatusResponse{Owner: true, ArrivedMilliMs: s.arrived[pool]}
+		out[pool] = upkeep.PoolLoad{Spare: s.pools[pool], Status: status}
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.machines)) {
 		m := s.machines[id]
@@ -200,6 +207,7 @@
 		return upkeep.Busy
 	}
 	m.Pool = o.Pool
+	s.moves++
 	s.leave(m, upkeep.Moving, moveTime)
 	return upkeep.Done
 }
--- a/upkeep/wave.go
+++ b/upkeep/wave.go
@@ -263,13 +263,14 @@
 	if s.in.Pools[pool].Spare {
 		return w.Cap
 	}
-	size := 0
+	return max(1, int(s.cfg.PoolShare*float64(s.sizes[pool])))
+}
+
+func (s *step) countSizes() {
+	s.sizes = make(map[string]int, len(s.in.Pools))
 	for _, m := range s.machines {
-		if m.Pool == pool {
-			size++
-		}
+		s.sizes[m.Pool]++
 	}
-	return max(1, int(s.cfg.PoolShare*float64(size)))
 }
 
 // cost is what emptying a machine takes, compared field by field.
@@ -286,7 +287,7 @@
 	if load.Spare {
 		return cost{}
 	}
-	w := workerLoad(load.Status, m.Worker)
+	w := s.load(m)
 	if w == nil {
 		return cost{off: 2}
 	}
