--- /dev/null
+++ b/cmd/agateturnd/jobs.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/agateturn/agateturn/config"
+	"github.com/agateturn/agateturn/events"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/jobhost"
+	"github.com/agateturn/agateturn/internal/reload"
+	"github.com/agateturn/agateturn/settings"
+)
+
+// jobSection is the section of a file that makes the daemon serve jobs.
+const jobSection = "job_host"
+
+// runJobs is run for a file with jobSection.
+func runJobs(line commandLine, out, errOut io.Writer) int {
+	s, err := loadJobs(line.Config)
+	if err != nil {
+		events.Emit(context.Background(), newLogger(nil, errOut), events.SettingsRefused, "file", line.Config)
+		_, _ = fmt.Fprintln(errOut, err)
+		return exitSettings
+	}
+	if line.CheckConfig {
+		_, _ = fmt.Fprintln(out, line.Config+": no problems")
+		return exitOK
+	}
+	logger := newLogger(s.GetLog(), errOut).With("entry_host", s.GetJobHost().GetName())
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := serveJobs(ctx, line.Config, s, logger); err != nil {
+		logger.Error("ended", "err", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func loadJobs(path string) (*pb.JobSettings, error) {
+	s := &pb.JobSettings{}
+	if err := settings.Load(path, s); err != nil {
+		return nil, err
+	}
+	return s, config.CheckJobSettings(s)
+}
+
+// serveJobs runs until ctx ends. Changes of the file take effect while it runs.
+func serveJobs(ctx context.Context, file string, s *pb.JobSettings, logger *slog.Logger) error {
+	host := jobhost.New(s, logger)
+	go reload.Watch(ctx, file, func([]byte) {
+		changed, err := loadJobs(file)
+		if err != nil {
+			events.Emit(ctx, logger, events.SettingsRefused, "file", file, "err", err)
+			return
+		}
+		host.Reload(changed)
+	})
+	return host.Run(ctx)
+}
