--- a/upkeep/planner_test.go
+++ b/upkeep/planner_test.go
@@ -149,3 +149,20 @@
 	}
 	assert.Assert(t, caught > 0)
 }
+
+// A pool whose owner has never answered must not disturb the plans for others.
+func TestPoolWithoutStatusIsLeftAlone(t *testing.T) {
+	s := newSim(1, 4, 2, fault{})
+	r := newRun(s, 4, 1)
+	for range 200 {
+		s.advance()
+		pools := s.loads()
+		pools["pool0"] = upkeep.PoolLoad{}
+		in := upkeep.Input{Machines: s.list(), MachinesAt: s.now, Pools: pools}
+		out := r.planner.Step(s.now.Add(time.Millisecond), in)
+		for _, o := range out.Moves {
+			assert.Assert(t, s.machines[o.Machine].Pool != "pool0", "%v", o)
+			r.planner.MoveResult(s.now, o, upkeep.Unknown)
+		}
+	}
+}
--- a/upkeep/turns.go
+++ b/upkeep/turns.go
@@ -237,6 +237,9 @@
 // start is when the next turn of a pool begins, or the one that should have begun just now.
 func (c *calendar) start(pool string, now time.Time) (time.Time, bool) {
 	t := c.pools[pool]
+	if t == nil {
+		return time.Time{}, false
+	}
 	if _, ok := c.unseen[pool]; ok {
 		return c.due(t, c.nextAt, 0, now)
 	}
