--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -9,8 +9,8 @@
 	baseWorth = 0.3
 	workWorth = 0.7
 	maxWorth  = 4
-	// agingWeight raises jobs as their objective comes nearer, so that large ones are not starved.
-	agingWeight = 2
+	// agingWeight raises jobs as their objective comes nearer, steeply at last, so that large ones are not starved.
+	agingWeight = 30
 )
 
 func (p *Pool) rankStep(now time.Time, s *step) ranked {
@@ -38,7 +38,7 @@
 	r.key = o.remaining() / p.worth(o.job)
 	if objective > 0 {
 		urgency := min(1, float64(age+left)/float64(objective))
-		r.key /= 1 + agingWeight*urgency
+		r.key /= 1 + agingWeight*urgency*urgency*urgency*urgency
 	}
 	return r
 }
