Scheduler: keep workers that answer slowly free, pin steps to racks with room, reserve for gangs

A gang could wait for ever beside a stream of small tasks, and a step that wants one rack took the rack of its first task, full or not. Durations on a wrong rack no longer count against workers.

--- a/scheduler/checker_test.go
+++ b/scheduler/checker_test.go
@@ -47,6 +47,22 @@
 	}
 	c.running[r.task] = append(c.running[r.task], w)
 	c.begins[r.task] = append(c.begins[r.task], c.sim.now)
+	if due := j.due(r.task.Occurrence); c.sim.now < due-simConfig.Early.Milliseconds() {
+		c.fault("%v started early", r.task)
+	}
+	if o.Payload != j.rec.GetSpec().GetPayload() {
+		c.fault("wrong payload for %v", r.task)
+	}
+	prefix := fmt.Sprintf("%s.%d.%d.%d@", r.task.Job, r.task.Occurrence, r.task.Step, memberIndex(r))
+	if o.Checkpoint != "" && !strings.HasPrefix(o.Checkpoint, prefix) {
+		c.fault("checkpoint %q is not of %v", o.Checkpoint, r.task)
+	}
+	c.fits(w, r)
+	c.inOrder(j, r)
+}
+
+// fits judges the room on the worker and the bound for each host.
+func (c *checker) fits(w *simWorker, r *simRun) {
 	used := needOf(r.step)
 	hosts := int64(1)
 	for _, x := range w.running {
@@ -62,6 +78,10 @@
 	if limit := r.step.GetMaxPerHost(); limit > 0 && hosts > limit {
 		c.fault("too many of step on %s: %v", w.id, r.task)
 	}
+}
+
+// inOrder judges whether the steps before are done.
+func (c *checker) inOrder(j *simJob, r *simRun) {
 	for _, a := range r.step.GetAfter() {
 		for i := range j.rec.GetSpec().GetSteps()[a].GetCount() {
 			before := scheduler.TaskID{Job: r.task.Job, Occurrence: r.task.Occurrence, Step: int(a), Index: int(i)}
@@ -70,16 +90,6 @@
 			}
 		}
 	}
-	if due := j.due(r.task.Occurrence); c.sim.now < due-simConfig.Early.Milliseconds() {
-		c.fault("%v started early", r.task)
-	}
-	if o.Payload != j.rec.GetSpec().GetPayload() {
-		c.fault("wrong payload for %v", r.task)
-	}
-	prefix := fmt.Sprintf("%s.%d.%d.%d@", r.task.Job, r.task.Occurrence, r.task.Step, memberIndex(r))
-	if o.Checkpoint != "" && !strings.HasPrefix(o.Checkpoint, prefix) {
-		c.fault("checkpoint %q is not of %v", o.Checkpoint, r.task)
-	}
 }
 
 // stopped judges whether a stop takes a persistent task away beyond the budget of its step.
@@ -243,6 +253,19 @@
 			}
 		}
 	}
+	c.finishAttempts(failed)
+	for _, id := range c.sim.jobIDs {
+		c.finishJob(c.sim.jobs[id])
+	}
+	for _, w := range c.sim.workers {
+		if w.up && len(w.ended) > 0 {
+			c.fault("%d ends of %s were never acknowledged, first %+v", len(w.ended), w.id, w.ended[0])
+		}
+	}
+}
+
+// finishAttempts judges starts after the last attempt had failed.
+func (c *checker) finishAttempts(failed map[scheduler.TaskID][]int64) {
 	for id, ends := range failed {
 		for _, at := range c.begins[id] {
 			before := 0
@@ -256,14 +279,6 @@
 			}
 		}
 	}
-	for _, id := range c.sim.jobIDs {
-		c.finishJob(c.sim.jobs[id])
-	}
-	for _, w := range c.sim.workers {
-		if w.up && len(w.ended) > 0 {
-			c.fault("%d ends of %s were never acknowledged, first %+v", len(w.ended), w.id, w.ended[0])
-		}
-	}
 }
 
 func (c *checker) finishJob(j *simJob) {
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -56,6 +56,9 @@
 	for _, w := range chosen {
 		w.used = w.used.minus(s.need)
 		s.active[w]--
+		if s.active[w] == 0 {
+			delete(s.active, w)
+		}
 	}
 	if len(chosen) < len(s.tasks) {
 		return
--- a/scheduler/learn.go
+++ b/scheduler/learn.go
@@ -112,7 +112,7 @@
 func (p *Pool) learnEnd(now time.Time, r *run, end RunEnd) {
 	p.judge(now, r, end)
 	s := r.task.step
-	if end != EndSucceeded || r.resumed || r.orderedAt.IsZero() || s.spec.GetPersistent() {
+	if end != EndSucceeded || r.resumed || r.orderedAt.IsZero() || s.spec.GetPersistent() || s.wrongRack(r.worker) {
 		return
 	}
 	took := millis(now.Sub(r.orderedAt))
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -11,6 +11,9 @@
 	placeEvery = 200 * time.Millisecond
 	// maxRackWait bounds how long a task waits for the rack that it prefers.
 	maxRackWait = 1500 * time.Millisecond
+	// Above busyShare of the capacity in use, a task waits busyRackFactor times as long for its rack.
+	busyShare      = 0.6
+	busyRackFactor = 3
 	// reserveAfter is how long a step has to wait before workers are kept free for it, at most one in reserveShare.
 	reserveAfter = time.Second
 	reserveShare = 4
@@ -72,6 +75,7 @@
 // trustedWorkers returns the workers that may be given tasks, and those that are usable but suspect.
 func (p *Pool) trustedWorkers(now time.Time) (trusted, suspects []*worker) {
 	trusted = make([]*worker, 0, len(p.order))
+	var used, capacity int64
 	for _, w := range p.order {
 		switch {
 		case !w.usable(now):
@@ -79,8 +83,11 @@
 			suspects = append(suspects, w)
 		default:
 			trusted = append(trusted, w)
+			used += w.used.CPUMilli
+			capacity += w.Capacity.CPUMilli
 		}
 	}
+	p.busy = float64(used) / float64(max(1, capacity))
 	if len(trusted) < len(suspects) {
 		// When most workers look bad, it is not the workers.
 		return append(trusted, suspects...), nil
@@ -106,6 +113,7 @@
 		return
 	}
 	p.consultAdvice(now, s)
+	s.pinRack(usable)
 	if s.spec.GetGang() {
 		p.placeGang(now, s, usable)
 		return
@@ -131,6 +139,9 @@
 
 // reserveFor takes a worker that could come to hold a task of the step from those that later steps may use.
 func reserveFor(s *step, usable []*worker) ([]*worker, bool) {
+	if s.spec.GetGang() {
+		return reserveGang(s, usable)
+	}
 	best := -1
 	for i, w := range usable {
 		if !s.need.fits(w.Capacity) || !w.hasLabel(s.spec.GetRequiredLabel()) {
@@ -151,6 +162,20 @@
 	return append(rest, usable[best+1:]...), true
 }
 
+// reserveGang takes as many workers as a gang needs, at most half of them, those with the most room first.
+func reserveGang(s *step, usable []*worker) ([]*worker, bool) {
+	order := append([]*worker(nil), usable...)
+	sort.SliceStable(order, func(a, b int) bool { return order[a].free().CPUMilli > order[b].free().CPUMilli })
+	taken, room := 0, 0
+	for taken < len(order)/2 && room < len(s.tasks) {
+		if order[taken].hasLabel(s.spec.GetRequiredLabel()) {
+			room += order[taken].Capacity.holds(s.need)
+		}
+		taken++
+	}
+	return order[taken:], taken > 0
+}
+
 // fillCost prefers workers whose capacity is least used; a worker without any left is waited for.
 func (p *Pool) fillCost(now time.Time, s *step, w *worker) float64 {
 	const (
@@ -244,12 +269,28 @@
 	if !s.spec.GetSameRack() {
 		return false
 	}
-	for other, n := range s.active {
-		if n > 0 && other.Rack != w.Rack {
-			return true
+	return s.rack != w.Rack
+}
+
+// pinRack sets on which rack a step that wants one rack is to run: the fullest one that has room for all of it, or else
+// the one with the most room. It stays as long as something of the step runs.
+func (s *step) pinRack(usable []*worker) {
+	if !s.spec.GetSameRack() || len(s.active) > 0 {
+		return
+	}
+	room := map[string]int{}
+	for _, w := range usable {
+		room[w.Rack] += w.free().holds(s.need)
+	}
+	wanted := len(s.ready)
+	s.rack = ""
+	for _, rack := range sortedKeys(room) {
+		n, best := room[rack], room[s.rack]
+		enough, bestEnough := n >= wanted, best >= wanted
+		if s.rack == "" || (enough && (!bestEnough || n < best)) || (!enough && !bestEnough && n > best) {
+			s.rack = rack
 		}
 	}
-	return false
 }
 
 // rackWait is how long waiting for the right rack costs less than running elsewhere.
@@ -258,6 +299,10 @@
 		return 0
 	}
 	gain := time.Duration(float64(s.expected) * (p.cfg.CrossRackFactor - 1) / 2)
+	if p.busy > busyShare {
+		// Elsewhere it would take room from others for longer.
+		return min(busyRackFactor*gain, busyRackFactor*maxRackWait)
+	}
 	return min(gain, maxRackWait)
 }
 
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -53,6 +53,8 @@
 	attention []*run
 	place     bool
 	placeAt   time.Time
+	// busy is the share of the capacity in use at the last placement.
+	busy float64
 
 	learned  learned
 	evacuate map[string]bool
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -89,6 +89,9 @@
 		r.need = t.step.need
 		t.runs = append(t.runs, r)
 		t.step.active[w]++
+		if t.step.rack == "" {
+			t.step.rack = w.Rack
+		}
 	}
 	w.add(r)
 	return r
--- a/scheduler/suspect.go
+++ b/scheduler/suspect.go
@@ -118,6 +118,9 @@
 	if r.orderedAt.IsZero() || r.resumed || s.spec.GetPersistent() || s.spec.GetFills() || s.spec.GetGang() || s.expected <= 0 {
 		return
 	}
+	if s.wrongRack(r.worker) {
+		return
+	}
 	t := &r.worker.trust
 	t.slow.count++
 	rate := max(slowRate, 1/float64(t.slow.count))
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -41,6 +41,8 @@
 	expected time.Duration
 	chain    time.Duration
 	advice   *stepAdvice
+	// rack is where a step that wants one rack runs.
+	rack string
 }
 
 // task is one of the equal tasks of a step.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -10,6 +10,8 @@
 	silentAfter = 2500 * time.Millisecond
 	// lapseMargin is added to the time by which a lease has lapsed.
 	lapseMargin = 100 * time.Millisecond
+	// slowAnswer is how long the answer to a start may take before the worker gets no more.
+	slowAnswer = 400 * time.Millisecond
 	// keepLeft is how long a worker that left is remembered after its last run is over.
 	keepLeft = 30 * time.Second
 )
@@ -72,7 +74,6 @@
 		}
 	}
 	p.takeover.registry = true
-	p.wakePlacement(now)
 }
 
 func (p *Pool) setWorker(now time.Time, fresh *Worker) {
@@ -90,6 +91,9 @@
 		p.lifetimeOver(now, w, "restarted")
 		w.gone = false
 	}
+	if w.Draining != fresh.Draining || w.Capacity != fresh.Capacity || w.gone {
+		p.place = true
+	}
 	p.noteDrain(now, w, fresh)
 	born := max(w.Born, fresh.Born)
 	w.Worker = *fresh
@@ -180,7 +184,17 @@
 	if w.Draining || w.evacuating || w.doubt > 0 {
 		return false
 	}
-	return !w.silent(now) && !now.Before(w.pausedUntil)
+	return !w.silent(now) && !now.Before(w.pausedUntil) && !w.slowToAnswer(now)
+}
+
+// slowToAnswer tells whether a start has been without an answer for long: the next would be, too.
+func (w *worker) slowToAnswer(now time.Time) bool {
+	for _, r := range w.runs {
+		if r.state == runOrdered && now.Sub(r.orderedAt) > slowAnswer {
+			return true
+		}
+	}
+	return false
 }
 
 func (w *worker) free() Resources {
