--- a/internal/jobpeer/client.go
+++ b/internal/jobpeer/client.go
@@ -30,6 +30,8 @@
 	callTimeout = time.Second
 	// statesTimeout bounds a question for states, whose askers can turn to the store.
 	statesTimeout = 300 * time.Millisecond
+	// tableTimeout bounds the transfer of a table of queues, which may be a megabyte.
+	tableTimeout = 3 * time.Second
 
 	maxConnections = 8
 	idleTimeout    = time.Minute
@@ -85,7 +87,7 @@
 		clear(c.peers)
 	}
 	peer := agateturnv1connect.NewJobPeerServiceClient(c.http, "http://"+address,
-		connect.WithReadMaxBytes(messageLimit), connect.WithSendGzip(), connect.WithCompressMinBytes(compressFrom))
+		connect.WithReadMaxBytes(messageLimit), clientCompression())
 	c.peers[address] = peer
 	return peer
 }
@@ -208,7 +210,7 @@
 
 // OfferTable tells the peer of a version of the table of queues, and returns the peer's own.
 func (c *Client) OfferTable(ctx context.Context, address string, version int64, raw []byte) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	answer, err := call(ctx, c, address, agateturnv1connect.JobPeerServiceClient.OfferTable,
 		&pb.OfferTableRequest{Version: version, Raw: raw})
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -50,7 +50,7 @@
 // NewHandler returns the handler for the listener of peers, and the path below which to mount it.
 func NewHandler(pools Pools, tables Tables, keeper Keeper) (string, http.Handler) {
 	return agateturnv1connect.NewJobPeerServiceHandler(&server{pools: pools, tables: tables, keeper: keeper},
-		connect.WithReadMaxBytes(messageLimit), connect.WithCompressMinBytes(compressFrom))
+		connect.WithReadMaxBytes(messageLimit), serverCompression())
 }
 
 type server struct {
--- a/internal/tablefollow/gossip.go
+++ b/internal/tablefollow/gossip.go
@@ -8,8 +8,9 @@
 const (
 	// gossipDelay gives peers the time to learn of a version from the store by themselves.
 	gossipDelay = 300 * time.Millisecond
-	// gossipTimeout bounds one call on a peer.
-	gossipTimeout = 500 * time.Millisecond
+	// askTimeout bounds the question for a peer's version, sendTimeout the transfer of a table.
+	askTimeout  = 500 * time.Millisecond
+	sendTimeout = 3 * time.Second
 )
 
 // Peers are the entry hosts that are told of new versions.
@@ -48,17 +49,23 @@
 
 // tellOne sends the number first: nearly always the peer has the version already.
 func (f *Follower) tellOne(ctx context.Context, peers Peers, address string, v *version) {
-	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
-	defer cancel()
-	has, err := peers.OfferTable(ctx, address, v.table.Version, nil)
+	has, err := offer(ctx, peers, address, askTimeout, v.table.Version, nil)
 	if err == nil && has < v.table.Version {
-		_, err = peers.OfferTable(ctx, address, v.table.Version, v.raw)
+		_, err = offer(ctx, peers, address, sendTimeout, v.table.Version, v.raw)
 	}
 	if err != nil {
 		f.log.Debug("peer not told of the configuration", "component", "tablefollow", "peer", address, "err", err)
 	}
 }
 
+func offer(
+	ctx context.Context, peers Peers, address string, timeout time.Duration, version int64, raw []byte,
+) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return peers.OfferTable(ctx, address, version, raw)
+}
+
 // sleep returns false if ctx ends first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
