--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -33,6 +33,10 @@
 	readHeaderTimeout = 2 * time.Second
 	// stopMargin is the part of the grace that is left when the last requests must have ended.
 	stopMargin = 500 * time.Millisecond
+	// storeTimeout bounds one call on the store.
+	storeTimeout = 2500 * time.Millisecond
+	// watchSpacing is the least time between two watches for new jobs; entry hosts also pass them on directly.
+	watchSpacing = 500 * time.Millisecond
 	// leaveTimeout bounds the hand-over of pools at a planned stop.
 	leaveTimeout = 1500 * time.Millisecond
 )
@@ -61,7 +65,7 @@
 func New(s *pb.JobSettings, log *slog.Logger) *Host {
 	h := &Host{log: log, clock: boottime.New(), listWanted: make(chan struct{})}
 	h.settings.Store(s)
-	h.kv = platform.NewStore(s.GetJobStore().GetAddress(), platform.StoreOptions{})
+	h.kv = platform.NewStore(s.GetJobStore().GetAddress(), platform.StoreOptions{Timeout: storeTimeout})
 	h.workers = platform.NewWorkers(platform.WorkersOptions{Now: h.clock.Now})
 	h.tables = tablefollow.New(h.kv, platform.ConfigKey, platform.ParseTable, log)
 	h.pools = newPools(h)
@@ -69,8 +73,9 @@
 		Gained: h.pools.gained,
 		Lost:   h.pools.lost,
 	}, h.clock.Now, log, h.membershipOptions())
-	h.jobs = jobstore.New(h.kv, h.clock.Now, log, jobstore.Options{})
+	h.jobs = jobstore.New(h.kv, h.clock.Now, log, jobstore.Options{WatchSpacing: watchSpacing})
 	h.peers = jobpeer.New(h.resolve, h.pools)
+	h.peers.OnRefused(h.peerGone)
 	h.front = jobfront.New(h.frontOptions())
 	h.list = workerlist.New(h.kv, platform.WorkersPrefix, platform.ParseWorker, h.clock.Now, log, h.pools.setWorkers)
 	return h
@@ -107,6 +112,20 @@
 	return record.GetPeerAddress(), record.GetMember() == h.settings.Load().GetJobHost().GetName(), true
 }
 
+// peerGone frees the pools of a peer that has ended.
+func (h *Host) peerGone(address string) {
+	table := h.tables.Table()
+	if table == nil {
+		return
+	}
+	for _, pool := range poolNames(table) {
+		record, fence, ok := h.members.Owner(pool)
+		if ok && record.GetPeerAddress() == address {
+			h.members.OwnerGone(pool, fence)
+		}
+	}
+}
+
 // Run serves until ctx ends, then stops as planned: it hands over its pools and finishes the requests that it has.
 func (h *Host) Run(ctx context.Context) error {
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/jobhost/options.go
+++ b/internal/jobhost/options.go
@@ -69,7 +69,9 @@
 	p.wanted = func() { once.Do(func() { close(h.listWanted) }) }
 	p.newOwner = h.newOwner
 	p.runFleet = h.runFleet
-	p.takeFrom = func(ctx context.Context, pool string, fence uint64) error { return h.members.TakeFrom(ctx, pool, fence) }
+	p.takeFrom = func(ctx context.Context, pool string, fence uint64) error {
+		return h.members.TakeFrom(ctx, pool, fence)
+	}
 	return p
 }
 
--- a/internal/jobpeer/client.go
+++ b/internal/jobpeer/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
@@ -47,6 +48,8 @@
 	http     *http.Client
 	states   *batcher
 	suspects *suspects
+	// onRefused may be nil.
+	onRefused func(address string)
 
 	mu    sync.Mutex
 	peers map[string]agateturnv1connect.JobPeerServiceClient
@@ -73,6 +76,10 @@
 	return c
 }
 
+// OnRefused sets what is told when a peer refuses a connection: no process listens there any more. It is called before
+// the first call.
+func (c *Client) OnRefused(f func(address string)) { c.onRefused = f }
+
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -103,6 +110,9 @@
 	}
 	answer, err := m(c.at(address), ctx, connect.NewRequest(req))
 	c.suspects.note(address, time.Now(), failed(err))
+	if c.onRefused != nil && errors.Is(err, syscall.ECONNREFUSED) {
+		c.onRefused(address)
+	}
 	if err != nil {
 		if connect.CodeOf(err) == connect.CodeDeadlineExceeded {
 			c.http.CloseIdleConnections()
--- a/internal/poolowner/decisions.go
+++ b/internal/poolowner/decisions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 
 	"github.com/agateturn/agateturn/scheduler"
 )
@@ -20,6 +21,9 @@
 }
 
 func (o *Owner) logDecision(ctx context.Context, d scheduler.Decision) {
+	if !o.Log.Enabled(ctx, slog.LevelDebug) {
+		return
+	}
 	o.Log.DebugContext(ctx, d.Kind, "pool", o.Pool, "fence", o.Config.Fence, "job", d.Task.Job,
 		"task", fmt.Sprintf("%d.%d.%d", d.Task.Occurrence, d.Task.Step, d.Task.Index),
 		"worker", d.Worker, "run", d.Run, "reason", d.Reason)
--- a/internal/poolowner/hold.go
+++ b/internal/poolowner/hold.go
@@ -76,6 +76,7 @@
 	old.cancel()
 	delete(h.running, id)
 	h.owner.Workers.Forget(old.worker.Address)
+	h.owner.orders.forget(old.worker.Address)
 }
 
 // holdWorker renews the lease of one worker until ctx ends.
--- a/internal/poolowner/orders.go
+++ b/internal/poolowner/orders.go
@@ -52,7 +52,7 @@
 	return slot
 }
 
-// forget drops the slots of an address that no worker has any more.
+// forget drops the slots of an address; orders in flight keep theirs.
 func (s *senders) forget(address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/poolowner/records.go
+++ b/internal/poolowner/records.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// recordBatch bounds the jobs of one write, below the entries of one transaction.
-	recordBatch = 24
+	// recordBatch bounds the jobs of one write.
+	recordBatch = jobstore.MaxRecorded
 	// recordGather is how long ends are collected before they are written.
 	recordGather = 20 * time.Millisecond
 	// recordRetry is the first pause after a write without success; it doubles up to recordRetryMax.
