Look at pools each 120 ms while moves are on and at the registry each 150 ms

Cause: a turn of demand lasts 4 s; a machine that is moved took 0.25 s to be asked for and 0.15 s to be seen on top of the move.

--- a/internal/fleetowner/poll.go
+++ b/internal/fleetowner/poll.go
@@ -12,8 +12,8 @@
 const (
 	pollTimeout = 500 * time.Millisecond
 	// pollBusy and pollIdle are the times between two looks at a pool.
-	pollBusy = 250 * time.Millisecond
-	pollIdle = 500 * time.Millisecond
+	pollBusy = 120 * time.Millisecond
+	pollIdle = 250 * time.Millisecond
 	// pollSpread is the least mean time between looks at any pool.
 	pollSpread = 20 * time.Millisecond
 )
--- a/internal/workerlist/list.go
+++ b/internal/workerlist/list.go
@@ -16,7 +16,7 @@
 	// watchWait is how long one watch waits for a change.
 	watchWait = 5 * time.Second
 	// watchGap is the pause between two watches: workers write often, and each answer is a call.
-	watchGap = 300 * time.Millisecond
+	watchGap = 150 * time.Millisecond
 	// removalGrace is how long a worker whose entry is gone is still listed, as draining. Entries that expire while the
 	// store is down come back.
 	removalGrace = 3 * time.Second
