--- a/upkeep/config.go
+++ b/upkeep/config.go
@@ -64,6 +64,8 @@
 	Idle float64
 	// Reserve holds machines back for the turn of another pool while turns cannot be foreseen, up to this age of a turn.
 	Reserve time.Duration
+	// Ahead is how long before their order machines are held back for a foreseen turn.
+	Ahead time.Duration
 	// Learn is how long pools keep their machines while no turn was seen.
 	Learn time.Duration
 	// GiveUp is how long a machine is emptied for a move, and Pause how long it is left alone if that was in vain.
@@ -86,7 +88,8 @@
 		Use:              0.85,
 		Idle:             1,
 		Reserve:          6 * time.Second,
-		Learn:            30 * time.Second,
+		Ahead:            1500 * time.Millisecond,
+		Learn:            time.Second,
 		GiveUp:           3 * time.Second,
 		Pause:            10 * time.Second,
 		PersistentAtOnce: 1,
--- a/upkeep/demand.go
+++ b/upkeep/demand.go
@@ -107,7 +107,7 @@
 }
 
 func (d *demand) turnEnded(length time.Duration) {
-	d.hold = d.rate
+	d.hold = d.trough
 	if length < shortestTurn {
 		return
 	}
@@ -137,7 +137,7 @@
 func (d *demand) rateIn(high bool) float64 {
 	switch {
 	case high && d.turns.high:
-		return max(d.rate, d.peak, d.turnRate())
+		return max(d.rate, d.peak, d.turnRate(), d.youngGuess())
 	case high && d.peak == 0:
 		return d.guess
 	case high:
@@ -158,6 +158,15 @@
 	return float64(d.arrived-d.turnArrived) / float64(length.Milliseconds())
 }
 
+// youngGuess stands for the peak in the first moments of the first turn.
+func (d *demand) youngGuess() float64 {
+	const young = 1500 * time.Millisecond
+	if d.peak > 0 || d.at.Sub(d.turns.last()) > young {
+		return 0
+	}
+	return d.guess
+}
+
 // backlog is the waiting work that can still be on time, and a small part of the rest.
 func (d *demand) backlog() float64 {
 	const lateShare = 0.1
--- a/upkeep/reserve.go
+++ b/upkeep/reserve.go
@@ -17,7 +17,8 @@
 		return
 	}
 	next, order := m.nextTurns(busy)
-	if order.Before(m.calendar.end(&busy.turns, m.now).Add(m.cfg.Moves.Drain)) {
+	soon := order.Sub(m.now) <= m.cfg.Moves.Ahead
+	if soon && order.Before(m.calendar.end(&busy.turns, m.now).Add(m.cfg.Moves.Drain)) {
 		for _, p := range next {
 			p.claim = true
 			p.orderAt = order
--- a/upkeep/turns.go
+++ b/upkeep/turns.go
@@ -182,6 +182,20 @@
 	return c
 }
 
+// inDoubt says whether a foreseen turn was missed and no other pool has had one since.
+func (c *calendar) inDoubt() bool {
+	var missed, risen time.Time
+	for _, t := range c.pools {
+		if t.missed.After(missed) {
+			missed = t.missed
+		}
+		if t.last().After(risen) {
+			risen = t.last()
+		}
+	}
+	return missed.Sub(risen) > max(c.length/2, shortestTurn)
+}
+
 // roundRobin guesses before any pool had a second turn: if turns have followed each other evenly, they go round.
 func (c *calendar) roundRobin(rises []time.Time, unseen []string) {
 	slices.SortFunc(rises, time.Time.Compare)
@@ -237,7 +251,7 @@
 // start is when the next turn of a pool begins, or the one that should have begun just now.
 func (c *calendar) start(pool string, now time.Time) (time.Time, bool) {
 	t := c.pools[pool]
-	if t == nil {
+	if t == nil || c.inDoubt() {
 		return time.Time{}, false
 	}
 	if _, ok := c.unseen[pool]; ok {
