--- a/upkeep/reserve.go
+++ b/upkeep/reserve.go
@@ -102,14 +102,19 @@
 	return min(p.surplus(), float64(p.have)-lately) - m.cfg.Moves.Idle
 }
 
-// experienced says whether any demand was seen, or has been absent for long.
+// experienced says whether any turn was seen, or none for long enough that pools may rest.
 func (m *mover) experienced() bool {
+	return m.turnSeen() || m.now.Sub(m.started) >= m.cfg.Moves.Learn
+}
+
+// turnSeen says whether any pool has had a turn.
+func (m *mover) turnSeen() bool {
 	for _, p := range m.plans {
 		if len(p.turns.rises) > 0 {
 			return true
 		}
 	}
-	return m.now.Sub(m.started) >= m.cfg.Moves.Learn
+	return false
 }
 
 // calm says whether no pool is expected to need a machine of this one within the pause.
