--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -50,7 +50,8 @@
 	w := r.worker
 	leaving := w.Draining && now.Add(p.cfg.StopTime+drainReserve).After(w.drainBy)
 	if s.spec.GetPersistent() {
-		return leaving || !r.atWork() || s.budgetAllows(now, r.task)
+		// It may have come to work since the last report.
+		return leaving || s.budgetAllows(now, r.task)
 	}
 	left := r.remaining(now)
 	if s.spec.GetGang() && !s.spec.GetSavesProgress() {
@@ -111,5 +112,5 @@
 	if !s.spec.GetPersistent() {
 		return false
 	}
-	return !r.atWork() || (s.active[r.worker] <= 1 && s.budgetAllows(now, r.task))
+	return s.active[r.worker] <= 1 && s.budgetAllows(now, r.task)
 }
--- a/upkeep/move.go
+++ b/upkeep/move.go
@@ -362,7 +362,7 @@
 			continue
 		}
 		if m.persistentOn(m.machines[id]) {
-			if p.emptying >= m.cfg.Moves.PersistentAtOnce || m.now.Before(p.heldUntil) || !m.turnSeen() {
+			if p.emptying >= m.cfg.Moves.PersistentAtOnce || m.now.Before(p.heldUntil) {
 				continue
 			}
 			p.emptying++
