--- /dev/null
+++ b/scheduler/pace_test.go
@@ -0,0 +1,111 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/queue"
+	"github.com/agateturn/agateturn/scheduler"
+	"gotest.tools/v3/assert"
+)
+
+// bare is a pool with one worker whose answers the test writes itself.
+type bare struct {
+	pool  *scheduler.Pool
+	now   time.Time
+	clock int64
+	ends  int64
+}
+
+func newBare(workers ...string) *bare {
+	b := &bare{now: time.UnixMilli(simEpoch), clock: 1000}
+	cfg := simConfig
+	cfg.Fence = 7
+	b.pool = scheduler.New(cfg)
+	b.pool.Load(b.now, nil, nil, nil)
+	b.pool.SetQueues(b.now, []queue.Queue{{Name: "q", MaxAttempts: 3, Stretch: 2, TargetDuration: time.Second}})
+	var ws []scheduler.Worker
+	for _, id := range workers {
+		ws = append(ws, scheduler.Worker{ID: id, Address: id, Capacity: scheduler.Resources{CPUMilli: 4000, MemoryMB: 4000}})
+	}
+	b.pool.SetWorkers(b.now, ws)
+	for _, id := range workers {
+		b.report(id, nil, nil)
+	}
+	return b
+}
+
+func (b *bare) report(worker string, running []scheduler.RunningTask, ended []scheduler.EndedRun) {
+	b.clock++
+	b.pool.Report(b.now, scheduler.Report{
+		Worker: worker, Born: 5, Sent: b.now, Received: b.now, Clock: b.clock, Running: running, Ended: ended,
+	})
+}
+
+func (b *bare) pass(d time.Duration) {
+	b.now = b.now.Add(d)
+	b.clock += d.Milliseconds()
+}
+
+func (b *bare) add(id string, steps ...*pb.JobStep) {
+	b.pool.Add(b.now, &pb.JobRecord{Id: id, Queue: "q", AcceptedMs: b.now.UnixMilli(), Spec: &pb.JobSpec{Steps: steps}})
+}
+
+// Fillers beside a task that misses its target are slowed down at once, the task that serves never, and raised later.
+func TestPaceProtectsServingTasks(t *testing.T) {
+	b := newBare("w1")
+	b.add("serve", &pb.JobStep{Count: 1, CpuMilli: 1000, Persistent: true, TargetMs: 50})
+	b.add("fill", &pb.JobStep{Count: 2, CpuMilli: 1000, Fills: true, EstimateMs: 60_000})
+	orders := b.pool.Step(b.now).Orders
+	assert.Equal(t, len(orders), 3)
+	tell := func(tail int64) []scheduler.Order {
+		b.pass(700 * time.Millisecond)
+		var running []scheduler.RunningTask
+		for i, o := range orders {
+			r := scheduler.RunningTask{Task: o.Task, Run: o.Run, Percent: 30 + int(b.clock/1000)}
+			if i == 0 {
+				r.Percent, r.Tail = 100, tail
+			}
+			running = append(running, r)
+		}
+		b.report("w1", running, nil)
+		out := b.pool.Step(b.now).Orders
+		for _, o := range out {
+			assert.Equal(t, o.Kind, scheduler.OrderPace)
+			assert.Equal(t, o.Task.Job, "fill")
+			b.pool.Result(b.now, scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeDone})
+		}
+		return out
+	}
+	for _, o := range orders {
+		b.pool.Result(b.now, scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeDone})
+	}
+	assert.Equal(t, len(tell(10)), 0)
+	cut := tell(60)
+	assert.Equal(t, len(cut), 2)
+	assert.Equal(t, cut[0].Percent, 25)
+	assert.Equal(t, tell(40)[0].Percent, 12)
+	assert.Equal(t, tell(5)[0].Percent, 27)
+}
+
+// A worker on which the tasks of distinct jobs fail gets no more of them; a job that fails everywhere blames none.
+func TestFailingWorkerIsAvoided(t *testing.T) {
+	b := newBare("w1", "w2", "w3")
+	started := map[string]int{}
+	for i := range 12 {
+		b.add(string(rune('a'+i)), &pb.JobStep{Count: 1, CpuMilli: 100, EstimateMs: 500})
+		for _, o := range b.pool.Step(b.now).Orders {
+			started[o.Worker]++
+			b.pool.Result(b.now, scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeDone})
+			end := scheduler.EndSucceeded
+			if o.Worker == "w1" {
+				end = scheduler.EndFailed
+			}
+			b.pass(100 * time.Millisecond)
+			b.ends++
+			b.report(o.Worker, nil, []scheduler.EndedRun{{Number: b.ends, Task: o.Task, Run: o.Run, End: end}})
+		}
+	}
+	assert.Equal(t, started["w1"], 2, "%v", started)
+}
--- a/scheduler/pool_test.go
+++ b/scheduler/pool_test.go
@@ -12,7 +12,7 @@
 func mixedDay(s *sim, jobs int) {
 	for range jobs {
 		at := s.rng.Int64N(s.quiet())
-		switch s.rng.IntN(8) {
+		switch s.rng.IntN(10) {
 		case 0:
 			s.add(at, &pb.JobSpec{Steps: []*pb.JobStep{{Count: 2, CpuMilli: 300, MemoryMb: 500, Persistent: true, MayMiss: 1, EstimateMs: 3000}}})
 		case 1:
@@ -30,6 +30,11 @@
 		case 5:
 			j := s.add(at, &pb.JobSpec{Steps: []*pb.JobStep{{Count: 2, CpuMilli: 1000, MemoryMb: 100, EstimateMs: 500, RequiredLabel: "r1"}}})
 			j.poison = s.chance(0.5)
+		case 6:
+			j := s.add(at, &pb.JobSpec{Steps: []*pb.JobStep{{Count: 2, CpuMilli: 500, MemoryMb: 100, EstimateMs: 500}, {Count: 2, CpuMilli: 500, EstimateMs: 900, After: []int64{0}}}})
+			j.rec.Queue = "advised"
+		case 7:
+			s.add(at, &pb.JobSpec{Steps: []*pb.JobStep{{Count: 3, CpuMilli: 800, MemoryMb: 100, EstimateMs: 700, Speculative: true}, {Count: 2, CpuMilli: 2000, MemoryMb: 100, EstimateMs: 700, Fills: true, After: []int64{0}}}})
 		default:
 			s.add(at, &pb.JobSpec{Steps: []*pb.JobStep{
 				{Count: 4, CpuMilli: 1500, MemoryMb: 300, EstimateMs: 600, Affinity: "r0"},
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -333,6 +333,10 @@
 	w.end(r, how)
 }
 
-var simQueues = []queue.Queue{{
-	Name: "q", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond,
-}}
+var simQueues = []queue.Queue{
+	{Name: "q", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
+	{
+		Name: "advised", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond,
+		Advice: &queue.Advice{Decide: 20 * time.Millisecond, Each: 5 * time.Millisecond, Valid: 3 * time.Second},
+	},
+}
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/scheduler"
@@ -84,6 +85,9 @@
 	for _, d := range a.Decisions {
 		s.trace("owner %d decides %+v", o.fence, d)
 	}
+	for _, r := range a.Advice {
+		o.advise(r)
+	}
 	for _, r := range a.Records {
 		o.record(r)
 	}
@@ -101,6 +105,23 @@
 	}
 }
 
+// advise answers for the policy service: it permits two workers of three.
+func (o *simOwner) advise(r scheduler.AdviceRequest) {
+	s := o.sim
+	a := scheduler.Advice{
+		Job: r.Job, Occurrence: r.Occurrence, Step: r.Step, Asked: r.Workers, Tickets: map[string]string{}, ValidFor: 3 * time.Second,
+	}
+	a.Failed = s.faulty() && s.chance(s.f.lostAnswers)
+	for _, id := range r.Workers {
+		if w := s.byID[id]; w.permitted(r.Job) {
+			a.Tickets[id] = w.ticket(r.Job, r.Step)
+		}
+	}
+	s.after(20+5*int64(len(r.Workers)), func() {
+		o.input(func(p *scheduler.Pool) { p.Advised(s.time(), a) })
+	})
+}
+
 func (o *simOwner) record(r scheduler.Record) {
 	s := o.sim
 	pr := proto.Clone(r.Progress).(*pb.JobProgress)
--- a/scheduler/simworker_test.go
+++ b/scheduler/simworker_test.go
@@ -100,12 +100,21 @@
 	if o.Run <= w.highest[o.Task] {
 		return scheduler.OutcomeOutdated
 	}
+	if w.sim.jobs[o.Task.Job].rec.GetQueue() == "advised" && o.Ticket != w.ticket(o.Task.Job, o.Task.Step) {
+		return scheduler.OutcomeTicket
+	}
 	r := w.sim.newRun(w, o)
 	w.sim.check.started(w, r, o)
 	w.running = append(w.running, r)
 	return scheduler.OutcomeDone
 }
 
+func (w *simWorker) permitted(job string) bool { return (len(w.id)+int(w.id[2])+int(job[3]))%3 != 0 }
+
+func (w *simWorker) ticket(job string, step int) string {
+	return fmt.Sprintf("%s/%d/%s/%d", job, step, w.id, w.born)
+}
+
 func (w *simWorker) stop(fence uint64, o scheduler.Order) scheduler.Outcome {
 	if fence < w.fence {
 		return scheduler.OutcomeFenced
