Scheduler: hand out what inputs decided; ask for advice ahead and about fewer workers

Step dropped the decisions, polls and wakes that inputs since the last call had left (TestStartWithoutAnswerIsPolled fails without the change).

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -6,9 +6,13 @@
 )
 
 const (
-	// adviceWorkers is how many workers one request names; the service takes longer for each.
-	adviceWorkers    = 30
+	// A request names as many workers as are likely to be needed; the service takes longer for each.
+	minAdviceWorkers = 4
 	maxAdviceWorkers = 100
+	// minGoodShare is the least share of workers that is expected to be permitted.
+	minGoodShare = 0.2
+	// aheadFactor times the duration of a step is how long tickets have to last to be asked for ahead.
+	aheadFactor = 2
 	// adviceCalls bounds the requests on their way, so that the most urgent steps are asked about first.
 	adviceCalls = 4
 	// adviceTimeout is when a request without an answer is given up.
@@ -22,6 +26,8 @@
 // adviceDesk counts the requests on their way.
 type adviceDesk struct {
 	inFlight []*step
+	// good is the share of workers that the service permits.
+	good mean
 }
 
 // stepAdvice is what the policy service has said about one step.
@@ -81,6 +87,30 @@
 	})
 }
 
+// adviseAhead asks about the steps that follow, if tickets last until they begin.
+func (p *Pool) adviseAhead(now time.Time, s *step) {
+	if s.advice == nil {
+		return
+	}
+	valid := p.queueOf(s.occ.job).Advice
+	if valid == nil || valid.Valid < aheadFactor*s.expected+adviceMargin {
+		return
+	}
+	for _, f := range s.followers {
+		if f.blocked == 1 && f.advice == nil {
+			p.consultAdvice(now, f)
+		}
+	}
+}
+
+// unplaced counts the tasks that will need a worker.
+func (s *step) unplaced() int {
+	if s.opened {
+		return len(s.ready)
+	}
+	return len(s.tasks) - s.done
+}
+
 // permittedRoom tells whether workers with tickets have room for all tasks that wait.
 func (p *Pool) permittedRoom(now time.Time, s *step) bool {
 	room := 0
@@ -89,7 +119,7 @@
 			room += w.free().holds(s.need)
 		}
 	}
-	return room >= len(s.ready)
+	return room >= s.unplaced()
 }
 
 // adviceCandidates are the workers to ask about: those with the most room that have no verdict yet.
@@ -108,10 +138,14 @@
 		}
 	}
 	sort.SliceStable(ws, func(a, b int) bool { return ws[a].free().CPUMilli > ws[b].free().CPUMilli })
-	limit := min(maxAdviceWorkers, max(adviceWorkers, len(s.ready)))
-	names := make([]string, 0, limit)
-	for _, w := range ws[:min(len(ws), limit)] {
+	var names []string
+	wanted := float64(s.unplaced()) / max(minGoodShare, p.advice.good.value)
+	for _, w := range ws {
+		if len(names) >= maxAdviceWorkers || (len(names) >= minAdviceWorkers && wanted <= 0) {
+			break
+		}
 		names = append(names, w.ID)
+		wanted -= float64(max(1, w.free().holds(s.need)))
 	}
 	return names
 }
@@ -138,6 +172,9 @@
 		return
 	}
 	s.advice.retries = 0
+	if len(a.Asked) > 0 {
+		p.advice.good.add(float64(len(a.Tickets)) / float64(len(a.Asked)))
+	}
 	for _, id := range a.Asked {
 		w := p.workers[id]
 		if w == nil {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -135,6 +135,9 @@
 		p.start(now, t, w, p.nextRun())
 	}
 	s.ready = kept
+	if len(kept) == 0 {
+		p.adviseAhead(now, s)
+	}
 }
 
 // reserveFor takes a worker that could come to hold a task of the step from those that later steps may use.
@@ -225,6 +228,7 @@
 		otherRack  = 20
 		failedHere = 40
 		sameJob    = 10
+		sameRack   = 1
 		mixed      = 2
 	)
 	s := t.step
@@ -244,7 +248,7 @@
 		}
 	}
 	if s.spec.GetPersistent() {
-		cost += sameJob * float64(s.active[w])
+		cost += sameJob*float64(s.active[w]) + sameRack*float64(s.onRack(w.Rack))
 	}
 	if s.mixes(w) {
 		cost += mixed
@@ -252,6 +256,17 @@
 	return cost
 }
 
+// onRack counts the runs of the step on a rack.
+func (s *step) onRack(rack string) int {
+	n := 0
+	for w, runs := range s.active {
+		if w.Rack == rack {
+			n += runs
+		}
+	}
+	return n
+}
+
 // leftover is the share of the worker that stays free: the fullest worker that fits comes first.
 func leftover(s *step, w *worker) float64 {
 	free := w.free().minus(s.need)
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -103,10 +104,9 @@
 
 // Step returns what follows from the inputs since the last call.
 func (p *Pool) Step(now time.Time) Actions {
-	p.out = Actions{}
 	if p.fenced {
-		p.out.Fenced = true
-		return p.out
+		p.out = Actions{}
+		return Actions{Fenced: true}
 	}
 	p.checkWorkers(now)
 	p.openOccurrences(now)
@@ -121,6 +121,8 @@
 	p.forget(now)
 	out := p.out
 	p.out = Actions{}
+	slices.Sort(out.Poll)
+	out.Poll = slices.Compact(out.Poll)
 	return out
 }
 
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -10,7 +10,7 @@
 
 const (
 	// coalesceRecords is how long changes of a job that goes on are gathered into one record.
-	coalesceRecords = 100 * time.Millisecond
+	coalesceRecords = 250 * time.Millisecond
 	// repeatRecord is how long a record may stay unanswered before it is handed out again.
 	repeatRecord = time.Second
 	// forgetEvery is the pause between looks for jobs that have been kept for long enough.
--- a/scheduler/pace_test.go
+++ b/scheduler/unit_test.go
@@ -109,3 +109,28 @@
 	}
 	assert.Equal(t, started["w1"], 2, "%v", started)
 }
+
+// What follows from an input is handed out by the next Step: here that the worker's list is needed at once.
+func TestStartWithoutAnswerIsPolled(t *testing.T) {
+	b := newBare("w1")
+	b.add("a", &pb.JobStep{Count: 1, CpuMilli: 100, EstimateMs: 500})
+	orders := b.pool.Step(b.now).Orders
+	assert.Equal(t, len(orders), 1)
+	b.pool.Result(b.now, scheduler.OrderResult{Order: orders[0], Outcome: scheduler.OutcomeUnknown})
+	a := b.pool.Step(b.now)
+	assert.DeepEqual(t, a.Poll, []string{"w1"})
+	assert.Equal(t, len(a.Orders), 0)
+	b.pass(400 * time.Millisecond)
+	b.report("w1", nil, nil)
+	stop := b.pool.Step(b.now).Orders
+	assert.Equal(t, len(stop), 1)
+	assert.Equal(t, stop[0].Kind, scheduler.OrderStop)
+	b.pool.Result(b.now, scheduler.OrderResult{Order: stop[0], Outcome: scheduler.OutcomeDone})
+	assert.Equal(t, len(b.pool.Step(b.now).Orders), 0)
+	b.pass(time.Millisecond)
+	b.report("w1", nil, nil)
+	again := b.pool.Step(b.now).Orders
+	assert.Equal(t, len(again), 1)
+	assert.Equal(t, again[0].Kind, scheduler.OrderStart)
+	assert.Assert(t, again[0].Run > orders[0].Run)
+}
