Scheduler: let draining workers use up availability budgets before evacuations

A task on a draining worker is stopped near its end whatever the budget; one of its step on a worker being emptied was allowed a move in the same step before that.

--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 const (
 	// evacuateEvery is the pause between looks at workers that are to be emptied.
@@ -26,15 +29,20 @@
 
 // checkEvacuation moves tasks away from workers that drain or are to be emptied.
 func (p *Pool) checkEvacuation(now time.Time) {
-	var usable []*worker
+	var leaving []*worker
 	for _, w := range p.order {
-		if len(w.runs) == 0 || w.gone || (!w.Draining && !w.evacuating) {
-			continue
-		}
-		if usable == nil {
-			usable = p.usableWorkers(now)
+		if len(w.runs) > 0 && !w.gone && (w.Draining || w.evacuating) {
+			leaving = append(leaving, w)
 		}
-		p.wake(now.Add(evacuateEvery))
+	}
+	if len(leaving) == 0 {
+		return
+	}
+	// What leaves in any case uses up the budgets first.
+	sort.SliceStable(leaving, func(a, b int) bool { return leaving[a].Draining && !leaving[b].Draining })
+	usable := p.usableWorkers(now)
+	p.wake(now.Add(evacuateEvery))
+	for _, w := range leaving {
 		for _, r := range w.runs {
 			if r.task != nil && !r.stopping && r.state == runRunning && p.shouldMove(now, r) && p.roomElsewhere(now, r, usable) {
 				p.stop(now, r, "moved away")
--- a/scheduler/pool_test.go
+++ b/scheduler/pool_test.go
@@ -54,7 +54,7 @@
 		failing: share("failing") / 4, lostRecords: share("lost records"),
 		crashes: count("crashes"), takeovers: count("takeovers"), cuts: count("cuts"), drains: count("drains"),
 		evacuations: count("evacuations"),
-		grey:        rapid.Bool().Draw(t, "grey"), hang: rapid.Bool().Draw(t, "hang"),
+		grey:        rapid.Bool().Draw(t, "grey"), hang: rapid.Bool().Draw(t, "hang"), slow: rapid.Bool().Draw(t, "slow"),
 	}
 }
 
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -35,7 +35,7 @@
 	failing                           float64
 	crashes, takeovers, cuts, drains  int
 	evacuations                       int
-	grey, hang                        bool
+	grey, hang, slow                  bool
 	lostRecords                       float64
 }
 
@@ -211,6 +211,11 @@
 		s.after(0, func() { w.failsAll = true })
 		s.after(quiet, func() { w.failsAll = false })
 	}
+	if s.f.slow {
+		w := pick()
+		w.speed = 0.2
+		s.after(quiet, func() { w.speed = 1 })
+	}
 	if s.f.hang {
 		w := pick()
 		s.after(0, func() { w.hangs = true })
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -19,6 +19,8 @@
 	// lanes keep the orders to one worker about one task in turn.
 	lanes map[laneKey][]scheduler.Order
 	wake  int64
+	// born holds the lifetimes that the registry has shown.
+	born map[string]int64
 }
 
 type laneKey struct {
@@ -34,7 +36,7 @@
 	}
 	cfg := simConfig
 	cfg.Fence = s.fence
-	o := &simOwner{sim: s, pool: scheduler.New(cfg), fence: s.fence, lanes: map[laneKey][]scheduler.Order{}}
+	o := &simOwner{sim: s, pool: scheduler.New(cfg), fence: s.fence, lanes: map[laneKey][]scheduler.Order{}, born: map[string]int64{}}
 	s.owner = o
 	var jobs []*pb.JobRecord
 	var progress []*pb.JobProgress
@@ -85,6 +87,9 @@
 	for _, d := range a.Decisions {
 		s.trace("owner %d decides %+v", o.fence, d)
 	}
+	for _, id := range a.Poll {
+		o.poll(s.byID[id])
+	}
 	for _, r := range a.Advice {
 		o.advise(r)
 	}
@@ -198,6 +203,7 @@
 	}
 	h := o.pool.Hold(w.id, s.time())
 	sent := s.time()
+	expected := o.born[w.id]
 	again := func(ms int64) { s.after(ms, func() { o.hold(w) }) }
 	lost := s.cut[w.id] || !w.up || s.faulty() && s.chance(s.f.lostCalls)
 	if lost {
@@ -220,7 +226,7 @@
 			s.after(20, poll)
 			return
 		}
-		rep := w.hold(o.fence, h)
+		rep := o.answer(w, h, expected)
 		rep.Sent = sent
 		if s.faulty() && s.chance(s.f.lostAnswers) {
 			again(1000)
@@ -235,6 +241,33 @@
 	s.after(1+s.rng.Int64N(5), poll)
 }
 
+// poll holds a worker once beside the waiting hold; the two may overtake each other.
+func (o *simOwner) poll(w *simWorker) {
+	s := o.sim
+	h := o.pool.Hold(w.id, s.time())
+	sent := s.time()
+	expected := o.born[w.id]
+	s.after(1+s.rng.Int64N(20), func() {
+		if !w.up || s.cut[w.id] {
+			return
+		}
+		rep := o.answer(w, h, expected)
+		rep.Sent = sent
+		s.after(1+s.rng.Int64N(100), func() {
+			rep.Received = s.time()
+			o.input(func(p *scheduler.Pool) { p.Report(s.time(), rep) })
+		})
+	})
+}
+
+// answer is what the worker says to a hold that names the lifetime it expects.
+func (o *simOwner) answer(w *simWorker, h scheduler.Hold, expected int64) scheduler.Report {
+	if w.born != expected {
+		return scheduler.Report{Worker: w.id, Born: expected, Gone: true}
+	}
+	return w.hold(o.fence, h)
+}
+
 // registry shows the workers to the owner from time to time, a little late.
 func (o *simOwner) registry() {
 	s := o.sim
@@ -256,6 +289,7 @@
 			}
 		}
 		ws = append(ws, x)
+		o.born[w.id] = w.born
 	}
 	o.input(func(p *scheduler.Pool) { p.SetWorkers(s.time(), slices.Clone(ws)) })
 	s.after(500, o.registry)
