--- a/httpcall/httpcall.go
+++ b/httpcall/httpcall.go
@@ -27,6 +27,8 @@
 	maxHeaderBytes = 16 << 10
 	// bufferBytes is the size of a connection's read and of its write buffer.
 	bufferBytes = 4 << 10
+	// presizedBytes is the longest body for which memory is taken before it arrives.
+	presizedBytes = 64 << 10
 	// maxIdle is how many idle connections a client without a bound keeps.
 	maxIdle = 16
 )
@@ -159,11 +161,12 @@
 	return req.WithContext(ctx)
 }
 
+// readBody trusts the announced length only as far as presizedBytes.
 func readBody(resp *http.Response, limit int) ([]byte, error) {
 	if resp.ContentLength > int64(limit) {
 		return nil, ErrTooLong
 	}
-	if resp.ContentLength >= 0 {
+	if resp.ContentLength >= 0 && resp.ContentLength <= presizedBytes {
 		body := make([]byte, resp.ContentLength)
 		_, err := io.ReadFull(resp.Body, body)
 		return body, err
