--- a/internal/jobpeer/client.go
+++ b/internal/jobpeer/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
@@ -30,6 +31,8 @@
 	callTimeout = time.Second
 	// statesTimeout bounds a question for states, whose askers can turn to the store.
 	statesTimeout = 300 * time.Millisecond
+	// tableTimeout bounds the transfer of a table of queues, which may be a megabyte.
+	tableTimeout = 3 * time.Second
 
 	maxConnections = 8
 	idleTimeout    = time.Minute
@@ -45,6 +48,8 @@
 	http     *http.Client
 	states   *batcher
 	suspects *suspects
+	// onRefused may be nil.
+	onRefused func(address string)
 
 	mu    sync.Mutex
 	peers map[string]agateturnv1connect.JobPeerServiceClient
@@ -71,6 +76,10 @@
 	return c
 }
 
+// OnRefused sets what is told when a peer refuses a connection: no process listens there any more. It is called before
+// the first call.
+func (c *Client) OnRefused(f func(address string)) { c.onRefused = f }
+
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -85,7 +94,7 @@
 		clear(c.peers)
 	}
 	peer := agateturnv1connect.NewJobPeerServiceClient(c.http, "http://"+address,
-		connect.WithReadMaxBytes(messageLimit), connect.WithSendGzip(), connect.WithCompressMinBytes(compressFrom))
+		connect.WithReadMaxBytes(messageLimit), clientCompression())
 	c.peers[address] = peer
 	return peer
 }
@@ -101,6 +110,9 @@
 	}
 	answer, err := m(c.at(address), ctx, connect.NewRequest(req))
 	c.suspects.note(address, time.Now(), failed(err))
+	if c.onRefused != nil && errors.Is(err, syscall.ECONNREFUSED) {
+		c.onRefused(address)
+	}
 	if err != nil {
 		if connect.CodeOf(err) == connect.CodeDeadlineExceeded {
 			c.http.CloseIdleConnections()
@@ -208,7 +220,7 @@
 
 // OfferTable tells the peer of a version of the table of queues, and returns the peer's own.
 func (c *Client) OfferTable(ctx context.Context, address string, version int64, raw []byte) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	answer, err := call(ctx, c, address, agateturnv1connect.JobPeerServiceClient.OfferTable,
 		&pb.OfferTableRequest{Version: version, Raw: raw})
--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 const (
 	// evacuateEvery is the pause between looks at workers that are to be emptied.
@@ -28,15 +31,20 @@
 
 // checkEvacuation moves tasks away from workers that drain or are to be emptied.
 func (p *Pool) checkEvacuation(now time.Time) {
-	var usable []*worker
+	var leaving []*worker
 	for _, w := range p.order {
-		if len(w.runs) == 0 || w.gone || (!w.Draining && !w.evacuating) {
-			continue
-		}
-		if usable == nil {
-			usable = p.usableWorkers(now)
+		if len(w.runs) > 0 && !w.gone && (w.Draining || w.evacuating) {
+			leaving = append(leaving, w)
 		}
-		p.wake(now.Add(evacuateEvery))
+	}
+	if len(leaving) == 0 {
+		return
+	}
+	// What leaves in any case uses up the budgets first.
+	sort.SliceStable(leaving, func(a, b int) bool { return leaving[a].Draining && !leaving[b].Draining })
+	usable := p.usableWorkers(now)
+	p.wake(now.Add(evacuateEvery))
+	for _, w := range leaving {
 		for _, r := range w.runs {
 			if r.task != nil && !r.stopping && r.state == runRunning && p.shouldMove(now, r) && p.roomElsewhere(now, r, usable) {
 				p.stop(now, r, "moved away")
@@ -50,7 +58,8 @@
 	w := r.worker
 	leaving := w.Draining && now.Add(p.cfg.StopTime+drainReserve).After(w.drainBy)
 	if s.spec.GetPersistent() {
-		return leaving || !r.atWork() || s.budgetAllows(now, r.task)
+		// It may have come to work since the last report.
+		return leaving || s.budgetAllows(now, r.task)
 	}
 	left := r.remaining(now)
 	if s.spec.GetGang() && !s.spec.GetSavesProgress() {
@@ -111,5 +120,5 @@
 	if !s.spec.GetPersistent() {
 		return false
 	}
-	return !r.atWork() || (s.active[r.worker] <= 1 && s.budgetAllows(now, r.task))
+	return s.active[r.worker] <= 1 && s.budgetAllows(now, r.task)
 }
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -53,6 +54,8 @@
 	attention []*run
 	place     bool
 	placeAt   time.Time
+	// busy is the share of the capacity in use at the last placement.
+	busy float64
 
 	learned  learned
 	evacuate map[string]bool
@@ -101,10 +104,9 @@
 
 // Step returns what follows from the inputs since the last call.
 func (p *Pool) Step(now time.Time) Actions {
-	p.out = Actions{}
 	if p.fenced {
-		p.out.Fenced = true
-		return p.out
+		p.out = Actions{}
+		return Actions{Fenced: true}
 	}
 	p.checkWorkers(now)
 	p.openOccurrences(now)
@@ -119,6 +121,8 @@
 	p.forget(now)
 	out := p.out
 	p.out = Actions{}
+	slices.Sort(out.Poll)
+	out.Poll = slices.Compact(out.Poll)
 	return out
 }
 
