--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -93,14 +93,14 @@
 
 // Reload puts changed settings in force. Name and addresses stay as they were until the next start; bounds hold from the
 // next pool that this host gains.
-func (h *Host) Reload(s *pb.JobSettings) {
+func (h *Host) Reload(ctx context.Context, s *pb.JobSettings) {
 	before := h.settings.Load()
 	if !proto.Equal(before.GetJobHost(), s.GetJobHost()) {
-		events.Emit(context.Background(), h.log, events.SettingsKept)
+		events.Emit(ctx, h.log, events.SettingsKept)
 		s.JobHost = before.GetJobHost()
 	}
 	h.settings.Store(s)
-	events.Emit(context.Background(), h.log, events.SettingsReloaded)
+	events.Emit(ctx, h.log, events.SettingsReloaded)
 }
 
 // resolve tells where the owner of a pool is.
@@ -158,10 +158,12 @@
 
 // ended hides the error of a duty that ended because it was told to.
 func ended(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
+	select {
+	case <-ctx.Done():
 		return nil
+	default:
+		return err
 	}
-	return err
 }
 
 func (h *Host) listen(ctx context.Context, group *errgroup.Group) error {
