Say doubled logic once: token bucket, process identity, maintenance notice, signals, ejected hosts

Two token buckets become the package tokenbucket; name/incarnation and the look for a process among the members stand in fleet; two tools share their run until a signal. It asks routing whether a host is ejected instead of building and sorting the list of all hosts at each look. Ran the tests of entryhost, routing, fleet, waves.

--- a/cmd/agateturn-capacity/main.go
+++ b/cmd/agateturn-capacity/main.go
@@ -3,12 +3,9 @@
 package main
 
 import (
-	"context"
-	"os"
-	"os/signal"
-	"syscall"
-
 	"github.com/alecthomas/kong"
+
+	"github.com/agateturn/agateturn/internal/command"
 )
 
 type commands struct {
@@ -25,9 +22,5 @@
 		kong.Description("Measures what control costs and works out the costs at the design size."),
 		kong.UsageOnError(),
 	)
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	parsed.BindTo(ctx, (*context.Context)(nil))
-	err := parsed.Run()
-	stop()
-	parsed.FatalIfErrorf(err)
+	command.Run(parsed)
 }
--- a/cmd/agateturn-standin/main.go
+++ b/cmd/agateturn-standin/main.go
@@ -8,11 +8,11 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
+
+	"github.com/agateturn/agateturn/internal/command"
 )
 
 const (
@@ -35,11 +35,7 @@
 		kong.Description("Plays the platform, the workers and the callers in demos and tests."),
 		kong.UsageOnError(),
 	)
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	parsed.BindTo(ctx, (*context.Context)(nil))
-	err := parsed.Run()
-	stop()
-	parsed.FatalIfErrorf(err)
+	command.Run(parsed)
 }
 
 // serve answers HTTP on address until ctx ends.
--- a/internal/entryhost/announce.go
+++ b/internal/entryhost/announce.go
@@ -63,7 +63,7 @@
 func (a *announcer) look(ctx context.Context, now time.Time) {
 	a.readiness(ctx)
 	f := a.view.fleet()
-	controls := f.GetController() == identity(a.self)
+	controls := f.GetController() == fleet.Identity(a.self)
 	if controls && a.fleet != nil {
 		for _, o := range fleetEvents(a.fleet, f) {
 			events.Emit(ctx, a.logger, o.event, o.args...)
@@ -75,7 +75,7 @@
 	}
 	a.fleet = f
 	a.tell(ctx, &a.silent, a.peers.silent(now), events.PeerUnreachable, events.PeerBack, "peer")
-	a.tell(ctx, &a.ejected, a.dispatch.load(ctx).ejected, events.HostEjected, events.HostProbedBack, "host")
+	a.tell(ctx, &a.ejected, setOf(a.dispatch.load(ctx).ejected), events.HostEjected, events.HostProbedBack, "host")
 	if controls {
 		a.tell(ctx, &a.hanging, hanging(f, now), events.HostDrainHangs, events.Event{}, "host")
 		a.tell(ctx, &a.absent, absentHosts(a.view.config(), a.list), events.HostNotInList, events.Event{}, "host")
@@ -121,6 +121,10 @@
 // states is a set of names in some state.
 type states map[string]bool
 
+func setOf(names []string) states {
+	return lo.SliceToMap(names, func(name string) (string, bool) { return name, true })
+}
+
 // replace takes over the new set and returns, sorted, what entered it and what left it.
 func (s *states) replace(now states) (entered, left []string) {
 	entered, left = lo.Difference(lo.Keys(now), lo.Keys(*s))
@@ -250,14 +254,14 @@
 
 func memberEvents(before, after *pb.Fleet) []occurrence {
 	var found []occurrence
-	old, present := lo.KeyBy(before.GetMembers(), identity), lo.KeyBy(after.GetMembers(), identity)
+	old, present := lo.KeyBy(before.GetMembers(), fleet.Identity[*pb.Member]), lo.KeyBy(after.GetMembers(), fleet.Identity[*pb.Member])
 	for _, m := range after.GetMembers() {
-		if old[identity(m)] == nil {
+		if old[fleet.Identity(m)] == nil {
 			found = append(found, occurrence{events.MemberJoined, []any{"member", m.GetName()}})
 		}
 	}
 	for _, m := range before.GetMembers() {
-		if present[identity(m)] == nil {
+		if present[fleet.Identity(m)] == nil {
 			event := lo.Ternary(m.GetLeaving(), events.MemberLeft, events.MemberGone)
 			found = append(found, occurrence{event, []any{"member", m.GetName(), "incarnation", m.GetIncarnation()}})
 		}
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -178,7 +178,7 @@
 
 func (c *control) input(now time.Time, f *pb.Fleet, reports map[string]fleet.Received, load map[string]mover.PoolLoad) controller.Input {
 	return controller.Input{
-		Self:       identity(c.self),
+		Self:       fleet.Identity(c.self),
 		WriteID:    uuid.NewString(),
 		Fleet:      f,
 		Config:     c.view.config(),
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -20,6 +20,7 @@
 
 	"github.com/agateturn/agateturn/config"
 	"github.com/agateturn/agateturn/events"
+	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/pause"
 	"github.com/agateturn/agateturn/stats"
@@ -183,7 +184,7 @@
 	now := time.Now()
 	registered := d.registrar.isMember()
 	d.view.withStager(func(st *config.Stager) {
-		st.Heard(now, config.Report{Peer: identity(d.self), Generation: st.Generation(), Ready: true, Registered: registered})
+		st.Heard(now, config.Report{Peer: fleet.Identity(d.self), Generation: st.Generation(), Ready: true, Registered: registered})
 		if since, unsettled := st.Unsettled(now); unsettled {
 			err = errUnsettled.New("for %s", since)
 		}
--- a/internal/entryhost/dispatch.go
+++ b/internal/entryhost/dispatch.go
@@ -208,9 +208,8 @@
 	if len(d.waiting) == 0 {
 		return
 	}
-	ejected := d.ejected()
 	for _, pool := range d.queuedPools() {
-		d.schedulePool(now, pool, ejected)
+		d.schedulePool(now, pool)
 	}
 }
 
@@ -220,8 +219,8 @@
 	return lo.Filter(d.pools, func(pool string, _ int) bool { return queued[pool] })
 }
 
-func (d *dispatcher) schedulePool(now time.Time, pool string, ejected map[string]bool) {
-	usable := d.usableSlots(pool, ejected)
+func (d *dispatcher) schedulePool(now time.Time, pool string) {
+	usable := d.usableSlots(pool)
 	starts, rejections := d.queues.Next(now, pool, usable)
 	for _, r := range rejections {
 		d.reject(r)
@@ -232,26 +231,15 @@
 }
 
 // usableSlots counts the free slots on hosts that are not ejected.
-func (d *dispatcher) usableSlots(pool string, ejected map[string]bool) int {
+func (d *dispatcher) usableSlots(pool string) int {
 	return lo.SumBy(d.ledger.Free(pool), func(f slots.HostFree) int {
-		if ejected[f.Host] || d.isLeaving(f.Host) {
+		if d.router.Ejected(f.Host) || d.isLeaving(f.Host) {
 			return 0
 		}
 		return f.Free
 	})
 }
 
-// ejected are the hosts that get probes only.
-func (d *dispatcher) ejected() map[string]bool {
-	ejected := map[string]bool{}
-	for _, h := range d.router.Health() {
-		if h.GetEjected() {
-			ejected[h.GetHost()] = true
-		}
-	}
-	return ejected
-}
-
 // candidates are the active hosts of a pool, with the slots that are free here.
 func (d *dispatcher) candidates(pool string) []routing.Candidate {
 	free := lo.SliceToMap(d.ledger.Free(pool), func(f slots.HostFree) (string, int) { return f.Host, f.Free })
--- a/internal/entryhost/dispatchpeers.go
+++ b/internal/entryhost/dispatchpeers.go
@@ -9,6 +9,7 @@
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/operatorapi"
 	"github.com/agateturn/agateturn/slots"
+	"github.com/agateturn/agateturn/waves"
 )
 
 // This file is what the dispatcher takes from the fleet and the peers, and what it tells them.
@@ -50,21 +51,13 @@
 	d.due = dueForMaintenance(f, cfg, now)
 }
 
-// dueForMaintenance is when each host of a running wave may be taken.
+// dueForMaintenance is when each host that a wave will soon take may be taken.
 func dueForMaintenance(f *pb.Fleet, cfg *pb.Configuration, now time.Time) map[string]time.Time {
-	due := map[string]time.Time{}
 	if cfg.GetMaintenance() == nil {
-		return due
-	}
-	for _, w := range f.GetWaves() {
-		if w.GetPhase() != pb.WavePhase_WAVE_PHASE_RUNNING {
-			continue
-		}
-		for _, host := range w.GetPending() {
-			due[host] = now
-		}
+		return nil
 	}
-	return due
+	soon := waves.Soon(now, waves.Input{Fleet: f, Config: cfg})
+	return lo.SliceToMap(soon, func(host string) (string, time.Time) { return host, now })
 }
 
 // incoming takes over a peer's heartbeat.
--- a/internal/entryhost/guests.go
+++ b/internal/entryhost/guests.go
@@ -7,6 +7,7 @@
 	"github.com/samber/lo"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 )
 
@@ -34,7 +35,7 @@
 
 // add notes a guest, and reports whether it is new.
 func (b guestBook) add(now time.Time, f *pb.Fleet, m *pb.Member) bool {
-	if b[m.GetName()].member.GetIncarnation() == m.GetIncarnation() || memberOf(f, m) {
+	if b[m.GetName()].member.GetIncarnation() == m.GetIncarnation() || fleet.HasMember(f, m) {
 		return false
 	}
 	b[m.GetName()] = guest{member: m, predecessor: incarnationOf(f, m.GetName()), since: now}
@@ -99,7 +100,7 @@
 
 // vouch makes the joining entry host our guest. Only a member may vouch.
 func (p *peers) vouch(join *pb.Member) error {
-	if !memberOf(p.view.fleet(), p.self) {
+	if !fleet.HasMember(p.view.fleet(), p.self) {
 		return errNotMember.New("%q cannot vouch for %q", p.self.GetName(), join.GetName())
 	}
 	if p.guestsFull() {
--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -201,14 +201,14 @@
 // dispatcherLoad is what waits at the dispatcher.
 type dispatcherLoad struct {
 	demand  []*pb.PoolDemand
-	ejected states
+	ejected []string
 }
 
 // load asks the dispatcher; it is empty if ctx ends first.
 func (d *dispatcher) load(ctx context.Context) dispatcherLoad {
 	counted := make(chan dispatcherLoad, 1)
 	err := d.commands.Put(ctx, func(d *dispatcher, now time.Time) {
-		counted <- dispatcherLoad{demand: d.queues.Demand(now), ejected: d.ejected()}
+		counted <- dispatcherLoad{demand: d.queues.Demand(now), ejected: d.router.EjectedHosts()}
 	})
 	if err != nil {
 		return dispatcherLoad{}
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -17,6 +17,7 @@
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
 	"github.com/agateturn/agateturn/internal/ring"
+	"github.com/agateturn/agateturn/tokenbucket"
 )
 
 const (
@@ -50,7 +51,7 @@
 
 	mu sync.Mutex
 	// early bounds the heartbeats sent before their turn.
-	early budget
+	early tokenbucket.Bucket
 	// latest holds the newest heartbeat of each incarnation.
 	latest map[string]fleet.Received
 	links  map[string]*link
@@ -185,7 +186,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.links[name]
-	if l == nil || time.Since(l.last) < newsGap || !p.early.take(time.Now()) {
+	if l == nil || time.Since(l.last) < newsGap || !p.early.Take(time.Now(), earlyRate, earlyBurst) {
 		return
 	}
 	l.kick.Offer(struct{}{})
@@ -301,7 +302,7 @@
 	})
 	p.view.withStager(func(st *config.Stager) {
 		st.Heard(began, config.Report{
-			Peer:       hb.GetName() + "/" + hb.GetIncarnation(),
+			Peer:       fleet.Identity(hb),
 			Generation: hb.GetConfigGeneration(),
 			Ready:      hb.GetReady(),
 			Registered: registered,
--- a/internal/entryhost/propose.go
+++ b/internal/entryhost/propose.go
@@ -12,6 +12,7 @@
 
 	"github.com/agateturn/agateturn/config"
 	"github.com/agateturn/agateturn/events"
+	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/store"
 )
@@ -27,9 +28,6 @@
 	stageParallel = 4
 )
 
-// identity names one process of a member.
-func identity(m *pb.Member) string { return m.GetName() + "/" + m.GetIncarnation() }
-
 // proposer has configurations accepted, one at a time.
 type proposer struct {
 	self   *pb.Member
@@ -62,7 +60,7 @@
 		proposer: p,
 		cfg:      cfg,
 		version:  version,
-		id:       config.ProposerID(identity(p.self), p.attempts),
+		id:       config.ProposerID(fleet.Identity(p.self), p.attempts),
 		members:  map[string]*pb.Member{},
 	}
 	names, err := run.listMembers(ctx)
@@ -85,11 +83,11 @@
 	if err != nil {
 		return nil, err
 	}
-	r.members[identity(r.self)] = r.self
-	names := []string{identity(r.self)}
+	r.members[fleet.Identity(r.self)] = r.self
+	names := []string{fleet.Identity(r.self)}
 	for _, m := range f.GetMembers() {
-		r.members[identity(m)] = m
-		names = append(names, identity(m))
+		r.members[fleet.Identity(m)] = m
+		names = append(names, fleet.Identity(m))
 	}
 	return lo.Uniq(names), nil
 }
@@ -174,7 +172,7 @@
 
 func (r *proposalRun) stageOn(ctx context.Context, member string) stageResult {
 	request := &pb.StageRequest{Config: r.cfg, Proposer: r.id}
-	if member == identity(r.self) {
+	if member == fleet.Identity(r.self) {
 		answer := &pb.StageResponse{}
 		r.view.withStager(func(st *config.Stager) {
 			answer.Staged, answer.Reason = st.Stage(time.Now(), r.cfg, r.id)
@@ -241,7 +239,7 @@
 }
 
 func (r *proposalRun) abandonOn(ctx context.Context, member string) {
-	if member == identity(r.self) {
+	if member == fleet.Identity(r.self) {
 		r.view.withStager(func(st *config.Stager) { st.Abandon(time.Now(), r.cfg.GetChangeId(), r.id) })
 		return
 	}
--- a/internal/entryhost/provide.go
+++ b/internal/entryhost/provide.go
@@ -101,7 +101,6 @@
 		heard:     ring.New[struct{}]("heard", 1),
 		latest:    map[string]fleet.Received{},
 		started:   time.Now(),
-		early:     newBudget(earlyRate, earlyBurst),
 		links:     map[string]*link{},
 		vouched:   guestBook{},
 		hosts:     map[string]agateturnv1connect.PeerServiceClient{},
@@ -122,7 +121,7 @@
 		kv:       do.MustInvoke[*kvhttp.Store](i),
 		view:     do.MustInvoke[*view](i),
 		name:     do.MustInvoke[*pb.Member](i).GetName(),
-		identity: identity(do.MustInvoke[*pb.Member](i)),
+		identity: fleet.Identity(do.MustInvoke[*pb.Member](i)),
 		logger:   do.MustInvoke[*slog.Logger](i),
 	}, nil
 }
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/samber/lo"
-
 	"github.com/agateturn/agateturn/config"
 	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/fleet"
@@ -92,13 +90,7 @@
 }
 
 // isMember reports whether the applied fleet holds this incarnation.
-func (r *registrar) isMember() bool { return memberOf(r.view.fleet(), r.self) }
-
-func memberOf(f *pb.Fleet, self *pb.Member) bool {
-	return lo.SomeBy(f.GetMembers(), func(m *pb.Member) bool {
-		return m.GetName() == self.GetName() && m.GetIncarnation() == self.GetIncarnation()
-	})
-}
+func (r *registrar) isMember() bool { return fleet.HasMember(r.view.fleet(), r.self) }
 
 // watchOver waits until the membership ends. A suspected pause is confirmed by values fetched after it.
 func (r *registrar) watchOver(ctx context.Context) error {
@@ -140,7 +132,7 @@
 		return
 	}
 	r.view.applyFleet(f)
-	if memberOf(f, r.self) {
+	if fleet.HasMember(f, r.self) {
 		r.detector.Confirm()
 	}
 }
--- a/internal/entryhost/view.go
+++ b/internal/entryhost/view.go
@@ -78,7 +78,7 @@
 	v.applying.Lock()
 	defer v.applying.Unlock()
 	before := v.gate.Fleet()
-	if before == nil && !memberOf(f, v.self) && !v.guests.holds(v.self) {
+	if before == nil && !fleet.HasMember(f, v.self) && !v.guests.holds(v.self) {
 		return // a process that nobody asks for its release serves by no fleet
 	}
 	if !v.gate.Apply(f) {
@@ -93,11 +93,11 @@
 
 // tellGone lets the acceptance state machine know which incarnations the fleet no longer holds.
 func (v *view) tellGone(before, after *pb.Fleet) {
-	present := lo.SliceToMap(after.GetMembers(), func(m *pb.Member) (string, bool) { return identity(m), true })
+	present := lo.SliceToMap(after.GetMembers(), func(m *pb.Member) (string, bool) { return fleet.Identity(m), true })
 	v.withStager(func(st *config.Stager) {
 		for _, m := range before.GetMembers() {
-			if !present[identity(m)] {
-				st.Gone(time.Now(), identity(m))
+			if !present[fleet.Identity(m)] {
+				st.Gone(time.Now(), fleet.Identity(m))
 			}
 		}
 	})
--- a/routing/budget.go
+++ b/routing/budget.go
@@ -1,42 +1,20 @@
 package routing
 
-import "time"
+import "github.com/agateturn/agateturn/tokenbucket"
 
-// maxBudget bounds the retries that a quiet time saves up.
-const maxBudget = 10.0
+const (
+	// maxBudget bounds the retries that a quiet time saves up.
+	maxBudget = 10.0
+	// floorBudget bounds the retries that time alone gives back.
+	floorBudget = 1.0
+)
 
-// budget is a token bucket that first attempts fill.
-type budget struct {
-	tokens float64
-	last   time.Time
-}
-
-func (r *Router) budget(service string) *budget {
+// budget holds the retries of a service; first attempts fill it.
+func (r *Router) budget(service string) *tokenbucket.Bucket {
 	b, ok := r.budgets[service]
 	if !ok {
-		b = &budget{}
+		b = &tokenbucket.Bucket{}
 		r.budgets[service] = b
 	}
 	return b
 }
-
-// deposit adds the retries that one first attempt allows.
-func (b *budget) deposit(share float64) {
-	b.tokens = min(b.tokens+share, maxBudget)
-}
-
-// take removes one token if there is one; floor is added for each second since the last call, up to one token.
-func (b *budget) take(now time.Time, floor float64) bool {
-	if !b.last.IsZero() && now.After(b.last) && b.tokens < 1 {
-		b.tokens = min(b.tokens+floor*now.Sub(b.last).Seconds(), 1)
-	}
-	if b.last.IsZero() {
-		b.tokens = max(b.tokens, 1)
-	}
-	b.last = now
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
-}
--- a/routing/health.go
+++ b/routing/health.go
@@ -127,6 +127,19 @@
 	})
 }
 
+// Ejected reports whether a host gets probes only.
+func (r *Router) Ejected(name string) bool {
+	h, known := r.hosts[name]
+	return known && h.ejected
+}
+
+// EjectedHosts are the hosts that get probes only, sorted.
+func (r *Router) EjectedHosts() []string {
+	names := lo.Keys(lo.PickBy(r.hosts, func(_ string, h *host) bool { return h.ejected }))
+	slices.Sort(names)
+	return names
+}
+
 // Merge replaces what a peer reported. A host that a peer has ejected is not ejected here for that alone, but
 // needs less evidence of our own. An empty list forgets the peer.
 func (r *Router) Merge(peer string, health []*pb.HostHealth) {
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -19,7 +19,7 @@
 // centre unless that is loaded. An ejected host gets one request at a time as a probe.
 func (r *Router) Pick(now time.Time, request Request, candidates []Candidate) (string, bool) {
 	if !request.Retry {
-		r.budget(request.Service).deposit(r.options.RetryShare)
+		r.budget(request.Service).Deposit(r.options.RetryShare, maxBudget)
 	}
 	ejected := r.ejectedOf(candidates)
 	if probe, ok := r.probe(now, request, candidates, ejected); ok {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -10,6 +10,7 @@
 	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/tokenbucket"
 )
 
 // Class is what a request needs of its host.
@@ -119,7 +120,7 @@
 	hosts    map[string]*host
 	jobs     *jobs
 	runTimes *runTimes
-	budgets  map[string]*budget
+	budgets  map[string]*tokenbucket.Bucket
 	peers    map[string]map[string]*pb.HostHealth // by peer, by host
 }
 
@@ -131,7 +132,7 @@
 		hosts:    map[string]*host{},
 		jobs:     newJobs(),
 		runTimes: newRunTimes(),
-		budgets:  map[string]*budget{},
+		budgets:  map[string]*tokenbucket.Bucket{},
 		peers:    map[string]map[string]*pb.HostHealth{},
 	}
 }
@@ -170,5 +171,5 @@
 // AllowRetry takes one retry from the service's budget; false if there is none left.
 // Only requests that were not run, or that are idempotent, may be retried at all.
 func (r *Router) AllowRetry(now time.Time, service string) bool {
-	return r.budget(service).take(now, r.options.RetryFloor)
+	return r.budget(service).Take(now, r.options.RetryFloor, floorBudget)
 }
