--- a/internal/entryhost/announce.go
+++ b/internal/entryhost/announce.go
@@ -17,8 +17,6 @@
 const (
 	// announcePeriod is the longest time between two looks at what changed.
 	announcePeriod = 500 * time.Millisecond
-	// silentHeartbeats is the number of heartbeats after which a peer counts as not reachable.
-	silentHeartbeats = 5
 	// drainHangs is the time after which a drain is reported as held up.
 	drainHangs = 10 * time.Minute
 )
@@ -160,24 +158,6 @@
 	})
 }
 
-// silent are the members that have not been heard for too long.
-func (p *peers) silent(now time.Time) states {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	limit := silentHeartbeats * p.heartbeat
-	silent := states{}
-	for _, m := range p.others() {
-		heard := p.started
-		if r, known := p.latest[m.GetIncarnation()]; known {
-			heard = r.At
-		}
-		if now.Sub(heard) > limit {
-			silent[m.GetName()] = true
-		}
-	}
-	return silent
-}
-
 // hanging are the hosts that have been draining for too long.
 func hanging(f *pb.Fleet, now time.Time) states {
 	found := states{}
--- a/internal/entryhost/bodies.go
+++ b/internal/entryhost/bodies.go
@@ -4,6 +4,9 @@
 	"errors"
 	"io"
 	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/errs"
 )
 
 // firstBodyBytes is the room made for a body before its first byte is read.
@@ -51,3 +54,12 @@
 		}
 	}
 }
+
+// errBodiesFull is a body for which no room is left.
+var errBodiesFull = errs.Class("the entry host is busy; send the request again after the Retry-After time")
+
+// unreadGrace is how long the rest of a refused request's body is awaited before its connection is closed.
+const unreadGrace = 100 * time.Millisecond
+
+// newBodyBudget returns a budget of limit bytes.
+func newBodyBudget(limit int64) *bodyBudget { return &bodyBudget{limit: limit} }
--- a/internal/entryhost/call.go
+++ b/internal/entryhost/call.go
@@ -14,6 +14,7 @@
 
 	"github.com/google/uuid"
 	"github.com/samber/lo"
+	"github.com/zeebo/errs"
 
 	"github.com/agateturn/agateturn/admission"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
@@ -223,3 +224,10 @@
 	_, _ = h.Write(c.body)
 	return h.Sum64()
 }
+
+// Kinds of errors of requests. Their messages name the remedy.
+var (
+	errStopping  = errs.Class("this entry host is stopping; send the request to another one")
+	errNoConfig  = errs.Class("no configuration is in force; apply one with agateturnctl config apply")
+	errBadCaller = errs.Class("the request cannot be served as it is")
+)
--- /dev/null
+++ b/internal/entryhost/call_test.go
@@ -0,0 +1,64 @@
+package entryhost
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+)
+
+// TestOnlySafeRequestsRunTwice tells which requests may be sent again after an unknown outcome.
+func TestOnlySafeRequestsRunTwice(t *testing.T) {
+	tests := []struct {
+		call call
+		want bool
+	}{
+		{call{method: http.MethodGet, class: classNormal}, true},
+		{call{method: http.MethodHead, class: classUrgent}, true},
+		{call{method: http.MethodGet, class: classSession}, false},
+		{call{method: http.MethodGet, class: classNormal, key: "k"}, false},
+		{call{method: http.MethodPost, class: classNormal}, false},
+		{call{method: http.MethodPut, class: classNormal}, false},
+		{call{method: http.MethodDelete, class: classNormal}, false},
+	}
+	for _, test := range tests {
+		assert.Equal(t, test.call.idempotent(), test.want, "%s %s %q", test.call.method, test.call.class, test.call.key)
+	}
+}
+
+// TestClaimVerdictsKeepTheContract checks what a repeat of a key is answered.
+func TestClaimVerdictsKeepTheContract(t *testing.T) {
+	tests := []struct {
+		verdict pb.ClaimVerdict
+		status  int
+		outcome outcome
+	}{
+		{pb.ClaimVerdict_CLAIM_VERDICT_RUNNING, http.StatusConflict, outcomeUnknown},
+		{pb.ClaimVerdict_CLAIM_VERDICT_DONE, http.StatusConflict, outcomeDone},
+		{pb.ClaimVerdict_CLAIM_VERDICT_MISMATCH, http.StatusUnprocessableEntity, outcomeNotRun},
+		{pb.ClaimVerdict_CLAIM_VERDICT_FULL, http.StatusServiceUnavailable, outcomeNotRun},
+		{pb.ClaimVerdict_CLAIM_VERDICT_NOT_OWNER, http.StatusServiceUnavailable, outcomeNotRun},
+		{pb.ClaimVerdict_CLAIM_VERDICT_UNKNOWN, http.StatusConflict, outcomeUnknown},
+		{pb.ClaimVerdict_CLAIM_VERDICT_UNSPECIFIED, http.StatusConflict, outcomeUnknown},
+	}
+	assert.Equal(t, len(tests)+1, len(pb.ClaimVerdict_name)) // all but granted
+	for _, test := range tests {
+		r := refusalOf(&pb.ClaimResponse{Verdict: test.verdict})
+		assert.Equal(t, r.status, test.status, "%v", test.verdict)
+		assert.Equal(t, r.outcome, test.outcome, "%v", test.verdict)
+	}
+}
+
+// TestRefusalsHaveACode gives every status that a refusal can have a code of the fixed set.
+func TestRefusalsHaveACode(t *testing.T) {
+	for _, status := range []int{400, 403, 404, 408, 409, 413, 502, 503, 504} {
+		assert.Assert(t, codeOfStatus(status) != codeOther, "status %d", status)
+	}
+	for verdict := range pb.ClaimVerdict_name {
+		if r := refusalOf(&pb.ClaimResponse{Verdict: pb.ClaimVerdict(verdict)}); r.code == "" {
+			assert.Equal(t, codeOfStatus(r.status), codeKeyRepeated, "verdict %d", verdict)
+		}
+	}
+}
--- a/internal/entryhost/caller.go
+++ b/internal/entryhost/caller.go
@@ -257,8 +257,8 @@
 		Service:     c.service.GetName(),
 		Key:         c.key,
 		Attempt:     uuid.NewString(),
-		Member:      s.keys.self.GetName(),
-		Incarnation: s.keys.self.GetIncarnation(),
+		Member:      s.keys.process().GetName(),
+		Incarnation: s.keys.process().GetIncarnation(),
 		Digest:      c.bodyDigest(),
 	})
 	s.countClaim(answer, err)
@@ -270,7 +270,7 @@
 		r := refusalOf(answer)
 		return nil, &r
 	}
-	if s.keys.limits.TooLate(time.Now(), c.arrived) {
+	if s.keys.tooLate(time.Now(), c.arrived) {
 		s.finishClaim(&held, outcomeNotRun, 0)
 		r := notRun(http.StatusServiceUnavailable, "the request waited too long for its Idempotency-Key to be safe", retryKey).as(codeDeadline)
 		return nil, &r
@@ -320,3 +320,38 @@
 	service, path, _ = strings.Cut(rest, "/")
 	return service, "/" + path, service != ""
 }
+
+// callerOptions are what serving callers needs.
+type callerOptions struct {
+	View     *view
+	Dispatch *dispatcher
+	Keys     *keys
+	Upstream *upstream.Client
+	Detector *pause.Detector
+	Stats    *stats.Stats
+	Limits   *pb.LimitSettings
+	Logger   *slog.Logger
+	Ready    func() error
+}
+
+// newCallerServer returns the server of the callers.
+func newCallerServer(o callerOptions) *callerServer {
+	return &callerServer{
+		view:     o.View,
+		dispatch: o.Dispatch,
+		keys:     o.Keys,
+		upstream: o.Upstream,
+		detector: o.Detector,
+		stats:    o.Stats,
+		limits:   o.Limits,
+		logger:   o.Logger,
+		ready:    o.Ready,
+		bodies:   newBodyBudget(o.Limits.GetMaxHeldBytes()),
+	}
+}
+
+// heldNow is the number of requests held.
+func (s *callerServer) heldNow() int64 { return s.held.Load() }
+
+// waitSessions waits until no exchange with a worker is under way, or until ctx ends.
+func (s *callerServer) waitSessions(ctx context.Context) error { return s.upstream.Wait(ctx) }
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -15,6 +15,7 @@
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/hostlist"
 	"github.com/agateturn/agateturn/internal/ring"
+	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/mover"
 	"github.com/agateturn/agateturn/store"
 	"github.com/agateturn/agateturn/waves"
@@ -23,6 +24,8 @@
 const (
 	// decisionGap is the shortest time between two decisions.
 	decisionGap = 50 * time.Millisecond
+	// releaseTimeout bounds the wait for the store when the lease is given back.
+	releaseTimeout = 3 * time.Second
 	// actionRepeat is the time after which an action on the platform is sent again if its effect does not show.
 	actionRepeat = 10 * time.Second
 )
@@ -58,7 +61,7 @@
 		lease, err := c.leases.Acquire(ctx, keyController, c.self.GetName())
 		if err != nil {
 			_ = backoff.Sleep(ctx)
-			_ = sleep(ctx, c.lease/2)
+			_ = wait.For(ctx, c.lease/2)
 			continue
 		}
 		backoff.Reset()
@@ -73,7 +76,7 @@
 	c.list.wanted.Store(true)
 	defer func() {
 		c.list.wanted.Store(false)
-		releaseCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
+		releaseCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 		defer cancel()
 		_ = lease.Release(releaseCtx)
 	}()
@@ -87,7 +90,7 @@
 			return
 		case <-ticker.C:
 		case <-c.changed.Items():
-		case <-c.peers.heard.Items():
+		case <-c.peers.Heard():
 			if !awaitsReports(c.view.fleet()) {
 				continue
 			}
@@ -226,3 +229,51 @@
 		c.logger.Warn("platform action failed", "component", "controller", "host", action.Host, "err", err)
 	}
 }
+
+// noteEvents are the events of the controller's notes; the others are logged as fleet_applied.
+var noteEvents = map[controller.NoteKind]events.Event{
+	controller.NoteWaveStopped: events.WaveStoppedItself,
+	controller.NoteWaveWaits:   events.WaveWaiting,
+}
+
+func eventOf(kind controller.NoteKind) events.Event {
+	if event, known := noteEvents[kind]; known {
+		return event
+	}
+	return events.FleetApplied
+}
+
+// controlOptions are what the duty needs.
+type controlOptions struct {
+	Self     *pb.Member
+	View     *view
+	Writer   *writer
+	Peers    *peers
+	Leases   store.Leases
+	Platform *hostlist.Client
+	List     *platformList
+	Period   time.Duration
+	Lease    time.Duration
+	Pause    time.Duration
+	Logger   *slog.Logger
+}
+
+// newControl returns the duty of the fleet controller.
+func newControl(o controlOptions) *control {
+	return &control{
+		self:     o.Self,
+		view:     o.View,
+		writer:   o.Writer,
+		peers:    o.Peers,
+		leases:   o.Leases,
+		platform: o.Platform,
+		list:     o.List,
+		period:   o.Period,
+		lease:    o.Lease,
+		pause:    o.Pause,
+		logger:   o.Logger,
+		changed:  o.View.subscribe("controller"),
+		acted:    map[string]time.Time{},
+		tracker:  mover.NewTracker(),
+	}
+}
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -23,29 +23,32 @@
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/pause"
+	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/stats"
 )
 
 // Daemon is one entry host's process.
 type Daemon struct {
-	settings  *pb.Settings
-	logger    *slog.Logger
-	self      *pb.Member
-	view      *view
-	dispatch  *dispatcher
-	keys      *keys
-	peers     *peers
-	follower  *follower
-	registrar *registrar
-	control   *control
-	list      *platformList
-	proposer  *proposer
-	callers   *callerServer
-	detector  *pause.Detector
-	stats     *stats.Stats
-	writer    *writer
-	meter     *meter
-	announcer *announcer
+	settings   *pb.Settings
+	logger     *slog.Logger
+	self       *pb.Member
+	view       *view
+	dispatch   *dispatcher
+	keys       *keys
+	peers      *peers
+	follower   *follower
+	registrar  *registrar
+	control    *control
+	list       *platformList
+	proposer   *proposer
+	callers    *callerServer
+	detector   *pause.Detector
+	stats      *stats.Stats
+	writer     *writer
+	meter      *meter
+	gauges     *gauges
+	operations *operations
+	announcer  *announcer
 
 	stopping atomic.Bool
 	duties   sync.WaitGroup
@@ -136,13 +139,13 @@
 	d.stopping.Store(true)
 	servers.callers.server.SetKeepAlivesEnabled(false) // each answer from now on closes its connection
 	_ = d.registrar.setLeaving(ctx)
-	_ = sleep(ctx, d.settings.GetTiming().GetDrainNotice().AsDuration())
+	_ = wait.For(ctx, d.settings.GetTiming().GetDrainNotice().AsDuration())
 	limit, cancel := context.WithTimeout(ctx, d.settings.GetTiming().GetStopLimit().AsDuration())
 	defer cancel()
 	if err := servers.callers.server.Shutdown(limit); err != nil {
 		events.Emit(ctx, d.logger, events.StopLimitReached, "what", "requests", "err", err)
 	}
-	if err := d.callers.upstream.Wait(limit); err != nil {
+	if err := d.callers.waitSessions(limit); err != nil {
 		events.Emit(ctx, d.logger, events.StopLimitReached, "what", "sessions", "err", err)
 	}
 	_ = d.registrar.leave(ctx)
@@ -161,7 +164,7 @@
 	if err := d.detector.Check(); err != nil {
 		return err
 	}
-	registered := d.registrar.isMember() && d.registrar.synced.Load()
+	registered := d.registrar.registered()
 	if !registered && !d.peers.guestOf(time.Now(), d.settings.GetTiming().GetPauseLimit().AsDuration()) {
 		return errNotMember.New("%s", d.self.GetName())
 	}
@@ -226,3 +229,6 @@
 		}
 	}()
 }
+
+// metricPauses counts the pauses of the process; docs/OPERATIONS.md explains it.
+const metricPauses = "agateturn_pauses_total"
--- a/internal/entryhost/dispatch.go
+++ b/internal/entryhost/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/samber/lo"
+	"github.com/zeebo/errs"
 
 	"github.com/agateturn/agateturn/admission"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
@@ -379,3 +380,6 @@
 		})
 	})
 }
+
+// errNoHost is a request that no host can take.
+var errNoHost = errs.Class("no host can take the request now; send it again after the Retry-After time")
--- a/internal/entryhost/dispatchpeers.go
+++ b/internal/entryhost/dispatchpeers.go
@@ -8,6 +8,7 @@
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/operatorapi"
+	"github.com/agateturn/agateturn/internal/ring"
 	"github.com/agateturn/agateturn/slots"
 	"github.com/agateturn/agateturn/waves"
 )
@@ -60,8 +61,8 @@
 	return lo.SliceToMap(soon, func(host string) (string, time.Time) { return host, now })
 }
 
-// incoming takes over a peer's heartbeat.
-func (d *dispatcher) incoming(ctx context.Context, hb *pb.Heartbeat) {
+// Incoming takes over a peer's heartbeat.
+func (d *dispatcher) Incoming(ctx context.Context, hb *pb.Heartbeat) {
 	_ = d.commands.Put(ctx, func(d *dispatcher, now time.Time) {
 		d.ledger.Incoming(hb)
 		d.peers[hb.GetName()] = slots.PeerDemand{Pools: hb.GetDemand(), DataCentre: hb.GetDataCentre(), Heard: now}
@@ -90,9 +91,9 @@
 	return <-counted
 }
 
-// shun gives no more work to the hosts that the platform's list shows leaving or gone. The fleet drains them too, but
+// Shun gives no more work to the hosts that the platform's list shows leaving or gone. The fleet drains them too, but
 // not while the store is down.
-func (d *dispatcher) shun(ctx context.Context, hosts []string) {
+func (d *dispatcher) Shun(ctx context.Context, hosts []string) {
 	_ = d.commands.Put(ctx, func(d *dispatcher, _ time.Time) { d.leaving[d.self.GetName()] = hosts })
 }
 
@@ -137,8 +138,8 @@
 	return p.GetQueued() > 0 || p.GetRunning() > 0 || p.GetArrivalsPerSecond() >= quietArrivals
 }
 
-// compose fills the dispatcher's part of a heartbeat to a peer, and gives it its sequence number.
-func (d *dispatcher) compose(ctx context.Context, peer string, hb *pb.Heartbeat) error {
+// Compose fills the dispatcher's part of a heartbeat to a peer, and gives it its sequence number.
+func (d *dispatcher) Compose(ctx context.Context, peer string, hb *pb.Heartbeat) error {
 	composed := make(chan struct{})
 	err := d.commands.Put(ctx, func(d *dispatcher, now time.Time) {
 		defer close(composed)
@@ -160,3 +161,32 @@
 		return ctx.Err()
 	}
 }
+
+// dispatcherLoad is what waits at the dispatcher.
+type dispatcherLoad struct {
+	demand  []*pb.PoolDemand
+	ejected []string
+}
+
+// load asks the dispatcher; it is empty if ctx ends first.
+func (d *dispatcher) load(ctx context.Context) dispatcherLoad {
+	counted := make(chan dispatcherLoad, 1)
+	err := d.commands.Put(ctx, func(d *dispatcher, now time.Time) {
+		counted <- dispatcherLoad{demand: d.queues.Demand(now), ejected: d.router.EjectedHosts()}
+	})
+	if err != nil {
+		return dispatcherLoad{}
+	}
+	select {
+	case load := <-counted:
+		return load
+	case <-ctx.Done():
+		return dispatcherLoad{}
+	}
+}
+
+// PeersToTell are the peers that should get a heartbeat early.
+func (d *dispatcher) PeersToTell() <-chan string { return d.news.Items() }
+
+// backlog is the ring of commands that wait for the dispatcher.
+func (d *dispatcher) backlog() ring.State { return d.commands }
--- /dev/null
+++ b/internal/entryhost/fetch.go
@@ -0,0 +1,87 @@
+package entryhost
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/samber/lo"
+
+	"github.com/agateturn/agateturn/events"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/meterconn"
+)
+
+func (p *peers) fetchFrom(ctx context.Context, name string) {
+	member, ok := lo.Find(p.members(), func(m *pb.Member) bool { return m.GetName() == name })
+	if !ok {
+		return
+	}
+	if values, err := p.fetch(ctx, member.GetPeerAddress(), nil); err == nil {
+		p.takeValues(ctx, values)
+	}
+}
+
+// fetchAsGuest asks a peer to vouch for this entry host, and serves by the peer's values once it does.
+func (p *peers) fetchAsGuest(ctx context.Context, address string) error {
+	values, err := p.fetch(ctx, address, p.self)
+	if err != nil {
+		return err
+	}
+	p.view.addGuests(p.self)
+	p.takeValues(ctx, values)
+	return nil
+}
+
+// fetch returns what the peer knows and we do not. With join set, the peer vouches for this entry host.
+func (p *peers) fetch(ctx context.Context, address string, join *pb.Member) (*pb.FetchResponse, error) {
+	answer, err := p.At(address).Fetch(ctx, connect.NewRequest(&pb.FetchRequest{
+		ConfigGeneration: p.view.config().GetGeneration(),
+		FleetRevision:    p.view.fleet().GetRevision(),
+		Join:             join,
+	}))
+	if err != nil {
+		return nil, errUnreachable.New("%s: %v", address, err)
+	}
+	return answer.Msg, nil
+}
+
+// fleetOfMember returns the whole fleet of the first other member that answers.
+func (p *peers) fleetOfMember(ctx context.Context) (*pb.Fleet, error) {
+	for _, m := range p.view.fleet().GetMembers() {
+		if m.GetName() == p.self.GetName() {
+			continue
+		}
+		answer, err := p.At(m.GetPeerAddress()).Fetch(ctx, connect.NewRequest(&pb.FetchRequest{}))
+		if err == nil && answer.Msg.GetFleet() != nil {
+			return answer.Msg.GetFleet(), nil
+		}
+	}
+	return nil, errUnreachable.New("no member answers")
+}
+
+// takeValues puts a peer's newer values in force. The configuration goes first: the fleet refers to its hosts.
+func (p *peers) takeValues(ctx context.Context, values *pb.FetchResponse) {
+	if cfg := values.GetConfig(); cfg != nil {
+		if p.view.applyConfig(time.Now(), cfg) {
+			events.Emit(ctx, p.logger, events.ConfigInForce, "generation", cfg.GetGeneration(), "source", "peer")
+		}
+	}
+	if f := values.GetFleet(); f != nil {
+		p.view.applyFleet(f)
+	}
+}
+
+func peerClient(traffic meterconn.Meter) *http.Client {
+	dialer := &net.Dialer{Timeout: peerDialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         traffic.Dialer(dialer.DialContext),
+		MaxIdleConnsPerHost: 2,
+		IdleConnTimeout:     time.Minute,
+	}}
+}
+
+// peerDialTimeout bounds the wait for a connection to a peer.
+const peerDialTimeout = 2 * time.Second
--- a/internal/entryhost/follow.go
+++ b/internal/entryhost/follow.go
@@ -11,6 +11,7 @@
 
 	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/rendezvous"
 	"github.com/agateturn/agateturn/store"
 )
@@ -74,7 +75,7 @@
 	}
 	deadline := time.Now().Add(pollPeriod)
 	for time.Now().Before(deadline) && !f.watches() {
-		if err := sleep(ctx, pollWake); err != nil {
+		if err := wait.For(ctx, pollWake); err != nil {
 			return store.Value{}, err
 		}
 	}
@@ -132,14 +133,22 @@
 	return nil
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+// followerOptions are what the duty needs.
+type followerOptions struct {
+	KV       store.KV
+	View     *view
+	Name     string
+	Identity string
+	Logger   *slog.Logger
+}
+
+// newFollower returns a follower of the keys of the store.
+func newFollower(o followerOptions) *follower {
+	return &follower{
+		kv:       o.KV,
+		view:     o.View,
+		name:     o.Name,
+		identity: o.Identity,
+		logger:   o.Logger,
 	}
 }
--- a/internal/entryhost/keys.go
+++ b/internal/entryhost/keys.go
@@ -7,8 +7,10 @@
 
 	"connectrpc.com/connect"
 	"github.com/samber/lo"
+	"github.com/zeebo/errs"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
 	"github.com/agateturn/agateturn/idempotency"
 	"github.com/agateturn/agateturn/internal/pause"
 	"github.com/agateturn/agateturn/internal/ring"
@@ -25,11 +27,16 @@
 	finishAttempts = 6
 )
 
+// peerClients gives the client of the peer at an address.
+type peerClients interface {
+	At(address string) agateturnv1connect.PeerServiceClient
+}
+
 // keys claims idempotency keys from their owners, and owns this entry host's share. It is safe for concurrent use.
 type keys struct {
 	self  *pb.Member
 	view  *view
-	peers *peers
+	peers peerClients
 	// detector keeps a process that was paused from granting.
 	detector *pause.Detector
 	limits   idempotency.Limits
@@ -73,10 +80,10 @@
 	k.with(func(o *idempotency.Owner) { o.SetFleet(time.Now(), f) })
 }
 
-// claimHere decides a claim on a key that this entry host owns.
+// ClaimHere decides a claim on a key that this entry host owns.
 //
 // A process that was paused answers "not owner" until its view is confirmed: the key may have another owner by now.
-func (k *keys) claimHere(req *pb.ClaimRequest) *pb.ClaimResponse {
+func (k *keys) ClaimHere(req *pb.ClaimRequest) *pb.ClaimResponse {
 	if k.detector.Check() != nil {
 		return &pb.ClaimResponse{Verdict: pb.ClaimVerdict_CLAIM_VERDICT_NOT_OWNER}
 	}
@@ -85,6 +92,11 @@
 	return answer
 }
 
+// FinishHere records how an attempt ended whose key this entry host owns.
+func (k *keys) FinishHere(req *pb.FinishRequest) {
+	k.with(func(o *idempotency.Owner) { o.Finish(time.Now(), req) })
+}
+
 // claim is a granted claim.
 type claim struct {
 	owner   string
@@ -101,7 +113,7 @@
 	req.FleetRevision = f.GetRevision()
 	c := claim{owner: owner.GetName(), request: req}
 	if owner.GetName() == k.self.GetName() {
-		return k.claimHere(req), c, nil
+		return k.ClaimHere(req), c, nil
 	}
 	member, ok := lo.Find(f.GetMembers(), func(m *pb.Member) bool { return m.GetName() == owner.GetName() })
 	if !ok {
@@ -109,11 +121,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	answer, err := k.peers.at(member.GetPeerAddress()).Claim(ctx, connect.NewRequest(req))
+	answer, err := k.peers.At(member.GetPeerAddress()).Claim(ctx, connect.NewRequest(req))
 	if err != nil {
 		// The owner may have recorded the claim: free the key, since this attempt will not run.
 		k.finish(c, &pb.Outcome{Kind: pb.OutcomeKind_OUTCOME_KIND_NOT_RUN})
-		return nil, c, errUnreachable.New("owner %q of the key: %v", owner.GetName(), err)
+		return nil, c, errOwnerSilent.New("owner %q of the key: %v", owner.GetName(), err)
 	}
 	return answer.Msg, c, nil
 }
@@ -128,7 +140,7 @@
 		Outcome: outcome,
 	}}
 	if c.owner == k.self.GetName() {
-		k.with(func(o *idempotency.Owner) { o.Finish(time.Now(), end.finish) })
+		k.FinishHere(end.finish)
 		return
 	}
 	k.ends.Offer(end)
@@ -159,10 +171,35 @@
 			return
 		}
 		callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
-		_, err := k.peers.at(member.GetPeerAddress()).Finish(callCtx, connect.NewRequest(end.finish))
+		_, err := k.peers.At(member.GetPeerAddress()).Finish(callCtx, connect.NewRequest(end.finish))
 		cancel()
 		if err == nil || backoff.Sleep(ctx) != nil {
 			return
 		}
 	}
 }
+
+// Kinds of errors of claims. Their messages name the remedy.
+var (
+	errKeyMoving   = errs.Class("the idempotency key is changing its owner; nothing ran; send it again in a moment")
+	errOwnerSilent = errs.Class("peer not reachable")
+)
+
+// remembered is the number of keys that this entry host remembers as their owner.
+func (k *keys) remembered() int {
+	n := 0
+	k.with(func(o *idempotency.Owner) { n = o.Len() })
+	return n
+}
+
+// backlog is the ring of ends that wait to be told.
+func (k *keys) backlog() ring.State { return k.ends }
+
+// SetPeers says how the owners of keys are reached. It must be called before the duty runs.
+func (k *keys) SetPeers(peers peerClients) { k.peers = peers }
+
+// process is the member whose claims these are.
+func (k *keys) process() *pb.Member { return k.self }
+
+// tooLate reports whether a request that arrived at a time has waited too long for its key to be safe.
+func (k *keys) tooLate(now, arrived time.Time) bool { return k.limits.TooLate(now, arrived) }
--- a/internal/entryhost/listen.go
+++ b/internal/entryhost/listen.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 
-	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
 	"github.com/agateturn/agateturn/internal/limitlisten"
 	"github.com/agateturn/agateturn/internal/operatorapi"
 )
@@ -43,7 +42,7 @@
 		result.operators, err = open("operators", host.GetOperatorAddress(), operatorConnections, d.operatorHandler()) //nolint:contextcheck // each request brings its own context
 	}
 	if err == nil {
-		result.peers, err = open("peers", host.GetPeerAddress(), peerConnections, d.peerHandler())
+		result.peers, err = open("peers", host.GetPeerAddress(), peerConnections, newPeerHandler(d.peers, d.keys, d.detector))
 	}
 	if err == nil {
 		d.boundReads(result.operators, result.peers)
@@ -78,16 +77,9 @@
 }
 
 func (d *Daemon) operatorHandler() http.Handler {
-	return operatorapi.New(d, operatorapi.Options{
+	return operatorapi.New(d.operations, operatorapi.Options{
 		Token:   d.settings.GetOperator().GetToken(),
 		Logger:  d.logger,
-		Metrics: d.metricsHandler(),
+		Metrics: d.gauges.handler(),
 	})
 }
-
-func (d *Daemon) peerHandler() http.Handler {
-	mux := http.NewServeMux()
-	service := &peerService{peers: d.peers, keys: d.keys, view: d.view}
-	mux.Handle(agateturnv1connect.NewPeerServiceHandler(service, peerLimits()))
-	return newPeerBodies(mux)
-}
--- a/internal/entryhost/meter.go
+++ b/internal/entryhost/meter.go
@@ -10,6 +10,7 @@
 	"github.com/agateturn/agateturn/config"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/operatorapi"
+	"github.com/agateturn/agateturn/internal/wait"
 )
 
 // meterPeriod is the time between two looks at the measures.
@@ -39,7 +40,7 @@
 
 // run looks at the measures until ctx ends.
 func (m *meter) run(ctx context.Context) {
-	for sleep(ctx, meterPeriod) == nil {
+	for wait.For(ctx, meterPeriod) == nil {
 		m.look(time.Now())
 	}
 }
@@ -89,3 +90,8 @@
 	defer m.mu.Unlock()
 	return m.measures
 }
+
+// newMeter returns a meter that has seen nothing yet.
+func newMeter(v *view, p *peers) *meter {
+	return &meter{view: v, peers: p, pools: map[string]string{}, rollOuts: map[uint64]time.Time{}}
+}
--- a/internal/entryhost/operate.go
+++ b/internal/entryhost/operate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/samber/lo"
@@ -13,6 +14,7 @@
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/operatorapi"
 	"github.com/agateturn/agateturn/settings"
+	"github.com/agateturn/agateturn/stats"
 	"github.com/agateturn/agateturn/store"
 	"github.com/agateturn/agateturn/waves"
 )
@@ -20,16 +22,62 @@
 // operatorHold is how long a host that an operator moved is not moved by itself.
 const operatorHold = time.Hour
 
-// Daemon implements operatorapi.Backend. Orders are written into the fleet value by compare-and-swap from whichever
+// operations carries out the calls of the operator API. Orders are written into the fleet value by compare-and-swap from whichever
 // entry host got them; the controller carries them out.
-var _ operatorapi.Backend = (*Daemon)(nil)
+type operations struct {
+	self       *pb.Member
+	view       *view
+	writer     *writer
+	proposer   *proposer
+	meter      *meter
+	peers      *peers
+	dispatch   *dispatcher
+	stats      *stats.Stats
+	pauseLimit time.Duration
+	ready      func() error
+	logger     *slog.Logger
+}
+
+var _ operatorapi.Backend = (*operations)(nil)
+
+// operationOptions are what operators' calls need.
+type operationOptions struct {
+	Self       *pb.Member
+	View       *view
+	Writer     *writer
+	Proposer   *proposer
+	Meter      *meter
+	Peers      *peers
+	Dispatch   *dispatcher
+	Stats      *stats.Stats
+	PauseLimit time.Duration
+	Ready      func() error
+	Logger     *slog.Logger
+}
+
+// newOperations returns the backend of the operator API.
+func newOperations(o operationOptions) *operations {
+	return &operations{
+		self:       o.Self,
+		view:       o.View,
+		writer:     o.Writer,
+		proposer:   o.Proposer,
+		meter:      o.Meter,
+		peers:      o.Peers,
+		dispatch:   o.Dispatch,
+		stats:      o.Stats,
+		pauseLimit: o.PauseLimit,
+		ready:      o.Ready,
+		logger:     o.Logger,
+	}
+}
 
 // Ready implements operatorapi.Backend.
-func (d *Daemon) Ready() error { return d.ready() }
+func (b *operations) Ready() error { return b.ready() }
 
 // Configuration implements operatorapi.Backend.
-func (d *Daemon) Configuration(context.Context) (operatorapi.ConfigDocument, error) {
-	cfg := d.view.config()
+func (b *operations) Configuration(context.Context) (operatorapi.ConfigDocument, error) {
+	cfg := b.view.config()
 	if cfg == nil {
 		return operatorapi.ConfigDocument{}, nil
 	}
@@ -38,13 +86,13 @@
 }
 
 // ApplyConfiguration implements operatorapi.Backend.
-func (d *Daemon) ApplyConfiguration(ctx context.Context, change operatorapi.ConfigChange) (operatorapi.ConfigResult, error) {
-	result, err := d.applyConfiguration(ctx, change)
-	d.logChange(ctx, change, result, err)
+func (b *operations) ApplyConfiguration(ctx context.Context, change operatorapi.ConfigChange) (operatorapi.ConfigResult, error) {
+	result, err := b.applyConfiguration(ctx, change)
+	b.logChange(ctx, change, result, err)
 	return result, err
 }
 
-func (d *Daemon) applyConfiguration(ctx context.Context, change operatorapi.ConfigChange) (operatorapi.ConfigResult, error) {
+func (b *operations) applyConfiguration(ctx context.Context, change operatorapi.ConfigChange) (operatorapi.ConfigResult, error) {
 	next := &pb.Configuration{}
 	if err := settings.Parse("request", []byte(change.INI), next); err != nil {
 		return operatorapi.ConfigResult{}, operatorapi.Refused.Wrap(err)
@@ -52,12 +100,12 @@
 	if err := config.Check(next); err != nil {
 		return operatorapi.ConfigResult{}, operatorapi.Refused.Wrap(err)
 	}
-	present, version, err := d.proposer.readVersion(ctx)
+	present, version, err := b.proposer.readVersion(ctx)
 	if err != nil {
 		return operatorapi.ConfigResult{}, operatorapi.Unavailable.Wrap(err)
 	}
 	result := operatorapi.ConfigResult{Changes: changeTexts(present, next)}
-	if generation, known := d.acceptedBefore(change.ChangeID, present); known {
+	if generation, known := b.acceptedBefore(change.ChangeID, present); known {
 		result.Generation, result.Repeated = generation, true
 		return result, nil
 	}
@@ -72,19 +120,19 @@
 	next.Generation = result.Generation
 	next.ChangeId = change.ChangeID
 	began := time.Now()
-	outcome := d.proposer.propose(ctx, next, version)
-	d.meter.accepted(outcome, next.GetGeneration(), began)
+	outcome := b.proposer.propose(ctx, next, version)
+	b.meter.accepted(outcome, next.GetGeneration(), began)
 	return result, outcomeError(outcome)
 }
 
 // acceptedBefore reports whether the change is in the store already, or was in force here before a later one.
-func (d *Daemon) acceptedBefore(changeID string, present *pb.Configuration) (uint64, bool) {
+func (b *operations) acceptedBefore(changeID string, present *pb.Configuration) (uint64, bool) {
 	if present.GetChangeId() == changeID {
 		return present.GetGeneration(), true
 	}
 	var generation uint64
 	var known bool
-	d.view.withStager(func(st *config.Stager) { generation, known = st.GenerationOf(changeID) })
+	b.view.withStager(func(st *config.Stager) { generation, known = st.GenerationOf(changeID) })
 	return generation, known
 }
 
@@ -106,16 +154,16 @@
 }
 
 // order writes a change of the fleet and sorts its errors for the operator.
-func (d *Daemon) order(ctx context.Context, what string, change fleetChange) (operatorapi.Accepted, error) {
+func (b *operations) order(ctx context.Context, what string, change fleetChange) (operatorapi.Accepted, error) {
 	repeated := false
-	f, err := d.writer.update(ctx, func(f *pb.Fleet) (*pb.Fleet, error) {
+	f, err := b.writer.update(ctx, func(f *pb.Fleet) (*pb.Fleet, error) {
 		next, err := change(f)
 		repeated = next == f
 		return next, err
 	})
 	switch {
 	case err == nil:
-		d.logOrder(ctx, what, repeated, "revision", f.GetRevision())
+		b.logOrder(ctx, what, repeated, "revision", f.GetRevision())
 		return operatorapi.Accepted{FleetRevision: f.GetRevision()}, nil
 	case store.Unavailable.Has(err):
 		return operatorapi.Accepted{}, operatorapi.Unavailable.Wrap(err)
@@ -131,9 +179,9 @@
 }
 
 // MoveHost implements operatorapi.Backend.
-func (d *Daemon) MoveHost(ctx context.Context, o operatorapi.MoveOrder) (operatorapi.Accepted, error) {
-	return d.order(ctx, "move "+o.Host+" to "+o.Target, func(f *pb.Fleet) (*pb.Fleet, error) {
-		return beginMove(f, d.view.config(), o, time.Now())
+func (b *operations) MoveHost(ctx context.Context, o operatorapi.MoveOrder) (operatorapi.Accepted, error) {
+	return b.order(ctx, "move "+o.Host+" to "+o.Target, func(f *pb.Fleet) (*pb.Fleet, error) {
+		return beginMove(f, b.view.config(), o, time.Now())
 	})
 }
 
@@ -159,8 +207,8 @@
 }
 
 // SetHostDown implements operatorapi.Backend.
-func (d *Daemon) SetHostDown(ctx context.Context, o operatorapi.DownOrder) (operatorapi.Accepted, error) {
-	return d.order(ctx, lo.Ternary(o.Down, "down ", "up ")+o.Host, func(f *pb.Fleet) (*pb.Fleet, error) {
+func (b *operations) SetHostDown(ctx context.Context, o operatorapi.DownOrder) (operatorapi.Accepted, error) {
+	return b.order(ctx, lo.Ternary(o.Down, "down ", "up ")+o.Host, func(f *pb.Fleet) (*pb.Fleet, error) {
 		if o.Down {
 			return fleet.MarkDown(f, o.Host, o.OperationID, time.Now())
 		}
@@ -169,8 +217,8 @@
 }
 
 // CreateWave implements operatorapi.Backend.
-func (d *Daemon) CreateWave(ctx context.Context, o operatorapi.WaveOrder) (operatorapi.Accepted, error) {
-	return d.order(ctx, "create wave "+o.Name, func(f *pb.Fleet) (*pb.Fleet, error) {
+func (b *operations) CreateWave(ctx context.Context, o operatorapi.WaveOrder) (operatorapi.Accepted, error) {
+	return b.order(ctx, "create wave "+o.Name, func(f *pb.Fleet) (*pb.Fleet, error) {
 		hosts := o.Hosts
 		if len(hosts) == 0 {
 			hosts = hostsOfPool(f, o.Pool)
@@ -186,8 +234,8 @@
 }
 
 // ControlWave implements operatorapi.Backend.
-func (d *Daemon) ControlWave(ctx context.Context, o operatorapi.WaveControl) (operatorapi.Accepted, error) {
-	accepted, err := d.order(ctx, o.Action+" wave "+o.Name, func(f *pb.Fleet) (*pb.Fleet, error) {
+func (b *operations) ControlWave(ctx context.Context, o operatorapi.WaveControl) (operatorapi.Accepted, error) {
+	accepted, err := b.order(ctx, o.Action+" wave "+o.Name, func(f *pb.Fleet) (*pb.Fleet, error) {
 		switch o.Action {
 		case "stop":
 			return waves.Stop(f, o.Name, o.Reason)
@@ -198,7 +246,7 @@
 		}
 	})
 	if err == nil {
-		d.logWaveOrder(ctx, o)
+		b.logWaveOrder(ctx, o)
 	}
 	return accepted, err
 }
--- a/internal/entryhost/peerbodies.go
+++ b/internal/entryhost/peerbodies.go
@@ -27,14 +27,14 @@
 // come whole, so that a slow sender holds up no other. It is safe for concurrent use.
 type peerBodies struct {
 	handler  http.Handler
-	arriving bodyBudget
+	arriving *bodyBudget
 	handling *semaphore.Weighted
 }
 
 func newPeerBodies(handler http.Handler) *peerBodies {
 	return &peerBodies{
 		handler:  handler,
-		arriving: bodyBudget{limit: peerBodyBytes},
+		arriving: newBodyBudget(peerBodyBytes),
 		handling: semaphore.NewWeighted(peerWorkBytes),
 	}
 }
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -10,12 +10,13 @@
 
 	"connectrpc.com/connect"
 	"github.com/samber/lo"
+	"github.com/zeebo/errs"
 
 	"github.com/agateturn/agateturn/config"
-	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
+	"github.com/agateturn/agateturn/internal/meterconn"
 	"github.com/agateturn/agateturn/internal/ring"
 	"github.com/agateturn/agateturn/tokenbucket"
 )
@@ -34,11 +35,21 @@
 	formerKept = time.Minute
 )
 
+// localWork is what this entry host's dispatcher tells the peers and takes from them.
+type localWork interface {
+	// Compose fills the dispatcher's part of a heartbeat to a peer.
+	Compose(ctx context.Context, peer string, hb *pb.Heartbeat) error
+	// Incoming takes over a peer's heartbeat.
+	Incoming(ctx context.Context, hb *pb.Heartbeat)
+	// PeersToTell are the peers that should get a heartbeat early.
+	PeersToTell() <-chan string
+}
+
 // peers exchanges heartbeats with the other entry hosts and answers theirs. It is safe for concurrent use.
 type peers struct {
 	self      *pb.Member
 	view      *view
-	dispatch  *dispatcher
+	work      localWork
 	heartbeat time.Duration
 	logger    *slog.Logger
 	client    *http.Client
@@ -62,17 +73,6 @@
 	hosts   map[string]agateturnv1connect.PeerServiceClient
 }
 
-// link is the duty that exchanges heartbeats with one peer.
-type link struct {
-	address string
-	kick    *ring.Ring[struct{}]
-	stop    context.CancelFunc
-	// period is the time after the last exchange, by either side, at which this side begins one.
-	period time.Duration
-	// last is the last try of this side, or the last heartbeat from the other; peers.mu guards it.
-	last time.Time
-}
-
 // run keeps one link to each member until ctx ends.
 func (p *peers) run(ctx context.Context) {
 	ticker := time.NewTicker(p.heartbeat)
@@ -87,7 +87,7 @@
 		case <-p.changed.Items():
 			p.reconcile(ctx)
 			p.kickAll()
-		case name := <-p.dispatch.news.Items():
+		case name := <-p.work.PeersToTell():
 			p.kickEarly(name)
 		}
 	}
@@ -130,76 +130,6 @@
 	return lo.Filter(p.view.members(), func(m *pb.Member, _ int) bool { return m.GetName() != p.self.GetName() })
 }
 
-func (p *peers) startLink(ctx context.Context, name, address string) *link {
-	linkCtx, stop := context.WithCancel(ctx)
-	l := &link{address: address, kick: ring.New[struct{}]("kick "+name, 1), stop: stop, period: p.heartbeat}
-	if p.self.GetName() > name {
-		l.period += p.heartbeat / 4 // an exchange serves both sides: one of them begins, the other only if that fails
-	}
-	go p.runLink(linkCtx, name, l)
-	return l
-}
-
-func (p *peers) runLink(ctx context.Context, name string, l *link) {
-	for {
-		p.note(l)
-		p.exchange(ctx, name, l.address)
-		if !p.awaitTurn(ctx, l) {
-			return
-		}
-	}
-}
-
-// note records that something was said on the link.
-func (p *peers) note(l *link) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	l.last = time.Now()
-}
-
-// awaitTurn waits until this side is to begin an exchange: when it has news, or when nothing was said for the link's
-// period. It returns false when ctx ends.
-func (p *peers) awaitTurn(ctx context.Context, l *link) bool {
-	for {
-		p.mu.Lock()
-		wait := time.Until(l.last.Add(l.period))
-		p.mu.Unlock()
-		if wait <= 0 {
-			return ctx.Err() == nil
-		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return false
-		case <-l.kick.Items():
-			timer.Stop()
-			return true
-		case <-timer.C: // the other side may have begun one meanwhile
-		}
-	}
-}
-
-// kickEarly sends a peer a heartbeat before its turn, unless something was just said or the budget of early heartbeats is
-// used up: the peer stays pending then.
-func (p *peers) kickEarly(name string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	l := p.links[name]
-	if l == nil || time.Since(l.last) < newsGap || !p.early.Take(time.Now(), earlyRate, earlyBurst) {
-		return
-	}
-	l.kick.Offer(struct{}{})
-}
-
-func (p *peers) kickAll() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, l := range p.links {
-		l.kick.Offer(struct{}{})
-	}
-}
-
 // exchange sends one heartbeat and takes over the peer's.
 func (p *peers) exchange(ctx context.Context, name, address string) {
 	ctx, cancel := context.WithTimeout(ctx, p.heartbeat)
@@ -209,7 +139,7 @@
 		return
 	}
 	began := time.Now()
-	answer, err := p.at(address).Exchange(ctx, connect.NewRequest(hb))
+	answer, err := p.At(address).Exchange(ctx, connect.NewRequest(hb))
 	if err != nil {
 		p.logger.Debug("heartbeat failed", "component", "peers", "peer", name, "err", err)
 		return
@@ -218,8 +148,8 @@
 	p.take(ctx, answer.Msg)
 }
 
-// at is the client for a peer address.
-func (p *peers) at(address string) agateturnv1connect.PeerServiceClient {
+// At is the client for a peer address.
+func (p *peers) At(address string) agateturnv1connect.PeerServiceClient {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c, ok := p.hosts[address]; ok {
@@ -246,7 +176,7 @@
 		Ready:            p.ready(),
 		Guests:           p.guestList(),
 	}
-	if err := p.dispatch.compose(ctx, peer, hb); err != nil {
+	if err := p.work.Compose(ctx, peer, hb); err != nil {
 		return nil, err
 	}
 	hb.HeldHosts = p.view.gate.Held(now)
@@ -261,7 +191,7 @@
 			return
 		}
 		p.view.addGuests(hb.GetGuests()...)
-		p.dispatch.incoming(ctx, hb)
+		p.work.Incoming(ctx, hb)
 		p.heard.Offer(struct{}{})
 	}
 	// Many peers tell of the same change at once: one fetch serves for all. A failed one is made up by the next heartbeat.
@@ -325,66 +255,6 @@
 	return true
 }
 
-func (p *peers) fetchFrom(ctx context.Context, name string) {
-	member, ok := lo.Find(p.members(), func(m *pb.Member) bool { return m.GetName() == name })
-	if !ok {
-		return
-	}
-	if values, err := p.fetch(ctx, member.GetPeerAddress(), nil); err == nil {
-		p.takeValues(ctx, values)
-	}
-}
-
-// fetchAsGuest asks a peer to vouch for this entry host, and serves by the peer's values once it does.
-func (p *peers) fetchAsGuest(ctx context.Context, address string) error {
-	values, err := p.fetch(ctx, address, p.self)
-	if err != nil {
-		return err
-	}
-	p.view.addGuests(p.self)
-	p.takeValues(ctx, values)
-	return nil
-}
-
-// fetch returns what the peer knows and we do not. With join set, the peer vouches for this entry host.
-func (p *peers) fetch(ctx context.Context, address string, join *pb.Member) (*pb.FetchResponse, error) {
-	answer, err := p.at(address).Fetch(ctx, connect.NewRequest(&pb.FetchRequest{
-		ConfigGeneration: p.view.config().GetGeneration(),
-		FleetRevision:    p.view.fleet().GetRevision(),
-		Join:             join,
-	}))
-	if err != nil {
-		return nil, errUnreachable.New("%s: %v", address, err)
-	}
-	return answer.Msg, nil
-}
-
-// fleetOfMember returns the whole fleet of the first other member that answers.
-func (p *peers) fleetOfMember(ctx context.Context) (*pb.Fleet, error) {
-	for _, m := range p.view.fleet().GetMembers() {
-		if m.GetName() == p.self.GetName() {
-			continue
-		}
-		answer, err := p.at(m.GetPeerAddress()).Fetch(ctx, connect.NewRequest(&pb.FetchRequest{}))
-		if err == nil && answer.Msg.GetFleet() != nil {
-			return answer.Msg.GetFleet(), nil
-		}
-	}
-	return nil, errUnreachable.New("no member answers")
-}
-
-// takeValues puts a peer's newer values in force. The configuration goes first: the fleet refers to its hosts.
-func (p *peers) takeValues(ctx context.Context, values *pb.FetchResponse) {
-	if cfg := values.GetConfig(); cfg != nil {
-		if p.view.applyConfig(time.Now(), cfg) {
-			events.Emit(ctx, p.logger, events.ConfigInForce, "generation", cfg.GetGeneration(), "source", "peer")
-		}
-	}
-	if f := values.GetFleet(); f != nil {
-		p.view.applyFleet(f)
-	}
-}
-
 // members are the known members and guests, this one included.
 func (p *peers) members() []*pb.Member {
 	p.mu.Lock()
@@ -422,3 +292,46 @@
 	defer p.mu.Unlock()
 	return p.vouched.members()
 }
+
+// Kinds of errors of peers. Their messages name the remedy.
+var (
+	errNotMember   = errs.Class("this entry host is not a member; wait until it has registered with the store or joined through a peer")
+	errUnreachable = errs.Class("peer not reachable")
+	errManyGuests  = errs.Class("this member vouches for its limit of guests; join through another")
+	errLargeClaim  = errs.Class("the request cannot be served as it is")
+)
+
+// peerOptions are what the exchange with the peers needs.
+type peerOptions struct {
+	Self      *pb.Member
+	View      *view
+	Work      localWork
+	Heartbeat time.Duration
+	Logger    *slog.Logger
+	Traffic   meterconn.Meter
+}
+
+// newPeers returns the exchange. SetReady must be called before it runs.
+func newPeers(o peerOptions) *peers {
+	return &peers{
+		self:      o.Self,
+		view:      o.View,
+		work:      o.Work,
+		heartbeat: o.Heartbeat,
+		logger:    o.Logger,
+		client:    peerClient(o.Traffic),
+		changed:   o.View.subscribe("peers"),
+		heard:     ring.New[struct{}]("heard", 1),
+		latest:    map[string]fleet.Received{},
+		started:   time.Now(),
+		links:     map[string]*link{},
+		vouched:   guestBook{},
+		hosts:     map[string]agateturnv1connect.PeerServiceClient{},
+	}
+}
+
+// SetReady says how heartbeats learn whether this entry host may take work.
+func (p *peers) SetReady(ready func() bool) { p.ready = ready }
+
+// Heard is signalled when a heartbeat came in.
+func (p *peers) Heard() <-chan struct{} { return p.heard.Items() }
--- a/internal/entryhost/peerservice.go
+++ b/internal/entryhost/peerservice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
@@ -10,7 +11,8 @@
 	"github.com/agateturn/agateturn/config"
 	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
-	"github.com/agateturn/agateturn/idempotency"
+	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
+	"github.com/agateturn/agateturn/internal/pause"
 )
 
 // claimLimit bounds a claim, in bytes: a key, a service and names of at most 128 bytes each, identities and a digest.
@@ -21,11 +23,18 @@
 	return connect.WithHandlerOptions(connect.WithReadMaxBytes(peerMessageLimit), connect.WithCompressMinBytes(compressFrom))
 }
 
+// claimOwner decides the claims on the keys that this entry host owns.
+type claimOwner interface {
+	ClaimHere(req *pb.ClaimRequest) *pb.ClaimResponse
+	FinishHere(req *pb.FinishRequest)
+}
+
 // peerService answers the other entry hosts.
 type peerService struct {
-	peers *peers
-	keys  *keys
-	view  *view
+	peers    *peers
+	claims   claimOwner
+	detector *pause.Detector
+	view     *view
 }
 
 // Exchange takes over a peer's heartbeat and answers with our own.
@@ -42,7 +51,7 @@
 
 // Fetch returns what the caller lacks. A joining entry host is vouched for only while we are a member ourselves.
 func (s *peerService) Fetch(_ context.Context, req *connect.Request[pb.FetchRequest]) (*connect.Response[pb.FetchResponse], error) {
-	if err := s.keys.detector.Check(); err != nil {
+	if err := s.detector.Check(); err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err) // what was known before the pause may be old
 	}
 	if join := req.Msg.GetJoin(); join != nil {
@@ -82,13 +91,21 @@
 // Claim decides whether an attempt may run. What is claimed is remembered, so its size is bounded.
 func (s *peerService) Claim(_ context.Context, req *connect.Request[pb.ClaimRequest]) (*connect.Response[pb.ClaimResponse], error) {
 	if size := proto.Size(req.Msg); size > claimLimit {
-		return nil, connect.NewError(connect.CodeInvalidArgument, errBadCaller.New("a claim of %d bytes; at most %d", size, claimLimit))
+		return nil, connect.NewError(connect.CodeInvalidArgument, errLargeClaim.New("a claim of %d bytes; at most %d", size, claimLimit))
 	}
-	return connect.NewResponse(s.keys.claimHere(req.Msg)), nil
+	return connect.NewResponse(s.claims.ClaimHere(req.Msg)), nil
 }
 
 // Finish records how a claimed attempt ended.
 func (s *peerService) Finish(_ context.Context, req *connect.Request[pb.FinishRequest]) (*connect.Response[pb.FinishResponse], error) {
-	s.keys.with(func(o *idempotency.Owner) { o.Finish(time.Now(), req.Msg) })
+	s.claims.FinishHere(req.Msg)
 	return connect.NewResponse(&pb.FinishResponse{}), nil
 }
+
+// newPeerHandler serves the peers' calls within their bounds.
+func newPeerHandler(p *peers, claims claimOwner, detector *pause.Detector) http.Handler {
+	mux := http.NewServeMux()
+	service := &peerService{peers: p, claims: claims, detector: detector, view: p.view}
+	mux.Handle(agateturnv1connect.NewPeerServiceHandler(service, peerLimits()))
+	return newPeerBodies(mux)
+}
--- a/internal/entryhost/platformlist.go
+++ b/internal/entryhost/platformlist.go
@@ -12,17 +12,23 @@
 	"github.com/agateturn/agateturn/controller"
 	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/hostlist"
+	"github.com/agateturn/agateturn/internal/wait"
 )
 
+// shunner gives no more work to hosts.
+type shunner interface {
+	Shun(ctx context.Context, hosts []string)
+}
+
 // platformList keeps the newest host list of the platform. The list lags; own knowledge goes first. It is safe for
 // concurrent use.
 type platformList struct {
 	client *hostlist.Client
 	period time.Duration
 	view   *view
-	// dispatch is told of hosts that leave.
-	dispatch *dispatcher
-	logger   *slog.Logger
+	// work is told of hosts that leave.
+	work   shunner
+	logger *slog.Logger
 
 	// wanted is set while this entry host is the controller. The others hear of leaving hosts through the fleet or by
 	// heartbeat; those that notice that the store is down read the list themselves.
@@ -35,10 +41,10 @@
 // run reads the list until ctx ends.
 func (l *platformList) run(ctx context.Context) {
 	failing := false
-	for ; ctx.Err() == nil; _ = sleep(ctx, l.period) {
+	for ; ctx.Err() == nil; _ = wait.For(ctx, l.period) {
 		if !l.wanted.Load() && !l.view.storeFailing.Load() {
 			l.forget()
-			l.dispatch.shun(ctx, nil)
+			l.work.Shun(ctx, nil)
 			continue
 		}
 		hosts, err := l.client.Hosts(ctx)
@@ -51,7 +57,7 @@
 		failing = err != nil
 		if !failing {
 			l.keep(hosts, time.Now())
-			l.dispatch.shun(ctx, leavingHosts(hosts))
+			l.work.Shun(ctx, leavingHosts(hosts))
 		}
 	}
 }
@@ -121,3 +127,23 @@
 	defer l.mu.Unlock()
 	return append([]controller.PlatformHost(nil), l.hosts...)
 }
+
+// listOptions are what the duty needs.
+type listOptions struct {
+	View   *view
+	Work   shunner
+	Client *hostlist.Client
+	Period time.Duration
+	Logger *slog.Logger
+}
+
+// newPlatformList returns the duty that reads the host list.
+func newPlatformList(o listOptions) *platformList {
+	return &platformList{
+		view:   o.View,
+		work:   o.Work,
+		client: o.Client,
+		period: o.Period,
+		logger: o.Logger,
+	}
+}
--- a/internal/entryhost/propose.go
+++ b/internal/entryhost/propose.go
@@ -14,6 +14,8 @@
 	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
+	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/store"
 )
 
@@ -28,13 +30,18 @@
 	stageParallel = 4
 )
 
+// stageClients gives the client of the peer at an address.
+type stageClients interface {
+	At(address string) agateturnv1connect.PeerServiceClient
+}
+
 // proposer has configurations accepted, one at a time.
 type proposer struct {
 	self   *pb.Member
 	kv     store.KV
 	view   *view
 	writer *writer
-	peers  *peers
+	peers  stageClients
 	logger *slog.Logger
 
 	one      sync.Mutex
@@ -113,7 +120,7 @@
 			pending = append(pending, r.carryOut(ctx, a)...)
 		}
 		if len(pending) == 0 {
-			_ = sleep(ctx, proposalRetry)
+			_ = wait.For(ctx, proposalRetry)
 			pending = r.proposal.Tick(time.Now())
 		}
 		if ctx.Err() != nil {
@@ -165,7 +172,7 @@
 		}
 	}
 	if failed {
-		_ = sleep(ctx, proposalRetry)
+		_ = wait.For(ctx, proposalRetry)
 	}
 	return next
 }
@@ -182,7 +189,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
 	defer cancel()
-	answer, err := r.peers.at(r.members[member].GetPeerAddress()).Stage(ctx, connect.NewRequest(request))
+	answer, err := r.peers.At(r.members[member].GetPeerAddress()).Stage(ctx, connect.NewRequest(request))
 	if err != nil {
 		return stageResult{member: member, err: err}
 	}
@@ -198,14 +205,14 @@
 	case config.ReadBack:
 		stored, err := r.readStored(ctx)
 		if err != nil {
-			_ = sleep(ctx, proposalRetry)
+			_ = wait.For(ctx, proposalRetry)
 			return r.proposal.ReadFailed(time.Now())
 		}
 		return r.proposal.Read(now, stored)
 	case config.ListMembers:
 		names, err := r.listMembers(ctx)
 		if err != nil {
-			_ = sleep(ctx, proposalRetry)
+			_ = wait.For(ctx, proposalRetry)
 			return r.proposal.ListFailed(time.Now())
 		}
 		return r.proposal.Listed(now, names)
@@ -245,7 +252,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
 	defer cancel()
-	_, _ = r.peers.at(r.members[member].GetPeerAddress()).Stage(ctx, connect.NewRequest(&pb.StageRequest{
+	_, _ = r.peers.At(r.members[member].GetPeerAddress()).Stage(ctx, connect.NewRequest(&pb.StageRequest{
 		Config:   r.cfg,
 		Proposer: r.id,
 		Abandon:  true,
@@ -284,3 +291,25 @@
 	}
 	return cfg, value.Version, nil
 }
+
+// proposerOptions are what the duty needs.
+type proposerOptions struct {
+	Self   *pb.Member
+	KV     store.KV
+	View   *view
+	Writer *writer
+	Peers  stageClients
+	Logger *slog.Logger
+}
+
+// newProposer returns a proposer.
+func newProposer(o proposerOptions) *proposer {
+	return &proposer{
+		self:   o.Self,
+		kv:     o.KV,
+		view:   o.View,
+		writer: o.Writer,
+		peers:  o.Peers,
+		logger: o.Logger,
+	}
+}
--- a/internal/entryhost/provide.go
+++ b/internal/entryhost/provide.go
@@ -3,28 +3,21 @@
 import (
 	"log/slog"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/samber/do/v2"
 
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
-	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
 	"github.com/agateturn/agateturn/hostlist"
 	"github.com/agateturn/agateturn/idempotency"
-	"github.com/agateturn/agateturn/internal/meterconn"
 	"github.com/agateturn/agateturn/internal/pause"
-	"github.com/agateturn/agateturn/internal/ring"
-	"github.com/agateturn/agateturn/mover"
 	"github.com/agateturn/agateturn/stats"
 	"github.com/agateturn/agateturn/store/kvhttp"
 	"github.com/agateturn/agateturn/upstream"
 )
 
 const (
-	// peerDialTimeout bounds the wait for a connection to a peer.
-	peerDialTimeout = 2 * time.Second
 	// workerDialTimeout bounds the wait for a connection to a worker.
 	workerDialTimeout = 2 * time.Second
 )
@@ -89,103 +82,79 @@
 }
 
 func providePeers(i do.Injector) (*peers, error) {
-	v := do.MustInvoke[*view](i)
-	return &peers{
-		self:      do.MustInvoke[*pb.Member](i),
-		view:      v,
-		dispatch:  do.MustInvoke[*dispatcher](i),
-		heartbeat: do.MustInvoke[*pb.Settings](i).GetTiming().GetHeartbeat().AsDuration(),
-		logger:    do.MustInvoke[*slog.Logger](i),
-		client:    peerClient(trafficMeter(do.MustInvoke[*stats.Stats](i), trafficPeers)),
-		changed:   v.subscribe("peers"),
-		heard:     ring.New[struct{}]("heard", 1),
-		latest:    map[string]fleet.Received{},
-		started:   time.Now(),
-		links:     map[string]*link{},
-		vouched:   guestBook{},
-		hosts:     map[string]agateturnv1connect.PeerServiceClient{},
-	}, nil
-}
-
-func peerClient(traffic meterconn.Meter) *http.Client {
-	dialer := &net.Dialer{Timeout: peerDialTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         traffic.Dialer(dialer.DialContext),
-		MaxIdleConnsPerHost: 2,
-		IdleConnTimeout:     time.Minute,
-	}}
+	return newPeers(peerOptions{
+		Self:      do.MustInvoke[*pb.Member](i),
+		View:      do.MustInvoke[*view](i),
+		Work:      do.MustInvoke[*dispatcher](i),
+		Heartbeat: do.MustInvoke[*pb.Settings](i).GetTiming().GetHeartbeat().AsDuration(),
+		Logger:    do.MustInvoke[*slog.Logger](i),
+		Traffic:   trafficMeter(do.MustInvoke[*stats.Stats](i), trafficPeers),
+	}), nil
 }
 
 func provideFollower(i do.Injector) (*follower, error) {
-	return &follower{
-		kv:       do.MustInvoke[*kvhttp.Store](i),
-		view:     do.MustInvoke[*view](i),
-		name:     do.MustInvoke[*pb.Member](i).GetName(),
-		identity: fleet.Identity(do.MustInvoke[*pb.Member](i)),
-		logger:   do.MustInvoke[*slog.Logger](i),
-	}, nil
+	return newFollower(followerOptions{
+		KV:       do.MustInvoke[*kvhttp.Store](i),
+		View:     do.MustInvoke[*view](i),
+		Name:     do.MustInvoke[*pb.Member](i).GetName(),
+		Identity: fleet.Identity(do.MustInvoke[*pb.Member](i)),
+		Logger:   do.MustInvoke[*slog.Logger](i),
+	}), nil
 }
 
 func provideWriter(i do.Injector) (*writer, error) {
-	return &writer{
-		kv:   do.MustInvoke[*kvhttp.Store](i),
-		view: do.MustInvoke[*view](i),
-	}, nil
+	return newWriter(do.MustInvoke[*kvhttp.Store](i), do.MustInvoke[*view](i)), nil
 }
 
 func provideRegistrar(i do.Injector) (*registrar, error) {
-	return &registrar{
-		self:     do.MustInvoke[*pb.Member](i),
-		view:     do.MustInvoke[*view](i),
-		writer:   do.MustInvoke[*writer](i),
-		peers:    do.MustInvoke[*peers](i),
-		detector: do.MustInvoke[*pause.Detector](i),
-		proposer: do.MustInvoke[*proposer](i),
-		seeds:    do.MustInvoke[*pb.Settings](i).GetEntryHost().GetPeers(),
-		logger:   do.MustInvoke[*slog.Logger](i),
-	}, nil
+	return newRegistrar(registrarOptions{
+		Self:     do.MustInvoke[*pb.Member](i),
+		View:     do.MustInvoke[*view](i),
+		Writer:   do.MustInvoke[*writer](i),
+		Peers:    do.MustInvoke[*peers](i),
+		Detector: do.MustInvoke[*pause.Detector](i),
+		Proposer: do.MustInvoke[*proposer](i),
+		Seeds:    do.MustInvoke[*pb.Settings](i).GetEntryHost().GetPeers(),
+		Logger:   do.MustInvoke[*slog.Logger](i),
+	}), nil
 }
 
 func provideList(i do.Injector) (*platformList, error) {
-	return &platformList{
-		view:     do.MustInvoke[*view](i),
-		dispatch: do.MustInvoke[*dispatcher](i),
-		client:   do.MustInvoke[*hostlist.Client](i),
-		period:   do.MustInvoke[*pb.Settings](i).GetPlatform().GetPoll().AsDuration(),
-		logger:   do.MustInvoke[*slog.Logger](i),
-	}, nil
+	return newPlatformList(listOptions{
+		View:   do.MustInvoke[*view](i),
+		Work:   do.MustInvoke[*dispatcher](i),
+		Client: do.MustInvoke[*hostlist.Client](i),
+		Period: do.MustInvoke[*pb.Settings](i).GetPlatform().GetPoll().AsDuration(),
+		Logger: do.MustInvoke[*slog.Logger](i),
+	}), nil
 }
 
 func provideControl(i do.Injector) (*control, error) {
 	timing := do.MustInvoke[*pb.Settings](i).GetTiming()
-	v := do.MustInvoke[*view](i)
-	return &control{
-		self:     do.MustInvoke[*pb.Member](i),
-		view:     v,
-		writer:   do.MustInvoke[*writer](i),
-		peers:    do.MustInvoke[*peers](i),
-		leases:   do.MustInvoke[*kvhttp.Store](i),
-		platform: do.MustInvoke[*hostlist.Client](i),
-		list:     do.MustInvoke[*platformList](i),
-		period:   timing.GetDecision().AsDuration(),
-		lease:    timing.GetControllerLease().AsDuration(),
-		pause:    timing.GetPauseLimit().AsDuration(),
-		changed:  v.subscribe("controller"),
-		logger:   do.MustInvoke[*slog.Logger](i),
-		acted:    map[string]time.Time{},
-		tracker:  mover.NewTracker(),
-	}, nil
+	return newControl(controlOptions{
+		Self:     do.MustInvoke[*pb.Member](i),
+		View:     do.MustInvoke[*view](i),
+		Writer:   do.MustInvoke[*writer](i),
+		Peers:    do.MustInvoke[*peers](i),
+		Leases:   do.MustInvoke[*kvhttp.Store](i),
+		Platform: do.MustInvoke[*hostlist.Client](i),
+		List:     do.MustInvoke[*platformList](i),
+		Period:   timing.GetDecision().AsDuration(),
+		Lease:    timing.GetControllerLease().AsDuration(),
+		Pause:    timing.GetPauseLimit().AsDuration(),
+		Logger:   do.MustInvoke[*slog.Logger](i),
+	}), nil
 }
 
 func provideProposer(i do.Injector) (*proposer, error) {
-	return &proposer{
-		self:   do.MustInvoke[*pb.Member](i),
-		kv:     do.MustInvoke[*kvhttp.Store](i),
-		view:   do.MustInvoke[*view](i),
-		writer: do.MustInvoke[*writer](i),
-		peers:  do.MustInvoke[*peers](i),
-		logger: do.MustInvoke[*slog.Logger](i),
-	}, nil
+	return newProposer(proposerOptions{
+		Self:   do.MustInvoke[*pb.Member](i),
+		KV:     do.MustInvoke[*kvhttp.Store](i),
+		View:   do.MustInvoke[*view](i),
+		Writer: do.MustInvoke[*writer](i),
+		Peers:  do.MustInvoke[*peers](i),
+		Logger: do.MustInvoke[*slog.Logger](i),
+	}), nil
 }
 
 func provideDaemon(i do.Injector) (*Daemon, error) {
@@ -206,20 +175,27 @@
 		stats:     do.MustInvoke[*stats.Stats](i),
 		writer:    do.MustInvoke[*writer](i),
 	}
-	d.callers = &callerServer{
-		view:     d.view,
-		dispatch: d.dispatch,
-		keys:     d.keys,
-		upstream: upstream.New(upstream.Options{DialTimeout: workerDialTimeout}),
-		detector: d.detector,
-		stats:    d.stats,
-		limits:   d.settings.GetLimits(),
-		logger:   d.logger,
-		ready:    d.ready,
-		bodies:   &bodyBudget{limit: d.settings.GetLimits().GetMaxHeldBytes()},
-	}
-	d.keys.peers = d.peers
-	d.meter = &meter{view: d.view, peers: d.peers, pools: map[string]string{}, rollOuts: map[uint64]time.Time{}}
+	d.callers = newCallerServer(callerOptions{
+		View:     d.view,
+		Dispatch: d.dispatch,
+		Keys:     d.keys,
+		Upstream: upstream.New(upstream.Options{DialTimeout: workerDialTimeout}),
+		Detector: d.detector,
+		Stats:    d.stats,
+		Limits:   d.settings.GetLimits(),
+		Logger:   d.logger,
+		Ready:    d.ready,
+	})
+	d.keys.SetPeers(d.peers)
+	d.meter = newMeter(d.view, d.peers)
+	d.gauges = newGauges(gaugeOptions{
+		View: d.view, Dispatch: d.dispatch, Keys: d.keys, Held: d.callers.heldNow, Stats: d.stats, Ready: d.ready,
+	})
+	d.operations = newOperations(operationOptions{
+		Self: d.self, View: d.view, Writer: d.writer, Proposer: d.proposer, Meter: d.meter, Peers: d.peers,
+		Dispatch: d.dispatch, Stats: d.stats, PauseLimit: d.settings.GetTiming().GetPauseLimit().AsDuration(),
+		Ready: d.ready, Logger: d.logger,
+	})
 	d.announcer = &announcer{
 		self:     d.self,
 		view:     d.view,
@@ -230,6 +206,6 @@
 		changed:  d.view.subscribe("announcer"),
 		logger:   d.logger,
 	}
-	d.peers.ready = func() bool { return d.ready() == nil }
+	d.peers.SetReady(func() bool { return d.ready() == nil })
 	return d, nil
 }
--- a/internal/entryhost/refusal.go
+++ b/internal/entryhost/refusal.go
@@ -1,13 +1,17 @@
 package entryhost
 
 import (
+	"context"
 	"encoding/json"
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/routing"
+	"github.com/agateturn/agateturn/stats"
 )
 
 const (
@@ -17,8 +21,6 @@
 	retryKey = time.Second
 	// statusClientClosed is logged for a caller that went away; nobody reads it.
 	statusClientClosed = 499
-	// unreadGrace is how long the rest of a refused request's body is awaited before its connection is closed.
-	unreadGrace = 100 * time.Millisecond
 	// retryUnready is what a caller waits when this entry host takes no work.
 	retryUnready = time.Second
 )
@@ -138,3 +140,45 @@
 		RetryAfterMS: r.retryAfter.Milliseconds(),
 	})
 }
+
+// as gives the refusal its code.
+func (r refusal) as(code refusalCode) refusal {
+	r.code = code
+	return r
+}
+
+// refuse counts the refusal and sends it.
+func (s *callerServer) refuse(ctx context.Context, w http.ResponseWriter, r refusal) {
+	code := r.code
+	if code == "" {
+		code = codeOfStatus(r.status)
+	}
+	s.stats.Counter(metricRefusals, stats.Label{Name: "code", Value: string(code)}).Inc(1)
+	s.logRefusal(ctx, r)
+	writeRefusal(w, r)
+}
+
+// countClaim counts a claim by its verdict; an error is one that got none.
+func (s *callerServer) countClaim(answer *pb.ClaimResponse, err error) {
+	verdict := "unreachable"
+	if err == nil {
+		verdict = strings.ToLower(strings.TrimPrefix(answer.GetVerdict().String(), "CLAIM_VERDICT_"))
+	}
+	s.stats.Counter(metricClaims, stats.Label{Name: "verdict", Value: verdict}).Inc(1)
+}
+
+// countUpstreamError counts an exchange that brought no whole answer, unless the host is not to blame.
+func (s *callerServer) countUpstreamError(host string, ended outcome, result routing.Result) {
+	if result == routing.Cancelled {
+		return
+	}
+	s.stats.Counter(metricUpstreamErrors,
+		stats.Label{Name: "host", Value: host}, stats.Label{Name: "outcome", Value: ended.String()}).Inc(1)
+}
+
+// Names of the counters; docs/OPERATIONS.md says which to alert on.
+const (
+	metricRefusals       = "agateturn_refusals_total"
+	metricClaims         = "agateturn_claims_total"
+	metricUpstreamErrors = "agateturn_upstream_errors_total"
+)
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -6,11 +6,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/agateturn/agateturn/config"
 	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/pause"
+	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/store"
 )
 
@@ -102,7 +105,7 @@
 		if !r.isMember() {
 			return errRemoved.New("member %q incarnation %q", r.self.GetName(), r.self.GetIncarnation())
 		}
-		_ = sleep(ctx, membershipPeriod)
+		_ = wait.For(ctx, membershipPeriod)
 	}
 	return nil
 }
@@ -156,3 +159,35 @@
 	})
 	return err
 }
+
+// errRemoved is a process that the fleet no longer holds.
+var errRemoved = errs.Class("this process was removed from the fleet while it was paused; start it again")
+
+// registered reports whether this process is a member and has read the configuration since it became one.
+func (r *registrar) registered() bool { return r.isMember() && r.synced.Load() }
+
+// registrarOptions are what the duty needs.
+type registrarOptions struct {
+	Self     *pb.Member
+	View     *view
+	Writer   *writer
+	Peers    *peers
+	Detector *pause.Detector
+	Proposer *proposer
+	Seeds    []string
+	Logger   *slog.Logger
+}
+
+// newRegistrar returns the duty that makes this entry host a member.
+func newRegistrar(o registrarOptions) *registrar {
+	return &registrar{
+		self:     o.Self,
+		view:     o.View,
+		writer:   o.Writer,
+		peers:    o.Peers,
+		detector: o.Detector,
+		proposer: o.Proposer,
+		seeds:    o.Seeds,
+		logger:   o.Logger,
+	}
+}
--- a/internal/entryhost/status.go
+++ b/internal/entryhost/status.go
@@ -14,30 +14,30 @@
 )
 
 // Status implements operatorapi.Backend.
-func (d *Daemon) Status(ctx context.Context) operatorapi.Status {
+func (b *operations) Status(ctx context.Context) operatorapi.Status {
 	now := time.Now()
-	f, cfg := d.view.fleet(), d.view.config()
-	reports, err := d.peers.reports(ctx)
+	f, cfg := b.view.fleet(), b.view.config()
+	reports, err := b.peers.reports(ctx)
 	if err != nil {
 		reports = map[string]fleet.Received{}
 	}
 	s := operatorapi.Status{
-		EntryHost:     d.self.GetName(),
-		Incarnation:   d.self.GetIncarnation(),
+		EntryHost:     b.self.GetName(),
+		Incarnation:   b.self.GetIncarnation(),
 		Controller:    f.GetController(),
 		Term:          f.GetTerm(),
 		FleetRevision: f.GetRevision(),
 		Generation:    cfg.GetGeneration(),
-		StoreAgeMS:    d.view.storeAge(now).Milliseconds(),
+		StoreAgeMS:    b.view.storeAge(now).Milliseconds(),
 		Members:       memberStatuses(f, reports, now),
-		Hosts:         d.hostStatuses(f, cfg, reports, now),
+		Hosts:         b.hostStatuses(f, cfg, reports, now),
 		Waves:         lo.Map(f.GetWaves(), waveStatus),
 		Pools:         poolStatuses(f, cfg, reports),
-		Slots:         d.dispatch.slotStatus(ctx),
-		Measures:      d.meter.snapshot(),
-		Latencies:     lo.Map(d.stats.Snapshot(), latency),
+		Slots:         b.dispatch.slotStatus(ctx),
+		Measures:      b.meter.snapshot(),
+		Latencies:     lo.Map(b.stats.Snapshot(), latency),
 	}
-	if err := d.ready(); err != nil {
+	if err := b.ready(); err != nil {
 		s.NotReady = err.Error()
 	} else {
 		s.Ready = true
@@ -64,9 +64,9 @@
 	})
 }
 
-func (d *Daemon) hostStatuses(f *pb.Fleet, cfg *pb.Configuration, reports map[string]fleet.Received, now time.Time) []operatorapi.HostStatus {
+func (b *operations) hostStatuses(f *pb.Fleet, cfg *pb.Configuration, reports map[string]fleet.Received, now time.Time) []operatorapi.HostStatus {
 	hosts := lo.KeyBy(cfg.GetHosts(), (*pb.Host).GetName)
-	barrier := fleet.Reports{Now: now, PauseLimit: d.settings.GetTiming().GetPauseLimit().AsDuration(), Heartbeats: reports}
+	barrier := fleet.Reports{Now: now, PauseLimit: b.pauseLimit, Heartbeats: reports}
 	return lo.Map(f.GetHosts(), func(h *pb.HostState, _ int) operatorapi.HostStatus {
 		status := operatorapi.HostStatus{
 			Name:       h.GetHost(),
--- a/internal/entryhost/traffic.go
+++ b/internal/entryhost/traffic.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/agateturn/agateturn/internal/meterconn"
+	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/stats"
 )
 
@@ -35,7 +36,7 @@
 	for {
 		metrics.Read(sample)
 		heap.Update(float64(sample[0].Value.Uint64()))
-		if sleep(ctx, heapPeriod) != nil {
+		if wait.For(ctx, heapPeriod) != nil {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/entryhost/vouch.go
@@ -0,0 +1,88 @@
+package entryhost
+
+import (
+	"time"
+
+	"github.com/agateturn/agateturn/fleet"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+)
+
+// maxGuests bounds the guests that one member vouches for.
+const maxGuests = 512
+
+// vouch makes the joining entry host our guest. Only a member may vouch.
+func (p *peers) vouch(join *pb.Member) error {
+	if !fleet.HasMember(p.view.fleet(), p.self) {
+		return errNotMember.New("%q cannot vouch for %q", p.self.GetName(), join.GetName())
+	}
+	if p.guestsFull() {
+		return errManyGuests.New("%d; %q is not taken", maxGuests, join.GetName())
+	}
+	p.view.addGuests(join)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vouched.add(time.Now(), p.view.fleet(), join)
+	return nil
+}
+
+func (p *peers) guestsFull() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.vouched) >= maxGuests
+}
+
+// sponsored records the address of the member that vouches for us, and reports whether it is another than before.
+func (p *peers) sponsored(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changed := p.sponsor != address
+	p.sponsor = address
+	return changed
+}
+
+// guestOf reports whether a sponsor that we heard from within limit vouches for us.
+func (p *peers) guestOf(now time.Time, limit time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.sponsor == "" {
+		return false
+	}
+	for _, m := range p.view.fleet().GetMembers() {
+		if m.GetPeerAddress() != p.sponsor {
+			continue
+		}
+		last, heard := p.latest[m.GetIncarnation()]
+		return heard && now.Sub(last.At) <= limit && p.listsUs(last.Heartbeat)
+	}
+	return false
+}
+
+func (p *peers) listsUs(hb *pb.Heartbeat) bool {
+	for _, g := range hb.GetGuests() {
+		if g.GetName() == p.self.GetName() && g.GetIncarnation() == p.self.GetIncarnation() {
+			return true
+		}
+	}
+	return false
+}
+
+// silentHeartbeats is the number of heartbeats after which a peer counts as not reachable.
+const silentHeartbeats = 5
+
+// silent are the members that have not been heard for too long.
+func (p *peers) silent(now time.Time) map[string]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	limit := silentHeartbeats * p.heartbeat
+	silent := map[string]bool{}
+	for _, m := range p.others() {
+		heard := p.started
+		if r, known := p.latest[m.GetIncarnation()]; known {
+			heard = r.At
+		}
+		if now.Sub(heard) > limit {
+			silent[m.GetName()] = true
+		}
+	}
+	return silent
+}
--- a/internal/entryhost/writer.go
+++ b/internal/entryhost/writer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/agateturn/agateturn/fleet"
@@ -112,3 +113,9 @@
 	}
 	return store.Conflict.New("write %s was not found after its answer was lost", writeID)
 }
+
+// errCorrupt is a value of the store that cannot be read.
+var errCorrupt = errs.Class("the store holds a value that is not ours; restore it or point [store] prefix elsewhere")
+
+// newWriter returns a writer over the store.
+func newWriter(kv store.KV, v *view) *writer { return &writer{kv: kv, view: v} }
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -55,3 +55,11 @@
 
 // Name is the name given to New.
 func (r *Ring[T]) Name() string { return r.name }
+
+// State tells how full a ring is.
+type State interface {
+	Name() string
+	Len() int
+	Cap() int
+	Refused() int64
+}
