--- a/internal/entryhost/dispatchpeers.go
+++ b/internal/entryhost/dispatchpeers.go
@@ -8,7 +8,9 @@
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/operatorapi"
+	"github.com/agateturn/agateturn/internal/ring"
 	"github.com/agateturn/agateturn/slots"
+	"github.com/agateturn/agateturn/waves"
 )
 
 // This file is what the dispatcher takes from the fleet and the peers, and what it tells them.
@@ -50,25 +52,17 @@
 	d.due = dueForMaintenance(f, cfg, now)
 }
 
-// dueForMaintenance is when each host of a running wave may be taken.
+// dueForMaintenance is when each host that a wave will soon take may be taken.
 func dueForMaintenance(f *pb.Fleet, cfg *pb.Configuration, now time.Time) map[string]time.Time {
-	due := map[string]time.Time{}
 	if cfg.GetMaintenance() == nil {
-		return due
-	}
-	for _, w := range f.GetWaves() {
-		if w.GetPhase() != pb.WavePhase_WAVE_PHASE_RUNNING {
-			continue
-		}
-		for _, host := range w.GetPending() {
-			due[host] = now
-		}
+		return nil
 	}
-	return due
+	soon := waves.Soon(now, waves.Input{Fleet: f, Config: cfg})
+	return lo.SliceToMap(soon, func(host string) (string, time.Time) { return host, now })
 }
 
-// incoming takes over a peer's heartbeat.
-func (d *dispatcher) incoming(ctx context.Context, hb *pb.Heartbeat) {
+// Incoming takes over a peer's heartbeat.
+func (d *dispatcher) Incoming(ctx context.Context, hb *pb.Heartbeat) {
 	_ = d.commands.Put(ctx, func(d *dispatcher, now time.Time) {
 		d.ledger.Incoming(hb)
 		d.peers[hb.GetName()] = slots.PeerDemand{Pools: hb.GetDemand(), DataCentre: hb.GetDataCentre(), Heard: now}
@@ -97,9 +91,9 @@
 	return <-counted
 }
 
-// shun gives no more work to the hosts that the platform's list shows leaving or gone. The fleet drains them too, but
+// Shun gives no more work to the hosts that the platform's list shows leaving or gone. The fleet drains them too, but
 // not while the store is down.
-func (d *dispatcher) shun(ctx context.Context, hosts []string) {
+func (d *dispatcher) Shun(ctx context.Context, hosts []string) {
 	_ = d.commands.Put(ctx, func(d *dispatcher, _ time.Time) { d.leaving[d.self.GetName()] = hosts })
 }
 
@@ -144,8 +138,8 @@
 	return p.GetQueued() > 0 || p.GetRunning() > 0 || p.GetArrivalsPerSecond() >= quietArrivals
 }
 
-// compose fills the dispatcher's part of a heartbeat to a peer, and gives it its sequence number.
-func (d *dispatcher) compose(ctx context.Context, peer string, hb *pb.Heartbeat) error {
+// Compose fills the dispatcher's part of a heartbeat to a peer, and gives it its sequence number.
+func (d *dispatcher) Compose(ctx context.Context, peer string, hb *pb.Heartbeat) error {
 	composed := make(chan struct{})
 	err := d.commands.Put(ctx, func(d *dispatcher, now time.Time) {
 		defer close(composed)
@@ -167,3 +161,32 @@
 		return ctx.Err()
 	}
 }
+
+// dispatcherLoad is what waits at the dispatcher.
+type dispatcherLoad struct {
+	demand  []*pb.PoolDemand
+	ejected []string
+}
+
+// load asks the dispatcher; it is empty if ctx ends first.
+func (d *dispatcher) load(ctx context.Context) dispatcherLoad {
+	counted := make(chan dispatcherLoad, 1)
+	err := d.commands.Put(ctx, func(d *dispatcher, now time.Time) {
+		counted <- dispatcherLoad{demand: d.queues.Demand(now), ejected: d.router.EjectedHosts()}
+	})
+	if err != nil {
+		return dispatcherLoad{}
+	}
+	select {
+	case load := <-counted:
+		return load
+	case <-ctx.Done():
+		return dispatcherLoad{}
+	}
+}
+
+// PeersToTell are the peers that should get a heartbeat early.
+func (d *dispatcher) PeersToTell() <-chan string { return d.news.Items() }
+
+// backlog is the ring of commands that wait for the dispatcher.
+func (d *dispatcher) backlog() ring.State { return d.commands }
--- a/internal/entryhost/propose.go
+++ b/internal/entryhost/propose.go
@@ -12,7 +12,10 @@
 
 	"github.com/agateturn/agateturn/config"
 	"github.com/agateturn/agateturn/events"
+	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
+	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/store"
 )
 
@@ -27,8 +30,10 @@
 	stageParallel = 4
 )
 
-// identity names one process of a member.
-func identity(m *pb.Member) string { return m.GetName() + "/" + m.GetIncarnation() }
+// stageClients gives the client of the peer at an address.
+type stageClients interface {
+	At(address string) agateturnv1connect.PeerServiceClient
+}
 
 // proposer has configurations accepted, one at a time.
 type proposer struct {
@@ -36,7 +41,7 @@
 	kv     store.KV
 	view   *view
 	writer *writer
-	peers  *peers
+	peers  stageClients
 	logger *slog.Logger
 
 	one      sync.Mutex
@@ -62,7 +67,7 @@
 		proposer: p,
 		cfg:      cfg,
 		version:  version,
-		id:       config.ProposerID(identity(p.self), p.attempts),
+		id:       config.ProposerID(fleet.Identity(p.self), p.attempts),
 		members:  map[string]*pb.Member{},
 	}
 	names, err := run.listMembers(ctx)
@@ -85,11 +90,11 @@
 	if err != nil {
 		return nil, err
 	}
-	r.members[identity(r.self)] = r.self
-	names := []string{identity(r.self)}
+	r.members[fleet.Identity(r.self)] = r.self
+	names := []string{fleet.Identity(r.self)}
 	for _, m := range f.GetMembers() {
-		r.members[identity(m)] = m
-		names = append(names, identity(m))
+		r.members[fleet.Identity(m)] = m
+		names = append(names, fleet.Identity(m))
 	}
 	return lo.Uniq(names), nil
 }
@@ -115,7 +120,7 @@
 			pending = append(pending, r.carryOut(ctx, a)...)
 		}
 		if len(pending) == 0 {
-			_ = sleep(ctx, proposalRetry)
+			_ = wait.For(ctx, proposalRetry)
 			pending = r.proposal.Tick(time.Now())
 		}
 		if ctx.Err() != nil {
@@ -167,14 +172,14 @@
 		}
 	}
 	if failed {
-		_ = sleep(ctx, proposalRetry)
+		_ = wait.For(ctx, proposalRetry)
 	}
 	return next
 }
 
 func (r *proposalRun) stageOn(ctx context.Context, member string) stageResult {
 	request := &pb.StageRequest{Config: r.cfg, Proposer: r.id}
-	if member == identity(r.self) {
+	if member == fleet.Identity(r.self) {
 		answer := &pb.StageResponse{}
 		r.view.withStager(func(st *config.Stager) {
 			answer.Staged, answer.Reason = st.Stage(time.Now(), r.cfg, r.id)
@@ -184,7 +189,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
 	defer cancel()
-	answer, err := r.peers.at(r.members[member].GetPeerAddress()).Stage(ctx, connect.NewRequest(request))
+	answer, err := r.peers.At(r.members[member].GetPeerAddress()).Stage(ctx, connect.NewRequest(request))
 	if err != nil {
 		return stageResult{member: member, err: err}
 	}
@@ -200,14 +205,14 @@
 	case config.ReadBack:
 		stored, err := r.readStored(ctx)
 		if err != nil {
-			_ = sleep(ctx, proposalRetry)
+			_ = wait.For(ctx, proposalRetry)
 			return r.proposal.ReadFailed(time.Now())
 		}
 		return r.proposal.Read(now, stored)
 	case config.ListMembers:
 		names, err := r.listMembers(ctx)
 		if err != nil {
-			_ = sleep(ctx, proposalRetry)
+			_ = wait.For(ctx, proposalRetry)
 			return r.proposal.ListFailed(time.Now())
 		}
 		return r.proposal.Listed(now, names)
@@ -241,13 +246,13 @@
 }
 
 func (r *proposalRun) abandonOn(ctx context.Context, member string) {
-	if member == identity(r.self) {
+	if member == fleet.Identity(r.self) {
 		r.view.withStager(func(st *config.Stager) { st.Abandon(time.Now(), r.cfg.GetChangeId(), r.id) })
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
 	defer cancel()
-	_, _ = r.peers.at(r.members[member].GetPeerAddress()).Stage(ctx, connect.NewRequest(&pb.StageRequest{
+	_, _ = r.peers.At(r.members[member].GetPeerAddress()).Stage(ctx, connect.NewRequest(&pb.StageRequest{
 		Config:   r.cfg,
 		Proposer: r.id,
 		Abandon:  true,
@@ -286,3 +291,25 @@
 	}
 	return cfg, value.Version, nil
 }
+
+// proposerOptions are what the duty needs.
+type proposerOptions struct {
+	Self   *pb.Member
+	KV     store.KV
+	View   *view
+	Writer *writer
+	Peers  stageClients
+	Logger *slog.Logger
+}
+
+// newProposer returns a proposer.
+func newProposer(o proposerOptions) *proposer {
+	return &proposer{
+		self:   o.Self,
+		kv:     o.KV,
+		view:   o.View,
+		writer: o.Writer,
+		peers:  o.Peers,
+		logger: o.Logger,
+	}
+}
