Scheduler: detect slow workers by what runs there, restart elsewhere what would take far longer

A success that had begun before a worker became suspect cleared the suspicion, so a slow worker was tried again every two seconds. Persistent tasks that fail after a long run restart at once.

--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -18,6 +18,9 @@
 		out.BacklogMilliMs += int64(float64(len(s.ready)) * s.load())
 	}
 	for _, w := range p.order {
+		if w.left && len(w.runs) == 0 {
+			continue
+		}
 		out.Workers = append(out.Workers, p.load(now, w))
 	}
 	return out
--- a/scheduler/suspect.go
+++ b/scheduler/suspect.go
@@ -80,9 +80,11 @@
 	switch end {
 	case EndSucceeded:
 		t.blames = nil
+		if now.Before(t.suspectUntil) || p.judgeSpeed(now, r, now.Sub(r.orderedAt)) {
+			return
+		}
 		t.probing = false
 		t.strikes = 0
-		p.judgeSpeed(now, r, now.Sub(r.orderedAt))
 	case EndFailed:
 		p.blame(now, r)
 	default:
@@ -112,21 +114,49 @@
 	}
 }
 
-// judgeSpeed compares how long a run took, or would take, with what was expected.
-func (p *Pool) judgeSpeed(now time.Time, r *run, took time.Duration) {
+// judgeSpeed compares how long a run took, or would take, with what was expected, and tells whether the worker is slow.
+func (p *Pool) judgeSpeed(now time.Time, r *run, took time.Duration) bool {
 	s := r.task.step
 	if r.orderedAt.IsZero() || r.resumed || s.spec.GetPersistent() || s.spec.GetFills() || s.spec.GetGang() || s.expected <= 0 {
-		return
+		return false
 	}
-	if s.wrongRack(r.worker) {
-		return
+	if s.wrongRack(r.worker) || now.Before(r.worker.trust.suspectUntil) {
+		return false
 	}
 	t := &r.worker.trust
 	t.slow.count++
 	rate := max(slowRate, 1/float64(t.slow.count))
 	t.slow.value += rate * (float64(took)/float64(s.expected) - t.slow.value)
-	if t.slow.count >= slowSamples && t.slow.value > slowRatio {
-		p.suspect(now, r.worker, "slow")
+	if t.slow.value <= slowRatio || (t.slow.count < slowSamples && !t.probing) {
+		return false
+	}
+	ratio := t.slow.value
+	p.suspect(now, r.worker, "slow")
+	p.flee(now, r.worker, ratio)
+	return true
+}
+
+// flee restarts elsewhere the runs that would take much longer on a slow worker.
+func (p *Pool) flee(now time.Time, w *worker, ratio float64) {
+	const (
+		full   = 100
+		factor = 1.5
+	)
+	usable := p.usableWorkers(now)
+	for _, r := range w.runs {
+		if r.task == nil || r.state != runRunning || r.stopping || r.task.stalls > 0 {
+			continue
+		}
+		s := r.task.step
+		if s.spec.GetPersistent() || s.spec.GetGang() || s.spec.GetFills() || len(r.task.runs) > 1 {
+			continue
+		}
+		left := ratio * float64(full-r.percent) / full
+		if left < factor || !p.roomElsewhere(now, r, usable) {
+			continue
+		}
+		r.task.stalls++
+		p.stop(now, r, "slow worker")
 	}
 }
 
@@ -134,7 +164,7 @@
 func (p *Pool) learnPercent(now time.Time, r *run, percent int) {
 	const (
 		full    = 100
-		telling = 20
+		telling = 10
 	)
 	if r.task == nil || r.task.step.spec.GetPersistent() || percent <= r.percent || percent >= full {
 		return
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -13,6 +13,8 @@
 	// persistentBackoff is the first pause of a persistent task after a failure; it doubles up to eightfold.
 	persistentBackoff = 100 * time.Millisecond
 	maxBackoffSteps   = 3
+	// soundRun is how long a persistent run has to last for its failure to count as the first.
+	soundRun = 5 * time.Second
 	// maxFailedOn bounds the workers that a task avoids.
 	maxFailedOn = 4
 )
@@ -132,7 +134,7 @@
 	recorded := false
 	switch {
 	case t.step.spec.GetPersistent():
-		t.backOff(now, end)
+		t.backOff(now, r, end)
 	case end == EndSucceeded:
 		p.succeed(now, t)
 		recorded = true
@@ -149,8 +151,8 @@
 }
 
 // backOff delays the restart of a persistent task that failed.
-func (t *task) backOff(now time.Time, end RunEnd) {
-	if end != EndFailed {
+func (t *task) backOff(now time.Time, r *run, end RunEnd) {
+	if end != EndFailed || now.Sub(r.orderedAt) > soundRun {
 		t.failures = 0
 		return
 	}
