--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -29,6 +30,7 @@
 
 // checkEvacuation moves tasks away from workers that drain or are to be emptied.
 func (p *Pool) checkEvacuation(now time.Time) {
+	p.moving = p.moving[:0]
 	var leaving []*worker
 	for _, w := range p.order {
 		if len(w.runs) > 0 && !w.gone && (w.Draining || w.evacuating) {
@@ -44,11 +46,45 @@
 	p.wake(now.Add(evacuateEvery))
 	for _, w := range leaving {
 		for _, r := range w.runs {
-			if r.task != nil && !r.stopping && r.state == runRunning && p.shouldMove(now, r) && p.roomElsewhere(now, r, usable) {
-				p.stop(now, r, "moved away")
+			p.move(now, r, usable)
+		}
+	}
+}
+
+// move stops a run that should run elsewhere, if there is room for it.
+func (p *Pool) move(now time.Time, r *run, usable []*worker) {
+	if r.task == nil || r.state != runRunning || r.task.job().over() {
+		return
+	}
+	persistent := r.task.step.spec.GetPersistent()
+	if r.stopping || !p.shouldMove(now, r) {
+		if r.stopping && persistent {
+			p.moving = append(p.moving, r.task.step)
+		}
+		return
+	}
+	if persistent {
+		p.moving = append(p.moving, r.task.step)
+	}
+	if p.roomElsewhere(now, r, usable) {
+		p.stop(now, r, "moved away")
+	}
+}
+
+// keepRoom takes workers from those for batch tasks while persistent tasks are to move there, at most so many.
+func (p *Pool) keepRoom(usable []*worker, most int) []*worker {
+	for _, s := range p.moving[:min(len(p.moving), most)] {
+		best := -1
+		for i, w := range usable {
+			if s.need.fits(w.Capacity) && (best < 0 || w.free().CPUMilli > usable[best].free().CPUMilli) {
+				best = i
 			}
 		}
+		if best >= 0 {
+			usable = slices.Concat(usable[:best], usable[best+1:])
+		}
 	}
+	return usable
 }
 
 func (p *Pool) shouldMove(now time.Time, r *run) bool {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -37,7 +37,11 @@
 	}
 	usable, suspects := p.trustedWorkers(now)
 	reservable := max(1, len(usable)/reserveShare)
+	kept := false
 	for _, c := range p.rank(now) {
+		if c.class != classPersistent && !kept {
+			usable, kept = p.keepRoom(usable, reservable), true
+		}
 		p.placeStep(now, c.step, usable)
 		p.placeAnyway(now, c.step, usable, suspects)
 		if reservable > 0 && len(c.step.ready) > 0 && now.Sub(c.step.readySince) > reserveAfter {
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -59,8 +59,10 @@
 
 	learned  learned
 	evacuate map[string]bool
-	advice   adviceDesk
-	arrived  int64
+	// moving holds the steps of persistent tasks that are about to move.
+	moving  []*step
+	advice  adviceDesk
+	arrived int64
 	// speculates and fills tell whether such steps have been seen.
 	speculates   bool
 	speculatedAt time.Time
--- a/scheduler/unit_test.go
+++ b/scheduler/unit_test.go
@@ -134,3 +134,43 @@
 	assert.Equal(t, again[0].Kind, scheduler.OrderStart)
 	assert.Assert(t, again[0].Run > orders[0].Run)
 }
+
+// A worker is emptied although the rest of the pool always has batch tasks waiting for any room.
+func TestEvacuationFindsRoomUnderLoad(t *testing.T) {
+	b := newBare("w1", "w2")
+	b.add("serve", &pb.JobStep{Count: 1, CpuMilli: 2000, Persistent: true, MayMiss: 1})
+	first := b.pool.Step(b.now).Orders[0]
+	running := map[string][]scheduler.RunningTask{first.Worker: {{Task: first.Task, Run: first.Run, Percent: 100}}}
+	b.pool.Result(b.now, scheduler.OrderResult{Order: first, Outcome: scheduler.OutcomeDone})
+	for i := range 60 {
+		b.add(string(rune('A'+i)), &pb.JobStep{Count: 4, CpuMilli: 1000, EstimateMs: 400})
+	}
+	b.pool.Evacuate(b.now, []string{first.Worker})
+	for range 30 {
+		ends := map[string][]scheduler.EndedRun{}
+		for _, o := range b.pool.Step(b.now).Orders {
+			b.pool.Result(b.now, scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeDone})
+			if o.Kind == scheduler.OrderStart {
+				if o.Task.Job == "serve" {
+					assert.Assert(t, o.Worker != first.Worker)
+					return
+				}
+				running[o.Worker] = append(running[o.Worker], scheduler.RunningTask{Task: o.Task, Run: o.Run, Percent: 50})
+				continue
+			}
+			running[o.Worker] = nil
+			b.ends++
+			ends[o.Worker] = append(ends[o.Worker], scheduler.EndedRun{Number: b.ends, Task: o.Task, Run: o.Run, End: scheduler.EndStopped})
+		}
+		b.pass(100 * time.Millisecond)
+		for _, w := range []string{"w1", "w2"} {
+			if list := running[w]; len(list) > 0 && list[0].Task.Job != "serve" {
+				b.ends++
+				ends[w] = append(ends[w], scheduler.EndedRun{Number: b.ends, Task: list[0].Task, Run: list[0].Run, End: scheduler.EndSucceeded})
+				running[w] = list[1:]
+			}
+			b.report(w, running[w], ends[w])
+		}
+	}
+	t.Fatal("the persistent task never moved")
+}
