--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -208,8 +208,11 @@
 }
 
 func (p *Pool) hasTicket(now time.Time, s *step, w *worker) bool {
+	if !p.needsAdvice(s) {
+		return true
+	}
 	if s.advice == nil {
-		return !p.needsAdvice(s)
+		return false
 	}
 	v := s.advice.verdicts[w.ID]
 	return v.good && v.born == w.Born && now.Before(v.expires)
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -101,7 +101,8 @@
 		if r.task != nil {
 			p.markStarted(r.task.job())
 		}
-	case OutcomeUnknown:
+	case OutcomeUnknown, OutcomeOutdated:
+		// An outdated run may have ended there already, after a start that was delivered twice.
 		r.state = runUnknown
 		r.unknownAt = now
 		r.resolveAt = now.Add(resolveAfter)
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -93,12 +93,32 @@
 
 // SetQueues takes the queues of the configuration in force. Queues that are missing stay for the jobs that they brought.
 func (p *Pool) SetQueues(now time.Time, queues []queue.Queue) {
+	named := make(map[string]bool, len(queues))
 	for i := range queues {
 		p.queues[queues[i].Name] = queues[i]
+		named[queues[i].Name] = true
 	}
+	p.dropQueues(named)
 	p.wakePlacement(now)
 }
 
+// dropQueues forgets queues that are not named and have no jobs here.
+func (p *Pool) dropQueues(named map[string]bool) {
+	if len(named) == len(p.queues) {
+		return
+	}
+	used := map[string]bool{}
+	for _, j := range p.jobs {
+		used[j.queue] = true
+	}
+	for name := range p.queues {
+		if !named[name] && !used[name] {
+			delete(p.queues, name)
+			delete(p.learned.work, name)
+		}
+	}
+}
+
 // SetEnforces tells whether workers refuse what does not fit.
 func (p *Pool) SetEnforces(enforces bool) {
 	p.enforces = enforces
