Stand-in platform for jobs, callers and a demo

What: standin/jobplatform plays the store over HTTP, machines with workers and an operator in one process; standin/jobcallers hands jobs in, polls and cancels; standin/jobscenario compares both. 'agateturn-standin jobs' and 'make demo-jobs' run it against three agateturnd, one of which is killed and started again.

Not played: checkpoints, gangs, policies, shared load.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 GOFUMPT_VERSION := v0.12.0
 
 
-.PHONY: help build demo up bench capacity test lint fmt generate check-generated linters fresh
+.PHONY: help build demo demo-jobs up bench capacity test lint fmt generate check-generated linters fresh
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' Makefile | sed -E 's/:.*## /\t/'
 
@@ -18,6 +18,9 @@
 demo: build ## run the whole path on loopback; DEPLOYMENT=agency or brenaz
 	scripts/demo.sh $(DEPLOYMENT)
 
+demo-jobs: build ## run jobs on loopback: three entry hosts, one of them killed; about 30 seconds
+	scripts/demo-jobs.sh
+
 up: build ## start a deployment on loopback and keep it until Ctrl-C; DEPLOYMENT=agency or brenaz
 	scripts/up.sh $(DEPLOYMENT)
 
--- a/cmd/agateturn-standin/main.go
+++ b/cmd/agateturn-standin/main.go
@@ -26,6 +26,7 @@
 	Workers  workersCommand  `cmd:"" help:"Serve every worker of a deployment."`
 	Judge    judgeCommand    `cmd:"" help:"Compare what the workers saw with the promises."`
 	Load     loadCommand     `cmd:"" help:"Send a bounded load to entry hosts on loopback and check each answer."`
+	Jobs     jobsCommand     `cmd:"" help:"Play a platform that runs jobs and its callers, and compare what both saw."`
 }
 
 func main() {
--- /dev/null
+++ b/standin/jobcallers/caller.go
@@ -0,0 +1,147 @@
+package jobcallers
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/agateturn/agateturn/standin/jobplatform"
+)
+
+const (
+	attempts      = 8
+	attemptLimit  = 3 * time.Second
+	retryWait     = 250 * time.Millisecond
+	pollInterval  = 500 * time.Millisecond
+	maxAnswer     = 64 << 10
+	noAnswer      = 0
+	idleConns     = 16
+	jitterPercent = 50
+)
+
+// caller speaks to entry hosts at random.
+type caller struct {
+	entries []string
+	client  *http.Client
+}
+
+func newCaller(entries []string) *caller {
+	return &caller{entries: entries, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns}}}
+}
+
+// call makes one attempt and returns its status, noAnswer for none.
+func (c *caller) call(ctx context.Context, method string, p *planned, body []byte) (status int, answer []byte) {
+	ctx, cancel := context.WithTimeout(ctx, attemptLimit)
+	defer cancel()
+	entry := c.entries[rand.IntN(len(c.entries))] //nolint:gosec // any entry host will do
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+entry+p.queue.Prefix+p.job.ID, bytes.NewReader(body))
+	if err != nil {
+		return noAnswer, nil
+	}
+	r.Host = p.queue.Host
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Deadline-Ms", strconv.FormatInt(attemptLimit.Milliseconds(), 10))
+	resp, err := c.client.Do(r)
+	if err != nil {
+		return noAnswer, nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return noAnswer, nil
+	}
+	return resp.StatusCode, answer
+}
+
+// outcome is what a caller knows of a job that it handed in.
+type outcome int
+
+const (
+	accepted outcome = iota
+	refused
+	undecided
+)
+
+// handIn repeats until the job is accepted, at most attempts times.
+func (c *caller) handIn(ctx context.Context, p *planned) outcome {
+	body, err := json.Marshal(p.job.Body())
+	if err != nil {
+		return refused
+	}
+	result := refused
+	for range attempts {
+		status, _ := c.call(ctx, http.MethodPost, p, body)
+		switch {
+		case status == http.StatusOK:
+			return accepted
+		case !surelyRefused(status):
+			result = undecided
+		}
+		if !pause(ctx, retryWait) {
+			return undecided
+		}
+	}
+	return result
+}
+
+// surelyRefused tells whether an attempt was not stored and never will be.
+func surelyRefused(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusNotFound
+}
+
+// cancel repeats until the cancellation is acknowledged or ctx ends.
+func (c *caller) cancel(ctx context.Context, p *planned) bool {
+	for {
+		if status, _ := c.call(ctx, http.MethodDelete, p, nil); status == http.StatusOK || status == http.StatusGone {
+			return true
+		}
+		if !pause(ctx, retryWait) {
+			return false
+		}
+	}
+}
+
+// state is empty if no entry host told it.
+func (c *caller) state(ctx context.Context, p *planned, h *jobplatform.History) string {
+	status, answer := c.call(ctx, http.MethodGet, p, nil)
+	if status == http.StatusGone {
+		h.Broken("job %s was accepted and is not known", p.job.ID)
+	}
+	var body struct {
+		State string `json:"state"`
+	}
+	if status != http.StatusOK || json.Unmarshal(answer, &body) != nil {
+		return ""
+	}
+	return body.State
+}
+
+// pending asks each entry host how many jobs of a queue have not begun.
+func (c *caller) pending(ctx context.Context, q jobplatform.Queue) string {
+	var told []string
+	for _, entry := range c.entries {
+		one := &caller{entries: []string{entry}, client: c.client}
+		status, answer := one.call(ctx, http.MethodGet, &planned{queue: q}, nil)
+		told = append(told, fmt.Sprintf("%d %s", status, answer))
+	}
+	return strings.Join(told, ", ")
+}
+
+// pause returns false if ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d + time.Duration(rand.Int64N(int64(d)*jitterPercent/100))) //nolint:gosec // spreads calls
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/standin/jobcallers/plan.go
@@ -0,0 +1,84 @@
+// Package jobcallers plays callers that hand jobs in to entry hosts, ask for their states and cancel some. The plan of
+// a load is the same for the same seed.
+package jobcallers
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/agateturn/agateturn/standin/jobplatform"
+)
+
+// Options describe a load.
+type Options struct {
+	// Entries are the ip:port of the entry hosts' listeners for callers.
+	Entries []string
+	Queues  []jobplatform.Queue
+	Seed    uint64
+	// Duration is how long jobs are handed in, Rate how many a second.
+	Duration time.Duration
+	Rate     float64
+	// Drain is how long is waited for the ends of jobs after that.
+	Drain time.Duration
+}
+
+// planned is a job with the times at which its caller acts.
+type planned struct {
+	job   jobplatform.Job
+	queue jobplatform.Queue
+	// at is counted from the begin of the load, cancelAfter from the job's acceptance; 0 is never.
+	at, cancelAfter time.Duration
+}
+
+// Shares of jobs, out of shares.
+const (
+	shares       = 100
+	cancelShare  = 12
+	failingShare = 8
+)
+
+// plan draws all jobs: a persistent one for each queue first, then batches.
+func plan(o Options) []planned {
+	random := rand.New(rand.NewPCG(o.Seed, 1)) //nolint:gosec // a repeatable load
+	var jobs []planned
+	for _, q := range o.Queues {
+		p := planned{queue: q, job: newJob(random, q)}
+		p.job.Steps = []jobplatform.Step{{Count: 3, CPUMilli: 500, MemoryMB: 256, Work: time.Second, Persistent: true, MayMiss: 1}}
+		jobs = append(jobs, p)
+	}
+	batches := int(o.Rate * o.Duration.Seconds())
+	for i := range batches {
+		p := planned{
+			queue: o.Queues[random.IntN(len(o.Queues))],
+			at:    time.Duration(float64(o.Duration) * float64(i) / float64(batches)),
+		}
+		p.job = newJob(random, p.queue)
+		p.job.Steps = batchSteps(random)
+		if random.IntN(shares) < cancelShare {
+			p.cancelAfter = time.Duration(100+random.IntN(1200)) * time.Millisecond
+		}
+		jobs = append(jobs, p)
+	}
+	return jobs
+}
+
+func newJob(random *rand.Rand, q jobplatform.Queue) jobplatform.Job {
+	id := random.Uint64()
+	return jobplatform.Job{ID: fmt.Sprintf("%016x", id), Queue: q.Name, Pool: q.Pool, Payload: fmt.Sprintf("%s %x", q.Name, id)}
+}
+
+func batchSteps(random *rand.Rand) []jobplatform.Step {
+	steps := make([]jobplatform.Step, 1+random.IntN(2))
+	for i := range steps {
+		steps[i] = jobplatform.Step{
+			Count: 1 + random.IntN(5), CPUMilli: int64(500 * (1 + random.IntN(3))), MemoryMB: 512,
+			Work:          time.Duration(150+random.IntN(900)) * time.Millisecond,
+			FirstRunFails: random.IntN(shares) < failingShare,
+		}
+		if i > 0 {
+			steps[i].After = []int{i - 1}
+		}
+	}
+	return steps
+}
--- /dev/null
+++ b/standin/jobcallers/run.go
@@ -0,0 +1,194 @@
+package jobcallers
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/agateturn/agateturn/standin/jobplatform"
+)
+
+// Report is what callers were told.
+type Report struct {
+	Accepted, Refused, Undecided         int
+	Completed, Cancelled, Failed, Open   int
+	CancelsAsked, CancelsAcknowledged    int
+	Persistent, PersistentAtWork         int
+	Pending                              string
+	MedianToCompleted, LongestToComplete time.Duration
+}
+
+// load is one run of a plan.
+type load struct {
+	c       *caller
+	history *jobplatform.History
+
+	mu    sync.Mutex
+	r     Report
+	times []time.Duration
+}
+
+// Run plays a load and returns once all jobs have ended, or the load's time and the drain are over. Persistent jobs are
+// looked at once the others have ended, and cancelled.
+func Run(ctx context.Context, o Options, history *jobplatform.History) Report {
+	ctx, cancel := context.WithTimeout(ctx, o.Duration+o.Drain)
+	defer cancel()
+	l := &load{c: newCaller(o.Entries), history: history}
+	defer l.c.client.CloseIdleConnections()
+	jobs := plan(o)
+	for i := range jobs {
+		history.Add(jobs[i].job)
+	}
+	begin := time.Now()
+	var batches, persistent sync.WaitGroup
+	ended := make(chan struct{})
+	for i := range jobs {
+		p := &jobs[i]
+		if p.job.Steps[0].Persistent {
+			persistent.Go(func() { l.persistent(ctx, p, ended) })
+			continue
+		}
+		batches.Go(func() { l.batch(ctx, p, begin) })
+	}
+	batches.Wait()
+	l.r.Pending = l.c.pending(ctx, o.Queues[0])
+	close(ended)
+	persistent.Wait()
+	l.sum()
+	return l.r
+}
+
+func (l *load) count(add func(*Report)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	add(&l.r)
+}
+
+// batch follows one job to its end.
+func (l *load) batch(ctx context.Context, p *planned, begin time.Time) {
+	if wait := p.at - time.Since(begin); wait > 0 && !pause(ctx, wait) {
+		return
+	}
+	asked := time.Now()
+	if !l.handIn(ctx, p) {
+		return
+	}
+	if p.cancelAfter > 0 && pause(ctx, p.cancelAfter) {
+		l.cancel(ctx, p)
+	}
+	state := l.follow(ctx, p)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch state {
+	case "completed":
+		l.r.Completed++
+		l.times = append(l.times, time.Since(asked))
+	case "cancelled":
+		l.r.Cancelled++
+	case "failed":
+		l.r.Failed++
+	default:
+		l.r.Open++
+	}
+}
+
+// handIn tells whether the job is accepted.
+func (l *load) handIn(ctx context.Context, p *planned) bool {
+	result := l.c.handIn(ctx, p)
+	switch result {
+	case accepted:
+		l.count(func(r *Report) { r.Accepted++ })
+	case refused:
+		l.history.Refused(p.job.ID)
+		l.count(func(r *Report) { r.Refused++ })
+	case undecided:
+		l.count(func(r *Report) { r.Undecided++ })
+	}
+	return result == accepted
+}
+
+func (l *load) cancel(ctx context.Context, p *planned) {
+	l.count(func(r *Report) { r.CancelsAsked++ })
+	if l.c.cancel(ctx, p) {
+		l.history.Cancelled(p.job.ID)
+		l.count(func(r *Report) { r.CancelsAcknowledged++ })
+	}
+}
+
+// follow polls until the state is final or ctx ends, and checks it.
+func (l *load) follow(ctx context.Context, p *planned) string {
+	for {
+		switch state := l.c.state(ctx, p, l.history); state {
+		case "completed":
+			l.history.Completed(p.job.ID)
+			return state
+		case "cancelled", "failed":
+			if state == "failed" || p.cancelAfter == 0 {
+				l.history.Broken("job %s is shown as %s without cause", p.job.ID, state)
+			}
+			l.awaitStopped(ctx, p)
+			return state
+		}
+		if !pause(ctx, pollInterval) {
+			return ""
+		}
+	}
+}
+
+// awaitStopped waits until nothing of an ended job runs.
+func (l *load) awaitStopped(ctx context.Context, p *planned) {
+	for l.history.Running(p.job.ID) > 0 {
+		if !pause(ctx, pollInterval) {
+			l.history.Broken("job %s has ended and its tasks run on", p.job.ID)
+			return
+		}
+	}
+}
+
+// persistent keeps a job until the others have ended, sees it at work, cancels it and sees it stopped.
+func (l *load) persistent(ctx context.Context, p *planned, ended <-chan struct{}) {
+	if !l.handIn(ctx, p) {
+		return
+	}
+	<-ended
+	l.count(func(r *Report) { r.Persistent += p.job.Steps[0].Count })
+	for l.history.Running(p.job.ID) < p.job.Steps[0].Count && pause(ctx, pollInterval) {
+	}
+	running := l.history.Running(p.job.ID)
+	l.count(func(r *Report) { r.PersistentAtWork += running })
+	p.cancelAfter = time.Millisecond
+	l.cancel(ctx, p)
+	if state := l.follow(ctx, p); state == "cancelled" {
+		l.count(func(r *Report) { r.Cancelled++ })
+	}
+}
+
+func (l *load) sum() {
+	slices.Sort(l.times)
+	if n := len(l.times); n > 0 {
+		l.r.MedianToCompleted, l.r.LongestToComplete = l.times[n/2], l.times[n-1]
+	}
+}
+
+// Held tells whether callers got all that was promised: each accepted job has ended as it should.
+func (r Report) Held() bool {
+	return r.Accepted > 0 && r.Open == 0 && r.Failed == 0 && r.Accepted == r.Completed+r.Cancelled &&
+		r.CancelsAcknowledged == r.CancelsAsked && r.PersistentAtWork == r.Persistent
+}
+
+// String is a table for people.
+func (r Report) String() string {
+	var b strings.Builder
+	row := func(name, format string, values ...any) { fmt.Fprintf(&b, "%-34s %s\n", name, fmt.Sprintf(format, values...)) }
+	row("jobs accepted", "%d (%d refused, %d undecided)", r.Accepted, r.Refused, r.Undecided)
+	row("completed", "%d", r.Completed)
+	row("cancelled", "%d (%d of %d cancellations acknowledged)", r.Cancelled, r.CancelsAcknowledged, r.CancelsAsked)
+	row("failed, still open", "%d, %d", r.Failed, r.Open)
+	row("persistent tasks at work", "%d of %d", r.PersistentAtWork, r.Persistent)
+	row("time to completed", "median %v, longest %v", r.MedianToCompleted.Round(time.Millisecond), r.LongestToComplete.Round(time.Millisecond))
+	row("pending at the end, by host", "%s", r.Pending)
+	return b.String()
+}
--- /dev/null
+++ b/standin/jobplatform/faults.go
@@ -0,0 +1,51 @@
+package jobplatform
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/agateturn/agateturn/store/memtxn"
+)
+
+// hostsClient names entry hosts to the store; faults are for them alone.
+const hostsClient = "hosts"
+
+// faults decides which answers are lost.
+type faults struct {
+	every, calls atomic.Int64
+}
+
+// loses tells whether the answer of the present call is lost.
+func (f *faults) loses() bool {
+	every := f.every.Load()
+	return every > 0 && f.calls.Add(1)%every == 0
+}
+
+func (m *machine) losesAnswer() bool { return m.faults.loses() }
+
+// LoseAnswers loses one answer in so many of workers, machines and the store's writes, though they take effect; 0 ends it.
+func (p *Platform) LoseAnswers(every int) { p.faults.every.Store(int64(every)) }
+
+// SilenceStore lets the store give entry hosts no answers for a time.
+func (p *Platform) SilenceStore(d time.Duration) { p.silentUntil.Store(time.Now().Add(d).UnixNano()) }
+
+// CrashMachine ends a machine's worker and all that runs on it; the machine is back after a while.
+func (p *Platform) CrashMachine(id string) {
+	if m := p.machine(id); m != nil {
+		m.crash()
+	}
+}
+
+// plan decides what becomes of a call to the store.
+func (p *Platform) plan(client string, call memtxn.Call) memtxn.Outcome {
+	if client != hostsClient {
+		return memtxn.Serve
+	}
+	if time.Now().UnixNano() < p.silentUntil.Load() {
+		return memtxn.Hang
+	}
+	if call == memtxn.CallCommit && p.faults.loses() {
+		return memtxn.LoseAnswer
+	}
+	return memtxn.Serve
+}
--- /dev/null
+++ b/standin/jobplatform/history.go
@@ -0,0 +1,138 @@
+package jobplatform
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// maxBroken bounds the broken promises that are kept word for word.
+	maxBroken = 50
+	// cancelTime is how long after its acknowledgement a cancelled job's tasks may still start.
+	cancelTime = 6 * time.Second
+)
+
+// ends of runs, as workers report them.
+const (
+	endDone    = "done"
+	endFailed  = "failed"
+	endStopped = "stopped"
+	endLapsed  = "lapsed"
+	endGone    = "" // the worker is gone and reports nothing
+)
+
+// History notes what callers were told and what workers did. It is safe for concurrent use.
+type History struct {
+	mu     sync.Mutex
+	jobs   map[string]*jobHistory
+	broken []string
+	totals Totals
+}
+
+// Totals are counts of what workers did.
+type Totals struct {
+	Starts, Done, Failed, Stopped, Lapsed, Gone, Upkeeps, Moves, Broken int
+}
+
+type jobHistory struct {
+	Job
+	tasks       map[taskID]*taskHistory
+	cancelledAt time.Time
+	refused     bool
+}
+
+type taskHistory struct {
+	running, runs, done int
+	// noted is set once an end with success was taken note of.
+	noted bool
+}
+
+func newHistory() *History { return &History{jobs: make(map[string]*jobHistory)} }
+
+// Add tells of a job before it is handed in.
+func (h *History) Add(j Job) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.jobs[j.ID] = &jobHistory{Job: j, tasks: make(map[taskID]*taskHistory)}
+}
+
+// Cancelled tells that the cancellation of a job was acknowledged.
+func (h *History) Cancelled(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.jobs[id].cancelledAt = time.Now()
+}
+
+// Refused tells that all attempts to hand a job in were refused.
+func (h *History) Refused(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	j := h.jobs[id]
+	j.refused = true
+	if len(j.tasks) > 0 {
+		h.breakLocked("job %s was refused and has run", id)
+	}
+}
+
+// Completed tells that a job was shown as completed.
+func (h *History) Completed(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	j := h.jobs[id]
+	if open := j.open(len(j.Steps)); open > 0 {
+		h.breakLocked("job %s was shown as completed with %d tasks open", id, open)
+	}
+}
+
+// open counts the tasks of the first steps that have not succeeded.
+func (j *jobHistory) open(steps int) int {
+	open := 0
+	for i := range j.Steps[:steps] {
+		open += j.openIn(i)
+	}
+	return open
+}
+
+func (j *jobHistory) openIn(step int) int {
+	open := 0
+	for index := range j.Steps[step].Count {
+		if t := j.tasks[taskID{j.ID, step, index}]; t == nil || t.done == 0 {
+			open++
+		}
+	}
+	return open
+}
+
+// Running counts the tasks of a job that run now.
+func (h *History) Running(id string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	running := 0
+	for _, t := range h.jobs[id].tasks {
+		running += t.running
+	}
+	return running
+}
+
+// Broken notes a broken promise.
+func (h *History) Broken(format string, args ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.breakLocked(format, args...)
+}
+
+func (h *History) breakLocked(format string, args ...any) {
+	h.totals.Broken++
+	if len(h.broken) < maxBroken {
+		h.broken = append(h.broken, fmt.Sprintf(format, args...))
+	}
+}
+
+// Verdict returns the counts and the first broken promises.
+func (h *History) Verdict() (Totals, []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.totals, slices.Clone(h.broken)
+}
--- /dev/null
+++ b/standin/jobplatform/job.go
@@ -0,0 +1,70 @@
+package jobplatform
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Job is what a caller hands in, and what its tasks do on a worker.
+type Job struct {
+	// ID is 16 hexadecimal digits.
+	ID string
+	// Queue is the prefix of the queue's path, Pool the pool that works on it.
+	Queue, Pool string
+	Payload     string
+	Steps       []Step
+}
+
+// Step is Count equal tasks.
+type Step struct {
+	Count         int
+	CPUMilli      int64
+	MemoryMB      int64
+	Work          time.Duration
+	After         []int
+	Persistent    bool
+	MayMiss       int
+	FirstRunFails bool
+}
+
+// taskID names a task of a Job.
+type taskID struct {
+	job         string
+	step, index int
+}
+
+// parseTask reads the name of a task of a job without occurrences.
+func parseTask(name string) (taskID, bool) {
+	parts := strings.Split(name, ".")
+	const job, occurrence, step, index, all = 0, 1, 2, 3, 4
+	if len(parts) != all || parts[occurrence] != "0" {
+		return taskID{}, false
+	}
+	s, stepErr := strconv.Atoi(parts[step])
+	i, indexErr := strconv.Atoi(parts[index])
+	return taskID{job: parts[job], step: s, index: i}, stepErr == nil && indexErr == nil
+}
+
+func (j *Job) has(t taskID) bool {
+	return t.step >= 0 && t.step < len(j.Steps) && t.index >= 0 && t.index < j.Steps[t.step].Count
+}
+
+// Body is the job as callers send it.
+func (j *Job) Body() map[string]any {
+	steps := make([]map[string]any, 0, len(j.Steps))
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		step := map[string]any{
+			"count": s.Count, "cpu": s.CPUMilli, "memMb": s.MemoryMB, "estimateMs": s.Work.Milliseconds(), "image": j.Queue,
+		}
+		if len(s.After) > 0 {
+			step["after"] = s.After
+		}
+		if s.Persistent {
+			step["persistent"], step["mayMiss"] = true, s.MayMiss
+		}
+		steps = append(steps, step)
+	}
+	return map[string]any{"spec": j.Payload, "steps": steps}
+}
--- /dev/null
+++ b/standin/jobplatform/jobplatform.go
@@ -0,0 +1,185 @@
+package jobplatform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/agateturn/agateturn/store/memtxn"
+)
+
+const (
+	machineTick   = 10 * time.Millisecond
+	headerTimeout = 5 * time.Second
+	perRack       = 2
+)
+
+// MaxMachines keeps the entries of all workers, and of those just gone, within one transaction of the store.
+const MaxMachines = 16
+
+// Options describe a platform.
+type Options struct {
+	// Address is the ip:port of the store and of the machines' interface.
+	Address string
+	// Network is the first three bytes of the workers' addresses, WorkerPort their port.
+	Network    string
+	WorkerPort int
+	// Pools have at most MaxMachines machines together.
+	Pools []PoolOptions
+}
+
+// PoolOptions describe a pool and the machines that it begins with.
+type PoolOptions struct {
+	Name             string
+	Machines         int
+	EnforcesCapacity bool
+	Spare            bool
+}
+
+// Platform is safe for concurrent use.
+type Platform struct {
+	options     Options
+	kv          *memtxn.Store
+	history     *History
+	machines    []*machine
+	faults      *faults
+	silentUntil atomic.Int64
+	listeners   []net.Listener
+	handlers    []http.Handler
+
+	mu    sync.Mutex
+	waves map[int64]*wave
+}
+
+// New takes the addresses; Run serves them.
+func New(ctx context.Context, o Options) (*Platform, error) {
+	p := &Platform{options: o, kv: memtxn.New(), history: newHistory(), faults: &faults{}, waves: make(map[int64]*wave)}
+	p.kv.SetFaults(memtxn.Faults{Plan: p.plan})
+	mux := http.NewServeMux()
+	kvServer{p.kv.Client(hostsClient)}.route(mux)
+	p.routeMachines(mux)
+	if err := p.listen(ctx, o.Address, mux); err != nil {
+		return nil, err
+	}
+	pools := make(map[string]PoolOptions)
+	for _, pool := range o.Pools {
+		pools[pool.Name] = pool
+	}
+	for _, pool := range o.Pools {
+		for range pool.Machines {
+			m := p.newMachine(pool.Name, pools)
+			if err := p.listen(ctx, m.address, m.serveOrders()); err != nil {
+				return nil, err
+			}
+			p.machines = append(p.machines, m)
+		}
+	}
+	return p, nil
+}
+
+// firstWorker is the last byte of the first worker's address.
+const firstWorker = 20
+
+func (p *Platform) newMachine(pool string, pools map[string]PoolOptions) *machine {
+	n := len(p.machines)
+	m := &machine{
+		id: fmt.Sprintf("m%02d", n+1), zone: "zone-1", rack: fmt.Sprintf("rack-%d", n/perRack+1), number: n + 1,
+		address:  fmt.Sprintf("%s.%d:%d", p.options.Network, firstWorker+n, p.options.WorkerPort),
+		capacity: capacity{CPU: 4000, MemMB: 8192}, history: p.history, pools: pools, faults: p.faults,
+		pool: pool, begun: make(map[int64]bool),
+	}
+	m.beginLifeLocked()
+	return m
+}
+
+func (p *Platform) listen(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		p.closeListeners()
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	p.listeners = append(p.listeners, listener)
+	p.handlers = append(p.handlers, handler)
+	return nil
+}
+
+func (p *Platform) closeListeners() {
+	for _, l := range p.listeners {
+		_ = l.Close() // nothing is served on it any more
+	}
+}
+
+// Run serves until ctx ends.
+func (p *Platform) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for i := range p.listeners {
+		server := &http.Server{
+			Handler: p.handlers[i], ReadHeaderTimeout: headerTimeout,
+			BaseContext: func(net.Listener) context.Context { return ctx },
+		}
+		group.Go(func() error { return server.Serve(p.listeners[i]) })
+		group.Go(func() error {
+			<-ctx.Done()
+			return server.Close()
+		})
+	}
+	group.Go(func() error { return p.every(ctx, machineTick, p.tickMachines) })
+	r := registry{kv: p.kv.Client("workers"), entries: make(map[string]*registration)}
+	group.Go(func() error {
+		return p.every(ctx, registryTick, func(now time.Time) error { return r.report(ctx, p.machines, now) })
+	})
+	if err := group.Wait(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (p *Platform) every(ctx context.Context, interval time.Duration, do func(time.Time) error) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			if err := do(now); err != nil && ctx.Err() == nil {
+				return err
+			}
+		}
+	}
+}
+
+func (p *Platform) tickMachines(now time.Time) error {
+	for _, m := range p.machines {
+		m.tick(now)
+	}
+	return nil
+}
+
+// History is what happened so far.
+func (p *Platform) History() *History { return p.history }
+
+// Machines are the ids of all machines.
+func (p *Platform) Machines() []string {
+	ids := make([]string, 0, len(p.machines))
+	for _, m := range p.machines {
+		ids = append(ids, m.id)
+	}
+	return ids
+}
+
+func (p *Platform) machine(id string) *machine {
+	for _, m := range p.machines {
+		if m.id == id {
+			return m
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/jobplatform/operator.go
@@ -0,0 +1,84 @@
+package jobplatform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/samber/lo"
+
+	"github.com/agateturn/agateturn/store"
+)
+
+const (
+	operatorPrefix = "op/"
+	configKey      = operatorPrefix + "config"
+	// MaxAttempts is how often a task may fail.
+	MaxAttempts = 4
+)
+
+// Queue is a queue of the configuration.
+type Queue struct {
+	Name, Host, Prefix, Pool string
+	Priority                 int
+}
+
+// Configure writes a version of the configuration.
+func (p *Platform) Configure(ctx context.Context, version int64, queues []Queue) error {
+	routes := lo.Map(queues, func(q Queue, _ int) map[string]any {
+		return map[string]any{
+			"name": q.Name, "host": q.Host, "prefix": q.Prefix, "kind": "unsafe", "timeoutMs": 3000, "targetDurationMs": 600,
+			"priority": q.Priority, "service": q.Pool, "maxAttempts": MaxAttempts, "stretch": 1.5,
+		}
+	})
+	services := lo.Map(p.options.Pools, func(o PoolOptions, _ int) map[string]any {
+		return map[string]any{"name": o.Name, "maxConns": 64, "enforcesCapacity": o.EnforcesCapacity, "spare": o.Spare}
+	})
+	return p.put(ctx, configKey, map[string]any{
+		"version": version, "routes": routes, "services": services,
+		"limits": map[string]any{"maxHeaderBytes": 16 << 10, "maxBodyBytes": 256 << 10, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+}
+
+// OrderWave asks for an upkeep of the machines, at most limit at once.
+func (p *Platform) OrderWave(ctx context.Context, number int64, machines []string, withinSeconds, limit int) error {
+	p.mu.Lock()
+	p.waves[number] = &wave{limit: limit, machines: lo.SliceToMap(machines, func(id string) (string, bool) { return id, true })}
+	p.mu.Unlock()
+	return p.put(ctx, fmt.Sprintf("%swave/%d", operatorPrefix, number), map[string]any{
+		"wave": number, "machines": machines, "withinS": withinSeconds, "cap": limit,
+	})
+}
+
+// WaveCompleted tells whether a wave is shown as completed. It notes a broken promise if one of its machines was left out.
+func (p *Platform) WaveCompleted(number int64) bool {
+	items := p.kv.Items(fmt.Sprintf("status/wave/%d", number))
+	if len(items) == 0 || !strings.Contains(string(items[0].Data), "completed") {
+		return false
+	}
+	p.mu.Lock()
+	ordered := p.waves[number]
+	p.mu.Unlock()
+	for _, m := range p.machines {
+		if ordered.machines[m.id] && !m.hasBegun(number) {
+			p.history.Broken("wave %d was shown as completed without machine %s", number, m.id)
+		}
+	}
+	return true
+}
+
+func (m *machine) hasBegun(wave int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.begun[wave]
+}
+
+func (p *Platform) put(ctx context.Context, key string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	_, err = p.kv.Client("operator").Commit(ctx, store.Transaction{Puts: []store.Put{{Key: key, Data: data}}})
+	return err
+}
--- /dev/null
+++ b/standin/jobplatform/worker.go
@@ -0,0 +1,208 @@
+package jobplatform
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// stopTime is what a stop takes.
+	stopTime = 100 * time.Millisecond
+	// startupTime is how long a persistent task takes until it is at work.
+	startupTime = 300 * time.Millisecond
+	// maxLease is the longest lease of what runs.
+	maxLease = 10 * time.Second
+	// maxEnds bounds the ends in one report.
+	maxEnds = 500
+	percent = 100
+)
+
+// worker is one life of a machine. Its clock counts milliseconds from clockBase.
+type worker struct {
+	id, pool  string
+	capacity  capacity
+	enforces  bool
+	history   *History
+	born      time.Time
+	clockBase int64
+
+	mu      sync.Mutex
+	dead    bool
+	fence   uint64
+	until   int64
+	runs    []*run
+	ended   []endedRun
+	number  int64
+	highest map[taskID]int64
+	changed chan struct{}
+}
+
+type capacity struct {
+	CPU   int64 `json:"cpu"`
+	MemMB int64 `json:"memMb"`
+	GPU   int64 `json:"gpu"`
+}
+
+type run struct {
+	task   taskID
+	name   string
+	number int64
+	step   Step
+	began  time.Time
+	// stopAt is zero unless the run is being stopped.
+	stopAt time.Time
+}
+
+type endedRun struct {
+	number int64
+	run    *run
+	how    string
+}
+
+func (w *worker) clock() int64 { return w.clockBase + time.Since(w.born).Milliseconds() }
+
+func (w *worker) extendLocked(until int64) {
+	w.until = max(w.until, min(until, w.clock()+maxLease.Milliseconds()))
+}
+
+// fencedLocked tells whether an order's fence is too low, and keeps the highest.
+func (w *worker) fencedLocked(fence uint64) bool {
+	if fence < w.fence {
+		return true
+	}
+	w.fence = fence
+	return false
+}
+
+// reasonDead is never sent: a dead worker gives no answer.
+const reasonDead = "dead"
+
+// start begins a run; reason is empty if it is there.
+func (w *worker) start(o orderBody, t taskID) (reason string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dead {
+		return reasonDead
+	}
+	if w.fencedLocked(o.Fence) {
+		return "fence"
+	}
+	if o.UntilMs < w.clock() {
+		return "late"
+	}
+	w.extendLocked(o.UntilMs)
+	if slices.ContainsFunc(w.runs, func(r *run) bool { return r.task == t && r.number == o.Run }) {
+		return ""
+	}
+	if o.Run <= w.highest[t] {
+		return "old"
+	}
+	return w.beginLocked(o, t)
+}
+
+func (w *worker) beginLocked(o orderBody, t taskID) (reason string) {
+	need, known := w.history.demand(t)
+	fits := known && w.fitsLocked(need)
+	if w.enforces && known && !fits {
+		return "room"
+	}
+	step, ok := w.history.started(w.id, w.pool, o.Spec, t)
+	if !ok {
+		return "room"
+	}
+	if !fits {
+		w.history.Broken("%v started on worker %s beyond its capacity", t, w.id)
+	}
+	w.highest[t] = o.Run
+	w.runs = append(w.runs, &run{task: t, name: o.Task, number: o.Run, step: step, began: time.Now()})
+	return ""
+}
+
+func (w *worker) fitsLocked(need capacity) bool {
+	for _, r := range w.runs {
+		need.CPU += r.step.CPUMilli
+		need.MemMB += r.step.MemoryMB
+	}
+	return need.CPU <= w.capacity.CPU && need.MemMB <= w.capacity.MemMB
+}
+
+// stop ends runs up to a number; reason is empty if it was noted.
+func (w *worker) stop(o orderBody, t taskID) (reason string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.fencedLocked(o.Fence) {
+		return "fence"
+	}
+	w.highest[t] = max(w.highest[t], o.Run)
+	for _, r := range w.runs {
+		if r.task == t && r.number <= o.Run && r.stopAt.IsZero() {
+			r.stopAt = time.Now().Add(stopTime)
+		}
+	}
+	return ""
+}
+
+// tick ends what is due.
+func (w *worker) tick(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	lapsed := w.clock() > w.until
+	for _, r := range slices.Clone(w.runs) {
+		switch {
+		case lapsed:
+			w.endLocked(r, endLapsed)
+		case !r.stopAt.IsZero():
+			if now.After(r.stopAt) {
+				w.endLocked(r, endStopped)
+			}
+		case r.step.Persistent || now.Sub(r.began) < r.step.Work:
+		case r.step.FirstRunFails:
+			w.endLocked(r, endFailed)
+		default:
+			w.endLocked(r, endDone)
+		}
+	}
+}
+
+func (w *worker) endLocked(ended *run, how string) {
+	w.runs = slices.DeleteFunc(w.runs, func(r *run) bool { return r == ended })
+	w.number++
+	w.ended = append(w.ended, endedRun{number: w.number, run: ended, how: how})
+	w.history.over(ended.task, how)
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// die ends everything without a report.
+func (w *worker) die() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dead = true
+	for _, r := range w.runs {
+		w.history.over(r.task, endGone)
+	}
+	w.runs = nil
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// forgetLocked drops the ends that were taken note of.
+func (w *worker) forgetLocked(lastSeen int64) {
+	for len(w.ended) > 0 && w.ended[0].number <= lastSeen {
+		if w.ended[0].how == endDone {
+			w.history.taken(w.ended[0].run.task)
+		}
+		w.ended = w.ended[1:]
+	}
+}
+
+func (r *run) percent() int {
+	if r.step.Persistent {
+		if time.Since(r.began) < startupTime {
+			return 0
+		}
+		return percent
+	}
+	return int(min(percent, percent*time.Since(r.began)/max(r.step.Work, 1)))
+}
--- /dev/null
+++ b/standin/jobscenario/scenario.go
@@ -0,0 +1,215 @@
+// Package jobscenario plays a whole day for entry hosts that serve jobs: a platform, callers, a wave of upkeeps and
+// faults, and compares what callers were told with what workers did.
+package jobscenario
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/agateturn/agateturn/standin/jobcallers"
+	"github.com/agateturn/agateturn/standin/jobplatform"
+)
+
+// Options describe a scenario.
+type Options struct {
+	// Address is the ip:port of the store and the machines; Network the first three bytes of the workers' addresses.
+	Address, Network string
+	// Entries and Ready are the entry hosts' listeners for callers and readiness checks, ip:port.
+	Entries, Ready []string
+	Seed           uint64
+	// Duration is how long jobs are handed in, Rate how many a second.
+	Duration time.Duration
+	Rate     float64
+	Faults   Faults
+	// Out is told of the steps.
+	Out io.Writer
+}
+
+// Faults of the platform; the zero value is a healthy one.
+type Faults struct {
+	// Crash ends one worker that is at work.
+	Crash bool
+	// Silence is how long the store gives no answers.
+	Silence time.Duration
+	// LoseEvery loses one answer in so many.
+	LoseEvery int
+}
+
+// Result is the comparison.
+type Result struct {
+	Callers    jobcallers.Report
+	Workers    jobplatform.Totals
+	Broken     []string
+	WaveDone   bool
+	WaveLength int
+}
+
+const (
+	workerPort   = 9100
+	startLimit   = 30 * time.Second
+	drainLimit   = 40 * time.Second
+	readyTick    = 200 * time.Millisecond
+	readyTimeout = time.Second
+	waveNumber   = 1
+	waveWithin   = 20 // seconds
+	waveCap      = 2
+	// a wave is ordered, a worker crashes and the store falls silent after these parts of the load.
+	waveAfter, crashAfter, silenceAfter = 0.15, 0.35, 0.6
+)
+
+// Queues are the queues of the scenario, one a pool.
+var Queues = []jobplatform.Queue{
+	{Name: "render", Host: "jobs.example", Prefix: "/render/", Pool: "render", Priority: 1},
+	{Name: "index", Host: "jobs.example", Prefix: "/index/", Pool: "index", Priority: 1},
+}
+
+func pools() []jobplatform.PoolOptions {
+	return []jobplatform.PoolOptions{
+		{Name: "render", Machines: 6, EnforcesCapacity: true},
+		{Name: "index", Machines: 6},
+		{Name: "spare", Machines: 2, Spare: true},
+	}
+}
+
+// Run plays the scenario against entry hosts that are started meanwhile. Errors mean that it could not be played.
+func Run(ctx context.Context, o Options) (Result, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p, err := jobplatform.New(ctx, jobplatform.Options{Address: o.Address, Network: o.Network, WorkerPort: workerPort, Pools: pools()})
+	if err != nil {
+		return Result{}, err
+	}
+	served := make(chan error, 1)
+	go func() { served <- p.Run(ctx) }()
+	result, err := play(ctx, o, p)
+	cancel()
+	if serveErr := <-served; err == nil {
+		err = serveErr
+	}
+	return result, err
+}
+
+func play(ctx context.Context, o Options, p *jobplatform.Platform) (Result, error) {
+	if err := p.Configure(ctx, 1, Queues); err != nil {
+		return Result{}, err
+	}
+	if err := awaitReady(ctx, o.Ready); err != nil {
+		return Result{}, err
+	}
+	say(o, "load begins")
+	p.LoseAnswers(o.Faults.LoseEvery)
+	wave := p.Machines()
+	events := make(chan error, 1)
+	go func() { events <- playEvents(ctx, o, p, wave) }()
+	result := Result{WaveLength: len(wave)}
+	result.Callers = jobcallers.Run(ctx, jobcallers.Options{
+		Entries: o.Entries, Queues: Queues, Seed: o.Seed, Duration: o.Duration, Rate: o.Rate, Drain: drainLimit,
+	}, p.History())
+	if err := <-events; err != nil {
+		return result, err
+	}
+	result.WaveDone = awaitWave(ctx, p)
+	result.Workers, result.Broken = p.History().Verdict()
+	return result, nil
+}
+
+// playEvents orders the wave and brings the faults.
+func playEvents(ctx context.Context, o Options, p *jobplatform.Platform, wave []string) error {
+	begin := time.Now()
+	part := func(share float64) bool { return sleep(ctx, time.Duration(share*float64(o.Duration))-time.Since(begin)) }
+	if !part(waveAfter) {
+		return ctx.Err()
+	}
+	say(o, fmt.Sprintf("wave %d of %d machines ordered, at most %d down at once", waveNumber, len(wave), waveCap))
+	if err := p.OrderWave(ctx, waveNumber, wave, waveWithin, waveCap); err != nil {
+		return err
+	}
+	if part(crashAfter) && o.Faults.Crash {
+		say(o, "worker of machine "+wave[0]+" crashes")
+		p.CrashMachine(wave[0])
+	}
+	if part(silenceAfter) && o.Faults.Silence > 0 {
+		say(o, "store gives no answers for "+o.Faults.Silence.String())
+		p.SilenceStore(o.Faults.Silence)
+	}
+	return ctx.Err()
+}
+
+func awaitWave(ctx context.Context, p *jobplatform.Platform) bool {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	for !p.WaveCompleted(waveNumber) {
+		if !sleep(ctx, readyTick) {
+			return false
+		}
+	}
+	return true
+}
+
+func awaitReady(ctx context.Context, addresses []string) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	for _, address := range addresses {
+		for !ready(ctx, address) {
+			if !sleep(ctx, readyTick) {
+				return fmt.Errorf("entry host at %s is not ready after %v", address, startLimit)
+			}
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/-/ready", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close() // the status is all that matters
+	return resp.StatusCode == http.StatusOK
+}
+
+func say(o Options, line string) { _, _ = fmt.Fprintln(o.Out, line) }
+
+// sleep returns false if ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// Held tells whether all promises were kept.
+func (r Result) Held() bool {
+	return r.Callers.Held() && r.WaveDone && r.Workers.Upkeeps == r.WaveLength && r.Workers.Broken == 0
+}
+
+// String is a table for people.
+func (r Result) String() string {
+	var b strings.Builder
+	row := func(name, format string, values ...any) { fmt.Fprintf(&b, "%-34s %s\n", name, fmt.Sprintf(format, values...)) }
+	b.WriteString("--- told to callers\n" + r.Callers.String() + "--- seen by workers and machines\n")
+	w := r.Workers
+	row("runs started", "%d", w.Starts)
+	row("runs ended", "%d succeeded, %d failed, %d stopped, %d lapsed, %d with their worker", w.Done, w.Failed, w.Stopped, w.Lapsed, w.Gone)
+	row("upkeeps begun, machines moved", "%d of %d, %d", w.Upkeeps, r.WaveLength, w.Moves)
+	row("wave completed", "%v", r.WaveDone)
+	row("promises broken", "%d", w.Broken)
+	for _, broken := range r.Broken {
+		row("", "%s", broken)
+	}
+	return b.String()
+}
