--- a/scripts/demo-jobs.sh
+++ b/scripts/demo-jobs.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=$PWD/bin
-run=$PWD/run/demo-jobs
+run=${RUN:-$PWD/run/demo-jobs}
 rm -rf "$run" && mkdir -p "$run"
 network=${NETWORK:-127.0}
 net=$network.2
@@ -83,7 +83,8 @@
 }
 
 start platform "$bin/agateturn-standin" jobs --listen "$platform" --network "$net" --entries "$(addresses 7000)" \
-  --ready "$(addresses 7003)" --duration "${DURATION:-20s}" --rate "${RATE:-5}" --seed "${SEED:-1}" --crash --silence 2s --lose-every 50
+  --ready "$(addresses 7003)" --duration "${DURATION:-20s}" --rate "${RATE:-5}" --seed "${SEED:-1}" --crash \
+  --silence "${SILENCE:-2s}" --lose-every "${LOSE_EVERY:-50}"
 sleep 0.3
 for n in 1 2 3; do start_entry "$n"; done
 await_load
--- a/standin/jobplatform/faults.go
+++ b/standin/jobplatform/faults.go
@@ -29,11 +29,29 @@
 // SilenceStore lets the store give entry hosts no answers for a time.
 func (p *Platform) SilenceStore(d time.Duration) { p.silentUntil.Store(time.Now().Add(d).UnixNano()) }
 
-// CrashMachine ends a machine's worker and all that runs on it; the machine is back after a while.
-func (p *Platform) CrashMachine(id string) {
-	if m := p.machine(id); m != nil {
-		m.crash()
+// CrashBusiest ends the worker with the most runs and all that runs on it, and returns its machine; the machine is back
+// after a while.
+func (p *Platform) CrashBusiest() string {
+	busiest := p.machines[0]
+	for _, m := range p.machines[1:] {
+		if m.load() > busiest.load() {
+			busiest = m
+		}
 	}
+	busiest.crash()
+	return busiest.id
+}
+
+// load is how many runs a machine has, -1 if it has no worker.
+func (m *machine) load() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.life == nil {
+		return -1
+	}
+	m.life.mu.Lock()
+	defer m.life.mu.Unlock()
+	return len(m.life.runs)
 }
 
 // plan decides what becomes of a call to the store.
--- a/standin/jobscenario/scenario.go
+++ b/standin/jobscenario/scenario.go
@@ -31,7 +31,7 @@
 
 // Faults of the platform; the zero value is a healthy one.
 type Faults struct {
-	// Crash ends one worker that is at work.
+	// Crash ends the busiest worker.
 	Crash bool
 	// Silence is how long the store gives no answers.
 	Silence time.Duration
@@ -129,8 +129,7 @@
 		return err
 	}
 	if part(crashAfter) && o.Faults.Crash {
-		say(o, "worker of machine "+wave[0]+" crashes")
-		p.CrashMachine(wave[0])
+		say(o, "the worker of machine "+p.CrashBusiest()+" crashes")
 	}
 	if part(silenceAfter) && o.Faults.Silence > 0 {
 		say(o, "store gives no answers for "+o.Faults.Silence.String())
