standin/jobplatform: tests that the history sees each broken promise

What: a naive owner breaks each promise once through the clients of package platform; guards (fences, lives, reserved keys, lost answers) answer as published.

--- a/standin/jobcallers/run.go
+++ b/standin/jobcallers/run.go
@@ -182,7 +182,9 @@
 // String is a table for people.
 func (r Report) String() string {
 	var b strings.Builder
-	row := func(name, format string, values ...any) { fmt.Fprintf(&b, "%-34s %s\n", name, fmt.Sprintf(format, values...)) }
+	row := func(name, format string, values ...any) {
+		fmt.Fprintf(&b, "%-34s %s\n", name, fmt.Sprintf(format, values...))
+	}
 	row("jobs accepted", "%d (%d refused, %d undecided)", r.Accepted, r.Refused, r.Undecided)
 	row("completed", "%d", r.Completed)
 	row("cancelled", "%d (%d of %d cancellations acknowledged)", r.Cancelled, r.CancelsAcknowledged, r.CancelsAsked)
--- /dev/null
+++ b/standin/jobplatform/jobplatform_test.go
@@ -0,0 +1,186 @@
+package jobplatform_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/scheduler"
+	"github.com/agateturn/agateturn/standin/jobplatform"
+	"github.com/agateturn/agateturn/store"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	job     = "00000000000000af"
+	storeAt = ".8.100:18500"
+	// far is a lease on a worker's clock that the worker shortens.
+	far = 1 << 40
+)
+
+// naive gives orders without any care.
+type naive struct {
+	t        *testing.T
+	p        *jobplatform.Platform
+	kv       *platform.Store
+	workers  *platform.Workers
+	machines *platform.Machines
+	ids      []scheduler.Worker
+}
+
+func newNaive(t *testing.T) *naive {
+	t.Helper()
+	network := fmt.Sprintf("127.%d", 100+os.Getpid()%100)
+	p, err := jobplatform.New(t.Context(), jobplatform.Options{
+		Address: network + storeAt, Network: network + ".8", WorkerPort: 9100,
+		Pools: []jobplatform.PoolOptions{{Name: "open", Machines: 2}, {Name: "guarded", Machines: 1, EnforcesCapacity: true}, {Name: "spare", Spare: true}},
+	})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- p.Run(ctx) }()
+	n := &naive{
+		t: t, p: p, kv: platform.NewStore(network+storeAt, platform.StoreOptions{}),
+		workers: platform.NewWorkers(platform.WorkersOptions{}), machines: platform.NewMachines(network + storeAt),
+	}
+	t.Cleanup(func() {
+		n.kv.Close()
+		n.workers.Close()
+		n.machines.Close()
+		cancel()
+		assert.Check(t, <-served)
+	})
+	p.History().Add(jobplatform.Job{ID: job, Queue: "q", Pool: "open", Payload: "p", Steps: []jobplatform.Step{
+		{Count: 2, CPUMilli: 3000, MemoryMB: 10, Work: 30 * time.Millisecond}, {Count: 1, CPUMilli: 1, MemoryMB: 1, After: []int{0}},
+	}})
+	n.awaitWorkers(3)
+	return n
+}
+
+// awaitWorkers reads the registry until it has as many entries.
+func (n *naive) awaitWorkers(want int) {
+	n.t.Helper()
+	for begin := time.Now(); len(n.ids) != want; time.Sleep(20 * time.Millisecond) {
+		assert.Assert(n.t, time.Since(begin) < 10*time.Second, "%d entries", len(n.ids))
+		items, _, err := n.kv.Range(n.t.Context(), platform.WorkersPrefix, false)
+		assert.NilError(n.t, err)
+		n.ids = nil
+		for _, item := range items {
+			w, _, err := platform.ParseWorker(item.Key, item.Data)
+			assert.NilError(n.t, err)
+			n.ids = append(n.ids, w)
+		}
+	}
+}
+
+func (n *naive) start(worker, step, index int, run int64) scheduler.Outcome {
+	return n.startAs(worker, step, index, run, "p", 1)
+}
+
+func (n *naive) startAs(worker, step, index int, run int64, payload string, fence uint64) scheduler.Outcome {
+	w := n.ids[worker]
+	return n.workers.Start(n.t.Context(), scheduler.Order{
+		Worker: w.ID, Address: w.Address, Task: scheduler.TaskID{Job: job, Step: step, Index: index}, Run: run, Payload: payload, Until: far,
+	}, fence)
+}
+
+// note waits for an end on a worker and takes note of it.
+func (n *naive) note(worker int) {
+	n.t.Helper()
+	w := n.ids[worker]
+	h := platform.HoldRequest{Address: w.Address, Worker: w.ID, Fence: 1, Wait: 2 * time.Second}
+	report, err := n.workers.Hold(n.t.Context(), h)
+	assert.NilError(n.t, err)
+	assert.Equal(n.t, len(report.Ended), 1)
+	assert.Equal(n.t, report.Ended[0].End, scheduler.EndSucceeded)
+	h.LastSeen, h.Wait = report.Ended[0].Number, 0
+	_, err = n.workers.Hold(n.t.Context(), h)
+	assert.NilError(n.t, err)
+}
+
+// TestBrokenPromisesAreSeen has a naive owner break each promise once.
+func TestBrokenPromisesAreSeen(t *testing.T) {
+	tests := map[string]struct {
+		act  func(*naive)
+		want string
+	}{
+		"twice at once": {func(n *naive) { n.start(0, 0, 0, 1); n.start(1, 0, 0, 2) }, "runs twice at once"},
+		"after success": {func(n *naive) { n.start(0, 0, 0, 1); n.note(0); n.start(1, 0, 0, 2) }, "after its success"},
+		"succeeded twice": {func(n *naive) {
+			n.start(0, 0, 0, 1)
+			time.Sleep(100 * time.Millisecond)
+			n.start(1, 0, 0, 2)
+			n.note(0)
+			n.note(1)
+		}, "succeeded twice"},
+		"capacity":      {func(n *naive) { n.start(0, 0, 0, 1); n.start(0, 0, 1, 1) }, "beyond its capacity"},
+		"order":         {func(n *naive) { n.start(0, 1, 0, 1) }, "with 2 tasks of step 0 open"},
+		"pool":          {func(n *naive) { n.start(2, 0, 0, 1) }, "of pool guarded"},
+		"payload":       {func(n *naive) { n.startAs(0, 0, 0, 1, "other", 1) }, "another payload"},
+		"nobody's":      {func(n *naive) { n.start(0, 0, 9, 1) }, "nobody handed in"},
+		"refused":       {func(n *naive) { n.p.History().Refused(job); n.start(0, 0, 0, 1) }, "was refused"},
+		"refused, late": {func(n *naive) { n.start(0, 0, 0, 1); n.p.History().Refused(job) }, "was refused"},
+		"completed":     {func(n *naive) { n.p.History().Completed(job) }, "with 3 tasks open"},
+		"wave limit": {func(n *naive) {
+			assert.NilError(n.t, n.p.OrderWave(n.t.Context(), 1, n.p.Machines(), 10, 1))
+			n.machines.Upkeep(n.t.Context(), "m01", 1, "h", 1)
+			n.machines.Upkeep(n.t.Context(), "m02", 1, "h", 1)
+		}, "as many as wave 1 allows"},
+		"wave left out": {func(n *naive) {
+			assert.NilError(n.t, n.p.OrderWave(n.t.Context(), 1, n.p.Machines(), 10, 1))
+			_, err := n.kv.Commit(n.t.Context(), store.Transaction{
+				Puts: []store.Put{{Key: platform.WaveStatusKey(1), Data: platform.FormatWaveStatus(1, true)}},
+			})
+			assert.NilError(n.t, err)
+			assert.Assert(n.t, n.p.WaveCompleted(1))
+		}, "without machine m01"},
+		"two holders": {func(n *naive) {
+			n.machines.Move(n.t.Context(), "m01", "guarded", "h", 1)
+			n.machines.Move(n.t.Context(), "m01", "guarded", "i", 1)
+		}, "ordered by h and i"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := newNaive(t)
+			test.act(n)
+			_, broken := n.p.History().Verdict()
+			assert.Assert(t, strings.Contains(strings.Join(broken, "\n"), test.want), "%q", broken)
+		})
+	}
+}
+
+func TestGuards(t *testing.T) {
+	n := newNaive(t)
+	assert.Equal(t, n.startAs(0, 0, 0, 1, "p", 5), scheduler.OutcomeDone)
+	assert.Equal(t, n.startAs(0, 0, 0, 1, "p", 5), scheduler.OutcomeDone, "a repeated order changes nothing")
+	assert.Equal(t, n.startAs(0, 0, 1, 1, "p", 4), scheduler.OutcomeFenced)
+	gone := n.ids[1]
+	assert.Equal(t, n.machines.Move(t.Context(), "m02", "spare", "h", 2), platform.MachineDone)
+	assert.Equal(t, n.machines.Move(t.Context(), "m02", "open", "h", 1), platform.MachineFenced)
+	assert.Equal(t, n.machines.Upkeep(t.Context(), "m02", 3, "h", 2), platform.MachineWrongWave)
+	assert.Assert(t, n.workers.Start(t.Context(), scheduler.Order{Worker: gone.ID, Address: gone.Address, Until: far}, 1) != scheduler.OutcomeDone)
+	n.awaitWorkers(2)
+	_, err := n.kv.Commit(t.Context(), store.Transaction{Deletes: []string{platform.ConfigKey}})
+	assert.Assert(t, platform.Rejected.Has(err), "only the operator writes its keys")
+	n.p.SilenceStore(time.Second)
+	_, err = n.kv.Commit(t.Context(), store.Transaction{Puts: []store.Put{{Key: "a"}}})
+	assert.Assert(t, store.Unknown.Has(err), "%v", err)
+	time.Sleep(time.Second)
+	n.p.LoseAnswers(1)
+	_, err = n.kv.Commit(t.Context(), store.Transaction{Puts: []store.Put{{Key: "a"}}})
+	assert.Assert(t, store.Unknown.Has(err), "%v", err)
+	n.p.LoseAnswers(0)
+	item, err := n.kv.Get(t.Context(), "a")
+	assert.NilError(t, err)
+	assert.Assert(t, item.Version > 0, "what is lost is the answer")
+	_, broken := n.p.History().Verdict()
+	assert.Equal(t, len(broken), 0, "%q", broken)
+}
--- a/standin/jobscenario/scenario.go
+++ b/standin/jobscenario/scenario.go
@@ -120,7 +120,9 @@
 // playEvents orders the wave and brings the faults.
 func playEvents(ctx context.Context, o Options, p *jobplatform.Platform, wave []string) error {
 	begin := time.Now()
-	part := func(share float64) bool { return sleep(ctx, time.Duration(share*float64(o.Duration))-time.Since(begin)) }
+	part := func(share float64) bool {
+		return sleep(ctx, time.Duration(share*float64(o.Duration))-time.Since(begin))
+	}
 	if !part(waveAfter) {
 		return ctx.Err()
 	}
@@ -199,7 +201,9 @@
 // String is a table for people.
 func (r Result) String() string {
 	var b strings.Builder
-	row := func(name, format string, values ...any) { fmt.Fprintf(&b, "%-34s %s\n", name, fmt.Sprintf(format, values...)) }
+	row := func(name, format string, values ...any) {
+		fmt.Fprintf(&b, "%-34s %s\n", name, fmt.Sprintf(format, values...))
+	}
 	b.WriteString("--- told to callers\n" + r.Callers.String() + "--- seen by workers and machines\n")
 	w := r.Workers
 	row("runs started", "%d", w.Starts)
