events, logpipe: numbered lines for decisions about jobs through a pipe that never blocks

Lines of jobs mode go to standard output through a bounded ring and one writer. The pool's owner logs its scheduler's decisions by step.

--- a/cmd/agateturnd/jobs.go
+++ b/cmd/agateturnd/jobs.go
@@ -8,11 +8,13 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/agateturn/agateturn/config"
 	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/jobhost"
+	"github.com/agateturn/agateturn/internal/logpipe"
 	"github.com/agateturn/agateturn/internal/reload"
 	"github.com/agateturn/agateturn/settings"
 )
@@ -20,6 +22,9 @@
 // jobSection is the section of a file that makes the daemon serve jobs.
 const jobSection = "job_host"
 
+// logCloseTimeout bounds the writing of the last lines of the log.
+const logCloseTimeout = 200 * time.Millisecond
+
 // runJobs is run for a file with jobSection.
 func runJobs(line commandLine, out, errOut io.Writer) int {
 	s, err := loadJobs(line.Config)
@@ -32,16 +37,26 @@
 		_, _ = fmt.Fprintln(out, line.Config+": no problems")
 		return exitOK
 	}
-	logger := newLogger(s.GetLog(), errOut).With("entry_host", s.GetJobHost().GetName())
+	pipe := logpipe.New(out)
+	logger := pipe.Logger(func(w io.Writer) slog.Handler { return newLogger(s.GetLog(), w).Handler() }).
+		With("entry_host", s.GetJobHost().GetName())
+	defer closeLog(pipe)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := serveJobs(ctx, line.Config, s, logger); err != nil {
-		logger.Error("ended", "err", err)
+		events.Emit(ctx, logger, events.FailedToRun, "err", err)
 		return exitFailed
 	}
 	return exitOK
 }
 
+// closeLog writes the last lines, unless nobody reads them.
+func closeLog(pipe *logpipe.Pipe) {
+	ctx, cancel := context.WithTimeout(context.Background(), logCloseTimeout)
+	defer cancel()
+	pipe.Close(ctx)
+}
+
 func loadJobs(path string) (*pb.JobSettings, error) {
 	s := &pb.JobSettings{}
 	if err := settings.Load(path, s); err != nil {
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -32,6 +32,14 @@
 		Number: 110, Name: "settings_kept", Level: slog.LevelWarn, Message: "name and addresses changed in the settings; the old ones are kept",
 		Remedy: "restart the entry host to put them in force",
 	}
+	LinesLeftOut = Event{
+		Number: 111, Name: "lines_left_out", Level: slog.LevelWarn, Message: "log lines were left out; the counts say how many of which event",
+		Remedy: "see the metrics, which count everything; read the log faster if reader_too_slow grows",
+	}
+	FailedToRun = Event{
+		Number: 112, Name: "failed_to_run", Level: slog.LevelError, Message: "the process ends by an error",
+		Remedy: "see the error; free the address or change the settings, and start again",
+	}
 )
 
 // Store and platform.
@@ -144,6 +152,14 @@
 	WaveResumed = Event{Number: 604, Name: "wave_resumed", Level: slog.LevelInfo, Message: "maintenance wave resumed"}
 	WaveDone    = Event{Number: 605, Name: "wave_done", Level: slog.LevelInfo, Message: "maintenance wave done"}
 	WaveWaiting = Event{Number: 606, Name: "wave_waiting", Level: slog.LevelInfo, Message: "maintenance wave waits for the availability budget"}
+
+	UpkeepDecided = Event{Number: 607, Name: "upkeep_decided", Level: slog.LevelInfo, Message: "machine is to have its upkeep"}
+	MoveDecided   = Event{Number: 608, Name: "move_decided", Level: slog.LevelInfo, Message: "machine is to move to another pool"}
+	MachineOrder  = Event{Number: 609, Name: "machine_order", Level: slog.LevelInfo, Message: "order for a machine was answered, or not"}
+	WaveUnread    = Event{
+		Number: 610, Name: "wave_unread", Level: slog.LevelWarn, Message: "waves cannot be read",
+		Remedy: "see the error: mend the order of the wave, or see to the store",
+	}
 )
 
 // Requests.
@@ -208,12 +224,58 @@
 		Remedy: "see to the path between this entry host and the store",
 	}
 	StoredAgain = Event{Number: 906, Name: "stored_again", Level: slog.LevelInfo, Message: "this entry host stores its jobs itself again"}
+
+	JobAccepted  = Event{Number: 907, Name: "job_accepted", Level: slog.LevelInfo, Message: "job is stored and accepted"}
+	JobRefused   = Event{Number: 908, Name: "job_refused", Level: slog.LevelInfo, Message: "hand-in refused; nothing was stored"}
+	JobUndecided = Event{Number: 909, Name: "job_undecided", Level: slog.LevelInfo, Message: "the job may be stored or not; the caller asks again"}
+	CancelStored = Event{Number: 910, Name: "cancel_stored", Level: slog.LevelInfo, Message: "cancellation is stored"}
+	CancelFailed = Event{Number: 911, Name: "cancel_failed", Level: slog.LevelInfo, Message: "cancellation refused or undecided"}
+	StateUnknown = Event{Number: 912, Name: "state_unknown", Level: slog.LevelInfo, Message: "state not told: neither the owner nor the store answered"}
+
+	LeaseGranted   = Event{Number: 913, Name: "lease_granted", Level: slog.LevelInfo, Message: "the store granted this entry host a lease"}
+	LeaseLost      = Event{Number: 914, Name: "lease_lost", Level: slog.LevelWarn, Message: "lease of this entry host lost, with all its pools", Remedy: "none if pools change hands; see to the store if it repeats"}
+	PoolHandedOver = Event{Number: 915, Name: "pool_handed_over", Level: slog.LevelInfo, Message: "pool handed to a peer, as the store does not answer here"}
+	PoolReplaced   = Event{Number: 916, Name: "pool_replaced", Level: slog.LevelInfo, Message: "a higher fence was seen: another host owns the pool"}
+	RecordsLoaded  = Event{Number: 917, Name: "records_loaded", Level: slog.LevelInfo, Message: "records of the pool are read; the owner decides from now on"}
+	RecordsWait    = Event{
+		Number: 918, Name: "records_wait", Level: slog.LevelWarn, Message: "ends of runs cannot be made durable; they are kept and tried again",
+		Remedy: "see to the store",
+	}
+	RecordsWritten = Event{Number: 919, Name: "records_written", Level: slog.LevelInfo, Message: "ends of runs are made durable again"}
+	RecordsUnread  = Event{
+		Number: 920, Name: "records_unread", Level: slog.LevelWarn, Message: "records of jobs cannot be read or followed",
+		Remedy: "see to the store",
+	}
+
+	WorkersChanged = Event{Number: 921, Name: "workers_changed", Level: slog.LevelInfo, Message: "workers of the pool changed"}
+	WorkerEnded    = Event{Number: 922, Name: "worker_ended", Level: slog.LevelInfo, Message: "worker's process has ended: its runs are over"}
+	WorkerSilent   = Event{Number: 923, Name: "worker_silent", Level: slog.LevelInfo, Message: "worker does not answer; what runs there goes on until its lease ends"}
+	WorkerBack     = Event{Number: 924, Name: "worker_back", Level: slog.LevelInfo, Message: "worker answers again"}
+	WorkerSuspect  = Event{Number: 925, Name: "worker_suspect", Level: slog.LevelInfo, Message: "worker is avoided for a while"}
+	WorkerUnread   = Event{
+		Number: 926, Name: "worker_unread", Level: slog.LevelWarn, Message: "an entry of the registry names no worker to use",
+		Remedy: "see who writes that entry",
+	}
+
+	TasksStarted  = Event{Number: 927, Name: "tasks_started", Level: slog.LevelInfo, Message: "tasks of a step are ordered to start"}
+	TasksStopped  = Event{Number: 928, Name: "tasks_stopped", Level: slog.LevelInfo, Message: "runs are ordered to stop"}
+	TasksLost     = Event{Number: 929, Name: "tasks_lost", Level: slog.LevelInfo, Message: "runs are lost; their tasks are placed anew"}
+	TasksEnded    = Event{Number: 930, Name: "tasks_ended", Level: slog.LevelInfo, Message: "runs have ended"}
+	TasksRefused  = Event{Number: 931, Name: "tasks_refused", Level: slog.LevelInfo, Message: "orders to start were not carried out"}
+	OrderUnknown  = Event{Number: 932, Name: "order_unknown", Level: slog.LevelInfo, Message: "order had no answer; it may be carried out or not"}
+	OrderRefused  = Event{Number: 933, Name: "order_refused", Level: slog.LevelInfo, Message: "order was refused or not sent"}
+	JobCompleted  = Event{Number: 934, Name: "job_completed", Level: slog.LevelInfo, Message: "job completed"}
+	JobFailed     = Event{Number: 935, Name: "job_failed", Level: slog.LevelInfo, Message: "job failed"}
+	JobCancelled  = Event{Number: 936, Name: "job_cancelled", Level: slog.LevelInfo, Message: "job cancelled"}
+	JobBegun      = Event{Number: 938, Name: "job_begun", Level: slog.LevelInfo, Message: "first task of the job has begun"}
+	AttemptFailed = Event{Number: 939, Name: "attempt_failed", Level: slog.LevelInfo, Message: "a run failed, which counts as an attempt"}
+	SchedulerNote = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
 )
 
 // catalogue is every event in the order of the numbers.
 var catalogue = []Event{
 	Started, SettingsRefused, Stopping, Stopped, StopLimitReached, PauseDetected, Ready, Unready,
-	SettingsReloaded, SettingsKept,
+	SettingsReloaded, SettingsKept, LinesLeftOut, FailedToRun,
 	StoreUnreachable, StoreBack, PlatformUnreachable, PlatformBack,
 	MemberJoined, MemberLeft, MemberGone, JoinRefused, JoinedAsGuest, PeerUnreachable, PeerBack,
 	ControllerElected, ControllerLost, FleetApplied, OwnersSettled,
@@ -222,10 +284,16 @@
 	HostDraining, HostReleased, HostMoved, HostInMaintenance, HostReturned, HostDown, HostDrainHangs,
 	HostEjected, HostProbedBack, HostNotInList, EjectionCapped,
 	WaveStarted, WaveStoppedItself, WaveStopped, WaveResumed, WaveDone, WaveWaiting,
+	UpkeepDecided, MoveDecided, MachineOrder, WaveUnread,
 	OutcomeUnknown, AnswerRefused, AnswerCut, QueueFull, RequestShed, QuotaReached, KeysFull,
 	JobPoisonous,
 	OperatorRefused, OperatorOrder, OrderRepeated,
 	PoolGained, PoolLost, PoolOwnerEnded, PoolsNotHandedOver, StoredByPeers, StoredAgain,
+	JobAccepted, JobRefused, JobUndecided, CancelStored, CancelFailed, StateUnknown,
+	LeaseGranted, LeaseLost, PoolHandedOver, PoolReplaced, RecordsLoaded, RecordsWait, RecordsWritten, RecordsUnread,
+	WorkersChanged, WorkerEnded, WorkerSilent, WorkerBack, WorkerSuspect, WorkerUnread,
+	TasksStarted, TasksStopped, TasksLost, TasksEnded, TasksRefused, OrderUnknown, OrderRefused,
+	JobCompleted, JobFailed, JobCancelled, SchedulerNote, JobBegun, AttemptFailed,
 }
 
 // retired are numbers of dropped events; they are not used again.
--- a/events/events.go
+++ b/events/events.go
@@ -12,6 +12,9 @@
 	"slices"
 )
 
+// fixedAttrs is the number of attributes that each line may have besides its own.
+const fixedAttrs = 3
+
 // Event is one kind of log line.
 type Event struct {
 	Number  int
@@ -33,6 +36,19 @@
 	logger.Log(ctx, event.Level, event.Message, append(fixed, args...)...)
 }
 
+// Log is Emit with attributes alone, which costs less.
+func Log(ctx context.Context, logger *slog.Logger, event Event, attrs ...slog.Attr) {
+	if !logger.Enabled(ctx, event.Level) {
+		return
+	}
+	all := make([]slog.Attr, 0, fixedAttrs+len(attrs))
+	all = append(all, slog.Int("event", event.Number), slog.String("name", event.Name))
+	if event.Remedy != "" {
+		all = append(all, slog.String("remedy", event.Remedy))
+	}
+	logger.LogAttrs(ctx, event.Level, event.Message, append(all, attrs...)...)
+}
+
 // All returns the catalogue in the order of the numbers.
 func All() []Event {
 	return slices.Clone(catalogue)
--- a/internal/poolowner/decisions.go
+++ b/internal/poolowner/decisions.go
@@ -4,27 +4,185 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
 
+	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/scheduler"
 )
 
-// logDecisions writes one line for each decision. A slow reader costs lines, never time: the ring drops what does not fit.
+const (
+	// decisionGather is how long decisions are collected, so that a step of many tasks is one line.
+	decisionGather = 20 * time.Millisecond
+	// decisionBatch bounds the decisions of one collection.
+	decisionBatch = 4096
+	// namedWorkers bounds the workers, and namedTasks the tasks, named in one line.
+	namedWorkers = 8
+	namedTasks   = 16
+)
+
+// decisionGroup is what one line tells about.
+type decisionGroup struct {
+	kind             string
+	job              string
+	occurrence, step int
+	reason           string
+	// ofRun and ofWorker tell lines that are not joined apart.
+	ofRun    int64
+	ofWorker string
+}
+
+// logDecisions writes a line for the decisions of a kind about a step. A slow reader costs lines, never time: the ring
+// drops what does not fit.
 func (o *Owner) logDecisions(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
+			o.logGroups(ctx, o.moreDecisions(nil))
 			return nil
-		case d := <-o.decisions.Items():
-			o.logDecision(ctx, d)
+		case first := <-o.decisions.Items():
+			sleep(ctx, decisionGather)
+			o.logGroups(ctx, o.moreDecisions(first))
+		}
+	}
+}
+
+// moreDecisions adds what waits already.
+func (o *Owner) moreDecisions(all []scheduler.Decision) []scheduler.Decision {
+	for len(all) < decisionBatch {
+		select {
+		case next := <-o.decisions.Items():
+			all = append(all, next...)
+		default:
+			return all
+		}
+	}
+	return all
+}
+
+func (o *Owner) logGroups(ctx context.Context, all []scheduler.Decision) {
+	groups := make(map[decisionGroup][]scheduler.Decision)
+	var order []decisionGroup
+	for _, d := range all {
+		o.measure(d)
+		g := groupOf(d)
+		if len(groups[g]) == 0 {
+			order = append(order, g)
+		}
+		groups[g] = append(groups[g], d)
+	}
+	for _, g := range order {
+		o.logGroup(ctx, g, groups[g])
+	}
+}
+
+func groupOf(d scheduler.Decision) decisionGroup {
+	g := decisionGroup{
+		kind: d.Kind, job: d.Task.Job, occurrence: d.Task.Occurrence, step: d.Task.Step, reason: d.Reason,
+	}
+	switch {
+	case d.Kind == scheduler.DecisionAttempt:
+		g.ofRun = d.Run
+	case d.Task.Job == "":
+		g.ofWorker = d.Worker
+	}
+	return g
+}
+
+func (o *Owner) measure(d scheduler.Decision) {
+	if d.Kind == scheduler.DecisionBegun {
+		o.Metrics.begun(d.Age)
+	}
+}
+
+// decisionEvents are the events by kind of decision; others are events.SchedulerNote.
+var decisionEvents = map[string]events.Event{
+	"start":                     events.TasksStarted,
+	"stop":                      events.TasksStopped,
+	"lost":                      events.TasksLost,
+	"never began":               events.TasksRefused,
+	"refused":                   events.TasksRefused,
+	"suspect":                   events.WorkerSuspect,
+	scheduler.DecisionEnded:     events.TasksEnded,
+	scheduler.DecisionAttempt:   events.AttemptFailed,
+	scheduler.DecisionBegun:     events.JobBegun,
+	scheduler.DecisionCompleted: events.JobCompleted,
+	scheduler.DecisionFailed:    events.JobFailed,
+	scheduler.DecisionCancelled: events.JobCancelled,
+}
+
+func (o *Owner) logGroup(ctx context.Context, g decisionGroup, all []scheduler.Decision) {
+	event, ok := decisionEvents[g.kind]
+	if !ok {
+		event = events.SchedulerNote
+	}
+	first := &all[0]
+	attrs := make([]slog.Attr, 0, 12)
+	if g.job != "" {
+		attrs = append(attrs, slog.String("job", g.job))
+	}
+	attrs = append(attrs, slog.String("pool", o.Pool), slog.Uint64("fence", o.Config.Fence))
+	if !ok {
+		attrs = append(attrs, slog.String("kind", g.kind))
+	}
+	if first.Run != 0 {
+		attrs = append(attrs,
+			slog.String("step", strconv.Itoa(g.occurrence)+"."+strconv.Itoa(g.step)),
+			slog.Int("count", len(all)),
+			slog.String("tasks", taskIndexes(all)),
+			slog.Int64("run", first.Run))
+	}
+	if first.Worker != "" {
+		attrs = append(attrs, slog.String("workers", workersOf(all)))
+	}
+	if g.reason != "" {
+		attrs = append(attrs, slog.String("reason", g.reason))
+	}
+	if first.Attempt > 0 {
+		attrs = append(attrs, slog.Int("attempt", first.Attempt))
+	}
+	if first.Attempts > 0 {
+		attrs = append(attrs, slog.Int("attempts_allowed", first.Attempts))
+	}
+	if first.Age > 0 {
+		attrs = append(attrs, slog.Int64("age_ms", first.Age.Milliseconds()))
+	}
+	events.Log(ctx, o.Log, event, attrs...)
+}
+
+func taskIndexes(all []scheduler.Decision) string {
+	var b strings.Builder
+	for i := range min(len(all), namedTasks) {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(strconv.Itoa(all[i].Task.Index))
+	}
+	return b.String() + andMore(len(all)-namedTasks)
+}
+
+// workersOf names the distinct workers in the order in which they come.
+func workersOf(all []scheduler.Decision) string {
+	var names []string
+	more := 0
+	for i := range all {
+		switch {
+		case slices.Contains(names, all[i].Worker):
+		case len(names) < namedWorkers:
+			names = append(names, all[i].Worker)
+		default:
+			more++
 		}
 	}
+	return strings.Join(names, ",") + andMore(more)
 }
 
-func (o *Owner) logDecision(ctx context.Context, d scheduler.Decision) {
-	if !o.Log.Enabled(ctx, slog.LevelDebug) {
-		return
+// andMore tells how much is left out.
+func andMore(n int) string {
+	if n <= 0 {
+		return ""
 	}
-	o.Log.DebugContext(ctx, d.Kind, "pool", o.Pool, "fence", o.Config.Fence, "job", d.Task.Job,
-		"task", fmt.Sprintf("%d.%d.%d", d.Task.Occurrence, d.Task.Step, d.Task.Index),
-		"worker", d.Worker, "run", d.Run, "reason", d.Reason)
+	return fmt.Sprintf(",+%d", n)
 }
--- a/internal/poolowner/follow.go
+++ b/internal/poolowner/follow.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
+	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/internal/jobstore"
 	"github.com/agateturn/agateturn/scheduler"
 )
@@ -17,7 +19,7 @@
 	for ok && ctx.Err() == nil {
 		err := o.Jobs.Follow(ctx, o.Pool, asOf, func(c jobstore.Change) { o.change(ctx, c) })
 		if err != nil && ctx.Err() == nil {
-			o.Log.Warn("cannot follow new jobs", "pool", o.Pool, "err", err)
+			o.tellUnread(ctx, "follow", err)
 		}
 		sleep(ctx, loadRetry)
 	}
@@ -30,13 +32,23 @@
 		if err == nil {
 			return asOf, o.start(ctx, snapshot)
 		}
-		o.Log.Warn("cannot read the records of jobs", "pool", o.Pool, "err", err)
+		o.tellUnread(ctx, "load", err)
 		sleep(ctx, loadRetry)
 	}
 	return 0, false
 }
 
+func (o *Owner) tellUnread(ctx context.Context, call string, err error) {
+	events.Log(ctx, o.Log, events.RecordsUnread, slog.String("pool", o.Pool), slog.Uint64("fence", o.Config.Fence),
+		slog.String("call", call), slog.String("err", err.Error()))
+}
+
 func (o *Owner) start(ctx context.Context, s jobstore.Snapshot) bool {
+	took := o.Clock().Sub(o.began)
+	o.Metrics.tookOver(took)
+	events.Log(ctx, o.Log, events.RecordsLoaded, slog.String("pool", o.Pool), slog.Uint64("fence", o.Config.Fence),
+		slog.Int("jobs", len(s.Jobs)), slog.Int("progress", len(s.Progress)), slog.Int("cancelled", len(s.Cancelled)),
+		slog.Int64("took_ms", took.Milliseconds()))
 	return o.ask(ctx, func(p *scheduler.Pool, now time.Time) {
 		p.Load(now, s.Jobs, s.Progress, s.Cancelled)
 		close(o.loaded)
@@ -61,11 +73,14 @@
 	case <-ctx.Done():
 		return nil
 	}
+	var before []scheduler.Worker
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case workers := <-o.workers:
+			o.tellWorkers(ctx, before, workers)
+			before = workers
 			o.put(ctx, func(p *scheduler.Pool, now time.Time) { p.SetWorkers(now, workers) })
 			o.holders.set(ctx, workers)
 		}
--- a/internal/poolowner/hold.go
+++ b/internal/poolowner/hold.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/scheduler"
 )
 
@@ -83,6 +85,7 @@
 func (o *Owner) holdWorker(ctx context.Context, w scheduler.Worker) {
 	first := true
 	refusals := 0
+	heard := newHearing(o, w)
 	for ctx.Err() == nil {
 		wait := holdWait
 		if first {
@@ -90,6 +93,7 @@
 		}
 		sent := o.Clock()
 		report, err := o.holdOnce(ctx, w, wait)
+		heard.note(ctx, err)
 		if err != nil {
 			refusals = o.noteFailure(ctx, w, sent, refusals, err)
 			sleep(ctx, holdRetry)
@@ -98,7 +102,7 @@
 		first = false
 		refusals = 0
 		if report.Fenced {
-			o.Replaced()
+			o.replaced(ctx, w.ID)
 		}
 		o.put(ctx, func(p *scheduler.Pool, now time.Time) { p.Report(now, report) })
 		if report.Gone || report.Fenced {
@@ -116,6 +120,8 @@
 	}
 	refusals++
 	if refusals == refusalsGone {
+		events.Log(ctx, o.Log, events.WorkerEnded, slog.String("worker", w.ID), slog.String("pool", o.Pool),
+			slog.Uint64("fence", o.Config.Fence), slog.String("reason", "its address refuses connections"))
 		gone := scheduler.Report{Worker: w.ID, Sent: sent, Received: o.Clock(), Gone: true}
 		o.put(ctx, func(p *scheduler.Pool, now time.Time) { p.Report(now, gone) })
 	}
--- a/internal/poolowner/loop.go
+++ b/internal/poolowner/loop.go
@@ -48,8 +48,8 @@
 		return idleStep
 	}
 	actions := p.Step(now)
-	for _, d := range actions.Decisions {
-		o.decisions.Offer(d)
+	if len(actions.Decisions) > 0 {
+		o.decisions.Offer(actions.Decisions)
 	}
 	o.orders.send(ctx, actions.Orders)
 	o.records.add(actions.Records)
--- a/internal/poolowner/orders.go
+++ b/internal/poolowner/orders.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"log/slog"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/scheduler"
 )
 
@@ -67,19 +70,47 @@
 	}
 	outcome := s.call(ctx, order, made)
 	<-slot
-	if outcome != scheduler.OutcomeDone {
-		s.owner.Log.DebugContext(ctx, "order not confirmed", "pool", s.owner.Pool, "fence", s.owner.Config.Fence,
-			"kind", int(order.Kind), "job", order.Task.Job, "index", order.Task.Index, "run", order.Run,
-			"worker", order.Worker, "outcome", int(outcome), "age", s.owner.Clock().Sub(made))
-	}
+	s.tell(ctx, order, outcome, made)
 	if outcome == scheduler.OutcomeFenced {
-		s.owner.Replaced()
+		s.owner.replaced(ctx, order.Worker)
 	}
 	s.owner.put(ctx, func(p *scheduler.Pool, now time.Time) {
 		p.Result(now, scheduler.OrderResult{Order: order, Outcome: outcome})
 	})
 }
 
+// tell counts an order, and logs one that was not carried out for sure.
+func (s *senders) tell(ctx context.Context, order scheduler.Order, outcome scheduler.Outcome, made time.Time) {
+	kind := orderKind(order.Kind)
+	s.owner.Metrics.ordered(kind, outcome.String())
+	event := events.OrderRefused
+	switch outcome {
+	case scheduler.OutcomeDone:
+		return
+	case scheduler.OutcomeUnknown:
+		event = events.OrderUnknown
+	default:
+	}
+	events.Log(ctx, s.owner.Log, event,
+		slog.String("job", order.Task.Job), slog.String("pool", s.owner.Pool), slog.Uint64("fence", s.owner.Config.Fence),
+		slog.String("order", kind), slog.String("step", strconv.Itoa(order.Task.Occurrence)+"."+strconv.Itoa(order.Task.Step)),
+		slog.Int("task", order.Task.Index), slog.Int64("run", order.Run), slog.String("worker", order.Worker),
+		slog.String("outcome", outcome.String()), slog.Int64("age_ms", s.owner.Clock().Sub(made).Milliseconds()))
+}
+
+func orderKind(k scheduler.OrderKind) string {
+	switch k {
+	case scheduler.OrderStart:
+		return "start"
+	case scheduler.OrderStop:
+		return "stop"
+	case scheduler.OrderPace:
+		return "pace"
+	default:
+		return "other"
+	}
+}
+
 func (s *senders) call(ctx context.Context, order scheduler.Order, made time.Time) scheduler.Outcome {
 	if !s.owner.Confirmed() || s.owner.Clock().Sub(made) > orderAge {
 		return scheduler.OutcomeNotSent
--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -21,8 +21,8 @@
 const (
 	// inputRing bounds what waits for the loop.
 	inputRing = 4096
-	// decisionRing bounds what waits for the log.
-	decisionRing = 512
+	// decisionRing bounds the steps whose decisions wait for the log.
+	decisionRing = 256
 )
 
 // HoldRequest renews a worker's lease and asks for what runs and what ended.
@@ -72,13 +72,15 @@
 	Replaced func()
 	Clock    func() time.Time
 	Log      *slog.Logger
+	// Metrics may be nil.
+	Metrics *Metrics
 }
 
 // Owner is one term of ownership of a pool. Its methods are safe for concurrent use.
 type Owner struct {
 	Options
 	inputs    *ring.Ring[input]
-	decisions *ring.Ring[scheduler.Decision]
+	decisions *ring.Ring[[]scheduler.Decision]
 	orders    *senders
 	records   *recorder
 	advice    *ring.Ring[scheduler.AdviceRequest]
@@ -87,6 +89,8 @@
 	// workers holds the latest list of workers that is not handed in yet.
 	workers chan []scheduler.Worker
 	holders *holders
+	// began is when the term began.
+	began time.Time
 }
 
 // input is something that happened. It runs on the loop's goroutine.
@@ -97,7 +101,7 @@
 	own := &Owner{
 		Options:   o,
 		inputs:    ring.New[input]("pool_inputs", inputRing),
-		decisions: ring.New[scheduler.Decision]("pool_decisions", decisionRing),
+		decisions: ring.New[[]scheduler.Decision]("pool_decisions", decisionRing),
 		advice:    ring.New[scheduler.AdviceRequest]("pool_advice", adviceRing),
 		forget:    ring.New[string]("pool_forget", forgetRing),
 		loaded:    make(chan struct{}),
@@ -111,6 +115,7 @@
 
 // Run acts as the owner until ctx ends. It returns nil then.
 func (o *Owner) Run(ctx context.Context) error {
+	o.began = o.Clock()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return o.loop(ctx) })
 	group.Go(func() error { return o.follow(ctx) })
--- a/internal/poolowner/records.go
+++ b/internal/poolowner/records.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/jobstore"
 	"github.com/agateturn/agateturn/scheduler"
@@ -18,6 +21,8 @@
 	// recordRetry is the first pause after a write without success; it doubles up to recordRetryMax.
 	recordRetry    = 50 * time.Millisecond
 	recordRetryMax = time.Second
+	// recordTell is how long a write may fail before the log tells.
+	recordTell = 500 * time.Millisecond
 )
 
 // recorder makes progress durable, many jobs to a write. Later progress of a job replaces earlier one that waits.
@@ -28,6 +33,8 @@
 	waiting map[string]scheduler.Record
 	order   []string
 	wake    chan struct{}
+	// pending counts the jobs of waiting and of the write under way.
+	pending atomic.Int64
 }
 
 func newRecorder(o *Owner) *recorder {
@@ -43,6 +50,7 @@
 		id := record.Progress.GetId()
 		if _, ok := r.waiting[id]; !ok {
 			r.order = append(r.order, id)
+			r.pending.Add(1)
 		}
 		r.waiting[id] = record
 	}
@@ -76,6 +84,7 @@
 		sleep(ctx, recordGather)
 		for batch := r.take(); len(batch) > 0; batch = r.take() {
 			r.write(ctx, batch)
+			r.pending.Add(-int64(len(batch)))
 		}
 	}
 }
@@ -87,22 +96,42 @@
 		progress = append(progress, record.Progress)
 	}
 	pause := recordRetry
+	began := r.owner.Clock()
+	told := false
 	for ctx.Err() == nil {
 		err := r.owner.Jobs.Record(ctx, r.owner.Pool, r.owner.Config.Fence, progress)
 		if err == nil {
+			if told {
+				r.tell(ctx, events.RecordsWritten, batch, began)
+			}
 			r.done(ctx, batch)
 			return
 		}
 		if jobstore.Fenced.Has(err) {
-			r.owner.Replaced()
+			r.owner.replaced(ctx, "the store")
 			sleep(ctx, recordRetryMax)
 			return
 		}
+		if !told && r.owner.Clock().Sub(began) >= recordTell {
+			told = true
+			r.tell(ctx, events.RecordsWait, batch, began, slog.String("err", err.Error()))
+		}
 		sleep(ctx, pause)
 		pause = min(2*pause, recordRetryMax)
 	}
 }
 
+// tell logs a write that fails, or that it succeeds after all.
+func (r *recorder) tell(ctx context.Context, event events.Event, batch []scheduler.Record, began time.Time, more ...slog.Attr) {
+	attrs := append([]slog.Attr{
+		slog.String("job", batch[0].Progress.GetId()),
+		slog.String("pool", r.owner.Pool), slog.Uint64("fence", r.owner.Config.Fence),
+		slog.Int("jobs", len(batch)), slog.Int64("waiting", r.pending.Load()),
+		slog.Int64("age_ms", r.owner.Clock().Sub(began).Milliseconds()),
+	}, more...)
+	events.Log(ctx, r.owner.Log, event, attrs...)
+}
+
 func (r *recorder) done(ctx context.Context, batch []scheduler.Record) {
 	r.owner.put(ctx, func(p *scheduler.Pool, now time.Time) {
 		for _, record := range batch {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -224,11 +224,12 @@
 
 func (p *Pool) cancelJob(now time.Time, j *job) {
 	j.cancelled = true
+	p.decideJob(now, DecisionCancelled, j, "")
 	p.endJob(now, j, pb.JobState_JOB_STATE_CANCELLED, "cancelled")
 }
 
 func (p *Pool) failJob(now time.Time, j *job, reason string) {
-	p.out.Decisions = append(p.out.Decisions, Decision{Kind: "failed", Task: TaskID{Job: j.id}, Reason: reason})
+	p.decideJob(now, DecisionFailed, j, reason)
 	p.endJob(now, j, pb.JobState_JOB_STATE_FAILED, reason)
 }
 
@@ -262,6 +263,7 @@
 	if j.over() || len(j.finished) < j.total {
 		return
 	}
+	p.decideJob(now, DecisionCompleted, j, "")
 	p.endJob(now, j, pb.JobState_JOB_STATE_COMPLETED, "")
 }
 
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -98,6 +98,9 @@
 		r.state = runAccepted
 		r.answered = stamp{set: true, at: now, clock: res.Clock}
 		w.pauses = 0
+		if r.task != nil && !r.task.job().started {
+			p.decideJob(now, DecisionBegun, r.task.job(), "")
+		}
 		if r.task != nil {
 			p.markStarted(r.task.job())
 		}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -120,6 +120,7 @@
 // settle takes the end of a run into its task. It returns whether the end has to be recorded.
 func (p *Pool) settle(now time.Time, t *task, r *run, end RunEnd, checkpoint string) bool {
 	j := t.job()
+	p.decide(DecisionEnded, r, end.String())
 	if j.over() || t.done {
 		return j.endUnrecorded(end)
 	}
@@ -217,6 +218,7 @@
 	if r.worker != nil && len(t.failedOn) < maxFailedOn {
 		t.failedOn = append(t.failedOn, r.worker.ID)
 	}
+	p.decideAttempt(r, t.failures, p.maxAttempts(t.job()))
 	if t.failures >= p.maxAttempts(t.job()) {
 		p.failJob(now, t.job(), "too many failed attempts")
 	}
--- a/stats/export.go
+++ b/stats/export.go
@@ -38,6 +38,7 @@
 	s.exportHistogram(&b, queueMetric, func(r *requestSeries) *buckets { return r.queue })
 	exportFamily(&b, s.counters, "counter", func(c metrics.Counter) string { return strconv.FormatInt(c.Count(), 10) })
 	exportFamily(&b, s.gauges, "gauge", func(g metrics.GaugeFloat64) string { return formatNumber(g.Value()) })
+	s.exportTimes(&b)
 	return b.Bytes()
 }
 
@@ -48,21 +49,42 @@
 	}
 }
 
+func (s *Stats) exportTimes(b *bytes.Buffer) {
+	for _, name := range sortedKeys(s.times.byName) {
+		exported := metricName(name)
+		fmt.Fprintf(b, "# TYPE %s histogram\n", exported)
+		for _, id := range sortedKeys(s.times.byName[name]) {
+			exportLabelled(b, exported, id, s.times.byName[name][id])
+		}
+	}
+}
+
 // exportBuckets leaves out a bucket that adds nothing to the one before it: the counts are cumulative.
 func exportBuckets(b *bytes.Buffer, name string, labels []Label, data *buckets) {
+	exportLabelled(b, name, formatLabels(labels), data)
+}
+
+// exportLabelled takes labels as formatLabels makes them.
+func exportLabelled(b *bytes.Buffer, name, labels string, data *buckets) {
 	var count int64
+	bucket := func(le string) string {
+		if labels == "" {
+			return `{le="` + le + `"}`
+		}
+		return strings.TrimSuffix(labels, "}") + `,le="` + le + `"}`
+	}
 	for i, bound := range bounds {
 		added := data.counts[i].Load()
 		count += added
 		if added > 0 {
-			le := Label{Name: "le", Value: formatNumber(time.Duration(bound).Seconds())}
-			fmt.Fprintf(b, "%s_bucket%s %d\n", name, formatLabels(append(slices.Clone(labels), le)), count)
+			le := formatNumber(time.Duration(bound).Seconds())
+			fmt.Fprintf(b, "%s_bucket%s %d\n", name, bucket(le), count)
 		}
 	}
 	count += data.counts[len(bounds)].Load()
-	fmt.Fprintf(b, "%s_bucket%s %d\n", name, formatLabels(append(slices.Clone(labels), Label{Name: "le", Value: "+Inf"})), count)
-	fmt.Fprintf(b, "%s_sum%s %s\n", name, formatLabels(labels), formatNumber(time.Duration(data.Sum()).Seconds()))
-	fmt.Fprintf(b, "%s_count%s %d\n", name, formatLabels(labels), count)
+	fmt.Fprintf(b, "%s_bucket%s %d\n", name, bucket("+Inf"), count)
+	fmt.Fprintf(b, "%s_sum%s %s\n", name, labels, formatNumber(time.Duration(data.Sum()).Seconds()))
+	fmt.Fprintf(b, "%s_count%s %d\n", name, labels, count)
 }
 
 func exportFamily[M any](b *bytes.Buffer, f *family[M], kind string, value func(M) string) {
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -51,6 +51,7 @@
 	requests map[Labels]*requestSeries
 	counters *family[metrics.Counter]
 	gauges   *family[metrics.GaugeFloat64]
+	times    *family[*buckets]
 }
 
 // requestSeries is what one combination of labels has seen.
@@ -72,6 +73,7 @@
 		requests: map[Labels]*requestSeries{},
 		counters: newFamily(limits, metrics.NewCounter),
 		gauges:   newFamily(limits, metrics.NewGaugeFloat64),
+		times:    newFamily(limits, newBuckets),
 	}
 }
 
@@ -137,6 +139,15 @@
 	return s.counters.get(name, labels)
 }
 
+// Time counts a duration in the histogram of that name and labels; its unit is seconds. Beyond the limits it is one that
+// stands for all the rest.
+func (s *Stats) Time(name string, d time.Duration, labels ...Label) {
+	s.mu.Lock()
+	times := s.times.get(name, labels)
+	s.mu.Unlock()
+	times.Update(int64(d))
+}
+
 // Gauge returns the gauge of that name and labels. Beyond the limits it is one that stands for all the rest.
 func (s *Stats) Gauge(name string, labels ...Label) metrics.GaugeFloat64 {
 	s.mu.Lock()
