jobhost: metrics of store calls, acks, takeovers, lease slack; lines for fleet, membership, peers, callers

Metrics have an address of their own (metrics_address), which needs no token. A peer's suspicion, a lease lost or granted, a hand-in's answer with what decided it, moves, upkeeps and waves are numbered events now. membership and jobhost both told of pools gained and lost; jobhost's line is kept.

--- a/cmd/agateturnd/jobs.go
+++ b/cmd/agateturnd/jobs.go
@@ -74,7 +74,7 @@
 			events.Emit(ctx, logger, events.SettingsRefused, "file", file, "err", err)
 			return
 		}
-		host.Reload(changed)
+		host.Reload(ctx, changed)
 	})
 	return host.Run(ctx)
 }
--- a/config/jobs.go
+++ b/config/jobs.go
@@ -23,9 +23,12 @@
 	if _, err := netip.ParseAddr(h.GetIp()); err != nil {
 		c.report("job_host", "", "ip", fmt.Sprintf("found %q", h.GetIp()), "write an IP number, such as 127.0.1.1")
 	}
-	keys := []string{"caller_address", "ready_address", "operator_address", "peer_address"}
+	keys := []string{"caller_address", "ready_address", "operator_address", "peer_address", "metrics_address"}
 	seen := map[string]string{}
-	for i, address := range []string{h.GetCallerAddress(), h.GetReadyAddress(), h.GetOperatorAddress(), h.GetPeerAddress()} {
+	addresses := []string{
+		h.GetCallerAddress(), h.GetReadyAddress(), h.GetOperatorAddress(), h.GetPeerAddress(), h.GetMetricsAddress(),
+	}
+	for i, address := range addresses {
 		if other, taken := seen[address]; taken && address != "" {
 			c.report("job_host", "", keys[i], fmt.Sprintf("address %s is also that of %s", address, other),
 				"give each listener its own port")
--- a/config/jobs_test.go
+++ b/config/jobs_test.go
@@ -69,7 +69,7 @@
 	template, err := os.ReadFile("../deploy/agateturn.ini.template")
 	assert.NilError(t, err)
 	values := map[string]string{
-		"nodeName": "entry-1", "zone": "z", "region": "r", "ip": "10.0.0.9", "listen.front": "10.0.0.9:8624", "portRange.0": "7060",
+		"nodeName": "entry-1", "zone": "z", "region": "r", "ip": "10.0.0.9", "listen.front": "10.0.0.9:8624", "portRange.0": "7060", "portRange.1": "7061",
 		"listen.ready": "10.0.0.9:8622", "platform.address": "10.9.0.7:8621",
 	}
 	s, err := load(t, render(string(template), values))
--- a/internal/fleetowner/order.go
+++ b/internal/fleetowner/order.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
+	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/upkeep"
 )
 
@@ -38,13 +40,34 @@
 	if fence, ok := t.Confirmed(); ok && fence == t.fence {
 		result = t.call(ctx, o)
 	}
-	t.Logger.Debug("ordered", "machine", o.machine(), "pool", o.move.Pool, "wave", o.upkeep.Wave, "result", int(result))
+	events.Log(ctx, t.Logger, events.MachineOrder, slog.String("machine", o.machine()), slog.String("pool", o.move.Pool),
+		slog.Int64("wave", o.upkeep.Wave), slog.Uint64("fence", t.fence), slog.String("outcome", resultName(result)))
 	if result == upkeep.Fenced {
 		return Replaced.New("%s has an order of a later owner", o.machine())
 	}
 	return t.tell(ctx, func(now time.Time) { t.result(now, o, result) })
 }
 
+// resultName names a result for the log.
+func resultName(r upkeep.Result) string {
+	switch r {
+	case upkeep.Unknown:
+		return "unknown"
+	case upkeep.Done:
+		return "done"
+	case upkeep.Busy:
+		return "busy"
+	case upkeep.Refused:
+		return "refused or not sent"
+	case upkeep.Unfit:
+		return "unfit"
+	case upkeep.Fenced:
+		return "fenced"
+	default:
+		return "unknown"
+	}
+}
+
 // result brings the outcome of an order to the planner.
 func (t *term) result(now time.Time, o order, r upkeep.Result) {
 	if o.move.Machine != "" {
--- a/internal/fleetowner/record.go
+++ b/internal/fleetowner/record.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"errors"
+	"log/slog"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/store"
 	"github.com/agateturn/agateturn/upkeep"
@@ -264,6 +266,7 @@
 			w.notTill = now.Add(retryWrite)
 			return
 		}
-		t.Logger.Info("wave completed", "wave", w.Number, "after", now.Sub(w.Seen), "within", w.Within)
+		events.Log(ctx, t.Logger, events.WaveDone, slog.Int64("wave", w.Number), slog.Uint64("fence", t.fence),
+			slog.Int64("took_ms", now.Sub(w.Seen).Milliseconds()), slog.Int64("within_ms", w.Within.Milliseconds()))
 	})
 }
--- a/internal/fleetowner/step.go
+++ b/internal/fleetowner/step.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/store"
 	"github.com/agateturn/agateturn/upkeep"
 )
@@ -73,7 +75,7 @@
 	}
 	orders := make([]order, 0, len(moves))
 	for _, m := range moves {
-		t.Logger.Info("move decided", "machine", m.Machine, "pool", m.Pool, "worker", t.workerOf(m.Machine), "fence", t.fence)
+		t.tellDecided(ctx, events.MoveDecided, m.Machine, slog.String("pool", m.Pool))
 		orders = append(orders, order{move: m})
 	}
 	key := t.Names.MovesKey
@@ -86,7 +88,7 @@
 func (t *term) upkeeps(ctx context.Context, upkeeps []upkeep.Order) error {
 	byWave := map[int64][]order{}
 	for _, u := range upkeeps {
-		t.Logger.Info("upkeep decided", "machine", u.Machine, "wave", u.Wave, "worker", t.workerOf(u.Machine), "fence", t.fence)
+		t.tellDecided(ctx, events.UpkeepDecided, u.Machine, slog.Int64("wave", u.Wave))
 		byWave[u.Wave] = append(byWave[u.Wave], order{upkeep: u})
 	}
 	for _, number := range slices.Sorted(maps.Keys(byWave)) {
@@ -109,6 +111,12 @@
 	return nil
 }
 
+// tellDecided logs a decision about a machine, with the age of the list of machines that it rests on.
+func (t *term) tellDecided(ctx context.Context, event events.Event, machine string, more slog.Attr) {
+	events.Log(ctx, t.Logger, event, slog.String("machine", machine), more, slog.String("worker", t.workerOf(machine)),
+		slog.Uint64("fence", t.fence), slog.Int64("list_age_ms", time.Since(t.listedAt).Milliseconds()))
+}
+
 // workerOf is the present worker of a machine, for the log.
 func (t *term) workerOf(machine string) string {
 	for i := range t.machines {
--- a/internal/fleetowner/waves.go
+++ b/internal/fleetowner/waves.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"time"
 
+	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/store"
 	"github.com/agateturn/agateturn/upkeep"
@@ -46,7 +48,7 @@
 		if err == nil {
 			return asOf, nil
 		}
-		t.Logger.Warn("waves not read", "error", err)
+		events.Log(ctx, t.Logger, events.WaveUnread, slog.Uint64("fence", t.fence), slog.String("err", err.Error()))
 		if err := backoff.Sleep(ctx); err != nil {
 			return 0, err
 		}
@@ -75,7 +77,7 @@
 	}
 	now := time.Now()
 	for _, item := range items {
-		t.addWave(now, item, known)
+		t.addWave(ctx, now, item, known)
 	}
 	return asOf, nil
 }
@@ -109,10 +111,11 @@
 }
 
 // addWave takes in a wave as it lies in the store, with the progress that is known of it.
-func (t *term) addWave(now time.Time, item store.Item, known map[int64]*pb.WaveRecord) {
+func (t *term) addWave(ctx context.Context, now time.Time, item store.Item, known map[int64]*pb.WaveRecord) {
 	parsed, err := t.Names.ParseWave(item.Key, item.Data)
 	if err != nil {
-		t.Logger.Warn("wave not read", "key", item.Key, "error", err)
+		events.Log(ctx, t.Logger, events.WaveUnread, slog.String("key", item.Key),
+			slog.Uint64("version", item.Version), slog.String("err", err.Error()))
 		return
 	}
 	if w := t.waves[parsed.Number]; w != nil {
@@ -121,7 +124,9 @@
 		return
 	}
 	parsed.Seen = now
-	t.Logger.Info("wave of upkeep", "wave", parsed.Number, "machines", len(parsed.Machines), "within", parsed.Within, "cap", parsed.Cap)
+	events.Log(ctx, t.Logger, events.WaveStarted, slog.Int64("wave", parsed.Number),
+		slog.Uint64("version", item.Version), slog.Uint64("fence", t.fence), slog.Int("machines", len(parsed.Machines)),
+		slog.Int64("within_ms", parsed.Within.Milliseconds()), slog.Int("cap", parsed.Cap))
 	w := &wave{Wave: parsed, key: item.Key}
 	t.waves[parsed.Number] = w
 	r := known[parsed.Number]
@@ -187,7 +192,7 @@
 				t.dropWave(e.Item.Key)
 				continue
 			}
-			t.addWave(now, e.Item, nil)
+			t.addWave(ctx, now, e.Item, nil)
 		}
 	})
 }
@@ -200,7 +205,7 @@
 	}
 	_ = t.tell(ctx, func(now time.Time) {
 		for _, item := range items {
-			t.addWave(now, item, nil)
+			t.addWave(ctx, now, item, nil)
 		}
 	})
 	return max(after, asOf)
--- a/internal/jobfront/handler.go
+++ b/internal/jobfront/handler.go
@@ -41,33 +41,40 @@
 	body   []byte
 	// repeat asks the caller to come back.
 	repeat bool
+	// reason says for operators why the answer is no success; it is one of a few constants.
+	reason string
 }
 
 // Handler serves callers' requests.
 func (f *Front) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		answer := f.serve(w, r)
+		began := time.Now()
+		ctx, trace := withTrace(r.Context())
+		answer, q := f.serve(ctx, w, r)
 		f.send(w, answer)
 		f.options.Metrics.answered(r.Method, answer.status)
+		f.tell(ctx, r, q, answer, trace, began)
 	})
 }
 
-func (f *Front) serve(w http.ResponseWriter, r *http.Request) reply {
+// serve returns the answer, and the request as far as it was understood.
+func (f *Front) serve(ctx context.Context, w http.ResponseWriter, r *http.Request) (reply, request) {
 	body, refused := f.readBody(w, r)
 	if refused != nil {
-		return *refused
+		return *refused, request{}
 	}
 	index := f.index()
 	if index == nil {
-		return reply{status: http.StatusServiceUnavailable, repeat: true}
+		return reply{status: http.StatusServiceUnavailable, repeat: true, reason: reasonNoTable}, request{}
 	}
 	q, ok := index.Lookup(hostOf(r.Host), r.URL.Path)
 	if !ok {
-		return f.noQueue()
+		return f.noQueue(), request{}
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), allowed(r.Header.Get(headerDeadline), q.Timeout))
+	ctx, cancel := context.WithTimeout(ctx, allowed(r.Header.Get(headerDeadline), q.Timeout))
 	defer cancel()
-	return f.dispatch(ctx, r.Method, request{queue: q, id: r.URL.Path[len(q.Prefix):]}, body)
+	understood := request{queue: q, id: r.URL.Path[len(q.Prefix):]}
+	return f.dispatch(ctx, r.Method, understood, body), understood
 }
 
 func (f *Front) dispatch(ctx context.Context, method string, r request, body []byte) reply {
@@ -83,31 +90,31 @@
 	case method == http.MethodDelete:
 		return f.cancel(ctx, r)
 	default:
-		return reply{status: http.StatusMethodNotAllowed}
+		return reply{status: http.StatusMethodNotAllowed, reason: reasonMethod}
 	}
 }
 
 // badID answers for an id that no job can have.
 func (f *Front) badID(method string) reply {
 	if method == http.MethodGet || method == http.MethodDelete {
-		return reply{status: http.StatusGone}
+		return reply{status: http.StatusGone, reason: reasonID}
 	}
-	return reply{status: http.StatusBadRequest, body: []byte("no valid job id\n")}
+	return reply{status: http.StatusBadRequest, body: []byte("no valid job id\n"), reason: reasonID}
 }
 
 // noQueue answers for a path that the table has no queue for. A table that was not confirmed lately may lack a new one.
 func (f *Front) noQueue() reply {
 	if !f.options.Tables.Current() {
-		return reply{status: http.StatusServiceUnavailable, repeat: true}
+		return reply{status: http.StatusServiceUnavailable, repeat: true, reason: reasonOldTable}
 	}
-	return reply{status: http.StatusNotFound}
+	return reply{status: http.StatusNotFound, reason: reasonNoQueue}
 }
 
 // readBody reads the whole body, so that no decision is taken on a request that has not arrived.
 func (f *Front) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *reply) {
 	limits := f.limits()
 	if limits.MaxHeaderBytes > 0 && headerBytes(r) > limits.MaxHeaderBytes {
-		return nil, &reply{status: http.StatusRequestHeaderFieldsTooLarge}
+		return nil, &reply{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeader}
 	}
 	if r.ContentLength == 0 {
 		return nil, nil
@@ -117,7 +124,7 @@
 		limit = defaultBodyBytes
 	}
 	if r.ContentLength > limit {
-		return nil, &reply{status: http.StatusRequestEntityTooLarge}
+		return nil, &reply{status: http.StatusRequestEntityTooLarge, reason: reasonBody}
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
@@ -126,9 +133,9 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return nil, &reply{status: http.StatusRequestEntityTooLarge}
+		return nil, &reply{status: http.StatusRequestEntityTooLarge, reason: reasonBody}
 	case err != nil:
-		return nil, &reply{status: http.StatusBadRequest}
+		return nil, &reply{status: http.StatusBadRequest, reason: reasonBody}
 	default:
 		return body, nil
 	}
--- a/internal/jobfront/jobs.go
+++ b/internal/jobfront/jobs.go
@@ -15,7 +15,7 @@
 func (f *Front) handIn(ctx context.Context, r request, body []byte) reply {
 	spec, err := f.options.Codec.DecodeJob(body)
 	if err != nil {
-		return reply{status: http.StatusBadRequest, body: []byte(err.Error() + "\n")}
+		return reply{status: http.StatusBadRequest, body: []byte(err.Error() + "\n"), reason: reasonUnreadable}
 	}
 	job := &pb.JobRecord{
 		Id:         r.id,
@@ -55,9 +55,9 @@
 		stored, known, err := f.options.Store.Lookup(ctx, r.queue.Pool, r.id)
 		switch {
 		case err != nil:
-			return reply{status: http.StatusServiceUnavailable, repeat: true}
+			return reply{status: http.StatusServiceUnavailable, repeat: true, reason: reasonStateSilent}
 		case !known:
-			return reply{status: http.StatusGone}
+			return reply{status: http.StatusGone, reason: reasonNoSuchJob}
 		}
 		state = stored
 	}
@@ -85,7 +85,7 @@
 func (f *Front) count(ctx context.Context, r request) reply {
 	n, ok := f.pending.get(ctx, r.queue)
 	if !ok {
-		return reply{status: http.StatusServiceUnavailable, repeat: true}
+		return reply{status: http.StatusServiceUnavailable, repeat: true, reason: reasonCountSilent}
 	}
 	return reply{status: http.StatusOK, body: f.options.Codec.EncodePending(n)}
 }
--- a/internal/jobfront/relay.go
+++ b/internal/jobfront/relay.go
@@ -68,6 +68,7 @@
 			return result
 		}
 		answer := r.peers.StoreJob(ctx, addresses[at], req)
+		traceOf(ctx).peerAnswered(answer)
 		if isDecided(answer) {
 			r.relayed(ctx)
 			return answer
--- a/internal/jobfront/store.go
+++ b/internal/jobfront/store.go
@@ -44,6 +44,7 @@
 // store writes here, and through peers if that does not succeed. The same write at two places is harmless.
 func (f *Front) store(ctx context.Context, req *pb.StoreJobRequest) pb.StoreResult {
 	a := f.admit(ctx, req)
+	traceOf(ctx).update(func(t *writeTrace) { t.access = a })
 	switch {
 	case a == accessBroken:
 		return f.relay.store(ctx, pb.StoreResult_STORE_RESULT_NOT_STORED, req)
@@ -97,11 +98,16 @@
 // storeHere writes, and notes whether the store answers. A refusal tells nothing: it may come without the store.
 func (f *Front) storeHere(ctx context.Context, req *pb.StoreJobRequest) pb.StoreResult {
 	began := time.Now()
-	var result pb.StoreResult
+	known := true
+	var err error
 	if job := req.GetJob(); job != nil {
-		result = f.storeResult(true, f.options.Store.Accept(ctx, job))
+		err = f.options.Store.Accept(ctx, job)
 	} else {
-		result = f.storeResult(f.options.Store.Cancel(ctx, req.GetCancelPool(), req.GetCancelId()))
+		known, err = f.options.Store.Cancel(ctx, req.GetCancelPool(), req.GetCancelId())
+	}
+	result := f.storeResult(known, err)
+	if err != nil {
+		traceOf(ctx).update(func(t *writeTrace) { t.err = err.Error() })
 	}
 	switch {
 	case isDecided(result):
@@ -136,10 +142,10 @@
 	case pb.StoreResult_STORE_RESULT_STORED:
 		return reply{status: http.StatusOK}
 	case pb.StoreResult_STORE_RESULT_UNKNOWN_JOB:
-		return reply{status: http.StatusGone}
+		return reply{status: http.StatusGone, reason: reasonNoSuchJob}
 	case pb.StoreResult_STORE_RESULT_NOT_STORED:
-		return reply{status: http.StatusServiceUnavailable, repeat: true}
+		return reply{status: http.StatusServiceUnavailable, repeat: true, reason: reasonNotStored}
 	default:
-		return reply{status: http.StatusGatewayTimeout}
+		return reply{status: http.StatusGatewayTimeout, reason: reasonUndecided}
 	}
 }
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -24,6 +24,7 @@
 	"github.com/agateturn/agateturn/internal/tablefollow"
 	"github.com/agateturn/agateturn/internal/workerlist"
 	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/stats"
 )
 
 const (
@@ -47,6 +48,7 @@
 	settings atomic.Pointer[pb.JobSettings]
 	log      *slog.Logger
 	clock    *boottime.Clock
+	stats    *stats.Stats
 
 	kv      *platform.Store
 	workers *platform.Workers
@@ -65,7 +67,11 @@
 func New(s *pb.JobSettings, log *slog.Logger) *Host {
 	h := &Host{log: log, clock: boottime.New(), listWanted: make(chan struct{})}
 	h.settings.Store(s)
-	h.kv = platform.NewStore(s.GetJobStore().GetAddress(), platform.StoreOptions{Timeout: storeTimeout})
+	h.stats = stats.New(stats.Limits{})
+	h.kv = platform.NewStore(s.GetJobStore().GetAddress(), platform.StoreOptions{
+		Timeout: storeTimeout,
+		Observe: newCallMeter(h.stats, metricStoreCalls, metricStoreTime).observe,
+	})
 	h.workers = platform.NewWorkers(platform.WorkersOptions{Now: h.clock.Now})
 	h.tables = tablefollow.New(h.kv, platform.ConfigKey, platform.ParseTable, log)
 	h.pools = newPools(h)
@@ -76,6 +82,7 @@
 	h.jobs = jobstore.New(h.kv, h.clock.Now, log, jobstore.Options{WatchSpacing: watchSpacing})
 	h.peers = jobpeer.New(h.resolve, h.pools)
 	h.peers.OnRefused(h.peerGone)
+	h.peers.LogTo(log)
 	h.front = jobfront.New(h.frontOptions())
 	h.list = workerlist.New(h.kv, platform.WorkersPrefix, platform.ParseWorker, h.clock.Now, log, h.pools.setWorkers)
 	return h
@@ -93,14 +100,14 @@
 
 // Reload puts changed settings in force. Name and addresses stay as they were until the next start; bounds hold from the
 // next pool that this host gains.
-func (h *Host) Reload(s *pb.JobSettings) {
+func (h *Host) Reload(ctx context.Context, s *pb.JobSettings) {
 	before := h.settings.Load()
 	if !proto.Equal(before.GetJobHost(), s.GetJobHost()) {
-		events.Emit(context.Background(), h.log, events.SettingsKept)
+		events.Emit(ctx, h.log, events.SettingsKept)
 		s.JobHost = before.GetJobHost()
 	}
 	h.settings.Store(s)
-	events.Emit(context.Background(), h.log, events.SettingsReloaded)
+	events.Emit(ctx, h.log, events.SettingsReloaded)
 }
 
 // resolve tells where the owner of a pool is.
@@ -135,6 +142,7 @@
 	if err := h.listen(work, group); err != nil {
 		return err
 	}
+	h.tellStarted(ctx)
 	group.Go(func() error { h.tables.Run(work); return nil })
 	group.Go(func() error { h.followTable(work); return nil })
 	group.Go(func() error { return ended(work, h.jobs.Run(work)) })
@@ -158,10 +166,10 @@
 
 // ended hides the error of a duty that ended because it was told to.
 func ended(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return nil
+	if ctx.Err() == nil {
+		return err
 	}
-	return err
+	return nil
 }
 
 func (h *Host) listen(ctx context.Context, group *errgroup.Group) error {
@@ -184,6 +192,9 @@
 	mux := http.NewServeMux()
 	mux.Handle(jobpeer.NewHandler(h.pools, h.tables, h.front))
 	h.serve(ctx, group, peers, mux)
+	if err := h.listenMetrics(ctx, group); err != nil {
+		return err
+	}
 	return h.listenOperators(ctx, group)
 }
 
--- a/internal/jobhost/operate.go
+++ b/internal/jobhost/operate.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"net"
-	"net/http"
 
 	"golang.org/x/sync/errgroup"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/jobfront"
 	"github.com/agateturn/agateturn/internal/operatorapi"
-	"github.com/agateturn/agateturn/stats"
 )
 
 // Describe tells operators about the jobs of a pool that this host owns.
@@ -42,37 +40,3 @@
 	h.serve(ctx, group, listener, api)
 	return nil
 }
-
-// Names of the gauges of owned pools. Hosts that do not own a pool tell 0 for it, so that sums over hosts are right.
-const (
-	metricPoolOwned = "agateturn_pool_owned"
-	metricPending   = "agateturn_job_pending"
-)
-
-// metricsHandler serves the metrics of the front, and those of the pools that this host owns.
-func (h *Host) metricsHandler() http.Handler {
-	front := h.front.MetricsHandler()
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		h.setGauges() //nolint:contextcheck // the pools bound the time of their answers themselves
-		front.ServeHTTP(w, r)
-	})
-}
-
-func (h *Host) setGauges() {
-	table := h.tables.Table()
-	if table == nil {
-		return
-	}
-	kept := h.front.Stats()
-	for _, p := range table.Pools {
-		owned := 0.0
-		if h.pools.owner(p.Name) != nil {
-			owned = 1
-		}
-		kept.Gauge(metricPoolOwned, stats.Label{Name: "pool", Value: p.Name}).Update(owned)
-	}
-	for _, q := range table.Queues {
-		pending, _ := h.pools.Pending(q.Pool, q.Name)
-		kept.Gauge(metricPending, stats.Label{Name: "queue", Value: q.Name}).Update(float64(pending))
-	}
-}
--- a/internal/jobhost/options.go
+++ b/internal/jobhost/options.go
@@ -40,6 +40,7 @@
 		Relays:         relays{h},
 		Log:            h.log,
 		IsNotAccepted:  notStored,
+		Metrics:        jobfront.NewMetrics(h.stats),
 		ContentType:    contentType,
 		MaxConnections: maxConnections,
 		StopNotice:     stopNotice,
@@ -93,6 +94,7 @@
 		Replaced: func() { h.members.Replaced(pool, fence) },
 		Clock:    h.clock.Now,
 		Log:      h.log,
+		Metrics:  poolowner.NewMetrics(h.stats),
 	})
 }
 
--- a/internal/jobpeer/client.go
+++ b/internal/jobpeer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -12,6 +13,7 @@
 	"connectrpc.com/connect"
 	"github.com/zeebo/errs"
 
+	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
 )
@@ -49,6 +51,7 @@
 	states   *batcher
 	suspects *suspects
 	// onRefused may be nil.
+	log       *slog.Logger
 	onRefused func(address string)
 
 	mu    sync.Mutex
@@ -80,6 +83,19 @@
 // the first call.
 func (c *Client) OnRefused(f func(address string)) { c.onRefused = f }
 
+// LogTo sets where lost and regained peers are logged. It is called before the first call.
+func (c *Client) LogTo(log *slog.Logger) { c.log = log }
+
+func (c *Client) tell(ctx context.Context, address string, change suspicion, err error) {
+	switch {
+	case c.log == nil || change == suspicionStays:
+	case change == suspicionBegins:
+		events.Log(ctx, c.log, events.PeerUnreachable, slog.String("peer", address), slog.String("err", err.Error()))
+	case change == suspicionEnds:
+		events.Log(ctx, c.log, events.PeerBack, slog.String("peer", address))
+	}
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -109,7 +125,7 @@
 		return nil, errSuspect.New("%s", address)
 	}
 	answer, err := m(c.at(address), ctx, connect.NewRequest(req))
-	c.suspects.note(address, time.Now(), failed(err))
+	c.tell(ctx, address, c.suspects.note(address, time.Now(), failed(err)), err)
 	if c.onRefused != nil && errors.Is(err, syscall.ECONNREFUSED) {
 		c.onRefused(address)
 	}
--- a/internal/jobpeer/suspects.go
+++ b/internal/jobpeer/suspects.go
@@ -41,13 +41,16 @@
 	return true
 }
 
-// note records the end of a call.
-func (s *suspects) note(address string, now time.Time, failed bool) {
+// note records the end of a call and tells whether the peer becomes, or ceases to be, suspect by it.
+func (s *suspects) note(address string, now time.Time, failed bool) (change suspicion) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !failed {
+		if p := s.peers[address]; p != nil && p.failures >= suspectAfter {
+			change = suspicionEnds
+		}
 		delete(s.peers, address)
-		return
+		return change
 	}
 	p := s.peers[address]
 	if p == nil {
@@ -59,4 +62,17 @@
 	}
 	p.failures++
 	p.next = now.Add(probeEvery)
+	if p.failures == suspectAfter {
+		return suspicionBegins
+	}
+	return suspicionStays
 }
+
+// suspicion is how a call changes what is thought of a peer.
+type suspicion int
+
+const (
+	suspicionStays suspicion = iota
+	suspicionBegins
+	suspicionEnds
+)
--- a/internal/membership/consent.go
+++ b/internal/membership/consent.go
@@ -8,6 +8,7 @@
 	"github.com/samber/lo"
 	"github.com/zeebo/errs"
 
+	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/ownership"
 	"github.com/agateturn/agateturn/store"
@@ -72,7 +73,8 @@
 		if err != nil {
 			continue
 		}
-		m.log.Info("pool handed over", slog.String("pool", pool), slog.String("peer", peer.GetName()))
+		events.Log(ctx, m.log, events.PoolHandedOver, slog.String("pool", pool), slog.Uint64("fence", fence),
+			slog.String("peer", peer.GetName()), slog.Int64("store_age_ms", m.storeAge().Milliseconds()))
 		m.post(ctx, func(context.Context) { m.elector.handedOver(pool, fence, peer) })
 		return true
 	}
--- a/internal/membership/elect.go
+++ b/internal/membership/elect.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -156,13 +155,11 @@
 	m.known.Store(&snapshot{owners: owners, members: e.view.live(), held: maps.Clone(held)})
 	for _, pool := range sortedKeys(before) {
 		if held[pool] != before[pool] {
-			m.log.Info("pool lost", slog.String("pool", pool), slog.Uint64("fence", before[pool]))
 			m.events.Lost(pool, before[pool])
 		}
 	}
 	for _, pool := range sortedKeys(held) {
 		if held[pool] != before[pool] {
-			m.log.Info("pool gained", slog.String("pool", pool), slog.Uint64("fence", held[pool]))
 			m.events.Gained(pool, held[pool])
 		}
 	}
--- a/internal/membership/keep.go
+++ b/internal/membership/keep.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/jobkeys"
 	"github.com/agateturn/agateturn/store"
@@ -69,7 +70,7 @@
 
 // hold registers the member under the lease and renews it until it is lost.
 func (m *Manager) hold(ctx context.Context, lease uint64, ttl time.Duration) {
-	m.log.Info("lease granted", slog.Uint64("lease", lease), slog.Duration("ttl", ttl))
+	events.Log(ctx, m.log, events.LeaseGranted, slog.Uint64("lease", lease), slog.Int64("ttl_ms", ttl.Milliseconds()))
 	m.post(ctx, func(context.Context) {
 		m.elector.gainLease(lease, m.clock(), m.opts)
 	})
@@ -89,7 +90,8 @@
 		case err := <-results:
 			running--
 			if store.LeaseLost.Has(err) {
-				m.log.Warn("lease lost", slog.Uint64("lease", lease))
+				events.Log(ctx, m.log, events.LeaseLost, slog.Uint64("lease", lease), slog.String("err", err.Error()),
+					slog.Int64("store_age_ms", m.storeAge().Milliseconds()))
 				return
 			}
 			failures++
@@ -169,7 +171,7 @@
 	defer ticker.Stop()
 	for {
 		if m.confirmation.Tick(m.clock()) {
-			m.log.Warn("process was suspended; the lease is confirmed before anything is ordered")
+			events.Log(ctx, m.log, events.PauseDetected, slog.Int64("store_age_ms", m.storeAge().Milliseconds()))
 			wake(m.renewNow)
 		}
 		select {
--- a/internal/membership/leave.go
+++ b/internal/membership/leave.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+
+	catalogue "github.com/agateturn/agateturn/events"
 )
 
 // Leave gives everything up for a planned stop: it marks the member as leaving, then for each pool calls handover, which
@@ -46,7 +48,8 @@
 		return
 	}
 	if err != nil {
-		m.log.Info("pool is freed by the end of the lease", slog.String("pool", pool), slog.Any("error", err))
+		catalogue.Log(ctx, m.log, catalogue.PoolsNotHandedOver, slog.String("pool", pool), slog.Uint64("fence", fence),
+			slog.String("err", err.Error()))
 		return
 	}
 	apply := func(e *elector) {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -199,6 +199,19 @@
 	})
 }
 
+// storeAge is the time since the store last answered; it is long if it never did.
+func (m *Manager) storeAge() time.Duration {
+	heard := m.heard.Load()
+	if heard == 0 {
+		return time.Hour
+	}
+	return m.clock().Sub(time.Unix(0, heard))
+}
+
+// LeaseSlack is the time left until this host may no longer act on what it owns, unless the store confirms its lease
+// before. It is negative afterwards.
+func (m *Manager) LeaseSlack() time.Duration { return m.confirmation.Slack(m.clock()) }
+
 // StoreHeard is when the store last answered a call with success; zero if it never did.
 func (m *Manager) StoreHeard() time.Time {
 	n := m.heard.Load()
--- a/internal/workerlist/list.go
+++ b/internal/workerlist/list.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/scheduler"
 	"github.com/agateturn/agateturn/store"
 )
@@ -91,7 +92,7 @@
 		return err
 	}
 	l.asOf = max(l.asOf, asOf)
-	l.apply(l.clock(), events)
+	l.apply(ctx, l.clock(), events)
 	return nil
 }
 
@@ -107,7 +108,7 @@
 	seen := make(map[string]bool, len(items))
 	for _, item := range items {
 		seen[item.Key] = true
-		changed = l.put(item) || changed
+		changed = l.put(ctx, item) || changed
 	}
 	for key, e := range l.entries {
 		if !seen[key] && e.version <= asOf {
@@ -121,27 +122,27 @@
 	return nil
 }
 
-func (l *List) apply(now time.Time, events []store.Event) {
+func (l *List) apply(ctx context.Context, now time.Time, events []store.Event) {
 	changed := false
 	for _, e := range events {
 		if e.Deleted {
 			changed = l.remove(e.Item.Key, now) || changed
 			continue
 		}
-		changed = l.put(e.Item) || changed
+		changed = l.put(ctx, e.Item) || changed
 	}
 	l.publish(now, changed)
 }
 
 // put takes in an entry and reports whether it changes what the scheduler sees.
-func (l *List) put(item store.Item) bool {
+func (l *List) put(ctx context.Context, item store.Item) bool {
 	old, had := l.entries[item.Key]
 	if had && item.Version <= old.version {
 		return false
 	}
 	worker, pool, err := l.parse(item.Key, item.Data)
 	if err != nil {
-		l.refuse(item, err)
+		l.refuse(ctx, item, err)
 		return l.remove(item.Key, l.clock())
 	}
 	delete(l.refused, item.Key)
@@ -149,9 +150,10 @@
 	return !had || !old.gone.IsZero() || old.pool != pool || !same(old.worker, worker)
 }
 
-func (l *List) refuse(item store.Item, err error) {
+func (l *List) refuse(ctx context.Context, item store.Item, err error) {
 	if l.refused[item.Key] == 0 {
-		l.log.Warn("entry names no worker", "key", item.Key, "err", err)
+		events.Log(ctx, l.log, events.WorkerUnread, slog.String("key", item.Key),
+			slog.Uint64("version", item.Version), slog.String("err", err.Error()))
 	}
 	l.refused[item.Key] = item.Version
 }
--- a/ownership/confirm.go
+++ b/ownership/confirm.go
@@ -54,6 +54,11 @@
 // Withdraw forgets all confirmations.
 func (c *Confirmation) Withdraw() { c.confirmed.Store(0) }
 
+// Slack is how long the last confirmation still holds; negative if it does not.
+func (c *Confirmation) Slack(now time.Time) time.Duration {
+	return c.limits.Unconfirmed - time.Duration(now.UnixNano()-c.confirmed.Load())
+}
+
 // Holds reports whether the host ran and was confirmed recently enough to act as an owner.
 func (c *Confirmation) Holds(now time.Time) bool {
 	n := now.UnixNano()
