--- a/events/events.go
+++ b/events/events.go
@@ -10,11 +10,9 @@
 	"fmt"
 	"log/slog"
 	"slices"
+	"time"
 )
 
-// fixedAttrs is the number of attributes that each line may have besides its own.
-const fixedAttrs = 3
-
 // Event is one kind of log line.
 type Event struct {
 	Number  int
@@ -36,17 +34,37 @@
 	logger.Log(ctx, event.Level, event.Message, append(fixed, args...)...)
 }
 
-// Log is Emit with attributes alone, which costs less.
+// Gate is a handler that bounds the lines of each event. Log asks it before it makes a line.
+type Gate interface {
+	slog.Handler
+	// Admit takes note of a line and reports whether it is written.
+	Admit(number int, now time.Time) bool
+	// HandleAdmitted is Handle for a line that was admitted already.
+	HandleAdmitted(ctx context.Context, r slog.Record) error
+}
+
+// Log is Emit with attributes alone. It costs less: there is no place in the source in the line, and a line that a Gate
+// leaves out is not made.
 func Log(ctx context.Context, logger *slog.Logger, event Event, attrs ...slog.Attr) {
-	if !logger.Enabled(ctx, event.Level) {
+	handler := logger.Handler()
+	if !handler.Enabled(ctx, event.Level) {
 		return
 	}
-	all := make([]slog.Attr, 0, fixedAttrs+len(attrs))
-	all = append(all, slog.Int("event", event.Number), slog.String("name", event.Name))
+	now := time.Now()
+	handle := handler.Handle
+	if gate, ok := handler.(Gate); ok {
+		if !gate.Admit(event.Number, now) {
+			return
+		}
+		handle = gate.HandleAdmitted
+	}
+	r := slog.NewRecord(now, event.Level, event.Message, 0)
+	r.AddAttrs(slog.Int("event", event.Number), slog.String("name", event.Name))
+	r.AddAttrs(attrs...)
 	if event.Remedy != "" {
-		all = append(all, slog.String("remedy", event.Remedy))
+		r.AddAttrs(slog.String("remedy", event.Remedy))
 	}
-	logger.LogAttrs(ctx, event.Level, event.Message, append(all, attrs...)...)
+	_ = handle(ctx, r) // there is nowhere else to tell
 }
 
 // All returns the catalogue in the order of the numbers.
--- a/internal/logpipe/limit.go
+++ b/internal/logpipe/limit.go
@@ -81,6 +81,8 @@
 	return out
 }
 
+var _ events.Gate = limited{}
+
 // limited passes on the lines that the limits admit.
 type limited struct {
 	slog.Handler
@@ -95,6 +97,14 @@
 	return h.Handler.Handle(ctx, r)
 }
 
+// Admit implements events.Gate.
+func (h limited) Admit(number int, now time.Time) bool { return h.limits.admit(int64(number), now) }
+
+// HandleAdmitted implements events.Gate.
+func (h limited) HandleAdmitted(ctx context.Context, r slog.Record) error {
+	return h.Handler.Handle(ctx, r)
+}
+
 // WithAttrs implements slog.Handler.
 func (h limited) WithAttrs(attrs []slog.Attr) slog.Handler {
 	return limited{Handler: h.Handler.WithAttrs(attrs), limits: h.limits}
