--- a/internal/poolowner/hold.go
+++ b/internal/poolowner/hold.go
@@ -21,8 +21,7 @@
 	holdRetry = 150 * time.Millisecond
 	// refusalsGone is how many refused connections in a row show that a worker has ended.
 	refusalsGone = 2
-	// ackPoll is how often a holder looks whether ends may be acknowledged, ackWait how long it waits for that.
-	ackPoll = 4 * time.Millisecond
+	// ackWait is how long a holder waits until ends may be acknowledged.
 	ackWait = 200 * time.Millisecond
 )
 
@@ -149,14 +148,20 @@
 		return
 	}
 	last := r.Ended[len(r.Ended)-1].Number
-	for waited := time.Duration(0); waited < ackWait && ctx.Err() == nil; waited += ackPoll {
+	timer := time.NewTimer(ackWait)
+	defer timer.Stop()
+	for {
+		recorded := o.recorded.wait()
 		var next scheduler.Hold
-		if !o.ask(ctx, func(p *scheduler.Pool, now time.Time) { next = p.Hold(worker, now) }) {
+		if !o.ask(ctx, func(p *scheduler.Pool, now time.Time) { next = p.Hold(worker, now) }) || next.LastSeen >= last {
 			return
 		}
-		if next.LastSeen >= last {
+		select {
+		case <-recorded:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
 			return
 		}
-		sleep(ctx, ackPoll)
 	}
 }
--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -91,6 +91,8 @@
 	holders *holders
 	// began is when the term began.
 	began time.Time
+	// recorded is sent whenever progress has become durable.
+	recorded signal
 }
 
 // input is something that happened. It runs on the loop's goroutine.
--- a/internal/poolowner/records.go
+++ b/internal/poolowner/records.go
@@ -137,5 +137,6 @@
 		for _, record := range batch {
 			p.Recorded(now, record.Progress.GetId(), record.Version)
 		}
+		r.owner.recorded.send()
 	})
 }
