Moves: count waiting work against machines that are there; guess the first peak

A pool that waited for machines counted them as if they worked already, so it asked for too few in its first turn. Pools are looked at each 300 ms when all is quiet.

--- a/internal/fleetowner/poll.go
+++ b/internal/fleetowner/poll.go
@@ -11,9 +11,9 @@
 
 const (
 	pollTimeout = 500 * time.Millisecond
-	// pollBusy and pollIdle are the times between two looks at a pool.
+	// pollBusy and pollIdle are the times between two looks at a pool. A turn must be seen early also when all is quiet.
 	pollBusy = 250 * time.Millisecond
-	pollIdle = 500 * time.Millisecond
+	pollIdle = 300 * time.Millisecond
 	// pollSpread is the least mean time between looks at any pool.
 	pollSpread = 20 * time.Millisecond
 )
--- a/upkeep/move.go
+++ b/upkeep/move.go
@@ -14,8 +14,10 @@
 	unit float64
 	// have counts machines that stay or come; want is needed when a move ordered now is over, keep until then.
 	have int
-	want float64
-	keep float64
+	// serving counts those of them that are there now.
+	serving int
+	want    float64
+	keep    float64
 	// stay is how long the want lasts.
 	stay time.Duration
 	// leaving are machines that a move may take, cheapest first.
@@ -36,6 +38,8 @@
 	plans map[string]*poolPlan
 	names []string
 	spare string
+	// capacity is the CPU of all machines.
+	capacity float64
 	// idle are the machines in spare pools that may go.
 	idle     []string
 	calendar *calendar
@@ -156,11 +160,15 @@
 		}
 		if p := m.plans[m.poolOf(machine, i)]; p != nil && machine.State != Down && (i == nil || i.move()) {
 			p.have++
+			if machine.State == Up && machine.Pool == p.name {
+				p.serving++
+			}
 			if machine.State == Up && i == nil && m.notBefore[id].IsZero() {
 				p.leaving = append(p.leaving, id)
 			}
 		}
 	}
+	m.capacity = cpu
 	for _, p := range m.plans {
 		m.setUnit(p, cpu/max(1, count))
 		m.sortByCost(p.leaving)
@@ -250,7 +258,7 @@
 		keep = max(keep, p.used+backlog/drain)
 	}
 	// What still waits when a move is over, at the capacity of now.
-	capacity := float64(p.have)*p.unit - p.persistent
+	capacity := max(0, float64(p.serving)*p.unit-p.persistent)
 	left := max(0, backlog+(until-capacity)*float64(m.lead().Milliseconds()))
 	want := p.persistent + then + min(left/drain, max(p.peak, then)/2)
 	p.keep = max(keep/p.unit, want/p.unit, p.floor())
--- a/upkeep/reserve.go
+++ b/upkeep/reserve.go
@@ -62,7 +62,7 @@
 	return next, order
 }
 
-// guessPeaks takes the mean peak of the other pools for that of a pool without any.
+// guessPeaks takes the mean peak of the other pools for that of a pool without any, or else an equal share of the fleet.
 func (m *mover) guessPeaks() {
 	sum, count := 0.0, 0.0
 	for _, p := range m.plans {
@@ -71,6 +71,10 @@
 			count++
 		}
 	}
+	if count == 0 {
+		sum = m.capacity
+		count = float64(len(m.plans))
+	}
 	for _, p := range m.plans {
 		p.guess = sum / max(1, count)
 	}
