--- a/cmd/agateturn-standin/main.go
+++ b/cmd/agateturn-standin/main.go
@@ -8,11 +8,11 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
+
+	"github.com/agateturn/agateturn/internal/command"
 )
 
 const (
@@ -26,6 +26,7 @@
 	Workers  workersCommand  `cmd:"" help:"Serve every worker of a deployment."`
 	Judge    judgeCommand    `cmd:"" help:"Compare what the workers saw with the promises."`
 	Load     loadCommand     `cmd:"" help:"Send a bounded load to entry hosts on loopback and check each answer."`
+	Jobs     jobsCommand     `cmd:"" help:"Play a platform that runs jobs and its callers, and compare what both saw."`
 }
 
 func main() {
@@ -35,11 +36,7 @@
 		kong.Description("Plays the platform, the workers and the callers in demos and tests."),
 		kong.UsageOnError(),
 	)
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	parsed.BindTo(ctx, (*context.Context)(nil))
-	err := parsed.Run()
-	stop()
-	parsed.FatalIfErrorf(err)
+	command.Run(parsed)
 }
 
 // serve answers HTTP on address until ctx ends.
--- a/internal/entryhost/announce.go
+++ b/internal/entryhost/announce.go
@@ -17,8 +17,6 @@
 const (
 	// announcePeriod is the longest time between two looks at what changed.
 	announcePeriod = 500 * time.Millisecond
-	// silentHeartbeats is the number of heartbeats after which a peer counts as not reachable.
-	silentHeartbeats = 5
 	// drainHangs is the time after which a drain is reported as held up.
 	drainHangs = 10 * time.Minute
 )
@@ -63,7 +61,7 @@
 func (a *announcer) look(ctx context.Context, now time.Time) {
 	a.readiness(ctx)
 	f := a.view.fleet()
-	controls := f.GetController() == identity(a.self)
+	controls := f.GetController() == fleet.Identity(a.self)
 	if controls && a.fleet != nil {
 		for _, o := range fleetEvents(a.fleet, f) {
 			events.Emit(ctx, a.logger, o.event, o.args...)
@@ -75,7 +73,7 @@
 	}
 	a.fleet = f
 	a.tell(ctx, &a.silent, a.peers.silent(now), events.PeerUnreachable, events.PeerBack, "peer")
-	a.tell(ctx, &a.ejected, a.dispatch.load(ctx).ejected, events.HostEjected, events.HostProbedBack, "host")
+	a.tell(ctx, &a.ejected, setOf(a.dispatch.load(ctx).ejected), events.HostEjected, events.HostProbedBack, "host")
 	if controls {
 		a.tell(ctx, &a.hanging, hanging(f, now), events.HostDrainHangs, events.Event{}, "host")
 		a.tell(ctx, &a.absent, absentHosts(a.view.config(), a.list), events.HostNotInList, events.Event{}, "host")
@@ -121,6 +119,10 @@
 // states is a set of names in some state.
 type states map[string]bool
 
+func setOf(names []string) states {
+	return lo.SliceToMap(names, func(name string) (string, bool) { return name, true })
+}
+
 // replace takes over the new set and returns, sorted, what entered it and what left it.
 func (s *states) replace(now states) (entered, left []string) {
 	entered, left = lo.Difference(lo.Keys(now), lo.Keys(*s))
@@ -156,24 +158,6 @@
 	})
 }
 
-// silent are the members that have not been heard for too long.
-func (p *peers) silent(now time.Time) states {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	limit := silentHeartbeats * p.heartbeat
-	silent := states{}
-	for _, m := range p.others() {
-		heard := p.started
-		if r, known := p.latest[m.GetIncarnation()]; known {
-			heard = r.At
-		}
-		if now.Sub(heard) > limit {
-			silent[m.GetName()] = true
-		}
-	}
-	return silent
-}
-
 // hanging are the hosts that have been draining for too long.
 func hanging(f *pb.Fleet, now time.Time) states {
 	found := states{}
@@ -250,14 +234,14 @@
 
 func memberEvents(before, after *pb.Fleet) []occurrence {
 	var found []occurrence
-	old, present := lo.KeyBy(before.GetMembers(), identity), lo.KeyBy(after.GetMembers(), identity)
+	old, present := lo.KeyBy(before.GetMembers(), fleet.Identity[*pb.Member]), lo.KeyBy(after.GetMembers(), fleet.Identity[*pb.Member])
 	for _, m := range after.GetMembers() {
-		if old[identity(m)] == nil {
+		if old[fleet.Identity(m)] == nil {
 			found = append(found, occurrence{events.MemberJoined, []any{"member", m.GetName()}})
 		}
 	}
 	for _, m := range before.GetMembers() {
-		if present[identity(m)] == nil {
+		if present[fleet.Identity(m)] == nil {
 			event := lo.Ternary(m.GetLeaving(), events.MemberLeft, events.MemberGone)
 			found = append(found, occurrence{event, []any{"member", m.GetName(), "incarnation", m.GetIncarnation()}})
 		}
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -24,6 +24,7 @@
 	"github.com/agateturn/agateturn/internal/tablefollow"
 	"github.com/agateturn/agateturn/internal/workerlist"
 	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/stats"
 )
 
 const (
@@ -33,6 +34,10 @@
 	readHeaderTimeout = 2 * time.Second
 	// stopMargin is the part of the grace that is left when the last requests must have ended.
 	stopMargin = 500 * time.Millisecond
+	// storeTimeout bounds one call on the store.
+	storeTimeout = 2500 * time.Millisecond
+	// watchSpacing is the least time between two watches for new jobs; entry hosts also pass them on directly.
+	watchSpacing = 500 * time.Millisecond
 	// leaveTimeout bounds the hand-over of pools at a planned stop.
 	leaveTimeout = 1500 * time.Millisecond
 )
@@ -43,6 +48,7 @@
 	settings atomic.Pointer[pb.JobSettings]
 	log      *slog.Logger
 	clock    *boottime.Clock
+	stats    *stats.Stats
 
 	kv      *platform.Store
 	workers *platform.Workers
@@ -61,7 +67,11 @@
 func New(s *pb.JobSettings, log *slog.Logger) *Host {
 	h := &Host{log: log, clock: boottime.New(), listWanted: make(chan struct{})}
 	h.settings.Store(s)
-	h.kv = platform.NewStore(s.GetJobStore().GetAddress(), platform.StoreOptions{})
+	h.stats = stats.New(stats.Limits{})
+	h.kv = platform.NewStore(s.GetJobStore().GetAddress(), platform.StoreOptions{
+		Timeout: storeTimeout,
+		Observe: newCallMeter(h.stats, metricStoreCalls, metricStoreTime).observe,
+	})
 	h.workers = platform.NewWorkers(platform.WorkersOptions{Now: h.clock.Now})
 	h.tables = tablefollow.New(h.kv, platform.ConfigKey, platform.ParseTable, log)
 	h.pools = newPools(h)
@@ -69,8 +79,10 @@
 		Gained: h.pools.gained,
 		Lost:   h.pools.lost,
 	}, h.clock.Now, log, h.membershipOptions())
-	h.jobs = jobstore.New(h.kv, h.clock.Now, log, jobstore.Options{})
+	h.jobs = jobstore.New(h.kv, h.clock.Now, log, jobstore.Options{WatchSpacing: watchSpacing})
 	h.peers = jobpeer.New(h.resolve, h.pools)
+	h.peers.OnRefused(h.peerGone)
+	h.peers.LogTo(log)
 	h.front = jobfront.New(h.frontOptions())
 	h.list = workerlist.New(h.kv, platform.WorkersPrefix, platform.ParseWorker, h.clock.Now, log, h.pools.setWorkers)
 	return h
@@ -88,14 +100,14 @@
 
 // Reload puts changed settings in force. Name and addresses stay as they were until the next start; bounds hold from the
 // next pool that this host gains.
-func (h *Host) Reload(s *pb.JobSettings) {
+func (h *Host) Reload(ctx context.Context, s *pb.JobSettings) {
 	before := h.settings.Load()
 	if !proto.Equal(before.GetJobHost(), s.GetJobHost()) {
-		events.Emit(context.Background(), h.log, events.SettingsKept)
+		events.Emit(ctx, h.log, events.SettingsKept)
 		s.JobHost = before.GetJobHost()
 	}
 	h.settings.Store(s)
-	events.Emit(context.Background(), h.log, events.SettingsReloaded)
+	events.Emit(ctx, h.log, events.SettingsReloaded)
 }
 
 // resolve tells where the owner of a pool is.
@@ -107,6 +119,20 @@
 	return record.GetPeerAddress(), record.GetMember() == h.settings.Load().GetJobHost().GetName(), true
 }
 
+// peerGone frees the pools of a peer that has ended.
+func (h *Host) peerGone(address string) {
+	table := h.tables.Table()
+	if table == nil {
+		return
+	}
+	for _, pool := range poolNames(table) {
+		record, fence, ok := h.members.Owner(pool)
+		if ok && record.GetPeerAddress() == address {
+			h.members.OwnerGone(pool, fence)
+		}
+	}
+}
+
 // Run serves until ctx ends, then stops as planned: it hands over its pools and finishes the requests that it has.
 func (h *Host) Run(ctx context.Context) error {
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
@@ -116,6 +142,7 @@
 	if err := h.listen(work, group); err != nil {
 		return err
 	}
+	h.tellStarted(ctx)
 	group.Go(func() error { h.tables.Run(work); return nil })
 	group.Go(func() error { h.followTable(work); return nil })
 	group.Go(func() error { return ended(work, h.jobs.Run(work)) })
@@ -139,10 +166,10 @@
 
 // ended hides the error of a duty that ended because it was told to.
 func ended(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return nil
+	if ctx.Err() == nil {
+		return err
 	}
-	return err
+	return nil
 }
 
 func (h *Host) listen(ctx context.Context, group *errgroup.Group) error {
@@ -165,6 +192,9 @@
 	mux := http.NewServeMux()
 	mux.Handle(jobpeer.NewHandler(h.pools, h.tables, h.front))
 	h.serve(ctx, group, peers, mux)
+	if err := h.listenMetrics(ctx, group); err != nil {
+		return err
+	}
 	return h.listenOperators(ctx, group)
 }
 
--- a/internal/jobhost/options.go
+++ b/internal/jobhost/options.go
@@ -40,6 +40,7 @@
 		Relays:         relays{h},
 		Log:            h.log,
 		IsNotAccepted:  notStored,
+		Metrics:        jobfront.NewMetrics(h.stats),
 		ContentType:    contentType,
 		MaxConnections: maxConnections,
 		StopNotice:     stopNotice,
@@ -69,7 +70,9 @@
 	p.wanted = func() { once.Do(func() { close(h.listWanted) }) }
 	p.newOwner = h.newOwner
 	p.runFleet = h.runFleet
-	p.takeFrom = func(ctx context.Context, pool string, fence uint64) error { return h.members.TakeFrom(ctx, pool, fence) }
+	p.takeFrom = func(ctx context.Context, pool string, fence uint64) error {
+		return h.members.TakeFrom(ctx, pool, fence)
+	}
 	return p
 }
 
@@ -91,6 +94,7 @@
 		Replaced: func() { h.members.Replaced(pool, fence) },
 		Clock:    h.clock.Now,
 		Log:      h.log,
+		Metrics:  poolowner.NewMetrics(h.stats),
 	})
 }
 
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -53,11 +54,15 @@
 	attention []*run
 	place     bool
 	placeAt   time.Time
+	// busy is the share of the capacity in use at the last placement.
+	busy float64
 
 	learned  learned
 	evacuate map[string]bool
-	advice   adviceDesk
-	arrived  int64
+	// moving holds the steps of persistent tasks that are about to move.
+	moving  []*step
+	advice  adviceDesk
+	arrived int64
 	// speculates and fills tell whether such steps have been seen.
 	speculates   bool
 	speculatedAt time.Time
@@ -88,12 +93,32 @@
 
 // SetQueues takes the queues of the configuration in force. Queues that are missing stay for the jobs that they brought.
 func (p *Pool) SetQueues(now time.Time, queues []queue.Queue) {
+	named := make(map[string]bool, len(queues))
 	for i := range queues {
 		p.queues[queues[i].Name] = queues[i]
+		named[queues[i].Name] = true
 	}
+	p.dropQueues(named)
 	p.wakePlacement(now)
 }
 
+// dropQueues forgets queues that are not named and have no jobs here.
+func (p *Pool) dropQueues(named map[string]bool) {
+	if len(named) == len(p.queues) {
+		return
+	}
+	used := map[string]bool{}
+	for _, j := range p.jobs {
+		used[j.queue] = true
+	}
+	for name := range p.queues {
+		if !named[name] && !used[name] {
+			delete(p.queues, name)
+			delete(p.learned.work, name)
+		}
+	}
+}
+
 // SetEnforces tells whether workers refuse what does not fit.
 func (p *Pool) SetEnforces(enforces bool) {
 	p.enforces = enforces
@@ -101,10 +126,9 @@
 
 // Step returns what follows from the inputs since the last call.
 func (p *Pool) Step(now time.Time) Actions {
-	p.out = Actions{}
 	if p.fenced {
-		p.out.Fenced = true
-		return p.out
+		p.out = Actions{}
+		return Actions{Fenced: true}
 	}
 	p.checkWorkers(now)
 	p.openOccurrences(now)
@@ -119,6 +143,8 @@
 	p.forget(now)
 	out := p.out
 	p.out = Actions{}
+	slices.Sort(out.Poll)
+	out.Poll = slices.Compact(out.Poll)
 	return out
 }
 
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/scheduler"
@@ -18,6 +19,8 @@
 	// lanes keep the orders to one worker about one task in turn.
 	lanes map[laneKey][]scheduler.Order
 	wake  int64
+	// born holds the lifetimes that the registry has shown.
+	born map[string]int64
 }
 
 type laneKey struct {
@@ -33,7 +36,7 @@
 	}
 	cfg := simConfig
 	cfg.Fence = s.fence
-	o := &simOwner{sim: s, pool: scheduler.New(cfg), fence: s.fence, lanes: map[laneKey][]scheduler.Order{}}
+	o := &simOwner{sim: s, pool: scheduler.New(cfg), fence: s.fence, lanes: map[laneKey][]scheduler.Order{}, born: map[string]int64{}}
 	s.owner = o
 	var jobs []*pb.JobRecord
 	var progress []*pb.JobProgress
@@ -84,6 +87,12 @@
 	for _, d := range a.Decisions {
 		s.trace("owner %d decides %+v", o.fence, d)
 	}
+	for _, id := range a.Poll {
+		o.poll(s.byID[id])
+	}
+	for _, r := range a.Advice {
+		o.advise(r)
+	}
 	for _, r := range a.Records {
 		o.record(r)
 	}
@@ -101,6 +110,23 @@
 	}
 }
 
+// advise answers for the policy service: it permits two workers of three.
+func (o *simOwner) advise(r scheduler.AdviceRequest) {
+	s := o.sim
+	a := scheduler.Advice{
+		Job: r.Job, Occurrence: r.Occurrence, Step: r.Step, Asked: r.Workers, Tickets: map[string]string{}, ValidFor: 3 * time.Second,
+	}
+	a.Failed = s.faulty() && s.chance(s.f.lostAnswers)
+	for _, id := range r.Workers {
+		if w := s.byID[id]; w.permitted(r.Job) {
+			a.Tickets[id] = w.ticket(r.Job, r.Step)
+		}
+	}
+	s.after(20+5*int64(len(r.Workers)), func() {
+		o.input(func(p *scheduler.Pool) { p.Advised(s.time(), a) })
+	})
+}
+
 func (o *simOwner) record(r scheduler.Record) {
 	s := o.sim
 	pr := proto.Clone(r.Progress).(*pb.JobProgress)
@@ -177,6 +203,7 @@
 	}
 	h := o.pool.Hold(w.id, s.time())
 	sent := s.time()
+	expected := o.born[w.id]
 	again := func(ms int64) { s.after(ms, func() { o.hold(w) }) }
 	lost := s.cut[w.id] || !w.up || s.faulty() && s.chance(s.f.lostCalls)
 	if lost {
@@ -199,7 +226,7 @@
 			s.after(20, poll)
 			return
 		}
-		rep := w.hold(o.fence, h)
+		rep := o.answer(w, h, expected)
 		rep.Sent = sent
 		if s.faulty() && s.chance(s.f.lostAnswers) {
 			again(1000)
@@ -214,6 +241,33 @@
 	s.after(1+s.rng.Int64N(5), poll)
 }
 
+// poll holds a worker once beside the waiting hold; the two may overtake each other.
+func (o *simOwner) poll(w *simWorker) {
+	s := o.sim
+	h := o.pool.Hold(w.id, s.time())
+	sent := s.time()
+	expected := o.born[w.id]
+	s.after(1+s.rng.Int64N(20), func() {
+		if !w.up || s.cut[w.id] {
+			return
+		}
+		rep := o.answer(w, h, expected)
+		rep.Sent = sent
+		s.after(1+s.rng.Int64N(100), func() {
+			rep.Received = s.time()
+			o.input(func(p *scheduler.Pool) { p.Report(s.time(), rep) })
+		})
+	})
+}
+
+// answer is what the worker says to a hold that names the lifetime it expects.
+func (o *simOwner) answer(w *simWorker, h scheduler.Hold, expected int64) scheduler.Report {
+	if w.born != expected {
+		return scheduler.Report{Worker: w.id, Born: expected, Gone: true}
+	}
+	return w.hold(o.fence, h)
+}
+
 // registry shows the workers to the owner from time to time, a little late.
 func (o *simOwner) registry() {
 	s := o.sim
@@ -235,6 +289,7 @@
 			}
 		}
 		ws = append(ws, x)
+		o.born[w.id] = w.born
 	}
 	o.input(func(p *scheduler.Pool) { p.SetWorkers(s.time(), slices.Clone(ws)) })
 	s.after(500, o.registry)
