--- a/internal/entryhost/bodies.go
+++ b/internal/bodies/bodies.go
@@ -1,4 +1,5 @@
-package entryhost
+// Package bodies reads the bodies of requests within a bound on the bytes held at once.
+package bodies
 
 import (
 	"errors"
@@ -12,14 +13,14 @@
 // firstBodyBytes is the room made for a body before its first byte is read.
 const firstBodyBytes = 4096
 
-// bodyBudget bounds the bytes of the callers' bodies that are held at once. It counts what arrives, not what is
+// Budget bounds the bytes of the callers' bodies that are held at once. It counts what arrives, not what is
 // announced, so that a caller who sends nothing takes nothing. It is safe for concurrent use.
-type bodyBudget struct {
+type Budget struct {
 	limit int64
 	held  atomic.Int64
 }
 
-func (b *bodyBudget) take(n int64) bool {
+func (b *Budget) take(n int64) bool {
 	if b.held.Add(n) > b.limit {
 		b.held.Add(-n)
 		return false
@@ -27,18 +28,19 @@
 	return true
 }
 
-func (b *bodyBudget) give(n int64) { b.held.Add(-n) }
+// Give gives back bytes that were taken.
+func (b *Budget) Give(n int64) { b.held.Add(-n) }
 
-// read reads a body of at most length bytes. The caller gives back the bytes taken when it drops the body; after an
+// Read reads a body of at most length bytes. The caller gives back the bytes taken when it drops the body; after an
 // error none are taken.
-func (b *bodyBudget) read(body io.Reader, length int64) (data []byte, taken int64, err error) {
+func (b *Budget) Read(body io.Reader, length int64) (data []byte, taken int64, err error) {
 	for {
 		if int64(len(data)) == taken {
 			// One byte of room beyond the length lets the end be seen without growing again.
 			size := min(max(2*taken, firstBodyBytes), length+1)
 			if size <= taken || !b.take(size-taken) {
-				b.give(taken)
-				return nil, 0, errBodiesFull.New("this entry host holds its limit of body bytes")
+				b.Give(taken)
+				return nil, 0, Full.New("this entry host holds its limit of body bytes")
 			}
 			data = append(make([]byte, 0, size), data...)
 			taken = size
@@ -49,17 +51,17 @@
 			return data, taken, nil
 		}
 		if err != nil {
-			b.give(taken)
+			b.Give(taken)
 			return nil, 0, err
 		}
 	}
 }
 
-// errBodiesFull is a body for which no room is left.
-var errBodiesFull = errs.Class("the entry host is busy; send the request again after the Retry-After time")
+// Full is a body for which no room is left.
+var Full = errs.Class("the entry host is busy; send the request again after the Retry-After time")
 
-// unreadGrace is how long the rest of a refused request's body is awaited before its connection is closed.
-const unreadGrace = 100 * time.Millisecond
+// UnreadGrace is how long the rest of a refused request's body is awaited before its connection is closed.
+const UnreadGrace = 100 * time.Millisecond
 
-// newBodyBudget returns a budget of limit bytes.
-func newBodyBudget(limit int64) *bodyBudget { return &bodyBudget{limit: limit} }
+// NewBudget returns a budget of limit bytes.
+func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
--- a/internal/entryhost/call.go
+++ b/internal/entryhost/call.go
@@ -18,6 +18,7 @@
 
 	"github.com/agateturn/agateturn/admission"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/bodies"
 )
 
 // Headers of the contract with callers and workers; docs/CALLERS.md explains them.
@@ -119,7 +120,7 @@
 }
 
 // readBody reads the whole body, within the limits of size and time, before the request queues: a slow caller holds no slot.
-func (c *call) readBody(w http.ResponseWriter, r *http.Request, limits *pb.LimitSettings, budget *bodyBudget) *refusal {
+func (c *call) readBody(w http.ResponseWriter, r *http.Request, limits *pb.LimitSettings, budget *bodies.Budget) *refusal {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
 	}
@@ -133,12 +134,12 @@
 		length = limits.GetMaxBodyBytes()
 	}
 	var err error
-	c.body, c.taken, err = budget.read(http.MaxBytesReader(w, r.Body, limits.GetMaxBodyBytes()), length)
+	c.body, c.taken, err = budget.Read(http.MaxBytesReader(w, r.Body, limits.GetMaxBodyBytes()), length)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return refuse(http.StatusRequestEntityTooLarge, "the body is larger than [limits] max_body_bytes")
-	case errBodiesFull.Has(err):
+	case bodies.Full.Has(err):
 		r := notRun(http.StatusServiceUnavailable, err.Error(), retryUnready)
 		return &r
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/entryhost/call_test.go
+++ b/internal/entryhost/call_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/refusalcode"
 )
 
 // TestOnlySafeRequestsRunTwice tells which requests may be sent again after an unknown outcome.
@@ -54,11 +55,11 @@
 // TestRefusalsHaveACode gives every status that a refusal can have a code of the fixed set.
 func TestRefusalsHaveACode(t *testing.T) {
 	for _, status := range []int{400, 403, 404, 408, 409, 413, 502, 503, 504} {
-		assert.Assert(t, codeOfStatus(status) != codeOther, "status %d", status)
+		assert.Assert(t, refusalcode.OfStatus(status) != refusalcode.Other, "status %d", status)
 	}
 	for verdict := range pb.ClaimVerdict_name {
 		if r := refusalOf(&pb.ClaimResponse{Verdict: pb.ClaimVerdict(verdict)}); r.code == "" {
-			assert.Equal(t, codeOfStatus(r.status), codeKeyRepeated, "verdict %d", verdict)
+			assert.Equal(t, refusalcode.OfStatus(r.status), refusalcode.KeyRepeated, "verdict %d", verdict)
 		}
 	}
 }
--- a/internal/entryhost/caller.go
+++ b/internal/entryhost/caller.go
@@ -16,7 +16,9 @@
 	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/bodies"
 	"github.com/agateturn/agateturn/internal/pause"
+	"github.com/agateturn/agateturn/internal/refusalcode"
 	"github.com/agateturn/agateturn/routing"
 	"github.com/agateturn/agateturn/stats"
 	"github.com/agateturn/agateturn/upstream"
@@ -36,7 +38,7 @@
 
 	held     atomic.Int64 // requests held now
 	throttle throttle
-	bodies   *bodyBudget
+	bodies   *bodies.Budget
 }
 
 // ServeHTTP serves readiness checks and POST/GET/... /v1/services/{service}/{path}.
@@ -48,7 +50,7 @@
 	}
 	if s.held.Add(1) > s.limits.GetMaxRequests() {
 		s.held.Add(-1)
-		s.refuseUnread(w, r, notRun(http.StatusServiceUnavailable, "this entry host holds its limit of requests", time.Second).as(codeEntryHostFull))
+		s.refuseUnread(w, r, notRun(http.StatusServiceUnavailable, "this entry host holds its limit of requests", time.Second).as(refusalcode.EntryHostFull))
 		return
 	}
 	defer s.held.Add(-1)
@@ -69,7 +71,7 @@
 	c, refusal := s.parse(r, arrived)
 	if refusal == nil {
 		refusal = c.readBody(w, r, s.limits, s.bodies)
-		defer func() { s.bodies.give(c.taken) }()
+		defer func() { s.bodies.Give(c.taken) }()
 	}
 	if refusal != nil {
 		s.refuseUnread(w, r, *refusal)
@@ -118,11 +120,11 @@
 // queue waits for a grant. The answer of a request that is given up on goes out at once.
 func (s *callerServer) queue(ctx context.Context, t *ticket) (*grant, *refusal) {
 	if err := s.ready(); err != nil && !errStopping.Has(err) {
-		r := notRun(http.StatusServiceUnavailable, err.Error(), retryUnready).as(codeUnready)
+		r := notRun(http.StatusServiceUnavailable, err.Error(), retryUnready).as(refusalcode.Unready)
 		return nil, &r
 	}
 	if !s.dispatch.offer(t) {
-		r := notRun(http.StatusServiceUnavailable, "the dispatcher's queue is full", time.Second).as(codeEntryHostFull)
+		r := notRun(http.StatusServiceUnavailable, "the dispatcher's queue is full", time.Second).as(refusalcode.EntryHostFull)
 		return nil, &r
 	}
 	select {
@@ -137,10 +139,10 @@
 		s.dispatch.done(context.WithoutCancel(ctx), finished{ticket: t, grant: v.grant, result: routing.Cancelled})
 	}
 	if cancelled {
-		r := notRun(statusClientClosed, "the caller has gone", 0).as(codeCallerGone)
+		r := notRun(statusClientClosed, "the caller has gone", 0).as(refusalcode.CallerGone)
 		return nil, &r
 	}
-	r := notRun(http.StatusServiceUnavailable, "the deadline passed in the queue", 0).as(codeDeadline)
+	r := notRun(http.StatusServiceUnavailable, "the deadline passed in the queue", 0).as(refusalcode.Deadline)
 	return nil, &r
 }
 
@@ -217,7 +219,7 @@
 	}
 	final := unknownOutcome(statusOf(ctx, err), err.Error())
 	if ended == outcomeNotRun {
-		final = c.honest(notRun(http.StatusServiceUnavailable, err.Error(), retryNoHost).as(codeNotReached))
+		final = c.honest(notRun(http.StatusServiceUnavailable, err.Error(), retryNoHost).as(refusalcode.NotReached))
 	}
 	if final.outcome == outcomeUnknown {
 		events.Emit(ctx, s.logger, events.OutcomeUnknown, "host", g.host, "request", c.requestID, "err", err)
@@ -263,7 +265,7 @@
 	})
 	s.countClaim(answer, err)
 	if err != nil {
-		r := notRun(http.StatusServiceUnavailable, err.Error(), retryKey).as(codeKeyOwner)
+		r := notRun(http.StatusServiceUnavailable, err.Error(), retryKey).as(refusalcode.KeyOwner)
 		return nil, &r
 	}
 	if answer.GetVerdict() != pb.ClaimVerdict_CLAIM_VERDICT_GRANTED {
@@ -272,7 +274,7 @@
 	}
 	if s.keys.tooLate(time.Now(), c.arrived) {
 		s.finishClaim(&held, outcomeNotRun, 0)
-		r := notRun(http.StatusServiceUnavailable, "the request waited too long for its Idempotency-Key to be safe", retryKey).as(codeDeadline)
+		r := notRun(http.StatusServiceUnavailable, "the request waited too long for its Idempotency-Key to be safe", retryKey).as(refusalcode.Deadline)
 		return nil, &r
 	}
 	return &held, nil
@@ -346,7 +348,7 @@
 		limits:   o.Limits,
 		logger:   o.Logger,
 		ready:    o.Ready,
-		bodies:   newBodyBudget(o.Limits.GetMaxHeldBytes()),
+		bodies:   bodies.NewBudget(o.Limits.GetMaxHeldBytes()),
 	}
 }
 
--- a/internal/entryhost/dispatch.go
+++ b/internal/entryhost/dispatch.go
@@ -11,6 +11,7 @@
 
 	"github.com/agateturn/agateturn/admission"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/refusalcode"
 	"github.com/agateturn/agateturn/internal/ring"
 	"github.com/agateturn/agateturn/routing"
 	"github.com/agateturn/agateturn/slots"
@@ -54,13 +55,13 @@
 	retryAfter time.Duration
 	full       bool // a queue or quota is full, rather than something being wrong
 	hopeless   bool // sending it again does not help
-	code       refusalCode
+	code       refusalcode.Code
 }
 
 func rejectionOf(reason admission.Reason, retryAfter time.Duration) *rejection {
 	return &rejection{
 		reason:     reason.String(),
-		code:       codeOfReason(reason),
+		code:       refusalcode.OfReason(reason),
 		retryAfter: retryAfter,
 		full:       reason == admission.ReasonQueueFull || reason == admission.ReasonHostFull,
 	}
@@ -267,7 +268,7 @@
 	g, err := d.grant(now, pool, t)
 	if err != nil {
 		d.queues.Done(now, id, 0, false)
-		t.result <- verdict{rejection: &rejection{reason: err.Error(), retryAfter: retryNoHost, code: codeNoHost}}
+		t.result <- verdict{rejection: &rejection{reason: err.Error(), retryAfter: retryNoHost, code: refusalcode.NoHost}}
 		return
 	}
 	d.running[id] = t
@@ -325,7 +326,7 @@
 		t.id = d.nextID
 		t.request.ID = t.id
 		if d.router.Hopeless(now, t.digest) {
-			t.result <- verdict{rejection: &rejection{reason: "this request failed on every host it was tried on; do not send it again", hopeless: true, code: codeHopeless}}
+			t.result <- verdict{rejection: &rejection{reason: "this request failed on every host it was tried on; do not send it again", hopeless: true, code: refusalcode.Hopeless}}
 			return
 		}
 		if decision := d.queues.Offer(now, t.request); !decision.Queued {
@@ -344,7 +345,7 @@
 		}
 		delete(d.waiting, t.id)
 		d.queues.Cancel(t.id)
-		t.result <- verdict{rejection: &rejection{reason: "the caller has gone", code: codeCallerGone}}
+		t.result <- verdict{rejection: &rejection{reason: "the caller has gone", code: refusalcode.CallerGone}}
 	})
 }
 
--- a/internal/entryhost/metrics_test.go
+++ b/internal/entryhost/metrics_test.go
@@ -79,8 +79,12 @@
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	assert.NilError(t, err)
 	var code []byte
-	files, err := filepath.Glob("*.go")
-	assert.NilError(t, err)
+	var files []string
+	for _, dir := range []string{".", "../refusalcode"} {
+		found, err := filepath.Glob(filepath.Join(dir, "*.go"))
+		assert.NilError(t, err)
+		files = append(files, found...)
+	}
 	for _, file := range files {
 		if strings.HasSuffix(file, "_test.go") {
 			continue
@@ -94,7 +98,7 @@
 	for _, name := range names {
 		assert.Assert(t, strings.Contains(string(page), "`"+string(name[1])), "%s is not explained", name[1])
 	}
-	codes := regexp.MustCompile(`refusalCode = "(\w+)"`).FindAllSubmatch(code, -1)
+	codes := regexp.MustCompile(`Code += "(\w+)"`).FindAllSubmatch(code, -1)
 	assert.Assert(t, len(codes) > 10)
 	for _, c := range codes {
 		assert.Assert(t, strings.Contains(string(page), "`"+string(c[1])+"`"), "refusal code %s is not explained", c[1])
--- a/internal/entryhost/peerbodies.go
+++ b/internal/entryhost/peerbodies.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
+	"github.com/agateturn/agateturn/internal/bodies"
 )
 
 const (
@@ -27,14 +28,14 @@
 // come whole, so that a slow sender holds up no other. It is safe for concurrent use.
 type peerBodies struct {
 	handler  http.Handler
-	arriving *bodyBudget
+	arriving *bodies.Budget
 	handling *semaphore.Weighted
 }
 
 func newPeerBodies(handler http.Handler) *peerBodies {
 	return &peerBodies{
 		handler:  handler,
-		arriving: newBodyBudget(peerBodyBytes),
+		arriving: bodies.NewBudget(peerBodyBytes),
 		handling: semaphore.NewWeighted(peerWorkBytes),
 	}
 }
@@ -46,13 +47,13 @@
 	if length < 0 || length > limit {
 		length = limit
 	}
-	data, taken, err := b.arriving.read(http.MaxBytesReader(w, r.Body, limit), length)
+	data, taken, err := b.arriving.Read(http.MaxBytesReader(w, r.Body, limit), length)
 	if err != nil {
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadGrace))
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodies.UnreadGrace))
 		http.Error(w, err.Error(), peerStatus(err))
 		return
 	}
-	defer b.arriving.give(taken)
+	defer b.arriving.Give(taken)
 	weight := unpackedBytes(r.Header, data)
 	if err := b.handling.Acquire(r.Context(), weight); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
@@ -90,7 +91,7 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return http.StatusTooManyRequests // what the protocol says of a message that exceeds a resource
-	case errBodiesFull.Has(err):
+	case bodies.Full.Has(err):
 		return http.StatusServiceUnavailable
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return http.StatusGatewayTimeout
--- a/internal/entryhost/refusal.go
+++ b/internal/entryhost/refusal.go
@@ -10,6 +10,8 @@
 	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/bodies"
+	"github.com/agateturn/agateturn/internal/refusalcode"
 	"github.com/agateturn/agateturn/routing"
 	"github.com/agateturn/agateturn/stats"
 )
@@ -65,7 +67,7 @@
 	// retryAfter is when the caller should come back; 0 says nothing about it.
 	retryAfter time.Duration
 	// code is the label of the refusal's counter; empty for that of its status.
-	code refusalCode
+	code refusalcode.Code
 }
 
 // refusalBody is the JSON form of a refusal.
@@ -106,11 +108,11 @@
 			reason:  "the request with this Idempotency-Key ran already and ended with status " + strconv.Itoa(int(answer.GetOutcome().GetStatus())),
 		}
 	case pb.ClaimVerdict_CLAIM_VERDICT_MISMATCH:
-		return refuse(http.StatusUnprocessableEntity, "this Idempotency-Key was used for a different request; take a new one").as(codeKeyMismatch)
+		return refuse(http.StatusUnprocessableEntity, "this Idempotency-Key was used for a different request; take a new one").as(refusalcode.KeyMismatch)
 	case pb.ClaimVerdict_CLAIM_VERDICT_FULL:
-		return notRun(http.StatusServiceUnavailable, "the key's owner can remember no more keys now", retryKey).as(codeKeysFull)
+		return notRun(http.StatusServiceUnavailable, "the key's owner can remember no more keys now", retryKey).as(refusalcode.KeysFull)
 	case pb.ClaimVerdict_CLAIM_VERDICT_NOT_OWNER:
-		return notRun(http.StatusServiceUnavailable, "the key is changing its owner", retryKey).as(codeKeyOwner)
+		return notRun(http.StatusServiceUnavailable, "the key is changing its owner", retryKey).as(refusalcode.KeyOwner)
 	default:
 		return unknownOutcome(http.StatusConflict, "an earlier request with this Idempotency-Key may have run; it will not be run again")
 	}
@@ -120,7 +122,7 @@
 // sends the answer: a slow caller would hold up its own answer, and its connection with it.
 func (s *callerServer) refuseUnread(w http.ResponseWriter, r *http.Request, why refusal) {
 	if r.Body != nil && r.Body != http.NoBody {
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadGrace))
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodies.UnreadGrace))
 	}
 	s.refuse(r.Context(), w, why)
 }
@@ -142,7 +144,7 @@
 }
 
 // as gives the refusal its code.
-func (r refusal) as(code refusalCode) refusal {
+func (r refusal) as(code refusalcode.Code) refusal {
 	r.code = code
 	return r
 }
@@ -151,7 +153,7 @@
 func (s *callerServer) refuse(ctx context.Context, w http.ResponseWriter, r refusal) {
 	code := r.code
 	if code == "" {
-		code = codeOfStatus(r.status)
+		code = refusalcode.OfStatus(r.status)
 	}
 	s.stats.Counter(metricRefusals, stats.Label{Name: "code", Value: string(code)}).Inc(1)
 	s.logRefusal(ctx, r)
--- a/internal/entryhost/throttle.go
+++ b/internal/entryhost/throttle.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/agateturn/agateturn/events"
+	"github.com/agateturn/agateturn/internal/refusalcode"
 	"github.com/agateturn/agateturn/upstream"
 )
 
@@ -33,11 +34,11 @@
 }
 
 // refusalEvents are the refusals that are also logged.
-var refusalEvents = map[refusalCode]events.Event{
-	codeQueueFull: events.QueueFull,
-	codeDeadline:  events.RequestShed,
-	codeKeysFull:  events.KeysFull,
-	codeHopeless:  events.JobPoisonous,
+var refusalEvents = map[refusalcode.Code]events.Event{
+	refusalcode.QueueFull: events.QueueFull,
+	refusalcode.Deadline:  events.RequestShed,
+	refusalcode.KeysFull:  events.KeysFull,
+	refusalcode.Hopeless:  events.JobPoisonous,
 }
 
 // logRefusal logs the refusal if it is one that operators should hear of.
--- /dev/null
+++ b/internal/refusalcode/codes.go
@@ -0,0 +1,69 @@
+// Package refusalcode names why a request got no worker's answer, for metrics and logs.
+package refusalcode
+
+import (
+	"net/http"
+
+	"github.com/agateturn/agateturn/admission"
+)
+
+// Code names why a request got no worker's answer. The set is fixed, so that it can be a label.
+type Code string
+
+// The codes; docs/OPERATIONS.md explains each.
+const (
+	BadRequest     Code = "bad_request"
+	Forbidden      Code = "forbidden_team"
+	NotFound       Code = "not_found"
+	Body           Code = "body"
+	EntryHostFull  Code = "entry_host_full"
+	QueueFull      Code = "queue_full"
+	Deadline       Code = "deadline"
+	Hopeless       Code = "hopeless"
+	NoHost         Code = "no_host"
+	NotReached     Code = "worker_not_reached"
+	Unready        Code = "unready"
+	CallerGone     Code = "caller_gone"
+	KeyOwner       Code = "key_owner"
+	KeysFull       Code = "keys_full"
+	KeyMismatch    Code = "key_mismatch"
+	KeyRepeated    Code = "key_repeated"
+	UnknownOutcome Code = "unknown_outcome"
+	Other          Code = "other"
+)
+
+// OfStatus is the code of a refusal that has none of its own.
+func OfStatus(status int) Code {
+	switch status {
+	case http.StatusBadRequest:
+		return BadRequest
+	case http.StatusForbidden:
+		return Forbidden
+	case http.StatusNotFound:
+		return NotFound
+	case http.StatusRequestTimeout, http.StatusRequestEntityTooLarge:
+		return Body
+	case http.StatusConflict:
+		return KeyRepeated
+	case http.StatusServiceUnavailable:
+		return Unready
+	case http.StatusBadGateway, http.StatusGatewayTimeout:
+		return UnknownOutcome
+	default:
+		return Other
+	}
+}
+
+// OfReason is the code of a rejection by admission.
+func OfReason(reason admission.Reason) Code {
+	switch reason {
+	case admission.ReasonHostFull:
+		return EntryHostFull
+	case admission.ReasonQueueFull:
+		return QueueFull
+	case admission.ReasonDeadline, admission.ReasonUrgentStart:
+		return Deadline
+	default:
+		return Other
+	}
+}
