--- a/internal/entryhost/call.go
+++ b/internal/callers/call.go
@@ -1,4 +1,4 @@
-package entryhost
+package callers
 
 import (
 	"bytes"
@@ -14,11 +14,11 @@
 
 	"github.com/google/uuid"
 	"github.com/samber/lo"
-	"github.com/zeebo/errs"
 
 	"github.com/agateturn/agateturn/admission"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/bodies"
+	"github.com/agateturn/agateturn/internal/dispatch"
 )
 
 // Headers of the contract with callers and workers; docs/CALLERS.md explains them.
@@ -27,7 +27,7 @@
 	headerClass          = "Agateturn-Class"
 	headerTimeout        = "Agateturn-Timeout"
 	headerRequestID      = "Agateturn-Request-Id"
-	headerOutcome        = "Agateturn-Outcome"
+	HeaderOutcome        = "Agateturn-Outcome"
 	headerPool           = "Agateturn-Pool"
 	headerIdempotencyKey = "Idempotency-Key"
 )
@@ -68,10 +68,10 @@
 }
 
 // parse reads everything but the body.
-func (s *callerServer) parse(r *http.Request, now time.Time) (*call, *refusal) {
-	cfg := s.view.config()
+func (s *Server) parse(r *http.Request, now time.Time) (*call, *refusal) {
+	cfg := s.view.Config()
 	if cfg == nil {
-		return nil, refuse(http.StatusServiceUnavailable, errNoConfig.New("").Error())
+		return nil, refuse(http.StatusServiceUnavailable, ErrNoConfig.New("").Error())
 	}
 	name, path, ok := serviceAndPath(r.URL.EscapedPath())
 	if !ok {
@@ -160,7 +160,7 @@
 }
 
 // ticket is the request as the dispatcher gets it, for a try on a host other than the excluded ones.
-func (c *call) ticket(excluded []string) *ticket {
+func (c *call) ticket(excluded []string) *dispatch.Ticket {
 	request := admission.Request{
 		Service:  c.service.GetName(),
 		Pool:     c.service.GetPool(),
@@ -176,14 +176,14 @@
 	case classSession:
 		request.Deadline = c.deadline.Add(c.service.GetRunTime().AsDuration())
 	}
-	return &ticket{
-		request:    request,
-		digest:     c.digest(),
-		declared:   c.service.GetRunTime().AsDuration(),
-		session:    c.class == classSession,
-		idempotent: c.idempotent(),
-		excluded:   excluded,
-		result:     make(chan verdict, 1),
+	return &dispatch.Ticket{
+		Request:    request,
+		Digest:     c.digest(),
+		Declared:   c.service.GetRunTime().AsDuration(),
+		Session:    c.class == classSession,
+		Idempotent: c.idempotent(),
+		Excluded:   excluded,
+		Result:     make(chan dispatch.Verdict, 1),
 	}
 }
 
@@ -225,10 +225,3 @@
 	_, _ = h.Write(c.body)
 	return h.Sum64()
 }
-
-// Kinds of errors of requests. Their messages name the remedy.
-var (
-	errStopping  = errs.Class("this entry host is stopping; send the request to another one")
-	errNoConfig  = errs.Class("no configuration is in force; apply one with agateturnctl config apply")
-	errBadCaller = errs.Class("the request cannot be served as it is")
-)
--- a/internal/entryhost/caller.go
+++ b/internal/callers/caller.go
@@ -1,4 +1,5 @@
-package entryhost
+// Package callers serves the callers: it reads and checks a request, queues it, sends it to one host and relays the answer.
+package callers
 
 import (
 	"context"
@@ -17,18 +18,21 @@
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/bodies"
+	"github.com/agateturn/agateturn/internal/claims"
+	"github.com/agateturn/agateturn/internal/dispatch"
 	"github.com/agateturn/agateturn/internal/pause"
 	"github.com/agateturn/agateturn/internal/refusalcode"
+	"github.com/agateturn/agateturn/internal/view"
 	"github.com/agateturn/agateturn/routing"
 	"github.com/agateturn/agateturn/stats"
 	"github.com/agateturn/agateturn/upstream"
 )
 
-// callerServer serves the callers: it queues each request, sends it to one host, and relays the whole answer.
-type callerServer struct {
-	view     *view
-	dispatch *dispatcher
-	keys     *keys
+// Server serves the callers: it queues each request, sends it to one host, and relays the whole answer.
+type Server struct {
+	view     *view.View
+	dispatch *dispatch.Dispatcher
+	keys     *claims.Keys
 	upstream *upstream.Client
 	detector *pause.Detector
 	stats    *stats.Stats
@@ -41,8 +45,37 @@
 	bodies   *bodies.Budget
 }
 
+// Options are what serving callers needs.
+type Options struct {
+	View     *view.View
+	Dispatch *dispatch.Dispatcher
+	Keys     *claims.Keys
+	Upstream *upstream.Client
+	Detector *pause.Detector
+	Stats    *stats.Stats
+	Limits   *pb.LimitSettings
+	Logger   *slog.Logger
+	Ready    func() error
+}
+
+// New returns the server of the callers.
+func New(o Options) *Server {
+	return &Server{
+		view:     o.View,
+		dispatch: o.Dispatch,
+		keys:     o.Keys,
+		upstream: o.Upstream,
+		detector: o.Detector,
+		stats:    o.Stats,
+		limits:   o.Limits,
+		logger:   o.Logger,
+		ready:    o.Ready,
+		bodies:   bodies.NewBudget(o.Limits.GetMaxHeldBytes()),
+	}
+}
+
 // ServeHTTP serves readiness checks and POST/GET/... /v1/services/{service}/{path}.
-func (s *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) // an answer before may have left one
 	if r.URL.Path == "/readyz" {
 		s.serveReady(w)
@@ -57,7 +90,7 @@
 	s.serveRequest(w, r)
 }
 
-func (s *callerServer) serveReady(w http.ResponseWriter) {
+func (s *Server) serveReady(w http.ResponseWriter) {
 	if err := s.ready(); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
@@ -66,7 +99,7 @@
 }
 
 // serveRequest answers one request, and records how it went.
-func (s *callerServer) serveRequest(w http.ResponseWriter, r *http.Request) {
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	c, refusal := s.parse(r, arrived)
 	if refusal == nil {
@@ -99,7 +132,7 @@
 }
 
 // serveCall tries hosts until the request was sent to one or may not be tried again.
-func (s *callerServer) serveCall(ctx context.Context, w http.ResponseWriter, c *call) callEnd {
+func (s *Server) serveCall(ctx context.Context, w http.ResponseWriter, c *call) callEnd {
 	t := c.ticket(nil)
 	for {
 		g, refusal := s.queue(ctx, t)
@@ -110,33 +143,33 @@
 		}
 		end, again := s.attempt(ctx, w, c, t, g)
 		if !again {
-			end.queued = g.started.Sub(c.arrived)
+			end.queued = g.Started.Sub(c.arrived)
 			return end
 		}
-		t = c.ticket(append(t.excluded, g.host))
+		t = c.ticket(append(t.Excluded, g.Host))
 	}
 }
 
 // queue waits for a grant. The answer of a request that is given up on goes out at once.
-func (s *callerServer) queue(ctx context.Context, t *ticket) (*grant, *refusal) {
-	if err := s.ready(); err != nil && !errStopping.Has(err) {
+func (s *Server) queue(ctx context.Context, t *dispatch.Ticket) (*dispatch.Grant, *refusal) {
+	if err := s.ready(); err != nil && !ErrStopping.Has(err) {
 		r := notRun(http.StatusServiceUnavailable, err.Error(), retryUnready).as(refusalcode.Unready)
 		return nil, &r
 	}
-	if !s.dispatch.offer(t) {
+	if !s.dispatch.Offer(t) {
 		r := notRun(http.StatusServiceUnavailable, "the dispatcher's queue is full", time.Second).as(refusalcode.EntryHostFull)
 		return nil, &r
 	}
 	select {
-	case v := <-t.result:
+	case v := <-t.Result:
 		return s.verdict(v)
 	case <-ctx.Done():
 	}
 	cancelled := errors.Is(ctx.Err(), context.Canceled)
-	s.dispatch.cancel(context.WithoutCancel(ctx), t)
-	v := <-t.result
-	if v.grant != nil {
-		s.dispatch.done(context.WithoutCancel(ctx), finished{ticket: t, grant: v.grant, result: routing.Cancelled})
+	s.dispatch.Cancel(context.WithoutCancel(ctx), t)
+	v := <-t.Result
+	if v.Grant != nil {
+		s.dispatch.Done(context.WithoutCancel(ctx), dispatch.Finished{Ticket: t, Grant: v.Grant, Result: routing.Cancelled})
 	}
 	if cancelled {
 		r := notRun(statusClientClosed, "the caller has gone", 0).as(refusalcode.CallerGone)
@@ -146,36 +179,36 @@
 	return nil, &r
 }
 
-func (s *callerServer) verdict(v verdict) (*grant, *refusal) {
-	if v.grant != nil {
-		return v.grant, nil
+func (s *Server) verdict(v dispatch.Verdict) (*dispatch.Grant, *refusal) {
+	if v.Grant != nil {
+		return v.Grant, nil
 	}
 	status := http.StatusServiceUnavailable
 	switch {
-	case v.rejection.full:
+	case v.Rejection.Full:
 		status = http.StatusTooManyRequests
-	case v.rejection.hopeless:
+	case v.Rejection.Hopeless:
 		status = http.StatusUnprocessableEntity
 	}
-	r := notRun(status, v.rejection.reason, v.rejection.retryAfter).as(v.rejection.code)
+	r := notRun(status, v.Rejection.Reason, v.Rejection.RetryAfter).as(v.Rejection.Code)
 	return nil, &r
 }
 
 // attempt sends the request to the granted host and relays its answer. It reports whether another host may be tried.
-func (s *callerServer) attempt(ctx context.Context, w http.ResponseWriter, c *call, t *ticket, g *grant) (callEnd, bool) {
+func (s *Server) attempt(ctx context.Context, w http.ResponseWriter, c *call, t *dispatch.Ticket, g *dispatch.Grant) (callEnd, bool) {
 	result := routing.Cancelled
 	defer func() {
-		s.dispatch.done(context.WithoutCancel(ctx), finished{ticket: t, grant: g, result: result})
+		s.dispatch.Done(context.WithoutCancel(ctx), dispatch.Finished{Ticket: t, Grant: g, Result: result})
 	}()
 	held, refusal := s.claim(ctx, c)
 	if refusal != nil {
 		s.refuse(ctx, w, *refusal)
 		return callEnd{outcome: refusal.outcome}, false
 	}
-	response, err := s.upstream.Do(ctx, upstream.Target{Host: g.host, Address: g.address}, s.outgoing(c, g))
+	response, err := s.upstream.Do(ctx, upstream.Target{Host: g.Host, Address: g.Address}, s.outgoing(c, g))
 	if err != nil {
 		result = resultOf(ctx, err)
-		s.countUpstreamError(g.host, outcomeOf(err), result)
+		s.countUpstreamError(g.Host, outcomeOf(err), result)
 		s.finishClaim(held, outcomeOf(err), 0)
 		return s.failed(ctx, w, c, g, err)
 	}
@@ -183,13 +216,13 @@
 	if response.Status >= http.StatusInternalServerError {
 		result = routing.Failed
 	}
-	w.Header().Set(headerOutcome, outcomeDone.String())
+	w.Header().Set(HeaderOutcome, outcomeDone.String())
 	steady := &steadyWriter{ResponseWriter: w, timeout: s.limits.GetBodyTimeout().AsDuration()}
 	_, err = upstream.Relay(steady, response)
 	_ = steady.extend() // the server has the end of the answer still to send
 	if err != nil {
 		result = lo.Ternary(steady.err == nil, routing.Failed, routing.Cancelled)
-		s.countUpstreamError(g.host, outcomeUnknown, result)
+		s.countUpstreamError(g.Host, outcomeUnknown, result)
 		s.finishClaim(held, outcomeUnknown, response.Status)
 		return s.cut(ctx, w, c, g, err), false
 	}
@@ -198,8 +231,8 @@
 }
 
 // cut ends a call whose answer could not be relayed whole. If the caller has a part of it, its connection must break.
-func (s *callerServer) cut(ctx context.Context, w http.ResponseWriter, c *call, g *grant, err error) callEnd {
-	events.Emit(ctx, s.logger, cutEvent(ctx, err), "host", g.host, "request", c.requestID, "err", err)
+func (s *Server) cut(ctx context.Context, w http.ResponseWriter, c *call, g *dispatch.Grant, err error) callEnd {
+	events.Emit(ctx, s.logger, cutEvent(ctx, err), "host", g.Host, "request", c.requestID, "err", err)
 	if upstream.Aborted.Has(err) {
 		return callEnd{outcome: outcomeUnknown, abort: true}
 	}
@@ -208,31 +241,31 @@
 }
 
 // failed decides what follows a failed exchange: another host, or the final answer.
-func (s *callerServer) failed(ctx context.Context, w http.ResponseWriter, c *call, g *grant, err error) (callEnd, bool) {
+func (s *Server) failed(ctx context.Context, w http.ResponseWriter, c *call, g *dispatch.Grant, err error) (callEnd, bool) {
 	ended := outcomeOf(err)
 	retryable := ended == outcomeNotRun || c.idempotent()
 	if ended == outcomeUnknown {
 		c.mayHaveRun = true
 	}
-	if retryable && ctx.Err() == nil && s.dispatch.allowRetry(ctx, c.service.GetName()) {
+	if retryable && ctx.Err() == nil && s.dispatch.AllowRetry(ctx, c.service.GetName()) {
 		return callEnd{}, true
 	}
 	final := unknownOutcome(statusOf(ctx, err), err.Error())
 	if ended == outcomeNotRun {
-		final = c.honest(notRun(http.StatusServiceUnavailable, err.Error(), retryNoHost).as(refusalcode.NotReached))
+		final = c.honest(notRun(http.StatusServiceUnavailable, err.Error(), dispatch.RetryNoHost).as(refusalcode.NotReached))
 	}
 	if final.outcome == outcomeUnknown {
-		events.Emit(ctx, s.logger, events.OutcomeUnknown, "host", g.host, "request", c.requestID, "err", err)
+		events.Emit(ctx, s.logger, events.OutcomeUnknown, "host", g.Host, "request", c.requestID, "err", err)
 	}
 	s.refuse(ctx, w, final)
 	return callEnd{outcome: final.outcome}, false
 }
 
 // outgoing is the request as the worker gets it. The last check runs immediately before the first byte is written.
-func (s *callerServer) outgoing(c *call, g *grant) upstream.Request {
+func (s *Server) outgoing(c *call, g *dispatch.Grant) upstream.Request {
 	header := c.header.Clone()
 	header.Set(headerRequestID, c.requestID)
-	header.Set(headerPool, g.pool)
+	header.Set(headerPool, g.Pool)
 	return upstream.Request{
 		Method:        c.method,
 		Path:          c.path,
@@ -245,22 +278,22 @@
 			if err := s.detector.Check(); err != nil {
 				return err
 			}
-			return s.view.gate.Check(g.host, g.pool)
+			return s.view.Gate.Check(g.Host, g.Pool)
 		},
 	}
 }
 
 // claim gets the right to run a request that carries an idempotency key. A nil claim means the request has no key.
-func (s *callerServer) claim(ctx context.Context, c *call) (*claim, *refusal) {
+func (s *Server) claim(ctx context.Context, c *call) (*claims.Claim, *refusal) {
 	if c.key == "" {
 		return nil, nil
 	}
-	answer, held, err := s.keys.claim(ctx, &pb.ClaimRequest{
+	answer, held, err := s.keys.Claim(ctx, &pb.ClaimRequest{
 		Service:     c.service.GetName(),
 		Key:         c.key,
 		Attempt:     uuid.NewString(),
-		Member:      s.keys.process().GetName(),
-		Incarnation: s.keys.process().GetIncarnation(),
+		Member:      s.keys.Process().GetName(),
+		Incarnation: s.keys.Process().GetIncarnation(),
 		Digest:      c.bodyDigest(),
 	})
 	s.countClaim(answer, err)
@@ -272,7 +305,7 @@
 		r := refusalOf(answer)
 		return nil, &r
 	}
-	if s.keys.tooLate(time.Now(), c.arrived) {
+	if s.keys.TooLate(time.Now(), c.arrived) {
 		s.finishClaim(&held, outcomeNotRun, 0)
 		r := notRun(http.StatusServiceUnavailable, "the request waited too long for its Idempotency-Key to be safe", retryKey).as(refusalcode.Deadline)
 		return nil, &r
@@ -280,11 +313,11 @@
 	return &held, nil
 }
 
-func (s *callerServer) finishClaim(held *claim, ended outcome, status int) {
+func (s *Server) finishClaim(held *claims.Claim, ended outcome, status int) {
 	if held == nil {
 		return
 	}
-	s.keys.finish(*held, &pb.Outcome{Kind: ended.kind(), Status: int32(status)})
+	s.keys.Finish(*held, &pb.Outcome{Kind: ended.kind(), Status: int32(status)})
 }
 
 func outcomeOf(err error) outcome {
@@ -323,37 +356,8 @@
 	return service, "/" + path, service != ""
 }
 
-// callerOptions are what serving callers needs.
-type callerOptions struct {
-	View     *view
-	Dispatch *dispatcher
-	Keys     *keys
-	Upstream *upstream.Client
-	Detector *pause.Detector
-	Stats    *stats.Stats
-	Limits   *pb.LimitSettings
-	Logger   *slog.Logger
-	Ready    func() error
-}
-
-// newCallerServer returns the server of the callers.
-func newCallerServer(o callerOptions) *callerServer {
-	return &callerServer{
-		view:     o.View,
-		dispatch: o.Dispatch,
-		keys:     o.Keys,
-		upstream: o.Upstream,
-		detector: o.Detector,
-		stats:    o.Stats,
-		limits:   o.Limits,
-		logger:   o.Logger,
-		ready:    o.Ready,
-		bodies:   bodies.NewBudget(o.Limits.GetMaxHeldBytes()),
-	}
-}
-
-// heldNow is the number of requests held.
-func (s *callerServer) heldNow() int64 { return s.held.Load() }
+// HeldNow is the number of requests held.
+func (s *Server) HeldNow() int64 { return s.held.Load() }
 
-// waitSessions waits until no exchange with a worker is under way, or until ctx ends.
-func (s *callerServer) waitSessions(ctx context.Context) error { return s.upstream.Wait(ctx) }
+// WaitSessions waits until no exchange with a worker is under way, or until ctx ends.
+func (s *Server) WaitSessions(ctx context.Context) error { return s.upstream.Wait(ctx) }
--- a/internal/entryhost/refusal.go
+++ b/internal/callers/refusal.go
@@ -1,4 +1,4 @@
-package entryhost
+package callers
 
 import (
 	"context"
@@ -17,8 +17,6 @@
 )
 
 const (
-	// retryNoHost is what a caller waits when no host could take its request.
-	retryNoHost = time.Second
 	// retryKey is what a caller waits when its key's owner could not be asked.
 	retryKey = time.Second
 	// statusClientClosed is logged for a caller that went away; nobody reads it.
@@ -120,7 +118,7 @@
 
 // refuseUnread refuses a request whose body may not have come whole. The server reads what is left of a body before it
 // sends the answer: a slow caller would hold up its own answer, and its connection with it.
-func (s *callerServer) refuseUnread(w http.ResponseWriter, r *http.Request, why refusal) {
+func (s *Server) refuseUnread(w http.ResponseWriter, r *http.Request, why refusal) {
 	if r.Body != nil && r.Body != http.NoBody {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodies.UnreadGrace))
 	}
@@ -130,7 +128,7 @@
 // writeRefusal sends the final answer.
 func writeRefusal(w http.ResponseWriter, r refusal) {
 	header := w.Header()
-	header.Set(headerOutcome, r.outcome.String())
+	header.Set(HeaderOutcome, r.outcome.String())
 	header.Set("Content-Type", "application/json")
 	if r.retryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.retryAfter.Seconds()))))
@@ -150,7 +148,7 @@
 }
 
 // refuse counts the refusal and sends it.
-func (s *callerServer) refuse(ctx context.Context, w http.ResponseWriter, r refusal) {
+func (s *Server) refuse(ctx context.Context, w http.ResponseWriter, r refusal) {
 	code := r.code
 	if code == "" {
 		code = refusalcode.OfStatus(r.status)
@@ -161,7 +159,7 @@
 }
 
 // countClaim counts a claim by its verdict; an error is one that got none.
-func (s *callerServer) countClaim(answer *pb.ClaimResponse, err error) {
+func (s *Server) countClaim(answer *pb.ClaimResponse, err error) {
 	verdict := "unreachable"
 	if err == nil {
 		verdict = strings.ToLower(strings.TrimPrefix(answer.GetVerdict().String(), "CLAIM_VERDICT_"))
@@ -170,7 +168,7 @@
 }
 
 // countUpstreamError counts an exchange that brought no whole answer, unless the host is not to blame.
-func (s *callerServer) countUpstreamError(host string, ended outcome, result routing.Result) {
+func (s *Server) countUpstreamError(host string, ended outcome, result routing.Result) {
 	if result == routing.Cancelled {
 		return
 	}
--- a/internal/entryhost/throttle.go
+++ b/internal/callers/throttle.go
@@ -1,4 +1,4 @@
-package entryhost
+package callers
 
 import (
 	"context"
@@ -42,7 +42,7 @@
 }
 
 // logRefusal logs the refusal if it is one that operators should hear of.
-func (s *callerServer) logRefusal(ctx context.Context, r refusal) {
+func (s *Server) logRefusal(ctx context.Context, r refusal) {
 	event, known := refusalEvents[r.code]
 	if known && s.throttle.allow(event, time.Now()) {
 		events.Emit(ctx, s.logger, event, "reason", r.reason)
--- a/internal/entryhost/wishes_test.go
+++ b/internal/callers/wishes_test.go
@@ -1,4 +1,4 @@
-package entryhost
+package callers
 
 import (
 	"bytes"
--- a/internal/entryhost/keys.go
+++ b/internal/claims/keys.go
@@ -1,4 +1,5 @@
-package entryhost
+// Package claims gets the right to run a request with an idempotency key, and owns this entry host's share of the keys.
+package claims
 
 import (
 	"context"
@@ -14,6 +15,7 @@
 	"github.com/agateturn/agateturn/idempotency"
 	"github.com/agateturn/agateturn/internal/pause"
 	"github.com/agateturn/agateturn/internal/ring"
+	"github.com/agateturn/agateturn/internal/view"
 	"github.com/agateturn/agateturn/rendezvous"
 	"github.com/agateturn/agateturn/store"
 )
@@ -32,10 +34,10 @@
 	At(address string) agateturnv1connect.PeerServiceClient
 }
 
-// keys claims idempotency keys from their owners, and owns this entry host's share. It is safe for concurrent use.
-type keys struct {
+// Keys claims idempotency keys from their owners, and owns this entry host's share. It is safe for concurrent use.
+type Keys struct {
 	self  *pb.Member
-	view  *view
+	view  *view.View
 	peers peerClients
 	// detector keeps a process that was paused from granting.
 	detector *pause.Detector
@@ -52,9 +54,10 @@
 	finish *pb.FinishRequest
 }
 
-func newKeys(v *view, self *pb.Member, detector *pause.Detector, limits idempotency.Limits) *keys {
+// New returns the claims of the entry host self. SetPeers must be called before they are used.
+func New(v *view.View, self *pb.Member, detector *pause.Detector, limits idempotency.Limits) *Keys {
 	owner := &pb.Owner{Name: self.GetName(), Incarnation: self.GetIncarnation()}
-	k := &keys{
+	k := &Keys{
 		self:     self,
 		view:     v,
 		ends:     ring.New[claimEnd]("claim ends", finishCapacity),
@@ -62,18 +65,18 @@
 		limits:   limits,
 		owner:    idempotency.NewOwner(owner, limits, rendezvous.Owner),
 	}
-	v.onFleet(k)
+	v.OnFleet(k)
 	return k
 }
 
-func (k *keys) with(f func(*idempotency.Owner)) {
+func (k *Keys) with(f func(*idempotency.Owner)) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	f(k.owner)
 }
 
-// applyFleet implements fleetApplier.
-func (k *keys) applyFleet(f *pb.Fleet, _ *pb.Configuration) {
+// ApplyFleet implements fleetApplier.
+func (k *Keys) ApplyFleet(f *pb.Fleet, _ *pb.Configuration) {
 	if f == nil {
 		return
 	}
@@ -83,7 +86,7 @@
 // ClaimHere decides a claim on a key that this entry host owns.
 //
 // A process that was paused answers "not owner" until its view is confirmed: the key may have another owner by now.
-func (k *keys) ClaimHere(req *pb.ClaimRequest) *pb.ClaimResponse {
+func (k *Keys) ClaimHere(req *pb.ClaimRequest) *pb.ClaimResponse {
 	if k.detector.Check() != nil {
 		return &pb.ClaimResponse{Verdict: pb.ClaimVerdict_CLAIM_VERDICT_NOT_OWNER}
 	}
@@ -93,25 +96,25 @@
 }
 
 // FinishHere records how an attempt ended whose key this entry host owns.
-func (k *keys) FinishHere(req *pb.FinishRequest) {
+func (k *Keys) FinishHere(req *pb.FinishRequest) {
 	k.with(func(o *idempotency.Owner) { o.Finish(time.Now(), req) })
 }
 
-// claim is a granted claim.
-type claim struct {
+// Claim is a granted claim.
+type Claim struct {
 	owner   string
 	request *pb.ClaimRequest
 }
 
-// claim asks the key's owner for the right to run once. An error means that nothing ran and nothing will.
-func (k *keys) claim(ctx context.Context, req *pb.ClaimRequest) (*pb.ClaimResponse, claim, error) {
-	f := k.view.fleet()
+// Claim asks the key's owner for the right to run once. An error means that nothing ran and nothing will.
+func (k *Keys) Claim(ctx context.Context, req *pb.ClaimRequest) (*pb.ClaimResponse, Claim, error) {
+	f := k.view.Fleet()
 	owner, closed := idempotency.Locate(req.GetService(), req.GetKey(), f, rendezvous.Owner)
 	if owner == nil || closed {
-		return nil, claim{}, errKeyMoving.New("key of service %q", req.GetService())
+		return nil, Claim{}, errKeyMoving.New("key of service %q", req.GetService())
 	}
 	req.FleetRevision = f.GetRevision()
-	c := claim{owner: owner.GetName(), request: req}
+	c := Claim{owner: owner.GetName(), request: req}
 	if owner.GetName() == k.self.GetName() {
 		return k.ClaimHere(req), c, nil
 	}
@@ -124,15 +127,15 @@
 	answer, err := k.peers.At(member.GetPeerAddress()).Claim(ctx, connect.NewRequest(req))
 	if err != nil {
 		// The owner may have recorded the claim: free the key, since this attempt will not run.
-		k.finish(c, &pb.Outcome{Kind: pb.OutcomeKind_OUTCOME_KIND_NOT_RUN})
+		k.Finish(c, &pb.Outcome{Kind: pb.OutcomeKind_OUTCOME_KIND_NOT_RUN})
 		return nil, c, errOwnerSilent.New("owner %q of the key: %v", owner.GetName(), err)
 	}
 	return answer.Msg, c, nil
 }
 
-// finish tells the owner how the claimed attempt ended. If the ring is full the owner keeps the claim as running, which
+// Finish tells the owner how the claimed attempt ended. If the ring is full the owner keeps the claim as running, which
 // is safe: the key is then never run again inside its window.
-func (k *keys) finish(c claim, outcome *pb.Outcome) {
+func (k *Keys) Finish(c Claim, outcome *pb.Outcome) {
 	end := claimEnd{owner: c.owner, finish: &pb.FinishRequest{
 		Service: c.request.GetService(),
 		Key:     c.request.GetKey(),
@@ -146,8 +149,8 @@
 	k.ends.Offer(end)
 }
 
-// run tells the owners the ends of claims, and forgets old keys.
-func (k *keys) run(ctx context.Context) {
+// Run tells the owners the ends of claims, and forgets old keys.
+func (k *Keys) Run(ctx context.Context) {
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
 	for {
@@ -163,10 +166,10 @@
 }
 
 // tell delivers one end, with a bounded number of tries.
-func (k *keys) tell(ctx context.Context, end claimEnd) {
+func (k *Keys) tell(ctx context.Context, end claimEnd) {
 	backoff := store.DefaultBackoff()
 	for range finishAttempts {
-		member, ok := lo.Find(k.view.fleet().GetMembers(), func(m *pb.Member) bool { return m.GetName() == end.owner })
+		member, ok := lo.Find(k.view.Fleet().GetMembers(), func(m *pb.Member) bool { return m.GetName() == end.owner })
 		if !ok {
 			return
 		}
@@ -185,21 +188,21 @@
 	errOwnerSilent = errs.Class("peer not reachable")
 )
 
-// remembered is the number of keys that this entry host remembers as their owner.
-func (k *keys) remembered() int {
+// Remembered is the number of keys that this entry host remembers as their owner.
+func (k *Keys) Remembered() int {
 	n := 0
 	k.with(func(o *idempotency.Owner) { n = o.Len() })
 	return n
 }
 
-// backlog is the ring of ends that wait to be told.
-func (k *keys) backlog() ring.State { return k.ends }
+// Backlog is the ring of ends that wait to be told.
+func (k *Keys) Backlog() ring.State { return k.ends }
 
 // SetPeers says how the owners of keys are reached. It must be called before the duty runs.
-func (k *keys) SetPeers(peers peerClients) { k.peers = peers }
+func (k *Keys) SetPeers(peers peerClients) { k.peers = peers }
 
-// process is the member whose claims these are.
-func (k *keys) process() *pb.Member { return k.self }
+// Process is the member whose claims these are.
+func (k *Keys) Process() *pb.Member { return k.self }
 
-// tooLate reports whether a request that arrived at a time has waited too long for its key to be safe.
-func (k *keys) tooLate(now, arrived time.Time) bool { return k.limits.TooLate(now, arrived) }
+// TooLate reports whether a request that arrived at a time has waited too long for its key to be safe.
+func (k *Keys) TooLate(now, arrived time.Time) bool { return k.limits.TooLate(now, arrived) }
--- a/internal/entryhost/control.go
+++ b/internal/control/control.go
@@ -1,4 +1,5 @@
-package entryhost
+// Package control runs the fleet controller on the entry host that holds its lease, and reads the platform's host list.
+package control
 
 import (
 	"context"
@@ -14,7 +15,10 @@
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/hostlist"
+	"github.com/agateturn/agateturn/internal/fleetstore"
+	"github.com/agateturn/agateturn/internal/peers"
 	"github.com/agateturn/agateturn/internal/ring"
+	"github.com/agateturn/agateturn/internal/view"
 	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/mover"
 	"github.com/agateturn/agateturn/store"
@@ -30,17 +34,17 @@
 	actionRepeat = 10 * time.Second
 )
 
-// control is the duty of the fleet controller. Every entry host runs it; the holder of the lease key acts.
+// Controller is the duty of the fleet controller. Every entry host runs it; the holder of the lease key acts.
 //
 // The lease is for liveness only. A controller that lost it without knowing is stopped by its compare-and-swap.
-type control struct {
+type Controller struct {
 	self     *pb.Member
-	view     *view
-	writer   *writer
-	peers    *peers
+	view     *view.View
+	writer   *fleetstore.Writer
+	peers    *peers.Peers
 	leases   store.Leases
 	platform *hostlist.Client
-	list     *platformList
+	list     *PlatformList
 	period   time.Duration
 	lease    time.Duration
 	pause    time.Duration
@@ -54,11 +58,46 @@
 	failing bool
 }
 
-// run seeks the lease and decides while it holds it, until ctx ends.
-func (c *control) run(ctx context.Context) {
+// Options are what the duty needs.
+type Options struct {
+	Self     *pb.Member
+	View     *view.View
+	Writer   *fleetstore.Writer
+	Peers    *peers.Peers
+	Leases   store.Leases
+	Platform *hostlist.Client
+	List     *PlatformList
+	Period   time.Duration
+	Lease    time.Duration
+	Pause    time.Duration
+	Logger   *slog.Logger
+}
+
+// New returns the duty of the fleet controller.
+func New(o Options) *Controller {
+	return &Controller{
+		self:     o.Self,
+		view:     o.View,
+		writer:   o.Writer,
+		peers:    o.Peers,
+		leases:   o.Leases,
+		platform: o.Platform,
+		list:     o.List,
+		period:   o.Period,
+		lease:    o.Lease,
+		pause:    o.Pause,
+		logger:   o.Logger,
+		changed:  o.View.Subscribe("controller"),
+		acted:    map[string]time.Time{},
+		tracker:  mover.NewTracker(),
+	}
+}
+
+// Run seeks the lease and decides while it holds it, until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
 	backoff := store.DefaultBackoff()
 	for ctx.Err() == nil {
-		lease, err := c.leases.Acquire(ctx, keyController, c.self.GetName())
+		lease, err := c.leases.Acquire(ctx, fleetstore.KeyController, c.self.GetName())
 		if err != nil {
 			_ = backoff.Sleep(ctx)
 			_ = wait.For(ctx, c.lease/2)
@@ -72,7 +111,7 @@
 }
 
 // hold decides until the lease is lost or ctx ends.
-func (c *control) hold(ctx context.Context, lease store.Lease) {
+func (c *Controller) hold(ctx context.Context, lease store.Lease) {
 	c.list.wanted.Store(true)
 	defer func() {
 		c.list.wanted.Store(false)
@@ -91,7 +130,7 @@
 		case <-ticker.C:
 		case <-c.changed.Items():
 		case <-c.peers.Heard():
-			if !awaitsReports(c.view.fleet()) {
+			if !awaitsReports(c.view.Fleet()) {
 				continue
 			}
 		}
@@ -118,17 +157,17 @@
 }
 
 // decide takes one step: read, decide, one write, then the actions.
-func (c *control) decide(ctx context.Context) {
-	if c.view.config() == nil {
+func (c *Controller) decide(ctx context.Context) {
+	if c.view.Config() == nil {
 		return
 	}
-	reports, err := c.peers.reports(ctx)
+	reports, err := c.peers.Reports(ctx)
 	if err != nil {
 		return
 	}
 	now := time.Now()
-	load := c.tracker.Observe(now, controller.Samples(now, c.view.config(), reports))
-	decision := controller.Step(now, c.input(now, c.view.fleet(), reports, load))
+	load := c.tracker.Observe(now, controller.Samples(now, c.view.Config(), reports))
+	decision := controller.Step(now, c.input(now, c.view.Fleet(), reports, load))
 	if decision.Fleet != nil {
 		if decision, err = c.write(ctx, reports, load); err != nil {
 			c.notWritten(err)
@@ -141,22 +180,22 @@
 }
 
 // write decides anew on the fleet that the store holds, and swaps the decision in. A conflict is left to the next step.
-func (c *control) write(ctx context.Context, reports map[string]fleet.Received, load map[string]mover.PoolLoad) (controller.Decision, error) {
-	f, version, err := c.writer.read(ctx)
+func (c *Controller) write(ctx context.Context, reports map[string]fleet.Received, load map[string]mover.PoolLoad) (controller.Decision, error) {
+	f, version, err := c.writer.Read(ctx)
 	if err != nil {
 		return controller.Decision{}, err
 	}
-	c.view.applyFleet(f)
+	c.view.ApplyFleet(f)
 	now := time.Now()
 	decision := controller.Step(now, c.input(now, f, reports, load))
 	if decision.Fleet == nil {
 		return decision, nil
 	}
-	return decision, c.writer.swap(ctx, version, decision.Fleet)
+	return decision, c.writer.Swap(ctx, version, decision.Fleet)
 }
 
 // notWritten logs the first failure of a row. A conflict is no failure: the next step decides anew.
-func (c *control) notWritten(err error) {
+func (c *Controller) notWritten(err error) {
 	if c.failing || store.Conflict.Has(err) {
 		return
 	}
@@ -165,7 +204,7 @@
 }
 
 // carryOut sends the actions that were not sent lately, and forgets those that are wanted no more.
-func (c *control) carryOut(ctx context.Context, actions []controller.Action) {
+func (c *Controller) carryOut(ctx context.Context, actions []controller.Action) {
 	wanted := map[string]time.Time{}
 	for _, action := range actions {
 		key := fmt.Sprintf("%d %s", action.Kind, action.OperationID)
@@ -179,14 +218,14 @@
 	c.acted = wanted
 }
 
-func (c *control) input(now time.Time, f *pb.Fleet, reports map[string]fleet.Received, load map[string]mover.PoolLoad) controller.Input {
+func (c *Controller) input(now time.Time, f *pb.Fleet, reports map[string]fleet.Received, load map[string]mover.PoolLoad) controller.Input {
 	return controller.Input{
 		Self:       fleet.Identity(c.self),
 		WriteID:    uuid.NewString(),
 		Fleet:      f,
-		Config:     c.view.config(),
+		Config:     c.view.Config(),
 		Heartbeats: reports,
-		Platform:   c.list.snapshot(),
+		Platform:   c.list.Snapshot(),
 		PauseLimit: c.pause,
 		Demand:     load,
 		Failed:     controller.FailedHosts(now, reports),
@@ -209,7 +248,7 @@
 }
 
 // announce logs what a written decision changed.
-func (c *control) announce(ctx context.Context, decision controller.Decision) {
+func (c *Controller) announce(ctx context.Context, decision controller.Decision) {
 	for _, note := range decision.Notes {
 		events.Emit(ctx, c.logger, eventOf(note.Kind),
 			"revision", decision.Fleet.GetRevision(), "subject", note.Subject, "note", note.Text)
@@ -217,7 +256,7 @@
 }
 
 // act carries out one action on the platform. It is idempotent by its operation id, and repeated until the fleet shows its effect.
-func (c *control) act(ctx context.Context, action controller.Action) {
+func (c *Controller) act(ctx context.Context, action controller.Action) {
 	var err error
 	switch action.Kind {
 	case controller.Reboot:
@@ -242,38 +281,3 @@
 	}
 	return events.FleetApplied
 }
-
-// controlOptions are what the duty needs.
-type controlOptions struct {
-	Self     *pb.Member
-	View     *view
-	Writer   *writer
-	Peers    *peers
-	Leases   store.Leases
-	Platform *hostlist.Client
-	List     *platformList
-	Period   time.Duration
-	Lease    time.Duration
-	Pause    time.Duration
-	Logger   *slog.Logger
-}
-
-// newControl returns the duty of the fleet controller.
-func newControl(o controlOptions) *control {
-	return &control{
-		self:     o.Self,
-		view:     o.View,
-		writer:   o.Writer,
-		peers:    o.Peers,
-		leases:   o.Leases,
-		platform: o.Platform,
-		list:     o.List,
-		period:   o.Period,
-		lease:    o.Lease,
-		pause:    o.Pause,
-		logger:   o.Logger,
-		changed:  o.View.subscribe("controller"),
-		acted:    map[string]time.Time{},
-		tracker:  mover.NewTracker(),
-	}
-}
--- a/internal/entryhost/platformlist.go
+++ b/internal/control/platformlist.go
@@ -1,4 +1,4 @@
-package entryhost
+package control
 
 import (
 	"context"
@@ -12,6 +12,7 @@
 	"github.com/agateturn/agateturn/controller"
 	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/hostlist"
+	"github.com/agateturn/agateturn/internal/view"
 	"github.com/agateturn/agateturn/internal/wait"
 )
 
@@ -20,12 +21,12 @@
 	Shun(ctx context.Context, hosts []string)
 }
 
-// platformList keeps the newest host list of the platform. The list lags; own knowledge goes first. It is safe for
+// PlatformList keeps the newest host list of the platform. The list lags; own knowledge goes first. It is safe for
 // concurrent use.
-type platformList struct {
+type PlatformList struct {
 	client *hostlist.Client
 	period time.Duration
-	view   *view
+	view   *view.View
 	// work is told of hosts that leave.
 	work   shunner
 	logger *slog.Logger
@@ -38,11 +39,31 @@
 	hosts []controller.PlatformHost
 }
 
-// run reads the list until ctx ends.
-func (l *platformList) run(ctx context.Context) {
+// ListOptions are what the duty needs.
+type ListOptions struct {
+	View   *view.View
+	Work   shunner
+	Client *hostlist.Client
+	Period time.Duration
+	Logger *slog.Logger
+}
+
+// NewPlatformList returns the duty that reads the host list.
+func NewPlatformList(o ListOptions) *PlatformList {
+	return &PlatformList{
+		view:   o.View,
+		work:   o.Work,
+		client: o.Client,
+		period: o.Period,
+		logger: o.Logger,
+	}
+}
+
+// Run reads the list until ctx ends.
+func (l *PlatformList) Run(ctx context.Context) {
 	failing := false
 	for ; ctx.Err() == nil; _ = wait.For(ctx, l.period) {
-		if !l.wanted.Load() && !l.view.storeFailing.Load() {
+		if !l.wanted.Load() && !l.view.StoreFailing.Load() {
 			l.forget()
 			l.work.Shun(ctx, nil)
 			continue
@@ -63,7 +84,7 @@
 }
 
 // forget drops the list: by the time it is wanted again it would be old.
-func (l *platformList) forget() {
+func (l *PlatformList) forget() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.hosts = nil
@@ -76,7 +97,7 @@
 }
 
 // keep replaces the list. An entry keeps the time at which it was first seen in its state.
-func (l *platformList) keep(hosts []hostlist.Host, now time.Time) {
+func (l *PlatformList) keep(hosts []hostlist.Host, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	seen := map[controller.PlatformHost]time.Time{}
@@ -122,28 +143,9 @@
 	}
 }
 
-func (l *platformList) snapshot() []controller.PlatformHost {
+// Snapshot is the newest list; empty while it is not read.
+func (l *PlatformList) Snapshot() []controller.PlatformHost {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return append([]controller.PlatformHost(nil), l.hosts...)
 }
-
-// listOptions are what the duty needs.
-type listOptions struct {
-	View   *view
-	Work   shunner
-	Client *hostlist.Client
-	Period time.Duration
-	Logger *slog.Logger
-}
-
-// newPlatformList returns the duty that reads the host list.
-func newPlatformList(o listOptions) *platformList {
-	return &platformList{
-		view:   o.View,
-		work:   o.Work,
-		client: o.Client,
-		period: o.Period,
-		logger: o.Logger,
-	}
-}
--- a/internal/entryhost/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -1,4 +1,5 @@
-package entryhost
+// Package dispatch owns the queues, the slots and the routing of an entry host.
+package dispatch
 
 import (
 	"context"
@@ -13,6 +14,7 @@
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/refusalcode"
 	"github.com/agateturn/agateturn/internal/ring"
+	"github.com/agateturn/agateturn/internal/view"
 	"github.com/agateturn/agateturn/routing"
 	"github.com/agateturn/agateturn/slots"
 )
@@ -26,72 +28,74 @@
 	commandBatch = 256
 	// dispatchTick is the time between two looks at deadlines and loans.
 	dispatchTick = 50 * time.Millisecond
+	// RetryNoHost is what a caller waits when no host could take its request.
+	RetryNoHost = time.Second
 )
 
 // command is one message to the dispatcher, run on its goroutine.
-type command func(d *dispatcher, now time.Time)
+type command func(d *Dispatcher, now time.Time)
 
-// ticket is one request on its way through the dispatcher.
-type ticket struct {
+// Ticket is one request on its way through the dispatcher.
+type Ticket struct {
 	id         uint64
-	request    admission.Request
-	digest     uint64
-	declared   time.Duration // declared run time of the service
-	session    bool
-	idempotent bool
-	excluded   []string // hosts that this request was sent to already
-	result     chan verdict
+	Request    admission.Request
+	Digest     uint64
+	Declared   time.Duration // declared run time of the service
+	Session    bool
+	Idempotent bool
+	Excluded   []string // hosts that this request was sent to already
+	Result     chan Verdict
 }
 
-// verdict is the dispatcher's one answer to a ticket: a grant or a rejection.
-type verdict struct {
-	grant     *grant
-	rejection *rejection
+// Verdict is the dispatcher's one answer to a ticket: a grant or a rejection.
+type Verdict struct {
+	Grant     *Grant
+	Rejection *Rejection
 }
 
-// rejection is the final answer to a request that was not started.
-type rejection struct {
-	reason     string
-	retryAfter time.Duration
-	full       bool // a queue or quota is full, rather than something being wrong
-	hopeless   bool // sending it again does not help
-	code       refusalcode.Code
+// Rejection is the final answer to a request that was not started.
+type Rejection struct {
+	Reason     string
+	RetryAfter time.Duration
+	Full       bool // a queue or quota is full, rather than something being wrong
+	Hopeless   bool // sending it again does not help
+	Code       refusalcode.Code
 }
 
-func rejectionOf(reason admission.Reason, retryAfter time.Duration) *rejection {
-	return &rejection{
-		reason:     reason.String(),
-		code:       refusalcode.OfReason(reason),
-		retryAfter: retryAfter,
-		full:       reason == admission.ReasonQueueFull || reason == admission.ReasonHostFull,
+func rejectionOf(reason admission.Reason, retryAfter time.Duration) *Rejection {
+	return &Rejection{
+		Reason:     reason.String(),
+		Code:       refusalcode.OfReason(reason),
+		RetryAfter: retryAfter,
+		Full:       reason == admission.ReasonQueueFull || reason == admission.ReasonHostFull,
 	}
 }
 
-// grant is the right to send one request to one host.
-type grant struct {
-	host    string
-	address string
-	pool    string
-	started time.Time
+// Grant is the right to send one request to one host.
+type Grant struct {
+	Host    string
+	Address string
+	Pool    string
+	Started time.Time
 	token   slots.Token
 	release func()
 }
 
-// dispatcher owns the queues, the slots and the routing of this entry host. All of its state belongs to the goroutine
+// Dispatcher owns the queues, the slots and the routing of this entry host. All of its state belongs to the goroutine
 // of run; others reach it by commands through a bounded ring.
-type dispatcher struct {
-	view     *view
+type Dispatcher struct {
+	view     *view.View
 	self     *pb.Owner
 	commands *ring.Ring[command]
-	// slotless is set while every own slot still waits for the report of a former holder.
-	slotless atomic.Bool
+	// Slotless is set while every own slot still waits for the report of a former holder.
+	Slotless atomic.Bool
 	news     *ring.Ring[string] // peers that should get a heartbeat early
 
 	queues  *admission.Queue
 	ledger  *slots.Ledger
 	router  *routing.Router
-	waiting map[uint64]*ticket
-	running map[uint64]*ticket
+	waiting map[uint64]*Ticket
+	running map[uint64]*Ticket
 	pools   []string
 	hosts   map[string]*pb.Host
 	due     map[string]time.Time // hosts due for maintenance
@@ -106,8 +110,9 @@
 	sequence uint64
 }
 
-func newDispatcher(v *view, self *pb.Owner, place string, maxRequests int) *dispatcher {
-	d := &dispatcher{
+// New returns a dispatcher that obeys the view. The place is the data centre of the entry host.
+func New(v *view.View, self *pb.Owner, place string, maxRequests int) *Dispatcher {
+	d := &Dispatcher{
 		view:     v,
 		self:     self,
 		commands: ring.New[command]("dispatch", commandCapacity),
@@ -115,20 +120,20 @@
 		queues:   admission.New(admission.Limits{MaxRequests: maxRequests}),
 		ledger:   slots.NewLedger(self),
 		router:   routing.New(routing.Options{DataCentre: place}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		waiting:  map[uint64]*ticket{},
-		running:  map[uint64]*ticket{},
+		waiting:  map[uint64]*Ticket{},
+		running:  map[uint64]*Ticket{},
 		hosts:    map[string]*pb.Host{},
 		due:      map[string]time.Time{},
 		peers:    map[string]slots.PeerDemand{},
 		usage:    map[string]map[string]int64{},
 		leaving:  map[string][]string{},
 	}
-	v.onFleet(d)
+	v.OnFleet(d)
 	return d
 }
 
-// run serves commands until ctx ends.
-func (d *dispatcher) run(ctx context.Context) {
+// Run serves commands until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) {
 	ticker := time.NewTicker(dispatchTick)
 	defer ticker.Stop()
 	for {
@@ -145,7 +150,7 @@
 }
 
 // runBatch runs one command and those already waiting behind it, up to commandBatch.
-func (d *dispatcher) runBatch(first command) {
+func (d *Dispatcher) runBatch(first command) {
 	now := time.Now()
 	first(d, now)
 	for range min(commandBatch, d.commands.Len()) {
@@ -155,19 +160,19 @@
 }
 
 // tick answers what has waited too long and trades slots with the peers.
-func (d *dispatcher) tick(now time.Time) {
+func (d *Dispatcher) tick(now time.Time) {
 	for _, r := range d.queues.Expire(now) {
 		d.reject(r)
 	}
 	d.balance(now)
 	waiting := d.ledger.Waiting()
-	d.slotless.Store(waiting > 0 && waiting == d.ledger.Own())
+	d.Slotless.Store(waiting > 0 && waiting == d.ledger.Own())
 }
 
 // balance trades slots with the peers, and has those told early for whom there is news.
 //
 // With nothing queued anywhere and nothing lent there is nothing to trade, and looking at each slot costs time.
-func (d *dispatcher) balance(now time.Time) {
+func (d *Dispatcher) balance(now time.Time) {
 	own := d.demand(now)
 	if d.quiet(own) {
 		return
@@ -181,7 +186,7 @@
 }
 
 // quiet reports whether nobody queues, here or at a peer, and no slot is lent, borrowed or still to be settled.
-func (d *dispatcher) quiet(own []*pb.PoolDemand) bool {
+func (d *Dispatcher) quiet(own []*pb.PoolDemand) bool {
 	if d.ledger.Lent()+d.ledger.Borrowed()+d.ledger.Waiting() > 0 || queues(own) {
 		d.wasQuiet = false
 		return false
@@ -197,7 +202,7 @@
 }
 
 // demand is this entry host's load, with the slots that it could use and does not.
-func (d *dispatcher) demand(now time.Time) []*pb.PoolDemand {
+func (d *Dispatcher) demand(now time.Time) []*pb.PoolDemand {
 	pools := d.queues.Demand(now)
 	for _, p := range pools {
 		p.Idle = int64(d.ledger.FreeSlots(p.GetPool()))
@@ -206,7 +211,7 @@
 }
 
 // schedule starts as much queued work as there are usable slots.
-func (d *dispatcher) schedule(now time.Time) {
+func (d *Dispatcher) schedule(now time.Time) {
 	if len(d.waiting) == 0 {
 		return
 	}
@@ -216,12 +221,12 @@
 }
 
 // queuedPools are the pools that a request waits for, in the configuration's order.
-func (d *dispatcher) queuedPools() []string {
-	queued := lo.SliceToMap(lo.Values(d.waiting), func(t *ticket) (string, bool) { return t.request.Pool, true })
+func (d *Dispatcher) queuedPools() []string {
+	queued := lo.SliceToMap(lo.Values(d.waiting), func(t *Ticket) (string, bool) { return t.Request.Pool, true })
 	return lo.Filter(d.pools, func(pool string, _ int) bool { return queued[pool] })
 }
 
-func (d *dispatcher) schedulePool(now time.Time, pool string) {
+func (d *Dispatcher) schedulePool(now time.Time, pool string) {
 	usable := d.usableSlots(pool)
 	starts, rejections := d.queues.Next(now, pool, usable)
 	for _, r := range rejections {
@@ -233,7 +238,7 @@
 }
 
 // usableSlots counts the free slots on hosts that are not ejected.
-func (d *dispatcher) usableSlots(pool string) int {
+func (d *Dispatcher) usableSlots(pool string) int {
 	return lo.SumBy(d.ledger.Free(pool), func(f slots.HostFree) int {
 		if d.router.Ejected(f.Host) || d.isLeaving(f.Host) {
 			return 0
@@ -243,9 +248,9 @@
 }
 
 // candidates are the active hosts of a pool, with the slots that are free here.
-func (d *dispatcher) candidates(pool string) []routing.Candidate {
+func (d *Dispatcher) candidates(pool string) []routing.Candidate {
 	free := lo.SliceToMap(d.ledger.Free(pool), func(f slots.HostFree) (string, int) { return f.Host, f.Free })
-	return lo.FilterMap(d.view.gate.Active(pool), func(name string, _ int) (routing.Candidate, bool) {
+	return lo.FilterMap(d.view.Gate.Active(pool), func(name string, _ int) (routing.Candidate, bool) {
 		host, known := d.hosts[name]
 		return routing.Candidate{
 			Host:              name,
@@ -259,7 +264,7 @@
 }
 
 // start gives one queued request a host, or sends it back to its caller as not run.
-func (d *dispatcher) start(now time.Time, pool string, id uint64) {
+func (d *Dispatcher) start(now time.Time, pool string, id uint64) {
 	t, ok := d.waiting[id]
 	if !ok {
 		return
@@ -268,23 +273,23 @@
 	g, err := d.grant(now, pool, t)
 	if err != nil {
 		d.queues.Done(now, id, 0, false)
-		t.result <- verdict{rejection: &rejection{reason: err.Error(), retryAfter: retryNoHost, code: refusalcode.NoHost}}
+		t.Result <- Verdict{Rejection: &Rejection{Reason: err.Error(), RetryAfter: RetryNoHost, Code: refusalcode.NoHost}}
 		return
 	}
 	d.running[id] = t
-	t.result <- verdict{grant: g}
+	t.Result <- Verdict{Grant: g}
 }
 
 // grant chooses a host, takes one of its slots and registers the request with the gate.
-func (d *dispatcher) grant(now time.Time, pool string, t *ticket) (*grant, error) {
+func (d *Dispatcher) grant(now time.Time, pool string, t *Ticket) (*Grant, error) {
 	request := routing.Request{
-		Service:     t.request.Service,
-		Class:       lo.Ternary(t.session, routing.Session, routing.Ordinary),
-		ExpectedRun: t.declared,
-		JobDigest:   t.digest,
-		Idempotent:  t.idempotent,
-		Retry:       len(t.excluded) > 0,
-		Exclude:     t.excluded,
+		Service:     t.Request.Service,
+		Class:       lo.Ternary(t.Session, routing.Session, routing.Ordinary),
+		ExpectedRun: t.Declared,
+		JobDigest:   t.Digest,
+		Idempotent:  t.Idempotent,
+		Retry:       len(t.Excluded) > 0,
+		Exclude:     t.Excluded,
 	}
 	host, ok := d.router.Pick(now, request, d.candidates(pool))
 	if !ok {
@@ -294,89 +299,89 @@
 	if err != nil {
 		return nil, err
 	}
-	release, err := d.view.gate.Begin(host, pool, now)
+	release, err := d.view.Gate.Begin(host, pool, now)
 	if err != nil {
 		d.ledger.Release(token)
 		return nil, err
 	}
-	return &grant{
-		host:    host,
-		address: d.hosts[host].GetAddress(),
-		pool:    pool,
-		started: now,
+	return &Grant{
+		Host:    host,
+		Address: d.hosts[host].GetAddress(),
+		Pool:    pool,
+		Started: now,
 		token:   token,
 		release: release,
 	}, nil
 }
 
 // reject answers a queued request.
-func (d *dispatcher) reject(r admission.Rejection) {
+func (d *Dispatcher) reject(r admission.Rejection) {
 	t, ok := d.waiting[r.ID]
 	if !ok {
 		return
 	}
 	delete(d.waiting, r.ID)
-	t.result <- verdict{rejection: rejectionOf(r.Reason, r.RetryAfter)}
+	t.Result <- Verdict{Rejection: rejectionOf(r.Reason, r.RetryAfter)}
 }
 
-// offer queues a request. The verdict arrives on the ticket's channel.
-func (d *dispatcher) offer(t *ticket) bool {
-	return d.commands.Offer(func(d *dispatcher, now time.Time) {
+// Offer queues a request. The verdict arrives on the ticket's channel.
+func (d *Dispatcher) Offer(t *Ticket) bool {
+	return d.commands.Offer(func(d *Dispatcher, now time.Time) {
 		d.nextID++
 		t.id = d.nextID
-		t.request.ID = t.id
-		if d.router.Hopeless(now, t.digest) {
-			t.result <- verdict{rejection: &rejection{reason: "this request failed on every host it was tried on; do not send it again", hopeless: true, code: refusalcode.Hopeless}}
+		t.Request.ID = t.id
+		if d.router.Hopeless(now, t.Digest) {
+			t.Result <- Verdict{Rejection: &Rejection{Reason: "this request failed on every host it was tried on; do not send it again", Hopeless: true, Code: refusalcode.Hopeless}}
 			return
 		}
-		if decision := d.queues.Offer(now, t.request); !decision.Queued {
-			t.result <- verdict{rejection: rejectionOf(decision.Reason, decision.RetryAfter)}
+		if decision := d.queues.Offer(now, t.Request); !decision.Queued {
+			t.Result <- Verdict{Rejection: rejectionOf(decision.Reason, decision.RetryAfter)}
 			return
 		}
 		d.waiting[t.id] = t
 	})
 }
 
-// cancel takes back a request whose caller has gone. A grant that crossed with it is finished by the caller's handler.
-func (d *dispatcher) cancel(ctx context.Context, t *ticket) {
-	_ = d.commands.Put(ctx, func(d *dispatcher, _ time.Time) {
+// Cancel takes back a request whose caller has gone. A grant that crossed with it is finished by the caller's handler.
+func (d *Dispatcher) Cancel(ctx context.Context, t *Ticket) {
+	_ = d.commands.Put(ctx, func(d *Dispatcher, _ time.Time) {
 		if _, waits := d.waiting[t.id]; !waits {
 			return
 		}
 		delete(d.waiting, t.id)
 		d.queues.Cancel(t.id)
-		t.result <- verdict{rejection: &rejection{reason: "the caller has gone", code: refusalcode.CallerGone}}
+		t.Result <- Verdict{Rejection: &Rejection{Reason: "the caller has gone", Code: refusalcode.CallerGone}}
 	})
 }
 
-// finished says how a granted request ended.
-type finished struct {
-	ticket *ticket
-	grant  *grant
-	result routing.Result
+// Finished says how a granted request ended.
+type Finished struct {
+	Ticket *Ticket
+	Grant  *Grant
+	Result routing.Result
 }
 
 // learned is the run time to learn from. A session's length says nothing of the service's requests.
-func (f finished) learned(runTime time.Duration) time.Duration {
-	if f.ticket.session {
-		return f.ticket.declared
+func (f Finished) learned(runTime time.Duration) time.Duration {
+	if f.Ticket.Session {
+		return f.Ticket.Declared
 	}
 	return runTime
 }
 
-// done gives back the slot of a granted request. It waits for room in the ring: a slot must never be forgotten.
-func (d *dispatcher) done(ctx context.Context, f finished) {
-	f.grant.release()
-	_ = d.commands.Put(ctx, func(d *dispatcher, now time.Time) {
-		delete(d.running, f.ticket.id)
-		runTime := now.Sub(f.grant.started)
-		d.ledger.Release(f.grant.token)
-		d.queues.Done(now, f.ticket.id, f.learned(runTime), f.result == routing.Succeeded)
+// Done gives back the slot of a granted request. It waits for room in the ring: a slot must never be forgotten.
+func (d *Dispatcher) Done(ctx context.Context, f Finished) {
+	f.Grant.release()
+	_ = d.commands.Put(ctx, func(d *Dispatcher, now time.Time) {
+		delete(d.running, f.Ticket.id)
+		runTime := now.Sub(f.Grant.Started)
+		d.ledger.Release(f.Grant.token)
+		d.queues.Done(now, f.Ticket.id, f.learned(runTime), f.Result == routing.Succeeded)
 		d.router.Observe(now, routing.Observation{
-			Host:      f.grant.host,
-			Service:   f.ticket.request.Service,
-			JobDigest: f.ticket.digest,
-			Result:    f.result,
+			Host:      f.Grant.Host,
+			Service:   f.Ticket.Request.Service,
+			JobDigest: f.Ticket.Digest,
+			Result:    f.Result,
 			RunTime:   runTime,
 		})
 	})
--- a/internal/entryhost/dispatchpeers.go
+++ b/internal/dispatch/dispatchpeers.go
@@ -1,4 +1,4 @@
-package entryhost
+package dispatch
 
 import (
 	"context"
@@ -15,13 +15,13 @@
 
 // This file is what the dispatcher takes from the fleet and the peers, and what it tells them.
 
-// applyFleet implements fleetApplier: it returns when the dispatcher obeys the fleet.
-func (d *dispatcher) applyFleet(f *pb.Fleet, cfg *pb.Configuration) {
+// ApplyFleet implements fleetApplier: it returns when the dispatcher obeys the fleet.
+func (d *Dispatcher) ApplyFleet(f *pb.Fleet, cfg *pb.Configuration) {
 	if f == nil || cfg == nil {
 		return
 	}
 	applied := make(chan struct{})
-	_ = d.commands.Put(context.Background(), func(d *dispatcher, now time.Time) {
+	_ = d.commands.Put(context.Background(), func(d *Dispatcher, now time.Time) {
 		d.takeOver(now, f, cfg)
 		close(applied)
 	})
@@ -29,7 +29,7 @@
 }
 
 // takeOver installs a fleet and a configuration.
-func (d *dispatcher) takeOver(now time.Time, f *pb.Fleet, cfg *pb.Configuration) {
+func (d *Dispatcher) takeOver(now time.Time, f *pb.Fleet, cfg *pb.Configuration) {
 	d.pools = lo.Map(cfg.GetPools(), func(p *pb.Pool, _ int) string { return p.GetName() })
 	d.hosts = lo.KeyBy(cfg.GetHosts(), (*pb.Host).GetName)
 	states := lo.KeyBy(f.GetHosts(), (*pb.HostState).GetHost)
@@ -62,8 +62,8 @@
 }
 
 // Incoming takes over a peer's heartbeat.
-func (d *dispatcher) Incoming(ctx context.Context, hb *pb.Heartbeat) {
-	_ = d.commands.Put(ctx, func(d *dispatcher, now time.Time) {
+func (d *Dispatcher) Incoming(ctx context.Context, hb *pb.Heartbeat) {
+	_ = d.commands.Put(ctx, func(d *Dispatcher, now time.Time) {
 		d.ledger.Incoming(hb)
 		d.peers[hb.GetName()] = slots.PeerDemand{Pools: hb.GetDemand(), DataCentre: hb.GetDataCentre(), Heard: now}
 		d.router.Merge(hb.GetName(), hb.GetHealth())
@@ -73,10 +73,10 @@
 	})
 }
 
-// slotStatus counts the slots; all zero if ctx ends first.
-func (d *dispatcher) slotStatus(ctx context.Context) operatorapi.SlotStatus {
+// SlotStatus counts the slots; all zero if ctx ends first.
+func (d *Dispatcher) SlotStatus(ctx context.Context) operatorapi.SlotStatus {
 	counted := make(chan operatorapi.SlotStatus, 1)
-	err := d.commands.Put(ctx, func(d *dispatcher, _ time.Time) {
+	err := d.commands.Put(ctx, func(d *Dispatcher, _ time.Time) {
 		counted <- operatorapi.SlotStatus{
 			Own:      d.ledger.Own(),
 			InUse:    d.ledger.InUse(),
@@ -93,11 +93,11 @@
 
 // Shun gives no more work to the hosts that the platform's list shows leaving or gone. The fleet drains them too, but
 // not while the store is down.
-func (d *dispatcher) Shun(ctx context.Context, hosts []string) {
-	_ = d.commands.Put(ctx, func(d *dispatcher, _ time.Time) { d.leaving[d.self.GetName()] = hosts })
+func (d *Dispatcher) Shun(ctx context.Context, hosts []string) {
+	_ = d.commands.Put(ctx, func(d *Dispatcher, _ time.Time) { d.leaving[d.self.GetName()] = hosts })
 }
 
-func (d *dispatcher) isLeaving(host string) bool {
+func (d *Dispatcher) isLeaving(host string) bool {
 	for _, hosts := range d.leaving {
 		if lo.Contains(hosts, host) {
 			return true
@@ -107,7 +107,7 @@
 }
 
 // takeUsage sums up what each team runs on the other entry hosts.
-func (d *dispatcher) takeUsage(hb *pb.Heartbeat) {
+func (d *Dispatcher) takeUsage(hb *pb.Heartbeat) {
 	before := d.usage[hb.GetName()]
 	now := lo.SliceToMap(hb.GetTeamUsage(), func(u *pb.TeamUsage) (string, int64) { return u.GetTeam(), u.GetRunning() })
 	d.usage[hb.GetName()] = now
@@ -120,10 +120,10 @@
 	}
 }
 
-// allowRetry takes a retry from the service's budget.
-func (d *dispatcher) allowRetry(ctx context.Context, service string) bool {
+// AllowRetry takes a retry from the service's budget.
+func (d *Dispatcher) AllowRetry(ctx context.Context, service string) bool {
 	allowed := make(chan bool, 1)
-	err := d.commands.Put(ctx, func(d *dispatcher, now time.Time) { allowed <- d.router.AllowRetry(now, service) })
+	err := d.commands.Put(ctx, func(d *Dispatcher, now time.Time) { allowed <- d.router.AllowRetry(now, service) })
 	if err != nil {
 		return false
 	}
@@ -139,9 +139,9 @@
 }
 
 // Compose fills the dispatcher's part of a heartbeat to a peer, and gives it its sequence number.
-func (d *dispatcher) Compose(ctx context.Context, peer string, hb *pb.Heartbeat) error {
+func (d *Dispatcher) Compose(ctx context.Context, peer string, hb *pb.Heartbeat) error {
 	composed := make(chan struct{})
-	err := d.commands.Put(ctx, func(d *dispatcher, now time.Time) {
+	err := d.commands.Put(ctx, func(d *Dispatcher, now time.Time) {
 		defer close(composed)
 		d.sequence++
 		hb.Sequence = d.sequence
@@ -162,31 +162,31 @@
 	}
 }
 
-// dispatcherLoad is what waits at the dispatcher.
-type dispatcherLoad struct {
-	demand  []*pb.PoolDemand
-	ejected []string
+// LoadReport is what waits at the dispatcher.
+type LoadReport struct {
+	Demand  []*pb.PoolDemand
+	Ejected []string
 }
 
-// load asks the dispatcher; it is empty if ctx ends first.
-func (d *dispatcher) load(ctx context.Context) dispatcherLoad {
-	counted := make(chan dispatcherLoad, 1)
-	err := d.commands.Put(ctx, func(d *dispatcher, now time.Time) {
-		counted <- dispatcherLoad{demand: d.queues.Demand(now), ejected: d.router.EjectedHosts()}
+// Load asks the dispatcher; it is empty if ctx ends first.
+func (d *Dispatcher) Load(ctx context.Context) LoadReport {
+	counted := make(chan LoadReport, 1)
+	err := d.commands.Put(ctx, func(d *Dispatcher, now time.Time) {
+		counted <- LoadReport{Demand: d.queues.Demand(now), Ejected: d.router.EjectedHosts()}
 	})
 	if err != nil {
-		return dispatcherLoad{}
+		return LoadReport{}
 	}
 	select {
 	case load := <-counted:
 		return load
 	case <-ctx.Done():
-		return dispatcherLoad{}
+		return LoadReport{}
 	}
 }
 
 // PeersToTell are the peers that should get a heartbeat early.
-func (d *dispatcher) PeersToTell() <-chan string { return d.news.Items() }
+func (d *Dispatcher) PeersToTell() <-chan string { return d.news.Items() }
 
-// backlog is the ring of commands that wait for the dispatcher.
-func (d *dispatcher) backlog() ring.State { return d.commands }
+// Backlog is the ring of commands that wait for the dispatcher.
+func (d *Dispatcher) Backlog() ring.State { return d.commands }
--- a/internal/entryhost/announce.go
+++ b/internal/entryhost/announce.go
@@ -11,7 +11,11 @@
 	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/control"
+	"github.com/agateturn/agateturn/internal/dispatch"
+	"github.com/agateturn/agateturn/internal/peers"
 	"github.com/agateturn/agateturn/internal/ring"
+	"github.com/agateturn/agateturn/internal/view"
 )
 
 const (
@@ -25,10 +29,10 @@
 // Changes of the fleet are logged by the controller alone, so that each is logged once. Its state belongs to run.
 type announcer struct {
 	self     *pb.Member
-	view     *view
-	peers    *peers
-	dispatch *dispatcher
-	list     *platformList
+	view     *view.View
+	peers    *peers.Peers
+	dispatch *dispatch.Dispatcher
+	list     *control.PlatformList
 	ready    func() error
 	changed  *ring.Ring[struct{}]
 	logger   *slog.Logger
@@ -60,7 +64,7 @@
 
 func (a *announcer) look(ctx context.Context, now time.Time) {
 	a.readiness(ctx)
-	f := a.view.fleet()
+	f := a.view.Fleet()
 	controls := f.GetController() == fleet.Identity(a.self)
 	if controls && a.fleet != nil {
 		for _, o := range fleetEvents(a.fleet, f) {
@@ -72,11 +76,11 @@
 		events.Emit(ctx, a.logger, events.HostReleased, "host", host)
 	}
 	a.fleet = f
-	a.tell(ctx, &a.silent, a.peers.silent(now), events.PeerUnreachable, events.PeerBack, "peer")
-	a.tell(ctx, &a.ejected, setOf(a.dispatch.load(ctx).ejected), events.HostEjected, events.HostProbedBack, "host")
+	a.tell(ctx, &a.silent, a.peers.Silent(now), events.PeerUnreachable, events.PeerBack, "peer")
+	a.tell(ctx, &a.ejected, setOf(a.dispatch.Load(ctx).Ejected), events.HostEjected, events.HostProbedBack, "host")
 	if controls {
 		a.tell(ctx, &a.hanging, hanging(f, now), events.HostDrainHangs, events.Event{}, "host")
-		a.tell(ctx, &a.absent, absentHosts(a.view.config(), a.list), events.HostNotInList, events.Event{}, "host")
+		a.tell(ctx, &a.absent, absentHosts(a.view.Config(), a.list), events.HostNotInList, events.Event{}, "host")
 	}
 }
 
@@ -141,7 +145,7 @@
 		}
 	}
 	held := states{}
-	for _, h := range a.view.gate.Held(time.Now()) {
+	for _, h := range a.view.Gate.Held(time.Now()) {
 		if draining[h.GetHost()] {
 			held[h.GetHost()] = true
 		}
@@ -171,9 +175,9 @@
 }
 
 // absentHosts are the configured hosts that the platform's list lacks.
-func absentHosts(cfg *pb.Configuration, list *platformList) states {
+func absentHosts(cfg *pb.Configuration, list *control.PlatformList) states {
 	listed := states{}
-	for _, h := range list.snapshot() {
+	for _, h := range list.Snapshot() {
 		listed[h.Name] = true
 	}
 	absent := states{}
--- a/internal/entryhost/contract_test.go
+++ b/internal/entryhost/contract_test.go
@@ -20,7 +20,7 @@
 	cfg := &pb.Configuration{}
 	assert.NilError(t, settings.Load("../../examples/agency/deployment.ini", cfg))
 	cfg.Generation = 1
-	assert.Assert(t, d.view.applyConfig(time.Now(), cfg))
+	assert.Assert(t, d.view.ApplyConfig(time.Now(), cfg))
 	d.settings.Limits.MaxBodyBytes = 1024
 	tests := []struct {
 		name, path, header, value, body string
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -22,7 +22,18 @@
 	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/callers"
+	"github.com/agateturn/agateturn/internal/claims"
+	"github.com/agateturn/agateturn/internal/control"
+	"github.com/agateturn/agateturn/internal/dispatch"
+	"github.com/agateturn/agateturn/internal/fleetstore"
+	"github.com/agateturn/agateturn/internal/measures"
+	"github.com/agateturn/agateturn/internal/operations"
 	"github.com/agateturn/agateturn/internal/pause"
+	"github.com/agateturn/agateturn/internal/peers"
+	"github.com/agateturn/agateturn/internal/proposals"
+	"github.com/agateturn/agateturn/internal/registration"
+	"github.com/agateturn/agateturn/internal/view"
 	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/stats"
 )
@@ -32,22 +43,22 @@
 	settings   *pb.Settings
 	logger     *slog.Logger
 	self       *pb.Member
-	view       *view
-	dispatch   *dispatcher
-	keys       *keys
-	peers      *peers
-	follower   *follower
-	registrar  *registrar
-	control    *control
-	list       *platformList
-	proposer   *proposer
-	callers    *callerServer
+	view       *view.View
+	dispatch   *dispatch.Dispatcher
+	keys       *claims.Keys
+	peers      *peers.Peers
+	follower   *fleetstore.Follower
+	registrar  *registration.Registrar
+	control    *control.Controller
+	list       *control.PlatformList
+	proposer   *proposals.Proposer
+	callers    *callers.Server
 	detector   *pause.Detector
 	stats      *stats.Stats
-	writer     *writer
-	meter      *meter
-	gauges     *gauges
-	operations *operations
+	writer     *fleetstore.Writer
+	meter      *measures.Meter
+	gauges     *measures.Gauges
+	operations *operations.Operations
 	announcer  *announcer
 
 	stopping atomic.Bool
@@ -112,18 +123,18 @@
 			events.Emit(ctx, d.logger, events.PauseDetected, "gap", gap)
 		})
 	})
-	d.duty(func() { d.dispatch.run(ctx) })
-	d.duty(func() { d.keys.run(ctx) })
-	d.duty(func() { d.peers.run(ctx) })
-	d.duty(func() { d.follower.run(ctx, keyFleet, d.follower.takeFleet) })
-	d.duty(func() { d.follower.run(ctx, keyConfig, d.follower.takeConfig) })
-	d.duty(func() { d.list.run(ctx) })
-	d.duty(func() { d.meter.run(ctx) })
+	d.duty(func() { d.dispatch.Run(ctx) })
+	d.duty(func() { d.keys.Run(ctx) })
+	d.duty(func() { d.peers.Run(ctx) })
+	d.duty(func() { d.follower.Run(ctx, fleetstore.KeyFleet, d.follower.TakeFleet) })
+	d.duty(func() { d.follower.Run(ctx, fleetstore.KeyConfig, d.follower.TakeConfig) })
+	d.duty(func() { d.list.Run(ctx) })
+	d.duty(func() { d.meter.Run(ctx) })
 	d.duty(func() { d.announcer.run(ctx) })
-	d.duty(func() { watchHeap(ctx, d.stats) })
-	d.duty(func() { d.control.run(ctx) })
+	d.duty(func() { measures.WatchHeap(ctx, d.stats) })
+	d.duty(func() { d.control.Run(ctx) })
 	d.duty(func() {
-		if err := d.registrar.run(ctx); err != nil {
+		if err := d.registrar.Run(ctx); err != nil {
 			failed <- err
 		}
 	})
@@ -138,17 +149,17 @@
 	events.Emit(ctx, d.logger, events.Stopping, "member", d.self.GetName())
 	d.stopping.Store(true)
 	servers.callers.server.SetKeepAlivesEnabled(false) // each answer from now on closes its connection
-	_ = d.registrar.setLeaving(ctx)
+	_ = d.registrar.SetLeaving(ctx)
 	_ = wait.For(ctx, d.settings.GetTiming().GetDrainNotice().AsDuration())
 	limit, cancel := context.WithTimeout(ctx, d.settings.GetTiming().GetStopLimit().AsDuration())
 	defer cancel()
 	if err := servers.callers.server.Shutdown(limit); err != nil {
 		events.Emit(ctx, d.logger, events.StopLimitReached, "what", "requests", "err", err)
 	}
-	if err := d.callers.waitSessions(limit); err != nil {
+	if err := d.callers.WaitSessions(limit); err != nil {
 		events.Emit(ctx, d.logger, events.StopLimitReached, "what", "sessions", "err", err)
 	}
-	_ = d.registrar.leave(ctx)
+	_ = d.registrar.Leave(ctx)
 	servers.close()
 	events.Emit(ctx, d.logger, events.Stopped, "member", d.self.GetName())
 }
@@ -157,18 +168,18 @@
 func (d *Daemon) ready() error {
 	switch {
 	case d.stopping.Load():
-		return errStopping.New("%s", d.self.GetName())
-	case d.view.config() == nil:
-		return errNoConfig.New("entry host %s", d.self.GetName())
+		return callers.ErrStopping.New("%s", d.self.GetName())
+	case d.view.Config() == nil:
+		return callers.ErrNoConfig.New("entry host %s", d.self.GetName())
 	}
 	if err := d.detector.Check(); err != nil {
 		return err
 	}
-	registered := d.registrar.registered()
-	if !registered && !d.peers.guestOf(time.Now(), d.settings.GetTiming().GetPauseLimit().AsDuration()) {
-		return errNotMember.New("%s", d.self.GetName())
+	registered := d.registrar.Registered()
+	if !registered && !d.peers.GuestOf(time.Now(), d.settings.GetTiming().GetPauseLimit().AsDuration()) {
+		return peers.ErrNotMember.New("%s", d.self.GetName())
 	}
-	if d.dispatch.slotless.Load() || (registered && !ownerIn(d.view.fleet(), d.self)) {
+	if d.dispatch.Slotless.Load() || (registered && !ownerIn(d.view.Fleet(), d.self)) {
 		return errNoSlots.New("%s", d.self.GetName())
 	}
 	return d.settled()
@@ -185,8 +196,8 @@
 func (d *Daemon) settled() error {
 	var err error
 	now := time.Now()
-	registered := d.registrar.isMember()
-	d.view.withStager(func(st *config.Stager) {
+	registered := d.registrar.IsMember()
+	d.view.WithStager(func(st *config.Stager) {
 		st.Heard(now, config.Report{Peer: fleet.Identity(d.self), Generation: st.Generation(), Ready: true, Registered: registered})
 		if since, unsettled := st.Unsettled(now); unsettled {
 			err = errUnsettled.New("for %s", since)
--- a/internal/entryhost/listen.go
+++ b/internal/entryhost/listen.go
@@ -5,8 +5,11 @@
 	"net"
 	"net/http"
 
+	"github.com/agateturn/agateturn/internal/callers"
 	"github.com/agateturn/agateturn/internal/limitlisten"
+	"github.com/agateturn/agateturn/internal/measures"
 	"github.com/agateturn/agateturn/internal/operatorapi"
+	"github.com/agateturn/agateturn/internal/peers"
 )
 
 const (
@@ -17,7 +20,7 @@
 	operatorConnections = 256
 
 	// fullAnswer answers a connection beyond the bound, in the form of the refusals of callers' requests.
-	fullAnswer = "HTTP/1.1 503 Service Unavailable\r\n" + headerOutcome + ": not-run\r\nRetry-After: 1\r\n" +
+	fullAnswer = "HTTP/1.1 503 Service Unavailable\r\n" + callers.HeaderOutcome + ": not-run\r\nRetry-After: 1\r\n" +
 		"Content-Type: application/json\r\nContent-Length: 102\r\nConnection: close\r\n\r\n" +
 		`{"outcome":"not-run","reason":"this entry host holds its limit of connections","retry_after_ms":1000}` + "\n"
 )
@@ -42,11 +45,11 @@
 		result.operators, err = open("operators", host.GetOperatorAddress(), operatorConnections, d.operatorHandler()) //nolint:contextcheck // each request brings its own context
 	}
 	if err == nil {
-		result.peers, err = open("peers", host.GetPeerAddress(), peerConnections, newPeerHandler(d.peers, d.keys, d.detector))
+		result.peers, err = open("peers", host.GetPeerAddress(), peerConnections, peers.NewHandler(d.peers, d.keys, d.detector))
 	}
 	if err == nil {
 		d.boundReads(result.operators, result.peers)
-		result.peers.listener = trafficMeter(d.stats, trafficPeers).Listener(result.peers.listener)
+		result.peers.listener = measures.TrafficMeter(d.stats, measures.TrafficPeers).Listener(result.peers.listener)
 	}
 	if err != nil {
 		for _, s := range opened {
@@ -80,6 +83,6 @@
 	return operatorapi.New(d.operations, operatorapi.Options{
 		Token:   d.settings.GetOperator().GetToken(),
 		Logger:  d.logger,
-		Metrics: d.gauges.handler(),
+		Metrics: d.gauges.Handler(),
 	})
 }
--- a/internal/entryhost/metrics_test.go
+++ b/internal/entryhost/metrics_test.go
@@ -41,7 +41,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		d.dispatch.run(ctx)
+		d.dispatch.Run(ctx)
 	}()
 	t.Cleanup(func() {
 		cancel()
@@ -63,7 +63,7 @@
 	d := newDaemon(t)
 	refused := get(t, d.callers, "/v1/services/labels/x")
 	assert.Assert(t, strings.Contains(refused, `"outcome":"not-run"`), refused)
-	served := get(t, d.gauges.handler(), "/metrics")
+	served := get(t, d.gauges.Handler(), "/metrics")
 	for _, line := range []string{
 		`agateturn_refusals_total{code="unready"} 1`,
 		`agateturn_ready 0`, `agateturn_requests_held 0`, `agateturn_config_generation 0`, `agateturn_fleet_revision 0`,
@@ -80,7 +80,7 @@
 	assert.NilError(t, err)
 	var code []byte
 	var files []string
-	for _, dir := range []string{".", "../refusalcode"} {
+	for _, dir := range []string{".", "../callers", "../measures", "../refusalcode"} {
 		found, err := filepath.Glob(filepath.Join(dir, "*.go"))
 		assert.NilError(t, err)
 		files = append(files, found...)
--- a/internal/entryhost/follow.go
+++ b/internal/fleetstore/follow.go
@@ -1,4 +1,4 @@
-package entryhost
+package fleetstore
 
 import (
 	"context"
@@ -11,6 +11,7 @@
 
 	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/view"
 	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/rendezvous"
 	"github.com/agateturn/agateturn/store"
@@ -25,18 +26,38 @@
 	pollWake = time.Second
 )
 
-// follower brings newer values from the store into the view.
-type follower struct {
+// Follower brings newer values from the store into the view.
+type Follower struct {
 	kv   store.KV
-	view *view
+	view *view.View
 	name string
 	// identity names this process as a controller.
 	identity string
 	logger   *slog.Logger
 }
 
-// run follows one key until ctx ends, as a watcher or by rare reads.
-func (f *follower) run(ctx context.Context, key string, apply func(data []byte) error) {
+// FollowerOptions are what the duty needs.
+type FollowerOptions struct {
+	KV       store.KV
+	View     *view.View
+	Name     string
+	Identity string
+	Logger   *slog.Logger
+}
+
+// NewFollower returns a follower of the keys of the store.
+func NewFollower(o FollowerOptions) *Follower {
+	return &Follower{
+		kv:       o.KV,
+		view:     o.View,
+		name:     o.Name,
+		identity: o.Identity,
+		logger:   o.Logger,
+	}
+}
+
+// Run follows one key until ctx ends, as a watcher or by rare reads.
+func (f *Follower) Run(ctx context.Context, key string, apply func(data []byte) error) {
 	var version uint64
 	failures := 0
 	backoff := store.DefaultBackoff()
@@ -54,7 +75,7 @@
 		f.recovered(ctx, key, failures)
 		failures = 0
 		backoff.Reset()
-		f.view.heardStore(time.Now())
+		f.view.HeardStore(time.Now())
 		if value.Version == version || value.Version == 0 {
 			continue
 		}
@@ -66,7 +87,7 @@
 }
 
 // next waits for a newer value: with a watch on the store, or by a read after the poll period.
-func (f *follower) next(ctx context.Context, key string, version uint64) (store.Value, error) {
+func (f *Follower) next(ctx context.Context, key string, version uint64) (store.Value, error) {
 	if version == 0 {
 		return f.kv.Get(ctx, key)
 	}
@@ -83,9 +104,9 @@
 }
 
 // watches reports whether this entry host is one of the few that keep watches open: the first by rendezvous hashing.
-func (f *follower) watches() bool {
-	members := f.view.fleet().GetMembers()
-	if len(members) <= watchers || f.view.fleet().GetController() == f.identity {
+func (f *Follower) watches() bool {
+	members := f.view.Fleet().GetMembers()
+	if len(members) <= watchers || f.view.Fleet().GetController() == f.identity {
 		return true
 	}
 	names := lo.Map(members, func(m *pb.Member, _ int) string { return m.GetName() })
@@ -95,60 +116,40 @@
 	return lo.Contains(names[:watchers], f.name)
 }
 
-func (f *follower) failed(ctx context.Context, key string, err error, failures int) {
-	f.view.storeFailing.Store(true)
+func (f *Follower) failed(ctx context.Context, key string, err error, failures int) {
+	f.view.StoreFailing.Store(true)
 	if failures == 0 {
 		events.Emit(ctx, f.logger, events.StoreUnreachable, "key", key, "err", err)
 	}
 }
 
-func (f *follower) recovered(ctx context.Context, key string, failures int) {
-	f.view.storeFailing.Store(false)
+func (f *Follower) recovered(ctx context.Context, key string, failures int) {
+	f.view.StoreFailing.Store(false)
 	if failures > 0 {
 		events.Emit(ctx, f.logger, events.StoreBack, "key", key, "failures", failures)
 	}
 }
 
-// takeFleet applies a fleet value read from the store.
-func (f *follower) takeFleet(data []byte) error {
+// TakeFleet applies a fleet value read from the store.
+func (f *Follower) TakeFleet(data []byte) error {
 	next := &pb.Fleet{}
 	if err := proto.Unmarshal(data, next); err != nil {
-		return errCorrupt.Wrap(err)
+		return ErrCorrupt.Wrap(err)
 	}
-	f.view.applyFleet(next)
+	f.view.ApplyFleet(next)
 	return nil
 }
 
-// takeConfig puts a configuration read from the store in force.
-func (f *follower) takeConfig(data []byte) error {
+// TakeConfig puts a configuration read from the store in force.
+func (f *Follower) TakeConfig(data []byte) error {
 	next := &pb.Configuration{}
 	if err := proto.Unmarshal(data, next); err != nil {
-		return errCorrupt.Wrap(err)
+		return ErrCorrupt.Wrap(err)
 	}
-	if f.view.applyConfig(time.Now(), next) {
+	if f.view.ApplyConfig(time.Now(), next) {
 		events.Emit(context.Background(), f.logger, events.ConfigInForce, "generation", next.GetGeneration(), "source", "store")
-	} else if next.GetGeneration() < f.view.config().GetGeneration() {
+	} else if next.GetGeneration() < f.view.Config().GetGeneration() {
 		events.Emit(context.Background(), f.logger, events.ConfigStale, "generation", next.GetGeneration())
 	}
 	return nil
 }
-
-// followerOptions are what the duty needs.
-type followerOptions struct {
-	KV       store.KV
-	View     *view
-	Name     string
-	Identity string
-	Logger   *slog.Logger
-}
-
-// newFollower returns a follower of the keys of the store.
-func newFollower(o followerOptions) *follower {
-	return &follower{
-		kv:       o.KV,
-		view:     o.View,
-		name:     o.Name,
-		identity: o.Identity,
-		logger:   o.Logger,
-	}
-}
--- a/internal/entryhost/meter.go
+++ b/internal/measures/meter.go
@@ -1,4 +1,4 @@
-package entryhost
+package measures
 
 import (
 	"context"
@@ -10,16 +10,18 @@
 	"github.com/agateturn/agateturn/config"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/operatorapi"
+	"github.com/agateturn/agateturn/internal/peers"
+	"github.com/agateturn/agateturn/internal/view"
 	"github.com/agateturn/agateturn/internal/wait"
 )
 
 // meterPeriod is the time between two looks at the measures.
 const meterPeriod = 100 * time.Millisecond
 
-// meter keeps the three measures as this entry host sees them. It is safe for concurrent use.
-type meter struct {
-	view  *view
-	peers *peers
+// Meter keeps the three measures as this entry host sees them. It is safe for concurrent use.
+type Meter struct {
+	view  *view.View
+	peers *peers.Peers
 
 	mu       sync.Mutex
 	measures operatorapi.Measures
@@ -28,8 +30,13 @@
 	last     time.Time
 }
 
-// accepted notes the beginning of a roll-out.
-func (m *meter) accepted(o config.Outcome, generation uint64, began time.Time) {
+// NewMeter returns a meter that has seen nothing yet.
+func NewMeter(v *view.View, p *peers.Peers) *Meter {
+	return &Meter{view: v, peers: p, pools: map[string]string{}, rollOuts: map[uint64]time.Time{}}
+}
+
+// Accepted notes the beginning of a roll-out.
+func (m *Meter) Accepted(o config.Outcome, generation uint64, began time.Time) {
 	if o.Kind != config.Accepted {
 		return
 	}
@@ -38,16 +45,16 @@
 	m.rollOuts[generation] = began
 }
 
-// run looks at the measures until ctx ends.
-func (m *meter) run(ctx context.Context) {
+// Run looks at the measures until ctx ends.
+func (m *Meter) Run(ctx context.Context) {
 	for wait.For(ctx, meterPeriod) == nil {
 		m.look(time.Now())
 	}
 }
 
-func (m *meter) look(now time.Time) {
-	f, cfg := m.view.fleet(), m.view.config()
-	slowest := m.peers.slowestGeneration()
+func (m *Meter) look(now time.Time) {
+	f, cfg := m.view.Fleet(), m.view.Config()
+	slowest := m.peers.SlowestGeneration()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.countMoves(f)
@@ -63,13 +70,13 @@
 	}
 }
 
-func (m *meter) finishRollOut(took time.Duration) {
+func (m *Meter) finishRollOut(took time.Duration) {
 	total := m.measures.RollOutSeconds*float64(m.measures.RollOuts) + took.Seconds()
 	m.measures.RollOuts++
 	m.measures.RollOutSeconds = total / float64(m.measures.RollOuts)
 }
 
-func (m *meter) countMoves(f *pb.Fleet) {
+func (m *Meter) countMoves(f *pb.Fleet) {
 	for _, h := range f.GetHosts() {
 		before, known := m.pools[h.GetHost()]
 		if known && before != h.GetPool() {
@@ -85,13 +92,9 @@
 	})
 }
 
-func (m *meter) snapshot() operatorapi.Measures {
+// Snapshot is the measures as they are now.
+func (m *Meter) Snapshot() operatorapi.Measures {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.measures
 }
-
-// newMeter returns a meter that has seen nothing yet.
-func newMeter(v *view, p *peers) *meter {
-	return &meter{view: v, peers: p, pools: map[string]string{}, rollOuts: map[uint64]time.Time{}}
-}
--- a/internal/entryhost/metrics.go
+++ b/internal/measures/metrics.go
@@ -1,4 +1,5 @@
-package entryhost
+// Package measures serves the gauges and keeps the measures of an entry host.
+package measures
 
 import (
 	"context"
@@ -9,7 +10,10 @@
 
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/claims"
+	"github.com/agateturn/agateturn/internal/dispatch"
 	"github.com/agateturn/agateturn/internal/ring"
+	"github.com/agateturn/agateturn/internal/view"
 	"github.com/agateturn/agateturn/stats"
 )
 
@@ -34,8 +38,34 @@
 // scrapeTimeout bounds the wait for the dispatcher when metrics are asked for.
 const scrapeTimeout = time.Second
 
-// handler sets the gauges and serves all metrics.
-func (g *gauges) handler() http.Handler {
+// Gauges sets the gauges when metrics are asked for.
+type Gauges struct {
+	view     *view.View
+	dispatch *dispatch.Dispatcher
+	keys     *claims.Keys
+	held     func() int64
+	stats    *stats.Stats
+	ready    func() error
+}
+
+// GaugeOptions are what the gauges are read from.
+type GaugeOptions struct {
+	View     *view.View
+	Dispatch *dispatch.Dispatcher
+	Keys     *claims.Keys
+	// Held is the number of callers' requests held.
+	Held  func() int64
+	Stats *stats.Stats
+	Ready func() error
+}
+
+// NewGauges returns the gauges.
+func NewGauges(o GaugeOptions) *Gauges {
+	return &Gauges{view: o.View, dispatch: o.Dispatch, keys: o.Keys, held: o.Held, stats: o.Stats, ready: o.Ready}
+}
+
+// Handler sets the gauges and serves all metrics.
+func (g *Gauges) Handler() http.Handler {
 	export := g.stats.Handler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithTimeout(r.Context(), scrapeTimeout)
@@ -45,22 +75,22 @@
 	})
 }
 
-func (g *gauges) setGauges(ctx context.Context, now time.Time) {
+func (g *Gauges) setGauges(ctx context.Context, now time.Time) {
 	g.gauge(metricReady, lo.Ternary(g.ready() == nil, 1.0, 0.0))
 	g.gauge(metricHeld, float64(g.held()))
-	g.gauge(metricStoreAge, g.view.storeAge(now).Seconds())
-	g.gauge(metricRevision, float64(g.view.appliedRevision()))
-	g.gauge(metricGeneration, float64(g.view.config().GetGeneration()))
-	g.gauge(metricKeys, float64(g.keys.remembered()))
+	g.gauge(metricStoreAge, g.view.StoreAge(now).Seconds())
+	g.gauge(metricRevision, float64(g.view.AppliedRevision()))
+	g.gauge(metricGeneration, float64(g.view.Config().GetGeneration()))
+	g.gauge(metricKeys, float64(g.keys.Remembered()))
 	g.setHostGauges()
 	g.setDispatcherGauges(ctx)
 	g.setRingGauges()
 }
 
 // setHostGauges counts the hosts of each pool by phase.
-func (g *gauges) setHostGauges() {
-	hosts := g.view.fleet().GetHosts()
-	for _, pool := range g.view.config().GetPools() {
+func (g *Gauges) setHostGauges() {
+	hosts := g.view.Fleet().GetHosts()
+	for _, pool := range g.view.Config().GetPools() {
 		for _, phase := range hostPhases {
 			n := lo.CountBy(hosts, func(h *pb.HostState) bool { return h.GetPool() == pool.GetName() && h.GetPhase() == phase })
 			g.gauge(metricHosts, float64(n),
@@ -75,16 +105,16 @@
 	pb.HostPhase_HOST_PHASE_MAINTENANCE, pb.HostPhase_HOST_PHASE_DOWN,
 }
 
-func (g *gauges) setDispatcherGauges(ctx context.Context) {
-	s := g.dispatch.slotStatus(ctx)
+func (g *Gauges) setDispatcherGauges(ctx context.Context) {
+	s := g.dispatch.SlotStatus(ctx)
 	for state, n := range map[string]int{
 		"own": s.Own, "in_use": s.InUse, "lent": s.Lent, "borrowed": s.Borrowed, "waiting": s.Waiting,
 	} {
 		g.gauge(metricSlots, float64(n), stats.Label{Name: "state", Value: state})
 	}
-	load := g.dispatch.load(ctx)
-	g.gauge(metricEjected, float64(len(load.ejected)))
-	for _, demand := range load.demand {
+	load := g.dispatch.Load(ctx)
+	g.gauge(metricEjected, float64(len(load.Ejected)))
+	for _, demand := range load.Demand {
 		pool := stats.Label{Name: "pool", Value: demand.GetPool()}
 		g.gauge(metricQueued, float64(demand.GetQueued()), pool)
 		oldest := time.Duration(demand.GetOldestQueuedMs()) * time.Millisecond
@@ -93,8 +123,8 @@
 }
 
 // setRingGauges tells how full the rings are that hold work. Those that hold one signal are left out.
-func (g *gauges) setRingGauges() {
-	for _, r := range []ring.State{g.dispatch.backlog(), g.keys.backlog()} {
+func (g *Gauges) setRingGauges() {
+	for _, r := range []ring.State{g.dispatch.Backlog(), g.keys.Backlog()} {
 		name := stats.Label{Name: "ring", Value: r.Name()}
 		g.gauge(metricRingItems, float64(r.Len()), name)
 		g.gauge(metricRingCapacity, float64(r.Cap()), name)
@@ -102,32 +132,6 @@
 	}
 }
 
-func (g *gauges) gauge(name string, value float64, labels ...stats.Label) {
+func (g *Gauges) gauge(name string, value float64, labels ...stats.Label) {
 	g.stats.Gauge(name, labels...).Update(value)
 }
-
-// gauges sets the gauges when metrics are asked for.
-type gauges struct {
-	view     *view
-	dispatch *dispatcher
-	keys     *keys
-	held     func() int64
-	stats    *stats.Stats
-	ready    func() error
-}
-
-// gaugeOptions are what the gauges are read from.
-type gaugeOptions struct {
-	View     *view
-	Dispatch *dispatcher
-	Keys     *keys
-	// Held is the number of callers' requests held.
-	Held  func() int64
-	Stats *stats.Stats
-	Ready func() error
-}
-
-// newGauges returns the gauges.
-func newGauges(o gaugeOptions) *gauges {
-	return &gauges{view: o.View, dispatch: o.Dispatch, keys: o.Keys, held: o.Held, stats: o.Stats, ready: o.Ready}
-}
--- a/internal/entryhost/traffic.go
+++ b/internal/measures/traffic.go
@@ -1,4 +1,4 @@
-package entryhost
+package measures
 
 import (
 	"context"
@@ -12,16 +12,16 @@
 
 // What the daemon's own connections are for.
 const (
-	trafficPeers    = "peers"
-	trafficStore    = "store"
-	trafficPlatform = "platform"
+	TrafficPeers    = "peers"
+	TrafficStore    = "store"
+	TrafficPlatform = "platform"
 )
 
 // heapPeriod is the time between two looks at the heap.
 const heapPeriod = 5 * time.Second
 
-// trafficMeter counts the bytes of control connections of one kind under agateturn_control_bytes.
-func trafficMeter(s *stats.Stats, kind string) meterconn.Meter {
+// TrafficMeter counts the bytes of control connections of one kind under agateturn_control_bytes.
+func TrafficMeter(s *stats.Stats, kind string) meterconn.Meter {
 	with := stats.Label{Name: "with", Value: kind}
 	return meterconn.Meter{
 		Sent:     s.Counter("agateturn_control_bytes", with, stats.Label{Name: "direction", Value: "sent"}),
@@ -29,8 +29,8 @@
 	}
 }
 
-// watchHeap keeps the gauge of the live heap current until ctx ends.
-func watchHeap(ctx context.Context, s *stats.Stats) {
+// WatchHeap keeps the gauge of the live heap current until ctx ends.
+func WatchHeap(ctx context.Context, s *stats.Stats) {
 	heap := s.Gauge("agateturn_heap_live_bytes")
 	sample := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
 	for {
--- a/internal/entryhost/operate.go
+++ b/internal/operations/operate.go
@@ -1,4 +1,5 @@
-package entryhost
+// Package operations carries out the calls of the operator API.
+package operations
 
 import (
 	"context"
@@ -12,7 +13,13 @@
 	"github.com/agateturn/agateturn/controller"
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/dispatch"
+	"github.com/agateturn/agateturn/internal/fleetstore"
+	"github.com/agateturn/agateturn/internal/measures"
 	"github.com/agateturn/agateturn/internal/operatorapi"
+	"github.com/agateturn/agateturn/internal/peers"
+	"github.com/agateturn/agateturn/internal/proposals"
+	"github.com/agateturn/agateturn/internal/view"
 	"github.com/agateturn/agateturn/settings"
 	"github.com/agateturn/agateturn/stats"
 	"github.com/agateturn/agateturn/store"
@@ -22,42 +29,42 @@
 // operatorHold is how long a host that an operator moved is not moved by itself.
 const operatorHold = time.Hour
 
-// operations carries out the calls of the operator API. Orders are written into the fleet value by compare-and-swap from whichever
+// Operations carries out the calls of the operator API. Orders are written into the fleet value by compare-and-swap from whichever
 // entry host got them; the controller carries them out.
-type operations struct {
+type Operations struct {
 	self       *pb.Member
-	view       *view
-	writer     *writer
-	proposer   *proposer
-	meter      *meter
-	peers      *peers
-	dispatch   *dispatcher
+	view       *view.View
+	writer     *fleetstore.Writer
+	proposer   *proposals.Proposer
+	meter      *measures.Meter
+	peers      *peers.Peers
+	dispatch   *dispatch.Dispatcher
 	stats      *stats.Stats
 	pauseLimit time.Duration
 	ready      func() error
 	logger     *slog.Logger
 }
 
-var _ operatorapi.Backend = (*operations)(nil)
+var _ operatorapi.Backend = (*Operations)(nil)
 
-// operationOptions are what operators' calls need.
-type operationOptions struct {
+// Options are what operators' calls need.
+type Options struct {
 	Self       *pb.Member
-	View       *view
-	Writer     *writer
-	Proposer   *proposer
-	Meter      *meter
-	Peers      *peers
-	Dispatch   *dispatcher
+	View       *view.View
+	Writer     *fleetstore.Writer
+	Proposer   *proposals.Proposer
+	Meter      *measures.Meter
+	Peers      *peers.Peers
+	Dispatch   *dispatch.Dispatcher
 	Stats      *stats.Stats
 	PauseLimit time.Duration
 	Ready      func() error
 	Logger     *slog.Logger
 }
 
-// newOperations returns the backend of the operator API.
-func newOperations(o operationOptions) *operations {
-	return &operations{
+// New returns the backend of the operator API.
+func New(o Options) *Operations {
+	return &Operations{
 		self:       o.Self,
 		view:       o.View,
 		writer:     o.Writer,
@@ -73,11 +80,11 @@
 }
 
 // Ready implements operatorapi.Backend.
-func (b *operations) Ready() error { return b.ready() }
+func (b *Operations) Ready() error { return b.ready() }
 
 // Configuration implements operatorapi.Backend.
-func (b *operations) Configuration(context.Context) (operatorapi.ConfigDocument, error) {
-	cfg := b.view.config()
+func (b *Operations) Configuration(context.Context) (operatorapi.ConfigDocument, error) {
+	cfg := b.view.Config()
 	if cfg == nil {
 		return operatorapi.ConfigDocument{}, nil
 	}
@@ -86,13 +93,13 @@
 }
 
 // ApplyConfiguration implements operatorapi.Backend.
-func (b *operations) ApplyConfiguration(ctx context.Context, change operatorapi.ConfigChange) (operatorapi.ConfigResult, error) {
+func (b *Operations) ApplyConfiguration(ctx context.Context, change operatorapi.ConfigChange) (operatorapi.ConfigResult, error) {
 	result, err := b.applyConfiguration(ctx, change)
 	b.logChange(ctx, change, result, err)
 	return result, err
 }
 
-func (b *operations) applyConfiguration(ctx context.Context, change operatorapi.ConfigChange) (operatorapi.ConfigResult, error) {
+func (b *Operations) applyConfiguration(ctx context.Context, change operatorapi.ConfigChange) (operatorapi.ConfigResult, error) {
 	next := &pb.Configuration{}
 	if err := settings.Parse("request", []byte(change.INI), next); err != nil {
 		return operatorapi.ConfigResult{}, operatorapi.Refused.Wrap(err)
@@ -100,7 +107,7 @@
 	if err := config.Check(next); err != nil {
 		return operatorapi.ConfigResult{}, operatorapi.Refused.Wrap(err)
 	}
-	present, version, err := b.proposer.readVersion(ctx)
+	present, version, err := b.proposer.ReadVersion(ctx)
 	if err != nil {
 		return operatorapi.ConfigResult{}, operatorapi.Unavailable.Wrap(err)
 	}
@@ -120,19 +127,19 @@
 	next.Generation = result.Generation
 	next.ChangeId = change.ChangeID
 	began := time.Now()
-	outcome := b.proposer.propose(ctx, next, version)
-	b.meter.accepted(outcome, next.GetGeneration(), began)
+	outcome := b.proposer.Propose(ctx, next, version)
+	b.meter.Accepted(outcome, next.GetGeneration(), began)
 	return result, outcomeError(outcome)
 }
 
 // acceptedBefore reports whether the change is in the store already, or was in force here before a later one.
-func (b *operations) acceptedBefore(changeID string, present *pb.Configuration) (uint64, bool) {
+func (b *Operations) acceptedBefore(changeID string, present *pb.Configuration) (uint64, bool) {
 	if present.GetChangeId() == changeID {
 		return present.GetGeneration(), true
 	}
 	var generation uint64
 	var known bool
-	b.view.withStager(func(st *config.Stager) { generation, known = st.GenerationOf(changeID) })
+	b.view.WithStager(func(st *config.Stager) { generation, known = st.GenerationOf(changeID) })
 	return generation, known
 }
 
@@ -154,9 +161,9 @@
 }
 
 // order writes a change of the fleet and sorts its errors for the operator.
-func (b *operations) order(ctx context.Context, what string, change fleetChange) (operatorapi.Accepted, error) {
+func (b *Operations) order(ctx context.Context, what string, change fleetstore.Change) (operatorapi.Accepted, error) {
 	repeated := false
-	f, err := b.writer.update(ctx, func(f *pb.Fleet) (*pb.Fleet, error) {
+	f, err := b.writer.Update(ctx, func(f *pb.Fleet) (*pb.Fleet, error) {
 		next, err := change(f)
 		repeated = next == f
 		return next, err
@@ -179,9 +186,9 @@
 }
 
 // MoveHost implements operatorapi.Backend.
-func (b *operations) MoveHost(ctx context.Context, o operatorapi.MoveOrder) (operatorapi.Accepted, error) {
+func (b *Operations) MoveHost(ctx context.Context, o operatorapi.MoveOrder) (operatorapi.Accepted, error) {
 	return b.order(ctx, "move "+o.Host+" to "+o.Target, func(f *pb.Fleet) (*pb.Fleet, error) {
-		return beginMove(f, b.view.config(), o, time.Now())
+		return beginMove(f, b.view.Config(), o, time.Now())
 	})
 }
 
@@ -207,7 +214,7 @@
 }
 
 // SetHostDown implements operatorapi.Backend.
-func (b *operations) SetHostDown(ctx context.Context, o operatorapi.DownOrder) (operatorapi.Accepted, error) {
+func (b *Operations) SetHostDown(ctx context.Context, o operatorapi.DownOrder) (operatorapi.Accepted, error) {
 	return b.order(ctx, lo.Ternary(o.Down, "down ", "up ")+o.Host, func(f *pb.Fleet) (*pb.Fleet, error) {
 		if o.Down {
 			return fleet.MarkDown(f, o.Host, o.OperationID, time.Now())
@@ -217,7 +224,7 @@
 }
 
 // CreateWave implements operatorapi.Backend.
-func (b *operations) CreateWave(ctx context.Context, o operatorapi.WaveOrder) (operatorapi.Accepted, error) {
+func (b *Operations) CreateWave(ctx context.Context, o operatorapi.WaveOrder) (operatorapi.Accepted, error) {
 	return b.order(ctx, "create wave "+o.Name, func(f *pb.Fleet) (*pb.Fleet, error) {
 		hosts := o.Hosts
 		if len(hosts) == 0 {
@@ -234,7 +241,7 @@
 }
 
 // ControlWave implements operatorapi.Backend.
-func (b *operations) ControlWave(ctx context.Context, o operatorapi.WaveControl) (operatorapi.Accepted, error) {
+func (b *Operations) ControlWave(ctx context.Context, o operatorapi.WaveControl) (operatorapi.Accepted, error) {
 	accepted, err := b.order(ctx, o.Action+" wave "+o.Name, func(f *pb.Fleet) (*pb.Fleet, error) {
 		switch o.Action {
 		case "stop":
--- a/internal/entryhost/orderlog.go
+++ b/internal/operations/orderlog.go
@@ -1,4 +1,4 @@
-package entryhost
+package operations
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 )
 
 // logOrder logs an order that was taken.
-func (b *operations) logOrder(ctx context.Context, what string, repeated bool, args ...any) {
+func (b *Operations) logOrder(ctx context.Context, what string, repeated bool, args ...any) {
 	event := events.OperatorOrder
 	if repeated {
 		event = events.OrderRepeated
@@ -17,7 +17,7 @@
 }
 
 // logChange logs what became of a configuration.
-func (b *operations) logChange(ctx context.Context, change operatorapi.ConfigChange, result operatorapi.ConfigResult, err error) {
+func (b *Operations) logChange(ctx context.Context, change operatorapi.ConfigChange, result operatorapi.ConfigResult, err error) {
 	args := []any{"change", change.ChangeID, "err", err}
 	switch {
 	case change.DryRun:
@@ -33,7 +33,7 @@
 }
 
 // logWaveOrder logs an operator's order to a wave.
-func (b *operations) logWaveOrder(ctx context.Context, o operatorapi.WaveControl) {
+func (b *Operations) logWaveOrder(ctx context.Context, o operatorapi.WaveControl) {
 	switch o.Action {
 	case "stop":
 		events.Emit(ctx, b.logger, events.WaveStopped, "wave", o.Name, "reason", o.Reason)
--- a/internal/entryhost/status.go
+++ b/internal/operations/status.go
@@ -1,4 +1,4 @@
-package entryhost
+package operations
 
 import (
 	"context"
@@ -14,10 +14,10 @@
 )
 
 // Status implements operatorapi.Backend.
-func (b *operations) Status(ctx context.Context) operatorapi.Status {
+func (b *Operations) Status(ctx context.Context) operatorapi.Status {
 	now := time.Now()
-	f, cfg := b.view.fleet(), b.view.config()
-	reports, err := b.peers.reports(ctx)
+	f, cfg := b.view.Fleet(), b.view.Config()
+	reports, err := b.peers.Reports(ctx)
 	if err != nil {
 		reports = map[string]fleet.Received{}
 	}
@@ -28,13 +28,13 @@
 		Term:          f.GetTerm(),
 		FleetRevision: f.GetRevision(),
 		Generation:    cfg.GetGeneration(),
-		StoreAgeMS:    b.view.storeAge(now).Milliseconds(),
+		StoreAgeMS:    b.view.StoreAge(now).Milliseconds(),
 		Members:       memberStatuses(f, reports, now),
 		Hosts:         b.hostStatuses(f, cfg, reports, now),
 		Waves:         lo.Map(f.GetWaves(), waveStatus),
 		Pools:         poolStatuses(f, cfg, reports),
-		Slots:         b.dispatch.slotStatus(ctx),
-		Measures:      b.meter.snapshot(),
+		Slots:         b.dispatch.SlotStatus(ctx),
+		Measures:      b.meter.Snapshot(),
 		Latencies:     lo.Map(b.stats.Snapshot(), latency),
 	}
 	if err := b.ready(); err != nil {
@@ -64,7 +64,7 @@
 	})
 }
 
-func (b *operations) hostStatuses(f *pb.Fleet, cfg *pb.Configuration, reports map[string]fleet.Received, now time.Time) []operatorapi.HostStatus {
+func (b *Operations) hostStatuses(f *pb.Fleet, cfg *pb.Configuration, reports map[string]fleet.Received, now time.Time) []operatorapi.HostStatus {
 	hosts := lo.KeyBy(cfg.GetHosts(), (*pb.Host).GetName)
 	barrier := fleet.Reports{Now: now, PauseLimit: b.pauseLimit, Heartbeats: reports}
 	return lo.Map(f.GetHosts(), func(h *pb.HostState, _ int) operatorapi.HostStatus {
--- a/internal/entryhost/fetch.go
+++ b/internal/peers/fetch.go
@@ -1,4 +1,4 @@
-package entryhost
+package peers
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 	"github.com/agateturn/agateturn/internal/meterconn"
 )
 
-func (p *peers) fetchFrom(ctx context.Context, name string) {
+func (p *Peers) fetchFrom(ctx context.Context, name string) {
 	member, ok := lo.Find(p.members(), func(m *pb.Member) bool { return m.GetName() == name })
 	if !ok {
 		return
@@ -24,22 +24,22 @@
 	}
 }
 
-// fetchAsGuest asks a peer to vouch for this entry host, and serves by the peer's values once it does.
-func (p *peers) fetchAsGuest(ctx context.Context, address string) error {
+// FetchAsGuest asks a peer to vouch for this entry host, and serves by the peer's values once it does.
+func (p *Peers) FetchAsGuest(ctx context.Context, address string) error {
 	values, err := p.fetch(ctx, address, p.self)
 	if err != nil {
 		return err
 	}
-	p.view.addGuests(p.self)
+	p.view.AddGuests(p.self)
 	p.takeValues(ctx, values)
 	return nil
 }
 
 // fetch returns what the peer knows and we do not. With join set, the peer vouches for this entry host.
-func (p *peers) fetch(ctx context.Context, address string, join *pb.Member) (*pb.FetchResponse, error) {
+func (p *Peers) fetch(ctx context.Context, address string, join *pb.Member) (*pb.FetchResponse, error) {
 	answer, err := p.At(address).Fetch(ctx, connect.NewRequest(&pb.FetchRequest{
-		ConfigGeneration: p.view.config().GetGeneration(),
-		FleetRevision:    p.view.fleet().GetRevision(),
+		ConfigGeneration: p.view.Config().GetGeneration(),
+		FleetRevision:    p.view.Fleet().GetRevision(),
 		Join:             join,
 	}))
 	if err != nil {
@@ -48,9 +48,9 @@
 	return answer.Msg, nil
 }
 
-// fleetOfMember returns the whole fleet of the first other member that answers.
-func (p *peers) fleetOfMember(ctx context.Context) (*pb.Fleet, error) {
-	for _, m := range p.view.fleet().GetMembers() {
+// FleetOfMember returns the whole fleet of the first other member that answers.
+func (p *Peers) FleetOfMember(ctx context.Context) (*pb.Fleet, error) {
+	for _, m := range p.view.Fleet().GetMembers() {
 		if m.GetName() == p.self.GetName() {
 			continue
 		}
@@ -63,14 +63,14 @@
 }
 
 // takeValues puts a peer's newer values in force. The configuration goes first: the fleet refers to its hosts.
-func (p *peers) takeValues(ctx context.Context, values *pb.FetchResponse) {
+func (p *Peers) takeValues(ctx context.Context, values *pb.FetchResponse) {
 	if cfg := values.GetConfig(); cfg != nil {
-		if p.view.applyConfig(time.Now(), cfg) {
+		if p.view.ApplyConfig(time.Now(), cfg) {
 			events.Emit(ctx, p.logger, events.ConfigInForce, "generation", cfg.GetGeneration(), "source", "peer")
 		}
 	}
 	if f := values.GetFleet(); f != nil {
-		p.view.applyFleet(f)
+		p.view.ApplyFleet(f)
 	}
 }
 
--- a/internal/entryhost/links.go
+++ b/internal/peers/links.go
@@ -1,4 +1,4 @@
-package entryhost
+package peers
 
 import (
 	"context"
@@ -18,7 +18,7 @@
 	last time.Time
 }
 
-func (p *peers) startLink(ctx context.Context, name, address string) *link {
+func (p *Peers) startLink(ctx context.Context, name, address string) *link {
 	linkCtx, stop := context.WithCancel(ctx)
 	l := &link{address: address, kick: ring.New[struct{}]("kick "+name, 1), stop: stop, period: p.heartbeat}
 	if p.self.GetName() > name {
@@ -28,7 +28,7 @@
 	return l
 }
 
-func (p *peers) runLink(ctx context.Context, name string, l *link) {
+func (p *Peers) runLink(ctx context.Context, name string, l *link) {
 	for {
 		p.note(l)
 		p.exchange(ctx, name, l.address)
@@ -39,7 +39,7 @@
 }
 
 // note records that something was said on the link.
-func (p *peers) note(l *link) {
+func (p *Peers) note(l *link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l.last = time.Now()
@@ -47,7 +47,7 @@
 
 // awaitTurn waits until this side is to begin an exchange: when it has news, or when nothing was said for the link's
 // period. It returns false when ctx ends.
-func (p *peers) awaitTurn(ctx context.Context, l *link) bool {
+func (p *Peers) awaitTurn(ctx context.Context, l *link) bool {
 	for {
 		p.mu.Lock()
 		wait := time.Until(l.last.Add(l.period))
@@ -70,7 +70,7 @@
 
 // kickEarly sends a peer a heartbeat before its turn, unless something was just said or the budget of early heartbeats is
 // used up: the peer stays pending then.
-func (p *peers) kickEarly(name string) {
+func (p *Peers) kickEarly(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.links[name]
@@ -80,7 +80,7 @@
 	l.kick.Offer(struct{}{})
 }
 
-func (p *peers) kickAll() {
+func (p *Peers) kickAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, l := range p.links {
--- a/internal/entryhost/peerbodies.go
+++ b/internal/peers/peerbodies.go
@@ -1,4 +1,4 @@
-package entryhost
+package peers
 
 import (
 	"bytes"
--- a/internal/entryhost/peers.go
+++ b/internal/peers/peers.go
@@ -1,4 +1,5 @@
-package entryhost
+// Package peers exchanges heartbeats and values with the other entry hosts, and answers their calls.
+package peers
 
 import (
 	"context"
@@ -10,7 +11,6 @@
 
 	"connectrpc.com/connect"
 	"github.com/samber/lo"
-	"github.com/zeebo/errs"
 
 	"github.com/agateturn/agateturn/config"
 	"github.com/agateturn/agateturn/fleet"
@@ -18,6 +18,7 @@
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
 	"github.com/agateturn/agateturn/internal/meterconn"
 	"github.com/agateturn/agateturn/internal/ring"
+	"github.com/agateturn/agateturn/internal/view"
 	"github.com/agateturn/agateturn/tokenbucket"
 )
 
@@ -45,10 +46,10 @@
 	PeersToTell() <-chan string
 }
 
-// peers exchanges heartbeats with the other entry hosts and answers theirs. It is safe for concurrent use.
-type peers struct {
+// Peers exchanges heartbeats with the other entry hosts and answers theirs. It is safe for concurrent use.
+type Peers struct {
 	self      *pb.Member
-	view      *view
+	view      *view.View
 	work      localWork
 	heartbeat time.Duration
 	logger    *slog.Logger
@@ -67,14 +68,43 @@
 	latest map[string]fleet.Received
 	links  map[string]*link
 	// vouched are the guests that this member vouches for.
-	vouched guestBook
+	vouched view.GuestBook
 	// sponsor is the peer address of the member that vouches for us while we are its guest.
 	sponsor string
 	hosts   map[string]agateturnv1connect.PeerServiceClient
 }
 
-// run keeps one link to each member until ctx ends.
-func (p *peers) run(ctx context.Context) {
+// Options are what the exchange with the peers needs.
+type Options struct {
+	Self      *pb.Member
+	View      *view.View
+	Work      localWork
+	Heartbeat time.Duration
+	Logger    *slog.Logger
+	Traffic   meterconn.Meter
+}
+
+// New returns the exchange. SetReady must be called before it runs.
+func New(o Options) *Peers {
+	return &Peers{
+		self:      o.Self,
+		view:      o.View,
+		work:      o.Work,
+		heartbeat: o.Heartbeat,
+		logger:    o.Logger,
+		client:    peerClient(o.Traffic),
+		changed:   o.View.Subscribe("peers"),
+		heard:     ring.New[struct{}]("heard", 1),
+		latest:    map[string]fleet.Received{},
+		started:   time.Now(),
+		links:     map[string]*link{},
+		vouched:   view.GuestBook{},
+		hosts:     map[string]agateturnv1connect.PeerServiceClient{},
+	}
+}
+
+// Run keeps one link to each member until ctx ends.
+func (p *Peers) Run(ctx context.Context) {
 	ticker := time.NewTicker(p.heartbeat)
 	defer ticker.Stop()
 	for {
@@ -82,7 +112,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			p.view.refreshGuests()
+			p.view.RefreshGuests()
 			p.reconcile(ctx)
 		case <-p.changed.Items():
 			p.reconcile(ctx)
@@ -94,10 +124,10 @@
 }
 
 // reconcile starts links to new members and ends those to members that are gone.
-func (p *peers) reconcile(ctx context.Context) {
+func (p *Peers) reconcile(ctx context.Context) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.vouched.prune(p.view.fleet())
+	p.vouched.Prune(p.view.Fleet())
 	p.forgetFormer()
 	// A guest comes after its predecessor and takes its place.
 	wanted := lo.SliceToMap(p.others(), func(m *pb.Member) (string, string) { return m.GetName(), m.GetPeerAddress() })
@@ -115,8 +145,8 @@
 }
 
 // forgetFormer drops the heartbeats of incarnations that were replaced by a later one. The caller holds mu.
-func (p *peers) forgetFormer() {
-	names := lo.SliceToMap(p.view.fleet().GetMembers(), func(m *pb.Member) (string, string) {
+func (p *Peers) forgetFormer() {
+	names := lo.SliceToMap(p.view.Fleet().GetMembers(), func(m *pb.Member) (string, string) {
 		return m.GetName(), m.GetIncarnation()
 	})
 	p.latest = lo.PickBy(p.latest, func(incarnation string, r fleet.Received) bool {
@@ -126,12 +156,12 @@
 }
 
 // others are the members besides this one, guests included.
-func (p *peers) others() []*pb.Member {
-	return lo.Filter(p.view.members(), func(m *pb.Member, _ int) bool { return m.GetName() != p.self.GetName() })
+func (p *Peers) others() []*pb.Member {
+	return lo.Filter(p.view.Members(), func(m *pb.Member, _ int) bool { return m.GetName() != p.self.GetName() })
 }
 
 // exchange sends one heartbeat and takes over the peer's.
-func (p *peers) exchange(ctx context.Context, name, address string) {
+func (p *Peers) exchange(ctx context.Context, name, address string) {
 	ctx, cancel := context.WithTimeout(ctx, p.heartbeat)
 	defer cancel()
 	hb, err := p.compose(ctx, name)
@@ -149,7 +179,7 @@
 }
 
 // At is the client for a peer address.
-func (p *peers) At(address string) agateturnv1connect.PeerServiceClient {
+func (p *Peers) At(address string) agateturnv1connect.PeerServiceClient {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c, ok := p.hosts[address]; ok {
@@ -164,33 +194,33 @@
 // compose is this member's report to a peer.
 //
 // The applied revision is read before the held hosts: whatever is still held under that revision is in the list.
-func (p *peers) compose(ctx context.Context, peer string) (*pb.Heartbeat, error) {
+func (p *Peers) compose(ctx context.Context, peer string) (*pb.Heartbeat, error) {
 	now := time.Now()
 	hb := &pb.Heartbeat{
 		Name:             p.self.GetName(),
 		Incarnation:      p.self.GetIncarnation(),
 		DataCentre:       p.self.GetDataCentre(),
-		FleetRevision:    p.view.appliedRevision(),
-		ConfigGeneration: p.view.config().GetGeneration(),
-		StoreAgeMs:       p.view.storeAge(now).Milliseconds(),
+		FleetRevision:    p.view.AppliedRevision(),
+		ConfigGeneration: p.view.Config().GetGeneration(),
+		StoreAgeMs:       p.view.StoreAge(now).Milliseconds(),
 		Ready:            p.ready(),
 		Guests:           p.guestList(),
 	}
 	if err := p.work.Compose(ctx, peer, hb); err != nil {
 		return nil, err
 	}
-	hb.HeldHosts = p.view.gate.Held(now)
+	hb.HeldHosts = p.view.Gate.Held(now)
 	return hb, nil
 }
 
 // take keeps a heartbeat if it is newer than the last one, and asks its sender for values that it has and we lack. Of an
 // incarnation that is neither a member nor a guest nothing is kept; it may be a member's next, known to the store first.
-func (p *peers) take(ctx context.Context, hb *pb.Heartbeat) {
+func (p *Peers) take(ctx context.Context, hb *pb.Heartbeat) {
 	if p.knows(hb) {
 		if !p.keep(hb) {
 			return
 		}
-		p.view.addGuests(hb.GetGuests()...)
+		p.view.AddGuests(hb.GetGuests()...)
 		p.work.Incoming(ctx, hb)
 		p.heard.Offer(struct{}{})
 	}
@@ -202,20 +232,20 @@
 }
 
 // knows reports whether a heartbeat comes from one of the others.
-func (p *peers) knows(hb *pb.Heartbeat) bool {
+func (p *Peers) knows(hb *pb.Heartbeat) bool {
 	return lo.SomeBy(p.others(), func(m *pb.Member) bool {
 		return m.GetName() == hb.GetName() && m.GetIncarnation() == hb.GetIncarnation()
 	})
 }
 
 // ahead reports whether the sender of a heartbeat has a value newer than ours.
-func (p *peers) ahead(hb *pb.Heartbeat) bool {
-	return hb.GetFleetRevision() > p.view.fleet().GetRevision() ||
-		hb.GetConfigGeneration() > p.view.config().GetGeneration()
+func (p *Peers) ahead(hb *pb.Heartbeat) bool {
+	return hb.GetFleetRevision() > p.view.Fleet().GetRevision() ||
+		hb.GetConfigGeneration() > p.view.Config().GetGeneration()
 }
 
 // catchUp fetches from the heartbeat's sender, then from another that told of something newer meanwhile.
-func (p *peers) catchUp(ctx context.Context, hb *pb.Heartbeat) {
+func (p *Peers) catchUp(ctx context.Context, hb *pb.Heartbeat) {
 	p.fetchFrom(ctx, hb.GetName())
 	p.mu.Lock()
 	newer, found := lo.Find(lo.Values(p.latest), func(r fleet.Received) bool { return p.ahead(r.Heartbeat) })
@@ -226,11 +256,11 @@
 }
 
 // tellStager lets the acceptance state machine know what generation a peer was at, at some time after the exchange began.
-func (p *peers) tellStager(hb *pb.Heartbeat, began time.Time) {
-	registered := lo.SomeBy(p.view.fleet().GetMembers(), func(m *pb.Member) bool {
+func (p *Peers) tellStager(hb *pb.Heartbeat, began time.Time) {
+	registered := lo.SomeBy(p.view.Fleet().GetMembers(), func(m *pb.Member) bool {
 		return m.GetIncarnation() == hb.GetIncarnation()
 	})
-	p.view.withStager(func(st *config.Stager) {
+	p.view.WithStager(func(st *config.Stager) {
 		st.Heard(began, config.Report{
 			Peer:       fleet.Identity(hb),
 			Generation: hb.GetConfigGeneration(),
@@ -241,7 +271,7 @@
 }
 
 // keep stores a heartbeat unless a later one of the same incarnation is known already.
-func (p *peers) keep(hb *pb.Heartbeat) bool {
+func (p *Peers) keep(hb *pb.Heartbeat) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -256,14 +286,14 @@
 }
 
 // members are the known members and guests, this one included.
-func (p *peers) members() []*pb.Member {
+func (p *Peers) members() []*pb.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return append(p.others(), p.self)
 }
 
-// reports are the newest heartbeats by incarnation, this entry host's own included.
-func (p *peers) reports(ctx context.Context) (map[string]fleet.Received, error) {
+// Reports are the newest heartbeats by incarnation, this entry host's own included.
+func (p *Peers) Reports(ctx context.Context) (map[string]fleet.Received, error) {
 	own, err := p.compose(ctx, p.self.GetName())
 	if err != nil {
 		return nil, err
@@ -276,62 +306,25 @@
 	return all, nil
 }
 
-// slowestGeneration is the lowest configuration generation in force on any member, as far as heard.
-func (p *peers) slowestGeneration() uint64 {
+// SlowestGeneration is the lowest configuration generation in force on any member, as far as heard.
+func (p *Peers) SlowestGeneration() uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	slowest := p.view.config().GetGeneration()
+	slowest := p.view.Config().GetGeneration()
 	for _, m := range p.others() {
 		slowest = min(slowest, p.latest[m.GetIncarnation()].Heartbeat.GetConfigGeneration())
 	}
 	return slowest
 }
 
-func (p *peers) guestList() []*pb.Member {
+func (p *Peers) guestList() []*pb.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.vouched.members()
-}
-
-// Kinds of errors of peers. Their messages name the remedy.
-var (
-	errNotMember   = errs.Class("this entry host is not a member; wait until it has registered with the store or joined through a peer")
-	errUnreachable = errs.Class("peer not reachable")
-	errManyGuests  = errs.Class("this member vouches for its limit of guests; join through another")
-	errLargeClaim  = errs.Class("the request cannot be served as it is")
-)
-
-// peerOptions are what the exchange with the peers needs.
-type peerOptions struct {
-	Self      *pb.Member
-	View      *view
-	Work      localWork
-	Heartbeat time.Duration
-	Logger    *slog.Logger
-	Traffic   meterconn.Meter
-}
-
-// newPeers returns the exchange. SetReady must be called before it runs.
-func newPeers(o peerOptions) *peers {
-	return &peers{
-		self:      o.Self,
-		view:      o.View,
-		work:      o.Work,
-		heartbeat: o.Heartbeat,
-		logger:    o.Logger,
-		client:    peerClient(o.Traffic),
-		changed:   o.View.subscribe("peers"),
-		heard:     ring.New[struct{}]("heard", 1),
-		latest:    map[string]fleet.Received{},
-		started:   time.Now(),
-		links:     map[string]*link{},
-		vouched:   guestBook{},
-		hosts:     map[string]agateturnv1connect.PeerServiceClient{},
-	}
+	return p.vouched.Members()
 }
 
 // SetReady says how heartbeats learn whether this entry host may take work.
-func (p *peers) SetReady(ready func() bool) { p.ready = ready }
+func (p *Peers) SetReady(ready func() bool) { p.ready = ready }
 
 // Heard is signalled when a heartbeat came in.
-func (p *peers) Heard() <-chan struct{} { return p.heard.Items() }
+func (p *Peers) Heard() <-chan struct{} { return p.heard.Items() }
--- a/internal/entryhost/peerservice.go
+++ b/internal/peers/peerservice.go
@@ -1,4 +1,4 @@
-package entryhost
+package peers
 
 import (
 	"context"
@@ -13,6 +13,7 @@
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
 	"github.com/agateturn/agateturn/internal/pause"
+	"github.com/agateturn/agateturn/internal/view"
 )
 
 // claimLimit bounds a claim, in bytes: a key, a service and names of at most 128 bytes each, identities and a digest.
@@ -31,10 +32,10 @@
 
 // peerService answers the other entry hosts.
 type peerService struct {
-	peers    *peers
+	peers    *Peers
 	claims   claimOwner
 	detector *pause.Detector
-	view     *view
+	view     *view.View
 }
 
 // Exchange takes over a peer's heartbeat and answers with our own.
@@ -60,10 +61,10 @@
 		}
 	}
 	answer := &pb.FetchResponse{}
-	if cfg := s.view.config(); cfg.GetGeneration() > req.Msg.GetConfigGeneration() {
+	if cfg := s.view.Config(); cfg.GetGeneration() > req.Msg.GetConfigGeneration() {
 		answer.Config = cfg
 	}
-	if f := s.view.fleet(); f.GetRevision() > req.Msg.GetFleetRevision() {
+	if f := s.view.Fleet(); f.GetRevision() > req.Msg.GetFleetRevision() {
 		answer.Fleet = f
 	}
 	return connect.NewResponse(answer), nil
@@ -73,7 +74,7 @@
 func (s *peerService) Stage(ctx context.Context, req *connect.Request[pb.StageRequest]) (*connect.Response[pb.StageResponse], error) {
 	answer := &pb.StageResponse{}
 	event := events.ConfigStaged
-	s.view.withStager(func(st *config.Stager) {
+	s.view.WithStager(func(st *config.Stager) {
 		if req.Msg.GetAbandon() {
 			st.Abandon(time.Now(), req.Msg.GetConfig().GetChangeId(), req.Msg.GetProposer())
 			event = events.ConfigAbandoned
@@ -102,8 +103,8 @@
 	return connect.NewResponse(&pb.FinishResponse{}), nil
 }
 
-// newPeerHandler serves the peers' calls within their bounds.
-func newPeerHandler(p *peers, claims claimOwner, detector *pause.Detector) http.Handler {
+// NewHandler serves the peers' calls within their bounds.
+func NewHandler(p *Peers, claims claimOwner, detector *pause.Detector) http.Handler {
 	mux := http.NewServeMux()
 	service := &peerService{peers: p, claims: claims, detector: detector, view: p.view}
 	mux.Handle(agateturnv1connect.NewPeerServiceHandler(service, peerLimits()))
--- a/internal/entryhost/vouch.go
+++ b/internal/peers/vouch.go
@@ -1,4 +1,4 @@
-package entryhost
+package peers
 
 import (
 	"time"
@@ -11,28 +11,28 @@
 const maxGuests = 512
 
 // vouch makes the joining entry host our guest. Only a member may vouch.
-func (p *peers) vouch(join *pb.Member) error {
-	if !fleet.HasMember(p.view.fleet(), p.self) {
-		return errNotMember.New("%q cannot vouch for %q", p.self.GetName(), join.GetName())
+func (p *Peers) vouch(join *pb.Member) error {
+	if !fleet.HasMember(p.view.Fleet(), p.self) {
+		return ErrNotMember.New("%q cannot vouch for %q", p.self.GetName(), join.GetName())
 	}
 	if p.guestsFull() {
 		return errManyGuests.New("%d; %q is not taken", maxGuests, join.GetName())
 	}
-	p.view.addGuests(join)
+	p.view.AddGuests(join)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.vouched.add(time.Now(), p.view.fleet(), join)
+	p.vouched.Add(time.Now(), p.view.Fleet(), join)
 	return nil
 }
 
-func (p *peers) guestsFull() bool {
+func (p *Peers) guestsFull() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return len(p.vouched) >= maxGuests
 }
 
-// sponsored records the address of the member that vouches for us, and reports whether it is another than before.
-func (p *peers) sponsored(address string) bool {
+// Sponsored records the address of the member that vouches for us, and reports whether it is another than before.
+func (p *Peers) Sponsored(address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	changed := p.sponsor != address
@@ -40,14 +40,14 @@
 	return changed
 }
 
-// guestOf reports whether a sponsor that we heard from within limit vouches for us.
-func (p *peers) guestOf(now time.Time, limit time.Duration) bool {
+// GuestOf reports whether a sponsor that we heard from within limit vouches for us.
+func (p *Peers) GuestOf(now time.Time, limit time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.sponsor == "" {
 		return false
 	}
-	for _, m := range p.view.fleet().GetMembers() {
+	for _, m := range p.view.Fleet().GetMembers() {
 		if m.GetPeerAddress() != p.sponsor {
 			continue
 		}
@@ -57,7 +57,7 @@
 	return false
 }
 
-func (p *peers) listsUs(hb *pb.Heartbeat) bool {
+func (p *Peers) listsUs(hb *pb.Heartbeat) bool {
 	for _, g := range hb.GetGuests() {
 		if g.GetName() == p.self.GetName() && g.GetIncarnation() == p.self.GetIncarnation() {
 			return true
@@ -69,8 +69,8 @@
 // silentHeartbeats is the number of heartbeats after which a peer counts as not reachable.
 const silentHeartbeats = 5
 
-// silent are the members that have not been heard for too long.
-func (p *peers) silent(now time.Time) map[string]bool {
+// Silent are the members that have not been heard for too long.
+func (p *Peers) Silent(now time.Time) map[string]bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	limit := silentHeartbeats * p.heartbeat
--- a/internal/entryhost/propose.go
+++ b/internal/proposals/propose.go
@@ -1,4 +1,5 @@
-package entryhost
+// Package proposals has configurations staged on every member and accepted in the store.
+package proposals
 
 import (
 	"context"
@@ -15,6 +16,8 @@
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
+	"github.com/agateturn/agateturn/internal/fleetstore"
+	"github.com/agateturn/agateturn/internal/view"
 	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/store"
 )
@@ -35,12 +38,12 @@
 	At(address string) agateturnv1connect.PeerServiceClient
 }
 
-// proposer has configurations accepted, one at a time.
-type proposer struct {
+// Proposer has configurations accepted, one at a time.
+type Proposer struct {
 	self   *pb.Member
 	kv     store.KV
-	view   *view
-	writer *writer
+	view   *view.View
+	writer *fleetstore.Writer
 	peers  stageClients
 	logger *slog.Logger
 
@@ -48,9 +51,31 @@
 	attempts uint64
 }
 
+// Options are what the duty needs.
+type Options struct {
+	Self   *pb.Member
+	KV     store.KV
+	View   *view.View
+	Writer *fleetstore.Writer
+	Peers  stageClients
+	Logger *slog.Logger
+}
+
+// New returns a proposer.
+func New(o Options) *Proposer {
+	return &Proposer{
+		self:   o.Self,
+		kv:     o.KV,
+		view:   o.View,
+		writer: o.Writer,
+		peers:  o.Peers,
+		logger: o.Logger,
+	}
+}
+
 // proposalRun is one proposal under way.
 type proposalRun struct {
-	*proposer
+	*Proposer
 	cfg      *pb.Configuration
 	version  uint64 // the store's version of the base
 	id       string
@@ -58,13 +83,13 @@
 	members  map[string]*pb.Member // by identity, everyone that was ever asked
 }
 
-// propose has cfg accepted over the base that the store holds at the given version.
-func (p *proposer) propose(ctx context.Context, cfg *pb.Configuration, version uint64) config.Outcome {
+// Propose has cfg accepted over the base that the store holds at the given version.
+func (p *Proposer) Propose(ctx context.Context, cfg *pb.Configuration, version uint64) config.Outcome {
 	p.one.Lock()
 	defer p.one.Unlock()
 	p.attempts++
 	run := &proposalRun{
-		proposer: p,
+		Proposer: p,
 		cfg:      cfg,
 		version:  version,
 		id:       config.ProposerID(fleet.Identity(p.self), p.attempts),
@@ -79,14 +104,14 @@
 }
 
 // changeAt tells which change this entry host had in force at a generation.
-func (p *proposer) changeAt(generation uint64) (changeID string, known bool) {
-	p.view.withStager(func(st *config.Stager) { changeID, known = st.ChangeAt(generation) })
+func (p *Proposer) changeAt(generation uint64) (changeID string, known bool) {
+	p.view.WithStager(func(st *config.Stager) { changeID, known = st.ChangeAt(generation) })
 	return changeID, known
 }
 
 // listMembers reads the registered members from the store; this entry host is always among the asked.
 func (r *proposalRun) listMembers(ctx context.Context) ([]string, error) {
-	f, _, err := r.writer.read(ctx)
+	f, _, err := r.writer.Read(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -181,7 +206,7 @@
 	request := &pb.StageRequest{Config: r.cfg, Proposer: r.id}
 	if member == fleet.Identity(r.self) {
 		answer := &pb.StageResponse{}
-		r.view.withStager(func(st *config.Stager) {
+		r.view.WithStager(func(st *config.Stager) {
 			answer.Staged, answer.Reason = st.Stage(time.Now(), r.cfg, r.id)
 			answer.ConfigGeneration = st.Generation()
 		})
@@ -217,7 +242,7 @@
 		}
 		return r.proposal.Listed(now, names)
 	case config.Accept:
-		if r.view.applyConfig(now, r.cfg) {
+		if r.view.ApplyConfig(now, r.cfg) {
 			events.Emit(ctx, r.logger, events.ConfigInForce, "generation", r.cfg.GetGeneration(), "source", "proposal")
 		}
 	case config.Abandon:
@@ -232,7 +257,7 @@
 	if err != nil {
 		return config.SwapConflict
 	}
-	_, err = r.kv.CompareAndSwap(ctx, keyConfig, r.version, data)
+	_, err = r.kv.CompareAndSwap(ctx, fleetstore.KeyConfig, r.version, data)
 	switch {
 	case err == nil:
 		return config.SwapOK
@@ -247,7 +272,7 @@
 
 func (r *proposalRun) abandonOn(ctx context.Context, member string) {
 	if member == fleet.Identity(r.self) {
-		r.view.withStager(func(st *config.Stager) { st.Abandon(time.Now(), r.cfg.GetChangeId(), r.id) })
+		r.view.WithStager(func(st *config.Stager) { st.Abandon(time.Now(), r.cfg.GetChangeId(), r.id) })
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
@@ -259,57 +284,36 @@
 	}))
 }
 
-// sync puts in force what the store holds, and settles what is staged by it.
-func (p *proposer) sync(ctx context.Context) error {
+// Sync puts in force what the store holds, and settles what is staged by it.
+func (p *Proposer) Sync(ctx context.Context) error {
 	began := time.Now()
 	stored, err := p.readStored(ctx)
 	if err != nil {
 		return err
 	}
-	p.view.heardStore(time.Now())
-	if stored != nil && p.view.applyConfig(time.Now(), stored) {
+	p.view.HeardStore(time.Now())
+	if stored != nil && p.view.ApplyConfig(time.Now(), stored) {
 		events.Emit(ctx, p.logger, events.ConfigInForce, "generation", stored.GetGeneration(), "source", "store")
 	}
-	p.view.withStager(func(st *config.Stager) { st.Confirm(began, stored.GetGeneration()) })
+	p.view.WithStager(func(st *config.Stager) { st.Confirm(began, stored.GetGeneration()) })
 	return nil
 }
 
 // readStored returns the configuration in the store; nil for none.
-func (p *proposer) readStored(ctx context.Context) (*pb.Configuration, error) {
-	cfg, _, err := p.readVersion(ctx)
+func (p *Proposer) readStored(ctx context.Context) (*pb.Configuration, error) {
+	cfg, _, err := p.ReadVersion(ctx)
 	return cfg, err
 }
 
-func (p *proposer) readVersion(ctx context.Context) (*pb.Configuration, uint64, error) {
-	value, err := p.kv.Get(ctx, keyConfig)
+// ReadVersion returns the configuration in the store and its version there; nil and 0 for none.
+func (p *Proposer) ReadVersion(ctx context.Context) (*pb.Configuration, uint64, error) {
+	value, err := p.kv.Get(ctx, fleetstore.KeyConfig)
 	if err != nil || value.Version == 0 {
 		return nil, 0, err
 	}
 	cfg := &pb.Configuration{}
 	if err := proto.Unmarshal(value.Data, cfg); err != nil {
-		return nil, 0, errCorrupt.Wrap(err)
+		return nil, 0, fleetstore.ErrCorrupt.Wrap(err)
 	}
 	return cfg, value.Version, nil
 }
-
-// proposerOptions are what the duty needs.
-type proposerOptions struct {
-	Self   *pb.Member
-	KV     store.KV
-	View   *view
-	Writer *writer
-	Peers  stageClients
-	Logger *slog.Logger
-}
-
-// newProposer returns a proposer.
-func newProposer(o proposerOptions) *proposer {
-	return &proposer{
-		self:   o.Self,
-		kv:     o.KV,
-		view:   o.View,
-		writer: o.Writer,
-		peers:  o.Peers,
-		logger: o.Logger,
-	}
-}
--- a/internal/entryhost/register.go
+++ b/internal/registration/register.go
@@ -1,4 +1,5 @@
-package entryhost
+// Package registration makes an entry host a member of the fleet and notices when it is none any more.
+package registration
 
 import (
 	"context"
@@ -12,7 +13,11 @@
 	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/fleetstore"
 	"github.com/agateturn/agateturn/internal/pause"
+	"github.com/agateturn/agateturn/internal/peers"
+	"github.com/agateturn/agateturn/internal/proposals"
+	"github.com/agateturn/agateturn/internal/view"
 	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/store"
 )
@@ -24,30 +29,56 @@
 	leaveTimeout = 3 * time.Second
 )
 
-// registrar makes this entry host a member and notices when it is none any more.
+// Registrar makes this entry host a member and notices when it is none any more.
 //
 // A member is registered in the fleet value before it reads the values it serves by, so that a controller that did not
 // see it yet cannot have finished a move that it has not heard of.
-type registrar struct {
+type Registrar struct {
 	self     *pb.Member
-	view     *view
-	writer   *writer
-	peers    *peers
+	view     *view.View
+	writer   *fleetstore.Writer
+	peers    *peers.Peers
 	detector *pause.Detector
-	proposer *proposer
+	proposer *proposals.Proposer
 	seeds    []string
 	logger   *slog.Logger
 	// synced is set once the configuration was read from the store after the registration.
 	synced atomic.Bool
 }
 
-// run registers, then watches over the membership until ctx ends. It returns errRemoved when the fleet no longer holds
+// Options are what the duty needs.
+type Options struct {
+	Self     *pb.Member
+	View     *view.View
+	Writer   *fleetstore.Writer
+	Peers    *peers.Peers
+	Detector *pause.Detector
+	Proposer *proposals.Proposer
+	Seeds    []string
+	Logger   *slog.Logger
+}
+
+// New returns the duty that makes this entry host a member.
+func New(o Options) *Registrar {
+	return &Registrar{
+		self:     o.Self,
+		view:     o.View,
+		writer:   o.Writer,
+		peers:    o.Peers,
+		detector: o.Detector,
+		proposer: o.Proposer,
+		seeds:    o.Seeds,
+		logger:   o.Logger,
+	}
+}
+
+// Run registers, then watches over the membership until ctx ends. It returns errRemoved when the fleet no longer holds
 // this incarnation: then its view may be old, and the process has to start anew.
-func (r *registrar) run(ctx context.Context) error {
+func (r *Registrar) Run(ctx context.Context) error {
 	backoff := store.DefaultBackoff()
 	failing := false
 	for ctx.Err() == nil {
-		if r.isMember() {
+		if r.IsMember() {
 			if err := r.watchOver(ctx); err != nil {
 				return err
 			}
@@ -70,8 +101,8 @@
 }
 
 // join registers with the store or, while that is down, becomes the guest of a peer.
-func (r *registrar) join(ctx context.Context) error {
-	_, err := r.writer.update(ctx, func(f *pb.Fleet) (*pb.Fleet, error) { return fleet.Register(f, r.self) })
+func (r *Registrar) join(ctx context.Context) error {
+	_, err := r.writer.Update(ctx, func(f *pb.Fleet) (*pb.Fleet, error) { return fleet.Register(f, r.self) })
 	if err == nil {
 		events.Emit(ctx, r.logger, events.MemberJoined, "member", r.self.GetName())
 		return nil
@@ -80,11 +111,11 @@
 		return errRemoved.New("paused before it had joined") // a successor may be a member already
 	}
 	for _, address := range r.seeds {
-		if r.peers.fetchAsGuest(ctx, address) == nil {
-			if !r.peers.sponsored(address) {
+		if r.peers.FetchAsGuest(ctx, address) == nil {
+			if !r.peers.Sponsored(address) {
 				break
 			}
-			r.view.withStager(func(st *config.Stager) { st.JoinAsGuest(time.Now()) })
+			r.view.WithStager(func(st *config.Stager) { st.JoinAsGuest(time.Now()) })
 			events.Emit(ctx, r.logger, events.JoinedAsGuest, "sponsor", address)
 			break
 		}
@@ -92,17 +123,17 @@
 	return err
 }
 
-// isMember reports whether the applied fleet holds this incarnation.
-func (r *registrar) isMember() bool { return fleet.HasMember(r.view.fleet(), r.self) }
+// IsMember reports whether the applied fleet holds this incarnation.
+func (r *Registrar) IsMember() bool { return fleet.HasMember(r.view.Fleet(), r.self) }
 
 // watchOver waits until the membership ends. A suspected pause is confirmed by values fetched after it.
-func (r *registrar) watchOver(ctx context.Context) error {
+func (r *Registrar) watchOver(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if r.detector.Suspect() {
 			r.confirm(ctx)
 		}
 		r.settle(ctx)
-		if !r.isMember() {
+		if !r.IsMember() {
 			return errRemoved.New("member %q incarnation %q", r.self.GetName(), r.self.GetIncarnation())
 		}
 		_ = wait.For(ctx, membershipPeriod)
@@ -111,14 +142,14 @@
 }
 
 // settle reads the configuration from the store: once after the registration, and while a staged one is in doubt.
-func (r *registrar) settle(ctx context.Context) {
+func (r *Registrar) settle(ctx context.Context) {
 	inDoubt := false
-	r.view.withStager(func(st *config.Stager) { inDoubt = st.Staged() != nil })
+	r.view.WithStager(func(st *config.Stager) { inDoubt = st.Staged() != nil })
 	if r.synced.Load() && !inDoubt {
 		return
 	}
-	if r.proposer.sync(ctx) == nil && !r.synced.Swap(true) {
-		r.view.withStager((*config.Stager).Registered)
+	if r.proposer.Sync(ctx) == nil && !r.synced.Swap(true) {
+		r.view.WithStager((*config.Stager).Registered)
 	}
 }
 
@@ -126,35 +157,35 @@
 //
 // One member is enough: a drain that was completed without this process's release had been applied by that member, so its
 // fleet shows the host as draining; and a later one cannot be completed without that member.
-func (r *registrar) confirm(ctx context.Context) {
-	f, _, err := r.writer.read(ctx)
+func (r *Registrar) confirm(ctx context.Context) {
+	f, _, err := r.writer.Read(ctx)
 	if err != nil {
-		f, err = r.peers.fleetOfMember(ctx)
+		f, err = r.peers.FleetOfMember(ctx)
 	}
 	if err != nil {
 		return
 	}
-	r.view.applyFleet(f)
+	r.view.ApplyFleet(f)
 	if fleet.HasMember(f, r.self) {
 		r.detector.Confirm()
 	}
 }
 
-// setLeaving tells the fleet that this member owns nothing more. It is best effort: the store may be down.
-func (r *registrar) setLeaving(ctx context.Context) error {
+// SetLeaving tells the fleet that this member owns nothing more. It is best effort: the store may be down.
+func (r *Registrar) SetLeaving(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	_, err := r.writer.update(ctx, func(f *pb.Fleet) (*pb.Fleet, error) {
+	_, err := r.writer.Update(ctx, func(f *pb.Fleet) (*pb.Fleet, error) {
 		return fleet.SetLeaving(f, r.self.GetName(), r.self.GetIncarnation())
 	})
 	return err
 }
 
-// leave takes this member out of the fleet. Nothing may be in flight any more.
-func (r *registrar) leave(ctx context.Context) error {
+// Leave takes this member out of the fleet. Nothing may be in flight any more.
+func (r *Registrar) Leave(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	_, err := r.writer.update(ctx, func(f *pb.Fleet) (*pb.Fleet, error) {
+	_, err := r.writer.Update(ctx, func(f *pb.Fleet) (*pb.Fleet, error) {
 		return fleet.Leave(f, r.self.GetName(), r.self.GetIncarnation())
 	})
 	return err
@@ -163,31 +194,5 @@
 // errRemoved is a process that the fleet no longer holds.
 var errRemoved = errs.Class("this process was removed from the fleet while it was paused; start it again")
 
-// registered reports whether this process is a member and has read the configuration since it became one.
-func (r *registrar) registered() bool { return r.isMember() && r.synced.Load() }
-
-// registrarOptions are what the duty needs.
-type registrarOptions struct {
-	Self     *pb.Member
-	View     *view
-	Writer   *writer
-	Peers    *peers
-	Detector *pause.Detector
-	Proposer *proposer
-	Seeds    []string
-	Logger   *slog.Logger
-}
-
-// newRegistrar returns the duty that makes this entry host a member.
-func newRegistrar(o registrarOptions) *registrar {
-	return &registrar{
-		self:     o.Self,
-		view:     o.View,
-		writer:   o.Writer,
-		peers:    o.Peers,
-		detector: o.Detector,
-		proposer: o.Proposer,
-		seeds:    o.Seeds,
-		logger:   o.Logger,
-	}
-}
+// Registered reports whether this process is a member and has read the configuration since it became one.
+func (r *Registrar) Registered() bool { return r.IsMember() && r.synced.Load() }
--- a/internal/entryhost/guests.go
+++ b/internal/view/guests.go
@@ -1,4 +1,4 @@
-package entryhost
+package view
 
 import (
 	"sort"
@@ -26,12 +26,12 @@
 	matured bool
 }
 
-// guestBook is what one duty knows of the guests. A guest stays in it until the fleet shows the guest itself or a third
+// GuestBook is what one duty knows of the guests. A guest stays in it until the fleet shows the guest itself or a third
 // incarnation of its name: it may hold slots and requests until then.
-type guestBook map[string]guest
+type GuestBook map[string]guest
 
-// add notes a guest, and reports whether it is new.
-func (b guestBook) add(now time.Time, f *pb.Fleet, m *pb.Member) bool {
+// Add notes a guest, and reports whether it is new.
+func (b GuestBook) Add(now time.Time, f *pb.Fleet, m *pb.Member) bool {
 	if b[m.GetName()].member.GetIncarnation() == m.GetIncarnation() || fleet.HasMember(f, m) {
 		return false
 	}
@@ -40,13 +40,13 @@
 }
 
 // holds reports whether the process is a guest.
-func (b guestBook) holds(m *pb.Member) bool {
+func (b GuestBook) holds(m *pb.Member) bool {
 	g, known := b[m.GetName()]
 	return known && g.member.GetIncarnation() == m.GetIncarnation()
 }
 
-// prune drops the guests that the fleet has settled.
-func (b guestBook) prune(f *pb.Fleet) {
+// Prune drops the guests that the fleet has settled.
+func (b GuestBook) Prune(f *pb.Fleet) {
 	for name, g := range b {
 		current := incarnationOf(f, name)
 		if current != "" && current != g.predecessor {
@@ -56,7 +56,7 @@
 }
 
 // matured marks the guests known since before the given time, and reports whether there are new ones.
-func (b guestBook) matured(before time.Time) bool {
+func (b GuestBook) matured(before time.Time) bool {
 	changed := false
 	for name, g := range b {
 		if !g.matured && g.since.Before(before) {
@@ -68,8 +68,8 @@
 	return changed
 }
 
-// members are the guests, by name.
-func (b guestBook) members() []*pb.Member {
+// Members are the guests, by name.
+func (b GuestBook) Members() []*pb.Member {
 	members := lo.MapToSlice(b, func(_ string, g guest) *pb.Member { return g.member })
 	sort.Slice(members, func(i, j int) bool { return members[i].GetName() < members[j].GetName() })
 	return members
@@ -77,7 +77,7 @@
 
 // extend is the fleet with the guests among its members. The predecessor of a guest that became known before the given
 // time is left out: the guest listens at its address, so its process is gone.
-func (b guestBook) extend(before time.Time, f *pb.Fleet) *pb.Fleet {
+func (b GuestBook) extend(before time.Time, f *pb.Fleet) *pb.Fleet {
 	if len(b) == 0 || f == nil {
 		return f
 	}
@@ -86,7 +86,7 @@
 		g, replaced := b[m.GetName()]
 		return replaced && g.predecessor == m.GetIncarnation() && g.since.Before(before)
 	})
-	extended.Members = append(extended.Members, b.members()...)
+	extended.Members = append(extended.Members, b.Members()...)
 	return extended
 }
 
--- a/internal/entryhost/view.go
+++ b/internal/view/view.go
@@ -1,4 +1,5 @@
-package entryhost
+// Package view is what an entry host knows and acts on: the applied fleet, the configuration in force, and the guests.
+package view
 
 import (
 	"sync"
@@ -15,14 +16,14 @@
 
 // fleetApplier takes over a fleet, whose members include the guests. It returns only when nothing that the fleet forbids will be started any more.
 type fleetApplier interface {
-	applyFleet(f *pb.Fleet, cfg *pb.Configuration)
+	ApplyFleet(f *pb.Fleet, cfg *pb.Configuration)
 }
 
-// view is what this entry host knows and acts on: the applied fleet and the configuration in force.
+// View is what this entry host knows and acts on: the applied fleet and the configuration in force.
 // It only goes forward. It is safe for concurrent use.
-type view struct {
+type View struct {
 	self *pb.Member
-	gate *fleet.Gate
+	Gate *fleet.Gate
 
 	// applying serialises whole applications, so that every applier sees revisions in order.
 	applying sync.Mutex
@@ -31,11 +32,11 @@
 	applied atomic.Uint64
 
 	// guests and pauseLimit say who counts as a member besides those that the fleet shows; applying guards them.
-	guests     guestBook
+	guests     GuestBook
 	pauseLimit time.Duration
 
-	// storeFailing is set while the follower cannot read the store.
-	storeFailing atomic.Bool
+	// StoreFailing is set while the follower cannot read the store.
+	StoreFailing atomic.Bool
 
 	mu     sync.Mutex
 	stager *config.Stager
@@ -44,57 +45,58 @@
 	subscribers []*ring.Ring[struct{}]
 }
 
-func newView(self *pb.Member, inForceBound, pauseLimit time.Duration) *view {
-	return &view{
+// New returns a view that knows nothing yet. The bounds are those of a staged configuration in doubt and of a pause.
+func New(self *pb.Member, inForceBound, pauseLimit time.Duration) *View {
+	return &View{
 		self:       self,
-		gate:       fleet.NewGate(),
+		Gate:       fleet.NewGate(),
 		stager:     config.NewStager(inForceBound),
-		guests:     guestBook{},
+		guests:     GuestBook{},
 		pauseLimit: pauseLimit,
 	}
 }
 
-// onFleet adds an applier. Call it before the duties start.
-func (v *view) onFleet(a fleetApplier) { v.appliers = append(v.appliers, a) }
+// OnFleet adds an applier. Call it before the duties start.
+func (v *View) OnFleet(a fleetApplier) { v.appliers = append(v.appliers, a) }
 
-// subscribe returns a ring that gets a signal after each change. Call it before the duties start.
-func (v *view) subscribe(name string) *ring.Ring[struct{}] {
+// Subscribe returns a ring that gets a signal after each change. Call it before the duties start.
+func (v *View) Subscribe(name string) *ring.Ring[struct{}] {
 	r := ring.New[struct{}](name, 1)
 	v.subscribers = append(v.subscribers, r)
 	return r
 }
 
-func (v *view) notify() {
+func (v *View) notify() {
 	for _, r := range v.subscribers {
 		r.Offer(struct{}{}) // a full ring already holds a signal
 	}
 }
 
-// applyFleet moves to a newer fleet; an older one changes nothing.
+// ApplyFleet moves to a newer fleet; an older one changes nothing.
 //
 // The gate goes first: from then on no request starts on a host that the fleet forbids. Only when every applier has
 // followed may the revision be reported to the controller.
-func (v *view) applyFleet(f *pb.Fleet) {
+func (v *View) ApplyFleet(f *pb.Fleet) {
 	v.applying.Lock()
 	defer v.applying.Unlock()
-	before := v.gate.Fleet()
+	before := v.Gate.Fleet()
 	if before == nil && !fleet.HasMember(f, v.self) && !v.guests.holds(v.self) {
 		return // a process that nobody asks for its release serves by no fleet
 	}
-	if !v.gate.Apply(f) {
+	if !v.Gate.Apply(f) {
 		return
 	}
 	v.tellGone(before, f)
-	v.guests.prune(f)
+	v.guests.Prune(f)
 	v.runAppliers()
 	v.applied.Store(f.GetRevision())
 	v.notify()
 }
 
 // tellGone lets the acceptance state machine know which incarnations the fleet no longer holds.
-func (v *view) tellGone(before, after *pb.Fleet) {
+func (v *View) tellGone(before, after *pb.Fleet) {
 	present := lo.SliceToMap(after.GetMembers(), func(m *pb.Member) (string, bool) { return fleet.Identity(m), true })
-	v.withStager(func(st *config.Stager) {
+	v.WithStager(func(st *config.Stager) {
 		for _, m := range before.GetMembers() {
 			if !present[fleet.Identity(m)] {
 				st.Gone(time.Now(), fleet.Identity(m))
@@ -103,8 +105,8 @@
 	})
 }
 
-// applyConfig puts a newer configuration in force and reports whether it was newer.
-func (v *view) applyConfig(now time.Time, cfg *pb.Configuration) bool {
+// ApplyConfig puts a newer configuration in force and reports whether it was newer.
+func (v *View) ApplyConfig(now time.Time, cfg *pb.Configuration) bool {
 	v.applying.Lock()
 	defer v.applying.Unlock()
 	v.mu.Lock()
@@ -119,16 +121,16 @@
 }
 
 // runAppliers hands the fleet, guests included, to every applier. The caller holds applying.
-func (v *view) runAppliers() {
-	cfg := v.config()
-	extended := v.guests.extend(time.Now().Add(-v.pauseLimit), v.gate.Fleet())
+func (v *View) runAppliers() {
+	cfg := v.Config()
+	extended := v.guests.extend(time.Now().Add(-v.pauseLimit), v.Gate.Fleet())
 	for _, a := range v.appliers {
-		a.applyFleet(extended, cfg)
+		a.ApplyFleet(extended, cfg)
 	}
 }
 
-// addGuests lets entry hosts that joined through a peer borrow slots and claim keys.
-func (v *view) addGuests(guests ...*pb.Member) {
+// AddGuests lets entry hosts that joined through a peer borrow slots and claim keys.
+func (v *View) AddGuests(guests ...*pb.Member) {
 	if len(guests) == 0 {
 		return
 	}
@@ -136,7 +138,7 @@
 	defer v.applying.Unlock()
 	added := false
 	for _, g := range guests {
-		added = v.guests.add(time.Now(), v.gate.Fleet(), g) || added
+		added = v.guests.Add(time.Now(), v.Gate.Fleet(), g) || added
 	}
 	if added {
 		v.runAppliers()
@@ -144,8 +146,8 @@
 	}
 }
 
-// refreshGuests drops the predecessors of guests that have been known for the pause limit.
-func (v *view) refreshGuests() {
+// RefreshGuests drops the predecessors of guests that have been known for the pause limit.
+func (v *View) RefreshGuests() {
 	v.applying.Lock()
 	defer v.applying.Unlock()
 	if v.guests.matured(time.Now().Add(-v.pauseLimit)) {
@@ -153,42 +155,42 @@
 	}
 }
 
-// members are the fleet's members and the guests, by what this entry host knows.
-func (v *view) members() []*pb.Member {
+// Members are the fleet's members and the guests, by what this entry host knows.
+func (v *View) Members() []*pb.Member {
 	v.applying.Lock()
 	defer v.applying.Unlock()
-	return append(append([]*pb.Member{}, v.gate.Fleet().GetMembers()...), v.guests.members()...)
+	return append(append([]*pb.Member{}, v.Gate.Fleet().GetMembers()...), v.guests.Members()...)
 }
 
-// appliedRevision is the newest revision that everything in this process obeys.
-func (v *view) appliedRevision() uint64 { return v.applied.Load() }
+// AppliedRevision is the newest revision that everything in this process obeys.
+func (v *View) AppliedRevision() uint64 { return v.applied.Load() }
 
-// fleet is the newest fleet known; nil before the first.
-func (v *view) fleet() *pb.Fleet { return v.gate.Fleet() }
+// Fleet is the newest fleet known; nil before the first.
+func (v *View) Fleet() *pb.Fleet { return v.Gate.Fleet() }
 
-// config is the configuration in force; nil before the first.
-func (v *view) config() *pb.Configuration {
+// Config is the configuration in force; nil before the first.
+func (v *View) Config() *pb.Configuration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.stager.Current()
 }
 
-// withStager runs f with the acceptance state machine.
-func (v *view) withStager(f func(*config.Stager)) {
+// WithStager runs f with the acceptance state machine.
+func (v *View) WithStager(f func(*config.Stager)) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	f(v.stager)
 }
 
-// heardStore records that the store answered.
-func (v *view) heardStore(now time.Time) {
+// HeardStore records that the store answered.
+func (v *View) HeardStore(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.storeHeard = now
 }
 
-// storeAge is the time since the store last answered.
-func (v *view) storeAge(now time.Time) time.Duration {
+// StoreAge is the time since the store last answered.
+func (v *View) StoreAge(now time.Time) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.storeHeard.IsZero() {
