--- a/internal/claims/keys.go
+++ b/internal/claims/keys.go
@@ -75,7 +75,7 @@
 	f(k.owner)
 }
 
-// ApplyFleet implements fleetApplier.
+// ApplyFleet implements view.Applier.
 func (k *Keys) ApplyFleet(f *pb.Fleet, _ *pb.Configuration) {
 	if f == nil {
 		return
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -16,7 +16,6 @@
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/hostlist"
 	"github.com/agateturn/agateturn/internal/fleetstore"
-	"github.com/agateturn/agateturn/internal/peers"
 	"github.com/agateturn/agateturn/internal/ring"
 	"github.com/agateturn/agateturn/internal/view"
 	"github.com/agateturn/agateturn/internal/wait"
@@ -34,6 +33,14 @@
 	actionRepeat = 10 * time.Second
 )
 
+// reporters tell what the members released.
+type reporters interface {
+	// Reports are the newest heartbeats by incarnation, this entry host's own included.
+	Reports(ctx context.Context) (map[string]fleet.Received, error)
+	// Heard is signalled when a heartbeat came in.
+	Heard() <-chan struct{}
+}
+
 // Controller is the duty of the fleet controller. Every entry host runs it; the holder of the lease key acts.
 //
 // The lease is for liveness only. A controller that lost it without knowing is stopped by its compare-and-swap.
@@ -41,7 +48,7 @@
 	self     *pb.Member
 	view     *view.View
 	writer   *fleetstore.Writer
-	peers    *peers.Peers
+	peers    reporters
 	leases   store.Leases
 	platform *hostlist.Client
 	list     *PlatformList
@@ -63,7 +70,7 @@
 	Self     *pb.Member
 	View     *view.View
 	Writer   *fleetstore.Writer
-	Peers    *peers.Peers
+	Peers    reporters
 	Leases   store.Leases
 	Platform *hostlist.Client
 	List     *PlatformList
--- a/internal/control/platformlist.go
+++ b/internal/control/platformlist.go
@@ -63,7 +63,7 @@
 func (l *PlatformList) Run(ctx context.Context) {
 	failing := false
 	for ; ctx.Err() == nil; _ = wait.For(ctx, l.period) {
-		if !l.wanted.Load() && !l.view.StoreFailing.Load() {
+		if !l.wanted.Load() && !l.view.StoreFailing() {
 			l.forget()
 			l.work.Shun(ctx, nil)
 			continue
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -87,8 +87,8 @@
 	view     *view.View
 	self     *pb.Owner
 	commands *ring.Ring[command]
-	// Slotless is set while every own slot still waits for the report of a former holder.
-	Slotless atomic.Bool
+	// slotless is set while every own slot still waits for the report of a former holder.
+	slotless atomic.Bool
 	news     *ring.Ring[string] // peers that should get a heartbeat early
 
 	queues  *admission.Queue
@@ -166,7 +166,7 @@
 	}
 	d.balance(now)
 	waiting := d.ledger.Waiting()
-	d.Slotless.Store(waiting > 0 && waiting == d.ledger.Own())
+	d.slotless.Store(waiting > 0 && waiting == d.ledger.Own())
 }
 
 // balance trades slots with the peers, and has those told early for whom there is news.
--- a/internal/dispatch/dispatchpeers.go
+++ b/internal/dispatch/dispatchpeers.go
@@ -15,7 +15,7 @@
 
 // This file is what the dispatcher takes from the fleet and the peers, and what it tells them.
 
-// ApplyFleet implements fleetApplier: it returns when the dispatcher obeys the fleet.
+// ApplyFleet implements view.Applier: it returns when the dispatcher obeys the fleet.
 func (d *Dispatcher) ApplyFleet(f *pb.Fleet, cfg *pb.Configuration) {
 	if f == nil || cfg == nil {
 		return
@@ -190,3 +190,6 @@
 
 // Backlog is the ring of commands that wait for the dispatcher.
 func (d *Dispatcher) Backlog() ring.State { return d.commands }
+
+// Slotless reports whether every own slot still waits for the report of a former holder.
+func (d *Dispatcher) Slotless() bool { return d.slotless.Load() }
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -179,7 +179,7 @@
 	if !registered && !d.peers.GuestOf(time.Now(), d.settings.GetTiming().GetPauseLimit().AsDuration()) {
 		return peers.ErrNotMember.New("%s", d.self.GetName())
 	}
-	if d.dispatch.Slotless.Load() || (registered && !ownerIn(d.view.Fleet(), d.self)) {
+	if d.dispatch.Slotless() || (registered && !ownerIn(d.view.Fleet(), d.self)) {
 		return errNoSlots.New("%s", d.self.GetName())
 	}
 	return d.settled()
--- a/internal/fleetstore/follow.go
+++ b/internal/fleetstore/follow.go
@@ -117,14 +117,14 @@
 }
 
 func (f *Follower) failed(ctx context.Context, key string, err error, failures int) {
-	f.view.StoreFailing.Store(true)
+	f.view.SetStoreFailing(true)
 	if failures == 0 {
 		events.Emit(ctx, f.logger, events.StoreUnreachable, "key", key, "err", err)
 	}
 }
 
 func (f *Follower) recovered(ctx context.Context, key string, failures int) {
-	f.view.StoreFailing.Store(false)
+	f.view.SetStoreFailing(false)
 	if failures > 0 {
 		events.Emit(ctx, f.logger, events.StoreBack, "key", key, "failures", failures)
 	}
--- a/internal/measures/meter.go
+++ b/internal/measures/meter.go
@@ -10,7 +10,6 @@
 	"github.com/agateturn/agateturn/config"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/operatorapi"
-	"github.com/agateturn/agateturn/internal/peers"
 	"github.com/agateturn/agateturn/internal/view"
 	"github.com/agateturn/agateturn/internal/wait"
 )
@@ -18,10 +17,15 @@
 // meterPeriod is the time between two looks at the measures.
 const meterPeriod = 100 * time.Millisecond
 
+// generations tells the lowest configuration generation in force on any member.
+type generations interface {
+	SlowestGeneration() uint64
+}
+
 // Meter keeps the three measures as this entry host sees them. It is safe for concurrent use.
 type Meter struct {
 	view  *view.View
-	peers *peers.Peers
+	peers generations
 
 	mu       sync.Mutex
 	measures operatorapi.Measures
@@ -31,7 +35,7 @@
 }
 
 // NewMeter returns a meter that has seen nothing yet.
-func NewMeter(v *view.View, p *peers.Peers) *Meter {
+func NewMeter(v *view.View, p generations) *Meter {
 	return &Meter{view: v, peers: p, pools: map[string]string{}, rollOuts: map[uint64]time.Time{}}
 }
 
--- a/internal/peers/links.go
+++ b/internal/peers/links.go
@@ -14,7 +14,7 @@
 	stop    context.CancelFunc
 	// period is the time after the last exchange, by either side, at which this side begins one.
 	period time.Duration
-	// last is the last try of this side, or the last heartbeat from the other; peers.mu guards it.
+	// last is the last try of this side, or the last heartbeat from the other; Peers.mu guards it.
 	last time.Time
 }
 
--- a/internal/registration/register.go
+++ b/internal/registration/register.go
@@ -15,8 +15,6 @@
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/fleetstore"
 	"github.com/agateturn/agateturn/internal/pause"
-	"github.com/agateturn/agateturn/internal/peers"
-	"github.com/agateturn/agateturn/internal/proposals"
 	"github.com/agateturn/agateturn/internal/view"
 	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/store"
@@ -29,6 +27,21 @@
 	leaveTimeout = 3 * time.Second
 )
 
+// sponsors are the peers that may vouch for this entry host or tell it the fleet.
+type sponsors interface {
+	// FetchAsGuest asks the peer at an address to vouch for this entry host.
+	FetchAsGuest(ctx context.Context, address string) error
+	// Sponsored records which peer vouches, and reports whether it is another than before.
+	Sponsored(address string) bool
+	// FleetOfMember is the whole fleet of the first other member that answers.
+	FleetOfMember(ctx context.Context) (*pb.Fleet, error)
+}
+
+// configSync puts in force the configuration that the store holds.
+type configSync interface {
+	Sync(ctx context.Context) error
+}
+
 // Registrar makes this entry host a member and notices when it is none any more.
 //
 // A member is registered in the fleet value before it reads the values it serves by, so that a controller that did not
@@ -37,9 +50,9 @@
 	self     *pb.Member
 	view     *view.View
 	writer   *fleetstore.Writer
-	peers    *peers.Peers
+	peers    sponsors
 	detector *pause.Detector
-	proposer *proposals.Proposer
+	proposer configSync
 	seeds    []string
 	logger   *slog.Logger
 	// synced is set once the configuration was read from the store after the registration.
@@ -51,9 +64,9 @@
 	Self     *pb.Member
 	View     *view.View
 	Writer   *fleetstore.Writer
-	Peers    *peers.Peers
+	Peers    sponsors
 	Detector *pause.Detector
-	Proposer *proposals.Proposer
+	Proposer configSync
 	Seeds    []string
 	Logger   *slog.Logger
 }
--- a/internal/tablefollow/follower.go
+++ b/internal/tablefollow/follower.go
@@ -14,6 +14,7 @@
 	"github.com/samber/lo"
 
 	"github.com/agateturn/agateturn/events"
+	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/queue"
 	"github.com/agateturn/agateturn/store"
 )
@@ -208,7 +209,7 @@
 
 // poll reads the value now and then, whatever the watch says.
 func (f *Follower) poll(ctx context.Context) {
-	for sleep(ctx, f.pollPause()) {
+	for wait.For(ctx, f.pollPause()) == nil {
 		f.pollOnce(ctx)
 	}
 }
--- a/internal/tablefollow/gossip.go
+++ b/internal/tablefollow/gossip.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/agateturn/agateturn/internal/wait"
 )
 
 const (
@@ -39,7 +41,7 @@
 }
 
 func (f *Follower) tell(ctx context.Context, peers Peers, v *version) {
-	if !v.fromPeer && !sleep(ctx, gossipDelay) {
+	if !v.fromPeer && wait.For(ctx, gossipDelay) != nil {
 		return
 	}
 	for _, address := range peers.Neighbours() {
@@ -65,15 +67,3 @@
 	defer cancel()
 	return peers.OfferTable(ctx, address, version, raw)
 }
-
-// sleep returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -14,8 +14,9 @@
 	"github.com/agateturn/agateturn/internal/ring"
 )
 
-// fleetApplier takes over a fleet, whose members include the guests. It returns only when nothing that the fleet forbids will be started any more.
-type fleetApplier interface {
+// Applier takes over a fleet, whose members include the guests.
+type Applier interface {
+	// ApplyFleet returns only when nothing that the fleet forbids will be started any more.
 	ApplyFleet(f *pb.Fleet, cfg *pb.Configuration)
 }
 
@@ -27,7 +28,7 @@
 
 	// applying serialises whole applications, so that every applier sees revisions in order.
 	applying sync.Mutex
-	appliers []fleetApplier
+	appliers []Applier
 	// applied is the newest revision that the gate and every applier have taken over.
 	applied atomic.Uint64
 
@@ -35,8 +36,8 @@
 	guests     GuestBook
 	pauseLimit time.Duration
 
-	// StoreFailing is set while the follower cannot read the store.
-	StoreFailing atomic.Bool
+	// storeFailing is set while the follower cannot read the store.
+	storeFailing atomic.Bool
 
 	mu     sync.Mutex
 	stager *config.Stager
@@ -57,7 +58,7 @@
 }
 
 // OnFleet adds an applier. Call it before the duties start.
-func (v *View) OnFleet(a fleetApplier) { v.appliers = append(v.appliers, a) }
+func (v *View) OnFleet(a Applier) { v.appliers = append(v.appliers, a) }
 
 // Subscribe returns a ring that gets a signal after each change. Call it before the duties start.
 func (v *View) Subscribe(name string) *ring.Ring[struct{}] {
@@ -198,3 +199,9 @@
 	}
 	return now.Sub(v.storeHeard)
 }
+
+// SetStoreFailing records whether the store can be read.
+func (v *View) SetStoreFailing(failing bool) { v.storeFailing.Store(failing) }
+
+// StoreFailing reports whether the store could not be read at the last try.
+func (v *View) StoreFailing() bool { return v.storeFailing.Load() }
--- a/internal/workerlist/list.go
+++ b/internal/workerlist/list.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/scheduler"
 	"github.com/agateturn/agateturn/store"
 )
@@ -68,10 +69,10 @@
 func (l *List) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := l.turn(ctx); err != nil {
-			sleep(ctx, retry)
+			_ = wait.For(ctx, retry)
 			continue
 		}
-		sleep(ctx, watchGap)
+		_ = wait.For(ctx, watchGap)
 	}
 }
 
@@ -204,12 +205,3 @@
 		slices.Equal(a.Labels, b.Labels) && a.Capacity == b.Capacity &&
 		a.Draining == b.Draining && a.Machine == b.Machine && a.Born == b.Born
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
