Share the sleep, the check of settings and the run until a signal

The stores for tests, the backoff and the daemon's duties each had the same sleep: package wait. Both ways to run the daemon checked the settings and waited for a signal in the same lines. Not joined: the two leases of the test stores and the guards of fleet's draft, alike in shape only; jobstore's sleep, which ignores an ended context for no wait.

--- a/cmd/agateturnd/jobs.go
+++ b/cmd/agateturnd/jobs.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"log/slog"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/agateturn/agateturn/config"
 	"github.com/agateturn/agateturn/events"
@@ -22,24 +18,12 @@
 
 // runJobs is run for a file with jobSection.
 func runJobs(line commandLine, out, errOut io.Writer) int {
-	s, err := loadJobs(line.Config)
-	if err != nil {
-		events.Emit(context.Background(), newLogger(nil, errOut), events.SettingsRefused, "file", line.Config)
-		_, _ = fmt.Fprintln(errOut, err)
-		return exitSettings
-	}
-	if line.CheckConfig {
-		_, _ = fmt.Fprintln(out, line.Config+": no problems")
-		return exitOK
+	s, code, ok := checked(line, out, errOut, loadJobs)
+	if !ok {
+		return code
 	}
 	logger := newLogger(s.GetLog(), errOut).With("entry_host", s.GetJobHost().GetName())
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := serveJobs(ctx, line.Config, s, logger); err != nil {
-		logger.Error("ended", "err", err)
-		return exitFailed
-	}
-	return exitOK
+	return serve(logger, func(ctx context.Context) error { return serveJobs(ctx, line.Config, s, logger) })
 }
 
 func loadJobs(path string) (*pb.JobSettings, error) {
--- a/cmd/agateturnd/main.go
+++ b/cmd/agateturnd/main.go
@@ -48,25 +48,39 @@
 	if settings.HasSection(line.Config, jobSection) {
 		return runJobs(line, out, errOut)
 	}
+	s, code, ok := checked(line, out, errOut, load)
+	if !ok {
+		return code
+	}
+	logger := newLogger(s.GetLog(), errOut).With("entry_host", s.GetEntryHost().GetName())
+	daemon, err := entryhost.New(s, logger)
+	if err != nil {
+		logger.Error("cannot start", "err", err)
+		return exitFailed
+	}
+	return serve(logger, daemon.Run)
+}
+
+// checked loads the settings. It returns false and the exit code if there is nothing to serve.
+func checked[S any](line commandLine, out, errOut io.Writer, load func(path string) (S, error)) (s S, code int, ok bool) {
 	s, err := load(line.Config)
 	if err != nil {
 		events.Emit(context.Background(), newLogger(nil, errOut), events.SettingsRefused, "file", line.Config)
 		_, _ = fmt.Fprintln(errOut, err)
-		return exitSettings
+		return s, exitSettings, false
 	}
 	if line.CheckConfig {
 		_, _ = fmt.Fprintln(out, line.Config+": no problems")
-		return exitOK
-	}
-	logger := newLogger(s.GetLog(), errOut).With("entry_host", s.GetEntryHost().GetName())
-	daemon, err := entryhost.New(s, logger)
-	if err != nil {
-		logger.Error("cannot start", "err", err)
-		return exitFailed
+		return s, exitOK, false
 	}
+	return s, exitOK, true
+}
+
+// serve runs until an interrupt or SIGTERM, and returns the exit code.
+func serve(logger *slog.Logger, run func(context.Context) error) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := daemon.Run(ctx); err != nil {
+	if err := run(ctx); err != nil {
 		logger.Error("ended", "err", err)
 		return exitFailed
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -18,9 +18,9 @@
 	"github.com/agateturn/agateturn/internal/fleetstore"
 	"github.com/agateturn/agateturn/internal/ring"
 	"github.com/agateturn/agateturn/internal/view"
-	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/mover"
 	"github.com/agateturn/agateturn/store"
+	"github.com/agateturn/agateturn/wait"
 	"github.com/agateturn/agateturn/waves"
 )
 
--- a/internal/control/platformlist.go
+++ b/internal/control/platformlist.go
@@ -13,7 +13,7 @@
 	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/hostlist"
 	"github.com/agateturn/agateturn/internal/view"
-	"github.com/agateturn/agateturn/internal/wait"
+	"github.com/agateturn/agateturn/wait"
 )
 
 // shunner gives no more work to hosts.
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -34,8 +34,8 @@
 	"github.com/agateturn/agateturn/internal/proposals"
 	"github.com/agateturn/agateturn/internal/registration"
 	"github.com/agateturn/agateturn/internal/view"
-	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/stats"
+	"github.com/agateturn/agateturn/wait"
 )
 
 // Daemon is one entry host's process.
--- a/internal/fleetstore/follow.go
+++ b/internal/fleetstore/follow.go
@@ -12,9 +12,9 @@
 	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/view"
-	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/rendezvous"
 	"github.com/agateturn/agateturn/store"
+	"github.com/agateturn/agateturn/wait"
 )
 
 const (
--- a/internal/measures/meter.go
+++ b/internal/measures/meter.go
@@ -11,7 +11,7 @@
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/operatorapi"
 	"github.com/agateturn/agateturn/internal/view"
-	"github.com/agateturn/agateturn/internal/wait"
+	"github.com/agateturn/agateturn/wait"
 )
 
 // meterPeriod is the time between two looks at the measures.
--- a/internal/measures/traffic.go
+++ b/internal/measures/traffic.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/agateturn/agateturn/internal/meterconn"
-	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/stats"
+	"github.com/agateturn/agateturn/wait"
 )
 
 // What the daemon's own connections are for.
--- a/internal/proposals/propose.go
+++ b/internal/proposals/propose.go
@@ -18,8 +18,8 @@
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
 	"github.com/agateturn/agateturn/internal/fleetstore"
 	"github.com/agateturn/agateturn/internal/view"
-	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/store"
+	"github.com/agateturn/agateturn/wait"
 )
 
 const (
--- a/internal/registration/register.go
+++ b/internal/registration/register.go
@@ -16,8 +16,8 @@
 	"github.com/agateturn/agateturn/internal/fleetstore"
 	"github.com/agateturn/agateturn/internal/pause"
 	"github.com/agateturn/agateturn/internal/view"
-	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/store"
+	"github.com/agateturn/agateturn/wait"
 )
 
 const (
--- a/internal/tablefollow/follower.go
+++ b/internal/tablefollow/follower.go
@@ -14,9 +14,9 @@
 	"github.com/samber/lo"
 
 	"github.com/agateturn/agateturn/events"
-	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/queue"
 	"github.com/agateturn/agateturn/store"
+	"github.com/agateturn/agateturn/wait"
 )
 
 const (
--- a/internal/tablefollow/gossip.go
+++ b/internal/tablefollow/gossip.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/agateturn/agateturn/internal/wait"
+	"github.com/agateturn/agateturn/wait"
 )
 
 const (
--- a/internal/workerlist/list.go
+++ b/internal/workerlist/list.go
@@ -8,9 +8,9 @@
 	"strings"
 	"time"
 
-	"github.com/agateturn/agateturn/internal/wait"
 	"github.com/agateturn/agateturn/scheduler"
 	"github.com/agateturn/agateturn/store"
+	"github.com/agateturn/agateturn/wait"
 )
 
 const (
--- a/store/backoff.go
+++ b/store/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/agateturn/agateturn/wait"
 )
 
 // Backoff spreads retries: each wait is uniform between zero and a bound that doubles from Base up to Max ("full
@@ -36,12 +38,5 @@
 
 // Sleep waits for Next. It returns ctx's error if ctx ends first.
 func (b *Backoff) Sleep(ctx context.Context) error {
-	timer := time.NewTimer(b.Next())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return wait.For(ctx, b.Next())
 }
--- a/store/memstore/faults.go
+++ b/store/memstore/faults.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/agateturn/agateturn/store"
+	"github.com/agateturn/agateturn/wait"
 )
 
 // Faults says how the store misbehaves. The zero value is a healthy store.
@@ -40,18 +41,7 @@
 }
 
 func (s *Store) halfDelay(ctx context.Context) error {
-	delay := s.Faults().Delay / 2
-	if delay <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return wait.For(ctx, s.Faults().Delay/2)
 }
 
 func (s *Store) beginRead(ctx context.Context, kind callKind) error {
--- a/store/memtxn/client.go
+++ b/store/memtxn/client.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/agateturn/agateturn/store"
+	"github.com/agateturn/agateturn/wait"
 )
 
 type client struct {
@@ -94,7 +95,7 @@
 		return outcome, half, ctx.Err()
 	case Serve, LoseRequest, LoseAnswer, LandLate:
 	}
-	return outcome, half, sleep(ctx, half)
+	return outcome, half, wait.For(ctx, half)
 }
 
 func (c *client) read(ctx context.Context, call Call, stale bool, look func(*Store)) error {
@@ -108,7 +109,7 @@
 	c.store.mu.Lock()
 	look(c.store)
 	c.store.mu.Unlock()
-	return store.Unavailable.Wrap(sleep(ctx, half))
+	return store.Unavailable.Wrap(wait.For(ctx, half))
 }
 
 func (c *client) write(ctx context.Context, call Call, apply func(*Store) (uint64, error)) (uint64, error) {
@@ -132,7 +133,7 @@
 	if outcome == LoseAnswer {
 		return 0, store.Unknown.New("answer lost")
 	}
-	if ended := sleep(ctx, half); ended != nil {
+	if ended := wait.For(ctx, half); ended != nil {
 		return 0, store.Unknown.Wrap(ended)
 	}
 	return n, err
@@ -148,17 +149,3 @@
 		_, _ = apply(s) // nobody hears the answer
 	})
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/wait/wait.go
+++ b/wait/wait.go
@@ -6,8 +6,11 @@
 	"time"
 )
 
-// For waits for d or until ctx ends; then it returns the context's error.
+// For waits for d. It returns ctx's error if ctx ends first, or has ended and there is nothing to wait for.
 func For(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
