--- a/cmd/agateturnd/jobs.go
+++ b/cmd/agateturnd/jobs.go
@@ -4,11 +4,13 @@
 	"context"
 	"io"
 	"log/slog"
+	"time"
 
 	"github.com/agateturn/agateturn/config"
 	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/jobhost"
+	"github.com/agateturn/agateturn/internal/logpipe"
 	"github.com/agateturn/agateturn/internal/reload"
 	"github.com/agateturn/agateturn/settings"
 )
@@ -16,14 +18,32 @@
 // jobSection is the section of a file that makes the daemon serve jobs.
 const jobSection = "job_host"
 
+// logCloseTimeout bounds the writing of the last lines of the log.
+const logCloseTimeout = 200 * time.Millisecond
+
 // runJobs is run for a file with jobSection.
 func runJobs(line commandLine, out, errOut io.Writer) int {
 	s, code, ok := checked(line, out, errOut, loadJobs)
 	if !ok {
 		return code
 	}
-	logger := newLogger(s.GetLog(), errOut).With("entry_host", s.GetJobHost().GetName())
-	return serve(logger, func(ctx context.Context) error { return serveJobs(ctx, line.Config, s, logger) })
+	pipe := logpipe.New(out)
+	logger := pipe.Logger(func(w io.Writer) slog.Handler { return newLogger(s.GetLog(), w).Handler() }).
+		With("entry_host", s.GetJobHost().GetName())
+	defer closeLog(pipe)
+	run := func(ctx context.Context) error { return serveJobs(ctx, line.Config, s, logger) }
+	if err := untilSignal(run); err != nil {
+		events.Emit(context.Background(), logger, events.FailedToRun, "err", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+// closeLog writes the last lines, unless nobody reads them.
+func closeLog(pipe *logpipe.Pipe) {
+	ctx, cancel := context.WithTimeout(context.Background(), logCloseTimeout)
+	defer cancel()
+	pipe.Close(ctx)
 }
 
 func loadJobs(path string) (*pb.JobSettings, error) {
--- a/cmd/agateturnd/main.go
+++ b/cmd/agateturnd/main.go
@@ -58,7 +58,11 @@
 		logger.Error("cannot start", "err", err)
 		return exitFailed
 	}
-	return serve(logger, daemon.Run)
+	if err := untilSignal(daemon.Run); err != nil {
+		logger.Error("ended", "err", err)
+		return exitFailed
+	}
+	return exitOK
 }
 
 // checked loads the settings. It returns false and the exit code if there is nothing to serve.
@@ -76,15 +80,11 @@
 	return s, exitOK, true
 }
 
-// serve runs until an interrupt or SIGTERM, and returns the exit code.
-func serve(logger *slog.Logger, run func(context.Context) error) int {
+// untilSignal runs with a context that ends on an interrupt or SIGTERM.
+func untilSignal(run func(context.Context) error) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := run(ctx); err != nil {
-		logger.Error("ended", "err", err)
-		return exitFailed
-	}
-	return exitOK
+	return run(ctx)
 }
 
 func load(path string) (*pb.Settings, error) {
--- a/internal/poolowner/hold.go
+++ b/internal/poolowner/hold.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/scheduler"
 )
 
@@ -19,8 +21,7 @@
 	holdRetry = 150 * time.Millisecond
 	// refusalsGone is how many refused connections in a row show that a worker has ended.
 	refusalsGone = 2
-	// ackPoll is how often a holder looks whether ends may be acknowledged, ackWait how long it waits for that.
-	ackPoll = 4 * time.Millisecond
+	// ackWait is how long a holder waits until ends may be acknowledged.
 	ackWait = 200 * time.Millisecond
 )
 
@@ -83,6 +84,7 @@
 func (o *Owner) holdWorker(ctx context.Context, w scheduler.Worker) {
 	first := true
 	refusals := 0
+	heard := newHearing(o, w)
 	for ctx.Err() == nil {
 		wait := holdWait
 		if first {
@@ -90,6 +92,7 @@
 		}
 		sent := o.Clock()
 		report, err := o.holdOnce(ctx, w, wait)
+		heard.note(ctx, err)
 		if err != nil {
 			refusals = o.noteFailure(ctx, w, sent, refusals, err)
 			sleep(ctx, holdRetry)
@@ -98,7 +101,7 @@
 		first = false
 		refusals = 0
 		if report.Fenced {
-			o.Replaced()
+			o.replaced(ctx, w.ID)
 		}
 		o.put(ctx, func(p *scheduler.Pool, now time.Time) { p.Report(now, report) })
 		if report.Gone || report.Fenced {
@@ -116,6 +119,8 @@
 	}
 	refusals++
 	if refusals == refusalsGone {
+		events.Log(ctx, o.Log, events.WorkerEnded, slog.String("worker", w.ID), slog.String("pool", o.Pool),
+			slog.Uint64("fence", o.Config.Fence), slog.String("reason", "its address refuses connections"))
 		gone := scheduler.Report{Worker: w.ID, Sent: sent, Received: o.Clock(), Gone: true}
 		o.put(ctx, func(p *scheduler.Pool, now time.Time) { p.Report(now, gone) })
 	}
@@ -143,14 +148,20 @@
 		return
 	}
 	last := r.Ended[len(r.Ended)-1].Number
-	for waited := time.Duration(0); waited < ackWait && ctx.Err() == nil; waited += ackPoll {
+	timer := time.NewTimer(ackWait)
+	defer timer.Stop()
+	for {
+		recorded := o.recorded.wait()
 		var next scheduler.Hold
-		if !o.ask(ctx, func(p *scheduler.Pool, now time.Time) { next = p.Hold(worker, now) }) {
+		if !o.ask(ctx, func(p *scheduler.Pool, now time.Time) { next = p.Hold(worker, now) }) || next.LastSeen >= last {
 			return
 		}
-		if next.LastSeen >= last {
+		select {
+		case <-recorded:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
 			return
 		}
-		sleep(ctx, ackPoll)
 	}
 }
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -98,10 +98,14 @@
 		r.state = runAccepted
 		r.answered = stamp{set: true, at: now, clock: res.Clock}
 		w.pauses = 0
+		if r.task != nil && !r.task.job().started {
+			p.decideJob(now, DecisionBegun, r.task.job(), "")
+		}
 		if r.task != nil {
 			p.markStarted(r.task.job())
 		}
-	case OutcomeUnknown:
+	case OutcomeUnknown, OutcomeOutdated:
+		// An outdated run may have ended there already, after a start that was delivered twice.
 		r.state = runUnknown
 		r.unknownAt = now
 		r.resolveAt = now.Add(resolveAfter)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -37,7 +37,11 @@
 	}
 	usable, suspects := p.trustedWorkers(now)
 	reservable := max(1, len(usable)/reserveShare)
+	kept := false
 	for _, c := range p.rank(now) {
+		if c.class != classPersistent && !kept {
+			usable, kept = p.keepRoom(usable, reservable), true
+		}
 		p.placeStep(now, c.step, usable)
 		p.placeAnyway(now, c.step, usable, suspects)
 		if reservable > 0 && len(c.step.ready) > 0 && now.Sub(c.step.readySince) > reserveAfter {
@@ -135,6 +139,9 @@
 		p.start(now, t, w, p.nextRun())
 	}
 	s.ready = kept
+	if len(kept) == 0 {
+		p.adviseAhead(now, s)
+	}
 }
 
 // reserveFor takes a worker that could come to hold a task of the step from those that later steps may use.
@@ -225,6 +232,7 @@
 		otherRack  = 20
 		failedHere = 40
 		sameJob    = 10
+		sameRack   = 1
 		mixed      = 2
 	)
 	s := t.step
@@ -244,7 +252,7 @@
 		}
 	}
 	if s.spec.GetPersistent() {
-		cost += sameJob * float64(s.active[w])
+		cost += sameJob*float64(s.active[w]) + sameRack*float64(s.onRack(w.Rack))
 	}
 	if s.mixes(w) {
 		cost += mixed
@@ -252,6 +260,17 @@
 	return cost
 }
 
+// onRack counts the runs of the step on a rack.
+func (s *step) onRack(rack string) int {
+	n := 0
+	for w, runs := range s.active {
+		if w.Rack == rack {
+			n += runs
+		}
+	}
+	return n
+}
+
 // leftover is the share of the worker that stays free: the fullest worker that fits comes first.
 func leftover(s *step, w *worker) float64 {
 	free := w.free().minus(s.need)
