--- a/cmd/agateturnd/jobs.go
+++ b/cmd/agateturnd/jobs.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"log/slog"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/agateturn/agateturn/config"
@@ -27,24 +23,17 @@
 
 // runJobs is run for a file with jobSection.
 func runJobs(line commandLine, out, errOut io.Writer) int {
-	s, err := loadJobs(line.Config)
-	if err != nil {
-		events.Emit(context.Background(), newLogger(nil, errOut), events.SettingsRefused, "file", line.Config)
-		_, _ = fmt.Fprintln(errOut, err)
-		return exitSettings
-	}
-	if line.CheckConfig {
-		_, _ = fmt.Fprintln(out, line.Config+": no problems")
-		return exitOK
+	s, code, ok := checked(line, out, errOut, loadJobs)
+	if !ok {
+		return code
 	}
 	pipe := logpipe.New(out)
 	logger := pipe.Logger(func(w io.Writer) slog.Handler { return newLogger(s.GetLog(), w).Handler() }).
 		With("entry_host", s.GetJobHost().GetName())
 	defer closeLog(pipe)
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := serveJobs(ctx, line.Config, s, logger); err != nil {
-		events.Emit(ctx, logger, events.FailedToRun, "err", err)
+	run := func(ctx context.Context) error { return serveJobs(ctx, line.Config, s, logger) }
+	if err := untilSignal(run); err != nil {
+		events.Emit(context.Background(), logger, events.FailedToRun, "err", err)
 		return exitFailed
 	}
 	return exitOK
--- a/internal/entryhost/refusal.go
+++ b/internal/callers/refusal.go
@@ -1,4 +1,4 @@
-package entryhost
+package callers
 
 import (
 	"context"
@@ -10,13 +10,13 @@
 	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/bodies"
+	"github.com/agateturn/agateturn/internal/refusalcode"
 	"github.com/agateturn/agateturn/routing"
 	"github.com/agateturn/agateturn/stats"
 )
 
 const (
-	// retryNoHost is what a caller waits when no host could take its request.
-	retryNoHost = time.Second
 	// retryKey is what a caller waits when its key's owner could not be asked.
 	retryKey = time.Second
 	// statusClientClosed is logged for a caller that went away; nobody reads it.
@@ -65,7 +65,7 @@
 	// retryAfter is when the caller should come back; 0 says nothing about it.
 	retryAfter time.Duration
 	// code is the label of the refusal's counter; empty for that of its status.
-	code refusalCode
+	code refusalcode.Code
 }
 
 // refusalBody is the JSON form of a refusal.
@@ -106,11 +106,11 @@
 			reason:  "the request with this Idempotency-Key ran already and ended with status " + strconv.Itoa(int(answer.GetOutcome().GetStatus())),
 		}
 	case pb.ClaimVerdict_CLAIM_VERDICT_MISMATCH:
-		return refuse(http.StatusUnprocessableEntity, "this Idempotency-Key was used for a different request; take a new one").as(codeKeyMismatch)
+		return refuse(http.StatusUnprocessableEntity, "this Idempotency-Key was used for a different request; take a new one").as(refusalcode.KeyMismatch)
 	case pb.ClaimVerdict_CLAIM_VERDICT_FULL:
-		return notRun(http.StatusServiceUnavailable, "the key's owner can remember no more keys now", retryKey).as(codeKeysFull)
+		return notRun(http.StatusServiceUnavailable, "the key's owner can remember no more keys now", retryKey).as(refusalcode.KeysFull)
 	case pb.ClaimVerdict_CLAIM_VERDICT_NOT_OWNER:
-		return notRun(http.StatusServiceUnavailable, "the key is changing its owner", retryKey).as(codeKeyOwner)
+		return notRun(http.StatusServiceUnavailable, "the key is changing its owner", retryKey).as(refusalcode.KeyOwner)
 	default:
 		return unknownOutcome(http.StatusConflict, "an earlier request with this Idempotency-Key may have run; it will not be run again")
 	}
@@ -118,9 +118,9 @@
 
 // refuseUnread refuses a request whose body may not have come whole. The server reads what is left of a body before it
 // sends the answer: a slow caller would hold up its own answer, and its connection with it.
-func (s *callerServer) refuseUnread(w http.ResponseWriter, r *http.Request, why refusal) {
+func (s *Server) refuseUnread(w http.ResponseWriter, r *http.Request, why refusal) {
 	if r.Body != nil && r.Body != http.NoBody {
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadGrace))
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodies.UnreadGrace))
 	}
 	s.refuse(r.Context(), w, why)
 }
@@ -128,7 +128,7 @@
 // writeRefusal sends the final answer.
 func writeRefusal(w http.ResponseWriter, r refusal) {
 	header := w.Header()
-	header.Set(headerOutcome, r.outcome.String())
+	header.Set(HeaderOutcome, r.outcome.String())
 	header.Set("Content-Type", "application/json")
 	if r.retryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.retryAfter.Seconds()))))
@@ -142,16 +142,16 @@
 }
 
 // as gives the refusal its code.
-func (r refusal) as(code refusalCode) refusal {
+func (r refusal) as(code refusalcode.Code) refusal {
 	r.code = code
 	return r
 }
 
 // refuse counts the refusal and sends it.
-func (s *callerServer) refuse(ctx context.Context, w http.ResponseWriter, r refusal) {
+func (s *Server) refuse(ctx context.Context, w http.ResponseWriter, r refusal) {
 	code := r.code
 	if code == "" {
-		code = codeOfStatus(r.status)
+		code = refusalcode.OfStatus(r.status)
 	}
 	s.stats.Counter(metricRefusals, stats.Label{Name: "code", Value: string(code)}).Inc(1)
 	s.logRefusal(ctx, r)
@@ -159,7 +159,7 @@
 }
 
 // countClaim counts a claim by its verdict; an error is one that got none.
-func (s *callerServer) countClaim(answer *pb.ClaimResponse, err error) {
+func (s *Server) countClaim(answer *pb.ClaimResponse, err error) {
 	verdict := "unreachable"
 	if err == nil {
 		verdict = strings.ToLower(strings.TrimPrefix(answer.GetVerdict().String(), "CLAIM_VERDICT_"))
@@ -168,7 +168,7 @@
 }
 
 // countUpstreamError counts an exchange that brought no whole answer, unless the host is not to blame.
-func (s *callerServer) countUpstreamError(host string, ended outcome, result routing.Result) {
+func (s *Server) countUpstreamError(host string, ended outcome, result routing.Result) {
 	if result == routing.Cancelled {
 		return
 	}
