Stand-in for jobs: availability of persistent tasks, and pending at each host

What: the history sees orders that end a persistent task while others of its step are away; callers see that every entry host tells that no job waits once all have ended.

--- a/standin/jobcallers/caller.go
+++ b/standin/jobcallers/caller.go
@@ -4,12 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/agateturn/agateturn/standin/jobplatform"
@@ -123,15 +121,27 @@
 	return body.State
 }
 
-// pending asks each entry host how many jobs of a queue have not begun.
-func (c *caller) pending(ctx context.Context, q jobplatform.Queue) string {
-	var told []string
+// nonePending asks each entry host until it tells that no job of a queue waits. It returns how long that took, and false
+// if ctx ended first.
+func (c *caller) nonePending(ctx context.Context, q jobplatform.Queue) (took time.Duration, ok bool) {
+	begin := time.Now()
 	for _, entry := range c.entries {
 		one := &caller{entries: []string{entry}, client: c.client}
-		status, answer := one.call(ctx, http.MethodGet, &planned{queue: q}, nil)
-		told = append(told, fmt.Sprintf("%d %s", status, answer))
+		for !one.tellsNone(ctx, q) {
+			if !pause(ctx, retryWait) {
+				return time.Since(begin), false
+			}
+		}
+	}
+	return time.Since(begin), true
+}
+
+func (c *caller) tellsNone(ctx context.Context, q jobplatform.Queue) bool {
+	status, answer := c.call(ctx, http.MethodGet, &planned{queue: q}, nil)
+	var body struct {
+		Pending *int `json:"pending"`
 	}
-	return strings.Join(told, ", ")
+	return status == http.StatusOK && json.Unmarshal(answer, &body) == nil && body.Pending != nil && *body.Pending == 0
 }
 
 // pause returns false if ctx ends first.
--- a/standin/jobcallers/run.go
+++ b/standin/jobcallers/run.go
@@ -17,10 +17,13 @@
 	Completed, Cancelled, Failed, Open   int
 	CancelsAsked, CancelsAcknowledged    int
 	Persistent, PersistentAtWork         int
-	Pending                              string
+	NonePending                          time.Duration
 	MedianToCompleted, LongestToComplete time.Duration
 }
 
+// pendingLimit is how soon after the last end each entry host must tell that no job waits.
+const pendingLimit = 10 * time.Second
+
 // load is one run of a plan.
 type load struct {
 	c       *caller
@@ -54,13 +57,26 @@
 		batches.Go(func() { l.batch(ctx, p, begin) })
 	}
 	batches.Wait()
-	l.r.Pending = l.c.pending(ctx, o.Queues[0])
+	l.checkPending(ctx, o.Queues)
 	close(ended)
 	persistent.Wait()
 	l.sum()
 	return l.r
 }
 
+// checkPending sees that each entry host soon tells that no job waits, as all have ended.
+func (l *load) checkPending(ctx context.Context, queues []jobplatform.Queue) {
+	ctx, cancel := context.WithTimeout(ctx, pendingLimit)
+	defer cancel()
+	for _, q := range queues {
+		took, ok := l.c.nonePending(ctx, q)
+		if !ok {
+			l.history.Broken("queue %s: after %v an entry host does not tell that no job waits", q.Name, pendingLimit)
+		}
+		l.r.NonePending = max(l.r.NonePending, took)
+	}
+}
+
 func (l *load) count(add func(*Report)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -112,6 +128,7 @@
 
 func (l *load) cancel(ctx context.Context, p *planned) {
 	l.count(func(r *Report) { r.CancelsAsked++ })
+	l.history.CancelAsked(p.job.ID)
 	if l.c.cancel(ctx, p) {
 		l.history.Cancelled(p.job.ID)
 		l.count(func(r *Report) { r.CancelsAcknowledged++ })
@@ -191,6 +208,6 @@
 	row("failed, still open", "%d, %d", r.Failed, r.Open)
 	row("persistent tasks at work", "%d of %d", r.PersistentAtWork, r.Persistent)
 	row("time to completed", "median %v, longest %v", r.MedianToCompleted.Round(time.Millisecond), r.LongestToComplete.Round(time.Millisecond))
-	row("pending at the end, by host", "%s", r.Pending)
+	row("all hosts tell that none waits", "after %v", r.NonePending.Round(time.Millisecond))
 	return b.String()
 }
--- a/standin/jobplatform/history.go
+++ b/standin/jobplatform/history.go
@@ -40,6 +40,8 @@
 	Job
 	tasks       map[taskID]*taskHistory
 	cancelledAt time.Time
+	// cancelAsked is set once a cancellation was sent.
+	cancelAsked bool
 	refused     bool
 }
 
@@ -47,6 +49,8 @@
 	running, runs, done int
 	// noted is set once an end with success was taken note of.
 	noted bool
+	// displacedAt is when an order last ended the task at work.
+	startedAt, idleSince, displacedAt time.Time
 }
 
 func newHistory() *History { return &History{jobs: make(map[string]*jobHistory)} }
@@ -58,6 +62,13 @@
 	h.jobs[j.ID] = &jobHistory{Job: j, tasks: make(map[taskID]*taskHistory)}
 }
 
+// CancelAsked tells that a job's cancellation is about to be sent.
+func (h *History) CancelAsked(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.jobs[id].cancelAsked = true
+}
+
 // Cancelled tells that the cancellation of a job was acknowledged.
 func (h *History) Cancelled(id string) {
 	h.mu.Lock()
--- a/standin/jobplatform/jobplatform_test.go
+++ b/standin/jobplatform/jobplatform_test.go
@@ -59,7 +59,9 @@
 		assert.Check(t, <-served)
 	})
 	p.History().Add(jobplatform.Job{ID: job, Queue: "q", Pool: "open", Payload: "p", Steps: []jobplatform.Step{
-		{Count: 2, CPUMilli: 3000, MemoryMB: 10, Work: 30 * time.Millisecond}, {Count: 1, CPUMilli: 1, MemoryMB: 1, After: []int{0}},
+		{Count: 2, CPUMilli: 3000, MemoryMB: 10, Work: 30 * time.Millisecond},
+		{Count: 1, CPUMilli: 1, MemoryMB: 1, After: []int{0}},
+		{Count: 2, CPUMilli: 1, MemoryMB: 1, Persistent: true, MayMiss: 1},
 	}})
 	n.awaitWorkers(3)
 	return n
@@ -81,8 +83,8 @@
 	}
 }
 
-func (n *naive) start(worker, step, index int, run int64) scheduler.Outcome {
-	return n.startAs(worker, step, index, run, "p", 1)
+func (n *naive) start(worker, step, index int, run int64) {
+	n.startAs(worker, step, index, run, "p", 1)
 }
 
 func (n *naive) startAs(worker, step, index int, run int64, payload string, fence uint64) scheduler.Outcome {
@@ -128,7 +130,7 @@
 		"nobody's":      {func(n *naive) { n.start(0, 0, 9, 1) }, "nobody handed in"},
 		"refused":       {func(n *naive) { n.p.History().Refused(job); n.start(0, 0, 0, 1) }, "was refused"},
 		"refused, late": {func(n *naive) { n.start(0, 0, 0, 1); n.p.History().Refused(job) }, "was refused"},
-		"completed":     {func(n *naive) { n.p.History().Completed(job) }, "with 3 tasks open"},
+		"completed":     {func(n *naive) { n.p.History().Completed(job) }, "with 5 tasks open"},
 		"wave limit": {func(n *naive) {
 			assert.NilError(n.t, n.p.OrderWave(n.t.Context(), 1, n.p.Machines(), 10, 1))
 			n.machines.Upkeep(n.t.Context(), "m01", 1, "h", 1)
@@ -142,6 +144,13 @@
 			assert.NilError(n.t, err)
 			assert.Assert(n.t, n.p.WaveCompleted(1))
 		}, "without machine m01"},
+		"availability": {func(n *naive) {
+			n.start(0, 2, 0, 1)
+			n.start(1, 2, 1, 1)
+			time.Sleep(400 * time.Millisecond)
+			n.machines.Move(n.t.Context(), "m01", "spare", "h", 1)
+			n.machines.Move(n.t.Context(), "m02", "spare", "h", 1)
+		}, "while 1 other tasks of its step were away"},
 		"two holders": {func(n *naive) {
 			n.machines.Move(n.t.Context(), "m01", "guarded", "h", 1)
 			n.machines.Move(n.t.Context(), "m01", "guarded", "i", 1)
--- a/standin/jobplatform/machine.go
+++ b/standin/jobplatform/machine.go
@@ -63,7 +63,7 @@
 func (m *machine) leaveLocked(state string, away time.Duration) {
 	m.state, m.backAt = state, time.Now().Add(away)
 	if m.life != nil {
-		m.life.die()
+		m.life.die(state != stateDown)
 		m.life = nil
 	}
 }
--- a/standin/jobplatform/starts.go
+++ b/standin/jobplatform/starts.go
@@ -20,6 +20,7 @@
 	h.checkTaskLocked(task, worker, t)
 	task.running++
 	task.runs++
+	task.startedAt = time.Now()
 	h.totals.Starts++
 	step = j.Steps[t.step]
 	step.FirstRunFails = step.FirstRunFails && task.runs == 1
@@ -61,6 +62,7 @@
 	defer h.mu.Unlock()
 	task := h.jobs[t.job].tasks[t]
 	task.running--
+	task.idleSince = time.Now()
 	switch how {
 	case endDone:
 		task.done++
--- a/standin/jobplatform/worker.go
+++ b/standin/jobplatform/worker.go
@@ -138,6 +138,7 @@
 	for _, r := range w.runs {
 		if r.task == t && r.number <= o.Run && r.stopAt.IsZero() {
 			r.stopAt = time.Now().Add(stopTime)
+			w.history.ordered(t)
 		}
 	}
 	return ""
@@ -174,12 +175,15 @@
 	w.changed = make(chan struct{})
 }
 
-// die ends everything without a report.
-func (w *worker) die() {
+// die ends everything without a report; ordered tells whether somebody asked for that.
+func (w *worker) die(ordered bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.dead = true
 	for _, r := range w.runs {
+		if ordered {
+			w.history.ordered(r.task)
+		}
 		w.history.over(r.task, endGone)
 	}
 	w.runs = nil
