--- a/scripts/demo-jobs.sh
+++ b/scripts/demo-jobs.sh
@@ -95,9 +95,9 @@
 echo "entry-2 is started again"
 start_entry 2
 sleep 1
-show 1 jobs list --limit 8
-job=$(ctl 1 jobs list --state running --limit 1 | awk 'NR == 2 { print $1 }') || true
-[ -z "$job" ] || show 3 jobs show "$job"
+show 1 jobs list --limit 3
+job=$(ctl 1 jobs list --state running --limit 20 | awk 'NR > 1 { id = $1 } END { print id }') || true
+[ -z "$job" ] || { show 3 jobs show "$job"; show 3 jobs explain "$job"; }
 
 echo "waiting for the callers"
 wait "${pids[platform]}" && status=0 || status=$?
