proofs: jobs with frozen entry hosts and late orders

What: the stand-in carries out one order in so many 2 s late without an answer; two owners in turn are stopped for 3.5 s, longer than their lease, and go on.

--- a/cmd/agateturn-standin/jobs.go
+++ b/cmd/agateturn-standin/jobs.go
@@ -22,6 +22,7 @@
 	Crash     bool          `help:"Crash one worker."`
 	Silence   time.Duration `help:"How long the store gives no answers."`
 	LoseEvery int           `help:"Lose one answer in so many; 0 for none."`
+	LateEvery int           `help:"Let workers carry out one order in so many late, without an answer; 0 for none."`
 }
 
 var errBroken = errors.New("not every promise was kept")
@@ -30,7 +31,7 @@
 func (c *jobsCommand) Run(ctx context.Context) error {
 	result, err := jobscenario.Run(ctx, jobscenario.Options{
 		Address: c.Listen, Network: c.Network, Entries: c.Entries, Ready: c.Ready, Seed: c.Seed, Duration: c.Duration, Rate: c.Rate,
-		Faults: jobscenario.Faults{Crash: c.Crash, Silence: c.Silence, LoseEvery: c.LoseEvery},
+		Faults: jobscenario.Faults{Crash: c.Crash, Silence: c.Silence, LoseEvery: c.LoseEvery, DelayEvery: c.LateEvery},
 		Out:    os.Stdout,
 	})
 	if err != nil {
--- a/proofs/jobs_test.go
+++ b/proofs/jobs_test.go
@@ -157,3 +157,16 @@
 	})
 	assert.Assert(t, result.Held())
 }
+
+// Entry hosts that are frozen longer than their leases start nothing once they go on, while orders land late.
+func TestJobsWithFrozenEntryHosts(t *testing.T) {
+	result := playJobs(t, jobscenario.Faults{LoseEvery: 60, DelayEvery: 40}, func(c *jobCluster) {
+		for _, n := range []int{1, 3} {
+			time.Sleep(time.Second)
+			assert.NilError(t, c.entries[n].command.Process.Signal(syscall.SIGSTOP))
+			time.Sleep(3500 * time.Millisecond) // longer than the lease of an owner
+			assert.NilError(t, c.entries[n].command.Process.Signal(syscall.SIGCONT))
+		}
+	})
+	assert.Assert(t, result.Held())
+}
--- a/scripts/demo-jobs.sh
+++ b/scripts/demo-jobs.sh
@@ -84,7 +84,7 @@
 
 start platform "$bin/agateturn-standin" jobs --listen "$platform" --network "$net" --entries "$(addresses 7000)" \
   --ready "$(addresses 7003)" --duration "${DURATION:-20s}" --rate "${RATE:-5}" --seed "${SEED:-1}" --crash \
-  --silence "${SILENCE:-2s}" --lose-every "${LOSE_EVERY:-50}"
+  --silence "${SILENCE:-2s}" --lose-every "${LOSE_EVERY:-50}" --late-every "${LATE_EVERY:-0}"
 sleep 0.3
 for n in 1 2 3; do start_entry "$n"; done
 await_load
--- a/standin/jobplatform/faults.go
+++ b/standin/jobplatform/faults.go
@@ -10,21 +10,32 @@
 // hostsClient names entry hosts to the store; faults are for them alone.
 const hostsClient = "hosts"
 
-// faults decides which answers are lost.
+// lateBy is how long after its call an order is carried out that comes late.
+const lateBy = 2 * time.Second
+
+// faults decides which answers are lost and which orders come late.
 type faults struct {
-	every, calls atomic.Int64
+	lost, late every
 }
 
-// loses tells whether the answer of the present call is lost.
-func (f *faults) loses() bool {
-	every := f.every.Load()
-	return every > 0 && f.calls.Add(1)%every == 0
+// every picks one call in so many, none if that is 0.
+type every struct{ many, calls atomic.Int64 }
+
+func (e *every) next() bool {
+	many := e.many.Load()
+	return many > 0 && e.calls.Add(1)%many == 0
 }
 
+// loses tells whether the answer of the present call is lost.
+func (f *faults) loses() bool { return f.lost.next() }
+
 func (m *machine) losesAnswer() bool { return m.faults.loses() }
 
 // LoseAnswers loses one answer in so many of workers, machines and the store's writes, though they take effect; 0 ends it.
-func (p *Platform) LoseAnswers(every int) { p.faults.every.Store(int64(every)) }
+func (p *Platform) LoseAnswers(every int) { p.faults.lost.many.Store(int64(every)) }
+
+// DelayOrders gives no answer to one order in so many, which its worker carries out 2 s later; 0 ends it.
+func (p *Platform) DelayOrders(every int) { p.faults.late.many.Store(int64(every)) }
 
 // SilenceStore lets the store give entry hosts no answers for a time.
 func (p *Platform) SilenceStore(d time.Duration) { p.silentUntil.Store(time.Now().Add(d).UnixNano()) }
--- a/standin/jobplatform/orders.go
+++ b/standin/jobplatform/orders.go
@@ -61,6 +61,10 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if m.faults.late.next() {
+			time.AfterFunc(lateBy, func() { act(life, body, t) })
+			panic(http.ErrAbortHandler)
+		}
 		reason := act(life, body, t)
 		if reason == reasonDead || m.losesAnswer() {
 			panic(http.ErrAbortHandler)
--- a/standin/jobscenario/scenario.go
+++ b/standin/jobscenario/scenario.go
@@ -37,6 +37,8 @@
 	Silence time.Duration
 	// LoseEvery loses one answer in so many.
 	LoseEvery int
+	// DelayEvery lets workers carry out one order in so many 2 s late and without an answer.
+	DelayEvery int
 }
 
 // Result is the comparison.
@@ -102,6 +104,7 @@
 	}
 	say(o, "load begins")
 	p.LoseAnswers(o.Faults.LoseEvery)
+	p.DelayOrders(o.Faults.DelayEvery)
 	wave := p.Machines()
 	events := make(chan error, 1)
 	go func() { events <- playEvents(ctx, o, p, wave) }()
