Stand-in for jobs: gangs and checkpoints

What: members of a gang work only together, end together and break together; runs make a checkpoint each second of work and at a stop, and a start from another task's checkpoint is a broken promise.

--- a/standin/jobcallers/plan.go
+++ b/standin/jobcallers/plan.go
@@ -36,6 +36,8 @@
 	shares       = 100
 	cancelShare  = 12
 	failingShare = 8
+	savingShare  = 25
+	gangShare    = 10
 )
 
 // plan draws all jobs: a persistent one for each queue first, then batches.
@@ -75,6 +77,11 @@
 			Count: 1 + random.IntN(5), CPUMilli: int64(500 * (1 + random.IntN(3))), MemoryMB: 512,
 			Work:          time.Duration(150+random.IntN(900)) * time.Millisecond,
 			FirstRunFails: random.IntN(shares) < failingShare,
+			SavesProgress: random.IntN(shares) < savingShare,
+			Gang:          random.IntN(shares) < gangShare,
+		}
+		if steps[i].SavesProgress {
+			steps[i].Work *= 6
 		}
 		if i > 0 {
 			steps[i].After = []int{i - 1}
--- a/standin/jobplatform/history.go
+++ b/standin/jobplatform/history.go
@@ -20,6 +20,8 @@
 	endFailed  = "failed"
 	endStopped = "stopped"
 	endLapsed  = "lapsed"
+	endBroken  = "broken"
+	endAlone   = "alone"
 	endGone    = "" // the worker is gone and reports nothing
 )
 
@@ -27,13 +29,17 @@
 type History struct {
 	mu     sync.Mutex
 	jobs   map[string]*jobHistory
+	gangs  map[gangID]*gang
 	broken []string
 	totals Totals
 }
 
 // Totals are counts of what workers did.
 type Totals struct {
-	Starts, Done, Failed, Stopped, Lapsed, Gone, Upkeeps, Moves, Broken int
+	Starts, Done, Failed, Stopped, Lapsed, Gone int
+	// Apart are runs that ended because other members of their gang were missing; Resumed began from a checkpoint.
+	Apart, Resumed         int
+	Upkeeps, Moves, Broken int
 }
 
 type jobHistory struct {
@@ -53,7 +59,9 @@
 	startedAt, idleSince, displacedAt time.Time
 }
 
-func newHistory() *History { return &History{jobs: make(map[string]*jobHistory)} }
+func newHistory() *History {
+	return &History{jobs: make(map[string]*jobHistory), gangs: make(map[gangID]*gang)}
+}
 
 // Add tells of a job before it is handed in.
 func (h *History) Add(j Job) {
@@ -113,6 +121,9 @@
 			open++
 		}
 	}
+	if j.Steps[step].Gang && open < j.Steps[step].Count {
+		return 0 // one member's end stands for all
+	}
 	return open
 }
 
--- a/standin/jobplatform/job.go
+++ b/standin/jobplatform/job.go
@@ -18,14 +18,17 @@
 
 // Step is Count equal tasks.
 type Step struct {
-	Count         int
-	CPUMilli      int64
-	MemoryMB      int64
-	Work          time.Duration
-	After         []int
-	Persistent    bool
-	MayMiss       int
+	Count      int
+	CPUMilli   int64
+	MemoryMB   int64
+	Work       time.Duration
+	After      []int
+	Persistent bool
+	MayMiss    int
+	// FirstRunFails lets the first run of each task fail, that of the first member of a gang.
 	FirstRunFails bool
+	// SavesProgress makes checkpoints; Gang lets the tasks work only together.
+	SavesProgress, Gang bool
 }
 
 // taskID names a task of a Job.
@@ -64,6 +67,12 @@
 		if s.Persistent {
 			step["persistent"], step["mayMiss"] = true, s.MayMiss
 		}
+		if s.SavesProgress {
+			step["savesProgress"] = true
+		}
+		if s.Gang {
+			step["gang"] = true
+		}
 		steps = append(steps, step)
 	}
 	return map[string]any{"spec": j.Payload, "steps": steps}
--- a/standin/jobplatform/jobplatform_test.go
+++ b/standin/jobplatform/jobplatform_test.go
@@ -144,6 +144,12 @@
 			assert.NilError(n.t, err)
 			assert.Assert(n.t, n.p.WaveCompleted(1))
 		}, "without machine m01"},
+		"checkpoint": {func(n *naive) {
+			w := n.ids[0]
+			n.workers.Start(n.t.Context(), scheduler.Order{
+				Worker: w.ID, Address: w.Address, Task: scheduler.TaskID{Job: job}, Run: 1, Payload: "p", Until: far, Checkpoint: job + ".0.0.1@20",
+			}, 1)
+		}, "of another"},
 		"availability": {func(n *naive) {
 			n.start(0, 2, 0, 1)
 			n.start(1, 2, 1, 1)
@@ -166,6 +172,45 @@
 	}
 }
 
+// TestGangsAndCheckpoints runs a gang that lacks a member, then a whole one from the checkpoint that was left.
+func TestGangsAndCheckpoints(t *testing.T) {
+	n := newNaive(t)
+	n.p.History().Add(jobplatform.Job{ID: job, Pool: "open", Payload: "p", Steps: []jobplatform.Step{
+		{Count: 2, CPUMilli: 1, Work: 1500 * time.Millisecond, SavesProgress: true, Gang: true},
+	}})
+	hold := func(worker int, lastSeen int64) scheduler.Report {
+		w := n.ids[worker]
+		h := platform.HoldRequest{Address: w.Address, Worker: w.ID, Fence: 1, LastSeen: lastSeen, Wait: 2 * time.Second}
+		report, err := n.workers.Hold(t.Context(), h)
+		assert.NilError(t, err)
+		return report
+	}
+	n.start(0, 0, 0, 1)
+	assert.Equal(t, len(hold(0, 0).Ended), 0)
+	assert.Equal(t, hold(0, 0).Ended[0].End, scheduler.EndAlone)
+	n.start(0, 0, 0, 2)
+	n.start(1, 0, 1, 2)
+	time.Sleep(1200 * time.Millisecond)
+	w := n.ids[0]
+	stop := scheduler.Order{Worker: w.ID, Address: w.Address, Task: scheduler.TaskID{Job: job}, Run: 2}
+	assert.Equal(t, n.workers.Stop(t.Context(), stop, 1), scheduler.OutcomeDone)
+	ended := hold(0, 1).Ended[0]
+	assert.Equal(t, ended.End, scheduler.EndStopped)
+	assert.Equal(t, hold(1, 0).Ended[0].End, scheduler.EndBroken)
+	for i := range 2 {
+		w := n.ids[i]
+		o := scheduler.Order{
+			Worker: w.ID, Address: w.Address, Task: scheduler.TaskID{Job: job, Index: i}, Run: 3, Payload: "p", Until: far, Checkpoint: ended.Checkpoint,
+		}
+		assert.Equal(t, n.workers.Start(t.Context(), o, 1), scheduler.OutcomeDone)
+	}
+	assert.Equal(t, hold(0, 2).Ended[0].End, scheduler.EndSucceeded)
+	assert.Equal(t, hold(1, 1).Ended[0].End, scheduler.EndSucceeded)
+	totals, broken := n.p.History().Verdict()
+	assert.Equal(t, totals.Resumed, 2)
+	assert.Equal(t, len(broken), 0, "%q", broken)
+}
+
 func TestGuards(t *testing.T) {
 	n := newNaive(t)
 	assert.Equal(t, n.startAs(0, 0, 0, 1, "p", 5), scheduler.OutcomeDone)
--- a/standin/jobplatform/orders.go
+++ b/standin/jobplatform/orders.go
@@ -15,6 +15,8 @@
 	Spec    string `json:"spec"`
 	UntilMs int64  `json:"untilMs"`
 	Fence   uint64 `json:"fence"`
+	// Checkpoint is empty for a start from the beginning.
+	Checkpoint string `json:"checkpoint"`
 }
 
 type holdBody struct {
@@ -139,13 +141,14 @@
 func (w *worker) report() (report map[string]any, alive bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	now := time.Now()
 	running := make([][]any, 0, len(w.runs))
 	for _, r := range w.runs {
-		running = append(running, []any{r.name, r.number, "", r.percent(), r.step.CPUMilli})
+		running = append(running, []any{r.name, r.number, r.checkpoint(), r.percent(now), r.step.CPUMilli})
 	}
 	ended := make([][]any, 0, len(w.ended))
 	for _, e := range w.ended[:min(len(w.ended), maxEnds)] {
-		ended = append(ended, []any{e.number, e.run.name, e.run.number, e.how, ""})
+		ended = append(ended, []any{e.number, e.run.name, e.run.number, e.how, e.run.checkpoint()})
 	}
 	return map[string]any{
 		"clockMs": w.clock(), "born": w.born.UnixMilli(), "running": running, "endedRuns": ended,
--- a/standin/jobplatform/starts.go
+++ b/standin/jobplatform/starts.go
@@ -23,7 +23,7 @@
 	task.startedAt = time.Now()
 	h.totals.Starts++
 	step = j.Steps[t.step]
-	step.FirstRunFails = step.FirstRunFails && task.runs == 1
+	step.FirstRunFails = step.FirstRunFails && task.runs == 1 && (!step.Gang || t.index == 0)
 	return step, true
 }
 
@@ -73,6 +73,8 @@
 		h.totals.Stopped++
 	case endLapsed:
 		h.totals.Lapsed++
+	case endBroken, endAlone:
+		h.totals.Apart++
 	default:
 		h.totals.Gone++
 	}
--- a/standin/jobplatform/worker.go
+++ b/standin/jobplatform/worker.go
@@ -15,7 +15,6 @@
 	maxLease = 10 * time.Second
 	// maxEnds bounds the ends in one report.
 	maxEnds = 500
-	percent = 100
 )
 
 // worker is one life of a machine. Its clock counts milliseconds from clockBase.
@@ -44,16 +43,6 @@
 	GPU   int64 `json:"gpu"`
 }
 
-type run struct {
-	task   taskID
-	name   string
-	number int64
-	step   Step
-	began  time.Time
-	// stopAt is zero unless the run is being stopped.
-	stopAt time.Time
-}
-
 type endedRun struct {
 	number int64
 	run    *run
@@ -115,7 +104,17 @@
 		w.history.Broken("%v started on worker %s beyond its capacity", t, w.id)
 	}
 	w.highest[t] = o.Run
-	w.runs = append(w.runs, &run{task: t, name: o.Task, number: o.Run, step: step, began: time.Now()})
+	r := newRun(o, t, step)
+	if o.Checkpoint != "" && !r.resume(o.Checkpoint) {
+		w.history.Broken("%v started with checkpoint %q of another", t, o.Checkpoint)
+	}
+	if r.restored > 0 {
+		w.history.count(func(t *Totals) { t.Resumed++ })
+	}
+	if step.Gang {
+		r.gang = w.history.join(t, o.Run, step.Count)
+	}
+	w.runs = append(w.runs, r)
 	return ""
 }
 
@@ -150,18 +149,16 @@
 	defer w.mu.Unlock()
 	lapsed := w.clock() > w.until
 	for _, r := range slices.Clone(w.runs) {
+		r.save(now, false)
+		how := r.due(now)
 		switch {
 		case lapsed:
 			w.endLocked(r, endLapsed)
-		case !r.stopAt.IsZero():
-			if now.After(r.stopAt) {
-				w.endLocked(r, endStopped)
-			}
-		case r.step.Persistent || now.Sub(r.began) < r.step.Work:
-		case r.step.FirstRunFails:
-			w.endLocked(r, endFailed)
-		default:
-			w.endLocked(r, endDone)
+		case r.stopAt.IsZero() && how != "":
+			w.endLocked(r, how)
+		case !r.stopAt.IsZero() && now.After(r.stopAt):
+			r.save(now, true)
+			w.endLocked(r, endStopped)
 		}
 	}
 }
@@ -170,6 +167,9 @@
 	w.runs = slices.DeleteFunc(w.runs, func(r *run) bool { return r == ended })
 	w.number++
 	w.ended = append(w.ended, endedRun{number: w.number, run: ended, how: how})
+	if ended.gang != nil {
+		ended.gang.ended(how)
+	}
 	w.history.over(ended.task, how)
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -184,6 +184,9 @@
 		if ordered {
 			w.history.ordered(r.task)
 		}
+		if r.gang != nil {
+			r.gang.ended(endGone)
+		}
 		w.history.over(r.task, endGone)
 	}
 	w.runs = nil
@@ -200,13 +203,3 @@
 		w.ended = w.ended[1:]
 	}
 }
-
-func (r *run) percent() int {
-	if r.step.Persistent {
-		if time.Since(r.began) < startupTime {
-			return 0
-		}
-		return percent
-	}
-	return int(min(percent, percent*time.Since(r.began)/max(r.step.Work, 1)))
-}
--- a/standin/jobscenario/scenario.go
+++ b/standin/jobscenario/scenario.go
@@ -210,7 +210,9 @@
 	b.WriteString("--- told to callers\n" + r.Callers.String() + "--- seen by workers and machines\n")
 	w := r.Workers
 	row("runs started", "%d", w.Starts)
-	row("runs ended", "%d succeeded, %d failed, %d stopped, %d lapsed, %d with their worker", w.Done, w.Failed, w.Stopped, w.Lapsed, w.Gone)
+	row("runs ended", "%d succeeded, %d failed, %d stopped, %d lapsed", w.Done, w.Failed, w.Stopped, w.Lapsed)
+	row("", "%d with their worker, %d of gangs that broke", w.Gone, w.Apart)
+	row("runs resumed from checkpoints", "%d", w.Resumed)
 	row("upkeeps begun, machines moved", "%d of %d, %d", w.Upkeeps, r.WaveLength, w.Moves)
 	row("wave completed", "%v", r.WaveDone)
 	row("promises broken", "%d", w.Broken)
