--- a/proofs/jobs_test.go
+++ b/proofs/jobs_test.go
@@ -170,3 +170,18 @@
 	})
 	assert.Assert(t, result.Held())
 }
+
+// All entry hosts are killed at once: what was accepted is in the store and is worked on by those that start.
+func TestJobsAfterAllEntryHostsAreKilled(t *testing.T) {
+	result := playJobs(t, jobscenario.Faults{}, func(c *jobCluster) {
+		time.Sleep(3 * time.Second)
+		for _, e := range c.entries {
+			assert.NilError(t, e.command.Process.Signal(syscall.SIGKILL))
+		}
+		for n := 1; n <= jobHosts; n++ {
+			<-c.entries[n].exited
+			c.start(n)
+		}
+	})
+	assert.Assert(t, result.Held())
+}
