--- a/standin/jobplatform/history.go
+++ b/standin/jobplatform/history.go
@@ -20,6 +20,8 @@
 	endFailed  = "failed"
 	endStopped = "stopped"
 	endLapsed  = "lapsed"
+	endBroken  = "broken"
+	endAlone   = "alone"
 	endGone    = "" // the worker is gone and reports nothing
 )
 
@@ -27,19 +29,25 @@
 type History struct {
 	mu     sync.Mutex
 	jobs   map[string]*jobHistory
+	gangs  map[gangID]*gang
 	broken []string
 	totals Totals
 }
 
 // Totals are counts of what workers did.
 type Totals struct {
-	Starts, Done, Failed, Stopped, Lapsed, Gone, Upkeeps, Moves, Broken int
+	Starts, Done, Failed, Stopped, Lapsed, Gone int
+	// Apart are runs that ended because other members of their gang were missing; Resumed began from a checkpoint.
+	Apart, Resumed         int
+	Upkeeps, Moves, Broken int
 }
 
 type jobHistory struct {
 	Job
 	tasks       map[taskID]*taskHistory
 	cancelledAt time.Time
+	// cancelAsked is set once a cancellation was sent.
+	cancelAsked bool
 	refused     bool
 }
 
@@ -47,9 +55,13 @@
 	running, runs, done int
 	// noted is set once an end with success was taken note of.
 	noted bool
+	// displacedAt is when an order last ended the task at work.
+	startedAt, idleSince, displacedAt time.Time
 }
 
-func newHistory() *History { return &History{jobs: make(map[string]*jobHistory)} }
+func newHistory() *History {
+	return &History{jobs: make(map[string]*jobHistory), gangs: make(map[gangID]*gang)}
+}
 
 // Add tells of a job before it is handed in.
 func (h *History) Add(j Job) {
@@ -58,6 +70,13 @@
 	h.jobs[j.ID] = &jobHistory{Job: j, tasks: make(map[taskID]*taskHistory)}
 }
 
+// CancelAsked tells that a job's cancellation is about to be sent.
+func (h *History) CancelAsked(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.jobs[id].cancelAsked = true
+}
+
 // Cancelled tells that the cancellation of a job was acknowledged.
 func (h *History) Cancelled(id string) {
 	h.mu.Lock()
@@ -102,6 +121,9 @@
 			open++
 		}
 	}
+	if j.Steps[step].Gang && open < j.Steps[step].Count {
+		return 0 // one member's end stands for all
+	}
 	return open
 }
 
--- a/standin/jobscenario/scenario.go
+++ b/standin/jobscenario/scenario.go
@@ -37,6 +37,8 @@
 	Silence time.Duration
 	// LoseEvery loses one answer in so many.
 	LoseEvery int
+	// DelayEvery lets workers carry out one order in so many 2 s late and without an answer.
+	DelayEvery int
 }
 
 // Result is the comparison.
@@ -102,6 +104,7 @@
 	}
 	say(o, "load begins")
 	p.LoseAnswers(o.Faults.LoseEvery)
+	p.DelayOrders(o.Faults.DelayEvery)
 	wave := p.Machines()
 	events := make(chan error, 1)
 	go func() { events <- playEvents(ctx, o, p, wave) }()
@@ -207,7 +210,9 @@
 	b.WriteString("--- told to callers\n" + r.Callers.String() + "--- seen by workers and machines\n")
 	w := r.Workers
 	row("runs started", "%d", w.Starts)
-	row("runs ended", "%d succeeded, %d failed, %d stopped, %d lapsed, %d with their worker", w.Done, w.Failed, w.Stopped, w.Lapsed, w.Gone)
+	row("runs ended", "%d succeeded, %d failed, %d stopped, %d lapsed", w.Done, w.Failed, w.Stopped, w.Lapsed)
+	row("", "%d with their worker, %d of gangs that broke", w.Gone, w.Apart)
+	row("runs resumed from checkpoints", "%d", w.Resumed)
 	row("upkeeps begun, machines moved", "%d of %d, %d", w.Upkeeps, r.WaveLength, w.Moves)
 	row("wave completed", "%v", r.WaveDone)
 	row("promises broken", "%d", w.Broken)
