Scheduler: let a start without an answer go on when a list shows it after all

The stop ordered to resolve it may have been lost, and repeating it blindly could end a persistent task that was at work by then (). Members of gangs are still stopped, as the others may be gone.

--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -141,12 +141,20 @@
 
 func (p *Pool) stopResult(now time.Time, r *run, res OrderResult) {
 	if res.Outcome == OutcomeDone || res.Outcome == OutcomeOutdated {
+		r.stopping = true
+		p.watch(r)
 		r.stopAcked = stamp{set: true, at: now, clock: res.Clock}
 		r.stopAt = now.Add(p.cfg.StopTime + answerTime)
 		p.out.Poll = append(p.out.Poll, r.worker.ID)
 		return
 	}
 	r.stopAt = now.Add(retryStop)
+	if r.unresolvedStop() && r.state == runUnknown && r.task != nil && r.task.step.spec.GetPersistent() {
+		// It may have come to work since: look again before it is stopped again.
+		r.stopping = false
+		r.unknownAt = now
+		r.resolveAt = now.Add(resolveAfter)
+	}
 }
 
 // String names the outcome for logs.
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -181,6 +181,10 @@
 func (p *Pool) seen(now time.Time, r *run, entry *RunningTask) {
 	if r.state != runRunning {
 		r.state = runRunning
+		if r.unresolvedStop() && r.wanted() {
+			// It runs after all. Should the stop still come, its end is listed.
+			r.stopping = false
+		}
 		r.seenAt = now
 		r.percentAt = now
 		if r.task != nil {
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -13,6 +13,9 @@
 	answerTime = 1500 * time.Millisecond
 )
 
+// noAnswer is the reason to stop a run whose start had no answer.
+const noAnswer = "start without an answer"
+
 type runState int
 
 const (
@@ -203,12 +206,23 @@
 	listed := r.worker.listSent.After(r.unknownAt)
 	persistent := r.task != nil && r.task.step.spec.GetPersistent()
 	if listed || (!persistent && now.Sub(r.unknownAt) >= resolveBlind) {
-		p.stop(now, r, "start without an answer")
+		p.stop(now, r, noAnswer)
 		return
 	}
 	r.resolveAt = now.Add(resolveAfter)
 }
 
+// unresolvedStop tells whether the run is being stopped only because its start had no answer, in vain so far.
+func (r *run) unresolvedStop() bool {
+	return r.stopping && r.stopReason == noAnswer && !r.stopAcked.set
+}
+
+// wanted tells whether the run may go on for itself.
+func (r *run) wanted() bool {
+	t := r.task
+	return t != nil && len(t.runs) == 1 && !t.done && !t.job().over() && !t.step.spec.GetGang()
+}
+
 func (p *Pool) orderStop(now time.Time, r *run) {
 	if now.Before(r.stopAt) {
 		p.wake(r.stopAt)
