--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -93,7 +93,7 @@
 	leaving := w.Draining && now.Add(p.cfg.StopTime+drainReserve).After(w.drainBy)
 	if s.spec.GetPersistent() {
 		// It may have come to work since the last report.
-		return leaving || s.budgetAllows(r.task)
+		return leaving || (s.budgetAllows(r.task) && p.takeover.settled(now, p.cfg.StopTime))
 	}
 	left := r.remaining(now)
 	if s.spec.GetGang() && !s.spec.GetSavesProgress() {
@@ -145,7 +145,7 @@
 }
 
 // harmless tells whether nothing is lost and no budget broken if the run's worker stopped now.
-func (p *Pool) harmless(r *run) bool {
+func (p *Pool) harmless(now time.Time, r *run) bool {
 	if r.task == nil || r.task.done || r.task.job().over() {
 		return true
 	}
@@ -153,5 +153,5 @@
 	if !s.spec.GetPersistent() {
 		return false
 	}
-	return s.active[r.worker] <= 1 && s.budgetAllows(r.task)
+	return s.active[r.worker] <= 1 && s.budgetAllows(r.task) && p.takeover.settled(now, p.cfg.StopTime)
 }
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -152,15 +152,15 @@
 	answer := func(outcome scheduler.Outcome, clock int64) {
 		o.lanes[key] = o.lanes[key][1:]
 		s.trace("answer %+v %v", order, outcome)
+		if len(o.lanes[key]) > 0 && !o.dead {
+			o.send(key)
+		}
 		if s.naive && outcome == scheduler.OutcomeUnknown {
 			outcome = scheduler.OutcomeNotSent
 		}
 		o.input(func(p *scheduler.Pool) {
 			p.Result(s.time(), scheduler.OrderResult{Order: order, Outcome: outcome, Clock: clock})
 		})
-		if len(o.lanes[key]) > 0 && !o.dead {
-			o.send(key)
-		}
 	}
 	sentAt := s.now
 	execute := func() (scheduler.Outcome, int64) {
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -40,7 +40,7 @@
 		} else {
 			out.RemainingMs = max(out.RemainingMs, r.remaining(now).Milliseconds())
 		}
-		out.Stoppable = out.Stoppable && p.harmless(r)
+		out.Stoppable = out.Stoppable && p.harmless(now, r)
 	}
 	return out
 }
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -10,11 +10,15 @@
 // takeoverMargin is added to the longest lease, with its drift, before workers that stay silent are given up.
 const takeoverMargin = 500 * time.Millisecond
 
+// settleMargin is the time until the end of a stopped run is listed here.
+const settleMargin = 500 * time.Millisecond
+
 // takeover follows which workers may still run tasks of an owner of before.
 type takeover struct {
 	started  bool
 	done     bool
 	at       time.Time
+	doneAt   time.Time
 	registry bool
 	waiting  map[string]bool
 }
@@ -34,6 +38,11 @@
 	return j.loaded && t.started && !t.done
 }
 
+// settled tells whether stops that an owner of before has ordered must have shown. Budgets are not spent before.
+func (t *takeover) settled(now time.Time, stopTime time.Duration) bool {
+	return !t.started || (t.done && now.Sub(t.doneAt) > stopTime+settleMargin)
+}
+
 // Load takes what the owners of before have left. It comes once, before anything else.
 func (p *Pool) Load(now time.Time, jobs []*pb.JobRecord, progress []*pb.JobProgress, cancelled []string) {
 	p.takeover = takeover{started: true, at: now, waiting: map[string]bool{}}
@@ -148,6 +157,7 @@
 		return
 	}
 	t.done = true
+	t.doneAt = now
 	t.waiting = nil
 	p.place = true
 }
