--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -93,7 +93,7 @@
 	leaving := w.Draining && now.Add(p.cfg.StopTime+drainReserve).After(w.drainBy)
 	if s.spec.GetPersistent() {
 		// It may have come to work since the last report.
-		return leaving || (s.budgetAllows(r.task) && p.takeover.settled(now, p.cfg.StopTime))
+		return leaving || (s.budgetAllows(now, r.task) && p.takeover.settled(now, p.cfg.StopTime))
 	}
 	left := r.remaining(now)
 	if s.spec.GetGang() && !s.spec.GetSavesProgress() {
@@ -123,11 +123,11 @@
 
 // budgetAllows tells whether the task may be ended while the others of its step that are away are counted.
 // A step without a budget is treated as if it had a budget of one.
-func (s *step) budgetAllows(t *task) bool {
+func (s *step) budgetAllows(now time.Time, t *task) bool {
 	budget := max(1, s.spec.GetMayMiss())
 	for i := range s.tasks {
 		other := &s.tasks[i]
-		if other == t || other.atWork() {
+		if other == t || other.atWork(now) {
 			continue
 		}
 		budget--
@@ -135,9 +135,10 @@
 	return budget > 0
 }
 
-func (t *task) atWork() bool {
+// atWork tells whether a run of the task is known to work; on a silent worker it may have ended.
+func (t *task) atWork(now time.Time) bool {
 	for _, r := range t.runs {
-		if r.atWork() {
+		if r.atWork() && !r.worker.silent(now) {
 			return true
 		}
 	}
@@ -153,5 +154,5 @@
 	if !s.spec.GetPersistent() {
 		return false
 	}
-	return s.active[r.worker] <= 1 && s.budgetAllows(r.task) && p.takeover.settled(now, p.cfg.StopTime)
+	return s.active[r.worker] <= 1 && s.budgetAllows(now, r.task) && p.takeover.settled(now, p.cfg.StopTime)
 }
