--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -13,6 +13,9 @@
 	drainReserve = time.Second
 )
 
+// movedAway is the reason to stop a run that is to run elsewhere.
+const movedAway = "moved away"
+
 // Evacuate replaces the set of workers that are to be emptied.
 func (p *Pool) Evacuate(_ time.Time, ids []string) {
 	p.evacuate = make(map[string]bool, len(ids))
@@ -57,7 +60,7 @@
 		return
 	}
 	persistent := r.task.step.spec.GetPersistent()
-	if r.stopping || !p.shouldMove(now, r) {
+	if r.stopping || now.Before(r.stopAt) || !p.shouldMove(now, r) {
 		if r.stopping && persistent {
 			p.moving = append(p.moving, r.task.step)
 		}
@@ -67,7 +70,7 @@
 		p.moving = append(p.moving, r.task.step)
 	}
 	if p.roomElsewhere(now, r, usable) {
-		p.stop(now, r, "moved away")
+		p.stop(now, r, movedAway)
 	}
 }
 
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -149,7 +149,15 @@
 		return
 	}
 	r.stopAt = now.Add(retryStop)
-	if r.unresolvedStop() && r.state == runUnknown && r.task != nil && r.task.step.spec.GetPersistent() {
+	if !r.wanted() {
+		return
+	}
+	if r.stopReason == movedAway && !r.stopAcked.set {
+		// The budget may have been used up since: the move is decided again.
+		r.stopping = false
+		return
+	}
+	if r.unresolvedStop() && r.state == runUnknown && r.task.step.spec.GetPersistent() {
 		// It may have come to work since: look again before it is stopped again.
 		r.stopping = false
 		r.unknownAt = now
