--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -11,10 +11,11 @@
 	evacuateEvery = 100 * time.Millisecond
 	// drainReserve is how long before a draining worker leaves what is left on it is moved at once.
 	drainReserve = time.Second
-	// reportAge is the age of a worker's last report from which its tasks count as away.
-	reportAge = 2 * time.Second
 )
 
+// movedAway is the reason to stop a run that is to run elsewhere.
+const movedAway = "moved away"
+
 // Evacuate replaces the set of workers that are to be emptied.
 func (p *Pool) Evacuate(_ time.Time, ids []string) {
 	p.evacuate = make(map[string]bool, len(ids))
@@ -59,7 +60,7 @@
 		return
 	}
 	persistent := r.task.step.spec.GetPersistent()
-	if r.stopping || !p.shouldMove(now, r) {
+	if r.stopping || now.Before(r.stopAt) || !p.shouldMove(now, r) {
 		if r.stopping && persistent {
 			p.moving = append(p.moving, r.task.step)
 		}
@@ -69,7 +70,7 @@
 		p.moving = append(p.moving, r.task.step)
 	}
 	if p.roomElsewhere(now, r, usable) {
-		p.stop(now, r, "moved away")
+		p.stop(now, r, movedAway)
 	}
 }
 
@@ -95,7 +96,7 @@
 	leaving := w.Draining && now.Add(p.cfg.StopTime+drainReserve).After(w.drainBy)
 	if s.spec.GetPersistent() {
 		// It may have come to work since the last report.
-		return leaving || s.budgetAllows(now, r.task)
+		return leaving || (s.budgetAllows(now, r.task) && p.takeover.settled(now, p.cfg.StopTime))
 	}
 	left := r.remaining(now)
 	if s.spec.GetGang() && !s.spec.GetSavesProgress() {
@@ -137,10 +138,10 @@
 	return budget > 0
 }
 
-// atWork tells whether a run of the task works on a worker that was heard lately.
+// atWork tells whether a run of the task is known to work; on a silent worker it may have ended.
 func (t *task) atWork(now time.Time) bool {
 	for _, r := range t.runs {
-		if r.atWork() && now.Sub(r.worker.lastReport) < reportAge {
+		if r.atWork() && !r.worker.silent(now) {
 			return true
 		}
 	}
@@ -156,5 +157,5 @@
 	if !s.spec.GetPersistent() {
 		return false
 	}
-	return s.active[r.worker] <= 1 && s.budgetAllows(now, r.task)
+	return s.active[r.worker] <= 1 && s.budgetAllows(now, r.task) && p.takeover.settled(now, p.cfg.StopTime)
 }
