--- a/internal/ctl/jobs.go
+++ b/internal/ctl/jobs.go
@@ -116,23 +116,6 @@
 	return text
 }
 
-type jobsExplainCmd struct {
-	Job string `arg:"" help:"Id of the job."`
-}
-
-// Run shows the owner's explanation.
-func (c *jobsExplainCmd) Run(e *env) error {
-	j, err := e.client.job(e.ctx, c.Job)
-	if err != nil {
-		return err
-	}
-	if e.json {
-		return e.print(j, "", nil)
-	}
-	_, _ = fmt.Fprintln(e.out, strings.Join(append([]string{summary(j)}, j.Explanation...), "\n"))
-	return nil
-}
-
 type jobsCancelCmd struct {
 	Job string `arg:"" help:"Id of the job."`
 }
