--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -21,10 +21,12 @@
 	"github.com/agateturn/agateturn/internal/jobpeer"
 	"github.com/agateturn/agateturn/internal/jobstore"
 	"github.com/agateturn/agateturn/internal/membership"
+	"github.com/agateturn/agateturn/internal/poolowner"
 	"github.com/agateturn/agateturn/internal/tablefollow"
 	"github.com/agateturn/agateturn/internal/workerlist"
 	"github.com/agateturn/agateturn/platform"
 	"github.com/agateturn/agateturn/stats"
+	"github.com/agateturn/agateturn/store"
 )
 
 const (
@@ -50,8 +52,8 @@
 	clock    *boottime.Clock
 	stats    *stats.Stats
 
-	kv      *platform.Store
-	workers *platform.Workers
+	kv      store.Transactor
+	workers poolowner.Workers
 	tables  *tablefollow.Follower
 	members *membership.Manager
 	jobs    *jobstore.Store
@@ -65,14 +67,30 @@
 
 // New wires an entry host that does nothing until Run.
 func New(s *pb.JobSettings, log *slog.Logger) *Host {
-	h := &Host{log: log, clock: boottime.New(), listWanted: make(chan struct{})}
-	h.settings.Store(s)
-	h.stats = stats.New(stats.Limits{})
-	h.kv = platform.NewStore(s.GetJobStore().GetAddress(), platform.StoreOptions{
+	measures := stats.New(stats.Limits{})
+	clock := boottime.New()
+	kv := platform.NewStore(s.GetJobStore().GetAddress(), platform.StoreOptions{
 		Timeout: storeTimeout,
-		Observe: newCallMeter(h.stats, metricStoreCalls, metricStoreTime).observe,
+		Observe: newCallMeter(measures, metricStoreCalls, metricStoreTime).observe,
 	})
-	h.workers = platform.NewWorkers(platform.WorkersOptions{Now: h.clock.Now})
+	workers := workerCalls{platform.NewWorkers(platform.WorkersOptions{Now: clock.Now})}
+	return wire(s, log, parts{kv: kv, workers: workers, clock: clock, stats: measures})
+}
+
+// parts are what a host is wired from.
+type parts struct {
+	kv      store.Transactor
+	workers poolowner.Workers
+	clock   *boottime.Clock
+	stats   *stats.Stats
+}
+
+func wire(s *pb.JobSettings, log *slog.Logger, p parts) *Host {
+	h := &Host{
+		log: log, clock: p.clock, stats: p.stats, kv: p.kv, workers: p.workers,
+		listWanted: make(chan struct{}),
+	}
+	h.settings.Store(s)
 	h.tables = tablefollow.New(h.kv, platform.ConfigKey, platform.ParseTable, log)
 	h.pools = newPools(h)
 	h.members = membership.New(h.kv, h.self(), membership.Events{
--- a/internal/jobhost/options.go
+++ b/internal/jobhost/options.go
@@ -84,7 +84,7 @@
 	return poolowner.New(poolowner.Options{
 		Pool:    pool,
 		Config:  h.schedulerConfig(fence),
-		Workers: workerCalls{h.workers},
+		Workers: h.workers,
 		Policy:  policy,
 		Jobs:    h.jobs,
 		Confirmed: func() bool {
--- /dev/null
+++ b/internal/jobhost/workers_test.go
@@ -0,0 +1,149 @@
+package jobhost
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/agateturn/agateturn/internal/poolowner"
+	"github.com/agateturn/agateturn/scheduler"
+)
+
+// taskTime is how long a task runs on a fake worker.
+const taskTime = 400 * time.Millisecond
+
+// fakeWorkers run tasks in memory. A payload "fail" makes them fail.
+type fakeWorkers struct {
+	mu      sync.Mutex
+	began   time.Time
+	workers map[string]*fakeWorker
+}
+
+type fakeWorker struct {
+	fence   uint64
+	running []scheduler.RunningTask
+	endAt   map[int64]time.Time
+	fails   map[int64]bool
+	ended   []scheduler.EndedRun
+	number  int64
+}
+
+func newFakeWorkers() *fakeWorkers {
+	return &fakeWorkers{began: time.Now(), workers: map[string]*fakeWorker{}}
+}
+
+func (f *fakeWorkers) at(id string) *fakeWorker {
+	w := f.workers[id]
+	if w == nil {
+		w = &fakeWorker{endAt: map[int64]time.Time{}, fails: map[int64]bool{}}
+		f.workers[id] = w
+	}
+	return w
+}
+
+// Start implements poolowner.Workers.
+func (f *fakeWorkers) Start(_ context.Context, o scheduler.Order, fence uint64) scheduler.Outcome {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.at(o.Worker)
+	if fence < w.fence {
+		return scheduler.OutcomeFenced
+	}
+	w.fence = fence
+	w.running = append(w.running, scheduler.RunningTask{Task: o.Task, Run: o.Run, Percent: 100})
+	w.endAt[o.Run] = time.Now().Add(taskTime)
+	w.fails[o.Run] = o.Payload == "fail"
+	return scheduler.OutcomeDone
+}
+
+// Stop implements poolowner.Workers.
+func (f *fakeWorkers) Stop(_ context.Context, o scheduler.Order, fence uint64) scheduler.Outcome {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.at(o.Worker)
+	if fence < w.fence {
+		return scheduler.OutcomeFenced
+	}
+	w.finish(func(r scheduler.RunningTask) (scheduler.RunEnd, bool) { return scheduler.EndStopped, r.Run == o.Run })
+	return scheduler.OutcomeDone
+}
+
+// Pace implements poolowner.Workers.
+func (f *fakeWorkers) Pace(context.Context, scheduler.Order, uint64) scheduler.Outcome {
+	return scheduler.OutcomeDone
+}
+
+// Forget implements poolowner.Workers.
+func (f *fakeWorkers) Forget(string) {}
+
+// Hold implements poolowner.Workers. It looks for ends now and then while it may wait.
+func (f *fakeWorkers) Hold(ctx context.Context, r poolowner.HoldRequest) (scheduler.Report, error) {
+	sent := time.Now()
+	for {
+		report := f.report(r)
+		if report.Fenced || len(report.Ended) > 0 || time.Since(sent) >= r.Wait {
+			report.Sent, report.Received = sent, time.Now()
+			return report, nil
+		}
+		select {
+		case <-ctx.Done():
+			return scheduler.Report{}, ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+func (f *fakeWorkers) report(r poolowner.HoldRequest) scheduler.Report {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.at(r.Worker)
+	if r.Fence < w.fence {
+		return scheduler.Report{Worker: r.Worker, Fenced: true}
+	}
+	w.fence = r.Fence
+	w.finish(func(t scheduler.RunningTask) (scheduler.RunEnd, bool) {
+		end := scheduler.EndSucceeded
+		if w.fails[t.Run] {
+			end = scheduler.EndFailed
+		}
+		return end, time.Now().After(w.endAt[t.Run])
+	})
+	w.ended = slices.DeleteFunc(w.ended, func(e scheduler.EndedRun) bool { return e.Number <= r.LastSeen })
+	return scheduler.Report{
+		Worker: r.Worker, Clock: time.Since(f.began).Milliseconds() + 1, LastSeen: r.LastSeen, Until: r.Until,
+		Running: slices.Clone(w.running), Ended: slices.Clone(w.ended),
+	}
+}
+
+// finish moves runs to the ends.
+func (w *fakeWorker) finish(over func(scheduler.RunningTask) (scheduler.RunEnd, bool)) {
+	w.running = slices.DeleteFunc(w.running, func(r scheduler.RunningTask) bool {
+		end, ok := over(r)
+		if ok {
+			w.number++
+			w.ended = append(w.ended, scheduler.EndedRun{Number: w.number, Task: r.Task, Run: r.Run, End: end})
+		}
+		return ok
+	})
+}
+
+// lines is a log that may be read while it is written.
+type lines struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -103,11 +103,12 @@
 
 // Step returns what follows from the inputs since the last call.
 func (p *Pool) Step(now time.Time) Actions {
+	decided := p.out.Decisions // since the last step
 	p.out = Actions{}
 	if p.fenced {
-		p.out.Fenced = true
-		return p.out
+		return Actions{Fenced: true, Decisions: decided}
 	}
+	p.out.Decisions = decided
 	p.checkWorkers(now)
 	p.openOccurrences(now)
 	p.checkTakeover(now)
