--- a/internal/jobhost/failures_test.go
+++ b/internal/jobhost/failures_test.go
@@ -233,6 +233,7 @@
 	r.await(t, "job_completed job="+id, func() bool { return r.owner("exports") != owner })
 	r.await(t, "records_loaded pool=exports", func() bool { return strings.Count(r.log.String(), "name=records_loaded") >= 2 })
 	r.kv.SetFaults(memtxn.Faults{})
+	r.await(t, "job_durable job="+id, nil)
 	followPage(t, "Completed late after a takeover", r.explain(t, id))
 }
 
--- a/internal/poolowner/decisions.go
+++ b/internal/poolowner/decisions.go
@@ -29,9 +29,9 @@
 	job              string
 	occurrence, step int
 	reason           string
-	// ofRun and ofWorker tell lines that are not joined apart.
-	ofRun    int64
-	ofWorker string
+	// attempt and worker tell lines that are not joined apart.
+	attempt int
+	worker  string
 }
 
 // logDecisions writes a line for the decisions of a kind about a step. A slow reader costs lines, never time: the ring
@@ -82,11 +82,9 @@
 	g := decisionGroup{
 		kind: d.Kind, job: d.Task.Job, occurrence: d.Task.Occurrence, step: d.Task.Step, reason: d.Reason,
 	}
-	switch {
-	case d.Kind == scheduler.DecisionAttempt:
-		g.ofRun = d.Run
-	case d.Task.Job == "":
-		g.ofWorker = d.Worker
+	g.attempt = d.Attempt
+	if d.Task.Job == "" {
+		g.worker = d.Worker
 	}
 	return g
 }
--- a/internal/poolowner/records.go
+++ b/internal/poolowner/records.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -104,7 +105,7 @@
 			if told {
 				r.tell(ctx, events.RecordsWritten, batch, began)
 			}
-			r.done(ctx, batch)
+			r.done(ctx, batch, began)
 			return
 		}
 		if jobstore.Fenced.Has(err) {
@@ -121,6 +122,31 @@
 	}
 }
 
+// tellDurable logs the jobs whose end is durable now.
+func (r *recorder) tellDurable(ctx context.Context, batch []scheduler.Record, began time.Time) {
+	took := r.owner.Clock().Sub(began)
+	for _, record := range batch {
+		state := record.Progress.GetState()
+		if !isFinal(state) {
+			continue
+		}
+		events.Log(ctx, r.owner.Log, events.JobDurable,
+			slog.String("job", record.Progress.GetId()), slog.String("pool", r.owner.Pool),
+			slog.Uint64("fence", r.owner.Config.Fence), slog.String("state", stateName(state)),
+			slog.Int64("took_ms", took.Milliseconds()))
+	}
+}
+
+func isFinal(state pb.JobState) bool {
+	return state == pb.JobState_JOB_STATE_COMPLETED || state == pb.JobState_JOB_STATE_FAILED ||
+		state == pb.JobState_JOB_STATE_CANCELLED
+}
+
+// stateName is the state as operators read it.
+func stateName(state pb.JobState) string {
+	return strings.ToLower(strings.TrimPrefix(state.String(), "JOB_STATE_"))
+}
+
 // tell logs a write that fails, or that it succeeds after all.
 func (r *recorder) tell(ctx context.Context, event events.Event, batch []scheduler.Record, began time.Time, more ...slog.Attr) {
 	attrs := append([]slog.Attr{
@@ -132,7 +158,8 @@
 	events.Log(ctx, r.owner.Log, event, attrs...)
 }
 
-func (r *recorder) done(ctx context.Context, batch []scheduler.Record) {
+func (r *recorder) done(ctx context.Context, batch []scheduler.Record, began time.Time) {
+	r.tellDurable(ctx, batch, began)
 	r.owner.put(ctx, func(p *scheduler.Pool, now time.Time) {
 		for _, record := range batch {
 			p.Recorded(now, record.Progress.GetId(), record.Version)
--- a/internal/timeline/join.go
+++ b/internal/timeline/join.go
@@ -29,7 +29,8 @@
 		return own, err
 	}
 	near := surroundings(own)
-	out := append(own, lo.Filter(others, func(l Line, _ int) bool { return near.has(&l) })...)
+	out := append(own, near.standing(others)...)
+	out = append(out, lo.Filter(others, func(l Line, _ int) bool { return near.during(&l) && near.concerns(&l) })...)
 	slices.SortStableFunc(out, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	return out, nil
 }
@@ -96,10 +97,42 @@
 	events.LinesLeftOut.Number: true,
 }
 
-func (n near) has(l *Line) bool {
-	if l.Time.Before(n.from) || l.Time.After(n.to) {
-		return false
+// isStanding are the events that hold until the next one of the kind: the last one before the job is shown too.
+var isStanding = map[int]bool{
+	events.PoolGained.Number: true, events.RecordsLoaded.Number: true, events.WorkersChanged.Number: true,
+	events.ConfigInForce.Number: true, events.LeaseGranted.Number: true, events.StoreUnreachable.Number: true,
+	events.WorkerSuspect.Number: true,
+}
+
+// standing returns what held when the job's surroundings begin.
+func (n near) standing(lines []Line) []Line {
+	type subject struct {
+		event              int
+		host, pool, worker string
 	}
+	last := map[subject]Line{}
+	for i := range lines {
+		l := &lines[i]
+		if !isStanding[l.Event] || !l.Time.Before(n.from) || !n.concerns(l) {
+			continue
+		}
+		s := subject{event: l.Event, pool: l.Get("pool"), worker: l.Get("worker") + l.Get("workers")}
+		if l.Event == events.WorkersChanged.Number {
+			s.worker = "" // there it is a count
+		}
+		if s.pool == "" {
+			s.host = l.Host
+		}
+		if before, ok := last[s]; !ok || l.Time.After(before.Time) {
+			last[s] = *l
+		}
+	}
+	return lo.Values(last)
+}
+
+func (n near) during(l *Line) bool { return !l.Time.Before(n.from) && !l.Time.After(n.to) }
+
+func (n near) concerns(l *Line) bool {
 	worker := l.Get("worker") + l.Get("workers")
 	switch {
 	case ofHost[l.Event]:
