--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -127,8 +127,9 @@
 // Step returns what follows from the inputs since the last call.
 func (p *Pool) Step(now time.Time) Actions {
 	if p.fenced {
+		decided := p.out.Decisions
 		p.out = Actions{}
-		return Actions{Fenced: true}
+		return Actions{Fenced: true, Decisions: decided}
 	}
 	p.checkWorkers(now)
 	p.openOccurrences(now)
