--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -153,8 +153,10 @@
 		return
 	}
 	if r.stopReason == movedAway && !r.stopAcked.set {
-		// The budget may have been used up since: the move is decided again.
+		// The budget may have been used up since: the move is decided again. Until listed, the run may have ended.
 		r.stopping = false
+		r.percent = 0
+		r.percentAt = now
 		return
 	}
 	if r.unresolvedStop() && r.state == runUnknown && r.task.step.spec.GetPersistent() {
