--- a/standin/jobplatform/faults.go
+++ b/standin/jobplatform/faults.go
@@ -53,6 +53,26 @@
 	return busiest.id
 }
 
+// EndsLeft counts the ends that workers list because nobody took note of them.
+func (p *Platform) EndsLeft() int {
+	left := 0
+	for _, m := range p.machines {
+		left += m.endsLeft()
+	}
+	return left
+}
+
+func (m *machine) endsLeft() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.life == nil {
+		return 0
+	}
+	m.life.mu.Lock()
+	defer m.life.mu.Unlock()
+	return len(m.life.ended)
+}
+
 // load is how many runs a machine has, -1 if it has no worker.
 func (m *machine) load() int {
 	m.mu.Lock()
--- a/standin/jobscenario/scenario.go
+++ b/standin/jobscenario/scenario.go
@@ -54,6 +54,7 @@
 	workerPort   = 9100
 	startLimit   = 30 * time.Second
 	drainLimit   = 40 * time.Second
+	noteLimit    = 5 * time.Second
 	readyTick    = 200 * time.Millisecond
 	readyTimeout = time.Second
 	waveNumber   = 1
@@ -116,6 +117,9 @@
 		return result, err
 	}
 	result.WaveDone = awaitWave(ctx, p)
+	if !awaitNoted(ctx, p) {
+		p.History().Broken("%d ends were not taken note of in %v", p.EndsLeft(), noteLimit)
+	}
 	result.Workers, result.Broken = p.History().Verdict()
 	return result, nil
 }
@@ -154,6 +158,18 @@
 	return true
 }
 
+// awaitNoted waits until all ends that workers list were taken note of.
+func awaitNoted(ctx context.Context, p *jobplatform.Platform) bool {
+	ctx, cancel := context.WithTimeout(ctx, noteLimit)
+	defer cancel()
+	for p.EndsLeft() > 0 {
+		if !sleep(ctx, readyTick) {
+			return false
+		}
+	}
+	return true
+}
+
 func awaitReady(ctx context.Context, addresses []string) error {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
