--- a/cmd/agateturnd/main.go
+++ b/cmd/agateturnd/main.go
@@ -48,15 +48,9 @@
 	if settings.HasSection(line.Config, jobSection) {
 		return runJobs(line, out, errOut)
 	}
-	s, err := load(line.Config)
-	if err != nil {
-		events.Emit(context.Background(), newLogger(nil, errOut), events.SettingsRefused, "file", line.Config)
-		_, _ = fmt.Fprintln(errOut, err)
-		return exitSettings
-	}
-	if line.CheckConfig {
-		_, _ = fmt.Fprintln(out, line.Config+": no problems")
-		return exitOK
+	s, code, ok := checked(line, out, errOut, load)
+	if !ok {
+		return code
 	}
 	logger := newLogger(s.GetLog(), errOut).With("entry_host", s.GetEntryHost().GetName())
 	daemon, err := entryhost.New(s, logger)
@@ -64,15 +58,35 @@
 		logger.Error("cannot start", "err", err)
 		return exitFailed
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := daemon.Run(ctx); err != nil {
+	if err := untilSignal(daemon.Run); err != nil {
 		logger.Error("ended", "err", err)
 		return exitFailed
 	}
 	return exitOK
 }
 
+// checked loads the settings. It returns false and the exit code if there is nothing to serve.
+func checked[S any](line commandLine, out, errOut io.Writer, load func(path string) (S, error)) (s S, code int, ok bool) {
+	s, err := load(line.Config)
+	if err != nil {
+		events.Emit(context.Background(), newLogger(nil, errOut), events.SettingsRefused, "file", line.Config)
+		_, _ = fmt.Fprintln(errOut, err)
+		return s, exitSettings, false
+	}
+	if line.CheckConfig {
+		_, _ = fmt.Fprintln(out, line.Config+": no problems")
+		return s, exitOK, false
+	}
+	return s, exitOK, true
+}
+
+// untilSignal runs with a context that ends on an interrupt or SIGTERM.
+func untilSignal(run func(context.Context) error) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return run(ctx)
+}
+
 func load(path string) (*pb.Settings, error) {
 	s := &pb.Settings{}
 	if err := settings.Load(path, s); err != nil {
--- a/internal/entryhost/call.go
+++ b/internal/callers/call.go
@@ -1,4 +1,4 @@
-package entryhost
+package callers
 
 import (
 	"bytes"
@@ -17,6 +17,8 @@
 
 	"github.com/agateturn/agateturn/admission"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/bodies"
+	"github.com/agateturn/agateturn/internal/dispatch"
 )
 
 // Headers of the contract with callers and workers; docs/CALLERS.md explains them.
@@ -25,7 +27,7 @@
 	headerClass          = "Agateturn-Class"
 	headerTimeout        = "Agateturn-Timeout"
 	headerRequestID      = "Agateturn-Request-Id"
-	headerOutcome        = "Agateturn-Outcome"
+	HeaderOutcome        = "Agateturn-Outcome"
 	headerPool           = "Agateturn-Pool"
 	headerIdempotencyKey = "Idempotency-Key"
 )
@@ -66,10 +68,10 @@
 }
 
 // parse reads everything but the body.
-func (s *callerServer) parse(r *http.Request, now time.Time) (*call, *refusal) {
-	cfg := s.view.config()
+func (s *Server) parse(r *http.Request, now time.Time) (*call, *refusal) {
+	cfg := s.view.Config()
 	if cfg == nil {
-		return nil, refuse(http.StatusServiceUnavailable, errNoConfig.New("").Error())
+		return nil, refuse(http.StatusServiceUnavailable, ErrNoConfig.New("").Error())
 	}
 	name, path, ok := serviceAndPath(r.URL.EscapedPath())
 	if !ok {
@@ -118,7 +120,7 @@
 }
 
 // readBody reads the whole body, within the limits of size and time, before the request queues: a slow caller holds no slot.
-func (c *call) readBody(w http.ResponseWriter, r *http.Request, limits *pb.LimitSettings, budget *bodyBudget) *refusal {
+func (c *call) readBody(w http.ResponseWriter, r *http.Request, limits *pb.LimitSettings, budget *bodies.Budget) *refusal {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
 	}
@@ -132,12 +134,12 @@
 		length = limits.GetMaxBodyBytes()
 	}
 	var err error
-	c.body, c.taken, err = budget.read(http.MaxBytesReader(w, r.Body, limits.GetMaxBodyBytes()), length)
+	c.body, c.taken, err = budget.Read(http.MaxBytesReader(w, r.Body, limits.GetMaxBodyBytes()), length)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return refuse(http.StatusRequestEntityTooLarge, "the body is larger than [limits] max_body_bytes")
-	case errBodiesFull.Has(err):
+	case bodies.Full.Has(err):
 		r := notRun(http.StatusServiceUnavailable, err.Error(), retryUnready)
 		return &r
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -158,7 +160,7 @@
 }
 
 // ticket is the request as the dispatcher gets it, for a try on a host other than the excluded ones.
-func (c *call) ticket(excluded []string) *ticket {
+func (c *call) ticket(excluded []string) *dispatch.Ticket {
 	request := admission.Request{
 		Service:  c.service.GetName(),
 		Pool:     c.service.GetPool(),
@@ -174,14 +176,14 @@
 	case classSession:
 		request.Deadline = c.deadline.Add(c.service.GetRunTime().AsDuration())
 	}
-	return &ticket{
-		request:    request,
-		digest:     c.digest(),
-		declared:   c.service.GetRunTime().AsDuration(),
-		session:    c.class == classSession,
-		idempotent: c.idempotent(),
-		excluded:   excluded,
-		result:     make(chan verdict, 1),
+	return &dispatch.Ticket{
+		Request:    request,
+		Digest:     c.digest(),
+		Declared:   c.service.GetRunTime().AsDuration(),
+		Session:    c.class == classSession,
+		Idempotent: c.idempotent(),
+		Excluded:   excluded,
+		Result:     make(chan dispatch.Verdict, 1),
 	}
 }
 
--- a/internal/entryhost/control.go
+++ b/internal/control/control.go
@@ -1,4 +1,5 @@
-package entryhost
+// Package control runs the fleet controller on the entry host that holds its lease, and reads the platform's host list.
+package control
 
 import (
 	"context"
@@ -14,30 +15,43 @@
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/hostlist"
+	"github.com/agateturn/agateturn/internal/fleetstore"
 	"github.com/agateturn/agateturn/internal/ring"
+	"github.com/agateturn/agateturn/internal/view"
 	"github.com/agateturn/agateturn/mover"
 	"github.com/agateturn/agateturn/store"
+	"github.com/agateturn/agateturn/wait"
 	"github.com/agateturn/agateturn/waves"
 )
 
 const (
 	// decisionGap is the shortest time between two decisions.
 	decisionGap = 50 * time.Millisecond
+	// releaseTimeout bounds the wait for the store when the lease is given back.
+	releaseTimeout = 3 * time.Second
 	// actionRepeat is the time after which an action on the platform is sent again if its effect does not show.
 	actionRepeat = 10 * time.Second
 )
 
-// control is the duty of the fleet controller. Every entry host runs it; the holder of the lease key acts.
+// reporters tell what the members released.
+type reporters interface {
+	// Reports are the newest heartbeats by incarnation, this entry host's own included.
+	Reports(ctx context.Context) (map[string]fleet.Received, error)
+	// Heard is signalled when a heartbeat came in.
+	Heard() <-chan struct{}
+}
+
+// Controller is the duty of the fleet controller. Every entry host runs it; the holder of the lease key acts.
 //
 // The lease is for liveness only. A controller that lost it without knowing is stopped by its compare-and-swap.
-type control struct {
+type Controller struct {
 	self     *pb.Member
-	view     *view
-	writer   *writer
-	peers    *peers
+	view     *view.View
+	writer   *fleetstore.Writer
+	peers    reporters
 	leases   store.Leases
 	platform *hostlist.Client
-	list     *platformList
+	list     *PlatformList
 	period   time.Duration
 	lease    time.Duration
 	pause    time.Duration
@@ -51,14 +65,49 @@
 	failing bool
 }
 
-// run seeks the lease and decides while it holds it, until ctx ends.
-func (c *control) run(ctx context.Context) {
+// Options are what the duty needs.
+type Options struct {
+	Self     *pb.Member
+	View     *view.View
+	Writer   *fleetstore.Writer
+	Peers    reporters
+	Leases   store.Leases
+	Platform *hostlist.Client
+	List     *PlatformList
+	Period   time.Duration
+	Lease    time.Duration
+	Pause    time.Duration
+	Logger   *slog.Logger
+}
+
+// New returns the duty of the fleet controller.
+func New(o Options) *Controller {
+	return &Controller{
+		self:     o.Self,
+		view:     o.View,
+		writer:   o.Writer,
+		peers:    o.Peers,
+		leases:   o.Leases,
+		platform: o.Platform,
+		list:     o.List,
+		period:   o.Period,
+		lease:    o.Lease,
+		pause:    o.Pause,
+		logger:   o.Logger,
+		changed:  o.View.Subscribe("controller"),
+		acted:    map[string]time.Time{},
+		tracker:  mover.NewTracker(),
+	}
+}
+
+// Run seeks the lease and decides while it holds it, until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
 	backoff := store.DefaultBackoff()
 	for ctx.Err() == nil {
-		lease, err := c.leases.Acquire(ctx, keyController, c.self.GetName())
+		lease, err := c.leases.Acquire(ctx, fleetstore.KeyController, c.self.GetName())
 		if err != nil {
 			_ = backoff.Sleep(ctx)
-			_ = sleep(ctx, c.lease/2)
+			_ = wait.For(ctx, c.lease/2)
 			continue
 		}
 		backoff.Reset()
@@ -69,11 +118,11 @@
 }
 
 // hold decides until the lease is lost or ctx ends.
-func (c *control) hold(ctx context.Context, lease store.Lease) {
+func (c *Controller) hold(ctx context.Context, lease store.Lease) {
 	c.list.wanted.Store(true)
 	defer func() {
 		c.list.wanted.Store(false)
-		releaseCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
+		releaseCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 		defer cancel()
 		_ = lease.Release(releaseCtx)
 	}()
@@ -87,8 +136,8 @@
 			return
 		case <-ticker.C:
 		case <-c.changed.Items():
-		case <-c.peers.heard.Items():
-			if !awaitsReports(c.view.fleet()) {
+		case <-c.peers.Heard():
+			if !awaitsReports(c.view.Fleet()) {
 				continue
 			}
 		}
@@ -115,17 +164,17 @@
 }
 
 // decide takes one step: read, decide, one write, then the actions.
-func (c *control) decide(ctx context.Context) {
-	if c.view.config() == nil {
+func (c *Controller) decide(ctx context.Context) {
+	if c.view.Config() == nil {
 		return
 	}
-	reports, err := c.peers.reports(ctx)
+	reports, err := c.peers.Reports(ctx)
 	if err != nil {
 		return
 	}
 	now := time.Now()
-	load := c.tracker.Observe(now, controller.Samples(now, c.view.config(), reports))
-	decision := controller.Step(now, c.input(now, c.view.fleet(), reports, load))
+	load := c.tracker.Observe(now, controller.Samples(now, c.view.Config(), reports))
+	decision := controller.Step(now, c.input(now, c.view.Fleet(), reports, load))
 	if decision.Fleet != nil {
 		if decision, err = c.write(ctx, reports, load); err != nil {
 			c.notWritten(err)
@@ -138,22 +187,22 @@
 }
 
 // write decides anew on the fleet that the store holds, and swaps the decision in. A conflict is left to the next step.
-func (c *control) write(ctx context.Context, reports map[string]fleet.Received, load map[string]mover.PoolLoad) (controller.Decision, error) {
-	f, version, err := c.writer.read(ctx)
+func (c *Controller) write(ctx context.Context, reports map[string]fleet.Received, load map[string]mover.PoolLoad) (controller.Decision, error) {
+	f, version, err := c.writer.Read(ctx)
 	if err != nil {
 		return controller.Decision{}, err
 	}
-	c.view.applyFleet(f)
+	c.view.ApplyFleet(f)
 	now := time.Now()
 	decision := controller.Step(now, c.input(now, f, reports, load))
 	if decision.Fleet == nil {
 		return decision, nil
 	}
-	return decision, c.writer.swap(ctx, version, decision.Fleet)
+	return decision, c.writer.Swap(ctx, version, decision.Fleet)
 }
 
 // notWritten logs the first failure of a row. A conflict is no failure: the next step decides anew.
-func (c *control) notWritten(err error) {
+func (c *Controller) notWritten(err error) {
 	if c.failing || store.Conflict.Has(err) {
 		return
 	}
@@ -162,7 +211,7 @@
 }
 
 // carryOut sends the actions that were not sent lately, and forgets those that are wanted no more.
-func (c *control) carryOut(ctx context.Context, actions []controller.Action) {
+func (c *Controller) carryOut(ctx context.Context, actions []controller.Action) {
 	wanted := map[string]time.Time{}
 	for _, action := range actions {
 		key := fmt.Sprintf("%d %s", action.Kind, action.OperationID)
@@ -176,14 +225,14 @@
 	c.acted = wanted
 }
 
-func (c *control) input(now time.Time, f *pb.Fleet, reports map[string]fleet.Received, load map[string]mover.PoolLoad) controller.Input {
+func (c *Controller) input(now time.Time, f *pb.Fleet, reports map[string]fleet.Received, load map[string]mover.PoolLoad) controller.Input {
 	return controller.Input{
-		Self:       identity(c.self),
+		Self:       fleet.Identity(c.self),
 		WriteID:    uuid.NewString(),
 		Fleet:      f,
-		Config:     c.view.config(),
+		Config:     c.view.Config(),
 		Heartbeats: reports,
-		Platform:   c.list.snapshot(),
+		Platform:   c.list.Snapshot(),
 		PauseLimit: c.pause,
 		Demand:     load,
 		Failed:     controller.FailedHosts(now, reports),
@@ -206,7 +255,7 @@
 }
 
 // announce logs what a written decision changed.
-func (c *control) announce(ctx context.Context, decision controller.Decision) {
+func (c *Controller) announce(ctx context.Context, decision controller.Decision) {
 	for _, note := range decision.Notes {
 		events.Emit(ctx, c.logger, eventOf(note.Kind),
 			"revision", decision.Fleet.GetRevision(), "subject", note.Subject, "note", note.Text)
@@ -214,7 +263,7 @@
 }
 
 // act carries out one action on the platform. It is idempotent by its operation id, and repeated until the fleet shows its effect.
-func (c *control) act(ctx context.Context, action controller.Action) {
+func (c *Controller) act(ctx context.Context, action controller.Action) {
 	var err error
 	switch action.Kind {
 	case controller.Reboot:
@@ -226,3 +275,16 @@
 		c.logger.Warn("platform action failed", "component", "controller", "host", action.Host, "err", err)
 	}
 }
+
+// noteEvents are the events of the controller's notes; the others are logged as fleet_applied.
+var noteEvents = map[controller.NoteKind]events.Event{
+	controller.NoteWaveStopped: events.WaveStoppedItself,
+	controller.NoteWaveWaits:   events.WaveWaiting,
+}
+
+func eventOf(kind controller.NoteKind) events.Event {
+	if event, known := noteEvents[kind]; known {
+		return event
+	}
+	return events.FleetApplied
+}
--- a/internal/entryhost/announce.go
+++ b/internal/entryhost/announce.go
@@ -11,14 +11,16 @@
 	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/control"
+	"github.com/agateturn/agateturn/internal/dispatch"
+	"github.com/agateturn/agateturn/internal/peers"
 	"github.com/agateturn/agateturn/internal/ring"
+	"github.com/agateturn/agateturn/internal/view"
 )
 
 const (
 	// announcePeriod is the longest time between two looks at what changed.
 	announcePeriod = 500 * time.Millisecond
-	// silentHeartbeats is the number of heartbeats after which a peer counts as not reachable.
-	silentHeartbeats = 5
 	// drainHangs is the time after which a drain is reported as held up.
 	drainHangs = 10 * time.Minute
 )
@@ -27,10 +29,10 @@
 // Changes of the fleet are logged by the controller alone, so that each is logged once. Its state belongs to run.
 type announcer struct {
 	self     *pb.Member
-	view     *view
-	peers    *peers
-	dispatch *dispatcher
-	list     *platformList
+	view     *view.View
+	peers    *peers.Peers
+	dispatch *dispatch.Dispatcher
+	list     *control.PlatformList
 	ready    func() error
 	changed  *ring.Ring[struct{}]
 	logger   *slog.Logger
@@ -62,8 +64,8 @@
 
 func (a *announcer) look(ctx context.Context, now time.Time) {
 	a.readiness(ctx)
-	f := a.view.fleet()
-	controls := f.GetController() == identity(a.self)
+	f := a.view.Fleet()
+	controls := f.GetController() == fleet.Identity(a.self)
 	if controls && a.fleet != nil {
 		for _, o := range fleetEvents(a.fleet, f) {
 			events.Emit(ctx, a.logger, o.event, o.args...)
@@ -74,11 +76,11 @@
 		events.Emit(ctx, a.logger, events.HostReleased, "host", host)
 	}
 	a.fleet = f
-	a.tell(ctx, &a.silent, a.peers.silent(now), events.PeerUnreachable, events.PeerBack, "peer")
-	a.tell(ctx, &a.ejected, a.dispatch.load(ctx).ejected, events.HostEjected, events.HostProbedBack, "host")
+	a.tell(ctx, &a.silent, a.peers.Silent(now), events.PeerUnreachable, events.PeerBack, "peer")
+	a.tell(ctx, &a.ejected, setOf(a.dispatch.Load(ctx).Ejected), events.HostEjected, events.HostProbedBack, "host")
 	if controls {
 		a.tell(ctx, &a.hanging, hanging(f, now), events.HostDrainHangs, events.Event{}, "host")
-		a.tell(ctx, &a.absent, absentHosts(a.view.config(), a.list), events.HostNotInList, events.Event{}, "host")
+		a.tell(ctx, &a.absent, absentHosts(a.view.Config(), a.list), events.HostNotInList, events.Event{}, "host")
 	}
 }
 
@@ -121,6 +123,10 @@
 // states is a set of names in some state.
 type states map[string]bool
 
+func setOf(names []string) states {
+	return lo.SliceToMap(names, func(name string) (string, bool) { return name, true })
+}
+
 // replace takes over the new set and returns, sorted, what entered it and what left it.
 func (s *states) replace(now states) (entered, left []string) {
 	entered, left = lo.Difference(lo.Keys(now), lo.Keys(*s))
@@ -139,7 +145,7 @@
 		}
 	}
 	held := states{}
-	for _, h := range a.view.gate.Held(time.Now()) {
+	for _, h := range a.view.Gate.Held(time.Now()) {
 		if draining[h.GetHost()] {
 			held[h.GetHost()] = true
 		}
@@ -156,24 +162,6 @@
 	})
 }
 
-// silent are the members that have not been heard for too long.
-func (p *peers) silent(now time.Time) states {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	limit := silentHeartbeats * p.heartbeat
-	silent := states{}
-	for _, m := range p.others() {
-		heard := p.started
-		if r, known := p.latest[m.GetIncarnation()]; known {
-			heard = r.At
-		}
-		if now.Sub(heard) > limit {
-			silent[m.GetName()] = true
-		}
-	}
-	return silent
-}
-
 // hanging are the hosts that have been draining for too long.
 func hanging(f *pb.Fleet, now time.Time) states {
 	found := states{}
@@ -187,9 +175,9 @@
 }
 
 // absentHosts are the configured hosts that the platform's list lacks.
-func absentHosts(cfg *pb.Configuration, list *platformList) states {
+func absentHosts(cfg *pb.Configuration, list *control.PlatformList) states {
 	listed := states{}
-	for _, h := range list.snapshot() {
+	for _, h := range list.Snapshot() {
 		listed[h.Name] = true
 	}
 	absent := states{}
@@ -250,14 +238,14 @@
 
 func memberEvents(before, after *pb.Fleet) []occurrence {
 	var found []occurrence
-	old, present := lo.KeyBy(before.GetMembers(), identity), lo.KeyBy(after.GetMembers(), identity)
+	old, present := lo.KeyBy(before.GetMembers(), fleet.Identity[*pb.Member]), lo.KeyBy(after.GetMembers(), fleet.Identity[*pb.Member])
 	for _, m := range after.GetMembers() {
-		if old[identity(m)] == nil {
+		if old[fleet.Identity(m)] == nil {
 			found = append(found, occurrence{events.MemberJoined, []any{"member", m.GetName()}})
 		}
 	}
 	for _, m := range before.GetMembers() {
-		if present[identity(m)] == nil {
+		if present[fleet.Identity(m)] == nil {
 			event := lo.Ternary(m.GetLeaving(), events.MemberLeft, events.MemberGone)
 			found = append(found, occurrence{event, []any{"member", m.GetName(), "incarnation", m.GetIncarnation()}})
 		}
--- a/internal/jobhost/options.go
+++ b/internal/jobhost/options.go
@@ -40,6 +40,7 @@
 		Relays:         relays{h},
 		Log:            h.log,
 		IsNotAccepted:  notStored,
+		Metrics:        jobfront.NewMetrics(h.stats),
 		ContentType:    contentType,
 		MaxConnections: maxConnections,
 		StopNotice:     stopNotice,
@@ -83,7 +84,7 @@
 	return poolowner.New(poolowner.Options{
 		Pool:    pool,
 		Config:  h.schedulerConfig(fence),
-		Workers: workerCalls{h.workers},
+		Workers: h.workers,
 		Policy:  policy,
 		Jobs:    h.jobs,
 		Confirmed: func() bool {
@@ -93,6 +94,7 @@
 		Replaced: func() { h.members.Replaced(pool, fence) },
 		Clock:    h.clock.Now,
 		Log:      h.log,
+		Metrics:  poolowner.NewMetrics(h.stats),
 	})
 }
 
--- a/internal/entryhost/peers.go
+++ b/internal/peers/peers.go
@@ -1,4 +1,5 @@
-package entryhost
+// Package peers exchanges heartbeats and values with the other entry hosts, and answers their calls.
+package peers
 
 import (
 	"context"
@@ -12,11 +13,13 @@
 	"github.com/samber/lo"
 
 	"github.com/agateturn/agateturn/config"
-	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
+	"github.com/agateturn/agateturn/internal/meterconn"
 	"github.com/agateturn/agateturn/internal/ring"
+	"github.com/agateturn/agateturn/internal/view"
+	"github.com/agateturn/agateturn/tokenbucket"
 )
 
 const (
@@ -33,11 +36,21 @@
 	formerKept = time.Minute
 )
 
-// peers exchanges heartbeats with the other entry hosts and answers theirs. It is safe for concurrent use.
-type peers struct {
+// localWork is what this entry host's dispatcher tells the peers and takes from them.
+type localWork interface {
+	// Compose fills the dispatcher's part of a heartbeat to a peer.
+	Compose(ctx context.Context, peer string, hb *pb.Heartbeat) error
+	// Incoming takes over a peer's heartbeat.
+	Incoming(ctx context.Context, hb *pb.Heartbeat)
+	// PeersToTell are the peers that should get a heartbeat early.
+	PeersToTell() <-chan string
+}
+
+// Peers exchanges heartbeats with the other entry hosts and answers theirs. It is safe for concurrent use.
+type Peers struct {
 	self      *pb.Member
-	view      *view
-	dispatch  *dispatcher
+	view      *view.View
+	work      localWork
 	heartbeat time.Duration
 	logger    *slog.Logger
 	client    *http.Client
@@ -50,30 +63,48 @@
 
 	mu sync.Mutex
 	// early bounds the heartbeats sent before their turn.
-	early budget
+	early tokenbucket.Bucket
 	// latest holds the newest heartbeat of each incarnation.
 	latest map[string]fleet.Received
 	links  map[string]*link
 	// vouched are the guests that this member vouches for.
-	vouched guestBook
+	vouched view.GuestBook
 	// sponsor is the peer address of the member that vouches for us while we are its guest.
 	sponsor string
 	hosts   map[string]agateturnv1connect.PeerServiceClient
 }
 
-// link is the duty that exchanges heartbeats with one peer.
-type link struct {
-	address string
-	kick    *ring.Ring[struct{}]
-	stop    context.CancelFunc
-	// period is the time after the last exchange, by either side, at which this side begins one.
-	period time.Duration
-	// last is the last try of this side, or the last heartbeat from the other; peers.mu guards it.
-	last time.Time
+// Options are what the exchange with the peers needs.
+type Options struct {
+	Self      *pb.Member
+	View      *view.View
+	Work      localWork
+	Heartbeat time.Duration
+	Logger    *slog.Logger
+	Traffic   meterconn.Meter
+}
+
+// New returns the exchange. SetReady must be called before it runs.
+func New(o Options) *Peers {
+	return &Peers{
+		self:      o.Self,
+		view:      o.View,
+		work:      o.Work,
+		heartbeat: o.Heartbeat,
+		logger:    o.Logger,
+		client:    peerClient(o.Traffic),
+		changed:   o.View.Subscribe("peers"),
+		heard:     ring.New[struct{}]("heard", 1),
+		latest:    map[string]fleet.Received{},
+		started:   time.Now(),
+		links:     map[string]*link{},
+		vouched:   view.GuestBook{},
+		hosts:     map[string]agateturnv1connect.PeerServiceClient{},
+	}
 }
 
-// run keeps one link to each member until ctx ends.
-func (p *peers) run(ctx context.Context) {
+// Run keeps one link to each member until ctx ends.
+func (p *Peers) Run(ctx context.Context) {
 	ticker := time.NewTicker(p.heartbeat)
 	defer ticker.Stop()
 	for {
@@ -81,22 +112,22 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			p.view.refreshGuests()
+			p.view.RefreshGuests()
 			p.reconcile(ctx)
 		case <-p.changed.Items():
 			p.reconcile(ctx)
 			p.kickAll()
-		case name := <-p.dispatch.news.Items():
+		case name := <-p.work.PeersToTell():
 			p.kickEarly(name)
 		}
 	}
 }
 
 // reconcile starts links to new members and ends those to members that are gone.
-func (p *peers) reconcile(ctx context.Context) {
+func (p *Peers) reconcile(ctx context.Context) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.vouched.prune(p.view.fleet())
+	p.vouched.Prune(p.view.Fleet())
 	p.forgetFormer()
 	// A guest comes after its predecessor and takes its place.
 	wanted := lo.SliceToMap(p.others(), func(m *pb.Member) (string, string) { return m.GetName(), m.GetPeerAddress() })
@@ -114,8 +145,8 @@
 }
 
 // forgetFormer drops the heartbeats of incarnations that were replaced by a later one. The caller holds mu.
-func (p *peers) forgetFormer() {
-	names := lo.SliceToMap(p.view.fleet().GetMembers(), func(m *pb.Member) (string, string) {
+func (p *Peers) forgetFormer() {
+	names := lo.SliceToMap(p.view.Fleet().GetMembers(), func(m *pb.Member) (string, string) {
 		return m.GetName(), m.GetIncarnation()
 	})
 	p.latest = lo.PickBy(p.latest, func(incarnation string, r fleet.Received) bool {
@@ -125,82 +156,12 @@
 }
 
 // others are the members besides this one, guests included.
-func (p *peers) others() []*pb.Member {
-	return lo.Filter(p.view.members(), func(m *pb.Member, _ int) bool { return m.GetName() != p.self.GetName() })
-}
-
-func (p *peers) startLink(ctx context.Context, name, address string) *link {
-	linkCtx, stop := context.WithCancel(ctx)
-	l := &link{address: address, kick: ring.New[struct{}]("kick "+name, 1), stop: stop, period: p.heartbeat}
-	if p.self.GetName() > name {
-		l.period += p.heartbeat / 4 // an exchange serves both sides: one of them begins, the other only if that fails
-	}
-	go p.runLink(linkCtx, name, l)
-	return l
-}
-
-func (p *peers) runLink(ctx context.Context, name string, l *link) {
-	for {
-		p.note(l)
-		p.exchange(ctx, name, l.address)
-		if !p.awaitTurn(ctx, l) {
-			return
-		}
-	}
-}
-
-// note records that something was said on the link.
-func (p *peers) note(l *link) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	l.last = time.Now()
-}
-
-// awaitTurn waits until this side is to begin an exchange: when it has news, or when nothing was said for the link's
-// period. It returns false when ctx ends.
-func (p *peers) awaitTurn(ctx context.Context, l *link) bool {
-	for {
-		p.mu.Lock()
-		wait := time.Until(l.last.Add(l.period))
-		p.mu.Unlock()
-		if wait <= 0 {
-			return ctx.Err() == nil
-		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return false
-		case <-l.kick.Items():
-			timer.Stop()
-			return true
-		case <-timer.C: // the other side may have begun one meanwhile
-		}
-	}
-}
-
-// kickEarly sends a peer a heartbeat before its turn, unless something was just said or the budget of early heartbeats is
-// used up: the peer stays pending then.
-func (p *peers) kickEarly(name string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	l := p.links[name]
-	if l == nil || time.Since(l.last) < newsGap || !p.early.take(time.Now()) {
-		return
-	}
-	l.kick.Offer(struct{}{})
-}
-
-func (p *peers) kickAll() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, l := range p.links {
-		l.kick.Offer(struct{}{})
-	}
+func (p *Peers) others() []*pb.Member {
+	return lo.Filter(p.view.Members(), func(m *pb.Member, _ int) bool { return m.GetName() != p.self.GetName() })
 }
 
 // exchange sends one heartbeat and takes over the peer's.
-func (p *peers) exchange(ctx context.Context, name, address string) {
+func (p *Peers) exchange(ctx context.Context, name, address string) {
 	ctx, cancel := context.WithTimeout(ctx, p.heartbeat)
 	defer cancel()
 	hb, err := p.compose(ctx, name)
@@ -208,7 +169,7 @@
 		return
 	}
 	began := time.Now()
-	answer, err := p.at(address).Exchange(ctx, connect.NewRequest(hb))
+	answer, err := p.At(address).Exchange(ctx, connect.NewRequest(hb))
 	if err != nil {
 		p.logger.Debug("heartbeat failed", "component", "peers", "peer", name, "err", err)
 		return
@@ -217,8 +178,8 @@
 	p.take(ctx, answer.Msg)
 }
 
-// at is the client for a peer address.
-func (p *peers) at(address string) agateturnv1connect.PeerServiceClient {
+// At is the client for a peer address.
+func (p *Peers) At(address string) agateturnv1connect.PeerServiceClient {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c, ok := p.hosts[address]; ok {
@@ -233,34 +194,34 @@
 // compose is this member's report to a peer.
 //
 // The applied revision is read before the held hosts: whatever is still held under that revision is in the list.
-func (p *peers) compose(ctx context.Context, peer string) (*pb.Heartbeat, error) {
+func (p *Peers) compose(ctx context.Context, peer string) (*pb.Heartbeat, error) {
 	now := time.Now()
 	hb := &pb.Heartbeat{
 		Name:             p.self.GetName(),
 		Incarnation:      p.self.GetIncarnation(),
 		DataCentre:       p.self.GetDataCentre(),
-		FleetRevision:    p.view.appliedRevision(),
-		ConfigGeneration: p.view.config().GetGeneration(),
-		StoreAgeMs:       p.view.storeAge(now).Milliseconds(),
+		FleetRevision:    p.view.AppliedRevision(),
+		ConfigGeneration: p.view.Config().GetGeneration(),
+		StoreAgeMs:       p.view.StoreAge(now).Milliseconds(),
 		Ready:            p.ready(),
 		Guests:           p.guestList(),
 	}
-	if err := p.dispatch.compose(ctx, peer, hb); err != nil {
+	if err := p.work.Compose(ctx, peer, hb); err != nil {
 		return nil, err
 	}
-	hb.HeldHosts = p.view.gate.Held(now)
+	hb.HeldHosts = p.view.Gate.Held(now)
 	return hb, nil
 }
 
 // take keeps a heartbeat if it is newer than the last one, and asks its sender for values that it has and we lack. Of an
 // incarnation that is neither a member nor a guest nothing is kept; it may be a member's next, known to the store first.
-func (p *peers) take(ctx context.Context, hb *pb.Heartbeat) {
+func (p *Peers) take(ctx context.Context, hb *pb.Heartbeat) {
 	if p.knows(hb) {
 		if !p.keep(hb) {
 			return
 		}
-		p.view.addGuests(hb.GetGuests()...)
-		p.dispatch.incoming(ctx, hb)
+		p.view.AddGuests(hb.GetGuests()...)
+		p.work.Incoming(ctx, hb)
 		p.heard.Offer(struct{}{})
 	}
 	// Many peers tell of the same change at once: one fetch serves for all. A failed one is made up by the next heartbeat.
@@ -271,20 +232,20 @@
 }
 
 // knows reports whether a heartbeat comes from one of the others.
-func (p *peers) knows(hb *pb.Heartbeat) bool {
+func (p *Peers) knows(hb *pb.Heartbeat) bool {
 	return lo.SomeBy(p.others(), func(m *pb.Member) bool {
 		return m.GetName() == hb.GetName() && m.GetIncarnation() == hb.GetIncarnation()
 	})
 }
 
 // ahead reports whether the sender of a heartbeat has a value newer than ours.
-func (p *peers) ahead(hb *pb.Heartbeat) bool {
-	return hb.GetFleetRevision() > p.view.fleet().GetRevision() ||
-		hb.GetConfigGeneration() > p.view.config().GetGeneration()
+func (p *Peers) ahead(hb *pb.Heartbeat) bool {
+	return hb.GetFleetRevision() > p.view.Fleet().GetRevision() ||
+		hb.GetConfigGeneration() > p.view.Config().GetGeneration()
 }
 
 // catchUp fetches from the heartbeat's sender, then from another that told of something newer meanwhile.
-func (p *peers) catchUp(ctx context.Context, hb *pb.Heartbeat) {
+func (p *Peers) catchUp(ctx context.Context, hb *pb.Heartbeat) {
 	p.fetchFrom(ctx, hb.GetName())
 	p.mu.Lock()
 	newer, found := lo.Find(lo.Values(p.latest), func(r fleet.Received) bool { return p.ahead(r.Heartbeat) })
@@ -295,13 +256,13 @@
 }
 
 // tellStager lets the acceptance state machine know what generation a peer was at, at some time after the exchange began.
-func (p *peers) tellStager(hb *pb.Heartbeat, began time.Time) {
-	registered := lo.SomeBy(p.view.fleet().GetMembers(), func(m *pb.Member) bool {
+func (p *Peers) tellStager(hb *pb.Heartbeat, began time.Time) {
+	registered := lo.SomeBy(p.view.Fleet().GetMembers(), func(m *pb.Member) bool {
 		return m.GetIncarnation() == hb.GetIncarnation()
 	})
-	p.view.withStager(func(st *config.Stager) {
+	p.view.WithStager(func(st *config.Stager) {
 		st.Heard(began, config.Report{
-			Peer:       hb.GetName() + "/" + hb.GetIncarnation(),
+			Peer:       fleet.Identity(hb),
 			Generation: hb.GetConfigGeneration(),
 			Ready:      hb.GetReady(),
 			Registered: registered,
@@ -310,7 +271,7 @@
 }
 
 // keep stores a heartbeat unless a later one of the same incarnation is known already.
-func (p *peers) keep(hb *pb.Heartbeat) bool {
+func (p *Peers) keep(hb *pb.Heartbeat) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -324,75 +285,15 @@
 	return true
 }
 
-func (p *peers) fetchFrom(ctx context.Context, name string) {
-	member, ok := lo.Find(p.members(), func(m *pb.Member) bool { return m.GetName() == name })
-	if !ok {
-		return
-	}
-	if values, err := p.fetch(ctx, member.GetPeerAddress(), nil); err == nil {
-		p.takeValues(ctx, values)
-	}
-}
-
-// fetchAsGuest asks a peer to vouch for this entry host, and serves by the peer's values once it does.
-func (p *peers) fetchAsGuest(ctx context.Context, address string) error {
-	values, err := p.fetch(ctx, address, p.self)
-	if err != nil {
-		return err
-	}
-	p.view.addGuests(p.self)
-	p.takeValues(ctx, values)
-	return nil
-}
-
-// fetch returns what the peer knows and we do not. With join set, the peer vouches for this entry host.
-func (p *peers) fetch(ctx context.Context, address string, join *pb.Member) (*pb.FetchResponse, error) {
-	answer, err := p.at(address).Fetch(ctx, connect.NewRequest(&pb.FetchRequest{
-		ConfigGeneration: p.view.config().GetGeneration(),
-		FleetRevision:    p.view.fleet().GetRevision(),
-		Join:             join,
-	}))
-	if err != nil {
-		return nil, errUnreachable.New("%s: %v", address, err)
-	}
-	return answer.Msg, nil
-}
-
-// fleetOfMember returns the whole fleet of the first other member that answers.
-func (p *peers) fleetOfMember(ctx context.Context) (*pb.Fleet, error) {
-	for _, m := range p.view.fleet().GetMembers() {
-		if m.GetName() == p.self.GetName() {
-			continue
-		}
-		answer, err := p.at(m.GetPeerAddress()).Fetch(ctx, connect.NewRequest(&pb.FetchRequest{}))
-		if err == nil && answer.Msg.GetFleet() != nil {
-			return answer.Msg.GetFleet(), nil
-		}
-	}
-	return nil, errUnreachable.New("no member answers")
-}
-
-// takeValues puts a peer's newer values in force. The configuration goes first: the fleet refers to its hosts.
-func (p *peers) takeValues(ctx context.Context, values *pb.FetchResponse) {
-	if cfg := values.GetConfig(); cfg != nil {
-		if p.view.applyConfig(time.Now(), cfg) {
-			events.Emit(ctx, p.logger, events.ConfigInForce, "generation", cfg.GetGeneration(), "source", "peer")
-		}
-	}
-	if f := values.GetFleet(); f != nil {
-		p.view.applyFleet(f)
-	}
-}
-
 // members are the known members and guests, this one included.
-func (p *peers) members() []*pb.Member {
+func (p *Peers) members() []*pb.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return append(p.others(), p.self)
 }
 
-// reports are the newest heartbeats by incarnation, this entry host's own included.
-func (p *peers) reports(ctx context.Context) (map[string]fleet.Received, error) {
+// Reports are the newest heartbeats by incarnation, this entry host's own included.
+func (p *Peers) Reports(ctx context.Context) (map[string]fleet.Received, error) {
 	own, err := p.compose(ctx, p.self.GetName())
 	if err != nil {
 		return nil, err
@@ -405,19 +306,25 @@
 	return all, nil
 }
 
-// slowestGeneration is the lowest configuration generation in force on any member, as far as heard.
-func (p *peers) slowestGeneration() uint64 {
+// SlowestGeneration is the lowest configuration generation in force on any member, as far as heard.
+func (p *Peers) SlowestGeneration() uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	slowest := p.view.config().GetGeneration()
+	slowest := p.view.Config().GetGeneration()
 	for _, m := range p.others() {
 		slowest = min(slowest, p.latest[m.GetIncarnation()].Heartbeat.GetConfigGeneration())
 	}
 	return slowest
 }
 
-func (p *peers) guestList() []*pb.Member {
+func (p *Peers) guestList() []*pb.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.vouched.members()
+	return p.vouched.Members()
 }
+
+// SetReady says how heartbeats learn whether this entry host may take work.
+func (p *Peers) SetReady(ready func() bool) { p.ready = ready }
+
+// Heard is signalled when a heartbeat came in.
+func (p *Peers) Heard() <-chan struct{} { return p.heard.Items() }
--- a/internal/entryhost/propose.go
+++ b/internal/proposals/propose.go
@@ -1,4 +1,5 @@
-package entryhost
+// Package proposals has configurations staged on every member and accepted in the store.
+package proposals
 
 import (
 	"context"
@@ -12,8 +13,13 @@
 
 	"github.com/agateturn/agateturn/config"
 	"github.com/agateturn/agateturn/events"
+	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
+	"github.com/agateturn/agateturn/internal/fleetstore"
+	"github.com/agateturn/agateturn/internal/view"
 	"github.com/agateturn/agateturn/store"
+	"github.com/agateturn/agateturn/wait"
 )
 
 const (
@@ -27,25 +33,49 @@
 	stageParallel = 4
 )
 
-// identity names one process of a member.
-func identity(m *pb.Member) string { return m.GetName() + "/" + m.GetIncarnation() }
+// stageClients gives the client of the peer at an address.
+type stageClients interface {
+	At(address string) agateturnv1connect.PeerServiceClient
+}
 
-// proposer has configurations accepted, one at a time.
-type proposer struct {
+// Proposer has configurations accepted, one at a time.
+type Proposer struct {
 	self   *pb.Member
 	kv     store.KV
-	view   *view
-	writer *writer
-	peers  *peers
+	view   *view.View
+	writer *fleetstore.Writer
+	peers  stageClients
 	logger *slog.Logger
 
 	one      sync.Mutex
 	attempts uint64
 }
 
+// Options are what the duty needs.
+type Options struct {
+	Self   *pb.Member
+	KV     store.KV
+	View   *view.View
+	Writer *fleetstore.Writer
+	Peers  stageClients
+	Logger *slog.Logger
+}
+
+// New returns a proposer.
+func New(o Options) *Proposer {
+	return &Proposer{
+		self:   o.Self,
+		kv:     o.KV,
+		view:   o.View,
+		writer: o.Writer,
+		peers:  o.Peers,
+		logger: o.Logger,
+	}
+}
+
 // proposalRun is one proposal under way.
 type proposalRun struct {
-	*proposer
+	*Proposer
 	cfg      *pb.Configuration
 	version  uint64 // the store's version of the base
 	id       string
@@ -53,16 +83,16 @@
 	members  map[string]*pb.Member // by identity, everyone that was ever asked
 }
 
-// propose has cfg accepted over the base that the store holds at the given version.
-func (p *proposer) propose(ctx context.Context, cfg *pb.Configuration, version uint64) config.Outcome {
+// Propose has cfg accepted over the base that the store holds at the given version.
+func (p *Proposer) Propose(ctx context.Context, cfg *pb.Configuration, version uint64) config.Outcome {
 	p.one.Lock()
 	defer p.one.Unlock()
 	p.attempts++
 	run := &proposalRun{
-		proposer: p,
+		Proposer: p,
 		cfg:      cfg,
 		version:  version,
-		id:       config.ProposerID(identity(p.self), p.attempts),
+		id:       config.ProposerID(fleet.Identity(p.self), p.attempts),
 		members:  map[string]*pb.Member{},
 	}
 	names, err := run.listMembers(ctx)
@@ -74,22 +104,22 @@
 }
 
 // changeAt tells which change this entry host had in force at a generation.
-func (p *proposer) changeAt(generation uint64) (changeID string, known bool) {
-	p.view.withStager(func(st *config.Stager) { changeID, known = st.ChangeAt(generation) })
+func (p *Proposer) changeAt(generation uint64) (changeID string, known bool) {
+	p.view.WithStager(func(st *config.Stager) { changeID, known = st.ChangeAt(generation) })
 	return changeID, known
 }
 
 // listMembers reads the registered members from the store; this entry host is always among the asked.
 func (r *proposalRun) listMembers(ctx context.Context) ([]string, error) {
-	f, _, err := r.writer.read(ctx)
+	f, _, err := r.writer.Read(ctx)
 	if err != nil {
 		return nil, err
 	}
-	r.members[identity(r.self)] = r.self
-	names := []string{identity(r.self)}
+	r.members[fleet.Identity(r.self)] = r.self
+	names := []string{fleet.Identity(r.self)}
 	for _, m := range f.GetMembers() {
-		r.members[identity(m)] = m
-		names = append(names, identity(m))
+		r.members[fleet.Identity(m)] = m
+		names = append(names, fleet.Identity(m))
 	}
 	return lo.Uniq(names), nil
 }
@@ -115,7 +145,7 @@
 			pending = append(pending, r.carryOut(ctx, a)...)
 		}
 		if len(pending) == 0 {
-			_ = sleep(ctx, proposalRetry)
+			_ = wait.For(ctx, proposalRetry)
 			pending = r.proposal.Tick(time.Now())
 		}
 		if ctx.Err() != nil {
@@ -167,16 +197,16 @@
 		}
 	}
 	if failed {
-		_ = sleep(ctx, proposalRetry)
+		_ = wait.For(ctx, proposalRetry)
 	}
 	return next
 }
 
 func (r *proposalRun) stageOn(ctx context.Context, member string) stageResult {
 	request := &pb.StageRequest{Config: r.cfg, Proposer: r.id}
-	if member == identity(r.self) {
+	if member == fleet.Identity(r.self) {
 		answer := &pb.StageResponse{}
-		r.view.withStager(func(st *config.Stager) {
+		r.view.WithStager(func(st *config.Stager) {
 			answer.Staged, answer.Reason = st.Stage(time.Now(), r.cfg, r.id)
 			answer.ConfigGeneration = st.Generation()
 		})
@@ -184,7 +214,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
 	defer cancel()
-	answer, err := r.peers.at(r.members[member].GetPeerAddress()).Stage(ctx, connect.NewRequest(request))
+	answer, err := r.peers.At(r.members[member].GetPeerAddress()).Stage(ctx, connect.NewRequest(request))
 	if err != nil {
 		return stageResult{member: member, err: err}
 	}
@@ -200,19 +230,19 @@
 	case config.ReadBack:
 		stored, err := r.readStored(ctx)
 		if err != nil {
-			_ = sleep(ctx, proposalRetry)
+			_ = wait.For(ctx, proposalRetry)
 			return r.proposal.ReadFailed(time.Now())
 		}
 		return r.proposal.Read(now, stored)
 	case config.ListMembers:
 		names, err := r.listMembers(ctx)
 		if err != nil {
-			_ = sleep(ctx, proposalRetry)
+			_ = wait.For(ctx, proposalRetry)
 			return r.proposal.ListFailed(time.Now())
 		}
 		return r.proposal.Listed(now, names)
 	case config.Accept:
-		if r.view.applyConfig(now, r.cfg) {
+		if r.view.ApplyConfig(now, r.cfg) {
 			events.Emit(ctx, r.logger, events.ConfigInForce, "generation", r.cfg.GetGeneration(), "source", "proposal")
 		}
 	case config.Abandon:
@@ -227,7 +257,7 @@
 	if err != nil {
 		return config.SwapConflict
 	}
-	_, err = r.kv.CompareAndSwap(ctx, keyConfig, r.version, data)
+	_, err = r.kv.CompareAndSwap(ctx, fleetstore.KeyConfig, r.version, data)
 	switch {
 	case err == nil:
 		return config.SwapOK
@@ -241,48 +271,49 @@
 }
 
 func (r *proposalRun) abandonOn(ctx context.Context, member string) {
-	if member == identity(r.self) {
-		r.view.withStager(func(st *config.Stager) { st.Abandon(time.Now(), r.cfg.GetChangeId(), r.id) })
+	if member == fleet.Identity(r.self) {
+		r.view.WithStager(func(st *config.Stager) { st.Abandon(time.Now(), r.cfg.GetChangeId(), r.id) })
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
 	defer cancel()
-	_, _ = r.peers.at(r.members[member].GetPeerAddress()).Stage(ctx, connect.NewRequest(&pb.StageRequest{
+	_, _ = r.peers.At(r.members[member].GetPeerAddress()).Stage(ctx, connect.NewRequest(&pb.StageRequest{
 		Config:   r.cfg,
 		Proposer: r.id,
 		Abandon:  true,
 	}))
 }
 
-// sync puts in force what the store holds, and settles what is staged by it.
-func (p *proposer) sync(ctx context.Context) error {
+// Sync puts in force what the store holds, and settles what is staged by it.
+func (p *Proposer) Sync(ctx context.Context) error {
 	began := time.Now()
 	stored, err := p.readStored(ctx)
 	if err != nil {
 		return err
 	}
-	p.view.heardStore(time.Now())
-	if stored != nil && p.view.applyConfig(time.Now(), stored) {
+	p.view.HeardStore(time.Now())
+	if stored != nil && p.view.ApplyConfig(time.Now(), stored) {
 		events.Emit(ctx, p.logger, events.ConfigInForce, "generation", stored.GetGeneration(), "source", "store")
 	}
-	p.view.withStager(func(st *config.Stager) { st.Confirm(began, stored.GetGeneration()) })
+	p.view.WithStager(func(st *config.Stager) { st.Confirm(began, stored.GetGeneration()) })
 	return nil
 }
 
 // readStored returns the configuration in the store; nil for none.
-func (p *proposer) readStored(ctx context.Context) (*pb.Configuration, error) {
-	cfg, _, err := p.readVersion(ctx)
+func (p *Proposer) readStored(ctx context.Context) (*pb.Configuration, error) {
+	cfg, _, err := p.ReadVersion(ctx)
 	return cfg, err
 }
 
-func (p *proposer) readVersion(ctx context.Context) (*pb.Configuration, uint64, error) {
-	value, err := p.kv.Get(ctx, keyConfig)
+// ReadVersion returns the configuration in the store and its version there; nil and 0 for none.
+func (p *Proposer) ReadVersion(ctx context.Context) (*pb.Configuration, uint64, error) {
+	value, err := p.kv.Get(ctx, fleetstore.KeyConfig)
 	if err != nil || value.Version == 0 {
 		return nil, 0, err
 	}
 	cfg := &pb.Configuration{}
 	if err := proto.Unmarshal(value.Data, cfg); err != nil {
-		return nil, 0, errCorrupt.Wrap(err)
+		return nil, 0, fleetstore.ErrCorrupt.Wrap(err)
 	}
 	return cfg, value.Version, nil
 }
--- a/internal/entryhost/guests.go
+++ b/internal/view/guests.go
@@ -1,4 +1,4 @@
-package entryhost
+package view
 
 import (
 	"sort"
@@ -7,6 +7,7 @@
 	"github.com/samber/lo"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 )
 
@@ -14,9 +15,6 @@
 // heartbeat, and the controller counts the member's release only together with its guests'. A guest serves while it
 // hears from its sponsor; once the store is back it registers and is no guest any more.
 
-// maxGuests bounds the guests that one member vouches for.
-const maxGuests = 512
-
 // guest is an entry host that a member vouches for.
 type guest struct {
 	member *pb.Member
@@ -28,13 +26,13 @@
 	matured bool
 }
 
-// guestBook is what one duty knows of the guests. A guest stays in it until the fleet shows the guest itself or a third
+// GuestBook is what one duty knows of the guests. A guest stays in it until the fleet shows the guest itself or a third
 // incarnation of its name: it may hold slots and requests until then.
-type guestBook map[string]guest
+type GuestBook map[string]guest
 
-// add notes a guest, and reports whether it is new.
-func (b guestBook) add(now time.Time, f *pb.Fleet, m *pb.Member) bool {
-	if b[m.GetName()].member.GetIncarnation() == m.GetIncarnation() || memberOf(f, m) {
+// Add notes a guest, and reports whether it is new.
+func (b GuestBook) Add(now time.Time, f *pb.Fleet, m *pb.Member) bool {
+	if b[m.GetName()].member.GetIncarnation() == m.GetIncarnation() || fleet.HasMember(f, m) {
 		return false
 	}
 	b[m.GetName()] = guest{member: m, predecessor: incarnationOf(f, m.GetName()), since: now}
@@ -42,13 +40,13 @@
 }
 
 // holds reports whether the process is a guest.
-func (b guestBook) holds(m *pb.Member) bool {
+func (b GuestBook) holds(m *pb.Member) bool {
 	g, known := b[m.GetName()]
 	return known && g.member.GetIncarnation() == m.GetIncarnation()
 }
 
-// prune drops the guests that the fleet has settled.
-func (b guestBook) prune(f *pb.Fleet) {
+// Prune drops the guests that the fleet has settled.
+func (b GuestBook) Prune(f *pb.Fleet) {
 	for name, g := range b {
 		current := incarnationOf(f, name)
 		if current != "" && current != g.predecessor {
@@ -58,7 +56,7 @@
 }
 
 // matured marks the guests known since before the given time, and reports whether there are new ones.
-func (b guestBook) matured(before time.Time) bool {
+func (b GuestBook) matured(before time.Time) bool {
 	changed := false
 	for name, g := range b {
 		if !g.matured && g.since.Before(before) {
@@ -70,8 +68,8 @@
 	return changed
 }
 
-// members are the guests, by name.
-func (b guestBook) members() []*pb.Member {
+// Members are the guests, by name.
+func (b GuestBook) Members() []*pb.Member {
 	members := lo.MapToSlice(b, func(_ string, g guest) *pb.Member { return g.member })
 	sort.Slice(members, func(i, j int) bool { return members[i].GetName() < members[j].GetName() })
 	return members
@@ -79,7 +77,7 @@
 
 // extend is the fleet with the guests among its members. The predecessor of a guest that became known before the given
 // time is left out: the guest listens at its address, so its process is gone.
-func (b guestBook) extend(before time.Time, f *pb.Fleet) *pb.Fleet {
+func (b GuestBook) extend(before time.Time, f *pb.Fleet) *pb.Fleet {
 	if len(b) == 0 || f == nil {
 		return f
 	}
@@ -88,7 +86,7 @@
 		g, replaced := b[m.GetName()]
 		return replaced && g.predecessor == m.GetIncarnation() && g.since.Before(before)
 	})
-	extended.Members = append(extended.Members, b.members()...)
+	extended.Members = append(extended.Members, b.Members()...)
 	return extended
 }
 
@@ -96,59 +94,3 @@
 	m, _ := lo.Find(f.GetMembers(), func(m *pb.Member) bool { return m.GetName() == name })
 	return m.GetIncarnation()
 }
-
-// vouch makes the joining entry host our guest. Only a member may vouch.
-func (p *peers) vouch(join *pb.Member) error {
-	if !memberOf(p.view.fleet(), p.self) {
-		return errNotMember.New("%q cannot vouch for %q", p.self.GetName(), join.GetName())
-	}
-	if p.guestsFull() {
-		return errManyGuests.New("%d; %q is not taken", maxGuests, join.GetName())
-	}
-	p.view.addGuests(join)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.vouched.add(time.Now(), p.view.fleet(), join)
-	return nil
-}
-
-func (p *peers) guestsFull() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.vouched) >= maxGuests
-}
-
-// sponsored records the address of the member that vouches for us, and reports whether it is another than before.
-func (p *peers) sponsored(address string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	changed := p.sponsor != address
-	p.sponsor = address
-	return changed
-}
-
-// guestOf reports whether a sponsor that we heard from within limit vouches for us.
-func (p *peers) guestOf(now time.Time, limit time.Duration) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.sponsor == "" {
-		return false
-	}
-	for _, m := range p.view.fleet().GetMembers() {
-		if m.GetPeerAddress() != p.sponsor {
-			continue
-		}
-		last, heard := p.latest[m.GetIncarnation()]
-		return heard && now.Sub(last.At) <= limit && p.listsUs(last.Heartbeat)
-	}
-	return false
-}
-
-func (p *peers) listsUs(hb *pb.Heartbeat) bool {
-	for _, g := range hb.GetGuests() {
-		if g.GetName() == p.self.GetName() && g.GetIncarnation() == p.self.GetIncarnation() {
-			return true
-		}
-	}
-	return false
-}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -13,6 +13,8 @@
 	// persistentBackoff is the first pause of a persistent task after a failure; it doubles up to eightfold.
 	persistentBackoff = 100 * time.Millisecond
 	maxBackoffSteps   = 3
+	// soundRun is how long a persistent run has to last for its failure to count as the first.
+	soundRun = 5 * time.Second
 	// maxFailedOn bounds the workers that a task avoids.
 	maxFailedOn = 4
 )
@@ -120,6 +122,7 @@
 // settle takes the end of a run into its task. It returns whether the end has to be recorded.
 func (p *Pool) settle(now time.Time, t *task, r *run, end RunEnd, checkpoint string) bool {
 	j := t.job()
+	p.decide(DecisionEnded, r, end.String())
 	if j.over() || t.done {
 		return j.endUnrecorded(end)
 	}
@@ -132,7 +135,7 @@
 	recorded := false
 	switch {
 	case t.step.spec.GetPersistent():
-		t.backOff(now, end)
+		t.backOff(now, r, end)
 	case end == EndSucceeded:
 		p.succeed(now, t)
 		recorded = true
@@ -149,8 +152,8 @@
 }
 
 // backOff delays the restart of a persistent task that failed.
-func (t *task) backOff(now time.Time, end RunEnd) {
-	if end != EndFailed {
+func (t *task) backOff(now time.Time, r *run, end RunEnd) {
+	if end != EndFailed || now.Sub(r.orderedAt) > soundRun {
 		t.failures = 0
 		return
 	}
@@ -217,6 +220,7 @@
 	if r.worker != nil && len(t.failedOn) < maxFailedOn {
 		t.failedOn = append(t.failedOn, r.worker.ID)
 	}
+	p.decideAttempt(r, t.failures, p.maxAttempts(t.job()))
 	if t.failures >= p.maxAttempts(t.job()) {
 		p.failJob(now, t.job(), "too many failed attempts")
 	}
