poolowner: a step's end is one line, its later starts are gathered

Single successes are not written any more, since step_done tells them; starts after a step's first are written every 2 s, or when more is told of the job.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -270,6 +270,7 @@
 	JobBegun      = Event{Number: 938, Name: "job_begun", Level: slog.LevelInfo, Message: "first task of the job has begun"}
 	AttemptFailed = Event{Number: 939, Name: "attempt_failed", Level: slog.LevelInfo, Message: "a run failed, which counts as an attempt"}
 	JobDurable    = Event{Number: 940, Name: "job_durable", Level: slog.LevelInfo, Message: "end of the job is durable and shown to callers"}
+	StepDone      = Event{Number: 941, Name: "step_done", Level: slog.LevelInfo, Message: "all tasks of the step have succeeded"}
 	SchedulerNote = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
 )
 
@@ -294,7 +295,7 @@
 	LeaseGranted, LeaseLost, PoolHandedOver, PoolReplaced, RecordsLoaded, RecordsWait, RecordsWritten, RecordsUnread,
 	WorkersChanged, WorkerEnded, WorkerSilent, WorkerBack, WorkerSuspect, WorkerUnread,
 	TasksStarted, TasksStopped, TasksLost, TasksEnded, TasksRefused, OrderUnknown, OrderRefused,
-	JobCompleted, JobFailed, JobCancelled, SchedulerNote, JobBegun, AttemptFailed, JobDurable,
+	JobCompleted, JobFailed, JobCancelled, SchedulerNote, JobBegun, AttemptFailed, JobDurable, StepDone,
 }
 
 // retired are numbers of dropped events; they are not used again.
--- a/internal/poolowner/changes.go
+++ b/internal/poolowner/changes.go
@@ -79,6 +79,9 @@
 			gone = append(gone, w.ID)
 		}
 	}
+	if len(added)+len(changed)+len(draining)+len(gone) == 0 {
+		return
+	}
 	events.Log(ctx, o.Log, events.WorkersChanged, slog.String("pool", o.Pool), slog.Uint64("fence", o.Config.Fence),
 		slog.Int("workers", len(now)), slog.String("added", someOf(added)), slog.String("restarted", someOf(changed)),
 		slog.String("draining", someOf(draining)), slog.String("gone", someOf(gone)))
--- a/internal/poolowner/decisions.go
+++ b/internal/poolowner/decisions.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -18,6 +19,10 @@
 	decisionGather = 20 * time.Millisecond
 	// decisionBatch bounds the decisions of one collection.
 	decisionBatch = 4096
+	// startsEvery is how often the later starts of steps are written, and laterStarts how many wait for that. The first
+	// starts of a step are written at once.
+	startsEvery = 2 * time.Second
+	laterStarts = 4096
 	// namedWorkers bounds the workers, and namedTasks the tasks, named in one line.
 	namedWorkers = 8
 	namedTasks   = 16
@@ -37,18 +42,104 @@
 // logDecisions writes a line for the decisions of a kind about a step. A slow reader costs lines, never time: the ring
 // drops what does not fit.
 func (o *Owner) logDecisions(ctx context.Context) error {
+	ticker := time.NewTicker(startsEvery)
+	defer ticker.Stop()
+	s := &starts{told: make(map[stepKey]bool)}
 	for {
 		select {
 		case <-ctx.Done():
-			o.logGroups(ctx, o.moreDecisions(nil))
+			o.logGroups(ctx, append(s.flush(), o.moreDecisions(nil)...))
 			return nil
 		case first := <-o.decisions.Items():
 			sleep(ctx, decisionGather)
-			o.logGroups(ctx, o.moreDecisions(first))
+			o.logGroups(ctx, s.sift(o.moreDecisions(first)))
+		case <-ticker.C:
+			o.logGroups(ctx, s.flush())
 		}
 	}
 }
 
+// starts holds back the later starts of steps, so that a step whose tasks start one by one is few lines. It is for one
+// goroutine.
+type starts struct {
+	// told are the steps with a line since the last flush.
+	told  map[stepKey]bool
+	later []heldStart
+}
+
+// heldStart is a start that was held back since a time.
+type heldStart struct {
+	scheduler.Decision
+	since time.Time
+}
+
+// now is the start with its age, so that its line tells when it was ordered.
+func (h *heldStart) now() scheduler.Decision {
+	h.Age = max(time.Since(h.since), time.Millisecond)
+	return h.Decision
+}
+
+type stepKey struct {
+	job              string
+	occurrence, step int
+}
+
+func keyOf(t *scheduler.TaskID) stepKey {
+	return stepKey{job: t.Job, occurrence: t.Occurrence, step: t.Step}
+}
+
+// sift returns what is written now. Single successes are not: the step's end tells them.
+func (s *starts) sift(all []scheduler.Decision) []scheduler.Decision {
+	now := make([]scheduler.Decision, 0, len(all)+len(s.later))
+	fresh := make(map[stepKey]bool)
+	for i := range all {
+		d := &all[i]
+		key := keyOf(&d.Task)
+		switch {
+		case d.Kind == scheduler.DecisionEnded && d.Reason == scheduler.EndSucceeded.String():
+			continue
+		case d.Kind == decisionStart && s.told[key] && len(s.later) < laterStarts:
+			s.later = append(s.later, heldStart{Decision: *d, since: time.Now()})
+			continue
+		case d.Kind == decisionStart:
+			fresh[key] = true
+		default:
+			now = s.release(now, d.Task.Job)
+		}
+		now = append(now, *d)
+	}
+	maps.Copy(s.told, fresh)
+	return now
+}
+
+// release adds the starts of a job that were held back: what is told of it next follows from them.
+func (s *starts) release(now []scheduler.Decision, job string) []scheduler.Decision {
+	if job == "" || len(s.later) == 0 {
+		return now
+	}
+	kept := s.later[:0]
+	for _, h := range s.later {
+		if h.Task.Job == job {
+			now = append(now, h.now())
+			continue
+		}
+		kept = append(kept, h)
+	}
+	s.later = kept
+	return now
+}
+
+// flush returns what was held back.
+func (s *starts) flush() []scheduler.Decision {
+	out := make([]scheduler.Decision, 0, len(s.later))
+	for i := range s.later {
+		out = append(out, s.later[i].now())
+	}
+	s.later = nil
+	clear(s.told)
+	return out
+}
+
 // moreDecisions adds what waits already.
 func (o *Owner) moreDecisions(all []scheduler.Decision) []scheduler.Decision {
 	for len(all) < decisionBatch {
@@ -95,15 +186,19 @@
 	}
 }
 
+// decisionStart is the scheduler's kind of a start.
+const decisionStart = "start"
+
 // decisionEvents are the events by kind of decision; others are events.SchedulerNote.
 var decisionEvents = map[string]events.Event{
-	"start":                     events.TasksStarted,
+	decisionStart:               events.TasksStarted,
 	"stop":                      events.TasksStopped,
 	"lost":                      events.TasksLost,
 	"never began":               events.TasksRefused,
 	"refused":                   events.TasksRefused,
 	"suspect":                   events.WorkerSuspect,
 	scheduler.DecisionEnded:     events.TasksEnded,
+	scheduler.DecisionStepDone:  events.StepDone,
 	scheduler.DecisionAttempt:   events.AttemptFailed,
 	scheduler.DecisionBegun:     events.JobBegun,
 	scheduler.DecisionCompleted: events.JobCompleted,
@@ -125,6 +220,10 @@
 	if !ok {
 		attrs = append(attrs, slog.String("kind", g.kind))
 	}
+	if first.Count > 0 {
+		attrs = append(attrs,
+			slog.String("step", strconv.Itoa(g.occurrence)+"."+strconv.Itoa(g.step)), slog.Int("count", first.Count))
+	}
 	if first.Run != 0 {
 		attrs = append(attrs,
 			slog.String("step", strconv.Itoa(g.occurrence)+"."+strconv.Itoa(g.step)),
--- a/scheduler/decision.go
+++ b/scheduler/decision.go
@@ -12,6 +12,8 @@
 	Reason string
 	// Attempt counts the failed runs of the task, of Attempts that its queue allows. Both are 0 for other kinds.
 	Attempt, Attempts int
+	// Count is the number of tasks of a step that is done.
+	Count int
 	// Age is the time since the job was accepted, for what happens to a job as a whole.
 	Age time.Duration
 }
@@ -23,6 +25,7 @@
 	DecisionFailed    = "failed"
 	DecisionCancelled = "cancelled"
 	DecisionEnded     = "ended"
+	DecisionStepDone  = "step done"
 	DecisionAttempt   = "attempt failed"
 )
 
@@ -38,6 +41,18 @@
 	return names[e]
 }
 
+// decideStepDone notes that all tasks of a step have succeeded.
+func (p *Pool) decideStepDone(now time.Time, s *step) {
+	if p.restoring {
+		return
+	}
+	j := s.occ.job
+	p.out.Decisions = append(p.out.Decisions, Decision{
+		Kind: DecisionStepDone, Count: len(s.tasks), Age: now.Sub(j.accepted),
+		Task: TaskID{Job: j.id, Occurrence: s.occ.number, Step: s.number},
+	})
+}
+
 // decideAttempt notes a failed run that counts.
 func (p *Pool) decideAttempt(r *run, attempt, attempts int) {
 	p.decide(DecisionAttempt, r, "")
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -31,7 +31,9 @@
 	counter int64
 	// counterMark tells reports apart.
 	counterMark int64
-	fenced      bool
+	// restoring is set while what an earlier owner recorded is taken over: it is not decided anew.
+	restoring bool
+	fenced    bool
 
 	takeover takeover
 	// earlyCancels are cancellations of jobs that are not known yet; forgotten keeps a job from being taken twice.
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -130,7 +130,9 @@
 		t.failedRuns = slices.Clone(sp.GetFailedRuns()[index].GetRuns())
 		t.checkpoint = sp.GetCheckpoints()[index]
 		if i/8 < len(bits) && bits[i/8]&(1<<(i%8)) != 0 {
+			p.restoring = true
 			p.succeed(now, t)
+			p.restoring = false
 		}
 	}
 }
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -184,6 +184,7 @@
 	p.stopTask(now, t, "done elsewhere")
 	s.done++
 	if s.done == len(s.tasks) {
+		p.decideStepDone(now, s)
 		p.finishStep(now, s)
 	}
 }
