poolowner: hold workers at once after lost answers; a takeover waits for one lease

Cause: Actions.Poll was not carried out, so a start without an answer was resolved by the next long poll only (up to 1 s); a new owner waited the longest possible lease (10.8 s) for a silent worker, though all owners grant 6 s. Change: one extra hold for each asked worker; the wait is one lease and its drift.

--- a/internal/poolowner/hold.go
+++ b/internal/poolowner/hold.go
@@ -80,6 +80,28 @@
 	h.owner.orders.forget(old.worker.Address)
 }
 
+// poll holds workers once more beside their long polls, so that starts without an answer are resolved early.
+func (h *holders) poll(ctx context.Context, ids []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, id := range ids {
+		if known := h.running[id]; known != nil {
+			h.group.Go(func() { h.owner.pollWorker(ctx, known.worker) })
+		}
+	}
+}
+
+func (o *Owner) pollWorker(ctx context.Context, w scheduler.Worker) {
+	report, err := o.holdOnce(ctx, w, 0)
+	if err != nil {
+		return
+	}
+	if report.Fenced {
+		o.Replaced()
+	}
+	o.put(ctx, func(p *scheduler.Pool, now time.Time) { p.Report(now, report) })
+}
+
 // holdWorker renews the lease of one worker until ctx ends.
 func (o *Owner) holdWorker(ctx context.Context, w scheduler.Worker) {
 	first := true
@@ -121,7 +143,7 @@
 	if refusals == refusalsGone {
 		events.Log(ctx, o.Log, events.WorkerEnded, slog.String("worker", w.ID), slog.String("pool", o.Pool),
 			slog.Uint64("fence", o.Config.Fence), slog.String("reason", "its address refuses connections"))
-		gone := scheduler.Report{Worker: w.ID, Sent: sent, Received: o.Clock(), Gone: true}
+		gone := scheduler.Report{Worker: w.ID, Born: w.Born, Sent: sent, Received: o.Clock(), Gone: true}
 		o.put(ctx, func(p *scheduler.Pool, now time.Time) { p.Report(now, gone) })
 	}
 	return refusals
--- a/internal/poolowner/loop.go
+++ b/internal/poolowner/loop.go
@@ -52,6 +52,7 @@
 		o.decisions.Offer(actions.Decisions)
 	}
 	o.orders.send(ctx, actions.Orders)
+	o.holders.poll(ctx, actions.Poll)
 	o.records.add(actions.Records)
 	for _, r := range actions.Advice {
 		if !o.advice.Offer(r) {
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -153,7 +153,7 @@
 		return
 	}
 	const drift = 1.03
-	limit := t.at.Add(time.Duration(float64(p.cfg.MaxLease)*drift) + takeoverMargin)
+	limit := t.at.Add(time.Duration(float64(p.cfg.Lease)*drift) + takeoverMargin)
 	if now.Before(limit) && (!t.registry || len(t.waiting) > 0) {
 		p.wake(limit)
 		return
