Let hosts with more processor own more pools

Ruled out: the scheduler's Step (1.7 µs). Change: members tell their processor; a free pool goes to the host that would own fewest for its processor. Test: TestLargerHostsOwnMore.

--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -30,6 +30,8 @@
 )
 
 const (
+	// milliPerCore converts cores into the unit of schedules.
+	milliPerCore = 1000
 	// contentType is that of the answers with a body.
 	contentType = "application/json"
 	// readHeaderTimeout bounds the header of a peer's or prober's request.
@@ -113,6 +115,7 @@
 		Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid()),
 		PeerAddress: host.GetPeerAddress(),
 		DataCentre:  host.GetDataCentre(),
+		CPUMilli:    int64(host.GetCores() * milliPerCore),
 	}
 }
 
--- a/internal/membership/keep.go
+++ b/internal/membership/keep.go
@@ -147,7 +147,7 @@
 func (m *Manager) register(ctx context.Context, lease uint64, leaving bool) error {
 	data, err := proto.Marshal(&pb.JobMember{
 		Name: m.self.Name, Incarnation: m.self.Incarnation, PeerAddress: m.self.PeerAddress,
-		DataCentre: m.self.DataCentre, Leaving: leaving,
+		DataCentre: m.self.DataCentre, Leaving: leaving, CpuMilli: m.self.CPUMilli,
 	})
 	if err != nil {
 		return err
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -36,6 +36,8 @@
 	Incarnation string
 	PeerAddress string
 	DataCentre  string
+	// CPUMilli is the processor that the process may use, in thousandths of a core; 0 if not known.
+	CPUMilli int64
 }
 
 // Events tells when a pool is gained and lost. They are called from one goroutine and must not block.
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -224,7 +224,7 @@
 	for _, m := range v.live() {
 		if !gone[m.GetIncarnation()] {
 			members = append(members, ownership.Member{
-				Name: m.GetName(), Incarnation: m.GetIncarnation(), Leaving: m.GetLeaving(),
+				Name: m.GetName(), Incarnation: m.GetIncarnation(), Leaving: m.GetLeaving(), CPUMilli: m.GetCpuMilli(),
 			})
 		}
 	}
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -1,7 +1,7 @@
 // Package ownership decides which entry host takes a pool that nobody owns, and whether an owner may still act.
 //
 // Every host computes the same from the same View: a free pool goes to its last holder if that still runs, else to the
-// host that owns fewest pools, with rendezvous hashing among equals. Hosts that come later in a pool's ranking wait
+// host that owns fewest pools for its processor, with rendezvous hashing among equals. Hosts that come later in a pool's ranking wait
 // longer, so that one which is alive but cannot act does not leave the pool free. Safety does not rest on any of this:
 // the store lets one host take the key, and the revision of that write is the fence.
 package ownership
@@ -22,6 +22,8 @@
 	Incarnation string
 	// Leaving members take nothing.
 	Leaving bool
+	// CPUMilli is the processor it may use, in thousandths of a core; 0 if not known.
+	CPUMilli int64
 }
 
 // Pool is a pool that is to be owned.
@@ -80,12 +82,17 @@
 	return turns
 }
 
-// Ranking orders the names of members by their claim on the pool: its last holder first, then those that own fewest.
+// usualCPU stands for a processor that is not known, in thousandths of a core.
+const usualCPU = 1000
+
+// Ranking orders the names of members by their claim on the pool: its last holder first, then those that would own fewest
+// for their processor.
 func Ranking(p Pool, members []Member, owned map[string]int) []string {
 	type claim struct {
-		name   string
-		held   bool
-		owned  int
+		name string
+		held bool
+		// load is the pools that it would own for each core.
+		load   float64
 		weight uint64
 	}
 	poolHash := rendezvous.Hash(p.Name)
@@ -93,7 +100,7 @@
 		return claim{
 			name:   m.Name,
 			held:   p.lastHeldBy(m),
-			owned:  owned[m.Name],
+			load:   float64(owned[m.Name]+1) / float64(lo.Ternary(m.CPUMilli > 0, m.CPUMilli, usualCPU)),
 			weight: rendezvous.Weight(poolHash, m.Name),
 		}
 	})
@@ -101,7 +108,7 @@
 		if a.held != b.held {
 			return lo.Ternary(a.held, -1, 1)
 		}
-		return cmp.Or(cmp.Compare(a.owned, b.owned), cmp.Compare(b.weight, a.weight), cmp.Compare(a.name, b.name))
+		return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(b.weight, a.weight), cmp.Compare(a.name, b.name))
 	})
 	return lo.Map(claims, func(c claim, _ int) string { return c.name })
 }
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -163,3 +163,19 @@
 		assert.Assert(t, !turn.At.Before(settled), "%s", turn.Pool)
 	}
 }
+
+// TestLargerHostsOwnMore: with pools for half of the hosts, the larger half owns them.
+func TestLargerHostsOwnMore(t *testing.T) {
+	var v ownership.View
+	for i := range 8 {
+		v.Members = append(v.Members, ownership.Member{Name: fmt.Sprintf("host-%d", i), CPUMilli: int64(200 + 600*(i%2))})
+	}
+	owned := map[string]int{}
+	for i := range 8 {
+		first := ownership.Ranking(ownership.Pool{Name: fmt.Sprintf("pool-%d", i)}, v.Members, owned)[0]
+		owned[first]++
+	}
+	for _, m := range v.Members {
+		assert.Equal(t, owned[m.Name], int(m.CPUMilli/400), m.Name)
+	}
+}
