--- a/internal/entryhost/provide.go
+++ b/internal/entryhost/provide.go
@@ -28,10 +28,8 @@
 	"github.com/agateturn/agateturn/upstream"
 )
 
-const (
-	// workerDialTimeout bounds the wait for a connection to a worker.
-	workerDialTimeout = 2 * time.Second
-)
+// workerDialTimeout bounds the wait for a connection to a worker.
+const workerDialTimeout = 2 * time.Second
 
 // provide declares how each part is made; do makes each once, when it is first needed.
 func provide(i do.Injector) {
