--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -32,7 +32,9 @@
 	counter int64
 	// counterMark tells reports apart.
 	counterMark int64
-	fenced      bool
+	// restoring is set while what an earlier owner recorded is taken over: it is not decided anew.
+	restoring bool
+	fenced    bool
 
 	takeover takeover
 	// earlyCancels are cancellations of jobs that are not known yet; forgotten keeps a job from being taken twice.
@@ -127,8 +129,9 @@
 // Step returns what follows from the inputs since the last call.
 func (p *Pool) Step(now time.Time) Actions {
 	if p.fenced {
+		decided := p.out.Decisions
 		p.out = Actions{}
-		return Actions{Fenced: true}
+		return Actions{Fenced: true, Decisions: decided}
 	}
 	p.checkWorkers(now)
 	p.openOccurrences(now)
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -10,11 +10,15 @@
 // takeoverMargin is added to the longest lease, with its drift, before workers that stay silent are given up.
 const takeoverMargin = 500 * time.Millisecond
 
+// settleMargin is the time until the end of a stopped run is listed here.
+const settleMargin = 500 * time.Millisecond
+
 // takeover follows which workers may still run tasks of an owner of before.
 type takeover struct {
 	started  bool
 	done     bool
 	at       time.Time
+	doneAt   time.Time
 	registry bool
 	waiting  map[string]bool
 }
@@ -34,6 +38,11 @@
 	return j.loaded && t.started && !t.done
 }
 
+// settled tells whether stops that an owner of before has ordered must have shown. Budgets are not spent before.
+func (t *takeover) settled(now time.Time, stopTime time.Duration) bool {
+	return !t.started || (t.done && now.Sub(t.doneAt) > stopTime+settleMargin)
+}
+
 // Load takes what the owners of before have left. It comes once, before anything else.
 func (p *Pool) Load(now time.Time, jobs []*pb.JobRecord, progress []*pb.JobProgress, cancelled []string) {
 	p.takeover = takeover{started: true, at: now, waiting: map[string]bool{}}
@@ -130,7 +139,9 @@
 		t.failedRuns = slices.Clone(sp.GetFailedRuns()[index].GetRuns())
 		t.checkpoint = sp.GetCheckpoints()[index]
 		if i/8 < len(bits) && bits[i/8]&(1<<(i%8)) != 0 {
+			p.restoring = true
 			p.succeed(now, t)
+			p.restoring = false
 		}
 	}
 }
@@ -142,12 +153,13 @@
 		return
 	}
 	const drift = 1.03
-	limit := t.at.Add(time.Duration(float64(p.cfg.MaxLease)*drift) + takeoverMargin)
+	limit := t.at.Add(time.Duration(float64(p.cfg.Lease)*drift) + takeoverMargin)
 	if now.Before(limit) && (!t.registry || len(t.waiting) > 0) {
 		p.wake(limit)
 		return
 	}
 	t.done = true
+	t.doneAt = now
 	t.waiting = nil
 	p.place = true
 }
--- a/scripts/demo-jobs.sh
+++ b/scripts/demo-jobs.sh
@@ -84,7 +84,7 @@
 
 start platform "$bin/agateturn-standin" jobs --listen "$platform" --network "$net" --entries "$(addresses 7000)" \
   --ready "$(addresses 7003)" --duration "${DURATION:-20s}" --rate "${RATE:-5}" --seed "${SEED:-1}" --crash \
-  --silence "${SILENCE:-2s}" --lose-every "${LOSE_EVERY:-50}"
+  --silence "${SILENCE:-2s}" --lose-every "${LOSE_EVERY:-50}" --late-every "${LATE_EVERY:-0}"
 sleep 0.3
 for n in 1 2 3; do start_entry "$n"; done
 await_load
@@ -95,9 +95,9 @@
 echo "entry-2 is started again"
 start_entry 2
 sleep 1
-show 1 jobs list --limit 8
-job=$(ctl 1 jobs list --state running --limit 1 | awk 'NR == 2 { print $1 }') || true
-[ -z "$job" ] || show 3 jobs show "$job"
+show 1 jobs list --limit 3
+job=$(ctl 1 jobs list --state running --limit 20 | awk 'NR > 1 { id = $1 } END { print id }') || true
+[ -z "$job" ] || { show 3 jobs show "$job"; show 3 jobs explain "$job"; }
 
 echo "waiting for the callers"
 wait "${pids[platform]}" && status=0 || status=$?
--- a/standin/jobscenario/scenario.go
+++ b/standin/jobscenario/scenario.go
@@ -37,6 +37,8 @@
 	Silence time.Duration
 	// LoseEvery loses one answer in so many.
 	LoseEvery int
+	// DelayEvery lets workers carry out one order in so many 2 s late and without an answer.
+	DelayEvery int
 }
 
 // Result is the comparison.
@@ -52,6 +54,7 @@
 	workerPort   = 9100
 	startLimit   = 30 * time.Second
 	drainLimit   = 40 * time.Second
+	noteLimit    = 5 * time.Second
 	readyTick    = 200 * time.Millisecond
 	readyTimeout = time.Second
 	waveNumber   = 1
@@ -102,6 +105,7 @@
 	}
 	say(o, "load begins")
 	p.LoseAnswers(o.Faults.LoseEvery)
+	p.DelayOrders(o.Faults.DelayEvery)
 	wave := p.Machines()
 	events := make(chan error, 1)
 	go func() { events <- playEvents(ctx, o, p, wave) }()
@@ -113,6 +117,9 @@
 		return result, err
 	}
 	result.WaveDone = awaitWave(ctx, p)
+	if !awaitNoted(ctx, p) {
+		p.History().Broken("%d ends were not taken note of in %v", p.EndsLeft(), noteLimit)
+	}
 	result.Workers, result.Broken = p.History().Verdict()
 	return result, nil
 }
@@ -151,6 +158,18 @@
 	return true
 }
 
+// awaitNoted waits until all ends that workers list were taken note of.
+func awaitNoted(ctx context.Context, p *jobplatform.Platform) bool {
+	ctx, cancel := context.WithTimeout(ctx, noteLimit)
+	defer cancel()
+	for p.EndsLeft() > 0 {
+		if !sleep(ctx, readyTick) {
+			return false
+		}
+	}
+	return true
+}
+
 func awaitReady(ctx context.Context, addresses []string) error {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
@@ -207,7 +226,9 @@
 	b.WriteString("--- told to callers\n" + r.Callers.String() + "--- seen by workers and machines\n")
 	w := r.Workers
 	row("runs started", "%d", w.Starts)
-	row("runs ended", "%d succeeded, %d failed, %d stopped, %d lapsed, %d with their worker", w.Done, w.Failed, w.Stopped, w.Lapsed, w.Gone)
+	row("runs ended", "%d succeeded, %d failed, %d stopped, %d lapsed", w.Done, w.Failed, w.Stopped, w.Lapsed)
+	row("", "%d with their worker, %d of gangs that broke", w.Gone, w.Apart)
+	row("runs resumed from checkpoints", "%d", w.Resumed)
 	row("upkeeps begun, machines moved", "%d of %d, %d", w.Upkeeps, r.WaveLength, w.Moves)
 	row("wave completed", "%v", r.WaveDone)
 	row("promises broken", "%d", w.Broken)
