--- a/events/events.go
+++ b/events/events.go
@@ -46,19 +46,23 @@
 // Log is Emit with attributes alone. It costs less: there is no place in the source in the line, and a line that a Gate
 // leaves out is not made.
 func Log(ctx context.Context, logger *slog.Logger, event Event, attrs ...slog.Attr) {
+	LogAt(ctx, logger, time.Now(), event, attrs...)
+}
+
+// LogAt is Log for what happened at a time a little before.
+func LogAt(ctx context.Context, logger *slog.Logger, at time.Time, event Event, attrs ...slog.Attr) {
 	handler := logger.Handler()
 	if !handler.Enabled(ctx, event.Level) {
 		return
 	}
-	now := time.Now()
 	handle := handler.Handle
 	if gate, ok := handler.(Gate); ok {
-		if !gate.Admit(event.Number, now) {
+		if !gate.Admit(event.Number, at) {
 			return
 		}
 		handle = gate.HandleAdmitted
 	}
-	r := slog.NewRecord(now, event.Level, event.Message, 0)
+	r := slog.NewRecord(at, event.Level, event.Message, 0)
 	r.AddAttrs(slog.Int("event", event.Number), slog.String("name", event.Name))
 	r.AddAttrs(attrs...)
 	if event.Remedy != "" {
--- a/internal/jobfront/decisions.go
+++ b/internal/jobfront/decisions.go
@@ -44,6 +44,8 @@
 	asked  int
 	err    string
 	byPeer bool
+	// at is when the write was decided, before the owner was told; zero if it was not.
+	at time.Time
 }
 
 type traceKey struct{}
@@ -69,6 +71,21 @@
 	change(t)
 }
 
+// decided notes the time, so that the line comes before what the owner makes of the write.
+func (t *writeTrace) decided() {
+	t.update(func(t *writeTrace) { t.at = time.Now() })
+}
+
+// time is when the write was decided, or now.
+func (t *writeTrace) time() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.at.IsZero() {
+		return time.Now()
+	}
+	return t.at
+}
+
 // attrs are the inputs that decided the write.
 func (t *writeTrace) attrs() []slog.Attr {
 	t.mu.Lock()
@@ -130,7 +147,7 @@
 	if q.queue != nil && r.Method != http.MethodGet {
 		attrs = append(attrs, trace.attrs()...)
 	}
-	events.Log(ctx, f.options.Log, event, attrs...)
+	events.LogAt(ctx, f.options.Log, trace.time(), event, attrs...)
 }
 
 // eventOf is the event of an answer, if there is one.
--- a/internal/jobfront/jobs.go
+++ b/internal/jobfront/jobs.go
@@ -26,6 +26,7 @@
 	}
 	result := f.store(ctx, &pb.StoreJobRequest{Job: job})
 	if result == pb.StoreResult_STORE_RESULT_STORED {
+		traceOf(ctx).decided()
 		f.offers.job(job)
 	}
 	return storeReply(result)
@@ -39,6 +40,7 @@
 func (f *Front) storeCancel(ctx context.Context, pool, id string) pb.StoreResult {
 	result := f.store(ctx, &pb.StoreJobRequest{CancelPool: pool, CancelId: id})
 	if result == pb.StoreResult_STORE_RESULT_STORED {
+		traceOf(ctx).decided()
 		f.offers.cancelled(pool, id)
 	}
 	return result
--- a/internal/logpipe/limit.go
+++ b/internal/logpipe/limit.go
@@ -54,7 +54,9 @@
 		l.buckets[number] = b
 	}
 	b.tokens = min(burst, b.tokens+max(0, now.Sub(b.filled).Seconds())*linesPerSecond)
-	b.filled = now
+	if now.After(b.filled) {
+		b.filled = now
+	}
 	if b.tokens < 1 {
 		b.leftOut++
 		return false
--- a/internal/poolowner/decisions.go
+++ b/internal/poolowner/decisions.go
@@ -64,19 +64,22 @@
 type starts struct {
 	// told are the steps with a line since the last flush.
 	told  map[stepKey]bool
-	later []heldStart
+	later []decision
 }
 
-// heldStart is a start that was held back since a time.
-type heldStart struct {
+// decision is a decision with the time of its step.
+type decision struct {
 	scheduler.Decision
-	since time.Time
+	at time.Time
 }
 
-// now is the start with its age, so that its line tells when it was ordered.
-func (h *heldStart) now() scheduler.Decision {
-	h.Age = max(time.Since(h.since), time.Millisecond)
-	return h.Decision
+// withTime gives all decisions the time of their step.
+func withTime(all []scheduler.Decision, at time.Time) []decision {
+	out := make([]decision, len(all))
+	for i := range all {
+		out[i] = decision{Decision: all[i], at: at}
+	}
+	return out
 }
 
 type stepKey struct {
@@ -89,8 +92,8 @@
 }
 
 // sift returns what is written now. Single successes are not: the step's end tells them.
-func (s *starts) sift(all []scheduler.Decision) []scheduler.Decision {
-	now := make([]scheduler.Decision, 0, len(all)+len(s.later))
+func (s *starts) sift(all []decision) []decision {
+	now := make([]decision, 0, len(all)+len(s.later))
 	fresh := make(map[stepKey]bool)
 	for i := range all {
 		d := &all[i]
@@ -99,7 +102,7 @@
 		case d.Kind == scheduler.DecisionEnded && d.Reason == scheduler.EndSucceeded.String():
 			continue
 		case d.Kind == decisionStart && s.told[key] && len(s.later) < laterStarts:
-			s.later = append(s.later, heldStart{Decision: *d, since: time.Now()})
+			s.later = append(s.later, *d)
 			continue
 		case d.Kind == decisionStart:
 			fresh[key] = true
@@ -113,14 +116,14 @@
 }
 
 // release adds the starts of a job that were held back: what is told of it next follows from them.
-func (s *starts) release(now []scheduler.Decision, job string) []scheduler.Decision {
+func (s *starts) release(now []decision, job string) []decision {
 	if job == "" || len(s.later) == 0 {
 		return now
 	}
 	kept := s.later[:0]
 	for _, h := range s.later {
 		if h.Task.Job == job {
-			now = append(now, h.now())
+			now = append(now, h)
 			continue
 		}
 		kept = append(kept, h)
@@ -130,18 +133,15 @@
 }
 
 // flush returns what was held back.
-func (s *starts) flush() []scheduler.Decision {
-	out := make([]scheduler.Decision, 0, len(s.later))
-	for i := range s.later {
-		out = append(out, s.later[i].now())
-	}
+func (s *starts) flush() []decision {
+	out := s.later
 	s.later = nil
 	clear(s.told)
 	return out
 }
 
 // moreDecisions adds what waits already.
-func (o *Owner) moreDecisions(all []scheduler.Decision) []scheduler.Decision {
+func (o *Owner) moreDecisions(all []decision) []decision {
 	for len(all) < decisionBatch {
 		select {
 		case next := <-o.decisions.Items():
@@ -153,12 +153,12 @@
 	return all
 }
 
-func (o *Owner) logGroups(ctx context.Context, all []scheduler.Decision) {
-	groups := make(map[decisionGroup][]scheduler.Decision)
+func (o *Owner) logGroups(ctx context.Context, all []decision) {
+	groups := make(map[decisionGroup][]decision)
 	var order []decisionGroup
 	for _, d := range all {
-		o.measure(d)
-		g := groupOf(d)
+		o.measure(&d.Decision)
+		g := groupOf(&d.Decision)
 		if len(groups[g]) == 0 {
 			order = append(order, g)
 		}
@@ -169,7 +169,7 @@
 	}
 }
 
-func groupOf(d scheduler.Decision) decisionGroup {
+func groupOf(d *scheduler.Decision) decisionGroup {
 	g := decisionGroup{
 		kind: d.Kind, job: d.Task.Job, occurrence: d.Task.Occurrence, step: d.Task.Step, reason: d.Reason,
 	}
@@ -180,7 +180,7 @@
 	return g
 }
 
-func (o *Owner) measure(d scheduler.Decision) {
+func (o *Owner) measure(d *scheduler.Decision) {
 	if d.Kind == scheduler.DecisionBegun {
 		o.Metrics.begun(d.Age)
 	}
@@ -206,7 +206,7 @@
 	scheduler.DecisionCancelled: events.JobCancelled,
 }
 
-func (o *Owner) logGroup(ctx context.Context, g decisionGroup, all []scheduler.Decision) {
+func (o *Owner) logGroup(ctx context.Context, g decisionGroup, all []decision) {
 	event, ok := decisionEvents[g.kind]
 	if !ok {
 		event = events.SchedulerNote
@@ -246,10 +246,10 @@
 	if first.Age > 0 {
 		attrs = append(attrs, slog.Int64("age_ms", first.Age.Milliseconds()))
 	}
-	events.Log(ctx, o.Log, event, attrs...)
+	events.LogAt(ctx, o.Log, first.at, event, attrs...)
 }
 
-func taskIndexes(all []scheduler.Decision) string {
+func taskIndexes(all []decision) string {
 	var b strings.Builder
 	for i := range min(len(all), namedTasks) {
 		if i > 0 {
@@ -261,7 +261,7 @@
 }
 
 // workersOf names the distinct workers in the order in which they come.
-func workersOf(all []scheduler.Decision) string {
+func workersOf(all []decision) string {
 	var names []string
 	more := 0
 	for i := range all {
--- a/internal/poolowner/loop.go
+++ b/internal/poolowner/loop.go
@@ -49,7 +49,7 @@
 	}
 	actions := p.Step(now)
 	if len(actions.Decisions) > 0 {
-		o.decisions.Offer(actions.Decisions)
+		o.decisions.Offer(withTime(actions.Decisions, time.Now()))
 	}
 	o.orders.send(ctx, actions.Orders)
 	o.records.add(actions.Records)
--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -80,7 +80,7 @@
 type Owner struct {
 	Options
 	inputs    *ring.Ring[input]
-	decisions *ring.Ring[[]scheduler.Decision]
+	decisions *ring.Ring[[]decision]
 	orders    *senders
 	records   *recorder
 	advice    *ring.Ring[scheduler.AdviceRequest]
@@ -101,7 +101,7 @@
 	own := &Owner{
 		Options:   o,
 		inputs:    ring.New[input]("pool_inputs", inputRing),
-		decisions: ring.New[[]scheduler.Decision]("pool_decisions", decisionRing),
+		decisions: ring.New[[]decision]("pool_decisions", decisionRing),
 		advice:    ring.New[scheduler.AdviceRequest]("pool_advice", adviceRing),
 		forget:    ring.New[string]("pool_forget", forgetRing),
 		loaded:    make(chan struct{}),
