--- a/internal/jobhost/failures_test.go
+++ b/internal/jobhost/failures_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -151,7 +152,8 @@
 }
 
 // followPage checks that the page's time line of that heading is what the tool shows: the same events with the same
-// fields in the same order, where the page may leave lines out.
+// fields in the same order, where the page may leave lines out. Events of duties that run beside the owner's decisions,
+// which are the answer to the caller and the wait for the store, may stand anywhere.
 func followPage(t *testing.T, heading, shown string) {
 	t.Helper()
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
@@ -170,6 +172,13 @@
 			continue
 		}
 		steps++
+		if strings.HasPrefix(want, "907 ") || strings.HasPrefix(want, "918 ") {
+			assert.Assert(t, slices.ContainsFunc(strings.Split(shown, "\n"), func(line string) bool {
+				got, _ := shapeOf(line)
+				return got == want
+			}), "the page's %q is not in\n%s", want, shown)
+			continue
+		}
 		at := 0
 		for at < len(rest) {
 			if got, _ := shapeOf(rest[at]); got == want {
