--- a/internal/membership/consent.go
+++ b/internal/membership/consent.go
@@ -89,7 +89,9 @@
 		return !p.GetLeaving() && p.GetName() != m.self.Name
 	})
 	byName := lo.KeyBy(able, (*pb.JobMember).GetName)
-	members := lo.Map(able, func(p *pb.JobMember, _ int) ownership.Member { return ownership.Member{Name: p.GetName(), CPUMilli: p.GetCpuMilli()} })
+	members := lo.Map(able, func(p *pb.JobMember, _ int) ownership.Member {
+		return ownership.Member{Name: p.GetName(), CPUMilli: p.GetCpuMilli()}
+	})
 	ranking := ownership.Ranking(ownership.Pool{Name: pool}, members, owned)
 	return lo.Map(ranking, func(name string, _ int) *pb.JobMember { return byName[name] })
 }
