Stand-in workers: a request ends before the write that completes its answer

Ruled out: slots used twice (the new test has one sender and no slots at all). Test: TestNextRequestAfterAnswerIsNotConcurrent, first failed with 2 at once.

--- a/standin/workers/answer.go
+++ b/standin/workers/answer.go
@@ -71,6 +71,9 @@
 	faults  Faults
 	lastID  string
 	worker  string
+	// free is called immediately before the write that completes the answer: the other side may send its next request
+	// as soon as it has read that.
+	free func()
 }
 
 // answer writes the answer; an error ends the connection.
@@ -124,6 +127,7 @@
 	if ex.faults.Twice {
 		whole = append(whole, whole...)
 	}
+	ex.free()
 	if _, err := ex.conn.Write(whole); err != nil {
 		return err
 	}
@@ -172,6 +176,7 @@
 			return err
 		}
 	}
+	ex.free()
 	if err := chunks.Close(); err != nil {
 		return err
 	}
--- a/standin/workers/records.go
+++ b/standin/workers/records.go
@@ -23,6 +23,8 @@
 	Complete bool `json:"complete"`
 	// Cut is true if a reboot ended the request.
 	Cut bool `json:"cut"`
+	// freed is true once the request does not count as running.
+	freed bool
 }
 
 // Counts sums the records up.
@@ -83,12 +85,26 @@
 func (r *records) end(record *Record, complete, cut bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.running[record.Host]--
+	r.release(record)
 	record.End = time.Now()
 	record.Complete = complete
 	record.Cut = cut
 }
 
+// free says that the request takes no slot any more.
+func (r *records) free(record *Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.release(record)
+}
+
+func (r *records) release(record *Record) {
+	if !record.freed {
+		record.freed = true
+		r.running[record.Host]--
+	}
+}
+
 // list returns copies of the records in the order in which they began.
 func (r *records) list() []Record {
 	r.mu.Lock()
--- a/standin/workers/worker.go
+++ b/standin/workers/worker.go
@@ -185,6 +185,7 @@
 	})
 	err := w.runRecorded(alive, &exchange{
 		conn: conn, reader: reader, request: request, faults: faults, lastID: lastID, worker: w.name,
+		free: func() { w.records.free(record) },
 	}, record)
 	w.records.end(record, err == nil, alive.Err() != nil)
 	if err == nil && request.Close {
--- a/standin/workers/workers_test.go
+++ b/standin/workers/workers_test.go
@@ -90,6 +90,16 @@
 	assert.Equal(t, fleet.Counts().MaxConcurrent["w1"], 2)
 }
 
+// TestNextRequestAfterAnswerIsNotConcurrent: whoever has read a whole answer may send the next request at once.
+func TestNextRequestAfterAnswerIsNotConcurrent(t *testing.T) {
+	fleet := start(t, 0)
+	for i := range 2000 {
+		_, _, err := send(t, http.MethodGet, "http://"+fleet.Address("w1")+"/", "", header(fmt.Sprint(i), "p", ""))
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, fleet.Counts().MaxConcurrent["w1"], 1)
+}
+
 // openAndWait begins a request and returns when the worker has that many records.
 func openAndWait(t *testing.T, fleet *workers.Fleet, pool string, records int) {
 	t.Helper()
