fleetowner, poolowner: call wait.For; one way to take a worker's report

Both had written the sleep of package wait again; polls took reports by a copy that skipped the line about a higher fence. Behaviour of sleeps is unchanged.

--- a/internal/fleetowner/limit.go
+++ b/internal/fleetowner/limit.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/agateturn/agateturn/wait"
 )
 
 // burstShare is the share of a second's calls that may be sent at once after a quiet time.
@@ -34,20 +36,5 @@
 	at := l.next
 	l.next = at.Add(l.interval)
 	l.mu.Unlock()
-	return sleep(ctx, at.Sub(now))
-}
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return wait.For(ctx, at.Sub(now))
 }
--- a/internal/fleetowner/list.go
+++ b/internal/fleetowner/list.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/agateturn/agateturn/wait"
 )
 
 const (
@@ -25,7 +27,7 @@
 			return err
 		}
 		for t.listWait(sent) > 0 {
-			if err := sleep(ctx, min(listCheck, t.listWait(sent))); err != nil {
+			if err := wait.For(ctx, min(listCheck, t.listWait(sent))); err != nil {
 				return err
 			}
 		}
--- a/internal/fleetowner/owner.go
+++ b/internal/fleetowner/owner.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/agateturn/agateturn/wait"
+
 	"github.com/agateturn/agateturn/internal/ring"
 	"github.com/agateturn/agateturn/upkeep"
 	"golang.org/x/sync/errgroup"
@@ -53,7 +55,7 @@
 		if fence, ok := o.o.Confirmed(); ok {
 			return fence, nil
 		}
-		if err := sleep(ctx, confirmEvery); err != nil {
+		if err := wait.For(ctx, confirmEvery); err != nil {
 			return 0, err
 		}
 	}
@@ -138,7 +140,7 @@
 			return err
 		}
 		timer.Reset(t.next(time.Now()))
-		if err := sleep(ctx, shortestStep); err != nil {
+		if err := wait.For(ctx, shortestStep); err != nil {
 			return err
 		}
 	}
--- a/internal/fleetowner/waves.go
+++ b/internal/fleetowner/waves.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/agateturn/agateturn/wait"
+
 	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/store"
@@ -186,7 +188,7 @@
 
 func (t *term) tellWaves(ctx context.Context, events []store.Event) error {
 	if len(events) == 0 {
-		return sleep(ctx, watchPause)
+		return wait.For(ctx, watchPause)
 	}
 	return t.tell(ctx, func(now time.Time) {
 		for _, e := range events {
@@ -216,7 +218,7 @@
 // rescanWaves reads the waves anew from time to time.
 func (t *term) rescanWaves(ctx context.Context) error {
 	for {
-		if err := sleep(ctx, rescan); err != nil {
+		if err := wait.For(ctx, rescan); err != nil {
 			return err
 		}
 		t.reread(ctx, 0, true)
--- a/internal/poolowner/advice.go
+++ b/internal/poolowner/advice.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/agateturn/agateturn/wait"
+
 	"github.com/agateturn/agateturn/scheduler"
 )
 
@@ -62,6 +64,6 @@
 		if err == nil {
 			return
 		}
-		sleep(ctx, forgetRetry)
+		_ = wait.For(ctx, forgetRetry)
 	}
 }
--- a/internal/poolowner/decisions.go
+++ b/internal/poolowner/decisions.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/agateturn/agateturn/wait"
+
 	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/scheduler"
 )
@@ -51,7 +53,7 @@
 			o.logGroups(ctx, append(s.flush(), o.moreDecisions(nil)...))
 			return nil
 		case first := <-o.decisions.Items():
-			sleep(ctx, decisionGather)
+			_ = wait.For(ctx, decisionGather)
 			o.logGroups(ctx, s.sift(o.moreDecisions(first)))
 		case <-ticker.C:
 			o.logGroups(ctx, s.flush())
--- a/internal/poolowner/follow.go
+++ b/internal/poolowner/follow.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/agateturn/agateturn/wait"
+
 	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/internal/jobstore"
 	"github.com/agateturn/agateturn/scheduler"
@@ -21,7 +23,7 @@
 		if err != nil && ctx.Err() == nil {
 			o.tellUnread(ctx, "follow", err)
 		}
-		sleep(ctx, loadRetry)
+		_ = wait.For(ctx, loadRetry)
 	}
 	return nil
 }
@@ -33,7 +35,7 @@
 			return asOf, o.start(ctx, snapshot)
 		}
 		o.tellUnread(ctx, "load", err)
-		sleep(ctx, loadRetry)
+		_ = wait.For(ctx, loadRetry)
 	}
 	return 0, false
 }
@@ -86,13 +88,3 @@
 		}
 	}
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/poolowner/hold.go
+++ b/internal/poolowner/hold.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"github.com/agateturn/agateturn/wait"
+
 	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/scheduler"
 )
@@ -96,8 +98,13 @@
 	if err != nil {
 		return
 	}
+	o.takeReport(ctx, w, report)
+}
+
+// takeReport hands a report in and notes that a worker has seen a higher fence.
+func (o *Owner) takeReport(ctx context.Context, w scheduler.Worker, report scheduler.Report) {
 	if report.Fenced {
-		o.Replaced()
+		o.replaced(ctx, w.ID)
 	}
 	o.put(ctx, func(p *scheduler.Pool, now time.Time) { p.Report(now, report) })
 }
@@ -108,26 +115,23 @@
 	refusals := 0
 	heard := newHearing(o, w)
 	for ctx.Err() == nil {
-		wait := holdWait
+		longest := holdWait
 		if first {
-			wait = 0
+			longest = 0
 		}
 		sent := o.Clock()
-		report, err := o.holdOnce(ctx, w, wait)
+		report, err := o.holdOnce(ctx, w, longest)
 		heard.note(ctx, err)
 		if err != nil {
 			refusals = o.noteFailure(ctx, w, sent, refusals, err)
-			sleep(ctx, holdRetry)
+			_ = wait.For(ctx, holdRetry)
 			continue
 		}
 		first = false
 		refusals = 0
-		if report.Fenced {
-			o.replaced(ctx, w.ID)
-		}
-		o.put(ctx, func(p *scheduler.Pool, now time.Time) { p.Report(now, report) })
+		o.takeReport(ctx, w, report)
 		if report.Gone || report.Fenced {
-			sleep(ctx, holdRetry)
+			_ = wait.For(ctx, holdRetry)
 			continue
 		}
 		o.awaitAck(ctx, w.ID, report)
--- a/internal/poolowner/records.go
+++ b/internal/poolowner/records.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/agateturn/agateturn/wait"
+
 	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/jobstore"
@@ -82,7 +84,7 @@
 			return nil
 		case <-r.wake:
 		}
-		sleep(ctx, recordGather)
+		_ = wait.For(ctx, recordGather)
 		for batch := r.take(); len(batch) > 0; batch = r.take() {
 			r.write(ctx, batch)
 			r.pending.Add(-int64(len(batch)))
@@ -110,14 +112,14 @@
 		}
 		if jobstore.Fenced.Has(err) {
 			r.owner.replaced(ctx, "the store")
-			sleep(ctx, recordRetryMax)
+			_ = wait.For(ctx, recordRetryMax)
 			return
 		}
 		if !told && r.owner.Clock().Sub(began) >= recordTell {
 			told = true
 			r.tell(ctx, events.RecordsWait, batch, began, slog.String("err", err.Error()))
 		}
-		sleep(ctx, pause)
+		_ = wait.For(ctx, pause)
 		pause = min(2*pause, recordRetryMax)
 	}
 }
