workerlist, scheduler: an expired entry is no drain

Cause: a worker whose entry was gone from the registry was listed as draining without time left, so its owner stopped all of its persistent tasks at once, whatever their budgets. Entries expire while the worker is alive: the store was silent and let leases lapse, or the worker's reports were lost. Change: such workers are Unlisted: they get nothing new and keep what they run. Nothing else changes: after 3 s they are no longer listed and held. Tests that failed first: TestUnlistedWorkerKeepsItsTasks (two stops at once), TestExpiredEntryIsNotADrain.

--- a/internal/poolowner/changes.go
+++ b/internal/poolowner/changes.go
@@ -61,7 +61,7 @@
 	for _, w := range before {
 		old[w.ID] = w
 	}
-	var added, changed, draining, gone []string
+	var added, changed, draining, unlisted, gone []string
 	for _, w := range now {
 		was, known := old[w.ID]
 		delete(old, w.ID)
@@ -70,6 +70,8 @@
 			added = append(added, w.ID)
 		case w.Draining && !was.Draining:
 			draining = append(draining, w.ID)
+		case w.Unlisted && !was.Unlisted:
+			unlisted = append(unlisted, w.ID)
 		case w.Born != was.Born || w.Address != was.Address:
 			changed = append(changed, w.ID)
 		}
@@ -79,12 +81,12 @@
 			gone = append(gone, w.ID)
 		}
 	}
-	if len(added)+len(changed)+len(draining)+len(gone) == 0 {
+	if len(added)+len(changed)+len(draining)+len(unlisted)+len(gone) == 0 {
 		return
 	}
 	events.Log(ctx, o.Log, events.WorkersChanged, slog.String("pool", o.Pool), slog.Uint64("fence", o.Config.Fence),
 		slog.Int("workers", len(now)), slog.String("added", someOf(added)), slog.String("restarted", someOf(changed)),
-		slog.String("draining", someOf(draining)), slog.String("gone", someOf(gone)))
+		slog.String("draining", someOf(draining)), slog.String("unlisted", someOf(unlisted)), slog.String("gone", someOf(gone)))
 }
 
 // someOf names a few and counts the rest.
--- a/internal/workerlist/list.go
+++ b/internal/workerlist/list.go
@@ -19,8 +19,8 @@
 	watchWait = 5 * time.Second
 	// watchGap is the pause between two watches: workers write often, and each answer is a call.
 	watchGap = 150 * time.Millisecond
-	// removalGrace is how long a worker whose entry is gone is still listed, as draining. Entries that expire while the
-	// store is down come back.
+	// removalGrace is how long a worker whose entry is gone is still listed, as unlisted. Entries that expire while the
+	// store is down, or while the worker does not reach it, come back.
 	removalGrace = 3 * time.Second
 	// refreshInterval is the longest time between two full readings, which bound how long a deaf watch hides a change.
 	refreshInterval = 4 * time.Second
@@ -165,7 +165,7 @@
 		return false
 	}
 	e.gone = now
-	e.worker.Draining = true
+	e.worker.Unlisted = true
 	l.entries[key] = e
 	return true
 }
@@ -205,5 +205,5 @@
 func same(a, b scheduler.Worker) bool {
 	return a.Address == b.Address && a.DataCentre == b.DataCentre && a.Rack == b.Rack &&
 		slices.Equal(a.Labels, b.Labels) && a.Capacity == b.Capacity &&
-		a.Draining == b.Draining && a.Machine == b.Machine && a.Born == b.Born
+		a.Draining == b.Draining && a.Unlisted == b.Unlisted && a.Machine == b.Machine && a.Born == b.Born
 }
--- /dev/null
+++ b/internal/workerlist/list_test.go
@@ -0,0 +1,49 @@
+package workerlist
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/agateturn/agateturn/scheduler"
+	"github.com/agateturn/agateturn/store"
+	"github.com/agateturn/agateturn/store/memtxn"
+)
+
+// A worker whose entry has expired is listed as unlisted, not as draining, until the grace is over; its entry may come back.
+func TestExpiredEntryIsNotADrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memtxn.New()
+		workers := kv.Client("workers")
+		write := func(change store.Transaction) {
+			_, err := workers.Commit(t.Context(), change)
+			assert.NilError(t, err)
+			time.Sleep(time.Second)
+			synctest.Wait()
+		}
+		there := store.Transaction{Puts: []store.Put{{Key: "servers/w1", Data: []byte("entry")}}}
+		gone := store.Transaction{Deletes: []string{"servers/w1"}}
+		parse := func(string, []byte) (scheduler.Worker, string, error) { return scheduler.Worker{ID: "w1"}, "pool", nil }
+		var seen []scheduler.Worker
+		l := New(kv.Client("host"), "servers/", parse, time.Now, slog.New(slog.DiscardHandler),
+			func(pools map[string][]scheduler.Worker) { seen = pools["pool"] })
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go l.Run(ctx)
+
+		write(there)
+		assert.DeepEqual(t, seen, []scheduler.Worker{{ID: "w1"}})
+		write(gone)
+		assert.DeepEqual(t, seen, []scheduler.Worker{{ID: "w1", Unlisted: true}})
+		write(there)
+		assert.DeepEqual(t, seen, []scheduler.Worker{{ID: "w1"}})
+		write(gone)
+		time.Sleep(removalGrace + watchGap)
+		synctest.Wait()
+		assert.Equal(t, len(seen), 0)
+	})
+}
--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -30,6 +30,9 @@
 	Draining bool
 	// DrainLeft is the least time until a draining worker leaves.
 	DrainLeft time.Duration
+	// Unlisted workers have lost their entry and may be alive, as entries expire while their worker does not reach the
+	// store. They get nothing new and keep what they run.
+	Unlisted bool
 	// Machine is the host that the worker lives on; empty if not known.
 	Machine string
 	// Born tells lifetimes of one id apart, in Unix milliseconds; 0 if not known yet.
--- a/scheduler/unit_test.go
+++ b/scheduler/unit_test.go
@@ -174,3 +174,31 @@
 	}
 	t.Fatal("the persistent task never moved")
 }
+
+// A worker whose entry has expired keeps what it runs: its tasks are not moved away at once as those of one that leaves.
+func TestUnlistedWorkerKeepsItsTasks(t *testing.T) {
+	b := newBare("w1", "w2")
+	b.add("serve", &pb.JobStep{Count: 3, CpuMilli: 1000, Persistent: true, MayMiss: 1})
+	running := map[string][]scheduler.RunningTask{}
+	for _, o := range b.pool.Step(b.now).Orders {
+		running[o.Worker] = append(running[o.Worker], scheduler.RunningTask{Task: o.Task, Run: o.Run, Percent: 100})
+	}
+	room := scheduler.Resources{CPUMilli: 4000, MemoryMB: 4000}
+	b.pass(time.Second)
+	b.pool.SetWorkers(b.now, []scheduler.Worker{
+		{ID: "w1", Address: "w1", Capacity: room, Unlisted: true},
+		{ID: "w2", Address: "w2", Capacity: room},
+	})
+	for range 30 {
+		b.pass(100 * time.Millisecond)
+		b.report("w1", running["w1"], nil)
+		b.report("w2", running["w2"], nil)
+		assert.Equal(t, len(b.pool.Step(b.now).Orders), 0)
+	}
+	b.add("late", &pb.JobStep{Count: 2, CpuMilli: 500, EstimateMs: 1000})
+	orders := b.pool.Step(b.now).Orders
+	assert.Equal(t, len(orders), 2)
+	for _, o := range orders {
+		assert.Equal(t, o.Worker, "w2", "an unlisted worker gets nothing new")
+	}
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -91,7 +91,7 @@
 		p.lifetimeOver(now, w, "restarted")
 		w.gone = false
 	}
-	if w.Draining != fresh.Draining || w.Capacity != fresh.Capacity || w.gone {
+	if w.Draining != fresh.Draining || w.Unlisted != fresh.Unlisted || w.Capacity != fresh.Capacity || w.gone {
 		p.place = true
 	}
 	p.noteDrain(now, w, fresh)
@@ -181,7 +181,7 @@
 	if !w.reported || !w.clock.known || w.gone || w.left {
 		return false
 	}
-	if w.Draining || w.evacuating || w.doubt > 0 {
+	if w.Draining || w.Unlisted || w.evacuating || w.doubt > 0 {
 		return false
 	}
 	return !w.silent(now) && !now.Before(w.pausedUntil) && !w.slowToAnswer(now)
