poolowner: workers are recorded before they are used

Cause: a new owner waits for the reports of the workers that the registry lists. One whose entry had expired, since its reports to the store were lost, was not waited for, and its task was started again 46 ms after the takeover while it ran. Ruled out: an old list on the new owner (it read the registry at its takeover); a worker that left (it answered at 14.06 s). Change: the roster of a pool, a record that its owner extends before it uses a worker and shortens once a worker that is not registered can run nothing. The next owner waits for those in it too, and holds them. Cost: one write a change of a pool's workers, and its answer before the first start on a new worker.

--- a/internal/jobkeys/jobkeys.go
+++ b/internal/jobkeys/jobkeys.go
@@ -16,6 +16,7 @@
 	owners     = Membership + "owner/"
 	incoming   = "agateturn/in/"
 	progress   = "agateturn/progress/"
+	rosters    = "agateturn/roster/"
 )
 
 const (
@@ -84,3 +85,6 @@
 
 // Progress is the key of what the owner recorded about a job.
 func Progress(pool, id string) string { return ProgressOf(pool) + url.PathEscape(id) }
+
+// Roster is the key of the workers that may run tasks of a pool.
+func Roster(pool string) string { return rosters + url.PathEscape(pool) }
--- a/internal/poolowner/follow.go
+++ b/internal/poolowner/follow.go
@@ -67,24 +67,3 @@
 		}
 	})
 }
-
-// followWorkers hands in lists of workers once the records are read, and keeps a holder for each worker.
-func (o *Owner) followWorkers(ctx context.Context) error {
-	select {
-	case <-o.loaded:
-	case <-ctx.Done():
-		return nil
-	}
-	var before []scheduler.Worker
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case workers := <-o.workers:
-			o.tellWorkers(ctx, before, workers)
-			before = workers
-			o.put(ctx, func(p *scheduler.Pool, now time.Time) { p.SetWorkers(now, workers) })
-			o.holders.set(ctx, workers)
-		}
-	}
-}
--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -57,6 +57,8 @@
 	Follow(ctx context.Context, pool string, asOf uint64, onChange func(jobstore.Change)) error
 	Record(ctx context.Context, pool string, fence uint64, progress []*pb.JobProgress) error
 	Forget(ctx context.Context, pool string, fence uint64, ids []string) error
+	Roster(ctx context.Context, pool string) (*pb.Roster, uint64, error)
+	SetRoster(ctx context.Context, pool string, fence uint64, roster *pb.Roster, version uint64) (uint64, error)
 }
 
 // Options of an Owner. All fields but Policy must be set.
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -126,7 +126,7 @@
 func (p *Pool) adviceCandidates(now time.Time, s *step) []string {
 	var ws []*worker
 	for _, w := range p.order {
-		if w.gone || w.left || w.Draining || w.Unlisted || w.evacuating || !w.hasLabel(s.spec.GetRequiredLabel()) {
+		if w.closing() || !w.hasLabel(s.spec.GetRequiredLabel()) {
 			continue
 		}
 		v, known := s.advice.verdicts[w.ID]
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -146,6 +146,18 @@
 	}
 }
 
+// Occupied tells whether a worker may run something of this owner or of one before, as far as is known.
+func (p *Pool) Occupied(id string) bool {
+	w := p.workers[id]
+	switch {
+	case w == nil || w.gone:
+		return false
+	case len(w.runs) > 0:
+		return true
+	}
+	return p.takeover.started && !p.takeover.done && p.takeover.waiting[id]
+}
+
 // checkTakeover lets the tasks of loaded jobs start once nothing of an owner of before can run unseen.
 func (p *Pool) checkTakeover(now time.Time) {
 	t := &p.takeover
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -176,12 +176,14 @@
 	return now.Sub(w.lastReport) > silentAfter
 }
 
+// closing tells whether the worker is gone, or is to get nothing new until it is listed otherwise.
+func (w *worker) closing() bool {
+	return w.gone || w.left || w.Draining || w.Unlisted || w.evacuating
+}
+
 // usable tells whether the worker may be given new tasks.
 func (w *worker) usable(now time.Time) bool {
-	if !w.reported || !w.clock.known || w.gone || w.left {
-		return false
-	}
-	if w.Draining || w.Unlisted || w.evacuating || w.doubt > 0 {
+	if !w.reported || !w.clock.known || w.closing() || w.doubt > 0 {
 		return false
 	}
 	return !w.silent(now) && !now.Before(w.pausedUntil) && !w.slowToAnswer(now)
