scheduler: a new owner calls no worker stoppable before it has heard it

Change: stoppable needs a report to this owner, or that the leases of the owners before have lapsed.

--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -29,7 +29,8 @@
 func (p *Pool) load(now time.Time, w *worker) *pb.WorkerLoad {
 	out := &pb.WorkerLoad{
 		Id: w.ID, Tasks: int64(len(w.runs)), UsedCpuMilli: w.used.CPUMilli, UsedMemoryMb: w.used.MemoryMB,
-		Evacuated: w.evacuating && w.emptyConfirmed && len(w.runs) == 0, Stoppable: true,
+		Evacuated: w.evacuating && w.emptyConfirmed && len(w.runs) == 0,
+		Stoppable: w.reported || p.takeover.lapsed(now, p.cfg.Lease),
 	}
 	for _, r := range w.runs {
 		if r.task == nil {
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -43,6 +43,17 @@
 	return !t.started || (t.done && now.Sub(t.doneAt) > stopTime+settleMargin)
 }
 
+// lapsed tells whether everything that an owner of before has started and that was not heard of has lapsed.
+func (t *takeover) lapsed(now time.Time, lease time.Duration) bool {
+	return !t.started || !now.Before(t.limit(lease))
+}
+
+// limit is when the leases given by an owner of before have lapsed.
+func (t *takeover) limit(lease time.Duration) time.Time {
+	const drift = 1.03
+	return t.at.Add(time.Duration(float64(lease)*drift) + takeoverMargin)
+}
+
 // Load takes what the owners of before have left. It comes once, before anything else.
 func (p *Pool) Load(now time.Time, jobs []*pb.JobRecord, progress []*pb.JobProgress, cancelled []string) {
 	p.takeover = takeover{started: true, at: now, waiting: map[string]bool{}}
@@ -152,8 +163,7 @@
 	if !t.started || t.done {
 		return
 	}
-	const drift = 1.03
-	limit := t.at.Add(time.Duration(float64(p.cfg.Lease)*drift) + takeoverMargin)
+	limit := t.limit(p.cfg.Lease)
 	if now.Before(limit) && (!t.registry || len(t.waiting) > 0) {
 		p.wake(limit)
 		return
