scheduler: batch runs give way to queues that come first

Ruled out: preempting by the rank of a job alone (goes to and fro as ranks change with time); stopping what saves nothing (work thrown away is priced); gangs (all members lose). Event 942 tasks_preempted names the step that gains, tasks_stopped the runs; Explain tells that runs give way.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -271,7 +271,9 @@
 	AttemptFailed = Event{Number: 939, Name: "attempt_failed", Level: slog.LevelInfo, Message: "a run failed, which counts as an attempt"}
 	JobDurable    = Event{Number: 940, Name: "job_durable", Level: slog.LevelInfo, Message: "end of the job is durable and shown to callers"}
 	StepDone      = Event{Number: 941, Name: "step_done", Level: slog.LevelInfo, Message: "all tasks of the step have succeeded"}
-	SchedulerNote = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
+	// TasksPreempted is told of the step that gains; tasks_stopped tells of those that lose.
+	TasksPreempted = Event{Number: 942, Name: "tasks_preempted", Level: slog.LevelInfo, Message: "runs of a later queue give way to a task of the step"}
+	SchedulerNote  = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
 )
 
 // catalogue is every event in the order of the numbers.
@@ -295,7 +297,7 @@
 	LeaseGranted, LeaseLost, PoolHandedOver, PoolReplaced, RecordsLoaded, RecordsWait, RecordsWritten, RecordsUnread,
 	WorkersChanged, WorkerEnded, WorkerSilent, WorkerBack, WorkerSuspect, WorkerUnread,
 	TasksStarted, TasksStopped, TasksLost, TasksEnded, TasksRefused, OrderUnknown, OrderRefused,
-	JobCompleted, JobFailed, JobCancelled, SchedulerNote, JobBegun, AttemptFailed, JobDurable, StepDone,
+	JobCompleted, JobFailed, JobCancelled, SchedulerNote, JobBegun, AttemptFailed, JobDurable, StepDone, TasksPreempted,
 }
 
 // retired are numbers of dropped events; they are not used again.
--- a/internal/poolowner/decisions.go
+++ b/internal/poolowner/decisions.go
@@ -202,6 +202,7 @@
 	scheduler.DecisionEnded:     events.TasksEnded,
 	scheduler.DecisionStepDone:  events.StepDone,
 	scheduler.DecisionAttempt:   events.AttemptFailed,
+	scheduler.DecisionPreempted: events.TasksPreempted,
 	scheduler.DecisionBegun:     events.JobBegun,
 	scheduler.DecisionCompleted: events.JobCompleted,
 	scheduler.DecisionFailed:    events.JobFailed,
--- a/scheduler/decision.go
+++ b/scheduler/decision.go
@@ -27,6 +27,7 @@
 	DecisionEnded     = "ended"
 	DecisionStepDone  = "step done"
 	DecisionAttempt   = "attempt failed"
+	DecisionPreempted = "preempted"
 )
 
 // String names the end for the log.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -217,7 +217,7 @@
 
 // permits tells whether the rules of the step allow the worker.
 func (p *Pool) permits(now time.Time, s *step, w *worker) bool {
-	if !w.hasLabel(s.spec.GetRequiredLabel()) {
+	if !w.hasLabel(s.spec.GetRequiredLabel()) || !w.keptFor(s) {
 		return false
 	}
 	if limit := s.spec.GetMaxPerHost(); limit > 0 && int64(s.active[w]) >= limit {
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -70,7 +70,9 @@
 	// speculates and fills tell whether such steps have been seen.
 	speculates   bool
 	speculatedAt time.Time
-	fills        bool
+	// preemptedAt is when runs that give way were last looked for.
+	preemptedAt time.Time
+	fills       bool
 
 	out Actions
 }
@@ -141,6 +143,7 @@
 	p.checkEvacuation(now)
 	p.advice.expire(now)
 	p.placeTasks(now)
+	p.checkPreemption(now)
 	p.checkSpeculation(now)
 	p.checkPace(now)
 	p.attend(now)
--- a/scheduler/pool_test.go
+++ b/scheduler/pool_test.go
@@ -34,7 +34,8 @@
 				Steps: []*pb.JobStep{{Count: 2, CpuMilli: 500, MemoryMb: 10, EstimateMs: 400}, {Count: 1, CpuMilli: 500, EstimateMs: 200, After: []int64{0}}},
 			})
 		case 3:
-			s.add(at, &pb.JobSpec{Steps: []*pb.JobStep{{Count: 4, CpuMilli: 1500, MemoryMb: 500, EstimateMs: 4000, SavesProgress: true, MaxPerHost: 2}}})
+			j := s.add(at, &pb.JobSpec{Steps: []*pb.JobStep{{Count: 4, CpuMilli: 1500, MemoryMb: 500, EstimateMs: 4000, SavesProgress: true, MaxPerHost: 2}}})
+			j.rec.Queue = "later"
 		case 4:
 			j := s.add(at, &pb.JobSpec{Steps: []*pb.JobStep{{Count: 3, CpuMilli: 1000, MemoryMb: 100, EstimateMs: 3000, SameRack: true}}})
 			s.cancel(at+s.rng.Int64N(3000), j)
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -340,6 +340,7 @@
 
 var simQueues = []queue.Queue{
 	{Name: "q", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
+	{Name: "later", Pool: "p", Priority: 1, MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
 	{
 		Name: "advised", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond,
 		Advice: &queue.Advice{Decide: 20 * time.Millisecond, Each: 5 * time.Millisecond, Valid: 3 * time.Second},
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -89,6 +89,8 @@
 	switch {
 	case s.blocked > 0:
 		return fmt.Sprintf("%s; %d steps come before", text, s.blocked)
+	case len(s.ready) > 0 && p.countFreed(s) > 0:
+		return text + "; runs of later queues give way"
 	case len(s.ready) > 0 && running == 0:
 		return text + "; no usable worker has room and is permitted"
 	default:
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -63,6 +63,8 @@
 	refusals   int
 	// stalls counts runs that were stopped for want of progress.
 	stalls int
+	// preempted counts runs that gave way to another queue.
+	preempted int
 }
 
 func newStep(o *occurrence, number int, spec *pb.JobStep) *step {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -45,6 +45,8 @@
 	pauses      int
 	doubt       int
 	evacuating  bool
+	// freedFor is the step for which runs here give way.
+	freedFor *step
 	// drainBy is the earliest time at which a draining worker leaves.
 	drainBy time.Time
 	// emptyConfirmed means that a report has shown that nothing is here.
