--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -272,7 +272,7 @@
 	JobDurable    = Event{Number: 940, Name: "job_durable", Level: slog.LevelInfo, Message: "end of the job is durable and shown to callers"}
 	StepDone      = Event{Number: 941, Name: "step_done", Level: slog.LevelInfo, Message: "all tasks of the step have succeeded"}
 	// TasksPreempted is told of the step that gains; tasks_stopped tells of those that lose.
-	TasksPreempted = Event{Number: 942, Name: "tasks_preempted", Level: slog.LevelInfo, Message: "runs of a later queue give way to a task of the step"}
+	TasksPreempted = Event{Number: 950, Name: "tasks_preempted", Level: slog.LevelInfo, Message: "runs of a later queue give way to a task of the step"}
 	SchedulerNote  = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
 )
 
