upkeep: a pool that was not heard yet stays in the round

Ruled out: late hand-over of pools (all held within 0.9 s of the first start), no free machines (5 were off). Change: pools with learned turns are in the calendar also before their first status; an unheard pool gives no machines.

--- a/upkeep/learned_test.go
+++ b/upkeep/learned_test.go
@@ -42,3 +42,32 @@
 	assert.Equal(t, p.demands["back"].peak, 0.0)
 	assert.Equal(t, p.demands["back"].turns.length, time.Duration(0))
 }
+
+// TestUnheardPoolStaysInTheRound: a new owner of the fleet that has not heard from one pool yet foresees its turn, and
+// neither expects another pool in its place nor takes machines from it.
+func TestUnheardPoolStaysInTheRound(t *testing.T) {
+	const turn = 4 * time.Second
+	start := time.UnixMilli(1_700_000_000_000)
+	now := start.Add(4*turn + time.Second)
+	in := Input{MachinesAt: now, Pools: map[string]PoolLoad{"spare": {Spare: true}}}
+	var learned []*pb.LearnedDemand
+	for i, pool := range []string{"a", "b", "c", "d"} {
+		learned = append(learned, &pb.LearnedDemand{
+			Pool: pool, Peak: 200_000, LengthMs: turn.Milliseconds(), RisesMs: []int64{start.Add(time.Duration(i) * turn).UnixMilli()},
+		})
+		for n := range 3 {
+			name := pool + string(rune('0'+n))
+			in.Machines = append(in.Machines, Machine{ID: name, Pool: pool, State: Up, Worker: name, CPUMilli: 32_000, MemoryMB: 1})
+		}
+		in.Pools[pool] = PoolLoad{Status: &pb.PoolStatusResponse{Owner: true, Fence: 1, ArrivedMilliMs: 1}}
+	}
+	in.Pools["a"] = PoolLoad{}
+	p := New(DefaultConfig(2*time.Second, time.Second), now)
+	p.RestoreLearned(now, learned)
+	out := p.Step(now, in)
+	assert.Equal(t, len(out.Evacuate["a"]), 0)
+	assert.Check(t, len(out.Evacuate["c"])+len(out.Evacuate["d"]) > 0)
+	for id, i := range p.ledger {
+		assert.Equal(t, i.pool, "a", id)
+	}
+}
--- a/upkeep/move.go
+++ b/upkeep/move.go
@@ -129,7 +129,7 @@
 	pools := map[string]*turns{}
 	if s.cfg.Moves.Foresee {
 		for name, d := range s.demands {
-			if d.status != nil {
+			if d.status != nil || len(d.turns.rises) > 0 {
 				pools[name] = &d.turns
 			}
 		}
@@ -267,6 +267,10 @@
 	want := p.persistent + then + min(left/drain, max(p.peak, then)/2)
 	p.keep = max(keep/p.unit, want/p.unit, p.floor())
 	p.want = max(want/p.unit, p.floor())
+	if p.status == nil {
+		// What it does is not known to this owner yet.
+		p.keep = max(p.keep, float64(p.have))
+	}
 	p.stay = m.stay(p, arrive, left)
 	if len(p.turns.rises) == 0 && !m.calendar.high(p.name, m.now, arrive) {
 		// Its first turn may begin at any time.
