upkeep: weights of moves are settings

Cause: the weights by which machines change their pool were constants; a deployment with other prices could not set them, and never moving or reacting only could be chosen in tests alone. Change: section [job_upkeep] with the present values as defaults; moves = foresee, react or never. Ruled out: deriving the prices from the bounds of the platform, which does not tell them. Before/After: the same values, so nothing changes without the section. Unit tests of config, settings, upkeep and jobhost pass.

--- a/config/jobs_test.go
+++ b/config/jobs_test.go
@@ -120,6 +120,8 @@
 		{"peer_address = 127.0.1.1:8002", "", `[job_host] peer_address: missing required key`},
 		{"[job_store]", "[job_bounds]\nmax_lease = 0s\n[job_store]", `[job_bounds] max_lease: found "0s"; write a value from 100ms to 1h`},
 		{"[job_store]", "[job_bounds]\norder_delivery = post\n[job_store]", `write one of dispatch, heartbeat`},
+		{"[job_store]", "[job_upkeep]\nmoves = always\n[job_store]", `write one of foresee, react, never`},
+		{"[job_store]", "[job_upkeep]\nuse = 1.2\n[job_store]", `[job_upkeep] use: found "1.2"`},
 	} {
 		_, err := load(t, strings.Replace(good, test.old, test.new, 1))
 		assert.ErrorContains(t, err, test.want)
--- a/internal/jobhost/fleet.go
+++ b/internal/jobhost/fleet.go
@@ -29,7 +29,6 @@
 	}
 	machines := platform.NewMachines(api.GetAddress())
 	defer machines.Close()
-	b := h.settings.Load().GetJobBounds()
 	owner := fleetowner.New(fleetowner.Options{
 		Machines:   machineCalls{machines},
 		Pools:      poolCalls{h},
@@ -43,7 +42,7 @@
 			RecordPrefix: waveRecords,
 			MovesKey:     openMoves,
 		},
-		Config: upkeep.DefaultConfig(b.GetUpkeepTime().AsDuration(), b.GetMoveTime().AsDuration()),
+		Config: h.upkeepConfig(),
 		Holder: h.settings.Load().GetJobHost().GetName(),
 		Confirmed: func() (uint64, bool) {
 			held, ok := h.members.Confirmed(membership.FleetPool)
@@ -66,6 +65,32 @@
 	}
 }
 
+// upkeepConfig is made from the bounds and weights of the settings.
+func (h *Host) upkeepConfig() upkeep.Config {
+	s := h.settings.Load()
+	b := s.GetJobBounds()
+	u := s.GetJobUpkeep()
+	config := upkeep.DefaultConfig(b.GetUpkeepTime().AsDuration(), b.GetMoveTime().AsDuration())
+	config.Moves = upkeep.MoveConfig{
+		Enabled:          u.GetMoves() != "never",
+		Foresee:          u.GetMoves() == "foresee",
+		MovePrice:        u.GetMovePrice(),
+		SecondPrice:      u.GetSecondPrice(),
+		WorkWorth:        u.GetWorkWorth(),
+		Join:             u.GetJoin().AsDuration(),
+		Drain:            u.GetDrain().AsDuration(),
+		Use:              u.GetUse(),
+		Idle:             u.GetIdleHosts(),
+		Reserve:          u.GetReserve().AsDuration(),
+		Ahead:            u.GetAhead().AsDuration(),
+		Learn:            u.GetLearn().AsDuration(),
+		GiveUp:           u.GetGiveUp().AsDuration(),
+		Pause:            u.GetPause().AsDuration(),
+		PersistentAtOnce: int(u.GetPersistentAtOnce()),
+	}
+	return config
+}
+
 // configuredPools lists the pools of the configuration in force.
 func (h *Host) configuredPools() []fleetowner.Pool {
 	table := h.tables.Table()
