upkeep: turns of all pools are fitted to one round, nothing is held back for an unknown one

Machines were held back for an unknown next turn during the first 6 s of a turn, tuned on trials with turns of 4 s; turns last 8.5 s and more, and their pool starved meanwhile. And rises of pools with few large jobs are found up to 1.5 s off: gaps of 7.3, 10.1 and 7.6 s counted as uneven, so after the first round the next turn was not foreseen, above all that during the loss of all hosts. Ruled out: late polls (statuses were 0.1 s old), machines that could not be emptied. Change: rises of all pools are fitted to a line of least squares; none may be off by more than a quarter of a gap. The default of reserve is 0s.

--- a/upkeep/config.go
+++ b/upkeep/config.go
@@ -87,7 +87,7 @@
 		Drain:            time.Second,
 		Use:              0.85,
 		Idle:             1,
-		Reserve:          6 * time.Second,
+		Reserve:          0,
 		Ahead:            1500 * time.Millisecond,
 		Learn:            time.Second,
 		GiveUp:           3 * time.Second,
--- a/upkeep/turns.go
+++ b/upkeep/turns.go
@@ -3,15 +3,15 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/samber/lo"
 )
 
 const (
 	// keptRises is how many rises of a pool are remembered.
 	keptRises = 4
-	// evenGaps is how much longer the longest of even gaps may be than the shortest.
-	evenGaps = 1.35
+	// unevenShare of a gap is how far a rise may be from where even gaps would put it. A few large jobs, or none, shift it.
+	unevenShare = 0.25
+	// likeShare is how much two lengths may differ that count as the same.
+	likeShare = 1.5
 	// missAfter is the share of a turn after which one that was foreseen and has not come counts as missed.
 	missAfter = 0.35
 	// learnTurn is the weight of the newest turn in what is learned of turns.
@@ -105,22 +105,21 @@
 	return evenGap(t.rises)
 }
 
-// evenGap is the mean gap between moments if all gaps are about the same.
+// evenGap is the mean gap between moments if none is far from where even gaps would put it.
 func evenGap(at []time.Time) (time.Duration, bool) {
 	if len(at) < 2 {
 		return 0, false
 	}
-	shortest := at[1].Sub(at[0])
-	longest := shortest
-	for i := 2; i < len(at); i++ {
-		gap := at[i].Sub(at[i-1])
-		shortest = min(shortest, gap)
-		longest = max(longest, gap)
-	}
-	if shortest <= 0 || float64(longest) > evenGaps*float64(shortest) {
+	line := fitLine(at)
+	if line.gap <= 0 {
 		return 0, false
 	}
-	return at[len(at)-1].Sub(at[0]) / time.Duration(len(at)-1), true
+	for i := range at {
+		if off := at[i].Sub(line.at(i)).Abs(); float64(off) > unevenShare*float64(line.gap) {
+			return 0, false
+		}
+	}
+	return line.gap, true
 }
 
 // miss counts a foreseen rise once, also when it is foreseen for a slightly different time.
@@ -138,10 +137,8 @@
 	shared time.Duration
 	// length is the mean length of turns; 0 if unknown.
 	length time.Duration
-	// unseen are the pools that have had no turn yet, and nextAt is when that of one of them comes if turns follow each
-	// other.
-	unseen map[string]struct{}
-	nextAt time.Time
+	// round is how the turns of all pools follow each other; nil if they do not.
+	round *round
 }
 
 // newCalendar learns from the turns of the pools that have demand.
@@ -149,10 +146,7 @@
 	c := &calendar{pools: pools}
 	var lengths, periods time.Duration
 	var nLengths, nPeriods time.Duration
-	var firsts []time.Time
-	var unseen []string
-	for _, name := range sortedKeys(pools) {
-		t := pools[name]
+	for _, t := range pools {
 		if t.length > 0 {
 			lengths += t.length
 			nLengths++
@@ -161,12 +155,6 @@
 			periods += period
 			nPeriods++
 		}
-		switch {
-		case len(t.rises) > 0:
-			firsts = append(firsts, t.last())
-		case t.misses < mostMisses:
-			unseen = append(unseen, name)
-		}
 	}
 	if nLengths > 0 {
 		c.length = lengths / nLengths
@@ -176,9 +164,8 @@
 	}
 	if nPeriods > 0 {
 		c.shared = periods / nPeriods
-		return c
 	}
-	c.roundRobin(firsts, unseen)
+	c.round = newRound(pools, c.length)
 	return c
 }
 
@@ -196,24 +183,6 @@
 	return missed.Sub(risen) > max(c.length/2, shortestTurn)
 }
 
-// roundRobin guesses before any pool had a second turn: if turns have followed each other evenly, they go round.
-func (c *calendar) roundRobin(rises []time.Time, unseen []string) {
-	slices.SortFunc(rises, time.Time.Compare)
-	gap, ok := evenGap(rises)
-	if !ok || c.length == 0 {
-		return
-	}
-	if float64(gap) > evenGaps*float64(c.length) || float64(c.length) > evenGaps*float64(gap) {
-		return
-	}
-	if len(unseen) == 0 {
-		c.shared = gap * time.Duration(len(rises))
-		return
-	}
-	c.unseen = lo.Keyify(unseen)
-	c.nextAt = rises[len(rises)-1].Add(gap)
-}
-
 // high says whether a pool's demand is expected to be high at a moment that is not before now.
 func (c *calendar) high(pool string, now, at time.Time) bool {
 	t := c.pools[pool]
@@ -254,8 +223,12 @@
 	if t == nil || c.inDoubt() {
 		return time.Time{}, false
 	}
-	if _, ok := c.unseen[pool]; ok {
-		return c.due(t, c.nextAt, 0, now)
+	if c.round != nil {
+		start, period, ok := c.round.next(pool)
+		if !ok {
+			return time.Time{}, false
+		}
+		return c.due(t, start, period, now)
 	}
 	period, ok := t.period()
 	if !ok {
