agateturnd: no more threads than the host has processors

Cause: with more processors visible than the settings name, each answer of a worker wakes a second thread, which looks for work and goes to sleep again: a fifth of an owner's time (runtime.findRunnable, futex). Change: GOMAXPROCS is at most the settings' cores, rounded up. GOMAXPROCS in the environment wins.

--- a/cmd/agateturnd/jobs.go
+++ b/cmd/agateturnd/jobs.go
@@ -4,6 +4,9 @@
 	"context"
 	"io"
 	"log/slog"
+	"math"
+	"os"
+	"runtime"
 	"time"
 
 	"github.com/agateturn/agateturn/config"
@@ -27,6 +30,7 @@
 	if !ok {
 		return code
 	}
+	useCores(s.GetJobHost().GetCores())
 	pipe := logpipe.New(out)
 	logger := pipe.Logger(func(w io.Writer) slog.Handler { return newLogger(s.GetLog(), w).Handler() }).
 		With("entry_host", s.GetJobHost().GetName())
@@ -39,6 +43,13 @@
 	return exitOK
 }
 
+// useCores keeps a small host from waking more threads than it has processors for. GOMAXPROCS in the environment wins.
+func useCores(cores float64) {
+	if cores > 0 && os.Getenv("GOMAXPROCS") == "" {
+		runtime.GOMAXPROCS(min(runtime.GOMAXPROCS(0), int(math.Ceil(cores))))
+	}
+}
+
 // closeLog writes the last lines, unless nobody reads them.
 func closeLog(pipe *logpipe.Pipe) {
 	ctx, cancel := context.WithTimeout(context.Background(), logCloseTimeout)
