Jobs: steps of the time of day touch nothing but scheduled starts

Cause: the time of day jumps by seconds on some hosts, and differs between hosts. It was compared in five places: the acceptance of a job (the host's) with the owner's time, which makes a fresh job late or early in the ranking; the end of a job as written by an earlier owner with the time of its successor, which forgot it early if that was ahead; the age of the store's last answer (the longer of steady clock and time of day); in the fleet owner the begin of a wave and the learned rises of demand as written by an earlier owner. Ruled out: leases, holds, orders, ownership, membership and the list of workers use the boot clock already; timers and deadlines of connections are steady. Change: an offered job has the owner's time, and no acceptance is after the owner's time; retention counts from the takeover; the table follower and the fleet owner take the host's boot clock. Tests of tablefollow hand in the clock; nothing else changed there. Conclusion: only occurrences with a start time follow the time of day, read once at the start of the process; a process started during a jump keeps it until its end.

--- a/internal/fleetowner/list.go
+++ b/internal/fleetowner/list.go
@@ -22,7 +22,7 @@
 		if err := t.reads.wait(ctx); err != nil {
 			return err
 		}
-		sent := time.Now()
+		sent := t.Clock()
 		if err := t.listOnce(ctx, sent); err != nil {
 			return err
 		}
@@ -39,7 +39,7 @@
 	if t.busy.Load() {
 		interval = listBusy
 	}
-	return interval - time.Since(sent)
+	return interval - t.Clock().Sub(sent)
 }
 
 func (t *term) listOnce(ctx context.Context, sent time.Time) error {
--- a/internal/fleetowner/options.go
+++ b/internal/fleetowner/options.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/store"
@@ -49,7 +50,7 @@
 	MovesKey string
 }
 
-// Options of an Owner. All fields but Logger must be set.
+// Options of an Owner. All fields but Clock and Logger must be set.
 type Options struct {
 	Machines Machines
 	Pools    Pools
@@ -67,5 +68,8 @@
 	// ChangesPerSecond and ReadsPerSecond bound the calls on Machines.
 	ChangesPerSecond float64
 	ReadsPerSecond   float64
-	Logger           *slog.Logger
+	// Clock ignores steps of the time of day, since its times are compared with those that earlier owners wrote down.
+	// time.Now if nil.
+	Clock  func() time.Time
+	Logger *slog.Logger
 }
--- a/internal/fleetowner/owner.go
+++ b/internal/fleetowner/owner.go
@@ -33,6 +33,9 @@
 // New returns an Owner.
 func New(o Options) *Owner {
 	o.Logger = cmp.Or(o.Logger, slog.Default())
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
 	return &Owner{o: o}
 }
 
@@ -107,7 +110,7 @@
 
 // run loads what is durable, starts the duties and steps until ctx ends.
 func (t *term) run(ctx context.Context) error {
-	now := time.Now()
+	now := t.Clock()
 	t.planner = upkeep.New(t.Config, now)
 	asOf, err := t.load(ctx)
 	if err != nil {
@@ -132,14 +135,14 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case e := <-t.events.Items():
-			e(time.Now())
+			e(t.Clock())
 			t.drain()
 		case <-timer.C:
 		}
 		if err := t.step(ctx); err != nil {
 			return err
 		}
-		timer.Reset(t.next(time.Now()))
+		timer.Reset(t.next(t.Clock()))
 		if err := wait.For(ctx, shortestStep); err != nil {
 			return err
 		}
@@ -151,7 +154,7 @@
 	for range ringSize {
 		select {
 		case e := <-t.events.Items():
-			e(time.Now())
+			e(t.Clock())
 		default:
 			return
 		}
--- a/internal/fleetowner/poll.go
+++ b/internal/fleetowner/poll.go
@@ -72,7 +72,7 @@
 // pollPool asks until ctx ends.
 func (t *term) pollPool(ctx context.Context, p *poller) {
 	for ctx.Err() == nil {
-		sent := time.Now()
+		sent := t.Clock()
 		status := t.ask(ctx, p)
 		if status != nil {
 			_ = t.tell(ctx, func(time.Time) { p.status, p.sent = status, sent })
@@ -82,7 +82,7 @@
 			interval = pollBusy
 		}
 		interval = max(interval, pollSpread*time.Duration(t.poolCount.Load()))
-		p.wait(ctx, interval-time.Since(sent))
+		p.wait(ctx, interval-t.Clock().Sub(sent))
 	}
 }
 
--- a/internal/fleetowner/step.go
+++ b/internal/fleetowner/step.go
@@ -32,7 +32,7 @@
 		// Pools keep their lists of workers to be emptied until this owner knows better.
 		t.poll(ctx)
 	}
-	now := time.Now()
+	now := t.Clock()
 	actions := t.planner.Step(now, t.input(now))
 	t.wake = actions.Wake
 	t.busy.Store(actions.Busy)
--- a/internal/fleetowner/waves.go
+++ b/internal/fleetowner/waves.go
@@ -77,7 +77,7 @@
 			known[r.GetWave()] = r
 		}
 	}
-	now := time.Now()
+	now := t.Clock()
 	for _, item := range items {
 		t.addWave(ctx, now, item, known)
 	}
@@ -102,7 +102,7 @@
 	for _, m := range r.GetMoves() {
 		moves = append(moves, upkeep.MoveOrder{Machine: m.GetMachine(), Pool: m.GetPool()})
 	}
-	now := time.Now()
+	now := t.Clock()
 	t.planner.RestoreMoves(now, moves)
 	t.planner.RestoreLearned(now, r.GetDemands())
 	return nil
--- a/internal/jobhost/fleet.go
+++ b/internal/jobhost/fleet.go
@@ -54,6 +54,7 @@
 		},
 		ChangesPerSecond: api.GetChangesPerSecond(),
 		ReadsPerSecond:   api.GetReadsPerSecond(),
+		Clock:            h.clock.Now,
 		Logger:           h.log,
 	})
 	err := owner.Run(ctx)
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -93,7 +93,7 @@
 		listWanted: make(chan struct{}),
 	}
 	h.settings.Store(s)
-	h.tables = tablefollow.New(h.kv, platform.ConfigKey, platform.ParseTable, log)
+	h.tables = tablefollow.New(h.kv, platform.ConfigKey, platform.ParseTable, h.clock.Now, log)
 	h.pools = newPools(h)
 	h.members = membership.New(h.kv, h.self(), membership.Events{
 		Gained: h.pools.gained,
--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -179,14 +179,15 @@
 	o.workers <- workers
 }
 
-// Offer hands in accepted jobs and cancellations. It never blocks; what does not fit comes through the store.
+// Offer hands in jobs that were accepted just now, and cancellations. It never blocks; what does not fit comes through
+// the store.
 func (o *Owner) Offer(jobs []*pb.JobRecord, cancelled []string) {
 	if !o.isLoaded() {
 		return
 	}
 	o.inputs.Offer(func(p *scheduler.Pool, now time.Time) {
 		for _, job := range jobs {
-			p.Add(now, job)
+			p.Add(now, acceptedAt(now, job))
 		}
 		for _, id := range cancelled {
 			p.Cancel(now, id)
@@ -194,6 +195,13 @@
 	})
 }
 
+// acceptedAt is the record with the owner's time: the clock of the host that accepted the job may be another.
+func acceptedAt(now time.Time, job *pb.JobRecord) *pb.JobRecord {
+	return &pb.JobRecord{
+		Id: job.GetId(), Queue: job.GetQueue(), Pool: job.GetPool(), Spec: job.GetSpec(), AcceptedMs: now.UnixMilli(),
+	}
+}
+
 // States tells the states of jobs. It reports false if the owner has not read its records yet.
 func (o *Owner) States(ctx context.Context, ids []string) ([]pb.JobState, bool) {
 	states := make([]pb.JobState, len(ids))
--- /dev/null
+++ b/internal/poolowner/owner_test.go
@@ -0,0 +1,62 @@
+package poolowner
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/jobstore"
+	"github.com/agateturn/agateturn/queue"
+	"github.com/agateturn/agateturn/scheduler"
+)
+
+// noJobs is a store without records that takes every write.
+type noJobs struct{}
+
+func (noJobs) Load(context.Context, string) (jobstore.Snapshot, uint64, error) {
+	return jobstore.Snapshot{}, 1, nil
+}
+
+func (noJobs) Follow(ctx context.Context, _ string, _ uint64, _ func(jobstore.Change)) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (noJobs) Record(context.Context, string, uint64, []*pb.JobProgress) error { return nil }
+
+func (noJobs) Forget(context.Context, string, uint64, []string) error { return nil }
+
+// TestOfferedJobsHaveTheOwnersTime offers a job of a host whose time of day is behind: it is not taken for a late one.
+func TestOfferedJobsHaveTheOwnersTime(t *testing.T) {
+	owner := New(Options{
+		Pool: "p", Jobs: noJobs{}, Clock: time.Now, Log: slog.New(slog.DiscardHandler),
+		Confirmed: func() bool { return true }, Replaced: func() {},
+		Config: scheduler.Config{Fence: 1, Lease: time.Second, MaxLease: time.Second, Retention: time.Minute},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { _ = owner.Run(ctx) })
+	defer group.Wait()
+	defer cancel()
+	owner.SetQueues(ctx, &queue.Table{Queues: []queue.Queue{{Name: "q", Pool: "p"}}, Pools: []queue.Pool{{Name: "p"}}})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if owner.isLoaded() {
+			return poll.Success()
+		}
+		return poll.Continue("not loaded")
+	})
+	began := time.Now()
+	owner.Offer([]*pb.JobRecord{{
+		Id: "j", Queue: "q", Pool: "p", AcceptedMs: began.Add(-time.Hour).UnixMilli(),
+		Spec: &pb.JobSpec{Steps: []*pb.JobStep{{Count: 1}}},
+	}}, nil)
+	jobs, ok := owner.Describe(ctx, &pb.DescribeJobsRequest{Limit: 1})
+	assert.Assert(t, ok && len(jobs) == 1)
+	assert.Assert(t, jobs[0].GetAcceptedMs() >= began.UnixMilli())
+}
--- a/internal/tablefollow/follower.go
+++ b/internal/tablefollow/follower.go
@@ -48,6 +48,7 @@
 	kv    store.Transactor
 	key   string
 	parse func([]byte) (*queue.Table, error)
+	clock func() time.Time
 	log   *slog.Logger
 
 	present atomic.Pointer[version]
@@ -70,8 +71,10 @@
 }
 
 // New returns a follower of the key. parse turns the value into a table; its error says what is wrong with the value.
-func New(kv store.Transactor, key string, parse func([]byte) (*queue.Table, error), log *slog.Logger) *Follower {
-	return &Follower{kv: kv, key: key, parse: parse, log: log, changed: make(chan struct{})}
+// clock must be steady and count suspension; see package boottime.
+func New(kv store.Transactor, key string, parse func([]byte) (*queue.Table, error), clock func() time.Time, log *slog.Logger,
+) *Follower {
+	return &Follower{kv: kv, key: key, parse: parse, clock: clock, log: log, changed: make(chan struct{})}
 }
 
 // Table returns the newest table, or nil if there is none yet.
@@ -115,18 +118,12 @@
 	if heard == nil {
 		return 1<<63 - 1
 	}
-	return age(time.Now(), *heard)
+	return f.clock().Sub(*heard)
 }
 
 // Current reports whether the store confirmed the table lately: what it lacks was not configured then.
 func (f *Follower) Current() bool { return f.StoreAge() < currentLimit }
 
-// age is the longer of what the steady clock and the time of day say: the steady clock stops while the machine is
-// suspended.
-func age(now, since time.Time) time.Duration {
-	return max(now.Sub(since), now.Round(0).Sub(since.Round(0)))
-}
-
 // Run follows the key until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var polling sync.WaitGroup
@@ -178,7 +175,7 @@
 func (f *Follower) read(ctx context.Context) (asOf uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	asked := time.Now()
+	asked := f.clock()
 	items, asOf, err := f.kv.Range(ctx, f.key, false)
 	if err != nil {
 		return 0, err
@@ -202,7 +199,7 @@
 			f.take(ctx, change.Item)
 		}
 	}
-	answered := time.Now()
+	answered := f.clock()
 	f.heard.Store(&answered)
 	return asOf, nil
 }
--- a/internal/tablefollow/follower_test.go
+++ b/internal/tablefollow/follower_test.go
@@ -65,7 +65,7 @@
 		c := &cluster{kv: memtxn.New(), away: map[int]bool{}}
 		c.write(t, "1")
 		for i := range n {
-			c.hosts = append(c.hosts, New(c.kv.Client(strconv.Itoa(i)), key, parse, slog.New(slog.DiscardHandler)))
+			c.hosts = append(c.hosts, New(c.kv.Client(strconv.Itoa(i)), key, parse, time.Now, slog.New(slog.DiscardHandler)))
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		for i, f := range c.hosts {
@@ -170,7 +170,7 @@
 // TestVersionsNeverGoBack offers versions in any order, from the store and from peers.
 func TestVersionsNeverGoBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := New(nil, key, parse, slog.New(slog.DiscardHandler))
+		f := New(nil, key, parse, time.Now, slog.New(slog.DiscardHandler))
 		var newest int64
 		for revision := range uint64(20) {
 			n := rapid.Int64Range(1, 30).Draw(t, "version")
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -53,7 +53,7 @@
 	if p.jobs[rec.GetId()] != nil || !p.forgotten[rec.GetId()].IsZero() {
 		return
 	}
-	j := p.newJob(rec)
+	j := p.newJob(now, rec)
 	p.jobs[j.id] = j
 	if _, early := p.earlyCancels[j.id]; early {
 		delete(p.earlyCancels, j.id)
@@ -63,12 +63,17 @@
 	p.begin(now, j)
 }
 
-func (p *Pool) newJob(rec *pb.JobRecord) *job {
+// newJob takes no acceptance after now: the clock of the host that accepted the job was ahead.
+func (p *Pool) newJob(now time.Time, rec *pb.JobRecord) *job {
+	accepted := time.UnixMilli(rec.GetAcceptedMs())
+	if accepted.After(now) {
+		accepted = now
+	}
 	return &job{
 		id:       rec.GetId(),
 		queue:    rec.GetQueue(),
 		spec:     rec.GetSpec(),
-		accepted: time.UnixMilli(rec.GetAcceptedMs()),
+		accepted: accepted,
 		state:    pb.JobState_JOB_STATE_RUNNING,
 		finished: map[int]bool{},
 		total:    int(max(1, rec.GetSpec().GetRepeatCount())),
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -86,14 +86,14 @@
 	if p.jobs[rec.GetId()] != nil {
 		return
 	}
-	j := p.newJob(rec)
+	j := p.newJob(now, rec)
 	j.loaded = true
 	p.jobs[j.id] = j
 	if ended(pr.GetState()) {
 		j.state = pr.GetState()
 		j.cancelled = j.state == pb.JobState_JOB_STATE_CANCELLED
 		j.reason = pr.GetReason()
-		j.endedAt = time.UnixMilli(pr.GetEndedMs())
+		j.endedAt = now // the clock of the owner that wrote EndedMs may have been behind
 		p.ended = append(p.ended, j)
 		return
 	}
