scheduler: workers that go down and up are avoided

Cause: a flapping worker comes back empty and is the first choice for waiting tasks, which it loses again a second later. Change: a lifetime that ends within 6 s of the one before, other than as planned, makes its worker suspect, as failures and slowness do: nothing for 2 s, longer each time, then one run to try. Test fails before: TestFlappingWorkersAreAvoided (2 of 4 tasks on the flapping worker, now none).

--- a/scheduler/suspect.go
+++ b/scheduler/suspect.go
@@ -13,6 +13,8 @@
 	quickFailure = 2 * time.Second
 	// poisonWorkers is on how many workers a job without any success may fail before only the job is blamed.
 	poisonWorkers = 2
+	// A lifetime that ends within flapWindow of the one before makes its worker suspect.
+	flapWindow = 6 * time.Second
 	// firstSuspicion is how long a worker is avoided at first; it doubles up to maxStrikes times.
 	firstSuspicion = 2 * time.Second
 	maxStrikes     = 3
@@ -37,6 +39,8 @@
 	probing      bool
 	probe        *run
 	strikes      int
+	// restartedAt is when the last lifetime ended other than as planned.
+	restartedAt time.Time
 	// slow is the duration of runs against what was expected.
 	slow mean
 }
@@ -74,6 +78,16 @@
 	p.out.Decisions = append(p.out.Decisions, Decision{Kind: "suspect", Worker: w.ID, Reason: reason})
 }
 
+// noteRestart takes note of a lifetime that ended other than as planned.
+func (p *Pool) noteRestart(now time.Time, w *worker) {
+	t := &w.trust
+	again := !t.restartedAt.IsZero() && now.Sub(t.restartedAt) < flapWindow
+	t.restartedAt = now
+	if again {
+		p.suspect(now, w, "goes down and up")
+	}
+}
+
 // judge learns about the worker from the end of a run.
 func (p *Pool) judge(now time.Time, r *run, end RunEnd) {
 	t := &r.worker.trust
--- a/scheduler/unit_test.go
+++ b/scheduler/unit_test.go
@@ -174,3 +174,29 @@
 	}
 	t.Fatal("the persistent task never moved")
 }
+
+// TestFlappingWorkersAreAvoided ends two lifetimes of a worker shortly after another: tasks go elsewhere for a while.
+func TestFlappingWorkersAreAvoided(t *testing.T) {
+	for _, apart := range []time.Duration{2 * time.Second, 10 * time.Second} {
+		b := newBare("w1", "w2")
+		for born := int64(6); born <= 7; born++ {
+			b.pass(apart)
+			for id, lifetime := range map[string]int64{"w1": born, "w2": 5} {
+				b.clock++
+				b.pool.Report(b.now, scheduler.Report{Worker: id, Born: lifetime, Sent: b.now, Received: b.now, Clock: b.clock})
+			}
+		}
+		b.add("j", &pb.JobStep{Count: 4, CpuMilli: 1000, EstimateMs: 1000, MaxPerHost: 2})
+		flapping := 0
+		for _, order := range b.pool.Step(b.now).Orders {
+			if order.Worker == "w1" {
+				flapping++
+			}
+		}
+		want := 0
+		if apart > 6*time.Second {
+			want = 2
+		}
+		assert.Equal(t, flapping, want, "lifetimes ended %s apart", apart)
+	}
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -127,6 +127,9 @@
 
 // lifetimeOver ends everything on a lifetime that has crashed or left for good.
 func (p *Pool) lifetimeOver(now time.Time, w *worker, reason string) {
+	if !w.gone && !w.Draining {
+		p.noteRestart(now, w)
+	}
 	runs := append([]*run(nil), w.runs...)
 	for _, r := range runs {
 		p.decide("lost", r, reason)
