timeline: lines of one time keep the order in which they were read

Cause: the text form of the log rounds times to a millisecond, and the join put all lines that name the job before those that do not, then sorted by time alone. Where pool_gained (901) and the first decision of the new owner (941, 934) fell into one millisecond, the decision stood first. Lines that held before came from a map and had no order at all among equal times. Ruled out: the writers. Each process writes 901 before its owner runs, and its lines enter the pipe in that order. Change: a line remembers its place in the input, which decides between lines of one time. Before/after: the new test fails before (job_completed before pool_gained) and passes after.

--- a/internal/timeline/join.go
+++ b/internal/timeline/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"io"
 	"slices"
 	"strings"
@@ -22,7 +23,8 @@
 )
 
 // Join reads log lines and returns those that tell about the job, in the order of their times: its own, and during its
-// life those of its pool, of the workers it ran on and of the entry hosts that answered for it.
+// life those of its pool, of the workers it ran on and of the entry hosts that answered for it. Lines of the same time,
+// which logs may round to a millisecond, keep the order in which they were read.
 func Join(logs io.Reader, job string) ([]Line, error) {
 	own, others, err := read(logs, job)
 	if err != nil || len(own) == 0 {
@@ -31,18 +33,19 @@
 	near := surroundings(own)
 	out := append(own, near.standing(others)...)
 	out = append(out, lo.Filter(others, func(l Line, _ int) bool { return near.during(&l) && near.concerns(&l) })...)
-	slices.SortStableFunc(out, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	slices.SortFunc(out, func(a, b Line) int { return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(a.position, b.position)) })
 	return out, nil
 }
 
 func read(logs io.Reader, job string) (own, others []Line, err error) {
 	scanner := bufio.NewScanner(logs)
 	scanner.Buffer(nil, maxLineBytes)
-	for scanner.Scan() {
+	for position := 0; scanner.Scan(); position++ {
 		l, ok := Parse(scanner.Text())
 		if !ok {
 			continue
 		}
+		l.position = position
 		switch l.Get("job") {
 		case job:
 			own = append(own, l)
--- a/internal/timeline/parse.go
+++ b/internal/timeline/parse.go
@@ -18,6 +18,9 @@
 	Name    string
 	Host    string
 	Fields  []Field
+
+	// position counts the lines that were read before.
+	position int
 }
 
 // Field is one more value of a line.
--- a/internal/timeline/parse_test.go
+++ b/internal/timeline/parse_test.go
@@ -75,6 +75,23 @@
 	assert.ErrorIs(t, err, errBroken)
 }
 
+// TestJoinKeepsTheOrderOfLinesOfOneTime has lines that name the job and lines that do not in one millisecond.
+func TestJoinKeepsTheOrderOfLinesOfOneTime(t *testing.T) {
+	const stamp = "time=2026-01-01T10:00:00.238Z level=INFO msg=x entry_host=e1 "
+	names := []string{"job_accepted job=a", "pool_gained", "step_done job=a", "worker_silent", "job_completed job=a", "pool_lost"}
+	var text strings.Builder
+	for _, name := range names {
+		text.WriteString(stamp + "event=901 pool=p name=" + name + "\n")
+	}
+	found, err := timeline.Join(strings.NewReader(text.String()), "a")
+	assert.NilError(t, err)
+	var got []string
+	for _, l := range found {
+		got = append(got, l.Name)
+	}
+	assert.DeepEqual(t, got, []string{"job_accepted", "pool_gained", "step_done", "worker_silent", "job_completed", "pool_lost"})
+}
+
 var errBroken = errors.New("the logs broke off")
 
 type broken struct{}
