standin/workers: a reboot closes the address before it cuts requests

Cause: the order to reboot cancelled the life's context first; the listener was closed by a goroutine that this wakes, while others that it wakes cut the requests. A client that saw its request cut could still connect, into a backlog that was then reset or accepted. Ruled out: another process on the port. The new test gets the same "connection reset by peer" on a port that is open. Change: the listener is closed first, before the order is answered.

--- a/standin/workers/worker.go
+++ b/standin/workers/worker.go
@@ -84,7 +84,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.down = 0
-	ctx, w.reboot = context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(ctx)
+	listener := w.listener
+	w.reboot = func() {
+		_ = listener.Close() // first: whoever sees a request cut must find the address closed
+		cancel()
+	}
 	context.AfterFunc(ctx, w.cut)
 	return ctx
 }
--- a/standin/workers/workers_test.go
+++ b/standin/workers/workers_test.go
@@ -135,6 +135,18 @@
 	waitFor(func() bool { return fleet.Counts().Cut == 1 })
 }
 
+// TestARebootClosesTheAddressAtOnce connects right after the order, while requests are still being cut.
+func TestARebootClosesTheAddressAtOnce(t *testing.T) {
+	for range 20 {
+		fleet := start(t, 0)
+		_, _, err := send(t, http.MethodGet, "http://"+fleet.Address("w1"), "", header("s", "p", ""))
+		assert.NilError(t, err)
+		assert.Assert(t, fleet.Reboot("w1", time.Hour))
+		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", fleet.Address("w1"))
+		assert.Assert(t, errors.Is(err, syscall.ECONNREFUSED), "%v %v", conn, err)
+	}
+}
+
 func TestAdminIsLoopbackOnly(t *testing.T) {
 	_, err := workers.New(t.Context(), workers.Options{AdminAddress: "0.0.0.0:0"})
 	assert.ErrorContains(t, err, "not a loopback address")
