settings: texts, lists and quoted values are bounded

Cause: only names in headings had a bound. A deployment name of a million characters was accepted, and an error repeated whatever it refused. Change: a text has at most 255 bytes, a secret 4096, a list 10,000 values; an error shows the first 80 bytes of a value, a heading or a key, and a very long word is not compared with the known ones. Before/after: the new test feeds a million characters as name, key, heading, item name and token; each is refused with class Invalid, the remedy, and an error under 1000 bytes. Conclusion: mended.

--- a/settings/parse.go
+++ b/settings/parse.go
@@ -36,7 +36,7 @@
 	}
 	file, err := ini.LoadSources(options(), data)
 	if err != nil {
-		p.report("", "", "file is not INI: "+err.Error(), "write [section] lines and key = value lines only")
+		p.report("", "", "file is not INI: "+shortened(err.Error()), "write [section] lines and key = value lines only")
 		return
 	}
 	for _, sec := range file.Sections() {
@@ -189,5 +189,7 @@
 }
 
 func (p *parser) report(section, key, found, remedy string) {
-	p.problems = append(p.problems, Problem{File: p.file, Section: section, Key: key, Found: found, Remedy: remedy})
+	p.problems = append(p.problems, Problem{
+		File: p.file, Section: shortened(section), Key: shortened(key), Found: found, Remedy: remedy,
+	})
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -99,6 +99,36 @@
 	assert.ErrorContains(t, settings.Load("does-not-exist.ini", &pb.Settings{}), "name a file that exists")
 }
 
+// TestLongTextsAreRefused has a million characters where a name, a heading, a key or a list stands. Neither does the
+// error repeat them.
+func TestLongTextsAreRefused(t *testing.T) {
+	long := strings.Repeat("x", 1_000_000)
+	const scope = "[deployment]\nname = d\nspare_pool = p\n"
+	tests := []struct{ old, new, want string }{
+		{"name = d", "name = " + long, `[deployment] name: found "` + long[:80] + `..." of 1000000 bytes; shorten it to 255 bytes`},
+		{"name = d", "name = " + long[:255], ""},
+		{"spare_pool = p", "spare_pool = p\n" + long + " = 1", "unknown key"},
+		{"[deployment]", "[" + long + "]\n[deployment]", "unknown section"},
+		{"[deployment]", "[pool \"" + long + "\"]\n[deployment]", "section needs a name"},
+	}
+	for _, test := range tests {
+		err := settings.Parse("d.ini", []byte(strings.Replace(scope, test.old, test.new, 1)), &pb.Configuration{})
+		if test.want == "" {
+			assert.NilError(t, err)
+			continue
+		}
+		assert.Assert(t, settings.Invalid.Has(err))
+		assert.ErrorContains(t, err, test.want)
+		assert.Assert(t, len(err.Error()) < 1000, "%d bytes", len(err.Error()))
+	}
+	made := &pb.Configuration{Deployment: &pb.Deployment{Name: long, SparePool: "p"}}
+	assert.ErrorContains(t, settings.Validate(made), "shorten it to 255 bytes")
+	err := settings.Parse("d.ini", []byte(strings.Replace(good, "127.0.1.2:8002, ", strings.Repeat("1:1,", 20_000), 1)), &pb.Settings{})
+	assert.ErrorContains(t, err, "list at most 10000 values")
+	err = settings.Parse("d.ini", []byte(strings.Replace(good, "secret-word", long, 1)), &pb.Settings{})
+	assert.ErrorContains(t, err, "[operator] token: found a secret; shorten it to 4096 bytes")
+}
+
 func TestSecretsStayOutOfProblems(t *testing.T) {
 	s := &pb.Settings{Operator: &pb.OperatorSettings{Token: "hidden\x01word"}}
 	err := settings.Validate(s)
--- a/settings/suggest.go
+++ b/settings/suggest.go
@@ -4,10 +4,17 @@
 	"strings"
 )
 
-// didYouMean proposes the known word nearest to the given one, or lists all when none is near.
+// didYouMean proposes the known word nearest to the given one, or lists all when none is near. No word is near a very
+// long one.
 func didYouMean(word string, known []string) string {
 	best, bestDistance := "", len(word)/2+1
+	if len(word) > maxQuoted {
+		bestDistance = 0
+	}
 	for _, candidate := range known {
+		if bestDistance == 0 {
+			break
+		}
 		if d := editDistance(word, candidate); d < bestDistance {
 			best, bestDistance = candidate, d
 		}
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -36,5 +36,5 @@
 }
 
 func (v *validator) report(it item, key, found, remedy string) {
-	v.problems = append(v.problems, Problem{Section: it.heading, Key: key, Found: found, Remedy: remedy})
+	v.problems = append(v.problems, Problem{Section: shortened(it.heading), Key: key, Found: found, Remedy: remedy})
 }
--- a/settings/value.go
+++ b/settings/value.go
@@ -24,6 +24,16 @@
 	unitDuration    = "duration"
 )
 
+const (
+	// maxTextBytes bounds a text, such as a name; maxSecretBytes one that is secret.
+	maxTextBytes   = 255
+	maxSecretBytes = 4096
+	// maxListed bounds the values of a list.
+	maxListed = 10_000
+	// maxQuoted bounds the part of a value that an error shows.
+	maxQuoted = 80
+)
+
 // redacted stands for a secret in what is shown.
 const redacted = "***"
 
@@ -89,6 +99,9 @@
 	if text == "" {
 		return lo.Ternary(k.option.GetRequired(), "write a value such as "+k.example(), k.checkChoice(text))
 	}
+	if limit := lo.Ternary(k.option.GetSecret(), maxSecretBytes, maxTextBytes); len(text) > limit {
+		return fmt.Sprintf("shorten it to %d bytes", limit)
+	}
 	if strings.ContainsFunc(text, func(r rune) bool { return r < ' ' || r == '\x7f' || r == '`' }) {
 		return "leave out control characters and backquotes"
 	}
@@ -111,10 +124,16 @@
 }
 
 func (k *key) checkList(list []string) string {
+	if len(list) > maxListed {
+		return fmt.Sprintf("list at most %d values", maxListed)
+	}
 	for _, text := range list {
 		if text == "" {
 			return "write values with single commas between them"
 		}
+		if len(text) > maxTextBytes {
+			return fmt.Sprintf("shorten each value to %d bytes", maxTextBytes)
+		}
 		if k.option.GetUnit() != unitAddressList {
 			continue
 		}
@@ -185,9 +204,24 @@
 	return "VALUE"
 }
 
-// quote shows a value in an error unless it is secret.
+// quote shows a value in an error, the beginning of a long one, unless it is secret.
 func (k *key) quote(text string) string {
-	return lo.Ternary(k.option.GetSecret(), "a secret", strconv.Quote(text))
+	switch {
+	case k.option.GetSecret():
+		return "a secret"
+	case len(text) > maxQuoted:
+		return fmt.Sprintf("%s of %d bytes", strconv.Quote(shortened(text)), len(text))
+	default:
+		return strconv.Quote(text)
+	}
+}
+
+// shortened is the text, or the beginning of a long one.
+func shortened(text string) string {
+	if len(text) <= maxQuoted {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxQuoted], "") + "..."
 }
 
 // set stores a value that parse returned.
