--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -10,7 +10,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/agateturn/agateturn/config"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/operatorapi"
+	"github.com/agateturn/agateturn/platform"
+	"github.com/agateturn/agateturn/settings"
 )
 
 const (
@@ -176,6 +180,28 @@
 	assert.Assert(t, strings.Contains(ended.errOut, "answer every question"), ended.errOut)
 }
 
+// TestInitWritesJobs writes settings that the daemon accepts, and a table of queues that it can read.
+func TestInitWritesJobs(t *testing.T) {
+	const file = "../../examples/jobs/answers.ini"
+	out := filepath.Join(t.TempDir(), "jobs")
+	got := runTool(t, "init", "--jobs", "--answers", file, "--out", out)
+	assert.Equal(t, got.code, ExitOK, got.errOut)
+	files, err := filepath.Glob(filepath.Join(out, "*.ini"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(files), 4)
+	for _, path := range files {
+		s := &pb.JobSettings{}
+		assert.NilError(t, settings.Load(path, s))
+		assert.NilError(t, config.CheckJobSettings(s))
+	}
+	data, err := os.ReadFile(filepath.Join(out, tableFile))
+	assert.NilError(t, err)
+	table, err := platform.ParseTable(data)
+	assert.NilError(t, err)
+	assert.Equal(t, len(table.Queues), 3)
+	assert.Equal(t, runTool(t, "init", "--jobs", "--answers", file).code, ExitUsage)
+}
+
 // TestHelpRunsNothing asks for the help of a command whose address nobody serves.
 func TestHelpRunsNothing(t *testing.T) {
 	got := runTool(t, "status", "--help", "--address", deadAddress(t))
--- a/internal/ctl/initcmd.go
+++ b/internal/ctl/initcmd.go
@@ -17,11 +17,15 @@
 
 type initCmd struct {
 	Answers string `help:"File with the answers; without it the questions are asked." type:"existingfile"`
-	Out     string `help:"File to write; - is standard output." default:"-" short:"f"`
+	Out     string `help:"File to write; - is standard output. With --jobs, the directory to write to." default:"-" short:"f"`
+	Jobs    bool   `help:"Make a deployment that serves jobs: the settings of each entry host and the table of queues."`
 }
 
 // Run asks or reads the answers, and writes the configuration.
 func (c *initCmd) Run(e *env) error {
+	if c.Jobs {
+		return c.runJobs(e)
+	}
 	answers, err := c.answers(e)
 	if err != nil {
 		return err
--- a/questionnaire/ask.go
+++ b/questionnaire/ask.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/zeebo/errs"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/agateturn/agateturn/settings"
 )
@@ -22,14 +23,20 @@
 // default shown, or ends a list of names. An answer that is not allowed is asked for again. An error is of class
 // Interrupted.
 func Ask(in io.Reader, out io.Writer) (*Answers, error) {
+	answers := &Answers{}
+	return answers, ask(in, out, answers)
+}
+
+// AskJobs is Ask for a deployment that serves jobs.
+func AskJobs(in io.Reader, out io.Writer) (*JobAnswers, error) {
+	answers := &JobAnswers{}
+	return answers, ask(in, out, answers)
+}
+
+func ask(in io.Reader, out io.Writer, answers proto.Message) error {
 	lines := bufio.NewScanner(in)
 	lines.Buffer(nil, maxLineBytes)
-	d := &dialogue{lines: lines, out: out}
-	answers := &Answers{}
-	if err := settings.Fill(answers, d); err != nil {
-		return nil, Interrupted.Wrap(err)
-	}
-	return answers, nil
+	return Interrupted.Wrap(settings.Fill(answers, &dialogue{lines: lines, out: out}))
 }
 
 // dialogue implements settings.Dialogue over lines of text.
--- a/questionnaire/place.go
+++ b/questionnaire/place.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/netip"
 
+	"github.com/samber/lo"
+
 	answerspb "github.com/agateturn/agateturn/gen/agateturn/answers/v1"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/settings"
@@ -28,7 +30,7 @@
 			Section: "data_centre", Found: "no data centre", Remedy: `add [data_centre "NAME"]`,
 		})
 	}
-	addresses, err := countAddresses(answers.GetWorkers(), total)
+	addresses, err := workerAddresses(answers.GetWorkers(), total)
 	if err != nil {
 		return nil, err
 	}
@@ -64,21 +66,27 @@
 	}
 }
 
-// countAddresses counts up from the first address. The caller has validated it.
-func countAddresses(w *answerspb.Workers, count int) ([]string, error) {
-	next, err := netip.ParseAddrPort(w.GetFirstAddress())
-	if err != nil {
-		return nil, addressProblem(w, "the first address is no ip:port")
+// workerAddresses counts up from the first address.
+func workerAddresses(w *answerspb.Workers, count int) ([]string, error) {
+	addresses, ok := countAddresses(w.GetFirstAddress(), w.GetCountBy(), count)
+	if !ok {
+		return nil, addressProblem("workers", w.GetFirstAddress(), count)
 	}
-	addresses := make([]string, count)
+	return lo.Map(addresses, func(a netip.AddrPort, _ int) string { return a.String() }), nil
+}
+
+// countAddresses counts up from the first address. It reports false if there are not as many.
+func countAddresses(first, countBy string, count int) ([]netip.AddrPort, bool) {
+	next, _ := netip.ParseAddrPort(first)
+	addresses := make([]netip.AddrPort, count)
 	for i := range addresses {
 		if !next.IsValid() {
-			return nil, addressProblem(w, fmt.Sprintf("%d addresses from %s on do not exist", count, w.GetFirstAddress()))
+			return nil, false
 		}
-		addresses[i] = next.String()
-		next = following(next, w.GetCountBy())
+		addresses[i] = next
+		next = following(next, countBy)
 	}
-	return addresses, nil
+	return addresses, true
 }
 
 // following is the next address; the zero AddrPort when there is none.
@@ -96,8 +104,9 @@
 	return netip.AddrPortFrom(address.Addr(), address.Port()+1)
 }
 
-func addressProblem(w *answerspb.Workers, found string) error {
+func addressProblem(section, first string, count int) error {
 	return settings.Refuse(settings.Problem{
-		Section: "workers", Key: "first_address", Found: found, Remedy: "choose a lower first address than " + w.GetFirstAddress(),
+		Section: section, Key: "first_address", Found: fmt.Sprintf("%d addresses from %s on do not exist", count, first),
+		Remedy: "choose a lower first address than " + first,
 	})
 }
--- a/questionnaire/questionnaire.go
+++ b/questionnaire/questionnaire.go
@@ -1,4 +1,5 @@
-// Package questionnaire turns a team's answers into a configuration.
+// Package questionnaire turns a team's answers into a configuration, or, for a deployment that serves jobs, into the
+// settings of its entry hosts and its table of queues.
 //
 // The questions are the schema's keys, so answers come from an INI file or from a dialogue, and both are checked
 // alike. Hosts are generated: each pool's workers are spread over the data centres and their racks, and addresses
@@ -22,10 +23,7 @@
 // Load reads an answers file. An error is of class settings.Invalid.
 func Load(path string) (*Answers, error) {
 	answers := &Answers{}
-	if err := settings.Load(path, answers); err != nil {
-		return nil, err
-	}
-	return answers, nil
+	return answers, settings.Load(path, answers)
 }
 
 // Generate makes the configuration that follows from the answers. It passes config.Check; where the answers allow
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -146,11 +146,12 @@
 wrong unit or a value out of bounds is refused with the remedy, and nothing starts.
 
 ` + "`Settings`" + ` is the file of one agateturnd, ` + "`Configuration`" + ` is what operators apply to the whole deployment, and
-` + "`Answers`" + ` is what agateturnctl init reads in place of a dialogue.
+` + "`Answers`" + ` is what agateturnctl init reads in place of a dialogue. An entry host that serves jobs has ` + "`JobSettings`" + `;
+` + "`JobAnswers`" + ` is what agateturnctl init --jobs reads.
 `
 
 func TestReferenceIsCurrent(t *testing.T) {
-	page := referenceHead + string(settings.Reference(&pb.Settings{}, &pb.JobSettings{}, &pb.Configuration{}, &answerspb.Answers{}))
+	page := referenceHead + string(settings.Reference(&pb.Settings{}, &pb.JobSettings{}, &pb.Configuration{}, &answerspb.Answers{}, &answerspb.JobAnswers{}))
 	golden.Assert(t, page, "../../docs/CONFIGURATION.md")
 }
 
