events: the last free-text lines of job hosts become numbered events

Change: 409 config_not_offered (debug), 942 member_not_stored, 943 record_skipped, 944 fleet_record_waits, 945 machines_unread and 946 machines_read, each with what it concerns, fence or version, age and error. Lists of machines are told when the first fails and when one is read again. jobstore's own sleep is wait.For.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -108,6 +108,7 @@
 		Number: 408, Name: "config_stale", Level: slog.LevelWarn, Message: "an older configuration was shown and ignored",
 		Remedy: "look for a store that was restored from a copy",
 	}
+	ConfigNotOffered = Event{Number: 409, Name: "config_not_offered", Level: slog.LevelDebug, Message: "peer was not told of the configuration"}
 )
 
 // Hosts.
@@ -271,6 +272,18 @@
 	AttemptFailed = Event{Number: 939, Name: "attempt_failed", Level: slog.LevelInfo, Message: "a run failed, which counts as an attempt"}
 	JobDurable    = Event{Number: 940, Name: "job_durable", Level: slog.LevelInfo, Message: "end of the job is durable and shown to callers"}
 	StepDone      = Event{Number: 941, Name: "step_done", Level: slog.LevelInfo, Message: "all tasks of the step have succeeded"}
+
+	MemberNotStored = Event{Number: 942, Name: "member_not_stored", Level: slog.LevelInfo, Message: "the store did not take the entry of this host; it is tried again unless the host stops"}
+	RecordSkipped   = Event{
+		Number: 943, Name: "record_skipped", Level: slog.LevelWarn, Message: "a record cannot be read or written in its form; it is passed over",
+		Remedy: "see the key in the store; look for other programs that write there",
+	}
+	FleetRecordWaits = Event{Number: 944, Name: "fleet_record_waits", Level: slog.LevelInfo, Message: "progress of waves or moves is not durable yet; it is tried again"}
+	MachinesUnread   = Event{
+		Number: 945, Name: "machines_unread", Level: slog.LevelWarn, Message: "list of machines cannot be read; the last one is used",
+		Remedy: "see to the platform's machines",
+	}
+	MachinesRead = Event{Number: 946, Name: "machines_read", Level: slog.LevelInfo, Message: "list of machines can be read again"}
 	SchedulerNote = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
 )
 
@@ -282,7 +295,7 @@
 	MemberJoined, MemberLeft, MemberGone, JoinRefused, JoinedAsGuest, PeerUnreachable, PeerBack,
 	ControllerElected, ControllerLost, FleetApplied, OwnersSettled,
 	ConfigStaged, ConfigInForce, ConfigRefused, ConfigConflict, ConfigAbandoned, ConfigOutcomeUnknown,
-	ConfigUnsettled, ConfigStale,
+	ConfigUnsettled, ConfigStale, ConfigNotOffered,
 	HostDraining, HostReleased, HostMoved, HostInMaintenance, HostReturned, HostDown, HostDrainHangs,
 	HostEjected, HostProbedBack, HostNotInList, EjectionCapped,
 	WaveStarted, WaveStoppedItself, WaveStopped, WaveResumed, WaveDone, WaveWaiting,
@@ -296,6 +309,7 @@
 	WorkersChanged, WorkerEnded, WorkerSilent, WorkerBack, WorkerSuspect, WorkerUnread,
 	TasksStarted, TasksStopped, TasksLost, TasksEnded, TasksRefused, OrderUnknown, OrderRefused,
 	JobCompleted, JobFailed, JobCancelled, SchedulerNote, JobBegun, AttemptFailed, JobDurable, StepDone,
+	MemberNotStored, RecordSkipped, FleetRecordWaits, MachinesUnread, MachinesRead,
 }
 
 // retired are numbers of dropped events; they are not used again.
--- a/internal/fleetowner/list.go
+++ b/internal/fleetowner/list.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
+	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/wait"
 )
 
@@ -18,14 +20,17 @@
 
 // list brings lists of machines to the loop.
 func (t *term) list(ctx context.Context) error {
+	var unreadSince time.Time
 	for {
 		if err := t.reads.wait(ctx); err != nil {
 			return err
 		}
 		sent := time.Now()
-		if err := t.listOnce(ctx, sent); err != nil {
-			return err
+		err := t.listOnce(ctx, sent)
+		if ctx.Err() != nil {
+			return ctx.Err()
 		}
+		unreadSince = t.tellListed(ctx, unreadSince, sent, err)
 		for t.listWait(sent) > 0 {
 			if err := wait.For(ctx, min(listCheck, t.listWait(sent))); err != nil {
 				return err
@@ -42,13 +47,30 @@
 	return interval - time.Since(sent)
 }
 
+// tellListed logs the first list in a row that failed and the first that was read again. It returns since when none was
+// read; zero if the last one was.
+func (t *term) tellListed(ctx context.Context, unreadSince, sent time.Time, err error) time.Time {
+	if err == nil && !unreadSince.IsZero() {
+		events.Log(ctx, t.Logger, events.MachinesRead, slog.Uint64("fence", t.fence),
+			slog.Int64("age_ms", time.Since(unreadSince).Milliseconds()))
+	}
+	if err == nil {
+		return time.Time{}
+	}
+	if !unreadSince.IsZero() {
+		return unreadSince
+	}
+	events.Log(ctx, t.Logger, events.MachinesUnread, slog.Uint64("fence", t.fence), slog.String("err", err.Error()))
+	return sent
+}
+
+// listOnce brings one list to the loop.
 func (t *term) listOnce(ctx context.Context, sent time.Time) error {
 	call, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	machines, err := t.Machines.List(call)
 	if err != nil {
-		t.Logger.Debug("machines not listed", "error", err)
-		return ctx.Err()
+		return err
 	}
 	return t.tell(ctx, func(time.Time) {
 		t.machines = machines
--- a/internal/fleetowner/record.go
+++ b/internal/fleetowner/record.go
@@ -53,7 +53,8 @@
 				return err
 			}
 			if err != nil {
-				w.Logger.Debug("record not written", "key", job.key, "error", err)
+				events.Log(ctx, w.Logger, events.FleetRecordWaits, slog.String("key", job.key), slog.Uint64("fence", w.fence),
+					slog.Uint64("version", w.versions[job.key]), slog.String("err", err.Error()))
 			}
 			if err := job.done(ctx, err); err != nil {
 				return err
@@ -142,7 +143,7 @@
 }
 
 // record is the present progress of a wave.
-func (t *term) record(w *wave) store.Put {
+func (t *term) record(ctx context.Context, w *wave) store.Put {
 	r := &pb.WaveRecord{Wave: w.Number, SeenMs: w.Seen.UnixMilli()}
 	progress := t.planner.Progress(w.Number)
 	for _, id := range slices.Sorted(maps.Keys(progress)) {
@@ -157,28 +158,34 @@
 		}
 		r.Machines = append(r.Machines, m)
 	}
-	return t.put(r)
+	return t.put(ctx, r)
 }
 
-func (t *term) put(r *pb.WaveRecord) store.Put {
-	data, err := proto.Marshal(r)
+func (t *term) put(ctx context.Context, r *pb.WaveRecord) store.Put {
+	return t.encode(ctx, t.recordKey(r.GetWave()), r)
+}
+
+func (t *term) encode(ctx context.Context, key string, m proto.Message) store.Put {
+	data, err := proto.Marshal(m)
 	if err != nil {
-		t.Logger.Error("wave record not encoded", "wave", r.GetWave(), "error", err)
+		t.skipped(ctx, key, 0, err)
 	}
-	return store.Put{Key: t.recordKey(r.GetWave()), Data: data}
+	return store.Put{Key: key, Data: data}
+}
+
+// skipped tells of a record that cannot be read or written. version is 0 for one that was to be written.
+func (t *term) skipped(ctx context.Context, key string, version uint64, err error) {
+	events.Log(ctx, t.Logger, events.RecordSkipped, slog.String("key", key), slog.Uint64("version", version),
+		slog.Uint64("fence", t.fence), slog.String("err", err.Error()))
 }
 
 // openMoves is the record of the moves that may be carried out.
-func (t *term) openMoves(key string) store.Put {
+func (t *term) openMoves(ctx context.Context, key string) store.Put {
 	r := &pb.MoveRecord{Demands: t.planner.Learned()}
 	for _, m := range t.planner.OpenMoves() {
 		r.Moves = append(r.Moves, &pb.MachineMove{Machine: m.Machine, Pool: m.Pool})
 	}
-	data, err := proto.Marshal(r)
-	if err != nil {
-		t.Logger.Error("record of moves not encoded", "error", err)
-	}
-	return store.Put{Key: key, Data: data}
+	return t.encode(ctx, key, r)
 }
 
 // touch says that a wave has progress to be written.
@@ -195,7 +202,7 @@
 		if !w.due(now) {
 			continue
 		}
-		puts := []store.Put{t.record(w)}
+		puts := []store.Put{t.record(ctx, w)}
 		if !w.announced {
 			puts = append(puts, t.statusPut(number, false))
 		}
@@ -248,7 +255,7 @@
 		}
 		w.completing = true
 		end := &pb.WaveRecord{Wave: number, SeenMs: w.Seen.UnixMilli(), Completed: true}
-		puts := []store.Put{t.put(end), t.statusPut(number, true)}
+		puts := []store.Put{t.put(ctx, end), t.statusPut(number, true)}
 		job := write{key: puts[0].Key, puts: puts}
 		job.done = func(ctx context.Context, err error) error { return t.ended(ctx, w, err) }
 		if err := t.writes.Put(ctx, job); err != nil {
--- a/internal/fleetowner/step.go
+++ b/internal/fleetowner/step.go
@@ -79,7 +79,7 @@
 		orders = append(orders, order{move: m})
 	}
 	key := t.Names.MovesKey
-	job := write{key: key, puts: []store.Put{t.openMoves(key)}}
+	job := write{key: key, puts: []store.Put{t.openMoves(ctx, key)}}
 	job.done = func(ctx context.Context, err error) error { return t.send(ctx, orders, err) }
 	return t.writes.Put(ctx, job)
 }
@@ -101,7 +101,7 @@
 			continue
 		}
 		w.dirty = time.Time{}
-		put := t.record(w)
+		put := t.record(ctx, w)
 		job := write{key: put.Key, puts: []store.Put{put}}
 		job.done = func(ctx context.Context, err error) error { return t.send(ctx, byWave[number], err) }
 		if err := t.writes.Put(ctx, job); err != nil {
--- a/internal/fleetowner/waves.go
+++ b/internal/fleetowner/waves.go
@@ -95,7 +95,7 @@
 	t.versions[t.Names.MovesKey] = item.Version
 	r := &pb.MoveRecord{}
 	if err := proto.Unmarshal(item.Data, r); err != nil {
-		t.Logger.Error("record of moves not read", "error", err)
+		t.skipped(ctx, item.Key, item.Version, err)
 		return nil
 	}
 	moves := make([]upkeep.MoveOrder, 0, len(r.GetMoves()))
--- a/internal/jobstore/accept.go
+++ b/internal/jobstore/accept.go
@@ -7,6 +7,7 @@
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/jobkeys"
+	"github.com/agateturn/agateturn/jobstate"
 	"github.com/agateturn/agateturn/store"
 )
 
@@ -70,10 +71,10 @@
 	p := &pb.JobProgress{State: pb.JobState_JOB_STATE_QUEUED}
 	if item.Version > 0 {
 		if err := proto.Unmarshal(item.Data, p); err != nil {
-			s.log.Warn("progress cannot be read", "pool", pool, "job", id, "error", err)
+			s.skipped(ctx, item, err)
 		}
 	}
-	if Ended(p.GetState()) {
+	if jobstate.Final(p.GetState()) {
 		return p.GetState(), true, nil
 	}
 	cancel, err := s.get(ctx, jobkeys.Cancel(pool, id))
@@ -85,13 +86,3 @@
 	}
 	return p.GetState(), true, nil
 }
-
-// Ended tells whether a state is final.
-func Ended(state pb.JobState) bool {
-	switch state {
-	case pb.JobState_JOB_STATE_COMPLETED, pb.JobState_JOB_STATE_FAILED, pb.JobState_JOB_STATE_CANCELLED:
-		return true
-	case pb.JobState_JOB_STATE_UNSPECIFIED, pb.JobState_JOB_STATE_QUEUED, pb.JobState_JOB_STATE_RUNNING:
-	}
-	return false
-}
--- a/internal/jobstore/load.go
+++ b/internal/jobstore/load.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"errors"
+	"log/slog"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/jobkeys"
 	"github.com/agateturn/agateturn/store"
+	"github.com/agateturn/agateturn/wait"
 )
 
 // watchSlack is how much longer than its wait a watch may take.
@@ -37,7 +41,7 @@
 		return snap, 0, err
 	}
 	for _, i := range items {
-		change, ok := s.parse(pool, i)
+		change, ok := s.parse(ctx, pool, i)
 		switch {
 		case !ok:
 		case change.Job != nil:
@@ -54,7 +58,7 @@
 	for _, i := range recorded {
 		p := &pb.JobProgress{}
 		if err := proto.Unmarshal(i.Data, p); err != nil {
-			s.log.Warn("progress cannot be read", "key", i.Key, "error", err)
+			s.skipped(ctx, i, err)
 			continue
 		}
 		snap.Progress = append(snap.Progress, p)
@@ -72,8 +76,17 @@
 // rangeCalls is how many times CallTimeout a Range may take.
 const rangeCalls = 3
 
+// errOtherJob is the error of a record whose id is not that of its key.
+var errOtherJob = errors.New("the record is another job's")
+
+// skipped tells of a record that cannot be read.
+func (s *Store) skipped(ctx context.Context, i store.Item, err error) {
+	events.Log(ctx, s.log, events.RecordSkipped, slog.String("key", i.Key), slog.Uint64("version", i.Version),
+		slog.String("err", err.Error()))
+}
+
 // parse reads one item below Incoming(pool).
-func (s *Store) parse(pool string, i store.Item) (Change, bool) {
+func (s *Store) parse(ctx context.Context, pool string, i store.Item) (Change, bool) {
 	id, cancelled, ok := jobkeys.ParseIncoming(pool, i.Key)
 	if !ok {
 		return Change{}, false
@@ -82,8 +95,12 @@
 		return Change{Cancelled: id}, true
 	}
 	job := &pb.JobRecord{}
-	if err := proto.Unmarshal(i.Data, job); err != nil || job.GetId() != id {
-		s.log.Warn("job cannot be read", "key", i.Key, "error", err)
+	err := proto.Unmarshal(i.Data, job)
+	if err == nil && job.GetId() != id {
+		err = errOtherJob
+	}
+	if err != nil {
+		s.skipped(ctx, i, err)
 		return Change{}, false
 	}
 	return Change{Job: job}, true
@@ -128,22 +145,22 @@
 // once watches once; a watch that tells nothing for long may be deaf, so a cheap read looks after it.
 func (f *follower) once(ctx context.Context) error {
 	s := f.store
-	wait := min(s.opts.WatchWait, s.opts.QuietCheck)
-	call, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	longest := min(s.opts.WatchWait, s.opts.QuietCheck)
+	call, cancel := context.WithTimeout(ctx, longest+watchSlack)
 	defer cancel()
-	events, asOf, err := s.kv.Watch(call, f.prefix, f.asOf, wait)
+	events, asOf, err := s.kv.Watch(call, f.prefix, f.asOf, longest)
 	if err != nil {
 		return err
 	}
 	for _, e := range events {
 		if !e.Deleted {
-			f.tell(e.Item)
+			f.tell(ctx, e.Item)
 		}
 	}
 	f.asOf = asOf
 	if len(events) > 0 {
 		f.heard = s.clock()
-		return sleep(ctx, s.opts.WatchSpacing)
+		return wait.For(ctx, s.opts.WatchSpacing)
 	}
 	now := s.clock()
 	if now.Sub(f.heard) < s.opts.QuietCheck {
@@ -153,20 +170,6 @@
 	return f.rangeSince(ctx, true)
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // rangeSince tells what a Range shows to be newer than checked.
 func (f *follower) rangeSince(ctx context.Context, stale bool) error {
 	items, asOf, err := f.store.readRange(ctx, f.prefix, stale)
@@ -175,7 +178,7 @@
 	}
 	for _, i := range items {
 		if i.Version > f.checked {
-			f.tell(i)
+			f.tell(ctx, i)
 		}
 	}
 	f.checked = max(f.checked, asOf)
@@ -185,8 +188,8 @@
 	return nil
 }
 
-func (f *follower) tell(i store.Item) {
-	if change, ok := f.store.parse(f.pool, i); ok {
+func (f *follower) tell(ctx context.Context, i store.Item) {
+	if change, ok := f.store.parse(ctx, f.pool, i); ok {
 		f.onChange(change)
 	}
 }
--- a/internal/membership/keep.go
+++ b/internal/membership/keep.go
@@ -136,7 +136,7 @@
 		if err == nil {
 			return
 		}
-		m.log.Info("member not registered", slog.Any("error", err))
+		m.tellNotStored(ctx, lease, err)
 		backoff := newBackoff()
 		if backoff.Sleep(ctx) == nil {
 			wake(m.registerNow)
@@ -144,6 +144,11 @@
 	})
 }
 
+func (m *Manager) tellNotStored(ctx context.Context, lease uint64, err error) {
+	events.Log(ctx, m.log, events.MemberNotStored, slog.Uint64("lease", lease),
+		slog.Int64("store_age_ms", m.storeAge().Milliseconds()), slog.String("err", err.Error()))
+}
+
 func (m *Manager) register(ctx context.Context, lease uint64, leaving bool) error {
 	data, err := proto.Marshal(&pb.JobMember{
 		Name: m.self.Name, Incarnation: m.self.Incarnation, PeerAddress: m.self.PeerAddress,
--- a/internal/membership/leave.go
+++ b/internal/membership/leave.go
@@ -20,7 +20,7 @@
 		return nil
 	}
 	if err := m.register(ctx, lease, true); err != nil {
-		m.log.Info("cannot mark the member as leaving", slog.Any("error", err))
+		m.tellNotStored(ctx, lease, err)
 	}
 	for _, pool := range sortedKeys(held) {
 		handover(pool)
--- a/internal/tablefollow/gossip.go
+++ b/internal/tablefollow/gossip.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
+	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/wait"
 )
 
@@ -56,7 +58,8 @@
 		_, err = offer(ctx, peers, address, sendTimeout, v.table.Version, v.raw)
 	}
 	if err != nil {
-		f.log.Debug("peer not told of the configuration", "component", "tablefollow", "peer", address, "err", err)
+		events.Log(ctx, f.log, events.ConfigNotOffered, slog.String("peer", address),
+			slog.Int64("version", v.table.Version), slog.String("err", err.Error()))
 	}
 }
 
