jobs: ended jobs keep their counts; cancellations of jobs that never came are forgotten

Cause: jobs list showed 0/0 for ended jobs, since their occurrences are dropped; jobs explain printed JOB_STATE_ names; the cancellation of an id that no job has stayed in the store for ever, also after the owner had forgotten it; the connections to a pool's workers stayed open after its term. Change: tasks, succeeded and failed runs are summed up over all occurrences, kept when a job ends and recorded with its end (JobProgress.counts), so that the next owner tells them too. After the retention an owner deletes such a cancellation on the condition that the job is not there; if it has come meanwhile, it is cancelled. The end of a term closes its workers' connections. State names and which are final stand once, in jobstate. Before/after: TestDescribeAnEndedJob, TestCancellationWithoutAJobIsForgotten and TestForgetCancels are new; what they check did not exist. The doc of tasks in /v1/jobs says all occurrences, which is what a repeated job shows while it runs too.

--- a/internal/jobfront/ended.go
+++ b/internal/jobfront/ended.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/jobstate"
 )
 
 const (
@@ -43,7 +44,7 @@
 
 // put remembers the state if it is final.
 func (e *endedStates) put(key jobKey, state pb.JobState) {
-	if !isFinal(state) {
+	if !jobstate.Final(state) {
 		return
 	}
 	e.mu.Lock()
@@ -59,9 +60,3 @@
 	e.older, e.newer = e.newer, map[jobKey]pb.JobState{}
 	e.turned = now
 }
-
-func isFinal(state pb.JobState) bool {
-	return state == pb.JobState_JOB_STATE_COMPLETED ||
-		state == pb.JobState_JOB_STATE_FAILED ||
-		state == pb.JobState_JOB_STATE_CANCELLED
-}
--- a/internal/jobfront/operate.go
+++ b/internal/jobfront/operate.go
@@ -13,6 +13,7 @@
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/operatorapi"
+	"github.com/agateturn/agateturn/jobstate"
 	"github.com/agateturn/agateturn/queue"
 )
 
@@ -96,7 +97,7 @@
 			return operatorapi.JobStatus{}, operatorapi.Unavailable.New("pool %s: %v", pool, err)
 		}
 		if known {
-			return operatorapi.JobStatus{ID: id, Pool: pool, State: stateName(state), StateOnly: true}, nil
+			return operatorapi.JobStatus{ID: id, Pool: pool, State: jobstate.Name(state), StateOnly: true}, nil
 		}
 	}
 	return operatorapi.JobStatus{}, operatorapi.NotFound.New("no job %s; ended jobs are kept for a while only", id)
@@ -166,7 +167,7 @@
 
 func jobStatus(d *pb.JobDescription) operatorapi.JobStatus {
 	return operatorapi.JobStatus{
-		ID: d.GetId(), Queue: d.GetQueue(), Pool: d.GetPool(), State: stateName(d.GetState()),
+		ID: d.GetId(), Queue: d.GetQueue(), Pool: d.GetPool(), State: jobstate.Name(d.GetState()),
 		AcceptedMS: d.GetAcceptedMs(), Tasks: d.GetTasks(), Running: d.GetRunning(), Succeeded: d.GetSucceeded(),
 		Failures: d.GetFailures(), Reason: d.GetReason(), Explanation: d.GetExplanation(),
 		Placements: placements(d.GetPlacements()),
@@ -182,8 +183,3 @@
 	})
 	return out
 }
-
-// stateName is the state as operators read it.
-func stateName(state pb.JobState) string {
-	return strings.ToLower(strings.TrimPrefix(state.String(), "JOB_STATE_"))
-}
--- a/internal/jobstore/jobstore_test.go
+++ b/internal/jobstore/jobstore_test.go
@@ -110,3 +110,29 @@
 		assert.Assert(t, time.Since(began) <= 20*time.Millisecond, "took %s", time.Since(began))
 	})
 }
+
+// TestForgetCancels deletes the cancellations of jobs that never came, and no others.
+func TestForgetCancels(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memtxn.New()
+		s, stop := start(t, kv, "h")
+		defer stop()
+		ctx := t.Context()
+		ids := []string{"1", "2", "3"}
+		for _, id := range ids {
+			_, err := s.Cancel(ctx, testPool, id)
+			assert.NilError(t, err)
+		}
+		assert.NilError(t, s.Accept(ctx, job("2")))
+		fence := takePool(t, kv)
+		_, err := s.ForgetCancels(ctx, testPool, fence-1, ids)
+		assert.Assert(t, Fenced.Has(err), "%v", err)
+		kept, err := s.ForgetCancels(ctx, testPool, fence, ids)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, kept, []string{"2"})
+		snap, _, err := s.Load(ctx, testPool)
+		assert.NilError(t, err)
+		assert.Equal(t, len(snap.Jobs), 1)
+		assert.DeepEqual(t, snap.Cancelled, []string{"2"})
+	})
+}
--- a/internal/jobstore/record.go
+++ b/internal/jobstore/record.go
@@ -23,6 +23,8 @@
 	keysOfJob = 3
 	// maxForgotten bounds the jobs of one transaction of Forget.
 	maxForgotten = (store.MaxTransactionEntries - 1) / keysOfJob
+	// maxCancels bounds the cancellations of one transaction of ForgetCancels: a condition and a delete each.
+	maxCancels = (store.MaxTransactionEntries - 1) / 2
 )
 
 // Record stores progress of a pool's jobs, several in a transaction. Each transaction is all or nothing, and holds only
@@ -107,6 +109,37 @@
 	return nil
 }
 
+// ForgetCancels deletes cancellations of jobs that the store does not have. It returns the ids whose job it has: their
+// cancellations stay. Errors: as Record; call again then.
+func (s *Store) ForgetCancels(ctx context.Context, pool string, fence uint64, ids []string) (kept []string, err error) {
+	for batch := range slices.Chunk(ids, maxCancels) {
+		var t store.Transaction
+		for _, id := range batch {
+			t.Conditions = append(t.Conditions, store.Condition{Key: jobkeys.Job(pool, id)})
+			t.Deletes = append(t.Deletes, jobkeys.Cancel(pool, id))
+		}
+		_, conflict, err := s.commitFenced(ctx, pool, fence, t)
+		if err != nil {
+			return kept, err
+		}
+		if conflict == nil {
+			continue
+		}
+		if len(batch) == 1 {
+			kept = append(kept, batch[0])
+			continue
+		}
+		for _, id := range batch {
+			one, err := s.ForgetCancels(ctx, pool, fence, []string{id})
+			if err != nil {
+				return kept, err
+			}
+			kept = append(kept, one...)
+		}
+	}
+	return kept, nil
+}
+
 // commitFenced commits on the further condition that the pool's owner key has the fence. It returns the states of the
 // keys if another condition does not hold.
 func (s *Store) commitFenced(
--- a/internal/operatorapi/jobs.go
+++ b/internal/operatorapi/jobs.go
@@ -40,7 +40,7 @@
 	Pool        string         `json:"pool"`
 	State       string         `json:"state"`
 	AcceptedMS  int64          `json:"accepted_unix_ms,omitempty"`
-	Tasks       int64          `json:"tasks" doc:"Tasks of the occurrences that are open"`
+	Tasks       int64          `json:"tasks" doc:"Tasks of all occurrences"`
 	Running     int64          `json:"running" doc:"Runs that are placed"`
 	Succeeded   int64          `json:"succeeded"`
 	Failures    int64          `json:"failures" doc:"Failed runs"`
--- a/internal/poolowner/advice.go
+++ b/internal/poolowner/advice.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/agateturn/agateturn/wait"
-
 	"github.com/agateturn/agateturn/scheduler"
 )
 
@@ -14,10 +12,6 @@
 	adviceRing = 64
 	// adviceTimeout bounds one call.
 	adviceTimeout = 3 * time.Second
-	// forgetRing bounds the ended jobs that wait to be deleted; forgetBatch those of one write.
-	forgetRing  = 256
-	forgetBatch = 8
-	forgetRetry = time.Second
 )
 
 // advise asks the policy service, one call after the other.
@@ -41,29 +35,3 @@
 	defer cancel()
 	return o.Policy.Advise(ctx, r)
 }
-
-// forgetEnded deletes the records of jobs that ended long ago.
-func (o *Owner) forgetEnded(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case id := <-o.forget.Items():
-			o.forgetBatch(ctx, id)
-		}
-	}
-}
-
-func (o *Owner) forgetBatch(ctx context.Context, first string) {
-	ids := []string{first}
-	for len(ids) < forgetBatch && o.forget.Len() > 0 {
-		ids = append(ids, <-o.forget.Items())
-	}
-	for ctx.Err() == nil {
-		err := o.Jobs.Forget(ctx, o.Pool, o.Config.Fence, ids)
-		if err == nil {
-			return
-		}
-		_ = wait.For(ctx, forgetRetry)
-	}
-}
--- a/internal/poolowner/hold.go
+++ b/internal/poolowner/hold.go
@@ -82,6 +82,15 @@
 	h.owner.orders.forget(old.worker.Address)
 }
 
+// forget closes the connections to all workers at the end of the term.
+func (h *holders) forget() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id := range h.running {
+		h.end(id)
+	}
+}
+
 // poll holds workers once more beside their long polls, so that starts without an answer are resolved early.
 func (h *holders) poll(ctx context.Context, ids []string) {
 	h.mu.Lock()
--- a/internal/poolowner/loop.go
+++ b/internal/poolowner/loop.go
@@ -62,6 +62,9 @@
 	for _, id := range actions.Forget {
 		o.forget.Offer(id)
 	}
+	for _, id := range actions.ForgetCancels {
+		o.forgetCancels.Offer(id)
+	}
 	if actions.Wake.IsZero() {
 		return idleStep
 	}
--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -57,6 +57,7 @@
 	Follow(ctx context.Context, pool string, asOf uint64, onChange func(jobstore.Change)) error
 	Record(ctx context.Context, pool string, fence uint64, progress []*pb.JobProgress) error
 	Forget(ctx context.Context, pool string, fence uint64, ids []string) error
+	ForgetCancels(ctx context.Context, pool string, fence uint64, ids []string) (kept []string, err error)
 }
 
 // Options of an Owner. All fields but Policy must be set.
@@ -85,7 +86,9 @@
 	records   *recorder
 	advice    *ring.Ring[scheduler.AdviceRequest]
 	forget    *ring.Ring[string]
-	loaded    chan struct{}
+	// forgetCancels are ids of cancellations whose jobs never came.
+	forgetCancels *ring.Ring[string]
+	loaded        chan struct{}
 	// workers holds the latest list of workers that is not handed in yet.
 	workers chan []scheduler.Worker
 	holders *holders
@@ -101,13 +104,14 @@
 // New returns an owner that does nothing until Run.
 func New(o Options) *Owner {
 	own := &Owner{
-		Options:   o,
-		inputs:    ring.New[input]("pool_inputs", inputRing),
-		decisions: ring.New[[]decision]("pool_decisions", decisionRing),
-		advice:    ring.New[scheduler.AdviceRequest]("pool_advice", adviceRing),
-		forget:    ring.New[string]("pool_forget", forgetRing),
-		loaded:    make(chan struct{}),
-		workers:   make(chan []scheduler.Worker, 1),
+		Options:       o,
+		inputs:        ring.New[input]("pool_inputs", inputRing),
+		decisions:     ring.New[[]decision]("pool_decisions", decisionRing),
+		advice:        ring.New[scheduler.AdviceRequest]("pool_advice", adviceRing),
+		forget:        ring.New[string]("pool_forget", forgetRing),
+		forgetCancels: ring.New[string]("pool_forget_cancels", forgetRing),
+		loaded:        make(chan struct{}),
+		workers:       make(chan []scheduler.Worker, 1),
 	}
 	own.holders = newHolders(own)
 	own.orders = newSenders(own)
@@ -125,10 +129,12 @@
 	group.Go(func() error { return o.records.run(ctx) })
 	group.Go(func() error { return o.advise(ctx) })
 	group.Go(func() error { return o.forgetEnded(ctx) })
+	group.Go(func() error { return o.forgetUnmatched(ctx) })
 	group.Go(func() error { return o.logDecisions(ctx) })
 	err := group.Wait()
 	o.holders.group.Wait()
 	o.orders.wait()
+	o.holders.forget()
 	return err
 }
 
--- a/internal/poolowner/records.go
+++ b/internal/poolowner/records.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/jobstore"
+	"github.com/agateturn/agateturn/jobstate"
 	"github.com/agateturn/agateturn/scheduler"
 )
 
@@ -134,26 +134,16 @@
 	took := r.owner.Clock().Sub(began)
 	for _, record := range batch {
 		state := record.Progress.GetState()
-		if !isFinal(state) {
+		if !jobstate.Final(state) {
 			continue
 		}
 		events.Log(ctx, r.owner.Log, events.JobDurable,
 			slog.String("job", record.Progress.GetId()), slog.String("pool", r.owner.Pool),
-			slog.Uint64("fence", r.owner.Config.Fence), slog.String("state", stateName(state)),
+			slog.Uint64("fence", r.owner.Config.Fence), slog.String("state", jobstate.Name(state)),
 			slog.Int64("took_ms", took.Milliseconds()))
 	}
 }
 
-func isFinal(state pb.JobState) bool {
-	return state == pb.JobState_JOB_STATE_COMPLETED || state == pb.JobState_JOB_STATE_FAILED ||
-		state == pb.JobState_JOB_STATE_CANCELLED
-}
-
-// stateName is the state as operators read it.
-func stateName(state pb.JobState) string {
-	return strings.ToLower(strings.TrimPrefix(state.String(), "JOB_STATE_"))
-}
-
 // tell logs a write that fails, or that it succeeds after all.
 func (r *recorder) tell(ctx context.Context, event events.Event, batch []scheduler.Record, began time.Time, more ...slog.Attr) {
 	attrs := append([]slog.Attr{
--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -199,6 +199,9 @@
 	Advice  []AdviceRequest
 	// Forget lists jobs that ended longer ago than the retention: their records are deleted.
 	Forget []string
+	// ForgetCancels lists cancellations older than the retention whose job never came: they are deleted while there is
+	// no such job. Cancel takes note of one whose job has come after all.
+	ForgetCancels []string
 	// Decisions explain what was decided, for the log.
 	Decisions []Decision
 	// Poll lists workers whose state is needed at once: hold them without waiting for an end.
--- a/scheduler/describe.go
+++ b/scheduler/describe.go
@@ -46,20 +46,19 @@
 	d := &pb.JobDescription{
 		Id: j.id, Queue: j.queue, State: j.visibleState(), AcceptedMs: j.accepted.UnixMilli(), Reason: j.reason,
 	}
+	counts := j.counts()
+	d.Tasks, d.Succeeded, d.Failures = counts.tasks, counts.succeeded, counts.failures
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			d.Tasks += int64(len(s.tasks))
-			d.Succeeded += int64(s.done)
 			for i := range s.tasks {
-				describeTask(d, &s.tasks[i], placements)
+				describeRuns(d, &s.tasks[i], placements)
 			}
 		}
 	}
 	return d
 }
 
-func describeTask(d *pb.JobDescription, t *task, placements bool) {
-	d.Failures += int64(t.failures)
+func describeRuns(d *pb.JobDescription, t *task, placements bool) {
 	for _, r := range t.runs {
 		d.Running++
 		if placements && r.worker != nil && len(d.Placements) < maxPlacements {
--- a/scheduler/describe_test.go
+++ b/scheduler/describe_test.go
@@ -36,3 +36,51 @@
 	assert.Equal(t, one[0].GetPlacements()[0].GetWorker(), "w1")
 	assert.Assert(t, len(one[0].GetExplanation()) > 0)
 }
+
+// An ended job tells how many tasks it had and how many succeeded, to the next owner too.
+func TestDescribeAnEndedJob(t *testing.T) {
+	b := newBare("w1")
+	b.add("a", &pb.JobStep{Count: 2, CpuMilli: 100, EstimateMs: 500}, &pb.JobStep{Count: 3, CpuMilli: 100, EstimateMs: 500, After: []int64{0}})
+	var last []scheduler.Record
+	for range 6 {
+		a := b.pool.Step(b.now)
+		for _, record := range a.Records {
+			last = a.Records
+			b.pool.Recorded(b.now, record.Progress.GetId(), record.Version)
+		}
+		for _, o := range a.Orders {
+			b.pool.Result(b.now, scheduler.OrderResult{Order: o})
+			end := scheduler.EndSucceeded
+			if o.Task.Step == 1 && o.Task.Index == 2 {
+				end = scheduler.EndFailed
+			}
+			b.ends++
+			b.report("w1", nil, []scheduler.EndedRun{{Number: b.ends, Task: o.Task, Run: o.Run, End: end}})
+		}
+		b.pass(time.Second)
+	}
+	check := func(p *scheduler.Pool) {
+		d := p.Describe(&pb.DescribeJobsRequest{})[0]
+		assert.Equal(t, d.GetState(), pb.JobState_JOB_STATE_FAILED)
+		assert.Equal(t, [3]int64{d.GetTasks(), d.GetSucceeded(), d.GetFailures()}, [3]int64{5, 4, 3})
+		explained := p.Describe(&pb.DescribeJobsRequest{Ids: []string{"a"}})[0].GetExplanation()
+		assert.Equal(t, explained[0], "state failed, queue q")
+	}
+	check(b.pool)
+	next := scheduler.New(simConfig)
+	next.Load(b.now, nil, []*pb.JobProgress{last[0].Progress}, nil)
+	check(next)
+}
+
+// A cancellation whose job does not come is handed out to be deleted after the retention, once.
+func TestCancellationWithoutAJobIsForgotten(t *testing.T) {
+	b := newBare("w1")
+	b.pool.Cancel(b.now, "a")
+	forgotten := func(d time.Duration) []string {
+		b.pass(d)
+		return b.pool.Step(b.now).ForgetCancels
+	}
+	assert.Equal(t, len(forgotten(simConfig.Retention)), 0)
+	assert.DeepEqual(t, forgotten(11*time.Second), []string{"a"})
+	assert.Equal(t, len(forgotten(11*time.Second)), 0)
+}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -25,6 +25,8 @@
 	counted bool
 
 	occurrences []*occurrence
+	// past sums up the occurrences that are not kept; its tasks are those of all occurrences.
+	past taskCounts
 	// finished holds the occurrences that have completed; next is the first that has not been opened.
 	finished map[int]bool
 	next     int
@@ -64,6 +66,7 @@
 }
 
 func (p *Pool) newJob(rec *pb.JobRecord) *job {
+	total := int(max(1, rec.GetSpec().GetRepeatCount()))
 	return &job{
 		id:       rec.GetId(),
 		queue:    rec.GetQueue(),
@@ -71,7 +74,8 @@
 		accepted: time.UnixMilli(rec.GetAcceptedMs()),
 		state:    pb.JobState_JOB_STATE_RUNNING,
 		finished: map[int]bool{},
-		total:    int(max(1, rec.GetSpec().GetRepeatCount())),
+		total:    total,
+		past:     taskCounts{tasks: int64(total) * tasksOf(rec.GetSpec())},
 		failedOn: map[string]bool{},
 	}
 }
@@ -271,6 +275,7 @@
 func (p *Pool) finishOccurrence(now time.Time, o *occurrence) {
 	j := o.job
 	j.finished[o.number] = true
+	j.past.add(o)
 	kept := j.occurrences[:0]
 	for _, x := range j.occurrences {
 		if x != o {
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -58,6 +58,7 @@
 
 // release drops what an ended job does not need any more.
 func (j *job) release() {
+	j.past = j.counts()
 	j.occurrences = nil
 	j.finished = nil
 	j.spec = &pb.JobSpec{Steps: j.spec.GetSteps()}
@@ -106,6 +107,7 @@
 		out.State = j.state
 		out.Reason = j.reason
 		out.EndedMs = j.endedAt.UnixMilli()
+		out.Counts = j.counts().message()
 		return out
 	}
 	for _, number := range slices.Sorted(maps.Keys(j.finished)) {
@@ -186,13 +188,17 @@
 	}
 }
 
-// sweep bounds what is remembered of jobs that are gone.
+// sweep bounds what is remembered of jobs that are gone, and drops the cancellations of jobs that never came.
 func (p *Pool) sweep(now time.Time) {
-	for _, m := range []map[string]time.Time{p.forgotten, p.earlyCancels} {
-		for id, at := range m {
-			if now.Sub(at) > p.cfg.Retention {
-				delete(m, id)
-			}
+	for id, at := range p.forgotten {
+		if now.Sub(at) > p.cfg.Retention {
+			delete(p.forgotten, id)
+		}
+	}
+	for _, id := range sortedKeys(p.earlyCancels) {
+		if now.Sub(p.earlyCancels[id]) > p.cfg.Retention {
+			delete(p.earlyCancels, id)
+			p.out.ForgetCancels = append(p.out.ForgetCancels, id)
 		}
 	}
 }
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/jobstate"
 )
 
 // Status tells the load of the pool.
@@ -60,7 +61,7 @@
 	if j == nil {
 		return []string{"the job is not known here"}
 	}
-	out := []string{fmt.Sprintf("state %s, queue %s", j.visibleState(), j.queue)}
+	out := []string{fmt.Sprintf("state %s, queue %s", jobstate.Name(j.visibleState()), j.queue)}
 	if j.over() {
 		if !j.rec.durable() {
 			out = append(out, "its end is not durable yet")
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/jobstate"
 )
 
 // takeoverMargin is added to the longest lease, with its drift, before workers that stay silent are given up.
@@ -63,7 +64,7 @@
 		delete(gone, rec.GetId())
 	}
 	for _, pr := range progress {
-		if _, open := byID[pr.GetId()]; open && ended(pr.GetState()) {
+		if _, open := byID[pr.GetId()]; open && jobstate.Final(pr.GetState()) {
 			p.loadJob(now, &pb.JobRecord{Id: pr.GetId(), Queue: pr.GetQueue()}, pr, gone[pr.GetId()])
 			delete(gone, pr.GetId())
 		}
@@ -73,15 +74,6 @@
 	}
 }
 
-func ended(s pb.JobState) bool {
-	switch s {
-	case pb.JobState_JOB_STATE_COMPLETED, pb.JobState_JOB_STATE_FAILED, pb.JobState_JOB_STATE_CANCELLED:
-		return true
-	default:
-		return false
-	}
-}
-
 func (p *Pool) loadJob(now time.Time, rec *pb.JobRecord, pr *pb.JobProgress, cancelled bool) {
 	if p.jobs[rec.GetId()] != nil {
 		return
@@ -89,11 +81,12 @@
 	j := p.newJob(rec)
 	j.loaded = true
 	p.jobs[j.id] = j
-	if ended(pr.GetState()) {
+	if jobstate.Final(pr.GetState()) {
 		j.state = pr.GetState()
 		j.cancelled = j.state == pb.JobState_JOB_STATE_CANCELLED
 		j.reason = pr.GetReason()
 		j.endedAt = time.UnixMilli(pr.GetEndedMs())
+		j.past = countsOf(pr.GetCounts())
 		p.ended = append(p.ended, j)
 		return
 	}
@@ -115,6 +108,7 @@
 		}
 		if len(op.GetSteps()) == 0 {
 			j.finished[number] = true
+			j.past.succeeded += tasksOf(j.spec)
 			continue
 		}
 		due := j.accepted
