poolowner: hand the worker's clock of an answer to the scheduler

Cause: OrderResult.Clock was never filled outside the tests, though the scheduler's model fills it: a report that was asked for before an answer and made after it could not be told to be newer, so that runs resolved with a later report only. Change: platform.Workers returns an OrderResult with clockMs of the answer; the owner passes it on. Conclusion: the program does what the model is tested with.

--- a/internal/jobhost/workers_test.go
+++ b/internal/jobhost/workers_test.go
@@ -44,35 +44,40 @@
 }
 
 // Start implements poolowner.Workers.
-func (f *fakeWorkers) Start(_ context.Context, o scheduler.Order, fence uint64) scheduler.Outcome {
+func (f *fakeWorkers) Start(_ context.Context, o scheduler.Order, fence uint64) scheduler.OrderResult {
+	return f.carry(o, fence, func(w *fakeWorker) {
+		w.running = append(w.running, scheduler.RunningTask{Task: o.Task, Run: o.Run, Percent: 100})
+		w.endAt[o.Run] = time.Now().Add(taskTime)
+		w.fails[o.Run] = o.Payload == "fail"
+	})
+}
+
+// carry carries an order out unless a higher fence was seen.
+func (f *fakeWorkers) carry(o scheduler.Order, fence uint64, do func(w *fakeWorker)) scheduler.OrderResult {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.at(o.Worker)
 	if fence < w.fence {
-		return scheduler.OutcomeFenced
+		return scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeFenced}
 	}
 	w.fence = fence
-	w.running = append(w.running, scheduler.RunningTask{Task: o.Task, Run: o.Run, Percent: 100})
-	w.endAt[o.Run] = time.Now().Add(taskTime)
-	w.fails[o.Run] = o.Payload == "fail"
-	return scheduler.OutcomeDone
+	do(w)
+	return scheduler.OrderResult{Order: o, Clock: f.clock()}
 }
 
+// clock is the workers' clock in milliseconds.
+func (f *fakeWorkers) clock() int64 { return time.Since(f.began).Milliseconds() + 1 }
+
 // Stop implements poolowner.Workers.
-func (f *fakeWorkers) Stop(_ context.Context, o scheduler.Order, fence uint64) scheduler.Outcome {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	w := f.at(o.Worker)
-	if fence < w.fence {
-		return scheduler.OutcomeFenced
-	}
-	w.finish(func(r scheduler.RunningTask) (scheduler.RunEnd, bool) { return scheduler.EndStopped, r.Run == o.Run })
-	return scheduler.OutcomeDone
+func (f *fakeWorkers) Stop(_ context.Context, o scheduler.Order, fence uint64) scheduler.OrderResult {
+	return f.carry(o, fence, func(w *fakeWorker) {
+		w.finish(func(r scheduler.RunningTask) (scheduler.RunEnd, bool) { return scheduler.EndStopped, r.Run == o.Run })
+	})
 }
 
 // Pace implements poolowner.Workers.
-func (f *fakeWorkers) Pace(context.Context, scheduler.Order, uint64) scheduler.Outcome {
-	return scheduler.OutcomeDone
+func (f *fakeWorkers) Pace(_ context.Context, o scheduler.Order, _ uint64) scheduler.OrderResult {
+	return scheduler.OrderResult{Order: o}
 }
 
 // Forget implements poolowner.Workers.
@@ -112,7 +117,7 @@
 	})
 	w.ended = slices.DeleteFunc(w.ended, func(e scheduler.EndedRun) bool { return e.Number <= r.LastSeen })
 	return scheduler.Report{
-		Worker: r.Worker, Clock: time.Since(f.began).Milliseconds() + 1, LastSeen: r.LastSeen, Until: r.Until,
+		Worker: r.Worker, Clock: f.clock(), LastSeen: r.LastSeen, Until: r.Until,
 		Running: slices.Clone(w.running), Ended: slices.Clone(w.ended),
 	}
 }
--- a/internal/poolowner/orders.go
+++ b/internal/poolowner/orders.go
@@ -68,15 +68,13 @@
 	case <-ctx.Done():
 		return
 	}
-	outcome := s.call(ctx, order, made)
+	result := s.call(ctx, order, made)
 	<-slot
-	s.tell(ctx, order, outcome, made)
-	if outcome == scheduler.OutcomeFenced {
+	s.tell(ctx, order, result.Outcome, made)
+	if result.Outcome == scheduler.OutcomeFenced {
 		s.owner.replaced(ctx, order.Worker)
 	}
-	s.owner.put(ctx, func(p *scheduler.Pool, now time.Time) {
-		p.Result(now, scheduler.OrderResult{Order: order, Outcome: outcome})
-	})
+	s.owner.put(ctx, func(p *scheduler.Pool, now time.Time) { p.Result(now, result) })
 }
 
 // tell counts an order, and logs one that was not carried out for sure.
@@ -111,9 +109,10 @@
 	}
 }
 
-func (s *senders) call(ctx context.Context, order scheduler.Order, made time.Time) scheduler.Outcome {
+func (s *senders) call(ctx context.Context, order scheduler.Order, made time.Time) scheduler.OrderResult {
+	notSent := scheduler.OrderResult{Order: order, Outcome: scheduler.OutcomeNotSent}
 	if !s.owner.Confirmed() || s.owner.Clock().Sub(made) > orderAge {
-		return scheduler.OutcomeNotSent
+		return notSent
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -126,6 +125,6 @@
 	case scheduler.OrderPace:
 		return s.owner.Workers.Pace(ctx, order, fence)
 	default:
-		return scheduler.OutcomeNotSent
+		return notSent
 	}
 }
--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -38,9 +38,9 @@
 
 // Workers carries calls to workers. Implementations are safe for concurrent use and bound each call by its context.
 type Workers interface {
-	Start(ctx context.Context, o scheduler.Order, fence uint64) scheduler.Outcome
-	Stop(ctx context.Context, o scheduler.Order, fence uint64) scheduler.Outcome
-	Pace(ctx context.Context, o scheduler.Order, fence uint64) scheduler.Outcome
+	Start(ctx context.Context, o scheduler.Order, fence uint64) scheduler.OrderResult
+	Stop(ctx context.Context, o scheduler.Order, fence uint64) scheduler.OrderResult
+	Pace(ctx context.Context, o scheduler.Order, fence uint64) scheduler.OrderResult
 	Hold(ctx context.Context, r HoldRequest) (scheduler.Report, error)
 	// Forget closes the connections to an address.
 	Forget(address string)
--- a/standin/jobplatform/jobplatform_test.go
+++ b/standin/jobplatform/jobplatform_test.go
@@ -91,7 +91,7 @@
 	w := n.ids[worker]
 	return n.workers.Start(n.t.Context(), scheduler.Order{
 		Worker: w.ID, Address: w.Address, Task: scheduler.TaskID{Job: job, Step: step, Index: index}, Run: run, Payload: payload, Until: far,
-	}, fence)
+	}, fence).Outcome
 }
 
 // note waits for an end on a worker and takes note of it.
@@ -193,7 +193,7 @@
 	time.Sleep(1200 * time.Millisecond)
 	w := n.ids[0]
 	stop := scheduler.Order{Worker: w.ID, Address: w.Address, Task: scheduler.TaskID{Job: job}, Run: 2}
-	assert.Equal(t, n.workers.Stop(t.Context(), stop, 1), scheduler.OutcomeDone)
+	assert.Equal(t, n.workers.Stop(t.Context(), stop, 1).Outcome, scheduler.OutcomeDone)
 	ended := hold(0, 1).Ended[0]
 	assert.Equal(t, ended.End, scheduler.EndStopped)
 	assert.Equal(t, hold(1, 0).Ended[0].End, scheduler.EndBroken)
@@ -202,7 +202,7 @@
 		o := scheduler.Order{
 			Worker: w.ID, Address: w.Address, Task: scheduler.TaskID{Job: job, Index: i}, Run: 3, Payload: "p", Until: far, Checkpoint: ended.Checkpoint,
 		}
-		assert.Equal(t, n.workers.Start(t.Context(), o, 1), scheduler.OutcomeDone)
+		assert.Equal(t, n.workers.Start(t.Context(), o, 1).Outcome, scheduler.OutcomeDone)
 	}
 	assert.Equal(t, hold(0, 2).Ended[0].End, scheduler.EndSucceeded)
 	assert.Equal(t, hold(1, 1).Ended[0].End, scheduler.EndSucceeded)
@@ -220,7 +220,7 @@
 	assert.Equal(t, n.machines.Move(t.Context(), "m02", "spare", "h", 2), platform.MachineDone)
 	assert.Equal(t, n.machines.Move(t.Context(), "m02", "open", "h", 1), platform.MachineFenced)
 	assert.Equal(t, n.machines.Upkeep(t.Context(), "m02", 3, "h", 2), platform.MachineWrongWave)
-	assert.Assert(t, n.workers.Start(t.Context(), scheduler.Order{Worker: gone.ID, Address: gone.Address, Until: far}, 1) != scheduler.OutcomeDone)
+	assert.Assert(t, n.workers.Start(t.Context(), scheduler.Order{Worker: gone.ID, Address: gone.Address, Until: far}, 1).Outcome != scheduler.OutcomeDone)
 	n.awaitWorkers(2)
 	_, err := n.kv.Commit(t.Context(), store.Transaction{Deletes: []string{platform.ConfigKey}})
 	assert.Assert(t, platform.Rejected.Has(err), "only the operator writes its keys")
