jobhost: wired by samber/do; a term's policy client is closed with it

Cause: the entry host of jobs was wired by hand with a struct for tests, unlike the rest of the daemon; each term made a client of the policy service whose connections nobody closed. Change: provide.go declares the parts; tests override the store and the workers. Parts that call each other are still joined in one place, as do has no cycles. newOwner returns what frees the means of a term, called when it has ended. Conclusion: behaviour as before; tests of the package pass with the race detector.

--- a/internal/jobhost/failures_test.go
+++ b/internal/jobhost/failures_test.go
@@ -16,15 +16,15 @@
 	"testing"
 	"time"
 
+	"github.com/samber/do/v2"
 	"go.uber.org/goleak"
 	"google.golang.org/protobuf/types/known/durationpb"
 	"gotest.tools/v3/assert"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
-	"github.com/agateturn/agateturn/internal/boottime"
 	"github.com/agateturn/agateturn/internal/ctl"
 	"github.com/agateturn/agateturn/internal/logpipe"
-	"github.com/agateturn/agateturn/stats"
+	"github.com/agateturn/agateturn/internal/poolowner"
 	"github.com/agateturn/agateturn/store"
 	"github.com/agateturn/agateturn/store/memtxn"
 )
@@ -84,7 +84,10 @@
 	}
 	pipe := logpipe.New(r.log)
 	logger := pipe.Logger(func(w io.Writer) slog.Handler { return slog.NewTextHandler(w, nil) }).With("entry_host", name)
-	h := wire(s, logger, parts{kv: r.kv.Client(name), workers: r.workers, clock: boottime.New(), stats: stats.New(stats.Limits{})})
+	i := injector(s, logger)
+	do.OverrideValue[store.Transactor](i, r.kv.Client(name))
+	do.OverrideValue[poolowner.Workers](i, r.workers)
+	h := do.MustInvoke[*Host](i)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- h.Run(ctx) }()
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/do/v2"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
@@ -24,7 +25,6 @@
 	"github.com/agateturn/agateturn/internal/poolowner"
 	"github.com/agateturn/agateturn/internal/tablefollow"
 	"github.com/agateturn/agateturn/internal/workerlist"
-	"github.com/agateturn/agateturn/platform"
 	"github.com/agateturn/agateturn/stats"
 	"github.com/agateturn/agateturn/store"
 )
@@ -38,10 +38,6 @@
 	readHeaderTimeout = 2 * time.Second
 	// stopMargin is the part of the grace that is left when the last requests must have ended.
 	stopMargin = 500 * time.Millisecond
-	// storeTimeout bounds one call on the store.
-	storeTimeout = 2500 * time.Millisecond
-	// watchSpacing is the least time between two watches for new jobs; entry hosts also pass them on directly.
-	watchSpacing = 500 * time.Millisecond
 	// leaveTimeout bounds the hand-over of pools at a planned stop.
 	leaveTimeout = 1500 * time.Millisecond
 )
@@ -69,43 +65,7 @@
 
 // New wires an entry host that does nothing until Run.
 func New(s *pb.JobSettings, log *slog.Logger) *Host {
-	measures := stats.New(stats.Limits{})
-	clock := boottime.New()
-	kv := platform.NewStore(s.GetJobStore().GetAddress(), platform.StoreOptions{
-		Timeout: storeTimeout,
-		Observe: newCallMeter(measures, metricStoreCalls, metricStoreTime).observe,
-	})
-	workers := workerCalls{platform.NewWorkers(platform.WorkersOptions{Now: clock.Now})}
-	return wire(s, log, parts{kv: kv, workers: workers, clock: clock, stats: measures})
-}
-
-// parts are what a host is wired from.
-type parts struct {
-	kv      store.Transactor
-	workers poolowner.Workers
-	clock   *boottime.Clock
-	stats   *stats.Stats
-}
-
-func wire(s *pb.JobSettings, log *slog.Logger, p parts) *Host {
-	h := &Host{
-		log: log, clock: p.clock, stats: p.stats, kv: p.kv, workers: p.workers,
-		listWanted: make(chan struct{}),
-	}
-	h.settings.Store(s)
-	h.tables = tablefollow.New(h.kv, platform.ConfigKey, platform.ParseTable, log)
-	h.pools = newPools(h)
-	h.members = membership.New(h.kv, h.self(), membership.Events{
-		Gained: h.pools.gained,
-		Lost:   h.pools.lost,
-	}, h.clock.Now, log, h.membershipOptions())
-	h.jobs = jobstore.New(h.kv, h.clock.Now, log, jobstore.Options{WatchSpacing: watchSpacing})
-	h.peers = jobpeer.New(h.resolve, h.pools)
-	h.peers.OnRefused(h.peerGone)
-	h.peers.LogTo(log)
-	h.front = jobfront.New(h.frontOptions())
-	h.list = workerlist.New(h.kv, platform.WorkersPrefix, platform.ParseWorker, h.clock.Now, log, h.pools.setWorkers)
-	return h
+	return do.MustInvoke[*Host](injector(s, log))
 }
 
 func (h *Host) self() membership.Self {
--- a/internal/jobhost/options.go
+++ b/internal/jobhost/options.go
@@ -76,12 +76,15 @@
 	return p
 }
 
-func (h *Host) newOwner(pool string, fence uint64) *poolowner.Owner {
+// newOwner makes the owner of a pool. closeTerm is called when its term has ended.
+func (h *Host) newOwner(pool string, fence uint64) (owner *poolowner.Owner, closeTerm func()) {
 	var policy poolowner.Policy
+	closeTerm = func() {}
 	if address := h.settings.Load().GetPolicyService().GetAddress(); address != "" {
-		policy = platform.NewPolicy(address)
+		client := platform.NewPolicy(address)
+		policy, closeTerm = client, client.Close
 	}
-	return poolowner.New(poolowner.Options{
+	owner = poolowner.New(poolowner.Options{
 		Pool:    pool,
 		Config:  h.schedulerConfig(fence),
 		Workers: h.workers,
@@ -96,6 +99,7 @@
 		Log:      h.log,
 		Metrics:  poolowner.NewMetrics(h.stats),
 	})
+	return owner, closeTerm
 }
 
 func (h *Host) schedulerConfig(fence uint64) scheduler.Config {
--- a/internal/jobhost/pools.go
+++ b/internal/jobhost/pools.go
@@ -31,8 +31,9 @@
 type pools struct {
 	ctx context.Context
 	log *slog.Logger
-	// newOwner makes the owner of a pool, runFleet acts as the owner of the fleet until its context ends.
-	newOwner func(pool string, fence uint64) *poolowner.Owner
+	// newOwner makes the owner of a pool, and what frees its means after its term. runFleet acts as the owner of the fleet
+	// until its context ends.
+	newOwner func(pool string, fence uint64) (owner *poolowner.Owner, closeTerm func())
 	runFleet func(ctx context.Context, fence uint64)
 	// takeFrom takes a pool from its owner, which consents.
 	takeFrom func(ctx context.Context, pool string, fence uint64) error
@@ -64,9 +65,11 @@
 		return
 	}
 	p.wanted()
-	t.owner = p.newOwner(pool, fence)
+	owner, closeTerm := p.newOwner(pool, fence)
+	t.owner = owner
 	p.group.Go(func() {
 		defer close(t.done)
+		defer closeTerm()
 		if err := t.owner.Run(ctx); err != nil {
 			events.Emit(ctx, p.log, events.PoolOwnerEnded, "pool", pool, "fence", fence, "err", err)
 		}
