Wait through package wait in the stand-ins, the tool and the front's stop

Change: wait.For in their place. Those that wait for something else besides keep their select. Conclusion: behaviour as before; tests of the packages pass.

--- a/internal/ctl/orders.go
+++ b/internal/ctl/orders.go
@@ -10,6 +10,7 @@
 	"github.com/samber/lo"
 
 	"github.com/agateturn/agateturn/internal/operatorapi"
+	"github.com/agateturn/agateturn/wait"
 )
 
 // waitPoll is the time between two looks at a state that a command waits for.
@@ -252,10 +253,8 @@
 		if time.Now().After(deadline) {
 			return errWait.New("after %s: %s", limit, text)
 		}
-		select {
-		case <-e.ctx.Done():
-			return e.ctx.Err()
-		case <-time.After(waitPoll):
+		if err := wait.For(e.ctx, waitPoll); err != nil {
+			return err
 		}
 	}
 }
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -16,6 +16,7 @@
 	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/queue"
+	"github.com/agateturn/agateturn/wait"
 )
 
 // Codec is the form of callers' messages.
@@ -151,16 +152,11 @@
 }
 
 func (f *Front) awaitNotice(ctx context.Context) {
-	wait := f.options.StopNotice - time.Since(*f.stopBegan.Load())
+	left := f.options.StopNotice - time.Since(*f.stopBegan.Load())
 	if deadline, ok := ctx.Deadline(); ok {
-		wait = min(wait, time.Until(deadline)/2)
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		left = min(left, time.Until(deadline)/2)
 	}
+	_ = wait.For(ctx, left)
 }
 
 // ReadyHandler answers the platform's readiness checks.
--- a/standin/callers/run.go
+++ b/standin/callers/run.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/agateturn/agateturn/wait"
 )
 
 // Run sends the load and returns what came of it. When ctx ends no more requests begin, and those in progress are
@@ -79,15 +81,5 @@
 
 // sleepUntil returns false if ctx ends first.
 func sleepUntil(ctx context.Context, at time.Time) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, time.Until(at)) == nil
 }
--- a/standin/jobcallers/caller.go
+++ b/standin/jobcallers/caller.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/agateturn/agateturn/standin/jobplatform"
+	"github.com/agateturn/agateturn/wait"
 )
 
 const (
@@ -146,12 +147,6 @@
 
 // pause returns false if ctx ends first.
 func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d + time.Duration(rand.Int64N(int64(d)*jitterPercent/100))) //nolint:gosec // spreads calls
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	d += time.Duration(rand.Int64N(int64(d) * jitterPercent / 100)) //nolint:gosec // spreads calls
+	return wait.For(ctx, d) == nil
 }
--- a/standin/jobscenario/scenario.go
+++ b/standin/jobscenario/scenario.go
@@ -12,6 +12,7 @@
 
 	"github.com/agateturn/agateturn/standin/jobcallers"
 	"github.com/agateturn/agateturn/standin/jobplatform"
+	"github.com/agateturn/agateturn/wait"
 )
 
 // Options describe a scenario.
@@ -128,7 +129,7 @@
 func playEvents(ctx context.Context, o Options, p *jobplatform.Platform, wave []string) error {
 	begin := time.Now()
 	part := func(share float64) bool {
-		return sleep(ctx, time.Duration(share*float64(o.Duration))-time.Since(begin))
+		return wait.For(ctx, time.Duration(share*float64(o.Duration))-time.Since(begin)) == nil
 	}
 	if !part(waveAfter) {
 		return ctx.Err()
@@ -151,7 +152,7 @@
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
 	for !p.WaveCompleted(waveNumber) {
-		if !sleep(ctx, readyTick) {
+		if wait.For(ctx, readyTick) != nil {
 			return false
 		}
 	}
@@ -163,7 +164,7 @@
 	ctx, cancel := context.WithTimeout(ctx, noteLimit)
 	defer cancel()
 	for p.EndsLeft() > 0 {
-		if !sleep(ctx, readyTick) {
+		if wait.For(ctx, readyTick) != nil {
 			return false
 		}
 	}
@@ -175,7 +176,7 @@
 	defer cancel()
 	for _, address := range addresses {
 		for !ready(ctx, address) {
-			if !sleep(ctx, readyTick) {
+			if wait.For(ctx, readyTick) != nil {
 				return fmt.Errorf("entry host at %s is not ready after %v", address, startLimit)
 			}
 		}
@@ -200,18 +201,6 @@
 
 func say(o Options, line string) { _, _ = fmt.Fprintln(o.Out, line) }
 
-// sleep returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // Held tells whether all promises were kept.
 func (r Result) Held() bool {
 	return r.Callers.Held() && r.WaveDone && r.Workers.Upkeeps == r.WaveLength && r.Workers.Broken == 0
--- a/standin/platformd/hosts.go
+++ b/standin/platformd/hosts.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/agateturn/agateturn/hostlist"
+	"github.com/agateturn/agateturn/wait"
 )
 
 const workerCallTimeout = 5 * time.Second
@@ -198,10 +199,8 @@
 	s.hosts.takeDown(host)
 	s.background.Go(func() {
 		s.tellWorkers(host)
-		select {
-		case <-time.After(s.hosts.config.RebootTime):
+		if wait.For(s.ctx, s.hosts.config.RebootTime) == nil {
 			s.hosts.bringUp(host)
-		case <-s.ctx.Done():
 		}
 	})
 }
--- a/standin/workers/answer.go
+++ b/standin/workers/answer.go
@@ -13,6 +13,8 @@
 	"net/http/httputil"
 	"strconv"
 	"time"
+
+	"github.com/agateturn/agateturn/wait"
 )
 
 const (
@@ -135,7 +137,7 @@
 		return errClose
 	}
 	if ex.faults.Late {
-		_ = sleep(alive, lateBy)
+		_ = wait.For(alive, lateBy)
 		_, err := ex.conn.Write(whole)
 		return err
 	}
@@ -172,7 +174,7 @@
 		if _, err := chunks.Write(StreamLine(id)); err != nil {
 			return err
 		}
-		if err := sleep(alive, streamPeriod); err != nil {
+		if err := wait.For(alive, streamPeriod); err != nil {
 			return err
 		}
 	}
--- a/standin/workers/worker.go
+++ b/standin/workers/worker.go
@@ -13,6 +13,7 @@
 	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/wait"
 )
 
 const (
@@ -70,7 +71,7 @@
 		alive := w.up(ctx)
 		w.accept(alive)
 		w.active.Wait()
-		if err := sleep(ctx, w.downTime()); err != nil {
+		if err := wait.For(ctx, w.downTime()); err != nil {
 			return nil //nolint:nilerr // The end of the context is the planned end.
 		}
 		if err := w.relisten(ctx); err != nil {
@@ -129,7 +130,7 @@
 			w.mu.Unlock()
 			return nil
 		}
-		if err := sleep(ctx, relistenWait); err != nil {
+		if err := wait.For(ctx, relistenWait); err != nil {
 			return err
 		}
 	}
@@ -208,7 +209,7 @@
 		return errClose
 	}
 	if !ex.faults.FailFast {
-		if err := sleep(alive, w.drawRunTime(ex.request)); err != nil {
+		if err := wait.For(alive, w.drawRunTime(ex.request)); err != nil {
 			return err
 		}
 	}
@@ -263,18 +264,3 @@
 	factor := math.Exp(w.runTime.Sigma * w.random.NormFloat64())
 	return time.Duration(float64(w.runTime.Median) * factor)
 }
-
-// sleep waits for d or returns the context's error.
-func sleep(ctx context.Context, d time.Duration) error {
-	if err := ctx.Err(); err != nil {
-		return err
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
