events: the last free-text lines of the daemon's own mode become numbered events

Cause: seven lines of control, peers, fleetstore, entryhost and the command had no number. Change: 312 heartbeat_failed (debug), 313 fleet_not_written, 512 host_action_failed; record_skipped and failed_to_run for the others. Conclusion: the daemon writes no line without a number but those of libraries.

--- a/cmd/agateturnd/main.go
+++ b/cmd/agateturnd/main.go
@@ -55,11 +55,11 @@
 	logger := newLogger(s.GetLog(), errOut).With("entry_host", s.GetEntryHost().GetName())
 	daemon, err := entryhost.New(s, logger)
 	if err != nil {
-		logger.Error("cannot start", "err", err)
+		events.Emit(context.Background(), logger, events.FailedToRun, "err", err)
 		return exitFailed
 	}
 	if err := untilSignal(daemon.Run); err != nil {
-		logger.Error("ended", "err", err)
+		events.Emit(context.Background(), logger, events.FailedToRun, "err", err)
 		return exitFailed
 	}
 	return exitOK
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -81,6 +81,11 @@
 	ControllerLost    = Event{Number: 309, Name: "controller_lost", Level: slog.LevelInfo, Message: "this entry host is no longer the controller"}
 	FleetApplied      = Event{Number: 310, Name: "fleet_applied", Level: slog.LevelDebug, Message: "fleet revision applied"}
 	OwnersSettled     = Event{Number: 311, Name: "owners_settled", Level: slog.LevelInfo, Message: "owner set settled"}
+	HeartbeatFailed   = Event{Number: 312, Name: "heartbeat_failed", Level: slog.LevelDebug, Message: "heartbeat to a peer had no usable answer"}
+	FleetNotWritten   = Event{
+		Number: 313, Name: "fleet_not_written", Level: slog.LevelWarn, Message: "the controller cannot write the fleet; it tries again",
+		Remedy: "see to the platform's store",
+	}
 )
 
 // Configuration.
@@ -140,6 +145,10 @@
 		Remedy:   "see to the pool's hosts; the fault may be in the requests",
 		Reserved: true,
 	}
+	HostActionFailed = Event{
+		Number: 512, Name: "host_action_failed", Level: slog.LevelWarn, Message: "platform did not take an action on a host; it is repeated",
+		Remedy: "see to the platform's host API",
+	}
 )
 
 // Waves.
@@ -283,7 +292,7 @@
 		Number: 945, Name: "machines_unread", Level: slog.LevelWarn, Message: "list of machines cannot be read; the last one is used",
 		Remedy: "see to the platform's machines",
 	}
-	MachinesRead = Event{Number: 946, Name: "machines_read", Level: slog.LevelInfo, Message: "list of machines can be read again"}
+	MachinesRead  = Event{Number: 946, Name: "machines_read", Level: slog.LevelInfo, Message: "list of machines can be read again"}
 	SchedulerNote = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
 )
 
@@ -293,11 +302,11 @@
 	SettingsReloaded, SettingsKept, LinesLeftOut, FailedToRun,
 	StoreUnreachable, StoreBack, PlatformUnreachable, PlatformBack,
 	MemberJoined, MemberLeft, MemberGone, JoinRefused, JoinedAsGuest, PeerUnreachable, PeerBack,
-	ControllerElected, ControllerLost, FleetApplied, OwnersSettled,
+	ControllerElected, ControllerLost, FleetApplied, OwnersSettled, HeartbeatFailed, FleetNotWritten,
 	ConfigStaged, ConfigInForce, ConfigRefused, ConfigConflict, ConfigAbandoned, ConfigOutcomeUnknown,
 	ConfigUnsettled, ConfigStale, ConfigNotOffered,
 	HostDraining, HostReleased, HostMoved, HostInMaintenance, HostReturned, HostDown, HostDrainHangs,
-	HostEjected, HostProbedBack, HostNotInList, EjectionCapped,
+	HostEjected, HostProbedBack, HostNotInList, EjectionCapped, HostActionFailed,
 	WaveStarted, WaveStoppedItself, WaveStopped, WaveResumed, WaveDone, WaveWaiting,
 	UpkeepDecided, MoveDecided, MachineOrder, WaveUnread,
 	OutcomeUnknown, AnswerRefused, AnswerCut, QueueFull, RequestShed, QuotaReached, KeysFull,
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -177,7 +177,7 @@
 	decision := controller.Step(now, c.input(now, c.view.Fleet(), reports, load))
 	if decision.Fleet != nil {
 		if decision, err = c.write(ctx, reports, load); err != nil {
-			c.notWritten(err)
+			c.notWritten(ctx, err)
 			return
 		}
 		c.failing = false
@@ -202,12 +202,12 @@
 }
 
 // notWritten logs the first failure of a row. A conflict is no failure: the next step decides anew.
-func (c *Controller) notWritten(err error) {
+func (c *Controller) notWritten(ctx context.Context, err error) {
 	if c.failing || store.Conflict.Has(err) {
 		return
 	}
 	c.failing = true
-	c.logger.Warn("fleet not written", "component", "controller", "err", err)
+	events.Emit(ctx, c.logger, events.FleetNotWritten, "err", err)
 }
 
 // carryOut sends the actions that were not sent lately, and forgets those that are wanted no more.
@@ -272,7 +272,7 @@
 		err = c.platform.Checkpoint(ctx, action.Host, action.OperationID)
 	}
 	if err != nil {
-		c.logger.Warn("platform action failed", "component", "controller", "host", action.Host, "err", err)
+		events.Emit(ctx, c.logger, events.HostActionFailed, "host", action.Host, "operation", action.OperationID, "err", err)
 	}
 }
 
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -233,7 +233,7 @@
 		if errors.Is(err, http.ErrServerClosed) {
 			return
 		}
-		logger.Error("listener ended", "component", s.name, "err", err)
+		events.Emit(context.Background(), logger, events.FailedToRun, "listener", s.name, "err", err)
 		select {
 		case failed <- err:
 		default:
--- a/internal/fleetstore/follow.go
+++ b/internal/fleetstore/follow.go
@@ -81,7 +81,7 @@
 		}
 		version = value.Version
 		if err := apply(value.Data); err != nil {
-			f.logger.Error("store value refused", "key", key, "err", err)
+			events.Emit(ctx, f.logger, events.RecordSkipped, "key", key, "version", version, "err", err)
 		}
 	}
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -13,6 +13,7 @@
 	"github.com/samber/lo"
 
 	"github.com/agateturn/agateturn/config"
+	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/fleet"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
@@ -171,7 +172,7 @@
 	began := time.Now()
 	answer, err := p.At(address).Exchange(ctx, connect.NewRequest(hb))
 	if err != nil {
-		p.logger.Debug("heartbeat failed", "component", "peers", "peer", name, "err", err)
+		events.Emit(ctx, p.logger, events.HeartbeatFailed, "peer", name, "err", err)
 		return
 	}
 	p.tellStager(answer.Msg, began)
