--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -100,7 +100,7 @@
 	failed := make(chan error, 1)
 	d.startDuties(dutyCtx, failed)
 	for _, s := range servers.all() {
-		s.serve(d.logger, failed)
+		s.serve(ctx, d.logger, failed)
 	}
 	events.Emit(ctx, d.logger, events.Started, "member", d.self.GetName(), "incarnation", d.self.GetIncarnation())
 	select {
@@ -227,13 +227,13 @@
 }
 
 // serve accepts connections until the server is closed.
-func (s *server) serve(logger *slog.Logger, failed chan<- error) {
+func (s *server) serve(ctx context.Context, logger *slog.Logger, failed chan<- error) {
 	go func() {
 		err := s.server.Serve(s.listener)
 		if errors.Is(err, http.ErrServerClosed) {
 			return
 		}
-		events.Emit(context.Background(), logger, events.FailedToRun, "listener", s.name, "err", err)
+		events.Emit(ctx, logger, events.FailedToRun, "listener", s.name, "err", err)
 		select {
 		case failed <- err:
 		default:
