jobhost: one ring of members for relays and for gossip of tables

Cause: two places sorted the other members by name from this host on, one of them wrong for a host that is not in the list.

--- a/internal/jobhost/options.go
+++ b/internal/jobhost/options.go
@@ -140,32 +140,3 @@
 		LastSeen: r.LastSeen, Until: r.Until, Wait: r.Wait,
 	})
 }
-
-// neighbours chooses the peers that this host tells of new tables: the next ones in the ring of names.
-type neighbours struct{ *Host }
-
-// neighbourCount is how many peers each host tells.
-const neighbourCount = 2
-
-// Neighbours returns the addresses of the next members by name.
-func (n neighbours) Neighbours() []string {
-	members := slices.Clone(n.members.Members())
-	slices.SortFunc(members, func(a, b *pb.JobMember) int {
-		if a.GetName() < b.GetName() {
-			return -1
-		}
-		return 1
-	})
-	self := n.settings.Load().GetJobHost().GetName()
-	at := slices.IndexFunc(members, func(m *pb.JobMember) bool { return m.GetName() == self })
-	var out []string
-	for i := 1; i <= neighbourCount && i < len(members); i++ {
-		out = append(out, members[(at+i+len(members))%len(members)].GetPeerAddress())
-	}
-	return out
-}
-
-// OfferTable tells a peer of a version of the queues.
-func (n neighbours) OfferTable(ctx context.Context, address string, version int64, raw []byte) (int64, error) {
-	return n.peers.OfferTable(ctx, address, version, raw)
-}
