--- a/internal/fleetowner/step.go
+++ b/internal/fleetowner/step.go
@@ -81,7 +81,7 @@
 		return nil
 	}
 	key := t.Names.MovesKey
-	job := write{key: key, puts: []store.Put{t.openMoves(key)}, guards: guards}
+	job := write{key: key, puts: []store.Put{t.openMoves(ctx, key)}, guards: guards}
 	job.done = func(ctx context.Context, err error) error { return t.send(ctx, orders, err) }
 	return t.writes.Put(ctx, job)
 }
@@ -107,7 +107,7 @@
 			continue
 		}
 		w.dirty = time.Time{}
-		put := t.record(w)
+		put := t.record(ctx, w)
 		job := write{key: put.Key, puts: []store.Put{put}, guards: guards}
 		job.done = func(ctx context.Context, err error) error { return t.send(ctx, orders, err) }
 		if err := t.writes.Put(ctx, job); err != nil {
--- a/internal/poolowner/owner_test.go
+++ b/internal/poolowner/owner_test.go
@@ -32,11 +32,16 @@
 
 func (noJobs) Forget(context.Context, string, uint64, []string) error { return nil }
 
+func (noJobs) ForgetCancels(context.Context, string, uint64, []string) ([]string, error) {
+	return nil, nil
+}
+
 // TestOfferedJobsHaveTheOwnersTime offers a job of a host whose time of day is behind: it is not taken for a late one.
 func TestOfferedJobsHaveTheOwnersTime(t *testing.T) {
 	owner := New(Options{
 		Pool: "p", Jobs: noJobs{}, Clock: time.Now, Log: slog.New(slog.DiscardHandler),
 		Confirmed: func() bool { return true }, Replaced: func() {},
+		Intents: func(context.Context) (Intents, error) { return Intents{}, nil },
 		Config: scheduler.Config{Fence: 1, Lease: time.Second, MaxLease: time.Second, Retention: time.Minute},
 	})
 	ctx, cancel := context.WithCancel(t.Context())
