--- a/internal/poolowner/owner_test.go
+++ b/internal/poolowner/owner_test.go
@@ -42,7 +42,7 @@
 		Pool: "p", Jobs: noJobs{}, Clock: time.Now, Log: slog.New(slog.DiscardHandler),
 		Confirmed: func() bool { return true }, Replaced: func() {},
 		Intents: func(context.Context) (Intents, error) { return Intents{}, nil },
-		Config: scheduler.Config{Fence: 1, Lease: time.Second, MaxLease: time.Second, Retention: time.Minute},
+		Config:  scheduler.Config{Fence: 1, Lease: time.Second, MaxLease: time.Second, Retention: time.Minute},
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	var group sync.WaitGroup
