upkeep: what is learned of turns survives takeovers unspoilt

After a takeover the smoothed rate began at 0, so a turn that was on ended at once with half its length; its peak was the work heard since the takeover over the whole length (3 cores in place of 500), so that single jobs counted as turns; counting missed turns ran away (1942). A turn longer than learned was taken to end within an eighth of its length, and a pool with 2800 core-seconds waiting wanted 2 machines. Change: a rate is the mean of what was heard until the window is full, and turns are not judged before; peaks count from where counting began; a turn that overruns goes on for half of its overrun; waiting work counts up to the rate of now.

--- a/upkeep/demand.go
+++ b/upkeep/demand.go
@@ -41,8 +41,11 @@
 	trough float64
 	// guess stands for the peak while it is not known.
 	guess float64
-	// turnArrived is the work that had arrived when the present turn began.
+	// turnArrived is the work that had arrived at countedFrom, when the present turn began or counting began anew in it.
 	turnArrived int64
+	countedFrom time.Time
+	// heardFrom is when the first status came. What was restored is not judged before a rate is known.
+	heardFrom time.Time
 	turns       turns
 	// recent has a bit for each of the last statuses, the newest lowest: whether work arrived since the one before.
 	recent uint
@@ -70,6 +73,10 @@
 	d.fence = status.GetFence()
 	if first {
 		d.turnArrived = arrived
+		d.countedFrom = at
+		if d.heardFrom.IsZero() {
+			d.heardFrom = at
+		}
 		return
 	}
 	now := float64(arrived-before) / float64(gap.Microseconds()) * 1000
@@ -77,9 +84,13 @@
 	if arrived > before {
 		d.recent |= 1
 	}
-	d.rate += (1 - math.Exp(-gap.Seconds()/rateWindow.Seconds())) * (now - d.rate)
+	heard := at.Sub(d.heardFrom)
+	weight := max(1-math.Exp(-gap.Seconds()/rateWindow.Seconds()), gap.Seconds()/heard.Seconds())
+	d.rate += min(1, weight) * (now - d.rate)
 	d.hold = max(d.rate, d.hold*math.Exp(-gap.Seconds()/holdTime.Seconds()))
-	d.learn(at, before, capacity)
+	if len(d.turns.rises) == 0 || heard >= rateWindow {
+		d.learn(at, before, capacity)
+	}
 }
 
 // learn follows the turns and the rates in and out of them.
@@ -99,19 +110,21 @@
 	switch {
 	case !was && d.turns.high:
 		d.turnArrived = before
+		d.countedFrom = d.turns.last()
 	case was && !d.turns.high:
-		d.turnEnded(d.turns.falling.Sub(started))
+		d.turnEnded(d.turns.falling, started)
 	case !was:
 		d.trough += 0.05 * (d.rate - d.trough)
 	}
 }
 
-func (d *demand) turnEnded(length time.Duration) {
+func (d *demand) turnEnded(at, started time.Time) {
 	d.hold = d.trough
-	if length < shortestTurn {
+	counted := at.Sub(d.countedFrom)
+	if d.turns.last() != started || counted < shortestTurn {
 		return
 	}
-	mean := float64(d.arrived-d.turnArrived) / float64(length.Milliseconds())
+	mean := float64(d.arrived-d.turnArrived) / float64(counted.Milliseconds())
 	if d.peak == 0 {
 		d.peak = mean
 		return
--- a/upkeep/move.go
+++ b/upkeep/move.go
@@ -264,7 +264,7 @@
 	// What still waits when a move is over, at the capacity of now.
 	capacity := max(0, float64(p.serving)*p.unit-p.persistent)
 	left := max(0, backlog+(until-capacity)*float64(m.lead().Milliseconds()))
-	want := p.persistent + then + min(left/drain, max(p.peak, then)/2)
+	want := p.persistent + then + min(left/drain, max(p.peak, p.rate, then)/2)
 	p.keep = max(keep/p.unit, want/p.unit, p.floor())
 	p.want = max(want/p.unit, p.floor())
 	p.stay = m.stay(p, arrive, left)
--- a/upkeep/turns.go
+++ b/upkeep/turns.go
@@ -82,7 +82,7 @@
 func (t *turns) fall(at time.Time) {
 	t.high = false
 	length := at.Sub(t.last())
-	if length < max(shortestTurn, t.length/4) {
+	if length < max(shortestTurn, t.length/4, t.usual/3) {
 		t.rises = t.rises[:len(t.rises)-1]
 		return
 	}
@@ -127,7 +127,9 @@
 	if start.Sub(t.missed) > near {
 		t.misses++
 	}
-	t.missed = start
+	if start.After(t.missed) {
+		t.missed = start
+	}
 }
 
 // calendar foresees turns from those of all pools.
@@ -203,7 +205,8 @@
 	return c.length
 }
 
-// end is when the present turn of a pool ends. One that is longer than learned, or of unknown length, goes on for a while.
+// end is when the present turn of a pool ends. One that is longer than learned, or of unknown length, goes on for a while:
+// the longer, the longer it has lasted already.
 func (c *calendar) end(t *turns, now time.Time) time.Time {
 	const unknown = 3 * time.Second
 	length := c.lengthOf(t)
@@ -212,7 +215,7 @@
 	}
 	end := t.last().Add(length)
 	if end.Before(now) {
-		return now.Add(length / 8)
+		return now.Add(max(length/8, now.Sub(end)/2))
 	}
 	return end
 }
