upkeep: a turn begins once, and a few jobs in a small pool are none

A turn that ended slowly after its learned length was recorded up to three times, each with part of its peak; and a pool that had sent its machines away took four small jobs for its first turn. Lengths, peaks and the round were wrong from then on, and machines went to pools whose turn was foreseen in vain. Change: after a turn the rate must fall below the lower bound before another can begin; turns shorter than half of the usual length are noise; the bound of a first turn is that of the mean pool, not of the machines left in this one.

--- a/upkeep/demand.go
+++ b/upkeep/demand.go
@@ -97,7 +97,8 @@
 func (d *demand) learn(at time.Time, before int64, capacity float64) {
 	reference := d.peak
 	if reference == 0 {
-		reference = firstPeak * capacity
+		// A pool that has few machines is not in a turn because of a few jobs.
+		reference = firstPeak * max(capacity, d.guess)
 	}
 	if reference == 0 {
 		return
--- a/upkeep/turns.go
+++ b/upkeep/turns.go
@@ -29,6 +29,8 @@
 	// climbing is since when the rate has been above the lower bound, falling since when below the upper one.
 	climbing time.Time
 	falling  time.Time
+	// spent: the rate has not been below the lower bound since the last turn, so no other can begin.
+	spent bool
 	// length is the learned length of a turn; 0 if none has ended.
 	length time.Duration
 	// usual is the length that turns of other pools have; 0 if unknown.
@@ -42,6 +44,7 @@
 func (t *turns) observe(at time.Time, rate, low, high float64) {
 	if rate <= low {
 		t.climbing = time.Time{}
+		t.spent = false
 	} else if t.climbing.IsZero() {
 		t.climbing = at
 	}
@@ -54,7 +57,7 @@
 		low = high
 	}
 	switch {
-	case !t.high && rate >= high:
+	case !t.high && !t.spent && rate >= high:
 		t.rise(t.climbing)
 	case t.high && rate <= low:
 		t.fall(t.falling)
@@ -81,8 +84,9 @@
 
 func (t *turns) fall(at time.Time) {
 	t.high = false
+	t.spent = !t.climbing.IsZero()
 	length := at.Sub(t.last())
-	if length < max(shortestTurn, t.length/4, t.usual/3) {
+	if length < max(shortestTurn, t.length/2, t.usual/2) {
 		t.rises = t.rises[:len(t.rises)-1]
 		return
 	}
