--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -129,11 +129,7 @@
 		if w.gone || w.left || w.Draining || w.Unlisted || w.evacuating || !w.hasLabel(s.spec.GetRequiredLabel()) {
 			continue
 		}
-		v, known := s.advice.verdicts[w.ID]
-		if known && v.born == w.Born && (!v.good || now.Before(v.expires)) {
-			continue
-		}
-		if s.need.fits(w.Capacity) {
+		if !s.hasVerdict(now, w) && s.need.fits(w.Capacity) {
 			ws = append(ws, w)
 		}
 	}
@@ -150,6 +146,12 @@
 	return names
 }
 
+// hasVerdict tells whether the policy service has judged this life of the worker, and its ticket, if any, still holds.
+func (s *step) hasVerdict(now time.Time, w *worker) bool {
+	v, known := s.advice.verdicts[w.ID]
+	return known && v.born == w.Born && (!v.good || now.Before(v.expires))
+}
+
 // Advised takes an answer of the policy service.
 func (p *Pool) Advised(now time.Time, a Advice) {
 	j := p.jobs[a.Job]
--- a/upkeep/demand.go
+++ b/upkeep/demand.go
@@ -46,7 +46,7 @@
 	countedFrom time.Time
 	// heardFrom is when the first status came. What was restored is not judged before a rate is known.
 	heardFrom time.Time
-	turns       turns
+	turns     turns
 	// recent has a bit for each of the last statuses, the newest lowest: whether work arrived since the one before.
 	recent uint
 	// heldUntil is until when machines with persistent tasks are not emptied for moves.
