--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -81,6 +81,11 @@
 	ControllerLost    = Event{Number: 309, Name: "controller_lost", Level: slog.LevelInfo, Message: "this entry host is no longer the controller"}
 	FleetApplied      = Event{Number: 310, Name: "fleet_applied", Level: slog.LevelDebug, Message: "fleet revision applied"}
 	OwnersSettled     = Event{Number: 311, Name: "owners_settled", Level: slog.LevelInfo, Message: "owner set settled"}
+	HeartbeatFailed   = Event{Number: 312, Name: "heartbeat_failed", Level: slog.LevelDebug, Message: "heartbeat to a peer had no usable answer"}
+	FleetNotWritten   = Event{
+		Number: 313, Name: "fleet_not_written", Level: slog.LevelWarn, Message: "the controller cannot write the fleet; it tries again",
+		Remedy: "see to the platform's store",
+	}
 )
 
 // Configuration.
@@ -108,6 +113,7 @@
 		Number: 408, Name: "config_stale", Level: slog.LevelWarn, Message: "an older configuration was shown and ignored",
 		Remedy: "look for a store that was restored from a copy",
 	}
+	ConfigNotOffered = Event{Number: 409, Name: "config_not_offered", Level: slog.LevelDebug, Message: "peer was not told of the configuration"}
 )
 
 // Hosts.
@@ -139,6 +145,10 @@
 		Remedy:   "see to the pool's hosts; the fault may be in the requests",
 		Reserved: true,
 	}
+	HostActionFailed = Event{
+		Number: 512, Name: "host_action_failed", Level: slog.LevelWarn, Message: "platform did not take an action on a host; it is repeated",
+		Remedy: "see to the platform's host API",
+	}
 )
 
 // Waves.
@@ -238,7 +248,7 @@
 	PoolReplaced   = Event{Number: 916, Name: "pool_replaced", Level: slog.LevelInfo, Message: "a higher fence was seen: another host owns the pool"}
 	RecordsLoaded  = Event{Number: 917, Name: "records_loaded", Level: slog.LevelInfo, Message: "records of the pool are read; the owner decides from now on"}
 	RecordsWait    = Event{
-		Number: 918, Name: "records_wait", Level: slog.LevelWarn, Message: "ends of runs cannot be made durable; they are kept and tried again",
+		Number: 918, Name: "records_wait", Level: slog.LevelWarn, Message: "ends of runs cannot be made durable; they are kept, and tried again while this host owns the pool",
 		Remedy: "see to the store",
 	}
 	RecordsWritten = Event{Number: 919, Name: "records_written", Level: slog.LevelInfo, Message: "ends of runs are made durable again"}
@@ -271,6 +281,20 @@
 	AttemptFailed = Event{Number: 939, Name: "attempt_failed", Level: slog.LevelInfo, Message: "a run failed, which counts as an attempt"}
 	JobDurable    = Event{Number: 940, Name: "job_durable", Level: slog.LevelInfo, Message: "end of the job is durable and shown to callers"}
 	StepDone      = Event{Number: 941, Name: "step_done", Level: slog.LevelInfo, Message: "all tasks of the step have succeeded"}
+	// TasksPreempted is told of the step that gains; tasks_stopped tells of those that lose.
+	TasksPreempted = Event{Number: 950, Name: "tasks_preempted", Level: slog.LevelInfo, Message: "runs of a later queue give way to a task of the step"}
+
+	MemberNotStored = Event{Number: 942, Name: "member_not_stored", Level: slog.LevelInfo, Message: "the store did not take the entry of this host; it is tried again unless the host stops"}
+	RecordSkipped   = Event{
+		Number: 943, Name: "record_skipped", Level: slog.LevelWarn, Message: "a record cannot be read or written in its form; it is passed over",
+		Remedy: "see the key in the store; look for other programs that write there",
+	}
+	FleetRecordWaits = Event{Number: 944, Name: "fleet_record_waits", Level: slog.LevelInfo, Message: "progress of waves or moves is not durable yet; it is tried again"}
+	MachinesUnread   = Event{
+		Number: 945, Name: "machines_unread", Level: slog.LevelWarn, Message: "list of machines cannot be read; the last one is used",
+		Remedy: "see to the platform's machines",
+	}
+	MachinesRead  = Event{Number: 946, Name: "machines_read", Level: slog.LevelInfo, Message: "list of machines can be read again"}
 	SchedulerNote = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
 )
 
@@ -280,11 +304,11 @@
 	SettingsReloaded, SettingsKept, LinesLeftOut, FailedToRun,
 	StoreUnreachable, StoreBack, PlatformUnreachable, PlatformBack,
 	MemberJoined, MemberLeft, MemberGone, JoinRefused, JoinedAsGuest, PeerUnreachable, PeerBack,
-	ControllerElected, ControllerLost, FleetApplied, OwnersSettled,
+	ControllerElected, ControllerLost, FleetApplied, OwnersSettled, HeartbeatFailed, FleetNotWritten,
 	ConfigStaged, ConfigInForce, ConfigRefused, ConfigConflict, ConfigAbandoned, ConfigOutcomeUnknown,
-	ConfigUnsettled, ConfigStale,
+	ConfigUnsettled, ConfigStale, ConfigNotOffered,
 	HostDraining, HostReleased, HostMoved, HostInMaintenance, HostReturned, HostDown, HostDrainHangs,
-	HostEjected, HostProbedBack, HostNotInList, EjectionCapped,
+	HostEjected, HostProbedBack, HostNotInList, EjectionCapped, HostActionFailed,
 	WaveStarted, WaveStoppedItself, WaveStopped, WaveResumed, WaveDone, WaveWaiting,
 	UpkeepDecided, MoveDecided, MachineOrder, WaveUnread,
 	OutcomeUnknown, AnswerRefused, AnswerCut, QueueFull, RequestShed, QuotaReached, KeysFull,
@@ -296,6 +320,7 @@
 	WorkersChanged, WorkerEnded, WorkerSilent, WorkerBack, WorkerSuspect, WorkerUnread,
 	TasksStarted, TasksStopped, TasksLost, TasksEnded, TasksRefused, OrderUnknown, OrderRefused,
 	JobCompleted, JobFailed, JobCancelled, SchedulerNote, JobBegun, AttemptFailed, JobDurable, StepDone,
+	MemberNotStored, RecordSkipped, FleetRecordWaits, MachinesUnread, MachinesRead, TasksPreempted,
 }
 
 // retired are numbers of dropped events; they are not used again.
--- a/internal/fleetowner/options.go
+++ b/internal/fleetowner/options.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/store"
@@ -13,6 +14,9 @@
 // Replaced is the error of a term that has ended because another owner holds the fleet.
 var Replaced = errs.Class("fleetowner: another owner holds the fleet; take it again before ordering")
 
+// PoolReplaced is the error of a write that rests on the word of a pool's owner who has been replaced.
+var PoolReplaced = errs.Class("fleetowner: a pool has another owner; ask it before ordering")
+
 // Machines is the service that lists machines and takes orders for them. Each call ends with ctx at the latest.
 type Machines interface {
 	// List returns all machines.
@@ -49,7 +53,7 @@
 	MovesKey string
 }
 
-// Options of an Owner. All fields but Logger must be set.
+// Options of an Owner. All fields but Clock and Logger must be set.
 type Options struct {
 	Machines Machines
 	Pools    Pools
@@ -64,8 +68,13 @@
 	Confirmed func() (fence uint64, ok bool)
 	// Guard is the condition under which the store takes a write of the holder of a fence.
 	Guard func(fence uint64) store.Condition
+	// PoolGuard is the condition under which the store takes a write while the owner of a pool has that fence.
+	PoolGuard func(pool string, fence uint64) store.Condition
 	// ChangesPerSecond and ReadsPerSecond bound the calls on Machines.
 	ChangesPerSecond float64
 	ReadsPerSecond   float64
-	Logger           *slog.Logger
+	// Clock ignores steps of the time of day, since its times are compared with those that earlier owners wrote down.
+	// time.Now if nil.
+	Clock  func() time.Time
+	Logger *slog.Logger
 }
--- a/internal/jobhost/fleet.go
+++ b/internal/jobhost/fleet.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/fleetowner"
 	"github.com/agateturn/agateturn/internal/jobkeys"
 	"github.com/agateturn/agateturn/internal/membership"
+	"github.com/agateturn/agateturn/internal/poolowner"
 	"github.com/agateturn/agateturn/platform"
 	"github.com/agateturn/agateturn/store"
 	"github.com/agateturn/agateturn/upkeep"
@@ -18,6 +20,8 @@
 	waveRecords = "agateturn/wave/"
 	// openMoves is where moves are kept until they are over.
 	openMoves = "agateturn/moves"
+	// intentsTimeout bounds a reading of both.
+	intentsTimeout = 3 * time.Second
 )
 
 // runFleet acts as the owner of the fleet until ctx ends.
@@ -29,7 +33,6 @@
 	}
 	machines := platform.NewMachines(api.GetAddress())
 	defer machines.Close()
-	b := h.settings.Load().GetJobBounds()
 	owner := fleetowner.New(fleetowner.Options{
 		Machines:   machineCalls{machines},
 		Pools:      poolCalls{h},
@@ -43,7 +46,7 @@
 			RecordPrefix: waveRecords,
 			MovesKey:     openMoves,
 		},
-		Config: upkeep.DefaultConfig(b.GetUpkeepTime().AsDuration(), b.GetMoveTime().AsDuration()),
+		Config: h.upkeepConfig(),
 		Holder: h.settings.Load().GetJobHost().GetName(),
 		Confirmed: func() (uint64, bool) {
 			held, ok := h.members.Confirmed(membership.FleetPool)
@@ -52,8 +55,12 @@
 		Guard: func(fence uint64) store.Condition {
 			return store.Condition{Key: jobkeys.Owner(membership.FleetPool), Version: fence}
 		},
+		PoolGuard: func(pool string, fence uint64) store.Condition {
+			return store.Condition{Key: jobkeys.Owner(pool), Version: fence}
+		},
 		ChangesPerSecond: api.GetChangesPerSecond(),
 		ReadsPerSecond:   api.GetReadsPerSecond(),
+		Clock:            h.clock.Now,
 		Logger:           h.log,
 	})
 	err := owner.Run(ctx)
@@ -66,6 +73,47 @@
 	}
 }
 
+// intents reads which machines may be ordered away. The fence is read last, so that no later owner's intent goes with it.
+func (h *Host) intents(ctx context.Context, pool string) (poolowner.Intents, error) {
+	if h.settings.Load().GetMachineApi().GetAddress() == "" {
+		return poolowner.Intents{}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, intentsTimeout)
+	defer cancel()
+	machines, err := fleetowner.Intents(ctx, h.kv, pool, waveRecords, openMoves)
+	if err != nil {
+		return poolowner.Intents{}, err
+	}
+	owner, err := h.kv.Get(ctx, jobkeys.Owner(membership.FleetPool))
+	return poolowner.Intents{Machines: machines, FleetFence: owner.Version}, err
+}
+
+// upkeepConfig is made from the bounds and weights of the settings.
+func (h *Host) upkeepConfig() upkeep.Config {
+	s := h.settings.Load()
+	b := s.GetJobBounds()
+	u := s.GetJobUpkeep()
+	config := upkeep.DefaultConfig(b.GetUpkeepTime().AsDuration(), b.GetMoveTime().AsDuration())
+	config.Moves = upkeep.MoveConfig{
+		Enabled:          u.GetMoves() != "never",
+		Foresee:          u.GetMoves() == "foresee",
+		MovePrice:        u.GetMovePrice(),
+		SecondPrice:      u.GetSecondPrice(),
+		WorkWorth:        u.GetWorkWorth(),
+		Join:             u.GetJoin().AsDuration(),
+		Drain:            u.GetDrain().AsDuration(),
+		Use:              u.GetUse(),
+		Idle:             u.GetIdleHosts(),
+		Reserve:          u.GetReserve().AsDuration(),
+		Ahead:            u.GetAhead().AsDuration(),
+		Learn:            u.GetLearn().AsDuration(),
+		GiveUp:           u.GetGiveUp().AsDuration(),
+		Pause:            u.GetPause().AsDuration(),
+		PersistentAtOnce: int(u.GetPersistentAtOnce()),
+	}
+	return config
+}
+
 // configuredPools lists the pools of the configuration in force.
 func (h *Host) configuredPools() []fleetowner.Pool {
 	table := h.tables.Table()
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -45,6 +45,8 @@
 	pauses      int
 	doubt       int
 	evacuating  bool
+	// freedFor is the step for which runs here give way.
+	freedFor *step
 	// drainBy is the earliest time at which a draining worker leaves.
 	drainBy time.Time
 	// emptyConfirmed means that a report has shown that nothing is here.
@@ -98,12 +100,13 @@
 	born := max(w.Born, fresh.Born)
 	w.Worker = *fresh
 	w.Born = born
+	p.markEvacuating(w)
 }
 
 func (p *Pool) addWorker(now time.Time, fresh *Worker) {
 	w := &worker{Worker: *fresh, byKey: map[runKey]*run{}, listClock: -1}
 	w.lastReport = now
-	w.evacuating = p.evacuate[fresh.ID]
+	p.markEvacuating(w)
 	w.pace.percent = fullPace
 	w.drainBy = now.Add(fresh.DrainLeft)
 	p.workers[fresh.ID] = w
@@ -127,6 +130,9 @@
 
 // lifetimeOver ends everything on a lifetime that has crashed or left for good.
 func (p *Pool) lifetimeOver(now time.Time, w *worker, reason string) {
+	if !w.gone && !w.Draining {
+		p.noteRestart(now, w)
+	}
 	runs := append([]*run(nil), w.runs...)
 	for _, r := range runs {
 		p.decide("lost", r, reason)
