--- a/proofs/jobs_test.go
+++ b/proofs/jobs_test.go
@@ -83,7 +83,7 @@
 	log, err := os.OpenFile(filepath.Join(c.dir, fmt.Sprintf("entry-%d.log", n)), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	assert.NilError(c.t, err)
 	e := &entry{number: n, command: exec.CommandContext(context.Background(), daemonPath, "--config", path), exited: make(chan struct{})}
-	e.command.Stderr = log
+	e.command.Stdout, e.command.Stderr = log, log
 	assert.NilError(c.t, e.command.Start())
 	go func() {
 		_ = e.command.Wait()
--- a/standin/jobplatform/faults.go
+++ b/standin/jobplatform/faults.go
@@ -90,6 +90,7 @@
 	if client != hostsClient {
 		return memtxn.Serve
 	}
+	p.traffic.note(call, time.Now())
 	if time.Now().UnixNano() < p.silentUntil.Load() {
 		return memtxn.Hang
 	}
--- a/standin/jobplatform/history.go
+++ b/standin/jobplatform/history.go
@@ -32,6 +32,8 @@
 	gangs  map[gangID]*gang
 	broken []string
 	totals Totals
+	// starts are the times of the starts in each pool.
+	starts map[string][]time.Time
 }
 
 // Totals are counts of what workers did.
@@ -60,7 +62,7 @@
 }
 
 func newHistory() *History {
-	return &History{jobs: make(map[string]*jobHistory), gangs: make(map[gangID]*gang)}
+	return &History{jobs: make(map[string]*jobHistory), gangs: make(map[gangID]*gang), starts: make(map[string][]time.Time)}
 }
 
 // Add tells of a job before it is handed in.
@@ -138,6 +140,18 @@
 	return running
 }
 
+// FirstStart is the first start in a pool after a time, zero if there was none.
+func (h *History) FirstStart(pool string, after time.Time) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, at := range h.starts[pool] {
+		if at.After(after) {
+			return at
+		}
+	}
+	return time.Time{}
+}
+
 // Broken notes a broken promise.
 func (h *History) Broken(format string, args ...any) {
 	h.mu.Lock()
--- a/standin/jobplatform/jobplatform.go
+++ b/standin/jobplatform/jobplatform.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/agateturn/agateturn/store"
 	"github.com/agateturn/agateturn/store/memtxn"
 )
 
@@ -21,14 +22,14 @@
 	perRack       = 2
 )
 
-// MaxMachines keeps the entries of all workers, and of those just gone, within one transaction of the store.
-const MaxMachines = 16
+// MaxMachines is how many addresses there are for workers, and a page of the list of machines.
+const MaxMachines = 400
 
 // Options describe a platform.
 type Options struct {
 	// Address is the ip:port of the store and of the machines' interface.
 	Address string
-	// Network is the first three bytes of the workers' addresses, WorkerPort their port.
+	// Network is the first three bytes of the workers' addresses, WorkerPort the first of their ports.
 	Network    string
 	WorkerPort int
 	// Pools have at most MaxMachines machines together.
@@ -50,6 +51,7 @@
 	history     *History
 	machines    []*machine
 	faults      *faults
+	traffic     traffic
 	silentUntil atomic.Int64
 	listeners   []net.Listener
 	handlers    []http.Handler
@@ -84,14 +86,17 @@
 	return p, nil
 }
 
-// firstWorker is the last byte of the first worker's address.
-const firstWorker = 20
+// Workers' addresses end in these bytes; machines beyond take the next port.
+const (
+	firstWorker = 20
+	workerBytes = 70
+)
 
 func (p *Platform) newMachine(pool string, pools map[string]PoolOptions) *machine {
 	n := len(p.machines)
 	m := &machine{
 		id: fmt.Sprintf("m%02d", n+1), zone: "zone-1", rack: fmt.Sprintf("rack-%d", n/perRack+1), number: n + 1,
-		address:  fmt.Sprintf("%s.%d:%d", p.options.Network, firstWorker+n, p.options.WorkerPort),
+		address:  fmt.Sprintf("%s.%d:%d", p.options.Network, firstWorker+n%workerBytes, p.options.WorkerPort+n/workerBytes),
 		capacity: capacity{CPU: 4000, MemMB: 8192}, history: p.history, pools: pools, faults: p.faults,
 		pool: pool, begun: make(map[int64]bool),
 	}
@@ -166,6 +171,9 @@
 // History is what happened so far.
 func (p *Platform) History() *History { return p.history }
 
+// Items are the present items of the store below a prefix, whatever its faults.
+func (p *Platform) Items(prefix string) []store.Item { return p.kv.Items(prefix) }
+
 // Machines are the ids of all machines.
 func (p *Platform) Machines() []string {
 	ids := make([]string, 0, len(p.machines))
--- a/standin/jobplatform/registry.go
+++ b/standin/jobplatform/registry.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/agateturn/agateturn/store"
 )
 
@@ -33,7 +35,7 @@
 	entries map[string]*registration
 }
 
-// report writes what is due, in one transaction.
+// report writes what is due, in as few transactions as the store takes.
 func (r *registry) report(ctx context.Context, machines []*machine, now time.Time) error {
 	var t store.Transaction
 	present := make(map[string]bool)
@@ -50,11 +52,17 @@
 			delete(r.entries, key)
 		}
 	}
-	if len(t.Puts)+len(t.Deletes) == 0 {
-		return nil
+	for _, puts := range lo.Chunk(t.Puts, store.MaxTransactionEntries) {
+		if _, err := r.kv.Commit(ctx, store.Transaction{Puts: puts}); err != nil {
+			return err
+		}
+	}
+	for _, deletes := range lo.Chunk(t.Deletes, store.MaxTransactionEntries) {
+		if _, err := r.kv.Commit(ctx, store.Transaction{Deletes: deletes}); err != nil {
+			return err
+		}
 	}
-	_, err := r.kv.Commit(ctx, t)
-	return err
+	return nil
 }
 
 // leftAsOrdered tells whether the machine's last worker ended by a move or an upkeep that goes on.
--- a/standin/jobplatform/starts.go
+++ b/standin/jobplatform/starts.go
@@ -22,6 +22,7 @@
 	task.runs++
 	task.startedAt = time.Now()
 	h.totals.Starts++
+	h.starts[pool] = append(h.starts[pool], task.startedAt)
 	step = j.Steps[t.step]
 	step.FirstRunFails = step.FirstRunFails && task.runs == 1 && (!step.Gang || t.index == 0)
 	return step, true
--- /dev/null
+++ b/standin/jobplatform/traffic.go
@@ -0,0 +1,53 @@
+package jobplatform
+
+import (
+	"sync"
+	"time"
+
+	"github.com/agateturn/agateturn/store/memtxn"
+)
+
+// Traffic is how many calls entry hosts made to the store in one second, those without an answer included.
+type Traffic struct {
+	// Reads include stale ones and watches, but not renewals of leases.
+	Reads, Writes, Renewals int
+}
+
+// traffic counts calls by the second. It is safe for concurrent use.
+type traffic struct {
+	mu      sync.Mutex
+	seconds map[int64]Traffic
+}
+
+func (t *traffic) note(call memtxn.Call, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.seconds == nil {
+		t.seconds = make(map[int64]Traffic)
+	}
+	second := t.seconds[now.Unix()]
+	switch call {
+	case memtxn.CallCommit, memtxn.CallGrant, memtxn.CallRevoke:
+		second.Writes++
+	case memtxn.CallKeepAlive:
+		second.Renewals++
+	case memtxn.CallGet, memtxn.CallRange, memtxn.CallWatch:
+		second.Reads++
+	}
+	t.seconds[now.Unix()] = second
+}
+
+// PeakTraffic is the most calls of each kind in one second since a time. The kinds may peak in different seconds.
+func (p *Platform) PeakTraffic(since time.Time) Traffic {
+	p.traffic.mu.Lock()
+	defer p.traffic.mu.Unlock()
+	var peak Traffic
+	for second, calls := range p.traffic.seconds {
+		if second < since.Unix() {
+			continue
+		}
+		peak.Reads, peak.Writes = max(peak.Reads, calls.Reads), max(peak.Writes, calls.Writes)
+		peak.Renewals = max(peak.Renewals, calls.Renewals)
+	}
+	return peak
+}
