--- a/scheduler/preempt_test.go
+++ b/scheduler/preempt_test.go
@@ -9,6 +9,7 @@
 	"github.com/agateturn/agateturn/queue"
 	"github.com/agateturn/agateturn/scheduler"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 // fullOf is a pool of one worker that is full of runs of a queue of priority 1, all at work for a while.
@@ -122,3 +123,29 @@
 		})
 	}
 }
+
+// crowdedDay fills the pool with long runs of a later queue, beside which jobs of all kinds arrive.
+func crowdedDay(s *sim, jobs int) {
+	for range 4 {
+		j := s.add(s.rng.Int64N(s.quiet()/2), &pb.JobSpec{
+			Steps: []*pb.JobStep{{Count: 8, CpuMilli: 2000, MemoryMb: 100, EstimateMs: 6000, SavesProgress: true}},
+		})
+		j.rec.Queue = "later"
+	}
+	mixedDay(s, jobs)
+}
+
+// Runs give way, and no rule is broken, whatever calls, workers and owners do; all jobs end.
+func TestPreemptionUnderFaults(t *testing.T) {
+	preempted := 0
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 4).Draw(t, "workers"), drawFaults(t))
+		crowdedDay(s, rapid.IntRange(5, 20).Draw(t, "jobs"))
+		for _, f := range s.run(s.quiet(), 100_000) {
+			t.Error(f)
+		}
+		preempted += s.preempted
+	})
+	assert.Assert(t, preempted > 0)
+	t.Logf("%d times runs gave way", preempted)
+}
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -79,6 +79,8 @@
 	check      *checker
 	evacuating map[string]bool
 	fence      uint64
+	// preempted counts how often runs gave way.
+	preempted int
 }
 
 type simJob struct {
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -85,6 +85,9 @@
 		}
 	}
 	for _, d := range a.Decisions {
+		if d.Kind == scheduler.DecisionPreempted {
+			s.preempted++
+		}
 		s.trace("owner %d decides %+v", o.fence, d)
 	}
 	for _, id := range a.Poll {
