--- a/internal/fleetowner/step.go
+++ b/internal/fleetowner/step.go
@@ -32,7 +32,7 @@
 		// Pools keep their lists of workers to be emptied until this owner knows better.
 		t.poll(ctx)
 	}
-	now := time.Now()
+	now := t.Clock()
 	actions := t.planner.Step(now, t.input(now))
 	t.wake = actions.Wake
 	t.busy.Store(actions.Busy)
@@ -81,7 +81,7 @@
 		return nil
 	}
 	key := t.Names.MovesKey
-	job := write{key: key, puts: []store.Put{t.openMoves(key)}, guards: guards}
+	job := write{key: key, puts: []store.Put{t.openMoves(ctx, key)}, guards: guards}
 	job.done = func(ctx context.Context, err error) error { return t.send(ctx, orders, err) }
 	return t.writes.Put(ctx, job)
 }
@@ -107,7 +107,7 @@
 			continue
 		}
 		w.dirty = time.Time{}
-		put := t.record(w)
+		put := t.record(ctx, w)
 		job := write{key: put.Key, puts: []store.Put{put}, guards: guards}
 		job.done = func(ctx context.Context, err error) error { return t.send(ctx, orders, err) }
 		if err := t.writes.Put(ctx, job); err != nil {
--- a/internal/fleetowner/waves.go
+++ b/internal/fleetowner/waves.go
@@ -77,7 +77,7 @@
 			known[r.GetWave()] = r
 		}
 	}
-	now := time.Now()
+	now := t.Clock()
 	for _, item := range items {
 		t.addWave(ctx, now, item, known)
 	}
@@ -95,14 +95,14 @@
 	t.versions[t.Names.MovesKey] = item.Version
 	r := &pb.MoveRecord{}
 	if err := proto.Unmarshal(item.Data, r); err != nil {
-		t.Logger.Error("record of moves not read", "error", err)
+		t.skipped(ctx, item.Key, item.Version, err)
 		return nil
 	}
 	moves := make([]upkeep.MoveOrder, 0, len(r.GetMoves()))
 	for _, m := range r.GetMoves() {
 		moves = append(moves, upkeep.MoveOrder{Machine: m.GetMachine(), Pool: m.GetPool()})
 	}
-	now := time.Now()
+	now := t.Clock()
 	t.planner.RestoreMoves(now, moves)
 	t.planner.RestoreLearned(now, r.GetDemands())
 	return nil
--- a/internal/jobhost/options.go
+++ b/internal/jobhost/options.go
@@ -76,12 +76,15 @@
 	return p
 }
 
-func (h *Host) newOwner(pool string, fence uint64) *poolowner.Owner {
+// newOwner makes the owner of a pool. closeTerm is called when its term has ended.
+func (h *Host) newOwner(pool string, fence uint64) (owner *poolowner.Owner, closeTerm func()) {
 	var policy poolowner.Policy
+	closeTerm = func() {}
 	if address := h.settings.Load().GetPolicyService().GetAddress(); address != "" {
-		policy = platform.NewPolicy(address)
+		client := platform.NewPolicy(address)
+		policy, closeTerm = client, client.Close
 	}
-	return poolowner.New(poolowner.Options{
+	owner = poolowner.New(poolowner.Options{
 		Pool:    pool,
 		Config:  h.schedulerConfig(fence),
 		Workers: h.workers,
@@ -97,6 +100,7 @@
 		Log:      h.log,
 		Metrics:  poolowner.NewMetrics(h.stats),
 	})
+	return owner, closeTerm
 }
 
 func (h *Host) schedulerConfig(fence uint64) scheduler.Config {
@@ -137,32 +141,3 @@
 		LastSeen: r.LastSeen, Until: r.Until, Wait: r.Wait,
 	})
 }
-
-// neighbours chooses the peers that this host tells of new tables: the next ones in the ring of names.
-type neighbours struct{ *Host }
-
-// neighbourCount is how many peers each host tells.
-const neighbourCount = 2
-
-// Neighbours returns the addresses of the next members by name.
-func (n neighbours) Neighbours() []string {
-	members := slices.Clone(n.members.Members())
-	slices.SortFunc(members, func(a, b *pb.JobMember) int {
-		if a.GetName() < b.GetName() {
-			return -1
-		}
-		return 1
-	})
-	self := n.settings.Load().GetJobHost().GetName()
-	at := slices.IndexFunc(members, func(m *pb.JobMember) bool { return m.GetName() == self })
-	var out []string
-	for i := 1; i <= neighbourCount && i < len(members); i++ {
-		out = append(out, members[(at+i+len(members))%len(members)].GetPeerAddress())
-	}
-	return out
-}
-
-// OfferTable tells a peer of a version of the queues.
-func (n neighbours) OfferTable(ctx context.Context, address string, version int64, raw []byte) (int64, error) {
-	return n.peers.OfferTable(ctx, address, version, raw)
-}
--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -38,9 +38,9 @@
 
 // Workers carries calls to workers. Implementations are safe for concurrent use and bound each call by its context.
 type Workers interface {
-	Start(ctx context.Context, o scheduler.Order, fence uint64) scheduler.Outcome
-	Stop(ctx context.Context, o scheduler.Order, fence uint64) scheduler.Outcome
-	Pace(ctx context.Context, o scheduler.Order, fence uint64) scheduler.Outcome
+	Start(ctx context.Context, o scheduler.Order, fence uint64) scheduler.OrderResult
+	Stop(ctx context.Context, o scheduler.Order, fence uint64) scheduler.OrderResult
+	Pace(ctx context.Context, o scheduler.Order, fence uint64) scheduler.OrderResult
 	Hold(ctx context.Context, r HoldRequest) (scheduler.Report, error)
 	// Forget closes the connections to an address.
 	Forget(address string)
@@ -57,6 +57,7 @@
 	Follow(ctx context.Context, pool string, asOf uint64, onChange func(jobstore.Change)) error
 	Record(ctx context.Context, pool string, fence uint64, progress []*pb.JobProgress) error
 	Forget(ctx context.Context, pool string, fence uint64, ids []string) error
+	ForgetCancels(ctx context.Context, pool string, fence uint64, ids []string) (kept []string, err error)
 }
 
 // Intents is what the owner of the fleet may have ordered before this owner took the pool.
@@ -96,7 +97,9 @@
 	records   *recorder
 	advice    *ring.Ring[scheduler.AdviceRequest]
 	forget    *ring.Ring[string]
-	loaded    chan struct{}
+	// forgetCancels are ids of cancellations whose jobs never came.
+	forgetCancels *ring.Ring[string]
+	loaded        chan struct{}
 	// workers holds the latest list of workers that is not handed in yet.
 	workers chan []scheduler.Worker
 	holders *holders
@@ -114,13 +117,14 @@
 // New returns an owner that does nothing until Run.
 func New(o Options) *Owner {
 	own := &Owner{
-		Options:   o,
-		inputs:    ring.New[input]("pool_inputs", inputRing),
-		decisions: ring.New[[]decision]("pool_decisions", decisionRing),
-		advice:    ring.New[scheduler.AdviceRequest]("pool_advice", adviceRing),
-		forget:    ring.New[string]("pool_forget", forgetRing),
-		loaded:    make(chan struct{}),
-		workers:   make(chan []scheduler.Worker, 1),
+		Options:       o,
+		inputs:        ring.New[input]("pool_inputs", inputRing),
+		decisions:     ring.New[[]decision]("pool_decisions", decisionRing),
+		advice:        ring.New[scheduler.AdviceRequest]("pool_advice", adviceRing),
+		forget:        ring.New[string]("pool_forget", forgetRing),
+		forgetCancels: ring.New[string]("pool_forget_cancels", forgetRing),
+		loaded:        make(chan struct{}),
+		workers:       make(chan []scheduler.Worker, 1),
 	}
 	own.holders = newHolders(own)
 	own.orders = newSenders(own)
@@ -138,10 +142,12 @@
 	group.Go(func() error { return o.records.run(ctx) })
 	group.Go(func() error { return o.advise(ctx) })
 	group.Go(func() error { return o.forgetEnded(ctx) })
+	group.Go(func() error { return o.forgetUnmatched(ctx) })
 	group.Go(func() error { return o.logDecisions(ctx) })
 	err := group.Wait()
 	o.holders.group.Wait()
 	o.orders.wait()
+	o.holders.forget()
 	return err
 }
 
@@ -192,14 +198,15 @@
 	o.workers <- workers
 }
 
-// Offer hands in accepted jobs and cancellations. It never blocks; what does not fit comes through the store.
+// Offer hands in jobs that were accepted just now, and cancellations. It never blocks; what does not fit comes through
+// the store.
 func (o *Owner) Offer(jobs []*pb.JobRecord, cancelled []string) {
 	if !o.isLoaded() {
 		return
 	}
 	o.inputs.Offer(func(p *scheduler.Pool, now time.Time) {
 		for _, job := range jobs {
-			p.Add(now, job)
+			p.Add(now, acceptedAt(now, job))
 		}
 		for _, id := range cancelled {
 			p.Cancel(now, id)
@@ -207,6 +214,13 @@
 	})
 }
 
+// acceptedAt is the record with the owner's time: the clock of the host that accepted the job may be another.
+func acceptedAt(now time.Time, job *pb.JobRecord) *pb.JobRecord {
+	return &pb.JobRecord{
+		Id: job.GetId(), Queue: job.GetQueue(), Pool: job.GetPool(), Spec: job.GetSpec(), AcceptedMs: now.UnixMilli(),
+	}
+}
+
 // States tells the states of jobs. It reports false if the owner has not read its records yet.
 func (o *Owner) States(ctx context.Context, ids []string) ([]pb.JobState, bool) {
 	states := make([]pb.JobState, len(ids))
