--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -58,6 +58,8 @@
 	Record(ctx context.Context, pool string, fence uint64, progress []*pb.JobProgress) error
 	Forget(ctx context.Context, pool string, fence uint64, ids []string) error
 	ForgetCancels(ctx context.Context, pool string, fence uint64, ids []string) (kept []string, err error)
+	Roster(ctx context.Context, pool string) (*pb.Roster, uint64, error)
+	SetRoster(ctx context.Context, pool string, fence uint64, roster *pb.Roster, version uint64) (uint64, error)
 }
 
 // Intents is what the owner of the fleet may have ordered before this owner took the pool.
