scheduler: a wrong estimate is no slow worker

Ruled out: moved workers that begin cold (the site has none), far data (none asked for). Change: a run is compared with the longer of the expected duration and the shortest one seen of its step on another worker; as long as there is none, twice the ratio is asked for. The run judged has to be slow itself, not only the mean. Test fails before: TestWrongEstimatesAreNotSlowWorkers (8 suspicions, none expected; a worker that alone is slow is found as before).

--- a/scheduler/suspect.go
+++ b/scheduler/suspect.go
@@ -19,7 +19,9 @@
 	firstSuspicion = 2 * time.Second
 	maxStrikes     = 3
 	// slowRatio times the expected duration over slowSamples runs makes a worker slow.
+	// aloneRatio holds as long as no task of the step was seen on another worker: the estimate may be wrong.
 	slowRatio   = 2.5
+	aloneRatio  = 5
 	slowSamples = 3
 	slowRate    = 0.3
 	// A batch run without progress for stallShare of its expected duration, and stallMin at least, stands still.
@@ -137,19 +139,55 @@
 	if s.wrongRack(r.worker) || now.Before(r.worker.trust.suspectUntil) {
 		return false
 	}
+	reference, limit := s.expected, float64(aloneRatio)
+	if best, seen := s.quickest.elsewhere(r.worker); seen {
+		reference, limit = max(reference, best), slowRatio
+	}
+	s.quickest.note(r.worker, took)
 	t := &r.worker.trust
+	ratio := float64(took) / float64(reference)
 	t.slow.count++
 	rate := max(slowRate, 1/float64(t.slow.count))
-	t.slow.value += rate * (float64(took)/float64(s.expected) - t.slow.value)
-	if t.slow.value <= slowRatio || (t.slow.count < slowSamples && !t.probing) {
+	t.slow.value += rate * (ratio - t.slow.value)
+	if min(ratio, t.slow.value) <= limit || (t.slow.count < slowSamples && !t.probing) {
 		return false
 	}
-	ratio := t.slow.value
+	ratio = t.slow.value
 	p.suspect(now, r.worker, "slow")
 	p.flee(now, r.worker, ratio)
 	return true
 }
 
+// quickest keeps the shortest durations of a step's tasks on two workers: their estimate may be wrong for all of them.
+type quickest [2]struct {
+	worker *worker
+	took   time.Duration
+}
+
+// elsewhere is the shortest duration on another worker.
+func (q *quickest) elsewhere(w *worker) (time.Duration, bool) {
+	for _, e := range q {
+		if e.worker != nil && e.worker != w {
+			return e.took, true
+		}
+	}
+	return 0, false
+}
+
+// note takes in the duration of one more task. The first entry is the shorter one, of another worker than the second.
+func (q *quickest) note(w *worker, took time.Duration) {
+	switch {
+	case q[0].worker == nil || q[0].worker == w && took < q[0].took:
+		q[0].worker, q[0].took = w, took
+	case q[0].worker == w:
+	case took < q[0].took:
+		q[1] = q[0]
+		q[0].worker, q[0].took = w, took
+	case q[1].worker == nil || took < q[1].took:
+		q[1].worker, q[1].took = w, took
+	}
+}
+
 // flee restarts elsewhere the runs that would take much longer on a slow worker.
 func (p *Pool) flee(now time.Time, w *worker, ratio float64) {
 	const (
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -42,6 +42,7 @@
 	// expected is the learned duration of a task, chain the time from its start to the end of the occurrence.
 	expected time.Duration
 	chain    time.Duration
+	quickest quickest
 	advice   *stepAdvice
 	// rack is where a step that wants one rack runs.
 	rack string
--- a/scheduler/unit_test.go
+++ b/scheduler/unit_test.go
@@ -1,6 +1,8 @@
 package scheduler_test
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -200,3 +202,49 @@
 		assert.Equal(t, flapping, want, "lifetimes ended %s apart", apart)
 	}
 }
+
+// TestWrongEstimatesAreNotSlowWorkers lets tasks take four times their estimate, on all workers or on one of them.
+func TestWrongEstimatesAreNotSlowWorkers(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		first, other time.Duration
+		slow         []string
+	}{
+		{"all alike", 4 * time.Second, 4 * time.Second, nil},
+		{"one is slow", 4 * time.Second, time.Second, []string{"w1"}},
+	} {
+		b := newBare("w1", "w2", "w3", "w4")
+		b.add("j", &pb.JobStep{Count: 12, CpuMilli: 1000, EstimateMs: 1000, MaxPerHost: 3})
+		orders := b.pool.Step(b.now).Orders
+		assert.Equal(t, len(orders), 12)
+		slow := map[string]bool{}
+		for range 40 {
+			b.pass(100 * time.Millisecond)
+			b.worked(orders, test.first, test.other, slow)
+		}
+		assert.DeepEqual(t, slices.Sorted(maps.Keys(slow)), test.slow)
+	}
+}
+
+// worked reports the progress of runs that began 0.1 s before the first report, and adds the workers found slow.
+func (b *bare) worked(orders []scheduler.Order, first, other time.Duration, slow map[string]bool) {
+	elapsed := b.now.Sub(time.UnixMilli(simEpoch))
+	running := map[string][]scheduler.RunningTask{}
+	for _, o := range orders {
+		b.pool.Result(b.now, scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeDone})
+		takes := other
+		if o.Worker == "w1" {
+			takes = first
+		}
+		percent := int(min(99, 100*elapsed/takes))
+		running[o.Worker] = append(running[o.Worker], scheduler.RunningTask{Task: o.Task, Run: o.Run, Percent: percent})
+	}
+	for _, worker := range []string{"w1", "w2", "w3", "w4"} {
+		b.report(worker, running[worker], nil)
+	}
+	for _, d := range b.pool.Step(b.now).Decisions {
+		if d.Kind == "suspect" && d.Reason == "slow" {
+			slow[d.Worker] = true
+		}
+	}
+}
