standin/workers: a record is complete before its whole answer can have been read

Cause: a request was noted complete, and its end taken, after the write of its answer had returned; who had read the answer could ask for the counts before that (Complete 2 of 3), or begin the next request, which then overlapped. Ruled out: the reboot; TestRecordsAndCounts failed once in a run of the whole package under load, without one. Change: the write that completes an answer is preceded by the note, which a failed write takes back. Cut answers are not noted. Besides: the age of the list of machines in the log is taken on the owner's clock, as its time is.

--- a/internal/fleetowner/step.go
+++ b/internal/fleetowner/step.go
@@ -144,7 +144,7 @@
 // tellDecided logs a decision about a machine, with the age of the list of machines that it rests on.
 func (t *term) tellDecided(ctx context.Context, event events.Event, machine string, more slog.Attr) {
 	events.Log(ctx, t.Logger, event, slog.String("machine", machine), more, slog.String("worker", t.machine(machine).Worker),
-		slog.Uint64("fence", t.fence), slog.Int64("list_age_ms", time.Since(t.listedAt).Milliseconds()))
+		slog.Uint64("fence", t.fence), slog.Int64("list_age_ms", t.Clock().Sub(t.listedAt).Milliseconds()))
 }
 
 // machine is a machine as last listed; zero if it is not there.
--- a/questionnaire/jobs_test.go
+++ b/questionnaire/jobs_test.go
@@ -30,6 +30,7 @@
 	assert.Equal(t, third.GetJobHost().GetCallerAddress()+" "+third.GetJobHost().GetPeerAddress(), "127.0.4.3:7000 127.0.4.3:7002")
 	assert.DeepEqual(t, third.GetJobHost().GetZones(), []string{"modica", "palermo"})
 	assert.Equal(t, third.GetJobBounds().GetMoveTime().AsDuration(), time.Second)
+	assert.Assert(t, third.GetJobUpkeep() != nil)
 	assert.Equal(t, third.GetJobBounds().GetRetention().AsDuration(), 2*time.Minute)
 	q, ok := jobs.Table.Lookup("registry.example", "/labels/5c0e7a21d94b36f8")
 	assert.Assert(t, ok)
--- a/standin/workers/answer.go
+++ b/standin/workers/answer.go
@@ -74,8 +74,8 @@
 	lastID  string
 	worker  string
 	// free is called immediately before the write that completes the answer: the other side may send its next request
-	// as soon as it has read that.
-	free func()
+	// as soon as it has read that. whole is false if the answer is cut.
+	free func(whole bool)
 }
 
 // answer writes the answer; an error ends the connection.
@@ -129,7 +129,7 @@
 	if ex.faults.Twice {
 		whole = append(whole, whole...)
 	}
-	ex.free()
+	ex.free(!ex.faults.Cut)
 	if _, err := ex.conn.Write(whole); err != nil {
 		return err
 	}
@@ -178,7 +178,7 @@
 			return err
 		}
 	}
-	ex.free()
+	ex.free(true)
 	if err := chunks.Close(); err != nil {
 		return err
 	}
--- a/standin/workers/records.go
+++ b/standin/workers/records.go
@@ -81,21 +81,28 @@
 	change(record)
 }
 
-// end ends a record.
+// end ends a record. One that was answered whole keeps the time of that.
 func (r *records) end(record *Record, complete, cut bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.release(record)
-	record.End = time.Now()
+	if !complete || !record.Complete {
+		record.End = time.Now()
+	}
 	record.Complete = complete
 	record.Cut = cut
 }
 
-// free says that the request takes no slot any more.
-func (r *records) free(record *Record) {
+// free says that the request takes no slot any more. whole says that its whole answer leaves now: whoever has read that
+// may ask for the records.
+func (r *records) free(record *Record, whole bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.release(record)
+	if whole {
+		record.End = time.Now()
+		record.Complete = true
+	}
 }
 
 func (r *records) release(record *Record) {
--- a/standin/workers/worker.go
+++ b/standin/workers/worker.go
@@ -191,7 +191,7 @@
 	})
 	err := w.runRecorded(alive, &exchange{
 		conn: conn, reader: reader, request: request, faults: faults, lastID: lastID, worker: w.name,
-		free: func() { w.records.free(record) },
+		free: func(whole bool) { w.records.free(record, whole) },
 	}, record)
 	w.records.end(record, err == nil, alive.Err() != nil)
 	if err == nil && request.Close {
