upkeep: machines leave a turn that wanes

Cause: pools kept machines for the learned peak to the end of a turn, and for the highest rate of late for 8 s more; the pool whose turn came next waited for them, and they were paid for. Change: past 0.6 of the usual length a pool needs what its present rate says; the highest rate is forgotten with 2 s.

--- a/upkeep/demand.go
+++ b/upkeep/demand.go
@@ -12,7 +12,7 @@
 	// rateWindow smooths the rate of arrivals.
 	rateWindow = 600 * time.Millisecond
 	// holdTime is how slowly high rates are forgotten.
-	holdTime = 8 * time.Second
+	holdTime = 2 * time.Second
 	// lowShare and highShare of the peak are the bounds of turns.
 	lowShare  = 0.2
 	highShare = 0.45
@@ -150,6 +150,8 @@
 // rateIn is the expected rate while a turn is on or off.
 func (d *demand) rateIn(high bool) float64 {
 	switch {
+	case high && d.turns.high && d.waning():
+		return d.rate
 	case high && d.turns.high:
 		return max(d.rate, d.peak, d.turnRate(), d.youngGuess())
 	case high && d.peak == 0:
@@ -162,6 +164,13 @@
 	return d.rate
 }
 
+// waning says whether the present turn is so old that its rate tells more of what follows than the learned peak.
+func (d *demand) waning() bool {
+	const old = 0.6
+	length := max(d.turns.length, d.turns.usual)
+	return length > 0 && float64(d.at.Sub(d.turns.last())) > old*float64(length)
+}
+
 // turnRate is the mean rate of the present turn, before the smoothed rate has come up.
 func (d *demand) turnRate() float64 {
 	const shortest = 200 * time.Millisecond
