--- a/upkeep/demand.go
+++ b/upkeep/demand.go
@@ -16,6 +16,8 @@
 	// lowShare and highShare of the peak are the bounds of turns.
 	lowShare  = 0.2
 	highShare = 0.45
+	// smallTurn is the share of the mean peak below which a pool's demand has no turns worth a move.
+	smallTurn = 0.2
 	// firstPeak is the share of a pool's capacity that counts as its peak until one was seen.
 	firstPeak = 0.6
 	// unusedMilli is the use below which the mix of CPU and memory is not learned.
@@ -95,8 +97,8 @@
 
 // learn follows the turns and the rates in and out of them.
 func (d *demand) learn(at time.Time, before int64, capacity float64) {
-	reference := d.peak
-	if reference == 0 {
+	reference := max(d.peak, smallTurn*d.guess)
+	if d.peak == 0 {
 		// A pool that has few machines is not in a turn because of a few jobs.
 		reference = firstPeak * max(capacity, d.guess)
 	}
