--- a/internal/jobhost/failures_test.go
+++ b/internal/jobhost/failures_test.go
@@ -12,18 +12,19 @@
 	"regexp"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/samber/do/v2"
 	"go.uber.org/goleak"
 	"google.golang.org/protobuf/types/known/durationpb"
 	"gotest.tools/v3/assert"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
-	"github.com/agateturn/agateturn/internal/boottime"
 	"github.com/agateturn/agateturn/internal/ctl"
 	"github.com/agateturn/agateturn/internal/logpipe"
-	"github.com/agateturn/agateturn/stats"
+	"github.com/agateturn/agateturn/internal/poolowner"
 	"github.com/agateturn/agateturn/store"
 	"github.com/agateturn/agateturn/store/memtxn"
 )
@@ -83,7 +84,10 @@
 	}
 	pipe := logpipe.New(r.log)
 	logger := pipe.Logger(func(w io.Writer) slog.Handler { return slog.NewTextHandler(w, nil) }).With("entry_host", name)
-	h := wire(s, logger, parts{kv: r.kv.Client(name), workers: r.workers, clock: boottime.New(), stats: stats.New(stats.Limits{})})
+	i := injector(s, logger)
+	do.OverrideValue[store.Transactor](i, r.kv.Client(name))
+	do.OverrideValue[poolowner.Workers](i, r.workers)
+	h := do.MustInvoke[*Host](i)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- h.Run(ctx) }()
@@ -208,14 +212,26 @@
 	return out, true
 }
 
+// freeAddress is a free port of a loopback address that no other test process uses, nor the clients of any: a port that
+// is closed here stays free until the host under test opens it. No port is given twice.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 16+pid>>16%200, pid>>8%256, pid%256)
+	for {
+		l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", ip+":0")
+		assert.NilError(t, err)
+		address := l.Addr().String()
+		assert.NilError(t, l.Close())
+		if _, given := givenAddresses.LoadOrStore(address, true); !given {
+			return address
+		}
+	}
 }
 
+// givenAddresses are those that freeAddress has returned.
+var givenAddresses sync.Map
+
 func TestRefusedThoughWorkersWereIdle(t *testing.T) {
 	const id = "5c0e7a21d94b36f8"
 	r := startRig(t)
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -25,6 +25,8 @@
 	counted bool
 
 	occurrences []*occurrence
+	// past sums up the occurrences that are not kept; its tasks are those of all occurrences.
+	past taskCounts
 	// finished holds the occurrences that have completed; next is the first that has not been opened.
 	finished map[int]bool
 	next     int
@@ -53,7 +55,7 @@
 	if p.jobs[rec.GetId()] != nil || !p.forgotten[rec.GetId()].IsZero() {
 		return
 	}
-	j := p.newJob(rec)
+	j := p.newJob(now, rec)
 	p.jobs[j.id] = j
 	if _, early := p.earlyCancels[j.id]; early {
 		delete(p.earlyCancels, j.id)
@@ -63,15 +65,22 @@
 	p.begin(now, j)
 }
 
-func (p *Pool) newJob(rec *pb.JobRecord) *job {
+// newJob takes no acceptance after now: the clock of the host that accepted the job was ahead.
+func (p *Pool) newJob(now time.Time, rec *pb.JobRecord) *job {
+	accepted := time.UnixMilli(rec.GetAcceptedMs())
+	if accepted.After(now) {
+		accepted = now
+	}
+	total := int(max(1, rec.GetSpec().GetRepeatCount()))
 	return &job{
 		id:       rec.GetId(),
 		queue:    rec.GetQueue(),
 		spec:     rec.GetSpec(),
-		accepted: time.UnixMilli(rec.GetAcceptedMs()),
+		accepted: accepted,
 		state:    pb.JobState_JOB_STATE_RUNNING,
 		finished: map[int]bool{},
-		total:    int(max(1, rec.GetSpec().GetRepeatCount())),
+		total:    total,
+		past:     taskCounts{tasks: int64(total) * tasksOf(rec.GetSpec())},
 		failedOn: map[string]bool{},
 	}
 }
@@ -271,6 +280,7 @@
 func (p *Pool) finishOccurrence(now time.Time, o *occurrence) {
 	j := o.job
 	j.finished[o.number] = true
+	j.past.add(o)
 	kept := j.occurrences[:0]
 	for _, x := range j.occurrences {
 		if x != o {
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -61,6 +61,8 @@
 
 	learned  learned
 	evacuate map[string]bool
+	// leaving are machines that may be ordered away, until the first list of what to empty.
+	leaving map[string]bool
 	// moving holds the steps of persistent tasks that are about to move.
 	moving  []*step
 	advice  adviceDesk
@@ -68,7 +70,9 @@
 	// speculates and fills tell whether such steps have been seen.
 	speculates   bool
 	speculatedAt time.Time
-	fills        bool
+	// preemptedAt is when runs that give way were last looked for.
+	preemptedAt time.Time
+	fills       bool
 
 	out Actions
 }
@@ -139,6 +143,7 @@
 	p.checkEvacuation(now)
 	p.advice.expire(now)
 	p.placeTasks(now)
+	p.checkPreemption(now)
 	p.checkSpeculation(now)
 	p.checkPace(now)
 	p.attend(now)
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/jobstate"
 )
 
 // Status tells the load of the pool.
@@ -29,7 +30,8 @@
 func (p *Pool) load(now time.Time, w *worker) *pb.WorkerLoad {
 	out := &pb.WorkerLoad{
 		Id: w.ID, Tasks: int64(len(w.runs)), UsedCpuMilli: w.used.CPUMilli, UsedMemoryMb: w.used.MemoryMB,
-		Evacuated: w.evacuating && w.emptyConfirmed && len(w.runs) == 0, Stoppable: true,
+		Evacuated: w.evacuating && w.emptyConfirmed && len(w.runs) == 0,
+		Stoppable: w.reported || p.takeover.lapsed(now, p.cfg.Lease),
 	}
 	for _, r := range w.runs {
 		if r.task == nil {
@@ -60,7 +62,7 @@
 	if j == nil {
 		return []string{"the job is not known here"}
 	}
-	out := []string{fmt.Sprintf("state %s, queue %s", j.visibleState(), j.queue)}
+	out := []string{fmt.Sprintf("state %s, queue %s", jobstate.Name(j.visibleState()), j.queue)}
 	if j.over() {
 		if !j.rec.durable() {
 			out = append(out, "its end is not durable yet")
@@ -88,6 +90,8 @@
 	switch {
 	case s.blocked > 0:
 		return fmt.Sprintf("%s; %d steps come before", text, s.blocked)
+	case len(s.ready) > 0 && p.countFreed(s) > 0:
+		return text + "; runs of later queues give way"
 	case len(s.ready) > 0 && running == 0:
 		return text + "; no usable worker has room and is permitted"
 	default:
--- a/scheduler/unit_test.go
+++ b/scheduler/unit_test.go
@@ -174,3 +174,77 @@
 	}
 	t.Fatal("the persistent task never moved")
 }
+
+// A new owner starts nothing on machines that may have been ordered away until it hears which ones are to be emptied.
+func TestLeavingMachinesGetNothing(t *testing.T) {
+	b := &bare{now: time.UnixMilli(simEpoch), clock: 1000}
+	b.pool = scheduler.New(simConfig)
+	b.pool.Leaving([]string{"m1"})
+	b.pool.Load(b.now, nil, nil, nil)
+	b.pool.SetQueues(b.now, []queue.Queue{{Name: "q", MaxAttempts: 3, Stretch: 2, TargetDuration: time.Second}})
+	b.pool.SetWorkers(b.now, []scheduler.Worker{
+		{ID: "w1", Address: "w1", Machine: "m1", Capacity: scheduler.Resources{CPUMilli: 4000, MemoryMB: 4000}},
+	})
+	b.report("w1", nil, nil)
+	b.add("serve", &pb.JobStep{Count: 2, CpuMilli: 1000, Persistent: true, MayMiss: 1})
+	assert.Equal(t, len(b.pool.Step(b.now).Orders), 0)
+	b.pass(time.Second)
+	b.report("w1", nil, nil)
+	assert.Equal(t, len(b.pool.Step(b.now).Orders), 0)
+	b.pool.Evacuate(b.now, nil)
+	assert.Equal(t, len(b.pool.Step(b.now).Orders), 2)
+}
+
+// A worker whose entry has expired keeps what it runs: its tasks are not moved away at once as those of one that leaves.
+func TestUnlistedWorkerKeepsItsTasks(t *testing.T) {
+	b := newBare("w1", "w2")
+	b.add("serve", &pb.JobStep{Count: 3, CpuMilli: 1000, Persistent: true, MayMiss: 1})
+	running := map[string][]scheduler.RunningTask{}
+	for _, o := range b.pool.Step(b.now).Orders {
+		running[o.Worker] = append(running[o.Worker], scheduler.RunningTask{Task: o.Task, Run: o.Run, Percent: 100})
+	}
+	room := scheduler.Resources{CPUMilli: 4000, MemoryMB: 4000}
+	b.pass(time.Second)
+	b.pool.SetWorkers(b.now, []scheduler.Worker{
+		{ID: "w1", Address: "w1", Capacity: room, Unlisted: true},
+		{ID: "w2", Address: "w2", Capacity: room},
+	})
+	for range 30 {
+		b.pass(100 * time.Millisecond)
+		b.report("w1", running["w1"], nil)
+		b.report("w2", running["w2"], nil)
+		assert.Equal(t, len(b.pool.Step(b.now).Orders), 0)
+	}
+	b.add("late", &pb.JobStep{Count: 2, CpuMilli: 500, EstimateMs: 1000})
+	orders := b.pool.Step(b.now).Orders
+	assert.Equal(t, len(orders), 2)
+	for _, o := range orders {
+		assert.Equal(t, o.Worker, "w2", "an unlisted worker gets nothing new")
+	}
+}
+
+// TestFlappingWorkersAreAvoided ends two lifetimes of a worker shortly after another: tasks go elsewhere for a while.
+func TestFlappingWorkersAreAvoided(t *testing.T) {
+	for _, apart := range []time.Duration{2 * time.Second, 10 * time.Second} {
+		b := newBare("w1", "w2")
+		for born := int64(6); born <= 7; born++ {
+			b.pass(apart)
+			for id, lifetime := range map[string]int64{"w1": born, "w2": 5} {
+				b.clock++
+				b.pool.Report(b.now, scheduler.Report{Worker: id, Born: lifetime, Sent: b.now, Received: b.now, Clock: b.clock})
+			}
+		}
+		b.add("j", &pb.JobStep{Count: 4, CpuMilli: 1000, EstimateMs: 1000, MaxPerHost: 2})
+		flapping := 0
+		for _, order := range b.pool.Step(b.now).Orders {
+			if order.Worker == "w1" {
+				flapping++
+			}
+		}
+		want := 0
+		if apart > 6*time.Second {
+			want = 2
+		}
+		assert.Equal(t, flapping, want, "lifetimes ended %s apart", apart)
+	}
+}
