jobhost: the takeover test makes its failure again when its process was paused

Cause: 1 of 48 runs on the merged code, four at once, six other builds and plays on the machine: nothing of the test process ran for about 0.6 s, both hosts logged pause_detected (106) at that moment, and the owner rightly sent and decided nothing until its pool was taken. Its line 934 before the takeover is then missing, and the page's order cannot hold. Ruled out: the order of lines; the time line of the failed run is in the order of its times, with 901 before 941 of its owner. Change: a run in which a host detected a pause is logged and made again, three times at most. A run without one must follow the page as before; so the check is as strict for what the page describes.

--- a/internal/jobhost/failures_test.go
+++ b/internal/jobhost/failures_test.go
@@ -248,7 +248,25 @@
 	assert.Assert(t, strings.Contains(shown, "reason=not stored"), shown)
 }
 
+// TestCompletedLateAfterATakeover cuts the owner off the store. An owner whose process was paused meanwhile may not decide:
+// that is another failure than the page's, so it is made again.
 func TestCompletedLateAfterATakeover(t *testing.T) {
+	const maxPaused = 3
+	for range maxPaused {
+		shown, paused := "", false
+		assert.Assert(t, t.Run("takeover", func(t *testing.T) { shown, paused = completeLate(t) }))
+		if !paused {
+			followPage(t, "Completed late after a takeover", shown)
+			return
+		}
+		t.Logf("the process was paused:\n%s", shown)
+	}
+	t.Fatalf("the process was paused %d times", maxPaused)
+}
+
+// completeLate returns the time line, and whether the hosts detected a pause of their process.
+func completeLate(t *testing.T) (shown string, paused bool) {
+	t.Helper()
 	const id = "5c0e7a21d94b36f9"
 	r := startRig(t)
 	owner := r.owner("exports")
@@ -259,7 +277,8 @@
 	r.await(t, "records_loaded pool=exports", func() bool { return strings.Count(r.log.String(), "name=records_loaded") >= 2 })
 	r.kv.SetFaults(memtxn.Faults{})
 	r.await(t, "job_durable job="+id, nil)
-	followPage(t, "Completed late after a takeover", r.explain(t, id))
+	shown = r.explain(t, id)
+	return shown, strings.Contains(r.log.String(), "name=pause_detected")
 }
 
 func TestFailedAfterItsAttempts(t *testing.T) {
