--- a/internal/poolowner/owner_test.go
+++ b/internal/poolowner/owner_test.go
@@ -32,6 +32,12 @@
 
 func (noJobs) Forget(context.Context, string, uint64, []string) error { return nil }
 
+func (noJobs) Roster(context.Context, string) (*pb.Roster, uint64, error) { return nil, 0, nil }
+
+func (noJobs) SetRoster(context.Context, string, uint64, *pb.Roster, uint64) (uint64, error) {
+	return 1, nil
+}
+
 func (noJobs) ForgetCancels(context.Context, string, uint64, []string) ([]string, error) {
 	return nil, nil
 }
