--- a/cmd/agateturnd/jobs_test.go
+++ b/cmd/agateturnd/jobs_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"runtime"
 	"strings"
 	"testing"
 
@@ -49,3 +50,16 @@
 	assert.NilError(t, err)
 	assert.Equal(t, line.Config, "/run/other.ini")
 }
+
+// TestCoresBoundTheThreads checks that a host with a share of a processor runs on one thread at a time.
+func TestCoresBoundTheThreads(t *testing.T) {
+	t.Setenv("GOMAXPROCS", "")
+	before := runtime.GOMAXPROCS(0)
+	t.Cleanup(func() { runtime.GOMAXPROCS(before) })
+	useCores(0)
+	assert.Equal(t, runtime.GOMAXPROCS(0), before)
+	useCores(float64(2 * before))
+	assert.Equal(t, runtime.GOMAXPROCS(0), before)
+	useCores(0.192)
+	assert.Equal(t, runtime.GOMAXPROCS(0), 1)
+}
