--- a/scheduler/suspect.go
+++ b/scheduler/suspect.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -18,10 +19,10 @@
 	// firstSuspicion is how long a worker is avoided at first; it doubles up to maxStrikes times.
 	firstSuspicion = 2 * time.Second
 	maxStrikes     = 3
-	// slowRatio times the expected duration over slowSamples runs makes a worker slow.
-	slowRatio   = 2.5
-	slowSamples = 3
-	slowRate    = 0.3
+	// slowRatio times the expected duration over the tasks of slowJobs jobs makes a worker slow.
+	slowRatio = 2.5
+	slowJobs  = 4
+	slowRate  = 0.3
 	// A batch run without progress for stallShare of its expected duration, and stallMin at least, stands still.
 	stallShare = 0.5
 	stallMin   = 1500 * time.Millisecond
@@ -41,8 +42,41 @@
 	strikes      int
 	// restartedAt is when the last lifetime ended other than as planned.
 	restartedAt time.Time
-	// slow is the duration of runs against what was expected.
-	slow mean
+	slow        slowness
+}
+
+// slowness is how many times as long as expected the tasks of the newest jobs took on a worker. Each job counts once:
+// an estimate is wrong for all its tasks alike.
+type slowness struct {
+	ratios []jobRatio
+}
+
+type jobRatio struct {
+	job   string
+	value float64
+}
+
+// add takes in the ratio of one more run.
+func (s *slowness) add(job string, ratio float64) {
+	for i := range s.ratios {
+		if r := &s.ratios[i]; r.job == job {
+			r.value += slowRate * (ratio - r.value)
+			return
+		}
+	}
+	if len(s.ratios) >= slowJobs {
+		s.ratios = slices.Delete(s.ratios, 0, 1)
+	}
+	s.ratios = append(s.ratios, jobRatio{job, ratio})
+}
+
+// mean is the geometric mean over the jobs: one bad estimate does not outweigh the others.
+func (s *slowness) mean() float64 {
+	product := 1.0
+	for _, r := range s.ratios {
+		product *= r.value
+	}
+	return math.Pow(product, 1/float64(max(1, len(s.ratios))))
 }
 
 // blame is a failure that may be the worker's fault.
@@ -74,7 +108,7 @@
 	t.probing = true
 	t.probe = nil
 	t.blames = nil
-	t.slow = mean{}
+	t.slow = slowness{}
 	p.out.Decisions = append(p.out.Decisions, Decision{Kind: "suspect", Worker: w.ID, Reason: reason})
 }
 
@@ -138,13 +172,11 @@
 		return false
 	}
 	t := &r.worker.trust
-	t.slow.count++
-	rate := max(slowRate, 1/float64(t.slow.count))
-	t.slow.value += rate * (float64(took)/float64(s.expected) - t.slow.value)
-	if t.slow.value <= slowRatio || (t.slow.count < slowSamples && !t.probing) {
+	t.slow.add(s.occ.job.id, float64(took)/float64(s.expected))
+	ratio := t.slow.mean()
+	if ratio <= slowRatio || (len(t.slow.ratios) < slowJobs && !t.probing) {
 		return false
 	}
-	ratio := t.slow.value
 	p.suspect(now, r.worker, "slow")
 	p.flee(now, r.worker, ratio)
 	return true
--- a/scheduler/unit_test.go
+++ b/scheduler/unit_test.go
@@ -110,6 +110,32 @@
 	assert.Equal(t, started["w1"], 2, "%v", started)
 }
 
+// A job that takes longer than its estimate says nothing of its worker; several such jobs do.
+func TestOneWrongEstimateDoesNotBlameTheWorker(t *testing.T) {
+	run := func(jobs int) bool {
+		b := newBare("w1")
+		suspected := false
+		for j := range jobs {
+			b.add(string(rune('a'+j)), &pb.JobStep{Count: 12 / int64(jobs), CpuMilli: 300, EstimateMs: 100})
+		}
+		orders := b.pool.Step(b.now).Orders
+		assert.Equal(t, len(orders), 12)
+		b.pass(400 * time.Millisecond)
+		for _, o := range orders {
+			b.pool.Result(b.now, scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeDone})
+			b.ends++
+			b.report("w1", nil, []scheduler.EndedRun{{Number: b.ends, Task: o.Task, Run: o.Run, End: scheduler.EndSucceeded}})
+			for _, d := range b.pool.Step(b.now).Decisions {
+				suspected = suspected || d.Kind == "suspect"
+			}
+		}
+		return suspected
+	}
+	assert.Assert(t, !run(1))
+	assert.Assert(t, !run(3))
+	assert.Assert(t, run(6))
+}
+
 // What follows from an input is handed out by the next Step: here that the worker's list is needed at once.
 func TestStartWithoutAnswerIsPolled(t *testing.T) {
 	b := newBare("w1")
