--- a/internal/poolowner/owner_test.go
+++ b/internal/poolowner/owner_test.go
@@ -32,18 +32,16 @@
 
 func (noJobs) Forget(context.Context, string, uint64, []string) error { return nil }
 
-func (noJobs) ForgetCancels(context.Context, string, uint64, []string) ([]string, error) {
-	return nil, nil
-}
-
-func (noJobs) Roster(context.Context, string) (*pb.Roster, uint64, error) {
-	return &pb.Roster{}, 0, nil
-}
+func (noJobs) Roster(context.Context, string) (*pb.Roster, uint64, error) { return nil, 0, nil }
 
 func (noJobs) SetRoster(context.Context, string, uint64, *pb.Roster, uint64) (uint64, error) {
 	return 1, nil
 }
 
+func (noJobs) ForgetCancels(context.Context, string, uint64, []string) ([]string, error) {
+	return nil, nil
+}
+
 // TestOfferedJobsHaveTheOwnersTime offers a job of a host whose time of day is behind: it is not taken for a late one.
 func TestOfferedJobsHaveTheOwnersTime(t *testing.T) {
 	owner := New(Options{
