scheduler, upkeep: a pool whose tasks are stuck gets machines

What waits counted as work to be spread over time, a thousandth of a machine, so the pools were calm, and one gave a machine to the spare pool. A job that fits the fleet but not its pool never ended. Ruled out: placement (there was no room), the gang's order among others (nothing else waited). Change: a pool's owner tells what the tasks need at once that wait for room for 2 s though nothing runs whose end would make any; the fleet's owner counts it into the machines that the pool must have whatever its demand, beside its persistent tasks and one machine for what is lost to fragments. Steps that no worker of the pool may run, or that are larger than any, are not counted: no machine helps them.

--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -18,6 +18,7 @@
 		out.WaitingTasks += int64(len(s.ready))
 		out.BacklogMilliMs += int64(float64(len(s.ready)) * s.load())
 	}
+	out.StuckCpuMilli = p.stuckCPU(now)
 	for _, w := range p.order {
 		if w.left && len(w.runs) == 0 {
 			continue
--- a/scheduler/status_test.go
+++ b/scheduler/status_test.go
@@ -45,3 +45,43 @@
 	b.pass(2 * simConfig.Lease)
 	assert.Assert(t, b.stoppable())
 }
+
+// A gang that waits beside persistent tasks only is told as stuck, with what all its members need; not while a batch task
+// may still make room, and not if no worker is large enough.
+func TestStuckStepsAreTold(t *testing.T) {
+	for name, test := range map[string]struct {
+		waiting *pb.JobStep
+		batch   bool
+		want    int64
+	}{
+		"gang":        {waiting: &pb.JobStep{Count: 4, CpuMilli: 1500, Gang: true}, want: 6000},
+		"beside work": {waiting: &pb.JobStep{Count: 4, CpuMilli: 1500, Gang: true}, batch: true},
+		"too large":   {waiting: &pb.JobStep{Count: 1, CpuMilli: 5000}},
+		"no label":    {waiting: &pb.JobStep{Count: 1, CpuMilli: 2000, RequiredLabel: "ssd"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBare("w1", "w2")
+			b.add("serve", &pb.JobStep{Count: 2, CpuMilli: 2500, Persistent: true, MayMiss: 1, MaxPerHost: 1})
+			if test.batch {
+				b.add("batch", &pb.JobStep{Count: 1, CpuMilli: 1000, EstimateMs: 60_000})
+			}
+			running := map[string][]scheduler.RunningTask{}
+			for _, o := range b.pool.Step(b.now).Orders {
+				b.pool.Result(b.now, scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeDone})
+				running[o.Worker] = append(running[o.Worker], scheduler.RunningTask{Task: o.Task, Run: o.Run, Percent: 100})
+			}
+			b.add("waits", test.waiting)
+			for range 25 {
+				assert.Equal(t, b.pool.Status(b.now).GetStuckCpuMilli(), int64(0))
+				b.pass(100 * time.Millisecond)
+				b.report("w1", running["w1"], nil)
+				b.report("w2", running["w2"], nil)
+				b.pool.Step(b.now)
+				if b.pool.Status(b.now).GetStuckCpuMilli() > 0 {
+					break
+				}
+			}
+			assert.Equal(t, b.pool.Status(b.now).GetStuckCpuMilli(), test.want)
+		})
+	}
+}
--- a/upkeep/move.go
+++ b/upkeep/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -196,12 +197,16 @@
 }
 
 // floor is the number of machines that a pool must have whatever its demand: while a wave empties one, its persistent
-// tasks need another place.
+// tasks need another place; and tasks that nothing but a further machine helps must not wait for ever.
 func (p *poolPlan) floor() float64 {
-	if p.upkeeps == 0 {
-		return 0
+	floor := 0.0
+	if p.upkeeps > 0 {
+		floor = float64(p.hosts)
+	}
+	if stuck := float64(p.status.GetStuckCpuMilli()); stuck > 0 {
+		floor = max(floor, math.Ceil((p.persistent+stuck)/p.unit)+1)
 	}
-	return float64(p.hosts)
+	return floor
 }
 
 // poolOf is the pool that a machine counts for: where it goes, or where it is unless it is about to be away.
