standin/jobplatform: a crash after a move is no order

By the log: task 0 was moved at 36.08 s and was at work again; its worker crashed after 37.39 s; task 2 was moved at 38.39 s and 39.39 s. The users' page counts a task as away if an order ended it, or if it has not been at work for the notice time, here 5 s. The checker went on counting task 0 as ended by the order of 36.08 s, since it looked only whether it was back at that moment. Ruled out: the owner's view (the worker had been silent for 1.3 and 2.3 s, less than its lease and than the notice). Change: a task that was back at work is no longer displaced when something else ends it. One that was not back, or is gone for longer than the notice, counts as before. Before: "back, then crashed" of the new test fails. After: it passes, with the two cases that must go on counting; package with the race detector and TestJobs of the proofs pass.

--- a/standin/jobplatform/starts.go
+++ b/standin/jobplatform/starts.go
@@ -62,6 +62,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	task := h.jobs[t.job].tasks[t]
+	if task.startedAt.After(task.displacedAt) && task.atWork(time.Now()) {
+		// It was back at work: no order has ended it this time.
+		task.displacedAt = time.Time{}
+	}
 	task.running--
 	task.idleSince = time.Now()
 	switch how {
