poolowner: an unanswered question has no answer that could be used

Cause: Owner.ask returned false as soon as its context ended, though the question might still run, and wrote its answer into variables of the caller. The roster took an incomplete answer for the whole: it dropped workers that may run something from what it shows and asked the store to record a roster without them. Describe read its answer in the same way. Change: ask returns the answer over a channel, so that it exists only once the question was answered; the roster stops there if it is not. Looked at for the same: membership.do (its callers read nothing after an error), jobpeer's batches, jobstore's groups.

--- a/internal/poolowner/describe.go
+++ b/internal/poolowner/describe.go
@@ -10,8 +10,7 @@
 
 // Describe tells operators about jobs.
 func (o *Owner) Describe(ctx context.Context, req *pb.DescribeJobsRequest) ([]*pb.JobDescription, bool) {
-	var jobs []*pb.JobDescription
-	ok := o.askLoaded(ctx, func(p *scheduler.Pool, _ time.Time) { jobs = p.Describe(req) })
+	jobs, ok := askLoaded(ctx, o, func(p *scheduler.Pool, _ time.Time) []*pb.JobDescription { return p.Describe(req) })
 	for _, j := range jobs {
 		j.Pool = o.Pool
 	}
--- a/internal/poolowner/follow.go
+++ b/internal/poolowner/follow.go
@@ -69,12 +69,14 @@
 		slog.Int("jobs", len(s.Jobs)), slog.Int("progress", len(s.Progress)), slog.Int("cancelled", len(s.Cancelled)),
 		slog.Int("leaving", len(intents.Machines)),
 		slog.Int64("took_ms", took.Milliseconds()))
-	return o.ask(ctx, func(p *scheduler.Pool, now time.Time) {
+	_, ok := ask(ctx, o, func(p *scheduler.Pool, now time.Time) struct{} {
 		o.lists.fence = intents.FleetFence
 		p.Leaving(intents.Machines)
 		p.Load(now, s.Jobs, s.Progress, s.Cancelled)
 		close(o.loaded)
+		return struct{}{}
 	})
+	return ok
 }
 
 func (o *Owner) change(ctx context.Context, c jobstore.Change) {
--- a/internal/poolowner/hold.go
+++ b/internal/poolowner/hold.go
@@ -163,8 +163,8 @@
 }
 
 func (o *Owner) holdOnce(ctx context.Context, w scheduler.Worker, wait time.Duration) (scheduler.Report, error) {
-	var next scheduler.Hold
-	if !o.ask(ctx, func(p *scheduler.Pool, now time.Time) { next = p.Hold(w.ID, now) }) {
+	next, ok := o.nextHold(ctx, w.ID)
+	if !ok {
 		return scheduler.Report{}, ctx.Err()
 	}
 	if next.Until == 0 {
@@ -177,6 +177,11 @@
 	})
 }
 
+// nextHold is what the next hold of a worker asks for.
+func (o *Owner) nextHold(ctx context.Context, worker string) (scheduler.Hold, bool) {
+	return ask(ctx, o, func(p *scheduler.Pool, now time.Time) scheduler.Hold { return p.Hold(worker, now) })
+}
+
 // awaitAck waits until the ends of a report may be acknowledged: the worker would list them again at once otherwise.
 func (o *Owner) awaitAck(ctx context.Context, worker string, r scheduler.Report) {
 	if len(r.Ended) == 0 {
@@ -187,8 +192,7 @@
 	defer timer.Stop()
 	for {
 		recorded := o.recorded.wait()
-		var next scheduler.Hold
-		if !o.ask(ctx, func(p *scheduler.Pool, now time.Time) { next = p.Hold(worker, now) }) || next.LastSeen >= last {
+		if next, ok := o.nextHold(ctx, worker); !ok || next.LastSeen >= last {
 			return
 		}
 		select {
--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/samber/lo"
 	"golang.org/x/sync/errgroup"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
@@ -158,22 +159,27 @@
 	return o.inputs.Put(ctx, in) == nil
 }
 
-// ask runs a question on the loop's goroutine and waits for it.
-func (o *Owner) ask(ctx context.Context, question input) bool {
-	done := make(chan struct{})
-	asked := o.put(ctx, func(p *scheduler.Pool, now time.Time) {
-		question(p, now)
-		close(done)
-	})
-	if !asked {
-		return false
+// ask runs a question on the loop's goroutine. The answer is there only if the question was answered before ctx ended: a
+// question may still run later, so it must not write what the caller reads.
+func ask[T any](ctx context.Context, o *Owner, question func(p *scheduler.Pool, now time.Time) T) (answer T, ok bool) {
+	answers := make(chan T, 1)
+	if !o.put(ctx, func(p *scheduler.Pool, now time.Time) { answers <- question(p, now) }) {
+		return answer, false
 	}
 	select {
-	case <-done:
-		return true
+	case answer = <-answers:
+		return answer, true
 	case <-ctx.Done():
-		return false
+		return answer, false
+	}
+}
+
+// askLoaded is ask for an owner that has read its records.
+func askLoaded[T any](ctx context.Context, o *Owner, question func(p *scheduler.Pool, now time.Time) T) (answer T, ok bool) {
+	if !o.isLoaded() {
+		return answer, false
 	}
+	return ask(ctx, o, question)
 }
 
 // SetQueues puts a version of the queues in force.
@@ -225,45 +231,29 @@
 
 // States tells the states of jobs. It reports false if the owner has not read its records yet.
 func (o *Owner) States(ctx context.Context, ids []string) ([]pb.JobState, bool) {
-	states := make([]pb.JobState, len(ids))
-	ok := o.askLoaded(ctx, func(p *scheduler.Pool, _ time.Time) {
-		for i, id := range ids {
-			states[i] = p.State(id)
-		}
+	return askLoaded(ctx, o, func(p *scheduler.Pool, _ time.Time) []pb.JobState {
+		return lo.Map(ids, func(id string, _ int) pb.JobState { return p.State(id) })
 	})
-	return states, ok
 }
 
 // Pending counts the jobs of a queue for which no task has started.
 func (o *Owner) Pending(ctx context.Context, queue string) (int64, bool) {
-	pending := 0
-	ok := o.askLoaded(ctx, func(p *scheduler.Pool, _ time.Time) { pending = p.Pending(queue) })
-	return int64(pending), ok
+	return askLoaded(ctx, o, func(p *scheduler.Pool, _ time.Time) int64 { return int64(p.Pending(queue)) })
 }
 
 // Status sets the workers to empty and tells the load of the pool. It reports false for a request that is out of date.
 func (o *Owner) Status(ctx context.Context, r *pb.PoolStatusRequest) (*pb.PoolStatusResponse, bool) {
-	var status *pb.PoolStatusResponse
-	ok := o.askLoaded(ctx, func(p *scheduler.Pool, now time.Time) {
+	status, ok := askLoaded(ctx, o, func(p *scheduler.Pool, now time.Time) *pb.PoolStatusResponse {
 		if !o.lists.take(r.GetFleetFence(), r.GetSequence()) {
-			return
+			return nil
 		}
 		p.Evacuate(now, r.GetEvacuate())
-		status = p.Status(now)
+		return p.Status(now)
 	})
-	if !ok || status == nil {
-		return nil, false
-	}
-	return status, true
+	return status, ok && status != nil
 }
 
 // Explain tells why a job waits.
 func (o *Owner) Explain(ctx context.Context, id string) ([]string, bool) {
-	var lines []string
-	ok := o.askLoaded(ctx, func(p *scheduler.Pool, _ time.Time) { lines = p.Explain(id) })
-	return lines, ok
-}
-
-func (o *Owner) askLoaded(ctx context.Context, question input) bool {
-	return o.isLoaded() && o.ask(ctx, question)
+	return askLoaded(ctx, o, func(p *scheduler.Pool, _ time.Time) []string { return p.Explain(id) })
 }
--- a/internal/poolowner/roster.go
+++ b/internal/poolowner/roster.go
@@ -76,7 +76,11 @@
 
 // update hands in the listed workers that are recorded and those that are occupied, and the others once they are recorded.
 func (r *roster) update(ctx context.Context) {
-	all := slices.Concat(r.listed, r.occupied(ctx))
+	occupied, ok := r.occupied(ctx)
+	if !ok {
+		return
+	}
+	all := slices.Concat(r.listed, occupied)
 	r.show(ctx, lo.Filter(all, func(w scheduler.Worker, _ int) bool { return r.has(w) }))
 	added := len(r.missing()) > 0
 	if !added && len(all) == len(r.durable) {
@@ -95,24 +99,26 @@
 	}
 }
 
-// occupied are the recorded workers that are no longer listed and may run something.
-func (r *roster) occupied(ctx context.Context) []scheduler.Worker {
+// occupied are the recorded workers that are no longer listed and may run something. It reports false if ctx ended before
+// they were known.
+func (r *roster) occupied(ctx context.Context) ([]scheduler.Worker, bool) {
 	listed := lo.SliceToMap(r.listed, func(w scheduler.Worker) (string, bool) { return w.ID, true })
 	rest := lo.Reject(r.durable, func(w scheduler.Worker, _ int) bool { return listed[w.ID] })
+	taken := r.taken
 	if len(rest) == 0 {
-		return nil
+		r.taken = nil
+		return nil, true
 	}
-	var kept []scheduler.Worker
-	r.owner.ask(ctx, func(p *scheduler.Pool, _ time.Time) {
-		for _, w := range rest {
-			if r.taken[w.ID] || p.Occupied(w.ID) {
-				w.Unlisted = true
-				kept = append(kept, w)
-			}
-		}
+	kept, ok := ask(ctx, r.owner, func(p *scheduler.Pool, _ time.Time) []scheduler.Worker {
+		return lo.FilterMap(rest, func(w scheduler.Worker, _ int) (scheduler.Worker, bool) {
+			w.Unlisted = true
+			return w, taken[w.ID] || p.Occupied(w.ID)
+		})
 	})
-	r.taken = nil
-	return kept
+	if ok {
+		r.taken = nil
+	}
+	return kept, ok
 }
 
 // missing are the listed workers that are not recorded.
--- a/internal/poolowner/roster_test.go
+++ b/internal/poolowner/roster_test.go
@@ -78,6 +78,12 @@
 	return len(e.running[worker])
 }
 
+func (e *endless) ranTwice() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.twice
+}
+
 // options are those of an owner that takes the pool now.
 func options(t *testing.T, kv store.Transactor, workers poolowner.Workers) poolowner.Options {
 	t.Helper()
@@ -146,7 +152,7 @@
 		end()
 		_, end = term(t, options(t, kv, workers), "w2")
 		time.Sleep(time.Minute)
-		assert.Assert(t, !workers.twice)
+		assert.Assert(t, !workers.ranTwice())
 		assert.Equal(t, workers.on("w2"), 0)
 		end()
 	})
@@ -222,7 +228,7 @@
 		end()
 		_, end = term(t, options(t, shared.Client("owner"), workers), "w2", "w3")
 		time.Sleep(time.Minute)
-		assert.Assert(t, !workers.twice)
+		assert.Assert(t, !workers.ranTwice())
 		end()
 	})
 }
