membership: a planned stop reads no answer that it did not get

Callers saw nothing; the value was not used after an error. Change: nothing is read after an error. The package's tests pass with the detector.

--- a/internal/membership/leave.go
+++ b/internal/membership/leave.go
@@ -39,7 +39,10 @@
 		e.leaving = true
 		lease, held = e.lease, e.held
 	}, nil)
-	return lease, held, err
+	if err != nil {
+		return 0, nil, err // the function may still run
+	}
+	return lease, held, nil
 }
 
 func (m *Manager) freePool(ctx context.Context, pool string, fence uint64) {
