poolowner: a roster whose write had no answer is not taken for the one before

Cause: after a write without an answer the owner went on with the roster of before. If the write had taken effect and took a worker away that was listed again within a second, the worker was used, nothing was written, as the lists were alike, and the next owner did not wait for it. A refused call after one without an answer made the error one of both classes, "nothing was written" too. Change: after a write without an answer only workers in both rosters count as recorded, and it is written again; the verdict of a commit is of one class; an owner whose roster the store refuses for its fence drops the pool.

--- a/internal/jobstore/commit.go
+++ b/internal/jobstore/commit.go
@@ -125,9 +125,10 @@
 	return retryLeast + time.Duration(rand.Int64N(int64(retrySpread))), again && a.store.health.healthy(a.store.clock())
 }
 
+// verdict is of one class: a refused call after one without an answer does not make the transaction a refused one.
 func (a *attempts) verdict() error {
 	if a.doubt && !store.Unknown.Has(a.last) {
-		return store.Unknown.Wrap(a.last)
+		return store.Unknown.New("%s", a.last)
 	}
 	return a.last
 }
--- a/internal/poolowner/roster.go
+++ b/internal/poolowner/roster.go
@@ -8,7 +8,9 @@
 	"github.com/samber/lo"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/jobstore"
 	"github.com/agateturn/agateturn/scheduler"
+	"github.com/agateturn/agateturn/store"
 	"github.com/agateturn/agateturn/wait"
 )
 
@@ -21,8 +23,10 @@
 type roster struct {
 	owner   *Owner
 	version uint64
-	// durable is what is recorded, listed the last list of the registry, shown what was handed in last.
+	// durable is what is surely recorded, listed the last list of the registry, shown what was handed in last.
 	durable, listed, shown []scheduler.Worker
+	// unsure means that the last write had no answer: other workers than the durable ones may be recorded.
+	unsure bool
 	// taken are the workers recorded by an owner of before that were not handed in yet.
 	taken map[string]bool
 }
@@ -72,7 +76,9 @@
 }
 
 // settled tells whether the recorded workers are the listed ones.
-func (r *roster) settled() bool { return len(r.missing()) == 0 && len(r.durable) == len(r.listed) }
+func (r *roster) settled() bool {
+	return !r.unsure && len(r.missing()) == 0 && len(r.durable) == len(r.listed)
+}
 
 // update hands in the listed workers that are recorded and those that are occupied, and the others once they are recorded.
 func (r *roster) update(ctx context.Context) {
@@ -83,20 +89,31 @@
 	all := slices.Concat(r.listed, occupied)
 	r.show(ctx, lo.Filter(all, func(w scheduler.Worker, _ int) bool { return r.has(w) }))
 	added := len(r.missing()) > 0
-	if !added && len(all) == len(r.durable) {
+	if !added && !r.unsure && len(all) == len(r.durable) {
 		return
 	}
+	if r.record(ctx, all) && added {
+		r.show(ctx, all)
+	}
+}
+
+// record replaces the record and reports whether that is durable.
+func (r *roster) record(ctx context.Context, all []scheduler.Worker) bool {
 	record := &pb.Roster{Workers: lo.Map(all, func(w scheduler.Worker, _ int) *pb.RosterWorker { return recordOf(&w) })}
 	version, err := r.owner.Jobs.SetRoster(ctx, r.owner.Pool, r.owner.Config.Fence, record, r.version)
 	r.version = version
-	if err != nil {
-		r.owner.tellUnread(ctx, "roster", err)
-		return
-	}
-	r.durable = all
-	if added {
-		r.show(ctx, all)
+	switch {
+	case err == nil:
+		r.durable, r.unsure = all, false
+		return true
+	case jobstore.Fenced.Has(err):
+		r.owner.replaced(ctx, "the store")
+	case !store.Unavailable.Has(err):
+		// The write may have taken effect or not: only what it left in place is recorded in either case.
+		r.durable, r.unsure = lo.Filter(all, func(w scheduler.Worker, _ int) bool { return r.has(w) }), true
 	}
+	r.owner.tellUnread(ctx, "roster", err)
+	return false
 }
 
 // occupied are the recorded workers that are no longer listed and may run something. It reports false if ctx ended before
--- a/internal/poolowner/roster_test.go
+++ b/internal/poolowner/roster_test.go
@@ -205,30 +205,40 @@
 
 // A worker that was taken from the roster by a write without an answer is recorded again before it is used.
 func TestRosterIsRecordedAgainAfterALostAnswer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		shared := memtxn.New()
-		workers := &endless{running: make(map[string][]scheduler.RunningTask)}
-		own, end := term(t, options(t, shared.Client("owner"), workers), "w1", "w2")
-		time.Sleep(pastTerms)
-		shared.SetFaults(memtxn.Faults{Plan: func(client string, call memtxn.Call) memtxn.Outcome {
-			if client == "owner" && call == memtxn.CallCommit {
-				return memtxn.LoseAnswer
-			}
+	tests := map[string]memtxn.Outcome{"no answers": memtxn.LoseAnswer, "then refusals": memtxn.Refuse}
+	for name, later := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playLostAnswer(t, later) })
+		})
+	}
+}
+
+// playLostAnswer loses the answer to the first write that takes w1 from the roster; later becomes of the others.
+func playLostAnswer(t *testing.T, later memtxn.Outcome) {
+	shared := memtxn.New()
+	workers := &endless{running: make(map[string][]scheduler.RunningTask)}
+	own, end := term(t, options(t, shared.Client("owner"), workers), "w1", "w2")
+	time.Sleep(pastTerms)
+	outcome := memtxn.LoseAnswer
+	shared.SetFaults(memtxn.Faults{Plan: func(client string, call memtxn.Call) memtxn.Outcome {
+		if client != "owner" || call != memtxn.CallCommit {
 			return memtxn.Serve
-		}})
-		own.SetWorkers(workersOf([]string{"w2"}))
-		time.Sleep(pastTerms)
-		shared.SetFaults(memtxn.Faults{})
-		own.SetWorkers(workersOf([]string{"w1", "w2"}))
-		time.Sleep(pastTerms)
-		accept(t, shared.Client("host"), 2)
-		time.Sleep(time.Second)
-		assert.Equal(t, workers.on("w1"), 1)
-		assert.Equal(t, workers.on("w2"), 1)
-		end()
-		_, end = term(t, options(t, shared.Client("owner"), workers), "w2", "w3")
-		time.Sleep(time.Minute)
-		assert.Assert(t, !workers.ranTwice())
-		end()
-	})
+		}
+		defer func() { outcome = later }()
+		return outcome
+	}})
+	own.SetWorkers(workersOf([]string{"w2"}))
+	time.Sleep(pastTerms)
+	shared.SetFaults(memtxn.Faults{})
+	own.SetWorkers(workersOf([]string{"w1", "w2"}))
+	time.Sleep(pastTerms)
+	accept(t, shared.Client("host"), 2)
+	time.Sleep(time.Second)
+	assert.Equal(t, workers.on("w1"), 1)
+	assert.Equal(t, workers.on("w2"), 1)
+	end()
+	_, end = term(t, options(t, shared.Client("owner"), workers), "w2", "w3")
+	time.Sleep(time.Minute)
+	assert.Assert(t, !workers.ranTwice())
+	end()
 }
