scheduler, poolowner: the log tells when a takeover ends and which workers are not registered

Callers saw: nothing. Change: pool_taken_over (951) with the workers waited for, the time it took, and whether all were heard or their leases lapsed; workers_changed names new workers that are known from the roster only. Runs: tests of events, scheduler, poolowner, jobhost pass.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -281,6 +281,8 @@
 	AttemptFailed = Event{Number: 939, Name: "attempt_failed", Level: slog.LevelInfo, Message: "a run failed, which counts as an attempt"}
 	JobDurable    = Event{Number: 940, Name: "job_durable", Level: slog.LevelInfo, Message: "end of the job is durable and shown to callers"}
 	StepDone      = Event{Number: 941, Name: "step_done", Level: slog.LevelInfo, Message: "all tasks of the step have succeeded"}
+	// PoolTakenOver is told with how many workers were waited for and until when.
+	PoolTakenOver = Event{Number: 951, Name: "pool_taken_over", Level: slog.LevelInfo, Message: "no task of an owner before can run unseen; waiting tasks may start"}
 	// TasksPreempted is told of the step that gains; tasks_stopped tells of those that lose.
 	TasksPreempted = Event{Number: 950, Name: "tasks_preempted", Level: slog.LevelInfo, Message: "runs of a later queue give way to a task of the step"}
 
--- a/internal/poolowner/changes.go
+++ b/internal/poolowner/changes.go
@@ -68,6 +68,9 @@
 		switch {
 		case !known:
 			added = append(added, w.ID)
+			if w.Unlisted {
+				unlisted = append(unlisted, w.ID)
+			}
 		case w.Draining && !was.Draining:
 			draining = append(draining, w.ID)
 		case w.Unlisted && !was.Unlisted:
--- a/internal/poolowner/decisions.go
+++ b/internal/poolowner/decisions.go
@@ -207,6 +207,7 @@
 	scheduler.DecisionCompleted: events.JobCompleted,
 	scheduler.DecisionFailed:    events.JobFailed,
 	scheduler.DecisionCancelled: events.JobCancelled,
+	scheduler.DecisionTakenOver: events.PoolTakenOver,
 }
 
 func (o *Owner) logGroup(ctx context.Context, g decisionGroup, all []decision) {
@@ -237,6 +238,9 @@
 	if first.Worker != "" {
 		attrs = append(attrs, slog.String("workers", workersOf(all)))
 	}
+	if g.kind == scheduler.DecisionTakenOver {
+		attrs = append(attrs, slog.Int("workers", first.Workers))
+	}
 	if g.reason != "" {
 		attrs = append(attrs, slog.String("reason", g.reason))
 	}
--- a/scheduler/decision.go
+++ b/scheduler/decision.go
@@ -14,11 +14,13 @@
 	Attempt, Attempts int
 	// Count is the number of tasks of a step that is done.
 	Count int
-	// Age is the time since the job was accepted, for what happens to a job as a whole.
+	// Workers is how many workers an owner that took over has waited for.
+	Workers int
+	// Age is the time since the job was accepted, for what happens to a job as a whole, or since the takeover.
 	Age time.Duration
 }
 
-// Kinds of decisions that concern a job as a whole, or count its attempts.
+// Kinds of decisions that concern a job or the pool as a whole, or count attempts.
 const (
 	DecisionBegun     = "begun"
 	DecisionCompleted = "completed"
@@ -28,6 +30,7 @@
 	DecisionStepDone  = "step done"
 	DecisionAttempt   = "attempt failed"
 	DecisionPreempted = "preempted"
+	DecisionTakenOver = "taken over"
 )
 
 // String names the end for the log.
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -22,11 +22,14 @@
 	doneAt   time.Time
 	registry bool
 	waiting  map[string]bool
+	// expected counts the workers that were waited for.
+	expected int
 }
 
 func (t *takeover) expect(_ time.Time, id string) {
 	if t.started && !t.done {
 		t.waiting[id] = true
+		t.expected++
 	}
 }
 
@@ -174,6 +177,13 @@
 		p.wake(limit)
 		return
 	}
+	reason := "all workers have been heard"
+	if !t.registry || len(t.waiting) > 0 {
+		reason = "leases of workers that were not heard have lapsed"
+	}
+	p.out.Decisions = append(p.out.Decisions, Decision{
+		Kind: DecisionTakenOver, Workers: t.expected, Reason: reason, Age: now.Sub(t.at),
+	})
 	t.done = true
 	t.doneAt = now
 	t.waiting = nil
