--- a/config/jobs_test.go
+++ b/config/jobs_test.go
@@ -75,8 +75,8 @@
 	s, err := load(t, render(string(template), values))
 	assert.NilError(t, err)
 	assert.Equal(t, s.GetJobHost().GetPeerAddress(), "10.0.0.9:7060")
-	assert.Equal(t, s.GetMachineApi().GetAddress()+s.GetPolicyService().GetAddress()+s.GetJobHost().GetOperatorAddress(), "")
-	assert.Assert(t, !s.GetMachineApi().GetFencing() && !s.GetJobHost().GetColdStart())
+	assert.Equal(t, s.GetHostApi().GetAddress()+s.GetPolicyService().GetAddress()+s.GetJobHost().GetOperatorAddress(), "")
+	assert.Assert(t, !s.GetHostApi().GetFencing() && !s.GetJobHost().GetColdStart())
 	assert.Equal(t, s.GetJobBounds().GetStopTime().AsDuration(), 500*time.Millisecond)
 
 	all := map[string]string{"bounds.requireFencing": "true", "bootstrap": "true", "orders": "heartbeat", "cloud.address": "10.9.0.8:1"}
@@ -95,7 +95,7 @@
 	all["platform.valueBytes"], all["heartbeatMs"] = "1048576", "1500"
 	s, err = load(t, render(string(template), all))
 	assert.NilError(t, err)
-	assert.Assert(t, s.GetMachineApi().GetFencing() && s.GetJobHost().GetColdStart())
+	assert.Assert(t, s.GetHostApi().GetFencing() && s.GetJobHost().GetColdStart())
 	assert.Equal(t, s.GetJobBounds().GetMoveTime().AsDuration(), 1500*time.Millisecond)
 	assert.Equal(t, s.GetJobBounds().GetOrderDelivery(), "heartbeat")
 	assert.Equal(t, s.GetJobStore().GetWritesPerSecond(), 400.0)
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -52,14 +52,14 @@
 	now     time.Time
 	fleet   *pb.Fleet
 	members []*fleet.Gate
-	hosts   map[string]*machine
+	hosts   map[string]*host
 	done    map[string]bool
 	reboots int
 	// unlisted is a host that the platform does not list.
 	unlisted string
 }
 
-type machine struct {
+type host struct {
 	boot     int
 	up       time.Time
 	oldBoot  int
@@ -69,14 +69,14 @@
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{
 		t: t, cfg: testConfig(12, 3), random: rand.New(rand.NewPCG(seed, 5)), now: time.Unix(1e6, 0),
-		fleet: &pb.Fleet{}, hosts: map[string]*machine{}, done: map[string]bool{},
+		fleet: &pb.Fleet{}, hosts: map[string]*host{}, done: map[string]bool{},
 	}
 	for i := range memberCount {
 		w.fleet, _ = fleet.Register(w.fleet, &pb.Member{Name: fmt.Sprint("e", i), Incarnation: fmt.Sprint("i", i)})
 		w.members = append(w.members, fleet.NewGate())
 	}
 	for _, h := range w.cfg.Hosts {
-		w.hosts[h.Name] = &machine{}
+		w.hosts[h.Name] = &host{}
 	}
 	return w
 }
--- a/controller/types.go
+++ b/controller/types.go
@@ -9,19 +9,19 @@
 	"github.com/agateturn/agateturn/waves"
 )
 
-// Role is what a machine on the platform's list is for.
+// Role is what a host on the platform's list is for.
 type Role int
 
-// Roles of machines.
+// Roles of hosts.
 const (
 	RoleWorker Role = iota
 	RoleEntryHost
 )
 
-// State is where the platform says a machine is. The list lags.
+// State is where the platform says a host is. The list lags.
 type State int
 
-// States of machines.
+// States of hosts.
 const (
 	StateLive State = iota
 	StateLeaving
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -20,7 +20,7 @@
 	}
 	PauseDetected = Event{
 		Number: 106, Name: "pause_detected", Level: slog.LevelWarn, Message: "process was paused beyond pause_limit; it sends nothing until its view is checked",
-		Remedy: "look for a suspended machine or a lack of processor time",
+		Remedy: "look for a suspended entry host or a lack of processor time",
 	}
 	Ready   = Event{Number: 107, Name: "ready", Level: slog.LevelInfo, Message: "readiness check passes"}
 	Unready = Event{
@@ -163,9 +163,9 @@
 	WaveDone    = Event{Number: 605, Name: "wave_done", Level: slog.LevelInfo, Message: "maintenance wave done"}
 	WaveWaiting = Event{Number: 606, Name: "wave_waiting", Level: slog.LevelInfo, Message: "maintenance wave waits for the availability budget"}
 
-	UpkeepDecided = Event{Number: 607, Name: "upkeep_decided", Level: slog.LevelInfo, Message: "machine is to have its upkeep"}
-	MoveDecided   = Event{Number: 608, Name: "move_decided", Level: slog.LevelInfo, Message: "machine is to move to another pool"}
-	MachineOrder  = Event{Number: 609, Name: "machine_order", Level: slog.LevelInfo, Message: "order for a machine was answered, or not"}
+	UpkeepDecided = Event{Number: 607, Name: "upkeep_decided", Level: slog.LevelInfo, Message: "host is to have its upkeep"}
+	MoveDecided   = Event{Number: 608, Name: "move_decided", Level: slog.LevelInfo, Message: "host is to move to another pool"}
+	MachineOrder  = Event{Number: 609, Name: "machine_order", Level: slog.LevelInfo, Message: "order for a host was answered, or not"}
 	WaveUnread    = Event{
 		Number: 610, Name: "wave_unread", Level: slog.LevelWarn, Message: "waves cannot be read",
 		Remedy: "see the error: mend the order of the wave, or see to the store",
@@ -291,10 +291,10 @@
 	}
 	FleetRecordWaits = Event{Number: 944, Name: "fleet_record_waits", Level: slog.LevelInfo, Message: "progress of waves or moves is not durable yet; it is tried again"}
 	MachinesUnread   = Event{
-		Number: 945, Name: "machines_unread", Level: slog.LevelWarn, Message: "list of machines cannot be read; the last one is used",
-		Remedy: "see to the platform's machines",
+		Number: 945, Name: "machines_unread", Level: slog.LevelWarn, Message: "list of hosts cannot be read; the last one is used",
+		Remedy: "see to the platform's hosts",
 	}
-	MachinesRead  = Event{Number: 946, Name: "machines_read", Level: slog.LevelInfo, Message: "list of machines can be read again"}
+	MachinesRead  = Event{Number: 946, Name: "machines_read", Level: slog.LevelInfo, Message: "list of hosts can be read again"}
 	SchedulerNote = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
 )
 
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// Proof is what the platform's list says of a member's machine that it shows gone.
+// Proof is what the platform's list says of a member's entry host that it shows gone.
 type Proof struct {
 	// Incarnation is the process that the list shows gone; empty if the list does not tell.
 	Incarnation string
--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -1,4 +1,4 @@
-// Package boottime reads time that goes on while the machine is suspended and ignores steps of the time of day.
+// Package boottime reads time that goes on while the host is suspended and ignores steps of the time of day.
 package boottime
 
 import "time"
--- a/internal/fleetowner/fake_test.go
+++ b/internal/fleetowner/fake_test.go
@@ -112,38 +112,38 @@
 	return s.revision, nil
 }
 
-// fakeMachines is the machine service. Fences are checked for each machine.
-type fakeMachines struct {
-	mu       sync.Mutex
-	machines map[string]*fakeMachine
-	limit    int
-	broken   []string
-	orders   int
+// fakeHosts is the host service. Fences are checked for each host.
+type fakeHosts struct {
+	mu     sync.Mutex
+	hosts  map[string]*fakeHost
+	limit  int
+	broken []string
+	orders int
 	// unanswered has orders do nothing and get no answer.
 	unanswered bool
 }
 
-type fakeMachine struct {
-	upkeep.Machine
+type fakeHost struct {
+	upkeep.Host
 	fence  uint64
 	done   bool
 	backAt time.Time
 	lives  int
 }
 
-func newFakeMachines(pool string, count, limit int) *fakeMachines {
-	f := &fakeMachines{machines: map[string]*fakeMachine{}, limit: limit}
+func newFakeHosts(pool string, count, limit int) *fakeHosts {
+	f := &fakeHosts{hosts: map[string]*fakeHost{}, limit: limit}
 	for n := range count {
 		id := fmt.Sprintf("m%02d", n)
-		m := &fakeMachine{}
-		m.Machine = upkeep.Machine{ID: id, Pool: pool, State: upkeep.Up, Worker: id + "/0", CPUMilli: 1000}
-		f.machines[id] = m
+		m := &fakeHost{}
+		m.Host = upkeep.Host{ID: id, Pool: pool, State: upkeep.Up, Worker: id + "/0", CPUMilli: 1000}
+		f.hosts[id] = m
 	}
 	return f
 }
 
-func (f *fakeMachines) refresh() (down int) {
-	for _, m := range f.machines {
+func (f *fakeHosts) refresh() (down int) {
+	for _, m := range f.hosts {
 		if m.State == upkeep.Upkeep && !time.Now().Before(m.backAt) {
 			m.State = upkeep.Up
 			m.lives++
@@ -156,27 +156,27 @@
 	return down
 }
 
-func (f *fakeMachines) List(context.Context) ([]upkeep.Machine, error) {
+func (f *fakeHosts) List(context.Context) ([]upkeep.Host, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.refresh()
-	var out []upkeep.Machine
-	for _, id := range slices.Sorted(maps.Keys(f.machines)) {
-		out = append(out, f.machines[id].Machine)
+	var out []upkeep.Host
+	for _, id := range slices.Sorted(maps.Keys(f.hosts)) {
+		out = append(out, f.hosts[id].Host)
 	}
 	return out, nil
 }
 
-func (f *fakeMachines) Move(context.Context, string, string, string, uint64) upkeep.Result {
+func (f *fakeHosts) Move(context.Context, string, string, string, uint64) upkeep.Result {
 	return upkeep.Unfit
 }
 
-func (f *fakeMachines) Upkeep(_ context.Context, machine string, _ int64, _ string, fence uint64) upkeep.Result {
+func (f *fakeHosts) Upkeep(_ context.Context, host string, _ int64, _ string, fence uint64) upkeep.Result {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	down := f.refresh()
 	f.orders++
-	m := f.machines[machine]
+	m := f.hosts[host]
 	switch {
 	case f.unanswered:
 		return upkeep.Unknown
@@ -192,16 +192,16 @@
 	m.State = upkeep.Upkeep
 	m.backAt = time.Now().Add(2 * time.Second)
 	if down >= f.limit {
-		f.broken = append(f.broken, machine)
+		f.broken = append(f.broken, host)
 	}
 	return upkeep.Done
 }
 
-func (f *fakeMachines) count(of func(*fakeMachine) bool) int {
+func (f *fakeHosts) count(of func(*fakeHost) bool) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
-	for _, m := range f.machines {
+	for _, m := range f.hosts {
 		if of(m) {
 			n++
 		}
@@ -211,10 +211,10 @@
 
 // fakePools empties workers within one poll.
 type fakePools struct {
-	machines *fakeMachines
-	fence    atomic.Uint64
-	mu       sync.Mutex
-	lists    [][]string
+	hosts *fakeHosts
+	fence atomic.Uint64
+	mu    sync.Mutex
+	lists [][]string
 }
 
 func (f *fakePools) forget() {
@@ -234,9 +234,9 @@
 	f.mu.Lock()
 	f.lists = append(f.lists, r.GetEvacuate())
 	f.mu.Unlock()
-	machines, err := f.machines.List(ctx)
+	hosts, err := f.hosts.List(ctx)
 	out := &pb.PoolStatusResponse{Owner: true, Fence: f.fence.Load()}
-	for _, m := range machines {
+	for _, m := range hosts {
 		evacuated := slices.Contains(r.GetEvacuate(), m.Worker)
 		out.Workers = append(out.Workers, &pb.WorkerLoad{Id: m.Worker, Evacuated: evacuated})
 	}
--- a/internal/fleetowner/intents.go
+++ b/internal/fleetowner/intents.go
@@ -8,22 +8,22 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// Intents reads which machines an owner of the fleet may have ordered away from a pool, from where Names tells. Errors: the
+// Intents reads which hosts an owner of the fleet may have ordered away from a pool, from where Names tells. Errors: the
 // store's, or that a record cannot be read.
 func Intents(ctx context.Context, kv store.Transactor, pool, recordPrefix, movesKey string) ([]string, error) {
 	records, _, err := kv.Range(ctx, recordPrefix, false)
 	if err != nil {
 		return nil, err
 	}
-	var machines []string
+	var hosts []string
 	for _, item := range records {
 		r := &pb.WaveRecord{}
 		if err := proto.Unmarshal(item.Data, r); err != nil {
 			return nil, err
 		}
-		for _, m := range r.GetMachines() {
+		for _, m := range r.GetHosts() {
 			if m.GetPhase() == pb.UpkeepPhase_UPKEEP_PHASE_INTENDED {
-				machines = append(machines, m.GetMachine())
+				hosts = append(hosts, m.GetHost())
 			}
 		}
 	}
@@ -39,7 +39,7 @@
 		if m.GetPool() == pool {
 			continue
 		}
-		machines = append(machines, m.GetMachine())
+		hosts = append(hosts, m.GetHost())
 	}
-	return machines, nil
+	return hosts, nil
 }
--- a/internal/fleetowner/list.go
+++ b/internal/fleetowner/list.go
@@ -11,14 +11,14 @@
 
 const (
 	listTimeout = 2 * time.Second
-	// listBusy and listIdle are the times between lists of machines.
+	// listBusy and listIdle are the times between lists of hosts.
 	listBusy = 300 * time.Millisecond
 	listIdle = 2 * time.Second
 	// listCheck is how often the idle lister looks whether it became busy.
 	listCheck = 100 * time.Millisecond
 )
 
-// list brings lists of machines to the loop.
+// list brings lists of hosts to the loop.
 func (t *term) list(ctx context.Context) error {
 	var unreadSince time.Time
 	for {
@@ -68,12 +68,12 @@
 func (t *term) listOnce(ctx context.Context, sent time.Time) error {
 	call, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	machines, err := t.Machines.List(call)
+	hosts, err := t.Hosts.List(call)
 	if err != nil {
 		return err
 	}
 	return t.tell(ctx, func(time.Time) {
-		t.machines = machines
+		t.hosts = hosts
 		t.listedAt = sent
 	})
 }
--- a/internal/fleetowner/options.go
+++ b/internal/fleetowner/options.go
@@ -17,14 +17,14 @@
 // PoolReplaced is the error of a write that rests on the word of a pool's owner who has been replaced.
 var PoolReplaced = errs.Class("fleetowner: a pool has another owner; ask it before ordering")
 
-// Machines is the service that lists machines and takes orders for them. Each call ends with ctx at the latest.
-type Machines interface {
-	// List returns all machines.
-	List(ctx context.Context) ([]upkeep.Machine, error)
-	// Move orders a machine to a pool.
-	Move(ctx context.Context, machine, pool, holder string, fence uint64) upkeep.Result
-	// Upkeep orders a machine to its upkeep for a wave.
-	Upkeep(ctx context.Context, machine string, wave int64, holder string, fence uint64) upkeep.Result
+// Hosts is the service that lists hosts and takes orders for them. Each call ends with ctx at the latest.
+type Hosts interface {
+	// List returns all hosts.
+	List(ctx context.Context) ([]upkeep.Host, error)
+	// Move orders a host to a pool.
+	Move(ctx context.Context, host, pool, holder string, fence uint64) upkeep.Result
+	// Upkeep orders a host to its upkeep for a wave.
+	Upkeep(ctx context.Context, host string, wave int64, holder string, fence uint64) upkeep.Result
 }
 
 // Pools reaches the owners of pools.
@@ -55,8 +55,8 @@
 
 // Options of an Owner. All fields but Clock and Logger must be set.
 type Options struct {
-	Machines Machines
-	Pools    Pools
+	Hosts Hosts
+	Pools Pools
 	// Configured returns the pools of the configuration in force. It is called often.
 	Configured func() []Pool
 	Store      store.Transactor
@@ -70,7 +70,7 @@
 	Guard func(fence uint64) store.Condition
 	// PoolGuard is the condition under which the store takes a write while the owner of a pool has that fence.
 	PoolGuard func(pool string, fence uint64) store.Condition
-	// ChangesPerSecond and ReadsPerSecond bound the calls on Machines.
+	// ChangesPerSecond and ReadsPerSecond bound the calls on Hosts.
 	ChangesPerSecond float64
 	ReadsPerSecond   float64
 	// Clock ignores steps of the time of day, since its times are compared with those that earlier owners wrote down.
--- a/internal/fleetowner/order.go
+++ b/internal/fleetowner/order.go
@@ -40,10 +40,10 @@
 	if fence, ok := t.Confirmed(); ok && fence == t.fence {
 		result = t.call(ctx, o)
 	}
-	events.Log(ctx, t.Logger, events.MachineOrder, slog.String("machine", o.machine()), slog.String("pool", o.move.Pool),
+	events.Log(ctx, t.Logger, events.MachineOrder, slog.String("host", o.host()), slog.String("pool", o.move.Pool),
 		slog.Int64("wave", o.upkeep.Wave), slog.Uint64("fence", t.fence), slog.String("outcome", resultName(result)))
 	if result == upkeep.Fenced {
-		return Replaced.New("%s has an order of a later owner", o.machine())
+		return Replaced.New("%s has an order of a later owner", o.host())
 	}
 	return t.tell(ctx, func(now time.Time) { t.result(now, o, result) })
 }
@@ -70,7 +70,7 @@
 
 // result brings the outcome of an order to the planner.
 func (t *term) result(now time.Time, o order, r upkeep.Result) {
-	if o.move.Machine != "" {
+	if o.move.Host != "" {
 		t.planner.MoveResult(now, o.move, r)
 		return
 	}
@@ -81,15 +81,15 @@
 func (t *term) call(ctx context.Context, o order) upkeep.Result {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	if o.move.Machine != "" {
-		return t.Machines.Move(ctx, o.move.Machine, o.move.Pool, t.Holder, t.fence)
+	if o.move.Host != "" {
+		return t.Hosts.Move(ctx, o.move.Host, o.move.Pool, t.Holder, t.fence)
 	}
-	return t.Machines.Upkeep(ctx, o.upkeep.Machine, o.upkeep.Wave, t.Holder, t.fence)
+	return t.Hosts.Upkeep(ctx, o.upkeep.Host, o.upkeep.Wave, t.Holder, t.fence)
 }
 
-func (o order) machine() string {
-	if o.move.Machine != "" {
-		return o.move.Machine
+func (o order) host() string {
+	if o.move.Host != "" {
+		return o.move.Host
 	}
-	return o.upkeep.Machine
+	return o.upkeep.Host
 }
--- a/internal/fleetowner/owner.go
+++ b/internal/fleetowner/owner.go
@@ -84,7 +84,7 @@
 	planner  *upkeep.Planner
 	waves    map[int64]*wave
 	pools    map[string]*poller
-	machines []upkeep.Machine
+	hosts    []upkeep.Host
 	listedAt time.Time
 	wake     time.Time
 	// versions of the wave records as loaded; the writer has them afterwards.
--- a/internal/fleetowner/owner_test.go
+++ b/internal/fleetowner/owner_test.go
@@ -23,19 +23,19 @@
 )
 
 type fixture struct {
-	store    *fakeStore
-	machines *fakeMachines
-	fence    atomic.Uint64
-	pools    *fakePools
+	store *fakeStore
+	hosts *fakeHosts
+	fence atomic.Uint64
+	pools *fakePools
 }
 
-func newFixture(machines, limit int) *fixture {
-	f := &fixture{store: newFakeStore(), machines: newFakeMachines("pool", machines, limit)}
+func newFixture(hosts, limit int) *fixture {
+	f := &fixture{store: newFakeStore(), hosts: newFakeHosts("pool", hosts, limit)}
 	f.fence.Store(f.store.set(ownerKey, "first"))
-	f.pools = &fakePools{machines: f.machines}
+	f.pools = &fakePools{hosts: f.hosts}
 	f.pools.fence.Store(f.store.set(poolKey, "p"))
 	var ids []string
-	for n := range machines {
+	for n := range hosts {
 		ids = append(ids, fmt.Sprintf("m%02d", n))
 	}
 	f.store.set("wave/3", strings.Join(ids, ","))
@@ -44,7 +44,7 @@
 
 func (f *fixture) owner(limit int) *fleetowner.Owner {
 	return fleetowner.New(fleetowner.Options{
-		Machines:   f.machines,
+		Hosts:      f.hosts,
 		Pools:      f.pools,
 		Configured: func() []fleetowner.Pool { return []fleetowner.Pool{{Name: "pool"}, {Name: "spare", Spare: true}} },
 		Store:      f.store,
@@ -52,7 +52,7 @@
 			WavePrefix: "wave/",
 			ParseWave: func(key string, data []byte) (upkeep.Wave, error) {
 				number, err := strconv.ParseInt(strings.TrimPrefix(key, "wave/"), 10, 64)
-				return upkeep.Wave{Number: number, Machines: strings.Split(string(data), ","), Within: 30 * time.Second, Cap: limit}, err
+				return upkeep.Wave{Number: number, Hosts: strings.Split(string(data), ","), Within: 30 * time.Second, Cap: limit}, err
 			},
 			StatusKey:    func(wave int64) string { return fmt.Sprintf("status/%d", wave) },
 			Status:       func(_ int64, completed bool) []byte { return strconv.AppendBool(nil, completed) },
@@ -84,7 +84,7 @@
 	}
 }
 
-func done(m *fakeMachine) bool { return m.done }
+func done(m *fakeHost) bool { return m.done }
 
 func TestWaveIsCarriedOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -94,9 +94,9 @@
 		assert.Equal(t, f.store.state(), "false")
 		time.Sleep(20 * time.Second)
 		assert.ErrorIs(t, stop(), context.Canceled)
-		assert.Equal(t, f.machines.count(done), 8)
+		assert.Equal(t, f.hosts.count(done), 8)
 		assert.Equal(t, f.store.state(), "true")
-		assert.DeepEqual(t, f.machines.broken, []string(nil))
+		assert.DeepEqual(t, f.hosts.broken, []string(nil))
 	})
 }
 
@@ -113,9 +113,9 @@
 		time.Sleep(30 * time.Second)
 		assert.ErrorIs(t, stop(), context.Canceled)
 		assert.Equal(t, f.store.state(), "true")
-		assert.Equal(t, f.machines.count(done), 9)
-		assert.Equal(t, f.machines.orders, 9)
-		assert.DeepEqual(t, f.machines.broken, []string(nil))
+		assert.Equal(t, f.hosts.count(done), 9)
+		assert.Equal(t, f.hosts.orders, 9)
+		assert.DeepEqual(t, f.hosts.broken, []string(nil))
 	})
 }
 
@@ -130,9 +130,9 @@
 		f.store.set(ownerKey, "second")
 		err := <-ended
 		assert.Assert(t, fleetowner.Replaced.Has(err), "%v", err)
-		before := f.machines.orders
+		before := f.hosts.orders
 		time.Sleep(10 * time.Second)
-		assert.Equal(t, f.machines.orders, before)
+		assert.Equal(t, f.hosts.orders, before)
 	})
 }
 
@@ -144,9 +144,9 @@
 		f.store.mu.Lock()
 		f.store.down = true
 		f.store.mu.Unlock()
-		before := f.machines.count(done)
+		before := f.hosts.count(done)
 		time.Sleep(8 * time.Second)
-		assert.Equal(t, f.machines.count(done), before)
+		assert.Equal(t, f.hosts.count(done), before)
 		f.store.mu.Lock()
 		f.store.down = false
 		f.store.lose = true
@@ -154,22 +154,22 @@
 		time.Sleep(10 * time.Second)
 		assert.ErrorIs(t, stop(), context.Canceled)
 		assert.Equal(t, f.store.state(), "true")
-		assert.Equal(t, f.machines.count(done), 4)
+		assert.Equal(t, f.hosts.count(done), 4)
 	})
 }
 
-// A pool has changed hands after its owner said that a machine is empty: the next owner may have started tasks there.
+// A pool has changed hands after its owner said that a host is empty: the next owner may have started tasks there.
 func TestNothingIsOrderedOnTheWordOfAReplacedPoolOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(6, 1)
 		stop := start(t, f.owner(1))
 		time.Sleep(3 * time.Second)
-		assert.Assert(t, f.machines.count(done) > 0)
+		assert.Assert(t, f.hosts.count(done) > 0)
 		second := f.store.set(poolKey, "second")
 		time.Sleep(200 * time.Millisecond)
-		before := f.machines.count(done)
+		before := f.hosts.count(done)
 		time.Sleep(8 * time.Second)
-		assert.Equal(t, f.machines.count(done), before)
+		assert.Equal(t, f.hosts.count(done), before)
 		f.pools.fence.Store(second)
 		time.Sleep(20 * time.Second)
 		assert.ErrorIs(t, stop(), context.Canceled)
@@ -178,11 +178,11 @@
 }
 
 // What an owner may have ordered away is read by pools that change hands, and named by the next owner in its first list.
-func TestOrderedMachinesAreNamedInTheFirstList(t *testing.T) {
+func TestOrderedHostsAreNamedInTheFirstList(t *testing.T) {
 	for range 20 {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFixture(6, 1)
-			f.machines.unanswered = true
+			f.hosts.unanswered = true
 			stop := start(t, f.owner(1))
 			time.Sleep(1500 * time.Millisecond)
 			assert.ErrorIs(t, stop(), context.Canceled)
--- a/internal/fleetowner/poll.go
+++ b/internal/fleetowner/poll.go
@@ -22,7 +22,7 @@
 type poller struct {
 	Pool
 	stop context.CancelFunc
-	// begin starts asking, once, when the list is known: an empty one would give machines back that are ordered away.
+	// begin starts asking, once, when the list is known: an empty one would give hosts back that are ordered away.
 	begin  func()
 	status *pb.PoolStatusResponse
 	sent   time.Time
--- a/internal/fleetowner/record.go
+++ b/internal/fleetowner/record.go
@@ -154,7 +154,7 @@
 	r := &pb.WaveRecord{Wave: w.Number, SeenMs: w.Seen.UnixMilli()}
 	progress := t.planner.Progress(w.Number)
 	for _, id := range slices.Sorted(maps.Keys(progress)) {
-		m := &pb.MachineUpkeep{Machine: id, Fence: t.fence}
+		m := &pb.HostUpkeep{Host: id, Fence: t.fence}
 		switch progress[id] {
 		case upkeep.Intended:
 			m.Phase = pb.UpkeepPhase_UPKEEP_PHASE_INTENDED
@@ -163,7 +163,7 @@
 		case upkeep.NotOrdered:
 			continue
 		}
-		r.Machines = append(r.Machines, m)
+		r.Hosts = append(r.Hosts, m)
 	}
 	return t.put(ctx, r)
 }
@@ -190,7 +190,7 @@
 func (t *term) openMoves(ctx context.Context, key string) store.Put {
 	r := &pb.MoveRecord{Demands: t.planner.Learned()}
 	for _, m := range t.planner.OpenMoves() {
-		r.Moves = append(r.Moves, &pb.MachineMove{Machine: m.Machine, Pool: m.Pool})
+		r.Moves = append(r.Moves, &pb.HostMove{Host: m.Host, Pool: m.Pool})
 	}
 	return t.encode(ctx, key, r)
 }
--- a/internal/fleetowner/step.go
+++ b/internal/fleetowner/step.go
@@ -54,9 +54,9 @@
 
 func (t *term) input(now time.Time) upkeep.Input {
 	in := upkeep.Input{
-		Machines:   t.machines,
-		MachinesAt: t.listedAt,
-		Pools:      make(map[string]upkeep.PoolLoad, len(t.pools)),
+		Hosts:   t.hosts,
+		HostsAt: t.listedAt,
+		Pools:   make(map[string]upkeep.PoolLoad, len(t.pools)),
 	}
 	for _, w := range t.waves {
 		if !w.completed {
@@ -73,7 +73,7 @@
 func (t *term) moves(ctx context.Context, now time.Time, moves []upkeep.MoveOrder) error {
 	orders := make([]order, 0, len(moves))
 	for _, m := range moves {
-		t.tellDecided(ctx, events.MoveDecided, m.Machine, slog.String("pool", m.Pool))
+		t.tellDecided(ctx, events.MoveDecided, m.Host, slog.String("pool", m.Pool))
 		orders = append(orders, order{move: m})
 	}
 	orders, guards := t.guarded(now, orders)
@@ -90,13 +90,13 @@
 func (t *term) upkeeps(ctx context.Context, now time.Time, upkeeps []upkeep.Order) error {
 	byWave := map[int64][]order{}
 	for _, u := range upkeeps {
-		t.tellDecided(ctx, events.UpkeepDecided, u.Machine, slog.Int64("wave", u.Wave))
+		t.tellDecided(ctx, events.UpkeepDecided, u.Host, slog.Int64("wave", u.Wave))
 		byWave[u.Wave] = append(byWave[u.Wave], order{upkeep: u})
 	}
 	for _, number := range slices.Sorted(maps.Keys(byWave)) {
 		w := t.waves[number]
 		if w == nil {
-			// Its order was taken back while machines were emptied for it.
+			// Its order was taken back while hosts were emptied for it.
 			if err := t.send(ctx, byWave[number], errNoWave); err != nil {
 				return err
 			}
@@ -120,12 +120,12 @@
 // maxGuards leaves room in a transaction for the owner's guard, the record's version, the record and a wave's state.
 const maxGuards = store.MaxTransactionEntries - 4
 
-// guarded returns the conditions that the pools' owners who told that the machines are empty are still the owners: a later
+// guarded returns the conditions that the pools' owners who told that the hosts are empty are still the owners: a later
 // one would not know that nothing may start there. Orders of too many pools at once are taken back until the next step.
 func (t *term) guarded(now time.Time, orders []order) (kept []order, guards []store.Condition) {
 	pools := map[string]bool{}
 	for _, o := range orders {
-		p := t.pools[t.machine(o.machine()).Pool]
+		p := t.pools[t.host(o.host()).Pool]
 		if p == nil || p.Spare || p.status == nil || pools[p.Name] {
 			kept = append(kept, o)
 			continue
@@ -141,20 +141,20 @@
 	return kept, guards
 }
 
-// tellDecided logs a decision about a machine, with the age of the list of machines that it rests on.
-func (t *term) tellDecided(ctx context.Context, event events.Event, machine string, more slog.Attr) {
-	events.Log(ctx, t.Logger, event, slog.String("machine", machine), more, slog.String("worker", t.machine(machine).Worker),
+// tellDecided logs a decision about a host, with the age of the list of hosts that it rests on.
+func (t *term) tellDecided(ctx context.Context, event events.Event, host string, more slog.Attr) {
+	events.Log(ctx, t.Logger, event, slog.String("host", host), more, slog.String("worker", t.host(host).Worker),
 		slog.Uint64("fence", t.fence), slog.Int64("list_age_ms", t.Clock().Sub(t.listedAt).Milliseconds()))
 }
 
-// machine is a machine as last listed; zero if it is not there.
-func (t *term) machine(id string) upkeep.Machine {
-	for i := range t.machines {
-		if t.machines[i].ID == id {
-			return t.machines[i]
+// host is a host as last listed; zero if it is not there.
+func (t *term) host(id string) upkeep.Host {
+	for i := range t.hosts {
+		if t.hosts[i].ID == id {
+			return t.hosts[i]
 		}
 	}
-	return upkeep.Machine{}
+	return upkeep.Host{}
 }
 
 // send passes the orders on once their intents are durable, or takes them back.
--- a/internal/fleetowner/waves.go
+++ b/internal/fleetowner/waves.go
@@ -100,7 +100,7 @@
 	}
 	moves := make([]upkeep.MoveOrder, 0, len(r.GetMoves()))
 	for _, m := range r.GetMoves() {
-		moves = append(moves, upkeep.MoveOrder{Machine: m.GetMachine(), Pool: m.GetPool()})
+		moves = append(moves, upkeep.MoveOrder{Host: m.GetHost(), Pool: m.GetPool()})
 	}
 	now := t.Clock()
 	t.planner.RestoreMoves(now, moves)
@@ -129,7 +129,7 @@
 	}
 	parsed.Seen = now
 	events.Log(ctx, t.Logger, events.WaveStarted, slog.Int64("wave", parsed.Number),
-		slog.Uint64("version", item.Version), slog.Uint64("fence", t.fence), slog.Int("machines", len(parsed.Machines)),
+		slog.Uint64("version", item.Version), slog.Uint64("fence", t.fence), slog.Int("hosts", len(parsed.Hosts)),
 		slog.Int64("within_ms", parsed.Within.Milliseconds()), slog.Int("cap", parsed.Cap))
 	w := &wave{Wave: parsed, key: item.Key}
 	t.waves[parsed.Number] = w
@@ -149,13 +149,13 @@
 }
 
 func progressOf(r *pb.WaveRecord) map[string]upkeep.Progress {
-	out := make(map[string]upkeep.Progress, len(r.GetMachines()))
-	for _, m := range r.GetMachines() {
+	out := make(map[string]upkeep.Progress, len(r.GetHosts()))
+	for _, m := range r.GetHosts() {
 		switch m.GetPhase() {
 		case pb.UpkeepPhase_UPKEEP_PHASE_INTENDED:
-			out[m.GetMachine()] = upkeep.Intended
+			out[m.GetHost()] = upkeep.Intended
 		case pb.UpkeepPhase_UPKEEP_PHASE_BEGUN:
-			out[m.GetMachine()] = upkeep.Begun
+			out[m.GetHost()] = upkeep.Begun
 		case pb.UpkeepPhase_UPKEEP_PHASE_UNSPECIFIED:
 		}
 	}
--- a/internal/jobfront/pending.go
+++ b/internal/jobfront/pending.go
@@ -102,7 +102,7 @@
 	return c.n, true
 }
 
-// age is the longer of what the steady clock and the time of day say: the steady clock stops while the machine is
+// age is the longer of what the steady clock and the time of day say: the steady clock stops while the host is
 // suspended.
 func age(now, since time.Time) time.Duration {
 	return max(now.Sub(since), now.Round(0).Sub(since.Round(0)))
--- a/internal/jobhost/fleet.go
+++ b/internal/jobhost/fleet.go
@@ -26,15 +26,15 @@
 
 // runFleet acts as the owner of the fleet until ctx ends.
 func (h *Host) runFleet(ctx context.Context, fence uint64) {
-	api := h.settings.Load().GetMachineApi()
+	api := h.settings.Load().GetHostApi()
 	if api.GetAddress() == "" {
 		<-ctx.Done()
 		return
 	}
-	machines := platform.NewMachines(api.GetAddress())
-	defer machines.Close()
+	hosts := platform.NewMachines(api.GetAddress())
+	defer hosts.Close()
 	owner := fleetowner.New(fleetowner.Options{
-		Machines:   machineCalls{machines},
+		Hosts:      hostCalls{hosts},
 		Pools:      poolCalls{h},
 		Configured: h.configuredPools,
 		Store:      h.kv,
@@ -73,19 +73,19 @@
 	}
 }
 
-// intents reads which machines may be ordered away. The fence is read last, so that no later owner's intent goes with it.
+// intents reads which hosts may be ordered away. The fence is read last, so that no later owner's intent goes with it.
 func (h *Host) intents(ctx context.Context, pool string) (poolowner.Intents, error) {
-	if h.settings.Load().GetMachineApi().GetAddress() == "" {
+	if h.settings.Load().GetHostApi().GetAddress() == "" {
 		return poolowner.Intents{}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, intentsTimeout)
 	defer cancel()
-	machines, err := fleetowner.Intents(ctx, h.kv, pool, waveRecords, openMoves)
+	hosts, err := fleetowner.Intents(ctx, h.kv, pool, waveRecords, openMoves)
 	if err != nil {
 		return poolowner.Intents{}, err
 	}
 	owner, err := h.kv.Get(ctx, jobkeys.Owner(membership.FleetPool))
-	return poolowner.Intents{Machines: machines, FleetFence: owner.Version}, err
+	return poolowner.Intents{Hosts: hosts, FleetFence: owner.Version}, err
 }
 
 // upkeepConfig is made from the bounds and weights of the settings.
@@ -129,7 +129,7 @@
 
 func parseWave(_ string, data []byte) (upkeep.Wave, error) {
 	order, err := platform.ParseWave(data)
-	return upkeep.Wave{Number: order.Wave, Machines: order.Machines, Within: order.Within, Cap: order.Cap}, err
+	return upkeep.Wave{Number: order.Wave, Hosts: order.Machines, Within: order.Within, Cap: order.Cap}, err
 }
 
 // poolCalls asks the owners of pools for their load.
@@ -140,33 +140,33 @@
 	return p.peers.PoolStatus(ctx, r)
 }
 
-// machineCalls adapts the platform's client of machines.
-type machineCalls struct{ *platform.Machines }
+// hostCalls adapts the platform's client of hosts.
+type hostCalls struct{ *platform.Machines }
 
-// List returns all machines.
-func (m machineCalls) List(ctx context.Context) ([]upkeep.Machine, error) {
-	machines, err := m.Machines.List(ctx)
-	out := make([]upkeep.Machine, 0, len(machines))
-	for _, x := range machines {
-		out = append(out, upkeep.Machine{
-			ID: x.ID, Pool: x.Pool, State: machineState(x.State), DataCentre: x.DataCentre, Rack: x.Rack, Labels: x.Labels,
+// List returns all hosts.
+func (m hostCalls) List(ctx context.Context) ([]upkeep.Host, error) {
+	hosts, err := m.Machines.List(ctx)
+	out := make([]upkeep.Host, 0, len(hosts))
+	for _, x := range hosts {
+		out = append(out, upkeep.Host{
+			ID: x.ID, Pool: x.Pool, State: hostState(x.State), DataCentre: x.DataCentre, Rack: x.Rack, Labels: x.Labels,
 			CPUMilli: x.Capacity.CPUMilli, MemoryMB: x.Capacity.MemoryMB, GPU: x.Capacity.GPU, Worker: x.Worker,
 		})
 	}
 	return out, err
 }
 
-// Move orders a machine to a pool.
-func (m machineCalls) Move(ctx context.Context, machine, pool, holder string, fence uint64) upkeep.Result {
-	return result(m.Machines.Move(ctx, machine, pool, holder, fence))
+// Move orders a host to a pool.
+func (m hostCalls) Move(ctx context.Context, host, pool, holder string, fence uint64) upkeep.Result {
+	return result(m.Machines.Move(ctx, host, pool, holder, fence))
 }
 
-// Upkeep orders a machine to its upkeep for a wave.
-func (m machineCalls) Upkeep(ctx context.Context, machine string, wave int64, holder string, fence uint64) upkeep.Result {
-	return result(m.Machines.Upkeep(ctx, machine, wave, holder, fence))
+// Upkeep orders a host to its upkeep for a wave.
+func (m hostCalls) Upkeep(ctx context.Context, host string, wave int64, holder string, fence uint64) upkeep.Result {
+	return result(m.Machines.Upkeep(ctx, host, wave, holder, fence))
 }
 
-func machineState(s platform.MachineState) upkeep.MachineState {
+func hostState(s platform.MachineState) upkeep.HostState {
 	switch s {
 	case platform.MachineUp:
 		return upkeep.Up
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -2,7 +2,7 @@
 //
 // A process that was frozen does not know what the others agreed meanwhile. The
 // monotonic clock runs on through SIGSTOP, so a gap between two ticks of a
-// goroutine shows the pause. It does not run on through a suspended machine.
+// goroutine shows the pause. It does not run on through a suspended host.
 package pause
 
 import (
--- a/internal/poolowner/follow.go
+++ b/internal/poolowner/follow.go
@@ -67,11 +67,11 @@
 	o.Metrics.tookOver(took)
 	events.Log(ctx, o.Log, events.RecordsLoaded, slog.String("pool", o.Pool), slog.Uint64("fence", o.Config.Fence),
 		slog.Int("jobs", len(s.Jobs)), slog.Int("progress", len(s.Progress)), slog.Int("cancelled", len(s.Cancelled)),
-		slog.Int("leaving", len(intents.Machines)),
+		slog.Int("leaving", len(intents.Hosts)),
 		slog.Int64("took_ms", took.Milliseconds()))
 	return o.ask(ctx, func(p *scheduler.Pool, now time.Time) {
 		o.lists.fence = intents.FleetFence
-		p.Leaving(intents.Machines)
+		p.Leaving(intents.Hosts)
 		p.Load(now, s.Jobs, s.Progress, s.Cancelled)
 		close(o.loaded)
 	})
--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -64,8 +64,8 @@
 
 // Intents is what the owner of the fleet may have ordered before this owner took the pool.
 type Intents struct {
-	// Machines may be ordered away.
-	Machines []string
+	// Hosts may be ordered away.
+	Hosts []string
 	// FleetFence is the fence of the fleet's owner after these were read. Older owners do not know all of them.
 	FleetFence uint64
 }
--- a/internal/poolowner/roster.go
+++ b/internal/poolowner/roster.go
@@ -134,13 +134,13 @@
 
 func workerOf(w *pb.RosterWorker) scheduler.Worker {
 	return scheduler.Worker{
-		ID: w.GetId(), Address: w.GetAddress(), Machine: w.GetMachine(), Born: w.GetBorn(), DataCentre: w.GetDataCentre(),
+		ID: w.GetId(), Address: w.GetAddress(), Host: w.GetHost(), Born: w.GetBorn(), DataCentre: w.GetDataCentre(),
 		Rack: w.GetRack(),
 	}
 }
 
 func recordOf(w *scheduler.Worker) *pb.RosterWorker {
 	return &pb.RosterWorker{
-		Id: w.ID, Address: w.Address, Machine: w.Machine, Born: w.Born, DataCentre: w.DataCentre, Rack: w.Rack,
+		Id: w.ID, Address: w.Address, Host: w.Host, Born: w.Born, DataCentre: w.DataCentre, Rack: w.Rack,
 	}
 }
--- a/internal/workerlist/list.go
+++ b/internal/workerlist/list.go
@@ -209,5 +209,5 @@
 func same(a, b scheduler.Worker) bool {
 	return a.Address == b.Address && a.DataCentre == b.DataCentre && a.Rack == b.Rack &&
 		slices.Equal(a.Labels, b.Labels) && a.Capacity == b.Capacity &&
-		a.Draining == b.Draining && a.Unlisted == b.Unlisted && a.Machine == b.Machine && a.Born == b.Born
+		a.Draining == b.Draining && a.Unlisted == b.Unlisted && a.Host == b.Host && a.Born == b.Born
 }
--- a/proofs/jobs_test.go
+++ b/proofs/jobs_test.go
@@ -72,7 +72,7 @@
 ready_address = %s
 [job_store]
 address = %s
-[machine_api]
+[host_api]
 address = %s
 [job_bounds]
 move_time = 1s
--- a/questionnaire/jobs.go
+++ b/questionnaire/jobs.go
@@ -158,7 +158,7 @@
 			Zones:           lo.Map(answers.GetDataCentres(), func(d *pb.DataCentre, _ int) string { return d.GetName() }),
 		},
 		JobStore:      proto.CloneOf(answers.GetJobStore()),
-		MachineApi:    proto.CloneOf(answers.GetMachineApi()),
+		HostApi:       proto.CloneOf(answers.GetHostApi()),
 		PolicyService: proto.CloneOf(answers.GetPolicyService()),
 		JobBounds:     proto.CloneOf(answers.GetJobBounds()),
 		JobUpkeep:     proto.CloneOf(answers.GetJobUpkeep()),
--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -33,8 +33,8 @@
 	// Unlisted workers have lost their entry and may be alive, as entries expire while their worker does not reach the
 	// store. They get nothing new and keep what they run.
 	Unlisted bool
-	// Machine is the host that the worker lives on; empty if not known.
-	Machine string
+	// Host is the host that the worker lives on; empty if not known.
+	Host string
 	// Born tells lifetimes of one id apart, in Unix milliseconds; 0 if not known yet.
 	Born int64
 }
--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -28,11 +28,11 @@
 	}
 }
 
-// Leaving names machines that may have been ordered away before this owner took the pool. Their workers are to be emptied
+// Leaving names hosts that may have been ordered away before this owner took the pool. Their workers are to be emptied
 // until the first call of Evacuate tells more.
-func (p *Pool) Leaving(machines []string) {
-	p.leaving = make(map[string]bool, len(machines))
-	for _, id := range machines {
+func (p *Pool) Leaving(hosts []string) {
+	p.leaving = make(map[string]bool, len(hosts))
+	for _, id := range hosts {
 		p.leaving[id] = true
 	}
 	for _, w := range p.order {
@@ -41,7 +41,7 @@
 }
 
 func (p *Pool) markEvacuating(w *worker) {
-	wanted := p.evacuate[w.ID] || (w.Machine != "" && p.leaving[w.Machine])
+	wanted := p.evacuate[w.ID] || (w.Host != "" && p.leaving[w.Host])
 	if w.evacuating != wanted {
 		w.evacuating = wanted
 		w.emptyConfirmed = false
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -62,7 +62,7 @@
 
 	learned  learned
 	evacuate map[string]bool
-	// leaving are machines that may be ordered away, until the first list of what to empty.
+	// leaving are hosts that may be ordered away, until the first list of what to empty.
 	leaving map[string]bool
 	// moving holds the steps of persistent tasks that are about to move.
 	moving  []*step
--- a/scheduler/status_test.go
+++ b/scheduler/status_test.go
@@ -23,7 +23,7 @@
 	}}
 	b.pool.Load(b.now, []*pb.JobRecord{job}, nil, nil)
 	room := scheduler.Resources{CPUMilli: 4000, MemoryMB: 4000}
-	b.pool.SetWorkers(b.now, []scheduler.Worker{{ID: "w1", Address: "w1", Machine: "m1", Capacity: room}})
+	b.pool.SetWorkers(b.now, []scheduler.Worker{{ID: "w1", Address: "w1", Host: "m1", Capacity: room}})
 	b.pool.Evacuate(b.now, []string{"w1"})
 	b.pool.Step(b.now)
 	assert.Assert(t, !b.stoppable())
@@ -40,7 +40,7 @@
 // What earlier owners have started on a worker that stays silent has lapsed after the longest lease.
 func TestUnheardWorkersAreStoppableAfterTheLease(t *testing.T) {
 	b := newBare()
-	b.pool.SetWorkers(b.now, []scheduler.Worker{{ID: "w1", Address: "w1", Machine: "m1"}})
+	b.pool.SetWorkers(b.now, []scheduler.Worker{{ID: "w1", Address: "w1", Host: "m1"}})
 	assert.Assert(t, !b.stoppable())
 	b.pass(2 * simConfig.Lease)
 	assert.Assert(t, b.stoppable())
--- a/scheduler/unit_test.go
+++ b/scheduler/unit_test.go
@@ -177,15 +177,15 @@
 	t.Fatal("the persistent task never moved")
 }
 
-// A new owner starts nothing on machines that may have been ordered away until it hears which ones are to be emptied.
-func TestLeavingMachinesGetNothing(t *testing.T) {
+// A new owner starts nothing on hosts that may have been ordered away until it hears which ones are to be emptied.
+func TestLeavingHostsGetNothing(t *testing.T) {
 	b := &bare{now: time.UnixMilli(simEpoch), clock: 1000}
 	b.pool = scheduler.New(simConfig)
 	b.pool.Leaving([]string{"m1"})
 	b.pool.Load(b.now, nil, nil, nil)
 	b.pool.SetQueues(b.now, []queue.Queue{{Name: "q", MaxAttempts: 3, Stretch: 2, TargetDuration: time.Second}})
 	b.pool.SetWorkers(b.now, []scheduler.Worker{
-		{ID: "w1", Address: "w1", Machine: "m1", Capacity: scheduler.Resources{CPUMilli: 4000, MemoryMB: 4000}},
+		{ID: "w1", Address: "w1", Host: "m1", Capacity: scheduler.Resources{CPUMilli: 4000, MemoryMB: 4000}},
 	})
 	b.report("w1", nil, nil)
 	b.add("serve", &pb.JobStep{Count: 2, CpuMilli: 1000, Persistent: true, MayMiss: 1})
--- a/scripts/demo-jobs.sh
+++ b/scripts/demo-jobs.sh
@@ -47,7 +47,7 @@
 [job_store]
 address = $platform
 
-[machine_api]
+[host_api]
 address = $platform
 
 [job_bounds]
--- a/upkeep/bench_test.go
+++ b/upkeep/bench_test.go
@@ -12,7 +12,7 @@
 	for range 100 {
 		r.step()
 	}
-	in := upkeep.Input{Machines: r.list(), MachinesAt: r.now, Waves: []upkeep.Wave{r.wave}, Pools: r.loads()}
+	in := upkeep.Input{Hosts: r.list(), HostsAt: r.now, Waves: []upkeep.Wave{r.wave}, Pools: r.loads()}
 	now := r.now
 	b.ReportAllocs()
 	for b.Loop() {
--- a/upkeep/demand.go
+++ b/upkeep/demand.go
@@ -51,7 +51,7 @@
 	turns     turns
 	// recent has a bit for each of the last statuses, the newest lowest: whether work arrived since the one before.
 	recent uint
-	// heldUntil is until when machines with persistent tasks are not emptied for moves.
+	// heldUntil is until when hosts with persistent tasks are not emptied for moves.
 	heldUntil time.Time
 	// persistent is what tasks that last use; used is what all use.
 	persistent float64
@@ -59,7 +59,7 @@
 	usedMemory float64
 }
 
-// observe takes in a status that was sent at a moment; capacity is the CPU of the pool's machines.
+// observe takes in a status that was sent at a moment; capacity is the CPU of the pool's hosts.
 func (d *demand) observe(at time.Time, status *pb.PoolStatusResponse, capacity float64) {
 	if status == nil || status == d.status || !at.After(d.at) {
 		return
@@ -99,7 +99,7 @@
 func (d *demand) learn(at time.Time, before int64, capacity float64) {
 	reference := max(d.peak, smallTurn*d.guess)
 	if d.peak == 0 {
-		// A pool that has few machines is not in a turn because of a few jobs.
+		// A pool that has few hosts is not in a turn because of a few jobs.
 		reference = firstPeak * max(capacity, d.guess)
 	}
 	if reference == 0 {
@@ -219,8 +219,8 @@
 	return sum / samples
 }
 
-// usable is the CPU of a machine that the pool's mix of CPU and memory can use.
-func (d *demand) usable(m Machine) float64 {
+// usable is the CPU of a host that the pool's mix of CPU and memory can use.
+func (d *demand) usable(m Host) float64 {
 	cpu := float64(m.CPUMilli)
 	if d.used < unusedMilli || d.usedMemory <= 0 {
 		return cpu
--- a/upkeep/example_test.go
+++ b/upkeep/example_test.go
@@ -8,18 +8,18 @@
 	"github.com/agateturn/agateturn/upkeep"
 )
 
-// A wave of two machines of which one may be down at once.
+// A wave of two hosts of which one may be down at once.
 func Example() {
 	now := time.Unix(1_000_000, 0)
 	planner := upkeep.New(upkeep.DefaultConfig(2*time.Second, 1500*time.Millisecond), now)
 	in := upkeep.Input{
-		Machines: []upkeep.Machine{
+		Hosts: []upkeep.Host{
 			{ID: "a", Pool: "web", State: upkeep.Up, Worker: "a1"},
 			{ID: "b", Pool: "web", State: upkeep.Up, Worker: "b1"},
 		},
-		MachinesAt: now,
-		Waves:      []upkeep.Wave{{Number: 1, Machines: []string{"a", "b"}, Within: 20 * time.Second, Cap: 1, Seen: now}},
-		Pools:      map[string]upkeep.PoolLoad{"web": {}},
+		HostsAt: now,
+		Waves:   []upkeep.Wave{{Number: 1, Hosts: []string{"a", "b"}, Within: 20 * time.Second, Cap: 1, Seen: now}},
+		Pools:   map[string]upkeep.PoolLoad{"web": {}},
 	}
 	out := planner.Step(now, in)
 	fmt.Println("to be emptied:", out.Evacuate["web"])
--- a/upkeep/learned_test.go
+++ b/upkeep/learned_test.go
@@ -21,7 +21,7 @@
 	before.demands["never"] = &demand{}
 	after := New(DefaultConfig(2*time.Second, time.Second), now)
 	after.RestoreLearned(now, before.Learned())
-	after.Step(now, Input{MachinesAt: now})
+	after.Step(now, Input{HostsAt: now})
 	assert.Equal(t, len(after.demands), 1)
 	assert.Equal(t, after.demands["a"].peak, before.demands["a"].peak)
 	period, even := after.demands["a"].turns.period()
@@ -44,12 +44,12 @@
 }
 
 // TestUnheardPoolStaysInTheRound: a new owner of the fleet that has not heard from one pool yet foresees its turn, and
-// neither expects another pool in its place nor takes machines from it.
+// neither expects another pool in its place nor takes hosts from it.
 func TestUnheardPoolStaysInTheRound(t *testing.T) {
 	const turn = 4 * time.Second
 	start := time.UnixMilli(1_700_000_000_000)
 	now := start.Add(4*turn + time.Second)
-	in := Input{MachinesAt: now, Pools: map[string]PoolLoad{"spare": {Spare: true}}}
+	in := Input{HostsAt: now, Pools: map[string]PoolLoad{"spare": {Spare: true}}}
 	var learned []*pb.LearnedDemand
 	for i, pool := range []string{"a", "b", "c", "d"} {
 		learned = append(learned, &pb.LearnedDemand{
@@ -57,7 +57,7 @@
 		})
 		for n := range 3 {
 			name := pool + string(rune('0'+n))
-			in.Machines = append(in.Machines, Machine{ID: name, Pool: pool, State: Up, Worker: name, CPUMilli: 32_000, MemoryMB: 1})
+			in.Hosts = append(in.Hosts, Host{ID: name, Pool: pool, State: Up, Worker: name, CPUMilli: 32_000, MemoryMB: 1})
 		}
 		in.Pools[pool] = PoolLoad{Status: &pb.PoolStatusResponse{Owner: true, Fence: 1, ArrivedMilliMs: 1}}
 	}
--- a/upkeep/ledger.go
+++ b/upkeep/ledger.go
@@ -16,11 +16,11 @@
 	ordered
 	// unsure: the order had no answer.
 	unsure
-	// away: the order was carried out and the machine is not back yet.
+	// away: the order was carried out and the host is not back yet.
 	away
 )
 
-// intent is what is to be done with one machine.
+// intent is what is to be done with one host.
 type intent struct {
 	phase phase
 	since time.Time
@@ -29,10 +29,10 @@
 	// wave is the number of the wave; pool is set instead for a move.
 	wave int64
 	pool string
-	// from and worker are the machine's pool and worker when it was last seen up.
+	// from and worker are the host's pool and worker when it was last seen up.
 	from   string
 	worker string
-	// counted: an order was sent that may still be carried out, so the machine counts as down.
+	// counted: an order was sent that may still be carried out, so the host counts as down.
 	counted bool
 	// forced: it was ordered while it was only stoppable.
 	forced  bool
@@ -41,7 +41,7 @@
 
 func (i *intent) move() bool { return i.pool != "" }
 
-// down says whether the machine counts as down for an upkeep.
+// down says whether the host counts as down for an upkeep.
 func (i *intent) down() bool {
 	return !i.move() && (i.counted || i.phase != evacuating)
 }
@@ -51,16 +51,16 @@
 	i.since = now
 }
 
-// observe brings the ledger in line with the list of machines.
+// observe brings the ledger in line with the list of hosts.
 func (p *Planner) observe(now time.Time, in Input) {
-	if !in.MachinesAt.After(p.listedAt) {
+	if !in.HostsAt.After(p.listedAt) {
 		return
 	}
-	p.listedAt = in.MachinesAt
-	p.machines = make(map[string]Machine, len(in.Machines))
-	for _, m := range in.Machines {
-		p.machines[m.ID] = m
-		p.lastSeen[m.ID] = in.MachinesAt
+	p.listedAt = in.HostsAt
+	p.hosts = make(map[string]Host, len(in.Hosts))
+	for _, m := range in.Hosts {
+		p.hosts[m.ID] = m
+		p.lastSeen[m.ID] = in.HostsAt
 	}
 	for _, id := range sortedKeys(p.ledger) {
 		p.observeIntent(now, id)
@@ -77,7 +77,7 @@
 	if i.phase == ordered || !p.listedAt.After(i.since) {
 		return
 	}
-	m, ok := p.machines[id]
+	m, ok := p.hosts[id]
 	if !ok {
 		p.dropGone(id)
 		return
@@ -95,7 +95,7 @@
 	}
 }
 
-// dropGone forgets the intent of a machine that has left.
+// dropGone forgets the intent of a host that has left.
 func (p *Planner) dropGone(id string) {
 	if p.gone(id) {
 		delete(p.ledger, id)
@@ -120,15 +120,15 @@
 	return p.cfg.UpkeepTime
 }
 
-// back says whether a machine has come back: it has another worker, or the time is over.
-func back(i *intent, m Machine, now time.Time, length time.Duration) bool {
+// back says whether a host has come back: it has another worker, or the time is over.
+func back(i *intent, m Host, now time.Time, length time.Duration) bool {
 	if m.State == Down {
 		return true
 	}
 	return m.State == Up && ((m.Worker != "" && m.Worker != i.worker) || now.Sub(i.since) >= length)
 }
 
-func (p *Planner) observeEvacuating(id string, i *intent, m Machine) {
+func (p *Planner) observeEvacuating(id string, i *intent, m Host) {
 	if m.State == Upkeep && i.counted {
 		p.begun(i.wave, id)
 		i.to(away, p.listedAt)
@@ -147,7 +147,7 @@
 }
 
 // observeUnsure looks for the effect of an order that had no answer. Only a repeated order shows that there was none.
-func (p *Planner) observeUnsure(now time.Time, id string, i *intent, m Machine) {
+func (p *Planner) observeUnsure(now time.Time, id string, i *intent, m Host) {
 	if i.worker == "" {
 		i.worker = m.Worker
 		i.from = m.Pool
@@ -167,29 +167,29 @@
 
 // UpkeepResult takes in the outcome of an upkeep order.
 func (p *Planner) UpkeepResult(now time.Time, o Order, r Result) {
-	i := p.ledger[o.Machine]
+	i := p.ledger[o.Host]
 	if i == nil || i.phase != ordered || i.move() || i.wave != o.Wave {
 		return
 	}
 	if r == Done {
-		p.begun(o.Wave, o.Machine)
+		p.begun(o.Wave, o.Host)
 	}
 	if r == Unfit {
-		p.exclude(o.Wave, o.Machine)
+		p.exclude(o.Wave, o.Host)
 	}
-	p.settle(now, o.Machine, i, r)
+	p.settle(now, o.Host, i, r)
 }
 
 // MoveResult takes in the outcome of a move order.
 func (p *Planner) MoveResult(now time.Time, o MoveOrder, r Result) {
-	i := p.ledger[o.Machine]
+	i := p.ledger[o.Host]
 	if i == nil || i.phase != ordered || i.pool != o.Pool {
 		return
 	}
 	if r == Unfit {
 		p.unfit[o] = true
 	}
-	p.settle(now, o.Machine, i, r)
+	p.settle(now, o.Host, i, r)
 }
 
 // settle moves an intent on by the outcome of its order. A refusal says that this call did nothing, not that an earlier
@@ -223,8 +223,8 @@
 	loads  map[string]*pb.WorkerLoad
 }
 
-// load returns the load of a machine's worker; nil if its pool's owner does not know it.
-func (s *step) load(m Machine) *pb.WorkerLoad {
+// load returns the load of a host's worker; nil if its pool's owner does not know it.
+func (s *step) load(m Host) *pb.WorkerLoad {
 	status := s.in.Pools[m.Pool].Status
 	index := s.loads[m.Pool]
 	if index == nil || index.status != status {
--- a/upkeep/move.go
+++ b/upkeep/move.go
@@ -7,13 +7,13 @@
 	"time"
 )
 
-// poolPlan is what one pool has and needs, in machines.
+// poolPlan is what one pool has and needs, in hosts.
 type poolPlan struct {
 	name string
 	*demand
-	// unit is the usable CPU of one machine.
+	// unit is the usable CPU of one host.
 	unit float64
-	// have counts machines that stay or come; want is needed when a move ordered now is over, keep until then.
+	// have counts hosts that stay or come; want is needed when a move ordered now is over, keep until then.
 	have int
 	// serving counts those of them that are there now.
 	serving int
@@ -21,14 +21,14 @@
 	keep    float64
 	// stay is how long the want lasts.
 	stay time.Duration
-	// leaving are machines that a move may take, cheapest first.
+	// leaving are hosts that a move may take, cheapest first.
 	leaving []string
-	// hosts counts machines with persistent tasks, and upkeeps those that a wave empties or has sent away.
-	hosts   int
-	upkeeps int
-	// emptying counts machines with persistent tasks that are being emptied.
+	// withPersistent counts hosts with persistent tasks, and upkeeps those that a wave empties or has sent away.
+	withPersistent int
+	upkeeps        int
+	// emptying counts hosts with persistent tasks that are being emptied.
 	emptying int
-	// claim means that the want lies ahead: machines are held back for it, and emptied, but not moved before orderAt.
+	// claim means that the want lies ahead: hosts are held back for it, and emptied, but not moved before orderAt.
 	claim   bool
 	orderAt time.Time
 }
@@ -39,12 +39,12 @@
 	plans map[string]*poolPlan
 	names []string
 	spare string
-	// capacity is the CPU of all machines.
+	// capacity is the CPU of all hosts.
 	capacity float64
-	// idle are the machines in spare pools that may go.
+	// idle are the hosts in spare pools that may go.
 	idle     []string
 	calendar *calendar
-	// unknown claims machines for a pool that is not known yet.
+	// unknown claims hosts for a pool that is not known yet.
 	unknown *poolPlan
 }
 
@@ -57,7 +57,7 @@
 	for _, name := range sortedKeys(s.in.Pools) {
 		m.addPool(name)
 	}
-	m.countMachines()
+	m.countHosts()
 	m.guessPeaks()
 	for _, name := range m.names {
 		m.need(m.plans[name])
@@ -88,11 +88,11 @@
 	}
 }
 
-// giveUp leaves a machine alone for a while; if persistent tasks hold it, all such machines of its pool.
+// giveUp leaves a host alone for a while; if persistent tasks hold it, all such hosts of its pool.
 func (s *step) giveUp(id string, i *intent) {
 	until := s.now.Add(s.cfg.Moves.Pause)
 	s.notBefore[id] = until
-	if d := s.demands[i.from]; d != nil && s.persistentOn(s.machines[id]) {
+	if d := s.demands[i.from]; d != nil && s.persistentOn(s.hosts[id]) {
 		d.heldUntil = until
 	}
 }
@@ -100,7 +100,7 @@
 // observeDemand learns from the newest statuses.
 func (s *step) observeDemand() {
 	capacity := map[string]float64{}
-	for _, m := range s.machines {
+	for _, m := range s.hosts {
 		capacity[m.Pool] += float64(m.CPUMilli)
 	}
 	for name, load := range s.in.Pools {
@@ -148,27 +148,27 @@
 	m.plans[name] = &poolPlan{name: name, demand: m.demands[name]}
 }
 
-// countMachines sorts machines by what may be done with them.
-func (m *mover) countMachines() {
+// countHosts sorts hosts by what may be done with them.
+func (m *mover) countHosts() {
 	var cpu float64
 	count := 0.0
-	for _, id := range sortedKeys(m.machines) {
-		machine := m.machines[id]
-		cpu += float64(machine.CPUMilli)
+	for _, id := range sortedKeys(m.hosts) {
+		host := m.hosts[id]
+		cpu += float64(host.CPUMilli)
 		count++
 		i := m.ledger[id]
-		if m.in.Pools[machine.Pool].Spare && machine.State == Up && i == nil {
+		if m.in.Pools[host.Pool].Spare && host.State == Up && i == nil {
 			m.idle = append(m.idle, id)
 		}
-		if p := m.plans[machine.Pool]; p != nil {
-			m.countHost(p, machine, i)
+		if p := m.plans[host.Pool]; p != nil {
+			m.countHeld(p, host, i)
 		}
-		if p := m.plans[m.poolOf(machine, i)]; p != nil && machine.State != Down && (i == nil || i.move()) {
+		if p := m.plans[m.poolOf(host, i)]; p != nil && host.State != Down && (i == nil || i.move()) {
 			p.have++
-			if machine.State == Up && machine.Pool == p.name {
+			if host.State == Up && host.Pool == p.name {
 				p.serving++
 			}
-			if machine.State == Up && i == nil && m.notBefore[id].IsZero() {
+			if host.State == Up && i == nil && m.notBefore[id].IsZero() {
 				p.leaving = append(p.leaving, id)
 			}
 		}
@@ -182,26 +182,26 @@
 	m.sortIdle()
 }
 
-// countHost counts machines that hold persistent tasks, and those that are in the hands of a wave.
-func (m *mover) countHost(p *poolPlan, machine Machine, i *intent) {
+// countHeld counts hosts that hold persistent tasks, and those that are in the hands of a wave.
+func (m *mover) countHeld(p *poolPlan, host Host, i *intent) {
 	if i != nil && !i.move() {
 		p.upkeeps++
 	}
-	if !m.persistentOn(machine) {
+	if !m.persistentOn(host) {
 		return
 	}
-	p.hosts++
+	p.withPersistent++
 	if i != nil && !i.down() {
 		p.emptying++
 	}
 }
 
-// floor is the number of machines that a pool must have whatever its demand: while a wave empties one, its persistent
-// tasks need another place; and tasks that nothing but a further machine helps must not wait for ever.
+// floor is the number of hosts that a pool must have whatever its demand: while a wave empties one, its persistent
+// tasks need another place; and tasks that nothing but a further host helps must not wait for ever.
 func (p *poolPlan) floor() float64 {
 	floor := 0.0
 	if p.upkeeps > 0 {
-		floor = float64(p.hosts)
+		floor = float64(p.withPersistent)
 	}
 	if stuck := float64(p.status.GetStuckCpuMilli()); stuck > 0 {
 		floor = max(floor, math.Ceil((p.persistent+stuck)/p.unit)+1)
@@ -209,27 +209,27 @@
 	return floor
 }
 
-// poolOf is the pool that a machine counts for: where it goes, or where it is unless it is about to be away.
-func (m *mover) poolOf(machine Machine, i *intent) string {
+// poolOf is the pool that a host counts for: where it goes, or where it is unless it is about to be away.
+func (m *mover) poolOf(host Host, i *intent) string {
 	if i != nil && i.move() {
 		return i.pool
 	}
-	return machine.Pool
+	return host.Pool
 }
 
 func (m *mover) setUnit(p *poolPlan, mean float64) {
 	p.unit = mean
 	if len(p.leaving) > 0 {
-		p.unit = p.usable(m.machines[p.leaving[0]])
+		p.unit = p.usable(m.hosts[p.leaving[0]])
 	}
 	p.unit = max(p.unit*m.cfg.Moves.Use, 1)
 }
 
-func (s *step) persistentOn(machine Machine) bool {
-	return s.load(machine).GetPersistentTasks() > 0
+func (s *step) persistentOn(host Host) bool {
+	return s.load(host).GetPersistentTasks() > 0
 }
 
-// rank puts machines that are being emptied for a move ahead.
+// rank puts hosts that are being emptied for a move ahead.
 func (m *mover) rank(id string) int {
 	if m.old[id] != nil {
 		return 0
@@ -237,7 +237,7 @@
 	return 1
 }
 
-// sortIdle puts machines ahead that no wave waits for.
+// sortIdle puts hosts ahead that no wave waits for.
 func (m *mover) sortIdle() {
 	due := func(id string) int {
 		for number, members := range m.members {
@@ -250,10 +250,10 @@
 	slices.SortStableFunc(m.idle, func(a, b string) int { return due(a) - due(b) })
 }
 
-// lead is how long a machine takes from its order until it is used.
+// lead is how long a host takes from its order until it is used.
 func (m *mover) lead() time.Duration { return m.cfg.MoveTime + m.cfg.Moves.Join }
 
-// need sets what a pool needs, in machines.
+// need sets what a pool needs, in hosts.
 func (m *mover) need(p *poolPlan) {
 	const ahead = time.Second
 	arrive := m.now.Add(m.lead())
@@ -299,7 +299,7 @@
 	return stay
 }
 
-// fill moves machines to pools that will lack some, the most lacking first.
+// fill moves hosts to pools that will lack some, the most lacking first.
 func (m *mover) fill() {
 	for {
 		p := m.neediest()
@@ -311,14 +311,14 @@
 			p.want = 0
 			continue
 		}
-		if !p.claim || (p.name != "" && !m.in.Pools[m.machines[id].Pool].Spare) {
+		if !p.claim || (p.name != "" && !m.in.Pools[m.hosts[id].Pool].Spare) {
 			m.intendMove(id, p.name).notTill = p.orderAt
 		}
 		p.have++
 	}
 }
 
-// neediest is the pool that lacks most, if a further machine there earns more than its move.
+// neediest is the pool that lacks most, if a further host there earns more than its move.
 func (m *mover) neediest() *poolPlan {
 	var best *poolPlan
 	for _, name := range m.names {
@@ -336,10 +336,10 @@
 	return best
 }
 
-// lack is how many machines a pool wants beyond those it has.
+// lack is how many hosts a pool wants beyond those it has.
 func (p *poolPlan) lack() float64 { return p.want - float64(p.have) }
 
-// pays says whether a machine that is used in part earns more in a pool than it costs.
+// pays says whether a host that is used in part earns more in a pool than it costs.
 func (m *mover) pays(p *poolPlan, use float64) bool {
 	cfg := m.cfg.Moves
 	if float64(p.have) < p.floor() {
@@ -349,10 +349,10 @@
 	return use*p.unit/1000*stay*cfg.WorkWorth > cfg.MovePrice+stay*cfg.SecondPrice
 }
 
-// take picks a machine for a pool: one that is off, or else one that another pool will not need.
+// take picks a host for a pool: one that is off, or else one that another pool will not need.
 func (m *mover) take(to *poolPlan) string {
 	for n, id := range m.idle {
-		if !m.unfit[MoveOrder{Machine: id, Pool: to.name}] {
+		if !m.unfit[MoveOrder{Host: id, Pool: to.name}] {
 			m.idle = slices.Delete(m.idle, n, n+1)
 			return id
 		}
@@ -373,16 +373,16 @@
 	return m.release(best, to.name)
 }
 
-// surplus is how many machines a pool has beyond its need.
+// surplus is how many hosts a pool has beyond its need.
 func (p *poolPlan) surplus() float64 { return float64(p.have) - p.keep }
 
-// release takes a machine out of a pool, unless too many with persistent tasks are being emptied.
+// release takes a host out of a pool, unless too many with persistent tasks are being emptied.
 func (m *mover) release(p *poolPlan, to string) string {
 	for n, id := range p.leaving {
-		if m.unfit[MoveOrder{Machine: id, Pool: to}] {
+		if m.unfit[MoveOrder{Host: id, Pool: to}] {
 			continue
 		}
-		if m.persistentOn(m.machines[id]) {
+		if m.persistentOn(m.hosts[id]) {
 			if p.emptying >= m.cfg.Moves.PersistentAtOnce || m.now.Before(p.heldUntil) {
 				continue
 			}
@@ -396,7 +396,7 @@
 	return ""
 }
 
-// intendMove begins to empty a machine, or goes on doing so, for a pool.
+// intendMove begins to empty a host, or goes on doing so, for a pool.
 func (m *mover) intendMove(id, pool string) *intent {
 	i := m.newIntent(id)
 	i.pool = pool
--- a/upkeep/movesim_test.go
+++ b/upkeep/movesim_test.go
@@ -32,7 +32,7 @@
 	length    time.Duration
 	milli     int64
 	worth     float64
-	machines  int
+	hosts     int
 	lasting   int
 }
 
@@ -57,8 +57,8 @@
 	ends time.Duration
 }
 
-type dayMachine struct {
-	upkeep.Machine
+type dayHost struct {
+	upkeep.Host
 	tasks   []dayTask
 	lasting int
 	backAt  time.Duration
@@ -66,14 +66,14 @@
 	leaves  bool
 }
 
-// day plays the turns of pools on machines that a planner moves.
+// day plays the turns of pools on hosts that a planner moves.
 type day struct {
 	now      time.Duration
 	rand     *rand.Rand
 	arrivals *rand.Rand
 	// shape is the demand of a class at a time, as a multiple of its mean.
 	shape    func(c int, t time.Duration) float64
-	machines []*dayMachine
+	hosts    []*dayHost
 	jobs     [][]*dayJob
 	arrived  []int64
 	moves    int
@@ -104,7 +104,7 @@
 		shape: shape, arrived: make([]int64, len(classes)), rehoused: make([]time.Duration, len(classes)),
 	}
 	for c, class := range classes {
-		for n := range class.machines {
+		for n := range class.hosts {
 			m := d.add(poolName(c), n)
 			if n < 5 {
 				m.lasting = class.lasting
@@ -117,11 +117,11 @@
 	return d
 }
 
-func (d *day) add(pool string, n int) *dayMachine {
-	m := &dayMachine{}
+func (d *day) add(pool string, n int) *dayHost {
+	m := &dayHost{}
 	id := fmt.Sprintf("%s-m%d", pool, n)
-	m.Machine = upkeep.Machine{ID: id, Pool: pool, State: upkeep.Up, Worker: id + "/0", CPUMilli: coreMilli, MemoryMB: 65536}
-	d.machines = append(d.machines, m)
+	m.Host = upkeep.Host{ID: id, Pool: pool, State: upkeep.Up, Worker: id + "/0", CPUMilli: coreMilli, MemoryMB: 65536}
+	d.hosts = append(d.hosts, m)
 	return m
 }
 
@@ -139,15 +139,15 @@
 	}
 }
 
-func (m *dayMachine) free(c int) int64 {
+func (m *dayHost) free(c int) int64 {
 	return coreMilli - int64(len(m.tasks))*classes[c].milli - int64(m.lasting)*3000
 }
 
-// serve ends and starts the tasks of a pool, oldest jobs first, on the machines that are fullest.
+// serve ends and starts the tasks of a pool, oldest jobs first, on the hosts that are fullest.
 func (d *day) serve(c int) {
 	class := classes[c]
-	var up []*dayMachine
-	for _, m := range d.machines {
+	var up []*dayHost
+	for _, m := range d.hosts {
 		if m.Pool != poolName(c) || m.State != upkeep.Up || d.now < m.backAt+joinTime {
 			continue
 		}
@@ -166,7 +166,7 @@
 		}
 	}
 	d.jobs[c] = slices.DeleteFunc(d.jobs[c], func(j *dayJob) bool { return j.finished })
-	slices.SortStableFunc(up, func(a, b *dayMachine) int { return int(a.free(c) - b.free(c)) })
+	slices.SortStableFunc(up, func(a, b *dayHost) int { return int(a.free(c) - b.free(c)) })
 	d.rehouse(c, up)
 	slices.SortStableFunc(d.jobs[c], func(a, b *dayJob) int {
 		return cmp.Or(d.late(a)-d.late(b), b.step-a.step, a.waiting-b.waiting)
@@ -183,8 +183,8 @@
 	}
 }
 
-// rehouse takes persistent tasks off a machine that is to be emptied, one at a time.
-func (d *day) rehouse(c int, up []*dayMachine) {
+// rehouse takes persistent tasks off a host that is to be emptied, one at a time.
+func (d *day) rehouse(c int, up []*dayHost) {
 	if d.now < d.rehoused[c] {
 		return
 	}
@@ -244,7 +244,7 @@
 		out.BacklogMilliMs += work
 		out.LateMilliMs += work * int64(d.late(j))
 	}
-	for _, m := range d.machines {
+	for _, m := range d.hosts {
 		if m.Pool != poolName(c) || m.State != upkeep.Up || d.now < m.backAt+joinTime {
 			continue
 		}
@@ -261,14 +261,14 @@
 
 func (d *day) move(o upkeep.MoveOrder) upkeep.Result {
 	d.moves++
-	m := d.leave(o.Machine, upkeep.Moving, moveTime)
+	m := d.leave(o.Host, upkeep.Moving, moveTime)
 	m.Pool = o.Pool
 	return upkeep.Done
 }
 
-func (d *day) leave(id string, state upkeep.MachineState, length time.Duration) *dayMachine {
-	n := slices.IndexFunc(d.machines, func(m *dayMachine) bool { return m.ID == id })
-	m := d.machines[n]
+func (d *day) leave(id string, state upkeep.HostState, length time.Duration) *dayHost {
+	n := slices.IndexFunc(d.hosts, func(m *dayHost) bool { return m.ID == id })
+	m := d.hosts[n]
 	d.killed += len(m.tasks) + m.lasting
 	m.tasks = nil
 	m.lives++
@@ -280,7 +280,7 @@
 
 func (d *day) advance() {
 	d.now += tick
-	for _, m := range d.machines {
+	for _, m := range d.hosts {
 		if m.State != upkeep.Up && d.now >= m.backAt {
 			m.State = upkeep.Up
 		}
@@ -308,28 +308,28 @@
 				pools[poolName(c)] = upkeep.PoolLoad{Status: d.status(c)}
 			}
 		}
-		in := upkeep.Input{MachinesAt: zero.Add(d.now), Pools: maps.Clone(pools)}
-		for _, m := range d.machines {
-			in.Machines = append(in.Machines, m.Machine)
+		in := upkeep.Input{HostsAt: zero.Add(d.now), Pools: maps.Clone(pools)}
+		for _, m := range d.hosts {
+			in.Hosts = append(in.Hosts, m.Host)
 		}
 		for name, load := range in.Pools {
 			load.Age = d.now - polled
 			in.Pools[name] = load
 		}
-		if d.wave != nil && d.waveEnd.IsZero() && !in.MachinesAt.Before(d.wave.Seen) {
+		if d.wave != nil && d.waveEnd.IsZero() && !in.HostsAt.Before(d.wave.Seen) {
 			in.Waves = []upkeep.Wave{*d.wave}
 		}
 		out := planner.Step(zero.Add(d.now+time.Millisecond), in)
-		for _, m := range d.machines {
+		for _, m := range d.hosts {
 			m.leaves = slices.Contains(out.Evacuate[m.Pool], m.Worker)
 		}
 		for _, o := range out.Upkeeps {
 			d.begun++
-			d.leave(o.Machine, upkeep.Upkeep, upkeepTime)
+			d.leave(o.Host, upkeep.Upkeep, upkeepTime)
 			planner.UpkeepResult(zero.Add(d.now+2*time.Millisecond), o, upkeep.Done)
 		}
 		if len(out.Completed) > 0 {
-			d.waveEnd = in.MachinesAt
+			d.waveEnd = in.HostsAt
 		}
 		for _, o := range out.Moves {
 			planner.MoveResult(zero.Add(d.now+2*time.Millisecond), o, d.move(o))
@@ -337,12 +337,12 @@
 	}
 }
 
-// addWave asks for the upkeep of every second machine.
+// addWave asks for the upkeep of every second host.
 func (d *day) addWave() {
 	w := &upkeep.Wave{Number: 1, Within: 25 * time.Second, Cap: 3, Seen: time.Unix(1_000_000, 0).Add(lead + 2*time.Second)}
-	for n, m := range d.machines {
+	for n, m := range d.hosts {
 		if n%2 == 0 {
-			w.Machines = append(w.Machines, m.ID)
+			w.Hosts = append(w.Hosts, m.ID)
 		}
 	}
 	d.wave = w
@@ -369,7 +369,7 @@
 		moves += d.moves
 	}
 	n := float64(days)
-	t.Logf("%-10s worth %.3f benefit %.3f moves %.0f machine-seconds %.0f owed %.0f", name, sum/n, earned/owed, float64(moves)/n, seconds/n, owed/n)
+	t.Logf("%-10s worth %.3f benefit %.3f moves %.0f host-seconds %.0f owed %.0f", name, sum/n, earned/owed, float64(moves)/n, seconds/n, owed/n)
 	return sum / n
 }
 
@@ -388,10 +388,10 @@
 		d := newDay(seed, inTurns)
 		d.addWave()
 		d.play(upkeep.DefaultConfig(upkeepTime, moveTime))
-		assert.Equal(t, d.begun, len(d.wave.Machines))
+		assert.Equal(t, d.begun, len(d.wave.Hosts))
 		assert.Equal(t, d.killed, 0)
 		took := d.waveEnd.Sub(d.wave.Seen)
-		t.Logf("seed %d: %d machines in %s, worth %.3f", seed, d.begun, took, d.worth())
+		t.Logf("seed %d: %d hosts in %s, worth %.3f", seed, d.begun, took, d.worth())
 		assert.Assert(t, took > 0 && took <= d.wave.Within, "took %s", took)
 	}
 }
--- a/upkeep/planner.go
+++ b/upkeep/planner.go
@@ -17,24 +17,24 @@
 	cfg      Config
 	started  time.Time
 	listedAt time.Time
-	machines map[string]Machine
-	// lastSeen is when a machine was last in the list; those with an intent are kept while they are missing.
+	hosts    map[string]Host
+	// lastSeen is when a host was last in the list; those with an intent are kept while they are missing.
 	lastSeen map[string]time.Time
 	ledger   map[string]*intent
 	waves    map[int64]*waveState
 	unfit    map[MoveOrder]bool
 	demands  map[string]*demand
 	loads    map[string]*loadIndex
-	// surplusSince is since when a pool has had machines beyond its need.
+	// surplusSince is since when a pool has had hosts beyond its need.
 	surplusSince map[string]time.Time
-	// notBefore is until when machines that could not be emptied for a move are left alone.
+	// notBefore is until when hosts that could not be emptied for a move are left alone.
 	notBefore map[string]time.Time
 }
 
-// waveState is what has become of the machines of one wave.
+// waveState is what has become of the hosts of one wave.
 type waveState struct {
 	progress map[string]Progress
-	// excluded machines are not of the wave, says the service.
+	// excluded hosts are not of the wave, says the service.
 	excluded map[string]bool
 }
 
@@ -43,7 +43,7 @@
 	return &Planner{
 		cfg:      cfg,
 		started:  now,
-		machines: map[string]Machine{},
+		hosts:    map[string]Host{},
 		lastSeen: map[string]time.Time{},
 		ledger:   map[string]*intent{},
 		waves:    map[int64]*waveState{},
@@ -56,7 +56,7 @@
 	}
 }
 
-// Restore takes in the durable progress of a wave that an earlier owner wrote. Machines that were intended count as
+// Restore takes in the durable progress of a wave that an earlier owner wrote. Hosts that were intended count as
 // down until the list or a repeated order tells.
 func (p *Planner) Restore(now time.Time, wave int64, progress map[string]Progress) {
 	w := p.wave(wave)
@@ -68,7 +68,7 @@
 	}
 }
 
-// Progress returns the state of each machine of a wave to be made durable. After Step it includes the orders of its
+// Progress returns the state of each host of a wave to be made durable. After Step it includes the orders of its
 // Actions: write it before they are sent.
 func (p *Planner) Progress(wave int64) map[string]Progress {
 	w := p.waves[wave]
@@ -81,19 +81,19 @@
 // RestoreMoves takes in the moves that an earlier owner may have ordered. They are finished before anything else.
 func (p *Planner) RestoreMoves(now time.Time, moves []MoveOrder) {
 	for _, o := range moves {
-		if p.ledger[o.Machine] == nil {
-			p.ledger[o.Machine] = &intent{phase: unsure, since: now, began: now, pool: o.Pool, counted: true}
+		if p.ledger[o.Host] == nil {
+			p.ledger[o.Host] = &intent{phase: unsure, since: now, began: now, pool: o.Pool, counted: true}
 		}
 	}
 }
 
-// OpenMoves returns the moves that may still be carried out, sorted by machine. After Step it includes those of its
+// OpenMoves returns the moves that may still be carried out, sorted by host. After Step it includes those of its
 // Actions: write it before they are sent.
 func (p *Planner) OpenMoves() []MoveOrder {
 	var out []MoveOrder
 	for _, id := range sortedKeys(p.ledger) {
 		if i := p.ledger[id]; i.move() && (i.counted || i.phase == ordered) && i.phase != away {
-			out = append(out, MoveOrder{Machine: id, Pool: i.pool})
+			out = append(out, MoveOrder{Host: id, Pool: i.pool})
 		}
 	}
 	return out
@@ -125,11 +125,11 @@
 	out Actions
 	// old are the move intents that had not been ordered when the step began.
 	old map[string]*intent
-	// sizes counts the machines of each pool.
+	// sizes counts the hosts of each pool.
 	sizes map[string]int
-	// room is how many machines of each wave may still be ordered.
+	// room is how many hosts of each wave may still be ordered.
 	room map[int64]int
-	// members are the machines of each wave.
+	// members are the hosts of each wave.
 	members map[int64]map[string]bool
 }
 
@@ -140,7 +140,7 @@
 		i := s.ledger[id]
 		if i.worker == "" {
 			// A restored order is not compared with the list yet.
-			i.from, i.worker = s.machines[id].Pool, s.machines[id].Worker
+			i.from, i.worker = s.hosts[id].Pool, s.hosts[id].Worker
 		}
 		if i.from == "" || i.worker == "" {
 			continue
@@ -157,7 +157,7 @@
 	}
 }
 
-// order sends the machines off that are empty, those that were begun first ahead.
+// order sends the hosts off that are empty, those that were begun first ahead.
 func (s *step) order() {
 	ids := sortedKeys(s.ledger)
 	slices.SortStableFunc(ids, func(a, b string) int {
@@ -169,23 +169,23 @@
 			continue
 		}
 		if i.move() {
-			s.out.Moves = append(s.out.Moves, MoveOrder{Machine: id, Pool: i.pool})
+			s.out.Moves = append(s.out.Moves, MoveOrder{Host: id, Pool: i.pool})
 			i.to(ordered, s.now)
 			continue
 		}
 		if !s.takeRoom(id, i) {
 			continue
 		}
-		s.out.Upkeeps = append(s.out.Upkeeps, Order{Machine: id, Wave: i.wave})
+		s.out.Upkeeps = append(s.out.Upkeeps, Order{Host: id, Wave: i.wave})
 		i.to(ordered, s.now)
 		s.wave(i.wave).intend(id)
 	}
 }
 
-// ready says whether a machine may be ordered away: nothing runs on it, or nothing that would be missed. Persistent tasks
+// ready says whether a host may be ordered away: nothing runs on it, or nothing that would be missed. Persistent tasks
 // always leave first: only their pool knows when the next one may be away.
 func (s *step) ready(id string, i *intent) bool {
-	m, ok := s.machines[id]
+	m, ok := s.hosts[id]
 	if !ok || m.State != Up {
 		return false
 	}
@@ -218,7 +218,7 @@
 	return true
 }
 
-// forcedIn says whether a machine of the pool was ordered away while it was only stoppable: a second one could end
+// forcedIn says whether a host of the pool was ordered away while it was only stoppable: a second one could end
 // another task of the same step.
 func (s *step) forcedIn(pool string) bool {
 	for _, i := range s.ledger {
--- a/upkeep/planner_test.go
+++ b/upkeep/planner_test.go
@@ -33,9 +33,9 @@
 }
 
 func newRun(s *sim, members, limit int) *run {
-	ids := slices.Sorted(maps.Keys(s.machines))
+	ids := slices.Sorted(maps.Keys(s.hosts))
 	s.rand.Shuffle(len(ids), func(a, b int) { ids[a], ids[b] = ids[b], ids[a] })
-	s.wave = upkeep.Wave{Number: 7, Machines: ids[:members], Within: 26 * time.Second, Cap: limit, Seen: s.now}
+	s.wave = upkeep.Wave{Number: 7, Hosts: ids[:members], Within: 26 * time.Second, Cap: limit, Seen: s.now}
 	r := &run{sim: s, answers: map[time.Time][]func(){}}
 	r.takeOver()
 	return r
@@ -44,7 +44,7 @@
 func (r *run) takeOver() {
 	cfg := upkeep.DefaultConfig(upkeepTime, moveTime)
 	cfg.Moves.Learn = 2 * time.Second
-	cfg.Moves.WorkWorth = 10 // machines of the simulator are small
+	cfg.Moves.WorkWorth = 10 // hosts of the simulator are small
 	r.planner = upkeep.New(cfg, r.now)
 	r.planner.Restore(r.now, 7, r.durable)
 	r.planner.RestoreMoves(r.now, r.moving)
@@ -62,7 +62,7 @@
 		}
 		delete(r.answers, at)
 	}
-	in := upkeep.Input{Machines: r.list(), MachinesAt: r.now, Waves: []upkeep.Wave{r.wave}, Pools: r.loads()}
+	in := upkeep.Input{Hosts: r.list(), HostsAt: r.now, Waves: []upkeep.Wave{r.wave}, Pools: r.loads()}
 	out := r.planner.Step(r.now.Add(time.Millisecond), in)
 	r.evacuate = out.Evacuate
 	r.durable = r.planner.Progress(7)
@@ -85,8 +85,8 @@
 }
 
 func (r *run) checkCompleted() {
-	for _, id := range r.wave.Machines {
-		if m := r.machines[id]; m != nil && !m.done[7] {
+	for _, id := range r.wave.Hosts {
+		if m := r.hosts[id]; m != nil && !m.done[7] {
 			r.broken = append(r.broken, "completed without "+id)
 		}
 	}
@@ -118,7 +118,7 @@
 				r.takeOver()
 			}
 			if n == leaves {
-				delete(r.machines, r.wave.Machines[0])
+				delete(r.hosts, r.wave.Hosts[0])
 			}
 			r.step()
 		}
@@ -158,10 +158,10 @@
 		s.advance()
 		pools := s.loads()
 		pools["pool0"] = upkeep.PoolLoad{}
-		in := upkeep.Input{Machines: s.list(), MachinesAt: s.now, Pools: pools}
+		in := upkeep.Input{Hosts: s.list(), HostsAt: s.now, Pools: pools}
 		out := r.planner.Step(s.now.Add(time.Millisecond), in)
 		for _, o := range out.Moves {
-			assert.Assert(t, s.machines[o.Machine].Pool != "pool0", "%v", o)
+			assert.Assert(t, s.hosts[o.Host].Pool != "pool0", "%v", o)
 			r.planner.MoveResult(s.now, o, upkeep.Unknown)
 		}
 	}
--- a/upkeep/reserve.go
+++ b/upkeep/reserve.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// claims holds machines back for turns that begin before those that are moved now come free again.
+// claims holds hosts back for turns that begin before those that are moved now come free again.
 func (m *mover) claims() {
 	if !m.cfg.Moves.Foresee {
 		return
@@ -30,7 +30,7 @@
 	}
 }
 
-// usualHave is how many machines the other pools have on average.
+// usualHave is how many hosts the other pools have on average.
 func (m *mover) usualHave(but *poolPlan) float64 {
 	sum := 0
 	for _, p := range m.plans {
@@ -41,7 +41,7 @@
 	return float64(sum) / float64(max(1, len(m.plans)-1))
 }
 
-// nextTurns are the pools of which one has the next turn, and when machines for it must be ordered.
+// nextTurns are the pools of which one has the next turn, and when hosts for it must be ordered.
 func (m *mover) nextTurns(busy *poolPlan) (next []*poolPlan, order time.Time) {
 	const together = 300 * time.Millisecond
 	for _, name := range m.names {
@@ -80,7 +80,7 @@
 	}
 }
 
-// rest switches off machines that will not be needed for longer than the moves cost.
+// rest switches off hosts that will not be needed for longer than the moves cost.
 func (m *mover) rest() {
 	if m.spare == "" || m.cfg.Moves.SecondPrice <= 0 || !m.experienced() {
 		return
@@ -89,7 +89,7 @@
 	for _, name := range m.names {
 		p := m.plans[name]
 		if m.calm(p, pause) {
-			for m.idleMachines(p) >= 1 {
+			for m.idleHosts(p) >= 1 {
 				id := m.release(p, m.spare)
 				if id == "" {
 					break
@@ -100,8 +100,8 @@
 	}
 }
 
-// idleMachines is how many machines a pool has beyond what its highest rate of late needs.
-func (m *mover) idleMachines(p *poolPlan) float64 {
+// idleHosts is how many hosts a pool has beyond what its highest rate of late needs.
+func (m *mover) idleHosts(p *poolPlan) float64 {
 	lately := (p.persistent + p.hold) / p.unit
 	return min(p.surplus(), float64(p.have)-lately) - m.cfg.Moves.Idle
 }
@@ -121,11 +121,11 @@
 	return false
 }
 
-// calm says whether no pool is expected to need a machine of this one within the pause.
+// calm says whether no pool is expected to need a host of this one within the pause.
 func (m *mover) calm(p *poolPlan, pause time.Duration) bool {
 	horizon := m.now.Add(m.cfg.MoveTime + pause)
 	since := m.surplusSince[p.name]
-	if m.idleMachines(p) < 1 {
+	if m.idleHosts(p) < 1 {
 		delete(m.surplusSince, p.name)
 		return false
 	}
--- a/upkeep/sim_test.go
+++ b/upkeep/sim_test.go
@@ -20,9 +20,9 @@
 // fault says what becomes of an order: it may be refused, lose its answer, or be carried out late without an answer.
 type fault struct{ refused, lost, late float64 }
 
-// simMachine is a machine of the simulator.
-type simMachine struct {
-	upkeep.Machine
+// simHost is a host of the simulator.
+type simHost struct {
+	upkeep.Host
 	lives    int
 	tasks    int
 	lasting  int
@@ -31,12 +31,12 @@
 	downWave int64
 }
 
-// sim is a machine service and the owners of its pools. Persistent tasks may only be stopped one at a time by pool.
+// sim is a host service and the owners of its pools. Persistent tasks may only be stopped one at a time by pool.
 type sim struct {
 	now      time.Time
 	rand     *rand.Rand
 	fault    fault
-	machines map[string]*simMachine
+	hosts    map[string]*simHost
 	pools    map[string]bool
 	evacuate map[string][]string
 	arrived  map[string]int64
@@ -51,7 +51,7 @@
 func newSim(seed uint64, perPool, pools int, f fault) *sim {
 	s := &sim{
 		now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1)), fault: f,
-		machines: map[string]*simMachine{}, pools: map[string]bool{"spare": true},
+		hosts: map[string]*simHost{}, pools: map[string]bool{"spare": true},
 		arrived: map[string]int64{}, evacuate: map[string][]string{}, movedAt: map[string]time.Time{}, later: map[time.Time][]func(){},
 	}
 	for p := range pools {
@@ -68,15 +68,15 @@
 }
 
 func (s *sim) add(pool, id string, tasks, lasting int) {
-	m := &simMachine{tasks: tasks, lasting: lasting, done: map[int64]bool{}}
-	m.Machine = upkeep.Machine{ID: id, Pool: pool, State: upkeep.Up, Worker: id + "/0", CPUMilli: 1000}
-	s.machines[id] = m
+	m := &simHost{tasks: tasks, lasting: lasting, done: map[int64]bool{}}
+	m.Host = upkeep.Host{ID: id, Pool: pool, State: upkeep.Up, Worker: id + "/0", CPUMilli: 1000}
+	s.hosts[id] = m
 }
 
-func (s *sim) list() []upkeep.Machine {
-	var out []upkeep.Machine
-	for _, id := range slices.Sorted(maps.Keys(s.machines)) {
-		out = append(out, s.machines[id].Machine)
+func (s *sim) list() []upkeep.Host {
+	var out []upkeep.Host
+	for _, id := range slices.Sorted(maps.Keys(s.hosts)) {
+		out = append(out, s.hosts[id].Host)
 	}
 	return out
 }
@@ -93,8 +93,8 @@
 		}
 		delete(s.later, at)
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.machines)) {
-		m := s.machines[id]
+	for _, id := range slices.Sorted(maps.Keys(s.hosts)) {
+		m := s.hosts[id]
 		if m.State != upkeep.Up && m.State != upkeep.Down && !s.now.Before(m.backAt) {
 			m.State = upkeep.Up
 			m.downWave = 0
@@ -107,7 +107,7 @@
 	}
 }
 
-func (s *sim) work(m *simMachine) {
+func (s *sim) work(m *simHost) {
 	leaves := slices.Contains(s.evacuate[m.Pool], m.Worker)
 	if m.tasks > 0 && s.rand.Float64() < 0.05 {
 		m.tasks--
@@ -118,8 +118,8 @@
 	if !leaves || m.lasting == 0 || s.now.Sub(s.movedAt[m.Pool]) < 700*time.Millisecond {
 		return
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.machines)) {
-		other := s.machines[id]
+	for _, id := range slices.Sorted(maps.Keys(s.hosts)) {
+		other := s.hosts[id]
 		if other.Pool == m.Pool && other.State == upkeep.Up && !slices.Contains(s.evacuate[m.Pool], other.Worker) {
 			s.movedAt[m.Pool] = s.now
 			m.lasting--
@@ -139,8 +139,8 @@
 		status := &pb.PoolStatusResponse{Owner: true, ArrivedMilliMs: s.arrived[pool]}
 		out[pool] = upkeep.PoolLoad{Spare: s.pools[pool], Status: status}
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.machines)) {
-		m := s.machines[id]
+	for _, id := range slices.Sorted(maps.Keys(s.hosts)) {
+		m := s.hosts[id]
 		if m.State != upkeep.Up {
 			continue
 		}
@@ -172,7 +172,7 @@
 }
 
 func (s *sim) upkeep(o upkeep.Order) upkeep.Result {
-	m := s.machines[o.Machine]
+	m := s.hosts[o.Host]
 	switch {
 	case m == nil:
 		return upkeep.Unfit
@@ -182,13 +182,13 @@
 		return upkeep.Busy
 	}
 	down := 0
-	for _, other := range s.machines {
+	for _, other := range s.hosts {
 		if other.downWave == o.Wave && other.State == upkeep.Upkeep {
 			down++
 		}
 	}
 	if down >= s.wave.Cap {
-		s.broken = append(s.broken, fmt.Sprintf("%s: upkeep of %s began while %d were down", s.now.Format(time.StampMilli), o.Machine, down))
+		s.broken = append(s.broken, fmt.Sprintf("%s: upkeep of %s began while %d were down", s.now.Format(time.StampMilli), o.Host, down))
 	}
 	m.done[o.Wave] = true
 	m.downWave = o.Wave
@@ -197,7 +197,7 @@
 }
 
 func (s *sim) move(o upkeep.MoveOrder) upkeep.Result {
-	m := s.machines[o.Machine]
+	m := s.hosts[o.Host]
 	switch {
 	case m == nil:
 		return upkeep.Unfit
@@ -212,7 +212,7 @@
 	return upkeep.Done
 }
 
-func (s *sim) leave(m *simMachine, state upkeep.MachineState, length time.Duration) {
+func (s *sim) leave(m *simHost, state upkeep.HostState, length time.Duration) {
 	s.killed += m.tasks + m.lasting
 	m.tasks = 0
 	m.lasting = 0
--- a/upkeep/stuck_test.go
+++ b/upkeep/stuck_test.go
@@ -9,20 +9,20 @@
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 )
 
-// TestStuckPoolGrows: a pool in which tasks wait that no end of others helps gets machines until they fit, though its demand
-// is low and the price of machines high, and no more.
+// TestStuckPoolGrows: a pool in which tasks wait that no end of others helps gets hosts until they fit, though its demand
+// is low and the price of hosts high, and no more.
 func TestStuckPoolGrows(t *testing.T) {
 	now := time.UnixMilli(1_700_000_000_000)
 	cfg := DefaultConfig(2*time.Second, time.Second)
 	cfg.Moves.SecondPrice = 1000
 	status := &pb.PoolStatusResponse{Owner: true, Fence: 1, ArrivedMilliMs: 1, WaitingTasks: 4, StuckCpuMilli: 6000}
-	in := Input{MachinesAt: now, Pools: map[string]PoolLoad{"spare": {Spare: true}, "p": {Status: status}}}
+	in := Input{HostsAt: now, Pools: map[string]PoolLoad{"spare": {Spare: true}, "p": {Status: status}}}
 	for _, id := range []string{"m1", "m2"} {
-		in.Machines = append(in.Machines, Machine{ID: id, Pool: "p", State: Up, Worker: id, CPUMilli: 4000, MemoryMB: 1})
+		in.Hosts = append(in.Hosts, Host{ID: id, Pool: "p", State: Up, Worker: id, CPUMilli: 4000, MemoryMB: 1})
 		status.Workers = append(status.Workers, &pb.WorkerLoad{Id: id, Tasks: 1, PersistentTasks: 1, UsedCpuMilli: 2000})
 	}
 	for _, id := range []string{"s1", "s2", "s3", "s4", "s5"} {
-		in.Machines = append(in.Machines, Machine{ID: id, Pool: "spare", State: Up, CPUMilli: 4000, MemoryMB: 1})
+		in.Hosts = append(in.Hosts, Host{ID: id, Pool: "spare", State: Up, CPUMilli: 4000, MemoryMB: 1})
 	}
 	out := New(cfg, now).Step(now, in)
 	assert.Equal(t, len(out.Moves), 2)
--- a/upkeep/turns.go
+++ b/upkeep/turns.go
@@ -18,7 +18,7 @@
 	learnTurn = 0.5
 	// mostMisses is how often a pool without any turn is expected to have the next one.
 	mostMisses = 4
-	// shortestTurn is the length below which a turn is noise: it would be over before a machine came.
+	// shortestTurn is the length below which a turn is noise: it would be over before a host came.
 	shortestTurn = 2 * time.Second
 )
 
--- a/upkeep/wave.go
+++ b/upkeep/wave.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// planWaves counts who is down, finds waves that are completed and begins to empty further machines.
+// planWaves counts who is down, finds waves that are completed and begins to empty further hosts.
 func (s *step) planWaves() {
 	s.room = make(map[int64]int, len(s.in.Waves))
 	s.members = make(map[int64]map[string]bool, len(s.in.Waves))
@@ -77,17 +77,17 @@
 	}
 }
 
-// count sets the room of a wave: its cap less the machines of it that are or may be down for their upkeep.
+// count sets the room of a wave: its cap less the hosts of it that are or may be down for their upkeep.
 func (s *step) count(w Wave) {
-	members := make(map[string]bool, len(w.Machines))
+	members := make(map[string]bool, len(w.Hosts))
 	down := 0
-	for _, id := range w.Machines {
+	for _, id := range w.Hosts {
 		if members[id] {
 			continue
 		}
 		members[id] = true
 		i := s.ledger[id]
-		if s.machines[id].State == Upkeep || (i != nil && i.down()) {
+		if s.hosts[id].State == Upkeep || (i != nil && i.down()) {
 			down++
 		}
 	}
@@ -95,11 +95,11 @@
 	s.room[w.Number] = w.Cap - down
 }
 
-// outstanding lists the machines of a wave that have not begun their upkeep and stay, without repeats.
+// outstanding lists the hosts of a wave that have not begun their upkeep and stay, without repeats.
 func (s *step) outstanding(w Wave) []string {
 	state := s.wave(w.Number)
 	var out []string
-	for _, id := range slices.Compact(slices.Sorted(slices.Values(w.Machines))) {
+	for _, id := range slices.Compact(slices.Sorted(slices.Values(w.Hosts))) {
 		if state.progress[id] == Begun || state.excluded[id] || s.gone(id) {
 			continue
 		}
@@ -108,7 +108,7 @@
 	return out
 }
 
-// takeRoom counts an upkeep against all waves that hold the machine, if each has room. One that counts already is free.
+// takeRoom counts an upkeep against all waves that hold the host, if each has room. One that counts already is free.
 func (s *step) takeRoom(id string, i *intent) bool {
 	if i.counted {
 		return true
@@ -130,21 +130,21 @@
 type emptying struct {
 	Wave
 	urgent bool
-	// count is how many machines are being emptied, and most how many may be.
+	// count is how many hosts are being emptied, and most how many may be.
 	count int
 	most  int
-	// inPool counts the wave's machines by pool that are away or being emptied, and hosts those with persistent tasks.
-	inPool map[string]int
-	hosts  map[string]int
+	// inPool counts the wave's hosts by pool that are away or being emptied, and withPersistent those with persistent tasks.
+	inPool         map[string]int
+	withPersistent map[string]int
 }
 
-// evacuate begins to empty machines of a wave: those that may go now and a few ahead, the cheapest first. Machines with
+// evacuate begins to empty hosts of a wave: those that may go now and a few ahead, the cheapest first. Hosts with
 // persistent tasks take longest, so a few of them are always being emptied, one a pool.
 func (s *step) evacuate(w Wave, left []string) {
-	e := &emptying{Wave: w, inPool: map[string]int{}, hosts: map[string]int{}}
+	e := &emptying{Wave: w, inPool: map[string]int{}, withPersistent: map[string]int{}}
 	var free []string
 	for _, id := range left {
-		m := s.machines[id]
+		m := s.hosts[id]
 		if s.ledger[id] == nil && m.State == Up && s.known(m.Pool) {
 			free = append(free, id)
 		}
@@ -153,11 +153,11 @@
 	s.sortByCost(free)
 	e.urgent = s.urgent(w, len(left))
 	e.most = s.pace(w, len(left), e.urgent)
-	hosts := lo.Sum(lo.Values(e.hosts))
+	persistent := lo.Sum(lo.Values(e.withPersistent))
 	for _, id := range free {
-		m := s.machines[id]
-		if hosts < s.cfg.Ahead && s.hosting(m) > 0 && !s.inTurn(m.Pool) && s.begin(e, id) {
-			hosts++
+		m := s.hosts[id]
+		if persistent < s.cfg.Ahead && s.persistentCount(m) > 0 && !s.inTurn(m.Pool) && s.begin(e, id) {
+			persistent++
 		}
 	}
 	for _, id := range free {
@@ -167,52 +167,52 @@
 	}
 }
 
-// tally counts a machine that is in the hands of a wave.
+// tally counts a host that is in the hands of a wave.
 func (s *step) tally(e *emptying, id string) {
 	i := s.ledger[id]
-	m := s.machines[id]
+	m := s.hosts[id]
 	if i == nil || i.move() {
 		return
 	}
 	e.inPool[m.Pool]++
 	if i.phase == evacuating && !i.counted {
 		e.count++
-		e.hosts[m.Pool] += s.hosting(m)
+		e.withPersistent[m.Pool] += s.persistentCount(m)
 	}
 }
 
-// begin empties a machine for a wave if the bounds allow it.
+// begin empties a host for a wave if the bounds allow it.
 func (s *step) begin(e *emptying, id string) bool {
-	m := s.machines[id]
-	hosting := s.hosting(m)
+	m := s.hosts[id]
+	persistent := s.persistentCount(m)
 	switch {
 	case e.count >= e.most || e.inPool[m.Pool] >= s.perPool(m.Pool, e.Wave):
 		return false
 	case !e.urgent && s.inTurn(m.Pool):
 		return false
-	case hosting > 0 && e.hosts[m.Pool] > 0:
+	case persistent > 0 && e.withPersistent[m.Pool] > 0:
 		return false
 	}
 	e.count++
 	e.inPool[m.Pool]++
-	e.hosts[m.Pool] += hosting
+	e.withPersistent[m.Pool] += persistent
 	s.newIntent(id).wave = e.Number
 	return true
 }
 
-// hosting is 1 for a machine with persistent tasks.
-func (s *step) hosting(m Machine) int {
+// persistentCount is 1 for a host with persistent tasks.
+func (s *step) persistentCount(m Host) int {
 	if s.persistentOn(m) {
 		return 1
 	}
 	return 0
 }
 
-// newIntent makes the intent of a machine, or takes over the one of a move that was not ordered yet.
+// newIntent makes the intent of a host, or takes over the one of a move that was not ordered yet.
 func (s *step) newIntent(id string) *intent {
 	i := s.old[id]
 	if i == nil {
-		m := s.machines[id]
+		m := s.hosts[id]
 		i = &intent{phase: evacuating, since: s.now, began: s.now, from: m.Pool, worker: m.Worker}
 	}
 	delete(s.old, id)
@@ -246,7 +246,7 @@
 	return w.Seen.Add(w.Within - s.cfg.Margin).Sub(s.now)
 }
 
-// pace is how many machines of a wave may be emptied at once.
+// pace is how many hosts of a wave may be emptied at once.
 func (s *step) pace(w Wave, left int, urgent bool) int {
 	room := max(0, s.room[w.Number])
 	most := room + s.cfg.Ahead
@@ -258,7 +258,7 @@
 	return min(most, max(1, needed-(w.Cap-room)))
 }
 
-// perPool is how many machines of a pool a wave may take at once. Spare pools give as many as may go at once.
+// perPool is how many hosts of a pool a wave may take at once. Spare pools give as many as may go at once.
 func (s *step) perPool(pool string, w Wave) int {
 	if s.in.Pools[pool].Spare {
 		return w.Cap
@@ -268,12 +268,12 @@
 
 func (s *step) countSizes() {
 	s.sizes = make(map[string]int, len(s.in.Pools))
-	for _, m := range s.machines {
+	for _, m := range s.hosts {
 		s.sizes[m.Pool]++
 	}
 }
 
-// cost is what emptying a machine takes, compared field by field.
+// cost is what emptying a host takes, compared field by field.
 type cost struct {
 	off        int
 	persistent int64
@@ -282,7 +282,7 @@
 }
 
 func (s *step) cost(id string) cost {
-	m := s.machines[id]
+	m := s.hosts[id]
 	load := s.in.Pools[m.Pool]
 	if load.Spare {
 		return cost{}
