--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 const (
 	// lateFactor times the objective is when a job is worth nothing any more.
@@ -13,6 +16,40 @@
 	agingWeight = 30
 )
 
+// ranked is a step in the order of placement.
+type ranked struct {
+	step     *step
+	class    int
+	priority int
+	key      float64
+}
+
+// Classes of placement, first to last.
+const (
+	classPersistent = iota
+	classOnTime
+	classLate
+	classHopeless
+)
+
+func (p *Pool) rank(now time.Time) []ranked {
+	order := make([]ranked, 0, len(p.open))
+	for _, s := range p.open {
+		order = append(order, p.rankStep(now, s))
+	}
+	sort.SliceStable(order, func(a, b int) bool {
+		x, y := &order[a], &order[b]
+		if x.class != y.class {
+			return x.class < y.class
+		}
+		if x.priority != y.priority {
+			return x.priority < y.priority
+		}
+		return x.key < y.key
+	})
+	return order
+}
+
 func (p *Pool) rankStep(now time.Time, s *step) ranked {
 	o := s.occ
 	q := p.queueOf(o.job)
--- a/upkeep/move.go
+++ b/upkeep/move.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -148,54 +147,6 @@
 	m.plans[name] = &poolPlan{name: name, demand: m.demands[name]}
 }
 
-// countHosts sorts hosts by what may be done with them.
-func (m *mover) countHosts() {
-	var cpu float64
-	count := 0.0
-	for _, id := range sortedKeys(m.hosts) {
-		host := m.hosts[id]
-		cpu += float64(host.CPUMilli)
-		count++
-		i := m.ledger[id]
-		if m.in.Pools[host.Pool].Spare && host.State == Up && i == nil {
-			m.idle = append(m.idle, id)
-		}
-		if p := m.plans[host.Pool]; p != nil {
-			m.countHeld(p, host, i)
-		}
-		if p := m.plans[m.poolOf(host, i)]; p != nil && host.State != Down && (i == nil || i.move()) {
-			p.have++
-			if host.State == Up && host.Pool == p.name {
-				p.serving++
-			}
-			if host.State == Up && i == nil && m.notBefore[id].IsZero() {
-				p.leaving = append(p.leaving, id)
-			}
-		}
-	}
-	m.capacity = cpu
-	for _, p := range m.plans {
-		m.setUnit(p, cpu/max(1, count))
-		m.sortByCost(p.leaving)
-		slices.SortStableFunc(p.leaving, func(a, b string) int { return m.rank(a) - m.rank(b) })
-	}
-	m.sortIdle()
-}
-
-// countHeld counts hosts that hold persistent tasks, and those that are in the hands of a wave.
-func (m *mover) countHeld(p *poolPlan, host Host, i *intent) {
-	if i != nil && !i.move() {
-		p.upkeeps++
-	}
-	if !m.persistentOn(host) {
-		return
-	}
-	p.withPersistent++
-	if i != nil && !i.down() {
-		p.emptying++
-	}
-}
-
 // floor is the number of hosts that a pool must have whatever its demand: while a wave empties one, its persistent
 // tasks need another place; and tasks that nothing but a further host helps must not wait for ever.
 func (p *poolPlan) floor() float64 {
@@ -209,47 +160,6 @@
 	return floor
 }
 
-// poolOf is the pool that a host counts for: where it goes, or where it is unless it is about to be away.
-func (m *mover) poolOf(host Host, i *intent) string {
-	if i != nil && i.move() {
-		return i.pool
-	}
-	return host.Pool
-}
-
-func (m *mover) setUnit(p *poolPlan, mean float64) {
-	p.unit = mean
-	if len(p.leaving) > 0 {
-		p.unit = p.usable(m.hosts[p.leaving[0]])
-	}
-	p.unit = max(p.unit*m.cfg.Moves.Use, 1)
-}
-
-func (s *step) persistentOn(host Host) bool {
-	return s.load(host).GetPersistentTasks() > 0
-}
-
-// rank puts hosts that are being emptied for a move ahead.
-func (m *mover) rank(id string) int {
-	if m.old[id] != nil {
-		return 0
-	}
-	return 1
-}
-
-// sortIdle puts hosts ahead that no wave waits for.
-func (m *mover) sortIdle() {
-	due := func(id string) int {
-		for number, members := range m.members {
-			if members[id] && m.wave(number).progress[id] != Begun {
-				return 1
-			}
-		}
-		return 0
-	}
-	slices.SortStableFunc(m.idle, func(a, b string) int { return due(a) - due(b) })
-}
-
 // lead is how long a host takes from its order until it is used.
 func (m *mover) lead() time.Duration { return m.cfg.MoveTime + m.cfg.Moves.Join }
 
@@ -298,107 +208,3 @@
 	}
 	return stay
 }
-
-// fill moves hosts to pools that will lack some, the most lacking first.
-func (m *mover) fill() {
-	for {
-		p := m.neediest()
-		if p == nil {
-			return
-		}
-		id := m.take(p)
-		if id == "" {
-			p.want = 0
-			continue
-		}
-		if !p.claim || (p.name != "" && !m.in.Pools[m.hosts[id].Pool].Spare) {
-			m.intendMove(id, p.name).notTill = p.orderAt
-		}
-		p.have++
-	}
-}
-
-// neediest is the pool that lacks most, if a further host there earns more than its move.
-func (m *mover) neediest() *poolPlan {
-	var best *poolPlan
-	for _, name := range m.names {
-		p := m.plans[name]
-		if float64(p.have) < p.floor() && p.want > 0 {
-			return p
-		}
-		if lack := p.lack(); lack > 0 && (p.claim || m.pays(p, min(1, lack))) && (best == nil || lack > best.lack()) {
-			best = p
-		}
-	}
-	if m.unknown != nil && best != nil && m.unknown.lack() > best.lack() {
-		return m.unknown
-	}
-	return best
-}
-
-// lack is how many hosts a pool wants beyond those it has.
-func (p *poolPlan) lack() float64 { return p.want - float64(p.have) }
-
-// pays says whether a host that is used in part earns more in a pool than it costs.
-func (m *mover) pays(p *poolPlan, use float64) bool {
-	cfg := m.cfg.Moves
-	if float64(p.have) < p.floor() {
-		return true
-	}
-	stay := p.stay.Seconds()
-	return use*p.unit/1000*stay*cfg.WorkWorth > cfg.MovePrice+stay*cfg.SecondPrice
-}
-
-// take picks a host for a pool: one that is off, or else one that another pool will not need.
-func (m *mover) take(to *poolPlan) string {
-	for n, id := range m.idle {
-		if !m.unfit[MoveOrder{Host: id, Pool: to.name}] {
-			m.idle = slices.Delete(m.idle, n, n+1)
-			return id
-		}
-	}
-	var best *poolPlan
-	for _, name := range m.names {
-		p := m.plans[name]
-		if p == to || len(p.leaving) == 0 || p.surplus() < 1 {
-			continue
-		}
-		if best == nil || p.surplus() > best.surplus() {
-			best = p
-		}
-	}
-	if best == nil {
-		return ""
-	}
-	return m.release(best, to.name)
-}
-
-// surplus is how many hosts a pool has beyond its need.
-func (p *poolPlan) surplus() float64 { return float64(p.have) - p.keep }
-
-// release takes a host out of a pool, unless too many with persistent tasks are being emptied.
-func (m *mover) release(p *poolPlan, to string) string {
-	for n, id := range p.leaving {
-		if m.unfit[MoveOrder{Host: id, Pool: to}] {
-			continue
-		}
-		if m.persistentOn(m.hosts[id]) {
-			if p.emptying >= m.cfg.Moves.PersistentAtOnce || m.now.Before(p.heldUntil) {
-				continue
-			}
-			p.emptying++
-		}
-		p.leaving = slices.Delete(p.leaving, n, n+1)
-		p.have--
-		return id
-	}
-	p.leaving = nil
-	return ""
-}
-
-// intendMove begins to empty a host, or goes on doing so, for a pool.
-func (m *mover) intendMove(id, pool string) *intent {
-	i := m.newIntent(id)
-	i.pool = pool
-	return i
-}
