--- a/internal/poolowner/roster_test.go
+++ b/internal/poolowner/roster_test.go
@@ -118,18 +118,20 @@
 }
 
 // accept stores a job whose tasks take a worker each.
-func accept(t *testing.T, kv store.Transactor, tasks int64) {
+func accept(t *testing.T, kv store.Transactor, tasks int64) *pb.JobRecord {
 	t.Helper()
 	incoming := jobstore.New(kv, time.Now, slog.New(slog.DiscardHandler), jobstore.Options{})
 	accepting, stop := context.WithCancel(t.Context())
 	var group sync.WaitGroup
 	group.Go(func() { assert.Check(t, incoming.Run(accepting)) })
-	assert.NilError(t, incoming.Accept(t.Context(), &pb.JobRecord{
+	job := &pb.JobRecord{
 		Id: jobID, Pool: pool, Queue: "q", AcceptedMs: time.Now().UnixMilli(),
 		Spec: &pb.JobSpec{Steps: []*pb.JobStep{{Count: tasks, CpuMilli: 3000, EstimateMs: 60_000}}},
-	}))
+	}
+	assert.NilError(t, incoming.Accept(t.Context(), job))
 	stop()
 	group.Wait()
+	return job
 }
 
 func workersOf(ids []string) []scheduler.Worker {
