scheduler: jobs accepted after a takeover wait for the workers like those loaded

Change: until the takeover is over, no task starts, whenever its job was accepted. job.loaded had no other use. Cost: where a worker of the pool does not answer at all after a takeover, new jobs too wait for the longest lease (6.7 s with a lease of 6 s); where all answer, for the slowest answer.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -12,8 +12,6 @@
 	queue    string
 	spec     *pb.JobSpec
 	accepted time.Time
-	// loaded jobs were there at the takeover: tasks may run on workers that have not been heard yet.
-	loaded bool
 
 	cancelled bool
 	// state is RUNNING until the job has ended; the end is shown once it is durable.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -152,7 +152,7 @@
 }
 
 func (p *Pool) placeStep(now time.Time, s *step, usable []*worker) {
-	if p.takeover.holds(s.occ.job) {
+	if p.takeover.holds() {
 		return
 	}
 	p.consultAdvice(now, s)
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -39,7 +39,7 @@
 	usable := p.usableWorkers(now)
 	limit := max(1, len(usable)/preemptShare)
 	for _, c := range p.rank(now) {
-		if c.class > classOnTime || p.takeover.holds(c.step.occ.job) || c.step.spec.GetGang() {
+		if c.class > classOnTime || p.takeover.holds() || c.step.spec.GetGang() {
 			continue
 		}
 		waiting := c.step.startable(now) - p.countFreed(c.step)
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -70,7 +70,7 @@
 		}
 		return out
 	}
-	if p.takeover.holds(j) {
+	if p.takeover.holds() {
 		out = append(out, fmt.Sprintf("takeover: %d workers have not been heard", len(p.takeover.waiting)))
 	}
 	for _, o := range j.occurrences {
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -37,9 +37,10 @@
 	delete(t.waiting, id)
 }
 
-// holds tells whether tasks of the job have to wait, as they may run on workers that have not been heard.
-func (t *takeover) holds(j *job) bool {
-	return j.loaded && t.started && !t.done
+// holds tells whether tasks have to wait, as they may run on workers that have not been heard. That goes for jobs accepted
+// since, too: an owner that does not know yet that it was replaced may have been told of them.
+func (t *takeover) holds() bool {
+	return t.started && !t.done
 }
 
 // settled tells whether stops that an owner of before has ordered must have shown. Budgets are not spent before.
@@ -93,7 +94,6 @@
 		return
 	}
 	j := p.newJob(now, rec)
-	j.loaded = true
 	p.jobs[j.id] = j
 	if jobstate.Final(pr.GetState()) {
 		j.state = pr.GetState()
