poolowner: a failing test of an owner that is cut off together with a worker

What: TestCutOffOwnerKeepsNoTaskAliveBeyondTheTakeover. The store and the other workers are out of an owner's reach; one worker is in its reach and out of the next owner's. Its task is started again elsewhere while it runs. Cause: holdWorker extends leases without asking Confirmed, so without a bound, as nothing ends the term of an owner that the store does not answer. The next owner waits for Lease x 1.03 + 0.5 s from its Load, as if no lease were given after that. Stopping at Confirmed, 10 s after the last renewal, would not do: the store's lease ends after 2.5 s, the next owner's patience 6.7 s later, the last lease given 16 s after the renewal. Not mended here. Proposal: (1) an owner extends leases only while it is Confirmed; (2) an owner that took a key whose holder is not proved to have ended (neither restarted, nor refusing connections, nor released) adds MaxUnconfirmed less the store's lease to the limit for workers that it does not hear. Or an owner gives no lease later than 2 s after its last confirmed renewal: no wait more, but outages of the store longer than some 7 s let all tasks lapse.

--- a/internal/poolowner/replaced_test.go
+++ b/internal/poolowner/replaced_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -175,3 +176,38 @@
 		end()
 	})
 }
+
+// A task on a worker that is cut off together with its owner ends before the next owner gives that worker up.
+func TestCutOffOwnerKeepsNoTaskAliveBeyondTheTakeover(t *testing.T) {
+	const (
+		storeLease     = 2500 * time.Millisecond
+		maxUnconfirmed = 10 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		shared := memtxn.New()
+		accept(t, shared.Client("host"), 1)
+		workers := newLeased()
+		o := options(t, shared.Client("cut"), workers)
+		var unconfirmed atomic.Bool
+		o.Confirmed = func() bool { return !unconfirmed.Load() }
+		cutOff := o.Config.Fence
+		own, endCutOff := term(t, o, "w1")
+		time.Sleep(pastTerms)
+		assert.Equal(t, workers.on("w1"), 1)
+		own.SetWorkers(workersOf([]string{"w1", "w2"}))
+		time.Sleep(pastTerms)
+		time.AfterFunc(maxUnconfirmed, func() { unconfirmed.Store(true) })
+		shared.SetFaults(memtxn.Faults{Cut: map[string]bool{"cut": true}})
+		workers.hide(cutOff, "w2")
+		time.Sleep(storeLease)
+		o = options(t, shared.Client("owner"), workers)
+		workers.hide(o.Config.Fence, "w1")
+		_, end := term(t, o, "w2")
+		time.Sleep(time.Minute)
+		assert.Assert(t, !workers.ranTwice())
+		assert.Equal(t, workers.on("w1"), 0)
+		assert.Equal(t, workers.on("w2"), 1)
+		endCutOff()
+		end()
+	})
+}
