poolowner: a hold acknowledges ends only if the one before it was answered

Polls beside the long hold, which are made where a start had no answer, acknowledge nothing either. Cost: after a hold without an answer, ends are acknowledged one hold later; none more in calls. Left: a worker that ends and starts again between an answered hold and the next one on a new connection, in some 20 ms.

--- a/internal/poolowner/hold.go
+++ b/internal/poolowner/hold.go
@@ -103,7 +103,7 @@
 }
 
 func (o *Owner) pollWorker(ctx context.Context, w scheduler.Worker) {
-	report, err := o.holdOnce(ctx, w, 0)
+	report, err := o.holdOnce(ctx, w, 0, false)
 	if err != nil {
 		return
 	}
@@ -121,6 +121,7 @@
 // holdWorker renews the lease of one worker until ctx ends.
 func (o *Owner) holdWorker(ctx context.Context, w scheduler.Worker) {
 	first := true
+	answered := false // whether the last hold was
 	refusals := 0
 	heard := newHearing(o, w)
 	for ctx.Err() == nil {
@@ -129,7 +130,8 @@
 			longest = 0
 		}
 		sent := o.Clock()
-		report, err := o.holdOnce(ctx, w, longest)
+		report, err := o.holdOnce(ctx, w, longest, answered)
+		answered = err == nil && !report.Gone
 		heard.note(ctx, err)
 		if err != nil {
 			refusals = o.noteFailure(ctx, w, sent, refusals, err)
@@ -162,11 +164,18 @@
 	return refusals
 }
 
-func (o *Owner) holdOnce(ctx context.Context, w scheduler.Worker, wait time.Duration) (scheduler.Report, error) {
+// holdOnce acknowledges ends only if asked to: where a call before had no answer, another lifetime under the same id may take
+// this one, and would forget its own ends by their numbers.
+func (o *Owner) holdOnce(
+	ctx context.Context, w scheduler.Worker, wait time.Duration, acknowledge bool,
+) (scheduler.Report, error) {
 	next, ok := o.nextHold(ctx, w.ID)
 	if !ok {
 		return scheduler.Report{}, ctx.Err()
 	}
+	if !acknowledge {
+		next.LastSeen = 0
+	}
 	if next.Until == 0 {
 		wait = 0
 	}
