scheduler: what no list has shown outlives a restart of its worker under the same id

An order names only the id, so a start that was decided on a lifetime that has ended may be carried out by the next. Change: a newer lifetime ends only the runs that the one before had listed. Starts without an answer, or accepted but not listed yet, stay until their answer, a list or a stop tells, or until the longest lease has passed where the new lifetime is not heard. Answers to starts count whatever lifetime they were decided on; one of a lifetime with another id shows that nothing began. The model: every second worker keeps its id, as PROTOCOL.md allows, and takes calls that were meant for an earlier lifetime; its owner acknowledges as poolowner does. Calls that land late end with the lifetime that they were sent to. Cost: a start under way to a worker that restarts is decided again after a list and a stop, not at once.

--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -72,10 +72,9 @@
 	}
 	if res.Outcome == OutcomeGone {
 		p.lifetimeGone(now, w, res.Order.Born)
-		return
 	}
 	r := w.byKey[runKey{res.Order.Task, res.Order.Run}]
-	if r == nil || (res.Order.Born != w.Born && res.Order.Born != 0) {
+	if r == nil || (res.Order.Kind != OrderStart && res.Order.Born != w.Born && res.Order.Born != 0) {
 		return
 	}
 	switch res.Order.Kind {
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -78,8 +78,8 @@
 
 func (p *Pool) firstReport(now time.Time, w *worker, r *Report) {
 	w.reported = true
-	if len(r.Running) > 0 {
-		// An owner of before may have extended the lease up to now.
+	if len(r.Running) > 0 || len(w.runs) > 0 {
+		// An owner of before, or a start to the lifetime before, may have extended the lease up to now.
 		w.leaseUntil = max(w.leaseUntil, r.Clock+p.cfg.MaxLease.Milliseconds())
 	}
 	p.takeover.heard(w.ID)
@@ -94,7 +94,7 @@
 	if w.gone {
 		return
 	}
-	p.lifetimeOver(now, w, "worker is gone")
+	p.lifetimeOver(now, w, "worker is gone", func(*run) bool { return true })
 	w.gone = true
 	w.goneAt = now
 	p.takeover.heard(w.ID)
@@ -107,7 +107,7 @@
 	}
 	if r.Born > w.Born {
 		if w.Born != 0 || w.reported {
-			p.lifetimeOver(now, w, "restarted")
+			p.restarted(now, w)
 		}
 		w.Born = r.Born
 		w.gone = false
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -44,6 +44,8 @@
 	until     int64
 	orderedAt time.Time
 	seenAt    time.Time
+	// giveUpAt is when the run is over if the lifetime that may have taken its start is never heard.
+	giveUpAt time.Time
 	// answered is when the start was taken, on both clocks.
 	answered stamp
 
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -121,7 +121,7 @@
 	for i := range workers {
 		w := &simWorker{
 			sim: s, id: fmt.Sprintf("w%02d", i), rack: fmt.Sprintf("r%d", i%2), speed: 1, rate: 1 - 0.02*s.rng.Float64(),
-			capacity: scheduler.Resources{CPUMilli: 8000, MemoryMB: 16000, GPU: 1},
+			capacity: scheduler.Resources{CPUMilli: 8000, MemoryMB: 16000, GPU: 1}, keepsID: i%2 == 1,
 		}
 		w.boot()
 		s.workers = append(s.workers, w)
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -21,6 +21,8 @@
 	wake  int64
 	// born holds the lifetimes that the registry has shown.
 	born map[string]int64
+	// doubt is set from a hold without an answer to the next one with it.
+	doubt map[string]bool
 }
 
 type laneKey struct {
@@ -36,7 +38,7 @@
 	}
 	cfg := simConfig
 	cfg.Fence = s.fence
-	o := &simOwner{sim: s, pool: scheduler.New(cfg), fence: s.fence, lanes: map[laneKey][]scheduler.Order{}, born: map[string]int64{}}
+	o := &simOwner{sim: s, pool: scheduler.New(cfg), fence: s.fence, lanes: map[laneKey][]scheduler.Order{}, born: map[string]int64{}, doubt: map[string]bool{}}
 	s.owner = o
 	var jobs []*pb.JobRecord
 	var progress []*pb.JobProgress
@@ -165,12 +167,12 @@
 			p.Result(s.time(), scheduler.OrderResult{Order: order, Outcome: outcome, Clock: clock})
 		})
 	}
-	sentAt := s.now
+	sentAt, sentTo := s.now, w.born
 	execute := func() (scheduler.Outcome, int64) {
 		switch {
 		case !w.up:
 			return scheduler.OutcomeUnknown, 0
-		case w.born != order.Born:
+		case !w.meant(order.Born):
 			return scheduler.OutcomeGone, 0
 		case order.Kind == scheduler.OrderStart:
 			return w.start(o.fence, order), w.clock()
@@ -185,7 +187,11 @@
 	case s.cut[w.id], s.faulty() && s.chance(s.f.lostCalls):
 		s.after(500, timeout)
 	case s.faulty() && s.chance(s.f.lateCalls):
-		s.after(s.rng.Int64N(8000), func() { execute() })
+		s.after(s.rng.Int64N(8000), func() {
+			if w.born == sentTo { // a connection ends with its lifetime
+				execute()
+			}
+		})
 		s.after(500, timeout)
 	case s.faulty() && s.chance(s.f.lostAnswers):
 		s.after(3, func() { execute() })
@@ -205,6 +211,10 @@
 		return
 	}
 	h := o.pool.Hold(w.id, s.time())
+	if o.doubt[w.id] {
+		h.LastSeen = 0
+	}
+	o.doubt[w.id] = true
 	sent := s.time()
 	expected := o.born[w.id]
 	again := func(ms int64) { s.after(ms, func() { o.hold(w) }) }
@@ -237,6 +247,7 @@
 		}
 		s.after(1+s.rng.Int64N(30), func() {
 			rep.Received = s.time()
+			o.doubt[w.id] = false
 			o.input(func(p *scheduler.Pool) { p.Report(s.time(), rep) })
 			again(20)
 		})
@@ -244,10 +255,12 @@
 	s.after(1+s.rng.Int64N(5), poll)
 }
 
-// poll holds a worker once beside the waiting hold; the two may overtake each other.
+// poll holds a worker once beside the waiting hold; the two may overtake each other. It acknowledges nothing, as another
+// lifetime may answer.
 func (o *simOwner) poll(w *simWorker) {
 	s := o.sim
 	h := o.pool.Hold(w.id, s.time())
+	h.LastSeen = 0
 	sent := s.time()
 	expected := o.born[w.id]
 	s.after(1+s.rng.Int64N(20), func() {
@@ -265,7 +278,7 @@
 
 // answer is what the worker says to a hold that names the lifetime it expects.
 func (o *simOwner) answer(w *simWorker, h scheduler.Hold, expected int64) scheduler.Report {
-	if w.born != expected {
+	if !w.meant(expected) {
 		return scheduler.Report{Worker: w.id, Born: expected, Gone: true}
 	}
 	return w.hold(o.fence, h)
--- a/scheduler/simworker_test.go
+++ b/scheduler/simworker_test.go
@@ -48,8 +48,13 @@
 	lapsedAt int64
 	highest  map[scheduler.TaskID]int64
 	draining bool
+	// keepsID means that each lifetime has the same id, so that calls cannot tell them apart.
+	keepsID bool
 }
 
+// meant tells whether a call that expects a lifetime is for this one.
+func (w *simWorker) meant(born int64) bool { return w.keepsID || w.born == born }
+
 func (w *simWorker) boot() {
 	if w.up {
 		return
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -55,8 +55,13 @@
 
 // limit is when the leases given by an owner of before have lapsed.
 func (t *takeover) limit(lease time.Duration) time.Time {
+	return t.at.Add(longestLease(lease))
+}
+
+// longestLease is how long a lease may last here, as a worker's clock may be slow.
+func longestLease(lease time.Duration) time.Duration {
 	const drift = 1.03
-	return t.at.Add(time.Duration(float64(lease)*drift) + takeoverMargin)
+	return time.Duration(float64(lease)*drift) + takeoverMargin
 }
 
 // Load takes what the owners of before have left. It comes once, before anything else.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -90,8 +90,7 @@
 		return
 	}
 	if fresh.Born > w.Born && w.Born != 0 {
-		p.lifetimeOver(now, w, "restarted")
-		w.gone = false
+		p.restarted(now, w)
 	}
 	if w.Draining != fresh.Draining || w.Unlisted != fresh.Unlisted || w.Capacity != fresh.Capacity || w.gone {
 		p.place = true
@@ -128,13 +127,28 @@
 	}
 }
 
-// lifetimeOver ends everything on a lifetime that has crashed or left for good.
-func (p *Pool) lifetimeOver(now time.Time, w *worker, reason string) {
+// restarted ends what an earlier lifetime was seen to run. Orders name the id only, so a start that no list has shown may
+// have reached, or yet reach, the lifetime that follows under the same id: its answer or a list tells.
+func (p *Pool) restarted(now time.Time, w *worker) {
+	p.lifetimeOver(now, w, "restarted", func(r *run) bool { return r.state == runRunning })
+	w.gone = false
+	for _, r := range w.runs {
+		r.stopAcked = stamp{}
+		r.stopAt = now
+		r.giveUpAt = now.Add(longestLease(p.cfg.MaxLease))
+	}
+}
+
+// lifetimeOver ends the runs of a lifetime that has crashed or left for good.
+func (p *Pool) lifetimeOver(now time.Time, w *worker, reason string, ends func(*run) bool) {
 	if !w.gone && !w.Draining {
 		p.noteRestart(now, w)
 	}
 	runs := append([]*run(nil), w.runs...)
 	for _, r := range runs {
+		if !ends(r) {
+			continue
+		}
 		p.decide("lost", r, reason)
 		p.endRun(now, r, EndLapsed, "")
 	}
@@ -164,10 +178,10 @@
 }
 
 func (p *Pool) checkLapse(now time.Time, w *worker) {
-	if len(w.runs) == 0 || !w.silent(now) || !w.clock.known {
+	if len(w.runs) == 0 || !w.silent(now) {
 		return
 	}
-	lapsed := w.clock.passed(w.leaseUntil).Add(lapseMargin)
+	lapsed := w.lapsed()
 	if now.Before(lapsed) {
 		p.wake(lapsed)
 		return
@@ -178,6 +192,20 @@
 	}
 }
 
+// lapsed is when the lease of a silent worker has lapsed, also one that a start to the lifetime before has asked for.
+func (w *worker) lapsed() time.Time {
+	var last time.Time
+	if w.clock.known {
+		last = w.clock.passed(w.leaseUntil).Add(lapseMargin)
+	}
+	for _, r := range w.runs {
+		if r.giveUpAt.After(last) {
+			last = r.giveUpAt
+		}
+	}
+	return last
+}
+
 func (w *worker) silent(now time.Time) bool {
 	return now.Sub(w.lastReport) > silentAfter
 }
