poolowner: a failing test of the end of a worker's second lifetime

What: TestSecondLifetimeThatEndsIsNoticed. A worker starts again under its id and address, is given a task and ends: its address refuses connections. The task waits for its lease instead of being started elsewhere after the second refusal. Cause: the holder of a worker keeps the Born of the entry that it began with; the scheduler ignores that an older lifetime is gone.

--- a/internal/poolowner/reborn_test.go
+++ b/internal/poolowner/reborn_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,3 +55,40 @@
 		assert.DeepEqual(t, seen[:7], []int64{0, 5, 5, 0, 0, 5, 5})
 	})
 }
+
+// The end of a worker's second lifetime under one id is noticed as soon as its address refuses connections.
+func TestSecondLifetimeThatEndsIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memtxn.New().Client("owner")
+		workers := &answering{endless: endless{running: make(map[string][]scheduler.RunningTask)}}
+		began := time.Now()
+		workers.answer = func(r poolowner.HoldRequest) (scheduler.Report, error) {
+			age := time.Since(began)
+			workers.mu.Lock()
+			defer workers.mu.Unlock()
+			switch {
+			case r.Worker == "w2" && age < 2*time.Second:
+				return scheduler.Report{}, errors.New("no answer")
+			case r.Worker == "w2":
+				return scheduler.Report{Running: workers.running["w2"]}, nil
+			case age < time.Second:
+				return scheduler.Report{Born: 1}, nil
+			case age < 3*time.Second:
+				return scheduler.Report{Born: 2, Running: workers.running["w1"]}, nil
+			}
+			workers.running["w1"] = nil
+			return scheduler.Report{}, syscall.ECONNREFUSED
+		}
+		own, end := term(t, options(t, kv, workers))
+		listed := workersOf([]string{"w1", "w2"})
+		listed[0].Born = 1
+		own.SetWorkers(listed)
+		time.Sleep(1200 * time.Millisecond)
+		accept(t, kv, 1)
+		time.Sleep(time.Second)
+		assert.Equal(t, workers.on("w1"), 1)
+		time.Sleep(1500 * time.Millisecond)
+		assert.Equal(t, workers.on("w2"), 1)
+		end()
+	})
+}
