--- a/internal/poolowner/hold.go
+++ b/internal/poolowner/hold.go
@@ -140,6 +140,7 @@
 		}
 		first = false
 		refusals = 0
+		w.Born = max(w.Born, report.Born) // refusals prove the end of the lifetime heard last
 		o.takeReport(ctx, w, report)
 		if report.Gone || report.Fenced {
 			_ = wait.For(ctx, holdRetry)
