poolowner: a failing test of a takeover with a roster that cannot be read

What: TestTakeoverWithAnUnreadableRoster. The new owner goes on as if no worker had been recorded, and its takeover is over before it has heard anyone: the task runs on w1 and w2 (always). Cause: jobstore.Roster logs that the record cannot be read and returns an empty one; followWorkers takes that for the whole.

--- a/internal/poolowner/replaced_test.go
+++ b/internal/poolowner/replaced_test.go
@@ -12,8 +12,10 @@
 	"gotest.tools/v3/assert"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/jobkeys"
 	"github.com/agateturn/agateturn/internal/poolowner"
 	"github.com/agateturn/agateturn/scheduler"
+	"github.com/agateturn/agateturn/store"
 	"github.com/agateturn/agateturn/store/memtxn"
 )
 
@@ -211,3 +213,23 @@
 		end()
 	})
 }
+
+// An owner that cannot read which workers may run something waits until the longest lease has passed.
+func TestTakeoverWithAnUnreadableRoster(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memtxn.New().Client("host")
+		accept(t, kv, 1)
+		workers := newLeased()
+		_, end := term(t, options(t, kv, workers), "w1")
+		time.Sleep(pastTerms)
+		assert.Equal(t, workers.on("w1"), 1)
+		end()
+		_, err := kv.Commit(t.Context(), store.Transaction{Puts: []store.Put{{Key: jobkeys.Roster(pool), Data: []byte("odd")}}})
+		assert.NilError(t, err)
+		_, end = term(t, options(t, kv, workers), "w2")
+		time.Sleep(time.Minute)
+		assert.Assert(t, !workers.ranTwice())
+		assert.Equal(t, workers.on("w2"), 1)
+		end()
+	})
+}
