poolowner, scheduler: a roster that cannot be read leaves the workers unknown

Change: jobstore.Roster says Unreadable; the takeover then lasts until the longest lease has passed, whoever has been heard. Left: the owner replaces the record at once, so a further takeover within those 6.7 s would not know the workers either.

--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -24,6 +24,8 @@
 	Undecided = errs.Class("jobstore: may be stored or not; repeat the call with the same id")
 	// Fenced means that another owner has the pool.
 	Fenced = errs.Class("jobstore: another owner has the pool; drop it")
+	// Unreadable means that there is a record whose content is not known.
+	Unreadable = errs.Class("jobstore: the record cannot be read; take its content for unknown")
 )
 
 // queueSize bounds the arrivals that wait for a transaction.
--- a/internal/jobstore/roster.go
+++ b/internal/jobstore/roster.go
@@ -12,7 +12,7 @@
 )
 
 // Roster reads the workers that may run tasks of a pool, and the version of the record, 0 if there is none. An owner reads
-// it after it took the pool. Errors: store.Unavailable.
+// it after it took the pool. Errors: store.Unavailable, Unreadable; the version holds with the latter.
 func (s *Store) Roster(ctx context.Context, pool string) (*pb.Roster, uint64, error) {
 	item, err := s.get(ctx, jobkeys.Roster(pool))
 	if err != nil {
@@ -20,7 +20,7 @@
 	}
 	roster := &pb.Roster{}
 	if err := proto.Unmarshal(item.Data, roster); err != nil {
-		s.log.Warn("roster cannot be read", "key", item.Key, "error", err)
+		return nil, item.Version, Unreadable.Wrap(err)
 	}
 	return roster, item.Version, nil
 }
--- a/internal/poolowner/roster.go
+++ b/internal/poolowner/roster.go
@@ -34,7 +34,8 @@
 // followWorkers hands in lists of workers once the records are read, and keeps a holder for each worker.
 func (o *Owner) followWorkers(ctx context.Context) error {
 	r := &roster{owner: o}
-	if !r.load(ctx) {
+	readable, ok := r.load(ctx)
+	if !ok {
 		return nil
 	}
 	select {
@@ -42,6 +43,9 @@
 	case <-ctx.Done():
 		return nil
 	}
+	if !readable {
+		o.put(ctx, func(p *scheduler.Pool, _ time.Time) { p.UnknownWorkers() })
+	}
 	ticker := time.NewTicker(rosterTick)
 	defer ticker.Stop()
 	known := false
@@ -60,19 +64,25 @@
 	}
 }
 
-func (r *roster) load(ctx context.Context) bool {
+// load reads the record; ok is false if ctx ended before.
+func (r *roster) load(ctx context.Context) (readable, ok bool) {
 	for ctx.Err() == nil {
 		record, version, err := r.owner.Jobs.Roster(ctx, r.owner.Pool)
+		if jobstore.Unreadable.Has(err) {
+			r.version = version
+			r.owner.tellUnread(ctx, "roster", err)
+			return false, true
+		}
 		if err == nil {
 			r.version = version
 			r.durable = lo.Map(record.GetWorkers(), func(w *pb.RosterWorker, _ int) scheduler.Worker { return workerOf(w) })
 			r.taken = lo.SliceToMap(r.durable, func(w scheduler.Worker) (string, bool) { return w.ID, true })
-			return true
+			return true, true
 		}
 		r.owner.tellUnread(ctx, "roster", err)
 		_ = wait.For(ctx, loadRetry)
 	}
-	return false
+	return false, false
 }
 
 // settled tells whether the recorded workers are the listed ones.
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -21,7 +21,9 @@
 	at       time.Time
 	doneAt   time.Time
 	registry bool
-	waiting  map[string]bool
+	// unknown means that other workers than those waited for may run something.
+	unknown bool
+	waiting map[string]bool
 	// expected counts the workers that were waited for.
 	expected int
 }
@@ -171,19 +173,25 @@
 	return p.takeover.started && !p.takeover.done && p.takeover.waiting[id]
 }
 
-// checkTakeover lets the tasks of loaded jobs start once nothing of an owner of before can run unseen.
+// UnknownWorkers says that not all workers of the owners of before are known: what runs there has to lapse. It follows Load.
+func (p *Pool) UnknownWorkers() { p.takeover.unknown = true }
+
+// allHeard tells whether every worker that may run something of an owner of before has been heard.
+func (t *takeover) allHeard() bool { return t.registry && !t.unknown && len(t.waiting) == 0 }
+
+// checkTakeover lets tasks start once nothing of an owner of before can run unseen.
 func (p *Pool) checkTakeover(now time.Time) {
 	t := &p.takeover
 	if !t.started || t.done {
 		return
 	}
 	limit := t.limit(p.cfg.Lease)
-	if now.Before(limit) && (!t.registry || len(t.waiting) > 0) {
+	if now.Before(limit) && !t.allHeard() {
 		p.wake(limit)
 		return
 	}
 	reason := "all workers have been heard"
-	if !t.registry || len(t.waiting) > 0 {
+	if !t.allHeard() {
 		reason = "leases of workers that were not heard have lapsed"
 	}
 	p.out.Decisions = append(p.out.Decisions, Decision{
