--- a/internal/poolowner/replaced_test.go
+++ b/internal/poolowner/replaced_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,8 +12,10 @@
 	"gotest.tools/v3/assert"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/jobkeys"
 	"github.com/agateturn/agateturn/internal/poolowner"
 	"github.com/agateturn/agateturn/scheduler"
+	"github.com/agateturn/agateturn/store"
 	"github.com/agateturn/agateturn/store/memtxn"
 )
 
@@ -175,3 +178,58 @@
 		end()
 	})
 }
+
+// A task on a worker that is cut off together with its owner ends before the next owner gives that worker up.
+func TestCutOffOwnerKeepsNoTaskAliveBeyondTheTakeover(t *testing.T) {
+	const (
+		storeLease     = 2500 * time.Millisecond
+		maxUnconfirmed = 10 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		shared := memtxn.New()
+		accept(t, shared.Client("host"), 1)
+		workers := newLeased()
+		o := options(t, shared.Client("cut"), workers)
+		var unconfirmed atomic.Bool
+		o.Confirmed = func() bool { return !unconfirmed.Load() }
+		cutOff := o.Config.Fence
+		own, endCutOff := term(t, o, "w1")
+		time.Sleep(pastTerms)
+		assert.Equal(t, workers.on("w1"), 1)
+		own.SetWorkers(workersOf([]string{"w1", "w2"}))
+		time.Sleep(pastTerms)
+		time.AfterFunc(maxUnconfirmed, func() { unconfirmed.Store(true) })
+		shared.SetFaults(memtxn.Faults{Cut: map[string]bool{"cut": true}})
+		workers.hide(cutOff, "w2")
+		time.Sleep(storeLease)
+		o = options(t, shared.Client("owner"), workers)
+		workers.hide(o.Config.Fence, "w1")
+		_, end := term(t, o, "w2")
+		time.Sleep(time.Minute)
+		assert.Assert(t, !workers.ranTwice())
+		assert.Equal(t, workers.on("w1"), 0)
+		assert.Equal(t, workers.on("w2"), 1)
+		endCutOff()
+		end()
+	})
+}
+
+// An owner that cannot read which workers may run something waits until the longest lease has passed.
+func TestTakeoverWithAnUnreadableRoster(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memtxn.New().Client("host")
+		accept(t, kv, 1)
+		workers := newLeased()
+		_, end := term(t, options(t, kv, workers), "w1")
+		time.Sleep(pastTerms)
+		assert.Equal(t, workers.on("w1"), 1)
+		end()
+		_, err := kv.Commit(t.Context(), store.Transaction{Puts: []store.Put{{Key: jobkeys.Roster(pool), Data: []byte("odd")}}})
+		assert.NilError(t, err)
+		_, end = term(t, options(t, kv, workers), "w2")
+		time.Sleep(time.Minute)
+		assert.Assert(t, !workers.ranTwice())
+		assert.Equal(t, workers.on("w2"), 1)
+		end()
+	})
+}
