admission, slots: waits are estimated by the slots that can be had, not by those that are here

What callers saw: right after a flood at one entry host, the other one refused 1 to 6 of 1,011 requests as not run: "an urgent request can't start in time" or "can't finish before its deadline", with a time to come back of 127 to 190 ms.

Cause: the queue divided the work ahead by the slots in use and free at this entry host. A peer in a flood has borrowed all of them, so this was 0, taken as 1: with the declared run time of 500 ms the third urgent request waited 1 s by the estimate, as long as urgent_start, although the loans come back within tens of milliseconds. Neither work of callers that had gone nor run times learned in the flood were counted: the lane held 2 urgent requests of its own, and the service had 0 samples on that host.

Same cause elsewhere, each with a test: normal requests (deadline); the first burst of a pool of which no slot had been looked at, in one batch; an entry host that owns no slot of a small pool while its peers leave theirs unused; times to come back.

Change: slots.Ledger.Reachable counts own slots, lent ones included, and what peers have beyond their load.

--- a/admission/demand.go
+++ b/admission/demand.go
@@ -49,7 +49,7 @@
 	s.value = max(s.value, slots)
 }
 
-func (s *slotsSeen) at(time.Time) int { return max(s.value, s.previous) }
+func (s *slotsSeen) largest() int { return max(s.value, s.previous) }
 
 // Demand returns the load of each pool that has a service or a request, by name. Requests that wait for their team's
 // quota don't count as queued, since more slots wouldn't start them. Idle is what the last Next of the pool left unused;
--- a/admission/expire.go
+++ b/admission/expire.go
@@ -15,22 +15,21 @@
 // expireService appends the rejections of one service to out.
 func (q *Queue) expireService(now time.Time, s *service, out []Rejection) []Rejection {
 	for s.urgentLimits.len() > 0 && !now.Before(s.urgentLimits.first().urgentLimit) {
-		out = append(out, q.giveUp(now, s.urgentLimits.first().item, ReasonUrgentStart))
+		out = append(out, q.giveUp(s.urgentLimits.first().item, ReasonUrgentStart))
 	}
 	for s.deadlines.len() > 0 && now.Add(s.learned.bound()).After(s.deadlines.first().Deadline) {
-		out = append(out, q.giveUp(now, s.deadlines.first().item, ReasonDeadline))
+		out = append(out, q.giveUp(s.deadlines.first().item, ReasonDeadline))
 	}
 	if s.probe != nil && !now.Before(s.probe.Deadline) {
-		out = append(out, q.giveUp(now, s.probe, ReasonDeadline))
+		out = append(out, q.giveUp(s.probe, ReasonDeadline))
 	}
 	return out
 }
 
 // giveUp drops an item and says when to come back: once what is queued now in its class has been served.
-func (q *Queue) giveUp(now time.Time, it *item, reason Reason) Rejection {
+func (q *Queue) giveUp(it *item, reason Reason) Rejection {
 	p := q.pool(it.Pool)
-	slots := float64(max(1, p.slots.at(now)))
-	drain := time.Duration(it.lane.work / slots * float64(time.Second))
+	drain := time.Duration(it.lane.work / float64(p.servingSlots()) * float64(time.Second))
 	q.drop(it)
 	after := spread(it.ID, max(drain, it.service.learned.mean/4))
 	return Rejection{ID: it.ID, Reason: reason, RetryAfter: after}
--- a/admission/offer.go
+++ b/admission/offer.go
@@ -28,11 +28,11 @@
 	it.team = l.teamLane(q.teams[r.Team])
 	it.cost = s.learned.mean.Seconds()
 	it.urgentLimit = r.Arrival.Add(s.urgentStart)
-	wait := p.wait(now, it)
+	wait := p.wait(it)
 	if reason, late := q.tooLate(now, it, wait); reason != ReasonNone {
 		return q.refuse(s, r, reason, late)
 	}
-	if s.queued[r.Class] >= s.maxQueue && !q.makeRoom(now, it) {
+	if s.queued[r.Class] >= s.maxQueue && !q.makeRoom(it) {
 		return q.refuse(s, r, ReasonQueueFull, 0)
 	}
 	q.enqueue(it)
@@ -66,7 +66,7 @@
 // makeRoom drops the newest request of the team that is furthest behind, so that its flood can't shut other teams out of
 // a full queue. It returns false if the offered item's own team would still be as far behind, or the item wouldn't help.
 // The rejection is handed out by the next Next or Expire.
-func (q *Queue) makeRoom(now time.Time, it *item) bool {
+func (q *Queue) makeRoom(it *item) bool {
 	victim := it.lane.last()
 	if victim == nil || victim.service != it.service || victim.team == it.team {
 		return false
@@ -74,7 +74,7 @@
 	if (it.team.work+it.cost)/it.team.team.weight >= victim.team.work/victim.team.team.weight {
 		return false
 	}
-	q.displaced = append(q.displaced, q.giveUp(now, victim, ReasonQueueFull))
+	q.displaced = append(q.displaced, q.giveUp(victim, ReasonQueueFull))
 	return true
 }
 
@@ -105,8 +105,8 @@
 
 // wait estimates how long an item would queue: the shorter of two bounds, by all that is ahead in its pool and by its
 // team's queue on the team's share.
-func (p *pool) wait(now time.Time, it *item) time.Duration {
-	slots := float64(max(1, p.slots.at(now)))
+func (p *pool) wait(it *item) time.Duration {
+	slots := float64(p.servingSlots())
 	ahead := it.lane.work
 	if it.Class == ClassNormal {
 		ahead += p.lanes[ClassUrgent].work
@@ -122,6 +122,9 @@
 	return time.Duration(min(ahead, own) / slots * float64(time.Second))
 }
 
+// servingSlots is the number of slots by which waits are estimated.
+func (p *pool) servingSlots() int { return max(1, p.slots.largest(), p.reachable) }
+
 // tooLate says whether an item that waits so long can be in time, and if not, by how much it is late. A service whose
 // learned run time alone rules out the request gets a probe now and then, so that a wrong estimate can mend.
 func (q *Queue) tooLate(now time.Time, it *item, wait time.Duration) (Reason, time.Duration) {
@@ -164,8 +167,7 @@
 func (q *Queue) drainTime(poolName string, s *service) time.Duration {
 	p := q.pool(poolName)
 	work := p.lanes[ClassNormal].work + p.lanes[ClassUrgent].work
-	slots := max(1, p.slots.value)
-	return max(s.learned.mean, time.Duration(work/2/float64(slots)*float64(time.Second)))
+	return max(s.learned.mean, time.Duration(work/2/float64(p.servingSlots())*float64(time.Second)))
 }
 
 // spread bounds a time to come back and lengthens it by a part that depends on the request.
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -41,9 +41,11 @@
 	urgentStarts int
 	running      int
 	// idle is the number of slots that the last Next left unused.
-	idle     int
-	slots    slotsSeen
-	arrivals arrivalRate
+	idle  int
+	slots slotsSeen
+	// reachable is the number of slots that the embedder expects to get for the pool.
+	reachable int
+	arrivals  arrivalRate
 }
 
 // Queue is the queues of one entry host, for all pools. It is not safe for concurrent use.
@@ -149,6 +151,10 @@
 	}
 }
 
+// SetReachable says how many slots this entry host can come to use in a pool, including those in use, lent out or still to
+// be borrowed. Waits are estimated by them, or by the slots that Next was given of late if those are more.
+func (q *Queue) SetReachable(poolName string, slots int) { q.pool(poolName).reachable = slots }
+
 // Next starts at most the given number of requests of a pool, after rejecting, as Expire does, what its services have to
 // give up.
 // Slots is the number of slots that are free now.
--- a/bench/ledgers.go
+++ b/bench/ledgers.go
@@ -112,10 +112,20 @@
 	if w.lend {
 		n := w.nodes[node]
 		n.ledger.Balance(w.x.now, w.demand(node), n.peers)
+		w.countReachable(node)
 	}
 	w.beatEarly(node)
 }
 
+// countReachable tells the entry host's queues how many slots each pool can come to have there.
+func (w *ledgers) countReachable(node int) {
+	n := w.nodes[node]
+	for _, p := range w.x.deployment.Pools {
+		reachable := n.ledger.Reachable(w.x.now, p.Name, n.peers, func(string) bool { return true })
+		w.x.entries[node].queue.SetReachable(p.Name, reachable)
+	}
+}
+
 // beatEarly sends heartbeats that shouldn't wait.
 func (w *ledgers) beatEarly(node int) {
 	for _, to := range w.x.live() {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -97,6 +97,8 @@
 	waiting map[uint64]*Ticket
 	running map[uint64]*Ticket
 	pools   []string
+	// counted is when the reachable slots of each pool were counted last.
+	counted map[string]time.Time
 	hosts   map[string]*pb.Host
 	due     map[string]time.Time // hosts due for maintenance
 	// leaving are the hosts that the platform takes away, by the entry host that read it in the platform's list.
@@ -120,6 +122,7 @@
 		queues:   admission.New(admission.Limits{MaxRequests: maxRequests}),
 		ledger:   slots.NewLedger(self),
 		router:   routing.New(routing.Options{DataCentre: place}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		counted:  map[string]time.Time{},
 		waiting:  map[uint64]*Ticket{},
 		running:  map[uint64]*Ticket{},
 		hosts:    map[string]*pb.Host{},
@@ -237,32 +240,6 @@
 	}
 }
 
-// usableSlots counts the free slots on hosts that are not ejected.
-func (d *Dispatcher) usableSlots(pool string) int {
-	return lo.SumBy(d.ledger.Free(pool), func(f slots.HostFree) int {
-		if d.router.Ejected(f.Host) || d.isLeaving(f.Host) {
-			return 0
-		}
-		return f.Free
-	})
-}
-
-// candidates are the active hosts of a pool, with the slots that are free here.
-func (d *Dispatcher) candidates(pool string) []routing.Candidate {
-	free := lo.SliceToMap(d.ledger.Free(pool), func(f slots.HostFree) (string, int) { return f.Host, f.Free })
-	return lo.FilterMap(d.view.Gate.Active(pool), func(name string, _ int) (routing.Candidate, bool) {
-		host, known := d.hosts[name]
-		return routing.Candidate{
-			Host:              name,
-			DataCentre:        host.GetDataCentre(),
-			Rack:              host.GetRack(),
-			Free:              free[name],
-			Slots:             int(host.GetSlots()),
-			DueForMaintenance: d.due[name],
-		}, known && !d.isLeaving(name)
-	})
-}
-
 // start gives one queued request a host, or sends it back to its caller as not run.
 func (d *Dispatcher) start(now time.Time, pool string, id uint64) {
 	t, ok := d.waiting[id]
@@ -334,6 +311,7 @@
 			t.Result <- Verdict{Rejection: &Rejection{Reason: "this request failed on every host it was tried on; do not send it again", Hopeless: true, Code: refusalcode.Hopeless}}
 			return
 		}
+		d.countReachable(now, t.Request.Pool)
 		if decision := d.queues.Offer(now, t.Request); !decision.Queued {
 			t.Result <- Verdict{Rejection: rejectionOf(decision.Reason, decision.RetryAfter)}
 			return
--- a/internal/dispatch/dispatchpeers.go
+++ b/internal/dispatch/dispatchpeers.go
@@ -34,6 +34,7 @@
 	d.hosts = lo.KeyBy(cfg.GetHosts(), (*pb.Host).GetName)
 	states := lo.KeyBy(f.GetHosts(), (*pb.HostState).GetHost)
 	d.queues.Configure(cfg)
+	clear(d.counted) // the slots of each pool may be others now
 	d.ledger.SetHosts(lo.Map(cfg.GetHosts(), func(h *pb.Host, _ int) slots.HostSlots {
 		state := states[h.GetName()]
 		return slots.HostSlots{
--- /dev/null
+++ b/internal/dispatch/reachable_test.go
@@ -0,0 +1,166 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/samber/lo"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"gotest.tools/v3/assert"
+
+	"github.com/agateturn/agateturn/admission"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/view"
+	"github.com/agateturn/agateturn/routing"
+)
+
+const (
+	heartbeat      = 200 * time.Millisecond
+	actualRunTime  = 20 * time.Millisecond
+	callerPatience = 5 * time.Second
+)
+
+// entryHosts starts n dispatchers that share a pool of workers with 8 slots each and tell each other of their load.
+func entryHosts(ctx context.Context, n, workers int) []*Dispatcher {
+	cfg := &pb.Configuration{
+		Generation: 1,
+		Pools:      []*pb.Pool{{Name: "p"}},
+		Services: []*pb.Service{{
+			Name: "s", Pool: "p", MaxQueue: 512, Deadline: durationpb.New(callerPatience),
+			RunTime: durationpb.New(500 * time.Millisecond), UrgentStart: durationpb.New(time.Second),
+		}},
+		Teams: []*pb.Team{{Name: "t", Weight: 1, Quota: 1000}},
+	}
+	f := &pb.Fleet{Revision: 1, Owners: &pb.OwnerSet{}}
+	for i := range workers {
+		name := fmt.Sprintf("w%d", i)
+		cfg.Hosts = append(cfg.Hosts, &pb.Host{Name: name, Pool: "p", Slots: 8})
+		f.Hosts = append(f.Hosts, &pb.HostState{Host: name, Pool: "p", Phase: pb.HostPhase_HOST_PHASE_ACTIVE})
+	}
+	for i := range n {
+		name := fmt.Sprintf("entry-%d", i)
+		f.Members = append(f.Members, &pb.Member{Name: name, Incarnation: "1"})
+		f.Owners.Owners = append(f.Owners.Owners, &pb.Owner{Name: name, Incarnation: "1"})
+	}
+	hosts := lo.Map(f.GetMembers(), func(m *pb.Member, i int) *Dispatcher {
+		v := view.New(m, time.Minute, time.Minute)
+		d := New(v, f.GetOwners().GetOwners()[i], "", 0)
+		go d.Run(ctx)
+		v.ApplyConfig(time.Now(), cfg)
+		v.ApplyFleet(f)
+		return d
+	})
+	byName := lo.KeyBy(hosts, func(d *Dispatcher) string { return d.self.GetName() })
+	for _, d := range hosts {
+		go beat(ctx, d, byName)
+	}
+	time.Sleep(5 * heartbeat)
+	return hosts
+}
+
+// beat sends the heartbeats of an entry host: regular ones to all, early ones where there is news.
+func beat(ctx context.Context, from *Dispatcher, peers map[string]*Dispatcher) {
+	ticker := time.NewTicker(heartbeat)
+	defer ticker.Stop()
+	tell := func(peer string) {
+		hb := &pb.Heartbeat{Name: from.self.GetName(), Incarnation: from.self.GetIncarnation()}
+		if peer != from.self.GetName() && from.Compose(ctx, peer, hb) == nil {
+			peers[peer].Incoming(ctx, hb)
+		}
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case peer := <-from.PeersToTell():
+			tell(peer)
+		case <-ticker.C:
+			for peer := range peers {
+				tell(peer)
+			}
+		}
+	}
+}
+
+// ask is one caller; it returns the rejection, nil for a request that ran.
+func ask(ctx context.Context, d *Dispatcher, class admission.Class) *Rejection {
+	t := &Ticket{
+		Request: admission.Request{Service: "s", Pool: "p", Team: "t", Class: class, Deadline: time.Now().Add(callerPatience)},
+		Result:  make(chan Verdict, 1),
+	}
+	d.Offer(t)
+	v := <-t.Result
+	if v.Grant != nil {
+		time.Sleep(actualRunTime)
+		d.Done(ctx, Finished{Ticket: t, Grant: v.Grant, Result: routing.Succeeded})
+	}
+	return v.Rejection
+}
+
+// allRun sends 6 urgent and 12 normal requests at once and checks that each one runs.
+func allRun(ctx context.Context, t *testing.T, d *Dispatcher) {
+	t.Helper()
+	var burst sync.WaitGroup
+	for i := range 18 {
+		burst.Go(func() {
+			class := lo.Ternary(i%3 == 0, admission.ClassUrgent, admission.ClassNormal)
+			rejection := ask(ctx, d, class)
+			assert.Check(t, rejection == nil, "%s request: %+v", class, rejection)
+		})
+	}
+	burst.Wait()
+}
+
+func inBubble(t *testing.T, test func(ctx context.Context, t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		test(ctx, t)
+	})
+}
+
+// Guards against requests refused after a flood at a peer, because slots that are lent to it counted as lost.
+func TestBurstWhileSlotsAreLentAfterFlood(t *testing.T) {
+	inBubble(t, func(ctx context.Context, t *testing.T) {
+		hosts := entryHosts(ctx, 2, 4)
+		var flood sync.WaitGroup
+		end := time.Now().Add(2 * time.Second)
+		for range 200 {
+			flood.Go(func() {
+				for time.Now().Before(end) {
+					if rejection := ask(ctx, hosts[0], admission.ClassNormal); rejection != nil {
+						time.Sleep(rejection.RetryAfter)
+					}
+				}
+			})
+		}
+		flood.Wait()
+		before := hosts[1].SlotStatus(ctx)
+		assert.Assert(t, before.Own > 0)
+		assert.Equal(t, before.Lent, before.Own)
+		allRun(ctx, t, hosts[1])
+	})
+}
+
+// Guards against requests refused in the first burst of a pool, because no slot of it had been looked at yet.
+func TestFirstBurstOfAPoolInOneBatch(t *testing.T) {
+	inBubble(t, func(ctx context.Context, t *testing.T) {
+		host := entryHosts(ctx, 1, 4)[0]
+		_ = host.commands.Put(ctx, func(*Dispatcher, time.Time) { time.Sleep(time.Millisecond) }) // the burst gathers behind it
+		allRun(ctx, t, host)
+	})
+}
+
+// Guards against requests refused by an entry host that owns no slot of a pool, while its peers leave theirs unused.
+func TestBurstAtAnEntryHostWithoutSlots(t *testing.T) {
+	inBubble(t, func(ctx context.Context, t *testing.T) {
+		host, found := lo.Find(entryHosts(ctx, 12, 1), func(d *Dispatcher) bool { return d.SlotStatus(ctx).Own == 0 })
+		assert.Assert(t, found)
+		allRun(ctx, t, host)
+	})
+}
--- a/slots/balance.go
+++ b/slots/balance.go
@@ -51,14 +51,7 @@
 
 // peerDemands sorts the peers' fresh demand by pool, and by member within a pool.
 func (l *Ledger) peerDemands(now time.Time, peers map[string]PeerDemand) map[string][]poolPeer {
-	ids := make([]memberID, 0, len(l.peers))
-	for id, p := range l.peers {
-		d, ok := peers[id.name]
-		fresh := d.Heard.IsZero() || now.Sub(d.Heard) < freshFor
-		if ok && p.sequence > 0 && fresh {
-			ids = append(ids, id)
-		}
-	}
+	ids := l.freshPeers(now, peers)
 	sort.Slice(ids, func(i, j int) bool { return ids[i].name < ids[j].name })
 	out := map[string][]poolPeer{}
 	for _, id := range ids {
@@ -69,6 +62,19 @@
 	return out
 }
 
+// freshPeers lists the members that were heard under their present incarnation, and of late.
+func (l *Ledger) freshPeers(now time.Time, peers map[string]PeerDemand) []memberID {
+	ids := make([]memberID, 0, len(l.peers))
+	for id, p := range l.peers {
+		d, ok := peers[id.name]
+		fresh := d.Heard.IsZero() || now.Sub(d.Heard) < freshFor
+		if ok && p.sequence > 0 && fresh {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // balancePool balances one pool.
 func (l *Ledger) balancePool(now time.Time, own *pb.PoolDemand, peers []poolPeer) {
 	idle, lent, held := l.poolRecords(own.GetPool())
--- a/slots/ledger.go
+++ b/slots/ledger.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -56,6 +57,8 @@
 	key   slotKey
 	host  *host
 	owner memberID
+	// ownerPlace is the place of the owner among the ledger's owners; -1 for none.
+	ownerPlace int
 	// own: this incarnation owns the slot by the settled owners.
 	own bool
 	// acquired is the revision that every member's report must reach before an own slot may be used; 0 once cleared.
@@ -269,6 +272,7 @@
 	key := r.key.rendezvousKey()
 	current, _ := rendezvous.Owner(key, l.owners)
 	r.owner = ownerID(current)
+	r.ownerPlace = slices.Index(l.owners.GetOwners(), current)
 	own := current != nil && r.owner == l.self
 	switch {
 	case own && !r.own:
--- /dev/null
+++ b/slots/reachable.go
@@ -0,0 +1,50 @@
+package slots
+
+import (
+	"slices"
+	"time"
+)
+
+// Reachable returns the number of slots of a pool that this member can come to use: its own ones, including those lent,
+// which it can recall; and those of its peers that it has borrowed or that nobody uses. Only hosts that take work count.
+func (l *Ledger) Reachable(now time.Time, pool string, peers map[string]PeerDemand, takesWork func(host string) bool) int {
+	own, held := 0, 0
+	byOwner := make([]int, len(l.owners.GetOwners()))
+	for _, h := range l.pools[pool] {
+		if !takesWork(h.Host) {
+			continue
+		}
+		for _, r := range h.records {
+			switch {
+			case !r.open() || r.acquired != 0 || r.ownerPlace < 0:
+			case r.own:
+				own++
+			default:
+				byOwner[r.ownerPlace]++
+				if r.held != nil {
+					held++
+				}
+			}
+		}
+	}
+	return own + max(held, l.unused(now, pool, byOwner, peers))
+}
+
+// unused is the number of slots that the peers have beyond their load, by their fresh demand.
+func (l *Ledger) unused(now time.Time, pool string, byOwner []int, peers map[string]PeerDemand) int {
+	n := 0
+	fresh := l.freshPeers(now, peers)
+	for i, o := range l.owners.GetOwners() {
+		if slices.Contains(fresh, ownerID(o)) {
+			n += byOwner[i]
+		}
+	}
+	for _, id := range fresh {
+		for _, d := range peers[id.name].Pools {
+			if d.GetPool() == pool {
+				n -= int(d.GetRunning() + d.GetQueued())
+			}
+		}
+	}
+	return n
+}
