dispatch: a quota that comes free is told early

What callers saw: a team at its quota at one entry host; when it asks for nothing there any more, its urgent requests at another one are refused at the end of urgent_start, and normal ones wait, beside idle slots, until the next regular heartbeat (1 s by default, as long as the default urgent_start).

Cause: quotas go by the usage in heartbeats. Early heartbeats follow shortages and loans of slots only; a team at its quota makes no shortage.

Evidence: dispatchers in virtual time, heartbeats of 1 s, urgent_start of 500 ms, a burst that ends 100 ms after a heartbeat: all 6 urgent requests at the other entry host were refused in each of 3 runs.

Change: each peer that was told of a team at its quota hears early once the team runs half as much; bounded as all early heartbeats are.

--- a/admission/demand.go
+++ b/admission/demand.go
@@ -86,6 +86,22 @@
 	return out
 }
 
+// TeamsAtQuota returns what each team without room under its quota runs on this entry host, by name; teams that run nothing
+// here are left out.
+func (q *Queue) TeamsAtQuota() map[string]int64 {
+	var out map[string]int64
+	for _, t := range q.teams {
+		if t.running == 0 || t.room() > 0 {
+			continue
+		}
+		if out == nil {
+			out = map[string]int64{}
+		}
+		out[t.name] = t.running
+	}
+	return out
+}
+
 // startable counts the queued requests that could start if there were slots, and finds the oldest arrival.
 func (p *pool) startable() (queued int64, oldest time.Time) {
 	for _, l := range p.lanes {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -107,6 +107,8 @@
 	wasQuiet bool
 	peers    map[string]slots.PeerDemand
 	usage    map[string]map[string]int64 // running by team, by peer
+	// toldFull is what each peer was told last of the teams at their quotas: running here by team, by peer.
+	toldFull map[string]map[string]int64
 	nextID   uint64
 	// sequence numbers the heartbeats of this incarnation.
 	sequence uint64
@@ -129,6 +131,7 @@
 		due:      map[string]time.Time{},
 		peers:    map[string]slots.PeerDemand{},
 		usage:    map[string]map[string]int64{},
+		toldFull: map[string]map[string]int64{},
 		leaving:  map[string][]string{},
 	}
 	v.OnFleet(d)
@@ -168,6 +171,7 @@
 		d.reject(r)
 	}
 	d.balance(now)
+	d.tellFreedQuotas()
 	waiting := d.ledger.Waiting()
 	d.slotless.Store(waiting > 0 && waiting == d.ledger.Own())
 }
--- a/internal/dispatch/dispatchpeers.go
+++ b/internal/dispatch/dispatchpeers.go
@@ -50,6 +50,7 @@
 	d.peers = lo.PickBy(d.peers, func(name string, _ slots.PeerDemand) bool { return present[name] != nil })
 	d.leaving = lo.PickBy(d.leaving, func(name string, _ []string) bool { return present[name] != nil })
 	d.usage = lo.PickBy(d.usage, func(name string, _ map[string]int64) bool { return present[name] != nil })
+	d.toldFull = lo.PickBy(d.toldFull, func(name string, _ map[string]int64) bool { return present[name] != nil })
 	d.due = dueForMaintenance(f, cfg, now)
 }
 
@@ -107,20 +108,6 @@
 	return false
 }
 
-// takeUsage sums up what each team runs on the other entry hosts.
-func (d *Dispatcher) takeUsage(hb *pb.Heartbeat) {
-	before := d.usage[hb.GetName()]
-	now := lo.SliceToMap(hb.GetTeamUsage(), func(u *pb.TeamUsage) (string, int64) { return u.GetTeam(), u.GetRunning() })
-	d.usage[hb.GetName()] = now
-	for _, team := range lo.Union(lo.Keys(before), lo.Keys(now)) {
-		total := int64(0)
-		for _, peer := range d.usage {
-			total += peer[team]
-		}
-		d.queues.SetTeamUsage(team, total)
-	}
-}
-
 // AllowRetry takes a retry from the service's budget.
 func (d *Dispatcher) AllowRetry(ctx context.Context, service string) bool {
 	allowed := make(chan bool, 1)
@@ -149,6 +136,7 @@
 		hb.Slots = d.ledger.Outgoing(peer)
 		hb.Demand = lo.Filter(d.demand(now), isLoaded)
 		hb.TeamUsage = d.queues.TeamUsage()
+		d.noteUsage(peer)
 		hb.Health = d.router.Health()
 		hb.LeavingHosts = d.leaving[d.self.GetName()]
 	})
--- a/internal/dispatch/reachable_test.go
+++ b/internal/dispatch/reachable_test.go
@@ -19,29 +19,36 @@
 )
 
 const (
-	heartbeat      = 200 * time.Millisecond
+	heartbeat      = time.Second
 	actualRunTime  = 20 * time.Millisecond
 	callerPatience = 5 * time.Second
 )
 
-// entryHosts starts n dispatchers that share a pool of workers with 8 slots each and tell each other of their load.
-func entryHosts(ctx context.Context, n, workers int) []*Dispatcher {
+// deployment is a pool of workers with 8 slots each, and a team that uses it.
+type deployment struct {
+	entryHosts, workers int
+	quota               int64
+	urgentStart         time.Duration
+}
+
+// start starts the dispatchers, which tell each other of their load.
+func (s deployment) start(ctx context.Context) []*Dispatcher {
 	cfg := &pb.Configuration{
 		Generation: 1,
 		Pools:      []*pb.Pool{{Name: "p"}},
 		Services: []*pb.Service{{
 			Name: "s", Pool: "p", MaxQueue: 512, Deadline: durationpb.New(callerPatience),
-			RunTime: durationpb.New(500 * time.Millisecond), UrgentStart: durationpb.New(time.Second),
+			RunTime: durationpb.New(500 * time.Millisecond), UrgentStart: durationpb.New(s.urgentStart),
 		}},
-		Teams: []*pb.Team{{Name: "t", Weight: 1, Quota: 1000}},
+		Teams: []*pb.Team{{Name: "t", Weight: 1, Quota: s.quota}},
 	}
 	f := &pb.Fleet{Revision: 1, Owners: &pb.OwnerSet{}}
-	for i := range workers {
+	for i := range s.workers {
 		name := fmt.Sprintf("w%d", i)
 		cfg.Hosts = append(cfg.Hosts, &pb.Host{Name: name, Pool: "p", Slots: 8})
 		f.Hosts = append(f.Hosts, &pb.HostState{Host: name, Pool: "p", Phase: pb.HostPhase_HOST_PHASE_ACTIVE})
 	}
-	for i := range n {
+	for i := range s.entryHosts {
 		name := fmt.Sprintf("entry-%d", i)
 		f.Members = append(f.Members, &pb.Member{Name: name, Incarnation: "1"})
 		f.Owners.Owners = append(f.Owners.Owners, &pb.Owner{Name: name, Incarnation: "1"})
@@ -101,6 +108,22 @@
 	return v.Rejection
 }
 
+// flood has n callers ask an entry host all the time, and returns when the last one has its answer.
+func flood(ctx context.Context, d *Dispatcher, n int, length time.Duration) {
+	var callers sync.WaitGroup
+	end := time.Now().Add(length)
+	for range n {
+		callers.Go(func() {
+			for time.Now().Before(end) {
+				if rejection := ask(ctx, d, admission.ClassNormal); rejection != nil {
+					time.Sleep(rejection.RetryAfter)
+				}
+			}
+		})
+	}
+	callers.Wait()
+}
+
 // allRun sends 6 urgent and 12 normal requests at once and checks that each one runs.
 func allRun(ctx context.Context, t *testing.T, d *Dispatcher) {
 	t.Helper()
@@ -127,19 +150,8 @@
 // Guards against requests refused after a flood at a peer, because slots that are lent to it counted as lost.
 func TestBurstWhileSlotsAreLentAfterFlood(t *testing.T) {
 	inBubble(t, func(ctx context.Context, t *testing.T) {
-		hosts := entryHosts(ctx, 2, 4)
-		var flood sync.WaitGroup
-		end := time.Now().Add(2 * time.Second)
-		for range 200 {
-			flood.Go(func() {
-				for time.Now().Before(end) {
-					if rejection := ask(ctx, hosts[0], admission.ClassNormal); rejection != nil {
-						time.Sleep(rejection.RetryAfter)
-					}
-				}
-			})
-		}
-		flood.Wait()
+		hosts := deployment{entryHosts: 2, workers: 4, quota: 1000, urgentStart: time.Second}.start(ctx)
+		flood(ctx, hosts[0], 200, 2*time.Second)
 		before := hosts[1].SlotStatus(ctx)
 		assert.Assert(t, before.Own > 0)
 		assert.Equal(t, before.Lent, before.Own)
@@ -150,7 +162,7 @@
 // Guards against requests refused in the first burst of a pool, because no slot of it had been looked at yet.
 func TestFirstBurstOfAPoolInOneBatch(t *testing.T) {
 	inBubble(t, func(ctx context.Context, t *testing.T) {
-		host := entryHosts(ctx, 1, 4)[0]
+		host := deployment{entryHosts: 1, workers: 4, quota: 1000, urgentStart: time.Second}.start(ctx)[0]
 		_ = host.commands.Put(ctx, func(*Dispatcher, time.Time) { time.Sleep(time.Millisecond) }) // the burst gathers behind it
 		allRun(ctx, t, host)
 	})
@@ -159,8 +171,22 @@
 // Guards against requests refused by an entry host that owns no slot of a pool, while its peers leave theirs unused.
 func TestBurstAtAnEntryHostWithoutSlots(t *testing.T) {
 	inBubble(t, func(ctx context.Context, t *testing.T) {
-		host, found := lo.Find(entryHosts(ctx, 12, 1), func(d *Dispatcher) bool { return d.SlotStatus(ctx).Own == 0 })
+		hosts := deployment{entryHosts: 12, workers: 1, quota: 1000, urgentStart: time.Second}.start(ctx)
+		host, found := lo.Find(hosts, func(d *Dispatcher) bool { return d.SlotStatus(ctx).Own == 0 })
 		assert.Assert(t, found)
 		allRun(ctx, t, host)
 	})
 }
+
+// Guards against requests refused after a flood at a peer, because what their team used there was counted until the next
+// regular heartbeat.
+func TestBurstOfATeamThatWasAtItsQuotaElsewhere(t *testing.T) {
+	inBubble(t, func(ctx context.Context, t *testing.T) {
+		const quota = 8
+		hosts := deployment{entryHosts: 2, workers: 4, quota: quota, urgentStart: heartbeat / 2}.start(ctx)
+		time.Sleep(actualRunTime / 2)
+		flood(ctx, hosts[0], quota, heartbeat+heartbeat/10) // ends soon after a heartbeat
+		assert.Equal(t, hosts[0].SlotStatus(ctx).InUse, 0)
+		allRun(ctx, t, hosts[1])
+	})
+}
