proofs: a failed flood says what became of the requests without a whole answer

What was missing: a run of TestFloodOfCallers that failed while the flood ran showed counts alone, and an operator's call without an answer showed nothing, so that a caller's timeout, a cut connection and an answer outside the contract looked the same.

--- a/proofs/flood_test.go
+++ b/proofs/flood_test.go
@@ -85,6 +85,7 @@
 // tally counts the answers to callers.
 type tally struct {
 	whole, refused, none, wrong atomic.Int64
+	t                           *testing.T
 }
 
 // send is one caller's request. A refusal must be a not-run with a time to come back.
@@ -96,9 +97,11 @@
 	}
 	req.Header.Set("Agateturn-Team", "orders")
 	req.Header.Set("Agateturn-Timeout", "2s")
+	began := time.Now()
 	resp, err := client.Do(req)
 	if err != nil {
 		a.none.Add(1)
+		a.t.Logf("%d bytes, no answer after %s: %v", len(body), time.Since(began), err)
 		return
 	}
 	_ = resp.Body.Close()
@@ -110,6 +113,7 @@
 		a.refused.Add(1)
 	default:
 		a.wrong.Add(1)
+		a.t.Logf("%d bytes, answer outside the contract after %s: %s %v", len(body), time.Since(began), resp.Status, header)
 	}
 }
 
@@ -122,7 +126,7 @@
 	address := c.entries[1].at(7000)
 	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	var group sync.WaitGroup
-	var small, fat tally
+	small, fat := tally{t: t}, tally{t: t}
 	body := strings.Repeat("a", mib)
 	repeat(ctx, &group, 300, 3000, func() { idle(ctx, address, "") })
 	repeat(ctx, &group, 300, 3000, func() { idle(ctx, address, "POST /v1/services/left/job HTTP/1.1\r\nX-Slow: "+body[:4000]) })
