slots: a lender without a slot takes its loans back

What callers saw: during a flood at one entry host, single requests at another one that has lent all of its slots wait until the flood ends or are refused at the end of urgent_start, although it owns half of the pool.

Cause: loans are recalled when the own queue for each slot is twice the borrower's, and a lender without any slot counted as having one: a few requests that could not start at all looked like a short queue beside 168 for 32 slots.

Evidence: two dispatchers in virtual time, 17 or 18 of 18 slots lent, runs of 20 ms. With 20 or 40 callers at the peer an urgent request ran within 80 ms; with 60, 100 and 200 it was refused after 1 s, and a normal one waited 4.1 s, until the flood's end.

Change: a lender whose requests queue and that has no slot recalls as many loans as requests wait, whatever the borrower's queue.

Before: the test failed in 3 of 3 runs; after: passed in 3 and in 15 of 15 with -race.

--- a/internal/dispatch/reachable_test.go
+++ b/internal/dispatch/reachable_test.go
@@ -190,3 +190,21 @@
 		allRun(ctx, t, hosts[1])
 	})
 }
+
+// Guards against a few requests refused during a flood at a peer, because loans were recalled by the length of queues alone.
+func TestFewRequestsAtTheLenderOfAFlood(t *testing.T) {
+	inBubble(t, func(ctx context.Context, t *testing.T) {
+		hosts := deployment{entryHosts: 2, workers: 4, quota: 1000, urgentStart: time.Second}.start(ctx)
+		var flooding sync.WaitGroup
+		flooding.Go(func() { flood(ctx, hosts[0], 200, 4*time.Second) })
+		time.Sleep(time.Second)
+		for i := range 5 {
+			time.Sleep(300 * time.Millisecond)
+			before := hosts[1].SlotStatus(ctx)
+			assert.Equal(t, before.Lent, before.Own)
+			rejection := ask(ctx, hosts[1], admission.ClassUrgent)
+			assert.Check(t, rejection == nil, "request %d: %+v", i, rejection)
+		}
+		flooding.Wait()
+	})
+}
--- a/slots/balance.go
+++ b/slots/balance.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -192,6 +193,9 @@
 	}
 	sort.SliceStable(lent, func(i, j int) bool { return byMember[lent[i].lent.to] < byMember[lent[j].lent.to] })
 	ownPressure := pressure(own)
+	if own.GetRunning()+own.GetIdle() == 0 {
+		ownPressure = math.Inf(1) // without a slot nothing that queues here would start
+	}
 	for _, r := range lent {
 		if short <= 0 || byMember[r.lent.to]*recallRatio >= ownPressure {
 			return
