jobhost, httpcall: bytes of calls to the store, workers and peers are counted

Callers of the small twin of the first grown deployment (owners on links of 2 Mbit/s) lose jobs, and nothing told which calls fill the links.

--- a/httpcall/conn.go
+++ b/httpcall/conn.go
@@ -22,9 +22,14 @@
 	requests = sync.Pool{New: func() any { return new([]byte) }}
 )
 
+// volume counts the bytes of a call.
+type volume struct{ sent, received int64 }
+
 // conn is a connection for one call at a time.
 type conn struct {
 	net.Conn
+	// volume is that of the call under way.
+	volume    *volume
 	idleSince time.Time
 	// used: it has carried a call before. heard: a byte of the present answer has come.
 	used, heard bool
@@ -46,6 +51,7 @@
 		p = p[:c.left]
 	}
 	n, err := c.Conn.Read(p)
+	c.volume.received += int64(n)
 	c.heard = c.heard || n > 0
 	if c.left > 0 {
 		c.left -= n
@@ -62,7 +68,9 @@
 		return got, true, err
 	}
 	got.Sent = true
-	if _, err := c.Write(*buffer); err != nil {
+	n, err := c.Write(*buffer)
+	c.volume.sent += int64(n)
+	if err != nil {
 		return got, false, err
 	}
 	reader := readers.Get().(*bufio.Reader)
--- a/httpcall/conn_test.go
+++ b/httpcall/conn_test.go
@@ -18,9 +18,18 @@
 
 // raw answers each request on a connection with the next text, and closes the connection after the last one.
 func raw(t *testing.T, answers ...string) *httpcall.Client {
+	t.Helper()
+	client := httpcall.New(answering(t, answers...), 1, nil)
+	t.Cleanup(client.Close)
+	return client
+}
+
+// answering returns the address of a listener that answers each request on a connection with the next text.
+func answering(t *testing.T, answers ...string) string {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -30,12 +39,7 @@
 			go answerAll(conn, answers)
 		}
 	}()
-	client := httpcall.New(listener.Addr().String(), 1, nil)
-	t.Cleanup(func() {
-		client.Close()
-		_ = listener.Close()
-	})
-	return client
+	return listener.Addr().String()
 }
 
 func answerAll(conn net.Conn, answers []string) {
--- a/httpcall/httpcall.go
+++ b/httpcall/httpcall.go
@@ -40,9 +40,19 @@
 	errHeaderValue   = errors.New("header field with a control character")
 )
 
-// Observer is told of each call: its name, duration and outcome, one of ok, refused, limited, unavailable, failed (by
-// the answer's status), timeout, cancelled, unreachable, broken. It must not block.
-type Observer func(call string, d time.Duration, outcome string)
+// Call is a call that has ended.
+type Call struct {
+	Name string
+	Took time.Duration
+	// Outcome is one of ok, refused, limited, unavailable, failed (by the answer's status), timeout, cancelled, unreachable,
+	// broken.
+	Outcome string
+	// Sent and Received count bytes of HTTP, also of calls without an answer.
+	Sent, Received int64
+}
+
+// Observer is told of each call. It must not block.
+type Observer func(Call)
 
 // Client calls one address. It may be used concurrently.
 type Client struct {
@@ -93,19 +103,20 @@
 	if earlier, ok := ctx.Deadline(); ok && earlier.Before(deadline) {
 		deadline = earlier
 	}
-	got, err := c.call(ctx, deadline, &r)
+	var v volume
+	got, err := c.call(ctx, deadline, &r, &v)
 	if errors.Is(err, context.DeadlineExceeded) {
 		c.conns.dropIdle()
 	}
 	if c.observe != nil {
-		c.observe(r.Name, time.Since(began), outcome(got, err))
+		c.observe(Call{Name: r.Name, Took: time.Since(began), Outcome: outcome(got, err), Sent: v.sent, Received: v.received})
 	}
 	return got, err
 }
 
 // call repeats a call that reads if a connection that was used before ends without a byte of the answer: the other side
 // may have closed it while it was idle.
-func (c *Client) call(ctx context.Context, deadline time.Time, r *Request) (Answer, error) {
+func (c *Client) call(ctx context.Context, deadline time.Time, r *Request, v *volume) (Answer, error) {
 	if err := c.conns.acquire(ctx, deadline); err != nil {
 		return Answer{}, err
 	}
@@ -115,6 +126,7 @@
 		if err != nil {
 			return Answer{}, cause(ctx, err)
 		}
+		conn.volume = v
 		got, err := c.exchange(ctx, conn, r)
 		if err == nil {
 			return got, nil
--- a/httpcall/httpcall_test.go
+++ b/httpcall/httpcall_test.go
@@ -100,7 +100,7 @@
 		}
 	})
 	var outcome string
-	client := httpcall.New(server.URL, 2, func(_ string, _ time.Duration, o string) { outcome = o })
+	client := httpcall.New(server.URL, 2, func(c httpcall.Call) { outcome = c.Outcome })
 	t.Cleanup(client.Close)
 	tests := []struct {
 		path, outcome string
@@ -125,6 +125,20 @@
 	}
 }
 
+// TestVolumeOfCalls counts the bytes of each call alone, on a connection that carries several, also without an answer.
+func TestVolumeOfCalls(t *testing.T) {
+	var last httpcall.Call
+	listener := answering(t, plainAnswer, plainAnswer, "HTTP/1.1 200 OK")
+	client := httpcall.New(listener, 1, func(c httpcall.Call) { last = c })
+	t.Cleanup(client.Close)
+	sent := int64(len("GET / HTTP/1.1\r\nHost: " + listener + "\r\n\r\n"))
+	for _, received := range []int{len(plainAnswer), len(plainAnswer), len("HTTP/1.1 200 OK")} {
+		_, _ = client.Do(context.Background(), get(patience))
+		assert.Equal(t, last.Sent, sent)
+		assert.Equal(t, last.Received, int64(received), last.Outcome)
+	}
+}
+
 func TestWhatIsNotSent(t *testing.T) {
 	closed := httptest.NewServer(nil)
 	closed.Close()
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -21,6 +21,7 @@
 	"github.com/agateturn/agateturn/internal/jobfront"
 	"github.com/agateturn/agateturn/internal/jobpeer"
 	"github.com/agateturn/agateturn/internal/jobstore"
+	"github.com/agateturn/agateturn/internal/measures"
 	"github.com/agateturn/agateturn/internal/membership"
 	"github.com/agateturn/agateturn/internal/poolowner"
 	"github.com/agateturn/agateturn/internal/tablefollow"
@@ -172,7 +173,7 @@
 	h.serve(ctx, group, ready, h.front.ReadyHandler())
 	mux := http.NewServeMux()
 	mux.Handle(jobpeer.NewHandler(h.pools, h.tables, h.front))
-	h.serve(ctx, group, peers, mux)
+	h.serve(ctx, group, measures.TrafficMeter(h.stats, measures.TrafficPeers).Listener(peers), mux)
 	if err := h.listenMetrics(ctx, group); err != nil {
 		return err
 	}
--- a/internal/jobhost/metrics.go
+++ b/internal/jobhost/metrics.go
@@ -12,6 +12,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/agateturn/agateturn/events"
+	"github.com/agateturn/agateturn/httpcall"
+	"github.com/agateturn/agateturn/internal/meterconn"
 	"github.com/agateturn/agateturn/stats"
 )
 
@@ -24,6 +26,10 @@
 	metricLeaseSlack    = "agateturn_lease_slack_seconds"
 	metricStoreCalls    = "agateturn_store_calls_total"
 	metricStoreTime     = "agateturn_store_call_seconds"
+	metricStoreBytes    = "agateturn_store_call_bytes_total"
+	metricWorkerCalls   = "agateturn_worker_calls_total"
+	metricWorkerTime    = "agateturn_worker_call_seconds"
+	metricWorkerBytes   = "agateturn_worker_call_bytes_total"
 )
 
 // listenMetrics serves metrics and health checks alone, if the settings name an address for them.
@@ -80,34 +86,54 @@
 	h.stats.Gauge(metricDecisionsLost, label).Update(lost)
 }
 
-// callMeter counts and times calls by kind and outcome. Both are constants of the client. It is safe for concurrent use.
+// callMeter counts and times calls by kind and outcome, and their bytes by kind and direction. Kinds and outcomes are
+// constants of the client. It is safe for concurrent use.
 type callMeter struct {
-	stats       *stats.Stats
-	calls, time string
+	stats              *stats.Stats
+	calls, time, bytes string
 
 	mu       sync.Mutex
 	counters map[callKind]metrics.Counter
+	volumes  map[string]meterconn.Meter
 }
 
 type callKind struct {
 	call, outcome string
 }
 
-func newCallMeter(s *stats.Stats, calls, time string) *callMeter {
-	return &callMeter{stats: s, calls: calls, time: time, counters: map[callKind]metrics.Counter{}}
+func newCallMeter(s *stats.Stats, calls, time, bytes string) *callMeter {
+	return &callMeter{
+		stats: s, calls: calls, time: time, bytes: bytes,
+		counters: map[callKind]metrics.Counter{}, volumes: map[string]meterconn.Meter{},
+	}
+}
+
+func (m *callMeter) observe(c httpcall.Call) {
+	count, volume := m.metersOf(callKind{call: c.Name, outcome: c.Outcome})
+	count.Inc(1)
+	volume.Sent.Inc(c.Sent)
+	volume.Received.Inc(c.Received)
+	m.stats.Time(m.time, c.Took, stats.Label{Name: "call", Value: c.Name})
 }
 
-func (m *callMeter) observe(call string, d time.Duration, outcome string) {
-	kind := callKind{call: call, outcome: outcome}
+func (m *callMeter) metersOf(kind callKind) (metrics.Counter, meterconn.Meter) {
 	m.mu.Lock()
-	counter := m.counters[kind]
-	if counter == nil {
-		counter = m.stats.Counter(m.calls, stats.Label{Name: "call", Value: call}, stats.Label{Name: "outcome", Value: outcome})
-		m.counters[kind] = counter
+	defer m.mu.Unlock()
+	call := stats.Label{Name: "call", Value: kind.call}
+	count, ok := m.counters[kind]
+	if !ok {
+		count = m.stats.Counter(m.calls, call, stats.Label{Name: "outcome", Value: kind.outcome})
+		m.counters[kind] = count
+	}
+	volume, ok := m.volumes[kind.call]
+	if !ok {
+		volume = meterconn.Meter{
+			Sent:     m.stats.Counter(m.bytes, call, stats.Label{Name: "direction", Value: "sent"}),
+			Received: m.stats.Counter(m.bytes, call, stats.Label{Name: "direction", Value: "received"}),
+		}
+		m.volumes[kind.call] = volume
 	}
-	m.mu.Unlock()
-	counter.Inc(1)
-	m.stats.Time(m.time, d, stats.Label{Name: "call", Value: call})
+	return count, volume
 }
 
 // tellStarted logs what this process is and where it listens.
--- a/internal/jobhost/provide.go
+++ b/internal/jobhost/provide.go
@@ -11,6 +11,7 @@
 	"github.com/agateturn/agateturn/internal/jobfront"
 	"github.com/agateturn/agateturn/internal/jobpeer"
 	"github.com/agateturn/agateturn/internal/jobstore"
+	"github.com/agateturn/agateturn/internal/measures"
 	"github.com/agateturn/agateturn/internal/membership"
 	"github.com/agateturn/agateturn/internal/poolowner"
 	"github.com/agateturn/agateturn/internal/tablefollow"
@@ -45,13 +46,16 @@
 func provideStore(i do.Injector) (store.Transactor, error) {
 	return platform.NewStore(do.MustInvoke[*pb.JobSettings](i).GetJobStore().GetAddress(), platform.StoreOptions{
 		Timeout: storeTimeout,
-		Observe: newCallMeter(do.MustInvoke[*stats.Stats](i), metricStoreCalls, metricStoreTime).observe,
+		Observe: newCallMeter(do.MustInvoke[*stats.Stats](i), metricStoreCalls, metricStoreTime, metricStoreBytes).observe,
 	}), nil
 }
 
 func provideWorkers(i do.Injector) (poolowner.Workers, error) {
 	clock := do.MustInvoke[*boottime.Clock](i)
-	return workerCalls{platform.NewWorkers(platform.WorkersOptions{Now: clock.Now})}, nil
+	return workerCalls{platform.NewWorkers(platform.WorkersOptions{
+		Now:     clock.Now,
+		Observe: newCallMeter(do.MustInvoke[*stats.Stats](i), metricWorkerCalls, metricWorkerTime, metricWorkerBytes).observe,
+	})}, nil
 }
 
 func provideTables(i do.Injector) (*tablefollow.Follower, error) {
@@ -87,6 +91,7 @@
 	h.peers = jobpeer.New(h.resolve, h.pools)
 	h.peers.OnRefused(h.peerGone)
 	h.peers.LogTo(h.log)
+	h.peers.Count(measures.TrafficMeter(h.stats, measures.TrafficPeers))
 	h.front = jobfront.New(h.frontOptions())
 	h.list = workerlist.New(h.kv, platform.WorkersPrefix, platform.ParseWorker, h.clock.Now, h.log, h.pools.setWorkers)
 	return h, nil
--- a/internal/jobpeer/client.go
+++ b/internal/jobpeer/client.go
@@ -16,6 +16,7 @@
 	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
+	"github.com/agateturn/agateturn/internal/meterconn"
 )
 
 // Error kinds.
@@ -83,6 +84,12 @@
 // the first call.
 func (c *Client) OnRefused(f func(address string)) { c.onRefused = f }
 
+// Count sets what counts the bytes of calls. It is called before the first call.
+func (c *Client) Count(m meterconn.Meter) {
+	transport := c.http.Transport.(*http.Transport)
+	transport.DialContext = m.Dialer(transport.DialContext)
+}
+
 // LogTo sets where lost and regained peers are logged. It is called before the first call.
 func (c *Client) LogTo(log *slog.Logger) { c.log = log }
 
