poolowner, scheduler: starts under way are bounded, so they do not queue on a narrow link

Hypotheses: (1) the owner's link is too narrow for its calls; (2) its processor; (3) the registry fills the link.

Cause: an owner ordered as many starts as its pool had room for. On a full link each order then had no answer within its 500 ms, was stopped or polled for and ordered again: 9 to 29 starts a second answered, 17 to 122 not, at 139 to 195 KB/s.

Change: a window of bytes bounds the starts under way (package sendwindow). It halves when even the quickest answer of a round is slow, so single slow workers do not count, and grows while it is used up. The scheduler places no more than there is room for, so what goes first is decided when it can be sent.

--- a/internal/poolowner/orders.go
+++ b/internal/poolowner/orders.go
@@ -9,6 +9,7 @@
 
 	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/scheduler"
+	"github.com/agateturn/agateturn/sendwindow"
 )
 
 const (
@@ -26,11 +27,13 @@
 	mu    sync.Mutex
 	// slots is keyed by address; each holds one token for each order in flight.
 	slots map[string]chan struct{}
+	// window bounds the starts under way to all workers.
+	window *sendwindow.Window
 	group sync.WaitGroup
 }
 
 func newSenders(o *Owner) *senders {
-	return &senders{owner: o, slots: make(map[string]chan struct{})}
+	return &senders{owner: o, slots: make(map[string]chan struct{}), window: sendwindow.New()}
 }
 
 func (s *senders) wait() { s.group.Wait() }
@@ -40,6 +43,7 @@
 	now := s.owner.Clock()
 	for _, order := range orders {
 		slot := s.slot(order.Address)
+		s.begin(now, order)
 		s.group.Go(func() { s.carry(ctx, order, slot, now) })
 	}
 }
@@ -68,8 +72,10 @@
 	case <-ctx.Done():
 		return
 	}
+	sent := s.owner.Clock()
 	result := s.call(ctx, order, made)
 	<-slot
+	s.end(order, result.Outcome, sent)
 	s.tell(ctx, order, result.Outcome, made)
 	if result.Outcome == scheduler.OutcomeFenced {
 		s.owner.replaced(ctx, order.Worker)
@@ -77,6 +83,39 @@
 	s.owner.put(ctx, func(p *scheduler.Pool, now time.Time) { p.Result(now, result) })
 }
 
+// room is how many bytes of starts may be ordered now.
+func (s *senders) room() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.window.Room()
+}
+
+func (s *senders) begin(now time.Time, order scheduler.Order) {
+	if order.Kind != scheduler.OrderStart {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.window.Begin(now, order.Bytes())
+}
+
+func (s *senders) end(order scheduler.Order, outcome scheduler.Outcome, sent time.Time) {
+	if order.Kind != scheduler.OrderStart {
+		return
+	}
+	now := s.owner.Clock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch outcome {
+	case scheduler.OutcomeNotSent:
+		s.window.Dropped(order.Bytes())
+	case scheduler.OutcomeUnknown:
+		s.window.Unanswered(now, order.Bytes(), now.Sub(sent))
+	default:
+		s.window.Answered(now, order.Bytes(), now.Sub(sent))
+	}
+}
+
 // tell counts an order, and logs one that was not carried out for sure.
 func (s *senders) tell(ctx context.Context, order scheduler.Order, outcome scheduler.Outcome, made time.Time) {
 	kind := orderKind(order.Kind)
--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -161,6 +161,14 @@
 	Percent int
 }
 
+// orderBytes is about what an order takes on the wire without its texts.
+const orderBytes = 400
+
+// Bytes is about what the order takes on the wire.
+func (o *Order) Bytes() int64 {
+	return int64(orderBytes + len(o.Payload) + len(o.Checkpoint) + len(o.Ticket))
+}
+
 // OrderResult tells what became of an Order.
 type OrderResult struct {
 	Order   Order
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -22,10 +22,12 @@
 		checkpoint = t.step.tasks[0].checkpoint
 	}
 	r.resumed = checkpoint != ""
-	p.out.Orders = append(p.out.Orders, Order{
+	order := Order{
 		Kind: OrderStart, Worker: w.ID, Address: w.Address, Born: w.Born, Task: r.id, Run: number,
 		Payload: t.job().spec.GetPayload(), Checkpoint: checkpoint, Ticket: ticketOf(t.step, w), Until: until,
-	})
+	}
+	p.sending.spend(order.Bytes())
+	p.out.Orders = append(p.out.Orders, order)
 	if w.trust.probing {
 		w.trust.probe = r
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -50,6 +50,9 @@
 	least := leastNeed(order)
 	roomy := withRoom(usable, least)
 	for _, c := range order {
+		if p.sending.spent() {
+			break
+		}
 		if c.class != classPersistent && !kept {
 			usable, kept = p.keepRoom(usable, reservable), true
 			roomy = withRoom(usable, least)
@@ -165,7 +168,7 @@
 	full := false
 	for _, index := range s.ready {
 		t := &s.tasks[index]
-		if full || now.Before(t.notBefore) {
+		if full || p.sending.spent() || now.Before(t.notBefore) {
 			kept = append(kept, index)
 			continue
 		}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -74,6 +74,7 @@
 	// preemptedAt is when runs that give way were last looked for.
 	preemptedAt time.Time
 	fills       bool
+	sending     sending
 
 	out Actions
 }
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -29,7 +29,7 @@
 // checkPreemption stops batch runs for tasks of queues with a lower priority number that would wait for long. What has been
 // freed goes to these by the order of placement. It ends since a task gives way to lower numbers only, and only so often.
 func (p *Pool) checkPreemption(now time.Time) {
-	if len(p.open) == 0 || now.Sub(p.preemptedAt) < preemptEvery {
+	if len(p.open) == 0 || p.sending.spent() || now.Sub(p.preemptedAt) < preemptEvery {
 		return
 	}
 	p.preemptedAt = now
