scheduler, upkeep: a pool that its owner cannot feed gets no more hosts than it can use

Cause: the planner takes what waits in a pool for want of room. Where the owner's link binds, more hosts change nothing there and are missing elsewhere.

Change: an owner measures the work that it starts while tasks wait for its link alone, and tells it with the status as carried_cpu_milli; the planner gives the pool half as much again at most.

--- a/internal/poolowner/loop.go
+++ b/internal/poolowner/loop.go
@@ -47,7 +47,7 @@
 	if !o.isLoaded() {
 		return idleStep
 	}
-	p.SetSendRoom(o.orders.room())
+	p.SetSendRoom(now, o.orders.room())
 	actions := p.Step(now)
 	if len(actions.Decisions) > 0 {
 		o.decisions.Offer(withTime(actions.Decisions, time.Now()))
--- a/internal/poolowner/orders.go
+++ b/internal/poolowner/orders.go
@@ -29,7 +29,7 @@
 	slots map[string]chan struct{}
 	// window bounds the starts under way to all workers.
 	window *sendwindow.Window
-	group sync.WaitGroup
+	group  sync.WaitGroup
 }
 
 func newSenders(o *Owner) *senders {
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -98,6 +98,7 @@
 	switch res.Outcome {
 	case OutcomeDone:
 		r.state = runAccepted
+		p.sending.carries(r.task)
 		r.answered = stamp{set: true, at: now, clock: res.Clock}
 		w.pauses = 0
 		if r.task != nil && !r.task.job().started {
--- a/scheduler/speculate.go
+++ b/scheduler/speculate.go
@@ -11,7 +11,7 @@
 
 // checkSpeculation starts copies of late runs while the pool has nothing else to start.
 func (p *Pool) checkSpeculation(now time.Time) {
-	if !p.speculates || len(p.open) > 0 || now.Sub(p.speculatedAt) < speculateEvery {
+	if !p.speculates || len(p.open) > 0 || p.sending.spent() || now.Sub(p.speculatedAt) < speculateEvery {
 		return
 	}
 	p.speculatedAt = now
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -19,6 +19,7 @@
 		out.BacklogMilliMs += int64(float64(len(s.ready)) * s.load())
 	}
 	out.StuckCpuMilli = p.stuckCPU(now)
+	out.CarriedCpuMilli = int64(p.sending.carried)
 	for _, w := range p.order {
 		if w.left && len(w.runs) == 0 {
 			continue
--- a/upkeep/move.go
+++ b/upkeep/move.go
@@ -209,6 +209,16 @@
 	return floor
 }
 
+// most is the number of machines beyond which the pool's owner could not use any, 0 if that is not what binds.
+func (p *poolPlan) most() float64 {
+	const margin = 1.5
+	carried := float64(p.status.GetCarriedCpuMilli())
+	if carried == 0 {
+		return 0
+	}
+	return max(p.floor(), (p.persistent+margin*carried)/p.unit)
+}
+
 // poolOf is the pool that a machine counts for: where it goes, or where it is unless it is about to be away.
 func (m *mover) poolOf(machine Machine, i *intent) string {
 	if i != nil && i.move() {
@@ -281,6 +291,9 @@
 		// Its first turn may begin at any time.
 		p.keep = max(p.keep, float64(p.have)/2)
 	}
+	if most := p.most(); most > 0 {
+		p.keep, p.want = min(p.keep, most), min(p.want, most)
+	}
 }
 
 // stay is how long the want of a pool lasts from a moment: until its turn ends and what waits is done.
