--- a/internal/poolowner/roster.go
+++ b/internal/poolowner/roster.go
@@ -8,7 +8,9 @@
 	"github.com/samber/lo"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/jobstore"
 	"github.com/agateturn/agateturn/scheduler"
+	"github.com/agateturn/agateturn/store"
 	"github.com/agateturn/agateturn/wait"
 )
 
@@ -21,8 +23,10 @@
 type roster struct {
 	owner   *Owner
 	version uint64
-	// durable is what is recorded, listed the last list of the registry, shown what was handed in last.
+	// durable is what is surely recorded, listed the last list of the registry, shown what was handed in last.
 	durable, listed, shown []scheduler.Worker
+	// unsure means that the last write had no answer: other workers than the durable ones may be recorded.
+	unsure bool
 	// taken are the workers recorded by an owner of before that were not handed in yet.
 	taken map[string]bool
 }
@@ -72,47 +76,66 @@
 }
 
 // settled tells whether the recorded workers are the listed ones.
-func (r *roster) settled() bool { return len(r.missing()) == 0 && len(r.durable) == len(r.listed) }
+func (r *roster) settled() bool {
+	return !r.unsure && len(r.missing()) == 0 && len(r.durable) == len(r.listed)
+}
 
 // update hands in the listed workers that are recorded and those that are occupied, and the others once they are recorded.
 func (r *roster) update(ctx context.Context) {
-	all := slices.Concat(r.listed, r.occupied(ctx))
+	occupied, ok := r.occupied(ctx)
+	if !ok {
+		return
+	}
+	all := slices.Concat(r.listed, occupied)
 	r.show(ctx, lo.Filter(all, func(w scheduler.Worker, _ int) bool { return r.has(w) }))
 	added := len(r.missing()) > 0
-	if !added && len(all) == len(r.durable) {
+	if !added && !r.unsure && len(all) == len(r.durable) {
 		return
 	}
+	if r.record(ctx, all) && added {
+		r.show(ctx, all)
+	}
+}
+
+// record replaces the record and reports whether that is durable.
+func (r *roster) record(ctx context.Context, all []scheduler.Worker) bool {
 	record := &pb.Roster{Workers: lo.Map(all, func(w scheduler.Worker, _ int) *pb.RosterWorker { return recordOf(&w) })}
 	version, err := r.owner.Jobs.SetRoster(ctx, r.owner.Pool, r.owner.Config.Fence, record, r.version)
 	r.version = version
-	if err != nil {
-		r.owner.tellUnread(ctx, "roster", err)
-		return
-	}
-	r.durable = all
-	if added {
-		r.show(ctx, all)
+	switch {
+	case err == nil:
+		r.durable, r.unsure = all, false
+		return true
+	case jobstore.Fenced.Has(err):
+		r.owner.replaced(ctx, "the store")
+	case !store.Unavailable.Has(err):
+		// The write may have taken effect or not: only what it left in place is recorded in either case.
+		r.durable, r.unsure = lo.Filter(all, func(w scheduler.Worker, _ int) bool { return r.has(w) }), true
 	}
+	r.owner.tellUnread(ctx, "roster", err)
+	return false
 }
 
-// occupied are the recorded workers that are no longer listed and may run something.
-func (r *roster) occupied(ctx context.Context) []scheduler.Worker {
+// occupied are the recorded workers that are no longer listed and may run something. It reports false if ctx ended before
+// they were known.
+func (r *roster) occupied(ctx context.Context) ([]scheduler.Worker, bool) {
 	listed := lo.SliceToMap(r.listed, func(w scheduler.Worker) (string, bool) { return w.ID, true })
 	rest := lo.Reject(r.durable, func(w scheduler.Worker, _ int) bool { return listed[w.ID] })
+	taken := r.taken
 	if len(rest) == 0 {
-		return nil
+		r.taken = nil
+		return nil, true
 	}
-	var kept []scheduler.Worker
-	r.owner.ask(ctx, func(p *scheduler.Pool, _ time.Time) {
-		for _, w := range rest {
-			if r.taken[w.ID] || p.Occupied(w.ID) {
-				w.Unlisted = true
-				kept = append(kept, w)
-			}
-		}
+	kept, ok := ask(ctx, r.owner, func(p *scheduler.Pool, _ time.Time) []scheduler.Worker {
+		return lo.FilterMap(rest, func(w scheduler.Worker, _ int) (scheduler.Worker, bool) {
+			w.Unlisted = true
+			return w, taken[w.ID] || p.Occupied(w.ID)
+		})
 	})
-	r.taken = nil
-	return kept
+	if ok {
+		r.taken = nil
+	}
+	return kept, ok
 }
 
 // missing are the listed workers that are not recorded.
@@ -134,13 +157,13 @@
 
 func workerOf(w *pb.RosterWorker) scheduler.Worker {
 	return scheduler.Worker{
-		ID: w.GetId(), Address: w.GetAddress(), Machine: w.GetMachine(), Born: w.GetBorn(), DataCentre: w.GetDataCentre(),
+		ID: w.GetId(), Address: w.GetAddress(), Host: w.GetHost(), Born: w.GetBorn(), DataCentre: w.GetDataCentre(),
 		Rack: w.GetRack(),
 	}
 }
 
 func recordOf(w *scheduler.Worker) *pb.RosterWorker {
 	return &pb.RosterWorker{
-		Id: w.ID, Address: w.Address, Machine: w.Machine, Born: w.Born, DataCentre: w.DataCentre, Rack: w.Rack,
+		Id: w.ID, Address: w.Address, Host: w.Host, Born: w.Born, DataCentre: w.DataCentre, Rack: w.Rack,
 	}
 }
