--- a/internal/poolowner/narrow_test.go
+++ b/internal/poolowner/narrow_test.go
@@ -195,7 +195,7 @@
 			ids[i] = fmt.Sprintf("w%02d", i)
 		}
 		workers := newNarrow(ids)
-		end := term(t, kv, workers, ids...)
+		_, end := term(t, options(t, kv, workers), ids...)
 		// The link alone takes 8.4 s for the orders.
 		time.Sleep(14 * time.Second)
 		workers.mu.Lock()
