jobfront, poolowner: jobs that their owner cannot order soon are refused at once

Jobs were accepted for pools whose owner had a backlog of 20 s on its link, and were left alone while there was room.

Cause: nothing told entry hosts that a pool's owner is what binds; a hand-in was refused only for the store's sake.

Change: an owner that was what bound within 2 s tells, with the answer to each offer of jobs, how long what waits will take it. From 1 s on, entry hosts answer new jobs of the pool with 503 and the time to come back, before anything is stored, and believe it for 3 s at most. Persistent and timed jobs are taken: the former come first, the latter begin later.

Evidence: TestJobsThatTheirOwnerCannotOrderAreRefused (with the check off: 200 in place of 503, as before); TestOwnersTellWhatTheyCarry.

--- a/internal/jobfront/decisions.go
+++ b/internal/jobfront/decisions.go
@@ -27,6 +27,7 @@
 	reasonUndecided   = "write without an answer"
 	reasonNoSuchJob   = "no such job"
 	reasonStateSilent = "neither owner nor store answered"
+	reasonBusy        = "owner cannot order its tasks soon"
 	reasonCountSilent = "owner silent and last count too old"
 )
 
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -43,7 +43,8 @@
 type Owners interface {
 	// States returns one state for each id; UNSPECIFIED for a job that the owner does not know.
 	States(ctx context.Context, pool string, ids []string) ([]pb.JobState, error)
-	Offer(ctx context.Context, pool string, jobs []*pb.JobRecord, cancelled []string)
+	// Offer tells how long a new job would wait for the owner itself, 0 if that does not bind. ok is false without an answer.
+	Offer(ctx context.Context, pool string, jobs []*pb.JobRecord, cancelled []string) (wait time.Duration, ok bool)
 	Pending(ctx context.Context, pool, queue string) (int64, error)
 }
 
@@ -88,6 +89,7 @@
 	relay   *relay
 	breaker breaker
 	pending *pendingCounts
+	busy    *busyPools
 	ended   *endedStates
 	conns   *connections
 	indexed atomic.Pointer[indexedTable]
@@ -108,11 +110,12 @@
 	}
 	f := &Front{
 		options: options,
-		offers:  newOffers(options.Owners, options.Metrics),
 		relay:   newRelay(options.Relays, options.Metrics, options.Log),
 		pending: newPendingCounts(options.Owners),
+		busy:    newBusyPools(),
 		ended:   newEndedStates(),
 	}
+	f.offers = newOffers(options.Owners, options.Metrics, f.busy)
 	f.conns = newConnections(f.limits)
 	f.server = newServer(f.Handler(), f.conns, options.Log)
 	f.ready.Store(true)
--- a/internal/jobfront/front_test.go
+++ b/internal/jobfront/front_test.go
@@ -56,6 +56,8 @@
 	counted  int64
 	asked    int
 	wait     time.Duration
+	// busy is what owners say a new job would wait.
+	busy time.Duration
 }
 
 func newWorld() *world {
@@ -126,7 +128,7 @@
 	return []pb.JobState{w.owner[ids[0]]}, w.ownerErr
 }
 
-func (w *world) Offer(_ context.Context, pool string, jobs []*pb.JobRecord, cancelled []string) {
+func (w *world) Offer(_ context.Context, pool string, jobs []*pb.JobRecord, cancelled []string) (time.Duration, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, job := range jobs {
@@ -135,6 +137,7 @@
 	for _, id := range cancelled {
 		w.told = append(w.told, pool+" -"+id)
 	}
+	return w.busy, w.ownerErr == nil
 }
 
 func (w *world) Pending(context.Context, string, string) (int64, error) {
--- a/internal/jobfront/handler.go
+++ b/internal/jobfront/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -22,8 +23,6 @@
 	maxWait = 3 * time.Second
 	// bodyTimeout bounds the time in which a body arrives.
 	bodyTimeout = 5 * time.Second
-	// retryAfter is the hint of a refusal, in seconds.
-	retryAfter = "1"
 	// defaultBodyBytes holds while the configuration sets no limit.
 	defaultBodyBytes = 1 << 20
 )
@@ -39,8 +38,9 @@
 type reply struct {
 	status int
 	body   []byte
-	// repeat asks the caller to come back.
+	// repeat asks the caller to come back, after a second if after is 0.
 	repeat bool
+	after  time.Duration
 	// reason says for operators why the answer is no success; it is one of a few constants.
 	reason string
 }
@@ -192,7 +192,7 @@
 		header.Set("Connection", "close")
 	}
 	if answer.repeat {
-		header.Set("Retry-After", retryAfter)
+		header.Set("Retry-After", retryAfter(answer.after))
 	}
 	header.Set("Content-Length", strconv.Itoa(len(answer.body)))
 	if len(answer.body) > 0 {
@@ -202,6 +202,11 @@
 	_, _ = w.Write(answer.body)
 }
 
+// retryAfter is the hint of a refusal in whole seconds, at least one.
+func retryAfter(d time.Duration) string {
+	return strconv.FormatInt(max(1, int64(math.Ceil(d.Seconds()))), 10)
+}
+
 func (f *Front) contentType(status int) string {
 	if status == http.StatusOK {
 		return f.options.ContentType
--- a/internal/jobfront/jobs.go
+++ b/internal/jobfront/jobs.go
@@ -17,6 +17,9 @@
 	if err != nil {
 		return reply{status: http.StatusBadRequest, body: []byte(err.Error() + "\n"), reason: reasonUnreadable}
 	}
+	if after := f.busy.left(r.queue.Pool, time.Now()); after > 0 && startsNow(spec) {
+		return reply{status: http.StatusServiceUnavailable, repeat: true, after: after, reason: reasonBusy}
+	}
 	job := &pb.JobRecord{
 		Id:         r.id,
 		Queue:      r.queue.Name,
--- a/internal/jobfront/offers.go
+++ b/internal/jobfront/offers.go
@@ -33,14 +33,16 @@
 type offers struct {
 	owners  Owners
 	metrics *Metrics
+	busy    *busyPools
 	news    *ring.Ring[offer]
 	calls   chan struct{}
 }
 
-func newOffers(owners Owners, metrics *Metrics) *offers {
+func newOffers(owners Owners, metrics *Metrics, busy *busyPools) *offers {
 	return &offers{
 		owners:  owners,
 		metrics: metrics,
+		busy:    busy,
 		news:    ring.New[offer]("job offers", offerRing),
 		calls:   make(chan struct{}, offerCalls),
 	}
@@ -103,5 +105,7 @@
 			cancelled = append(cancelled, n.cancelled)
 		}
 	}
-	o.owners.Offer(ctx, pool, jobs, cancelled)
+	if wait, ok := o.owners.Offer(ctx, pool, jobs, cancelled); ok {
+		o.busy.note(pool, wait, time.Now())
+	}
 }
--- a/internal/jobhost/pools.go
+++ b/internal/jobhost/pools.go
@@ -162,6 +162,14 @@
 	return true
 }
 
+// Wait is how long a new job of a pool would wait for the owner on this host itself.
+func (p *pools) Wait(pool string) time.Duration {
+	if owner := p.owner(pool); owner != nil {
+		return owner.Wait()
+	}
+	return 0
+}
+
 // Pending counts the jobs of a queue that have not begun.
 func (p *pools) Pending(pool, queue string) (int64, bool) {
 	owner := p.owner(pool)
--- a/internal/jobpeer/client.go
+++ b/internal/jobpeer/client.go
@@ -208,11 +208,16 @@
 	return answer.GetStates(), nil
 }
 
-// Offer brings jobs and cancellations to the owner of the pool. It reports no error: the owner also watches the store.
-func (c *Client) Offer(ctx context.Context, pool string, jobs []*pb.JobRecord, cancelled []string) {
-	_, _ = ask(ctx, c, pool, &pb.OfferJobsRequest{Pool: pool, Jobs: jobs, Cancelled: cancelled},
-		func() (*pb.OfferJobsResponse, bool) { return nil, c.local.Offer(pool, jobs, cancelled) },
+// Offer brings jobs and cancellations to the owner of the pool, and tells how long a new job would wait for the owner
+// itself. Without an answer ok is false; nothing is amiss then, as the owner also watches the store.
+func (c *Client) Offer(ctx context.Context, pool string, jobs []*pb.JobRecord, cancelled []string) (wait time.Duration, ok bool) {
+	answer, err := ask(ctx, c, pool, &pb.OfferJobsRequest{Pool: pool, Jobs: jobs, Cancelled: cancelled},
+		func() (*pb.OfferJobsResponse, bool) {
+			owner := c.local.Offer(pool, jobs, cancelled)
+			return &pb.OfferJobsResponse{WaitMs: c.local.Wait(pool).Milliseconds()}, owner
+		},
 		agateturnv1connect.JobPeerServiceClient.OfferJobs, (*pb.OfferJobsResponse).GetOwner)
+	return time.Duration(answer.GetWaitMs()) * time.Millisecond, err == nil
 }
 
 // Pending counts the jobs of a queue for which no task has started. Errors: NoOwner, or the call's.
--- a/internal/jobpeer/peer_test.go
+++ b/internal/jobpeer/peer_test.go
@@ -52,6 +52,8 @@
 	return states, m.owns(pool)
 }
 
+func (m *member) Wait(string) time.Duration { return 1500 * time.Millisecond }
+
 func (m *member) Offer(pool string, jobs []*pb.JobRecord, cancelled []string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -128,7 +130,8 @@
 			assert.NilError(t, err)
 			assert.Equal(t, len(jobs), 1)
 			m.offered = nil
-			c.Offer(ctx, "p", []*pb.JobRecord{{Id: "0003"}}, []string{"0004"})
+			wait, ok := c.Offer(ctx, "p", []*pb.JobRecord{{Id: "0003"}}, []string{"0004"})
+			assert.Assert(t, ok && wait == 1500*time.Millisecond, wait)
 			assert.DeepEqual(t, m.offered, []string{"0003", "0004"})
 		})
 	}
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -29,6 +30,8 @@
 	Offer(pool string, jobs []*pb.JobRecord, cancelled []string) bool
 	Pending(pool, queue string) (int64, bool)
 	Status(req *pb.PoolStatusRequest) (*pb.PoolStatusResponse, bool)
+	// Wait is how long a new job would wait for the owner itself to order its tasks; 0 if that does not bind.
+	Wait(pool string) time.Duration
 }
 
 // Describer is implemented by Pools that tell operators about jobs.
@@ -73,8 +76,9 @@
 	if n := len(req.Msg.GetJobs()) + len(req.Msg.GetCancelled()); n > maxOffered {
 		return nil, tooMany("jobs", n, maxOffered)
 	}
-	owner := s.pools.Offer(req.Msg.GetPool(), req.Msg.GetJobs(), req.Msg.GetCancelled())
-	return connect.NewResponse(&pb.OfferJobsResponse{Owner: owner}), nil
+	pool := req.Msg.GetPool()
+	owner := s.pools.Offer(pool, req.Msg.GetJobs(), req.Msg.GetCancelled())
+	return connect.NewResponse(&pb.OfferJobsResponse{Owner: owner, WaitMs: s.pools.Wait(pool).Milliseconds()}), nil
 }
 
 // PendingJobs implements the service.
--- a/internal/poolowner/loop.go
+++ b/internal/poolowner/loop.go
@@ -49,6 +49,7 @@
 	}
 	p.SetSendRoom(now, o.orders.room())
 	actions := p.Step(now)
+	o.tellWait(p, now)
 	if len(actions.Decisions) > 0 {
 		o.decisions.Offer(withTime(actions.Decisions, time.Now()))
 	}
--- a/internal/poolowner/orders.go
+++ b/internal/poolowner/orders.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/agateturn/agateturn/events"
@@ -29,6 +30,8 @@
 	slots map[string]chan struct{}
 	// window bounds the starts under way to all workers.
 	window *sendwindow.Window
+	// queued is how long a new job would wait for these orders, in ns.
+	queued atomic.Int64
 	group  sync.WaitGroup
 }
 
--- a/scheduler/sending.go
+++ b/scheduler/sending.go
@@ -7,6 +7,8 @@
 	carriedSpan = time.Second
 	// carriedKept is how long it is known what the owner can carry once nothing waits for it any more.
 	carriedKept = 30 * time.Second
+	// bindsFor is how long the owner counts as what binds.
+	bindsFor = 2 * time.Second
 )
 
 // sending is how many bytes of starts the owner can still send without a queue, and how much work it carries where that is
@@ -69,3 +71,18 @@
 		s.started += t.step.load()
 	}
 }
+
+// SendWait is how long a job added now would wait for the owner to order what waits already; 0 if the owner did not bind
+// lately.
+func (p *Pool) SendWait(now time.Time) time.Duration {
+	if p.sending.carried <= 0 || now.Sub(p.sending.boundAt) > bindsFor {
+		return 0
+	}
+	var waiting float64
+	for _, s := range p.open {
+		if !s.spec.GetPersistent() {
+			waiting += float64(len(s.ready)) * s.load()
+		}
+	}
+	return time.Duration(waiting / p.sending.carried * float64(time.Millisecond))
+}
--- a/scheduler/sending_test.go
+++ b/scheduler/sending_test.go
@@ -73,9 +73,13 @@
 	// 50 starts a second of 200 ms on one core keep ten cores at work.
 	carried := f.pool.Status(f.now).GetCarriedCpuMilli()
 	assert.Assert(t, carried > 8_000 && carried < 12_000, "%d", carried)
+	// 750 tasks wait, 50 are started in a second.
+	wait := f.pool.SendWait(f.now)
+	assert.Assert(t, wait > 12*time.Second && wait < 18*time.Second, "%v", wait)
 	for range 100 {
 		f.period(false)
 	}
+	assert.Equal(t, f.pool.SendWait(f.now), time.Duration(0))
 	assert.Equal(t, f.starts, 1000)
 	assert.Equal(t, f.pool.Status(f.now).GetCarriedCpuMilli(), int64(0), "more was carried since")
 }
