--- a/internal/jobpeer/client.go
+++ b/internal/jobpeer/client.go
@@ -16,6 +16,7 @@
 	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
+	"github.com/agateturn/agateturn/internal/meterconn"
 )
 
 // Error kinds.
@@ -83,6 +84,12 @@
 // the first call.
 func (c *Client) OnRefused(f func(address string)) { c.onRefused = f }
 
+// Count sets what counts the bytes of calls. It is called before the first call.
+func (c *Client) Count(m meterconn.Meter) {
+	transport := c.http.Transport.(*http.Transport)
+	transport.DialContext = m.Dialer(transport.DialContext)
+}
+
 // LogTo sets where lost and regained peers are logged. It is called before the first call.
 func (c *Client) LogTo(log *slog.Logger) { c.log = log }
 
@@ -201,11 +208,16 @@
 	return answer.GetStates(), nil
 }
 
-// Offer brings jobs and cancellations to the owner of the pool. It reports no error: the owner also watches the store.
-func (c *Client) Offer(ctx context.Context, pool string, jobs []*pb.JobRecord, cancelled []string) {
-	_, _ = ask(ctx, c, pool, &pb.OfferJobsRequest{Pool: pool, Jobs: jobs, Cancelled: cancelled},
-		func() (*pb.OfferJobsResponse, bool) { return nil, c.local.Offer(pool, jobs, cancelled) },
+// Offer brings jobs and cancellations to the owner of the pool, and tells how long a new job would wait for the owner
+// itself. Without an answer ok is false; nothing is amiss then, as the owner also watches the store.
+func (c *Client) Offer(ctx context.Context, pool string, jobs []*pb.JobRecord, cancelled []string) (wait time.Duration, ok bool) {
+	answer, err := ask(ctx, c, pool, &pb.OfferJobsRequest{Pool: pool, Jobs: jobs, Cancelled: cancelled},
+		func() (*pb.OfferJobsResponse, bool) {
+			owner := c.local.Offer(pool, jobs, cancelled)
+			return &pb.OfferJobsResponse{WaitMs: c.local.Wait(pool).Milliseconds()}, owner
+		},
 		agateturnv1connect.JobPeerServiceClient.OfferJobs, (*pb.OfferJobsResponse).GetOwner)
+	return time.Duration(answer.GetWaitMs()) * time.Millisecond, err == nil
 }
 
 // Pending counts the jobs of a queue for which no task has started. Errors: NoOwner, or the call's.
