standin/soak: seeded faults against real processes that serve jobs

Seen: proofs bring a fault or two about, in the process of the test; no run overlaps series of signals with cuts of single links and faults of the store. Change: agateturn-standin soak draws a plan from a seed (sizes, load, series of signals, links, store, operator), runs agateturnd processes and the stand-in of the jobs' platform as processes, and passes every link through a loopback proxy: each entry host sees the network under addresses of its own, which the stand-in's store puts into what it shows, so that one way of one link can be delayed, silenced, cut or reset. The stand-in takes faults on a control listener and writes each event into a history; its judge also sees that versions of the configuration do not go back and that everything is served within 12 s after the last fault.

--- a/cmd/agateturn-standin/jobs.go
+++ b/cmd/agateturn-standin/jobs.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"time"
 
@@ -23,13 +25,30 @@
 	Silence   time.Duration `help:"How long the store gives no answers."`
 	LoseEvery int           `help:"Lose one answer in so many; 0 for none."`
 	LateEvery int           `help:"Let workers carry out one order in so many late, without an answer; 0 for none."`
+	Pools     []int         `help:"Machines of each pool, the spare one last; the usual pools if empty."`
+	WaveCap   int           `default:"2" help:"Machines that the wave may have down at once."`
+	Views     []string      `help:"Other networks through which entry hosts reach every address."`
+	Control   string        `help:"Listener for faults, ip:port; loopback only."`
+	History   string        `help:"File for each event."`
+	Report    string        `help:"File for the result as JSON."`
 }
 
 var errBroken = errors.New("not every promise was kept")
 
 // Run plays the scenario once.
 func (c *jobsCommand) Run(ctx context.Context) error {
+	var history io.Writer
+	if c.History != "" {
+		file, err := os.Create(c.History)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = file.Close() }() // each line is written at once
+		history = file
+	}
+	queues, pools := jobscenario.Sized(c.Pools)
 	result, err := jobscenario.Run(ctx, jobscenario.Options{
+		Queues: queues, Pools: pools, WaveCap: c.WaveCap, Views: c.Views, Control: c.Control, History: history,
 		Address: c.Listen, Network: c.Network, Entries: c.Entries, Ready: c.Ready, Seed: c.Seed, Duration: c.Duration, Rate: c.Rate,
 		Faults: jobscenario.Faults{Crash: c.Crash, Silence: c.Silence, LoseEvery: c.LoseEvery, DelayEvery: c.LateEvery},
 		Out:    os.Stdout,
@@ -38,8 +57,21 @@
 		return err
 	}
 	fmt.Print(result)
+	if c.Report != "" {
+		if err := writeJSON(c.Report, result); err != nil {
+			return err
+		}
+	}
 	if !result.Held() {
 		return errBroken
 	}
 	return nil
 }
+
+func writeJSON(path string, value any) error {
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, data, 0o600)
+}
--- a/cmd/agateturn-standin/main.go
+++ b/cmd/agateturn-standin/main.go
@@ -27,6 +27,7 @@
 	Judge    judgeCommand    `cmd:"" help:"Compare what the workers saw with the promises."`
 	Load     loadCommand     `cmd:"" help:"Send a bounded load to entry hosts on loopback and check each answer."`
 	Jobs     jobsCommand     `cmd:"" help:"Play a platform that runs jobs and its callers, and compare what both saw."`
+	Soak     soakCommand     `cmd:"" help:"Play seeded plans of faults against real processes, and judge what was seen outside."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/agateturn-standin/soak.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/agateturn/agateturn/standin/soak"
+)
+
+// soakCommand plays seeded plans of faults against real processes.
+type soakCommand struct {
+	Seeds   string        `default:"1" help:"Seed, or first and last seed, such as 1..50."`
+	Minutes float64       `default:"0" help:"Begin no further seed after so many minutes; 0 plays all."`
+	Mode    []string      `default:"jobs" help:"What entry hosts serve: jobs, requests or both."`
+	Hosts   int           `help:"Entry hosts; 3 to 5 if 0."`
+	Workers int           `help:"Machines of all pools; some 10 if 0."`
+	Faults  time.Duration `default:"12s" help:"How long faults are brought about in a run."`
+	Dir     string        `default:"run/soak" help:"Directory for what failed runs leave."`
+	Daemon  string        `default:"bin/agateturnd" type:"existingfile" help:"The daemon."`
+	Network string        `default:"127.70" help:"First two bytes of all addresses."`
+	Quiet   bool          `help:"Leave the plans out."`
+}
+
+// Run plays the plans one after the other and fails if a promise was broken.
+func (c *soakCommand) Run(ctx context.Context) error {
+	first, last, err := parseSeeds(c.Seeds)
+	if err != nil {
+		return err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	var sum soak.Summary
+	begin := time.Now()
+	for seed := first; seed <= last; seed++ {
+		for _, mode := range c.Mode {
+			if c.Minutes > 0 && time.Since(begin).Minutes() > c.Minutes || ctx.Err() != nil {
+				break
+			}
+			plan := soak.Draw(soak.Mode(mode), seed, soak.Sizes{Hosts: c.Hosts, Workers: c.Workers, Faults: c.Faults})
+			if !c.Quiet {
+				fmt.Print(plan)
+			}
+			outcome, err := soak.Run(ctx, soak.Options{
+				Daemon: c.Daemon, Standin: self, Dir: filepath.Join(c.Dir, fmt.Sprintf("%s-%d", mode, seed)), Network: c.Network, Out: os.Stdout,
+			}, plan)
+			if err != nil {
+				return fmt.Errorf("seed %d, %s: %w", seed, mode, err)
+			}
+			fmt.Println(outcome)
+			sum.Add(outcome)
+		}
+	}
+	fmt.Print(sum.String())
+	if sum.Broken() > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+// parseSeeds reads N or N..M.
+func parseSeeds(text string) (first, last uint64, err error) {
+	from, to, ranged := strings.Cut(text, "..")
+	if !ranged {
+		to = from
+	}
+	numbers := lo.Map([]string{from, to}, func(s string, _ int) uint64 {
+		n, _ := strconv.ParseUint(s, 10, 64)
+		return n
+	})
+	if slices.Contains(numbers, 0) {
+		return 0, 0, fmt.Errorf("seeds %q: want N or N..M, from 1", text)
+	}
+	return numbers[0], numbers[1], nil
+}
--- a/standin/jobcallers/caller.go
+++ b/standin/jobcallers/caller.go
@@ -69,14 +69,18 @@
 )
 
 // handIn repeats until the job is accepted, at most attempts times.
-func (c *caller) handIn(ctx context.Context, p *planned) outcome {
+func (c *caller) handIn(ctx context.Context, p *planned, h *jobplatform.History) outcome {
 	body, err := json.Marshal(p.job.Body())
 	if err != nil {
 		return refused
 	}
 	result := refused
 	for range attempts {
+		sent := time.Now()
 		status, _ := c.call(ctx, http.MethodPost, p, body)
+		if ctx.Err() == nil {
+			h.Attempt(p.job.ID, sent, status, status == http.StatusOK)
+		}
 		switch {
 		case status == http.StatusOK:
 			return accepted
--- a/standin/jobcallers/run.go
+++ b/standin/jobcallers/run.go
@@ -113,7 +113,7 @@
 
 // handIn tells whether the job is accepted.
 func (l *load) handIn(ctx context.Context, p *planned) bool {
-	result := l.c.handIn(ctx, p)
+	result := l.c.handIn(ctx, p, l.history)
 	switch result {
 	case accepted:
 		l.count(func(r *Report) { r.Accepted++ })
--- a/standin/jobplatform/faults.go
+++ b/standin/jobplatform/faults.go
@@ -15,7 +15,7 @@
 
 // faults decides which answers are lost and which orders come late.
 type faults struct {
-	lost, late every
+	lost, late, lateWrites every
 }
 
 // every picks one call in so many, none if that is 0.
@@ -97,5 +97,8 @@
 	if call == memtxn.CallCommit && p.faults.loses() {
 		return memtxn.LoseAnswer
 	}
+	if call == memtxn.CallCommit && p.faults.lateWrites.next() {
+		return memtxn.LandLate
+	}
 	return memtxn.Serve
 }
--- a/standin/jobplatform/history.go
+++ b/standin/jobplatform/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"slices"
 	"sync"
 	"time"
@@ -34,6 +35,10 @@
 	totals Totals
 	// starts are the times of the starts in each pool.
 	starts map[string][]time.Time
+	// log is told of each event; calmAt is when the last fault ended; views are by entry host.
+	log    io.Writer
+	calmAt time.Time
+	views  map[string]view
 }
 
 // Totals are counts of what workers did.
@@ -42,6 +47,8 @@
 	// Apart are runs that ended because other members of their gang were missing; Resumed began from a checkpoint.
 	Apart, Resumed         int
 	Upkeeps, Moves, Broken int
+	// ServedAgain counts attempts that had to be accepted after the last fault, Looks those at configurations.
+	ServedAgain, Looks int
 }
 
 type jobHistory struct {
@@ -62,7 +69,7 @@
 }
 
 func newHistory() *History {
-	return &History{jobs: make(map[string]*jobHistory), gangs: make(map[gangID]*gang), starts: make(map[string][]time.Time)}
+	return &History{jobs: make(map[string]*jobHistory), gangs: make(map[gangID]*gang), starts: make(map[string][]time.Time), views: make(map[string]view)}
 }
 
 // Add tells of a job before it is handed in.
@@ -77,6 +84,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.jobs[id].cancelAsked = true
+	h.noteLocked("job %s: a cancellation is sent", id)
 }
 
 // Cancelled tells that the cancellation of a job was acknowledged.
@@ -84,6 +92,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.jobs[id].cancelledAt = time.Now()
+	h.noteLocked("job %s: the cancellation is acknowledged", id)
 }
 
 // Refused tells that all attempts to hand a job in were refused.
@@ -92,6 +101,7 @@
 	defer h.mu.Unlock()
 	j := h.jobs[id]
 	j.refused = true
+	h.noteLocked("job %s: every attempt was refused", id)
 	if len(j.tasks) > 0 {
 		h.breakLocked("job %s was refused and has run", id)
 	}
@@ -102,6 +112,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	j := h.jobs[id]
+	h.noteLocked("job %s: shown as completed", id)
 	if open := j.open(len(j.Steps)); open > 0 {
 		h.breakLocked("job %s was shown as completed with %d tasks open", id, open)
 	}
@@ -161,6 +172,7 @@
 
 func (h *History) breakLocked(format string, args ...any) {
 	h.totals.Broken++
+	h.noteLocked("BROKEN: "+format, args...)
 	if len(h.broken) < maxBroken {
 		h.broken = append(h.broken, fmt.Sprintf(format, args...))
 	}
--- a/standin/jobplatform/jobplatform.go
+++ b/standin/jobplatform/jobplatform.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,9 @@
 	// Network is the first three bytes of the workers' addresses, WorkerPort the first of their ports.
 	Network    string
 	WorkerPort int
+	// Views are other networks, as long as Network, for clients that reach all addresses through them. The store and the
+	// machines' interface are also served at the ports after that of Address, one for each view.
+	Views []string
 	// Pools have at most MaxMachines machines together.
 	Pools []PoolOptions
 }
@@ -64,11 +68,10 @@
 func New(ctx context.Context, o Options) (*Platform, error) {
 	p := &Platform{options: o, kv: memtxn.New(), history: newHistory(), faults: &faults{}, waves: make(map[int64]*wave)}
 	p.kv.SetFaults(memtxn.Faults{Plan: p.plan})
-	mux := http.NewServeMux()
-	kvServer{p.kv.Client(hostsClient)}.route(mux)
-	p.routeMachines(mux)
-	if err := p.listen(ctx, o.Address, mux); err != nil {
-		return nil, err
+	for i, seen := range append([]string{o.Network}, o.Views...) {
+		if err := p.listenStore(ctx, i, seen); err != nil {
+			return nil, err
+		}
 	}
 	pools := make(map[string]PoolOptions)
 	for _, pool := range o.Pools {
@@ -86,6 +89,18 @@
 	return p, nil
 }
 
+// listenStore serves the store and the machines to the clients of a view.
+func (p *Platform) listenStore(ctx context.Context, view int, seen string) error {
+	mux := http.NewServeMux()
+	kvServer{kv: p.kv.Client(hostsClient), network: p.options.Network + ".", seen: seen + "."}.route(mux)
+	p.routeMachines(mux)
+	address, err := netip.ParseAddrPort(p.options.Address)
+	if err != nil {
+		return err
+	}
+	return p.listen(ctx, netip.AddrPortFrom(address.Addr(), address.Port()+uint16(view)).String(), mux) //nolint:gosec // few views
+}
+
 // Workers' addresses end in these bytes; machines beyond take the next port.
 const (
 	firstWorker = 20
--- a/standin/jobplatform/starts.go
+++ b/standin/jobplatform/starts.go
@@ -17,6 +17,7 @@
 		task = &taskHistory{}
 		j.tasks[t] = task
 	}
+	h.noteLocked("job %s: %v starts on worker %s", t.job, t, worker)
 	h.checkTaskLocked(task, worker, t)
 	task.running++
 	task.runs++
@@ -67,6 +68,7 @@
 		task.displacedAt = time.Time{}
 	}
 	task.running--
+	h.noteLocked("job %s: a run of %v ends %q", t.job, t, how)
 	task.idleSince = time.Now()
 	switch how {
 	case endDone:
@@ -90,6 +92,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	task := h.jobs[t.job].tasks[t]
+	h.noteLocked("job %s: the success of %v is taken note of", t.job, t)
 	if task.noted {
 		h.breakLocked("%v succeeded twice", t)
 	}
--- a/standin/jobplatform/store.go
+++ b/standin/jobplatform/store.go
@@ -1,6 +1,7 @@
 package jobplatform
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -32,12 +33,21 @@
 	return kvItem{Key: i.Key, Value: i.Data, Revision: i.Version, CreatedRev: i.Created, Lease: i.Lease}
 }
 
-func kvItemsOf(items []store.Item) []kvItem {
-	return lo.Map(items, func(i store.Item, _ int) kvItem { return kvItemOf(i) })
+// kvServer serves a store to entry hosts.
+type kvServer struct {
+	kv store.Transactor
+	// network is that of the addresses in values, seen the same as its client sees it; of the same length.
+	network, seen string
 }
 
-// kvServer serves a store to entry hosts.
-type kvServer struct{ kv store.Transactor }
+func (s kvServer) itemOf(i store.Item) kvItem {
+	i.Data = bytes.ReplaceAll(i.Data, []byte(s.network), []byte(s.seen))
+	return kvItemOf(i)
+}
+
+func (s kvServer) itemsOf(items []store.Item) []kvItem {
+	return lo.Map(items, func(i store.Item, _ int) kvItem { return s.itemOf(i) })
+}
 
 func (s kvServer) route(mux *http.ServeMux) {
 	mux.HandleFunc("GET /-/kv-key", s.get)
@@ -55,7 +65,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	answer(w, kvItemOf(item), err)
+	s.answer(w, s.itemOf(item), err)
 }
 
 func (s kvServer) list(w http.ResponseWriter, r *http.Request) {
@@ -63,7 +73,7 @@
 	after := r.FormValue("after")
 	items = lo.DropWhile(items, func(i store.Item) bool { return after != "" && i.Key <= after })
 	more := len(items) > pageItems
-	answer(w, map[string]any{"items": kvItemsOf(items[:min(len(items), pageItems)]), "morePages": more, "asOf": asOf}, err)
+	s.answer(w, map[string]any{"items": s.itemsOf(items[:min(len(items), pageItems)]), "morePages": more, "asOf": asOf}, err)
 }
 
 func (s kvServer) watch(w http.ResponseWriter, r *http.Request) {
@@ -75,11 +85,11 @@
 	}
 	events, asOf, err := s.kv.Watch(r.Context(), r.FormValue("prefix"), after, time.Duration(wait)*time.Millisecond)
 	wire := lo.Map(events, func(e store.Event, _ int) kvItem {
-		item := kvItemOf(e.Item)
+		item := s.itemOf(e.Item)
 		item.Deleted = e.Deleted
 		return item
 	})
-	answer(w, map[string]any{"events": wire, "asOf": asOf}, err)
+	s.answer(w, map[string]any{"events": wire, "asOf": asOf}, err)
 }
 
 type kvCommit struct {
@@ -102,7 +112,7 @@
 	}
 	written := body.Deletes
 	for _, p := range body.Puts {
-		t.Puts = append(t.Puts, store.Put{Key: p.Key, Data: p.Value, Lease: p.Lease})
+		t.Puts = append(t.Puts, store.Put{Key: p.Key, Data: bytes.ReplaceAll(p.Value, []byte(s.seen), []byte(s.network)), Lease: p.Lease})
 		written = append(written, p.Key)
 	}
 	if lo.SomeBy(written, reserved) {
@@ -110,7 +120,7 @@
 		return
 	}
 	revision, err := s.kv.Commit(r.Context(), t)
-	answer(w, map[string]any{"revision": revision}, err)
+	s.answer(w, map[string]any{"revision": revision}, err)
 }
 
 // reserved tells whether entry hosts may not write a key.
@@ -126,7 +136,7 @@
 		return
 	}
 	lease, ttl, err := s.kv.Grant(r.Context(), time.Duration(body.TTLMs)*time.Millisecond)
-	answer(w, map[string]any{"lease": lease, "ttlMs": ttl.Milliseconds()}, err)
+	s.answer(w, map[string]any{"lease": lease, "ttlMs": ttl.Milliseconds()}, err)
 }
 
 func (s kvServer) keep(w http.ResponseWriter, r *http.Request) {
@@ -134,7 +144,7 @@
 	if err == nil {
 		err = s.kv.KeepAlive(r.Context(), lease)
 	}
-	answer(w, struct{}{}, err)
+	s.answer(w, struct{}{}, err)
 }
 
 func (s kvServer) end(w http.ResponseWriter, r *http.Request) {
@@ -142,17 +152,17 @@
 	if err == nil {
 		err = s.kv.Revoke(r.Context(), lease)
 	}
-	answer(w, struct{}{}, err)
+	s.answer(w, struct{}{}, err)
 }
 
 // answer writes a value, or what an error of the store is on the wire. An unknown outcome is a broken connection.
-func answer(w http.ResponseWriter, value any, err error) {
+func (s kvServer) answer(w http.ResponseWriter, value any, err error) {
 	var conflict *store.ConflictError
 	switch {
 	case err == nil:
 		writeJSON(w, http.StatusOK, value)
 	case errors.As(err, &conflict):
-		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"items": kvItemsOf(conflict.Items)})
+		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"items": s.itemsOf(conflict.Items)})
 	case store.LeaseLost.Has(err):
 		w.WriteHeader(http.StatusNotFound)
 	case store.Compacted.Has(err):
--- a/standin/jobscenario/scenario.go
+++ b/standin/jobscenario/scenario.go
@@ -3,6 +3,7 @@
 package jobscenario
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -10,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/agateturn/agateturn/standin/jobcallers"
 	"github.com/agateturn/agateturn/standin/jobplatform"
 	"github.com/agateturn/agateturn/wait"
@@ -26,6 +29,16 @@
 	Duration time.Duration
 	Rate     float64
 	Faults   Faults
+	// Pools and Queues are those of the scenario if empty; WaveCap is how many machines may be down at once, 2 if 0.
+	Pools   []jobplatform.PoolOptions
+	Queues  []jobplatform.Queue
+	WaveCap int
+	// Views are as in jobplatform.Options.
+	Views []string
+	// Control is the ip:port at which jobplatform.Control is taken, empty for none.
+	Control string
+	// History is told of each event, nil for nobody.
+	History io.Writer
 	// Out is told of the steps.
 	Out io.Writer
 }
@@ -79,14 +92,34 @@
 	}
 }
 
+// Sized are queues and their pools with so many machines, the last of them spare; none gives the usual ones.
+func Sized(machines []int) (queues []jobplatform.Queue, sized []jobplatform.PoolOptions) {
+	for i, n := range machines {
+		name := fmt.Sprintf("pool-%d", i+1)
+		if i == len(machines)-1 {
+			return queues, append(sized, jobplatform.PoolOptions{Name: "spare", Machines: n, Spare: true})
+		}
+		queues = append(queues, jobplatform.Queue{Name: name, Host: "jobs.example", Prefix: "/" + name + "/", Pool: name, Priority: 1})
+		sized = append(sized, jobplatform.PoolOptions{Name: name, Machines: n, EnforcesCapacity: i%2 == 0})
+	}
+	return nil, nil
+}
+
 // Run plays the scenario against entry hosts that are started meanwhile. Errors mean that it could not be played.
 func Run(ctx context.Context, o Options) (Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	p, err := jobplatform.New(ctx, jobplatform.Options{Address: o.Address, Network: o.Network, WorkerPort: workerPort, Pools: pools()})
+	if len(o.Queues) == 0 {
+		o.Queues, o.Pools = Queues, pools()
+	}
+	o.WaveCap = cmp.Or(o.WaveCap, waveCap)
+	p, err := jobplatform.New(ctx, jobplatform.Options{
+		Address: o.Address, Network: o.Network, WorkerPort: workerPort, Pools: o.Pools, Views: o.Views,
+	})
 	if err != nil {
 		return Result{}, err
 	}
+	p.History().LogTo(o.History)
 	served := make(chan error, 1)
 	go func() { served <- p.Run(ctx) }()
 	result, err := play(ctx, o, p)
@@ -98,9 +131,15 @@
 }
 
 func play(ctx context.Context, o Options, p *jobplatform.Platform) (Result, error) {
-	if err := p.Configure(ctx, 1, Queues); err != nil {
+	op := &operator{o: o, p: p}
+	if err := op.configure(ctx); err != nil {
 		return Result{}, err
 	}
+	stop, err := op.serve(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	defer stop()
 	if err := awaitReady(ctx, o.Ready); err != nil {
 		return Result{}, err
 	}
@@ -112,7 +151,7 @@
 	go func() { events <- playEvents(ctx, o, p, wave) }()
 	result := Result{WaveLength: len(wave)}
 	result.Callers = jobcallers.Run(ctx, jobcallers.Options{
-		Entries: o.Entries, Queues: Queues, Seed: o.Seed, Duration: o.Duration, Rate: o.Rate, Drain: drainLimit,
+		Entries: o.Entries, Queues: o.Queues, Seed: o.Seed, Duration: o.Duration, Rate: o.Rate, Drain: drainLimit,
 	}, p.History())
 	if err := <-events; err != nil {
 		return result, err
@@ -121,6 +160,10 @@
 	if !awaitNoted(ctx, p) {
 		p.History().Broken("%d ends were not taken note of in %v", p.EndsLeft(), noteLimit)
 	}
+	if o.Control != "" {
+		p.History().CheckServed(lo.Map(o.Queues, func(q jobplatform.Queue, _ int) string { return q.Pool }))
+		p.History().CheckConfigured(o.Entries, op.version.Load())
+	}
 	result.Workers, result.Broken = p.History().Verdict()
 	return result, nil
 }
@@ -134,8 +177,8 @@
 	if !part(waveAfter) {
 		return ctx.Err()
 	}
-	say(o, fmt.Sprintf("wave %d of %d machines ordered, at most %d down at once", waveNumber, len(wave), waveCap))
-	if err := p.OrderWave(ctx, waveNumber, wave, waveWithin, waveCap); err != nil {
+	say(o, fmt.Sprintf("wave %d of %d machines ordered, at most %d down at once", waveNumber, len(wave), o.WaveCap))
+	if err := p.OrderWave(ctx, waveNumber, wave, waveWithin, o.WaveCap); err != nil {
 		return err
 	}
 	if part(crashAfter) && o.Faults.Crash {
--- /dev/null
+++ b/standin/soak/jobs.go
@@ -0,0 +1,269 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/agateturn/agateturn/standin/jobplatform"
+	"github.com/agateturn/agateturn/standin/jobscenario"
+	"github.com/agateturn/agateturn/wait"
+)
+
+const (
+	callerPort, peerPort, readyPort = 7000, 7001, 7003
+	storePort, controlPort          = 18500, 18400
+	workerPort, firstWorker         = 9100, 20
+	workerBytes                     = 70
+
+	loseEvery, lateEvery, lateWritesEvery = 25, 20, 15
+	slowStore                             = 150 * time.Millisecond
+	// endLimit is how long after the load callers may wait for ends, and the stand-in writes its report.
+	endLimit = 90 * time.Second
+)
+
+// jobWorld is entry hosts that serve jobs, and one process that plays platform, workers, operator and callers.
+type jobWorld struct {
+	*run
+	platform *process
+	store    jobplatform.StoreControl
+}
+
+func address(network string, last, port int) string {
+	return fmt.Sprintf("%s.%d:%d", network, last, port)
+}
+
+func (w *jobWorld) begin(ctx context.Context) error {
+	if err := w.link(ctx); err != nil {
+		return err
+	}
+	entries := lo.Map(w.hosts, func(h *host, _ int) string { return address(w.network(0), h.number, callerPort) })
+	ready := lo.Map(w.hosts, func(h *host, _ int) string { return address(w.real(), h.number, readyPort) })
+	pools := strings.Join(lo.Map(w.p.Pools, func(n, _ int) string { return strconv.Itoa(n) }), ",")
+	views := lo.Map(w.views(), func(h, _ int) string { return w.network(h) })
+	var err error
+	w.platform, err = start("platform", w.file("platform.log"), w.o.Standin, "jobs",
+		"--listen", address(w.real(), standinByte, storePort), "--network", w.real(), "--views", strings.Join(views, ","),
+		"--entries", strings.Join(entries, ","), "--ready", strings.Join(ready, ","), "--pools", pools,
+		"--duration", w.p.Load.String(), "--rate", fmt.Sprint(w.p.Rate), "--seed", fmt.Sprint(w.p.Seed), "--wave-cap", strconv.Itoa(w.p.WaveCap),
+		"--control", address(w.real(), standinByte, controlPort), "--history", w.file("history.log"), "--report", w.file("report.json"))
+	if err != nil {
+		return err
+	}
+	return w.awaitControl(ctx)
+}
+
+// link makes the links of all views.
+func (w *jobWorld) link(ctx context.Context) error {
+	for i, view := range w.views() {
+		from, seen := "", w.network(view)
+		if view > 0 {
+			from = fmt.Sprintf("entry-%d", view)
+		}
+		err := w.proxy.Listen(ctx, Link{from, storeAddress}, address(seen, standinByte, storePort), address(w.real(), standinByte, storePort+1+i))
+		for _, h := range w.hosts {
+			to, port := fmt.Sprintf("entry-%d", h.number), peerPort
+			if view == 0 {
+				err = errors.Join(err, w.proxy.Listen(ctx, Link{from, to}, address(seen, h.number, callerPort), address(w.real(), h.number, callerPort)))
+			}
+			err = errors.Join(err, w.proxy.Listen(ctx, Link{from, to}, address(seen, h.number, port), address(w.real(), h.number, port)))
+		}
+		for n := range lo.Sum(w.p.Pools) {
+			last, port := firstWorker+n%workerBytes, workerPort+n/workerBytes
+			err = errors.Join(err, w.proxy.Listen(ctx, Link{from, fmt.Sprintf("worker-%d", n+1)}, address(seen, last, port), address(w.real(), last, port)))
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *jobWorld) file(name string) string { return filepath.Join(w.o.Dir, name) }
+
+func (w *jobWorld) awaitControl(ctx context.Context) error {
+	for begin := time.Now(); time.Since(begin) < startLimit; {
+		if w.control(ctx, jobplatform.Control{}) == nil {
+			return nil
+		}
+		if w.platform.ended() || wait.For(ctx, settleTick) != nil {
+			break
+		}
+	}
+	return errors.New("the platform did not start; see platform.log")
+}
+
+// await waits for the begin of the load.
+func (w *jobWorld) await(ctx context.Context) error {
+	for begin := time.Now(); time.Since(begin) < startLimit; {
+		log, err := os.ReadFile(w.file("platform.log"))
+		if err != nil || bytes.Contains(log, []byte("load begins")) {
+			return err
+		}
+		if wait.For(ctx, settleTick) != nil {
+			break
+		}
+	}
+	return errors.New("the load did not begin; see platform.log")
+}
+
+func (w *jobWorld) settings(host int) string {
+	seen, own := w.network(host), w.real()
+	store := address(seen, standinByte, storePort)
+	return fmt.Sprintf(`[job_host]
+name = entry-%d
+data_centre = zone-1
+ip = %s.%d
+caller_address = %s
+peer_address = %s
+ready_address = %s
+[job_store]
+address = %s
+writes_per_second = 400
+reads_per_second = 2000
+[machine_api]
+address = %s
+[job_bounds]
+move_time = 1s
+upkeep_time = 1500ms
+heartbeat = 1s
+`, host, own, host, address(own, host, callerPort), address(own, host, peerPort), address(own, host, readyPort), store, store)
+}
+
+// control sends a change to the stand-in.
+func (w *jobWorld) control(ctx context.Context, c jobplatform.Control) error {
+	body, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address(w.real(), standinByte, controlPort)+"/control", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	_ = resp.Body.Close() // the status is all that matters
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("control: %s", resp.Status)
+	}
+	return nil
+}
+
+func (w *jobWorld) fault(ctx context.Context, s Step) (end func(), err error) {
+	var begin, after jobplatform.Control
+	switch s.Action {
+	case Store:
+		return w.storeFault(ctx, s.StoreFault)
+	case Compact:
+		begin.Compact = true
+	case Revoke:
+		begin.Revoke = true
+	case Crash:
+		begin.Crash = true
+	case Operate:
+		begin.Configure = true
+	case Lose:
+		begin.LoseEvery, after.LoseEvery = lo.ToPtr(loseEvery), lo.ToPtr(0)
+	case Late:
+		begin.DelayEvery, after.DelayEvery = lo.ToPtr(lateEvery), lo.ToPtr(0)
+	default:
+		return nil, fmt.Errorf("no such fault: %s", s)
+	}
+	if err := w.control(ctx, begin); err != nil || after == (jobplatform.Control{}) {
+		return nil, err
+	}
+	return func() { w.end(ctx, after) }, nil
+}
+
+func (w *jobWorld) end(ctx context.Context, c jobplatform.Control) {
+	if err := w.control(ctx, c); err != nil && ctx.Err() == nil {
+		w.broke("a fault could not be ended: %v", err)
+	}
+}
+
+// storeFault adds a fault to those of the store that last.
+func (w *jobWorld) storeFault(ctx context.Context, name string) (end func(), err error) {
+	set := func(on bool) jobplatform.Control {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		switch name {
+		case "slow":
+			w.store.DelayMs = lo.Ternary(on, slowStore.Milliseconds(), 0)
+		case "silent":
+			w.store.Silent = on
+		case "deaf":
+			w.store.Deaf = on
+		case "late":
+			w.store.LateEvery = lo.Ternary(on, lateWritesEvery, 0)
+		}
+		faults := w.store
+		return jobplatform.Control{Store: &faults}
+	}
+	if err := w.control(ctx, set(true)); err != nil {
+		return nil, err
+	}
+	return func() { w.end(ctx, set(false)) }, nil
+}
+
+func (w *jobWorld) started(ctx context.Context, host int) error {
+	return w.control(ctx, jobplatform.Control{Started: address(w.network(0), host, callerPort)})
+}
+
+func (w *jobWorld) calm(ctx context.Context) error {
+	return w.control(ctx, jobplatform.Control{Calm: true})
+}
+
+func (w *jobWorld) verdict(_ context.Context, out *Outcome) error {
+	if err := w.platform.await(w.p.Load + endLimit); err != nil {
+		return err
+	}
+	data, err := os.ReadFile(w.file("report.json"))
+	if err != nil {
+		return fmt.Errorf("no report, see platform.log: %w", err)
+	}
+	var result jobscenario.Result
+	if err := json.Unmarshal(data, &result); err != nil {
+		return err
+	}
+	c, t := result.Callers, result.Workers
+	out.Broken = result.Broken
+	if !result.Held() && len(out.Broken) == 0 {
+		out.Broken = []string{"not every accepted job ended as it should, see platform.log"}
+	}
+	out.Checked = map[string]int{
+		"starts": t.Starts, "ends": t.Done + t.Failed + t.Stopped + t.Lapsed + t.Gone + t.Apart, "jobs accepted": c.Accepted,
+		"jobs completed": c.Completed, "cancellations": c.CancelsAcknowledged, "upkeeps": t.Upkeeps, "moves": t.Moves,
+		"configurations looked at": t.Looks, "attempts after the bound": t.ServedAgain,
+	}
+	history, err := os.ReadFile(w.file("history.log"))
+	if err != nil {
+		return err
+	}
+	for _, broken := range out.Broken {
+		out.Evidence = append(out.Evidence, evidence(strings.Split(string(history), "\n"), broken)...)
+	}
+	return nil
+}
+
+func (w *jobWorld) stop() {
+	if w.platform == nil {
+		return
+	}
+	w.platform.signal(syscall.SIGTERM)
+	if w.platform.await(stopBound) != nil {
+		w.platform.kill()
+	}
+}
--- /dev/null
+++ b/standin/soak/process.go
@@ -0,0 +1,65 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"syscall"
+	"time"
+)
+
+// process is one that the soak started. Its fields are set by start.
+type process struct {
+	name    string
+	command *exec.Cmd
+	exited  chan struct{}
+}
+
+// start runs a program with its output appended to a log.
+func start(name, log, program string, args ...string) (*process, error) {
+	out, err := os.OpenFile(log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	p := &process{name: name, command: exec.CommandContext(context.Background(), program, args...), exited: make(chan struct{})}
+	p.command.Stdout, p.command.Stderr = out, out
+	if err := p.command.Start(); err != nil {
+		_ = out.Close()
+		return nil, err
+	}
+	go func() {
+		_ = p.command.Wait() // ProcessState tells
+		_ = out.Close()
+		close(p.exited)
+	}()
+	return p, nil
+}
+
+// signal does nothing to a process that has ended.
+func (p *process) signal(s syscall.Signal) { _ = p.command.Process.Signal(s) }
+
+func (p *process) ended() bool {
+	select {
+	case <-p.exited:
+		return true
+	default:
+		return false
+	}
+}
+
+// await waits for the end of the process.
+func (p *process) await(limit time.Duration) error {
+	select {
+	case <-p.exited:
+		return nil
+	case <-time.After(limit):
+		return fmt.Errorf("%s did not end in %v", p.name, limit)
+	}
+}
+
+// kill ends the process in any state.
+func (p *process) kill() {
+	_ = p.command.Process.Kill()
+	<-p.exited
+}
