standin/soak: entry hosts that serve requests

Change: the same plans in the mode of requests; platform, workers and callers are a process each, the soak is the operator (changes of the configuration, moves, waves). Callers trace each exchange. Judge compares the traces, the workers' records and what entry hosts told with the promises and knows nothing of the programs.

--- a/cmd/agateturn-standin/load.go
+++ b/cmd/agateturn-standin/load.go
@@ -33,6 +33,7 @@
 	Balanced      bool          `default:"true" negatable:"" help:"Pass over entry hosts whose readiness check fails, as the platform's balancer does."`
 	Seed          uint64        `default:"1" help:"Seed of the plan."`
 	Strict        bool          `help:"Also fail if a request was cut, got no answer or got one outside the contract."`
+	Trace         string        `help:"File for each exchange, as lines of JSON."`
 	Output        string        `default:"table" enum:"table,json" help:"Form of the report: table or json."`
 }
 
@@ -42,6 +43,15 @@
 	if err != nil {
 		return err
 	}
+	if c.Trace != "" {
+		file, err := os.Create(c.Trace)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = file.Close() }() // each line is written at once
+		lines := json.NewEncoder(file)
+		config.Trace = func(e callers.Exchange) { _ = lines.Encode(e) } // who reads it sees a line that lacks
+	}
 	report, err := callers.Run(ctx, config)
 	if err != nil {
 		return err
--- a/standin/callers/config.go
+++ b/standin/callers/config.go
@@ -73,6 +73,8 @@
 	Seed        uint64
 	// Balanced passes over targets whose readiness check fails, as the platform's balancer does.
 	Balanced bool
+	// Trace is told of each exchange, one at a time; nil for nobody.
+	Trace func(Exchange)
 }
 
 // Default returns a small load without targets and services.
--- a/standin/callers/run.go
+++ b/standin/callers/run.go
@@ -30,6 +30,7 @@
 	slots   chan struct{}
 	running sync.WaitGroup
 	tally   *tally
+	tracing sync.Mutex
 	// balancer passes over targets that are not ready; nil sends each request to its planned target.
 	balancer *balancer
 }
@@ -76,6 +77,29 @@
 		began := time.Now()
 		result := send(ctx, client, l.config, planned, own)
 		l.tally.add(planned, result, time.Since(began))
+		l.trace(planned, own, began, result)
+	})
+}
+
+// Exchange is one request and what came of it, as its caller saw it.
+type Exchange struct {
+	ID      string    `json:"id"`
+	Key     string    `json:"key,omitempty"`
+	Service string    `json:"service"`
+	Target  string    `json:"target"`
+	Sent    time.Time `json:"sent"`
+	Ended   time.Time `json:"ended"`
+	Result  Result    `json:"result"`
+}
+
+func (l *load) trace(planned Request, own identity, began time.Time, result Result) {
+	if l.config.Trace == nil {
+		return
+	}
+	l.tracing.Lock()
+	defer l.tracing.Unlock()
+	l.config.Trace(Exchange{
+		ID: own.id, Key: own.key, Service: planned.Service, Target: planned.Target, Sent: began, Ended: time.Now(), Result: result,
 	})
 }
 
--- a/standin/callers/send.go
+++ b/standin/callers/send.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -55,6 +56,25 @@
 	ResultSkipped
 )
 
+// resultNames are by Result.
+var resultNames = []string{"whole", "wrong", "failed run", "not run", "unknown", "cut", "no answer", "unexpected", "skipped"}
+
+// String is the result for people.
+func (r Result) String() string { return resultNames[r] }
+
+// MarshalText implements encoding.TextMarshaler.
+func (r Result) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (r *Result) UnmarshalText(text []byte) error {
+	i := slices.Index(resultNames, string(text))
+	if i < 0 {
+		return InvalidConfig.New("no result %q", text)
+	}
+	*r = Result(i)
+	return nil
+}
+
 // newClient returns a client that uses each connection once and refuses any address but loopback when it connects.
 func newClient() *http.Client {
 	dialer := &net.Dialer{Control: func(_, address string, _ syscall.RawConn) error {
--- /dev/null
+++ b/standin/soak/check.go
@@ -0,0 +1,220 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/agateturn/agateturn/standin/callers"
+	"github.com/agateturn/agateturn/standin/workers"
+)
+
+// Seen is what callers, workers and the operator saw of a run, and what was done to it.
+type Seen struct {
+	Exchanges []callers.Exchange
+	Records   []workers.Record
+	Counts    workers.Counts
+	Views     []View
+	Accepted  []Accepted
+	Events    []Event
+	// Calm is when the last fault had ended.
+	Calm time.Time
+	// Targets are the entry hosts by the address that callers use.
+	Targets map[string]int
+	// Slots are those of each worker, Moves the orders of moves that were sent.
+	Slots, Moves int
+}
+
+// View is what an entry host told the operator in one of its lives.
+type View struct {
+	At         time.Time
+	Host, Life int
+	Generation uint64
+}
+
+// Accepted is a change of the configuration that an entry host said to be accepted.
+type Accepted struct {
+	At         time.Time
+	Generation uint64
+}
+
+// Event is a step that was carried out on a host or a link.
+type Event struct {
+	At, Until time.Time
+	Host      int
+	Action    Action
+	Link      Link
+}
+
+// Finding is a broken promise and the identity by which the logs tell more of it.
+type Finding struct{ Text, ID string }
+
+const (
+	// configBound is how soon an accepted change must be in force at hosts without trouble.
+	configBound = 15 * time.Second
+	// troubleBefore and troubleAfter are how long before and after a fault an exchange is put down to it.
+	troubleBefore = 500 * time.Millisecond
+	troubleAfter  = 5 * time.Second
+	// servedShare is the part of the requests that must be served again, in percent.
+	servedShare = 90
+)
+
+// Judge compares what was seen with the promises. checked counts what was looked at.
+func Judge(s Seen) (broken []Finding, checked map[string]int) {
+	checks := []func(Seen) ([]Finding, string, int){
+		answers, keys, notRun, slots, onePool, cut, generations, acceptedInForce, servedAgain,
+	}
+	checked = make(map[string]int)
+	for _, check := range checks {
+		found, name, n := check(s)
+		broken = append(broken, found...)
+		checked[name] = n
+	}
+	return broken, checked
+}
+
+func answers(s Seen) (found []Finding, name string, n int) {
+	for _, e := range s.Exchanges {
+		if e.Result == callers.ResultWrong || e.Result == callers.ResultUnexpected {
+			found = append(found, Finding{fmt.Sprintf("answer of %s to %s is %s", e.Target, e.ID, e.Result), e.ID})
+		}
+	}
+	return found, "answers", len(s.Exchanges)
+}
+
+func keys(s Seen) (found []Finding, name string, n int) {
+	for key, runs := range s.Counts.Doubled {
+		found = append(found, Finding{fmt.Sprintf("key %s ran %d times", key, runs), key[len(key)-min(len(key), len("00000000-0000-0000-0000-000000000000")):]})
+	}
+	return found, "keyed runs", lo.CountBy(s.Records, func(r workers.Record) bool { return r.Key != "" && r.Ran })
+}
+
+func notRun(s Seen) (found []Finding, name string, n int) {
+	ran := lo.SliceToMap(lo.Filter(s.Records, func(r workers.Record, _ int) bool { return r.Ran }),
+		func(r workers.Record) (string, bool) { return r.RequestID, true })
+	for id, same := range lo.GroupBy(s.Exchanges, func(e callers.Exchange) string { return e.ID }) {
+		if !lo.EveryBy(same, func(e callers.Exchange) bool { return e.Result == callers.ResultNotRun }) {
+			continue
+		}
+		n++
+		if ran[id] {
+			found = append(found, Finding{fmt.Sprintf("request %s ran and was answered not run", id), id})
+		}
+	}
+	return found, "not run", n
+}
+
+func slots(s Seen) (found []Finding, name string, n int) {
+	for host, most := range s.Counts.MaxConcurrent {
+		if most > s.Slots {
+			found = append(found, Finding{fmt.Sprintf("worker %s ran %d requests at once on %d slots", host, most, s.Slots), host})
+		}
+	}
+	return found, "runs within slots", len(s.Records)
+}
+
+func onePool(s Seen) (found []Finding, name string, n int) {
+	for host, overlaps := range s.Counts.PoolOverlaps {
+		if overlaps > 0 {
+			found = append(found, Finding{fmt.Sprintf("worker %s ran requests of two pools at once %d times", host, overlaps), host})
+		}
+	}
+	if switches := lo.Sum(lo.Values(s.Counts.PoolSwitches)); switches > s.Moves {
+		found = append(found, Finding{fmt.Sprintf("%d changes of pool seen, %d ordered", switches, s.Moves), ""})
+	}
+	return found, "moves", s.Moves
+}
+
+// cut sees that no exchange that reached a worker was cut without a fault on its way; a planned stop is none.
+func cut(s Seen) (found []Finding, name string, n int) {
+	reached := lo.SliceToMap(s.Records, func(r workers.Record) (string, bool) { return r.RequestID, true })
+	for _, e := range s.Exchanges {
+		if s.troubled(e) {
+			continue
+		}
+		n++
+		if (e.Result == callers.ResultCut || e.Result == callers.ResultNoAnswer) && reached[e.ID] {
+			found = append(found, Finding{fmt.Sprintf("request %s to %s has %s, and nothing but planned stops was near", e.ID, e.Target, e.Result), e.ID})
+		}
+	}
+	return found, "exchanges without trouble", n
+}
+
+// troubled tells whether an unplanned fault was on the way of an exchange.
+func (s Seen) troubled(e callers.Exchange) bool {
+	host := s.Targets[e.Target]
+	name := fmt.Sprintf("entry-%d", host)
+	return lo.SomeBy(s.Events, func(v Event) bool {
+		near := e.Sent.Before(s.over(v).Add(troubleAfter)) && e.Ended.After(v.At.Add(-troubleBefore))
+		switch v.Action {
+		case Kill, Pause:
+			return v.Host == host && near
+		case Harms:
+			return near && (v.Link.To == name || v.Link.From == name || v.Link.From == "" && v.Link.To != storeAddress)
+		}
+		return false
+	})
+}
+
+// over is when a fault ended; a killed or paused host is back with its next life or its going on.
+func (s Seen) over(v Event) time.Time {
+	if v.Action == Harms {
+		return v.Until
+	}
+	back, ok := lo.Find(s.Events, func(next Event) bool {
+		return next.Host == v.Host && next.At.After(v.At) && (next.Action == Start || next.Action == Continue)
+	})
+	return lo.Ternary(ok, back.Until, v.Until)
+}
+
+// generations sees that no entry host goes back in one life.
+func generations(s Seen) (found []Finding, name string, n int) {
+	type life struct{ host, life int }
+	last := make(map[life]uint64)
+	for _, v := range s.Views {
+		of := life{v.Host, v.Life}
+		if v.Generation < last[of] {
+			found = append(found, Finding{fmt.Sprintf("entry-%d went back from generation %d to %d", v.Host, last[of], v.Generation), ""})
+		}
+		last[of] = v.Generation
+	}
+	return found, "generations looked at", len(s.Views)
+}
+
+// acceptedInForce sees that what was accepted is in force at each host in its last views, and that none is older later.
+func acceptedInForce(s Seen) (found []Finding, name string, n int) {
+	for _, a := range s.Accepted {
+		bound := lo.Latest(a.At, s.Calm).Add(configBound)
+		late, broke := lo.Find(s.Views, func(v View) bool { return v.At.After(bound) && v.Generation < a.Generation })
+		if broke {
+			found = append(found, Finding{fmt.Sprintf("generation %d was accepted, entry-%d has %d", a.Generation, late.Host, late.Generation), ""})
+		}
+	}
+	return found, "changes accepted", len(s.Accepted)
+}
+
+// servedAgain sees that most requests that were sent after the bound are served; one that was sent twice needs one answer.
+func servedAgain(s Seen) (found []Finding, name string, n int) {
+	after := lo.Filter(s.Exchanges, func(e callers.Exchange, _ int) bool { return e.Sent.After(s.Calm.Add(servedBound)) })
+	unserved, served := "", 0
+	same := lo.GroupBy(after, func(e callers.Exchange) string { return e.ID })
+	for id, sent := range same {
+		if lo.SomeBy(sent, func(e callers.Exchange) bool { return e.Result == callers.ResultWhole }) {
+			served++
+		} else {
+			unserved = id
+		}
+	}
+	if served*100 < servedShare*len(same) || len(same) == 0 {
+		found = []Finding{{fmt.Sprintf("%d of %d requests served %v after the last fault", served, len(same), servedBound), unserved}}
+	}
+	return found, "requests after the bound", len(same)
+}
+
+// sortByTime puts what was noted at once into order.
+func (s *Seen) sortByTime() {
+	slices.SortStableFunc(s.Events, func(a, b Event) int { return a.At.Compare(b.At) })
+	slices.SortStableFunc(s.Views, func(a, b View) int { return a.At.Compare(b.At) })
+}
--- a/standin/soak/jobs.go
+++ b/standin/soak/jobs.go
@@ -166,7 +166,7 @@
 	var begin, after jobplatform.Control
 	switch s.Action {
 	case Store:
-		return w.storeFault(ctx, s.StoreFault)
+		return w.storeFault(ctx, s.Detail)
 	case Compact:
 		begin.Compact = true
 	case Revoke:
--- /dev/null
+++ b/standin/soak/requests.go
@@ -0,0 +1,438 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/agateturn/agateturn/internal/operatorapi"
+	"github.com/agateturn/agateturn/standin/callers"
+	"github.com/agateturn/agateturn/standin/platformd"
+	"github.com/agateturn/agateturn/standin/workers"
+	"github.com/agateturn/agateturn/wait"
+)
+
+const (
+	operatorPort, adminPort = 7002, 8600
+	operatorToken           = "soak-operator-token"
+	workerSlots             = 8
+	viewTick                = 250 * time.Millisecond
+	// firstWeight is that of moves in the first configuration; each change adds one.
+	firstWeight     = 100
+	operatorTimeout = 20 * time.Second
+	// answersLost is how many answers or requests the store loses in a fault of it.
+	answersLost = 3
+)
+
+// requestWorld is entry hosts that serve requests, and platform, workers and callers as a process each; the operator is
+// the soak.
+type requestWorld struct {
+	*run
+	standins []*process
+	callers  *process
+	store    platformd.StoreFaults
+	looking  sync.WaitGroup
+	stopLook context.CancelFunc
+	client   http.Client
+
+	seenMu  sync.Mutex
+	seen    Seen
+	lives   map[int]int
+	changes int
+}
+
+func (w *requestWorld) file(name string) string { return filepath.Join(w.o.Dir, name) }
+
+func (w *requestWorld) begin(ctx context.Context) error {
+	w.lives, w.client.Timeout = make(map[int]int), operatorTimeout
+	w.seen.Slots, w.seen.Targets = workerSlots, make(map[string]int)
+	if err := w.link(ctx); err != nil {
+		return err
+	}
+	for _, h := range w.hosts {
+		w.seen.Targets[address(w.network(0), h.number, callerPort)] = h.number
+	}
+	if err := os.WriteFile(w.file("workers.ini"), []byte(w.deployment(w.real(), 0)), 0o600); err != nil {
+		return err
+	}
+	admin := address(w.real(), standinByte, adminPort)
+	if err := w.standin("workers", "workers", "--deployment", w.file("workers.ini"), "--admin", admin,
+		"--run-time", "20ms", "--seed", fmt.Sprint(w.p.Seed)); err != nil {
+		return err
+	}
+	return w.standin("platform", "platform", "--listen", address(w.real(), standinByte, storePort), "--deployment", w.file("workers.ini"),
+		"--reboot-time", "1s", "--workers-admin", "http://"+admin)
+}
+
+func (w *requestWorld) standin(name string, args ...string) error {
+	p, err := start(name, w.file(name+".log"), w.o.Standin, args...)
+	if err == nil {
+		w.standins = append(w.standins, p)
+	}
+	return err
+}
+
+func (w *requestWorld) link(ctx context.Context) error {
+	var failed []error
+	pass := func(link Link, network string, last, port int) {
+		failed = append(failed, w.proxy.Listen(ctx, link, address(network, last, port), address(w.real(), last, port)))
+	}
+	for _, h := range w.hosts {
+		name := fmt.Sprintf("entry-%d", h.number)
+		pass(Link{"", name}, w.network(0), h.number, callerPort)
+		if w.network(h.number) != w.network(0) {
+			pass(Link{name, storeAddress}, w.network(h.number), standinByte, storePort)
+		}
+	}
+	pass(Link{"", storeAddress}, w.network(0), standinByte, storePort)
+	for n := range lo.Sum(w.p.Pools) {
+		pass(Link{"", fmt.Sprintf("worker-%d", n+1)}, w.network(0), firstWorker+n, workerPort)
+	}
+	return errors.Join(failed...)
+}
+
+// deployment is the configuration with workers on a network; change makes it another one.
+func (w *requestWorld) deployment(network string, change int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[deployment]\nname = soak\nspare_pool = %s\n[maintenance]\nmax_parallel = 2\nmax_per_data_centre = 2\n[weights]\nmoves = %d\n",
+		poolName(len(w.p.Pools)-1), firstWeight+change)
+	b.WriteString("[data_centre \"a\"]\n[data_centre \"b\"]\n[team \"orders\"]\nquota = 80\n")
+	n := 0
+	for i, machines := range w.p.Pools {
+		name := poolName(i)
+		fmt.Fprintf(&b, "[pool %q]\n", name)
+		if i < len(w.p.Pools)-1 {
+			fmt.Fprintf(&b, "[service %q]\npool = %s\navailability = 0.5\n", name, name)
+		} else {
+			b.WriteString("min_hosts = 0\n")
+		}
+		for range machines {
+			centre := []string{"a", "b"}[n%2]
+			fmt.Fprintf(&b, "[host \"worker-%d\"]\naddress = %s\ndata_centre = %s\nrack = %s%d\npool = %s\nslots = %d\n",
+				n+1, address(network, firstWorker+n, workerPort), centre, centre, n/4, name, workerSlots)
+			n++
+		}
+	}
+	return b.String()
+}
+
+func (w *requestWorld) settings(number int) string {
+	own := w.real()
+	peers := lo.FilterMap(w.hosts, func(h *host, _ int) (string, bool) {
+		return address(own, h.number, peerPort), h.number != number
+	})
+	store := "http://" + address(w.network(number), standinByte, storePort)
+	return fmt.Sprintf(`[entry_host]
+name = entry-%d
+data_centre = %s
+caller_address = %s
+peer_address = %s
+operator_address = %s
+peers = %s
+[store]
+address = %s
+timeout = 1s
+[platform]
+address = %s
+poll = 200ms
+[operator]
+token = %s
+[timing]
+heartbeat = 200ms
+decision = 100ms
+controller_lease = 10s
+pause_limit = 1s
+drain_notice = 1s
+`, number, []string{"a", "b"}[number%2], address(own, number, callerPort), address(own, number, peerPort), address(own, number, operatorPort),
+		strings.Join(peers, ","), store, store, operatorToken)
+}
+
+// await has the first configuration accepted and begins the load once all entry hosts are ready.
+func (w *requestWorld) await(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	for !w.configure(ctx, 1) {
+		if wait.For(ctx, settleTick) != nil {
+			return errors.New("no configuration was accepted")
+		}
+	}
+	for _, h := range w.hosts {
+		for s, ok := w.status(ctx, h.number); !ok || !s.Ready; s, ok = w.status(ctx, h.number) {
+			if wait.For(ctx, settleTick) != nil {
+				return fmt.Errorf("entry-%d is not ready", h.number)
+			}
+		}
+	}
+	return w.beginLoad()
+}
+
+func (w *requestWorld) beginLoad() error {
+	targets := strings.Join(lo.Map(w.hosts, func(h *host, _ int) string { return address(w.network(0), h.number, callerPort) }), ",")
+	services := lo.Times(len(w.p.Pools)-1, func(i int) string {
+		return fmt.Sprintf("%s=%.0f", poolName(i), w.p.Rate/float64(len(w.p.Pools)-1))
+	})
+	var err error
+	w.callers, err = start("callers", w.file("callers.log"), w.o.Standin, "load", "--targets", targets, "--services", strings.Join(services, ","),
+		"--teams", "orders", "--duration", w.p.Load.String(), "--burst-length", "2s", "--burst-factor", "2", "--idle-factor", "0.5",
+		"--keyed-share", "0.4", "--repeat-share", "0.5", "--session-share", "0.05", "--session-length", "2s", "--timeout", "4s",
+		"--seed", fmt.Sprint(w.p.Seed), "--trace", w.file("history.log"))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	w.stopLook = cancel
+	for _, h := range w.hosts {
+		w.looking.Go(func() { w.look(ctx, h.number) })
+	}
+	return nil
+}
+
+// look notes what an entry host tells the operator.
+func (w *requestWorld) look(ctx context.Context, number int) {
+	for wait.For(ctx, viewTick) == nil {
+		life := w.life(number)
+		s, ok := w.status(ctx, number)
+		if !ok || w.life(number) != life {
+			continue
+		}
+		w.seenMu.Lock()
+		w.seen.Views = append(w.seen.Views, View{At: time.Now(), Host: number, Life: life, Generation: s.Generation})
+		w.seenMu.Unlock()
+	}
+}
+
+func (w *requestWorld) life(number int) int {
+	w.seenMu.Lock()
+	defer w.seenMu.Unlock()
+	return w.lives[number]
+}
+
+func (w *requestWorld) started(_ context.Context, number int) error {
+	w.seenMu.Lock()
+	defer w.seenMu.Unlock()
+	w.lives[number]++
+	return nil
+}
+
+func (w *requestWorld) calm(context.Context) error {
+	w.seen.Calm = time.Now()
+	return nil
+}
+
+// call speaks HTTP with JSON and returns the status, 0 for no answer.
+func (w *requestWorld) call(ctx context.Context, method, url string, in, out any) int {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return 0
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+url, bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	r.Header.Set("Authorization", "Bearer "+operatorToken)
+	r.Header.Set("Content-Type", "application/json")
+	resp, err := w.client.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if out != nil && json.NewDecoder(resp.Body).Decode(out) != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+func (w *requestWorld) operate(ctx context.Context, number int, method, path string, in, out any) int {
+	return w.call(ctx, method, address(w.real(), number, operatorPort)+path, in, out)
+}
+
+func (w *requestWorld) status(ctx context.Context, number int) (s operatorapi.Status, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	return s, w.operate(ctx, number, http.MethodGet, "/v1/status", nil, &s) == http.StatusOK
+}
+
+// configure has the next change accepted, by way of an entry host.
+func (w *requestWorld) configure(ctx context.Context, number int) bool {
+	s, ok := w.status(ctx, number)
+	if !ok {
+		return false
+	}
+	w.seenMu.Lock()
+	w.changes++
+	change := w.changes
+	w.seenMu.Unlock()
+	order := operatorapi.ConfigChange{
+		ChangeID: fmt.Sprintf("change-%04d", change), BaseGeneration: s.Generation, INI: w.deployment(w.network(0), change),
+	}
+	if w.operate(ctx, number, http.MethodPut, "/v1/config", order, nil) != http.StatusOK {
+		return false
+	}
+	w.seenMu.Lock()
+	defer w.seenMu.Unlock()
+	w.seen.Accepted = append(w.seen.Accepted, Accepted{At: time.Now(), Generation: s.Generation + 1})
+	return true
+}
+
+func (w *requestWorld) fault(ctx context.Context, s Step) (end func(), err error) {
+	switch s.Action {
+	case Store:
+		return w.storeFault(ctx, s.Detail), nil
+	case Operate:
+		w.configure(ctx, s.Host)
+	case Move:
+		worker, pool, _ := strings.Cut(s.Detail, " to ")
+		w.seenMu.Lock()
+		w.seen.Moves++
+		w.seenMu.Unlock()
+		w.operate(ctx, s.Host, http.MethodPost, "/v1/hosts/"+worker+"/move",
+			operatorapi.MoveOrder{Target: pool, OperationID: fmt.Sprintf("operation-%d", s.At)}, nil)
+	case Maintain:
+		w.operate(ctx, s.Host, http.MethodPost, "/v1/waves",
+			operatorapi.WaveOrder{Name: fmt.Sprintf("wave-%d", s.At), Pool: s.Detail, OperationID: fmt.Sprintf("operation-%d", s.At)}, nil)
+	default:
+		return nil, fmt.Errorf("no such fault: %s", s)
+	}
+	return nil, nil
+}
+
+// storeFault adds a fault to those of the store that last.
+func (w *requestWorld) storeFault(ctx context.Context, name string) (end func()) {
+	set := func(on bool) {
+		w.seenMu.Lock()
+		defer w.seenMu.Unlock()
+		switch name {
+		case "slow":
+			w.store.Delay = platformd.Duration(lo.Ternary(on, slowStore, 0))
+		case "down":
+			w.store.Down = on
+		case "lose-answers":
+			w.store.LoseNextAnswers = lo.Ternary(on, answersLost, 0)
+		case "lose-requests":
+			w.store.LoseNextRequests = lo.Ternary(on, answersLost, 0)
+		}
+		if w.call(ctx, http.MethodPut, address(w.real(), standinByte, storePort)+"/admin/store", w.store, nil) != http.StatusOK && ctx.Err() == nil {
+			w.broke("a fault of the store could not be set")
+		}
+	}
+	set(true)
+	return func() { set(false) }
+}
+
+func (w *requestWorld) verdict(ctx context.Context, out *Outcome) error {
+	if err := w.callers.await(w.p.Load + endLimit); err != nil {
+		return err
+	}
+	w.stopLook()
+	w.looking.Wait()
+	w.mu.Lock()
+	w.seen.Events = w.events
+	w.mu.Unlock()
+	if err := w.readHistory(); err != nil {
+		return err
+	}
+	if err := w.readRecords(ctx); err != nil {
+		return err
+	}
+	w.seen.sortByTime()
+	found, checked := Judge(w.seen)
+	out.Checked = checked
+	for _, f := range found {
+		out.Broken = append(out.Broken, f.Text)
+		out.Evidence = append(out.Evidence, w.evidence(f.ID)...)
+	}
+	return nil
+}
+
+func (w *requestWorld) readHistory() error {
+	file, err := os.Open(w.file("history.log"))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		var e callers.Exchange
+		if err := json.Unmarshal(lines.Bytes(), &e); err != nil {
+			return err
+		}
+		w.seen.Exchanges = append(w.seen.Exchanges, e)
+	}
+	return nil
+}
+
+// readRecords reads what the workers noted, and keeps it with the logs.
+func (w *requestWorld) readRecords(ctx context.Context) error {
+	admin := address(w.real(), standinByte, adminPort)
+	if w.call(ctx, http.MethodGet, admin+"/admin/counts", nil, &w.seen.Counts) != http.StatusOK {
+		return errors.New("the workers give no counts")
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/admin/records", nil)
+	if err != nil {
+		return err
+	}
+	resp, err := w.client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	for lines := json.NewDecoder(resp.Body); lines.More(); {
+		var record workers.Record
+		if err := lines.Decode(&record); err != nil {
+			return err
+		}
+		w.seen.Records = append(w.seen.Records, record)
+	}
+	data, err := json.MarshalIndent(w.seen, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(w.file("seen.json"), data, 0o600)
+}
+
+// evidence are the lines of callers and workers about a request or a key.
+func (w *requestWorld) evidence(id string) (lines []string) {
+	if id == "" {
+		return nil
+	}
+	for _, e := range w.seen.Exchanges {
+		if e.ID == id || e.Key == id {
+			lines = append(lines, fmt.Sprintf("caller: %s of %s sent %s ended %s: %s", e.ID, e.Target, e.Sent.Format(clock), e.Ended.Format(clock), e.Result))
+		}
+	}
+	for _, r := range w.seen.Records {
+		if r.RequestID == id || r.Key == id {
+			lines = append(lines, fmt.Sprintf("worker %s: %s began %s ended %s, ran %t", r.Host, r.RequestID, r.Start.Format(clock), r.End.Format(clock), r.Ran))
+		}
+	}
+	return lines[:min(len(lines), evidenceKept)]
+}
+
+const clock = "15:04:05.000"
+
+func (w *requestWorld) stop() {
+	if w.stopLook != nil {
+		w.stopLook()
+		w.looking.Wait()
+	}
+	for _, p := range append(w.standins, w.callers) {
+		if p == nil {
+			continue
+		}
+		p.signal(syscall.SIGTERM)
+		if p.await(stopBound) != nil {
+			p.kill()
+		}
+	}
+}
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -78,6 +78,7 @@
 
 	mu       sync.Mutex
 	broken   []string
+	events   []Event
 	faults   map[string]int
 	lives    int
 	harms    map[int]func()
@@ -112,7 +113,12 @@
 	return out, err
 }
 
-func newWorld(r *run) world { return &jobWorld{run: r} }
+func newWorld(r *run) world {
+	if r.p.Mode == Requests {
+		return &requestWorld{run: r}
+	}
+	return &jobWorld{run: r}
+}
 
 func (r *run) play(ctx context.Context) (Outcome, error) {
 	begin := time.Now()
@@ -176,6 +182,10 @@
 	r.mu.Lock()
 	r.faults[s.Name()]++
 	r.mu.Unlock()
+	began := time.Now()
+	defer func() {
+		r.note(Event{At: began, Until: time.Now(), Host: s.Host, Action: s.Action, Link: s.Impairment.Link})
+	}()
 	var err error
 	switch s.Action {
 	case Terminate, Kill, Pause, Continue:
@@ -198,6 +208,12 @@
 	}
 }
 
+func (r *run) note(e Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, e)
+}
+
 func (r *run) signal(h *host, a Action) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
