callers: without a configuration, tell when to come back

Cause: the refusal was made by the function for requests that will not do better later. Change: the refusal of an entry host that takes no work. Evidence: the test failed before (no time to come back).

--- a/internal/callers/call.go
+++ b/internal/callers/call.go
@@ -19,6 +19,7 @@
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/bodies"
 	"github.com/agateturn/agateturn/internal/dispatch"
+	"github.com/agateturn/agateturn/internal/refusalcode"
 )
 
 // Headers of the contract with callers and workers; docs/CALLERS.md explains them.
@@ -71,7 +72,8 @@
 func (s *Server) parse(r *http.Request, now time.Time) (*call, *refusal) {
 	cfg := s.view.Config()
 	if cfg == nil {
-		return nil, refuse(http.StatusServiceUnavailable, ErrNoConfig.New("").Error())
+		r := notRun(http.StatusServiceUnavailable, ErrNoConfig.New("").Error(), retryUnready).as(refusalcode.Unready)
+		return nil, &r
 	}
 	name, path, ok := serviceAndPath(r.URL.EscapedPath())
 	if !ok {
--- a/internal/callers/call_test.go
+++ b/internal/callers/call_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/refusalcode"
+	"github.com/agateturn/agateturn/internal/view"
 )
 
 // TestOnlySafeRequestsRunTwice tells which requests may be sent again after an unknown outcome.
@@ -52,6 +55,17 @@
 	}
 }
 
+// TestNoConfigurationTellsWhenToComeBack asks an entry host that has just started: its configuration is on its way.
+func TestNoConfigurationTellsWhenToComeBack(t *testing.T) {
+	s := &Server{view: view.New(&pb.Member{}, time.Minute, time.Minute)}
+	request := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/v1/services/s/job", nil)
+	_, r := s.parse(request, time.Now())
+	assert.Equal(t, r.status, http.StatusServiceUnavailable)
+	assert.Equal(t, r.outcome, outcomeNotRun)
+	assert.Assert(t, r.retryAfter > 0)
+	assert.Equal(t, r.code, refusalcode.Unready)
+}
+
 // TestRefusalsHaveACode gives every status that a refusal can have a code of the fixed set.
 func TestRefusalsHaveACode(t *testing.T) {
 	for _, status := range []int{400, 403, 404, 408, 409, 413, 502, 503, 504} {
