--- a/standin/callers/run.go
+++ b/standin/callers/run.go
@@ -75,9 +75,9 @@
 	l.running.Go(func() {
 		defer func() { <-l.slots }()
 		began := time.Now()
-		result := send(ctx, client, l.config, planned, own)
+		result, status := send(ctx, client, l.config, planned, own)
 		l.tally.add(planned, result, time.Since(began))
-		l.trace(planned, own, began, result)
+		l.trace(planned, own, began, result, status)
 	})
 }
 
@@ -90,16 +90,18 @@
 	Sent    time.Time `json:"sent"`
 	Ended   time.Time `json:"ended"`
 	Result  Result    `json:"result"`
+	// Status is 0 without an answer.
+	Status int `json:"status"`
 }
 
-func (l *load) trace(planned Request, own identity, began time.Time, result Result) {
+func (l *load) trace(planned Request, own identity, began time.Time, result Result, status int) {
 	if l.config.Trace == nil {
 		return
 	}
 	l.tracing.Lock()
 	defer l.tracing.Unlock()
 	l.config.Trace(Exchange{
-		ID: own.id, Key: own.key, Service: planned.Service, Target: planned.Target, Sent: began, Ended: time.Now(), Result: result,
+		ID: own.id, Key: own.key, Service: planned.Service, Target: planned.Target, Sent: began, Ended: time.Now(), Result: result, Status: status,
 	})
 }
 
--- a/standin/callers/send.go
+++ b/standin/callers/send.go
@@ -104,20 +104,20 @@
 	return own
 }
 
-// send sends one request and judges its answer.
-func send(ctx context.Context, client *http.Client, config Config, planned Request, own identity) Result {
+// send sends one request and judges its answer; status is 0 without one.
+func send(ctx context.Context, client *http.Client, config Config, planned Request, own identity) (result Result, status int) {
 	ctx, cancel := context.WithTimeout(ctx, config.patience(planned))
 	defer cancel()
 	request, err := newRequest(ctx, config, planned, own)
 	if err != nil {
-		return ResultNoAnswer
+		return ResultNoAnswer, 0
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return ResultNoAnswer
+		return ResultNoAnswer, 0
 	}
 	defer func() { _ = response.Body.Close() }()
-	return judge(response, own.id, config.answerLength(planned))
+	return judge(response, own.id, config.answerLength(planned)), response.StatusCode
 }
 
 // patience is how long a caller waits for the end of its answer.
--- a/standin/jobplatform/history.go
+++ b/standin/jobplatform/history.go
@@ -68,7 +68,8 @@
 	startedAt, idleSince, displacedAt time.Time
 }
 
-func newHistory() *History {
+// NewHistory returns a History of nothing.
+func NewHistory() *History {
 	return &History{jobs: make(map[string]*jobHistory), gangs: make(map[gangID]*gang), starts: make(map[string][]time.Time), views: make(map[string]view)}
 }
 
--- a/standin/jobplatform/jobplatform.go
+++ b/standin/jobplatform/jobplatform.go
@@ -66,7 +66,7 @@
 
 // New takes the addresses; Run serves them.
 func New(ctx context.Context, o Options) (*Platform, error) {
-	p := &Platform{options: o, kv: memtxn.New(), history: newHistory(), faults: &faults{}, waves: make(map[int64]*wave)}
+	p := &Platform{options: o, kv: memtxn.New(), history: NewHistory(), faults: &faults{}, waves: make(map[int64]*wave)}
 	p.kv.SetFaults(memtxn.Faults{Plan: p.plan})
 	for i, seen := range append([]string{o.Network}, o.Views...) {
 		if err := p.listenStore(ctx, i, seen); err != nil {
--- /dev/null
+++ b/standin/soak/naive_test.go
@@ -0,0 +1,322 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/standin/callers"
+	"github.com/agateturn/agateturn/standin/workers"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// defect is the safeguard that a naive entry host lacks.
+type defect string
+
+const (
+	sound        defect = "none"
+	ownKeys      defect = "memory of keys of each host"
+	retries      defect = "sent again after a break"
+	saysNotRun   defect = "not run for any break"
+	noSlots      defect = "no slots"
+	noDrain      defect = "moved without a drain"
+	cutsAtStop   defect = "planned stop that cuts"
+	crossed      defect = "answers of another request"
+	reverts      defect = "configuration read back old"
+	notStaged    defect = "accepted by one host alone"
+	staysDown    defect = "never serves again"
+	naiveSlots          = 2
+	naiveHosts          = 2
+	naiveWorkers        = 4
+	naiveLoad           = 1500 * time.Millisecond
+	naiveRunTime        = 30 * time.Millisecond
+)
+
+// naive is a fleet of entry hosts in this process that have one defect.
+type naive struct {
+	defect  defect
+	fleet   *workers.Fleet
+	client  *http.Client
+	servers []*httptest.Server
+	begin   time.Time
+
+	mu          sync.Mutex
+	keys        []map[string]bool // by entry host; all the same but for ownKeys
+	running     map[int]int       // by worker
+	moved       bool
+	generations []uint64
+}
+
+func newNaive(t *testing.T, d defect) *naive {
+	t.Helper()
+	n := &naive{defect: d, running: make(map[int]int), client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var err error
+	n.fleet, err = workers.New(ctx, workers.Options{
+		Hosts: lo.Times(naiveWorkers, func(i int) *pb.Host {
+			return &pb.Host{Name: fmt.Sprintf("w%d", i), Address: "127.0.0.1:0", Pool: poolOf(i)}
+		}),
+		AdminAddress: "127.0.0.1:0", DefaultRunTime: workers.RunTime{Median: naiveRunTime},
+	})
+	assert.NilError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- n.fleet.Serve(ctx) }()
+	shared := make(map[string]bool)
+	for i := range naiveHosts {
+		n.keys = append(n.keys, lo.Ternary(d == ownKeys, make(map[string]bool), shared))
+		n.generations = append(n.generations, 1)
+		n.servers = append(n.servers, httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.serve(i, w, r) })))
+	}
+	t.Cleanup(func() {
+		for _, s := range n.servers {
+			s.Close()
+		}
+		cancel()
+		assert.Check(t, <-served)
+	})
+	return n
+}
+
+func poolOf(worker int) string { return []string{"left", "right"}[worker%2] }
+
+func (n *naive) serve(host int, w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/readyz" {
+		return
+	}
+	answer := func(status int, outcome string) {
+		w.Header().Set("Agateturn-Outcome", outcome)
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(status)
+	}
+	worker, ok := n.admit(host, strings.Split(r.URL.Path, "/")[3], r.Header.Get("Idempotency-Key"))
+	switch {
+	case !ok, n.defect == staysDown && time.Since(n.begin) > naiveLoad/2:
+		answer(http.StatusServiceUnavailable, "not-run")
+		return
+	case worker < 0:
+		answer(http.StatusConflict, "unknown")
+		return
+	}
+	defer n.leave(worker)
+	response, err := n.send(worker, r)
+	if err != nil && n.defect == retries {
+		response, err = n.send(worker, r)
+	}
+	if err != nil {
+		answer(http.StatusBadGateway, lo.Ternary(n.defect == saysNotRun, "not-run", "unknown"))
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	w.Header().Set("Agateturn-Outcome", "done")
+	w.Header().Set("Agateturn-Request-Id", r.Header.Get("Agateturn-Request-Id"))
+	_, _ = io.Copy(w, response.Body)
+}
+
+// admit chooses a worker and takes a slot of it; worker is below 0 for a key that was seen before.
+func (n *naive) admit(host int, service, key string) (worker int, ok bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if key != "" && n.keys[host][key] {
+		return -1, true
+	}
+	for w := range naiveWorkers {
+		of := poolOf(w)
+		if n.moved && w == 0 {
+			of = "right"
+		}
+		if of == service && (n.running[w] < naiveSlots || n.defect == noSlots) {
+			n.running[w]++
+			if key != "" {
+				n.keys[host][key] = true
+			}
+			return w, true
+		}
+	}
+	return 0, false
+}
+
+func (n *naive) leave(worker int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.running[worker]--
+}
+
+func (n *naive) send(worker int, r *http.Request) (*http.Response, error) {
+	name := fmt.Sprintf("w%d", worker)
+	request, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+n.fleet.Address(name)+r.URL.RequestURI(), nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Header = r.Header.Clone()
+	if n.defect == crossed {
+		request.Header.Set("Agateturn-Request-Id", "another")
+	}
+	request.Header.Set("Agateturn-Service", strings.Split(r.URL.Path, "/")[3])
+	request.Header.Set("Agateturn-Pool", strings.Split(r.URL.Path, "/")[3])
+	return n.client.Do(request)
+}
+
+// play sends a load and returns what was seen of it.
+func (n *naive) play(t *testing.T) Seen {
+	t.Helper()
+	n.begin = time.Now()
+	s := Seen{Slots: naiveSlots, Targets: map[string]int{}, Calm: n.begin.Add(-servedBound + naiveLoad*2/3)}
+	config := callers.Default()
+	for i, server := range n.servers {
+		address := strings.TrimPrefix(server.URL, "http://")
+		s.Targets[address] = i + 1
+		config.Targets = append(config.Targets, callers.Target{Address: address, Weight: 1})
+	}
+	config.Services = []callers.Service{{Name: "left", Rate: 30}, {Name: "right", Rate: 30}}
+	config.Duration, config.BurstLength, config.SessionShare = naiveLoad, naiveLoad, 0
+	config.BurstFactor, config.IdleFactor, config.KeyedShare, config.RepeatShare = 1, 1, 0.5, 1
+	config.Timeout = time.Second
+	config.Trace = func(e callers.Exchange) { s.Exchanges = append(s.Exchanges, e) }
+	if n.defect == retries || n.defect == saysNotRun {
+		assert.Assert(t, n.fleet.SetFaults("w0", workers.Faults{CloseAfterRead: true, Share: 0.2}))
+	}
+	var events sync.WaitGroup
+	events.Go(func() { n.events(&s) })
+	_, err := callers.Run(t.Context(), config)
+	assert.NilError(t, err)
+	events.Wait()
+	s.Records, s.Counts = n.fleet.Records(), n.fleet.Counts()
+	return s
+}
+
+// events brings about what needs a moment of its own: a move, a planned stop, a change of the configuration.
+func (n *naive) events(s *Seen) {
+	time.Sleep(naiveLoad / 3)
+	switch n.defect {
+	case noDrain:
+		for s.Moves = range 20 { // until a request is under way
+			n.mu.Lock()
+			n.moved = !n.moved
+			n.mu.Unlock()
+			time.Sleep(naiveRunTime)
+		}
+	case cutsAtStop:
+		s.Events = append(s.Events, Event{At: time.Now(), Until: time.Now(), Host: 1, Action: Terminate})
+		for range 20 { // until a request is under way
+			n.servers[0].CloseClientConnections()
+			time.Sleep(naiveRunTime / 3)
+		}
+	case reverts, notStaged:
+		n.generations[0]++
+		s.Accepted = append(s.Accepted, Accepted{At: n.begin.Add(-configBound), Generation: 2})
+		s.Calm = n.begin.Add(-configBound)
+	}
+	n.look(s)
+	if n.defect == reverts {
+		n.generations[0]--
+	} else if n.defect == notStaged {
+		n.generations[0]--
+		s.Views = lo.Filter(s.Views, func(v View, _ int) bool { return v.Host == 2 })
+	}
+	n.look(s)
+}
+
+func (n *naive) look(s *Seen) {
+	for i, generation := range n.generations {
+		s.Views = append(s.Views, View{At: time.Now(), Host: i + 1, Life: 1, Generation: generation})
+	}
+}
+
+// TestNaiveEntryHostsAreSeen plays entry hosts that lack one safeguard each; the judge names the promise.
+func TestNaiveEntryHostsAreSeen(t *testing.T) {
+	want := map[defect]string{
+		sound: "", ownKeys: "ran 2 times", retries: "ran 2 times", saysNotRun: "ran and was answered not run",
+		noSlots: "requests at once on 2 slots", noDrain: "requests of two pools at once", cutsAtStop: "nothing but planned stops was near",
+		crossed: "is wrong", reverts: "went back from generation 2 to 1", notStaged: "generation 2 was accepted, entry-2 has 1",
+		staysDown: "requests served",
+	}
+	for d, text := range want {
+		t.Run(string(d), func(t *testing.T) {
+			broken, checked := Judge(newNaive(t, d).play(t))
+			found := strings.Join(lo.Map(broken, func(f Finding, _ int) string { return f.Text }), "\n")
+			assert.Assert(t, checked["answers"] > 0)
+			assert.Assert(t, strings.Contains(found, text), "%s", found)
+			assert.Assert(t, (len(broken) > 0) == (d != sound), "%s", found)
+		})
+	}
+}
+
+// TestProxyHarms sends a line to and fro while one way of a link is harmed, and the other is not.
+func TestProxyHarms(t *testing.T) {
+	echo, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var served sync.WaitGroup
+	served.Go(func() {
+		for c, err := echo.Accept(); err == nil; c, err = echo.Accept() {
+			served.Go(func() {
+				_, _ = io.Copy(c, c)
+				_ = c.Close()
+			})
+		}
+	})
+	link := Link{"a", "b"}
+	p := NewProxy()
+	assert.NilError(t, p.Listen(t.Context(), link, "127.0.0.1:0", echo.Addr().String()))
+	t.Cleanup(func() {
+		p.Close()
+		_ = echo.Close()
+		served.Wait()
+	})
+	for name, test := range map[string]struct {
+		harm     Impairment
+		got      int // bytes of the line that come back while the harm lasts
+		survives bool
+	}{
+		"other caller": {Impairment{Link: Link{"c", "b"}, Harm: Silence}, 8, true},
+		"delay":        {Impairment{Link: link, Harm: Delay, Delay: 50 * time.Millisecond}, 8, true},
+		"silence":      {Impairment{Link: link, Way: Back, Harm: Silence}, 0, true},
+		"cut":          {Impairment{Link: link, Harm: Cut}, 0, false},
+		"reset":        {Impairment{Link: Link{"", "b"}, Way: Back, Harm: Reset}, 4, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", p.listeners[0].Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = c.Close() }()
+			end := p.Harm(test.harm)
+			_, err = io.WriteString(c, "one line")
+			assert.NilError(t, err)
+			assert.NilError(t, c.SetReadDeadline(time.Now().Add(500*time.Millisecond)))
+			line := make([]byte, len("one line"))
+			got, _ := io.ReadFull(c, line)
+			assert.Assert(t, got == test.got || test.harm.Harm == Reset && got < len(line), "%d bytes", got)
+			end()
+			assert.NilError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+			_, _ = io.WriteString(c, "and more")
+			_, err = io.ReadFull(c, line)
+			assert.Equal(t, err == nil, test.survives, "%v", err)
+		})
+	}
+}
+
+// TestPlansRepeat sees that a seed gives the same plan, with every series among some seeds.
+func TestPlansRepeat(t *testing.T) {
+	for _, mode := range []Mode{Jobs, Requests} {
+		series := map[string]bool{}
+		for seed := range uint64(40) {
+			p := Draw(mode, seed, Sizes{Faults: 12 * time.Second})
+			assert.Equal(t, p.String(), Draw(mode, seed, Sizes{Faults: 12 * time.Second}).String())
+			for _, s := range p.Steps {
+				series[s.Series] = true
+			}
+		}
+		assert.Equal(t, len(series), map[Mode]int{Jobs: 10, Requests: 11}[mode])
+	}
+}
