proofs: a soak of each mode; make soak

Change: TestSoak plays one seed of jobs and one of requests; make soak SEED=n or n..m plays more. The judge of requests looks at budgets of services, that of jobs requires that jobs were handed in after the bound.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 GOFUMPT_VERSION := v0.12.0
 
 
-.PHONY: help build demo demo-jobs up bench capacity test lint fmt generate check-generated linters fresh
+.PHONY: help build demo demo-jobs soak up bench capacity test lint fmt generate check-generated linters fresh
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' Makefile | sed -E 's/:.*## /\t/'
 
@@ -21,6 +21,12 @@
 demo-jobs: build ## run jobs on loopback: three entry hosts, one of them killed; about 30 seconds
 	scripts/demo-jobs.sh
 
+SEED ?= 1
+MODE ?= jobs,requests
+MINUTES ?= 0
+soak: build ## faults against real processes; SEED=n or n..m, MODE=jobs or requests, MINUTES=m
+	bin/agateturn-standin soak --seeds $(SEED) --mode $(MODE) --minutes $(MINUTES)
+
 up: build ## start a deployment on loopback and keep it until Ctrl-C; DEPLOYMENT=agency or brenaz
 	scripts/up.sh $(DEPLOYMENT)
 
--- /dev/null
+++ b/proofs/soak_test.go
@@ -0,0 +1,46 @@
+package proofs
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/agateturn/agateturn/standin/soak"
+)
+
+// soakFaults is how long faults are brought about in each run.
+const soakFaults = 12 * time.Second
+
+// Short seeded runs of the soak. Seeds that ever failed are among them, with their causes.
+func TestSoak(t *testing.T) {
+	dir, err := os.MkdirTemp("", "agateturn-soak")
+	assert.NilError(t, err)
+	standin := filepath.Join(dir, "agateturn-standin")
+	out, err := exec.CommandContext(context.Background(), "go", "build", "-o", standin, "../cmd/agateturn-standin").CombinedOutput()
+	assert.NilError(t, err, "%s", out)
+	for _, run := range []struct {
+		mode  soak.Mode
+		seed  uint64
+		cause string
+	}{
+		{soak.Jobs, 1, ""},
+		{soak.Requests, 2, "refused without Retry-After by entry hosts that had no configuration yet"},
+	} {
+		t.Run(string(run.mode), func(t *testing.T) {
+			outcome, err := soak.Run(t.Context(), soak.Options{
+				Daemon: daemonPath, Standin: standin, Dir: filepath.Join(dir, string(run.mode)), Network: network, Out: t.Output(),
+			}, soak.Draw(run.mode, run.seed, soak.Sizes{Faults: soakFaults}))
+			assert.NilError(t, err)
+			t.Log(outcome)
+			assert.Equal(t, len(outcome.Broken), 0, "its logs are kept in %s", dir)
+		})
+	}
+	if !t.Failed() {
+		assert.NilError(t, os.RemoveAll(dir))
+	}
+}
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -33,6 +33,8 @@
 	At         time.Time
 	Host, Life int
 	Generation uint64
+	// Short is a pool with less than the half of its workers in service, as its budget allows; empty for none.
+	Short string
 }
 
 // Accepted is a change of the configuration that an entry host said to be accepted.
@@ -67,7 +69,7 @@
 // Judge compares what was seen with the promises. checked counts what was looked at.
 func Judge(s Seen) (broken []Finding, checked map[string]int) {
 	checks := []func(Seen) ([]Finding, string, int){
-		answers, keys, notRun, slots, onePool, cut, generations, acceptedInForce, servedAgain,
+		answers, keys, notRun, slots, onePool, cut, budgets, generations, acceptedInForce, servedAgain,
 	}
 	checked = make(map[string]int)
 	for _, check := range checks {
@@ -177,6 +179,16 @@
 	return lo.Ternary(ok, back.Until, v.Until)
 }
 
+// budgets sees that each service keeps the half of its workers.
+func budgets(s Seen) (found []Finding, name string, n int) {
+	for _, v := range s.Views {
+		if v.Short != "" {
+			found = append(found, Finding{fmt.Sprintf("entry-%d shows less than half of pool %s in service", v.Host, v.Short), ""})
+		}
+	}
+	return lo.UniqBy(found, func(f Finding) string { return f.Text }), "budgets looked at", len(s.Views)
+}
+
 // generations sees that no entry host goes back in one life.
 func generations(s Seen) (found []Finding, name string, n int) {
 	type life struct{ host, life int }
--- a/standin/soak/jobs.go
+++ b/standin/soak/jobs.go
@@ -243,6 +243,9 @@
 	if !result.Held() && len(out.Broken) == 0 {
 		out.Broken = []string{"not every accepted job ended as it should, see platform.log"}
 	}
+	if t.ServedAgain == 0 {
+		out.Broken = append(out.Broken, fmt.Sprintf("no job was handed in later than %v after the last fault, which ended late", servedBound))
+	}
 	out.Checked = map[string]int{
 		"starts": t.Starts, "ends": t.Done + t.Failed + t.Stopped + t.Lapsed + t.Gone + t.Apart, "jobs accepted": c.Accepted,
 		"jobs completed": c.Completed, "cancellations": c.CancelsAcknowledged, "upkeeps": t.Upkeeps, "moves": t.Moves,
--- a/standin/soak/requests.go
+++ b/standin/soak/requests.go
@@ -208,8 +208,11 @@
 		if !ok || w.life(number) != life {
 			continue
 		}
+		short, _ := lo.Find(s.Pools, func(p operatorapi.PoolStatus) bool {
+			return p.Name != poolName(len(w.p.Pools)-1) && p.Active*2 < p.Hosts
+		})
 		w.seenMu.Lock()
-		w.seen.Views = append(w.seen.Views, View{At: time.Now(), Host: number, Life: life, Generation: s.Generation})
+		w.seen.Views = append(w.seen.Views, View{At: time.Now(), Host: number, Life: life, Generation: s.Generation, Short: short.Name})
 		w.seenMu.Unlock()
 	}
 }
