--- a/standin/soak/jobs.go
+++ b/standin/soak/jobs.go
@@ -53,7 +53,7 @@
 	pools := strings.Join(lo.Map(w.p.Pools, func(n, _ int) string { return strconv.Itoa(n) }), ",")
 	views := lo.Map(w.views(), func(h, _ int) string { return w.network(h) })
 	var err error
-	w.platform, err = start("platform", w.file("platform.log"), w.o.Standin, "jobs",
+	w.platform, err = start(ctx, "platform", w.file("platform.log"), w.o.Standin, "jobs",
 		"--listen", address(w.real(), standinByte, storePort), "--network", w.real(), "--views", strings.Join(views, ","),
 		"--entries", strings.Join(entries, ","), "--ready", strings.Join(ready, ","), "--pools", pools,
 		"--duration", w.p.Load.String(), "--rate", fmt.Sprint(w.p.Rate), "--seed", fmt.Sprint(w.p.Seed), "--wave-cap", strconv.Itoa(w.p.WaveCap),
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -142,9 +142,17 @@
 // kinds are the series of the mode, the frequent ones more than once.
 func (d *drawing) kinds() []kind {
 	all := []kind{
-		{"second SIGTERM in a stop", d.secondTerm}, {"paused across a takeover", d.pauseAcross},
-		{"next owner killed", d.killNext}, {"all killed", d.killAll}, {"replaced at its address", d.replace},
-		{"roll, configuration", d.roll}, {"link", d.link}, {"link", d.link}, {"link", d.link}, {"store", d.store}, {"store", d.store},
+		{"second SIGTERM in a stop", d.secondTerm},
+		{"paused across a takeover", d.pauseAcross},
+		{"next owner killed", d.killNext},
+		{"all killed", d.killAll},
+		{"replaced at its address", d.replace},
+		{"roll, configuration", d.roll},
+		{"link", d.link},
+		{"link", d.link},
+		{"link", d.link},
+		{"store", d.store},
+		{"store", d.store},
 		{"operator", d.operate},
 	}
 	if d.Mode == Jobs {
@@ -292,10 +300,10 @@
 
 // Name is the kind of fault, for counts.
 func (s Step) Name() string {
-	switch s.Action {
-	case Harms:
+	if s.Action == Harms {
 		return "link " + string(s.Impairment.Harm)
-	case Store:
+	}
+	if s.Action == Store {
 		return "store " + s.Detail
 	}
 	return string(s.Action)
--- a/standin/soak/process.go
+++ b/standin/soak/process.go
@@ -16,13 +16,13 @@
 	exited  chan struct{}
 }
 
-// start runs a program with its output appended to a log.
-func start(name, log, program string, args ...string) (*process, error) {
+// start runs a program with its output appended to a log. It outlives ctx, so that it is ended in order.
+func start(ctx context.Context, name, log, program string, args ...string) (*process, error) {
 	out, err := os.OpenFile(log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
-	p := &process{name: name, command: exec.CommandContext(context.Background(), program, args...), exited: make(chan struct{})}
+	p := &process{name: name, command: exec.CommandContext(context.WithoutCancel(ctx), program, args...), exited: make(chan struct{})}
 	p.command.Stdout, p.command.Stderr = out, out
 	if err := p.command.Start(); err != nil {
 		_ = out.Close()
