--- a/standin/callers/run.go
+++ b/standin/callers/run.go
@@ -30,6 +30,7 @@
 	slots   chan struct{}
 	running sync.WaitGroup
 	tally   *tally
+	tracing sync.Mutex
 	// balancer passes over targets that are not ready; nil sends each request to its planned target.
 	balancer *balancer
 }
@@ -74,8 +75,33 @@
 	l.running.Go(func() {
 		defer func() { <-l.slots }()
 		began := time.Now()
-		result := send(ctx, client, l.config, planned, own)
+		result, status := send(ctx, client, l.config, planned, own)
 		l.tally.add(planned, result, time.Since(began))
+		l.trace(planned, own, began, result, status)
+	})
+}
+
+// Exchange is one request and what came of it, as its caller saw it.
+type Exchange struct {
+	ID      string    `json:"id"`
+	Key     string    `json:"key,omitempty"`
+	Service string    `json:"service"`
+	Target  string    `json:"target"`
+	Sent    time.Time `json:"sent"`
+	Ended   time.Time `json:"ended"`
+	Result  Result    `json:"result"`
+	// Status is 0 without an answer.
+	Status int `json:"status"`
+}
+
+func (l *load) trace(planned Request, own identity, began time.Time, result Result, status int) {
+	if l.config.Trace == nil {
+		return
+	}
+	l.tracing.Lock()
+	defer l.tracing.Unlock()
+	l.config.Trace(Exchange{
+		ID: own.id, Key: own.key, Service: planned.Service, Target: planned.Target, Sent: began, Ended: time.Now(), Result: result, Status: status,
 	})
 }
 
--- a/standin/callers/send.go
+++ b/standin/callers/send.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -55,6 +56,25 @@
 	ResultSkipped
 )
 
+// resultNames are by Result.
+var resultNames = []string{"whole", "wrong", "failed run", "not run", "unknown", "cut", "no answer", "unexpected", "skipped"}
+
+// String is the result for people.
+func (r Result) String() string { return resultNames[r] }
+
+// MarshalText implements encoding.TextMarshaler.
+func (r Result) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (r *Result) UnmarshalText(text []byte) error {
+	i := slices.Index(resultNames, string(text))
+	if i < 0 {
+		return InvalidConfig.New("no result %q", text)
+	}
+	*r = Result(i)
+	return nil
+}
+
 // newClient returns a client that uses each connection once and refuses any address but loopback when it connects.
 func newClient() *http.Client {
 	dialer := &net.Dialer{Control: func(_, address string, _ syscall.RawConn) error {
@@ -84,20 +104,20 @@
 	return own
 }
 
-// send sends one request and judges its answer.
-func send(ctx context.Context, client *http.Client, config Config, planned Request, own identity) Result {
+// send sends one request and judges its answer; status is 0 without one.
+func send(ctx context.Context, client *http.Client, config Config, planned Request, own identity) (result Result, status int) {
 	ctx, cancel := context.WithTimeout(ctx, config.patience(planned))
 	defer cancel()
 	request, err := newRequest(ctx, config, planned, own)
 	if err != nil {
-		return ResultNoAnswer
+		return ResultNoAnswer, 0
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return ResultNoAnswer
+		return ResultNoAnswer, 0
 	}
 	defer func() { _ = response.Body.Close() }()
-	return judge(response, own.id, config.answerLength(planned))
+	return judge(response, own.id, config.answerLength(planned)), response.StatusCode
 }
 
 // patience is how long a caller waits for the end of its answer.
