poolowner: a failing test of a list that lags behind the roster

What: TestTakeoverWithAListThatLagsBehindTheRoster. The new owner's list of the registry (watched, and read stale after that) still shows an earlier lifetime of a worker under its id, at another address. Cause: workers that are listed are not looked for in the roster by more than their id.

--- a/internal/poolowner/reborn_test.go
+++ b/internal/poolowner/reborn_test.go
@@ -92,3 +92,40 @@
 		end()
 	})
 }
+
+// A list that still shows an earlier lifetime of a worker, at another address, does not take the place of the one recorded.
+func TestTakeoverWithAListThatLagsBehindTheRoster(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memtxn.New().Client("owner")
+		workers := &answering{endless: endless{running: make(map[string][]scheduler.RunningTask)}}
+		workers.answer = func(r poolowner.HoldRequest) (scheduler.Report, error) {
+			workers.mu.Lock()
+			defer workers.mu.Unlock()
+			switch r.Address {
+			case "before":
+				return scheduler.Report{}, syscall.ECONNREFUSED
+			case "now":
+				return scheduler.Report{Born: 2, Running: workers.running["w1"]}, nil
+			}
+			return scheduler.Report{Running: workers.running[r.Worker]}, nil
+		}
+		present := scheduler.Worker{ID: "w1", Address: "now", Born: 2, Capacity: scheduler.Resources{CPUMilli: 4000, MemoryMB: 4000}}
+		own, end := term(t, options(t, kv, workers))
+		own.SetWorkers([]scheduler.Worker{present})
+		accept(t, kv, 1)
+		time.Sleep(pastTerms)
+		assert.Equal(t, workers.on("w1"), 1)
+		end()
+		own, end = term(t, options(t, kv, workers))
+		lagging := present
+		lagging.Address, lagging.Born = "before", 1
+		others := workersOf([]string{"w2"})
+		own.SetWorkers(append([]scheduler.Worker{lagging}, others...))
+		time.Sleep(5 * time.Second)
+		own.SetWorkers(append([]scheduler.Worker{present}, others...))
+		time.Sleep(time.Minute)
+		assert.Assert(t, !workers.ranTwice())
+		assert.Equal(t, workers.on("w1"), 1)
+		end()
+	})
+}
