poolowner: a recorded lifetime is not replaced by an older one that the list still shows

Change: a listed worker whose Born is older than the recorded one stands as recorded, unlisted, until the list has caught up.

--- a/internal/poolowner/roster.go
+++ b/internal/poolowner/roster.go
@@ -53,8 +53,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case r.listed = <-o.workers:
+		case list := <-o.workers:
 			known = true
+			r.listed = r.latest(list)
 			r.update(ctx)
 		case <-ticker.C:
 			if known && !r.settled() {
@@ -85,6 +86,18 @@
 	return false, false
 }
 
+// latest returns the listed workers, with the recorded lifetime instead of a listed one that is older: the list may lag.
+func (r *roster) latest(list []scheduler.Worker) []scheduler.Worker {
+	recorded := lo.KeyBy(r.durable, func(w scheduler.Worker) string { return w.ID })
+	return lo.Map(list, func(w scheduler.Worker, _ int) scheduler.Worker {
+		if d := recorded[w.ID]; w.Born > 0 && d.Born > w.Born {
+			d.Unlisted = true
+			return d
+		}
+		return w
+	})
+}
+
 // settled tells whether the recorded workers are the listed ones.
 func (r *roster) settled() bool {
 	return !r.unsure && len(r.missing()) == 0 && len(r.durable) == len(r.listed)
