--- a/internal/poolowner/replaced_test.go
+++ b/internal/poolowner/replaced_test.go
@@ -89,6 +89,9 @@
 	if w == nil {
 		return scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeFenced}
 	}
+	if o.Until < time.Now().UnixMilli() {
+		return scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeLate, Clock: time.Now().UnixMilli()}
+	}
 	l.lapse()
 	for _, other := range l.workers {
 		l.twice = l.twice || slices.ContainsFunc(other.running, func(r scheduler.RunningTask) bool { return r.Task == o.Task })
