scheduler: a move's stop without an answer counts as away until it is too old

Hypotheses: the stop of a run that was taken back is carried out late; a list overtakes a stop; a run counts as at work before its percent is 100. The log shows the first: "order had no answer" for task 5, the stop of task 8, the end of task 5.

Cause: after a stop without an answer the move is decided anew, and the run counted as at work again once any list showed it. Such an order may be executed later than that.

Change: for 3 s the task counts as away when others of its step are to be ended. It may be moved itself all the while. Elsewhere: stops of starts without an answer stay ordered until they are acknowledged, and so do all other stops.

--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -156,10 +156,10 @@
 	return budget > 0
 }
 
-// atWork tells whether a run of the task is known to work; on a silent worker it may have ended.
+// atWork tells whether a run of the task is known to work; on a silent worker, or by a late stop, it may have ended.
 func (t *task) atWork(now time.Time) bool {
 	for _, r := range t.runs {
-		if r.atWork() && !r.worker.silent(now) {
+		if r.atWork() && !r.worker.silent(now) && !now.Before(r.endsUntil) {
 			return true
 		}
 	}
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -159,8 +159,12 @@
 		return
 	}
 	if r.stopReason == movedAway && !r.stopAcked.set {
-		// The budget may have been used up since: the move is decided again. Until listed, the run may have ended.
+		// The budget may have been used up since: the move is decided again. The run may end until the stop is too old,
+		// whatever lists show meanwhile.
 		r.stopping = false
+		if res.Outcome != OutcomeNotSent {
+			r.endsUntil = now.Add(lateStop)
+		}
 		r.percent = 0
 		r.percentAt = now
 		return
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -11,6 +11,8 @@
 	retryStop = 300 * time.Millisecond
 	// answerTime is how long the answer to a stop may take before it is ordered again.
 	answerTime = 1500 * time.Millisecond
+	// lateStop is how late a stop without an answer may be carried out.
+	lateStop = 3 * time.Second
 )
 
 // noAnswer is the reason to stop a run whose start had no answer.
@@ -51,6 +53,8 @@
 	stopReason string
 	stopAt     time.Time
 	stopAcked  stamp
+	// endsUntil is until when a stop without an answer may still be carried out.
+	endsUntil  time.Time
 	watched    bool
 	unknownAt  time.Time
 	resolveAt  time.Time
