--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -97,6 +97,8 @@
 	waiting map[uint64]*Ticket
 	running map[uint64]*Ticket
 	pools   []string
+	// counted is when the reachable slots of each pool were counted last.
+	counted map[string]time.Time
 	hosts   map[string]*pb.Host
 	due     map[string]time.Time // hosts due for maintenance
 	// leaving are the hosts that the platform takes away, by the entry host that read it in the platform's list.
@@ -105,6 +107,8 @@
 	wasQuiet bool
 	peers    map[string]slots.PeerDemand
 	usage    map[string]map[string]int64 // running by team, by peer
+	// toldFull is what each peer was told last of the teams at their quotas: running here by team, by peer.
+	toldFull map[string]map[string]int64
 	nextID   uint64
 	// sequence numbers the heartbeats of this incarnation.
 	sequence uint64
@@ -120,12 +124,14 @@
 		queues:   admission.New(admission.Limits{MaxRequests: maxRequests}),
 		ledger:   slots.NewLedger(self),
 		router:   routing.New(routing.Options{DataCentre: place}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		counted:  map[string]time.Time{},
 		waiting:  map[uint64]*Ticket{},
 		running:  map[uint64]*Ticket{},
 		hosts:    map[string]*pb.Host{},
 		due:      map[string]time.Time{},
 		peers:    map[string]slots.PeerDemand{},
 		usage:    map[string]map[string]int64{},
+		toldFull: map[string]map[string]int64{},
 		leaving:  map[string][]string{},
 	}
 	v.OnFleet(d)
@@ -165,6 +171,7 @@
 		d.reject(r)
 	}
 	d.balance(now)
+	d.tellFreedQuotas()
 	waiting := d.ledger.Waiting()
 	d.slotless.Store(waiting > 0 && waiting == d.ledger.Own())
 }
@@ -237,32 +244,6 @@
 	}
 }
 
-// usableSlots counts the free slots on hosts that are not ejected.
-func (d *Dispatcher) usableSlots(pool string) int {
-	return lo.SumBy(d.ledger.Free(pool), func(f slots.HostFree) int {
-		if d.router.Ejected(f.Host) || d.isLeaving(f.Host) {
-			return 0
-		}
-		return f.Free
-	})
-}
-
-// candidates are the active hosts of a pool, with the slots that are free here.
-func (d *Dispatcher) candidates(pool string) []routing.Candidate {
-	free := lo.SliceToMap(d.ledger.Free(pool), func(f slots.HostFree) (string, int) { return f.Host, f.Free })
-	return lo.FilterMap(d.view.Gate.Active(pool), func(name string, _ int) (routing.Candidate, bool) {
-		host, known := d.hosts[name]
-		return routing.Candidate{
-			Host:              name,
-			DataCentre:        host.GetDataCentre(),
-			Rack:              host.GetRack(),
-			Free:              free[name],
-			Slots:             int(host.GetSlots()),
-			DueForMaintenance: d.due[name],
-		}, known && !d.isLeaving(name)
-	})
-}
-
 // start gives one queued request a host, or sends it back to its caller as not run.
 func (d *Dispatcher) start(now time.Time, pool string, id uint64) {
 	t, ok := d.waiting[id]
@@ -334,6 +315,7 @@
 			t.Result <- Verdict{Rejection: &Rejection{Reason: "this request failed on every host it was tried on; do not send it again", Hopeless: true, Code: refusalcode.Hopeless}}
 			return
 		}
+		d.countReachable(now, t.Request.Pool)
 		if decision := d.queues.Offer(now, t.Request); !decision.Queued {
 			t.Result <- Verdict{Rejection: rejectionOf(decision.Reason, decision.RetryAfter)}
 			return
