poolowner: addresses that refuse connections are tried less often

Change: after more than two refusals in a row the pause is 600 ms. That a worker has ended is told after two, as before.

--- a/internal/poolowner/hold.go
+++ b/internal/poolowner/hold.go
@@ -21,6 +21,8 @@
 	holdSlack = 800 * time.Millisecond
 	// holdRetry is the pause after a hold without an answer.
 	holdRetry = 150 * time.Millisecond
+	// refusedRetry is the same for an address that refused connections more than refusalsGone times in a row.
+	refusedRetry = 600 * time.Millisecond
 	// refusalsGone is how many refused connections in a row show that a worker has ended.
 	refusalsGone = 2
 	// ackWait is how long a holder waits until ends may be acknowledged.
@@ -135,7 +137,7 @@
 		heard.note(ctx, err)
 		if err != nil {
 			refusals = o.noteFailure(ctx, w, sent, refusals, err)
-			_ = wait.For(ctx, holdRetry)
+			_ = wait.For(ctx, retryAfter(refusals))
 			continue
 		}
 		first = false
@@ -167,6 +169,14 @@
 
 // holdOnce acknowledges ends only if asked to: where a call before had no answer, another lifetime under the same id may take
 // this one, and would forget its own ends by their numbers.
+// retryAfter is the pause after a hold without an answer.
+func retryAfter(refusals int) time.Duration {
+	if refusals > refusalsGone {
+		return refusedRetry
+	}
+	return holdRetry
+}
+
 func (o *Owner) holdOnce(
 	ctx context.Context, w scheduler.Worker, wait time.Duration, acknowledge bool,
 ) (scheduler.Report, error) {
