--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -50,7 +50,7 @@
 		}
 		p.placeStep(now, c.step, roomy)
 		p.placeAnyway(now, c.step, usable, suspects)
-		if reservable > 0 && len(c.step.ready) > 0 && now.Sub(c.step.readySince) > reserveAfter {
+		if reservable > 0 && c.step.waitsLong(now) {
 			var reserved bool
 			if usable, reserved = reserveFor(c.step, usable); reserved {
 				reservable--
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -1,6 +1,14 @@
 package scheduler
 
-import "sort"
+import (
+	"sort"
+	"time"
+)
+
+// waitsLong tells whether workers may be kept free for the step.
+func (s *step) waitsLong(now time.Time) bool {
+	return len(s.ready) > 0 && now.Sub(s.readySince) > reserveAfter
+}
 
 // reserveFor takes a worker that could come to hold a task of the step from those that later steps may use.
 func reserveFor(s *step, usable []*worker) ([]*worker, bool) {
--- a/scheduler/sending_test.go
+++ b/scheduler/sending_test.go
@@ -42,7 +42,7 @@
 		f.pool.Result(f.now, scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeDone, Clock: f.clock})
 		f.due = append(f.due, ending{at: f.now.Add(fedTask), order: o})
 	}
-	f.bare.pass(fedEach)
+	f.pass(fedEach)
 	var ended []scheduler.EndedRun
 	for len(f.due) > 0 && !f.due[0].at.After(f.now) {
 		f.ends++
