scheduler: a gang is not starved by smaller jobs

What callers saw: TestRecovery with 15 workers in five pools: jobs took up to 21 to 44 s while the load lasted (39 s), the median 3 s.

Hypotheses: the pool had too few hosts (it had four from 5 s before); a worker was avoided (none was); room never came free on enough workers at once. The last: smaller steps that can be on time go first and take all room that comes free.

Change: a gang that has waited for 5 s goes ahead of all batch steps, and all workers that it needs are kept free, if what runs there ends within 2 s. If what lasts leaves no room for it, nothing changes.

Evidence: TestGangIsNotStarvedBySmallJobs (three workers at half load): not begun after 39 s before, within 15 s now. TestGangWithoutRoomKeepsNothingIdle.

--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -8,6 +8,10 @@
 	// reserveAfter is how long a step has to wait before workers are kept free for it, at most one in reserveShare.
 	reserveAfter = time.Second
 	reserveShare = 4
+	// starvedAfter is how long a gang waits before all workers that it needs are kept free for it.
+	starvedAfter = 5 * time.Second
+	// freeSoon is how long they may be kept free before all its tasks can start.
+	freeSoon = 2 * time.Second
 	// distrustWait is how long a step waits before a suspect worker is taken for want of any other.
 	distrustWait = time.Second
 	// While more than crowdedSteps steps wait, room that comes free is given away together, every crowdedPause.
@@ -52,7 +56,7 @@
 		p.placeAnyway(now, c.step, usable, suspects)
 		if reservable > 0 && c.step.waitsLong(now) {
 			var reserved bool
-			if usable, reserved = reserveFor(c.step, usable); reserved {
+			if usable, reserved = reserveFor(now, c.class, c.step, usable); reserved {
 				reservable--
 				roomy = withRoom(usable, least)
 			}
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -27,6 +27,8 @@
 // Classes of placement, first to last.
 const (
 	classPersistent = iota
+	// classStarved is for gangs that have waited for long: what is smaller would take all room that comes free for ever.
+	classStarved
 	classOnTime
 	classLate
 	classHopeless
@@ -59,6 +61,11 @@
 		r.key = float64(o.job.accepted.UnixMilli())
 		return r
 	}
+	if p.starved(now, s) {
+		r.class = classStarved
+		r.key = float64(o.due.UnixMilli())
+		return r
+	}
 	objective := p.objective(o)
 	age := now.Sub(o.due)
 	left := s.chain
