admission, callers: what a caller holds up is not learned as run time

What callers saw: after 20 callers that did not read their answers, a service refuses nearly all requests as unable to finish before their deadlines, for minutes: [limits] body_timeout is 30 s by default, a request's deadline 10 s.

Cause: the run time was learned from the time for which a slot was held, also where the answer only waited for its caller. A stalled caller's run is longer than the mean and was learned although it failed; of what is refused only one probe a second runs.

Change: the writer to the caller counts how long its writes take; the queue charges the team for all of the time, and it and the router learn the rest. Runs that the deadline ends while the worker is silent are learned as before.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -237,6 +237,12 @@
 
 // Done ends a started request that ran for the given time; ok says whether the upstream did the work.
 func (q *Queue) Done(_ time.Time, id uint64, took time.Duration, ok bool) {
+	q.DoneHeldUp(id, took, 0, ok)
+}
+
+// DoneHeldUp is Done for a request whose answer waited for its caller for a part of the time. Its team is charged for all of
+// it; the run time is learned without that part.
+func (q *Queue) DoneHeldUp(id uint64, took, heldUp time.Duration, ok bool) {
 	it := q.items[id]
 	if it == nil || !it.running {
 		return
@@ -246,5 +252,5 @@
 	it.team.team.running--
 	q.pool(it.Pool).running--
 	it.lane.correct(it, took)
-	it.service.learned.learn(took, ok)
+	it.service.learned.learn(took-heldUp, ok)
 }
--- a/internal/callers/caller.go
+++ b/internal/callers/caller.go
@@ -196,10 +196,8 @@
 
 // attempt sends the request to the granted host and relays its answer. It reports whether another host may be tried.
 func (s *Server) attempt(ctx context.Context, w http.ResponseWriter, c *call, t *dispatch.Ticket, g *dispatch.Grant) (callEnd, bool) {
-	result := routing.Cancelled
-	defer func() {
-		s.dispatch.Done(context.WithoutCancel(ctx), dispatch.Finished{Ticket: t, Grant: g, Result: result})
-	}()
+	end := dispatch.Finished{Ticket: t, Grant: g, Result: routing.Cancelled}
+	defer func() { s.dispatch.Done(context.WithoutCancel(ctx), end) }()
 	held, refusal := s.claim(ctx, c)
 	if refusal != nil {
 		s.refuse(ctx, w, *refusal)
@@ -207,22 +205,23 @@
 	}
 	response, err := s.upstream.Do(ctx, upstream.Target{Host: g.Host, Address: g.Address}, s.outgoing(c, g))
 	if err != nil {
-		result = resultOf(ctx, err)
-		s.countUpstreamError(g.Host, outcomeOf(err), result)
+		end.Result = resultOf(ctx, err)
+		s.countUpstreamError(g.Host, outcomeOf(err), end.Result)
 		s.finishClaim(held, outcomeOf(err), 0)
 		return s.failed(ctx, w, c, g, err)
 	}
-	result = routing.Succeeded
+	end.Result = routing.Succeeded
 	if response.Status >= http.StatusInternalServerError {
-		result = routing.Failed
+		end.Result = routing.Failed
 	}
 	w.Header().Set(HeaderOutcome, outcomeDone.String())
 	steady := &steadyWriter{ResponseWriter: w, timeout: s.limits.GetBodyTimeout().AsDuration()}
 	_, err = upstream.Relay(steady, response)
+	end.HeldUp = steady.heldUp
 	_ = steady.extend() // the server has the end of the answer still to send
 	if err != nil {
-		result = lo.Ternary(steady.err == nil, routing.Failed, routing.Cancelled)
-		s.countUpstreamError(g.Host, outcomeUnknown, result)
+		end.Result = lo.Ternary(steady.err == nil, routing.Failed, routing.Cancelled)
+		s.countUpstreamError(g.Host, outcomeUnknown, end.Result)
 		s.finishClaim(held, outcomeUnknown, response.Status)
 		return s.cut(ctx, w, c, g, err), false
 	}
--- a/internal/callers/steady.go
+++ b/internal/callers/steady.go
@@ -11,11 +11,13 @@
 type steadyWriter struct {
 	http.ResponseWriter
 	timeout time.Duration
-	err     error // the errors of writes: the caller's fault, not the worker's
+	err     error         // the errors of writes: the caller's fault, not the worker's
+	heldUp  time.Duration // how long the writes took
 }
 
 // Write implements io.Writer.
 func (w *steadyWriter) Write(data []byte) (int, error) {
+	defer w.addHeldUp(time.Now())
 	_ = w.extend()
 	n, err := w.ResponseWriter.Write(data)
 	w.err = errors.Join(w.err, err)
@@ -24,12 +26,15 @@
 
 // FlushError implements what http.ResponseController looks for.
 func (w *steadyWriter) FlushError() error {
+	defer w.addHeldUp(time.Now())
 	_ = w.extend()
 	err := http.NewResponseController(w.ResponseWriter).Flush()
 	w.err = errors.Join(w.err, err)
 	return err
 }
 
+func (w *steadyWriter) addHeldUp(since time.Time) { w.heldUp += time.Since(since) }
+
 func (w *steadyWriter) extend() error {
 	return http.NewResponseController(w.ResponseWriter).SetWriteDeadline(time.Now().Add(w.timeout))
 }
--- a/internal/callers/steady_test.go
+++ b/internal/callers/steady_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -32,3 +33,24 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(text), "part part part ")
 }
+
+// slowWriter is a caller that takes a second for each part.
+type slowWriter struct{ http.ResponseWriter }
+
+func (slowWriter) Write(p []byte) (int, error) {
+	time.Sleep(time.Second)
+	return len(p), nil
+}
+
+// Guards against the time that a caller takes for its answer being learned as the worker's run time.
+func TestSteadyWriterCountsWaitsForItsCallerOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		steady := &steadyWriter{ResponseWriter: slowWriter{httptest.NewRecorder()}, timeout: time.Minute}
+		for range 3 {
+			_, err := io.WriteString(steady, "part ")
+			assert.NilError(t, err)
+			time.Sleep(10 * time.Second) // the worker's silence
+		}
+		assert.Equal(t, steady.heldUp, 3*time.Second)
+	})
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -341,14 +341,8 @@
 	Ticket *Ticket
 	Grant  *Grant
 	Result routing.Result
-}
-
-// learned is the run time to learn from. A session's length says nothing of the service's requests.
-func (f Finished) learned(runTime time.Duration) time.Duration {
-	if f.Ticket.Session {
-		return f.Ticket.Declared
-	}
-	return runTime
+	// HeldUp is how long the answer waited for its caller.
+	HeldUp time.Duration
 }
 
 // Done gives back the slot of a granted request. It waits for room in the ring: a slot must never be forgotten.
@@ -358,13 +352,17 @@
 		delete(d.running, f.Ticket.id)
 		runTime := now.Sub(f.Grant.Started)
 		d.ledger.Release(f.Grant.token)
-		d.queues.Done(now, f.Ticket.id, f.learned(runTime), f.Result == routing.Succeeded)
+		if f.Ticket.Session { // its length says nothing of the service's requests
+			d.queues.Done(now, f.Ticket.id, f.Ticket.Declared, f.Result == routing.Succeeded)
+		} else {
+			d.queues.DoneHeldUp(f.Ticket.id, runTime, f.HeldUp, f.Result == routing.Succeeded)
+		}
 		d.router.Observe(now, routing.Observation{
 			Host:      f.Grant.Host,
 			Service:   f.Ticket.Request.Service,
 			JobDigest: f.Ticket.Digest,
 			Result:    f.Result,
-			RunTime:   runTime,
+			RunTime:   runTime - f.HeldUp,
 		})
 	})
 }
--- a/internal/dispatch/reachable_test.go
+++ b/internal/dispatch/reachable_test.go
@@ -93,12 +93,16 @@
 	}
 }
 
-// ask is one caller; it returns the rejection, nil for a request that ran.
-func ask(ctx context.Context, d *Dispatcher, class admission.Class) *Rejection {
-	t := &Ticket{
+func newTicket(class admission.Class) *Ticket {
+	return &Ticket{
 		Request: admission.Request{Service: "s", Pool: "p", Team: "t", Class: class, Deadline: time.Now().Add(callerPatience)},
 		Result:  make(chan Verdict, 1),
 	}
+}
+
+// ask is one caller; it returns the rejection, nil for a request that ran.
+func ask(ctx context.Context, d *Dispatcher, class admission.Class) *Rejection {
+	t := newTicket(class)
 	d.Offer(t)
 	v := <-t.Result
 	if v.Grant != nil {
@@ -108,6 +112,16 @@
 	return v.Rejection
 }
 
+// stall takes a slot as a caller that does not read its answer does.
+func stall(ctx context.Context, d *Dispatcher, length time.Duration) {
+	t := newTicket(admission.ClassNormal)
+	d.Offer(t)
+	if v := <-t.Result; v.Grant != nil {
+		time.Sleep(length)
+		d.Done(ctx, Finished{Ticket: t, Grant: v.Grant, Result: routing.Cancelled, HeldUp: length - actualRunTime})
+	}
+}
+
 // flood has n callers ask an entry host all the time, and returns when the last one has its answer.
 func flood(ctx context.Context, d *Dispatcher, n int, length time.Duration) {
 	var callers sync.WaitGroup
@@ -208,3 +222,18 @@
 		flooding.Wait()
 	})
 }
+
+// Guards against a service refused for minutes after a flood of callers that did not read, because the time for which they
+// held their slots was taken for its run time.
+func TestCallersThatDidNotReadDoNotStretchTheRunTime(t *testing.T) {
+	inBubble(t, func(ctx context.Context, t *testing.T) {
+		host := deployment{entryHosts: 1, workers: 4, quota: 1000, urgentStart: time.Second}.start(ctx)[0]
+		allRun(ctx, t, host)
+		var stalled sync.WaitGroup
+		for range 20 {
+			stalled.Go(func() { stall(ctx, host, 2*callerPatience) })
+		}
+		stalled.Wait()
+		allRun(ctx, t, host)
+	})
+}
