upkeep: one large job is no rate, so it does not take the fleet

Cause: out of a turn the expected rate was the smoothed rate, whatever made it.

Change: a pool's owner also tells the largest job of the last second (PoolStatusResponse.largest_milli_ms). Out of a turn it counts at most for half of the others together. What the job itself needs still counts as waiting work. Turns begin by the rate as before.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -162,6 +162,7 @@
 	}
 	j.occurrences = append(j.occurrences, o)
 	p.estimate(o)
+	p.arrivals.add(now, j.work)
 	for _, s := range o.steps {
 		if s.blocked == 0 {
 			p.openStep(now, s)
--- a/scheduler/learn.go
+++ b/scheduler/learn.go
@@ -96,7 +96,6 @@
 	j := o.job
 	j.chain = longest
 	j.work = work
-	p.arrived += int64(work)
 	if work <= 0 {
 		return
 	}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -65,9 +65,9 @@
 	// leaving are hosts that may be ordered away, until the first list of what to empty.
 	leaving map[string]bool
 	// moving holds the steps of persistent tasks that are about to move.
-	moving  []*step
-	advice  adviceDesk
-	arrived int64
+	moving   []*step
+	advice   adviceDesk
+	arrivals arrivals
 	// speculates and fills tell whether such steps have been seen.
 	speculates   bool
 	speculatedAt time.Time
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -10,7 +10,9 @@
 
 // Status tells the load of the pool.
 func (p *Pool) Status(now time.Time) *pb.PoolStatusResponse {
-	out := &pb.PoolStatusResponse{Owner: !p.fenced, Fence: p.cfg.Fence, ArrivedMilliMs: p.arrived}
+	out := &pb.PoolStatusResponse{
+		Owner: !p.fenced, Fence: p.cfg.Fence, ArrivedMilliMs: p.arrivals.total, LargestMilliMs: p.arrivals.largest(now),
+	}
 	for _, s := range p.open {
 		if s.spec.GetPersistent() {
 			continue
--- a/scheduler/status_test.go
+++ b/scheduler/status_test.go
@@ -85,3 +85,26 @@
 		})
 	}
 }
+
+// The largest job of the last second is told, and no older one.
+func TestLargestJobOfLateIsTold(t *testing.T) {
+	b := newBare()
+	add := func(id string, count int64) {
+		step := &pb.JobStep{Count: count, CpuMilli: 1000, EstimateMs: 1000}
+		b.pool.Add(b.now, &pb.JobRecord{Id: id, Queue: "q", AcceptedMs: b.now.UnixMilli(), Spec: &pb.JobSpec{Steps: []*pb.JobStep{step}}})
+	}
+	largest := func() int64 { return b.pool.Status(b.now).GetLargestMilliMs() / 1_000_000 }
+	add("a", 3)
+	b.pass(600 * time.Millisecond)
+	add("b", 9)
+	add("c", 5)
+	assert.Equal(t, largest(), int64(9))
+	b.pass(700 * time.Millisecond)
+	add("d", 2)
+	assert.Equal(t, largest(), int64(9))
+	b.pass(400 * time.Millisecond)
+	assert.Equal(t, largest(), int64(2))
+	b.pass(time.Second)
+	assert.Equal(t, largest(), int64(0))
+	assert.Equal(t, b.pool.Status(b.now).GetArrivedMilliMs(), int64(19_000_000))
+}
--- a/upkeep/demand.go
+++ b/upkeep/demand.go
@@ -11,6 +11,8 @@
 const (
 	// rateWindow smooths the rate of arrivals.
 	rateWindow = 600 * time.Millisecond
+	// shortestGap is the least time that a rate is taken over.
+	shortestGap = 100 * time.Millisecond
 	// holdTime is how slowly high rates are forgotten.
 	holdTime = 2 * time.Second
 	// lowShare and highShare of the peak are the bounds of turns.
@@ -36,6 +38,8 @@
 	fence   uint64
 	// rate is the smoothed rate at which work arrives.
 	rate float64
+	// largest is the work of the largest job of late.
+	largest float64
 	// hold is the highest rate of late; it is forgotten slowly, and at once when a turn ends.
 	hold float64
 	// peak and trough are the learned rates in and out of turns; peak is 0 until a turn was seen.
@@ -73,6 +77,7 @@
 	d.at = at
 	d.arrived = arrived
 	d.fence = status.GetFence()
+	d.largest = float64(status.GetLargestMilliMs())
 	if first {
 		d.turnArrived = arrived
 		d.countedFrom = at
@@ -163,7 +168,17 @@
 	case d.turns.high:
 		return d.trough
 	}
-	return d.rate
+	return min(d.rate, max(d.trough, d.steadyRate()))
+}
+
+// steadyRate is the rate if the largest job of late, which none like it may follow, counts at most for mostShare of the
+// others together.
+func (d *demand) steadyRate() float64 {
+	const mostShare = 0.5
+	window := min(rateWindow, max(shortestGap, d.at.Sub(d.heardFrom)))
+	largest := d.largest / float64(window.Milliseconds())
+	others := max(0, d.rate-largest)
+	return others + min(largest, mostShare*others)
 }
 
 // waning says whether the present turn is so old that its rate tells more of what follows than the learned peak.
--- a/upkeep/movesim_test.go
+++ b/upkeep/movesim_test.go
@@ -3,15 +3,13 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
-	"testing"
 	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/upkeep"
-	"gotest.tools/v3/assert"
 )
 
 const (
@@ -34,17 +32,23 @@
 	worth     float64
 	hosts     int
 	lasting   int
+	// uneven is the spread of the widths of jobs; 0 if all are alike.
+	uneven float64
 }
 
+// widest bounds the width of a job, as a multiple of its class's.
+const widest = 4
+
 var classes = []class{
-	{9, 2, 5, 800 * time.Millisecond, 1800, 0.502, 9, 6},
-	{1.77, 2, 8, 1300 * time.Millisecond, 3800, 2.87, 9, 6},
-	{11.2, 2, 5, 800 * time.Millisecond, 1800, 0.502, 11, 6},
-	{2.17, 2, 8, 1300 * time.Millisecond, 3800, 2.87, 12, 6},
+	{9, 2, 5, 800 * time.Millisecond, 1800, 0.502, 9, 6, 0},
+	{1.77, 2, 8, 1300 * time.Millisecond, 3800, 2.87, 9, 6, 0},
+	{11.2, 2, 5, 800 * time.Millisecond, 1800, 0.502, 11, 6, 0},
+	{2.17, 2, 8, 1300 * time.Millisecond, 3800, 2.87, 12, 6, 0},
 }
 
 type dayJob struct {
 	class    int
+	width    int
 	arrived  time.Duration
 	step     int
 	waiting  int
@@ -52,6 +56,12 @@
 	finished bool
 }
 
+// arrival is the work of one job.
+type arrival struct {
+	at   time.Duration
+	work int64
+}
+
 type dayTask struct {
 	job  *dayJob
 	ends time.Duration
@@ -71,11 +81,20 @@
 	now      time.Duration
 	rand     *rand.Rand
 	arrivals *rand.Rand
+	classes  []class
+	length   time.Duration
+	// large are jobs of widest times the usual width by the time at which they come.
+	large map[time.Duration]int
+	// From deafFrom to deafTo after traffic began no order is taken.
+	deafFrom, deafTo time.Duration
+	// knowsAll moves empty hosts at once to where they are needed, in place of the planner.
+	knowsAll bool
 	// shape is the demand of a class at a time, as a multiple of its mean.
 	shape    func(c int, t time.Duration) float64
 	hosts    []*dayHost
 	jobs     [][]*dayJob
 	arrived  []int64
+	latest   [][]arrival
 	moves    int
 	seconds  float64
 	owed     float64
@@ -100,8 +119,9 @@
 
 func newDay(seed uint64, shape func(int, time.Duration) float64) *day {
 	d := &day{
+		classes: classes, length: dayLength,
 		rand: rand.New(rand.NewPCG(seed, 2)), arrivals: rand.New(rand.NewPCG(seed, 3)), jobs: make([][]*dayJob, len(classes)),
-		shape: shape, arrived: make([]int64, len(classes)), rehoused: make([]time.Duration, len(classes)),
+		shape: shape, arrived: make([]int64, len(classes)), latest: make([][]arrival, len(classes)), rehoused: make([]time.Duration, len(classes)),
 	}
 	for c, class := range classes {
 		for n := range class.hosts {
@@ -126,17 +146,47 @@
 }
 
 func (d *day) arrive(c int) {
-	class := classes[c]
+	class := d.classes[c]
 	t := d.now - lead
-	if t < 0 || t >= dayLength {
+	if t < 0 || t >= d.length {
 		return
 	}
+	for range d.large[t] * (c % 2) {
+		d.hand(c, widest*class.width)
+	}
 	rate := class.perSecond * d.shape(c, t)
 	for d.arrivals.Float64() < rate*tick.Seconds()/(1+rate*tick.Seconds()) {
-		d.jobs[c] = append(d.jobs[c], &dayJob{class: c, arrived: d.now, waiting: class.width})
-		d.arrived[c] += int64(class.steps*class.width) * class.milli * class.length.Milliseconds()
-		d.owed += class.worth
+		d.hand(c, d.width(class))
+	}
+}
+
+// hand brings a job of a class.
+func (d *day) hand(c, width int) {
+	class := d.classes[c]
+	d.jobs[c] = append(d.jobs[c], &dayJob{class: c, width: width, arrived: d.now, waiting: width})
+	work := int64(class.steps*width) * class.milli * class.length.Milliseconds()
+	d.arrived[c] += work
+	d.latest[c] = append(d.latest[c], arrival{d.now, work})
+	d.owed += class.worth
+}
+
+// width draws how wide a job is.
+func (d *day) width(class class) int {
+	if class.uneven == 0 {
+		return class.width
 	}
+	drawn := float64(class.width) * math.Exp(class.uneven*d.arrivals.NormFloat64()-class.uneven*class.uneven/2)
+	return max(1, min(widest*class.width, int(drawn)))
+}
+
+// largest is the work of the largest job of the last second.
+func (d *day) largest(c int) int64 {
+	d.latest[c] = slices.DeleteFunc(d.latest[c], func(a arrival) bool { return d.now-a.at > time.Second })
+	most := int64(0)
+	for _, a := range d.latest[c] {
+		most = max(most, a.work)
+	}
+	return most
 }
 
 func (m *dayHost) free(c int) int64 {
@@ -145,7 +195,7 @@
 
 // serve ends and starts the tasks of a pool, oldest jobs first, on the hosts that are fullest.
 func (d *day) serve(c int) {
-	class := classes[c]
+	class := d.classes[c]
 	var up []*dayHost
 	for _, m := range d.hosts {
 		if m.Pool != poolName(c) || m.State != upkeep.Up || d.now < m.backAt+joinTime {
@@ -193,7 +243,7 @@
 			continue
 		}
 		for _, to := range up {
-			if !to.leaves && to.lasting < classes[c].lasting && to.free(c) >= 3000 {
+			if !to.leaves && to.lasting < d.classes[c].lasting && to.free(c) >= 3000 {
 				m.lasting--
 				to.lasting++
 				d.rehoused[c] = d.now + 200*time.Millisecond
@@ -204,10 +254,10 @@
 }
 
 func (d *day) next(j *dayJob) {
-	class := classes[j.class]
+	class := d.classes[j.class]
 	j.step++
 	if j.step < class.steps {
-		j.waiting = class.width
+		j.waiting = j.width
 		return
 	}
 	j.finished = true
@@ -236,8 +286,8 @@
 }
 
 func (d *day) status(c int) *pb.PoolStatusResponse {
-	class := classes[c]
-	out := &pb.PoolStatusResponse{Owner: true, Fence: 1, ArrivedMilliMs: d.arrived[c]}
+	class := d.classes[c]
+	out := &pb.PoolStatusResponse{Owner: true, Fence: 1, ArrivedMilliMs: d.arrived[c], LargestMilliMs: d.largest(c)}
 	for _, j := range d.jobs[c] {
 		work := int64(j.waiting) * class.milli * class.length.Milliseconds()
 		out.WaitingTasks += int64(j.waiting)
@@ -288,110 +338,8 @@
 			d.seconds += tick.Seconds()
 		}
 	}
-	for c := range classes {
+	for c := range d.classes {
 		d.arrive(c)
 		d.serve(c)
 	}
 }
-
-// play runs a whole day; statuses are read each 250 ms.
-func (d *day) play(cfg upkeep.Config) {
-	zero := time.Unix(1_000_000, 0)
-	planner := upkeep.New(cfg, zero)
-	pools := map[string]upkeep.PoolLoad{"spare": {Spare: true}}
-	var polled time.Duration
-	for d.now < lead+dayLength+3*time.Second {
-		d.advance()
-		if d.now-polled >= 250*time.Millisecond {
-			polled = d.now
-			for c := range classes {
-				pools[poolName(c)] = upkeep.PoolLoad{Status: d.status(c)}
-			}
-		}
-		in := upkeep.Input{HostsAt: zero.Add(d.now), Pools: maps.Clone(pools)}
-		for _, m := range d.hosts {
-			in.Hosts = append(in.Hosts, m.Host)
-		}
-		for name, load := range in.Pools {
-			load.Age = d.now - polled
-			in.Pools[name] = load
-		}
-		if d.wave != nil && d.waveEnd.IsZero() && !in.HostsAt.Before(d.wave.Seen) {
-			in.Waves = []upkeep.Wave{*d.wave}
-		}
-		out := planner.Step(zero.Add(d.now+time.Millisecond), in)
-		for _, m := range d.hosts {
-			m.leaves = slices.Contains(out.Evacuate[m.Pool], m.Worker)
-		}
-		for _, o := range out.Upkeeps {
-			d.begun++
-			d.leave(o.Host, upkeep.Upkeep, upkeepTime)
-			planner.UpkeepResult(zero.Add(d.now+2*time.Millisecond), o, upkeep.Done)
-		}
-		if len(out.Completed) > 0 {
-			d.waveEnd = in.HostsAt
-		}
-		for _, o := range out.Moves {
-			planner.MoveResult(zero.Add(d.now+2*time.Millisecond), o, d.move(o))
-		}
-	}
-}
-
-// addWave asks for the upkeep of every second host.
-func (d *day) addWave() {
-	w := &upkeep.Wave{Number: 1, Within: 25 * time.Second, Cap: 3, Seen: time.Unix(1_000_000, 0).Add(lead + 2*time.Second)}
-	for n, m := range d.hosts {
-		if n%2 == 0 {
-			w.Hosts = append(w.Hosts, m.ID)
-		}
-	}
-	d.wave = w
-}
-
-// worth is what a day earned less its price, as a share of what it owed.
-func (d *day) worth() float64 {
-	return (d.earned - moveCost*float64(d.moves) - secondCost*d.seconds) / d.owed
-}
-
-func meanWorth(t *testing.T, name string, shape func(int, time.Duration) float64, cfg upkeep.Config) float64 {
-	const days = 3
-	sum := 0.0
-	var earned, owed, seconds float64
-	moves := 0
-	for seed := range uint64(days) {
-		d := newDay(seed, shape)
-		d.play(cfg)
-		assert.Equal(t, d.killed, 0)
-		sum += d.worth()
-		earned += d.earned
-		owed += d.owed
-		seconds += d.seconds
-		moves += d.moves
-	}
-	n := float64(days)
-	t.Logf("%-10s worth %.3f benefit %.3f moves %.0f host-seconds %.0f owed %.0f", name, sum/n, earned/owed, float64(moves)/n, seconds/n, owed/n)
-	return sum / n
-}
-
-func TestForeseeingEarnsMoreThanReactingAndThanNoMoves(t *testing.T) {
-	cfg := upkeep.DefaultConfig(upkeepTime, moveTime)
-	foresee := meanWorth(t, "foreseeing", inTurns, cfg)
-	cfg.Moves.Foresee = false
-	react := meanWorth(t, "reacting", inTurns, cfg)
-	cfg.Moves.Enabled = false
-	never := meanWorth(t, "never", inTurns, cfg)
-	assert.Assert(t, foresee > react && foresee > never)
-}
-
-func TestWaveBesideMovesIsInTime(t *testing.T) {
-	for seed := range uint64(3) {
-		d := newDay(seed, inTurns)
-		d.addWave()
-		d.play(upkeep.DefaultConfig(upkeepTime, moveTime))
-		assert.Equal(t, d.begun, len(d.wave.Hosts))
-		assert.Equal(t, d.killed, 0)
-		took := d.waveEnd.Sub(d.wave.Seen)
-		t.Logf("seed %d: %d hosts in %s, worth %.3f", seed, d.begun, took, d.worth())
-		assert.Assert(t, took > 0 && took <= d.wave.Within, "took %s", took)
-	}
-}
--- a/upkeep/turns_test.go
+++ b/upkeep/turns_test.go
@@ -69,3 +69,20 @@
 	assert.Assert(t, d.peak > 0.7*turnRate && d.peak < 1.1*turnRate, "%.0f", d.peak)
 	assert.Assert(t, d.turns.length > 6*time.Second && d.turns.length < 9*time.Second, "%s", d.turns.length)
 }
+
+// The work of one large job is no rate, that of many small ones is; nor does it hide the others that arrive beside it.
+func TestOneLargeJobIsNoRate(t *testing.T) {
+	const work = 40 * troughRate
+	expected := func(largest, others int64) float64 {
+		d := &demand{}
+		now := hear(d, time.Unix(1000, 0), 1, times(20, troughRate)...)
+		arrived := d.arrived + largest + others
+		d.observe(now, &pb.PoolStatusResponse{Owner: true, Fence: 1, ArrivedMilliMs: arrived, LargestMilliMs: largest}, 1_000_000)
+		return d.rateIn(false)
+	}
+	span := poll.Milliseconds()
+	alone, many := expected(work*span, 0), expected(troughRate*span, work*span)
+	assert.Assert(t, alone <= 1.5*troughRate, "%.0f", alone)
+	assert.Assert(t, many > 4*troughRate, "%.0f", many)
+	assert.Assert(t, expected(work*span, work*span) >= many)
+}
