scheduler: a pool's owner tells which waiting work is late

Change: Status counts the waiting work of steps that could not be in time if they began now, by the rule that the order of placement uses.

Evidence: TestLateWorkIsTold fails without it (0 for 3,000,000).

--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -60,12 +60,11 @@
 		return r
 	}
 	objective := p.objective(o)
-	age := now.Sub(o.due)
-	left := s.chain
+	took := s.willHaveTaken(now)
 	switch {
-	case age+left <= objective:
+	case took <= objective:
 		r.class = classOnTime
-	case age+left <= lateFactor*objective:
+	case took <= lateFactor*objective:
 		r.class = classLate
 	default:
 		r.class = classHopeless
@@ -74,12 +73,15 @@
 	}
 	r.key = o.remaining() / p.worth(o.job)
 	if objective > 0 {
-		urgency := min(1, float64(age+left)/float64(objective))
+		urgency := min(1, float64(took)/float64(objective))
 		r.key /= 1 + agingWeight*urgency*urgency*urgency*urgency
 	}
 	return r
 }
 
+// willHaveTaken is how long the occurrence will have taken if the step and what follows it begin now.
+func (s *step) willHaveTaken(now time.Time) time.Duration { return now.Sub(s.occ.due) + s.chain }
+
 // objective is the time in which an occurrence is on time.
 func (p *Pool) objective(o *occurrence) time.Duration {
 	q := p.queueOf(o.job)
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -18,7 +18,11 @@
 			continue
 		}
 		out.WaitingTasks += int64(len(s.ready))
-		out.BacklogMilliMs += int64(float64(len(s.ready)) * s.load())
+		work := int64(float64(len(s.ready)) * s.load())
+		out.BacklogMilliMs += work
+		if s.willHaveTaken(now) > p.objective(s.occ) {
+			out.LateMilliMs += work
+		}
 	}
 	out.StuckCpuMilli = p.stuckCPU(now)
 	for _, w := range p.order {
--- a/scheduler/status_test.go
+++ b/scheduler/status_test.go
@@ -108,3 +108,18 @@
 	assert.Equal(t, largest(), int64(0))
 	assert.Equal(t, b.pool.Status(b.now).GetArrivedMilliMs(), int64(19_000_000))
 }
+
+// Waiting work is told as late from the moment on at which it could no longer be in time if it began.
+func TestLateWorkIsTold(t *testing.T) {
+	b := newBare()
+	step := &pb.JobStep{Count: 3, CpuMilli: 1000, EstimateMs: 1000}
+	b.pool.Add(b.now, &pb.JobRecord{Id: "a", Queue: "q", AcceptedMs: b.now.UnixMilli(), Spec: &pb.JobSpec{Steps: []*pb.JobStep{step}}})
+	b.pass(1900 * time.Millisecond) // in time within 2 s + 1 s
+	status := b.pool.Status(b.now)
+	assert.Equal(t, status.GetBacklogMilliMs(), int64(3_000_000))
+	assert.Equal(t, status.GetLateMilliMs(), int64(0))
+	b.pass(200 * time.Millisecond)
+	status = b.pool.Status(b.now)
+	assert.Equal(t, status.GetBacklogMilliMs(), int64(3_000_000))
+	assert.Equal(t, status.GetLateMilliMs(), int64(3_000_000))
+}
