upkeep: the first turn tells of the peaks of pools that had none

Cause: a pool in its first turn is given hosts for a guessed peak: the mean peak of the other pools, or an equal share of the fleet.

Change: the mean rate of a first turn counts until its peak is learned. When a turn begins is still judged by the share of the fleet.

--- a/upkeep/demand.go
+++ b/upkeep/demand.go
@@ -47,6 +47,8 @@
 	trough float64
 	// guess stands for the peak while it is not known.
 	guess float64
+	// share is an equal share of the fleet.
+	share float64
 	// turnArrived is the work that had arrived at countedFrom, when the present turn began or counting began anew in it.
 	turnArrived int64
 	countedFrom time.Time
@@ -105,7 +107,7 @@
 	reference := max(d.peak, smallTurn*d.guess)
 	if d.peak == 0 {
 		// A pool that has few hosts is not in a turn because of a few jobs.
-		reference = firstPeak * max(capacity, d.guess)
+		reference = firstPeak * max(capacity, d.share)
 	}
 	if reference == 0 {
 		return
@@ -194,9 +196,17 @@
 
 // turnRate is the mean rate of the present turn, before the smoothed rate has come up.
 func (d *demand) turnRate() float64 {
+	if d.peak > 0 || d.at.Sub(d.turns.last()) > 4*rateWindow {
+		return 0
+	}
+	return d.turnMean()
+}
+
+// turnMean is the mean rate of the present turn, 0 outside of turns.
+func (d *demand) turnMean() float64 {
 	const shortest = 200 * time.Millisecond
-	length := d.at.Sub(d.turns.last())
-	if d.peak > 0 || length < shortest || length > 4*rateWindow {
+	length := d.at.Sub(d.countedFrom)
+	if !d.turns.high || length < shortest {
 		return 0
 	}
 	return float64(d.arrived-d.turnArrived) / float64(length.Milliseconds())
--- a/upkeep/reserve.go
+++ b/upkeep/reserve.go
@@ -66,17 +66,18 @@
 func (m *mover) guessPeaks() {
 	sum, count := 0.0, 0.0
 	for _, p := range m.plans {
-		if peak := max(p.peak, p.turnRate()); peak > 0 {
+		if peak := max(p.peak, p.turnMean()); peak > 0 {
 			sum += peak
 			count++
 		}
 	}
-	if count == 0 {
-		sum = m.capacity
-		count = float64(len(m.plans))
-	}
+	share := m.capacity / float64(max(1, len(m.plans)))
 	for _, p := range m.plans {
-		p.guess = sum / max(1, count)
+		p.share = share
+		p.guess = share
+		if count > 0 {
+			p.guess = sum / count
+		}
 	}
 }
 
