upkeep: after a takeover, open moves of hosts at rest are repeated at once

Cause: the owner of the fleet stopped at second 1.0 (a roll of all entry hosts). It had written 77 intents in the last 100 ms and sent 25 of them, as 215 orders a second are allowed.

Change: a move that may have been ordered is repeated with the first list that still shows the host up in a spare pool. Nothing runs there, a move that was carried out is told as done, and the fence of the new owner stops a late order of the old one. Hosts that work wait as before, and so do upkeeps.

--- a/upkeep/ledger.go
+++ b/upkeep/ledger.go
@@ -56,6 +56,7 @@
 	if !in.HostsAt.After(p.listedAt) {
 		return
 	}
+	p.pools = in.Pools
 	p.listedAt = in.HostsAt
 	p.hosts = make(map[string]Host, len(in.Hosts))
 	for _, m := range in.Hosts {
@@ -158,7 +159,8 @@
 		i.to(away, p.listedAt)
 	case i.move() && (m.State == Moving || m.Pool == i.pool):
 		i.to(away, p.listedAt)
-	case m.State == Up && now.Sub(i.since) >= p.cfg.Settle:
+	case m.State == Up && (now.Sub(i.since) >= p.cfg.Settle || (i.move() && p.pools[m.Pool].Spare)):
+		// Where nothing runs a repeated move does no harm.
 		i.worker = m.Worker
 		i.from = m.Pool
 		i.to(evacuating, now)
--- a/upkeep/planner.go
+++ b/upkeep/planner.go
@@ -18,6 +18,8 @@
 	started  time.Time
 	listedAt time.Time
 	hosts    map[string]Host
+	// pools are those of the last list's time.
+	pools map[string]PoolLoad
 	// lastSeen is when a host was last in the list; those with an intent are kept while they are missing.
 	lastSeen map[string]time.Time
 	ledger   map[string]*intent
