--- a/upkeep/opening_test.go
+++ b/upkeep/opening_test.go
@@ -96,15 +96,18 @@
 
 func TestOpenings(t *testing.T) {
 	for _, o := range openings() {
-		cfg := upkeep.DefaultConfig(upkeepTime, moveTime)
-		benefit, worth := playOpening(o, cfg, false)
-		cfg.Moves.Foresee = false
-		reactBenefit, react := playOpening(o, cfg, false)
-		cfg.Moves.Enabled = false
-		neverBenefit, never := playOpening(o, cfg, false)
-		boundBenefit, bound := playOpening(o, cfg, true)
-		t.Logf("%-26s worth (benefit): chosen %.3f (%.3f), reacting %.3f (%.3f), never %.3f (%.3f), bound %.3f (%.3f)", o.name,
-			worth, benefit, react, reactBenefit, never, neverBenefit, bound, boundBenefit)
-		assert.Check(t, worth > react && worth > never && bound > worth, o.name)
+		t.Run(o.name, func(t *testing.T) {
+			t.Parallel()
+			cfg := upkeep.DefaultConfig(upkeepTime, moveTime)
+			benefit, worth := playOpening(o, cfg, false)
+			cfg.Moves.Foresee = false
+			reactBenefit, react := playOpening(o, cfg, false)
+			cfg.Moves.Enabled = false
+			neverBenefit, never := playOpening(o, cfg, false)
+			boundBenefit, bound := playOpening(o, cfg, true)
+			t.Logf("worth (benefit): chosen %.3f (%.3f), reacting %.3f (%.3f), never %.3f (%.3f), bound %.3f (%.3f)",
+				worth, benefit, react, reactBenefit, never, neverBenefit, bound, boundBenefit)
+			assert.Check(t, worth > react && worth > never && bound > worth)
+		})
 	}
 }
