--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -10,13 +10,19 @@
 
 // Status tells the load of the pool.
 func (p *Pool) Status(now time.Time) *pb.PoolStatusResponse {
-	out := &pb.PoolStatusResponse{Owner: !p.fenced, Fence: p.cfg.Fence, ArrivedMilliMs: p.arrived}
+	out := &pb.PoolStatusResponse{
+		Owner: !p.fenced, Fence: p.cfg.Fence, ArrivedMilliMs: p.arrivals.total, LargestMilliMs: p.arrivals.largest(now),
+	}
 	for _, s := range p.open {
 		if s.spec.GetPersistent() {
 			continue
 		}
 		out.WaitingTasks += int64(len(s.ready))
-		out.BacklogMilliMs += int64(float64(len(s.ready)) * s.load())
+		work := int64(float64(len(s.ready)) * s.load())
+		out.BacklogMilliMs += work
+		if s.willHaveTaken(now) > p.objective(s.occ) {
+			out.LateMilliMs += work
+		}
 	}
 	out.StuckCpuMilli = p.stuckCPU(now)
 	out.CarriedCpuMilli = int64(p.sending.carried)
--- a/upkeep/demand.go
+++ b/upkeep/demand.go
@@ -11,11 +11,15 @@
 const (
 	// rateWindow smooths the rate of arrivals.
 	rateWindow = 600 * time.Millisecond
+	// shortestGap is the least time that a rate is taken over.
+	shortestGap = 100 * time.Millisecond
 	// holdTime is how slowly high rates are forgotten.
 	holdTime = 2 * time.Second
 	// lowShare and highShare of the peak are the bounds of turns.
 	lowShare  = 0.2
 	highShare = 0.45
+	// firstShare is the share for the beginning of a pool's first turn, which is judged by the steady rate.
+	firstShare = 0.225
 	// smallTurn is the share of the mean peak below which a pool's demand has no turns worth a move.
 	smallTurn = 0.2
 	// firstPeak is the share of a pool's capacity that counts as its peak until one was seen.
@@ -36,6 +40,8 @@
 	fence   uint64
 	// rate is the smoothed rate at which work arrives.
 	rate float64
+	// largest is the work of the largest job of late.
+	largest float64
 	// hold is the highest rate of late; it is forgotten slowly, and at once when a turn ends.
 	hold float64
 	// peak and trough are the learned rates in and out of turns; peak is 0 until a turn was seen.
@@ -43,6 +49,8 @@
 	trough float64
 	// guess stands for the peak while it is not known.
 	guess float64
+	// share is an equal share of the fleet.
+	share float64
 	// turnArrived is the work that had arrived at countedFrom, when the present turn began or counting began anew in it.
 	turnArrived int64
 	countedFrom time.Time
@@ -73,6 +81,7 @@
 	d.at = at
 	d.arrived = arrived
 	d.fence = status.GetFence()
+	d.largest = float64(status.GetLargestMilliMs())
 	if first {
 		d.turnArrived = arrived
 		d.countedFrom = at
@@ -100,15 +109,19 @@
 	reference := max(d.peak, smallTurn*d.guess)
 	if d.peak == 0 {
 		// A pool that has few hosts is not in a turn because of a few jobs.
-		reference = firstPeak * max(capacity, d.guess)
+		reference = firstPeak * max(capacity, d.share)
 	}
 	if reference == 0 {
 		return
 	}
 	was := d.turns.high
 	started := d.turns.last()
-	if was || bits.OnesCount(d.recent) >= riseSeen || d.rate < highShare*reference {
-		d.turns.observe(at, d.rate, lowShare*reference, highShare*reference)
+	rate, high := d.rate, highShare*reference
+	if !was && d.peak == 0 {
+		rate, high = min(rate, d.steadyRate()), firstShare*reference
+	}
+	if was || bits.OnesCount(d.recent) >= riseSeen || rate < high {
+		d.turns.observe(at, rate, lowShare*reference, high)
 	}
 	switch {
 	case !was && d.turns.high:
@@ -163,7 +176,17 @@
 	case d.turns.high:
 		return d.trough
 	}
-	return d.rate
+	return min(d.rate, max(d.trough, d.steadyRate()))
+}
+
+// steadyRate is the rate if the largest job of late, which none like it may follow, counts at most for mostShare of the
+// others together.
+func (d *demand) steadyRate() float64 {
+	const mostShare = 0.5
+	window := min(rateWindow, max(shortestGap, d.at.Sub(d.heardFrom)))
+	largest := d.largest / float64(window.Milliseconds())
+	others := max(0, d.rate-largest)
+	return others + min(largest, mostShare*others)
 }
 
 // waning says whether the present turn is so old that its rate tells more of what follows than the learned peak.
@@ -175,9 +198,17 @@
 
 // turnRate is the mean rate of the present turn, before the smoothed rate has come up.
 func (d *demand) turnRate() float64 {
+	if d.peak > 0 || d.at.Sub(d.turns.last()) > 4*rateWindow {
+		return 0
+	}
+	return d.turnMean()
+}
+
+// turnMean is the mean rate of the present turn, 0 outside of turns.
+func (d *demand) turnMean() float64 {
 	const shortest = 200 * time.Millisecond
-	length := d.at.Sub(d.turns.last())
-	if d.peak > 0 || length < shortest || length > 4*rateWindow {
+	length := d.at.Sub(d.countedFrom)
+	if !d.turns.high || length < shortest {
 		return 0
 	}
 	return float64(d.arrived-d.turnArrived) / float64(length.Milliseconds())
