standin/soak: connections that a process closes with a request read

Seen: planned stops were judged in the mode of requests only, from what callers told; callers of jobs cannot tell a request that was read from one that was not. Change: the proxy notes an end without a reset while a request is unanswered, as a side that closes with data unread resets; with nothing unplanned near, that breaks a promise in both modes.

--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -20,6 +19,7 @@
 	Views     []View
 	Accepted  []Accepted
 	Events    []Event
+	Breaks    []Break
 	// Calm is when the last fault had ended.
 	Calm time.Time
 	// Targets are the entry hosts by the address that callers use.
@@ -69,7 +69,7 @@
 // Judge compares what was seen with the promises. checked counts what was looked at.
 func Judge(s Seen) (broken []Finding, checked map[string]int) {
 	checks := []func(Seen) ([]Finding, string, int){
-		answers, keys, notRun, slots, onePool, cut, budgets, generations, acceptedInForce, servedAgain,
+		answers, keys, notRun, slots, onePool, cut, breaks, budgets, generations, acceptedInForce, servedAgain,
 	}
 	checked = make(map[string]int)
 	for _, check := range checks {
@@ -140,7 +140,7 @@
 	reached := lo.SliceToMap(s.Records, func(r workers.Record) (string, bool) { return r.RequestID, true })
 	sent := lo.CountValuesBy(s.Exchanges, func(e callers.Exchange) string { return e.ID })
 	for _, e := range s.Exchanges {
-		if s.troubled(e) {
+		if troubled(s.Events, s.Targets[e.Target], e.Sent, e.Ended) {
 			continue
 		}
 		n++
@@ -152,12 +152,28 @@
 	return found, "exchanges without trouble", n
 }
 
-// troubled tells whether an unplanned fault was on the way of an exchange.
-func (s Seen) troubled(e callers.Exchange) bool {
-	host := s.Targets[e.Target]
+func breaks(s Seen) (found []Finding, name string, n int) {
+	found, n = untroubled(s.Breaks, s.Events)
+	return found, "connections broken", n
+}
+
+// untroubled are the breaks that no unplanned fault explains; n counts all.
+func untroubled(all []Break, events []Event) (found []Finding, n int) {
+	for _, b := range all {
+		var host int
+		if _, err := fmt.Sscanf(b.Link.To, "entry-%d", &host); err == nil && !troubled(events, host, b.Asked, b.At) {
+			found = append(found, Finding{fmt.Sprintf("%s read a request at %s and closed without an answer at %s, and nothing but planned stops was near",
+				b.Link.To, b.Asked.Format(clock), b.At.Format(clock)), ""})
+		}
+	}
+	return found, len(all)
+}
+
+// troubled tells whether an unplanned fault was on the way of an exchange with an entry host.
+func troubled(events []Event, host int, sent, ended time.Time) bool {
 	name := fmt.Sprintf("entry-%d", host)
-	return lo.SomeBy(s.Events, func(v Event) bool {
-		near := e.Sent.Before(s.over(v).Add(troubleAfter)) && e.Ended.After(v.At.Add(-troubleBefore))
+	return lo.SomeBy(events, func(v Event) bool {
+		near := sent.Before(over(events, v).Add(troubleAfter)) && ended.After(v.At.Add(-troubleBefore))
 		if v.Action == Harms {
 			return near && (v.Link.To == name || v.Link.From == name || v.Link.From == "" && v.Link.To != storeAddress)
 		}
@@ -166,11 +182,11 @@
 }
 
 // over is when a fault ended; a killed or paused host is back with its next life or its going on.
-func (s Seen) over(v Event) time.Time {
+func over(events []Event, v Event) time.Time {
 	if v.Action == Harms {
 		return v.Until
 	}
-	back, ok := lo.Find(s.Events, func(next Event) bool {
+	back, ok := lo.Find(events, func(next Event) bool {
 		return next.Host == v.Host && next.At.After(v.At) && (next.Action == Start || next.Action == Continue)
 	})
 	return lo.Ternary(ok, back.Until, v.Until)
@@ -229,9 +245,3 @@
 	}
 	return found, "requests after the bound", len(same)
 }
-
-// sortByTime puts what was noted at once into order.
-func (s *Seen) sortByTime() {
-	slices.SortStableFunc(s.Events, func(a, b Event) int { return a.At.Compare(b.At) })
-	slices.SortStableFunc(s.Views, func(a, b View) int { return a.At.Compare(b.At) })
-}
--- a/standin/soak/jobs.go
+++ b/standin/soak/jobs.go
@@ -75,7 +75,7 @@
 		for _, h := range w.hosts {
 			to, port := fmt.Sprintf("entry-%d", h.number), peerPort
 			if view == 0 {
-				err = errors.Join(err, w.proxy.Listen(ctx, Link{from, to}, address(seen, h.number, callerPort), address(w.real(), h.number, callerPort)))
+				err = errors.Join(err, w.proxy.Listen(ctx, Link{callersName, to}, address(seen, h.number, callerPort), address(w.real(), h.number, callerPort)))
 			}
 			err = errors.Join(err, w.proxy.Listen(ctx, Link{from, to}, address(seen, h.number, port), address(w.real(), h.number, port)))
 		}
@@ -246,8 +246,12 @@
 	if t.ServedAgain == 0 {
 		out.Broken = append(out.Broken, fmt.Sprintf("no job was handed in later than %v after the last fault, which ended late", servedBound))
 	}
+	w.sortEvents()
+	unplanned, breaks := untroubled(w.proxy.Breaks(), w.events)
+	out.Broken = append(out.Broken, lo.Map(unplanned, func(f Finding, _ int) string { return f.Text })...)
 	out.Checked = map[string]int{
-		"starts": t.Starts, "ends": t.Done + t.Failed + t.Stopped + t.Lapsed + t.Gone + t.Apart, "jobs accepted": c.Accepted,
+		"connections broken": breaks,
+		"starts":             t.Starts, "ends": t.Done + t.Failed + t.Stopped + t.Lapsed + t.Gone + t.Apart, "jobs accepted": c.Accepted,
 		"jobs completed": c.Completed, "cancellations": c.CancelsAcknowledged, "upkeeps": t.Upkeeps, "moves": t.Moves,
 		"configurations looked at": t.Looks, "attempts after the bound": t.ServedAgain,
 	}
--- a/standin/soak/naive_test.go
+++ b/standin/soak/naive_test.go
@@ -306,6 +306,44 @@
 	}
 }
 
+// TestBreaksOfReadRequests closes connections before and after a request was read and answered.
+func TestBreaksOfReadRequests(t *testing.T) {
+	for name, test := range map[string]struct {
+		serve  func(net.Conn)
+		breaks int
+	}{
+		"read":       {func(c net.Conn) { _, _ = c.Read(make([]byte, 8)) }, 1},
+		"not read":   {func(net.Conn) { time.Sleep(100 * time.Millisecond) }, 0},
+		"answered":   {func(c net.Conn) { _, _ = io.CopyN(c, c, 8) }, 0},
+		"only begun": {func(c net.Conn) { _, _ = c.Read(make([]byte, 4)) }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer func() { _ = target.Close() }()
+			p := NewProxy()
+			defer p.Close()
+			assert.NilError(t, p.Listen(t.Context(), Link{callersName, "entry-1"}, "127.0.0.1:0", target.Addr().String()))
+			c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", p.listeners[0].Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = c.Close() }()
+			called, err := target.Accept()
+			assert.NilError(t, err)
+			_, err = io.WriteString(c, "one line")
+			assert.NilError(t, err)
+			test.serve(called)
+			assert.NilError(t, called.Close())
+			_, _ = io.ReadAll(c)
+			found, n := untroubled(p.Breaks(), nil)
+			assert.Equal(t, n, test.breaks)
+			assert.Equal(t, len(found), test.breaks)
+			began := time.Now().Add(-time.Second)
+			found, _ = untroubled(p.Breaks(), []Event{{At: began, Until: began, Host: 1, Action: Kill}})
+			assert.Equal(t, len(found), 0)
+		})
+	}
+}
+
 // TestPlansRepeat sees that a seed gives the same plan, with every series among some seeds.
 func TestPlansRepeat(t *testing.T) {
 	for _, mode := range []Mode{Jobs, Requests} {
--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -8,6 +8,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 const (
@@ -52,6 +54,15 @@
 	Delay time.Duration
 }
 
+// callersName is From on the links of callers to entry hosts.
+const callersName = "callers"
+
+// Break is the end of a connection by the called side, which had read a request and not answered it.
+type Break struct {
+	Link      Link
+	Asked, At time.Time
+}
+
 // Proxy passes connections on between processes. It is safe for concurrent use.
 type Proxy struct {
 	running sync.WaitGroup
@@ -62,14 +73,16 @@
 	harms     map[*Impairment]bool
 	changed   chan struct{}
 	closed    bool
+	breaks    []Break
 }
 
 // pair is a connection and the one that it is passed on to.
 type pair struct {
 	link           Link
 	caller, called *net.TCPConn
-	// lossy is set once data was lost.
-	lossy bool
+	// lossy is set once data was lost, left once the caller has closed or broken its side.
+	lossy, left     bool
+	asked, answered time.Time
 }
 
 // NewProxy returns a Proxy without links.
@@ -176,6 +189,7 @@
 	chunk := make([]byte, proxyChunk)
 	for {
 		n, err := from.Read(chunk)
+		p.note(one, way, n, err)
 		if n > 0 && !p.pass(one, way, to, chunk[:n]) {
 			one.reset()
 			return
@@ -191,6 +205,30 @@
 	}
 }
 
+// note keeps what is known of requests under way. A side that closes with data unread resets the connection, so that an
+// end without a reset tells that the request was read.
+func (p *Proxy) note(one *pair, way Way, n int, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case way == Forth && err != nil:
+		one.left = true
+	case way == Forth:
+		one.asked = time.Now()
+	case n > 0:
+		one.answered = time.Now()
+	case errors.Is(err, io.EOF) && !one.left && one.asked.After(one.answered):
+		p.breaks = append(p.breaks, Break{Link: one.link, Asked: one.asked, At: time.Now()})
+	}
+}
+
+// Breaks are those of callers' connections.
+func (p *Proxy) Breaks() []Break {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return lo.Filter(p.breaks, func(b Break, _ int) bool { return b.Link.From == callersName })
+}
+
 // pass writes data as the harms of its way allow; false breaks the connection.
 func (p *Proxy) pass(one *pair, way Way, to io.Writer, data []byte) bool {
 	for {
--- a/standin/soak/requests.go
+++ b/standin/soak/requests.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -86,7 +87,7 @@
 	}
 	for _, h := range w.hosts {
 		name := fmt.Sprintf("entry-%d", h.number)
-		pass(Link{"", name}, w.network(0), h.number, callerPort)
+		pass(Link{callersName, name}, w.network(0), h.number, callerPort)
 		if w.network(h.number) != w.network(0) {
 			pass(Link{name, storeAddress}, w.network(h.number), standinByte, storePort)
 		}
@@ -268,16 +269,15 @@
 	}
 	w.stopLook()
 	w.looking.Wait()
-	w.mu.Lock()
-	w.seen.Events = w.events
-	w.mu.Unlock()
+	w.sortEvents()
+	w.seen.Events, w.seen.Breaks = w.events, w.proxy.Breaks()
 	if err := w.readHistory(); err != nil {
 		return err
 	}
 	if err := w.readRecords(ctx); err != nil {
 		return err
 	}
-	w.seen.sortByTime()
+	slices.SortStableFunc(w.seen.Views, func(a, b View) int { return a.At.Compare(b.At) })
 	found, checked := Judge(w.seen)
 	out.Checked = checked
 	for _, f := range found {
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -213,6 +214,13 @@
 	r.events = append(r.events, e)
 }
 
+// sortEvents puts into order what was noted at once.
+func (r *run) sortEvents() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	slices.SortStableFunc(r.events, func(a, b Event) int { return a.At.Compare(b.At) })
+}
+
 func (r *run) signal(h *host, a Action) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
