standin/soak: runs that cannot be played are named apart

Seen: a soak went on for its seed after SIGTERM, and one that was started on the same addresses told of 26 broken promises: it could not listen. Change: a run that is not played to its end is named so; SIGTERM ends the run.

--- a/cmd/agateturn-standin/soak.go
+++ b/cmd/agateturn-standin/soak.go
@@ -54,14 +54,14 @@
 				Daemon: c.Daemon, Standin: self, Dir: filepath.Join(c.Dir, fmt.Sprintf("%s-%d", mode, seed)), Network: c.Network, Out: os.Stdout,
 			}, plan)
 			if err != nil {
-				outcome.Plan, outcome.Broken = plan, append(outcome.Broken, "not played to its end: "+err.Error())
+				outcome.Plan, outcome.Unplayed = plan, err.Error()
 			}
 			fmt.Println(outcome)
 			sum.Add(outcome)
 		}
 	}
 	fmt.Print(sum.String())
-	if sum.Broken() > 0 {
+	if sum.Failed() > 0 {
 		return errBroken
 	}
 	return nil
--- a/standin/soak/jobs.go
+++ b/standin/soak/jobs.go
@@ -11,7 +11,6 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/samber/lo"
@@ -226,8 +225,8 @@
 	return w.control(ctx, jobplatform.Control{Calm: true})
 }
 
-func (w *jobWorld) verdict(_ context.Context, out *Outcome) error {
-	if err := w.platform.await(w.p.Load + endLimit); err != nil {
+func (w *jobWorld) verdict(ctx context.Context, out *Outcome) error {
+	if err := w.platform.await(ctx, w.p.Load+endLimit); err != nil {
 		return err
 	}
 	data, err := os.ReadFile(w.file("report.json"))
@@ -266,11 +265,7 @@
 }
 
 func (w *jobWorld) stop() {
-	if w.platform == nil {
-		return
-	}
-	w.platform.signal(syscall.SIGTERM)
-	if w.platform.await(stopBound) != nil {
-		w.platform.kill()
+	if w.platform != nil {
+		w.platform.stop()
 	}
 }
--- a/standin/soak/process.go
+++ b/standin/soak/process.go
@@ -49,15 +49,25 @@
 }
 
 // await waits for the end of the process.
-func (p *process) await(limit time.Duration) error {
+func (p *process) await(ctx context.Context, limit time.Duration) error {
 	select {
 	case <-p.exited:
 		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	case <-time.After(limit):
 		return fmt.Errorf("%s did not end in %v", p.name, limit)
 	}
 }
 
+// stop ends the process in order, or in any case after a while.
+func (p *process) stop() {
+	p.signal(syscall.SIGTERM)
+	if p.await(context.Background(), stopBound) != nil {
+		p.kill()
+	}
+}
+
 // kill ends the process in any state.
 func (p *process) kill() {
 	_ = p.command.Process.Kill()
--- a/standin/soak/requests.go
+++ b/standin/soak/requests.go
@@ -264,7 +264,7 @@
 		return ctx.Err()
 	}
 	w.callers.signal(syscall.SIGTERM) // what is under way goes on
-	if err := w.callers.await(endLimit); err != nil {
+	if err := w.callers.await(ctx, endLimit); err != nil {
 		return err
 	}
 	w.stopLook()
@@ -293,12 +293,8 @@
 		w.looking.Wait()
 	}
 	for _, p := range append(w.standins, w.callers) {
-		if p == nil {
-			continue
-		}
-		p.signal(syscall.SIGTERM)
-		if p.await(stopBound) != nil {
-			p.kill()
+		if p != nil {
+			p.stop()
 		}
 	}
 }
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -36,6 +36,8 @@
 	Faults, Checked map[string]int
 	// Broken tells each broken promise, Evidence the lines of the history that show it.
 	Broken, Evidence []string
+	// Unplayed is why the plan could not be played to its end; empty if it was.
+	Unplayed string
 }
 
 const (
@@ -244,7 +246,7 @@
 	if !h.told {
 		r.broke("entry-%d ended by itself: %v", h.number, h.process.command.ProcessState)
 	}
-	if err := h.process.await(stopBound); err != nil {
+	if err := h.process.await(ctx, stopBound); err != nil {
 		return err
 	}
 	if code := h.process.command.ProcessState.ExitCode(); code > 0 {
--- a/standin/soak/summary.go
+++ b/standin/soak/summary.go
@@ -15,6 +15,9 @@
 	if len(o.Broken) > 0 {
 		verdict = fmt.Sprintf("BROKEN %d", len(o.Broken))
 	}
+	if o.Unplayed != "" {
+		verdict = "NOT PLAYED: " + o.Unplayed
+	}
 	fmt.Fprintf(&b, "seed %d, %s: %s; %d lives of entry hosts in %v; checked: %s", o.Plan.Seed, o.Plan.Mode, verdict,
 		o.Processes, o.Took.Round(time.Second), counts(o.Checked))
 	for _, broken := range o.Broken {
@@ -28,10 +31,10 @@
 
 // Summary adds runs up; its zero value has none.
 type Summary struct {
-	runs, lives     int
-	took            time.Duration
-	faults, checked map[string]int
-	broken          []string
+	runs, lives      int
+	took             time.Duration
+	faults, checked  map[string]int
+	broken, unplayed []string
 }
 
 // Add adds a run.
@@ -48,18 +51,21 @@
 	for name, n := range o.Checked {
 		s.checked[name] += n
 	}
+	if o.Unplayed != "" {
+		s.unplayed = append(s.unplayed, fmt.Sprintf("%s %d", o.Plan.Mode, o.Plan.Seed))
+	}
 	if len(o.Broken) > 0 {
 		s.broken = append(s.broken, fmt.Sprintf("%s %d", o.Plan.Mode, o.Plan.Seed))
 	}
 }
 
-// Broken is how many runs broke a promise.
-func (s *Summary) Broken() int { return len(s.broken) }
+// Failed is how many runs broke a promise or were not played.
+func (s *Summary) Failed() int { return len(s.broken) + len(s.unplayed) }
 
 // String is the table of all runs.
 func (s *Summary) String() string {
-	return fmt.Sprintf("runs %d in %.1f minutes, lives of entry hosts %d\nfaults: %s\nchecked: %s\nseeds that broke a promise: %v\n",
-		s.runs, s.took.Minutes(), s.lives, counts(s.faults), counts(s.checked), s.broken)
+	return fmt.Sprintf("runs %d in %.1f minutes, lives of entry hosts %d\nfaults: %s\nchecked: %s\nseeds that broke a promise: %v, not played: %v\n",
+		s.runs, s.took.Minutes(), s.lives, counts(s.faults), counts(s.checked), s.broken, s.unplayed)
 }
 
 func counts(by map[string]int) string {
