--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -145,7 +145,7 @@
 		{"second SIGTERM in a stop", d.secondTerm},
 		{"paused across a takeover", d.pauseAcross},
 		{"next owner killed", d.killNext},
-		{"all killed", d.killAll},
+		{"all ended", d.endAll},
 		{"replaced at its address", d.replace},
 		{"roll, configuration", d.roll},
 		{"link", d.link},
@@ -189,9 +189,11 @@
 	d.add(0, Step{Action: Start, Host: second})
 }
 
-func (d *drawing) killAll() {
+// endAll ends all entry hosts within a second, by one signal or some by each.
+func (d *drawing) endAll() {
+	signals := [][]Action{{Kill}, {Terminate}, {Kill, Terminate}}[d.random.IntN(3)]
 	for h := 1; h <= d.Hosts; h++ {
-		d.add(d.ms(0, 900/d.Hosts+1), Step{Action: Kill, Host: h})
+		d.add(d.ms(0, 900/d.Hosts+1), Step{Action: signals[d.random.IntN(len(signals))], Host: h})
 	}
 	d.add(d.ms(0, 2000), Step{Action: Start, Host: 1})
 	for h := 2; h <= d.Hosts; h++ {
