standin/soak: an entry host may end once it finds that it was paused

Its log: removed from the fleet while it was paused; paused before it had joined. It was paused for 3.6 s, 0.5 s after it had become a guest behind a cut link to the store, and ended 7 ms after SIGCONT. Cause: that end is the design (docs/PROOFS.md: it sends nothing when it thaws, and ends); the judge took each end for a fault of its own. A soak that is stopped leaves its last run out of the sum.

--- a/cmd/agateturn-standin/soak.go
+++ b/cmd/agateturn-standin/soak.go
@@ -53,6 +53,9 @@
 			outcome, err := soak.Run(ctx, soak.Options{
 				Daemon: c.Daemon, Standin: self, Dir: filepath.Join(c.Dir, fmt.Sprintf("%s-%d", mode, seed)), Network: c.Network, Out: os.Stdout,
 			}, plan)
+			if ctx.Err() != nil {
+				break // what was stopped midway is no verdict
+			}
 			if err != nil {
 				outcome.Plan, outcome.Unplayed = plan, err.Error()
 			}
--- a/standin/soak/process.go
+++ b/standin/soak/process.go
@@ -14,6 +14,8 @@
 	name    string
 	command *exec.Cmd
 	exited  chan struct{}
+	// endedAt is set once exited is closed.
+	endedAt time.Time
 }
 
 // start runs a program with its output appended to a log. It outlives ctx, so that it is ended in order.
@@ -31,6 +33,7 @@
 	go func() {
 		_ = p.command.Wait() // ProcessState tells
 		_ = out.Close()
+		p.endedAt = time.Now()
 		close(p.exited)
 	}()
 	return p, nil
