jobhost: requests have the whole grace of a planned stop

Cause: the time for the last requests was grace less the 1.5 s for the hand-over of pools, whatever that had taken; it took some ms. Change: requests have until the end of the grace less the margin of 0.5 s: the notice of 2.5 s and a time limit of 3 s fit in.

--- a/internal/jobhost/failures_test.go
+++ b/internal/jobhost/failures_test.go
@@ -38,6 +38,9 @@
 	"targetDurationMs":600,"priority":1,"service":"exports","maxAttempts":2,"stretch":1.6}],
 	"services":[{"name":"exports","maxConns":64}],"limits":{"maxBodyBytes":262144}}`
 
+// grace is that of a planned stop.
+const grace = 3 * time.Second
+
 // rig is two entry hosts, one pool of four workers and a store.
 type rig struct {
 	kv      *memtxn.Store
@@ -45,13 +48,15 @@
 	log     *lines
 	hosts   map[string]*Host
 	callers map[string]string
+	// stop begins the planned stop of a host.
+	stop map[string]context.CancelFunc
 }
 
 func startRig(t *testing.T) *rig {
 	t.Helper()
 	r := &rig{
 		kv: memtxn.New(), workers: newFakeWorkers(), log: &lines{},
-		hosts: map[string]*Host{}, callers: map[string]string{},
+		hosts: map[string]*Host{}, callers: map[string]string{}, stop: map[string]context.CancelFunc{},
 	}
 	operator := r.kv.Client("operator")
 	put := func(key, value string) {
@@ -79,7 +84,7 @@
 		},
 		JobBounds: &pb.JobBoundSettings{
 			MaxLease: durationpb.New(10 * time.Second), StopTime: durationpb.New(time.Second),
-			Retention: durationpb.New(time.Minute), Grace: durationpb.New(3 * time.Second),
+			Retention: durationpb.New(time.Minute), Grace: durationpb.New(grace),
 		},
 	}
 	pipe := logpipe.New(r.log)
@@ -96,6 +101,7 @@
 		assert.NilError(t, <-done)
 		pipe.Close(context.Background())
 	})
+	r.stop[name] = cancel
 	r.hosts[name], r.callers[name] = h, s.GetJobHost().GetCallerAddress()
 }
 
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -192,14 +192,14 @@
 // stop ends the work of this host as planned.
 func (h *Host) stop(ctx context.Context) {
 	events.Emit(ctx, h.log, events.Stopping)
+	end := time.Now().Add(h.settings.Load().GetJobBounds().GetGrace().AsDuration() - stopMargin)
 	h.front.BeginStop()
 	leave, cancel := context.WithTimeout(ctx, leaveTimeout)
 	if err := h.members.Leave(leave, h.pools.finish); err != nil {
 		events.Emit(ctx, h.log, events.PoolsNotHandedOver, "err", err)
 	}
 	cancel()
-	grace := h.settings.Load().GetJobBounds().GetGrace().AsDuration() - leaveTimeout - stopMargin
-	finish, cancel := context.WithTimeout(ctx, max(grace, stopMargin))
+	finish, cancel := context.WithTimeout(ctx, max(time.Until(end), stopMargin))
 	defer cancel()
 	if err := h.front.Shutdown(finish); err != nil {
 		events.Emit(ctx, h.log, events.StopLimitReached, "err", err)
