callers: the text of an unexpected answer is traced

Change: the trace keeps the first 300 bytes of an answer outside the contract, and the judge names them. Evidence: go test -race ./standin/callers.

--- a/standin/callers/answer.go
+++ b/standin/callers/answer.go
@@ -9,6 +9,9 @@
 // AnswerLineBytes is the length of one line of an answer.
 const AnswerLineBytes = 2*sha256.Size + 1
 
+// reasonBytes is how much of an unexpected answer is traced.
+const reasonBytes = 300
+
 // answerLine is what the answer to the request with this id repeats: the hexadecimal SHA-256 sum of the id and a newline.
 func answerLine(id string) []byte {
 	sum := sha256.Sum256([]byte(id))
@@ -26,6 +29,8 @@
 	wanted int
 	length int
 	wrong  bool
+	// first is the begin of the answer.
+	first []byte
 }
 
 // newChecker expects the answer of n bytes to the request with this id.
@@ -36,6 +41,7 @@
 // Write takes more of the answer. It never fails, so that a wrong answer is read to its end.
 func (c *checker) Write(data []byte) (int, error) {
 	written := len(data)
+	c.first = append(c.first, data[:min(len(data), max(0, reasonBytes-len(c.first)))]...)
 	for len(data) > 0 && !c.wrong {
 		expected := c.line[c.length%AnswerLineBytes:]
 		n := min(len(data), len(expected))
--- a/standin/callers/run.go
+++ b/standin/callers/run.go
@@ -75,9 +75,9 @@
 	l.running.Go(func() {
 		defer func() { <-l.slots }()
 		began := time.Now()
-		result, status := send(ctx, client, l.config, planned, own)
+		result, status, reason := send(ctx, client, l.config, planned, own)
 		l.tally.add(planned, result, time.Since(began))
-		l.trace(planned, own, began, result, status)
+		l.trace(planned, own, Exchange{Sent: began, Result: result, Status: status, Reason: reason})
 	})
 }
 
@@ -92,17 +92,18 @@
 	Result  Result    `json:"result"`
 	// Status is 0 without an answer.
 	Status int `json:"status"`
+	// Reason is the begin of an unexpected answer.
+	Reason string `json:"reason,omitempty"`
 }
 
-func (l *load) trace(planned Request, own identity, began time.Time, result Result, status int) {
+func (l *load) trace(planned Request, own identity, e Exchange) {
 	if l.config.Trace == nil {
 		return
 	}
 	l.tracing.Lock()
 	defer l.tracing.Unlock()
-	l.config.Trace(Exchange{
-		ID: own.id, Key: own.key, Service: planned.Service, Target: planned.Target, Sent: began, Ended: time.Now(), Result: result, Status: status,
-	})
+	e.ID, e.Key, e.Service, e.Target, e.Ended = own.id, own.key, planned.Service, planned.Target, time.Now()
+	l.config.Trace(e)
 }
 
 // sleepUntil returns false if ctx ends first.
--- a/standin/callers/send.go
+++ b/standin/callers/send.go
@@ -104,20 +104,24 @@
 	return own
 }
 
-// send sends one request and judges its answer; status is 0 without one.
-func send(ctx context.Context, client *http.Client, config Config, planned Request, own identity) (result Result, status int) {
+// send sends one request and judges its answer; status is 0 without one, reason is the text of an unexpected one.
+func send(ctx context.Context, client *http.Client, config Config, planned Request, own identity) (result Result, status int, reason string) {
 	ctx, cancel := context.WithTimeout(ctx, config.patience(planned))
 	defer cancel()
 	request, err := newRequest(ctx, config, planned, own)
 	if err != nil {
-		return ResultNoAnswer, 0
+		return ResultNoAnswer, 0, ""
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return ResultNoAnswer, 0
+		return ResultNoAnswer, 0, ""
 	}
 	defer func() { _ = response.Body.Close() }()
-	return judge(response, own.id, config.answerLength(planned)), response.StatusCode
+	check := newChecker(own.id, config.answerLength(planned))
+	if result = judge(response, own.id, check); result == ResultUnexpected {
+		reason = string(check.first)
+	}
+	return result, response.StatusCode, reason
 }
 
 // patience is how long a caller waits for the end of its answer.
@@ -177,8 +181,7 @@
 }
 
 // judge reads the answer to its end and says what it is.
-func judge(response *http.Response, id string, length int) Result {
-	check := newChecker(id, length)
+func judge(response *http.Response, id string, check *checker) Result {
 	if _, err := io.Copy(check, response.Body); err != nil {
 		return ResultCut
 	}
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -86,7 +86,7 @@
 	for _, e := range s.Exchanges {
 		passed := e.Status == http.StatusServiceUnavailable && e.Ended.Sub(e.Sent) > requestTimeout
 		if e.Result == callers.ResultWrong || e.Result == callers.ResultUnexpected && !passed {
-			found = append(found, Finding{fmt.Sprintf("answer of %s to %s is %s (%d)", e.Target, e.ID, e.Result, e.Status), e.ID})
+			found = append(found, Finding{fmt.Sprintf("answer of %s to %s is %s (%d) %q", e.Target, e.ID, e.Result, e.Status, e.Reason), e.ID})
 		}
 	}
 	return found, "answers", len(s.Exchanges)
