--- a/internal/poolowner/replaced_test.go
+++ b/internal/poolowner/replaced_test.go
@@ -79,7 +79,7 @@
 	w.until = max(w.until, min(until, time.Now().Add(maxLease).UnixMilli()))
 }
 
-func (l *leased) Start(ctx context.Context, o scheduler.Order, fence uint64) scheduler.OrderResult {
+func (l *leased) Start(_ context.Context, o scheduler.Order, fence uint64) scheduler.OrderResult {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	w, answers := l.take(o.Worker, fence)
