httpcall, tablefollow: a large answer may take longer while its bytes come

Cause: the table of queues then takes well over a second on a link of 2 Mbit/s, and a read of it was cut off after one second and begun anew, for ever, beside a second read by the poll, each taking the other's room.

A silent connection is given up on as before.

Takeovers of pools with more records than a link carries in 6 s are not looked into.

--- a/httpcall/conn.go
+++ b/httpcall/conn.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -29,8 +31,13 @@
 type conn struct {
 	net.Conn
 	// volume is that of the call under way.
-	volume    *volume
-	idleSince time.Time
+	volume *volume
+	// Each byte of the answer extends the call by pace until last; pace 0 does not.
+	pace time.Duration
+	last time.Time
+	// interrupted tells that the call was ended from outside.
+	interrupted atomic.Bool
+	idleSince   time.Time
 	// used: it has carried a call before. heard: a byte of the present answer has come.
 	used, heard bool
 	// left bounds what is read until the header of the answer has ended; negative for no bound.
@@ -38,7 +45,35 @@
 }
 
 // interrupt ends the call under way.
-func (c *conn) interrupt() { _ = c.SetDeadline(longPast) }
+func (c *conn) interrupt() {
+	c.interrupted.Store(true)
+	_ = c.SetDeadline(longPast)
+}
+
+// grant lets the answer to a call take longer while bytes come.
+func (c *conn) grant(ctx context.Context, r *Request) {
+	c.pace = 0
+	if r.Longest <= r.Timeout {
+		return
+	}
+	c.pace = r.Timeout
+	c.last = time.Now().Add(r.Longest)
+	if end, ok := ctx.Deadline(); ok && end.Before(c.last) {
+		c.last = end
+	}
+}
+
+// extend follows from bytes that came. An interruption stands.
+func (c *conn) extend() {
+	next := time.Now().Add(c.pace)
+	if next.After(c.last) {
+		next = c.last
+	}
+	_ = c.SetReadDeadline(next)
+	if c.interrupted.Load() {
+		_ = c.SetDeadline(longPast)
+	}
+}
 
 func (c *conn) close() { _ = c.Close() }
 
@@ -53,6 +88,9 @@
 	n, err := c.Conn.Read(p)
 	c.volume.received += int64(n)
 	c.heard = c.heard || n > 0
+	if c.pace > 0 && n > 0 {
+		c.extend()
+	}
 	if c.left > 0 {
 		c.left -= n
 	}
--- a/httpcall/httpcall.go
+++ b/httpcall/httpcall.go
@@ -73,6 +73,9 @@
 	// Body is nil for none.
 	Body    []byte
 	Timeout time.Duration
+	// Longest, if longer than Timeout, is how long the answer may take as long as no more than Timeout passes between bytes:
+	// a large one takes its time on a narrow link.
+	Longest time.Duration
 	// Limit bounds the body of the answer in bytes.
 	Limit int
 }
@@ -127,6 +130,7 @@
 			return Answer{}, cause(ctx, err)
 		}
 		conn.volume = v
+		conn.grant(ctx, r)
 		got, err := c.exchange(ctx, conn, r)
 		if err == nil {
 			return got, nil
--- a/httpcall/httpcall_test.go
+++ b/httpcall/httpcall_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -231,3 +232,41 @@
 		return poll.Continue("%d connections are open", server.open.Load())
 	})
 }
+
+// TestSlowAnswersMayTakeLonger reads an answer whose bytes come steadily for longer than the time limit. It was cut off, and
+// asked for again and again, on a link that is too narrow for it; one that stalls is still given up on.
+func TestSlowAnswersMayTakeLonger(t *testing.T) {
+	const (
+		pause = 50 * time.Millisecond
+		limit = 4 * pause
+		parts = 12
+	)
+	server := start(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(parts))
+		for i := range parts {
+			if r.URL.Path == "/stalls" && i == parts/2 {
+				stall(r)
+			}
+			_, _ = w.Write([]byte("x"))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(pause)
+		}
+	})
+	client := httpcall.New(server.URL, 1, nil)
+	t.Cleanup(client.Close)
+	ask := func(ctx context.Context, path string, longest time.Duration) error {
+		_, err := client.Do(ctx, httpcall.Request{
+			Name: "call", Method: http.MethodGet, Path: path, Timeout: limit, Longest: longest, Limit: 64,
+		})
+		return err
+	}
+	assert.ErrorIs(t, ask(context.Background(), "/", 0), context.DeadlineExceeded)
+	assert.NilError(t, ask(context.Background(), "/", patience))
+	assert.ErrorIs(t, ask(context.Background(), "/", limit+pause), context.DeadlineExceeded)
+	began := time.Now()
+	assert.ErrorIs(t, ask(context.Background(), "/stalls", patience), context.DeadlineExceeded)
+	assert.Assert(t, time.Since(began) < patience/2)
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(2*pause, cancel)
+	assert.ErrorIs(t, ask(ctx, "/", patience), context.Canceled)
+}
--- a/internal/tablefollow/follower.go
+++ b/internal/tablefollow/follower.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -25,8 +26,10 @@
 	watchWait = 4 * time.Second
 	// watchSlack is what an answer may take beyond watchWait.
 	watchSlack = 500 * time.Millisecond
-	// readTimeout bounds one read.
+	// readTimeout bounds one read at first. It doubles up to longestRead when it was too short: a large table takes its time
+	// on a narrow link.
 	readTimeout = time.Second
+	longestRead = 8 * time.Second
 
 	// pollEvery is the time between cheap reads, which see what a deaf watch misses. A larger value is read less often:
 	// pollBytesPerSecond bounds what they bring.
@@ -56,6 +59,11 @@
 	// taken is the newest revision of the key that was looked at, so that none is parsed twice.
 	taken atomic.Uint64
 
+	// longer is what reads get beyond readTimeout, in ns.
+	longer atomic.Int64
+	// reading has room for one read.
+	reading chan struct{}
+
 	// told means that operators know of a silent store. It belongs to Run.
 	told bool
 
@@ -74,7 +82,7 @@
 // clock must be steady and count suspension; see package boottime.
 func New(kv store.Transactor, key string, parse func([]byte) (*queue.Table, error), clock func() time.Time, log *slog.Logger,
 ) *Follower {
-	return &Follower{kv: kv, key: key, parse: parse, clock: clock, log: log, changed: make(chan struct{})}
+	return &Follower{kv: kv, key: key, parse: parse, clock: clock, log: log, changed: make(chan struct{}), reading: make(chan struct{}, 1)}
 }
 
 // Table returns the newest table, or nil if there is none yet.
@@ -173,10 +181,8 @@
 }
 
 func (f *Follower) read(ctx context.Context) (asOf uint64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
 	asked := f.clock()
-	items, asOf, err := f.kv.Range(ctx, f.key, false)
+	items, asOf, err := f.get(ctx, false)
 	if err != nil {
 		return 0, err
 	}
@@ -187,8 +193,26 @@
 	return asOf, nil
 }
 
+// get reads the value within the time that it took lately. Two reads at once would take each other's room on a narrow link.
+func (f *Follower) get(ctx context.Context, stale bool) ([]store.Item, uint64, error) {
+	select {
+	case f.reading <- struct{}{}:
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+	defer func() { <-f.reading }()
+	limit := readTimeout + time.Duration(f.longer.Load())
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	items, asOf, err := f.kv.Range(ctx, f.key, stale)
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		f.longer.Store(int64(min(2*limit, longestRead) - readTimeout))
+	}
+	return items, asOf, err
+}
+
 func (f *Follower) watch(ctx context.Context, after uint64) (asOf uint64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack+time.Duration(f.longer.Load()))
 	defer cancel()
 	changes, asOf, err := f.kv.Watch(ctx, f.key, after, watchWait)
 	if err != nil {
@@ -217,9 +241,7 @@
 }
 
 func (f *Follower) pollOnce(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	items, _, err := f.kv.Range(ctx, f.key, true)
+	items, _, err := f.get(ctx, true)
 	if err != nil {
 		return
 	}
