--- a/proofs/cluster_test.go
+++ b/proofs/cluster_test.go
@@ -258,7 +258,11 @@
 
 // call speaks the operator API of an entry host. It returns the status, 0 for no answer.
 func (c *cluster) call(number int, method, path string, in, out any) int {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	return c.callWith(context.Background(), number, method, path, in, out)
+}
+
+func (c *cluster) callWith(ctx context.Context, number int, method, path string, in, out any) int {
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	var body io.Reader
 	if in != nil {
--- a/proofs/flood_test.go
+++ b/proofs/flood_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"strconv"
 	"strings"
@@ -13,7 +14,11 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
+	"github.com/samber/lo"
 	"gotest.tools/v3/assert"
+
+	"github.com/agateturn/agateturn/standin/workers"
 )
 
 const (
@@ -82,13 +87,79 @@
 	}
 }
 
-// tally counts the answers to callers.
+const (
+	// headerTimeout is the header_timeout of floodLimits.
+	headerTimeout = time.Second
+	// runTimeout is the time that a request of the flood allows.
+	runTimeout = 2 * time.Second
+)
+
+// sending is when a request was sent. It is safe for concurrent use.
+type sending struct {
+	mu             sync.Mutex
+	dialled, wrote time.Time
+}
+
+// trace has the times of a request with this context noted.
+func (s *sending) trace(ctx context.Context) context.Context {
+	note := func(at *time.Time) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		*at = time.Now()
+	}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		ConnectStart: func(string, string) { note(&s.dialled) },
+		WroteRequest: func(httptrace.WroteRequestInfo) { note(&s.wrote) },
+	})
+}
+
+// isLate reports whether the request was not sent within header_timeout of the beginning of its connection: on a busy machine
+// the callers of this process are slow ones themselves, and an entry host may break off with those.
+func (s *sending) isLate() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.dialled.IsZero() {
+		return false
+	}
+	end := s.wrote
+	if end.IsZero() {
+		end = time.Now()
+	}
+	return end.Sub(s.dialled) >= headerTimeout
+}
+
+// tally counts the answers to callers. Late are requests without an answer that were sent too late.
 type tally struct {
-	whole, refused, none, wrong atomic.Int64
-	t                           *testing.T
+	whole, refused, late, none, wrong atomic.Int64
+	t                                 *testing.T
+
+	mu sync.Mutex
+	// unknown is when each request began that was answered as may have run at its deadline, by request id.
+	unknown map[string]time.Time
+}
+
+// addUnknown keeps a request to be judged by what the workers saw of it.
+func (a *tally) addUnknown(id string, began time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.unknown == nil {
+		a.unknown = map[string]time.Time{}
+	}
+	a.unknown[id] = began
 }
 
-// send is one caller's request. A refusal must be a not-run with a time to come back.
+// judgeUnknown checks that each of those requests reached a worker that had not answered it by the deadline.
+func (a *tally) judgeUnknown(records []workers.Record) {
+	byID := lo.KeyBy(records, func(r workers.Record) string { return r.RequestID })
+	for id, began := range a.unknown {
+		r, reached := byID[id]
+		inTime := r.Complete && r.End.Sub(began) < runTimeout
+		assert.Check(a.t, reached && !inTime, "answered as unknown, begun %s: %+v", began, r)
+	}
+}
+
+// send is one caller's request. A refusal must be a not-run with a time to come back. An answer of unknown is judged by
+// what the workers saw.
 func (a *tally) send(client *http.Client, address, body string) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/services/left/job", strings.NewReader(body)) //nolint:noctx // the client has a timeout
 	if err != nil {
@@ -96,9 +167,16 @@
 		return
 	}
 	req.Header.Set("Agateturn-Team", "orders")
-	req.Header.Set("Agateturn-Timeout", "2s")
+	req.Header.Set("Agateturn-Timeout", runTimeout.String())
+	id := uuid.NewString()
+	req.Header.Set("Agateturn-Request-Id", id)
 	began := time.Now()
-	resp, err := client.Do(req)
+	var sent sending
+	resp, err := client.Do(req.WithContext(sent.trace(context.Background())))
+	if err != nil && sent.isLate() {
+		a.late.Add(1)
+		return
+	}
 	if err != nil {
 		a.none.Add(1)
 		a.t.Logf("%d bytes, no answer after %s: %v", len(body), time.Since(began), err)
@@ -111,6 +189,8 @@
 		a.whole.Add(1)
 	case header.Get("Agateturn-Outcome") == "not-run" && header.Get("Retry-After") != "":
 		a.refused.Add(1)
+	case resp.StatusCode == http.StatusGatewayTimeout && header.Get("Agateturn-Outcome") == "unknown":
+		a.addUnknown(id, began)
 	default:
 		a.wrong.Add(1)
 		a.t.Logf("%d bytes, answer outside the contract after %s: %s %v", len(body), time.Since(began), resp.Status, header)
@@ -135,17 +215,26 @@
 	repeat(ctx, &group, 64, 4000, func() { small.send(client, address, "ok") })
 	operated := 0
 	for ctx.Err() == nil {
-		assert.Equal(t, c.call(1, http.MethodGet, "/v1/status", nil, nil), http.StatusOK)
+		var sent sending
+		status := c.callWith(sent.trace(context.Background()), 1, http.MethodGet, "/v1/status", nil, nil)
+		assert.Assert(t, status == http.StatusOK || status == 0 && sent.isLate(), "%d", status)
 		operated++
 		time.Sleep(100 * time.Millisecond)
 	}
 	group.Wait()
 	peak := c.peakBytes(1)
-	t.Logf("small: whole %d refused %d none %d wrong %d; fat: whole %d refused %d none %d wrong %d; operators %d; peak %d MiB of %d",
-		small.whole.Load(), small.refused.Load(), small.none.Load(), small.wrong.Load(),
-		fat.whole.Load(), fat.refused.Load(), fat.none.Load(), fat.wrong.Load(), operated, peak/mib, floodBound/mib)
+	t.Logf("unknown at the deadline: small %d fat %d", len(small.unknown), len(fat.unknown))
+	t.Logf("small: whole %d refused %d late %d none %d wrong %d; fat: whole %d refused %d late %d none %d wrong %d; operators %d; peak %d MiB of %d",
+		small.whole.Load(), small.refused.Load(), small.late.Load(), small.none.Load(), small.wrong.Load(),
+		fat.whole.Load(), fat.refused.Load(), fat.late.Load(), fat.none.Load(), fat.wrong.Load(), operated, peak/mib, floodBound/mib)
 	assert.Equal(t, small.wrong.Load()+fat.wrong.Load(), int64(0))
+	records := c.workers.Records()
+	small.judgeUnknown(records)
+	fat.judgeUnknown(records)
 	assert.Equal(t, small.none.Load(), int64(0))
+	answered := small.whole.Load() + small.refused.Load()
+	assert.Assert(t, small.late.Load()*10 <= answered, "the callers were too slow to judge by")
+	assert.Assert(t, int64(len(small.unknown))*20 <= answered, "the workers were too slow to judge by")
 	assert.Assert(t, small.refused.Load() > 0, "this was no flood")
 	assert.Assert(t, fat.whole.Load()+fat.refused.Load() > 0)
 	assert.Assert(t, peak <= floodBound, "%d MiB, the bound is %d", peak/mib, floodBound/mib)
