upkeep: a large job from before the first status is not taken off

Cause, from the code: after a takeover a rate is the mean of what was heard, but the largest job of the last second may be older. It was taken off all the same, so a new owner saw no steady rate, and no first turn, until it had heard for 0.6 s.

Change: a largest job that is larger than all work that was heard to arrive is left out.

Evidence: TestLargeJobFromBeforeIsNotHeard fails without it. TestOpenings is unchanged, as it has no takeover.

--- a/upkeep/demand.go
+++ b/upkeep/demand.go
@@ -54,6 +54,8 @@
 	// turnArrived is the work that had arrived at countedFrom, when the present turn began or counting began anew in it.
 	turnArrived int64
 	countedFrom time.Time
+	// heardArrived is the work that had arrived at the first status of the pool's owner.
+	heardArrived int64
 	// heardFrom is when the first status came. What was restored is not judged before a rate is known.
 	heardFrom time.Time
 	turns     turns
@@ -84,6 +86,7 @@
 	d.largest = float64(status.GetLargestMilliMs())
 	if first {
 		d.turnArrived = arrived
+		d.heardArrived = arrived
 		d.countedFrom = at
 		if d.heardFrom.IsZero() {
 			d.heardFrom = at
@@ -185,6 +188,10 @@
 	const mostShare = 0.5
 	window := min(rateWindow, max(shortestGap, d.at.Sub(d.heardFrom)))
 	largest := d.largest / float64(window.Milliseconds())
+	if d.largest > float64(d.arrived-d.heardArrived) {
+		// It arrived before the first status, so the rate does not hold it.
+		largest = 0
+	}
 	others := max(0, d.rate-largest)
 	return others + min(largest, mostShare*others)
 }
--- a/upkeep/turns_test.go
+++ b/upkeep/turns_test.go
@@ -118,3 +118,17 @@
 	hear(d, now, 1, times(30, troughRate)...)
 	assert.Assert(t, !d.turns.high)
 }
+
+// A new owner of the fleet does not take a large job from before its first status off the rate that it hears.
+func TestLargeJobFromBeforeIsNotHeard(t *testing.T) {
+	const rate = 160_000
+	d := &demand{}
+	now := time.Unix(1000, 0)
+	for n := range int64(4) {
+		status := &pb.PoolStatusResponse{Owner: true, Fence: 1, ArrivedMilliMs: n * rate * poll.Milliseconds()}
+		status.LargestMilliMs = 10 * rate * poll.Milliseconds()
+		d.observe(now, status, 1_000_000)
+		now = now.Add(poll)
+	}
+	assert.Assert(t, d.turns.high)
+}
