dispatch: a service that the queue does not know yet is worth another try

Cause: requests are checked against the configuration in force, which the queue is given a moment later; meanwhile the queue told callers that coming back does not help. Change: such a refusal is one of an entry host that is not ready, with a time to come back. Evidence: the test failed before (no time to come back); packages dispatch, callers, entryhost, admission pass with -race.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -63,6 +63,10 @@
 }
 
 func rejectionOf(reason admission.Reason, retryAfter time.Duration) *Rejection {
+	if reason == admission.ReasonUnknownService || reason == admission.ReasonUnknownTeam {
+		// Both are in the configuration in force, which the queue is about to be given.
+		return &Rejection{Reason: "the configuration is being put in force", RetryAfter: RetryNoHost, Code: refusalcode.Unready}
+	}
 	return &Rejection{
 		Reason:     reason.String(),
 		Code:       refusalcode.OfReason(reason),
