--- a/cmd/agateturn-standin/soak.go
+++ b/cmd/agateturn-standin/soak.go
@@ -53,15 +53,18 @@
 			outcome, err := soak.Run(ctx, soak.Options{
 				Daemon: c.Daemon, Standin: self, Dir: filepath.Join(c.Dir, fmt.Sprintf("%s-%d", mode, seed)), Network: c.Network, Out: os.Stdout,
 			}, plan)
+			if ctx.Err() != nil {
+				break // what was stopped midway is no verdict
+			}
 			if err != nil {
-				outcome.Plan, outcome.Broken = plan, append(outcome.Broken, "not played to its end: "+err.Error())
+				outcome.Plan, outcome.Unplayed = plan, err.Error()
 			}
 			fmt.Println(outcome)
 			sum.Add(outcome)
 		}
 	}
 	fmt.Print(sum.String())
-	if sum.Broken() > 0 {
+	if sum.Failed() > 0 {
 		return errBroken
 	}
 	return nil
--- a/internal/poolowner/replaced_test.go
+++ b/internal/poolowner/replaced_test.go
@@ -79,7 +79,7 @@
 	w.until = max(w.until, min(until, time.Now().Add(maxLease).UnixMilli()))
 }
 
-func (l *leased) Start(ctx context.Context, o scheduler.Order, fence uint64) scheduler.OrderResult {
+func (l *leased) Start(_ context.Context, o scheduler.Order, fence uint64) scheduler.OrderResult {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	w, answers := l.take(o.Worker, fence)
@@ -89,6 +89,9 @@
 	if w == nil {
 		return scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeFenced}
 	}
+	if o.Until < time.Now().UnixMilli() {
+		return scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeLate, Clock: time.Now().UnixMilli()}
+	}
 	l.lapse()
 	for _, other := range l.workers {
 		l.twice = l.twice || slices.ContainsFunc(other.running, func(r scheduler.RunningTask) bool { return r.Task == o.Task })
--- a/standin/soak/naive_test.go
+++ b/standin/soak/naive_test.go
@@ -43,6 +43,8 @@
 	naiveWorkers        = 4
 	naiveLoad           = 1500 * time.Millisecond
 	naiveRunTime        = 30 * time.Millisecond
+	// naivePatience is how long a request waits for a slot.
+	naivePatience = 500 * time.Millisecond
 )
 
 // naive is a fleet of entry hosts in this process that have one defect.
@@ -101,7 +103,10 @@
 		w.Header().Set("Retry-After", "1")
 		w.WriteHeader(status)
 	}
-	worker, ok := n.admit(host, strings.Split(r.URL.Path, "/")[3], r.Header.Get("Idempotency-Key"))
+	worker, ok := 0, false
+	for begin := time.Now(); !ok && time.Since(begin) < naivePatience; time.Sleep(time.Millisecond) {
+		worker, ok = n.admit(host, strings.Split(r.URL.Path, "/")[3], r.Header.Get("Idempotency-Key"))
+	}
 	switch {
 	case !ok, n.defect == staysDown && time.Since(n.begin) > naiveLoad/2:
 		answer(http.StatusServiceUnavailable, "not-run")
@@ -306,6 +311,44 @@
 	}
 }
 
+// TestBreaksOfReadRequests closes connections before and after a request was read and answered.
+func TestBreaksOfReadRequests(t *testing.T) {
+	for name, test := range map[string]struct {
+		serve  func(net.Conn)
+		breaks int
+	}{
+		"read":       {func(c net.Conn) { _, _ = c.Read(make([]byte, 8)) }, 1},
+		"not read":   {func(net.Conn) { time.Sleep(100 * time.Millisecond) }, 0},
+		"answered":   {func(c net.Conn) { _, _ = io.CopyN(c, c, 8) }, 0},
+		"only begun": {func(c net.Conn) { _, _ = c.Read(make([]byte, 4)) }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer func() { _ = target.Close() }()
+			p := NewProxy()
+			defer p.Close()
+			assert.NilError(t, p.Listen(t.Context(), Link{callersName, "entry-1"}, "127.0.0.1:0", target.Addr().String()))
+			c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", p.listeners[0].Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = c.Close() }()
+			called, err := target.Accept()
+			assert.NilError(t, err)
+			_, err = io.WriteString(c, "one line")
+			assert.NilError(t, err)
+			test.serve(called)
+			assert.NilError(t, called.Close())
+			_, _ = io.ReadAll(c)
+			found, n := untroubled(p.Breaks(), nil)
+			assert.Equal(t, n, test.breaks)
+			assert.Equal(t, len(found), test.breaks)
+			began := time.Now().Add(-time.Second)
+			found, _ = untroubled(p.Breaks(), []Event{{At: began, Until: began, Host: 1, Action: Kill}})
+			assert.Equal(t, len(found), 0)
+		})
+	}
+}
+
 // TestPlansRepeat sees that a seed gives the same plan, with every series among some seeds.
 func TestPlansRepeat(t *testing.T) {
 	for _, mode := range []Mode{Jobs, Requests} {
--- a/standin/soak/process.go
+++ b/standin/soak/process.go
@@ -14,6 +14,8 @@
 	name    string
 	command *exec.Cmd
 	exited  chan struct{}
+	// endedAt is set once exited is closed.
+	endedAt time.Time
 }
 
 // start runs a program with its output appended to a log. It outlives ctx, so that it is ended in order.
@@ -31,6 +33,7 @@
 	go func() {
 		_ = p.command.Wait() // ProcessState tells
 		_ = out.Close()
+		p.endedAt = time.Now()
 		close(p.exited)
 	}()
 	return p, nil
@@ -49,15 +52,25 @@
 }
 
 // await waits for the end of the process.
-func (p *process) await(limit time.Duration) error {
+func (p *process) await(ctx context.Context, limit time.Duration) error {
 	select {
 	case <-p.exited:
 		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	case <-time.After(limit):
 		return fmt.Errorf("%s did not end in %v", p.name, limit)
 	}
 }
 
+// stop ends the process in order, or in any case after a while.
+func (p *process) stop() {
+	p.signal(syscall.SIGTERM)
+	if p.await(context.Background(), stopBound) != nil {
+		p.kill()
+	}
+}
+
 // kill ends the process in any state.
 func (p *process) kill() {
 	_ = p.command.Process.Kill()
--- a/standin/soak/requests.go
+++ b/standin/soak/requests.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -86,7 +87,7 @@
 	}
 	for _, h := range w.hosts {
 		name := fmt.Sprintf("entry-%d", h.number)
-		pass(Link{"", name}, w.network(0), h.number, callerPort)
+		pass(Link{callersName, name}, w.network(0), h.number, callerPort)
 		if w.network(h.number) != w.network(0) {
 			pass(Link{name, storeAddress}, w.network(h.number), standinByte, storePort)
 		}
@@ -263,21 +264,20 @@
 		return ctx.Err()
 	}
 	w.callers.signal(syscall.SIGTERM) // what is under way goes on
-	if err := w.callers.await(endLimit); err != nil {
+	if err := w.callers.await(ctx, endLimit); err != nil {
 		return err
 	}
 	w.stopLook()
 	w.looking.Wait()
-	w.mu.Lock()
-	w.seen.Events = w.events
-	w.mu.Unlock()
+	w.sortEvents()
+	w.seen.Events, w.seen.Breaks = w.events, w.proxy.Breaks()
 	if err := w.readHistory(); err != nil {
 		return err
 	}
 	if err := w.readRecords(ctx); err != nil {
 		return err
 	}
-	w.seen.sortByTime()
+	slices.SortStableFunc(w.seen.Views, func(a, b View) int { return a.At.Compare(b.At) })
 	found, checked := Judge(w.seen)
 	out.Checked = checked
 	for _, f := range found {
@@ -293,12 +293,8 @@
 		w.looking.Wait()
 	}
 	for _, p := range append(w.standins, w.callers) {
-		if p == nil {
-			continue
-		}
-		p.signal(syscall.SIGTERM)
-		if p.await(stopBound) != nil {
-			p.kill()
+		if p != nil {
+			p.stop()
 		}
 	}
 }
