--- a/standin/soak/naive_test.go
+++ b/standin/soak/naive_test.go
@@ -18,6 +18,7 @@
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/standin/callers"
+	"github.com/agateturn/agateturn/standin/jobplatform"
 	"github.com/agateturn/agateturn/standin/workers"
 )
 
@@ -363,3 +364,26 @@
 		assert.Equal(t, len(series), map[Mode]int{Jobs: 10, Requests: 11}[mode])
 	}
 }
+
+// TestLateServiceAndOldConfigurationsAreSeen tells a history what breaks the bounds.
+func TestLateServiceAndOldConfigurationsAreSeen(t *testing.T) {
+	for text, tell := range map[string]func(*jobplatform.History){
+		"was not accepted (503)": func(h *jobplatform.History) { h.Attempt("j", time.Now(), http.StatusServiceUnavailable, false) },
+		"no start within":        func(h *jobplatform.History) { h.CheckServed([]string{"left"}) },
+		"went back from version 2": func(h *jobplatform.History) {
+			h.Configured("e", 1, 2)
+			h.Configured("e", 1, 1)
+		},
+		"has version 1": func(h *jobplatform.History) {
+			h.Configured("e", 1, 1)
+			h.CheckConfigured([]string{"e"}, 2)
+		},
+	} {
+		h := jobplatform.NewHistory()
+		h.EntryStarted("e")
+		h.Calm(time.Now().Add(-time.Minute))
+		tell(h)
+		_, broken := h.Verdict()
+		assert.Assert(t, len(broken) == 1 && strings.Contains(broken[0], text), "%q", broken)
+	}
+}
