--- a/standin/soak/jobs.go
+++ b/standin/soak/jobs.go
@@ -131,7 +131,7 @@
 address = %s
 writes_per_second = 400
 reads_per_second = 2000
-[machine_api]
+[host_api]
 address = %s
 [job_bounds]
 move_time = 1s
