scheduler: leases end before a takeover of a cut-off owner's pool starts tasks

An owner that reached neither the store nor its peers went on extending leases for 10 s after its last confirmed renewal, and each lease ran 6 s more, while the next owner waits 6.7 s for workers that it does not reach: a task ran on both.

Leases now end at most Lease + UnconfirmedLease (6 + 2 s) after the start of the call that last confirmed the ownership, and a takeover waits that long, drift included. No task is started with a lease under a second. A revoked lease needs no special case, since a later owner acquires the pool after that call in any case.

Not built: a peer that vouches for the owner in an outage that all hosts see, so tasks lapse in outages longer than about 6 s.

--- a/internal/jobhost/options.go
+++ b/internal/jobhost/options.go
@@ -20,6 +20,8 @@
 const (
 	// workerLease is how long workers keep running tasks without a hold.
 	workerLease = 6 * time.Second
+	// unconfirmedLease is how much longer leases may last after the store last confirmed the ownership of the pool.
+	unconfirmedLease = 2 * time.Second
 	// maxConnections bounds the connections of callers.
 	maxConnections = 2000
 	// stopNotice is long enough for two readiness checks, one per second, to fail.
@@ -96,10 +98,11 @@
 			held, ok := h.members.Confirmed(pool)
 			return ok && held == fence
 		},
-		Replaced: func() { h.members.Replaced(pool, fence) },
-		Clock:    h.clock.Now,
-		Log:      h.log,
-		Metrics:  poolowner.NewMetrics(h.stats),
+		ConfirmedFrom: h.members.ConfirmedFrom,
+		Replaced:      func() { h.members.Replaced(pool, fence) },
+		Clock:         h.clock.Now,
+		Log:           h.log,
+		Metrics:       poolowner.NewMetrics(h.stats),
 	})
 	return owner, release
 }
@@ -107,20 +110,21 @@
 func (h *Host) schedulerConfig(fence uint64) scheduler.Config {
 	b := h.settings.Load().GetJobBounds()
 	return scheduler.Config{
-		Fence:           fence,
-		Lease:           min(workerLease, b.GetMaxLease().AsDuration()),
-		MaxLease:        b.GetMaxLease().AsDuration(),
-		StopTime:        b.GetStopTime().AsDuration(),
-		GangTime:        b.GetGangTime().AsDuration(),
-		Early:           b.GetEarly().AsDuration(),
-		Retention:       b.GetRetention().AsDuration(),
-		CrossRackFactor: b.GetCrossRackFactor(),
-		SaveInterval:    b.GetSaveInterval().AsDuration(),
-		RestoreTime:     b.GetRestoreTime().AsDuration(),
-		Notice:          b.GetNotice().AsDuration(),
-		PaceDelay:       b.GetPaceDelay().AsDuration(),
-		HarmTime:        b.GetHarmTime().AsDuration(),
-		DrainTime:       b.GetDrainTime().AsDuration(),
+		Fence:            fence,
+		Lease:            min(workerLease, b.GetMaxLease().AsDuration()),
+		MaxLease:         b.GetMaxLease().AsDuration(),
+		UnconfirmedLease: unconfirmedLease,
+		StopTime:         b.GetStopTime().AsDuration(),
+		GangTime:         b.GetGangTime().AsDuration(),
+		Early:            b.GetEarly().AsDuration(),
+		Retention:        b.GetRetention().AsDuration(),
+		CrossRackFactor:  b.GetCrossRackFactor(),
+		SaveInterval:     b.GetSaveInterval().AsDuration(),
+		RestoreTime:      b.GetRestoreTime().AsDuration(),
+		Notice:           b.GetNotice().AsDuration(),
+		PaceDelay:        b.GetPaceDelay().AsDuration(),
+		HarmTime:         b.GetHarmTime().AsDuration(),
+		DrainTime:        b.GetDrainTime().AsDuration(),
 	}
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -191,6 +191,10 @@
 	return fence, ok && m.confirmation.Valid(m.clock())
 }
 
+// ConfirmedFrom returns the start of the last call to the store that confirmed this host's lease. Another host can only
+// have acquired a pool of this one later.
+func (m *Manager) ConfirmedFrom() time.Time { return m.confirmation.ConfirmedFrom() }
+
 // Replaced gives up the pool at once. It is called when a worker or the store rejected the fencing token.
 func (m *Manager) Replaced(pool string, fence uint64) {
 	m.post(m.runCtx, func(context.Context) { m.reject(pool, fence) })
--- a/internal/poolowner/loop.go
+++ b/internal/poolowner/loop.go
@@ -20,6 +20,7 @@
 		case <-ctx.Done():
 			return nil
 		case in := <-o.inputs.Items():
+			p.SetConfirmed(o.ConfirmedFrom())
 			in(p, o.Clock())
 			o.drain(p)
 		case <-timer.C:
@@ -48,6 +49,7 @@
 	if !o.isLoaded() {
 		return maxStepInterval
 	}
+	p.SetConfirmed(o.ConfirmedFrom())
 	p.SetSendRoom(now, o.orders.availableBytes())
 	actions := p.Step(now)
 	o.updateOrderDelay(p, now)
--- a/internal/poolowner/replaced_test.go
+++ b/internal/poolowner/replaced_test.go
@@ -196,6 +196,13 @@
 		o := newOptions(t, shared.Client("cut"), workers)
 		var unconfirmed atomic.Bool
 		o.Confirmed = func() bool { return !unconfirmed.Load() }
+		var cutAt atomic.Pointer[time.Time]
+		o.ConfirmedFrom = func() time.Time {
+			if at := cutAt.Load(); at != nil {
+				return *at
+			}
+			return time.Now()
+		}
 		cutOffFence := o.Config.Fence
 		owner, stopCutOff := startOwner(t, o, "w1")
 		time.Sleep(settleTime)
@@ -203,6 +210,8 @@
 		owner.SetWorkers(testWorkers([]string{"w1", "w2"}))
 		time.Sleep(settleTime)
 		time.AfterFunc(maxUnconfirmed, func() { unconfirmed.Store(true) })
+		lastConfirmed := time.Now()
+		cutAt.Store(&lastConfirmed)
 		shared.SetFaults(memtxn.Faults{Cut: map[string]bool{"cut": true}})
 		workers.setUnreachable(cutOffFence, "w2")
 		time.Sleep(storeLease)
--- a/internal/poolowner/roster_test.go
+++ b/internal/poolowner/roster_test.go
@@ -93,12 +93,12 @@
 	return poolowner.Options{
 		Pool: pool, Workers: workers, Jobs: jobstore.New(kv, time.Now, quiet, jobstore.Options{}),
 		Config: scheduler.Config{
-			Fence: fence, Lease: 6 * time.Second, MaxLease: 10 * time.Second, StopTime: time.Second, GangTime: time.Second,
+			Fence: fence, Lease: 6 * time.Second, UnconfirmedLease: 2 * time.Second, MaxLease: 10 * time.Second, StopTime: time.Second, GangTime: time.Second,
 			Retention: time.Minute, CrossRackFactor: 2, SaveInterval: time.Second, RestoreTime: time.Second, Notice: time.Second,
 			PaceDelay: time.Second, HarmTime: time.Second, DrainTime: time.Second,
 		},
 		Intents:   func(context.Context) (poolowner.Intents, error) { return poolowner.Intents{}, nil },
-		Confirmed: func() bool { return true }, Replaced: func() {}, Clock: time.Now, Log: quiet,
+		Confirmed: func() bool { return true }, ConfirmedFrom: time.Now, Replaced: func() {}, Clock: time.Now, Log: quiet,
 	}
 }
 
--- a/ownership/confirm.go
+++ b/ownership/confirm.go
@@ -54,6 +54,9 @@
 	}
 }
 
+// ConfirmedFrom returns the start of the last call that confirmed the lease; the Unix epoch without one.
+func (c *Confirmation) ConfirmedFrom() time.Time { return time.Unix(0, c.confirmedFrom.Load()) }
+
 // Withdraw discards the confirmation, because the lease has been lost.
 func (c *Confirmation) Withdraw() { c.confirmedFrom.Store(0) }
 
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -9,6 +9,9 @@
 	// Lease is how long workers keep running tasks without a hold. It is at most MaxLease, to which workers cap it.
 	Lease    time.Duration
 	MaxLease time.Duration
+	// UnconfirmedLease is how much longer than Lease a lease may last, counted from the last confirmation of the ownership.
+	// It lets tasks survive a short outage of the store, and delays a takeover that waits for silent workers.
+	UnconfirmedLease time.Duration
 	// StopTime is the maximum duration of a stop. GangTime is how long the members of a gang wait for each other.
 	StopTime time.Duration
 	GangTime time.Duration
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -38,10 +38,34 @@
 	p.addDecision("start", r, "")
 }
 
+// minStartLease is the shortest lease with which tasks are started.
+const minStartLease = time.Second
+
+// SetConfirmed sets when the ownership of the pool was last confirmed: the start of the call that confirmed it, so any
+// later owner acquires the pool after that time. Leases are limited by it; without a call they are not.
+func (p *Pool) SetConfirmed(from time.Time) { p.confirmedFrom = from }
+
+// leaseDuration returns how long a lease extended now may last. It is negative if none may be extended: a later owner may
+// exist that considers everything started by this one to have ended.
+func (p *Pool) leaseDuration(now time.Time) time.Duration {
+	if p.confirmedFrom.IsZero() {
+		return p.cfg.Lease
+	}
+	return min(p.cfg.Lease, p.confirmedFrom.Add(p.cfg.longestLease()).Sub(now))
+}
+
+// mayStart reports whether a task started now would have a useful lease.
+func (p *Pool) mayStart(now time.Time) bool {
+	return p.leaseDuration(now) >= min(minStartLease, p.cfg.Lease)
+}
+
+// longestLease returns how long a lease may last after the last confirmation of the ownership.
+func (c *Config) longestLease() time.Duration { return c.Lease + c.UnconfirmedLease }
+
 // lease returns the lease expiry to request now. It also records the expiry, since the call may be carried out even
 // if no answer arrives.
 func (p *Pool) lease(now time.Time, w *worker) int64 {
-	until := w.clock.lowerBound(now) + p.cfg.Lease.Milliseconds()
+	until := max(0, w.clock.lowerBound(now)+p.leaseDuration(now).Milliseconds())
 	w.leaseUntil = max(w.leaseUntil, until)
 	return until
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -154,7 +154,7 @@
 }
 
 func (p *Pool) placeStep(now time.Time, s *step, usable []*worker) {
-	if p.takeover.blocksStarts() {
+	if p.takeover.blocksStarts() || !p.mayStart(now) {
 		return
 	}
 	p.consultAdvice(now, s)
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -42,6 +42,8 @@
 	fenced bool
 
 	takeover takeover
+	// confirmedFrom limits the leases; see SetConfirmed.
+	confirmedFrom time.Time
 	// earlyCancels holds cancellations of jobs that are not known yet. forgotten holds purged jobs, so that they are
 	// not added again.
 	earlyCancels map[string]time.Time
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -41,7 +41,7 @@
 	usable := p.usableWorkers(now)
 	limit := max(1, len(usable)/preemptionDivisor)
 	for _, c := range p.rank(now) {
-		if c.class > classOnTime || p.takeover.blocksStarts() || c.step.spec.GetGang() {
+		if c.class > classOnTime || p.takeover.blocksStarts() || !p.mayStart(now) || c.step.spec.GetGang() {
 			continue
 		}
 		waiting := c.step.countStartable(now) - p.countPreempting(c.step)
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -39,7 +39,7 @@
 	out := &pb.WorkerLoad{
 		Id: w.ID, Tasks: int64(len(w.runs)), UsedCpuMilli: w.used.CPUMilli, UsedMemoryMb: w.used.MemoryMB,
 		Evacuated: w.evacuating && w.emptyConfirmed && len(w.runs) == 0,
-		Stoppable: w.reported || p.takeover.leasesExpired(now, p.cfg.Lease),
+		Stoppable: w.reported || p.takeover.leasesExpired(now, p.cfg.longestLease()),
 	}
 	for _, r := range w.runs {
 		if r.task == nil {
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -193,7 +193,7 @@
 	if !t.started || t.done {
 		return
 	}
-	limit := t.leaseDeadline(p.cfg.Lease)
+	limit := t.leaseDeadline(p.cfg.longestLease())
 	if now.Before(limit) && !t.allReported() {
 		p.wake(limit)
 		return
