entryhost: a stop whose goroutines hang ends with their stacks; slots: mend the benchmark

The wait now has a limit of 5 s, after which the stacks of all goroutines are logged (event 113) and the process exits with an error; the registrar's failure can no longer block on a full channel.

BenchmarkTakeRelease panicked, as the ledger of the benchmark had no usable slots: its heartbeats lacked the owners' hash.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -40,6 +40,10 @@
 		Number: 112, Name: "failed_to_run", Level: slog.LevelError, Message: "process exits with an error",
 		Remedy: "see the error; free the address or change the settings, and start again",
 	}
+	StopHangs = Event{
+		Number: 113, Name: "stop_hangs", Level: slog.LevelError, Message: "goroutines still run after a planned stop; the process ends with an error",
+		Remedy: "report the stacks of the goroutines",
+	}
 )
 
 // Store and platform.
@@ -296,14 +300,19 @@
 		Number: 945, Name: "machines_unread", Level: slog.LevelWarn, Message: "list of hosts cannot be read; the last known list is used",
 		Remedy: "check the platform's hosts",
 	}
-	MachinesRead  = Event{Number: 946, Name: "machines_read", Level: slog.LevelInfo, Message: "list of hosts can be read again"}
-	SchedulerNote = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
+	MachinesRead      = Event{Number: 946, Name: "machines_read", Level: slog.LevelInfo, Message: "list of hosts can be read again"}
+	RegistryUnwatched = Event{
+		Number: 952, Name: "registry_unwatched", Level: slog.LevelWarn, Message: "watch of the registry of workers shows no changes; the registry is read instead",
+		Remedy: "check the store if it lasts",
+	}
+	RegistryWatched = Event{Number: 953, Name: "registry_watched", Level: slog.LevelInfo, Message: "watch of the registry of workers shows changes again"}
+	SchedulerNote   = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
 )
 
 // catalogue lists every event in ascending order of numbers.
 var catalogue = []Event{
 	Started, SettingsRefused, Stopping, Stopped, StopLimitReached, PauseDetected, Ready, Unready,
-	SettingsReloaded, SettingsKept, LinesLeftOut, FailedToRun,
+	SettingsReloaded, SettingsKept, LinesLeftOut, FailedToRun, StopHangs,
 	StoreUnreachable, StoreBack, PlatformUnreachable, PlatformBack,
 	MemberJoined, MemberLeft, MemberGone, JoinRefused, JoinedAsGuest, PeerUnreachable, PeerBack,
 	ControllerElected, ControllerLost, FleetApplied, OwnersSettled, HeartbeatFailed, FleetNotWritten,
@@ -322,7 +331,8 @@
 	WorkersChanged, WorkerEnded, WorkerSilent, WorkerBack, WorkerSuspect, WorkerUnread,
 	TasksStarted, TasksStopped, TasksLost, TasksEnded, TasksRefused, OrderUnknown, OrderRefused,
 	JobCompleted, JobFailed, JobCancelled, SchedulerNote, JobBegun, AttemptFailed, JobDurable, StepDone,
-	MemberNotStored, RecordSkipped, FleetRecordWaits, MachinesUnread, MachinesRead, TasksPreempted,
+	MemberNotStored, RecordSkipped, FleetRecordWaits, MachinesUnread, MachinesRead, TasksPreempted, PoolTakenOver,
+	RegistryUnwatched, RegistryWatched,
 }
 
 // retired lists the numbers of removed events, which are never reused.
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -11,6 +11,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/pprof"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -108,14 +110,35 @@
 	case <-ctx.Done():
 		d.stop(context.WithoutCancel(ctx), servers)
 		stopLoops()
-		d.loops.Wait()
-		return nil
+		return d.awaitLoops(loopEndLimit)
 	case err := <-failed:
 		servers.close()
 		return err
 	}
 }
 
+// loopEndLimit is how long the daemon's goroutines may take to end after a planned stop.
+const loopEndLimit = 5 * time.Second
+
+// awaitLoops waits until the daemon's goroutines have ended. If they have not within limit, it logs the stacks of all
+// goroutines and returns an error, so that the process ends nevertheless.
+func (d *Daemon) awaitLoops(limit time.Duration) error {
+	ended := make(chan struct{})
+	go func() {
+		d.loops.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-time.After(limit):
+	}
+	var stacks strings.Builder
+	_ = pprof.Lookup("goroutine").WriteTo(&stacks, 1) // writes to a strings.Builder cannot fail
+	events.Emit(context.Background(), d.logger, events.StopHangs, "limit", limit, "goroutines", stacks.String())
+	return errStopHangs.New("%v after the last request", limit)
+}
+
 // startLoops starts the goroutines that run until the daemon stops.
 func (d *Daemon) startLoops(ctx context.Context, failed chan<- error) {
 	d.startLoop(func() {
@@ -136,7 +159,10 @@
 	d.startLoop(func() { d.control.Run(ctx) })
 	d.startLoop(func() {
 		if err := d.registrar.Run(ctx); err != nil {
-			failed <- err
+			select {
+			case failed <- err:
+			default: // another failure is being returned already
+			}
 		}
 	})
 }
--- a/slots/bench_test.go
+++ b/slots/bench_test.go
@@ -39,7 +39,7 @@
 	l.SetHosts(hosts)
 	peers := map[string]PeerDemand{}
 	for _, m := range fleet.GetMembers()[1:] {
-		l.Incoming(&pb.Heartbeat{Name: m.GetName(), Incarnation: "i", Sequence: 1, Slots: &pb.SlotExchange{OwnersRevision: 1}})
+		l.Incoming(&pb.Heartbeat{Name: m.GetName(), Incarnation: "i", Sequence: 1, Slots: &pb.SlotExchange{OwnersRevision: l.revision, OwnersHash: l.ownersHash}})
 		peers[m.GetName()] = PeerDemand{Pools: own}
 	}
 	peers["entry-1"] = PeerDemand{Pools: queued}
