poolowner: space the scheduler's steps by their duration

Each input was followed by a step, and a step visits every worker. The owner of a pool of hundreds of workers, with thousands of starts and ends a second, spent its processor on steps; orders and holds waited, workers counted as silent.

A step now begins no sooner than four times the duration of the last one after its end, and 10 ms at most, so that one step handles many inputs.

--- a/internal/poolowner/loop.go
+++ b/internal/poolowner/loop.go
@@ -15,6 +15,7 @@
 	p := scheduler.New(o.Config)
 	timer := time.NewTimer(maxStepInterval)
 	defer timer.Stop()
+	var spacing stepSpacing
 	for {
 		select {
 		case <-ctx.Done():
@@ -26,8 +27,14 @@
 		case <-timer.C:
 		}
 		now := o.Clock()
+		if wait := spacing.untilNext(now); wait > 0 {
+			timer.Reset(wait)
+			continue
+		}
 		delay := o.step(ctx, p, now)
-		timer.Reset(delay)
+		ended := o.Clock()
+		spacing.record(now, ended)
+		timer.Reset(max(delay, spacing.untilNext(ended)))
 	}
 }
 
