upkeep: count hosts by the mix of batch tasks, for waiting persistent tasks too, and end waves in time

Hosts are now counted by a decaying mix of batch tasks; persistent tasks are counted by the scarcer resource. Two candidates share hosts. - Persistent tasks that waited for memory were in no number that the fleet's owner gets: jobs of 24 tasks waited for seconds. The status tells their need, and the pool gets hosts for it. - A wave evacuated one host with persistent tasks a pool at a time; 7 to 20 of 238 hosts were left. It now evacuates as many at once as its time requires, also in a burst then; pools' owners place persistent tasks off hosts that are due.

The catalogue also has events 954 and 955 for carriers, which are on trial.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -174,6 +174,8 @@
 		Number: 610, Name: "wave_unread", Level: slog.LevelWarn, Message: "waves cannot be read",
 		Remedy: "see the error; correct the order of the wave, or check the store",
 	}
+	BurstBegan = Event{Number: 611, Name: "burst_began", Level: slog.LevelInfo, Message: "burst of demand for a pool has begun; hosts move there"}
+	BurstEnded = Event{Number: 612, Name: "burst_ended", Level: slog.LevelInfo, Message: "burst of demand for a pool has ended"}
 )
 
 // Requests.
@@ -306,7 +308,12 @@
 		Remedy: "check the store if it lasts",
 	}
 	RegistryWatched = Event{Number: 953, Name: "registry_watched", Level: slog.LevelInfo, Message: "watch of the registry of workers shows changes again"}
-	SchedulerNote   = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
+	CarriersChanged = Event{Number: 954, Name: "carriers_changed", Level: slog.LevelInfo, Message: "number of entry hosts that make the calls to the pool's workers changed"}
+	CarrierFailed   = Event{
+		Number: 955, Name: "carrier_failed", Level: slog.LevelWarn, Message: "entry host that makes calls to workers for the pool's owner does not answer; others make them",
+		Remedy: "check that entry host and the network to it if it repeats",
+	}
+	SchedulerNote = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
 )
 
 // catalogue lists every event in ascending order of numbers.
@@ -321,7 +328,7 @@
 	HostDraining, HostReleased, HostMoved, HostInMaintenance, HostReturned, HostDown, HostDrainHangs,
 	HostEjected, HostProbedBack, HostNotInList, EjectionCapped, HostActionFailed,
 	WaveStarted, WaveStoppedItself, WaveStopped, WaveResumed, WaveDone, WaveWaiting,
-	UpkeepDecided, MoveDecided, MachineOrder, WaveUnread,
+	UpkeepDecided, MoveDecided, MachineOrder, WaveUnread, BurstBegan, BurstEnded,
 	OutcomeUnknown, AnswerRefused, AnswerCut, QueueFull, RequestShed, QuotaReached, KeysFull,
 	JobPoisonous,
 	OperatorRefused, OperatorOrder, OrderRepeated,
@@ -332,7 +339,7 @@
 	TasksStarted, TasksStopped, TasksLost, TasksEnded, TasksRefused, OrderUnknown, OrderRefused,
 	JobCompleted, JobFailed, JobCancelled, SchedulerNote, JobBegun, AttemptFailed, JobDurable, StepDone,
 	MemberNotStored, RecordSkipped, FleetRecordWaits, MachinesUnread, MachinesRead, TasksPreempted, PoolTakenOver,
-	RegistryUnwatched, RegistryWatched,
+	RegistryUnwatched, RegistryWatched, CarriersChanged, CarrierFailed,
 }
 
 // retired lists the numbers of removed events, which are never reused.
--- a/internal/fleetowner/poll.go
+++ b/internal/fleetowner/poll.go
@@ -32,6 +32,7 @@
 	changed chan struct{}
 	mu      sync.Mutex
 	workers []string
+	due     []string
 }
 
 // syncPollers keeps a poller for each configured pool.
@@ -95,7 +96,9 @@
 func (t *term) requestStatus(ctx context.Context, p *poller) *pb.PoolStatusResponse {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	request := &pb.PoolStatusRequest{Pool: p.Name, Sequence: t.sequence.Add(1), Evacuate: p.currentWorkers(), FleetFence: t.fence}
+	sequence := t.sequence.Add(1)
+	workers, due := p.currentWorkers()
+	request := &pb.PoolStatusRequest{Pool: p.Name, Sequence: sequence, Evacuate: workers, Due: due, FleetFence: t.fence}
 	status, err := t.Pools.Status(ctx, request)
 	if err != nil || !status.GetOwner() {
 		return nil
@@ -114,10 +117,12 @@
 	}
 }
 
-// setWorkers sets the workers to be evacuated; a changed list is sent immediately.
-func (p *poller) setWorkers(workers []string) {
+// setWorkers sets the workers to be evacuated, and those whose hosts are due for upkeep. A changed list of the former is
+// sent immediately.
+func (p *poller) setWorkers(workers, due []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.due = due
 	if slices.Equal(p.workers, workers) {
 		return
 	}
@@ -128,8 +133,8 @@
 	}
 }
 
-func (p *poller) currentWorkers() []string {
+func (p *poller) currentWorkers() (evacuate, due []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.workers
+	return p.workers, p.due
 }
--- a/internal/fleetowner/step.go
+++ b/internal/fleetowner/step.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -37,10 +38,11 @@
 	t.nextStepAt = actions.Wake
 	t.busy.Store(actions.Busy)
 	for name, p := range t.pools {
-		p.setWorkers(actions.Evacuate[name])
+		p.setWorkers(actions.Evacuate[name], actions.Due[name])
 		p.start()
 	}
-	if err := t.orderMoves(ctx, now, actions.Moves); err != nil {
+	t.logBursts(ctx, now, actions.Bursts)
+	if err := t.orderMoves(ctx, now, actions); err != nil {
 		return err
 	}
 	if err := t.orderUpkeeps(ctx, now, actions.Upkeeps); err != nil {
@@ -70,10 +72,13 @@
 }
 
 // orderMoves writes the open moves and sends the new ones afterwards.
-func (t *term) orderMoves(ctx context.Context, now time.Time, moves []upkeep.MoveOrder) error {
-	orders := make([]order, 0, len(moves))
-	for _, m := range moves {
-		t.logDecision(ctx, events.MoveDecided, m.Host, slog.String("pool", m.Pool))
+func (t *term) orderMoves(ctx context.Context, now time.Time, actions upkeep.Actions) error {
+	orders := make([]order, 0, len(actions.Moves))
+	for _, m := range actions.Moves {
+		r := actions.Reasons[m.Host]
+		t.logDecision(ctx, events.MoveDecided, m.Host, slog.String("pool", m.Pool), slog.String("cause", r.Cause),
+			slog.Int64("rate_milli", int64(r.Rate)), slog.Int64("expected_milli", int64(r.Expected)), slog.Int("has", r.Has),
+			slog.Float64("needs", math.Round(r.Needs)), slog.Int64("status_age_ms", r.Age.Milliseconds()))
 		orders = append(orders, order{move: m})
 	}
 	orders, guards := t.withGuards(now, orders)
@@ -143,9 +148,24 @@
 }
 
 // logDecision logs a decision about a host, with the age of the list of hosts that it is based on.
-func (t *term) logDecision(ctx context.Context, event events.Event, host string, more slog.Attr) {
-	events.Log(ctx, t.Logger, event, slog.String("host", host), more, slog.String("worker", t.host(host).Worker),
-		slog.Uint64("fence", t.fence), slog.Int64("list_age_ms", t.Clock().Sub(t.listedAt).Milliseconds()))
+func (t *term) logDecision(ctx context.Context, event events.Event, host string, more ...slog.Attr) {
+	attrs := append([]slog.Attr{slog.String("host", host)}, more...)
+	attrs = append(attrs, slog.String("worker", t.host(host).Worker), slog.Uint64("fence", t.fence),
+		slog.Int64("list_age_ms", t.Clock().Sub(t.listedAt).Milliseconds()))
+	events.Log(ctx, t.Logger, event, attrs...)
+}
+
+// logBursts logs the bursts that began or ended.
+func (t *term) logBursts(ctx context.Context, now time.Time, bursts []upkeep.BurstChange) {
+	for _, b := range bursts {
+		event := events.BurstEnded
+		if b.Began {
+			event = events.BurstBegan
+		}
+		events.Log(ctx, t.Logger, event, slog.String("pool", b.Pool), slog.Uint64("fence", t.fence),
+			slog.Int64("since_ms", now.Sub(b.Since).Milliseconds()), slog.Int64("rate_milli", int64(b.Rate)),
+			slog.Int64("peak_milli", int64(b.Peak)))
+	}
 }
 
 // host returns a host as last listed; zero if it is not in the list.
--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -255,6 +255,7 @@
 			return nil
 		}
 		p.Evacuate(now, r.GetEvacuate())
+		p.SetDue(r.GetDue())
 		return p.Status(now)
 	})
 	return status, ok && status != nil
--- a/internal/workerlist/list_test.go
+++ b/internal/workerlist/list_test.go
@@ -123,7 +123,9 @@
 }
 
 func (r *registry) follow(ctx context.Context) {
-	parse := func(key string, _ []byte) (scheduler.Worker, string, error) { return scheduler.Worker{ID: key}, "pool", nil }
+	parse := func(key string, _ []byte) (scheduler.Worker, string, error) {
+		return scheduler.Worker{ID: key}, "pool", nil
+	}
 	l := New(r.shared.Client("host"), "servers/", parse, time.Now, slog.New(slog.DiscardHandler),
 		func(pools map[string][]scheduler.Worker) { r.pools = pools })
 	l.Run(ctx)
--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -67,6 +67,7 @@
 		sameWorkerPenalty   = 10
 		sameRackPenalty     = 1
 		mixedPenalty        = 2
+		duePenalty          = 5
 	)
 	s := t.step
 	if s.spec.GetFills() {
@@ -86,6 +87,9 @@
 	}
 	if s.spec.GetPersistent() {
 		cost += sameWorkerPenalty*float64(s.active[w]) + sameRackPenalty*float64(s.runsOnRack(w.Rack))
+		if w.due {
+			cost += duePenalty
+		}
 	}
 	if s.mixesBackfillAndServing(w) {
 		cost += mixedPenalty
--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -29,6 +29,17 @@
 	}
 }
 
+// SetDue replaces the set of workers whose hosts are due for upkeep. Persistent tasks are placed elsewhere if possible.
+func (p *Pool) SetDue(ids []string) {
+	due := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		due[id] = true
+	}
+	for _, w := range p.sortedWorkers {
+		w.due = due[w.ID]
+	}
+}
+
 // SetLeavingHosts sets the hosts whose evacuation may have been ordered before this owner acquired the pool. Their
 // workers are treated as being evacuated until the first call of Evacuate.
 func (p *Pool) SetLeavingHosts(hosts []string) {
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -25,6 +25,13 @@
 		}
 	}
 	out.StuckCpuMilli = p.stuckCPU(now)
+	for _, s := range p.waitingSteps {
+		if s.spec.GetPersistent() {
+			waiting := int64(len(s.ready))
+			out.WaitingPersistentCpuMilli += waiting * s.need.CPUMilli
+			out.WaitingPersistentMemoryMb += waiting * s.need.MemoryMB
+		}
+	}
 	out.CarriedCpuMilli = int64(p.sendBudget.throughputMilli)
 	for _, w := range p.sortedWorkers {
 		if w.departed && len(w.runs) == 0 {
@@ -47,6 +54,8 @@
 		}
 		if r.task.step.spec.GetPersistent() {
 			out.PersistentTasks++
+			out.PersistentCpuMilli += r.need.CPUMilli
+			out.PersistentMemoryMb += r.need.MemoryMB
 		} else {
 			out.RemainingMs = max(out.RemainingMs, r.remaining(now).Milliseconds())
 		}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -54,6 +54,8 @@
 	drainDeadline time.Time
 	// emptyConfirmed means that a report has confirmed during the evacuation that nothing runs here.
 	emptyConfirmed bool
+	// due means that the worker's host is due for upkeep.
+	due bool
 	// backfillRuns counts the backfill runs here, backfillCPUMilli is the CPU that they request.
 	backfillRuns     int
 	backfillCPUMilli int64
--- a/upkeep/assign.go
+++ b/upkeep/assign.go
@@ -16,7 +16,9 @@
 			continue
 		}
 		if !p.reserved || (p.name != "" && !m.in.Pools[m.hosts[id].Pool].Spare) {
-			m.intendMove(id, p.name).notBefore = p.orderAt
+			i := m.intendMove(id, p.name)
+			i.notBefore = p.orderAt
+			i.reason = m.reason(p)
 		}
 		p.hostCount++
 	}
@@ -104,6 +106,18 @@
 	return ""
 }
 
+// reason returns why a pool gets another host.
+func (m *movePlanner) reason(p *poolPlan) MoveReason {
+	cause := "demand"
+	if p.reserved {
+		cause = "forecast"
+	}
+	return MoveReason{
+		Cause: cause, Rate: p.rate, Expected: p.expectedRate(true), Has: p.hostCount, Needs: p.targetHosts,
+		Age: m.in.Pools[p.name].Age,
+	}
+}
+
 // intendMove starts or continues the evacuation of a host for a move to a pool.
 func (m *movePlanner) intendMove(id, pool string) *intent {
 	i := m.newIntent(id)
--- a/upkeep/config.go
+++ b/upkeep/config.go
@@ -16,6 +16,8 @@
 	// ForceAfter is how long a host is evacuated before its order may be issued although its worker is unknown or tasks
 	// that may be stopped still run on it.
 	ForceAfter time.Duration
+	// PersistentTime is how long it takes to evacuate a host with persistent tasks, which leave one after the other.
+	PersistentTime time.Duration
 	// Margin is the time kept free before the deadline of a wave.
 	Margin time.Duration
 	// Retry is the delay before an order is repeated that was refused or met a busy host.
@@ -30,17 +32,18 @@
 // DefaultConfig returns the default bounds for the given durations of upkeeps and moves.
 func DefaultConfig(upkeepTime, moveTime time.Duration) Config {
 	return Config{
-		UpkeepTime:   upkeepTime,
-		MoveTime:     moveTime,
-		Ahead:        2,
-		PoolShare:    0.25,
-		MaxStatusAge: 700 * time.Millisecond,
-		ForceAfter:   2 * time.Second,
-		Margin:       2 * time.Second,
-		Retry:        500 * time.Millisecond,
-		Settle:       500 * time.Millisecond,
-		GoneAfter:    2 * time.Second,
-		Moves:        DefaultMoveConfig(),
+		UpkeepTime:     upkeepTime,
+		MoveTime:       moveTime,
+		Ahead:          2,
+		PoolShare:      0.25,
+		MaxStatusAge:   700 * time.Millisecond,
+		ForceAfter:     2 * time.Second,
+		PersistentTime: 4 * time.Second,
+		Margin:         2 * time.Second,
+		Retry:          500 * time.Millisecond,
+		Settle:         500 * time.Millisecond,
+		GoneAfter:      2 * time.Second,
+		Moves:          DefaultMoveConfig(),
 	}
 }
 
--- a/upkeep/count.go
+++ b/upkeep/count.go
@@ -61,10 +61,14 @@
 
 func (m *movePlanner) setCPUPerHost(p *poolPlan, mean float64) {
 	p.cpuPerHost = mean
+	filled := (p.persistentCPU + p.waitingPersistentCPU) / max(1, mean)
 	if len(p.releasable) > 0 {
-		p.cpuPerHost = p.usableCPU(m.hosts[p.releasable[0]])
+		host := m.hosts[p.releasable[0]]
+		p.cpuPerHost = p.usableCPU(host)
+		filled = p.persistentHosts(host)
 	}
 	p.cpuPerHost = max(p.cpuPerHost*m.cfg.Moves.Use, 1)
+	p.persistentLoad = filled * p.cpuPerHost
 }
 
 func (s *step) hasPersistent(host Host) bool {
--- a/upkeep/demand.go
+++ b/upkeep/demand.go
@@ -25,6 +25,9 @@
 	minPeakShare = 0.2
 	// initialPeakShare is the share of a pool's capacity that counts as its peak until one was observed.
 	initialPeakShare = 0.6
+	// mixDecay is the weight of the earlier statuses in the mix of CPU and memory. It keeps the mix of the last burst through
+	// the few tasks that run between bursts.
+	mixDecay = 0.99
 	// minMixCPUMilli is the CPU use below which the ratio of CPU to memory is ignored.
 	minMixCPUMilli = 1000
 	// arrivalMask keeps the last statuses, of which minArrivalStatuses must show arrivals for a burst to start: a
@@ -70,10 +73,17 @@
 	arrivalBits uint
 	// persistentHeldUntil is the time until which hosts with persistent tasks are not evacuated for moves.
 	persistentHeldUntil time.Time
-	// persistentCPU is the CPU used by persistent tasks; usedCPU and usedMemory are used by all tasks.
-	persistentCPU float64
-	usedCPU       float64
-	usedMemory    float64
+	// persistentCPU and persistentMemory are used by persistent tasks, usedCPU and usedMemory by all tasks.
+	persistentCPU    float64
+	persistentMemory float64
+	usedCPU          float64
+	usedMemory       float64
+	// mixCPU and mixMemory are decaying sums of the CPU and the memory used by batch tasks.
+	mixCPU    float64
+	mixMemory float64
+	// waitingPersistentCPU and waitingPersistentMemory are the needs of persistent tasks that wait for a host.
+	waitingPersistentCPU    float64
+	waitingPersistentMemory float64
 }
 
 // observe processes a status that was requested at the given time; capacity is the CPU of the pool's hosts.
@@ -158,18 +168,32 @@
 	d.peak += burstWeight * (mean - d.peak)
 }
 
+// burstChange describes the burst that has just begun or ended.
+func (d *demand) burstChange(pool string) BurstChange {
+	since := d.bursts.lastStart()
+	if !d.bursts.high {
+		since = d.bursts.belowHighSince
+	}
+	return BurstChange{Pool: pool, Began: d.bursts.high, Since: since, Rate: d.rate, Peak: d.peak}
+}
+
 func (d *demand) updateUsage(status *pb.PoolStatusResponse) {
-	d.persistentCPU = 0
-	d.usedCPU = 0
-	d.usedMemory = 0
+	d.persistentCPU, d.persistentMemory = 0, 0
+	d.usedCPU, d.usedMemory = 0, 0
+	d.waitingPersistentCPU = float64(status.GetWaitingPersistentCpuMilli())
+	d.waitingPersistentMemory = float64(status.GetWaitingPersistentMemoryMb())
 	for _, w := range status.GetWorkers() {
-		used := float64(w.GetUsedCpuMilli())
-		d.usedCPU += used
+		d.usedCPU += float64(w.GetUsedCpuMilli())
 		d.usedMemory += float64(w.GetUsedMemoryMb())
-		if w.GetTasks() > 0 {
-			d.persistentCPU += used * float64(w.GetPersistentTasks()) / float64(w.GetTasks())
+		if w.GetPersistentCpuMilli() == 0 && w.GetTasks() > 0 {
+			// An owner of an earlier version does not tell them apart.
+			d.persistentCPU += float64(w.GetUsedCpuMilli()) * float64(w.GetPersistentTasks()) / float64(w.GetTasks())
 		}
+		d.persistentCPU += float64(w.GetPersistentCpuMilli())
+		d.persistentMemory += float64(w.GetPersistentMemoryMb())
 	}
+	d.mixCPU = mixDecay*d.mixCPU + max(0, d.usedCPU-d.persistentCPU)
+	d.mixMemory = mixDecay*d.mixMemory + max(0, d.usedMemory-d.persistentMemory)
 }
 
 // expectedRate returns the rate expected inside (high) or outside of a burst.
@@ -266,11 +290,21 @@
 	return sum / samples
 }
 
-// usableCPU returns the part of a host's CPU that the pool can use with its ratio of CPU to memory.
+// usableCPU returns the part of a host's CPU that batch tasks can use with their ratio of CPU to memory. Persistent tasks
+// may need far more memory for their CPU, and are counted by persistentHosts.
 func (d *demand) usableCPU(m Host) float64 {
 	cpu := float64(m.CPUMilli)
-	if d.usedCPU < minMixCPUMilli || d.usedMemory <= 0 {
+	if d.mixCPU < minMixCPUMilli || d.mixMemory <= 0 {
 		return cpu
 	}
-	return min(cpu, float64(m.MemoryMB)*d.usedCPU/d.usedMemory)
+	return min(cpu, float64(m.MemoryMB)*d.mixCPU/d.mixMemory)
+}
+
+// persistentHosts returns how many hosts the persistent tasks fill, by the scarcer resource. It includes those that wait.
+func (d *demand) persistentHosts(m Host) float64 {
+	hosts := (d.persistentCPU + d.waitingPersistentCPU) / max(1, float64(m.CPUMilli))
+	if m.MemoryMB > 0 {
+		hosts = max(hosts, (d.persistentMemory+d.waitingPersistentMemory)/float64(m.MemoryMB))
+	}
+	return hosts
 }
--- a/upkeep/intent.go
+++ b/upkeep/intent.go
@@ -37,6 +37,8 @@
 	forced bool
 	// notBefore is the earliest time of the next order.
 	notBefore time.Time
+	// reason is that of a move.
+	reason MoveReason
 }
 
 func (i *intent) isMove() bool { return i.targetPool != "" }
--- a/upkeep/move.go
+++ b/upkeep/move.go
@@ -10,8 +10,9 @@
 type poolPlan struct {
 	name string
 	*demand
-	// cpuPerHost is the usable CPU of one host.
-	cpuPerHost float64
+	// cpuPerHost is the usable CPU of one host, persistentLoad that of the hosts which persistent tasks fill.
+	cpuPerHost     float64
+	persistentLoad float64
 	// hostCount counts hosts that stay or arrive; targetHosts is the need once a move ordered now is complete,
 	// neededHosts the larger of this and the need until then.
 	hostCount int
@@ -115,7 +116,11 @@
 			d = &demand{}
 			s.demands[name] = d
 		}
+		wasHigh := d.bursts.high
 		d.observe(s.now.Add(-load.Age), load.Status, capacity[name])
+		if wasHigh != d.bursts.high {
+			s.out.Bursts = append(s.out.Bursts, d.burstChange(name))
+		}
 	}
 	if len(s.in.Pools) == 0 {
 		// The configuration is not known yet.
@@ -152,14 +157,20 @@
 }
 
 // minHosts returns the number of hosts that the pool needs whatever its demand: while a wave evacuates a host, its
-// persistent tasks need room elsewhere, and tasks for which no running task frees enough CPU must not wait forever.
+// persistent tasks need room elsewhere, and tasks for which no running task frees enough CPU must not wait forever, nor
+// persistent tasks.
 func (p *poolPlan) minHosts() float64 {
+	// packingLoss is how many more hosts persistent tasks need because they do not fill hosts completely.
+	const packingLoss = 1.25
 	count := 0.0
+	if p.waitingPersistentCPU > 0 {
+		count = math.Ceil(packingLoss * p.persistentLoad / p.cpuPerHost)
+	}
 	if p.inUpkeep > 0 {
-		count = float64(p.withPersistent)
+		count = max(count, float64(p.withPersistent))
 	}
 	if stuck := float64(p.status.GetStuckCpuMilli()); stuck > 0 {
-		count = max(count, math.Ceil((p.persistentCPU+stuck)/p.cpuPerHost)+1)
+		count = max(count, math.Ceil((p.persistentLoad+stuck)/p.cpuPerHost)+1)
 	}
 	return count
 }
@@ -172,7 +183,7 @@
 	if busyCPULimit == 0 {
 		return 0
 	}
-	return max(p.minHosts(), (p.persistentCPU+margin*busyCPULimit)/p.cpuPerHost)
+	return max(p.minHosts(), (p.persistentLoad+margin*busyCPULimit)/p.cpuPerHost)
 }
 
 // leadTime returns the time from the order of a move until the host is used.
@@ -186,15 +197,15 @@
 	backlog := p.backlog()
 	rateUntilArrival := p.meanExpectedRate(m.forecast, p.name, m.now, m.now, arrive)
 	rateAfterArrival := p.meanExpectedRate(m.forecast, p.name, m.now, arrive, arrive.Add(horizon))
-	neededCPU := p.persistentCPU + rateUntilArrival + backlog/drain + p.nextStepDemand()
+	neededCPU := p.persistentLoad + rateUntilArrival + backlog/drain + p.nextStepDemand()
 	if p.arrived == 0 {
 		// The pool's owner does not count arrivals.
 		neededCPU = max(neededCPU, p.usedCPU+backlog/drain)
 	}
 	// The work that still waits when a move completes, at the present capacity.
-	capacity := max(0, float64(p.serving)*p.cpuPerHost-p.persistentCPU)
+	capacity := max(0, float64(p.serving)*p.cpuPerHost-p.persistentLoad)
 	remaining := max(0, backlog+(rateUntilArrival-capacity)*float64(m.leadTime().Milliseconds()))
-	targetCPU := p.persistentCPU + rateAfterArrival + min(remaining/drain, max(p.peak, p.rate, rateAfterArrival)/2)
+	targetCPU := p.persistentLoad + rateAfterArrival + min(remaining/drain, max(p.peak, p.rate, rateAfterArrival)/2)
 	p.neededHosts = max(neededCPU/p.cpuPerHost, targetCPU/p.cpuPerHost, p.minHosts())
 	p.targetHosts = max(targetCPU/p.cpuPerHost, p.minHosts())
 	if p.status == nil {
--- a/upkeep/planner.go
+++ b/upkeep/planner.go
@@ -108,6 +108,8 @@
 	p.observe(now, in)
 	p.pruneWaves(in.Waves)
 	s := &step{Planner: p, now: now, in: in}
+	s.out.Reasons = map[string]MoveReason{}
+	s.out.Due = map[string][]string{}
 	if !p.listedAt.IsZero() {
 		s.pruneLoads()
 		s.countSizes()
@@ -174,6 +176,7 @@
 		}
 		if i.isMove() {
 			s.out.Moves = append(s.out.Moves, MoveOrder{Host: id, Pool: i.targetPool})
+			s.out.Reasons[id] = i.reason
 			i.setPhase(ordered, s.now)
 			continue
 		}
--- a/upkeep/planner_test.go
+++ b/upkeep/planner_test.go
@@ -104,6 +104,26 @@
 	assert.Assert(t, !r.finished.IsZero() && r.finished.Sub(r.wave.Seen) <= r.wave.Within, "took %s", r.finished.Sub(r.wave.Seen))
 }
 
+// Pattern: upkeep of two hosts in five during the turns of a large fleet. Many hosts have persistent tasks, of many steps that
+// each allow one stop at a time, so that a pool can evacuate several of them at once. The wave leaves no host, kills no task
+// and keeps its cap.
+func TestWaveOfALargeFleetLeavesNoHost(t *testing.T) {
+	for _, perPool := range []int{11, 54, 138} {
+		s := newSim(4, perPool, 4, fault{})
+		s.persistentInterval = 700 * time.Millisecond * 8 / time.Duration(perPool)
+		count := len(s.hosts)
+		r := newRun(s, count*44/100, max(3, count*18/100))
+		for r.finished.IsZero() && r.now.Sub(r.wave.Seen) < time.Minute {
+			r.step()
+		}
+		assert.DeepEqual(t, r.violations, []string(nil))
+		assert.Equal(t, r.killed, 0)
+		took := r.finished.Sub(r.wave.Seen)
+		assert.Assert(t, !r.finished.IsZero() && took <= r.wave.Within, "%d hosts: took %s", count, took)
+		t.Logf("%d hosts: %s", count, took)
+	}
+}
+
 func TestFaultsAndTakeoversRespectTheCap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := fault{
--- a/upkeep/reserve.go
+++ b/upkeep/reserve.go
@@ -24,7 +24,7 @@
 		for _, p := range next {
 			p.reserved = true
 			p.orderAt = orderAt
-			p.targetHosts = max(p.targetHosts, (p.persistentCPU+p.expectedRate(true))/p.cpuPerHost)
+			p.targetHosts = max(p.targetHosts, (p.persistentLoad+p.expectedRate(true))/p.cpuPerHost)
 		}
 	}
 	if next == nil && m.now.Sub(busy.bursts.lastStart()) < m.cfg.Moves.Reserve {
@@ -98,7 +98,10 @@
 				if id == "" {
 					break
 				}
-				m.intendMove(id, m.spare)
+				m.intendMove(id, m.spare).reason = MoveReason{
+					Cause: "idle", Rate: p.rate, Expected: p.expectedRate(true), Has: p.hostCount, Needs: p.neededHosts,
+					Age: m.in.Pools[p.name].Age,
+				}
 			}
 		}
 	}
@@ -106,7 +109,7 @@
 
 // idleHosts returns how many hosts a pool has beyond the need of its highest recent rate.
 func (m *movePlanner) idleHosts(p *poolPlan) float64 {
-	recentNeed := (p.persistentCPU + p.recentMaxRate) / p.cpuPerHost
+	recentNeed := (p.persistentLoad + p.recentMaxRate) / p.cpuPerHost
 	return min(p.surplus(), float64(p.hostCount)-recentNeed) - m.cfg.Moves.Idle
 }
 
--- a/upkeep/sim_test.go
+++ b/upkeep/sim_test.go
@@ -32,29 +32,32 @@
 	downWave    int64
 }
 
-// sim simulates a host service and the owners of its pools. Persistent tasks may only be stopped one at a time per
-// pool.
+// sim simulates a host service and the owners of its pools. The persistent tasks of a pool are stopped one after the
+// other.
 type sim struct {
-	now               time.Time
-	rand              *rand.Rand
-	fault             fault
-	hosts             map[string]*simHost
-	pools             map[string]bool
-	evacuate          map[string][]string
-	arrived           map[string]int64
-	moves             int
-	persistentMovedAt map[string]time.Time
-	delayed           map[time.Time][]func()
-	wave              upkeep.Wave
-	violations        []string
-	killed            int
+	now      time.Time
+	rand     *rand.Rand
+	fault    fault
+	hosts    map[string]*simHost
+	pools    map[string]bool
+	evacuate map[string][]string
+	arrived  map[string]int64
+	moves    int
+	// persistentInterval is the least time between two such stops.
+	persistentInterval time.Duration
+	persistentMovedAt  map[string]time.Time
+	delayed            map[time.Time][]func()
+	wave               upkeep.Wave
+	violations         []string
+	killed             int
 }
 
 func newSim(seed uint64, perPool, pools int, f fault) *sim {
 	s := &sim{
 		now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1)), fault: f,
 		hosts: map[string]*simHost{}, pools: map[string]bool{"spare": true},
-		arrived: map[string]int64{}, evacuate: map[string][]string{}, persistentMovedAt: map[string]time.Time{}, delayed: map[time.Time][]func(){},
+		persistentInterval: 700 * time.Millisecond,
+		arrived:            map[string]int64{}, evacuate: map[string][]string{}, persistentMovedAt: map[string]time.Time{}, delayed: map[time.Time][]func(){},
 	}
 	for p := range pools {
 		pool := fmt.Sprintf("pool%d", p)
@@ -117,7 +120,7 @@
 	if !evacuating && m.tasks < 3 && s.rand.Float64() < 0.05 {
 		m.tasks++
 	}
-	if !evacuating || m.persistent == 0 || s.now.Sub(s.persistentMovedAt[m.Pool]) < 700*time.Millisecond {
+	if !evacuating || m.persistent == 0 || s.now.Sub(s.persistentMovedAt[m.Pool]) < s.persistentInterval {
 		return
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.hosts)) {
--- a/upkeep/types.go
+++ b/upkeep/types.go
@@ -77,12 +77,41 @@
 	Pool string
 }
 
+// MoveReason is why a host moves to a pool. Rates are in thousandths of a core.
+type MoveReason struct {
+	// Cause is "demand" for the pool's present demand, "forecast" for a predicted burst, or "idle" for a spare pool.
+	Cause string
+	// Rate is the rate at which the pool's work arrives, Expected that expected in its burst.
+	Rate, Expected float64
+	// Has is how many hosts the pool had or was about to get, Needs how many it needs.
+	Has   int
+	Needs float64
+	// Age is the age of the pool's status.
+	Age time.Duration
+}
+
+// BurstChange is the beginning or the end of a burst of demand for a pool.
+type BurstChange struct {
+	Pool  string
+	Began bool
+	// Since is when the burst began, or ended.
+	Since time.Time
+	// Rate is the rate at which work arrives now, and Peak the learned one in bursts, in thousandths of a core.
+	Rate, Peak float64
+}
+
 // Actions are the actions to take now. Every order must be answered by a call of UpkeepResult or MoveResult.
 type Actions struct {
 	// Evacuate lists by pool the IDs of all workers to be evacuated, sorted; a pool that is absent has none.
 	Evacuate map[string][]string
-	Upkeeps  []Order
-	Moves    []MoveOrder
+	// Due lists by pool the IDs of the workers whose hosts have yet to begin their upkeep for a wave.
+	Due     map[string][]string
+	Upkeeps []Order
+	Moves   []MoveOrder
+	// Reasons are the reasons of Moves, by host.
+	Reasons map[string]MoveReason
+	// Bursts are the bursts of demand that were found to have begun or ended.
+	Bursts []BurstChange
 	// Completed are waves whose hosts have all begun their upkeep, left, or turned out not to belong to the wave.
 	Completed []int64
 	// Busy reports that evacuations, orders or waves are in progress, so lists and loads should be fresh.
--- a/upkeep/wave.go
+++ b/upkeep/wave.go
@@ -74,6 +74,11 @@
 			continue
 		}
 		s.evacuate(w, left)
+		for _, id := range left {
+			if m := s.hosts[id]; m.Worker != "" && m.State == Up && s.isKnownPool(m.Pool) {
+				s.out.Due[m.Pool] = append(s.out.Due[m.Pool], m.Worker)
+			}
+		}
 	}
 }
 
@@ -136,15 +141,17 @@
 	evacuating int
 	limit      int
 	// inPool counts by pool the wave's outstanding hosts that are being evacuated or have been ordered, and
-	// withPersistent those with persistent tasks that are being evacuated.
-	inPool         map[string]int
-	withPersistent map[string]int
+	// withPersistent those with persistent tasks that are being evacuated. persistentLimit bounds the latter.
+	inPool          map[string]int
+	withPersistent  map[string]int
+	persistentLimit map[string]int
 }
 
 // evacuate starts to evacuate hosts of a wave: those that may be ordered now and a few ahead, the cheapest first. Hosts
 // with persistent tasks take longest, so a few of them, at most one per pool, are always being evacuated.
 func (s *step) evacuate(w Wave, left []string) {
 	e := &evacuation{Wave: w, inPool: map[string]int{}, withPersistent: map[string]int{}}
+	e.persistentLimit = s.persistentLimits(w, left)
 	var free []string
 	for _, id := range left {
 		m := s.hosts[id]
@@ -157,9 +164,10 @@
 	e.urgent = s.urgent(w, len(left))
 	e.limit = s.evacuationLimit(w, len(left), e.urgent)
 	persistent := lo.Sum(lo.Values(e.withPersistent))
+	ahead := max(s.cfg.Ahead, lo.Sum(lo.Values(e.persistentLimit))-len(e.persistentLimit))
 	for _, id := range free {
 		m := s.hosts[id]
-		if persistent < s.cfg.Ahead && s.persistentCount(m) > 0 && !s.inBurst(m.Pool) && s.tryEvacuate(e, id) {
+		if persistent < ahead && s.persistentCount(m) > 0 && s.tryEvacuate(e, id) {
 			persistent++
 		}
 	}
@@ -170,6 +178,21 @@
 	}
 }
 
+// persistentLimits returns by pool how many hosts with persistent tasks a wave may evacuate at once: one, or as many as
+// the time that is left requires. The pool's owner keeps the disruption budgets of the tasks in any case.
+func (s *step) persistentLimits(w Wave, left []string) map[string]int {
+	count := map[string]int{}
+	for _, id := range left {
+		m := s.hosts[id]
+		count[m.Pool] += s.persistentCount(m)
+	}
+	timeLeft := max(s.timeLeft(w), s.cfg.PersistentTime).Seconds()
+	return lo.MapValues(count, func(n int, pool string) int {
+		rounds := float64(n) * s.cfg.PersistentTime.Seconds() / timeLeft
+		return min(max(1, int(math.Ceil(rounds))), s.maxPerPool(pool, w))
+	})
+}
+
 // countInProgress counts a host that a wave has already claimed.
 func (s *step) countInProgress(e *evacuation, id string) {
 	i := s.intents[id]
@@ -184,16 +207,17 @@
 	}
 }
 
-// tryEvacuate starts to evacuate a host for a wave if the bounds allow it.
+// tryEvacuate starts to evacuate a host for a wave if the bounds allow it. While there is time to spare, pools with high
+// demand are left alone; for hosts with persistent tasks there is none once several of a pool must go at once.
 func (s *step) tryEvacuate(e *evacuation, id string) bool {
 	m := s.hosts[id]
 	persistent := s.persistentCount(m)
 	switch {
 	case e.evacuating >= e.limit || e.inPool[m.Pool] >= s.maxPerPool(m.Pool, e.Wave):
 		return false
-	case !e.urgent && s.inBurst(m.Pool):
+	case !e.urgent && s.inBurst(m.Pool) && (persistent == 0 || e.persistentLimit[m.Pool] < 2):
 		return false
-	case persistent > 0 && e.withPersistent[m.Pool] > 0:
+	case persistent > 0 && e.withPersistent[m.Pool] >= e.persistentLimit[m.Pool]:
 		return false
 	}
 	e.evacuating++
@@ -241,8 +265,8 @@
 func (s *step) urgent(w Wave, left int) bool {
 	const slack = 1.3
 	rounds := (left + max(1, w.Cap) - 1) / max(1, w.Cap)
-	needed := time.Duration(slack * float64(rounds) * float64(s.cfg.UpkeepTime+s.cfg.Retry))
-	return needed >= s.timeLeft(w)
+	needed := time.Duration(rounds)*(s.cfg.UpkeepTime+s.cfg.Retry) + s.cfg.ForceAfter
+	return slack*float64(needed) >= float64(s.timeLeft(w))
 }
 
 func (s *step) timeLeft(w Wave) time.Duration {
