carry: other entry hosts make the calls of a large pool's owner

From 80 workers on an owner decides as before, and hosts that own no pool make its calls: package carriers chooses them by processor time and assigns workers, internal/carry batches calls and collects results over connect-go. A call that was handed on and not answered is unknown, as any call without an answer; each bears the owner's fence and the lease's end, and a carrier holds no state but results. A silent one loses its workers at once.

--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -110,7 +110,7 @@
 	case <-ctx.Done():
 		d.stop(context.WithoutCancel(ctx), servers)
 		stopLoops()
-		return d.awaitLoops(loopEndLimit)
+		return d.awaitLoops(context.WithoutCancel(ctx), loopEndLimit)
 	case err := <-failed:
 		servers.close()
 		return err
@@ -122,7 +122,7 @@
 
 // awaitLoops waits until the daemon's goroutines have ended. If they have not within limit, it logs the stacks of all
 // goroutines and returns an error, so that the process ends nevertheless.
-func (d *Daemon) awaitLoops(limit time.Duration) error {
+func (d *Daemon) awaitLoops(ctx context.Context, limit time.Duration) error {
 	ended := make(chan struct{})
 	go func() {
 		d.loops.Wait()
@@ -135,7 +135,7 @@
 	}
 	var stacks strings.Builder
 	_ = pprof.Lookup("goroutine").WriteTo(&stacks, 1) // writes to a strings.Builder cannot fail
-	events.Emit(context.Background(), d.logger, events.StopHangs, "limit", limit, "goroutines", stacks.String())
+	events.Emit(ctx, d.logger, events.StopHangs, "limit", limit, "goroutines", stacks.String())
 	return errStopHangs.New("%v after the last request", limit)
 }
 
--- a/internal/entryhost/stop_test.go
+++ b/internal/entryhost/stop_test.go
@@ -16,11 +16,11 @@
 	d := &Daemon{logger: slog.New(slog.NewTextHandler(&log, nil))}
 	release := make(chan struct{})
 	d.startLoop(func() { hang(release) })
-	err := d.awaitLoops(10 * time.Millisecond)
+	err := d.awaitLoops(t.Context(), 10*time.Millisecond)
 	assert.Assert(t, errStopHangs.Has(err))
 	assert.Assert(t, strings.Contains(log.String(), "entryhost.hang"), log.String())
 	close(release)
-	assert.NilError(t, d.awaitLoops(time.Minute))
+	assert.NilError(t, d.awaitLoops(t.Context(), time.Minute))
 }
 
 //go:noinline
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -17,7 +17,9 @@
 
 	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/httpcall"
 	"github.com/agateturn/agateturn/internal/boottime"
+	"github.com/agateturn/agateturn/internal/carry"
 	"github.com/agateturn/agateturn/internal/jobfront"
 	"github.com/agateturn/agateturn/internal/jobpeer"
 	"github.com/agateturn/agateturn/internal/jobstore"
@@ -52,15 +54,19 @@
 	clock    *boottime.Clock
 	stats    *stats.Stats
 
-	kv         store.Transactor
-	workers    poolowner.Workers
-	tables     *tablefollow.Follower
-	members    *membership.Manager
-	jobs       *jobstore.Store
-	peers      *jobpeer.Client
-	front      *jobfront.Front
-	pools      *pools
-	workerList *workerlist.List
+	kv      store.Transactor
+	workers poolowner.Workers
+	// workerCalls observes the calls to workers.
+	workerCalls  httpcall.Observer
+	carrierPeers *carry.HTTPPeers
+	carrier      *carry.Server
+	tables       *tablefollow.Follower
+	members      *membership.Manager
+	jobs         *jobstore.Store
+	peers        *jobpeer.Client
+	front        *jobfront.Front
+	pools        *pools
+	workerList   *workerlist.List
 	// firstPoolGained is closed when this host gains its first pool.
 	firstPoolGained chan struct{}
 }
@@ -131,6 +137,7 @@
 	group.Go(func() error { return ignoreAfterCancel(work, h.jobs.Run(work)) })
 	group.Go(func() error { return ignoreAfterCancel(work, h.members.Run(work)) })
 	group.Go(func() error { h.front.Run(work); return nil })
+	group.Go(func() error { h.carrier.Run(work); return nil })
 	group.Go(func() error { h.followWorkers(work); return nil })
 	group.Go(func() error { h.tables.Gossip(work, gossipPeers{h}); return nil })
 	group.Go(func() error {
@@ -174,6 +181,7 @@
 	h.serve(ctx, group, ready, h.front.ReadyHandler())
 	mux := http.NewServeMux()
 	mux.Handle(jobpeer.NewHandler(h.pools, h.tables, h.front))
+	mux.Handle(h.carrier.Handler())
 	h.serve(ctx, group, measures.TrafficMeter(h.stats, measures.TrafficPeers).Listener(peers), mux)
 	if err := h.listenMetrics(ctx, group); err != nil {
 		return err
--- a/internal/jobhost/options.go
+++ b/internal/jobhost/options.go
@@ -82,15 +82,20 @@
 // newOwner creates the owner of a pool. The caller calls release when the term has ended.
 func (h *Host) newOwner(pool string, fence uint64) (owner *poolowner.Owner, release func()) {
 	var policy poolowner.Policy
-	release = func() {}
+	workers := h.newCarryClient(pool, fence)
+	release = workers.Close
 	if address := h.settings.Load().GetPolicyService().GetAddress(); address != "" {
 		client := platform.NewPolicy(address)
-		policy, release = client, client.Close
+		policy = client
+		release = func() {
+			workers.Close()
+			client.Close()
+		}
 	}
 	owner = poolowner.New(poolowner.Options{
 		Pool:    pool,
 		Config:  h.schedulerConfig(fence),
-		Workers: h.workers,
+		Workers: workers,
 		Policy:  policy,
 		Jobs:    h.jobs,
 		Intents: func(ctx context.Context) (poolowner.Intents, error) { return h.intents(ctx, pool) },
--- a/internal/jobhost/provide.go
+++ b/internal/jobhost/provide.go
@@ -8,6 +8,7 @@
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/boottime"
+	"github.com/agateturn/agateturn/internal/carry"
 	"github.com/agateturn/agateturn/internal/jobfront"
 	"github.com/agateturn/agateturn/internal/jobpeer"
 	"github.com/agateturn/agateturn/internal/jobstore"
@@ -89,6 +90,9 @@
 		Gained: h.pools.startTerm,
 		Lost:   h.pools.endTerm,
 	}, h.clock.Now, h.log, h.membershipOptions())
+	h.workerCalls = newCallMeter(h.stats, metricWorkerCalls, metricWorkerTime, metricWorkerBytes).observe
+	h.carrierPeers = carry.NewHTTPPeers(measures.TrafficMeter(h.stats, measures.TrafficPeers))
+	h.carrier = carry.NewServer(h.newCarriedWorkers, h.clock.Now)
 	h.peers = jobpeer.New(h.resolve, h.pools)
 	h.peers.OnRefused(h.onPeerGone)
 	h.peers.LogTo(h.log)
--- a/internal/workerlist/list_test.go
+++ b/internal/workerlist/list_test.go
@@ -95,19 +95,19 @@
 	return &registry{t: t, shared: shared, kv: shared.Client("workers")}
 }
 
-func (r *registry) write(names ...string) {
+func (r *registry) write(ctx context.Context, names ...string) {
 	for chunk := range slices.Chunk(names, store.MaxTransactionEntries) {
 		var change store.Transaction
 		for _, name := range chunk {
 			change.Puts = append(change.Puts, store.Put{Key: "servers/" + name, Data: []byte("entry")})
 		}
-		_, err := r.kv.Commit(context.Background(), change)
+		_, err := r.kv.Commit(ctx, change)
 		assert.NilError(r.t, err)
 	}
 }
 
-func (r *registry) remove(name string) {
-	_, err := r.kv.Commit(context.Background(), store.Transaction{Deletes: []string{"servers/" + name}})
+func (r *registry) remove(ctx context.Context, name string) {
+	_, err := r.kv.Commit(ctx, store.Transaction{Deletes: []string{"servers/" + name}})
 	assert.NilError(r.t, err)
 }
 
@@ -116,7 +116,7 @@
 	const interval = 1500 * time.Millisecond
 	for ctx.Err() == nil {
 		for chunk := range slices.Chunk(names, max(1, len(names)/10)) {
-			r.write(chunk...)
+			r.write(context.WithoutCancel(ctx), chunk...)
 			_ = wait.For(ctx, interval/10)
 		}
 	}
@@ -154,7 +154,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				r := newRegistry(t)
 				names := workerNames(count)
-				r.write(names...)
+				r.write(t.Context(), names...)
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				go r.heartbeat(ctx, names[1:])
@@ -164,15 +164,15 @@
 				assert.Equal(t, len(r.pools["pool"]), count)
 
 				r.shared.SetFaults(memtxn.Faults{StallWatches: true, StaleBy: 6 * time.Second})
-				r.write("new")
-				r.remove(names[0])
+				r.write(t.Context(), "new")
+				r.remove(t.Context(), names[0])
 				time.Sleep(bound)
 				synctest.Wait()
 				assert.Assert(t, r.listed("new") && !r.listed(names[0]))
 
 				r.shared.Compact()
 				r.shared.SetFaults(memtxn.Faults{StaleBy: 6 * time.Second})
-				r.write("newer")
+				r.write(t.Context(), "newer")
 				time.Sleep(bound)
 				synctest.Wait()
 				assert.Assert(t, r.listed("newer"))
@@ -203,10 +203,10 @@
 				name := names[rapid.IntRange(0, 9).Draw(rt, "worker")]
 				switch rapid.IntRange(0, 4).Draw(rt, "change") {
 				case 0:
-					r.write(name)
+					r.write(t.Context(), name)
 					want[name] = true
 				case 1:
-					r.remove(name)
+					r.remove(t.Context(), name)
 					delete(want, name)
 				case 2:
 					r.shared.SetFaults(memtxn.Faults{StallWatches: true, StaleBy: 6 * time.Second})
