membership, scheduler: say when a confirmation does not exclude a later owner

The comments claimed that a later owner always acquires a pool after the last confirmation. A pool that was handed over by consent, with the answer lost, is an exception while the old owner's lease lives on.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -192,7 +192,7 @@
 }
 
 // ConfirmedFrom returns the start of the last call to the store that confirmed this host's lease. Another host can only
-// have acquired a pool of this one later.
+// have acquired a pool of this one later, unless it took the pool at this host's request and the answer was lost.
 func (m *Manager) ConfirmedFrom() time.Time { return m.confirmation.ConfirmedFrom() }
 
 // Replaced gives up the pool at once. It is called when a worker or the store rejected the fencing token.
