scheduler, events: show crashes of workers, and how old the runs were that they took along

The log told that runs were lost, but not that a worker had crashed, nor how long after a start: the hypotheses of the incident of tasks that crash their workers could be told apart only by counting lines.

worker_crashed (956) names the worker, the runs on it and the age of the youngest; tasks_lost has the age of the runs; two counters count both. No decision changes.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -313,6 +313,8 @@
 		Number: 955, Name: "carrier_failed", Level: slog.LevelWarn, Message: "entry host that makes calls to workers for the pool's owner does not answer; others make them",
 		Remedy: "check that entry host and the network to it if it repeats",
 	}
+	WorkerCrashed = Event{Number: 956, Name: "worker_crashed", Level: slog.LevelInfo, Message: "worker ended unexpectedly; the runs on it are lost"}
+
 	SchedulerNote = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
 )
 
@@ -339,7 +341,7 @@
 	TasksStarted, TasksStopped, TasksLost, TasksEnded, TasksRefused, OrderUnknown, OrderRefused,
 	JobCompleted, JobFailed, JobCancelled, SchedulerNote, JobBegun, AttemptFailed, JobDurable, StepDone,
 	MemberNotStored, RecordSkipped, FleetRecordWaits, MachinesUnread, MachinesRead, TasksPreempted, PoolTakenOver,
-	RegistryUnwatched, RegistryWatched, CarriersChanged, CarrierFailed,
+	RegistryUnwatched, RegistryWatched, CarriersChanged, CarrierFailed, WorkerCrashed,
 }
 
 // retired lists the numbers of removed events, which are never reused.
--- a/internal/poolowner/decisions.go
+++ b/internal/poolowner/decisions.go
@@ -184,8 +184,13 @@
 }
 
 func (o *Owner) updateMetrics(d *scheduler.Decision) {
-	if d.Kind == scheduler.DecisionBegun {
+	switch d.Kind {
+	case scheduler.DecisionBegun:
 		o.Metrics.observeAckToStart(d.Age)
+	case scheduler.DecisionLost:
+		o.Metrics.countLostRun(d.Reason)
+	case scheduler.DecisionCrashed:
+		o.Metrics.countWorkerCrash()
 	}
 }
 
@@ -196,7 +201,8 @@
 var decisionEvents = map[string]events.Event{
 	decisionStart:               events.TasksStarted,
 	"stop":                      events.TasksStopped,
-	"lost":                      events.TasksLost,
+	scheduler.DecisionLost:      events.TasksLost,
+	scheduler.DecisionCrashed:   events.WorkerCrashed,
 	"never began":               events.TasksRefused,
 	"refused":                   events.TasksRefused,
 	"suspect":                   events.WorkerSuspect,
@@ -225,7 +231,10 @@
 	if !ok {
 		attrs = append(attrs, slog.String("kind", g.kind))
 	}
-	if first.Count > 0 {
+	switch {
+	case g.kind == scheduler.DecisionCrashed:
+		attrs = append(attrs, slog.Int("runs", first.Count))
+	case first.Count > 0:
 		attrs = append(attrs,
 			slog.String("step", strconv.Itoa(g.occurrence)+"."+strconv.Itoa(g.step)), slog.Int("count", first.Count))
 	}
--- a/internal/poolowner/metrics.go
+++ b/internal/poolowner/metrics.go
@@ -11,6 +11,8 @@
 	metricAckToStart = "agateturn_job_ack_to_start_seconds"
 	metricTakeover   = "agateturn_pool_takeover_seconds"
 	metricOrders     = "agateturn_orders_total"
+	metricLostRuns   = "agateturn_runs_lost_total"
+	metricCrashes    = "agateturn_worker_crashes_total"
 )
 
 // Metrics records metrics of pool owners. A nil *Metrics records nothing. It is safe for concurrent use.
@@ -41,6 +43,18 @@
 	}
 }
 
+func (m *Metrics) countLostRun(reason string) {
+	if m != nil {
+		m.stats.Counter(metricLostRuns, stats.Label{Name: "reason", Value: reason}).Inc(1)
+	}
+}
+
+func (m *Metrics) countWorkerCrash() {
+	if m != nil {
+		m.stats.Counter(metricCrashes).Inc(1)
+	}
+}
+
 // UnwrittenJobs returns the number of jobs whose progress is not durable yet.
 func (o *Owner) UnwrittenJobs() int64 { return o.records.pending.Load() }
 
--- a/scheduler/decision.go
+++ b/scheduler/decision.go
@@ -13,15 +13,18 @@
 	// Attempt counts the failed runs of the task, for DecisionAttempt. Attempts is how many its queue allows, for
 	// DecisionAttempt and DecisionFailed.
 	Attempt, Attempts int
-	// Count is the number of tasks of a completed step, or the number of runs that are preempted.
+	// Count is the number of tasks of a completed step, the number of runs that are preempted, or the number of runs that
+	// were on a crashed worker.
 	Count int
 	// Workers is the number of workers that a takeover waited for.
 	Workers int
-	// Age is the time since the job was accepted, for decisions about a whole job or step, or since the takeover.
+	// Age is the time since the job was accepted, for decisions about a whole job or step, or since the takeover. For a lost
+	// run it is the time since its start was ordered, and for a crashed worker that of its youngest run; 0 if another owner
+	// ordered it.
 	Age time.Duration
 }
 
-// Kinds of decisions that concern a whole job, a step or the pool, or that count attempts or preempted runs.
+// Kinds of decisions that concern a whole job, a step, a worker or the pool, or that count attempts or preempted runs.
 const (
 	DecisionBegun     = "begun"
 	DecisionCompleted = "completed"
@@ -32,6 +35,8 @@
 	DecisionAttempt   = "attempt failed"
 	DecisionPreempted = "preempted"
 	DecisionTakenOver = "taken over"
+	DecisionLost      = "lost"
+	DecisionCrashed   = "crashed"
 )
 
 // String returns the name of the end for the log.
@@ -65,6 +70,23 @@
 	d.Attempt, d.Attempts = attempt, attempts
 }
 
+// addLost adds the decision that a run ended with its worker or its lease, or disappeared.
+func (p *Pool) addLost(now time.Time, r *run, reason string) {
+	p.addDecision(DecisionLost, r, reason)
+	p.out.Decisions[len(p.out.Decisions)-1].Age = r.age(now)
+}
+
+// addCrash adds the decision that the current incarnation of a worker has ended unexpectedly.
+func (p *Pool) addCrash(now time.Time, w *worker, reason string) {
+	d := Decision{Kind: DecisionCrashed, Worker: w.ID, Reason: reason, Count: len(w.runs)}
+	for _, r := range w.runs {
+		if age := r.age(now); d.Age == 0 || age < d.Age {
+			d.Age = age
+		}
+	}
+	p.out.Decisions = append(p.out.Decisions, d)
+}
+
 // addJobDecision adds a decision about a whole job.
 func (p *Pool) addJobDecision(now time.Time, kind string, j *job, reason string) {
 	d := Decision{Kind: kind, Task: TaskID{Job: j.id}, Reason: reason, Age: now.Sub(j.accepted)}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -222,7 +222,7 @@
 			p.revertStart(now, r)
 			continue
 		}
-		p.addDecision("lost", r, "not listed by the worker")
+		p.addLost(now, r, "not listed by the worker")
 		p.endRun(now, r, EndLapsed, "")
 	}
 }
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -93,6 +93,14 @@
 	return r.Sent.After(s.at) || (s.clock > 0 && r.Clock > s.clock)
 }
 
+// age returns the time since the start was ordered, or 0 if another owner ordered it.
+func (r *run) age(now time.Time) time.Duration {
+	if r.orderedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(r.orderedAt)
+}
+
 func (r *run) key() runKey { return runKey{r.id, r.number} }
 
 // newRun adds a run to its worker and its task.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -151,12 +151,15 @@
 	if !w.replaced && !w.Draining {
 		p.recordRestart(now, w)
 	}
+	if w.mayCrash() {
+		p.addCrash(now, w, reason)
+	}
 	runs := append([]*run(nil), w.runs...)
 	for _, r := range runs {
 		if !ends(r) {
 			continue
 		}
-		p.addDecision("lost", r, reason)
+		p.addLost(now, r, reason)
 		p.endRun(now, r, EndLapsed, "")
 	}
 	w.clock = workerClock{}
@@ -170,6 +173,9 @@
 	p.wakePlacement(now)
 }
 
+// mayCrash reports whether an end of the current incarnation would be unexpected.
+func (w *worker) mayCrash() bool { return !w.replaced && !w.Draining && !w.evacuating }
+
 // checkWorkers ends the runs of workers whose lease has expired and drops departed workers.
 func (p *Pool) checkWorkers(now time.Time) {
 	kept := p.sortedWorkers[:0]
@@ -194,7 +200,7 @@
 		return
 	}
 	for _, r := range append([]*run(nil), w.runs...) {
-		p.addDecision("lost", r, "lease expired")
+		p.addLost(now, r, "lease expired")
 		p.endRun(now, r, EndLapsed, "")
 	}
 }
