--- a/scheduler/checker_test.go
+++ b/scheduler/checker_test.go
@@ -19,8 +19,19 @@
 	ackedEnds        []ackedEnd
 	stoppedByOwner   map[scheduler.TaskID]bool
 	unavailableSince map[scheduler.TaskID]int64
+	// crashedUnder counts the workers that crashed while they ran a task. startsAfterCrashes counts the starts of a
+	// crashing task after simCrashes of them.
+	crashedUnder, startsAfterCrashes map[scheduler.TaskID]int
 }
 
+const (
+	// simCrashes workers may crash under a task before its further starts are counted, up to simStartsAfterCrashes.
+	simCrashes            = 3
+	simStartsAfterCrashes = 3
+	// simGiveUpCrashes workers must have crashed under a task before it is given up.
+	simGiveUpCrashes = 2
+)
+
 // ackedEnd is an ended run that a hold has acknowledged.
 type ackedEnd struct {
 	task scheduler.TaskID
@@ -32,6 +43,7 @@
 	return &checker{
 		sim: s, running: map[scheduler.TaskID][]*simWorker{}, starts: map[scheduler.TaskID][]int64{},
 		done: map[scheduler.TaskID]bool{}, failures: map[scheduler.TaskID]int{}, stoppedByOwner: map[scheduler.TaskID]bool{}, unavailableSince: map[scheduler.TaskID]int64{},
+		crashedUnder: map[scheduler.TaskID]int{}, startsAfterCrashes: map[scheduler.TaskID]int{},
 	}
 }
 
@@ -59,6 +71,12 @@
 	}
 	c.checkCapacity(w, r)
 	c.checkDependencies(j, r)
+	if j.crashing[r.task] && c.crashedUnder[r.task] >= simCrashes {
+		c.startsAfterCrashes[r.task]++
+		if c.startsAfterCrashes[r.task] >= simStartsAfterCrashes {
+			c.addViolation("%v started after %d workers crashed under it", r.task, c.crashedUnder[r.task])
+		}
+	}
 }
 
 // checkCapacity checks the capacity of the worker and the limit of tasks per host.
@@ -209,7 +227,7 @@
 			}
 		})
 	case pb.JobState_JOB_STATE_FAILED:
-		if !c.attemptsExhausted(j) {
+		if !c.attemptsExhausted(j) && !c.mayBeGivenUp(j) {
 			c.addViolation("%s shown as failed without cause", j.id)
 		}
 	case pb.JobState_JOB_STATE_CANCELLED:
@@ -238,6 +256,15 @@
 	return exhausted
 }
 
+// mayBeGivenUp reports whether enough workers have crashed under a task of the job.
+func (c *checker) mayBeGivenUp(j *simJob) bool {
+	given := false
+	j.eachTask(func(id scheduler.TaskID, _ *pb.JobStep) {
+		given = given || c.crashedUnder[id] >= simGiveUpCrashes
+	})
+	return given
+}
+
 // checkFinal checks the whole run: acknowledged ends against starts, and what is still open.
 func (c *checker) checkFinal() {
 	failed := map[scheduler.TaskID][]int64{}
@@ -293,6 +320,14 @@
 		})
 		return
 	}
+	if j.persistent() && state == pb.JobState_JOB_STATE_FAILED {
+		j.eachTask(func(id scheduler.TaskID, _ *pb.JobStep) {
+			if len(c.running[id]) > 0 {
+				c.addViolation("%v of a failed job still runs", id)
+			}
+		})
+		return
+	}
 	if j.persistent() {
 		j.eachTask(func(id scheduler.TaskID, _ *pb.JobStep) {
 			if len(c.running[id]) != 1 {
--- /dev/null
+++ b/scheduler/crash_test.go
@@ -0,0 +1,76 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/scheduler"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// addCrashingJob adds a job of several tasks, one of which crashes each worker that starts it.
+func (s *sim) addCrashingJob(at, crashAfter int64, steps ...*pb.JobStep) *simJob {
+	j := s.addJob(at, &pb.JobSpec{Steps: steps})
+	j.crashing = map[scheduler.TaskID]bool{{Job: j.id, Index: int(steps[0].GetCount()) - 1}: true}
+	j.crashAfter = crashAfter
+	return j
+}
+
+// countShown counts the jobs that are shown in the given state and have no task that crashes workers.
+func (s *sim) countShown(state pb.JobState) int {
+	n := 0
+	for _, j := range s.jobs {
+		if len(j.crashing) == 0 && j.lastShown == state {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against the crash loop in which a task that crashes each worker that starts it was restarted without limit, and
+// took the tasks beside it along.
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	crashTimes := map[string]int64{"before the answer": 0, "as it starts": 10, "later": 1200}
+	for name, after := range crashTimes {
+		for _, refuses := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, refuses=%t", name, refuses), func(t *testing.T) {
+				for seed := range uint64(8) {
+					s := newSim(seed, 8, faults{refuses: refuses})
+					var crashing []*simJob
+					for i := range int64(3) {
+						crashing = append(crashing, s.addCrashingJob(1000+1500*i, after, &pb.JobStep{Count: 4, CpuMilli: 800, EstimateMs: 2000}))
+					}
+					for i := range int64(60) {
+						s.addJob(100*i, &pb.JobSpec{Steps: []*pb.JobStep{{Count: 6, CpuMilli: 700, EstimateMs: 700}}})
+					}
+					assert.DeepEqual(t, s.run(20_000, 60_000), []string(nil))
+					for _, j := range crashing {
+						assert.Equal(t, j.lastShown, pb.JobState_JOB_STATE_FAILED, "seed %d: %s", seed, j.id)
+					}
+					assert.Equal(t, s.countShown(pb.JobState_JOB_STATE_FAILED), 0, "seed %d: jobs that crash no worker", seed)
+				}
+			})
+		}
+	}
+}
+
+// Guards against the same crash loop beside other faults: crashes of workers by themselves, takeovers, lost and late calls.
+func TestCrashingTasksUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawFaults(t)
+		f.refuses = rapid.Bool().Draw(t, "refuses")
+		s := newSim(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(4, 8).Draw(t, "workers"), f)
+		addMixedJobs(s, rapid.IntRange(5, 30).Draw(t, "jobs"))
+		for range rapid.IntRange(1, 3).Draw(t, "crashing") {
+			step := &pb.JobStep{Count: 3, CpuMilli: 800, EstimateMs: 1500}
+			step.Persistent = rapid.Bool().Draw(t, "persistent")
+			step.Gang = !step.Persistent && rapid.Bool().Draw(t, "gang")
+			s.addCrashingJob(s.rng.Int64N(s.faultPeriod()), int64(rapid.IntRange(0, 50).Draw(t, "after")), step)
+		}
+		for _, f := range s.run(s.faultPeriod(), 90_000) {
+			t.Error(f)
+		}
+	})
+}
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -37,6 +37,8 @@
 	evacuations                              int
 	failingWorker, hangingWorker, slowWorker bool
 	lostRecords                              float64
+	// refuses means that the address of a worker that is down refuses connections, so that its end is noticed early.
+	refuses bool
 }
 
 type event struct {
@@ -91,6 +93,9 @@
 	cancelledAt int64
 	lastShown   pb.JobState
 	alwaysFails bool
+	// crashing tasks crash each worker that starts them, crashAfter ms after the start.
+	crashing   map[scheduler.TaskID]bool
+	crashAfter int64
 }
 
 func (j *simJob) due(occurrence int) int64 {
@@ -272,6 +277,7 @@
 	r.workNeeded = max(r.workNeeded, r.workDone+1)
 	r.fails = j.alwaysFails || s.faultsActive() && (w.failsAll || s.chance(s.faults.failing))
 	r.hangs = w.hangs && s.faultsActive()
+	r.crashes, r.crashAfter = j.crashing[o.Task], j.crashAfter
 	if r.fails {
 		r.workNeeded = r.workDone + (r.workNeeded-r.workDone)/4
 	}
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -170,6 +170,8 @@
 	sentAt, sentToIncarnation := s.now, w.incarnation
 	execute := func() (scheduler.Outcome, int64) {
 		switch {
+		case !w.up && s.faults.refuses:
+			return scheduler.OutcomeNotSent, 0
 		case !w.up:
 			return scheduler.OutcomeUnknown, 0
 		case !w.matchesIncarnation(order.Born):
@@ -225,12 +227,21 @@
 				p.Report(s.time(), scheduler.Report{Worker: w.id, Sent: sent, Received: s.time(), Gone: true})
 			})
 		}
+		if s.faults.refuses && !w.up && !s.partitioned[w.id] {
+			o.reportRefusals(w, sent)
+			holdAgain(600)
+			return
+		}
 		holdAgain(1000)
 		return
 	}
 	deadline := s.now + 1000
 	var poll func()
 	poll = func() {
+		if s.faults.refuses && !w.up {
+			holdAgain(150)
+			return
+		}
 		if !w.up || s.partitioned[w.id] {
 			holdAgain(1000)
 			return
@@ -255,6 +266,20 @@
 	s.after(1+s.rng.Int64N(5), poll)
 }
 
+// reportRefusals reports that the worker's incarnation has ended, after its address has refused another connection.
+func (o *simOwner) reportRefusals(w *simWorker, sent time.Time) {
+	s := o.sim
+	born := w.incarnation
+	s.after(150, func() {
+		if w.up {
+			return
+		}
+		o.handle(func(p *scheduler.Pool) {
+			p.Report(s.time(), scheduler.Report{Worker: w.id, Born: born, Sent: sent, Received: s.time(), Gone: true})
+		})
+	})
+}
+
 // poll holds a worker once beside the waiting hold; either may answer first. It acknowledges nothing, since another
 // incarnation may answer.
 func (o *simOwner) poll(w *simWorker) {
--- a/scheduler/simworker_test.go
+++ b/scheduler/simworker_test.go
@@ -24,6 +24,9 @@
 	stopping   bool
 	hangs      bool
 	savedWork  float64
+	// crashes means that the run crashes its worker crashAfter ms after its start.
+	crashes    bool
+	crashAfter int64
 }
 
 // simWorker is a worker id with its current incarnation.
@@ -74,6 +77,7 @@
 func (w *simWorker) crash() {
 	for _, r := range w.running {
 		w.sim.checker.runOver(w, r)
+		w.sim.checker.crashedUnder[r.task]++
 	}
 	w.running, w.ended = nil, nil
 	w.up = false
@@ -114,6 +118,26 @@
 	r := w.sim.newRun(w, o)
 	w.sim.checker.checkStart(w, r, o)
 	w.running = append(w.running, r)
+	if r.crashes {
+		return w.crashUnder(r)
+	}
+	return scheduler.OutcomeDone
+}
+
+// crashUnder crashes the worker because of the run, at once or later, and boots it again after 3 s.
+func (w *simWorker) crashUnder(r *simRun) scheduler.Outcome {
+	incarnation := w.incarnation
+	crash := func() {
+		if w.up && w.incarnation == incarnation && slices.Contains(w.running, r) {
+			w.crash()
+			w.sim.after(3000, w.boot)
+		}
+	}
+	if r.crashAfter == 0 {
+		crash()
+		return scheduler.OutcomeUnknown
+	}
+	w.sim.after(r.crashAfter, crash)
 	return scheduler.OutcomeDone
 }
 
