--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -20,7 +20,9 @@
 // worker is the state of one worker id.
 type worker struct {
 	Worker
-	clock workerClock
+	// describedBorn is the incarnation to which the registry's description, such as the capacity, belongs; 0 if unknown.
+	describedBorn int64
+	clock         workerClock
 	// reported means that this incarnation has answered a hold of this owner.
 	reported   bool
 	lastReport time.Time
@@ -115,12 +117,13 @@
 	p.updateDrainDeadline(now, w, update)
 	incarnation := max(w.Born, update.Born)
 	w.Worker = *update
+	w.describedBorn = update.Born
 	w.Born = incarnation
 	p.markEvacuating(w)
 }
 
 func (p *Pool) addWorker(now time.Time, info *Worker) {
-	w := &worker{Worker: *info, byKey: map[runKey]*run{}, listClock: -1}
+	w := &worker{Worker: *info, describedBorn: info.Born, byKey: map[runKey]*run{}, listClock: -1}
 	w.lastReport = now
 	p.markEvacuating(w)
 	w.pace.percent = fullPacePercent
@@ -245,9 +248,13 @@
 
 // isExcluded reports whether the worker is gone or must get no new tasks until its listing changes.
 func (w *worker) isExcluded() bool {
-	return w.replaced || w.departed || w.Draining || w.Unlisted || w.evacuating
+	return w.replaced || w.departed || w.Draining || w.Unlisted || w.evacuating || !w.isDescribed()
 }
 
+// isDescribed reports whether the registry describes the present incarnation, as far as is known. Another incarnation may
+// have another capacity and other labels.
+func (w *worker) isDescribed() bool { return w.describedBorn == 0 || w.describedBorn >= w.Born }
+
 // usable reports whether the worker may be given new tasks.
 func (w *worker) usable(now time.Time) bool {
 	if !w.reported || !w.clock.known || w.isExcluded() || w.unansweredStarts > 0 {
