scheduler: bystanders of crashes are not given up, and a persistent task is given up alone

Cause: a crash was charged alike to a task whose run had just begun and to one that had run for seconds beside it. Four such crashes gave up a task without other evidence, here lasting tasks after runs of 0.6 to 2.9 s, and their jobs failed with all siblings.

Now a run that was cleared before the crash counts as a bystander: three such crashes cause a trial and nothing else. A trial prefers workers heard from just now.

--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -40,7 +40,7 @@
 		if !t.step.need.fits(w.free()) || !p.permits(now, t.step, w) || !p.permitsTrials(now, t, w) {
 			continue
 		}
-		if cost := p.cost(now, t, w) + trialCost(t, w); cost < lowest {
+		if cost := p.cost(now, t, w) + trialCost(now, t, w); cost < lowest {
 			best, lowest = w, cost
 		}
 	}
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -12,8 +12,8 @@
 const (
 	// startupTime is how long a run has to last for its start to be cleared of a crash of its worker.
 	startupTime = 200 * time.Millisecond
-	// slowSuspectCrashes is the number of crashes after which a task is suspected although its runs had lasted longer.
-	slowSuspectCrashes = 3
+	// besideSuspectCrashes is the number of crashes after which a task is suspected although its runs had lasted longer.
+	besideSuspectCrashes = 3
 	// settledAge is the age from which a run is no likely cause of a crash.
 	settledAge = 5 * time.Second
 	// giveUpCrashes is how many workers must have crashed under a task to give it up for a crash during its trial, and
@@ -28,8 +28,9 @@
 
 // crashHistory is what is known of the workers that crashed under a task.
 type crashHistory struct {
-	// workers counts them. unanswered counts those that crashed after a start that may not have begun.
-	workers, unanswered int
+	// workers counts those that crashed before the run was cleared, unanswered those that did after a start that may not have
+	// begun. beside counts those that crashed under a cleared run, so that another task is the likely cause.
+	workers, unanswered, beside int
 	// after is the longest time for which a run had certainly lasted when its worker crashed.
 	after time.Duration
 	// suspected means that the next start of the task is a trial.
@@ -40,6 +41,8 @@
 	// trialVersion is the version of the job's record that contains onTrial, and trialWaitingSince when it was requested.
 	trialVersion      uint64
 	trialWaitingSince time.Time
+	// givenUp means that the task is not started again, although its job goes on.
+	givenUp bool
 	// presumed means that unanswered contains a trial of a previous owner, of which nothing has been seen yet.
 	presumed bool
 }
@@ -47,7 +50,7 @@
 func (c *crashHistory) message() *pb.CrashHistory {
 	return &pb.CrashHistory{
 		Workers: int64(c.workers), Unanswered: int64(c.unanswered), AfterMs: c.after.Milliseconds(),
-		Suspected: c.suspected, OnTrial: c.onTrial,
+		Suspected: c.suspected, OnTrial: c.onTrial, Beside: int64(c.beside), GivenUp: c.givenUp,
 	}
 }
 
@@ -56,6 +59,7 @@
 	c := crashHistory{
 		workers: int(m.GetWorkers()), unanswered: int(m.GetUnanswered()),
 		after: time.Duration(m.GetAfterMs()) * time.Millisecond, suspected: m.GetSuspected(), presumed: m.GetOnTrial(),
+		beside: int(m.GetBeside()), givenUp: m.GetGivenUp(),
 	}
 	if c.presumed {
 		c.unanswered++
@@ -71,6 +75,7 @@
 	}
 }
 
+// total counts the crashes that the task may have caused.
 func (c *crashHistory) total() int { return c.workers + c.unanswered }
 
 // trialTime is how long a run of the task has to last to be cleared.
@@ -147,24 +152,24 @@
 // chargeRun adds the crash of its worker to the history of the run's task.
 func (p *Pool) chargeRun(now time.Time, r *run) {
 	t := r.task
-	lasted := r.lasted()
-	if t.step.spec.GetPersistent() && lasted >= stableRunAge {
+	c := &t.crashes
+	if t.step.spec.GetPersistent() && r.isSettled() {
 		// The task has run well since any earlier crash.
-		t.crashes = crashHistory{}
+		*c = crashHistory{givenUp: c.givenUp}
 		return
 	}
 	r.charged = true
-	c := &t.crashes
 	c.onTrial = false
-	if r.hasBegun() {
+	switch {
+	case r.isCleared():
+		c.beside++
+	case r.hasBegun():
 		c.workers++
-	} else {
+	default:
 		c.unanswered++
 	}
-	c.after = max(c.after, lasted)
-	if lasted < startupTime || c.total() >= slowSuspectCrashes {
-		c.suspected = true
-	}
+	c.suspected = c.suspected || !r.isCleared() || c.beside >= besideSuspectCrashes
+	c.after = max(c.after, r.lasted())
 	p.markUrgent(now, t.job())
 	p.addCrashDecision(DecisionCharged, r)
 }
@@ -177,8 +182,13 @@
 	}
 }
 
-// giveUp fails the job of a task that crashes its workers.
+// giveUp fails the job of a task that crashes its workers. A persistent task is given up alone, since the others of its job
+// are in use.
 func (p *Pool) giveUp(now time.Time, r *run) {
 	p.addCrashDecision(DecisionGivenUp, r)
+	if r.task.step.spec.GetPersistent() {
+		r.task.crashes.givenUp = true
+		return
+	}
 	p.failJob(now, r.task.job(), "a task crashed the workers that started it", 0)
 }
--- a/scheduler/decision.go
+++ b/scheduler/decision.go
@@ -97,7 +97,7 @@
 func (p *Pool) addCrashDecision(kind string, r *run) {
 	p.addDecision(kind, r, "")
 	d := &p.out.Decisions[len(p.out.Decisions)-1]
-	d.Crashes, d.Suspected = r.task.crashes.total(), r.task.crashes.suspected
+	d.Crashes, d.Suspected = r.task.crashes.total()+r.task.crashes.beside, r.task.crashes.suspected
 }
 
 // addJobDecision adds a decision about a whole job.
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -168,7 +168,7 @@
 		out.Failures[index] = int64(t.failures)
 		out.FailedRuns[index] = &pb.RunNumbers{Runs: slices.Clone(t.failedRuns)}
 	}
-	if t.crashes.total() > 0 {
+	if t.crashes != (crashHistory{}) {
 		if out.Crashes == nil {
 			out.Crashes = map[int64]*pb.CrashHistory{}
 		}
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -159,6 +159,9 @@
 		t.failedRuns = slices.Clone(sp.GetFailedRuns()[index].GetRuns())
 		t.checkpoint = sp.GetCheckpoints()[index]
 		t.crashes = crashHistoryOf(sp.GetCrashes()[index])
+		if t.crashes.givenUp {
+			p.dequeueTask(t)
+		}
 		if i/8 < len(bits) && bits[i/8]&(1<<(i%8)) != 0 {
 			p.restoring = true
 			p.completeTask(now, t)
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -114,7 +114,7 @@
 // enqueueTask makes a task wait for a worker if it has to run.
 func (p *Pool) enqueueTask(now time.Time, t *task) {
 	s := t.step
-	if t.done || len(t.runs) > 0 || s.blockedBy > 0 || s.occ.job.isTerminal() || slices.Contains(s.ready, t.index) {
+	if t.done || t.crashes.givenUp || len(t.runs) > 0 || s.blockedBy > 0 || s.occ.job.isTerminal() || slices.Contains(s.ready, t.index) {
 		return
 	}
 	if len(s.ready) == 0 {
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -100,7 +100,9 @@
 		r.worker.trials--
 		p.placementDue = true
 		c := &r.task.crashes
-		c.suspected = c.suspected && r.state == runOver
+		if r.state != runOver {
+			c.suspected, c.beside = false, 0
+		}
 		if c.onTrial && !r.charged && !r.task.job().isTerminal() {
 			c.onTrial = false
 			p.markChanged(now, r.task.job())
@@ -192,18 +194,23 @@
 	}
 }
 
-// trialCost is the cost of risking a crash of the worker for the trial of a task: the work that runs there, and the runs
-// that would make the cause of the crash uncertain.
-func trialCost(t *task, w *worker) float64 {
+// trialCost is the cost of risking a crash of the worker for the trial of a task: the work that runs there, the runs
+// that would make the cause of the crash uncertain, and the wait for a sign of life.
+func trialCost(now time.Time, t *task, w *worker) float64 {
 	const (
 		usedWeight        = 4
 		persistentPenalty = 2
 		unclearedPenalty  = 4
+		stalePenalty      = 1
 	)
 	if !t.crashes.suspected {
 		return 0
 	}
-	cost := usedWeight * float64(w.used.CPUMilli) / math.Max(1, float64(w.Capacity.CPUMilli))
+	cost := 0.0
+	if !w.isFresh(now) {
+		cost += stalePenalty
+	}
+	cost += usedWeight * float64(w.used.CPUMilli) / math.Max(1, float64(w.Capacity.CPUMilli))
 	for _, r := range w.runs {
 		if r.task != nil && r.task.step.spec.GetPersistent() {
 			cost += persistentPenalty
