scheduler: a task that stands still wherever it runs blames two workers at most

Found while looking for the same class as the crash loop: what a task does to its workers was put down to the workers, without limit. A run that made no progress made its worker suspect each time; its task then did the same to the next one, so that a task that can never progress took four of six workers out of use in turn.

After two such runs the task alone is blamed, as for failures of a job without any success. The stops and the growing stall limit stay. TestTaskThatStandsStillEverywhereBlamesFewWorkers failed before (w1 to w4 suspect).

--- a/scheduler/suspect.go
+++ b/scheduler/suspect.go
@@ -13,8 +13,8 @@
 	// A failure of a persistent run counts against its worker only within earlyFailureAge of the start. A probe run that
 	// lasts longer clears its worker.
 	earlyFailureAge = 2 * time.Second
-	// maxUnprovenJobWorkers is the number of workers on which a job without any success may fail before only the job
-	// is blamed.
+	// maxUnprovenJobWorkers is the number of workers on which a job without any success may fail, or a task may stand
+	// still, before only the job or the task is blamed.
 	maxUnprovenJobWorkers = 2
 	// An incarnation that ends within flapWindow of the previous one makes its worker suspect.
 	flapWindow = 6 * time.Second
@@ -271,6 +271,8 @@
 	if len(t.failedOn) < maxFailedOn {
 		t.failedOn = append(t.failedOn, r.worker.ID)
 	}
-	p.markSuspect(now, r.worker, "run makes no progress")
+	if t.stalls <= maxUnprovenJobWorkers {
+		p.markSuspect(now, r.worker, "run makes no progress")
+	}
 	p.stop(now, r, "no progress")
 }
