--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -104,6 +104,12 @@
 	}
 	text := fmt.Sprintf("occurrence %d step %d: %d of %d done, %d placed, %d waiting",
 		s.occ.number, s.number, s.doneTasks, len(s.tasks), placed, len(s.ready))
+	if n := s.countSuspected(); n > 0 {
+		text = fmt.Sprintf("%s, %d suspected of crashing workers and started one at a time", text, n)
+	}
+	if n := s.countGivenUp(); n > 0 {
+		text = fmt.Sprintf("%s, %d given up", text, n)
+	}
 	switch {
 	case s.blockedBy > 0:
 		return fmt.Sprintf("%s; depends on %d unfinished steps", text, s.blockedBy)
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // A trial is a start of a task that is suspected of crashing its workers. Nothing else starts on the worker until the run
@@ -27,6 +29,16 @@
 	trialDivisor = 4
 )
 
+// countSuspected returns the number of unfinished tasks whose next start is a trial.
+func (s *step) countSuspected() int {
+	return lo.CountBy(s.tasks, func(t task) bool { return t.crashes.suspected && !t.done })
+}
+
+// countGivenUp returns the number of tasks that are not started again.
+func (s *step) countGivenUp() int {
+	return lo.CountBy(s.tasks, func(t task) bool { return t.crashes.givenUp })
+}
+
 // isTrialRecorded reports whether the task may start as far as the record of its trial is concerned. It requests the
 // record if needed. The task does not wait longer than trialRecordWait for the store.
 func (p *Pool) isTrialRecorded(now time.Time, t *task) bool {
