scheduler: one strict trial at a time, so that a pool short of workers keeps them

Callers beside tasks that crash their workers were served late for some seconds longer than needed: each task under which two workers had crashed kept a worker free for its next trial, for up to 2 s, and nothing bounded how many did so at once.

A pool now has one strict trial at a time, for 10 s at most; the others wait, being the likely culprits. First trials are as before.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -187,7 +187,7 @@
 func (p *Pool) giveUp(now time.Time, r *run) {
 	p.addCrashDecision(DecisionGivenUp, r)
 	if r.task.step.spec.GetPersistent() {
-		r.task.crashes.givenUp = true
+		r.task.crashes.givenUp, r.task.crashes.suspected = true, false
 		return
 	}
 	p.failJob(now, r.task.job(), "a task crashed the workers that started it", 0)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -171,7 +171,7 @@
 			kept = append(kept, index)
 			continue
 		}
-		if !p.isTrialRecorded(now, t) {
+		if !p.isTrialRecorded(now, t) || (t.needsStrictTrial() && !p.acquireStrictTrial(now, t)) {
 			kept = append(kept, index)
 			continue
 		}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -87,6 +87,9 @@
 	sendBudget       sendBudget
 	// trials holds the runs of suspected tasks that are not cleared yet.
 	trials []*run
+	// strictTrial is the task whose strict trial is due or under way, since strictSince.
+	strictTrial *task
+	strictSince time.Time
 
 	out Actions
 }
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -11,10 +11,12 @@
 // A trial is a start of a task that is suspected of crashing its workers. Nothing else starts on the worker until the run
 // is cleared, so that a crash tells the task apart from those that merely run beside it.
 const (
-	// strictTrialCrashes is the number of crashes from which a trial starts only beside settled runs, unless the task has
-	// waited for strictTrialWait.
+	// From strictTrialCrashes on, a trial is strict: it starts only beside settled runs, on a worker that is kept free for it
+	// for up to strictTrialWait. The pool has one strict trial at a time, for at most strictTrialLimit: its task is most
+	// likely the culprit, so that it can wait, and its worker is likely to crash.
 	strictTrialCrashes = 2
 	strictTrialWait    = 2 * time.Second
+	strictTrialLimit   = 10 * time.Second
 	// A trial starts on a worker that was heard from within trialFreshness. If the connection then breaks off within
 	// brokenTime, and the worker turns out to have crashed, the start has begun there. A worker that does not answer a poll
 	// within trialPollTimeout gets no trial.
@@ -152,7 +154,10 @@
 	if w.trialPolledAt.After(w.lastReport) && now.Sub(w.trialPolledAt) > trialPollTimeout {
 		return false
 	}
-	return !t.needsStrictTrial(now) || !slices.ContainsFunc(w.runs, func(r *run) bool { return !r.isSettled() })
+	if !t.needsStrictTrial() || now.Sub(p.strictSince) >= strictTrialWait {
+		return true
+	}
+	return !slices.ContainsFunc(w.runs, func(r *run) bool { return !r.isSettled() })
 }
 
 // countActiveTrials counts the trials whose outcome should be known soon. The worker of an overdue one has probably
@@ -167,8 +172,20 @@
 	return n
 }
 
-func (t *task) needsStrictTrial(now time.Time) bool {
-	return t.crashes.total() >= strictTrialCrashes && now.Sub(t.step.readySince) < strictTrialWait
+// needsStrictTrial reports whether the next trial of the task is a strict one. Members of a gang start together, so that
+// theirs never are.
+func (t *task) needsStrictTrial() bool {
+	return t.crashes.suspected && t.crashes.total() >= strictTrialCrashes && !t.step.spec.GetGang()
+}
+
+// acquireStrictTrial reports whether the strict trial of the pool is the task's, and makes it so if no other task holds it.
+func (p *Pool) acquireStrictTrial(now time.Time, t *task) bool {
+	held := p.strictTrial != nil && p.strictTrial.needsStrictTrial() && !p.strictTrial.done &&
+		!p.strictTrial.job().isTerminal() && now.Sub(p.strictSince) < strictTrialLimit
+	if !held {
+		p.strictTrial, p.strictSince = t, now
+	}
+	return p.strictTrial == t
 }
 
 func (w *worker) isReservedForOther(now time.Time, t *task) bool {
@@ -186,7 +203,7 @@
 // reserveTrial keeps the least used worker free for a strict trial that finds no worker, so that a busy pool cannot delay
 // it for ever.
 func (p *Pool) reserveTrial(now time.Time, t *task, usable []*worker) {
-	if !t.needsStrictTrial(now) {
+	if !t.needsStrictTrial() {
 		return
 	}
 	var best *worker
