--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -171,20 +171,13 @@
 			kept = append(kept, index)
 			continue
 		}
-		if !p.isTrialRecorded(now, t) || (t.needsStrictTrial() && !p.acquireStrictTrial(now, t)) {
-			kept = append(kept, index)
-			continue
-		}
-		w := p.choose(now, t, usable)
-		if t.crashes.suspected && (w == nil || !p.isFreshForTrial(now, w)) {
-			if w == nil {
-				p.reserveTrial(now, t, usable)
-			}
-			kept = append(kept, index)
-			continue
+		var w *worker
+		if t.crashes.suspected {
+			w = p.chooseForTrial(now, t, usable)
+		} else if w = p.choose(now, t, usable); w == nil {
+			noRoom = true
 		}
 		if w == nil {
-			noRoom = true
 			kept = append(kept, index)
 			continue
 		}
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -171,22 +171,7 @@
 		})
 	}
 	sentAt, sentToIncarnation := s.now, w.incarnation
-	execute := func() (scheduler.Outcome, int64) {
-		switch {
-		case !w.up && s.faults.refuses:
-			return scheduler.OutcomeNotSent, 0
-		case !w.up:
-			return scheduler.OutcomeUnknown, 0
-		case !w.matchesIncarnation(order.Born):
-			return scheduler.OutcomeGone, 0
-		case order.Kind == scheduler.OrderStart:
-			return w.start(o.fence, order), w.clock()
-		case order.Kind == scheduler.OrderStop:
-			s.checker.checkStop(w, order, s.now-sentAt)
-			return w.stop(o.fence, order), w.clock()
-		}
-		return scheduler.OutcomeDone, w.clock()
-	}
+	execute := func() (scheduler.Outcome, int64) { return o.execute(w, order, sentAt) }
 	timeout := func() { answer(scheduler.OutcomeUnknown, 0) }
 	switch {
 	case !w.up && !s.faults.refuses, s.partitioned[w.id], s.faultsActive() && s.chance(s.faults.lostCalls):
@@ -209,6 +194,25 @@
 	}
 }
 
+// execute has the worker carry out an order that was sent at the given time.
+func (o *simOwner) execute(w *simWorker, order scheduler.Order, sentAt int64) (scheduler.Outcome, int64) {
+	s := o.sim
+	switch {
+	case !w.up && s.faults.refuses:
+		return scheduler.OutcomeNotSent, 0
+	case !w.up:
+		return scheduler.OutcomeUnknown, 0
+	case !w.matchesIncarnation(order.Born):
+		return scheduler.OutcomeGone, 0
+	case order.Kind == scheduler.OrderStart:
+		return w.start(o.fence, order), w.clock()
+	case order.Kind == scheduler.OrderStop:
+		s.checker.checkStop(w, order, s.now-sentAt)
+		return w.stop(o.fence, order), w.clock()
+	}
+	return scheduler.OutcomeDone, w.clock()
+}
+
 // hold keeps holding one worker, and waits at most a second for a run to end.
 func (o *simOwner) hold(w *simWorker) {
 	s := o.sim
@@ -230,23 +234,14 @@
 				p.Report(s.time(), scheduler.Report{Worker: w.id, Sent: sent, Received: s.time(), Gone: true})
 			})
 		}
-		if s.faults.refuses && !w.up && !s.partitioned[w.id] {
-			o.reportRefusals(w, sent)
-			holdAgain(600)
-			return
-		}
-		holdAgain(1000)
+		holdAgain(o.delayAfterLostHold(w, sent))
 		return
 	}
 	deadline := s.now + 1000
 	var poll func()
 	poll = func() {
-		if s.faults.refuses && !w.up {
-			holdAgain(150)
-			return
-		}
 		if !w.up || s.partitioned[w.id] {
-			holdAgain(1000)
+			holdAgain(o.delayAfterBrokenHold(w))
 			return
 		}
 		if len(w.ended) == 0 && s.now < deadline && h.LastSeen != 0 {
@@ -269,6 +264,24 @@
 	s.after(1+s.rng.Int64N(5), poll)
 }
 
+// delayAfterLostHold returns the time in ms until the next hold of a worker that did not get one. It reports a worker
+// whose address refuses connections.
+func (o *simOwner) delayAfterLostHold(w *simWorker, sent time.Time) int64 {
+	if o.sim.faults.refuses && !w.up && !o.sim.partitioned[w.id] {
+		o.reportRefusals(w, sent)
+		return 600
+	}
+	return 1000
+}
+
+// delayAfterBrokenHold returns the time in ms until the next hold of a worker that went down or was cut off during one.
+func (o *simOwner) delayAfterBrokenHold(w *simWorker) int64 {
+	if o.sim.faults.refuses && !w.up {
+		return 150
+	}
+	return 1000
+}
+
 // reportRefusals reports that the worker's incarnation has ended, after its address has refused another connection.
 func (o *simOwner) reportRefusals(w *simWorker, sent time.Time) {
 	s := o.sim
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -41,6 +41,22 @@
 	return lo.CountBy(s.tasks, func(t task) bool { return t.crashes.givenUp })
 }
 
+// chooseForTrial returns the worker for the trial of a suspected task, or nil if the trial has to wait.
+func (p *Pool) chooseForTrial(now time.Time, t *task, usable []*worker) *worker {
+	if !p.isTrialRecorded(now, t) || (t.needsStrictTrial() && !p.acquireStrictTrial(now, t)) {
+		return nil
+	}
+	w := p.choose(now, t, usable)
+	if w == nil {
+		p.reserveTrial(now, t, usable)
+		return nil
+	}
+	if !p.isFreshForTrial(now, w) {
+		return nil
+	}
+	return w
+}
+
 // isTrialRecorded reports whether the task may start as far as the record of its trial is concerned. It requests the
 // record if needed. The task does not wait longer than trialRecordWait for the store.
 func (p *Pool) isTrialRecorded(now time.Time, t *task) bool {
