scheduler: record a trial only when it is about to start

Found by reading the change again; no caller has seen it. A suspected task was recorded as on trial while it still waited for a worker. A later owner presumes that a recorded trial has crashed its worker, so after a crash of several workers and a takeover every waiting task would have counted as charged twice, and started one after the other.

A trial is recorded once a worker is chosen for it, and counts against the bound of one worker in four from then on. A presumed crash makes no trial strict.

TestWaitingTrialsAreNotRecorded failed before: 12 tasks recorded where two may be on trial.

--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/scheduler"
@@ -94,3 +95,41 @@
 		t.Error(f)
 	}
 }
+
+// Guards against tasks that only wait for a trial being recorded as on trial: a later owner would presume that each of them
+// had crashed another worker, and start them one after the other.
+func TestWaitingTrialsAreNotRecorded(t *testing.T) {
+	workers := []string{"w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"}
+	b := newTestPool(workers...)
+	b.add("a", &pb.JobStep{Count: 12, CpuMilli: 1000, EstimateMs: 2000})
+	crashed := map[string]bool{}
+	for _, o := range b.pool.Step(b.now).Orders {
+		crashed[o.Worker] = true
+		b.pool.Result(b.now, scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeDone, Clock: b.clock})
+	}
+	assert.Equal(t, len(crashed), 3)
+	b.advance(50 * time.Millisecond)
+	for w := range crashed {
+		b.pool.Report(b.now, scheduler.Report{Worker: w, Born: 5, Sent: b.now, Received: b.now, Gone: true})
+	}
+	mostOnTrial := 0
+	for range 20 {
+		b.advance(10 * time.Millisecond)
+		for _, w := range workers {
+			if !crashed[w] {
+				b.report(w, nil, nil)
+			}
+		}
+		for _, r := range b.pool.Step(b.now).Records {
+			onTrial := 0
+			for _, c := range r.Progress.GetOccurrences()[0].GetSteps()[0].GetCrashes() {
+				if c.GetOnTrial() {
+					onTrial++
+				}
+			}
+			mostOnTrial = max(mostOnTrial, onTrial)
+			b.pool.Recorded(b.now, r.Progress.GetId(), r.Version)
+		}
+	}
+	assert.Assert(t, mostOnTrial > 0 && mostOnTrial <= len(workers)/4, "%d tasks recorded as on trial", mostOnTrial)
+}
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -44,11 +44,6 @@
 	if len(s.ready) < len(s.tasks) {
 		return
 	}
-	for i := range s.tasks {
-		if !p.isTrialRecorded(now, &s.tasks[i]) {
-			return
-		}
-	}
 	chosen := make([]*worker, 0, len(s.tasks))
 	for i := range s.tasks {
 		w := p.choose(now, &s.tasks[i], usable)
@@ -66,7 +61,7 @@
 			delete(s.active, w)
 		}
 	}
-	if len(chosen) < len(s.tasks) || !p.areFreshForTrials(now, s, chosen) {
+	if len(chosen) < len(s.tasks) || !p.areFreshForTrials(now, s, chosen) || !p.areTrialsRecorded(now, s) {
 		return
 	}
 	number := p.nextRun()
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -87,6 +87,8 @@
 	sendBudget       sendBudget
 	// trials holds the runs of suspected tasks that are not cleared yet.
 	trials []*run
+	// pendingTrials holds the suspected tasks whose trial is recorded and has not started.
+	pendingTrials []*task
 	// strictTrial is the task whose strict trial is due or under way, since strictSince.
 	strictTrial *task
 	strictSince time.Time
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -23,8 +23,10 @@
 	trialFreshness   = 100 * time.Millisecond
 	brokenTime       = 100 * time.Millisecond
 	trialPollTimeout = 300 * time.Millisecond
-	// trialRecordWait bounds how long a trial waits until it is recorded.
-	trialRecordWait = time.Second
+	// trialRecordWait bounds how long a trial waits until it is recorded, and pendingTrialLimit how long one that is recorded
+	// and does not start counts as about to start.
+	trialRecordWait   = time.Second
+	pendingTrialLimit = 2 * time.Second
 	// trialPollInterval is the time between two polls of a worker with a trial that should be over.
 	trialPollInterval = 100 * time.Millisecond
 	// At most one worker in trialDivisor has a trial at any time.
@@ -43,7 +45,7 @@
 
 // chooseForTrial returns the worker for the trial of a suspected task, or nil if the trial has to wait.
 func (p *Pool) chooseForTrial(now time.Time, t *task, usable []*worker) *worker {
-	if !p.isTrialRecorded(now, t) || (t.needsStrictTrial() && !p.acquireStrictTrial(now, t)) {
+	if t.needsStrictTrial() && !p.acquireStrictTrial(now, t) {
 		return nil
 	}
 	w := p.choose(now, t, usable)
@@ -51,7 +53,8 @@
 		p.reserveTrial(now, t, usable)
 		return nil
 	}
-	if !p.isFreshForTrial(now, w) {
+	// Only a trial that is about to start is recorded, since a later owner presumes that it has crashed its worker.
+	if !p.isFreshForTrial(now, w) || !p.isTrialRecorded(now, t) {
 		return nil
 	}
 	return w
@@ -69,6 +72,7 @@
 		c.onTrial = true
 		p.markUrgent(now, j)
 		c.trialVersion, c.trialWaitingSince = j.rec.version, now
+		p.pendingTrials = append(p.pendingTrials, t)
 	}
 	if j.rec.recorded >= c.trialVersion {
 		return true
@@ -106,6 +110,17 @@
 	return fresh
 }
 
+// areTrialsRecorded reports whether a gang may start as far as the records of its trials are concerned.
+func (p *Pool) areTrialsRecorded(now time.Time, s *step) bool {
+	recorded := true
+	for i := range s.tasks {
+		if !p.isTrialRecorded(now, &s.tasks[i]) {
+			recorded = false
+		}
+	}
+	return recorded
+}
+
 // beginTrial makes the run of a suspected task the trial of its worker.
 func (p *Pool) beginTrial(now time.Time, r *run) {
 	if !r.task.crashes.suspected {
@@ -164,7 +179,7 @@
 	if !t.crashes.suspected {
 		return true
 	}
-	if p.countActiveTrials(now) >= max(1, len(p.sortedWorkers)/trialDivisor) {
+	if p.countTrials(now, t) >= max(1, len(p.sortedWorkers)/trialDivisor) {
 		return false
 	}
 	if w.trialPolledAt.After(w.lastReport) && now.Sub(w.trialPolledAt) > trialPollTimeout {
@@ -176,22 +191,38 @@
 	return !slices.ContainsFunc(w.runs, func(r *run) bool { return !r.isSettled() })
 }
 
-// countActiveTrials counts the trials whose outcome should be known soon. The worker of an overdue one has probably
-// crashed, which may take long to be confirmed.
-func (p *Pool) countActiveTrials(now time.Time) int {
+// countTrials counts the trials other than the task's own that are about to start, or whose outcome should be known soon. The
+// worker of an overdue one has probably crashed, which may take long to be confirmed.
+func (p *Pool) countTrials(now time.Time, t *task) int {
 	n := 0
 	for _, r := range p.trials {
 		if now.Sub(r.orderedAt) < r.task.crashes.trialTime()+trialPollTimeout {
 			n++
 		}
 	}
+	kept := p.pendingTrials[:0]
+	for _, other := range p.pendingTrials {
+		c := &other.crashes
+		if !c.onTrial || len(other.runs) > 0 || other.job().isTerminal() || now.Sub(c.trialWaitingSince) > pendingTrialLimit {
+			continue
+		}
+		kept = append(kept, other)
+		if other != t && (other.step != t.step || !t.step.spec.GetGang()) {
+			n++
+		}
+	}
+	p.pendingTrials = kept
 	return n
 }
 
 // needsStrictTrial reports whether the next trial of the task is a strict one. Members of a gang start together, so that
 // theirs never are.
 func (t *task) needsStrictTrial() bool {
-	return t.crashes.suspected && t.crashes.total() >= strictTrialCrashes && !t.step.spec.GetGang()
+	seen := t.crashes.total()
+	if t.crashes.presumed {
+		seen--
+	}
+	return t.crashes.suspected && seen >= strictTrialCrashes && !t.step.spec.GetGang()
 }
 
 // acquireStrictTrial reports whether the strict trial of the pool is the task's, and makes it so if no other task holds it.
