poolowner: the test of a second incarnation lists it before the worker is used

The test let the owner start a task on an incarnation that the registry did not describe yet, by the capacity of the one before. That is what ends: another incarnation may be of another kind. The registry now lists the second incarnation 1.1 s after the start, as a worker that has come back would. What is asked is the same and as strict: the task runs on it, its end is noticed from refused connections, and the task runs elsewhere 1.5 s later, while the lease renewer began with the first incarnation.

--- a/internal/poolowner/incarnation_test.go
+++ b/internal/poolowner/incarnation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -83,7 +84,11 @@
 		listed := testWorkers([]string{"w1", "w2"})
 		listed[0].Born = 1
 		owner.SetWorkers(listed)
-		time.Sleep(1200 * time.Millisecond)
+		time.Sleep(1100 * time.Millisecond)
+		restarted := slices.Clone(listed)
+		restarted[0].Born = 2
+		owner.SetWorkers(restarted)
+		time.Sleep(100 * time.Millisecond)
 		acceptJob(t, kv, 1)
 		time.Sleep(time.Second)
 		assert.Equal(t, workers.runningOn("w1"), 1)
