--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -231,6 +231,7 @@
 func withAcceptedTime(now time.Time, job *pb.JobRecord) *pb.JobRecord {
 	return &pb.JobRecord{
 		Id: job.GetId(), Queue: job.GetQueue(), Pool: job.GetPool(), Spec: job.GetSpec(), AcceptedMs: now.UnixMilli(),
+		Workspace: job.GetWorkspace(),
 	}
 }
 
--- a/jsonscan/jsonscan.go
+++ b/jsonscan/jsonscan.go
@@ -183,3 +183,25 @@
 		}
 	}
 }
+
+// Integer parses a number into target; see Number.
+func (s *Scanner) Integer(target *int64) (ok bool) {
+	*target, ok = s.Number()
+	return ok
+}
+
+// String parses a string into target.
+func (s *Scanner) String(target *string) (ok bool) {
+	*target, ok = s.Text()
+	return ok
+}
+
+// SkipRest skips the remaining elements of an array whose first elements have been parsed, and its end.
+func (s *Scanner) SkipRest() bool {
+	for s.Take(',') {
+		if !s.Skip() {
+			return false
+		}
+	}
+	return s.Take(']')
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -34,6 +34,27 @@
 	Timeout time.Duration
 	// Advice is nil for a queue without a policy.
 	Advice *Advice
+	// Public means that callers need no key, and that jobs belong to no workspace.
+	Public bool
+}
+
+// Workspace is a customer of the deployment, to which jobs belong.
+type Workspace struct {
+	Name string
+	// Keys are the API keys of its callers. They are secrets and must not be logged.
+	Keys []string
+	// Weight is its share of a full pool, relative to other workspaces, and the number of jobs a second that it may submit
+	// before it yields to others.
+	Weight float64
+	// Cap is what it may have running in all pools together.
+	Cap Cap
+}
+
+// Cap limits resources; 0 means no limit.
+type Cap struct {
+	CPUMilli int64
+	MemoryMB int64
+	GPU      int64
 }
 
 // Pool is a set of workers that serve the same queues.
@@ -62,6 +83,8 @@
 	Queues  []Queue
 	Pools   []Pool
 	Limits  Limits
+	// Workspaces is nil if the deployment has none, so that callers need no keys. If it is empty, all keys are unknown.
+	Workspaces []Workspace
 }
 
 // Lookup returns the queue of host with the longest prefix of path, and false if there is none.
--- a/scheduler/describe.go
+++ b/scheduler/describe.go
@@ -45,7 +45,7 @@
 
 func (p *Pool) describeJob(j *job, placements bool) *pb.JobDescription {
 	d := &pb.JobDescription{
-		Id: j.id, Queue: j.queue, State: j.visibleState(), AcceptedMs: j.accepted.UnixMilli(), Reason: j.reason,
+		Id: j.id, Queue: j.queue, Workspace: j.workspace, State: j.visibleState(), AcceptedMs: j.accepted.UnixMilli(), Reason: j.reason,
 	}
 	counts := j.counts()
 	d.Tasks, d.Succeeded, d.Failures = counts.tasks, counts.succeeded, counts.failures
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -8,10 +8,12 @@
 
 // job is an accepted job.
 type job struct {
-	id       string
-	queue    string
-	spec     *pb.JobSpec
-	accepted time.Time
+	id    string
+	queue string
+	// workspace is the workspace that the job belongs to; empty if none.
+	workspace string
+	spec      *pb.JobSpec
+	accepted  time.Time
 
 	cancelled bool
 	// state is RUNNING until the job has ended. Callers see the final state only once it is durable.
@@ -77,6 +79,7 @@
 	return &job{
 		id:                  rec.GetId(),
 		queue:               rec.GetQueue(),
+		workspace:           rec.GetWorkspace(),
 		spec:                rec.GetSpec(),
 		accepted:            accepted,
 		state:               pb.JobState_JOB_STATE_RUNNING,
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -85,6 +85,8 @@
 	lastPreemptionAt time.Time
 	hasBackfill      bool
 	sendBudget       sendBudget
+	// workspaceLimits holds what each workspace may have running in the pool.
+	workspaceLimits map[string]Resources
 	// trials holds the runs of suspected tasks that are not cleared yet.
 	trials []*run
 	// pendingTrials holds the suspected tasks whose trial is recorded and has not started.
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -114,7 +114,7 @@
 }
 
 func (p *Pool) progress(j *job) *pb.JobProgress {
-	out := &pb.JobProgress{Id: j.id, Queue: j.queue, State: pb.JobState_JOB_STATE_QUEUED}
+	out := &pb.JobProgress{Id: j.id, Queue: j.queue, Workspace: j.workspace, State: pb.JobState_JOB_STATE_QUEUED}
 	if j.started {
 		out.State = pb.JobState_JOB_STATE_RUNNING
 	}
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -91,7 +91,7 @@
 	}
 	for _, pr := range progress {
 		if _, unloaded := byID[pr.GetId()]; unloaded && jobstate.Final(pr.GetState()) {
-			p.loadJob(now, &pb.JobRecord{Id: pr.GetId(), Queue: pr.GetQueue()}, pr, cancelledIDs[pr.GetId()])
+			p.loadJob(now, &pb.JobRecord{Id: pr.GetId(), Queue: pr.GetQueue(), Workspace: pr.GetWorkspace()}, pr, cancelledIDs[pr.GetId()])
 			delete(cancelledIDs, pr.GetId())
 		}
 	}
