--- a/upkeep/opening_test.go
+++ b/upkeep/opening_test.go
@@ -111,3 +111,19 @@
 		})
 	}
 }
+
+// TestHostsKeptUntilTheFirstBurst guards against pools that send their hosts away before any caller has come: the first burst
+// of a day then meets empty pools. Load: ten idle seconds, then the patterns above.
+func TestHostsKeptUntilTheFirstBurst(t *testing.T) {
+	for _, o := range openings() {
+		t.Run(o.name, func(t *testing.T) {
+			t.Parallel()
+			cfg := upkeep.DefaultConfig(upkeepTime, moveTime)
+			early, _ := runOpening(o, cfg, false)
+			cfg.Moves.Learn = warmup + openingLength
+			kept, _ := runOpening(o, cfg, false)
+			t.Logf("benefit: hosts kept %.3f, hosts released after %v %.3f", kept, upkeep.DefaultMoveConfig().Learn, early)
+			assert.Check(t, kept > early)
+		})
+	}
+}
