scheduler: limits of workspaces, checked wherever a run starts

Cause: a cap across pools is granted to pool owners as limits, and nothing in the scheduler counted or bounded what a workspace runs.

Change: runs are counted by workspace from their order until their end is certain, runs without a task and orphans included as soon as their job is known. Placement, gangs, trials, copies and restarts stay within the limit. Steps that wait only for it are not ranked, so that they reserve and preempt nothing, and are not in the load that Status returns. A preemption keeps the headroom for its task. Persistent runs are not moved while their workspace exceeds its limit, as the restart would be refused. The wait from acceptance to first start is recorded by workspace.

--- a/internal/poolowner/decisions.go
+++ b/internal/poolowner/decisions.go
@@ -189,6 +189,7 @@
 	switch d.Kind {
 	case scheduler.DecisionBegun:
 		o.Metrics.observeAckToStart(d.Age)
+		o.Metrics.observeWorkspaceWait(d.Workspace, d.Age)
 	case scheduler.DecisionLost:
 		o.Metrics.countLostRun(d.Reason)
 	case scheduler.DecisionCrashed:
@@ -251,6 +252,9 @@
 			slog.String("tasks", formatTaskIndexes(all)),
 			slog.Int64("run", first.Run))
 	}
+	if g.kind == scheduler.DecisionHeld {
+		attrs = append(attrs, slog.String("workspace", first.Workspace))
+	}
 	if first.Worker != "" {
 		attrs = append(attrs, slog.String("workers", formatWorkers(all)))
 	}
--- a/internal/poolowner/metrics.go
+++ b/internal/poolowner/metrics.go
@@ -18,7 +18,8 @@
 
 // Metrics records metrics of pool owners. A nil *Metrics records nothing. It is safe for concurrent use.
 type Metrics struct {
-	stats *stats.Stats
+	stats      *stats.Stats
+	workspaces workspaceNames
 }
 
 // NewMetrics returns Metrics that records into s.
--- a/scheduler/checker_test.go
+++ b/scheduler/checker_test.go
@@ -24,6 +24,7 @@
 	crashedUnder, startsAfterCrashes map[scheduler.TaskID]int
 	// givenUp holds the tasks that an owner has given up.
 	givenUp map[scheduler.TaskID]bool
+	limits  limitChecker
 	// lastCrash is when a worker last crashed.
 	lastCrash int64
 }
@@ -48,7 +49,7 @@
 		sim: s, running: map[scheduler.TaskID][]*simWorker{}, starts: map[scheduler.TaskID][]int64{},
 		done: map[scheduler.TaskID]bool{}, failures: map[scheduler.TaskID]int{}, stoppedByOwner: map[scheduler.TaskID]bool{}, unavailableSince: map[scheduler.TaskID]int64{},
 		crashedUnder: map[scheduler.TaskID]int{}, startsAfterCrashes: map[scheduler.TaskID]int{},
-		givenUp: map[scheduler.TaskID]bool{},
+		givenUp: map[scheduler.TaskID]bool{}, limits: limitChecker{ordered: map[int64]scheduler.Resources{}},
 	}
 }
 
@@ -75,6 +76,7 @@
 		c.addViolation("checkpoint %q does not belong to %v", o.Checkpoint, r.task)
 	}
 	c.checkCapacity(w, r)
+	c.checkLimits(r)
 	c.checkDependencies(j, r)
 	if j.crashing[r.task] && c.crashedUnder[r.task] >= simCrashes {
 		c.startsAfterCrashes[r.task]++
@@ -215,6 +217,7 @@
 	if o.Kind != scheduler.OrderStart {
 		return
 	}
+	c.limits.addOrder(c.sim, o)
 	if j := c.sim.jobs[o.Task.Job]; j.cancelledAt > 0 && c.sim.now > j.cancelledAt+100 {
 		c.addViolation("%v ordered after its job was cancelled", o.Task)
 	}
--- a/scheduler/decision.go
+++ b/scheduler/decision.go
@@ -22,6 +22,8 @@
 	Count int
 	// Workers is the number of workers that a takeover waited for.
 	Workers int
+	// Workspace is the workspace of the job, for decisions about a whole job and for DecisionHeld.
+	Workspace string
 	// Age is the time since the job was accepted, for decisions about a whole job or step, or since the takeover. For a lost
 	// run it is the time since its start was ordered, and for a crashed worker that of its youngest run; 0 if another owner
 	// ordered it.
@@ -43,6 +45,8 @@
 	DecisionCrashed   = "crashed"
 	DecisionCharged   = "charged"
 	DecisionGivenUp   = "given up"
+	// DecisionHeld means that tasks of a workspace wait for its limit. Count is the number of tasks.
+	DecisionHeld = "held"
 )
 
 // String returns the name of the end for the log.
@@ -103,6 +107,6 @@
 // addJobDecision adds a decision about a whole job.
 func (p *Pool) addJobDecision(now time.Time, kind string, j *job, reason string) {
 	p.out.Decisions = append(p.out.Decisions, Decision{
-		Kind: kind, Task: TaskID{Job: j.id}, Reason: reason, Age: now.Sub(j.accepted),
+		Kind: kind, Task: TaskID{Job: j.id}, Reason: reason, Age: now.Sub(j.accepted), Workspace: j.workspace,
 	})
 }
--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -96,6 +96,10 @@
 		}
 		return
 	}
+	if persistent && r.task.step.exceedsLimit() {
+		// The limit would refuse the restart elsewhere.
+		return
+	}
 	if persistent {
 		p.movingSteps = append(p.movingSteps, r.task.step)
 	}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -12,6 +12,7 @@
 	queue string
 	// workspace is the workspace that the job belongs to; empty if none.
 	workspace string
+	account   *account
 	spec      *pb.JobSpec
 	accepted  time.Time
 
@@ -62,6 +63,7 @@
 	p.jobs[j.id] = j
 	if _, early := p.earlyCancels[j.id]; early {
 		delete(p.earlyCancels, j.id)
+		p.chargeOrphans(j)
 		p.cancelJob(now, j)
 		return
 	}
@@ -80,6 +82,7 @@
 		id:                  rec.GetId(),
 		queue:               rec.GetQueue(),
 		workspace:           rec.GetWorkspace(),
+		account:             p.accountOf(rec.GetWorkspace()),
 		spec:                rec.GetSpec(),
 		accepted:            accepted,
 		state:               pb.JobState_JOB_STATE_RUNNING,
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -37,6 +37,7 @@
 	p.placementDue = false
 	p.nextPlacementAt = time.Time{}
 	p.removeIdleSteps()
+	p.updateHeld(now, false)
 	if len(p.waitingSteps) == 0 {
 		return
 	}
@@ -56,7 +57,7 @@
 		}
 		p.placeStep(now, c.step, candidates)
 		p.placeOnSuspects(now, c.step, usable, suspects)
-		if reservable > 0 && c.step.mayReserve(now) {
+		if reservable > 0 && c.step.mayReserve(now) && p.withinLimit(c.step, 1) > 0 {
 			var reserved bool
 			if usable, reserved = reserveFor(now, c.class, c.step, usable); reserved {
 				reservable--
@@ -65,6 +66,7 @@
 		}
 	}
 	p.removeIdleSteps()
+	p.updateHeld(now, true)
 	if len(p.waitingSteps) > 0 {
 		p.nextPlacementAt = now.Add(placementInterval)
 		p.wake(p.nextPlacementAt)
@@ -106,6 +108,7 @@
 			continue
 		}
 		s.inWaitingSteps = false
+		s.heldSince = time.Time{}
 	}
 	clear(p.waitingSteps[len(kept):])
 	p.waitingSteps = kept
@@ -154,7 +157,7 @@
 }
 
 func (p *Pool) placeStep(now time.Time, s *step, usable []*worker) {
-	if p.takeover.blocksStarts() || !p.mayStart(now) {
+	if p.takeover.blocksStarts() || !p.mayStart(now) || p.withinLimit(s, 1) == 0 {
 		return
 	}
 	p.consultAdvice(now, s)
@@ -167,7 +170,7 @@
 	noRoom := false
 	for _, index := range s.ready {
 		t := &s.tasks[index]
-		if noRoom || p.sendBudget.exhausted() || now.Before(t.notBefore) {
+		if noRoom || p.sendBudget.exhausted() || now.Before(t.notBefore) || p.withinLimit(s, 1) == 0 {
 			kept = append(kept, index)
 			continue
 		}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -85,8 +85,13 @@
 	lastPreemptionAt time.Time
 	hasBackfill      bool
 	sendBudget       sendBudget
-	// workspaceLimits holds what each workspace may have running in the pool.
+	// workspaceLimits holds what each workspace may have running in the pool. accounts holds the workspaces with a job in
+	// this owner's term, sortedAccounts the same sorted by name.
 	workspaceLimits map[string]Resources
+	accounts        map[string]*account
+	sortedAccounts  []*account
+	// heldSteps counts the waiting steps that waited only for their workspaces' limits at the last placement.
+	heldSteps int
 	// trials holds the runs of suspected tasks that are not cleared yet.
 	trials []*run
 	// pendingTrials holds the suspected tasks whose trial is recorded and has not started.
@@ -112,6 +117,7 @@
 		forgotten:     map[string]time.Time{},
 		orphans:       map[string][]*run{},
 		pending:       map[string]int{},
+		accounts:      map[string]*account{},
 		learned:       newLearned(),
 		evacuatingIDs: map[string]bool{},
 		advice:        newAdviceTracker(),
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -44,7 +44,7 @@
 		if c.class > classOnTime || p.takeover.blocksStarts() || !p.mayStart(now) || c.step.spec.GetGang() {
 			continue
 		}
-		waiting := c.step.countStartable(now) - p.countPreempting(c.step)
+		waiting := p.withinLimit(c.step, c.step.countStartable(now)) - p.countPreempting(c.step)
 		for ; waiting > 0 && p.countPreempting(nil) < limit; waiting-- {
 			if !p.preemptOnce(now, c, usable) {
 				break
@@ -68,7 +68,9 @@
 func (p *Pool) mayPreempt() bool {
 	lowest, highest := math.MaxInt, math.MinInt
 	for _, s := range p.waitingSteps {
-		lowest = min(lowest, p.queueOf(s.occ.job).Priority)
+		if !s.held() {
+			lowest = min(lowest, p.queueOf(s.occ.job).Priority)
+		}
 	}
 	for _, w := range p.sortedWorkers {
 		for _, r := range w.runs {
@@ -130,6 +132,7 @@
 		return false
 	}
 	best.preemptingFor = c.step
+	c.step.account().promise(c.step.need)
 	for _, r := range victims {
 		r.task.preempted++
 		p.stop(now, r, reasonPreempted)
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -37,10 +37,13 @@
 	classHopeless
 )
 
+// rank returns the waiting steps in the order of placement, without those that wait only for their workspaces' limits.
 func (p *Pool) rank(now time.Time) []ranked {
 	order := make([]ranked, 0, len(p.waitingSteps))
 	for _, s := range p.waitingSteps {
-		order = append(order, p.rankStep(now, s))
+		if !s.held() {
+			order = append(order, p.rankStep(now, s))
+		}
 	}
 	sort.SliceStable(order, func(a, b int) bool {
 		x, y := &order[a], &order[b]
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -7,7 +7,7 @@
 
 // mayReserve reports whether workers may be reserved for the step.
 func (s *step) mayReserve(now time.Time) bool {
-	return len(s.ready) > 0 && now.Sub(s.readySince) > reservationWait
+	return len(s.ready) > 0 && now.Sub(s.lacksRoomSince()) > reservationWait
 }
 
 // reserveFor removes workers that could later run the step from those that lower-ranked steps may use: one worker, or
@@ -44,7 +44,7 @@
 // starved reports whether a gang has waited so long that it takes precedence over smaller steps. It does not
 // if too little capacity becomes free soon, as workers must not stay idle until long runs end.
 func (p *Pool) starved(now time.Time, s *step) bool {
-	if !s.spec.GetGang() || len(s.ready) == 0 || now.Sub(s.readySince) <= starvationWait {
+	if !s.spec.GetGang() || len(s.ready) == 0 || now.Sub(s.lacksRoomSince()) <= starvationWait {
 		return false
 	}
 	room := 0
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -41,7 +41,9 @@
 	task   *task
 	worker *worker
 	need   Resources
-	state  runState
+	// account is the account in which the run counts; nil without a workspace.
+	account *account
+	state   runState
 	// until is the lease expiry that its start requested, on the worker's clock in ms.
 	until        int64
 	orderedAt    time.Time
@@ -122,6 +124,7 @@
 		if t.step.rack == "" {
 			t.step.rack = w.Rack
 		}
+		t.job().account.add(r)
 	}
 	w.add(r)
 	return r
@@ -131,6 +134,7 @@
 func (p *Pool) dropRun(r *run) {
 	r.state = runOver
 	r.worker.remove(r)
+	r.account.remove(r)
 	p.placementDue = true
 	t := r.task
 	if t == nil {
--- a/scheduler/sending.go
+++ b/scheduler/sending.go
@@ -38,7 +38,7 @@
 // limit.
 func (p *Pool) SetSendRoom(now time.Time, bytes int64) {
 	s := &p.sendBudget
-	waiting := s.exhausted() && len(p.waitingSteps) > 0
+	waiting := s.exhausted() && p.hasPlaceableSteps()
 	if waiting {
 		s.blockedTime += now.Sub(s.updatedAt)
 	}
@@ -82,10 +82,10 @@
 		return 0
 	}
 	var waiting float64
-	for _, s := range p.waitingSteps {
+	p.eachRunnable(func(s *step, tasks int) {
 		if !s.spec.GetPersistent() {
-			waiting += float64(len(s.ready)) * s.expectedTaskWork()
+			waiting += float64(tasks) * s.expectedTaskWork()
 		}
-	}
+	})
 	return time.Duration(waiting / p.sendBudget.throughputMilli * float64(time.Millisecond))
 }
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -86,6 +86,8 @@
 	fence           uint64
 	// preemptedRuns counts the preemptions.
 	preemptedRuns int
+	// limits holds the limits of the workspaces.
+	limits map[string]scheduler.Resources
 }
 
 type simJob struct {
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -59,6 +59,7 @@
 	s.trace("EVENT takeover %d", s.fence)
 	o.pool.SetQueues(s.time(), simQueues)
 	o.pool.Load(s.time(), jobs, progress, cancelled)
+	o.pool.SetWorkspaceLimits(s.time(), s.limits)
 	s.updateEvacuations()
 	o.updateRegistry()
 	for _, w := range s.workers {
--- a/scheduler/speculate.go
+++ b/scheduler/speculate.go
@@ -11,7 +11,7 @@
 
 // checkSpeculation starts speculative runs of overdue tasks while the pool has nothing else to start.
 func (p *Pool) checkSpeculation(now time.Time) {
-	if !p.hasSpeculative || len(p.waitingSteps) > 0 || p.sendBudget.exhausted() || now.Sub(p.lastSpeculationAt) < speculationInterval {
+	if !p.hasSpeculative || p.hasPlaceableSteps() || p.sendBudget.exhausted() || now.Sub(p.lastSpeculationAt) < speculationInterval {
 		return
 	}
 	p.lastSpeculationAt = now
@@ -21,6 +21,10 @@
 	}
 	usable := p.usableWorkers(now)
 	for _, r := range overdue {
+		s := r.task.step
+		if a := s.account(); a != nil && a.hasNext() || p.withinLimit(s, 1) == 0 {
+			continue
+		}
 		others := make([]*worker, 0, len(usable))
 		for _, w := range usable {
 			if w != r.worker {
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -13,25 +13,20 @@
 	out := &pb.PoolStatusResponse{
 		Owner: !p.fenced, Fence: p.cfg.Fence, ArrivedMilliMs: p.arrivals.total, LargestMilliMs: p.arrivals.largest(now),
 	}
-	for _, s := range p.waitingSteps {
+	p.eachRunnable(func(s *step, tasks int) {
 		if s.spec.GetPersistent() {
-			continue
+			out.WaitingPersistentCpuMilli += int64(tasks) * s.need.CPUMilli
+			out.WaitingPersistentMemoryMb += int64(tasks) * s.need.MemoryMB
+			return
 		}
-		out.WaitingTasks += int64(len(s.ready))
-		work := int64(float64(len(s.ready)) * s.expectedTaskWork())
+		out.WaitingTasks += int64(tasks)
+		work := int64(float64(tasks) * s.expectedTaskWork())
 		out.BacklogMilliMs += work
 		if s.projectedDuration(now) > p.objective(s.occ) {
 			out.LateMilliMs += work
 		}
-	}
+	})
 	out.StuckCpuMilli = p.stuckCPU(now)
-	for _, s := range p.waitingSteps {
-		if s.spec.GetPersistent() {
-			waiting := int64(len(s.ready))
-			out.WaitingPersistentCpuMilli += waiting * s.need.CPUMilli
-			out.WaitingPersistentMemoryMb += waiting * s.need.MemoryMB
-		}
-	}
 	out.CarriedCpuMilli = int64(p.sendBudget.throughputMilli)
 	for _, w := range p.sortedWorkers {
 		if w.departed && len(w.runs) == 0 {
@@ -80,6 +75,9 @@
 		return []string{"the owner of the pool does not know the job"}
 	}
 	out := []string{fmt.Sprintf("state %s, queue %s", jobstate.Name(j.visibleState()), j.queue)}
+	if j.workspace != "" {
+		out[0] += ", workspace " + j.workspace
+	}
 	if j.isTerminal() {
 		if !j.rec.durable() {
 			out = append(out, "the final state is not durable yet")
@@ -113,6 +111,8 @@
 	switch {
 	case s.blockedBy > 0:
 		return fmt.Sprintf("%s; depends on %d unfinished steps", text, s.blockedBy)
+	case len(s.ready) > 0 && p.withinLimit(s, 1) == 0:
+		return text + "; " + reasonHeld
 	case len(s.ready) > 0 && p.countPreempting(s) > 0:
 		return text + "; runs of lower-priority queues are being preempted"
 	case len(s.ready) > 0 && placed == 0:
--- a/scheduler/stuck.go
+++ b/scheduler/stuck.go
@@ -14,7 +14,7 @@
 	var most int64
 	usable := p.usableWorkers(now)
 	for _, s := range p.waitingSteps {
-		if len(s.ready) == 0 || now.Sub(s.readySince) < stuckWait || !p.lacksRoom(now, s, usable) {
+		if len(s.ready) == 0 || p.withinLimit(s, 1) == 0 || now.Sub(s.lacksRoomSince()) < stuckWait || !p.lacksRoom(now, s, usable) {
 			continue
 		}
 		count := int64(1)
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -257,6 +257,7 @@
 	s := newStep(nil, r.id.Step, steps[r.id.Step])
 	r.worker.used = r.worker.used.plus(s.need)
 	r.need = s.need
+	j.account.add(r)
 }
 
 // stopDuplicateRuns keeps the run with the highest number if the task may have only one run.
@@ -290,7 +291,11 @@
 	delete(p.orphans, j.id)
 	for _, r := range runs {
 		t := p.task(time.Time{}, j, r.id)
-		if t == nil || r.state == runOver {
+		if r.state == runOver {
+			continue
+		}
+		if t == nil {
+			p.chargeTasklessRun(r, j)
 			continue
 		}
 		p.dequeueTask(t)
@@ -299,6 +304,7 @@
 		t.step.active[r.worker]++
 		r.need = t.step.need
 		r.worker.used = r.worker.used.plus(r.need)
+		j.account.add(r)
 		if r.isBackfill() {
 			r.worker.backfillRuns++
 			r.worker.backfillCPUMilli += t.step.spec.GetCpuMilli()
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -40,6 +40,9 @@
 	ready          []int
 	readySince     time.Time
 	inWaitingSteps bool
+	// heldSince is since when the step has been waiting only for its workspace's limit; zero if it does not. admittedAt is
+	// when it last ceased to.
+	heldSince, admittedAt time.Time
 	// active counts the runs of the step by worker.
 	active map[*worker]int
 	// expected is the expected duration of a task. criticalPath is the expected time from its start to the end of the
@@ -119,6 +122,7 @@
 	}
 	if len(s.ready) == 0 {
 		s.readySince = now
+		s.heldSince = time.Time{}
 	}
 	at, _ := slices.BinarySearch(s.ready, t.index)
 	s.ready = slices.Insert(s.ready, at, t.index)
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -227,7 +227,7 @@
 
 // acquireStrictTrial reports whether the strict trial of the pool is the task's, and makes it so if no other task holds it.
 func (p *Pool) acquireStrictTrial(now time.Time, t *task) bool {
-	held := p.strictTrial != nil && p.strictTrial.needsStrictTrial() && !p.strictTrial.done &&
+	held := p.strictTrial != nil && p.strictTrial.needsStrictTrial() && !p.strictTrial.done && !p.strictTrial.waitsForLimit() &&
 		!p.strictTrial.job().isTerminal() && now.Sub(p.strictSince) < strictTrialLimit
 	if !held {
 		p.strictTrial, p.strictSince = t, now
