scheduler: tests of workspace limits, benchmark of Step with 200 workspaces

Cause: the limits must hold over crashes, takeovers and late orders, and must not slow down pools without workspaces.

Change: the simulator sets limits, and its checker compares what a workspace runs on the workers with its limit when each run was ordered.

--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -13,11 +13,13 @@
 // BenchmarkStepBacklog measures one report and Step of a full pool while more tasks wait than run.
 func BenchmarkStepBacklog(b *testing.B) {
 	for _, size := range []int{50, 100, 350, 1400} {
-		b.Run(strconv.Itoa(size)+" workers", func(b *testing.B) { benchStep(b, size) })
+		b.Run(strconv.Itoa(size)+" workers", func(b *testing.B) { benchLimitedStep(b, size, 0, nil) })
 	}
 }
 
-func benchStep(b *testing.B, size int) {
+// newBenchPool returns a full pool of the given number of workers, and their reports. Its jobs belong to the given number of
+// workspaces in turn.
+func newBenchPool(b *testing.B, size, workspaces int, limits map[string]scheduler.Resources) (*scheduler.Pool, time.Time, []scheduler.Report) {
 	b.Helper()
 	now := time.UnixMilli(simEpoch)
 	cfg := simConfig
@@ -25,6 +27,7 @@
 	p := scheduler.New(cfg)
 	p.SetQueues(now, simQueues)
 	p.Load(now, nil, nil, nil)
+	p.SetWorkspaceLimits(now, limits)
 	var ws []scheduler.Worker
 	for i := range size {
 		ws = append(ws, scheduler.Worker{
@@ -38,7 +41,11 @@
 		p.Report(now, reports[i])
 	}
 	for i := range 3 * size {
-		p.Add(now, &pb.JobRecord{Id: fmt.Sprintf("j%d", i), Queue: "q", AcceptedMs: simEpoch, Spec: &pb.JobSpec{
+		workspace := ""
+		if workspaces > 0 {
+			workspace = fmt.Sprintf("workspace%d", i%workspaces)
+		}
+		p.Add(now, &pb.JobRecord{Id: fmt.Sprintf("j%d", i), Queue: "q", Workspace: workspace, AcceptedMs: simEpoch, Spec: &pb.JobSpec{
 			Steps: []*pb.JobStep{{Count: 6, CpuMilli: 2000, MemoryMb: 100, EstimateMs: 1000}},
 		}})
 	}
@@ -50,6 +57,12 @@
 			}
 		}
 	}
+	return p, now, reports
+}
+
+func benchLimitedStep(b *testing.B, size, workspaces int, limits map[string]scheduler.Resources) {
+	b.Helper()
+	p, now, reports := newBenchPool(b, size, workspaces, limits)
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		now = now.Add(time.Millisecond)
@@ -73,3 +86,26 @@
 		}
 	}
 }
+
+// BenchmarkStepWorkspaces measures the same as BenchmarkStepBacklog with 300 workers, whose jobs belong to no workspace, or to
+// 200 with limits that are far above, or half of, what they use otherwise; and one call of WorkspaceUsage.
+func BenchmarkStepWorkspaces(b *testing.B) {
+	const workspaces = 200
+	limits := func(cpuMilli int64) map[string]scheduler.Resources {
+		out := map[string]scheduler.Resources{}
+		for i := range workspaces {
+			out[fmt.Sprintf("workspace%d", i)] = scheduler.Resources{CPUMilli: cpuMilli, MemoryMB: scheduler.NoLimit, GPU: scheduler.NoLimit}
+		}
+		return out
+	}
+	b.Run("none", func(b *testing.B) { benchLimitedStep(b, 300, 0, nil) })
+	b.Run("no limit reached", func(b *testing.B) { benchLimitedStep(b, 300, workspaces, limits(1_000_000)) })
+	b.Run("all at their limit", func(b *testing.B) { benchLimitedStep(b, 300, workspaces, limits(12_000)) })
+	b.Run("usage", func(b *testing.B) {
+		p, now, _ := newBenchPool(b, 300, workspaces, limits(12_000))
+		b.ReportAllocs()
+		for b.Loop() {
+			p.WorkspaceUsage(now)
+		}
+	})
+}
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -41,7 +41,7 @@
 
 // placeGang starts all members with the same run number if there is room for all of them at once.
 func (p *Pool) placeGang(now time.Time, s *step, usable []*worker) {
-	if len(s.ready) < len(s.tasks) || p.withinLimit(s, len(s.tasks)) < len(s.tasks) {
+	if len(s.ready) < len(s.tasks) {
 		return
 	}
 	chosen := make([]*worker, 0, len(s.tasks))
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -170,7 +170,8 @@
 	noRoom := false
 	for _, index := range s.ready {
 		t := &s.tasks[index]
-		if noRoom || p.sendBudget.exhausted() || now.Before(t.notBefore) || p.withinLimit(s, 1) == 0 {
+		noRoom = noRoom || p.withinLimit(s, 1) == 0
+		if noRoom || p.sendBudget.exhausted() || now.Before(t.notBefore) {
 			kept = append(kept, index)
 			continue
 		}
--- a/scheduler/workspacesim_test.go
+++ b/scheduler/workspacesim_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/scheduler"
 )
 
@@ -76,7 +77,8 @@
 
 // Under crashes, takeovers, cuts and late orders, and while limits change, a workspace never runs more than its limit was when
 // the run was ordered, runs of a previous owner, unanswered starts, stopping runs and copies included. Once the limits have
-// room for the largest gang again, all jobs end. Load: 10 to 50 jobs in 15 s, two thirds of them of two limited workspaces.
+// room for the largest gang again, all jobs end. Load: 10 to 50 jobs in 15 s, two thirds of them of two limited workspaces, and in half of the
+// cases two jobs with a task that crashes its workers, so that it starts as a trial.
 func TestLimitsUnderFaults(t *testing.T) {
 	limited := 0
 	rapid.Check(t, func(t *rapid.T) {
@@ -86,6 +88,13 @@
 		} else {
 			addMixedJobs(s, rapid.IntRange(10, 50).Draw(t, "jobs"))
 		}
+		if rapid.Bool().Draw(t, "crashing") {
+			// As in checkCrashingTasks: more takeovers could hide more crashes than the checker allows for.
+			s.faults.refuses, s.faults.takeovers = true, min(s.faults.takeovers, 1)
+			for range 2 {
+				s.addCrashingJob(s.rng.Int64N(s.faultPeriod()), 10, &pb.JobStep{Count: 3, CpuMilli: 800, EstimateMs: 1500})
+			}
+		}
 		names := []string{"", "a", "b"}
 		for _, id := range s.jobIDs {
 			s.jobs[id].rec.Workspace = names[s.rng.IntN(len(names))]
@@ -117,6 +126,8 @@
 	for _, id := range s.jobIDs {
 		s.jobs[id].rec.Workspace = "a"
 	}
-	s.after(0, func() { s.limits = map[string]scheduler.Resources{"a": {CPUMilli: 2000, MemoryMB: scheduler.NoLimit, GPU: scheduler.NoLimit}} })
+	s.after(0, func() {
+		s.limits = map[string]scheduler.Resources{"a": {CPUMilli: 2000, MemoryMB: scheduler.NoLimit, GPU: scheduler.NoLimit}}
+	})
 	assert.Assert(t, len(s.run(s.faultPeriod(), 75_000)) > 0)
 }
