scheduler: check the limit in mayReserve; a request with a context in a test

Cause: make lint found a function that was too complex and a request without a context.

Measured: make lint has no issues; the tests of limits pass.

--- a/internal/poolowner/workspace_metrics_test.go
+++ b/internal/poolowner/workspace_metrics_test.go
@@ -27,7 +27,7 @@
 	begun("workspace-0")
 	begun("")
 	out := httptest.NewRecorder()
-	s.Handler().ServeHTTP(out, httptest.NewRequest("GET", "/metrics", nil))
+	s.Handler().ServeHTTP(out, httptest.NewRequestWithContext(t.Context(), "GET", "/metrics", nil))
 	text := out.Body.String()
 	assert.Equal(t, strings.Count(text, metricWorkspaceWait+"_count{"), maxWorkspaceNames+1)
 	assert.Assert(t, strings.Contains(text, metricWorkspaceWait+`_count{workspace="workspace-0"} 2`), "%s", text[:200])
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -57,7 +57,7 @@
 		}
 		p.placeStep(now, c.step, candidates)
 		p.placeOnSuspects(now, c.step, usable, suspects)
-		if reservable > 0 && c.step.mayReserve(now) && p.withinLimit(c.step, 1) > 0 {
+		if reservable > 0 && p.mayReserve(now, c.step) {
 			var reserved bool
 			if usable, reserved = reserveFor(now, c.class, c.step, usable); reserved {
 				reservable--
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -6,8 +6,8 @@
 )
 
 // mayReserve reports whether workers may be reserved for the step.
-func (s *step) mayReserve(now time.Time) bool {
-	return len(s.ready) > 0 && now.Sub(s.lacksRoomSince()) > reservationWait
+func (p *Pool) mayReserve(now time.Time, s *step) bool {
+	return len(s.ready) > 0 && now.Sub(s.lacksRoomSince()) > reservationWait && p.withinLimit(s, 1) > 0
 }
 
 // reserveFor removes workers that could later run the step from those that lower-ranked steps may use: one worker, or
