scheduler: test of several preemptions together under one limit

Cause: a check without the count of tasks, or without the promise to a task checked just before, passed the earlier test of preemption.

Change: a test with eight full workers and two urgent tasks, of one step and of two.

Measured: it passes, and fails without either of the two checks.

--- a/scheduler/workspace_test.go
+++ b/scheduler/workspace_test.go
@@ -269,3 +269,27 @@
 	b.limitCPU(5000)
 	assert.DeepEqual(t, b.starts(running), map[string]int{"batch": 2})
 }
+
+// Tasks preempt no more runs than the limit lets them replace, whether they belong to one step or to several that are checked
+// together. Load: eight full workers, two urgent tasks of two cores, limits for one and for both.
+func TestPreemptionsTogetherStayWithinTheLimit(t *testing.T) {
+	for _, jobs := range [][]int64{{2}, {1, 1}} {
+		for limit, stopped := range map[int64]int{2000: 2, 4000: 4} {
+			b := newTestPool("w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8")
+			b.pool.SetQueues(b.now, simQueues)
+			b.pool.Add(b.now, &pb.JobRecord{Id: "late", Queue: "later", AcceptedMs: b.now.UnixMilli(), Spec: &pb.JobSpec{
+				Steps: []*pb.JobStep{{Count: 32, CpuMilli: 1000, EstimateMs: 30_000, SavesProgress: true}},
+			}})
+			running := map[string][]scheduler.RunningTask{}
+			assert.Equal(t, b.starts(running)["late"], 32)
+			b.advance(time.Second)
+			b.starts(running)
+			b.limitCPU(limit)
+			for i, count := range jobs {
+				b.addFor("a", fmt.Sprintf("urgent%d", i), &pb.JobStep{Count: count, CpuMilli: 2000, EstimateMs: 3000})
+			}
+			b.advance(200 * time.Millisecond)
+			assert.Equal(t, len(stops(b.pool.Step(b.now).Orders)), stopped, "jobs %v, limit %d", jobs, limit)
+		}
+	}
+}
