--- a/quota/failures_test.go
+++ b/quota/failures_test.go
@@ -84,6 +84,24 @@
 	assert.Equal(t, len(a.Grants(time.Unix(1, 0), "a").Grants), 1)
 }
 
+// Guards against a raise that counts as confirmed, and its cap as free, when the answer to an earlier request arrives.
+func TestAnswerToAnEarlierRequestConfirmsNothing(t *testing.T) {
+	now := time.Unix(1, 0)
+	a := quota.NewAllocator()
+	a.SetPools([]string{"a"})
+	a.SetWorkspaces(oneCap(8000))
+	a.Observe(now, "a", quota.Report{Fence: 1, Sequence: 1, UsageKnown: true})
+	batch := a.Grants(now, "a")
+	assert.Equal(t, len(batch.Grants), 1)
+	a.Observe(now, "a", quota.Report{Fence: 1, Sequence: 2, Version: batch.Version - 1, UsageKnown: true})
+	assert.Equal(t, a.Allocations()[0].Reserved.CPUMilli, int64(8000))
+	assert.DeepEqual(t, a.Grants(now, "a").Grants, batch.Grants)
+	granted := []quota.Usage{{Workspace: "w", HasLimit: true, Limit: batch.Grants[0].Limit}}
+	a.Observe(now, "a", quota.Report{Fence: 1, Sequence: 3, Version: batch.Version, UsageKnown: true, Usage: granted})
+	assert.Equal(t, len(a.Grants(now, "a").Grants), 0)
+	assert.Equal(t, a.Allocations()[0].Reserved.CPUMilli, int64(8000))
+}
+
 // Guards against giving away what a pool without an answer may still use, and against others that stop working meanwhile.
 func TestReservationOfACutOffPoolStays(t *testing.T) {
 	m := settled(t)
--- a/quota/history_test.go
+++ b/quota/history_test.go
@@ -21,7 +21,7 @@
 	caps := make([]queue.Workspace, workspaceCount)
 	for n := range caps {
 		caps[n].Name = workspaceName(n)
-		caps[n].Cap.CPUMilli = rapid.SampledFrom([]int64{0, 4000, 10000, 30000}).Draw(t, "cpu")
+		caps[n].Cap.CPUMilli = rapid.SampledFrom([]int64{0, 4000, 4000, 10000, 10000, 30000}).Draw(t, "cpu")
 		caps[n].Cap.MemoryMB = rapid.SampledFrom([]int64{0, 0, 8000, 20000}).Draw(t, "memory")
 	}
 	return caps
@@ -97,82 +97,146 @@
 	return sum
 }
 
+// history is a deployment under faults.
+type history struct {
+	*model
+	t      *rapid.T
+	cutOff map[string]bool
+}
+
+func (h *history) pick(n int, what string) int { return rapid.IntRange(0, n-1).Draw(h.t, what) }
+
+func (h *history) fleet() *fleetOwner { return h.fleets[h.pick(len(h.fleets), "fleet")] }
+
 // Guards against a cap that is passed because of status calls that are lost, late, reordered or repeated, of owners that are
 // replaced, cut off or paused, or of starts that are executed late.
 func TestNoHistoryPassesACap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := newModel(rapid.IntRange(4, 6).Draw(t, "pools"), drawCaps(t))
-		pick := func(n int, what string) int { return rapid.IntRange(0, n-1).Draw(t, what) }
-		pool := func() *workers { return m.pools[pick(len(m.pools), "pool")] }
-		cutOff := map[string]bool{}
-		for range rapid.IntRange(50, 400).Draw(t, "steps") {
-			p := pool()
-			switch what := rapid.IntRange(0, 27).Draw(t, "step"); {
-			case what < 5:
-				m.submit(p, workspaceName(pick(workspaceCount, "w")), int64(500*(1+pick(8, "cpu"))), int64(500*(1+pick(8, "memory"))),
-					time.Duration(100*(1+pick(40, "duration")))*time.Millisecond)
-			case what < 9:
-				m.poll(m.fleets[pick(len(m.fleets), "fleet")], p)
-			case what < 14 && len(m.requests) > 0:
-				n := pick(len(m.requests), "request")
-				r := m.requests[n]
-				if !rapid.Bool().Draw(t, "repeat") {
-					m.requests = slices.Delete(m.requests, n, n+1)
-				}
-				if !cutOff[r.pool.name] {
-					m.deliver(r, r.pool.owners[pick(len(r.pool.owners), "owner")])
-				}
-			case what < 18 && len(m.answers) > 0:
-				n := pick(len(m.answers), "answer")
-				a := m.answers[n]
-				if !rapid.Bool().Draw(t, "repeat") {
-					m.answers = slices.Delete(m.answers, n, n+1)
-				}
-				m.answer(a)
-			case what == 18 && len(m.requests) > 0:
-				m.requests = slices.Delete(m.requests, 0, 1)
-			case what == 19:
-				m.replace(p)
-			case what == 20:
-				for _, o := range p.owners[:len(p.owners)-1] {
-					o.dead = true
-				}
-			case what == 21 && len(m.fleets) < 3:
-				m.newFleet()
-			case what == 22 && len(m.fleets) > 1:
-				m.fleets = m.fleets[1:]
-			case what == 23:
-				cutOff[p.name] = !cutOff[p.name]
-			case what == 24:
-				m.changeCaps(t, pick)
-			case what == 25 && len(p.late) > 0:
-				m.execute(p, pick(len(p.late), "late"))
-			default:
-				m.now = m.now.Add(time.Duration(pick(2000, "time")) * time.Millisecond)
-				m.takeOver(p, p.owner())
-				m.end(p)
-				for _, o := range p.owners {
-					m.start(p, o)
-				}
-			}
-			m.check(t)
+		h := &history{model: newModel(rapid.IntRange(4, 6).Draw(t, "pools"), drawCaps(t)), t: t, cutOff: map[string]bool{}}
+		steps := slices.Concat(
+			slices.Repeat([]func(*workers){h.submitMany}, 6), slices.Repeat([]func(*workers){h.callsGoThrough, h.round}, 4),
+			slices.Repeat([]func(*workers){h.deliverOne, h.answerOne}, 3), slices.Repeat([]func(*workers){h.pollOne, h.replace}, 2),
+			slices.Repeat([]func(*workers){h.pass}, 4),
+			[]func(*workers){h.lose, h.endOwners, h.replaceFleet, h.endFleet, h.cut, h.changeCaps, h.executeOne},
+		)
+		for range rapid.IntRange(20, 120).Draw(t, "steps") {
+			p := h.pools[h.pick(len(h.pools), "pool")]
+			steps[h.pick(len(steps), "step")](p)
+			h.check(t)
 		}
 	})
 }
 
+// submitMany submits tasks, most of them of four workspaces, so that caps bind.
+func (h *history) submitMany(p *workers) {
+	name := workspaceName(h.pick(4, "busy"))
+	if h.pick(6, "other") == 0 {
+		name = workspaceName(h.pick(workspaceCount, "w"))
+	}
+	for range 1 + h.pick(12, "tasks") {
+		h.submit(p, name, int64(500*(1+h.pick(8, "cpu"))), 500, time.Duration(100*(1+h.pick(40, "duration")))*time.Millisecond)
+	}
+}
+
+// callsGoThrough lets calls go through for a while. Those that were late before stay late.
+func (h *history) callsGoThrough(*workers) {
+	requests, answers := h.requests, h.answers
+	h.requests, h.answers = nil, nil
+	h.calm(time.Duration(50*(1+h.pick(20, "calm")))*time.Millisecond, func() {})
+	h.requests, h.answers = append(requests, h.requests...), append(answers, h.answers...)
+}
+
+// round makes a fleet owner, which may have been replaced, poll all pools, of which any owner may answer.
+func (h *history) round(*workers) {
+	f := h.fleet()
+	for _, p := range h.pools {
+		h.poll(f, p)
+		if !h.cutOff[p.name] {
+			h.deliver(h.requests[len(h.requests)-1], p.owners[h.pick(len(p.owners), "owner")])
+		}
+		if len(h.answers) > 0 && rapid.Bool().Draw(h.t, "answered") {
+			h.answer(h.answers[len(h.answers)-1])
+		}
+	}
+}
+
+func (h *history) pollOne(p *workers) { h.poll(h.fleet(), p) }
+
+func (h *history) deliverOne(*workers) {
+	if len(h.requests) == 0 {
+		return
+	}
+	n := h.pick(len(h.requests), "request")
+	r := h.requests[n]
+	if !rapid.Bool().Draw(h.t, "repeat") {
+		h.requests = slices.Delete(h.requests, n, n+1)
+	}
+	if !h.cutOff[r.pool.name] {
+		h.deliver(r, r.pool.owners[h.pick(len(r.pool.owners), "owner")])
+	}
+}
+
+func (h *history) answerOne(*workers) {
+	if len(h.answers) == 0 {
+		return
+	}
+	n := h.pick(len(h.answers), "answer")
+	a := h.answers[n]
+	if !rapid.Bool().Draw(h.t, "repeat") {
+		h.answers = slices.Delete(h.answers, n, n+1)
+	}
+	h.answer(a)
+}
+
+func (h *history) lose(*workers) { h.requests = h.requests[min(1, len(h.requests)):] }
+
+func (h *history) endOwners(p *workers) {
+	for _, o := range p.owners[:len(p.owners)-1] {
+		o.dead = true
+	}
+}
+
+func (h *history) replaceFleet(*workers) {
+	if len(h.fleets) < 3 {
+		h.newFleet()
+	}
+}
+
+func (h *history) endFleet(*workers) { h.fleets = h.fleets[min(1, len(h.fleets)-1):] }
+
+func (h *history) cut(p *workers) { h.cutOff[p.name] = !h.cutOff[p.name] }
+
+func (h *history) executeOne(p *workers) {
+	if len(p.late) > 0 {
+		h.execute(p, h.pick(len(p.late), "late"))
+	}
+}
+
+// pass lets time pass, and any owner of the pool start tasks. Its last one may hold the workers first.
+func (h *history) pass(p *workers) {
+	h.now = h.now.Add(time.Duration(h.pick(2000, "time")) * time.Millisecond)
+	if rapid.Bool().Draw(h.t, "held") {
+		h.takeOver(p, p.owner())
+	}
+	h.end(p)
+	for _, o := range p.owners {
+		h.start(p, o)
+	}
+}
+
 // changeCaps changes the sizes of caps, and lets owners learn of it in any order.
-func (m *model) changeCaps(t *rapid.T, pick func(int, string) int) {
-	caps := slices.Clone(m.caps)
+func (h *history) changeCaps(*workers) {
+	caps := slices.Clone(h.caps)
 	for range 3 {
-		if c := &caps[pick(len(caps), "w")].Cap; c.CPUMilli > 0 {
-			c.CPUMilli = rapid.SampledFrom([]int64{1000, 4000, 10000, 60000}).Draw(t, "cpu")
+		if c := &caps[h.pick(len(caps), "w")].Cap; c.CPUMilli > 0 {
+			c.CPUMilli = rapid.SampledFrom([]int64{1000, 4000, 10000, 60000}).Draw(h.t, "cpu")
 		}
 	}
-	m.caps = caps
-	m.fleets[pick(len(m.fleets), "fleet")].configure(caps)
-	for _, p := range m.pools {
-		if rapid.Bool().Draw(t, "learns") {
-			p.owner().limits.SetWorkspaces(caps, p.usage(p.owner(), m.now))
+	h.caps = caps
+	h.fleet().configure(caps)
+	for _, p := range h.pools {
+		if rapid.Bool().Draw(h.t, "learns") {
+			p.owner().limits.SetWorkspaces(caps, p.usage(p.owner(), h.now))
 		}
 	}
 }
@@ -189,28 +253,7 @@
 				m.check(t)
 			}
 			for _, w := range m.caps[:4] {
-				running, limit := m.running(w.Name), orNoLimit(w.Cap)
-				heads := m.heads(w.Name)
-				for pool, head := range heads {
-					fits := within(add(running, head.need), limit)
-					// The cap is saved up for a step that does not fit, and has waited for as long or is in a pool that uses
-					// less than this one, which uses its equal share.
-					saved := false
-					for otherPool, other := range heads {
-						beyond := m.beyondShare(pool, w, head.need)
-						first := !other.since.After(head.since) || beyond && otherPool != pool
-						saved = saved || first && !within(add(running, other.need), limit)
-					}
-					since, ok := room[head]
-					switch {
-					case saved || !fits:
-						delete(room, head)
-					case !ok:
-						room[head] = m.now
-					case m.now.Sub(since) > time.Second:
-						t.Fatalf("%s waits for %v since %v; runs %v of %v", w.Name, head.need, m.now.Sub(since), running, limit)
-					}
-				}
+				m.checkWaits(t, w, room)
 			}
 		}
 		for range rapid.IntRange(1, 6).Draw(t, "rounds") {
@@ -231,6 +274,30 @@
 	})
 }
 
+// checkWaits fails if the first task of a pool waits for longer than a second although the cap has room for it, unless the cap
+// is saved up for a step that does not fit, and that has waited for as long or is in another pool while this one uses its
+// equal share. room holds since when the cap has had room.
+func (m *model) checkWaits(t *rapid.T, w queue.Workspace, room map[*task]time.Time) {
+	running, limit := m.running(w.Name), orNoLimit(w.Cap)
+	heads := m.heads(w.Name)
+	for pool, head := range heads {
+		saved := !within(add(running, head.need), limit)
+		for otherPool, other := range heads {
+			first := !other.since.After(head.since) || m.beyondShare(pool, w, head.need) && otherPool != pool
+			saved = saved || first && !within(add(running, other.need), limit)
+		}
+		since, ok := room[head]
+		switch {
+		case saved:
+			delete(room, head)
+		case !ok:
+			room[head] = m.now
+		case m.now.Sub(since) > time.Second:
+			t.Fatalf("%s waits for %v since %v; runs %v of %v", w.Name, head.need, m.now.Sub(since), running, limit)
+		}
+	}
+}
+
 func orNoLimit(c queue.Cap) quota.Resources {
 	limit := quota.Resources{CPUMilli: c.CPUMilli, MemoryMB: c.MemoryMB, GPU: quota.NoLimit}
 	if limit.CPUMilli == 0 {
