--- a/credentials/credentials_test.go
+++ b/credentials/credentials_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -43,9 +44,6 @@
 	d := credentials.NewDirectory([]queue.Workspace{{Name: "north", Keys: []string{"k-19fe33"}}})
 	for _, format := range []string{"%v", "%+v", "%#v", "%s"} {
 		text := fmt.Sprintf(format, d)
-		assert.Assert(t, len(text) > 0)
-		for i := 0; i+8 <= len(text); i++ {
-			assert.Assert(t, text[i:i+8] != "k-19fe33")
-		}
+		assert.Assert(t, !strings.Contains(text, "k-19fe33"), format)
 	}
 }
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -320,6 +320,12 @@
 		Remedy: "tell the caller of the job; see the payload of the task",
 	}
 
+	KeysUnconfirmed = Event{
+		Number: 959, Name: "keys_unconfirmed", Level: slog.LevelWarn, Message: "neither the store nor a peer confirms the configuration; submissions and cancellations with API keys are rejected",
+		Remedy: "check the platform's store and the network of this entry host",
+	}
+	KeysConfirmed = Event{Number: 960, Name: "keys_confirmed", Level: slog.LevelInfo, Message: "configuration is confirmed again; submissions and cancellations with API keys are served"}
+
 	SchedulerNote = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
 )
 
@@ -347,6 +353,7 @@
 	JobCompleted, JobFailed, JobCancelled, SchedulerNote, JobBegun, AttemptFailed, JobDurable, StepDone,
 	MemberNotStored, RecordSkipped, FleetRecordWaits, MachinesUnread, MachinesRead, TasksPreempted, PoolTakenOver,
 	RegistryUnwatched, RegistryWatched, CarriersChanged, CarrierFailed, WorkerCrashed, TaskCharged, TaskGivenUp,
+	KeysUnconfirmed, KeysConfirmed,
 }
 
 // retired lists the numbers of removed events, which are never reused.
--- a/internal/jobfront/decisions.go
+++ b/internal/jobfront/decisions.go
@@ -18,6 +18,11 @@
 	reasonNoTable          = "no configuration yet"
 	reasonStaleTable       = "no such queue in a configuration that was not confirmed lately"
 	reasonNoQueue          = "no such queue"
+	reasonUnknownKey       = "unknown key"
+	reasonKeyMayBeNew      = "unknown key in a configuration that was not confirmed lately"
+	reasonKeyMayBeRemoved  = "known key in a configuration that was not confirmed lately"
+	reasonOtherWorkspace   = "id of a job of another workspace"
+	reasonExceedsCap       = "task or gang larger than the cap of its workspace"
 	reasonBody             = "body too large, too slow or cut"
 	reasonHeader           = "header too large"
 	reasonInvalidJob       = "job cannot be read"
@@ -135,6 +140,9 @@
 	if q.queue != nil {
 		attrs = append(attrs, slog.String("queue", q.queue.Name), slog.String("pool", q.queue.Pool))
 	}
+	if q.workspace != "" {
+		attrs = append(attrs, slog.String("workspace", q.workspace))
+	}
 	if answer.reason != "" {
 		attrs = append(attrs, slog.String("reason", answer.reason))
 	}
--- a/internal/jobfront/ended.go
+++ b/internal/jobfront/ended.go
@@ -16,8 +16,9 @@
 	maxFinalStates = 4096
 )
 
+// jobKey identifies a job as callers of one workspace see it.
 type jobKey struct {
-	pool, id string
+	pool, id, workspace string
 }
 
 // finalStateCache caches the final states of jobs in two generations. The older one is dropped when the newer one is full
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -14,8 +14,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/agateturn/agateturn/credentials"
 	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/jobstate"
 	"github.com/agateturn/agateturn/queue"
 	"github.com/agateturn/agateturn/wait"
 )
@@ -32,22 +34,25 @@
 
 // Store holds the accepted jobs. Each method applies a deadline of its own besides that of ctx.
 type Store interface {
-	// Accept returns nil once the job is stored, by this call or an earlier one with the same id. Options.IsNotAccepted
-	// classifies its errors.
+	// Accept returns nil once the job is stored, by this call or an earlier one with the same id. Options.IsNotAccepted and
+	// Options.IsOtherWorkspace classify its errors.
 	Accept(ctx context.Context, job *pb.JobRecord) error
 	// Cancel returns nil once the cancellation is stored. known is false if there is no such job.
-	Cancel(ctx context.Context, pool, id string) (known bool, err error)
-	// Lookup is linearizable.
-	Lookup(ctx context.Context, pool, id string) (state pb.JobState, known bool, err error)
+	Cancel(ctx context.Context, pool, id string, by jobstate.Requester) (known bool, err error)
+	// CancelOwn is like Cancel, but known is false and nothing is stored if the job belongs to another workspace.
+	CancelOwn(ctx context.Context, pool, id string, by jobstate.Requester) (known bool, err error)
+	// Lookup is linearizable. known is false for a job that by may not see.
+	Lookup(ctx context.Context, pool, id string, by jobstate.Requester) (state pb.JobState, known bool, err error)
 }
 
 // Owners queries the owners of pools. An error means that the owner cannot be reached.
 type Owners interface {
-	// States returns one state for each id; UNSPECIFIED for a job that the owner does not know.
-	States(ctx context.Context, pool string, ids []string) ([]pb.JobState, error)
+	// States returns one state for each id; UNSPECIFIED for a job that the owner does not know, or that does not belong to the
+	// workspace.
+	States(ctx context.Context, pool, workspace string, ids []string) ([]pb.JobState, error)
 	// Offer notifies the owner of stored jobs and cancellations. wait is the delay of a new job that the owner's backlog
 	// causes, 0 if there is none. ok is false if the owner did not answer.
-	Offer(ctx context.Context, pool string, jobs []*pb.JobRecord, cancelled []string) (wait time.Duration, ok bool)
+	Offer(ctx context.Context, pool string, jobs []*pb.JobRecord, cancelled []*pb.JobCancel) (wait time.Duration, ok bool)
 	Pending(ctx context.Context, pool, queue string) (int64, error)
 }
 
@@ -57,6 +62,10 @@
 	Table() *queue.Table
 	// Current reports whether the table was confirmed recently.
 	Current() bool
+	// ConfirmedRecently reports whether the store or a peer confirmed the table recently. ConfirmedAge is the time since then.
+	// Both count time in suspension, and an answer that was received late is not recent.
+	ConfirmedRecently() bool
+	ConfirmedAge() time.Duration
 	// StoreAge is the time since the store last answered.
 	StoreAge() time.Duration
 }
@@ -70,6 +79,13 @@
 	// IsNotAccepted reports whether an error means that the job or cancellation is not stored and never will be. After any
 	// other error it may be stored.
 	IsNotAccepted func(error) bool
+	// IsOtherWorkspace reports whether an error means that the id belongs to a job of another workspace; nil means never.
+	IsOtherWorkspace func(error) bool
+	// KeyHeader is the request header with the caller's API key.
+	KeyHeader string
+	// MaxTableAge returns how long ago the table must have been confirmed at most for a key in it to be accepted for a
+	// submission or a cancellation.
+	MaxTableAge func() time.Duration
 	// Relays may be nil.
 	Relays Relays
 	// Log may be nil.
@@ -100,6 +116,8 @@
 	ready       atomic.Bool
 	// loggedReadiness is the reason of the last answer to a readiness check, empty if ready; nil before the first check.
 	loggedReadiness atomic.Pointer[string]
+	// keysUnconfirmed means that the age of the table has been logged, and its end has not.
+	keysUnconfirmed atomic.Bool
 	// stopBegan is nil until BeginStop.
 	stopBegan atomic.Pointer[time.Time]
 }
@@ -211,23 +229,41 @@
 	}
 }
 
+// indexedTable is a table with what requests look up in it.
 type indexedTable struct {
 	table *queue.Table
 	index *queue.Index
+	// keys is nil if the table has no list of workspaces. caps is keyed by workspace.
+	keys *credentials.Directory
+	caps map[string]queue.Cap
 }
 
-// index returns the index of the current table; nil if there is none yet.
-func (f *Front) index() *queue.Index {
+func newIndexedTable(t *queue.Table) *indexedTable {
+	indexed := &indexedTable{table: t, index: queue.NewIndex(t)}
+	if t.Workspaces != nil {
+		indexed.keys = credentials.NewDirectory(t.Workspaces)
+		indexed.caps = make(map[string]queue.Cap, len(t.Workspaces))
+	}
+	for i := range t.Workspaces {
+		if _, known := indexed.caps[t.Workspaces[i].Name]; !known {
+			indexed.caps[t.Workspaces[i].Name] = t.Workspaces[i].Cap
+		}
+	}
+	return indexed
+}
+
+// currentTable returns the current table; nil if there is none yet.
+func (f *Front) currentTable() *indexedTable {
 	table := f.options.Tables.Table()
 	if table == nil {
 		return nil
 	}
 	if cached := f.indexed.Load(); cached != nil && cached.table == table {
-		return cached.index
+		return cached
 	}
-	indexed := &indexedTable{table: table, index: queue.NewIndex(table)}
+	indexed := newIndexedTable(table)
 	f.indexed.Store(indexed)
-	return indexed.index
+	return indexed
 }
 
 // limits returns the limits of the current table; zero values are unset.
--- a/internal/jobfront/front_test.go
+++ b/internal/jobfront/front_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/jobstate"
 	"github.com/agateturn/agateturn/queue"
 )
 
@@ -27,9 +28,10 @@
 )
 
 var (
-	errNotAccepted = errors.New("not accepted")
-	errUndecided   = errors.New("undecided")
-	errDown        = errors.New("down")
+	errNotAccepted    = errors.New("not accepted")
+	errUndecided      = errors.New("undecided")
+	errOtherWorkspace = errors.New("other workspace")
+	errDown           = errors.New("down")
 )
 
 type codec struct{}
@@ -60,6 +62,8 @@
 	storeDelay time.Duration
 	// ownerDelay is the delay of new jobs that owners report.
 	ownerDelay time.Duration
+	// confirmedAge is the time since the table was confirmed.
+	confirmedAge time.Duration
 }
 
 func newFakeBackend() *fakeBackend {
@@ -103,6 +107,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if _, stored := b.stored[job.GetId()]; stored && !b.mayAccess(job.GetId(), jobstate.Requester{Workspace: job.GetWorkspace()}) {
+		return errOtherWorkspace
+	}
 	if b.storeErr == nil {
 		b.stored[job.GetId()] = queued
 		b.records = append(b.records, job)
@@ -110,17 +117,37 @@
 	return b.storeErr
 }
 
-func (b *fakeBackend) Cancel(_ context.Context, _, id string) (bool, error) {
+func (b *fakeBackend) ConfirmedRecently() bool     { return b.ConfirmedAge() < 8500*time.Millisecond }
+func (b *fakeBackend) ConfirmedAge() time.Duration { return b.confirmedAge }
+
+// mayAccess reports whether by may access the job; jobs that were not submitted in the test have no workspace.
+func (b *fakeBackend) mayAccess(id string, by jobstate.Requester) bool {
+	for _, job := range b.records {
+		if job.GetId() == id {
+			return by.MayAccess(job.GetWorkspace())
+		}
+	}
+	return by.MayAccess("")
+}
+
+func (b *fakeBackend) Cancel(_ context.Context, _, id string, _ jobstate.Requester) (bool, error) {
 	_, known := b.stored[id]
 	return known && b.storeErr == nil, b.storeErr
 }
 
-func (b *fakeBackend) Lookup(_ context.Context, _, id string) (pb.JobState, bool, error) {
+func (b *fakeBackend) CancelOwn(ctx context.Context, pool, id string, by jobstate.Requester) (bool, error) {
+	if !b.mayAccess(id, by) {
+		return false, b.storeErr
+	}
+	return b.Cancel(ctx, pool, id, by)
+}
+
+func (b *fakeBackend) Lookup(_ context.Context, _, id string, by jobstate.Requester) (pb.JobState, bool, error) {
 	state, known := b.stored[id]
-	return state, known, b.storeErr
+	return state, known && b.mayAccess(id, by), b.storeErr
 }
 
-func (b *fakeBackend) States(ctx context.Context, _ string, ids []string) ([]pb.JobState, error) {
+func (b *fakeBackend) States(ctx context.Context, _, _ string, ids []string) ([]pb.JobState, error) {
 	if errors.Is(b.ownerErr, context.DeadlineExceeded) {
 		<-ctx.Done()
 	}
@@ -130,14 +157,14 @@
 	return []pb.JobState{b.owner[ids[0]]}, b.ownerErr
 }
 
-func (b *fakeBackend) Offer(_ context.Context, pool string, jobs []*pb.JobRecord, cancelled []string) (time.Duration, bool) {
+func (b *fakeBackend) Offer(_ context.Context, pool string, jobs []*pb.JobRecord, cancelled []*pb.JobCancel) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, job := range jobs {
 		b.notified = append(b.notified, pool+" "+job.GetId())
 	}
-	for _, id := range cancelled {
-		b.notified = append(b.notified, pool+" -"+id)
+	for _, c := range cancelled {
+		b.notified = append(b.notified, strings.TrimSpace(pool+" -"+c.GetId()+" "+c.GetWorkspace()))
 	}
 	return b.ownerDelay, b.ownerErr == nil
 }
@@ -152,7 +179,9 @@
 func (b *fakeBackend) front() *Front {
 	return New(Options{
 		Codec: codec{}, Store: b, Owners: b, Tables: b, ContentType: "application/json",
-		IsNotAccepted: func(err error) bool { return errors.Is(err, errNotAccepted) },
+		IsNotAccepted:    func(err error) bool { return errors.Is(err, errNotAccepted) },
+		IsOtherWorkspace: func(err error) bool { return errors.Is(err, errOtherWorkspace) },
+		KeyHeader:        "Api-Key", MaxTableAge: func() time.Duration { return 9 * time.Second },
 	})
 }
 
--- a/internal/jobfront/handler.go
+++ b/internal/jobfront/handler.go
@@ -32,6 +32,9 @@
 	queue *queue.Queue
 	// id is the rest of the path; it is empty for the queue itself.
 	id string
+	// workspace is that of the caller's key; empty if the queue needs no key. cap is the workspace's.
+	workspace string
+	cap       queue.Cap
 }
 
 // reply is an answer to a caller.
@@ -63,17 +66,20 @@
 	if rejected != nil {
 		return *rejected, request{}
 	}
-	index := f.index()
-	if index == nil {
+	table := f.currentTable()
+	if table == nil {
 		return reply{status: http.StatusServiceUnavailable, retry: true, reason: reasonNoTable}, request{}
 	}
-	q, ok := index.Lookup(hostOf(r.Host), r.URL.Path)
+	q, ok := table.index.Lookup(hostOf(r.Host), r.URL.Path)
 	if !ok {
 		return f.noQueue(), request{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout(r.Header.Get(headerDeadline), q.Timeout))
 	defer cancel()
 	parsed := request{queue: q, id: r.URL.Path[len(q.Prefix):]}
+	if rejected := f.authenticate(ctx, table, r, &parsed); rejected != nil {
+		return *rejected, parsed
+	}
 	return f.dispatch(ctx, r.Method, parsed, body), parsed
 }
 
--- a/internal/jobfront/metrics.go
+++ b/internal/jobfront/metrics.go
@@ -22,6 +22,7 @@
 	metricOffersRefused = "agateturn_job_offers_refused"
 	metricTableVersion  = "agateturn_job_table_version"
 	metricStoreAge      = "agateturn_store_age_seconds"
+	metricTableAge      = "agateturn_job_table_confirmed_age_seconds"
 	metricReady         = "agateturn_ready"
 )
 
@@ -105,6 +106,7 @@
 	s := f.options.Metrics.stats
 	s.Gauge(metricReady).Update(lo.Ternary(f.notReady() == "", 1.0, 0.0))
 	s.Gauge(metricStoreAge).Update(min(f.options.Tables.StoreAge().Seconds(), maxStoreAge))
+	s.Gauge(metricTableAge).Update(min(f.options.Tables.ConfirmedAge().Seconds(), maxStoreAge))
 	s.Gauge(metricOffersWaiting).Update(float64(f.offers.queue.Len()))
 	s.Gauge(metricOffersRefused).Update(float64(f.offers.queue.Refused()))
 	if table := f.options.Tables.Table(); table != nil {
--- a/internal/jobfront/offers.go
+++ b/internal/jobfront/offers.go
@@ -26,7 +26,7 @@
 	pool string
 	// job is nil for a cancellation.
 	job       *pb.JobRecord
-	cancelled string
+	cancelled *pb.JobCancel
 }
 
 // offers notifies owners of stored jobs and cancellations.
@@ -50,7 +50,7 @@
 
 func (o *offers) addJob(job *pb.JobRecord) { o.queue.Offer(offer{pool: job.GetPool(), job: job}) }
 
-func (o *offers) addCancellation(pool, id string) { o.queue.Offer(offer{pool: pool, cancelled: id}) }
+func (o *offers) addCancellation(pool string, c *pb.JobCancel) { o.queue.Offer(offer{pool: pool, cancelled: c}) }
 
 func (o *offers) run(ctx context.Context) {
 	for {
@@ -98,7 +98,7 @@
 	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
 	defer cancel()
 	var jobs []*pb.JobRecord
-	var cancelled []string
+	var cancelled []*pb.JobCancel
 	for _, n := range batch {
 		if n.job != nil {
 			jobs = append(jobs, n.job)
--- a/internal/jobfront/operate.go
+++ b/internal/jobfront/operate.go
@@ -93,7 +93,7 @@
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
 	for _, pool := range pools {
-		state, known, err := o.front.options.Store.Lookup(ctx, pool, id)
+		state, known, err := o.front.options.Store.Lookup(ctx, pool, id, jobstate.Requester{Operator: true})
 		if err != nil {
 			return operatorapi.JobStatus{}, operatorapi.Unavailable.New("pool %s: %v", pool, err)
 		}
@@ -112,7 +112,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	switch o.front.storeCancel(ctx, job.Pool, id) {
+	switch o.front.storeCancel(ctx, job.Pool, id, jobstate.Requester{Operator: true}) {
 	case pb.StoreResult_STORE_RESULT_STORED:
 		return operatorapi.JobCancelled{ID: id, Pool: job.Pool}, nil
 	case pb.StoreResult_STORE_RESULT_UNKNOWN_JOB:
--- a/internal/jobfront/store.go
+++ b/internal/jobfront/store.go
@@ -7,6 +7,7 @@
 	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/jobstate"
 )
 
 const (
@@ -41,7 +42,7 @@
 	defer cancel()
 	pool := cmp.Or(req.GetJob().GetPool(), req.GetCancelPool())
 	id := cmp.Or(req.GetJob().GetId(), req.GetCancelId())
-	if _, _, err := f.options.Store.Lookup(ctx, pool, id); err == nil {
+	if _, _, err := f.options.Store.Lookup(ctx, pool, id, jobstate.Requester{Operator: true}); err == nil {
 		f.breaker.recordAnswered()
 	}
 }
@@ -114,7 +115,7 @@
 	if job := req.GetJob(); job != nil {
 		err = f.options.Store.Accept(ctx, job)
 	} else {
-		known, err = f.options.Store.Cancel(ctx, req.GetCancelPool(), req.GetCancelId())
+		known, err = f.cancelLocally(ctx, req)
 	}
 	result := f.storeResult(known, err)
 	if err != nil {
@@ -129,6 +130,18 @@
 	return result
 }
 
+// cancelLocally writes a cancellation to the store. Cancellations by callers are restricted to their own jobs if the
+// configuration has workspaces, or the caller's host knew one that has.
+func (f *Front) cancelLocally(ctx context.Context, req *pb.StoreJobRequest) (known bool, err error) {
+	by := jobstate.Requester{Workspace: req.GetCancelWorkspace(), Operator: req.GetCancelByOperator()}
+	table := f.options.Tables.Table()
+	restricted := by.Workspace != "" || (table != nil && table.Workspaces != nil)
+	if restricted && !by.Operator {
+		return f.options.Store.CancelOwn(ctx, req.GetCancelPool(), req.GetCancelId(), by)
+	}
+	return f.options.Store.Cancel(ctx, req.GetCancelPool(), req.GetCancelId(), by)
+}
+
 // storeResult classifies the store's answer to a write.
 func (f *Front) storeResult(known bool, err error) pb.StoreResult {
 	switch {
@@ -136,6 +149,8 @@
 		return pb.StoreResult_STORE_RESULT_STORED
 	case err == nil:
 		return pb.StoreResult_STORE_RESULT_UNKNOWN_JOB
+	case f.options.IsOtherWorkspace != nil && f.options.IsOtherWorkspace(err):
+		return pb.StoreResult_STORE_RESULT_OTHER_WORKSPACE
 	case f.options.IsNotAccepted(err):
 		return pb.StoreResult_STORE_RESULT_NOT_STORED
 	default:
@@ -144,7 +159,12 @@
 }
 
 func isDecided(result pb.StoreResult) bool {
-	return result == pb.StoreResult_STORE_RESULT_STORED || result == pb.StoreResult_STORE_RESULT_UNKNOWN_JOB
+	switch result {
+	case pb.StoreResult_STORE_RESULT_STORED, pb.StoreResult_STORE_RESULT_UNKNOWN_JOB, pb.StoreResult_STORE_RESULT_OTHER_WORKSPACE:
+		return true
+	default:
+		return false
+	}
 }
 
 // storeReply returns the answer for a result. Only a write that certainly did not happen is rejected with a 503; the
@@ -155,6 +175,8 @@
 		return reply{status: http.StatusOK}
 	case pb.StoreResult_STORE_RESULT_UNKNOWN_JOB:
 		return reply{status: http.StatusGone, reason: reasonNoSuchJob}
+	case pb.StoreResult_STORE_RESULT_OTHER_WORKSPACE:
+		return reply{status: http.StatusConflict, body: []byte(reasonOtherWorkspace + "\n"), reason: reasonOtherWorkspace}
 	case pb.StoreResult_STORE_RESULT_NOT_STORED:
 		return reply{status: http.StatusServiceUnavailable, retry: true, reason: reasonNotStored}
 	default:
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -140,6 +140,7 @@
 	group.Go(func() error { h.carrier.Run(work); return nil })
 	group.Go(func() error { h.followWorkers(work); return nil })
 	group.Go(func() error { h.tables.Gossip(work, gossipPeers{h}); return nil })
+	group.Go(func() error { h.tables.Confirm(work, confirmers{h}); return nil })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/internal/jobhost/options.go
+++ b/internal/jobhost/options.go
@@ -39,16 +39,26 @@
 func (h *Host) frontOptions() jobfront.Options {
 	return jobfront.Options{
 		Codec: codec{}, Store: h.jobs, Owners: h.peers, Tables: h.tables,
-		Relays:         relays{h},
-		Log:            h.log,
-		IsNotAccepted:  isNotAccepted,
-		Metrics:        jobfront.NewMetrics(h.stats),
-		ContentType:    contentType,
-		MaxConnections: maxConnections,
-		StopNotice:     stopNotice,
+		Relays:           relays{h},
+		Log:              h.log,
+		IsNotAccepted:    isNotAccepted,
+		IsOtherWorkspace: jobstore.OtherWorkspace.Has,
+		KeyHeader:        platform.KeyHeader,
+		MaxTableAge:      h.maxTableAge,
+		Metrics:          jobfront.NewMetrics(h.stats),
+		ContentType:      contentType,
+		MaxConnections:   maxConnections,
+		StopNotice:       stopNotice,
 	}
 }
 
+// maxTableAge returns how long ago a configuration must have been confirmed at most for keys in it to be accepted: a later one
+// may be in force after that.
+func (h *Host) maxTableAge() time.Duration {
+	b := h.settings.Load().GetJobBounds()
+	return b.GetApplyTime().AsDuration() + b.GetApplyStretch().AsDuration()
+}
+
 // isNotAccepted reports whether an error proves that nothing was stored. The error of an undecided write may wrap one that
 // proves this for the last attempt only.
 func isNotAccepted(err error) bool {
--- a/internal/jobhost/peers.go
+++ b/internal/jobhost/peers.go
@@ -4,10 +4,12 @@
 	"cmp"
 	"context"
 	"slices"
+	"time"
 
 	"github.com/samber/lo"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/tablefollow"
 )
 
 // gossipFanout is the number of peers to which each host offers new tables.
@@ -39,6 +41,21 @@
 	return n.peers.OfferTable(ctx, address, version, raw)
 }
 
+// confirmers are the peers that can confirm the table of queues.
+type confirmers struct{ *Host }
+
+// Others returns the addresses of the other members, the next one in the ring first.
+func (c confirmers) Others() []string { return peerAddresses(c.otherMembers()) }
+
+// AskTable asks a peer for the version that it uses.
+func (c confirmers) AskTable(ctx context.Context, address string, version int64, sendRaw bool) (tablefollow.Confirmation, error) {
+	answer, err := c.peers.AskTable(ctx, address, version, sendRaw)
+	return tablefollow.Confirmation{
+		Version: answer.GetVersion(), Raw: answer.GetRaw(), Confirmed: answer.GetConfirmed(),
+		Age: time.Duration(answer.GetConfirmedMs()) * time.Millisecond,
+	}, err
+}
+
 // relays are the peers through which this host stores jobs while it cannot reach the store.
 type relays struct{ *Host }
 
--- a/internal/jobhost/pools.go
+++ b/internal/jobhost/pools.go
@@ -141,19 +141,19 @@
 	return nil
 }
 
-// States returns the states of jobs. It reports false if this host does not own the pool or the owner does not answer.
-func (p *pools) States(pool string, ids []string) ([]pb.JobState, bool) {
+// States returns the states of jobs, as callers of the workspaces see them. It reports false if this host does not own the pool or the owner does not answer.
+func (p *pools) States(pool string, ids, workspaces []string) ([]pb.JobState, bool) {
 	owner := p.owner(pool)
 	if owner == nil {
 		return nil, false
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, ownerQueryTimeout)
 	defer cancel()
-	return owner.States(ctx, ids)
+	return owner.States(ctx, ids, workspaces)
 }
 
 // Offer passes new jobs and cancellations to the owner on this host. It reports false if this host does not own the pool.
-func (p *pools) Offer(pool string, jobs []*pb.JobRecord, cancelled []string) bool {
+func (p *pools) Offer(pool string, jobs []*pb.JobRecord, cancelled []*pb.JobCancel) bool {
 	owner := p.owner(pool)
 	if owner == nil {
 		return false
--- a/internal/jobpeer/batch.go
+++ b/internal/jobpeer/batch.go
@@ -13,7 +13,7 @@
 
 // batcher combines concurrent queries for the states of a pool's jobs into one call.
 type batcher struct {
-	call func(pool string, ids []string) ([]pb.JobState, error)
+	call func(pool string, ids, workspaces []string) ([]pb.JobState, error)
 
 	mu sync.Mutex
 	// open holds the batch of each pool that still accepts ids.
@@ -22,20 +22,22 @@
 
 // batch is the ids and the result of one call. states and err are set before done is closed.
 type batch struct {
-	ids  []string
-	done chan struct{}
+	ids []string
+	// workspaces is empty, or has the workspace of the caller for each of ids.
+	workspaces []string
+	done       chan struct{}
 
 	states []pb.JobState
 	err    error
 }
 
-func newBatcher(call func(pool string, ids []string) ([]pb.JobState, error)) *batcher {
+func newBatcher(call func(pool string, ids, workspaces []string) ([]pb.JobState, error)) *batcher {
 	return &batcher{call: call, open: map[string]*batch{}}
 }
 
-// query returns the states of ids, or ctx's error if ctx ends first.
-func (b *batcher) query(ctx context.Context, pool string, ids []string) ([]pb.JobState, error) {
-	joined, first := b.join(pool, ids)
+// query returns the states of ids for a caller of the workspace, or ctx's error if ctx ends first.
+func (b *batcher) query(ctx context.Context, pool, workspace string, ids []string) ([]pb.JobState, error) {
+	joined, first := b.join(pool, workspace, ids)
 	select {
 	case <-ctx.Done():
 		return nil, errCall.Wrap(ctx.Err())
@@ -49,7 +51,7 @@
 
 // join adds ids to the pool's open batch, and opens one if there is none or it is full. first is the index of the first
 // of ids in the batch.
-func (b *batcher) join(pool string, ids []string) (joined *batch, first int) {
+func (b *batcher) join(pool, workspace string, ids []string) (joined *batch, first int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	joined = b.open[pool]
@@ -60,6 +62,11 @@
 	}
 	first = len(joined.ids)
 	joined.ids = append(joined.ids, ids...)
+	if workspace != "" || len(joined.workspaces) > 0 {
+		joined.workspaces = append(joined.workspaces, make([]string, first-len(joined.workspaces))...)
+		joined.workspaces = append(joined.workspaces, repeatUnlessEmpty(workspace, len(ids))...)
+		joined.workspaces = append(joined.workspaces, make([]string, len(joined.ids)-len(joined.workspaces))...)
+	}
 	return joined, first
 }
 
@@ -70,6 +77,6 @@
 		delete(b.open, pool)
 	}
 	b.mu.Unlock()
-	sent.states, sent.err = b.call(pool, sent.ids)
+	sent.states, sent.err = b.call(pool, sent.ids, sent.workspaces)
 	close(sent.done)
 }
--- a/internal/jobpeer/client.go
+++ b/internal/jobpeer/client.go
@@ -178,25 +178,25 @@
 	return answer, nil
 }
 
-// States returns one state for each id; UNSPECIFIED for a job that the owner does not know.
-// Errors: NoOwner, or the call's.
-func (c *Client) States(ctx context.Context, pool string, ids []string) ([]pb.JobState, error) {
+// States returns one state for each id; UNSPECIFIED for a job that the owner does not know, or that does not belong to the
+// workspace. Errors: NoOwner, or the call's.
+func (c *Client) States(ctx context.Context, pool, workspace string, ids []string) ([]pb.JobState, error) {
 	if _, local, _ := c.resolve(pool); local {
-		if states, owner := c.local.States(pool, ids); owner {
+		if states, owner := c.local.States(pool, ids, repeatUnlessEmpty(workspace, len(ids))); owner {
 			return states, nil
 		}
 		return nil, NoOwner.New("%s", pool)
 	}
-	return c.states.query(ctx, pool, ids)
+	return c.states.query(ctx, pool, workspace, ids)
 }
 
 // queryStates makes one call for many callers, so it has a deadline of its own.
-func (c *Client) queryStates(pool string, ids []string) ([]pb.JobState, error) {
+func (c *Client) queryStates(pool string, ids, workspaces []string) ([]pb.JobState, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), statesTimeout)
 	defer cancel()
-	answer, err := callOwner(ctx, c, pool, &pb.JobStatesRequest{Pool: pool, Ids: ids},
+	answer, err := callOwner(ctx, c, pool, &pb.JobStatesRequest{Pool: pool, Ids: ids, Workspaces: workspaces},
 		func() (*pb.JobStatesResponse, bool) {
-			states, owner := c.local.States(pool, ids)
+			states, owner := c.local.States(pool, ids, workspaces)
 			return &pb.JobStatesResponse{States: states}, owner
 		},
 		agateturnv1connect.JobPeerServiceClient.JobStates, (*pb.JobStatesResponse).GetOwner)
@@ -211,8 +211,10 @@
 
 // Offer notifies the owner of the pool of stored jobs and cancellations. wait is the delay of a new job that the owner's
 // backlog causes. ok is false if the owner did not answer; nothing is lost then, as the owner also watches the store.
-func (c *Client) Offer(ctx context.Context, pool string, jobs []*pb.JobRecord, cancelled []string) (wait time.Duration, ok bool) {
-	answer, err := callOwner(ctx, c, pool, &pb.OfferJobsRequest{Pool: pool, Jobs: jobs, Cancelled: cancelled},
+func (c *Client) Offer(ctx context.Context, pool string, jobs []*pb.JobRecord, cancelled []*pb.JobCancel) (wait time.Duration, ok bool) {
+	req := &pb.OfferJobsRequest{Pool: pool, Jobs: jobs}
+	req.Cancelled, req.Cancellations = splitCancellations(cancelled)
+	answer, err := callOwner(ctx, c, pool, req,
 		func() (*pb.OfferJobsResponse, bool) {
 			owner := c.local.Offer(pool, jobs, cancelled)
 			return &pb.OfferJobsResponse{WaitMs: c.local.Wait(pool).Milliseconds()}, owner
@@ -247,6 +249,15 @@
 	return answer.GetJobs(), err
 }
 
+// AskTable asks the peer for the version of the table of queues that it uses and how long ago that was confirmed. sendRaw asks
+// for the table too if it is newer than version.
+func (c *Client) AskTable(ctx context.Context, address string, version int64, sendRaw bool) (*pb.OfferTableResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	return call(ctx, c, address, agateturnv1connect.JobPeerServiceClient.OfferTable,
+		&pb.OfferTableRequest{Version: version, Ask: true, SendRaw: sendRaw})
+}
+
 // OfferTable offers a version of the table of queues to the peer, and returns the version that the peer then uses.
 func (c *Client) OfferTable(ctx context.Context, address string, version int64, raw []byte) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
--- a/internal/jobpeer/peer_test.go
+++ b/internal/jobpeer/peer_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -28,15 +29,17 @@
 	calls   int
 	offered []string
 	version int64
-	raw     []byte
+	// workspace is the workspace of all jobs.
+	workspace string
+	raw       []byte
 	// release blocks answers to queries for states until it is closed; nil does not block.
 	release atomic.Pointer[chan struct{}]
 }
 
 func (m *member) owns(pool string) bool { return slices.Contains(m.owned, pool) }
 
-// States returns RUNNING for ids that end in an even digit.
-func (m *member) States(pool string, ids []string) ([]pb.JobState, bool) {
+// States returns RUNNING for ids that end in an even digit; they belong to the member's workspace.
+func (m *member) States(pool string, ids, workspaces []string) ([]pb.JobState, bool) {
 	if release := m.release.Load(); release != nil {
 		<-*release
 	}
@@ -45,7 +48,7 @@
 	m.calls++
 	states := make([]pb.JobState, len(ids))
 	for i, id := range ids {
-		if id[len(id)-1]%2 == 0 {
+		if id[len(id)-1]%2 == 0 && (len(workspaces) == 0 || workspaces[i] == m.workspace) {
 			states[i] = pb.JobState_JOB_STATE_RUNNING
 		}
 	}
@@ -54,13 +57,15 @@
 
 func (m *member) Wait(string) time.Duration { return 1500 * time.Millisecond }
 
-func (m *member) Offer(pool string, jobs []*pb.JobRecord, cancelled []string) bool {
+func (m *member) Offer(pool string, jobs []*pb.JobRecord, cancelled []*pb.JobCancel) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, job := range jobs {
 		m.offered = append(m.offered, job.GetId())
 	}
-	m.offered = append(m.offered, cancelled...)
+	for _, c := range cancelled {
+		m.offered = append(m.offered, strings.TrimSpace(c.GetId()+" "+c.GetWorkspace()))
+	}
 	return m.owns(pool)
 }
 
@@ -83,6 +88,10 @@
 	return t.version
 }
 
+func (t tables) Confirmed() (version int64, raw []byte, age time.Duration, ok bool) {
+	return t.version, t.raw, 1500 * time.Millisecond, t.version > 0
+}
+
 func (m *member) StoreJob(_ context.Context, req *pb.StoreJobRequest) pb.StoreResult {
 	if req.GetJob() != nil {
 		return pb.StoreResult_STORE_RESULT_STORED
@@ -117,7 +126,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			ctx := t.Context()
-			states, err := c.States(ctx, "p", []string{"0001", "0002"})
+			states, err := c.States(ctx, "p", "", []string{"0001", "0002"})
 			assert.NilError(t, err)
 			assert.DeepEqual(t, states, []pb.JobState{0, pb.JobState_JOB_STATE_RUNNING})
 			n, err := c.Pending(ctx, "p", "q")
@@ -130,9 +139,10 @@
 			assert.NilError(t, err)
 			assert.Equal(t, len(jobs), 1)
 			m.offered = nil
-			wait, ok := c.Offer(ctx, "p", []*pb.JobRecord{{Id: "0003"}}, []string{"0004"})
+			wait, ok := c.Offer(ctx, "p", []*pb.JobRecord{{Id: "0003"}},
+				[]*pb.JobCancel{{Id: "0004"}, {Id: "0005", Workspace: "north"}})
 			assert.Assert(t, ok && wait == 1500*time.Millisecond, wait)
-			assert.DeepEqual(t, m.offered, []string{"0003", "0004"})
+			assert.DeepEqual(t, m.offered, []string{"0003", "0004", "0005 north"})
 		})
 	}
 }
@@ -148,7 +158,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			ctx := t.Context()
-			_, err := c.States(ctx, "p", []string{"0001"})
+			_, err := c.States(ctx, "p", "", []string{"0001"})
 			assert.Assert(t, NoOwner.Has(err), "%v", err)
 			_, err = c.Pending(ctx, "p", "q")
 			assert.Assert(t, NoOwner.Has(err), "%v", err)
@@ -165,13 +175,13 @@
 func TestStateQueriesAreBatched(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := &member{owned: []string{"p"}}
-		b := newBatcher(func(pool string, ids []string) ([]pb.JobState, error) {
-			states, _ := m.States(pool, ids)
+		b := newBatcher(func(pool string, ids, workspaces []string) ([]pb.JobState, error) {
+			states, _ := m.States(pool, ids, workspaces)
 			return states, nil
 		})
 		for i := range maxIDs + 1 {
 			go func() {
-				states, err := b.query(t.Context(), "p", []string{fmt.Sprintf("%04d", i)})
+				states, err := b.query(t.Context(), "p", "", []string{fmt.Sprintf("%04d", i)})
 				assert.Check(t, err)
 				assert.Check(t, len(states) == 1 && (states[0] == pb.JobState_JOB_STATE_RUNNING) == (i%2 == 0))
 			}()
@@ -192,7 +202,7 @@
 	c := client(t, address)
 	query := func() (time.Duration, error) {
 		began := time.Now()
-		_, err := c.States(t.Context(), "p", []string{"0002"})
+		_, err := c.States(t.Context(), "p", "", []string{"0002"})
 		return time.Since(began), err
 	}
 	for range suspectAfter {
@@ -239,6 +249,43 @@
 	assert.Equal(t, len(m.raw), 1<<20)
 }
 
+// TestStatesOfWorkspacesInOneBatch mixes callers with and without a workspace: each must be told of its own workspace's jobs
+// only, and of the right ones.
+func TestStatesOfWorkspacesInOneBatch(t *testing.T) {
+	m, address := start(t, "p")
+	m.workspace = "north"
+	c := client(t, address)
+	var callers sync.WaitGroup
+	for i, workspace := range []string{"", "north", "south", "north", ""} {
+		callers.Go(func() {
+			time.Sleep(time.Duration(i) * 100 * time.Microsecond)
+			states, err := c.States(t.Context(), "p", workspace, []string{"0001", "0002"})
+			assert.Check(t, err)
+			assert.Check(t, states[0] == 0 && (states[1] == pb.JobState_JOB_STATE_RUNNING) == (workspace == "north"), "%q: %v", workspace, states)
+		})
+	}
+	callers.Wait()
+}
+
+// TestAskTable checks that a peer tells the age of its confirmation, and sends its table only when asked for.
+func TestAskTable(t *testing.T) {
+	m, address := start(t)
+	c := client(t, address)
+	answer, err := c.AskTable(t.Context(), address, 3, true)
+	assert.NilError(t, err)
+	assert.Assert(t, !answer.GetConfirmed(), "the peer has no table")
+	_, err = c.OfferTable(t.Context(), address, 4, []byte("x"))
+	assert.NilError(t, err)
+	for _, sendRaw := range []bool{false, true} {
+		answer, err = c.AskTable(t.Context(), address, 3, sendRaw)
+		assert.NilError(t, err)
+		assert.Assert(t, answer.GetConfirmed() && answer.GetVersion() == 4)
+		assert.Assert(t, answer.GetConfirmedMs() >= 1500, "a confirmation must not become more recent")
+		assert.Equal(t, len(answer.GetRaw()) > 0, sendRaw)
+	}
+	assert.Equal(t, m.version, int64(4))
+}
+
 // TestStoreJob distinguishes jobs that are certainly not stored from those that may be.
 func TestStoreJob(t *testing.T) {
 	_, address := start(t)
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -26,9 +26,10 @@
 
 // Pools are the pools that this entry host may own. A bool result is false for a pool that it does not own.
 type Pools interface {
-	// States returns one state for each id; UNSPECIFIED for a job that the owner does not know.
-	States(pool string, ids []string) ([]pb.JobState, bool)
-	Offer(pool string, jobs []*pb.JobRecord, cancelled []string) bool
+	// States returns one state for each id; UNSPECIFIED for a job that the owner does not know, or that does not belong to the
+	// workspace with the same index. workspaces is empty if all are the empty workspace.
+	States(pool string, ids, workspaces []string) ([]pb.JobState, bool)
+	Offer(pool string, jobs []*pb.JobRecord, cancelled []*pb.JobCancel) bool
 	Pending(pool, queue string) (int64, bool)
 	Status(req *pb.PoolStatusRequest) (*pb.PoolStatusResponse, bool)
 	// Wait returns the delay of a new job that the owner's backlog of tasks to place causes; 0 if there is none.
@@ -44,6 +45,8 @@
 type Tables interface {
 	// Offer returns the version in use afterwards; 0 means none.
 	Offer(ctx context.Context, version int64, raw []byte) int64
+	// Confirmed returns the version in use, its bytes, and the time since it was last confirmed; ok is false if it never was.
+	Confirmed() (version int64, raw []byte, age time.Duration, ok bool)
 }
 
 // JobStorer stores jobs and cancellations for peers that cannot reach the store.
@@ -68,17 +71,20 @@
 	if len(req.Msg.GetIds()) > maxIDs {
 		return nil, tooMany("ids", len(req.Msg.GetIds()), maxIDs)
 	}
-	states, owner := s.pools.States(req.Msg.GetPool(), req.Msg.GetIds())
+	if n := len(req.Msg.GetWorkspaces()); n > 0 && n != len(req.Msg.GetIds()) {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errCall.New("%d workspaces for %d ids", n, len(req.Msg.GetIds())))
+	}
+	states, owner := s.pools.States(req.Msg.GetPool(), req.Msg.GetIds(), req.Msg.GetWorkspaces())
 	return connect.NewResponse(&pb.JobStatesResponse{Owner: owner, States: states}), nil
 }
 
 // OfferJobs implements the service.
 func (s *server) OfferJobs(_ context.Context, req *connect.Request[pb.OfferJobsRequest]) (*connect.Response[pb.OfferJobsResponse], error) {
-	if n := len(req.Msg.GetJobs()) + len(req.Msg.GetCancelled()); n > maxOffered {
+	if n := len(req.Msg.GetJobs()) + len(req.Msg.GetCancelled()) + len(req.Msg.GetCancellations()); n > maxOffered {
 		return nil, tooMany("jobs", n, maxOffered)
 	}
 	pool := req.Msg.GetPool()
-	owner := s.pools.Offer(pool, req.Msg.GetJobs(), req.Msg.GetCancelled())
+	owner := s.pools.Offer(pool, req.Msg.GetJobs(), cancellationsOf(req.Msg))
 	return connect.NewResponse(&pb.OfferJobsResponse{Owner: owner, WaitMs: s.pools.Wait(pool).Milliseconds()}), nil
 }
 
@@ -122,10 +128,26 @@
 
 // OfferTable implements the service.
 func (s *server) OfferTable(ctx context.Context, req *connect.Request[pb.OfferTableRequest]) (*connect.Response[pb.OfferTableResponse], error) {
+	if req.Msg.GetAsk() {
+		return connect.NewResponse(s.confirmTable(req.Msg)), nil
+	}
 	version := s.tables.Offer(ctx, req.Msg.GetVersion(), req.Msg.GetRaw())
 	return connect.NewResponse(&pb.OfferTableResponse{Version: version}), nil
 }
 
+func (s *server) confirmTable(req *pb.OfferTableRequest) *pb.OfferTableResponse {
+	version, raw, age, ok := s.tables.Confirmed()
+	answer := &pb.OfferTableResponse{Version: version, Confirmed: ok}
+	if ok {
+		// Rounded up, so that the asking host never counts the confirmation as more recent than it is.
+		answer.ConfirmedMs = age.Milliseconds() + 1
+	}
+	if req.GetSendRaw() && version > req.GetVersion() {
+		answer.Raw = raw
+	}
+	return answer
+}
+
 func tooMany(what string, n, limit int) error {
 	return connect.NewError(connect.CodeInvalidArgument, errCall.New("%d %s; at most %d", n, what, limit))
 }
--- a/internal/jobstore/accept.go
+++ b/internal/jobstore/accept.go
@@ -12,17 +12,23 @@
 )
 
 // Accept stores the job. It returns nil once the job is durable, or if a job with its id was stored already.
-// Errors: NotAccepted, Undecided. The error is also Undecided if an earlier write with this id may still take effect.
+// Errors: NotAccepted, Undecided, OtherWorkspace. The error is also Undecided if an earlier write with this id may still take
+// effect.
 func (s *Store) Accept(ctx context.Context, rec *pb.JobRecord) error {
 	id := rec.GetId()
 	data, err := proto.Marshal(rec)
 	if err != nil {
 		return NotAccepted.Wrap(err)
 	}
-	err = s.write(ctx, &pendingWrite{id: id, key: jobkeys.Job(rec.GetPool(), id), data: data, ifAbsent: true})
+	err = s.write(ctx, &pendingWrite{
+		id: id, key: jobkeys.Job(rec.GetPool(), id), data: data, ifAbsent: true, isJob: true,
+		check: func(stored []byte) error { return checkSameWorkspace(rec, stored) },
+	})
 	switch {
 	case err == nil:
 		return nil
+	case OtherWorkspace.Has(err):
+		return err
 	case store.Unknown.Has(err):
 		s.undecided.add(id, s.clock())
 		return Undecided.Wrap(err)
@@ -32,25 +38,92 @@
 	return NotAccepted.Wrap(err)
 }
 
+// checkSameWorkspace returns OtherWorkspace if the stored record of a job belongs to another workspace than rec. A record that
+// cannot be decoded counts as the same job.
+func checkSameWorkspace(rec *pb.JobRecord, stored []byte) error {
+	other := &pb.JobRecord{}
+	if proto.Unmarshal(stored, other) == nil && other.GetWorkspace() != rec.GetWorkspace() {
+		return OtherWorkspace.New("job %s", rec.GetId())
+	}
+	return nil
+}
+
 // Cancel stores the cancellation, which is durable if the error is nil. known is false if there was no such job. The
 // cancellation is stored even then, so that a job whose write takes effect late does not run. The job is read after the
 // write, so that a concurrent Accept and Cancel cannot miss each other; known is true if that read fails.
 // Errors: store.Unavailable (not stored), Undecided. Cancel may be repeated.
-func (s *Store) Cancel(ctx context.Context, pool, id string) (known bool, err error) {
-	data, err := proto.Marshal(&pb.JobCancel{Id: id, CancelledMs: s.clock().UnixMilli()})
+//
+// Cancel is for operators, and for callers of a configuration without workspaces; see CancelOwn.
+func (s *Store) Cancel(ctx context.Context, pool, id string, by jobstate.Requester) (known bool, err error) {
+	data, err := s.encodeCancel(id, by)
 	if err != nil {
 		return false, err
 	}
-	err = s.write(ctx, &pendingWrite{id: id, key: jobkeys.Cancel(pool, id), data: data})
-	if store.Unknown.Has(err) {
-		return false, Undecided.Wrap(err)
+	w := &pendingWrite{id: id, key: jobkeys.Cancel(pool, id), data: data}
+	if by.Operator {
+		w.check = func(stored []byte) error { return checkSameCanceller(by, stored) }
 	}
-	if err != nil {
+	if err := s.writeCancel(ctx, w); err != nil {
 		return false, err
 	}
 	return s.mayExist(ctx, jobkeys.Job(pool, id)), nil
 }
 
+// CancelOwn is like Cancel for a caller that may cancel only the jobs of its workspace. known is also false for a job of
+// another workspace, and then nothing is written.
+//
+// A job has one key for its cancellation, so a caller must not replace the cancellation of another one: the job is read first,
+// and only its own workspace replaces the value. While there is no job, the first cancellation stays; that of another workspace
+// is then rejected with store.Unavailable.
+func (s *Store) CancelOwn(ctx context.Context, pool, id string, by jobstate.Requester) (known bool, err error) {
+	data, err := s.encodeCancel(id, by)
+	if err != nil {
+		return false, err
+	}
+	item, err := s.get(ctx, jobkeys.Job(pool, id))
+	if err != nil {
+		return false, store.Unavailable.Wrap(err)
+	}
+	w := &pendingWrite{
+		id: id, key: jobkeys.Cancel(pool, id), data: data, ifAbsent: item.Version == 0,
+		check: func(stored []byte) error { return checkSameCanceller(by, stored) },
+	}
+	if w.ifAbsent {
+		return false, s.writeCancel(ctx, w)
+	}
+	rec := &pb.JobRecord{}
+	if err := proto.Unmarshal(item.Data, rec); err != nil {
+		s.logSkipped(ctx, item, err)
+	}
+	if !by.MayAccess(rec.GetWorkspace()) {
+		return false, nil
+	}
+	return true, s.writeCancel(ctx, w)
+}
+
+// checkSameCanceller returns store.Unavailable if the stored cancellation is that of another requester and no operator.
+func checkSameCanceller(by jobstate.Requester, stored []byte) error {
+	c := &pb.JobCancel{}
+	if proto.Unmarshal(stored, c) == nil && !c.GetByOperator() && jobstate.Canceller(c) != by {
+		return store.Unavailable.New("cancellation of another workspace is stored")
+	}
+	return nil
+}
+
+func (s *Store) encodeCancel(id string, by jobstate.Requester) ([]byte, error) {
+	return proto.Marshal(&pb.JobCancel{
+		Id: id, CancelledMs: s.clock().UnixMilli(), Workspace: by.Workspace, ByOperator: by.Operator,
+	})
+}
+
+func (s *Store) writeCancel(ctx context.Context, w *pendingWrite) error {
+	err := s.write(ctx, w)
+	if store.Unknown.Has(err) {
+		return Undecided.Wrap(err)
+	}
+	return err
+}
+
 // mayExist reports whether a key exists; true if it cannot be read.
 func (s *Store) mayExist(ctx context.Context, key string) bool {
 	item, err := s.get(ctx, key)
@@ -58,12 +131,19 @@
 }
 
 // Lookup reads a job's state from the store, for use when the owner cannot be reached. found is false if there is no such
-// job. The state of a cancelled job without a final state in the store is CANCELLED. Errors: store.Unavailable.
-func (s *Store) Lookup(ctx context.Context, pool, id string) (state pb.JobState, found bool, err error) {
+// job, or if by may not see it. The state of a cancelled job without a final state in the store is CANCELLED. Errors: store.Unavailable.
+func (s *Store) Lookup(ctx context.Context, pool, id string, by jobstate.Requester) (state pb.JobState, found bool, err error) {
 	job, err := s.get(ctx, jobkeys.Job(pool, id))
 	if err != nil || job.Version == 0 {
 		return pb.JobState_JOB_STATE_UNSPECIFIED, false, err
 	}
+	rec := &pb.JobRecord{}
+	if err := proto.Unmarshal(job.Data, rec); err != nil {
+		s.logSkipped(ctx, job, err)
+	}
+	if !by.MayAccess(rec.GetWorkspace()) {
+		return pb.JobState_JOB_STATE_UNSPECIFIED, false, nil
+	}
 	item, err := s.get(ctx, jobkeys.Progress(pool, id))
 	if err != nil {
 		return pb.JobState_JOB_STATE_UNSPECIFIED, false, err
@@ -81,7 +161,7 @@
 	if err != nil {
 		return pb.JobState_JOB_STATE_UNSPECIFIED, false, err
 	}
-	if cancel.Version > 0 {
+	if cancel.Version > 0 && jobstate.Canceller(s.decodeCancel(ctx, id, cancel)).MayAccess(rec.GetWorkspace()) {
 		return pb.JobState_JOB_STATE_CANCELLED, true, nil
 	}
 	return p.GetState(), true, nil
--- a/internal/jobstore/faults_test.go
+++ b/internal/jobstore/faults_test.go
@@ -13,6 +13,7 @@
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/jobkeys"
+	"github.com/agateturn/agateturn/jobstate"
 	"github.com/agateturn/agateturn/store/memtxn"
 )
 
@@ -157,7 +158,7 @@
 				if c.Job != nil {
 					seen[c.Job.GetId()] = true
 				} else {
-					seen["cancel "+c.CancelledJobID] = true
+					seen["cancel "+c.Cancel.GetId()] = true
 				}
 			})
 			assert.Check(t, err != nil)
@@ -174,7 +175,7 @@
 			assert.NilError(t, s.Accept(t.Context(), job(fmt.Sprint(i))))
 			time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
 		}
-		known, err := s.Cancel(t.Context(), testPool, "0")
+		known, err := s.Cancel(t.Context(), testPool, "0", jobstate.Requester{})
 		assert.NilError(t, err)
 		assert.Assert(t, known)
 		kv.SetFaults(memtxn.Faults{})
--- a/internal/jobstore/group.go
+++ b/internal/jobstore/group.go
@@ -1,6 +1,7 @@
 package jobstore
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"sync"
@@ -30,8 +31,12 @@
 	data []byte
 	// ifAbsent requires that the key does not exist. The write counts as successful if it does.
 	ifAbsent bool
-	state    atomic.Int32
-	done     chan error
+	// isJob means that a late effect of the write matters to Accept.
+	isJob bool
+	// check decides on the value that the key has instead of data; nil accepts any.
+	check func(stored []byte) error
+	state atomic.Int32
+	done  chan error
 }
 
 // entries returns the number of transaction entries that the write takes.
@@ -149,12 +154,14 @@
 			s.finish(ctx, group, err)
 			return
 		}
-		present := make(map[string]bool, len(conflict.Items))
+		present := make(map[string]store.Item, len(conflict.Items))
 		for _, i := range conflict.Items {
-			present[i.Key] = i.Version > 0
+			present[i.Key] = i
+		}
+		stored, rest := lo.FilterReject(group, func(w *pendingWrite, _ int) bool { return w.ifAbsent && present[w.key].Version > 0 })
+		for _, w := range stored {
+			w.completeAsStored(present[w.key].Data)
 		}
-		stored, rest := lo.FilterReject(group, func(w *pendingWrite, _ int) bool { return w.ifAbsent && present[w.key] })
-		complete(stored, nil)
 		group = rest
 	}
 	complete(group, store.Unavailable.New("conflicts persist after retries"))
@@ -175,7 +182,7 @@
 // rememberUndecided records the ids of jobs whose write may take effect later.
 func (s *Store) rememberUndecided(group []*pendingWrite) {
 	for _, w := range group {
-		if w.ifAbsent {
+		if w.isJob {
 			s.undecided.add(w.id, s.clock())
 		}
 	}
@@ -184,6 +191,16 @@
 // finish completes the writes of a group. If the result is unknown, each key is read back once, and the writes of a key
 // that exists count as successful.
 func (s *Store) finish(ctx context.Context, group []*pendingWrite, err error) {
+	if err == nil {
+		written := make(map[string][]byte, len(group))
+		for _, w := range group { // the first write of a key is the one that was sent
+			if _, ok := written[w.key]; !ok {
+				written[w.key] = w.data
+			}
+			w.completeAsStored(written[w.key])
+		}
+		return
+	}
 	if !store.Unknown.Has(err) {
 		complete(group, err)
 		return
@@ -193,7 +210,9 @@
 		reads.Go(func() {
 			item, readErr := s.get(ctx, key)
 			if readErr == nil && item.Version > 0 {
-				complete(same, nil)
+				for _, w := range same {
+					w.completeAsStored(item.Data)
+				}
 				return
 			}
 			complete(same, err)
@@ -202,6 +221,15 @@
 	reads.Wait()
 }
 
+// completeAsStored completes a write whose key has the value stored.
+func (w *pendingWrite) completeAsStored(stored []byte) {
+	if w.check == nil || bytes.Equal(stored, w.data) {
+		w.done <- nil
+		return
+	}
+	w.done <- w.check(stored)
+}
+
 func complete(group []*pendingWrite, err error) {
 	for _, w := range group {
 		w.done <- err
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -22,6 +22,8 @@
 	NotAccepted = errs.Class("jobstore: job not stored; submit it again later")
 	// Undecided means that the job or cancellation may be stored, now or later.
 	Undecided = errs.Class("jobstore: may or may not be stored; retry with the same id")
+	// OtherWorkspace means that the id belongs to a job of another workspace. Nothing was written.
+	OtherWorkspace = errs.Class("jobstore: id belongs to a job of another workspace; use another id")
 	// Fenced means that another owner has the pool.
 	Fenced = errs.Class("jobstore: pool has another owner; release it")
 	// Unreadable means that a record exists but cannot be decoded.
--- a/internal/jobstore/jobstore_test.go
+++ b/internal/jobstore/jobstore_test.go
@@ -9,10 +9,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/samber/lo"
 	"gotest.tools/v3/assert"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/jobkeys"
+	"github.com/agateturn/agateturn/jobstate"
 	"github.com/agateturn/agateturn/store"
 	"github.com/agateturn/agateturn/store/memtxn"
 )
@@ -39,6 +41,10 @@
 	return &pb.JobRecord{Id: id, Queue: "q", Pool: testPool, Spec: &pb.JobSpec{Payload: "p"}}
 }
 
+func cancelledIDs(all []*pb.JobCancel) []string {
+	return lo.Map(all, func(c *pb.JobCancel, _ int) string { return c.GetId() })
+}
+
 func acquirePool(t *testing.T, kv *memtxn.Store) uint64 {
 	t.Helper()
 	fence, err := kv.Client("owner").Commit(t.Context(), store.Transaction{Puts: []store.Put{{Key: jobkeys.Owner(testPool)}}})
@@ -54,21 +60,21 @@
 		ctx := t.Context()
 		assert.NilError(t, s.Accept(ctx, job("1")))
 		assert.NilError(t, s.Accept(ctx, job("1")), "repeated with the same id")
-		_, found, err := s.Lookup(ctx, testPool, "2")
+		_, found, err := s.Lookup(ctx, testPool, "2", jobstate.Requester{})
 		assert.NilError(t, err)
 		assert.Assert(t, !found)
-		state, found, err := s.Lookup(ctx, testPool, "1")
+		state, found, err := s.Lookup(ctx, testPool, "1", jobstate.Requester{})
 		assert.NilError(t, err)
 		assert.Assert(t, found)
 		assert.Equal(t, state, pb.JobState_JOB_STATE_QUEUED)
 
-		known, err := s.Cancel(ctx, testPool, "1")
+		known, err := s.Cancel(ctx, testPool, "1", jobstate.Requester{})
 		assert.NilError(t, err)
 		assert.Assert(t, known)
-		state, _, err = s.Lookup(ctx, testPool, "1")
+		state, _, err = s.Lookup(ctx, testPool, "1", jobstate.Requester{})
 		assert.NilError(t, err)
 		assert.Equal(t, state, pb.JobState_JOB_STATE_CANCELLED)
-		known, err = s.Cancel(ctx, testPool, "2")
+		known, err = s.Cancel(ctx, testPool, "2", jobstate.Requester{})
 		assert.NilError(t, err)
 		assert.Assert(t, !known)
 
@@ -76,7 +82,7 @@
 		done := &pb.JobProgress{Id: "1", State: pb.JobState_JOB_STATE_COMPLETED}
 		assert.NilError(t, s.Record(ctx, testPool, fence, []*pb.JobProgress{done}))
 		assert.Assert(t, Fenced.Has(s.Record(ctx, testPool, fence-1, []*pb.JobProgress{done})))
-		state, _, err = s.Lookup(ctx, testPool, "1")
+		state, _, err = s.Lookup(ctx, testPool, "1", jobstate.Requester{})
 		assert.NilError(t, err)
 		assert.Equal(t, state, pb.JobState_JOB_STATE_COMPLETED, "an ended state is final")
 
@@ -84,7 +90,7 @@
 		assert.NilError(t, err)
 		assert.Equal(t, len(snap.Jobs), 1)
 		assert.Equal(t, len(snap.Progress), 1)
-		assert.DeepEqual(t, snap.Cancelled, []string{"1", "2"})
+		assert.DeepEqual(t, cancelledIDs(snap.Cancelled), []string{"1", "2"})
 		assert.NilError(t, s.Forget(ctx, testPool, fence, []string{"1", "2"}))
 		assert.Equal(t, len(kv.Items("agateturn/in/")), 0)
 		assert.Equal(t, len(kv.Items("agateturn/progress/")), 0)
@@ -120,7 +126,7 @@
 		ctx := t.Context()
 		ids := []string{"1", "2", "3"}
 		for _, id := range ids {
-			_, err := s.Cancel(ctx, testPool, id)
+			_, err := s.Cancel(ctx, testPool, id, jobstate.Requester{})
 			assert.NilError(t, err)
 		}
 		assert.NilError(t, s.Accept(ctx, job("2")))
@@ -129,10 +135,10 @@
 		assert.Assert(t, Fenced.Has(err), "%v", err)
 		kept, err := s.ForgetCancels(ctx, testPool, fence, ids)
 		assert.NilError(t, err)
-		assert.DeepEqual(t, kept, []string{"2"})
+		assert.DeepEqual(t, cancelledIDs(kept), []string{"2"})
 		snap, _, err := s.Load(ctx, testPool)
 		assert.NilError(t, err)
 		assert.Equal(t, len(snap.Jobs), 1)
-		assert.DeepEqual(t, snap.Cancelled, []string{"2"})
+		assert.DeepEqual(t, cancelledIDs(snap.Cancelled), []string{"2"})
 	})
 }
--- a/internal/jobstore/linearizability_test.go
+++ b/internal/jobstore/linearizability_test.go
@@ -14,6 +14,7 @@
 	"github.com/anishathalye/porcupine"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/jobstate"
 	"github.com/agateturn/agateturn/store/memtxn"
 )
 
@@ -122,11 +123,11 @@
 		err := s.Accept(ctx, job(in.id))
 		return output{effect: effectOf(err, NotAccepted.Has(err))}
 	case opCancel:
-		known, err := s.Cancel(ctx, testPool, in.id)
+		known, err := s.Cancel(ctx, testPool, in.id, jobstate.Requester{})
 		return output{effect: effectOf(err, !Undecided.Has(err)), found: known}
 	case opLookup:
 	}
-	state, found, err := s.Lookup(ctx, testPool, in.id)
+	state, found, err := s.Lookup(ctx, testPool, in.id, jobstate.Requester{})
 	return output{effect: effectOf(err, true), found: found, cancelled: state == pb.JobState_JOB_STATE_CANCELLED}
 }
 
--- a/internal/jobstore/load.go
+++ b/internal/jobstore/load.go
@@ -22,14 +22,14 @@
 type Snapshot struct {
 	Jobs     []*pb.JobRecord
 	Progress []*pb.JobProgress
-	// Cancelled are the ids of cancellations; some may have no job.
-	Cancelled []string
+	// Cancelled are the cancellations; some may have no job.
+	Cancelled []*pb.JobCancel
 }
 
-// Change is a submitted job or the id of a cancelled one.
+// Change is a submitted job or a cancellation; the other one is nil.
 type Change struct {
-	Job            *pb.JobRecord
-	CancelledJobID string
+	Job    *pb.JobRecord
+	Cancel *pb.JobCancel
 }
 
 // Load reads a pool's records, and the revision at which its jobs and cancellations were read, from which Follow delivers
@@ -48,7 +48,7 @@
 		case change.Job != nil:
 			snap.Jobs = append(snap.Jobs, change.Job)
 		default:
-			snap.Cancelled = append(snap.Cancelled, change.CancelledJobID)
+			snap.Cancelled = append(snap.Cancelled, change.Cancel)
 		}
 	}
 	recorded, _, err := s.readRange(ctx, jobkeys.ProgressPrefix(pool), false)
@@ -93,7 +93,7 @@
 		return Change{}, false
 	}
 	if cancelled {
-		return Change{CancelledJobID: id}, true
+		return Change{Cancel: s.decodeCancel(ctx, id, i)}, true
 	}
 	job := &pb.JobRecord{}
 	err := proto.Unmarshal(i.Data, job)
@@ -107,6 +107,17 @@
 	return Change{Job: job}, true
 }
 
+// decodeCancel decodes the cancellation of a job. One that cannot be decoded counts as that of a caller without a workspace.
+func (s *Store) decodeCancel(ctx context.Context, id string, i store.Item) *pb.JobCancel {
+	c := &pb.JobCancel{}
+	if err := proto.Unmarshal(i.Data, c); err != nil {
+		s.logSkipped(ctx, i, err)
+		c = &pb.JobCancel{}
+	}
+	c.Id = id
+	return c
+}
+
 // Follow calls onChange for jobs and cancellations after revision asOf until ctx ends, and returns ctx's error. A change may
 // be delivered more than once.
 func (s *Store) Follow(ctx context.Context, pool string, asOf uint64, onChange func(Change)) error {
--- a/internal/jobstore/record.go
+++ b/internal/jobstore/record.go
@@ -110,10 +110,9 @@
 	return nil
 }
 
-// ForgetCancels deletes the cancellations of jobs that are not in the store. It returns the ids of the others, whose
-// cancellations stay. After a conflict, the cancellations of a transaction are tried one by one. Errors: those of Record,
-// after which it may be repeated.
-func (s *Store) ForgetCancels(ctx context.Context, pool string, fence uint64, ids []string) (kept []string, err error) {
+// ForgetCancels deletes the cancellations of jobs that are not in the store. It returns the others, which stay. After a
+// conflict, the cancellations of a transaction are tried one by one. Errors: those of Record, after which it may be repeated.
+func (s *Store) ForgetCancels(ctx context.Context, pool string, fence uint64, ids []string) (kept []*pb.JobCancel, err error) {
 	for batch := range slices.Chunk(ids, maxForgetCancels) {
 		var t store.Transaction
 		for _, id := range batch {
@@ -128,7 +127,13 @@
 			continue
 		}
 		if len(batch) == 1 {
-			kept = append(kept, batch[0])
+			item, err := s.get(ctx, jobkeys.Cancel(pool, batch[0]))
+			if err != nil {
+				return kept, err
+			}
+			if item.Version > 0 {
+				kept = append(kept, s.decodeCancel(ctx, batch[0], item))
+			}
 			continue
 		}
 		for _, id := range batch {
--- a/internal/poolowner/delete.go
+++ b/internal/poolowner/delete.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/agateturn/agateturn/internal/ring"
+	"github.com/agateturn/agateturn/jobstate"
 	"github.com/agateturn/agateturn/scheduler"
 	"github.com/agateturn/agateturn/wait"
 )
@@ -30,8 +31,8 @@
 func (o *Owner) deleteOrphanedCancels(ctx context.Context) error {
 	return deleteBatches(ctx, o.cancelDeletions, func(ids []string) error {
 		kept, err := o.Jobs.ForgetCancels(ctx, o.Pool, o.Config.Fence, ids)
-		for _, id := range kept {
-			o.enqueue(ctx, func(p *scheduler.Pool, now time.Time) { p.Cancel(now, id) })
+		for _, c := range kept {
+			o.enqueue(ctx, func(p *scheduler.Pool, now time.Time) { p.CancelBy(now, c.GetId(), jobstate.Canceller(c)) })
 		}
 		return err
 	})
--- a/internal/poolowner/follow.go
+++ b/internal/poolowner/follow.go
@@ -5,12 +5,15 @@
 	"log/slog"
 	"time"
 
+	"github.com/samber/lo"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/agateturn/agateturn/wait"
 
 	"github.com/agateturn/agateturn/events"
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/jobstore"
+	"github.com/agateturn/agateturn/jobstate"
 	"github.com/agateturn/agateturn/scheduler"
 )
 
@@ -77,20 +80,39 @@
 	_, ok := runInLoop(ctx, o, func(p *scheduler.Pool, now time.Time) struct{} {
 		o.evacuations.fleetFence = intents.FleetFence
 		p.SetLeavingHosts(intents.Hosts)
-		p.Load(now, s.Jobs, s.Progress, s.Cancelled)
+		cancelled, other := splitCancellations(s)
+		p.Load(now, s.Jobs, s.Progress, cancelled)
+		for _, c := range other {
+			p.CancelBy(now, c.GetId(), jobstate.Canceller(c))
+		}
 		close(o.loaded)
 		return struct{}{}
 	})
 	return ok
 }
 
+// splitCancellations returns the ids of the jobs that are cancelled by someone who may do so, and the cancellations for which
+// the snapshot has no such job. The latter are ignored unless a job arrives that they apply to.
+func splitCancellations(s jobstore.Snapshot) (cancelled []string, other []*pb.JobCancel) {
+	workspaces := lo.SliceToMap(s.Jobs, func(j *pb.JobRecord) (string, string) { return j.GetId(), j.GetWorkspace() })
+	for _, c := range s.Cancelled {
+		workspace, known := workspaces[c.GetId()]
+		if known && jobstate.Canceller(c).MayAccess(workspace) {
+			cancelled = append(cancelled, c.GetId())
+		} else {
+			other = append(other, c)
+		}
+	}
+	return cancelled, other
+}
+
 func (o *Owner) applyChange(ctx context.Context, c jobstore.Change) {
 	o.enqueue(ctx, func(p *scheduler.Pool, now time.Time) {
 		if c.Job != nil {
 			p.Add(now, c.Job)
 		}
-		if c.CancelledJobID != "" {
-			p.Cancel(now, c.CancelledJobID)
+		if c.Cancel != nil {
+			p.CancelBy(now, c.Cancel.GetId(), jobstate.Canceller(c.Cancel))
 		}
 	})
 }
--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -15,6 +15,7 @@
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/jobstore"
 	"github.com/agateturn/agateturn/internal/ring"
+	"github.com/agateturn/agateturn/jobstate"
 	"github.com/agateturn/agateturn/queue"
 	"github.com/agateturn/agateturn/scheduler"
 )
@@ -58,7 +59,7 @@
 	Follow(ctx context.Context, pool string, asOf uint64, onChange func(jobstore.Change)) error
 	Record(ctx context.Context, pool string, fence uint64, progress []*pb.JobProgress) error
 	Forget(ctx context.Context, pool string, fence uint64, ids []string) error
-	ForgetCancels(ctx context.Context, pool string, fence uint64, ids []string) (kept []string, err error)
+	ForgetCancels(ctx context.Context, pool string, fence uint64, ids []string) (kept []*pb.JobCancel, err error)
 	Roster(ctx context.Context, pool string) (*pb.Roster, uint64, error)
 	SetRoster(ctx context.Context, pool string, fence uint64, roster *pb.Roster, version uint64) (uint64, error)
 }
@@ -212,7 +213,7 @@
 
 // Offer passes newly accepted jobs and cancellations to the owner. It never blocks: before the records are loaded or while
 // the ring is full, it drops them, and they arrive through the store.
-func (o *Owner) Offer(jobs []*pb.JobRecord, cancelled []string) {
+func (o *Owner) Offer(jobs []*pb.JobRecord, cancelled []*pb.JobCancel) {
 	if !o.isLoaded() {
 		return
 	}
@@ -220,8 +221,8 @@
 		for _, job := range jobs {
 			p.Add(now, withAcceptedTime(now, job))
 		}
-		for _, id := range cancelled {
-			p.Cancel(now, id)
+		for _, c := range cancelled {
+			p.CancelBy(now, c.GetId(), jobstate.Canceller(c))
 		}
 	})
 }
@@ -235,10 +236,13 @@
 	}
 }
 
-// States returns the states of jobs. It reports false if the owner has not loaded its records yet.
-func (o *Owner) States(ctx context.Context, ids []string) ([]pb.JobState, bool) {
+// States returns the states of jobs, each for a caller of the workspace with the same index; workspaces is empty if no caller
+// has one. A job of another workspace is UNSPECIFIED. It reports false if the owner has not loaded its records yet.
+func (o *Owner) States(ctx context.Context, ids, workspaces []string) ([]pb.JobState, bool) {
 	return runInLoopIfLoaded(ctx, o, func(p *scheduler.Pool, _ time.Time) []pb.JobState {
-		return lo.Map(ids, func(id string, _ int) pb.JobState { return p.State(id) })
+		return lo.Map(ids, func(id string, i int) pb.JobState {
+			return p.StateFor(id, jobstate.Requester{Workspace: lo.NthOrEmpty(workspaces, i)})
+		})
 	})
 }
 
--- a/internal/poolowner/owner_test.go
+++ b/internal/poolowner/owner_test.go
@@ -38,7 +38,7 @@
 	return 1, nil
 }
 
-func (emptyStore) ForgetCancels(context.Context, string, uint64, []string) ([]string, error) {
+func (emptyStore) ForgetCancels(context.Context, string, uint64, []string) ([]*pb.JobCancel, error) {
 	return nil, nil
 }
 
--- a/internal/tablefollow/follower.go
+++ b/internal/tablefollow/follower.go
@@ -58,6 +58,9 @@
 	// lastAnswer is the start of the last successful read or the end of the last successful watch call, whichever finished
 	// last. Stale reads do not count.
 	lastAnswer atomic.Pointer[time.Time]
+	// confirmedAt is a time at which the table was the newest one, as far as the store and peers have shown. It is nil before the
+	// first confirmation and changes while mu is held.
+	confirmedAt atomic.Pointer[time.Time]
 	// processed is the newest revision of the key that was processed, so that none is parsed twice.
 	processed atomic.Uint64
 
@@ -69,7 +72,7 @@
 	// outageLogged means that the outage of the store has been logged. Only the goroutine of Run accesses it.
 	outageLogged bool
 
-	mu      sync.Mutex // orders changes of current
+	mu      sync.Mutex // orders changes of current and confirmedAt
 	changed chan struct{}
 }
 
@@ -160,10 +163,10 @@
 // store.
 func (f *Follower) follow(ctx context.Context, answered func()) error {
 	after, err := f.read(ctx)
-	for err == nil {
+	for wait := watchWait; err == nil; {
 		answered()
 		f.logRecovery(ctx)
-		after, err = f.watch(ctx, after)
+		after, wait, err = f.watch(ctx, after, wait)
 	}
 	return err
 }
@@ -195,6 +198,7 @@
 		f.process(ctx, item)
 	}
 	f.lastAnswer.Store(&started)
+	f.confirm(started)
 	return asOf, nil
 }
 
@@ -217,12 +221,14 @@
 	return items, asOf, err
 }
 
-func (f *Follower) watch(ctx context.Context, after uint64) (asOf uint64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack+time.Duration(f.extraTimeout.Load()))
+// watch makes one watch call, and returns how long the next one waits.
+func (f *Follower) watch(ctx context.Context, after uint64, wait time.Duration) (asOf uint64, nextWait time.Duration, err error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack+time.Duration(f.extraTimeout.Load()))
 	defer cancel()
-	changes, asOf, err := f.kv.Watch(ctx, f.key, after, watchWait)
+	started := f.clock()
+	changes, asOf, err := f.kv.Watch(ctx, f.key, after, wait)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	for _, change := range changes {
 		if !change.Deleted {
@@ -231,7 +237,7 @@
 	}
 	answered := f.clock()
 	f.lastAnswer.Store(&answered)
-	return asOf, nil
+	return asOf, f.confirmByWatch(started, answered, wait, len(changes) > 0), nil
 }
 
 // poll reads the value periodically, independently of the watch.
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -60,8 +60,7 @@
 	}
 	j := p.newJob(now, rec)
 	p.jobs[j.id] = j
-	if _, early := p.earlyCancels[j.id]; early {
-		delete(p.earlyCancels, j.id)
+	if p.takeEarlyCancel(j) {
 		p.cancelJob(now, j)
 		return
 	}
@@ -223,21 +222,6 @@
 	}
 }
 
-// Cancel cancels a job on behalf of its caller. It may come before Add.
-func (p *Pool) Cancel(now time.Time, id string) {
-	j := p.jobs[id]
-	if j == nil {
-		if p.forgotten[id].IsZero() {
-			p.earlyCancels[id] = now
-		}
-		return
-	}
-	if j.isTerminal() {
-		return
-	}
-	p.cancelJob(now, j)
-}
-
 func (p *Pool) cancelJob(now time.Time, j *job) {
 	j.cancelled = true
 	p.addJobDecision(now, DecisionCancelled, j, "")
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -46,7 +46,7 @@
 	confirmedFrom time.Time
 	// earlyCancels holds cancellations of jobs that are not known yet. forgotten holds purged jobs, so that they are
 	// not added again.
-	earlyCancels map[string]time.Time
+	earlyCancels map[string]earlyCancel
 	forgotten    map[string]time.Time
 	lastSweepAt  time.Time
 	nextPurgeAt  time.Time
@@ -108,7 +108,7 @@
 		queues:        map[string]queue.Queue{},
 		workers:       map[string]*worker{},
 		jobs:          map[string]*job{},
-		earlyCancels:  map[string]time.Time{},
+		earlyCancels:  map[string]earlyCancel{},
 		forgotten:     map[string]time.Time{},
 		orphans:       map[string][]*run{},
 		pending:       map[string]int{},
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -217,7 +217,7 @@
 		}
 	}
 	for _, id := range sortedKeys(p.earlyCancels) {
-		if now.Sub(p.earlyCancels[id]) > p.cfg.Retention {
+		if now.Sub(p.earlyCancels[id].at) > p.cfg.Retention {
 			delete(p.earlyCancels, id)
 			p.out.ForgetCancels = append(p.out.ForgetCancels, id)
 		}
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -96,7 +96,7 @@
 		}
 	}
 	for _, id := range sortedKeys(cancelledIDs) {
-		p.earlyCancels[id] = now
+		p.addEarlyCancel(now, id, jobstate.Requester{})
 	}
 }
 
