--- a/internal/jobhost/failures_test.go
+++ b/internal/jobhost/failures_test.go
@@ -53,6 +53,12 @@
 }
 
 func startCluster(t *testing.T) *testCluster {
+	t.Helper()
+	return startClusterWith(t, table)
+}
+
+// startClusterWith starts a cluster with a configuration.
+func startClusterWith(t *testing.T, table string) *testCluster {
 	t.Helper()
 	tc := &testCluster{
 		kv: memtxn.New(), workers: newFakeWorkers(), log: &logBuffer{},
@@ -85,6 +91,7 @@
 		JobBounds: &pb.JobBoundSettings{
 			MaxLease: durationpb.New(10 * time.Second), StopTime: durationpb.New(time.Second),
 			Retention: durationpb.New(time.Minute), Grace: durationpb.New(grace),
+			ApplyTime: durationpb.New(3 * time.Second), ApplyStretch: durationpb.New(6 * time.Second),
 		},
 	}
 	pipe := logpipe.New(tc.log)
