--- a/internal/jobfront/operate.go
+++ b/internal/jobfront/operate.go
@@ -168,7 +168,7 @@
 
 func jobStatus(d *pb.JobDescription) operatorapi.JobStatus {
 	return operatorapi.JobStatus{
-		ID: d.GetId(), Queue: d.GetQueue(), Pool: d.GetPool(), State: jobstate.Name(d.GetState()),
+		ID: d.GetId(), Queue: d.GetQueue(), Pool: d.GetPool(), Workspace: d.GetWorkspace(), State: jobstate.Name(d.GetState()),
 		AcceptedMS: d.GetAcceptedMs(), Tasks: d.GetTasks(), Running: d.GetRunning(), Succeeded: d.GetSucceeded(),
 		Failures: d.GetFailures(), Reason: d.GetReason(), Explanation: d.GetExplanation(),
 		Placements: placements(d.GetPlacements()),
--- a/internal/jobstore/accept.go
+++ b/internal/jobstore/accept.go
@@ -89,16 +89,27 @@
 		check: func(stored []byte) error { return checkSameCanceller(by, stored) },
 	}
 	if w.ifAbsent {
-		return false, s.writeCancel(ctx, w)
+		if err := s.writeCancel(ctx, w); err != nil {
+			return false, err
+		}
+		// As in Cancel, a job that was accepted meanwhile must be known.
+		item, err = s.get(ctx, jobkeys.Job(pool, id))
+		return err != nil || (item.Version > 0 && by.MayAccess(s.workspaceOf(ctx, item))), nil
+	}
+	if !by.MayAccess(s.workspaceOf(ctx, item)) {
+		return false, nil
 	}
+	return true, s.writeCancel(ctx, w)
+}
+
+// workspaceOf returns the workspace of a job's record; empty if that cannot be decoded.
+func (s *Store) workspaceOf(ctx context.Context, item store.Item) string {
 	rec := &pb.JobRecord{}
 	if err := proto.Unmarshal(item.Data, rec); err != nil {
 		s.logSkipped(ctx, item, err)
+		return ""
 	}
-	if !by.MayAccess(rec.GetWorkspace()) {
-		return false, nil
-	}
-	return true, s.writeCancel(ctx, w)
+	return rec.GetWorkspace()
 }
 
 // checkSameCanceller returns store.Unavailable if the stored cancellation is that of another requester and no operator.
@@ -137,11 +148,8 @@
 	if err != nil || job.Version == 0 {
 		return pb.JobState_JOB_STATE_UNSPECIFIED, false, err
 	}
-	rec := &pb.JobRecord{}
-	if err := proto.Unmarshal(job.Data, rec); err != nil {
-		s.logSkipped(ctx, job, err)
-	}
-	if !by.MayAccess(rec.GetWorkspace()) {
+	workspace := s.workspaceOf(ctx, job)
+	if !by.MayAccess(workspace) {
 		return pb.JobState_JOB_STATE_UNSPECIFIED, false, nil
 	}
 	item, err := s.get(ctx, jobkeys.Progress(pool, id))
@@ -161,7 +169,7 @@
 	if err != nil {
 		return pb.JobState_JOB_STATE_UNSPECIFIED, false, err
 	}
-	if cancel.Version > 0 && jobstate.Canceller(s.decodeCancel(ctx, id, cancel)).MayAccess(rec.GetWorkspace()) {
+	if cancel.Version > 0 && jobstate.Canceller(s.decodeCancel(ctx, id, cancel)).MayAccess(workspace) {
 		return pb.JobState_JOB_STATE_CANCELLED, true, nil
 	}
 	return p.GetState(), true, nil
--- a/internal/jobstore/linearizability_test.go
+++ b/internal/jobstore/linearizability_test.go
@@ -123,7 +123,11 @@
 		err := s.Accept(ctx, job(in.id))
 		return output{effect: effectOf(err, NotAccepted.Has(err))}
 	case opCancel:
-		known, err := s.Cancel(ctx, testPool, in.id, jobstate.Requester{})
+		cancel := s.Cancel
+		if in.id == "1" || in.id == "3" { // these are cancelled as in a configuration with workspaces
+			cancel = s.CancelOwn
+		}
+		known, err := cancel(ctx, testPool, in.id, jobstate.Requester{})
 		return output{effect: effectOf(err, !Undecided.Has(err)), found: known}
 	case opLookup:
 	}
--- a/internal/operatorapi/jobs.go
+++ b/internal/operatorapi/jobs.go
@@ -38,6 +38,7 @@
 	ID          string         `json:"id"`
 	Queue       string         `json:"queue"`
 	Pool        string         `json:"pool"`
+	Workspace   string         `json:"workspace,omitempty" doc:"Workspace that it belongs to, if any"`
 	State       string         `json:"state"`
 	AcceptedMS  int64          `json:"accepted_unix_ms,omitempty"`
 	Tasks       int64          `json:"tasks" doc:"Tasks of all occurrences"`
--- a/proofs/recovery_test.go
+++ b/proofs/recovery_test.go
@@ -77,7 +77,7 @@
 		cancel()
 		assert.Check(t, <-served)
 	})
-	assert.NilError(t, r.p.Configure(t.Context(), 1, r.queues))
+	assert.NilError(t, r.p.Configure(t.Context(), 1, r.queues, nil))
 	r.startAll()
 	return r
 }
--- a/standin/jobcallers/caller.go
+++ b/standin/jobcallers/caller.go
@@ -46,6 +46,9 @@
 	}
 	r.Host = p.queue.Host
 	r.Header.Set("Content-Type", "application/json")
+	if p.key != "" {
+		r.Header.Set("Api-Key", p.key)
+	}
 	r.Header.Set("Deadline-Ms", strconv.FormatInt(attemptTimeout.Milliseconds(), 10))
 	resp, err := c.client.Do(r)
 	if err != nil {
@@ -84,6 +87,8 @@
 		switch {
 		case status == http.StatusOK:
 			return accepted
+		case status == http.StatusUnauthorized || status == http.StatusConflict:
+			h.ReportViolation("job %s: answered %d to the key of its workspace", p.job.ID, status)
 		case !isDefinitelyRefused(status):
 			result = undecided
 		}
@@ -128,11 +133,11 @@
 
 // awaitNonePending polls each entry host until it reports that no job of a queue is pending. It returns the time that
 // took, and false if ctx ended first.
-func (c *caller) awaitNonePending(ctx context.Context, q jobplatform.Queue) (elapsed time.Duration, ok bool) {
+func (c *caller) awaitNonePending(ctx context.Context, q jobplatform.Queue, key string) (elapsed time.Duration, ok bool) {
 	start := time.Now()
 	for _, entry := range c.entries {
 		single := &caller{entries: []string{entry}, client: c.client}
-		for !single.reportsNonePending(ctx, q) {
+		for !single.reportsNonePending(ctx, q, key) {
 			if !pause(ctx, retryInterval) {
 				return time.Since(start), false
 			}
@@ -141,8 +146,8 @@
 	return time.Since(start), true
 }
 
-func (c *caller) reportsNonePending(ctx context.Context, q jobplatform.Queue) bool {
-	status, answer := c.call(ctx, http.MethodGet, &planned{queue: q}, nil)
+func (c *caller) reportsNonePending(ctx context.Context, q jobplatform.Queue, key string) bool {
+	status, answer := c.call(ctx, http.MethodGet, &planned{queue: q, key: key}, nil)
 	var body struct {
 		Pending *int `json:"pending"`
 	}
--- a/standin/jobcallers/plan.go
+++ b/standin/jobcallers/plan.go
@@ -15,7 +15,9 @@
 	// Entries are the addresses (ip:port) of the entry hosts' listeners for callers.
 	Entries []string
 	Queues  []jobplatform.Queue
-	Seed    uint64
+	// Workspaces are the workspaces of the callers in turn. If it is empty, callers send no keys.
+	Workspaces []jobplatform.Workspace
+	Seed       uint64
 	// Duration is the time in which jobs are submitted, Rate their number per second.
 	Duration time.Duration
 	Rate     float64
@@ -27,6 +29,8 @@
 type planned struct {
 	job   jobplatform.Job
 	queue jobplatform.Queue
+	// key is the caller's API key; empty if it has none.
+	key string
 	// at is relative to the start of the load, cancelAfter to the acceptance of the job; a cancelAfter of 0 means never.
 	at, cancelAfter time.Duration
 }
@@ -62,6 +66,11 @@
 		}
 		jobs = append(jobs, p)
 	}
+	for i := range jobs {
+		if n := len(o.Workspaces); n > 0 {
+			jobs[i].key = o.Workspaces[i%n].Key
+		}
+	}
 	return jobs
 }
 
--- a/standin/jobcallers/run.go
+++ b/standin/jobcallers/run.go
@@ -13,11 +13,13 @@
 
 // Report counts the jobs by their outcomes, as the callers saw them.
 type Report struct {
-	Accepted, Refused, Undecided         int
-	Completed, Cancelled, Failed, Open   int
-	CancelsAsked, CancelsAcknowledged    int
-	Persistent, PersistentAtWork         int
-	NonePending                          time.Duration
+	Accepted, Refused, Undecided       int
+	Completed, Cancelled, Failed, Open int
+	CancelsAsked, CancelsAcknowledged  int
+	Persistent, PersistentAtWork       int
+	NonePending                        time.Duration
+	// UnknownKeys counts the requests with an unknown key that were answered, UnknownKeysServed those that were not rejected.
+	UnknownKeys, UnknownKeysServed       int
 	MedianToCompleted, LongestToComplete time.Duration
 }
 
@@ -56,8 +58,13 @@
 		}
 		batches.Go(func() { l.batch(ctx, p, start) })
 	}
+	strangers, stopStrangers := context.WithCancel(ctx)
+	if len(o.Workspaces) > 0 {
+		persistent.Go(func() { l.sendUnknownKeys(strangers, jobs) })
+	}
 	batches.Wait()
-	l.checkPending(ctx, o.Queues)
+	stopStrangers()
+	l.checkPending(ctx, o)
 	close(ended)
 	persistent.Wait()
 	l.sum()
@@ -65,11 +72,15 @@
 }
 
 // checkPending checks that each entry host reports within pendingLimit that no job is pending, since all have ended.
-func (l *load) checkPending(ctx context.Context, queues []jobplatform.Queue) {
+func (l *load) checkPending(ctx context.Context, o Options) {
 	ctx, cancel := context.WithTimeout(ctx, pendingLimit)
 	defer cancel()
-	for _, q := range queues {
-		elapsed, ok := l.c.awaitNonePending(ctx, q)
+	key := ""
+	if len(o.Workspaces) > 0 {
+		key = o.Workspaces[0].Key
+	}
+	for _, q := range o.Queues {
+		elapsed, ok := l.c.awaitNonePending(ctx, q, key)
 		if !ok {
 			l.history.ReportViolation("queue %s: after %v an entry host does not report that no job is pending", q.Name, pendingLimit)
 		}
@@ -194,7 +205,7 @@
 // Held reports whether all guarantees to callers were kept: each accepted job has ended as it should.
 func (r Report) Held() bool {
 	return r.Accepted > 0 && r.Open == 0 && r.Failed == 0 && r.Accepted == r.Completed+r.Cancelled &&
-		r.CancelsAcknowledged == r.CancelsAsked && r.PersistentAtWork == r.Persistent
+		r.CancelsAcknowledged == r.CancelsAsked && r.PersistentAtWork == r.Persistent && r.UnknownKeysServed == 0
 }
 
 // String returns the report as a table of text.
@@ -205,6 +216,7 @@
 	}
 	row("jobs accepted", "%d (%d refused, %d undecided)", r.Accepted, r.Refused, r.Undecided)
 	row("completed", "%d", r.Completed)
+	row("requests with unknown keys", "%d, of which %d served", r.UnknownKeys, r.UnknownKeysServed)
 	row("cancelled", "%d (%d of %d cancellations acknowledged)", r.Cancelled, r.CancelsAcknowledged, r.CancelsAsked)
 	row("failed, still open", "%d, %d", r.Failed, r.Open)
 	row("persistent tasks at work", "%d of %d", r.PersistentAtWork, r.Persistent)
--- a/standin/jobplatform/operator.go
+++ b/standin/jobplatform/operator.go
@@ -22,23 +22,37 @@
 type Queue struct {
 	Name, Host, Prefix, Pool string
 	Priority                 int
+	// Public means that callers need no key.
+	Public bool
 }
 
-// Configure writes a version of the configuration.
-func (p *Platform) Configure(ctx context.Context, version int64, queues []Queue) error {
+// Workspace is the configuration of a workspace. Its callers send Key.
+type Workspace struct {
+	Name, Key string
+}
+
+// Configure writes a version of the configuration. If workspaces is empty, callers need no keys.
+func (p *Platform) Configure(ctx context.Context, version int64, queues []Queue, workspaces []Workspace) error {
 	routes := lo.Map(queues, func(q Queue, _ int) map[string]any {
 		return map[string]any{
 			"name": q.Name, "host": q.Host, "prefix": q.Prefix, "kind": "unsafe", "timeoutMs": 3000, "targetDurationMs": 600,
 			"priority": q.Priority, "service": q.Pool, "maxAttempts": MaxAttempts, "stretch": 1.5,
+			"public": q.Public,
 		}
 	})
 	services := lo.Map(p.options.Pools, func(o PoolOptions, _ int) map[string]any {
 		return map[string]any{"name": o.Name, "maxConns": 64, "enforcesCapacity": o.EnforcesCapacity, "spare": o.Spare}
 	})
-	return p.put(ctx, configKey, map[string]any{
+	table := map[string]any{
 		"version": version, "routes": routes, "services": services,
 		"limits": map[string]any{"maxHeaderBytes": 16 << 10, "maxBodyBytes": 256 << 10, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
+	}
+	if len(workspaces) > 0 {
+		table["tenants"] = lo.Map(workspaces, func(w Workspace, _ int) map[string]any {
+			return map[string]any{"name": w.Name, "apiKeys": []string{w.Key}, "weight": 1, "cap": map[string]any{"cpu": 0, "memMb": 0, "gpu": 0}}
+		})
+	}
+	return p.put(ctx, configKey, table)
 }
 
 // OrderWave orders upkeep of the machines, of at most limit at once.
--- a/standin/jobscenario/operator.go
+++ b/standin/jobscenario/operator.go
@@ -39,9 +39,10 @@
 	for v := int64(2); v <= next; v++ {
 		queues = append(queues, jobplatform.Queue{
 			Name: fmt.Sprintf("version-%d", v), Host: op.o.Queues[0].Host, Prefix: probePrefix(v), Pool: op.o.Queues[0].Pool, Priority: 1,
+			Public: true, // probes have no key
 		})
 	}
-	if err := op.p.Configure(ctx, next, queues); err != nil {
+	if err := op.p.Configure(ctx, next, queues, op.o.Workspaces); err != nil {
 		return err
 	}
 	op.p.History().Note("operator: version %d of the configuration is accepted", next)
--- a/standin/jobscenario/scenario.go
+++ b/standin/jobscenario/scenario.go
@@ -34,6 +34,8 @@
 	Pools   []jobplatform.PoolOptions
 	Queues  []jobplatform.Queue
 	WaveCap int
+	// Workspaces are those of the callers. Run sets them for most seeds.
+	Workspaces []jobplatform.Workspace
 	// Views are passed to jobplatform.Options.
 	Views []string
 	// Control is the ip:port at which jobplatform.Control is accepted; empty means none.
@@ -85,6 +87,11 @@
 	{Name: "index", Host: "jobs.example", Prefix: "/index/", Pool: "index", Priority: 1},
 }
 
+// seedsWithoutKeys: of so many seeds one has no workspaces, so that both kinds of deployments are tried.
+const seedsWithoutKeys = 3
+
+var workspaces = []jobplatform.Workspace{{Name: "atlas", Key: "key-1"}, {Name: "birch", Key: "key-2"}, {Name: "cedar", Key: "key-3"}}
+
 func pools() []jobplatform.PoolOptions {
 	return []jobplatform.PoolOptions{
 		{Name: "render", Machines: 6, EnforcesCapacity: true},
@@ -114,6 +121,9 @@
 	if len(o.Queues) == 0 {
 		o.Queues, o.Pools = Queues, pools()
 	}
+	if o.Seed%seedsWithoutKeys != 0 {
+		o.Workspaces = workspaces
+	}
 	o.WaveCap = cmp.Or(o.WaveCap, waveCap)
 	p, err := jobplatform.New(ctx, jobplatform.Options{
 		Address: o.Address, Network: o.Network, WorkerPort: workerPort, Pools: o.Pools, Views: o.Views,
@@ -153,7 +163,7 @@
 	go func() { events <- runEvents(ctx, o, p, wave) }()
 	result := Result{WaveLength: len(wave)}
 	result.Callers = jobcallers.Run(ctx, jobcallers.Options{
-		Entries: o.Entries, Queues: o.Queues, Seed: o.Seed, Duration: o.Duration, Rate: o.Rate, Drain: drainLimit,
+		Entries: o.Entries, Queues: o.Queues, Workspaces: o.Workspaces, Seed: o.Seed, Duration: o.Duration, Rate: o.Rate, Drain: drainLimit,
 	}, p.History())
 	if err := <-events; err != nil {
 		return result, err
--- a/standin/soak/jobs.go
+++ b/standin/soak/jobs.go
@@ -253,6 +253,7 @@
 		"starts":             t.Starts, "ends": t.Done + t.Failed + t.Stopped + t.Lapsed + t.Gone + t.Apart, "jobs accepted": c.Accepted,
 		"jobs completed": c.Completed, "cancellations": c.CancelsAcknowledged, "upkeeps": t.Upkeeps, "moves": t.Moves,
 		"configurations checked": t.Looks, "attempts after the bound": t.ServedAgain,
+		"requests with unknown keys": c.UnknownKeys,
 	}
 	history, err := os.ReadFile(w.file("history.log"))
 	if err != nil {
--- a/standin/soak/naivejobs_test.go
+++ b/standin/soak/naivejobs_test.go
@@ -32,6 +32,7 @@
 	ackBeforeDurable defect = "end acknowledged before it is durable"
 	earlyDone        defect = "completed before its tasks"
 	anyPool          defect = "started on any pool's worker"
+	ignoresKeys      defect = "keys are not checked"
 
 	ownerTick        = 30 * time.Millisecond
 	takeoverInterval = 700 * time.Millisecond
@@ -315,8 +316,12 @@
 	running.Go(func() { assert.Check(t, p.Run(ctx)) })
 	running.Go(func() { e.takeOver(ctx) })
 	queues := []jobplatform.Queue{{Name: "left", Host: "h", Prefix: "/left/", Pool: "left"}, {Name: "right", Host: "h", Prefix: "/right/", Pool: "right"}}
+	var workspaces []jobplatform.Workspace
+	if d == ignoresKeys {
+		workspaces = []jobplatform.Workspace{{Name: "atlas", Key: "key-1"}}
+	}
 	report := jobcallers.Run(ctx, jobcallers.Options{
-		Entries: []string{strings.TrimPrefix(server.URL, "http://")}, Queues: queues, Seed: seed, Duration: 2500 * time.Millisecond, Rate: 6, Drain: 15 * time.Second,
+		Entries: []string{strings.TrimPrefix(server.URL, "http://")}, Queues: queues, Workspaces: workspaces, Seed: seed, Duration: 2500 * time.Millisecond, Rate: 6, Drain: 15 * time.Second,
 	}, p.History())
 	server.Close()
 	cancel()
@@ -364,6 +369,7 @@
 	want := map[defect]string{
 		noDefect: "", noFence: "runs twice at once", ackBeforeStore: "was accepted and is not known", noHold: "runs twice at once",
 		ackBeforeDurable: "after its success was acknowledged", earlyDone: "was shown as completed with", anyPool: "of pool",
+		ignoresKeys: "to an unknown key",
 	}
 	number := 0
 	for d, text := range want {
