--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -320,6 +320,11 @@
 		Remedy: "tell the caller of the job; see the payload of the task",
 	}
 
+	KeysUnconfirmed = Event{
+		Number: 959, Name: "keys_unconfirmed", Level: slog.LevelWarn, Message: "neither the store nor a peer confirms the configuration; submissions and cancellations with API keys are rejected",
+		Remedy: "check the platform's store and the network of this entry host",
+	}
+	KeysConfirmed         = Event{Number: 960, Name: "keys_confirmed", Level: slog.LevelInfo, Message: "configuration is confirmed again; submissions and cancellations with API keys are served"}
 	WorkspaceLimitRaised  = Event{Number: 970, Name: "workspace_limit_raised", Level: slog.LevelInfo, Message: "workspace may run more in the pool"}
 	WorkspaceLimitLowered = Event{Number: 971, Name: "workspace_limit_lowered", Level: slog.LevelInfo, Message: "workspace may run less in the pool; its runs continue"}
 
@@ -350,7 +355,7 @@
 	JobCompleted, JobFailed, JobCancelled, SchedulerNote, JobBegun, AttemptFailed, JobDurable, StepDone,
 	MemberNotStored, RecordSkipped, FleetRecordWaits, MachinesUnread, MachinesRead, TasksPreempted, PoolTakenOver,
 	RegistryUnwatched, RegistryWatched, CarriersChanged, CarrierFailed, WorkerCrashed, TaskCharged, TaskGivenUp,
-	WorkspaceLimitRaised, WorkspaceLimitLowered,
+	KeysUnconfirmed, KeysConfirmed, WorkspaceLimitRaised, WorkspaceLimitLowered,
 }
 
 // retired lists the numbers of removed events, which are never reused.
