contention: order of waiting steps, shares by weight, jobs beyond the weight

Cause: one workspace that sends many times its usual load delays the jobs of all others in its pool, since the order knows no workspaces.

Change: the order of waiting steps moves from scheduler/rank.go to the new package contention, which has no I/O and no clock. Within a class and a priority, a workspace that exceeds its share by weight comes later, by how far it exceeds it (dominant one of CPU and memory). Jobs beyond the weight, by a token bucket of each workspace, come after all on-time and late jobs of the others. Pool.SetWorkspaces sets the weights; the owner calls it with the queues. Jobs without a workspace keep the order of before.

--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -197,6 +197,7 @@
 	o.enqueue(ctx, func(p *scheduler.Pool, now time.Time) {
 		p.SetEnforcesCapacity(enforceCapacity)
 		p.SetQueues(now, t.Queues)
+		p.SetWorkspaces(now, t.Workspaces)
 	})
 }
 
--- a/scheduler/decision.go
+++ b/scheduler/decision.go
@@ -20,6 +20,8 @@
 	// Count is the number of tasks of a completed step, the number of runs that are preempted, or the number of runs that
 	// were on a crashed worker.
 	Count int
+	// Workspace is set for DecisionBeyondWeight and DecisionWithinWeight. Count is then the number of jobs beyond the weight.
+	Workspace string
 	// Workers is the number of workers that a takeover waited for.
 	Workers int
 	// Age is the time since the job was accepted, for decisions about a whole job or step, or since the takeover. For a lost
@@ -43,6 +45,10 @@
 	DecisionCrashed   = "crashed"
 	DecisionCharged   = "charged"
 	DecisionGivenUp   = "given up"
+	// DecisionBeyondWeight and DecisionWithinWeight are the begin and the end of a time in which a workspace submits jobs
+	// beyond its weight.
+	DecisionBeyondWeight = "beyond weight"
+	DecisionWithinWeight = "within weight"
 )
 
 // String returns the name of the end for the log.
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -12,8 +12,10 @@
 	queue string
 	// workspace is the workspace that the job belongs to; empty if none.
 	workspace string
-	spec      *pb.JobSpec
-	accepted  time.Time
+	// beyondWeight means that the workspace submitted the job beyond its weight.
+	beyondWeight bool
+	spec         *pb.JobSpec
+	accepted     time.Time
 
 	cancelled bool
 	// state is RUNNING until the job has ended. Callers see the final state only once it is durable.
@@ -60,6 +62,7 @@
 	}
 	j := p.newJob(now, rec)
 	p.jobs[j.id] = j
+	p.markArrival(now, j)
 	if _, early := p.earlyCancels[j.id]; early {
 		delete(p.earlyCancels, j.id)
 		p.cancelJob(now, j)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/agateturn/agateturn/contention"
+)
 
 const (
 	// placementInterval is the time after which waiting tasks are tried again without any change.
@@ -50,7 +54,7 @@
 		if p.sendBudget.exhausted() {
 			break
 		}
-		if c.class != classPersistent && !movesReserved {
+		if c.Class != contention.ClassPersistent && !movesReserved {
 			usable, movesReserved = p.reserveForMoves(usable, reservable), true
 			candidates = workersWithRoom(usable, smallest)
 		}
@@ -58,7 +62,7 @@
 		p.placeOnSuspects(now, c.step, usable, suspects)
 		if reservable > 0 && c.step.mayReserve(now) {
 			var reserved bool
-			if usable, reserved = reserveFor(now, c.class, c.step, usable); reserved {
+			if usable, reserved = reserveFor(now, c.Class, c.step, usable); reserved {
 				reservable--
 				candidates = workersWithRoom(usable, smallest)
 			}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/agateturn/agateturn/contention"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/queue"
 )
@@ -87,6 +88,11 @@
 	sendBudget       sendBudget
 	// workspaceLimits holds what each workspace may have running in the pool.
 	workspaceLimits map[string]Resources
+	// weights are the weights of the workspaces, submitted marks the jobs that exceed them.
+	weights   map[string]float64
+	submitted contention.Arrivals
+	// orderOf returns the position of a waiting step in the placement order.
+	orderOf func(contention.Candidate) contention.Rank
 	// trials holds the runs of suspected tasks that are not cleared yet.
 	trials []*run
 	// pendingTrials holds the suspected tasks whose trial is recorded and has not started.
@@ -115,6 +121,7 @@
 		learned:       newLearned(),
 		evacuatingIDs: map[string]bool{},
 		advice:        newAdviceTracker(),
+		orderOf:       contention.Order,
 	}
 }
 
@@ -160,6 +167,7 @@
 		return Actions{Fenced: true, Decisions: decided}
 	}
 	p.checkWorkers(now)
+	p.checkArrivals(now)
 	p.openOccurrences(now)
 	p.checkTakeover(now)
 	p.checkEvacuation(now)
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/agateturn/agateturn/contention"
 )
 
 const (
@@ -41,7 +43,7 @@
 	usable := p.usableWorkers(now)
 	limit := max(1, len(usable)/preemptionDivisor)
 	for _, c := range p.rank(now) {
-		if c.class > classOnTime || p.takeover.blocksStarts() || !p.mayStart(now) || c.step.spec.GetGang() {
+		if c.Class > contention.ClassOnTime || p.takeover.blocksStarts() || !p.mayStart(now) || c.step.spec.GetGang() {
 			continue
 		}
 		waiting := c.step.countStartable(now) - p.countPreempting(c.step)
@@ -164,7 +166,7 @@
 func (p *Pool) cheapestVictims(now time.Time, w *worker, c ranked) (victims []*run, cost float64, ok bool) {
 	var runs []*run
 	for _, r := range w.runs {
-		if p.isPreemptible(now, r, c.priority) {
+		if p.isPreemptible(now, r, c.Priority) {
 			runs = append(runs, r)
 		}
 	}
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -1,92 +1,50 @@
 package scheduler
 
 import (
-	"sort"
+	"slices"
 	"time"
+
+	"github.com/agateturn/agateturn/contention"
 )
 
 const (
-	// An occurrence projected to take longer than hopelessFactor times its objective is hopeless and ranks last.
-	hopelessFactor = 3
 	// The weight of a job is baseWeight plus workWeight times its work relative to the mean of its queue, at most
 	// maxWeight.
 	baseWeight = 0.3
 	workWeight = 0.7
 	maxWeight  = 4
-	// agingWeight raises the rank of jobs as they approach their objective, most steeply at the end, so that large
-	// jobs are not starved.
-	agingWeight = 30
 )
 
-// ranked is a step with its sort keys for the placement order: lower values are placed first.
+// ranked is a step with its position in the placement order.
 type ranked struct {
-	step     *step
-	class    int
-	priority int
-	key      float64
+	step *step
+	contention.Rank
 }
 
-// Placement classes, in order of precedence.
-const (
-	classPersistent = iota
-	// classStarved is for gangs that have waited for longer than starvationWait. Otherwise smaller steps would always
-	// take the room as it is freed.
-	classStarved
-	classOnTime
-	classLate
-	classHopeless
-)
-
+// rank returns the waiting steps in the order in which they get capacity.
 func (p *Pool) rank(now time.Time) []ranked {
+	shares := p.shares()
 	order := make([]ranked, 0, len(p.waitingSteps))
 	for _, s := range p.waitingSteps {
-		order = append(order, p.rankStep(now, s))
+		order = append(order, ranked{s, p.orderOf(p.candidate(now, s, shares))})
 	}
-	sort.SliceStable(order, func(a, b int) bool {
-		x, y := &order[a], &order[b]
-		if x.class != y.class {
-			return x.class < y.class
-		}
-		if x.priority != y.priority {
-			return x.priority < y.priority
-		}
-		return x.key < y.key
-	})
+	slices.SortStableFunc(order, func(a, b ranked) int { return a.Compare(b.Rank) })
 	return order
 }
 
-func (p *Pool) rankStep(now time.Time, s *step) ranked {
+func (p *Pool) candidate(now time.Time, s *step, shares *contention.Shares) contention.Candidate {
 	o := s.occ
-	q := p.queueOf(o.job)
-	r := ranked{step: s, priority: q.Priority}
-	if s.spec.GetPersistent() {
-		r.class = classPersistent
-		r.key = float64(o.job.accepted.UnixMilli())
-		return r
-	}
-	if p.starved(now, s) {
-		r.class = classStarved
-		r.key = float64(o.due.UnixMilli())
-		return r
-	}
-	objective := p.objective(o)
-	projected := s.projectedDuration(now)
-	switch {
-	case projected <= objective:
-		r.class = classOnTime
-	case projected <= hopelessFactor*objective:
-		r.class = classLate
-	default:
-		r.class = classHopeless
-		r.key = float64(o.due.UnixMilli())
-		return r
+	c := contention.Candidate{
+		Persistent: s.spec.GetPersistent(), Priority: p.queueOf(o.job).Priority, Accepted: o.job.accepted, Due: o.due,
 	}
-	r.key = o.remainingWork() / p.jobWeight(o.job)
-	if objective > 0 {
-		urgency := min(1, float64(projected)/float64(objective))
-		r.key /= 1 + agingWeight*urgency*urgency*urgency*urgency
+	if c.Persistent {
+		return c
 	}
-	return r
+	c.Starved = p.starved(now, s)
+	c.Projected, c.Objective = s.projectedDuration(now), p.objective(o)
+	c.RemainingWork, c.Weight = o.remainingWork(), p.jobWeight(o.job)
+	c.Excess, c.BeyondWeight = shares.Excess(o.job.workspace), o.job.beyondWeight
+	return c
 }
 
 // projectedDuration returns how long the occurrence will have taken if the step starts now and its followers run
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/agateturn/agateturn/contention"
 )
 
 // mayReserve reports whether workers may be reserved for the step.
@@ -12,8 +14,8 @@
 
 // reserveFor removes workers that could later run the step from those that lower-ranked steps may use: one worker, or
 // several for a gang. It reports whether it reserved any.
-func reserveFor(now time.Time, class int, s *step, usable []*worker) ([]*worker, bool) {
-	if class == classStarved {
+func reserveFor(now time.Time, class contention.Class, s *step, usable []*worker) ([]*worker, bool) {
+	if class == contention.ClassStarved {
 		if remaining, reserved := reserveForStarvedGang(now, s, usable); reserved {
 			return remaining, true
 		}
