contention: jobs that would end late after the work ahead yield

Change: of the jobs that can be on time, those that would not fit the capacity until their latest start come after the others (class crowded), found as in Moore and Hodgson's algorithm. Running tasks no longer count as work that is left.

--- a/contention/order.go
+++ b/contention/order.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// HopelessFactor is how many times its objective a job may take before its result is worth nothing to its caller.
-	HopelessFactor = 3
+	// hopelessFactor is how many times its objective a job may take before its result is worth nothing to its caller.
+	hopelessFactor = 3
 	// agingWeight raises the rank of jobs as they approach their objective, most steeply at the end, so that large
 	// jobs are not starved.
 	agingWeight = 30
@@ -26,10 +26,12 @@
 	// Otherwise smaller steps would always take the room as it is freed.
 	ClassStarved
 	ClassOnTime
+	// ClassCrowded is for jobs that would be on time if they started now, but probably not after the work ahead of them.
+	ClassCrowded
 	ClassLate
 	// ClassBeyondWeight is for jobs that their workspace submitted beyond its weight and that are not hopeless.
 	ClassBeyondWeight
-	// ClassHopeless is for jobs that would take longer than HopelessFactor times their objective.
+	// ClassHopeless is for jobs that would take longer than hopelessFactor times their objective.
 	ClassHopeless
 )
 
@@ -43,9 +45,12 @@
 	// Projected is how long the occurrence will have taken since it was due if the step starts now. Objective is the
 	// duration within which it is on time.
 	Projected, Objective time.Duration
-	// RemainingWork is the expected work left in the occurrence, in any unit. Weight is the weight of the job within its
-	// queue.
-	RemainingWork, Weight float64
+	// WaitingWork is the expected work of the tasks of the occurrence that have not been started, as CPU times ms.
+	// RemainingWork includes running tasks; Order does not use it, but orders that it is compared with do. Weight is the
+	// weight of the job within its queue.
+	WaitingWork, RemainingWork, Weight float64
+	// RemainingPath is the expected time from the start of the step to the end of the occurrence.
+	RemainingPath time.Duration
 	// Excess is by how far the workspace exceeds its share; see Shares. BeyondWeight means that the job exceeded what its
 	// workspace may submit; see Arrivals.
 	Excess       float64
@@ -66,19 +71,19 @@
 		cmp.Compare(a.Key, b.Key))
 }
 
-// Order returns the rank of a candidate.
+// RankOf returns the rank of a candidate by itself, regardless of the work ahead of it.
 //
 // A late job never precedes one that can be on time, since its result is worth a fraction. Within a class, priority and
-// excess, the least remaining work for the job's weight comes first, raised as the objective comes near.
-func Order(c Candidate) Rank {
-	r := Rank{Class: ClassOf(c), Priority: c.Priority, Excess: c.Excess}
+// excess, the least waiting work for the job's weight comes first, raised as the objective comes near.
+func RankOf(c Candidate) Rank {
+	r := Rank{Class: classOf(c), Priority: c.Priority, Excess: c.Excess}
 	switch r.Class {
 	case ClassPersistent:
 		r.Key, r.Excess = float64(c.Accepted.UnixMilli()), 0
 	case ClassStarved, ClassHopeless:
 		r.Key, r.Excess = float64(c.Due.UnixMilli()), 0
 	default:
-		r.Key = c.RemainingWork / c.Weight
+		r.Key = c.WaitingWork / c.Weight
 		if c.Objective > 0 {
 			urgency := min(1, float64(c.Projected)/float64(c.Objective))
 			r.Key /= 1 + agingWeight*urgency*urgency*urgency*urgency
@@ -87,14 +92,13 @@
 	return r
 }
 
-// ClassOf returns the class of a candidate.
-func ClassOf(c Candidate) Class {
+func classOf(c Candidate) Class {
 	switch {
 	case c.Persistent:
 		return ClassPersistent
 	case c.Starved:
 		return ClassStarved
-	case c.Projected > HopelessFactor*c.Objective:
+	case c.Projected > hopelessFactor*c.Objective:
 		return ClassHopeless
 	case c.BeyondWeight:
 		return ClassBeyondWeight
--- a/scheduler/checker_test.go
+++ b/scheduler/checker_test.go
@@ -189,6 +189,9 @@
 
 func (c *checker) runEnded(w *simWorker, r *simRun, how scheduler.RunEnd) {
 	c.sim.trace("ends %v %d on %s %d", r.task, r.run, w.id, how)
+	if c.sim.load != nil {
+		c.sim.load.runEnded(c.sim.now, r, how)
+	}
 	switch how {
 	case scheduler.EndSucceeded:
 		c.done[r.task] = true
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -91,8 +91,8 @@
 	// weights are the weights of the workspaces, submitted marks the jobs that exceed them.
 	weights   map[string]float64
 	submitted contention.Arrivals
-	// orderOf returns the position of a waiting step in the placement order.
-	orderOf func(contention.Candidate) contention.Rank
+	// orderOf returns the positions of waiting steps in the placement order.
+	orderOf contention.Ordering
 	// trials holds the runs of suspected tasks that are not cleared yet.
 	trials []*run
 	// pendingTrials holds the suspected tasks whose trial is recorded and has not started.
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -24,9 +24,14 @@
 // rank returns the waiting steps in the order in which they get capacity.
 func (p *Pool) rank(now time.Time) []ranked {
 	shares := p.shares()
-	order := make([]ranked, 0, len(p.waitingSteps))
+	candidates := make([]contention.Candidate, 0, len(p.waitingSteps))
 	for _, s := range p.waitingSteps {
-		order = append(order, ranked{s, p.orderOf(p.candidate(now, s, shares))})
+		candidates = append(candidates, p.candidate(now, s, shares))
+	}
+	ranks := p.orderOf(candidates, p.batchCapacity())
+	order := make([]ranked, 0, len(p.waitingSteps))
+	for i, s := range p.waitingSteps {
+		order = append(order, ranked{s, ranks[i]})
 	}
 	slices.SortStableFunc(order, func(a, b ranked) int { return a.Compare(b.Rank) })
 	return order
@@ -42,7 +47,8 @@
 	}
 	c.Starved = p.starved(now, s)
 	c.Projected, c.Objective = s.projectedDuration(now), p.objective(o)
-	c.RemainingWork, c.Weight = o.remainingWork(), p.jobWeight(o.job)
+	c.WaitingWork, c.RemainingWork = o.unfinishedWork()
+	c.Weight, c.RemainingPath = p.jobWeight(o.job), s.criticalPath
 	c.Excess, c.BeyondWeight = shares.Excess(o.job.workspace), o.job.beyondWeight
 	return c
 }
@@ -72,13 +78,20 @@
 	return min(maxWeight, baseWeight+workWeight*j.work/mean)
 }
 
-// remainingWork returns the expected work left, in thousandths of a core times milliseconds.
-func (o *occurrence) remainingWork() float64 {
-	var sum float64
+// unfinishedWork returns the expected work of the tasks that have not been started, and of those that have not ended, in
+// thousandths of a core times milliseconds.
+func (o *occurrence) unfinishedWork() (waitingWork, remainingWork float64) {
 	for _, s := range o.steps {
-		sum += float64(len(s.tasks)-s.doneTasks) * s.expectedTaskWork()
+		remaining := len(s.tasks) - s.doneTasks
+		waiting := remaining
+		if s.opened {
+			waiting = len(s.ready)
+		}
+		work := s.expectedTaskWork()
+		waitingWork += float64(waiting) * work
+		remainingWork += float64(remaining) * work
 	}
-	return sum
+	return waitingWork, remainingWork
 }
 
 // expectedTaskWork returns the expected work of one task, in thousandths of a core times milliseconds.
--- a/scheduler/shares.go
+++ b/scheduler/shares.go
@@ -49,6 +49,24 @@
 	return contention.NewShares(p.weights, use, capacity)
 }
 
+// batchCapacity returns the CPU of the workers in service, in thousandths of a core, without what persistent tasks take.
+func (p *Pool) batchCapacity() contention.Capacity {
+	var c contention.Capacity
+	for _, w := range p.sortedWorkers {
+		if w.isExcluded() {
+			continue
+		}
+		c.Total += float64(w.Capacity.CPUMilli)
+		c.Free += float64(max(0, w.free().CPUMilli))
+		for _, r := range w.runs {
+			if r.task != nil && r.task.step.spec.GetPersistent() {
+				c.Total -= float64(r.need.CPUMilli)
+			}
+		}
+	}
+	return c
+}
+
 // markArrival marks a job that its workspace submits beyond its weight.
 func (p *Pool) markArrival(now time.Time, j *job) {
 	beyond, episode := p.submitted.Add(now, j.workspace, p.weights[j.workspace])
