poolowner: events and a metric of workspaces beyond their weight

Cause: operators can't see why the jobs of a workspace yield to others.

Change: events 959 and 960 for the begin and the end, and a counter by workspace with at most 256 names; the rest counts as other.

Measured: tests of events and internal/poolowner pass.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -319,6 +319,14 @@
 		Number: 958, Name: "task_given_up", Level: slog.LevelWarn, Message: "task crashes the workers that start it and is given up; its job fails",
 		Remedy: "tell the caller of the job; see the payload of the task",
 	}
+	WorkspaceBeyondWeight = Event{
+		Number: 959, Name: "workspace_beyond_weight", Level: slog.LevelInfo,
+		Message: "workspace submits more jobs a second than its weight; those beyond it yield to the jobs of others",
+	}
+	WorkspaceWithinWeight = Event{
+		Number: 960, Name: "workspace_within_weight", Level: slog.LevelInfo,
+		Message: "workspace submits no more jobs beyond its weight; the count is of the jobs that were beyond it",
+	}
 
 	SchedulerNote = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
 )
@@ -346,7 +354,7 @@
 	TasksStarted, TasksStopped, TasksLost, TasksEnded, TasksRefused, OrderUnknown, OrderRefused,
 	JobCompleted, JobFailed, JobCancelled, SchedulerNote, JobBegun, AttemptFailed, JobDurable, StepDone,
 	MemberNotStored, RecordSkipped, FleetRecordWaits, MachinesUnread, MachinesRead, TasksPreempted, PoolTakenOver,
-	RegistryUnwatched, RegistryWatched, CarriersChanged, CarrierFailed, WorkerCrashed, TaskCharged, TaskGivenUp,
+	RegistryUnwatched, RegistryWatched, CarriersChanged, CarrierFailed, WorkerCrashed, TaskCharged, TaskGivenUp, WorkspaceBeyondWeight, WorkspaceWithinWeight,
 }
 
 // retired lists the numbers of removed events, which are never reused.
--- a/internal/poolowner/decisions.go
+++ b/internal/poolowner/decisions.go
@@ -39,6 +39,7 @@
 	attempt          int
 	crashes          int
 	suspected        bool
+	workspace        string
 	// worker is set only for decisions about no job; those about a job are joined across workers.
 	worker string
 }
@@ -178,7 +179,7 @@
 	g := decisionGroup{
 		kind: d.Kind, job: d.Task.Job, occurrence: d.Task.Occurrence, step: d.Task.Step, reason: d.Reason,
 	}
-	g.attempt, g.crashes, g.suspected = d.Attempt, d.Crashes, d.Suspected
+	g.attempt, g.crashes, g.suspected, g.workspace = d.Attempt, d.Crashes, d.Suspected, d.Workspace
 	if d.Task.Job == "" {
 		g.worker = d.Worker
 	}
@@ -195,6 +196,8 @@
 		o.Metrics.countWorkerCrash()
 	case scheduler.DecisionGivenUp:
 		o.Metrics.countGivenUp()
+	case scheduler.DecisionBeyondWeight:
+		o.Metrics.countBeyondWeight(d.Workspace)
 	}
 }
 
@@ -221,6 +224,9 @@
 	scheduler.DecisionFailed:    events.JobFailed,
 	scheduler.DecisionCancelled: events.JobCancelled,
 	scheduler.DecisionTakenOver: events.PoolTakenOver,
+
+	scheduler.DecisionBeyondWeight: events.WorkspaceBeyondWeight,
+	scheduler.DecisionWithinWeight: events.WorkspaceWithinWeight,
 }
 
 func (o *Owner) logGroup(ctx context.Context, g decisionGroup, all []decision) {
@@ -237,9 +243,14 @@
 	if !ok {
 		attrs = append(attrs, slog.String("kind", g.kind))
 	}
+	if g.workspace != "" {
+		attrs = append(attrs, slog.String("workspace", g.workspace))
+	}
 	switch {
 	case g.kind == scheduler.DecisionCrashed:
 		attrs = append(attrs, slog.Int("runs", first.Count))
+	case g.kind == scheduler.DecisionWithinWeight:
+		attrs = append(attrs, slog.Int("count", first.Count))
 	case first.Count > 0:
 		attrs = append(attrs,
 			slog.String("step", strconv.Itoa(g.occurrence)+"."+strconv.Itoa(g.step)), slog.Int("count", first.Count))
--- a/internal/poolowner/metrics.go
+++ b/internal/poolowner/metrics.go
@@ -1,6 +1,7 @@
 package poolowner
 
 import (
+	"sync"
 	"time"
 
 	"github.com/agateturn/agateturn/stats"
@@ -14,15 +15,25 @@
 	metricLostRuns   = "agateturn_runs_lost_total"
 	metricCrashes    = "agateturn_worker_crashes_total"
 	metricGivenUp    = "agateturn_tasks_given_up_total"
+	metricBeyond     = "agateturn_workspace_beyond_weight_total"
+)
+
+const (
+	// maxNamedWorkspaces bounds the workspaces that metrics name; the rest is otherWorkspace.
+	maxNamedWorkspaces = 256
+	otherWorkspace     = "other"
 )
 
 // Metrics records metrics of pool owners. A nil *Metrics records nothing. It is safe for concurrent use.
 type Metrics struct {
 	stats *stats.Stats
+
+	mu         sync.Mutex
+	workspaces map[string]bool
 }
 
 // NewMetrics returns Metrics that records into s.
-func NewMetrics(s *stats.Stats) *Metrics { return &Metrics{stats: s} }
+func NewMetrics(s *stats.Stats) *Metrics { return &Metrics{stats: s, workspaces: map[string]bool{}} }
 
 // observeAckToStart records the time from a job's acceptance to its first start that a worker confirmed.
 func (m *Metrics) observeAckToStart(age time.Duration) {
@@ -62,6 +73,26 @@
 	}
 }
 
+// countBeyondWeight counts that a workspace begins to submit jobs beyond its weight.
+func (m *Metrics) countBeyondWeight(workspace string) {
+	if m != nil {
+		m.stats.Counter(metricBeyond, stats.Label{Name: "workspace", Value: m.workspaceLabel(workspace)}).Inc(1)
+	}
+}
+
+// workspaceLabel returns the name of the workspace, or otherWorkspace once maxNamedWorkspaces have a name of their own.
+func (m *Metrics) workspaceLabel(workspace string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.workspaces[workspace] {
+		if len(m.workspaces) >= maxNamedWorkspaces {
+			return otherWorkspace
+		}
+		m.workspaces[workspace] = true
+	}
+	return workspace
+}
+
 // UnwrittenJobs returns the number of jobs whose progress is not durable yet.
 func (o *Owner) UnwrittenJobs() int64 { return o.records.pending.Load() }
 
