--- a/contention/crowd.go
+++ b/contention/crowd.go
@@ -8,10 +8,11 @@
 )
 
 const (
-	// startableShare is the part of the capacity that waiting work is expected to get. The rest is lost to tasks that do not
-	// fit the room that comes free, to wrong estimates and to jobs that arrive meanwhile. A queue at five times its mean earned
-	// 0.875 (32-core workers) and 0.873 (64 cores) of its worth with 0.5, and 0.857 and 0.868 with 0.6.
-	startableShare = 0.5
+	// startableShare is the part of the capacity that waiting work is expected to get until a job's latest start. The rest is
+	// lost to tasks that do not fit the room that comes free, to wrong estimates and to jobs that arrive meanwhile. A queue at
+	// five times its mean on 64-core workers earned 0.885 of its worth with 0.3, 0.871 with 0.4 and 0.860 with 0.5 (seeds 31 to
+	// 42); with 0.2, the first load of the comparison earned less.
+	startableShare = 0.3
 	// minSlack is the time that a job is allowed to wait in any case, about as long as a start takes.
 	minSlack = 50 * time.Millisecond
 )
@@ -33,8 +34,9 @@
 	}
 }
 
-// Order is the ordering in use. It ranks each candidate by itself, and then moves to ClassCrowded those that would not be on
-// time after the work ahead of them, so that capacity does not go to jobs that begin in time and end late.
+// Order is the ordering in use. It ranks each candidate by itself, and then marks as crowded those that would not be on time
+// after the work ahead of them, so that capacity does not go to jobs that begin in time and end late. They come after the others
+// of their class, priority and excess: urgent jobs still precede all less urgent ones that can be on time.
 //
 // The jobs that remain on time are found as in Moore and Hodgson's algorithm for the least number of late jobs: in the order of
 // the latest start, and as often as the work so far exceeds the capacity until then, the job with the most waiting work for
@@ -55,11 +57,13 @@
 		x, y := ranks[a], ranks[b]
 		return cmp.Or(cmp.Compare(x.Priority, y.Priority), cmp.Compare(x.Excess, y.Excess), cmp.Compare(slack(a), slack(b)))
 	})
-	var ahead float64
+	// ahead is the work of the jobs that are kept so far, crowded that of the others, which precede later groups.
+	var ahead, crowded float64
 	kept := &heaviestFirst{candidates: candidates}
 	for k, i := range onTime {
 		if k > 0 && !sameGroup(onTime[k-1], i) {
 			kept.indexes = kept.indexes[:0]
+			ahead, crowded = ahead+crowded, 0
 		}
 		c := &candidates[i]
 		startable := startableShare*capacity.Total*millis(slack(i)+minSlack) + capacity.Free*millis(c.RemainingPath)
@@ -68,7 +72,8 @@
 		for kept.Len() > 0 && ahead-c.WaitingWork > startable {
 			dropped, _ := heap.Pop(kept).(int)
 			ahead -= candidates[dropped].WaitingWork
-			ranks[dropped].Class = ClassCrowded
+			crowded += candidates[dropped].WaitingWork
+			ranks[dropped].Crowded = true
 			if dropped == i {
 				break
 			}
--- a/contention/order.go
+++ b/contention/order.go
@@ -26,8 +26,6 @@
 	// Otherwise smaller steps would always take the room as it is freed.
 	ClassStarved
 	ClassOnTime
-	// ClassCrowded is for jobs that would be on time if they started now, but probably not after the work ahead of them.
-	ClassCrowded
 	ClassLate
 	// ClassBeyondWeight is for jobs that their workspace submitted beyond its weight and that are not hopeless.
 	ClassBeyondWeight
@@ -62,13 +60,27 @@
 	Class    Class
 	Priority int
 	Excess   float64
-	Key      float64
+	// Crowded means that the job would be on time if it started now, but probably not after the work ahead of it.
+	Crowded bool
+	Key     float64
 }
 
 // Compare returns a negative number if a comes before b.
 func (a Rank) Compare(b Rank) int {
 	return cmp.Or(cmp.Compare(a.Class, b.Class), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Excess, b.Excess),
-		cmp.Compare(a.Key, b.Key))
+		compareBool(a.Crowded, b.Crowded), cmp.Compare(a.Key, b.Key))
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
 }
 
 // RankOf returns the rank of a candidate by itself, regardless of the work ahead of it.
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -43,7 +43,7 @@
 	usable := p.usableWorkers(now)
 	limit := max(1, len(usable)/preemptionDivisor)
 	for _, c := range p.rank(now) {
-		if c.Class > contention.ClassCrowded || p.takeover.blocksStarts() || !p.mayStart(now) || c.step.spec.GetGang() {
+		if c.Class > contention.ClassOnTime || p.takeover.blocksStarts() || !p.mayStart(now) || c.step.spec.GetGang() {
 			continue
 		}
 		waiting := c.step.countStartable(now) - p.countPreempting(c.step)
--- a/scheduler/shares.go
+++ b/scheduler/shares.go
@@ -25,8 +25,7 @@
 	}
 	use := map[string]contention.Use{}
 	for _, s := range p.waitingSteps {
-		name := s.occ.job.workspace
-		use[name] = use[name]
+		use[s.occ.job.workspace] = contention.Use{}
 	}
 	var capacity contention.Use
 	for _, w := range p.sortedWorkers {
