--- a/internal/poolowner/metrics.go
+++ b/internal/poolowner/metrics.go
@@ -14,6 +14,7 @@
 	metricLostRuns   = "agateturn_runs_lost_total"
 	metricCrashes    = "agateturn_worker_crashes_total"
 	metricGivenUp    = "agateturn_tasks_given_up_total"
+	metricBeyond     = "agateturn_workspace_beyond_weight_total"
 )
 
 // Metrics records metrics of pool owners. A nil *Metrics records nothing. It is safe for concurrent use.
@@ -63,6 +64,13 @@
 	}
 }
 
+// countBeyondWeight counts that a workspace begins to submit jobs beyond its weight.
+func (m *Metrics) countBeyondWeight(workspace string) {
+	if m != nil {
+		m.stats.Counter(metricBeyond, stats.Label{Name: "workspace", Value: m.workspaces.label(workspace)}).Inc(1)
+	}
+}
+
 // UnwrittenJobs returns the number of jobs whose progress is not durable yet.
 func (o *Owner) UnwrittenJobs() int64 { return o.records.pending.Load() }
 
--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -204,6 +204,7 @@
 		p.SetEnforcesCapacity(enforceCapacity)
 		p.SetQueues(now, t.Queues)
 		o.setWorkspaces(p, now, t.Workspaces)
+		p.SetWorkspaces(now, t.Workspaces)
 	})
 }
 
--- a/scheduler/decision.go
+++ b/scheduler/decision.go
@@ -18,11 +18,11 @@
 	Crashes   int
 	Suspected bool
 	// Count is the number of tasks of a completed step, the number of runs that are preempted, or the number of runs that
-	// were on a crashed worker.
+	// were on a crashed worker. For DecisionBeyondWeight and DecisionWithinWeight it is the number of jobs beyond the weight.
 	Count int
 	// Workers is the number of workers that a takeover waited for.
 	Workers int
-	// Workspace is the workspace of the job, for decisions about a whole job and for DecisionHeld.
+	// Workspace is the workspace of the job, for decisions about a whole job and for those about a workspace.
 	Workspace string
 	// Age is the time since the job was accepted, for decisions about a whole job or step, or since the takeover. For a lost
 	// run it is the time since its start was ordered, and for a crashed worker that of its youngest run; 0 if another owner
@@ -47,6 +47,10 @@
 	DecisionGivenUp   = "given up"
 	// DecisionHeld means that tasks of a workspace wait for its limit. Count is the number of tasks.
 	DecisionHeld = "held"
+	// DecisionBeyondWeight and DecisionWithinWeight are the begin and the end of a time in which a workspace submits jobs
+	// beyond its weight.
+	DecisionBeyondWeight = "beyond weight"
+	DecisionWithinWeight = "within weight"
 )
 
 // String returns the name of the end for the log.
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -13,8 +13,10 @@
 	// workspace is the workspace that the job belongs to; empty if none.
 	workspace string
 	account   *account
-	spec      *pb.JobSpec
-	accepted  time.Time
+	// beyondWeight means that the workspace submitted the job beyond its weight.
+	beyondWeight bool
+	spec         *pb.JobSpec
+	accepted     time.Time
 
 	cancelled bool
 	// state is RUNNING until the job has ended. Callers see the final state only once it is durable.
@@ -61,6 +63,7 @@
 	}
 	j := p.newJob(now, rec)
 	p.jobs[j.id] = j
+	p.markArrival(now, j)
 	if p.takeEarlyCancel(j) {
 		p.chargeOrphans(j)
 		p.cancelJob(now, j)
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/agateturn/agateturn/contention"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/queue"
 )
@@ -92,6 +93,11 @@
 	sortedAccounts  []*account
 	// heldSteps counts the waiting steps that waited only for their workspaces' limits at the last placement.
 	heldSteps int
+	// weights are the weights of the workspaces, submitted marks the jobs that exceed them.
+	weights   map[string]float64
+	submitted contention.Arrivals
+	// orderOf returns the positions of waiting steps in the placement order.
+	orderOf contention.Ordering
 	// trials holds the runs of suspected tasks that are not cleared yet.
 	trials []*run
 	// pendingTrials holds the suspected tasks whose trial is recorded and has not started.
@@ -121,6 +127,7 @@
 		learned:       newLearned(),
 		evacuatingIDs: map[string]bool{},
 		advice:        newAdviceTracker(),
+		orderOf:       contention.Order,
 	}
 }
 
@@ -166,6 +173,7 @@
 		return Actions{Fenced: true, Decisions: decided}
 	}
 	p.checkWorkers(now)
+	p.checkArrivals(now)
 	p.openOccurrences(now)
 	p.checkTakeover(now)
 	p.checkEvacuation(now)
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -1,95 +1,61 @@
 package scheduler
 
 import (
-	"sort"
+	"slices"
 	"time"
+
+	"github.com/agateturn/agateturn/contention"
 )
 
 const (
-	// An occurrence projected to take longer than hopelessFactor times its objective is hopeless and ranks last.
-	hopelessFactor = 3
 	// The weight of a job is baseWeight plus workWeight times its work relative to the mean of its queue, at most
 	// maxWeight.
 	baseWeight = 0.3
 	workWeight = 0.7
 	maxWeight  = 4
-	// agingWeight raises the rank of jobs as they approach their objective, most steeply at the end, so that large
-	// jobs are not starved.
-	agingWeight = 30
 )
 
-// ranked is a step with its sort keys for the placement order: lower values are placed first.
+// ranked is a step with its position in the placement order.
 type ranked struct {
-	step     *step
-	class    int
-	priority int
-	key      float64
+	step *step
+	contention.Rank
 }
 
-// Placement classes, in order of precedence.
-const (
-	classPersistent = iota
-	// classStarved is for gangs that have waited for longer than starvationWait. Otherwise smaller steps would always
-	// take the room as it is freed.
-	classStarved
-	classOnTime
-	classLate
-	classHopeless
-)
-
-// rank returns the waiting steps in the order of placement, without those that wait only for their workspaces' limits.
+// rank returns the waiting steps in the order in which they get capacity, without those that wait only for their workspaces'
+// limits.
 func (p *Pool) rank(now time.Time) []ranked {
-	order := make([]ranked, 0, len(p.waitingSteps))
+	shares := p.shares()
+	candidates := make([]contention.Candidate, 0, len(p.waitingSteps))
+	steps := make([]*step, 0, len(p.waitingSteps))
 	for _, s := range p.waitingSteps {
 		if !s.held() {
-			order = append(order, p.rankStep(now, s))
+			candidates = append(candidates, p.candidate(now, s, shares))
+			steps = append(steps, s)
 		}
 	}
-	sort.SliceStable(order, func(a, b int) bool {
-		x, y := &order[a], &order[b]
-		if x.class != y.class {
-			return x.class < y.class
-		}
-		if x.priority != y.priority {
-			return x.priority < y.priority
-		}
-		return x.key < y.key
-	})
+	ranks := p.orderOf(candidates, p.batchCapacity())
+	order := make([]ranked, 0, len(steps))
+	for i, s := range steps {
+		order = append(order, ranked{s, ranks[i]})
+	}
+	slices.SortStableFunc(order, func(a, b ranked) int { return a.Compare(b.Rank) })
 	return order
 }
 
-func (p *Pool) rankStep(now time.Time, s *step) ranked {
+func (p *Pool) candidate(now time.Time, s *step, shares *contention.Shares) contention.Candidate {
 	o := s.occ
-	q := p.queueOf(o.job)
-	r := ranked{step: s, priority: q.Priority}
-	if s.spec.GetPersistent() {
-		r.class = classPersistent
-		r.key = float64(o.job.accepted.UnixMilli())
-		return r
-	}
-	if p.starved(now, s) {
-		r.class = classStarved
-		r.key = float64(o.due.UnixMilli())
-		return r
+	c := contention.Candidate{
+		Persistent: s.spec.GetPersistent(), Priority: p.queueOf(o.job).Priority, Accepted: o.job.accepted, Due: o.due,
 	}
-	objective := p.objective(o)
-	projected := s.projectedDuration(now)
-	switch {
-	case projected <= objective:
-		r.class = classOnTime
-	case projected <= hopelessFactor*objective:
-		r.class = classLate
-	default:
-		r.class = classHopeless
-		r.key = float64(o.due.UnixMilli())
-		return r
+	if c.Persistent {
+		return c
 	}
-	r.key = o.remainingWork() / p.jobWeight(o.job)
-	if objective > 0 {
-		urgency := min(1, float64(projected)/float64(objective))
-		r.key /= 1 + agingWeight*urgency*urgency*urgency*urgency
-	}
-	return r
+	c.Starved = p.starved(now, s)
+	c.Projected, c.Objective = s.projectedDuration(now), p.objective(o)
+	c.WaitingWork, c.RemainingWork = o.unfinishedWork()
+	c.Weight, c.RemainingPath = p.jobWeight(o.job), s.criticalPath
+	c.Excess, c.BeyondWeight = shares.Excess(o.job.workspace), o.job.beyondWeight
+	return c
 }
 
 // projectedDuration returns how long the occurrence will have taken if the step starts now and its followers run
@@ -117,13 +83,20 @@
 	return min(maxWeight, baseWeight+workWeight*j.work/mean)
 }
 
-// remainingWork returns the expected work left, in thousandths of a core times milliseconds.
-func (o *occurrence) remainingWork() float64 {
-	var sum float64
+// unfinishedWork returns the expected work of the tasks that have not been started, and of those that have not ended, in
+// thousandths of a core times milliseconds.
+func (o *occurrence) unfinishedWork() (waitingWork, remainingWork float64) {
 	for _, s := range o.steps {
-		sum += float64(len(s.tasks)-s.doneTasks) * s.expectedTaskWork()
+		remaining := len(s.tasks) - s.doneTasks
+		waiting := remaining
+		if s.opened {
+			waiting = len(s.ready)
+		}
+		work := s.expectedTaskWork()
+		waitingWork += float64(waiting) * work
+		remainingWork += float64(remaining) * work
 	}
-	return sum
+	return waitingWork, remainingWork
 }
 
 // expectedTaskWork returns the expected work of one task, in thousandths of a core times milliseconds.
