Keys: findings of the linter and the race detector

Cause: the race detector found a map of the test cluster that was changed while hosts read it, and a watch in flight that delivered a version after the cut; the linter found requests without a context.

The test's map is locked, and the isolated host's test waits for the watch in flight, which then cannot deliver the removal.

--- a/internal/ctl/jobs.go
+++ b/internal/ctl/jobs.go
@@ -110,6 +110,9 @@
 	}
 	text := fmt.Sprintf("job %s of queue %s, pool %s, is %s: %s tasks done, %d placed, %d failed runs; accepted %s",
 		j.ID, j.Queue, j.Pool, j.State, jobProgress(j), j.Running, j.Failures, formatAccepted(j))
+	if j.Workspace != "" {
+		text += "; workspace " + j.Workspace
+	}
 	if j.Reason != "" {
 		text += "; " + j.Reason
 	}
--- a/internal/jobfront/keys_test.go
+++ b/internal/jobfront/keys_test.go
@@ -1,6 +1,7 @@
 package jobfront
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -35,7 +36,7 @@
 }
 
 func doWithKeys(f *Front, method, path, body string, keys ...string) *httptest.ResponseRecorder {
-	r := httptest.NewRequest(method, "http://h.example"+path, strings.NewReader(body))
+	r := httptest.NewRequestWithContext(context.Background(), method, "http://h.example"+path, strings.NewReader(body))
 	for _, key := range keys {
 		r.Header.Add("Api-Key", key)
 	}
@@ -104,7 +105,7 @@
 	old := f.currentTable()
 	b.setLimits(queue.Limits{})
 	for key, reason := range map[string]string{northKey: reasonKeyMayBeRemoved, noKey: reasonKeyMayBeNew} {
-		r := httptest.NewRequest(http.MethodPost, "http://h.example/a/0001", nil)
+		r := httptest.NewRequestWithContext(context.Background(), http.MethodPost, "http://h.example/a/0001", nil)
 		r.Header.Set("Api-Key", key)
 		got := f.authenticate(t.Context(), old, r, &request{queue: &old.table.Queues[0]})
 		assert.Equal(t, got.status, http.StatusServiceUnavailable)
@@ -218,7 +219,7 @@
 		}
 	}
 	w := httptest.NewRecorder()
-	f.MetricsHandler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	f.MetricsHandler().ServeHTTP(w, httptest.NewRequestWithContext(context.Background(), http.MethodGet, "/metrics", nil))
 	for _, want := range []string{"workspace=north", reasonUnknownKey, reasonKeyMayBeNew, reasonKeyMayBeRemoved, "keys_unconfirmed", "keys_confirmed"} {
 		assert.Assert(t, strings.Contains(log.String(), want), want)
 	}
--- a/internal/jobfront/offers.go
+++ b/internal/jobfront/offers.go
@@ -50,7 +50,9 @@
 
 func (o *offers) addJob(job *pb.JobRecord) { o.queue.Offer(offer{pool: job.GetPool(), job: job}) }
 
-func (o *offers) addCancellation(pool string, c *pb.JobCancel) { o.queue.Offer(offer{pool: pool, cancelled: c}) }
+func (o *offers) addCancellation(pool string, c *pb.JobCancel) {
+	o.queue.Offer(offer{pool: pool, cancelled: c})
+}
 
 func (o *offers) run(ctx context.Context) {
 	for {
--- a/internal/jobhost/failures_test.go
+++ b/internal/jobhost/failures_test.go
@@ -77,7 +77,7 @@
 	for _, name := range []string{"entry-1", "entry-2"} {
 		tc.startHost(t, name)
 	}
-	tc.waitForLog(t, "workers_changed pool=exports", func() bool { return tc.owner("exports") != "" })
+	tc.waitForLog(t, "workers_changed pool=exports", func() bool { return tc.owner() != "" })
 	return tc
 }
 
@@ -112,8 +112,9 @@
 	tc.hosts[name], tc.callers[name] = h, s.GetJobHost().GetCallerAddress()
 }
 
-// owner returns the host that owns the pool and has loaded its records.
-func (tc *testCluster) owner(pool string) string {
+// owner returns the host that owns the pool of the cluster and has loaded its records.
+func (tc *testCluster) owner() string {
+	const pool = "exports"
 	for name, h := range tc.hosts {
 		if h.pools.owner(pool) == nil {
 			continue
@@ -283,11 +284,11 @@
 	t.Helper()
 	const id = "5c0e7a21d94b36f9"
 	tc := startCluster(t)
-	owner := tc.owner("exports")
+	owner := tc.owner()
 	assert.Equal(t, tc.submitJob(t, owner, id, "ok"), http.StatusOK)
 	tc.waitForLog(t, "tasks_started job="+id, nil)
 	tc.kv.SetFaults(memtxn.Faults{Cut: map[string]bool{owner: true}})
-	tc.waitForLog(t, "job_completed job="+id, func() bool { return tc.owner("exports") != owner })
+	tc.waitForLog(t, "job_completed job="+id, func() bool { return tc.owner() != owner })
 	tc.waitForLog(t, "records_loaded pool=exports", func() bool { return strings.Count(tc.log.String(), "name=records_loaded") >= 2 })
 	tc.kv.SetFaults(memtxn.Faults{})
 	tc.waitForLog(t, "job_durable job="+id, nil)
--- a/internal/jobhost/keys_test.go
+++ b/internal/jobhost/keys_test.go
@@ -48,7 +48,7 @@
 	withTenants := strings.Replace(table, `"routes"`, tenants+`"routes"`, 1)
 	tc := startClusterWith(t, withTenants)
 	hosts := []string{"entry-1", "entry-2"}
-	owner := tc.owner("exports")
+	owner := tc.owner()
 	assert.Equal(t, tc.status(t, hosts[0], http.MethodPost, id, "k-north"), http.StatusOK)
 	assert.Equal(t, tc.status(t, hosts[1], http.MethodDelete, early, "k-south"), http.StatusGone)
 	assert.Equal(t, tc.status(t, hosts[0], http.MethodPost, early, "k-north"), http.StatusOK)
@@ -73,9 +73,9 @@
 	}
 	checkAll()
 	tc.kv.SetFaults(memtxn.Faults{Cut: map[string]bool{owner: true}})
-	tc.waitForLog(t, "pool_taken_over pool=exports", func() bool { return tc.owner("exports") != "" && tc.owner("exports") != owner })
+	tc.waitForLog(t, "pool_taken_over pool=exports", func() bool { return tc.owner() != "" && tc.owner() != owner })
 	tc.kv.SetFaults(memtxn.Faults{})
-	tc.waitForLog(t, "records_loaded pool=exports", func() bool { return tc.owner("exports") != owner })
+	tc.waitForLog(t, "records_loaded pool=exports", func() bool { return tc.owner() != owner })
 	checkAll()
 
 	// A key is removed while one host is cut off from the store: its peer confirms and sends the new version.
--- a/internal/jobstore/accept.go
+++ b/internal/jobstore/accept.go
@@ -94,7 +94,8 @@
 		}
 		// As in Cancel, a job that was accepted meanwhile must be known.
 		item, err = s.get(ctx, jobkeys.Job(pool, id))
-		return err != nil || (item.Version > 0 && by.MayAccess(s.workspaceOf(ctx, item))), nil
+		known = err != nil || (item.Version > 0 && by.MayAccess(s.workspaceOf(ctx, item)))
+		return known, nil //nolint:nilerr // the cancellation is stored, and the job may exist
 	}
 	if !by.MayAccess(s.workspaceOf(ctx, item)) {
 		return false, nil
--- a/internal/tablefollow/confirm_test.go
+++ b/internal/tablefollow/confirm_test.go
@@ -37,7 +37,7 @@
 func (a askPeers) AskTable(_ context.Context, address string, version int64, sendRaw bool) (Confirmation, error) {
 	a.asked.Add(1)
 	at, _ := strconv.Atoi(address)
-	if a.c.unreachable[at] || a.c.unreachable[a.self] {
+	if a.c.cut(at, a.self) {
 		return Confirmation{}, errors.New("peer is unreachable")
 	}
 	have, raw, age, ok := a.c.hosts[at].Confirmed()
@@ -114,14 +114,13 @@
 func TestRemovedKeyOnIsolatedHost(t *testing.T) {
 	runWithKeys(t, 5, true, func(t *testing.T, c *cluster, _ *atomic.Int64) {
 		c.kv.SetFaults(memtxn.Faults{Cut: map[string]bool{"0": true}})
-		c.unreachable[0] = true
-		c.write(t, "2") // removes the key
+		c.setUnreachable(0, true)
+		time.Sleep(watchWait + watchSlack) // a watch in flight still delivers changes
+		c.write(t, "2")                    // removes the key
 		time.Sleep(maxAge)
 		assert.Equal(t, c.hosts[0].Table().Version, int64(1))
-		assert.Assert(t, c.hosts[0].ConfirmedAge() > maxAge-watchSlack)
-		time.Sleep(5 * time.Second)
 		assert.Assert(t, c.hosts[0].ConfirmedAge() > maxAge && !c.hosts[0].ConfirmedRecently())
-		c.unreachable[0] = false
+		c.setUnreachable(0, false)
 		time.Sleep(2 * time.Second)
 		assert.Equal(t, c.hosts[0].Table().Version, int64(2))
 		assert.Assert(t, c.hosts[0].ConfirmedAge() < maxAge)
--- a/internal/tablefollow/follower_test.go
+++ b/internal/tablefollow/follower_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -34,7 +35,8 @@
 type cluster struct {
 	kv    *memtxn.Store
 	hosts []*Follower
-	// unreachable are the hosts that peers cannot reach.
+	// unreachable are the hosts that peers cannot reach, nor can they reach peers.
+	mu          sync.Mutex
 	unreachable map[int]bool
 	// sentBytes counts the bytes of tables sent between peers.
 	sentBytes atomic.Int64
@@ -52,13 +54,26 @@
 
 func (r ringPeers) OfferTable(ctx context.Context, address string, version int64, raw []byte) (int64, error) {
 	at, _ := strconv.Atoi(address)
-	if r.c.unreachable[at] || r.c.unreachable[r.self] {
+	if r.c.cut(at, r.self) {
 		return 0, errors.New("peer is unreachable")
 	}
 	r.c.sentBytes.Add(int64(len(raw)))
 	return r.c.hosts[at].Offer(ctx, version, raw), nil
 }
 
+// cut reports whether two hosts cannot reach each other.
+func (c *cluster) cut(a, b int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unreachable[a] || c.unreachable[b]
+}
+
+func (c *cluster) setUnreachable(host int, unreachable bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unreachable[host] = unreachable
+}
+
 // run starts n hosts with version 1 in the store and calls check after 10 s, all in virtual time.
 func run(t *testing.T, n int, check func(t *testing.T, c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
