scheduler: pause before another attempt of a gang that keeps breaking

Cause: applyGangRunEnd queued the gang again at once after any end but a success or a failure, and placeGang ignored the pause of a refused member. Neither had a limit: 1,000 attempts in 20 s of virtual time, one each 20 ms.

Change: from the second attempt in a row that ends alone or broken, the next one waits for 200 ms, doubled up to 1.6 s, which is less than the 3 s that a job may wait idle. The first is repeated at once, since a worker may have crashed. Such ends never fail the job: only ends `failed` are attempts. placeGang also respects the pause after refusals.

--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // applyGangRunEnd applies the end of a gang member: a success completes all tasks, any other end stops the whole
 // attempt.
@@ -22,12 +25,44 @@
 		p.enqueueTask(now, t)
 		return true
 	default:
+		if end == EndAlone || end == EndBroken {
+			s.backOffGang(now, r, end)
+		}
 		p.stopGangAttempt(now, s, r.number)
 		p.enqueueTask(now, t)
 		return false
 	}
 }
 
+const (
+	// baseGangBackoff is the delay before a gang starts again after its second attempt in a row that ended alone or broken. It
+	// doubles with each further one, up to maxGangBackoffSteps times, so that a job never waits for 3 s beside unused capacity.
+	baseGangBackoff     = 200 * time.Millisecond
+	maxGangBackoffSteps = 3
+)
+
+// backOffGang delays the next attempt of a gang of which attempts keep ending alone or broken. Such an end is no failed
+// attempt, since a lost start or another member's worker may be the cause, so that it never fails the job. The first one has
+// no delay: a worker that crashed is no reason to wait.
+func (s *step) backOffGang(now time.Time, r *run, end RunEnd) {
+	if r.number <= s.brokenAttempt {
+		return
+	}
+	s.brokenAttempt = r.number
+	if end == EndBroken && r.age(now) > stableRunAge {
+		s.brokenAttempts = 0
+	}
+	s.brokenAttempts++
+	if s.brokenAttempts > 1 {
+		s.notBefore = now.Add(baseGangBackoff << min(s.brokenAttempts-2, maxGangBackoffSteps))
+	}
+}
+
+// isGangPaused reports whether the gang must not start yet, after attempts that were broken or a refusal of a member.
+func (s *step) isGangPaused(now time.Time) bool {
+	return now.Before(s.notBefore) || slices.ContainsFunc(s.tasks, func(t task) bool { return now.Before(t.notBefore) })
+}
+
 // stopGangAttempt stops the other members of an attempt.
 func (p *Pool) stopGangAttempt(now time.Time, s *step, number int64) {
 	for i := range s.tasks {
@@ -41,7 +76,7 @@
 
 // placeGang starts all members with the same run number if there is room for all of them at once.
 func (p *Pool) placeGang(now time.Time, s *step, usable []*worker) {
-	if len(s.ready) < len(s.tasks) {
+	if len(s.ready) < len(s.tasks) || s.isGangPaused(now) {
 		return
 	}
 	chosen := make([]*worker, 0, len(s.tasks))
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -48,6 +48,11 @@
 	criticalPath time.Duration
 	fastest      fastestRuns
 	advice       *stepAdvice
+	// brokenAttempt is the latest attempt of a gang that ended alone or broken, brokenAttempts the number of those in a row.
+	// The gang does not start before notBefore.
+	brokenAttempt  int64
+	brokenAttempts int
+	notBefore      time.Time
 	// rack is where a step runs that must run on one rack.
 	rack string
 }
