scheduler: contain queues whose tasks crash workers

Cause: a crash charged the young runs of all queues on the worker and ended whatever else ran there. In virtual time, a tenth of one queue's jobs crashing their workers for 10 s made 5 to 10% of the other queues' work late, 32 to 40% in a busy pool.

Change: a queue charged with two crashes within 5 s is contained until 5 s without one: its untried tasks start on at most a third of the workers, not beside uncleared runs of other jobs, and tasks of others go elsewhere first. Trials of one job of such a queue follow one another. Events 970 and 971, metric agateturn_queue_containments_total.

More of the causing queue's own innocent work is late.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -319,6 +319,11 @@
 		Number: 958, Name: "task_given_up", Level: slog.LevelWarn, Message: "task crashes the workers that start it and is given up; its job fails",
 		Remedy: "tell the caller of the job; see the payload of the task",
 	}
+	QueueContained = Event{
+		Number: 970, Name: "queue_contained", Level: slog.LevelWarn, Message: "tasks of the queue crash workers; its untried tasks start on few workers",
+		Remedy: "see which jobs of the queue fail with task_given_up, and tell their callers",
+	}
+	QueueContainmentEnded = Event{Number: 971, Name: "queue_containment_ended", Level: slog.LevelInfo, Message: "tasks of the queue crash workers no longer; they start on all workers"}
 
 	SchedulerNote = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
 )
@@ -346,7 +351,7 @@
 	TasksStarted, TasksStopped, TasksLost, TasksEnded, TasksRefused, OrderUnknown, OrderRefused,
 	JobCompleted, JobFailed, JobCancelled, SchedulerNote, JobBegun, AttemptFailed, JobDurable, StepDone,
 	MemberNotStored, RecordSkipped, FleetRecordWaits, MachinesUnread, MachinesRead, TasksPreempted, PoolTakenOver,
-	RegistryUnwatched, RegistryWatched, CarriersChanged, CarrierFailed, WorkerCrashed, TaskCharged, TaskGivenUp,
+	RegistryUnwatched, RegistryWatched, CarriersChanged, CarrierFailed, WorkerCrashed, TaskCharged, TaskGivenUp, QueueContained, QueueContainmentEnded,
 }
 
 // retired lists the numbers of removed events, which are never reused.
--- a/internal/poolowner/decisions.go
+++ b/internal/poolowner/decisions.go
@@ -38,6 +38,7 @@
 	reason           string
 	attempt          int
 	crashes          int
+	queue            string
 	suspected        bool
 	// worker is set only for decisions about no job; those about a job are joined across workers.
 	worker string
@@ -178,7 +179,7 @@
 	g := decisionGroup{
 		kind: d.Kind, job: d.Task.Job, occurrence: d.Task.Occurrence, step: d.Task.Step, reason: d.Reason,
 	}
-	g.attempt, g.crashes, g.suspected = d.Attempt, d.Crashes, d.Suspected
+	g.attempt, g.crashes, g.suspected, g.queue = d.Attempt, d.Crashes, d.Suspected, d.Queue
 	if d.Task.Job == "" {
 		g.worker = d.Worker
 	}
@@ -195,6 +196,8 @@
 		o.Metrics.countWorkerCrash()
 	case scheduler.DecisionGivenUp:
 		o.Metrics.countGivenUp()
+	case scheduler.DecisionContained:
+		o.Metrics.countContainment()
 	}
 }
 
@@ -209,18 +212,21 @@
 	scheduler.DecisionCrashed:   events.WorkerCrashed,
 	scheduler.DecisionCharged:   events.TaskCharged,
 	scheduler.DecisionGivenUp:   events.TaskGivenUp,
-	"never began":               events.TasksRefused,
-	"refused":                   events.TasksRefused,
-	"suspect":                   events.WorkerSuspect,
-	scheduler.DecisionEnded:     events.TasksEnded,
-	scheduler.DecisionStepDone:  events.StepDone,
-	scheduler.DecisionAttempt:   events.AttemptFailed,
-	scheduler.DecisionPreempted: events.TasksPreempted,
-	scheduler.DecisionBegun:     events.JobBegun,
-	scheduler.DecisionCompleted: events.JobCompleted,
-	scheduler.DecisionFailed:    events.JobFailed,
-	scheduler.DecisionCancelled: events.JobCancelled,
-	scheduler.DecisionTakenOver: events.PoolTakenOver,
+	scheduler.DecisionContained: events.QueueContained,
+
+	scheduler.DecisionContainmentEnded: events.QueueContainmentEnded,
+	"never began":                      events.TasksRefused,
+	"refused":                          events.TasksRefused,
+	"suspect":                          events.WorkerSuspect,
+	scheduler.DecisionEnded:            events.TasksEnded,
+	scheduler.DecisionStepDone:         events.StepDone,
+	scheduler.DecisionAttempt:          events.AttemptFailed,
+	scheduler.DecisionPreempted:        events.TasksPreempted,
+	scheduler.DecisionBegun:            events.JobBegun,
+	scheduler.DecisionCompleted:        events.JobCompleted,
+	scheduler.DecisionFailed:           events.JobFailed,
+	scheduler.DecisionCancelled:        events.JobCancelled,
+	scheduler.DecisionTakenOver:        events.PoolTakenOver,
 }
 
 func (o *Owner) logGroup(ctx context.Context, g decisionGroup, all []decision) {
@@ -233,6 +239,9 @@
 	if g.job != "" {
 		attrs = append(attrs, slog.String("job", g.job))
 	}
+	if g.queue != "" {
+		attrs = append(attrs, slog.String("queue", g.queue))
+	}
 	attrs = append(attrs, slog.String("pool", o.Pool), slog.Uint64("fence", o.Config.Fence))
 	if !ok {
 		attrs = append(attrs, slog.String("kind", g.kind))
--- a/internal/poolowner/metrics.go
+++ b/internal/poolowner/metrics.go
@@ -14,6 +14,7 @@
 	metricLostRuns   = "agateturn_runs_lost_total"
 	metricCrashes    = "agateturn_worker_crashes_total"
 	metricGivenUp    = "agateturn_tasks_given_up_total"
+	metricContained  = "agateturn_queue_containments_total"
 )
 
 // Metrics records metrics of pool owners. A nil *Metrics records nothing. It is safe for concurrent use.
@@ -62,6 +63,12 @@
 	}
 }
 
+func (m *Metrics) countContainment() {
+	if m != nil {
+		m.stats.Counter(metricContained).Inc(1)
+	}
+}
+
 // UnwrittenJobs returns the number of jobs whose progress is not durable yet.
 func (o *Owner) UnwrittenJobs() int64 { return o.records.pending.Load() }
 
--- a/scheduler/checker_test.go
+++ b/scheduler/checker_test.go
@@ -245,6 +245,9 @@
 	if j.lastShown != state && (j.lastShown == pb.JobState_JOB_STATE_COMPLETED || j.lastShown == pb.JobState_JOB_STATE_FAILED) {
 		c.addViolation("%s went from %v to %v", j.id, j.lastShown, state)
 	}
+	if j.lastShown != state {
+		j.shownAt = c.sim.now
+	}
 	j.lastShown = state
 }
 
--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -40,7 +40,7 @@
 		if !t.step.need.fits(w.free()) || !p.permits(now, t.step, w) || !p.permitsTrials(now, t, w) {
 			continue
 		}
-		if cost := p.cost(now, t, w) + trialCost(now, t, w); cost < lowest {
+		if cost := p.cost(now, t, w) + trialCost(now, t, w) + p.containmentCost(t, w); cost < lowest {
 			best, lowest = w, cost
 		}
 	}
@@ -56,7 +56,7 @@
 	if limit := s.spec.GetMaxPerHost(); limit > 0 && int64(s.active[w]) >= limit {
 		return false
 	}
-	return p.hasTicket(now, s, w)
+	return p.permitsContained(now, s, w) && p.hasTicket(now, s, w)
 }
 
 // cost returns the cost of running the task on the worker. Lower is better; infinite means that it is better to wait.
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -112,6 +112,7 @@
 func (p *Pool) chargeCrash(now time.Time, w *worker) {
 	var charged []*run
 	uncleared, unsettled := map[*job]bool{}, map[*job]bool{}
+	queues := map[string]bool{}
 	for _, r := range slices.Concat(w.runs, w.expired) {
 		if r.task == nil || !r.mayHaveBegun(now) {
 			continue
@@ -119,6 +120,7 @@
 		j := r.task.job()
 		if !r.isCleared() {
 			uncleared[j] = true
+			queues[j.queue] = true
 		}
 		if !r.isSettled() {
 			unsettled[j] = true
@@ -128,6 +130,7 @@
 		}
 	}
 	w.expired = nil
+	p.observeCrash(now, queues)
 	for _, r := range charged {
 		if r.task.job().isTerminal() {
 			continue
--- a/scheduler/decision.go
+++ b/scheduler/decision.go
@@ -5,8 +5,10 @@
 // Decision explains one decision for the log: what was decided, about which task or worker, and why.
 type Decision struct {
 	// Kind is a short constant name such as "start", "stop", "lost", "failed".
-	Kind   string
-	Task   TaskID
+	Kind string
+	Task TaskID
+	// Queue is set for decisions about a queue.
+	Queue  string
 	Worker string
 	Run    int64
 	Reason string
@@ -43,6 +45,10 @@
 	DecisionCrashed   = "crashed"
 	DecisionCharged   = "charged"
 	DecisionGivenUp   = "given up"
+	// DecisionContained and DecisionContainmentEnded: from the first to the second, the untried tasks of the queue start on few
+	// workers, since its tasks crash workers. Crashes is the number of crashes charged to it.
+	DecisionContained        = "contained"
+	DecisionContainmentEnded = "containment ended"
 )
 
 // String returns the name of the end for the log.
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -42,6 +42,8 @@
 	// failedOn holds the workers on which tasks failed. anySucceeded means that some task has succeeded.
 	failedOn     map[string]bool
 	anySucceeded bool
+	// tried means that a run of the job has been cleared; see isTried.
+	tried bool
 }
 
 // occurrence is one execution of all steps of a job.
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -33,6 +33,7 @@
 		w.health.probe = r
 	}
 	p.beginTrial(now, r)
+	p.trackUntried(now, r)
 	if t.step.spec.GetSpeculative() {
 		p.hasSpeculative = true
 	}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -94,6 +94,7 @@
 	// strictTrial is the task whose strict trial is due or under way, since strictSince.
 	strictTrial *task
 	strictSince time.Time
+	containment containment
 
 	out Actions
 }
@@ -165,6 +166,7 @@
 	p.checkEvacuation(now)
 	p.advice.expire(now)
 	p.checkTrials(now)
+	p.checkContainment(now)
 	p.placeTasks(now)
 	p.checkPreemption(now)
 	p.checkSpeculation(now)
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -84,6 +84,11 @@
 	checker         *checker
 	evacuating      map[string]bool
 	fence           uint64
+	// rebootMs is the time in ms for which a worker is down after a crash under a task.
+	rebootMs int64
+	// onCrash, if set, is called before a worker crashes under a task, and onDecision for each decision of an owner.
+	onCrash    func(*simWorker)
+	onDecision func(scheduler.Decision)
 	// preemptedRuns counts the preemptions.
 	preemptedRuns int
 }
@@ -94,6 +99,8 @@
 	accepted    bool
 	cancelledAt int64
 	lastShown   pb.JobState
+	// shownAt is when lastShown was first shown.
+	shownAt     int64
 	alwaysFails bool
 	// crashing tasks crash each worker that starts them, crashAfter ms after the start.
 	crashing   map[scheduler.TaskID]bool
@@ -123,7 +130,7 @@
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 1)), faults: f, byID: map[string]*simWorker{}, jobs: map[string]*simJob{},
 		durableProgress: map[string]*pb.JobProgress{}, partitioned: map[string]bool{}, drainListedAt: map[string]int64{}, fence: 10,
-		evacuating: map[string]bool{},
+		evacuating: map[string]bool{}, rebootMs: 3000,
 	}
 	s.checker = newChecker(s)
 	for i := range workers {
@@ -351,6 +358,9 @@
 }
 
 var simQueues = []queue.Queue{
+	{Name: "second", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
+	{Name: "third", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
+	{Name: "lasting", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
 	{Name: "q", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
 	{Name: "later", Pool: "p", Priority: 1, MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
 	{
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -93,6 +93,9 @@
 		if d.Kind == scheduler.DecisionGivenUp {
 			s.checker.givenUp[d.Task] = true
 		}
+		if s.onDecision != nil {
+			s.onDecision(d)
+		}
 		s.trace("owner %d decides %+v", o.fence, d)
 	}
 	for _, id := range a.Poll {
--- a/scheduler/simworker_test.go
+++ b/scheduler/simworker_test.go
@@ -165,13 +165,16 @@
 	return scheduler.OutcomeDone
 }
 
-// crashUnder crashes the worker because of the run, at once or later, and boots it again after 3 s.
+// crashUnder crashes the worker because of the run, at once or later, and boots it again after rebootMs.
 func (w *simWorker) crashUnder(r *simRun) scheduler.Outcome {
 	incarnation := w.incarnation
 	crash := func() {
 		if w.up && w.incarnation == incarnation && slices.Contains(w.running, r) {
+			if w.sim.onCrash != nil {
+				w.sim.onCrash(w)
+			}
 			w.crash()
-			w.sim.after(3000, w.boot)
+			w.sim.after(w.sim.rebootMs, w.boot)
 		}
 	}
 	if r.crashAfter == 0 {
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -45,7 +45,7 @@
 
 // chooseForTrial returns the worker for the trial of a suspected task, or nil if the trial has to wait.
 func (p *Pool) chooseForTrial(now time.Time, t *task, usable []*worker) *worker {
-	if t.needsStrictTrial() && !p.acquireStrictTrial(now, t) {
+	if p.awaitsTrialOfSibling(now, t) || t.needsStrictTrial() && !p.acquireStrictTrial(now, t) {
 		return nil
 	}
 	w := p.choose(now, t, usable)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -163,7 +163,7 @@
 // endIncarnation ends those runs of a restarted or replaced incarnation for which ends returns true, and resets the
 // state that belongs to the incarnation.
 func (p *Pool) endIncarnation(now time.Time, w *worker, reason string, ends func(*run) bool) {
-	if !w.replaced && !w.Draining && w.trials == 0 {
+	if !w.replaced && !w.Draining && w.trials == 0 && !p.hasUntried(w) {
 		p.recordRestart(now, w)
 	}
 	if w.mayCrash() {
