--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -319,6 +319,11 @@
 		Number: 958, Name: "task_given_up", Level: slog.LevelWarn, Message: "task crashes the workers that start it and is given up; its job fails",
 		Remedy: "tell the caller of the job; see the payload of the task",
 	}
+	KeysUnconfirmed = Event{
+		Number: 959, Name: "keys_unconfirmed", Level: slog.LevelWarn, Message: "neither the store nor a peer confirms the configuration; submissions and cancellations with API keys are rejected",
+		Remedy: "check the platform's store and the network of this entry host",
+	}
+	KeysConfirmed         = Event{Number: 960, Name: "keys_confirmed", Level: slog.LevelInfo, Message: "configuration is confirmed again; submissions and cancellations with API keys are served"}
 	WorkspaceBeyondWeight = Event{
 		Number: 961, Name: "workspace_beyond_weight", Level: slog.LevelInfo,
 		Message: "workspace submits more jobs a second than its weight; those beyond it yield to the jobs of others",
@@ -327,14 +332,13 @@
 		Number: 962, Name: "workspace_within_weight", Level: slog.LevelInfo,
 		Message: "workspace submits no more jobs beyond its weight; the count is of the jobs that were beyond it",
 	}
-
-	KeysUnconfirmed = Event{
-		Number: 959, Name: "keys_unconfirmed", Level: slog.LevelWarn, Message: "neither the store nor a peer confirms the configuration; submissions and cancellations with API keys are rejected",
-		Remedy: "check the platform's store and the network of this entry host",
-	}
-	KeysConfirmed         = Event{Number: 960, Name: "keys_confirmed", Level: slog.LevelInfo, Message: "configuration is confirmed again; submissions and cancellations with API keys are served"}
 	WorkspaceLimitRaised  = Event{Number: 970, Name: "workspace_limit_raised", Level: slog.LevelInfo, Message: "workspace may run more in the pool"}
 	WorkspaceLimitLowered = Event{Number: 971, Name: "workspace_limit_lowered", Level: slog.LevelInfo, Message: "workspace may run less in the pool; its runs continue"}
+	QueueContained        = Event{
+		Number: 972, Name: "queue_contained", Level: slog.LevelWarn, Message: "tasks of the queue crash workers; its untried tasks start on few workers",
+		Remedy: "see which jobs of the queue fail with task_given_up, and tell their callers",
+	}
+	QueueContainmentEnded = Event{Number: 973, Name: "queue_containment_ended", Level: slog.LevelInfo, Message: "tasks of the queue crash workers no longer; they start on all workers"}
 
 	SchedulerNote = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
 )
@@ -364,6 +368,7 @@
 	MemberNotStored, RecordSkipped, FleetRecordWaits, MachinesUnread, MachinesRead, TasksPreempted, PoolTakenOver,
 	RegistryUnwatched, RegistryWatched, CarriersChanged, CarrierFailed, WorkerCrashed, TaskCharged, TaskGivenUp,
 	KeysUnconfirmed, KeysConfirmed, WorkspaceBeyondWeight, WorkspaceWithinWeight, WorkspaceLimitRaised, WorkspaceLimitLowered,
+	QueueContained, QueueContainmentEnded,
 }
 
 // retired lists the numbers of removed events, which are never reused.
--- a/internal/poolowner/decisions.go
+++ b/internal/poolowner/decisions.go
@@ -38,6 +38,7 @@
 	reason           string
 	attempt          int
 	crashes          int
+	queue            string
 	suspected        bool
 	workspace        string
 	// worker is set only for decisions about no job; those about a job are joined across workers.
@@ -179,7 +180,8 @@
 	g := decisionGroup{
 		kind: d.Kind, job: d.Task.Job, occurrence: d.Task.Occurrence, step: d.Task.Step, reason: d.Reason,
 	}
-	g.attempt, g.crashes, g.suspected, g.workspace = d.Attempt, d.Crashes, d.Suspected, d.Workspace
+	g.attempt, g.crashes, g.suspected = d.Attempt, d.Crashes, d.Suspected
+	g.workspace, g.queue = d.Workspace, d.Queue
 	if d.Task.Job == "" {
 		g.worker = d.Worker
 	}
@@ -199,6 +201,8 @@
 		o.Metrics.countGivenUp()
 	case scheduler.DecisionBeyondWeight:
 		o.Metrics.countBeyondWeight(d.Workspace)
+	case scheduler.DecisionContained:
+		o.Metrics.countContainment()
 	}
 }
 
@@ -226,8 +230,10 @@
 	scheduler.DecisionCancelled: events.JobCancelled,
 	scheduler.DecisionTakenOver: events.PoolTakenOver,
 
-	scheduler.DecisionBeyondWeight: events.WorkspaceBeyondWeight,
-	scheduler.DecisionWithinWeight: events.WorkspaceWithinWeight,
+	scheduler.DecisionBeyondWeight:     events.WorkspaceBeyondWeight,
+	scheduler.DecisionWithinWeight:     events.WorkspaceWithinWeight,
+	scheduler.DecisionContained:        events.QueueContained,
+	scheduler.DecisionContainmentEnded: events.QueueContainmentEnded,
 }
 
 func (o *Owner) logGroup(ctx context.Context, g decisionGroup, all []decision) {
@@ -240,6 +246,9 @@
 	if g.job != "" {
 		attrs = append(attrs, slog.String("job", g.job))
 	}
+	if g.queue != "" {
+		attrs = append(attrs, slog.String("queue", g.queue))
+	}
 	attrs = append(attrs, slog.String("pool", o.Pool), slog.Uint64("fence", o.Config.Fence))
 	if !ok {
 		attrs = append(attrs, slog.String("kind", g.kind))
--- a/internal/poolowner/metrics.go
+++ b/internal/poolowner/metrics.go
@@ -15,6 +15,7 @@
 	metricCrashes    = "agateturn_worker_crashes_total"
 	metricGivenUp    = "agateturn_tasks_given_up_total"
 	metricBeyond     = "agateturn_workspace_beyond_weight_total"
+	metricContained  = "agateturn_queue_containments_total"
 )
 
 // Metrics records metrics of pool owners. A nil *Metrics records nothing. It is safe for concurrent use.
@@ -71,6 +72,12 @@
 	}
 }
 
+func (m *Metrics) countContainment() {
+	if m != nil {
+		m.stats.Counter(metricContained).Inc(1)
+	}
+}
+
 // UnwrittenJobs returns the number of jobs whose progress is not durable yet.
 func (o *Owner) UnwrittenJobs() int64 { return o.records.pending.Load() }
 
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -87,6 +87,11 @@
 	fence           uint64
 	// load is set if the simulation measures an order.
 	load *simLoad
+	// rebootMs is the time in ms for which a worker is down after a crash under a task.
+	rebootMs int64
+	// onCrash, if set, is called before a worker crashes under a task, and onDecision for each decision of an owner.
+	onCrash    func(*simWorker)
+	onDecision func(scheduler.Decision)
 	// preemptedRuns counts the preemptions.
 	preemptedRuns int
 	// limits holds the limits of the workspaces.
@@ -99,6 +104,8 @@
 	accepted    bool
 	cancelledAt int64
 	lastShown   pb.JobState
+	// shownAt is when lastShown was first shown.
+	shownAt     int64
 	alwaysFails bool
 	// crashing tasks crash each worker that starts them, crashAfter ms after the start.
 	crashing   map[scheduler.TaskID]bool
@@ -128,7 +135,7 @@
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 1)), faults: f, byID: map[string]*simWorker{}, jobs: map[string]*simJob{},
 		durableProgress: map[string]*pb.JobProgress{}, partitioned: map[string]bool{}, drainListedAt: map[string]int64{}, fence: 10,
-		evacuating: map[string]bool{},
+		evacuating: map[string]bool{}, rebootMs: 3000,
 	}
 	s.checker = newChecker(s)
 	for i := range workers {
@@ -374,6 +381,9 @@
 }
 
 var simQueues = []queue.Queue{
+	{Name: "second", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
+	{Name: "third", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
+	{Name: "lasting", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
 	{Name: "q", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
 	{Name: "other", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
 	{Name: "later", Pool: "p", Priority: 1, MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
--- a/scheduler/workspace_test.go
+++ b/scheduler/workspace_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/jobstate"
 	"github.com/agateturn/agateturn/scheduler"
 )
 
@@ -106,7 +107,7 @@
 	assert.Equal(t, b.usage().Next.CPUMilli, int64(3000))
 	b.addFor("a", "single", &pb.JobStep{Count: 200, CpuMilli: 1000, EstimateMs: 10})
 	b.limitCPU(4000)
-	b.pool.Cancel(b.now, "gang")
+	b.pool.CancelBy(b.now, "gang", jobstate.Requester{Workspace: "a"})
 	assert.Equal(t, b.starts(running)["single"], 4)
 	b.addFor("a", "second", &pb.JobStep{Count: 3, CpuMilli: 1000, Gang: true, EstimateMs: 1000})
 	waited := time.Duration(0)
@@ -132,7 +133,7 @@
 	orders := b.pool.Step(b.now).Orders
 	assert.Equal(t, len(orders), 1)
 	b.pool.Result(b.now, scheduler.OrderResult{Order: orders[0], Outcome: scheduler.OutcomeUnknown})
-	b.pool.Cancel(b.now, orders[0].Task.Job)
+	b.pool.CancelBy(b.now, orders[0].Task.Job, jobstate.Requester{Workspace: "a"})
 	stop := b.pool.Step(b.now).Orders
 	assert.Equal(t, len(stop), 1)
 	assert.Equal(t, stop[0].Kind, scheduler.OrderStop)
