--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -113,7 +114,9 @@
 	finalStates *finalStateCache
 	conns       *connections
 	indexed     atomic.Pointer[indexedTable]
-	ready       atomic.Bool
+	// indexing is held while a new table is indexed, so that concurrent requests do not all do that.
+	indexing sync.Mutex
+	ready    atomic.Bool
 	// loggedReadiness is the reason of the last answer to a readiness check, empty if ready; nil before the first check.
 	loggedReadiness atomic.Pointer[string]
 	// keysUnconfirmed means that the age of the table has been logged, and its end has not.
@@ -261,6 +264,13 @@
 	if cached := f.indexed.Load(); cached != nil && cached.table == table {
 		return cached
 	}
+	f.indexing.Lock()
+	defer f.indexing.Unlock()
+	// The newest table, as a request that waited may have read an older one.
+	table = f.options.Tables.Table()
+	if cached := f.indexed.Load(); cached != nil && cached.table == table {
+		return cached
+	}
 	indexed := newIndexedTable(table)
 	f.indexed.Store(indexed)
 	return indexed
--- a/internal/poolowner/decisions.go
+++ b/internal/poolowner/decisions.go
@@ -242,24 +242,14 @@
 		event = events.SchedulerNote
 	}
 	first := &all[0]
-	attrs := make([]slog.Attr, 0, 12)
-	if g.job != "" {
-		attrs = append(attrs, slog.String("job", g.job))
-	}
-	if g.queue != "" {
-		attrs = append(attrs, slog.String("queue", g.queue))
-	}
-	attrs = append(attrs, slog.String("pool", o.Pool), slog.Uint64("fence", o.Config.Fence))
+	attrs := o.subjectAttrs(g)
 	if !ok {
 		attrs = append(attrs, slog.String("kind", g.kind))
 	}
-	if g.workspace != "" {
-		attrs = append(attrs, slog.String("workspace", g.workspace))
-	}
 	switch {
 	case g.kind == scheduler.DecisionCrashed:
 		attrs = append(attrs, slog.Int("runs", first.Count))
-	case g.kind == scheduler.DecisionWithinWeight:
+	case g.kind == scheduler.DecisionWithinWeight || g.kind == scheduler.DecisionHeld:
 		attrs = append(attrs, slog.Int("count", first.Count))
 	case first.Count > 0:
 		attrs = append(attrs,
@@ -272,9 +262,29 @@
 			slog.String("tasks", formatTaskIndexes(all)),
 			slog.Int64("run", first.Run))
 	}
-	if g.kind == scheduler.DecisionHeld {
-		attrs = append(attrs, slog.String("workspace", first.Workspace))
+	attrs = append(attrs, outcomeAttrs(g, all)...)
+	events.LogAt(ctx, o.Log, first.at, event, attrs...)
+}
+
+// subjectAttrs returns what a group of decisions is about.
+func (o *Owner) subjectAttrs(g decisionGroup) []slog.Attr {
+	attrs := make([]slog.Attr, 0, 12)
+	if g.job != "" {
+		attrs = append(attrs, slog.String("job", g.job))
+	}
+	if g.queue != "" {
+		attrs = append(attrs, slog.String("queue", g.queue))
 	}
+	if g.workspace != "" {
+		attrs = append(attrs, slog.String("workspace", g.workspace))
+	}
+	return append(attrs, slog.String("pool", o.Pool), slog.Uint64("fence", o.Config.Fence))
+}
+
+// outcomeAttrs returns where and why a group of decisions was made.
+func outcomeAttrs(g decisionGroup, all []decision) []slog.Attr {
+	first := &all[0]
+	var attrs []slog.Attr
 	if first.Worker != "" {
 		attrs = append(attrs, slog.String("workers", formatWorkers(all)))
 	}
@@ -296,7 +306,7 @@
 	if first.Age > 0 {
 		attrs = append(attrs, slog.Int64("age_ms", first.Age.Milliseconds()))
 	}
-	events.LogAt(ctx, o.Log, first.at, event, attrs...)
+	return attrs
 }
 
 func formatTaskIndexes(all []decision) string {
--- a/internal/poolowner/workspaces.go
+++ b/internal/poolowner/workspaces.go
@@ -46,10 +46,12 @@
 	w.enforce(p, now)
 }
 
-// findUsage limits the workspaces to what runs, once that is known. It is called before each step.
+// findUsage limits the workspaces to what runs, once the takeover is complete. Runs of jobs that are not known yet count as soon
+// as their job is, and until then the report says that the usage is unknown, so that nothing is granted: one run that is slow
+// to stop must not keep all workspaces from starting anything. findUsage is called before each step.
 func (o *Owner) findUsage(p *scheduler.Pool, now time.Time) {
 	w := &o.workspaceLimits
-	if w.limits == nil || w.limits.Known() || !p.UsageKnown() {
+	if w.limits == nil || w.limits.Known() || !p.TakeoverComplete() {
 		return
 	}
 	w.limits.Found(quotaUsage(p, now))
@@ -82,7 +84,7 @@
 	w.enforce(p, now)
 	o.logLimits(ctx, now)
 	o.shownUsage.Store(&report)
-	out.UsageKnown = w.limits.Known()
+	out.UsageKnown = w.limits.Known() && p.UsageKnown()
 	out.Workspaces = quotawire.EncodeUsage(report)
 }
 
--- a/scheduler/workspace.go
+++ b/scheduler/workspace.go
@@ -148,8 +148,12 @@
 // hasNext reports whether a step waits for the limit. The step may have ended since the last placement.
 func (a *account) hasNext() bool { return a.next != nil && len(a.next.ready) > 0 }
 
+// TakeoverComplete reports whether every worker that may run tasks of an earlier owner has been accounted for, so that tasks
+// may start. Runs of jobs that are not known yet may remain; see UsageKnown.
+func (p *Pool) TakeoverComplete() bool { return !p.takeover.blocksStarts() }
+
 // UsageKnown reports whether all runs that an earlier owner may have left are known, and the jobs that they belong to.
-func (p *Pool) UsageKnown() bool { return !p.takeover.blocksStarts() && len(p.orphans) == 0 }
+func (p *Pool) UsageKnown() bool { return p.TakeoverComplete() && len(p.orphans) == 0 }
 
 // chargeOrphans counts the orphaned runs of a job that has ended already. They are being stopped.
 func (p *Pool) chargeOrphans(j *job) {
