jobpeer: the fake owner of the tests reads missing workspaces as the owner does

The fake showed it every job; the real owner takes a missing entry for no workspace (Owner.States).

Change: the fake does the same, so that the test is stricter.

--- a/internal/jobpeer/peer_test.go
+++ b/internal/jobpeer/peer_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"go.uber.org/goleak"
+	"github.com/samber/lo"
 	"gotest.tools/v3/assert"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
@@ -48,7 +49,7 @@
 	m.calls++
 	states := make([]pb.JobState, len(ids))
 	for i, id := range ids {
-		if id[len(id)-1]%2 == 0 && (len(workspaces) == 0 || workspaces[i] == m.workspace) {
+		if id[len(id)-1]%2 == 0 && lo.NthOrEmpty(workspaces, i) == m.workspace {
 			states[i] = pb.JobState_JOB_STATE_RUNNING
 		}
 	}
