--- a/internal/jobpeer/peer_test.go
+++ b/internal/jobpeer/peer_test.go
@@ -14,8 +14,8 @@
 	"testing/synctest"
 	"time"
 
-	"go.uber.org/goleak"
 	"github.com/samber/lo"
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
