--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -159,13 +159,13 @@
 }
 
 // disruptionAllowed reports whether the task may be stopped, counting the other tasks of its step that are
-// unavailable. A step without a disruption budget is treated as if its budget were one. A task that was given up will not
-// be available again, so it must not block the others for ever.
+// unavailable. A step without a disruption budget is treated as if its budget were one. A task that was given up counts as
+// unavailable too: its callers miss it like any other, so the host of another task stays up although a wave waits for it.
 func (s *step) disruptionAllowed(now time.Time, t *task) bool {
 	budget := max(1, s.spec.GetMayMiss())
 	for i := range s.tasks {
 		other := &s.tasks[i]
-		if other == t || other.crashes.givenUp || other.isAvailable(now) {
+		if other == t || other.isAvailable(now) {
 			continue
 		}
 		budget--
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -75,7 +75,9 @@
 	failedRuns []int64
 	failedOn   []string
 	notBefore  time.Time
-	refusals   int
+	// waitingSince is when the task last began to wait for a worker.
+	waitingSince time.Time
+	refusals     int
 	// stalls counts the runs that were stopped for lack of progress or moved off a slow worker.
 	stalls int
 	// preempted counts the runs that were preempted for another queue.
@@ -131,6 +133,7 @@
 	}
 	at, _ := slices.BinarySearch(s.ready, t.index)
 	s.ready = slices.Insert(s.ready, at, t.index)
+	t.waitingSince = now
 	if !s.inWaitingSteps {
 		s.inWaitingSteps = true
 		p.waitingSteps = append(p.waitingSteps, s)
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -11,12 +11,16 @@
 // A trial is a start of a task that is suspected of crashing its workers. Nothing else starts on the worker until the run
 // is cleared, so that a crash tells the task apart from those that merely run beside it.
 const (
-	// From strictTrialCrashes on, a trial is strict: it starts only beside settled runs, on a worker that is kept free for it
-	// for up to strictTrialWait. The pool has one strict trial at a time, for at most strictTrialLimit: its task is most
-	// likely the culprit, so that it can wait, and its worker is likely to crash.
+	// From strictTrialCrashes on, a trial is strict: it starts only beside settled runs. The pool keeps a worker free for one
+	// task at a time, for up to strictTrialWait, and for the same task for at most strictTrialLimit: the task is most likely the
+	// culprit, so that it can wait, and its worker is likely to crash.
 	strictTrialCrashes = 2
 	strictTrialWait    = 2 * time.Second
 	strictTrialLimit   = 10 * time.Second
+	// While less than trialUtilization of the pool is used, several strict trials take place at once, and a task that has waited
+	// for overdueTrialWait starts on any worker with room that has no other trial: no task may wait for 3 s beside an unused half.
+	trialUtilization = 0.5
+	overdueTrialWait = 1500 * time.Millisecond
 	// A trial starts on a worker that was heard from within trialFreshness. If the connection then breaks off within
 	// brokenTime, and the worker turns out to have crashed, the start has begun there. A worker that does not answer a poll
 	// within trialPollTimeout gets no trial.
@@ -29,8 +33,9 @@
 	pendingTrialLimit = 2 * time.Second
 	// trialPollInterval is the time between two polls of a worker with a trial that should be over.
 	trialPollInterval = 100 * time.Millisecond
-	// At most one worker in trialDivisor has a trial at any time.
-	trialDivisor = 4
+	// At most one worker in trialDivisor has a trial at any time, or one idle worker in idleTrialDivisor if these are more.
+	trialDivisor     = 4
+	idleTrialDivisor = 2
 )
 
 // countSuspected returns the number of unfinished tasks whose next start is a trial.
@@ -45,12 +50,18 @@
 
 // chooseForTrial returns the worker for the trial of a suspected task, or nil if the trial has to wait.
 func (p *Pool) chooseForTrial(now time.Time, t *task, usable []*worker) *worker {
-	if p.awaitsTrialOfSibling(now, t) || t.needsStrictTrial() && !p.acquireStrictTrial(now, t) {
+	if p.awaitsTrialOfSibling(now, t) {
+		return nil
+	}
+	mayReserve := t.needsStrictTrial() && p.acquireStrictTrial(now, t)
+	if t.needsStrictTrial() && !mayReserve && p.utilization >= trialUtilization {
 		return nil
 	}
 	w := p.choose(now, t, usable)
 	if w == nil {
-		p.reserveTrial(now, t, usable)
+		if mayReserve {
+			p.reserveTrial(now, t, usable)
+		}
 		return nil
 	}
 	// Only a trial that is about to start is recorded, since a later owner presumes that it has crashed its worker.
@@ -179,18 +190,32 @@
 	if !t.crashes.suspected {
 		return true
 	}
-	if p.countTrials(now, t) >= max(1, len(p.sortedWorkers)/trialDivisor) {
+	if w.trialPolledAt.After(w.lastReport) && now.Sub(w.trialPolledAt) > trialPollTimeout {
 		return false
 	}
-	if w.trialPolledAt.After(w.lastReport) && now.Sub(w.trialPolledAt) > trialPollTimeout {
+	if p.isTrialOverdue(now, t) {
+		return true
+	}
+	if p.countTrials(now, t) >= p.trialLimit(now) {
 		return false
 	}
-	if !t.needsStrictTrial() || now.Sub(p.strictSince) >= strictTrialWait {
+	if !t.needsStrictTrial() || p.strictTrial == t && now.Sub(p.strictSince) >= strictTrialWait {
 		return true
 	}
 	return !slices.ContainsFunc(w.runs, func(r *run) bool { return !r.isSettled() })
 }
 
+// isTrialOverdue reports whether the task has waited so long for its trial that the limits of trials no longer apply to it.
+func (p *Pool) isTrialOverdue(now time.Time, t *task) bool {
+	return now.Sub(t.waitingSince) >= overdueTrialWait && p.utilization < trialUtilization
+}
+
+// trialLimit returns how many workers may have a trial at once. A crash of an idle worker ends nothing.
+func (p *Pool) trialLimit(now time.Time) int {
+	idle := lo.CountBy(p.sortedWorkers, func(w *worker) bool { return w.usable(now) && len(w.runs) <= w.trials })
+	return max(1, len(p.sortedWorkers)/trialDivisor, idle/idleTrialDivisor)
+}
+
 // countTrials counts the trials other than the task's own that are about to start, or whose outcome should be known soon. The
 // worker of an overdue one has probably crashed, which may take long to be confirmed.
 func (p *Pool) countTrials(now time.Time, t *task) int {
@@ -225,7 +250,8 @@
 	return t.crashes.suspected && seen >= strictTrialCrashes && !t.step.spec.GetGang()
 }
 
-// acquireStrictTrial reports whether the strict trial of the pool is the task's, and makes it so if no other task holds it.
+// acquireStrictTrial reports whether the pool may keep a worker free for the task, and makes it so if no other task holds that
+// right.
 func (p *Pool) acquireStrictTrial(now time.Time, t *task) bool {
 	held := p.strictTrial != nil && p.strictTrial.needsStrictTrial() && !p.strictTrial.done && !p.strictTrial.waitsForLimit() &&
 		!p.strictTrial.job().isTerminal() && now.Sub(p.strictSince) < strictTrialLimit
@@ -250,9 +276,6 @@
 // reserveTrial keeps the least used worker free for a strict trial that finds no worker, so that a busy pool cannot delay
 // it for ever.
 func (p *Pool) reserveTrial(now time.Time, t *task, usable []*worker) {
-	if !t.needsStrictTrial() {
-		return
-	}
 	var best *worker
 	for _, w := range usable {
 		if w.reservedFor == t && now.Before(w.reservedUntil) {
