scheduler: short work ends on evacuated workers, and a task moves once

Cause: any batch run that saves its progress, with more than a stop and two restores left, was stopped as soon as some worker had room for one such task. Hosts change pools every second or so while demand turns, so that tasks of wide jobs were stopped up to nine times; what they had done since the last save was lost each time.

Change: a run with less than 3 s left, and what it has not saved, ends where it is. A task moves at most once, unless its worker drains.

--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -12,6 +12,8 @@
 	// drainMargin is how long before a draining worker leaves, in addition to StopTime, its remaining runs are moved at
 	// once.
 	drainMargin = time.Second
+	// evacuationWait is the longest remaining time of a batch run that is left to end on an evacuated worker.
+	evacuationWait = 3 * time.Second
 )
 
 // reasonMoved is the stop reason of a run that moves to another worker.
@@ -104,6 +106,7 @@
 		p.movingSteps = append(p.movingSteps, r.task.step)
 	}
 	if p.hasRoomElsewhere(now, r, usable) {
+		r.task.moves++
 		p.stop(now, r, reasonMoved)
 	}
 }
@@ -139,7 +142,15 @@
 	if w.Draining && !w.evacuating {
 		return s.spec.GetSavesProgress() && mustMove && now.Add(timeLeft).After(w.drainDeadline)
 	}
-	return s.spec.GetSavesProgress() && timeLeft > 2*p.cfg.RestoreTime+p.cfg.StopTime
+	return s.spec.GetSavesProgress() && r.task.moves == 0 && timeLeft > evacuationWait+r.unsaved(now, p.cfg.SaveInterval)
+}
+
+// unsaved returns the working time of a run that would be lost if it were stopped now.
+func (r *run) unsaved(now time.Time, saveInterval time.Duration) time.Duration {
+	if saveInterval <= 0 {
+		return 0
+	}
+	return r.age(now) % saveInterval
 }
 
 func (p *Pool) hasRoomElsewhere(now time.Time, r *run, usable []*worker) bool {
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -80,6 +80,8 @@
 	refusals     int
 	// stalls counts the runs that were stopped for lack of progress or moved off a slow worker.
 	stalls int
+	// moves counts the runs that were stopped because their worker was evacuated.
+	moves int
 	// preempted counts the runs that were preempted for another queue.
 	preempted int
 	crashes   crashHistory
