jobfront: a write without an answer is repeated within the caller's time

Change: an entry host repeats a write whose outcome is unknown, under the same id, every 200 ms until the outcome is known or the caller's time is over. What is refused after such a write stays undecided: a 503 would say that it was not stored.

Tests: the relay's cases now have a caller's time that is too short for a second write, as they count the peers that one write tries.

--- a/internal/jobfront/front_test.go
+++ b/internal/jobfront/front_test.go
@@ -117,6 +117,12 @@
 	return b.storeErr
 }
 
+func (b *fakeBackend) setStoreErr(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.storeErr = err
+}
+
 func (b *fakeBackend) ConfirmedRecently() bool     { return b.ConfirmedAge() < 8500*time.Millisecond }
 func (b *fakeBackend) ConfirmedAge() time.Duration { return b.confirmedAge }
 
@@ -186,7 +192,15 @@
 }
 
 func do(f *Front, method, path, body string) *httptest.ResponseRecorder {
+	return doWithin(f, "", method, path, body)
+}
+
+// doWithin is do with a Deadline-Ms header; empty for none.
+func doWithin(f *Front, deadline, method, path, body string) *httptest.ResponseRecorder {
 	r := httptest.NewRequestWithContext(context.Background(), method, "http://h.example"+path, strings.NewReader(body))
+	if deadline != "" {
+		r.Header.Set(headerDeadline, deadline)
+	}
 	w := httptest.NewRecorder()
 	f.Handler().ServeHTTP(w, r)
 	return w
@@ -223,7 +237,7 @@
 			if c.body == "" {
 				c.body = `{"payload":"x"}`
 			}
-			got := do(b.front(), http.MethodPost, c.path, c.body)
+			got := doWithin(b.front(), "400", http.MethodPost, c.path, c.body)
 			assert.Equal(t, got.Code, c.status)
 			assert.Equal(t, got.Header().Get("Retry-After") != "", c.retry)
 			assert.Equal(t, len(b.records) == 1, c.status == 200)
@@ -314,7 +328,7 @@
 				b.stored["0001"] = queued
 			}
 			b.storeErr = c.err
-			assert.Equal(t, do(b.front(), http.MethodDelete, "/a/0001", "").Code, c.status)
+			assert.Equal(t, doWithin(b.front(), "400", http.MethodDelete, "/a/0001", "").Code, c.status)
 		})
 	}
 }
--- a/internal/jobfront/relay_test.go
+++ b/internal/jobfront/relay_test.go
@@ -64,7 +64,8 @@
 				calls:   map[string]int{},
 			}
 			f.relay = newRelay(r, NewMetrics(nil), slog.New(slog.DiscardHandler))
-			assert.Equal(t, do(f, http.MethodPost, "/a/0001", "{}").Code, c.status)
+			// The caller's time is too short for a second write.
+			assert.Equal(t, doWithin(f, "150", http.MethodPost, "/a/0001", "{}").Code, c.status)
 			assert.Equal(t, r.calls["1"]+r.calls["2"]+r.calls["3"], c.wantCalls)
 		})
 	}
--- a/internal/jobfront/store.go
+++ b/internal/jobfront/store.go
@@ -16,6 +16,8 @@
 	suspectHedgeDelay = 100 * time.Millisecond
 	// hedgeDelay is the same for a store that has answered so far, so that callers do not wait until their deadlines.
 	hedgeDelay = 600 * time.Millisecond
+	// repeatInterval is the time between two writes of a request whose outcome is not known.
+	repeatInterval = 200 * time.Millisecond
 )
 
 // StoreJob stores a job or a cancellation for a peer. It does not try other peers.
@@ -47,9 +49,28 @@
 	}
 }
 
-// store writes from this entry host, and through peers if that fails or takes long. Writes are idempotent, so both may
-// take effect.
+// store writes until the outcome is known or the caller's time is over. Only another write of the same request can tell what
+// became of one without an answer, and the caller has few attempts of its own.
 func (f *Front) store(ctx context.Context, req *pb.StoreJobRequest) pb.StoreResult {
+	ctx, cancel := context.WithTimeout(ctx, maxStoreWait)
+	defer cancel()
+	result := f.storeOnce(ctx, req)
+	for result == pb.StoreResult_STORE_RESULT_UNDECIDED {
+		select {
+		case <-ctx.Done():
+			return result
+		case <-time.After(repeatInterval):
+		}
+		if again := f.storeOnce(ctx, req); isDecided(again) {
+			return again
+		}
+	}
+	return result
+}
+
+// storeOnce writes from this entry host, and through peers if that fails or takes long. Writes are idempotent, so both may
+// take effect.
+func (f *Front) storeOnce(ctx context.Context, req *pb.StoreJobRequest) pb.StoreResult {
 	a := f.admit(ctx, req)
 	traceOf(ctx).update(func(t *writeTrace) { t.access = a })
 	switch {
