jobfront: Retry-After follows the age of an outage of the store

Cause: a caller whose job was certainly not stored was asked to return after one second, whatever had been learned: its five sends were over after four seconds, while outages last six.

Change: half the time for which writes have failed so far, at most 4 s, and up to a second more, so that callers who were rejected together return one after the other. Writes of unknown outcome are repeated every 400 ms, not 200 (store calls).

--- a/internal/jobfront/jobs.go
+++ b/internal/jobfront/jobs.go
@@ -38,12 +38,12 @@
 		traceOf(ctx).markStored()
 		f.offers.addJob(job)
 	}
-	return storeReply(result)
+	return f.storeReply(result)
 }
 
 // cancel stores a cancellation and then notifies the job's owner.
 func (f *Front) cancel(ctx context.Context, r request) reply {
-	return storeReply(f.storeCancel(ctx, r.queue.Pool, r.id, jobstate.Requester{Workspace: r.workspace}))
+	return f.storeReply(f.storeCancel(ctx, r.queue.Pool, r.id, jobstate.Requester{Workspace: r.workspace}))
 }
 
 func (f *Front) storeCancel(ctx context.Context, pool, id string, by jobstate.Requester) pb.StoreResult {
--- a/internal/jobfront/store.go
+++ b/internal/jobfront/store.go
@@ -17,7 +17,7 @@
 	// hedgeDelay is the same for a store that has answered so far, so that callers do not wait until their deadlines.
 	hedgeDelay = 600 * time.Millisecond
 	// repeatInterval is the time between two writes of a request whose outcome is not known.
-	repeatInterval = 200 * time.Millisecond
+	repeatInterval = 400 * time.Millisecond
 )
 
 // StoreJob stores a job or a cancellation for a peer. It does not try other peers.
@@ -190,7 +190,7 @@
 
 // storeReply returns the answer for a result. Only a write that certainly did not happen is rejected with a 503; the
 // caller retries one whose result is unknown.
-func storeReply(result pb.StoreResult) reply {
+func (f *Front) storeReply(result pb.StoreResult) reply {
 	switch result {
 	case pb.StoreResult_STORE_RESULT_STORED:
 		return reply{status: http.StatusOK}
@@ -199,7 +199,8 @@
 	case pb.StoreResult_STORE_RESULT_OTHER_WORKSPACE:
 		return reply{status: http.StatusConflict, body: []byte(reasonOtherWorkspace + "\n"), reason: reasonOtherWorkspace}
 	case pb.StoreResult_STORE_RESULT_NOT_STORED:
-		return reply{status: http.StatusServiceUnavailable, retry: true, reason: reasonNotStored}
+		delay := outageRetry(f.breaker.recordFailed(time.Now()))
+		return reply{status: http.StatusServiceUnavailable, retry: true, retryAfter: delay, reason: reasonNotStored}
 	default:
 		return reply{status: http.StatusGatewayTimeout, reason: reasonUndecided}
 	}
--- a/internal/jobfront/undecided_test.go
+++ b/internal/jobfront/undecided_test.go
@@ -1,7 +1,10 @@
 package jobfront
 
 import (
+	"fmt"
 	"net/http"
+	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,3 +52,52 @@
 		assert.Equal(t, doWithin(f, "1000", http.MethodPost, "/a/0001", "{}").Code, http.StatusGatewayTimeout)
 	})
 }
+
+// Guards against callers whose few attempts are all rejected, as each is asked to return after a second, while the store rejects
+// writes for longer than that takes.
+func TestRejectedCallersOutlastAnOutage(t *testing.T) {
+	const (
+		outage   = 6400 * time.Millisecond
+		attempts = 5
+	)
+	synctest.Test(t, func(t *testing.T) {
+		b := newFakeBackend()
+		b.setStoreErr(errNotAccepted)
+		f := b.front()
+		time.AfterFunc(outage, func() { b.setStoreErr(nil) })
+		began := time.Now()
+		var callers sync.WaitGroup
+		for i := range 20 {
+			id := fmt.Sprintf("%04d", i)
+			callers.Go(func() {
+				time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+				status := 0
+				for range attempts {
+					got := do(f, http.MethodPost, "/a/"+id, "{}")
+					if status = got.Code; status == http.StatusOK {
+						break
+					}
+					seconds, err := strconv.Atoi(got.Header().Get("Retry-After"))
+					assert.NilError(t, err)
+					time.Sleep(time.Duration(seconds) * time.Second)
+				}
+				assert.Check(t, status == http.StatusOK, "caller %s: %d after %s", id, status, time.Since(began))
+				assert.Check(t, time.Since(began) <= outage+maxOutageRetry+retrySpread, "caller %s: %s", id, time.Since(began))
+			})
+		}
+		callers.Wait()
+	})
+}
+
+// Guards against a retry delay that counts an earlier outage, and one that exceeds its bound.
+func TestRetryDelayOfAnOutage(t *testing.T) {
+	var b breaker
+	now := time.Now()
+	assert.Equal(t, b.recordFailed(now), time.Duration(0))
+	assert.Equal(t, b.recordFailed(now.Add(3*time.Second)), 3*time.Second)
+	b.recordAnswered()
+	assert.Equal(t, b.recordFailed(now.Add(4*time.Second)), time.Duration(0))
+	assert.Equal(t, b.recordFailed(now.Add(4*time.Second+2*maxFailureGap)), time.Duration(0))
+	assert.Assert(t, outageRetry(time.Hour) <= maxOutageRetry+retrySpread)
+	assert.Assert(t, outageRetry(0) <= retrySpread)
+}
