scheduler, poolowner: a takeover waits for no worker whose runs are recorded

Cause: a new owner starts nothing until every worker that may run tasks of an earlier one has reported or the longest lease has passed.

Change: an owner seals workers that have not answered for 1.5 s: nothing starts there, and the roster names the runs that may execute. A later owner adopts these runs, so that only their tasks wait for the lease. A worker that answers again is unsealed once no record that may be read says that it is sealed. No worker is sealed while more than half are silent.

--- a/internal/poolowner/roster.go
+++ b/internal/poolowner/roster.go
@@ -14,9 +14,13 @@
 	"github.com/agateturn/agateturn/wait"
 )
 
-// rosterCheckInterval is the time between attempts to bring the record in line with the registry: to remove workers that are
-// no longer occupied, and to repeat failed writes.
-const rosterCheckInterval = time.Second
+const (
+	// rosterCheckInterval is the time between attempts to bring the record in line with the registry: to remove workers that
+	// are no longer occupied, and to repeat failed writes.
+	rosterCheckInterval = time.Second
+	// sealCheckInterval is the time between attempts to bring the sealed workers of the record in line with the scheduler's.
+	sealCheckInterval = 250 * time.Millisecond
+)
 
 // roster maintains the durable record of the workers that may run tasks of the pool. A worker is recorded before the
 // scheduler may use it, and stays recorded while it may run a task: its entry in the registry may expire while it is alive,
@@ -31,12 +35,13 @@
 	uncertain bool
 	// inherited holds the workers recorded by a previous owner that have not been passed to the scheduler yet.
 	inherited map[string]bool
+	seals     seals
 }
 
 // followWorkers passes lists of workers to the scheduler once the records are loaded, and runs a lease renewer for each
 // worker.
 func (o *Owner) followWorkers(ctx context.Context) error {
-	r := &roster{owner: o}
+	r := &roster{owner: o, seals: seals{inherited: map[string]scheduler.SealedWorker{}}}
 	readable, ok := r.load(ctx)
 	if !ok {
 		return nil
@@ -51,6 +56,8 @@
 	}
 	ticker := time.NewTicker(rosterCheckInterval)
 	defer ticker.Stop()
+	sealTicker := time.NewTicker(sealCheckInterval)
+	defer sealTicker.Stop()
 	hasList := false
 	for {
 		select {
@@ -64,6 +71,10 @@
 			if hasList && !r.inSync() {
 				r.update(ctx)
 			}
+		case <-sealTicker.C:
+			if hasList {
+				r.updateSeals(ctx)
+			}
 		}
 	}
 }
@@ -81,6 +92,7 @@
 			r.version = version
 			r.durable = lo.Map(record.GetWorkers(), func(w *pb.RosterWorker, _ int) scheduler.Worker { return workerFromRecord(w) })
 			r.inherited = lo.SliceToMap(r.durable, func(w scheduler.Worker) (string, bool) { return w.ID, true })
+			r.seals.load(record)
 			return true, true
 		}
 		r.owner.logReadFailure(ctx, "roster", err)
@@ -116,7 +128,7 @@
 	all := slices.Concat(r.listed, occupied)
 	r.publish(ctx, lo.Filter(all, func(w scheduler.Worker, _ int) bool { return r.isRecorded(w) }))
 	hasNew := len(r.unrecorded()) > 0
-	if !hasNew && !r.uncertain && len(all) == len(r.durable) {
+	if !hasNew && !r.uncertain && len(all) == len(r.durable) && r.seals.inSync() {
 		return
 	}
 	if r.write(ctx, all) && hasNew {
@@ -126,18 +138,24 @@
 
 // write replaces the record and reports whether the write is durable.
 func (r *roster) write(ctx context.Context, all []scheduler.Worker) bool {
-	record := &pb.Roster{Workers: lo.Map(all, func(w scheduler.Worker, _ int) *pb.RosterWorker { return recordFromWorker(&w) })}
+	record := &pb.Roster{Workers: lo.Map(all, func(w scheduler.Worker, _ int) *pb.RosterWorker {
+		return r.seals.addTo(recordFromWorker(&w))
+	})}
+	r.seals.beginWrite()
 	version, err := r.owner.Jobs.SetRoster(ctx, r.owner.Pool, r.owner.Config.Fence, record, r.version)
 	r.version = version
 	switch {
 	case err == nil:
 		r.durable, r.uncertain = all, false
+		r.seals.recorded()
 		return true
 	case jobstore.Fenced.Has(err):
 		r.owner.handleReplaced(ctx, "the store")
 	case !store.Unavailable.Has(err):
 		// The write may have taken effect or not: only workers in both the old and the new record are certainly recorded.
 		r.durable, r.uncertain = lo.Filter(all, func(w scheduler.Worker, _ int) bool { return r.isRecorded(w) }), true
+	default:
+		r.seals.notRecorded()
 	}
 	r.owner.logReadFailure(ctx, "roster", err)
 	return false
@@ -178,7 +196,13 @@
 	o := r.owner
 	o.logWorkerChanges(ctx, r.published, workers)
 	r.published = workers
-	o.enqueue(ctx, func(p *scheduler.Pool, now time.Time) { p.SetWorkers(now, workers) })
+	inherited := r.seals.takeInherited(workers)
+	o.enqueue(ctx, func(p *scheduler.Pool, now time.Time) {
+		p.SetWorkers(now, workers)
+		for _, s := range inherited {
+			p.AdoptSealed(now, s)
+		}
+	})
 	o.renewers.reconcile(ctx, workers)
 }
 
--- a/internal/poolowner/roster_test.go
+++ b/internal/poolowner/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"slices"
 	"sync"
@@ -29,12 +30,22 @@
 	settleTime = 200 * time.Millisecond
 )
 
+var errSilent = errors.New("no answer")
+
 // fakeWorkers run each task until it is stopped.
 type fakeWorkers struct {
 	mu      sync.Mutex
 	running map[string][]scheduler.RunningTask
 	// duplicated is set once a task runs on two workers.
 	duplicated bool
+	// silent workers do not answer.
+	silent map[string]bool
+}
+
+func (f *fakeWorkers) setSilent(worker string, silent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = map[string]bool{worker: silent}
 }
 
 func (f *fakeWorkers) Start(_ context.Context, o scheduler.Order, _ uint64) scheduler.OrderResult {
@@ -66,6 +77,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.silent[r.Worker] {
+		return scheduler.Report{}, errSilent
+	}
 	return scheduler.Report{
 		Worker: r.Worker, Clock: time.Now().UnixMilli(), Sent: sent, Received: time.Now(), LastSeen: r.LastSeen, Until: r.Until,
 		Running: slices.Clone(f.running[r.Worker]),
--- /dev/null
+++ b/internal/poolowner/seals_test.go
@@ -0,0 +1,91 @@
+package poolowner_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/jobstore"
+	"github.com/agateturn/agateturn/scheduler"
+	"github.com/agateturn/agateturn/store"
+	"github.com/agateturn/agateturn/store/memtxn"
+)
+
+// newJob returns a job whose tasks need a worker each.
+func newJob(id string, tasks int64) *pb.JobRecord {
+	return &pb.JobRecord{
+		Id: id, Pool: pool, Queue: "q", AcceptedMs: time.Now().UnixMilli(),
+		Spec: &pb.JobSpec{Steps: []*pb.JobStep{{Count: tasks, CpuMilli: 3000, EstimateMs: 60_000}}},
+	}
+}
+
+// recordedSeals returns the sealed workers of the roster.
+func recordedSeals(t *testing.T, kv store.Transactor) map[string]*pb.RosterWorker {
+	t.Helper()
+	roster, _, err := jobstore.New(kv, time.Now, nil, jobstore.Options{}).Roster(t.Context(), pool)
+	assert.NilError(t, err)
+	sealed := map[string]*pb.RosterWorker{}
+	for _, w := range roster.GetWorkers() {
+		if w.GetSealed() {
+			sealed[w.GetId()] = w
+		}
+	}
+	return sealed
+}
+
+// Guards against an owner that starts nothing until the lease of a silent worker has expired, and against one that starts there
+// what it may run already, or before the record says that nothing does.
+func TestTakeoverOfASealedWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memtxn.New().Client("host")
+		acceptJob(t, kv, 1)
+		workers := &fakeWorkers{running: make(map[string][]scheduler.RunningTask)}
+		_, stop := startOwner(t, newOptions(t, kv, workers), "w1")
+		time.Sleep(settleTime)
+		assert.Equal(t, workers.runningOn("w1"), 1)
+		stop()
+		owner, stop := startOwner(t, newOptions(t, kv, workers), "w1", "w2", "w3")
+		time.Sleep(settleTime)
+		workers.setSilent("w1", true)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(recordedSeals(t, kv)["w1"].GetRuns()), 1)
+		stop()
+
+		owner, stop = startOwner(t, newOptions(t, kv, workers), "w1", "w2", "w3")
+		time.Sleep(settleTime)
+		owner.Offer([]*pb.JobRecord{newJob("00000000000000b0", 2)}, nil)
+		time.Sleep(settleTime)
+		assert.Equal(t, workers.runningOn("w2")+workers.runningOn("w3"), 2)
+		assert.Equal(t, len(recordedSeals(t, kv)), 1)
+
+		workers.setSilent("w1", false)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(recordedSeals(t, kv)), 0)
+		assert.Equal(t, workers.runningOn("w1"), 1)
+		assert.Assert(t, !workers.sawDuplicate())
+		stop()
+	})
+}
+
+// Guards against a worker that stays out of use after it was silent, because the record could not be written meanwhile.
+func TestSealedWorkerReturnsInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared := memtxn.New()
+		workers := &fakeWorkers{running: make(map[string][]scheduler.RunningTask)}
+		owner, stop := startOwner(t, newOptions(t, shared.Client("owner"), workers), "w1", "w2", "w3")
+		time.Sleep(settleTime)
+		shared.SetFaults(memtxn.Faults{Plan: func(string, memtxn.Call) memtxn.Outcome { return memtxn.Refuse }})
+		workers.setSilent("w1", true)
+		time.Sleep(3 * time.Second)
+		workers.setSilent("w1", false)
+		time.Sleep(2 * time.Second)
+		owner.Offer([]*pb.JobRecord{newJob("00000000000000b0", 3)}, nil)
+		time.Sleep(settleTime)
+		assert.Equal(t, workers.runningOn("w1"), 1)
+		shared.SetFaults(memtxn.Faults{})
+		stop()
+	})
+}
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -79,12 +79,15 @@
 	jobs            map[string]*simJob
 	jobIDs          []string
 	durableProgress map[string]*pb.JobProgress
-	partitioned     map[string]bool
-	drainListedAt   map[string]int64
-	owner           *simOwner
-	checker         *checker
-	evacuating      map[string]bool
-	fence           uint64
+	// durableSeals is the record of the sealed workers, adoptedSeals the number of those that owners took over.
+	durableSeals  map[string]scheduler.SealedWorker
+	adoptedSeals  int
+	partitioned   map[string]bool
+	drainListedAt map[string]int64
+	owner         *simOwner
+	checker       *checker
+	evacuating    map[string]bool
+	fence         uint64
 	// load is set if the simulation measures an order.
 	load *simLoad
 	// rebootMs is the time in ms for which a worker is down after a crash under a task.
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -1,12 +1,14 @@
 package scheduler_test
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/scheduler"
+	"github.com/samber/lo"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -21,6 +23,8 @@
 	wakeAt      int64
 	// incarnations holds the incarnations that the registry has listed.
 	incarnations map[string]int64
+	// inheritedSeals are the recorded seals of workers that have not been listed yet.
+	inheritedSeals map[string]scheduler.SealedWorker
 	// unconfirmed is set from a hold without an answer until the next answer.
 	unconfirmed map[string]bool
 }
@@ -38,7 +42,7 @@
 	}
 	cfg := simConfig
 	cfg.Fence = s.fence
-	o := &simOwner{sim: s, pool: scheduler.New(cfg), fence: s.fence, orderQueues: map[orderQueueKey][]scheduler.Order{}, incarnations: map[string]int64{}, unconfirmed: map[string]bool{}}
+	o := &simOwner{sim: s, pool: scheduler.New(cfg), fence: s.fence, orderQueues: map[orderQueueKey][]scheduler.Order{}, incarnations: map[string]int64{}, unconfirmed: map[string]bool{}, inheritedSeals: maps.Clone(s.durableSeals)}
 	s.owner = o
 	var jobs []*pb.JobRecord
 	var progress []*pb.JobProgress
@@ -66,11 +70,46 @@
 	o.pool.SetWorkspaceLimits(s.time(), s.limits)
 	s.updateEvacuations()
 	o.updateRegistry()
+	o.recordSeals()
 	for _, w := range s.workers {
 		o.hold(w)
 	}
 }
 
+// recordSeals keeps the durable record of sealed workers in line with the pool's, as the roster does.
+func (o *simOwner) recordSeals() {
+	s := o.sim
+	if o.replaced {
+		return
+	}
+	seals := o.pool.Seal(s.time())
+	s.after(250, o.recordSeals)
+	if s.faultsActive() && s.chance(s.faults.lostRecords) {
+		return
+	}
+	s.after(5+s.rng.Int64N(30), func() {
+		if o.replaced || s.owner != o {
+			return
+		}
+		recorded := lo.KeyBy(seals, func(x scheduler.SealedWorker) string { return x.Worker })
+		maps.Copy(recorded, o.inheritedSeals)
+		s.durableSeals = recorded
+		keep := lo.MapValues(recorded, func(scheduler.SealedWorker, string) bool { return true })
+		o.handle(func(p *scheduler.Pool) { p.Unseal(s.time(), keep) })
+	})
+}
+
+// adoptSeals passes the recorded seals of the listed workers to the pool.
+func (o *simOwner) adoptSeals(listed []scheduler.Worker) {
+	for _, w := range listed {
+		if seal, ok := o.inheritedSeals[w.ID]; ok {
+			delete(o.inheritedSeals, w.ID)
+			o.sim.adoptedSeals++
+			o.pool.AdoptSealed(o.sim.time(), seal)
+		}
+	}
+}
+
 // handle passes an input to the pool and carries out the resulting actions.
 func (o *simOwner) handle(do func(p *scheduler.Pool)) {
 	if o.replaced {
@@ -356,6 +395,9 @@
 		ws = append(ws, x)
 		o.incarnations[w.id] = w.incarnation
 	}
-	o.handle(func(p *scheduler.Pool) { p.SetWorkers(s.time(), slices.Clone(ws)) })
+	o.handle(func(p *scheduler.Pool) {
+		p.SetWorkers(s.time(), slices.Clone(ws))
+		o.adoptSeals(ws)
+	})
 	s.after(500, o.updateRegistry)
 }
--- a/scheduler/trialwait_test.go
+++ b/scheduler/trialwait_test.go
@@ -27,16 +27,22 @@
 	return j
 }
 
+// firstStart returns when the job began, in ms; -1 if it did not.
+func (s *sim) firstStart(j *simJob) int64 {
+	first := int64(-1)
+	j.eachTask(func(id scheduler.TaskID, _ *pb.JobStep) {
+		if starts := s.checker.starts[id]; len(starts) > 0 && (first < 0 || starts[0] < first) {
+			first = starts[0]
+		}
+	})
+	return first
+}
+
 // latestFirstStart returns when the last of the jobs began, in ms.
 func (s *sim) latestFirstStart(t *testing.T, jobs []*simJob) int64 {
 	latest := int64(0)
 	for _, j := range jobs {
-		first := int64(-1)
-		j.eachTask(func(id scheduler.TaskID, _ *pb.JobStep) {
-			if starts := s.checker.starts[id]; len(starts) > 0 && (first < 0 || starts[0] < first) {
-				first = starts[0]
-			}
-		})
+		first := s.firstStart(j)
 		assert.Assert(t, first >= 0, "%s never began", j.id)
 		latest = max(latest, first)
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -51,7 +51,10 @@
 	health workerHealth
 	// pausedUntil prevents starts after refusals. unansweredStarts counts the starts without a conclusive answer since
 	// the latest list of running tasks.
-	pausedUntil      time.Time
+	pausedUntil time.Time
+	// sealed means that nothing starts here until Unseal, sealedAt since when.
+	sealed           bool
+	sealedAt         time.Time
 	pauses           int
 	unansweredStarts int
 	evacuating       bool
@@ -248,7 +251,7 @@
 
 // isExcluded reports whether the worker is gone or must get no new tasks until its listing changes.
 func (w *worker) isExcluded() bool {
-	return w.replaced || w.departed || w.Draining || w.Unlisted || w.evacuating || !w.isDescribed()
+	return w.sealed || w.replaced || w.departed || w.Draining || w.Unlisted || w.evacuating || !w.isDescribed()
 }
 
 // isDescribed reports whether the registry describes the present incarnation, as far as is known. Another incarnation may
