--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -25,6 +25,8 @@
 	incarnations map[string]int64
 	// inheritedSeals are the recorded seals of workers that have not been listed yet.
 	inheritedSeals map[string]scheduler.SealedWorker
+	// sealsHeld means that the pool may have sealed workers.
+	sealsHeld bool
 	// unconfirmed is set from a hold without an answer until the next answer.
 	unconfirmed map[string]bool
 }
@@ -84,6 +86,10 @@
 	}
 	seals := o.pool.Seal(s.time())
 	s.after(100, o.recordSeals)
+	if len(seals) == 0 && len(o.inheritedSeals) == 0 && !o.sealsHeld {
+		return
+	}
+	o.sealsHeld = true
 	if s.faultsActive() && s.sealRNG.Float64() < s.faults.lostRecords {
 		return
 	}
@@ -94,6 +100,7 @@
 		recorded := lo.KeyBy(seals, func(x scheduler.SealedWorker) string { return x.Worker })
 		maps.Copy(recorded, o.inheritedSeals)
 		s.durableSeals = recorded
+		o.sealsHeld = len(recorded) > 0
 		keep := lo.MapValues(recorded, func(scheduler.SealedWorker, string) bool { return true })
 		o.handle(func(p *scheduler.Pool) { p.Unseal(s.time(), keep) })
 	})
