Findings of reading the change again: runs on leaving workers, writes of seals in an outage, figures of the account

- A short run on a worker that drains and is evacuated as well stayed until the worker left, and was lost; a long run that had moved once kept a host from its upkeep.
Both move now.
- While the store was away, a roster with seals was written every 100 ms by each owner; now as often as any other, each second.
- Idle workers were counted for each suspected task and worker; now once a placement.
- The retry delay of an outage was part of the breaker, which knows this host's own writes alone, and was recorded where the answer is formatted.
It has a type of its own, and counts the result of the whole write, through peers too.
The wait is package wait's.
- The log said that all workers have reported where some are sealed.

--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -109,6 +109,7 @@
 	offers      *offers
 	relay       *relay
 	breaker     breaker
+	outage      outage
 	pending     *pendingCounts
 	overloaded  *overloadedPools
 	finalStates *finalStateCache
--- a/internal/jobfront/store.go
+++ b/internal/jobfront/store.go
@@ -8,6 +8,7 @@
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/jobstate"
+	"github.com/agateturn/agateturn/wait"
 )
 
 const (
@@ -16,7 +17,7 @@
 	suspectHedgeDelay = 100 * time.Millisecond
 	// hedgeDelay is the same for a store that has answered so far, so that callers do not wait until their deadlines.
 	hedgeDelay = 600 * time.Millisecond
-	// repeatInterval is the time between two writes of a request whose outcome is not known. It is repeated in the first
+	// repeatInterval is the time between two writes of a request whose outcome is not known. They are sent in the first
 	// 1/repeatDivisor of the caller's time, so that the caller can still try another entry host.
 	repeatInterval = 400 * time.Millisecond
 	repeatDivisor  = 2
@@ -60,15 +61,14 @@
 	lastRepeat := time.Now().Add(time.Until(end) / repeatDivisor)
 	result := f.storeOnce(ctx, req)
 	for result == pb.StoreResult_STORE_RESULT_UNDECIDED && time.Now().Add(repeatInterval).Before(lastRepeat) {
-		select {
-		case <-ctx.Done():
-			return result
-		case <-time.After(repeatInterval):
+		if wait.For(ctx, repeatInterval) != nil {
+			break
 		}
 		if again := f.storeOnce(ctx, req); isDecided(again) {
-			return again
+			result = again
 		}
 	}
+	f.outage.record(time.Now(), isDecided(result))
 	return result
 }
 
@@ -203,8 +203,7 @@
 	case pb.StoreResult_STORE_RESULT_OTHER_WORKSPACE:
 		return reply{status: http.StatusConflict, body: []byte(reasonOtherWorkspace + "\n"), reason: reasonOtherWorkspace}
 	case pb.StoreResult_STORE_RESULT_NOT_STORED:
-		delay := outageRetry(f.breaker.recordFailed(time.Now()))
-		return reply{status: http.StatusServiceUnavailable, retry: true, retryAfter: delay, reason: reasonNotStored}
+		return reply{status: http.StatusServiceUnavailable, retry: true, retryAfter: f.outage.retryDelay(), reason: reasonNotStored}
 	default:
 		return reply{status: http.StatusGatewayTimeout, reason: reasonUndecided}
 	}
--- a/internal/poolowner/roster.go
+++ b/internal/poolowner/roster.go
@@ -77,7 +77,7 @@
 			if hasList {
 				r.updateSeals(ctx)
 			}
-			sealTimer.Reset(lo.Ternary(r.seals.held, unsealInterval, sealCheckInterval))
+			sealTimer.Reset(r.seals.checkInterval())
 		}
 	}
 }
--- a/internal/poolowner/seals.go
+++ b/internal/poolowner/seals.go
@@ -89,6 +89,18 @@
 	return len(s.possible) == len(s.wanted) && lo.EveryBy(lo.Keys(s.wanted), func(id string) bool { return s.possible[id] })
 }
 
+// checkInterval returns the time until the next check. A record that could not be written is not tried again sooner than others.
+func (s *seals) checkInterval() time.Duration {
+	switch {
+	case !s.inSync():
+		return rosterCheckInterval
+	case s.held:
+		return unsealInterval
+	default:
+		return sealCheckInterval
+	}
+}
+
 // updateSeals seals workers that have become silent, records the sealed ones, and unseals those that have reported again.
 func (r *roster) updateSeals(ctx context.Context) {
 	sealed, ok := runInLoop(ctx, r.owner, func(p *scheduler.Pool, now time.Time) []scheduler.SealedWorker { return p.Seal(now) })
--- a/internal/poolowner/seals_test.go
+++ b/internal/poolowner/seals_test.go
@@ -14,14 +14,6 @@
 	"github.com/agateturn/agateturn/store/memtxn"
 )
 
-// newJob returns a job whose tasks need a worker each.
-func newJob(id string, tasks int64) *pb.JobRecord {
-	return &pb.JobRecord{
-		Id: id, Pool: pool, Queue: "q", AcceptedMs: time.Now().UnixMilli(),
-		Spec: &pb.JobSpec{Steps: []*pb.JobStep{{Count: tasks, CpuMilli: 3000, EstimateMs: 60_000}}},
-	}
-}
-
 // recordedSeals returns the sealed workers of the roster.
 func recordedSeals(t *testing.T, kv store.Transactor) map[string]*pb.RosterWorker {
 	t.Helper()
--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -139,10 +139,17 @@
 	if s.spec.GetGang() && !s.spec.GetSavesProgress() {
 		return false
 	}
-	if w.Draining && !w.evacuating {
-		return s.spec.GetSavesProgress() && mustMove && now.Add(timeLeft).After(w.drainDeadline)
+	switch {
+	case !s.spec.GetSavesProgress():
+		return false
+	case mustMove && now.Add(timeLeft).After(w.drainDeadline):
+		return true
+	case w.Draining && !w.evacuating:
+		return false
+	default:
+		// Hosts that are due for upkeep are evacuated once each, so that a run cannot move on for ever.
+		return (r.task.moves == 0 || w.due) && timeLeft > evacuationWait+r.unsaved(now, p.cfg.SaveInterval)
 	}
-	return s.spec.GetSavesProgress() && r.task.moves == 0 && timeLeft > evacuationWait+r.unsaved(now, p.cfg.SaveInterval)
 }
 
 // unsaved returns the working time of a run that would be lost if it were stopped now.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -124,10 +124,11 @@
 }
 
 // trustedWorkers returns the workers that may be given tasks, and those that are usable but suspect. It updates the
-// utilization.
+// utilization and the number of idle workers.
 func (p *Pool) trustedWorkers(now time.Time) (trusted, suspects []*worker) {
 	trusted = make([]*worker, 0, len(p.sortedWorkers))
 	var used, capacity int64
+	p.idleWorkers = 0
 	for _, w := range p.sortedWorkers {
 		switch {
 		case !w.usable(now):
@@ -137,6 +138,9 @@
 			trusted = append(trusted, w)
 			used += w.used.CPUMilli
 			capacity += w.Capacity.CPUMilli
+			if len(w.runs) <= w.trials {
+				p.idleWorkers++
+			}
 		}
 	}
 	p.utilization = float64(used) / float64(max(1, capacity))
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -70,6 +70,8 @@
 	lastPlacementAt time.Time
 	// utilization is the share of the trusted workers' CPU in use at the last call of trustedWorkers.
 	utilization float64
+	// idleWorkers is the number of trusted workers that run nothing but trials.
+	idleWorkers int
 
 	learned       learned
 	evacuatingIDs map[string]bool
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -202,7 +202,7 @@
 		p.wake(limit)
 		return
 	}
-	reason := "all workers have reported"
+	reason := "all workers have reported or are sealed"
 	if !t.allReported() {
 		reason = "leases of workers that did not report have expired"
 	}
