--- a/scheduler/contain.go
+++ b/scheduler/contain.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 )
 
 // While the tasks of a queue crash workers, its untried tasks start on few workers and not beside untried tasks of other
@@ -66,24 +64,8 @@
 	c.crashes = slices.DeleteFunc(c.crashes, func(x queueCrash) bool { return now.Sub(x.at) > containmentWindow })
 	c.crashes = append(c.crashes, queueCrash{now, queues})
 	for _, name := range c.mostCharged() {
-		if p.hasBatchWorkBeside(name) {
-			p.beginContainment(now, name)
-		}
-	}
-}
-
-// hasBatchWorkBeside reports whether the pool has batch jobs of other queues. Without any, containment would only delay the
-// queue's own jobs.
-func (p *Pool) hasBatchWorkBeside(name string) bool {
-	for _, j := range p.jobs {
-		if j.queue == name || j.isTerminal() {
-			continue
-		}
-		if slices.ContainsFunc(j.spec.GetSteps(), func(s *pb.JobStep) bool { return !s.GetPersistent() }) {
-			return true
-		}
+		p.beginContainment(now, name)
 	}
-	return false
 }
 
 // mostCharged returns the queues to contain: those charged with the most crashes, among equals those with the most crashes
