--- a/internal/fleetowner/list.go
+++ b/internal/fleetowner/list.go
@@ -14,6 +14,8 @@
 	// busyListInterval and idleListInterval are the intervals between lists of hosts.
 	busyListInterval = 300 * time.Millisecond
 	idleListInterval = 2 * time.Second
+	// minListInterval is the minimum interval between lists that are requested at once.
+	minListInterval = 60 * time.Millisecond
 	// busyCheckInterval is how often the idle lister checks whether the term became busy.
 	busyCheckInterval = 100 * time.Millisecond
 )
@@ -31,17 +33,32 @@
 			return ctx.Err()
 		}
 		failingSince = t.logListOutcome(ctx, failingSince, sent, err)
-		for t.untilNextList(sent) > 0 {
-			if err := wait.For(ctx, min(busyCheckInterval, t.untilNextList(sent))); err != nil {
-				return err
-			}
+		if err := t.awaitNextList(ctx, sent); err != nil {
+			return err
+		}
+	}
+}
+
+// awaitNextList waits until the list is to be read again.
+func (t *term) awaitNextList(ctx context.Context, sent time.Time) error {
+	for t.untilNextList(sent) > 0 {
+		timer := time.NewTimer(min(busyCheckInterval, t.untilNextList(sent)))
+		select {
+		case <-t.listNow:
+			timer.Stop()
+			return wait.For(ctx, minListInterval-t.Clock().Sub(sent))
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C:
 		}
 	}
+	return nil
 }
 
 func (t *term) untilNextList(sent time.Time) time.Duration {
 	interval := idleListInterval
-	if t.busy.Load() {
+	if t.busy.Load() || t.listOften.Load() {
 		interval = busyListInterval
 	}
 	return interval - t.Clock().Sub(sent)
@@ -75,5 +92,6 @@
 	return t.post(ctx, func(time.Time) {
 		t.hosts = hosts
 		t.listedAt = sent
+		t.index = newHostIndex(sent, hosts)
 	})
 }
--- /dev/null
+++ b/internal/fleetowner/lives.go
@@ -0,0 +1,143 @@
+package fleetowner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/upkeep"
+)
+
+// proofTime is how long the list of hosts is read often for the sake of a worker that does not answer. Its lease has expired
+// by then.
+const proofTime = 15 * time.Second
+
+// hostIndex is an index of a list of hosts.
+type hostIndex struct {
+	// requestedAt is when the list was requested; zero before the first one.
+	requestedAt time.Time
+	// rows holds the rows of each host, hostOf the hosts of the workers that are up.
+	rows   map[string][]upkeep.Host
+	hostOf map[string]string
+}
+
+func newHostIndex(requestedAt time.Time, list []upkeep.Host) hostIndex {
+	index := hostIndex{requestedAt: requestedAt, rows: make(map[string][]upkeep.Host, len(list)), hostOf: make(map[string]string, len(list))}
+	for _, row := range list {
+		index.rows[row.ID] = append(index.rows[row.ID], row)
+		if row.State == upkeep.Up && row.Worker != "" {
+			index.hostOf[row.Worker] = row.ID
+		}
+	}
+	return index
+}
+
+// provesEnd reports whether the list proves that a worker of the pool has ended: its host is not up, or has another worker or
+// pool. Pages of a list are no snapshot, so a host without rows proves nothing, and one with several rows only what all of them
+// do.
+func (x *hostIndex) provesEnd(host, pool, worker string) bool {
+	rows := x.rows[host]
+	for _, row := range rows {
+		switch row.State {
+		case upkeep.Moving, upkeep.Upkeep, upkeep.Down:
+		case upkeep.Up:
+			if row.Worker == worker || (row.Worker == "" && row.Pool == pool) {
+				return false
+			}
+		case upkeep.StateUnknown:
+			return false
+		}
+	}
+	return len(rows) > 0
+}
+
+// lives tracks the lives of the workers of one pool, to find out which of them have ended. A list of hosts proves the end of a
+// life only if it was requested after the pool's owner had named that life. It never proves that a worker is alive, as it may
+// be old by the time it is read. Only the loop uses it.
+type lives struct {
+	// byWorker is keyed by worker id.
+	byWorker map[string]life
+}
+
+// life is the latest life of a worker that the pool's owner has named.
+type life struct {
+	born int64
+	// namedAt is when the owner first named the life.
+	namedAt time.Time
+	// host is empty until the owner or a list names it.
+	host string
+	// unreachableSince is when the owner first named the worker as unreachable; zero if it is not.
+	unreachableSince time.Time
+}
+
+// observe updates the lives from a status of the pool's owner that has just arrived.
+func (l *lives) observe(now time.Time, workers []*pb.WorkerLoad, index *hostIndex) {
+	before := l.byWorker
+	l.byWorker = make(map[string]life, len(workers))
+	for _, w := range workers {
+		if w.GetBorn() == 0 {
+			continue
+		}
+		known := before[w.GetId()]
+		if known.born != w.GetBorn() {
+			known = life{born: w.GetBorn(), namedAt: now, host: known.host}
+		}
+		known.host = cmp.Or(w.GetUnreachableHost(), index.hostOf[w.GetId()], known.host)
+		switch {
+		case w.GetUnreachableHost() == "":
+			known.unreachableSince = time.Time{}
+		case known.unreachableSince.IsZero():
+			known.unreachableSince = now
+		}
+		l.byWorker[w.GetId()] = known
+	}
+}
+
+// ended returns the lives that the list proves to have ended, ordered by worker.
+func (l *lives) ended(pool string, index *hostIndex) []*pb.WorkerLife {
+	var out []*pb.WorkerLife
+	for id, known := range l.byWorker {
+		if known.namedAt.Before(index.requestedAt) && index.provesEnd(known.host, pool, id) {
+			out = append(out, &pb.WorkerLife{Id: id, Born: known.born})
+		}
+	}
+	slices.SortFunc(out, func(a, b *pb.WorkerLife) int { return cmp.Compare(a.GetId(), b.GetId()) })
+	return out
+}
+
+// needsList reports whether there is an unreachable worker for which the list is read often, and whether one of them is newer
+// than the list.
+func (l *lives) needsList(now, requestedAt time.Time) (often, immediately bool) {
+	for _, known := range l.byWorker {
+		if known.unreachableSince.IsZero() || now.Sub(known.unreachableSince) > proofTime {
+			continue
+		}
+		often = true
+		immediately = immediately || !known.unreachableSince.Before(requestedAt)
+	}
+	return often, immediately
+}
+
+// updateLives passes the lives that have ended to the owners of their pools, and requests the list of hosts if it may prove the
+// end of a worker that does not answer.
+func (t *term) updateLives(now time.Time) {
+	often, immediately := false, false
+	for _, p := range t.pools {
+		p.setEnded(p.lives.ended(p.Name, &t.index))
+		poolOften, poolImmediately := p.lives.needsList(now, t.index.requestedAt)
+		often, immediately = often || poolOften, immediately || poolImmediately
+	}
+	t.listOften.Store(often)
+	if immediately {
+		t.requestList()
+	}
+}
+
+// requestList makes the list be read at once, unless it is being read.
+func (t *term) requestList() {
+	select {
+	case t.listNow <- struct{}{}:
+	default:
+	}
+}
--- a/internal/fleetowner/order.go
+++ b/internal/fleetowner/order.go
@@ -70,6 +70,10 @@
 
 // applyResult passes the result of an order to the planner.
 func (t *term) applyResult(now time.Time, o order, r upkeep.Result) {
+	if r == upkeep.Done {
+		// The worker on the host has ended, which the list shows to the owner of its pool.
+		t.requestList()
+	}
 	if o.move.Host != "" {
 		t.planner.MoveResult(now, o.move, r)
 		return
--- a/internal/fleetowner/owner.go
+++ b/internal/fleetowner/owner.go
@@ -81,6 +81,10 @@
 	changeLimiter *limiter
 	readLimiter   *limiter
 	busy          atomic.Bool
+	// listOften means that a list of hosts may prove the end of a worker that does not answer. listNow is signalled when the
+	// list is to be read at once.
+	listOften atomic.Bool
+	listNow   chan struct{}
 	// sequence numbers the requests to the pools' owners.
 	sequence atomic.Uint64
 	// poolCount is the number of pools.
@@ -91,6 +95,7 @@
 	pools      map[string]*poller
 	hosts      []upkeep.Host
 	listedAt   time.Time
+	index      hostIndex
 	nextStepAt time.Time
 	// allocator is nil while the configuration has no workspaces. The allocations were shown at shownAt.
 	allocator *quota.Allocator
@@ -112,6 +117,7 @@
 		writes:        ring.New[write]("fleet writes", ringSize),
 		changeLimiter: newLimiter(o.ChangesPerSecond),
 		readLimiter:   newLimiter(o.ReadsPerSecond),
+		listNow:       make(chan struct{}, 1),
 		waves:         map[int64]*wave{},
 		versions:      map[string]uint64{},
 		pools:         map[string]*poller{},
--- a/internal/fleetowner/poll.go
+++ b/internal/fleetowner/poll.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/quotawire"
 	"github.com/agateturn/agateturn/quota"
@@ -33,6 +35,7 @@
 	// readFloor reads, once, the fencing token of the pool's owner that the store names. floorRead is set afterwards.
 	readFloor func()
 	floorRead bool
+	lives     lives
 
 	changed chan struct{}
 	// granted is signalled when there are new grants.
@@ -40,6 +43,7 @@
 	mu      sync.Mutex
 	workers []string
 	due     []string
+	ended   []*pb.WorkerLife
 	grants  quota.Batch
 }
 
@@ -98,6 +102,7 @@
 		if status := t.requestStatus(ctx, request); status != nil {
 			_ = t.post(ctx, func(now time.Time) {
 				p.status, p.sent = status, sent
+				p.lives.observe(now, status.GetWorkers(), &t.index)
 				t.observeUsage(now, p, request.GetSequence(), version)
 			})
 		}
@@ -113,8 +118,10 @@
 // statusRequest returns the next request, and the version of the grants in it.
 func (t *term) statusRequest(p *poller) (request *pb.PoolStatusRequest, version uint64) {
 	sequence := t.sequence.Add(1)
-	workers, due, grants := p.current()
-	request = &pb.PoolStatusRequest{Pool: p.Name, Sequence: sequence, Evacuate: workers, Due: due, FleetFence: t.fence}
+	workers, due, ended, grants := p.current()
+	request = &pb.PoolStatusRequest{
+		Pool: p.Name, Sequence: sequence, Evacuate: workers, Due: due, FleetFence: t.fence, Ended: ended,
+	}
 	if len(grants.Grants) > 0 {
 		request.PoolFence = grants.Fence
 		request.Grants = quotawire.EncodeGrants(grants.Grants)
@@ -167,6 +174,23 @@
 	}
 }
 
+// setEnded sets the lives of workers that have ended. New ones are sent immediately.
+func (p *poller) setEnded(ended []*pb.WorkerLife) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	isNew := slices.ContainsFunc(ended, func(e *pb.WorkerLife) bool {
+		return !slices.ContainsFunc(p.ended, func(old *pb.WorkerLife) bool { return proto.Equal(old, e) })
+	})
+	p.ended = ended
+	if !isNew {
+		return
+	}
+	select {
+	case p.changed <- struct{}{}:
+	default:
+	}
+}
+
 // setGrants sets the grants that the pool has not confirmed. New ones are sent soon.
 func (p *poller) setGrants(batch quota.Batch) {
 	p.mu.Lock()
@@ -182,8 +206,8 @@
 	}
 }
 
-func (p *poller) current() (evacuate, due []string, grants quota.Batch) {
+func (p *poller) current() (evacuate, due []string, ended []*pb.WorkerLife, grants quota.Batch) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.workers, p.due, p.grants
+	return p.workers, p.due, p.ended, p.grants
 }
--- /dev/null
+++ b/internal/poolowner/ended_test.go
@@ -0,0 +1,112 @@
+package poolowner_test
+
+import (
+	"context"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/poolowner"
+	"github.com/agateturn/agateturn/scheduler"
+	"github.com/agateturn/agateturn/store/memtxn"
+)
+
+// cutWorkers are workers that run on while the link to one of them is cut with resets.
+type cutWorkers struct {
+	*leaseWorkers
+	cut atomic.Pointer[string]
+}
+
+func (c *cutWorkers) isCut(worker string) bool {
+	cut := c.cut.Load()
+	return cut != nil && *cut == worker
+}
+
+func (c *cutWorkers) Start(ctx context.Context, o scheduler.Order, fence uint64) scheduler.OrderResult {
+	if c.isCut(o.Worker) {
+		return scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeNotSent}
+	}
+	return c.leaseWorkers.Start(ctx, o, fence)
+}
+
+func (c *cutWorkers) Hold(ctx context.Context, r poolowner.HoldRequest) (scheduler.Report, error) {
+	if c.isCut(r.Worker) {
+		return scheduler.Report{}, syscall.ECONNREFUSED
+	}
+	report, err := c.leaseWorkers.Hold(ctx, r)
+	report.Born = bornAt
+	if c.isCut(r.Worker) {
+		return scheduler.Report{}, syscall.ECONNRESET
+	}
+	return report, err
+}
+
+const bornAt = 1000
+
+// startCut starts an owner with one task, which runs on w1, and cuts the link to w1.
+func startCut(t *testing.T) (owner *poolowner.Owner, workers *cutWorkers, stop func()) {
+	shared := memtxn.New()
+	acceptJob(t, shared.Client("host"), 1)
+	workers = &cutWorkers{leaseWorkers: newLeaseWorkers()}
+	owner, stop = startOwner(t, newOptions(t, shared.Client("owner"), workers), "w1")
+	time.Sleep(settleTime)
+	assert.Equal(t, workers.runningOn("w1"), 1)
+	listed := testWorkers([]string{"w1", "w2"})
+	for i := range listed {
+		listed[i].Born, listed[i].Host = bornAt, "host-"+listed[i].ID
+	}
+	owner.SetWorkers(listed)
+	time.Sleep(settleTime)
+	w1 := "w1"
+	workers.cut.Store(&w1)
+	return owner, workers, stop
+}
+
+// Guards against two runs of a task: an owner took refused connections, as a cut link gives, for the end of the worker's process
+// and started its tasks elsewhere while they ran on.
+func TestRefusedConnectionsEndNoRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, workers, stop := startCut(t)
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, !workers.sawDuplicate())
+		assert.Equal(t, workers.runningOn("w1"), 1)
+		time.Sleep(15 * time.Second) // the lease expires
+		assert.Assert(t, !workers.sawDuplicate())
+		assert.Equal(t, workers.runningOn("w2"), 1)
+		stop()
+	})
+}
+
+// Guards against a task that waits for the lease of a worker whose end is known: the owner of the fleet learns the host of the
+// unreachable worker, and its answer ends the runs there. Another life of the worker is left alone.
+func TestProvedEndOfAWorkerEndsItsRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner, workers, stop := startCut(t)
+		time.Sleep(1500 * time.Millisecond)
+		sequence := uint64(0)
+		status := func(ended ...*pb.WorkerLife) *pb.WorkerLoad {
+			sequence++
+			r, ok := owner.Status(t.Context(), &pb.PoolStatusRequest{Sequence: sequence, Ended: ended})
+			assert.Assert(t, ok)
+			assert.Equal(t, r.GetWorkers()[0].GetId(), "w1")
+			return r.GetWorkers()[0]
+		}
+		load := status(&pb.WorkerLife{Id: "w1", Born: bornAt - 1})
+		assert.Equal(t, load.GetUnreachableHost(), "host-w1")
+		assert.Equal(t, load.GetBorn(), int64(bornAt))
+		assert.Equal(t, load.GetTasks(), int64(1))
+		workers.mu.Lock()
+		workers.workers["w1"].running = nil
+		workers.mu.Unlock()
+		load = status(&pb.WorkerLife{Id: "w1", Born: bornAt})
+		assert.Equal(t, load.GetBorn(), int64(0))
+		time.Sleep(settleTime)
+		assert.Equal(t, workers.runningOn("w2"), 1)
+		stop()
+	})
+}
--- a/internal/poolowner/hold.go
+++ b/internal/poolowner/hold.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/agateturn/agateturn/wait"
 
-	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/scheduler"
 )
 
@@ -23,7 +21,7 @@
 	holdRetryDelay = 150 * time.Millisecond
 	// refusedRetryDelay replaces holdRetryDelay once an address has refused more than refusalThreshold connections in a row.
 	refusedRetryDelay = 600 * time.Millisecond
-	// refusalThreshold is how many refused connections in a row prove that a worker's process has ended.
+	// refusalThreshold is how many refused connections in a row make holds less frequent.
 	refusalThreshold = 2
 	// maxAckWait bounds how long a renewer delays the next hold until ended runs may be acknowledged.
 	maxAckWait = 200 * time.Millisecond
@@ -132,18 +130,17 @@
 		if first {
 			maxWait = 0
 		}
-		sent := o.Clock()
 		report, err := o.holdOnce(ctx, w, maxWait, answered)
 		answered = err == nil && !report.Gone
 		monitor.observe(ctx, err)
 		if err != nil {
-			refusals = o.handleHoldFailure(ctx, w, sent, refusals, err)
+			refusals = o.handleHoldFailure(ctx, w, refusals, err)
 			_ = wait.For(ctx, retryAfter(refusals))
 			continue
 		}
 		first = false
 		refusals = 0
-		w.Born = max(w.Born, report.Born) // refused connections prove the end of the last incarnation that answered
+		w.Born = max(w.Born, report.Born)
 		o.handleReport(ctx, w, report)
 		if report.Gone || report.Fenced {
 			_ = wait.For(ctx, holdRetryDelay)
@@ -153,20 +150,14 @@
 	}
 }
 
-// handleHoldFailure returns the new number of refused connections in a row; any other failure resets it. At
-// refusalThreshold, which proves that the worker's process has ended, it reports the worker as gone.
-func (o *Owner) handleHoldFailure(ctx context.Context, w scheduler.Worker, sent time.Time, refusals int, err error) int {
+// handleHoldFailure marks the worker as unreachable and returns the new number of refused connections in a row; any other
+// failure resets it.
+func (o *Owner) handleHoldFailure(ctx context.Context, w scheduler.Worker, refusals int, err error) int {
+	o.enqueue(ctx, func(p *scheduler.Pool, _ time.Time) { p.MarkUnreachable(w.ID) })
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return 0
 	}
-	refusals++
-	if refusals == refusalThreshold {
-		events.Log(ctx, o.Log, events.WorkerEnded, slog.String("worker", w.ID), slog.String("pool", o.Pool),
-			slog.Uint64("fence", o.Config.Fence), slog.String("reason", "its address refuses connections"))
-		gone := scheduler.Report{Worker: w.ID, Born: w.Born, Sent: sent, Received: o.Clock(), Gone: true}
-		o.enqueue(ctx, func(p *scheduler.Pool, now time.Time) { p.Report(now, gone) })
-	}
-	return refusals
+	return refusals + 1
 }
 
 // retryAfter returns the delay after a hold without an answer.
--- a/internal/poolowner/incarnation_test.go
+++ b/internal/poolowner/incarnation_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/poolowner"
 	"github.com/agateturn/agateturn/scheduler"
 	"github.com/agateturn/agateturn/store/memtxn"
@@ -57,7 +58,8 @@
 	})
 }
 
-// The end of a worker's second incarnation under one id is detected as soon as its address refuses connections.
+// The end of a worker's second incarnation under one id is noticed as soon as the owner of the fleet has proved it; the end of
+// the first one proves nothing about the second.
 func TestSecondLifetimeThatEndsIsNoticed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		kv := memtxn.New().Client("owner")
@@ -92,7 +94,14 @@
 		acceptJob(t, kv, 1)
 		time.Sleep(time.Second)
 		assert.Equal(t, workers.runningOn("w1"), 1)
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(time.Second)
+		for born := int64(1); born <= 2; born++ {
+			assert.Equal(t, workers.runningOn("w2"), 0)
+			ended := []*pb.WorkerLife{{Id: "w1", Born: born}}
+			_, ok := owner.Status(t.Context(), &pb.PoolStatusRequest{Sequence: uint64(born), Ended: ended})
+			assert.Assert(t, ok)
+			time.Sleep(500 * time.Millisecond)
+		}
 		assert.Equal(t, workers.runningOn("w2"), 1)
 		stop()
 	})
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -68,6 +68,7 @@
 	}
 	if r.Received.After(w.lastReport) {
 		w.lastReport = r.Received
+		w.unreachable = false
 	}
 	if !w.reported {
 		p.firstReport(now, w, &r)
@@ -97,13 +98,9 @@
 	if incarnation != 0 && incarnation < w.Born {
 		return
 	}
-	if w.replaced {
-		return
+	if !w.replaced {
+		p.markEnded(now, w, "worker was replaced", func(*run) bool { return true })
 	}
-	p.endIncarnation(now, w, "worker was replaced", func(*run) bool { return true })
-	w.replaced = true
-	w.replacedAt = now
-	p.takeover.markReported(w.ID)
 }
 
 // acceptIncarnation reports whether the report belongs to the current incarnation. It first switches to a newer one
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -288,7 +288,7 @@
 				p.Report(s.time(), scheduler.Report{Worker: w.id, Sent: sent, Received: s.time(), Gone: true})
 			})
 		}
-		holdAgain(o.delayAfterLostHold(w, sent))
+		holdAgain(o.delayAfterLostHold(w))
 		return
 	}
 	deadline := s.now + 1000
@@ -318,11 +318,11 @@
 	s.after(1+s.rng.Int64N(5), poll)
 }
 
-// delayAfterLostHold returns the time in ms until the next hold of a worker that did not get one. It reports a worker
-// whose address refuses connections.
-func (o *simOwner) delayAfterLostHold(w *simWorker, sent time.Time) int64 {
+// delayAfterLostHold returns the time in ms until the next hold of a worker that did not get one. It reports the end of a worker
+// that is down.
+func (o *simOwner) delayAfterLostHold(w *simWorker) int64 {
 	if o.sim.faults.refuses && !w.up && !o.sim.partitioned[w.id] {
-		o.reportRefusals(w, sent)
+		o.reportEnd(w)
 		return 600
 	}
 	return 1000
@@ -336,17 +336,12 @@
 	return 1000
 }
 
-// reportRefusals reports that the worker's incarnation has ended, after its address has refused another connection.
-func (o *simOwner) reportRefusals(w *simWorker, sent time.Time) {
+// reportEnd reports that the worker's incarnation has ended, as the owner of the fleet does. The worker may be up again by then.
+func (o *simOwner) reportEnd(w *simWorker) {
 	s := o.sim
-	born := w.incarnation
+	life := &pb.WorkerLife{Id: w.id, Born: w.incarnation}
 	s.after(150, func() {
-		if w.up {
-			return
-		}
-		o.handle(func(p *scheduler.Pool) {
-			p.Report(s.time(), scheduler.Report{Worker: w.id, Born: born, Sent: sent, Received: s.time(), Gone: true})
-		})
+		o.handle(func(p *scheduler.Pool) { p.EndLives(s.time(), []*pb.WorkerLife{life}) })
 	})
 }
 
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -26,6 +26,8 @@
 	// reported means that this incarnation has answered a hold of this owner.
 	reported   bool
 	lastReport time.Time
+	// unreachable means that a hold has got no answer since lastReport.
+	unreachable bool
 	// listClock is the worker's clock at the latest list of running tasks.
 	listClock int64
 	// lastClock is the latest reading of the incarnation's clock.
@@ -173,14 +175,7 @@
 		p.addCrash(now, w, reason)
 		p.chargeCrash(now, w)
 	}
-	runs := append([]*run(nil), w.runs...)
-	for _, r := range runs {
-		if !ends(r) {
-			continue
-		}
-		p.addLost(now, r, reason)
-		p.endRun(now, r, EndLapsed, "")
-	}
+	p.endRuns(now, w, reason, ends)
 	w.clock = workerClock{}
 	w.reported = false
 	w.listClock = -1
@@ -190,10 +185,21 @@
 	w.ends = endLog{}
 	w.unansweredStarts = 0
 	w.emptyConfirmed = false
+	w.unreachable = false
 	w.lastReport = now
 	p.wakePlacement(now)
 }
 
+// endRuns ends those runs of a worker for which ends returns true.
+func (p *Pool) endRuns(now time.Time, w *worker, reason string, ends func(*run) bool) {
+	for _, r := range append([]*run(nil), w.runs...) {
+		if ends(r) {
+			p.addLost(now, r, reason)
+			p.endRun(now, r, EndLapsed, "")
+		}
+	}
+}
+
 // mayCrash reports whether an end of the current incarnation would be unexpected. A worker that is being evacuated is
 // ended by order only after its runs.
 func (w *worker) mayCrash() bool {
