--- a/internal/jobfront/ended.go
+++ b/internal/jobfront/ended.go
@@ -18,7 +18,7 @@
 
 // jobKey identifies a job as callers of one workspace see it.
 type jobKey struct {
-	pool, id, workspace string
+	address, workspace string
 }
 
 // finalStateCache caches the final states of jobs in two generations. The older one is dropped when the newer one is full
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -35,13 +35,15 @@
 
 // Store holds the accepted jobs. Each method applies a deadline of its own besides that of ctx.
 type Store interface {
-	// Accept returns nil once the job is stored, by this call or an earlier one with the same id. Options.IsNotAccepted and
-	// Options.IsOtherWorkspace classify its errors.
+	// Accept returns nil once the job is stored, by this call or an earlier one with the same id. Options.IsNotAccepted,
+	// Options.IsOtherWorkspace and Options.IsStoredElsewhere classify its errors.
 	Accept(ctx context.Context, job *pb.JobRecord) error
 	// Cancel returns nil once the cancellation is stored. known is false if there is no such job.
-	Cancel(ctx context.Context, pool, id string, by jobstate.Requester) (known bool, err error)
+	Cancel(ctx context.Context, ref jobstate.Ref, by jobstate.Requester) (known bool, err error)
 	// CancelOwn is like Cancel, but known is false and nothing is stored if the job belongs to another workspace.
-	CancelOwn(ctx context.Context, pool, id string, by jobstate.Requester) (known bool, err error)
+	CancelOwn(ctx context.Context, ref jobstate.Ref, by jobstate.Requester) (known bool, err error)
+	// Locate returns the pool under which the job at an address is stored. found is false if that is not recorded.
+	Locate(ctx context.Context, address string) (pool string, found bool, err error)
 	// Lookup is linearizable. known is false for a job that by may not see.
 	Lookup(ctx context.Context, pool, id string, by jobstate.Requester) (state pb.JobState, known bool, err error)
 }
@@ -82,6 +84,8 @@
 	IsNotAccepted func(error) bool
 	// IsOtherWorkspace reports whether an error means that the id belongs to a job of another workspace; nil means never.
 	IsOtherWorkspace func(error) bool
+	// IsStoredElsewhere reports whether an error means that the job is stored under another pool; nil means never.
+	IsStoredElsewhere func(error) bool
 	// KeyHeader is the request header with the caller's API key.
 	KeyHeader string
 	// MaxTableAge returns how long ago the table must have been confirmed at most for a key in it to be accepted for a
--- a/internal/jobfront/front_test.go
+++ b/internal/jobfront/front_test.go
@@ -136,16 +136,20 @@
 	return by.MayAccess("")
 }
 
-func (b *fakeBackend) Cancel(_ context.Context, _, id string, _ jobstate.Requester) (bool, error) {
-	_, known := b.stored[id]
+func (b *fakeBackend) Cancel(_ context.Context, ref jobstate.Ref, _ jobstate.Requester) (bool, error) {
+	_, known := b.stored[ref.ID]
 	return known && b.storeErr == nil, b.storeErr
 }
 
-func (b *fakeBackend) CancelOwn(ctx context.Context, pool, id string, by jobstate.Requester) (bool, error) {
-	if !b.mayAccess(id, by) {
+func (b *fakeBackend) CancelOwn(ctx context.Context, ref jobstate.Ref, by jobstate.Requester) (bool, error) {
+	if !b.mayAccess(ref.ID, by) {
 		return false, b.storeErr
 	}
-	return b.Cancel(ctx, pool, id, by)
+	return b.Cancel(ctx, ref, by)
+}
+
+func (b *fakeBackend) Locate(context.Context, string) (string, bool, error) {
+	return "", false, b.storeErr
 }
 
 func (b *fakeBackend) Lookup(_ context.Context, _, id string, by jobstate.Requester) (pb.JobState, bool, error) {
--- a/internal/jobfront/handler.go
+++ b/internal/jobfront/handler.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/agateturn/agateturn/internal/jobkeys"
 	"github.com/agateturn/agateturn/queue"
 )
 
@@ -30,8 +31,8 @@
 // request is a caller's request whose queue is known.
 type request struct {
 	queue *queue.Queue
-	// id is the rest of the path; it is empty for the queue itself.
-	id string
+	// id is the rest of the path; it is empty for the queue itself. address is that of the job.
+	id, address string
 	// workspace is that of the caller's key; empty if the queue needs no key. cap is the workspace's.
 	workspace string
 	cap       queue.Cap
@@ -76,7 +77,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout(r.Header.Get(headerDeadline), q.Timeout))
 	defer cancel()
-	parsed := request{queue: q, id: r.URL.Path[len(q.Prefix):]}
+	parsed := request{queue: q, id: r.URL.Path[len(q.Prefix):], address: jobkeys.Address(q.Host, r.URL.Path)}
 	if rejected := f.authenticate(ctx, table, r, &parsed); rejected != nil {
 		return *rejected, parsed
 	}
--- a/internal/jobfront/jobs.go
+++ b/internal/jobfront/jobs.go
@@ -12,6 +12,9 @@
 // ownerTimeout bounds a query to an owner, after which a state is read from the store and a count from the cache.
 const ownerTimeout = 300 * time.Millisecond
 
+// locateTimeout bounds the search for the pool of a job to cancel, after which whoever stores the cancellation searches for it.
+const locateTimeout = 300 * time.Millisecond
+
 // submit stores a job and then notifies its owner. A job that would add to the backlog of an overloaded owner is
 // rejected.
 func (f *Front) submit(ctx context.Context, r request, body []byte) reply {
@@ -32,27 +35,40 @@
 		Spec:       spec,
 		AcceptedMs: time.Now().UnixMilli(),
 		Workspace:  r.workspace,
+		Address:    r.address,
 	}
 	result := f.store(ctx, &pb.StoreJobRequest{Job: job})
-	if result == pb.StoreResult_STORE_RESULT_STORED {
+	switch result {
+	case pb.StoreResult_STORE_RESULT_STORED:
 		traceOf(ctx).markStored()
 		f.offers.addJob(job)
+	case pb.StoreResult_STORE_RESULT_STORED_ELSEWHERE:
+		// The owner of the pool that the configuration names must not learn of a job that it does not own.
+		traceOf(ctx).markStored()
+	default:
 	}
 	return f.storeReply(result)
 }
 
 // cancel stores a cancellation and then notifies the job's owner.
 func (f *Front) cancel(ctx context.Context, r request) reply {
-	return f.storeReply(f.storeCancel(ctx, r.queue.Pool, r.id, jobstate.Requester{Workspace: r.workspace}))
+	ref := jobstate.Ref{Pool: r.queue.Pool, ID: r.id, Address: r.address}
+	call, stop := context.WithTimeout(ctx, locateTimeout)
+	pool, found, err := f.options.Store.Locate(call, r.address)
+	stop()
+	if err == nil && found {
+		ref = jobstate.Ref{Pool: pool, ID: r.id}
+	}
+	return f.storeReply(f.storeCancel(ctx, ref, jobstate.Requester{Workspace: r.workspace}))
 }
 
-func (f *Front) storeCancel(ctx context.Context, pool, id string, by jobstate.Requester) pb.StoreResult {
+func (f *Front) storeCancel(ctx context.Context, ref jobstate.Ref, by jobstate.Requester) pb.StoreResult {
 	result := f.store(ctx, &pb.StoreJobRequest{
-		CancelPool: pool, CancelId: id, CancelWorkspace: by.Workspace, CancelByOperator: by.Operator,
+		CancelPool: ref.Pool, CancelId: ref.ID, CancelAddress: ref.Address, CancelWorkspace: by.Workspace, CancelByOperator: by.Operator,
 	})
 	if result == pb.StoreResult_STORE_RESULT_STORED {
 		traceOf(ctx).markStored()
-		f.offers.addCancellation(pool, &pb.JobCancel{Id: id, Workspace: by.Workspace, ByOperator: by.Operator})
+		f.offers.addCancellation(ref.Pool, &pb.JobCancel{Id: ref.ID, Workspace: by.Workspace, ByOperator: by.Operator})
 	}
 	return result
 }
@@ -60,13 +76,13 @@
 // state answers with a job's state from the cache of final states, from its owner, or from the store if the owner does
 // not know the job or cannot be reached. Only the store decides that there is no such job.
 func (f *Front) state(ctx context.Context, r request) reply {
-	key := jobKey{pool: r.queue.Pool, id: r.id, workspace: r.workspace}
+	key := jobKey{address: r.address, workspace: r.workspace}
 	if state, ok := f.finalStates.get(key); ok {
 		return f.stateReply(state)
 	}
-	state := f.ownerState(ctx, r)
+	state := f.ownerState(ctx, r.queue.Pool, r)
 	if state == pb.JobState_JOB_STATE_UNSPECIFIED {
-		stored, known, err := f.options.Store.Lookup(ctx, r.queue.Pool, r.id, jobstate.Requester{Workspace: r.workspace})
+		stored, known, err := f.storedState(ctx, r)
 		switch {
 		case err != nil:
 			return reply{status: http.StatusServiceUnavailable, retry: true, reason: reasonStateUnavailable}
@@ -79,15 +95,32 @@
 	return f.stateReply(state)
 }
 
+// storedState returns the state of a job that the owner of the pool that the configuration names does not know: from the owner
+// of the pool in which the job is located, if that is another one, or from the store.
+func (f *Front) storedState(ctx context.Context, r request) (state pb.JobState, known bool, err error) {
+	pool, found, err := f.options.Store.Locate(ctx, r.address)
+	switch {
+	case err != nil:
+		return pb.JobState_JOB_STATE_UNSPECIFIED, false, err
+	case !found:
+		pool = r.queue.Pool
+	case pool != r.queue.Pool:
+		if state := f.ownerState(ctx, pool, r); state != pb.JobState_JOB_STATE_UNSPECIFIED {
+			return state, true, nil
+		}
+	}
+	return f.options.Store.Lookup(ctx, pool, r.id, jobstate.Requester{Workspace: r.workspace})
+}
+
 func (f *Front) stateReply(state pb.JobState) reply {
 	return reply{status: http.StatusOK, body: f.options.Codec.EncodeState(state)}
 }
 
 // ownerState returns UNSPECIFIED if the owner does not know the job or cannot be reached.
-func (f *Front) ownerState(ctx context.Context, r request) pb.JobState {
+func (f *Front) ownerState(ctx context.Context, pool string, r request) pb.JobState {
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
-	states, err := f.options.Owners.States(ctx, r.queue.Pool, r.workspace, []string{r.id})
+	states, err := f.options.Owners.States(ctx, pool, r.workspace, []string{r.id})
 	if err != nil || len(states) != 1 {
 		f.options.Metrics.countOwnerSilent()
 		return pb.JobState_JOB_STATE_UNSPECIFIED
--- a/internal/jobfront/operate.go
+++ b/internal/jobfront/operate.go
@@ -112,7 +112,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	switch o.front.storeCancel(ctx, job.Pool, id, jobstate.Requester{Operator: true}) {
+	switch o.front.storeCancel(ctx, jobstate.Ref{Pool: job.Pool, ID: id}, jobstate.Requester{Operator: true}) {
 	case pb.StoreResult_STORE_RESULT_STORED:
 		return operatorapi.JobCancelled{ID: id, Pool: job.Pool}, nil
 	case pb.StoreResult_STORE_RESULT_UNKNOWN_JOB:
--- a/internal/jobfront/store.go
+++ b/internal/jobfront/store.go
@@ -158,13 +158,14 @@
 // cancelLocally writes a cancellation to the store. Cancellations by callers are restricted to their own jobs if the
 // configuration has workspaces, or the caller's host knew one that has.
 func (f *Front) cancelLocally(ctx context.Context, req *pb.StoreJobRequest) (known bool, err error) {
+	ref := jobstate.Ref{Pool: req.GetCancelPool(), ID: req.GetCancelId(), Address: req.GetCancelAddress()}
 	by := jobstate.Requester{Workspace: req.GetCancelWorkspace(), Operator: req.GetCancelByOperator()}
 	table := f.options.Tables.Table()
 	restricted := by.Workspace != "" || (table != nil && table.Workspaces != nil)
 	if restricted && !by.Operator {
-		return f.options.Store.CancelOwn(ctx, req.GetCancelPool(), req.GetCancelId(), by)
+		return f.options.Store.CancelOwn(ctx, ref, by)
 	}
-	return f.options.Store.Cancel(ctx, req.GetCancelPool(), req.GetCancelId(), by)
+	return f.options.Store.Cancel(ctx, ref, by)
 }
 
 // storeResult classifies the store's answer to a write.
@@ -176,6 +177,8 @@
 		return pb.StoreResult_STORE_RESULT_UNKNOWN_JOB
 	case f.options.IsOtherWorkspace != nil && f.options.IsOtherWorkspace(err):
 		return pb.StoreResult_STORE_RESULT_OTHER_WORKSPACE
+	case f.options.IsStoredElsewhere != nil && f.options.IsStoredElsewhere(err):
+		return pb.StoreResult_STORE_RESULT_STORED_ELSEWHERE
 	case f.options.IsNotAccepted(err):
 		return pb.StoreResult_STORE_RESULT_NOT_STORED
 	default:
@@ -185,7 +188,8 @@
 
 func isDecided(result pb.StoreResult) bool {
 	switch result {
-	case pb.StoreResult_STORE_RESULT_STORED, pb.StoreResult_STORE_RESULT_UNKNOWN_JOB, pb.StoreResult_STORE_RESULT_OTHER_WORKSPACE:
+	case pb.StoreResult_STORE_RESULT_STORED, pb.StoreResult_STORE_RESULT_STORED_ELSEWHERE,
+		pb.StoreResult_STORE_RESULT_UNKNOWN_JOB, pb.StoreResult_STORE_RESULT_OTHER_WORKSPACE:
 		return true
 	default:
 		return false
@@ -196,7 +200,7 @@
 // caller retries one whose result is unknown.
 func (f *Front) storeReply(result pb.StoreResult) reply {
 	switch result {
-	case pb.StoreResult_STORE_RESULT_STORED:
+	case pb.StoreResult_STORE_RESULT_STORED, pb.StoreResult_STORE_RESULT_STORED_ELSEWHERE:
 		return reply{status: http.StatusOK}
 	case pb.StoreResult_STORE_RESULT_UNKNOWN_JOB:
 		return reply{status: http.StatusGone, reason: reasonNoSuchJob}
--- a/internal/jobhost/options.go
+++ b/internal/jobhost/options.go
@@ -39,16 +39,17 @@
 func (h *Host) frontOptions() jobfront.Options {
 	return jobfront.Options{
 		Codec: codec{}, Store: h.jobs, Owners: h.peers, Tables: h.tables,
-		Relays:           relays{h},
-		Log:              h.log,
-		IsNotAccepted:    isNotAccepted,
-		IsOtherWorkspace: jobstore.OtherWorkspace.Has,
-		KeyHeader:        platform.KeyHeader,
-		MaxTableAge:      h.maxTableAge,
-		Metrics:          jobfront.NewMetrics(h.stats),
-		ContentType:      contentType,
-		MaxConnections:   maxConnections,
-		StopNotice:       stopNotice,
+		Relays:            relays{h},
+		Log:               h.log,
+		IsNotAccepted:     isNotAccepted,
+		IsOtherWorkspace:  jobstore.OtherWorkspace.Has,
+		IsStoredElsewhere: jobstore.StoredElsewhere.Has,
+		KeyHeader:         platform.KeyHeader,
+		MaxTableAge:       h.maxTableAge,
+		Metrics:           jobfront.NewMetrics(h.stats),
+		ContentType:       contentType,
+		MaxConnections:    maxConnections,
+		StopNotice:        stopNotice,
 	}
 }
 
--- a/internal/jobkeys/jobkeys.go
+++ b/internal/jobkeys/jobkeys.go
@@ -4,6 +4,8 @@
 package jobkeys
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"net/url"
 	"strings"
 )
@@ -17,8 +19,12 @@
 	incomingPrefix   = "agateturn/in/"
 	progressPrefix   = "agateturn/progress/"
 	rosterPrefix     = "agateturn/roster/"
+	locationPrefix   = "agateturn/at/"
 )
 
+// addressBytes is the length of the hash of which an address consists.
+const addressBytes = 16
+
 const (
 	jobSegment    = "j/"
 	cancelSegment = "c/"
@@ -90,3 +96,12 @@
 
 // Roster returns the key of the record of the workers that may run tasks of a pool.
 func Roster(pool string) string { return rosterPrefix + url.PathEscape(pool) }
+
+// Address returns the address of the job with a host and path: a hash, since keys are short and callers choose the path.
+func Address(host, path string) string {
+	sum := sha256.Sum256([]byte(host + "\n" + path))
+	return hex.EncodeToString(sum[:addressBytes])
+}
+
+// Location returns the key of the location of the job at an address.
+func Location(address string) string { return locationPrefix + address }
--- a/internal/jobstore/accept.go
+++ b/internal/jobstore/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"google.golang.org/protobuf/proto"
 
@@ -11,20 +12,28 @@
 	"github.com/agateturn/agateturn/store"
 )
 
-// Accept stores the job. It returns nil once the job is durable, or if a job with its id was stored already.
-// Errors: NotAccepted, Undecided, OtherWorkspace. The error is also Undecided if an earlier write with this id may still take
-// effect.
+// Accept stores the job. It returns nil once the job is durable, or if a job with its id was stored already. If the location of
+// its address names another pool, the job belongs to that one.
+// Errors: NotAccepted, Undecided, OtherWorkspace, StoredElsewhere. The error is also Undecided if an earlier write with this id
+// may still take effect.
 func (s *Store) Accept(ctx context.Context, rec *pb.JobRecord) error {
 	id := rec.GetId()
 	data, err := proto.Marshal(rec)
 	if err != nil {
 		return NotAccepted.Wrap(err)
 	}
+	location, err := newLocationWrite(rec.GetAddress(), rec.GetPool())
+	if err != nil {
+		return NotAccepted.Wrap(err)
+	}
 	err = s.write(ctx, &pendingWrite{
-		id: id, key: jobkeys.Job(rec.GetPool(), id), data: data, ifAbsent: true, isJob: true,
+		id: id, key: jobkeys.Job(rec.GetPool(), id), data: data, ifAbsent: true, isJob: true, location: location,
 		check: func(stored []byte) error { return checkSameWorkspace(rec, stored) },
 	})
+	var elsewhere *elsewhereError
 	switch {
+	case errors.As(err, &elsewhere):
+		return s.acceptElsewhere(ctx, rec, elsewhere.pool)
 	case err == nil:
 		return nil
 	case OtherWorkspace.Has(err):
@@ -54,19 +63,22 @@
 // Errors: store.Unavailable (not stored), Undecided. Cancel may be repeated.
 //
 // Cancel is for operators, and for callers of a configuration without workspaces; see CancelOwn.
-func (s *Store) Cancel(ctx context.Context, pool, id string, by jobstate.Requester) (known bool, err error) {
-	data, err := s.encodeCancel(id, by)
+func (s *Store) Cancel(ctx context.Context, ref jobstate.Ref, by jobstate.Requester) (known bool, err error) {
+	return s.cancelLocated(ctx, ref, by, s.cancelAny)
+}
+
+func (s *Store) cancelAny(ctx context.Context, ref jobstate.Ref, by jobstate.Requester) (known bool, err error) {
+	w, err := s.newCancelWrite(ref, by)
 	if err != nil {
 		return false, err
 	}
-	w := &pendingWrite{id: id, key: jobkeys.Cancel(pool, id), data: data}
 	if by.Operator {
 		w.check = func(stored []byte) error { return checkSameCanceller(by, stored) }
 	}
 	if err := s.writeCancel(ctx, w); err != nil {
 		return false, err
 	}
-	return s.mayExist(ctx, jobkeys.Job(pool, id)), nil
+	return s.mayExist(ctx, jobkeys.Job(ref.Pool, ref.ID)), nil
 }
 
 // CancelOwn is like Cancel for a caller that may cancel only the jobs of its workspace. known is also false for a job of
@@ -75,25 +87,27 @@
 // A job has one key for its cancellation, so a caller must not replace the cancellation of another one: the job is read first,
 // and only its own workspace replaces the value. While there is no job, the first cancellation stays; that of another workspace
 // is then rejected with store.Unavailable.
-func (s *Store) CancelOwn(ctx context.Context, pool, id string, by jobstate.Requester) (known bool, err error) {
-	data, err := s.encodeCancel(id, by)
+func (s *Store) CancelOwn(ctx context.Context, ref jobstate.Ref, by jobstate.Requester) (known bool, err error) {
+	return s.cancelLocated(ctx, ref, by, s.cancelOwn)
+}
+
+func (s *Store) cancelOwn(ctx context.Context, ref jobstate.Ref, by jobstate.Requester) (known bool, err error) {
+	w, err := s.newCancelWrite(ref, by)
 	if err != nil {
 		return false, err
 	}
-	item, err := s.get(ctx, jobkeys.Job(pool, id))
+	item, err := s.get(ctx, jobkeys.Job(ref.Pool, ref.ID))
 	if err != nil {
 		return false, store.Unavailable.Wrap(err)
 	}
-	w := &pendingWrite{
-		id: id, key: jobkeys.Cancel(pool, id), data: data, ifAbsent: item.Version == 0,
-		check: func(stored []byte) error { return checkSameCanceller(by, stored) },
-	}
+	w.ifAbsent = item.Version == 0
+	w.check = func(stored []byte) error { return checkSameCanceller(by, stored) }
 	if w.ifAbsent {
 		if err := s.writeCancel(ctx, w); err != nil {
 			return false, err
 		}
 		// As in Cancel, a job that was accepted meanwhile must be known.
-		item, err = s.get(ctx, jobkeys.Job(pool, id))
+		item, err = s.get(ctx, jobkeys.Job(ref.Pool, ref.ID))
 		known = err != nil || (item.Version > 0 && by.MayAccess(s.workspaceOf(ctx, item)))
 		return known, nil //nolint:nilerr // the cancellation is stored, and the job may exist
 	}
@@ -122,10 +136,15 @@
 	return nil
 }
 
-func (s *Store) encodeCancel(id string, by jobstate.Requester) ([]byte, error) {
-	return proto.Marshal(&pb.JobCancel{
-		Id: id, CancelledMs: s.clock().UnixMilli(), Workspace: by.Workspace, ByOperator: by.Operator,
+func (s *Store) newCancelWrite(ref jobstate.Ref, by jobstate.Requester) (*pendingWrite, error) {
+	data, err := proto.Marshal(&pb.JobCancel{
+		Id: ref.ID, CancelledMs: s.clock().UnixMilli(), Workspace: by.Workspace, ByOperator: by.Operator, Address: ref.Address,
 	})
+	if err != nil {
+		return nil, err
+	}
+	location, err := newLocationWrite(ref.Address, ref.Pool)
+	return &pendingWrite{id: ref.ID, key: jobkeys.Cancel(ref.Pool, ref.ID), data: data, location: location}, err
 }
 
 func (s *Store) writeCancel(ctx context.Context, w *pendingWrite) error {
--- a/internal/jobstore/faults_test.go
+++ b/internal/jobstore/faults_test.go
@@ -133,7 +133,7 @@
 		acquirePool(t, kv)
 		err := s.Record(t.Context(), testPool, old, []*pb.JobProgress{{Id: "1"}})
 		assert.Assert(t, Fenced.Has(err), "%v", err)
-		assert.Assert(t, Fenced.Has(s.Forget(t.Context(), testPool, old, []string{"1"})))
+		assert.Assert(t, Fenced.Has(s.Forget(t.Context(), testPool, old, []jobstate.Ref{ref("1")})))
 		kv.Remove(jobkeys.Owner(testPool))
 		err = s.Record(t.Context(), testPool, old, []*pb.JobProgress{{Id: "1"}})
 		assert.Assert(t, Fenced.Has(err), "%v", err)
@@ -175,7 +175,7 @@
 			assert.NilError(t, s.Accept(t.Context(), job(fmt.Sprint(i))))
 			time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
 		}
-		known, err := s.Cancel(t.Context(), testPool, "0", jobstate.Requester{})
+		known, err := s.Cancel(t.Context(), ref("0"), jobstate.Requester{})
 		assert.NilError(t, err)
 		assert.Assert(t, known)
 		kv.SetFaults(memtxn.Faults{})
--- a/internal/jobstore/group.go
+++ b/internal/jobstore/group.go
@@ -33,6 +33,9 @@
 	ifAbsent bool
 	// isJob means that a late effect of the write matters to Accept.
 	isJob bool
+	// location, if set, is written too, on the condition that it does not exist. If it exists and names another pool, the write
+	// ends with an *elsewhereError instead.
+	location *locationWrite
 	// check decides on the value that the key has instead of data; nil accepts any.
 	check func(stored []byte) error
 	state atomic.Int32
@@ -40,7 +43,9 @@
 }
 
 // entries returns the number of transaction entries that the write takes.
-func (w *pendingWrite) entries() int { return lo.Ternary(w.ifAbsent, 2, 1) }
+func (w *pendingWrite) entries() int {
+	return lo.Ternary(w.ifAbsent, 2, 1) + lo.Ternary(w.location != nil, 2, 0)
+}
 
 // write queues the write and waits until its result is known or ctx ends.
 func (s *Store) write(ctx context.Context, w *pendingWrite) error {
@@ -141,6 +146,7 @@
 // commitGroup commits the writes whose callers still wait, and completes each of them.
 func (s *Store) commitGroup(ctx context.Context, group []*pendingWrite) {
 	group = lo.Filter(group, func(w *pendingWrite, _ int) bool { return w.state.CompareAndSwap(waiting, sent) })
+	group = completeRivals(group)
 	for range maxConflictRounds {
 		if len(group) == 0 {
 			return
@@ -158,6 +164,7 @@
 		for _, i := range conflict.Items {
 			present[i.Key] = i
 		}
+		group = completeElsewhere(group, present)
 		stored, rest := lo.FilterReject(group, func(w *pendingWrite, _ int) bool { return w.ifAbsent && present[w.key].Version > 0 })
 		for _, w := range stored {
 			w.completeAsStored(present[w.key].Data)
@@ -175,6 +182,10 @@
 		if w.ifAbsent {
 			t.Conditions = append(t.Conditions, store.Condition{Key: w.key})
 		}
+		if l := w.location; l != nil {
+			t.Puts = append(t.Puts, store.Put{Key: l.key, Data: l.data})
+			t.Conditions = append(t.Conditions, store.Condition{Key: l.key})
+		}
 	}
 	return t
 }
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -24,6 +24,8 @@
 	Undecided = errs.Class("jobstore: may or may not be stored; retry with the same id")
 	// OtherWorkspace means that the id belongs to a job of another workspace. Nothing was written.
 	OtherWorkspace = errs.Class("jobstore: id belongs to a job of another workspace; use another id")
+	// StoredElsewhere means that the job is stored under another pool than its record names, by this call or an earlier one.
+	StoredElsewhere = errs.Class("jobstore: job is stored under another pool; leave it to that pool's owner")
 	// Fenced means that another owner has the pool.
 	Fenced = errs.Class("jobstore: pool has another owner; release it")
 	// Unreadable means that a record exists but cannot be decoded.
--- a/internal/jobstore/jobstore_test.go
+++ b/internal/jobstore/jobstore_test.go
@@ -41,6 +41,8 @@
 	return &pb.JobRecord{Id: id, Queue: "q", Pool: testPool, Spec: &pb.JobSpec{Payload: "p"}}
 }
 
+func ref(id string) jobstate.Ref { return jobstate.Ref{Pool: testPool, ID: id} }
+
 func cancelledIDs(all []*pb.JobCancel) []string {
 	return lo.Map(all, func(c *pb.JobCancel, _ int) string { return c.GetId() })
 }
@@ -68,13 +70,13 @@
 		assert.Assert(t, found)
 		assert.Equal(t, state, pb.JobState_JOB_STATE_QUEUED)
 
-		known, err := s.Cancel(ctx, testPool, "1", jobstate.Requester{})
+		known, err := s.Cancel(ctx, ref("1"), jobstate.Requester{})
 		assert.NilError(t, err)
 		assert.Assert(t, known)
 		state, _, err = s.Lookup(ctx, testPool, "1", jobstate.Requester{})
 		assert.NilError(t, err)
 		assert.Equal(t, state, pb.JobState_JOB_STATE_CANCELLED)
-		known, err = s.Cancel(ctx, testPool, "2", jobstate.Requester{})
+		known, err = s.Cancel(ctx, ref("2"), jobstate.Requester{})
 		assert.NilError(t, err)
 		assert.Assert(t, !known)
 
@@ -91,7 +93,7 @@
 		assert.Equal(t, len(snap.Jobs), 1)
 		assert.Equal(t, len(snap.Progress), 1)
 		assert.DeepEqual(t, cancelledIDs(snap.Cancelled), []string{"1", "2"})
-		assert.NilError(t, s.Forget(ctx, testPool, fence, []string{"1", "2"}))
+		assert.NilError(t, s.Forget(ctx, testPool, fence, []jobstate.Ref{ref("1"), ref("2")}))
 		assert.Equal(t, len(kv.Items("agateturn/in/")), 0)
 		assert.Equal(t, len(kv.Items("agateturn/progress/")), 0)
 	})
@@ -126,7 +128,7 @@
 		ctx := t.Context()
 		ids := []string{"1", "2", "3"}
 		for _, id := range ids {
-			_, err := s.Cancel(ctx, testPool, id, jobstate.Requester{})
+			_, err := s.Cancel(ctx, ref(id), jobstate.Requester{})
 			assert.NilError(t, err)
 		}
 		assert.NilError(t, s.Accept(ctx, job("2")))
--- a/internal/jobstore/linearizability_test.go
+++ b/internal/jobstore/linearizability_test.go
@@ -127,7 +127,7 @@
 		if in.id == "1" || in.id == "3" { // these are cancelled as in a configuration with workspaces
 			cancel = s.CancelOwn
 		}
-		known, err := cancel(ctx, testPool, in.id, jobstate.Requester{})
+		known, err := cancel(ctx, ref(in.id), jobstate.Requester{})
 		return output{effect: effectOf(err, !Undecided.Has(err)), found: known}
 	case opLookup:
 	}
--- a/internal/jobstore/record.go
+++ b/internal/jobstore/record.go
@@ -10,6 +10,7 @@
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/jobkeys"
+	"github.com/agateturn/agateturn/jobstate"
 	"github.com/agateturn/agateturn/store"
 )
 
@@ -20,11 +21,11 @@
 	// maxTransactionBytes bounds the values of one transaction.
 	maxTransactionBytes = 512 << 10
 	// keysPerJob is the number of keys that Forget deletes for a job.
-	keysPerJob = 3
+	keysPerJob = 4
 	// maxForgetJobs bounds the jobs of one transaction of Forget.
 	maxForgetJobs = (store.MaxTransactionEntries - 1) / keysPerJob
-	// maxForgetCancels bounds the cancellations of one transaction of ForgetCancels: each takes a condition and a delete.
-	maxForgetCancels = (store.MaxTransactionEntries - 1) / 2
+	// maxForgetCancels bounds the cancellations of one transaction of ForgetCancels: each takes a condition and two deletes.
+	maxForgetCancels = (store.MaxTransactionEntries - 1) / 3
 )
 
 // Record stores progress of a pool's jobs, several jobs in a transaction. Each transaction is atomic, and succeeds only
@@ -86,26 +87,27 @@
 	return store.Unavailable.New("conflicts persist after retries")
 }
 
-// Forget deletes all records of the jobs. Errors: those of Record.
-func (s *Store) Forget(ctx context.Context, pool string, fence uint64, ids []string) error {
+// Forget deletes all records of the jobs, whose pools are not read. Errors: those of Record.
+func (s *Store) Forget(ctx context.Context, pool string, fence uint64, jobs []jobstate.Ref) error {
 	keys, err := s.progress.lock(ctx, pool)
 	if err != nil {
 		return err
 	}
 	defer keys.unlock()
-	for len(ids) > 0 {
-		n := min(len(ids), maxForgetJobs)
+	for batch := range slices.Chunk(jobs, maxForgetJobs) {
 		var t store.Transaction
-		for _, id := range ids[:n] {
-			t.Deletes = append(t.Deletes, jobkeys.Job(pool, id), jobkeys.Cancel(pool, id), jobkeys.Progress(pool, id))
+		for _, j := range batch {
+			t.Deletes = append(t.Deletes, jobkeys.Job(pool, j.ID), jobkeys.Cancel(pool, j.ID), jobkeys.Progress(pool, j.ID))
+			if j.Address != "" {
+				t.Deletes = append(t.Deletes, jobkeys.Location(j.Address))
+			}
 		}
 		if _, _, err := s.commitFenced(ctx, pool, fence, t); err != nil {
 			return err
 		}
-		for _, id := range ids[:n] {
-			delete(keys.versions, jobkeys.Progress(pool, id))
+		for _, j := range batch {
+			delete(keys.versions, jobkeys.Progress(pool, j.ID))
 		}
-		ids = ids[n:]
 	}
 	return nil
 }
@@ -118,6 +120,13 @@
 		for _, id := range batch {
 			t.Conditions = append(t.Conditions, store.Condition{Key: jobkeys.Job(pool, id)})
 			t.Deletes = append(t.Deletes, jobkeys.Cancel(pool, id))
+			address, err := s.cancelledAddress(ctx, pool, id)
+			if err != nil {
+				return kept, err
+			}
+			if address != "" {
+				t.Deletes = append(t.Deletes, jobkeys.Location(address))
+			}
 		}
 		_, conflict, err := s.commitFenced(ctx, pool, fence, t)
 		if err != nil {
@@ -147,6 +156,15 @@
 	return kept, nil
 }
 
+// cancelledAddress returns the address whose location the cancellation of an unknown job has written; empty if it wrote none.
+func (s *Store) cancelledAddress(ctx context.Context, pool, id string) (string, error) {
+	item, err := s.get(ctx, jobkeys.Cancel(pool, id))
+	if err != nil || item.Version == 0 {
+		return "", err
+	}
+	return s.decodeCancel(ctx, id, item).GetAddress(), nil
+}
+
 // commitFenced commits on the additional condition that the pool's owner key has the version fence. If another condition
 // fails, it returns the current items of the keys as conflict.
 func (s *Store) commitFenced(
--- a/internal/jobstore/workspaces_test.go
+++ b/internal/jobstore/workspaces_test.go
@@ -77,7 +77,7 @@
 		ctx := t.Context()
 		cancelOwn := func(id string, by jobstate.Requester, want bool) {
 			t.Helper()
-			known, err := s.CancelOwn(ctx, testPool, id, by)
+			known, err := s.CancelOwn(ctx, ref(id), by)
 			assert.NilError(t, err)
 			assert.Equal(t, known, want)
 		}
@@ -102,14 +102,14 @@
 
 		// Cancelled by both before the job arrives: the first cancellation stays, the second is rejected and not dropped silently.
 		cancelOwn("2", south, false)
-		_, err := s.CancelOwn(ctx, testPool, "2", north)
+		_, err := s.CancelOwn(ctx, ref("2"), north)
 		assert.Assert(t, store.Unavailable.Has(err), "%v", err)
 		assert.NilError(t, s.Accept(ctx, jobOf("2", "north")))
 		assert.Equal(t, state("2", north), pb.JobState_JOB_STATE_QUEUED)
 		cancelOwn("2", north, true)
 		assert.Equal(t, state("2", north), pb.JobState_JOB_STATE_CANCELLED)
 
-		known, err := s.Cancel(ctx, testPool, "3", operator)
+		known, err := s.Cancel(ctx, ref("3"), operator)
 		assert.Assert(t, !known && err == nil)
 		cancelOwn("3", south, false)
 		assert.NilError(t, s.Accept(ctx, jobOf("3", "north")))
@@ -146,7 +146,7 @@
 		}
 		assert.Equal(t, count(accept), [2]int{1, 0})
 		assert.Equal(t, count(accept), [2]int{1, 0}, "repeated")
-		assert.Equal(t, count(cancel(func() (bool, error) { return s.Cancel(t.Context(), testPool, "1", jobstate.Requester{}) })), [2]int{1, 1})
-		assert.Equal(t, count(cancel(func() (bool, error) { return s.CancelOwn(t.Context(), testPool, "1", jobstate.Requester{}) })), [2]int{1, 1})
+		assert.Equal(t, count(cancel(func() (bool, error) { return s.Cancel(t.Context(), ref("1"), jobstate.Requester{}) })), [2]int{1, 1})
+		assert.Equal(t, count(cancel(func() (bool, error) { return s.CancelOwn(t.Context(), ref("1"), jobstate.Requester{}) })), [2]int{1, 1})
 	})
 }
--- a/internal/poolowner/delete.go
+++ b/internal/poolowner/delete.go
@@ -12,7 +12,7 @@
 
 const (
 	// deletionRingSize bounds the queue of ended jobs, and that of cancellations, to delete; maxDeletionBatch bounds the
-	// ids deleted in one write.
+	// jobs deleted in one write.
 	deletionRingSize = 256
 	maxDeletionBatch = 8
 	// deletionRetryDelay is the delay after a failed write.
@@ -21,8 +21,8 @@
 
 // deleteEndedJobs deletes the records of jobs whose retention period has passed.
 func (o *Owner) deleteEndedJobs(ctx context.Context) error {
-	return deleteBatches(ctx, o.deletions, func(ids []string) error {
-		return o.Jobs.Forget(ctx, o.Pool, o.Config.Fence, ids)
+	return deleteBatches(ctx, o.deletions, func(jobs []jobstate.Ref) error {
+		return o.Jobs.Forget(ctx, o.Pool, o.Config.Fence, jobs)
 	})
 }
 
@@ -38,16 +38,16 @@
 	})
 }
 
-// deleteBatches deletes the queued ids in batches until ctx ends.
-func deleteBatches(ctx context.Context, ids *ring.Ring[string], remove func(ids []string) error) error {
+// deleteBatches deletes what is queued in batches until ctx ends.
+func deleteBatches[T any](ctx context.Context, queued *ring.Ring[T], remove func(batch []T) error) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case id := <-ids.Items():
-			batch := []string{id}
-			for len(batch) < maxDeletionBatch && ids.Len() > 0 {
-				batch = append(batch, <-ids.Items())
+		case first := <-queued.Items():
+			batch := []T{first}
+			for len(batch) < maxDeletionBatch && queued.Len() > 0 {
+				batch = append(batch, <-queued.Items())
 			}
 			for ctx.Err() == nil && remove(batch) != nil {
 				_ = wait.For(ctx, deletionRetryDelay)
--- a/internal/poolowner/loop.go
+++ b/internal/poolowner/loop.go
@@ -72,8 +72,8 @@
 			p.ApplyAdvice(now, scheduler.Advice{Job: r.Job, Occurrence: r.Occurrence, Step: r.Step, Failed: true})
 		}
 	}
-	for _, id := range actions.Forget {
-		o.deletions.Offer(id)
+	for _, job := range actions.Forget {
+		o.deletions.Offer(job)
 	}
 	for _, id := range actions.ForgetCancels {
 		o.cancelDeletions.Offer(id)
--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -61,7 +61,7 @@
 	Load(ctx context.Context, pool string) (jobstore.Snapshot, uint64, error)
 	Follow(ctx context.Context, pool string, asOf uint64, onChange func(jobstore.Change)) error
 	Record(ctx context.Context, pool string, fence uint64, progress []*pb.JobProgress) error
-	Forget(ctx context.Context, pool string, fence uint64, ids []string) error
+	Forget(ctx context.Context, pool string, fence uint64, jobs []jobstate.Ref) error
 	ForgetCancels(ctx context.Context, pool string, fence uint64, ids []string) (kept []*pb.JobCancel, err error)
 	Roster(ctx context.Context, pool string) (*pb.Roster, uint64, error)
 	SetRoster(ctx context.Context, pool string, fence uint64, roster *pb.Roster, version uint64) (uint64, error)
@@ -107,7 +107,7 @@
 	orders    *orderSender
 	records   *recorder
 	advice    *ring.Ring[scheduler.AdviceRequest]
-	deletions *ring.Ring[string]
+	deletions *ring.Ring[jobstate.Ref]
 	// cancelDeletions holds the ids of cancellations whose jobs were never submitted.
 	cancelDeletions *ring.Ring[string]
 	loaded          chan struct{}
@@ -135,7 +135,7 @@
 		inputs:          ring.New[input]("pool_inputs", inputRingSize),
 		decisions:       ring.New[[]decision]("pool_decisions", decisionRingSize),
 		advice:          ring.New[scheduler.AdviceRequest]("pool_advice", adviceRingSize),
-		deletions:       ring.New[string]("pool_forget", deletionRingSize),
+		deletions:       ring.New[jobstate.Ref]("pool_forget", deletionRingSize),
 		cancelDeletions: ring.New[string]("pool_forget_cancels", deletionRingSize),
 		loaded:          make(chan struct{}),
 		workers:         make(chan []scheduler.Worker, 1),
@@ -240,7 +240,7 @@
 func withAcceptedTime(now time.Time, job *pb.JobRecord) *pb.JobRecord {
 	return &pb.JobRecord{
 		Id: job.GetId(), Queue: job.GetQueue(), Pool: job.GetPool(), Spec: job.GetSpec(), AcceptedMs: now.UnixMilli(),
-		Workspace: job.GetWorkspace(),
+		Workspace: job.GetWorkspace(), Address: job.GetAddress(),
 	}
 }
 
--- a/internal/poolowner/owner_test.go
+++ b/internal/poolowner/owner_test.go
@@ -12,6 +12,7 @@
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/jobstore"
+	"github.com/agateturn/agateturn/jobstate"
 	"github.com/agateturn/agateturn/queue"
 	"github.com/agateturn/agateturn/scheduler"
 )
@@ -30,7 +31,7 @@
 
 func (emptyStore) Record(context.Context, string, uint64, []*pb.JobProgress) error { return nil }
 
-func (emptyStore) Forget(context.Context, string, uint64, []string) error { return nil }
+func (emptyStore) Forget(context.Context, string, uint64, []jobstate.Ref) error { return nil }
 
 func (emptyStore) Roster(context.Context, string) (*pb.Roster, uint64, error) { return nil, 0, nil }
 
--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -10,6 +10,7 @@
 	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/jobstate"
 )
 
 // Resources are the resources of a worker or the needs of a task.
@@ -214,7 +215,7 @@
 	Records []Record
 	Advice  []AdviceRequest
 	// Forget lists jobs whose retention has passed: their records are deleted.
-	Forget []string
+	Forget []jobstate.Ref
 	// ForgetCancels lists cancellations that are older than the retention and whose job never arrived. The owner
 	// deletes each one; if its job has arrived by then, the owner calls Cancel instead.
 	ForgetCancels []string
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -10,6 +10,8 @@
 type job struct {
 	id    string
 	queue string
+	// address is that of its location in the store; empty if it has none.
+	address string
 	// workspace is the workspace that the job belongs to; empty if none.
 	workspace string
 	account   *account
@@ -85,6 +87,7 @@
 	return &job{
 		id:                  rec.GetId(),
 		queue:               rec.GetQueue(),
+		address:             rec.GetAddress(),
 		workspace:           rec.GetWorkspace(),
 		account:             p.accountOf(rec.GetWorkspace()),
 		spec:                rec.GetSpec(),
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -6,6 +6,7 @@
 	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/jobstate"
 )
 
 const (
@@ -196,7 +197,7 @@
 		}
 		delete(p.jobs, j.id)
 		p.forgotten[j.id] = now
-		p.out.Forget = append(p.out.Forget, j.id)
+		p.out.Forget = append(p.out.Forget, jobstate.Ref{ID: j.id, Address: j.address})
 	}
 	clear(p.ended[len(kept):])
 	p.ended = kept
