review/5: overdue occurrences are opened as the pool runs them

Callers saw a pool stop (LOST) after one job with 525,600 overdue times: leases lapsed, persistent tasks ended, other jobs did not start.

Cause: the owner opened all due occurrences in one step, in time that grew with the square of their number. Waiting tasks were searched for in the same way, and records listed each completed occurrence.

Completed occurrences are ranges, in memory and in the record. Waiting tasks are found by binary search, placement stops at the first task without room, and the finished tasks of a record leave the waiting ones together.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
@@ -29,11 +30,13 @@
 	started bool
 	counted bool
 
+	// occurrences are the open ones; byNumber holds the same by number.
 	occurrences []*occurrence
+	byNumber    map[int]*occurrence
 	// finishedCounts sums up the occurrences that are no longer kept. Its number of tasks covers all occurrences.
 	finishedCounts taskCounts
 	// finishedOccurrences holds the completed occurrences. nextOccurrence is the first one that has not been opened.
-	finishedOccurrences map[int]bool
+	finishedOccurrences numberSet
 	nextOccurrence      int
 	totalOccurrences    int
 
@@ -85,18 +88,18 @@
 	}
 	total := int(max(1, rec.GetSpec().GetRepeatCount()))
 	return &job{
-		id:                  rec.GetId(),
-		queue:               rec.GetQueue(),
-		address:             rec.GetAddress(),
-		workspace:           rec.GetWorkspace(),
-		account:             p.accountOf(rec.GetWorkspace()),
-		spec:                rec.GetSpec(),
-		accepted:            accepted,
-		state:               pb.JobState_JOB_STATE_RUNNING,
-		finishedOccurrences: map[int]bool{},
-		totalOccurrences:    total,
-		finishedCounts:      taskCounts{tasks: int64(total) * tasksPerOccurrence(rec.GetSpec())},
-		failedOn:            map[string]bool{},
+		id:               rec.GetId(),
+		queue:            rec.GetQueue(),
+		address:          rec.GetAddress(),
+		workspace:        rec.GetWorkspace(),
+		account:          p.accountOf(rec.GetWorkspace()),
+		spec:             rec.GetSpec(),
+		accepted:         accepted,
+		state:            pb.JobState_JOB_STATE_RUNNING,
+		byNumber:         map[int]*occurrence{},
+		totalOccurrences: total,
+		finishedCounts:   taskCounts{tasks: int64(total) * tasksPerOccurrence(rec.GetSpec())},
+		failedOn:         map[string]bool{},
 	}
 }
 
@@ -118,49 +121,6 @@
 	p.placementDue = true
 }
 
-// openOccurrences opens the occurrences that are due.
-func (p *Pool) openOccurrences(now time.Time) {
-	kept := p.repeating[:0]
-	for _, j := range p.repeating {
-		if j.isTerminal() || j.nextOccurrence >= j.totalOccurrences {
-			continue
-		}
-		p.openDueOccurrences(now, j)
-		if j.nextOccurrence < j.totalOccurrences {
-			kept = append(kept, j)
-		}
-	}
-	p.repeating = kept
-}
-
-func (p *Pool) openDueOccurrences(now time.Time, j *job) {
-	for j.nextOccurrence < j.totalOccurrences {
-		due := j.dueAt(j.nextOccurrence)
-		opens := due.Add(-p.cfg.Early / 2)
-		if now.Before(opens) {
-			p.wake(opens)
-			return
-		}
-		if !j.finishedOccurrences[j.nextOccurrence] && j.occurrence(j.nextOccurrence) == nil {
-			p.openOccurrence(now, j, j.nextOccurrence, due)
-		}
-		j.nextOccurrence++
-	}
-}
-
-func (j *job) dueAt(number int) time.Time {
-	return time.UnixMilli(j.spec.GetStartAtMs() + int64(number)*j.spec.GetIntervalMs())
-}
-
-func (j *job) occurrence(number int) *occurrence {
-	for _, o := range j.occurrences {
-		if o.number == number {
-			return o
-		}
-	}
-	return nil
-}
-
 func (p *Pool) openOccurrence(now time.Time, j *job, number int, due time.Time) *occurrence {
 	o := &occurrence{job: j, number: number, due: due, stepsLeft: len(j.spec.GetSteps())}
 	for i, spec := range j.spec.GetSteps() {
@@ -176,6 +136,7 @@
 		}
 	}
 	j.occurrences = append(j.occurrences, o)
+	j.byNumber[number] = o
 	p.estimate(o)
 	p.arrivals.add(now, j.work)
 	for _, s := range o.steps {
@@ -183,7 +144,7 @@
 			p.openStep(now, s)
 		}
 	}
-	if o.stepsLeft == 0 && !j.finishedOccurrences[number] {
+	if o.stepsLeft == 0 && !j.finishedOccurrences.has(number) {
 		p.finishOccurrence(now, o)
 	}
 	return o
@@ -272,7 +233,7 @@
 
 // finishIfDone completes a job whose occurrences have all completed.
 func (p *Pool) finishIfDone(now time.Time, j *job) {
-	if j.isTerminal() || len(j.finishedOccurrences) < j.totalOccurrences {
+	if j.isTerminal() || j.finishedOccurrences.count < j.totalOccurrences {
 		return
 	}
 	p.addJobDecision(now, DecisionCompleted, j, "")
@@ -282,22 +243,19 @@
 // finishOccurrence drops an occurrence and keeps only its counts and that it has completed.
 func (p *Pool) finishOccurrence(now time.Time, o *occurrence) {
 	j := o.job
-	j.finishedOccurrences[o.number] = true
+	j.finishedOccurrences.add(o.number)
+	delete(j.byNumber, o.number)
 	j.finishedCounts.add(o)
-	kept := j.occurrences[:0]
-	for _, x := range j.occurrences {
-		if x != o {
-			kept = append(kept, x)
-		}
+	if at := slices.Index(j.occurrences, o); at >= 0 {
+		j.occurrences = slices.Delete(j.occurrences, at, at+1)
 	}
-	j.occurrences = kept
 	p.finishIfDone(now, j)
 }
 
 // task returns a task of the job and opens its occurrence if needed. It returns nil if the task does not exist or its
 // occurrence has completed.
 func (p *Pool) task(now time.Time, j *job, id TaskID) *task {
-	if id.Occurrence < 0 || id.Occurrence >= j.totalOccurrences || j.finishedOccurrences[id.Occurrence] {
+	if id.Occurrence < 0 || id.Occurrence >= j.totalOccurrences || j.finishedOccurrences.has(id.Occurrence) {
 		return nil
 	}
 	o := j.occurrence(id.Occurrence)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -176,10 +176,13 @@
 	}
 	kept := s.ready[:0]
 	noRoom := false
-	for _, index := range s.ready {
+	for i, index := range s.ready {
+		if noRoom || p.withinLimit(s, 1) == 0 || p.sendBudget.exhausted() {
+			kept = append(kept, s.ready[i:]...)
+			break
+		}
 		t := &s.tasks[index]
-		noRoom = noRoom || p.withinLimit(s, 1) == 0
-		if noRoom || p.sendBudget.exhausted() || now.Before(t.notBefore) {
+		if now.Before(t.notBefore) {
 			kept = append(kept, index)
 			continue
 		}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -61,7 +61,9 @@
 	// waitingSteps holds the steps with tasks that wait for a worker.
 	waitingSteps []*step
 	// repeating holds the jobs that still have occurrences to open.
-	repeating   []*job
+	repeating []*job
+	// openedTasks counts the tasks of the occurrences opened since the last step began.
+	openedTasks int
 	changedJobs []*job
 	// watchedRuns holds the runs with a stop to order or an unanswered start to resolve.
 	watchedRuns     []*run
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -74,8 +73,8 @@
 // release drops the data that an ended job no longer needs.
 func (j *job) release() {
 	j.finishedCounts = j.counts()
-	j.occurrences = nil
-	j.finishedOccurrences = nil
+	j.occurrences, j.byNumber = nil, nil
+	j.finishedOccurrences = numberSet{}
 	j.spec = &pb.JobSpec{Steps: j.spec.GetSteps()}
 }
 
@@ -126,8 +125,8 @@
 		out.Counts = j.counts().message()
 		return out
 	}
-	for _, number := range slices.Sorted(maps.Keys(j.finishedOccurrences)) {
-		out.Occurrences = append(out.Occurrences, &pb.OccurrenceProgress{Occurrence: int64(number)})
+	for _, s := range j.finishedOccurrences.spans {
+		out.Completed = append(out.Completed, &pb.OccurrenceRange{First: int64(s.first), Count: int64(s.end - s.first)})
 	}
 	for _, o := range j.occurrences {
 		out.Occurrences = append(out.Occurrences, o.progress())
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -127,14 +127,10 @@
 // loadProgress restores the recorded progress of a job without recording it again, unless the job is complete as a
 // result.
 func (p *Pool) loadProgress(now time.Time, j *job, pr *pb.JobProgress) {
+	p.loadCompleted(j, pr)
 	for _, op := range pr.GetOccurrences() {
 		number := int(op.GetOccurrence())
-		if number < 0 || number >= j.totalOccurrences || j.finishedOccurrences[number] {
-			continue
-		}
-		if len(op.GetSteps()) == 0 {
-			j.finishedOccurrences[number] = true
-			j.finishedCounts.succeeded += tasksPerOccurrence(j.spec)
+		if number < 0 || number >= j.totalOccurrences || j.finishedOccurrences.has(number) {
 			continue
 		}
 		due := j.accepted
@@ -150,6 +146,21 @@
 	}
 }
 
+// loadCompleted restores the completed occurrences. Records of earlier versions list each of them, without steps.
+func (p *Pool) loadCompleted(j *job, pr *pb.JobProgress) {
+	for _, r := range pr.GetCompleted() {
+		first, end := max(0, r.GetFirst()), min(r.GetFirst()+r.GetCount(), int64(j.totalOccurrences))
+		j.finishedOccurrences.addSpan(int(first), int(end))
+	}
+	for _, op := range pr.GetOccurrences() {
+		number := op.GetOccurrence()
+		if len(op.GetSteps()) == 0 && number >= 0 && number < int64(j.totalOccurrences) {
+			j.finishedOccurrences.add(int(number))
+		}
+	}
+	j.finishedCounts.succeeded += int64(j.finishedOccurrences.count) * tasksPerOccurrence(j.spec)
+}
+
 func (p *Pool) loadStep(now time.Time, s *step, sp *pb.StepProgress) {
 	bits := sp.GetSucceeded()
 	for i := range s.tasks {
@@ -159,15 +170,13 @@
 		t.failedRuns = slices.Clone(sp.GetFailedRuns()[index].GetRuns())
 		t.checkpoint = sp.GetCheckpoints()[index]
 		t.crashes = crashHistoryOf(sp.GetCrashes()[index])
-		if t.crashes.givenUp {
-			p.dequeueTask(t)
-		}
 		if i/8 < len(bits) && bits[i/8]&(1<<(i%8)) != 0 {
 			p.restoring = true
 			p.completeTask(now, t)
 			p.restoring = false
 		}
 	}
+	s.ready = slices.DeleteFunc(s.ready, func(i int) bool { return s.tasks[i].done || s.tasks[i].crashes.givenUp })
 }
 
 // Occupied reports whether a worker may run something of this owner or a previous one, as far as is known.
@@ -278,7 +287,7 @@
 }
 
 func (p *Pool) dequeueTask(t *task) {
-	if at := slices.Index(t.step.ready, t.index); at >= 0 {
+	if at, waits := slices.BinarySearch(t.step.ready, t.index); waits {
 		t.step.ready = slices.Delete(t.step.ready, at, at+1)
 	}
 }
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -37,7 +37,7 @@
 	followers []*step
 	// ready holds the indexes of the tasks that wait for a worker. inWaitingSteps means that the step is in the
 	// pool's waitingSteps.
-	ready          []int
+	ready          []int // sorted
 	readySince     time.Time
 	inWaitingSteps bool
 	// heldSince is since when the step has been waiting only for its workspace's limit; zero if it does not. admittedAt is
@@ -126,14 +126,17 @@
 // enqueueTask makes a task wait for a worker if it has to run.
 func (p *Pool) enqueueTask(now time.Time, t *task) {
 	s := t.step
-	if t.done || t.crashes.givenUp || len(t.runs) > 0 || s.blockedBy > 0 || s.occ.job.isTerminal() || slices.Contains(s.ready, t.index) {
+	if t.done || t.crashes.givenUp || len(t.runs) > 0 || s.blockedBy > 0 || s.occ.job.isTerminal() {
+		return
+	}
+	at, waits := slices.BinarySearch(s.ready, t.index)
+	if waits {
 		return
 	}
 	if len(s.ready) == 0 {
 		s.readySince = now
 		s.heldSince = time.Time{}
 	}
-	at, _ := slices.BinarySearch(s.ready, t.index)
 	s.ready = slices.Insert(s.ready, at, t.index)
 	t.waitingSince = now
 	if !s.inWaitingSteps {
@@ -205,8 +208,8 @@
 	t.done = true
 	t.job().anySucceeded = true
 	s := t.step
-	if at := slices.Index(s.ready, t.index); at >= 0 {
-		s.ready = slices.Delete(s.ready, at, at+1)
+	if !p.restoring { // the tasks of a record are dequeued together
+		p.dequeueTask(t)
 	}
 	p.stopTask(now, t, "task has succeeded")
 	s.doneTasks++
