--- a/internal/jobfront/jobs.go
+++ b/internal/jobfront/jobs.go
@@ -36,6 +36,7 @@
 		AcceptedMs: time.Now().UnixMilli(),
 		Workspace:  r.workspace,
 		Address:    r.address,
+		Terms:      jobstate.TermsOf(r.queue),
 	}
 	result := f.store(ctx, &pb.StoreJobRequest{Job: job})
 	switch result {
--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -240,7 +240,7 @@
 func withAcceptedTime(now time.Time, job *pb.JobRecord) *pb.JobRecord {
 	return &pb.JobRecord{
 		Id: job.GetId(), Queue: job.GetQueue(), Pool: job.GetPool(), Spec: job.GetSpec(), AcceptedMs: now.UnixMilli(),
-		Workspace: job.GetWorkspace(), Address: job.GetAddress(),
+		Workspace: job.GetWorkspace(), Address: job.GetAddress(), Terms: job.GetTerms(),
 	}
 }
 
--- a/internal/poolowner/owner_test.go
+++ b/internal/poolowner/owner_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -72,3 +73,19 @@
 	assert.Assert(t, ok && len(jobs) == 1)
 	assert.Assert(t, jobs[0].GetAcceptedMs() >= startedAt.UnixMilli())
 }
+
+// Guards against parts of a record that offered jobs lose, unlike those read from the store.
+func TestOfferedJobKeepsItsRecord(t *testing.T) {
+	offered := &pb.JobRecord{
+		Id: "j", Queue: "q", Pool: "p", Spec: &pb.JobSpec{Payload: "x"}, AcceptedMs: 1, Workspace: "w", Address: "a",
+		Terms: &pb.JobTerms{MaxAttempts: 5},
+	}
+	fields := offered.ProtoReflect().Descriptor().Fields()
+	now := time.Now()
+	kept := withAcceptedTime(now, offered)
+	for i := range fields.Len() {
+		assert.Assert(t, offered.ProtoReflect().Has(fields.Get(i)), "the test sets every field, also %s", fields.Get(i).Name())
+	}
+	offered.AcceptedMs = now.UnixMilli()
+	assert.Assert(t, proto.Equal(kept, offered), "%v, offered %v", kept, offered)
+}
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -52,7 +52,7 @@
 func newAdviceTracker() adviceTracker { return adviceTracker{} }
 
 func (p *Pool) needsAdvice(s *step) bool {
-	return p.queueOf(s.occ.job).Advice != nil
+	return p.termsOf(s.occ.job).advised
 }
 
 // consultAdvice requests advice on a step if the permitted workers do not have enough room for it.
@@ -95,8 +95,8 @@
 	if s.advice == nil {
 		return
 	}
-	valid := p.queueOf(s.occ.job).Advice
-	if valid == nil || valid.TicketLifetime < prefetchFactor*s.expected+ticketExpiryMargin {
+	terms := p.termsOf(s.occ.job)
+	if !terms.advised || terms.ticketLifetime < prefetchFactor*s.expected+ticketExpiryMargin {
 		return
 	}
 	for _, f := range s.followers {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -19,7 +19,9 @@
 	// beyondWeight means that the workspace submitted the job beyond its weight.
 	beyondWeight bool
 	spec         *pb.JobSpec
-	accepted     time.Time
+	// terms are nil for a job whose record has none; see termsOf.
+	terms    *terms
+	accepted time.Time
 
 	cancelled bool
 	// state is RUNNING until the job has ended. Callers see the final state only once it is durable.
@@ -94,6 +96,7 @@
 		workspace:        rec.GetWorkspace(),
 		account:          p.accountOf(rec.GetWorkspace()),
 		spec:             rec.GetSpec(),
+		terms:            termsFrom(rec.GetTerms()),
 		accepted:         accepted,
 		state:            pb.JobState_JOB_STATE_RUNNING,
 		byNumber:         map[int]*occurrence{},
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -23,8 +23,9 @@
 //     durable. A cancellation is shown at once.
 //   - Fencing: run numbers increase within an owner and from owner to owner.
 type Pool struct {
-	cfg    Config
-	queues map[string]queue.Queue
+	cfg Config
+	// queueTerms holds the terms of the queues of the configuration in force, and of those that have left it with jobs.
+	queueTerms map[string]*terms
 	// enforcesCapacity means that workers refuse tasks that do not fit.
 	enforcesCapacity bool
 
@@ -121,7 +122,7 @@
 	}
 	return &Pool{
 		cfg:           cfg,
-		queues:        map[string]queue.Queue{},
+		queueTerms:    map[string]*terms{},
 		workers:       map[string]*worker{},
 		jobs:          map[string]*job{},
 		earlyCancels:  map[string]earlyCancel{},
@@ -141,7 +142,7 @@
 func (p *Pool) SetQueues(now time.Time, queues []queue.Queue) {
 	named := make(map[string]bool, len(queues))
 	for i := range queues {
-		p.queues[queues[i].Name] = queues[i]
+		p.setQueueTerms(&queues[i])
 		named[queues[i].Name] = true
 	}
 	p.dropQueues(named)
@@ -150,16 +151,16 @@
 
 // dropQueues removes queues that are not named and have no jobs in the pool.
 func (p *Pool) dropQueues(named map[string]bool) {
-	if len(named) == len(p.queues) {
+	if len(named) == len(p.queueTerms) {
 		return
 	}
 	used := map[string]bool{}
 	for _, j := range p.jobs {
 		used[j.queue] = true
 	}
-	for name := range p.queues {
+	for name := range p.queueTerms {
 		if !named[name] && !used[name] {
-			delete(p.queues, name)
+			delete(p.queueTerms, name)
 			delete(p.learned.work, name)
 		}
 	}
@@ -224,10 +225,6 @@
 	return int64(p.cfg.Fence)<<runCounterBits + p.runCounter
 }
 
-func (p *Pool) queueOf(j *job) queue.Queue {
-	return p.queues[j.queue]
-}
-
 // Pending returns the number of accepted jobs of a queue for which no task has started.
 func (p *Pool) Pending(name string) int {
 	return p.pending[name]
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -71,13 +71,13 @@
 	lowest, highest := math.MaxInt, math.MinInt
 	for _, s := range p.waitingSteps {
 		if !s.held() {
-			lowest = min(lowest, p.queueOf(s.occ.job).Priority)
+			lowest = min(lowest, p.termsOf(s.occ.job).priority)
 		}
 	}
 	for _, w := range p.sortedWorkers {
 		for _, r := range w.runs {
 			if r.task != nil && !r.task.step.spec.GetPersistent() {
-				highest = max(highest, p.queueOf(r.task.job()).Priority)
+				highest = max(highest, p.termsOf(r.task.job()).priority)
 			}
 		}
 	}
@@ -194,7 +194,7 @@
 		return false
 	}
 	spec := t.step.spec
-	if spec.GetPersistent() || spec.GetGang() || len(t.runs) > 1 || p.queueOf(t.job()).Priority <= priority {
+	if spec.GetPersistent() || spec.GetGang() || len(t.runs) > 1 || p.termsOf(t.job()).priority <= priority {
 		return false
 	}
 	if spec.GetSavesProgress() {
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -45,7 +45,7 @@
 func (p *Pool) candidate(now time.Time, s *step, shares *contention.Shares) contention.Candidate {
 	o := s.occ
 	c := contention.Candidate{
-		Persistent: s.spec.GetPersistent(), Priority: p.queueOf(o.job).Priority, Accepted: o.job.accepted, Due: o.due,
+		Persistent: s.spec.GetPersistent(), Priority: p.termsOf(o.job).priority, Accepted: o.job.accepted, Due: o.due,
 	}
 	if c.Persistent {
 		return c
@@ -66,12 +66,12 @@
 
 // objective returns the duration within which an occurrence is on time.
 func (p *Pool) objective(o *occurrence) time.Duration {
-	q := p.queueOf(o.job)
-	stretch := q.Stretch
+	terms := p.termsOf(o.job)
+	stretch := terms.stretch
 	if stretch <= 0 {
 		stretch = 1
 	}
-	return time.Duration(stretch*float64(o.job.criticalPath)) + q.TargetDuration
+	return time.Duration(stretch*float64(o.job.criticalPath)) + terms.target
 }
 
 // jobWeight returns the weight of a job relative to the mean of its queue.
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// defaultAttempts applies to jobs whose queue is unknown or sets no limit.
+	// defaultAttempts applies to jobs whose terms set no limit.
 	defaultAttempts = 3
 	// basePersistentBackoff is the delay before a persistent task restarts after its first failure. It doubles with
 	// each failure, up to eight times the base.
@@ -256,10 +256,3 @@
 	}
 	return true
 }
-
-func (p *Pool) maxAttempts(j *job) int {
-	if q, ok := p.queues[j.queue]; ok && q.MaxAttempts > 0 {
-		return q.MaxAttempts
-	}
-	return defaultAttempts
-}
