workerlist, platform: odd entries of the registry leave nothing behind

Another operator reported odd entries among those of the workers after which the processes ended again and again or stopped following the list.

- The list kept each odd key for ever, so that memory grew with odd keys that come and go.
They are forgotten with their entry.
- A start of a worker that lies in the future, up to 2^53, was taken over, after which the worker's own entries and answers counted as those of an earlier life.
More than an hour ahead names no worker now.

An odd entry over the key of a live worker still counts as removed: it gets nothing new, keeps its runs, and is back with its next report.

--- a/internal/workerlist/entries.go
+++ b/internal/workerlist/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"slices"
 	"strings"
@@ -12,6 +13,12 @@
 	"github.com/agateturn/agateturn/store"
 )
 
+// maxClockLead is how far ahead of this host's clock the start of a worker may lie. Another writer may have left a later one;
+// the worker's own entries would then look like those of an earlier life.
+const maxClockLead = time.Hour
+
+var errBornAhead = errors.New("the start of the worker lies in the future")
+
 type entry struct {
 	worker scheduler.Worker
 	pool   string
@@ -29,6 +36,9 @@
 		return false
 	}
 	worker, pool, err := l.parse(item.Key, item.Data)
+	if err == nil && worker.Born > l.clock().Add(maxClockLead).UnixMilli() {
+		err = errBornAhead
+	}
 	if err != nil {
 		l.logInvalid(ctx, item, err)
 		return l.remove(item.Key, l.clock())
@@ -46,6 +56,12 @@
 	l.invalid[item.Key] = item.Version
 }
 
+// forget is called when a key is no longer in the registry. It reports whether that matters to the scheduler.
+func (l *List) forget(key string, now time.Time) bool {
+	delete(l.invalid, key)
+	return l.remove(key, now)
+}
+
 // remove marks an entry as removed and its worker as unlisted. It reports false if the entry is missing or already marked.
 func (l *List) remove(key string, now time.Time) bool {
 	e, ok := l.entries[key]
--- a/internal/workerlist/follow.go
+++ b/internal/workerlist/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"time"
 
 	"github.com/agateturn/agateturn/events"
@@ -127,6 +128,7 @@
 			changed, relevant = true, true
 		}
 	}
+	maps.DeleteFunc(l.invalid, func(key string, version uint64) bool { return !seen[key] && version <= asOf })
 	l.asOf = max(l.asOf, asOf)
 	l.publish(now, relevant || first)
 	return changed, nil
@@ -140,7 +142,7 @@
 		switch {
 		case e.Item.Version <= l.asOf:
 		case e.Deleted:
-			changed = l.remove(e.Item.Key, now) || changed
+			changed = l.forget(e.Item.Key, now) || changed
 		default:
 			changed = l.put(ctx, e.Item) || changed
 		}
