scheduler, poolowner: takeovers do not wait for entries that never were workers

Callers saw work wait for the longest lease after each change of a pool's owner while the registry listed workers that never answer, such as odd entries of another writer.

Cause: a takeover waited for every listed worker, also for those that no earlier owner had used. Workers that are silent are sealed, so that the next owner need not wait, but only while most others answer; entries that never answered counted as silent.

Change: a takeover waits for the workers that a previous owner has recorded, since it records a worker before it starts anything there. Workers that have never answered the owner are sealed whatever their number, and do not count when it is decided whether the others are.

--- a/internal/poolowner/roster.go
+++ b/internal/poolowner/roster.go
@@ -37,6 +37,9 @@
 	uncertain bool
 	// inherited holds the workers recorded by a previous owner that have not been passed to the scheduler yet.
 	inherited map[string]bool
+	// used holds the workers on which previous owners may have started something: those that they have recorded. It is nil if
+	// that is not known.
+	used map[string]bool
 	seals     seals
 }
 
@@ -95,6 +98,7 @@
 			r.version = version
 			r.durable = lo.Map(record.GetWorkers(), func(w *pb.RosterWorker, _ int) scheduler.Worker { return workerFromRecord(w) })
 			r.inherited = lo.SliceToMap(r.durable, func(w scheduler.Worker) (string, bool) { return w.ID, true })
+			r.used = r.inherited
 			r.seals.load(record)
 			return true, true
 		}
@@ -104,11 +108,12 @@
 	return false, false
 }
 
-// mergeRecorded returns the listed workers, but with the recorded incarnation, marked as unlisted, where the listed one is
-// older, since the list may lag.
+// mergeRecorded returns the listed workers, marked as unused if no previous owner has recorded them, but with the recorded
+// incarnation, marked as unlisted, where the listed one is older, since the list may lag.
 func (r *roster) mergeRecorded(list []scheduler.Worker) []scheduler.Worker {
 	recorded := lo.KeyBy(r.durable, func(w scheduler.Worker) string { return w.ID })
 	return lo.Map(list, func(w scheduler.Worker, _ int) scheduler.Worker {
+		w.Unused = r.used != nil && !r.used[w.ID]
 		if d := recorded[w.ID]; w.Born > 0 && d.Born > w.Born {
 			d.Unlisted = true
 			return d
--- a/internal/poolowner/roster_test.go
+++ b/internal/poolowner/roster_test.go
@@ -142,12 +142,22 @@
 
 // acceptJob stores a job whose tasks need a worker each.
 func acceptJob(t *testing.T, kv store.Transactor, tasks int64) *pb.JobRecord {
+	t.Helper()
+	return accept(t, kv, newJob(jobID, tasks))
+}
+
+// acceptNamed stores a job with one task.
+func acceptNamed(t *testing.T, kv store.Transactor, id string) {
+	t.Helper()
+	accept(t, kv, newJob(id, 1))
+}
+
+func accept(t *testing.T, kv store.Transactor, job *pb.JobRecord) *pb.JobRecord {
 	t.Helper()
 	jobs := jobstore.New(kv, time.Now, slog.New(slog.DiscardHandler), jobstore.Options{})
 	accepting, stop := context.WithCancel(t.Context())
 	var group sync.WaitGroup
 	group.Go(func() { assert.Check(t, jobs.Run(accepting)) })
-	job := newJob(jobID, tasks)
 	assert.NilError(t, jobs.Accept(t.Context(), job))
 	stop()
 	group.Wait()
--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -35,6 +35,8 @@
 	// Unlisted workers have lost their registry entry but may be alive, as entries expire while a worker cannot reach
 	// the store. They get no new tasks and keep their runs.
 	Unlisted bool
+	// Unused means that no previous owner has recorded the worker, so that none has started anything there.
+	Unused bool
 	// Host is the host on which the worker runs; empty if unknown.
 	Host string
 	// Born identifies the incarnation of the worker id by its start time in Unix milliseconds; 0 if not known yet.
--- a/scheduler/seal.go
+++ b/scheduler/seal.go
@@ -9,7 +9,8 @@
 const (
 	// sealAfter is how long a worker has to be silent to be sealed. Workers that answer do so at least once a second.
 	sealAfter = 1500 * time.Millisecond
-	// Workers are sealed only while at most one in sealDivisor is silent: if more are, the cause is probably this host.
+	// Workers that have answered this owner are sealed only while at most one in sealDivisor of them is silent: if more are, the
+	// cause is probably this host. One that never answered runs nothing that this owner has started.
 	sealDivisor = 2
 )
 
@@ -32,13 +33,12 @@
 	if p.takeover.blocksStarts() {
 		return p.sealedWorkers()
 	}
-	silent := lo.CountBy(p.sortedWorkers, func(w *worker) bool { return w.mustBeSealed(now) })
-	present := lo.CountBy(p.sortedWorkers, func(w *worker) bool { return !w.departed })
-	if silent*sealDivisor <= present {
-		for _, w := range p.sortedWorkers {
-			if !w.sealed && w.mustBeSealed(now) {
-				w.sealed, w.sealedAt = true, now
-			}
+	heard := lo.Filter(p.sortedWorkers, func(w *worker, _ int) bool { return w.reported && !w.departed })
+	silent := lo.CountBy(heard, func(w *worker) bool { return w.mustBeSealed(now) })
+	maySealHeard := silent*sealDivisor <= len(heard)
+	for _, w := range p.sortedWorkers {
+		if !w.sealed && w.mustBeSealed(now) && (maySealHeard || !w.reported) {
+			w.sealed, w.sealedAt = true, now
 		}
 	}
 	return p.sealedWorkers()
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -138,7 +138,9 @@
 	p.sortedWorkers = append(p.sortedWorkers, nil)
 	copy(p.sortedWorkers[at+1:], p.sortedWorkers[at:])
 	p.sortedWorkers[at] = w
-	p.takeover.expect(now, info.ID)
+	if !info.Unused {
+		p.takeover.expect(now, info.ID)
+	}
 }
 
 // updateDrainDeadline sets the drain deadline. While the worker drains, it only moves to an earlier time.
