scheduler, fleetowner: a worker that answers is not ended, and a list that fails is not repeated at once

A list of hosts that lags behind a new worker could have ended it although it answers its owner, and the owner of the fleet asked for the list every 60 ms while the list could not be read and a worker did not answer.

Change: the owner of a pool ignores a proof about a worker whose last hold was answered; the proof is repeated, and applies once the worker does not answer. After a failed list the next one waits for the usual 300 ms.

TestProvedEndOfAWorkerEndsItsRuns asks for the first; the second is not tested.

--- a/internal/fleetowner/list.go
+++ b/internal/fleetowner/list.go
@@ -33,20 +33,24 @@
 			return ctx.Err()
 		}
 		failingSince = t.logListOutcome(ctx, failingSince, sent, err)
-		if err := t.awaitNextList(ctx, sent); err != nil {
+		pause := minListInterval
+		if err != nil {
+			pause = busyListInterval
+		}
+		if err := t.awaitNextList(ctx, sent, pause); err != nil {
 			return err
 		}
 	}
 }
 
-// awaitNextList waits until the list is to be read again.
-func (t *term) awaitNextList(ctx context.Context, sent time.Time) error {
+// awaitNextList waits until the list is to be read again, for the pause at least.
+func (t *term) awaitNextList(ctx context.Context, sent time.Time, pause time.Duration) error {
 	for t.untilNextList(sent) > 0 {
 		timer := time.NewTimer(min(busyCheckInterval, t.untilNextList(sent)))
 		select {
 		case <-t.listNow:
 			timer.Stop()
-			return wait.For(ctx, minListInterval-t.Clock().Sub(sent))
+			return wait.For(ctx, pause-t.Clock().Sub(sent))
 		case <-ctx.Done():
 			timer.Stop()
 			return ctx.Err()
--- a/internal/poolowner/ended_test.go
+++ b/internal/poolowner/ended_test.go
@@ -83,11 +83,10 @@
 }
 
 // Guards against a task that waits for the lease of a worker whose end is known: the owner of the fleet learns the host of the
-// unreachable worker, and its answer ends the runs there. Another life of the worker is left alone.
+// unreachable worker, and its answer ends the runs there. Another life of the worker, or one that answers, is left alone.
 func TestProvedEndOfAWorkerEndsItsRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		owner, workers, stop := startCut(t)
-		time.Sleep(1500 * time.Millisecond)
 		sequence := uint64(0)
 		status := func(ended ...*pb.WorkerLife) *pb.WorkerLoad {
 			sequence++
@@ -96,7 +95,10 @@
 			assert.Equal(t, r.GetWorkers()[0].GetId(), "w1")
 			return r.GetWorkers()[0]
 		}
-		load := status(&pb.WorkerLife{Id: "w1", Born: bornAt - 1})
+		load := status(&pb.WorkerLife{Id: "w1", Born: bornAt})
+		assert.Equal(t, load.GetTasks(), int64(1), "the last hold was answered")
+		time.Sleep(1500 * time.Millisecond)
+		load = status(&pb.WorkerLife{Id: "w1", Born: bornAt - 1})
 		assert.Equal(t, load.GetUnreachableHost(), "host-w1")
 		assert.Equal(t, load.GetBorn(), int64(bornAt))
 		assert.Equal(t, load.GetTasks(), int64(1))
--- a/internal/poolowner/roster.go
+++ b/internal/poolowner/roster.go
@@ -39,8 +39,8 @@
 	inherited map[string]bool
 	// used holds the workers on which previous owners may have started something: those that they have recorded. It is nil if
 	// that is not known.
-	used map[string]bool
-	seals     seals
+	used  map[string]bool
+	seals seals
 }
 
 // followWorkers passes lists of workers to the scheduler once the records are loaded, and runs a lease renewer for each
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -18,12 +18,12 @@
 }
 
 // EndLives ends the runs of workers whose life has ended, and returns the ids of those that were not known to have ended.
-// Lives that are older than what the worker itself has reported since are ignored. A start that has been ordered and not
-// answered is kept, because it may yet reach a later life under the same id.
+// It ignores lives that are older than what the worker itself has reported, and workers whose last hold was answered. A start
+// that has been ordered and not answered is kept, because it may yet reach a later life under the same id.
 func (p *Pool) EndLives(now time.Time, lives []*pb.WorkerLife) (ended []string) {
 	for _, life := range lives {
 		w := p.workers[life.GetId()]
-		if w == nil || life.GetBorn() == 0 || life.GetBorn() < w.Born {
+		if w == nil || life.GetBorn() == 0 || life.GetBorn() < w.Born || (w.reported && !w.unreachable) {
 			continue
 		}
 		if !w.replaced {
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -341,7 +341,10 @@
 	s := o.sim
 	life := &pb.WorkerLife{Id: w.id, Born: w.incarnation}
 	s.after(150, func() {
-		o.handle(func(p *scheduler.Pool) { p.EndLives(s.time(), []*pb.WorkerLife{life}) })
+		o.handle(func(p *scheduler.Pool) {
+			p.MarkUnreachable(life.GetId())
+			p.EndLives(s.time(), []*pb.WorkerLife{life})
+		})
 	})
 }
 
