Incarnations of workers under their usual name; deletions in one transaction again

Types, functions and files are renamed; the messages have not been released. The location of a job takes a fourth entry of the transaction that deletes it, so that a batch of 8 jobs took two; batches hold 7.

--- a/internal/fleetowner/lives.go
+++ b/internal/fleetowner/incarnations.go
@@ -52,18 +52,18 @@
 	return len(rows) > 0
 }
 
-// lives tracks the lives of the workers of one pool, to find out which of them have ended. A list of hosts proves the end of a
-// life only if it was requested after the pool's owner had named that life. It never proves that a worker is alive, as it may
-// be old by the time it is read. Only the loop uses it.
-type lives struct {
+// incarnations tracks the workers of one pool, to find out which of them have ended. A list of hosts proves the end of an
+// incarnation only if it was requested after the pool's owner had named it. It never proves that a worker is alive, as it may be
+// old by the time it is read. Only the loop uses it.
+type incarnations struct {
 	// byWorker is keyed by worker id.
-	byWorker map[string]life
+	byWorker map[string]incarnation
 }
 
-// life is the latest life of a worker that the pool's owner has named.
-type life struct {
+// incarnation is the latest incarnation of a worker that the pool's owner has named.
+type incarnation struct {
 	born int64
-	// namedAt is when the owner first named the life.
+	// namedAt is when the owner first named the incarnation.
 	namedAt time.Time
 	// host is empty until the owner or a list names it.
 	host string
@@ -71,17 +71,17 @@
 	unreachableSince time.Time
 }
 
-// observe updates the lives from a status of the pool's owner that has just arrived.
-func (l *lives) observe(now time.Time, workers []*pb.WorkerLoad, index *hostIndex) {
+// observe updates the incarnations from a status of the pool's owner that has just arrived.
+func (l *incarnations) observe(now time.Time, workers []*pb.WorkerLoad, index *hostIndex) {
 	before := l.byWorker
-	l.byWorker = make(map[string]life, len(workers))
+	l.byWorker = make(map[string]incarnation, len(workers))
 	for _, w := range workers {
 		if w.GetBorn() == 0 {
 			continue
 		}
 		known := before[w.GetId()]
 		if known.born != w.GetBorn() {
-			known = life{born: w.GetBorn(), namedAt: now, host: known.host}
+			known = incarnation{born: w.GetBorn(), namedAt: now, host: known.host}
 		}
 		known.host = cmp.Or(w.GetUnreachableHost(), index.hostOf[w.GetId()], known.host)
 		switch {
@@ -94,21 +94,21 @@
 	}
 }
 
-// ended returns the lives that the list proves to have ended, ordered by worker.
-func (l *lives) ended(pool string, index *hostIndex) []*pb.WorkerLife {
-	var out []*pb.WorkerLife
+// ended returns the incarnations that the list proves to have ended, ordered by worker.
+func (l *incarnations) ended(pool string, index *hostIndex) []*pb.WorkerIncarnation {
+	var out []*pb.WorkerIncarnation
 	for id, known := range l.byWorker {
 		if known.namedAt.Before(index.requestedAt) && index.provesEnd(known.host, pool, id) {
-			out = append(out, &pb.WorkerLife{Id: id, Born: known.born})
+			out = append(out, &pb.WorkerIncarnation{Id: id, Born: known.born})
 		}
 	}
-	slices.SortFunc(out, func(a, b *pb.WorkerLife) int { return cmp.Compare(a.GetId(), b.GetId()) })
+	slices.SortFunc(out, func(a, b *pb.WorkerIncarnation) int { return cmp.Compare(a.GetId(), b.GetId()) })
 	return out
 }
 
 // needsList reports whether there is an unreachable worker for which the list is read often, and whether one of them is newer
 // than the list.
-func (l *lives) needsList(now, requestedAt time.Time) (often, immediately bool) {
+func (l *incarnations) needsList(now, requestedAt time.Time) (often, immediately bool) {
 	for _, known := range l.byWorker {
 		if known.unreachableSince.IsZero() || now.Sub(known.unreachableSince) > proofTime {
 			continue
@@ -119,13 +119,13 @@
 	return often, immediately
 }
 
-// updateLives passes the lives that have ended to the owners of their pools, and requests the list of hosts if it may prove the
-// end of a worker that does not answer.
-func (t *term) updateLives(now time.Time) {
+// updateIncarnations passes the incarnations that have ended to the owners of their pools, and requests the list of hosts if it
+// may prove the end of a worker that does not answer.
+func (t *term) updateIncarnations(now time.Time) {
 	often, immediately := false, false
 	for _, p := range t.pools {
-		p.setEnded(p.lives.ended(p.Name, &t.index))
-		poolOften, poolImmediately := p.lives.needsList(now, t.index.requestedAt)
+		p.setEnded(p.incarnations.ended(p.Name, &t.index))
+		poolOften, poolImmediately := p.incarnations.needsList(now, t.index.requestedAt)
 		often, immediately = often || poolOften, immediately || poolImmediately
 	}
 	t.listOften.Store(often)
--- a/internal/fleetowner/poll.go
+++ b/internal/fleetowner/poll.go
@@ -33,9 +33,9 @@
 	status *pb.PoolStatusResponse
 	sent   time.Time
 	// readFloor reads, once, the fencing token of the pool's owner that the store names. floorRead is set afterwards.
-	readFloor func()
-	floorRead bool
-	lives     lives
+	readFloor    func()
+	floorRead    bool
+	incarnations incarnations
 
 	changed chan struct{}
 	// granted is signalled when there are new grants.
@@ -43,7 +43,7 @@
 	mu      sync.Mutex
 	workers []string
 	due     []string
-	ended   []*pb.WorkerLife
+	ended   []*pb.WorkerIncarnation
 	grants  quota.Batch
 }
 
@@ -102,7 +102,7 @@
 		if status := t.requestStatus(ctx, request); status != nil {
 			_ = t.post(ctx, func(now time.Time) {
 				p.status, p.sent = status, sent
-				p.lives.observe(now, status.GetWorkers(), &t.index)
+				p.incarnations.observe(now, status.GetWorkers(), &t.index)
 				t.observeUsage(now, p, request.GetSequence(), version)
 			})
 		}
@@ -174,12 +174,12 @@
 	}
 }
 
-// setEnded sets the lives of workers that have ended. New ones are sent immediately.
-func (p *poller) setEnded(ended []*pb.WorkerLife) {
+// setEnded sets the incarnations of workers that have ended. New ones are sent immediately.
+func (p *poller) setEnded(ended []*pb.WorkerIncarnation) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	isNew := slices.ContainsFunc(ended, func(e *pb.WorkerLife) bool {
-		return !slices.ContainsFunc(p.ended, func(old *pb.WorkerLife) bool { return proto.Equal(old, e) })
+	isNew := slices.ContainsFunc(ended, func(e *pb.WorkerIncarnation) bool {
+		return !slices.ContainsFunc(p.ended, func(old *pb.WorkerIncarnation) bool { return proto.Equal(old, e) })
 	})
 	p.ended = ended
 	if !isNew {
@@ -206,7 +206,7 @@
 	}
 }
 
-func (p *poller) current() (evacuate, due []string, ended []*pb.WorkerLife, grants quota.Batch) {
+func (p *poller) current() (evacuate, due []string, ended []*pb.WorkerIncarnation, grants quota.Batch) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.workers, p.due, p.ended, p.grants
--- a/internal/poolowner/delete.go
+++ b/internal/poolowner/delete.go
@@ -14,7 +14,7 @@
 	// deletionRingSize bounds the queue of ended jobs, and that of cancellations, to delete; maxDeletionBatch bounds the
 	// jobs deleted in one write.
 	deletionRingSize = 256
-	maxDeletionBatch = 8
+	maxDeletionBatch = 7
 	// deletionRetryDelay is the delay after a failed write.
 	deletionRetryDelay = time.Second
 )
--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -267,7 +267,7 @@
 		if !o.evacuations.advance(r.GetFleetFence(), r.GetSequence()) {
 			return nil
 		}
-		o.logEnded(ctx, p.EndLives(now, r.GetEnded()))
+		o.logEnded(ctx, p.EndIncarnations(now, r.GetEnded()))
 		p.Evacuate(now, r.GetEvacuate())
 		p.SetDue(r.GetDue())
 		out := p.Status(now)
--- a/internal/workerlist/entries.go
+++ b/internal/workerlist/entries.go
@@ -14,7 +14,7 @@
 )
 
 // maxClockLead is how far ahead of this host's clock the start of a worker may lie. Another writer may have left a later one;
-// the worker's own entries would then look like those of an earlier life.
+// the worker's own entries would then look like those of an earlier incarnation.
 const maxClockLead = time.Hour
 
 var errBornAhead = errors.New("the start of the worker lies in the future")
--- a/internal/workerlist/invalid_test.go
+++ b/internal/workerlist/invalid_test.go
@@ -71,7 +71,7 @@
 }
 
 // Guards against an entry with a start that is too large, after which the owner of the pool would ignore the worker's own entries
-// and answers for good, as those of an earlier life.
+// and answers for good, as those of an earlier incarnation.
 func TestStartsInTheFutureNameNoWorker(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		kv := memtxn.New()
--- /dev/null
+++ b/scheduler/incarnation.go
@@ -0,0 +1,58 @@
+package scheduler
+
+import (
+	"time"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+)
+
+// A connection that is refused or reset proves nothing about a worker: whatever cuts the link may answer in its place. Only
+// the worker's lease, an answer of a later incarnation, or EndIncarnations ends the runs of a worker that cannot be reached.
+
+// MarkUnreachable records that a hold got no answer. Until the worker answers, Status names its host, so that the owner of the
+// fleet finds out whether the worker has ended.
+func (p *Pool) MarkUnreachable(id string) {
+	if w := p.workers[id]; w != nil {
+		w.unreachable = true
+	}
+}
+
+// EndIncarnations ends the runs of incarnations that have ended, and returns the ids of the workers that were not known to have
+// ended. It ignores incarnations older than what the worker itself has reported, and workers whose last hold was answered. A
+// start that has been ordered and not answered is kept, because it may yet reach a later incarnation under the same id.
+func (p *Pool) EndIncarnations(now time.Time, incarnations []*pb.WorkerIncarnation) (ended []string) {
+	for _, incarnation := range incarnations {
+		w := p.workers[incarnation.GetId()]
+		if w == nil || incarnation.GetBorn() == 0 || incarnation.GetBorn() < w.Born || (w.reported && !w.unreachable) {
+			continue
+		}
+		if !w.replaced {
+			ended = append(ended, w.ID)
+		}
+		p.markEnded(now, w, "worker has ended", func(r *run) bool { return r.state != runOrdered })
+	}
+	return ended
+}
+
+// markEnded records that the present incarnation of a worker has ended, and ends those of its runs for which ends returns true.
+func (p *Pool) markEnded(now time.Time, w *worker, reason string, ends func(*run) bool) {
+	if w.replaced {
+		p.endRuns(now, w, reason, ends)
+		return
+	}
+	p.endIncarnation(now, w, reason, ends)
+	w.replaced = true
+	w.replacedAt = now
+	p.takeover.markReported(w.ID)
+}
+
+// describeIncarnation sets the fields of a worker's load by which the owner of the fleet finds out whether the worker has ended.
+func (w *worker) describeIncarnation(out *pb.WorkerLoad) {
+	if w.replaced && len(w.runs) == 0 {
+		return
+	}
+	out.Born = w.Born
+	if w.unreachable {
+		out.UnreachableHost = w.Host
+	}
+}
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -43,7 +43,7 @@
 		Evacuated: w.evacuating && w.emptyConfirmed && len(w.runs) == 0,
 		Stoppable: w.reported || p.takeover.leasesExpired(now, p.cfg.longestLease()),
 	}
-	w.describeLife(out)
+	w.describeIncarnation(out)
 	for _, r := range w.runs {
 		if r.task == nil {
 			continue
