--- a/internal/jobfront/moved_test.go
+++ b/internal/jobfront/moved_test.go
@@ -53,6 +53,7 @@
 		got = do(before, http.MethodGet, "/a/0001", "")
 		assert.Equal(t, got.Body.String(), pb.JobState_JOB_STATE_CANCELLED.String())
 		time.Sleep(time.Second)
+		synctest.Wait()
 		assert.DeepEqual(t, ownerBefore.notified, []string{"a 0001"})
 		assert.DeepEqual(t, ownerAfter.notified, []string{"a -0001"})
 		assert.Equal(t, do(after, http.MethodGet, "/a/0002", "").Code, http.StatusGone)
