Observability: each belief that ends a run is told with its evidence

The log could not tell the hypotheses of the incident apart: "worker was replaced" stood for a wrong instance, a list of hosts and, before, refused connections; `worker_ended` was logged for the list alone; lines of lost runs were joined across workers, so that a task could not be matched with its worker; and a takeover did not tell which workers it had stopped waiting for.

Change: `worker_ended` (922) is a decision of the scheduler for every end of an incarnation, with the evidence, the incarnation, its runs and how long the worker had been silent. `tasks_lost` (929) and starts that never began are one line a worker. `pool_taken_over` (951) names the unreported workers, and an adopted seal is told. The metric of lost runs has the same reasons. No decision changed.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -264,7 +264,7 @@
 	}
 
 	WorkersChanged = Event{Number: 921, Name: "workers_changed", Level: slog.LevelInfo, Message: "workers of the pool changed"}
-	WorkerEnded    = Event{Number: 922, Name: "worker_ended", Level: slog.LevelInfo, Message: "worker process has exited, and its runs have ended"}
+	WorkerEnded    = Event{Number: 922, Name: "worker_ended", Level: slog.LevelInfo, Message: "worker counts as ended, for the reason given"}
 	WorkerSilent   = Event{Number: 923, Name: "worker_silent", Level: slog.LevelInfo, Message: "worker does not answer; its runs continue until their lease expires"}
 	WorkerBack     = Event{Number: 924, Name: "worker_back", Level: slog.LevelInfo, Message: "worker answers again"}
 	WorkerSuspect  = Event{Number: 925, Name: "worker_suspect", Level: slog.LevelInfo, Message: "worker is suspect and avoided for a time"}
--- a/internal/poolowner/decisions.go
+++ b/internal/poolowner/decisions.go
@@ -41,7 +41,8 @@
 	queue            string
 	suspected        bool
 	workspace        string
-	// worker is set only for decisions about no job; those about a job are joined across workers.
+	// worker is set for decisions about no job and for the ends of runs that no worker has reported. Others are joined across
+	// workers.
 	worker string
 }
 
@@ -182,7 +183,7 @@
 	}
 	g.attempt, g.crashes, g.suspected = d.Attempt, d.Crashes, d.Suspected
 	g.workspace, g.queue = d.Workspace, d.Queue
-	if d.Task.Job == "" {
+	if d.Task.Job == "" || d.Kind == scheduler.DecisionLost || d.Kind == decisionNeverBegan {
 		g.worker = d.Worker
 	}
 	return g
@@ -209,26 +210,31 @@
 // decisionStart is the scheduler's kind of decision for the start of a task.
 const decisionStart = "start"
 
+// decisionNeverBegan is the scheduler's kind of decision for an unanswered start that has certainly not been carried out.
+const decisionNeverBegan = "never began"
+
 // decisionEvents maps kinds of decisions to events. Other kinds are logged as events.SchedulerNote.
 var decisionEvents = map[string]events.Event{
-	decisionStart:               events.TasksStarted,
-	"stop":                      events.TasksStopped,
-	scheduler.DecisionLost:      events.TasksLost,
-	scheduler.DecisionCrashed:   events.WorkerCrashed,
-	scheduler.DecisionCharged:   events.TaskCharged,
-	scheduler.DecisionGivenUp:   events.TaskGivenUp,
-	"never began":               events.TasksRefused,
-	"refused":                   events.TasksRefused,
-	"suspect":                   events.WorkerSuspect,
-	scheduler.DecisionEnded:     events.TasksEnded,
-	scheduler.DecisionStepDone:  events.StepDone,
-	scheduler.DecisionAttempt:   events.AttemptFailed,
-	scheduler.DecisionPreempted: events.TasksPreempted,
-	scheduler.DecisionBegun:     events.JobBegun,
-	scheduler.DecisionCompleted: events.JobCompleted,
-	scheduler.DecisionFailed:    events.JobFailed,
-	scheduler.DecisionCancelled: events.JobCancelled,
-	scheduler.DecisionTakenOver: events.PoolTakenOver,
+	decisionStart:             events.TasksStarted,
+	"stop":                    events.TasksStopped,
+	scheduler.DecisionLost:    events.TasksLost,
+	scheduler.DecisionCrashed: events.WorkerCrashed,
+
+	scheduler.DecisionWorkerEnded: events.WorkerEnded,
+	scheduler.DecisionCharged:     events.TaskCharged,
+	scheduler.DecisionGivenUp:     events.TaskGivenUp,
+	decisionNeverBegan:            events.TasksRefused,
+	"refused":                     events.TasksRefused,
+	"suspect":                     events.WorkerSuspect,
+	scheduler.DecisionEnded:       events.TasksEnded,
+	scheduler.DecisionStepDone:    events.StepDone,
+	scheduler.DecisionAttempt:     events.AttemptFailed,
+	scheduler.DecisionPreempted:   events.TasksPreempted,
+	scheduler.DecisionBegun:       events.JobBegun,
+	scheduler.DecisionCompleted:   events.JobCompleted,
+	scheduler.DecisionFailed:      events.JobFailed,
+	scheduler.DecisionCancelled:   events.JobCancelled,
+	scheduler.DecisionTakenOver:   events.PoolTakenOver,
 
 	scheduler.DecisionBeyondWeight:     events.WorkspaceBeyondWeight,
 	scheduler.DecisionWithinWeight:     events.WorkspaceWithinWeight,
@@ -247,7 +253,7 @@
 		attrs = append(attrs, slog.String("kind", g.kind))
 	}
 	switch {
-	case g.kind == scheduler.DecisionCrashed:
+	case g.kind == scheduler.DecisionCrashed || g.kind == scheduler.DecisionWorkerEnded || g.kind == scheduler.DecisionSealAdopted:
 		attrs = append(attrs, slog.Int("runs", first.Count))
 	case g.kind == scheduler.DecisionWithinWeight || g.kind == scheduler.DecisionHeld:
 		attrs = append(attrs, slog.Int("count", first.Count))
@@ -289,7 +295,7 @@
 		attrs = append(attrs, slog.String("workers", formatWorkers(all)))
 	}
 	if g.kind == scheduler.DecisionTakenOver {
-		attrs = append(attrs, slog.Int("workers", first.Workers))
+		attrs = append(attrs, slog.Int("workers", first.Workers), slog.String("unreported", joinLimited(first.Unreported)))
 	}
 	if g.reason != "" {
 		attrs = append(attrs, slog.String("reason", g.reason))
@@ -303,6 +309,12 @@
 	if first.Crashes > 0 {
 		attrs = append(attrs, slog.Int("crashes", first.Crashes), slog.Bool("suspected", first.Suspected))
 	}
+	if first.Born > 0 {
+		attrs = append(attrs, slog.Int64("born", first.Born))
+	}
+	if first.Silence > 0 {
+		attrs = append(attrs, slog.Int64("silent_ms", first.Silence.Milliseconds()))
+	}
 	if first.Age > 0 {
 		attrs = append(attrs, slog.Int64("age_ms", first.Age.Milliseconds()))
 	}
--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -13,7 +13,6 @@
 	"github.com/samber/lo"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/jobstore"
 	"github.com/agateturn/agateturn/internal/ring"
@@ -267,7 +266,7 @@
 		if !o.evacuations.advance(r.GetFleetFence(), r.GetSequence()) {
 			return nil
 		}
-		o.logEnded(ctx, p.EndIncarnations(now, r.GetEnded()))
+		p.EndIncarnations(now, r.GetEnded())
 		p.Evacuate(now, r.GetEvacuate())
 		p.SetDue(r.GetDue())
 		out := p.Status(now)
@@ -277,14 +276,6 @@
 	return status, ok && status != nil
 }
 
-// logEnded logs the workers whose end the list of hosts has proved.
-func (o *Owner) logEnded(ctx context.Context, workers []string) {
-	for _, id := range workers {
-		events.Log(ctx, o.Log, events.WorkerEnded, slog.String("worker", id), slog.String("pool", o.Pool),
-			slog.Uint64("fence", o.Config.Fence), slog.String("reason", "its host is not up, or runs another worker"))
-	}
-}
-
 // Explain returns the reasons why a job waits. It reports false if the owner has not loaded its records yet.
 func (o *Owner) Explain(ctx context.Context, id string) ([]string, bool) {
 	return runInLoopIfLoaded(ctx, o, func(p *scheduler.Pool, _ time.Time) []string { return p.Explain(id) })
--- a/scheduler/decision.go
+++ b/scheduler/decision.go
@@ -20,10 +20,15 @@
 	Crashes   int
 	Suspected bool
 	// Count is the number of tasks of a completed step, the number of runs that are preempted, or the number of runs that
-	// were on a crashed worker. For DecisionBeyondWeight and DecisionWithinWeight it is the number of jobs beyond the weight.
+	// were on a worker that crashed or ended, or whose seal was adopted. For DecisionBeyondWeight and DecisionWithinWeight it is the number of jobs beyond the weight.
 	Count int
-	// Workers is the number of workers that a takeover waited for.
-	Workers int
+	// Workers is the number of workers that a takeover waited for, Unreported are those of them that had not reported by its end.
+	Workers    int
+	Unreported []string
+	// Born is the incarnation that ended, for DecisionWorkerEnded. Silence is the time since the worker was last heard from, for
+	// DecisionWorkerEnded and DecisionLost.
+	Born    int64
+	Silence time.Duration
 	// Workspace is the workspace of the job, for decisions about a whole job and for those about a workspace.
 	Workspace string
 	// Age is the time since the job was accepted, for decisions about a whole job or step, or since the takeover. For a lost
@@ -45,8 +50,12 @@
 	DecisionTakenOver = "taken over"
 	DecisionLost      = "lost"
 	DecisionCrashed   = "crashed"
-	DecisionCharged   = "charged"
-	DecisionGivenUp   = "given up"
+	// DecisionWorkerEnded means that an incarnation of a worker counts as ended. The reason names the evidence.
+	DecisionWorkerEnded = "worker ended"
+	// DecisionSealAdopted means that a takeover does not wait for a worker, since its seal tells what may run there.
+	DecisionSealAdopted = "seal adopted"
+	DecisionCharged     = "charged"
+	DecisionGivenUp     = "given up"
 	// DecisionHeld means that tasks of a workspace wait for its limit. Count is the number of tasks.
 	DecisionHeld = "held"
 	// DecisionBeyondWeight and DecisionWithinWeight are the begin and the end of a time in which a workspace submits jobs
@@ -93,7 +102,15 @@
 // addLost adds the decision that a run ended with its worker or its lease, or disappeared.
 func (p *Pool) addLost(now time.Time, r *run, reason string) {
 	p.addDecision(DecisionLost, r, reason)
-	p.out.Decisions[len(p.out.Decisions)-1].Age = r.age(now)
+	d := &p.out.Decisions[len(p.out.Decisions)-1]
+	d.Age, d.Silence = r.age(now), now.Sub(r.worker.lastReport)
+}
+
+// addWorkerEnded adds the decision that the current incarnation of a worker has ended.
+func (p *Pool) addWorkerEnded(now time.Time, w *worker, reason string) {
+	p.out.Decisions = append(p.out.Decisions, Decision{
+		Kind: DecisionWorkerEnded, Worker: w.ID, Born: w.Born, Reason: reason, Count: len(w.runs), Silence: now.Sub(w.lastReport),
+	})
 }
 
 // addCrash adds the decision that the current incarnation of a worker has ended unexpectedly.
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -6,6 +6,16 @@
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 )
 
+// Evidence that an incarnation of a worker has ended or that a run is over, as told by the log and by the metric of lost runs.
+const (
+	reasonWrongInstance   = "another instance answers at its address"
+	reasonLaterAnswered   = "a later incarnation has answered"
+	reasonLaterRegistered = "the registry names a later incarnation"
+	reasonHostList        = "its host is not up, or runs another worker"
+	reasonLeaseExpired    = "lease expired"
+	reasonNotListed       = "not listed by the worker"
+)
+
 // A connection that is refused or reset proves nothing about a worker: whatever cuts the link may answer in its place. Only
 // the worker's lease, an answer of a later incarnation, or EndIncarnations ends the runs of a worker that cannot be reached.
 
@@ -17,21 +27,16 @@
 	}
 }
 
-// EndIncarnations ends the runs of incarnations that have ended, and returns the ids of the workers that were not known to have
-// ended. It ignores incarnations older than what the worker itself has reported, and workers whose last hold was answered. A
+// EndIncarnations ends the runs of incarnations that have ended. It ignores incarnations older than what the worker itself has reported, and workers whose last hold was answered. A
 // start that has been ordered and not answered is kept, because it may yet reach a later incarnation under the same id.
-func (p *Pool) EndIncarnations(now time.Time, incarnations []*pb.WorkerIncarnation) (ended []string) {
+func (p *Pool) EndIncarnations(now time.Time, incarnations []*pb.WorkerIncarnation) {
 	for _, incarnation := range incarnations {
 		w := p.workers[incarnation.GetId()]
 		if w == nil || incarnation.GetBorn() == 0 || incarnation.GetBorn() < w.Born || (w.reported && !w.unreachable) {
 			continue
 		}
-		if !w.replaced {
-			ended = append(ended, w.ID)
-		}
-		p.markEnded(now, w, "worker has ended", func(r *run) bool { return r.state != runOrdered })
+		p.markEnded(now, w, reasonHostList, func(r *run) bool { return r.state != runOrdered })
 	}
-	return ended
 }
 
 // markEnded records that the present incarnation of a worker has ended, and ends those of its runs for which ends returns true.
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -99,7 +99,7 @@
 		return
 	}
 	if !w.replaced {
-		p.markEnded(now, w, "worker was replaced", func(*run) bool { return true })
+		p.markEnded(now, w, reasonWrongInstance, func(*run) bool { return true })
 	}
 }
 
@@ -111,7 +111,7 @@
 	}
 	if r.Born > w.Born {
 		if w.Born != 0 || w.reported {
-			p.handleRestart(now, w)
+			p.handleRestart(now, w, reasonLaterAnswered)
 		}
 		w.Born = r.Born
 		w.replaced = false
@@ -232,7 +232,7 @@
 			p.revertStart(now, r)
 			continue
 		}
-		p.addLost(now, r, "not listed by the worker")
+		p.addLost(now, r, reasonNotListed)
 		p.endRun(now, r, EndLapsed, "")
 	}
 }
--- a/scheduler/seal.go
+++ b/scheduler/seal.go
@@ -91,4 +91,5 @@
 		r.giveUpAt = p.takeover.leaseDeadline(p.cfg.longestLease())
 	}
 	p.takeover.markReported(s.Worker)
+	p.out.Decisions = append(p.out.Decisions, Decision{Kind: DecisionSealAdopted, Worker: w.ID, Count: len(s.Runs)})
 }
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -217,6 +217,7 @@
 	}
 	p.out.Decisions = append(p.out.Decisions, Decision{
 		Kind: DecisionTakenOver, Workers: t.awaitedTotal, Reason: reason, Age: now.Sub(t.startedAt),
+		Unreported: sortedKeys(t.awaited),
 	})
 	t.done = true
 	t.doneAt = now
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -114,7 +114,7 @@
 		return
 	}
 	if update.Born > w.Born && w.Born != 0 {
-		p.handleRestart(now, w)
+		p.handleRestart(now, w, reasonLaterRegistered)
 	}
 	if w.Draining != update.Draining || w.Unlisted != update.Unlisted || w.Capacity != update.Capacity || w.replaced {
 		p.placementDue = true
@@ -157,8 +157,8 @@
 // handleRestart ends the runs that the earlier incarnation had listed. A call may be unable to tell incarnations with
 // the same id apart, so a start whose run was never listed may have reached, or may yet reach, the next one. Its
 // answer or a list resolves this.
-func (p *Pool) handleRestart(now time.Time, w *worker) {
-	p.endIncarnation(now, w, "restarted", func(r *run) bool { return r.state == runRunning })
+func (p *Pool) handleRestart(now time.Time, w *worker, reason string) {
+	p.endIncarnation(now, w, reason, func(r *run) bool { return r.state == runRunning })
 	w.replaced = false
 	for _, r := range w.runs {
 		r.stopAcked = timestamp{}
@@ -170,6 +170,7 @@
 // endIncarnation ends those runs of a restarted or replaced incarnation for which ends returns true, and resets the
 // state that belongs to the incarnation.
 func (p *Pool) endIncarnation(now time.Time, w *worker, reason string, ends func(*run) bool) {
+	p.addWorkerEnded(now, w, reason)
 	if !w.replaced && !w.Draining && w.trials == 0 && !p.hasUntried(w) {
 		p.recordRestart(now, w)
 	}
@@ -233,7 +234,7 @@
 	}
 	w.expired = append(w.expired, w.runs...)
 	for _, r := range append([]*run(nil), w.runs...) {
-		p.addLost(now, r, "lease expired")
+		p.addLost(now, r, reasonLeaseExpired)
 		p.endRun(now, r, EndLapsed, "")
 	}
 }
