carry: a start given up as not sent is not handed to the carrier

What callers would see: a task that runs on two workers, in a pool so large that other entry hosts make its owner's calls (80 workers and more).

Cause: a call whose time limit ended read under the lock that it had not been submitted, released the lock, and took it again to be forgotten. Between the two, the goroutine that submits could mark it and send it. The owner took the start for not sent and started the task elsewhere at once, while the carrier made the call.

Evidence: TestCallGivenUpAsNotSentIsNotSubmitted failed 4 of 4 times with the race detector, within 900 calls. Without the race detector and with less contention 600,000 calls showed nothing. Now reading and forgetting are one step under the lock, and the test passes 3 of 3 times.

--- a/internal/carry/link.go
+++ b/internal/carry/link.go
@@ -75,8 +75,8 @@
 	call.Id = l.lastID
 	l.waiting[call.Id] = w
 	l.mu.Unlock()
-	defer l.forget(call.GetId())
 	if !l.offer(call) {
+		l.giveUp(call.GetId(), w)
 		return nil, false
 	}
 	select {
@@ -88,9 +88,7 @@
 			l.client.fail(l, "calls missed their time limit")
 		}
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return nil, w.submitted
+	return nil, l.giveUp(call.GetId(), w)
 }
 
 // isIdle reports whether no call waits for its result.
@@ -100,10 +98,12 @@
 	return len(l.waiting) == 0 && len(l.queue) == 0
 }
 
-func (l *link) forget(id uint64) {
+// giveUp stops waiting for a call, which is not submitted any more, and reports whether it was before.
+func (l *link) giveUp(id uint64, w *waitingCall) (submitted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.waiting, id)
+	return w.submitted
 }
 
 // recordOverdue reports whether the carrier counts as failed.
