scheduler: a wrong instance ends only a worker that was heard from at that address

What callers would see: a task that runs on two workers. The address of a worker comes from its registry entry, and another writer may put an entry over a live worker's key that names another worker's address. That worker answers 421, and the owner took it for the end of the live one: its tasks started elsewhere at once. The next owner, which reads the address from the roster, did the same and did not wait for the worker's lease.

Cause: an answer about an address was taken for one about the worker. It proves the worker's end only if this incarnation has answered from that address.

Change: the owner remembers from which address an incarnation has answered. A wrong instance at any other address makes the worker count as one that does not answer: its runs end with their lease, or when the list of hosts proves its end, for which its host is named as for other unreachable workers. An order that a wrong instance refused pauses the worker. The simulated workers of the scheduler's tests tell their address, and no incarnation with a wrong instance, as the platform does.

--- a/internal/poolowner/hold.go
+++ b/internal/poolowner/hold.go
@@ -185,9 +185,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxWait+holdTimeoutMargin)
 	defer cancel()
-	return o.Workers.Hold(ctx, HoldRequest{
+	report, err := o.Workers.Hold(ctx, HoldRequest{
 		Address: w.Address, Worker: w.ID, Born: w.Born, Fence: o.Config.Fence, Hold: next, Wait: maxWait,
 	})
+	report.Address = w.Address
+	return report, err
 }
 
 // nextHold returns the parameters of the next hold of a worker.
--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -92,7 +92,9 @@
 // Report is a worker's response to a hold.
 type Report struct {
 	Worker string
-	Born   int64
+	// Address is where the hold was sent to.
+	Address string
+	Born    int64
 	// Sent is when the call was sent and Received when the response arrived. Clock was read between the two.
 	Sent, Received time.Time
 	// Clock is the worker's own clock in ms, which may run 2% slow.
@@ -105,7 +107,7 @@
 	Ended    []EndedRun
 	// Fenced means that the worker has seen a higher fencing token: this owner has been replaced.
 	Fenced bool
-	// Gone means that another worker or another incarnation answers at the address (wrong instance).
+	// Gone means that another worker answers at the address (wrong instance).
 	Gone bool
 }
 
@@ -134,7 +136,7 @@
 	OutcomeInvalid
 	// OutcomeUnhealthy: the worker refused the order and did nothing.
 	OutcomeUnhealthy
-	// OutcomeGone: another incarnation or another worker answers at the address.
+	// OutcomeGone: another worker answers at the address, and the order had no effect.
 	OutcomeGone
 )
 
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -100,8 +100,8 @@
 	if w == nil {
 		return
 	}
-	if res.Outcome == OutcomeGone {
-		p.markReplaced(now, w, res.Order.Born)
+	if res.Outcome == OutcomeGone && res.Order.Born >= w.Born {
+		p.handleWrongInstance(now, w, res.Order.Address, now)
 	}
 	r := w.byKey[runKey{res.Order.Task, res.Order.Run}]
 	if r == nil || (res.Order.Kind != OrderStart && res.Order.Born != w.Born && res.Order.Born != 0) {
@@ -159,7 +159,7 @@
 	case OutcomeNotSent:
 		r.withdrawCharge()
 		w.pause(now, unhealthyPause)
-	case OutcomeUnhealthy:
+	case OutcomeUnhealthy, OutcomeGone:
 		w.pause(now, unhealthyPause)
 	case OutcomeNoRoom, OutcomeLate:
 		w.pause(now, noRoomPause)
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -51,9 +51,7 @@
 		return
 	}
 	if r.Gone {
-		if r.Born != 0 || !r.Sent.Before(w.lastReport) {
-			p.markReplaced(now, w, r.Born)
-		}
+		p.handleWrongInstance(now, w, r.Address, r.Sent)
 		return
 	}
 	if !p.acceptIncarnation(now, w, &r) {
@@ -68,6 +66,7 @@
 	}
 	if r.Received.After(w.lastReport) {
 		w.lastReport = r.Received
+		w.heardAt = r.Address
 		w.unreachable = false
 	}
 	if !w.reported {
@@ -93,13 +92,16 @@
 	p.wakePlacement(now)
 }
 
-// markReplaced records that another incarnation or another worker answers at the address of the given incarnation.
-func (p *Pool) markReplaced(now time.Time, w *worker, incarnation int64) {
-	if incarnation != 0 && incarnation < w.Born {
-		return
-	}
-	if !w.replaced {
+// handleWrongInstance applies that another worker has answered a call sent to an address. An address has one worker at a time, so
+// this proves the end of an incarnation that was heard from there before. Any other address is known only from the registry or
+// from the roster, which may be wrong: the worker then counts as one that does not answer.
+func (p *Pool) handleWrongInstance(now time.Time, w *worker, address string, sent time.Time) {
+	switch {
+	case w.replaced || sent.Before(w.lastReport):
+	case w.reported && address == w.heardAt:
 		p.markEnded(now, w, reasonWrongInstance, func(*run) bool { return true })
+	default:
+		w.unreachable = true
 	}
 }
 
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -285,7 +285,7 @@
 	if lost {
 		if s.naive {
 			o.handle(func(p *scheduler.Pool) {
-				p.Report(s.time(), scheduler.Report{Worker: w.id, Sent: sent, Received: s.time(), Gone: true})
+				p.Report(s.time(), scheduler.Report{Worker: w.id, Address: w.id, Sent: sent, Received: s.time(), Gone: true})
 			})
 		}
 		holdAgain(o.delayAfterLostHold(w))
@@ -372,7 +372,7 @@
 // respond returns the worker's response to a hold that names the expected incarnation.
 func (o *simOwner) respond(w *simWorker, h scheduler.Hold, expected int64) scheduler.Report {
 	if !w.matchesIncarnation(expected) {
-		return scheduler.Report{Worker: w.id, Born: expected, Gone: true}
+		return scheduler.Report{Worker: w.id, Address: w.id, Gone: true}
 	}
 	return w.hold(o.fence, h)
 }
--- a/scheduler/simworker_test.go
+++ b/scheduler/simworker_test.go
@@ -285,7 +285,7 @@
 
 // hold returns the response to a hold.
 func (w *simWorker) hold(fence uint64, h scheduler.Hold) scheduler.Report {
-	rep := scheduler.Report{Worker: w.id, Born: w.incarnation, Clock: w.clock(), LastSeen: h.LastSeen, Until: h.Until}
+	rep := scheduler.Report{Worker: w.id, Address: w.id, Born: w.incarnation, Clock: w.clock(), LastSeen: h.LastSeen, Until: h.Until}
 	if fence < w.fence {
 		rep.Fenced = true
 		return rep
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -26,6 +26,8 @@
 	// reported means that this incarnation has answered a hold of this owner.
 	reported   bool
 	lastReport time.Time
+	// heardAt is the address from which this incarnation last answered.
+	heardAt string
 	// unreachable means that a hold has got no answer since lastReport.
 	unreachable bool
 	// listClock is the worker's clock at the latest list of running tasks.
@@ -183,6 +185,7 @@
 	w.reported = false
 	w.listClock = -1
 	w.lastClock = 0
+	w.heardAt = ""
 	w.expired = nil
 	w.leaseUntil = 0
 	w.ends = endLog{}
