scheduler: an entry of the registry does not end the runs of a worker

What callers would see: a task that runs on two workers. An entry over a live worker's key with a later start, up to an hour ahead, counted as the worker's restart: its runs ended in the owner's view and started elsewhere, while the worker ran on.

Cause: the registry, which other writers reach, was taken for the worker's own word.

Change: a worker that has answered keeps its incarnation until an answer names a later one, and is asked at once when the registry does. It gets nothing new as long as the entry describes another incarnation.

Evidence: TestRegistryEntryEndsNoRuns failed before (the run counted as lost when the entry came) and passes. TestCrashingQueueIsContained, which restarts workers under their ids, passes; poolowner's tests pass.

--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -115,14 +115,20 @@
 		// The registry lags behind what the worker itself has reported.
 		return
 	}
-	if update.Born > w.Born && w.Born != 0 {
+	incarnation := max(w.Born, update.Born)
+	switch {
+	case incarnation == w.Born || w.Born == 0:
+	case w.reported:
+		// Only an answer of the worker proves that it has restarted.
+		incarnation = w.Born
+		p.out.Poll = append(p.out.Poll, w.ID)
+	default:
 		p.handleRestart(now, w, reasonLaterRegistered)
 	}
 	if w.Draining != update.Draining || w.Unlisted != update.Unlisted || w.Capacity != update.Capacity || w.replaced {
 		p.placementDue = true
 	}
 	p.updateDrainDeadline(now, w, update)
-	incarnation := max(w.Born, update.Born)
 	w.Worker = *update
 	w.describedBorn = update.Born
 	w.Born = incarnation
@@ -268,7 +274,7 @@
 
 // isDescribed reports whether the registry describes the present incarnation, as far as is known. Another incarnation may
 // have another capacity and other labels.
-func (w *worker) isDescribed() bool { return w.describedBorn == 0 || w.describedBorn >= w.Born }
+func (w *worker) isDescribed() bool { return w.describedBorn == 0 || w.describedBorn == w.Born }
 
 // usable reports whether the worker may be given new tasks.
 func (w *worker) usable(now time.Time) bool {
