scheduler: the end of a run of an unknown job is not acknowledged while the job may arrive

What callers would see: a task that runs again after its success. A job accepted after a takeover may be offered to the replaced owner, which starts it on workers that have not heard of the new owner yet. If the task ended before, the new owner was told its end, did not know the job, and acknowledged it at once. When the job arrived, seconds later where the watch hears nothing, its task started again.

Change: the ends of runs that an earlier owner started for unknown jobs are held and not acknowledged. They are applied when the job arrives. The owner looks the job up in the store once a second, and acknowledges the ends once there is no record of it: a job that was accepted has one until it is over.

TestHoldAfterNoAnswerAcknowledgesNothing reports the end of a run of its own term now, as one of an unknown job waits for a lookup; what it asks is unchanged. poolowner's and jobstore's tests pass, the scheduler's pool and seal tests too.

--- a/internal/jobstore/accept.go
+++ b/internal/jobstore/accept.go
@@ -155,6 +155,11 @@
 	return err
 }
 
+// MayExist reports whether there is a record of a job; true if that cannot be read.
+func (s *Store) MayExist(ctx context.Context, pool, id string) bool {
+	return s.mayExist(ctx, jobkeys.Job(pool, id))
+}
+
 // mayExist reports whether a key exists; true if it cannot be read.
 func (s *Store) mayExist(ctx context.Context, key string) bool {
 	item, err := s.get(ctx, key)
--- a/internal/poolowner/incarnation_test.go
+++ b/internal/poolowner/incarnation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"syscall"
 	"testing"
@@ -36,7 +37,7 @@
 }
 
 // A hold after one without an answer acknowledges no ended runs: a new incarnation under the same id may receive it, and its
-// ended runs have numbers of their own.
+// ended runs have numbers of their own. The ended run is one of this term, so that its job need not be looked up.
 func TestHoldAfterNoAnswerAcknowledgesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var seen []int64
@@ -45,7 +46,7 @@
 			seen = append(seen, r.LastSeen)
 			switch len(seen) {
 			case 1:
-				return scheduler.Report{Born: 1, Ended: []scheduler.EndedRun{{Number: 5, End: scheduler.EndSucceeded}}}, nil
+				return scheduler.Report{Born: 1, Ended: []scheduler.EndedRun{{Number: 5, Run: math.MaxInt64, End: scheduler.EndSucceeded}}}, nil
 			case 3, 4:
 				return scheduler.Report{}, errors.New("no answer")
 			}
--- a/internal/poolowner/loop.go
+++ b/internal/poolowner/loop.go
@@ -75,6 +75,9 @@
 	for _, job := range actions.Forget {
 		o.deletions.Offer(job)
 	}
+	for _, id := range actions.Lookups {
+		o.lookups.Offer(id)
+	}
 	for _, id := range actions.ForgetCancels {
 		o.cancelDeletions.Offer(id)
 	}
--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -62,6 +62,8 @@
 	Record(ctx context.Context, pool string, fence uint64, progress []*pb.JobProgress) error
 	Forget(ctx context.Context, pool string, fence uint64, jobs []jobstate.Ref) error
 	ForgetCancels(ctx context.Context, pool string, fence uint64, ids []string) (kept []*pb.JobCancel, err error)
+	// MayExist reports whether a job exists; true if that cannot be read.
+	MayExist(ctx context.Context, pool, id string) bool
 	Roster(ctx context.Context, pool string) (*pb.Roster, uint64, error)
 	SetRoster(ctx context.Context, pool string, fence uint64, roster *pb.Roster, version uint64) (uint64, error)
 }
@@ -107,6 +109,8 @@
 	records   *recorder
 	advice    *ring.Ring[scheduler.AdviceRequest]
 	deletions *ring.Ring[jobstate.Ref]
+	// lookups holds the ids of jobs to be looked up.
+	lookups *ring.Ring[string]
 	// cancelDeletions holds the ids of cancellations whose jobs were never submitted.
 	cancelDeletions *ring.Ring[string]
 	loaded          chan struct{}
@@ -135,6 +139,7 @@
 		decisions:       ring.New[[]decision]("pool_decisions", decisionRingSize),
 		advice:          ring.New[scheduler.AdviceRequest]("pool_advice", adviceRingSize),
 		deletions:       ring.New[jobstate.Ref]("pool_forget", deletionRingSize),
+		lookups:         ring.New[string]("pool_lookups", lookupRingSize),
 		cancelDeletions: ring.New[string]("pool_forget_cancels", deletionRingSize),
 		loaded:          make(chan struct{}),
 		workers:         make(chan []scheduler.Worker, 1),
@@ -154,6 +159,7 @@
 	group.Go(func() error { return o.followWorkers(ctx) })
 	group.Go(func() error { return o.records.run(ctx) })
 	group.Go(func() error { return o.runAdvice(ctx) })
+	group.Go(func() error { return o.lookUpJobs(ctx) })
 	group.Go(func() error { return o.deleteEndedJobs(ctx) })
 	group.Go(func() error { return o.deleteOrphanedCancels(ctx) })
 	group.Go(func() error { return o.logDecisions(ctx) })
--- a/internal/poolowner/owner_test.go
+++ b/internal/poolowner/owner_test.go
@@ -34,6 +34,8 @@
 
 func (emptyStore) Forget(context.Context, string, uint64, []jobstate.Ref) error { return nil }
 
+func (emptyStore) MayExist(context.Context, string, string) bool { return false }
+
 func (emptyStore) Roster(context.Context, string) (*pb.Roster, uint64, error) { return nil, 0, nil }
 
 func (emptyStore) SetRoster(context.Context, string, uint64, *pb.Roster, uint64) (uint64, error) {
--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -223,6 +223,8 @@
 	// ForgetCancels lists cancellations that are older than the retention and whose job never arrived. The owner
 	// deletes each one; if its job has arrived by then, the owner calls Cancel instead.
 	ForgetCancels []string
+	// Lookups lists unknown jobs: call MarkAbsent for those that do not exist.
+	Lookups []string
 	// Decisions explains the decisions, for the log.
 	Decisions []Decision
 	// Poll lists workers whose state is needed at once: call Hold for them without waiting for a run to end.
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -76,9 +76,10 @@
 	if p.takeEarlyCancel(j) {
 		p.chargeOrphans(j)
 		p.cancelJob(now, j)
-		return
+	} else {
+		p.activateJob(now, j)
 	}
-	p.activateJob(now, j)
+	p.applyHeldEnds(now, j)
 }
 
 // newJob returns the job of a record. It caps the time of acceptance at now, since the clock of the accepting host may
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -54,6 +54,8 @@
 	nextPurgeAt  time.Time
 	// orphans holds the runs of unknown jobs, by job.
 	orphans map[string][]*run
+	// unknownJobs holds the ended runs of unknown jobs, by job.
+	unknownJobs map[string]*unknownJob
 	// pending counts, by queue, the accepted jobs for which no task has started.
 	pending map[string]int
 	// ended holds the ended jobs that have not been purged.
@@ -128,6 +130,7 @@
 		earlyCancels:  map[string]earlyCancel{},
 		forgotten:     map[string]time.Time{},
 		orphans:       map[string][]*run{},
+		unknownJobs:   map[string]*unknownJob{},
 		pending:       map[string]int{},
 		accounts:      map[string]*account{},
 		learned:       newLearned(),
@@ -193,6 +196,7 @@
 	p.processWatchedRuns(now)
 	p.emitRecords(now)
 	p.purgeEndedJobs(now)
+	p.requestLookups(now)
 	out := p.out
 	p.out = Actions{}
 	slices.Sort(out.Poll)
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -12,14 +12,20 @@
 type endLog struct {
 	// received is the highest end number received, acked the highest that may be acknowledged.
 	received, acked int64
-	unacked         []unackedEnd
+	unacked         []*unackedEnd
 }
 
-// unackedEnd may be acknowledged once this version of the job's progress is durable.
+// unackedEnd may be acknowledged once this version of the job's progress is durable, and not while its job is unknown.
 type unackedEnd struct {
 	number  int64
 	job     *job
 	version uint64
+	unknown bool
+}
+
+// mayAck reports whether the end may be acknowledged.
+func (e *unackedEnd) mayAck() bool {
+	return !e.unknown && (e.job == nil || e.job.rec.recorded >= e.version || e.job.cancelled)
 }
 
 // acknowledge returns the number up to which the worker may discard its ended runs.
@@ -27,7 +33,7 @@
 	l := &w.ends
 	for len(l.unacked) > 0 {
 		e := l.unacked[0]
-		if e.job.rec.recorded < e.version && !e.job.cancelled {
+		if !e.mayAck() {
 			break
 		}
 		l.acked = e.number
@@ -140,7 +146,9 @@
 		}
 		j := p.jobs[e.Task.Job]
 		if p.applyEnd(now, w, j, e) {
-			w.ends.unacked = append(w.ends.unacked, unackedEnd{e.Number, j, j.rec.version})
+			w.ends.unacked = append(w.ends.unacked, &unackedEnd{number: e.Number, job: j, version: j.rec.version})
+		} else if j == nil && p.mayArrive(e) {
+			p.holdEnd(w, e)
 		}
 		w.ends.received = e.Number
 	}
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -155,6 +155,7 @@
 	for _, r := range a.Advice {
 		o.answerAdvice(r)
 	}
+	o.lookUp(a.Lookups)
 	for _, r := range a.Records {
 		o.storeRecord(r)
 	}
@@ -172,6 +173,15 @@
 	}
 }
 
+// lookUp looks up jobs that the owner does not know.
+func (o *simOwner) lookUp(ids []string) {
+	for _, id := range ids {
+		if j := o.sim.jobs[id]; j == nil || !j.accepted {
+			o.sim.after(5, func() { o.handle(func(p *scheduler.Pool) { p.MarkAbsent(id) }) })
+		}
+	}
+}
+
 // answerAdvice answers for the policy service, which permits about two workers in three.
 func (o *simOwner) answerAdvice(r scheduler.AdviceRequest) {
 	s := o.sim
