Observability: the log tells how a pool was gained and lost

Nothing in the log told whether a pool was acquired because its key was free, because the owner's address refused connections, because the owner's host registered another incarnation, or at the owner's request; nor by what an owner learned that it had lost a pool (watch, read, write, end of the lease, rejected fence, hand-over).

Change: pool_gained (901) and pool_lost (902) have the field because; pool_lost also names the known owner and fence. Membership, which knows the reasons, logs them in place of jobhost; a planned stop thus logs pool_lost when the key is released.

--- a/internal/jobhost/pools.go
+++ b/internal/jobhost/pools.go
@@ -56,7 +56,6 @@
 	ctx, cancel := context.WithCancel(p.ctx)
 	t := &term{fence: fence, cancel: cancel, done: make(chan struct{})}
 	p.terms[pool] = t
-	events.Emit(ctx, p.log, events.PoolGained, "pool", pool, "fence", fence)
 	if pool == membership.FleetPool {
 		p.group.Go(func() {
 			defer close(t.done)
@@ -92,7 +91,6 @@
 	}
 	delete(p.terms, pool)
 	p.mu.Unlock()
-	events.Emit(p.ctx, p.log, events.PoolLost, "pool", pool, "fence", t.fence)
 	t.cancel()
 }
 
--- a/internal/membership/elect.go
+++ b/internal/membership/elect.go
@@ -42,6 +42,10 @@
 	// rejected is, by pool, the newest fencing token that this host must no longer use: a worker or the store rejected it,
 	// or a peer accepted the pool.
 	rejected map[string]uint64
+	// rejectedBy is, by pool, why the fencing token in rejected must no longer be used.
+	rejectedBy map[string]string
+	// basis is, by pool, why this host last tried to acquire it.
+	basis map[string]string
 	// writing are the pools whose owner key this host is writing or deleting.
 	writing map[string]bool
 	// notBefore is, by pool, the earliest time of the next write or deletion of the owner key.
@@ -50,11 +54,13 @@
 
 func newElector() elector {
 	return elector{
-		view:      view{members: make(map[string]*memberState), owners: make(map[string]*ownerState)},
-		held:      make(map[string]uint64),
-		rejected:  make(map[string]uint64),
-		writing:   make(map[string]bool),
-		notBefore: make(map[string]time.Time),
+		view:       view{members: make(map[string]*memberState), owners: make(map[string]*ownerState)},
+		held:       make(map[string]uint64),
+		rejected:   make(map[string]uint64),
+		rejectedBy: make(map[string]string),
+		basis:      make(map[string]string),
+		writing:    make(map[string]bool),
+		notBefore:  make(map[string]time.Time),
 	}
 }
 
@@ -67,6 +73,8 @@
 	unused := func(pool string) bool { return !slices.Contains(e.pools, pool) }
 	maps.DeleteFunc(e.view.owners, func(p string, s *ownerState) bool { return s.owner == nil && unused(p) })
 	maps.DeleteFunc(e.rejected, func(p string, _ uint64) bool { return unused(p) })
+	maps.DeleteFunc(e.rejectedBy, func(p, _ string) bool { return unused(p) })
+	maps.DeleteFunc(e.basis, func(p, _ string) bool { return unused(p) })
 	maps.DeleteFunc(e.notBefore, func(p string, _ time.Time) bool { return unused(p) })
 }
 
@@ -88,6 +96,7 @@
 	for _, s := range e.view.owners {
 		if s.owner != nil && s.lease == e.lease {
 			s.free(s.version+1, now)
+			s.learned = leaseEnded
 		}
 	}
 	e.lease = 0
@@ -133,8 +142,9 @@
 			continue
 		}
 		lease, from := e.lease, uint64(0)
-		if s := e.view.owners[t.Pool]; s.gone {
-			from = s.version
+		e.basis[t.Pool] = keyFree
+		if s := e.view.owners[t.Pool]; s.gone != "" {
+			from, e.basis[t.Pool] = s.version, s.gone
 		}
 		m.spawnWrite(t.Pool, func() ([]store.Event, error) { return m.take(ctx, t.Pool, lease, from) })
 	}
@@ -161,11 +171,13 @@
 	m.known.Store(&snapshot{owners: owners, members: e.view.live(), held: maps.Clone(held)})
 	for _, pool := range sortedKeys(before) {
 		if held[pool] != before[pool] {
+			m.logLost(pool, before[pool])
 			m.events.Lost(pool, before[pool])
 		}
 	}
 	for _, pool := range sortedKeys(held) {
 		if held[pool] != before[pool] {
+			m.logGained(pool, held[pool])
 			m.events.Gained(pool, held[pool])
 		}
 	}
@@ -204,7 +216,7 @@
 			now := m.clock()
 			delete(e.writing, pool)
 			for _, event := range events {
-				e.view.apply(event, now)
+				e.view.apply(event, fromWrite, now)
 			}
 			e.notBefore[pool] = now.Add(writeSpacing)
 			switch {
@@ -271,7 +283,7 @@
 // still has the key, releaseUnwanted deletes it, so that the next acquisition gets a new fencing token.
 func (m *Manager) reject(pool string, fence uint64) {
 	if m.elector.held[pool] == fence {
-		m.elector.rejected[pool] = fence
+		m.elector.reject(pool, fence, fenceRejected)
 	}
 }
 
--- a/internal/membership/handover.go
+++ b/internal/membership/handover.go
@@ -102,7 +102,7 @@
 // handedOver stops the use of the fencing token and records the peer as the provisional owner until the state of the key
 // is received from the store.
 func (e *elector) handedOver(pool string, fence uint64, peer *pb.JobMember) {
-	e.rejected[pool] = max(e.rejected[pool], fence)
+	e.reject(pool, fence, fromHandOver)
 	s := e.view.owners[pool]
 	if s == nil || s.version != fence {
 		return
@@ -123,6 +123,7 @@
 	err := m.do(ctx, func(e *elector) {
 		lease = e.lease
 		wanted = !e.leaving && lo.Contains(e.pools, pool)
+		e.basis[pool] = ownerAsked
 	}, nil)
 	if err != nil {
 		return CannotTake.Wrap(err)
@@ -147,7 +148,7 @@
 	}
 	return m.do(ctx, func(e *elector) {
 		for _, event := range events {
-			e.view.apply(event, m.clock())
+			e.view.apply(event, fromWrite, m.clock())
 		}
 	}, nil)
 }
--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -166,7 +166,7 @@
 	}
 	m.recordAnswer()
 	event := store.Event{Item: store.Item{Key: key, Data: data, Version: version, Lease: lease}}
-	m.post(ctx, func(context.Context) { m.elector.view.apply(event, m.clock()) })
+	m.post(ctx, func(context.Context) { m.elector.view.apply(event, fromWrite, m.clock()) })
 	return nil
 }
 
--- a/internal/membership/leave.go
+++ b/internal/membership/leave.go
@@ -59,7 +59,7 @@
 	}
 	apply := func(e *elector) {
 		for _, event := range events {
-			e.view.apply(event, m.clock())
+			e.view.apply(event, fromWrite, m.clock())
 		}
 	}
 	_ = m.do(ctx, apply, nil) // the next call reports an ended ctx
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -206,7 +206,7 @@
 func (m *Manager) OwnerGone(pool string, fence uint64) {
 	m.post(m.runCtx, func(context.Context) {
 		if s, ok := m.elector.view.owners[pool]; ok && s.version == fence && !m.hasKey(s) {
-			s.markGone(m.clock())
+			s.markGone(ownerRefused, m.clock())
 		}
 	})
 }
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -31,8 +31,10 @@
 	last *pb.OwnerRecord
 	// freeSince is when the pool became free or its owner was proved gone.
 	freeSince time.Time
-	// gone means that the owner is proved gone although its lease has not expired: the key may be replaced.
-	gone bool
+	// gone is why the owner is taken to be gone although its lease has not expired, or empty. The key may then be replaced.
+	gone string
+	// learned is how the last change of the key was learned.
+	learned string
 	// provisional means that owner is a peer that accepted a hand-over. The next state of the key received from the store
 	// replaces it, even under the same version.
 	provisional bool
@@ -47,13 +49,13 @@
 }
 
 // apply updates the state of one key unless a newer one is known.
-func (v *view) apply(e store.Event, now time.Time) {
+func (v *view) apply(e store.Event, learned string, now time.Time) {
 	kind, name := jobkeys.ParseMembership(e.Item.Key)
 	switch kind {
 	case jobkeys.MemberKey:
 		v.applyMember(name, e)
 	case jobkeys.OwnerKey:
-		v.applyOwner(name, e, now)
+		v.applyOwner(name, e, learned, now)
 	case jobkeys.OtherKey:
 	}
 }
@@ -77,12 +79,12 @@
 	}
 }
 
-func (v *view) applyOwner(pool string, e store.Event, now time.Time) {
+func (v *view) applyOwner(pool string, e store.Event, learned string, now time.Time) {
 	s := v.owner(pool, now)
 	if e.Item.Version < s.version || (e.Item.Version == s.version && !s.provisional) {
 		return
 	}
-	s.provisional, s.gone = false, false
+	s.provisional, s.gone, s.learned = false, "", learned
 	if e.Deleted {
 		s.free(e.Item.Version, now)
 		return
@@ -118,7 +120,7 @@
 	v.loaded = true
 	present := lo.SliceToMap(items, func(i store.Item) (string, bool) { return i.Key, true })
 	for _, i := range items {
-		v.apply(store.Event{Item: i}, now)
+		v.apply(store.Event{Item: i}, fromRead, now)
 	}
 	for name, s := range v.members {
 		switch {
@@ -131,7 +133,7 @@
 	}
 	for pool, s := range v.owners {
 		if !present[jobkeys.Owner(pool)] && s.owner != nil && s.version < asOf {
-			v.apply(store.Event{Item: store.Item{Key: jobkeys.Owner(pool), Version: asOf}, Deleted: true}, now)
+			v.apply(store.Event{Item: store.Item{Key: jobkeys.Owner(pool), Version: asOf}, Deleted: true}, fromRead, now)
 		}
 	}
 }
@@ -199,14 +201,14 @@
 	for _, s := range v.owners {
 		m, ok := v.members[s.owner.GetMember()]
 		if ok && m.member != nil && m.version > s.version && m.member.GetIncarnation() != s.owner.GetIncarnation() {
-			s.markGone(now)
+			s.markGone(ownerRestarted, now)
 		}
 	}
 }
 
-func (s *ownerState) markGone(now time.Time) {
-	if s.owner != nil && !s.gone && !s.provisional {
-		s.gone, s.freeSince = true, now
+func (s *ownerState) markGone(why string, now time.Time) {
+	if s.owner != nil && s.gone == "" && !s.provisional {
+		s.gone, s.freeSince = why, now
 	}
 }
 
@@ -217,7 +219,7 @@
 		s := v.owner(p, now)
 		pool := ownership.Pool{Name: p, FreeSince: s.freeSince}
 		switch {
-		case s.gone:
+		case s.gone != "":
 			gone[s.owner.GetIncarnation()] = true
 		case s.owner != nil:
 			pool.Owner = cmp.Or(s.owner.GetMember(), "?")
--- a/internal/membership/watch.go
+++ b/internal/membership/watch.go
@@ -77,7 +77,7 @@
 		m.lastEvents.Store(m.clock().UnixNano())
 		m.post(ctx, func(context.Context) {
 			for _, e := range events {
-				m.elector.view.apply(e, m.clock())
+				m.elector.view.apply(e, fromWatch, m.clock())
 			}
 		})
 	}
