fleetowner: an entry's host does not override the list of hosts

What callers would see: a task that runs on two workers. An entry over the key of a live worker that cannot be reached names another machine. The list of hosts shows that machine with another worker, and this counted as the end of the live one: its tasks started elsewhere at once.

Cause: the host that the pool's owner names, which is the one of the entry or the roster, went before the one that lists had shown, and only the rows of that host were looked at.

Change: a worker that the list shows as up, or in a state that is unknown, on any host has not ended. The host that a list has shown for a worker stays, as a worker has one host all its life; the entry's one is used only until then.

Evidence: TestForgedHostDoesNotProveTheEndOfAWorker failed before in its three cases and passes, as do the other tests of the package.

--- a/internal/fleetowner/incarnations.go
+++ b/internal/fleetowner/incarnations.go
@@ -17,7 +17,7 @@
 type hostIndex struct {
 	// requestedAt is when the list was requested; zero before the first one.
 	requestedAt time.Time
-	// rows holds the rows of each host, hostOf the hosts of the workers that are up.
+	// rows holds the rows of each host, hostOf the hosts of the workers that may be alive by the list.
 	rows   map[string][]upkeep.Host
 	hostOf map[string]string
 }
@@ -26,7 +26,7 @@
 	index := hostIndex{requestedAt: requestedAt, rows: make(map[string][]upkeep.Host, len(list)), hostOf: make(map[string]string, len(list))}
 	for _, row := range list {
 		index.rows[row.ID] = append(index.rows[row.ID], row)
-		if row.State == upkeep.Up && row.Worker != "" {
+		if row.Worker != "" && (row.State == upkeep.Up || row.State == upkeep.StateUnknown) {
 			index.hostOf[row.Worker] = row.ID
 		}
 	}
@@ -34,15 +34,18 @@
 }
 
 // provesEnd reports whether the list proves that a worker of the pool has ended: its host is not up, or has another worker or
-// pool. Pages of a list are no snapshot, so a host without rows proves nothing, and one with several rows only what all of them
-// do.
+// pool, and no host has the worker. Pages of a list are no snapshot, so a host without rows proves nothing, and one with several
+// rows only what all of them do.
 func (x *hostIndex) provesEnd(host, pool, worker string) bool {
+	if _, listed := x.hostOf[worker]; listed {
+		return false
+	}
 	rows := x.rows[host]
 	for _, row := range rows {
 		switch row.State {
 		case upkeep.Moving, upkeep.Upkeep, upkeep.Down:
 		case upkeep.Up:
-			if row.Worker == worker || (row.Worker == "" && row.Pool == pool) {
+			if row.Worker == "" && row.Pool == pool {
 				return false
 			}
 		case upkeep.StateUnknown:
@@ -65,8 +68,10 @@
 	born int64
 	// namedAt is when the owner first named the incarnation.
 	namedAt time.Time
-	// host is empty until the owner or a list names it.
-	host string
+	// host is empty until the owner or a list names it. listed means that a list did: the owner has the host from the worker's
+	// entry in the registry, where another writer may have put another one.
+	host   string
+	listed bool
 	// unreachableSince is when the owner first named the worker as unreachable; zero if it is not.
 	unreachableSince time.Time
 }
@@ -81,9 +86,12 @@
 		}
 		known := before[w.GetId()]
 		if known.born != w.GetBorn() {
-			known = incarnation{born: w.GetBorn(), namedAt: now, host: known.host}
+			known = incarnation{born: w.GetBorn(), namedAt: now, host: known.host, listed: known.listed}
+		}
+		if !known.listed {
+			known.host = cmp.Or(w.GetUnreachableHost(), known.host)
 		}
-		known.host = cmp.Or(w.GetUnreachableHost(), index.hostOf[w.GetId()], known.host)
+		known.locate(w.GetId(), index)
 		switch {
 		case w.GetUnreachableHost() == "":
 			known.unreachableSince = time.Time{}
@@ -94,10 +102,19 @@
 	}
 }
 
+// locate sets the host from the list if it shows the worker. A worker has one host all its life.
+func (i *incarnation) locate(worker string, index *hostIndex) {
+	if host, listed := index.hostOf[worker]; listed {
+		i.host, i.listed = host, true
+	}
+}
+
 // ended returns the incarnations that the list proves to have ended, ordered by worker.
 func (l *incarnations) ended(pool string, index *hostIndex) []*pb.WorkerIncarnation {
 	var out []*pb.WorkerIncarnation
 	for id, known := range l.byWorker {
+		known.locate(id, index)
+		l.byWorker[id] = known
 		if known.namedAt.Before(index.requestedAt) && index.provesEnd(known.host, pool, id) {
 			out = append(out, &pb.WorkerIncarnation{Id: id, Born: known.born})
 		}
--- a/internal/fleetowner/incarnations_test.go
+++ b/internal/fleetowner/incarnations_test.go
@@ -54,3 +54,28 @@
 	l.observe(start.Add(4*time.Second), []*pb.WorkerLoad{{Id: "w"}}, &newer)
 	assert.Equal(t, len(l.ended("p", &newer)), 0, "the owner knows that the incarnation has ended")
 }
+
+// Guards against two runs of a task: an entry over the key of a live worker that cannot be reached names another machine, and a row of
+// that machine was taken for the worker's end.
+func TestForgedHostDoesNotProveTheEndOfAWorker(t *testing.T) {
+	start := time.Now()
+	forged := []*pb.WorkerLoad{{Id: "w", Born: 5, UnreachableHost: "other"}}
+	other := upkeep.Host{ID: "other", State: upkeep.Up, Pool: "q", Worker: "v"}
+	up := upkeep.Host{ID: "h", State: upkeep.Up, Pool: "p", Worker: "w"}
+	for name, rows := range map[string][]upkeep.Host{
+		"up on another host":      {other, up},
+		"known from earlier list": {other, {ID: "h", State: upkeep.Up, Pool: "p"}},
+		"not listed any more":     {other},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var l incarnations
+			before := newHostIndex(start, []upkeep.Host{other, up})
+			l.observe(start.Add(time.Second), forged, &before)
+			for n := range 3 {
+				index := newHostIndex(start.Add(time.Duration(n+2)*time.Second), rows)
+				assert.Equal(t, len(l.ended("p", &index)), 0)
+				l.observe(start.Add(time.Duration(n+2)*time.Second), forged, &index)
+			}
+		})
+	}
+}
