fleetowner: a host that only the entry names needs two lists for a proof

What callers would see: a task that runs on two workers, right after another host has taken over the fleet.

If no list of this owner has shown the worker, its host comes from its registry entry, which may be forged. One such list then counted as the worker's end.

Change: a proof by the host of an entry takes two lists in a row that were both requested after the incarnation was named; the second one is requested at once. A host that a list has shown needs one list as before: its row was read after the worker had been seen there.

--- a/internal/fleetowner/incarnations.go
+++ b/internal/fleetowner/incarnations.go
@@ -74,6 +74,8 @@
 	listed bool
 	// unreachableSince is when the owner first named the worker as unreachable; zero if it is not.
 	unreachableSince time.Time
+	// firstProof is when the first of the latest lists that prove the end was requested; zero if the latest one does not.
+	firstProof time.Time
 }
 
 // observe updates the incarnations from a status of the pool's owner that has just arrived.
@@ -109,29 +111,42 @@
 	}
 }
 
-// ended returns the incarnations that the list proves to have ended, ordered by worker.
+// proveEnd applies a list and reports whether the end of the incarnation is proved. A list may miss the row of a live worker, so it
+// takes two lists if none has shown the worker's host.
+func (i *incarnation) proveEnd(pool, worker string, index *hostIndex) bool {
+	i.locate(worker, index)
+	switch {
+	case !i.namedAt.Before(index.requestedAt) || !index.provesEnd(i.host, pool, worker):
+		i.firstProof = time.Time{}
+		return false
+	case i.firstProof.IsZero():
+		i.firstProof = index.requestedAt
+	}
+	return i.listed || i.firstProof.Before(index.requestedAt)
+}
+
+// ended returns the incarnations that the lists prove to have ended, ordered by worker.
 func (l *incarnations) ended(pool string, index *hostIndex) []*pb.WorkerIncarnation {
 	var out []*pb.WorkerIncarnation
 	for id, known := range l.byWorker {
-		known.locate(id, index)
-		l.byWorker[id] = known
-		if known.namedAt.Before(index.requestedAt) && index.provesEnd(known.host, pool, id) {
+		if known.proveEnd(pool, id, index) {
 			out = append(out, &pb.WorkerIncarnation{Id: id, Born: known.born})
 		}
+		l.byWorker[id] = known
 	}
 	slices.SortFunc(out, func(a, b *pb.WorkerIncarnation) int { return cmp.Compare(a.GetId(), b.GetId()) })
 	return out
 }
 
-// needsList reports whether there is an unreachable worker for which the list is read often, and whether one of them is newer
-// than the list.
+// needsList reports whether there is an unreachable worker for which the list is read often, and whether it is needed at once: one
+// of them is newer than the list, or needs a second one.
 func (l *incarnations) needsList(now, requestedAt time.Time) (often, immediately bool) {
 	for _, known := range l.byWorker {
 		if known.unreachableSince.IsZero() || now.Sub(known.unreachableSince) > proofTime {
 			continue
 		}
 		often = true
-		immediately = immediately || !known.unreachableSince.Before(requestedAt)
+		immediately = immediately || !known.unreachableSince.Before(requestedAt) || (!known.listed && known.firstProof.Equal(requestedAt))
 	}
 	return often, immediately
 }
