--- a/internal/poolowner/ended_test.go
+++ b/internal/poolowner/ended_test.go
@@ -112,3 +112,18 @@
 		stop()
 	})
 }
+
+// Guards against two runs of a task: the end of an incarnation that the worker never had, as a forged entry names it, ended the
+// incarnation that runs.
+func TestEndOfALaterIncarnationEndsNoRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner, workers, stop := startCut(t)
+		time.Sleep(1500 * time.Millisecond)
+		r, ok := owner.Status(t.Context(), &pb.PoolStatusRequest{Sequence: 1, Ended: []*pb.WorkerIncarnation{{Id: "w1", Born: bornAt + 1}}})
+		assert.Assert(t, ok)
+		assert.Equal(t, r.GetWorkers()[0].GetTasks(), int64(1))
+		time.Sleep(settleTime)
+		assert.Assert(t, !workers.sawDuplicate())
+		stop()
+	})
+}
