scheduler: a list of hosts ends no worker that may still answer

What callers would see: a task that runs on two workers after a takeover, although the first worker can be reached.

Cause: for a worker that a new owner of the pool has not heard from yet, a proof by the list of hosts counted even while the first hold was under way. If the list was wrong, or the host came from a forged entry or roster, the takeover no longer waited for that worker.

--- a/scheduler/evidence_test.go
+++ b/scheduler/evidence_test.go
@@ -56,3 +56,18 @@
 		})
 	}
 }
+
+// Guards against two runs of a task: while a new owner waited for the first answer of a live worker, a wrong list of hosts ended that
+// wait. A list ends only workers that do not answer.
+func TestEndOfAWorkerThatHasNotFailedToAnswerIsIgnored(t *testing.T) {
+	b := newTestPool("w2")
+	capacity := scheduler.Resources{CPUMilli: 4000, MemoryMB: 4000}
+	b.pool.SetWorkers(b.now, []scheduler.Worker{{ID: "w1", Address: "w1", Born: 5, Capacity: capacity}, {ID: "w2", Address: "w2", Capacity: capacity}})
+	b.add("a", &pb.JobStep{Count: 1, CpuMilli: 1000, EstimateMs: 5000})
+	ended := []*pb.WorkerIncarnation{{Id: "w1", Born: 5}}
+	b.pool.EndIncarnations(b.now, ended)
+	assert.Equal(t, len(b.pool.Step(b.now).Orders), 0)
+	b.pool.MarkUnreachable("w1")
+	b.pool.EndIncarnations(b.now, ended)
+	assert.Equal(t, len(b.pool.Step(b.now).Orders), 1)
+}
