soak: a link can refuse connections for a time

The proxy could delay, silence, cut or reset single connections. Two harms, of both directions: Refuse resets the open connections at once and new ones once they are accepted; Close closes the listener, so that new ones get ECONNREFUSED, and opens it again.

The existing tests of the proxy follow the changed signature of Impair, their checks are as before.

--- a/standin/soak/naive_test.go
+++ b/standin/soak/naive_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -260,8 +261,9 @@
 	}
 }
 
-// TestProxyImpairments echoes a line over a link of which one direction is impaired.
-func TestProxyImpairments(t *testing.T) {
+// echoLink returns a proxy with a link to a server that echoes.
+func echoLink(t *testing.T, link Link) *Proxy {
+	t.Helper()
 	echo, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	var served sync.WaitGroup
@@ -273,7 +275,6 @@
 			})
 		}
 	})
-	link := Link{"a", "b"}
 	p := NewProxy()
 	assert.NilError(t, p.Listen(t.Context(), link, "127.0.0.1:0", echo.Addr().String()))
 	t.Cleanup(func() {
@@ -281,6 +282,13 @@
 		_ = echo.Close()
 		served.Wait()
 	})
+	return p
+}
+
+// TestProxyImpairments echoes a line over a link of which one direction is impaired.
+func TestProxyImpairments(t *testing.T) {
+	link := Link{"a", "b"}
+	p := echoLink(t, link)
 	for name, test := range map[string]struct {
 		impairment Impairment
 		got        int // bytes of the line that are echoed during the impairment
@@ -293,17 +301,17 @@
 		"reset":        {Impairment{Link: Link{"", "b"}, Direction: Backward, Harm: Reset}, 4, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", p.listeners[0].Addr().String())
+			c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", p.endpoints[0].address)
 			assert.NilError(t, err)
 			defer func() { _ = c.Close() }()
-			end := p.Impair(test.impairment)
+			end := p.Impair(t.Context(), test.impairment)
 			_, err = io.WriteString(c, "one line")
 			assert.NilError(t, err)
 			assert.NilError(t, c.SetReadDeadline(time.Now().Add(500*time.Millisecond)))
 			line := make([]byte, len("one line"))
 			got, _ := io.ReadFull(c, line)
 			assert.Assert(t, got == test.got || test.impairment.Harm == Reset && got < len(line), "%d bytes", got)
-			end()
+			assert.NilError(t, end())
 			assert.NilError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
 			_, _ = io.WriteString(c, "and more")
 			_, err = io.ReadFull(c, line)
@@ -312,6 +320,37 @@
 	}
 }
 
+// TestProxyRefusals checks what the client of a link sees of new and open connections while the link refuses them, and after.
+func TestProxyRefusals(t *testing.T) {
+	link := Link{"a", "b"}
+	p := echoLink(t, link)
+	dial := func() (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", p.endpoints[0].address)
+		if err == nil {
+			t.Cleanup(func() { _ = c.Close() })
+			_, _ = io.WriteString(c, "a") // the read shows its failure
+			_, err = io.ReadFull(c, make([]byte, 1))
+		}
+		return c, err
+	}
+	for harm, want := range map[Harm]error{Refuse: syscall.ECONNRESET, Close: syscall.ECONNREFUSED} {
+		open, err := dial()
+		assert.NilError(t, err)
+		end := p.Impair(t.Context(), Impairment{Link: Link{"", "b"}, Harm: harm})
+		endSecond := p.Impair(t.Context(), Impairment{Link: link, Harm: harm})
+		_, err = io.ReadFull(open, make([]byte, 1))
+		assert.ErrorIs(t, err, syscall.ECONNRESET)
+		_, err = dial()
+		assert.ErrorIs(t, err, want)
+		assert.NilError(t, end())
+		_, err = dial()
+		assert.ErrorIs(t, err, want, "one of two impairments ended")
+		assert.NilError(t, endSecond())
+		_, err = dial()
+		assert.NilError(t, err)
+	}
+}
+
 // TestBreaksAfterReadRequests closes connections before and after a request was read and answered.
 func TestBreaksAfterReadRequests(t *testing.T) {
 	for name, test := range map[string]struct {
@@ -330,7 +369,7 @@
 			p := NewProxy()
 			defer p.Close()
 			assert.NilError(t, p.Listen(t.Context(), Link{callersName, "entry-1"}, "127.0.0.1:0", target.Addr().String()))
-			c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", p.listeners[0].Addr().String())
+			c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", p.endpoints[0].address)
 			assert.NilError(t, err)
 			defer func() { _ = c.Close() }()
 			called, err := target.Accept()
--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +41,10 @@
 	Cut Harm = "cut"
 	// Reset resets each connection after half of the next chunk.
 	Reset Harm = "reset"
+	// Refuse resets all connections of the link, and new ones once they are accepted. Close closes the listener instead, so that
+	// new connections are refused. Both affect both directions.
+	Refuse Harm = "refusal"
+	Close  Harm = "closed listener"
 )
 
 // Link names a client and its server; an empty From matches all clients.
@@ -68,7 +73,7 @@
 	running sync.WaitGroup
 
 	mu          sync.Mutex
-	listeners   []net.Listener
+	endpoints   []*endpoint
 	pairs       map[*pair]bool
 	impairments map[*Impairment]bool
 	changed     chan struct{}
@@ -76,6 +81,13 @@
 	breaks      []Break
 }
 
+// endpoint is an address at which a link is offered. Its listener is nil while that is closed.
+type endpoint struct {
+	link            Link
+	address, target string
+	listener        net.Listener
+}
+
 // pair is a client connection and the server connection to which it is forwarded.
 type pair struct {
 	link           Link
@@ -92,32 +104,75 @@
 
 // Listen forwards connections to an address to a target, as the given link.
 func (p *Proxy) Listen(ctx context.Context, link Link, address, target string) error {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := &endpoint{link: link, address: address, target: target}
+	p.endpoints = append(p.endpoints, e)
+	return p.openLocked(ctx, e)
+}
+
+func (p *Proxy) openLocked(ctx context.Context, e *endpoint) error {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", e.address)
 	if err != nil {
-		return fmt.Errorf("listen on %s: %w", address, err)
+		return fmt.Errorf("listen on %s: %w", e.address, err)
 	}
-	p.mu.Lock()
-	p.listeners = append(p.listeners, l)
-	p.mu.Unlock()
+	e.address, e.listener = l.Addr().String(), l
 	p.running.Go(func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			p.running.Go(func() { p.serve(ctx, link, c.(*net.TCPConn), target) }) //nolint:forcetypeassert // the network is tcp
+			p.running.Go(func() { p.serve(ctx, e.link, c.(*net.TCPConn), e.target) }) //nolint:forcetypeassert // the network is tcp
 		}
 	})
 	return nil
 }
 
+// updateListenersLocked closes and opens the listeners as the impairments require.
+func (p *Proxy) updateListenersLocked(ctx context.Context) error {
+	var failed []error
+	for _, e := range p.endpoints {
+		closed := p.harmedLocked(e.link, Close)
+		switch {
+		case closed && e.listener != nil:
+			_ = e.listener.Close() // Accept returns the error
+			e.listener = nil
+		case !closed && e.listener == nil && !p.closed:
+			failed = append(failed, p.openLocked(ctx, e))
+		}
+	}
+	return errors.Join(failed...)
+}
+
+// harmedLocked reports whether a link has one of the harms in any direction.
+func (p *Proxy) harmedLocked(link Link, harms ...Harm) bool {
+	for i := range p.impairments {
+		if i.Link.matches(link) && slices.Contains(harms, i.Harm) {
+			return true
+		}
+	}
+	return false
+}
+
+// matches reports whether an impairment of the link affects another link.
+func (l Link) matches(other Link) bool {
+	return l.To == other.To && (l.From == "" || l.From == other.From)
+}
+
 // Impair applies an impairment until the returned function is called.
-func (p *Proxy) Impair(i Impairment) (end func()) {
+func (p *Proxy) Impair(ctx context.Context, i Impairment) (end func() error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.impairments[&i] = true
+	_ = p.updateListenersLocked(ctx) // an impairment opens none
+	for pair := range p.pairs {
+		if p.harmedLocked(pair.link, Refuse, Close) {
+			pair.reset()
+		}
+	}
 	p.notifyLocked()
-	return func() {
+	return func() error {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		delete(p.impairments, &i)
@@ -127,6 +182,7 @@
 			}
 		}
 		p.notifyLocked()
+		return p.updateListenersLocked(ctx)
 	}
 }
 
@@ -139,8 +195,10 @@
 func (p *Proxy) Close() {
 	p.mu.Lock()
 	p.closed = true
-	for _, l := range p.listeners {
-		_ = l.Close() // Accept returns the error
+	for _, e := range p.endpoints {
+		if e.listener != nil {
+			_ = e.listener.Close() // Accept returns the error
+		}
 	}
 	for pair := range p.pairs {
 		pair.reset()
@@ -151,7 +209,7 @@
 }
 
 func (p *Proxy) serve(ctx context.Context, link Link, client *net.TCPConn, target string) {
-	server, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", target)
+	server, err := p.dial(ctx, link, target)
 	if err != nil {
 		_ = client.SetLinger(0) // a refused connection of the server becomes a reset for the client
 		_ = client.Close()
@@ -160,9 +218,9 @@
 	conn := &pair{link: link, client: client, server: server.(*net.TCPConn)} //nolint:forcetypeassert // the network is tcp
 	p.mu.Lock()
 	p.pairs[conn] = true
-	closed := p.closed
+	reset := p.closed || p.harmedLocked(link, Refuse, Close)
 	p.mu.Unlock()
-	if closed {
+	if reset {
 		conn.reset()
 	}
 	var both sync.WaitGroup
@@ -176,6 +234,18 @@
 	_ = server.Close()
 }
 
+var errRefused = errors.New("the link refuses connections")
+
+func (p *Proxy) dial(ctx context.Context, link Link, target string) (net.Conn, error) {
+	p.mu.Lock()
+	refused := p.harmedLocked(link, Refuse, Close)
+	p.mu.Unlock()
+	if refused {
+		return nil, errRefused
+	}
+	return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", target)
+}
+
 // reset resets both connections.
 func (conn *pair) reset() {
 	for _, c := range []*net.TCPConn{conn.client, conn.server} {
@@ -258,7 +328,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := range p.impairments {
-		if i.Direction == direction && i.Link.To == conn.link.To && (i.Link.From == "" || i.Link.From == conn.link.From) {
+		if i.Direction == direction && i.Link.matches(conn.link) {
 			conn.dataLost = conn.dataLost || i.Harm == Cut
 			return *i, p.changed, p.closed
 		}
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -206,9 +206,9 @@
 	case Start:
 		err = r.restart(ctx, r.hosts[s.Host-1])
 	case Impair:
-		end := r.proxy.Impair(s.Impairment)
+		end := r.proxy.Impair(ctx, s.Impairment)
 		_ = wait.For(ctx, s.For) // ended in any case
-		end()
+		err = end()
 	default:
 		var end func()
 		if end, err = r.harness.inject(ctx, s); err == nil && end != nil {
