soak: series of cuts of links, as a mode of its own

The mode cuts serves jobs while series of cuts run: of workers from all entry hosts or from one, of entry hosts from one another one way or both, of a host from the store; by refused connections, resets, silence and lost data, of 1.5 to 4.5 s. They overlap with the signals, restarts, revoked leases, lost answers, late orders, deaf watches, crashes and changes of the configuration of the jobs mode. The plans of the other modes do not change.

--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -7,15 +7,18 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // Mode is the kind of work that the entry hosts serve.
 type Mode string
 
-// The modes of entry hosts.
+// The modes of entry hosts. Cuts serves jobs while series of links are cut or refuse connections.
 const (
 	Jobs     Mode = "jobs"
 	Requests Mode = "requests"
+	Cuts     Mode = "cuts"
 )
 
 // Sizes limit the random choices of a plan.
@@ -87,6 +90,8 @@
 	loadAfterBound = 5 * time.Second
 	seriesGapMs    = 1200
 	storeAddress   = "store"
+	// cutsWeight is how often each kind of cut of workers is among the kinds of Cuts.
+	cutsWeight = 5
 )
 
 // planner builds a plan from random numbers.
@@ -107,7 +112,7 @@
 		d.Pools = append(d.Pools, max(3, workers/pools))
 	}
 	d.Pools = append(d.Pools, 1+d.random.IntN(2))
-	d.Rate = map[Mode]float64{Jobs: 3 + 2*d.random.Float64(), Requests: 40 + 40*d.random.Float64()}[mode]
+	d.Rate = map[Mode]float64{Jobs: 3 + 2*d.random.Float64(), Requests: 40 + 40*d.random.Float64()}[lo.Ternary(mode == Cuts, Jobs, mode)]
 	d.WaveCap = 1 + d.random.IntN(2)
 	end := firstFault + sizes.Faults
 	d.Load = end + recoveryBound + loadAfterBound
@@ -157,10 +162,18 @@
 		{"store", d.store},
 		{"operator", d.configure},
 	}
-	if d.Mode == Jobs {
-		all = append(all, kind{"answers and workers", d.platformFault})
-	} else {
+	switch d.Mode {
+	case Requests:
 		all = append(all, kind{"move", d.move}, kind{"move", d.move}, kind{"wave", d.startWave})
+	case Cuts:
+		all = slices.DeleteFunc(all, func(k kind) bool { return k.name == "link" || k.name == "all ended" })
+		for range cutsWeight {
+			all = append(all, kind{"all to workers", d.cutWorkers}, kind{"host to workers", d.cutHostFromWorkers})
+		}
+		all = append(all, kind{"host to host", d.cutHosts}, kind{"host to host", d.cutHosts}, kind{"host to store", d.cutStore})
+		fallthrough
+	default:
+		all = append(all, kind{"answers and workers", d.platformFault})
 	}
 	return all
 }
@@ -235,6 +248,41 @@
 	d.add(0, Step{Action: Impair, For: d.ms(500, 5000), Impairment: i})
 }
 
+// cut adds a series of one to three cuts of all the links at once.
+func (d *planner) cut(links ...Link) {
+	harms := []Harm{Refuse, Refuse, Refuse, Close, Close, Reset, Stall, Cut}
+	for n := 1 + d.random.IntN(3); n > 0; n-- {
+		i := Impairment{Harm: harms[d.random.IntN(len(harms))], Direction: Direction(d.random.IntN(2))}
+		lasts := d.ms(1500, 4500)
+		for _, i.Link = range links {
+			d.add(0, Step{Action: Impair, For: lasts, Impairment: i})
+		}
+		d.at += lasts + d.ms(100, 1500)
+	}
+}
+
+// cutWorkers cuts up to half of the workers from all entry hosts, or from one.
+func (d *planner) cutWorkers() { d.cut(d.linksToWorkers("")...) }
+
+func (d *planner) cutHostFromWorkers() { d.cut(d.linksToWorkers(fmt.Sprintf("entry-%d", d.host()))...) }
+
+func (d *planner) linksToWorkers(from string) (links []Link) {
+	for range 1 + d.random.IntN(lo.Sum(d.Pools)/2) {
+		links = append(links, Link{from, d.worker()})
+	}
+	return lo.Uniq(links)
+}
+
+// cutHosts cuts two entry hosts from one another, one way or both.
+func (d *planner) cutHosts() {
+	from := d.host()
+	to := 1 + (from+d.random.IntN(d.Hosts-1))%d.Hosts
+	a, b := fmt.Sprintf("entry-%d", from), fmt.Sprintf("entry-%d", to)
+	d.cut([]Link{{a, b}, {b, a}}[:1+d.random.IntN(2)]...)
+}
+
+func (d *planner) cutStore() { d.cut(Link{fmt.Sprintf("entry-%d", d.host()), storeAddress}) }
+
 func (d *planner) worker() string {
 	n := 0
 	for _, machines := range d.Pools {
@@ -248,7 +296,7 @@
 	if d.Mode == Requests {
 		faults = []string{"slow", "down", "lose-answers", "lose-requests"}
 	}
-	if d.Mode == Jobs && d.random.IntN(4) == 0 {
+	if d.Mode != Requests && d.random.IntN(4) == 0 {
 		d.add(0, Step{Action: []Action{Compact, Revoke}[d.random.IntN(2)]})
 		return
 	}
@@ -293,6 +341,9 @@
 	switch {
 	case s.Action == Impair:
 		direction := []string{"requests", "answers"}[s.Impairment.Direction]
+		if slices.Contains([]Harm{Refuse, Close}, s.Impairment.Harm) {
+			direction = "connections"
+		}
 		return fmt.Sprintf("%s of %s of link %q to %s for %v", s.Impairment.Harm, direction, s.Impairment.Link.From, s.Impairment.Link.To, s.For)
 	case s.Host > 0:
 		return strings.TrimSpace(fmt.Sprintf("%s entry-%d %s", s.Action, s.Host, s.Detail))
