jobplatform: judge starts after a success that is acknowledged later

The stand-in judged a start against the successes acknowledged by then.

Cuts make such ends common, short faults did not.

Clocks of workers are 0, 1 or 2% slow.

--- a/standin/jobplatform/jobplatform_test.go
+++ b/standin/jobplatform/jobplatform_test.go
@@ -116,6 +116,12 @@
 	}{
 		"concurrent runs": {func(n *unsafeOwner) { n.start(0, 0, 0, 1); n.start(1, 0, 0, 2) }, "runs twice at once"},
 		"after success":   {func(n *unsafeOwner) { n.start(0, 0, 0, 1); n.acknowledge(0); n.start(1, 0, 0, 2) }, "after its success was acknowledged"},
+		"after success, acknowledged later": {func(n *unsafeOwner) {
+			n.start(0, 0, 0, 1)
+			time.Sleep(100 * time.Millisecond)
+			n.start(1, 0, 0, 2)
+			n.acknowledge(0)
+		}, "started after its success, which was acknowledged later"},
 		"succeeded twice": {func(n *unsafeOwner) {
 			n.start(0, 0, 0, 1)
 			time.Sleep(100 * time.Millisecond)
@@ -172,6 +178,24 @@
 	}
 }
 
+// TestLapsedSuccessDoesNotCount starts a task again after its success, which is acknowledged once the worker's lease has lapsed.
+func TestLapsedSuccessDoesNotCount(t *testing.T) {
+	n := newUnsafeOwner(t)
+	w := n.ids[0]
+	report, err := n.workers.Hold(t.Context(), platform.HoldRequest{Address: w.Address, Worker: w.ID, Fence: 1})
+	assert.NilError(t, err)
+	assert.Equal(t, n.workers.Start(t.Context(), scheduler.Order{
+		Worker: w.ID, Address: w.Address, Task: scheduler.TaskID{Job: job}, Run: 1, Payload: "p", Until: report.Clock + 1000,
+	}, 1).Outcome, scheduler.OutcomeDone)
+	time.Sleep(1200 * time.Millisecond)
+	n.start(1, 0, 0, 2)
+	n.acknowledge(0)
+	n.acknowledge(1)
+	totals, violations := n.p.History().Verdict()
+	assert.Equal(t, totals.Done, 2)
+	assert.Equal(t, len(violations), 0, "%q", violations)
+}
+
 // TestGangsAndCheckpoints runs an incomplete gang, then a complete one, which is stopped and resumed from its checkpoint.
 func TestGangsAndCheckpoints(t *testing.T) {
 	n := newUnsafeOwner(t)
--- a/standin/jobplatform/machine.go
+++ b/standin/jobplatform/machine.go
@@ -21,6 +21,8 @@
 	restartTime = 2 * time.Second
 	// clockOffsetMs is the difference between the clocks of consecutive machines, in milliseconds.
 	clockOffsetMs = 100_000
+	// The clocks of consecutive machines are slow by 0 to clockLags-1 hundredths, as the contract allows.
+	clockLags = 3
 )
 
 // machine runs one worker at a time, or none while it is out of service or in a spare pool.
@@ -55,7 +57,8 @@
 	m.current = &worker{
 		id: fmt.Sprintf("%s-%d", m.id, m.incarnations), pool: m.pool, capacity: m.capacity, enforces: pool.EnforcesCapacity,
 		history: m.history, born: time.Now(), clockBase: int64(m.number) * clockOffsetMs,
-		highest: make(map[taskID]int64), changed: make(chan struct{}),
+		clockLag: int64(m.number%clockLags) * thousandths / percent,
+		highest:  make(map[taskID]int64), changed: make(chan struct{}),
 	}
 }
 
--- a/standin/jobplatform/orders.go
+++ b/standin/jobplatform/orders.go
@@ -116,6 +116,7 @@
 	if w.fencedLocked(h.Fence) {
 		return false
 	}
+	w.expireLocked()
 	w.acknowledgeLocked(h.LastSeen)
 	w.extendLocked(h.UntilMs)
 	return true
--- a/standin/jobplatform/starts.go
+++ b/standin/jobplatform/starts.go
@@ -88,14 +88,22 @@
 }
 
 // successAcknowledged records that an owner acknowledged a successful end. A second one means that the task succeeded twice.
-func (h *History) successAcknowledged(t taskID) {
+// An end after which the worker's lease lapsed does not count, because the owner may have given the run up by then.
+func (h *History) successAcknowledged(t taskID, endedAt time.Time, lapsed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	task := h.jobs[t.job].tasks[t]
+	if lapsed {
+		h.logLocked("job %s: the success of %v is acknowledged after its worker's lease lapsed", t.job, t)
+		return
+	}
 	h.logLocked("job %s: the success of %v is acknowledged", t.job, t)
 	if task.acknowledged {
 		h.reportViolationLocked("%v succeeded twice", t)
 	}
+	if task.startedAt.After(endedAt) {
+		h.reportViolationLocked("%v started after its success, which was acknowledged later", t)
+	}
 	task.acknowledged = true
 }
 
