--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -312,6 +312,8 @@
 			continue
 		case Cut:
 			return true
+		case Refuse, Close:
+			return false
 		case Reset:
 			_, _ = to.Write(data[:len(data)/2]) // the reset discards the rest
 			return false
