soak: cuts of workers mostly refuse connections

Of the harms, only a closed listener gives the ECONNREFUSED that took for the end of a worker: a connection that is reset once accepted does not.

--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -91,7 +91,7 @@
 	seriesGapMs    = 1200
 	storeAddress   = "store"
 	// cutsWeight is how often each kind of cut of workers is among the kinds of Cuts.
-	cutsWeight = 5
+	cutsWeight = 4
 )
 
 // planner builds a plan from random numbers.
@@ -168,7 +168,7 @@
 	case Cuts:
 		all = slices.DeleteFunc(all, func(k kind) bool { return k.name == "link" || k.name == "all ended" })
 		for range cutsWeight {
-			all = append(all, kind{"all to workers", d.cutWorkers}, kind{"host to workers", d.cutHostFromWorkers})
+			all = append(all, kind{"all to workers", d.cutWorkers}, kind{"all to workers", d.cutWorkers}, kind{"host to workers", d.cutHostFromWorkers})
 		}
 		all = append(all, kind{"host to host", d.cutHosts}, kind{"host to host", d.cutHosts}, kind{"host to store", d.cutStore})
 		fallthrough
@@ -250,7 +250,7 @@
 
 // cut adds a series of one to three cuts of all the links at once.
 func (d *planner) cut(links ...Link) {
-	harms := []Harm{Refuse, Refuse, Refuse, Close, Close, Reset, Stall, Cut}
+	harms := []Harm{Close, Close, Close, Close, Refuse, Refuse, Reset, Stall, Cut}
 	for n := 1 + d.random.IntN(3); n > 0; n-- {
 		i := Impairment{Harm: harms[d.random.IntN(len(harms))], Direction: Direction(d.random.IntN(2))}
 		lasts := d.ms(1500, 4500)
