poolowner: a takeover waits for a recorded worker that is listed with another address

What callers would see: a task that runs on two workers. If the registry lists a worker with another address than the roster (an odd entry over a live worker's key, or a worker that has moved), the next owner's first list to the scheduler lacked the worker until the new address was recorded. The takeover then waited for the others only, ended before that write if the store was slower than they, and the tasks of that worker started elsewhere although its lease ran on.

Cause: "recorded" was decided by id and address together, also where the id alone tells that a previous owner may have started something.

Change: until the listed address is recorded, the worker is passed to the scheduler as it is recorded, without being used, so that it is waited for and asked at the address from which it may answer. It stays so if the answer to that write is lost.

--- a/internal/poolowner/roster.go
+++ b/internal/poolowner/roster.go
@@ -127,14 +127,14 @@
 	return !r.uncertain && len(r.unrecorded()) == 0 && len(r.durable) == len(r.listed)
 }
 
-// update publishes the occupied workers and the listed ones that are recorded, and the others once they are recorded.
+// update publishes the occupied workers and the listed ones as far as they are recorded, and all as listed once they are recorded.
 func (r *roster) update(ctx context.Context) {
 	occupied, ok := r.occupied(ctx)
 	if !ok {
 		return
 	}
 	all := slices.Concat(r.listed, occupied)
-	r.publish(ctx, lo.Filter(all, func(w scheduler.Worker, _ int) bool { return r.isRecorded(w) }))
+	r.publish(ctx, r.recorded(all))
 	hasNew := len(r.unrecorded()) > 0
 	if !hasNew && !r.uncertain && len(all) == len(r.durable) && r.seals.inSync() {
 		return
@@ -161,7 +161,7 @@
 		r.owner.handleReplaced(ctx, "the store")
 	case !store.Unavailable.Has(err):
 		// The write may have taken effect or not: only workers in both the old and the new record are certainly recorded.
-		r.durable, r.uncertain = lo.Filter(all, func(w scheduler.Worker, _ int) bool { return r.isRecorded(w) }), true
+		r.durable, r.uncertain = r.recorded(all), true
 	default:
 		r.seals.notRecorded()
 	}
@@ -196,6 +196,20 @@
 	return lo.Reject(r.listed, func(w scheduler.Worker, _ int) bool { return r.isRecorded(w) })
 }
 
+// recorded returns those of the workers that are certainly recorded. One that is recorded with another address is returned as
+// recorded, and marked as unlisted: it may run a task there.
+func (r *roster) recorded(all []scheduler.Worker) []scheduler.Worker {
+	durable := lo.KeyBy(r.durable, func(w scheduler.Worker) string { return w.ID })
+	return lo.FilterMap(all, func(w scheduler.Worker, _ int) (scheduler.Worker, bool) {
+		d, ok := durable[w.ID]
+		if ok && d.Address != w.Address {
+			d.Unlisted = true
+			return d, true
+		}
+		return w, ok
+	})
+}
+
 func (r *roster) isRecorded(w scheduler.Worker) bool {
 	return lo.ContainsBy(r.durable, func(d scheduler.Worker) bool { return d.ID == w.ID && d.Address == w.Address })
 }
