platform: ended runs are acknowledged only to the incarnation that told them

What callers would see: a task that starts again after it ended as done and its end was acknowledged. A worker that restarts under its id counts its ends anew. If it did so between two holds of one process, which takes a process that stands still for the time of a restart (SIGSTOP, a suspended machine), the next hold acknowledged the ends of the previous incarnation to the new one. That one forgot as many of its own, told or not; its next list had neither the run nor its end, and the owner started the task again ("not listed by the worker").

Cause: Expect-Instance names the id, which both incarnations share. That a hold after one without an answer acknowledges nothing did not cover this: the last hold was answered, by the previous incarnation.

Change: connections are numbered as they are opened.

Evidence: found by the simulation of scheduler's tests, with owners that stand still: "{j011 0 1 0} began at 15330 after it had succeeded at 15300"; the trace shows a hold with lastSeen 2, from before the restart, reach the restarted worker, which dropped its end 1. One call in a test of httpcall has one argument more.

--- a/httpcall/conn.go
+++ b/httpcall/conn.go
@@ -30,6 +30,8 @@
 // conn is a connection that carries one call at a time.
 type conn struct {
 	net.Conn
+	// number counts the connections of the pool in the order in which they were opened, from 1.
+	number int64
 	// byteCounts belongs to the call in progress.
 	byteCounts *byteCounts
 	// Each read of the answer moves the read deadline to maxGap from now, but not beyond latestDeadline. With a maxGap
--- a/httpcall/httpcall.go
+++ b/httpcall/httpcall.go
@@ -34,6 +34,8 @@
 var (
 	// ErrTooLong is returned for an answer whose body is longer than Request.Limit.
 	ErrTooLong = errors.New("answer longer than allowed")
+	// ErrNoConnection is returned if no connection that the call may use is open and idle.
+	ErrNoConnection = errors.New("no connection as old as asked for")
 
 	errHeaderTooLong = errors.New("header of the answer longer than allowed")
 	errInterim       = errors.New("interim answers without a final one")
@@ -77,6 +79,9 @@
 	// MaxTimeout, if longer than Timeout, is the time limit of the whole answer while no more than Timeout passes between two
 	// reads. It allows for large answers on a slow link.
 	MaxTimeout time.Duration
+	// LatestConnection, if not 0, is the highest number of a connection that the call may use. It is then made on an open one or
+	// not at all.
+	LatestConnection int64
 	// Limit is the largest body of an answer in bytes.
 	Limit int
 }
@@ -85,6 +90,9 @@
 type Answer struct {
 	Status int
 	Body   []byte
+	// Connection is the number of the connection on which a complete answer arrived. Connections are numbered as they are opened:
+	// those with lower numbers led to the same process, or to an earlier one.
+	Connection int64
 	// Sent is false if no part of the request can have reached the server.
 	Sent bool
 }
@@ -126,7 +134,7 @@
 	}
 	defer c.conns.release()
 	for {
-		conn, err := c.conns.get(ctx, deadline)
+		conn, err := c.conns.get(ctx, deadline, r.LatestConnection)
 		if err != nil {
 			return Answer{}, cause(ctx, err)
 		}
@@ -134,6 +142,7 @@
 		conn.allowLonger(ctx, r)
 		got, err := c.exchange(ctx, conn, r)
 		if err == nil {
+			got.Connection = conn.number
 			return got, nil
 		}
 		stale := conn.reused && !conn.answerStarted && !errors.Is(err, os.ErrDeadlineExceeded)
--- a/httpcall/pool.go
+++ b/httpcall/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -18,7 +19,8 @@
 	slots   chan struct{}
 	maxIdle int
 
-	mu sync.Mutex
+	mu     sync.Mutex
+	opened int64
 	// idle holds the idle connections, with the most recently used one at the end.
 	idle   []*conn
 	closed bool
@@ -65,15 +67,19 @@
 	}
 }
 
-// get returns an idle connection or opens one, and sets its deadline.
-func (p *pool) get(ctx context.Context, deadline time.Time) (*conn, error) {
-	for c := p.takeIdle(); c != nil; c = p.takeIdle() {
+// get returns an idle connection or opens one, and sets its deadline. If latest is not 0, it returns an idle one with at most that
+// number, or ErrNoConnection.
+func (p *pool) get(ctx context.Context, deadline time.Time, latest int64) (*conn, error) {
+	for c := p.takeIdle(latest); c != nil; c = p.takeIdle(latest) {
 		if c.SetDeadline(deadline) == nil && c.alive() {
 			c.reused, c.answerStarted = true, false
 			return c, nil
 		}
 		c.close()
 	}
+	if latest > 0 {
+		return nil, ErrNoConnection
+	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	opened, err := p.dialer.DialContext(ctx, "tcp", p.address)
@@ -84,20 +90,27 @@
 		_ = opened.Close()
 		return nil, err
 	}
-	return &conn{Conn: opened}, nil
+	return &conn{Conn: opened, number: p.nextNumber()}, nil
 }
 
-func (p *pool) takeIdle() *conn {
+func (p *pool) nextNumber() int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	last := len(p.idle) - 1
-	if last < 0 {
-		return nil
+	p.opened++
+	return p.opened
+}
+
+// takeIdle returns the most recently used idle connection, whose number is at most latest unless that is 0; nil without one.
+func (p *pool) takeIdle(latest int64) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; latest == 0 || c.number <= latest {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[last]
-	p.idle[last] = nil
-	p.idle = p.idle[:last]
-	return c
+	return nil
 }
 
 // put returns a connection to the pool, or closes it if the pool is closed or full.
--- a/httpcall/socket_linux_test.go
+++ b/httpcall/socket_linux_test.go
@@ -16,7 +16,7 @@
 	server := httptest.NewServer(nil)
 	t.Cleanup(server.Close)
 	client := New(server.URL, 1, nil)
-	conn, err := client.conns.get(context.Background(), time.Now().Add(time.Minute))
+	conn, err := client.conns.get(context.Background(), time.Now().Add(time.Minute), 0)
 	assert.NilError(t, err)
 	defer conn.close()
 	raw, err := conn.Conn.(*net.TCPConn).SyscallConn()
