fleetowner: a host that is down does not prove the end of its worker

What callers would see: a task that runs on two workers, if the platform calls a host down that it cannot reach, while the host runs on.

Cause: the platform does not define the state. An order for a move or an upkeep ends everything on the host, and another worker there is another life, so those rows are proofs; down tells about reachability only.

Change: down proves nothing, and a row that names the worker there speaks against its end. The runs on such a host wait for their lease.

Evidence: three cases of TestWhichRowsProveTheEndOfAWorker and TestForgedHostDoesNotProveTheEndOfAWorker failed before and pass. The table's case "down" expected a proof; it now expects none, and the other cases that had down as an example of a proof have moving or upkeep.

--- a/internal/fleetowner/incarnations.go
+++ b/internal/fleetowner/incarnations.go
@@ -26,16 +26,17 @@
 	index := hostIndex{requestedAt: requestedAt, rows: make(map[string][]upkeep.Host, len(list)), hostOf: make(map[string]string, len(list))}
 	for _, row := range list {
 		index.rows[row.ID] = append(index.rows[row.ID], row)
-		if row.Worker != "" && (row.State == upkeep.Up || row.State == upkeep.StateUnknown) {
+		if row.Worker != "" && row.State != upkeep.Moving && row.State != upkeep.Upkeep {
 			index.hostOf[row.Worker] = row.ID
 		}
 	}
 	return index
 }
 
-// provesEnd reports whether the list proves that a worker of the pool has ended: its host is not up, or has another worker or
-// pool, and no host has the worker. Pages of a list are no snapshot, so a host without rows proves nothing, and one with several
-// rows only what all of them do.
+// provesEnd reports whether the list proves that a worker of the pool has ended: its host is moving, in upkeep, or has another
+// worker or pool, and no host has the worker. Nothing outlives the order for a move or an upkeep. Down may mean that the platform
+// does not reach the host, and proves nothing. Pages of a list are no snapshot, so a host without rows proves nothing, and one with
+// several rows only what all of them do.
 func (x *hostIndex) provesEnd(host, pool, worker string) bool {
 	if _, listed := x.hostOf[worker]; listed {
 		return false
@@ -43,12 +44,12 @@
 	rows := x.rows[host]
 	for _, row := range rows {
 		switch row.State {
-		case upkeep.Moving, upkeep.Upkeep, upkeep.Down:
+		case upkeep.Moving, upkeep.Upkeep:
 		case upkeep.Up:
 			if row.Worker == "" && row.Pool == pool {
 				return false
 			}
-		case upkeep.StateUnknown:
+		case upkeep.Down, upkeep.StateUnknown:
 			return false
 		}
 	}
