fleetowner: log each end that a list of hosts proves, with its row

A log told that a worker counted as ended because of the list of hosts, and not by which row of which list, so that a false end could not be traced.

The event worker_end_proved (974) tells worker, start, pool, host, whether a list had shown the worker there, the row's state, worker and pool, how long before the list the incarnation was named, and the list's age. One line for each incarnation that a pool's owner names.

Evidence: TestListsBeforeAnIncarnationDoNotProveItsEnd checks that a proof is told once; the tests of events pass.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -339,6 +339,8 @@
 		Remedy: "see which jobs of the queue fail with task_given_up, and tell their callers",
 	}
 	QueueContainmentEnded = Event{Number: 973, Name: "queue_containment_ended", Level: slog.LevelInfo, Message: "tasks of the queue crash workers no longer; they start on all workers"}
+	// WorkerEndProved names the host and its row. host_listed means that a list has shown the worker there.
+	WorkerEndProved = Event{Number: 974, Name: "worker_end_proved", Level: slog.LevelInfo, Message: "list of hosts proves that a worker has ended; the owner of its pool is told"}
 
 	SchedulerNote = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
 )
@@ -368,7 +370,7 @@
 	MemberNotStored, RecordSkipped, FleetRecordWaits, MachinesUnread, MachinesRead, TasksPreempted, PoolTakenOver,
 	RegistryUnwatched, RegistryWatched, CarriersChanged, CarrierFailed, WorkerCrashed, TaskCharged, TaskGivenUp,
 	KeysUnconfirmed, KeysConfirmed, WorkspaceBeyondWeight, WorkspaceWithinWeight, WorkspaceLimitRaised, WorkspaceLimitLowered,
-	QueueContained, QueueContainmentEnded,
+	QueueContained, QueueContainmentEnded, WorkerEndProved,
 }
 
 // retired lists the numbers of removed events, which are never reused.
--- a/internal/fleetowner/incarnations.go
+++ b/internal/fleetowner/incarnations.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"context"
+	"log/slog"
 	"slices"
 	"time"
 
+	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/upkeep"
 )
@@ -77,6 +80,8 @@
 	unreachableSince time.Time
 	// firstProof is when the first of the latest lists that prove the end was requested; zero if the latest one does not.
 	firstProof time.Time
+	// logged means that the proof of the end has been logged.
+	logged bool
 }
 
 // observe updates the incarnations from a status of the pool's owner that has just arrived.
@@ -139,6 +144,20 @@
 	return out
 }
 
+// unlogged returns the workers among ended whose proof has not been logged, and counts it as logged.
+func (l *incarnations) unlogged(ended []*pb.WorkerIncarnation) []string {
+	var out []string
+	for _, e := range ended {
+		known := l.byWorker[e.GetId()]
+		if !known.logged {
+			out = append(out, e.GetId())
+		}
+		known.logged = true
+		l.byWorker[e.GetId()] = known
+	}
+	return out
+}
+
 // needsList reports whether there is an unreachable worker for which the list is read often, and whether it is needed at once: one
 // of them is newer than the list, or needs a second one.
 func (l *incarnations) needsList(now, requestedAt time.Time) (often, immediately bool) {
@@ -154,10 +173,12 @@
 
 // updateIncarnations passes the incarnations that have ended to the owners of their pools, and requests the list of hosts if it
 // may prove the end of a worker that does not answer.
-func (t *term) updateIncarnations(now time.Time) {
+func (t *term) updateIncarnations(ctx context.Context, now time.Time) {
 	often, immediately := false, false
 	for _, p := range t.pools {
-		p.setEnded(p.incarnations.ended(p.Name, &t.index))
+		ended := p.incarnations.ended(p.Name, &t.index)
+		p.setEnded(ended)
+		t.logEnds(ctx, now, p, ended)
 		poolOften, poolImmediately := p.incarnations.needsList(now, t.index.requestedAt)
 		often, immediately = often || poolOften, immediately || poolImmediately
 	}
@@ -167,6 +188,19 @@
 	}
 }
 
+// logEnds logs, once for each incarnation, that its end is proved, with the row that proves it.
+func (t *term) logEnds(ctx context.Context, now time.Time, p *poller, ended []*pb.WorkerIncarnation) {
+	for _, worker := range p.incarnations.unlogged(ended) {
+		known := p.incarnations.byWorker[worker]
+		row := t.index.rows[known.host][0]
+		events.Log(ctx, t.Logger, events.WorkerEndProved, slog.String("worker", worker), slog.Int64("born", known.born),
+			slog.String("pool", p.Name), slog.String("host", known.host), slog.Bool("host_listed", known.listed),
+			slog.String("state", row.State.String()), slog.String("host_worker", row.Worker), slog.String("host_pool", row.Pool),
+			slog.Int64("named_ms_before_list", t.listedAt.Sub(known.namedAt).Milliseconds()),
+			slog.Int64("list_age_ms", now.Sub(t.listedAt).Milliseconds()), slog.Uint64("fence", t.fence))
+	}
+}
+
 // requestList makes the list be read at once, unless it is being read.
 func (t *term) requestList() {
 	select {
--- a/internal/fleetowner/incarnations_test.go
+++ b/internal/fleetowner/incarnations_test.go
@@ -48,7 +48,10 @@
 	up := newHostIndex(start.Add(-time.Second), []upkeep.Host{{ID: "h", State: upkeep.Up, Pool: "p", Worker: "w"}})
 	var l incarnations
 	l.observe(start, []*pb.WorkerLoad{load}, &up)
-	assert.Equal(t, len(l.ended("p", &away)), 1)
+	ended := l.ended("p", &away)
+	assert.Equal(t, len(ended), 1)
+	assert.DeepEqual(t, l.unlogged(ended), []string{"w"})
+	assert.Equal(t, len(l.unlogged(l.ended("p", &away))), 0)
 	l.observe(start.Add(2*time.Second), []*pb.WorkerLoad{{Id: "w", Born: 6}}, &away)
 	assert.Equal(t, len(l.ended("p", &away)), 0)
 	newer := newHostIndex(start.Add(3*time.Second), []upkeep.Host{{ID: "h", State: upkeep.Upkeep}})
--- a/internal/fleetowner/step.go
+++ b/internal/fleetowner/step.go
@@ -41,7 +41,7 @@
 		p.setWorkers(actions.Evacuate[name], actions.Due[name])
 		p.start()
 	}
-	t.updateIncarnations(now)
+	t.updateIncarnations(ctx, now)
 	t.stepWorkspaces(now)
 	t.logBursts(ctx, now, actions.Bursts)
 	if err := t.orderMoves(ctx, now, actions); err != nil {
--- a/upkeep/types.go
+++ b/upkeep/types.go
@@ -18,6 +18,22 @@
 	Down
 )
 
+// String returns the name of the state for the log.
+func (s HostState) String() string {
+	switch s {
+	case Up:
+		return "up"
+	case Moving:
+		return "moving"
+	case Upkeep:
+		return "upkeep"
+	case Down:
+		return "down"
+	default:
+		return "unknown"
+	}
+}
+
 // Host is one row of the list of hosts.
 type Host struct {
 	ID         string
