--- a/proofs/soak_test.go
+++ b/proofs/soak_test.go
@@ -30,6 +30,7 @@
 	}{
 		{soak.Jobs, 3, "a planned stop cut a request before the end of its grace"},
 		{soak.Requests, 2, "rejected without Retry-After by entry hosts that had no configuration yet"},
+		{soak.Cuts, 2, "refused connections taken for the end of a live worker, whose tasks ran twice"},
 	} {
 		t.Run(string(run.mode), func(t *testing.T) {
 			outcome, err := soak.Run(t.Context(), soak.Options{
