scheduler: simulated owners stand still, overlap with their successors, and get late holds

The simulation had no owner that stands still between reading its clock and sending, none that acts beside its successor, and no hold that is carried out or answered seconds late. While two owners overlap, the list names all workers, as the roster does; what only the present owner can know is checked of its orders only.

--- a/scheduler/pool_test.go
+++ b/scheduler/pool_test.go
@@ -4,8 +4,10 @@
 	"flag"
 	"os"
 	"testing"
+	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/queue"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
@@ -114,3 +116,16 @@
 	}
 	assert.Assert(t, caught > 10, "caught %d of 20", caught)
 }
+
+var simQueues = []queue.Queue{
+	{Name: "second", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
+	{Name: "third", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
+	{Name: "lasting", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
+	{Name: "q", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
+	{Name: "other", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
+	{Name: "later", Pool: "p", Priority: 1, MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
+	{
+		Name: "advised", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond,
+		Advice: &queue.Advice{CallTime: 20 * time.Millisecond, TimePerWorker: 5 * time.Millisecond, TicketLifetime: 3 * time.Second},
+	},
+}
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -11,7 +11,6 @@
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/jobstate"
-	"github.com/agateturn/agateturn/queue"
 	"github.com/agateturn/agateturn/scheduler"
 	"google.golang.org/protobuf/proto"
 )
@@ -40,6 +39,11 @@
 	lostRecords                              float64
 	// refuses means that the address of a worker that is down refuses connections, so that its end is noticed early.
 	refuses bool
+	// overlap means that owners go on after they were replaced, until a worker fences them or their leases end. stalls is the number
+	// of times that an owner's process stands still. lateHolds is the share of holds that are carried out, or answered, late.
+	overlap   bool
+	stalls    int
+	lateHolds float64
 	// resizes is the number of changes of the capacity of running workers. With any, each incarnation has its own.
 	resizes int
 }
@@ -211,9 +215,10 @@
 		}
 	})
 	scheduleN(s.faults.takeovers, func() {
-		s.owner.replaced = true
+		s.owner.end()
 		s.after(100+s.rng.Int64N(2000), s.startOwner)
 	})
+	scheduleN(s.faults.stalls, func() { s.owner.stalledUntil = s.now + 200 + s.rng.Int64N(7000) })
 	scheduleN(s.faults.partitions, func() {
 		w := pick()
 		s.partitioned[w.id] = true
@@ -384,16 +389,3 @@
 	r.step.Gang = false
 	w.end(r, how)
 }
-
-var simQueues = []queue.Queue{
-	{Name: "second", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
-	{Name: "third", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
-	{Name: "lasting", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
-	{Name: "q", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
-	{Name: "other", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
-	{Name: "later", Pool: "p", Priority: 1, MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond},
-	{
-		Name: "advised", Pool: "p", MaxAttempts: simAttempts, Stretch: 2, TargetDuration: 600 * time.Millisecond,
-		Advice: &queue.Advice{CallTime: 20 * time.Millisecond, TimePerWorker: 5 * time.Millisecond, TicketLifetime: 3 * time.Second},
-	},
-}
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -8,7 +8,6 @@
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/scheduler"
-	"github.com/samber/lo"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -27,8 +26,15 @@
 	inheritedSeals map[string]scheduler.SealedWorker
 	// sealsHeld means that the pool may have sealed workers.
 	sealsHeld bool
+	// outlives means that the owner goes on after the next one has begun, until it is fenced. reachesAll means that the partitions
+	// do not concern it then.
+	outlives, reachesAll bool
+	// stalledUntil is when the owner's process runs again.
+	stalledUntil int64
 	// unconfirmed is set from a hold without an answer until the next answer.
 	unconfirmed map[string]bool
+	// answeredBy holds the incarnations that have answered last.
+	answeredBy map[string]int64
 }
 
 type orderQueueKey struct {
@@ -39,12 +45,15 @@
 // startOwner starts an owner with a higher fencing token from the durable state.
 func (s *sim) startOwner() {
 	s.fence += 3
-	if s.owner != nil {
+	if s.owner != nil && !s.owner.outlives {
 		s.owner.replaced = true
 	}
 	cfg := simConfig
+	if s.faults.overlap {
+		cfg.UnconfirmedLease = time.Second
+	}
 	cfg.Fence = s.fence
-	o := &simOwner{sim: s, pool: scheduler.New(cfg), fence: s.fence, orderQueues: map[orderQueueKey][]scheduler.Order{}, incarnations: map[string]int64{}, unconfirmed: map[string]bool{}, inheritedSeals: maps.Clone(s.durableSeals)}
+	o := &simOwner{sim: s, pool: scheduler.New(cfg), fence: s.fence, orderQueues: map[orderQueueKey][]scheduler.Order{}, incarnations: map[string]int64{}, unconfirmed: map[string]bool{}, answeredBy: map[string]int64{}, inheritedSeals: maps.Clone(s.durableSeals)}
 	s.owner = o
 	var jobs []*pb.JobRecord
 	var progress []*pb.JobProgress
@@ -78,48 +87,9 @@
 	}
 }
 
-// recordSeals keeps the durable record of sealed workers in line with the pool's, as the roster does.
-func (o *simOwner) recordSeals() {
-	s := o.sim
-	if o.replaced {
-		return
-	}
-	seals := o.pool.Seal(s.time())
-	s.after(100, o.recordSeals)
-	if len(seals) == 0 && len(o.inheritedSeals) == 0 && !o.sealsHeld {
-		return
-	}
-	o.sealsHeld = true
-	if s.faultsActive() && s.sealRNG.Float64() < s.faults.lostRecords {
-		return
-	}
-	s.after(5+s.sealRNG.Int64N(30), func() {
-		if o.replaced || s.owner != o {
-			return
-		}
-		recorded := lo.KeyBy(seals, func(x scheduler.SealedWorker) string { return x.Worker })
-		maps.Copy(recorded, o.inheritedSeals)
-		s.durableSeals = recorded
-		o.sealsHeld = len(recorded) > 0
-		keep := lo.MapValues(recorded, func(scheduler.SealedWorker, string) bool { return true })
-		o.handle(func(p *scheduler.Pool) { p.Unseal(s.time(), keep) })
-	})
-}
-
-// adoptSeals passes the recorded seals of the listed workers to the pool.
-func (o *simOwner) adoptSeals(listed []scheduler.Worker) {
-	for _, w := range listed {
-		if seal, ok := o.inheritedSeals[w.ID]; ok {
-			delete(o.inheritedSeals, w.ID)
-			o.sim.adoptedSeals++
-			o.pool.AdoptSealed(o.sim.time(), seal)
-		}
-	}
-}
-
 // handle passes an input to the pool and carries out the resulting actions.
 func (o *simOwner) handle(do func(p *scheduler.Pool)) {
-	if o.replaced {
+	if o.replaced || o.waitUntilRunning(func() { o.handle(do) }) {
 		return
 	}
 	do(o.pool)
@@ -129,8 +99,9 @@
 func (o *simOwner) step() {
 	s := o.sim
 	a := o.pool.Step(s.time())
+	o.replaced = o.replaced || a.Fenced && o.outlives
 	for _, order := range a.Orders {
-		s.checker.checkOrder(order)
+		o.checkOrder(order)
 		key := orderQueueKey{order.Worker, order.Task}
 		o.orderQueues[key] = append(o.orderQueues[key], order)
 		if len(o.orderQueues[key]) == 1 {
@@ -159,11 +130,7 @@
 	for _, r := range a.Records {
 		o.storeRecord(r)
 	}
-	for _, id := range s.jobIDs {
-		if s.load == nil && s.jobs[id].accepted {
-			s.checker.checkState(s.jobs[id], o.pool.State(id))
-		}
-	}
+	o.checkStates()
 	if !a.Wake.IsZero() {
 		at := max(a.Wake.UnixMilli()-simEpoch, s.now+1)
 		if o.wakeAt <= s.now || at < o.wakeAt {
@@ -238,7 +205,7 @@
 	execute := func() (scheduler.Outcome, int64) { return o.execute(w, order, sentAt) }
 	timeout := func() { answer(scheduler.OutcomeUnknown, 0) }
 	switch {
-	case !w.up && !s.faults.refuses, s.partitioned[w.id], s.faultsActive() && s.chance(s.faults.lostCalls):
+	case !w.up && !s.faults.refuses, o.cutOff(w), s.faultsActive() && s.chance(s.faults.lostCalls):
 		s.after(500, timeout)
 	case s.faultsActive() && s.chance(s.faults.lateCalls):
 		s.after(s.rng.Int64N(8000), func() {
@@ -277,21 +244,27 @@
 	return scheduler.OutcomeDone, w.clock()
 }
 
+// nextHold returns the next hold of a worker. An acknowledgement is bound to a connection, which ends with its incarnation.
+func (o *simOwner) nextHold(w *simWorker) scheduler.Hold {
+	h := o.pool.Hold(w.id, o.sim.time())
+	if o.unconfirmed[w.id] || o.answeredBy[w.id] != w.incarnation {
+		h.LastSeen = 0
+	}
+	o.unconfirmed[w.id] = true
+	return h
+}
+
 // hold keeps holding one worker, and waits at most a second for a run to end.
 func (o *simOwner) hold(w *simWorker) {
 	s := o.sim
-	if o.replaced {
+	if o.replaced || o.waitUntilRunning(func() { o.hold(w) }) {
 		return
 	}
-	h := o.pool.Hold(w.id, s.time())
-	if o.unconfirmed[w.id] {
-		h.LastSeen = 0
-	}
-	o.unconfirmed[w.id] = true
+	h := o.nextHold(w)
 	sent := s.time()
 	expected := o.incarnations[w.id]
 	holdAgain := func(ms int64) { s.after(ms, func() { o.hold(w) }) }
-	lost := s.partitioned[w.id] || !w.up || s.faultsActive() && s.chance(s.faults.lostCalls)
+	lost := o.cutOff(w) || !w.up || s.faultsActive() && s.chance(s.faults.lostCalls)
 	if lost {
 		if s.naive {
 			o.handle(func(p *scheduler.Pool) {
@@ -304,7 +277,7 @@
 	deadline := s.now + 1000
 	var poll func()
 	poll = func() {
-		if !w.up || s.partitioned[w.id] {
+		if !w.up || o.cutOff(w) {
 			holdAgain(o.delayAfterBrokenHold(w))
 			return
 		}
@@ -312,6 +285,10 @@
 			s.after(20, poll)
 			return
 		}
+		if o.delayHold(w, h, expected, sent) {
+			holdAgain(1000)
+			return
+		}
 		rep := o.respond(w, h, expected)
 		rep.Sent = sent
 		if s.faultsActive() && s.chance(s.faults.lostAnswers) {
@@ -320,7 +297,7 @@
 		}
 		s.after(1+s.rng.Int64N(30), func() {
 			rep.Received = s.time()
-			o.unconfirmed[w.id] = false
+			o.unconfirmed[w.id], o.answeredBy[w.id] = false, rep.Born
 			o.handle(func(p *scheduler.Pool) { p.Report(s.time(), rep) })
 			holdAgain(20)
 		})
@@ -331,7 +308,7 @@
 // delayAfterLostHold returns the time in ms until the next hold of a worker that did not get one. It reports the end of a worker
 // that is down.
 func (o *simOwner) delayAfterLostHold(w *simWorker) int64 {
-	if o.sim.faults.refuses && !w.up && !o.sim.partitioned[w.id] {
+	if o.sim.faults.refuses && !w.up && !o.cutOff(w) {
 		o.reportEnd(w)
 		return 600
 	}
@@ -367,7 +344,7 @@
 	sent := s.time()
 	expected := o.incarnations[w.id]
 	s.after(1+s.rng.Int64N(20), func() {
-		if !w.up || s.partitioned[w.id] {
+		if !w.up || o.cutOff(w) {
 			return
 		}
 		rep := o.respond(w, h, expected)
@@ -390,12 +367,13 @@
 // updateRegistry lists the workers to the owner every 500 ms, so that changes arrive late.
 func (o *simOwner) updateRegistry() {
 	s := o.sim
-	if o.replaced {
+	if o.replaced || o.waitUntilRunning(o.updateRegistry) {
 		return
 	}
 	var ws []scheduler.Worker
 	for _, w := range s.workers {
-		if !w.up && s.chance(0.5) {
+		// With overlap, the list stands for the roster too, which names all.
+		if !w.up && !s.faults.overlap && s.chance(0.5) {
 			continue
 		}
 		x := scheduler.Worker{
@@ -403,7 +381,7 @@
 		}
 		if w.draining {
 			x.DrainLeft = 2e9
-			if s.drainListedAt[w.id] == math.MaxInt64 {
+			if s.owner == o && s.drainListedAt[w.id] == math.MaxInt64 {
 				s.drainListedAt[w.id] = s.now
 			}
 		}
