scheduler: a rack that goes dark contains no queue

Change: the crash of a worker is charged to queues once another worker of its rack, up before the loss, has answered. If none does within 1.5 s, the rack was lost. A worker alone on its rack is charged at once. The tasks are charged as before, and what ends a run is unchanged.

Evidence: TestLostRackContainsNoQueue failed before (1 queue contained) and passes; TestCrashesBesideAWorkerThatAnswersAreCharged keeps the containment. TestCrashingQueueIsContained, TestVariantsOfCrashLoad, TestTaskThatCrashesItsWorkersIsGivenUp and TestEvidenceOfEndsIsTold pass; the whole package was not run.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -130,7 +130,7 @@
 		}
 	}
 	w.expired = nil
-	p.observeCrash(now, queues)
+	p.judgeCrash(now, w, queues)
 	for _, r := range charged {
 		if r.task.job().isTerminal() {
 			continue
