--- a/scheduler/contain.go
+++ b/scheduler/contain.go
@@ -29,8 +29,6 @@
 type containment struct {
 	// crashes holds the latest crashes that are not charged to a contained queue.
 	crashes []queueCrash
-	// pending holds the crashes that are not charged to a queue yet.
-	pending []pendingCrash
 	queues  map[string]*containedQueue
 	// workers are those on which untried tasks of contained queues start.
 	workers map[*worker]bool
@@ -122,7 +120,6 @@
 // checkContainment ends the containments that are over, selects the workers of the others, and polls those with untried
 // runs that should be cleared.
 func (p *Pool) checkContainment(now time.Time) {
-	p.checkPendingCrashes(now)
 	c := &p.containment
 	if len(c.queues) == 0 {
 		return
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -130,7 +130,7 @@
 		}
 	}
 	w.expired = nil
-	p.judgeCrash(now, w, queues)
+	p.observeCrash(now, queues)
 	for _, r := range charged {
 		if r.task.job().isTerminal() {
 			continue
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -90,7 +90,6 @@
 
 func (p *Pool) firstReport(now time.Time, w *worker, r *Report) {
 	w.reported = true
-	w.firstReport = r.Received
 	if len(r.Running) > 0 || len(w.runs) > 0 {
 		// A previous owner, or a start sent to the previous incarnation, may have extended the lease up to now.
 		w.leaseUntil = max(w.leaseUntil, r.Clock+p.cfg.MaxLease.Milliseconds())
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -26,8 +26,6 @@
 	// reported means that this incarnation has answered a hold of this owner.
 	reported   bool
 	lastReport time.Time
-	// firstReport is when this incarnation first answered; it means nothing unless reported.
-	firstReport time.Time
 	// heardAt is the address from which this incarnation last answered.
 	heardAt string
 	// unreachable means that a hold has got no answer since lastReport.
