scheduler: a start without an answer outlasts the proved end of its worker

What callers would see: a task that runs on two workers. Its start got no answer, a list of hosts proved the end of the worker, and the task was started elsewhere; the start was carried out later by the next incarnation under the same id.

Cause: a proved end kept starts that were under way and not those whose answer was lost. Those kept had no time until which they may still run, so that they counted as over 2.5 s later.

Change: both are kept, and given up when a lease that starts now has surely expired, as after a restart.

--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -28,15 +28,16 @@
 }
 
 // EndIncarnations ends the runs of incarnations that have ended. It ignores any other incarnation than the one that Status names, and
-// workers that have not failed to answer the last hold. A start that has been ordered and not answered is kept, because it may yet
-// reach a later incarnation under the same id.
+// workers that have not failed to answer the last hold. A start without an answer is kept, because it may yet reach a later
+// incarnation under the same id.
 func (p *Pool) EndIncarnations(now time.Time, incarnations []*pb.WorkerIncarnation) {
 	for _, incarnation := range incarnations {
 		w := p.workers[incarnation.GetId()]
 		if w == nil || incarnation.GetBorn() == 0 || incarnation.GetBorn() != w.Born || !w.unreachable {
 			continue
 		}
-		p.markEnded(now, w, reasonHostList, func(r *run) bool { return r.state != runOrdered })
+		p.markEnded(now, w, reasonHostList, func(r *run) bool { return r.state != runOrdered && r.state != runUnknown })
+		p.keepUnansweredStarts(now, w)
 	}
 }
 
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -168,10 +168,17 @@
 func (p *Pool) handleRestart(now time.Time, w *worker, reason string) {
 	p.endIncarnation(now, w, reason, func(r *run) bool { return r.state == runRunning })
 	w.replaced = false
+	p.keepUnansweredStarts(now, w)
+}
+
+// keepUnansweredStarts keeps the remaining runs of an incarnation that has ended for as long as a later one may execute them.
+func (p *Pool) keepUnansweredStarts(now time.Time, w *worker) {
 	for _, r := range w.runs {
 		r.stopAcked = timestamp{}
 		r.stopAt = now
-		r.giveUpAt = now.Add(maxLeaseDuration(p.cfg.MaxLease))
+		if r.giveUpAt.IsZero() {
+			r.giveUpAt = now.Add(maxLeaseDuration(p.cfg.MaxLease))
+		}
 	}
 }
 
@@ -223,7 +230,7 @@
 	kept := p.sortedWorkers[:0]
 	for _, w := range p.sortedWorkers {
 		p.checkLease(now, w)
-		if w.departed && len(w.runs) == 0 && now.Sub(w.departedAt) > departedRetention {
+		if w.departed && !w.sealed && len(w.runs) == 0 && now.Sub(w.departedAt) > departedRetention {
 			delete(p.workers, w.ID)
 			continue
 		}
