jobstore: a job whose record cannot be decoded holds no ends

What callers would see: jobs that never end. The end of a run of a job whose record cannot be decoded was held for ever, and with it all later ends of its worker.

Change: such a record counts as none, as load and follow skip it: the job is not started from it.

--- a/internal/jobstore/accept.go
+++ b/internal/jobstore/accept.go
@@ -155,9 +155,14 @@
 	return err
 }
 
-// MayExist reports whether there is a record of a job; true if that cannot be read.
+// MayExist reports whether there is a record of a job that Load or Follow returns; true if the store does not answer.
 func (s *Store) MayExist(ctx context.Context, pool, id string) bool {
-	return s.mayExist(ctx, jobkeys.Job(pool, id))
+	item, err := s.get(ctx, jobkeys.Job(pool, id))
+	if err != nil || item.Version == 0 {
+		return err != nil
+	}
+	_, readable := s.parse(ctx, pool, item)
+	return readable
 }
 
 // mayExist reports whether a key exists; true if it cannot be read.
