--- a/internal/fleetowner/incarnations.go
+++ b/internal/fleetowner/incarnations.go
@@ -49,7 +49,7 @@
 		switch row.State {
 		case upkeep.Moving, upkeep.Upkeep:
 		case upkeep.Up:
-			if row.Worker == "" && row.Pool == pool {
+			if row.Worker == "" && (row.Pool == pool || row.Pool == "") {
 				return false
 			}
 		case upkeep.Down, upkeep.StateUnknown:
