--- a/internal/fleetowner/incarnations_test.go
+++ b/internal/fleetowner/incarnations_test.go
@@ -25,7 +25,7 @@
 		"up with another worker":   {[]upkeep.Host{{State: upkeep.Up, Pool: "p", Worker: "v"}}, true},
 		"up, no worker listed":     {[]upkeep.Host{{State: upkeep.Up, Pool: "p"}}, false},
 		"up in another pool":       {[]upkeep.Host{{State: upkeep.Up, Pool: "spare"}}, true},
-		"up, nothing else listed": {[]upkeep.Host{{State: upkeep.Up}}, false},
+		"up, nothing else listed":  {[]upkeep.Host{{State: upkeep.Up}}, false},
 		"unknown state":            {[]upkeep.Host{{Pool: "spare", Worker: "v"}}, false},
 		"not listed":               {nil, false},
 		"listed twice, up in one":  {[]upkeep.Host{{State: upkeep.Moving}, {State: upkeep.Up, Pool: "p", Worker: "w"}}, false},
