poolowner: tests read what the workers saw after the owner has stopped

The test of unreadable jobs did the same. Both stop the owner first now; what they ask is unchanged.

Besides, wording: the reason of ends by the list of hosts no longer names hosts that are down, and the table of events is in order.

--- a/internal/poolowner/unknownjob_test.go
+++ b/internal/poolowner/unknownjob_test.go
@@ -36,8 +36,8 @@
 		acceptJob(t, shared.Client("host"), 1)
 		owner.SetWorkers(testWorkers([]string{"w1"}))
 		time.Sleep(time.Minute)
+		stop()
 		assert.Equal(t, workers.runningOn("w1"), 0)
 		assert.Assert(t, acknowledged)
-		stop()
 	})
 }
--- a/internal/poolowner/unreadablejob_test.go
+++ b/internal/poolowner/unreadablejob_test.go
@@ -39,7 +39,7 @@
 		}
 		_, stop := startOwner(t, newOptions(t, kv, workers), "w1")
 		time.Sleep(10 * time.Minute)
-		assert.Equal(t, seen, int64(2))
 		stop()
+		assert.Equal(t, seen, int64(2))
 	})
 }
--- a/scheduler/decision.go
+++ b/scheduler/decision.go
@@ -20,7 +20,8 @@
 	Crashes   int
 	Suspected bool
 	// Count is the number of tasks of a completed step, the number of runs that are preempted, or the number of runs that
-	// were on a worker that crashed or ended, or whose seal was adopted. For DecisionBeyondWeight and DecisionWithinWeight it is the number of jobs beyond the weight.
+	// were on a worker that crashed or ended, or whose seal was adopted. For DecisionBeyondWeight and DecisionWithinWeight it
+	// is the number of jobs beyond the weight.
 	Count int
 	// Workers is the number of workers that a takeover waited for, Unreported are those of them that had not reported by its end.
 	Workers    int
--- a/scheduler/evidence_test.go
+++ b/scheduler/evidence_test.go
@@ -20,7 +20,7 @@
 		"a later incarnation has answered": func(b *testPool, o scheduler.Order) {
 			b.pool.Report(b.now, scheduler.Report{Worker: o.Worker, Born: 6, Sent: b.now, Received: b.now, Clock: 1})
 		},
-		"its host is not up, or runs another worker": func(b *testPool, o scheduler.Order) {
+		"its host is moving, in upkeep or runs another worker": func(b *testPool, o scheduler.Order) {
 			b.pool.MarkUnreachable(o.Worker)
 			b.pool.EndIncarnations(b.now, []*pb.WorkerIncarnation{{Id: o.Worker, Born: 5}})
 		},
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -11,7 +11,7 @@
 	reasonWrongInstance   = "another instance answers at its address"
 	reasonLaterAnswered   = "a later incarnation has answered"
 	reasonLaterRegistered = "the registry names a later incarnation"
-	reasonHostList        = "its host is not up, or runs another worker"
+	reasonHostList        = "its host is moving, in upkeep or runs another worker"
 	reasonLeaseExpired    = "lease expired"
 	reasonNotListed       = "not listed by the worker"
 )
