Log which unanswered starts outlast their worker, and why they end

Change: starts_kept (975) with the number of starts and the longest wait; a reason of its own in tasks_lost for such a start; worker_replaced (976) in place of worker_back where the answer is that of another worker. No decision changes.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -341,6 +341,10 @@
 	QueueContainmentEnded = Event{Number: 973, Name: "queue_containment_ended", Level: slog.LevelInfo, Message: "tasks of the queue crash workers no longer; they start on all workers"}
 	// WorkerEndProved names the host and its row. host_listed means that a list has shown the worker there.
 	WorkerEndProved = Event{Number: 974, Name: "worker_end_proved", Level: slog.LevelInfo, Message: "list of hosts proves that a worker has ended; the owner of its pool is told"}
+	// StartsKept carries the number of starts and how long they are kept at most.
+	StartsKept = Event{Number: 975, Name: "starts_kept", Level: slog.LevelInfo, Message: "a later incarnation of an ended worker may still execute unanswered starts; their tasks wait"}
+	// WorkerReplaced carries the time since the worker's own last answer.
+	WorkerReplaced = Event{Number: 976, Name: "worker_replaced", Level: slog.LevelInfo, Message: "another worker answers at the worker's address"}
 
 	SchedulerNote = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
 )
@@ -370,7 +374,7 @@
 	MemberNotStored, RecordSkipped, FleetRecordWaits, MachinesUnread, MachinesRead, TasksPreempted, PoolTakenOver,
 	RegistryUnwatched, RegistryWatched, CarriersChanged, CarrierFailed, WorkerCrashed, TaskCharged, TaskGivenUp,
 	KeysUnconfirmed, KeysConfirmed, WorkspaceBeyondWeight, WorkspaceWithinWeight, WorkspaceLimitRaised, WorkspaceLimitLowered,
-	QueueContained, QueueContainmentEnded, WorkerEndProved,
+	QueueContained, QueueContainmentEnded, WorkerEndProved, StartsKept, WorkerReplaced,
 }
 
 // retired lists the numbers of removed events, which are never reused.
--- a/internal/poolowner/changes.go
+++ b/internal/poolowner/changes.go
@@ -18,22 +18,29 @@
 	owner      *Owner
 	worker     scheduler.Worker
 	lastAnswer time.Time
-	logged     bool
+	// logged means that the silence has been logged, replacedLogged that another worker has answered since.
+	logged, replacedLogged bool
 }
 
 func newSilenceMonitor(o *Owner, w scheduler.Worker) *silenceMonitor {
 	return &silenceMonitor{owner: o, worker: w, lastAnswer: o.Clock()}
 }
 
-func (m *silenceMonitor) observe(ctx context.Context, err error) {
+// observe applies the outcome of a hold. gone means that another worker has answered.
+func (m *silenceMonitor) observe(ctx context.Context, gone bool, err error) {
 	now := m.owner.Clock()
 	age := now.Sub(m.lastAnswer)
 	switch {
+	case gone:
+		if !m.replacedLogged {
+			m.log(ctx, events.WorkerReplaced, age)
+		}
+		m.replacedLogged = true
 	case err == nil:
 		if m.logged {
 			m.log(ctx, events.WorkerBack, age)
 		}
-		m.lastAnswer, m.logged = now, false
+		m.lastAnswer, m.logged, m.replacedLogged = now, false, false
 	case !m.logged && age >= silenceThreshold && ctx.Err() == nil:
 		m.logged = true
 		m.log(ctx, events.WorkerSilent, age, slog.String("err", err.Error()))
--- a/internal/poolowner/decisions.go
+++ b/internal/poolowner/decisions.go
@@ -239,6 +239,7 @@
 	scheduler.DecisionContained:        events.QueueContained,
 	scheduler.DecisionContainmentEnded: events.QueueContainmentEnded,
 	scheduler.DecisionWorkerEnded:      events.WorkerEnded,
+	scheduler.DecisionStartsKept:       events.StartsKept,
 }
 
 func (o *Owner) logGroup(ctx context.Context, g decisionGroup, all []decision) {
@@ -252,7 +253,8 @@
 		attrs = append(attrs, slog.String("kind", g.kind))
 	}
 	switch {
-	case g.kind == scheduler.DecisionCrashed || g.kind == scheduler.DecisionWorkerEnded || g.kind == scheduler.DecisionSealAdopted:
+	case g.kind == scheduler.DecisionCrashed || g.kind == scheduler.DecisionWorkerEnded || g.kind == scheduler.DecisionSealAdopted ||
+		g.kind == scheduler.DecisionStartsKept:
 		attrs = append(attrs, slog.Int("runs", first.Count))
 	case g.kind == scheduler.DecisionWithinWeight || g.kind == scheduler.DecisionHeld:
 		attrs = append(attrs, slog.Int("count", first.Count))
@@ -317,6 +319,9 @@
 	if first.Age > 0 {
 		attrs = append(attrs, slog.Int64("age_ms", first.Age.Milliseconds()))
 	}
+	if first.Wait > 0 {
+		attrs = append(attrs, slog.Int64("wait_ms", first.Wait.Milliseconds()))
+	}
 	return attrs
 }
 
--- a/internal/poolowner/hold.go
+++ b/internal/poolowner/hold.go
@@ -132,7 +132,7 @@
 		}
 		report, err := o.holdOnce(ctx, w, maxWait, answered)
 		answered = err == nil && !report.Gone
-		monitor.observe(ctx, err)
+		monitor.observe(ctx, report.Gone, err)
 		if err != nil {
 			refusals = o.handleHoldFailure(ctx, w, refusals, err)
 			_ = wait.For(ctx, retryAfter(refusals))
--- a/scheduler/decision.go
+++ b/scheduler/decision.go
@@ -20,7 +20,7 @@
 	Crashes   int
 	Suspected bool
 	// Count is the number of tasks of a completed step, the number of runs that are preempted, or the number of runs that
-	// were on a worker that crashed or ended, or whose seal was adopted. For DecisionBeyondWeight and DecisionWithinWeight it
+	// were on a worker that crashed or ended, or whose seal was adopted, or of starts that are kept. For DecisionBeyondWeight and DecisionWithinWeight it
 	// is the number of jobs beyond the weight.
 	Count int
 	// Workers is the number of workers that a takeover waited for, Unreported are those of them that had not reported by its end.
@@ -30,6 +30,8 @@
 	// DecisionWorkerEnded and DecisionLost.
 	Born    int64
 	Silence time.Duration
+	// Wait is how long a state lasts at most, for DecisionStartsKept.
+	Wait time.Duration
 	// Workspace is the workspace of the job, for decisions about a whole job and for those about a workspace.
 	Workspace string
 	// Age is the time since the job was accepted, for decisions about a whole job or step, or since the takeover. For a lost
@@ -53,6 +55,9 @@
 	DecisionCrashed   = "crashed"
 	// DecisionWorkerEnded means that an incarnation of a worker counts as ended. The reason names the evidence.
 	DecisionWorkerEnded = "worker ended"
+	// DecisionStartsKept means that unanswered starts outlast the end of their worker. Count is the number of starts, Wait is how
+	// long they are kept at most.
+	DecisionStartsKept = "starts kept"
 	// DecisionSealAdopted means that a takeover does not wait for a worker, since its seal tells what may run there.
 	DecisionSealAdopted = "seal adopted"
 	DecisionCharged     = "charged"
@@ -114,6 +119,11 @@
 	})
 }
 
+// addStartsKept adds the decision that unanswered starts outlast the end of their worker.
+func (p *Pool) addStartsKept(w *worker, count int, wait time.Duration) {
+	p.out.Decisions = append(p.out.Decisions, Decision{Kind: DecisionStartsKept, Worker: w.ID, Count: count, Wait: wait})
+}
+
 // addCrash adds the decision that the current incarnation of a worker has ended unexpectedly.
 func (p *Pool) addCrash(now time.Time, w *worker, reason string) {
 	d := Decision{Kind: DecisionCrashed, Worker: w.ID, Reason: reason, Count: len(w.runs)}
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -13,6 +13,7 @@
 	reasonLaterRegistered = "the registry names a later incarnation"
 	reasonHostList        = "its host is moving, in upkeep or runs another worker"
 	reasonLeaseExpired    = "lease expired"
+	reasonStartOutdated   = "its start can no longer be executed by a later incarnation"
 	reasonNotListed       = "not listed by the worker"
 )
 
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -173,13 +173,19 @@
 
 // keepUnansweredStarts keeps the remaining runs of an incarnation that has ended for as long as a later one may execute them.
 func (p *Pool) keepUnansweredStarts(now time.Time, w *worker) {
+	wait := maxLeaseDuration(p.cfg.MaxLease)
+	kept := 0
 	for _, r := range w.runs {
 		r.stopAcked = timestamp{}
 		r.stopAt = now
 		if r.giveUpAt.IsZero() {
-			r.giveUpAt = now.Add(maxLeaseDuration(p.cfg.MaxLease))
+			r.giveUpAt = now.Add(wait)
+			kept++
 		}
 	}
+	if kept > 0 {
+		p.addStartsKept(w, kept, wait)
+	}
 }
 
 // endIncarnation ends those runs of a restarted or replaced incarnation for which ends returns true, and resets the
@@ -250,7 +256,7 @@
 	}
 	w.expired = append(w.expired, w.runs...)
 	for _, r := range append([]*run(nil), w.runs...) {
-		p.addLost(now, r, reasonLeaseExpired)
+		p.addLost(now, r, w.expiryReason())
 		p.endRun(now, r, EndLapsed, "")
 	}
 }
@@ -270,6 +276,15 @@
 	return latest
 }
 
+// expiryReason returns why the runs of a silent worker are over at leaseExpiry. Once its incarnation has ended, they are starts that
+// a later one could still have executed.
+func (w *worker) expiryReason() string {
+	if w.replaced {
+		return reasonStartOutdated
+	}
+	return reasonLeaseExpired
+}
+
 func (w *worker) silent(now time.Time) bool {
 	return now.Sub(w.lastReport) > silenceTimeout
 }
