scheduler: an unanswered start ends when its worker has a successor

What callers saw: LOST. It had been moved to a worker that crashed as it got the start.

Cause: a start without an answer outlasts the proved end of its worker, as a later incarnation under the same id may still execute it. It was kept for 10.8 s from the proof, whatever was known of the worker by then: the list of hosts had another worker on that host, and the worker's address answered for another one.

Class of the fault: a wait for the worst case goes on after evidence has ended the uncertainty.

Change: an end tells whether the host runs a worker with another id, which no order for the old id reaches; and a wrong instance at the address to which a start was sent ends that start, also after the end of its incarnation. An end alone keeps the start as before.

Why it works: a start names the worker's id, so only an incarnation with that id executes it. An id belongs to one host and does not return.

--- a/internal/fleetowner/incarnations.go
+++ b/internal/fleetowner/incarnations.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/upkeep"
@@ -59,6 +61,14 @@
 	return len(rows) > 0
 }
 
+// namesSuccessor reports whether the host runs a worker with another id by all of its rows.
+func (x *hostIndex) namesSuccessor(host, worker string) bool {
+	rows := x.rows[host]
+	return len(rows) > 0 && lo.EveryBy(rows, func(row upkeep.Host) bool {
+		return row.State == upkeep.Up && row.Worker != "" && row.Worker != worker
+	})
+}
+
 // incarnations tracks the workers of one pool, to find out which of them have ended. A list of hosts proves the end of an
 // incarnation only if it was requested after the pool's owner had named it. It never proves that a worker is alive, as it may be
 // old by the time it is read. Only the loop uses it.
@@ -136,7 +146,7 @@
 	var out []*pb.WorkerIncarnation
 	for id, known := range l.byWorker {
 		if known.proveEnd(pool, id, index) {
-			out = append(out, &pb.WorkerIncarnation{Id: id, Born: known.born})
+			out = append(out, &pb.WorkerIncarnation{Id: id, Born: known.born, Succeeded: index.namesSuccessor(known.host, id)})
 		}
 		l.byWorker[id] = known
 	}
--- a/internal/fleetowner/incarnations_test.go
+++ b/internal/fleetowner/incarnations_test.go
@@ -41,6 +41,34 @@
 	}
 }
 
+// Guards against two runs of a task: an unanswered start was over as its worker seemed to have a successor, while a later incarnation
+// under the same id could still come up on the host.
+func TestWhichRowsNameASuccessor(t *testing.T) {
+	for name, c := range map[string]struct {
+		rows []upkeep.Host
+		want bool
+	}{
+		"up with another worker":          {[]upkeep.Host{{State: upkeep.Up, Pool: "p", Worker: "v"}}, true},
+		"in another pool, another worker": {[]upkeep.Host{{State: upkeep.Up, Pool: "q", Worker: "v"}}, true},
+		"in another pool, no worker":      {[]upkeep.Host{{State: upkeep.Up, Pool: "spare"}}, false},
+		"up with the worker":              {[]upkeep.Host{{State: upkeep.Up, Pool: "p", Worker: "w"}}, false},
+		"moving":                          {[]upkeep.Host{{State: upkeep.Moving, Worker: "v"}}, false},
+		"in upkeep":                       {[]upkeep.Host{{State: upkeep.Upkeep, Worker: "v"}}, false},
+		"down with another worker":        {[]upkeep.Host{{State: upkeep.Down, Worker: "v"}}, false},
+		"unknown state":                   {[]upkeep.Host{{Worker: "v"}}, false},
+		"not listed":                      {nil, false},
+		"listed twice, moving in one":     {[]upkeep.Host{{State: upkeep.Moving}, {State: upkeep.Up, Worker: "v"}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for i := range c.rows {
+				c.rows[i].ID = "h"
+			}
+			index := newHostIndex(time.Now(), c.rows)
+			assert.Equal(t, index.namesSuccessor("h", "w"), c.want)
+		})
+	}
+}
+
 // Guards against a list that is older than an incarnation of a worker and shows the host between two incarnations.
 func TestListsBeforeAnIncarnationDoNotProveItsEnd(t *testing.T) {
 	start := time.Now()
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -30,11 +30,15 @@
 
 // EndIncarnations ends the runs of incarnations that have ended. It ignores any other incarnation than the one that Status names, and
 // workers that have not failed to answer the last hold. A start without an answer is kept, because it may yet reach a later
-// incarnation under the same id.
+// incarnation under the same id, unless a worker with another id has succeeded the incarnation.
 func (p *Pool) EndIncarnations(now time.Time, incarnations []*pb.WorkerIncarnation) {
 	for _, incarnation := range incarnations {
 		w := p.workers[incarnation.GetId()]
-		if w == nil || incarnation.GetBorn() == 0 || incarnation.GetBorn() != w.Born || !w.unreachable {
+		if w == nil || incarnation.GetBorn() == 0 || incarnation.GetBorn() != w.Born || (!w.unreachable && !w.replaced) {
+			continue
+		}
+		if incarnation.GetSucceeded() {
+			p.markEnded(now, w, reasonHostList, func(*run) bool { return true })
 			continue
 		}
 		p.markEnded(now, w, reasonHostList, func(r *run) bool { return r.state != runOrdered && r.state != runUnknown })
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -17,6 +17,7 @@
 	until := p.lease(now, w)
 	r := p.newRun(w, t.id(), number, t)
 	r.until = until
+	r.address = w.Address
 	r.orderedAt = now
 	checkpoint := t.checkpoint
 	if t.step.spec.GetGang() {
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -100,10 +100,13 @@
 
 // handleWrongInstance applies that another worker has answered a call sent to an address. An address has one worker at a time, so
 // this proves the end of an incarnation that was heard from there before. Any other address is known only from the registry or
-// from the roster, which may be wrong: the worker then counts as one that does not answer.
+// from the roster, which may be wrong: the worker then counts as one that does not answer. Of an incarnation that has ended, the
+// unanswered starts that were sent to the address are over as well: no later one with this id executes them there.
 func (p *Pool) handleWrongInstance(now time.Time, w *worker, address string, sent time.Time) {
 	switch {
-	case w.replaced || sent.Before(w.lastReport):
+	case sent.Before(w.lastReport):
+	case w.replaced:
+		p.endRuns(now, w, reasonWrongInstance, func(r *run) bool { return r.address == address })
 	case w.reported && address == w.heardAt:
 		p.markEnded(now, w, reasonWrongInstance, func(*run) bool { return true })
 	default:
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -44,6 +44,8 @@
 	// account is the account in which the run counts; nil without a workspace.
 	account *account
 	state   runState
+	// address is where its start was sent; empty if another owner ordered it.
+	address string
 	// until is the lease expiry that its start requested, on the worker's clock in ms.
 	until        int64
 	orderedAt    time.Time
