--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -103,6 +103,8 @@
 	onDecision func(scheduler.Decision)
 	// preemptedRuns counts the preemptions.
 	preemptedRuns int
+	// longLeases makes leases last so long that silent workers outlast several owners.
+	longLeases bool
 	// limits holds the limits of the workspaces.
 	limits map[string]scheduler.Resources
 }
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -48,7 +48,7 @@
 	if s.owner != nil && !s.owner.outlives {
 		s.owner.replaced = true
 	}
-	cfg := simConfig
+	cfg := s.config()
 	if s.faults.overlap {
 		cfg.UnconfirmedLease = time.Second
 	}
--- a/scheduler/simseal_test.go
+++ b/scheduler/simseal_test.go
@@ -2,11 +2,46 @@
 
 import (
 	"maps"
+	"testing"
+	"time"
 
 	"github.com/agateturn/agateturn/scheduler"
 	"github.com/samber/lo"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
+// config returns the configuration of the owners, but for the fence.
+func (s *sim) config() scheduler.Config {
+	cfg := simConfig
+	if s.longLeases {
+		cfg.Lease, cfg.MaxLease = 9*time.Second, 10*time.Second
+	}
+	return cfg
+}
+
+// Guards against two runs of a task, where owners go by what earlier ones have recorded of the leases of silent workers.
+func TestRecordedLeasesOverTakeovers(t *testing.T) {
+	adopted := 0
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawFaults(t)
+		f.partitions, f.takeovers = rapid.IntRange(3, 8).Draw(t, "cuts"), rapid.IntRange(3, 8).Draw(t, "owners")
+		f.overlap, f.stalls = rapid.Bool().Draw(t, "overlap"), rapid.IntRange(0, 4).Draw(t, "stalls")
+		f.lateHolds = float64(rapid.IntRange(0, 20).Draw(t, "late holds")) / 100
+		s := newSim(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 8).Draw(t, "workers"), f)
+		s.longLeases = true
+		for _, w := range s.workers {
+			w.clockRate = 0.98
+		}
+		addMixedJobs(s, rapid.IntRange(10, 40).Draw(t, "jobs"))
+		for _, violation := range s.run(s.faultPeriod(), 120_000) {
+			t.Error(violation)
+		}
+		adopted += s.adoptedSeals
+	})
+	assert.Assert(t, adopted > 0)
+}
+
 // recordSeals keeps the durable record of sealed workers in line with the pool's, as the roster does.
 func (o *simOwner) recordSeals() {
 	s := o.sim
--- a/scheduler/simworker_test.go
+++ b/scheduler/simworker_test.go
@@ -130,7 +130,7 @@
 }
 
 func (w *simWorker) extend(until int64) {
-	w.leaseUntil = max(w.leaseUntil, min(until, w.clock()+simConfig.MaxLease.Milliseconds()))
+	w.leaseUntil = max(w.leaseUntil, min(until, w.clock()+w.sim.config().MaxLease.Milliseconds()))
 }
 
 func (w *simWorker) start(fence uint64, o scheduler.Order) scheduler.Outcome {
