jobhost: bound the memory of arriving requests on all listeners

What callers saw: a process ended for want of memory while clients sent requests made of very many short or odd header lines, heads without end and chunked bodies that they did not finish, and kept the connections open.

Cause: what may arrive was bounded for each connection and not for the process, and in bytes on the wire, not by what they use once parsed: a header line of four bytes takes a map entry, a slice and two strings. Callers' bodies took their declared length at once. The listeners for peers, operators, readiness checks and metrics had no limit of connections, headers of up to 1 MiB, and none on the time of a body.

Change: package intake charges headers to a budget while they arrive, by bytes and lines, and rejects what does not fit with a complete answer; a header over the limit is rejected before it has arrived. Bodies of callers are charged as they arrive. The budgets follow from memory_mb. Headers and bodies of ordinary size are never charged, as their number is bounded by that of the connections, so that other callers get answers beside a crowd. The other listeners have limits of connections, headers and times, and budgets of their own. Messages from peers are limited as on the other kind of entry host, whose code moves to package bodies. The garbage collector knows the memory of the machine.

--- a/cmd/agateturnd/jobs.go
+++ b/cmd/agateturnd/jobs.go
@@ -7,6 +7,7 @@
 	"math"
 	"os"
 	"runtime"
+	"runtime/debug"
 	"time"
 
 	"github.com/agateturn/agateturn/config"
@@ -31,6 +32,7 @@
 		return code
 	}
 	limitThreads(s.GetJobHost().GetCores())
+	limitMemory(s.GetJobHost().GetMemoryMb())
 	pipe := logpipe.New(out)
 	logger := pipe.Logger(func(w io.Writer) slog.Handler { return newLogger(s.GetLog(), w).Handler() }).
 		With("entry_host", s.GetJobHost().GetName())
@@ -51,6 +53,14 @@
 	}
 }
 
+// limitMemory makes the garbage collector run more often before the memory is used up. GOMEMLIMIT in the environment takes precedence.
+func limitMemory(megabytes int64) {
+	const share = 0.75
+	if megabytes > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(share * float64(megabytes<<20)))
+	}
+}
+
 // closeLog writes the last lines, unless the reader stalls.
 func closeLog(pipe *logpipe.Pipe) {
 	ctx, cancel := context.WithTimeout(context.Background(), logCloseTimeout)
--- a/internal/bodies/bodies.go
+++ b/internal/bodies/bodies.go
@@ -17,10 +17,13 @@
 // that a caller that declares a large body and sends nothing does not use up the budget. It is safe for concurrent use.
 type Budget struct {
 	limit int64
-	held  atomic.Int64
+	// free is how much of each body is not charged.
+	free int64
+	held atomic.Int64
 }
 
-func (b *Budget) take(n int64) bool {
+// Take takes bytes and reports whether the budget permits that. They are returned with Release.
+func (b *Budget) Take(n int64) bool {
 	if b.held.Add(n) > b.limit {
 		b.held.Add(-n)
 		return false
@@ -35,17 +38,18 @@
 // the body. After an error no bytes are taken.
 func (b *Budget) Read(body io.Reader, length int64) (data []byte, taken int64, err error) {
 	for {
-		if int64(len(data)) == taken {
+		if len(data) == cap(data) {
 			// One byte more than the length allows reading io.EOF without growing the buffer again.
-			size := min(max(2*taken, firstBodyBytes), length+1)
-			if size <= taken || !b.take(size-taken) {
+			size := min(max(2*int64(cap(data)), firstBodyBytes), length+1)
+			more := max(size-b.free, 0) - taken
+			if size <= int64(cap(data)) || !b.Take(more) {
 				b.Release(taken)
 				return nil, 0, Full.New("this entry host holds its limit of body bytes")
 			}
 			data = append(make([]byte, 0, size), data...)
-			taken = size
+			taken += more
 		}
-		n, err := body.Read(data[len(data):taken])
+		n, err := body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
 		if errors.Is(err, io.EOF) {
 			return data, taken, nil
@@ -65,3 +69,7 @@
 
 // NewBudget returns a budget of limit bytes.
 func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
+
+// NewBudgetBeyond returns a budget of limit bytes that does not charge the first free bytes of each body, so that small bodies are
+// read also while large ones use up the budget.
+func NewBudgetBeyond(limit, free int64) *Budget { return &Budget{limit: limit, free: free} }
--- a/internal/bodies/bodies_test.go
+++ b/internal/bodies/bodies_test.go
@@ -22,7 +22,7 @@
 			b.Release(taken)
 		}
 	}
-	assert.Assert(t, b.take(50_000))
+	assert.Assert(t, b.Take(50_000))
 	_, _, err := b.Read(strings.NewReader(strings.Repeat("a", 60_000)), 60_000)
 	assert.Assert(t, Full.Has(err))
 	_, _, err = b.Read(io.MultiReader(strings.NewReader("ab"), iotest.ErrReader(io.ErrUnexpectedEOF)), 60_000)
--- a/internal/jobfront/conns.go
+++ b/internal/jobfront/conns.go
@@ -37,8 +37,10 @@
 	// drainHeaderTimeout is how long a header may take during a drain.
 	drainHeaderTimeout = time.Second
 
-	// overLimitResponse is sent on a connection beyond the limit.
-	overLimitResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	// overLimitResponse is sent on a connection beyond the limit, and to a request whose header does not fit into the memory for
+	// headers. headerTooLargeResponse is sent while a header arrives that exceeds the limit.
+	overLimitResponse      = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	headerTooLargeResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
 
 func newServer(handler http.Handler, conns *connections, log *slog.Logger) *http.Server {
@@ -71,13 +73,14 @@
 	return &connections{limits: limits, idle: map[net.Conn]struct{}{}}
 }
 
-func (c *connections) listen(inner *net.TCPListener, limit int) net.Listener {
+// listen returns the listener of the callers' server. guard wraps it below the connections of this package.
+func (c *connections) listen(inner *net.TCPListener, limit int, guard func(net.Listener) net.Listener) net.Listener {
 	if limit <= 0 {
 		limit = defaultMaxConnections
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	limited := limitlisten.New(inner, limit, []byte(overLimitResponse))
+	limited := guard(limitlisten.New(inner, limit, []byte(overLimitResponse)))
 	c.listener = &listener{Listener: limited, conns: c, close: sync.OnceValue(limited.Close)}
 	if c.draining {
 		_ = c.listener.Close()
@@ -182,6 +185,9 @@
 	conns *connections
 }
 
+// NetConn returns the connection that this one wraps.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // SetReadDeadline implements net.Conn. A deadline set from a sentinel is replaced by that of the current limits.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	now := time.Now()
--- a/internal/jobfront/decisions.go
+++ b/internal/jobfront/decisions.go
@@ -25,6 +25,7 @@
 	reasonExceedsCap       = "task or gang larger than the cap of its workspace"
 	reasonBody             = "body too large, too slow or cut"
 	reasonHeader           = "header too large"
+	reasonFull             = "memory for requests used up"
 	reasonInvalidJob       = "job cannot be read"
 	reasonInvalidID        = "id that no job can have"
 	reasonMethod           = "method"
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -6,6 +6,7 @@
 package jobfront
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -18,6 +19,8 @@
 	"github.com/agateturn/agateturn/credentials"
 	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/internal/bodies"
+	"github.com/agateturn/agateturn/internal/intake"
 	"github.com/agateturn/agateturn/jobstate"
 	"github.com/agateturn/agateturn/queue"
 	"github.com/agateturn/agateturn/wait"
@@ -104,6 +107,8 @@
 	StopNotice time.Duration
 	// MaxConnections bounds the number of open connections of callers.
 	MaxConnections int
+	// HeaderBytes and BodyBytes bound the memory that the headers and the bodies of all requests use.
+	HeaderBytes, BodyBytes int64
 }
 
 // Front serves callers. It is safe for concurrent use.
@@ -118,6 +123,7 @@
 	overloaded  *overloadedPools
 	finalStates *finalStateCache
 	conns       *connections
+	bodies      *bodies.Budget
 	indexed     atomic.Pointer[indexedTable]
 	// indexing is held while a new table is indexed, so that concurrent requests do not all do that.
 	indexing sync.Mutex
@@ -147,6 +153,7 @@
 	}
 	f.offers = newOffers(options.Owners, options.Metrics, f.overloaded)
 	f.conns = newConnections(f.limits)
+	f.bodies = bodies.NewBudgetBeyond(cmp.Or(options.BodyBytes, defaultRequestBytes), smallBodyBytes)
 	f.server = newServer(f.Handler(), f.conns, options.Log)
 	f.ready.Store(true)
 	return f
@@ -157,13 +164,36 @@
 
 // Serve serves callers' connections until Shutdown, and then returns nil.
 func (f *Front) Serve(listener *net.TCPListener) error {
-	err := f.server.Serve(f.conns.listen(listener, f.options.MaxConnections))
+	err := f.server.Serve(f.conns.listen(listener, f.options.MaxConnections, f.limitHeaders))
 	if f.conns.isDraining() || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
 }
 
+// limitHeaders returns a listener that bounds the memory of headers.
+func (f *Front) limitHeaders(inner net.Listener) net.Listener {
+	return intake.Listen(inner, f.server, intake.Options{
+		Budget:         bodies.NewBudget(cmp.Or(f.options.HeaderBytes, defaultRequestBytes)),
+		MaxHeaderBytes: f.maxHeaderBytes,
+		Full:           overLimitResponse,
+		TooLarge:       headerTooLargeResponse,
+		RejectFull: func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Connection", "close")
+			f.send(w, reply{status: http.StatusServiceUnavailable, retry: true, reason: reasonFull})
+			f.options.Metrics.countAnswer(r.Method, http.StatusServiceUnavailable)
+		},
+	})
+}
+
+// maxHeaderBytes returns the size of the largest header that callers may send.
+func (f *Front) maxHeaderBytes() int {
+	if limit := f.limits().MaxHeaderBytes; limit > 0 {
+		return min(limit, maxHeaderBytes)
+	}
+	return maxHeaderBytes
+}
+
 // SetReady sets whether the readiness check may pass.
 func (f *Front) SetReady(ready bool) { f.ready.Store(ready) }
 
--- a/internal/jobfront/handler.go
+++ b/internal/jobfront/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math"
 	"net"
 	"net/http"
@@ -11,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/agateturn/agateturn/internal/bodies"
 	"github.com/agateturn/agateturn/internal/jobkeys"
 	"github.com/agateturn/agateturn/queue"
 )
@@ -26,6 +26,10 @@
 	bodyTimeout = 5 * time.Second
 	// defaultMaxBodyBytes applies if the configuration sets no limit.
 	defaultMaxBodyBytes = 1 << 20
+	// defaultRequestBytes bounds the memory of all headers, and that of all bodies, if the options set no limit.
+	defaultRequestBytes = 64 << 20
+	// smallBodyBytes is the size up to which a body is read whatever memory the other bodies use.
+	smallBodyBytes = 8 << 10
 )
 
 // request is a caller's request whose queue is known.
@@ -63,7 +67,8 @@
 
 // serve returns the answer, and the request as far as it was parsed.
 func (f *Front) serve(ctx context.Context, w http.ResponseWriter, r *http.Request) (reply, request) {
-	body, rejected := f.readBody(w, r)
+	body, taken, rejected := f.readBody(w, r)
+	defer f.bodies.Release(taken)
 	if rejected != nil {
 		return *rejected, request{}
 	}
@@ -118,45 +123,43 @@
 	return reply{status: http.StatusNotFound, reason: reasonNoQueue}
 }
 
-// readBody reads the whole body, so that nothing is decided on an incomplete request.
-func (f *Front) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *reply) {
+// readBody reads the whole body, so that nothing is decided on an incomplete request. The caller returns the taken bytes to the budget
+// once the body is no longer needed.
+func (f *Front) readBody(w http.ResponseWriter, r *http.Request) (body []byte, taken int64, rejected *reply) {
 	limits := f.limits()
 	if limits.MaxHeaderBytes > 0 && headerBytes(r) > limits.MaxHeaderBytes {
-		return nil, &reply{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeader}
+		return nil, 0, &reply{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeader}
 	}
 	if r.ContentLength == 0 {
-		return nil, nil
+		return nil, 0, nil
 	}
 	limit := int64(limits.MaxBodyBytes)
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
 	if r.ContentLength > limit {
-		return nil, &reply{status: http.StatusRequestEntityTooLarge, reason: reasonBody}
+		return nil, 0, &reply{status: http.StatusRequestEntityTooLarge, reason: reasonBody}
 	}
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	length := r.ContentLength
+	if length < 0 {
+		length = limit
+	}
+	body, taken, err := f.bodies.Read(http.MaxBytesReader(w, r.Body, limit), length)
 	_ = controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return nil, &reply{status: http.StatusRequestEntityTooLarge, reason: reasonBody}
+		return nil, 0, &reply{status: http.StatusRequestEntityTooLarge, reason: reasonBody}
+	case bodies.Full.Has(err):
+		_ = controller.SetReadDeadline(time.Now().Add(bodies.UnreadGrace))
+		return nil, 0, &reply{status: http.StatusServiceUnavailable, retry: true, reason: reasonFull}
 	case err != nil:
-		return nil, &reply{status: http.StatusBadRequest, reason: reasonBody}
+		return nil, 0, &reply{status: http.StatusBadRequest, reason: reasonBody}
 	default:
-		return body, nil
-	}
-}
-
-// readAll reads a body of the given length; a negative length is unknown.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
+		return body, taken, nil
 	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
 }
 
 // headerBytes estimates the size of the request's header on the wire.
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -37,8 +37,6 @@
 	milliPerCore = 1000
 	// contentType is the content type of responses with a body.
 	contentType = "application/json"
-	// readHeaderTimeout bounds reading a request header on every listener except that for callers.
-	readHeaderTimeout = 2 * time.Second
 	// stopMargin is the part of the grace period reserved for the exit after the last requests have ended. It is also
 	// the minimum time for completing requests.
 	stopMargin = 500 * time.Millisecond
@@ -172,34 +170,29 @@
 	if err != nil {
 		return err
 	}
-	ready, err := config.Listen(ctx, "tcp", host.GetReadyAddress())
-	if err != nil {
-		return err
-	}
-	peers, err := config.Listen(ctx, "tcp", host.GetPeerAddress())
-	if err != nil {
-		return err
-	}
 	group.Go(func() error { return ignoreAfterCancel(ctx, h.front.Serve(callers.(*net.TCPListener))) })
-	h.serve(ctx, group, ready, h.front.ReadyHandler())
 	mux := http.NewServeMux()
 	mux.Handle(jobpeer.NewHandler(h.pools, h.tables, h.front))
 	mux.Handle(h.carrier.Handler())
-	h.serve(ctx, group, measures.TrafficMeter(h.stats, measures.TrafficPeers).Listener(peers), mux)
-	if err := h.listenMetrics(ctx, group); err != nil {
-		return err
+	endpoints := []endpoint{
+		{address: host.GetReadyAddress(), connections: probeConnections, handler: h.front.ReadyHandler()},
+		{
+			address: host.GetPeerAddress(), connections: peerConnections, handler: peerMessages(mux),
+			wrap: measures.TrafficMeter(h.stats, measures.TrafficPeers).Listener,
+		},
 	}
-	return h.listenOperators(ctx, group)
-}
-
-// serve serves a listener until ctx ends.
-func (h *Host) serve(ctx context.Context, group *errgroup.Group, l net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-	group.Go(func() error { return ignoreAfterCancel(ctx, server.Serve(l)) })
-	group.Go(func() error {
-		<-ctx.Done()
-		return server.Close()
-	})
+	if host.GetMetricsAddress() != "" {
+		endpoints = append(endpoints, h.metricsEndpoint())
+	}
+	if host.GetOperatorAddress() != "" {
+		endpoints = append(endpoints, h.operatorEndpoint()) //nolint:contextcheck // each request has its own context
+	}
+	for _, e := range endpoints {
+		if err := h.serve(ctx, group, e); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // stop performs the planned stop of this host.
--- a/internal/jobhost/metrics.go
+++ b/internal/jobhost/metrics.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/agateturn/agateturn/events"
 	"github.com/agateturn/agateturn/httpcall"
@@ -33,21 +31,12 @@
 	metricWorkerBytes      = "agateturn_worker_call_bytes_total"
 )
 
-// listenMetrics serves metrics and health checks on an address of their own, if the settings have one.
-func (h *Host) listenMetrics(ctx context.Context, group *errgroup.Group) error {
-	address := h.settings.Load().GetJobHost().GetMetricsAddress()
-	if address == "" {
-		return nil
-	}
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
-	if err != nil {
-		return err
-	}
+// metricsEndpoint serves metrics and health checks only.
+func (h *Host) metricsEndpoint() endpoint {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", h.metricsHandler())
 	mux.Handle("GET /readyz", h.front.ReadyHandler())
-	h.serve(ctx, group, listener, mux)
-	return nil
+	return endpoint{address: h.settings.Load().GetJobHost().GetMetricsAddress(), connections: probeConnections, handler: mux}
 }
 
 // metricsHandler updates the gauges of this host at each request and serves all of its metrics.
--- a/internal/jobhost/operate.go
+++ b/internal/jobhost/operate.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"net"
-
-	"golang.org/x/sync/errgroup"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/internal/jobfront"
@@ -23,21 +20,13 @@
 	return owner.Describe(ctx, req)
 }
 
-// listenOperators serves the operator API, if the settings have an address for it.
-func (h *Host) listenOperators(ctx context.Context, group *errgroup.Group) error {
+// operatorEndpoint serves the operator API.
+func (h *Host) operatorEndpoint() endpoint {
 	host := h.settings.Load().GetJobHost()
-	if host.GetOperatorAddress() == "" {
-		return nil
-	}
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", host.GetOperatorAddress())
-	if err != nil {
-		return err
-	}
-	api := operatorapi.NewJobs(jobfront.NewOperations(h.front, h.peers), operatorapi.Options{ //nolint:contextcheck // each request has its own context
+	api := operatorapi.NewJobs(jobfront.NewOperations(h.front, h.peers), operatorapi.Options{
 		Token:   host.GetOperatorToken(),
 		Logger:  h.log,
 		Metrics: h.metricsHandler(),
 	})
-	h.serve(ctx, group, listener, api)
-	return nil
+	return endpoint{address: host.GetOperatorAddress(), connections: operatorConnections, handler: api}
 }
--- a/internal/jobhost/options.go
+++ b/internal/jobhost/options.go
@@ -48,7 +48,9 @@
 		MaxTableAge:       h.maxTableAge,
 		Metrics:           jobfront.NewMetrics(h.stats),
 		ContentType:       contentType,
-		MaxConnections:    maxConnections,
+		MaxConnections:    min(maxConnections, int(h.memory()/connectionShare/connectionBytes)),
+		HeaderBytes:       h.memory() / requestShare,
+		BodyBytes:         h.memory() / requestShare,
 		StopNotice:        stopNotice,
 	}
 }
--- a/internal/meterconn/meterconn.go
+++ b/internal/meterconn/meterconn.go
@@ -52,6 +52,9 @@
 	meter Meter
 }
 
+// NetConn returns the connection that this one wraps.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
--- a/internal/peers/peerservice.go
+++ b/internal/peers/peerservice.go
@@ -12,6 +12,7 @@
 	"github.com/agateturn/agateturn/events"
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
+	"github.com/agateturn/agateturn/internal/bodies"
 	"github.com/agateturn/agateturn/internal/pause"
 	"github.com/agateturn/agateturn/internal/view"
 )
@@ -110,5 +111,5 @@
 	mux := http.NewServeMux()
 	service := &peerService{peers: p, claims: claims, detector: detector, view: p.view}
 	mux.Handle(agateturnv1connect.NewPeerServiceHandler(service, peerLimits()))
-	return newPeerBodies(mux)
+	return bodies.LimitMessages(mux, messageLimits)
 }
