--- a/internal/bodies/messages.go
+++ b/internal/bodies/messages.go
@@ -11,7 +11,7 @@
 	"golang.org/x/sync/semaphore"
 )
 
-// MessageLimits bound the memory of the messages on a listener for peers.
+// MessageLimits bound the memory of the messages on a listener.
 type MessageLimits struct {
 	// Arriving is the total size of the messages that are being received, Handled the total uncompressed size of those that are
 	// handled at once. Others wait.
@@ -20,6 +20,8 @@
 	Uncompressed int64
 	// Message returns the maximum size in bytes of the message of a call.
 	Message func(path string) int64
+	// TooLarge is the status of the answer to a larger message.
+	TooLarge int
 }
 
 // messages limits the total memory used by messages. A message is handled only once it has been received in full, so that a slow
@@ -49,7 +51,7 @@
 	data, reserved, err := m.arriving.Read(http.MaxBytesReader(w, r.Body, limit), length)
 	if err != nil {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(UnreadGrace))
-		http.Error(w, err.Error(), messageStatus(err))
+		http.Error(w, err.Error(), m.status(err))
 		return
 	}
 	defer m.arriving.Release(reserved)
@@ -73,11 +75,11 @@
 	return int64(len(data))
 }
 
-func messageStatus(err error) int {
+func (m *messages) status(err error) int {
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return http.StatusTooManyRequests // the status of the protocol for an exhausted resource
+		return m.limits.TooLarge
 	case Full.Has(err):
 		return http.StatusServiceUnavailable
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/jobhost/listen.go
+++ b/internal/jobhost/listen.go
@@ -96,6 +96,7 @@
 func peerMessages(handler http.Handler) http.Handler {
 	return bodies.LimitMessages(handler, bodies.MessageLimits{
 		Arriving: arrivingBytes, Handled: handledBytes, Uncompressed: maxPeerMessageBytes,
-		Message: func(string) int64 { return maxPeerMessageBytes },
+		Message:  func(string) int64 { return maxPeerMessageBytes },
+		TooLarge: http.StatusTooManyRequests, // the status of the protocol for an exhausted resource
 	})
 }
--- a/internal/operatorapi/api.go
+++ b/internal/operatorapi/api.go
@@ -20,6 +20,8 @@
 const (
 	// maxBodyBytes bounds the body of an operator's request.
 	maxBodyBytes = 2 << 20
+	// maxOrders bounds the requests with bodies that are in progress, and with it the memory of their bodies.
+	maxOrders = 8
 
 	// bodyTimeout bounds the time for reading a request's body.
 	bodyTimeout = 5 * time.Second
@@ -66,10 +68,31 @@
 		"operator": {Type: "http", Scheme: "bearer"},
 	}
 	api := humago.New(mux, settings)
-	api.UseMiddleware(func(ctx huma.Context, next func(huma.Context)) { authorize(api, options, ctx, next) })
+	api.UseMiddleware(
+		func(ctx huma.Context, next func(huma.Context)) { authorize(api, options, ctx, next) },
+		limitOrders(api, make(chan struct{}, maxOrders)),
+	)
 	return mux, api
 }
 
+// limitOrders rejects requests with bodies while as many as inProgress holds are in progress.
+func limitOrders(api huma.API, inProgress chan struct{}) func(huma.Context, func(huma.Context)) {
+	return func(ctx huma.Context, next func(huma.Context)) {
+		if ctx.Method() == http.MethodGet {
+			next(ctx)
+			return
+		}
+		select {
+		case inProgress <- struct{}{}:
+			defer func() { <-inProgress }()
+			next(ctx)
+		default:
+			ctx.SetHeader("Retry-After", "1")
+			_ = huma.WriteErr(api, ctx, http.StatusServiceUnavailable, "too many orders are in progress; send it again")
+		}
+	}
+}
+
 // authorize checks the operator token and gives each request an id. A rejection is logged without the presented
 // credentials.
 func authorize(api huma.API, options Options, ctx huma.Context, next func(huma.Context)) {
--- a/internal/peers/messagelimits.go
+++ b/internal/peers/messagelimits.go
@@ -1,6 +1,8 @@
 package peers
 
 import (
+	"net/http"
+
 	"github.com/agateturn/agateturn/gen/agateturn/v1/agateturnv1connect"
 	"github.com/agateturn/agateturn/internal/bodies"
 )
@@ -16,6 +18,7 @@
 
 var messageLimits = bodies.MessageLimits{
 	Arriving: peerBodyBytes, Handled: peerMessageLimit, Uncompressed: peerMessageLimit, Message: messageLimit,
+	TooLarge: http.StatusTooManyRequests, // the status of the protocol for an exhausted resource
 }
 
 // messageLimit returns the maximum size in bytes of the message of a call. Only a staged configuration is large.
