intake: charge headers only up to their end

What callers saw, while a crowd used up the memory for headers: an ordinary request with a body of some 45 lines was rejected, and so was one of twenty that came in one segment. A request without a body could be answered as rejected while it ran.

Cause: everything that a connection read before the handler began was charged as header: the beginning of a body, further requests of the same segment, and the byte that net/http reads in the background before it calls the handler.

Change: bytes and lines count up to the empty line after the header, and no longer once the server has read it.

Measured: TestOnlyHeadersAreCharged and TestRunningRequestIsNotRejected failed before and pass, 5 runs with the race detector.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -74,8 +74,10 @@
 	// inHeader means that the next bytes belong to a header, of which size bytes in lines lines have arrived.
 	inHeader    bool
 	size, lines int64
-	charged     int64
-	closed      bool
+	// begun means that a line with text has arrived, midLine that the last line has arrived in part.
+	begun, midLine bool
+	charged        int64
+	closed         bool
 }
 
 // Read implements net.Conn.
@@ -97,6 +99,14 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the output, as a server does after a rejection, if the wrapped connection can.
+func (c *conn) CloseWrite() error {
+	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
+	}
+	return nil
+}
+
 // observe charges arrived bytes and returns the answer with which to reject them, if any.
 func (c *conn) observe(data []byte) string {
 	c.mu.Lock()
@@ -104,8 +114,7 @@
 	if !c.inHeader || len(data) == 0 {
 		return ""
 	}
-	c.size += int64(len(data))
-	c.lines += int64(bytes.Count(data, []byte{'\n'}))
+	c.count(data)
 	if c.options.MaxHeaderBytes != nil && c.size > int64(c.options.MaxHeaderBytes())+readAhead {
 		return c.options.TooLarge
 	}
@@ -115,6 +124,28 @@
 	return ""
 }
 
+// count counts the bytes and the lines up to the end of the header. What follows belongs to a body or to the next request.
+func (c *conn) count(data []byte) {
+	for len(data) > 0 {
+		end := bytes.IndexByte(data, '\n')
+		if end < 0 {
+			c.size += int64(len(data))
+			c.midLine = true
+			return
+		}
+		blank := !c.midLine && len(bytes.TrimSuffix(data[:end], []byte{'\r'})) == 0
+		c.size += int64(end + 1)
+		c.lines++
+		c.midLine = false
+		if blank && c.begun {
+			c.inHeader = false
+			return
+		}
+		c.begun = c.begun || !blank
+		data = data[end+1:]
+	}
+}
+
 // charge raises the charge to the memory that the header uses. It reports false if the budget does not permit that.
 func (c *conn) charge(used int64) bool {
 	if used <= freeBytes || used <= c.charged {
@@ -140,10 +171,17 @@
 func (c *conn) beginHeader() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inHeader, c.size, c.lines = true, 0, 0
+	c.inHeader, c.size, c.lines, c.begun, c.midLine = true, 0, 0, false, false
 	c.release()
 }
 
+// stopCounting is called when the server has read the header, before it reads on in the background.
+func (c *conn) stopCounting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inHeader = false
+}
+
 // endHeader is called once the header has been parsed, and charges what the parsed header uses: it may have arrived with the request
 // before it. It reports false if the budget does not permit that.
 func (c *conn) endHeader(r *http.Request) bool {
@@ -177,9 +215,7 @@
 	c.mu.Unlock()
 	_ = c.SetDeadline(time.Now().Add(rejectTime))
 	_, _ = c.Write([]byte(answer))
-	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		_ = closer.CloseWrite()
-	}
+	_ = c.CloseWrite()
 	var input [512]byte
 	for {
 		if _, err := c.Conn.Read(input[:]); err != nil {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -95,6 +96,49 @@
 	assert.Equal(t, status(t, reader), http.StatusOK)
 }
 
+// Guards against ordinary requests that are rejected for the lines of their bodies, or of the requests that came with them.
+func TestOnlyHeadersAreCharged(t *testing.T) {
+	address, budget := serve(t, nil)
+	assert.Assert(t, budget.Take(budgetBytes))
+	body := strings.Repeat("{}\n", 400)
+	c := send(t, address, fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	assert.Equal(t, status(t, bufio.NewReader(c)), http.StatusOK)
+	reader := bufio.NewReader(send(t, address, strings.Repeat(ordinary, 20)))
+	for range 20 {
+		assert.Equal(t, status(t, reader), http.StatusOK)
+	}
+}
+
+// Guards against a request that runs and is answered as rejected: the server reads on in the background before it calls the handler, and
+// what it read of the next request was charged as part of the header.
+func TestRunningRequestIsNotRejected(t *testing.T) {
+	const size, budgetLines = 8 << 10, 1504
+	inner, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	begin := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", budgetLines-4)
+	text := begin + "b:" + strings.Repeat("x", size-len(begin)-len("b:\r\n\r\n")) + "\r\n\r\n"
+	budget := bodies.NewBudget(size + 128*budgetLines) // exactly this header
+	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(time.Millisecond)
+		_, _ = io.WriteString(w, "served")
+	})}
+	listener := intake.Listen(inner, server, intake.Options{
+		Budget: budget, Full: full, TooLarge: tooLarge,
+		RejectFull: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+	})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	for range 300 {
+		c := send(t, inner.Addr().String(), text+"GET ")
+		assert.Equal(t, status(t, bufio.NewReader(c)), http.StatusOK)
+		assert.NilError(t, c.Close())
+		for !budget.Take(size + 128*budgetLines) {
+			time.Sleep(time.Millisecond)
+		}
+		budget.Release(size + 128*budgetLines)
+	}
+}
+
 // Guards against headers that are charged with the request before them only, in whose segment they came.
 func TestPipelinedHeaderIsCharged(t *testing.T) {
 	release := make(chan struct{})
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -12,8 +12,13 @@
 func (l *listener) attach(server *http.Server) {
 	state, connContext, handler := server.ConnState, server.ConnContext, server.Handler
 	server.ConnState = func(c net.Conn, s http.ConnState) {
-		if own := find(c); own != nil && s == http.StateIdle {
-			own.beginHeader()
+		if own := find(c); own != nil {
+			switch s {
+			case http.StateIdle:
+				own.beginHeader()
+			case http.StateActive:
+				own.stopCounting()
+			}
 		}
 		if state != nil {
 			state(c, s)
