--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -175,9 +175,9 @@
 	mux.Handle(jobpeer.NewHandler(h.pools, h.tables, h.front))
 	mux.Handle(h.carrier.Handler())
 	endpoints := []endpoint{
-		{address: host.GetReadyAddress(), connections: probeConnections, handler: h.front.ReadyHandler()},
+		{address: host.GetReadyAddress(), connections: probeConnections, idleTimeout: probeIdleTimeout, handler: h.front.ReadyHandler()},
 		{
-			address: host.GetPeerAddress(), connections: peerConnections, handler: peerMessages(mux),
+			address: host.GetPeerAddress(), connections: peerConnections, idleTimeout: idleTimeout, handler: peerMessages(mux),
 			wrap: measures.TrafficMeter(h.stats, measures.TrafficPeers).Listener,
 		},
 	}
--- a/internal/jobhost/listen.go
+++ b/internal/jobhost/listen.go
@@ -16,15 +16,16 @@
 
 const (
 	// readHeaderTimeout bounds reading a request header on every listener except that for callers, readTimeout a whole request, and
-	// idleTimeout the wait for the next one.
+	// idleTimeout the wait for the next one; probeIdleTimeout the same on the listeners for readiness checks and metrics.
 	readHeaderTimeout = 2 * time.Second
 	readTimeout       = 15 * time.Second
 	idleTimeout       = 2 * time.Minute
+	probeIdleTimeout  = 10 * time.Second
 	// peerConnections, operatorConnections and probeConnections limit the concurrent connections of the listeners for peers,
 	// for operators, and for readiness checks and metrics.
 	peerConnections     = 1024
 	operatorConnections = 256
-	probeConnections    = 64
+	probeConnections    = 256
 	// maxServiceHeaderBytes is the largest header on these listeners, serviceHeaderBytes the memory that the headers on one of
 	// them may use. Each has memory of its own, so that none keeps another from serving.
 	maxServiceHeaderBytes = 16 << 10
@@ -57,6 +58,7 @@
 type endpoint struct {
 	address     string
 	connections int
+	idleTimeout time.Duration
 	handler     http.Handler
 	// wrap may wrap the listener; nil means that nothing does.
 	wrap func(net.Listener) net.Listener
@@ -69,7 +71,7 @@
 		return err
 	}
 	server := &http.Server{
-		Handler: e.handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		Handler: e.handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: e.idleTimeout,
 		MaxHeaderBytes: maxServiceHeaderBytes,
 	}
 	l := intake.Listen(limitlisten.New(inner.(*net.TCPListener), e.connections, []byte(fullResponse)), server, intake.Options{
--- a/internal/jobhost/metrics.go
+++ b/internal/jobhost/metrics.go
@@ -36,7 +36,9 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", h.metricsHandler())
 	mux.Handle("GET /readyz", h.front.ReadyHandler())
-	return endpoint{address: h.settings.Load().GetJobHost().GetMetricsAddress(), connections: probeConnections, handler: mux}
+	return endpoint{
+		address: h.settings.Load().GetJobHost().GetMetricsAddress(), connections: probeConnections, idleTimeout: probeIdleTimeout, handler: mux,
+	}
 }
 
 // metricsHandler updates the gauges of this host at each request and serves all of its metrics.
--- a/internal/jobhost/operate.go
+++ b/internal/jobhost/operate.go
@@ -28,5 +28,5 @@
 		Logger:  h.log,
 		Metrics: h.metricsHandler(),
 	})
-	return endpoint{address: host.GetOperatorAddress(), connections: operatorConnections, handler: api}
+	return endpoint{address: host.GetOperatorAddress(), connections: operatorConnections, idleTimeout: idleTimeout, handler: api}
 }
