scheduler: a repeated proof ends no run of a later incarnation

What callers could see: a task that runs on two workers. The end of a worker is proved while a start is under way; the next incarnation under the same id accepts it; the proof, which the owner of the fleet repeats with each status, ended the accepted run too.

Cause: let a proof apply also to a worker that has not failed to answer since its end, and not only a proof with a successor; after a hold without an answer the code before did the same. Change: once the end is known, only a successor ends what is left.

--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -34,15 +34,17 @@
 func (p *Pool) EndIncarnations(now time.Time, incarnations []*pb.WorkerIncarnation) {
 	for _, incarnation := range incarnations {
 		w := p.workers[incarnation.GetId()]
-		if w == nil || incarnation.GetBorn() == 0 || incarnation.GetBorn() != w.Born || (!w.unreachable && !w.replaced) {
+		if w == nil || incarnation.GetBorn() == 0 || incarnation.GetBorn() != w.Born {
 			continue
 		}
-		if incarnation.GetSucceeded() {
+		switch {
+		case incarnation.GetSucceeded() && (w.unreachable || w.replaced):
 			p.markEnded(now, w, reasonHostList, func(*run) bool { return true })
-			continue
+		case w.unreachable && !w.replaced:
+			p.markEnded(now, w, reasonHostList, func(r *run) bool { return r.state != runOrdered && r.state != runUnknown })
+			p.keepUnansweredStarts(now, w)
+		default: // It answers, or its end is known: what remains may run in a later incarnation.
 		}
-		p.markEnded(now, w, reasonHostList, func(r *run) bool { return r.state != runOrdered && r.state != runUnknown })
-		p.keepUnansweredStarts(now, w)
 	}
 }
 
--- a/scheduler/latestart_test.go
+++ b/scheduler/latestart_test.go
@@ -87,3 +87,28 @@
 		})
 	}
 }
+
+// Guards against two runs of a task: the end of a worker is proved while a start is under way, the next incarnation under the same id
+// accepts that start, and the proof, which the owner of the fleet repeats with each status, ends the accepted run too. No hold has failed in
+// between.
+func TestRepeatedProofEndsNoRunOfALaterIncarnation(t *testing.T) {
+	b := newTestPool("w1", "w2")
+	b.add("a", &pb.JobStep{Count: 1, CpuMilli: 1000, Persistent: true})
+	o := b.pool.Step(b.now).Orders[0]
+	other := map[string]string{"w1": "w2", "w2": "w1"}[o.Worker]
+	b.advance(100 * time.Millisecond)
+	b.pool.MarkUnreachable(o.Worker)
+	end := []*pb.WorkerIncarnation{{Id: o.Worker, Born: 5}}
+	b.pool.EndIncarnations(b.now, end)
+	b.pool.Step(b.now)
+	b.advance(100 * time.Millisecond)
+	b.pool.Result(b.now, scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeDone, Clock: 10})
+	b.pool.EndIncarnations(b.now, end)
+	for range 30 {
+		for _, x := range b.pool.Step(b.now).Orders {
+			assert.Assert(t, x.Kind != scheduler.OrderStart, "started on %s, while the later incarnation of %s runs it", x.Worker, o.Worker)
+		}
+		b.advance(100 * time.Millisecond)
+		b.report(other, nil, nil)
+	}
+}
