scheduler: a proved end ends what an earlier owner had seen running

What callers could see: a task that waits for a lease although the platform has ended its worker. The worker fell silent, its pool changed its owner, and the list of hosts proved the end.

Cause: the record of a sealed worker did not tell which of its runs the worker had listed, so that the next owner kept all of them as starts that a later incarnation may execute.

Change: the record tells it, and a proved end of that incarnation ends those runs.

--- a/internal/poolowner/seals.go
+++ b/internal/poolowner/seals.go
@@ -62,6 +62,7 @@
 	w.Runs = lo.Map(seal.Runs, func(r scheduler.SealedRun, _ int) *pb.SealedRun {
 		return &pb.SealedRun{
 			Job: r.Task.Job, Occurrence: int64(r.Task.Occurrence), Step: int64(r.Task.Step), Index: int64(r.Task.Index), Run: r.Run,
+			Listed: r.Listed,
 		}
 	})
 	return w
@@ -73,7 +74,7 @@
 func sealFromRecord(w *pb.RosterWorker) scheduler.SealedWorker {
 	runs := lo.Map(w.GetRuns(), func(r *pb.SealedRun, _ int) scheduler.SealedRun {
 		task := scheduler.TaskID{Job: r.GetJob(), Occurrence: int(r.GetOccurrence()), Step: int(r.GetStep()), Index: int(r.GetIndex())}
-		return scheduler.SealedRun{Task: task, Run: r.GetRun()}
+		return scheduler.SealedRun{Task: task, Run: r.GetRun(), Listed: r.GetListed()}
 	})
 	return scheduler.SealedWorker{
 		Worker: w.GetId(), Runs: runs, RunsUnknown: !w.GetSealed(), LeaseLeft: time.Duration(w.GetLeaseMs()) * time.Millisecond,
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -41,7 +41,9 @@
 		case incarnation.GetSucceeded() && (w.unreachable || w.replaced):
 			p.markEnded(now, w, reasonHostList, func(*run) bool { return true })
 		case w.unreachable && !w.replaced:
-			p.markEnded(now, w, reasonHostList, func(r *run) bool { return r.state != runOrdered && r.state != runUnknown })
+			p.markEnded(now, w, reasonHostList, func(r *run) bool {
+				return r.listedEarlier || r.state != runOrdered && r.state != runUnknown
+			})
 			p.keepUnansweredStarts(now, w)
 		default: // It answers, or its end is known: what remains may run in a later incarnation.
 		}
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -46,6 +46,8 @@
 	state   runState
 	// address is where its start was sent; empty if another owner ordered it.
 	address string
+	// listedEarlier means that the incarnation has listed the run to an earlier owner.
+	listedEarlier bool
 	// until is the lease expiry that its start requested, on the worker's clock in ms.
 	until        int64
 	orderedAt    time.Time
@@ -114,6 +116,11 @@
 	return now.Sub(r.orderedAt)
 }
 
+// listedBy reports whether the present incarnation of the worker has listed the run.
+func (r *run) listedBy(w *worker) bool {
+	return !w.replaced && (r.state == runRunning || r.listedEarlier)
+}
+
 func (r *run) key() runKey { return runKey{r.id, r.number} }
 
 // newRun adds a run to its worker and its task.
--- a/scheduler/seal.go
+++ b/scheduler/seal.go
@@ -30,6 +30,8 @@
 type SealedRun struct {
 	Task TaskID
 	Run  int64
+	// Listed means that the incarnation has listed the run, so that it ends with it.
+	Listed bool
 }
 
 // Seal seals the workers that have become silent and returns those that are sealed and have not reported since, sorted by ID.
@@ -59,7 +61,7 @@
 		}
 		s := SealedWorker{Worker: w.ID, RunsUnknown: p.takeover.awaits(w.ID)}
 		for _, r := range w.runs {
-			s.Runs = append(s.Runs, SealedRun{Task: r.id, Run: r.number})
+			s.Runs = append(s.Runs, SealedRun{Task: r.id, Run: r.number, Listed: r.listedBy(w)})
 		}
 		s.LeaseLeft = p.leaseLeft(now, w, &s)
 		out = append(out, s)
@@ -111,6 +113,7 @@
 		r := p.adopt(now, w, &RunningTask{Task: x.Task, Run: x.Run})
 		r.state = runUnknown
 		r.giveUpAt = end
+		r.listedEarlier = x.Listed
 	}
 	if s.RunsUnknown {
 		p.takeover.leaseEnds[s.Worker] = end
--- a/scheduler/seal_test.go
+++ b/scheduler/seal_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/queue"
+	"github.com/agateturn/agateturn/scheduler"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
@@ -55,3 +58,76 @@
 		}
 	})
 }
+
+// takeOver returns a pool of the next owner, with the seals of the one before.
+func takeOver(b *testPool, fence uint64, jobs []*pb.JobRecord, seals []scheduler.SealedWorker, ids ...string) *testPool {
+	next := &testPool{now: b.now, clock: b.clock}
+	cfg := simConfig
+	cfg.Fence = fence
+	next.pool = scheduler.New(cfg)
+	next.pool.SetQueues(next.now, []queue.Queue{{Name: "q", MaxAttempts: 3, Stretch: 2, TargetDuration: time.Second}})
+	next.pool.Load(next.now, jobs, nil, nil)
+	var ws []scheduler.Worker
+	for _, id := range ids {
+		ws = append(ws, scheduler.Worker{ID: id, Address: id, Host: "m-" + id, Born: 5, Capacity: scheduler.Resources{CPUMilli: 4000, MemoryMB: 4000}})
+	}
+	next.pool.SetWorkers(next.now, ws)
+	for _, s := range seals {
+		next.pool.AdoptSealed(next.now, s)
+	}
+	return next
+}
+
+// Guards against a task that waits for a lease although the platform has ended its worker: the earlier owner had seen it run, but its
+// record doesn't tell, so that the next owner keeps it as a start that a later incarnation may execute.
+func TestProofEndsWhatAnEarlierOwnerHasSeenRunning(t *testing.T) {
+	for name, takesOver := range map[string]bool{"same owner": false, "next owner": true} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestPool("w1", "w2", "w3")
+			job := &pb.JobRecord{
+				Id: "a", Queue: "q", AcceptedMs: b.now.UnixMilli(),
+				Spec: &pb.JobSpec{Steps: []*pb.JobStep{{Count: 1, CpuMilli: 1000, Persistent: true}}},
+			}
+			b.pool.Add(b.now, job)
+			o := b.pool.Step(b.now).Orders[0]
+			b.pool.Result(b.now, scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeDone, Clock: b.clock})
+			running := []scheduler.RunningTask{{Task: o.Task, Run: o.Run, Percent: 100}}
+			others := map[string][]string{"w1": {"w2", "w3"}, "w2": {"w1", "w3"}, "w3": {"w1", "w2"}}[o.Worker]
+			tick := func(reporting bool) (started bool) {
+				b.advance(100 * time.Millisecond)
+				for _, id := range others {
+					b.report(id, nil, nil)
+				}
+				if reporting {
+					b.report(o.Worker, running, nil)
+				}
+				for _, x := range b.pool.Step(b.now).Orders {
+					started = started || x.Kind == scheduler.OrderStart
+				}
+				return started
+			}
+			for range 60 {
+				tick(true)
+			}
+			var seals []scheduler.SealedWorker
+			for range 17 {
+				tick(false)
+				seals = b.pool.Seal(b.now)
+			}
+			assert.Equal(t, len(seals), 1)
+			if takesOver {
+				b = takeOver(b, 8, []*pb.JobRecord{job}, seals, "w1", "w2", "w3")
+			}
+			b.pool.MarkUnreachable(o.Worker)
+			waited := time.Duration(0)
+			for ; waited < 6*time.Second; waited += 100 * time.Millisecond {
+				b.pool.EndIncarnations(b.now, []*pb.WorkerIncarnation{{Id: o.Worker, Born: 5}})
+				if tick(false) {
+					break
+				}
+			}
+			// The next owner does not know for how long the task has run, so that it starts as a trial, once that is recorded.
+			assert.Assert(t, waited < 1500*time.Millisecond, "started %s after the proof", waited)
+		})
+	}
+}
