--- a/internal/poolowner/hold.go
+++ b/internal/poolowner/hold.go
@@ -180,7 +180,7 @@
 	if !acknowledge {
 		next.LastSeen = 0
 	}
-	if next.Immediate {
+	if next.Until == 0 {
 		maxWait = 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxWait+holdTimeoutMargin)
--- a/internal/poolowner/roster.go
+++ b/internal/poolowner/roster.go
@@ -22,9 +22,6 @@
 	// and unsealInterval the same while there are any: a worker that answers again should be used soon.
 	sealCheckInterval = 250 * time.Millisecond
 	unsealInterval    = 100 * time.Millisecond
-	// leaseRecordInterval is the time between records of the leases that sealed workers still have: a later owner counts what is
-	// left from its own start.
-	leaseRecordInterval = time.Second
 )
 
 // roster maintains the durable record of the workers that may run tasks of the pool. A worker is recorded before the
--- a/internal/poolowner/seals.go
+++ b/internal/poolowner/seals.go
@@ -19,8 +19,6 @@
 	// possible holds the workers that are sealed in the record, or in one whose write may have taken effect. written holds
 	// those of the latest write, before what was possible before it.
 	possible, written, before map[string]bool
-	// durable are the seals of the latest record that is certainly in force.
-	durable map[string]scheduler.SealedWorker
 	// held means that the scheduler may have sealed workers.
 	held bool
 	// inherited are the seals of a previous owner that the scheduler does not know yet.
@@ -31,12 +29,11 @@
 func (s *seals) load(record *pb.Roster) {
 	s.inherited = map[string]scheduler.SealedWorker{}
 	for _, w := range record.GetWorkers() {
-		if w.GetSealed() || w.GetLeaseMs() > 0 {
+		if w.GetSealed() {
 			s.inherited[w.GetId()] = sealFromRecord(w)
 		}
 	}
 	s.wanted, s.held = maps.Clone(s.inherited), len(s.inherited) > 0
-	s.durable = maps.Clone(s.inherited)
 	s.possible = lo.MapValues(s.inherited, func(scheduler.SealedWorker, string) bool { return true })
 }
 
@@ -58,7 +55,7 @@
 	if !ok {
 		return w
 	}
-	w.Sealed, w.LeaseMs = !seal.RunsUnknown, ceilMillis(seal.LeaseLeft)
+	w.Sealed = true
 	w.Runs = lo.Map(seal.Runs, func(r scheduler.SealedRun, _ int) *pb.SealedRun {
 		return &pb.SealedRun{
 			Job: r.Task.Job, Occurrence: int64(r.Task.Occurrence), Step: int64(r.Task.Step), Index: int64(r.Task.Index), Run: r.Run,
@@ -68,17 +65,11 @@
 	return w
 }
 
-// ceilMillis returns a duration in whole milliseconds, rounded up.
-func ceilMillis(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
-
 func sealFromRecord(w *pb.RosterWorker) scheduler.SealedWorker {
-	runs := lo.Map(w.GetRuns(), func(r *pb.SealedRun, _ int) scheduler.SealedRun {
+	return scheduler.SealedWorker{Worker: w.GetId(), Runs: lo.Map(w.GetRuns(), func(r *pb.SealedRun, _ int) scheduler.SealedRun {
 		task := scheduler.TaskID{Job: r.GetJob(), Occurrence: int(r.GetOccurrence()), Step: int(r.GetStep()), Index: int(r.GetIndex())}
 		return scheduler.SealedRun{Task: task, Run: r.GetRun(), Listed: r.GetListed()}
-	})
-	return scheduler.SealedWorker{
-		Worker: w.GetId(), Runs: runs, RunsUnknown: !w.GetSealed(), LeaseLeft: time.Duration(w.GetLeaseMs()) * time.Millisecond,
-	}
+	})}
 }
 
 // beginWrite is called before a record with the wanted seals is written.
@@ -89,25 +80,14 @@
 }
 
 // recorded is called once that record is durable: no earlier one can take effect any more.
-func (s *seals) recorded() { s.possible, s.durable = s.written, maps.Clone(s.wanted) }
+func (s *seals) recorded() { s.possible = s.written }
 
 // notRecorded is called if that write certainly had no effect.
 func (s *seals) notRecorded() { s.possible = s.before }
 
-// inSync reports whether the record certainly contains the wanted seals and no others, and tells what a later owner must wait for.
+// inSync reports whether the record certainly contains the wanted seals and no others.
 func (s *seals) inSync() bool {
-	return len(s.possible) == len(s.wanted) && lo.EveryBy(lo.Values(s.wanted), func(w scheduler.SealedWorker) bool {
-		return s.possible[w.Worker] && !isOutdated(s.durable[w.Worker], w)
-	})
-}
-
-// isOutdated reports whether a later owner would wait longer by a recorded seal than by the present one.
-func isOutdated(recorded, present scheduler.SealedWorker) bool {
-	if recorded.RunsUnknown != present.RunsUnknown || len(recorded.Runs) != len(present.Runs) {
-		return true
-	}
-	waits := present.RunsUnknown || len(present.Runs) > 0
-	return waits && (recorded.LeaseLeft == 0) != (present.LeaseLeft == 0) || recorded.LeaseLeft-present.LeaseLeft >= leaseRecordInterval
+	return len(s.possible) == len(s.wanted) && lo.EveryBy(lo.Keys(s.wanted), func(id string) bool { return s.possible[id] })
 }
 
 // checkInterval returns the time until the next check. A record that could not be written is not tried again sooner than others.
@@ -131,7 +111,7 @@
 	listed := lo.SliceToMap(r.listed, func(w scheduler.Worker) (string, bool) { return w.ID, true })
 	r.seals.wanted = maps.Clone(r.seals.inherited)
 	for _, s := range sealed {
-		if listed[s.Worker] || len(s.Runs) > 0 || s.RunsUnknown {
+		if listed[s.Worker] || len(s.Runs) > 0 {
 			r.seals.wanted[s.Worker] = s
 		}
 	}
--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -241,8 +241,6 @@
 type Hold struct {
 	// LastSeen is the highest end number to acknowledge.
 	LastSeen int64
-	// Until is the lease expiry on the worker's clock in ms; 0 leaves the lease as it is.
+	// Until is the lease expiry on the worker's clock in ms, 0 if the clock is not known yet.
 	Until int64
-	// Immediate means that the worker's clock is not known yet, so that the answer should not wait for a run to end.
-	Immediate bool
 }
--- a/scheduler/decision.go
+++ b/scheduler/decision.go
@@ -30,8 +30,7 @@
 	// DecisionWorkerEnded and DecisionLost.
 	Born    int64
 	Silence time.Duration
-	// Wait is how long starts are kept at most, for DecisionStartsKept, or how long the leases of the worker may last, for
-	// DecisionSealAdopted.
+	// Wait is how long a state lasts at most, for DecisionStartsKept.
 	Wait time.Duration
 	// Workspace is the workspace of the job, for decisions about a whole job and for those about a workspace.
 	Workspace string
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -70,7 +70,6 @@
 func (p *Pool) lease(now time.Time, w *worker) int64 {
 	until := max(0, w.clock.lowerBound(now)+p.leaseDuration(now).Milliseconds())
 	w.leaseUntil = max(w.leaseUntil, until)
-	w.requestedUntil = max(w.requestedUntil, until)
 	return until
 }
 
@@ -83,10 +82,6 @@
 	h := Hold{LastSeen: p.acknowledge(w)}
 	switch {
 	case !w.clock.known:
-		h.Immediate = true
-	case w.sealed:
-		// A record may tell when the leases of a sealed worker end, so they are not extended.
-		h.Until = w.requestedUntil
 	case w.silent(now):
 		// The lease of a silent worker must expire, so it is not extended.
 		h.Until = w.leaseUntil
--- a/scheduler/seal.go
+++ b/scheduler/seal.go
@@ -14,16 +14,11 @@
 	sealDivisor = 2
 )
 
-// SealedWorker is a worker on which nothing starts and whose leases are not extended, with the runs that may execute there. A
-// record of it lets a later owner start all other tasks without waiting for the worker, and those of its runs when the leases of
-// before have expired, however many owners came between.
+// SealedWorker is a worker on which nothing starts, with the runs that may execute there. A record of it lets a later owner start
+// all other tasks without waiting for the worker.
 type SealedWorker struct {
 	Worker string
 	Runs   []SealedRun
-	// RunsUnknown means that the worker may also run what earlier owners have started and no record tells.
-	RunsUnknown bool
-	// LeaseLeft is for how much longer anything may execute there, from the call of Seal; 0 if nothing may, or if it is not known.
-	LeaseLeft time.Duration
 }
 
 // SealedRun is a run that may execute on a sealed worker.
@@ -35,17 +30,20 @@
 }
 
 // Seal seals the workers that have become silent and returns those that are sealed and have not reported since, sorted by ID.
-// Until a worker is unsealed, nothing starts there and its leases are not extended, whether or not the record of it was written.
+// Nothing starts on a sealed worker until it is unsealed, whether or not the record of it was written.
 func (p *Pool) Seal(now time.Time) []SealedWorker {
+	if p.takeover.blocksStarts() {
+		return p.sealedWorkers()
+	}
 	heard := lo.Filter(p.sortedWorkers, func(w *worker, _ int) bool { return w.reported && !w.departed })
 	silent := lo.CountBy(heard, func(w *worker) bool { return w.mustBeSealed(now) })
-	maySealHeard := silent*sealDivisor <= len(heard) && !p.takeover.blocksStarts()
+	maySealHeard := silent*sealDivisor <= len(heard)
 	for _, w := range p.sortedWorkers {
 		if !w.sealed && w.mustBeSealed(now) && (maySealHeard || !w.reported) {
 			w.sealed, w.sealedAt = true, now
 		}
 	}
-	return p.sealedWorkers(now)
+	return p.sealedWorkers()
 }
 
 // mustBeSealed reports whether a later owner would wait for the worker. One that is known to have ended answers for its address.
@@ -53,39 +51,21 @@
 	return !w.departed && !w.replaced && now.Sub(w.lastReport) >= sealAfter
 }
 
-func (p *Pool) sealedWorkers(now time.Time) []SealedWorker {
+func (p *Pool) sealedWorkers() []SealedWorker {
 	var out []SealedWorker
 	for _, w := range p.sortedWorkers {
 		if !w.sealed || w.lastReport.After(w.sealedAt) {
 			continue
 		}
-		s := SealedWorker{Worker: w.ID, RunsUnknown: p.takeover.awaits(w.ID)}
+		s := SealedWorker{Worker: w.ID}
 		for _, r := range w.runs {
 			s.Runs = append(s.Runs, SealedRun{Task: r.id, Run: r.number, Listed: r.listedBy(w)})
 		}
-		s.LeaseLeft = p.leaseLeft(now, w, &s)
 		out = append(out, s)
 	}
 	return out
 }
 
-// leaseLeft returns for how much longer anything may execute on a sealed worker.
-func (p *Pool) leaseLeft(now time.Time, w *worker, s *SealedWorker) time.Duration {
-	var end time.Time
-	switch {
-	case s.RunsUnknown:
-		end = p.takeover.leaseEnd(w.ID, p.cfg.longestLease())
-	case len(s.Runs) > 0:
-		end = w.leaseExpiry()
-	default:
-		return 0
-	}
-	if end.IsZero() {
-		return 0
-	}
-	return max(end.Sub(now), time.Millisecond)
-}
-
 // Unseal allows starts again on all sealed workers but those in keep, once no record tells that they are sealed.
 func (p *Pool) Unseal(now time.Time, keep map[string]bool) {
 	for _, w := range p.sortedWorkers {
@@ -97,8 +77,7 @@
 }
 
 // AdoptSealed takes over a worker that an earlier owner has sealed. Its runs may execute until their leases have expired; the
-// takeover does not wait for the worker, unless it may run what the record does not tell. It is called after Load and after the
-// worker was listed.
+// takeover does not wait for the worker. It is called after Load and after the worker was listed.
 func (p *Pool) AdoptSealed(now time.Time, s SealedWorker) {
 	w := p.workers[s.Worker]
 	if w == nil {
@@ -108,19 +87,12 @@
 	if w.reported || !p.takeover.blocksStarts() {
 		return
 	}
-	end := p.takeover.recordedLeaseEnd(p.cfg.longestLease(), s.LeaseLeft)
 	for _, x := range s.Runs {
 		r := p.adopt(now, w, &RunningTask{Task: x.Task, Run: x.Run})
 		r.state = runUnknown
-		r.giveUpAt = end
+		r.giveUpAt = p.takeover.leaseDeadline(p.cfg.longestLease())
 		r.listedEarlier = x.Listed
 	}
-	if s.RunsUnknown {
-		p.takeover.leaseEnds[s.Worker] = end
-	} else {
-		p.takeover.markReported(s.Worker)
-	}
-	p.out.Decisions = append(p.out.Decisions, Decision{
-		Kind: DecisionSealAdopted, Worker: w.ID, Count: len(s.Runs), Wait: end.Sub(now),
-	})
+	p.takeover.markReported(s.Worker)
+	p.out.Decisions = append(p.out.Decisions, Decision{Kind: DecisionSealAdopted, Worker: w.ID, Count: len(s.Runs)})
 }
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -25,8 +25,6 @@
 	// rosterIncomplete means that workers other than the awaited ones may run something.
 	rosterIncomplete bool
 	awaited          map[string]bool
-	// leaseEnds holds the times by which the leases of awaited workers have expired, as far as their records tell them.
-	leaseEnds map[string]time.Time
 	// awaitedTotal counts the workers that were waited for.
 	awaitedTotal int
 }
@@ -66,42 +64,6 @@
 	return t.startedAt.Add(maxLeaseDuration(lease))
 }
 
-// awaits reports whether the worker may run what no record and no report tells.
-func (t *takeover) awaits(id string) bool { return t.blocksStarts() && t.awaited[id] }
-
-// leaseEnd returns when the leases of an awaited worker have expired.
-func (t *takeover) leaseEnd(id string, lease time.Duration) time.Time {
-	if end, recorded := t.leaseEnds[id]; recorded {
-		return end
-	}
-	return t.leaseDeadline(lease)
-}
-
-// waitLimit returns when no awaited worker can run anything any more.
-func (t *takeover) waitLimit(lease time.Duration) time.Time {
-	limit := t.leaseDeadline(lease)
-	if !t.registryLoaded || t.rosterIncomplete {
-		return limit
-	}
-	latest := t.startedAt
-	for id := range t.awaited {
-		if end := t.leaseEnd(id, lease); end.After(latest) {
-			latest = end
-		}
-	}
-	return latest
-}
-
-// recordedLeaseEnd returns when the leases of a sealed worker have expired. By its record, which was made before the takeover, they
-// end within left; 0 if it does not tell.
-func (t *takeover) recordedLeaseEnd(lease, left time.Duration) time.Time {
-	limit := t.leaseDeadline(lease)
-	if end := t.startedAt.Add(left + leaseExpiryMargin); left > 0 && end.Before(limit) {
-		return end
-	}
-	return limit
-}
-
 // maxLeaseDuration returns how long a lease may last on the owner's clock, as a worker's clock may run slow.
 func maxLeaseDuration(lease time.Duration) time.Duration {
 	const drift = 1.03
@@ -110,7 +72,7 @@
 
 // Load restores the state left by previous owners. It is called once, before any other input.
 func (p *Pool) Load(now time.Time, jobs []*pb.JobRecord, progress []*pb.JobProgress, cancelled []string) {
-	p.takeover = takeover{started: true, startedAt: now, awaited: map[string]bool{}, leaseEnds: map[string]time.Time{}}
+	p.takeover = takeover{started: true, startedAt: now, awaited: map[string]bool{}}
 	for _, w := range p.sortedWorkers {
 		p.takeover.awaited[w.ID] = true
 	}
@@ -244,7 +206,7 @@
 	if !t.started || t.done {
 		return
 	}
-	limit := t.waitLimit(p.cfg.longestLease())
+	limit := t.leaseDeadline(p.cfg.longestLease())
 	if now.Before(limit) && !t.allReported() {
 		p.wake(limit)
 		return
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -38,8 +38,6 @@
 	listSent time.Time
 	// leaseUntil is the latest lease expiry requested, on the worker's clock in ms.
 	leaseUntil int64
-	// requestedUntil is the part of leaseUntil that this owner has requested.
-	requestedUntil int64
 	// replaced means that another incarnation has answered at its address, since replacedAt.
 	replaced   bool
 	replacedAt time.Time
@@ -58,7 +56,7 @@
 	// pausedUntil prevents starts after refusals. unansweredStarts counts the starts without a conclusive answer since
 	// the latest list of running tasks.
 	pausedUntil time.Time
-	// sealed means that nothing starts here and no lease is extended until Unseal, sealedAt since when.
+	// sealed means that nothing starts here until Unseal, sealedAt since when.
 	sealed           bool
 	sealedAt         time.Time
 	pauses           int
@@ -208,7 +206,7 @@
 	w.lastClock = 0
 	w.heardAt = ""
 	w.expired = nil
-	w.leaseUntil, w.requestedUntil = 0, 0
+	w.leaseUntil = 0
 	w.ends = endLog{}
 	w.unansweredStarts = 0
 	w.emptyConfirmed = false
