intake: name all states of a connection; limit headers exactly

Bytes after the end of a header are not counted any more, so the slack for them is gone from the limit.

Measured: the linter reports nothing; tests of intake and jobfront pass.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -23,8 +23,6 @@
 	freeBytes = 6 << 10
 	// chargeStep is the smallest charge.
 	chargeStep = 4 << 10
-	// readAhead is how much of a body a server may read together with the header.
-	readAhead = 4 << 10
 	// rejectTime bounds the time to send a rejection and to discard what the client still sends. Closing a socket with unread input
 	// resets the connection and discards the answer.
 	rejectTime = 250 * time.Millisecond
@@ -115,7 +113,7 @@
 		return ""
 	}
 	c.count(data)
-	if c.options.MaxHeaderBytes != nil && c.size > int64(c.options.MaxHeaderBytes())+readAhead {
+	if c.options.MaxHeaderBytes != nil && c.size > int64(c.options.MaxHeaderBytes()) {
 		return c.options.TooLarge
 	}
 	if !c.charge(c.size + c.lines*lineBytes) {
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -18,6 +18,7 @@
 				own.beginHeader()
 			case http.StateActive:
 				own.stopCounting()
+			case http.StateNew, http.StateHijacked, http.StateClosed:
 			}
 		}
 		if state != nil {
