Log by which expiry a lease ended, and unanswered holds of ended workers

The log could not distinguish the hypotheses of the incident: it did not tell whether the owner went by a lease expiry that it had requested or by one that it had assumed for the calls of others, nor whether a call was without an answer when an incarnation ended.

The scheduler keeps the two expiries apart for it; the functions about a worker's lease move to a file of their own. No decision changes.

--- a/internal/poolowner/decisions.go
+++ b/internal/poolowner/decisions.go
@@ -316,6 +316,12 @@
 	if first.Silence > 0 {
 		attrs = append(attrs, slog.Int64("silent_ms", first.Silence.Milliseconds()))
 	}
+	if first.Unanswered {
+		attrs = append(attrs, slog.Bool("unanswered_hold", true))
+	}
+	if first.LeaseBasis != "" {
+		attrs = append(attrs, slog.String("lease", first.LeaseBasis), slog.Int64("answering_ms", first.Answering.Milliseconds()))
+	}
 	if first.Age > 0 {
 		attrs = append(attrs, slog.Int64("age_ms", first.Age.Milliseconds()))
 	}
--- a/scheduler/decision.go
+++ b/scheduler/decision.go
@@ -30,6 +30,12 @@
 	// DecisionWorkerEnded and DecisionLost.
 	Born    int64
 	Silence time.Duration
+	// Unanswered means that a hold of the incarnation that ended got no answer, for DecisionWorkerEnded.
+	Unanswered bool
+	// LeaseBasis tells whether the lease of a silent worker ended by a requested or an assumed expiry, Answering is how long before the
+	// last answer its incarnation had first answered this owner; both for DecisionLost.
+	LeaseBasis string
+	Answering  time.Duration
 	// Wait is how long a state lasts at most, for DecisionStartsKept.
 	Wait time.Duration
 	// Workspace is the workspace of the job, for decisions about a whole job and for those about a workspace.
@@ -110,12 +116,16 @@
 	p.addDecision(DecisionLost, r, reason)
 	d := &p.out.Decisions[len(p.out.Decisions)-1]
 	d.Age, d.Silence = r.age(now), now.Sub(r.worker.lastReport)
+	if w := r.worker; reason == reasonLeaseExpired && w.reported {
+		d.LeaseBasis, d.Answering = w.leaseBasis(), w.lastReport.Sub(w.reportedAt)
+	}
 }
 
 // addWorkerEnded adds the decision that the current incarnation of a worker has ended.
 func (p *Pool) addWorkerEnded(now time.Time, w *worker, reason string) {
 	p.out.Decisions = append(p.out.Decisions, Decision{
 		Kind: DecisionWorkerEnded, Worker: w.ID, Born: w.Born, Reason: reason, Count: len(w.runs), Silence: now.Sub(w.lastReport),
+		Unanswered: w.unreachable,
 	})
 }
 
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -69,7 +69,7 @@
 // if no answer arrives.
 func (p *Pool) lease(now time.Time, w *worker) int64 {
 	until := max(0, w.clock.lowerBound(now)+p.leaseDuration(now).Milliseconds())
-	w.leaseUntil = max(w.leaseUntil, until)
+	w.requestedUntil = max(w.requestedUntil, until)
 	return until
 }
 
@@ -84,7 +84,7 @@
 	case !w.clock.known:
 	case w.silent(now):
 		// The lease of a silent worker must expire, so it is not extended.
-		h.Until = w.leaseUntil
+		h.Until = w.leaseUntil()
 	default:
 		h.Until = p.lease(now, w)
 	}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -89,10 +89,10 @@
 }
 
 func (p *Pool) firstReport(now time.Time, w *worker, r *Report) {
-	w.reported = true
+	w.reported, w.reportedAt = true, r.Received
 	if len(r.Running) > 0 || len(w.runs) > 0 {
 		// A previous owner, or a start sent to the previous incarnation, may have extended the lease up to now.
-		w.leaseUntil = max(w.leaseUntil, r.Clock+p.cfg.MaxLease.Milliseconds())
+		w.assumedUntil = max(w.assumedUntil, r.Clock+p.cfg.MaxLease.Milliseconds())
 	}
 	p.takeover.markReported(w.ID)
 	p.wakePlacement(now)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -25,6 +25,7 @@
 	clock         workerClock
 	// reported means that this incarnation has answered a hold of this owner.
 	reported   bool
+	reportedAt time.Time
 	lastReport time.Time
 	// heardAt is the address from which this incarnation last answered.
 	heardAt string
@@ -36,8 +37,9 @@
 	lastClock int64
 	// listSent is when the hold that returned that list was sent.
 	listSent time.Time
-	// leaseUntil is the latest lease expiry requested, on the worker's clock in ms.
-	leaseUntil int64
+	// requestedUntil is the latest lease expiry requested of this incarnation, assumedUntil the latest that calls of others may
+	// have led to; both on the worker's clock in ms.
+	requestedUntil, assumedUntil int64
 	// replaced means that another incarnation has answered at its address, since replacedAt.
 	replaced   bool
 	replacedAt time.Time
@@ -206,7 +208,7 @@
 	w.lastClock = 0
 	w.heardAt = ""
 	w.expired = nil
-	w.leaseUntil = 0
+	w.requestedUntil, w.assumedUntil = 0, 0
 	w.ends = endLog{}
 	w.unansweredStarts = 0
 	w.emptyConfirmed = false
@@ -245,46 +247,6 @@
 	p.sortedWorkers = kept
 }
 
-func (p *Pool) checkLease(now time.Time, w *worker) {
-	if len(w.runs) == 0 || !w.silent(now) {
-		return
-	}
-	expiry := w.leaseExpiry()
-	if now.Before(expiry) {
-		p.wake(expiry)
-		return
-	}
-	w.expired = append(w.expired, w.runs...)
-	for _, r := range append([]*run(nil), w.runs...) {
-		p.addLost(now, r, w.expiryReason())
-		p.endRun(now, r, EndLapsed, "")
-	}
-}
-
-// leaseExpiry returns when the lease of a silent worker has expired, including a lease requested by a start to the
-// previous incarnation.
-func (w *worker) leaseExpiry() time.Time {
-	var latest time.Time
-	if w.clock.known {
-		latest = w.clock.surelyPassedAt(w.leaseUntil).Add(leaseExpiryMargin)
-	}
-	for _, r := range w.runs {
-		if r.giveUpAt.After(latest) {
-			latest = r.giveUpAt
-		}
-	}
-	return latest
-}
-
-// expiryReason returns why the runs of a silent worker are over at leaseExpiry. Once its incarnation has ended, they are starts that
-// a later one could still have executed.
-func (w *worker) expiryReason() string {
-	if w.replaced {
-		return reasonStartOutdated
-	}
-	return reasonLeaseExpired
-}
-
 func (w *worker) silent(now time.Time) bool {
 	return now.Sub(w.lastReport) > silenceTimeout
 }
