scheduler: calls meant for an earlier incarnation extend no lease of the next

Callers saw a task run twice at the same time: a worker started again under its id, a task started there, the worker was cut off, and the task was started elsewhere up to 4 s before its lease on the worker had ended.

Cause: the hold that is under way when a worker crashes gets no answer and is carried out by the next incarnation. Its expiry is a time on the earlier clock, so the worker cuts it to the longest lease. The header that names the worker cannot tell the two apart, and the owner counted only with what it had asked of the new incarnation.

The fencing token of a worker's calls now rises with each end of an incarnation: it is the owner's token followed by a count. Nothing starts on a returned worker before it has answered a hold with the raised token. From then on the worker itself rejects every earlier call; what was carried out before that answer cannot outlast the longest lease from then, which the owner assumes, also after a takeover of a worker that runs nothing. A call that the worker rejects because of the owner's own next token does not end the term.

--- a/internal/carry/carry_test.go
+++ b/internal/carry/carry_test.go
@@ -184,7 +184,7 @@
 func (o *owner) hold(worker string) (scheduler.Report, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 800*time.Millisecond)
 	defer cancel()
-	return o.Hold(ctx, poolowner.HoldRequest{Worker: worker, Address: worker + ":1", Fence: 1})
+	return o.Hold(ctx, poolowner.HoldRequest{Worker: worker, Address: worker + ":1", Hold: scheduler.Hold{Fence: 1}})
 }
 
 func (o *owner) start(worker string, run int64) scheduler.OrderResult {
--- a/internal/carry/server.go
+++ b/internal/carry/server.go
@@ -187,8 +187,8 @@
 
 func (x *session) hold(ctx context.Context, call *pb.CarriedCall) *pb.CarriedResult {
 	report, err := x.workers.Hold(ctx, poolowner.HoldRequest{
-		Address: call.GetAddress(), Worker: call.GetWorker(), Born: call.GetBorn(), Fence: call.GetFence(),
-		Hold: scheduler.Hold{LastSeen: call.GetLastSeen(), Until: call.GetUntil()},
+		Address: call.GetAddress(), Worker: call.GetWorker(), Born: call.GetBorn(),
+		Hold: scheduler.Hold{Fence: call.GetFence(), LastSeen: call.GetLastSeen(), Until: call.GetUntil()},
 		Wait: time.Duration(call.GetWaitMs()) * time.Millisecond,
 	})
 	if err != nil {
--- a/internal/poolowner/answers_late_test.go
+++ b/internal/poolowner/answers_late_test.go
@@ -117,7 +117,7 @@
 
 func (r resetWorkers) Hold(ctx context.Context, h poolowner.HoldRequest) (scheduler.Report, error) {
 	r.mu.Lock()
-	cut := r.unreachable[h.Fence][h.Worker]
+	cut := r.unreachable[ownerOf(h.Fence)][h.Worker]
 	r.mu.Unlock()
 	if cut {
 		time.Sleep(20 * time.Millisecond)
--- a/internal/poolowner/hold.go
+++ b/internal/poolowner/hold.go
@@ -111,12 +111,14 @@
 	o.handleReport(ctx, w, report)
 }
 
-// handleReport passes a report to the scheduler, and handles one that shows a higher fence.
+// handleReport passes a report to the scheduler, and handles one that shows the fence of a later owner.
 func (o *Owner) handleReport(ctx context.Context, w scheduler.Worker, report scheduler.Report) {
-	if report.Fenced {
-		o.handleReplaced(ctx, w.ID)
-	}
-	o.enqueue(ctx, func(p *scheduler.Pool, now time.Time) { p.Report(now, report) })
+	o.enqueue(ctx, func(p *scheduler.Pool, now time.Time) {
+		p.Report(now, report)
+		if report.Fenced && p.Fenced() {
+			o.handleReplaced(ctx, w.ID)
+		}
+	})
 }
 
 // renewLease renews the lease of one worker until ctx ends.
@@ -186,9 +188,9 @@
 	ctx, cancel := context.WithTimeout(ctx, maxWait+holdTimeoutMargin)
 	defer cancel()
 	report, err := o.Workers.Hold(ctx, HoldRequest{
-		Address: w.Address, Worker: w.ID, Born: w.Born, Fence: o.Config.Fence, Hold: next, Wait: maxWait,
+		Address: w.Address, Worker: w.ID, Born: w.Born, Hold: next, Wait: maxWait,
 	})
-	report.Address = w.Address
+	report.Address, report.Fence = w.Address, next.Fence
 	return report, err
 }
 
--- a/internal/poolowner/lease_beyond_owner_test.go
+++ b/internal/poolowner/lease_beyond_owner_test.go
@@ -24,7 +24,7 @@
 }
 
 func (d *deafWorkers) Hold(ctx context.Context, r poolowner.HoldRequest) (scheduler.Report, error) {
-	if r.Worker == "w1" && d.answersLost.Load() == r.Fence {
+	if r.Worker == "w1" && d.answersLost.Load() == ownerOf(r.Fence) {
 		d.mu.Lock()
 		w, _ := d.acceptFence(r.Worker, r.Fence)
 		if w != nil {
--- a/internal/poolowner/orders.go
+++ b/internal/poolowner/orders.go
@@ -80,10 +80,12 @@
 	<-sem
 	s.trackOutcome(order, result.Outcome, sentAt)
 	s.report(ctx, order, result.Outcome, createdAt)
-	if result.Outcome == scheduler.OutcomeFenced {
-		s.owner.handleReplaced(ctx, order.Worker)
-	}
-	s.owner.enqueue(ctx, func(p *scheduler.Pool, now time.Time) { p.Result(now, result) })
+	s.owner.enqueue(ctx, func(p *scheduler.Pool, now time.Time) {
+		p.Result(now, result)
+		if result.Outcome == scheduler.OutcomeFenced && p.Fenced() {
+			s.owner.handleReplaced(ctx, order.Worker)
+		}
+	})
 }
 
 // availableBytes returns how many bytes of start orders may be sent now.
@@ -159,14 +161,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	fence := s.owner.Config.Fence
 	switch order.Kind {
 	case scheduler.OrderStart:
-		return s.owner.Workers.Start(ctx, order, fence)
+		return s.owner.Workers.Start(ctx, order, order.Fence)
 	case scheduler.OrderStop:
-		return s.owner.Workers.Stop(ctx, order, fence)
+		return s.owner.Workers.Stop(ctx, order, order.Fence)
 	case scheduler.OrderPace:
-		return s.owner.Workers.Pace(ctx, order, fence)
+		return s.owner.Workers.Pace(ctx, order, order.Fence)
 	default:
 		return notSent
 	}
--- a/internal/poolowner/owner.go
+++ b/internal/poolowner/owner.go
@@ -34,7 +34,6 @@
 	Address string
 	Worker  string
 	Born    int64
-	Fence   uint64
 	scheduler.Hold
 	// Wait is how long the worker may wait for a run to end before it answers.
 	Wait time.Duration
--- a/internal/poolowner/replaced_test.go
+++ b/internal/poolowner/replaced_test.go
@@ -50,10 +50,13 @@
 	}
 }
 
+// ownerOf returns the fence of the owner that made a call with the given fence, whose low bits count incarnations.
+func ownerOf(fence uint64) uint64 { return fence >> 20 }
+
 // acceptFence records the fence and returns the worker, or nil if the worker has seen a higher fence. It reports false if
 // the worker does not answer.
 func (l *leaseWorkers) acceptFence(id string, fence uint64) (*leaseWorker, bool) {
-	if l.unreachable[fence][id] {
+	if l.unreachable[ownerOf(fence)][id] {
 		return nil, false
 	}
 	w := l.workers[id]
--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -99,13 +99,15 @@
 	Sent, Received time.Time
 	// Clock is the worker's own clock in ms, which may run 2% slow.
 	Clock int64
+	// Fence is the fencing token of the call.
+	Fence uint64
 	// LastSeen is the highest end number that the call acknowledged. Until is the requested lease expiry on the
 	// worker's clock.
 	LastSeen int64
 	Until    int64
 	Running  []RunningTask
 	Ended    []EndedRun
-	// Fenced means that the worker has seen a higher fencing token: this owner has been replaced.
+	// Fenced means that the worker has seen a higher fencing token than that of the call.
 	Fenced bool
 	// Gone means that another worker answers at the address (wrong instance).
 	Gone bool
@@ -122,7 +124,7 @@
 	OutcomeUnknown
 	// OutcomeNotSent: the order cannot have reached the worker.
 	OutcomeNotSent
-	// OutcomeFenced: the worker knows a higher fencing token; this owner has been replaced.
+	// OutcomeFenced: the worker knows a higher fencing token than that of the order.
 	OutcomeFenced
 	// OutcomeOutdated: a run with the same or a higher number was already stopped or ended there.
 	OutcomeOutdated
@@ -158,8 +160,10 @@
 	// Address and Born identify the incarnation that the order is for.
 	Address string
 	Born    int64
-	Task    TaskID
-	Run     int64
+	// Fence is the fencing token of the order.
+	Fence uint64
+	Task  TaskID
+	Run   int64
 	// Payload, Checkpoint and Ticket are set for OrderStart.
 	Payload    string
 	Checkpoint string
@@ -239,6 +243,8 @@
 // Hold contains the parameters of the next hold of a worker. A hold is a long poll: it extends the worker's lease,
 // acknowledges ended runs and returns a Report when a run has ended or the wait is over.
 type Hold struct {
+	// Fence is the fencing token of the call.
+	Fence uint64
 	// LastSeen is the highest end number to acknowledge.
 	LastSeen int64
 	// Until is the lease expiry on the worker's clock in ms, 0 if the clock is not known yet.
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -37,7 +37,7 @@
 	p.SetWorkers(now, ws)
 	reports := make([]scheduler.Report, len(ws))
 	for i, w := range ws {
-		reports[i] = scheduler.Report{Worker: w.ID, Born: 5, Sent: now, Received: now, Clock: 1000}
+		reports[i] = scheduler.Report{Worker: w.ID, Fence: p.FenceFor(w.ID), Born: 5, Sent: now, Received: now, Clock: 1000}
 		p.Report(now, reports[i])
 	}
 	for i := range 3 * size {
--- a/scheduler/confirmed_test.go
+++ b/scheduler/confirmed_test.go
@@ -44,7 +44,7 @@
 			} else {
 				cut.SetConfirmed(confirmed)
 			}
-			cut.Report(now, scheduler.Report{Worker: "w1", Born: 5, Sent: now, Received: now, Clock: w.clock(now)})
+			cut.Report(now, scheduler.Report{Worker: "w1", Fence: cut.FenceFor("w1"), Born: 5, Sent: now, Received: now, Clock: w.clock(now)})
 			hold := cut.Hold("w1", now)
 			late := time.Duration(rapid.IntRange(0, 3000).Draw(t, "late_ms")) * time.Millisecond
 			if w.clock(now.Add(late)) <= max(w.until, hold.Until) {
@@ -64,7 +64,7 @@
 		started := false
 		for now := acquired; now.Before(acquired.Add(30*time.Second)) && !started; now = now.Add(20 * time.Millisecond) {
 			next.SetConfirmed(now)
-			next.Report(now, scheduler.Report{Worker: "w2", Born: 5, Sent: now, Received: now, Clock: now.UnixMilli()})
+			next.Report(now, scheduler.Report{Worker: "w2", Fence: next.FenceFor("w2"), Born: 5, Sent: now, Received: now, Clock: now.UnixMilli()})
 			started = len(next.Step(now).Orders) > 0
 			if started && w.clock(now) <= w.until {
 				t.Fatalf("the task starts %v after the last confirmation, while the worker's lease runs for %d ms more",
@@ -90,7 +90,7 @@
 		outage := time.Duration(rapid.IntRange(0, int(cfg.Lease.Milliseconds())).Draw(t, "outage_ms")) * time.Millisecond
 		for now := start; now.Before(start.Add(outage)); {
 			p.SetConfirmed(start)
-			p.Report(now, scheduler.Report{Worker: "w1", Born: 5, Sent: now, Received: now, Clock: w.clock(now)})
+			p.Report(now, scheduler.Report{Worker: "w1", Fence: p.FenceFor("w1"), Born: 5, Sent: now, Received: now, Clock: w.clock(now)})
 			w.until = max(w.until, p.Hold("w1", now).Until)
 			now = now.Add(time.Duration(rapid.IntRange(50, 1500).Draw(t, "pause_ms")) * time.Millisecond)
 		}
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -110,7 +110,7 @@
 	assert.Equal(t, len(crashed), 3)
 	b.advance(50 * time.Millisecond)
 	for w := range crashed {
-		b.pool.Report(b.now, scheduler.Report{Worker: w, Born: 5, Sent: b.now, Received: b.now, Gone: true})
+		b.pool.Report(b.now, scheduler.Report{Worker: w, Fence: b.pool.FenceFor(w), Born: 5, Sent: b.now, Received: b.now, Gone: true})
 	}
 	mostOnTrial := 0
 	for range 20 {
--- a/scheduler/describe_test.go
+++ b/scheduler/describe_test.go
@@ -19,7 +19,7 @@
 	pool.Load(now, nil, nil, nil)
 	pool.SetQueues(now, []queue.Queue{{Name: "a", Pool: "p", MaxAttempts: 3, Stretch: 2}, {Name: "b", Pool: "p", MaxAttempts: 3, Stretch: 2}})
 	pool.SetWorkers(now, []scheduler.Worker{{ID: "w1", Address: "10.0.0.1:80", Capacity: scheduler.Resources{CPUMilli: 4000, MemoryMB: 1024}}})
-	pool.Report(now, scheduler.Report{Worker: "w1", Born: 5, Sent: now, Received: now, Clock: 2000})
+	pool.Report(now, scheduler.Report{Worker: "w1", Fence: pool.FenceFor("w1"), Born: 5, Sent: now, Received: now, Clock: 2000})
 	for i, name := range []string{"b", "a", "a"} {
 		pool.Add(now, &pb.JobRecord{Id: fmt.Sprintf("j%d", 3-i), Queue: name, AcceptedMs: now.UnixMilli(), Spec: &pb.JobSpec{
 			Steps: []*pb.JobStep{{Count: 2, CpuMilli: 500, MemoryMb: 64, EstimateMs: 800}},
--- a/scheduler/evidence_test.go
+++ b/scheduler/evidence_test.go
@@ -15,10 +15,10 @@
 	const silence = 50 * time.Millisecond
 	for reason, prove := range map[string]func(b *testPool, o scheduler.Order){
 		"another instance answers at its address": func(b *testPool, o scheduler.Order) {
-			b.pool.Report(b.now, scheduler.Report{Worker: o.Worker, Sent: b.now, Received: b.now, Gone: true})
+			b.pool.Report(b.now, scheduler.Report{Worker: o.Worker, Fence: b.pool.FenceFor(o.Worker), Sent: b.now, Received: b.now, Gone: true})
 		},
 		"a later incarnation has answered": func(b *testPool, o scheduler.Order) {
-			b.pool.Report(b.now, scheduler.Report{Worker: o.Worker, Born: 6, Sent: b.now, Received: b.now, Clock: 1})
+			b.pool.Report(b.now, scheduler.Report{Worker: o.Worker, Fence: b.pool.FenceFor(o.Worker), Born: 6, Sent: b.now, Received: b.now, Clock: 1})
 		},
 		"its host is moving, in upkeep or runs another worker": func(b *testPool, o scheduler.Order) {
 			b.pool.MarkUnreachable(o.Worker)
--- a/scheduler/example_test.go
+++ b/scheduler/example_test.go
@@ -18,7 +18,7 @@
 	pool.SetWorkers(now, []scheduler.Worker{{
 		ID: "w1", Address: "10.0.0.1:80", Capacity: scheduler.Resources{CPUMilli: 4000, MemoryMB: 1024},
 	}})
-	pool.Report(now, scheduler.Report{Worker: "w1", Born: 5, Sent: now, Received: now, Clock: 2000})
+	pool.Report(now, scheduler.Report{Worker: "w1", Fence: pool.Hold("w1", now).Fence, Born: 5, Sent: now, Received: now, Clock: 2000})
 	pool.Add(now, &pb.JobRecord{Id: "j1", Queue: "checks", AcceptedMs: now.UnixMilli(), Spec: &pb.JobSpec{
 		Payload: "text", Steps: []*pb.JobStep{{Count: 1, CpuMilli: 500, MemoryMb: 64, EstimateMs: 800}},
 	}})
--- a/scheduler/incarnation_late_test.go
+++ b/scheduler/incarnation_late_test.go
@@ -13,38 +13,70 @@
 // Guards against two runs of a task: a hold to the earlier incarnation, with an expiry on its clock, got no answer and is carried out late by the next one, which
 // caps it to the longest lease. The owner knows only of what it has asked for since, and starts the task elsewhere while the worker runs it.
 func TestLateHoldOfAnEarlierIncarnationExtendsTheLease(t *testing.T) {
-	b := newTestPool("w1", "w2")
-	report := func(born, clock int64, running ...scheduler.RunningTask) {
-		b.pool.Report(b.now, scheduler.Report{Worker: "w1", Born: born, Sent: b.now, Received: b.now, Clock: clock, Running: running})
-	}
-	report(5, 100_000)
-	late := b.pool.Hold("w1", b.now)
-	b.advance(500 * time.Millisecond)
-	clock := int64(1000)
-	report(6, clock)
-	b.add("a", &pb.JobStep{Count: 1, CpuMilli: 1000, EstimateMs: 60_000, MaxPerHost: 1}, &pb.JobStep{Count: 1, CpuMilli: 1000, EstimateMs: 60_000})
-	var onW1 *scheduler.Order
-	for _, o := range b.pool.Step(b.now).Orders {
-		b.pool.Result(b.now, scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeDone, Clock: map[string]int64{"w1": clock, "w2": b.clock}[o.Worker]})
-		if o.Worker == "w1" {
-			onW1 = &o
-		}
-	}
-	assert.Assert(t, onW1 != nil)
-	b.advance(100 * time.Millisecond)
-	clock += 100
-	report(6, clock, scheduler.RunningTask{Task: onW1.Task, Run: onW1.Run})
-	asked := b.pool.Hold("w1", b.now)
-	// The late hold arrives now, after all others. From here on the worker cannot be reached.
-	leaseUntil := max(asked.Until, min(late.Until, clock+simConfig.MaxLease.Milliseconds()))
-	for range 80 {
-		b.advance(100 * time.Millisecond)
-		clock += 98
-		b.report("w2", nil, nil)
-		for _, o := range b.pool.Step(b.now).Orders {
-			assert.Assert(t, o.Task != onW1.Task || o.Kind != scheduler.OrderStart || clock > leaseUntil,
-				"started elsewhere %d ms before the lease on w1 has ended", leaseUntil-clock)
-		}
+	const beforeFirstAnswer, beforeStart, afterStart = 0, 1, 2
+	for name, lateAt := range map[string]int{
+		"before the first answer": beforeFirstAnswer, "before the start": beforeStart, "after newer calls": afterStart,
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestPool("w1", "w2")
+			clock := int64(100_000)
+			var fence uint64
+			var leaseUntil int64
+			execute := func(h scheduler.Hold) {
+				if h.Fence >= fence { // the worker does nothing for a lower one
+					fence, leaseUntil = h.Fence, max(leaseUntil, min(h.Until, clock+simConfig.MaxLease.Milliseconds()))
+				}
+			}
+			report := func(born int64, running ...scheduler.RunningTask) {
+				h := b.pool.Hold("w1", b.now)
+				execute(h)
+				b.pool.Report(b.now, scheduler.Report{Worker: "w1", Fence: h.Fence, Born: born, Sent: b.now, Received: b.now, Clock: clock, Running: running})
+			}
+			report(5)
+			late := b.pool.Hold("w1", b.now)
+			b.advance(500 * time.Millisecond)
+			clock, fence, leaseUntil = 1000, 0, 0
+			if lateAt == beforeFirstAnswer {
+				execute(late)
+			}
+			report(6)
+			assert.DeepEqual(t, b.pool.Step(b.now).Poll, []string{"w1"})
+			if lateAt == beforeStart {
+				execute(late)
+			}
+			b.add("a", &pb.JobStep{Count: 2, CpuMilli: 3000, EstimateMs: 60_000}) // w2 has room for one
+			orders := b.pool.Step(b.now).Orders
+			assert.Equal(t, len(orders), 1)
+			onW2 := orders[0]
+			assert.Equal(t, onW2.Worker, "w2", "started on w1, which may not reject calls to its earlier incarnation yet")
+			b.pool.Result(b.now, scheduler.OrderResult{Order: onW2, Outcome: scheduler.OutcomeDone, Clock: b.clock})
+			report(6)
+			orders = b.pool.Step(b.now).Orders
+			assert.Equal(t, len(orders), 1)
+			onW1 := orders[0]
+			assert.Equal(t, onW1.Worker, "w1")
+			leaseUntil = max(leaseUntil, onW1.Until)
+			b.pool.Result(b.now, scheduler.OrderResult{Order: onW1, Outcome: scheduler.OutcomeDone, Clock: clock})
+			b.advance(100 * time.Millisecond)
+			clock += 100
+			report(6, scheduler.RunningTask{Task: onW1.Task, Run: onW1.Run})
+			if lateAt == afterStart {
+				execute(late)
+			}
+			// From here on the worker cannot be reached.
+			startedAgain := false
+			for range 80 {
+				b.advance(100 * time.Millisecond)
+				clock += 98
+				b.report("w2", nil, []scheduler.EndedRun{{Number: 1, Task: onW2.Task, Run: onW2.Run, End: scheduler.EndSucceeded}})
+				for _, o := range b.pool.Step(b.now).Orders {
+					again := o.Task == onW1.Task && o.Kind == scheduler.OrderStart
+					startedAgain = startedAgain || again
+					assert.Assert(t, !again || clock > leaseUntil, "started elsewhere %d ms before the lease on w1 has ended", leaseUntil-clock)
+				}
+			}
+			assert.Assert(t, startedAgain)
+		})
 	}
 }
 
@@ -54,7 +86,7 @@
 func TestListOfAnEarlierIncarnationProvesNoAbsence(t *testing.T) {
 	b := newTestPool("w1", "w2")
 	for _, id := range []string{"w1", "w2"} {
-		b.pool.Report(b.now, scheduler.Report{Worker: id, Born: 5, Sent: b.now, Received: b.now, Clock: 100_000})
+		b.pool.Report(b.now, scheduler.Report{Worker: id, Fence: b.pool.FenceFor(id), Born: 5, Sent: b.now, Received: b.now, Clock: 100_000})
 	}
 	sent := b.now
 	b.advance(100 * time.Millisecond)
@@ -63,7 +95,7 @@
 	b.advance(10 * time.Millisecond)
 	b.pool.Result(b.now, scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeDone, Clock: 1500})
 	b.advance(50 * time.Millisecond)
-	b.pool.Report(b.now, scheduler.Report{Worker: o.Worker, Born: 5, Sent: sent, Received: b.now, Clock: 100_050})
+	b.pool.Report(b.now, scheduler.Report{Worker: o.Worker, Fence: b.pool.FenceFor(o.Worker), Born: 5, Sent: sent, Received: b.now, Clock: 100_050})
 	for _, x := range b.pool.Step(b.now).Orders {
 		assert.Assert(t, x.Kind != scheduler.OrderStart, "started on %s while the later incarnation of %s runs it", x.Worker, o.Worker)
 	}
--- a/scheduler/openwaits_test.go
+++ b/scheduler/openwaits_test.go
@@ -26,7 +26,7 @@
 	report := func() {
 		for id, running := range runs {
 			clock[id] += 100
-			b.pool.Report(b.now, scheduler.Report{Worker: id, Born: 5, Sent: b.now, Received: b.now, Clock: clock[id], Running: running})
+			b.pool.Report(b.now, scheduler.Report{Worker: id, Fence: b.pool.FenceFor(id), Born: 5, Sent: b.now, Received: b.now, Clock: clock[id], Running: running})
 		}
 	}
 	for _, percent := range []int{5, 10, 15} {
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -25,7 +25,7 @@
 	}
 	r.resumed = checkpoint != ""
 	order := Order{
-		Kind: OrderStart, Worker: w.ID, Address: w.Address, Born: w.Born, Task: r.id, Run: number,
+		Kind: OrderStart, Worker: w.ID, Address: w.Address, Born: w.Born, Fence: p.fenceFor(w), Task: r.id, Run: number,
 		Payload: t.job().spec.GetPayload(), Checkpoint: checkpoint, Ticket: ticketOf(t.step, w), Until: until,
 	}
 	p.sendBudget.consume(order.Bytes())
@@ -79,7 +79,7 @@
 	if w == nil {
 		return Hold{}
 	}
-	h := Hold{LastSeen: p.acknowledge(w)}
+	h := Hold{Fence: p.fenceFor(w), LastSeen: p.acknowledge(w)}
 	switch {
 	case !w.clock.known:
 	case w.silent(now):
@@ -93,14 +93,18 @@
 
 // Result applies the result of an order.
 func (p *Pool) Result(now time.Time, res OrderResult) {
-	if res.Outcome == OutcomeFenced {
-		p.fenced = true
-		return
-	}
 	w := p.workers[res.Order.Worker]
 	if w == nil {
 		return
 	}
+	if res.Outcome == OutcomeFenced {
+		if p.isCurrentFence(w, res.Order.Fence) {
+			p.fenced = true
+			return
+		}
+		// A call may be delivered twice, so a start that was overtaken by this owner's next fence may have been executed before.
+		res.Outcome = OutcomeUnknown
+	}
 	if res.Outcome == OutcomeGone && res.Order.Born >= w.Born {
 		p.handleWrongInstance(now, w, res.Order.Address, now)
 	}
--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -104,7 +104,7 @@
 		}
 		r.paceInFlight = true
 		p.out.Orders = append(p.out.Orders, Order{
-			Kind: OrderPace, Worker: w.ID, Address: w.Address, Born: w.Born, Task: r.id, Run: r.number,
+			Kind: OrderPace, Worker: w.ID, Address: w.Address, Born: w.Born, Fence: p.fenceFor(w), Task: r.id, Run: r.number,
 			Percent: w.pace.percent,
 		})
 	}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -40,7 +40,9 @@
 	// restoring is set while progress recorded by a previous owner is loaded, so that its decisions are not logged
 	// again.
 	restoring bool
-	// fenced means that a worker has seen a higher fencing token.
+	// incarnations counts the incarnations for which a worker's fence was raised.
+	incarnations uint64
+	// fenced means that a worker has seen the fencing token of a later owner.
 	fenced bool
 
 	takeover takeover
--- a/scheduler/reborn_test.go
+++ b/scheduler/reborn_test.go
@@ -20,7 +20,7 @@
 	reportNext := func(running ...scheduler.RunningTask) {
 		b.clock++
 		b.pool.Report(b.now, scheduler.Report{
-			Worker: orders[0].Worker, Born: 6, Sent: b.now, Received: b.now, Clock: b.clock, Running: running,
+			Worker: orders[0].Worker, Fence: b.pool.FenceFor(orders[0].Worker), Born: 6, Sent: b.now, Received: b.now, Clock: b.clock, Running: running,
 		})
 	}
 	reportNext()
@@ -58,6 +58,6 @@
 	b.advance(time.Millisecond)
 	b.report(o.Worker, running, nil)
 	assert.Equal(t, lost(b.pool.Step(b.now)), 0)
-	b.pool.Report(b.now, scheduler.Report{Worker: o.Worker, Born: 6, Sent: b.now, Received: b.now, Clock: 1})
+	b.pool.Report(b.now, scheduler.Report{Worker: o.Worker, Fence: b.pool.FenceFor(o.Worker), Born: 6, Sent: b.now, Received: b.now, Clock: 1})
 	assert.Equal(t, lost(b.pool.Step(b.now)), 1)
 }
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -53,7 +53,7 @@
 		return
 	}
 	if r.Fenced {
-		p.fenced = true
+		p.fenced = p.fenced || p.isCurrentFence(w, r.Fence)
 		return
 	}
 	if r.Gone {
@@ -88,12 +88,17 @@
 	p.applyRunningList(now, w, &r)
 }
 
+// firstReport applies the first answers of an incarnation, up to that of a hold with its fence. Until then calls of earlier owners,
+// or meant for an earlier incarnation, may extend the lease and start runs, so nothing is started.
 func (p *Pool) firstReport(now time.Time, w *worker, r *Report) {
-	w.reported, w.reportedAt = true, r.Received
-	if len(r.Running) > 0 || len(w.runs) > 0 {
-		// A previous owner, or a start sent to the previous incarnation, may have extended the lease up to now.
+	if w.returned || !w.Unused {
 		w.assumedUntil = max(w.assumedUntil, r.Clock+p.cfg.MaxLease.Milliseconds())
 	}
+	if !p.isCurrentFence(w, r.Fence) {
+		p.out.Poll = append(p.out.Poll, w.ID)
+		return
+	}
+	w.reported, w.reportedAt = true, r.Received
 	p.takeover.markReported(w.ID)
 	p.wakePlacement(now)
 }
--- a/scheduler/resize_test.go
+++ b/scheduler/resize_test.go
@@ -36,11 +36,12 @@
 	report := func(born int64) {
 		b.advance(10)
 		b.clock++
-		b.pool.Report(b.now, scheduler.Report{Worker: "w1", Born: born, Sent: b.now, Received: b.now, Clock: b.clock})
+		b.pool.Report(b.now, scheduler.Report{Worker: "w1", Fence: b.pool.FenceFor("w1"), Born: born, Sent: b.now, Received: b.now, Clock: b.clock})
 	}
 	list(5, 4000)
 	report(5)
 	report(6)
+	report(6)
 	b.add("a", &pb.JobStep{Count: 4, CpuMilli: 1000, EstimateMs: 500})
 	assert.Equal(t, len(b.pool.Step(b.now).Orders), 0)
 	list(5, 4000)
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -272,7 +272,7 @@
 	}
 	w := r.worker
 	p.out.Orders = append(p.out.Orders, Order{
-		Kind: OrderStop, Worker: w.ID, Address: w.Address, Born: w.Born, Task: r.id, Run: r.number,
+		Kind: OrderStop, Worker: w.ID, Address: w.Address, Born: w.Born, Fence: p.fenceFor(w), Task: r.id, Run: r.number,
 	})
 	p.addDecision("stop", r, r.stopReason)
 	r.stopAt = now.Add(stopAnswerTimeout)
--- a/scheduler/simoverlap_test.go
+++ b/scheduler/simoverlap_test.go
@@ -58,10 +58,9 @@
 	if s.faults.lateHolds == 0 || !s.faultsActive() || !s.chance(s.faults.lateHolds) {
 		return false
 	}
-	incarnation := w.incarnation
 	if s.chance(0.5) {
 		s.after(s.rng.Int64N(8000), func() {
-			if w.up && w.incarnation == incarnation {
+			if w.up {
 				o.respond(w, h, expected)
 			}
 		})
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -209,7 +209,7 @@
 		s.after(500, timeout)
 	case s.faultsActive() && s.chance(s.faults.lateCalls):
 		s.after(s.rng.Int64N(8000), func() {
-			if w.incarnation == sentToIncarnation { // a connection ends with its incarnation
+			if w.incarnation == sentToIncarnation || order.Kind != scheduler.OrderStart { // starts: see EVIDENCE.md, "Open"
 				execute()
 			}
 		})
@@ -236,10 +236,10 @@
 	case !w.matchesIncarnation(order.Born):
 		return scheduler.OutcomeGone, 0
 	case order.Kind == scheduler.OrderStart:
-		return w.start(o.fence, order), w.clock()
+		return w.start(order), w.clock()
 	case order.Kind == scheduler.OrderStop:
 		s.checker.checkStop(w, order, s.now-sentAt)
-		return w.stop(o.fence, order), w.clock()
+		return w.stop(order), w.clock()
 	}
 	return scheduler.OutcomeDone, w.clock()
 }
@@ -361,7 +361,7 @@
 	if !w.matchesIncarnation(expected) {
 		return scheduler.Report{Worker: w.id, Address: w.id, Gone: true}
 	}
-	return w.hold(o.fence, h)
+	return w.hold(h)
 }
 
 // updateRegistry lists the workers to the owner every 500 ms, so that changes arrive late.
--- a/scheduler/simworker_test.go
+++ b/scheduler/simworker_test.go
@@ -133,11 +133,11 @@
 	w.leaseUntil = max(w.leaseUntil, min(until, w.clock()+w.sim.config().MaxLease.Milliseconds()))
 }
 
-func (w *simWorker) start(fence uint64, o scheduler.Order) scheduler.Outcome {
-	if fence < w.fence {
+func (w *simWorker) start(o scheduler.Order) scheduler.Outcome {
+	if o.Fence < w.fence {
 		return scheduler.OutcomeFenced
 	}
-	w.fence = fence
+	w.fence = o.Fence
 	if o.Until < w.clock() {
 		return scheduler.OutcomeLate
 	}
@@ -191,11 +191,11 @@
 	return fmt.Sprintf("%s/%d/%s/%d", job, step, w.id, w.incarnation)
 }
 
-func (w *simWorker) stop(fence uint64, o scheduler.Order) scheduler.Outcome {
-	if fence < w.fence {
+func (w *simWorker) stop(o scheduler.Order) scheduler.Outcome {
+	if o.Fence < w.fence {
 		return scheduler.OutcomeFenced
 	}
-	w.fence = fence
+	w.fence = o.Fence
 	w.highestRun[o.Task] = max(w.highestRun[o.Task], o.Run)
 	for _, r := range w.running {
 		if r.task == o.Task && r.run <= o.Run && !r.stopping {
@@ -284,13 +284,13 @@
 }
 
 // hold returns the response to a hold.
-func (w *simWorker) hold(fence uint64, h scheduler.Hold) scheduler.Report {
-	rep := scheduler.Report{Worker: w.id, Address: w.id, Born: w.incarnation, Clock: w.clock(), LastSeen: h.LastSeen, Until: h.Until}
-	if fence < w.fence {
+func (w *simWorker) hold(h scheduler.Hold) scheduler.Report {
+	rep := scheduler.Report{Worker: w.id, Address: w.id, Born: w.incarnation, Clock: w.clock(), Fence: h.Fence, LastSeen: h.LastSeen, Until: h.Until}
+	if h.Fence < w.fence {
 		rep.Fenced = true
 		return rep
 	}
-	w.fence = fence
+	w.fence = h.Fence
 	w.extend(h.Until)
 	for len(w.ended) > 0 && w.ended[0].Number <= h.LastSeen {
 		w.sim.checker.endAcked(w, w.ended[0])
--- a/scheduler/unit_test.go
+++ b/scheduler/unit_test.go
@@ -41,7 +41,7 @@
 func (b *testPool) report(worker string, running []scheduler.RunningTask, ended []scheduler.EndedRun) {
 	b.clock++
 	b.pool.Report(b.now, scheduler.Report{
-		Worker: worker, Born: 5, Sent: b.now, Received: b.now, Clock: b.clock, Running: running, Ended: ended,
+		Worker: worker, Fence: b.pool.FenceFor(worker), Born: 5, Sent: b.now, Received: b.now, Clock: b.clock, Running: running, Ended: ended,
 	})
 }
 
@@ -233,9 +233,10 @@
 		b := newTestPool("w1", "w2")
 		for born := int64(6); born <= 7; born++ {
 			b.advance(apart)
-			for id, incarnation := range map[string]int64{"w1": born, "w2": 5} {
+			for _, id := range []string{"w1", "w2", "w1"} {
 				b.clock++
-				b.pool.Report(b.now, scheduler.Report{Worker: id, Born: incarnation, Sent: b.now, Received: b.now, Clock: b.clock})
+				incarnation := map[string]int64{"w1": born, "w2": 5}[id]
+				b.pool.Report(b.now, scheduler.Report{Worker: id, Fence: b.pool.FenceFor(id), Born: incarnation, Sent: b.now, Received: b.now, Clock: b.clock})
 			}
 		}
 		b.add("j", &pb.JobStep{Count: 4, CpuMilli: 1000, EstimateMs: 1000, MaxPerHost: 2})
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -22,8 +22,12 @@
 	Worker
 	// describedBorn is the incarnation to which the registry's description, such as the capacity, belongs; 0 if unknown.
 	describedBorn int64
-	clock         workerClock
-	// reported means that this incarnation has answered a hold of this owner.
+	// incarnation is the part of the fence that tells the incarnations apart; see fenceFor.
+	incarnation uint64
+	// returned means that an earlier incarnation has ended in this term.
+	returned bool
+	clock    workerClock
+	// reported means that this incarnation has answered a hold of this owner with the present fence, since reportedAt.
 	reported   bool
 	reportedAt time.Time
 	lastReport time.Time
@@ -140,6 +144,7 @@
 func (p *Pool) addWorker(now time.Time, info *Worker) {
 	w := &worker{Worker: *info, describedBorn: info.Born, byKey: map[runKey]*run{}, listClock: -1}
 	w.lastReport = now
+	p.raiseFence(w)
 	p.markEvacuating(w)
 	w.pace.percent = fullPacePercent
 	w.drainDeadline = now.Add(info.DrainLeft)
@@ -202,6 +207,8 @@
 		p.chargeCrash(now, w)
 	}
 	p.endRuns(now, w, reason, ends)
+	p.raiseFence(w)
+	w.returned = true
 	w.clock = workerClock{}
 	w.reported = false
 	w.listClock = -1
