scheduler: a hold of a silent worker asks for no lease that was only assumed

Callers may have seen a task run twice: the holds of a silent worker repeated the latest lease expiry that the owner counts with. That can be an assumed one, up to the longest lease from the worker's first answer, which nobody had asked for and which is later than the next owner waits for. A hold that the worker carried out without answering then extended the lease beyond that.

Such a hold now repeats only what was requested. Requested expiries are bounded by the last confirmation of the ownership.

--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -84,7 +84,7 @@
 	case !w.clock.known:
 	case w.silent(now):
 		// The lease of a silent worker must expire, so it is not extended.
-		h.Until = w.leaseUntil()
+		h.Until = w.requestedUntil
 	default:
 		h.Until = p.lease(now, w)
 	}
