scheduler: a later owner knows of leases that returned workers may have

A call to an earlier incarnation gives a returned worker a lease of up to the longest that workers grant.

A returned worker is unsettled until its assumed lease ends before those that a later owner waits for. While it is, the roster does not name its incarnation, and nothing starts there before the roster says so. An owner that finds another incarnation listed than recorded takes the worker for unsettled too, so that a late start which the next incarnation carries out while the pool has no owner is waited for as well. For unsettled workers a takeover waits for the longest lease; all others are waited for as before.

Price: two writes of the roster for each return of a worker, batched as before.

--- a/internal/poolowner/roster.go
+++ b/internal/poolowner/roster.go
@@ -124,7 +124,7 @@
 
 // inSync reports whether the recorded workers are certainly the listed ones.
 func (r *roster) inSync() bool {
-	return !r.uncertain && len(r.unrecorded()) == 0 && len(r.durable) == len(r.listed)
+	return !r.uncertain && len(r.unrecorded()) == 0 && len(r.durable) == len(r.listed) && r.recordsIncarnations(r.listed)
 }
 
 // update publishes the occupied workers and the listed ones as far as they are recorded, and all as listed once they are recorded.
@@ -136,14 +136,35 @@
 	all := slices.Concat(r.listed, occupied)
 	r.publish(ctx, r.recorded(all))
 	hasNew := len(r.unrecorded()) > 0
-	if !hasNew && !r.uncertain && len(all) == len(r.durable) && r.seals.inSync() {
+	record, ok := r.withSettledIncarnations(ctx, all)
+	if !ok || !hasNew && !r.uncertain && len(all) == len(r.durable) && r.recordsIncarnations(record) && r.seals.inSync() {
 		return
 	}
-	if r.write(ctx, all) && hasNew {
+	if r.write(ctx, record) {
 		r.publish(ctx, all)
 	}
 }
 
+// withSettledIncarnations returns the workers as they are to be recorded: a later owner waits longer for a worker whose recorded
+// incarnation is not the listed one. It reports false if ctx ended first.
+func (r *roster) withSettledIncarnations(ctx context.Context, all []scheduler.Worker) ([]scheduler.Worker, bool) {
+	if r.recordsIncarnations(all) {
+		return all, true
+	}
+	return runInLoop(ctx, r.owner, func(p *scheduler.Pool, _ time.Time) []scheduler.Worker {
+		return lo.Map(all, func(w scheduler.Worker, _ int) scheduler.Worker {
+			w.Born = p.SettledBorn(w.ID, w.Born)
+			return w
+		})
+	})
+}
+
+// recordsIncarnations reports whether the workers are recorded with the same incarnations.
+func (r *roster) recordsIncarnations(workers []scheduler.Worker) bool {
+	durable := lo.KeyBy(r.durable, func(w scheduler.Worker) string { return w.ID })
+	return lo.EveryBy(workers, func(w scheduler.Worker) bool { return durable[w.ID].Born == w.Born })
+}
+
 // write replaces the record and reports whether the write is durable.
 func (r *roster) write(ctx context.Context, all []scheduler.Worker) bool {
 	record := &pb.Roster{Workers: lo.Map(all, func(w scheduler.Worker, _ int) *pb.RosterWorker {
@@ -216,6 +237,11 @@
 
 func (r *roster) publish(ctx context.Context, workers []scheduler.Worker) {
 	o := r.owner
+	durable := lo.KeyBy(r.durable, func(w scheduler.Worker) string { return w.ID })
+	workers = lo.Map(workers, func(w scheduler.Worker, _ int) scheduler.Worker {
+		w.RecordedBorn = durable[w.ID].Born
+		return w
+	})
 	o.logWorkerChanges(ctx, r.published, workers)
 	r.published = workers
 	inherited := r.seals.takeInherited(workers)
--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -39,6 +39,9 @@
 	Unused bool
 	// Host is the host on which the worker runs; empty if unknown.
 	Host string
+	// RecordedBorn is the incarnation that is recorded for later owners, 0 if none. If it is not the listed one, they wait for the
+	// longest lease.
+	RecordedBorn int64
 	// Born identifies the incarnation of the worker id by its start time in Unix milliseconds; 0 if not known yet.
 	Born int64
 }
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -52,3 +52,38 @@
 	}
 	return reasonLeaseExpired
 }
+
+// settle marks a returned worker as settled once its leases end before those that a later owner waits for.
+func (p *Pool) settle(now time.Time, w *worker) {
+	if !w.unsettled || !w.reported {
+		return
+	}
+	inherited := p.confirmedFrom.Add(maxLeaseDuration(p.cfg.longestLease()))
+	if !p.confirmedFrom.IsZero() && w.clock.surelyPassedAt(w.assumedUntil).After(inherited) {
+		return
+	}
+	w.unsettled = false
+	p.wakePlacement(now)
+}
+
+// isRecorded reports whether the record tells later owners how long leases on the worker may last. A record of an earlier
+// incarnation does not: a later owner's list of workers may lag.
+func (w *worker) isRecorded() bool { return !w.unsettled || w.RecordedBorn == 0 }
+
+// SettledBorn returns the incarnation to record for a worker: the listed one, or 0 if a call to an earlier one may have extended
+// its leases beyond those that owners ask for.
+func (p *Pool) SettledBorn(id string, listed int64) int64 {
+	if w := p.workers[id]; w != nil && (w.unsettled || w.Born != listed) {
+		return 0
+	}
+	return listed
+}
+
+// inheritedLease returns how long a lease that an earlier owner knew of, or a call to an earlier incarnation has extended, may
+// last from the takeover on.
+func (p *Pool) inheritedLease(w *worker) time.Duration {
+	if w.unsettled {
+		return max(p.cfg.longestLease(), p.cfg.MaxLease)
+	}
+	return p.cfg.longestLease()
+}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -91,7 +91,7 @@
 // firstReport applies the first answers of an incarnation, up to that of a hold with its fence. Until then calls of earlier owners,
 // or meant for an earlier incarnation, may extend the lease and start runs, so nothing is started.
 func (p *Pool) firstReport(now time.Time, w *worker, r *Report) {
-	if w.returned || !w.Unused {
+	if w.unsettled || !w.Unused {
 		w.assumedUntil = max(w.assumedUntil, r.Clock+p.cfg.MaxLease.Milliseconds())
 	}
 	if !p.isCurrentFence(w, r.Fence) {
--- a/scheduler/seal.go
+++ b/scheduler/seal.go
@@ -90,7 +90,7 @@
 	for _, x := range s.Runs {
 		r := p.adopt(now, w, &RunningTask{Task: x.Task, Run: x.Run})
 		r.state = runUnknown
-		r.giveUpAt = p.takeover.leaseDeadline(p.cfg.longestLease())
+		r.giveUpAt = p.takeover.leaseDeadline(p.inheritedLease(w))
 		r.listedEarlier = x.Listed
 	}
 	p.takeover.markReported(s.Worker)
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -206,7 +206,13 @@
 	if !t.started || t.done {
 		return
 	}
-	limit := t.leaseDeadline(p.cfg.longestLease())
+	lease := p.cfg.longestLease()
+	for id := range t.awaited {
+		if w := p.workers[id]; w != nil {
+			lease = max(lease, p.inheritedLease(w))
+		}
+	}
+	limit := t.leaseDeadline(lease)
 	if now.Before(limit) && !t.allReported() {
 		p.wake(limit)
 		return
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -24,9 +24,10 @@
 	describedBorn int64
 	// incarnation is the part of the fence that tells the incarnations apart; see fenceFor.
 	incarnation uint64
-	// returned means that an earlier incarnation has ended in this term.
-	returned bool
-	clock    workerClock
+	// unsettled means that calls meant for an earlier incarnation may have extended the leases here beyond those that a later owner
+	// waits for.
+	unsettled bool
+	clock     workerClock
 	// reported means that this incarnation has answered a hold of this owner with the present fence, since reportedAt.
 	reported   bool
 	reportedAt time.Time
@@ -144,6 +145,7 @@
 func (p *Pool) addWorker(now time.Time, info *Worker) {
 	w := &worker{Worker: *info, describedBorn: info.Born, byKey: map[runKey]*run{}, listClock: -1}
 	w.lastReport = now
+	w.unsettled = !info.Unused && info.RecordedBorn != info.Born
 	p.raiseFence(w)
 	p.markEvacuating(w)
 	w.pace.percent = fullPacePercent
@@ -208,7 +210,7 @@
 	}
 	p.endRuns(now, w, reason, ends)
 	p.raiseFence(w)
-	w.returned = true
+	w.unsettled = true
 	w.clock = workerClock{}
 	w.reported = false
 	w.listClock = -1
@@ -245,6 +247,7 @@
 	kept := p.sortedWorkers[:0]
 	for _, w := range p.sortedWorkers {
 		p.checkLease(now, w)
+		p.settle(now, w)
 		if w.departed && !w.sealed && len(w.runs) == 0 && now.Sub(w.departedAt) > departedRetention {
 			delete(p.workers, w.ID)
 			continue
@@ -269,7 +272,7 @@
 
 // usable reports whether the worker may be given new tasks.
 func (w *worker) usable(now time.Time) bool {
-	if !w.reported || !w.clock.known || w.isExcluded() || w.unansweredStarts > 0 {
+	if !w.reported || !w.isRecorded() || !w.clock.known || w.isExcluded() || w.unansweredStarts > 0 {
 		return false
 	}
 	return !w.silent(now) && !now.Before(w.pausedUntil) && !w.slowToAnswer(now)
