scheduler: the record of a sealed worker names runs whose ends are not durable

A run whose end was received is no longer on its worker; if the worker then falls silent, the record of the sealed worker omitted it. The next owner takes over the seal, does not wait for the worker, knows neither the run nor its success, and starts the task again.

The record now also names the runs whose ends may not be acknowledged yet. The next owner waits for them as for runs: the worker tells their ends when it answers, or its lease expires.

TestUnrecordedEndOutlastsItsOwner fails without the change to the seal and passes with it.

--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -18,6 +18,8 @@
 // unackedEnd may be acknowledged once this version of the job's progress is durable, and not while its job is unknown.
 type unackedEnd struct {
 	number  int64
+	task    TaskID
+	run     int64
 	job     *job
 	version uint64
 	unknown bool
@@ -154,7 +156,7 @@
 		}
 		j := p.jobs[e.Task.Job]
 		if p.applyEnd(now, w, j, e) {
-			w.ends.unacked = append(w.ends.unacked, &unackedEnd{number: e.Number, job: j, version: j.rec.version})
+			w.ends.unacked = append(w.ends.unacked, &unackedEnd{number: e.Number, task: e.Task, run: e.Run, job: j, version: j.rec.version})
 		} else if j == nil && p.mayArrive(e) {
 			p.holdEnd(w, e)
 		}
--- a/scheduler/seal.go
+++ b/scheduler/seal.go
@@ -21,7 +21,7 @@
 	Runs   []SealedRun
 }
 
-// SealedRun is a run that may execute on a sealed worker.
+// SealedRun is a run that may execute on a sealed worker, or whose end the worker may report to a later owner, as it is not durable.
 type SealedRun struct {
 	Task TaskID
 	Run  int64
@@ -61,6 +61,11 @@
 		for _, r := range w.runs {
 			s.Runs = append(s.Runs, SealedRun{Task: r.id, Run: r.number, Listed: r.listedBy(w)})
 		}
+		for _, e := range w.ends.unacked {
+			if !e.mayAck() {
+				s.Runs = append(s.Runs, SealedRun{Task: e.task, Run: e.run, Listed: true})
+			}
+		}
 		out = append(out, s)
 	}
 	return out
--- a/scheduler/seal_test.go
+++ b/scheduler/seal_test.go
@@ -131,3 +131,45 @@
 		})
 	}
 }
+
+// Guards against a task that runs again after it has succeeded: its end was received and not recorded when its worker fell silent, and the
+// next owner, which takes over the seal, has not heard of the end.
+func TestUnrecordedEndOutlastsItsOwner(t *testing.T) {
+	b := newTestPool("w1", "w2", "w3")
+	job := &pb.JobRecord{
+		Id: "a", Queue: "q", AcceptedMs: b.now.UnixMilli(), Spec: &pb.JobSpec{Steps: []*pb.JobStep{{Count: 1, CpuMilli: 1000, EstimateMs: 1000}}},
+	}
+	b.pool.Add(b.now, job)
+	o := b.pool.Step(b.now).Orders[0]
+	b.pool.Result(b.now, scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeDone, Clock: b.clock})
+	b.advance(time.Second)
+	end := []scheduler.EndedRun{{Number: 1, Task: o.Task, Run: o.Run, End: scheduler.EndSucceeded}}
+	b.report(o.Worker, nil, end)
+	others := map[string][]string{"w1": {"w2", "w3"}, "w2": {"w1", "w3"}, "w3": {"w1", "w2"}}[o.Worker]
+	tick := func() {
+		b.advance(100 * time.Millisecond)
+		for _, id := range others {
+			b.report(id, nil, nil)
+		}
+		for _, x := range b.pool.Step(b.now).Orders {
+			assert.Assert(t, x.Kind != scheduler.OrderStart, "started on %s after its success", x.Worker)
+		}
+	}
+	var seals []scheduler.SealedWorker
+	for range 17 {
+		tick()
+		seals = b.pool.Seal(b.now)
+	}
+	assert.Equal(t, len(seals), 1)
+	b = takeOver(b, 8, []*pb.JobRecord{job}, seals, "w1", "w2", "w3")
+	for range 20 {
+		tick()
+	}
+	b.report(o.Worker, nil, end)
+	tick()
+	assert.Equal(t, b.pool.State("a"), pb.JobState_JOB_STATE_RUNNING, "not recorded yet")
+	for range 60 {
+		b.report(o.Worker, nil, nil)
+		tick()
+	}
+}
--- a/scheduler/unknownjob.go
+++ b/scheduler/unknownjob.go
@@ -31,7 +31,7 @@
 		u = &unknownJob{}
 		p.unknownJobs[e.Task.Job] = u
 	}
-	entry := &unackedEnd{number: e.Number, unknown: true}
+	entry := &unackedEnd{number: e.Number, task: e.Task, run: e.Run, unknown: true}
 	w.ends.unacked = append(w.ends.unacked, entry)
 	u.ends = append(u.ends, heldEnd{worker: w, end: *e, entry: entry})
 }
