poolowner: the roster marks unsettled workers

The roster has a mark for it, which holds for workers that are not listed too, and the incarnation is recorded as before. After a write without an answer a mark counts as recorded only if it was there before.

--- a/internal/poolowner/roster.go
+++ b/internal/poolowner/roster.go
@@ -136,7 +136,7 @@
 	all := slices.Concat(r.listed, occupied)
 	r.publish(ctx, r.recorded(all))
 	hasNew := len(r.unrecorded()) > 0
-	record, ok := r.withSettledIncarnations(ctx, all)
+	record, ok := r.withUnsettled(ctx, all)
 	if !ok || !hasNew && !r.uncertain && len(all) == len(r.durable) && r.recordsIncarnations(record) && r.seals.inSync() {
 		return
 	}
@@ -145,24 +145,27 @@
 	}
 }
 
-// withSettledIncarnations returns the workers as they are to be recorded: a later owner waits longer for a worker whose recorded
-// incarnation is not the listed one. It reports false if ctx ended first.
-func (r *roster) withSettledIncarnations(ctx context.Context, all []scheduler.Worker) ([]scheduler.Worker, bool) {
+// withUnsettled returns the workers as they are to be recorded, with those marked for which a later owner has to wait longer. It
+// reports false if ctx ended first.
+func (r *roster) withUnsettled(ctx context.Context, all []scheduler.Worker) ([]scheduler.Worker, bool) {
 	if r.recordsIncarnations(all) {
 		return all, true
 	}
 	return runInLoop(ctx, r.owner, func(p *scheduler.Pool, _ time.Time) []scheduler.Worker {
 		return lo.Map(all, func(w scheduler.Worker, _ int) scheduler.Worker {
-			w.Born = p.SettledBorn(w.ID, w.Born)
+			w.RecordedUnsettled = p.Unsettled(w.ID, w.Born)
 			return w
 		})
 	})
 }
 
-// recordsIncarnations reports whether the workers are recorded with the same incarnations.
+// recordsIncarnations reports whether the workers are recorded with the same incarnations and marks.
 func (r *roster) recordsIncarnations(workers []scheduler.Worker) bool {
 	durable := lo.KeyBy(r.durable, func(w scheduler.Worker) string { return w.ID })
-	return lo.EveryBy(workers, func(w scheduler.Worker) bool { return durable[w.ID].Born == w.Born })
+	return lo.EveryBy(workers, func(w scheduler.Worker) bool {
+		d := durable[w.ID]
+		return d.Born == w.Born && d.RecordedUnsettled == w.RecordedUnsettled
+	})
 }
 
 // write replaces the record and reports whether the write is durable.
@@ -181,8 +184,12 @@
 	case jobstore.Fenced.Has(err):
 		r.owner.handleReplaced(ctx, "the store")
 	case !store.Unavailable.Has(err):
-		// The write may have taken effect or not: only workers in both the old and the new record are certainly recorded.
-		r.durable, r.uncertain = r.recorded(all), true
+		// The write may have taken effect or not: only workers and marks in both the old and the new record are certainly recorded.
+		before := lo.KeyBy(r.durable, func(w scheduler.Worker) string { return w.ID })
+		r.durable, r.uncertain = lo.Map(r.recorded(all), func(w scheduler.Worker, _ int) scheduler.Worker {
+			w.RecordedUnsettled = w.RecordedUnsettled && before[w.ID].RecordedUnsettled
+			return w
+		}), true
 	default:
 		r.seals.notRecorded()
 	}
@@ -239,7 +246,8 @@
 	o := r.owner
 	durable := lo.KeyBy(r.durable, func(w scheduler.Worker) string { return w.ID })
 	workers = lo.Map(workers, func(w scheduler.Worker, _ int) scheduler.Worker {
-		w.RecordedBorn = durable[w.ID].Born
+		d := durable[w.ID]
+		w.RecordedBorn, w.RecordedUnsettled = d.Born, d.RecordedUnsettled
 		return w
 	})
 	o.logWorkerChanges(ctx, r.published, workers)
@@ -257,12 +265,13 @@
 func workerFromRecord(w *pb.RosterWorker) scheduler.Worker {
 	return scheduler.Worker{
 		ID: w.GetId(), Address: w.GetAddress(), Host: w.GetHost(), Born: w.GetBorn(), DataCentre: w.GetDataCentre(),
-		Rack: w.GetRack(),
+		Rack: w.GetRack(), RecordedUnsettled: w.GetUnsettled(),
 	}
 }
 
 func recordFromWorker(w *scheduler.Worker) *pb.RosterWorker {
 	return &pb.RosterWorker{
 		Id: w.ID, Address: w.Address, Host: w.Host, Born: w.Born, DataCentre: w.DataCentre, Rack: w.Rack,
+		Unsettled: w.RecordedUnsettled,
 	}
 }
--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -39,9 +39,10 @@
 	Unused bool
 	// Host is the host on which the worker runs; empty if unknown.
 	Host string
-	// RecordedBorn is the incarnation that is recorded for later owners, 0 if none. If it is not the listed one, they wait for the
-	// longest lease.
-	RecordedBorn int64
+	// RecordedBorn is the incarnation that is recorded for later owners, 0 if none, and RecordedUnsettled whether a call to an earlier
+	// incarnation may have extended its leases beyond those that owners ask for.
+	RecordedBorn      int64
+	RecordedUnsettled bool
 	// Born identifies the incarnation of the worker id by its start time in Unix milliseconds; 0 if not known yet.
 	Born int64
 }
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -66,17 +66,13 @@
 	p.wakePlacement(now)
 }
 
-// isRecorded reports whether the record tells later owners how long leases on the worker may last. A record of an earlier
-// incarnation does not: a later owner's list of workers may lag.
-func (w *worker) isRecorded() bool { return !w.unsettled || w.RecordedBorn == 0 }
+// isRecorded reports whether the record tells later owners how long leases on the worker may last.
+func (w *worker) isRecorded() bool { return !w.unsettled || w.RecordedUnsettled }
 
-// SettledBorn returns the incarnation to record for a worker: the listed one, or 0 if a call to an earlier one may have extended
-// its leases beyond those that owners ask for.
-func (p *Pool) SettledBorn(id string, listed int64) int64 {
-	if w := p.workers[id]; w != nil && (w.unsettled || w.Born != listed) {
-		return 0
-	}
-	return listed
+// Unsettled reports whether the listed incarnation of a worker is to be recorded as unsettled.
+func (p *Pool) Unsettled(id string, listed int64) bool {
+	w := p.workers[id]
+	return w != nil && (w.unsettled || w.Born != listed)
 }
 
 // inheritedLease returns how long a lease that an earlier owner knew of, or a call to an earlier incarnation has extended, may
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -145,7 +145,7 @@
 func (p *Pool) addWorker(now time.Time, info *Worker) {
 	w := &worker{Worker: *info, describedBorn: info.Born, byKey: map[runKey]*run{}, listClock: -1}
 	w.lastReport = now
-	w.unsettled = !info.Unused && info.RecordedBorn != info.Born
+	w.unsettled = !info.Unused && (info.RecordedUnsettled || info.RecordedBorn != info.Born)
 	p.raiseFence(w)
 	p.markEvacuating(w)
 	w.pace.percent = fullPacePercent
