scheduler: only the owner's own clock tells that a list is later than an answer

Callers could see two runs of a task: a worker had restarted under its id, the next incarnation accepted a start before the owner knew of it, and a late list of the earlier incarnation, which does not have the run, ended it.

Cause: a list counted as later than the answer to a start or a stop if the worker's clock read more in it. An order names a worker by its id only and its answer does not tell the incarnation, so that the two readings may be of different clocks.

A list now proves a run absent only if its hold was sent after that answer had arrived: it then reaches the incarnation that gave the answer, or a later one. Polls are sent at once after a stop is acknowledged or a start gets no answer, so there is a later list to wait for.

--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -190,8 +190,8 @@
 type OrderResult struct {
 	Order   Order
 	Outcome Outcome
-	// Clock is the worker's own clock in ms as given in the answer, 0 without one. Reports with a higher reading are
-	// newer.
+	// Clock is the worker's own clock in ms as given in the answer, 0 without one. It may be that of a later incarnation
+	// than the order was for.
 	Clock int64
 }
 
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -131,7 +131,7 @@
 	case OutcomeDone:
 		r.state = runAccepted
 		p.sendBudget.addStartedWork(r.task)
-		r.answered = timestamp{set: true, at: now, clock: res.Clock}
+		r.answered = now
 		if res.Order.Born == w.Born {
 			r.begunClock = res.Clock
 			w.lastClock = max(w.lastClock, res.Clock)
@@ -189,7 +189,7 @@
 	if res.Outcome == OutcomeDone || res.Outcome == OutcomeOutdated {
 		r.stopping = true
 		p.watch(r)
-		r.stopAcked = timestamp{set: true, at: now, clock: res.Clock}
+		r.stopAcked = now
 		r.stopAt = now.Add(p.cfg.StopTime + stopAnswerTimeout)
 		p.out.Poll = append(p.out.Poll, r.worker.ID)
 		return
@@ -198,7 +198,7 @@
 	if !r.mayContinue() {
 		return
 	}
-	if r.stopReason == reasonMoved && !r.stopAcked.set {
+	if r.stopReason == reasonMoved && r.stopAcked.IsZero() {
 		// The disruption budget may have been used up since the stop was ordered, so the move is decided again. Until
 		// lateStopUntil the worker may still carry out the stop, even if lists contain the run in the meantime.
 		r.stopping = false
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -263,8 +263,14 @@
 	case runRunning:
 		return true
 	case runAccepted:
-		return r.answered.before(rep) || r.stopAcked.before(rep)
+		return rep.madeAfter(r.answered) || rep.madeAfter(r.stopAcked)
 	default:
-		return r.stopAcked.before(rep) || rep.Clock > r.until
+		return rep.madeAfter(r.stopAcked) || rep.Clock > r.until
 	}
 }
+
+// madeAfter reports whether the worker has certainly made the report after an answer to an order that had arrived at the given time.
+// Readings of the worker's clock do not tell: that of an order's answer may be of a later incarnation than the report.
+func (r *Report) madeAfter(answered time.Time) bool {
+	return !answered.IsZero() && !r.Sent.Before(answered)
+}
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -54,8 +54,8 @@
 	runningSince time.Time
 	// giveUpAt is when the run counts as over if the incarnation that may have accepted its start never reports.
 	giveUpAt time.Time
-	// answered is when the start was accepted, on both clocks.
-	answered timestamp
+	// answered is when the start was accepted.
+	answered time.Time
 	// begunClock is a reading of the worker's clock by which the run had begun, 0 if none is known.
 	begunClock int64
 	// charged means that a crash of the worker was added to the history of the task. polledAt is when the worker was last
@@ -70,7 +70,7 @@
 	stopReason string
 	// stopAt is the earliest time of the next stop order. stopAcked is when the worker acknowledged a stop.
 	stopAt    time.Time
-	stopAcked timestamp
+	stopAcked time.Time
 	// lateStopUntil is the time until which a stop without an answer may still be carried out.
 	lateStopUntil time.Time
 	watched       bool
@@ -93,21 +93,6 @@
 	speedBaseTime    time.Time
 }
 
-// timestamp is a moment on the owner's clock and, if known, on the worker's clock in ms.
-type timestamp struct {
-	set   bool
-	at    time.Time
-	clock int64
-}
-
-// before reports whether a report was certainly made after the timestamp.
-func (s timestamp) before(r *Report) bool {
-	if !s.set {
-		return false
-	}
-	return r.Sent.After(s.at) || (s.clock > 0 && r.Clock > s.clock)
-}
-
 // age returns the time since the start was ordered, or 0 if another owner ordered it.
 func (r *run) age(now time.Time) time.Duration {
 	if r.orderedAt.IsZero() {
@@ -256,7 +241,7 @@
 // unresolvedStop reports whether the run is being stopped only because its start was not answered, and no stop has
 // been acknowledged yet.
 func (r *run) unresolvedStop() bool {
-	return r.stopping && r.stopReason == reasonNoAnswer && !r.stopAcked.set
+	return r.stopping && r.stopReason == reasonNoAnswer && r.stopAcked.IsZero()
 }
 
 // mayContinue reports whether the run would be allowed to go on if it were not being stopped.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -185,7 +185,7 @@
 	wait := maxLeaseDuration(p.cfg.MaxLease)
 	kept := 0
 	for _, r := range w.runs {
-		r.stopAcked = timestamp{}
+		r.stopAcked = time.Time{}
 		r.stopAt = now
 		if r.giveUpAt.IsZero() {
 			r.giveUpAt = now.Add(wait)
