scheduler: a start that a later incarnation accepts has the longest lease

Callers could see two runs of a task: a worker had returned under its id, accepted a start before it had answered a hold, and was cut off; the task was started elsewhere when the lease would have ended on the earlier clock.

Cause: the expiry that a start or a hold asks for is a time on the clock of the incarnation that is known. A later one, whose clock has just begun, cuts it to the longest lease. The owner allowed for that only once a hold was answered.

The clock of an incarnation never goes back. An answer to a start with a lower reading than was known when the start was ordered is therefore that of a later incarnation; from then on the owner waits for the longest lease from its last call. Such a reading also no longer counts for how long a run has lasted.

Evidence: TestStartAcceptedByALaterIncarnationHasTheLongestLease fails without the change ("started on w2 4.2s after w1 was last held") and passes.

--- /dev/null
+++ b/scheduler/laterlease_test.go
@@ -0,0 +1,40 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/scheduler"
+)
+
+// Guards against two runs of a task: a worker has returned under its id, accepts a start before it has answered a hold, and is cut off. The
+// expiry that the start or the hold after it asks for is a time on the earlier clock, so that the worker cuts it to the longest lease.
+func TestStartAcceptedByALaterIncarnationHasTheLongestLease(t *testing.T) {
+	b := newTestPool("w1", "w2")
+	for _, id := range []string{"w1", "w2"} {
+		b.pool.Report(b.now, scheduler.Report{Worker: id, Fence: b.pool.FenceFor(id), Born: 5, Sent: b.now, Received: b.now, Clock: 100_000})
+	}
+	b.clock = 100_000
+	b.add("a", &pb.JobStep{Count: 1, CpuMilli: 1000, EstimateMs: 60_000})
+	o := b.pool.Step(b.now).Orders[0]
+	other := map[string]string{"w1": "w2", "w2": "w1"}[o.Worker]
+	b.advance(10 * time.Millisecond)
+	b.pool.Result(b.now, scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeDone, Clock: 60})
+	b.advance(time.Second)
+	assert.Assert(t, b.pool.Hold(o.Worker, b.now).Until > 100_000)
+	held, startedAgain := b.now, false
+	for range 80 {
+		b.advance(100 * time.Millisecond)
+		b.report(other, nil, nil)
+		for _, x := range b.pool.Step(b.now).Orders {
+			again := x.Kind == scheduler.OrderStart
+			startedAgain = startedAgain || again
+			longest := time.Duration(float64(simConfig.MaxLease) / 0.98)
+			assert.Assert(t, !again || b.now.Sub(held) > longest, "started on %s %s after %s was last held", x.Worker, b.now.Sub(held), o.Worker)
+		}
+	}
+	assert.Assert(t, startedAgain)
+}
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -30,12 +30,15 @@
 }
 
 // leaseExpiry returns when the lease of a silent worker has expired, including a lease requested by a start to the
-// previous incarnation.
+// previous incarnation, and one that a later incarnation has granted.
 func (w *worker) leaseExpiry() time.Time {
 	var latest time.Time
 	if w.clock.known {
 		latest = w.clock.surelyPassedAt(w.leaseUntil()).Add(leaseExpiryMargin)
 	}
+	if w.nextLeaseEnd.After(latest) {
+		latest = w.nextLeaseEnd
+	}
 	for _, r := range w.runs {
 		if r.giveUpAt.After(latest) {
 			latest = r.giveUpAt
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -18,7 +18,7 @@
 	r := p.newRun(w, t.id(), number, t)
 	r.until = until
 	r.address = w.Address
-	r.orderedAt = now
+	r.orderedAt, r.orderedClock = now, w.lastClock
 	checkpoint := t.checkpoint
 	if t.step.spec.GetGang() {
 		checkpoint = t.step.tasks[0].checkpoint
@@ -70,6 +70,9 @@
 func (p *Pool) lease(now time.Time, w *worker) int64 {
 	until := max(0, w.clock.lowerBound(now)+p.leaseDuration(now).Milliseconds())
 	w.requestedUntil = max(w.requestedUntil, until)
+	if !w.nextLeaseEnd.IsZero() {
+		w.nextLeaseEnd = now.Add(maxLeaseDuration(p.cfg.MaxLease))
+	}
 	return until
 }
 
@@ -127,12 +130,17 @@
 		return
 	}
 	w := r.worker
+	// The clock of an incarnation never goes back. A later one takes an expiry on the earlier clock for the longest lease.
+	isLater := res.Clock > 0 && res.Clock < r.orderedClock
+	if isLater && res.Order.Born == w.Born {
+		w.nextLeaseEnd = now.Add(maxLeaseDuration(p.cfg.MaxLease))
+	}
 	switch res.Outcome {
 	case OutcomeDone:
 		r.state = runAccepted
 		p.sendBudget.addStartedWork(r.task)
 		r.answered = now
-		if res.Order.Born == w.Born {
+		if res.Order.Born == w.Born && !isLater {
 			r.begunClock = res.Clock
 			w.lastClock = max(w.lastClock, res.Clock)
 		}
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -49,8 +49,10 @@
 	// listedEarlier means that the incarnation has listed the run to an earlier owner.
 	listedEarlier bool
 	// until is the lease expiry that its start requested, on the worker's clock in ms.
-	until        int64
-	orderedAt    time.Time
+	until     int64
+	orderedAt time.Time
+	// orderedClock is the latest reading of the worker's clock when the start was ordered.
+	orderedClock int64
 	runningSince time.Time
 	// giveUpAt is when the run counts as over if the incarnation that may have accepted its start never reports.
 	giveUpAt time.Time
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -45,6 +45,9 @@
 	// requestedUntil is the latest lease expiry requested of this incarnation, assumedUntil the latest that calls of others may
 	// have led to; both on the worker's clock in ms.
 	requestedUntil, assumedUntil int64
+	// nextLeaseEnd is when the leases have expired that a later incarnation has granted which is known only by its answers to starts:
+	// a lower reading of its clock. Zero without one.
+	nextLeaseEnd time.Time
 	// replaced means that another incarnation has answered at its address, since replacedAt.
 	replaced   bool
 	replacedAt time.Time
@@ -218,6 +221,7 @@
 	w.heardAt = ""
 	w.expired = nil
 	w.requestedUntil, w.assumedUntil = 0, 0
+	w.nextLeaseEnd = time.Time{}
 	w.ends = endLog{}
 	w.unansweredStarts = 0
 	w.emptyConfirmed = false
