scheduler: no hold asks a silent worker for a lease

Callers could see two runs of a task: the answers of a worker were lost while holds still reached it, and its lease outlasted what its owner or the next one waited for.

Cause: a hold of a silent worker repeated the latest expiry that the owner had requested. A later incarnation under the same id, on whose clock it is far ahead, takes it for the longest lease from each such hold.

Such a hold now asks for no expiry.

Evidence: TestSilentWorkerIsAskedForNoLease fails without the change (6001 instead of 0).

--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -251,6 +251,7 @@
 	Fence uint64
 	// LastSeen is the highest end number to acknowledge.
 	LastSeen int64
-	// Until is the lease expiry on the worker's clock in ms, 0 if the clock is not known yet.
+	// Until is the lease expiry on the worker's clock in ms, 0 if the lease is not extended: the clock is not known yet, or the worker
+	// is silent.
 	Until int64
 }
--- a/scheduler/laterlease_test.go
+++ b/scheduler/laterlease_test.go
@@ -38,3 +38,17 @@
 	}
 	assert.Assert(t, startedAgain)
 }
+
+// Guards against two runs of a task: holds whose answers are lost go on to extend the lease of a later incarnation, for which the expiry of
+// the earlier one is far ahead.
+func TestSilentWorkerIsAskedForNoLease(t *testing.T) {
+	b := newTestPool("w1")
+	b.report("w1", nil, nil)
+	latest := b.pool.Hold("w1", b.now).Until
+	assert.Assert(t, latest > b.clock)
+	b.advance(3 * time.Second)
+	assert.Assert(t, b.clock < latest)
+	assert.Equal(t, b.pool.Hold("w1", b.now).Until, int64(0))
+	b.report("w1", nil, nil)
+	assert.Assert(t, b.pool.Hold("w1", b.now).Until > latest)
+}
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -83,12 +83,9 @@
 		return Hold{}
 	}
 	h := Hold{Fence: p.fenceFor(w), LastSeen: p.acknowledge(w)}
-	switch {
-	case !w.clock.known:
-	case w.silent(now):
-		// The lease of a silent worker must expire, so it is not extended.
-		h.Until = w.requestedUntil
-	default:
+	// The lease of a silent worker must expire, so it is not extended. Any expiry, even one that was asked for before, would do so on the
+	// clock of a later incarnation.
+	if w.clock.known && !w.silent(now) {
 		h.Until = p.lease(now, w)
 	}
 	return h
