scheduler: a run that reaches the next incarnation is paced there

Callers could see a serving task miss its target, or a backfill task stand still: a run was accepted by the next incarnation of its worker while a change of its pace was under way to the earlier one, and its pace was never set again.

Cause: answers of the earlier incarnation are ignored, so that the change of pace counted as under way for good.

The pace of a run that may go on in a later incarnation is now unknown when the earlier one ends, and is ordered again.

Evidence: TestPaceAnsweredByAnEarlierIncarnationIsOrderedAgain fails without the change (no pace is ordered in 2 s) and passes.

--- /dev/null
+++ b/scheduler/lateanswers_test.go
@@ -0,0 +1,56 @@
+package scheduler_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/scheduler"
+)
+
+// reportOf reports the runs and ends of an incarnation in answer to a hold with the worker's present fence.
+func (b *testPool) reportOf(worker string, born, clock int64, running []scheduler.RunningTask, ended ...scheduler.EndedRun) {
+	b.pool.Report(b.now, scheduler.Report{
+		Worker: worker, Fence: b.pool.FenceFor(worker), Born: born, Sent: b.now, Received: b.now, Clock: clock, Running: running, Ended: ended,
+	})
+}
+
+// orders returns the orders of the next step of one kind.
+func (b *testPool) orders(kind scheduler.OrderKind) []scheduler.Order {
+	return slices.DeleteFunc(b.pool.Step(b.now).Orders, func(o scheduler.Order) bool { return o.Kind != kind })
+}
+
+// Guards against a run whose pace is never set again: its start reaches the next incarnation, and the answer to a change of its pace, sent to
+// the earlier one, arrives after that has answered.
+func TestPaceAnsweredByAnEarlierIncarnationIsOrderedAgain(t *testing.T) {
+	b := newTestPool("w1")
+	b.add("serve", &pb.JobStep{Count: 1, CpuMilli: 1000, Persistent: true, TargetMs: 50})
+	b.add("fill", &pb.JobStep{Count: 1, CpuMilli: 1000, Fills: true, EstimateMs: 60_000})
+	starts := b.orders(scheduler.OrderStart)
+	assert.Equal(t, len(starts), 2)
+	serve, fill := starts[0], starts[1]
+	for _, o := range starts {
+		b.pool.Result(b.now, scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeDone, Clock: b.clock})
+	}
+	overTarget := scheduler.RunningTask{Task: serve.Task, Run: serve.Run, Percent: 100, Tail: 60}
+	b.pool.Report(b.now, scheduler.Report{
+		Worker: "w1", Fence: b.pool.FenceFor("w1"), Born: 5, Sent: b.now.Add(-time.Millisecond), Received: b.now, Clock: b.clock + 1,
+		Running: []scheduler.RunningTask{overTarget},
+	})
+	b.advance(700 * time.Millisecond)
+	former := b.orders(scheduler.OrderPace)
+	assert.Equal(t, len(former), 1)
+	running := []scheduler.RunningTask{overTarget, {Task: fill.Task, Run: fill.Run, Percent: 30}}
+	b.reportOf("w1", 6, 10, running)
+	b.pool.Result(b.now, scheduler.OrderResult{Order: former[0], Outcome: scheduler.OutcomeDone, Clock: b.clock})
+	var again []scheduler.Order
+	for i := range 20 {
+		b.advance(100 * time.Millisecond)
+		b.reportOf("w1", 6, int64(100*i+110), running)
+		again = append(again, b.orders(scheduler.OrderPace)...)
+	}
+	assert.Assert(t, len(again) > 0 && again[0].Fence > former[0].Fence)
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -183,13 +183,15 @@
 	p.keepUnansweredStarts(now, w)
 }
 
-// keepUnansweredStarts keeps the remaining runs of an incarnation that has ended for as long as a later one may execute them.
+// keepUnansweredStarts keeps the remaining runs of an incarnation that has ended for as long as a later one may execute them. Which pace
+// is in force there is unknown, as is whether a stop was carried out.
 func (p *Pool) keepUnansweredStarts(now time.Time, w *worker) {
 	wait := maxLeaseDuration(p.cfg.MaxLease)
 	kept := 0
 	for _, r := range w.runs {
 		r.stopAcked = time.Time{}
 		r.stopAt = now
+		r.pace, r.paceInFlight = -1, false
 		if r.giveUpAt.IsZero() {
 			r.giveUpAt = now.Add(wait)
 			kept++
