--- a/scheduler/lateanswers_test.go
+++ b/scheduler/lateanswers_test.go
@@ -23,6 +23,62 @@
 	return slices.DeleteFunc(b.pool.Step(b.now).Orders, func(o scheduler.Order) bool { return o.Kind != kind })
 }
 
+// Guards against ends that a worker forgets, or that its owner passes over: a report of the earlier incarnation arrives after the next one
+// has answered, with higher numbers of ends and a later reading of its clock.
+func TestLateReportOfAnEarlierIncarnationChangesNothing(t *testing.T) {
+	b := newTestPool("w1")
+	b.reportOf("w1", 6, 100, nil)
+	b.reportOf("w1", 6, 101, nil)
+	b.add("a", &pb.JobStep{Count: 1, CpuMilli: 1000, EstimateMs: 500})
+	starts := b.orders(scheduler.OrderStart)
+	assert.Equal(t, len(starts), 1)
+	o := starts[0]
+	b.pool.Result(b.now, scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeDone, Clock: 102})
+	b.advance(10 * time.Millisecond)
+	b.reportOf("w1", 5, 90_000, nil, scheduler.EndedRun{Number: 57, Task: scheduler.TaskID{Job: "b"}, Run: 1, End: scheduler.EndSucceeded})
+	h := b.pool.Hold("w1", b.now)
+	assert.Equal(t, h.LastSeen, int64(0))
+	assert.Assert(t, h.Until < 90_000)
+	b.reportOf("w1", 6, 150, nil, scheduler.EndedRun{Number: 1, Task: o.Task, Run: o.Run, End: scheduler.EndSucceeded})
+	a := b.pool.Step(b.now)
+	assert.Equal(t, len(a.Orders), 0)
+	for _, r := range a.Records {
+		b.pool.Recorded(b.now, r.Progress.GetId(), r.Version)
+	}
+	assert.Equal(t, b.pool.Hold("w1", b.now).LastSeen, int64(1))
+}
+
+func neverBegan(a scheduler.Actions) bool {
+	return slices.ContainsFunc(a.Decisions, func(d scheduler.Decision) bool { return d.Kind == "never began" })
+}
+
+// Guards against two runs of a task: the earlier incarnation has acknowledged a stop of an unanswered start, and its answer arrives after the
+// next one has answered, which executes the start then.
+func TestStopAcknowledgedByAnEarlierIncarnationProvesNoAbsence(t *testing.T) {
+	b := newTestPool("w1", "w2")
+	b.add("a", &pb.JobStep{Count: 1, CpuMilli: 1000, EstimateMs: 5000})
+	o := b.orders(scheduler.OrderStart)[0]
+	b.pool.Result(b.now, scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeUnknown})
+	b.advance(400 * time.Millisecond)
+	b.report(o.Worker, nil, nil)
+	former := b.orders(scheduler.OrderStop)
+	assert.Equal(t, len(former), 1)
+	b.reportOf(o.Worker, 6, 10, nil)
+	b.pool.Result(b.now, scheduler.OrderResult{Order: former[0], Outcome: scheduler.OutcomeDone, Clock: b.clock})
+	b.advance(10 * time.Millisecond)
+	b.reportOf(o.Worker, 6, 20, nil)
+	a := b.pool.Step(b.now)
+	assert.Assert(t, !neverBegan(a))
+	stops := a.Orders
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, stops[0].Kind, scheduler.OrderStop)
+	assert.Assert(t, stops[0].Fence > former[0].Fence)
+	b.pool.Result(b.now, scheduler.OrderResult{Order: stops[0], Outcome: scheduler.OutcomeDone, Clock: 25})
+	b.advance(10 * time.Millisecond)
+	b.reportOf(o.Worker, 6, 35, nil)
+	assert.Assert(t, neverBegan(b.pool.Step(b.now)))
+}
+
 // Guards against a run whose pace is never set again: its start reaches the next incarnation, and the answer to a change of its pace, sent to
 // the earlier one, arrives after that has answered.
 func TestPaceAnsweredByAnEarlierIncarnationIsOrderedAgain(t *testing.T) {
