scheduler: advice on an earlier incarnation does not hold for the next

Callers could see a task start late: a worker had returned under its id while the policy service was asked, and rejected the start for its ticket, which holds for one life of a worker; or a step never used it, though it was of another kind.

Cause: an answer counted for the incarnation that was known when it arrived.

It now counts only for workers that are still of the incarnation that was known when the service was asked. The others are asked about again.

Evidence: TestAdviceOnAnEarlierIncarnationIsAskedForAgain fails without the change (started with the earlier ticket) and passes.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 const (
@@ -38,6 +40,8 @@
 	requestedAt time.Time
 	retryAt     time.Time
 	retries     int
+	// asked holds the incarnations of the workers that the latest request names.
+	asked map[string]int64
 	// verdicts are keyed by worker id. A refusal stays valid for the whole incarnation of the worker.
 	verdicts map[string]verdict
 }
@@ -83,6 +87,7 @@
 	}
 	a.requested = true
 	a.requestedAt = now
+	a.asked = lo.SliceToMap(names, func(id string) (string, int64) { return id, p.workers[id].Born })
 	p.advice.inFlight = append(p.advice.inFlight, s)
 	p.out.Advice = append(p.out.Advice, AdviceRequest{
 		Job: s.occ.job.id, Occurrence: s.occ.number, Step: s.number, Workers: names,
@@ -183,7 +188,7 @@
 	}
 	for _, id := range a.Asked {
 		w := p.workers[id]
-		if w == nil {
+		if asked, ok := s.advice.asked[id]; w == nil || !ok || asked != w.Born {
 			continue
 		}
 		ticket, permitted := a.Tickets[id]
--- a/scheduler/lateanswers_test.go
+++ b/scheduler/lateanswers_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
+	"github.com/agateturn/agateturn/queue"
 	"github.com/agateturn/agateturn/scheduler"
 )
 
@@ -110,3 +111,29 @@
 	}
 	assert.Assert(t, len(again) > 0 && again[0].Fence > former[0].Fence)
 }
+
+// Guards against starts that a worker rejects for their ticket, or a worker that a step never uses: it has returned, perhaps as one of another
+// kind, while the policy service was asked about the earlier incarnation.
+func TestAdviceOnAnEarlierIncarnationIsAskedForAgain(t *testing.T) {
+	b := newTestPool("w1")
+	b.pool.SetQueues(b.now, []queue.Queue{{Name: "q", MaxAttempts: 3, Stretch: 2, TargetDuration: time.Second, Advice: &queue.Advice{TicketLifetime: time.Minute}}})
+	b.add("a", &pb.JobStep{Count: 1, CpuMilli: 1000, EstimateMs: 5000})
+	asked := b.pool.Step(b.now).Advice
+	assert.Equal(t, len(asked), 1)
+	for clock := range int64(2) {
+		b.reportOf("w1", 6, 10+clock, nil)
+	}
+	answer := func(ticket string) {
+		b.pool.ApplyAdvice(b.now, scheduler.Advice{
+			Job: "a", Asked: []string{"w1"}, Tickets: map[string]string{"w1": ticket}, ValidFor: time.Minute,
+		})
+	}
+	answer("earlier")
+	a := b.pool.Step(b.now)
+	assert.Equal(t, len(a.Orders), 0)
+	assert.Equal(t, len(a.Advice), 1)
+	answer("present")
+	starts := b.orders(scheduler.OrderStart)
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Ticket, "present")
+}
