--- a/internal/poolowner/returned_test.go
+++ b/internal/poolowner/returned_test.go
@@ -23,13 +23,13 @@
 // bornFirst is the first incarnation of each worker.
 const bornFirst = 1000
 
-// restart begins the next incarnation of the worker, which carries out a late hold of the earlier one: it has seen no fence, and
+// restart begins the next incarnation of w1, which carries out a late hold of the earlier one: it has seen no fence, and
 // caps the expiry to the longest lease. The runs are those of starts that were late too.
-func (r *returningWorkers) restart(id string, runs ...scheduler.RunningTask) {
+func (r *returningWorkers) restart(runs ...scheduler.RunningTask) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.born[id]++
-	r.workers[id] = &leaseWorker{until: time.Now().Add(maxLease).UnixMilli(), running: runs}
+	r.born["w1"]++
+	r.workers["w1"] = &leaseWorker{until: time.Now().Add(maxLease).UnixMilli(), running: runs}
 }
 
 func (r *returningWorkers) Hold(ctx context.Context, h poolowner.HoldRequest) (scheduler.Report, error) {
@@ -69,7 +69,7 @@
 				owner, stop := startOwner(t, newOptions(t, host, workers))
 				owner.SetWorkers(workers.listedWorkers("w1"))
 				time.Sleep(settleTime)
-				workers.restart("w1")
+				workers.restart()
 				owner.SetWorkers(workers.listedWorkers("w1"))
 				acceptJob(t, host, 1)
 				time.Sleep(served * time.Millisecond)
@@ -100,7 +100,7 @@
 		time.Sleep(settleTime)
 		assert.Equal(t, workers.runningOn("w1"), 1)
 		stop()
-		workers.restart("w1", workers.workers["w1"].running...)
+		workers.restart(workers.workers["w1"].running...)
 		next := newOptions(t, host, workers)
 		workers.setUnreachable(next.Config.Fence, "w1")
 		owner, stop = startOwner(t, next)
@@ -120,7 +120,7 @@
 		owner, stop := startOwner(t, newOptions(t, host, workers))
 		owner.SetWorkers(workers.listedWorkers("w1"))
 		time.Sleep(settleTime)
-		workers.restart("w1")
+		workers.restart()
 		owner.SetWorkers(workers.listedWorkers("w1"))
 		acceptJob(t, host, 1)
 		time.Sleep(3 * time.Second)
--- a/internal/poolowner/returned_unlisted_test.go
+++ b/internal/poolowner/returned_unlisted_test.go
@@ -25,7 +25,7 @@
 					owner, stop := startOwner(t, newOptions(t, host, workers))
 					owner.SetWorkers(workers.listedWorkers("w1"))
 					time.Sleep(settleTime)
-					workers.restart("w1")
+					workers.restart()
 					owner.SetWorkers(workers.listedWorkers("w1"))
 					acceptJob(t, host, 1)
 					time.Sleep(served * time.Millisecond)
