The next owner knows of unanswered starts to workers that have ended

Callers could see a task run twice: a start got no answer, the platform proved the end of the worker, and the pool changed its owner. The next owner started the task elsewhere at once, while a later incarnation of the worker may still execute the first start.

Cause: the owner keeps such a start for as long as a later incarnation may execute it, but counted a worker that has ended as unoccupied. As soon as the worker was off the list, the roster dropped it, start and all.

A worker now stays recorded while it has runs, whether or not it has ended. So that takeovers do not wait for it, it is sealed as soon as its end is known, and stays sealed if it was before: the next owner adopts the start, and only its task waits. As the proof ends the runs that the worker had listed, a sealed worker's runs can change; the record was rewritten only when the set of sealed workers changed, and now also when their runs do.

TestTakeoverOfAnEndedWorkerWithAnUnansweredStart asks that the seal is never absent from the record, that it holds the unanswered start alone after the proof, and that the next owner starts other tasks within 0.4 s and this one later than 5 s.

--- a/internal/poolowner/seals.go
+++ b/internal/poolowner/seals.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -16,9 +17,11 @@
 type seals struct {
 	// wanted are the seals that the next record contains.
 	wanted map[string]scheduler.SealedWorker
-	// possible holds the workers that are sealed in the record, or in one whose write may have taken effect. written holds
-	// those of the latest write, before what was possible before it.
-	possible, written, before map[string]bool
+	// possible holds the workers that are sealed in the record, or in one whose write may have taken effect, and before those
+	// before the latest write.
+	possible, before map[string]bool
+	// written are the seals of the latest write, durable those that are certainly recorded.
+	written, durable map[string]scheduler.SealedWorker
 	// held means that the scheduler may have sealed workers.
 	held bool
 	// inherited are the seals of a previous owner that the scheduler does not know yet.
@@ -33,8 +36,8 @@
 			s.inherited[w.GetId()] = sealFromRecord(w)
 		}
 	}
-	s.wanted, s.held = maps.Clone(s.inherited), len(s.inherited) > 0
-	s.possible = lo.MapValues(s.inherited, func(scheduler.SealedWorker, string) bool { return true })
+	s.wanted, s.durable, s.held = maps.Clone(s.inherited), maps.Clone(s.inherited), len(s.inherited) > 0
+	s.possible = ids(s.inherited)
 }
 
 // takeInherited returns the inherited seals of the workers, which the scheduler must learn of together with them.
@@ -75,19 +78,25 @@
 // beginWrite is called before a record with the wanted seals is written.
 func (s *seals) beginWrite() {
 	s.before = s.possible
-	s.written = lo.MapValues(s.wanted, func(scheduler.SealedWorker, string) bool { return true })
-	s.possible = lo.Assign(s.before, s.written)
+	s.written, s.durable = s.wanted, nil
+	s.possible = lo.Assign(s.before, ids(s.written))
 }
 
 // recorded is called once that record is durable: no earlier one can take effect any more.
-func (s *seals) recorded() { s.possible = s.written }
+func (s *seals) recorded() { s.possible, s.durable = ids(s.written), s.written }
 
 // notRecorded is called if that write certainly had no effect.
 func (s *seals) notRecorded() { s.possible = s.before }
 
 // inSync reports whether the record certainly contains the wanted seals and no others.
 func (s *seals) inSync() bool {
-	return len(s.possible) == len(s.wanted) && lo.EveryBy(lo.Keys(s.wanted), func(id string) bool { return s.possible[id] })
+	return len(s.possible) == len(s.wanted) && maps.EqualFunc(s.durable, s.wanted, func(a, b scheduler.SealedWorker) bool {
+		return slices.Equal(a.Runs, b.Runs)
+	})
+}
+
+func ids(seals map[string]scheduler.SealedWorker) map[string]bool {
+	return lo.MapValues(seals, func(scheduler.SealedWorker, string) bool { return true })
 }
 
 // checkInterval returns the time until the next check. A record that could not be written is not tried again sooner than others.
@@ -122,7 +131,7 @@
 		return
 	}
 	// A wanted seal may be part of a record that is written before the next check.
-	keep := lo.Assign(r.seals.possible, lo.MapValues(r.seals.wanted, func(scheduler.SealedWorker, string) bool { return true }))
+	keep := lo.Assign(r.seals.possible, ids(r.seals.wanted))
 	r.seals.held = len(sealed) > 0 || len(keep) > 0
 	r.owner.enqueue(ctx, func(p *scheduler.Pool, now time.Time) { p.Unseal(now, keep) })
 }
--- a/scheduler/seal.go
+++ b/scheduler/seal.go
@@ -39,22 +39,32 @@
 	silent := lo.CountBy(heard, func(w *worker) bool { return w.mustBeSealed(now) })
 	maySealHeard := silent*sealDivisor <= len(heard)
 	for _, w := range p.sortedWorkers {
-		if !w.sealed && w.mustBeSealed(now) && (maySealHeard || !w.reported) {
+		if !w.knownSealed() && w.mustBeSealed(now) && (maySealHeard || !w.reported) {
 			w.sealed, w.sealedAt = true, now
 		}
 	}
 	return p.sealedWorkers()
 }
 
-// mustBeSealed reports whether a later owner would wait for the worker. One that is known to have ended answers for its address.
+// mustBeSealed reports whether a later owner would wait for the worker. One that is known to have ended answers for its address,
+// unless a later incarnation may execute what was sent to it.
 func (w *worker) mustBeSealed(now time.Time) bool {
-	return !w.departed && !w.replaced && now.Sub(w.lastReport) >= sealAfter
+	switch {
+	case w.departed:
+		return false
+	case w.replaced:
+		return len(w.runs) > 0
+	}
+	return now.Sub(w.lastReport) >= sealAfter
 }
 
+// knownSealed reports whether the worker is sealed and, as far as is known, still runs what it did then.
+func (w *worker) knownSealed() bool { return w.sealed && !w.lastReport.After(w.sealedAt) }
+
 func (p *Pool) sealedWorkers() []SealedWorker {
 	var out []SealedWorker
 	for _, w := range p.sortedWorkers {
-		if !w.sealed || w.lastReport.After(w.sealedAt) {
+		if !w.knownSealed() {
 			continue
 		}
 		s := SealedWorker{Worker: w.ID}
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -184,7 +184,7 @@
 func (p *Pool) Occupied(id string) bool {
 	w := p.workers[id]
 	switch {
-	case w == nil || w.replaced:
+	case w == nil:
 		return false
 	case len(w.runs) > 0:
 		return true
