A roster that replaces an unreadable one is marked as incomplete

Callers could see a task run twice: the roster of a pool could not be read, and the pool changed its owner twice within the longest lease. The first of the two owners waited for that lease, as it should; the second started the task elsewhere at once.

Cause: the first owner replaced the record by the workers that were listed. The second one took this record for all workers that may run something.

A record written by an owner that could not read the one before, or found it incomplete, now tells so (Roster.incomplete), until that owner's takeover is done; the next check writes it without the mark. An owner that reads the mark waits for the longest lease as after an unreadable record, and takes no listed worker for unused. Workers are still recorded and held at once, so that what runs there goes on meanwhile.

--- a/internal/poolowner/lease_beyond_owner_test.go
+++ b/internal/poolowner/lease_beyond_owner_test.go
@@ -157,3 +157,29 @@
 		assert.Assert(t, !workers.sawDuplicate())
 	})
 }
+
+// Guards against owners that wait for the longest lease long after a roster could not be read: the mark that it was is removed once
+// the leases have expired.
+func TestTakeoverAfterAnUnreadableRosterWasReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memtxn.New().Client("host")
+		workers := newLeaseWorkers()
+		_, err := kv.Commit(t.Context(), store.Transaction{Puts: []store.Put{{Key: jobkeys.Roster(pool), Data: []byte{0xff}}}})
+		assert.NilError(t, err)
+		_, stop := startOwner(t, newOptions(t, kv, workers), "w1")
+		time.Sleep(time.Second)
+		stop()
+		o := newOptions(t, kv, workers)
+		record, _, err := o.Jobs.Roster(t.Context(), pool)
+		assert.NilError(t, err)
+		assert.Assert(t, record.GetIncomplete())
+		_, stop = startOwner(t, o, "w1")
+		time.Sleep(11 * time.Second)
+		stop()
+		acceptJob(t, kv, 1)
+		_, stop = startOwner(t, newOptions(t, kv, workers), "w1")
+		time.Sleep(settleTime)
+		assert.Equal(t, workers.runningOn("w1"), 1)
+		stop()
+	})
+}
--- a/internal/poolowner/roster.go
+++ b/internal/poolowner/roster.go
@@ -39,16 +39,18 @@
 	inherited map[string]bool
 	// used holds the workers on which previous owners may have started something: those that they have recorded. It is nil if
 	// that is not known.
-	used  map[string]bool
-	seals seals
+	used map[string]bool
+	// incomplete is set while the record cannot be read or is marked as incomplete: workers that it does not name may run tasks of
+	// previous owners until the takeover is done.
+	incomplete bool
+	seals      seals
 }
 
 // followWorkers passes lists of workers to the scheduler once the records are loaded, and runs a lease renewer for each
 // worker.
 func (o *Owner) followWorkers(ctx context.Context) error {
 	r := &roster{owner: o, seals: seals{inherited: map[string]scheduler.SealedWorker{}}}
-	readable, ok := r.load(ctx)
-	if !ok {
+	if !r.load(ctx) {
 		return nil
 	}
 	select {
@@ -56,7 +58,7 @@
 	case <-ctx.Done():
 		return nil
 	}
-	if !readable {
+	if r.incomplete {
 		o.enqueue(ctx, func(p *scheduler.Pool, _ time.Time) { p.MarkRosterIncomplete() })
 	}
 	ticker := time.NewTicker(rosterCheckInterval)
@@ -85,27 +87,30 @@
 	}
 }
 
-// load reads the record. readable is false if it is malformed; ok is false if ctx ended first.
-func (r *roster) load(ctx context.Context) (readable, ok bool) {
+// load reads the record. It reports false if ctx ended first.
+func (r *roster) load(ctx context.Context) bool {
 	for ctx.Err() == nil {
 		record, version, err := r.owner.Jobs.Roster(ctx, r.owner.Pool)
 		if jobstore.Unreadable.Has(err) {
-			r.version = version
+			r.version, r.incomplete = version, true
 			r.owner.logReadFailure(ctx, "roster", err)
-			return false, true
+			return true
 		}
 		if err == nil {
 			r.version = version
 			r.durable = lo.Map(record.GetWorkers(), func(w *pb.RosterWorker, _ int) scheduler.Worker { return workerFromRecord(w) })
 			r.inherited = lo.SliceToMap(r.durable, func(w scheduler.Worker) (string, bool) { return w.ID, true })
-			r.used = r.inherited
+			r.incomplete = record.GetIncomplete()
+			if !r.incomplete {
+				r.used = r.inherited
+			}
 			r.seals.load(record)
-			return true, true
+			return true
 		}
 		r.owner.logReadFailure(ctx, "roster", err)
 		_ = wait.For(ctx, readRetryDelay)
 	}
-	return false, false
+	return false
 }
 
 // mergeRecorded returns the listed workers, marked as unused if no previous owner has recorded them, but with the recorded
@@ -122,9 +127,9 @@
 	})
 }
 
-// inSync reports whether the recorded workers are certainly the listed ones.
+// inSync reports whether the recorded workers are certainly the listed ones, and no others may run anything.
 func (r *roster) inSync() bool {
-	return !r.uncertain && len(r.unrecorded()) == 0 && len(r.durable) == len(r.listed) && r.recordsIncarnations(r.listed)
+	return !r.uncertain && !r.incomplete && len(r.unrecorded()) == 0 && len(r.durable) == len(r.listed) && r.recordsIncarnations(r.listed)
 }
 
 // update publishes the occupied workers and the listed ones as far as they are recorded, and all as listed once they are recorded.
@@ -137,10 +142,11 @@
 	r.publish(ctx, r.recorded(all))
 	hasNew := len(r.unrecorded()) > 0
 	record, ok := r.withUnsettled(ctx, all)
-	if !ok || !hasNew && !r.uncertain && len(all) == len(r.durable) && r.recordsIncarnations(record) && r.seals.inSync() {
+	incomplete := r.incomplete && !r.takenOver(ctx)
+	if !ok || !hasNew && !r.uncertain && len(all) == len(r.durable) && r.recordsIncarnations(record) && r.seals.inSync() && incomplete == r.incomplete {
 		return
 	}
-	if r.write(ctx, record) {
+	if r.write(ctx, record, incomplete) {
 		r.publish(ctx, all)
 	}
 }
@@ -169,8 +175,8 @@
 }
 
 // write replaces the record and reports whether the write is durable.
-func (r *roster) write(ctx context.Context, all []scheduler.Worker) bool {
-	record := &pb.Roster{Workers: lo.Map(all, func(w scheduler.Worker, _ int) *pb.RosterWorker {
+func (r *roster) write(ctx context.Context, all []scheduler.Worker, incomplete bool) bool {
+	record := &pb.Roster{Incomplete: incomplete, Workers: lo.Map(all, func(w scheduler.Worker, _ int) *pb.RosterWorker {
 		return r.seals.addTo(recordFromWorker(&w))
 	})}
 	r.seals.beginWrite()
@@ -178,7 +184,7 @@
 	r.version = version
 	switch {
 	case err == nil:
-		r.durable, r.uncertain = all, false
+		r.durable, r.uncertain, r.incomplete = all, false, incomplete
 		r.seals.recorded()
 		return true
 	case jobstore.Fenced.Has(err):
@@ -219,6 +225,12 @@
 	return kept, ok
 }
 
+// takenOver reports whether nothing of a previous owner can run on workers that are not recorded.
+func (r *roster) takenOver(ctx context.Context) bool {
+	done, ok := runInLoop(ctx, r.owner, func(p *scheduler.Pool, _ time.Time) bool { return p.TakenOver() })
+	return ok && done
+}
+
 // unrecorded returns the listed workers that are not recorded.
 func (r *roster) unrecorded() []scheduler.Worker {
 	return lo.Reject(r.listed, func(w scheduler.Worker, _ int) bool { return r.isRecorded(w) })
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -196,6 +196,9 @@
 // tasks start. It is called after Load.
 func (p *Pool) MarkRosterIncomplete() { p.takeover.rosterIncomplete = true }
 
+// TakenOver reports whether nothing that a previous owner started can still run unreported, but on sealed workers.
+func (p *Pool) TakenOver() bool { return !p.takeover.blocksStarts() }
+
 // allReported reports whether every worker that may run something of a previous owner has reported.
 func (t *takeover) allReported() bool {
 	return t.registryLoaded && !t.rosterIncomplete && len(t.awaited) == 0
