Known red: the proved end of an unheard worker ends the wait for its starts

A start got no answer, its owner ended before the worker was sealed, and the platform proved the end of the worker, without a successor, to the next owner, which never heard it: the next owner starts the task elsewhere at once, while a later incarnation may execute the first start. TestProvedEndOfAWorkerNeverHeardLeavesItsStarts fails always.

--- a/internal/poolowner/ended_test.go
+++ b/internal/poolowner/ended_test.go
@@ -127,3 +127,40 @@
 		stop()
 	})
 }
+
+// Guards against two runs of a task: the proved end of a worker that the next owner has not heard counted as the end of a start that the
+// earlier owner had sent and that a later incarnation may execute. A successor shows that none does.
+func TestProvedEndOfAWorkerNeverHeardLeavesItsStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memtxn.New().Client("host")
+		acceptJob(t, kv, 1)
+		workers := &bornWorkers{leaseWorkers: newLeaseWorkers()}
+		o := newOptions(t, kv, workers)
+		_, stop := startOwner(t, o, "w1")
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, workers.late.Load() != nil)
+		stop()
+		o = newOptions(t, kv, workers)
+		workers.setUnreachable(o.Config.Fence, "w1")
+		owner, stop := startOwner(t, o, "w1", "w2")
+		listed := testWorkers([]string{"w1", "w2"})
+		listed[0].Born, listed[0].Host = bornAt, "host-w1"
+		owner.SetWorkers(listed)
+		sequence := uint64(0)
+		status := func(ended ...*pb.WorkerIncarnation) *pb.WorkerLoad {
+			sequence++
+			r, ok := owner.Status(t.Context(), &pb.PoolStatusRequest{Sequence: sequence, Ended: ended})
+			assert.Assert(t, ok)
+			return r.GetWorkers()[0]
+		}
+		time.Sleep(2 * time.Second)
+		status(&pb.WorkerIncarnation{Id: "w1", Born: bornAt})
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, workers.runningOn("w2"), 0)
+		assert.Equal(t, status().GetUnreachableHost(), "host-w1")
+		status(&pb.WorkerIncarnation{Id: "w1", Born: bornAt, Succeeded: true})
+		time.Sleep(settleTime)
+		assert.Equal(t, workers.runningOn("w2"), 1)
+		stop()
+	})
+}
