--- a/scheduler/fence_test.go
+++ b/scheduler/fence_test.go
@@ -54,3 +54,18 @@
 	b.pool.SetWorkers(b.now, []scheduler.Worker{{ID: "w1", Address: "w1"}})
 	assert.Assert(t, b.pool.FenceFor("w1") > former)
 }
+
+// Guards against starts that a returned worker rejects, as its hold had a higher fence, and that a later incarnation would not tell from those
+// to the earlier one.
+func TestStartOnAReturnedWorkerHasItsFence(t *testing.T) {
+	b := newTestPool("w1")
+	former := b.pool.FenceFor("w1")
+	for clock := range int64(2) {
+		b.reportOf("w1", 6, 10+clock, nil)
+	}
+	b.add("a", &pb.JobStep{Count: 1, CpuMilli: 1000, EstimateMs: 5000})
+	starts := b.orders(scheduler.OrderStart)
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Fence, b.pool.Hold("w1", b.now).Fence)
+	assert.Assert(t, starts[0].Fence > former)
+}
