scheduler: a takeover without a complete record waits for the longest lease

Callers may have seen a task run twice: an owner that cannot read the roster does not know which workers are unsettled, and waited for the leases that owners ask for, 2 s less than a returned worker may have.

While the record is incomplete, the takeover waits for the longest lease that workers grant. TestTakeoverWithoutACompleteRecordWaitsForTheLongestLease fails without the change (waited 4.62 s of 5 s).

--- a/scheduler/settled_test.go
+++ b/scheduler/settled_test.go
@@ -92,3 +92,18 @@
 	}
 	assert.Assert(t, b.now.Sub(answeredAt) > simConfig.MaxLease, "given up %v after the first answers", b.now.Sub(answeredAt))
 }
+
+// Guards against two runs of a task: the record that would tell that a worker is unsettled cannot be read.
+func TestTakeoverWithoutACompleteRecordWaitsForTheLongestLease(t *testing.T) {
+	b := newTestPool()
+	b.pool.MarkRosterIncomplete()
+	b.pool.SetWorkers(b.now, []scheduler.Worker{{ID: "w2", Address: "w2", Unused: true, Capacity: scheduler.Resources{CPUMilli: 4000}}})
+	b.add("a", &pb.JobStep{Count: 1, CpuMilli: 1000, EstimateMs: 500})
+	takenOver := b.now
+	for len(b.pool.Step(b.now).Orders) == 0 {
+		b.advance(20 * time.Millisecond)
+		b.report("w2", nil, nil)
+	}
+	waited := b.now.Sub(takenOver)
+	assert.Assert(t, waited > simConfig.MaxLease && waited < 2*simConfig.MaxLease, "waited %v", waited)
+}
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -204,9 +204,13 @@
 	return t.registryLoaded && !t.rosterIncomplete && len(t.awaited) == 0
 }
 
-// longestAwaitedLease returns how long a lease on a worker that has not reported may last from the takeover on.
+// longestAwaitedLease returns how long a lease on a worker that has not reported may last from the takeover on. Workers that the
+// record does not name may be unsettled.
 func (p *Pool) longestAwaitedLease() time.Duration {
 	longest := p.cfg.longestLease()
+	if p.takeover.rosterIncomplete {
+		longest = max(longest, p.cfg.MaxLease)
+	}
 	for id := range p.takeover.awaited {
 		if w := p.workers[id]; w != nil {
 			longest = max(longest, p.inheritedLease(w))
