scheduler: a run that reaches the next incarnation is watched for progress

A run could hang for good: its start had reached the next incarnation of its worker, and "a run that reaches the next incarnation is paced there" marks the pace of every such run as unknown. Only backfill runs are paced again; for the others the pace stayed unknown, and the check for progress, which passes over throttled runs, never applied.

Only the pace of backfill runs is unknown then.

--- a/scheduler/lateanswers_test.go
+++ b/scheduler/lateanswers_test.go
@@ -137,3 +137,21 @@
 	assert.Equal(t, len(starts), 1)
 	assert.Equal(t, starts[0].Ticket, "present")
 }
+
+// Guards against a run that hangs for good: its start has reached the next incarnation of its worker, and nothing notices that it makes no
+// progress.
+func TestRunThatReachesTheNextIncarnationAndHangsIsStopped(t *testing.T) {
+	b := newTestPool("w1")
+	b.add("a", &pb.JobStep{Count: 1, CpuMilli: 1000, EstimateMs: 500})
+	starts := b.orders(scheduler.OrderStart)
+	assert.Equal(t, len(starts), 1)
+	b.pool.Result(b.now, scheduler.OrderResult{Order: starts[0], Outcome: scheduler.OutcomeDone, Clock: 5})
+	running := []scheduler.RunningTask{{Task: starts[0].Task, Run: starts[0].Run, Percent: 30}}
+	var stops []scheduler.Order
+	for i := range int64(600) {
+		b.advance(100 * time.Millisecond)
+		b.reportOf("w1", 6, 100*i+110, running)
+		stops = append(stops, b.orders(scheduler.OrderStop)...)
+	}
+	assert.Assert(t, len(stops) > 0)
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -191,7 +191,9 @@
 	for _, r := range w.runs {
 		r.stopAcked = time.Time{}
 		r.stopAt = now
-		r.pace, r.paceInFlight = -1, false
+		if r.isBackfill() {
+			r.pace, r.paceInFlight = -1, false
+		}
 		if r.giveUpAt.IsZero() {
 			r.giveUpAt = now.Add(wait)
 			kept++
