--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -378,6 +378,7 @@
 		}
 		x := scheduler.Worker{
 			ID: w.id, Address: w.id, Rack: w.rack, Labels: []string{w.rack}, Capacity: w.capacity, Born: w.incarnation, Draining: w.draining,
+			RecordedBorn: s.recordedBorn[w.id],
 		}
 		if w.draining {
 			x.DrainLeft = 2e9
@@ -391,6 +392,7 @@
 	o.handle(func(p *scheduler.Pool) {
 		p.SetWorkers(s.time(), slices.Clone(ws))
 		o.adoptSeals(ws)
+		o.recordIncarnations(p, ws)
 	})
 	s.after(500, o.updateRegistry)
 }
--- a/scheduler/simseal_test.go
+++ b/scheduler/simseal_test.go
@@ -80,3 +80,13 @@
 		}
 	}
 }
+
+// recordIncarnations records the incarnations of the listed workers for later owners, as the roster does.
+func (o *simOwner) recordIncarnations(p *scheduler.Pool, listed []scheduler.Worker) {
+	if o.sim.owner != o {
+		return
+	}
+	for _, w := range listed {
+		o.sim.recordedBorn[w.ID] = p.SettledBorn(w.ID, w.Born)
+	}
+}
