scheduler: the simulation records marks of unsettled workers

The simulated roster has the incarnation and the mark, as the roster does now; itself does not build, as it was written before the mark.

--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -90,12 +90,13 @@
 	sealRNG       *rand.Rand
 	partitioned   map[string]bool
 	drainListedAt map[string]int64
-	// recordedBorn are the incarnations in the roster; 0 for a worker that may have longer leases.
-	recordedBorn map[string]int64
-	owner        *simOwner
-	checker      *checker
-	evacuating   map[string]bool
-	fence        uint64
+	// recordedBorn are the incarnations in the roster, recordedUnsettled the workers that are marked there.
+	recordedBorn      map[string]int64
+	recordedUnsettled map[string]bool
+	owner             *simOwner
+	checker           *checker
+	evacuating        map[string]bool
+	fence             uint64
 	// load is set if the simulation measures an order.
 	load *simLoad
 	// rebootMs is the time in ms for which a worker is down after a crash under a task.
@@ -147,7 +148,8 @@
 func newSim(seed uint64, workers int, f faults) *sim {
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 1)), sealRNG: rand.New(rand.NewPCG(seed, 3)), faults: f, byID: map[string]*simWorker{}, jobs: map[string]*simJob{},
-		durableProgress: map[string]*pb.JobProgress{}, partitioned: map[string]bool{}, drainListedAt: map[string]int64{}, recordedBorn: map[string]int64{}, fence: 10,
+		durableProgress: map[string]*pb.JobProgress{}, partitioned: map[string]bool{}, drainListedAt: map[string]int64{}, fence: 10,
+		recordedBorn: map[string]int64{}, recordedUnsettled: map[string]bool{},
 		evacuating: map[string]bool{}, rebootMs: 3000,
 	}
 	s.checker = newChecker(s)
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -378,7 +378,7 @@
 		}
 		x := scheduler.Worker{
 			ID: w.id, Address: w.id, Rack: w.rack, Labels: []string{w.rack}, Capacity: w.capacity, Born: w.incarnation, Draining: w.draining,
-			RecordedBorn: s.recordedBorn[w.id],
+			RecordedBorn: s.recordedBorn[w.id], RecordedUnsettled: s.recordedUnsettled[w.id],
 		}
 		if w.draining {
 			x.DrainLeft = 2e9
--- a/scheduler/simseal_test.go
+++ b/scheduler/simseal_test.go
@@ -87,6 +87,6 @@
 		return
 	}
 	for _, w := range listed {
-		o.sim.recordedBorn[w.ID] = p.SettledBorn(w.ID, w.Born)
+		o.sim.recordedBorn[w.ID], o.sim.recordedUnsettled[w.ID] = w.Born, p.Unsettled(w.ID, w.Born)
 	}
 }
