scheduler: a returned worker is used after a later confirmation

A task could begin again after it had succeeded, or run twice.

Cause: an owner that was replaced may start tasks for up to 7 s after its last confirmation. That is safe on workers that its successor has heard, as they reject its fence, and on the others, for which the successor waits. It is not on a worker that has restarted since: the successor heard the earlier incarnation, and the present one has seen no fence until the replaced owner's own hold raises it.

An incarnation that has returned under the id is now used once a call that began after its first answer has confirmed the ownership. Whoever acquires the pool later hears of this incarnation, which then rejects the earlier owner. The scheduler requests the confirmation as for expired leases; it costs a returned worker one read of the store, beside the write of the roster that it needs already. While the store does not answer, returned workers stay unused; before, those that the roster had marked already did not.

TestReturnedWorkerIsUsedOnceTheOwnershipIsConfirmed failed before ("1 != 0" orders) and passes now.

--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -29,10 +29,10 @@
 	return false
 }
 
-// confirmedSince reports whether no later owner can have extended a lease before the expiry: it cannot have acquired the pool by then.
-// The worker itself has ended whatever it ran under a lease that was not extended.
-func (p *Pool) confirmedSince(expiry time.Time) bool {
-	return p.confirmedFrom.IsZero() || !p.confirmedFrom.Before(expiry)
+// confirmedSince reports whether no later owner can have acquired the pool before the given time. Then none has extended a lease that
+// expired by then, and the worker itself has ended whatever it ran under that lease.
+func (p *Pool) confirmedSince(at time.Time) bool {
+	return p.confirmedFrom.IsZero() || !p.confirmedFrom.Before(at)
 }
 
 // leaseUntil returns the latest expiry of a lease on the worker's clock in ms.
@@ -73,6 +73,19 @@
 	return reasonLeaseExpired
 }
 
+// checkReturned lets a returned worker be used once a call that began after its first answer has confirmed the ownership, and requests
+// that call: whoever acquires the pool later hears of this incarnation, which then rejects this owner.
+func (p *Pool) checkReturned(now time.Time, w *worker) {
+	switch {
+	case !w.reported || !w.awaitsConfirmation:
+	case !p.confirmedSince(w.reportedAt):
+		p.out.Confirm = true
+	default:
+		w.awaitsConfirmation = false
+		p.wakePlacement(now)
+	}
+}
+
 // settle marks a returned worker as settled once its leases end before those that a later owner waits for.
 func (p *Pool) settle(now time.Time, w *worker) {
 	if !w.unsettled || !w.reported {
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -108,6 +108,7 @@
 		return
 	}
 	w.reported, w.reportedAt = true, r.Received
+	w.awaitsConfirmation = w.unsettled
 	p.takeover.markReported(w.ID)
 	p.wakePlacement(now)
 }
--- a/scheduler/settled_test.go
+++ b/scheduler/settled_test.go
@@ -107,3 +107,21 @@
 	waited := b.now.Sub(takenOver)
 	assert.Assert(t, waited > simConfig.MaxLease && waited < 2*simConfig.MaxLease, "waited %v", waited)
 }
+
+// Guards against two runs of a task: an owner that was replaced, and still counts as confirmed, starts a task on a returned worker, which
+// has seen no fence of the present owner. That owner may have heard of the earlier incarnation only.
+func TestReturnedWorkerIsUsedOnceTheOwnershipIsConfirmed(t *testing.T) {
+	b := newReturnedWorker(false)
+	b.list(6, 6, true, false)
+	b.add("a", &pb.JobStep{Count: 1, CpuMilli: 1000, EstimateMs: 500})
+	for range 50 { // confirmed before the first answer, and by that still allowed to start tasks
+		b.answer(6)
+		actions := b.pool.Step(b.now)
+		assert.Equal(t, len(actions.Orders), 0)
+		assert.Assert(t, actions.Confirm)
+	}
+	b.pool.SetConfirmed(b.now)
+	actions := b.pool.Step(b.now)
+	assert.Equal(t, len(actions.Orders), 1)
+	assert.Assert(t, !actions.Confirm)
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -27,7 +27,10 @@
 	// unsettled means that calls meant for an earlier incarnation may have extended the leases here beyond those that a later owner
 	// waits for.
 	unsettled bool
-	clock     workerClock
+	// awaitsConfirmation means that the ownership was not confirmed since this incarnation, which has returned under the id, first
+	// answered: a later owner may know of the earlier one only, and this one would not reject an owner that was replaced.
+	awaitsConfirmation bool
+	clock              workerClock
 	// reported means that this incarnation has answered a hold of this owner with the present fence, since reportedAt.
 	reported   bool
 	reportedAt time.Time
@@ -255,6 +258,7 @@
 	kept := p.sortedWorkers[:0]
 	for _, w := range p.sortedWorkers {
 		p.checkLease(now, w)
+		p.checkReturned(now, w)
 		p.settle(now, w)
 		if w.departed && !w.sealed && len(w.runs) == 0 && now.Sub(w.departedAt) > departedRetention {
 			delete(p.workers, w.ID)
@@ -280,7 +284,7 @@
 
 // usable reports whether the worker may be given new tasks.
 func (w *worker) usable(now time.Time) bool {
-	if !w.reported || !w.isRecorded() || !w.clock.known || w.isExcluded() || w.unansweredStarts > 0 {
+	if !w.reported || w.awaitsConfirmation || !w.isRecorded() || !w.clock.known || w.isExcluded() || w.unansweredStarts > 0 {
 		return false
 	}
 	return !w.silent(now) && !now.Before(w.pausedUntil) && !w.slowToAnswer(now)
