scheduler: the checkpoint of a gang's end is recorded before its acknowledgement

Callers would see a gang go back to an earlier checkpoint after a change of the pool's owner.

Cause: the end of a gang's member that is stopped, broken or has lapsed was acknowledged at once, although it may carry a checkpoint that the job's record does not have yet. Nothing recorded it before the next change of the job. A task that is no member of a gang had its checkpoint recorded first.

Such an end with a checkpoint now changes the job's record, and is acknowledged once that is durable.

TestCheckpointOfAnEndIsRecordedBeforeItsAcknowledgement failed before for the gang ("2 != 0" acknowledged) and passes now; the tests of gangs pass.

--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// applyGangRunEnd applies the end of a gang member: a success completes all tasks, any other end stops the whole
-// attempt.
-func (p *Pool) applyGangRunEnd(now time.Time, t *task, r *run, end RunEnd) bool {
+// applyGangRunEnd applies the end of a gang member, whose checkpoint is kept already: a success completes all tasks, any other end
+// stops the whole attempt. It returns whether the end must be recorded.
+func (p *Pool) applyGangRunEnd(now time.Time, t *task, r *run, end RunEnd, checkpoint string) bool {
 	s := t.step
 	j := t.job()
 	switch end {
@@ -30,7 +30,11 @@
 		}
 		p.stopGangAttempt(now, s, r.number)
 		p.enqueueTask(now, t)
-		return false
+		if checkpoint == "" {
+			return false
+		}
+		p.markChanged(now, j)
+		return true
 	}
 }
 
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -176,7 +176,7 @@
 		return
 	}
 	if r.task.step.spec.GetGang() {
-		p.applyGangRunEnd(now, r.task, r, EndStopped)
+		p.applyGangRunEnd(now, r.task, r, EndStopped, "")
 		return
 	}
 	p.enqueueTask(now, r.task)
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -157,7 +157,7 @@
 		t.setCheckpoint(r.number, checkpoint)
 	}
 	if t.step.spec.GetGang() {
-		return p.applyGangRunEnd(now, t, r, end)
+		return p.applyGangRunEnd(now, t, r, end, checkpoint)
 	}
 	recorded := false
 	switch {
