scheduler tests: a second pause of an owner does not shorten the first

The simulation draws pauses of owners. A pause that begins during another one replaced its end, also by an earlier time, while what was deferred to the earlier end, such as a cancellation, still arrived then. The owner went on without it, and the check "ordered after its job was cancelled", which spares an owner for 100 ms after its pause, failed.

A pause now ends at the later of the two times, so that owners pause at least as long as before. No check changes.

--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -224,7 +224,9 @@
 		s.owner.end()
 		s.after(100+s.rng.Int64N(2000), s.startOwner)
 	})
-	scheduleN(s.faults.stalls, func() { s.owner.stalledUntil = s.now + 200 + s.rng.Int64N(7000) })
+	scheduleN(s.faults.stalls, func() {
+		s.owner.stalledUntil = max(s.owner.stalledUntil, s.now+200+s.rng.Int64N(7000))
+	})
 	scheduleN(s.faults.partitions, func() {
 		w := pick()
 		s.partitioned[w.id] = true
