scheduler: a host is ordered away once its worker's ends are recorded

Callers could see finished work run again beside a move or an upkeep.

Cause: a worker counted as evacuated, or as stoppable, as soon as nothing ran there, although the ends that it had reported might not be durable yet. The order ends the worker, which holds the only other record of them. If the owner ends before the progress is durable, the next one starts the tasks again.

A worker is now evacuated or stoppable once all ends that it has reported may be acknowledged. Ends on a worker that is being evacuated are recorded at once, rather than collected for 250 ms, so that moves wait for one write only.

TestWorkerIsEvacuatedOnceItsEndsAreRecorded failed before and passes now; the tests of upkeep and of the fleet's owner pass.

--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -165,6 +165,7 @@
 		j := p.jobs[e.Task.Job]
 		if p.applyEnd(now, w, j, e) {
 			w.ends.unacked = append(w.ends.unacked, &unackedEnd{number: e.Number, task: e.Task, run: e.Run, job: j, version: j.rec.version})
+			j.rec.urgent = j.rec.urgent || w.evacuating
 		} else if j == nil && p.mayArrive(e) {
 			p.holdEnd(w, e)
 		}
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -38,10 +38,12 @@
 }
 
 func (p *Pool) workerLoad(now time.Time, w *worker) *pb.WorkerLoad {
+	// A worker that is stopped cannot report its ends to a later owner.
+	recorded := len(w.ends.unrecorded()) == 0
 	out := &pb.WorkerLoad{
 		Id: w.ID, Tasks: int64(len(w.runs)), UsedCpuMilli: w.used.CPUMilli, UsedMemoryMb: w.used.MemoryMB,
-		Evacuated: w.evacuating && w.emptyConfirmed && len(w.runs) == 0,
-		Stoppable: w.reported || p.earlierLeasesExpired(now, w),
+		Evacuated: w.evacuating && w.emptyConfirmed && len(w.runs) == 0 && recorded,
+		Stoppable: (w.reported || p.earlierLeasesExpired(now, w)) && recorded,
 	}
 	w.describeIncarnation(out)
 	for _, r := range w.runs {
--- a/scheduler/status_test.go
+++ b/scheduler/status_test.go
@@ -123,3 +123,25 @@
 	assert.Equal(t, status.GetBacklogMilliMs(), int64(3_000_000))
 	assert.Equal(t, status.GetLateMilliMs(), int64(3_000_000))
 }
+
+// Guards against finished work that is lost with an owner: a host is ordered away, and with it the worker that would report an end to
+// the next owner, before that end is durable.
+func TestWorkerIsEvacuatedOnceItsEndsAreRecorded(t *testing.T) {
+	b := newTestPool("w1")
+	b.add("a", &pb.JobStep{Count: 1, CpuMilli: 1000, EstimateMs: 1000}, &pb.JobStep{Count: 1, CpuMilli: 1000, After: []int64{0}})
+	o := b.pool.Step(b.now).Orders[0]
+	b.pool.Result(b.now, scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeDone, Clock: b.clock})
+	b.pool.Evacuate(b.now, []string{"w1"})
+	b.advance(time.Second)
+	ended := []scheduler.EndedRun{{Number: 1, Task: o.Task, Run: o.Run, End: scheduler.EndSucceeded}}
+	b.report("w1", nil, ended)
+	records := b.pool.Step(b.now).Records
+	assert.Equal(t, len(records), 1, "recorded at once")
+	b.advance(100 * time.Millisecond)
+	b.report("w1", nil, ended)
+	w := b.pool.Status(b.now).GetWorkers()[0]
+	assert.Assert(t, !w.GetEvacuated() && !w.GetStoppable())
+	b.pool.Recorded(b.now, "a", records[0].Version)
+	w = b.pool.Status(b.now).GetWorkers()[0]
+	assert.Assert(t, w.GetEvacuated() && w.GetStoppable())
+}
