scheduler: a run makes no progress by its worker's clock, not the owner's

Cause: the time without progress was measured on the owner's clock. A list that a worker made before a pause of the owner, and that the owner reads after it, seemed to show that nothing had progressed for the length of the pause.

A run now makes no progress only if its worker's clock says so too: the time between the list that last showed progress and the latest one. Both clocks have to agree, so that a worker's clock that jumps ahead stops nothing either.

--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -212,7 +212,7 @@
 			r.lateStopUntil = now.Add(maxLateStop)
 		}
 		r.percent = 0
-		r.percentAt = now
+		r.markProgress(now, r.worker.clock.lowerBound(now))
 		return
 	}
 	if r.unresolvedStop() && r.state == runUnknown && r.task.step.spec.GetPersistent() {
--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -116,7 +116,7 @@
 	r.paceInFlight = false
 	if res.Outcome == OutcomeDone {
 		r.pace = res.Order.Percent
-		r.percentAt = now
+		r.markProgress(now, r.worker.clock.lowerBound(now))
 		return
 	}
 	// It is unknown which pace is in force, so the pace is ordered again.
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -226,7 +226,7 @@
 			r.stopping = false
 		}
 		r.runningSince = now
-		r.percentAt = now
+		r.markProgress(now, r.worker.listClock)
 		if r.task != nil {
 			p.markStarted(r.task.job())
 		}
@@ -234,7 +234,7 @@
 	if entry.Percent != r.percent {
 		p.learnPercent(now, r, entry.Percent)
 		r.percent = entry.Percent
-		r.percentAt = now
+		r.markProgress(now, r.worker.listClock)
 	}
 	r.tail = entry.Tail
 	p.checkStall(now, r)
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -82,10 +82,12 @@
 	// lastReportSeq is the reportSeq of the latest list that contained the run.
 	lastReportSeq int64
 	percent       int
-	percentAt     time.Time
-	tail          int64
-	checkpoint    string
-	resumed       bool
+	// percentAt is when the percent last changed, percentClock the worker's clock then in ms.
+	percentAt    time.Time
+	percentClock int64
+	tail         int64
+	checkpoint   string
+	resumed      bool
 	// pace is the last acknowledged pace in percent, -1 if unknown. paceInFlight means that a change of pace has not
 	// been answered yet.
 	pace         int
@@ -108,6 +110,15 @@
 	return !w.replaced && (r.state == runRunning || r.listedEarlier)
 }
 
+// markProgress records that the run has made progress up to a reading of the worker's clock.
+func (r *run) markProgress(now time.Time, reading int64) { r.percentAt, r.percentClock = now, reading }
+
+// idleFor returns how long the run has certainly made no progress, by the latest list of its worker. The list may have been made before
+// a pause of this owner, and not have been read until after it.
+func (r *run) idleFor(now time.Time) time.Duration {
+	return min(now.Sub(r.percentAt), time.Duration(r.worker.listClock-r.percentClock)*time.Millisecond)
+}
+
 func (r *run) key() runKey { return runKey{r.id, r.number} }
 
 // newRun adds a run to its worker and its task.
--- a/scheduler/suspect.go
+++ b/scheduler/suspect.go
@@ -264,7 +264,7 @@
 	if r.resumed {
 		limit += p.cfg.RestoreTime
 	}
-	if now.Sub(r.percentAt) < limit<<min(t.stalls, maxBackoffDoublings) {
+	if r.idleFor(now) < limit<<min(t.stalls, maxBackoffDoublings) {
 		return
 	}
 	t.stalls++
