scheduler: the stop of a move is not repeated without a new decision

Callers would see two tasks of a step away at once, beyond its disruption budget, where an owner stands still between the order of a stop and its answer.

Cause: a stop whose answer does not arrive within 1.5 s was ordered again as it was. Calls end before that, and their outcome has a move decided again, but an owner that stood still may repeat the order before it has read that outcome. By then another task of the step may be away, or stopped by a later owner.

The move of a run is now withdrawn in that case as after an unanswered stop: it is decided again, by the budget of then, and counts as possibly carried out for 3 s.

TestStopIsNotRepeatedBeyondTheBudgetAfterAPause failed before ("1 != 0" orders) and passes now; it also shows that the move goes on afterwards.

--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -111,6 +111,22 @@
 	}
 }
 
+// isUnansweredMove reports whether the run is being stopped to move, and its worker has not acknowledged a stop.
+func (r *run) isUnansweredMove() bool {
+	return r.stopReason == reasonMoved && r.stopAcked.IsZero() && r.mayContinue()
+}
+
+// withdrawMove has the move of a run decided again, as the disruption budget may have been used up since the stop was ordered. If the
+// stop may have been sent, the worker may carry it out until lateStopUntil, even if lists contain the run in the meantime.
+func (r *run) withdrawMove(now time.Time, sent bool) {
+	r.stopping, r.stopOrdered = false, false
+	if sent {
+		r.lateStopUntil = now.Add(maxLateStop)
+	}
+	r.percent = 0
+	r.markProgress(now, r.worker.clock.lowerBound(now))
+}
+
 // reserveForMoves withholds up to limit workers from batch tasks, so that persistent tasks can move to them.
 func (p *Pool) reserveForMoves(usable []*worker, limit int) []*worker {
 	for _, s := range p.movingSteps[:min(len(p.movingSteps), limit)] {
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -192,6 +192,7 @@
 }
 
 func (p *Pool) stopResult(now time.Time, r *run, res OrderResult) {
+	r.stopOrdered = false
 	if res.Outcome == OutcomeDone || res.Outcome == OutcomeOutdated {
 		r.stopping = true
 		p.watch(r)
@@ -204,15 +205,8 @@
 	if !r.mayContinue() {
 		return
 	}
-	if r.stopReason == reasonMoved && r.stopAcked.IsZero() {
-		// The disruption budget may have been used up since the stop was ordered, so the move is decided again. Until
-		// lateStopUntil the worker may still carry out the stop, even if lists contain the run in the meantime.
-		r.stopping = false
-		if res.Outcome != OutcomeNotSent {
-			r.lateStopUntil = now.Add(maxLateStop)
-		}
-		r.percent = 0
-		r.markProgress(now, r.worker.clock.lowerBound(now))
+	if r.isUnansweredMove() {
+		r.withdrawMove(now, res.Outcome != OutcomeNotSent)
 		return
 	}
 	if r.unresolvedStop() && r.state == runUnknown && r.task.step.spec.GetPersistent() {
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -73,6 +73,8 @@
 	// stopAt is the earliest time of the next stop order. stopAcked is when the worker acknowledged a stop.
 	stopAt    time.Time
 	stopAcked time.Time
+	// stopOrdered means that a stop has been ordered whose result is not known.
+	stopOrdered bool
 	// lateStopUntil is the time until which a stop without an answer may still be carried out.
 	lateStopUntil time.Time
 	watched       bool
@@ -268,6 +270,11 @@
 		p.wake(r.stopAt)
 		return
 	}
+	if r.stopOrdered && r.isUnansweredMove() {
+		r.withdrawMove(now, true)
+		return
+	}
+	r.stopOrdered = true
 	w := r.worker
 	p.out.Orders = append(p.out.Orders, Order{
 		Kind: OrderStop, Worker: w.ID, Address: w.Address, Born: w.Born, Fence: p.fenceFor(w), Task: r.id, Run: r.number,
