--- a/internal/poolowner/split_test.go
+++ b/internal/poolowner/split_test.go
@@ -55,7 +55,8 @@
 	}
 }
 
-// Guards against two runs of a task in a split, as above: w1 is cut off from the earlier owner some time before the store is.
+// Guards against two runs of a task in a split that begins at the worker: the earlier owner, cut off from w1 some time before the store, takes
+// a lease for expired that the next owner has extended.
 func TestSplitThatBeginsAtTheWorker(t *testing.T) {
 	for before := time.Second; before <= 4*time.Second; before += time.Second {
 		t.Run(before.String(), func(t *testing.T) {
