--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -188,3 +188,129 @@
 	}
 	return nil
 }
+
+// pendingCase: the configuration sends a queue to another service while its jobs wait.
+func pendingCase(d *deployment, trouble bool) []string {
+	n := 0
+	c := d.startCloud(func(m *machine) *worker {
+		n++
+		w := newWorker(d.log, d.ip, fmt.Sprintf("i-%s-%d", m.id, n), m.pool, m.id, 32000, 65536)
+		w.register(d.store)
+		return w
+	})
+	const other = "svc-b"
+	for i := range 4 {
+		c.add(&machine{id: fmt.Sprintf("m%d", i+1), pool: poolName})
+		c.add(&machine{id: fmt.Sprintf("m%d", i+5), pool: other})
+	}
+	services := []string{poolName, other}
+	const otherPrefix = "/qb/"
+	d.configure(7, services, route{queuePrefix, poolName}, route{otherPrefix, other})
+	d.addHosts(3)
+	d.awaitOwner(poolName)
+	d.awaitOwner(other)
+	time.Sleep(2 * time.Second)
+	entry := d.hosts[0]
+	for i := range 8 { // fills the workers of both services for 60 s
+		path := []string{queuePrefix, otherPrefix}[i%2] + fmt.Sprintf("5c0e7a21d94b%04x", i)
+		if status, _ := d.call(entry, "POST", hostName, path, `{"spec":"60000 fills","steps":[{"count":1,"cpu":31000,"memMb":1000,"estimateMs":60000}]}`); status != 200 {
+			cannotRun("a job was not accepted")
+		}
+	}
+	time.Sleep(time.Second)
+	const waiting = 20
+	for i := range waiting {
+		id := fmt.Sprintf("5c0e7a21d94c%04x", i)
+		if status, _ := d.call(entry, "POST", hostName, queuePrefix+id, `{"spec":"1000 waits","steps":[{"count":1,"cpu":8000,"memMb":1000,"estimateMs":1000}]}`); status != 200 {
+			cannotRun("a job was not accepted")
+		}
+	}
+	time.Sleep(time.Second)
+	d.call(entry, "GET", hostName, queuePrefix, "")
+	if trouble {
+		d.configure(9, services, route{queuePrefix, other}, route{otherPrefix, other})
+	} else {
+		d.configure(9, services, route{queuePrefix, poolName}, route{otherPrefix, other})
+	}
+	time.Sleep(8 * time.Second) // visible_ms + 2 s after the last job was accepted, and configApplyMs after the version
+	var broken []string
+	for _, h := range d.hosts {
+		begun := 0
+		d.log.mu.Lock()
+		for task, t := range d.log.tasks {
+			if strings.HasPrefix(task, "5c0e7a21d94c") && len(t.starts) > 0 {
+				begun++
+			}
+		}
+		d.log.mu.Unlock()
+		status, body := d.call(h, "GET", hostName, queuePrefix, "")
+		shown := -1
+		_, _ = fmt.Sscanf(body, `{"pending":%d}`, &shown)
+		d.call(h, "GET", hostName, queuePrefix+"5c0e7a21d94c0000", "")
+		if status == 200 && 2*shown < waiting-begun {
+			broken = append(broken, fmt.Sprintf("%s shows %d jobs of the queue as pending, and %d accepted jobs of it have not begun", h.name, shown, waiting-begun))
+		}
+	}
+	return broken
+}
+
+// nestedCase: a route is removed whose prefix begins with that of another route.
+func nestedCase(d *deployment, trouble bool) []string {
+	n := 0
+	c := d.startCloud(func(m *machine) *worker {
+		n++
+		w := newWorker(d.log, d.ip, fmt.Sprintf("i-%s-%d", m.id, n), m.pool, m.id, 32000, 65536)
+		w.register(d.store)
+		return w
+	})
+	for i := range 3 {
+		c.add(&machine{id: fmt.Sprintf("m%d", i+1), pool: poolName})
+	}
+	const nested = queuePrefix + "fi50/"
+	both := []route{{queuePrefix, poolName}, {nested, poolName}}
+	d.configure(7, []string{poolName}, both...)
+	d.addHosts(3)
+	d.awaitOwner(poolName)
+	time.Sleep(2 * time.Second)
+	entry := d.hosts[0]
+	kept, cancelled := "5c0e7a21d94b0001", "5c0e7a21d94b0002"
+	for _, id := range []string{kept, cancelled} {
+		body := `{"spec":"0 lasts","steps":[{"count":2,"cpu":2000,"memMb":1000,"estimateMs":1000,"persistent":true}]}`
+		if status, _ := d.call(entry, "POST", hostName, nested+id, body); status != 200 {
+			cannotRun("a job was not accepted")
+		}
+	}
+	time.Sleep(4 * time.Second) // over visible_ms
+	for _, h := range d.hosts {
+		d.call(h, "GET", hostName, nested+kept, "")
+	}
+	if trouble {
+		d.configure(9, []string{poolName}, both[0])
+	} else {
+		d.configure(9, []string{poolName}, both...)
+	}
+	time.Sleep(4 * time.Second) // over configApplyMs
+	var broken []string
+	for _, h := range d.hosts {
+		if status, _ := d.call(h, "GET", hostName, nested+kept, ""); status == 410 {
+			broken = append(broken, fmt.Sprintf("%s answers 410 to GET for job %s, which was accepted, which nobody has cancelled and which runs", h.name, kept))
+		}
+	}
+	status, _ := d.call(entry, "DELETE", hostName, nested+cancelled, "")
+	time.Sleep(4 * time.Second) // over cancel_ms + stopMs
+	runs := 0
+	for _, m := range c.machines {
+		m.worker.mu.Lock()
+		for _, r := range m.worker.runs {
+			if strings.HasPrefix(r.task, cancelled) {
+				runs++
+			}
+		}
+		m.worker.mu.Unlock()
+	}
+	d.log.add("4 s after the DELETE of job %s, answered %d, %d of its work items run", cancelled, status, runs)
+	if (status == 410 || status/100 == 2) && runs > 0 {
+		broken = append(broken, fmt.Sprintf("UNASKED: %d work items of job %s run 4 s after its cancelling was acknowledged with %d", runs, cancelled, status))
+	}
+	return broken
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"time"
 )
 
@@ -37,7 +38,7 @@
 		fmt.Println("usage: standin-3 CASE ROOT RECORD")
 		os.Exit(exitNotRun)
 	}
-	cases := map[string]func(*deployment, bool) []string{"ends": endsCase, "wave": waveCase, "crash": crashCase}
+	cases := map[string]func(*deployment, bool) []string{"ends": endsCase, "wave": waveCase, "crash": crashCase, "pending": pendingCase, "nested": nestedCase}
 	play := cases[os.Args[1]]
 	if play == nil {
 		cannotRun("no such case")
@@ -70,7 +71,7 @@
 	var rs, ss []map[string]any
 	for _, r := range routes {
 		rs = append(rs, map[string]any{
-			"name": "r-" + r.prefix[1:len(r.prefix)-1], "host": hostName, "prefix": r.prefix, "kind": "unsafe", "timeoutMs": 3000,
+			"name": "r" + strings.ReplaceAll(r.prefix, "/", "-"), "host": hostName, "prefix": r.prefix, "kind": "unsafe", "timeoutMs": 3000,
 			"targetDurationMs": 600, "priority": 0, "service": r.service, "maxAttempts": 3, "stretch": 1.6,
 		})
 	}
