--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -249,3 +249,66 @@
 	}
 	return broken
 }
+
+// lateCase: an entry host that is cut off from the others takes a cancellation while the store's history goes.
+func lateCase(d *deployment, trouble bool) []string {
+	n := 0
+	c := d.startCloud(func(m *machine) *worker {
+		n++
+		w := newWorker(d.log, d.ip, fmt.Sprintf("i-%s-%d", m.id, n), m.pool, m.id, 32000, 65536)
+		w.register(d.store)
+		return w
+	})
+	for i := range 3 {
+		c.add(&machine{id: fmt.Sprintf("m%d", i+1), pool: poolName})
+	}
+	d.configure(7, []string{poolName}, route{queuePrefix, poolName})
+	d.linked = true
+	d.addHosts(9)
+	owner, fleet := d.awaitOwner(poolName), d.awaitOwner("~fleet")
+	time.Sleep(4 * time.Second)
+	var other, taker *host
+	for _, h := range d.hosts {
+		switch {
+		case h == owner || h == fleet:
+		case taker == nil:
+			taker = h
+		default:
+			other = h
+		}
+	}
+	d.log.add("%s owns the pool; %s may be cut off", owner.name, taker.name)
+	id := "5c0e7a21d94b0001"
+	steps := `{"spec":"5200 of the job","steps":[{"count":1,"cpu":2000,"memMb":1000,"estimateMs":5200},{"count":4,"cpu":2000,"memMb":1000,"estimateMs":5200,"after":[0]}]}`
+	if status, _ := d.call(other, "POST", hostName, queuePrefix+id, steps); status != 200 {
+		cannotRun("the job was not accepted")
+	}
+	time.Sleep(500 * time.Millisecond)
+	if trouble { // node_cut: one of nine, for 5.5 s
+		d.cutOff(taker, true)
+		time.AfterFunc(5500*time.Millisecond, func() { d.cutOff(taker, false) })
+	}
+	time.Sleep(300 * time.Millisecond)
+	if trouble { // platform_compact: x = 6, for 12 s
+		d.log.add("the store forgets its history")
+		d.store.compact(6*time.Second, 12*time.Second)
+	}
+	time.Sleep(200 * time.Millisecond)
+	status, _ := d.call(taker, "DELETE", hostName, queuePrefix+id, "")
+	acked := time.Now()
+	if status != 200 {
+		cannotRun("the cancellation was not acknowledged")
+	}
+	time.Sleep(9 * time.Second)
+	var broken []string
+	d.log.mu.Lock()
+	for task, t := range d.log.tasks {
+		for _, s := range t.starts {
+			if s.at.Sub(acked) > 3*time.Second {
+				broken = append(broken, fmt.Sprintf("%s starts on %s %.1f s after the cancelling of its job was acknowledged", task, s.worker, s.at.Sub(acked).Seconds()))
+			}
+		}
+	}
+	d.log.mu.Unlock()
+	return broken
+}
--- a/review/standin-3/hosts.go
+++ b/review/standin-3/hosts.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -14,9 +15,15 @@
 	"time"
 )
 
+// firstHost is the last byte of the first entry host's address, linkByte that of the links' addresses, which are as long.
+const (
+	firstHost = 11
+	linkByte  = 31
+)
+
 // host is an entry host: a process of the deploy file's command.
 type host struct {
-	name, dir              string
+	name, dir, ip          string
 	front, ready, op, peer string
 	settings               string
 	cmd                    *exec.Cmd
@@ -26,17 +33,22 @@
 // deployment is the platform with its entry hosts.
 type deployment struct {
 	root, dir, ip string
-	store         *kvStore
-	storeAddress  string
-	cloudAddress  string
-	hosts         []*host
-	log           *record
-	reserved      map[string]bool
+	// network is the beginning of the entry hosts' addresses.
+	network      string
+	store        *kvStore
+	cloudAddress string
+	hosts        []*host
+	log          *record
+	reserved     map[string]bool
+	// cuts are the links between the host that may be cut off from the others and them; nil without one.
+	cuts   []*link
+	linked bool
 }
 
-func (d *deployment) freeAddress() string {
+// freeAddress returns an address of a loopback ip that nothing listens on.
+func (d *deployment) freeAddress(ip string) string {
 	for {
-		l, err := net.Listen("tcp", d.ip+":0")
+		l, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			cannotRun("no free port: " + err.Error())
 		}
@@ -49,14 +61,14 @@
 	}
 }
 
-// newDeployment makes the platform's store. Everything listens on one loopback address, on free ports.
+// newDeployment makes the platform's store. Each entry host has a loopback address of its own, so that no channel takes a port of it;
+// everything else listens on 127.0.0.1. All ports are free ones.
 func newDeployment(root string) *deployment {
 	dir, err := os.MkdirTemp("", "agateturn-review-")
 	if err != nil {
 		cannotRun(err.Error())
 	}
-	d := &deployment{root: root, dir: dir, ip: "127.0.0.1", store: newStore(), log: newRecord(), reserved: map[string]bool{}}
-	d.storeAddress = serve(d.ip, d.store.handler())
+	d := &deployment{root: root, dir: dir, ip: "127.0.0.1", network: fmt.Sprintf("127.%d.%d.", 10+rand.IntN(80), 10+rand.IntN(80)), store: newStore(), log: newRecord(), reserved: map[string]bool{}}
 	return d
 }
 
@@ -127,16 +139,34 @@
 `
 
 func (d *deployment) addHosts(n int) {
-	advice := d.freeAddress()
+	advice := d.freeAddress(d.ip)
 	for i := range n {
 		h := &host{name: fmt.Sprintf("front-zone-1-%d", i+1), dir: d.dir}
-		h.front, h.ready, h.op, h.peer = d.freeAddress(), d.freeAddress(), d.freeAddress(), d.freeAddress()
+		h.ip = fmt.Sprintf("%s%d", d.network, firstHost+i)
+		h.front, h.ready, h.op, h.peer = d.freeAddress(h.ip), d.freeAddress(h.ip), d.freeAddress(h.ip), d.freeAddress(h.ip)
 		h.settings = filepath.Join(d.dir, h.name+".ini")
-		text := fmt.Sprintf(settingsText, h.name, d.ip, h.front, h.ready, h.op, h.peer, d.freeAddress(), true, d.storeAddress, d.cloudAddress, advice)
+		d.hosts = append(d.hosts, h)
+	}
+	views := make([]view, n)
+	if d.linked { // each host reaches each other one by a link of its own
+		for i, from := range d.hosts {
+			for _, to := range d.hosts {
+				if from == to {
+					continue
+				}
+				l := newLink(d, from, to)
+				views[i].there, views[i].here = append(views[i].there, to.peer), append(views[i].here, l.address)
+				d.cuts = append(d.cuts, l)
+			}
+		}
+	}
+	for i, h := range d.hosts {
+		views[i].Handler = d.store.handler()
+		store := serve(d.ip, views[i])
+		text := fmt.Sprintf(settingsText, h.name, h.ip, h.front, h.ready, h.op, h.peer, d.freeAddress(h.ip), true, store, d.cloudAddress, advice)
 		if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 			cannotRun(err.Error())
 		}
-		d.hosts = append(d.hosts, h)
 	}
 	for _, h := range d.hosts {
 		d.startHost(h)
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -38,7 +38,7 @@
 		fmt.Println("usage: standin-3 CASE ROOT RECORD")
 		os.Exit(exitNotRun)
 	}
-	cases := map[string]func(*deployment, bool) []string{"ends": endsCase, "wave": waveCase, "crash": crashCase, "nested": nestedCase}
+	cases := map[string]func(*deployment, bool) []string{"ends": endsCase, "wave": waveCase, "crash": crashCase, "nested": nestedCase, "late": lateCase}
 	play := cases[os.Args[1]]
 	if play == nil {
 		cannotRun("no such case")
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -29,8 +30,19 @@
 	revision uint64
 	leases   map[uint64]*kvLease
 	changed  chan struct{}
-	// silentUntil is when the store answers again.
-	silentUntil time.Time
+	// dropped is the revision up to which the history is no longer there.
+	dropped uint64
+	// past holds the changes with their times, from which stale reads are served while they are behind by staleBy.
+	past    []pastChange
+	staleBy time.Duration
+	// deaf is closed once the watches that wait have been cut: they hear nothing more, and neither do those that begin meanwhile.
+	deaf    bool
+	deafGen int
+}
+
+type pastChange struct {
+	item
+	at time.Time
 }
 
 type kvLease struct {
@@ -84,11 +96,14 @@
 		i := item{Key: p.Key, Value: p.Value, Revision: s.revision, CreatedRev: created, Lease: p.Lease}
 		s.items[p.Key] = i
 		s.history = append(s.history, i)
+		s.past = append(s.past, pastChange{i, time.Now()})
 	}
 	for _, k := range deletes {
 		if _, ok := s.items[k]; ok {
 			delete(s.items, k)
-			s.history = append(s.history, item{Key: k, Revision: s.revision, Deleted: true})
+			i := item{Key: k, Revision: s.revision, Deleted: true}
+			s.history = append(s.history, i)
+			s.past = append(s.past, pastChange{i, time.Now()})
 		}
 	}
 	close(s.changed)
@@ -117,10 +132,43 @@
 	return i, ok
 }
 
-func (s *kvStore) silence(d time.Duration) {
+// compact is platform_compact: the watches hear nothing for a second while changes are made, then the history is dropped and
+// they are cut, without a word. Stale reads are behind by staleBy for a time.
+func (s *kvStore) compact(staleBy, stale time.Duration) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.silentUntil = time.Now().Add(d)
+	s.deaf, s.staleBy = true, staleBy
+	s.deafGen++
+	s.mu.Unlock()
+	time.AfterFunc(time.Second, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.deaf = false
+		s.deafGen++
+		s.dropped, s.history = s.revision, nil
+	})
+	time.AfterFunc(stale, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.staleBy = 0
+	})
+}
+
+// staleLocked returns the items as they were staleBy ago.
+func (s *kvStore) staleLocked() (items map[string]item, asOf uint64) {
+	items = map[string]item{}
+	until := time.Now().Add(-s.staleBy)
+	for _, c := range s.past {
+		if c.at.After(until) {
+			break
+		}
+		asOf = c.Revision
+		if c.Deleted {
+			delete(items, c.Key)
+		} else {
+			items[c.Key] = c.item
+		}
+	}
+	return items, asOf
 }
 
 func reply(w http.ResponseWriter, status int, body any) {
@@ -159,12 +207,15 @@
 		prefix, after := r.FormValue("prefix"), r.FormValue("after")
 		s.mu.Lock()
 		all := []item{}
-		for k, i := range s.items {
+		items, asOf := s.items, s.revision
+		if r.FormValue("staleOk") == "1" && s.staleBy > 0 {
+			items, asOf = s.staleLocked()
+		}
+		for k, i := range items {
 			if strings.HasPrefix(k, prefix) && k > after {
 				all = append(all, i)
 			}
 		}
-		asOf := s.revision
 		s.mu.Unlock()
 		sort.Slice(all, func(a, b int) bool { return all[a].Key < all[b].Key })
 		more := len(all) > pageItems
@@ -205,28 +256,85 @@
 		reply(w, 200, struct{}{})
 	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		silent := time.Until(s.silentUntil)
-		s.mu.Unlock()
-		if silent > 0 { // no answer, and nothing is done
-			select {
-			case <-r.Context().Done():
-			case <-time.After(silent):
-			}
-			panic(http.ErrAbortHandler)
-		}
 		time.Sleep(answerDelay)
 		mux.ServeHTTP(w, r)
 	})
 }
 
+// view is the store as one client sees it: addresses stand for others there. Both have the same length.
+type view struct {
+	http.Handler
+	there, here []string
+}
+
+func (v view) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if len(v.there) == 0 {
+		v.Handler.ServeHTTP(w, r)
+		return
+	}
+	v.Handler.ServeHTTP(&viewWriter{w, v}, r)
+}
+
+type viewWriter struct {
+	http.ResponseWriter
+	v view
+}
+
+// Write replaces the addresses in the values of an answer, which is written in one piece.
+func (w *viewWriter) Write(p []byte) (int, error) {
+	var any map[string]json.RawMessage
+	if json.Unmarshal(p, &any) != nil {
+		return w.ResponseWriter.Write(p)
+	}
+	change := func(raw json.RawMessage) json.RawMessage {
+		var value []byte
+		if json.Unmarshal(raw, &value) != nil {
+			return raw
+		}
+		for i := range w.v.there {
+			value = bytes.ReplaceAll(value, []byte(w.v.there[i]), []byte(w.v.here[i]))
+		}
+		out, _ := json.Marshal(value)
+		return out
+	}
+	if raw, ok := any["value"]; ok {
+		any["value"] = change(raw)
+	}
+	for _, list := range []string{"items", "events"} {
+		var rows []map[string]json.RawMessage
+		if json.Unmarshal(any[list], &rows) != nil || rows == nil {
+			continue
+		}
+		for _, row := range rows {
+			row["value"] = change(row["value"])
+		}
+		any[list], _ = json.Marshal(rows)
+	}
+	out, _ := json.Marshal(any)
+	_, err := w.ResponseWriter.Write(out)
+	return len(p), err
+}
+
 func (s *kvStore) watch(w http.ResponseWriter, r *http.Request) {
 	prefix := r.FormValue("prefix")
 	after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
 	wait, _ := strconv.Atoi(r.FormValue("waitMs"))
 	end := time.After(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	gen := s.deafGen
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
+		if s.deaf || s.deafGen != gen { // cut: it hears nothing more
+			s.mu.Unlock()
+			<-r.Context().Done()
+			return
+		}
+		if after < s.dropped {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		events := []item{}
 		first := sort.Search(len(s.history), func(n int) bool { return s.history[n].Revision > after })
 		for _, e := range s.history[first:] {
