upkeep: a host is gone by lists requested since a wave named it

Cause: a host counted as gone if the latest list was requested 2 s after the last list that had shown it, or after the start of the term, although no list need have been read in that time. While the fleet is idle, the latest list is up to 2 s old. A new owner whose first list is late, a list of which one page lacks a host, and a host that is added to a known wave met the same.

Each host that a wave or an intent names now has an absence, which counts only lists requested after the host was named and starts with the first of them that lacks it. An order answered with "not of this wave" is a refusal until the host service has answered so for GoneAfter: it may learn of a wave later than the planner. wave_done names the hosts for which the wave did not wait.

--- a/internal/fleetowner/fake_test.go
+++ b/internal/fleetowner/fake_test.go
@@ -37,10 +37,12 @@
 }
 
 // waveStatus returns the status of wave 3 as operators read it.
-func (s *fakeStore) waveStatus() string {
+func (s *fakeStore) waveStatus() string { return s.data("status/3") }
+
+func (s *fakeStore) data(key string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return string(s.items["status/3"].Data)
+	return string(s.items[key].Data)
 }
 
 func (s *fakeStore) Get(_ context.Context, key string) (store.Item, error) {
@@ -134,14 +136,20 @@
 func newFakeHosts(pool string, count, limit int) *fakeHosts {
 	f := &fakeHosts{hosts: map[string]*fakeHost{}, limit: limit}
 	for n := range count {
-		id := fmt.Sprintf("m%02d", n)
-		m := &fakeHost{}
-		m.Host = upkeep.Host{ID: id, Pool: pool, State: upkeep.Up, Worker: id + "/0", CPUMilli: 1000}
-		f.hosts[id] = m
+		f.add(pool, fmt.Sprintf("m%02d", n))
 	}
 	return f
 }
 
+func (f *fakeHosts) add(pool, id string) *fakeHost {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := &fakeHost{}
+	m.Host = upkeep.Host{ID: id, Pool: pool, State: upkeep.Up, Worker: id + "/0", CPUMilli: 1000}
+	f.hosts[id] = m
+	return m
+}
+
 func (f *fakeHosts) refresh() (down int) {
 	for _, m := range f.hosts {
 		if m.State == upkeep.Upkeep && !time.Now().Before(m.upAt) {
--- a/internal/fleetowner/owner_test.go
+++ b/internal/fleetowner/owner_test.go
@@ -202,3 +202,25 @@
 		})
 	}
 }
+
+// Failure: a wave for a host that had joined after the last list of hosts was completed at once, and its host never had its upkeep.
+func TestWaveOfAHostThatHasJustJoinedIsNotCompletedWithoutIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(4, 1)
+		stop := start(t, f.owner(1))
+		time.Sleep(30 * time.Second) // wave 3 is completed, and the list of hosts is seldom read
+		assert.Equal(t, f.store.waveStatus(), "true")
+		for n := range 10 {
+			joined := f.hosts.add("pool", fmt.Sprintf("new%d", n))
+			time.Sleep(time.Duration(n) * 37 * time.Millisecond)
+			number := 10 + n
+			f.store.set(fmt.Sprintf("wave/%d", number), joined.ID)
+			for f.store.data(fmt.Sprintf("status/%d", number)) != "true" {
+				time.Sleep(10 * time.Millisecond)
+			}
+			assert.Assert(t, f.hosts.count(func(m *fakeHost) bool { return m == joined && m.done }) == 1, "wave %d", number)
+			time.Sleep(4 * time.Second)
+		}
+		assert.ErrorIs(t, stop(), context.Canceled)
+	})
+}
--- a/internal/fleetowner/record.go
+++ b/internal/fleetowner/record.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/agateturn/agateturn/events"
@@ -256,17 +257,17 @@
 }
 
 // writeCompleted writes the completion of waves.
-func (t *term) writeCompleted(ctx context.Context, now time.Time, numbers []int64) error {
-	for _, number := range numbers {
-		w := t.waves[number]
+func (t *term) writeCompleted(ctx context.Context, now time.Time, completed []upkeep.CompletedWave) error {
+	for _, c := range completed {
+		w := t.waves[c.Number]
 		if w == nil || w.completing || w.completed || now.Before(w.notBefore) {
 			continue
 		}
 		w.completing = true
-		end := &pb.WaveRecord{Wave: number, SeenMs: w.Seen.UnixMilli(), Completed: true}
-		puts := []store.Put{t.waveRecordPut(ctx, end), t.statusPut(number, true)}
+		end := &pb.WaveRecord{Wave: c.Number, SeenMs: w.Seen.UnixMilli(), Completed: true}
+		puts := []store.Put{t.waveRecordPut(ctx, end), t.statusPut(c.Number, true)}
 		job := write{key: puts[0].Key, puts: puts}
-		job.done = func(ctx context.Context, err error) error { return t.onCompletedWritten(ctx, w, err) }
+		job.done = func(ctx context.Context, err error) error { return t.onCompletedWritten(ctx, w, c.Skipped, err) }
 		if err := t.writes.Put(ctx, job); err != nil {
 			return err
 		}
@@ -274,7 +275,10 @@
 	return nil
 }
 
-func (t *term) onCompletedWritten(ctx context.Context, w *wave, err error) error {
+// maxLoggedHosts bounds the hosts in one log line.
+const maxLoggedHosts = 16
+
+func (t *term) onCompletedWritten(ctx context.Context, w *wave, skipped []string, err error) error {
 	return t.post(ctx, func(now time.Time) {
 		w.completing = false
 		w.completed = err == nil
@@ -283,6 +287,7 @@
 			return
 		}
 		events.Log(ctx, t.Logger, events.WaveDone, slog.Int64("wave", w.Number), slog.Uint64("fence", t.fence),
-			slog.Int64("took_ms", now.Sub(w.Seen).Milliseconds()), slog.Int64("within_ms", w.Within.Milliseconds()))
+			slog.Int64("took_ms", now.Sub(w.Seen).Milliseconds()), slog.Int64("within_ms", w.Within.Milliseconds()),
+			slog.Int("skipped", len(skipped)), slog.String("skipped_hosts", strings.Join(skipped[:min(len(skipped), maxLoggedHosts)], ",")))
 	})
 }
--- a/upkeep/intent.go
+++ b/upkeep/intent.go
@@ -63,16 +63,11 @@
 	p.hosts = make(map[string]Host, len(in.Hosts))
 	for _, m := range in.Hosts {
 		p.hosts[m.ID] = m
-		p.lastSeen[m.ID] = in.HostsAt
 	}
+	p.observeAbsences()
 	for _, id := range sortedKeys(p.intents) {
 		p.observeIntent(now, id)
 	}
-	for id, at := range p.lastSeen {
-		if p.listedAt.Sub(at) >= p.cfg.GoneAfter && p.intents[id] == nil {
-			delete(p.lastSeen, id)
-		}
-	}
 }
 
 func (p *Planner) observeIntent(now time.Time, id string) {
@@ -105,17 +100,6 @@
 	}
 }
 
-func (p *Planner) isGone(id string) bool {
-	if p.listedAt.IsZero() {
-		return false
-	}
-	at, seen := p.lastSeen[id]
-	if !seen {
-		at = p.started
-	}
-	return p.listedAt.Sub(at) >= p.cfg.GoneAfter
-}
-
 func (p *Planner) expectedAbsence(i *intent) time.Duration {
 	if i.isMove() {
 		return p.cfg.MoveTime
@@ -176,11 +160,15 @@
 	if i == nil || i.phase != ordered || i.isMove() || i.wave != o.Wave {
 		return
 	}
-	if r == Done {
-		p.markBegun(o.Wave, o.Host)
+	if r == Unfit && !p.confirmUnfit(now, o) {
+		r = Refused
 	}
-	if r == Unfit {
+	switch r {
+	case Done:
+		p.markBegun(o.Wave, o.Host)
+	case Unfit:
 		p.exclude(o.Wave, o.Host)
+	case Unknown, Busy, Refused, Fenced:
 	}
 	p.applyResult(now, o.Host, i, r)
 }
--- a/upkeep/planner.go
+++ b/upkeep/planner.go
@@ -21,8 +21,8 @@
 	hosts    map[string]Host
 	// pools are those known when the last list was processed.
 	pools map[string]PoolLoad
-	// lastSeen is when a host was last in the list; entries of missing hosts are kept while they have an intent.
-	lastSeen map[string]time.Time
+	// absences track the hosts that waves and intents name.
+	absences map[string]*absence
 	intents  map[string]*intent
 	waves    map[int64]*waveState
 	unfit    map[MoveOrder]bool
@@ -39,6 +39,8 @@
 	progress map[string]Progress
 	// excluded hosts do not belong to the wave according to the host service.
 	excluded map[string]bool
+	// unfitSince is since when the host service has answered so for a host.
+	unfitSince map[string]time.Time
 }
 
 // New returns a planner without state. Restore state before the first Step.
@@ -47,7 +49,7 @@
 		cfg:      cfg,
 		started:  now,
 		hosts:    map[string]Host{},
-		lastSeen: map[string]time.Time{},
+		absences: map[string]*absence{},
 		intents:  map[string]*intent{},
 		waves:    map[int64]*waveState{},
 		unfit:    map[MoveOrder]bool{},
@@ -105,6 +107,7 @@
 
 // Step returns the actions to take now.
 func (p *Planner) Step(now time.Time, in Input) Actions {
+	p.trackAbsences(now, in.Waves)
 	p.observe(now, in)
 	p.pruneWaves(in.Waves)
 	s := &step{Planner: p, now: now, in: in}
--- a/upkeep/types.go
+++ b/upkeep/types.go
@@ -127,15 +127,21 @@
 	// Reasons are the reasons of Moves, by host.
 	Reasons map[string]MoveReason
 	// Bursts are the bursts of demand that were found to have begun or ended.
-	Bursts []BurstChange
-	// Completed are waves whose hosts have all begun their upkeep, left, or turned out not to belong to the wave.
-	Completed []int64
+	Bursts    []BurstChange
+	Completed []CompletedWave
 	// Busy reports that evacuations, orders or waves are in progress, so lists and loads should be fresh.
 	Busy bool
 	// Wake is when to call Step again if nothing changes before.
 	Wake time.Time
 }
 
+// CompletedWave is a wave whose hosts have all begun their upkeep, but for those that it skips.
+type CompletedWave struct {
+	Number int64
+	// Skipped are the hosts that have left or do not belong to the wave according to the host service, sorted.
+	Skipped []string
+}
+
 // Result is the outcome of an order.
 type Result int
 
--- a/upkeep/wave.go
+++ b/upkeep/wave.go
@@ -12,7 +12,7 @@
 func (p *Planner) wave(number int64) *waveState {
 	w := p.waves[number]
 	if w == nil {
-		w = &waveState{progress: map[string]Progress{}, excluded: map[string]bool{}}
+		w = &waveState{progress: map[string]Progress{}, excluded: map[string]bool{}, unfitSince: map[string]time.Time{}}
 		p.waves[number] = w
 	}
 	return w
@@ -38,6 +38,18 @@
 	delete(w.progress, id)
 }
 
+// confirmUnfit reports whether the host service has answered for GoneAfter that a host does not belong to the wave. It may learn of
+// a wave or of a host later than the planner, so a single answer is not final.
+func (p *Planner) confirmUnfit(now time.Time, o Order) bool {
+	w := p.wave(o.Wave)
+	since, known := w.unfitSince[o.Host]
+	if !known {
+		w.unfitSince[o.Host] = now
+		return false
+	}
+	return now.Sub(since) >= p.cfg.GoneAfter
+}
+
 // pruneWaves drops the state of waves that are no longer requested, except for orders in progress.
 func (p *Planner) pruneWaves(waves []Wave) {
 	requested := make(map[int64]bool, len(waves))
@@ -68,9 +80,9 @@
 		s.initBudget(w)
 	}
 	for _, w := range waves {
-		left := s.outstanding(w)
+		left, skipped := s.outstanding(w)
 		if len(left) == 0 {
-			s.out.Completed = append(s.out.Completed, w.Number)
+			s.out.Completed = append(s.out.Completed, CompletedWave{Number: w.Number, Skipped: skipped})
 			continue
 		}
 		s.evacuate(w, left)
@@ -100,18 +112,20 @@
 	s.upkeepBudget[w.Number] = w.Cap - down
 }
 
-// outstanding lists the hosts of a wave that have not begun their upkeep, have not left and are not excluded, without
-// duplicates.
-func (s *step) outstanding(w Wave) []string {
+// outstanding lists the hosts of a wave that have not begun their upkeep, without duplicates. skipped are those of them that have
+// left or are excluded, for which the wave does not wait.
+func (s *step) outstanding(w Wave) (left, skipped []string) {
 	state := s.wave(w.Number)
-	var out []string
 	for _, id := range slices.Compact(slices.Sorted(slices.Values(w.Hosts))) {
-		if state.progress[id] == Begun || state.excluded[id] || s.isGone(id) {
-			continue
+		switch {
+		case state.progress[id] == Begun:
+		case state.excluded[id] || s.isGone(id):
+			skipped = append(skipped, id)
+		default:
+			left = append(left, id)
 		}
-		out = append(out, id)
 	}
-	return out
+	return left, skipped
 }
 
 // takeBudget charges an upkeep to all waves that contain the host, if each has budget left. A host that already counts
