scheduler: a takeover waits for the ends that a worker has not listed yet

Cause: a worker lists at most 500 ends that were not acknowledged. The takeover counted a worker as reported by its first list, also by a full one. A task that had ended beyond it was neither running nor listed, and so started again. The same worker could be sealed, leave the roster, or have its host ordered away, with ends that nobody else knew of; and if it fell silent, its tasks started elsewhere while the new owner's own holds kept its lease alive.

A worker whose first list is full now hides ends until a list is not full, until its incarnation has ended or, if it is silent, until its lease has expired. Meanwhile batch tasks wait; persistent tasks do not, as lists of running tasks are complete. Such a worker is not sealed, stays in the roster and is neither evacuated nor stoppable. ends_hidden (977), ends_shown (978) and "jobs explain" tell of the wait. Config.MaxEndsPerReport lets simulations use a small limit.

Without the mend (trial), all four new tests fail: "done" starts again in TestEndsBeyondTheFirstListAreNotStartedAgain, 50 ms after the lease was extended in TestHiddenEndsOfASilentWorkerAreAwaitedForItsLease; the host may be stopped in TestWorkerWithHiddenEndsIsNeitherSealedNorDropped; and the first case of TestHiddenEndsOverTakeovers has a task that begins after its success. They pass now.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -345,6 +345,12 @@
 	StartsKept = Event{Number: 975, Name: "starts_kept", Level: slog.LevelInfo, Message: "a later incarnation of an ended worker may still execute unanswered starts; their tasks wait"}
 	// WorkerReplaced carries the time since the worker's own last answer.
 	WorkerReplaced = Event{Number: 976, Name: "worker_replaced", Level: slog.LevelInfo, Message: "another worker answers at the worker's address"}
+	// EndsHidden carries the number of ended runs that the worker has listed, EndsShown why the wait ended and how long it took.
+	EndsHidden = Event{
+		Number: 977, Name: "ends_hidden", Level: slog.LevelInfo,
+		Message: "worker may have more ended runs of an earlier owner than it lists at once; batch tasks wait until it has listed all of them",
+	}
+	EndsShown = Event{Number: 978, Name: "ends_shown", Level: slog.LevelInfo, Message: "batch tasks wait no longer for the ended runs of the worker"}
 
 	SchedulerNote = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
 )
@@ -374,7 +380,7 @@
 	MemberNotStored, RecordSkipped, FleetRecordWaits, MachinesUnread, MachinesRead, TasksPreempted, PoolTakenOver,
 	RegistryUnwatched, RegistryWatched, CarriersChanged, CarrierFailed, WorkerCrashed, TaskCharged, TaskGivenUp,
 	KeysUnconfirmed, KeysConfirmed, WorkspaceBeyondWeight, WorkspaceWithinWeight, WorkspaceLimitRaised, WorkspaceLimitLowered,
-	QueueContained, QueueContainmentEnded, WorkerEndProved, StartsKept, WorkerReplaced,
+	QueueContained, QueueContainmentEnded, WorkerEndProved, StartsKept, WorkerReplaced, EndsHidden, EndsShown,
 }
 
 // retired lists the numbers of removed events, which are never reused.
--- a/internal/poolowner/decisions.go
+++ b/internal/poolowner/decisions.go
@@ -240,6 +240,8 @@
 	scheduler.DecisionContainmentEnded: events.QueueContainmentEnded,
 	scheduler.DecisionWorkerEnded:      events.WorkerEnded,
 	scheduler.DecisionStartsKept:       events.StartsKept,
+	scheduler.DecisionEndsHidden:       events.EndsHidden,
+	scheduler.DecisionEndsShown:        events.EndsShown,
 }
 
 func (o *Owner) logGroup(ctx context.Context, g decisionGroup, all []decision) {
@@ -256,6 +258,8 @@
 	case g.kind == scheduler.DecisionCrashed || g.kind == scheduler.DecisionWorkerEnded || g.kind == scheduler.DecisionSealAdopted ||
 		g.kind == scheduler.DecisionStartsKept:
 		attrs = append(attrs, slog.Int("runs", first.Count))
+	case g.kind == scheduler.DecisionEndsHidden:
+		attrs = append(attrs, slog.Int("ends", first.Count))
 	case g.kind == scheduler.DecisionWithinWeight || g.kind == scheduler.DecisionHeld:
 		attrs = append(attrs, slog.Int("count", first.Count))
 	case first.Count > 0:
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -2,7 +2,10 @@
 
 import "time"
 
-// Config holds the settings of a pool's scheduler. All fields must be set.
+// DefaultMaxEndsPerReport is the maximum number of ended runs that workers list in one report.
+const DefaultMaxEndsPerReport = 500
+
+// Config holds the settings of a pool's scheduler. All fields must be set unless they tell what zero means.
 type Config struct {
 	// Fence is the fencing token of the owner. Run numbers are derived from it, so those of a later owner are higher.
 	Fence uint64
@@ -30,6 +33,9 @@
 	// PaceDelay is the time until a change of pace takes effect. HarmTime is how long a target may be missed.
 	PaceDelay time.Duration
 	HarmTime  time.Duration
+	// MaxEndsPerReport is the maximum number of ended runs in one report; a report with that many may omit some. Zero means
+	// DefaultMaxEndsPerReport.
+	MaxEndsPerReport int
 	// DrainTime is how long a worker may still be given tasks after it reports that it drains.
 	DrainTime time.Duration
 }
--- a/scheduler/decision.go
+++ b/scheduler/decision.go
@@ -20,7 +20,7 @@
 	Crashes   int
 	Suspected bool
 	// Count is the number of tasks of a completed step, the number of runs that are preempted, or the number of runs that
-	// were on a worker that crashed or ended, or whose seal was adopted, or of starts that are kept. For DecisionBeyondWeight and DecisionWithinWeight it
+	// were on a worker that crashed or ended, or whose seal was adopted, of starts that are kept, or of ends listed. For DecisionBeyondWeight and DecisionWithinWeight it
 	// is the number of jobs beyond the weight.
 	Count int
 	// Workers is the number of workers that a takeover waited for, Unreported are those of them that had not reported by its end.
@@ -64,6 +64,10 @@
 	// DecisionStartsKept means that unanswered starts outlast the end of their worker. Count is the number of starts, Wait is how
 	// long they are kept at most.
 	DecisionStartsKept = "starts kept"
+	// DecisionEndsHidden means that a worker lists only a part of the runs that have ended there, and that batch tasks wait for the rest.
+	// Count is the number of ends listed. DecisionEndsShown means that they need not wait for the worker any more.
+	DecisionEndsHidden = "ends hidden"
+	DecisionEndsShown  = "ends shown"
 	// DecisionSealAdopted means that a takeover does not wait for a worker, since its seal tells what may run there.
 	DecisionSealAdopted = "seal adopted"
 	DecisionCharged     = "charged"
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -165,7 +165,7 @@
 }
 
 func (p *Pool) placeStep(now time.Time, s *step, usable []*worker) {
-	if p.takeover.blocksStarts() || !p.mayStart(now) || p.withinLimit(s, 1) == 0 {
+	if p.takeover.blocksStarts() || p.awaitsEnds(s) || !p.mayStart(now) || p.withinLimit(s, 1) == 0 {
 		return
 	}
 	p.consultAdvice(now, s)
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -46,6 +47,8 @@
 	fenced bool
 
 	takeover takeover
+	// hidingWorkers holds the workers whose endsHidden is set, as of the last Step.
+	hidingWorkers []*worker
 	// confirmedFrom limits the leases; see SetConfirmed.
 	confirmedFrom time.Time
 	// earlyCancels holds cancellations of jobs that are not known yet. forgotten holds purged jobs, so that they are
@@ -124,6 +127,7 @@
 	if cfg.Lease <= 0 || cfg.Lease > cfg.MaxLease {
 		cfg.Lease = cfg.MaxLease
 	}
+	cfg.MaxEndsPerReport = cmp.Or(cfg.MaxEndsPerReport, DefaultMaxEndsPerReport)
 	return &Pool{
 		cfg:           cfg,
 		queueTerms:    map[string]*terms{},
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -46,6 +46,9 @@
 		if c.Class > contention.ClassOnTime || p.takeover.blocksStarts() || !p.mayStart(now) || c.step.spec.GetGang() {
 			continue
 		}
+		if p.awaitsEnds(c.step) {
+			continue
+		}
 		waiting := p.withinLimit(c.step, c.step.countStartable(now)) - p.countPreempting(c.step)
 		for ; waiting > 0 && p.countPreempting(nil) < limit; waiting-- {
 			if !p.preemptOnce(now, c, usable) {
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -7,9 +7,6 @@
 	"github.com/samber/lo"
 )
 
-// maxEndsPerReport is the maximum number of ended runs in one report; a report with that many may omit some.
-const maxEndsPerReport = 500
-
 // endLog tracks the ended runs of one incarnation that may not be acknowledged yet.
 type endLog struct {
 	// received is the highest end number received, acked the highest that may be acknowledged.
@@ -109,6 +106,9 @@
 	}
 	w.reported, w.reportedAt = true, r.Received
 	w.awaitsConfirmation = w.unsettled
+	if !p.listsAllEnds(r) && !p.earlierLeasesExpired(now, w) {
+		p.hideEnds(w, r)
+	}
 	p.takeover.markReported(w.ID)
 	p.wakePlacement(now)
 }
@@ -207,10 +207,11 @@
 		r.lastReportSeq = p.reportSeq
 		p.updateRunning(now, r, entry)
 	}
-	if len(rep.Ended) < maxEndsPerReport {
+	if p.listsAllEnds(rep) {
 		p.endMissingRuns(now, w, rep)
+		p.showEnds(now, w, reasonEndsListed)
 	}
-	if len(w.runs) == 0 && w.evacuating {
+	if len(w.runs) == 0 && w.evacuating && !w.endsHidden {
 		w.emptyConfirmed = true
 	}
 }
--- a/scheduler/seal.go
+++ b/scheduler/seal.go
@@ -47,10 +47,11 @@
 }
 
 // mustBeSealed reports whether a later owner would wait for the worker. One that is known to have ended answers for its address,
-// unless a later incarnation may execute what was sent to it.
+// unless a later incarnation may execute what was sent to it. One whose ends are hidden must be waited for.
 func (w *worker) mustBeSealed(now time.Time) bool {
 	switch {
-	case w.departed:
+	case w.departed, w.endsHidden:
+		// The record would not name the runs whose ends are hidden.
 		return false
 	case w.replaced:
 		return len(w.runs) > 0
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -108,6 +108,9 @@
 	preemptedRuns int
 	// longLeases makes leases last so long that silent workers outlast several owners.
 	longLeases bool
+	// endsPerReport limits the ends in one report, 0 means the default. recordDelay is how much longer records take, in ms.
+	endsPerReport int
+	recordDelay   int64
 	// limits holds the limits of the workspaces.
 	limits map[string]scheduler.Resources
 }
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -172,7 +172,7 @@
 	if s.faultsActive() && s.chance(s.faults.lostRecords) {
 		return
 	}
-	s.after(5+s.rng.Int64N(30), func() {
+	s.after(s.recordDelay+5+s.rng.Int64N(30), func() {
 		if o.replaced || s.owner != o {
 			return
 		}
--- a/scheduler/simseal_test.go
+++ b/scheduler/simseal_test.go
@@ -14,6 +14,7 @@
 // config returns the configuration of the owners, but for the fence.
 func (s *sim) config() scheduler.Config {
 	cfg := simConfig
+	cfg.MaxEndsPerReport = s.endsPerReport
 	if s.longLeases {
 		cfg.Lease, cfg.MaxLease = 9*time.Second, 10*time.Second
 	}
--- a/scheduler/simworker_test.go
+++ b/scheduler/simworker_test.go
@@ -297,6 +297,9 @@
 		w.ended = w.ended[1:]
 	}
 	rep.Ended = slices.Clone(w.ended)
+	if limit := w.sim.config().MaxEndsPerReport; limit > 0 {
+		rep.Ended = rep.Ended[:min(len(rep.Ended), limit)]
+	}
 	for _, r := range w.running {
 		percent := 100
 		if !r.step.GetPersistent() {
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -39,7 +39,7 @@
 
 func (p *Pool) workerLoad(now time.Time, w *worker) *pb.WorkerLoad {
 	// A worker that is stopped cannot report its ends to a later owner.
-	recorded := len(w.ends.unrecorded()) == 0
+	recorded := !w.endsHidden && len(w.ends.unrecorded()) == 0
 	out := &pb.WorkerLoad{
 		Id: w.ID, Tasks: int64(len(w.runs)), UsedCpuMilli: w.used.CPUMilli, UsedMemoryMb: w.used.MemoryMB,
 		Evacuated: w.evacuating && w.emptyConfirmed && len(w.runs) == 0 && recorded,
@@ -90,6 +90,9 @@
 	if p.takeover.blocksStarts() {
 		out = append(out, fmt.Sprintf("takeover: %d workers have not reported yet", len(p.takeover.awaited)))
 	}
+	for _, w := range p.hidingWorkers {
+		out = append(out, fmt.Sprintf("takeover: worker %s has not listed all ended runs of earlier owners yet", w.ID))
+	}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			out = append(out, p.explainStep(s))
@@ -114,6 +117,8 @@
 	switch {
 	case s.blockedBy > 0:
 		return fmt.Sprintf("%s; depends on %d unfinished steps", text, s.blockedBy)
+	case len(s.ready) > 0 && p.awaitsEnds(s):
+		return text + "; may have ended on a worker that has not listed all ended runs"
 	case len(s.ready) > 0 && p.withinLimit(s, 1) == 0:
 		return text + "; " + reasonHeld
 	case len(s.ready) > 0 && p.countPreempting(s) > 0:
--- a/scheduler/stuck.go
+++ b/scheduler/stuck.go
@@ -8,7 +8,7 @@
 // stuckCPU returns the largest CPU need of a stuck step, in thousandths of a core: its tasks have waited for capacity
 // while the pool has no batch run whose end would free any, so only another worker helps.
 func (p *Pool) stuckCPU(now time.Time) int64 {
-	if len(p.waitingSteps) == 0 || p.takeover.started && !p.takeover.done || p.hasBatchRuns() {
+	if len(p.waitingSteps) == 0 || p.takeover.started && !p.takeover.done || len(p.hidingWorkers) > 0 || p.hasBatchRuns() {
 		return 0
 	}
 	var most int64
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -180,14 +180,14 @@
 	s.ready = slices.DeleteFunc(s.ready, func(i int) bool { return s.tasks[i].done || s.tasks[i].crashes.givenUp })
 }
 
-// Occupied reports whether a worker may run something of this owner or a previous one, as far as is known, or is the only other
-// record of an end that is not durable.
+// Occupied reports whether a worker may run something of this owner or a previous one, as far as is known, or is or may be the only
+// other record of an end that is not durable.
 func (p *Pool) Occupied(id string) bool {
 	w := p.workers[id]
 	switch {
 	case w == nil:
 		return false
-	case len(w.runs) > 0, len(w.ends.unrecorded()) > 0:
+	case len(w.runs) > 0, w.endsHidden, len(w.ends.unrecorded()) > 0:
 		return true
 	}
 	return p.takeover.started && !p.takeover.done && p.takeover.awaited[id]
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -64,8 +64,10 @@
 	// expired holds the runs of the incarnation whose lease has expired, until it answers again or is known to have ended.
 	expired []*run
 
-	ends   endLog
-	health workerHealth
+	ends endLog
+	// endsHidden means that the incarnation has reported, and that ends of runs of earlier owners may be beyond those that it lists.
+	endsHidden bool
+	health     workerHealth
 	// pausedUntil prevents starts after refusals. unansweredStarts counts the starts without a conclusive answer since
 	// the latest list of running tasks.
 	pausedUntil time.Time
@@ -230,6 +232,7 @@
 	w.requestedUntil, w.assumedUntil = 0, 0
 	w.nextLeaseEnd = time.Time{}
 	w.ends = endLog{}
+	w.endsHidden = false
 	w.unansweredStarts = 0
 	w.emptyConfirmed = false
 	w.unreachable = false
@@ -256,8 +259,10 @@
 // checkWorkers ends the runs of workers whose lease has expired and drops departed workers.
 func (p *Pool) checkWorkers(now time.Time) {
 	kept := p.sortedWorkers[:0]
+	p.hidingWorkers = p.hidingWorkers[:0]
 	for _, w := range p.sortedWorkers {
 		p.checkLease(now, w)
+		p.checkHiddenEnds(now, w)
 		p.checkReturned(now, w)
 		p.settle(now, w)
 		if w.departed && !w.sealed && len(w.runs) == 0 && now.Sub(w.departedAt) > departedRetention {
