jobfront: jobs of a removed nested route are found by their location

Callers got 410 for jobs that ran, once a version removed their route and a shorter prefix still covered its paths. The repetition of an accepted submission got 400.

Cause: the longest prefix of the configuration in force divides a path into queue and id. The rest of such a path is no id, and was answered as the id of no job without a look at the store. The location of a job, which is found by the whole path, held its pool only.

The location now holds the id as well, and a path whose rest is no id is looked up by it: GET, DELETE and the repetition of a submission reach the job. A job with that id at another path is not found. The workspace of the job counts: at such a path the caller's key is heeded below a public queue too, and callers with a key see jobs without a workspace. A store that does not answer gives 503, and 504 for a submission, which may be a repetition.

--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -45,8 +45,9 @@
 	Cancel(ctx context.Context, ref jobstate.Ref, by jobstate.Requester) (known bool, err error)
 	// CancelOwn is like Cancel, but known is false and nothing is stored if the job belongs to another workspace.
 	CancelOwn(ctx context.Context, ref jobstate.Ref, by jobstate.Requester) (known bool, err error)
-	// Locate returns the pool under which the job at an address is stored. found is false if that is not recorded.
-	Locate(ctx context.Context, address string) (pool string, found bool, err error)
+	// Locate returns the pool and the id under which the job at an address is stored. found is false if that is not recorded, and
+	// the id may be empty.
+	Locate(ctx context.Context, address string) (at jobstate.Ref, found bool, err error)
 	// Lookup is linearizable. known is false for a job that by may not see.
 	Lookup(ctx context.Context, pool, id string, by jobstate.Requester) (state pb.JobState, known bool, err error)
 }
--- a/internal/jobfront/front_test.go
+++ b/internal/jobfront/front_test.go
@@ -148,8 +148,8 @@
 	return b.Cancel(ctx, ref, by)
 }
 
-func (b *fakeBackend) Locate(context.Context, string) (string, bool, error) {
-	return "", false, b.storeErr
+func (b *fakeBackend) Locate(context.Context, string) (jobstate.Ref, bool, error) {
+	return jobstate.Ref{}, false, b.storeErr
 }
 
 func (b *fakeBackend) Lookup(_ context.Context, _, id string, by jobstate.Requester) (pb.JobState, bool, error) {
--- a/internal/jobfront/handler.go
+++ b/internal/jobfront/handler.go
@@ -40,6 +40,10 @@
 	// workspace is that of the caller's key; empty if the queue needs no key. cap is the workspace's.
 	workspace string
 	cap       queue.Cap
+	// presented is the workspace of the key that came with the request, also if the queue needs none; empty if there is none.
+	presented string
+	// table is the one in which the queue was found.
+	table *indexedTable
 }
 
 // reply is an answer to a caller.
@@ -82,7 +86,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout(r.Header.Get(headerDeadline), q.Timeout))
 	defer cancel()
-	parsed := request{queue: q, id: r.URL.Path[len(q.Prefix):], address: jobkeys.Address(q.Host, r.URL.Path)}
+	parsed := request{table: table, queue: q, id: r.URL.Path[len(q.Prefix):], address: jobkeys.Address(q.Host, r.URL.Path)}
 	if rejected := f.authenticate(ctx, table, r, &parsed); rejected != nil {
 		return *rejected, parsed
 	}
@@ -94,7 +98,7 @@
 	case r.id == "" && method == http.MethodGet:
 		return f.countPending(ctx, r)
 	case !f.options.Codec.ValidJobID(r.id):
-		return f.badID(method)
+		return f.serveLocated(ctx, method, r)
 	case method == http.MethodPost:
 		return f.submit(ctx, r, body)
 	case method == http.MethodGet:
--- a/internal/jobfront/jobs.go
+++ b/internal/jobfront/jobs.go
@@ -55,10 +55,10 @@
 func (f *Front) cancel(ctx context.Context, r request) reply {
 	ref := jobstate.Ref{Pool: r.queue.Pool, ID: r.id, Address: r.address}
 	call, stop := context.WithTimeout(ctx, locateTimeout)
-	pool, found, err := f.options.Store.Locate(call, r.address)
+	at, found, err := f.options.Store.Locate(call, r.address)
 	stop()
 	if err == nil && found {
-		ref = jobstate.Ref{Pool: pool, ID: r.id}
+		ref = jobstate.Ref{Pool: at.Pool, ID: r.id}
 	}
 	return f.storeReply(f.storeCancel(ctx, ref, jobstate.Requester{Workspace: r.workspace}))
 }
@@ -81,7 +81,7 @@
 	if state, ok := f.finalStates.get(key); ok {
 		return f.stateReply(state)
 	}
-	state := f.ownerState(ctx, r.queue.Pool, r)
+	state := f.ownerState(ctx, jobstate.Ref{Pool: r.queue.Pool, ID: r.id}, r.workspace)
 	if state == pb.JobState_JOB_STATE_UNSPECIFIED {
 		stored, known, err := f.storedState(ctx, r)
 		switch {
@@ -99,18 +99,19 @@
 // storedState returns the state of a job that the owner of the pool that the configuration names does not know: from the owner
 // of the pool in which the job is located, if that is another one, or from the store.
 func (f *Front) storedState(ctx context.Context, r request) (state pb.JobState, known bool, err error) {
-	pool, found, err := f.options.Store.Locate(ctx, r.address)
+	at, found, err := f.options.Store.Locate(ctx, r.address)
+	ref := jobstate.Ref{Pool: at.Pool, ID: r.id}
 	switch {
 	case err != nil:
 		return pb.JobState_JOB_STATE_UNSPECIFIED, false, err
 	case !found:
-		pool = r.queue.Pool
-	case pool != r.queue.Pool:
-		if state := f.ownerState(ctx, pool, r); state != pb.JobState_JOB_STATE_UNSPECIFIED {
+		ref.Pool = r.queue.Pool
+	case ref.Pool != r.queue.Pool:
+		if state := f.ownerState(ctx, ref, r.workspace); state != pb.JobState_JOB_STATE_UNSPECIFIED {
 			return state, true, nil
 		}
 	}
-	return f.options.Store.Lookup(ctx, pool, r.id, jobstate.Requester{Workspace: r.workspace})
+	return f.options.Store.Lookup(ctx, ref.Pool, ref.ID, jobstate.Requester{Workspace: r.workspace})
 }
 
 func (f *Front) stateReply(state pb.JobState) reply {
@@ -118,10 +119,10 @@
 }
 
 // ownerState returns UNSPECIFIED if the owner does not know the job or cannot be reached.
-func (f *Front) ownerState(ctx context.Context, pool string, r request) pb.JobState {
+func (f *Front) ownerState(ctx context.Context, ref jobstate.Ref, workspace string) pb.JobState {
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
-	states, err := f.options.Owners.States(ctx, pool, r.workspace, []string{r.id})
+	states, err := f.options.Owners.States(ctx, ref.Pool, workspace, []string{ref.ID})
 	if err != nil || len(states) != 1 {
 		f.options.Metrics.countOwnerSilent()
 		return pb.JobState_JOB_STATE_UNSPECIFIED
--- a/internal/jobfront/keys.go
+++ b/internal/jobfront/keys.go
@@ -15,13 +15,17 @@
 // A host whose table was not confirmed lately cannot tell an unknown key from a new one, nor a known key from one that was
 // removed meanwhile. States and counts are still served then, as they change nothing.
 func (f *Front) authenticate(ctx context.Context, table *indexedTable, r *http.Request, parsed *request) *reply {
-	if table.keys == nil || parsed.queue.Public {
+	if table.keys == nil {
 		return nil
 	}
 	workspace, known := "", false
 	if keys := r.Header.Values(f.options.KeyHeader); len(keys) == 1 {
 		workspace, known = table.keys.Find(keys[0])
 	}
+	parsed.presented = workspace
+	if parsed.queue.Public {
+		return nil
+	}
 	if !known {
 		if f.options.Tables.ConfirmedRecently() && f.isCurrent(table) {
 			return &reply{status: http.StatusUnauthorized, reason: reasonUnknownKey}
--- a/internal/jobstore/accept.go
+++ b/internal/jobstore/accept.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return NotAccepted.Wrap(err)
 	}
-	location, err := newLocationWrite(rec.GetAddress(), rec.GetPool())
+	location, err := newLocationWrite(rec.GetAddress(), rec.GetPool(), id)
 	if err != nil {
 		return NotAccepted.Wrap(err)
 	}
@@ -143,7 +143,7 @@
 	if err != nil {
 		return nil, err
 	}
-	location, err := newLocationWrite(ref.Address, ref.Pool)
+	location, err := newLocationWrite(ref.Address, ref.Pool, ref.ID)
 	return &pendingWrite{id: ref.ID, key: jobkeys.Cancel(ref.Pool, ref.ID), data: data, location: location}, err
 }
 
--- a/internal/jobstore/location.go
+++ b/internal/jobstore/location.go
@@ -25,11 +25,11 @@
 }
 
 // newLocationWrite returns nil for a job without an address.
-func newLocationWrite(address, pool string) (*locationWrite, error) {
+func newLocationWrite(address, pool, id string) (*locationWrite, error) {
 	if address == "" {
 		return nil, nil //nolint:nilnil // nothing is to be written
 	}
-	data, err := proto.Marshal(&pb.JobLocation{Pool: pool})
+	data, err := proto.Marshal(&pb.JobLocation{Pool: pool, Id: id})
 	return &locationWrite{key: jobkeys.Location(address), pool: pool, data: data}, err
 }
 
@@ -38,26 +38,27 @@
 
 func (e *elsewhereError) Error() string { return fmt.Sprintf("job is located in pool %s", e.pool) }
 
-// Locate returns the pool under which the job at an address is stored. found is false if the address has no location: there is
-// no job, or an earlier version of the program has stored it. Errors: store.Unavailable.
-func (s *Store) Locate(ctx context.Context, address string) (pool string, found bool, err error) {
+// Locate returns the pool and the id under which the job at an address is stored. found is false if the address has no location:
+// there is no job, or an earlier version of the program has stored it. The id is empty if an earlier version has written the
+// location. Errors: store.Unavailable, Unreadable.
+func (s *Store) Locate(ctx context.Context, address string) (at jobstate.Ref, found bool, err error) {
 	item, err := s.get(ctx, jobkeys.Location(address))
 	if err != nil {
-		return "", false, store.Unavailable.Wrap(err)
+		return jobstate.Ref{}, false, store.Unavailable.Wrap(err)
 	}
-	return poolOf(item)
+	return refOf(item)
 }
 
-// poolOf returns the pool of a location that was read.
-func poolOf(item store.Item) (pool string, found bool, err error) {
+// refOf returns the pool and the id of a location that was read.
+func refOf(item store.Item) (at jobstate.Ref, found bool, err error) {
 	location := &pb.JobLocation{}
 	if item.Version == 0 {
-		return "", false, nil
+		return jobstate.Ref{}, false, nil
 	}
 	if err := proto.Unmarshal(item.Data, location); err != nil || location.GetPool() == "" {
-		return "", false, Unreadable.New("location %s", item.Key)
+		return jobstate.Ref{}, false, Unreadable.New("location %s", item.Key)
 	}
-	return location.GetPool(), true, nil
+	return jobstate.Ref{Pool: location.GetPool(), ID: location.GetId()}, true, nil
 }
 
 // completeElsewhere completes the writes whose location exists and names another pool, and returns the others. Of those, the
@@ -66,13 +67,13 @@
 	var rest []*pendingWrite
 	for _, w := range group {
 		if w.location != nil {
-			pool, found, err := poolOf(present[w.location.key])
+			at, found, err := refOf(present[w.location.key])
 			switch {
 			case err != nil:
 				w.done <- err
 				continue
-			case found && pool != w.location.pool:
-				w.done <- &elsewhereError{pool}
+			case found && at.Pool != w.location.pool:
+				w.done <- &elsewhereError{at.Pool}
 				continue
 			case found:
 				w.location = nil
@@ -120,12 +121,12 @@
 	cancel func(context.Context, jobstate.Ref, jobstate.Requester) (known bool, err error),
 ) (known bool, err error) {
 	if ref.Address != "" {
-		pool, found, err := s.Locate(ctx, ref.Address)
+		at, found, err := s.Locate(ctx, ref.Address)
 		if err != nil {
 			return false, store.Unavailable.Wrap(err)
 		}
 		if found {
-			ref = jobstate.Ref{Pool: pool, ID: ref.ID}
+			ref = jobstate.Ref{Pool: at.Pool, ID: ref.ID}
 		}
 	}
 	known, err = cancel(ctx, ref, by)
--- a/internal/jobstore/location_test.go
+++ b/internal/jobstore/location_test.go
@@ -70,7 +70,7 @@
 			located, found, err := first.Locate(t.Context(), address)
 			assert.NilError(t, err)
 			assert.Assert(t, found)
-			assert.Equal(t, located, pools[0])
+			assert.DeepEqual(t, located, jobstate.Ref{Pool: pools[0], ID: id})
 			stopFirst()
 			stopSecond()
 			_, err = kv.Client("test").Commit(t.Context(), store.Transaction{Deletes: []string{jobkeys.Location(address)}})
