upkeep: answers that a host does not belong to a wave must agree

The host service may learn of a wave or a host later than the planner, so that its answer that a host does not belong to a wave excludes the host only once it has been given for GoneAfter. A busy host between two such answers shows that the service knows it, and now starts that time anew: two single answers far apart would have excluded the host, and the wave would have been completed without it.

--- a/upkeep/absence_test.go
+++ b/upkeep/absence_test.go
@@ -111,6 +111,23 @@
 	assert.Assert(t, begun)
 }
 
+// Failure: an order met a busy host between two answers that its host does not belong to the wave; the second one excluded the host,
+// although the host service had known of it in the meantime.
+func TestAnswersThatAHostDoesNotBelongToAWaveMustAgree(t *testing.T) {
+	w := newWaveWatch()
+	for n := range 20 {
+		out := w.step(listed())
+		assert.Equal(t, len(out.Completed), 0, "step %d", n)
+		for _, o := range out.Upkeeps {
+			result := upkeep.Unfit
+			if n%4 > 1 {
+				result = upkeep.Busy
+			}
+			w.planner.UpkeepResult(w.now, o, result)
+		}
+	}
+}
+
 // Pattern: the host service answers for good that a host does not belong to the wave.
 func TestHostThatDoesNotBelongToAWaveIsSkipped(t *testing.T) {
 	w := newWaveWatch()
--- a/upkeep/intent.go
+++ b/upkeep/intent.go
@@ -168,7 +168,9 @@
 		p.markBegun(o.Wave, o.Host)
 	case Unfit:
 		p.exclude(o.Wave, o.Host)
-	case Unknown, Busy, Refused, Fenced:
+	case Busy:
+		delete(p.wave(o.Wave).unfitSince, o.Host)
+	case Unknown, Refused, Fenced:
 	}
 	p.applyResult(now, o.Host, i, r)
 }
--- a/upkeep/planner.go
+++ b/upkeep/planner.go
@@ -39,7 +39,7 @@
 	progress map[string]Progress
 	// excluded hosts do not belong to the wave according to the host service.
 	excluded map[string]bool
-	// unfitSince is since when the host service has answered so for a host.
+	// unfitSince is since when the host service has answered that a host does not belong to the wave.
 	unfitSince map[string]time.Time
 }
 
--- a/upkeep/types.go
+++ b/upkeep/types.go
@@ -127,7 +127,8 @@
 	// Reasons are the reasons of Moves, by host.
 	Reasons map[string]MoveReason
 	// Bursts are the bursts of demand that were found to have begun or ended.
-	Bursts    []BurstChange
+	Bursts []BurstChange
+	// Completed are the waves that have nothing left to do.
 	Completed []CompletedWave
 	// Busy reports that evacuations, orders or waves are in progress, so lists and loads should be fresh.
 	Busy bool
--- a/upkeep/wave.go
+++ b/upkeep/wave.go
@@ -38,8 +38,8 @@
 	delete(w.progress, id)
 }
 
-// confirmUnfit reports whether the host service has answered for GoneAfter that a host does not belong to the wave. It may learn of
-// a wave or of a host later than the planner, so a single answer is not final.
+// confirmUnfit reports whether the host service has answered for GoneAfter, and nothing else, that a host does not belong to the wave.
+// It may learn of a wave or of a host later than the planner, so a single answer is not final.
 func (p *Planner) confirmUnfit(now time.Time, o Order) bool {
 	w := p.wave(o.Wave)
 	since, known := w.unfitSince[o.Host]
