proofs: a paused entry host has stopped before the test goes on

Trace: the test sends the signal, and then the change to entry-1. The log of entry-2 has "configuration staged" of that change at 14:31:39.788, so that it still ran after the call had returned. A signal is only pending then. The host was in fact a member that held the configuration, so that its acceptance is correct; the test had not brought about its failure.

After SIGSTOP, the tests now wait until all threads of the process are stopped. The checks are as before.

--- a/proofs/cluster_test.go
+++ b/proofs/cluster_test.go
@@ -225,9 +225,26 @@
 	c.entries[number] = e
 }
 
+// signal sends a signal to an entry host. After SIGSTOP it waits until all threads have stopped: the signal is only pending when the
+// call returns, and a thread that is running may go on for a while.
 func (c *cluster) signal(number int, signal syscall.Signal) {
 	c.t.Helper()
-	assert.NilError(c.t, c.entries[number].command.Process.Signal(signal))
+	process := c.entries[number].command.Process
+	assert.NilError(c.t, process.Signal(signal))
+	if signal == syscall.SIGSTOP {
+		c.await(fmt.Sprintf("entry-%d stops", number), func() bool { return c.isStopped(process.Pid) })
+	}
+}
+
+// isStopped reports whether all threads of a process are stopped.
+func (c *cluster) isStopped(pid int) bool {
+	c.t.Helper()
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/status", pid))
+	assert.NilError(c.t, err)
+	return len(threads) > 0 && lo.EveryBy(threads, func(name string) bool {
+		text, err := os.ReadFile(name) //nolint:gosec // a path below /proc
+		return os.IsNotExist(err) || err == nil && bytes.Contains(text, []byte("\nState:\tT"))
+	})
 }
 
 // awaitExit waits until a process exits and returns its exit code.
