jobstore: a refusal after a conflict with the own write decides nothing

Callers saw: DELETE was answered with 503, so that nothing should be stored, and the job was cancelled.

Cause: a group of writes is tried in rounds, and whether a call stayed without an answer was kept for its round only. A cancellation that was stored by a call whose answer was lost meets its own location in the next call; the refusal of the round after that counted as the result of the whole write.

Change: once a call of any round is without an answer, the result of the group is unknown and is read back, like that of a single round. This holds for whatever caused the conflict, so that a cancellation that shares its transaction with a submission is covered too.

--- a/internal/jobstore/commit.go
+++ b/internal/jobstore/commit.go
@@ -128,11 +128,14 @@
 	return minRetryDelay + time.Duration(rand.Int64N(int64(retryJitter))), retry && a.store.health.healthy(a.store.clock())
 }
 
-// finalError returns the error of the transaction. After an unanswered call the result is unknown, even if a later call
-// was rejected.
-func (a *attempts) finalError() error {
-	if a.uncertain && !store.Unknown.Has(a.lastErr) {
-		return store.Unknown.New("%s", a.lastErr)
+// finalError returns the error of the transaction.
+func (a *attempts) finalError() error { return unknownIf(a.uncertain, a.lastErr) }
+
+// unknownIf returns err as a store.Unknown if an unanswered call may have taken effect or may do so later. That a later call was
+// rejected does not make it ineffective.
+func unknownIf(uncertain bool, err error) error {
+	if err == nil || !uncertain || store.Unknown.Has(err) {
+		return err
 	}
-	return a.lastErr
+	return store.Unknown.New("%s", err)
 }
--- a/internal/jobstore/group.go
+++ b/internal/jobstore/group.go
@@ -147,17 +147,19 @@
 func (s *Store) commitGroup(ctx context.Context, group []*pendingWrite) {
 	group = lo.Filter(group, func(w *pendingWrite, _ int) bool { return w.state.CompareAndSwap(waiting, sent) })
 	group = completeRivals(group)
+	uncertain := false // a call of this or an earlier round may take effect, or may have done so and caused the conflict
 	for range maxConflictRounds {
 		if len(group) == 0 {
 			return
 		}
-		_, uncertain, err := s.commit(ctx, transactionOf(group))
-		if uncertain {
+		_, late, err := s.commit(ctx, transactionOf(group))
+		if late {
+			uncertain = true
 			s.rememberUndecided(group)
 		}
 		var conflict *store.ConflictError
 		if !errors.As(err, &conflict) {
-			s.finish(ctx, group, err)
+			s.finish(ctx, group, unknownIf(uncertain, err))
 			return
 		}
 		present := make(map[string]store.Item, len(conflict.Items))
@@ -171,7 +173,7 @@
 		}
 		group = rest
 	}
-	complete(group, store.Unavailable.New("conflicts persist after retries"))
+	s.finish(ctx, group, unknownIf(uncertain, store.Unavailable.New("conflicts persist after retries")))
 }
 
 // transactionOf returns the transaction of a group. If several writes have the same key, the first one's data is used.
