jobstore: another's cancellation rejects no write that may replace it

Callers saw: DELETE by a job's workspace, or a cancellation by an operator, was answered with 503 and took effect later, if the cancellation of another requester was stored and the calls to the store got no answer.

Cause: after calls without an answer the key is read back, and the value found there decided every write. It decides only those that require the key's absence; a write that replaces the value may still do so.

Change: a value that the check rejects leaves the result of such a write unknown.

Found by reading; no run of real processes has shown it.

--- a/internal/jobstore/group.go
+++ b/internal/jobstore/group.go
@@ -201,8 +201,8 @@
 	}
 }
 
-// finish completes the writes of a group. If the result is unknown, each key is read back once, and the writes of a key
-// that exists count as successful.
+// finish completes the writes of a group. If the result is unknown, each key is read back once. A key that exists decides the
+// writes that would have required its absence, and shows the others to be stored if their check accepts its value.
 func (s *Store) finish(ctx context.Context, group []*pendingWrite, err error) {
 	if err == nil {
 		written := make(map[string][]byte, len(group))
@@ -224,7 +224,7 @@
 			item, readErr := s.get(ctx, key)
 			if readErr == nil && item.Version > 0 {
 				for _, w := range same {
-					w.completeAsStored(item.Data)
+					w.completeAsRead(item.Data, err)
 				}
 				return
 			}
@@ -235,12 +235,23 @@
 }
 
 // completeAsStored completes a write whose key has the value stored.
-func (w *pendingWrite) completeAsStored(stored []byte) {
+func (w *pendingWrite) completeAsStored(stored []byte) { w.done <- w.checkStored(stored) }
+
+// completeAsRead completes a write whose result is unknown and whose key had the value stored when it was read. Unless the write
+// requires the key's absence, it may still replace a value that its check rejects.
+func (w *pendingWrite) completeAsRead(stored []byte, unknown error) {
+	err := w.checkStored(stored)
+	if err != nil && !w.ifAbsent {
+		err = unknown
+	}
+	w.done <- err
+}
+
+func (w *pendingWrite) checkStored(stored []byte) error {
 	if w.check == nil || bytes.Equal(stored, w.data) {
-		w.done <- nil
-		return
+		return nil
 	}
-	w.done <- w.check(stored)
+	return w.check(stored)
 }
 
 func complete(group []*pendingWrite, err error) {
--- a/internal/jobstore/undecided_test.go
+++ b/internal/jobstore/undecided_test.go
@@ -70,3 +70,32 @@
 		})
 	}
 }
+
+// Guards against a cancellation that is reported as not stored although a call without an answer stores it late, because the
+// cancellation of another requester is found in its place meanwhile.
+func TestCancellationOverAnotherOneIsUndecidedWithoutAnAnswer(t *testing.T) {
+	for name, by := range map[string]jobstate.Requester{"workspace of the job": north, "operator": operator} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				kv := memtxn.New()
+				s, stop := start(t, kv, "h")
+				defer stop()
+				_, err := s.CancelOwn(t.Context(), ref("1"), south)
+				assert.NilError(t, err)
+				assert.NilError(t, s.Accept(t.Context(), jobOf("1", "north")))
+				late := []memtxn.Outcome{memtxn.ApplyLate, memtxn.ApplyLate, memtxn.ApplyLate}
+				kv.SetFaults(memtxn.Faults{LateBy: time.Second, Plan: planOnce(late...)})
+				cancel := s.CancelOwn
+				if by.Operator {
+					cancel = s.Cancel
+				}
+				_, err = cancel(t.Context(), ref("1"), by)
+				time.Sleep(2 * time.Second)
+				snap, _, loadErr := s.Load(t.Context(), testPool)
+				assert.NilError(t, loadErr)
+				assert.Equal(t, jobstate.Canceller(snap.Cancelled[0]), by)
+				assert.Assert(t, Undecided.Has(err), "%v", err)
+			})
+		})
+	}
+}
