jobstore: no timer for a group that waits for no other writes

Cause: the stacks are in Go's runtime, where a goroutine in a synctest bubble receives from a timer that has expired: that of a group with a window of zero. By reading, the runtime runs such timers in the race context of the bubble, which other goroutines of the bubble may use at the same moment.

Change: without a commit in flight, a group takes the writes that are queued and starts no timer, which would have expired at once.

That the fault can't come from another timer is not shown, so the entry stays.

--- a/internal/jobstore/group.go
+++ b/internal/jobstore/group.go
@@ -119,16 +119,23 @@
 		}
 	}
 	group, remaining := []*pendingWrite{first}, store.MaxTransactionEntries-first.entries()
-	window := time.NewTimer(lo.Ternary(busy(), g.store.opts.GroupWindow, 0))
-	defer window.Stop()
+	var expired <-chan time.Time // nil if writes wait for no others
+	if busy() {
+		window := time.NewTimer(g.store.opts.GroupWindow)
+		defer window.Stop()
+		expired = window.C
+	}
 	for remaining > 0 {
 		var w *pendingWrite
 		select {
 		case w = <-g.next:
 		default:
+			if expired == nil {
+				return group
+			}
 			select {
 			case w = <-g.next:
-			case <-window.C:
+			case <-expired:
 				return group
 			case <-ctx.Done():
 				return nil
