Log runs of workers that no earlier owner has recorded, and repeated starts

Cause: when a work item runs twice over a change of its pool's owner, the log did not tell whether the roster had named the worker of the first run, nor which two terms the runs belong to.

Change: runs_unrecorded (979) names a worker that lists runs of an earlier owner and that the roster did not name; task_started_again (980) tells a run that has succeeded and the one that was started since; worker_ended (922) tells how many ends were received that are not durable.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -351,6 +351,14 @@
 		Message: "worker may have more ended runs of an earlier owner than it lists at once; batch tasks wait until it has listed all of them",
 	}
 	EndsShown = Event{Number: 978, Name: "ends_shown", Level: slog.LevelInfo, Message: "batch tasks wait no longer for the ended runs of the worker"}
+	// RunsUnrecorded carries the number of runs and ends that the worker lists.
+	RunsUnrecorded = Event{
+		Number: 979, Name: "runs_unrecorded", Level: slog.LevelWarn,
+		Message: "worker lists runs of an earlier owner of the pool, none of which has recorded it; their tasks may have been started again",
+		Remedy:  "keep the logs of the pool's owners and report them",
+	}
+	// TaskStartedAgain carries the run that has succeeded and the one that was started since.
+	TaskStartedAgain = Event{Number: 980, Name: "task_started_again", Level: slog.LevelInfo, Message: "run has succeeded after another run of its task was started"}
 
 	SchedulerNote = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
 )
@@ -380,7 +388,7 @@
 	MemberNotStored, RecordSkipped, FleetRecordWaits, MachinesUnread, MachinesRead, TasksPreempted, PoolTakenOver,
 	RegistryUnwatched, RegistryWatched, CarriersChanged, CarrierFailed, WorkerCrashed, TaskCharged, TaskGivenUp,
 	KeysUnconfirmed, KeysConfirmed, WorkspaceBeyondWeight, WorkspaceWithinWeight, WorkspaceLimitRaised, WorkspaceLimitLowered,
-	QueueContained, QueueContainmentEnded, WorkerEndProved, StartsKept, WorkerReplaced, EndsHidden, EndsShown,
+	QueueContained, QueueContainmentEnded, WorkerEndProved, StartsKept, WorkerReplaced, EndsHidden, EndsShown, RunsUnrecorded, TaskStartedAgain,
 }
 
 // retired lists the numbers of removed events, which are never reused.
--- a/internal/poolowner/decisions.go
+++ b/internal/poolowner/decisions.go
@@ -242,6 +242,8 @@
 	scheduler.DecisionStartsKept:       events.StartsKept,
 	scheduler.DecisionEndsHidden:       events.EndsHidden,
 	scheduler.DecisionEndsShown:        events.EndsShown,
+	scheduler.DecisionUnrecordedRuns:   events.RunsUnrecorded,
+	scheduler.DecisionStartedAgain:     events.TaskStartedAgain,
 }
 
 func (o *Owner) logGroup(ctx context.Context, g decisionGroup, all []decision) {
@@ -256,7 +258,7 @@
 	}
 	switch {
 	case g.kind == scheduler.DecisionCrashed || g.kind == scheduler.DecisionWorkerEnded || g.kind == scheduler.DecisionSealAdopted ||
-		g.kind == scheduler.DecisionStartsKept:
+		g.kind == scheduler.DecisionStartsKept || g.kind == scheduler.DecisionUnrecordedRuns:
 		attrs = append(attrs, slog.Int("runs", first.Count))
 	case g.kind == scheduler.DecisionEndsHidden:
 		attrs = append(attrs, slog.Int("ends", first.Count))
@@ -314,6 +316,12 @@
 	if first.Crashes > 0 {
 		attrs = append(attrs, slog.Int("crashes", first.Crashes), slog.Bool("suspected", first.Suspected))
 	}
+	if first.Ends > 0 {
+		attrs = append(attrs, slog.Int("unrecorded_ends", first.Ends))
+	}
+	if first.Other > 0 {
+		attrs = append(attrs, slog.Int64("started_again", first.Other))
+	}
 	if first.Born > 0 {
 		attrs = append(attrs, slog.Int64("born", first.Born))
 	}
--- a/scheduler/decision.go
+++ b/scheduler/decision.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/samber/lo"
+)
 
 // Decision explains one decision for the log: what was decided, about which task or worker, and why.
 type Decision struct {
@@ -26,6 +30,10 @@
 	// Workers is the number of workers that a takeover waited for, Unreported are those of them that had not reported by its end.
 	Workers    int
 	Unreported []string
+	// Ends is the number of ended runs that the worker had reported and that are not durable, for DecisionWorkerEnded.
+	Ends int
+	// Other is another run of the task, for DecisionStartedAgain.
+	Other int64
 	// Born is the incarnation that ended, for DecisionWorkerEnded. Silence is the time since the worker was last heard from, for
 	// DecisionWorkerEnded and DecisionLost.
 	Born    int64
@@ -68,6 +76,11 @@
 	// Count is the number of ends listed. DecisionEndsShown means that they need not wait for the worker any more.
 	DecisionEndsHidden = "ends hidden"
 	DecisionEndsShown  = "ends shown"
+	// DecisionUnrecordedRuns means that a worker lists runs of earlier owners, none of which has recorded it: the takeover did not wait for
+	// it. Count is the number of runs and of ends.
+	DecisionUnrecordedRuns = "unrecorded runs"
+	// DecisionStartedAgain means that a run has succeeded of which another one was started since.
+	DecisionStartedAgain = "started again"
 	// DecisionSealAdopted means that a takeover does not wait for a worker, since its seal tells what may run there.
 	DecisionSealAdopted = "seal adopted"
 	DecisionCharged     = "charged"
@@ -129,10 +142,35 @@
 func (p *Pool) addWorkerEnded(now time.Time, w *worker, reason string) {
 	p.out.Decisions = append(p.out.Decisions, Decision{
 		Kind: DecisionWorkerEnded, Worker: w.ID, Born: w.Born, Reason: reason, Count: len(w.runs), Silence: now.Sub(w.lastReport),
-		Unanswered: w.unreachable,
+		Unanswered: w.unreachable, Ends: len(w.ends.unrecorded()),
 	})
 }
 
+// addUnrecordedRuns adds the decision that a worker which no earlier owner has recorded lists runs of one, if it does.
+func (p *Pool) addUnrecordedRuns(w *worker, r *Report) {
+	earlier := func(run int64) bool { return run>>runCounterBits < int64(p.cfg.Fence) } //nolint:gosec // revisions are small
+	count := lo.CountBy(r.Running, func(x RunningTask) bool { return earlier(x.Run) }) +
+		lo.CountBy(r.Ended, func(x EndedRun) bool { return earlier(x.Run) })
+	if w.Unused && count > 0 {
+		p.out.Decisions = append(p.out.Decisions, Decision{Kind: DecisionUnrecordedRuns, Worker: w.ID, Born: w.Born, Count: count})
+	}
+}
+
+// addStartedAgain adds the decision that a run has succeeded of which another one was started since, if there is one.
+func (p *Pool) addStartedAgain(r *run) {
+	t := r.task
+	if t.step.spec.GetSpeculative() || t.step.spec.GetGang() {
+		return
+	}
+	for _, other := range t.runs {
+		if other.number > r.number {
+			p.addDecision(DecisionStartedAgain, r, "")
+			p.out.Decisions[len(p.out.Decisions)-1].Other = other.number
+			return
+		}
+	}
+}
+
 // addStartsKept adds the decision that unanswered starts outlast the end of their worker.
 func (p *Pool) addStartsKept(w *worker, count int, wait time.Duration) {
 	p.out.Decisions = append(p.out.Decisions, Decision{Kind: DecisionStartsKept, Worker: w.ID, Count: count, Wait: wait})
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -105,6 +105,7 @@
 		return
 	}
 	w.reported, w.reportedAt = true, r.Received
+	p.addUnrecordedRuns(w, r)
 	w.awaitsConfirmation = w.unsettled
 	if !p.listsAllEnds(r) && !p.earlierLeasesExpired(now, w) {
 		p.hideEnds(w, r)
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -164,6 +164,7 @@
 	case t.step.spec.GetPersistent():
 		t.backOff(now, r, end)
 	case end == EndSucceeded:
+		p.addStartedAgain(r)
 		p.completeTask(now, t)
 		recorded = true
 	case end == EndFailed:
