The roster drops no worker on which a task may still start

Callers saw work items that ran again although they had ended done, on another worker, after a change of their pool's owner.

Cause: the roster asks the scheduler whether an unlisted worker runs anything, and then tells it that the worker is gone. In between the scheduler still used the worker. A task that started in that step ran on a worker that the next owner did not know, so that its takeover did not wait for it. Entries of idle workers expire together in an outage of the store, and the jobs that were waiting for it start at its end.

Change: the question itself keeps tasks from starting on unlisted workers, on the goroutine that decides on starts, until they are listed again.

--- a/internal/poolowner/roster.go
+++ b/internal/poolowner/roster.go
@@ -203,7 +203,8 @@
 	return false
 }
 
-// occupied returns the recorded workers that are no longer listed but may run a task. The first call includes all inherited
+// occupied returns the recorded workers that are no longer listed but may run a task. Nothing starts on the unlisted ones from then on,
+// so that none of those left out runs anything until it is listed again. The first call includes all inherited
 // ones, which the scheduler does not know yet. It reports false if ctx ended first.
 func (r *roster) occupied(ctx context.Context) ([]scheduler.Worker, bool) {
 	listed := lo.SliceToMap(r.listed, func(w scheduler.Worker) (string, bool) { return w.ID, true })
@@ -216,6 +217,7 @@
 	kept, ok := runInLoop(ctx, r.owner, func(p *scheduler.Pool, _ time.Time) []scheduler.Worker {
 		return lo.FilterMap(unlisted, func(w scheduler.Worker, _ int) (scheduler.Worker, bool) {
 			w.Unlisted = true
+			p.MarkUnlisted(w.ID)
 			return w, inherited[w.ID] || p.Occupied(w.ID)
 		})
 	})
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -180,6 +180,13 @@
 	s.ready = slices.DeleteFunc(s.ready, func(i int) bool { return s.tasks[i].done || s.tasks[i].crashes.givenUp })
 }
 
+// MarkUnlisted keeps tasks from starting on a worker until it is listed again.
+func (p *Pool) MarkUnlisted(id string) {
+	if w := p.workers[id]; w != nil {
+		w.Unlisted = true
+	}
+}
+
 // Occupied reports whether a worker may run something of this owner or a previous one, as far as is known, or is or may be the only
 // other record of an end that is not durable.
 func (p *Pool) Occupied(id string) bool {
