The end of a run without a task waits for its record too

Callers could see a work item run again although it had ended done, and the worker had been told to forget that end. Events: after a change of the pool's owner one worker lists the success of a task, which completes the job, or an occurrence of it; before that is durable, another worker lists a second run of the same task, or another member of the same gang attempt, which ends done as well. That worker was told to forget its end at once. If the first worker is then lost and the pool changes its owner while the store takes no writes, the next owner finds neither end and starts the task, or the gang, again.

Cause: endRun returned that nothing needs a record for a run that has no task, as its job had ended or its occurrence had completed when it was listed. The ends of all other superfluous runs wait for the job's record.

Change: the end of such a run waits for it as well if it is a success.

--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -170,7 +170,8 @@
 	begun := r.state == runRunning || r.state == runAccepted
 	p.dropRun(r)
 	if r.task == nil {
-		return false
+		j := p.jobs[r.id.Job]
+		return j != nil && j.hasUnrecordedEnd(end)
 	}
 	if begun || end == EndSucceeded || end == EndFailed {
 		p.markStarted(r.task.job())
