A term never begins again with the same fencing token

Callers saw nothing yet; no run with real processes shows it. Two terms of one host had the same fencing token, so that the numbers of their runs began anew: a start of the second term may have the number of a run of the first, and the end of an earlier run of a job that is not known yet was taken for one of the present term and could be forgotten.

Cause: a pool that was dropped from the configuration and returned to it while the host could not delete its key, as the store took no writes, was gained again under the old key.

Change: a fencing token that was given up counts as rejected, also while the pool is not configured. The host then deletes the key and acquires the pool under a new one.

--- a/internal/membership/elect.go
+++ b/internal/membership/elect.go
@@ -40,7 +40,7 @@
 	// held are, by pool, the fencing tokens of the pools that this host owned when the state was last published.
 	held map[string]uint64
 	// rejected is, by pool, the newest fencing token that this host must no longer use: a worker or the store rejected it,
-	// or a peer accepted the pool.
+	// a peer accepted the pool, or its term has ended. Pools that are no longer configured are kept, as they may return.
 	rejected map[string]uint64
 	// rejectedBy is, by pool, why the fencing token in rejected must no longer be used.
 	rejectedBy map[string]string
@@ -72,8 +72,6 @@
 	}
 	unused := func(pool string) bool { return !slices.Contains(e.pools, pool) }
 	maps.DeleteFunc(e.view.owners, func(p string, s *ownerState) bool { return s.owner == nil && unused(p) })
-	maps.DeleteFunc(e.rejected, func(p string, _ uint64) bool { return unused(p) })
-	maps.DeleteFunc(e.rejectedBy, func(p, _ string) bool { return unused(p) })
 	maps.DeleteFunc(e.basis, func(p, _ string) bool { return unused(p) })
 	maps.DeleteFunc(e.notBefore, func(p string, _ time.Time) bool { return unused(p) })
 }
@@ -172,6 +170,7 @@
 	for _, pool := range sortedKeys(before) {
 		if held[pool] != before[pool] {
 			m.logLost(pool, before[pool])
+			e.rejected[pool] = max(e.rejected[pool], before[pool])
 			m.events.Lost(pool, before[pool])
 		}
 	}
