Connections that a link makes late carry no acknowledgements

What callers saw: none recorded. A worker that restarts under its id forgets ended runs that the owner has not applied, so that they look as if they had never begun and start again.

Cause: a hold may acknowledge ends on each connection that was opened before the one on which the incarnation last answered. A link that accepts a connection at once and makes it to the worker later (a proxy whose own connection waits) breaks that order: the connection that was opened first leads to the next incarnation.

Change: Answer.Connection leaves out connections on which another call, the first one, was still in progress when the call began. One whose first call had ended by then leads to the process that answered or to an earlier one.

--- a/httpcall/conn.go
+++ b/httpcall/conn.go
@@ -32,6 +32,8 @@
 	net.Conn
 	// number counts the connections of the pool in the order in which they were opened, from 1.
 	number int64
+	// latestKnown is Answer.Connection for the call in progress.
+	latestKnown int64
 	// byteCounts belongs to the call in progress.
 	byteCounts *byteCounts
 	// Each read of the answer moves the read deadline to maxGap from now, but not beyond latestDeadline. With a maxGap
--- a/httpcall/httpcall.go
+++ b/httpcall/httpcall.go
@@ -90,8 +90,9 @@
 type Answer struct {
 	Status int
 	Body   []byte
-	// Connection is the number of the connection on which a complete answer arrived. Connections are numbered as they are opened:
-	// those with lower numbers led to the same process, or to an earlier one.
+	// Connection is the highest number of a connection that surely leads to the process that answered, or to an earlier one; 0 if
+	// none does. Connections are numbered as they are opened. A link may accept one and make it to the server later: another one on
+	// which the first call was still in progress when this call began does not count, nor do later ones.
 	Connection int64
 	// Sent is false if no part of the request can have reached the server.
 	Sent bool
@@ -140,9 +141,10 @@
 		}
 		conn.byteCounts = counts
 		conn.allowLonger(ctx, r)
+		latest := conn.latestKnown
 		got, err := c.exchange(ctx, conn, r)
 		if err == nil {
-			got.Connection = conn.number
+			got.Connection = latest
 			return got, nil
 		}
 		stale := conn.reused && !conn.answerStarted && !errors.Is(err, os.ErrDeadlineExceeded)
@@ -156,6 +158,9 @@
 func (c *Client) exchange(ctx context.Context, conn *conn, r *Request) (Answer, error) {
 	stop := context.AfterFunc(ctx, conn.interrupt)
 	got, keep, err := conn.roundTrip(c.address, r)
+	if !conn.reused {
+		c.conns.endFirstCall(conn)
+	}
 	if !stop() {
 		keep = false
 	}
--- a/httpcall/pool.go
+++ b/httpcall/pool.go
@@ -21,6 +21,8 @@
 
 	mu     sync.Mutex
 	opened int64
+	// unanswered holds the numbers of the connections whose first call is in progress, in ascending order.
+	unanswered []int64
 	// idle holds the idle connections, with the most recently used one at the end.
 	idle   []*conn
 	closed bool
@@ -90,14 +92,35 @@
 		_ = opened.Close()
 		return nil, err
 	}
-	return &conn{Conn: opened, number: p.nextNumber()}, nil
+	c := &conn{Conn: opened}
+	p.number(c)
+	return c, nil
 }
 
-func (p *pool) nextNumber() int64 {
+func (p *pool) number(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.opened++
-	return p.opened
+	c.number = p.opened
+	p.unanswered = append(p.unanswered, c.number)
+	c.latestKnown = p.latestKnown(c)
+}
+
+// latestKnown returns the highest number, at most that of the connection, below which no connection is in its first call.
+func (p *pool) latestKnown(c *conn) int64 {
+	if len(p.unanswered) > 0 && p.unanswered[0] < c.number {
+		return p.unanswered[0] - 1
+	}
+	return c.number
+}
+
+// endFirstCall records that the first call on a connection has ended.
+func (p *pool) endFirstCall(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i := slices.Index(p.unanswered, c.number); i >= 0 {
+		p.unanswered = slices.Delete(p.unanswered, i, i+1)
+	}
 }
 
 // takeIdle returns the most recently used idle connection, whose number is at most latest unless that is 0; nil without one.
@@ -107,6 +130,7 @@
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		if c := p.idle[i]; latest == 0 || c.number <= latest {
 			p.idle = slices.Delete(p.idle, i, i+1)
+			c.latestKnown = p.latestKnown(c)
 			return c
 		}
 	}
