soak: takeovers beside outages of the store and returned workers, as a mode

The soak had about 10 workers, none that return under their id, no registry entries of living workers that lapse and no late holds. A violation did not name the runs it was about.

Change: the mode takeovers serves jobs on 24 to 30 workers while series of owners are killed, beside a store that is slow and then silent, cut workers, workers that crash and return under their ids, lapsed entries, and late orders and holds. Late calls are now carried out by the worker that then has the id, ends up to the highest lastSeen are never listed, and a crash closes the machine's connections, in all modes. Violations and the history name the run, its fencing token and worker, and when it started, ended and was acknowledged.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 SEED ?= 1
 MODE ?= jobs,requests
 MINUTES ?= 0
-soak: build ## inject faults into real processes; SEED=n or n..m, MODE=jobs, requests or cuts, MINUTES=m
+soak: build ## inject faults into real processes; SEED=n or n..m, MODE=jobs, requests, cuts or takeovers, MINUTES=m
 	bin/agateturn-standin soak --seeds $(SEED) --mode $(MODE) --minutes $(MINUTES)
 
 up: build ## start a deployment on loopback and keep it until Ctrl-C; DEPLOYMENT=agency or brenaz
--- a/standin/jobplatform/available.go
+++ b/standin/jobplatform/available.go
@@ -34,7 +34,7 @@
 // away reports whether the task is unavailable because of an order, or has been down longer than absenceGrace for another
 // reason. A task that never ran does not count.
 func (t *taskHistory) isUnavailable(now time.Time) bool {
-	if t == nil || t.runs == 0 {
+	if t == nil || len(t.runs) == 0 {
 		return false
 	}
 	recovered := t.startedAt.After(t.displacedAt) && t.serving(now)
--- a/standin/jobplatform/control.go
+++ b/standin/jobplatform/control.go
@@ -11,14 +11,19 @@
 // that Store replaces all previous store faults.
 type Control struct {
 	Store *StoreControl `json:"store,omitempty"`
-	// LoseEvery and DelayEvery are as in LoseAnswers and DelayOrders.
-	LoseEvery  *int `json:"loseEvery,omitempty"`
-	DelayEvery *int `json:"delayEvery,omitempty"`
+	// LoseEvery, DelayEvery and DelayHoldsEvery are as in LoseAnswers, DelayOrders and DelayHolds.
+	LoseEvery       *int `json:"loseEvery,omitempty"`
+	DelayEvery      *int `json:"delayEvery,omitempty"`
+	DelayHoldsEvery *int `json:"delayHoldsEvery,omitempty"`
 	// Compact makes the store discard all past changes, Revoke revokes all leases.
 	Compact bool `json:"compact,omitempty"`
 	Revoke  bool `json:"revoke,omitempty"`
 	// Crash terminates the busiest worker.
 	Crash bool `json:"crash,omitempty"`
+	// Return is the number of the busiest workers that crash and return under their ids.
+	Return int `json:"return,omitempty"`
+	// Lapse removes the registry entries of all workers for a time, as in LapseEntries.
+	Lapse bool `json:"lapse,omitempty"`
 	// Calm reports that the last fault has ended.
 	Calm bool `json:"calm,omitempty"`
 	// Configure makes the operator write the next version of the configuration.
@@ -72,6 +77,9 @@
 	if c.DelayEvery != nil {
 		p.DelayOrders(*c.DelayEvery)
 	}
+	if c.DelayHoldsEvery != nil {
+		p.DelayHolds(*c.DelayHoldsEvery)
+	}
 	if c.Compact {
 		p.kv.Compact()
 	}
@@ -81,6 +89,10 @@
 	if c.Crash {
 		p.CrashBusiest()
 	}
+	p.ReturnBusiest(c.Return)
+	if c.Lapse {
+		p.LapseEntries()
+	}
 	if c.Calm {
 		p.history.Calm(time.Now())
 	}
--- a/standin/jobplatform/faults.go
+++ b/standin/jobplatform/faults.go
@@ -1,6 +1,8 @@
 package jobplatform
 
 import (
+	"cmp"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,9 +15,9 @@
 // lateDelay is the delay after which a late order or write is executed.
 const lateDelay = 2 * time.Second
 
-// faults decides which answers are lost and which orders and writes are executed late.
+// faults decides which answers are lost and which orders, holds and writes are executed late.
 type faults struct {
-	lostAnswers, lateOrders, lateWrites everyNth
+	lostAnswers, lateOrders, lateHolds, lateWrites everyNth
 }
 
 // everyNth selects every nth call, none if the interval is 0.
@@ -34,9 +36,12 @@
 // LoseAnswers drops every nth answer of workers, machines and store writes, although the calls take effect; 0 stops this.
 func (p *Platform) LoseAnswers(every int) { p.faults.lostAnswers.interval.Store(int64(every)) }
 
-// DelayOrders leaves every nth order without an answer; its worker executes it 2 s later. 0 stops this.
+// DelayOrders leaves every nth order without an answer; the worker that then has the id executes it 2 s later. 0 stops this.
 func (p *Platform) DelayOrders(every int) { p.faults.lateOrders.interval.Store(int64(every)) }
 
+// DelayHolds does the same to every nth hold.
+func (p *Platform) DelayHolds(every int) { p.faults.lateHolds.interval.Store(int64(every)) }
+
 // SilenceStore leaves store calls of entry hosts without an answer for the duration d.
 func (p *Platform) SilenceStore(d time.Duration) { p.silentUntil.Store(time.Now().Add(d).UnixNano()) }
 
@@ -49,10 +54,22 @@
 			busiest = m
 		}
 	}
-	busiest.crash()
+	busiest.crash(false)
 	return busiest.id
 }
 
+// ReturnBusiest crashes the workers with the most runs. Each returns under its id after returnTime.
+func (p *Platform) ReturnBusiest(count int) {
+	machines := slices.Clone(p.machines)
+	slices.SortStableFunc(machines, func(a, b *machine) int { return cmp.Compare(b.load(), a.load()) })
+	for _, m := range machines[:min(count, len(machines))] {
+		m.crash(true)
+	}
+}
+
+// LapseEntries removes the registry entries of all workers. Each is back within maxLapse.
+func (p *Platform) LapseEntries() { p.lapse.Store(true) }
+
 // UnacknowledgedEnds returns the number of ended runs that no owner has acknowledged.
 func (p *Platform) UnacknowledgedEnds() int {
 	left := 0
--- a/standin/jobplatform/history.go
+++ b/standin/jobplatform/history.go
@@ -61,7 +61,8 @@
 }
 
 type taskHistory struct {
-	running, runs, done int
+	runs          []*runRecord
+	running, done int
 	// acknowledged is set once a successful end was acknowledged.
 	acknowledged bool
 	// displacedAt is when an order last ended the task while it was serving.
--- a/standin/jobplatform/jobplatform.go
+++ b/standin/jobplatform/jobplatform.go
@@ -57,8 +57,10 @@
 	faults      *faults
 	traffic     traffic
 	silentUntil atomic.Int64
-	listeners   []net.Listener
-	handlers    []http.Handler
+	// lapse is set until the registry has removed all entries.
+	lapse     atomic.Bool
+	listeners []net.Listener
+	servers   []*http.Server
 
 	mu    sync.Mutex
 	waves map[int64]*wave
@@ -80,7 +82,7 @@
 	for _, pool := range o.Pools {
 		for range pool.Machines {
 			m := p.newMachine(pool.Name, pools)
-			if err := p.listen(ctx, m.address, m.serveOrders()); err != nil {
+			if err := p.listen(ctx, m.address, &http.Server{Handler: m.serveOrders(), ConnState: m.trackConnection, ReadHeaderTimeout: headerTimeout}); err != nil {
 				return nil, err
 			}
 			p.machines = append(p.machines, m)
@@ -98,7 +100,8 @@
 	if err != nil {
 		return err
 	}
-	return p.listen(ctx, netip.AddrPortFrom(address.Addr(), address.Port()+uint16(view)).String(), mux) //nolint:gosec // few views
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	return p.listen(ctx, netip.AddrPortFrom(address.Addr(), address.Port()+uint16(view)).String(), server) //nolint:gosec // few views
 }
 
 // The last bytes of the workers' addresses run from firstWorker through workerBytes values; further machines use the next port.
@@ -113,20 +116,20 @@
 		id: fmt.Sprintf("m%02d", n+1), zone: "zone-1", rack: fmt.Sprintf("rack-%d", n/perRack+1), number: n + 1,
 		address:  fmt.Sprintf("%s.%d:%d", p.options.Network, firstWorker+n%workerBytes, p.options.WorkerPort+n/workerBytes),
 		capacity: capacity{CPU: 4000, MemMB: 8192}, history: p.history, pools: pools, faults: p.faults,
-		pool: pool, upkeepWaves: make(map[int64]bool),
+		pool: pool, upkeepWaves: make(map[int64]bool), connections: make(map[net.Conn]bool),
 	}
 	m.startWorkerLocked()
 	return m
 }
 
-func (p *Platform) listen(ctx context.Context, address string, handler http.Handler) error {
+func (p *Platform) listen(ctx context.Context, address string, server *http.Server) error {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	if err != nil {
 		p.closeListeners()
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
 	p.listeners = append(p.listeners, listener)
-	p.handlers = append(p.handlers, handler)
+	p.servers = append(p.servers, server)
 	return nil
 }
 
@@ -139,11 +142,8 @@
 // Run serves until ctx is done.
 func (p *Platform) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	for i := range p.listeners {
-		server := &http.Server{
-			Handler: p.handlers[i], ReadHeaderTimeout: headerTimeout,
-			BaseContext: func(net.Listener) context.Context { return ctx },
-		}
+	for i, server := range p.servers {
+		server.BaseContext = func(net.Listener) context.Context { return ctx }
 		group.Go(func() error { return server.Serve(p.listeners[i]) })
 		group.Go(func() error {
 			<-ctx.Done()
@@ -151,7 +151,7 @@
 		})
 	}
 	group.Go(func() error { return p.every(ctx, machineTick, p.tickMachines) })
-	r := registry{kv: p.kv.Client("workers"), entries: make(map[string]*registration)}
+	r := registry{kv: p.kv.Client("workers"), entries: make(map[string]*registration), lapse: &p.lapse}
 	group.Go(func() error {
 		return p.every(ctx, registryTick, func(now time.Time) error { return r.report(ctx, p.machines, now) })
 	})
--- a/standin/jobplatform/machine.go
+++ b/standin/jobplatform/machine.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"net"
+	"net/http"
 	"sync"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // States of machines, as the machine API reports them.
@@ -19,6 +23,8 @@
 	upkeepTime = 1500 * time.Millisecond
 	// restartTime is how long a crashed machine is down.
 	restartTime = 2 * time.Second
+	// returnTime is the downtime of a crashed worker that returns under its id.
+	returnTime = 400 * time.Millisecond
 	// clockOffsetMs is the difference between the clocks of consecutive machines, in milliseconds.
 	clockOffsetMs = 100_000
 	// The clocks of consecutive machines are slow by 0 to clockLags-1 hundredths, as the contract allows.
@@ -40,8 +46,11 @@
 	backAt       time.Time
 	current      *worker
 	incarnations int
-	fence        uint64
-	holder       string
+	// returns is set while the machine restarts with a worker of the same id.
+	returns     bool
+	connections map[net.Conn]bool
+	fence       uint64
+	holder      string
 	// upkeepWaves holds the waves for which the upkeep of the machine has started.
 	upkeepWaves map[int64]bool
 }
@@ -53,7 +62,10 @@
 	if pool.Spare {
 		return
 	}
-	m.incarnations++
+	if !m.returns {
+		m.incarnations++
+	}
+	m.returns = false
 	m.current = &worker{
 		id: fmt.Sprintf("%s-%d", m.id, m.incarnations), pool: m.pool, capacity: m.capacity, enforces: pool.EnforcesCapacity,
 		history: m.history, born: time.Now(), clockBase: int64(m.number) * clockOffsetMs,
@@ -84,12 +96,43 @@
 	}
 }
 
-func (m *machine) crash() {
+// crash terminates the worker and closes its connections. If it returns, the next worker has its id.
+func (m *machine) crash(returns bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.state == stateUp {
-		m.stopWorkerLocked(stateDown, restartTime)
+	if m.state != stateUp || m.current == nil {
+		return
 	}
+	m.returns = returns
+	m.stopWorkerLocked(stateDown, lo.Ternary(returns, returnTime, restartTime))
+	for c := range m.connections {
+		_ = c.Close() // it is of no further use
+	}
+}
+
+// trackConnection is a callback of the machine's server that keeps connections up to date.
+func (m *machine) trackConnection(c net.Conn, state http.ConnState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		m.connections[c] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(m.connections, c)
+	default:
+	}
+}
+
+// executeLate executes a call after lateDelay on the worker that then has the id, if any.
+func (m *machine) executeLate(id string, call func(*worker)) {
+	time.AfterFunc(lateDelay, func() {
+		m.mu.Lock()
+		target := m.current
+		m.mu.Unlock()
+		if target != nil && target.id == id {
+			call(target)
+		}
+	})
 }
 
 // fencedLocked reports whether a holder's fencing token is too low, and keeps the highest.
--- a/standin/jobplatform/orders.go
+++ b/standin/jobplatform/orders.go
@@ -65,7 +65,7 @@
 			return
 		}
 		if m.faults.lateOrders.next() {
-			time.AfterFunc(lateDelay, func() { act(target, body, t) })
+			m.executeLate(target.id, func(w *worker) { act(w, body, t) })
 			panic(http.ErrAbortHandler)
 		}
 		reason := act(target, body, t)
@@ -96,6 +96,10 @@
 	if target == nil || !readBody(w, r, &body) {
 		return
 	}
+	if m.faults.lateHolds.next() {
+		m.executeLate(target.id, func(w *worker) { w.renew(body) })
+		panic(http.ErrAbortHandler)
+	}
 	if !target.renew(body) {
 		writeJSON(w, http.StatusConflict, map[string]any{"clockMs": target.clock(), "reason": "fence"})
 		return
--- a/standin/jobplatform/registry.go
+++ b/standin/jobplatform/registry.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
@@ -16,6 +18,8 @@
 	Heartbeat = time.Second
 	// crashedEntryTTL is how long the entry of a crashed worker stays after its last report.
 	crashedEntryTTL = 3 * Heartbeat
+	// maxLapse is the longest time until a lapsed entry is back.
+	maxLapse = 2 * time.Second
 
 	registryTick = 100 * time.Millisecond
 	machineKind  = "standard"
@@ -33,6 +37,16 @@
 type registry struct {
 	kv      store.Transactor
 	entries map[string]*registration
+	// lapse requests one call of lapseAll.
+	lapse *atomic.Bool
+}
+
+// lapseAll returns the keys of all entries, and makes each due again at a random time within maxLapse.
+func (r *registry) lapseAll(now time.Time) []string {
+	for _, e := range r.entries {
+		e.reported = now.Add(rand.N(maxLapse) - Heartbeat) //nolint:gosec // not a secret
+	}
+	return lo.Keys(r.entries)
 }
 
 // report writes the due changes in as few transactions as the store permits.
@@ -46,6 +60,9 @@
 			t.Puts = append(t.Puts, store.Put{Key: key, Data: value})
 		}
 	}
+	if r.lapse.CompareAndSwap(true, false) {
+		t.Deletes = append(t.Deletes, r.lapseAll(now)...)
+	}
 	for key, e := range r.entries {
 		if !live[key] && (e.machine.stoppedByOrder() || now.Sub(e.reported) > crashedEntryTTL) {
 			t.Deletes = append(t.Deletes, key)
--- a/standin/jobplatform/run.go
+++ b/standin/jobplatform/run.go
@@ -19,6 +19,7 @@
 	name   string
 	number int64
 	step   Step
+	record *runRecord
 	// workFrom is the start of the work, after a restore. A member of a gang also waits until all members have joined.
 	startedAt, workFrom time.Time
 	gang                *gang
@@ -28,9 +29,9 @@
 	stopAt time.Time
 }
 
-func newRun(o orderBody, t taskID, step Step) *run {
+func newRun(o orderBody, t taskID, step Step, record *runRecord) *run {
 	now := time.Now()
-	r := &run{task: t, name: o.Task, number: o.Run, step: step, startedAt: now, workFrom: now}
+	r := &run{task: t, name: o.Task, number: o.Run, step: step, record: record, startedAt: now, workFrom: now}
 	return r
 }
 
--- a/standin/jobplatform/served.go
+++ b/standin/jobplatform/served.go
@@ -24,7 +24,7 @@
 
 func (h *History) logLocked(format string, args ...any) {
 	if h.log != nil {
-		_, _ = fmt.Fprintf(h.log, time.Now().Format("15:04:05.000 ")+format+"\n", args...) // a truncated history is still useful
+		_, _ = fmt.Fprintf(h.log, time.Now().Format(clockLayout)+" "+format+"\n", args...) // a truncated history is still useful
 	}
 }
 
--- a/standin/jobplatform/worker.go
+++ b/standin/jobplatform/worker.go
@@ -29,13 +29,15 @@
 	clockBase int64
 	clockLag  int64
 
-	mu      sync.Mutex
-	dead    bool
-	fence   uint64
-	until   int64
-	runs    []*run
-	ended   []endedRun
-	number  int64
+	mu     sync.Mutex
+	dead   bool
+	fence  uint64
+	until  int64
+	runs   []*run
+	ended  []endedRun
+	number int64
+	// seen is the highest lastSeen; ends up to it are not listed, even if they follow it.
+	seen    int64
 	highest map[taskID]int64
 	changed chan struct{}
 }
@@ -51,7 +53,6 @@
 	number int64
 	run    *run
 	how    string
-	at     time.Time
 	lapsed bool
 }
 
@@ -118,7 +119,7 @@
 	if w.enforces && known && !fits {
 		return "room"
 	}
-	step, ok := w.history.started(w.id, w.pool, o.Spec, t)
+	record, step, ok := w.history.started(w.id, w.pool, o, t)
 	if !ok {
 		return "room"
 	}
@@ -126,7 +127,7 @@
 		w.history.ReportViolation("%v started on worker %s beyond its capacity", t, w.id)
 	}
 	w.highest[t] = o.Run
-	r := newRun(o, t, step)
+	r := newRun(o, t, step, record)
 	if o.Checkpoint != "" && !r.resume(o.Checkpoint) {
 		w.history.ReportViolation("%v started with checkpoint %q of another task", t, o.Checkpoint)
 	}
@@ -186,11 +187,12 @@
 func (w *worker) endLocked(ended *run, how string) {
 	w.runs = slices.DeleteFunc(w.runs, func(r *run) bool { return r == ended })
 	w.number++
-	w.ended = append(w.ended, endedRun{number: w.number, run: ended, how: how, at: time.Now()})
+	w.ended = append(w.ended, endedRun{number: w.number, run: ended, how: how})
 	if ended.gang != nil {
 		ended.gang.ended(how)
 	}
-	w.history.runEnded(ended.task, how)
+	w.history.runEnded(ended.record, how)
+	w.acknowledgeLocked(w.seen)
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
@@ -207,18 +209,19 @@
 		if r.gang != nil {
 			r.gang.ended(endGone)
 		}
-		w.history.runEnded(r.task, endGone)
+		w.history.runEnded(r.record, endGone)
 	}
-	w.runs = nil
+	w.runs, w.ended = nil, nil
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
 
 // acknowledgeLocked drops the ends that an owner has acknowledged.
 func (w *worker) acknowledgeLocked(lastSeen int64) {
-	for len(w.ended) > 0 && w.ended[0].number <= lastSeen {
+	w.seen = max(w.seen, lastSeen)
+	for len(w.ended) > 0 && w.ended[0].number <= w.seen {
 		if e := w.ended[0]; e.how == endDone {
-			w.history.successAcknowledged(e.run.task, e.at, e.lapsed)
+			w.history.successAcknowledged(e.run.record, e.lapsed)
 		}
 		w.ended = w.ended[1:]
 	}
--- a/standin/soak/jobs.go
+++ b/standin/soak/jobs.go
@@ -172,12 +172,18 @@
 		begin.Revoke = true
 	case Crash:
 		begin.Crash = true
+	case Return:
+		begin.Return = s.Workers
+	case Lapse:
+		begin.Lapse = true
 	case Configure:
 		begin.Configure = true
 	case LoseAnswers:
 		begin.LoseEvery, after.LoseEvery = lo.ToPtr(loseEvery), lo.ToPtr(0)
 	case DelayOrders:
 		begin.DelayEvery, after.DelayEvery = lo.ToPtr(lateEvery), lo.ToPtr(0)
+	case DelayHolds:
+		begin.DelayHoldsEvery, after.DelayHoldsEvery = lo.ToPtr(lateEvery), lo.ToPtr(0)
 	default:
 		return nil, fmt.Errorf("unknown fault: %s", s)
 	}
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -14,11 +14,13 @@
 // Mode is the kind of work that the entry hosts serve.
 type Mode string
 
-// The modes of entry hosts. Cuts serves jobs while series of links are cut or refuse connections.
+// The modes of entry hosts. Cuts serves jobs while series of links are cut or refuse connections. Takeovers serves more jobs on
+// larger pools, while owners end and restart during outages of the store and of workers.
 const (
-	Jobs     Mode = "jobs"
-	Requests Mode = "requests"
-	Cuts     Mode = "cuts"
+	Jobs      Mode = "jobs"
+	Requests  Mode = "requests"
+	Cuts      Mode = "cuts"
+	Takeovers Mode = "takeovers"
 )
 
 // Sizes limit the random choices of a plan.
@@ -63,8 +65,13 @@
 	Revoke      Action = "revoke"
 	LoseAnswers Action = "lose-answers"
 	DelayOrders Action = "late-orders"
+	DelayHolds  Action = "late-holds"
 	Crash       Action = "crash-worker"
 	Configure   Action = "configure"
+	// Return crashes the given number of workers, which return under their ids. Lapse removes the registry entries of all
+	// workers, which are soon back.
+	Return Action = "return-workers"
+	Lapse  Action = "lapse-entries"
 	// Move moves a worker to a pool, StartWave starts a wave; Detail holds the target.
 	Move      Action = "move"
 	StartWave Action = "wave"
@@ -80,6 +87,7 @@
 	For        time.Duration
 	Detail     string
 	Impairment Impairment
+	Workers    int
 }
 
 const (
@@ -92,6 +100,8 @@
 	storeAddress   = "store"
 	// cutsWeight is how often each kind of cut of workers is among the kinds of Cuts.
 	cutsWeight = 4
+	// minWorkers and takeoverWorkers are the smallest numbers of workers that a plan chooses, for all modes but Takeovers and for it.
+	minWorkers, takeoverWorkers = 8, 24
 )
 
 // planner builds a plan from random numbers.
@@ -106,13 +116,16 @@
 func Draw(mode Mode, seed uint64, sizes Sizes) Plan {
 	d := &planner{Plan: &Plan{Seed: seed, Mode: mode}, random: rand.New(rand.NewPCG(seed, 7))} //nolint:gosec // repeatable
 	d.Hosts = cmp.Or(sizes.Hosts, 3+d.random.IntN(3))
-	workers := cmp.Or(sizes.Workers, 8+d.random.IntN(7))
+	workers := cmp.Or(sizes.Workers, lo.Ternary(mode == Takeovers, takeoverWorkers, minWorkers)+d.random.IntN(7))
 	pools := 2 + d.random.IntN(2)
 	for range pools {
 		d.Pools = append(d.Pools, max(3, workers/pools))
 	}
 	d.Pools = append(d.Pools, 1+d.random.IntN(2))
-	d.Rate = map[Mode]float64{Jobs: 3 + 2*d.random.Float64(), Requests: 40 + 40*d.random.Float64()}[lo.Ternary(mode == Cuts, Jobs, mode)]
+	d.Rate = map[Mode]float64{Jobs: 3 + 2*d.random.Float64(), Requests: 40 + 40*d.random.Float64()}[lo.Ternary(mode == Requests, mode, Jobs)]
+	if mode == Takeovers {
+		d.Rate *= takeoverWorkers / minWorkers
+	}
 	d.WaveCap = 1 + d.random.IntN(2)
 	end := firstFault + sizes.Faults
 	d.Load = end + recoveryBound + loadAfterBound
@@ -122,6 +135,10 @@
 		d.series, d.at = kind.name, at
 		kind.draw()
 	}
+	if mode == Takeovers {
+		d.series, d.at = "last outage", max(firstFault, end-d.ms(2500, 6000))
+		d.lastOutage()
+	}
 	d.Steps = slices.DeleteFunc(d.Steps, func(s Step) bool { return s.At >= end && s.Action != Start && s.Action != Continue })
 	slices.SortStableFunc(d.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return *d.Plan
@@ -163,6 +180,8 @@
 		{"operator", d.configure},
 	}
 	switch d.Mode {
+	case Takeovers:
+		return d.takeoverKinds()
 	case Requests:
 		all = append(all, kind{"move", d.move}, kind{"move", d.move}, kind{"wave", d.startWave})
 	case Cuts:
@@ -349,6 +368,8 @@
 		return strings.TrimSpace(fmt.Sprintf("%s entry-%d %s", s.Action, s.Host, s.Detail))
 	case s.For > 0:
 		return fmt.Sprintf("%s %s for %v", s.Action, s.Detail, s.For)
+	case s.Workers > 0:
+		return fmt.Sprintf("%s %d", s.Action, s.Workers)
 	}
 	return string(s.Action)
 }
