--- a/proofs/soak_test.go
+++ b/proofs/soak_test.go
@@ -16,7 +16,8 @@
 // soakFaultTime is the time during which faults are injected in each run.
 const soakFaultTime = 12 * time.Second
 
-// TestSoak runs the soak briefly with seeds that failed before; cause is the fault that they found.
+// TestSoak runs the soak briefly, with seeds that failed before where there is one; covers is the fault that they found, or what the
+// mode covers.
 func TestSoak(t *testing.T) {
 	dir, err := os.MkdirTemp("", "agateturn-soak")
 	assert.NilError(t, err)
@@ -24,13 +25,14 @@
 	out, err := exec.CommandContext(context.Background(), "go", "build", "-o", standin, "../cmd/agateturn-standin").CombinedOutput()
 	assert.NilError(t, err, "%s", out)
 	for _, run := range []struct {
-		mode  soak.Mode
-		seed  uint64
-		cause string
+		mode   soak.Mode
+		seed   uint64
+		covers string
 	}{
 		{soak.Jobs, 3, "a planned stop cut a request before the end of its grace"},
 		{soak.Requests, 2, "rejected without Retry-After by entry hosts that had no configuration yet"},
 		{soak.Cuts, 2, "refused connections taken for the end of a live worker, whose tasks ran twice"},
+		{soak.Takeovers, 8, "owners that end beside a silent store, returned workers, lapsed entries, late orders and holds"},
 	} {
 		t.Run(string(run.mode), func(t *testing.T) {
 			outcome, err := soak.Run(t.Context(), soak.Options{
