A roster that is read late may tell of the longest leases

Callers saw a task run on two workers at once, after a change of its pool's owner during which the roster could not be read for over 8.7 s.

Cause: the takeover's wait takes the longest lease that workers grant only if a worker that it knows is recorded as unsettled, or the record as incomplete. It knew neither before the record was read, so that the wait ended as if all leases were those that owners ask for.

Change: until the workers are known, the takeover waits for the longest lease.

Measured: TestRosterThatIsReadLateTellsOfLongerLeases failed before in 7 of 7 cases, in 3 of 3 runs, and passes in 3 of 3 since.

--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -213,10 +213,10 @@
 }
 
 // longestAwaitedLease returns how long a lease on a worker that has not reported may last from the takeover on. Workers that the
-// record does not name may be unsettled.
+// record does not name may be unsettled, as may all of them until it has been read.
 func (p *Pool) longestAwaitedLease() time.Duration {
 	longest := p.cfg.longestLease()
-	if p.takeover.rosterIncomplete {
+	if p.takeover.rosterIncomplete || !p.takeover.registryLoaded {
 		longest = max(longest, p.cfg.MaxLease)
 	}
 	for id := range p.takeover.awaited {
