--- a/internal/carry/client.go
+++ b/internal/carry/client.go
@@ -202,6 +202,7 @@
 		return report, holdError(result)
 	}
 	fillReport(&report, result)
+	report.LastSeen = 0 // the carrier may have left it out
 	return report, nil
 }
 
