--- a/internal/poolowner/carried_test.go
+++ b/internal/poolowner/carried_test.go
@@ -34,6 +34,8 @@
 	done     map[scheduler.TaskID]bool
 	acked    map[scheduler.TaskID]bool
 	violated []string
+	// admits reports whether a worker accepts a call with a fence; nil accepts all.
+	admits func(worker string, fence uint64) bool
 }
 
 type runningWorker struct {
@@ -91,6 +93,9 @@
 	result := scheduler.OrderResult{Order: o, Clock: time.Now().UnixMilli()}
 	w := r.worker(o.Worker)
 	switch {
+	case r.admits != nil && !r.admits(o.Worker, o.Fence):
+		result.Outcome = scheduler.OutcomeFenced
+		return result
 	case w.running[o.Task].run == o.Run:
 		return result
 	case o.Run <= w.highest[o.Task]:
