--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -66,8 +66,9 @@
 
 	ends endLog
 	acks ackLog
-	// returned means that another incarnation has had the id before.
-	returned bool
+	// returned means that another incarnation has had the id before, inheritedAcks that a hold of an earlier owner to that one may be
+	// carried out by the present one.
+	returned, inheritedAcks bool
 	// endsHidden means that the incarnation has reported, and that ends of runs of earlier owners may be beyond those that it lists.
 	endsHidden bool
 	health     workerHealth
@@ -157,7 +158,8 @@
 	w := &worker{Worker: *info, describedBorn: info.Born, byKey: map[runKey]*run{}, listClock: -1}
 	w.lastReport = now
 	w.unsettled = !info.Unused && (info.RecordedUnsettled || info.RecordedBorn != info.Born)
-	w.returned = w.unsettled
+	w.returned = w.unsettled && info.RecordedBorn != 0
+	w.inheritedAcks = w.returned
 	p.raiseFence(w)
 	p.markEvacuating(w)
 	w.pace.percent = fullPacePercent
@@ -228,6 +230,7 @@
 	p.raiseFence(w)
 	w.unsettled = true
 	w.clock = workerClock{}
+	w.inheritedAcks = !w.reported && !w.Unused
 	w.reported = false
 	w.listClock = -1
 	w.lastClock = 0
