--- a/internal/poolowner/hold.go
+++ b/internal/poolowner/hold.go
@@ -200,7 +200,7 @@
 		Address: w.Address, Worker: w.ID, Born: w.Born, Hold: next, Wait: maxWait,
 	})
 	report.Address, report.Fence = w.Address, next.Fence
-	if next.LastSeen > 0 && report.LastSeen == 0 {
+	if next.LastSeen > 0 && (err == nil || report.LastSeen == 0) {
 		o.enqueue(ctx, func(p *scheduler.Pool, _ time.Time) { p.AckSettled(w.ID) })
 	}
 	return report, err
--- a/scheduler/forgottenends.go
+++ b/scheduler/forgottenends.go
@@ -48,7 +48,7 @@
 	*a = ackLog{lost: lost, sentAt: a.sentAt}
 }
 
-// AckSettled records that a hold of a worker which was to acknowledge ends was answered, or certainly acknowledged none.
+// AckSettled records that a hold of a worker which acknowledged ends was answered, or was certainly not sent.
 func (p *Pool) AckSettled(id string) {
 	w := p.workers[id]
 	switch {
@@ -65,17 +65,13 @@
 func (w *worker) mayForgetEnds() bool { return w.returned && !w.acks.endListed }
 
 // permitsEnds reports whether the step may use the worker, whose next ends may be forgotten. Persistent and speculative tasks may start
-// again whatever their ends. Of others one at a time may start where an earlier owner may have acknowledged ends, and where ends are probably
-// forgotten only after a wait for other workers.
+// again whatever their ends. Of others one at a time may start, and where ends are probably forgotten only after a wait for other workers.
 func (w *worker) permitsEnds(now time.Time, s *step) bool {
 	if !w.mayForgetEnds() || s.spec.GetPersistent() || s.spec.GetSpeculative() {
 		return true
 	}
-	switch {
-	case w.acks.lost > 0 && now.Sub(s.readySince) < forgetfulFallbackWait:
+	if w.acks.lost > 0 && now.Sub(s.readySince) < forgetfulFallbackWait {
 		return false
-	case w.acks.lost == 0 && !w.inheritedAcks:
-		return true
 	}
 	return !slices.ContainsFunc(w.runs, func(r *run) bool { return r.task == nil || !r.task.step.spec.GetPersistent() })
 }
--- a/scheduler/forgottenends_test.go
+++ b/scheduler/forgottenends_test.go
@@ -27,6 +27,7 @@
 	}
 	if answered {
 		b.answerHold(5, 1, nil, nil)
+		b.pool.AckSettled("w1")
 		assert.Equal(t, b.pool.Hold("w1", b.now).LastSeen, int64(0), "acknowledged again")
 	}
 	b.advance(time.Second)
@@ -74,20 +75,18 @@
 	assert.Assert(t, slices.ContainsFunc(nextStarts(b), isB), "a worker that lists an end lists all later ones")
 }
 
-// Guards against the same where the worker can only have carried out a hold of an earlier owner: one task at a time starts there until it
-// has listed an end, and none for a while once a run is missing.
+// Guards against the same where the next incarnation can only have carried out a hold of an earlier owner: one task at a time starts there
+// until it has listed an end, and none for a while once a run is missing.
 func TestOneBatchTaskStartsUntilAReturnedWorkerHasListedAnEnd(t *testing.T) {
-	b := newTestPool()
-	b.pool.SetWorkers(b.now, []scheduler.Worker{{
-		ID: "w1", Address: "w1", Born: 6, RecordedBorn: 6, RecordedUnsettled: true, Capacity: scheduler.Resources{CPUMilli: 4000, MemoryMB: 4000},
-	}})
-	b.answerHold(6, 0, nil, nil)
-	b.add("b", &pb.JobStep{Count: 2, CpuMilli: 1000, EstimateMs: 5000})
-	first := nextStarts(b)
-	assert.Equal(t, len(first), 1)
-	b.pool.Result(b.now, scheduler.OrderResult{Order: first[0], Outcome: scheduler.OutcomeDone, Clock: b.clock})
-	b.answerHold(6, 0, []scheduler.RunningTask{{Task: first[0].Task, Run: first[0].Run}}, nil)
-	assert.Equal(t, len(nextStarts(b)), 0)
-	b.answerHold(6, 0, nil, nil)
-	assert.Equal(t, len(nextStarts(b)), 0)
+	for _, acknowledge := range []bool{false, true} {
+		b := returnWorker(t, acknowledge, acknowledge)
+		b.add("b", &pb.JobStep{Count: 2, CpuMilli: 1000, EstimateMs: 5000})
+		first := nextStarts(b)
+		assert.Equal(t, len(first), 1)
+		b.pool.Result(b.now, scheduler.OrderResult{Order: first[0], Outcome: scheduler.OutcomeDone, Clock: b.clock})
+		b.answerHold(6, 0, []scheduler.RunningTask{{Task: first[0].Task, Run: first[0].Run}}, nil)
+		assert.Equal(t, len(nextStarts(b)), 0)
+		b.answerHold(6, 0, nil, nil)
+		assert.Equal(t, len(nextStarts(b)), 0)
+	}
 }
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -77,8 +77,7 @@
 	return until
 }
 
-// Hold returns the parameters of the next hold of a worker. If it acknowledges ends, a Report that says so must follow,
-// or AckSettled.
+// Hold returns the parameters of the next hold of a worker. If it acknowledges ends, AckSettled must follow once it is answered.
 func (p *Pool) Hold(id string, now time.Time) Hold {
 	h := p.Poll(id, now)
 	if w := p.workers[id]; w != nil {
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -66,9 +66,6 @@
 	if w == nil {
 		return
 	}
-	if r.LastSeen > 0 {
-		p.AckSettled(w.ID)
-	}
 	if r.Fenced {
 		p.fenced = p.fenced || p.isCurrentFence(w, r.Fence)
 		return
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -244,17 +244,14 @@
 	return scheduler.OutcomeDone, w.clock()
 }
 
-// nextHold returns the next hold of a worker, and whether the worker may wait for an end. An acknowledgement is bound to a connection,
-// which ends with its incarnation.
-func (o *simOwner) nextHold(w *simWorker) (h scheduler.Hold, waits bool) {
+// nextHold returns the next hold of a worker. An acknowledgement is bound to a connection, which ends with its incarnation.
+func (o *simOwner) nextHold(w *simWorker) scheduler.Hold {
+	h := o.pool.Hold(w.id, o.sim.time())
 	if o.unconfirmed[w.id] || o.answeredBy[w.id] != w.incarnation {
-		h = o.pool.Poll(w.id, o.sim.time())
-	} else {
-		h = o.pool.Hold(w.id, o.sim.time())
-		waits = h.LastSeen == 0
+		h.LastSeen = 0
 	}
 	o.unconfirmed[w.id] = true
-	return h, waits
+	return h
 }
 
 // hold keeps holding one worker, and waits at most a second for a run to end.
@@ -263,15 +260,12 @@
 	if o.replaced || o.waitUntilRunning(func() { o.hold(w) }) {
 		return
 	}
-	h, waits := o.nextHold(w)
+	h := o.nextHold(w)
 	sent := s.time()
 	expected := o.incarnations[w.id]
 	holdAgain := func(ms int64) { s.after(ms, func() { o.hold(w) }) }
 	lost := o.cutOff(w) || !w.up || s.faultsActive() && s.chance(s.faults.lostCalls)
 	if lost {
-		if !w.up && h.LastSeen > 0 {
-			o.pool.AckSettled(w.id) // its connection has ended
-		}
 		if s.naive {
 			o.handle(func(p *scheduler.Pool) {
 				p.Report(s.time(), scheduler.Report{Worker: w.id, Address: w.id, Sent: sent, Received: s.time(), Gone: true})
@@ -287,7 +281,7 @@
 			holdAgain(o.delayAfterBrokenHold(w))
 			return
 		}
-		if len(w.ended) == 0 && s.now < deadline && waits {
+		if len(w.ended) == 0 && s.now < deadline && h.LastSeen != 0 {
 			s.after(20, poll)
 			return
 		}
@@ -345,7 +339,8 @@
 // incarnation may answer.
 func (o *simOwner) poll(w *simWorker) {
 	s := o.sim
-	h := o.pool.Poll(w.id, s.time())
+	h := o.pool.Hold(w.id, s.time())
+	h.LastSeen = 0
 	sent := s.time()
 	expected := o.incarnations[w.id]
 	s.after(1+s.rng.Int64N(20), func() {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -66,9 +66,8 @@
 
 	ends endLog
 	acks ackLog
-	// returned means that another incarnation has had the id before, inheritedAcks that a hold of an earlier owner to that one may be
-	// carried out by the present one.
-	returned, inheritedAcks bool
+	// returned means that another incarnation has had the id before.
+	returned bool
 	// endsHidden means that the incarnation has reported, and that ends of runs of earlier owners may be beyond those that it lists.
 	endsHidden bool
 	health     workerHealth
@@ -158,8 +157,7 @@
 	w := &worker{Worker: *info, describedBorn: info.Born, byKey: map[runKey]*run{}, listClock: -1}
 	w.lastReport = now
 	w.unsettled = !info.Unused && (info.RecordedUnsettled || info.RecordedBorn != info.Born)
-	w.returned = w.unsettled && info.RecordedBorn != 0
-	w.inheritedAcks = w.returned
+	w.returned = w.unsettled
 	p.raiseFence(w)
 	p.markEvacuating(w)
 	w.pace.percent = fullPacePercent
@@ -230,7 +228,6 @@
 	p.raiseFence(w)
 	w.unsettled = true
 	w.clock = workerClock{}
-	w.inheritedAcks = !w.reported && !w.Unused
 	w.reported = false
 	w.listClock = -1
 	w.lastClock = 0
