--- a/internal/carry/client.go
+++ b/internal/carry/client.go
@@ -202,7 +202,6 @@
 		return report, holdError(result)
 	}
 	fillReport(&report, result)
-	report.LastSeen = 0 // the carrier may have left it out
 	return report, nil
 }
 
--- a/internal/poolowner/hold.go
+++ b/internal/poolowner/hold.go
@@ -104,7 +104,7 @@
 }
 
 func (o *Owner) pollWorker(ctx context.Context, w scheduler.Worker) {
-	report, err := o.holdOnce(ctx, w, 0, &acknowledgements{})
+	report, err := o.holdOnce(ctx, w, 0, false)
 	if err != nil {
 		return
 	}
@@ -124,7 +124,7 @@
 // renewLease renews the lease of one worker until ctx ends.
 func (o *Owner) renewLease(ctx context.Context, w scheduler.Worker) {
 	first := true
-	var acks acknowledgements
+	answered := false // whether the last hold was answered by this incarnation of the worker
 	refusals := 0
 	monitor := newSilenceMonitor(o, w)
 	for ctx.Err() == nil {
@@ -132,8 +132,8 @@
 		if first {
 			maxWait = 0
 		}
-		report, err := o.holdOnce(ctx, w, maxWait, &acks)
-		acks.permitted = err == nil && !report.Gone
+		report, err := o.holdOnce(ctx, w, maxWait, answered)
+		answered = err == nil && !report.Gone
 		monitor.observe(ctx, report.Gone, err)
 		if err != nil {
 			refusals = o.handleHoldFailure(ctx, w, refusals, err)
@@ -170,29 +170,20 @@
 	return holdRetryDelay
 }
 
-// acknowledgements are those of the holds of one renewer.
-type acknowledgements struct {
-	// permitted means that the last hold was answered by this incarnation of the worker. After a call without an answer, the next one
-	// may reach a new incarnation under the same id, which would drop its own ended runs up to the acknowledged number.
-	permitted bool
-	// latest is the last acknowledgement.
-	latest int64
-}
-
-// holdOnce sends one hold.
+// holdOnce sends one hold. It acknowledges ended runs only if acknowledge is set: after a call without an answer, this call
+// may reach a new incarnation under the same id, which would drop its own ended runs up to the acknowledged number.
 func (o *Owner) holdOnce(
-	ctx context.Context, w scheduler.Worker, maxWait time.Duration, acks *acknowledgements,
+	ctx context.Context, w scheduler.Worker, maxWait time.Duration, acknowledge bool,
 ) (scheduler.Report, error) {
-	next, ok := o.nextHold(ctx, w.ID, acks.permitted)
+	next, ok := o.nextHold(ctx, w.ID)
 	if !ok {
 		return scheduler.Report{}, ctx.Err()
 	}
-	if next.Until == 0 || next.LastSeen > 0 && next.LastSeen != acks.latest {
-		// A hold that acknowledges ends should not be under way when the worker ends.
-		maxWait = 0
+	if !acknowledge {
+		next.LastSeen = 0
 	}
-	if next.LastSeen > 0 {
-		acks.latest = next.LastSeen
+	if next.Until == 0 {
+		maxWait = 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxWait+holdTimeoutMargin)
 	defer cancel()
@@ -200,20 +191,12 @@
 		Address: w.Address, Worker: w.ID, Born: w.Born, Hold: next, Wait: maxWait,
 	})
 	report.Address, report.Fence = w.Address, next.Fence
-	if next.LastSeen > 0 && (err == nil || report.LastSeen == 0) {
-		o.enqueue(ctx, func(p *scheduler.Pool, _ time.Time) { p.AckSettled(w.ID) })
-	}
 	return report, err
 }
 
 // nextHold returns the parameters of the next hold of a worker.
-func (o *Owner) nextHold(ctx context.Context, worker string, acknowledge bool) (scheduler.Hold, bool) {
-	return runInLoop(ctx, o, func(p *scheduler.Pool, now time.Time) scheduler.Hold {
-		if !acknowledge {
-			return p.Poll(worker, now)
-		}
-		return p.Hold(worker, now)
-	})
+func (o *Owner) nextHold(ctx context.Context, worker string) (scheduler.Hold, bool) {
+	return runInLoop(ctx, o, func(p *scheduler.Pool, now time.Time) scheduler.Hold { return p.Hold(worker, now) })
 }
 
 // awaitAck waits up to maxAckWait until the ended runs of a report may be acknowledged. To a hold that does not acknowledge
@@ -227,8 +210,7 @@
 	defer timer.Stop()
 	for {
 		recorded := o.recorded.wait()
-		acknowledged, ok := runInLoop(ctx, o, func(p *scheduler.Pool, _ time.Time) int64 { return p.Acknowledged(worker) })
-		if !ok || acknowledged >= last {
+		if next, ok := o.nextHold(ctx, worker); !ok || next.LastSeen >= last {
 			return
 		}
 		select {
--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -50,7 +50,7 @@
 // permits reports whether the step may use the worker, apart from capacity: label, room reserved by preemption, limit
 // per host and ticket.
 func (p *Pool) permits(now time.Time, s *step, w *worker) bool {
-	if !w.hasLabel(s.spec.GetRequiredLabel()) || !w.availableTo(s) || !w.permitsEnds(now, s) {
+	if !w.hasLabel(s.spec.GetRequiredLabel()) || !w.availableTo(s) {
 		return false
 	}
 	if limit := s.spec.GetMaxPerHost(); limit > 0 && int64(s.active[w]) >= limit {
--- a/scheduler/decision.go
+++ b/scheduler/decision.go
@@ -81,9 +81,6 @@
 	DecisionUnrecordedRuns = "unrecorded runs"
 	// DecisionStartedAgain means that a run has succeeded of which another one was started since.
 	DecisionStartedAgain = "started again"
-	// DecisionEndsForgotten means that a run is missing on a worker that has not listed an end since it returned under its id, so that it
-	// has probably forgotten the run's end.
-	DecisionEndsForgotten = "ends forgotten"
 	// DecisionSealAdopted means that a takeover does not wait for a worker, since its seal tells what may run there.
 	DecisionSealAdopted = "seal adopted"
 	DecisionCharged     = "charged"
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -77,22 +77,13 @@
 	return until
 }
 
-// Hold returns the parameters of the next hold of a worker. If it acknowledges ends, AckSettled must follow once it is answered.
+// Hold returns the parameters of the next hold of a worker.
 func (p *Pool) Hold(id string, now time.Time) Hold {
-	h := p.Poll(id, now)
-	if w := p.workers[id]; w != nil {
-		h.LastSeen = w.acks.next(now, p.acknowledge(w))
-	}
-	return h
-}
-
-// Poll is like Hold, but acknowledges nothing.
-func (p *Pool) Poll(id string, now time.Time) Hold {
 	w := p.workers[id]
 	if w == nil {
 		return Hold{}
 	}
-	h := Hold{Fence: p.fenceFor(w)}
+	h := Hold{Fence: p.fenceFor(w), LastSeen: p.acknowledge(w)}
 	// The lease of a silent worker must expire, so it is not extended. Any expiry, even one that was asked for before, would do so on the
 	// clock of a later incarnation.
 	if w.clock.known && !w.silent(now) {
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -34,14 +34,6 @@
 	return lo.Reject(l.unacked, func(e *unackedEnd, _ int) bool { return e.mayAck() })
 }
 
-// Acknowledged returns the number up to which the ended runs of a worker may be discarded.
-func (p *Pool) Acknowledged(id string) int64 {
-	if w := p.workers[id]; w != nil {
-		return p.acknowledge(w)
-	}
-	return 0
-}
-
 // acknowledge returns the number up to which the worker may discard its ended runs.
 func (p *Pool) acknowledge(w *worker) int64 {
 	l := &w.ends
@@ -74,16 +66,9 @@
 		p.handleWrongInstance(now, w, r.Address, r.Sent)
 		return
 	}
-	heardBefore := w.incarnation
 	if !p.acceptIncarnation(now, w, &r) {
 		return
 	}
-	switch {
-	case w.incarnation != heardBefore && r.LastSeen > 0:
-		w.acks.lost++
-	case r.LastSeen <= w.ends.acked:
-		w.acks.answered = max(w.acks.answered, r.LastSeen)
-	}
 	w.clock.observe(r.Clock, r.Received)
 	w.lastClock = max(w.lastClock, r.Clock)
 	w.expired = nil
@@ -173,7 +158,6 @@
 		ends = append([]EndedRun(nil), ends...)
 		sort.Slice(ends, func(a, b int) bool { return ends[a].Number < ends[b].Number })
 	}
-	w.acks.endListed = w.acks.endListed || len(ends) > 0
 	for i := range ends {
 		e := &ends[i]
 		if e.Number <= w.ends.received {
@@ -279,7 +263,6 @@
 			p.revertStart(now, r)
 			continue
 		}
-		p.noteMissing(now, w)
 		p.addLost(now, r, reasonNotListed)
 		p.endRun(now, r, EndLapsed, "")
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -65,9 +65,6 @@
 	expired []*run
 
 	ends endLog
-	acks ackLog
-	// returned means that another incarnation has had the id before.
-	returned bool
 	// endsHidden means that the incarnation has reported, and that ends of runs of earlier owners may be beyond those that it lists.
 	endsHidden bool
 	health     workerHealth
@@ -157,7 +154,6 @@
 	w := &worker{Worker: *info, describedBorn: info.Born, byKey: map[runKey]*run{}, listClock: -1}
 	w.lastReport = now
 	w.unsettled = !info.Unused && (info.RecordedUnsettled || info.RecordedBorn != info.Born)
-	w.returned = w.unsettled
 	p.raiseFence(w)
 	p.markEvacuating(w)
 	w.pace.percent = fullPacePercent
@@ -236,8 +232,6 @@
 	w.requestedUntil, w.assumedUntil = 0, 0
 	w.nextLeaseEnd = time.Time{}
 	w.ends = endLog{}
-	w.acks.reset(now)
-	w.returned = true
 	w.endsHidden = false
 	w.unansweredStarts = 0
 	w.emptyConfirmed = false
