A missing run ends once the ownership is confirmed

Callers would see a work item run again after it had ended done: in the term of one owner, that does not know yet that it was replaced.

Cause: a list that omits a run, and its end, counted as proof that the run is over. A later owner may have recorded and acknowledged the end while a hold of the replaced owner waited at the worker, whose answer then has neither.

Change: such a run ends once a read of the pool's key that began after the list arrived has found this owner's fencing token, as an expired lease does.

--- /dev/null
+++ b/scheduler/missing.go
@@ -0,0 +1,39 @@
+package scheduler
+
+import "time"
+
+// endMissingRuns notes which runs a report proves absent. They end once the ownership was confirmed since then: a later owner may have
+// acknowledged the end of a run, which the worker then lists no more, while the hold of this one waited there.
+func (p *Pool) endMissingRuns(now time.Time, w *worker, rep *Report) {
+	for _, r := range w.runs {
+		switch {
+		case r.lastReportSeq == p.reportSeq:
+			r.missingSince = time.Time{}
+		case r.missingSince.IsZero() && r.provenAbsentBy(rep):
+			r.missingSince = rep.Received
+			p.missingRuns = append(p.missingRuns, r)
+		}
+	}
+	p.endConfirmedMissing(now)
+}
+
+// endConfirmedMissing removes the missing runs whose ends no later owner can have acknowledged. Runs that were never known to begin count
+// as never started, the others as lost.
+func (p *Pool) endConfirmedMissing(now time.Time) {
+	missing := p.missingRuns
+	p.missingRuns = nil
+	for _, r := range missing {
+		switch {
+		case r.state == runOver || r.missingSince.IsZero():
+		case !p.confirmedSince(r.missingSince):
+			p.out.Confirm = true
+			p.missingRuns = append(p.missingRuns, r)
+		case r.state == runOrdered || r.state == runUnknown:
+			p.addDecision("never began", r, r.stopReason)
+			p.revertStart(now, r)
+		default:
+			p.addLost(now, r, reasonNotListed)
+			p.endRun(now, r, EndLapsed, "")
+		}
+	}
+}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -73,6 +73,8 @@
 	// openedTasks counts the tasks of the occurrences opened since the last step began.
 	openedTasks int
 	changedJobs []*job
+	// missingRuns holds the runs that a list has proved absent, until the ownership was confirmed since.
+	missingRuns []*run
 	// watchedRuns holds the runs with a stop to order or an unanswered start to resolve.
 	watchedRuns     []*run
 	placementDue    bool
@@ -188,6 +190,7 @@
 		return Actions{Fenced: true, Decisions: decided}
 	}
 	p.checkWorkers(now)
+	p.endConfirmedMissing(now)
 	p.checkArrivals(now)
 	p.openOccurrences(now)
 	p.checkTakeover(now)
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -248,26 +248,6 @@
 	}
 }
 
-// endMissingRuns removes the runs that a report proves absent. Runs that were never known to begin count as never
-// started, the others as lost.
-func (p *Pool) endMissingRuns(now time.Time, w *worker, rep *Report) {
-	var lost []*run
-	for _, r := range w.runs {
-		if r.lastReportSeq != p.reportSeq && r.provenAbsentBy(rep) {
-			lost = append(lost, r)
-		}
-	}
-	for _, r := range lost {
-		if r.state == runOrdered || r.state == runUnknown {
-			p.addDecision("never began", r, r.stopReason)
-			p.revertStart(now, r)
-			continue
-		}
-		p.addLost(now, r, reasonNotListed)
-		p.endRun(now, r, EndLapsed, "")
-	}
-}
-
 // provenAbsentBy reports whether a report that omits the run proves that the run does not execute and never will.
 func (r *run) provenAbsentBy(rep *Report) bool {
 	switch r.state {
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -81,6 +81,8 @@
 	// unknownAt is when the outcome of the start became unknown, resolveAt when it is checked next.
 	unknownAt time.Time
 	resolveAt time.Time
+	// missingSince is when a list was received that proves the run absent; zero if none was, or one has listed it since.
+	missingSince time.Time
 	// lastReportSeq is the reportSeq of the latest list that contained the run.
 	lastReportSeq int64
 	percent       int
