A worker that may have forgotten ends proves that it lists them before it gets batch tasks

Callers saw work items that ran again on other workers although they had ended done and those ends had been acknowledged; in one term of one owner, several items of each worker concerned.

Cause: a hold acknowledges ends by number, and the numbers of a worker that returns under its id begin anew. A hold without an answer that the returned worker carried out, before the first call with the raised fence, made it forget as many of its own ends without listing them. The owner took these runs for lost. Every hold repeated the last acknowledgement, so that one was always under way, for up to a second. The class: a number that belongs to one incarnation is applied to the next.

Change: an acknowledgement that was answered is not repeated, and a hold with a new one does not wait. The owner keeps which acknowledgements got no answer. When a returned worker first answers with the raised fence, the set of ends that it hides is fixed; if an acknowledgement may have reached it, own or of an earlier owner of up to 30 s before, batch tasks start elsewhere. A task that finds no other worker for 0.5 s starts there and is stopped at once: that end does no harm if it is forgotten, and once one is listed, all later ones are. Carriers tell with which acknowledgement they have sent a hold. The simulated workers wait at holds as the product does, and hide ends to come.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -359,6 +359,12 @@
 	}
 	// TaskStartedAgain carries the run that has succeeded and the one that was started since.
 	TaskStartedAgain = Event{Number: 980, Name: "task_started_again", Level: slog.LevelInfo, Message: "run has succeeded after another run of its task was started"}
+	// EndsForgotten carries the incarnation of the worker.
+	EndsForgotten = Event{
+		Number: 981, Name: "ends_forgotten", Level: slog.LevelWarn,
+		Message: "a run is missing on a worker that has not listed an end yet; batch tasks are only started there to be stopped, until it lists one",
+		Remedy:  "keep the logs of the pool's owners and report them; a restart of the worker's host under another id ends this",
+	}
 
 	SchedulerNote = Event{Number: 937, Name: "scheduler_note", Level: slog.LevelInfo, Message: "another decision of the pool's owner"}
 )
@@ -388,7 +394,7 @@
 	MemberNotStored, RecordSkipped, FleetRecordWaits, MachinesUnread, MachinesRead, TasksPreempted, PoolTakenOver,
 	RegistryUnwatched, RegistryWatched, CarriersChanged, CarrierFailed, WorkerCrashed, TaskCharged, TaskGivenUp,
 	KeysUnconfirmed, KeysConfirmed, WorkspaceBeyondWeight, WorkspaceWithinWeight, WorkspaceLimitRaised, WorkspaceLimitLowered,
-	QueueContained, QueueContainmentEnded, WorkerEndProved, StartsKept, WorkerReplaced, EndsHidden, EndsShown, RunsUnrecorded, TaskStartedAgain,
+	QueueContained, QueueContainmentEnded, WorkerEndProved, StartsKept, WorkerReplaced, EndsHidden, EndsShown, RunsUnrecorded, TaskStartedAgain, EndsForgotten,
 }
 
 // retired lists the numbers of removed events, which are never reused.
--- a/internal/carry/client.go
+++ b/internal/carry/client.go
@@ -199,6 +199,9 @@
 	result, _ := l.call(ctx, holdCall(r))
 	report.Received = c.o.Clock()
 	if result.GetReport() == nil {
+		if result.GetRefused() {
+			report.LastSeen = 0
+		}
 		return report, holdError(result)
 	}
 	fillReport(&report, result)
--- a/internal/poolowner/decisions.go
+++ b/internal/poolowner/decisions.go
@@ -244,6 +244,7 @@
 	scheduler.DecisionEndsShown:        events.EndsShown,
 	scheduler.DecisionUnrecordedRuns:   events.RunsUnrecorded,
 	scheduler.DecisionStartedAgain:     events.TaskStartedAgain,
+	scheduler.DecisionEndsForgotten:    events.EndsForgotten,
 }
 
 func (o *Owner) logGroup(ctx context.Context, g decisionGroup, all []decision) {
--- a/internal/poolowner/hold.go
+++ b/internal/poolowner/hold.go
@@ -104,7 +104,7 @@
 }
 
 func (o *Owner) pollWorker(ctx context.Context, w scheduler.Worker) {
-	report, err := o.holdOnce(ctx, w, 0, false)
+	report, err := o.holdOnce(ctx, w, 0, &acknowledgements{})
 	if err != nil {
 		return
 	}
@@ -124,7 +124,7 @@
 // renewLease renews the lease of one worker until ctx ends.
 func (o *Owner) renewLease(ctx context.Context, w scheduler.Worker) {
 	first := true
-	answered := false // whether the last hold was answered by this incarnation of the worker
+	var acks acknowledgements
 	refusals := 0
 	monitor := newSilenceMonitor(o, w)
 	for ctx.Err() == nil {
@@ -132,8 +132,8 @@
 		if first {
 			maxWait = 0
 		}
-		report, err := o.holdOnce(ctx, w, maxWait, answered)
-		answered = err == nil && !report.Gone
+		report, err := o.holdOnce(ctx, w, maxWait, &acks)
+		acks.permitted = err == nil && !report.Gone
 		monitor.observe(ctx, report.Gone, err)
 		if err != nil {
 			refusals = o.handleHoldFailure(ctx, w, refusals, err)
@@ -170,33 +170,61 @@
 	return holdRetryDelay
 }
 
-// holdOnce sends one hold. It acknowledges ended runs only if acknowledge is set: after a call without an answer, this call
-// may reach a new incarnation under the same id, which would drop its own ended runs up to the acknowledged number.
+// acknowledgements are those of the holds of one renewer.
+type acknowledgements struct {
+	// permitted means that the last hold was answered by this incarnation of the worker. After a call without an answer, the next one
+	// may reach a new incarnation under the same id, which would drop its own ended runs up to the acknowledged number.
+	permitted bool
+	// latest is the last acknowledgement.
+	latest int64
+}
+
+// holdOnce sends one hold. One with a new acknowledgement does not wait, so that it is not under way when the worker ends.
 func (o *Owner) holdOnce(
-	ctx context.Context, w scheduler.Worker, maxWait time.Duration, acknowledge bool,
+	ctx context.Context, w scheduler.Worker, maxWait time.Duration, acks *acknowledgements,
 ) (scheduler.Report, error) {
-	next, ok := o.nextHold(ctx, w.ID)
+	next, ok := o.nextHold(ctx, w.ID, acks.permitted)
 	if !ok {
 		return scheduler.Report{}, ctx.Err()
 	}
-	if !acknowledge {
-		next.LastSeen = 0
-	}
-	if next.Until == 0 {
+	if next.Until == 0 || next.LastSeen > 0 && next.LastSeen != acks.latest {
 		maxWait = 0
 	}
+	if next.LastSeen > 0 {
+		acks.latest = next.LastSeen
+	}
 	ctx, cancel := context.WithTimeout(ctx, maxWait+holdTimeoutMargin)
 	defer cancel()
 	report, err := o.Workers.Hold(ctx, HoldRequest{
 		Address: w.Address, Worker: w.ID, Born: w.Born, Hold: next, Wait: maxWait,
 	})
 	report.Address, report.Fence = w.Address, next.Fence
+	o.settleAck(ctx, w, next, report, err)
 	return report, err
 }
 
+// settleAck passes on what became of the acknowledgement of a hold, if that is known.
+func (o *Owner) settleAck(ctx context.Context, w scheduler.Worker, h scheduler.Hold, report scheduler.Report, err error) {
+	result := scheduler.AckApplied
+	switch {
+	case h.LastSeen == 0:
+		return
+	case report.LastSeen == 0, err == nil && (report.Gone || report.Fenced):
+		result = scheduler.AckNotSent
+	case err != nil || report.Born != w.Born:
+		return
+	}
+	o.enqueue(ctx, func(p *scheduler.Pool, _ time.Time) { p.SettleAck(w.ID, h, result) })
+}
+
 // nextHold returns the parameters of the next hold of a worker.
-func (o *Owner) nextHold(ctx context.Context, worker string) (scheduler.Hold, bool) {
-	return runInLoop(ctx, o, func(p *scheduler.Pool, now time.Time) scheduler.Hold { return p.Hold(worker, now) })
+func (o *Owner) nextHold(ctx context.Context, worker string, acknowledge bool) (scheduler.Hold, bool) {
+	return runInLoop(ctx, o, func(p *scheduler.Pool, now time.Time) scheduler.Hold {
+		if !acknowledge {
+			return p.Poll(worker, now)
+		}
+		return p.Hold(worker, now)
+	})
 }
 
 // awaitAck waits up to maxAckWait until the ended runs of a report may be acknowledged. To a hold that does not acknowledge
@@ -210,7 +238,8 @@
 	defer timer.Stop()
 	for {
 		recorded := o.recorded.wait()
-		if next, ok := o.nextHold(ctx, worker); !ok || next.LastSeen >= last {
+		acknowledged, ok := runInLoop(ctx, o, func(p *scheduler.Pool, _ time.Time) int64 { return p.Acknowledged(worker) })
+		if !ok || acknowledged >= last {
 			return
 		}
 		select {
--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -48,8 +48,12 @@
 }
 
 // permits reports whether the step may use the worker, apart from capacity: label, room reserved by preemption, limit
-// per host and ticket.
+// per host, ticket and ends that the worker may forget.
 func (p *Pool) permits(now time.Time, s *step, w *worker) bool {
+	return p.permitsApartFromEnds(now, s, w) && !p.mayForgetSuccess(now, s, w)
+}
+
+func (p *Pool) permitsApartFromEnds(now time.Time, s *step, w *worker) bool {
 	if !w.hasLabel(s.spec.GetRequiredLabel()) || !w.availableTo(s) {
 		return false
 	}
--- a/scheduler/missing.go
+++ b/scheduler/missing.go
@@ -18,7 +18,7 @@
 }
 
 // endConfirmedMissing removes the missing runs whose ends no later owner can have acknowledged. Runs that were never known to begin count
-// as never started, the others as lost.
+// as never started, those that were only to be stopped as stopped, and the others as lost.
 func (p *Pool) endConfirmedMissing(now time.Time) {
 	missing := p.missingRuns
 	p.missingRuns = nil
@@ -31,7 +31,11 @@
 		case r.state == runOrdered || r.state == runUnknown:
 			p.addDecision("never began", r, r.stopReason)
 			p.revertStart(now, r)
+		case r.provesEnds() && !r.stopAcked.IsZero():
+			p.noteMissing(r.worker)
+			p.endRun(now, r, EndStopped, "")
 		default:
+			p.noteMissing(r.worker)
 			p.addLost(now, r, reasonNotListed)
 			p.endRun(now, r, EndLapsed, "")
 		}
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -13,7 +13,7 @@
 )
 
 // start orders a run of the task on the worker.
-func (p *Pool) start(now time.Time, t *task, w *worker, number int64) {
+func (p *Pool) start(now time.Time, t *task, w *worker, number int64) *run {
 	until := p.lease(now, w)
 	r := p.newRun(w, t.id(), number, t)
 	r.until = until
@@ -39,6 +39,7 @@
 		p.hasSpeculative = true
 	}
 	p.addDecision("start", r, "")
+	return r
 }
 
 // minStartLease is the shortest lease with which tasks are started.
@@ -77,13 +78,22 @@
 	return until
 }
 
-// Hold returns the parameters of the next hold of a worker.
+// Hold returns the parameters of the next hold of a worker. If it acknowledges ends, SettleAck must follow once its result is known.
 func (p *Pool) Hold(id string, now time.Time) Hold {
+	h := p.Poll(id, now)
+	if w := p.workers[id]; w != nil {
+		h.LastSeen = w.acks.add(now, h.Fence, p.acknowledge(w))
+	}
+	return h
+}
+
+// Poll is like Hold, but acknowledges nothing.
+func (p *Pool) Poll(id string, now time.Time) Hold {
 	w := p.workers[id]
 	if w == nil {
 		return Hold{}
 	}
-	h := Hold{Fence: p.fenceFor(w), LastSeen: p.acknowledge(w)}
+	h := Hold{Fence: p.fenceFor(w)}
 	// The lease of a silent worker must expire, so it is not extended. Any expiry, even one that was asked for before, would do so on the
 	// clock of a later incarnation.
 	if w.clock.known && !w.silent(now) {
@@ -143,6 +153,9 @@
 			w.lastClock = max(w.lastClock, res.Clock)
 		}
 		w.pauses = 0
+		if r.provesEnds() {
+			p.stop(now, r, reasonProvesEnds)
+		}
 		if r.task != nil && !r.task.job().started {
 			p.addJobDecision(now, DecisionBegun, r.task.job(), "")
 		}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -190,6 +190,9 @@
 		if t.crashes.suspected {
 			w = p.chooseForTrial(now, t, usable)
 		} else if w = p.choose(now, t, usable); w == nil {
+			if p.proveEnds(now, t, usable) {
+				continue
+			}
 			noRoom = true
 		}
 		if w == nil {
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -34,6 +34,14 @@
 	return lo.Reject(l.unacked, func(e *unackedEnd, _ int) bool { return e.mayAck() })
 }
 
+// Acknowledged returns the number up to which the ended runs of a worker may be discarded.
+func (p *Pool) Acknowledged(id string) int64 {
+	if w := p.workers[id]; w != nil {
+		return p.acknowledge(w)
+	}
+	return 0
+}
+
 // acknowledge returns the number up to which the worker may discard its ended runs.
 func (p *Pool) acknowledge(w *worker) int64 {
 	l := &w.ends
@@ -84,6 +92,9 @@
 	if !w.reported {
 		p.firstReport(now, w, &r)
 	}
+	if len(r.Ended) > 0 && p.isCurrentFence(w, r.Fence) {
+		p.noteEndListed(now, w)
+	}
 	p.applyEnds(now, w, r.Ended)
 	if r.Clock <= w.listClock {
 		return
@@ -105,6 +116,7 @@
 		return
 	}
 	w.reported, w.reportedAt = true, r.Received
+	p.checkAcks(now, w)
 	p.addUnrecordedRuns(w, r)
 	w.awaitsConfirmation = w.unsettled
 	if !p.listsAllEnds(r) && !p.earlierLeasesExpired(now, w) {
@@ -229,6 +241,9 @@
 		}
 		r.runningSince = now
 		r.markProgress(now, r.worker.listClock)
+		if r.provesEnds() {
+			p.stop(now, r, reasonProvesEnds)
+		}
 		if r.task != nil {
 			p.markStarted(r.task.job())
 		}
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -35,6 +35,8 @@
 	unconfirmed map[string]bool
 	// answeredBy holds the incarnations that have answered last.
 	answeredBy map[string]int64
+	// latestAck holds the last acknowledgements.
+	latestAck map[string]int64
 }
 
 type orderQueueKey struct {
@@ -53,7 +55,7 @@
 		cfg.UnconfirmedLease = time.Second
 	}
 	cfg.Fence = s.fence
-	o := &simOwner{sim: s, pool: scheduler.New(cfg), fence: s.fence, orderQueues: map[orderQueueKey][]scheduler.Order{}, incarnations: map[string]int64{}, unconfirmed: map[string]bool{}, answeredBy: map[string]int64{}, inheritedSeals: maps.Clone(s.durableSeals)}
+	o := &simOwner{sim: s, pool: scheduler.New(cfg), fence: s.fence, orderQueues: map[orderQueueKey][]scheduler.Order{}, incarnations: map[string]int64{}, unconfirmed: map[string]bool{}, answeredBy: map[string]int64{}, latestAck: map[string]int64{}, inheritedSeals: maps.Clone(s.durableSeals)}
 	s.owner = o
 	var jobs []*pb.JobRecord
 	var progress []*pb.JobProgress
@@ -244,14 +246,20 @@
 	return scheduler.OutcomeDone, w.clock()
 }
 
-// nextHold returns the next hold of a worker. An acknowledgement is bound to a connection, which ends with its incarnation.
-func (o *simOwner) nextHold(w *simWorker) scheduler.Hold {
-	h := o.pool.Hold(w.id, o.sim.time())
+// nextHold returns the next hold of a worker, and whether the worker may wait for an end. An acknowledgement is bound to a connection,
+// which ends with its incarnation.
+func (o *simOwner) nextHold(w *simWorker) (h scheduler.Hold, waits bool) {
 	if o.unconfirmed[w.id] || o.answeredBy[w.id] != w.incarnation {
-		h.LastSeen = 0
+		h = o.pool.Poll(w.id, o.sim.time())
+	} else {
+		h = o.pool.Hold(w.id, o.sim.time())
+	}
+	waits = h.Until != 0 && (h.LastSeen == 0 || h.LastSeen == o.latestAck[w.id])
+	if h.LastSeen != 0 {
+		o.latestAck[w.id] = h.LastSeen
 	}
 	o.unconfirmed[w.id] = true
-	return h
+	return h, waits
 }
 
 // hold keeps holding one worker, and waits at most a second for a run to end.
@@ -260,12 +268,15 @@
 	if o.replaced || o.waitUntilRunning(func() { o.hold(w) }) {
 		return
 	}
-	h := o.nextHold(w)
+	h, waits := o.nextHold(w)
 	sent := s.time()
 	expected := o.incarnations[w.id]
 	holdAgain := func(ms int64) { s.after(ms, func() { o.hold(w) }) }
 	lost := o.cutOff(w) || !w.up || s.faultsActive() && s.chance(s.faults.lostCalls)
 	if lost {
+		if !w.up {
+			o.pool.SettleAck(w.id, h, scheduler.AckNotSent) // its connection has ended
+		}
 		if s.naive {
 			o.handle(func(p *scheduler.Pool) {
 				p.Report(s.time(), scheduler.Report{Worker: w.id, Address: w.id, Sent: sent, Received: s.time(), Gone: true})
@@ -281,7 +292,7 @@
 			holdAgain(o.delayAfterBrokenHold(w))
 			return
 		}
-		if len(w.ended) == 0 && s.now < deadline && h.LastSeen != 0 {
+		if len(w.ended) == 0 && s.now < deadline && waits {
 			s.after(20, poll)
 			return
 		}
@@ -298,7 +309,10 @@
 		s.after(1+s.rng.Int64N(30), func() {
 			rep.Received = s.time()
 			o.unconfirmed[w.id], o.answeredBy[w.id] = false, rep.Born
-			o.handle(func(p *scheduler.Pool) { p.Report(s.time(), rep) })
+			o.handle(func(p *scheduler.Pool) {
+				p.SettleAck(w.id, h, scheduler.AckApplied)
+				p.Report(s.time(), rep)
+			})
 			holdAgain(20)
 		})
 	}
@@ -339,8 +353,7 @@
 // incarnation may answer.
 func (o *simOwner) poll(w *simWorker) {
 	s := o.sim
-	h := o.pool.Hold(w.id, s.time())
-	h.LastSeen = 0
+	h := o.pool.Poll(w.id, s.time())
 	sent := s.time()
 	expected := o.incarnations[w.id]
 	s.after(1+s.rng.Int64N(20), func() {
--- a/scheduler/simworker_test.go
+++ b/scheduler/simworker_test.go
@@ -49,6 +49,8 @@
 	ended       []scheduler.EndedRun
 	endedAt     map[int64]int64
 	lastEnd     int64
+	// forgotten is the highest acknowledgement. Ends up to it are never listed, also those to come.
+	forgotten int64
 	// lastEndBeforeLapse is the number of the last end when the lease last expired. The checker ignores ends up to
 	// it.
 	lastEndBeforeLapse int64
@@ -101,7 +103,7 @@
 	w.up = true
 	w.sim.trace("EVENT boot %s", w.id)
 	w.incarnation = w.sim.now + 1_000_000
-	w.fence, w.leaseUntil, w.lastEnd, w.lastEndBeforeLapse = 0, 0, 0, 0
+	w.fence, w.leaseUntil, w.lastEnd, w.lastEndBeforeLapse, w.forgotten = 0, 0, 0, 0, 0
 	w.running, w.ended, w.largerUntil = nil, nil, nil
 	if w.sim.faults.resizes > 0 {
 		if w.incarnationsAlike {
@@ -238,11 +240,20 @@
 	w.endedAt[w.lastEnd] = w.sim.now
 	w.sim.checker.runOver(w, r)
 	w.sim.checker.runEnded(w, r, how)
+	w.forget()
 	if how != scheduler.EndLapsed && how != scheduler.EndBroken && r.step.GetGang() {
 		w.sim.endGangAttempt(r, how)
 	}
 }
 
+// forget drops the ends that were acknowledged.
+func (w *simWorker) forget() {
+	for len(w.ended) > 0 && w.ended[0].Number <= w.forgotten {
+		w.sim.checker.endAcked(w, w.ended[0])
+		w.ended = w.ended[1:]
+	}
+}
+
 // tick advances the runs by the given time in ms.
 func (w *simWorker) tick(ms int64) {
 	if !w.up {
@@ -292,10 +303,8 @@
 	}
 	w.fence = h.Fence
 	w.extend(h.Until)
-	for len(w.ended) > 0 && w.ended[0].Number <= h.LastSeen {
-		w.sim.checker.endAcked(w, w.ended[0])
-		w.ended = w.ended[1:]
-	}
+	w.forgotten = max(w.forgotten, h.LastSeen)
+	w.forget()
 	rep.Ended = slices.Clone(w.ended)
 	if limit := w.sim.config().MaxEndsPerReport; limit > 0 {
 		rep.Ended = rep.Ended[:min(len(rep.Ended), limit)]
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -65,6 +65,10 @@
 	expired []*run
 
 	ends endLog
+	acks ackLog
+	// heldEarlier means that an earlier owner may have held an earlier incarnation or this one, returned that this one has returned under
+	// the id since.
+	heldEarlier, returned bool
 	// endsHidden means that the incarnation has reported, and that ends of runs of earlier owners may be beyond those that it lists.
 	endsHidden bool
 	health     workerHealth
@@ -154,6 +158,8 @@
 	w := &worker{Worker: *info, describedBorn: info.Born, byKey: map[runKey]*run{}, listClock: -1}
 	w.lastReport = now
 	w.unsettled = !info.Unused && (info.RecordedUnsettled || info.RecordedBorn != info.Born)
+	w.heldEarlier = !info.Unused && (info.RecordedBorn != 0 || p.takeover.rosterIncomplete)
+	w.returned = w.unsettled
 	p.raiseFence(w)
 	p.markEvacuating(w)
 	w.pace.percent = fullPacePercent
@@ -232,6 +238,8 @@
 	w.requestedUntil, w.assumedUntil = 0, 0
 	w.nextLeaseEnd = time.Time{}
 	w.ends = endLog{}
+	w.acks.reset()
+	w.returned = true
 	w.endsHidden = false
 	w.unansweredStarts = 0
 	w.emptyConfirmed = false
