A start accepted by a later incarnation outlasts the proved end of the earlier one

Cause: every accepted start counted as carried out by the incarnation that has ended, although the lower reading of the clock in its answer tells of a later one.

Change: such a start is kept as one without an answer is, until a list of the later incarnation shows it, or its longest lease is over.

Measured: TestStartAcceptedByALaterIncarnationOutlastsTheProvedEnd failed before (started on the other worker) and passes.

--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -41,15 +41,18 @@
 		case incarnation.GetSucceeded() && (w.unreachable || w.replaced):
 			p.markEnded(now, w, reasonHostList, func(*run) bool { return true })
 		case w.unreachable && !w.replaced:
-			p.markEnded(now, w, reasonHostList, func(r *run) bool {
-				return r.listedEarlier || r.state != runOrdered && r.state != runUnknown
-			})
+			p.markEnded(now, w, reasonHostList, (*run).hasBegunHere)
 			p.keepUnansweredStarts(now, w)
 		default: // It answers, or its end is known: what remains may run in a later incarnation.
 		}
 	}
 }
 
+// hasBegunHere reports whether the incarnation to which the start was sent has certainly carried it out.
+func (r *run) hasBegunHere() bool {
+	return r.listedEarlier || r.state == runRunning || r.state == runAccepted && !r.acceptedLater
+}
+
 // markEnded records that the present incarnation of a worker has ended, and ends those of its runs for which ends returns true.
 func (p *Pool) markEnded(now time.Time, w *worker, reason string, ends func(*run) bool) {
 	if w.replaced {
--- a/scheduler/laterlease_test.go
+++ b/scheduler/laterlease_test.go
@@ -39,6 +39,32 @@
 	assert.Assert(t, startedAgain)
 }
 
+// Guards against two runs of a task: a worker has returned under its id and accepts a start before it has answered a hold. The list of
+// hosts then proves the end of its earlier incarnation.
+func TestStartAcceptedByALaterIncarnationOutlastsTheProvedEnd(t *testing.T) {
+	b := newTestPool("w1", "w2")
+	for _, id := range []string{"w1", "w2"} {
+		b.reportOf(id, 5, 100_000, nil)
+	}
+	b.clock = 100_000
+	b.add("a", &pb.JobStep{Count: 1, CpuMilli: 1000, EstimateMs: 60_000})
+	o := b.orders(scheduler.OrderStart)[0]
+	other := map[string]string{"w1": "w2", "w2": "w1"}[o.Worker]
+	b.advance(10 * time.Millisecond)
+	b.pool.Result(b.now, scheduler.OrderResult{Order: o, Outcome: scheduler.OutcomeDone, Clock: 60})
+	for range 20 {
+		b.pool.MarkUnreachable(o.Worker)
+		b.pool.EndIncarnations(b.now, []*pb.WorkerIncarnation{{Id: o.Worker, Born: 5}})
+		b.advance(100 * time.Millisecond)
+		b.report(other, nil, nil)
+		assert.Equal(t, len(b.orders(scheduler.OrderStart)), 0, "started on %s while it runs on %s", other, o.Worker)
+	}
+	for clock := range int64(2) {
+		b.reportOf(o.Worker, 6, 2100+clock, []scheduler.RunningTask{{Task: o.Task, Run: o.Run}})
+	}
+	assert.Equal(t, len(b.orders(scheduler.OrderStart)), 0)
+}
+
 // Guards against two runs of a task: holds whose answers are lost go on to extend the lease of a later incarnation, for which the expiry of
 // the earlier one is far ahead.
 func TestSilentWorkerIsAskedForNoLease(t *testing.T) {
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -148,6 +148,7 @@
 		r.state = runAccepted
 		p.sendBudget.addStartedWork(r.task)
 		r.answered = now
+		r.acceptedLater = isLater
 		if res.Order.Born == w.Born && !isLater {
 			r.begunClock = res.Clock
 			w.lastClock = max(w.lastClock, res.Clock)
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -56,8 +56,9 @@
 	runningSince time.Time
 	// giveUpAt is when the run counts as over if the incarnation that may have accepted its start never reports.
 	giveUpAt time.Time
-	// answered is when the start was accepted.
-	answered time.Time
+	// answered is when the start was accepted, acceptedLater means by a later incarnation than it was sent to.
+	answered      time.Time
+	acceptedLater bool
 	// begunClock is a reading of the worker's clock by which the run had begun, 0 if none is known.
 	begunClock int64
 	// charged means that a crash of the worker was added to the history of the task. polledAt is when the worker was last
