--- a/internal/poolowner/roster_test.go
+++ b/internal/poolowner/roster_test.go
@@ -107,17 +107,22 @@
 	quiet := slog.New(slog.DiscardHandler)
 	return poolowner.Options{
 		Pool: pool, Workers: workers, Jobs: jobstore.New(kv, time.Now, quiet, jobstore.Options{}),
-		Config: scheduler.Config{
-			Fence: fence, Lease: 6 * time.Second, UnconfirmedLease: 2 * time.Second, MaxLease: 10 * time.Second, StopTime: time.Second, GangTime: time.Second,
-			Retention: time.Minute, CrossRackFactor: 2, SaveInterval: time.Second, RestoreTime: time.Second, Notice: time.Second,
-			PaceDelay: time.Second, HarmTime: time.Second, DrainTime: time.Second,
-		},
+		Config:    testConfig(fence),
 		Intents:   func(context.Context) (poolowner.Intents, error) { return poolowner.Intents{}, nil },
 		Confirmed: func() bool { return true }, ConfirmedFrom: time.Now, Confirm: func(context.Context) bool { return true }, Replaced: func() {},
 		Clock: time.Now, Log: quiet,
 	}
 }
 
+// testConfig returns the configuration of an owner with a fence.
+func testConfig(fence uint64) scheduler.Config {
+	return scheduler.Config{
+		Fence: fence, Lease: 6 * time.Second, UnconfirmedLease: 2 * time.Second, MaxLease: 10 * time.Second, StopTime: time.Second, GangTime: time.Second,
+		Retention: time.Minute, CrossRackFactor: 2, SaveInterval: time.Second, RestoreTime: time.Second, Notice: time.Second,
+		PaceDelay: time.Second, HarmTime: time.Second, DrainTime: time.Second,
+	}
+}
+
 // startOwner runs an owner of the pool; stop ends its term and waits for it.
 func startOwner(t *testing.T, o poolowner.Options, listed ...string) (owner *poolowner.Owner, stop func()) {
 	t.Helper()
