A late deletion of an ended job keeps a later job with its id

A job whose id is used again after its retention loses its records, and runs again when it is submitted once more.

Cause: Forget deletes on the condition of the owner's fencing token alone. A call without an answer that takes effect after a repeated one, within the same term, deletes whatever has the id by then.

Change: each progress key must have the version that the owner knows, as for Record. After a conflict, jobs whose progress has become absent count as deleted, and the versions of the others are adopted.

Measured: TestLateForgetKeepsALaterJobWithTheID failed before (no job left) and passes. TestForgetAfterLostAnswers passes before and after.

--- a/internal/jobstore/record.go
+++ b/internal/jobstore/record.go
@@ -6,6 +6,7 @@
 	"errors"
 	"slices"
 
+	"github.com/samber/lo"
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/agateturn/agateturn/gen/agateturn/v1"
@@ -20,10 +21,8 @@
 	MaxRecorded = (store.MaxTransactionEntries - 1) / 2
 	// maxTransactionBytes bounds the values of one transaction.
 	maxTransactionBytes = 512 << 10
-	// keysPerJob is the number of keys that Forget deletes for a job.
-	keysPerJob = 4
-	// maxForgetJobs bounds the jobs of one transaction of Forget.
-	maxForgetJobs = (store.MaxTransactionEntries - 1) / keysPerJob
+	// maxForgetJobs bounds the jobs of one transaction of Forget: each takes a condition and up to four deletes.
+	maxForgetJobs = (store.MaxTransactionEntries - 1) / 5
 	// maxForgetCancels bounds the cancellations of one transaction of ForgetCancels: each takes a condition and two deletes.
 	maxForgetCancels = (store.MaxTransactionEntries - 1) / 3
 )
@@ -87,7 +86,8 @@
 	return store.Unavailable.New("conflicts persist after retries")
 }
 
-// Forget deletes all records of the jobs, whose pools are not read. Errors: those of Record.
+// Forget deletes all records of the jobs, whose pools are not read. Each progress key must have the version that this owner last
+// read or wrote, so that a call whose answer was lost cannot delete a later job with the same id. Errors: those of Record.
 func (s *Store) Forget(ctx context.Context, pool string, fence uint64, jobs []jobstate.Ref) error {
 	keys, err := s.progress.lock(ctx, pool)
 	if err != nil {
@@ -95,21 +95,48 @@
 	}
 	defer keys.unlock()
 	for batch := range slices.Chunk(jobs, maxForgetJobs) {
+		if err := s.forgetAll(ctx, pool, fence, keys, batch); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// forgetAll commits the deletion of the jobs. Progress that has become absent was deleted by an unanswered call of this owner, together
+// with the job's other records.
+func (s *Store) forgetAll(ctx context.Context, pool string, fence uint64, keys *poolKeys, jobs []jobstate.Ref) error {
+	for range maxConflictRounds {
+		if len(jobs) == 0 {
+			return nil
+		}
 		var t store.Transaction
-		for _, j := range batch {
-			t.Deletes = append(t.Deletes, jobkeys.Job(pool, j.ID), jobkeys.Cancel(pool, j.ID), jobkeys.Progress(pool, j.ID))
+		for _, j := range jobs {
+			progress := jobkeys.Progress(pool, j.ID)
+			t.Conditions = append(t.Conditions, store.Condition{Key: progress, Version: keys.versions[progress]})
+			t.Deletes = append(t.Deletes, jobkeys.Job(pool, j.ID), jobkeys.Cancel(pool, j.ID), progress)
 			if j.Address != "" {
 				t.Deletes = append(t.Deletes, jobkeys.Location(j.Address))
 			}
 		}
-		if _, _, err := s.commitFenced(ctx, pool, fence, t); err != nil {
+		_, conflict, err := s.commitFenced(ctx, pool, fence, t)
+		if err != nil {
 			return err
 		}
-		for _, j := range batch {
-			delete(keys.versions, jobkeys.Progress(pool, j.ID))
+		if conflict == nil {
+			for _, j := range jobs {
+				delete(keys.versions, jobkeys.Progress(pool, j.ID))
+			}
+			return nil
 		}
+		present := lo.SliceToMap(conflict, func(i store.Item) (string, uint64) { return i.Key, i.Version })
+		jobs = lo.Filter(jobs, func(j jobstate.Ref, _ int) bool {
+			progress := jobkeys.Progress(pool, j.ID)
+			known := keys.versions[progress]
+			keys.versions[progress] = present[progress]
+			return known == 0 || present[progress] > 0
+		})
 	}
-	return nil
+	return store.Unavailable.New("conflicts persist after retries")
 }
 
 // ForgetCancels deletes the cancellations of jobs that are not in the store. It returns the others, which stay. After a
--- a/internal/jobstore/terms_test.go
+++ b/internal/jobstore/terms_test.go
@@ -93,3 +93,57 @@
 		assert.DeepEqual(t, loadReasons(t, s), map[string]string{"1": "between", "2": "second"})
 	})
 }
+
+// Guards against the loss of a job whose id is used again after its retention, which then runs again when it is submitted once more: the
+// deletion of the first job takes effect again after the second one was recorded.
+func TestLateForgetKeepsALaterJobWithTheID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memtxn.New()
+		s, stop := start(t, kv, "h")
+		defer stop()
+		fence := acquirePool(t, kv)
+		assert.NilError(t, s.Accept(t.Context(), job("1")))
+		assert.NilError(t, s.Record(t.Context(), testPool, fence, []*pb.JobProgress{completed("1", "first")}))
+		kv.SetFaults(memtxn.Faults{LateBy: 3 * time.Second, Plan: planOnce(memtxn.ApplyLate)})
+		assert.NilError(t, s.Forget(t.Context(), testPool, fence, []jobstate.Ref{ref("1")}))
+		assert.Equal(t, len(kv.Items(jobkeys.Job(testPool, "1"))), 0)
+		assert.NilError(t, s.Accept(t.Context(), job("1")))
+		assert.NilError(t, s.Record(t.Context(), testPool, fence, []*pb.JobProgress{completed("1", "second")}))
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(kv.Items(jobkeys.Job(testPool, "1"))), 1)
+		assert.DeepEqual(t, loadReasons(t, s), map[string]string{"1": "second"})
+	})
+}
+
+// Guards against records of ended jobs that stay, or calls that never succeed, once an answer to a deletion or to the last record was lost.
+func TestForgetAfterLostAnswers(t *testing.T) {
+	for name, c := range map[string]struct{ record, forget []memtxn.Outcome }{
+		"deletion without an answer":          {nil, []memtxn.Outcome{memtxn.LoseAnswer}},
+		"deletions without any answer":        {nil, []memtxn.Outcome{memtxn.LoseAnswer, memtxn.LoseAnswer, memtxn.LoseAnswer}},
+		"request lost":                        {nil, []memtxn.Outcome{memtxn.LoseRequest}},
+		"record without an answer":            {[]memtxn.Outcome{memtxn.LoseAnswer, memtxn.LoseAnswer, memtxn.LoseAnswer}, nil},
+		"record and deletion without answers": {[]memtxn.Outcome{memtxn.LoseAnswer, memtxn.LoseAnswer, memtxn.LoseAnswer}, []memtxn.Outcome{memtxn.LoseAnswer}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				kv := memtxn.New()
+				kv.SetFaults(memtxn.Faults{OmitAbsent: true})
+				s, stop := start(t, kv, "h")
+				defer stop()
+				fence := acquirePool(t, kv)
+				for _, id := range []string{"1", "2"} {
+					assert.NilError(t, s.Accept(t.Context(), job(id)))
+				}
+				kv.SetFaults(memtxn.Faults{OmitAbsent: true, Plan: planOnce(c.record...)})
+				_ = s.Record(t.Context(), testPool, fence, []*pb.JobProgress{completed("1", "")}) // the result may be unknown
+				kv.SetFaults(memtxn.Faults{OmitAbsent: true, Plan: planOnce(c.forget...)})
+				refs := []jobstate.Ref{ref("1"), ref("2")}
+				if s.Forget(t.Context(), testPool, fence, refs) != nil {
+					assert.NilError(t, s.Forget(t.Context(), testPool, fence, refs))
+				}
+				assert.Equal(t, len(kv.Items(jobkeys.IncomingPrefix(testPool))), 0)
+				assert.Equal(t, len(kv.Items(jobkeys.ProgressPrefix(testPool))), 0)
+			})
+		})
+	}
+}
