Overdue trials start at their time and wait for their workers' answers side by side

Cause: a suspected task may start on any worker without a trial once it has waited for 1.5 s, but only the next regular placement, up to 200 ms later, noticed it. All overdue tasks then chose the same one or two workers with the lowest cost, which had to be polled before the trial.

Change: a suspected task that finds no worker has the placement run when it becomes overdue. An overdue task takes no worker that was polled for the trial of another task and has not answered, so that each polls one of its own; a gang counts as one. The limits of trials that are not overdue are as before.

--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -72,11 +72,18 @@
 	p.removeIdleSteps()
 	p.updateHeld(now, true)
 	if len(p.waitingSteps) > 0 {
-		p.nextPlacementAt = now.Add(placementInterval)
+		p.placeAgainAt(now.Add(placementInterval))
 		p.wake(p.nextPlacementAt)
 	}
 }
 
+// placeAgainAt has waiting tasks tried again at the given time at the latest.
+func (p *Pool) placeAgainAt(at time.Time) {
+	if p.nextPlacementAt.IsZero() || at.Before(p.nextPlacementAt) {
+		p.nextPlacementAt = at
+	}
+}
+
 // minNeed returns the smallest need per resource among the tasks of the steps.
 func minNeed(order []ranked) Resources {
 	if len(order) == 0 {
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -62,10 +62,13 @@
 		if mayReserve {
 			p.reserveTrial(now, t, usable)
 		}
+		if overdue := t.waitingSince.Add(overdueTrialWait); now.Before(overdue) && p.utilization < trialUtilization {
+			p.placeAgainAt(overdue)
+		}
 		return nil
 	}
 	// Only a trial that is about to start is recorded, since a later owner presumes that it has crashed its worker.
-	if !p.isFreshForTrial(now, w) || !p.isTrialRecorded(now, t) {
+	if !p.isFreshForTrial(now, t, w) || !p.isTrialRecorded(now, t) {
 		return nil
 	}
 	return w
@@ -98,23 +101,32 @@
 func (w *worker) isFresh(now time.Time) bool { return now.Sub(w.lastReport) <= trialFreshness }
 
 // isFreshForTrial reports whether the worker was heard from just now. If not, it requests a poll.
-func (p *Pool) isFreshForTrial(now time.Time, w *worker) bool {
+func (p *Pool) isFreshForTrial(now time.Time, t *task, w *worker) bool {
 	if w.isFresh(now) {
 		return true
 	}
-	if !w.trialPolledAt.After(w.lastReport) {
-		w.trialPolledAt = now
+	if !w.isPolledForTrial() {
+		w.trialPolledAt, w.trialPolledFor = now, t
 		p.out.Poll = append(p.out.Poll, w.ID)
 		p.wake(now.Add(trialPollTimeout))
 	}
 	return false
 }
 
+// isPolledForTrial reports whether a poll of the worker for a trial that is to start there has no answer yet.
+func (w *worker) isPolledForTrial() bool { return w.trialPolledAt.After(w.lastReport) }
+
+// isPolledForOther reports whether such a poll is meant for a task other than this one and the other members of its gang.
+func (w *worker) isPolledForOther(t *task) bool {
+	other := w.trialPolledFor
+	return w.isPolledForTrial() && other != t && (other.step != t.step || !t.step.spec.GetGang())
+}
+
 // areFreshForTrials reports whether the workers chosen for the suspected tasks of a gang were all heard from just now.
 func (p *Pool) areFreshForTrials(now time.Time, s *step, chosen []*worker) bool {
 	fresh := true
 	for i, w := range chosen {
-		if s.tasks[i].crashes.suspected && !p.isFreshForTrial(now, w) {
+		if s.tasks[i].crashes.suspected && !p.isFreshForTrial(now, &s.tasks[i], w) {
 			fresh = false
 		}
 	}
@@ -190,11 +202,12 @@
 	if !t.crashes.suspected {
 		return true
 	}
-	if w.trialPolledAt.After(w.lastReport) && now.Sub(w.trialPolledAt) > trialPollTimeout {
+	if w.isPolledForTrial() && now.Sub(w.trialPolledAt) > trialPollTimeout {
 		return false
 	}
 	if p.isTrialOverdue(now, t) {
-		return true
+		// Overdue tasks poll a worker each, so that their waits for the answers overlap.
+		return !w.isPolledForOther(t)
 	}
 	if p.countTrials(now, t) >= p.trialLimit() {
 		return false
--- a/scheduler/unit_test.go
+++ b/scheduler/unit_test.go
@@ -21,11 +21,16 @@
 }
 
 func newTestPool(workers ...string) *testPool {
+	return newLoadedTestPool(nil, nil, workers...)
+}
+
+// newLoadedTestPool returns a pool that has taken over the jobs.
+func newLoadedTestPool(jobs []*pb.JobRecord, progress []*pb.JobProgress, workers ...string) *testPool {
 	b := &testPool{now: time.UnixMilli(simEpoch), clock: 1000}
 	cfg := simConfig
 	cfg.Fence = 7
 	b.pool = scheduler.New(cfg)
-	b.pool.Load(b.now, nil, nil, nil)
+	b.pool.Load(b.now, jobs, progress, nil)
 	b.pool.SetQueues(b.now, []queue.Queue{{Name: "q", MaxAttempts: 3, Stretch: 2, TargetDuration: time.Second}})
 	var ws []scheduler.Worker
 	for _, id := range workers {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -98,8 +98,9 @@
 	trials        int
 	reservedFor   *task
 	reservedUntil time.Time
-	// trialPolledAt is when the worker was polled for a trial that is to start here.
-	trialPolledAt time.Time
+	// trialPolledAt is when the worker was polled for a trial of trialPolledFor that is to start here.
+	trialPolledAt  time.Time
+	trialPolledFor *task
 }
 
 type runKey struct {
