--- a/scheduler/forgetful_test.go
+++ b/scheduler/forgetful_test.go
@@ -33,6 +33,7 @@
 				running[o.Worker] = append(running[o.Worker], scheduler.RunningTask{Task: o.Task, Run: o.Run})
 			case scheduler.OrderStop:
 				stops[o.Worker]++
+			case scheduler.OrderPace:
 			}
 		}
 	}
@@ -94,6 +95,7 @@
 				if last > forgotten {
 					ended = append(ended, scheduler.EndedRun{Number: last, Task: o.Task, Run: o.Run, End: scheduler.EndStopped})
 				}
+			case scheduler.OrderPace:
 			}
 		}
 		if starts > 1 {
--- a/scheduler/forgottenends.go
+++ b/scheduler/forgottenends.go
@@ -121,7 +121,9 @@
 }
 
 // provesEnds reports whether a gang is started only for the ends of its members on workers that may have forgotten ends.
-func (s *step) provesEnds(now time.Time) bool { return s.expected >= minProofRun && now.Sub(s.readySince) >= proofWait }
+func (s *step) provesEnds(now time.Time) bool {
+	return s.expected >= minProofRun && now.Sub(s.readySince) >= proofWait
+}
 
 // isLastResort reports whether a step whose tasks cannot prove that the worker lists its ends may use it nevertheless: no run is missing
 // there, and no other worker is permitted and large enough.
--- a/scheduler/simoverlap_test.go
+++ b/scheduler/simoverlap_test.go
@@ -77,6 +77,37 @@
 	return true
 }
 
+// loseHold handles a hold that did not reach its worker. A worker that is down has ended its connection, so that it was not sent.
+func (o *simOwner) loseHold(w *simWorker, h scheduler.Hold) {
+	s := o.sim
+	if !w.up {
+		o.pool.SettleAck(w.id, h, scheduler.AckNotSent)
+	}
+	if s.naive {
+		o.handle(func(p *scheduler.Pool) {
+			p.Report(s.time(), scheduler.Report{Worker: w.id, Address: w.id, Sent: s.time(), Received: s.time(), Gone: true})
+		})
+	}
+}
+
+// delayAfterLostHold returns the time in ms until the next hold of a worker that did not get one. It reports the end of a worker
+// that is down.
+func (o *simOwner) delayAfterLostHold(w *simWorker) int64 {
+	if o.sim.faults.refuses && !w.up && !o.cutOff(w) {
+		o.reportEnd(w)
+		return 600
+	}
+	return 1000
+}
+
+// delayAfterBrokenHold returns the time in ms until the next hold of a worker that went down or was cut off during one.
+func (o *simOwner) delayAfterBrokenHold(w *simWorker) int64 {
+	if o.sim.faults.refuses && !w.up {
+		return 150
+	}
+	return 1000
+}
+
 // Guards against two runs of a task where owners act beside their successors, or stand still between reading their clock and sending,
 // and where holds and their answers are seconds late.
 func TestOwnersThatOverlap(t *testing.T) {
--- a/scheduler/simowner_test.go
+++ b/scheduler/simowner_test.go
@@ -269,14 +269,7 @@
 	holdAgain := func(ms int64) { s.after(ms, func() { o.hold(w) }) }
 	lost := o.cutOff(w) || !w.up || s.faultsActive() && s.chance(s.faults.lostCalls)
 	if lost {
-		if !w.up {
-			o.pool.SettleAck(w.id, h, scheduler.AckNotSent) // its connection has ended
-		}
-		if s.naive {
-			o.handle(func(p *scheduler.Pool) {
-				p.Report(s.time(), scheduler.Report{Worker: w.id, Address: w.id, Sent: sent, Received: s.time(), Gone: true})
-			})
-		}
+		o.loseHold(w, h)
 		holdAgain(o.delayAfterLostHold(w))
 		return
 	}
@@ -303,35 +296,17 @@
 		}
 		s.after(1+s.rng.Int64N(30), func() {
 			rep.Received = s.time()
+			if o.answeredBy[w.id] == rep.Born {
+				o.pool.SettleAck(w.id, h, scheduler.AckApplied)
+			}
 			o.unconfirmed[w.id], o.answeredBy[w.id] = false, rep.Born
-			o.handle(func(p *scheduler.Pool) {
-				p.SettleAck(w.id, h, scheduler.AckApplied)
-				p.Report(s.time(), rep)
-			})
+			o.handle(func(p *scheduler.Pool) { p.Report(s.time(), rep) })
 			holdAgain(20)
 		})
 	}
 	s.after(1+s.rng.Int64N(5), poll)
 }
 
-// delayAfterLostHold returns the time in ms until the next hold of a worker that did not get one. It reports the end of a worker
-// that is down.
-func (o *simOwner) delayAfterLostHold(w *simWorker) int64 {
-	if o.sim.faults.refuses && !w.up && !o.cutOff(w) {
-		o.reportEnd(w)
-		return 600
-	}
-	return 1000
-}
-
-// delayAfterBrokenHold returns the time in ms until the next hold of a worker that went down or was cut off during one.
-func (o *simOwner) delayAfterBrokenHold(w *simWorker) int64 {
-	if o.sim.faults.refuses && !w.up {
-		return 150
-	}
-	return 1000
-}
-
 // reportEnd reports that the worker's incarnation has ended, as the owner of the fleet does. The worker may be up again by then.
 func (o *simOwner) reportEnd(w *simWorker) {
 	s := o.sim
