--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,11 @@
 SEED ?= 1
 MODE ?= jobs,requests
 MINUTES ?= 0
-soak: build ## inject faults into real processes; SEED=n or n..m, MODE=jobs, requests, cuts or takeovers, MINUTES=m
-	bin/agateturn-standin soak --seeds $(SEED) --mode $(MODE) --minutes $(MINUTES)
+HOSTS ?= 0
+WORKERS ?= 0
+RATE ?= 0
+soak: build ## inject faults into real processes; SEED=n or n..m, MODE=jobs, requests, cuts or takeovers, MINUTES=m, HOSTS=n, WORKERS=n, RATE=n a second
+	bin/agateturn-standin soak --seeds $(SEED) --mode $(MODE) --minutes $(MINUTES) --hosts $(HOSTS) --workers $(WORKERS) --rate $(RATE)
 
 up: build ## start a deployment on loopback and keep it until Ctrl-C; DEPLOYMENT=agency or brenaz
 	scripts/up.sh $(DEPLOYMENT)
--- a/cmd/agateturn-standin/soak.go
+++ b/cmd/agateturn-standin/soak.go
@@ -22,6 +22,7 @@
 	Mode    []string      `default:"jobs" help:"What entry hosts serve: jobs, requests, cuts (jobs while links are cut or refuse connections), or takeovers (jobs on larger pools, while owners end during outages of the store and workers return under their ids); several are separated by commas."`
 	Hosts   int           `help:"Entry hosts; 3 to 5 if 0."`
 	Workers int           `help:"Machines of all pools; about 10 if 0, about 27 in takeovers."`
+	Rate    float64       `help:"Jobs or requests per second; chosen by the seed if 0."`
 	Faults  time.Duration `default:"12s" help:"How long faults are injected in a run."`
 	Dir     string        `default:"run/soak" help:"Directory for the files that failed runs leave."`
 	Daemon  string        `default:"bin/agateturnd" type:"existingfile" help:"Path of the daemon."`
@@ -35,6 +36,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Rate < 0 {
+		return fmt.Errorf("rate %v: want 0 or more", c.Rate)
+	}
 	self, err := os.Executable()
 	if err != nil {
 		return err
@@ -46,7 +50,7 @@
 			if c.Minutes > 0 && time.Since(startedAt).Minutes() > c.Minutes || ctx.Err() != nil {
 				break
 			}
-			plan := soak.Draw(soak.Mode(mode), seed, soak.Sizes{Hosts: c.Hosts, Workers: c.Workers, Faults: c.Faults})
+			plan := soak.Draw(soak.Mode(mode), seed, soak.Sizes{Hosts: c.Hosts, Workers: c.Workers, Rate: c.Rate, Faults: c.Faults})
 			if !c.Quiet {
 				fmt.Print(plan)
 			}
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -27,6 +27,8 @@
 type Sizes struct {
 	// Hosts is the number of entry hosts, Workers that of the machines of all pools; 0 chooses a small random number.
 	Hosts, Workers int
+	// Rate is jobs or requests per second; 0 chooses a random rate that suits the mode.
+	Rate float64
 	// Faults is the time during which faults are injected.
 	Faults time.Duration
 }
@@ -126,6 +128,7 @@
 	if mode == Takeovers {
 		d.Rate *= takeoverWorkers / minWorkers
 	}
+	d.Rate = cmp.Or(sizes.Rate, d.Rate)
 	d.WaveCap = 1 + d.random.IntN(2)
 	end := firstFault + sizes.Faults
 	d.Load = end + recoveryBound + loadAfterBound
