soak: a store that refuses some entry hosts and revokes their leases, as mode refusals

The record of 2026-12-08 shows two of three hosts of a data centre refused by the store, with their leases lost at once, while they were up. The soak had no such fault: a cut link to the store ends the lease only after its time, and a revocation takes the leases of all hosts, which get new ones.

Change: the stand-in's store knows entry hosts by the view through which they reach it, and answers those of the refused views 503 after it has revoked their leases. The fault is a step of the soak. Changes of the store's faults are sent one at a time, since steps at nearly the same time could arrive in the other order.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 HOSTS ?= 0
 WORKERS ?= 0
 RATE ?= 0
-soak: build ## inject faults into real processes; SEED=n or n..m, MODE=jobs, requests, cuts or takeovers, MINUTES=m, HOSTS=n, WORKERS=n, RATE=n a second
+soak: build ## inject faults into real processes; SEED=n or n..m, MODE=jobs, requests, cuts, takeovers or refusals, MINUTES=m, HOSTS=n, WORKERS=n, RATE=n a second
 	bin/agateturn-standin soak --seeds $(SEED) --mode $(MODE) --minutes $(MINUTES) --hosts $(HOSTS) --workers $(WORKERS) --rate $(RATE)
 
 up: build ## start a deployment on loopback and keep it until Ctrl-C; DEPLOYMENT=agency or brenaz
--- a/cmd/agateturn-standin/soak.go
+++ b/cmd/agateturn-standin/soak.go
@@ -19,9 +19,9 @@
 type soakCommand struct {
 	Seeds   string        `default:"1" help:"Seed, or first and last seed, such as 1..50."`
 	Minutes float64       `default:"0" help:"Start no further seed after this many minutes; 0 runs all."`
-	Mode    []string      `default:"jobs" help:"What entry hosts serve: jobs, requests, cuts (jobs while links are cut or refuse connections), or takeovers (jobs on larger pools, while owners end during outages of the store and workers return under their ids); several are separated by commas."`
+	Mode    []string      `default:"jobs" help:"What entry hosts serve: jobs, requests, cuts (jobs while links are cut or refuse connections), takeovers (jobs on larger pools, while owners end during outages of the store and workers return under their ids), or refusals (takeovers, while the store refuses some entry hosts); several are separated by commas."`
 	Hosts   int           `help:"Entry hosts; 3 to 5 if 0."`
-	Workers int           `help:"Machines of all pools; about 10 if 0, about 27 in takeovers."`
+	Workers int           `help:"Machines of all pools; about 10 if 0, about 27 in takeovers and refusals."`
 	Rate    float64       `help:"Jobs or requests per second; chosen by the seed if 0."`
 	Faults  time.Duration `default:"12s" help:"How long faults are injected in a run."`
 	Dir     string        `default:"run/soak" help:"Directory for the files that failed runs leave."`
--- a/standin/jobplatform/control.go
+++ b/standin/jobplatform/control.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/agateturn/agateturn/store/memtxn"
 )
 
@@ -40,6 +42,9 @@
 	Deaf   bool `json:"deaf"`
 	// LateEvery applies every nth write late and without an answer; 0 disables this.
 	LateEvery int `json:"lateEvery"`
+	// Refused holds the networks of the views whose clients are answered 503 and lose their leases at once. They still reach
+	// workers and one another.
+	Refused []string `json:"refused,omitempty"`
 }
 
 // silenceLimit bounds the silence of the store; the next StoreControl ends it earlier.
@@ -67,7 +72,11 @@
 	if c.Store != nil {
 		p.kv.SetFaults(memtxn.Faults{
 			Plan: p.plan, Delay: time.Duration(c.Store.DelayMs) * time.Millisecond, StallWatches: c.Store.Deaf, LateBy: lateDelay,
+			Cut: lo.SliceToMap(c.Store.Refused, func(network string) (string, bool) { return entryHostClients + network, true }),
 		})
+		for _, network := range c.Store.Refused { // after SetFaults, so that they are granted no other lease
+			p.kv.RevokeClient(entryHostClients + network)
+		}
 		p.faults.lateWrites.interval.Store(int64(c.Store.LateEvery))
 		p.SilenceStore(map[bool]time.Duration{true: silenceLimit}[c.Store.Silent])
 	}
--- a/standin/jobplatform/faults.go
+++ b/standin/jobplatform/faults.go
@@ -3,14 +3,16 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/agateturn/agateturn/store/memtxn"
 )
 
-// entryHostClient is the store client of the entry hosts. Faults apply to this client only.
-const entryHostClient = "hosts"
+// entryHostClients begins the names of the store clients of entry hosts, which end with the network of their view. Faults apply to
+// these clients only.
+const entryHostClients = "hosts of "
 
 // lateDelay is the delay after which a late order or write is executed.
 const lateDelay = 2 * time.Second
@@ -104,7 +106,7 @@
 
 // plan decides the outcome of a call to the store.
 func (p *Platform) plan(client string, call memtxn.Call) memtxn.Outcome {
-	if client != entryHostClient {
+	if !strings.HasPrefix(client, entryHostClients) {
 		return memtxn.Serve
 	}
 	p.traffic.note(call, time.Now())
--- a/standin/jobplatform/jobplatform.go
+++ b/standin/jobplatform/jobplatform.go
@@ -94,7 +94,7 @@
 // listenStore listens for the clients of one view of the store and the machine API.
 func (p *Platform) listenStore(ctx context.Context, view int, clientNetwork string) error {
 	mux := http.NewServeMux()
-	kvServer{kv: p.kv.Client(entryHostClient), network: p.options.Network + ".", clientNetwork: clientNetwork + "."}.route(mux)
+	kvServer{kv: p.kv.Client(entryHostClients + clientNetwork), network: p.options.Network + ".", clientNetwork: clientNetwork + "."}.route(mux)
 	p.routeMachines(mux)
 	address, err := netip.ParseAddrPort(p.options.Address)
 	if err != nil {
--- a/standin/jobplatform/jobplatform_test.go
+++ b/standin/jobplatform/jobplatform_test.go
@@ -22,6 +22,7 @@
 const (
 	job                = "00000000000000af"
 	storeAddressSuffix = ".8.100:18500"
+	viewNetworkSuffix  = ".9"
 	// farDeadline is a lease deadline on a worker's clock that the worker shortens.
 	farDeadline = 1 << 40
 )
@@ -36,11 +37,14 @@
 	ids      []scheduler.Worker
 }
 
+// network returns the first two bytes of all addresses of this process.
+func network() string { return fmt.Sprintf("127.%d", 100+os.Getpid()%100) }
+
 func newUnsafeOwner(t *testing.T) *unsafeOwner {
 	t.Helper()
-	network := fmt.Sprintf("127.%d", 100+os.Getpid()%100)
+	network := network()
 	p, err := jobplatform.New(t.Context(), jobplatform.Options{
-		Address: network + storeAddressSuffix, Network: network + ".8", WorkerPort: 9100,
+		Address: network + storeAddressSuffix, Network: network + ".8", WorkerPort: 9100, Views: []string{network + viewNetworkSuffix},
 		Pools: []jobplatform.PoolOptions{{Name: "open", Machines: 2}, {Name: "guarded", Machines: 1, EnforcesCapacity: true}, {Name: "spare", Spare: true}},
 	})
 	assert.NilError(t, err)
--- a/standin/soak/jobs.go
+++ b/standin/soak/jobs.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/samber/lo"
@@ -36,7 +37,10 @@
 type jobHarness struct {
 	*run
 	platform *process
-	store    jobplatform.StoreControl
+
+	// storeMu is held while the faults of the store are sent, so that the latest are sent last.
+	storeMu sync.Mutex
+	store   jobplatform.StoreControl
 }
 
 func address(network string, last, port int) string {
@@ -165,7 +169,7 @@
 	var begin, after jobplatform.Control
 	switch s.Action {
 	case Store:
-		return w.setStoreFault(ctx, s.Detail)
+		return w.setStoreFault(ctx, s)
 	case Compact:
 		begin.Compact = true
 	case Revoke:
@@ -200,11 +204,11 @@
 }
 
 // setStoreFault adds a fault to the active faults of the store.
-func (w *jobHarness) setStoreFault(ctx context.Context, name string) (end func(), err error) {
-	set := func(on bool) jobplatform.Control {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		switch name {
+func (w *jobHarness) setStoreFault(ctx context.Context, s Step) (end func(), err error) {
+	set := func(on bool, send func(jobplatform.Control)) {
+		w.storeMu.Lock()
+		defer w.storeMu.Unlock()
+		switch s.Detail {
 		case "slow":
 			w.store.DelayMs = lo.Ternary(on, slowStore.Milliseconds(), 0)
 		case "silent":
@@ -213,14 +217,20 @@
 			w.store.Deaf = on
 		case "late":
 			w.store.LateEvery = lo.Ternary(on, lateWritesEvery, 0)
+		case refusal:
+			view := w.network(s.Host)
+			w.store.Refused = lo.Without(w.store.Refused, view)
+			if on {
+				w.store.Refused = append(w.store.Refused, view)
+			}
 		}
-		faults := w.store
-		return jobplatform.Control{Store: &faults}
+		send(jobplatform.Control{Store: &w.store})
 	}
-	if err := w.control(ctx, set(true)); err != nil {
+	set(true, func(c jobplatform.Control) { err = w.control(ctx, c) })
+	if err != nil {
 		return nil, err
 	}
-	return func() { w.endFault(ctx, set(false)) }, nil
+	return func() { set(false, func(c jobplatform.Control) { w.endFault(ctx, c) }) }, nil
 }
 
 func (w *jobHarness) hostStarting(ctx context.Context, host int) error {
--- a/standin/soak/naive_test.go
+++ b/standin/soak/naive_test.go
@@ -393,7 +393,7 @@
 
 // TestPlansAreDeterministic checks that a seed always gives the same plan, and that the plans of some seeds contain every series.
 func TestPlansAreDeterministic(t *testing.T) {
-	for _, mode := range []Mode{Jobs, Requests, Cuts, Takeovers} {
+	for _, mode := range []Mode{Jobs, Requests, Cuts, Takeovers, Refusals} {
 		series := map[string]bool{}
 		for seed := range uint64(40) {
 			p := Draw(mode, seed, Sizes{Faults: 12 * time.Second})
@@ -402,7 +402,7 @@
 				series[s.Series] = true
 			}
 		}
-		assert.Equal(t, len(series), map[Mode]int{Jobs: 10, Requests: 11, Cuts: 12, Takeovers: 15}[mode])
+		assert.Equal(t, len(series), map[Mode]int{Jobs: 10, Requests: 11, Cuts: 12, Takeovers: 15, Refusals: 16}[mode])
 	}
 }
 
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -15,12 +15,14 @@
 type Mode string
 
 // The modes of entry hosts. Cuts serves jobs while series of links are cut or refuse connections. Takeovers serves more jobs on
-// larger pools, while owners end and restart during outages of the store and of workers.
+// larger pools, while owners end and restart during outages of the store and of workers. Refusals adds a store that refuses some entry
+// hosts.
 const (
 	Jobs      Mode = "jobs"
 	Requests  Mode = "requests"
 	Cuts      Mode = "cuts"
 	Takeovers Mode = "takeovers"
+	Refusals  Mode = "refusals"
 )
 
 // Sizes limit the random choices of a plan.
@@ -85,7 +87,8 @@
 	Series string
 	Action Action
 	Host   int
-	// For is the duration of a fault. Detail selects the fault of a Store step, Impairment that of an Impair step.
+	// For is the duration of a fault. Detail selects the fault of a Store step, Impairment that of an Impair step. A refusal of the store
+	// concerns one host.
 	For        time.Duration
 	Detail     string
 	Impairment Impairment
@@ -102,7 +105,9 @@
 	storeAddress   = "store"
 	// cutsWeight is how often each kind of cut of workers is among the kinds of Cuts.
 	cutsWeight = 4
-	// minWorkers and takeoverWorkers are the smallest numbers of workers that a plan chooses, for all modes but Takeovers and for it.
+	// refusalsWeight is how often refused hosts are among the kinds of Refusals.
+	refusalsWeight = 8
+	// minWorkers and takeoverWorkers are the smallest numbers of workers that a plan chooses, without takeovers and with them.
 	minWorkers, takeoverWorkers = 8, 24
 )
 
@@ -116,16 +121,17 @@
 
 // Draw returns the plan of a seed.
 func Draw(mode Mode, seed uint64, sizes Sizes) Plan {
+	takeovers := mode == Takeovers || mode == Refusals
 	d := &planner{Plan: &Plan{Seed: seed, Mode: mode}, random: rand.New(rand.NewPCG(seed, 7))} //nolint:gosec // repeatable
 	d.Hosts = cmp.Or(sizes.Hosts, 3+d.random.IntN(3))
-	workers := cmp.Or(sizes.Workers, lo.Ternary(mode == Takeovers, takeoverWorkers, minWorkers)+d.random.IntN(7))
+	workers := cmp.Or(sizes.Workers, lo.Ternary(takeovers, takeoverWorkers, minWorkers)+d.random.IntN(7))
 	pools := 2 + d.random.IntN(2)
 	for range pools {
 		d.Pools = append(d.Pools, max(3, workers/pools))
 	}
 	d.Pools = append(d.Pools, 1+d.random.IntN(2))
 	d.Rate = map[Mode]float64{Jobs: 3 + 2*d.random.Float64(), Requests: 40 + 40*d.random.Float64()}[lo.Ternary(mode == Requests, mode, Jobs)]
-	if mode == Takeovers {
+	if takeovers {
 		d.Rate *= takeoverWorkers / minWorkers
 	}
 	d.Rate = cmp.Or(sizes.Rate, d.Rate)
@@ -138,7 +144,7 @@
 		d.series, d.at = kind.name, at
 		kind.draw()
 	}
-	if mode == Takeovers {
+	if takeovers {
 		d.series, d.at = "last outage", max(firstFault, end-d.ms(2500, 6000))
 		d.lastOutage()
 	}
@@ -185,6 +191,8 @@
 	switch d.Mode {
 	case Takeovers:
 		return d.takeoverKinds()
+	case Refusals:
+		return append(d.takeoverKinds(), slices.Repeat([]kind{{"some hosts refused", d.refuseHosts}}, refusalsWeight)...)
 	case Requests:
 		all = append(all, kind{"move", d.move}, kind{"move", d.move}, kind{"wave", d.startWave})
 	case Cuts:
@@ -367,6 +375,8 @@
 			direction = "connections"
 		}
 		return fmt.Sprintf("%s of %s of link %q to %s for %v", s.Impairment.Harm, direction, s.Impairment.Link.From, s.Impairment.Link.To, s.For)
+	case s.Host > 0 && s.For > 0:
+		return fmt.Sprintf("%s %s of entry-%d for %v", s.Action, s.Detail, s.Host, s.For)
 	case s.Host > 0:
 		return strings.TrimSpace(fmt.Sprintf("%s entry-%d %s", s.Action, s.Host, s.Detail))
 	case s.For > 0:
--- a/standin/soak/takeovers.go
+++ b/standin/soak/takeovers.go
@@ -6,7 +6,10 @@
 	"github.com/samber/lo"
 )
 
-// takeoverKinds returns the series of Takeovers, with frequent ones repeated.
+// refusal is the Detail of a Store step that makes the store refuse an entry host and revoke its leases.
+const refusal = "refusal"
+
+// takeoverKinds returns the series of Takeovers and most of Refusals, with frequent ones repeated.
 func (d *planner) takeoverKinds() []kind {
 	return []kind{
 		{"killed in turn", d.killInTurn},
@@ -92,6 +95,21 @@
 	}
 }
 
+// refuseHosts makes the store refuse up to half of the entry hosts for a time, one to three times. Mostly, workers return meanwhile.
+func (d *planner) refuseHosts() {
+	for range 1 + d.random.IntN(3) {
+		lasts := d.ms(1500, 5000)
+		for _, h := range d.random.Perm(d.Hosts)[:1+d.random.IntN((d.Hosts+1)/2)] {
+			d.add(d.ms(0, 100), Step{Action: Store, Host: 1 + h, For: lasts, Detail: refusal})
+		}
+		until := d.at + lasts
+		if d.random.IntN(3) > 0 {
+			d.returnWorkers()
+		}
+		d.at = max(d.at, until) + d.ms(100, 1500)
+	}
+}
+
 // delayCalls makes orders or holds late and loses answers, each with even odds.
 func (d *planner) delayCalls() {
 	for _, action := range []Action{DelayOrders, DelayHolds, LoseAnswers} {
--- a/store/memtxn/client.go
+++ b/store/memtxn/client.go
@@ -55,7 +55,7 @@
 
 // Grant implements store.Transactor.
 func (c *client) Grant(ctx context.Context, ttl time.Duration) (id uint64, applied time.Duration, err error) {
-	id, err = c.write(ctx, CallGrant, func(s *Store) (uint64, error) { return s.grantLocked(ttl), nil })
+	id, err = c.write(ctx, CallGrant, func(s *Store) (uint64, error) { return s.grantLocked(c.name, ttl), nil })
 	return id, ttl, err
 }
 
--- a/store/memtxn/lease.go
+++ b/store/memtxn/lease.go
@@ -9,10 +9,11 @@
 	"github.com/agateturn/agateturn/store"
 )
 
-func (s *Store) grantLocked(ttl time.Duration) uint64 {
+func (s *Store) grantLocked(client string, ttl time.Duration) uint64 {
 	s.revision++
 	id := s.revision
 	s.leases[id] = &lease{
+		client:  client,
 		ttl:     ttl,
 		expires: time.Now().Add(ttl),
 		timer:   time.AfterFunc(ttl, func() { s.expire(id) }),
@@ -68,10 +69,17 @@
 }
 
 // RevokeAll revokes all leases immediately, as an operator or a fault of the store may do.
-func (s *Store) RevokeAll() {
+func (s *Store) RevokeAll() { s.revokeIf(func(*lease) bool { return true }) }
+
+// RevokeClient revokes the leases that were granted to the named client.
+func (s *Store) RevokeClient(name string) {
+	s.revokeIf(func(l *lease) bool { return l.client == name })
+}
+
+func (s *Store) revokeIf(matches func(*lease) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ids := lo.Keys(s.leases)
+	ids := lo.Keys(lo.PickBy(s.leases, func(_ uint64, l *lease) bool { return matches(l) }))
 	slices.Sort(ids)
 	for _, id := range ids {
 		s.endLocked(id)
--- a/store/memtxn/memtxn.go
+++ b/store/memtxn/memtxn.go
@@ -21,6 +21,8 @@
 const maxHistory = 100_000
 
 type lease struct {
+	// client is the name of the client that was granted the lease.
+	client  string
 	ttl     time.Duration
 	expires time.Time
 	timer   *time.Timer
