A task lost with its worker starts again once the ownership is confirmed

Callers would see a work item run again after it had ended done: its worker drains, ends the run, and restarts, while the owner does not know yet that it was replaced.

Cause: a later owner may have recorded and acknowledged the end before the worker restarted. The restart, or the list of hosts, then ended the run as lost in the term of the replaced owner, which started the task on another worker while its last confirmation allowed starts. After an unexpected restart the record of the crash, which only the owner can write, mostly comes first; after one of a draining or evacuated worker nothing does.

Change: a task of which a run was lost with its incarnation starts again after a read of the pool's key that began since the loss has found this owner's fence, as for runs that a list omits. Placement follows the confirmation at once.

--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -62,9 +62,9 @@
 	}
 }
 
-// isGangPaused reports whether the gang must not start yet, after attempts that were broken or a refusal of a member.
-func (s *step) isGangPaused(now time.Time) bool {
-	return now.Before(s.notBefore) || slices.ContainsFunc(s.tasks, func(t task) bool { return now.Before(t.notBefore) })
+// isGangPaused reports whether the gang must not start yet, after attempts that were broken, or a refusal or a loss of a member.
+func (p *Pool) isGangPaused(now time.Time, s *step) bool {
+	return now.Before(s.notBefore) || slices.ContainsFunc(s.tasks, func(t task) bool { return p.isPaused(now, &t) })
 }
 
 // stopGangAttempt stops the other members of an attempt.
@@ -80,7 +80,7 @@
 
 // placeGang starts all members with the same run number if there is room for all of them at once.
 func (p *Pool) placeGang(now time.Time, s *step, usable []*worker) {
-	if len(s.ready) < len(s.tasks) || s.isGangPaused(now) {
+	if len(s.ready) < len(s.tasks) || p.isGangPaused(now, s) {
 		return
 	}
 	chosen := make([]*worker, 0, len(s.tasks))
--- a/scheduler/missing.go
+++ b/scheduler/missing.go
@@ -17,6 +17,26 @@
 	p.endConfirmedMissing(now)
 }
 
+// awaitLossConfirmed lets the task of a run that is lost with its incarnation start again once the ownership was confirmed since: a later
+// owner may have acknowledged the end of the run before the incarnation ended.
+func (p *Pool) awaitLossConfirmed(now time.Time, r *run) {
+	if r.task != nil {
+		r.task.lostAt, p.lastLostAt = now, now
+	}
+}
+
+// checkLossConfirmed requests the confirmation that lost tasks wait for, and has them placed at once after it.
+func (p *Pool) checkLossConfirmed(now time.Time) {
+	switch {
+	case p.lastLostAt.IsZero():
+	case !p.confirmedSince(p.lastLostAt):
+		p.out.Confirm = true
+	default:
+		p.lastLostAt = time.Time{}
+		p.wakePlacement(now)
+	}
+}
+
 // endConfirmedMissing removes the missing runs whose ends no later owner can have acknowledged. Runs that were never known to begin count
 // as never started, those that were only to be stopped as stopped, and the others as lost.
 func (p *Pool) endConfirmedMissing(now time.Time) {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -164,6 +164,11 @@
 	p.placeStep(now, s, suspects)
 }
 
+// isPaused reports whether the task must not start yet.
+func (p *Pool) isPaused(now time.Time, t *task) bool {
+	return now.Before(t.notBefore) || !p.confirmedSince(t.lostAt)
+}
+
 func (p *Pool) placeStep(now time.Time, s *step, usable []*worker) {
 	if p.takeover.blocksStarts() || p.awaitsEnds(s) || !p.mayStart(now) || p.withinLimit(s, 1) == 0 {
 		return
@@ -182,7 +187,7 @@
 			break
 		}
 		t := &s.tasks[index]
-		if now.Before(t.notBefore) {
+		if p.isPaused(now, t) {
 			kept = append(kept, index)
 			continue
 		}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -75,6 +75,8 @@
 	changedJobs []*job
 	// missingRuns holds the runs that a list has proved absent, until the ownership was confirmed since.
 	missingRuns []*run
+	// lastLostAt is when a run was last lost with its incarnation, zero once the ownership was confirmed since.
+	lastLostAt time.Time
 	// watchedRuns holds the runs with a stop to order or an unanswered start to resolve.
 	watchedRuns     []*run
 	placementDue    bool
@@ -191,6 +193,7 @@
 	}
 	p.checkWorkers(now)
 	p.endConfirmedMissing(now)
+	p.checkLossConfirmed(now)
 	p.checkArrivals(now)
 	p.openOccurrences(now)
 	p.checkTakeover(now)
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -75,6 +75,8 @@
 	failedRuns []int64
 	failedOn   []string
 	notBefore  time.Time
+	// lostAt is when a run was last lost with its incarnation.
+	lostAt time.Time
 	// waitingSince is when the task last began to wait for a worker.
 	waitingSince time.Time
 	refusals     int
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -252,6 +252,7 @@
 func (p *Pool) endRuns(now time.Time, w *worker, reason string, ends func(*run) bool) {
 	for _, r := range append([]*run(nil), w.runs...) {
 		if ends(r) {
+			p.awaitLossConfirmed(now, r)
 			p.addLost(now, r, reason)
 			p.endRun(now, r, EndLapsed, "")
 		}
