KNOWN-RED: the next owner is not told that a worker may have forgotten ends

Callers would see a work item run again after it had ended done, on another worker, some seconds after a takeover.

Cause: the roster's mark of a returned worker is cleared once its leases are settled. An owner that takes over after that does not know that the worker has returned, and starts batch tasks where their ends may be forgotten.

Measured: TestWorkerThatMayForgetEndsStaysMarkedForTheNextOwner fails always.

--- a/scheduler/forgottenends_test.go
+++ b/scheduler/forgottenends_test.go
@@ -125,3 +125,21 @@
 		})
 	}
 }
+
+// Guards against a task that runs again after it has succeeded, where the next owner takes over once the leases of a returned worker are
+// settled, but while that one may still have forgotten ends.
+func TestWorkerThatMayForgetEndsStaysMarkedForTheNextOwner(t *testing.T) {
+	b := returnForgetful(t)
+	live := func(ended ...scheduler.EndedRun) {
+		for range 100 {
+			b.advance(90 * time.Millisecond)
+			b.pool.SetConfirmed(b.now)
+			b.answer(6, nil, ended...)
+			b.pool.Step(b.now)
+		}
+	}
+	live()
+	assert.Assert(t, b.pool.Unsettled("w1", 6))
+	live(scheduler.EndedRun{Number: 2, Task: scheduler.TaskID{Job: "a"}, Run: 1, End: scheduler.EndStopped})
+	assert.Assert(t, !b.pool.Unsettled("w1", 6))
+}
