Simulation: owners that lose the pool's key beside their successors

The simulated owners confirmed nothing, a hold took effect when it was answered, and only then was its fence checked: an answer that lacks what a later owner has acknowledged meanwhile could not happen.

That no task begins after a success that was acknowledged is checked at the end, as before.

--- a/scheduler/simoverlap_test.go
+++ b/scheduler/simoverlap_test.go
@@ -16,6 +16,10 @@
 		return
 	}
 	o.outlives, o.reachesAll = true, s.chance(0.5)
+	if s.faults.revocations {
+		o.loseKey()
+		return
+	}
 	o.pool.SetConfirmed(s.time())
 	s.after(15_000, func() { o.replaced = true })
 }
