--- a/scheduler/simseal_test.go
+++ b/scheduler/simseal_test.go
@@ -89,5 +89,6 @@
 	}
 	for _, w := range listed {
 		o.sim.recordedBorn[w.ID], o.sim.recordedUnsettled[w.ID] = w.Born, p.Unsettled(w.ID, w.Born)
+		o.sim.recordedMayForget[w.ID] = p.MayForgetEnds(w.ID)
 	}
 }
