--- a/internal/poolowner/holdack_test.go
+++ b/internal/poolowner/holdack_test.go
@@ -24,6 +24,8 @@
 		workers := &scriptedWorkers{fakeWorkers: fakeWorkers{running: make(map[string][]scheduler.RunningTask)}}
 		ended := []scheduler.EndedRun{{Number: 5, Run: math.MaxInt64, End: scheduler.EndSucceeded}}
 		workers.answer = func(poolowner.HoldRequest) (scheduler.Report, error) {
+			workers.mu.Lock()
+			defer workers.mu.Unlock()
 			calls++
 			return scheduler.Report{Born: 1, Ended: ended}, nil // LastSeen 0: sent without the acknowledgement
 		}
@@ -40,12 +42,12 @@
 	for name, restarts := range map[string]bool{"no answer": false, "later incarnation": true} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				calls := 0
 				var waited []time.Duration
 				workers := &scriptedWorkers{fakeWorkers: fakeWorkers{running: make(map[string][]scheduler.RunningTask)}}
 				ended := []scheduler.EndedRun{{Number: 5, Run: math.MaxInt64, End: scheduler.EndSucceeded}}
 				workers.answer = func(r poolowner.HoldRequest) (scheduler.Report, error) {
-					calls++
+					workers.mu.Lock() // polls come beside the holds
+					defer workers.mu.Unlock()
 					if r.LastSeen > 0 {
 						waited = append(waited, r.Wait)
 					}
@@ -76,7 +78,7 @@
 // hangingDials let the hold that acknowledges an end wait for a connection until its deadline, so that it is not sent. Then the worker returns.
 type hangingDials struct {
 	fakeWorkers
-	hung  bool
+	hung  atomic.Bool
 	stops atomic.Int64
 }
 
@@ -86,14 +88,14 @@
 }
 
 func (h *hangingDials) Hold(ctx context.Context, r poolowner.HoldRequest) (scheduler.Report, error) {
-	if r.LastSeen > 0 && !h.hung {
+	if r.LastSeen > 0 && !h.hung.Load() {
 		<-ctx.Done()
-		h.hung = true
+		h.hung.Store(true)
 		return scheduler.Report{Worker: r.Worker}, ctx.Err()
 	}
 	report, err := h.fakeWorkers.Hold(ctx, r)
 	report.Born = 1
-	if h.hung {
+	if h.hung.Load() {
 		report.Born = 2
 	} else {
 		report.Ended = []scheduler.EndedRun{{Number: 5, Run: math.MaxInt64, End: scheduler.EndSucceeded}}
@@ -114,7 +116,7 @@
 			accept(t, kv, newJob("job", 1))
 			time.Sleep(3 * time.Second)
 			stop()
-			assert.Assert(t, workers.hung)
+			assert.Assert(t, workers.hung.Load())
 			if workers.stops.Load() > 0 {
 				avoided++
 			}
