--- a/scheduler/decision.go
+++ b/scheduler/decision.go
@@ -34,8 +34,8 @@
 	Ends int
 	// Other is another run of the task, for DecisionStartedAgain.
 	Other int64
-	// Born is the incarnation that ended, for DecisionWorkerEnded, or of which a run is missing, for DecisionEndsForgotten. Silence is the time since the worker was last heard from, for
-	// DecisionWorkerEnded and DecisionLost.
+	// Born is the incarnation that ended, for DecisionWorkerEnded, or of which a run is missing, for DecisionEndsForgotten. Silence is
+	// the time since the worker was last heard from, for DecisionWorkerEnded and DecisionLost.
 	Born    int64
 	Silence time.Duration
 	// Unanswered means that a hold of the incarnation that ended got no answer, for DecisionWorkerEnded.
@@ -82,7 +82,7 @@
 	// DecisionStartedAgain means that a run has succeeded of which another one was started since.
 	DecisionStartedAgain = "started again"
 	// DecisionEndsForgotten means that a run is missing on a worker that has listed no end yet, so that it has probably forgotten the run's
-	// end. Batch tasks do not use the worker until it has listed one.
+	// end. Batch tasks start there only to be stopped until it has listed one.
 	DecisionEndsForgotten = "ends forgotten"
 	// DecisionSealAdopted means that a takeover does not wait for a worker, since its seal tells what may run there.
 	DecisionSealAdopted = "seal adopted"
--- a/scheduler/forgottenends.go
+++ b/scheduler/forgottenends.go
@@ -74,7 +74,7 @@
 // AckResult is what became of the acknowledgement of a hold.
 type AckResult int
 
-// Results of acknowledgements. Without either, it may still be carried out.
+// Results of acknowledgements. While neither is known, the acknowledgement may still be carried out.
 const (
 	// AckApplied: the incarnation for which the hold was meant has answered it.
 	AckApplied AckResult = iota
@@ -144,9 +144,9 @@
 	return !s.spec.GetPersistent() && !s.spec.GetGang() && !t.crashes.suspected && s.expected >= minProofRun
 }
 
-// startForgettable starts a task that finds no other worker on one that may have forgotten ends. It is stopped at once, if it can be: if
+// startOnUnprovenWorker starts a task that finds no other worker on one that may have forgotten ends. It is stopped at once, if it can be: if
 // the worker lists the end, it lists all later ones. It reports whether it has started the task.
-func (p *Pool) startForgettable(now time.Time, t *task, usable []*worker) bool {
+func (p *Pool) startOnUnprovenWorker(now time.Time, t *task, usable []*worker) bool {
 	s := t.step
 	for _, w := range usable {
 		if !mayForgetSuccess(s, w) || !s.need.fits(w.free()) || !p.permitsApartFromEnds(now, s, w) || !p.permitsTrials(now, t, w) {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -202,7 +202,7 @@
 		if t.crashes.suspected {
 			w = p.chooseForTrial(now, t, usable)
 		} else if w = p.choose(now, t, usable); w == nil {
-			if p.startForgettable(now, t, usable) {
+			if p.startOnUnprovenWorker(now, t, usable) {
 				continue
 			}
 			noRoom = true
